Fix the headers between the modules

Cause: the parts are built side by side and need one contract each. Conclusion: folders can be filled independently; they depend downwards only.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# Build, test and run lapisline.  Targets for users: run, run-keep, test.
+CC = gcc
+PKGS = libuv libh2o json-c glib-2.0 libxxhash libprotobuf-c
+CPPFLAGS = -I. -Iproto $(shell pkg-config --cflags $(PKGS)) \
+	-D_GNU_SOURCE -DH2O_USE_LIBUV=1
+CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wmissing-prototypes \
+	-Wno-unused-parameter $(SAN)
+LDLIBS = -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljson-c -lglib-2.0 \
+	-lxxhash -lpthread -lm
+B = build$(if $(SAN),/san)
+
+FOLDERS = base net store config fleet claim replica route back front control
+LIB_SRC = $(wildcard $(FOLDERS:%=%/*.c)) proto/wire.pb-c.c \
+	$(filter-out proto/wire.pb-c.c,$(wildcard proto/*.pb-c.c))
+CMD_SRC = lapisline.c $(wildcard builtin/*.c)
+LIB_OBJ = $(LIB_SRC:%.c=$B/%.o) $B/charts.o
+CMD_OBJ = $(CMD_SRC:%.c=$B/%.o)
+TESTS = $(patsubst t/%.c,$B/t/%,$(wildcard t/t[0-9]*.c))
+T_OBJ = $(patsubst %.c,$B/%.o,$(wildcard t/lib-*.c))
+
+all: $B/lapisline $B/standin
+
+$B/liblapisline.a: $(LIB_OBJ)
+	rm -f $@ && ar rcs $@ $^
+
+$B/lapisline: $(CMD_OBJ) $B/liblapisline.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$B/standin: $(patsubst %.c,$B/%.o,$(wildcard t/standin/*.c)) $B/liblapisline.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$B/t/%: $B/t/%.o $(T_OBJ) $B/liblapisline.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcriterion
+
+$B/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+# Generated protobuf code is not held to our warnings.
+$B/proto/%.o: CFLAGS += -Wno-missing-prototypes
+
+# Charts are embedded as C strings so that the binary needs no files.
+$B/charts.c: $(wildcard charts/*.json) charts/embed.sh
+	@mkdir -p $(@D)
+	sh charts/embed.sh charts > $@
+
+$B/charts.o: $B/charts.c
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+
+.SECONDARY:
+.PHONY: all
+-include $(shell find $B -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/config/settings.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * Settings of one process, from a JSON file with comments.
+ *
+ *   { "node": "entry-1", "zone": "hall-a", "region": "nairobi",
+ *     "gateway": { "http": "127.0.0.1:8080", "peer": "127.0.0.1:7001" },
+ *     "control": { "swim": "127.0.0.1:7002", "peer": "127.0.0.1:7003",
+ *                  "admin": "127.0.0.1:7004" },
+ *     "store": { "endpoints": ["127.0.0.1:2379"], "prefix": "/lapisline/",
+ *                "writes_per_s": 20, "reads_per_s": 60 },
+ *     "platform": "127.0.0.1:8500",         // list of live and leaving VMs
+ *     "peers": ["127.0.0.1:7013"],          // control peer addresses
+ *     "secret_file": "secret.txt",          // relative to the settings file
+ *     "log": { "format": "text", "level": "info" } }
+ *
+ * Port 0 lets the kernel choose; the process prints what it got.
+ */
+#ifndef LAPISLINE_CONFIG_SETTINGS_H
+#define LAPISLINE_CONFIG_SETTINGS_H
+
+#include "base/findings.h"
+#include "base/log.h"
+#include "net/httpc.h"
+
+#define SET_MAX_PEERS 64
+#define SET_MAX_ENDPOINTS 8
+
+struct settings
+{
+  char *node;
+  char *zone;
+  char *region;
+  struct net_addr gateway_http;
+  struct net_addr gateway_peer;
+  struct net_addr control_swim;
+  struct net_addr control_peer;
+  struct net_addr control_admin;
+  struct net_addr endpoints[SET_MAX_ENDPOINTS];
+  size_t nendpoints;
+  struct net_addr platform; /**< port 0: none */
+  char *store_prefix;
+  double store_writes;
+  double store_reads;
+  struct net_addr peers[SET_MAX_PEERS];
+  size_t npeers;
+  uint8_t secret[32]; /**< SHA-256 of the secret file's content */
+  enum log_format log_format;
+  enum log_level log_level;
+};
+
+/** Read and check; false with every finding when something is wrong. */
+bool settings_read (const char *path, struct settings *out,
+                    struct fnd_list *findings);
+void settings_free (struct settings *s);
+
+#endif
--- /dev/null
+++ b/config/spread.h
@@ -0,0 +1,83 @@
+/**
+ * @file
+ * How a configuration that was accepted reaches every node (decision core).
+ *
+ * Accepted means: the compare-and-swap of the manifest key took effect.  A
+ * manifest names the merged document by its SHA-256 and its change number;
+ * its revision is the store's mod_revision of the manifest key.  A node takes
+ * whole documents only, only when the hash fits, and only a higher revision
+ * than it has; so nothing reverts and nothing is in force by halves.
+ *
+ * Two control processes per zone (chosen by rendezvous hash over the live
+ * nodes of the zone) watch the store; the others learn from peers by
+ * ConfigHave and fetch by ConfigWant/ConfigChunk.  A node that boots while
+ * the store is down takes the highest that a reachable peer holds.
+ */
+#ifndef LAPISLINE_CONFIG_SPREAD_H
+#define LAPISLINE_CONFIG_SPREAD_H
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "base/str.h"
+
+struct spr;
+
+enum spr_event_kind
+{
+  SPR_TICK,
+  SPR_STORE_MANIFEST, /**< read or watched: revision, hash (32), none: rev 0 */
+  SPR_STORE_DOCUMENT, /**< revision, hash, bytes */
+  SPR_STORE_FAILED,
+  SPR_PEER_UP,    /**< peer */
+  SPR_PEER_DOWN,  /**< peer */
+  SPR_PEER_HAVE,  /**< peer, revision, hash, size */
+  SPR_PEER_WANT,  /**< peer, revision, hash */
+  SPR_PEER_CHUNK, /**< peer, revision, hash, offset, size, bytes */
+  SPR_READER      /**< on: whether this node reads the store for its zone */
+};
+
+struct spr_event
+{
+  enum spr_event_kind kind;
+  uint64_t peer; /**< a link's number, given by the shell */
+  int64_t revision;
+  uint8_t hash[32];
+  size_t offset;
+  size_t size;
+  struct str bytes;
+  bool on;
+};
+
+enum spr_action_kind
+{
+  SPR_READ_MANIFEST,
+  SPR_READ_DOCUMENT, /**< hash */
+  SPR_WATCH,         /**< the manifest key, from revision */
+  SPR_SEND_HAVE,     /**< peer, revision, hash, size */
+  SPR_SEND_WANT,     /**< peer, revision, hash */
+  SPR_SEND_CHUNK,    /**< peer, revision, hash, offset, size, bytes */
+  SPR_IN_FORCE       /**< revision, bytes: to be parsed and handed on */
+};
+
+struct spr_action
+{
+  enum spr_action_kind kind;
+  uint64_t peer;
+  int64_t revision;
+  uint8_t hash[32];
+  size_t offset;
+  size_t size;
+  struct str bytes; /**< owned by the core, valid until the next event */
+};
+
+struct spr *spr_new (uint64_t seed);
+void spr_free (struct spr *s);
+
+/** Feed one event; actions are read with spr_next() until it gives false. */
+void spr_event (struct spr *s, clk_ms now, const struct spr_event *ev);
+bool spr_next (struct spr *s, struct spr_action *out);
+
+int64_t spr_revision (const struct spr *s);
+struct str spr_document (const struct spr *s);
+
+#endif
--- /dev/null
+++ b/control/control.h
@@ -0,0 +1,158 @@
+/**
+ * @file
+ * The control process of a node: shells around the decision cores.
+ *
+ * control.c owns the loop and starts the modules below in this order; each is
+ * one file with one job and reaches the others only through the functions
+ * here.  All run on one loop in one thread.
+ *
+ *   swim.c     membership over UDP                     (fleet/member.h)
+ *   peers.c    framed links to other control processes (net/link.h)
+ *   spread.c   configuration from store and peers      (config/spread.h)
+ *   domains.c  owned fabric domains: probes, orders    (replica/...)
+ *   shares.c   division of account limits              (route/share.h)
+ *   views.c    the link to this node's gateway
+ *   admin.c    administration API and metrics over HTTP
+ */
+#ifndef LAPISLINE_CONTROL_CONTROL_H
+#define LAPISLINE_CONTROL_CONTROL_H
+
+#include "base/metric.h"
+#include "base/rng.h"
+#include "base/trace.h"
+#include "config/config.h"
+#include "config/settings.h"
+#include "fleet/member.h"
+#include "net/httpd.h"
+#include "net/link.h"
+#include "replica/replica.h"
+#include "store/store.h"
+
+struct ctl_swim;
+struct ctl_peers;
+struct ctl_spread;
+struct ctl_domains;
+struct ctl_shares;
+struct ctl_views;
+struct ctl_admin;
+
+/** What all modules of the process share. */
+struct ctl
+{
+  uv_loop_t *loop;
+  struct settings set;
+  uint64_t boot; /**< this process's boot number, from wall time */
+  struct rng rng;
+  struct httpc *http;
+  struct store *store;
+  struct met_reg *met;
+  struct trc_ring *spans;
+  struct cfg *cfg; /**< in force, or NULL before the first */
+  bool leaving;
+  struct ctl_swim *swim;
+  struct ctl_peers *peers;
+  struct ctl_spread *spread;
+  struct ctl_domains *domains;
+  struct ctl_shares *shares;
+  struct ctl_views *views;
+  struct ctl_admin *admin;
+};
+
+/* control.c: how modules tell the others. */
+
+/** A higher configuration is in force (called by spread.c). */
+void ctl_config_changed (struct ctl *c, struct cfg *cfg, struct str text);
+/** A member appeared or changed (called by swim.c). */
+void ctl_member_changed (struct ctl *c, const struct mbr_node *node);
+/** Evidence about replicas changed (called by domains.c). */
+void ctl_evidence_changed (struct ctl *c);
+/** Begin to leave: drain the gateway, then stop. */
+void ctl_leave (struct ctl *c);
+
+/* swim.c */
+struct ctl_swim *ctl_swim_start (struct ctl *c, struct buf *err);
+void ctl_swim_stop (struct ctl_swim *s);
+uint16_t ctl_swim_port (const struct ctl_swim *s);
+const struct mbr_node *const *ctl_swim_nodes (const struct ctl_swim *s,
+                                              size_t *n);
+/** The gateway's addresses, load or the revision in force changed. */
+void ctl_swim_set_gateway (struct ctl_swim *s, const struct net_addr *http,
+                           const struct net_addr *peer, uint32_t load);
+void ctl_swim_set_revision (struct ctl_swim *s, int64_t revision);
+void ctl_swim_leave (struct ctl_swim *s);
+const struct mbr_counts *ctl_swim_counts (const struct ctl_swim *s);
+
+/* peers.c: links to the control processes of the region (and bridges). */
+struct ctl_peers *ctl_peers_start (struct ctl *c, struct buf *err);
+void ctl_peers_stop (struct ctl_peers *p);
+uint16_t ctl_peers_port (const struct ctl_peers *p);
+void ctl_peers_member (struct ctl_peers *p, const struct mbr_node *node);
+/** Send to one linked peer by its number, or to all linked nodes. */
+bool ctl_peers_send (struct ctl_peers *p, uint64_t peer,
+                     const Lapis__Frame *f);
+void ctl_peers_broadcast (struct ctl_peers *p, const Lapis__Frame *f);
+/** Send to the node of that name; false when there is no link. */
+bool ctl_peers_send_node (struct ctl_peers *p, struct str node,
+                          const Lapis__Frame *f);
+
+/* spread.c */
+struct ctl_spread *ctl_spread_start (struct ctl *c, struct buf *err);
+void ctl_spread_stop (struct ctl_spread *s);
+void ctl_spread_peer (struct ctl_spread *s, uint64_t peer, bool up);
+void ctl_spread_frame (struct ctl_spread *s, uint64_t peer,
+                       const Lapis__Frame *f);
+void ctl_spread_members (struct ctl_spread *s);
+struct str ctl_spread_text (const struct ctl_spread *s);
+int64_t ctl_spread_revision (const struct ctl_spread *s);
+
+/* domains.c */
+struct ctl_domains *ctl_domains_start (struct ctl *c, struct buf *err);
+void ctl_domains_stop (struct ctl_domains *d);
+void ctl_domains_config (struct ctl_domains *d);
+void ctl_domains_members (struct ctl_domains *d);
+/** Evidence from another owner. */
+void ctl_domains_evidence (struct ctl_domains *d, const Lapis__Evidence *e);
+/** One replica as this node knows it, own evidence or another owner's. */
+struct ctl_replica
+{
+  struct str name, model, domain, owner;
+  int64_t generation, fence;
+  const char *state;
+  bool whole, draining;
+  clk_ms valid_until;
+  uint32_t load;
+  clk_ms load_at;
+  struct net_addr leader;
+};
+const struct ctl_replica *ctl_domains_replicas (struct ctl_domains *d,
+                                                size_t *n);
+/** Operator's drain; false when there is no such replica. */
+bool ctl_domains_drain (struct ctl_domains *d, struct str replica, bool on);
+
+/* shares.c */
+struct ctl_shares *ctl_shares_start (struct ctl *c, struct buf *err);
+void ctl_shares_stop (struct ctl_shares *s);
+void ctl_shares_config (struct ctl_shares *s);
+void ctl_shares_demand (struct ctl_shares *s, struct str node,
+                        const Lapis__ShareDemand *d);
+void ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g);
+
+/* views.c */
+struct ctl_views *ctl_views_start (struct ctl *c, struct buf *err);
+void ctl_views_stop (struct ctl_views *v);
+/** A link on the peer port said that it is this node's gateway. */
+void ctl_views_gateway (struct ctl_views *v, struct link *l,
+                        const Lapis__Hello *hello);
+void ctl_views_gateway_down (struct ctl_views *v, struct link *l);
+void ctl_views_frame (struct ctl_views *v, struct link *l,
+                      const Lapis__Frame *f);
+/** Something that the gateway sees changed; sent at the end of this turn. */
+void ctl_views_touch (struct ctl_views *v);
+void ctl_views_share (struct ctl_views *v, const Lapis__ShareGrant *g);
+
+/* admin.c */
+struct ctl_admin *ctl_admin_start (struct ctl *c, struct buf *err);
+void ctl_admin_stop (struct ctl_admin *a);
+uint16_t ctl_admin_port (const struct ctl_admin *a);
+
+#endif
--- /dev/null
+++ b/fleet/member.h
@@ -0,0 +1,100 @@
+/**
+ * @file
+ * Membership (SWIM): who is there, as a hint (decision core).
+ *
+ * Random probes, indirect probes, suspicion that its subject can refute by a
+ * higher incarnation number, and local health: a node whose own probes go
+ * unanswered or whose own ticks come late waits longer before it accuses.
+ * A node is its name and boot number; the same name with a higher boot
+ * replaces the older one.  Packets are protobuf (proto/swim.proto) with an
+ * HMAC; what does not verify is dropped and counted.
+ *
+ * Nothing that must not happen twice relies on this view.
+ */
+#ifndef LAPISLINE_FLEET_MEMBER_H
+#define LAPISLINE_FLEET_MEMBER_H
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "base/str.h"
+#include "net/httpc.h"
+
+enum mbr_status
+{
+  MBR_ALIVE,
+  MBR_SUSPECT,
+  MBR_LEAVING, /**< drains: takes no new callers */
+  MBR_DEAD
+};
+
+/** What a node says about itself; strings owned by the core. */
+struct mbr_node
+{
+  struct str name;
+  uint64_t boot;
+  struct str zone;
+  struct str region;
+  struct net_addr swim;
+  struct net_addr peer;    /**< control link */
+  struct net_addr gw_http; /**< its gateway's caller address; port 0: none */
+  struct net_addr gw_peer;
+  enum mbr_status status;
+  uint32_t incarnation;
+  uint32_t load;
+  int64_t config_revision;
+};
+
+struct mbr_options
+{
+  struct mbr_node self;
+  uint8_t secret[32];
+  clk_ms probe_ms;       /**< period, 500 */
+  clk_ms ack_ms;         /**< wait for a direct answer, 200 */
+  unsigned indirect;     /**< helpers, 3 */
+  unsigned suspect_mult; /**< suspicion lasts mult * log10(n+1) * probe_ms */
+};
+
+enum mbr_action_kind
+{
+  MBR_SEND,   /**< packet to addr */
+  MBR_CHANGED /**< node: appeared, changed status or what it says */
+};
+
+struct mbr_action
+{
+  enum mbr_action_kind kind;
+  struct net_addr to;
+  struct str packet; /**< valid until the next event */
+  const struct mbr_node *node;
+};
+
+struct mbr_counts
+{
+  uint64_t sent, received, bytes_out, bytes_in;
+  uint64_t bad_mac, malformed, replayed, foreign;
+  uint64_t suspected, refuted, died, self_suspected;
+};
+
+struct mbr;
+
+struct mbr *mbr_new (const struct mbr_options *opt, uint64_t seed);
+void mbr_free (struct mbr *m);
+void mbr_tick (struct mbr *m, clk_ms now); /**< every 50 ms or so */
+void mbr_packet (struct mbr *m, clk_ms now, const struct net_addr *from,
+                 struct str bytes);
+
+/** Introduce oneself to a possible peer. */
+void mbr_join (struct mbr *m, clk_ms now, const struct net_addr *to);
+
+/** Change what this node says about itself (addresses, load, revision). */
+void mbr_update_self (struct mbr *m, clk_ms now, const struct mbr_node *self);
+
+/** Say that this node leaves. */
+void mbr_leave (struct mbr *m, clk_ms now);
+bool mbr_next (struct mbr *m, struct mbr_action *out);
+
+/** All nodes known, this one included, in the order of their names. */
+const struct mbr_node *const *mbr_nodes (const struct mbr *m, size_t *n);
+const struct mbr_counts *mbr_counts (const struct mbr *m);
+
+#endif
--- /dev/null
+++ b/front/gateway.h
@@ -0,0 +1,84 @@
+/**
+ * @file
+ * The gateway process of a node: it carries requests.
+ *
+ *   gateway.c  loop, start, graceful stop
+ *   callers.c  callers' HTTP: authentication, requests to events of the
+ *              request core, its actions to I/O
+ *   address.c  which address to use
+ *   claims.c   claims: home node, links to other gateways, store
+ *   view.c     the link to this node's control process, last view
+ *   probe.c    own probes when control is silent
+ *   ../back/   model and plain-service adapters
+ */
+#ifndef LAPISLINE_FRONT_GATEWAY_H
+#define LAPISLINE_FRONT_GATEWAY_H
+
+#include "base/metric.h"
+#include "base/rng.h"
+#include "base/trace.h"
+#include "claim/claim.h"
+#include "config/config.h"
+#include "config/settings.h"
+#include "net/httpd.h"
+#include "net/link.h"
+#include "route/route.h"
+#include "store/store.h"
+
+struct gw_callers;
+struct gw_claims;
+struct gw_view;
+struct gw_probe;
+
+struct gw
+{
+  uv_loop_t *loop;
+  struct settings set;
+  uint64_t boot;
+  struct rng rng;
+  struct httpc *http;
+  struct store *store;
+  struct met_reg *met;
+  struct trc_ring *spans;
+  struct cfg *cfg; /**< in force, or NULL before the first */
+  bool leaving;
+  struct gw_callers *callers;
+  struct gw_claims *claims;
+  struct gw_view *view;
+  struct gw_probe *probe;
+};
+
+/** A node as the last view tells it. */
+struct gw_node
+{
+  struct str name, zone, region;
+  uint64_t boot;
+  uint32_t status; /**< enum mbr_status */
+  struct net_addr http, peer;
+  uint32_t load;
+};
+
+/* claims.c */
+struct gw_claims *gw_claims_start (struct gw *g, struct buf *err);
+void gw_claims_stop (struct gw_claims *c);
+uint16_t gw_claims_port (const struct gw_claims *c);
+typedef void (*gw_claim_cb) (void *ctx, const struct clm_reply *reply);
+/**
+ * Ask the home node of the key's shard, this one if it is or if the home
+ * can't be reached; @p cb comes exactly once, with CLM_UNAVAILABLE after
+ * @p wait_ms at the latest.
+ */
+void gw_claims_ask (struct gw_claims *c, const struct clm_ask *ask,
+                    clk_ms wait_ms, gw_claim_cb cb, void *ctx);
+/** The view's nodes changed. */
+void gw_claims_nodes (struct gw_claims *c);
+
+/* view.c */
+struct gw_view *gw_view_start (struct gw *g, struct buf *err);
+void gw_view_stop (struct gw_view *v);
+const struct gw_node *gw_view_nodes (const struct gw_view *v, size_t *n);
+/** The caller and peer ports are known: say hello to control. */
+void gw_view_announce (struct gw_view *v, const struct net_addr *http,
+                       const struct net_addr *peer);
+
+#endif
--- /dev/null
+++ b/store/store.h
@@ -0,0 +1,162 @@
+/**
+ * @file
+ * The platform's key-value service as this project sees it.
+ *
+ * Compare-and-swap by modification revision, leases and watches.  An adapter
+ * is one file that fills struct store_ops; store/etcd.c is the shipped one
+ * (etcd v3 JSON gateway).  Every call goes through a budget with priorities,
+ * and is counted by kind.
+ *
+ * A write whose answer is lost is STORE_UNCERTAIN: it may have taken effect,
+ * now or later.  Callers settle it by reading back what they wrote (each
+ * value carries a change number), never by writing again blindly.
+ *
+ * The decision cores do not call this; they return actions and the process
+ * shells call it for them.
+ */
+#ifndef LAPISLINE_STORE_STORE_H
+#define LAPISLINE_STORE_STORE_H
+
+#include "base/clock.h"
+#include "base/str.h"
+
+enum store_status
+{
+  STORE_OK,
+  STORE_CONFLICT,    /**< a compare failed; nothing was written */
+  STORE_UNCERTAIN,   /**< may have been applied */
+  STORE_UNAVAILABLE, /**< was not applied, or a read that got no answer */
+  STORE_OVER_BUDGET, /**< held back by our own budget; was not sent */
+  STORE_GONE         /**< lease not known any more, or watch compacted */
+};
+
+/** Order in which the budget serves waiting calls. */
+enum store_priority
+{
+  STORE_OWNERSHIP,
+  STORE_CLAIMS,
+  STORE_ASSIGNMENT,
+  STORE_CONFIG,
+  STORE_ROSTER,
+  STORE_PRIORITIES
+};
+
+struct store_kv
+{
+  struct str key;
+  struct str value;
+  int64_t mod_rev;
+  int64_t create_rev;
+  int64_t lease; /**< 0: none */
+};
+
+/** True when the key's mod_rev is as given; 0 means that it must not exist. */
+struct store_compare
+{
+  struct str key;
+  int64_t mod_rev;
+};
+
+struct store_put
+{
+  struct str key;
+  struct str value;
+  int64_t lease; /**< 0: none */
+};
+
+/** All compares hold, then all puts and deletes happen; else nothing. */
+struct store_txn
+{
+  const struct store_compare *compares;
+  size_t ncompares;
+  const struct store_put *puts;
+  size_t nputs;
+  const struct str *deletes;
+  size_t ndeletes;
+};
+
+struct store_result
+{
+  enum store_status status;
+  int64_t revision;           /**< of the store, or of the write */
+  const struct store_kv *kvs; /**< of a range; valid during the callback */
+  size_t nkvs;
+  int64_t lease;
+  clk_ms ttl; /**< granted, from the call's sending */
+};
+
+typedef void (*store_cb) (void *ctx, const struct store_result *r);
+
+struct store_watch_event
+{
+  bool deleted;
+  struct store_kv kv; /**< only key and mod_rev when deleted */
+};
+
+struct store_watch_cb
+{
+  void (*on_events) (void *ctx, int64_t revision,
+                     const struct store_watch_event *ev, size_t n);
+  /** Ended; re-read and watch again.  The watch is gone. */
+  void (*on_end) (void *ctx, enum store_status why);
+};
+
+struct store;
+struct store_watch;
+
+/** What an adapter provides; `self` is its own state. */
+struct store_ops
+{
+  void (*range) (void *self, struct str key, struct str end, store_cb cb,
+                 void *ctx);
+  void (*txn) (void *self, const struct store_txn *txn, store_cb cb,
+               void *ctx);
+  void (*lease_grant) (void *self, clk_ms ttl, store_cb cb, void *ctx);
+  void (*lease_keep) (void *self, int64_t lease, store_cb cb, void *ctx);
+  void (*lease_revoke) (void *self, int64_t lease, store_cb cb, void *ctx);
+  void *(*watch) (void *self, struct str key, struct str end, int64_t from,
+                  const struct store_watch_cb *cb, void *ctx);
+  void (*watch_stop) (void *self, void *watch);
+  void (*free) (void *self);
+};
+
+/** Rates of the budget, calls a second; each also bounds the burst. */
+struct store_budget
+{
+  double writes;
+  double reads;
+};
+
+/** Calls by kind since the start. */
+struct store_counts
+{
+  uint64_t ranges, txns, grants, keeps, revokes, watches;
+  uint64_t over_budget, uncertain, unavailable, conflicts;
+};
+
+struct store *store_new (const struct store_ops *ops, void *self,
+                         const struct store_budget *budget);
+void store_free (struct store *s);
+const struct store_counts *store_counts (const struct store *s);
+
+/** End of the range of all keys that begin with @p prefix. */
+void store_prefix_end (struct str prefix, struct buf *out);
+
+/* Arguments are copied; callbacks never come from within the call. */
+void store_range (struct store *s, enum store_priority p, struct str key,
+                  struct str end, store_cb cb, void *ctx);
+void store_txn (struct store *s, enum store_priority p,
+                const struct store_txn *txn, store_cb cb, void *ctx);
+void store_lease_grant (struct store *s, clk_ms ttl, store_cb cb, void *ctx);
+void store_lease_keep (struct store *s, int64_t lease, store_cb cb, void *ctx);
+void store_lease_revoke (struct store *s, int64_t lease, store_cb cb,
+                         void *ctx);
+struct store_watch *store_watch (struct store *s, struct str key,
+                                 struct str end, int64_t from,
+                                 const struct store_watch_cb *cb, void *ctx);
+void store_watch_stop (struct store_watch *w);
+
+/** Drop every callback whose ctx is @p ctx (its owner is going away). */
+void store_forget (struct store *s, void *ctx);
+
+#endif
