--- /dev/null
+++ b/lapisline.c
@@ -0,0 +1,49 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "lapisline.h"
+
+struct command
+{
+  const char *name;
+  cmd_fn run;
+  const char *summary;
+};
+
+static const struct command commands[] = {
+  { "version", cmd_version, "print the version" },
+};
+
+#define NCOMMANDS (sizeof commands / sizeof commands[0])
+
+static void
+print_usage (FILE *out)
+{
+  fputs ("usage: lapisline COMMAND [OPTION...]\n\ncommands:\n", out);
+  for (size_t i = 0; i < NCOMMANDS; i++)
+    fprintf (out, "  %-10s %s\n", commands[i].name, commands[i].summary);
+  fputs ("\n'lapisline COMMAND --help' tells more.\n", out);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc < 2)
+    {
+      print_usage (stderr);
+      return EXIT_USAGE;
+    }
+  if (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "help") == 0)
+    {
+      print_usage (stdout);
+      return EXIT_DONE;
+    }
+  if (strcmp (argv[1], "--version") == 0)
+    return cmd_version (argc - 1, argv + 1);
+  for (size_t i = 0; i < NCOMMANDS; i++)
+    if (strcmp (argv[1], commands[i].name) == 0)
+      return commands[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "lapisline: no command '%s'; see 'lapisline --help'\n",
+           argv[1]);
+  return EXIT_USAGE;
+}
