--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,15 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
+# Measurements name the revision that they were made with.
+REVISION = $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+$B/builtin/bench.o: CPPFLAGS += -DLAPISLINE_REVISION='"$(REVISION)"'
+$B/builtin/bench.o: $B/revision
+$B/revision: FORCE
+	@mkdir -p $(@D)
+	@echo '$(REVISION)' | cmp -s - $@ || echo '$(REVISION)' > $@
+FORCE:
+
 # Generated protobuf code is not held to our warnings.
 $B/proto/%.o: CFLAGS += -Wno-missing-prototypes
 
@@ -48,5 +57,5 @@
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
 
 .SECONDARY:
-.PHONY: all
+.PHONY: all FORCE
 -include $(shell find $B -name '*.d' 2>/dev/null)
--- a/lapisline.c
+++ b/lapisline.c
@@ -11,6 +11,7 @@
 };
 
 static const struct command commands[] = {
+  { "bench", cmd_bench, "measure decisions and costs" },
   { "version", cmd_version, "print the version" },
 };
 
