Add a harness for tests over real processes

Every wait is bounded. Children get a parent-death signal, so a test killed by its timeout takes them along.

--- /dev/null
+++ b/t/lib-proc.c
@@ -0,0 +1,300 @@
+#include "t/lib-proc.h"
+
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <ftw.h>
+#include <libgen.h>
+#include <limits.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+
+#define MAX_PROCS 64
+#define POLL_MS 5
+
+struct proc
+{
+  pid_t pid;
+  int out; /* its standard output */
+  bool ended;
+  int status;
+  struct buf output;
+  struct buf ready; /* the ready line, once it came */
+};
+
+static struct proc procs[MAX_PROCS];
+static size_t nprocs;
+static char dir[PATH_MAX];
+static char **kept; /* strings handed out, freed by proc_stop_all() */
+static size_t nkept;
+
+static const char *
+keep (char *c)
+{
+  kept = xrealloc (kept, (nkept + 1) * sizeof *kept);
+  kept[nkept++] = c;
+  return c;
+}
+
+static void
+free_kept (void)
+{
+  for (size_t i = 0; i < nkept; i++)
+    free (kept[i]);
+  free (kept);
+  kept = NULL;
+  nkept = 0;
+}
+
+const char *
+proc_binary (const char *name)
+{
+  char self[PATH_MAX] = "";
+  char *path = NULL;
+  if (readlink ("/proc/self/exe", self, sizeof self - 1) < 0)
+    cr_assert_fail ("readlink: %s", strerror (errno));
+  if (asprintf (&path, "%s/%s", dirname (dirname (self)), name) < 0)
+    cr_assert_fail ("no memory");
+  return keep (path);
+}
+
+static void
+run_child (const char *const argv[], int out)
+{
+  /* A test that is killed by its timeout runs no teardown; its processes
+     would live on and hold the CI run.  So the kernel kills them with it. */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  const char *path = strchr (argv[0], '/') ? argv[0] : proc_binary (argv[0]);
+  dup2 (out, STDOUT_FILENO);
+  execv (path, (char *const *)argv);
+  fprintf (stderr, "%s: %s\n", path, strerror (errno));
+  _exit (127);
+}
+
+struct proc *
+proc_start (const char *const argv[])
+{
+  int fds[2];
+  cr_assert (nprocs < MAX_PROCS, "too many processes");
+  cr_assert (pipe2 (fds, O_CLOEXEC) == 0, "pipe: %s", strerror (errno));
+  struct proc *p = &procs[nprocs++];
+  *p = (struct proc){ .out = fds[0] };
+  p->pid = fork ();
+  if (p->pid == 0)
+    run_child (argv, fds[1]);
+  close (fds[1]);
+  cr_assert (p->pid > 0, "fork: %s", strerror (errno));
+  return p;
+}
+
+/* Append what the process has printed; false at the end of its output. */
+static bool
+read_output (struct proc *p, int wait_ms)
+{
+  struct pollfd fd = { .fd = p->out, .events = POLLIN };
+  if (poll (&fd, 1, wait_ms) <= 0)
+    return true;
+  buf_reserve (&p->output, 4096);
+  ssize_t n = read (p->out, p->output.ptr + p->output.len, 4096);
+  if (n > 0)
+    p->output.len += (size_t)n;
+  return n > 0;
+}
+
+/* Take the ready line out of the output; false when it has not come. */
+static bool
+find_ready (struct proc *p)
+{
+  struct str rest = buf_str (&p->output);
+  while (rest.len)
+    {
+      size_t end = str_chr (rest, '\n');
+      if (end == rest.len)
+        return false;
+      if (str_starts (rest, STR ("ready ")))
+        {
+          buf_add (&p->ready, str_head (rest, end));
+          return true;
+        }
+      rest = str_skip (rest, end + 1);
+    }
+  return false;
+}
+
+bool
+proc_ready (struct proc *p, int wait_ms)
+{
+  clk_ms until = clk_now () + wait_ms;
+  while (p->ready.len == 0 && !find_ready (p))
+    {
+      clk_ms left = until - clk_now ();
+      if (left <= 0 || !read_output (p, (int)left))
+        return false;
+    }
+  return true;
+}
+
+const char *
+proc_addr (const struct proc *p, const char *key)
+{
+  struct str rest = buf_str (&p->ready);
+  size_t n = strlen (key);
+  while (rest.len)
+    {
+      size_t end = str_chr (rest, ' ');
+      struct str word = str_head (rest, end);
+      if (str_starts (word, str_from (key)) && word.len > n
+          && word.ptr[n] == '=')
+        return keep (str_dup (str_skip (word, n + 1)));
+      rest = str_skip (rest, end + 1);
+    }
+  return NULL;
+}
+
+struct proc *
+proc_up (const char *const argv[])
+{
+  struct proc *p = proc_start (argv);
+  cr_assert (proc_ready (p, PROC_WAIT_MS), "%s %s is not ready", argv[0],
+             argv[1] ? argv[1] : "");
+  return p;
+}
+
+pid_t
+proc_pid (const struct proc *p)
+{
+  return p->pid;
+}
+
+void
+proc_signal (struct proc *p, int sig)
+{
+  if (!p->ended)
+    kill (p->pid, sig);
+}
+
+static bool
+reap (struct proc *p, int flags)
+{
+  int status;
+  if (p->ended || waitpid (p->pid, &status, flags) != p->pid)
+    return p->ended;
+  p->ended = true;
+  p->status
+      = WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
+  return true;
+}
+
+int
+proc_wait (struct proc *p, int wait_ms)
+{
+  clk_ms until = clk_now () + wait_ms;
+  bool open = true;
+  while (!reap (p, WNOHANG))
+    {
+      if (clk_now () >= until)
+        return -1;
+      if (open)
+        open = read_output (p, POLL_MS);
+      else
+        poll (NULL, 0, POLL_MS);
+    }
+  size_t before;
+  do
+    {
+      before = p->output.len;
+      read_output (p, 0);
+    }
+  while (p->output.len > before);
+  return p->status;
+}
+
+struct str
+proc_output (struct proc *p)
+{
+  return buf_str (&p->output);
+}
+
+int
+proc_run (const char *const argv[], struct buf *output, int wait_ms)
+{
+  struct proc *p = proc_start (argv);
+  int status = proc_wait (p, wait_ms);
+  if (output)
+    buf_add (output, proc_output (p));
+  return status;
+}
+
+static int
+remove_entry (const char *path, const struct stat *st, int type,
+              struct FTW *ftw)
+{
+  return remove (path);
+}
+
+void
+proc_stop_all (void)
+{
+  for (size_t i = 0; i < nprocs; i++)
+    proc_signal (&procs[i], SIGKILL);
+  for (size_t i = 0; i < nprocs; i++)
+    {
+      reap (&procs[i], 0);
+      close (procs[i].out);
+      buf_free (&procs[i].output);
+      buf_free (&procs[i].ready);
+    }
+  nprocs = 0;
+  free_kept ();
+  if (dir[0])
+    nftw (dir, remove_entry, 8, FTW_DEPTH | FTW_PHYS);
+  dir[0] = '\0';
+}
+
+const char *
+proc_dir (void)
+{
+  if (dir[0])
+    return dir;
+  const char *tmp = getenv ("TMPDIR");
+  snprintf (dir, sizeof dir, "%s/lapisline-XXXXXX", tmp ? tmp : "/tmp");
+  cr_assert (mkdtemp (dir) != NULL, "mkdtemp: %s", strerror (errno));
+  return dir;
+}
+
+static void
+make_parents (char *path)
+{
+  for (char *at = strchr (path + 1, '/'); at; at = strchr (at + 1, '/'))
+    {
+      *at = '\0';
+      mkdir (path, 0700);
+      *at = '/';
+    }
+}
+
+const char *
+proc_file (const char *name, const char *fmt, ...)
+{
+  char *path = NULL;
+  va_list ap;
+  if (asprintf (&path, "%s/%s", proc_dir (), name) < 0)
+    cr_assert_fail ("no memory");
+  make_parents (path);
+  FILE *f = fopen (path, "w");
+  cr_assert (f != NULL, "%s: %s", path, strerror (errno));
+  va_start (ap, fmt);
+  vfprintf (f, fmt, ap);
+  va_end (ap);
+  fclose (f);
+  return keep (path);
+}
--- /dev/null
+++ b/t/t0900-proc.c
@@ -0,0 +1,36 @@
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "t/lib-proc.h"
+
+TestSuite (proc, .fini = proc_stop_all, .timeout = 60);
+
+Test (proc, output_and_status_of_a_command)
+{
+  struct buf out = BUF_INIT;
+  cr_assert_eq (PROC_RUN (&out, "lapisline", "--version"), 0);
+  cr_assert_str_eq (buf_c (&out), "lapisline 0.1.0\n");
+  buf_clear (&out);
+  cr_assert_eq (PROC_RUN (&out, "lapisline", "no-such-command"), 2);
+  buf_free (&out);
+}
+
+Test (proc, ready_line_signal_and_end)
+{
+  struct proc *p = PROC_UP ("/bin/sh", "-c",
+                            "echo warming; echo ready x http=127.0.0.1:7 "
+                            "peer=127.0.0.1:8; exec sleep 60");
+  cr_assert_str_eq (proc_addr (p, "peer"), "127.0.0.1:8");
+  cr_assert_null (proc_addr (p, "swim"));
+  cr_assert_eq (proc_wait (p, 0), -1);
+  proc_signal (p, SIGTERM);
+  cr_assert_eq (proc_wait (p, PROC_WAIT_MS), 128 + SIGTERM);
+}
+
+Test (proc, a_process_that_ends_is_never_ready)
+{
+  struct proc *p = PROC ("/bin/sh", "-c", "echo nothing; exit 3");
+  cr_assert (!proc_ready (p, PROC_WAIT_MS));
+  cr_assert_eq (proc_wait (p, PROC_WAIT_MS), 3);
+  cr_assert (str_is (proc_output (p), "nothing\n"));
+}
