--- a/config/config.h
+++ b/config/config.h
@@ -147,6 +147,17 @@
   clk_ms vm_return_ms;    /**< how long a lost VM usually stays away */
 };
 
+/** A bearer key's digest and whose it is. */
+struct cfg_key
+{
+  struct str digest;
+  const struct cfg_account *account;
+};
+
+/** Longest merged document in bytes; the store holds values up to 1 MB. */
+#define CFG_MAX_TEXT ((size_t)1000000)
+
+/** Entries of each kind are in the order of str_cmp() of their names. */
 struct cfg
 {
   int64_t revision; /**< of the store's manifest key; 0: a local file */
@@ -164,6 +175,8 @@
   size_t naccounts;
   struct cfg_operator *operators;
   size_t noperators;
+  struct cfg_key *keys; /**< of all accounts, in the order of digests */
+  size_t nkeys;
   struct cfg_limits limits;
   struct cfg_policy policy;
   void *arena;   /**< owns every string and array above */
--- a/config/settings.h
+++ b/config/settings.h
@@ -48,7 +48,10 @@
   enum log_level log_level;
 };
 
-/** Read and check; false with every finding when something is wrong. */
+/**
+ * Read and check; false with every finding when something is wrong.  @p out
+ * is to be freed in either case.
+ */
 bool settings_read (const char *path, struct settings *out,
                     struct fnd_list *findings);
 void settings_free (struct settings *s);
