--- /dev/null
+++ b/net/httpc.c
@@ -0,0 +1,643 @@
+#include "net/httpc.h"
+
+#include <h2o.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An idle connection is not trusted for longer; see httpc_request.fresh. */
+#define HTTPC_IDLE_MS (10 * CLK_SECOND)
+
+/* Calls to one address whose connections may return to its pool. */
+#define HTTPC_POOLED 64
+
+/* h2o's own timeout is out of the way; calls carry their own timers. */
+#define HTTPC_NO_TIMEOUT ((uint64_t)365 * 24 * 3600 * 1000)
+
+/*
+ * A timer that fires this late shows that the process itself was stopped or
+ * busy; answers may lie unread.  They are read before a peer is called
+ * silent, else a pause of ours would look like the failure of every peer.
+ */
+#define HTTPC_LATE_MS 100
+#define HTTPC_GRACE_MS 50
+
+/* Connections to one address. */
+struct addr_pool
+{
+  struct net_addr addr;
+  h2o_socketpool_t reused;
+  h2o_socketpool_t fresh; /* stays empty: its connections never return */
+  size_t open;            /* calls */
+  clk_ms used;            /* when the last call ended */
+  struct addr_pool *next;
+};
+
+struct httpc
+{
+  uv_loop_t *loop;
+  uv_timer_t sweep;
+  h2o_http1client_ctx_t ctx;
+  h2o_timeout_t io_timeout;
+  h2o_multithread_queue_t *queue;
+  h2o_multithread_receiver_t receiver;
+  struct addr_pool *pools;
+};
+
+enum phase
+{
+  PHASE_STARTING,
+  PHASE_CONNECTING,
+  PHASE_SENT,
+  PHASE_BODY,
+  PHASE_OVER
+};
+
+enum framing
+{
+  FRAMING_CLOSE, /* the body ends when the connection does */
+  FRAMING_LENGTH,
+  FRAMING_CHUNKED
+};
+
+struct httpc_call
+{
+  uv_timer_t timer; /* first */
+  struct httpc *c;
+  struct addr_pool *pool;
+  h2o_http1client_t *client;
+  struct httpc_callbacks cb;
+  void *ctx;
+  struct net_addr to;
+  struct buf head;
+  struct buf body;
+  h2o_iovec_t out[2];
+  clk_ms connect_ms, progress_ms;
+  clk_ms moved; /* when bytes last came, loop time */
+  clk_ms due;   /* when the timer is to fire, loop time */
+  enum phase phase;
+  enum framing framing;
+  h2o_socket_cb stopped_read; /* what to resume; NULL while reading */
+  bool is_head;
+  bool fresh;
+  bool malformed;
+  bool paused;
+  bool in_callback; /* h2o acts on what its callback returns */
+};
+
+/* --- pools ------------------------------------------------------------- */
+
+/*
+ * Expiry is set by hand: h2o_socketpool_set_timeout() would add a timer per
+ * address.  Expired connections are dropped when the pool is next used, and
+ * unused pools by on_sweep().
+ */
+static void
+init_pool (struct httpc *c, h2o_socketpool_t *p, struct sockaddr_storage *ss)
+{
+  socklen_t len = ss->ss_family == AF_INET6 ? sizeof (struct sockaddr_in6)
+                                            : sizeof (struct sockaddr_in);
+
+  h2o_socketpool_init_by_address (p, (struct sockaddr *)ss, len, 0,
+                                  HTTPC_POOLED);
+  p->timeout = HTTPC_IDLE_MS;
+  p->_interval_cb.loop = c->loop;
+}
+
+static struct addr_pool *
+pool_get (struct httpc *c, const struct net_addr *a)
+{
+  struct sockaddr_storage ss;
+
+  for (struct addr_pool *p = c->pools; p != NULL; p = p->next)
+    if (net_addr_eq (&p->addr, a))
+      return p;
+  if (net_addr_sockaddr (a, &ss) != 0)
+    return NULL;
+  struct addr_pool *p = xcalloc (1, sizeof *p);
+  p->addr = *a;
+  init_pool (c, &p->reused, &ss);
+  init_pool (c, &p->fresh, &ss);
+  p->next = c->pools;
+  c->pools = p;
+  return p;
+}
+
+static void
+pool_free (struct addr_pool *p)
+{
+  p->reused._interval_cb.loop = NULL; /* no timer to dispose of */
+  p->fresh._interval_cb.loop = NULL;
+  h2o_socketpool_dispose (&p->reused);
+  h2o_socketpool_dispose (&p->fresh);
+  free (p);
+}
+
+/* Addresses come and go with their VMs; unused ones are dropped. */
+static void
+on_sweep (uv_timer_t *t)
+{
+  struct httpc *c = t->data;
+  clk_ms now = (clk_ms)uv_now (c->loop);
+
+  for (struct addr_pool **pp = &c->pools; *pp != NULL;)
+    {
+      struct addr_pool *p = *pp;
+      if (p->open > 0 || now - p->used < HTTPC_IDLE_MS)
+        {
+          pp = &p->next;
+          continue;
+        }
+      *pp = p->next;
+      pool_free (p);
+    }
+}
+
+/* --- the end of a call ------------------------------------------------- */
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct httpc_call *call = (struct httpc_call *)h;
+
+  buf_free (&call->head);
+  buf_free (&call->body);
+  free (call);
+}
+
+/* Leave h2o and free the call once the loop has closed its timer. */
+static void
+release (struct httpc_call *call)
+{
+  call->phase = PHASE_OVER;
+  if (call->client != NULL && !call->in_callback)
+    h2o_http1client_cancel (call->client);
+  call->client = NULL;
+  if (call->pool != NULL)
+    {
+      call->pool->open--;
+      call->pool->used = (clk_ms)uv_now (call->c->loop);
+    }
+  uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
+}
+
+static void
+finish (struct httpc_call *call, enum httpc_end end)
+{
+  release (call);
+  call->cb.on_end (call->ctx, end);
+}
+
+/* --- timers ------------------------------------------------------------ */
+
+static void on_timer (uv_timer_t *t);
+
+static void
+arm (struct httpc_call *call, clk_ms ms)
+{
+  call->due = (clk_ms)uv_now (call->c->loop) + ms;
+  uv_timer_start (&call->timer, on_timer, (uint64_t)ms, 0);
+}
+
+static void
+begin_progress (struct httpc_call *call)
+{
+  uv_update_time (call->c->loop);
+  call->moved = (clk_ms)uv_now (call->c->loop);
+  arm (call, call->progress_ms);
+}
+
+static void connect_now (struct httpc_call *call);
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct httpc_call *call = (struct httpc_call *)t;
+  clk_ms now = (clk_ms)uv_now (call->c->loop);
+  clk_ms left;
+
+  if (call->phase == PHASE_STARTING)
+    {
+      connect_now (call);
+      return;
+    }
+  if (now - call->due > HTTPC_LATE_MS)
+    {
+      arm (call, HTTPC_GRACE_MS);
+      return;
+    }
+  if (call->phase == PHASE_CONNECTING)
+    {
+      finish (call, HTTPC_CONNECT_FAILED);
+      return;
+    }
+  left = call->moved + call->progress_ms - now;
+  if (left > 0)
+    arm (call, left);
+  else
+    finish (call, HTTPC_SILENT);
+}
+
+/* --- h2o's callbacks --------------------------------------------------- */
+
+static void
+apply_pause (struct httpc_call *call)
+{
+  h2o_socket_t *sock = call->client->sock;
+
+  if (!call->paused || call->stopped_read != NULL)
+    return;
+  call->stopped_read = sock->_cb.read;
+  h2o_socket_read_stop (sock);
+  uv_timer_stop (&call->timer);
+}
+
+static void
+deliver (struct httpc_call *call)
+{
+  h2o_buffer_t **in = &call->client->sock->input;
+  struct buf bytes = BUF_INIT;
+
+  if ((*in)->size == 0)
+    return;
+  call->moved = (clk_ms)uv_now (call->c->loop);
+  buf_add (&bytes, str_make ((*in)->bytes, (*in)->size));
+  h2o_buffer_consume (in, (*in)->size);
+  call->cb.on_body (call->ctx, buf_str (&bytes));
+  buf_free (&bytes);
+}
+
+/*
+ * h2o reports a chunked body as complete also when the peer closed between
+ * two chunks.  A stream cut there would pass for a whole answer.  The last
+ * chunk itself always arrives in a read of at least one byte, a close in one
+ * of none; that tells them apart.
+ */
+static enum httpc_end
+end_of_body (const struct httpc_call *call)
+{
+  switch (call->framing)
+    {
+    case FRAMING_LENGTH:
+      return HTTPC_WHOLE;
+    case FRAMING_CHUNKED:
+      return call->client->sock->bytes_read > 0 ? HTTPC_WHOLE : HTTPC_BROKEN;
+    case FRAMING_CLOSE:
+      break;
+    }
+  return HTTPC_UNBOUNDED;
+}
+
+static int
+on_body (h2o_http1client_t *client, const char *errstr)
+{
+  struct httpc_call *call = client->data;
+
+  call->in_callback = true;
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      finish (call, HTTPC_BROKEN);
+      return 1;
+    }
+  if (errstr != NULL)
+    {
+      enum httpc_end end = end_of_body (call);
+      deliver (call);
+      if (call->phase != PHASE_OVER)
+        finish (call, end);
+      return 1;
+    }
+  deliver (call);
+  if (call->phase == PHASE_OVER)
+    return 1;
+  apply_pause (call);
+  call->in_callback = false;
+  return 0;
+}
+
+static struct str
+str_of (h2o_iovec_t v)
+{
+  return str_make (v.base, v.len);
+}
+
+/*
+ * Both a length and chunks, or two lengths: two readers of the same bytes
+ * would see the answer end in different places, and one caller could get
+ * what belongs to the next.
+ */
+static bool
+read_framing (struct httpc_call *call, const struct http_header *h, size_t n)
+{
+  struct str length = STR_EMPTY;
+  bool chunked = false;
+
+  for (size_t i = 0; i < n; i++)
+    if (str_is (h[i].name, "transfer-encoding"))
+      chunked = chunked || str_is (h[i].value, "chunked");
+    else if (str_is (h[i].name, "content-length"))
+      {
+        if (length.ptr != NULL && !str_eq (length, h[i].value))
+          return false;
+        length = h[i].value;
+      }
+  if (chunked && length.ptr != NULL)
+    return false;
+  call->framing = chunked              ? FRAMING_CHUNKED
+                  : length.ptr != NULL ? FRAMING_LENGTH
+                                       : FRAMING_CLOSE;
+  return true;
+}
+
+static h2o_http1client_body_cb
+take_head (struct httpc_call *call, bool is_eos, int status,
+           const struct http_header *headers, size_t n)
+{
+  if (!read_framing (call, headers, n))
+    {
+      finish (call, HTTPC_BROKEN);
+      return NULL;
+    }
+  call->phase = PHASE_BODY;
+  call->moved = (clk_ms)uv_now (call->c->loop);
+  call->cb.on_head (call->ctx, status, headers, n);
+  if (call->phase == PHASE_OVER)
+    return NULL;
+  if (is_eos)
+    {
+      finish (call, HTTPC_WHOLE);
+      return NULL;
+    }
+  call->in_callback = false;
+  return on_body;
+}
+
+static h2o_http1client_body_cb
+on_head (h2o_http1client_t *client, const char *errstr, int minor_version,
+         int status, h2o_iovec_t msg, h2o_header_t *h, size_t n, int rlen)
+{
+  struct httpc_call *call = client->data;
+  h2o_http1client_body_cb next;
+
+  call->in_callback = true;
+  if (errstr != NULL && errstr != h2o_http1client_error_is_eos)
+    {
+      finish (call, HTTPC_BROKEN);
+      return NULL;
+    }
+  struct http_header *headers = xcalloc (n + 1, sizeof *headers);
+  for (size_t i = 0; i < n; i++)
+    {
+      headers[i].name = str_of (*h[i].name);
+      headers[i].value = str_of (h[i].value);
+    }
+  next = take_head (call, errstr != NULL, status, headers, n);
+  free (headers);
+  return next;
+}
+
+static void
+no_delay (h2o_socket_t *sock)
+{
+  int on = 1;
+
+  setsockopt (h2o_socket_get_fd (sock), IPPROTO_TCP, TCP_NODELAY, &on,
+              sizeof on);
+}
+
+static h2o_http1client_head_cb
+on_connect (h2o_http1client_t *client, const char *errstr,
+            h2o_iovec_t **reqbufs, size_t *reqbufcnt, int *method_is_head)
+{
+  struct httpc_call *call = client->data;
+
+  call->in_callback = true;
+  if (errstr != NULL)
+    {
+      finish (call, HTTPC_CONNECT_FAILED);
+      return NULL;
+    }
+  if (call->fresh || call->pool->open > HTTPC_POOLED)
+    client->sockpool.pool = NULL; /* h2o then closes instead of keeping */
+  no_delay (client->sock);
+  bool go = call->cb.on_connected == NULL || call->cb.on_connected (call->ctx);
+  if (call->phase == PHASE_OVER)
+    return NULL;
+  if (!go)
+    {
+      finish (call, HTTPC_STOPPED);
+      return NULL;
+    }
+  call->phase = PHASE_SENT;
+  begin_progress (call);
+  call->out[0] = h2o_iovec_init (call->head.ptr, call->head.len);
+  call->out[1] = h2o_iovec_init (call->body.ptr, call->body.len);
+  *reqbufs = call->out;
+  *reqbufcnt = call->body.len > 0 ? 2 : 1;
+  *method_is_head = call->is_head;
+  call->in_callback = false;
+  return on_head;
+}
+
+static void
+connect_now (struct httpc_call *call)
+{
+  if (!call->malformed)
+    call->pool = pool_get (call->c, &call->to);
+  if (call->pool == NULL)
+    {
+      finish (call, HTTPC_CONNECT_FAILED);
+      return;
+    }
+  call->pool->open++;
+  call->phase = PHASE_CONNECTING;
+  uv_update_time (call->c->loop);
+  arm (call, call->connect_ms);
+  h2o_http1client_connect_with_pool (
+      &call->client, call, &call->c->ctx,
+      call->fresh ? &call->pool->fresh : &call->pool->reused, on_connect);
+}
+
+/* --- requests ---------------------------------------------------------- */
+
+static bool
+has_control (struct str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    if ((unsigned char)s.ptr[i] < ' ' && s.ptr[i] != '\t')
+      return true;
+  return false;
+}
+
+static bool
+is_token (struct str s)
+{
+  return s.len > 0 && !has_control (s) && str_chr (s, ' ') == s.len
+         && str_chr (s, ':') == s.len;
+}
+
+/* A line break in any part would end the head early and start another. */
+static bool
+request_ok (const struct httpc_request *req)
+{
+  if (!is_token (req->method) || req->path.len == 0 || has_control (req->path)
+      || str_chr (req->path, ' ') != req->path.len)
+    return false;
+  for (size_t i = 0; i < req->nheaders; i++)
+    if (!is_token (req->headers[i].name)
+        || has_control (req->headers[i].value))
+      return false;
+  return true;
+}
+
+/* Headers that describe this connection; we write our own. */
+static bool
+is_hop_header (struct str name)
+{
+  static const char *const names[]
+      = { "connection",       "keep-alive", "transfer-encoding",
+          "content-length",   "upgrade",    "te",
+          "proxy-connection", "trailer",    "expect" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (str_is (name, names[i]))
+      return true;
+  return false;
+}
+
+static bool
+carries_body (const struct httpc_request *req)
+{
+  return req->body.len > 0 || str_is (req->method, "POST")
+         || str_is (req->method, "PUT") || str_is (req->method, "PATCH");
+}
+
+static void
+write_head (const struct httpc_request *req, struct buf *out)
+{
+  bool host = false;
+
+  buf_addf (out, "%.*s %.*s HTTP/1.1\r\n", STR_ARG (req->method),
+            STR_ARG (req->path));
+  for (size_t i = 0; i < req->nheaders; i++)
+    {
+      if (is_hop_header (req->headers[i].name))
+        continue;
+      host = host || str_is (req->headers[i].name, "host");
+      buf_addf (out, "%.*s: %.*s\r\n", STR_ARG (req->headers[i].name),
+                STR_ARG (req->headers[i].value));
+    }
+  if (!host)
+    {
+      buf_add_c (out, "host: ");
+      net_addr_format (&req->to, out);
+      buf_add_c (out, "\r\n");
+    }
+  if (carries_body (req))
+    buf_addf (out, "content-length: %zu\r\n", req->body.len);
+  if (req->fresh)
+    buf_add_c (out, "connection: close\r\n");
+  buf_add_c (out, "\r\n");
+}
+
+struct httpc_call *
+httpc_start (struct httpc *c, const struct httpc_request *req,
+             const struct httpc_callbacks *cb, void *ctx)
+{
+  struct httpc_call *call = xcalloc (1, sizeof *call);
+
+  call->c = c;
+  call->cb = *cb;
+  call->ctx = ctx;
+  call->to = req->to;
+  call->connect_ms = req->connect_ms;
+  call->progress_ms = req->progress_ms;
+  call->fresh = req->fresh;
+  call->is_head = str_is (req->method, "HEAD");
+  call->malformed = !request_ok (req);
+  if (!call->malformed)
+    write_head (req, &call->head);
+  buf_add (&call->body, req->body);
+  uv_timer_init (c->loop, &call->timer);
+  arm (call, 0);
+  return call;
+}
+
+void
+httpc_cancel (struct httpc_call *call)
+{
+  release (call);
+}
+
+void
+httpc_pause (struct httpc_call *call, bool pause)
+{
+  call->paused = pause;
+  if (call->phase != PHASE_BODY || call->in_callback)
+    return;
+  if (pause)
+    apply_pause (call);
+  else if (call->stopped_read != NULL)
+    {
+      h2o_socket_read_start (call->client->sock, call->stopped_read);
+      call->stopped_read = NULL;
+      begin_progress (call);
+    }
+}
+
+/* --- the client -------------------------------------------------------- */
+
+struct httpc *
+httpc_new (uv_loop_t *loop)
+{
+  struct httpc *c = xcalloc (1, sizeof *c);
+
+  /* A peer that closes while we write must be an error, not a signal. */
+  signal (SIGPIPE, SIG_IGN);
+  c->loop = loop;
+  c->queue = h2o_multithread_create_queue (loop);
+  h2o_multithread_register_receiver (c->queue, &c->receiver,
+                                     h2o_hostinfo_getaddr_receiver);
+  h2o_timeout_init (loop, &c->io_timeout, HTTPC_NO_TIMEOUT);
+  c->ctx.loop = loop;
+  c->ctx.getaddr_receiver = &c->receiver;
+  c->ctx.io_timeout = &c->io_timeout;
+  uv_timer_init (loop, &c->sweep);
+  c->sweep.data = c;
+  uv_timer_start (&c->sweep, on_sweep, HTTPC_IDLE_MS, HTTPC_IDLE_MS);
+  uv_unref ((uv_handle_t *)&c->sweep);
+  return c;
+}
+
+static void
+on_client_closed (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+/* h2o's timer lives in our memory: kept until the round after its close. */
+static void
+on_sweep_closed (uv_handle_t *h)
+{
+  struct httpc *c = h->data;
+
+  uv_timer_init (c->loop, &c->sweep);
+  uv_close (h, on_client_closed);
+}
+
+void
+httpc_free (struct httpc *c)
+{
+  while (c->pools != NULL)
+    {
+      struct addr_pool *p = c->pools;
+      c->pools = p->next;
+      pool_free (p);
+    }
+  h2o_multithread_unregister_receiver (c->queue, &c->receiver);
+  h2o_multithread_destroy_queue (c->queue);
+  h2o_timeout_dispose (c->loop, &c->io_timeout);
+  uv_close ((uv_handle_t *)&c->sweep, on_sweep_closed);
+}
