Let a gateway tell its control that it leaves, and name members

Cause: a gateway that gets SIGTERM on its own kept being handed out by the address answers of other nodes, as only control could say LEAVING; and a gateway whose control is silent could not probe a replica whose members are chosen at run time, as no view named them. Change: Report.leaving and ReplicaView.members, both new last fields, so that older frames are read as before; code generated by protoc-c.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1429,7 +1429,7 @@
   (ProtobufCMessageInit) lapis__node_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__replica_view__field_descriptors[12] =
+static const ProtobufCFieldDescriptor lapis__replica_view__field_descriptors[13] =
 {
   {
     "replica",
@@ -1575,6 +1575,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "members",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__ReplicaView, n_members),
+    offsetof(Lapis__ReplicaView, members),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__replica_view__field_indices_by_name[] = {
   6,   /* field[6] = age_ms */
@@ -1585,6 +1597,7 @@
   10,   /* field[10] = leader_addr */
   8,   /* field[8] = load */
   9,   /* field[9] = load_age_ms */
+  12,   /* field[12] = members */
   1,   /* field[1] = model */
   0,   /* field[0] = replica */
   7,   /* field[7] = valid_ms */
@@ -1593,7 +1606,7 @@
 static const ProtobufCIntRange lapis__replica_view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lapis__replica_view__descriptor =
 {
@@ -1603,14 +1616,14 @@
   "Lapis__ReplicaView",
   "lapis",
   sizeof(Lapis__ReplicaView),
-  12,
+  13,
   lapis__replica_view__field_descriptors,
   lapis__replica_view__field_indices_by_name,
   1,  lapis__replica_view__number_ranges,
   (ProtobufCMessageInit) lapis__replica_view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lapis__report__field_descriptors[6] =
 {
   {
     "boot",
@@ -1672,18 +1685,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Report, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__report__field_indices_by_name[] = {
   0,   /* field[0] = boot */
   3,   /* field[3] = config_revision */
   2,   /* field[2] = demand */
+  5,   /* field[5] = leaving */
   4,   /* field[4] = observed */
   1,   /* field[1] = open_requests */
 };
 static const ProtobufCIntRange lapis__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lapis__report__descriptor =
 {
@@ -1693,7 +1719,7 @@
   "Lapis__Report",
   "lapis",
   sizeof(Lapis__Report),
-  5,
+  6,
   lapis__report__field_descriptors,
   lapis__report__field_indices_by_name,
   1,  lapis__report__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -215,13 +215,18 @@
    * of the owner that says so
    */
   uint64_t fence;
+  /*
+   * its VMs, for a gateway's own probes
+   */
+  size_t n_members;
+  char **members;
 };
 #define LAPIS__REPLICA_VIEW__INIT                                             \
   {                                                                           \
     PROTOBUF_C_MESSAGE_INIT (&lapis__replica_view__descriptor)                \
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string,       \
         (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,                 \
-        (char *)protobuf_c_empty_string, 0                                    \
+        (char *)protobuf_c_empty_string, 0, 0, NULL                           \
   }
 
 /*
@@ -240,11 +245,15 @@
   uint64_t config_revision;
   size_t n_observed;
   Lapis__ReplicaObserved **observed;
+  /*
+   * SIGTERM: hand out other addresses
+   */
+  protobuf_c_boolean leaving;
 };
 #define LAPIS__REPORT__INIT                                                   \
   {                                                                           \
     PROTOBUF_C_MESSAGE_INIT (&lapis__report__descriptor)                      \
-    , 0, 0, 0, NULL, 0, 0, NULL                                               \
+    , 0, 0, 0, NULL, 0, 0, NULL, 0                                            \
   }
 
 struct Lapis__ReplicaObserved
