--- /dev/null
+++ b/route/limit.c
@@ -0,0 +1,143 @@
+#include <math.h>
+#include <stdlib.h>
+
+#include "route/core.h"
+
+#define BURST_S 1.0     /* the bucket holds the rate of so many seconds */
+#define DECAY_MS 5000.0 /* half-life of a share that is not renewed */
+#define RETRY_LEAST_MS 50
+#define RETRY_MOST_MS 10000
+#define RETRY_CONC_MS 500
+
+struct rt_account *
+rt_account (struct rt *r, struct str name)
+{
+  uint64_t hash = str_hash (name, 0);
+  for (size_t i = 0; i < r->naccounts; i++)
+    if (r->accounts[i]->hash == hash && str_is (name, r->accounts[i]->name))
+      return r->accounts[i];
+  struct rt_account *a = xcalloc (1, sizeof *a);
+  a->name = str_dup (name);
+  a->hash = hash;
+  a->demand_at = r->now;
+  r->accounts
+      = xrealloc (r->accounts, (r->naccounts + 1) * sizeof *r->accounts);
+  r->accounts[r->naccounts++] = a;
+  return a;
+}
+
+/** limit / N before any news; a share while it is valid; then from the share
+    towards limit / N. */
+static double
+share_now (const struct rt *r, const struct rt_account *a, double limit,
+           double share)
+{
+  double even = limit / (double)(r->nodes ? r->nodes : 1);
+  if (!a->has_share)
+    return even;
+  if (r->now <= a->share_until)
+    return share;
+  /*
+   * The account's home can't be heard.  Keeping the share for good would
+   * leave a node with nothing for as long as the partition lasts; taking the
+   * whole limit would multiply it by the number of parts.
+   */
+  double age = (double)(r->now - a->share_until);
+  return even + (share - even) * exp2 (-age / DECAY_MS);
+}
+
+double
+rt_limit_rate (const struct rt *r, const struct rt_account *a)
+{
+  return share_now (r, a, a->rate_limit, a->share_rate);
+}
+
+double
+rt_limit_conc (const struct rt *r, const struct rt_account *a)
+{
+  return share_now (r, a, a->conc_limit, a->share_conc);
+}
+
+void
+rt_limit_config (struct rt *r)
+{
+  for (size_t i = 0; i < r->cfg->naccounts; i++)
+    {
+      const struct cfg_account *c = &r->cfg->accounts[i];
+      struct rt_account *a = rt_account (r, c->name);
+      bool fresh = a->rate_limit == 0;
+      a->rate_limit = c->tokens_per_s;
+      a->conc_limit = c->concurrency;
+      if (fresh)
+        {
+          a->level = BURST_S * rt_limit_rate (r, a);
+          a->level_at = r->now;
+        }
+    }
+}
+
+void
+rt_limit_share (struct rt *r, const struct rt_event *ev)
+{
+  struct rt_account *a = rt_account (r, ev->name);
+  a->has_share = true;
+  a->share_rate = ev->tokens_per_s;
+  a->share_conc = ev->concurrency;
+  a->share_until = r->now + ev->valid_ms;
+}
+
+static void
+refill (struct rt *r, struct rt_account *a)
+{
+  double rate = rt_limit_rate (r, a);
+  a->level += rate * (double)(r->now - a->level_at) / 1000;
+  a->level_at = r->now;
+  if (a->level > BURST_S * rate)
+    a->level = BURST_S * rate;
+}
+
+static clk_ms
+clamp_retry (double ms)
+{
+  if (ms < RETRY_LEAST_MS)
+    return RETRY_LEAST_MS;
+  return ms > RETRY_MOST_MS ? RETRY_MOST_MS : (clk_ms)ms;
+}
+
+enum rt_code
+rt_limit_admit (struct rt *r, struct rt_account *a, double cost,
+                clk_ms *retry_ms)
+{
+  a->asked += cost;
+  if (a->open > a->asked_peak)
+    a->asked_peak = a->open;
+  /* A share below one must still let one request through at a time, or a
+     limit smaller than the number of nodes would shut the account out. */
+  if (a->conc_limit > 0
+      && (double)a->open > fmax (1, floor (rt_limit_conc (r, a))))
+    {
+      *retry_ms = RETRY_CONC_MS;
+      return RT_CODE_CONCURRENCY;
+    }
+  if (a->rate_limit <= 0)
+    return RT_CODE_NONE;
+  refill (r, a);
+  if (a->level <= 0)
+    {
+      double rate = rt_limit_rate (r, a);
+      *retry_ms
+          = clamp_retry (rate > 0 ? -a->level / rate * 1000 : RETRY_MOST_MS);
+      return RT_CODE_RATE;
+    }
+  /* A request larger than the bucket goes through on credit: the debt keeps
+     the account out until it is paid, so the rate holds over time. */
+  a->level -= cost;
+  return RT_CODE_NONE;
+}
+
+void
+rt_limit_settle (struct rt_account *a, double cost, double actual)
+{
+  if (a->rate_limit > 0)
+    a->level += cost - actual;
+}
--- /dev/null
+++ b/route/outlier.c
@@ -0,0 +1,131 @@
+#include <stdlib.h>
+
+#include "route/core.h"
+
+#define BAD_RUN 3         /* failures in a row that eject */
+#define SLOW_FACTOR 3.0   /* times the peers' median that ejects */
+#define SLOW_LEAST_MS 100 /* beyond the median, so that noise does not */
+#define SLOW_SAMPLES 8
+#define SMOOTH 0.2 /* weight of the newest sample */
+#define MEDIAN_OFTEN_MS 250
+#define OUT_FIRST_MS 5000
+#define OUT_MOST_MS 60000
+
+static size_t
+count_out (const struct rt_target *t, size_t *listed)
+{
+  size_t out = 0;
+  *listed = 0;
+  for (size_t i = 0; i < t->nservers; i++)
+    if (t->servers[i]->listed)
+      {
+        (*listed)++;
+        out += t->servers[i]->ejected_until != 0;
+      }
+  return out;
+}
+
+/**
+ * At most a third of the servers is out.  Were all of them slow at once, as
+ * when the load is too high, ejecting would put the load of the slow on the
+ * few that are left and take these down too.
+ */
+static void
+eject (struct rt *r, struct rt_target *t, struct rt_server *s)
+{
+  size_t listed, out = count_out (t, &listed);
+  if (!s->ejected_until && 3 * (out + 1) > listed)
+    return;
+  clk_ms span = OUT_FIRST_MS;
+  for (unsigned i = 0; i < s->ejections && span < OUT_MOST_MS; i++)
+    span *= 2;
+  s->ejections++;
+  s->ejected_until = r->now + (span < OUT_MOST_MS ? span : OUT_MOST_MS);
+  s->probing = false;
+}
+
+static int
+compare_ms (const void *a, const void *b)
+{
+  double x = *(const double *)a, y = *(const double *)b;
+  return (x > y) - (x < y);
+}
+
+/** Median over the servers' times to the first byte, computed now and then;
+    0: too few to tell. */
+static double
+median_first (const struct rt *r, struct rt_target *t)
+{
+  if (t->median_at != 0 && r->now - t->median_at < MEDIAN_OFTEN_MS)
+    return t->median_ms;
+  t->median_at = r->now;
+  double *ms = xmalloc ((t->nservers + 1) * sizeof *ms);
+  size_t n = 0;
+  for (size_t i = 0; i < t->nservers; i++)
+    if (t->servers[i]->listed && t->servers[i]->first_n >= SLOW_SAMPLES)
+      ms[n++] = t->servers[i]->first_ms;
+  qsort (ms, n, sizeof *ms, compare_ms);
+  t->median_ms = n >= 3 ? ms[n / 2] : 0;
+  free (ms);
+  return t->median_ms;
+}
+
+static bool
+too_slow (const struct rt *r, struct rt_target *t, double ms)
+{
+  double median = median_first (r, t);
+  return median > 0 && ms > SLOW_FACTOR * median
+         && ms > median + SLOW_LEAST_MS;
+}
+
+bool
+rt_outlier_probe_due (const struct rt *r, const struct rt_server *s)
+{
+  return s->ejected_until && r->now >= s->ejected_until && !s->probing;
+}
+
+void
+rt_outlier_first (struct rt *r, struct rt_target *t, struct rt_server *s,
+                  clk_ms ms)
+{
+  if (s->ejected_until)
+    {
+      /* Answers that were under way when it went out don't bring it back;
+         only the probe's does. */
+      if (!s->probing)
+        return;
+      s->probing = false;
+      if (too_slow (r, t, (double)ms))
+        {
+          eject (r, t, s);
+          return;
+        }
+      s->ejected_until = 0;
+      s->first_n = 0;
+    }
+  s->first_ms = s->first_n == 0
+                    ? (double)ms
+                    : (1 - SMOOTH) * s->first_ms + SMOOTH * (double)ms;
+  s->first_n++;
+  if (s->first_n >= SLOW_SAMPLES && (double)ms > s->first_ms
+      && too_slow (r, t, s->first_ms))
+    eject (r, t, s);
+}
+
+void
+rt_outlier_good (struct rt *r, struct rt_target *t, struct rt_server *s)
+{
+  s->done++;
+  s->bad_run = 0;
+  if (!s->ejected_until)
+    s->ejections = 0;
+}
+
+void
+rt_outlier_bad (struct rt *r, struct rt_target *t, struct rt_server *s)
+{
+  s->failed++;
+  s->bad_run++;
+  if (s->probing || (s->bad_run >= BAD_RUN && !s->ejected_until))
+    eject (r, t, s);
+}
--- /dev/null
+++ b/route/queue.c
@@ -0,0 +1,215 @@
+#include <stdlib.h>
+
+#include "route/core.h"
+
+#define QUANTUM 512.0 /* tokens per round for weight 1 */
+#define LEAST_WEIGHT 0.01
+#define AGE_MS 2000  /* waiting that outweighs one class */
+#define AGED_EVERY 3 /* turns of better classes between aged ones */
+
+static struct rt_flow *
+flow_of (struct rt_class *c, struct rt_account *a)
+{
+  for (size_t i = 0; i < c->nflows; i++)
+    if (c->flows[i]->account == a)
+      return c->flows[i];
+  struct rt_flow *f = xcalloc (1, sizeof *f);
+  f->account = a;
+  c->flows = xrealloc (c->flows, (c->nflows + 1) * sizeof *c->flows);
+  c->flows[c->nflows++] = f;
+  return f;
+}
+
+static void
+flow_activate (struct rt_class *c, struct rt_flow *f)
+{
+  f->active = true;
+  f->deficit = 0;
+  f->next = NULL;
+  if (c->last)
+    c->last->next = f;
+  else
+    c->first = f;
+  c->last = f;
+}
+
+static void
+flow_deactivate (struct rt_class *c, struct rt_flow *f)
+{
+  struct rt_flow *before = NULL;
+  for (struct rt_flow *i = c->first; i != f; i = i->next)
+    before = i;
+  if (before)
+    before->next = f->next;
+  else
+    c->first = f->next;
+  if (c->last == f)
+    c->last = before;
+  f->active = false;
+  f->next = NULL;
+}
+
+static void
+link_flow (struct rt_flow *f, struct rt_req *q, bool front)
+{
+  q->flow = f;
+  q->prev = front ? NULL : f->tail;
+  q->next = front ? f->head : NULL;
+  *(q->prev ? &q->prev->next : &f->head) = q;
+  *(q->next ? &q->next->prev : &f->tail) = q;
+}
+
+static void
+link_class (struct rt_class *c, struct rt_req *q, bool front)
+{
+  q->older = front ? NULL : c->newest;
+  q->newer = front ? c->oldest : NULL;
+  *(q->older ? &q->older->newer : &c->oldest) = q;
+  *(q->newer ? &q->newer->older : &c->newest) = q;
+}
+
+void
+rt_queue_push (struct rt_queue *w, struct rt_req *q, double weight, bool front)
+{
+  struct rt_class *c = &w->classes[q->priority];
+  struct rt_flow *f = flow_of (c, q->account);
+  f->weight = weight < LEAST_WEIGHT ? LEAST_WEIGHT : weight;
+  if (!f->active)
+    flow_activate (c, f);
+  link_flow (f, q, front);
+  link_class (c, q, front);
+  f->tokens += q->cost;
+  w->tokens += q->cost;
+  w->n++;
+  q->waiting = true;
+}
+
+void
+rt_queue_remove (struct rt_queue *w, struct rt_req *q)
+{
+  struct rt_class *c = &w->classes[q->priority];
+  struct rt_flow *f = q->flow;
+  *(q->prev ? &q->prev->next : &f->head) = q->next;
+  *(q->next ? &q->next->prev : &f->tail) = q->prev;
+  *(q->older ? &q->older->newer : &c->oldest) = q->newer;
+  *(q->newer ? &q->newer->older : &c->newest) = q->older;
+  q->prev = q->next = q->older = q->newer = NULL;
+  q->waiting = false;
+  f->tokens -= q->cost;
+  w->tokens -= q->cost;
+  w->n--;
+  if (!f->head)
+    flow_deactivate (c, f);
+}
+
+/**
+ * The better class goes first.  A lower one whose oldest request has waited
+ * AGE_MS for each class between them gets one turn in AGED_EVERY + 1: a
+ * steady stream of urgent work would else starve it for good, while a long
+ * backlog of old unimportant work must not push urgent work aside either.
+ */
+static struct rt_class *
+class_turn (struct rt_queue *w, clk_ms now)
+{
+  struct rt_class *best = NULL, *aged = NULL;
+  clk_ms longest = 0;
+  for (unsigned i = 0; i < RT_CLASSES; i++)
+    {
+      struct rt_class *c = &w->classes[i];
+      if (!c->first)
+        continue;
+      if (!best)
+        {
+          best = c;
+          continue;
+        }
+      clk_ms over = now - c->oldest->arrived - AGE_MS * (c - best);
+      if (over > longest)
+        {
+          longest = over;
+          aged = c;
+        }
+    }
+  return aged && w->since_aged >= AGED_EVERY ? aged : best;
+}
+
+struct rt_req *
+rt_queue_turn (struct rt_queue *w, clk_ms now)
+{
+  struct rt_class *c = class_turn (w, now);
+  if (!c)
+    return NULL;
+  /* Deficit round-robin: each flow that waits gains its quantum when the
+     ring comes round and goes while its deficit covers the next request. */
+  while (c->first->deficit < c->first->head->cost)
+    {
+      struct rt_flow *f = c->first;
+      f->deficit += QUANTUM * f->weight;
+      if (f->next)
+        {
+          c->first = f->next;
+          c->last->next = f;
+          c->last = f;
+          f->next = NULL;
+        }
+    }
+  return c->first->head;
+}
+
+void
+rt_queue_take (struct rt_queue *w, struct rt_req *q)
+{
+  unsigned better = 0;
+  while (!w->classes[better].first)
+    better++;
+  w->since_aged = q->priority > better ? 0 : w->since_aged + 1;
+  q->flow->deficit -= q->cost;
+  rt_queue_remove (w, q);
+}
+
+struct rt_req *
+rt_queue_victim (const struct rt_queue *w)
+{
+  for (unsigned i = RT_CLASSES; i-- > 0;)
+    {
+      const struct rt_class *c = &w->classes[i];
+      const struct rt_flow *most = c->first;
+      for (const struct rt_flow *f = c->first; f; f = f->next)
+        if (f->tokens / f->weight > most->tokens / most->weight)
+          most = f;
+      if (most)
+        return most->tail;
+    }
+  return NULL;
+}
+
+double
+rt_queue_ahead (const struct rt_queue *w, unsigned priority,
+                const struct rt_account *a, double weight, double cost)
+{
+  double better = 0, same = 0, own = 0, weights = 0;
+  for (unsigned i = 0; i < priority; i++)
+    for (const struct rt_flow *f = w->classes[i].first; f; f = f->next)
+      better += f->tokens;
+  for (const struct rt_flow *f = w->classes[priority].first; f; f = f->next)
+    {
+      same += f->tokens;
+      if (f->account == a)
+        own = f->tokens;
+      else
+        weights += f->weight;
+    }
+  double turns = (own + cost) * (weights / weight) + own;
+  return better + (turns < same ? turns : same);
+}
+
+void
+rt_queue_clear (struct rt_queue *w)
+{
+  for (unsigned i = 0; i < RT_CLASSES; i++)
+    {
+      for (size_t k = 0; k < w->classes[i].nflows; k++)
+        free (w->classes[i].flows[k]);
+      free (w->classes[i].flows);
+    }
+}
--- /dev/null
+++ b/route/retry.c
@@ -0,0 +1,45 @@
+#include "route/core.h"
+
+#define EARNED_PER_SUCCESS 0.1
+#define EARNED_PER_MS 0.0005 /* so that a quiet target may retry at all */
+#define BUDGET_START 5.0
+#define BUDGET_MOST 20.0
+#define BACKOFF_FIRST_MS 25
+#define BACKOFF_MOST_MS 1000
+
+/*
+ * When a target fails as a whole, every request fails, and retries of all
+ * would multiply its load just then; it could not come back.  With at most
+ * one retry for ten successes the extra load stays near a tenth.
+ */
+bool
+rt_retry_spend (struct rt *r, struct rt_target *t)
+{
+  if (t->retry_at == 0)
+    t->retry_budget = BUDGET_START;
+  else
+    t->retry_budget += EARNED_PER_MS * (double)(r->now - t->retry_at);
+  t->retry_at = r->now;
+  if (t->retry_budget > BUDGET_MOST)
+    t->retry_budget = BUDGET_MOST;
+  if (t->retry_budget < 1)
+    return false;
+  t->retry_budget -= 1;
+  return true;
+}
+
+void
+rt_retry_earn (struct rt_target *t)
+{
+  if (t->retry_budget < BUDGET_MOST)
+    t->retry_budget += EARNED_PER_SUCCESS;
+}
+
+clk_ms
+rt_retry_backoff (struct rt *r, unsigned attempt)
+{
+  clk_ms span = BACKOFF_FIRST_MS;
+  for (unsigned i = 1; i < attempt && span < BACKOFF_MOST_MS; i++)
+    span *= 2;
+  return 1 + (clk_ms)rng_below (&r->rng, (uint64_t)span);
+}
--- /dev/null
+++ b/route/route.c
@@ -0,0 +1,507 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "route/core.h"
+
+#define TABLE_FIRST 1024
+#define POLL_MS 20 /* looks for room while requests wait */
+
+/* --- actions ----------------------------------------------------------- */
+
+struct rt_action *
+rt_act (struct rt *r, enum rt_action_kind kind, const struct rt_req *q)
+{
+  if (r->act_n == r->act_cap)
+    {
+      size_t cap = r->act_cap ? 2 * r->act_cap : 64;
+      struct rt_action *grown = xmalloc (cap * sizeof *grown);
+      for (size_t i = 0; i < r->act_n; i++)
+        grown[i] = r->actions[(r->act_head + i) % r->act_cap];
+      free (r->actions);
+      r->actions = grown;
+      r->act_cap = cap;
+      r->act_head = 0;
+    }
+  struct rt_action *a = &r->actions[(r->act_head + r->act_n) % r->act_cap];
+  r->act_n++;
+  memset (a, 0, sizeof *a);
+  a->kind = kind;
+  a->id = q->id;
+  a->attempt = q->attempt;
+  return a;
+}
+
+bool
+rt_next (struct rt *r, struct rt_action *out)
+{
+  if (r->act_n == 0)
+    return false;
+  *out = r->actions[r->act_head];
+  r->act_head = (r->act_head + 1) % r->act_cap;
+  r->act_n--;
+  return true;
+}
+
+/* --- timers: a binary heap of requests by time ------------------------- */
+
+static void
+heap_put (struct rt *r, size_t at, struct rt_req *q)
+{
+  r->heap[at] = q;
+  q->timer_at = at;
+}
+
+static void
+heap_up (struct rt *r, size_t at, struct rt_req *q)
+{
+  while (at > 0 && r->heap[(at - 1) / 2]->timer > q->timer)
+    {
+      heap_put (r, at, r->heap[(at - 1) / 2]);
+      at = (at - 1) / 2;
+    }
+  heap_put (r, at, q);
+}
+
+static void
+heap_down (struct rt *r, size_t at, struct rt_req *q)
+{
+  for (;;)
+    {
+      size_t kid = 2 * at + 1;
+      if (kid + 1 < r->heap_n && r->heap[kid + 1]->timer < r->heap[kid]->timer)
+        kid++;
+      if (kid >= r->heap_n || r->heap[kid]->timer >= q->timer)
+        break;
+      heap_put (r, at, r->heap[kid]);
+      at = kid;
+    }
+  heap_put (r, at, q);
+}
+
+void
+rt_untimer (struct rt *r, struct rt_req *q)
+{
+  size_t at = q->timer_at;
+  if (at == SIZE_MAX)
+    return;
+  q->timer_at = SIZE_MAX;
+  struct rt_req *last = r->heap[--r->heap_n];
+  if (last == q)
+    return;
+  if (at > 0 && r->heap[(at - 1) / 2]->timer > last->timer)
+    heap_up (r, at, last);
+  else
+    heap_down (r, at, last);
+}
+
+void
+rt_timer (struct rt *r, struct rt_req *q, clk_ms at)
+{
+  rt_untimer (r, q);
+  if (r->heap_n == r->heap_cap)
+    {
+      r->heap_cap = r->heap_cap ? 2 * r->heap_cap : 256;
+      r->heap = xrealloc (r->heap, r->heap_cap * sizeof *r->heap);
+    }
+  q->timer = at;
+  heap_up (r, r->heap_n++, q);
+}
+
+/* --- requests by number ------------------------------------------------ */
+
+static struct rt_req *
+find_request (const struct rt *r, uint64_t id)
+{
+  struct rt_req *q = r->table[id & (r->table_size - 1)];
+  while (q && q->id != id)
+    q = q->chain;
+  return q;
+}
+
+static void
+table_grow (struct rt *r)
+{
+  size_t size = 2 * r->table_size;
+  struct rt_req **table = xcalloc (size, sizeof *table);
+  for (size_t i = 0; i < r->table_size; i++)
+    for (struct rt_req *q = r->table[i], *next; q; q = next)
+      {
+        next = q->chain;
+        q->chain = table[q->id & (size - 1)];
+        table[q->id & (size - 1)] = q;
+      }
+  free (r->table);
+  r->table = table;
+  r->table_size = size;
+}
+
+void
+rt_req_free (struct rt *r, struct rt_req *q)
+{
+  struct rt_req **at = &r->table[q->id & (r->table_size - 1)];
+  while (*at != q)
+    at = &(*at)->chain;
+  *at = q->chain;
+  rt_untimer (r, q);
+  if (q->account)
+    q->account->open--;
+  if (q->cfg)
+    cfg_unref (q->cfg);
+  free (q);
+  r->open--;
+}
+
+/* --- targets and servers ----------------------------------------------- */
+
+struct rt_target *
+rt_target (struct rt *r, struct str name, bool is_model)
+{
+  uint64_t hash = str_hash (name, is_model);
+  for (size_t i = 0; i < r->ntargets; i++)
+    if (r->targets[i]->hash == hash && r->targets[i]->is_model == is_model
+        && str_is (name, r->targets[i]->name))
+      return r->targets[i];
+  struct rt_target *t = xcalloc (1, sizeof *t);
+  t->name = str_dup (name);
+  t->hash = hash;
+  t->is_model = is_model;
+  r->targets = xrealloc (r->targets, (r->ntargets + 1) * sizeof *r->targets);
+  r->targets[r->ntargets++] = t;
+  return t;
+}
+
+static struct rt_server *
+server_of (struct rt_target *t, struct str name)
+{
+  uint64_t hash = str_hash (name, 0);
+  for (size_t i = 0; i < t->nservers; i++)
+    if (t->servers[i]->hash == hash && str_is (name, t->servers[i]->name))
+      return t->servers[i];
+  struct rt_server *s = xcalloc (1, sizeof *s);
+  s->name = str_dup (name);
+  s->hash = hash;
+  t->servers = xrealloc (t->servers, (t->nservers + 1) * sizeof *t->servers);
+  t->servers[t->nservers++] = s;
+  return s;
+}
+
+static void
+server_free (struct rt_server *s)
+{
+  free (s->name);
+  free (s->zone);
+  free (s);
+}
+
+/** Servers that left the list go once no request is on them. */
+static void
+sweep_servers (struct rt_target *t)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < t->nservers; i++)
+    if (t->servers[i]->listed || t->servers[i]->in_flight)
+      t->servers[kept++] = t->servers[i];
+    else
+      server_free (t->servers[i]);
+  t->nservers = kept;
+}
+
+static void
+server_place (struct rt *r, struct rt_server *s, struct str zone,
+              const struct net_addr *addr)
+{
+  if (!s->zone || !str_is (zone, s->zone))
+    {
+      free (s->zone);
+      s->zone = str_dup (zone);
+    }
+  s->same_zone = str_is (zone, r->zone);
+  s->addr = *addr;
+  s->listed = true;
+}
+
+static void
+config_service (struct rt *r, const struct cfg_service *c)
+{
+  struct rt_target *t = rt_target (r, c->name, false);
+  for (size_t i = 0; i < t->nservers; i++)
+    t->servers[i]->listed = false;
+  for (size_t i = 0; i < c->nbackends; i++)
+    {
+      const struct cfg_backend *b = &c->backends[i];
+      struct rt_server *s = server_of (t, b->name);
+      server_place (r, s, b->zone, &b->addr);
+      s->whole = true;
+      s->valid_until = CLK_NEVER;
+      s->observe = c->mode == CFG_OBSERVE;
+      s->capacity = c->capacity;
+    }
+}
+
+/** What of a replica the configuration decides. */
+static void
+config_replica (struct rt *r, struct rt_target *t, struct rt_server *s)
+{
+  struct str name = str_from (s->name);
+  const struct cfg_model *m
+      = r->cfg ? cfg_model (r->cfg, str_from (t->name)) : NULL;
+  const struct cfg_replica *c = r->cfg ? cfg_replica (r->cfg, name) : NULL;
+  s->observe = !m || m->mode == CFG_OBSERVE || (c && c->mode == CFG_OBSERVE);
+  s->capacity = m ? m->capacity : 0;
+}
+
+static void
+on_config (struct rt *r, struct cfg *cfg)
+{
+  struct cfg *old = r->cfg;
+  r->cfg = cfg_ref (cfg);
+  for (size_t i = 0; i < r->ntargets; i++)
+    for (size_t k = 0; k < r->targets[i]->nservers; k++)
+      if (r->targets[i]->is_model)
+        config_replica (r, r->targets[i], r->targets[i]->servers[k]);
+      else
+        r->targets[i]->servers[k]->listed = false;
+  for (size_t i = 0; i < cfg->nservices; i++)
+    config_service (r, &cfg->services[i]);
+  for (size_t i = 0; i < r->ntargets; i++)
+    sweep_servers (r->targets[i]);
+  rt_limit_config (r);
+  if (old)
+    cfg_unref (old);
+}
+
+static void
+on_replica (struct rt *r, const struct rt_replica *v)
+{
+  struct rt_target *t = rt_target (r, v->model, true);
+  struct rt_server *s = server_of (t, v->name);
+  bool known = s->listed;
+  server_place (r, s, v->zone, &v->addr);
+  s->fresh = true;
+  if (!known || s->generation != v->generation)
+    {
+      /* Other VMs stand behind the name: what was learnt is of the old. */
+      s->generation = v->generation;
+      s->ejected_until = 0;
+      s->ejections = s->bad_run = s->first_n = 0;
+      s->probing = false;
+    }
+  s->whole = v->whole;
+  s->draining = v->draining;
+  s->valid_until = v->valid_until;
+  config_replica (r, t, s);
+  rt_server_load (r, t, s, v->load, v->load_at);
+}
+
+static void
+on_replicas (struct rt *r, const struct rt_replica *list, size_t n)
+{
+  for (size_t i = 0; i < r->ntargets; i++)
+    for (size_t k = 0; k < r->targets[i]->nservers; k++)
+      if (r->targets[i]->is_model)
+        r->targets[i]->servers[k]->fresh = false;
+  for (size_t i = 0; i < n; i++)
+    on_replica (r, &list[i]);
+  for (size_t i = 0; i < r->ntargets; i++)
+    if (r->targets[i]->is_model)
+      {
+        for (size_t k = 0; k < r->targets[i]->nservers; k++)
+          r->targets[i]->servers[k]->listed = r->targets[i]->servers[k]->fresh;
+        sweep_servers (r->targets[i]);
+      }
+}
+
+static void
+on_backend_down (struct rt *r, struct str name, bool down)
+{
+  uint64_t hash = str_hash (name, 0);
+  for (size_t i = 0; i < r->ntargets; i++)
+    for (size_t k = 0; k < r->targets[i]->nservers; k++)
+      if (r->targets[i]->servers[k]->hash == hash)
+        r->targets[i]->servers[k]->down = down;
+}
+
+/* --- events ------------------------------------------------------------ */
+
+static void
+pump_all (struct rt *r)
+{
+  for (size_t i = 0; i < r->ntargets; i++)
+    rt_pump (r, r->targets[i]);
+}
+
+static void
+on_tick (struct rt *r)
+{
+  while (r->heap_n && r->heap[0]->timer <= r->now)
+    {
+      struct rt_req *q = r->heap[0];
+      rt_untimer (r, q);
+      rt_req_timer (r, q);
+    }
+}
+
+static void
+on_request_event (struct rt *r, const struct rt_event *ev)
+{
+  struct rt_req *q = find_request (r, ev->id);
+  if (!q)
+    return;
+  if (ev->kind == RT_EV_CLAIM)
+    rt_claimed (r, q, ev->verdict, ev->retry_ms);
+  else if (ev->kind == RT_EV_CALLER_GONE)
+    rt_caller_gone (r, q);
+  else
+    rt_attempt_event (r, q, ev);
+}
+
+void
+rt_event (struct rt *r, clk_ms now, const struct rt_event *ev)
+{
+  if (now > r->now)
+    r->now = now;
+  switch (ev->kind)
+    {
+    case RT_EV_TICK:
+      on_tick (r);
+      break;
+    case RT_EV_CONFIG:
+      on_config (r, ev->cfg);
+      break;
+    case RT_EV_REPLICAS:
+      on_replicas (r, ev->replicas, ev->n);
+      break;
+    case RT_EV_BACKEND_DOWN:
+      on_backend_down (r, ev->name, ev->on);
+      break;
+    case RT_EV_SHARE:
+      rt_limit_share (r, ev);
+      return;
+    case RT_EV_LEAVING:
+      r->leaving = ev->on;
+      return;
+    case RT_EV_ARRIVE:
+      if (find_request (r, ev->request->id))
+        return;
+      if (r->open >= r->table_size)
+        table_grow (r);
+      rt_arrive (r, ev->request);
+      return;
+    default:
+      on_request_event (r, ev);
+      return;
+    }
+  pump_all (r);
+}
+
+struct rt *
+rt_new (const struct rt_options *opt, uint64_t seed)
+{
+  struct rt *r = xcalloc (1, sizeof *r);
+  r->zone = str_dup (opt->zone);
+  r->node = str_dup (opt->node);
+  r->nodes = opt->nodes;
+  r->choose = rt_choose;
+  rng_seed (&r->rng, seed);
+  r->table_size = TABLE_FIRST;
+  r->table = xcalloc (r->table_size, sizeof *r->table);
+  return r;
+}
+
+static void
+target_free (struct rt_target *t)
+{
+  for (size_t i = 0; i < t->nservers; i++)
+    server_free (t->servers[i]);
+  rt_queue_clear (&t->queue);
+  free (t->servers);
+  free (t->name);
+  free (t);
+}
+
+void
+rt_free (struct rt *r)
+{
+  for (size_t i = 0; i < r->table_size; i++)
+    while (r->table[i])
+      rt_req_free (r, r->table[i]);
+  for (size_t i = 0; i < r->ntargets; i++)
+    target_free (r->targets[i]);
+  for (size_t i = 0; i < r->naccounts; i++)
+    {
+      free (r->accounts[i]->name);
+      free (r->accounts[i]);
+    }
+  if (r->cfg)
+    cfg_unref (r->cfg);
+  free (r->targets);
+  free (r->accounts);
+  free (r->table);
+  free (r->heap);
+  free (r->actions);
+  free (r->demands);
+  free (r->views);
+  free (r->zone);
+  free (r->node);
+  free (r);
+}
+
+size_t
+rt_open (const struct rt *r)
+{
+  return r->open;
+}
+
+clk_ms
+rt_wake (const struct rt *r)
+{
+  clk_ms at = r->heap_n ? r->heap[0]->timer : CLK_NEVER;
+  /* Estimates of other gateways' load fall by time alone, so room may
+     appear without an event. */
+  for (size_t i = 0; i < r->ntargets; i++)
+    if (r->targets[i]->queue.n && r->now + POLL_MS < at)
+      at = r->now + POLL_MS;
+  return at;
+}
+
+const struct rt_demand *
+rt_demands (struct rt *r, clk_ms now, size_t *n)
+{
+  r->demands = xrealloc (r->demands, (r->naccounts + 1) * sizeof *r->demands);
+  for (size_t i = 0; i < r->naccounts; i++)
+    {
+      struct rt_account *a = r->accounts[i];
+      double span = now > a->demand_at ? (double)(now - a->demand_at) : 1;
+      r->demands[i].account = str_from (a->name);
+      r->demands[i].tokens_per_s = a->asked * 1000 / span;
+      r->demands[i].concurrency = (double)a->asked_peak;
+      a->asked = 0;
+      a->asked_peak = a->open;
+      a->demand_at = now;
+    }
+  *n = r->naccounts;
+  return r->demands;
+}
+
+const struct rt_target_view *
+rt_targets (struct rt *r, size_t *n)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < r->ntargets; i++)
+    count += r->targets[i]->nservers;
+  r->views = xrealloc (r->views, (count + 1) * sizeof *r->views);
+  *n = 0;
+  for (size_t i = 0; i < r->ntargets; i++)
+    for (size_t k = 0; k < r->targets[i]->nservers; k++)
+      {
+        const struct rt_server *s = r->targets[i]->servers[k];
+        r->views[(*n)++] = (struct rt_target_view){
+          .name = str_from (s->name),
+          .in_flight = s->in_flight,
+          .done = s->done,
+          .failed = s->failed,
+          .ejected = s->ejected_until != 0,
+        };
+      }
+  return r->views;
+}
--- /dev/null
+++ b/t/lib-route.c
@@ -0,0 +1,269 @@
+#include "lib-route.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MOST_WORDS 64
+
+static const char *const action_names[]
+    = { "claim", "release", "finish", "connect", "send", "cancel",
+        "pass",  "answer",  "replay", "end",     "cut",  "forget" };
+
+static const char *const verdicts[] = { "granted", "running",  "answered",
+                                        "unknown", "mismatch", "unavailable" };
+
+static char last_server[64];
+
+struct script
+script_new (const char *config, unsigned nodes)
+{
+  struct script s = { 0 };
+  struct fnd_list findings = { 0 };
+  struct rt_options opt = { STR ("a"), STR ("entry-1"), nodes };
+  s.rt = rt_new (&opt, 1);
+  s.cfg = cfg_parse (str_from (config), 1, &findings);
+  if (!s.cfg)
+    {
+      struct buf text = BUF_INIT;
+      fnd_print (&findings, &text);
+      cr_assert_fail ("configuration: %s", buf_c (&text));
+    }
+  struct rt_event ev = { .kind = RT_EV_CONFIG, .cfg = s.cfg };
+  rt_event (s.rt, 0, &ev);
+  return s;
+}
+
+void
+script_free (struct script *s)
+{
+  rt_free (s->rt);
+  cfg_unref (s->cfg);
+  buf_free (&s->log);
+}
+
+const char *
+script_server (const struct script *s)
+{
+  return last_server;
+}
+
+static void
+log_action (struct script *s, const struct rt_action *a)
+{
+  if (a->kind == RT_ACT_CONNECT)
+    snprintf (last_server, sizeof last_server, "%.*s", STR_ARG (a->name));
+  if (s->quiet)
+    return;
+  buf_addf (&s->log, " %s(%llu", action_names[a->kind],
+            (unsigned long long)a->id);
+  if (a->attempt && a->kind >= RT_ACT_CONNECT && a->kind <= RT_ACT_PASS)
+    buf_addf (&s->log, "/%u", a->attempt);
+  if (a->kind == RT_ACT_CONNECT)
+    buf_addf (&s->log, " %.*s%s", STR_ARG (a->name), a->fresh ? " fresh" : "");
+  if (a->resume)
+    buf_addf (&s->log, " from %zu", a->offset);
+  if (a->kind == RT_ACT_ANSWER)
+    buf_addf (&s->log, " %d", a->http_status);
+  if (a->kind == RT_ACT_ANSWER || a->kind == RT_ACT_CUT)
+    buf_addf (&s->log, " %s", rt_code_name (a->code));
+  if (a->kind == RT_ACT_ANSWER || a->kind == RT_ACT_CUT
+      || a->kind == RT_ACT_END)
+    buf_addf (&s->log, " %s", rt_outcome_name (a->outcome));
+  buf_add_c (&s->log, ")");
+}
+
+static void
+drain (struct script *s)
+{
+  struct rt_action a;
+  while (rt_next (s->rt, &a))
+    if (a.kind != RT_ACT_FORGET)
+      log_action (s, &a);
+}
+
+static bool
+has_flag (const char *word, const char *flag)
+{
+  const char *at = strchr (word, '/');
+  return at && strstr (at, flag);
+}
+
+static void
+replicas (struct script *s, char **w, size_t n)
+{
+  struct rt_replica list[MOST_WORDS] = { 0 };
+  for (size_t i = 0; i < n; i++)
+    {
+      const char *load = strstr (w[i], "n=");
+      list[i] = (struct rt_replica){
+        .name = str_make (w[i], strcspn (w[i], "/")),
+        .model = STR ("lm"),
+        .zone = has_flag (w[i], "far") ? STR ("b") : STR ("a"),
+        .generation = 1,
+        .whole = !has_flag (w[i], "broken"),
+        .draining = has_flag (w[i], "draining"),
+        .valid_until = has_flag (w[i], "old") ? s->now : s->now + 1000000,
+        .load = load ? (uint32_t)atoi (load + 2) : 0,
+        .load_at = load ? s->now : 0,
+      };
+    }
+  struct rt_event ev = { .kind = RT_EV_REPLICAS, .replicas = list, .n = n };
+  rt_event (s->rt, s->now, &ev);
+}
+
+static void
+arrive (struct script *s, uint64_t id, char **w, size_t n)
+{
+  struct rt_request q = { .id = id,
+                          .account = str_from (w[0]),
+                          .target = str_from (w[1]),
+                          .is_model = strcmp (w[1], "lm") == 0,
+                          .idempotent = true,
+                          .cost = 100 };
+  for (size_t i = 2; i < n; i++)
+    if (strcmp (w[i], "once") == 0)
+      q.idempotent = false;
+    else if (strcmp (w[i], "key") == 0)
+      q.has_key = true;
+    else if (strncmp (w[i], "prio=", 5) == 0)
+      q.priority = (unsigned)atoi (w[i] + 5);
+    else if (strncmp (w[i], "by=", 3) == 0)
+      q.deadline = atoll (w[i] + 3);
+    else if (strncmp (w[i], "cost=", 5) == 0)
+      q.cost = atof (w[i] + 5);
+    else if (strncmp (w[i], "prefix=", 7) == 0)
+      q.prefix = (uint64_t)atoll (w[i] + 7);
+    else
+      cr_assert_fail ("unknown word %s", w[i]);
+  struct rt_event ev = { .kind = RT_EV_ARRIVE, .request = &q };
+  rt_event (s->rt, s->now, &ev);
+}
+
+static bool
+attempt_verb (const char *verb, enum rt_event_kind *kind)
+{
+  static const struct
+  {
+    const char *verb;
+    enum rt_event_kind kind;
+  } rows[]
+      = { { "open", RT_EV_CONNECTED },    { "fail", RT_EV_CONNECT_FAILED },
+          { "head", RT_EV_HEAD },         { "body", RT_EV_BODY },
+          { "whole", RT_EV_WHOLE },       { "broken", RT_EV_BROKEN },
+          { "silent", RT_EV_SILENT },     { "gone", RT_EV_CALLER_GONE },
+          { "tick", RT_EV_TICK },         { "leaving", RT_EV_LEAVING },
+          { "down", RT_EV_BACKEND_DOWN }, { "up", RT_EV_BACKEND_DOWN } };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    if (strcmp (verb, rows[i].verb) == 0)
+      {
+        *kind = rows[i].kind;
+        return true;
+      }
+  return false;
+}
+
+static void
+plain_event (struct script *s, enum rt_event_kind kind, char **w, size_t n)
+{
+  struct rt_event ev = { .kind = kind, .on = strcmp (w[0], "up") != 0 };
+  if (kind == RT_EV_BACKEND_DOWN)
+    ev.name = str_from (w[1]);
+  else if (n > 1)
+    {
+      const char *slash = strchr (w[1], '/');
+      ev.id = strtoull (w[1], NULL, 10);
+      ev.attempt = slash ? (unsigned)atoi (slash + 1) : 0;
+    }
+  if (n > 2)
+    {
+      ev.status = atoi (w[2]);
+      ev.size = (size_t)atoi (w[2]);
+    }
+  rt_event (s->rt, s->now, &ev);
+}
+
+static void
+claim (struct script *s, char **w)
+{
+  struct rt_event ev = { .kind = RT_EV_CLAIM,
+                         .id = strtoull (w[1], NULL, 10),
+                         .retry_ms = 200 };
+  for (size_t i = 0; i < sizeof verdicts / sizeof verdicts[0]; i++)
+    if (strcmp (w[2], verdicts[i]) == 0)
+      ev.verdict = (enum clm_verdict)i;
+  rt_event (s->rt, s->now, &ev);
+}
+
+static void
+share (struct script *s, char **w)
+{
+  struct rt_event ev = { .kind = RT_EV_SHARE,
+                         .name = str_from (w[1]),
+                         .tokens_per_s = atof (w[2]),
+                         .concurrency = atof (w[3]),
+                         .valid_ms = atoll (w[4]) };
+  rt_event (s->rt, s->now, &ev);
+}
+
+static void
+arrive_many (struct script *s, char **w, size_t n)
+{
+  uint64_t id = strtoull (w[1], NULL, 10);
+  uint64_t last = strtoull (strchr (w[1], '-') + 1, NULL, 10);
+  for (; id <= last; id++)
+    arrive (s, id, w + 2, n - 2);
+}
+
+static void
+run_line (struct script *s, char *line)
+{
+  char *w[MOST_WORDS];
+  size_t n = 0;
+  enum rt_event_kind kind;
+  for (char *t = strtok (line, " "); t && n < MOST_WORDS;
+       t = strtok (NULL, " "))
+    w[n++] = t;
+  if (n < 2)
+    return;
+  s->now = atoll (w[0]);
+  if (!s->quiet)
+    buf_addf (&s->log, "%s %s %s:", w[0], w[1], n > 2 ? w[2] : "");
+  if (strcmp (w[1], "replicas") == 0)
+    replicas (s, w + 2, n - 2);
+  else if (strcmp (w[1], "arrive") == 0)
+    arrive (s, strtoull (w[2], NULL, 10), w + 3, n - 3);
+  else if (strcmp (w[1], "arrive*") == 0)
+    arrive_many (s, w + 1, n - 1);
+  else if (strcmp (w[1], "claim") == 0)
+    claim (s, w + 1);
+  else if (strcmp (w[1], "share") == 0)
+    share (s, w + 1);
+  else if (attempt_verb (w[1], &kind))
+    plain_event (s, kind, w + 1, n - 1);
+  else
+    cr_assert_fail ("unknown verb %s", w[1]);
+  drain (s);
+  if (!s->quiet)
+    buf_add_c (&s->log, "\n");
+}
+
+void
+script_run (struct script *s, const char *text)
+{
+  char *copy = xstrdup (text);
+  char *rest = copy, *line;
+  while ((line = strsep (&rest, "\n")) != NULL)
+    run_line (s, line);
+  free (copy);
+}
+
+void
+script_expect (struct script *s, const char *text, const char *log)
+{
+  buf_clear (&s->log);
+  script_run (s, text);
+  cr_expect (strcmp (buf_c (&s->log), log) == 0, "expected:\n%s\ngot:\n%s",
+             log, buf_c (&s->log));
+}
