Carry operators' drains between control processes

Cause: a drain reaches whatever control process the operator named, but only the node itself, or the owner of the replica's fabric domain, can carry it out; spans of a trace lie on every node. Change: DrainAsk and DrainAnswer at the end of the frame's oneof, and in control.h the functions by which peers.c hands these and the trace frames to admin.c.

--- a/control/control.h
+++ b/control/control.h
@@ -68,6 +68,15 @@
 void ctl_evidence_changed (struct ctl *c);
 /** Begin to leave: drain the gateway, then stop. */
 void ctl_leave (struct ctl *c);
+/** The gateway's link went (called by views.c). */
+void ctl_gateway_gone (struct ctl *c);
+
+/**
+ * Run a control process until it was told to leave and has left.
+ * @param set  taken over
+ * @retval false  it could not start; the reason is in @p err
+ */
+bool ctl_run (struct settings *set, struct buf *err);
 
 /* swim.c */
 struct ctl_swim *ctl_swim_start (struct ctl *c, struct buf *err);
@@ -149,10 +158,24 @@
 /** Something that the gateway sees changed; sent at the end of this turn. */
 void ctl_views_touch (struct ctl_views *v);
 void ctl_views_share (struct ctl_views *v, const Lapis__ShareGrant *g);
+/** Whether a gateway is linked. */
+bool ctl_views_linked (const struct ctl_views *v);
+/** Ask the gateway for its spans of one trace; false when none is linked. */
+bool ctl_views_trace (struct ctl_views *v, uint64_t id,
+                      const uint8_t trace[16]);
+/** Bytes on the gateway's link since the start. */
+void ctl_views_traffic (const struct ctl_views *v, uint64_t *out,
+                        uint64_t *in);
 
 /* admin.c */
 struct ctl_admin *ctl_admin_start (struct ctl *c, struct buf *err);
 void ctl_admin_stop (struct ctl_admin *a);
 uint16_t ctl_admin_port (const struct ctl_admin *a);
+/** An operator's request or its answer from another node: DrainAsk,
+    DrainAnswer, TraceAsk, TraceAnswer (called by peers.c). */
+void ctl_admin_frame (struct ctl_admin *a, uint64_t peer,
+                      const Lapis__Frame *f);
+/** Spans of the gateway for a trace asked with ctl_views_trace(). */
+void ctl_admin_spans (struct ctl_admin *a, uint64_t id, struct str json);
 
 #endif
--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -817,7 +817,97 @@
   assert(message->base.descriptor == &lapis__trace_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[14] =
+void   lapis__drain_ask__init
+                     (Lapis__DrainAsk         *message)
+{
+  static const Lapis__DrainAsk init_value = LAPIS__DRAIN_ASK__INIT;
+  *message = init_value;
+}
+size_t lapis__drain_ask__get_packed_size
+                     (const Lapis__DrainAsk *message)
+{
+  assert(message->base.descriptor == &lapis__drain_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__drain_ask__pack
+                     (const Lapis__DrainAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__drain_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__drain_ask__pack_to_buffer
+                     (const Lapis__DrainAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__drain_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__DrainAsk *
+       lapis__drain_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__DrainAsk *)
+     protobuf_c_message_unpack (&lapis__drain_ask__descriptor,
+                                allocator, len, data);
+}
+void   lapis__drain_ask__free_unpacked
+                     (Lapis__DrainAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__drain_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__drain_answer__init
+                     (Lapis__DrainAnswer         *message)
+{
+  static const Lapis__DrainAnswer init_value = LAPIS__DRAIN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t lapis__drain_answer__get_packed_size
+                     (const Lapis__DrainAnswer *message)
+{
+  assert(message->base.descriptor == &lapis__drain_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__drain_answer__pack
+                     (const Lapis__DrainAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__drain_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__drain_answer__pack_to_buffer
+                     (const Lapis__DrainAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__drain_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__DrainAnswer *
+       lapis__drain_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__DrainAnswer *)
+     protobuf_c_message_unpack (&lapis__drain_answer__descriptor,
+                                allocator, len, data);
+}
+void   lapis__drain_answer__free_unpacked
+                     (Lapis__DrainAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__drain_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -987,6 +1077,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "drain_ask",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, drain_ask),
+    &lapis__drain_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drain_answer",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, drain_answer),
+    &lapis__drain_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -994,6 +1108,8 @@
   7,   /* field[7] = config_chunk */
   5,   /* field[5] = config_have */
   6,   /* field[6] = config_want */
+  15,   /* field[15] = drain_answer */
+  14,   /* field[14] = drain_ask */
   8,   /* field[8] = evidence */
   11,   /* field[11] = heartbeat */
   0,   /* field[0] = hello */
@@ -1007,7 +1123,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1017,7 +1133,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  14,
+  16,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -2521,3 +2637,170 @@
   (ProtobufCMessageInit) lapis__trace_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__drain_ask__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAsk, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAsk, replica),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAsk, on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAsk, operator_),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAsk, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__drain_ask__field_indices_by_name[] = {
+  5,   /* field[5] = config_revision */
+  0,   /* field[0] = id */
+  1,   /* field[1] = node */
+  3,   /* field[3] = on */
+  4,   /* field[4] = operator */
+  2,   /* field[2] = replica */
+};
+static const ProtobufCIntRange lapis__drain_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor lapis__drain_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.DrainAsk",
+  "DrainAsk",
+  "Lapis__DrainAsk",
+  "lapis",
+  sizeof(Lapis__DrainAsk),
+  6,
+  lapis__drain_ask__field_descriptors,
+  lapis__drain_ask__field_indices_by_name,
+  1,  lapis__drain_ask__number_ranges,
+  (ProtobufCMessageInit) lapis__drain_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__drain_answer__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAnswer, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__DrainAnswer, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__drain_answer__field_indices_by_name[] = {
+  1,   /* field[1] = done */
+  0,   /* field[0] = id */
+  2,   /* field[2] = reason */
+};
+static const ProtobufCIntRange lapis__drain_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lapis__drain_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.DrainAnswer",
+  "DrainAnswer",
+  "Lapis__DrainAnswer",
+  "lapis",
+  sizeof(Lapis__DrainAnswer),
+  3,
+  lapis__drain_answer__field_descriptors,
+  lapis__drain_answer__field_indices_by_name,
+  1,  lapis__drain_answer__number_ranges,
+  (ProtobufCMessageInit) lapis__drain_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
