--- /dev/null
+++ b/front/address.c
@@ -0,0 +1,180 @@
+#include <stdlib.h>
+
+#include "fleet/hash.h"
+#include "fleet/member.h"
+#include "front/callers.h"
+
+/** Addresses in one answer. */
+#define MAX_ADDRESSES 4
+#define MAX_NODES 512
+
+/** Open requests by which a node must be ahead of the next to be moved. */
+#define LOAD_STEP 64
+
+struct candidate
+{
+  struct str name, zone;
+  struct net_addr http;
+  uint32_t load;
+  size_t rank; /**< by rendezvous hash of (account, target) */
+};
+
+/** This node alone, while no view has come (or without control). */
+static size_t
+only_self (struct gw *g, struct candidate *out)
+{
+  if (g->leaving)
+    return 0;
+  out[0] = (struct candidate){ .name = str_from (g->set.node),
+                               .zone = str_from (g->set.zone),
+                               .http = g->set.gateway_http };
+  out[0].http.port = gw_callers_port (g->callers);
+  return 1;
+}
+
+/**
+ * Only nodes seen alive: one that leaves or is suspected would be kept in the
+ * caller's answer for as long as that lives, and new callers would go on
+ * arriving at a node that waits for them to stop.
+ */
+static size_t
+candidates (struct gw *g, struct candidate *out)
+{
+  const struct gw_node *nodes;
+  size_t n = 0, len = 0;
+
+  nodes = g->view ? gw_view_nodes (g->view, &n) : NULL;
+  if (n == 0)
+    return only_self (g, out);
+  for (size_t i = 0; i < n && len < MAX_NODES; i++)
+    {
+      bool self = str_is (nodes[i].name, g->set.node);
+      if (nodes[i].status == MBR_ALIVE && nodes[i].http.port != 0
+          && !(self && g->leaving))
+        out[len++] = (struct candidate){ .name = nodes[i].name,
+                                         .zone = nodes[i].zone,
+                                         .http = nodes[i].http,
+                                         .load = nodes[i].load };
+    }
+  return len;
+}
+
+static void
+rank_by_hash (struct candidate *c, size_t n, struct str account,
+              struct str target)
+{
+  struct str *names = xcalloc (n, sizeof *names);
+  size_t *order = xcalloc (n, sizeof *order);
+  struct buf what = BUF_INIT;
+
+  for (size_t i = 0; i < n; i++)
+    names[i] = c[i].name;
+  buf_add (&what, account);
+  buf_add_char (&what, '\0');
+  buf_add (&what, target);
+  n = hash_pick_k (buf_str (&what), names, n, order, n);
+  for (size_t i = 0; i < n; i++)
+    c[order[i]].rank = i;
+  buf_free (&what);
+  free (order);
+  free (names);
+}
+
+/** Near zone first, then load in steps, then affinity. */
+static int
+compare (const void *a, const void *b, void *zone)
+{
+  const struct candidate *x = a, *y = b;
+  bool near_x = str_is (x->zone, zone), near_y = str_is (y->zone, zone);
+  uint32_t load_x = x->load / LOAD_STEP, load_y = y->load / LOAD_STEP;
+
+  if (near_x != near_y)
+    return near_x ? -1 : 1;
+  if (load_x != load_y)
+    return load_x < load_y ? -1 : 1;
+  return x->rank < y->rank ? -1 : x->rank > y->rank;
+}
+
+static void
+write_answer (const struct candidate *c, size_t n, clk_ms valid_ms,
+              struct buf *out)
+{
+  buf_add_c (out, "{\"addresses\":[");
+  for (size_t i = 0; i < n && i < MAX_ADDRESSES; i++)
+    {
+      buf_add_c (out, i ? ",{\"node\":" : "{\"node\":");
+      buf_add_json (out, c[i].name);
+      buf_add_c (out, ",\"address\":\"");
+      net_addr_format (&c[i].http, out);
+      buf_add_c (out, "\"}");
+    }
+  buf_addf (out, "],\"valid_ms\":%lld}\n", (long long)valid_ms);
+}
+
+/** Value of `key` in a query without escapes; names need none. */
+static struct str
+query_value (struct str query, struct str key)
+{
+  while (query.len > 0)
+    {
+      size_t end = str_chr (query, '&');
+      struct str item = str_head (query, end);
+      if (str_starts (item, key))
+        return str_skip (item, key.len);
+      query = str_skip (query, end + 1);
+    }
+  return STR_EMPTY;
+}
+
+static void
+refuse (struct httpd_req *req, enum rt_code code, clk_ms retry_ms)
+{
+  struct gw_error e = { .status = rt_code_status (code),
+                        .code = rt_code_name (code),
+                        .message = gw_message (code),
+                        .outcome = rt_outcome_name (RT_NOT_RUN),
+                        .retry_ms = retry_ms };
+  gw_answer_error (req, &e);
+}
+
+static bool
+known (const struct cfg *cfg, struct str model, struct str service)
+{
+  return model.len ? cfg_model (cfg, model) != NULL
+                   : cfg_service (cfg, service) != NULL;
+}
+
+void
+gw_address (struct gw *g, const struct cfg_account *account,
+            struct httpd_req *req)
+{
+  struct str query = httpd_get (req)->query;
+  struct str model = query_value (query, STR ("model="));
+  struct str service = query_value (query, STR ("service="));
+  struct str target = model.len ? model : service;
+  struct buf out = BUF_INIT;
+
+  if (!known (g->cfg, model, service))
+    {
+      refuse (req, RT_CODE_NO_TARGET, 0);
+      return;
+    }
+  if (!cfg_account_may (account, target))
+    {
+      refuse (req, RT_CODE_FORBIDDEN, 0);
+      return;
+    }
+  struct candidate *list = xcalloc (MAX_NODES, sizeof *list);
+  size_t n = candidates (g, list);
+  rank_by_hash (list, n, account->name, target);
+  qsort_r (list, n, sizeof *list, compare, g->set.zone);
+  if (n == 0)
+    refuse (req, RT_CODE_LEAVING, CLK_SECOND);
+  else
+    {
+      write_answer (list, n, g->cfg->limits.address_ms, &out);
+      gw_answer_json (req, buf_str (&out));
+    }
+  buf_free (&out);
+  free (list);
+}
--- /dev/null
+++ b/front/answer.c
@@ -0,0 +1,88 @@
+#include <stdio.h>
+
+#include "front/callers.h"
+
+static const char *const messages[] = {
+  [RT_CODE_NO_TARGET] = "no such model or service",
+  [RT_CODE_FORBIDDEN] = "this account may not use it",
+  [RT_CODE_NOT_ROUTED] = "it is only observed; no requests go to it",
+  [RT_CODE_RATE] = "the account's rate is used up",
+  [RT_CODE_CONCURRENCY] = "the account has too many requests open",
+  [RT_CODE_QUEUE_FULL] = "too many requests wait already",
+  [RT_CODE_DEADLINE] = "it can't be finished before its deadline",
+  [RT_CODE_NO_REPLICA] = "no replica is whole now",
+  [RT_CODE_LEAVING] = "this node is going away; ask for another address",
+  [RT_CODE_CONNECT] = "no backend server could be reached",
+  [RT_CODE_BROKEN] = "the backend server's answer was cut",
+  [RT_CODE_SILENT] = "the backend server fell silent",
+  [RT_CODE_STORE] = "idempotency keys can't be recorded now",
+  [RT_CODE_CLAIM_RUNNING] = "a request with this key is running",
+  [RT_CODE_CLAIM_UNKNOWN]
+  = "this key was used and how that ended is not known or not kept",
+  [RT_CODE_CLAIM_MISMATCH] = "this key was used for another request",
+  [RT_CODE_BACKEND_REFUSED] = "the backend server refused without running it",
+  [RT_CODE_GONE] = "the caller left",
+};
+
+const char *
+gw_message (enum rt_code code)
+{
+  size_t n = sizeof messages / sizeof messages[0];
+  const char *m = (size_t)code < n ? messages[code] : NULL;
+  return m ? m : "the request did not succeed";
+}
+
+static void
+error_body (const struct gw_error *e, struct buf *out)
+{
+  buf_add_c (out, "{\"error\":{\"code\":");
+  buf_add_json (out, str_from (e->code));
+  buf_add_c (out, ",\"message\":");
+  buf_add_json (out, str_from (e->message));
+  buf_add_c (out, ",\"outcome\":");
+  buf_add_json (out, str_from (e->outcome));
+  if (e->retry_ms > 0)
+    buf_addf (out, ",\"retry_after_ms\":%lld", (long long)e->retry_ms);
+  if (e->request_id.len > 0)
+    {
+      buf_add_c (out, ",\"request_id\":");
+      buf_add_json (out, e->request_id);
+    }
+  buf_add_c (out, "}}\n");
+}
+
+void
+gw_answer_error (struct httpd_req *req, const struct gw_error *e)
+{
+  struct buf body = BUF_INIT;
+  char seconds[24];
+  struct http_header h[5];
+  size_t n = 0;
+
+  h[n++]
+      = (struct http_header){ STR ("content-type"), STR ("application/json") };
+  h[n++]
+      = (struct http_header){ STR ("lapis-outcome"), str_from (e->outcome) };
+  if (e->request_id.len > 0)
+    h[n++] = (struct http_header){ STR ("lapis-request-id"), e->request_id };
+  if (e->retry_ms > 0)
+    {
+      snprintf (seconds, sizeof seconds, "%lld",
+                (long long)((e->retry_ms + CLK_SECOND - 1) / CLK_SECOND));
+      h[n++] = (struct http_header){ STR ("retry-after"), str_from (seconds) };
+    }
+  if (e->status == 401)
+    h[n++] = (struct http_header){ STR ("www-authenticate"), STR ("Bearer") };
+  error_body (e, &body);
+  httpd_answer (req, e->status, h, n, buf_str (&body));
+  buf_free (&body);
+}
+
+void
+gw_answer_json (struct httpd_req *req, struct str json)
+{
+  struct http_header h[]
+      = { { STR ("content-type"), STR ("application/json") },
+          { STR ("lapis-outcome"), STR ("done") } };
+  httpd_answer (req, 200, h, 2, json);
+}
--- /dev/null
+++ b/front/attempt.c
@@ -0,0 +1,307 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/callers.h"
+
+/* ---- heads ---- */
+
+static size_t
+headers_size (const struct http_header *h, size_t n)
+{
+  size_t size = 0;
+  for (size_t i = 0; i < n; i++)
+    size += h[i].name.len + h[i].value.len;
+  return size;
+}
+
+static struct str
+keep_text (struct buf *text, struct str s)
+{
+  size_t at = text->len;
+  buf_add (text, s);
+  return str_make (text->ptr + at, s.len);
+}
+
+static void
+head_keep (struct gw_head *head, int status, const struct http_header *h,
+           size_t n)
+{
+  head->status = status;
+  head->list = xcalloc (n ? n : 1, sizeof *head->list);
+  /* All room at once: the views must not move. */
+  buf_reserve (&head->text, headers_size (h, n) + 1);
+  for (size_t i = 0; i < n; i++)
+    if (back_answer_header (&h[i]))
+      {
+        struct http_header *to = &head->list[head->n++];
+        to->name = keep_text (&head->text, h[i].name);
+        to->value = keep_text (&head->text, h[i].value);
+      }
+}
+
+/* ---- life ---- */
+
+static void
+attempt_free (struct gw_attempt *at)
+{
+  free (at->head.list);
+  buf_free (&at->head.text);
+  buf_free (&at->held);
+  free (at);
+}
+
+static void
+attempt_unlink (struct gw_attempt *at)
+{
+  struct gw_attempt **p = &at->ex->attempts;
+
+  while (*p != at)
+    p = &(*p)->next;
+  *p = at->next;
+  gw_span (at->ex->c->g, &at->span, at->ex->span.span, "gateway.attempt",
+           str_from (at->name), at->began_at);
+  at->ex = NULL;
+}
+
+struct gw_attempt *
+gw_attempt_find (struct gw_exchange *ex, unsigned number)
+{
+  struct gw_attempt *at = ex->attempts;
+
+  while (at != NULL && at->number != number)
+    at = at->next;
+  return at;
+}
+
+void
+gw_attempt_cancel (struct gw_attempt *at)
+{
+  attempt_unlink (at);
+  if (at->busy)
+    {
+      at->stopped = true;
+      return;
+    }
+  if (at->call != NULL)
+    httpc_cancel (at->call);
+  attempt_free (at);
+}
+
+void
+gw_attempt_pause (struct gw_attempt *at, bool pause)
+{
+  if (at->paused == pause || at->call == NULL)
+    return;
+  at->paused = pause;
+  at->heard_at = clk_now ();
+  httpc_pause (at->call, pause);
+}
+
+bool
+gw_attempt_silent (const struct gw_attempt *at, clk_ms now)
+{
+  clk_ms limit = at->head.status ? at->progress_ms : at->first_byte_ms;
+
+  if (!at->granted || at->paused || at->call == NULL || limit <= 0)
+    return false;
+  return now - at->heard_at > limit;
+}
+
+/* ---- callbacks of httpc ---- */
+
+static void
+send_event (struct gw_attempt *at, enum rt_event_kind kind, int status,
+            size_t size, double tokens)
+{
+  struct rt_event ev = { .kind = kind,
+                         .id = at->ex->id,
+                         .attempt = at->number,
+                         .status = status,
+                         .size = size,
+                         .tokens = tokens };
+  gw_callers_event (at->ex->c, &ev);
+}
+
+/** After an event from within a callback: what was asked for meanwhile. */
+static void
+leave_callback (struct gw_attempt *at)
+{
+  at->busy = false;
+  if (!at->stopped)
+    return;
+  httpc_cancel (at->call);
+  attempt_free (at);
+}
+
+static bool
+on_connected (void *ctx)
+{
+  struct gw_attempt *at = ctx;
+
+  at->busy = true;
+  at->heard_at = clk_now ();
+  send_event (at, RT_EV_CONNECTED, 0, 0, 0);
+  at->busy = false;
+  /* Stopped: nothing is sent, and on_end comes. */
+  return at->granted && !at->stopped;
+}
+
+static void
+on_head (void *ctx, int status, const struct http_header *h, size_t n)
+{
+  struct gw_attempt *at = ctx;
+
+  at->busy = true;
+  at->heard_at = clk_now ();
+  head_keep (&at->head, status, h, n);
+  back_answer_head (&at->answer, status, h, n);
+  send_event (at, RT_EV_HEAD, status, 0, 0);
+  leave_callback (at);
+}
+
+static void
+on_body (void *ctx, struct str bytes)
+{
+  struct gw_attempt *at = ctx;
+
+  if (bytes.len == 0)
+    return;
+  at->busy = true;
+  at->heard_at = clk_now ();
+  back_answer_body (&at->answer, bytes);
+  if (at->passing)
+    gw_exchange_body (at->ex, at, bytes);
+  else
+    buf_add (&at->held, bytes);
+  send_event (at, RT_EV_BODY, 0, bytes.len, 0);
+  leave_callback (at);
+}
+
+static enum rt_event_kind
+event_of_end (const struct gw_attempt *at, enum httpc_end end)
+{
+  switch (end)
+    {
+    case HTTPC_WHOLE:
+      return at->ex->call.kind->whole (&at->answer) ? RT_EV_WHOLE
+                                                    : RT_EV_BROKEN;
+    case HTTPC_CONNECT_FAILED:
+    case HTTPC_STOPPED:
+      return RT_EV_CONNECT_FAILED;
+    case HTTPC_SILENT:
+      return RT_EV_SILENT;
+    case HTTPC_BROKEN:
+    case HTTPC_UNBOUNDED:
+      break;
+    }
+  return RT_EV_BROKEN;
+}
+
+static double
+tokens_of (const struct gw_attempt *at)
+{
+  struct str body
+      = at->passing ? buf_str (&at->ex->body) : buf_str (&at->held);
+  return at->ex->call.kind->tokens (&at->answer, body);
+}
+
+/** The call is over; the attempt stays until the core has heard of it, as
+    it may ask to pass what is held. */
+static void
+attempt_over (struct gw_attempt *at, enum rt_event_kind kind)
+{
+  at->call = NULL;
+  at->busy = true;
+  send_event (at, kind, 0, 0, kind == RT_EV_WHOLE ? tokens_of (at) : 0);
+  if (at->ex != NULL)
+    attempt_unlink (at);
+  attempt_free (at);
+}
+
+static void
+on_end (void *ctx, enum httpc_end end)
+{
+  struct gw_attempt *at = ctx;
+
+  if (at->stopped)
+    attempt_free (at);
+  else
+    attempt_over (at, event_of_end (at, end));
+}
+
+void
+gw_attempt_fell_silent (struct gw_attempt *at)
+{
+  httpc_cancel (at->call);
+  attempt_over (at, RT_EV_SILENT);
+}
+
+static const struct httpc_callbacks callbacks
+    = { on_connected, on_head, on_body, on_end };
+
+/* ---- start ---- */
+
+static struct gw_attempt *
+attempt_new (struct gw_exchange *ex, const struct rt_action *a)
+{
+  struct gw_attempt *at = xcalloc (1, sizeof *at);
+
+  at->ex = ex;
+  at->number = a->attempt;
+  at->resumed = a->resume;
+  at->first_byte_ms = a->first_byte_ms;
+  at->progress_ms = a->progress_ms;
+  at->span = trc_child (&ex->span, &ex->c->g->rng);
+  at->began_at = clk_now ();
+  snprintf (at->name, sizeof at->name, "%.*s", STR_ARG (a->name));
+  at->next = ex->attempts;
+  ex->attempts = at;
+  return at;
+}
+
+static void
+attempt_call (struct gw_attempt *at, const struct rt_action *a,
+              const struct back_headers *headers)
+{
+  struct gw_exchange *ex = at->ex;
+  const struct httpd_view *v = httpd_get (ex->req);
+  clk_ms longest
+      = a->first_byte_ms > a->progress_ms ? a->first_byte_ms : a->progress_ms;
+  struct httpc_request r = { .to = a->addr,
+                             .method = v->method,
+                             .path = str_from (ex->call.path),
+                             .headers = headers->list,
+                             .nheaders = headers->n,
+                             .body = v->body,
+                             .connect_ms = a->connect_ms,
+                             .progress_ms = longest,
+                             .fresh = a->fresh };
+
+  at->call = httpc_start (ex->c->g->http, &r, &callbacks, at);
+}
+
+void
+gw_attempt_start (struct gw_exchange *ex, const struct rt_action *a)
+{
+  struct gw_attempt *at = attempt_new (ex, a);
+  struct back_headers headers;
+  struct back_call call = { .account = ex->call.req.account,
+                            .request_id = str_from (ex->request_id),
+                            .attempt = a->attempt,
+                            .span = at->span,
+                            .resume = a->resume,
+                            .offset = a->offset };
+
+  if (ex->req == NULL)
+    {
+      attempt_over (at, RT_EV_CONNECT_FAILED);
+      return;
+    }
+  call.headers = httpd_headers (ex->req, &call.nheaders);
+  if (!back_headers_make (ex->call.kind, &call, &headers))
+    attempt_over (at, RT_EV_CONNECT_FAILED);
+  else
+    attempt_call (at, a, &headers);
+  back_headers_free (&headers);
+}
--- /dev/null
+++ b/front/callers.c
@@ -0,0 +1,381 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/callers.h"
+
+/** Period of the sweep for silence. */
+#define SWEEP_MS ((clk_ms)100)
+
+/* ---- exchanges by number ---- */
+
+/* An id is a serial number above the slot, so that an event for a request
+   that is over never finds the one that has its slot now. */
+
+struct gw_exchange *
+gw_callers_find (struct gw_callers *c, uint64_t id)
+{
+  size_t slot = (uint32_t)id;
+  struct gw_exchange *ex = slot < c->nslots ? c->slots[slot] : NULL;
+
+  return ex != NULL && ex->id == id ? ex : NULL;
+}
+
+static size_t
+free_slot (struct gw_callers *c)
+{
+  size_t first = c->serial % (c->nslots ? c->nslots : 1);
+
+  for (size_t i = 0; c->open < c->nslots && i < c->nslots; i++)
+    {
+      size_t slot = (first + i) % c->nslots;
+      if (c->slots[slot] == NULL)
+        return slot;
+    }
+  size_t slot = c->nslots;
+  c->nslots = c->nslots ? 2 * c->nslots : 64;
+  c->slots = xrealloc (c->slots, c->nslots * sizeof (struct gw_exchange *));
+  memset (c->slots + slot, 0,
+          (c->nslots - slot) * sizeof (struct gw_exchange *));
+  return slot;
+}
+
+void
+gw_callers_add (struct gw_callers *c, struct gw_exchange *ex)
+{
+  size_t slot = free_slot (c);
+
+  ex->id = (uint64_t)++c->serial << 32 | slot;
+  c->slots[slot] = ex;
+  ex->next = c->list;
+  if (c->list != NULL)
+    c->list->prev = ex;
+  c->list = ex;
+  met_set (c->m_open, (double)++c->open);
+}
+
+void
+gw_callers_remove (struct gw_callers *c, struct gw_exchange *ex)
+{
+  c->slots[(uint32_t)ex->id] = NULL;
+  if (ex->prev != NULL)
+    ex->prev->next = ex->next;
+  else
+    c->list = ex->next;
+  if (ex->next != NULL)
+    ex->next->prev = ex->prev;
+  met_set (c->m_open, (double)--c->open);
+}
+
+/* ---- the request core ---- */
+
+static void on_wake (uv_timer_t *t);
+
+static void
+arm_wake (struct gw_callers *c)
+{
+  clk_ms at = rt_wake (c->rt), now;
+
+  if (at == c->wake_at)
+    return;
+  c->wake_at = at;
+  if (at == CLK_NEVER)
+    {
+      uv_timer_stop (&c->wake);
+      return;
+    }
+  now = clk_now ();
+  uv_update_time (c->g->loop);
+  uv_timer_start (&c->wake, on_wake, at > now ? (uint64_t)(at - now) : 0, 0);
+}
+
+static void
+pump (struct gw_callers *c)
+{
+  struct rt_action a;
+
+  /* An action may lead to an event at once; its actions join the queue. */
+  if (c->pumping)
+    return;
+  c->pumping = true;
+  while (rt_next (c->rt, &a))
+    {
+      struct gw_exchange *ex = gw_callers_find (c, a.id);
+      if (ex != NULL)
+        gw_exchange_act (ex, &a);
+    }
+  c->pumping = false;
+  arm_wake (c);
+}
+
+void
+gw_callers_event (struct gw_callers *c, const struct rt_event *ev)
+{
+  rt_event (c->rt, clk_now (), ev);
+  pump (c);
+}
+
+static void
+on_wake (uv_timer_t *t)
+{
+  struct gw_callers *c = t->data;
+  struct rt_event tick = { .kind = RT_EV_TICK };
+
+  c->wake_at = CLK_NEVER;
+  gw_callers_event (c, &tick);
+}
+
+/**
+ * Silence is looked for here and not by a timer per attempt.  After a pause
+ * of the whole process nothing was read for a while, and every attempt would
+ * look silent although its bytes wait in the kernel; such a round is left
+ * out, and the reads that follow it tell.
+ */
+static void
+on_sweep (uv_timer_t *t)
+{
+  struct gw_callers *c = t->data;
+  clk_ms now = clk_now ();
+  bool late = now - c->swept_at > 5 * SWEEP_MS;
+
+  c->swept_at = now;
+  for (struct gw_exchange *ex = c->list, *next; !late && ex != NULL; ex = next)
+    {
+      next = ex->next;
+      gw_exchange_tick (ex, now);
+    }
+}
+
+/* ---- paths ---- */
+
+static void
+refuse (struct httpd_req *req, int status, const char *code,
+        const char *message)
+{
+  struct gw_error e = { .status = status,
+                        .code = code,
+                        .message = message,
+                        .outcome = rt_outcome_name (RT_NOT_RUN),
+                        .retry_ms = status == 503 ? CLK_SECOND : 0 };
+  gw_answer_error (req, &e);
+}
+
+static void
+answer_metrics (struct gw_callers *c, struct httpd_req *req)
+{
+  struct http_header type
+      = { STR ("content-type"), STR ("text/plain; version=0.0.4") };
+  struct buf text = BUF_INIT;
+
+  met_expose (c->g->met, &text);
+  httpd_answer (req, 200, &type, 1, buf_str (&text));
+  buf_free (&text);
+}
+
+static void
+answer_models (struct gw_callers *c, const struct cfg_account *account,
+               struct httpd_req *req)
+{
+  const struct cfg *cfg = c->g->cfg;
+  struct buf b = BUF_INIT;
+  const char *comma = "";
+
+  buf_add_c (&b, "{\"object\":\"list\",\"data\":[");
+  for (size_t i = 0; i < cfg->nmodels; i++)
+    if (cfg->models[i].mode != CFG_OBSERVE
+        && cfg_account_may (account, cfg->models[i].name))
+      {
+        buf_addf (&b, "%s{\"id\":", comma);
+        buf_add_json (&b, cfg->models[i].name);
+        buf_add_c (&b, ",\"object\":\"model\",\"owned_by\":\"lapisline\"}");
+        comma = ",";
+      }
+  buf_add_c (&b, "]}\n");
+  gw_answer_json (req, buf_str (&b));
+  buf_free (&b);
+}
+
+static void
+begin_exchange (struct gw_callers *c, const struct cfg_account *account,
+                struct httpd_req *req)
+{
+  struct gw_refusal why;
+  struct gw_call call;
+  clk_ms now = clk_now ();
+
+  if (c->open >= c->g->cfg->limits.max_streams)
+    {
+      refuse (req, 503, "too-many-streams", "this node has no room; retry");
+      return;
+    }
+  if (!gw_parse (c->g, c->g->cfg, account, req, now, &call, &why))
+    {
+      refuse (req, why.status, why.code, why.message);
+      return;
+    }
+  struct gw_exchange *ex = gw_exchange_new (c, req, &call, now);
+  struct rt_event ev
+      = { .kind = RT_EV_ARRIVE, .id = ex->id, .request = &ex->call.req };
+  gw_callers_event (c, &ev);
+}
+
+static void
+with_account (struct gw_callers *c, enum gw_path path, struct httpd_req *req)
+{
+  const struct cfg_account *account;
+
+  if (c->g->cfg == NULL)
+    {
+      refuse (req, 503, "no-configuration",
+              "this node has no configuration yet");
+      return;
+    }
+  account = gw_auth (c->g->cfg, req);
+  if (account == NULL)
+    refuse (req, 401, "unauthorized", "no known bearer key");
+  else if (path == GW_PATH_MODELS)
+    answer_models (c, account, req);
+  else if (path == GW_PATH_ADDRESS)
+    gw_address (c->g, account, req);
+  else
+    begin_exchange (c, account, req);
+}
+
+static void
+on_request (void *ctx, struct httpd_req *req)
+{
+  struct gw_callers *c = ctx;
+  enum gw_path path = gw_path_of (httpd_get (req)->path);
+
+  if (path == GW_PATH_NONE)
+    refuse (req, 404, "not-found", "no such path");
+  else if (path == GW_PATH_HEALTH)
+    gw_answer_json (req, STR ("{\"ok\":true}\n"));
+  else if (path == GW_PATH_METRICS)
+    answer_metrics (c, req);
+  else
+    with_account (c, path, req);
+}
+
+/* ---- life ---- */
+
+static void
+start_metrics (struct gw_callers *c)
+{
+  struct met_reg *m = c->g->met;
+
+  c->m_open = met_gauge (m, "lapisline_open_requests",
+                         "Requests that have not ended.", NULL);
+  c->m_first_byte
+      = met_histogram (m, "lapisline_first_byte_ms",
+                       "From a request to its answer's first byte.", NULL);
+  c->m_latency = met_histogram (m, "lapisline_request_ms",
+                                "From a request to its answer's end.", NULL);
+}
+
+static void
+start_timers (struct gw_callers *c)
+{
+  uv_timer_init (c->g->loop, &c->wake);
+  c->wake.data = c;
+  c->wake_at = CLK_NEVER;
+  uv_timer_init (c->g->loop, &c->sweep);
+  c->sweep.data = c;
+  c->swept_at = clk_now ();
+  uv_timer_start (&c->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+}
+
+struct gw_callers *
+gw_callers_start (struct gw *g, struct buf *err)
+{
+  struct httpd_limits limits = { .max_body = GW_HARD_MAX_BODY,
+                                 .max_connections = GW_MAX_CONNECTIONS,
+                                 .request_ms = 10 * CLK_SECOND };
+  struct rt_options opt
+      = { .zone = str_from (g->set.zone), .node = str_from (g->set.node) };
+  struct gw_callers *c = xcalloc (1, sizeof *c);
+
+  opt.nodes = 1;
+  c->g = g;
+  c->httpd = httpd_listen (g->loop, &g->set.gateway_http, &limits, on_request,
+                           c, err);
+  if (c->httpd == NULL)
+    {
+      free (c);
+      return NULL;
+    }
+  c->rt = rt_new (&opt, rng_next (&g->rng));
+  start_metrics (c);
+  start_timers (c);
+  return c;
+}
+
+uint16_t
+gw_callers_port (const struct gw_callers *c)
+{
+  return httpd_port (c->httpd);
+}
+
+size_t
+gw_callers_open (const struct gw_callers *c)
+{
+  return httpd_open (c->httpd);
+}
+
+void
+gw_callers_refuse (struct gw_callers *c, bool on)
+{
+  struct rt_event ev = { .kind = RT_EV_LEAVING, .on = on };
+
+  gw_callers_event (c, &ev);
+}
+
+void
+gw_callers_close_port (struct gw_callers *c)
+{
+  httpd_stop_accepting (c->httpd);
+}
+
+void
+gw_callers_config (struct gw_callers *c)
+{
+  struct rt_event ev = { .kind = RT_EV_CONFIG, .cfg = c->g->cfg };
+
+  gw_callers_event (c, &ev);
+}
+
+void
+gw_callers_replicas (struct gw_callers *c, const struct rt_replica *list,
+                     size_t n)
+{
+  struct rt_event ev = { .kind = RT_EV_REPLICAS, .replicas = list, .n = n };
+
+  gw_callers_event (c, &ev);
+}
+
+void
+gw_callers_share (struct gw_callers *c, const struct gw_share *share)
+{
+  struct rt_event ev = { .kind = RT_EV_SHARE,
+                         .name = share->account,
+                         .tokens_per_s = share->tokens_per_s,
+                         .concurrency = share->concurrency,
+                         .valid_ms = share->valid_ms };
+
+  gw_callers_event (c, &ev);
+}
+
+struct rt *
+gw_callers_core (struct gw_callers *c)
+{
+  return c->rt;
+}
+
+void
+gw_callers_stop (struct gw_callers *c)
+{
+  uv_close ((uv_handle_t *)&c->wake, NULL);
+  uv_close ((uv_handle_t *)&c->sweep, NULL);
+  httpd_free (c->httpd);
+  /* Both handles close in the loop's next turn; freed by the caller's exit. */
+  rt_free (c->rt);
+}
--- /dev/null
+++ b/front/exchange.c
@@ -0,0 +1,502 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/callers.h"
+
+/** Longest wait for the home of a claim. */
+#define CLAIM_WAIT_MS (3 * CLK_SECOND)
+
+void
+gw_span (struct gw *g, const struct trc_id *id, const uint8_t parent[8],
+         const char *name, struct str detail, clk_ms began_at)
+{
+  struct trc_span s = { .id = *id };
+
+  memcpy (s.parent, parent, sizeof s.parent);
+  snprintf (s.name, sizeof s.name, "%s", name);
+  snprintf (s.detail, sizeof s.detail, "%.*s", STR_ARG (detail));
+  s.duration = clk_now () - began_at;
+  s.start = clk_wall () - s.duration;
+  trc_ring_add (g->spans, &s);
+}
+
+/** A span between two moments of an exchange, child of its own. */
+static void
+exchange_span (struct gw_exchange *ex, const char *name, struct str detail,
+               clk_ms began_at)
+{
+  struct trc_id id = trc_child (&ex->span, &ex->c->g->rng);
+  gw_span (ex->c->g, &id, ex->span.span, name, detail, began_at);
+}
+
+/* ---- the end of the caller's answer ---- */
+
+static void
+count_end (struct gw_exchange *ex, const char *outcome, const char *code)
+{
+  struct gw_callers *c = ex->c;
+  bool known = ex->call.req.is_model
+                   ? cfg_model (ex->call.cfg, ex->call.req.target) != NULL
+                   : cfg_service (ex->call.cfg, ex->call.req.target) != NULL;
+  char labels[256];
+
+  /* Names that callers make up must not become series. */
+  snprintf (labels, sizeof labels, "target=\"%s\",outcome=\"%s\",code=\"%s\"",
+            known ? ex->call.target : "", outcome, code);
+  met_add (met_counter (c->g->met, "lapisline_requests_total",
+                        "Answers by target, outcome and code.", labels),
+           1);
+  met_observe (c->m_latency, (double)(clk_now () - ex->began_at));
+}
+
+/** The caller has all that it will get; `req` must not be used again. */
+static struct httpd_req *
+take_req (struct gw_exchange *ex, const char *outcome, const char *code)
+{
+  struct httpd_req *req = ex->req;
+
+  count_end (ex, outcome, code);
+  gw_span (ex->c->g, &ex->span, ex->parent, "gateway.receive",
+           str_from (outcome), ex->began_at);
+  ex->out = GW_OUT_ENDED;
+  ex->req = NULL;
+  return req;
+}
+
+static void
+answer_error (struct gw_exchange *ex, int status, enum rt_code code,
+              enum rt_outcome outcome, clk_ms retry_ms)
+{
+  struct gw_error e = { .status = status ? status : rt_code_status (code),
+                        .code = rt_code_name (code),
+                        .message = gw_message (code),
+                        .outcome = rt_outcome_name (outcome),
+                        .retry_ms = retry_ms,
+                        .request_id = str_from (ex->request_id) };
+
+  gw_answer_error (take_req (ex, e.outcome, e.code), &e);
+}
+
+/** Headers of the passed answer and ours; released with free(). */
+static struct http_header *
+answer_headers (const struct gw_exchange *ex, const char *outcome, size_t *n)
+{
+  struct http_header *h = xcalloc (ex->head.n + 2, sizeof *h);
+
+  memcpy (h, ex->head.list, ex->head.n * sizeof *h);
+  *n = ex->head.n;
+  h[(*n)++] = (struct http_header){ STR ("lapis-request-id"),
+                                    str_from (ex->request_id) };
+  if (outcome != NULL)
+    h[(*n)++]
+        = (struct http_header){ STR ("lapis-outcome"), str_from (outcome) };
+  return h;
+}
+
+static void
+answer_held (struct gw_exchange *ex, const char *outcome)
+{
+  size_t n;
+  struct http_header *h = answer_headers (ex, outcome, &n);
+
+  httpd_answer (take_req (ex, outcome, ""), ex->head.status, h, n,
+                buf_str (&ex->body));
+  free (h);
+}
+
+static void
+end_stream (struct gw_exchange *ex, const char *outcome, const char *code,
+            bool whole)
+{
+  struct httpd_req *req = take_req (ex, outcome, code);
+  struct buf event = BUF_INIT;
+
+  if (ex->events)
+    {
+      buf_addf (&event, "event: lapis-outcome\ndata: {\"outcome\":\"%s\"",
+                outcome);
+      if (code[0] != '\0')
+        buf_addf (&event, ",\"code\":\"%s\"", code);
+      buf_add_c (&event, "}\n\n");
+      httpd_write (req, buf_str (&event));
+      buf_free (&event);
+    }
+  httpd_end (req, whole);
+}
+
+static void
+end_whole (struct gw_exchange *ex, enum rt_outcome outcome)
+{
+  if (ex->out == GW_OUT_HELD)
+    answer_held (ex, rt_outcome_name (outcome));
+  else if (ex->out == GW_OUT_STREAM)
+    end_stream (ex, rt_outcome_name (outcome), "", true);
+}
+
+/**
+ * A stream that broke ends without its last chunk: a caller that looks at
+ * nothing but the framing must not take a part for the whole.
+ */
+static void
+end_cut (struct gw_exchange *ex, const struct rt_action *a)
+{
+  if (ex->out == GW_OUT_STREAM)
+    end_stream (ex, rt_outcome_name (a->outcome), rt_code_name (a->code),
+                false);
+  else if (ex->out != GW_OUT_ENDED)
+    answer_error (ex, 0, a->code, a->outcome, a->retry_ms);
+}
+
+/* ---- passing an answer on ---- */
+
+static void
+begin_stream (struct gw_exchange *ex)
+{
+  size_t n;
+  struct http_header *h = answer_headers (ex, NULL, &n);
+
+  httpd_begin (ex->req, ex->head.status, h, n);
+  free (h);
+  ex->out = GW_OUT_STREAM;
+}
+
+static void
+write_stream (struct gw_exchange *ex, struct gw_attempt *at, struct str bytes)
+{
+  httpd_write (ex->req, bytes);
+  if (httpd_queued (ex->req) >= GW_QUEUE_HIGH)
+    gw_attempt_pause (at, true);
+}
+
+/** Forget the copy for the claim when it has grown too large. */
+static void
+bound_kept (struct gw_exchange *ex)
+{
+  if (ex->body.len > ex->call.cfg->limits.kept_answer)
+    ex->keep = false;
+  if (!ex->keep)
+    buf_free (&ex->body);
+}
+
+void
+gw_exchange_body (struct gw_exchange *ex, struct gw_attempt *at,
+                  struct str bytes)
+{
+  if (ex->first_byte_at == 0)
+    {
+      ex->first_byte_at = clk_now ();
+      met_observe (ex->c->m_first_byte,
+                   (double)(ex->first_byte_at - ex->began_at));
+    }
+  if (ex->out == GW_OUT_HELD || ex->keep)
+    buf_add (&ex->body, bytes);
+  if (ex->out == GW_OUT_STREAM)
+    {
+      write_stream (ex, at, bytes);
+      bound_kept (ex);
+    }
+  else if (ex->out == GW_OUT_HELD && ex->body.len > GW_HOLD_BYTES)
+    {
+      begin_stream (ex);
+      write_stream (ex, at, buf_str (&ex->body));
+      bound_kept (ex);
+    }
+  else if (ex->out == GW_OUT_ENDED)
+    bound_kept (ex);
+}
+
+static void
+pass (struct gw_exchange *ex, struct gw_attempt *at)
+{
+  struct buf held = at->held;
+
+  at->passing = true;
+  memset (&at->held, 0, sizeof at->held);
+  if (ex->head.list == NULL)
+    {
+      ex->head = at->head;
+      memset (&at->head, 0, sizeof at->head);
+      at->head.status = ex->head.status;
+      ex->events = at->answer.events;
+    }
+  if (ex->out == GW_OUT_NONE)
+    {
+      ex->out = GW_OUT_HELD;
+      if (ex->events)
+        begin_stream (ex);
+    }
+  if (held.len > 0)
+    gw_exchange_body (ex, at, buf_str (&held));
+  buf_free (&held);
+}
+
+/* ---- claims ---- */
+
+struct claim_wait
+{
+  struct gw_callers *c;
+  uint64_t id;
+};
+
+static void
+on_claim (void *ctx, const struct clm_reply *reply)
+{
+  struct claim_wait *w = ctx;
+  struct gw_exchange *ex = gw_callers_find (w->c, w->id);
+  struct rt_event ev = { .kind = RT_EV_CLAIM,
+                         .id = w->id,
+                         .verdict = reply->verdict,
+                         .retry_ms = reply->retry_ms };
+
+  if (ex != NULL && reply->verdict == CLM_ANSWERED)
+    {
+      ex->kept_status = reply->answer_status;
+      buf_clear (&ex->kept);
+      buf_add (&ex->kept, reply->answer);
+    }
+  if (ex != NULL)
+    exchange_span (ex, "gateway.claim", STR_EMPTY, ex->asked_at);
+  gw_callers_event (w->c, &ev);
+  free (w);
+}
+
+static void
+on_told (void *ctx, const struct clm_reply *reply)
+{
+  (void)ctx;
+  (void)reply;
+}
+
+static struct clm_ask
+make_ask (const struct gw_exchange *ex, enum clm_kind kind)
+{
+  const struct rt_request *r = &ex->call.req;
+  struct clm_ask ask = { .id = ex->id, .kind = kind };
+
+  memcpy (ask.key, r->claim_key, sizeof ask.key);
+  memcpy (ask.attempt, r->attempt_id, sizeof ask.attempt);
+  memcpy (ask.fingerprint, r->fingerprint, sizeof ask.fingerprint);
+  return ask;
+}
+
+static void
+claim_take (struct gw_exchange *ex)
+{
+  struct clm_ask ask = make_ask (ex, CLM_TAKE);
+  struct claim_wait *w = xcalloc (1, sizeof *w);
+
+  w->c = ex->c;
+  w->id = ex->id;
+  ex->asked_at = clk_now ();
+  gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_claim, w);
+}
+
+static void
+claim_release (struct gw_exchange *ex)
+{
+  struct clm_ask ask = make_ask (ex, CLM_RELEASE);
+  gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_told, NULL);
+}
+
+/** Kept form: content type, line feed, body; status 0: was too large. */
+static void
+claim_finish (struct gw_exchange *ex)
+{
+  struct clm_ask ask = make_ask (ex, CLM_FINISH);
+  struct buf answer = BUF_INIT;
+
+  if (ex->keep && ex->body.len <= ex->call.cfg->limits.kept_answer)
+    {
+      ask.answer_status = ex->head.status;
+      buf_add (&answer, back_find (ex->head.list, ex->head.n, "content-type"));
+      buf_add_char (&answer, '\n');
+      buf_add (&answer, buf_str (&ex->body));
+      ask.answer = buf_str (&answer);
+    }
+  gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_told, NULL);
+  buf_free (&answer);
+}
+
+static void
+replay (struct gw_exchange *ex)
+{
+  struct str kept = buf_str (&ex->kept);
+  size_t line = str_chr (kept, '\n');
+  struct http_header h[]
+      = { { STR ("content-type"), str_head (kept, line) },
+          { STR ("lapis-request-id"), str_from (ex->request_id) },
+          { STR ("lapis-outcome"), STR ("done") },
+          { STR ("lapis-replayed"), STR ("true") } };
+
+  if (ex->kept_status == 0)
+    {
+      answer_error (ex, 0, RT_CODE_CLAIM_UNKNOWN, RT_UNKNOWN, 0);
+      return;
+    }
+  httpd_answer (take_req (ex, "done", "replayed"), ex->kept_status, h, 4,
+                str_skip (kept, line + 1));
+}
+
+/* ---- actions ---- */
+
+static void
+act_connect (struct gw_exchange *ex, const struct rt_action *a)
+{
+  if (!ex->connected)
+    exchange_span (ex, "gateway.queue", ex->call.req.target, ex->began_at);
+  ex->connected = true;
+  gw_attempt_start (ex, a);
+}
+
+static void
+act_attempt (struct gw_exchange *ex, const struct rt_action *a)
+{
+  struct gw_attempt *at = gw_attempt_find (ex, a->attempt);
+
+  if (at == NULL)
+    return;
+  if (a->kind == RT_ACT_SEND)
+    at->granted = true;
+  else if (a->kind == RT_ACT_CANCEL)
+    gw_attempt_cancel (at);
+  else if (ex->out != GW_OUT_ENDED || ex->keep)
+    pass (ex, at);
+}
+
+void
+gw_exchange_act (struct gw_exchange *ex, const struct rt_action *a)
+{
+  switch (a->kind)
+    {
+    case RT_ACT_CLAIM:
+      claim_take (ex);
+      break;
+    case RT_ACT_RELEASE:
+      claim_release (ex);
+      break;
+    case RT_ACT_FINISH:
+      claim_finish (ex);
+      break;
+    case RT_ACT_CONNECT:
+      act_connect (ex, a);
+      break;
+    case RT_ACT_SEND:
+    case RT_ACT_CANCEL:
+    case RT_ACT_PASS:
+      act_attempt (ex, a);
+      break;
+    case RT_ACT_ANSWER:
+      if (ex->out != GW_OUT_ENDED)
+        answer_error (ex, a->http_status, a->code, a->outcome, a->retry_ms);
+      break;
+    case RT_ACT_REPLAY:
+      if (ex->out != GW_OUT_ENDED)
+        replay (ex);
+      break;
+    case RT_ACT_END:
+      end_whole (ex, a->outcome);
+      break;
+    case RT_ACT_CUT:
+      end_cut (ex, a);
+      break;
+    case RT_ACT_FORGET:
+      gw_exchange_free (ex);
+      break;
+    }
+}
+
+/* ---- the caller ---- */
+
+static void
+caller_gone (struct gw_exchange *ex)
+{
+  struct rt_event ev = { .kind = RT_EV_CALLER_GONE, .id = ex->id };
+
+  take_req (ex, "gone", rt_code_name (RT_CODE_GONE));
+  for (struct gw_attempt *at = ex->attempts; at != NULL; at = at->next)
+    gw_attempt_pause (at, false);
+  gw_callers_event (ex->c, &ev);
+}
+
+static void
+on_gone (void *ctx)
+{
+  caller_gone (ctx);
+}
+
+static void
+on_drained (void *ctx)
+{
+  struct gw_exchange *ex = ctx;
+
+  if (ex->req == NULL || httpd_queued (ex->req) > GW_QUEUE_LOW)
+    return;
+  for (struct gw_attempt *at = ex->attempts; at != NULL; at = at->next)
+    gw_attempt_pause (at, false);
+}
+
+void
+gw_exchange_tick (struct gw_exchange *ex, clk_ms now)
+{
+  struct gw_attempt *at = ex->attempts;
+
+  while (at != NULL && !gw_attempt_silent (at, now))
+    at = at->next;
+  /* One a tick: the event may end the exchange. */
+  if (at != NULL)
+    gw_attempt_fell_silent (at);
+}
+
+/* ---- life ---- */
+
+static void
+begin_trace (struct gw_exchange *ex)
+{
+  struct rng *rng = &ex->c->g->rng;
+  struct trc_id parent;
+
+  if (trc_parse (httpd_header (ex->req, "traceparent"), &parent))
+    {
+      memcpy (ex->parent, parent.span, sizeof ex->parent);
+      ex->span = trc_child (&parent, rng);
+    }
+  else
+    ex->span = trc_child (NULL, rng);
+}
+
+struct gw_exchange *
+gw_exchange_new (struct gw_callers *c, struct httpd_req *req,
+                 struct gw_call *call, clk_ms now)
+{
+  struct gw_exchange *ex = xcalloc (1, sizeof *ex);
+
+  ex->c = c;
+  ex->req = req;
+  ex->call = *call;
+  ex->keep = call->req.has_key;
+  ex->began_at = now;
+  snprintf (ex->request_id, sizeof ex->request_id, "%016llx%016llx",
+            (unsigned long long)rng_next (&c->g->rng),
+            (unsigned long long)rng_next (&c->g->rng));
+  begin_trace (ex);
+  gw_callers_add (c, ex);
+  ex->call.req.id = ex->id;
+  httpd_on_gone (req, on_gone, ex);
+  httpd_on_drained (req, on_drained, ex);
+  return ex;
+}
+
+void
+gw_exchange_free (struct gw_exchange *ex)
+{
+  while (ex->attempts != NULL)
+    gw_attempt_cancel (ex->attempts);
+  gw_callers_remove (ex->c, ex);
+  free (ex->head.list);
+  buf_free (&ex->head.text);
+  buf_free (&ex->body);
+  buf_free (&ex->kept);
+  gw_call_free (&ex->call);
+  free (ex);
+}
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -73,7 +73,78 @@
 /** The view's nodes changed. */
 void gw_claims_nodes (struct gw_claims *c);
 
+/* callers.c */
+
+/** Connections accepted at once; more wait in the backlog. */
+#define GW_MAX_CONNECTIONS 10000
+
+struct gw_share
+{
+  struct str account;
+  double tokens_per_s, concurrency;
+  clk_ms valid_ms;
+};
+
+struct gw_callers *gw_callers_start (struct gw *g, struct buf *err);
+void gw_callers_stop (struct gw_callers *c);
+uint16_t gw_callers_port (const struct gw_callers *c);
+/** Callers' requests that have not ended. */
+size_t gw_callers_open (const struct gw_callers *c);
+/** Refuse new requests (or take them again); what is open goes on. */
+void gw_callers_refuse (struct gw_callers *c, bool on);
+void gw_callers_close_port (struct gw_callers *c);
+/** g->cfg was replaced. */
+void gw_callers_config (struct gw_callers *c);
+void gw_callers_replicas (struct gw_callers *c, const struct rt_replica *list,
+                          size_t n);
+void gw_callers_share (struct gw_callers *c, const struct gw_share *share);
+struct rt *gw_callers_core (struct gw_callers *c);
+
+/* probe.c */
+
+/**
+ * Probe members of replicas while control is silent, so that a gateway
+ * without control serves on evidence of its own and on nothing older.
+ */
+struct gw_probe *gw_probe_start (struct gw *g);
+void gw_probe_stop (struct gw_probe *p);
+/** Control is heard (or not): probing stops (or begins). */
+void gw_probe_active (struct gw_probe *p, bool on);
+void gw_probe_config (struct gw_probe *p);
+
+/* gateway.c */
+
+/** A higher configuration is in force; takes over the reference. */
+void gw_config_changed (struct gw *g, struct cfg *cfg);
+/** Control says whether this node is drained. */
+void gw_set_leaving (struct gw *g, bool leaving);
+
+struct gw_options
+{
+  const char *settings; /**< path */
+  const char *config;   /**< folder: run without control; or NULL */
+};
+
+/** Run until stopped. @return an exit code */
+int gw_run (const struct gw_options *opt);
+
 /* view.c */
+
+#define GW_MAX_MEMBERS 16
+
+/** VMs of a replica by name; none when the view named none. */
+struct gw_members
+{
+  size_t n;
+  struct str names[GW_MAX_MEMBERS];
+};
+
+/** Replicas of the last view, and the members of each. */
+const struct rt_replica *gw_view_replicas (const struct gw_view *v,
+                                           const struct gw_members **members,
+                                           size_t *n);
+/** Send a report at once. */
+void gw_view_report (struct gw_view *v);
 struct gw_view *gw_view_start (struct gw *g, struct buf *err);
 void gw_view_stop (struct gw_view *v);
 const struct gw_node *gw_view_nodes (const struct gw_view *v, size_t *n);
--- /dev/null
+++ b/front/parse.c
@@ -0,0 +1,279 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+#include <openssl/evp.h>
+
+#include "front/callers.h"
+
+/** Estimate when a caller names no max_tokens. */
+#define DEFAULT_TOKENS 256.0
+/** Bytes of a prompt's head that replicas are likely to have cached. */
+#define PREFIX_BYTES ((size_t)256)
+#define MAX_KEY_BYTES ((size_t)255)
+#define MAX_NAME_BYTES ((size_t)128)
+#define JSON_DEPTH 64
+
+static const struct str service_root = { "/svc/", 5 };
+
+enum gw_path
+gw_path_of (struct str path)
+{
+  static const struct
+  {
+    const char *path;
+    enum gw_path is;
+  } fixed[] = {
+    { "/healthz", GW_PATH_HEALTH },
+    { "/metrics", GW_PATH_METRICS },
+    { "/v1/models", GW_PATH_MODELS },
+    { "/v1/address", GW_PATH_ADDRESS },
+    { "/v1/chat/completions", GW_PATH_COMPLETION },
+    { "/v1/completions", GW_PATH_COMPLETION },
+  };
+
+  for (size_t i = 0; i < sizeof fixed / sizeof fixed[0]; i++)
+    if (str_is (path, fixed[i].path))
+      return fixed[i].is;
+  return str_starts (path, service_root) && path.len > service_root.len
+             ? GW_PATH_SERVICE
+             : GW_PATH_NONE;
+}
+
+static bool
+refuse (struct gw_refusal *why, int status, const char *code,
+        const char *message)
+{
+  *why = (struct gw_refusal){ status, code, message };
+  return false;
+}
+
+static char *
+join_query (struct str path, struct str query)
+{
+  struct buf b = BUF_INIT;
+
+  buf_add (&b, path.len ? path : STR ("/"));
+  if (query.len > 0)
+    {
+      buf_add_char (&b, '?');
+      buf_add (&b, query);
+    }
+  buf_add_char (&b, '\0');
+  return b.ptr;
+}
+
+/* ---- models ---- */
+
+/** Hash of the head of the prompt as it stands in the text; 0: none. */
+static uint64_t
+prefix_hash (struct str body)
+{
+  static const char *const keys[] = { "\"messages\"", "\"prompt\"" };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      size_t len = strlen (keys[i]);
+      const char *p = memmem (body.ptr, body.len, keys[i], len);
+      if (p != NULL)
+        {
+          struct str rest = str_skip (body, (size_t)(p - body.ptr) + len);
+          return str_hash (str_head (rest, PREFIX_BYTES), 0) | 1;
+        }
+    }
+  return 0;
+}
+
+static json_object *
+parse_json (struct str body)
+{
+  json_tokener *t = json_tokener_new_ex (JSON_DEPTH);
+  json_object *o = json_tokener_parse_ex (t, body.ptr, (int)body.len);
+
+  if (json_tokener_get_error (t) != json_tokener_success
+      || !json_object_is_type (o, json_type_object))
+    {
+      json_object_put (o);
+      o = NULL;
+    }
+  json_tokener_free (t);
+  return o;
+}
+
+static double
+asked_tokens (json_object *o)
+{
+  static const char *const keys[] = { "max_completion_tokens", "max_tokens" };
+  json_object *v;
+
+  for (size_t i = 0; i < 2; i++)
+    if (json_object_object_get_ex (o, keys[i], &v)
+        && json_object_get_int (v) > 0)
+      return json_object_get_int (v);
+  return DEFAULT_TOKENS;
+}
+
+static bool
+parse_completion (const struct httpd_view *v, struct gw_call *out,
+                  struct gw_refusal *why)
+{
+  json_object *o, *model;
+
+  if (!str_is (v->method, "POST"))
+    return refuse (why, 405, "method-not-allowed", "use POST");
+  o = parse_json (v->body);
+  if (o == NULL)
+    return refuse (why, 400, "bad-request", "the body is no JSON object");
+  if (!json_object_object_get_ex (o, "model", &model)
+      || !json_object_is_type (model, json_type_string)
+      || json_object_get_string_len (model) == 0
+      || (size_t)json_object_get_string_len (model) > MAX_NAME_BYTES)
+    {
+      json_object_put (o);
+      return refuse (why, 400, "bad-request", "\"model\" must be a name");
+    }
+  out->kind = &back_model;
+  out->target = xstrdup (json_object_get_string (model));
+  out->path = join_query (v->path, v->query);
+  out->req.is_model = true;
+  out->req.idempotent = true;
+  out->req.cost = asked_tokens (o) + (double)v->body.len / 4;
+  out->req.prefix = prefix_hash (v->body);
+  json_object_put (o);
+  return true;
+}
+
+/* ---- services ---- */
+
+static bool
+parse_service (const struct httpd_view *v, struct gw_call *out,
+               struct gw_refusal *why)
+{
+  struct str rest = str_skip (v->path, service_root.len);
+  size_t slash = str_chr (rest, '/');
+  struct str name = str_head (rest, slash);
+  struct str path = str_skip (rest, slash);
+  const struct cfg_service *s = cfg_service (out->cfg, name);
+
+  if (name.len == 0 || name.len > MAX_NAME_BYTES)
+    return refuse (why, 400, "bad-request", "the path names no service");
+  out->kind = &back_service;
+  out->target = str_dup (name);
+  out->path = join_query (path, v->query);
+  out->req.idempotent
+      = s != NULL && cfg_service_idempotent (s, v->method, path);
+  out->req.cost = 1;
+  return true;
+}
+
+/* ---- headers ---- */
+
+static void
+digest16 (const struct str *parts, size_t n, uint8_t out[16])
+{
+  EVP_MD_CTX *md = EVP_MD_CTX_new ();
+  uint8_t sum[32];
+
+  EVP_DigestInit_ex (md, EVP_sha256 (), NULL);
+  for (size_t i = 0; i < n; i++)
+    {
+      /* The length first, so that no two lists of parts look alike. */
+      uint64_t len = parts[i].len;
+      EVP_DigestUpdate (md, &len, sizeof len);
+      EVP_DigestUpdate (md, parts[i].ptr, parts[i].len);
+    }
+  EVP_DigestFinal_ex (md, sum, NULL);
+  EVP_MD_CTX_free (md);
+  memcpy (out, sum, 16);
+}
+
+static bool
+parse_key (struct httpd_req *req, struct gw_call *out, struct gw_refusal *why)
+{
+  const struct httpd_view *v = httpd_get (req);
+  struct str key = str_trim (httpd_header (req, "idempotency-key"));
+  struct str of_key[] = { out->account->name, str_from (out->target), key };
+  struct str of_call[] = { v->method, str_from (out->path), v->body };
+
+  if (key.len == 0)
+    return true;
+  if (key.len > MAX_KEY_BYTES)
+    return refuse (why, 400, "bad-request", "Idempotency-Key is too long");
+  digest16 (of_key, 3, out->req.claim_key);
+  digest16 (of_call, 3, out->req.fingerprint);
+  out->req.has_key = true;
+  /* Whoever gives a key asks for one run, whatever the rule says. */
+  out->req.idempotent = false;
+  return true;
+}
+
+static bool
+parse_headers (struct httpd_req *req, clk_ms now, struct gw_call *out,
+               struct gw_refusal *why)
+{
+  struct str deadline = httpd_header (req, "x-deadline-ms");
+  struct str priority = httpd_header (req, "x-priority");
+  int64_t n;
+
+  if (deadline.len > 0)
+    {
+      if (!str_to_i64 (str_trim (deadline), &n) || n <= 0 || n > 86400000)
+        return refuse (why, 400, "bad-request",
+                       "X-Deadline-Ms must be 1 to 86400000");
+      out->req.deadline = now + n;
+    }
+  out->req.priority = out->account->priority;
+  if (priority.len > 0)
+    {
+      if (!str_to_i64 (str_trim (priority), &n) || n < 0 || n > 3)
+        return refuse (why, 400, "bad-request", "X-Priority must be 0 to 3");
+      if ((unsigned)n > out->req.priority)
+        out->req.priority = (unsigned)n;
+    }
+  /* Only downwards: a caller may not declare a booking repeatable. */
+  if (str_is (httpd_header (req, "x-idempotent"), "false"))
+    out->req.idempotent = false;
+  return parse_key (req, out, why);
+}
+
+bool
+gw_parse (struct gw *g, struct cfg *cfg, const struct cfg_account *account,
+          struct httpd_req *req, clk_ms now, struct gw_call *out,
+          struct gw_refusal *why)
+{
+  const struct httpd_view *v = httpd_get (req);
+  bool ok;
+
+  memset (out, 0, sizeof *out);
+  out->cfg = cfg_ref (cfg);
+  out->account = account;
+  if (v->body.len > cfg->limits.max_body)
+    ok = refuse (why, 413, "body-too-large", "the body exceeds max_body");
+  else if (gw_path_of (v->path) == GW_PATH_COMPLETION)
+    ok = parse_completion (v, out, why);
+  else
+    ok = parse_service (v, out, why);
+  ok = ok && parse_headers (req, now, out, why);
+  if (!ok)
+    {
+      gw_call_free (out);
+      return false;
+    }
+  out->req.account = account->name;
+  out->req.target = str_from (out->target);
+  for (size_t i = 0; i < 2; i++)
+    {
+      uint64_t r = rng_next (&g->rng);
+      memcpy (out->req.attempt_id + 8 * i, &r, 8);
+    }
+  return true;
+}
+
+void
+gw_call_free (struct gw_call *c)
+{
+  free (c->target);
+  free (c->path);
+  cfg_unref (c->cfg);
+  memset (c, 0, sizeof *c);
+}
--- /dev/null
+++ b/front/view.c
@@ -0,0 +1,437 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/member.h"
+#include "front/gateway.h"
+
+#define TICK_MS ((clk_ms)250)
+#define REPORT_MS CLK_SECOND
+#define RECONNECT_MS (CLK_SECOND / 2)
+
+/** Control sends a view or a heartbeat each second; silent for longer, it is
+    taken for gone, also when its connection still looks open. */
+#define SILENCE_MS ((clk_ms)2500)
+
+/** Owned copy of one view's lists. */
+struct lists
+{
+  struct gw_node *nodes;
+  size_t nnodes;
+  struct rt_replica *replicas;
+  size_t nreplicas;
+  struct gw_members *members; /**< beside each replica */
+  char **texts;               /**< every string above */
+  size_t ntexts;
+};
+
+struct gw_view
+{
+  struct gw *g;
+  struct link *link;
+  struct link_secret secret;
+  uv_timer_t timer;
+  bool up;
+  bool heard; /**< a view came over this link */
+  bool probing;
+  clk_ms reported_at;
+  clk_ms connect_at;
+  struct net_addr http, peer;
+  struct lists lists;
+};
+
+/* ---- the lists of a view ---- */
+
+static struct str
+keep (struct lists *l, const char *text)
+{
+  l->texts = xrealloc (l->texts, (l->ntexts + 1) * sizeof l->texts[0]);
+  l->texts[l->ntexts] = xstrdup (text ? text : "");
+  return str_from (l->texts[l->ntexts++]);
+}
+
+static void
+lists_free (struct lists *l)
+{
+  for (size_t i = 0; i < l->ntexts; i++)
+    free (l->texts[i]);
+  free (l->texts);
+  free (l->nodes);
+  free (l->replicas);
+  free (l->members);
+  memset (l, 0, sizeof *l);
+}
+
+static void
+keep_node (struct lists *l, const Lapis__NodeView *from)
+{
+  struct gw_node *n = &l->nodes[l->nnodes++];
+
+  n->name = keep (l, from->node);
+  n->zone = keep (l, from->zone);
+  n->region = keep (l, from->region);
+  n->boot = from->boot;
+  n->status = from->status;
+  n->load = from->load;
+  net_addr_parse (str_from (from->http_addr), true, &n->http);
+  net_addr_parse (str_from (from->peer_addr), true, &n->peer);
+}
+
+static struct str
+zone_of (const struct cfg *cfg, struct str domain)
+{
+  const struct cfg_domain *d = cfg ? cfg_domain (cfg, domain) : NULL;
+  return d ? d->zone : STR_EMPTY;
+}
+
+static void
+keep_members (struct lists *l, const Lapis__ReplicaView *from)
+{
+  struct gw_members *m = &l->members[l->nreplicas];
+
+  for (size_t i = 0; i < from->n_members && i < GW_MAX_MEMBERS; i++)
+    m->names[m->n++] = keep (l, from->members[i]);
+}
+
+static void
+keep_replica (struct lists *l, const struct cfg *cfg, clk_ms now,
+              const Lapis__ReplicaView *from)
+{
+  struct rt_replica *r = &l->replicas[l->nreplicas];
+  struct str zone = zone_of (cfg, str_from (from->domain));
+
+  memset (r, 0, sizeof *r);
+  if (!net_addr_parse (str_from (from->leader_addr), false, &r->addr))
+    return;
+  keep_members (l, from);
+  l->nreplicas++;
+  r->name = keep (l, from->replica);
+  r->model = keep (l, from->model);
+  r->zone = keep (l, zone.len ? zone.ptr : "");
+  r->generation = (int64_t)from->generation;
+  r->whole = from->whole;
+  r->draining = from->draining;
+  r->valid_until = now + from->valid_ms;
+  r->load = from->load;
+  r->load_at = now - from->load_age_ms;
+}
+
+static void
+lists_read (struct lists *l, const struct cfg *cfg, const Lapis__View *v)
+{
+  clk_ms now = clk_now ();
+
+  lists_free (l);
+  l->nodes = xcalloc (v->n_nodes + 1, sizeof l->nodes[0]);
+  l->replicas = xcalloc (v->n_replicas + 1, sizeof l->replicas[0]);
+  l->members = xcalloc (v->n_replicas + 1, sizeof l->members[0]);
+  for (size_t i = 0; i < v->n_nodes; i++)
+    keep_node (l, v->nodes[i]);
+  for (size_t i = 0; i < v->n_replicas; i++)
+    keep_replica (l, cfg, now, v->replicas[i]);
+}
+
+/* ---- frames of control ---- */
+
+static void
+take_config (struct gw *g, const Lapis__View *v)
+{
+  struct fnd_list findings = { 0 };
+  int64_t revision = (int64_t)v->config_revision;
+  struct cfg *cfg;
+
+  if (v->config.len == 0 || (g->cfg && revision <= g->cfg->revision))
+    return;
+  cfg = cfg_parse (str_make (v->config.data, v->config.len), revision,
+                   &findings);
+  if (cfg != NULL)
+    gw_config_changed (g, cfg);
+  else
+    LOG (config_not_taken, LOG_I ("revision", revision),
+         LOG_C ("finding", findings.n ? findings.items[0].text : ""));
+  fnd_free (&findings);
+}
+
+static void
+take_shares (struct gw *g, const Lapis__View *v)
+{
+  for (size_t i = 0; i < v->n_shares; i++)
+    {
+      const Lapis__ShareGrant *s = v->shares[i];
+      struct gw_share share = { .account = str_from (s->account),
+                                .tokens_per_s = s->tokens_per_s,
+                                .concurrency = s->concurrency,
+                                .valid_ms = s->valid_ms };
+      gw_callers_share (g->callers, &share);
+    }
+}
+
+static void
+take_view (struct gw_view *v, const Lapis__View *view)
+{
+  struct gw *g = v->g;
+
+  v->heard = true;
+  take_config (g, view);
+  lists_read (&v->lists, g->cfg, view);
+  gw_callers_replicas (g->callers, v->lists.replicas, v->lists.nreplicas);
+  take_shares (g, view);
+  gw_claims_nodes (g->claims);
+  gw_set_leaving (g, view->leaving);
+}
+
+static void
+answer_trace (struct gw_view *v, struct link *l, const Lapis__TraceAsk *ask)
+{
+  Lapis__TraceAnswer answer = LAPIS__TRACE_ANSWER__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+  struct buf json = BUF_INIT;
+
+  if (ask->trace.len != 16)
+    return;
+  trc_ring_json (v->g->spans, ask->trace.data, str_from (v->g->set.node),
+                 &json);
+  answer.id = ask->id;
+  answer.json.data = (uint8_t *)json.ptr;
+  answer.json.len = json.len;
+  frame.body_case = LAPIS__FRAME__BODY_TRACE_ANSWER;
+  frame.trace_answer = &answer;
+  link_send (l, &frame);
+  buf_free (&json);
+}
+
+static void
+on_frame (void *ctx, struct link *l, const Lapis__Frame *frame)
+{
+  struct gw_view *v = ctx;
+
+  if (frame->body_case == LAPIS__FRAME__BODY_VIEW)
+    take_view (v, frame->view);
+  else if (frame->body_case == LAPIS__FRAME__BODY_TRACE_ASK)
+    answer_trace (v, l, frame->trace_ask);
+}
+
+/* ---- frames to control ---- */
+
+static void
+send_hello (struct gw_view *v)
+{
+  Lapis__Hello hello = LAPIS__HELLO__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+  struct buf http = BUF_INIT, peer = BUF_INIT;
+
+  net_addr_format (&v->http, &http);
+  net_addr_format (&v->peer, &peer);
+  hello.node = v->g->set.node;
+  hello.boot = v->g->boot;
+  hello.role = (char *)"gateway";
+  hello.zone = v->g->set.zone;
+  hello.region = v->g->set.region;
+  hello.http_addr = (char *)buf_c (&http);
+  hello.peer_addr = (char *)buf_c (&peer);
+  frame.body_case = LAPIS__FRAME__BODY_HELLO;
+  frame.hello = &hello;
+  link_send (v->link, &frame);
+  buf_free (&http);
+  buf_free (&peer);
+}
+
+static void
+fill_demand (struct gw_view *v, Lapis__Report *r)
+{
+  size_t n;
+  const struct rt_demand *d
+      = rt_demands (gw_callers_core (v->g->callers), clk_now (), &n);
+
+  r->demand = xcalloc (n + 1, sizeof *r->demand);
+  for (size_t i = 0; i < n; i++)
+    {
+      Lapis__ShareDemand *s = xcalloc (1, sizeof *s);
+      lapis__share_demand__init (s);
+      s->account = str_dup (d[i].account);
+      s->tokens_per_s = d[i].tokens_per_s;
+      s->concurrency = d[i].concurrency;
+      r->demand[r->n_demand++] = s;
+    }
+}
+
+static void
+fill_observed (struct gw_view *v, Lapis__Report *r)
+{
+  size_t n;
+  const struct rt_target_view *t
+      = rt_targets (gw_callers_core (v->g->callers), &n);
+
+  r->observed = xcalloc (n + 1, sizeof *r->observed);
+  for (size_t i = 0; i < n; i++)
+    {
+      Lapis__ReplicaObserved *o = xcalloc (1, sizeof *o);
+      lapis__replica_observed__init (o);
+      o->replica = str_dup (t[i].name);
+      o->in_flight = t[i].in_flight;
+      o->errors = (uint32_t)t[i].failed;
+      r->observed[r->n_observed++] = o;
+    }
+}
+
+static void
+report_free (Lapis__Report *r)
+{
+  for (size_t i = 0; i < r->n_demand; i++)
+    {
+      free (r->demand[i]->account);
+      free (r->demand[i]);
+    }
+  for (size_t i = 0; i < r->n_observed; i++)
+    {
+      free (r->observed[i]->replica);
+      free (r->observed[i]);
+    }
+  free (r->demand);
+  free (r->observed);
+}
+
+static void
+send_report (struct gw_view *v)
+{
+  Lapis__Report r = LAPIS__REPORT__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+
+  r.boot = v->g->boot;
+  r.open_requests = (uint32_t)gw_callers_open (v->g->callers);
+  r.config_revision = v->g->cfg ? (uint64_t)v->g->cfg->revision : 0;
+  r.leaving = v->g->leaving;
+  fill_demand (v, &r);
+  fill_observed (v, &r);
+  frame.body_case = LAPIS__FRAME__BODY_REPORT;
+  frame.report = &r;
+  link_send (v->link, &frame);
+  report_free (&r);
+  v->reported_at = clk_now ();
+}
+
+void
+gw_view_report (struct gw_view *v)
+{
+  if (v->up)
+    send_report (v);
+}
+
+/* ---- the link ---- */
+
+static void
+on_state (void *ctx, struct link *l, enum link_state state)
+{
+  struct gw_view *v = ctx;
+
+  if (l != v->link)
+    return;
+  v->up = state == LINK_UP;
+  v->heard = false;
+  if (state == LINK_UP)
+    {
+      LOG (control_linked, LOG_C ("node", v->g->set.node));
+      send_hello (v);
+      send_report (v);
+    }
+  else if (state == LINK_DOWN)
+    {
+      v->link = NULL;
+      v->connect_at = clk_now () + RECONNECT_MS;
+    }
+}
+
+static const struct link_callbacks callbacks = { on_state, on_frame };
+
+static void
+drop_silent_link (struct gw_view *v)
+{
+  LOG (control_silent, LOG_I ("ms", link_silence (v->link)));
+  link_close (v->link);
+  v->link = NULL;
+  v->up = false;
+  v->heard = false;
+  v->connect_at = 0;
+}
+
+static void
+set_probing (struct gw_view *v, bool on)
+{
+  if (v->probing == on)
+    return;
+  v->probing = on;
+  gw_probe_active (v->g->probe, on);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct gw_view *v = t->data;
+  clk_ms now = clk_now ();
+
+  /* An open connection may lead nowhere any more: a new one is tried. */
+  if (v->up && link_silence (v->link) > SILENCE_MS)
+    drop_silent_link (v);
+  if (v->link == NULL && now >= v->connect_at)
+    v->link = link_connect (v->g->loop, &v->g->set.control_peer, &v->secret,
+                            &callbacks, v);
+  if (v->up && now - v->reported_at >= REPORT_MS)
+    send_report (v);
+  set_probing (v, !v->heard);
+}
+
+/* ---- life ---- */
+
+struct gw_view *
+gw_view_start (struct gw *g, struct buf *err)
+{
+  struct gw_view *v = xcalloc (1, sizeof *v);
+
+  (void)err;
+  v->g = g;
+  memcpy (v->secret.key, g->set.secret, sizeof v->secret.key);
+  uv_timer_init (g->loop, &v->timer);
+  v->timer.data = v;
+  return v;
+}
+
+void
+gw_view_announce (struct gw_view *v, const struct net_addr *http,
+                  const struct net_addr *peer)
+{
+  v->http = *http;
+  v->peer = *peer;
+  uv_timer_start (&v->timer, on_tick, 0, TICK_MS);
+}
+
+const struct gw_node *
+gw_view_nodes (const struct gw_view *v, size_t *n)
+{
+  *n = v->lists.nnodes;
+  return v->lists.nodes;
+}
+
+const struct rt_replica *
+gw_view_replicas (const struct gw_view *v, const struct gw_members **members,
+                  size_t *n)
+{
+  *n = v->lists.nreplicas;
+  *members = v->lists.members;
+  return v->lists.replicas;
+}
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct gw_view *v = h->data;
+
+  lists_free (&v->lists);
+  free (v);
+}
+
+void
+gw_view_stop (struct gw_view *v)
+{
+  if (v->link != NULL)
+    link_close (v->link);
+  uv_close ((uv_handle_t *)&v->timer, on_timer_closed);
+}
--- /dev/null
+++ b/t/standin/main.c
@@ -0,0 +1,24 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "t/standin/standin.h"
+
+static const struct
+{
+  const char *name;
+  int (*run) (int argc, char **argv);
+} standins[] = {
+  { "model", standin_model },
+  { "platform", standin_platform },
+  { "service", standin_service },
+};
+
+int
+main (int argc, char **argv)
+{
+  for (size_t i = 0; argc > 1 && i < sizeof standins / sizeof standins[0]; i++)
+    if (strcmp (argv[1], standins[i].name) == 0)
+      return standins[i].run (argc - 1, argv + 1);
+  fputs ("usage: standin store|model|service|platform [OPTION...]\n", stderr);
+  return 2;
+}
--- /dev/null
+++ b/t/standin/model.c
@@ -0,0 +1,293 @@
+/* Stand-in of a backend server of one VM of a model replica.
+
+   Its answer is a pure function of the request's id and body and carries the
+   prompt's text, so that a test can tell whose answer it got and a stream can
+   be resumed at any offset.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/standin/fault.h"
+#include "t/standin/standin.h"
+
+struct model
+{
+  struct backend b;
+  int tokens;   /**< of an answer that names no max_tokens */
+  int token_ms; /**< between tokens of a stream */
+  int load_ms;  /**< a load order takes this long */
+  gboolean ignore_fence;
+  gboolean no_counts;
+  bool not_ready;
+  bool unloaded;
+  bool drop_orders; /**< fault: read orders, never act or answer */
+  char *replica;
+  int64_t generation;
+  int64_t fence;
+  clk_ms ready_at;
+  int64_t load;
+  unsigned orders;
+  unsigned old_orders; /**< refused for their fencing number */
+};
+
+/* ---- state and orders ---- */
+
+static void
+answer_state (struct model *m, struct httpd_req *req)
+{
+  json_object *o = json_object_new_object ();
+  bool ready = !m->not_ready && !m->unloaded && clk_now () >= m->ready_at;
+
+  json_object_object_add (o, "replica", json_object_new_string (m->replica));
+  json_object_object_add (o, "generation",
+                          json_object_new_int64 (m->generation));
+  json_object_object_add (o, "ready", json_object_new_boolean (ready));
+  json_object_object_add (o, "unloaded",
+                          json_object_new_boolean (m->unloaded));
+  json_object_object_add (o, "load",
+                          json_object_new_int64 (m->load + m->b.open));
+  json_object_object_add (
+      o, "fence", json_object_new_int64 (m->ignore_fence ? 0 : m->fence));
+  json_object_object_add (o, "orders", json_object_new_int ((int)m->orders));
+  json_object_object_add (o, "old_orders",
+                          json_object_new_int ((int)m->old_orders));
+  backend_json (req, 200, o);
+}
+
+static void
+set_replica (struct model *m, const char *name)
+{
+  free (m->replica);
+  m->replica = xstrdup (name ? name : "");
+}
+
+static void
+refuse_old_fence (struct model *m, struct httpd_req *req)
+{
+  json_object *o = json_object_new_object ();
+
+  m->old_orders++;
+  json_object_object_add (o, "error", json_object_new_string ("old-fence"));
+  json_object_object_add (o, "fence", json_object_new_int64 (m->fence));
+  backend_json (req, 409, o);
+}
+
+static void
+obey (struct model *m, json_object *o)
+{
+  const char *order = json_text (o, "order");
+
+  m->orders++;
+  m->unloaded = order != NULL && strcmp (order, "unload") == 0;
+  set_replica (m, m->unloaded ? "" : json_text (o, "replica"));
+  m->generation = m->unloaded ? 0 : json_num (o, "generation", 0);
+  m->ready_at = clk_now () + m->load_ms;
+}
+
+static void
+take_order (struct model *m, struct httpd_req *req)
+{
+  char *text = str_dup (httpd_get (req)->body);
+  json_object *o = json_tokener_parse (text);
+  int64_t fence = json_num (o, "fence", 0);
+
+  free (text);
+  if (m->drop_orders)
+    ;
+  else if (o == NULL)
+    httpd_answer (req, 400, NULL, 0, STR ("no JSON\n"));
+  else if (!m->ignore_fence && fence < m->fence)
+    refuse_old_fence (m, req);
+  else
+    {
+      m->fence = fence;
+      obey (m, o);
+      httpd_answer (req, 200, NULL, 0, STR ("{\"ok\":true}"));
+    }
+  json_object_put (o);
+}
+
+/* ---- completions ---- */
+
+/** Text of the prompt: "prompt", or the last message's content. */
+static const char *
+prompt_of (json_object *o)
+{
+  json_object *list, *last;
+  const char *prompt = json_text (o, "prompt");
+
+  if (prompt != NULL)
+    return prompt;
+  if (!json_object_object_get_ex (o, "messages", &list)
+      || json_object_array_length (list) == 0)
+    return "";
+  last = json_object_array_get_idx (list, json_object_array_length (list) - 1);
+  prompt = json_text (last, "content");
+  return prompt ? prompt : "";
+}
+
+static void
+add_chunk (struct reply *r, struct str id, const char *model, struct str text)
+{
+  buf_add_c (&r->body, "data: {\"id\":");
+  buf_add_json (&r->body, id);
+  buf_add_c (&r->body, ",\"object\":\"chat.completion.chunk\",\"model\":");
+  buf_add_json (&r->body, str_from (model));
+  buf_add_c (&r->body, ",\"choices\":[{\"index\":0,\"delta\":{\"content\":");
+  buf_add_json (&r->body, text);
+  buf_add_c (&r->body, "},\"finish_reason\":null}]}\n\n");
+  r->cuts[r->ncuts++] = r->body.len;
+}
+
+static void
+stream_body (struct reply *r, struct str id, const char *model,
+             const char *prompt, int tokens)
+{
+  r->type = "text/event-stream";
+  r->cuts = xcalloc ((size_t)tokens + 2, sizeof *r->cuts);
+  add_chunk (r, id, model, str_from (prompt));
+  for (int i = 1; i < tokens; i++)
+    {
+      char word[24];
+      snprintf (word, sizeof word, " w%d", i);
+      add_chunk (r, id, model, str_from (word));
+    }
+  buf_add_c (&r->body, "data: [DONE]\n\n");
+  r->cuts[r->ncuts++] = r->body.len;
+}
+
+static void
+whole_body (struct reply *r, struct str id, const char *model,
+            const char *prompt, int tokens)
+{
+  struct buf text = BUF_INIT;
+
+  buf_add_c (&text, prompt);
+  for (int i = 1; i < tokens; i++)
+    buf_addf (&text, " w%d", i);
+  r->type = "application/json";
+  buf_add_c (&r->body, "{\"id\":");
+  buf_add_json (&r->body, id);
+  buf_add_c (&r->body, ",\"object\":\"chat.completion\",\"model\":");
+  buf_add_json (&r->body, str_from (model));
+  buf_add_c (&r->body, ",\"choices\":[{\"index\":0,\"message\":{\"role\":"
+                       "\"assistant\",\"content\":");
+  buf_add_json (&r->body, buf_str (&text));
+  buf_addf (&r->body,
+            "},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":1,"
+            "\"completion_tokens\":%d}}",
+            tokens);
+  buf_free (&text);
+}
+
+/** Resumed: neither the bytes nor the pieces before the offset again. */
+static void
+skip_to (struct reply *r, struct str offset)
+{
+  int64_t n;
+
+  if (!str_to_i64 (offset, &n) || n < 0 || (size_t)n > r->body.len)
+    return;
+  r->skip = (size_t)n;
+  while (r->next + 1 < r->ncuts && r->cuts[r->next] <= r->skip)
+    r->next++;
+}
+
+static void
+complete (struct model *m, struct httpd_req *req)
+{
+  char *text = str_dup (httpd_get (req)->body);
+  json_object *o = json_tokener_parse (text);
+  struct str id = httpd_header (req, "x-request-id");
+  struct str resumed = httpd_header (req, "x-resume-request");
+  struct reply *r;
+
+  free (text);
+  if (o == NULL)
+    {
+      httpd_answer (req, 400, NULL, 0, STR ("no JSON\n"));
+      return;
+    }
+  r = reply_new (&m->b, req);
+  int tokens = (int)json_num (o, "max_tokens", m->tokens);
+  const char *model = json_text (o, "model");
+  (json_flag (o, "stream", false) ? stream_body : whole_body) (
+      r, resumed.len ? resumed : id, model ? model : "", prompt_of (o),
+      tokens > 0 ? tokens : 1);
+  skip_to (r, httpd_header (req, "x-resume-offset"));
+  r->piece_ms = m->token_ms;
+  json_object_put (o);
+  reply_start (r);
+}
+
+static void
+on_request (void *ctx, struct httpd_req *req)
+{
+  struct model *m = ctx;
+  const struct httpd_view *v = httpd_get (req);
+
+  if (backend_control (&m->b, req))
+    return;
+  if (str_is (v->path, "/lapis/v1/state"))
+    answer_state (m, req);
+  else if (str_is (v->path, "/lapis/v1/order"))
+    take_order (m, req);
+  else if (!str_is (v->path, "/v1/chat/completions")
+           && !str_is (v->path, "/v1/completions"))
+    httpd_answer (req, 404, NULL, 0, STR ("no such path\n"));
+  else if (backend_admit (&m->b, req))
+    complete (m, req);
+}
+
+static void
+on_set (void *ctx, json_object *o)
+{
+  struct model *m = ctx;
+
+  m->not_ready = json_flag (o, "not_ready", m->not_ready);
+  m->unloaded = json_flag (o, "unloaded", m->unloaded);
+  m->drop_orders = json_flag (o, "drop_orders", m->drop_orders);
+  m->generation = json_num (o, "generation", m->generation);
+  m->load = json_num (o, "load", m->load);
+  m->tokens = (int)json_num (o, "tokens", m->tokens);
+  m->token_ms = (int)json_num (o, "token_ms", m->token_ms);
+  m->load_ms = (int)json_num (o, "load_ms", m->load_ms);
+  if (json_text (o, "replica") != NULL)
+    set_replica (m, json_text (o, "replica"));
+}
+
+int
+standin_model (int argc, char **argv)
+{
+  static struct model m = { .tokens = 16 };
+  char *listen = NULL;
+  gboolean unloaded = FALSE;
+  GOptionEntry entries[] = {
+    { "listen", 0, 0, G_OPTION_ARG_STRING, &listen, "address", "ADDR" },
+    { "tokens", 0, 0, G_OPTION_ARG_INT, &m.tokens, "tokens a reply", "N" },
+    { "token-ms", 0, 0, G_OPTION_ARG_INT, &m.token_ms, "ms a token", "MS" },
+    { "load-ms", 0, 0, G_OPTION_ARG_INT, &m.load_ms, "ms a load", "MS" },
+    { "replica", 0, 0, G_OPTION_ARG_STRING, &m.replica, "replica", "NAME" },
+    { "generation", 0, 0, G_OPTION_ARG_INT64, &m.generation, "", "N" },
+    { "unloaded", 0, 0, G_OPTION_ARG_NONE, &unloaded, "holds no weights",
+      NULL },
+    { "ignore-fence", 0, 0, G_OPTION_ARG_NONE, &m.ignore_fence,
+      "take orders with any fencing number", NULL },
+    { "no-counts", 0, 0, G_OPTION_ARG_NONE, &m.no_counts,
+      "keep no counts by request", NULL },
+    { 0 }
+  };
+  GOptionContext *oc = g_option_context_new ("- VM of a model replica");
+
+  g_option_context_add_main_entries (oc, entries, NULL);
+  if (!g_option_context_parse (oc, &argc, &argv, NULL))
+    return 2;
+  g_option_context_free (oc);
+  m.b.keep_counts = !m.no_counts;
+  m.b.set = on_set;
+  m.b.ctx = &m;
+  m.unloaded = unloaded;
+  if (m.replica == NULL)
+    m.replica = xstrdup ("");
+  return backend_run (&m.b, "model", listen ? listen : "127.0.0.1:0",
+                      on_request);
+}
