Decide claims at most once over all nodes

Cause: a repeat with the same idempotency key that reaches another gateway must not run again, and the store allows only several hundred writes a second. Change: the claim core. Per shard one open transaction that compares the head and carries all claims that wait; a write of unknown end is settled by a read before anything of it is granted; a home that can't know what others granted releases nothing; grants run out five seconds after the ask; memory is bounded by refusing, never by forgetting. Shards are 8 now, not 16.

--- /dev/null
+++ b/claim/asker.c
@@ -0,0 +1,72 @@
+#include "claim/asker.h"
+
+static enum clm_asker_do
+ask_next (struct clm_asker *a, clk_ms now)
+{
+  a->asked++;
+  a->next = a->asked < a->ntargets ? now + CLM_STEP_MS : CLK_NEVER;
+  return CLM_ASKER_ASK;
+}
+
+/** With one target alone, the core that was asked releases by itself. */
+static enum clm_asker_do
+give_up (struct clm_asker *a, bool may_land)
+{
+  a->over = true;
+  return may_land && a->ntargets > 1 ? CLM_ASKER_GIVE_UP_LATE
+                                     : CLM_ASKER_GIVE_UP;
+}
+
+enum clm_asker_do
+clm_asker_start (struct clm_asker *a, clk_ms now, clk_ms wait_ms,
+                 unsigned ntargets)
+{
+  *a = (struct clm_asker){ .ntargets = ntargets,
+                           .since = now,
+                           .deadline = now + wait_ms };
+  return ask_next (a, now);
+}
+
+enum clm_asker_do
+clm_asker_tick (struct clm_asker *a, clk_ms now)
+{
+  if (a->over)
+    return CLM_ASKER_NOTHING;
+  if (now >= a->deadline)
+    return give_up (a, a->answered < a->asked);
+  if (now < a->next)
+    return CLM_ASKER_NOTHING;
+  return ask_next (a, now);
+}
+
+enum clm_asker_do
+clm_asker_unreachable (struct clm_asker *a, clk_ms now)
+{
+  if (a->over)
+    return CLM_ASKER_NOTHING;
+  a->answered++;
+  if (a->asked == a->ntargets || now >= a->deadline)
+    return give_up (a, a->answered < a->asked);
+  return ask_next (a, now);
+}
+
+enum clm_asker_do
+clm_asker_answer (struct clm_asker *a, clk_ms now, enum clm_verdict verdict)
+{
+  a->answered++;
+  if (a->over)
+    return verdict == CLM_GRANTED ? CLM_ASKER_RELEASE : CLM_ASKER_NOTHING;
+  if (now >= a->deadline && verdict == CLM_GRANTED)
+    {
+      /* The grant is recorded, and its caller is told that it did not run. */
+      a->over = true;
+      return CLM_ASKER_GIVE_UP_LATE;
+    }
+  if (now >= a->deadline)
+    return give_up (a, a->answered < a->asked);
+  /* A node does not tell whether it had the ask on its way to the store. */
+  if (verdict == CLM_UNAVAILABLE)
+    return give_up (a, true);
+  a->over = true;
+  return CLM_ASKER_REPLY;
+}
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -6,7 +6,7 @@
  * server.  Claims are spread over CLM_SHARDS shards.  Every shard has a head
  * key; one transaction compares the head's mod_revision, writes the head and
  * writes one batch key with all claims that wait (group commit, one open
- * transaction per shard).  Batch keys hang on store leases of the claim
+ * transaction per shard).  Batch keys hang on store leases of twice the
  * window, so the store forgets them by itself.
  *
  * The home node of a shard (rendezvous hash) only serves speed: it keeps the
@@ -15,7 +15,18 @@
  * lets one of them through and the other reads again what it missed.
  *
  * A claim is identified by (key, attempt).  Asking again with the same
- * attempt is answered as before, so a lost answer costs nothing.
+ * attempt is answered as before, so a lost answer costs nothing, and any
+ * number of homes may be asked for one attempt.
+ *
+ * Frozen processes.  A home that was stopped holds an old head revision: its
+ * next transaction conflicts, or nobody wrote meanwhile and it knows all.  An
+ * asker that was stopped between the grant and its send could wake after the
+ * window, when another attempt has the key; so a grant counts only for
+ * CLM_GRANT_MS from the moment at which the asker asked, by a clock that goes
+ * on through pauses, and the asker looks at it right before it sends
+ * (clm_grant_valid()).  The record is not older than the ask and outlives
+ * window + CLM_GRANT_MS, so whoever takes the key next sends at least one
+ * window after the first send.
  */
 #ifndef LAPISLINE_CLAIM_CLAIM_H
 #define LAPISLINE_CLAIM_CLAIM_H
@@ -25,7 +36,27 @@
 #include "base/str.h"
 #include "store/store.h"
 
-#define CLM_SHARDS 16
+/**
+ * Shards of the key space.  The store sees at most shards / gap transactions
+ * a second; for one such rate, fewer shards allow a shorter gap and so less
+ * waiting (docs/DESIGN.md has the figures).
+ */
+#define CLM_SHARDS 8
+
+/** How long after asking an asker may still send on a grant. */
+#define CLM_GRANT_MS (5 * CLK_SECOND)
+
+/** Wait of an ask that names none. */
+#define CLM_WAIT_MS (2 * CLK_SECOND)
+
+/** Least time between two transactions of a shard, unless options say. */
+#define CLM_GAP_MS ((clk_ms)50)
+
+/** Claims held in memory, unless options say.  More are refused. */
+#define CLM_MAX_CLAIMS ((size_t)1 << 20)
+
+/** How long a claim without a known end is answered as running. */
+#define CLM_RUNNING_MS (2 * CLK_MINUTE)
 
 enum clm_kind
 {
@@ -55,6 +86,14 @@
   enum clm_kind kind;
   int answer_status;
   struct str answer; /**< of CLM_FINISH; kept in memory only */
+  clk_ms wait_ms;    /**< 0: CLM_WAIT_MS */
+  /**
+   * The asker asks nobody else for this attempt, so CLM_UNAVAILABLE is its
+   * last word: if the record may still land, the core releases it.  A home
+   * that is asked by another node must not do so: the asker may since have
+   * got its grant from the next node.
+   */
+  bool final;
 };
 
 struct clm_reply
@@ -90,6 +129,18 @@
   clk_ms window;     /**< how long a key is remembered */
   size_t kept_bytes; /**< memory for kept answers, oldest out first */
   uint64_t boot;     /**< makes batch keys of this process unique */
+  clk_ms gap_ms;     /**< between transactions of a shard; 0: CLM_GAP_MS */
+  size_t max_claims; /**< 0: CLM_MAX_CLAIMS */
+};
+
+/** Since the start, for metrics and benches. */
+struct clm_counts
+{
+  uint64_t txns, conflicts, uncertain, reads, whole_reads;
+  uint64_t settled_found;  /**< lost writes that turned out applied */
+  uint64_t settled_absent; /**< and those that were written again */
+  uint64_t batch_records, batch_bytes;
+  uint64_t granted, refused, unavailable, releases, late_releases;
 };
 
 struct clm;
@@ -105,6 +156,14 @@
 /** Shard of a key. */
 unsigned clm_shard (const uint8_t key[16]);
 
+/** Earliest time at which a tick may change something. */
+clk_ms clm_wake (const struct clm *c);
+
+/** Whether a grant for an ask of time @p asked still allows sending. */
+bool clm_grant_valid (clk_ms asked, clk_ms now);
+
+const struct clm_counts *clm_counts (const struct clm *c);
+
 /** Claims held in memory, for the capacity figures. */
 size_t clm_held (const struct clm *c);
 
--- /dev/null
+++ b/claim/decide.c
@@ -0,0 +1,82 @@
+#include <string.h>
+
+#include "claim/core.h"
+
+static struct decided
+reply_with (enum clm_verdict verdict, const struct tbl_rec *holder)
+{
+  return (struct decided){ DECIDE_REPLY, verdict, holder };
+}
+
+static struct decided
+just (enum decision what)
+{
+  return (struct decided){ what, CLM_UNAVAILABLE, NULL };
+}
+
+static struct decided
+decide_release (const struct tbl_rec *own)
+{
+  if (own && own->state == TBL_RELEASED)
+    return reply_with (CLM_DONE, NULL);
+  if (own && own->pending != TBL_PEND_NONE)
+    return just (DECIDE_WAIT);
+  /* Also when no record is known: one may be on its way from another home,
+     and must find the release when it lands. */
+  return just (DECIDE_WRITE);
+}
+
+/** The same attempt again: as before. */
+static struct decided
+decide_again (const struct tbl_rec *own)
+{
+  if (own->pending != TBL_PEND_NONE)
+    return just (DECIDE_WAIT);
+  if (own->state == TBL_RELEASED)
+    return reply_with (CLM_UNAVAILABLE, NULL);
+  return reply_with (CLM_GRANTED, NULL);
+}
+
+static struct decided
+decide_taken (struct clm *c, const struct shard *s, const struct waiter *w,
+              const struct tbl_rec *holder, clk_ms now)
+{
+  if (holder->pending == TBL_PEND_RELEASE)
+    return just (DECIDE_WAIT);
+  /* The holder may have released it through another home since; without a
+     look, a caller would be refused for the rest of the window.  While the
+     store is down the old knowledge is the best there is. */
+  if (!holder->answer && !core_down (c) && now - s->confirmed > CORE_FRESH_MS)
+    return just (DECIDE_READ);
+  if (memcmp (holder->fingerprint, w->ask.fingerprint, 16) != 0)
+    return reply_with (CLM_MISMATCH, holder);
+  if (holder->answer)
+    return reply_with (CLM_ANSWERED, holder);
+  if (!holder->ended && now - holder->since < CLM_RUNNING_MS)
+    return reply_with (CLM_RUNNING, holder);
+  return reply_with (CLM_UNKNOWN, holder);
+}
+
+struct decided
+decide (struct clm *c, const struct shard *s, const struct waiter *w,
+        clk_ms now)
+{
+  const uint8_t *key = w->ask.key;
+  const uint8_t *attempt = w->ask.attempt;
+  const struct tbl_rec *own = tbl_find (&c->table, key, attempt);
+  const struct tbl_rec *holder;
+
+  if (w->ask.kind == CLM_RELEASE)
+    return decide_release (own);
+  if (own)
+    return decide_again (own);
+  holder = tbl_holder (&c->table, key, attempt);
+  if (holder)
+    return decide_taken (c, s, w, holder, now);
+  if (tbl_pending_other (&c->table, key, attempt))
+    return just (DECIDE_WAIT);
+  /* Never make room by forgetting a claim early: its key would run again. */
+  if (c->table.n >= c->opt.max_claims)
+    return reply_with (CLM_UNAVAILABLE, NULL);
+  return just (DECIDE_WRITE);
+}
--- /dev/null
+++ b/t/lib-claim.h
@@ -0,0 +1,96 @@
+/**
+ * @file
+ * A small store and several claim cores in one process, driven by a script
+ * or by a walk: every store call is held until the driver applies it, answers
+ * it, loses its answer, or any order of these.
+ */
+#ifndef LAPISLINE_T_LIB_CLAIM_H
+#define LAPISLINE_T_LIB_CLAIM_H
+
+#include "claim/asker.h"
+#include "claim/claim.h"
+
+#define CW_HOMES 3
+#define CW_CALLS 64
+#define CW_KEYS 4096
+
+/** A key-value store with compare-and-swap and leases. */
+struct kv_entry
+{
+  char *key;
+  struct buf value;
+  int64_t mod_rev;
+  int64_t lease;
+};
+
+struct kv
+{
+  struct kv_entry entries[CW_KEYS]; /**< ordered by key */
+  size_t n;
+  int64_t revision;
+  struct
+  {
+    int64_t id;
+    clk_ms expires;
+  } leases[64];
+  size_t nleases;
+};
+
+void kv_clear (struct kv *kv);
+void kv_lapse (struct kv *kv, clk_ms now);
+enum store_status kv_txn (struct kv *kv, const struct store_txn *txn);
+int64_t kv_grant (struct kv *kv, clk_ms now, clk_ms ttl);
+
+/** A store call of a core, from its action to its answer. */
+struct cw_call
+{
+  bool used;
+  int home;
+  unsigned no; /**< as shown in logs */
+  enum clm_action_kind kind;
+  uint64_t token;
+  struct buf key, end;  /**< of a range */
+  struct store_txn txn; /**< of the copies below */
+  struct store_compare compare;
+  struct store_put puts[2];
+  struct buf copy[5];
+  clk_ms ttl;
+  bool applied;  /**< the store has executed it */
+  bool answered; /**< the core was told something; it may still be applied */
+  struct store_result result;
+  struct store_kv *kvs; /**< owned, with their strings */
+};
+
+struct cw
+{
+  struct kv kv;
+  clk_ms now;
+  struct clm *homes[CW_HOMES];
+  size_t nhomes;
+  struct cw_call calls[CW_CALLS];
+  unsigned last_call;
+  struct buf *log; /**< NULL: none */
+  /** A core's reply; the driver's own. */
+  void (*on_reply) (void *ctx, int home, const struct clm_reply *reply);
+  void *ctx;
+};
+
+void cw_init (struct cw *w, size_t homes, const struct clm_options *opt,
+              uint64_t seed);
+void cw_clear (struct cw *w);
+
+/** Replace a home by a new process of another boot. */
+void cw_restart (struct cw *w, int home, const struct clm_options *opt,
+                 uint64_t seed);
+
+/** Take the actions of a core: calls are held, replies handed on. */
+void cw_drain (struct cw *w, int home);
+
+struct cw_call *cw_call (struct cw *w, unsigned no);
+void cw_apply (struct cw *w, struct cw_call *c);
+
+/** Tell the core the result; the call is gone if it was applied. */
+void cw_answer (struct cw *w, struct cw_call *c, enum store_status lost);
+void cw_forget (struct cw_call *c);
+
+#endif
