Test queues: shares, classes, ageing, overload, deadlines

Cause: order and refusals of the queue were not covered. Change: t5002-queue reads the order of turns off one backend server that runs one call at a time. Conclusion: a small account waits for its own part of a flood only.

--- a/t/lib-route.c
+++ b/t/lib-route.c
@@ -14,8 +14,6 @@
 static const char *const verdicts[] = { "granted", "running",  "answered",
                                         "unknown", "mismatch", "unavailable" };
 
-static char last_server[64];
-
 struct script
 script_new (const char *config, unsigned nodes)
 {
@@ -43,18 +41,22 @@
   buf_free (&s->log);
 }
 
-const char *
-script_server (const struct script *s)
+static void
+note_connect (struct script *s, const struct rt_action *a)
 {
-  return last_server;
+  cr_assert_lt (s->nrunning, sizeof s->running / sizeof s->running[0]);
+  s->running[s->nrunning] = a->id;
+  s->attempts[s->nrunning++] = a->attempt;
 }
 
 static void
 log_action (struct script *s, const struct rt_action *a)
 {
   if (a->kind == RT_ACT_CONNECT)
-    snprintf (last_server, sizeof last_server, "%.*s", STR_ARG (a->name));
-  if (s->quiet)
+    note_connect (s, a);
+  if (s->brief && a->kind == RT_ACT_CONNECT)
+    buf_addf (&s->log, " %llu", (unsigned long long)a->id);
+  if (s->brief && a->kind != RT_ACT_ANSWER)
     return;
   buf_addf (&s->log, " %s(%llu", action_names[a->kind],
             (unsigned long long)a->id);
@@ -207,6 +209,32 @@
   rt_event (s->rt, s->now, &ev);
 }
 
+static void
+serve (struct script *s, int count, clk_ms step)
+{
+  static const enum rt_event_kind kinds[]
+      = { RT_EV_CONNECTED, RT_EV_HEAD, RT_EV_WHOLE };
+  s->brief = true;
+  for (; count > 0 && s->nrunning; count--)
+    {
+      struct rt_event ev
+          = { .id = s->running[0], .attempt = s->attempts[0], .status = 200 };
+      s->nrunning--;
+      memmove (s->running, s->running + 1, s->nrunning * sizeof s->running[0]);
+      memmove (s->attempts, s->attempts + 1,
+               s->nrunning * sizeof s->attempts[0]);
+      for (size_t i = 0; i < 3; i++)
+        {
+          ev.kind = kinds[i];
+          if (ev.kind == RT_EV_HEAD)
+            s->now += step;
+          rt_event (s->rt, s->now, &ev);
+        }
+      drain (s);
+    }
+  s->brief = false;
+}
+
 static void
 arrive_many (struct script *s, char **w, size_t n)
 {
@@ -228,8 +256,7 @@
   if (n < 2)
     return;
   s->now = atoll (w[0]);
-  if (!s->quiet)
-    buf_addf (&s->log, "%s %s %s:", w[0], w[1], n > 2 ? w[2] : "");
+  buf_addf (&s->log, "%s %s %s:", w[0], w[1], n > 2 ? w[2] : "");
   if (strcmp (w[1], "replicas") == 0)
     replicas (s, w + 2, n - 2);
   else if (strcmp (w[1], "arrive") == 0)
@@ -238,6 +265,8 @@
     arrive_many (s, w + 1, n - 1);
   else if (strcmp (w[1], "claim") == 0)
     claim (s, w + 1);
+  else if (strcmp (w[1], "serve") == 0)
+    serve (s, atoi (w[2]), n > 3 ? atoll (w[3]) : 0);
   else if (strcmp (w[1], "share") == 0)
     share (s, w + 1);
   else if (attempt_verb (w[1], &kind))
@@ -245,8 +274,7 @@
   else
     cr_assert_fail ("unknown verb %s", w[1]);
   drain (s);
-  if (!s->quiet)
-    buf_add_c (&s->log, "\n");
+  buf_add_c (&s->log, "\n");
 }
 
 void
--- a/t/lib-route.h
+++ b/t/lib-route.h
@@ -12,6 +12,9 @@
  *   open|fail|broken|silent|whole ID/ATTEMPT
  *   head ID/ATTEMPT STATUS    body ID/ATTEMPT SIZE
  *   gone ID    tick    leaving    down NAME    up NAME
+ *   serve COUNT STEP_MS       so many times: time goes on, the attempt that
+ *                             connected first is opened and answered whole;
+ *                             only the ids that connect next are logged
  *   share ACCOUNT TOKENS_PER_S CONCURRENCY VALID_MS
  *
  * A verb with "*" repeats for many: "arrive* FIRST-LAST ACCOUNT TARGET ...".
@@ -21,13 +24,21 @@
 
 #include "route/route.h"
 
+/** Member of an account that the configuration requires. */
+#define KEY_DIGESTS                                                           \
+  "\"key_digests\":["                                                         \
+  "\"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\"]"
+
 struct script
 {
   struct rt *rt;
   struct cfg *cfg;
   clk_ms now;
   struct buf log;
-  bool quiet; /**< don't log the actions */
+  bool brief;            /**< log only ids of connects, and answers */
+  uint64_t running[256]; /**< ids by the order of their connects */
+  unsigned attempts[256];
+  size_t nrunning;
 };
 
 /** A core in zone "a" with the configuration given as JSON. */
@@ -38,7 +49,4 @@
 /** Run a script and compare its log. */
 void script_expect (struct script *s, const char *text, const char *log);
 
-/** Name of the server to which the script's last line connected, or "". */
-const char *script_server (const struct script *s);
-
 #endif
--- a/t/t5001-life.c
+++ b/t/t5001-life.c
@@ -5,9 +5,6 @@
 /* One model of three replicas and one plain service of two backend servers;
    the life of single requests. */
 
-#define DIGEST                                                                \
-  "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
-
 #define CONFIG                                                                \
   "{\"domains\":{\"d\":{\"zone\":\"a\",\"vms\":{"                             \
   "\"v1\":{\"addr\":\"127.0.0.1:1\"},\"v2\":{\"addr\":\"127.0.0.1:2\"},"      \
@@ -28,8 +25,7 @@
   "\"s2\":{\"addr\":\"127.0.0.1:12\",\"zone\":\"a\"}}},"                      \
   "\"old-api\":{\"mode\":\"observe\",\"backends\":{"                          \
   "\"s3\":{\"addr\":\"127.0.0.1:13\",\"zone\":\"a\"}}}},"                     \
-  "\"accounts\":{\"acme\":{\"key_digests\":[\"" DIGEST                        \
-  "\"],\"may\":[\"*\"]}}}"
+  "\"accounts\":{\"acme\":{" KEY_DIGESTS ",\"may\":[\"*\"]}}}"
 
 static void
 check (const char *script, const char *log)
--- /dev/null
+++ b/t/t5002-queue.c
@@ -0,0 +1,157 @@
+#include <criterion/criterion.h>
+
+#include "lib-route.h"
+
+/* One backend server that runs one call at a time, so that the order in which
+   waiting calls get their turn can be read off. */
+
+#define CONFIG                                                                \
+  "{\"services\":{\"api\":{\"mode\":\"route\",\"capacity\":1,\"backends\":{"  \
+  "\"s1\":{\"addr\":\"127.0.0.1:11\",\"zone\":\"a\"}}}},"                     \
+  "\"limits\":{\"max_queue\":6,\"queue_ms\":20000},"                          \
+  "\"accounts\":{"                                                            \
+  "\"flood\":{" KEY_DIGESTS ",\"may\":[\"*\"],\"priority\":0},"               \
+  "\"small\":{\"key_digests\":[],\"may\":[\"*\"],\"priority\":0},"            \
+  "\"paid\":{\"key_digests\":[],\"may\":[\"*\"],\"priority\":0,"              \
+  "\"weight\":3}}}"
+
+static void
+check (const char *script, const char *log)
+{
+  struct script s = script_new (CONFIG, 1);
+  script_expect (&s, script, log);
+  script_free (&s);
+}
+
+Test (queue, small_beside_flood)
+{
+  /* One account fills the queue; another sends two calls after it.  It waits
+     for one call of the flood per call of its own, not for all of them. */
+  check ("1 arrive* 1-5 flood api cost=512\n"
+         "2 arrive* 101-102 small api cost=512\n"
+         "3 serve 7 10\n",
+         "1 arrive* 1-5: connect(1/1 s1)\n"
+         "2 arrive* 101-102:\n"
+         "3 serve 7: 2 3 101 4 102 5\n");
+}
+
+Test (queue, shares_by_weight)
+{
+  /* Both accounts keep the queue busy; the one of weight 3 gets three turns
+     for one. */
+  check ("1 arrive 1 small api cost=512\n"
+         "1 arrive* 11-13 small api cost=512\n"
+         "1 arrive* 21-23 paid api cost=512\n"
+         "3 serve 7 10\n",
+         "1 arrive 1: connect(1/1 s1)\n"
+         "1 arrive* 11-13:\n"
+         "1 arrive* 21-23:\n"
+         "3 serve 7: 11 12 21 22 23 13\n");
+}
+
+Test (queue, counted_in_tokens)
+{
+  /* Calls of one account are four times as large: the other gets four turns
+     for one. */
+  check ("1 arrive 1 flood api cost=2048\n"
+         "1 arrive* 11-12 flood api cost=2048\n"
+         "1 arrive* 21-24 small api cost=512\n"
+         "3 serve 7 10\n",
+         "1 arrive 1: connect(1/1 s1)\n"
+         "1 arrive* 11-12:\n"
+         "1 arrive* 21-24:\n"
+         "3 serve 7: 11 21 22 23 12 24\n");
+}
+
+Test (queue, classes_with_ageing)
+{
+  /* Urgent calls come without end.  A call of the last class that has waited
+     for two seconds a class gets a turn between them; before that, none. */
+  check ("0 arrive 1 flood api\n"
+         "1 arrive 2 small api prio=2\n"
+         "2 arrive* 3-6 flood api\n"
+         "10 serve 3 10\n"
+         "100 arrive* 7-9 flood api\n"
+         "4100 serve 4 10\n"
+         "4200 serve 3 10\n",
+         "0 arrive 1: connect(1/1 s1)\n"
+         "1 arrive 2:\n"
+         "2 arrive* 3-6:\n"
+         "10 serve 3: 3 4 5\n"
+         "100 arrive* 7-9:\n"
+         "4100 serve 4: 2 6 7 8\n"
+         "4200 serve 3: 9\n");
+}
+
+Test (queue, old_backlog_does_not_push_urgent_aside)
+{
+  /* A backlog of the last class has waited for long.  Urgent calls that come
+     now go before most of it. */
+  check ("0 arrive 1 flood api\n"
+         "1 arrive* 2-4 flood api prio=3\n"
+         "9000 arrive* 11-13 small api\n"
+         "9001 serve 7 10\n",
+         "0 arrive 1: connect(1/1 s1)\n"
+         "1 arrive* 2-4:\n"
+         "9000 arrive* 11-13:\n"
+         "9001 serve 7: 11 12 2 13 3 4\n");
+}
+
+Test (queue, full_queue_refuses_the_least_important)
+{
+  /* The queue is full.  A more urgent call takes the place of the newest of
+     the last class; a small account's takes one of the flood's; what is no
+     better is refused itself.  Each refused caller hears at once. */
+  check ("0 arrive 1 flood api\n"
+         "1 arrive* 2-5 flood api\n"
+         "2 arrive* 6-7 flood api prio=3\n"
+         "3 arrive 8 flood api prio=3\n"
+         "4 arrive 9 flood api\n"
+         "5 arrive 10 flood api\n"
+         "6 arrive 11 flood api\n"
+         "7 arrive 12 small api\n",
+         "0 arrive 1: connect(1/1 s1)\n"
+         "1 arrive* 2-5:\n"
+         "2 arrive* 6-7:\n"
+         "3 arrive 8: answer(8 503 queue-full not-run)\n"
+         "4 arrive 9: answer(7 503 queue-full not-run)\n"
+         "5 arrive 10: answer(6 503 queue-full not-run)\n"
+         "6 arrive 11: answer(11 503 queue-full not-run)\n"
+         "7 arrive 12: answer(10 503 queue-full not-run)\n");
+}
+
+Test (queue, waits_no_longer_than_configured)
+{
+  /* Nothing ends.  Who has waited for queue_ms hears at once, not run. */
+  check ("0 arrive 1 flood api\n"
+         "1 arrive 2 small api\n"
+         "20000 tick\n"
+         "20001 tick\n",
+         "0 arrive 1: connect(1/1 s1)\n"
+         "1 arrive 2:\n"
+         "20000 tick :\n"
+         "20001 tick : answer(2 503 queue-full not-run)\n");
+}
+
+Test (queue, refused_early_by_deadline)
+{
+  /* Calls have taken 100 ms each.  One that would have to wait for two others
+     can't end within 150 ms: it is told at once, before any work.  With
+     400 ms it is let in.  A pace measured long ago refuses nobody. */
+  check ("0 arrive 1 flood api\n"
+         "1 arrive 2 flood api\n"
+         "1 serve 2 100\n"
+         "300 arrive 3 flood api\n"
+         "301 arrive 4 flood api\n"
+         "302 arrive 5 flood api by=452\n"
+         "303 arrive 6 flood api by=703\n"
+         "9000 arrive 7 flood api by=9150\n",
+         "0 arrive 1: connect(1/1 s1)\n"
+         "1 arrive 2:\n"
+         "1 serve 2: 2\n"
+         "300 arrive 3: connect(3/1 s1)\n"
+         "301 arrive 4:\n"
+         "302 arrive 5: answer(5 504 deadline not-run)\n"
+         "303 arrive 6:\n"
+         "9000 arrive 7:\n");
+}
