--- a/config/json.c
+++ b/config/json.c
@@ -124,7 +124,7 @@
     }
   if (!json_object_is_type (o, json_type_object))
     {
-      fnd_addf (findings, FND_ERROR, file, 1, "",
+      fnd_addf (findings, FND_ERROR, file, 1, NULL,
                 "the top level is not an object");
       json_object_put (o);
       o = NULL;
--- a/config/read.c
+++ b/config/read.c
@@ -41,7 +41,8 @@
   rd_pointer (at, &pointer);
   if (vasprintf (&text, fmt, ap) < 0)
     abort ();
-  fnd_addf (r->findings, severity, NULL, 0, buf_c (&pointer), "%s", text);
+  fnd_addf (r->findings, severity, NULL, 0,
+            pointer.len ? buf_c (&pointer) : NULL, "%s", text);
   free (text);
   buf_free (&pointer);
 }
