--- a/config/folder.c
+++ b/config/folder.c
@@ -53,7 +53,10 @@
   struct buf text = BUF_INIT;
   struct buf why = BUF_INIT;
 
-  if (cff_read (path, &text, &why))
+  if (!rd_is_name (str_from (name)))
+    fnd_addf (findings, FND_ERROR, path, 0, NULL,
+              "a file's name has at most 63 letters, digits, '.', '_', '-'");
+  else if (cff_read (path, &text, &why))
     {
       file->name = xstrdup (name);
       file->text = str_dup (buf_str (&text));
@@ -133,6 +136,10 @@
   char *path = path_of (k->folder, file->name);
   struct json_object *o = cfj_read (text_of (file), path, k->findings);
 
+  if (file->len > CFG_MAX_TEXT)
+    fnd_addf (k->findings, FND_ERROR, path, 0, NULL,
+              "has %zu bytes; at most %zu fit into the store", file->len,
+              CFG_MAX_TEXT);
   if (o)
     {
       loc_read (text_of (file), path, &k->maps[i], k->findings);
@@ -185,21 +192,6 @@
   free (p);
 }
 
-static int
-compare_items (const void *a, const void *b)
-{
-  const struct fnd_item *x = a;
-  const struct fnd_item *y = b;
-  int order = strcmp (x->file ? x->file : "", y->file ? y->file : "");
-
-  if (!order)
-    order = (x->line > y->line) - (x->line < y->line);
-  if (!order)
-    order
-        = strcmp (x->pointer ? x->pointer : "", y->pointer ? y->pointer : "");
-  return order ? order : strcmp (x->text, y->text);
-}
-
 static void
 place_findings (const struct check *k, size_t first)
 {
@@ -208,8 +200,7 @@
   for (size_t i = first; i < l->n; i++)
     if (!l->items[i].file)
       place_item (k, &l->items[i]);
-  if (l->n > first)
-    qsort (l->items + first, l->n - first, sizeof *l->items, compare_items);
+  loc_sort_findings (l, first);
 }
 
 static void
