Decide what the VMs of a fabric domain do

Replicas span several VMs and must serve only while all of them are there, while VMs die, leave, come back blank, or obey orders of an owner that is none any more.

One document per domain, one compare-and-swap per change that also compares the owner key; a VM changes hands only after it reports no weights; a replica is whole on fresh reports of its name and generation from each member. A lost member is waited for, replaced or its replica dissolved by expected cost; a leaving one is replaced first; loads go one at a time.

Detection takes at most 3 s from a member's last answer (2.1 s in the script). Between two probes a replaced VM is seen by its report.

--- a/config/settings.c
+++ b/config/settings.c
@@ -206,8 +206,7 @@
   set->store_prefix = str_dup (d->prefix);
 }
 
-/** Add file and line to the findings from number @p first on, and order them.
- */
+/** Add file and line to the findings from number @p first on. */
 static void
 place (struct fnd_list *findings, size_t first, const char *path,
        const struct loc_map *map)
@@ -220,7 +219,6 @@
       item->file = xstrdup (path);
       item->line = loc_nearest (map, item->pointer);
     }
-  loc_sort_findings (findings, first);
 }
 
 static void
--- /dev/null
+++ b/replica/assign.h
@@ -0,0 +1,84 @@
+/**
+ * @file
+ * The assignment of one fabric domain: which VM belongs to which replica.
+ *
+ * The whole document is one store value, changed by compare-and-swap:
+ *   {"next": 7, "drained": ["r2"], "replicas": [{"name": "r1", "model": "m",
+ *    "generation": 6, "phase": "active", "vms": ["vm-1", "vm-2"],
+ *    "joining": {"vm": "vm-3", "replaces": "vm-1", "generation": 7}}]}
+ */
+#ifndef LAPISLINE_REPLICA_ASSIGN_H
+#define LAPISLINE_REPLICA_ASSIGN_H
+
+#include "base/str.h"
+
+#define ASN_MAX_VMS 16
+
+enum asn_phase
+{
+  ASN_ACTIVE,
+  ASN_RELEASING /**< its VMs unload; they are still its own */
+};
+
+/** A VM that loads its part before it takes a leaving member's place. */
+struct asn_joining
+{
+  char *vm; /**< NULL: none */
+  char *replaces;
+  int64_t generation; /**< that the replica has once it took the place */
+};
+
+struct asn_entry
+{
+  char *name;
+  char *model;
+  int64_t generation;
+  enum asn_phase phase;
+  char *vms[ASN_MAX_VMS]; /**< by rank; the first is the leader */
+  size_t nvms;
+  struct asn_joining joining;
+};
+
+/** All zero is the empty assignment. */
+struct asn
+{
+  int64_t next_generation; /**< generations are never used twice */
+  struct asn_entry *entries;
+  size_t n;
+  char **drained; /**< replicas that operators took out of service */
+  size_t ndrained;
+};
+
+/** False when the text is not an assignment that asn_valid() holds of. */
+bool asn_parse (struct str text, struct asn *out);
+void asn_print (const struct asn *a, struct buf *out);
+void asn_free (struct asn *a);
+void asn_copy (const struct asn *a, struct asn *out);
+
+/** Whether no VM stands twice and no name stands twice. */
+bool asn_valid (const struct asn *a);
+
+struct asn_entry *asn_find (const struct asn *a, const char *name);
+
+/** The entry that holds the VM as a member or as joining, or NULL. */
+struct asn_entry *asn_holder (const struct asn *a, struct str vm);
+
+/** Append an empty active entry with a generation of its own. */
+struct asn_entry *asn_add (struct asn *a, struct str name, struct str model);
+void asn_entry_add_vm (struct asn_entry *e, struct str vm);
+void asn_remove (struct asn *a, const char *name);
+void asn_set_joining (struct asn *a, struct asn_entry *e, struct str vm,
+                      struct str replaces);
+void asn_clear_joining (struct asn_entry *e);
+
+/** The joining VM takes the place of the one that it replaces. */
+void asn_finish_joining (struct asn_entry *e);
+
+/** Replace one member; the replica gets a new generation. */
+void asn_swap (struct asn *a, struct asn_entry *e, struct str old,
+               struct str new_vm);
+
+bool asn_is_drained (const struct asn *a, const char *name);
+void asn_set_drained (struct asn *a, const char *name, bool on);
+
+#endif
--- /dev/null
+++ b/replica/change.c
@@ -0,0 +1,176 @@
+#include <stdlib.h>
+
+#include "replica/core.h"
+
+static uint64_t
+new_call (struct rep *r, clk_ms now, enum rep_call call)
+{
+  r->call = call;
+  r->call_at = now;
+  r->call_token = ++r->tokens;
+  return r->call_token;
+}
+
+void
+chg_read (struct rep *r, clk_ms now)
+{
+  struct rep_action *a = rep_push (r, REP_STORE_READ);
+
+  a->token = new_call (r, now, RCALL_READ);
+  a->key = buf_str (&r->key);
+}
+
+void
+chg_set (struct rep *r, clk_ms now, struct str value, int64_t mod_rev)
+{
+  struct asn doc = { 0 };
+
+  r->read_at = now;
+  if (r->doc_known && mod_rev == r->mod_rev)
+    return;
+  /* A document that cannot be read, or that has a VM twice, is left for an
+     operator to look at: acting on half of it could double a VM. */
+  r->doc_bad = mod_rev && !asn_parse (value, &doc);
+  if (r->doc_bad)
+    {
+      r->doc_known = false;
+      return;
+    }
+  asn_free (&r->doc);
+  r->doc = doc;
+  r->doc_known = true;
+  r->mod_rev = mod_rev;
+  rep_rebuild (r, now);
+}
+
+static void
+on_read (struct rep *r, clk_ms now, const struct store_result *res)
+{
+  if (res->status != STORE_OK)
+    r->read_at = now - REP_READ_MS + REP_STORE_RETRY_MS;
+  else if (res->nkvs)
+    chg_set (r, now, res->kvs[0].value, res->kvs[0].mod_rev);
+  else
+    chg_set (r, now, STR_EMPTY, 0);
+}
+
+/* An owner that lost its key would otherwise write at every tick. */
+static void
+back_off (struct rep *r, clk_ms now)
+{
+  r->next_change = now + REP_STORE_RETRY_MS
+                   + (clk_ms)rng_below (&r->rng, REP_STORE_RETRY_MS);
+}
+
+static void
+on_changed (struct rep *r, clk_ms now, const struct store_result *res)
+{
+  switch (res->status)
+    {
+    case STORE_OK:
+      asn_free (&r->doc);
+      r->doc = r->next;
+      r->next = (struct asn){ 0 };
+      r->mod_rev = res->revision;
+      r->read_at = now;
+      rep_rebuild (r, now);
+      break;
+    case STORE_CONFLICT:
+    case STORE_UNCERTAIN:
+      /* Somebody else was first, or the answer was lost.  In both cases the
+         truth is what the store holds.  A lost write that lands even later
+         compares the same revision as our next one, so that only one of them
+         can take effect. */
+      chg_read (r, now);
+      back_off (r, now);
+      break;
+    default:
+      back_off (r, now);
+    }
+  asn_free (&r->next);
+  for (size_t i = 0; i < r->nreplicas; i++)
+    if (r->replicas[i].state == RST_FORMING)
+      evd_step (r, &r->replicas[i], "refused");
+}
+
+void
+chg_answer (struct rep *r, clk_ms now, uint64_t token,
+            const struct store_result *res)
+{
+  enum rep_call call = r->call;
+
+  if (token != r->call_token || call == RCALL_NONE)
+    return;
+  r->call = RCALL_NONE;
+  if (call == RCALL_READ)
+    on_read (r, now, res);
+  else
+    on_changed (r, now, res);
+}
+
+void
+chg_tick (struct rep *r, clk_ms now)
+{
+  clk_ms period = r->owner ? REP_READ_MS : REP_IDLE_READ_MS;
+  struct store_result lost = { .status = STORE_UNCERTAIN };
+
+  if (r->call != RCALL_NONE && now - r->call_at >= REP_ANSWER_MS)
+    chg_answer (r, now, r->call_token, &lost);
+  if (r->call == RCALL_NONE && (!r->read_at || now - r->read_at >= period))
+    chg_read (r, now);
+}
+
+/*
+ * One write for the whole domain.  The compare of the document's revision
+ * keeps a VM from being in two replicas, whoever writes.  The compare of the
+ * owner key's revision keeps an owner out that lost its lease while the write
+ * was on its way.
+ */
+static void
+propose (struct rep *r, clk_ms now, struct asn *next, bool as_owner)
+{
+  struct rep_action *a;
+
+  asn_free (&r->next);
+  r->next = *next;
+  buf_clear (&r->next_text);
+  asn_print (&r->next, &r->next_text);
+  r->compares[0] = (struct store_compare){ buf_str (&r->key), r->mod_rev };
+  r->compares[1] = (struct store_compare){ buf_str (&r->owner_key), r->fence };
+  r->put = (struct store_put){ buf_str (&r->key), buf_str (&r->next_text), 0 };
+  a = rep_push (r, REP_STORE_TXN);
+  a->token = new_call (r, now, RCALL_CHANGE);
+  a->key = buf_str (&r->key);
+  a->txn = (struct store_txn){ .compares = r->compares,
+                               .ncompares = as_owner ? 2 : 1,
+                               .puts = &r->put,
+                               .nputs = 1 };
+}
+
+/* First that has something to change wins; the rest comes with the next
+   tick, decided on what the store then holds. */
+static bool
+decide_as_owner (struct rep *r, clk_ms now, struct asn *next)
+{
+  return drn_release (r, now, next) || drn_leaving (r, now, next)
+         || plc_repair (r, now, next) || plc_form (r, now, next);
+}
+
+void
+chg_decide (struct rep *r, clk_ms now)
+{
+  struct asn next;
+  bool as_owner = false;
+  bool changed;
+
+  if (!r->doc_known || r->call != RCALL_NONE || now < r->next_change)
+    return;
+  asn_copy (&r->doc, &next);
+  changed = drn_operators (r, &next);
+  if (!changed && r->owner && now >= r->settle_until)
+    changed = as_owner = decide_as_owner (r, now, &next);
+  if (changed && asn_valid (&next))
+    propose (r, now, &next, as_owner);
+  else
+    asn_free (&next);
+}
--- /dev/null
+++ b/replica/orders.c
@@ -0,0 +1,161 @@
+#include "replica/core.h"
+
+/** What a VM ought to be told. */
+struct order
+{
+  enum rep_order order;
+  struct str replica;
+  struct str model;
+  int64_t generation;
+  unsigned rank;
+  unsigned world;
+};
+
+static bool
+says (const struct rep_vm *vm, struct str replica, int64_t generation)
+{
+  return !vm->said.unloaded && vm->said.generation == generation
+         && str_eq (vm->said.replica, replica);
+}
+
+/*
+ * A VM that no replica of ours holds, but that reports one of ours: it came
+ * back after its place was given away, or an order of an earlier owner
+ * reached it late.  A replica that may still be adopted is left alone, and so
+ * is everything whose name we do not manage.
+ */
+static bool
+stray (const struct rep *r, clk_ms now, const struct rep_vm *vm,
+       struct order *out)
+{
+  size_t vms[ASN_MAX_VMS];
+  const struct rep_replica *p;
+  int64_t generation;
+
+  if (vm->said.unloaded || !vm->said.replica.len)
+    return false;
+  p = rep_replica_named (r, vm->said.replica);
+  if (!p || !p->managed)
+    return false;
+  if (!asn_find (&r->doc, p->name) && !asn_is_drained (&r->doc, p->name)
+      && (now - r->owner_since < REP_ADOPT_MS || !p->model
+          || evd_reporting (r, now, vm->said.replica, vms, &generation)
+                 >= p->model->vms))
+    return false;
+  *out = (struct order){ .order = REP_UNLOAD,
+                         .replica = vm->said.replica,
+                         .generation = vm->said.generation };
+  return true;
+}
+
+static unsigned
+rank_of (const struct asn_entry *e, struct str vm)
+{
+  for (unsigned i = 0; i < e->nvms; i++)
+    if (str_is (vm, e->vms[i]))
+      return i;
+  return 0;
+}
+
+static bool
+is_joining (const struct asn_entry *e, const struct rep_vm *vm)
+{
+  return e->joining.vm && str_is (vm->cfg->name, e->joining.vm);
+}
+
+static bool
+member (const struct rep_vm *vm, const struct rep_replica *p,
+        const struct asn_entry *e, struct order *out)
+{
+  bool joining = is_joining (e, vm);
+  int64_t generation = joining ? e->joining.generation : e->generation;
+  struct str name = str_from (e->name);
+
+  *out = (struct order){ .replica = name,
+                         .model = str_from (e->model),
+                         .generation = generation,
+                         .world = (unsigned)e->nvms };
+  if (e->phase == ASN_RELEASING)
+    {
+      out->order = REP_UNLOAD;
+      return !vm->said.unloaded;
+    }
+  if (says (vm, name, generation))
+    return false;
+  if (!vm->said.unloaded && vm->said.replica.len
+      && !str_eq (vm->said.replica, name))
+    {
+      /* Another replica's weights, by a late order: they go first. */
+      out->order = REP_UNLOAD;
+      out->replica = vm->said.replica;
+      out->generation = vm->said.generation;
+      return true;
+    }
+  out->order = REP_LOAD;
+  out->rank
+      = rank_of (e, joining ? str_from (e->joining.replaces) : vm->cfg->name);
+  return joining || p->has_slot;
+}
+
+static bool
+wanted_order (const struct rep *r, clk_ms now, const struct rep_vm *vm,
+              struct order *out)
+{
+  const struct asn_entry *e = asn_holder (&r->doc, vm->cfg->name);
+  const struct rep_replica *p;
+
+  if (!e)
+    return stray (r, now, vm, out);
+  p = rep_replica_find (r, e->name);
+  if (p->cfg && !p->managed)
+    return false;
+  return member (vm, p, e, out);
+}
+
+static void
+send_order (struct rep *r, clk_ms now, struct rep_vm *vm,
+            const struct order *o)
+{
+  struct rep_action *a = rep_push (r, REP_SEND_ORDER);
+
+  vm->order_token = ++r->tokens;
+  vm->next_order = now + REP_ANSWER_MS;
+  a->token = vm->order_token;
+  a->vm = vm->cfg;
+  a->order = o->order;
+  a->model = o->model;
+  a->replica = o->replica;
+  a->generation = o->generation;
+  a->rank = o->rank;
+  a->world = o->world;
+  a->fence = r->fence;
+}
+
+/* Orders are repeated until the VM reports what was ordered: an answer to an
+   order only tells that it arrived. */
+void
+ord_tick (struct rep *r, clk_ms now)
+{
+  struct order o;
+
+  if (!r->owner || !r->doc_known || now < r->settle_until)
+    return;
+  for (size_t i = 0; i < r->nvms; i++)
+    {
+      struct rep_vm *vm = &r->vms[i];
+
+      if (now >= vm->next_order && evd_present (vm, now)
+          && wanted_order (r, now, vm, &o))
+        send_order (r, now, vm, &o);
+    }
+}
+
+void
+ord_done (struct rep *r, clk_ms now, struct rep_vm *vm, uint64_t token,
+          bool ok)
+{
+  if (!token || token != vm->order_token)
+    return;
+  vm->order_token = 0;
+  vm->next_order = now + (ok ? REP_ORDER_RETRY_MS : REP_ORDER_RETRY_MS / 2);
+}
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -42,10 +42,12 @@
   REP_PROBED,       /**< vm, member: answered */
   REP_PROBE_FAILED, /**< vm */
   REP_PLATFORM,     /**< vm, on: listed as live; off: leaving */
-  REP_ORDER_DONE,   /**< vm, token, ok */
+  REP_ORDER_DONE,   /**< vm, token; on: it was obeyed */
   REP_STORE_ANSWER, /**< token, result */
   REP_OWNER,        /**< on, fence: this node owns the domain or not */
-  REP_DRAIN         /**< replica, on: operator wants it drained */
+  REP_DRAIN,        /**< replica, on: operator wants it drained */
+  REP_TURN,         /**< on: this domain may load weights now */
+  REP_LIVE          /**< model, live: whole replicas of it anywhere */
 };
 
 struct rep_event
@@ -61,6 +63,8 @@
   const struct store_result *result;
   bool on;
   int64_t fence;
+  struct str model;
+  unsigned live;
 };
 
 enum rep_order
@@ -78,6 +82,7 @@
   REP_EVIDENCE    /**< something changed: see rep_views() */
 };
 
+/** Strings are valid until the next event, those of a txn until its answer. */
 struct rep_action
 {
   enum rep_action_kind kind;
@@ -109,10 +114,22 @@
   size_t members;
 };
 
+/** What to do about a replica that lost a VM. */
+enum rep_rule
+{
+  REP_BY_COST,         /**< the cheapest by the configuration's weights */
+  REP_ALWAYS_DISSOLVE, /**< for comparison: give its VMs back at once */
+  REP_ALWAYS_WAIT      /**< for comparison: until the VM returns */
+};
+
 struct rep_options
 {
   struct str domain;
-  struct str key; /**< assignment key in the store */
+  struct str key;       /**< assignment key in the store */
+  struct str owner_key; /**< of the domain; each change compares its revision
+                             with the fencing number */
+  enum rep_rule rule;
+  bool no_budget; /**< for comparison: load everything at once */
 };
 
 struct rep;
--- /dev/null
+++ b/t/t6002-replica.c
@@ -0,0 +1,526 @@
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "base/chart.h"
+
+#include "t/lib-domain.h"
+
+#define CONFIG(replicas)                                                      \
+  "{\"domains\":{\"d\":{\"zone\":\"z\",\"checks_fence\":true,\"vms\":{"       \
+  "\"v1\":{\"addr\":\"127.0.0.1:1\"},\"v2\":{\"addr\":\"127.0.0.1:2\"},"      \
+  "\"v3\":{\"addr\":\"127.0.0.1:3\"},\"v4\":{\"addr\":\"127.0.0.1:4\"},"      \
+  "\"v5\":{\"addr\":\"127.0.0.1:5\",\"spare_only\":true}}}},"                 \
+  "\"models\":{\"m\":{\"mode\":\"manage\",\"vms\":2,\"replicas\":2,"          \
+  "\"weight_gb\":40,\"capacity\":16,\"tokens_per_s\":900}},"                  \
+  "\"replicas\":{" replicas "},"                                              \
+  "\"policy\":{\"downtime_weight\":3,\"stranded_weight\":1,"                  \
+  "\"weight_gb_per_s\":10,\"vm_return_ms\":300000}}"
+
+#define REPLICA(name, mode, vms)                                              \
+  "\"" name "\":{\"model\":\"m\",\"domain\":\"d\",\"mode\":\"" mode           \
+  "\",\"vms\":[" vms "]}"
+
+static const struct dom_options two
+    = { .config = CONFIG (
+            REPLICA ("r1", "manage", "") "," REPLICA ("r2", "manage", "")),
+        .checks_fence = true,
+        .load_ms = 2000 };
+
+static const struct dom_options observed
+    = { .config
+        = CONFIG (REPLICA ("r1", "route", "\"v1\",\"v2\"") "," REPLICA (
+            "r2", "observe", "\"v3\",\"v4\"")),
+        .load_ms = 2000 };
+
+static const struct dom_options one
+    = { .config = CONFIG (REPLICA ("r1", "manage", "")),
+        .checks_fence = true,
+        .load_ms = 2000 };
+
+/* Backend servers that obey whatever reaches them last. */
+static const struct dom_options deaf
+    = { .config = CONFIG (REPLICA ("r1", "manage", "")), .load_ms = 2000 };
+
+/* The core takes its states by their place in the chart. */
+Test (replica, states_stand_in_the_order_of_the_chart)
+{
+  static const char *const names[]
+      = { "absent",   "forming",  "loading",   "whole",
+          "degraded", "draining", "releasing", "gone" };
+  static const char *const owner_names[]
+      = { "idle", "granting", "taking", "waiting", "holding", "lapsed" };
+
+  for (int i = 0; i < 8; i++)
+    cr_expect_eq (chart_state (chart_embedded ("replica"), names[i]), i);
+  for (int i = 0; i < 6; i++)
+    cr_expect_eq (chart_state (chart_embedded ("owner"), owner_names[i]), i);
+}
+
+/* One replica is ours, the other one is still run by old scripts. */
+static const struct dom_options mixed
+    = { .config = CONFIG (REPLICA ("r1", "manage", "") "," REPLICA (
+            "r2", "observe", "\"v3\",\"v4\"")),
+        .load_ms = 2000 };
+
+static const struct dom_options slow
+    = { .config = CONFIG (REPLICA ("r1", "manage", "")),
+        .checks_fence = true,
+        .load_ms = 20000 };
+
+/* Two replicas of two VMs and a spare: each is formed by one write, and the
+   weights are loaded by one replica at a time. */
+Test (replica, forms_one_after_the_other)
+{
+  dom_check (&two,
+             "0 owner 20\n"
+             "12000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "3100 write r1/1=v1+v2 r2/2=v3+v4\n"
+             "3100 r2/2 loading\n"
+             "5200 r1/1 whole serves\n"
+             "5300 load v3: r2/2 0 of 2\n"
+             "5300 load v4: r2/2 1 of 2\n"
+             "7600 r2/2 whole serves\n");
+}
+
+/* A member goes silent.  Callers must stop being sent to its replica within
+   the evidence time of 3 s (here 2.1 s, its last answer was at 9.1 s); after
+   the grace time the spare takes its place under a new generation.  When the
+   old VM comes back it still reports the old one, and is told to unload. */
+Test (replica, silent_member_is_found_and_replaced)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "10000 run\n"
+             "10000 dead v1\n"
+             "30000 run\n"
+             "40000 start v1 r1 1\n"
+             "50000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "12100 r1/1 degraded\n"
+             "17100 write r1/2=v5+v2\n"
+             "17100 r1/2 loading\n"
+             "17200 load v2: r1/2 1 of 2\n"
+             "17200 load v5: r1/2 0 of 2\n"
+             "19800 r1/2 whole serves\n"
+             "40200 unload v1: r1/1\n");
+}
+
+/* A member is restarted quickly and still reports its place: nothing is
+   ordered and nothing is written. */
+Test (replica, returns_within_the_grace_time)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "10000 run\n"
+             "10000 kill v1\n"
+             "14000 start v1 r1 1\n"
+             "20000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "11100 r1/1 degraded\n"
+             "14100 r1/1 whole serves\n");
+}
+
+/* The whole domain loses power and comes back without weights.  Nothing is
+   reassigned while it is dark or while it returns, and the two replicas load
+   one after the other instead of both at half the rate. */
+Test (replica, dark_domain_comes_back_in_turn)
+{
+  dom_check (&two,
+             "0 owner 20\n"
+             "12000 run\n"
+             "12000 kill v1\n"
+             "12000 kill v2\n"
+             "12000 kill v3\n"
+             "12000 kill v4\n"
+             "12000 kill v5\n"
+             "100000 blank v1\n"
+             "100000 blank v2\n"
+             "100000 blank v3\n"
+             "100000 blank v4\n"
+             "100000 blank v5\n"
+             "120000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "3100 write r1/1=v1+v2 r2/2=v3+v4\n"
+             "3100 r2/2 loading\n"
+             "5200 r1/1 whole serves\n"
+             "5300 load v3: r2/2 0 of 2\n"
+             "5300 load v4: r2/2 1 of 2\n"
+             "7600 r2/2 whole serves\n"
+             "13100 r1/1 degraded\n"
+             "13400 r2/2 degraded\n"
+             "100300 load v1: r1/1 0 of 2\n"
+             "100300 load v2: r1/1 1 of 2\n"
+             "103200 r1/1 whole serves\n"
+             "103300 load v3: r2/2 0 of 2\n"
+             "103300 load v4: r2/2 1 of 2\n"
+             "105600 r2/2 whole serves\n");
+}
+
+/* Replicas that old scripts run, of modes route and observe: declared members
+   that name no replica count, a lost one is seen, and no order nor write ever
+   goes out. */
+Test (replica, observed_and_routed_get_no_orders)
+{
+  dom_check (&observed,
+             "0 start v1 - 0\n"
+             "0 start v2 - 0\n"
+             "0 start v3 - 0\n"
+             "0 start v4 - 0\n"
+             "0 owner 20\n"
+             "12000 kill v1\n"
+             "20000 start v1 - 0\n"
+             "30000 blank v3\n"
+             "40000 run\n",
+             "0 r1/0 degraded\n"
+             "0 r2/0 degraded\n"
+             "200 r1/0 whole serves\n"
+             "600 r2/0 whole serves\n"
+             "13100 r1/0 degraded\n"
+             "20100 r1/0 whole serves\n"
+             "30400 r2/0 degraded\n");
+}
+
+/* The platform lists a member as leaving while requests run.  New work stops
+   at once; the spare loads meanwhile; the members change only when the last
+   request is done, and the leaving VM is unloaded. */
+Test (replica, leaving_member_is_replaced_first)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "10000 work v1 5\n"
+             "10000 work v2 7\n"
+             "11000 leaving v1\n"
+             "30000 work v1 0\n"
+             "30000 work v2 0\n"
+             "50000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "11000 r1/1 draining serves no new work\n"
+             "11100 write r1/1=v1+v2 (v5 for v1)\n"
+             "11200 load v5: r1/2 0 of 2\n"
+             "33200 write r1/2=v5+v2\n"
+             "33200 r1/2 loading\n"
+             "33300 unload v1: r1/1\n"
+             "33300 load v2: r1/2 1 of 2\n"
+             "34200 r1/2 whole serves\n");
+}
+
+/* The list takes its word back before the member left: it stays. */
+Test (replica, leaving_was_a_mistake)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "10000 work v1 5\n"
+             "11000 leaving v1\n"
+             "16000 listed v1\n"
+             "25000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "11000 r1/1 draining serves no new work\n"
+             "11100 write r1/1=v1+v2 (v5 for v1)\n"
+             "11200 load v5: r1/2 0 of 2\n"
+             "16000 r1/1 whole serves\n"
+             "16100 write r1/1=v1+v2\n"
+             "16200 unload v5: r1/2\n");
+}
+
+/* An operator drains a replica with requests in flight.  Its VMs are released
+   only once they report no load and then no weights. */
+Test (replica, operator_drains_and_takes_back)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "10000 work v1 5\n"
+             "11000 drain r1\n"
+             "30000 work v1 0\n"
+             "50000 undrain r1\n"
+             "60000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "11100 write r1/1=v1+v2 drained r1\n"
+             "11100 r1/1 draining serves no new work\n"
+             "33200 write r1/1 releasing=v1+v2 drained r1\n"
+             "33200 r1/1 releasing no new work\n"
+             "33300 unload v1: r1/1\n"
+             "33300 unload v2: r1/1\n"
+             "34300 write drained r1\n"
+             "34300 r1/0 absent no new work\n"
+             "50100 write\n"
+             "50100 r1/0 absent\n"
+             "50200 write r1/2=v1+v2\n"
+             "50200 r1/2 loading\n"
+             "50300 load v1: r1/2 0 of 2\n"
+             "50300 load v2: r1/2 1 of 2\n"
+             "53200 r1/2 whole serves\n");
+}
+
+/* The answer to the first write is lost although it took effect; a later
+   write is beaten by another writer.  In both cases the store is read, and
+   what it holds counts. */
+Test (replica, lost_and_lost_races_are_read_again)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "2900 store lost\n"
+             "6000 kill v1\n"
+             "7000 store race\n"
+             "16000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2 (answer lost)\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "7100 r1/1 degraded\n"
+             "11100 write r1/2=v5+v2 (conflict)\n"
+             "12700 write r1/2=v5+v2\n"
+             "12700 r1/2 loading\n"
+             "12800 load v2: r1/2 1 of 2\n"
+             "12800 load v5: r1/2 0 of 2\n"
+             "14800 r1/2 whole serves\n");
+}
+
+/* The store goes down and ownership lapses with it.  The whole replica goes
+   on, a lost member is seen as always, no order goes out; once the store is
+   back nothing has to be put right. */
+Test (replica, store_down_keeps_serving)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "6000 store down\n"
+             "6000 unowner\n"
+             "8000 kill v1\n"
+             "20000 start v1 r1 1\n"
+             "30000 store up\n"
+             "30000 owner 30\n"
+             "40000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "9100 r1/1 degraded\n"
+             "20100 r1/1 whole serves\n");
+}
+
+/* This node starts while the store is down and could never read who belongs to
+   what.  VMs that report the same replica and generation, as many as its model
+   has, serve; one short they don't. */
+Test (replica, store_down_at_start_serves_what_reports_itself)
+{
+  dom_check (&one,
+             "0 store down\n"
+             "0 start v1 r1 4\n"
+             "0 start v3 r1 4\n"
+             "5000 kill v3\n"
+             "12000 run\n",
+             "0 r1/0 absent\n"
+             "100 r1/4 absent\n"
+             "400 r1/4 whole serves\n"
+             "6400 r1/4 degraded\n");
+}
+
+/* A member is replaced between two probes by a new VM of the same name, so
+   that no probe ever fails.  It reports no replica: not whole at once, loaded,
+   then whole. */
+Test (replica, vm_replaced_under_the_same_name)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "6050 blank v2\n"
+             "12000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "6200 r1/1 degraded\n"
+             "6300 load v2: r1/1 1 of 2\n"
+             "9200 r1/1 whole serves\n");
+}
+
+/* Replicas run already, and their VMs report name and generation: they are
+   taken over as they are, without any order. */
+Test (replica, adopts_what_runs)
+{
+  dom_check (&two,
+             "0 start v1 r1 7\n"
+             "0 start v3 r1 7\n"
+             "0 start v2 r2 9\n"
+             "0 start v4 r2 9\n"
+             "0 owner 20\n"
+             "70000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 absent\n"
+             "3000 write r1/7=v1+v3\n"
+             "3000 r1/7 whole serves\n"
+             "3100 write r1/7=v1+v3 r2/9=v2+v4\n"
+             "3100 r2/9 whole serves\n");
+}
+
+/* A new owner finds one VM of a running replica and not the other.  It must
+   not unload or reuse it at once: the other one returns. */
+Test (replica, waits_to_adopt_a_replica_with_a_member_away)
+{
+  dom_check (&two,
+             "0 start v1 r1 7\n"
+             "0 kill v2\n"
+             "0 kill v5\n"
+             "0 owner 20\n"
+             "20000 start v2 r1 7\n"
+             "30000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 absent\n"
+             "3000 write r2/1=v3+v4\n"
+             "3000 r2/1 loading\n"
+             "3100 load v3: r2/1 0 of 2\n"
+             "3100 load v4: r2/1 1 of 2\n"
+             "5600 r2/1 whole serves\n"
+             "20300 write r2/1=v3+v4 r1/7=v1+v2\n"
+             "20300 r1/7 whole serves\n");
+}
+
+/* Backend servers ignore fencing numbers, and orders of an earlier owner
+   arrive late: one loads a spare, one puts an old generation on a member.  The
+   spare is unloaded; the replica stops serving until the member is right. */
+Test (replica, late_order_without_fencing)
+{
+  dom_check (&deaf,
+             "0 owner 20\n"
+             "6000 late v3 r1 1 10\n"
+             "7000 late v2 r1 0 10\n"
+             "16000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "6500 unload v3: r1/1\n"
+             "7200 r1/1 degraded\n"
+             "7300 load v2: r1/1 1 of 2\n"
+             "8200 r1/1 whole serves\n");
+}
+
+/* Another node took the domain and this one does not know yet.  The new owner
+   has put v1 to other work.  The old one's orders carry the lower number and
+   are refused, and its write fails as it compares the owner key. */
+Test (replica, usurped_owner_changes_nothing)
+{
+  dom_check (&one,
+             "0 owner 20\n"
+             "6000 usurp 30\n"
+             "6000 late v1 r9 3 30\n"
+             "8000 kill v2\n"
+             "15000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "5200 r1/1 whole serves\n"
+             "6100 r1/1 degraded\n"
+             "6200 unload v1: r9/3 (refused)\n"
+             "7200 unload v1: r9/3 (refused)\n"
+             "8200 unload v1: r9/3 (refused)\n"
+             "9200 unload v1: r9/3 (refused)\n"
+             "10200 unload v1: r9/3 (refused)\n"
+             "11200 unload v1: r9/3 (refused)\n"
+             "12200 unload v1: r9/3 (refused)\n"
+             "13200 unload v1: r9/3 (refused)\n"
+             "13200 write r1/2=v1+v5 (conflict)\n"
+             "14200 unload v1: r9/3 (refused)\n"
+             "14700 write r1/2=v1+v5 (conflict)\n");
+}
+
+/* The old scripts restart r2, so that its VMs hold no weights for a while, as
+   free VMs do.  r1 needs a second VM meanwhile: it takes the spare, not those.
+ */
+Test (replica, undeclared_use_is_left_alone)
+{
+  dom_check (&mixed,
+             "0 kill v1\n"
+             "0 owner 20\n"
+             "12000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 degraded\n"
+             "3000 write r1/1=v2+v5\n"
+             "3000 r1/1 loading\n"
+             "3100 load v2: r1/1 0 of 2\n"
+             "3100 load v5: r1/1 1 of 2\n"
+             "5800 r1/1 whole serves\n");
+}
+
+/* With r1 drained there are enough free VMs for r2, which is absent, but r2 is
+   only observed. */
+Test (replica, observed_replica_is_never_formed)
+{
+  dom_check (&mixed,
+             "0 drain r1\n"
+             "0 owner 20\n"
+             "12000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 degraded\n"
+             "0 r1/0 absent no new work\n"
+             "200 write drained r1\n");
+}
+
+/* The replica has no work left long before the spare has loaded.  It stays
+   ready to go on in case the list takes its word back; the members change once
+   the spare is ready. */
+Test (replica, leaving_waits_for_the_spare)
+{
+  dom_check (&slow,
+             "0 owner 20\n"
+             "30000 leaving v1\n"
+             "70000 run\n",
+             "0 r1/0 absent\n"
+             "3000 write r1/1=v1+v2\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 2\n"
+             "3100 load v2: r1/1 1 of 2\n"
+             "23200 r1/1 whole serves\n"
+             "30000 r1/1 draining serves no new work\n"
+             "30100 write r1/1=v1+v2 (v5 for v1)\n"
+             "30200 load v5: r1/2 0 of 2\n"
+             "50900 write r1/2=v5+v2\n"
+             "50900 r1/2 loading\n"
+             "51000 unload v1: r1/1\n"
+             "51000 load v2: r1/2 1 of 2\n"
+             "51200 r1/2 whole serves\n");
+}
