Add the loop, the gateway's link and the administration API of control

Cause: a node's control process had only its header; an operator had no way to see or change anything, and a gateway no view. Change: control.c owns the loop, starts the modules in order and leaves gracefully: it says so in membership and to its gateway, waits for the gateway's link to go or for the longest address answer to run out, then ends. views.c sends whole numbered views, configuration text only when its hash changed. admin.c checks tokens and roles; drains go to the node that can carry them out, traces are collected from every node; every change is logged with who and under which revision. exposition.c counts bytes, messages and store calls by mechanism. Not run yet: control is not linked into a command before the modules beside it have landed.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,14 @@
 B = build$(if $(SAN),/san)
 
 FOLDERS = base net store config fleet claim replica route back front control
+# Short lines unless V=1.
+ifndef V
+QUIET_CC = @echo "  CC   $@";
+QUIET_LINK = @echo "  LINK $@";
+QUIET_AR = @echo "  AR   $@";
+QUIET_GEN = @echo "  GEN  $@";
+endif
+
 LIB_SRC = $(wildcard $(FOLDERS:%=%/*.c)) proto/wire.pb-c.c \
 	$(filter-out proto/wire.pb-c.c,$(wildcard proto/*.pb-c.c))
 CMD_SRC = lapisline.c $(wildcard builtin/*.c)
@@ -21,20 +29,20 @@
 all: $B/lapisline $(if $(wildcard t/standin/*.c),$B/standin)
 
 $B/liblapisline.a: $(LIB_OBJ)
-	rm -f $@ && ar rcs $@ $^
+	$(QUIET_AR)rm -f $@ && ar rcs $@ $^
 
 $B/lapisline: $(CMD_OBJ) $B/liblapisline.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 $B/standin: $(patsubst %.c,$B/%.o,$(wildcard t/standin/*.c)) $B/liblapisline.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 $B/t/%: $B/t/%.o $(T_OBJ) $B/liblapisline.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcriterion
+	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcriterion
 
 $B/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+	$(QUIET_CC)$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 # Measurements name the revision that they were made with.
 REVISION = $(shell git describe --always --dirty 2>/dev/null || echo unknown)
@@ -51,10 +59,10 @@
 # Charts are embedded as C strings so that the binary needs no files.
 $B/charts.c: $(wildcard charts/*.json) charts/embed.sh
 	@mkdir -p $(@D)
-	sh charts/embed.sh charts > $@
+	$(QUIET_GEN)sh charts/embed.sh charts > $@
 
 $B/charts.o: $B/charts.c
-	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
+	$(QUIET_CC)$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
 
 tests: all $(TESTS)
 
@@ -73,12 +81,12 @@
 	$(FOLDERS:%=%/*.[ch]) t/*.[ch] t/standin/*.[ch]))
 
 format:
-	clang-format --dry-run -Werror $(STYLED)
+	@clang-format --dry-run -Werror $(STYLED)
 
 # One file at a time on every core; clang-tidy counts the suppressed warnings
 # of system headers on standard error, which nobody needs.
 lint:
-	printf '%s\n' $(filter %.c,$(STYLED)) | xargs -P $(shell nproc) -I{} \
+	@printf '%s\n' $(filter %.c,$(STYLED)) | xargs -P $(shell nproc) -I{} \
 		clang-tidy --quiet {} -- $(CPPFLAGS) -std=gnu11 \
 		'-DLAPISLINE_REVISION="lint"' 2>/dev/null
 
--- /dev/null
+++ b/control/admin.c
@@ -0,0 +1,226 @@
+#include "control/admin.h"
+
+#include <openssl/sha.h>
+#include <stdlib.h>
+
+#define MAX_BODY ((size_t)4096)
+#define MAX_CONNECTIONS 64
+#define REQUEST_MS (10 * CLK_SECOND)
+
+#define PREFIX "/admin/v1/"
+
+struct route
+{
+  const char *method;
+  const char *resource;
+  bool named;       /* followed by a name */
+  const char *verb; /* after the name, or NULL */
+  enum cfg_role role;
+  void (*run) (const struct adm_request *r);
+};
+
+static const struct route routes[] = {
+  { "GET", "replicas", false, NULL, CFG_VIEWER, adm_replicas },
+  { "GET", "replicas", true, NULL, CFG_VIEWER, adm_replica },
+  { "POST", "replicas", true, "drain", CFG_OPERATOR, adm_drain_replica },
+  { "GET", "nodes", false, NULL, CFG_VIEWER, adm_nodes },
+  { "GET", "nodes", true, NULL, CFG_VIEWER, adm_node },
+  { "POST", "nodes", true, "drain", CFG_OPERATOR, adm_drain_node },
+  { "GET", "accounts", false, NULL, CFG_VIEWER, adm_accounts },
+  { "GET", "config", false, NULL, CFG_VIEWER, adm_config },
+  { "GET", "status", false, NULL, CFG_VIEWER, adm_status },
+  { "GET", "traces", true, NULL, CFG_VIEWER, adm_trace },
+};
+
+#define NROUTES (sizeof routes / sizeof routes[0])
+
+static void
+answer_as (struct httpd_req *http, int status, struct str type,
+           struct str body)
+{
+  struct http_header headers[] = {
+    { STR ("content-type"), type },
+    { STR ("cache-control"), STR ("no-store") },
+  };
+  httpd_answer (http, status, headers, 2, body);
+}
+
+void
+adm_answer (struct httpd_req *http, int status, struct str json)
+{
+  answer_as (http, status, STR ("application/json"), json);
+}
+
+void
+adm_error (struct httpd_req *http, int status, const char *code,
+           const char *message)
+{
+  struct buf out = BUF_INIT;
+  buf_addf (&out, "{\"error\":{\"code\":\"%s\",\"message\":", code);
+  buf_add_json (&out, str_from (message));
+  buf_add_c (&out, "}}\n");
+  adm_answer (http, status, buf_str (&out));
+  buf_free (&out);
+}
+
+/* Take the next part of a path; the rest is left in `path`. */
+static struct str
+next_part (struct str *path)
+{
+  size_t end = str_chr (*path, '/');
+  struct str part = str_head (*path, end);
+  *path = str_skip (*path, end + 1);
+  return part;
+}
+
+struct target
+{
+  struct str resource;
+  struct str name;
+  struct str verb;
+};
+
+static bool
+parse_target (struct str path, struct target *t)
+{
+  if (!str_starts (path, STR (PREFIX)))
+    return false;
+  path = str_skip (path, sizeof PREFIX - 1);
+  t->resource = next_part (&path);
+  t->name = next_part (&path);
+  t->verb = next_part (&path);
+  return path.len == 0;
+}
+
+static bool
+matches (const struct route *r, const struct target *t)
+{
+  return str_is (t->resource, r->resource) && (t->name.len > 0) == r->named
+         && str_is (t->verb, r->verb ? r->verb : "");
+}
+
+/* The route, or NULL with the reason: no such path, or not by that method. */
+static const struct route *
+find_route (const struct httpd_view *view, struct target *t, int *status)
+{
+  *status = 404;
+  if (!parse_target (view->path, t))
+    return NULL;
+  for (size_t i = 0; i < NROUTES; i++)
+    {
+      if (!matches (&routes[i], t))
+        continue;
+      if (str_is (view->method, routes[i].method))
+        return &routes[i];
+      *status = 405;
+    }
+  return NULL;
+}
+
+static const struct cfg_operator *
+find_operator (const struct ctl *c, const struct httpd_req *http)
+{
+  struct str header = httpd_header (http, "authorization");
+  struct buf digest = BUF_INIT;
+  uint8_t hash[SHA256_DIGEST_LENGTH];
+  if (!str_starts (header, STR ("Bearer ")))
+    return NULL;
+  struct str token = str_trim (str_skip (header, 7));
+  SHA256 ((const uint8_t *)token.ptr, token.len, hash);
+  buf_add_hex (&digest, hash, sizeof hash);
+  const struct cfg_operator *who
+      = cfg_operator_by_token (c->cfg, buf_str (&digest));
+  buf_free (&digest);
+  return who;
+}
+
+static void
+refuse (struct httpd_req *http, int status, const char *code,
+        const char *message, struct str who)
+{
+  const struct httpd_view *view = httpd_get (http);
+  LOG (admin_refused, LOG_C ("code", code), LOG_S ("operator", who),
+       LOG_S ("method", view->method), LOG_S ("path", view->path),
+       LOG_C ("from", view->peer.host));
+  adm_error (http, status, code, message);
+}
+
+static void
+serve_route (struct ctl_admin *a, struct httpd_req *http)
+{
+  struct target t = { 0 };
+  int status;
+  if (!a->c->cfg)
+    {
+      adm_error (http, 503, "no-configuration",
+                 "no configuration is in force yet, so no operator is known");
+      return;
+    }
+  const struct cfg_operator *who = find_operator (a->c, http);
+  if (!who)
+    {
+      refuse (http, 401, "unauthorized", "an operator's token is needed",
+              STR_EMPTY);
+      return;
+    }
+  const struct route *route = find_route (httpd_get (http), &t, &status);
+  if (!route)
+    adm_error (http, status, status == 404 ? "no-such-path" : "method",
+               status == 404 ? "no such path" : "not by this method");
+  else if (who->role < route->role)
+    refuse (http, 403, "forbidden", "the role viewer may not do this",
+            who->name);
+  else
+    route->run (&(struct adm_request){ a, http, t.name, who });
+}
+
+static void
+serve_metrics (struct ctl_admin *a, struct httpd_req *http)
+{
+  struct buf out = BUF_INIT;
+  adm_expose (a->c, &out);
+  answer_as (http, 200, STR ("text/plain; version=0.0.4"), buf_str (&out));
+  buf_free (&out);
+}
+
+static void
+on_request (void *ctx, struct httpd_req *http)
+{
+  struct ctl_admin *a = ctx;
+  const struct httpd_view *view = httpd_get (http);
+  if (str_is (view->path, "/metrics") && str_is (view->method, "GET"))
+    serve_metrics (a, http);
+  else
+    serve_route (a, http);
+}
+
+struct ctl_admin *
+ctl_admin_start (struct ctl *c, struct buf *err)
+{
+  static const struct httpd_limits limits
+      = { .max_body = MAX_BODY,
+          .max_connections = MAX_CONNECTIONS,
+          .request_ms = REQUEST_MS };
+  struct ctl_admin *a = xcalloc (1, sizeof *a);
+  a->c = c;
+  a->httpd = httpd_listen (c->loop, &c->set.control_admin, &limits, on_request,
+                           a, err);
+  if (a->httpd)
+    return a;
+  free (a);
+  return NULL;
+}
+
+void
+ctl_admin_stop (struct ctl_admin *a)
+{
+  adm_asks_stop (a);
+  httpd_free (a->httpd);
+  free (a);
+}
+
+uint16_t
+ctl_admin_port (const struct ctl_admin *a)
+{
+  return httpd_port (a->httpd);
+}
--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,248 @@
+#include "control/control.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "store/etcd.h"
+
+/* Longest wait for one answer of the store. */
+#define STORE_CALL_MS (2 * CLK_SECOND)
+
+/* How often a leaving process looks whether it may go. */
+#define LEAVE_CHECK_MS ((clk_ms)100)
+
+/*
+ * A leaving node stays at least this long: gossip needs a few rounds to tell
+ * everybody that it leaves, and owned domains need a store answer to be given
+ * back.  Without it the others would take it for dead and wait for its leases.
+ */
+#define LEAVE_LEAST_MS CLK_SECOND
+
+/* Lifetime of address answers before the first configuration. */
+#define ADDRESS_MS (30 * CLK_SECOND)
+
+#define SPANS 4096
+
+/* Rounds of the loop in which closing handles come to their end. */
+#define CLOSE_ROUNDS 1000
+
+struct process
+{
+  struct ctl ctl; /* first: the modules know only this */
+  uv_loop_t loop;
+  uv_signal_t term;
+  uv_signal_t interrupt;
+  uv_timer_t leave_check;
+  clk_ms left_at;
+  bool finished;
+};
+
+static struct process *
+process_of (struct ctl *c)
+{
+  return (struct process *)c;
+}
+
+void
+ctl_config_changed (struct ctl *c, struct cfg *cfg, struct str text)
+{
+  struct cfg *old = c->cfg;
+  c->cfg = cfg_ref (cfg);
+  if (c->domains)
+    ctl_domains_config (c->domains);
+  if (c->shares)
+    ctl_shares_config (c->shares);
+  if (c->views)
+    ctl_views_touch (c->views);
+  if (old)
+    cfg_unref (old);
+}
+
+void
+ctl_member_changed (struct ctl *c, const struct mbr_node *node)
+{
+  if (c->peers)
+    ctl_peers_member (c->peers, node);
+  if (c->spread)
+    ctl_spread_members (c->spread);
+  if (c->domains)
+    ctl_domains_members (c->domains);
+  if (c->views)
+    ctl_views_touch (c->views);
+}
+
+void
+ctl_evidence_changed (struct ctl *c)
+{
+  if (c->views)
+    ctl_views_touch (c->views);
+}
+
+/* In the reverse order of their start.  A pointer is cleared once its module
+   is gone, as those that are left may still tell the others something. */
+static void
+stop_modules (struct ctl *c)
+{
+#define STOP(name)                                                            \
+  do                                                                          \
+    {                                                                         \
+      if (c->name)                                                            \
+        ctl_##name##_stop (c->name);                                          \
+      c->name = NULL;                                                         \
+    }                                                                         \
+  while (0)
+  STOP (admin);
+  STOP (views);
+  STOP (shares);
+  STOP (domains);
+  STOP (spread);
+  STOP (peers);
+  STOP (swim);
+#undef STOP
+}
+
+static void
+finish (struct process *p)
+{
+  if (p->finished)
+    return;
+  p->finished = true;
+  stop_modules (&p->ctl);
+  uv_close ((uv_handle_t *)&p->term, NULL);
+  uv_close ((uv_handle_t *)&p->interrupt, NULL);
+  uv_close ((uv_handle_t *)&p->leave_check, NULL);
+  uv_stop (&p->loop);
+}
+
+static clk_ms
+address_ms (const struct ctl *c)
+{
+  return c->cfg ? c->cfg->limits.address_ms : ADDRESS_MS;
+}
+
+/*
+ * Callers keep an address answer for its lifetime, and the gateway serves
+ * them meanwhile and tells so by keeping its link.  Only when the link is
+ * gone, or the last answer that names this node has run out, may control go.
+ */
+static void
+on_leave_check (uv_timer_t *t)
+{
+  struct process *p = t->data;
+  clk_ms past = clk_now () - p->left_at;
+  bool linked = ctl_views_linked (p->ctl.views);
+  if (past < LEAVE_LEAST_MS || (linked && past < address_ms (&p->ctl)))
+    return;
+  if (linked)
+    LOG (gateway_still_linked, LOG_I ("after_ms", past));
+  finish (p);
+}
+
+void
+ctl_leave (struct ctl *c)
+{
+  struct process *p = process_of (c);
+  if (c->leaving)
+    return;
+  c->leaving = true;
+  p->left_at = clk_now ();
+  LOG (process_stopping, LOG_I ("boot", c->boot));
+  ctl_swim_leave (c->swim);
+  ctl_domains_members (c->domains);
+  ctl_views_touch (c->views);
+  uv_timer_start (&p->leave_check, on_leave_check, LEAVE_CHECK_MS,
+                  LEAVE_CHECK_MS);
+}
+
+static void
+on_signal (uv_signal_t *h, int signum)
+{
+  ctl_leave (h->data);
+}
+
+static bool
+start_modules (struct ctl *c, struct buf *err)
+{
+  return (c->swim = ctl_swim_start (c, err)) != NULL
+         && (c->peers = ctl_peers_start (c, err)) != NULL
+         && (c->spread = ctl_spread_start (c, err)) != NULL
+         && (c->domains = ctl_domains_start (c, err)) != NULL
+         && (c->shares = ctl_shares_start (c, err)) != NULL
+         && (c->views = ctl_views_start (c, err)) != NULL
+         && (c->admin = ctl_admin_start (c, err)) != NULL;
+}
+
+static void
+print_ready (const struct ctl *c)
+{
+  const struct settings *s = &c->set;
+  printf ("ready control swim=%s:%u peer=%s:%u admin=%s:%u\n",
+          s->control_swim.host, ctl_swim_port (c->swim), s->control_peer.host,
+          ctl_peers_port (c->peers), s->control_admin.host,
+          ctl_admin_port (c->admin));
+  fflush (stdout);
+}
+
+static void
+init_process (struct process *p, struct settings *set)
+{
+  struct ctl *c = &p->ctl;
+  struct etcd_options store
+      = { .endpoints = c->set.endpoints, .call_ms = STORE_CALL_MS };
+  struct store_budget budget
+      = { .writes = set->store_writes, .reads = set->store_reads };
+  c->set = *set;
+  store.nendpoints = c->set.nendpoints;
+  c->loop = &p->loop;
+  c->boot = (uint64_t)clk_wall ();
+  rng_seed (&c->rng, rng_entropy ());
+  uv_loop_init (&p->loop);
+  c->http = httpc_new (c->loop);
+  c->store = etcd_store_new (c->loop, c->http, &store, &budget);
+  c->met = met_new ();
+  c->spans = trc_ring_new (SPANS);
+  uv_signal_init (c->loop, &p->term);
+  uv_signal_init (c->loop, &p->interrupt);
+  uv_timer_init (c->loop, &p->leave_check);
+  p->term.data = p->interrupt.data = c;
+  p->leave_check.data = p;
+}
+
+static void
+free_process (struct process *p)
+{
+  struct ctl *c = &p->ctl;
+  store_free (c->store);
+  httpc_free (c->http);
+  for (int i = 0; i < CLOSE_ROUNDS && uv_loop_alive (&p->loop); i++)
+    uv_run (&p->loop, UV_RUN_NOWAIT);
+  uv_loop_close (&p->loop);
+  if (c->cfg)
+    cfg_unref (c->cfg);
+  met_free (c->met);
+  trc_ring_free (c->spans);
+  settings_free (&c->set);
+  free (p);
+}
+
+bool
+ctl_run (struct settings *set, struct buf *err)
+{
+  struct process *p = xcalloc (1, sizeof *p);
+  signal (SIGPIPE, SIG_IGN);
+  init_process (p, set);
+  bool started = start_modules (&p->ctl, err);
+  if (started)
+    {
+      uv_signal_start (&p->term, on_signal, SIGTERM);
+      uv_signal_start (&p->interrupt, on_signal, SIGINT);
+      LOG (process_started, LOG_I ("boot", p->ctl.boot));
+      print_ready (&p->ctl);
+      uv_run (&p->loop, UV_RUN_DEFAULT);
+      LOG (process_stopped, LOG_I ("boot", p->ctl.boot));
+    }
+  finish (p);
+  free_process (p);
+  return started;
+}
--- a/control/control.h
+++ b/control/control.h
@@ -60,7 +60,8 @@
 
 /* control.c: how modules tell the others. */
 
-/** A higher configuration is in force (called by spread.c). */
+/** A higher configuration is in force (called by spread.c); takes a reference
+    of its own. */
 void ctl_config_changed (struct ctl *c, struct cfg *cfg, struct str text);
 /** A member appeared or changed (called by swim.c). */
 void ctl_member_changed (struct ctl *c, const struct mbr_node *node);
@@ -68,9 +69,6 @@
 void ctl_evidence_changed (struct ctl *c);
 /** Begin to leave: drain the gateway, then stop. */
 void ctl_leave (struct ctl *c);
-/** The gateway's link went (called by views.c). */
-void ctl_gateway_gone (struct ctl *c);
-
 /**
  * Run a control process until it was told to leave and has left.
  * @param set  taken over
--- /dev/null
+++ b/control/exposition.c
@@ -0,0 +1,159 @@
+#include "control/admin.h"
+
+#include <stdio.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#define BYTES "lapisline_control_bytes_total"
+#define BYTES_HELP "Bytes by mechanism and direction."
+#define MESSAGES "lapisline_control_messages_total"
+#define MESSAGES_HELP "Messages by mechanism and direction."
+#define STORE "lapisline_control_store_calls_total"
+#define STORE_HELP "Calls of the store by kind."
+#define ENDS "lapisline_control_store_ends_total"
+#define ENDS_HELP "Calls of the store that had no plain success, by end."
+#define SWIM "lapisline_control_swim_events_total"
+#define SWIM_HELP "Packets dropped and changes of opinion in membership."
+
+static void
+count (struct ctl *c, const char *name, const char *help, const char *labels,
+       uint64_t value)
+{
+  met_set (met_counter (c->met, name, help, labels), (double)value);
+}
+
+static void
+fill_swim (struct ctl *c)
+{
+  const struct mbr_counts *n = ctl_swim_counts (c->swim);
+  count (c, BYTES, BYTES_HELP, "mechanism=\"swim\",direction=\"out\"",
+         n->bytes_out);
+  count (c, BYTES, BYTES_HELP, "mechanism=\"swim\",direction=\"in\"",
+         n->bytes_in);
+  count (c, MESSAGES, MESSAGES_HELP, "mechanism=\"swim\",direction=\"out\"",
+         n->sent);
+  count (c, MESSAGES, MESSAGES_HELP, "mechanism=\"swim\",direction=\"in\"",
+         n->received);
+  count (c, SWIM, SWIM_HELP, "event=\"bad-mac\"", n->bad_mac);
+  count (c, SWIM, SWIM_HELP, "event=\"malformed\"", n->malformed);
+  count (c, SWIM, SWIM_HELP, "event=\"replayed\"", n->replayed);
+  count (c, SWIM, SWIM_HELP, "event=\"foreign\"", n->foreign);
+  count (c, SWIM, SWIM_HELP, "event=\"suspected\"", n->suspected);
+  count (c, SWIM, SWIM_HELP, "event=\"refuted\"", n->refuted);
+  count (c, SWIM, SWIM_HELP, "event=\"died\"", n->died);
+  count (c, SWIM, SWIM_HELP, "event=\"self-suspected\"", n->self_suspected);
+}
+
+static void
+fill_store (struct ctl *c)
+{
+  const struct store_counts *n = store_counts (c->store);
+  count (c, STORE, STORE_HELP, "kind=\"range\"", n->ranges);
+  count (c, STORE, STORE_HELP, "kind=\"txn\"", n->txns);
+  count (c, STORE, STORE_HELP, "kind=\"grant\"", n->grants);
+  count (c, STORE, STORE_HELP, "kind=\"keep\"", n->keeps);
+  count (c, STORE, STORE_HELP, "kind=\"revoke\"", n->revokes);
+  count (c, STORE, STORE_HELP, "kind=\"watch\"", n->watches);
+  count (c, ENDS, ENDS_HELP, "end=\"over-budget\"", n->over_budget);
+  count (c, ENDS, ENDS_HELP, "end=\"uncertain\"", n->uncertain);
+  count (c, ENDS, ENDS_HELP, "end=\"unavailable\"", n->unavailable);
+  count (c, ENDS, ENDS_HELP, "end=\"conflict\"", n->conflicts);
+}
+
+static void
+fill_views (struct ctl *c)
+{
+  uint64_t out;
+  uint64_t in;
+  ctl_views_traffic (c->views, &out, &in);
+  count (c, BYTES, BYTES_HELP, "mechanism=\"view\",direction=\"out\"", out);
+  count (c, BYTES, BYTES_HELP, "mechanism=\"view\",direction=\"in\"", in);
+  met_set (met_gauge (c->met, "lapisline_control_gateway_linked",
+                      "Whether this node's gateway is linked.", NULL),
+           ctl_views_linked (c->views));
+}
+
+static void
+fill_nodes (struct ctl *c)
+{
+  static const char *const labels[] = {
+    [MBR_ALIVE] = "status=\"alive\"",
+    [MBR_SUSPECT] = "status=\"suspect\"",
+    [MBR_LEAVING] = "status=\"leaving\"",
+    [MBR_DEAD] = "status=\"dead\"",
+  };
+  size_t by_status[4] = { 0 };
+  size_t n;
+  const struct mbr_node *const *nodes = ctl_swim_nodes (c->swim, &n);
+  for (size_t i = 0; i < n; i++)
+    by_status[nodes[i]->status]++;
+  for (size_t i = 0; i < 4; i++)
+    met_set (met_gauge (c->met, "lapisline_control_nodes",
+                        "Nodes known, by status.", labels[i]),
+             (double)by_status[i]);
+}
+
+static void
+fill_replicas (struct ctl *c)
+{
+  size_t n;
+  size_t whole = 0;
+  clk_ms now = clk_now ();
+  const struct ctl_replica *all = ctl_domains_replicas (c->domains, &n);
+  for (size_t i = 0; i < n; i++)
+    whole += all[i].whole && all[i].valid_until > now;
+  met_set (met_gauge (c->met, "lapisline_control_replicas",
+                      "Replicas known to this node.", NULL),
+           (double)n);
+  met_set (met_gauge (c->met, "lapisline_control_replicas_whole",
+                      "Replicas with evidence that every VM is up.", NULL),
+           (double)whole);
+}
+
+static double
+cpu_seconds (void)
+{
+  struct rusage use;
+  getrusage (RUSAGE_SELF, &use);
+  return (double)(use.ru_utime.tv_sec + use.ru_stime.tv_sec)
+         + (double)(use.ru_utime.tv_usec + use.ru_stime.tv_usec) / 1e6;
+}
+
+static double
+resident_bytes (void)
+{
+  long pages = 0;
+  FILE *f = fopen ("/proc/self/statm", "r");
+  if (!f)
+    return 0;
+  if (fscanf (f, "%*s %ld", &pages) != 1)
+    pages = 0;
+  fclose (f);
+  return (double)pages * (double)sysconf (_SC_PAGESIZE);
+}
+
+static void
+fill_process (struct ctl *c)
+{
+  met_set (met_counter (c->met, "lapisline_control_cpu_seconds_total",
+                        "Processor time of this process.", NULL),
+           cpu_seconds ());
+  met_set (met_gauge (c->met, "lapisline_control_resident_bytes",
+                      "Resident memory of this process.", NULL),
+           resident_bytes ());
+  met_set (met_gauge (c->met, "lapisline_control_config_revision",
+                      "Configuration revision of this process.", NULL),
+           c->cfg ? (double)c->cfg->revision : 0);
+}
+
+void
+adm_expose (struct ctl *c, struct buf *out)
+{
+  fill_swim (c);
+  fill_store (c);
+  fill_views (c);
+  fill_nodes (c);
+  fill_replicas (c);
+  fill_process (c);
+  met_expose (c->met, out);
+}
--- /dev/null
+++ b/control/views.c
@@ -0,0 +1,469 @@
+#include "control/control.h"
+
+#include <glib.h>
+#include <openssl/sha.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Changes within this time go in one view.  A fleet that changes shape makes
+ * many at once, and each view is whole.
+ */
+#define VIEW_GAP_MS ((clk_ms)50)
+
+/* Evidence in a view expires, so an unchanged view is said again. */
+#define VIEW_REPEAT_MS CLK_SECOND
+
+/* The store counts as reachable again after this long without a failure. */
+#define STORE_OK_AFTER_MS (3 * CLK_SECOND)
+
+struct share
+{
+  char *account;
+  double tokens_per_s;
+  double concurrency;
+  clk_ms until;
+};
+
+struct ctl_views
+{
+  struct ctl *c;
+  uv_timer_t send_timer;   /* one shot, when something changed */
+  uv_timer_t repeat_timer; /* VIEW_REPEAT_MS */
+  struct link *link;       /* NULL: no gateway */
+  struct net_addr http;    /* of the gateway */
+  struct net_addr peer;
+  uint64_t gateway_boot;
+  int64_t gateway_revision; /* in force there */
+  uint64_t seq;
+  clk_ms sent_at;
+  int64_t hashed_revision; /* that `hash` belongs to */
+  uint8_t hash[SHA256_DIGEST_LENGTH];
+  uint8_t sent_hash[SHA256_DIGEST_LENGTH]; /* that the gateway has */
+  GPtrArray *shares;
+  uint64_t store_failures; /* at the last look */
+  clk_ms store_failed_at;
+  uint64_t past_out, past_in; /* traffic of links that are gone */
+};
+
+static void
+free_share (void *p)
+{
+  struct share *s = p;
+  free (s->account);
+  free (s);
+}
+
+/* --- what a view holds -------------------------------------------------- */
+
+/* Strings of one view, released together after it was sent. */
+struct builder
+{
+  GStringChunk *text;
+  Lapis__View view;
+};
+
+static char *
+text_of (struct builder *b, struct str s)
+{
+  return g_string_chunk_insert_len (b->text, s.ptr ? s.ptr : "",
+                                    (gssize)s.len);
+}
+
+static char *
+addr_text (struct builder *b, const struct net_addr *a)
+{
+  struct buf text = BUF_INIT;
+  if (a->port != 0)
+    net_addr_format (a, &text);
+  char *copy = text_of (b, buf_str (&text));
+  buf_free (&text);
+  return copy;
+}
+
+static Lapis__NodeView *
+node_view (struct builder *b, const struct mbr_node *n)
+{
+  Lapis__NodeView *v = xmalloc (sizeof *v);
+  lapis__node_view__init (v);
+  v->node = text_of (b, n->name);
+  v->boot = n->boot;
+  v->zone = text_of (b, n->zone);
+  v->region = text_of (b, n->region);
+  v->status = n->status;
+  v->http_addr = addr_text (b, &n->gw_http);
+  v->peer_addr = addr_text (b, &n->gw_peer);
+  v->load = n->load;
+  return v;
+}
+
+static void
+add_nodes (struct builder *b, struct ctl *c)
+{
+  size_t n;
+  const struct mbr_node *const *nodes = ctl_swim_nodes (c->swim, &n);
+  b->view.nodes = xcalloc (n, sizeof *b->view.nodes);
+  for (size_t i = 0; i < n; i++)
+    b->view.nodes[b->view.n_nodes++] = node_view (b, nodes[i]);
+}
+
+static uint32_t
+span_ms (clk_ms from, clk_ms to)
+{
+  return to <= from               ? 0
+         : to - from > UINT32_MAX ? UINT32_MAX
+                                  : (uint32_t)(to - from);
+}
+
+static Lapis__ReplicaView *
+replica_view (struct builder *b, const struct ctl_replica *r, clk_ms now)
+{
+  Lapis__ReplicaView *v = xmalloc (sizeof *v);
+  lapis__replica_view__init (v);
+  v->replica = text_of (b, r->name);
+  v->model = text_of (b, r->model);
+  v->domain = text_of (b, r->domain);
+  v->generation = (uint64_t)r->generation;
+  v->whole = r->whole;
+  v->draining = r->draining;
+  v->valid_ms = span_ms (now, r->valid_until);
+  v->age_ms = span_ms (r->valid_until - REP_EVIDENCE_MS, now);
+  v->load = r->load;
+  v->load_age_ms = span_ms (r->load_at, now);
+  v->leader_addr = addr_text (b, &r->leader);
+  v->fence = (uint64_t)r->fence;
+  return v;
+}
+
+static void
+add_replicas (struct builder *b, struct ctl *c, clk_ms now)
+{
+  size_t n;
+  const struct ctl_replica *replicas = ctl_domains_replicas (c->domains, &n);
+  b->view.replicas = xcalloc (n, sizeof *b->view.replicas);
+  for (size_t i = 0; i < n; i++)
+    b->view.replicas[b->view.n_replicas++]
+        = replica_view (b, &replicas[i], now);
+}
+
+static void
+add_shares (struct builder *b, const struct ctl_views *v, clk_ms now)
+{
+  b->view.shares = xcalloc (v->shares->len, sizeof *b->view.shares);
+  for (guint i = 0; i < v->shares->len; i++)
+    {
+      const struct share *s = v->shares->pdata[i];
+      if (s->until <= now)
+        continue;
+      Lapis__ShareGrant *g = xmalloc (sizeof *g);
+      lapis__share_grant__init (g);
+      g->account = text_of (b, str_from (s->account));
+      g->tokens_per_s = s->tokens_per_s;
+      g->concurrency = s->concurrency;
+      g->valid_ms = span_ms (now, s->until);
+      b->view.shares[b->view.n_shares++] = g;
+    }
+}
+
+static void
+free_builder (struct builder *b)
+{
+  for (size_t i = 0; i < b->view.n_nodes; i++)
+    free (b->view.nodes[i]);
+  for (size_t i = 0; i < b->view.n_replicas; i++)
+    free (b->view.replicas[i]);
+  for (size_t i = 0; i < b->view.n_shares; i++)
+    free (b->view.shares[i]);
+  free (b->view.nodes);
+  free (b->view.replicas);
+  free (b->view.shares);
+  g_string_chunk_free (b->text);
+}
+
+/* --- sending ------------------------------------------------------------ */
+
+static bool
+send_chunk (struct ctl_views *v, struct str text, size_t offset)
+{
+  struct str part = str_head (str_skip (text, offset), LINK_CHUNK);
+  Lapis__ConfigChunk chunk = LAPIS__CONFIG_CHUNK__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  chunk.revision = (uint64_t)v->hashed_revision;
+  chunk.hash = (ProtobufCBinaryData){ sizeof v->hash, v->hash };
+  chunk.offset = offset;
+  chunk.size = text.len;
+  chunk.bytes = (ProtobufCBinaryData){ part.len, (uint8_t *)part.ptr };
+  f.body_case = LAPIS__FRAME__BODY_CONFIG_CHUNK;
+  f.config_chunk = &chunk;
+  return link_send (v->link, &f);
+}
+
+/*
+ * The text goes only when the gateway doesn't have it, and one that exceeds a
+ * chunk goes ahead in parts: a frame has a largest size, and a view behind a
+ * megabyte of text would be late.
+ */
+static bool
+add_config (struct ctl_views *v, struct builder *b)
+{
+  struct str text = ctl_spread_text (v->c->spread);
+  int64_t revision = ctl_spread_revision (v->c->spread);
+  if (!v->c->cfg || text.len == 0)
+    return true;
+  if (v->hashed_revision != revision)
+    SHA256 ((const uint8_t *)text.ptr, text.len, v->hash);
+  v->hashed_revision = revision;
+  b->view.config_revision = (uint64_t)revision;
+  b->view.config_hash = (ProtobufCBinaryData){ sizeof v->hash, v->hash };
+  if (memcmp (v->hash, v->sent_hash, sizeof v->hash) == 0)
+    return true;
+  if (text.len <= LINK_CHUNK)
+    b->view.config = (ProtobufCBinaryData){ text.len, (uint8_t *)text.ptr };
+  for (size_t at = 0; text.len > LINK_CHUNK && at < text.len; at += LINK_CHUNK)
+    if (!send_chunk (v, text, at))
+      return false;
+  return true;
+}
+
+static void
+send_view (struct ctl_views *v)
+{
+  clk_ms now = clk_now ();
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  struct builder b = { .text = g_string_chunk_new (4096) };
+  lapis__view__init (&b.view);
+  b.view.seq = ++v->seq;
+  b.view.leaving = v->c->leaving;
+  b.view.store_ok = now - v->store_failed_at >= STORE_OK_AFTER_MS;
+  add_nodes (&b, v->c);
+  add_replicas (&b, v->c, now);
+  add_shares (&b, v, now);
+  f.body_case = LAPIS__FRAME__BODY_VIEW;
+  f.view = &b.view;
+  if (add_config (v, &b) && link_send (v->link, &f))
+    {
+      memcpy (v->sent_hash, v->hash, sizeof v->hash);
+      met_add (met_counter (v->c->met, "lapisline_control_messages_total",
+                            "Messages by mechanism and direction.",
+                            "mechanism=\"view\",direction=\"out\""),
+               1);
+    }
+  v->sent_at = now;
+  free_builder (&b);
+}
+
+static void
+on_send (uv_timer_t *t)
+{
+  struct ctl_views *v = t->data;
+  if (v->link)
+    send_view (v);
+}
+
+void
+ctl_views_touch (struct ctl_views *v)
+{
+  if (!v->link || uv_is_active ((uv_handle_t *)&v->send_timer))
+    return;
+  clk_ms wait = v->sent_at + VIEW_GAP_MS - clk_now ();
+  uv_timer_start (&v->send_timer, on_send, wait > 0 ? (uint64_t)wait : 0, 0);
+}
+
+static void
+look_at_store (struct ctl_views *v, clk_ms now)
+{
+  const struct store_counts *n = store_counts (v->c->store);
+  uint64_t failures = n->unavailable + n->uncertain;
+  if (failures != v->store_failures)
+    v->store_failed_at = now;
+  v->store_failures = failures;
+}
+
+/* The revision in force on this node is the gateway's, as requests run there;
+   without a gateway it is that of control. */
+static void
+tell_revision (struct ctl_views *v)
+{
+  int64_t revision = ctl_spread_revision (v->c->spread);
+  if (v->link && v->gateway_revision < revision)
+    revision = v->gateway_revision;
+  ctl_swim_set_revision (v->c->swim, revision);
+}
+
+static void
+on_repeat (uv_timer_t *t)
+{
+  struct ctl_views *v = t->data;
+  clk_ms now = clk_now ();
+  look_at_store (v, now);
+  tell_revision (v);
+  if (now - v->sent_at >= VIEW_REPEAT_MS)
+    ctl_views_touch (v);
+}
+
+/* --- the gateway -------------------------------------------------------- */
+
+static void
+parse_addr (const char *text, struct net_addr *out)
+{
+  if (!net_addr_parse (str_from (text), false, out))
+    *out = (struct net_addr){ 0 };
+}
+
+void
+ctl_views_gateway (struct ctl_views *v, struct link *l,
+                   const Lapis__Hello *hello)
+{
+  if (strcmp (hello->node, v->c->set.node) != 0)
+    {
+      LOG (gateway_foreign, LOG_C ("gateway", hello->node));
+      return;
+    }
+  /* A gateway that was replaced may still hold a link that has gone silent;
+     the newer boot is the one that callers reach. */
+  if (v->link && hello->boot < v->gateway_boot)
+    return;
+  if (v->link && v->link != l)
+    ctl_views_gateway_down (v, v->link);
+  v->link = l;
+  v->gateway_boot = hello->boot;
+  v->gateway_revision = 0;
+  parse_addr (hello->http_addr, &v->http);
+  parse_addr (hello->peer_addr, &v->peer);
+  memset (v->sent_hash, 0, sizeof v->sent_hash);
+  LOG (gateway_linked, LOG_C ("http", hello->http_addr));
+  ctl_swim_set_gateway (v->c->swim, &v->http, &v->peer, 0);
+  ctl_views_touch (v);
+}
+
+void
+ctl_views_gateway_down (struct ctl_views *v, struct link *l)
+{
+  static const struct net_addr none;
+  uint64_t out;
+  uint64_t in;
+  if (!v || l != v->link)
+    return;
+  link_traffic (l, &out, &in);
+  v->past_out += out;
+  v->past_in += in;
+  v->link = NULL;
+  uv_timer_stop (&v->send_timer);
+  LOG (gateway_gone, LOG_I ("boot", v->gateway_boot));
+  ctl_swim_set_gateway (v->c->swim, &none, &none, 0);
+}
+
+static void
+take_report (struct ctl_views *v, const Lapis__Report *r)
+{
+  static const struct net_addr none;
+  /* A gateway that leaves by itself still serves what it has, but no address
+     answer may name it. */
+  ctl_swim_set_gateway (v->c->swim, r->leaving ? &none : &v->http, &v->peer,
+                        r->open_requests);
+  v->gateway_revision = (int64_t)r->config_revision;
+  tell_revision (v);
+  for (size_t i = 0; i < r->n_demand; i++)
+    ctl_shares_demand (v->c->shares, str_from (v->c->set.node), r->demand[i]);
+}
+
+void
+ctl_views_frame (struct ctl_views *v, struct link *l, const Lapis__Frame *f)
+{
+  if (l != v->link)
+    return;
+  met_add (met_counter (v->c->met, "lapisline_control_messages_total",
+                        "Messages by mechanism and direction.",
+                        "mechanism=\"view\",direction=\"in\""),
+           1);
+  if (f->body_case == LAPIS__FRAME__BODY_REPORT)
+    take_report (v, f->report);
+  else if (f->body_case == LAPIS__FRAME__BODY_TRACE_ANSWER && v->c->admin)
+    ctl_admin_spans (
+        v->c->admin, f->trace_answer->id,
+        str_make (f->trace_answer->json.data, f->trace_answer->json.len));
+}
+
+bool
+ctl_views_linked (const struct ctl_views *v)
+{
+  return v->link != NULL;
+}
+
+bool
+ctl_views_trace (struct ctl_views *v, uint64_t id, const uint8_t trace[16])
+{
+  Lapis__TraceAsk ask = LAPIS__TRACE_ASK__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  ask.id = id;
+  ask.trace = (ProtobufCBinaryData){ 16, (uint8_t *)trace };
+  f.body_case = LAPIS__FRAME__BODY_TRACE_ASK;
+  f.trace_ask = &ask;
+  return v->link && link_send (v->link, &f);
+}
+
+void
+ctl_views_traffic (const struct ctl_views *v, uint64_t *out, uint64_t *in)
+{
+  *out = *in = 0;
+  if (v->link)
+    link_traffic (v->link, out, in);
+  *out += v->past_out;
+  *in += v->past_in;
+}
+
+void
+ctl_views_share (struct ctl_views *v, const Lapis__ShareGrant *g)
+{
+  struct share *s = NULL;
+  for (guint i = 0; i < v->shares->len && !s; i++)
+    {
+      struct share *at = v->shares->pdata[i];
+      if (strcmp (at->account, g->account) == 0)
+        s = at;
+    }
+  if (!s)
+    {
+      s = xcalloc (1, sizeof *s);
+      s->account = xstrdup (g->account);
+      g_ptr_array_add (v->shares, s);
+    }
+  s->tokens_per_s = g->tokens_per_s;
+  s->concurrency = g->concurrency;
+  s->until = clk_now () + g->valid_ms;
+  ctl_views_touch (v);
+}
+
+/* --- start and stop ----------------------------------------------------- */
+
+struct ctl_views *
+ctl_views_start (struct ctl *c, struct buf *err)
+{
+  struct ctl_views *v = xcalloc (1, sizeof *v);
+  v->c = c;
+  v->hashed_revision = -1;
+  v->store_failed_at = -STORE_OK_AFTER_MS;
+  v->shares = g_ptr_array_new_with_free_func (free_share);
+  uv_timer_init (c->loop, &v->send_timer);
+  uv_timer_init (c->loop, &v->repeat_timer);
+  v->send_timer.data = v->repeat_timer.data = v;
+  uv_timer_start (&v->repeat_timer, on_repeat, VIEW_REPEAT_MS / 2,
+                  VIEW_REPEAT_MS / 2);
+  return v;
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  struct ctl_views *v = h->data;
+  g_ptr_array_free (v->shares, TRUE);
+  free (v);
+}
+
+void
+ctl_views_stop (struct ctl_views *v)
+{
+  v->link = NULL;
+  uv_close ((uv_handle_t *)&v->send_timer, NULL);
+  uv_close ((uv_handle_t *)&v->repeat_timer, on_closed);
+}
--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -2688,12 +2688,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "operator",
+    "who",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Lapis__DrainAsk, operator_),
+    offsetof(Lapis__DrainAsk, who),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -2717,8 +2717,8 @@
   0,   /* field[0] = id */
   1,   /* field[1] = node */
   3,   /* field[3] = on */
-  4,   /* field[4] = operator */
   2,   /* field[2] = replica */
+  4,   /* field[4] = who */
 };
 static const ProtobufCIntRange lapis__drain_ask__number_ranges[1 + 1] =
 {
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -431,9 +431,9 @@
    */
   protobuf_c_boolean on;
   /*
-   * who asked
+   * the operator who asked
    */
-  char *operator_;
+  char *who;
   /*
    * under which it was allowed
    */
