--- a/store/store.h
+++ b/store/store.h
@@ -20,6 +20,12 @@
 #include "base/clock.h"
 #include "base/str.h"
 
+/* Not uv.h: the decision cores include this page for its types only. */
+typedef struct uv_loop_s uv_loop_t;
+
+/** A call that waited so long in the budget ends as STORE_OVER_BUDGET. */
+#define STORE_WAIT_MS (2 * CLK_SECOND)
+
 enum store_status
 {
   STORE_OK,
@@ -104,7 +110,11 @@
 struct store;
 struct store_watch;
 
-/** What an adapter provides; `self` is its own state. */
+/**
+ * What an adapter provides; `self` is its own state.  Arguments are valid
+ * during the call only, callbacks never come from within it, and none comes
+ * after free().  Every callback comes exactly once.
+ */
 struct store_ops
 {
   void (*range) (void *self, struct str key, struct str end, store_cb cb,
@@ -134,15 +144,21 @@
   uint64_t over_budget, uncertain, unavailable, conflicts;
 };
 
-struct store *store_new (const struct store_ops *ops, void *self,
-                         const struct store_budget *budget);
+struct store *store_new (uv_loop_t *loop, const struct store_ops *ops,
+                         void *self, const struct store_budget *budget);
+
+/** Drops waiting and open calls and watches without their callbacks. */
 void store_free (struct store *s);
 const struct store_counts *store_counts (const struct store *s);
 
 /** End of the range of all keys that begin with @p prefix. */
 void store_prefix_end (struct str prefix, struct buf *out);
 
-/* Arguments are copied; callbacks never come from within the call. */
+/*
+ * Arguments are copied; callbacks never come from within the call.  Lease
+ * calls have the priority of ownership, watches that of the configuration;
+ * a watch is one read, the rest but ranges are writes.
+ */
 void store_range (struct store *s, enum store_priority p, struct str key,
                   struct str end, store_cb cb, void *ctx);
 void store_txn (struct store *s, enum store_priority p,
@@ -156,7 +172,10 @@
                                  const struct store_watch_cb *cb, void *ctx);
 void store_watch_stop (struct store_watch *w);
 
-/** Drop every callback whose ctx is @p ctx (its owner is going away). */
+/**
+ * Drop every callback whose ctx is @p ctx (its owner is going away).  Its
+ * watches are stopped; writes that still wait in the budget go out.
+ */
 void store_forget (struct store *s, void *ctx);
 
 #endif
