Serve a flow in the visit in which it gains its quantum

A flow that gained its quantum went to the back of the ring before it was served, so each flow was served one visit late and whoever was in front kept an extra turn. Ruled out: weights (equal), priority classes (same), costs (equal). Change: a flow is served while its deficit lasts and leaves the front when it is spent. Three expected outputs of t5002 held the late order; each now holds what its own comment says (one for one, three for one, four for one), which the old code fails. Measured: order of served calls, flood 2-5 beside 101-102: before 2 3 101 4 102 5, after 2 101 3 102 4 5; t5002 red on the old code (3 of 8), green now. Conclusion: the bound of a small account's wait is one quantum of each other flow, as deficit round-robin promises.

--- a/route/queue.c
+++ b/route/queue.c
@@ -133,25 +133,34 @@
   return aged && w->since_aged >= AGED_EVERY ? aged : best;
 }
 
+/** End the visit of the flow in front. */
+static void
+rotate (struct rt_class *c)
+{
+  struct rt_flow *f = c->first;
+  if (!f->next)
+    return;
+  c->first = f->next;
+  c->last->next = f;
+  c->last = f;
+  f->next = NULL;
+}
+
 struct rt_req *
 rt_queue_turn (struct rt_queue *w, clk_ms now)
 {
   struct rt_class *c = class_turn (w, now);
   if (!c)
     return NULL;
-  /* Deficit round-robin: each flow that waits gains its quantum when the
-     ring comes round and goes while its deficit covers the next request. */
+  /* Deficit round-robin: a flow gains its quantum when its visit begins and
+     stays in front while its deficit covers its next request (see
+     rt_queue_take()). */
   while (c->first->deficit < c->first->head->cost)
     {
       struct rt_flow *f = c->first;
       f->deficit += QUANTUM * f->weight;
-      if (f->next)
-        {
-          c->first = f->next;
-          c->last->next = f;
-          c->last = f;
-          f->next = NULL;
-        }
+      if (f->deficit < f->head->cost)
+        rotate (c);
     }
   return c->first->head;
 }
@@ -163,8 +172,14 @@
   while (!w->classes[better].first)
     better++;
   w->since_aged = q->priority > better ? 0 : w->since_aged + 1;
-  q->flow->deficit -= q->cost;
+  struct rt_class *c = &w->classes[q->priority];
+  struct rt_flow *f = q->flow;
+  f->deficit -= q->cost;
   rt_queue_remove (w, q);
+  /* Without the end of the visit a flow that has spent its quantum would be
+     given the next one at once, ahead of all that wait behind it. */
+  if (c->first == f && f->deficit < f->head->cost)
+    rotate (c);
 }
 
 struct rt_req *
--- a/t/t5002-queue.c
+++ b/t/t5002-queue.c
@@ -32,7 +32,7 @@
          "3 serve 7 10\n",
          "1 arrive* 1-5: connect(1/1 s1)\n"
          "2 arrive* 101-102:\n"
-         "3 serve 7: 2 3 101 4 102 5\n");
+         "3 serve 7: 2 101 3 102 4 5\n");
 }
 
 Test (queue, shares_by_weight)
@@ -46,7 +46,7 @@
          "1 arrive 1: connect(1/1 s1)\n"
          "1 arrive* 11-13:\n"
          "1 arrive* 21-23:\n"
-         "3 serve 7: 11 12 21 22 23 13\n");
+         "3 serve 7: 11 21 22 23 12 13\n");
 }
 
 Test (queue, counted_in_tokens)
@@ -60,7 +60,7 @@
          "1 arrive 1: connect(1/1 s1)\n"
          "1 arrive* 11-12:\n"
          "1 arrive* 21-24:\n"
-         "3 serve 7: 11 21 22 23 12 24\n");
+         "3 serve 7: 11 21 22 23 24 12\n");
 }
 
 Test (queue, classes_with_ageing)
