Replay the decisions of a request core from a recorded trace

Cause: what must hold is to be proved by replay against stated outcomes, and an operator wants to see a decision of yesterday made again. Change: events of the request core as one JSON object a line; a gateway can stream them to standard output from its start (no disk, no bodies, digests replaced); 'lapisline replay' feeds them to a new core and compares. Six incidents as traces: stalled quote, doubled confirmation, morning rush, late draft, lost draft, doubled draft. Measured: each trace gives the same decisions in two runs; a damaged trace is refused with its line and exit code 3; another expectation exits with 1. Conclusion: incidents are judged by the product's own decisions.

--- a/config/config.c
+++ b/config/config.c
@@ -52,6 +52,9 @@
   w->cfg.revision = revision;
   w->cfg.arena = &w->arena;
   w->cfg.refs = 1;
+  w->cfg.text = arena_str (
+      &w->arena,
+      str_from (json_object_to_json_string_ext (top, JSON_C_TO_STRING_PLAIN)));
   parse_all (&p);
   if (findings->errors == errors)
     return &w->cfg;
--- a/config/config.h
+++ b/config/config.h
@@ -161,6 +161,7 @@
 struct cfg
 {
   int64_t revision; /**< of the store's manifest key; 0: a local file */
+  struct str text;  /**< the document that it was made from */
   struct cfg_vm *vms;
   size_t nvms;
   struct cfg_domain *domains;
--- a/front/callers.c
+++ b/front/callers.c
@@ -110,7 +110,10 @@
 void
 gw_callers_event (struct gw_callers *c, const struct rt_event *ev)
 {
-  rt_event (c->rt, clk_now (), ev);
+  clk_ms now = clk_now ();
+
+  gw_recorder_event (c->recorder, now, ev);
+  rt_event (c->rt, now, ev);
   pump (c);
 }
 
@@ -284,6 +287,18 @@
   uv_timer_start (&c->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 }
 
+static bool
+start_recorder (struct gw_callers *c, const struct rt_options *opt,
+                uint64_t seed, struct buf *err)
+{
+  struct rec_head head = { .options = *opt, .seed = seed };
+
+  c->recorder = gw_recorder_start (c->g->loop, &head);
+  if (c->recorder == NULL)
+    buf_add_c (err, "--record needs a pipe or a terminal as standard output");
+  return c->recorder != NULL;
+}
+
 struct gw_callers *
 gw_callers_start (struct gw *g, struct buf *err)
 {
@@ -293,6 +308,7 @@
   struct rt_options opt
       = { .zone = str_from (g->set.zone), .node = str_from (g->set.node) };
   struct gw_callers *c = xcalloc (1, sizeof *c);
+  uint64_t seed;
 
   opt.nodes = 1;
   c->g = g;
@@ -303,7 +319,10 @@
       free (c);
       return NULL;
     }
-  c->rt = rt_new (&opt, rng_next (&g->rng));
+  seed = rng_next (&g->rng);
+  c->rt = rt_new (&opt, seed);
+  if (g->record && !start_recorder (c, &opt, seed, err))
+    return NULL;
   start_metrics (c);
   start_timers (c);
   return c;
--- a/front/callers.h
+++ b/front/callers.h
@@ -15,6 +15,7 @@
 
 #include "back/back.h"
 #include "front/gateway.h"
+#include "front/recorder.h"
 
 /** Bodies above this are refused before any configuration is asked. */
 #define GW_HARD_MAX_BODY ((size_t)16 << 20)
@@ -204,6 +205,7 @@
   struct gw *g;
   struct httpd *httpd;
   struct rt *rt;
+  struct gw_recorder *recorder; /**< NULL: not recording */
   uv_timer_t wake;
   clk_ms wake_at;
   uv_timer_t sweep;
--- a/front/gateway.c
+++ b/front/gateway.c
@@ -273,6 +273,7 @@
              str_from (p->g.set.node));
   uv_loop_init (&p->loop);
   p->g.loop = &p->loop;
+  p->g.record = opt->record;
   p->g.boot = (uint64_t)clk_wall ();
   rng_seed (&p->g.rng, rng_entropy ());
   /* The process ends with it; the kernel takes memory and sockets back. */
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -42,6 +42,7 @@
   struct trc_ring *spans;
   struct cfg *cfg; /**< in force, or NULL before the first */
   bool leaving;
+  bool record; /**< stream the request core's events, see recorder.h */
   struct gw_callers *callers;
   struct gw_claims *claims;
   struct gw_view *view;
@@ -123,6 +124,7 @@
 {
   const char *settings; /**< path */
   const char *config;   /**< folder: run without control; or NULL */
+  bool record;          /**< stream the request core's events */
 };
 
 /** Run until stopped. @return an exit code */
--- a/lapisline.c
+++ b/lapisline.c
@@ -12,6 +12,7 @@
 
 static const struct command commands[] = {
   { "bench", cmd_bench, "measure decisions and costs" },
+  { "replay", cmd_replay, "feed recorded events to a decision core" },
   { "version", cmd_version, "print the version" },
 };
 
--- /dev/null
+++ b/route/record-read.c
@@ -0,0 +1,328 @@
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "route/record-names.h"
+#include "route/record.h"
+
+const char *const rec_event_names[REC_EVENTS] = {
+  [RT_EV_TICK] = "tick",           [RT_EV_CONFIG] = "config",
+  [RT_EV_REPLICAS] = "replicas",   [RT_EV_BACKEND_DOWN] = "backend-down",
+  [RT_EV_SHARE] = "share",         [RT_EV_LEAVING] = "leaving",
+  [RT_EV_ARRIVE] = "arrive",       [RT_EV_CLAIM] = "claim",
+  [RT_EV_CONNECTED] = "connected", [RT_EV_CONNECT_FAILED] = "connect-failed",
+  [RT_EV_HEAD] = "head",           [RT_EV_BODY] = "body",
+  [RT_EV_WHOLE] = "whole",         [RT_EV_BROKEN] = "broken",
+  [RT_EV_SILENT] = "silent",       [RT_EV_CALLER_GONE] = "caller-gone",
+};
+
+const char *const rec_action_names[REC_ACTIONS] = {
+  [RT_ACT_CLAIM] = "claim",   [RT_ACT_RELEASE] = "release",
+  [RT_ACT_FINISH] = "finish", [RT_ACT_CONNECT] = "connect",
+  [RT_ACT_SEND] = "send",     [RT_ACT_CANCEL] = "cancel",
+  [RT_ACT_PASS] = "pass",     [RT_ACT_ANSWER] = "answer",
+  [RT_ACT_REPLAY] = "replay", [RT_ACT_END] = "end",
+  [RT_ACT_CUT] = "cut",       [RT_ACT_FORGET] = "forget",
+};
+
+const char *const rec_verdict_names[REC_VERDICTS] = {
+  [CLM_GRANTED] = "granted",   [CLM_RUNNING] = "running",
+  [CLM_ANSWERED] = "answered", [CLM_UNKNOWN] = "unknown",
+  [CLM_MISMATCH] = "mismatch", [CLM_UNAVAILABLE] = "unavailable",
+  [CLM_DONE] = "done",
+};
+
+/* What the event handed out last points to. */
+struct scratch
+{
+  struct json_object *doc;
+  struct rt_request request;
+  struct rt_replica *replicas;
+  struct cfg *cfg;
+};
+
+static void
+scratch_clear (struct scratch *s)
+{
+  if (s->doc != NULL)
+    json_object_put (s->doc);
+  if (s->cfg != NULL)
+    cfg_unref (s->cfg);
+  free (s->replicas);
+  memset (s, 0, sizeof *s);
+}
+
+static struct str
+get_str (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+  if (!json_object_object_get_ex (o, key, &v))
+    return STR_EMPTY;
+  return str_make (json_object_get_string (v),
+                   (size_t)json_object_get_string_len (v));
+}
+
+static int64_t
+get_int (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+  return json_object_object_get_ex (o, key, &v) ? json_object_get_int64 (v)
+                                                : 0;
+}
+
+static double
+get_double (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+  return json_object_object_get_ex (o, key, &v) ? json_object_get_double (v)
+                                                : 0;
+}
+
+static bool
+get_bool (struct json_object *o, const char *key)
+{
+  struct json_object *v;
+  return json_object_object_get_ex (o, key, &v) && json_object_get_boolean (v);
+}
+
+static int
+find_name (const char *const *names, int n, struct str s)
+{
+  for (int i = 0; i < n; i++)
+    if (str_is (s, names[i]))
+      return i;
+  return -1;
+}
+
+static int
+hex_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  return -1;
+}
+
+static bool
+get_hex (struct json_object *o, const char *key, uint8_t *out, size_t len)
+{
+  struct str s = get_str (o, key);
+  if (s.len != 2 * len)
+    return false;
+  for (size_t i = 0; i < len; i++)
+    {
+      int hi = hex_digit (s.ptr[2 * i]);
+      int lo = hex_digit (s.ptr[2 * i + 1]);
+      if (hi < 0 || lo < 0)
+        return false;
+      out[i] = (uint8_t)(hi << 4 | lo);
+    }
+  return true;
+}
+
+static void
+read_request (struct json_object *o, uint64_t id, struct rt_request *q)
+{
+  memset (q, 0, sizeof *q);
+  q->id = id;
+  q->account = get_str (o, "account");
+  q->target = get_str (o, "target");
+  q->is_model = get_bool (o, "model");
+  q->idempotent = get_bool (o, "idempotent");
+  q->has_key = get_hex (o, "claim", q->claim_key, sizeof q->claim_key);
+  get_hex (o, "fingerprint", q->fingerprint, sizeof q->fingerprint);
+  get_hex (o, "attempt_id", q->attempt_id, sizeof q->attempt_id);
+  q->priority = (unsigned)get_int (o, "priority");
+  q->deadline = get_int (o, "deadline");
+  q->cost = get_double (o, "cost");
+  q->prefix = (uint64_t)get_int (o, "prefix");
+}
+
+static bool
+read_replica (struct json_object *o, struct rt_replica *p)
+{
+  struct str addr = get_str (o, "addr");
+  p->name = get_str (o, "name");
+  p->model = get_str (o, "model");
+  p->zone = get_str (o, "zone");
+  p->generation = get_int (o, "generation");
+  p->whole = get_bool (o, "whole");
+  p->draining = get_bool (o, "draining");
+  p->valid_until = get_int (o, "valid_until");
+  p->load = (uint32_t)get_int (o, "load");
+  p->load_at = get_int (o, "load_at");
+  return addr.len == 0 || net_addr_parse (addr, true, &p->addr);
+}
+
+static bool
+read_replicas (struct json_object *list, struct scratch *s,
+               struct rt_event *ev)
+{
+  size_t n = json_object_is_type (list, json_type_array)
+                 ? json_object_array_length (list)
+                 : 0;
+  s->replicas = xcalloc (n + 1, sizeof *s->replicas);
+  for (size_t i = 0; i < n; i++)
+    if (!read_replica (json_object_array_get_idx (list, i), &s->replicas[i]))
+      return false;
+  ev->replicas = s->replicas;
+  ev->n = n;
+  return true;
+}
+
+static struct json_object *
+parse_line (const struct rec_reader *r, struct str line,
+            struct fnd_list *findings)
+{
+  struct json_tokener *tok = json_tokener_new ();
+  struct json_object *o = json_tokener_parse_ex (tok, line.ptr, (int)line.len);
+  enum json_tokener_error err = json_tokener_get_error (tok);
+  const char *text;
+
+  json_tokener_free (tok);
+  if (o != NULL && json_object_is_type (o, json_type_object))
+    return o;
+  if (err == json_tokener_success)
+    text = "not a JSON object";
+  else if (err == json_tokener_continue)
+    text = "the line ends within a value";
+  else
+    text = json_tokener_error_desc (err);
+  fnd_addf (findings, FND_ERROR, r->file, r->line, NULL, "%s", text);
+  if (o != NULL)
+    json_object_put (o);
+  return NULL;
+}
+
+static struct scratch *
+reader_scratch (struct rec_reader *r)
+{
+  if (r->scratch == NULL)
+    r->scratch = xcalloc (1, sizeof (struct scratch));
+  return r->scratch;
+}
+
+static bool
+bad (const struct rec_reader *r, struct fnd_list *findings,
+     const char *pointer, const char *text)
+{
+  fnd_addf (findings, FND_ERROR, r->file, r->line, pointer, "%s", text);
+  return false;
+}
+
+bool
+rec_read_head (struct rec_reader *r, struct str line, struct rec_head *head,
+               struct fnd_list *findings)
+{
+  struct scratch *s = reader_scratch (r);
+
+  r->line++;
+  scratch_clear (s);
+  s->doc = parse_line (r, line, findings);
+  if (s->doc == NULL)
+    return false;
+  if (!str_is (get_str (s->doc, "core"), "route"))
+    return bad (r, findings, "/core",
+                "the only core that is replayed is "
+                "\"route\"");
+  head->seed = (uint64_t)get_int (s->doc, "seed");
+  head->options.zone = get_str (s->doc, "zone");
+  head->options.node = get_str (s->doc, "node");
+  head->options.nodes = (unsigned)get_int (s->doc, "nodes");
+  return true;
+}
+
+static bool
+read_config (struct rec_reader *r, struct scratch *s, struct rt_event *ev,
+             struct fnd_list *findings)
+{
+  struct json_object *v;
+  const char *text;
+
+  if (!json_object_object_get_ex (s->doc, "config", &v))
+    return bad (r, findings, "/config", "missing");
+  text = json_object_to_json_string (v);
+  s->cfg = cfg_parse (str_from (text), get_int (v, "revision"), findings);
+  ev->cfg = s->cfg;
+  return s->cfg != NULL;
+}
+
+static bool
+read_parts (struct rec_reader *r, struct scratch *s, struct rt_event *ev,
+            struct fnd_list *findings)
+{
+  struct json_object *v;
+  int verdict;
+
+  switch (ev->kind)
+    {
+    case RT_EV_ARRIVE:
+      if (!json_object_object_get_ex (s->doc, "request", &v))
+        return bad (r, findings, "/request", "missing");
+      read_request (v, ev->id, &s->request);
+      ev->request = &s->request;
+      return true;
+    case RT_EV_REPLICAS:
+      if (!json_object_object_get_ex (s->doc, "replicas", &v)
+          || !read_replicas (v, s, ev))
+        return bad (r, findings, "/replicas", "missing or a wrong address");
+      return true;
+    case RT_EV_CONFIG:
+      return read_config (r, s, ev, findings);
+    case RT_EV_CLAIM:
+      verdict = find_name (rec_verdict_names, REC_VERDICTS,
+                           get_str (s->doc, "verdict"));
+      if (verdict < 0)
+        return bad (r, findings, "/verdict", "not a verdict");
+      ev->verdict = (enum clm_verdict)verdict;
+      return true;
+    default:
+      return true;
+    }
+}
+
+bool
+rec_read_event (struct rec_reader *r, struct str line, clk_ms *now,
+                struct rt_event *ev, struct fnd_list *findings)
+{
+  struct scratch *s = reader_scratch (r);
+  int kind;
+
+  r->line++;
+  line = str_trim (line);
+  if (line.len == 0 || str_starts (line, STR ("//"))
+      || str_starts (line, STR ("ready ")))
+    return false;
+  scratch_clear (s);
+  s->doc = parse_line (r, line, findings);
+  if (s->doc == NULL)
+    return false;
+  kind = find_name (rec_event_names, REC_EVENTS, get_str (s->doc, "ev"));
+  if (kind < 0)
+    return bad (r, findings, "/ev", "not an event");
+  memset (ev, 0, sizeof *ev);
+  ev->kind = (enum rt_event_kind)kind;
+  *now = get_int (s->doc, "t");
+  ev->id = (uint64_t)get_int (s->doc, "id");
+  ev->attempt = (unsigned)get_int (s->doc, "attempt");
+  ev->name = get_str (s->doc, "name");
+  ev->on = get_bool (s->doc, "on");
+  ev->tokens_per_s = get_double (s->doc, "tokens_per_s");
+  ev->concurrency = get_double (s->doc, "concurrency");
+  ev->valid_ms = get_int (s->doc, "valid_ms");
+  ev->retry_ms = get_int (s->doc, "retry_ms");
+  ev->status = (int)get_int (s->doc, "status");
+  ev->size = (size_t)get_int (s->doc, "size");
+  ev->tokens = get_double (s->doc, "tokens");
+  return read_parts (r, s, ev, findings);
+}
+
+void
+rec_reader_free (struct rec_reader *r)
+{
+  if (r->scratch != NULL)
+    scratch_clear (r->scratch);
+  free (r->scratch);
+  r->scratch = NULL;
+}
--- /dev/null
+++ b/t/t5900-replay.c
@@ -0,0 +1,90 @@
+#include <criterion/criterion.h>
+#include <dirent.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib-proc.h"
+
+#define TRACES "t/traces/"
+
+TestSuite (replay, .fini = proc_stop_all, .timeout = 60);
+
+static int
+by_name (const void *a, const void *b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+/* Names of the traces without their ending, in order. */
+static size_t
+list_traces (char **names, size_t max)
+{
+  DIR *dir = opendir (TRACES);
+  struct dirent *e;
+  size_t n = 0;
+  cr_assert_not_null (dir, TRACES " can't be read; run tests from the root");
+  while ((e = readdir (dir)) != NULL)
+    {
+      char *dot = strstr (e->d_name, ".trace");
+      if (dot != NULL && n < max)
+        names[n++] = str_dup (str_make (e->d_name, (size_t)(dot - e->d_name)));
+    }
+  closedir (dir);
+  qsort (names, n, sizeof *names, by_name);
+  return n;
+}
+
+/* The incidents that our users told of, each a trace whose comment tells what
+   the caller sees and a file of the decisions that must follow.  Two runs
+   must agree to the letter. */
+Test (replay, incidents_end_as_stated)
+{
+  char *names[32];
+  size_t n = list_traces (names, 32);
+  cr_assert_geq (n, 6);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct buf trace = BUF_INIT, expect = BUF_INIT, out = BUF_INIT;
+      buf_addf (&trace, TRACES "%s.trace", names[i]);
+      buf_addf (&expect, TRACES "%s.expect", names[i]);
+      for (int run = 0; run < 2; run++)
+        cr_expect_eq (PROC_RUN (&out, "lapisline", "replay", "--expect",
+                                buf_c (&expect), buf_c (&trace)),
+                      0, "%s, run %d: %s", names[i], run, buf_c (&out));
+      buf_free (&trace);
+      buf_free (&expect);
+      buf_free (&out);
+      free (names[i]);
+    }
+}
+
+/* An operator replays a trace that was damaged on its way.  Each fault is
+   told with its line, and the exit code says that the input is wrong. */
+Test (replay, damaged_trace_is_told_with_its_line)
+{
+  const char *head = "{\"core\":\"route\",\"seed\":1,\"nodes\":1}\n";
+  const char *path = proc_file ("bad.trace",
+                                "%s{\"t\":1,\"ev\":\"sneeze\"}\n"
+                                "{\"t\":2,\"ev\":\"arrive\"}\n"
+                                "{\"t\":3,\n",
+                                head);
+  struct buf out = BUF_INIT;
+  cr_expect_eq (PROC_RUN (&out, "lapisline", "replay", path), 3);
+  cr_expect_null (strstr (buf_c (&out), "connect"));
+  buf_free (&out);
+  path = proc_file ("empty.trace", "%s", "");
+  cr_expect_eq (PROC_RUN (&out, "lapisline", "replay", path), 3);
+  buf_free (&out);
+}
+
+/* An expectation that the decisions do not meet must fail the command, or no
+   replay would ever prove anything. */
+Test (replay, other_decisions_fail)
+{
+  const char *expect = proc_file ("other.expect", "1000 connect id=1\n");
+  struct buf out = BUF_INIT;
+  cr_expect_eq (PROC_RUN (&out, "lapisline", "replay", "--expect", expect,
+                          TRACES "stalled-quote.trace"),
+                1);
+  buf_free (&out);
+}
