Add the commands of the administration API

Cause: the API had no client; an operator would have to write calls with curl and read JSON. A change whose answer was cut or late ends with 5 (it may or may not have happened), an address that nobody answers at with 4, a refusal with 1, a wrong command line with 2. Not run yet against a control process. Conclusion: the same verbs on the command line as over HTTP.

--- /dev/null
+++ b/builtin/admin-client.c
@@ -0,0 +1,382 @@
+#include "builtin/admin-client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lapisline.h"
+#include "net/httpc.h"
+
+#define CONNECT_MS (3 * CLK_SECOND)
+#define ANSWER_MS (10 * CLK_SECOND)
+#define MAX_TOKEN 4096
+
+/* --- options ------------------------------------------------------------ */
+
+bool
+admin_client_options (struct admin_client *a, const char *parameters,
+                      const char *summary, int *argc, char ***argv)
+{
+  GOptionEntry entries[] = {
+    { "admin", 0, 0, G_OPTION_ARG_STRING, &a->admin,
+      "admin address of any node's control (LAPISLINE_ADMIN)", "ADDR" },
+    { "token-file", 0, 0, G_OPTION_ARG_FILENAME, &a->token_file,
+      "file with the operator's token (the token itself: LAPISLINE_TOKEN)",
+      "FILE" },
+    { "json", 0, 0, G_OPTION_ARG_NONE, &a->json, "print JSON", NULL },
+    { "undo", 0, 0, G_OPTION_ARG_NONE, &a->undo,
+      "with drain: take the drain of a replica back", NULL },
+    { 0 },
+  };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new (parameters);
+  g_option_context_set_summary (context, summary);
+  g_option_context_add_main_entries (context, entries, NULL);
+  bool ok = g_option_context_parse (context, argc, argv, &error);
+  g_option_context_free (context);
+  if (!ok)
+    {
+      fprintf (stderr, "lapisline: %s\n", error->message);
+      g_error_free (error);
+      return false;
+    }
+  if (!a->admin)
+    a->admin = g_strdup (g_getenv ("LAPISLINE_ADMIN"));
+  if (a->admin)
+    return true;
+  fputs ("lapisline: give --admin ADDR or set LAPISLINE_ADMIN\n", stderr);
+  return false;
+}
+
+void
+admin_client_free (struct admin_client *a)
+{
+  g_free (a->admin);
+  g_free (a->token_file);
+}
+
+/* Append the operator's token; false when there is none. */
+static bool
+read_token (const struct admin_client *a, struct buf *out)
+{
+  const char *env = g_getenv ("LAPISLINE_TOKEN");
+  char text[MAX_TOKEN];
+  if (!a->token_file && env)
+    {
+      buf_add (out, str_trim (str_from (env)));
+      return true;
+    }
+  if (!a->token_file)
+    {
+      fputs ("lapisline: give --token-file FILE or set LAPISLINE_TOKEN\n",
+             stderr);
+      return false;
+    }
+  FILE *f = fopen (a->token_file, "r");
+  if (!f)
+    {
+      perror (a->token_file);
+      return false;
+    }
+  size_t n = fread (text, 1, sizeof text, f);
+  fclose (f);
+  buf_add (out, str_trim (str_make (text, n)));
+  return true;
+}
+
+/* --- one call ----------------------------------------------------------- */
+
+struct call
+{
+  int status;
+  enum httpc_end end;
+  struct buf *answer;
+};
+
+static bool
+on_connected (void *ctx)
+{
+  return true;
+}
+
+static void
+on_head (void *ctx, int status, const struct http_header *headers, size_t n)
+{
+  struct call *call = ctx;
+  call->status = status;
+}
+
+static void
+on_body (void *ctx, struct str bytes)
+{
+  struct call *call = ctx;
+  buf_add (call->answer, bytes);
+}
+
+static void
+on_end (void *ctx, enum httpc_end end)
+{
+  struct call *call = ctx;
+  call->end = end;
+}
+
+static void
+run_call (struct call *call, const struct httpc_request *req)
+{
+  static const struct httpc_callbacks callbacks
+      = { .on_connected = on_connected,
+          .on_head = on_head,
+          .on_body = on_body,
+          .on_end = on_end };
+  uv_loop_t loop;
+  uv_loop_init (&loop);
+  struct httpc *http = httpc_new (&loop);
+  httpc_start (http, req, &callbacks, call);
+  while ((int)call->end < 0)
+    uv_run (&loop, UV_RUN_ONCE);
+  httpc_free (http);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
+}
+
+/* The message of an error answer, or the answer itself. */
+static void
+print_refusal (int status, struct buf *answer)
+{
+  json_object *root = json_tokener_parse (buf_c (answer));
+  json_object *error = NULL;
+  json_object *message = NULL;
+  if (json_object_object_get_ex (root, "error", &error)
+      && json_object_object_get_ex (error, "message", &message))
+    fprintf (stderr, "lapisline: %s\n", json_object_get_string (message));
+  else
+    fprintf (stderr, "lapisline: status %d: %s\n", status, buf_c (answer));
+  json_object_put (root);
+}
+
+static int
+judge_call (const struct admin_client *a, const struct call *call, bool change)
+{
+  if (call->end == HTTPC_WHOLE && call->status == 200)
+    return EXIT_DONE;
+  if (call->end == HTTPC_WHOLE)
+    {
+      print_refusal (call->status, call->answer);
+      return call->status == 504 && change ? EXIT_UNKNOWN : EXIT_FAILED;
+    }
+  if (call->end == HTTPC_CONNECT_FAILED)
+    {
+      fprintf (stderr, "lapisline: nobody answers at %s\n", a->admin);
+      return EXIT_UNREACHABLE;
+    }
+  fprintf (stderr, "lapisline: the answer of %s was cut%s\n", a->admin,
+           change ? "; the change may or may not have happened" : "");
+  return change ? EXIT_UNKNOWN : EXIT_UNREACHABLE;
+}
+
+int
+admin_client_call (const struct admin_client *a, const char *method,
+                   const char *path, const char *body, bool with_token,
+                   struct buf *answer)
+{
+  struct buf bearer = BUF_INIT;
+  struct call call = { .end = (enum httpc_end) - 1, .answer = answer };
+  struct httpc_request req = { .method = str_from (method),
+                               .path = str_from (path),
+                               .body = str_from (body),
+                               .connect_ms = CONNECT_MS,
+                               .progress_ms = ANSWER_MS,
+                               .fresh = true };
+  if (!net_addr_parse (str_from (a->admin), false, &req.to))
+    {
+      fprintf (stderr, "lapisline: '%s' is not an IP number with a port\n",
+               a->admin);
+      return EXIT_USAGE;
+    }
+  buf_add_c (&bearer, "Bearer ");
+  if (with_token && !read_token (a, &bearer))
+    {
+      buf_free (&bearer);
+      return EXIT_USAGE;
+    }
+  struct http_header headers[]
+      = { { STR ("authorization"), buf_str (&bearer) } };
+  req.headers = headers;
+  req.nheaders = with_token ? 1 : 0;
+  run_call (&call, &req);
+  buf_free (&bearer);
+  return judge_call (a, &call, strcmp (method, "GET") != 0);
+}
+
+/* --- tables ------------------------------------------------------------- */
+
+/* What a cell shows; `text` backs it where the value is no string. */
+static const char *
+cell_text (json_object *row, const char *key, char *text, size_t size)
+{
+  json_object *value = NULL;
+  if (!json_object_object_get_ex (row, key, &value))
+    return "-";
+  switch (json_object_get_type (value))
+    {
+    case json_type_boolean:
+      return json_object_get_boolean (value) ? "yes" : "no";
+    case json_type_string:
+      snprintf (text, size, "%s", json_object_get_string (value));
+      return text[0] ? text : "-";
+    default:
+      snprintf (
+          text, size, "%s",
+          json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN));
+      return text;
+    }
+}
+
+void
+admin_client_table (json_object *rows, const struct admin_column *columns,
+                    size_t n)
+{
+  char text[256];
+  size_t nrows = json_object_array_length (rows);
+  int *width = xcalloc (n, sizeof *width);
+  for (size_t c = 0; c < n; c++)
+    {
+      width[c] = (int)strlen (columns[c].title);
+      for (size_t i = 0; i < nrows; i++)
+        {
+          json_object *row = json_object_array_get_idx (rows, i);
+          int len = (int)strlen (
+              cell_text (row, columns[c].key, text, sizeof text));
+          width[c] = MAX (width[c], len);
+        }
+    }
+  for (size_t c = 0; c < n; c++)
+    printf ("%-*s%s", c + 1 < n ? width[c] : 0, columns[c].title,
+            c + 1 < n ? "  " : "\n");
+  for (size_t i = 0; i < nrows; i++)
+    for (size_t c = 0; c < n; c++)
+      {
+        json_object *row = json_object_array_get_idx (rows, i);
+        printf ("%-*s%s", c + 1 < n ? width[c] : 0,
+                cell_text (row, columns[c].key, text, sizeof text),
+                c + 1 < n ? "  " : "\n");
+      }
+  free (width);
+}
+
+static void
+print_object (json_object *object)
+{
+  char text[1024];
+  json_object_object_foreach (object, key, value)
+  {
+    (void)value;
+    printf ("%-14s %s\n", key, cell_text (object, key, text, sizeof text));
+  }
+}
+
+/* --- nouns with list, show and drain ------------------------------------ */
+
+static int
+run_list (const struct admin_client *a, const struct admin_noun *noun)
+{
+  struct buf path = BUF_INIT;
+  struct buf answer = BUF_INIT;
+  buf_addf (&path, "/admin/v1/%s", noun->resource);
+  int code = admin_client_call (a, "GET", buf_c (&path), NULL, true, &answer);
+  json_object *root
+      = code == EXIT_DONE ? json_tokener_parse (buf_c (&answer)) : NULL;
+  json_object *rows = NULL;
+  if (code == EXIT_DONE && a->json)
+    fputs (buf_c (&answer), stdout);
+  else if (json_object_object_get_ex (root, noun->resource, &rows))
+    admin_client_table (rows, noun->columns, noun->ncolumns);
+  json_object_put (root);
+  buf_free (&path);
+  buf_free (&answer);
+  return code;
+}
+
+static int
+run_show (const struct admin_client *a, const struct admin_noun *noun,
+          const char *name)
+{
+  struct buf path = BUF_INIT;
+  struct buf answer = BUF_INIT;
+  buf_addf (&path, "/admin/v1/%s/%s", noun->resource, name);
+  int code = admin_client_call (a, "GET", buf_c (&path), NULL, true, &answer);
+  json_object *root
+      = code == EXIT_DONE ? json_tokener_parse (buf_c (&answer)) : NULL;
+  if (code == EXIT_DONE && a->json)
+    fputs (buf_c (&answer), stdout);
+  else if (root)
+    print_object (root);
+  json_object_put (root);
+  buf_free (&path);
+  buf_free (&answer);
+  return code;
+}
+
+static int
+run_drain (const struct admin_client *a, const struct admin_noun *noun,
+           const char *name)
+{
+  struct buf path = BUF_INIT;
+  struct buf answer = BUF_INIT;
+  buf_addf (&path, "/admin/v1/%s/%s/drain", noun->resource, name);
+  int code = admin_client_call (a, "POST", buf_c (&path),
+                                a->undo ? "{\"on\":false}" : "{\"on\":true}",
+                                true, &answer);
+  if (code == EXIT_DONE && a->json)
+    fputs (buf_c (&answer), stdout);
+  else if (code == EXIT_DONE)
+    printf ("%s %s: %s\n", noun->name, name,
+            a->undo ? "no longer draining" : "draining");
+  buf_free (&path);
+  buf_free (&answer);
+  return code;
+}
+
+static bool
+is_name (const char *text)
+{
+  return text[0] != '\0'
+         && strspn (text, "abcdefghijklmnopqrstuvwxyz"
+                          "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-")
+                == strlen (text);
+}
+
+static int
+run_verb (const struct admin_client *a, const struct admin_noun *noun,
+          int argc, char **argv)
+{
+  const char *verb = argc > 1 ? argv[1] : "";
+  if (argc == 2 && strcmp (verb, "list") == 0)
+    return run_list (a, noun);
+  if (argc == 3 && !is_name (argv[2]))
+    {
+      fprintf (stderr, "lapisline: '%s' is not a name\n", argv[2]);
+      return EXIT_USAGE;
+    }
+  if (argc == 3 && noun->can_show && strcmp (verb, "show") == 0)
+    return run_show (a, noun, argv[2]);
+  if (argc == 3 && noun->can_drain && strcmp (verb, "drain") == 0)
+    return run_drain (a, noun, argv[2]);
+  fprintf (stderr, "lapisline: see 'lapisline %s --help'\n", noun->name);
+  return EXIT_USAGE;
+}
+
+int
+admin_client_noun (const struct admin_noun *noun, int argc, char **argv)
+{
+  struct admin_client a = { 0 };
+  char parameters[64];
+  snprintf (parameters, sizeof parameters, "list%s%s",
+            noun->can_show ? " | show NAME" : "",
+            noun->can_drain ? " | drain NAME" : "");
+  int code = EXIT_USAGE;
+  if (admin_client_options (&a, parameters, noun->summary, &argc, &argv))
+    code = run_verb (&a, noun, argc, argv);
+  admin_client_free (&a);
+  return code;
+}
--- /dev/null
+++ b/builtin/admin-client.h
@@ -0,0 +1,67 @@
+/**
+ * @file
+ * Client of the administration API for the commands that list, show and
+ * drain things: options, calls, tables.
+ */
+#ifndef LAPISLINE_BUILTIN_ADMIN_CLIENT_H
+#define LAPISLINE_BUILTIN_ADMIN_CLIENT_H
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "base/str.h"
+
+/** Options of each such command. */
+struct admin_client
+{
+  char *admin;      /**< address of a control process's admin port */
+  char *token_file; /**< or NULL: the token is in LAPISLINE_TOKEN */
+  gboolean json;    /**< print answers as they came */
+  gboolean undo;    /**< take a drain back */
+};
+
+/** Column of a table: its title and the key of its value. */
+struct admin_column
+{
+  const char *title;
+  const char *key;
+};
+
+/** A kind of thing with the verbs list, show and drain. */
+struct admin_noun
+{
+  const char *name;     /**< e.g. "replica" */
+  const char *resource; /**< in paths and as the key of lists */
+  const char *summary;  /**< for --help */
+  const struct admin_column *columns;
+  size_t ncolumns;
+  bool can_show;
+  bool can_drain;
+};
+
+/** Run the command of a noun; an exit code of lapisline.h. */
+int admin_client_noun (const struct admin_noun *noun, int argc, char **argv);
+
+/**
+ * Parse options; --help ends the process.
+ * @return  whether to go on; if not, the reason was printed
+ */
+bool admin_client_options (struct admin_client *a, const char *parameters,
+                           const char *summary, int *argc, char ***argv);
+void admin_client_free (struct admin_client *a);
+
+/**
+ * One call; a refusal or failure is printed on standard error.
+ * @param with_token  whether the path needs an operator's token
+ * @return  EXIT_DONE with the body in @p answer, or another exit code:
+ *          EXIT_UNKNOWN when a change may or may not have happened
+ */
+int admin_client_call (const struct admin_client *a, const char *method,
+                       const char *path, const char *body, bool with_token,
+                       struct buf *answer);
+
+/** Print an array of objects as a table. */
+void admin_client_table (json_object *rows, const struct admin_column *columns,
+                         size_t n);
+
+#endif
--- a/lapisline.c
+++ b/lapisline.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,8 +12,13 @@
 };
 
 static const struct command commands[] = {
+  { "account", cmd_account, "list client accounts" },
   { "bench", cmd_bench, "measure decisions and costs" },
+  { "metrics", cmd_metrics, "print counters of a process" },
+  { "node", cmd_node, "list, show and drain nodes" },
   { "replay", cmd_replay, "feed recorded events to a decision core" },
+  { "replica", cmd_replica, "list, show and drain replicas" },
+  { "trace", cmd_trace, "show a trace over all nodes" },
   { "version", cmd_version, "print the version" },
 };
 
@@ -27,6 +33,15 @@
   fputs ("\n'lapisline COMMAND --help' tells more.\n", out);
 }
 
+static int
+run (const struct command *c, int argc, char **argv)
+{
+  char name[64];
+  snprintf (name, sizeof name, "lapisline %s", c->name);
+  g_set_prgname (name); /* shown by --help */
+  return c->run (argc, argv);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -44,7 +59,7 @@
     return cmd_version (argc - 1, argv + 1);
   for (size_t i = 0; i < NCOMMANDS; i++)
     if (strcmp (argv[1], commands[i].name) == 0)
-      return commands[i].run (argc - 1, argv + 1);
+      return run (&commands[i], argc - 1, argv + 1);
   fprintf (stderr, "lapisline: no command '%s'; see 'lapisline --help'\n",
            argv[1]);
   return EXIT_USAGE;
