--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,18 @@
 $B/charts.o: $B/charts.c
 	$(QUIET_CC)$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
 
+# Users' commands: what is missing is installed first.
+run: install
+	$(MAKE) $(PARALLEL) all
+	t/run-example.sh
+
+run-keep: install
+	$(MAKE) $(PARALLEL) all
+	t/run-example.sh --keep
+
+install:
+	@.ci/install --missing
+
 tests: all $(TESTS)
 
 # Everything as shipped, then again under the sanitizers.
@@ -71,7 +83,7 @@
 TEST_NAMES = $(patsubst t/%.c,%,$(wildcard t/t[0-9]*.c))
 PARALLEL = $(if $(findstring -j,$(MAKEFLAGS)),,-j$(shell nproc))
 
-test:
+test: install
 	$(MAKE) $(PARALLEL) tests
 	$(MAKE) $(PARALLEL) tests SAN="$(SANITIZE)"
 	t/run-tests.sh $(TEST_NAMES:%=build/t/%) $(TEST_NAMES:%=build/san/t/%)
@@ -91,5 +103,5 @@
 		'-DLAPISLINE_REVISION="lint"' 2>/dev/null
 
 .SECONDARY:
-.PHONY: all tests test format lint FORCE
+.PHONY: all run run-keep install tests test format lint FORCE
 -include $(shell find $B -name '*.d' 2>/dev/null)
