--- /dev/null
+++ b/t/lib-memkv.c
@@ -0,0 +1,186 @@
+#include "t/lib-memkv.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct entry
+{
+  struct entry *next;
+  char *key;
+  char *value;
+  size_t len;
+  int64_t mod_rev;
+};
+
+struct memkv
+{
+  struct entry *entries;
+  int64_t revision;
+  struct store_kv answer;
+  struct store_txn held;
+};
+
+struct memkv *
+memkv_new (void)
+{
+  return xcalloc (1, sizeof (struct memkv));
+}
+
+static struct entry **
+find (const struct memkv *k, struct str key)
+{
+  struct entry **e = (struct entry **)&k->entries;
+
+  while (*e && !str_is (key, (*e)->key))
+    e = &(*e)->next;
+  return e;
+}
+
+static void
+drop (struct entry **at)
+{
+  struct entry *e = *at;
+
+  *at = e->next;
+  free (e->key);
+  free (e->value);
+  free (e);
+}
+
+static void
+set (struct memkv *k, const struct store_put *put)
+{
+  struct entry **at = find (k, put->key);
+  struct entry *e = xcalloc (1, sizeof *e);
+
+  if (*at)
+    drop (at);
+  e->next = k->entries;
+  e->key = str_dup (put->key);
+  e->value = str_dup (put->value);
+  e->len = put->value.len;
+  e->mod_rev = k->revision;
+  k->entries = e;
+}
+
+struct store_result
+memkv_range (struct memkv *k, struct str key)
+{
+  struct entry *e = *find (k, key);
+  struct store_result r = { .status = STORE_OK, .revision = k->revision };
+
+  if (!e)
+    return r;
+  k->answer = (struct store_kv){ .key = str_from (e->key),
+                                 .value = str_make (e->value, e->len),
+                                 .mod_rev = e->mod_rev };
+  r.kvs = &k->answer;
+  r.nkvs = 1;
+  return r;
+}
+
+static bool
+holds (struct memkv *k, const struct store_txn *txn)
+{
+  for (size_t i = 0; i < txn->ncompares; i++)
+    {
+      struct entry *e = *find (k, txn->compares[i].key);
+      if ((e ? e->mod_rev : 0) != txn->compares[i].mod_rev)
+        return false;
+    }
+  return true;
+}
+
+struct store_result
+memkv_txn (struct memkv *k, const struct store_txn *txn)
+{
+  struct store_result r = { .status = STORE_CONFLICT };
+
+  if (holds (k, txn))
+    {
+      r.status = STORE_OK;
+      k->revision++;
+      for (size_t i = 0; i < txn->nputs; i++)
+        set (k, &txn->puts[i]);
+      for (size_t i = 0; i < txn->ndeletes; i++)
+        if (*find (k, txn->deletes[i]))
+          drop (find (k, txn->deletes[i]));
+    }
+  r.revision = k->revision;
+  return r;
+}
+
+static struct str
+copy (struct str s)
+{
+  return str_make (str_dup (s), s.len);
+}
+
+static void
+drop_held (struct memkv *k)
+{
+  struct store_txn *t = &k->held;
+
+  for (size_t i = 0; i < t->ncompares; i++)
+    free ((char *)t->compares[i].key.ptr);
+  for (size_t i = 0; i < t->nputs; i++)
+    {
+      free ((char *)t->puts[i].key.ptr);
+      free ((char *)t->puts[i].value.ptr);
+    }
+  for (size_t i = 0; i < t->ndeletes; i++)
+    free ((char *)t->deletes[i].ptr);
+  free ((void *)t->compares);
+  free ((void *)t->puts);
+  free ((void *)t->deletes);
+  memset (t, 0, sizeof *t);
+}
+
+void
+memkv_hold (struct memkv *k, const struct store_txn *txn)
+{
+  struct store_compare *compares
+      = xcalloc (txn->ncompares + 1, sizeof *compares);
+  struct store_put *puts = xcalloc (txn->nputs + 1, sizeof *puts);
+  struct str *deletes = xcalloc (txn->ndeletes + 1, sizeof *deletes);
+
+  drop_held (k);
+  for (size_t i = 0; i < txn->ncompares; i++)
+    compares[i] = (struct store_compare){ copy (txn->compares[i].key),
+                                          txn->compares[i].mod_rev };
+  for (size_t i = 0; i < txn->nputs; i++)
+    puts[i] = (struct store_put){ copy (txn->puts[i].key),
+                                  copy (txn->puts[i].value), 0 };
+  for (size_t i = 0; i < txn->ndeletes; i++)
+    deletes[i] = copy (txn->deletes[i]);
+  k->held = (struct store_txn){ compares,   txn->ncompares, puts,
+                                txn->nputs, deletes,        txn->ndeletes };
+}
+
+struct store_result
+memkv_deliver (struct memkv *k)
+{
+  struct store_result r = memkv_txn (k, &k->held);
+
+  drop_held (k);
+  return r;
+}
+
+size_t
+memkv_count (const struct memkv *k, struct str prefix)
+{
+  size_t n = 0;
+
+  for (const struct entry *e = k->entries; e; e = e->next)
+    n += str_starts (str_from (e->key), prefix);
+  return n;
+}
+
+void
+memkv_free (struct memkv *k)
+{
+  drop_held (k);
+  while (k->entries)
+    drop (&k->entries);
+  free (k);
+}
