Run the domains' cores in the control process

The cores of ownership and replicas decide; something has to pick which node runs them for a domain, carry their probes, orders and store calls, and tell the other nodes what it saw.

The home of a domain is the rendezvous pick among the live nodes of its zone; it probes with or without a lease, since evidence is no order, and asks for the lease only where a replica is managed.

The shell itself has run in no process yet: membership and peer links are not there so far.

--- /dev/null
+++ b/control/domains.c
@@ -0,0 +1,410 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/domains.h"
+#include "fleet/hash.h"
+
+struct dom *
+dom_find (const struct ctl_domains *all, struct str name)
+{
+  for (size_t i = 0; i < all->n; i++)
+    if (str_eq (buf_str (&all->list[i]->name), name))
+      return all->list[i];
+  return NULL;
+}
+
+static void
+add_key (struct buf *out, const struct ctl *c, struct str domain,
+         const char *what)
+{
+  buf_addf (out, "%sdomain/%.*s/%s", c->set.store_prefix, STR_ARG (domain),
+            what);
+}
+
+static void
+start_cores (struct dom *d, clk_ms now)
+{
+  struct ctl *c = d->all->c;
+  struct str name = buf_str (&d->name);
+  struct buf owner = BUF_INIT, assignment = BUF_INIT;
+  struct rep_event config = { .kind = REP_CONFIG, .cfg = d->all->cfg };
+
+  add_key (&owner, c, name, "owner");
+  add_key (&assignment, c, name, "assignment");
+  struct own_options oo = { .key = buf_str (&owner),
+                            .node = str_from (c->set.node),
+                            .boot = c->boot,
+                            .ttl = DOM_LEASE_MS,
+                            .checks_fence = d->cfg->checks_fence,
+                            .order_flight_ms = DOM_ORDER_MS };
+  struct rep_options ro = { .domain = name,
+                            .key = buf_str (&assignment),
+                            .owner_key = buf_str (&owner) };
+  d->own = own_new (&oo, rng_next (&c->rng));
+  d->rep = rep_new (&ro, rng_next (&c->rng));
+  rep_event (d->rep, now, &config);
+  buf_free (&owner);
+  buf_free (&assignment);
+}
+
+static void
+stop_cores (struct dom *d, clk_ms now)
+{
+  if (!d->rep)
+    return;
+  own_want (d->own, now, false);
+  dom_pump (d);
+  dom_calls_cancel (d);
+  own_free (d->own);
+  rep_free (d->rep);
+  d->own = NULL;
+  d->rep = NULL;
+}
+
+static void
+dom_free (struct dom *d)
+{
+  stop_cores (d, clk_now ());
+  dom_remote_free (&d->remote);
+  buf_free (&d->name);
+  buf_free (&d->home_node);
+  free (d);
+}
+
+static void
+set_owner (struct dom *d, bool on, int64_t fence)
+{
+  struct rep_event ev = { .kind = REP_OWNER, .on = on, .fence = fence };
+
+  rep_event (d->rep, clk_now (), &ev);
+  d->changed = true;
+  if (on)
+    LOG (domain_gained, LOG_S ("domain", buf_str (&d->name)),
+         LOG_I ("fence", fence));
+  else
+    LOG (domain_lost, LOG_S ("domain", buf_str (&d->name)));
+}
+
+static void
+do_own (struct dom *d, const struct own_action *a)
+{
+  switch (a->kind)
+    {
+    case OWN_GAINED:
+      set_owner (d, true, a->fence);
+      break;
+    case OWN_LOST:
+      set_owner (d, false, 0);
+      break;
+    default:
+      dom_own_action (d, a);
+    }
+}
+
+static void
+do_rep (struct dom *d, const struct rep_action *a)
+{
+  switch (a->kind)
+    {
+    case REP_PROBE:
+      dom_probe (d, a->vm);
+      break;
+    case REP_SEND_ORDER:
+      dom_order (d, a);
+      break;
+    case REP_STORE_TXN:
+    case REP_STORE_READ:
+      dom_rep_store (d, a);
+      break;
+    case REP_EVIDENCE:
+      d->changed = true;
+      break;
+    }
+}
+
+void
+dom_pump (struct dom *d)
+{
+  struct own_action own;
+  struct rep_action rep;
+  bool more = true;
+
+  while (more)
+    {
+      more = false;
+      while (own_next (d->own, &own))
+        {
+          more = true;
+          do_own (d, &own);
+        }
+      while (rep_next (d->rep, &rep))
+        {
+          more = true;
+          do_rep (d, &rep);
+        }
+    }
+}
+
+/* A zone's region is known from any node that ever was in it. */
+static bool
+zone_is_elsewhere (const struct ctl *c, const struct mbr_node *const *nodes,
+                   size_t n, struct str zone)
+{
+  for (size_t i = 0; i < n; i++)
+    if (str_eq (nodes[i]->zone, zone))
+      return !str_is (nodes[i]->region, c->set.region);
+  return false;
+}
+
+static size_t
+live_nodes (const struct ctl *c, const struct mbr_node *const *nodes, size_t n,
+            struct str zone, struct str *names)
+{
+  size_t found = 0;
+
+  for (size_t i = 0; i < n; i++)
+    if (nodes[i]->status <= MBR_SUSPECT
+        && str_is (nodes[i]->region, c->set.region)
+        && (!zone.len || str_eq (nodes[i]->zone, zone))
+        && !(c->leaving && str_is (nodes[i]->name, c->set.node)))
+      names[found++] = nodes[i]->name;
+  return found;
+}
+
+/* The home of a domain is picked among the live nodes of its zone, or of the
+   region when the zone has none.  Two nodes may both believe that they are
+   home; the lease decides which of them may order. */
+static bool
+is_home (struct dom *d)
+{
+  const struct ctl *c = d->all->c;
+  size_t n, found;
+  const struct mbr_node *const *nodes = ctl_swim_nodes (c->swim, &n);
+  struct str *names = xcalloc (n + 1, sizeof *names);
+  bool home = false;
+
+  if (!zone_is_elsewhere (c, nodes, n, d->cfg->zone))
+    {
+      found = live_nodes (c, nodes, n, d->cfg->zone, names);
+      if (!found)
+        found = live_nodes (c, nodes, n, STR_EMPTY, names);
+      buf_clear (&d->home_node);
+      if (found)
+        buf_add (&d->home_node,
+                 names[hash_pick (buf_str (&d->name), names, found)]);
+      home = str_is (buf_str (&d->home_node), c->set.node);
+    }
+  free (names);
+  return home;
+}
+
+static void
+update_home (struct dom *d, clk_ms now)
+{
+  bool home = d->cfg && is_home (d);
+
+  if (home && !d->rep)
+    start_cores (d, now);
+  else if (!home)
+    stop_cores (d, now);
+  d->home = home;
+  if (d->rep)
+    {
+      own_want (d->own, now, d->managed);
+      dom_pump (d);
+    }
+}
+
+void
+ctl_domains_members (struct ctl_domains *all)
+{
+  clk_ms now = clk_now ();
+
+  for (size_t i = 0; i < all->n; i++)
+    update_home (all->list[i], now);
+}
+
+static bool
+has_managed (const struct cfg *cfg, struct str domain)
+{
+  for (size_t i = 0; i < cfg->nreplicas; i++)
+    if (str_eq (cfg->replicas[i].domain, domain)
+        && cfg->replicas[i].mode == CFG_MANAGE)
+      return true;
+  return false;
+}
+
+static struct dom *
+dom_new (struct ctl_domains *all, struct str name)
+{
+  struct dom *d = xcalloc (1, sizeof *d);
+
+  d->all = all;
+  buf_add (&d->name, name);
+  return d;
+}
+
+/* The domain's former state, moved out of the old list, or a new one. */
+static struct dom *
+take_or_new (struct ctl_domains *all, struct dom **old, size_t n,
+             struct str name)
+{
+  for (size_t i = 0; i < n; i++)
+    if (old[i] && str_eq (buf_str (&old[i]->name), name))
+      {
+        struct dom *d = old[i];
+
+        old[i] = NULL;
+        return d;
+      }
+  return dom_new (all, name);
+}
+
+static void
+apply_config (struct dom *d, const struct cfg_domain *cfg, clk_ms now)
+{
+  struct rep_event ev = { .kind = REP_CONFIG, .cfg = d->all->cfg };
+  /* How long a new owner waits was decided under the old word. */
+  bool fencing_changed
+      = d->cfg && d->rep && d->cfg->checks_fence != cfg->checks_fence;
+
+  if (fencing_changed)
+    stop_cores (d, now);
+  d->cfg = cfg;
+  d->managed = has_managed (d->all->cfg, cfg->name);
+  if (d->rep)
+    rep_event (d->rep, now, &ev);
+}
+
+static void
+map_replicas (struct ctl_domains *all)
+{
+  free (all->dom_of);
+  all->dom_of = xcalloc (all->cfg->nreplicas + 1, sizeof *all->dom_of);
+  for (size_t i = 0; i < all->cfg->nreplicas; i++)
+    all->dom_of[i] = dom_find (all, all->cfg->replicas[i].domain);
+}
+
+void
+ctl_domains_config (struct ctl_domains *all)
+{
+  struct dom **old = all->list;
+  size_t nold = all->n;
+  struct cfg *old_cfg = all->cfg;
+  clk_ms now = clk_now ();
+
+  all->cfg = cfg_ref (all->c->cfg);
+  all->list = xcalloc (all->cfg->ndomains + 1, sizeof *all->list);
+  all->n = all->cfg->ndomains;
+  for (size_t i = 0; i < all->n; i++)
+    {
+      const struct cfg_domain *cfg = &all->cfg->domains[i];
+
+      all->list[i] = take_or_new (all, old, nold, cfg->name);
+      apply_config (all->list[i], cfg, now);
+    }
+  for (size_t i = 0; i < nold; i++)
+    if (old[i])
+      dom_free (old[i]);
+  free (old);
+  map_replicas (all);
+  ctl_domains_members (all);
+  if (old_cfg)
+    cfg_unref (old_cfg);
+}
+
+static void
+tick_dom (struct dom *d, clk_ms now)
+{
+  struct rep_event tick = { .kind = REP_TICK };
+
+  dom_calls_tick (d, now);
+  own_tick (d->own, now);
+  dom_pump (d);
+  rep_event (d->rep, now, &tick);
+  dom_pump (d);
+  if (d->changed || now - d->sent_at >= DOM_BROADCAST_MS)
+    dom_broadcast (d, now);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct ctl_domains *all = t->data;
+  clk_ms now = clk_now ();
+  bool changed = false;
+
+  dom_share_budget (all, now);
+  for (size_t i = 0; i < all->n; i++)
+    if (all->list[i]->rep)
+      {
+        tick_dom (all->list[i], now);
+        changed = changed || all->list[i]->changed;
+        all->list[i]->changed = false;
+      }
+  dom_platform_tick (all, now);
+  if (changed)
+    ctl_evidence_changed (all->c);
+}
+
+struct ctl_domains *
+ctl_domains_start (struct ctl *c, struct buf *err)
+{
+  struct ctl_domains *all = xcalloc (1, sizeof *all);
+
+  (void)err;
+  all->c = c;
+  all->probes = met_counter (c->met, "lapisline_probes_total",
+                             "Probes sent to VMs.", NULL);
+  all->orders = met_counter (c->met, "lapisline_orders_total",
+                             "Orders sent to VMs.", NULL);
+  all->stopped_orders
+      = met_counter (c->met, "lapisline_orders_stopped_total",
+                     "Orders held back, as ownership had lapsed.", NULL);
+  all->evidence_bytes
+      = met_counter (c->met, "lapisline_evidence_bytes_total",
+                     "Bytes of evidence packed, before copies.", NULL);
+  uv_timer_init (c->loop, &all->timer);
+  all->timer.data = all;
+  uv_timer_start (&all->timer, on_timer, (uint64_t)DOM_TICK_MS,
+                  (uint64_t)DOM_TICK_MS);
+  if (c->cfg)
+    ctl_domains_config (all);
+  return all;
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+void
+ctl_domains_stop (struct ctl_domains *all)
+{
+  uv_timer_stop (&all->timer);
+  dom_platform_stop (all);
+  for (size_t i = 0; i < all->n; i++)
+    dom_free (all->list[i]);
+  free (all->list);
+  free (all->dom_of);
+  free (all->merged);
+  if (all->cfg)
+    cfg_unref (all->cfg);
+  uv_close ((uv_handle_t *)&all->timer, on_closed);
+}
+
+bool
+ctl_domains_drain (struct ctl_domains *all, struct str replica, bool on)
+{
+  const struct cfg_replica *r
+      = all->cfg ? cfg_replica (all->cfg, replica) : NULL;
+  struct dom *d = r ? dom_find (all, r->domain) : NULL;
+  struct rep_event ev = { .kind = REP_DRAIN, .replica = replica, .on = on };
+
+  if (!d || !d->rep)
+    return false;
+  rep_event (d->rep, clk_now (), &ev);
+  dom_pump (d);
+  return true;
+}
