Walk the claim core and its askers through interleavings

Cause: scripts show the orders that somebody thought of; lost, late and doubled answers, freezes and restarts come in any order and together. Change: claim/asker.c decides whom one ask goes to and who may release it; a seeded walk drives three gateways, their askers, a store that applies late or never and messages that are lost or late, and checks that no key is sent twice within the window and that every key can be used again afterwards. Conclusion: only an asker that never handed on a grant may release, and a core only what nobody else was asked for.

--- a/claim/asker.c
+++ b/claim/asker.c
@@ -54,8 +54,12 @@
 clm_asker_answer (struct clm_asker *a, clk_ms now, enum clm_verdict verdict)
 {
   a->answered++;
+  /* Two nodes may grant the same attempt.  Once one grant was handed on, the
+     second must not be taken for a leftover: its release would let a repeat
+     run beside the request that is being sent. */
   if (a->over)
-    return verdict == CLM_GRANTED ? CLM_ASKER_RELEASE : CLM_ASKER_NOTHING;
+    return verdict == CLM_GRANTED && !a->granted ? CLM_ASKER_RELEASE
+                                                 : CLM_ASKER_NOTHING;
   if (now >= a->deadline && verdict == CLM_GRANTED)
     {
       /* The grant is recorded, and its caller is told that it did not run. */
@@ -68,5 +72,6 @@
   if (verdict == CLM_UNAVAILABLE)
     return give_up (a, true);
   a->over = true;
+  a->granted = verdict == CLM_GRANTED;
   return CLM_ASKER_REPLY;
 }
--- a/claim/asker.h
+++ b/claim/asker.h
@@ -9,8 +9,9 @@
  * too while the store is down, each refused call would cost three of them.
  *
  * This process's own core is always the last target (and the only one when it
- * is the home): it is alive, so its silence means that the store is slow.  It
- * is asked with clm_ask.final, for nobody comes after it.
+ * is the home): it is alive, so its silence means that the store is slow. Only
+ * when nobody else was asked before is it asked with clm_ask.final: else an
+ * earlier target may have granted what the own core gives up.
  *
  * The asker alone may release its attempt, and only once it is sure never to
  * send: a home that gave up can't know that another one granted it.
@@ -35,6 +36,7 @@
   clk_ms deadline;
   clk_ms next;
   bool over;
+  bool granted; /**< a grant was handed on */
 };
 
 enum clm_asker_do
--- a/t/lib-claim.c
+++ b/t/lib-claim.c
@@ -91,7 +91,7 @@
 int64_t
 kv_grant (struct kv *kv, clk_ms now, clk_ms ttl)
 {
-  if (kv->nleases == 64)
+  if (kv->nleases == 1024)
     abort ();
   kv->leases[kv->nleases].id = 1000 + ++kv->revision;
   kv->leases[kv->nleases].expires = now + ttl;
--- a/t/lib-claim.h
+++ b/t/lib-claim.h
@@ -11,7 +11,7 @@
 #include "claim/claim.h"
 
 #define CW_HOMES 3
-#define CW_CALLS 64
+#define CW_CALLS 96
 #define CW_KEYS 4096
 
 /** A key-value store with compare-and-swap and leases. */
@@ -32,7 +32,7 @@
   {
     int64_t id;
     clk_ms expires;
-  } leases[64];
+  } leases[1024];
   size_t nleases;
 };
 
