Test the administration API by scripted calls

Cause: roles, the way of a drain to the node that can carry it out, and answers that never come had no test. Change: admin.c and its parts run on a real loop and port with fakes in place of the modules beside them; a script of calls and frames goes in and the log of answers and actions is compared. The answer to a forwarded drain now names the node that did it, as the test showed it empty. Seen red, each by its own test: without the role check a viewer drained and the node left; without the owner check a node acted on a domain that it no longer had; without forgetting a caller that has gone the late answer wrote to freed memory (address sanitizer).

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,8 @@
 tests: all $(TESTS)
 
 # Everything as shipped, then again under the sanitizers.
-SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
 TEST_NAMES = $(patsubst t/%.c,%,$(wildcard t/t[0-9]*.c))
 PARALLEL = $(if $(findstring -j,$(MAKEFLAGS)),,-j$(shell nproc))
 
--- a/control/admin-ask.c
+++ b/control/admin-ask.c
@@ -32,6 +32,7 @@
   /* A drain. */
   char *who;
   char *what;
+  char *node; /* that was asked */
   /* A trace. */
   bool is_trace;
   uint8_t trace[16];
@@ -47,6 +48,7 @@
   buf_free (&k->spans);
   free (k->who);
   free (k->what);
+  free (k->node);
   free (k);
 }
 
@@ -181,6 +183,7 @@
     }
   k->who = str_dup (r->who->name);
   k->what = str_dup (r->name);
+  k->node = str_dup (node);
   ask.id = k->id;
   ask.who = k->who;
   ask.config_revision = (uint64_t)c->cfg->revision;
@@ -305,7 +308,7 @@
   if (!k)
     return;
   if (k->http && answer->done)
-    answer_done (k->http, str_from (k->what), "");
+    answer_done (k->http, str_from (k->what), k->node);
   else if (k->http)
     adm_error (k->http, 409, "not-drained", answer->reason);
   end_ask (k);
--- /dev/null
+++ b/t/t8001-admin.c
@@ -0,0 +1,584 @@
+#include <criterion/criterion.h>
+#include <openssl/sha.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/admin.h"
+
+/*
+ * The administration API with fakes in place of the modules beside it, and
+ * one script of calls and answers for each run.  Commands of a script:
+ *   call TOKEN METHOD PATH [BODY]   and wait until it is answered or waits
+ *   gone                            the last caller closes its connection
+ *   answer done|refused             of the node that was asked to drain
+ *   ask node|replica NAME           another node asks this one to drain
+ *   spans gateway|peer NAME         one span arrives
+ *   wait                            until the open call is answered
+ */
+
+#define WAIT_MS 10000
+
+static struct world
+{
+  struct ctl c;
+  uv_loop_t loop;
+  struct buf log;
+  struct net_addr at;
+  struct httpc_call *call;
+  struct buf body;
+  int status;
+  bool linked; /* entry-2 */
+  bool gateway;
+  bool sent;
+  uint64_t asked; /* id of what was last sent */
+} w;
+
+/* --- fakes -------------------------------------------------------------- */
+
+static const struct mbr_node nodes[] = {
+  { .name = STR ("entry-1"), .zone = STR ("hall-a"), .boot = 1 },
+  { .name = STR ("entry-2"), .boot = 1, .status = MBR_DEAD },
+  { .name = STR ("entry-2"),
+    .zone = STR ("hall-b"),
+    .boot = 2,
+    .config_revision = 6 },
+  { .name = STR ("entry-3"), .boot = 1, .status = MBR_DEAD },
+};
+
+const struct mbr_node *const *
+ctl_swim_nodes (const struct ctl_swim *s, size_t *n)
+{
+  static const struct mbr_node *all[]
+      = { &nodes[0], &nodes[1], &nodes[2], &nodes[3] };
+  *n = 4;
+  return all;
+}
+
+const struct mbr_counts *
+ctl_swim_counts (const struct ctl_swim *s)
+{
+  static const struct mbr_counts none;
+  return &none;
+}
+
+const struct ctl_replica *
+ctl_domains_replicas (struct ctl_domains *d, size_t *n)
+{
+  static const struct ctl_replica all[] = {
+    { .name = STR ("mine"), .owner = STR ("entry-1"), .state = "serving" },
+    { .name = STR ("theirs"), .owner = STR ("entry-2"), .state = "serving" },
+    { .name = STR ("orphan"), .state = "serving" },
+  };
+  *n = 3;
+  return all;
+}
+
+bool
+ctl_domains_drain (struct ctl_domains *d, struct str replica, bool on)
+{
+  buf_addf (&w.log, "  drain %.*s %s\n", STR_ARG (replica), on ? "on" : "off");
+  return true;
+}
+
+static void
+log_frame (const char *to, const Lapis__Frame *f)
+{
+  if (f->body_case == LAPIS__FRAME__BODY_DRAIN_ASK)
+    {
+      const Lapis__DrainAsk *ask = f->drain_ask;
+      buf_addf (&w.log, "  to %s: drain node=%s replica=%s %s by %s\n", to,
+                ask->node, ask->replica, ask->on ? "on" : "off", ask->who);
+      w.asked = ask->id;
+      w.sent = true;
+    }
+  else if (f->body_case == LAPIS__FRAME__BODY_DRAIN_ANSWER)
+    buf_addf (
+        &w.log, "  to %s: %s%s\n", to,
+        f->drain_answer->done ? "done" : "refused: ", f->drain_answer->reason);
+  else if (f->body_case == LAPIS__FRAME__BODY_TRACE_ASK)
+    {
+      buf_addf (&w.log, "  to %s: spans?\n", to);
+      w.asked = f->trace_ask->id;
+      w.sent = true;
+    }
+}
+
+bool
+ctl_peers_send_node (struct ctl_peers *p, struct str node,
+                     const Lapis__Frame *f)
+{
+  char *to = str_dup (node);
+  if (w.linked)
+    log_frame (to, f);
+  free (to);
+  return w.linked;
+}
+
+bool
+ctl_peers_send (struct ctl_peers *p, uint64_t peer, const Lapis__Frame *f)
+{
+  log_frame ("peer", f);
+  return true;
+}
+
+struct str
+ctl_spread_text (const struct ctl_spread *s)
+{
+  return STR ("{}");
+}
+
+bool
+ctl_views_linked (const struct ctl_views *v)
+{
+  return w.gateway;
+}
+
+bool
+ctl_views_trace (struct ctl_views *v, uint64_t id, const uint8_t trace[16])
+{
+  w.asked = id;
+  w.sent = w.gateway;
+  return w.gateway;
+}
+
+void
+ctl_views_traffic (const struct ctl_views *v, uint64_t *out, uint64_t *in)
+{
+  *out = *in = 0;
+}
+
+void
+ctl_leave (struct ctl *c)
+{
+  buf_add_c (&w.log, "  leave\n");
+}
+
+/* --- calls -------------------------------------------------------------- */
+
+static bool
+on_connected (void *ctx)
+{
+  return true;
+}
+
+static void
+on_head (void *ctx, int status, const struct http_header *headers, size_t n)
+{
+  w.status = status;
+}
+
+static void
+on_body (void *ctx, struct str bytes)
+{
+  buf_add (&w.body, bytes);
+}
+
+static void
+on_end (void *ctx, enum httpc_end end)
+{
+  char code[64];
+  if (sscanf (buf_c (&w.body), "{\"error\":{\"code\":\"%63[^\"]", code) == 1)
+    buf_addf (&w.log, "  %d %s\n", w.status, code);
+  else
+    buf_addf (&w.log, "  %d %s", w.status, w.body.ptr);
+  w.call = NULL;
+}
+
+/* Run the loop until the call is answered, or waits for another node. */
+static void
+pump (bool to_the_end)
+{
+  clk_ms until = clk_now () + WAIT_MS;
+  while (w.call && (to_the_end || !w.sent))
+    {
+      cr_assert_lt (clk_now (), until, "no answer; so far:\n%s",
+                    buf_c (&w.log));
+      uv_run (&w.loop, UV_RUN_NOWAIT);
+    }
+}
+
+static void
+do_call (char *rest)
+{
+  static const struct httpc_callbacks callbacks
+      = { .on_connected = on_connected,
+          .on_head = on_head,
+          .on_body = on_body,
+          .on_end = on_end };
+  char token[32];
+  char method[8];
+  char path[128];
+  char body[64] = "";
+  char bearer[64];
+  sscanf (rest, "%31s %7s %127s %63s", token, method, path, body);
+  snprintf (bearer, sizeof bearer, "Bearer %s", token);
+  struct http_header header = { STR ("authorization"), str_from (bearer) };
+  struct httpc_request req = { .to = w.at,
+                               .method = str_from (method),
+                               .path = str_from (path),
+                               .headers = &header,
+                               .nheaders = strcmp (token, "-") != 0,
+                               .body = str_from (body),
+                               .connect_ms = WAIT_MS,
+                               .progress_ms = WAIT_MS,
+                               .fresh = true };
+  buf_clear (&w.body);
+  w.sent = false;
+  w.call = httpc_start (w.c.http, &req, &callbacks, NULL);
+  pump (false);
+}
+
+static void
+do_gone (void)
+{
+  httpc_cancel (w.call);
+  w.call = NULL;
+  while (httpd_open (w.c.admin->httpd) > 0)
+    uv_run (&w.loop, UV_RUN_NOWAIT);
+}
+
+static void
+do_answer (const char *what)
+{
+  Lapis__DrainAnswer answer = LAPIS__DRAIN_ANSWER__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  answer.id = w.asked;
+  answer.done = strcmp (what, "done") == 0;
+  answer.reason = "not the owner";
+  f.body_case = LAPIS__FRAME__BODY_DRAIN_ANSWER;
+  f.drain_answer = &answer;
+  ctl_admin_frame (w.c.admin, 1, &f);
+}
+
+static void
+do_ask (const char *kind, char *name)
+{
+  Lapis__DrainAsk ask = LAPIS__DRAIN_ASK__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  ask.id = 9;
+  ask.on = true;
+  ask.who = "amina";
+  if (strcmp (kind, "node") == 0)
+    ask.node = name;
+  else
+    ask.replica = name;
+  f.body_case = LAPIS__FRAME__BODY_DRAIN_ASK;
+  f.drain_ask = &ask;
+  ctl_admin_frame (w.c.admin, 1, &f);
+}
+
+static void
+do_spans (const char *from, const char *name)
+{
+  char json[64];
+  snprintf (json, sizeof json, "[{\"name\":\"%s\"}]", name);
+  Lapis__TraceAnswer answer = LAPIS__TRACE_ANSWER__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  answer.id = w.asked;
+  answer.json = (ProtobufCBinaryData){ strlen (json), (uint8_t *)json };
+  f.body_case = LAPIS__FRAME__BODY_TRACE_ANSWER;
+  f.trace_answer = &answer;
+  if (strcmp (from, "gateway") == 0)
+    ctl_admin_spans (w.c.admin, w.asked, str_from (json));
+  else
+    ctl_admin_frame (w.c.admin, 1, &f);
+}
+
+static void
+run_line (char *line)
+{
+  char command[16];
+  char a[64] = "";
+  char b[64] = "";
+  int used = 0;
+  sscanf (line, "%15s%n %63s %63s", command, &used, a, b);
+  if (strcmp (command, "call") == 0)
+    do_call (line + used);
+  else if (strcmp (command, "gone") == 0)
+    do_gone ();
+  else if (strcmp (command, "answer") == 0)
+    do_answer (a);
+  else if (strcmp (command, "ask") == 0)
+    do_ask (a, b);
+  else if (strcmp (command, "spans") == 0)
+    do_spans (a, b);
+  if (strcmp (command, "call") != 0)
+    pump (strcmp (command, "wait") == 0 || strcmp (command, "answer") == 0);
+}
+
+/* --- the world ---------------------------------------------------------- */
+
+static void
+digest_of (const char *token, char out[65])
+{
+  uint8_t hash[SHA256_DIGEST_LENGTH];
+  struct buf hex = BUF_INIT;
+  SHA256 ((const uint8_t *)token, strlen (token), hash);
+  buf_add_hex (&hex, hash, sizeof hash);
+  strcpy (out, buf_c (&hex));
+  buf_free (&hex);
+}
+
+static struct cfg *
+make_config (void)
+{
+  struct buf text = BUF_INIT;
+  struct fnd_list found = { 0 };
+  char viewer[65];
+  char operator[65];
+  digest_of ("view", viewer);
+  digest_of ("operate", operator);
+  buf_addf (
+      &text,
+      "{\"operators\":{\"wei\":{\"token_digest\":\"%s\",\"role\":"
+      "\"viewer\"},\"amina\":{\"token_digest\":\"%s\",\"role\":"
+      "\"operator\"}},\"accounts\":{\"broker-app\":{\"key_digests\":"
+      "[\"%064d\"],\"weight\":2,\"tokens_per_s\":1000,\"may\":[\"*\"]}}}",
+      viewer, operator, 1);
+  struct cfg *cfg = cfg_parse (buf_str (&text), 7, &found);
+  buf_clear (&text);
+  fnd_print (&found, &text);
+  cr_assert_not_null (cfg, "%s", buf_c (&text));
+  fnd_free (&found);
+  buf_free (&text);
+  return cfg;
+}
+
+static void
+start_world (void)
+{
+  struct buf err = BUF_INIT;
+  uv_loop_init (&w.loop);
+  w.c.loop = &w.loop;
+  w.c.http = httpc_new (&w.loop);
+  w.c.set.node = "entry-1";
+  w.c.spans = trc_ring_new (4);
+  strcpy (w.c.set.control_admin.host, "127.0.0.1");
+  w.c.admin = ctl_admin_start (&w.c, &err);
+  cr_assert_not_null (w.c.admin, "%s", buf_c (&err));
+  w.at = w.c.set.control_admin;
+  w.at.port = ctl_admin_port (w.c.admin);
+  w.linked = w.gateway = true;
+  log_setup (LOG_JSON, LOG_ERROR, STR ("entry-1"));
+}
+
+static void
+stop_world (void)
+{
+  ctl_admin_stop (w.c.admin);
+  httpc_free (w.c.http);
+  uv_run (&w.loop, UV_RUN_DEFAULT);
+  uv_loop_close (&w.loop);
+  trc_ring_free (w.c.spans);
+  if (w.c.cfg)
+    cfg_unref (w.c.cfg);
+  buf_free (&w.body);
+  buf_free (&w.log);
+}
+
+static void
+check (const char *script, const char *expected)
+{
+  char *text = xstrdup (script);
+  for (char *line = strtok (text, "\n"); line; line = strtok (NULL, "\n"))
+    {
+      buf_addf (&w.log, "> %s\n", line);
+      run_line (line);
+    }
+  cr_assert_str_eq (buf_c (&w.log), expected, "got:\n%s\nexpected:\n%s",
+                    w.log.ptr, expected);
+  buf_clear (&w.log);
+  free (text);
+}
+
+TestSuite (admin, .init = start_world, .fini = stop_world, .timeout = 60);
+
+Test (admin, nobody_is_known_before_a_configuration)
+{
+  check ("call operate GET /admin/v1/nodes\n",
+         "> call operate GET /admin/v1/nodes\n"
+         "  503 no-configuration\n");
+}
+
+Test (admin, roles)
+{
+  /* A viewer sees all and changes nothing; whoever has no token gets
+     nowhere, not even to learn which paths there are. */
+  w.c.cfg = make_config ();
+  check ("call - GET /admin/v1/nodes\n"
+         "call wrong GET /nowhere\n"
+         "call view GET /nowhere\n"
+         "call view GET /admin/v1/replicas/mine/drain\n"
+         "call view GET /admin/v1/nodes/entry-1/drain/more\n"
+         "call view POST /admin/v1/replicas/mine/drain\n"
+         "call view POST /admin/v1/nodes/entry-1/drain\n"
+         "call operate POST /admin/v1/nodes/entry-1/drain\n",
+         "> call - GET /admin/v1/nodes\n"
+         "  401 unauthorized\n"
+         "> call wrong GET /nowhere\n"
+         "  401 unauthorized\n"
+         "> call view GET /nowhere\n"
+         "  404 no-such-path\n"
+         "> call view GET /admin/v1/replicas/mine/drain\n"
+         "  405 method\n"
+         "> call view GET /admin/v1/nodes/entry-1/drain/more\n"
+         "  404 no-such-path\n"
+         "> call view POST /admin/v1/replicas/mine/drain\n"
+         "  403 forbidden\n"
+         "> call view POST /admin/v1/nodes/entry-1/drain\n"
+         "  403 forbidden\n"
+         "> call operate POST /admin/v1/nodes/entry-1/drain\n"
+         "  leave\n"
+         "  200 {\"done\":true,\"name\":\"entry-1\",\"node\":\"entry-1\"}\n");
+}
+
+Test (admin, lists_tell_no_digests)
+{
+  w.c.cfg = make_config ();
+  check ("call view GET /admin/v1/accounts\n"
+         "call view GET /admin/v1/status\n"
+         "call view GET /admin/v1/nodes/entry-9\n"
+         "call view GET /admin/v1/replicas/nothing\n",
+         "> call view GET /admin/v1/accounts\n"
+         "  200 {\"revision\":7,\"accounts\":[{\"account\":\"broker-app\","
+         "\"keys\":1,\"weight\":2,\"priority\":1,\"tokens_per_s\":1000,"
+         "\"concurrency\":0,\"may\":[\"*\"]}]}\n"
+         "> call view GET /admin/v1/status\n"
+         "  200 {\"revision\":7,\"nodes\":["
+         "{\"node\":\"entry-1\",\"zone\":\"hall-a\",\"status\":\"alive\","
+         "\"revision\":0},"
+         "{\"node\":\"entry-2\",\"zone\":\"hall-b\",\"status\":\"alive\","
+         "\"revision\":6}]}\n"
+         "> call view GET /admin/v1/nodes/entry-9\n"
+         "  404 no-node\n"
+         "> call view GET /admin/v1/replicas/nothing\n"
+         "  404 no-replica\n");
+}
+
+Test (admin, drains_go_to_the_node_that_can)
+{
+  /* Any node takes the operator's call; only the owner of the domain, or the
+     node itself, can act, and its answer is the operator's answer. */
+  w.c.cfg = make_config ();
+  check ("call operate POST /admin/v1/replicas/mine/drain\n"
+         "call operate POST /admin/v1/replicas/mine/drain {\"on\":false}\n"
+         "call operate POST /admin/v1/replicas/theirs/drain\n"
+         "answer done\n"
+         "call operate POST /admin/v1/replicas/theirs/drain {\"on\":false}\n"
+         "answer refused\n"
+         "call operate POST /admin/v1/replicas/orphan/drain\n"
+         "call operate POST /admin/v1/nodes/entry-2/drain\n"
+         "answer done\n"
+         "call operate POST /admin/v1/nodes/entry-2/drain {\"on\":false}\n"
+         "call operate POST /admin/v1/nodes/entry-9/drain\n",
+         "> call operate POST /admin/v1/replicas/mine/drain\n"
+         "  drain mine on\n"
+         "  200 {\"done\":true,\"name\":\"mine\",\"node\":\"entry-1\"}\n"
+         "> call operate POST /admin/v1/replicas/mine/drain {\"on\":false}\n"
+         "  drain mine off\n"
+         "  200 {\"done\":true,\"name\":\"mine\",\"node\":\"entry-1\"}\n"
+         "> call operate POST /admin/v1/replicas/theirs/drain\n"
+         "  to entry-2: drain node= replica=theirs on by amina\n"
+         "> answer done\n"
+         "  200 {\"done\":true,\"name\":\"theirs\",\"node\":\"entry-2\"}\n"
+         "> call operate POST /admin/v1/replicas/theirs/drain "
+         "{\"on\":false}\n"
+         "  to entry-2: drain node= replica=theirs off by amina\n"
+         "> answer refused\n"
+         "  409 not-drained\n"
+         "> call operate POST /admin/v1/replicas/orphan/drain\n"
+         "  503 no-owner\n"
+         "> call operate POST /admin/v1/nodes/entry-2/drain\n"
+         "  to entry-2: drain node=entry-2 replica= on by amina\n"
+         "> answer done\n"
+         "  200 {\"done\":true,\"name\":\"entry-2\",\"node\":\"entry-2\"}\n"
+         "> call operate POST /admin/v1/nodes/entry-2/drain {\"on\":false}\n"
+         "  400 not-taken-back\n"
+         "> call operate POST /admin/v1/nodes/entry-9/drain\n"
+         "  404 no-node\n");
+}
+
+Test (admin, a_drain_asked_by_another_node)
+{
+  /* The domain may have changed hands while the frame was on its way: a node
+     that is no longer the owner must refuse, not act on an old view. */
+  w.c.cfg = make_config ();
+  check ("ask replica mine\n"
+         "ask replica theirs\n"
+         "ask replica nothing\n"
+         "ask node entry-2\n"
+         "ask node entry-1\n",
+         "> ask replica mine\n"
+         "  drain mine on\n"
+         "  to peer: done\n"
+         "> ask replica theirs\n"
+         "  to peer: refused: that node does not own the domain now\n"
+         "> ask replica nothing\n"
+         "  to peer: refused: that node does not own the domain now\n"
+         "> ask node entry-2\n"
+         "  to peer: refused: that node does not own the domain now\n"
+         "> ask node entry-1\n"
+         "  to peer: done\n"
+         "  leave\n");
+}
+
+Test (admin, no_answer_is_not_a_no)
+{
+  /* The other node takes the ask and freezes, or the link is down.  In the
+     first case the drain may have happened and the operator must hear so;
+     in the second it did not.  A late answer and one for a caller that has
+     gone reach nobody. */
+  w.c.cfg = make_config ();
+  check ("call operate POST /admin/v1/replicas/theirs/drain\n"
+         "wait\n"
+         "answer done\n"
+         "call operate POST /admin/v1/replicas/theirs/drain\n"
+         "gone\n"
+         "answer done\n",
+         "> call operate POST /admin/v1/replicas/theirs/drain\n"
+         "  to entry-2: drain node= replica=theirs on by amina\n"
+         "> wait\n"
+         "  504 no-answer\n"
+         "> answer done\n"
+         "> call operate POST /admin/v1/replicas/theirs/drain\n"
+         "  to entry-2: drain node= replica=theirs on by amina\n"
+         "> gone\n"
+         "> answer done\n");
+  w.linked = false;
+  check ("call operate POST /admin/v1/replicas/theirs/drain\n",
+         "> call operate POST /admin/v1/replicas/theirs/drain\n"
+         "  503 unreachable\n");
+}
+
+#define TRACE "4bf92f3577b34da6a3ce929d0e0e4736"
+
+Test (admin, a_trace_over_all_nodes)
+{
+  w.c.cfg = make_config ();
+  check ("call view GET /admin/v1/traces/xyz\n"
+         "call view GET /admin/v1/traces/" TRACE "\n"
+         "spans gateway a\n"
+         "spans peer b\n"
+         "wait\n"
+         "spans peer late\n",
+         "> call view GET /admin/v1/traces/xyz\n"
+         "  400 no-trace-id\n"
+         "> call view GET /admin/v1/traces/" TRACE "\n"
+         "  to entry-2: spans?\n"
+         "> spans gateway a\n"
+         "> spans peer b\n"
+         "> wait\n"
+         "  200 {\"trace\":\"" TRACE "\",\"missing_nodes\":0,\"spans\":"
+         "[{\"name\":\"a\"},{\"name\":\"b\"}]}\n"
+         "> spans peer late\n");
+  check ("call view GET /admin/v1/traces/" TRACE "\n"
+         "spans peer b\n"
+         "wait\n",
+         "> call view GET /admin/v1/traces/" TRACE "\n"
+         "  to entry-2: spans?\n"
+         "> spans peer b\n"
+         "> wait\n"
+         "  200 {\"trace\":\"" TRACE "\",\"missing_nodes\":1,\"spans\":"
+         "[{\"name\":\"b\"}]}\n");
+}
