Add the membership core

Callers are sent to nodes by a view of who is there; it must follow kills within seconds without a central service, and survive frozen nodes, cuts of one direction, of a zone or of a region, and replaced VMs. The view stays a hint: nothing that must not happen twice relies on it.

--- a/fleet/member.h
+++ b/fleet/member.h
@@ -6,8 +6,11 @@
  * higher incarnation number, and local health: a node whose own probes go
  * unanswered or whose own ticks come late waits longer before it accuses.
  * A node is its name and boot number; the same name with a higher boot
- * replaces the older one.  Packets are protobuf (proto/swim.proto) with an
- * HMAC; what does not verify is dropped and counted.
+ * replaces the older one.  Nodes know all of their own region and, of each
+ * other region, its bridges: two nodes per pair of regions, picked by
+ * rendezvous hashing, that probe each other and exchange summaries.  Packets
+ * are protobuf (proto/swim.proto) with an HMAC; what does not verify is
+ * dropped and counted.
  *
  * Nothing that must not happen twice relies on this view.
  */
@@ -27,7 +30,8 @@
   MBR_DEAD
 };
 
-/** What a node says about itself; strings owned by the core. */
+/** What a node says about itself; strings are NUL-terminated, owned by the
+    core. */
 struct mbr_node
 {
   struct str name;
@@ -52,6 +56,8 @@
   clk_ms ack_ms;         /**< wait for a direct answer, 200 */
   unsigned indirect;     /**< helpers, 3 */
   unsigned suspect_mult; /**< suspicion lasts mult * log10(n+1) * probe_ms */
+  unsigned gossip_bps;   /**< piggybacked bytes a second, 6000 */
+  clk_ms forget_ms;      /**< dead nodes are forgotten after, 300000 */
 };
 
 enum mbr_action_kind
@@ -71,12 +77,30 @@
 struct mbr_counts
 {
   uint64_t sent, received, bytes_out, bytes_in;
-  uint64_t bad_mac, malformed, replayed, foreign;
-  uint64_t suspected, refuted, died, self_suspected;
+  uint64_t bad_mac;   /**< another secret, or changed on the way */
+  uint64_t malformed; /**< authentic, but not of this protocol */
+  uint64_t replayed;
+  uint64_t foreign;   /**< for another node or boot, or by a predecessor */
+  uint64_t suspected; /**< accusations by this node itself */
+  uint64_t refuted;   /**< suspected or dead nodes that proved alive */
+  uint64_t died;      /**< declared dead by this node itself */
+  uint64_t self_suspected; /**< accusations of this node, refuted */
+  uint64_t pauses;         /**< own ticks late by more than a period */
+};
+
+/** What the bridges of another region last said about it. */
+struct mbr_region
+{
+  struct str name;
+  uint32_t nodes; /**< alive there */
+  uint64_t load;  /**< sum over its nodes */
+  clk_ms heard;   /**< when this node first saw the figures */
 };
 
 struct mbr;
 
+/** NULL when a name is empty or longer than 64 bytes or the swim address has
+    no port. */
 struct mbr *mbr_new (const struct mbr_options *opt, uint64_t seed);
 void mbr_free (struct mbr *m);
 void mbr_tick (struct mbr *m, clk_ms now); /**< every 50 ms or so */
@@ -97,4 +121,10 @@
 const struct mbr_node *const *mbr_nodes (const struct mbr *m, size_t *n);
 const struct mbr_counts *mbr_counts (const struct mbr *m);
 
+/** Other regions known; their nodes in mbr_nodes() are the bridges only. */
+size_t mbr_regions (const struct mbr *m, struct mbr_region *out, size_t max);
+
+/** Bytes of memory that the core holds. */
+size_t mbr_memory (const struct mbr *m);
+
 #endif
