Act on an assignment only once it was read

Ruled out: the compare-and-swap (every document written was valid) and late orders of old owners (not counted as the core's).

Orders and changes now wait for a read that began after ownership was gained, and after a write whose outcome is not known. Evidence goes on with what is remembered, as it harms nobody.

Leases decide who may order; what the order says must be as new as they.

--- a/replica/change.c
+++ b/replica/change.c
@@ -26,6 +26,7 @@
   struct asn doc = { 0 };
 
   r->read_at = now;
+  r->doc_fresh = true;
   if (r->doc_known && mod_rev == r->mod_rev)
     return;
   /* A document that cannot be read, or that has a VM twice, is left for an
@@ -33,7 +34,7 @@
   r->doc_bad = mod_rev && !asn_parse (value, &doc);
   if (r->doc_bad)
     {
-      r->doc_known = false;
+      r->doc_known = r->doc_fresh = false;
       return;
     }
   asn_free (&r->doc);
@@ -81,6 +82,7 @@
          truth is what the store holds.  A lost write that lands even later
          compares the same revision as our next one, so that only one of them
          can take effect. */
+      r->doc_fresh = false;
       chg_read (r, now);
       back_off (r, now);
       break;
@@ -163,7 +165,7 @@
   bool as_owner = false;
   bool changed;
 
-  if (!r->doc_known || r->call != RCALL_NONE || now < r->next_change)
+  if (!r->doc_fresh || r->call != RCALL_NONE || now < r->next_change)
     return;
   asn_copy (&r->doc, &next);
   changed = drn_operators (r, &next);
--- a/replica/core.h
+++ b/replica/core.h
@@ -124,7 +124,9 @@
 
   struct asn doc;
   bool doc_known;
-  bool doc_bad; /* not readable: nothing is changed or ordered */
+  bool doc_fresh; /* read since this node became owner, and since a write of
+                     unknown outcome: only then it may be acted on */
+  bool doc_bad;   /* not readable: nothing is changed or ordered */
   int64_t mod_rev;
   clk_ms read_at;
   enum rep_call call;
--- a/replica/orders.c
+++ b/replica/orders.c
@@ -138,7 +138,7 @@
 {
   struct order o;
 
-  if (!r->owner || !r->doc_known || now < r->settle_until)
+  if (!r->owner || !r->doc_fresh || now < r->settle_until)
     return;
   for (size_t i = 0; i < r->nvms; i++)
     {
--- a/replica/replica.c
+++ b/replica/replica.c
@@ -298,6 +298,7 @@
     return;
   /* What an earlier owner wrote last is not known yet, and a VM that was not
      asked yet looks like a lost one: read and probe before any decision. */
+  r->doc_fresh = false;
   r->owner_since = now;
   r->settle_until = now + REP_EVIDENCE_MS;
   chg_read (r, now);
--- a/t/lib-domain.c
+++ b/t/lib-domain.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "base/chart.h"
-#include "replica/assign.h"
+#include "replica/core.h"
 
 #define MAX_VMS 64
 #define TICK_MS 100
@@ -18,6 +18,7 @@
   int64_t generation;
   bool unloaded;
   clk_ms ready_at;
+  clk_ms changed_at; /* it last stopped being what it was */
   uint32_t load;
   int64_t fence;
 };
@@ -140,6 +141,7 @@
     return false;
   if (fence > vm->fence)
     vm->fence = fence;
+  vm->changed_at = d->now;
   if (order == REP_UNLOAD)
     {
       vm->unloaded = true;
@@ -331,6 +333,8 @@
 {
   struct fake_vm *vm = find_vm (d, str_from (args[0]));
 
+  if (strcmp (verb, "work"))
+    vm->changed_at = d->now;
   if (strcmp (verb, "kill") == 0)
     vm->up = false;
   else if (strcmp (verb, "dead") == 0)
@@ -400,7 +404,7 @@
   else if (strcmp (verb, "usurp") == 0)
     d->owner_rev = atoi (args[0]);
   else if (strcmp (verb, "as") == 0)
-    d->as = *args[0] == '2';
+    d->as = *args[0] == '2' && d->nreps > 1;
   else if (strcmp (verb, "store") == 0)
     snprintf (d->store, sizeof d->store, "%s", args[0]);
   else if (strcmp (verb, "run"))
@@ -415,25 +419,53 @@
 
   for (const char *p = script; *p; p += strcspn (p, "\n") + 1)
     {
+      size_t len = strcspn (p, "\n");
       char *rest;
 
-      snprintf (line, sizeof line, "%.*s", (int)strcspn (p, "\n"), p);
+      cr_assert_lt (len, sizeof line);
+      memcpy (line, p, len);
+      line[len] = 0;
       dom_until (d, strtoll (line, &rest, 10));
       dom_do (d, rest + 1);
     }
   return buf_c (&d->log);
 }
 
-clk_ms
-dom_now (const struct dom *d)
+/* Whether the VM is this member now, or was within the evidence time. */
+static bool
+was_member (const struct dom *d, const struct fake_vm *vm,
+            const struct rep_replica *p)
 {
-  return d->now;
+  bool is = vm->up && !vm->silent && !vm->unloaded
+            && strcmp (vm->replica, p->name) == 0
+            && vm->generation == p->generation && d->now >= vm->ready_at;
+
+  return is || d->now - vm->changed_at <= REP_EVIDENCE_MS + TICK_MS;
+}
+
+unsigned
+dom_false_whole (struct dom *d)
+{
+  unsigned n = 0;
+
+  for (size_t c = 0; c < d->nreps; c++)
+    for (size_t i = 0; i < d->reps[c]->nreplicas; i++)
+      {
+        const struct rep *r = d->reps[c];
+        const struct rep_replica *p = &r->replicas[i];
+
+        if (!p->whole || d->now - p->evidence_at >= REP_EVIDENCE_MS)
+          continue;
+        for (size_t v = 0; v < p->nvms; v++)
+          n += !was_member (d, find_vm (d, r->vms[p->vms[v]].cfg->name), p);
+      }
+  return n;
 }
 
-struct rep *
-dom_rep (struct dom *d)
+clk_ms
+dom_now (const struct dom *d)
 {
-  return d->reps[0];
+  return d->now;
 }
 
 unsigned
--- a/t/lib-domain.h
+++ b/t/lib-domain.h
@@ -48,7 +48,6 @@
 void dom_until (struct dom *d, clk_ms to);
 
 clk_ms dom_now (const struct dom *d);
-struct rep *dom_rep (struct dom *d);
 unsigned dom_orders (const struct dom *d);
 
 /** The assignment as the store holds it. */
@@ -58,6 +57,10 @@
     give them at that moment. */
 unsigned dom_wrong_loads (const struct dom *d);
 
+/** Members of replicas that a core shows as whole, though they have not been
+    right for longer than the evidence time. */
+unsigned dom_false_whole (struct dom *d);
+
 /** Run @p script in a new domain and compare the log. */
 void dom_check (const struct dom_options *opt, const char *script,
                 const char *want);
