Write a claim anew when its attempt asks again late

Cause: a request whose grant ran out before it was sent asks again for the same attempt. "Granted as before" let it send up to five seconds after a record that could be nearly a window old, while a repeat may already have the key elsewhere. Change: a record serves the same attempt for two seconds; later it is written again, and refused when another attempt holds the key. A claim is held for the window and the sum of the longest ask, grant and reuse. A test deletes a head key and shows that the broken chain of bases makes a home read all. Conclusion: sends of one key are a window apart also when requests ask again.

--- a/claim/asker.c
+++ b/claim/asker.c
@@ -21,9 +21,9 @@
 clm_asker_start (struct clm_asker *a, clk_ms now, clk_ms wait_ms,
                  unsigned ntargets)
 {
-  *a = (struct clm_asker){ .ntargets = ntargets,
-                           .since = now,
-                           .deadline = now + wait_ms };
+  if (wait_ms > CLM_ASK_MS)
+    wait_ms = CLM_ASK_MS;
+  *a = (struct clm_asker){ .ntargets = ntargets, .deadline = now + wait_ms };
   return ask_next (a, now);
 }
 
--- a/claim/asker.h
+++ b/claim/asker.h
@@ -32,7 +32,6 @@
   unsigned ntargets;
   unsigned asked;    /**< targets asked so far */
   unsigned answered; /**< of them */
-  clk_ms since;      /**< of the ask: grants count from here */
   clk_ms deadline;
   clk_ms next;
   bool over;
@@ -50,8 +49,8 @@
   CLM_ASKER_RELEASE       /**< a grant came too late: release it */
 };
 
-/** Begin; one target means this process's own core alone.  Gives
-    CLM_ASKER_ASK. */
+/** Begin; at most CLM_ASK_MS are waited; one target means this process's own
+   core alone.  Gives CLM_ASKER_ASK. */
 enum clm_asker_do clm_asker_start (struct clm_asker *a, clk_ms now,
                                    clk_ms wait_ms, unsigned ntargets);
 enum clm_asker_do clm_asker_tick (struct clm_asker *a, clk_ms now);
--- a/claim/claim.c
+++ b/claim/claim.c
@@ -14,8 +14,9 @@
     answer alone is settled without refusing anybody. */
 #define DOWN_FAILS 2
 
-/** Shorter windows would end before a grant does. */
-#define LEAST_WINDOW_MS (2 * CLM_GRANT_MS)
+/** A batch lives for one and a half windows at least, a claim must be held
+    for the window and the slack. */
+#define LEAST_WINDOW_MS (2 * CLM_SLACK_MS)
 
 static void
 chart_init (struct write_chart *w)
@@ -260,7 +261,7 @@
 clk_ms
 core_expiry (const struct clm *c, clk_ms now)
 {
-  return now + c->opt.window + CLM_GRANT_MS;
+  return now + c->opt.window + CLM_SLACK_MS;
 }
 
 bool
@@ -287,7 +288,7 @@
   return false;
 }
 
-/** A batch must outlive window + CLM_GRANT_MS, so a lease is used only while
+/** A batch must outlive window + CLM_SLACK_MS, so a lease is used only while
     one and a half windows are left, which is half a window for a new one. */
 static void
 lease_answer (struct clm *c, clk_ms now, const struct store_result *r)
@@ -486,9 +487,9 @@
 }
 
 bool
-clm_grant_valid (clk_ms asked, clk_ms now)
+clm_grant_valid (clk_ms granted, clk_ms now)
 {
-  return now >= asked && now - asked < CLM_GRANT_MS;
+  return now >= granted && now - granted < CLM_GRANT_MS;
 }
 
 unsigned
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -22,11 +22,13 @@
  * next transaction conflicts, or nobody wrote meanwhile and it knows all.  An
  * asker that was stopped between the grant and its send could wake after the
  * window, when another attempt has the key; so a grant counts only for
- * CLM_GRANT_MS from the moment at which the asker asked, by a clock that goes
- * on through pauses, and the asker looks at it right before it sends
- * (clm_grant_valid()).  The record is not older than the ask and outlives
- * window + CLM_GRANT_MS, so whoever takes the key next sends at least one
- * window after the first send.
+ * CLM_GRANT_MS, by a clock that goes on through pauses, and the asker looks
+ * at it right before it sends (clm_grant_valid()).  From the ask to the send
+ * pass at most CLM_ASK_MS + CLM_GRANT_MS; a record is made after the ask or
+ * at most CLM_AGAIN_MS before it, and holds for window + CLM_SLACK_MS, the
+ * sum of the three.  So whoever takes the key next sends at least one window
+ * after the first send.  What is left is a stop between that last look and
+ * the system call that sends, for longer than the window.
  */
 #ifndef LAPISLINE_CLAIM_CLAIM_H
 #define LAPISLINE_CLAIM_CLAIM_H
@@ -43,9 +45,19 @@
  */
 #define CLM_SHARDS 8
 
-/** How long after asking an asker may still send on a grant. */
+/** How long after its grant came an asker may still send. */
 #define CLM_GRANT_MS (5 * CLK_SECOND)
 
+/** Longest wait of an asker for a grant. */
+#define CLM_ASK_MS (3 * CLK_SECOND)
+
+/** For so long a record serves the same attempt again; later it is made
+    anew, as other homes may be about to forget it. */
+#define CLM_AGAIN_MS (2 * CLK_SECOND)
+
+/** How much longer than the window a claim is held. */
+#define CLM_SLACK_MS (CLM_GRANT_MS + CLM_ASK_MS + CLM_AGAIN_MS)
+
 /** Wait of an ask that names none. */
 #define CLM_WAIT_MS (2 * CLK_SECOND)
 
@@ -159,8 +171,8 @@
 /** Earliest time at which a tick may change something. */
 clk_ms clm_wake (const struct clm *c);
 
-/** Whether a grant for an ask of time @p asked still allows sending. */
-bool clm_grant_valid (clk_ms asked, clk_ms now);
+/** Whether a grant that came at time @p granted still allows sending. */
+bool clm_grant_valid (clk_ms granted, clk_ms now);
 
 const struct clm_counts *clm_counts (const struct clm *c);
 
--- a/claim/core.h
+++ b/claim/core.h
@@ -52,7 +52,8 @@
   struct waiter_list waiting;
   struct waiter_list batch; /**< of the write that is not settled */
   int write;                /**< state of chart "store-write" */
-  bool lost; /**< an answer of this write was lost: it may land later */
+  bool lost;     /**< an answer of this write was lost: it may land later */
+  clk_ms formed; /**< the batch was put together */
   struct bat_name name;
   struct buf head_key, head_value, batch_key, value, range_key, range_end;
   struct store_compare compare;
--- a/claim/decide.c
+++ b/claim/decide.c
@@ -26,17 +26,6 @@
   return just (DECIDE_WRITE);
 }
 
-/** The same attempt again: as before. */
-static struct decided
-decide_again (const struct tbl_rec *own)
-{
-  if (own->pending != TBL_PEND_NONE)
-    return just (DECIDE_WAIT);
-  if (own->state == TBL_RELEASED)
-    return reply_with (CLM_UNAVAILABLE, NULL);
-  return reply_with (CLM_GRANTED, NULL);
-}
-
 static struct decided
 decide_taken (struct clm *c, const struct shard *s, const struct waiter *w,
               const struct tbl_rec *holder, clk_ms now)
@@ -57,6 +46,30 @@
   return reply_with (CLM_UNKNOWN, holder);
 }
 
+/**
+ * The same attempt again, because an answer was lost or a grant ran out.
+ *
+ * A record that was just written serves again.  An older one may be near its
+ * end at another home, or have ended there and given way to a repeat: were it
+ * granted as before, both would run.  So it is written anew, unless another
+ * attempt is seen to hold the key.
+ */
+static struct decided
+decide_again (struct clm *c, const struct shard *s, const struct waiter *w,
+              const struct tbl_rec *own, clk_ms now)
+{
+  const struct tbl_rec *holder;
+
+  if (own->pending != TBL_PEND_NONE)
+    return just (DECIDE_WAIT);
+  if (own->state == TBL_RELEASED)
+    return reply_with (CLM_UNAVAILABLE, NULL);
+  if (now - own->written < CLM_AGAIN_MS)
+    return reply_with (CLM_GRANTED, NULL);
+  holder = tbl_holder (&c->table, w->ask.key, w->ask.attempt);
+  return holder ? decide_taken (c, s, w, holder, now) : just (DECIDE_WRITE);
+}
+
 struct decided
 decide (struct clm *c, const struct shard *s, const struct waiter *w,
         clk_ms now)
@@ -69,7 +82,7 @@
   if (w->ask.kind == CLM_RELEASE)
     return decide_release (own);
   if (own)
-    return decide_again (own);
+    return decide_again (c, s, w, own, now);
   holder = tbl_holder (&c->table, key, attempt);
   if (holder)
     return decide_taken (c, s, w, holder, now);
--- a/claim/shard.c
+++ b/claim/shard.c
@@ -182,6 +182,7 @@
   if (!s->batch.n)
     return;
   s->lost = false;
+  s->formed = now;
   s->write = chart_initial (c->chart.chart);
   s->name = (struct bat_name){ s->head, c->opt.boot, ++c->last_seq };
   bat_key (&s->batch_key, c->opt.prefix, s->no, &s->name);
@@ -237,6 +238,7 @@
 {
   if (w->rec->state == TBL_NONE)
     w->rec->state = TBL_TAKEN;
+  w->rec->written = s->formed;
   if (w->told)
     return;
   if (w->rec->state == TBL_RELEASED || now >= w->deadline)
@@ -292,7 +294,9 @@
 {
   struct tbl_rec *r = tbl_find (&c->table, b->key, b->attempt);
 
-  if (!r)
+  if (r)
+    tbl_touch (&c->table, r, r->since, core_expiry (c, now));
+  else
     r = tbl_add (&c->table, b->key, b->attempt, b->fingerprint, now,
                  core_expiry (c, now));
   if (b->kind == CLM_RELEASE)
--- a/claim/table.c
+++ b/claim/table.c
@@ -127,6 +127,7 @@
   memcpy (r->attempt, attempt, 16);
   memcpy (r->fingerprint, fingerprint, 16);
   r->since = since;
+  r->written = INT64_MIN / 2;
   r->expires = expires;
   r->chain = t->buckets[b];
   t->buckets[b] = r;
--- a/claim/table.h
+++ b/claim/table.h
@@ -34,9 +34,10 @@
   uint8_t fingerprint[16];
   enum tbl_state state;
   enum tbl_pending pending;
-  bool ended;   /**< its asker reported the end */
-  int status;   /**< of the kept answer */
-  clk_ms since; /**< written or read */
+  bool ended;     /**< its asker reported the end */
+  int status;     /**< of the kept answer */
+  clk_ms since;   /**< learned: written or read */
+  clk_ms written; /**< not earlier than this; long ago when it was read */
   clk_ms expires;
   char *answer; /**< NULL: none kept */
   size_t answer_len;
--- a/t/lib-claim.c
+++ b/t/lib-claim.c
@@ -61,6 +61,16 @@
     kv_delete (kv, kv->n - 1);
 }
 
+void
+kv_remove (struct kv *kv, struct str key)
+{
+  bool found;
+  size_t at = kv_find (kv, key, &found);
+
+  if (found)
+    kv_delete (kv, at);
+}
+
 static bool
 kv_has_lease (const struct kv *kv, int64_t id)
 {
--- a/t/lib-claim.h
+++ b/t/lib-claim.h
@@ -37,6 +37,7 @@
 };
 
 void kv_clear (struct kv *kv);
+void kv_remove (struct kv *kv, struct str key);
 void kv_lapse (struct kv *kv, clk_ms now);
 enum store_status kv_txn (struct kv *kv, const struct store_txn *txn);
 int64_t kv_grant (struct kv *kv, clk_ms now, clk_ms ttl);
--- a/t/t4001-claim.c
+++ b/t/t4001-claim.c
@@ -391,10 +391,12 @@
           "h2 take k A\n"
           "  h2 #4 read from 0\n"
           "all\n"
+          "  h2 #5 grant 120000\n"
+          "  h2 #6 write base=102 take:k/A\n"
           "  h2 k/A granted\n"
           "h1 take k B\n"
-          "  h1 #5 read from 102\n"
-          "ok 5\n"
+          "  h1 #7 read from 102\n"
+          "ok 7\n"
           "  h1 k/B running\n");
 }
 
@@ -453,7 +455,7 @@
           "  h1 n/A done\n"
           "h1 take k B\n"
           "  h1 k/B unknown\n"
-          "+64999\n"
+          "+69999\n"
           "h1 take m B\n"
           "  h1 m/B answered 200 0123456789012345678901234567890\n"
           "+1\n"
@@ -516,6 +518,80 @@
   buf_free (&run.log);
 }
 
+/* A grant was not used in time and its request asks again for the same
+   attempt.  Were it granted as before, the record might end while the request
+   is being sent, and a repeat could run beside it; so it is written anew.  It
+   is refused once a repeat has the key. */
+Test (claim, old_record_is_written_anew)
+{
+  expect ("h1 take k A\n"
+          "  h1 #1 read from 0\n"
+          "all\n"
+          "  h1 #2 grant 120000\n"
+          "  h1 #3 write base=0 take:k/A\n"
+          "  h1 k/A granted\n"
+          "+1999\n"
+          "h1 take k A\n"
+          "  h1 k/A granted\n"
+          "+1\n"
+          "h1 take k A\n"
+          "  h1 #4 write base=102 take:k/A\n"
+          "ok 4\n"
+          "  h1 k/A granted\n"
+          "+69999\n"
+          "h1 take k B\n"
+          "  h1 #5 read from 103\n"
+          "ok 5\n"
+          "  h1 k/B running\n"
+          "+1\n"
+          "h1 take k B\n"
+          "  h1 #6 grant 120000\n"
+          "all\n"
+          "  h1 #7 write base=103 take:k/B\n"
+          "  h1 k/B granted\n"
+          "h2 take k A\n"
+          "  h2 #8 read from 0\n"
+          "all\n"
+          "  h2 k/A running\n");
+}
+
+/* Somebody deletes a head key, and another home begins it anew.  Its batches
+   carry a lower base than the head that home 1 knows, so a read from there on
+   would miss them and a key that is taken would look free.  The broken chain
+   of bases shows it, and the whole shard is read. */
+Test (claim, head_deleted)
+{
+  struct run run = { 0 };
+  struct clm_options opt = options ();
+  struct buf key = BUF_INIT;
+  uint8_t k[16] = { 'k' };
+
+  cw_init (&run.w, 2, &opt, 7);
+  run.w.on_reply = on_reply;
+  run.w.ctx = &run;
+  ask (&run, 0, "take", 'k', 'A', "");
+  all (&run);
+  ask (&run, 0, "release", 'k', 'A', "");
+  pass (&run, 50);
+  all (&run);
+  bat_head_key (&key, opt.prefix, clm_shard (k));
+  kv_remove (&run.w.kv, buf_str (&key));
+  ask (&run, 1, "take", 'k', 'B', "");
+  all (&run);
+  pass (&run, 50);
+  ask (&run, 0, "take", 'k', 'C', "");
+  all (&run);
+  pass (&run, 50);
+  all (&run);
+  cr_expect_str_eq (buf_c (&run.log), "  h1 k/A granted\n"
+                                      "  h1 k/A done\n"
+                                      "  h2 k/B granted\n"
+                                      "  h1 k/C running\n");
+  cw_clear (&run.w);
+  buf_free (&key);
+  buf_free (&run.log);
+}
+
 /* A batch written by another version can't be read, so the claims in it are
    not known.  Nothing of that shard may be granted on top of it. */
 Test (claim, unreadable_batch_refuses)
--- a/t/t4900-walk.c
+++ b/t/t4900-walk.c
@@ -14,7 +14,7 @@
 
 #include "t/lib-claim.h"
 
-#define WINDOW (10 * CLK_SECOND)
+#define WINDOW (2 * CLM_SLACK_MS)
 #define KEYS 3
 #define REQUESTS 24
 #define MESSAGES 64
@@ -40,9 +40,12 @@
 struct req
 {
   enum req_state state;
-  uint64_t no;
+  uint64_t no;  /**< its attempt */
+  uint64_t ask; /**< its last ask, so that late answers to earlier ones and
+                     to requests that are gone fit none */
   int gateway;
   int key;
+  clk_ms granted;
   struct clm_asker asker;
   int targets[CLM_TARGETS];
 };
@@ -66,7 +69,7 @@
   struct message messages[MESSAGES];
   bool frozen[CW_HOMES];
   bool slow[CW_HOMES]; /**< the store answers it seldom */
-  uint64_t last_req;
+  uint64_t last_req, last_ask;
   uint64_t boots;
   clk_ms last_send[KEYS];
   uint64_t sends, refused, given_up, released, stale;
@@ -96,7 +99,7 @@
 static struct clm_ask
 ask_of (const struct req *q, enum clm_kind kind)
 {
-  struct clm_ask a = { .id = q->no, .kind = kind };
+  struct clm_ask a = { .id = q->ask, .kind = kind };
 
   key_bytes (q->key, a.key);
   memcpy (a.attempt, &q->no, sizeof q->no);
@@ -105,10 +108,10 @@
 }
 
 static struct req *
-req_of (struct walk *k, uint64_t no)
+req_of (struct walk *k, uint64_t ask)
 {
   for (size_t i = 0; i < REQUESTS; i++)
-    if (k->reqs[i].state != REQ_FREE && k->reqs[i].no == no)
+    if (k->reqs[i].state != REQ_FREE && k->reqs[i].ask == ask)
       return &k->reqs[i];
   return NULL;
 }
@@ -167,6 +170,7 @@
       return;
     case CLM_ASKER_REPLY:
       q->state = verdict == CLM_GRANTED ? REQ_GRANTED : REQ_OVER;
+      q->granted = k->w.now;
       k->refused += verdict != CLM_GRANTED;
       return;
     case CLM_ASKER_GIVE_UP_LATE:
@@ -228,6 +232,7 @@
       return false;
     }
   q->key = (int)below (k, KEYS);
+  q->ask = ++k->last_ask;
   /* Views differ: any order of homes, ending with the own one. */
   for (int h = (int)below (k, CW_HOMES); n < CLM_TARGETS; h++)
     {
@@ -236,23 +241,33 @@
         break;
     }
   do_asker (k, q,
-            clm_asker_start (&q->asker, k->w.now, 500 + below (k, 2500),
+            clm_asker_start (&q->asker, k->w.now, 500 + below (k, 3000),
                              (unsigned)n),
             CLM_UNAVAILABLE);
   return true;
 }
 
+/* A grant has run out: the request core asks again for the same attempt. */
+static void
+ask_again (struct walk *k, struct req *q)
+{
+  unsigned n = q->asker.ntargets;
+
+  q->state = REQ_ASKING;
+  q->ask = ++k->last_ask;
+  do_asker (k, q, clm_asker_start (&q->asker, k->w.now, CLM_ASK_MS, n),
+            CLM_UNAVAILABLE);
+}
+
 static void
 send_one (struct walk *k, struct req *q)
 {
   clk_ms now = k->w.now;
 
-  if (k->fault != FAULT_NO_GRANT_CHECK
-      && !clm_grant_valid (q->asker.since, now))
+  if (k->fault != FAULT_NO_GRANT_CHECK && !clm_grant_valid (q->granted, now))
     {
       k->stale++;
-      q->state = REQ_OVER;
-      release (k, q);
+      ask_again (k, q);
       return;
     }
   if (k->sends && now - k->last_send[q->key] < WINDOW)
@@ -537,6 +552,7 @@
       struct req *q = &k->reqs[key];
       *q = (struct req){ .state = REQ_ASKING,
                          .no = ++k->last_req,
+                         .ask = ++k->last_ask,
                          .key = key,
                          .gateway = key % CW_HOMES };
       q->targets[0] = q->gateway;
