Add bench route: policies on recorded-style workloads

Cause: the choice of replica was built on reasons, not on figures. Change: 'lapisline bench route' runs the core's own decision code in eight gateways over a queueing stub of replicas in virtual time, against four usual policies and one omniscient queue.

--- /dev/null
+++ b/builtin/bench-route.c
@@ -0,0 +1,177 @@
+#include "builtin/bench.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "builtin/stub.h"
+#include "builtin/world.h"
+#include "lapisline.h"
+
+#define MOST_SEEDS 25
+
+static gint seed = 1, seeds = 5, replicas = 65;
+static gchar *only_workload, *only_fault, *only_policy;
+static gint only_lag = -1;
+static gdouble flood, peak;
+
+static const GOptionEntry entries[]
+    = { { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
+        { "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "runs per cell (5)", "N" },
+        { "replicas", 0, 0, G_OPTION_ARG_INT, &replicas, "replicas (65)",
+          "N" },
+        { "workload", 0, 0, G_OPTION_ARG_STRING, &only_workload,
+          "nairobi or taipei only", "NAME" },
+        { "fault", 0, 0, G_OPTION_ARG_STRING, &only_fault,
+          "none, straggler or lost only", "NAME" },
+        { "policy", 0, 0, G_OPTION_ARG_STRING, &only_policy, "one policy only",
+          "NAME" },
+        { "lag", 0, 0, G_OPTION_ARG_INT, &only_lag,
+          "reports late by this only", "MS" },
+        { "flood", 0, 0, G_OPTION_ARG_DOUBLE, &flood,
+          "arrivals of one more account, as part of all slots (0)", "X" },
+        { "peak", 0, 0, G_OPTION_ARG_DOUBLE, &peak,
+          "arrivals at the peak, as part of all slots", "X" },
+        { NULL, 0, 0, 0, NULL, NULL, NULL } };
+
+static int
+compare (const void *a, const void *b)
+{
+  double x = *(const double *)a, y = *(const double *)b;
+  return (x > y) - (x < y);
+}
+
+static double
+median (double *v, int n)
+{
+  qsort (v, (size_t)n, sizeof *v, compare);
+  return v[n / 2];
+}
+
+/** Medians over the seeds; p99 with its least and greatest value. */
+struct row
+{
+  struct world_result mid;
+  double p99_least, p99_most;
+};
+
+static struct row
+run_row (struct world_params p)
+{
+  struct world_result all[MOST_SEEDS];
+  double v[MOST_SEEDS];
+  struct row row;
+  for (int i = 0; i < seeds; i++)
+    {
+      p.seed = (uint64_t)(seed + i);
+      all[i] = world_run (&p);
+    }
+#define MEDIAN(field)                                                         \
+  ({                                                                          \
+    for (int i = 0; i < seeds; i++)                                           \
+      v[i] = all[i].field;                                                    \
+    median (v, seeds);                                                        \
+  })
+  row.mid.p50 = MEDIAN (p50);
+  row.mid.p95 = MEDIAN (p95);
+  row.mid.small_p99 = MEDIAN (small_p99);
+  row.mid.met = MEDIAN (met);
+  row.mid.hit = MEDIAN (hit);
+  row.mid.refused = MEDIAN (refused);
+  row.mid.failed = MEDIAN (failed);
+  row.mid.p99 = MEDIAN (p99);
+  row.p99_least = v[0];
+  row.p99_most = v[seeds - 1];
+#undef MEDIAN
+  return row;
+}
+
+static void
+print_row (enum policy policy, const struct row *r)
+{
+  printf ("  %-12s %6.0f %6.0f %7.0f [%6.0f %6.0f] %7.0f %6.1f %6.1f %6.2f "
+          "%6.2f\n",
+          policy_names[policy], r->mid.p50, r->mid.p95, r->mid.p99,
+          r->p99_least, r->p99_most, r->mid.small_p99, 100 * r->mid.met,
+          100 * r->mid.hit, 100 * r->mid.refused, 100 * r->mid.failed);
+  fflush (stdout);
+}
+
+/** Whether ours holds the two goals in this cell. */
+static void
+print_verdict (const struct row rows[POLICIES])
+{
+  enum policy best = POL_RANDOM;
+  for (enum policy p = POL_RANDOM; p < POL_OMNISCIENT; p++)
+    if (rows[p].mid.p99 < rows[best].mid.p99)
+      best = p;
+  printf ("  p99 of ours: %.2f of the best of four (%s), %.2f of the limit\n",
+          rows[POL_OURS].mid.p99 / rows[best].mid.p99, policy_names[best],
+          rows[POL_OURS].mid.p99 / rows[POL_OMNISCIENT].mid.p99);
+}
+
+static void
+run_cell (const struct workload *w, enum world_fault fault, int lag)
+{
+  struct row rows[POLICIES];
+  printf ("%s: reports late by %d ms, fault %s\n", w->name, lag,
+          fault_names[fault]);
+  for (enum policy p = 0; p < POLICIES; p++)
+    {
+      if (only_policy && strcmp (only_policy, policy_names[p]) != 0)
+        continue;
+      rows[p] = run_row ((struct world_params){ .workload = w,
+                                                .policy = p,
+                                                .fault = fault,
+                                                .replicas = (size_t)replicas,
+                                                .lag_ms = lag });
+      print_row (p, &rows[p]);
+    }
+  if (!only_policy)
+    print_verdict (rows);
+}
+
+static void
+run_workload (const struct workload *w)
+{
+  static const int lags[] = { 0, 1000, 5000 };
+  struct workload set = *w;
+  set.flood = flood;
+  if (peak > 0)
+    set.peak = peak;
+  if (only_workload && strcmp (only_workload, w->name) != 0)
+    return;
+  for (enum world_fault f = 0; f < FAULTS; f++)
+    for (size_t i = 0; i < G_N_ELEMENTS (lags); i++)
+      if ((!only_fault || strcmp (only_fault, fault_names[f]) == 0)
+          && (only_lag < 0 || only_lag == lags[i]))
+        run_cell (&set, f, lags[i]);
+}
+
+int
+bench_route (int argc, char **argv)
+{
+  GError *error = NULL;
+  GOptionContext *options
+      = g_option_context_new ("- time to first token by routing policy");
+  g_option_context_add_main_entries (options, entries, NULL);
+  bool ok = g_option_context_parse (options, &argc, &argv, &error);
+  g_option_context_free (options);
+  if (!ok || seeds < 1 || seeds > MOST_SEEDS || replicas < 1)
+    {
+      fprintf (stderr, "bench route: %s\n",
+               error ? error->message : "a number is out of range");
+      g_clear_error (&error);
+      return EXIT_USAGE;
+    }
+  bench_banner ("route", (uint64_t)seed);
+  printf ("%d replicas of %d slots, %d gateways, %d seeds; medians, p99 with "
+          "[least greatest]\n",
+          replicas, STUB_SLOTS, WL_GATEWAYS, seeds);
+  printf ("  %-12s %6s %6s %7s %15s %7s %6s %6s %6s %6s\n", "policy", "p50",
+          "p95", "p99", "", "small99", "met%", "hit%", "refus%", "fail%");
+  run_workload (&wl_nairobi);
+  run_workload (&wl_taipei);
+  return EXIT_DONE;
+}
--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -17,6 +17,7 @@
 };
 
 static const struct measurement measurements[] = {
+  { "route", bench_route, "time to first token by routing policy" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
 
--- a/builtin/bench.h
+++ b/builtin/bench.h
@@ -14,5 +14,6 @@
 void bench_banner (const char *name, uint64_t seed);
 
 int bench_plot (int argc, char **argv);
+int bench_route (int argc, char **argv);
 
 #endif
--- a/route/choose.c
+++ b/route/choose.c
@@ -236,7 +236,8 @@
 }
 
 struct rt_server *
-rt_choose (struct rt *r, struct rt_target *t, const struct rt_req *q)
+rt_choose (void *ctx, struct rt *r, struct rt_target *t,
+           const struct rt_req *q)
 {
   struct scan c = { 0 };
   age_estimates (r, t);
--- a/route/core.h
+++ b/route/core.h
@@ -223,7 +223,8 @@
 
 /** Which of the target's servers gets the request; NULL: none has room.
     Replaceable, so that the bench can measure others with the same core. */
-typedef struct rt_server *(*rt_choose_fn) (struct rt *r, struct rt_target *t,
+typedef struct rt_server *(*rt_choose_fn) (void *ctx, struct rt *r,
+                                           struct rt_target *t,
                                            const struct rt_req *q);
 
 struct rt
@@ -236,6 +237,7 @@
   bool leaving;
   struct cfg *cfg;
   rt_choose_fn choose;
+  void *choose_ctx;
   struct rt_account **accounts;
   size_t naccounts;
   struct rt_target **targets;
@@ -300,7 +302,7 @@
 
 /* choose.c */
 bool rt_usable (const struct rt *r, const struct rt_server *s);
-struct rt_server *rt_choose (struct rt *r, struct rt_target *t,
+struct rt_server *rt_choose (void *ctx, struct rt *r, struct rt_target *t,
                              const struct rt_req *q);
 /** Requests on the server by all gateways, as far as we can tell. */
 double rt_estimate (const struct rt *r, const struct rt_target *t,
--- a/route/request.c
+++ b/route/request.c
@@ -448,7 +448,7 @@
   struct rt_req *q;
   while ((q = rt_queue_turn (&t->queue, r->now)) != NULL)
     {
-      struct rt_server *s = r->choose (r, t, q);
+      struct rt_server *s = r->choose (r->choose_ctx, r, t, q);
       if (!s)
         return;
       rt_queue_take (&t->queue, q);
