Tell the revision in force at once; test the link to the gateway

Change: the revision goes to membership when the configuration, the gateway's report or its link changes; views.c is tested by scripts with fakes beside it. Seen red, one edit at a time: text in each view, text not sent again to a restarted gateway, an older boot taking the link back, another node's gateway taken in, the end of an old link ending the new one, the address of a leaving gateway still told, the revision told as control's own.

--- a/control/control.c
+++ b/control/control.c
@@ -54,7 +54,7 @@
   if (c->shares)
     ctl_shares_config (c->shares);
   if (c->views)
-    ctl_views_touch (c->views);
+    ctl_views_config (c->views);
   if (old)
     cfg_unref (old);
 }
--- a/control/control.h
+++ b/control/control.h
@@ -155,6 +155,8 @@
                       const Lapis__Frame *f);
 /** Something that the gateway sees changed; sent at the end of this turn. */
 void ctl_views_touch (struct ctl_views *v);
+/** Another configuration is in force in this process. */
+void ctl_views_config (struct ctl_views *v);
 void ctl_views_share (struct ctl_views *v, const Lapis__ShareGrant *g);
 /** Whether a gateway is linked. */
 bool ctl_views_linked (const struct ctl_views *v);
--- a/control/views.c
+++ b/control/views.c
@@ -207,9 +207,9 @@
 add_config (struct ctl_views *v, struct builder *b)
 {
   struct str text = ctl_spread_text (v->c->spread);
-  int64_t revision = ctl_spread_revision (v->c->spread);
   if (!v->c->cfg || text.len == 0)
     return true;
+  int64_t revision = v->c->cfg->revision;
   if (v->hashed_revision != revision)
     SHA256 ((const uint8_t *)text.ptr, text.len, v->hash);
   v->hashed_revision = revision;
@@ -269,34 +269,40 @@
   uv_timer_start (&v->send_timer, on_send, wait > 0 ? (uint64_t)wait : 0, 0);
 }
 
-static void
-look_at_store (struct ctl_views *v, clk_ms now)
-{
-  const struct store_counts *n = store_counts (v->c->store);
-  uint64_t failures = n->unavailable + n->uncertain;
-  if (failures != v->store_failures)
-    v->store_failed_at = now;
-  v->store_failures = failures;
-}
-
 /* The revision in force on this node is the gateway's, as requests run there;
    without a gateway it is that of control. */
 static void
 tell_revision (struct ctl_views *v)
 {
-  int64_t revision = ctl_spread_revision (v->c->spread);
+  int64_t revision = v->c->cfg ? v->c->cfg->revision : 0;
   if (v->link && v->gateway_revision < revision)
     revision = v->gateway_revision;
   ctl_swim_set_revision (v->c->swim, revision);
 }
 
+void
+ctl_views_config (struct ctl_views *v)
+{
+  tell_revision (v);
+  ctl_views_touch (v);
+}
+
+static void
+look_at_store (struct ctl_views *v, clk_ms now)
+{
+  const struct store_counts *n = store_counts (v->c->store);
+  uint64_t failures = n->unavailable + n->uncertain;
+  if (failures != v->store_failures)
+    v->store_failed_at = now;
+  v->store_failures = failures;
+}
+
 static void
 on_repeat (uv_timer_t *t)
 {
   struct ctl_views *v = t->data;
   clk_ms now = clk_now ();
   look_at_store (v, now);
-  tell_revision (v);
   if (now - v->sent_at >= VIEW_REPEAT_MS)
     ctl_views_touch (v);
 }
@@ -333,7 +339,7 @@
   memset (v->sent_hash, 0, sizeof v->sent_hash);
   LOG (gateway_linked, LOG_C ("http", hello->http_addr));
   ctl_swim_set_gateway (v->c->swim, &v->http, &v->peer, 0);
-  ctl_views_touch (v);
+  ctl_views_config (v);
 }
 
 void
@@ -351,6 +357,7 @@
   uv_timer_stop (&v->send_timer);
   LOG (gateway_gone, LOG_I ("boot", v->gateway_boot));
   ctl_swim_set_gateway (v->c->swim, &none, &none, 0);
+  tell_revision (v);
 }
 
 static void
--- a/t/t8001-admin.c
+++ b/t/t8001-admin.c
@@ -316,7 +316,7 @@
   struct buf hex = BUF_INIT;
   SHA256 ((const uint8_t *)token, strlen (token), hash);
   buf_add_hex (&hex, hash, sizeof hash);
-  strcpy (out, buf_c (&hex));
+  memcpy (out, buf_c (&hex), 65);
   buf_free (&hex);
 }
 
@@ -354,7 +354,8 @@
   w.c.http = httpc_new (&w.loop);
   w.c.set.node = "entry-1";
   w.c.spans = trc_ring_new (4);
-  strcpy (w.c.set.control_admin.host, "127.0.0.1");
+  snprintf (w.c.set.control_admin.host, sizeof w.c.set.control_admin.host,
+            "127.0.0.1");
   w.c.admin = ctl_admin_start (&w.c, &err);
   cr_assert_not_null (w.c.admin, "%s", buf_c (&err));
   w.at = w.c.set.control_admin;
--- /dev/null
+++ b/t/t8002-views.c
@@ -0,0 +1,372 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/control.h"
+
+/*
+ * The link to the gateway with fakes beside it.  Commands of a script:
+ *   config REVISION BYTES               a document of that size is in force
+ *   gateway LINK NODE BOOT ADDR         a link said hello as a gateway
+ *   down LINK
+ *   report LINK REVISION OPEN LEAVING
+ *   share ACCOUNT TOKENS VALID_MS
+ *   leave                               the node drains
+ *   view                                wait for the next view
+ */
+
+#define WAIT_MS 10000
+
+struct link
+{
+  const char *name;
+};
+
+static struct link links[] = { { "a" }, { "b" } };
+
+static struct world
+{
+  struct ctl c;
+  uv_loop_t loop;
+  struct buf log;
+  struct buf text;
+  unsigned views;
+} w;
+
+/* --- fakes -------------------------------------------------------------- */
+
+const struct mbr_node *const *
+ctl_swim_nodes (const struct ctl_swim *s, size_t *n)
+{
+  static const struct mbr_node self = { .name = STR ("entry-1") };
+  static const struct mbr_node *all[] = { &self };
+  *n = 1;
+  return all;
+}
+
+void
+ctl_swim_set_gateway (struct ctl_swim *s, const struct net_addr *http,
+                      const struct net_addr *peer, uint32_t load)
+{
+  buf_addf (&w.log, "  membership: http port %u, load %u\n", http->port, load);
+}
+
+void
+ctl_swim_set_revision (struct ctl_swim *s, int64_t revision)
+{
+  static int64_t last = -1;
+  if (revision != last)
+    buf_addf (&w.log, "  membership: revision %d\n", (int)revision);
+  last = revision;
+}
+
+const struct ctl_replica *
+ctl_domains_replicas (struct ctl_domains *d, size_t *n)
+{
+  static struct ctl_replica r = { .name = STR ("ghala-lm-1"), .whole = true };
+  r.valid_until = clk_now () + CLK_MINUTE;
+  *n = 1;
+  return &r;
+}
+
+struct str
+ctl_spread_text (const struct ctl_spread *s)
+{
+  return buf_str (&w.text);
+}
+
+void
+ctl_shares_demand (struct ctl_shares *s, struct str node,
+                   const Lapis__ShareDemand *d)
+{
+}
+
+void
+ctl_admin_spans (struct ctl_admin *a, uint64_t id, struct str json)
+{
+}
+
+const struct store_counts *
+store_counts (const struct store *s)
+{
+  static const struct store_counts none;
+  return &none;
+}
+
+void
+link_traffic (const struct link *l, uint64_t *out, uint64_t *in)
+{
+  *out = 10;
+  *in = 1;
+}
+
+static void
+log_view (const struct link *l, const Lapis__View *v)
+{
+  buf_addf (&w.log, "  to %s: view %d", l->name, (int)v->seq);
+  buf_addf (&w.log, " revision %d", (int)v->config_revision);
+  if (v->config.len > 0)
+    buf_addf (&w.log, " text %zu", v->config.len);
+  for (size_t i = 0; i < v->n_replicas; i++)
+    buf_addf (&w.log, " %s%s", v->replicas[i]->replica,
+              v->replicas[i]->valid_ms > 0 ? "" : " expired");
+  for (size_t i = 0; i < v->n_shares; i++)
+    buf_addf (&w.log, " share %s %g", v->shares[i]->account,
+              v->shares[i]->tokens_per_s);
+  buf_addf (&w.log, "%s\n", v->leaving ? " leaving" : "");
+  w.views++;
+}
+
+bool
+link_send (struct link *l, const Lapis__Frame *f)
+{
+  if (f->body_case == LAPIS__FRAME__BODY_VIEW)
+    log_view (l, f->view);
+  else
+    buf_addf (&w.log, "  to %s: chunk %d + %zu of %d\n", l->name,
+              (int)f->config_chunk->offset, f->config_chunk->bytes.len,
+              (int)f->config_chunk->size);
+  return true;
+}
+
+/* --- scripts ------------------------------------------------------------ */
+
+static struct link *
+link_of (const char *name)
+{
+  return &links[name[0] == 'b'];
+}
+
+static void
+do_gateway (const char *line)
+{
+  char link[8];
+  char node[32];
+  char addr[32];
+  unsigned boot;
+  Lapis__Hello hello = LAPIS__HELLO__INIT;
+  sscanf (line, "gateway %7s %31s %u %31s", link, node, &boot, addr);
+  hello.node = node;
+  hello.boot = boot;
+  hello.http_addr = addr;
+  ctl_views_gateway (w.c.views, link_of (link), &hello);
+}
+
+static void
+do_report (const char *line)
+{
+  char link[8];
+  int revision;
+  unsigned open;
+  int leaving;
+  Lapis__Report report = LAPIS__REPORT__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  sscanf (line, "report %7s %d %u %d", link, &revision, &open, &leaving);
+  report.config_revision = (uint64_t)revision;
+  report.open_requests = open;
+  report.leaving = leaving;
+  f.body_case = LAPIS__FRAME__BODY_REPORT;
+  f.report = &report;
+  ctl_views_frame (w.c.views, link_of (link), &f);
+}
+
+static void
+do_share (const char *line)
+{
+  char account[32];
+  Lapis__ShareGrant g = LAPIS__SHARE_GRANT__INIT;
+  sscanf (line, "share %31s %lf %u", account, &g.tokens_per_s, &g.valid_ms);
+  g.account = account;
+  ctl_views_share (w.c.views, &g);
+}
+
+static void
+do_config (const char *line)
+{
+  int revision;
+  size_t bytes;
+  static struct cfg cfg;
+  sscanf (line, "config %d %zu", &revision, &bytes);
+  buf_clear (&w.text);
+  while (w.text.len < bytes)
+    buf_add_char (&w.text, (char)('a' + revision));
+  cfg.revision = revision;
+  w.c.cfg = &cfg;
+  ctl_views_config (w.c.views);
+}
+
+static void
+wait_view (void)
+{
+  unsigned before = w.views;
+  clk_ms until = clk_now () + WAIT_MS;
+  while (w.views == before)
+    {
+      cr_assert_lt (clk_now (), until, "no view; so far:\n%s", buf_c (&w.log));
+      uv_run (&w.loop, UV_RUN_ONCE);
+    }
+}
+
+static void
+run_line (const char *line)
+{
+  if (strncmp (line, "config", 6) == 0)
+    do_config (line);
+  else if (strncmp (line, "gateway", 7) == 0)
+    do_gateway (line);
+  else if (strncmp (line, "down", 4) == 0)
+    ctl_views_gateway_down (w.c.views, link_of (line + 5));
+  else if (strncmp (line, "report", 6) == 0)
+    do_report (line);
+  else if (strncmp (line, "share", 5) == 0)
+    do_share (line);
+  else if (strcmp (line, "leave") == 0)
+    w.c.leaving = true;
+  else if (strcmp (line, "view") == 0)
+    wait_view ();
+}
+
+static void
+check (const char *script, const char *expected)
+{
+  char *text = xstrdup (script);
+  for (char *line = strtok (text, "\n"); line; line = strtok (NULL, "\n"))
+    {
+      buf_addf (&w.log, "> %s\n", line);
+      run_line (line);
+    }
+  cr_assert_str_eq (buf_c (&w.log), expected, "got:\n%s\nexpected:\n%s",
+                    w.log.ptr, expected);
+  buf_clear (&w.log);
+  free (text);
+}
+
+static void
+start_world (void)
+{
+  uv_loop_init (&w.loop);
+  w.c.loop = &w.loop;
+  w.c.met = met_new ();
+  w.c.set.node = "entry-1";
+  w.c.views = ctl_views_start (&w.c, NULL);
+  log_setup (LOG_JSON, LOG_ERROR, STR ("entry-1"));
+}
+
+static void
+stop_world (void)
+{
+  ctl_views_stop (w.c.views);
+  uv_run (&w.loop, UV_RUN_DEFAULT);
+  uv_loop_close (&w.loop);
+  met_free (w.c.met);
+  buf_free (&w.log);
+  buf_free (&w.text);
+}
+
+TestSuite (views, .init = start_world, .fini = stop_world, .timeout = 60);
+
+Test (views, text_goes_once_a_gateway)
+{
+  /* Evidence makes a view each second; a text of a megabyte in each would be
+     a megabyte a second.  A restarted gateway has no text, so it gets it. */
+  check ("config 1 5\n"
+         "gateway a entry-1 1 127.0.0.1:80\n"
+         "view\n"
+         "view\n"
+         "config 2 40000\n"
+         "view\n"
+         "view\n"
+         "down a\n"
+         "gateway b entry-1 2 127.0.0.1:81\n"
+         "view\n",
+         "> config 1 5\n"
+         "  membership: revision 1\n"
+         "> gateway a entry-1 1 127.0.0.1:80\n"
+         "  membership: http port 80, load 0\n"
+         "  membership: revision 0\n"
+         "> view\n"
+         "  to a: view 1 revision 1 text 5 ghala-lm-1\n"
+         "> view\n"
+         "  to a: view 2 revision 1 ghala-lm-1\n"
+         "> config 2 40000\n"
+         "> view\n"
+         "  to a: chunk 0 + 32768 of 40000\n"
+         "  to a: chunk 32768 + 7232 of 40000\n"
+         "  to a: view 3 revision 2 ghala-lm-1\n"
+         "> view\n"
+         "  to a: view 4 revision 2 ghala-lm-1\n"
+         "> down a\n"
+         "  membership: http port 0, load 0\n"
+         "  membership: revision 2\n"
+         "> gateway b entry-1 2 127.0.0.1:81\n"
+         "  membership: http port 81, load 0\n"
+         "  membership: revision 0\n"
+         "> view\n"
+         "  to b: chunk 0 + 32768 of 40000\n"
+         "  to b: chunk 32768 + 7232 of 40000\n"
+         "  to b: view 5 revision 2 ghala-lm-1\n");
+}
+
+Test (views, which_gateway_counts)
+{
+  /* The gateway is killed and restarted, and its old link has gone silent
+     but is not down yet: the new one must be served at once, and neither the
+     old one's late hello nor its end may take the address away again.  A
+     gateway with another node's settings is nobody's here. */
+  check ("gateway a entry-2 1 127.0.0.1:80\n"
+         "gateway a entry-1 1 127.0.0.1:80\n"
+         "gateway b entry-1 2 127.0.0.1:81\n"
+         "gateway a entry-1 1 127.0.0.1:80\n"
+         "report a 0 9 0\n"
+         "down a\n"
+         "view\n",
+         "> gateway a entry-2 1 127.0.0.1:80\n"
+         "> gateway a entry-1 1 127.0.0.1:80\n"
+         "  membership: http port 80, load 0\n"
+         "  membership: revision 0\n"
+         "> gateway b entry-1 2 127.0.0.1:81\n"
+         "  membership: http port 0, load 0\n"
+         "  membership: http port 81, load 0\n"
+         "> gateway a entry-1 1 127.0.0.1:80\n"
+         "> report a 0 9 0\n"
+         "> down a\n"
+         "> view\n"
+         "  to b: view 1 revision 0 ghala-lm-1\n");
+}
+
+Test (views, revision_in_force_is_the_gateways)
+{
+  /* `config status --wait` must not say "in force" while the gateway still
+     serves under the old one.  A gateway that leaves by itself goes on with
+     what it has, but its address is given to nobody. */
+  check ("config 3 5\n"
+         "gateway a entry-1 1 127.0.0.1:80\n"
+         "view\n"
+         "report a 2 4 0\n"
+         "report a 3 4 0\n"
+         "report a 3 4 1\n"
+         "leave\n"
+         "share broker-app 50 60000\n"
+         "view\n",
+         "> config 3 5\n"
+         "  membership: revision 3\n"
+         "> gateway a entry-1 1 127.0.0.1:80\n"
+         "  membership: http port 80, load 0\n"
+         "  membership: revision 0\n"
+         "> view\n"
+         "  to a: view 1 revision 3 text 5 ghala-lm-1\n"
+         "> report a 2 4 0\n"
+         "  membership: http port 80, load 4\n"
+         "  membership: revision 2\n"
+         "> report a 3 4 0\n"
+         "  membership: http port 80, load 4\n"
+         "  membership: revision 3\n"
+         "> report a 3 4 1\n"
+         "  membership: http port 0, load 4\n"
+         "> leave\n"
+         "> share broker-app 50 60000\n"
+         "> view\n"
+         "  to a: view 2 revision 3 ghala-lm-1 share broker-app 50"
+         " leaving\n");
+}
