Measure the assignment through months of lost VMs

Whether to wait for a lost VM, to put a spare in its place or to dissolve its replica was decided by a cost that nobody had compared with anything.

`lapisline bench assign` drives the product's replica core through a trace of failures, restarts, racks and zones at the rates of the fleet that we plan for, beside "always dissolve" and "always wait" as switches of the same code, and measures the core's processor time and a domain that comes back dark. It showed that the load budget wasted the time in which an engine starts: a replica held its turn until whole. The turn now ends once its weights should be there.

--- a/builtin/bench.h
+++ b/builtin/bench.h
@@ -13,6 +13,7 @@
 /** Print "lapisline VERSION (REVISION) bench NAME seed=N". */
 void bench_banner (const char *name, uint64_t seed);
 
+int bench_assign (int argc, char **argv);
 int bench_plot (int argc, char **argv);
 int bench_route (int argc, char **argv);
 
--- a/replica/budget.c
+++ b/replica/budget.c
@@ -92,6 +92,26 @@
   return a->down_since < b->down_since;
 }
 
+/* Time for the weights that its members don't hold yet. */
+static clk_ms
+missing_load_ms (const struct rep *r, clk_ms now, const struct rep_replica *p)
+{
+  clk_ms all = bud_load_ms (r, p->model);
+  size_t n = 0;
+
+  for (size_t i = 0; i < p->nvms; i++)
+    n += evd_unloaded (&r->vms[p->vms[i]], now);
+  return all * (clk_ms)n / (clk_ms)p->nvms;
+}
+
+static void
+give_slot (const struct rep *r, clk_ms now, struct rep_replica *p)
+{
+  p->has_slot = true;
+  p->slot_since = now;
+  p->slot_load_ms = missing_load_ms (r, now, p);
+}
+
 /*
  * The weight store gives a fixed rate.  When a whole domain comes back and
  * all of its replicas load at once, each gets a part of the rate and all are
@@ -114,16 +134,14 @@
       if (!can_load (r, now, p))
         continue;
       if (r->opt.no_budget || (!p->slot_since && is_loading (r, now, p)))
-        {
-          p->has_slot = true;
-          p->slot_since = now;
-        }
-      busy = busy || p->has_slot;
+        give_slot (r, now, p);
+      /* Once its weights should be there, the next may load while this one
+         still starts. */
+      busy = busy || (p->has_slot && now - p->slot_since <= p->slot_load_ms);
       if (!p->has_slot && (!first || goes_before (r, p, first)))
         first = p;
     }
   if (busy || !first || !r->turn || !r->owner)
     return;
-  first->has_slot = true;
-  first->slot_since = now;
+  give_slot (r, now, first);
 }
--- a/replica/core.h
+++ b/replica/core.h
@@ -88,6 +88,7 @@
   uint32_t load;
   bool has_slot; /* of the weight-load budget */
   clk_ms slot_since;
+  clk_ms slot_load_ms; /* how long the weight store is busy with it */
 };
 
 struct rep_pending_drain
