Tell changes of figures apart; say who is a bridge

Every load or revision that arrives raised the same action as a death, so that a shell would have rebuilt its views for each of some hundred a second. Such actions now carry a flag. Links between regions are to be held by the bridges alone, so the core says whether this node is one. Rows that were dropped are freed only once all actions were taken: a shell may tell the core something while it takes them.

--- a/fleet/gossip.c
+++ b/fleet/gossip.c
@@ -47,7 +47,7 @@
   row->node.load = g->load;
   row->node.config_revision = g->revision;
   gsp_queue_gauge (row);
-  mbt_changed (m, row);
+  mbt_changed (m, row, true);
 }
 
 /** The least often sent fact, the latest first; not yet in this packet. */
--- a/fleet/member-internal.h
+++ b/fleet/member-internal.h
@@ -219,7 +219,8 @@
 size_t mbt_present (const struct mbr *m);
 uint64_t mbt_view (const struct mbr *m);
 uint64_t mbt_id (struct str name, uint64_t boot);
-void mbt_changed (struct mbr *m, const struct mbr_row *row);
+/** Tell the shell; @p figures: only load or revision. */
+void mbt_changed (struct mbr *m, const struct mbr_row *row, bool figures);
 
 /* probe.c */
 void prb_tick (struct mbr *m);
@@ -258,7 +259,6 @@
 void rgn_take_summary (struct mbr *m, const Swim__Summary *s);
 /** The next node to probe as a bridge, or NULL. */
 struct mbr_row *rgn_probe_target (struct mbr *m);
-bool rgn_is_bridge (const struct mbr *m, const struct mbr_row *row);
 /** Bridges of the own region towards @p region; returns how many. */
 size_t rgn_bridges (const struct mbr *m, struct str region,
                     struct mbr_row **out);
--- a/fleet/member.c
+++ b/fleet/member.c
@@ -75,9 +75,11 @@
 {
   bool first = m->last_tick == 0;
 
-  mbt_free_dropped (m);
   if (m->next_out == m->nouts)
-    m->nouts = m->next_out = 0;
+    {
+      mbt_free_dropped (m);
+      m->nouts = m->next_out = 0;
+    }
   m->now = now;
   m->misjudged = false;
   if (first)
@@ -225,7 +227,7 @@
   own->gw_peer = self->gw_peer;
   own->incarnation++;
   gsp_queue_fact (m, m->self);
-  mbt_changed (m, m->self);
+  mbt_changed (m, m->self, false);
 }
 
 void
@@ -266,6 +268,15 @@
   return n;
 }
 
+bool
+mbr_is_bridge (const struct mbr *m, struct str region)
+{
+  for (size_t i = 0; i < m->nregions; i++)
+    if (str_is (region, m->regions[i].name))
+      return m->regions[i].bridge;
+  return false;
+}
+
 size_t
 mbr_memory (const struct mbr *m)
 {
--- a/fleet/member.h
+++ b/fleet/member.h
@@ -72,6 +72,7 @@
   struct net_addr to;
   struct str packet; /**< valid until the next event */
   const struct mbr_node *node;
+  bool figures; /**< only its load or revision changed */
 };
 
 struct mbr_counts
@@ -124,6 +125,9 @@
 /** Other regions known; their nodes in mbr_nodes() are the bridges only. */
 size_t mbr_regions (const struct mbr *m, struct mbr_region *out, size_t max);
 
+/** Whether this node is a bridge of its region towards @p region. */
+bool mbr_is_bridge (const struct mbr *m, struct str region);
+
 /** Bytes of memory that the core holds. */
 size_t mbr_memory (const struct mbr *m);
 
--- a/fleet/probe.c
+++ b/fleet/probe.c
@@ -339,7 +339,7 @@
       struct mbr_row *row = m->rows[i];
 
       if (row->node.status == MBR_DEAD
-          && (mbt_local (m, row) || rgn_is_bridge (m, row))
+          && (mbt_local (m, row) || mbr_is_bridge (m, row->node.region))
           && rng_below (&m->rng, ++n) == 0)
         pick = row;
     }
--- a/fleet/region.c
+++ b/fleet/region.c
@@ -86,15 +86,6 @@
   return n;
 }
 
-bool
-rgn_is_bridge (const struct mbr *m, const struct mbr_row *row)
-{
-  for (size_t i = 0; i < m->nregions; i++)
-    if (m->regions[i].bridge && str_is (row->node.region, m->regions[i].name))
-      return true;
-  return false;
-}
-
 struct mbr_row *
 rgn_probe_target (struct mbr *m)
 {
--- a/fleet/table.c
+++ b/fleet/table.c
@@ -148,12 +148,13 @@
 }
 
 void
-mbt_changed (struct mbr *m, const struct mbr_row *row)
+mbt_changed (struct mbr *m, const struct mbr_row *row, bool figures)
 {
   struct mbr_out *o = mbr_out_new (m);
 
   o->action.kind = MBR_CHANGED;
   o->action.node = &row->node;
+  o->action.figures = figures;
 }
 
 void
@@ -170,7 +171,7 @@
   row->node.status = status;
   row->since = m->now;
   row->unsure = false;
-  mbt_changed (m, row);
+  mbt_changed (m, row, false);
 }
 
 /** At the same incarnation the graver statement wins. */
@@ -286,7 +287,7 @@
   if (node->status == MBR_SUSPECT)
     add_accusers (row, s);
   gsp_queue_fact (m, row);
-  mbt_changed (m, row);
+  mbt_changed (m, row, false);
 }
 
 /** A newer statement about the same boot. */
@@ -304,7 +305,7 @@
   row->node.gw_peer = node->gw_peer;
   row->node.incarnation = node->incarnation;
   if (moved && row->node.status == node->status)
-    mbt_changed (m, row);
+    mbt_changed (m, row, false);
   mbt_set_status (m, row, node->status);
   row->unsure = false;
   if (node->status == MBR_SUSPECT)
