Let a greeting carry the membership address

settings.peers names link addresses, and with the store down nothing else tells a starting node where to send its first membership packet. Hello gains swim_addr; empty from a gateway. An older process ignores the field.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1158,7 +1158,7 @@
   (ProtobufCMessageInit) lapis__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lapis__hello__field_descriptors[8] =
 {
   {
     "node",
@@ -1244,6 +1244,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "swim_addr",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Hello, swim_addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__hello__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -1252,12 +1264,13 @@
   6,   /* field[6] = peer_addr */
   4,   /* field[4] = region */
   2,   /* field[2] = role */
+  7,   /* field[7] = swim_addr */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange lapis__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lapis__hello__descriptor =
 {
@@ -1267,7 +1280,7 @@
   "Lapis__Hello",
   "lapis",
   sizeof(Lapis__Hello),
-  7,
+  8,
   lapis__hello__field_descriptors,
   lapis__hello__field_indices_by_name,
   1,  lapis__hello__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -122,10 +122,14 @@
    * where this process accepts links
    */
   char *peer_addr;
+  /*
+   * of a control process: its membership socket
+   */
+  char *swim_addr;
 };
 #define LAPIS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
