Carry membership over UDP and join through the roster

The membership core needs a socket, a clock and a first contact. swim.c ticks it each 50 ms by a clock that goes on while the process is stopped, sends what it says without waiting, and tells the other modules of changes, but not of figures. roster.c reads the zone's rows and writes its own once, by compare-and-swap and only over a lower boot; a lost answer is settled by reading again. Seeds come from the roster and from greetings; a node alone asks all of them each second, others one that they don't know each 30 s, so that the sides of a cut that outlasted memory meet again. Measured: builds; the process tests follow once all its modules are in.

--- a/control/control.h
+++ b/control/control.h
@@ -82,6 +82,12 @@
 uint16_t ctl_swim_port (const struct ctl_swim *s);
 const struct mbr_node *const *ctl_swim_nodes (const struct ctl_swim *s,
                                               size_t *n);
+/** Where this process accepts links (called by peers.c). */
+void ctl_swim_set_peer (struct ctl_swim *s, const struct net_addr *peer);
+/** Another control process told its membership address. */
+void ctl_swim_seed (struct ctl_swim *s, const struct net_addr *swim);
+/** Whether this node carries links to @p region for its own. */
+bool ctl_swim_is_bridge (const struct ctl_swim *s, struct str region);
 /** The gateway's addresses, load or the revision in force changed. */
 void ctl_swim_set_gateway (struct ctl_swim *s, const struct net_addr *http,
                            const struct net_addr *peer, uint32_t load);
@@ -98,10 +104,15 @@
 bool ctl_peers_send (struct ctl_peers *p, uint64_t peer,
                      const Lapis__Frame *f);
 void ctl_peers_broadcast (struct ctl_peers *p, const Lapis__Frame *f);
-/** Send to the node of that name; false when there is no link. */
+/** Send to the node of that name; false when there is no link.  A link to it
+    is then opened and kept for a while, so that a later try gets through. */
 bool ctl_peers_send_node (struct ctl_peers *p, struct str node,
                           const Lapis__Frame *f);
 
+/** Linked control processes, and bytes on their links since the start. */
+size_t ctl_peers_traffic (const struct ctl_peers *p, uint64_t *out,
+                          uint64_t *in);
+
 /* spread.c */
 struct ctl_spread *ctl_spread_start (struct ctl *c, struct buf *err);
 void ctl_spread_stop (struct ctl_spread *s);
--- /dev/null
+++ b/control/roster.c
@@ -0,0 +1,195 @@
+#include "control/roster.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Waits between two tries, doubled up to the last. */
+#define RETRY_FIRST_MS CLK_SECOND
+#define RETRY_LAST_MS (30 * CLK_SECOND)
+
+struct ctl_roster
+{
+  struct ctl *c;
+  uv_timer_t timer;
+  struct buf prefix; /* roster/ZONE/ */
+  struct buf key;
+  struct buf value; /* of this node */
+  clk_ms wait;
+  ctl_roster_seed seed;
+  void *ctx;
+};
+
+static void read_zone (struct ctl_roster *r);
+
+static void
+on_retry (uv_timer_t *t)
+{
+  read_zone (t->data);
+}
+
+static void
+retry (struct ctl_roster *r)
+{
+  uint64_t jitter = rng_below (&r->c->rng, (uint64_t)r->wait / 2 + 1);
+
+  uv_timer_start (&r->timer, on_retry, (uint64_t)r->wait / 2 + jitter, 0);
+  r->wait *= 2;
+  if (r->wait > RETRY_LAST_MS)
+    r->wait = RETRY_LAST_MS;
+}
+
+/** What a row says; false when it is not one of ours. */
+static bool
+parse_row (struct str value, uint64_t *boot, struct net_addr *swim)
+{
+  char *text = str_dup (value);
+  json_object *root = json_tokener_parse (text);
+  json_object *jboot = NULL, *jswim = NULL;
+  bool ok = json_object_object_get_ex (root, "boot", &jboot)
+            && json_object_object_get_ex (root, "swim", &jswim)
+            && json_object_is_type (jswim, json_type_string)
+            && net_addr_parse (str_from (json_object_get_string (jswim)),
+                               false, swim);
+
+  if (ok)
+    *boot = (uint64_t)json_object_get_int64 (jboot);
+  json_object_put (root);
+  free (text);
+  return ok;
+}
+
+/*
+ * A write whose answer is lost may have taken effect; reading again tells,
+ * and finds the row as it should be.
+ */
+static void
+on_written (void *ctx, const struct store_result *res)
+{
+  struct ctl_roster *r = ctx;
+
+  if (res->status == STORE_OK)
+    LOG (roster_written, LOG_S ("at", buf_str (&r->key)));
+  else
+    retry (r);
+}
+
+static void
+write_row (struct ctl_roster *r, int64_t mod_rev)
+{
+  struct store_compare unchanged = { buf_str (&r->key), mod_rev };
+  struct store_put put = { buf_str (&r->key), buf_str (&r->value), 0 };
+  struct store_txn txn
+      = { .compares = &unchanged, .ncompares = 1, .puts = &put, .nputs = 1 };
+
+  store_txn (r->c->store, STORE_ROSTER, &txn, on_written, r);
+}
+
+/*
+ * A row of a lower boot is a predecessor's and is replaced.  One of a higher
+ * boot stands: a process that was paused while its VM was replaced would
+ * otherwise send newcomers to an address that is gone.
+ */
+static void
+settle_own (struct ctl_roster *r, const struct store_kv *own)
+{
+  struct net_addr swim;
+  uint64_t boot;
+
+  if (own == NULL)
+    write_row (r, 0);
+  else if (!parse_row (own->value, &boot, &swim) || boot < r->c->boot)
+    write_row (r, own->mod_rev);
+  else if (boot > r->c->boot)
+    LOG (roster_outranked, LOG_I ("boot", r->c->boot), LOG_I ("other", boot));
+  else if (!str_eq (own->value, buf_str (&r->value)))
+    write_row (r, own->mod_rev);
+  else
+    LOG (roster_written, LOG_S ("at", buf_str (&r->key)));
+}
+
+static void
+on_rows (void *ctx, const struct store_result *res)
+{
+  struct ctl_roster *r = ctx;
+  const struct store_kv *own = NULL;
+
+  if (res->status != STORE_OK)
+    {
+      retry (r);
+      return;
+    }
+  for (size_t i = 0; i < res->nkvs; i++)
+    {
+      struct net_addr swim;
+      uint64_t boot;
+
+      if (str_eq (res->kvs[i].key, buf_str (&r->key)))
+        own = &res->kvs[i];
+      else if (parse_row (res->kvs[i].value, &boot, &swim))
+        r->seed (r->ctx, &swim);
+    }
+  settle_own (r, own);
+}
+
+static void
+read_zone (struct ctl_roster *r)
+{
+  struct buf end = BUF_INIT;
+
+  store_prefix_end (buf_str (&r->prefix), &end);
+  store_range (r->c->store, STORE_ROSTER, buf_str (&r->prefix), buf_str (&end),
+               on_rows, r);
+  buf_free (&end);
+}
+
+static void
+add_addr (struct buf *out, const char *key, const struct net_addr *a)
+{
+  struct buf text = BUF_INIT;
+
+  net_addr_format (a, &text);
+  buf_addf (out, ",\"%s\":", key);
+  buf_add_json (out, buf_str (&text));
+  buf_free (&text);
+}
+
+struct ctl_roster *
+ctl_roster_start (struct ctl *c, const struct mbr_node *self,
+                  ctl_roster_seed seed, void *ctx)
+{
+  struct ctl_roster *r = xcalloc (1, sizeof *r);
+
+  r->c = c;
+  r->seed = seed;
+  r->ctx = ctx;
+  r->wait = RETRY_FIRST_MS;
+  buf_addf (&r->prefix, "%sroster/%s/", c->set.store_prefix, c->set.zone);
+  buf_addf (&r->key, "%s%s", buf_c (&r->prefix), c->set.node);
+  buf_addf (&r->value, "{\"boot\":%llu", (unsigned long long)c->boot);
+  add_addr (&r->value, "swim", &self->swim);
+  add_addr (&r->value, "peer", &self->peer);
+  buf_add_char (&r->value, '}');
+  uv_timer_init (c->loop, &r->timer);
+  r->timer.data = r;
+  read_zone (r);
+  return r;
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  struct ctl_roster *r = h->data;
+
+  buf_free (&r->prefix);
+  buf_free (&r->key);
+  buf_free (&r->value);
+  free (r);
+}
+
+void
+ctl_roster_stop (struct ctl_roster *r)
+{
+  store_forget (r->c->store, r);
+  uv_close ((uv_handle_t *)&r->timer, on_closed);
+}
