Carry claims between gateways

Cause: the claim core decides; a gateway has to bring it store answers, asks of its own requests and asks of other gateways. Change: front/claims*.c: asks go to the first two nodes by rendezvous hash and then to the own core, over links that are opened on demand; a link that goes down while it holds an ask counts as silence, one that never came up as unreachable; results reach the request core from the loop, and a grant that was held up by a stop of the process is released instead. Counters of claims.

--- a/claim/asker.c
+++ b/claim/asker.c
@@ -39,6 +39,14 @@
   return ask_next (a, now);
 }
 
+enum clm_asker_do
+clm_asker_silent (struct clm_asker *a, clk_ms now)
+{
+  if (a->asked < a->ntargets)
+    a->next = now;
+  return clm_asker_tick (a, now);
+}
+
 enum clm_asker_do
 clm_asker_unreachable (struct clm_asker *a, clk_ms now)
 {
--- a/claim/asker.h
+++ b/claim/asker.h
@@ -57,6 +57,8 @@
 
 /** The last target asked can't be reached; nothing was handed to it. */
 enum clm_asker_do clm_asker_unreachable (struct clm_asker *a, clk_ms now);
+/** The last target was handed the ask and can't answer any more. */
+enum clm_asker_do clm_asker_silent (struct clm_asker *a, clk_ms now);
 enum clm_asker_do clm_asker_answer (struct clm_asker *a, clk_ms now,
                                     enum clm_verdict verdict);
 
--- a/claim/claim.c
+++ b/claim/claim.c
@@ -48,8 +48,7 @@
   c->opt = *opt;
   c->prefix = str_dup (opt->prefix);
   c->opt.prefix = str_make (c->prefix, opt->prefix.len);
-  if (c->opt.window < LEAST_WINDOW_MS)
-    c->opt.window = LEAST_WINDOW_MS;
+  clm_set_window (c, opt->window);
   if (!c->opt.gap_ms)
     c->opt.gap_ms = CLM_GAP_MS;
   if (!c->opt.max_claims)
@@ -64,6 +63,17 @@
   return c;
 }
 
+void
+clm_set_window (struct clm *c, clk_ms window)
+{
+  if (window < LEAST_WINDOW_MS)
+    window = LEAST_WINDOW_MS;
+  /* A lease at hand was asked for twice the old window. */
+  if (window != c->opt.window)
+    c->lease.id = 0;
+  c->opt.window = window;
+}
+
 void
 clm_free (struct clm *c)
 {
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -159,6 +159,9 @@
 
 struct clm *clm_new (const struct clm_options *opt, uint64_t seed);
 void clm_free (struct clm *c);
+
+/** Change the window for claims that come from now on. */
+void clm_set_window (struct clm *c, clk_ms window);
 void clm_ask (struct clm *c, clk_ms now, const struct clm_ask *ask);
 void clm_store_answer (struct clm *c, clk_ms now, uint64_t token,
                        const struct store_result *r);
--- /dev/null
+++ b/front/claims-core.c
@@ -0,0 +1,159 @@
+#include <stdlib.h>
+
+#include "front/claims.h"
+
+/** Window until a configuration says so. */
+#define DEFAULT_WINDOW_MS (10 * CLK_MINUTE)
+
+/** Memory for kept answers. */
+#define KEPT_BYTES ((size_t)16 * 1024 * 1024)
+
+/** A store call of the core. */
+struct claims_call
+{
+  struct gw_claims *c;
+  uint64_t token;
+  struct claims_call *next, **prev;
+};
+
+static void
+call_free (struct claims_call *call)
+{
+  *call->prev = call->next;
+  if (call->next)
+    call->next->prev = call->prev;
+  free (call);
+}
+
+static void
+on_store (void *ctx, const struct store_result *r)
+{
+  struct claims_call *call = ctx;
+  struct gw_claims *c = call->c;
+  uint64_t token = call->token;
+
+  call_free (call);
+  clm_store_answer (c->core, clk_now (), token, r);
+  claims_settle (c);
+}
+
+static struct claims_call *
+call_new (struct gw_claims *c, uint64_t token)
+{
+  struct claims_call *call = xcalloc (1, sizeof *call);
+
+  call->c = c;
+  call->token = token;
+  call->next = c->calls;
+  call->prev = &c->calls;
+  if (c->calls)
+    c->calls->prev = &call->next;
+  c->calls = call;
+  return call;
+}
+
+static void
+act (struct gw_claims *c, const struct clm_action *a)
+{
+  struct store *s = c->g->store;
+
+  switch (a->kind)
+    {
+    case CLM_ACT_REPLY:
+      claims_answered (c, a->reply.id, &a->reply);
+      break;
+    case CLM_ACT_TXN:
+      store_txn (s, STORE_CLAIMS, &a->txn, on_store, call_new (c, a->token));
+      break;
+    case CLM_ACT_RANGE:
+      store_range (s, STORE_CLAIMS, a->key, a->end, on_store,
+                   call_new (c, a->token));
+      break;
+    case CLM_ACT_GRANT:
+      store_lease_grant (s, a->ttl, on_store, call_new (c, a->token));
+      break;
+    }
+}
+
+void
+claims_core_run (struct gw_claims *c)
+{
+  struct clm_action a;
+
+  while (clm_next (c->core, &a))
+    act (c, &a);
+}
+
+void
+claims_core_start (struct gw_claims *c)
+{
+  struct clm_options opt = { .prefix = str_from (c->g->set.store_prefix),
+                             .window = DEFAULT_WINDOW_MS,
+                             .kept_bytes = KEPT_BYTES,
+                             .boot = c->g->boot };
+
+  c->core = clm_new (&opt, rng_next (&c->g->rng));
+}
+
+void
+claims_core_stop (struct gw_claims *c)
+{
+  while (c->calls)
+    {
+      store_forget (c->g->store, c->calls);
+      call_free (c->calls);
+    }
+  clm_free (c->core);
+}
+
+/* Metrics. */
+
+struct metric
+{
+  const char *name;
+  const char *help;
+  size_t offset; /**< in struct clm_counts */
+};
+
+#define COUNT(name, help, field)                                              \
+  {                                                                           \
+    "lapisline_claim_" name "_total", help,                                   \
+        offsetof (struct clm_counts, field)                                   \
+  }
+
+static const struct metric metrics[] = {
+  COUNT ("txns", "Store transactions of claims", txns),
+  COUNT ("records", "Claims and releases written", batch_records),
+  COUNT ("conflicts", "Transactions that met another home's", conflicts),
+  COUNT ("uncertain", "Transactions whose answer was lost", uncertain),
+  COUNT ("reads", "Reads of claims in the store", reads),
+  COUNT ("granted", "Claims granted", granted),
+  COUNT ("refused", "Repeats refused or answered from memory", refused),
+  COUNT ("unavailable", "Asks that the store gave no answer for", unavailable),
+};
+
+static uint64_t
+count_at (const struct clm_counts *n, size_t offset)
+{
+  return *(const uint64_t *)((const char *)n + offset);
+}
+
+void
+claims_core_metrics (struct gw_claims *c)
+{
+  const struct clm_counts *now = clm_counts (c->core);
+
+  for (size_t i = 0; i < sizeof metrics / sizeof metrics[0]; i++)
+    {
+      const struct metric *m = &metrics[i];
+      uint64_t more
+          = count_at (now, m->offset) - count_at (&c->seen, m->offset);
+      if (more)
+        met_add (met_counter (c->g->met, m->name, m->help, NULL),
+                 (double)more);
+    }
+  c->seen = *now;
+  met_set (
+      met_gauge (c->g->met, "lapisline_claims_held", "Claims in memory", NULL),
+      (double)clm_held (c->core));
+}
--- /dev/null
+++ b/front/claims-peers.c
@@ -0,0 +1,220 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/claims.h"
+
+/** After a failed connection the node counts as unreachable for so long. */
+#define RETRY_MS ((clk_ms)500)
+
+/** A link that this node opened to another gateway. */
+struct claims_peer
+{
+  struct gw_claims *c;
+  char *name;
+  struct net_addr addr;
+  struct link *link; /**< NULL: none */
+  bool up;
+  clk_ms failed_at; /**< 0: not */
+  struct claims_peer *next;
+};
+
+/* Links that others opened: their asks come in. */
+
+static void
+on_in_state (void *ctx, struct link *l, enum link_state state)
+{
+  if (state == LINK_DOWN)
+    claims_link_gone (ctx, l);
+}
+
+static void
+on_in_frame (void *ctx, struct link *l, const Lapis__Frame *frame)
+{
+  if (frame->body_case == LAPIS__FRAME__BODY_CLAIM_ASK)
+    claims_asked (ctx, l, frame->claim_ask);
+}
+
+static const struct link_callbacks in_callbacks = { on_in_state, on_in_frame };
+
+bool
+claims_peers_listen (struct gw_claims *c, struct buf *err)
+{
+  memcpy (c->secret.key, c->g->set.secret, sizeof c->secret.key);
+  c->server = link_listen (c->g->loop, &c->g->set.gateway_peer, &c->secret,
+                           &in_callbacks, c, err);
+  return c->server != NULL;
+}
+
+void
+claims_peers_answer (struct link *l, uint64_t id,
+                     const struct clm_reply *reply)
+{
+  Lapis__ClaimAnswer answer = LAPIS__CLAIM_ANSWER__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+
+  answer.id = id;
+  answer.verdict = reply->verdict;
+  answer.answer.data = (uint8_t *)reply->answer.ptr;
+  answer.answer.len = reply->answer.len;
+  answer.answer_status = (uint32_t)reply->answer_status;
+  answer.retry_ms = (uint32_t)reply->retry_ms;
+  frame.body_case = LAPIS__FRAME__BODY_CLAIM_ANSWER;
+  frame.claim_answer = &answer;
+  link_send (l, &frame);
+}
+
+/* Links that this node opened. */
+
+static void
+on_out_state (void *ctx, struct link *l, enum link_state state)
+{
+  struct claims_peer *p = ctx;
+
+  p->up = state == LINK_UP;
+  if (state == LINK_UP)
+    {
+      p->failed_at = 0;
+      claims_peer_up (p->c, p->name);
+    }
+  else if (state == LINK_DOWN)
+    {
+      p->link = NULL;
+      p->failed_at = clk_now ();
+      claims_peer_down (p->c, p->name);
+    }
+}
+
+static void
+on_out_frame (void *ctx, struct link *l, const Lapis__Frame *frame)
+{
+  struct claims_peer *p = ctx;
+  const Lapis__ClaimAnswer *a = frame->claim_answer;
+  struct clm_reply reply = { 0 };
+
+  if (frame->body_case != LAPIS__FRAME__BODY_CLAIM_ANSWER
+      || a->verdict > CLM_DONE)
+    return;
+  reply.id = a->id;
+  reply.verdict = (enum clm_verdict)a->verdict;
+  reply.answer_status = (int)a->answer_status;
+  reply.answer = str_make (a->answer.data, a->answer.len);
+  reply.retry_ms = a->retry_ms;
+  claims_answered (p->c, a->id, &reply);
+  claims_settle (p->c);
+}
+
+static const struct link_callbacks out_callbacks
+    = { on_out_state, on_out_frame };
+
+static const struct gw_node *
+node_of (struct gw_claims *c, const char *name)
+{
+  size_t n = 0;
+  const struct gw_node *nodes
+      = c->g->view ? gw_view_nodes (c->g->view, &n) : NULL;
+
+  for (size_t i = 0; i < n; i++)
+    if (str_is (nodes[i].name, name))
+      return &nodes[i];
+  return NULL;
+}
+
+static struct claims_peer *
+peer_of (struct gw_claims *c, const char *name)
+{
+  struct claims_peer *p = c->peers;
+  const struct gw_node *node;
+
+  while (p && strcmp (p->name, name) != 0)
+    p = p->next;
+  if (p)
+    return p;
+  node = node_of (c, name);
+  if (!node)
+    return NULL;
+  p = xcalloc (1, sizeof *p);
+  p->c = c;
+  p->name = xstrdup (name);
+  p->addr = node->peer;
+  p->next = c->peers;
+  c->peers = p;
+  return p;
+}
+
+static bool
+send_ask (struct link *l, const struct claims_ask *a)
+{
+  Lapis__ClaimAsk m = LAPIS__CLAIM_ASK__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+
+  m.id = a->id;
+  m.key.data = (uint8_t *)a->ask.key;
+  m.attempt.data = (uint8_t *)a->ask.attempt;
+  m.fingerprint.data = (uint8_t *)a->ask.fingerprint;
+  m.key.len = m.attempt.len = m.fingerprint.len = 16;
+  m.kind = a->ask.kind;
+  m.answer.data = (uint8_t *)a->answer.ptr;
+  m.answer.len = a->answer.len;
+  m.answer_status = (uint32_t)a->ask.answer_status;
+  frame.body_case = LAPIS__FRAME__BODY_CLAIM_ASK;
+  frame.claim_ask = &m;
+  return link_send (l, &frame);
+}
+
+enum claims_send
+claims_peers_ask (struct gw_claims *c, const char *name,
+                  const struct claims_ask *a)
+{
+  struct claims_peer *p = peer_of (c, name);
+
+  if (!p)
+    return CLAIMS_UNREACHABLE;
+  if (p->up)
+    return send_ask (p->link, a) ? CLAIMS_SENT : CLAIMS_UNREACHABLE;
+  if (p->failed_at && clk_now () - p->failed_at < RETRY_MS)
+    return CLAIMS_UNREACHABLE;
+  if (!p->link)
+    p->link
+        = link_connect (c->g->loop, &p->addr, &c->secret, &out_callbacks, p);
+  return p->link ? CLAIMS_LATER : CLAIMS_UNREACHABLE;
+}
+
+static void
+peer_free (struct claims_peer *p)
+{
+  if (p->link)
+    link_close (p->link);
+  free (p->name);
+  free (p);
+}
+
+void
+claims_peers_check (struct gw_claims *c)
+{
+  for (struct claims_peer **at = &c->peers; *at;)
+    {
+      struct claims_peer *p = *at;
+      const struct gw_node *node = node_of (c, p->name);
+      if (node && net_addr_eq (&node->peer, &p->addr))
+        {
+          at = &p->next;
+          continue;
+        }
+      *at = p->next;
+      claims_peer_down (c, p->name);
+      peer_free (p);
+    }
+}
+
+void
+claims_peers_stop (struct gw_claims *c)
+{
+  while (c->peers)
+    {
+      struct claims_peer *p = c->peers;
+      c->peers = p->next;
+      peer_free (p);
+    }
+  if (c->server)
+    link_server_free (c->server);
+}
--- /dev/null
+++ b/front/claims.c
@@ -0,0 +1,456 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/hash.h"
+#include "fleet/member.h"
+#include "front/claims.h"
+
+/** Resolution of the asks' deadlines while any is open. */
+#define TICK_MS 10
+
+/* Open asks by id. */
+
+static struct claims_ask **
+bucket_of (struct gw_claims *c, uint64_t id)
+{
+  return &c->buckets[id % CLAIMS_BUCKETS];
+}
+
+static struct claims_ask *
+ask_new (struct gw_claims *c, const struct clm_ask *ask)
+{
+  struct claims_ask *a = xcalloc (1, sizeof *a);
+  struct claims_ask **bucket;
+
+  a->id = ++c->last_id;
+  a->ask = *ask;
+  a->ask.id = a->id;
+  buf_add (&a->answer, ask->answer);
+  a->ask.answer = buf_str (&a->answer);
+  bucket = bucket_of (c, a->id);
+  a->chain = *bucket;
+  *bucket = a;
+  c->open++;
+  return a;
+}
+
+static struct claims_ask *
+ask_of (struct gw_claims *c, uint64_t id)
+{
+  struct claims_ask *a = *bucket_of (c, id);
+
+  while (a && a->id != id)
+    a = a->chain;
+  return a;
+}
+
+static void
+ask_unlink (struct gw_claims *c, struct claims_ask *a)
+{
+  struct claims_ask **at = bucket_of (c, a->id);
+
+  while (*at != a)
+    at = &(*at)->chain;
+  *at = a->chain;
+  c->open--;
+}
+
+static void
+ask_free (struct claims_ask *a)
+{
+  for (size_t i = 0; i < CLM_TARGETS; i++)
+    free (a->targets[i]);
+  buf_free (&a->answer);
+  buf_free (&a->result_answer);
+  free (a);
+}
+
+/* Whom to ask. */
+
+static bool
+is_home_candidate (const struct gw_claims *c, const struct gw_node *n)
+{
+  return n->peer.port != 0 && !str_is (n->name, c->g->set.node)
+         && (n->status == MBR_ALIVE || n->status == MBR_SUSPECT);
+}
+
+/**
+ * The first nodes by rendezvous hash, up to this one, which is always the
+ * last: nobody is asked after the own core.
+ */
+static unsigned
+choose_targets (struct gw_claims *c, struct claims_ask *a)
+{
+  size_t n = 0, names_n = 0, picked;
+  const struct gw_node *nodes
+      = c->g->view ? gw_view_nodes (c->g->view, &n) : NULL;
+  struct str *names = xcalloc (n + 1, sizeof *names);
+  size_t order[CLM_TARGETS - 1];
+  char role[32];
+  unsigned ntargets = 0;
+
+  names[names_n++] = str_from (c->g->set.node);
+  for (size_t i = 0; i < n; i++)
+    if (is_home_candidate (c, &nodes[i]))
+      names[names_n++] = nodes[i].name;
+  snprintf (role, sizeof role, "claim/%02x", clm_shard (a->ask.key));
+  picked
+      = hash_pick_k (str_from (role), names, names_n, order, CLM_TARGETS - 1);
+  for (size_t i = 0; i < picked && order[i] != 0; i++)
+    a->targets[ntargets++] = str_dup (names[order[i]]);
+  free (names);
+  return ntargets + 1;
+}
+
+/* Results go to the caller from the loop, never from within its own call. */
+
+static void
+ignore (void *ctx, const struct clm_reply *reply)
+{
+}
+
+/** The attempt will never be sent: say so. */
+static void
+release (struct gw_claims *c, const struct claims_ask *a)
+{
+  struct clm_ask ask = a->ask;
+
+  if (ask.kind != CLM_TAKE)
+    return;
+  ask.kind = CLM_RELEASE;
+  ask.answer = STR_EMPTY;
+  gw_claims_ask (c, &ask, CLM_ASK_MS, ignore, NULL);
+}
+
+static void
+on_deliver (uv_timer_t *t)
+{
+  struct gw_claims *c = t->data;
+  struct claims_ask *a;
+
+  while ((a = c->done) != NULL)
+    {
+      c->done = a->next_done;
+      /* Stopped since the grant came: its time can't be trusted. */
+      if (a->result.verdict == CLM_GRANTED && clk_now () >= a->asker.deadline)
+        {
+          a->result.verdict = CLM_UNAVAILABLE;
+          release (c, a);
+        }
+      a->cb (a->ctx, &a->result);
+      ask_free (a);
+    }
+  claims_settle (c);
+}
+
+static void
+finish (struct gw_claims *c, struct claims_ask *a,
+        const struct clm_reply *reply)
+{
+  ask_unlink (c, a);
+  a->result = *reply;
+  buf_add (&a->result_answer, reply->answer);
+  a->result.answer = buf_str (&a->result_answer);
+  if (c->done)
+    c->done_last->next_done = a;
+  else
+    c->done = a;
+  c->done_last = a;
+  uv_timer_start (&c->deliver, on_deliver, 0, 0);
+}
+
+/* Own asks. */
+
+static void do_asker (struct gw_claims *c, struct claims_ask *a,
+                      enum clm_asker_do what, const struct clm_reply *reply);
+
+static void
+ask_own_core (struct gw_claims *c, struct claims_ask *a)
+{
+  clk_ms now = clk_now ();
+
+  a->ask.wait_ms = a->asker.deadline > now ? a->asker.deadline - now : 1;
+  a->ask.final = a->asker.ntargets == 1;
+  a->handed = true;
+  clm_ask (c->core, now, &a->ask);
+}
+
+static void
+ask_target (struct gw_claims *c, struct claims_ask *a)
+{
+  const char *name = a->targets[a->asker.asked - 1];
+
+  a->handed = false;
+  if (!name)
+    {
+      ask_own_core (c, a);
+      return;
+    }
+  switch (claims_peers_ask (c, name, a))
+    {
+    case CLAIMS_SENT:
+      a->handed = true;
+      break;
+    case CLAIMS_LATER:
+      break;
+    case CLAIMS_UNREACHABLE:
+      do_asker (c, a, clm_asker_unreachable (&a->asker, clk_now ()), NULL);
+    }
+}
+
+static void
+do_asker (struct gw_claims *c, struct claims_ask *a, enum clm_asker_do what,
+          const struct clm_reply *reply)
+{
+  struct clm_reply none = { .verdict = CLM_UNAVAILABLE,
+                            .retry_ms = reply ? reply->retry_ms : 0 };
+
+  switch (what)
+    {
+    case CLM_ASKER_NOTHING:
+      break;
+    case CLM_ASKER_ASK:
+      ask_target (c, a);
+      break;
+    case CLM_ASKER_REPLY:
+      finish (c, a, reply);
+      break;
+    case CLM_ASKER_RELEASE:
+      release (c, a);
+      break;
+    case CLM_ASKER_GIVE_UP_LATE:
+      release (c, a);
+      finish (c, a, &none);
+      break;
+    case CLM_ASKER_GIVE_UP:
+      finish (c, a, &none);
+    }
+}
+
+void
+gw_claims_ask (struct gw_claims *c, const struct clm_ask *ask, clk_ms wait_ms,
+               gw_claim_cb cb, void *ctx)
+{
+  struct claims_ask *a = ask_new (c, ask);
+  unsigned ntargets = choose_targets (c, a);
+
+  a->cb = cb;
+  a->ctx = ctx;
+  do_asker (c, a, clm_asker_start (&a->asker, clk_now (), wait_ms, ntargets),
+            NULL);
+  claims_settle (c);
+}
+
+/* Answers and asks that come in. */
+
+void
+claims_answered (struct gw_claims *c, uint64_t id,
+                 const struct clm_reply *reply)
+{
+  struct claims_ask *a = ask_of (c, id);
+
+  if (!a)
+    return;
+  if (!a->remote)
+    {
+      do_asker (c, a, clm_asker_answer (&a->asker, clk_now (), reply->verdict),
+                reply);
+      return;
+    }
+  if (a->link)
+    claims_peers_answer (a->link, a->remote_id, reply);
+  ask_unlink (c, a);
+  ask_free (a);
+}
+
+void
+claims_asked (struct gw_claims *c, struct link *l, const Lapis__ClaimAsk *m)
+{
+  struct clm_ask ask = { .kind = (enum clm_kind)m->kind,
+                         .answer_status = (int)m->answer_status,
+                         .answer = str_make (m->answer.data, m->answer.len) };
+  struct claims_ask *a;
+
+  if (m->key.len != 16 || m->attempt.len != 16 || m->fingerprint.len != 16
+      || m->kind > CLM_FINISH)
+    return;
+  memcpy (ask.key, m->key.data, 16);
+  memcpy (ask.attempt, m->attempt.data, 16);
+  memcpy (ask.fingerprint, m->fingerprint.data, 16);
+  a = ask_new (c, &ask);
+  a->remote = true;
+  a->remote_id = m->id;
+  a->link = l;
+  clm_ask (c->core, clk_now (), &a->ask);
+  claims_settle (c);
+}
+
+static void
+each_ask (struct gw_claims *c,
+          void (*fn) (struct gw_claims *c, struct claims_ask *a, void *arg),
+          void *arg)
+{
+  for (size_t i = 0; i < CLAIMS_BUCKETS; i++)
+    for (struct claims_ask *a = c->buckets[i], *next; a; a = next)
+      {
+        next = a->chain;
+        fn (c, a, arg);
+      }
+}
+
+static void
+forget_link (struct gw_claims *c, struct claims_ask *a, void *arg)
+{
+  if (a->link == arg)
+    a->link = NULL;
+}
+
+void
+claims_link_gone (struct gw_claims *c, struct link *l)
+{
+  each_ask (c, forget_link, l);
+}
+
+static bool
+waits_for (const struct claims_ask *a, const char *name)
+{
+  const char *target;
+
+  if (a->remote || a->asker.over)
+    return false;
+  target = a->targets[a->asker.asked - 1];
+  return target && strcmp (target, name) == 0;
+}
+
+static void
+go_on (struct gw_claims *c, struct claims_ask *a, void *arg)
+{
+  if (waits_for (a, arg) && !a->handed)
+    ask_target (c, a);
+}
+
+static void
+give_way (struct gw_claims *c, struct claims_ask *a, void *arg)
+{
+  clk_ms now = clk_now ();
+
+  if (!waits_for (a, arg))
+    return;
+  do_asker (c, a,
+            a->handed ? clm_asker_silent (&a->asker, now)
+                      : clm_asker_unreachable (&a->asker, now),
+            NULL);
+}
+
+void
+claims_peer_up (struct gw_claims *c, const char *name)
+{
+  each_ask (c, go_on, (void *)name);
+  claims_settle (c);
+}
+
+void
+claims_peer_down (struct gw_claims *c, const char *name)
+{
+  each_ask (c, give_way, (void *)name);
+  claims_settle (c);
+}
+
+/* The loop. */
+
+static void
+tick_ask (struct gw_claims *c, struct claims_ask *a, void *arg)
+{
+  if (!a->remote)
+    do_asker (c, a, clm_asker_tick (&a->asker, clk_now ()), NULL);
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct gw_claims *c = t->data;
+
+  if (c->g->cfg)
+    clm_set_window (c->core, c->g->cfg->limits.claim_window_ms);
+  clm_tick (c->core, clk_now ());
+  claims_core_run (c);
+  each_ask (c, tick_ask, NULL);
+  claims_settle (c);
+  claims_core_metrics (c);
+}
+
+void
+claims_settle (struct gw_claims *c)
+{
+  bool busy;
+
+  claims_core_run (c);
+  busy = c->open > 0 || clm_wake (c->core) != CLK_NEVER;
+  if (busy && !uv_is_active ((uv_handle_t *)&c->timer))
+    uv_timer_start (&c->timer, on_timer, TICK_MS, TICK_MS);
+  else if (!busy)
+    uv_timer_stop (&c->timer);
+}
+
+struct gw_claims *
+gw_claims_start (struct gw *g, struct buf *err)
+{
+  struct gw_claims *c = xcalloc (1, sizeof *c);
+
+  c->g = g;
+  if (!claims_peers_listen (c, err))
+    {
+      free (c);
+      return NULL;
+    }
+  claims_core_start (c);
+  uv_timer_init (g->loop, &c->timer);
+  uv_timer_init (g->loop, &c->deliver);
+  c->timer.data = c->deliver.data = c;
+  return c;
+}
+
+uint16_t
+gw_claims_port (const struct gw_claims *c)
+{
+  return link_server_port (c->server);
+}
+
+void
+gw_claims_nodes (struct gw_claims *c)
+{
+  claims_peers_check (c);
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  struct gw_claims *c = h->data;
+
+  if (h == (uv_handle_t *)&c->deliver)
+    free (c);
+}
+
+static void
+drop_ask (struct gw_claims *c, struct claims_ask *a, void *arg)
+{
+  ask_unlink (c, a);
+  ask_free (a);
+}
+
+void
+gw_claims_stop (struct gw_claims *c)
+{
+  if (!c)
+    return;
+  claims_peers_stop (c);
+  claims_core_stop (c);
+  each_ask (c, drop_ask, NULL);
+  for (struct claims_ask *a; (a = c->done) != NULL;)
+    {
+      c->done = a->next_done;
+      ask_free (a);
+    }
+  uv_close ((uv_handle_t *)&c->timer, on_closed);
+  uv_close ((uv_handle_t *)&c->deliver, on_closed);
+}
