Add the config command: check, push, show, diff, status

Cause: operators drive the system through the folder, and must be told in one go what is wrong, whether a push was accepted, and where it is in force.

The admin client learns to be quiet while it waits.

Conclusion: usable; races over real processes are still to be proved.

--- a/builtin/admin-client.c
+++ b/builtin/admin-client.c
@@ -161,16 +161,19 @@
     return EXIT_DONE;
   if (call->end == HTTPC_WHOLE)
     {
-      print_refusal (call->status, call->answer);
+      if (!a->quiet)
+        print_refusal (call->status, call->answer);
       return call->status == 504 && change ? EXIT_UNKNOWN : EXIT_FAILED;
     }
   if (call->end == HTTPC_CONNECT_FAILED)
     {
-      fprintf (stderr, "lapisline: nobody answers at %s\n", a->admin);
+      if (!a->quiet)
+        fprintf (stderr, "lapisline: nobody answers at %s\n", a->admin);
       return EXIT_UNREACHABLE;
     }
-  fprintf (stderr, "lapisline: the answer of %s was cut%s\n", a->admin,
-           change ? "; the change may or may not have happened" : "");
+  if (!a->quiet)
+    fprintf (stderr, "lapisline: the answer of %s was cut%s\n", a->admin,
+             change ? "; the change may or may not have happened" : "");
   return change ? EXIT_UNKNOWN : EXIT_UNREACHABLE;
 }
 
--- a/builtin/admin-client.h
+++ b/builtin/admin-client.h
@@ -18,6 +18,7 @@
   char *token_file; /**< or NULL: the token is in LAPISLINE_TOKEN */
   gboolean json;    /**< print answers as they came */
   gboolean undo;    /**< take a drain back */
+  bool quiet;       /**< print no refusals or failures of calls */
 };
 
 /** Column of a table: its title and the key of its value. */
--- a/config/push.c
+++ b/config/push.c
@@ -371,6 +371,15 @@
   return &p->findings;
 }
 
+bool
+psh_folder_is_whole (const struct psh *p)
+{
+  for (size_t i = 0; i < p->result.n; i++)
+    if (!p->result.files[i].text)
+      return false;
+  return p->result.n == p->folder->n;
+}
+
 void
 psh_summary (const struct psh *p, struct buf *out)
 {
--- a/config/push.h
+++ b/config/push.h
@@ -77,6 +77,10 @@
 int64_t psh_revision (const struct psh *p);
 const struct fnd_list *psh_findings (const struct psh *p);
 
+/** Whether the accepted files are just those of the operator's folder; if not,
+    other operators' files were kept. */
+bool psh_folder_is_whole (const struct psh *p);
+
 /** Append "added|changed|removed NAME" lines against what it replaced. */
 void psh_summary (const struct psh *p, struct buf *out);
 
--- a/lapisline.c
+++ b/lapisline.c
@@ -14,6 +14,7 @@
 static const struct command commands[] = {
   { "account", cmd_account, "list client accounts" },
   { "bench", cmd_bench, "measure decisions and costs" },
+  { "config", cmd_config, "check, push, show, diff and follow configuration" },
   { "metrics", cmd_metrics, "print counters of a process" },
   { "node", cmd_node, "list, show and drain nodes" },
   { "replay", cmd_replay, "feed recorded events to a decision core" },
