--- a/store/store.h
+++ b/store/store.h
@@ -26,6 +26,12 @@
 /** A call that waited so long in the budget ends as STORE_OVER_BUDGET. */
 #define STORE_WAIT_MS (2 * CLK_SECOND)
 
+/** Compares, and puts with deletes, that one txn may hold; etcd's default. */
+#define STORE_TXN_MAX 128
+
+/** Bytes of one request, its base64 included; etcd's default is 1.5 MiB. */
+#define STORE_REQUEST_MAX ((size_t)1536 * 1024)
+
 enum store_status
 {
   STORE_OK,
--- a/t/lib-net.c
+++ b/t/lib-net.c
@@ -27,17 +27,22 @@
   buf_add_char (&r->log, '\n');
 }
 
+/* Whether it was written since the line last waited for; moves past it. */
 static bool
 has_line (struct run *r, struct str line)
 {
-  struct str left = buf_str (&r->log);
+  struct str left = str_skip (buf_str (&r->log), r->seen);
 
   while (left.len > 0)
     {
       size_t end = str_chr (left, '\n');
-      if (str_eq (str_head (left, end), line))
-        return true;
+      bool found = str_eq (str_head (left, end), line);
       left = str_skip (left, end + 1);
+      if (found)
+        {
+          r->seen = r->log.len - left.len;
+          return true;
+        }
     }
   return false;
 }
@@ -58,19 +63,19 @@
 run_until (struct run *r, struct str line)
 {
   uv_timer_t bound;
-  bool late = false, closed = false;
+  bool late = false, closed = false, found;
 
   uv_update_time (&r->loop);
   uv_timer_init (&r->loop, &bound);
   bound.data = &late;
   uv_timer_start (&bound, on_bound, RUN_BOUND_MS, 0);
-  while (!late && !has_line (r, line))
+  while (!(found = has_line (r, line)) && !late)
     uv_run (&r->loop, UV_RUN_ONCE);
   bound.data = &closed;
   uv_close ((uv_handle_t *)&bound, on_bound_closed);
   while (!closed)
     uv_run (&r->loop, UV_RUN_NOWAIT);
-  cr_assert (!late, "no line '%.*s' in:\n%s", STR_ARG (line), buf_c (&r->log));
+  cr_assert (found, "no line '%.*s' in:\n%s", STR_ARG (line), buf_c (&r->log));
 }
 
 void
--- a/t/lib-net.h
+++ b/t/lib-net.h
@@ -17,6 +17,7 @@
 {
   uv_loop_t loop;
   struct buf log;
+  size_t seen; /**< end of the line last waited for */
 };
 
 /** Runs one line of a script: a word and the rest. */
@@ -28,7 +29,10 @@
 void run_log (struct run *r, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
 
-/** Turn the loop until @p line stands in the log; fails after 10 s. */
+/**
+ * Turn the loop until @p line is written after the one last waited for;
+ * fails after 10 s.
+ */
 void run_until (struct run *r, struct str line);
 
 /** Turn the loop while there is something to do at once. */
--- a/t/standin/main.c
+++ b/t/standin/main.c
@@ -11,6 +11,7 @@
   { "model", standin_model },
   { "platform", standin_platform },
   { "service", standin_service },
+  { "store", standin_store },
 };
 
 int
--- a/t/standin/standin.h
+++ b/t/standin/standin.h
@@ -10,5 +10,6 @@
 int standin_model (int argc, char **argv);
 int standin_platform (int argc, char **argv);
 int standin_service (int argc, char **argv);
+int standin_store (int argc, char **argv);
 
 #endif
