--- a/builtin/admin-client.c
+++ b/builtin/admin-client.c
@@ -21,8 +21,7 @@
     { "admin", 0, 0, G_OPTION_ARG_STRING, &a->admin,
       "admin address of any node's control (LAPISLINE_ADMIN)", "ADDR" },
     { "token-file", 0, 0, G_OPTION_ARG_FILENAME, &a->token_file,
-      "file with the operator's token (the token itself: LAPISLINE_TOKEN)",
-      "FILE" },
+      "file with the operator's token (LAPISLINE_TOKEN)", "FILE" },
     { "json", 0, 0, G_OPTION_ARG_NONE, &a->json, "print JSON", NULL },
     { "undo", 0, 0, G_OPTION_ARG_NONE, &a->undo,
       "with drain: take the drain of a replica back", NULL },
@@ -60,22 +59,18 @@
 read_token (const struct admin_client *a, struct buf *out)
 {
   const char *env = g_getenv ("LAPISLINE_TOKEN");
+  const char *path = a->token_file ? a->token_file : env;
   char text[MAX_TOKEN];
-  if (!a->token_file && env)
-    {
-      buf_add (out, str_trim (str_from (env)));
-      return true;
-    }
-  if (!a->token_file)
+  if (!path)
     {
       fputs ("lapisline: give --token-file FILE or set LAPISLINE_TOKEN\n",
              stderr);
       return false;
     }
-  FILE *f = fopen (a->token_file, "r");
+  FILE *f = fopen (path, "r");
   if (!f)
     {
-      perror (a->token_file);
+      perror (path);
       return false;
     }
   size_t n = fread (text, 1, sizeof text, f);
--- a/builtin/admin-client.h
+++ b/builtin/admin-client.h
@@ -15,7 +15,7 @@
 struct admin_client
 {
   char *admin;      /**< address of a control process's admin port */
-  char *token_file; /**< or NULL: the token is in LAPISLINE_TOKEN */
+  char *token_file; /**< or NULL: LAPISLINE_TOKEN names it */
   gboolean json;    /**< print answers as they came */
   gboolean undo;    /**< take a drain back */
   bool quiet;       /**< print no refusals or failures of calls */
