Walk the ownership core and the attempt chart

Cause: two owners that believe, late orders and lost answers come in any order; and "not run" must have no way from a state where bytes are out. Change: a seeded walk of three owners over one domain, with servers that check fencing numbers and with servers that ignore them, judged at the VM; an exhaustive walk of charts/attempt.json. Both find planted faults. Conclusion: no order of an older owner is obeyed after one of a newer owner while a check and its write are not a lease apart.

--- a/t/lib-claim.c
+++ b/t/lib-claim.c
@@ -46,7 +46,8 @@
         abort ();
       memmove (e + 1, e, (kv->n - at) * sizeof *e);
       kv->n++;
-      *e = (struct kv_entry){ .key = str_dup (put->key) };
+      *e = (struct kv_entry){ .key = str_dup (put->key),
+                              .create_rev = kv->revision };
     }
   buf_clear (&e->value);
   buf_add (&e->value, put->value);
@@ -98,6 +99,27 @@
     }
 }
 
+enum store_status
+kv_keep (struct kv *kv, clk_ms now, int64_t lease, clk_ms ttl)
+{
+  for (size_t i = 0; i < kv->nleases; i++)
+    if (kv->leases[i].id == lease)
+      {
+        kv->leases[i].expires = now + ttl;
+        return STORE_OK;
+      }
+  return STORE_GONE;
+}
+
+void
+kv_revoke (struct kv *kv, int64_t lease)
+{
+  for (size_t i = 0; i < kv->nleases; i++)
+    if (kv->leases[i].id == lease)
+      kv->leases[i].expires = INT64_MIN;
+  kv_lapse (kv, INT64_MIN);
+}
+
 int64_t
 kv_grant (struct kv *kv, clk_ms now, clk_ms ttl)
 {
--- a/t/lib-claim.h
+++ b/t/lib-claim.h
@@ -20,6 +20,7 @@
   char *key;
   struct buf value;
   int64_t mod_rev;
+  int64_t create_rev;
   int64_t lease;
 };
 
@@ -40,6 +41,9 @@
 void kv_remove (struct kv *kv, struct str key);
 void kv_lapse (struct kv *kv, clk_ms now);
 enum store_status kv_txn (struct kv *kv, const struct store_txn *txn);
+enum store_status kv_keep (struct kv *kv, clk_ms now, int64_t lease,
+                           clk_ms ttl);
+void kv_revoke (struct kv *kv, int64_t lease);
 int64_t kv_grant (struct kv *kv, clk_ms now, clk_ms ttl);
 
 /** A store call of a core, from its action to its answer. */
--- /dev/null
+++ b/t/t5910-attempt-chart.c
@@ -0,0 +1,126 @@
+/*
+ * An exhaustive walk of charts/attempt.json: every event in every state that
+ * can be reached, with the knowledge of whether bytes of the request may be
+ * at a backend server.  "Not run" must not be reachable while they may be.
+ */
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/chart.h"
+
+struct chart_source
+{
+  const char *name;
+  const char *json;
+};
+extern const struct chart_source chart_sources[];
+
+#define MAX_STATES 32
+
+static bool
+is_event (const struct chart *c, int event, const char *name)
+{
+  return strcmp (chart_event_name (c, event), name) == 0;
+}
+
+/** Bytes go out by "send"; a refusal says that they were not run. */
+static bool
+after (const struct chart *c, int event, bool out)
+{
+  if (is_event (c, event, "send"))
+    return true;
+  if (is_event (c, event, "refused_unrun")
+      || is_event (c, event, "refused_final"))
+    return false;
+  return out;
+}
+
+/** Number of (state, bytes out) pairs reached; @p wrong receives whether
+    "not run" was among them with bytes out. */
+static int
+walk (const struct chart *c, bool *wrong)
+{
+  bool seen[MAX_STATES][2] = { { false } };
+  int todo[2 * MAX_STATES][2], n = 0, reached = 0;
+  int not_run = chart_state (c, "not_run");
+
+  cr_assert_leq (chart_states (c), MAX_STATES);
+  *wrong = false;
+  seen[chart_initial (c)][false] = true;
+  todo[n][0] = chart_initial (c);
+  todo[n++][1] = false;
+  while (n > 0)
+    {
+      int state = todo[--n][0];
+      bool out = todo[n][1];
+      reached++;
+      *wrong |= state == not_run && out;
+      for (int e = 0; e < chart_events (c); e++)
+        {
+          int next = chart_step (c, state, e);
+          bool next_out = after (c, e, out);
+          if (next == CHART_REFUSED || seen[next][next_out])
+            continue;
+          seen[next][next_out] = true;
+          todo[n][0] = next;
+          todo[n++][1] = next_out;
+        }
+    }
+  return reached;
+}
+
+static const char *
+source (void)
+{
+  for (const struct chart_source *s = chart_sources; s->name; s++)
+    if (strcmp (s->name, "attempt") == 0)
+      return s->json;
+  cr_assert_fail ("no chart");
+  return NULL;
+}
+
+/* A caller books again when it is told "not run".  Were there any way to that
+   answer after the first byte went out, the booking could run twice. */
+Test (attempt_chart, not_run_means_not_run)
+{
+  const struct chart *c = chart_embedded ("attempt");
+  bool wrong;
+
+  cr_expect_geq (walk (c, &wrong), chart_states (c));
+  cr_expect_not (wrong);
+}
+
+/** Load the chart with @p from replaced by @p to, and walk it. */
+static bool
+wrong_with (const char *from, const char *to)
+{
+  const char *json = source ();
+  const char *at = strstr (json, from);
+  struct buf text = BUF_INIT;
+  struct fnd_list findings = { 0 };
+  struct chart *c;
+  bool wrong;
+
+  cr_assert (at, "chart without %s", from);
+  buf_add (&text, str_make (json, (size_t)(at - json)));
+  buf_add_c (&text, to);
+  buf_add_c (&text, at + strlen (from));
+  c = chart_load (buf_str (&text), "attempt", &findings);
+  cr_assert (c);
+  walk (c, &wrong);
+  chart_free (c);
+  fnd_free (&findings);
+  buf_free (&text);
+  return wrong;
+}
+
+/* The walk finds a chart that answers "not run" after a lost connection, and
+   one that queues a sent request again, from where it may be refused. */
+Test (attempt_chart, finds_planted_faults)
+{
+  cr_expect (wrong_with ("\"sent\": { \"on\": {",
+                         "\"sent\": { \"on\": { \"refuse\": \"not_run\","));
+  cr_expect (wrong_with ("\"retry\": \"retrying\"", "\"retry\": \"queued\""));
+  cr_expect_not (wrong_with ("\"chart\"", "\"chart\""));
+}
--- /dev/null
+++ b/t/t6900-owner-walk.c
@@ -0,0 +1,430 @@
+/*
+ * A seeded walk over interleavings of the ownership core: three nodes that
+ * all want one fabric domain, a store that applies calls late or never and
+ * loses answers, leases that lapse, freezes, restarts, and orders that take
+ * their time to reach a VM.  The same seed gives the same walk.
+ *
+ * Judged at the VM: it never obeys an order of an older owner after one of a
+ * newer owner.  Where backend servers check fencing numbers, they see to it;
+ * where they ignore them, the owners' clocks and waits have to.
+ */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "replica/owner.h"
+#include "t/lib-claim.h"
+
+#define NODES 3
+#define CALLS 64
+#define ORDERS 32
+#define TTL (6 * CLK_SECOND)
+#define FLIGHT (2 * CLK_SECOND)
+
+enum fault
+{
+  FAULT_NONE,
+  FAULT_NO_CLOCK,     /**< orders while it believes, without own_may_order() */
+  FAULT_FENCE_IGNORED /**< servers said to check fencing numbers do not */
+};
+
+struct call
+{
+  bool used, applied, answered;
+  int node;
+  struct own_action action;
+  struct store_compare compare;
+  struct store_put put;
+  struct buf key, value;
+  struct store_result result;
+  struct store_kv kv;
+  struct buf seen;
+};
+
+struct order
+{
+  bool used;
+  int64_t fence;
+  clk_ms sent;
+};
+
+struct walk
+{
+  struct kv kv;
+  struct rng rng;
+  clk_ms now;
+  bool checks_fence;
+  enum fault fault;
+  struct own *nodes[NODES];
+  bool frozen[NODES];
+  struct call calls[CALLS];
+  struct order orders[ORDERS];
+  uint64_t boots;
+  int64_t highest; /**< fencing number that the VM has obeyed */
+  uint64_t obeyed, refused, owners;
+  const char *violation;
+};
+
+static uint64_t
+below (struct walk *k, uint64_t n)
+{
+  return rng_below (&k->rng, n);
+}
+
+static void
+hold (struct walk *k, int node, const struct own_action *a)
+{
+  struct call *c = k->calls;
+
+  while (c < k->calls + CALLS && c->used)
+    c++;
+  /* Full of lost writes: the oldest will never land. */
+  if (c == k->calls + CALLS)
+    c = &k->calls[below (k, CALLS)];
+  c->used = true;
+  c->applied = c->answered = false;
+  c->node = node;
+  c->action = *a;
+  if (a->kind != OWN_TXN)
+    return;
+  buf_clear (&c->key);
+  buf_add (&c->key, a->txn.puts[0].key);
+  buf_clear (&c->value);
+  buf_add (&c->value, a->txn.puts[0].value);
+  c->compare = (struct store_compare){ buf_str (&c->key),
+                                       a->txn.compares[0].mod_rev };
+  c->put = (struct store_put){ buf_str (&c->key), buf_str (&c->value),
+                               a->txn.puts[0].lease };
+  c->action.txn = (struct store_txn){ &c->compare, 1, &c->put, 1, NULL, 0 };
+}
+
+static void
+drain (struct walk *k, int node)
+{
+  struct own_action a;
+
+  while (own_next (k->nodes[node], &a))
+    if (a.kind == OWN_GAINED)
+      k->owners++;
+    else if (a.kind != OWN_LOST)
+      hold (k, node, &a);
+}
+
+static void
+apply_range (struct walk *k, struct call *c)
+{
+  const struct kv_entry *e = k->kv.n ? &k->kv.entries[0] : NULL;
+
+  if (!e)
+    return;
+  buf_clear (&c->seen);
+  buf_add (&c->seen, buf_str (&e->value));
+  c->kv = (struct store_kv){ str_from ("o"), buf_str (&c->seen), e->mod_rev,
+                             e->create_rev, e->lease };
+  c->result.kvs = &c->kv;
+  c->result.nkvs = 1;
+}
+
+static void
+apply (struct walk *k, struct call *c)
+{
+  const struct own_action *a = &c->action;
+
+  if (c->applied)
+    return;
+  c->applied = true;
+  kv_lapse (&k->kv, k->now);
+  memset (&c->result, 0, sizeof c->result);
+  if (a->kind == OWN_GRANT)
+    {
+      c->result.lease = kv_grant (&k->kv, k->now, a->ttl);
+      c->result.ttl = a->ttl;
+    }
+  else if (a->kind == OWN_TXN)
+    c->result.status = kv_txn (&k->kv, &a->txn);
+  else if (a->kind == OWN_RANGE)
+    apply_range (k, c);
+  else if (a->kind == OWN_KEEP)
+    c->result.status = kv_keep (&k->kv, k->now, a->lease, TTL);
+  else
+    kv_revoke (&k->kv, a->lease);
+  c->result.revision = k->kv.revision;
+  if (c->answered || a->kind == OWN_REVOKE)
+    c->used = false;
+}
+
+static void
+answer (struct walk *k, struct call *c, enum store_status lost)
+{
+  struct store_result none = { .status = lost };
+
+  c->answered = true;
+  own_store_answer (k->nodes[c->node], k->now, c->action.token,
+                    lost == STORE_OK ? &c->result : &none);
+  c->used = lost == STORE_UNCERTAIN && !c->applied;
+  drain (k, c->node);
+}
+
+/* Steps. */
+
+static bool
+store_step (struct walk *k)
+{
+  struct call *c = NULL;
+  size_t from = below (k, CALLS);
+  uint64_t what = below (k, 16);
+
+  for (size_t i = 0; i < CALLS && !c; i++)
+    if (k->calls[(from + i) % CALLS].used)
+      c = &k->calls[(from + i) % CALLS];
+  if (!c)
+    return false;
+  if (c->answered || c->action.kind == OWN_REVOKE)
+    {
+      if (what < 4)
+        apply (k, c);
+      else if (what == 4)
+        c->used = false;
+      return what <= 4;
+    }
+  if (what < 2)
+    {
+      apply (k, c);
+      return true;
+    }
+  if (k->frozen[c->node])
+    return false;
+  if (what == 2)
+    answer (k, c,
+            c->action.kind == OWN_RANGE ? STORE_UNAVAILABLE : STORE_UNCERTAIN);
+  else if (what == 3 && !c->applied)
+    answer (k, c, STORE_UNAVAILABLE);
+  else
+    {
+      apply (k, c);
+      answer (k, c, STORE_OK);
+    }
+  return true;
+}
+
+static bool
+send_order (struct walk *k)
+{
+  int node = (int)below (k, NODES);
+  const struct own *o = k->nodes[node];
+  bool may = k->fault == FAULT_NO_CLOCK ? own_state (o) == OWN_HOLDING
+                                        : own_may_order (o, k->now);
+
+  if (k->frozen[node] || !may)
+    return false;
+  for (size_t i = 0; i < ORDERS; i++)
+    if (!k->orders[i].used)
+      {
+        k->orders[i] = (struct order){ true, own_fence (o), k->now };
+        return true;
+      }
+  return false;
+}
+
+static bool
+order_arrives (struct walk *k)
+{
+  struct order *o = &k->orders[below (k, ORDERS)];
+
+  if (!o->used)
+    return false;
+  o->used = false;
+  if (k->now - o->sent > FLIGHT)
+    return true; /* its call has timed out and its connection is closed */
+  if (k->checks_fence && k->fault != FAULT_FENCE_IGNORED
+      && o->fence < k->highest)
+    {
+      k->refused++;
+      return true;
+    }
+  if (o->fence < k->highest)
+    k->violation = "a VM obeyed an older owner after a newer one";
+  k->highest = o->fence;
+  k->obeyed++;
+  return true;
+}
+
+/* A frozen node runs on as if no time had passed: it may send first. */
+static void
+tick_all (struct walk *k)
+{
+  for (int n = 0; n < NODES; n++)
+    if (!k->frozen[n] && below (k, 4))
+      {
+        own_tick (k->nodes[n], k->now);
+        drain (k, n);
+      }
+}
+
+static void
+time_step (struct walk *k)
+{
+  uint64_t how = below (k, 256);
+
+  if (how == 0)
+    k->now += (clk_ms)below (k, 4 * TTL);
+  else if (how < 12)
+    k->now += (clk_ms)below (k, TTL);
+  else
+    k->now += (clk_ms)below (k, 100);
+  tick_all (k);
+}
+
+static void
+begin_node (struct walk *k, int n)
+{
+  char name[2] = { (char)('a' + n), 0 };
+  struct own_options opt = { .key = STR ("o"),
+                             .node = str_from (name),
+                             .boot = ++k->boots,
+                             .ttl = TTL,
+                             .checks_fence = k->checks_fence,
+                             .order_flight_ms = FLIGHT };
+
+  own_free (k->nodes[n]);
+  k->nodes[n] = own_new (&opt, k->boots);
+  for (size_t i = 0; i < CALLS; i++)
+    if (k->calls[i].node == n)
+      k->calls[i].answered = true;
+  own_want (k->nodes[n], k->now, true);
+  drain (k, n);
+}
+
+static void
+fault_step (struct walk *k)
+{
+  int node = (int)below (k, NODES);
+  uint64_t what = below (k, 64);
+
+  if (k->frozen[node])
+    k->frozen[node] = what > 20;
+  else if (what == 0)
+    begin_node (k, node);
+  else if (what < 16)
+    k->frozen[node] = true;
+  else if (what < 20)
+    {
+      own_want (k->nodes[node], k->now, what < 18);
+      drain (k, node);
+    }
+  else if (what < 30)
+    {
+      own_want (k->nodes[node], k->now, true);
+      drain (k, node);
+    }
+}
+
+static bool
+one_step (struct walk *k)
+{
+  uint64_t what = below (k, 100);
+
+  if (what < 40)
+    return store_step (k);
+  if (what < 60)
+    return send_order (k);
+  if (what < 75)
+    return order_arrives (k);
+  if (what < 97)
+    time_step (k);
+  else
+    fault_step (k);
+  return true;
+}
+
+static void
+clear (struct walk *k)
+{
+  for (int n = 0; n < NODES; n++)
+    own_free (k->nodes[n]);
+  for (size_t i = 0; i < CALLS; i++)
+    {
+      buf_free (&k->calls[i].key);
+      buf_free (&k->calls[i].value);
+      buf_free (&k->calls[i].seen);
+    }
+  kv_clear (&k->kv);
+}
+
+static uint64_t
+walk (struct walk *k, uint64_t seed, uint64_t steps, bool checks_fence,
+      enum fault fault)
+{
+  uint64_t done = 0;
+
+  memset (k, 0, sizeof *k);
+  rng_seed (&k->rng, seed);
+  k->now = 1000;
+  k->kv.revision = 100;
+  k->checks_fence = checks_fence;
+  k->fault = fault;
+  for (int n = 0; n < NODES; n++)
+    begin_node (k, n);
+  while (done < steps && !k->violation)
+    done += one_step (k);
+  return done;
+}
+
+static void
+must_hold (bool checks_fence)
+{
+  static struct walk k;
+  uint64_t obeyed = 0, refused = 0, owners = 0;
+
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      uint64_t steps = walk (&k, seed, 100000, checks_fence, FAULT_NONE);
+      cr_expect_null (k.violation, "seed %llu, step %llu: %s",
+                      (unsigned long long)seed, (unsigned long long)steps,
+                      k.violation);
+      obeyed += k.obeyed;
+      refused += k.refused;
+      owners += k.owners;
+      clear (&k);
+    }
+  cr_log_info ("owners %llu, orders obeyed %llu, refused %llu",
+               (unsigned long long)owners, (unsigned long long)obeyed,
+               (unsigned long long)refused);
+  cr_expect_gt (owners, 500);
+  cr_expect_gt (obeyed, 5000);
+  cr_expect (!checks_fence || refused > 0);
+}
+
+/* An owner is frozen past its lease, another takes the domain and gives
+   orders, the first wakes and goes on.  The VM refuses its fencing number. */
+Test (owner_walk, servers_that_check_fences) { must_hold (true); }
+
+/* The same with a VM that obeys whatever reaches it last: the old owner's
+   clock must stop it, and the new owner must wait for what is on its way. */
+Test (owner_walk, servers_that_ignore_fences) { must_hold (false); }
+
+static void
+must_find (bool checks_fence, enum fault fault)
+{
+  static struct walk k;
+  uint64_t steps = 0;
+
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    {
+      steps += walk (&k, seed, 100000, checks_fence, fault);
+      clear (&k);
+      if (k.violation)
+        break;
+    }
+  cr_log_info ("found after %llu steps", (unsigned long long)steps);
+  cr_expect_not_null (k.violation);
+}
+
+Test (owner_walk, finds_order_without_a_look_at_the_clock)
+{
+  must_find (false, FAULT_NO_CLOCK);
+}
+
+Test (owner_walk, finds_servers_that_ignore_fences_unannounced)
+{
+  must_find (true, FAULT_FENCE_IGNORED);
+}
