Add the gateway command and prove the path of a request

Cause: the modules in front/ could not be started, and what they promise to callers had been tried by hand only. Three faults that the tests showed are mended: the outcome event of a broken stream was lost when bytes were still queued (it is now cut once they are taken); a resumed attempt was never passed on; its end mark was not seen when it straddled both attempts. The stand-ins send no faster than they are read.

--- a/front/answer.c
+++ b/front/answer.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "front/callers.h"
 
@@ -86,3 +87,44 @@
           { STR ("lapis-outcome"), STR ("done") } };
   httpd_answer (req, 200, h, 2, json);
 }
+
+/* ---- cut answers ---- */
+
+static void
+on_cut_gone (void *ctx)
+{
+  free (ctx);
+}
+
+static void
+on_cut_drained (void *ctx)
+{
+  struct httpd_req **cut = ctx;
+  struct httpd_req *req = *cut;
+
+  if (httpd_queued (req) > 0)
+    return;
+  free (cut);
+  httpd_end (req, false);
+}
+
+/**
+ * Cutting drops what is still queued, and with it the event that tells the
+ * caller whether its request may be repeated.  A caller that takes nothing is
+ * cut by httpd itself after a while.
+ */
+void
+gw_cut (struct httpd_req *req)
+{
+  struct httpd_req **cut;
+
+  if (httpd_queued (req) == 0)
+    {
+      httpd_end (req, false);
+      return;
+    }
+  cut = xmalloc (sizeof *cut);
+  *cut = req;
+  httpd_on_gone (req, on_cut_gone, cut);
+  httpd_on_drained (req, on_cut_drained, cut);
+}
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -59,6 +59,8 @@
   while (*p != at)
     p = &(*p)->next;
   *p = at->next;
+  if (at->passing)
+    at->ex->passed = at->answer;
   gw_span (at->ex->c->g, &at->span, at->ex->span.span, "gateway.attempt",
            str_from (at->name), at->began_at);
   at->ex = NULL;
@@ -157,6 +159,9 @@
   head_keep (&at->head, status, h, n);
   back_answer_head (&at->answer, status, h, n);
   send_event (at, RT_EV_HEAD, status, 0, 0);
+  /* Bytes that continue an answer follow those that were passed. */
+  if (at->resumed && !at->stopped)
+    at->passing = true;
   leave_callback (at);
 }
 
@@ -250,6 +255,9 @@
   at->ex = ex;
   at->number = a->attempt;
   at->resumed = a->resume;
+  /* The end mark may straddle the bytes of both attempts. */
+  if (a->resume)
+    at->answer = ex->passed;
   at->first_byte_ms = a->first_byte_ms;
   at->progress_ms = a->progress_ms;
   at->span = trc_child (&ex->span, &ex->c->g->rng);
--- a/front/callers.h
+++ b/front/callers.h
@@ -95,6 +95,9 @@
 /** Answer 200 with a JSON body of ours. */
 void gw_answer_json (struct httpd_req *req, struct str json);
 
+/** Cut a streamed answer visibly, once the caller has what was written. */
+void gw_cut (struct httpd_req *req);
+
 /** One sentence for a code of the request core. */
 const char *gw_message (enum rt_code code);
 
@@ -171,7 +174,8 @@
   struct buf body;     /**< of an answer held, or to be kept with a claim */
   bool keep;           /**< collect body for the claim */
   bool events;         /**< the passed answer is a stream of events */
-  int kept_status;     /**< of an answer replayed from a claim */
+  struct back_answer passed; /**< of the attempt that was passing last */
+  int kept_status;           /**< of an answer replayed from a claim */
   struct buf kept;
   struct gw_attempt *attempts;
   struct trc_id span;
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -122,7 +122,10 @@
       httpd_write (req, buf_str (&event));
       buf_free (&event);
     }
-  httpd_end (req, whole);
+  if (whole)
+    httpd_end (req, true);
+  else
+    gw_cut (req);
 }
 
 static void
--- a/lapisline.c
+++ b/lapisline.c
@@ -15,6 +15,7 @@
   { "account", cmd_account, "list client accounts" },
   { "bench", cmd_bench, "measure decisions and costs" },
   { "config", cmd_config, "check, push, show, diff and follow configuration" },
+  { "gateway", cmd_gateway, "carry callers' requests" },
   { "metrics", cmd_metrics, "print counters of a process" },
   { "node", cmd_node, "list, show and drain nodes" },
   { "replay", cmd_replay, "feed recorded events to a decision core" },
--- a/t/standin/fault.c
+++ b/t/standin/fault.c
@@ -4,6 +4,8 @@
 
 #include "t/standin/fault.h"
 
+#define MAX_QUEUED ((size_t)1 << 20)
+
 bool
 json_flag (json_object *o, const char *key, bool fallback)
 {
@@ -251,6 +253,12 @@
       reply_begin (r);
       return;
     }
+  /* As an engine would: not more than the reader takes. */
+  if (r->begun && httpd_queued (r->req) > MAX_QUEUED)
+    {
+      uv_timer_start (t, on_piece, 1, 0);
+      return;
+    }
   if (!reply_send_to (r, end))
     return;
   if (++r->next >= r->ncuts)
--- a/t/standin/model.c
+++ b/t/standin/model.c
@@ -20,6 +20,7 @@
   bool not_ready;
   bool unloaded;
   bool drop_orders; /**< fault: read orders, never act or answer */
+  bool no_end_mark; /**< fault: streams end cleanly before their end */
   char *replica;
   int64_t generation;
   int64_t fence;
@@ -125,13 +126,23 @@
   return prompt ? prompt : "";
 }
 
+/** What an answer is made of. */
+struct answer
+{
+  struct str id;
+  const char *model;
+  const char *prompt;
+  int tokens;
+  bool end_mark;
+};
+
 static void
-add_chunk (struct reply *r, struct str id, const char *model, struct str text)
+add_chunk (struct reply *r, const struct answer *a, struct str text)
 {
   buf_add_c (&r->body, "data: {\"id\":");
-  buf_add_json (&r->body, id);
+  buf_add_json (&r->body, a->id);
   buf_add_c (&r->body, ",\"object\":\"chat.completion.chunk\",\"model\":");
-  buf_add_json (&r->body, str_from (model));
+  buf_add_json (&r->body, str_from (a->model));
   buf_add_c (&r->body, ",\"choices\":[{\"index\":0,\"delta\":{\"content\":");
   buf_add_json (&r->body, text);
   buf_add_c (&r->body, "},\"finish_reason\":null}]}\n\n");
@@ -139,43 +150,42 @@
 }
 
 static void
-stream_body (struct reply *r, struct str id, const char *model,
-             const char *prompt, int tokens)
+stream_body (struct reply *r, const struct answer *a)
 {
   r->type = "text/event-stream";
-  r->cuts = xcalloc ((size_t)tokens + 2, sizeof *r->cuts);
-  add_chunk (r, id, model, str_from (prompt));
-  for (int i = 1; i < tokens; i++)
+  r->cuts = xcalloc ((size_t)a->tokens + 2, sizeof *r->cuts);
+  add_chunk (r, a, str_from (a->prompt));
+  for (int i = 1; i < a->tokens; i++)
     {
       char word[24];
       snprintf (word, sizeof word, " w%d", i);
-      add_chunk (r, id, model, str_from (word));
+      add_chunk (r, a, str_from (word));
     }
-  buf_add_c (&r->body, "data: [DONE]\n\n");
+  if (a->end_mark)
+    buf_add_c (&r->body, "data: [DONE]\n\n");
   r->cuts[r->ncuts++] = r->body.len;
 }
 
 static void
-whole_body (struct reply *r, struct str id, const char *model,
-            const char *prompt, int tokens)
+whole_body (struct reply *r, const struct answer *a)
 {
   struct buf text = BUF_INIT;
 
-  buf_add_c (&text, prompt);
-  for (int i = 1; i < tokens; i++)
+  buf_add_c (&text, a->prompt);
+  for (int i = 1; i < a->tokens; i++)
     buf_addf (&text, " w%d", i);
   r->type = "application/json";
   buf_add_c (&r->body, "{\"id\":");
-  buf_add_json (&r->body, id);
+  buf_add_json (&r->body, a->id);
   buf_add_c (&r->body, ",\"object\":\"chat.completion\",\"model\":");
-  buf_add_json (&r->body, str_from (model));
+  buf_add_json (&r->body, str_from (a->model));
   buf_add_c (&r->body, ",\"choices\":[{\"index\":0,\"message\":{\"role\":"
                        "\"assistant\",\"content\":");
   buf_add_json (&r->body, buf_str (&text));
   buf_addf (&r->body,
             "},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":1,"
             "\"completion_tokens\":%d}}",
-            tokens);
+            a->tokens);
   buf_free (&text);
 }
 
@@ -208,11 +218,16 @@
       return;
     }
   r = reply_new (&m->b, req);
-  int tokens = (int)json_num (o, "max_tokens", m->tokens);
-  const char *model = json_text (o, "model");
-  (json_flag (o, "stream", false) ? stream_body : whole_body) (
-      r, resumed.len ? resumed : id, model ? model : "", prompt_of (o),
-      tokens > 0 ? tokens : 1);
+  struct answer a = { .id = resumed.len ? resumed : id,
+                      .model = json_text (o, "model"),
+                      .prompt = prompt_of (o),
+                      .tokens = (int)json_num (o, "max_tokens", m->tokens),
+                      .end_mark = !m->no_end_mark };
+  if (a.model == NULL)
+    a.model = "";
+  if (a.tokens < 1)
+    a.tokens = 1;
+  (json_flag (o, "stream", false) ? stream_body : whole_body) (r, &a);
   skip_to (r, httpd_header (req, "x-resume-offset"));
   r->piece_ms = m->token_ms;
   json_object_put (o);
@@ -246,6 +261,7 @@
   m->not_ready = json_flag (o, "not_ready", m->not_ready);
   m->unloaded = json_flag (o, "unloaded", m->unloaded);
   m->drop_orders = json_flag (o, "drop_orders", m->drop_orders);
+  m->no_end_mark = json_flag (o, "no_end_mark", m->no_end_mark);
   m->generation = json_num (o, "generation", m->generation);
   m->load = json_num (o, "load", m->load);
   m->tokens = (int)json_num (o, "tokens", m->tokens);
