--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -19,6 +19,7 @@
 static const struct measurement measurements[] = {
   { "route", bench_route, "time to first token by routing policy" },
   { "assign", bench_assign, "replicas through months of lost VMs" },
+  { "path", bench_path, "what a gateway adds to a request" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
 
