--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -20,6 +20,7 @@
   { "route", bench_route, "time to first token by routing policy" },
   { "assign", bench_assign, "replicas through months of lost VMs" },
   { "path", bench_path, "what a gateway adds to a request" },
+  { "claims", bench_claims, "store writes and waiting of claims" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
 
