--- a/control/spread.c
+++ b/control/spread.c
@@ -30,7 +30,6 @@
   int64_t lower;        /* lower revision that was logged last */
   int64_t revision;
   struct buf text; /* of what could be read and is in force */
-  struct met_series *met_revision;
   struct met_series *met_bad;
   struct met_series *met_timeouts;
 };
@@ -304,7 +303,6 @@
       buf_add (&s->text, a->bytes);
       LOG (config_adopted, LOG_I ("revision", a->revision),
            LOG_I ("bytes", a->bytes.len));
-      met_set (s->met_revision, (double)a->revision);
       ctl_config_changed (s->c, cfg, buf_str (&s->text));
       cfg_unref (cfg);
     }
@@ -422,9 +420,6 @@
 {
   struct met_reg *met = s->c->met;
 
-  s->met_revision
-      = met_gauge (met, "lapisline_config_revision",
-                   "Revision of the configuration in force.", NULL);
   s->met_bad = met_counter (met, "lapisline_config_bad_total",
                             "Documents and chunks that were not taken.", NULL);
   s->met_timeouts
