Test the shell of the domains over sockets

The cores were proved by scripts; what the control process does around them (when exactly the permission to order is asked, whose evidence counts, what goes on while the store is down) had run nowhere.

t6004-domains runs control/domains.c with a real loop and a real backend server over a store in memory, membership and peer links being stubs.

A longer freeze than the order's deadline of 2 s is caught by that deadline already.

An order decided before a freeze is not sent after it, and a down store stops orders, not evidence.

--- /dev/null
+++ b/t/t6004-domains.c
@@ -0,0 +1,515 @@
+#include <criterion/criterion.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "control/control.h"
+#include "net/httpd.h"
+#include "t/lib-net.h"
+
+/* The shell of control/domains.c with a real loop and a real backend server,
+   over a store in memory.  Membership and peer links are the stubs below;
+   lines of the log end with the phase of the script in which they came. */
+
+/* Two thirds of the lease, counted from a renewal, and a bit. */
+#define RIGHT_MS ((clk_ms)4050)
+/* After a renewal: late enough that the right ends before an order's
+   deadline, early enough that a probe and an order still fit in. */
+#define LATE_MS ((clk_ms)2300)
+
+struct answer
+{
+  store_cb cb;
+  void *ctx;
+  struct store_result result;
+  struct store_kv kv;
+};
+
+struct world
+{
+  struct run run;
+  struct ctl ctl;
+  char phase[16];
+  struct mbr_node self, other;
+  struct httpd *vm;
+  char replica[32];
+  int64_t generation;
+  bool unloaded;
+  uv_timer_t answers_timer;
+  struct answer answers[32];
+  size_t nanswers;
+  bool down, taken;
+  int64_t lease, revision;
+  struct store_kv owner, assignment;
+  struct buf owner_value, assignment_value;
+  char last_evidence[64];
+  bool freeze;
+  clk_ms kept_at; /* last renewal that succeeded */
+};
+
+static struct world *world;
+
+/* ---- membership and links ---- */
+
+const struct mbr_node *const *
+ctl_swim_nodes (const struct ctl_swim *s, size_t *n)
+{
+  static const struct mbr_node *nodes[2];
+
+  nodes[0] = &world->self;
+  nodes[1] = &world->other;
+  *n = world->other.name.len ? 2 : 1;
+  return nodes;
+}
+
+void
+ctl_evidence_changed (struct ctl *c)
+{
+}
+
+void
+ctl_peers_broadcast (struct ctl_peers *p, const Lapis__Frame *f)
+{
+  const Lapis__Evidence *e = f->evidence;
+  bool whole = e->n_replicas && e->replicas[0]->whole;
+  char line[64];
+
+  snprintf (line, sizeof line, "evidence %s %s", whole ? "whole" : "broken",
+            e->fence ? "of the owner" : "without a lease");
+  if (strcmp (line, world->last_evidence))
+    run_log (&world->run, "%s %s", line, world->phase);
+  memcpy (world->last_evidence, line, sizeof line);
+  if (world->freeze && !whole)
+    {
+      clk_ms left = world->kept_at + RIGHT_MS - clk_now ();
+
+      world->freeze = false;
+      world->taken = true;
+      usleep ((useconds_t)(left > 0 ? 1000 * left : 0));
+    }
+}
+
+/* ---- store ---- */
+
+static void
+on_answers (uv_timer_t *t)
+{
+  struct answer now[32];
+  size_t n = world->nanswers;
+
+  memcpy (now, world->answers, n * sizeof *now);
+  world->nanswers = 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      now[i].result.kvs = &now[i].kv;
+      now[i].cb (now[i].ctx, &now[i].result);
+    }
+}
+
+static struct answer *
+later (store_cb cb, void *ctx)
+{
+  struct answer *a = &world->answers[world->nanswers++];
+
+  cr_assert_lt (world->nanswers, 32);
+  memset (a, 0, sizeof *a);
+  a->cb = cb;
+  a->ctx = ctx;
+  if (world->down)
+    a->result.status = STORE_UNAVAILABLE;
+  uv_timer_start (&world->answers_timer, on_answers, 1, 0);
+  return a;
+}
+
+static struct store_kv *
+slot (struct str key)
+{
+  return key.len > 5 && str_eq (str_skip (key, key.len - 5), STR ("owner"))
+             ? &world->owner
+             : &world->assignment;
+}
+
+static void
+fake_range (void *self, struct str key, struct str end, store_cb cb, void *ctx)
+{
+  struct answer *a = later (cb, ctx);
+
+  a->kv = *slot (key);
+  a->result.nkvs = a->kv.mod_rev != 0;
+}
+
+static bool
+compares_hold (const struct store_txn *txn)
+{
+  for (size_t i = 0; i < txn->ncompares; i++)
+    if (slot (txn->compares[i].key)->mod_rev != txn->compares[i].mod_rev)
+      return false;
+  return true;
+}
+
+static void
+fake_txn (void *self, const struct store_txn *txn, store_cb cb, void *ctx)
+{
+  struct answer *a = later (cb, ctx);
+  struct store_kv *kv = slot (txn->puts[0].key);
+  struct buf *value
+      = kv == &world->owner ? &world->owner_value : &world->assignment_value;
+
+  if (a->result.status != STORE_OK)
+    return;
+  if (world->taken || !compares_hold (txn))
+    {
+      a->result.status = STORE_CONFLICT;
+      return;
+    }
+  buf_clear (value);
+  buf_add (value, txn->puts[0].value);
+  *kv = (struct store_kv){ .value = buf_str (value),
+                           .mod_rev = ++world->revision,
+                           .create_rev = world->revision,
+                           .lease = txn->puts[0].lease };
+  a->result.revision = world->revision;
+}
+
+static void
+fake_grant (void *self, clk_ms ttl, store_cb cb, void *ctx)
+{
+  struct answer *a = later (cb, ctx);
+
+  if (a->result.status == STORE_OK)
+    a->result.lease = ++world->lease;
+}
+
+static void
+fake_keep (void *self, int64_t lease, store_cb cb, void *ctx)
+{
+  struct answer *a = later (cb, ctx);
+
+  if (a->result.status == STORE_OK && world->taken)
+    a->result.status = STORE_GONE;
+  if (a->result.status == STORE_OK)
+    world->kept_at = clk_now ();
+}
+
+static void
+fake_revoke (void *self, int64_t lease, store_cb cb, void *ctx)
+{
+  later (cb, ctx);
+  if (!world->down && lease == world->owner.lease)
+    memset (&world->owner, 0, sizeof world->owner);
+}
+
+static void
+fake_free (void *self)
+{
+}
+
+static const struct store_ops fake_ops = { .range = fake_range,
+                                           .txn = fake_txn,
+                                           .lease_grant = fake_grant,
+                                           .lease_keep = fake_keep,
+                                           .lease_revoke = fake_revoke,
+                                           .free = fake_free };
+
+/* ---- the backend server ---- */
+
+static void
+obey (struct str body)
+{
+  char *text = str_dup (body);
+  json_object *o = json_tokener_parse (text);
+  const char *order
+      = json_object_get_string (json_object_object_get (o, "order"));
+
+  snprintf (world->replica, sizeof world->replica, "%s",
+            json_object_get_string (json_object_object_get (o, "replica")));
+  world->generation
+      = json_object_get_int64 (json_object_object_get (o, "generation"));
+  world->unloaded = strcmp (order, "unload") == 0;
+  run_log (&world->run, "%s %s/%d fence %d %s", order, world->replica,
+           (int)world->generation,
+           json_object_get_int (json_object_object_get (o, "fence")),
+           world->phase);
+  json_object_put (o);
+  free (text);
+}
+
+static void
+handle (void *ctx, struct httpd_req *req)
+{
+  char state[160];
+
+  if (str_is (httpd_get (req)->method, "POST"))
+    {
+      obey (httpd_get (req)->body);
+      httpd_answer (req, 200, NULL, 0, STR ("{\"ok\":true}"));
+      return;
+    }
+  snprintf (state, sizeof state,
+            "{\"replica\":\"%s\",\"generation\":%d,\"ready\":%s,"
+            "\"unloaded\":%s,\"load\":0,\"fence\":0}",
+            world->replica, (int)world->generation,
+            world->unloaded ? "false" : "true",
+            world->unloaded ? "true" : "false");
+  httpd_answer (req, 200, NULL, 0, str_from (state));
+}
+
+/* ---- the script ---- */
+
+static void
+make_config (const char *mode)
+{
+  struct fnd_list findings = { 0 };
+  struct buf text = BUF_INIT;
+
+  buf_addf (&text,
+            "{\"domains\":{\"d\":{\"zone\":\"z\",\"checks_fence\":true,"
+            "\"vms\":{\"v1\":{\"addr\":\"127.0.0.1:%u\"}}}},"
+            "\"models\":{\"m\":{\"mode\":\"%s\",\"vms\":1,\"replicas\":1,"
+            "\"weight_gb\":1,\"capacity\":4,\"tokens_per_s\":100}},"
+            "\"replicas\":{\"r1\":{\"model\":\"m\",\"domain\":\"d\","
+            "\"mode\":\"%s\",\"vms\":[\"v1\"]}}}",
+            httpd_port (world->vm), mode, mode);
+  world->ctl.cfg = cfg_parse (buf_str (&text), 1, &findings);
+  fnd_print (&findings, &text);
+  cr_assert (world->ctl.cfg, "%s", buf_c (&text));
+  fnd_free (&findings);
+  buf_free (&text);
+}
+
+static void
+start_world (struct world *w, const char *mode)
+{
+  static const struct httpd_limits limits
+      = { .max_body = 4096, .max_connections = 16, .request_ms = 5000 };
+  static const struct store_budget budget = { 1000, 1000 };
+  struct net_addr any = run_any_port ();
+  struct buf err = BUF_INIT;
+
+  memset (w, 0, sizeof *w);
+  world = w;
+  run_init (&w->run);
+  uv_timer_init (&w->run.loop, &w->answers_timer);
+  w->unloaded = true;
+  w->revision = 10;
+  w->self = (struct mbr_node){ .name = STR ("n1"),
+                               .zone = STR ("z"),
+                               .region = STR ("r") };
+  w->vm = httpd_listen (&w->run.loop, &any, &limits, handle, NULL, &err);
+  cr_assert_not_null (w->vm);
+  w->ctl.loop = &w->run.loop;
+  w->ctl.set.node = "n1";
+  w->ctl.set.zone = "z";
+  w->ctl.set.region = "r";
+  w->ctl.set.store_prefix = "/lapisline/";
+  w->ctl.boot = 7;
+  w->ctl.met = met_new ();
+  w->ctl.http = httpc_new (&w->run.loop);
+  w->ctl.store = store_new (&w->run.loop, &fake_ops, NULL, &budget);
+  make_config (mode);
+  w->ctl.domains = ctl_domains_start (&w->ctl, &err);
+  buf_free (&err);
+}
+
+static void
+end_world (struct world *w, const char *expected)
+{
+  snprintf (w->phase, sizeof w->phase, "stopped");
+  ctl_domains_stop (w->ctl.domains);
+  store_free (w->ctl.store);
+  uv_close ((uv_handle_t *)&w->answers_timer, NULL);
+  httpd_free (w->vm);
+  httpc_free (w->ctl.http);
+  cfg_unref (w->ctl.cfg);
+  run_end (&w->run, expected);
+  met_free (w->ctl.met);
+  buf_free (&w->owner_value);
+  buf_free (&w->assignment_value);
+}
+
+static void
+remote_evidence (struct str rest)
+{
+  Lapis__ReplicaView view = LAPIS__REPLICA_VIEW__INIT;
+  Lapis__ReplicaView *views[1] = { &view };
+  Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
+  int fence;
+  char word[16];
+
+  cr_assert_eq (sscanf (rest.ptr, "%d %15s", &fence, word), 2);
+  view.replica = "r1";
+  view.whole = strcmp (word, "whole") == 0;
+  view.generation = 3;
+  view.valid_ms = 9000;
+  view.leader_addr = "127.0.0.1:9";
+  e.domain = "d";
+  e.fence = (uint64_t)fence;
+  e.n_replicas = 1;
+  e.replicas = views;
+  ctl_domains_evidence (world->ctl.domains, &e);
+}
+
+static void
+show (void)
+{
+  size_t n;
+  const struct ctl_replica *r = ctl_domains_replicas (world->ctl.domains, &n);
+
+  run_log (&world->run, "%s of %.*s fence %d%s", r->state, STR_ARG (r->owner),
+           (int)r->fence,
+           r->valid_until > clk_now () + REP_EVIDENCE_MS ? " for too long"
+                                                         : "");
+}
+
+/* Turn the loop until a renewal is LATE_MS old, with the store down since. */
+static void
+let_renewals_fail (void)
+{
+  clk_ms before = world->kept_at;
+
+  while (world->kept_at == before)
+    uv_run (&world->run.loop, UV_RUN_ONCE);
+  world->down = true;
+  while (clk_now () < world->kept_at + LATE_MS)
+    uv_run (&world->run.loop, UV_RUN_ONCE);
+}
+
+static void
+on_word (void *ctx, struct str word, struct str rest)
+{
+  if (str_is (word, "phase"))
+    snprintf (world->phase, sizeof world->phase, "%.*s", STR_ARG (rest));
+  else if (str_is (word, "store"))
+    world->down = str_is (rest, "down");
+  else if (str_is (word, "blank"))
+    {
+      world->unloaded = true;
+      world->replica[0] = 0;
+      world->generation = 0;
+    }
+  else if (str_is (word, "ready"))
+    world->unloaded = false;
+  else if (str_is (word, "late"))
+    let_renewals_fail ();
+  else if (str_is (word, "freeze"))
+    world->freeze = true;
+  else if (str_is (word, "release"))
+    {
+      world->taken = false;
+      memset (&world->owner, 0, sizeof world->owner);
+    }
+  else if (str_is (word, "remote"))
+    remote_evidence (rest);
+  else if (str_is (word, "show"))
+    show ();
+}
+
+/*
+ * The store goes down under an owner.  Its lease runs out and with it the
+ * right to order, while probes and evidence go on: a caller is served as long
+ * as the replica is whole, and is not once its VM came back blank.  With the
+ * store back, the owner loads the VM.
+ */
+Test (domains, store_down_stops_orders_not_evidence, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "manage");
+  run_script (&w.run,
+              "phase a\n"
+              "wait evidence whole of the owner a\n"
+              "phase b\n store down\n"
+              "wait evidence whole without a lease b\n"
+              "phase c\n blank\n"
+              "wait evidence broken without a lease c\n"
+              "phase d\n store up\n"
+              "wait evidence whole of the owner d\n",
+              on_word, NULL);
+  end_world (&w, "evidence broken without a lease a\n"
+                 "evidence broken of the owner a\n"
+                 "load r1/1 fence 11 a\n"
+                 "evidence whole of the owner a\n"
+                 "evidence whole without a lease b\n"
+                 "evidence broken without a lease c\n"
+                 "evidence broken of the owner d\n"
+                 "load r1/1 fence 11 d\n"
+                 "evidence whole of the owner d\n");
+}
+
+/*
+ * Renewals fail, the owner decides to load a blank VM while it still may, and
+ * is stopped between the decision and the connection's being ready until its
+ * right is over; another node gets the domain.  When it wakes, the connection
+ * is there and the bytes would go: the question asked right then, with the
+ * time read then, says no.
+ */
+Test (domains, frozen_before_sending, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "manage");
+  run_script (&w.run,
+              "phase a\n"
+              "wait evidence whole of the owner a\n"
+              "phase b\n late\n freeze\n blank\n"
+              "wait evidence broken without a lease b\n"
+              "phase c\n release\n store up\n"
+              "wait evidence whole of the owner c\n",
+              on_word, NULL);
+  end_world (&w, "evidence broken without a lease a\n"
+                 "evidence broken of the owner a\n"
+                 "load r1/1 fence 11 a\n"
+                 "evidence whole of the owner a\n"
+                 "evidence broken of the owner b\n"
+                 "evidence broken without a lease b\n"
+                 "evidence broken of the owner c\n"
+                 "load r1/1 fence 13 c\n"
+                 "evidence whole of the owner c\n");
+}
+
+/* A replica of mode route is probed and told of, and nothing is ever asked of
+   the store's leases nor of the VM, though it stands there without weights. */
+Test (domains, route_is_evidence_only, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "route");
+  run_script (&w.run,
+              "phase a\n"
+              "wait evidence broken without a lease a\n"
+              "phase b\n ready\n"
+              "wait evidence whole without a lease b\n",
+              on_word, NULL);
+  cr_expect_eq (store_counts (w.ctl.store)->grants, 0);
+  end_world (&w, "evidence broken without a lease a\n"
+                 "evidence whole without a lease b\n");
+}
+
+/*
+ * Another node is home.  An older owner, frozen and awake again, sends what it
+ * saw before: its number is lower and it is ignored; so is evidence without a
+ * number while the owner is heard.  No evidence counts for longer than its
+ * time, whatever its sender says.
+ */
+Test (domains, evidence_of_an_old_owner_is_ignored, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "manage");
+  w.other = (struct mbr_node){ .name = STR ("n2"),
+                               .zone = STR ("z"),
+                               .region = STR ("r") };
+  w.self.zone = STR ("y");
+  ctl_domains_members (w.ctl.domains);
+  run_script (&w.run,
+              "show\n remote 5 whole\n show\n remote 4 broken\n show\n"
+              "remote 0 broken\n show\n remote 6 broken\n show\n",
+              on_word, NULL);
+  end_world (&w, "unknown of n2 fence 0\n"
+                 "whole of n2 fence 5\n"
+                 "whole of n2 fence 5\n"
+                 "whole of n2 fence 5\n"
+                 "degraded of n2 fence 6\n");
+}
