Tell apart the boots of short names

Cause: rows are found by a hash of name and boot, with the boot as the hash's seed; xxh3 of up to three bytes only turns the bits of its input by the seed, so that n26 in its second boot had the id of n21, and the probes meant for it went there. Ruled out: lost joins, the order of probing, the bus. The boot is hashed as bytes behind the name; the view's hash likewise takes all it compares as bytes. Boots in use are wall-clock milliseconds, so that two nodes with short names could have met this in service.

--- a/fleet/table.c
+++ b/fleet/table.c
@@ -6,7 +6,15 @@
 uint64_t
 mbt_id (struct str name, uint64_t boot)
 {
-  return str_hash (name, boot);
+  /* Not the boot as the hash's seed: for short names the seed only turns the
+     bits of the name, so that "n26" of one boot was "n21" of another. */
+  char bytes[MBR_MAX_NAME + sizeof boot];
+
+  if (name.len > MBR_MAX_NAME)
+    name.len = MBR_MAX_NAME;
+  memcpy (bytes, name.ptr, name.len);
+  memcpy (bytes + name.len, &boot, sizeof boot);
+  return str_hash (str_make (bytes, name.len + sizeof boot), 0);
 }
 
 /** Index of @p name, or where it would be. */
@@ -368,11 +376,10 @@
   for (size_t i = 0; i < m->nrows; i++)
     {
       const struct mbr_row *row = m->rows[i];
-      uint64_t said[2] = { row->id, row->node.incarnation };
+      uint64_t said[] = { row->id, row->node.incarnation, row->node.status };
 
       if (row->node.status != MBR_DEAD && mbt_local (m, row))
-        view ^= str_hash (str_make (said, sizeof said),
-                          (uint64_t)row->node.status);
+        view ^= str_hash (str_make (said, sizeof said), 0);
     }
   return view;
 }
--- a/t/t3000-hash.c
+++ b/t/t3000-hash.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 
 #include "fleet/hash.h"
+#include "fleet/member-internal.h"
 
 #define NODES 9
 #define ROLES 900
@@ -60,3 +61,29 @@
       cr_expect_eq (x[0], hash_pick (what, names, 4));
     }
 }
+
+Test (hash, ids_of_boots_differ)
+{
+  /* Probes find their target by a hash of name and boot.  When the new boot
+     of one VM had the id of another node, nobody probed the VM any more, and
+     its death was noticed by no one. */
+  enum
+  {
+    NAMES = 400,
+    BOOTS = 8
+  };
+  static uint64_t ids[NAMES * BOOTS];
+  size_t n = 0;
+
+  for (int i = 0; i < NAMES; i++)
+    for (uint64_t boot = 1000; boot < 1000 + BOOTS; boot++)
+      {
+        char name[16];
+
+        snprintf (name, sizeof name, "n%d", i + 1);
+        ids[n] = mbt_id (str_from (name), boot);
+        for (size_t j = 0; j < n; j++)
+          cr_assert_neq (ids[j], ids[n], "%s boot %d", name, (int)boot);
+        n++;
+      }
+}
