Add bench members: detection, accusations and cost

The bench runs the product's membership cores on the virtual network: quiet with loads changing each second, then kills one at a time, then an eighth of all nodes frozen at any time. The bus no longer reports changes of mere figures as changes of status; the first runs had counted them as accusations.

--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -21,6 +21,7 @@
   { "assign", bench_assign, "replicas through months of lost VMs" },
   { "path", bench_path, "what a gateway adds to a request" },
   { "claims", bench_claims, "store writes and waiting of claims" },
+  { "members", bench_members, "detection, accusations, cost of membership" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
 
--- a/fleet/bus.c
+++ b/fleet/bus.c
@@ -183,7 +183,7 @@
   while (mbr_next (b->nodes[node].core, &a))
     if (a.kind == MBR_SEND)
       carry (b, node, &a);
-    else if (b->changed != NULL)
+    else if (b->changed != NULL && !a.figures)
       b->changed (b->changed_ctx, b->now, node, a.node);
 }
 
@@ -334,6 +334,17 @@
   b->nodes[node].lossy = percent;
 }
 
+void
+bus_load (struct bus *b, size_t node, uint32_t load)
+{
+  struct station *s = &b->nodes[node];
+  struct mbr_node self = { .load = load };
+
+  self.swim = self.peer = self.gw_http = self.gw_peer = s->addr;
+  mbr_update_self (s->core, b->now, &self);
+  take_actions (b, node);
+}
+
 void
 bus_inject (struct bus *b, size_t node, struct str bytes)
 {
--- a/fleet/bus.h
+++ b/fleet/bus.h
@@ -11,7 +11,7 @@
 
 struct bus;
 
-/** Node @p at saw a change of @p node. */
+/** Node @p at saw a change of @p node other than of its figures. */
 typedef void (*bus_changed) (void *ctx, clk_ms now, size_t at,
                              const struct mbr_node *node);
 
@@ -39,6 +39,8 @@
 void bus_cut (struct bus *b, size_t from, size_t to, bool cut);
 /** Of the packets to @p node this many in a hundred are lost. */
 void bus_lossy (struct bus *b, size_t node, unsigned percent);
+/** The node's gateway now has so many open requests. */
+void bus_load (struct bus *b, size_t node, uint32_t load);
 /** Put any bytes before a node. */
 void bus_inject (struct bus *b, size_t node, struct str bytes);
 /** Append the packets that leave @p node to @p out, each behind its length
