Test how answers end at the client

Cause: whether an answer is whole decides what a caller is told. Change: t2001-client plays one raw answer for each way to end, and late, unasked and idle-closed connections, pauses and malformed requests. Conclusion: only a length or a last chunk makes an answer whole.

--- /dev/null
+++ b/t/t2001-client.c
@@ -0,0 +1,443 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/lib-net.h"
+
+/*
+ * The client against a server of raw bytes: what it says is given by the
+ * path of the request, so that an answer can end in every wrong way.
+ */
+struct reply
+{
+  const char *path;
+  const char *bytes;
+  bool close; /* after the bytes, else the connection is held open */
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define LENGTH(n) HEAD "content-length: " #n "\r\n\r\n"
+#define CHUNKED HEAD "transfer-encoding: chunked\r\n\r\n"
+
+static const struct reply replies[] = {
+  { "/length", LENGTH (5) "hello", false },
+  { "/empty", LENGTH (0), false },
+  { "/chunks", CHUNKED "5\r\nhello\r\n0\r\n\r\n", false },
+  { "/no-content", "HTTP/1.1 204 No Content\r\n\r\n", false },
+  { "/interim", "HTTP/1.1 100 Continue\r\n\r\n" LENGTH (5) "hello", false },
+  { "/short", LENGTH (10) "hello", true },
+  { "/between-chunks", CHUNKED "5\r\nhello\r\n", true },
+  { "/before-chunks", CHUNKED, true },
+  { "/in-chunk", CHUNKED "5\r\nhel", true },
+  { "/in-last-chunk", CHUNKED "5\r\nhello\r\n0", true },
+  { "/bad-chunk", CHUNKED "5\r\nhello\r\nxyz\r\n", true },
+  { "/no-length", HEAD "\r\nhello", true },
+  { "/two-lengths",
+    HEAD "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!", true },
+  { "/length-and-chunks",
+    HEAD "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n"
+         "5\r\nhello\r\n0\r\n\r\n",
+    true },
+  { "/garbage", "no http\r\n\r\n", true },
+  { "/half-head", "HTTP/1.1 200 OK\r\ncontent-le", true },
+  { "/no-head", "", true },
+  { "/silent", "", false },
+  { "/stall", LENGTH (10) "hello", false },
+  { "/and-more", LENGTH (5) "hello" LENGTH (6) "second", false },
+};
+
+struct conn
+{
+  uv_tcp_t tcp; /* first */
+  struct bench *b;
+  struct buf in;
+  int number;
+};
+
+struct bench
+{
+  struct run run;
+  struct httpc *http;
+  struct httpc_call *last, *held;
+  uv_tcp_t server;
+  struct net_addr at;
+  struct conn *conns[32];
+  int nconns;
+  struct call *last_call;
+  bool stop;       /* on_connected says no */
+  bool pause_body; /* pause at the first bytes */
+};
+
+struct call
+{
+  struct bench *b;
+  char *name;
+  struct buf body;
+  int status;
+};
+
+/* --- the raw server ---------------------------------------------------- */
+
+static void
+on_conn_closed (uv_handle_t *h)
+{
+  struct conn *c = (struct conn *)h;
+
+  buf_free (&c->in);
+  free (c);
+}
+
+static void
+conn_close (struct conn *c)
+{
+  if (c == NULL)
+    return;
+  c->b->conns[c->number] = NULL;
+  uv_close ((uv_handle_t *)&c->tcp, on_conn_closed);
+}
+
+static void
+say (struct conn *c, const char *bytes)
+{
+  uv_buf_t b = uv_buf_init ((char *)bytes, (unsigned)strlen (bytes));
+
+  if (b.len > 0)
+    cr_assert_eq (uv_try_write ((uv_stream_t *)&c->tcp, &b, 1), (int)b.len);
+}
+
+static void
+play_reply (struct conn *c, struct str path)
+{
+  for (size_t i = 0; i < sizeof replies / sizeof replies[0]; i++)
+    {
+      if (!str_is (path, replies[i].path))
+        continue;
+      say (c, replies[i].bytes);
+      if (replies[i].close)
+        conn_close (c);
+    }
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
+{
+  static char bytes[65536];
+
+  *out = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  struct conn *c = (struct conn *)s;
+  struct str in;
+
+  if (n < 0)
+    {
+      conn_close (c);
+      return;
+    }
+  buf_add (&c->in, str_make (buf->base, (size_t)n));
+  if (strstr (buf_c (&c->in), "\r\n\r\n") == NULL)
+    return;
+  in = buf_str (&c->in);
+  in = str_skip (in, str_chr (in, ' ') + 1);
+  in = str_head (in, str_chr (in, ' '));
+  char *path = str_dup (in);
+  run_log (&c->b->run, "%s over connection %d", path, c->number);
+  buf_clear (&c->in);
+  play_reply (c, str_from (path));
+  free (path);
+}
+
+static void
+on_accept (uv_stream_t *s, int status)
+{
+  struct bench *b = s->data;
+  struct conn *c = calloc (1, sizeof *c);
+
+  cr_assert_eq (status, 0);
+  c->b = b;
+  c->number = b->nconns;
+  b->conns[b->nconns++] = c;
+  uv_tcp_init (&b->run.loop, &c->tcp);
+  uv_accept (s, (uv_stream_t *)&c->tcp);
+  uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+static void
+serve (struct bench *b)
+{
+  struct sockaddr_storage ss;
+  int len = sizeof ss;
+
+  b->at = run_any_port ();
+  net_addr_sockaddr (&b->at, &ss);
+  uv_tcp_init (&b->run.loop, &b->server);
+  b->server.data = b;
+  uv_tcp_bind (&b->server, (struct sockaddr *)&ss, 0);
+  uv_listen ((uv_stream_t *)&b->server, 16, on_accept);
+  uv_tcp_getsockname (&b->server, (struct sockaddr *)&ss, &len);
+  b->at.port = ntohs (((struct sockaddr_in *)&ss)->sin_port);
+}
+
+/* --- the calls --------------------------------------------------------- */
+
+static bool
+on_connected (void *ctx)
+{
+  struct call *c = ctx;
+
+  return !c->b->stop;
+}
+
+static void
+on_head (void *ctx, int status, const struct http_header *h, size_t n)
+{
+  struct call *c = ctx;
+
+  c->status = status;
+}
+
+static void
+on_body (void *ctx, struct str bytes)
+{
+  struct call *c = ctx;
+
+  buf_add (&c->body, bytes);
+  if (!c->b->pause_body)
+    return;
+  c->b->held = c->b->last;
+  httpc_pause (c->b->held, true);
+  run_log (&c->b->run, "paused");
+}
+
+static void
+call_free (struct call *c)
+{
+  buf_free (&c->body);
+  free (c->name);
+  free (c);
+}
+
+static void
+on_end (void *ctx, enum httpc_end end)
+{
+  static const char *const names[] = {
+    "whole", "connect-failed", "stopped", "broken", "silent", "unbounded"
+  };
+  struct call *c = ctx;
+
+  run_log (&c->b->run, "%s: %s %d [%s]", c->name, names[end], c->status,
+           c->body.len > 64 ? "(long)" : buf_c (&c->body));
+  c->b->last = NULL;
+  call_free (c);
+}
+
+static void
+call (struct bench *b, const char *method, struct str path, bool fresh)
+{
+  static const struct httpc_callbacks cb
+      = { on_connected, on_head, on_body, on_end };
+  struct call *c = calloc (1, sizeof *c);
+  struct httpc_request r = { .to = b->at,
+                             .method = str_from (method),
+                             .path = path,
+                             .connect_ms = 5000,
+                             .progress_ms = 300,
+                             .fresh = fresh };
+
+  c->b = b;
+  c->name = str_dup (str_head (path, str_chr (path, ' ')));
+  b->last_call = c;
+  b->last = httpc_start (b->http, &r, &cb, c);
+}
+
+static void
+cancel (struct bench *b)
+{
+  httpc_cancel (b->last);
+  call_free (b->last_call);
+  b->last = NULL;
+}
+
+/* "say N TEXT": an answer on connection N, whoever still waits there. */
+static void
+say_late (struct bench *b, struct str rest)
+{
+  int64_t n = 0;
+
+  str_to_i64 (str_head (rest, 1), &n);
+  if (b->conns[n] != NULL)
+    say (b->conns[n], LENGTH (4) "late");
+  run_log (&b->run, "connection %d %s", (int)n,
+           b->conns[n] != NULL ? "open" : "closed");
+}
+
+static void
+step (void *ctx, struct str word, struct str rest)
+{
+  struct bench *b = ctx;
+  int64_t n = 0;
+
+  str_to_i64 (rest, &n);
+  if (str_is (word, "get"))
+    call (b, "GET", rest, false);
+  else if (str_is (word, "fresh"))
+    call (b, "GET", rest, true);
+  else if (str_is (word, "head"))
+    call (b, "HEAD", rest, false);
+  else if (str_is (word, "inject"))
+    call (b, "GET", STR ("/a HTTP/1.1\r\nx: y"), false);
+  else if (str_is (word, "stop"))
+    b->stop = true;
+  else if (str_is (word, "pause"))
+    b->pause_body = true;
+  else if (str_is (word, "resume"))
+    httpc_pause (b->held, b->pause_body = false);
+  else if (str_is (word, "cancel"))
+    cancel (b);
+  else if (str_is (word, "say"))
+    say_late (b, rest);
+  else if (str_is (word, "more"))
+    say (b->conns[n], "wor");
+  else if (str_is (word, "close"))
+    conn_close (b->conns[n]);
+  else if (str_is (word, "settle"))
+    run_settle (&b->run);
+  else if (str_is (word, "port"))
+    b->at.port = (uint16_t)n;
+  else
+    cr_assert (false, "no such word");
+}
+
+static void
+play (const char *script, const char *expected)
+{
+  struct bench b = { 0 };
+
+  run_init (&b.run);
+  b.http = httpc_new (&b.run.loop);
+  serve (&b);
+  run_script (&b.run, script, step, &b);
+  httpc_free (b.http);
+  for (int i = 0; i < b.nconns; i++)
+    conn_close (b.conns[i]);
+  uv_close ((uv_handle_t *)&b.server, NULL);
+  run_end (&b.run, expected);
+}
+
+/* --- tests ------------------------------------------------------------- */
+
+/*
+ * One answer for each way in which it may end.  Only what its length or last
+ * chunk shows to be complete is whole; a caller that got anything else as
+ * whole would act on half an answer.
+ */
+Test (client, ends_of_answers)
+{
+  static const char *const expected[]
+      = { "/length: whole 200 [hello]",
+          "/empty: whole 200 []",
+          "/chunks: whole 200 [hello]",
+          "/no-content: whole 204 []",
+          "/interim: whole 200 [hello]",
+          "/short: broken 200 [hello]",
+          "/between-chunks: broken 200 [hello]",
+          "/before-chunks: broken 200 []",
+          "/in-chunk: broken 200 [hel]",
+          "/in-last-chunk: broken 200 [hello]",
+          "/bad-chunk: broken 200 []",
+          "/no-length: unbounded 200 [hello]",
+          "/two-lengths: broken 0 []",
+          "/length-and-chunks: broken 0 []",
+          "/garbage: broken 0 []",
+          "/half-head: broken 0 []",
+          "/no-head: broken 0 []",
+          "/silent: silent 0 []",
+          "/stall: silent 200 [hello]",
+          "/and-more: whole 200 [hello]" };
+  struct buf script = BUF_INIT, log = BUF_INIT;
+
+  for (size_t i = 0; i < sizeof expected / sizeof expected[0]; i++)
+    {
+      buf_addf (&script, "fresh %s\nwait %s\n", replies[i].path, expected[i]);
+      buf_addf (&log, "%s over connection %zu\n%s\n", replies[i].path, i,
+                expected[i]);
+    }
+  play (buf_c (&script), buf_c (&log));
+  buf_free (&script);
+  buf_free (&log);
+}
+
+/*
+ * Nobody listens, the caller changes its mind once connected, or a path
+ * would smuggle a second line into the head: no byte is sent, and the ends
+ * say so.
+ */
+Test (client, nothing_was_sent)
+{
+  play ("stop\n get /length\n wait /length: stopped 0 []\n inject\n"
+        "wait /a: connect-failed 0 []\n port 1\n get /length\n"
+        "wait /length: connect-failed 0 []\n",
+        "/length: stopped 0 []\n/a: connect-failed 0 []\n"
+        "/length: connect-failed 0 []\n");
+}
+
+/*
+ * A call is given up and its answer comes late.  Were the connection used
+ * again, the next caller would get the answer of another.
+ */
+Test (client, late_answer_reaches_nobody)
+{
+  play ("get /length\n wait /length: whole 200 [hello]\n"
+        "get /silent\n wait /silent over connection 0\n cancel\n settle\n"
+        "say 0 late\n get /length\n wait /length: whole 200 [hello]",
+        "/length over connection 0\n/length: whole 200 [hello]\n"
+        "/silent over connection 0\nconnection 0 closed\n"
+        "/length over connection 1\n/length: whole 200 [hello]\n");
+}
+
+/*
+ * A server sends an answer nobody asked for behind its real one.  The
+ * connection is not used again.
+ */
+Test (client, answer_behind_an_answer_closes_the_connection)
+{
+  play ("get /and-more\n wait /and-more: whole 200 [hello]\n get /length\n"
+        "wait /length: whole 200 [hello]",
+        "/and-more over connection 0\n/and-more: whole 200 [hello]\n"
+        "/length over connection 1\n/length: whole 200 [hello]\n");
+}
+
+/*
+ * An idle connection was closed by the server: the next call sees it and
+ * opens another.  A fresh call uses none of the idle ones, nor leaves one.
+ */
+Test (client, idle_connections)
+{
+  play ("get /length\n wait /length: whole 200 [hello]\n get /chunks\n"
+        "wait /chunks: whole 200 [hello]\n close 0\n settle\n"
+        "get /length\n wait /length: whole 200 [hello]\n fresh /length\n"
+        "wait /length: whole 200 [hello]\n get /empty\n"
+        "wait /empty: whole 200 []\n",
+        "/length over connection 0\n/length: whole 200 [hello]\n"
+        "/chunks over connection 0\n/chunks: whole 200 [hello]\n"
+        "/length over connection 1\n/length: whole 200 [hello]\n"
+        "/length over connection 2\n/length: whole 200 [hello]\n"
+        "/empty over connection 1\n/empty: whole 200 []\n");
+}
+
+/*
+ * A caller that does not take its answer pauses the call.  Nothing is read
+ * for it, and its backend server is not called silent for that: the second
+ * call's whole wait passes meanwhile.
+ */
+Test (client, pause_and_resume)
+{
+  play ("pause\n get /stall\n wait paused\n more 0\n get /silent\n"
+        "wait /silent: silent 0 []\n close 0\n settle\n resume\n"
+        "wait /stall: broken 200 [hellowor]",
+        "/stall over connection 0\npaused\n/silent over connection 1\n"
+        "/silent: silent 0 []\n/stall: broken 200 [hellowor]\n");
+}
