Test the server's bounds, cuts and stops

Cause: a caller must see when its stream is not whole, and a caller that leaves or stops reading may cost only itself. Change: t2004-server holds requests and answers them by script, with our client as the caller. Seen red with a safeguard off: no watch for the hang-up, no connection bound, cuts ended as whole, idle connections kept at a stop, open requests cut at a stop, no body limit, no notice of drained bytes. Conclusion: cuts are visible under both framings; stops cut nothing.

--- /dev/null
+++ b/t/t2004-server.c
@@ -0,0 +1,398 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/httpd.h"
+#include "t/lib-net.h"
+
+/*
+ * The server with our client as its caller.  Requests are held by the
+ * handler until the script answers them by their path.
+ */
+#define MAX_HELD 8
+#define LARGE ((size_t)8 * 1024 * 1024)
+
+struct held
+{
+  struct bench *b;
+  struct httpd_req *req; /* NULL: free */
+  char path[32];
+};
+
+struct caller
+{
+  struct bench *b;
+  struct httpc_call *call; /* NULL: free */
+  char path[32];
+  size_t got;
+  int status;
+  bool pause;
+};
+
+struct bench
+{
+  struct run run;
+  struct httpd *httpd;
+  struct httpc *http;
+  struct net_addr at;
+  struct held held[MAX_HELD];
+  struct caller callers[MAX_HELD];
+};
+
+/* --- the handler ------------------------------------------------------- */
+
+static struct held *
+held_by (struct bench *b, struct str path)
+{
+  for (int i = 0; i < MAX_HELD; i++)
+    if (b->held[i].req != NULL && str_is (path, b->held[i].path))
+      return &b->held[i];
+  cr_assert (false, "nobody asked for %.*s", STR_ARG (path));
+  return NULL;
+}
+
+static void
+on_gone (void *ctx)
+{
+  struct held *h = ctx;
+
+  run_log (&h->b->run, "%s: caller gone", h->path);
+  h->req = NULL;
+}
+
+static void
+on_drained (void *ctx)
+{
+  struct held *h = ctx;
+
+  if (httpd_queued (h->req) == 0)
+    run_log (&h->b->run, "%s: drained", h->path);
+}
+
+static void
+on_request (void *ctx, struct httpd_req *req)
+{
+  struct bench *b = ctx;
+  const struct httpd_view *v = httpd_get (req);
+  int i = 0;
+
+  while (b->held[i].req != NULL)
+    cr_assert (++i < MAX_HELD);
+  b->held[i].b = b;
+  b->held[i].req = req;
+  snprintf (b->held[i].path, sizeof b->held[i].path, "%.*s",
+            STR_ARG (v->path));
+  run_log (&b->run, "%s: asked by %.*s, query [%.*s], body [%.*s]",
+           b->held[i].path, STR_ARG (httpd_header (req, "x-caller")),
+           STR_ARG (v->query), STR_ARG (v->body));
+  httpd_on_gone (req, on_gone, &b->held[i]);
+}
+
+/* --- the callers ------------------------------------------------------- */
+
+static struct caller *
+caller_of (struct bench *b, struct str path)
+{
+  for (int i = 0; i < MAX_HELD; i++)
+    if (b->callers[i].call != NULL && str_is (path, b->callers[i].path))
+      return &b->callers[i];
+  cr_assert (false, "nobody calls %.*s", STR_ARG (path));
+  return NULL;
+}
+
+static void
+on_head (void *ctx, int status, const struct http_header *h, size_t n)
+{
+  struct caller *c = ctx;
+
+  c->status = status;
+  if (c->pause)
+    httpc_pause (c->call, true);
+}
+
+static void
+on_body (void *ctx, struct str bytes)
+{
+  struct caller *c = ctx;
+
+  c->got += bytes.len;
+}
+
+static void
+on_end (void *ctx, enum httpc_end end)
+{
+  static const char *const names[] = {
+    "whole", "connect-failed", "stopped", "broken", "silent", "unbounded"
+  };
+  struct caller *c = ctx;
+
+  run_log (&c->b->run, "%s: %s %d, %zu bytes", c->path, names[end], c->status,
+           c->got);
+  c->call = NULL;
+}
+
+static struct caller *
+call (struct bench *b, struct str path, struct str body, bool fresh)
+{
+  static const struct httpc_callbacks cb = { NULL, on_head, on_body, on_end };
+  struct http_header h = { STR ("x-caller"), STR ("me") };
+  struct httpc_request r
+      = { .to = b->at,
+          .method = body.len > 0 ? STR ("POST") : STR ("GET"),
+          .path = path,
+          .headers = &h,
+          .nheaders = 1,
+          .body = body,
+          .connect_ms = 5000,
+          .progress_ms = 8000,
+          .fresh = fresh };
+  int i = 0;
+
+  while (b->callers[i].call != NULL)
+    cr_assert (++i < MAX_HELD);
+  struct caller *c = &b->callers[i];
+  memset (c, 0, sizeof *c);
+  c->b = b;
+  snprintf (c->path, sizeof c->path, "%.*s",
+            STR_ARG (str_head (path, str_chr (path, '?'))));
+  c->call = httpc_start (b->http, &r, &cb, c);
+  return c;
+}
+
+/* --- words ------------------------------------------------------------- */
+
+static struct httpd_req *
+take_held (struct bench *b, struct str path)
+{
+  struct held *h = held_by (b, path);
+  struct httpd_req *req = h->req;
+
+  h->req = NULL;
+  return req;
+}
+
+static void
+begin (struct bench *b, struct str path, const char *length)
+{
+  struct http_header h = { STR ("content-length"), str_from (length) };
+  struct held *held = held_by (b, path);
+
+  httpd_begin (held->req, 200, &h, length != NULL);
+  httpd_on_drained (held->req, on_drained, held);
+  httpd_write (held->req, STR ("hello"));
+}
+
+static void
+write_large (struct bench *b, struct str path)
+{
+  char *bytes = calloc (1, LARGE);
+  struct httpd_req *req = held_by (b, path)->req;
+
+  httpd_write (req, str_make (bytes, LARGE));
+  run_log (&b->run, "%s",
+           httpd_queued (req) >= LARGE ? "queued" : "not queued");
+  free (bytes);
+}
+
+static void
+leave (struct bench *b, struct str path)
+{
+  struct caller *c = caller_of (b, path);
+
+  httpc_cancel (c->call);
+  c->call = NULL;
+}
+
+/* Turn the loop until so many requests are open; bounded by its rounds. */
+static void
+until_open (struct bench *b, struct str rest)
+{
+  int64_t n = 0;
+
+  str_to_i64 (rest, &n);
+  for (int i = 0; i < 10000 && httpd_open (b->httpd) != (size_t)n; i++)
+    {
+      uv_run (&b->run.loop, UV_RUN_NOWAIT);
+      uv_sleep (1);
+    }
+  run_log (&b->run, "%zu open", httpd_open (b->httpd));
+}
+
+static void
+server_step (struct bench *b, struct str word, struct str rest)
+{
+  if (str_is (word, "answer"))
+    httpd_answer (take_held (b, rest), 200, NULL, 0, STR ("hello"));
+  else if (str_is (word, "begin"))
+    begin (b, rest, NULL);
+  else if (str_is (word, "begin-10"))
+    begin (b, rest, "10");
+  else if (str_is (word, "large"))
+    write_large (b, rest);
+  else if (str_is (word, "end"))
+    httpd_end (take_held (b, rest), true);
+  else if (str_is (word, "cut"))
+    httpd_end (take_held (b, rest), false);
+  else if (str_is (word, "stop"))
+    httpd_stop_accepting (b->httpd);
+  else if (str_is (word, "open"))
+    until_open (b, rest);
+  else
+    cr_assert (false, "no such word");
+}
+
+static void
+step (void *ctx, struct str word, struct str rest)
+{
+  struct bench *b = ctx;
+
+  if (str_is (word, "get"))
+    call (b, rest, STR_EMPTY, false);
+  else if (str_is (word, "fresh"))
+    call (b, rest, STR_EMPTY, true);
+  else if (str_is (word, "slow"))
+    call (b, rest, STR_EMPTY, true)->pause = true;
+  else if (str_is (word, "post"))
+    call (b, rest, STR ("a body"), true);
+  else if (str_is (word, "post-large"))
+    call (b, rest, STR ("a body of more than sixteen bytes"), true);
+  else if (str_is (word, "read"))
+    httpc_pause (caller_of (b, rest)->call, false);
+  else if (str_is (word, "leave"))
+    leave (b, rest);
+  else if (str_is (word, "settle"))
+    run_settle (&b->run);
+  else
+    server_step (b, word, rest);
+}
+
+static void
+play (const char *script, const char *expected)
+{
+  struct bench b = { 0 };
+  struct httpd_limits limits = { 16, 2, 5000 };
+  struct buf err = BUF_INIT;
+
+  run_init (&b.run);
+  b.at = run_any_port ();
+  b.httpd = httpd_listen (&b.run.loop, &b.at, &limits, on_request, &b, &err);
+  cr_assert_not_null (b.httpd, "%s", buf_c (&err));
+  b.at.port = httpd_port (b.httpd);
+  b.http = httpc_new (&b.run.loop);
+  run_script (&b.run, script, step, &b);
+  httpd_free (b.httpd);
+  for (int i = 0; i < MAX_HELD; i++)
+    if (b.callers[i].call != NULL)
+      httpc_cancel (b.callers[i].call);
+  httpc_free (b.http);
+  run_end (&b.run, expected);
+}
+
+#define ASKED(path) path ": asked by me, query [], body []\n"
+
+TestSuite (server, .timeout = 60);
+
+Test (server, request_and_answer)
+{
+  play ("post /a?x=1\n wait /a: asked by me, query [x=1], body [a body]\n"
+        "answer /a\n wait /a: whole 200, 5 bytes\n open 0",
+        "/a: asked by me, query [x=1], body [a body]\n"
+        "/a: whole 200, 5 bytes\n0 open\n");
+}
+
+/* A body over the limit is refused before the handler sees anything. */
+Test (server, body_over_the_limit)
+{
+  play ("post-large /a\n wait /a: whole 413, 27 bytes",
+        "/a: whole 413, 27 bytes\n");
+}
+
+/*
+ * A stream is given up, or ends with fewer bytes than its head stated.  The
+ * caller must see that it is not whole, whichever way it is framed.
+ */
+Test (server, cut_is_seen_by_the_caller)
+{
+  play (
+      "get /a\n wait /a: asked by me, query [], body []\n begin /a\n"
+      "wait /a: drained\n cut /a\n wait /a: broken 200, 5 bytes\n"
+      "get /b\n wait /b: asked by me, query [], body []\n begin-10 /b\n"
+      "wait /b: drained\n cut /b\n wait /b: broken 200, 5 bytes\n"
+      "get /c\n wait /c: asked by me, query [], body []\n begin-10 /c\n"
+      "wait /c: drained\n end /c\n wait /c: broken 200, 5 bytes\n"
+      "get /d\n wait /d: asked by me, query [], body []\n begin /d\n"
+      "end /d\n wait /d: whole 200, 5 bytes",
+      ASKED ("/a") "/a: drained\n/a: broken 200, 5 bytes\n" ASKED (
+          "/b") "/b: drained\n/b: broken 200, 5 bytes\n" ASKED ("/c") "/c: "
+                                                                      "drained"
+                                                                      "\n/c: "
+                                                                      "broken "
+                                                                      "200, 5 "
+                                                                      "bytes"
+                                                                      "\n" ASKED (
+                                                                          "/d") "/d: whole 200, 5 bytes\n");
+}
+
+/*
+ * A caller leaves while its request waits for a first byte, and another in
+ * the middle of its stream.  The handler is told at once, so that it stops
+ * work that nobody waits for; the connection's place is free again.
+ */
+Test (server, caller_gone)
+{
+  play ("fresh /a\n wait /a: asked by me, query [], body []\n leave /a\n"
+        "wait /a: caller gone\n"
+        "fresh /b\n wait /b: asked by me, query [], body []\n begin /b\n"
+        "wait /b: drained\n leave /b\n wait /b: caller gone\n open 0",
+        ASKED ("/a") "/a: caller gone\n" ASKED (
+            "/b") "/b: drained\n/b: caller gone\n0 open\n");
+}
+
+/*
+ * A caller stops reading.  What is queued for it is known to the handler,
+ * which is told once it was taken; meanwhile others are served.
+ */
+Test (server, slow_reader)
+{
+  play ("slow /a\n wait /a: asked by me, query [], body []\n begin /a\n"
+        "large /a\n settle\n"
+        "fresh /b\n wait /b: asked by me, query [], body []\n answer /b\n"
+        "wait /b: whole 200, 5 bytes\n"
+        "read /a\n wait /a: drained\n end /a\n"
+        "wait /a: whole 200, 8388613 bytes",
+        ASKED ("/a") "queued\n" ASKED (
+            "/b") "/b: whole 200, 5 bytes\n/a: drained\n"
+                  "/a: whole 200, 8388613 bytes\n");
+}
+
+/*
+ * Two connections are the bound.  A third caller waits in the kernel and
+ * costs nothing until one of the two has gone.
+ */
+Test (server, connections_are_bounded)
+{
+  play ("fresh /a\n wait /a: asked by me, query [], body []\n"
+        "fresh /b\n wait /b: asked by me, query [], body []\n"
+        "fresh /c\n settle\n open 2\n answer /a\n"
+        "wait /a: whole 200, 5 bytes\n"
+        "wait /c: asked by me, query [], body []\n answer /c\n"
+        "wait /c: whole 200, 5 bytes",
+        ASKED ("/a") ASKED ("/b") "2 open\n/a: whole 200, 5 bytes\n" ASKED (
+            "/c") "/c: whole 200, 5 bytes\n");
+}
+
+/*
+ * A planned stop: new callers are refused, the open request gets its whole
+ * answer, and the idle connection of an earlier one is closed.
+ */
+Test (server, stop_accepting_cuts_nothing)
+{
+  play ("get /a\n wait /a: asked by me, query [], body []\n answer /a\n"
+        "wait /a: whole 200, 5 bytes\n"
+        "fresh /b\n wait /b: asked by me, query [], body []\n stop\n settle\n"
+        "get /c\n wait /c: connect-failed 0, 0 bytes\n"
+        "answer /b\n wait /b: whole 200, 5 bytes\n open 0",
+        ASKED ("/a") "/a: whole 200, 5 bytes\n" ASKED (
+            "/b") "/c: connect-failed 0, 0 bytes\n"
+                  "/b: whole 200, 5 bytes\n0 open\n");
+}
