Load the scarcest model first, also while one still starts

Since a replica gives its turn up once its weights should be there, the order "fewest live replicas first" saw the starting one as not alive: the second replica of a model went before the only one of another. Ruled out: the count told by the shell (not used in that script).

A replica that loads counts as alive for the order of turns. Scripts for that and for the turns of domains over several owners.

The order holds within a domain and, by shared evidence, between them.

--- a/replica/budget.c
+++ b/replica/budget.c
@@ -28,18 +28,23 @@
   return rate > 0 ? (clk_ms)(1000 * m->weight_gb / rate) : 0;
 }
 
-/* Whole replicas of the model: everywhere if the shell told, else here. */
+/* Whole replicas of the model, everywhere if the shell told, else here; those
+   that load here will be, and count already. */
 static unsigned
 live_replicas (const struct rep *r, const struct cfg_model *m)
 {
-  unsigned n = 0;
+  unsigned whole = 0, loading = 0;
 
+  for (size_t i = 0; i < r->nreplicas; i++)
+    if (r->replicas[i].model == m)
+      {
+        whole += r->replicas[i].whole;
+        loading += r->replicas[i].has_slot;
+      }
   for (size_t i = 0; i < r->nlives; i++)
     if (str_is (m->name, r->lives[i].model))
-      return r->lives[i].live;
-  for (size_t i = 0; i < r->nreplicas; i++)
-    n += r->replicas[i].model == m && r->replicas[i].whole;
-  return n;
+      whole = r->lives[i].live;
+  return whole + loading;
 }
 
 static bool
--- a/t/t6002-replica.c
+++ b/t/t6002-replica.c
@@ -67,6 +67,25 @@
         .checks_fence = true,
         .load_ms = 20000 };
 
+/* Two replicas of one model and, declared last, the only one of another. */
+static const struct dom_options scarce
+    = { .config = "{\"domains\":{\"d\":{\"zone\":\"z\",\"vms\":{"
+                  "\"v1\":{\"addr\":\"127.0.0.1:1\"},"
+                  "\"v2\":{\"addr\":\"127.0.0.1:2\"},"
+                  "\"v3\":{\"addr\":\"127.0.0.1:3\"}}}},"
+                  "\"models\":{\"m\":{\"mode\":\"manage\",\"vms\":1,"
+                  "\"replicas\":2,\"weight_gb\":40,\"capacity\":16,"
+                  "\"tokens_per_s\":900},\"w\":{\"mode\":\"manage\",\"vms\":1,"
+                  "\"replicas\":1,\"weight_gb\":40,\"capacity\":16,"
+                  "\"tokens_per_s\":900}},\"replicas\":{"
+                  "\"r1\":{\"model\":\"m\",\"domain\":\"d\",\"mode\":"
+                  "\"manage\",\"vms\":[]},"
+                  "\"r2\":{\"model\":\"m\",\"domain\":\"d\",\"mode\":"
+                  "\"manage\",\"vms\":[]},"
+                  "\"r3\":{\"model\":\"w\",\"domain\":\"d\",\"mode\":"
+                  "\"manage\",\"vms\":[]}}}",
+        .load_ms = 6000 };
+
 /* Two replicas of two VMs and a spare: each is formed by one write, and the
    weights are loaded by one replica at a time. */
 Test (replica, forms_one_after_the_other)
@@ -524,3 +543,27 @@
              "51000 load v2: r1/2 1 of 2\n"
              "51200 r1/2 whole serves\n");
 }
+
+/* A domain starts without weights.  Once one replica of a model serves, the
+   only one of the other model goes before its second. */
+Test (replica, scarcest_model_loads_first)
+{
+  dom_check (&scarce,
+             "0 owner 20\n"
+             "40000 run\n",
+             "0 r1/0 absent\n"
+             "0 r2/0 absent\n"
+             "0 r3/0 absent\n"
+             "3000 write r1/1=v1\n"
+             "3000 r1/1 loading\n"
+             "3100 load v1: r1/1 0 of 1\n"
+             "3100 write r1/1=v1 r2/2=v2\n"
+             "3100 r2/2 loading\n"
+             "3200 write r1/1=v1 r2/2=v2 r3/3=v3\n"
+             "3200 r3/3 loading\n"
+             "7200 load v3: r3/3 0 of 1\n"
+             "9100 r1/1 whole serves\n"
+             "11300 load v2: r2/2 0 of 1\n"
+             "13700 r3/3 whole serves\n"
+             "17400 r2/2 whole serves\n");
+}
--- a/t/t6004-domains.c
+++ b/t/t6004-domains.c
@@ -258,20 +258,44 @@
 
 /* ---- the script ---- */
 
+/* Five domains of zone y, that come before "d" in the order of turns. */
+static const char *const elsewhere[] = { "f", "i", "u", "y", "e1" };
+
+static void
+add_elsewhere (struct buf *domains, struct buf *replicas)
+{
+  for (unsigned i = 0; i < 5; i++)
+    {
+      buf_addf (domains,
+                ",\"%s\":{\"zone\":\"y\",\"vms\":{\"x%u\":{\"addr\":"
+                "\"127.0.0.1:%u\"}}}",
+                elsewhere[i], i, i + 1);
+      buf_addf (replicas,
+                ",\"e%u\":{\"model\":\"m\",\"domain\":\"%s\",\"mode\":"
+                "\"manage\",\"vms\":[\"x%u\"]}",
+                i, elsewhere[i], i);
+    }
+}
+
 static void
-make_config (const char *mode)
+make_config (const char *mode, bool more)
 {
   struct fnd_list findings = { 0 };
-  struct buf text = BUF_INIT;
+  struct buf text = BUF_INIT, domains = BUF_INIT, replicas = BUF_INIT;
 
+  if (more)
+    add_elsewhere (&domains, &replicas);
   buf_addf (&text,
             "{\"domains\":{\"d\":{\"zone\":\"z\",\"checks_fence\":true,"
-            "\"vms\":{\"v1\":{\"addr\":\"127.0.0.1:%u\"}}}},"
+            "\"vms\":{\"v1\":{\"addr\":\"127.0.0.1:%u\"}}}%s},"
             "\"models\":{\"m\":{\"mode\":\"%s\",\"vms\":1,\"replicas\":1,"
             "\"weight_gb\":1,\"capacity\":4,\"tokens_per_s\":100}},"
             "\"replicas\":{\"r1\":{\"model\":\"m\",\"domain\":\"d\","
-            "\"mode\":\"%s\",\"vms\":[\"v1\"]}}}",
-            httpd_port (world->vm), mode, mode);
+            "\"mode\":\"%s\",\"vms\":[\"v1\"]}%s}}",
+            httpd_port (world->vm), buf_c (&domains), mode, mode,
+            buf_c (&replicas));
+  buf_free (&domains);
+  buf_free (&replicas);
   world->ctl.cfg = cfg_parse (buf_str (&text), 1, &findings);
   fnd_print (&findings, &text);
   cr_assert (world->ctl.cfg, "%s", buf_c (&text));
@@ -280,7 +304,7 @@
 }
 
 static void
-start_world (struct world *w, const char *mode)
+start_world (struct world *w, const char *mode, bool more)
 {
   static const struct httpd_limits limits
       = { .max_body = 4096, .max_connections = 16, .request_ms = 5000 };
@@ -308,7 +332,7 @@
   w->ctl.met = met_new ();
   w->ctl.http = httpc_new (&w->run.loop);
   w->ctl.store = store_new (&w->run.loop, &fake_ops, NULL, &budget);
-  make_config (mode);
+  make_config (mode, more);
   w->ctl.domains = ctl_domains_start (&w->ctl, &err);
   buf_free (&err);
 }
@@ -330,7 +354,7 @@
 }
 
 static void
-remote_evidence (struct str rest)
+remote_evidence (const char *domain, const char *replica, struct str rest)
 {
   Lapis__ReplicaView view = LAPIS__REPLICA_VIEW__INIT;
   Lapis__ReplicaView *views[1] = { &view };
@@ -339,12 +363,12 @@
   char word[16];
 
   cr_assert_eq (sscanf (rest.ptr, "%d %15s", &fence, word), 2);
-  view.replica = "r1";
+  view.replica = (char *)replica;
   view.whole = strcmp (word, "whole") == 0;
   view.generation = 3;
   view.valid_ms = 9000;
   view.leader_addr = "127.0.0.1:9";
-  e.domain = "d";
+  e.domain = (char *)domain;
   e.fence = (uint64_t)fence;
   e.n_replicas = 1;
   e.replicas = views;
@@ -376,6 +400,15 @@
     uv_run (&world->run.loop, UV_RUN_ONCE);
 }
 
+static void
+pause_ms (clk_ms span)
+{
+  clk_ms until = clk_now () + span;
+
+  while (clk_now () < until)
+    uv_run (&world->run.loop, UV_RUN_ONCE);
+}
+
 static void
 on_word (void *ctx, struct str word, struct str rest)
 {
@@ -401,7 +434,16 @@
       memset (&world->owner, 0, sizeof world->owner);
     }
   else if (str_is (word, "remote"))
-    remote_evidence (rest);
+    remote_evidence ("d", "r1", rest);
+  else if (str_is (word, "elsewhere"))
+    for (unsigned i = 0; i < 5; i++)
+      {
+        char replica[] = { 'e', (char)('0' + i), 0 };
+
+        remote_evidence (elsewhere[i], replica, rest);
+      }
+  else if (str_is (word, "pause"))
+    pause_ms (4500);
   else if (str_is (word, "show"))
     show ();
 }
@@ -416,7 +458,7 @@
 {
   struct world w;
 
-  start_world (&w, "manage");
+  start_world (&w, "manage", false);
   run_script (&w.run,
               "phase a\n"
               "wait evidence whole of the owner a\n"
@@ -449,7 +491,7 @@
 {
   struct world w;
 
-  start_world (&w, "manage");
+  start_world (&w, "manage", false);
   run_script (&w.run,
               "phase a\n"
               "wait evidence whole of the owner a\n"
@@ -475,7 +517,7 @@
 {
   struct world w;
 
-  start_world (&w, "route");
+  start_world (&w, "route", false);
   run_script (&w.run,
               "phase a\n"
               "wait evidence broken without a lease a\n"
@@ -497,7 +539,7 @@
 {
   struct world w;
 
-  start_world (&w, "manage");
+  start_world (&w, "manage", false);
   w.other = (struct mbr_node){ .name = STR ("n2"),
                                .zone = STR ("z"),
                                .region = STR ("r") };
@@ -513,3 +555,29 @@
                  "whole of n2 fence 5\n"
                  "degraded of n2 fence 6\n");
 }
+
+/*
+ * After an outage five domains of other owners wait for weights as well and
+ * come first.  This owner has its lease and could load, but four of them are
+ * loading: the weight store is left to them until they are whole.
+ */
+Test (domains, waits_for_its_turn_to_load, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "manage", true);
+  w.other = (struct mbr_node){ .name = STR ("n2"),
+                               .zone = STR ("y"),
+                               .region = STR ("r") };
+  ctl_domains_members (w.ctl.domains);
+  run_script (&w.run,
+              "phase a\n"
+              "wait evidence broken of the owner a\n"
+              "pause\n phase b\n elsewhere 5 whole\n"
+              "wait evidence whole of the owner b\n",
+              on_word, NULL);
+  end_world (&w, "evidence broken without a lease a\n"
+                 "evidence broken of the owner a\n"
+                 "load r1/1 fence 11 b\n"
+                 "evidence whole of the owner b\n");
+}
