--- a/claim/claim.c
+++ b/claim/claim.c
@@ -467,10 +467,19 @@
   run (c, now);
 }
 
+static bool
+any_waiter (const struct clm *c)
+{
+  for (unsigned i = 0; i < CLM_SHARDS; i++)
+    if (c->shards[i].waiting.n || c->shards[i].batch.n)
+      return true;
+  return false;
+}
+
 clk_ms
 clm_wake (const struct clm *c)
 {
-  clk_ms wake = c->next_deadline;
+  clk_ms wake = any_waiter (c) ? c->next_deadline : CLK_NEVER;
   clk_ms call = c->fails ? c->probe_at : 0;
   unsigned normal;
 
--- a/front/claims.c
+++ b/front/claims.c
@@ -388,8 +388,11 @@
   busy = c->open > 0 || clm_wake (c->core) != CLK_NEVER;
   if (busy && !uv_is_active ((uv_handle_t *)&c->timer))
     uv_timer_start (&c->timer, on_timer, TICK_MS, TICK_MS);
-  else if (!busy)
-    uv_timer_stop (&c->timer);
+  else if (!busy && uv_is_active ((uv_handle_t *)&c->timer))
+    {
+      uv_timer_stop (&c->timer);
+      claims_core_metrics (c);
+    }
 }
 
 struct gw_claims *
--- a/t/lib-front.c
+++ b/t/lib-front.c
@@ -11,8 +11,8 @@
 
 #define STATE_WAIT_MS 10000
 
-static const char *
-digest_of (const char *key)
+const char *
+front_digest (const char *key)
 {
   static char ring[4][65];
   static unsigned turn;
@@ -62,7 +62,7 @@
       proc_addr (f->vm[0], "http"), proc_addr (f->vm[1], "http"),
       model[0] ? ", " : "", model, proc_addr (f->soko[0], "http"),
       proc_addr (f->soko[1], "http"), proc_addr (f->quote, "http"),
-      digest_of ("broker-key"), digest_of ("tenant-key"), limits);
+      front_digest ("broker-key"), front_digest ("tenant-key"), limits);
   char *end = strrchr (path, '/');
 
   *end = '\0';
--- a/t/lib-proc.h
+++ b/t/lib-proc.h
@@ -109,6 +109,9 @@
 /** Wait for the head: its status, or 0. */
 int web_status (struct web_stream *s, int wait_ms);
 
+/** Status line and headers as they came, once web_status() gave one. */
+const char *web_stream_head (struct web_stream *s);
+
 enum web_read
 {
   WEB_BYTES,  /**< something was appended */
--- a/t/lib-web.c
+++ b/t/lib-web.c
@@ -140,6 +140,12 @@
     s->framing = BY_CLOSE;
 }
 
+const char *
+web_stream_head (struct web_stream *s)
+{
+  return buf_c (&s->head);
+}
+
 int
 web_status (struct web_stream *s, int wait_ms)
 {
