Follow control: configuration in parts, shares by nodes, late views

Cause: a configuration that exceeds a frame comes in parts and was ignored; the same text under a higher revision left the gateway at the old revision, so that a push would wait for it for good; the core was told of one gateway whatever the region had, so that a cut-off node would have taken an account's whole limit; and probing began only when control's link was given up, up to 0.4 s after the last view's evidence had run out. Conclusion: a gateway outlives a silent control on evidence of its own and never serves on a replica that it can't vouch for.

--- a/front/callers.c
+++ b/front/callers.c
@@ -383,6 +383,17 @@
   gw_callers_event (c, &ev);
 }
 
+void
+gw_callers_nodes (struct gw_callers *c, size_t gateways)
+{
+  struct rt_event ev = { .kind = RT_EV_NODES, .size = gateways };
+
+  if (c->gateways == gateways)
+    return;
+  c->gateways = gateways;
+  gw_callers_event (c, &ev);
+}
+
 struct rt *
 gw_callers_core (struct gw_callers *c)
 {
--- a/front/callers.h
+++ b/front/callers.h
@@ -215,6 +215,7 @@
   uv_timer_t sweep;
   clk_ms swept_at;
   bool pumping;
+  size_t gateways; /**< as last told to the core; 0: not yet */
   struct gw_exchange *list;
   struct gw_exchange **slots; /**< by the low half of an id */
   size_t nslots;
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -99,6 +99,9 @@
 void gw_callers_replicas (struct gw_callers *c, const struct rt_replica *list,
                           size_t n);
 void gw_callers_share (struct gw_callers *c, const struct gw_share *share);
+/** Gateways of the region, this one included: shares are limit / N at worst.
+ */
+void gw_callers_nodes (struct gw_callers *c, size_t gateways);
 struct rt *gw_callers_core (struct gw_callers *c);
 
 /* probe.c */
--- a/front/probe.c
+++ b/front/probe.c
@@ -179,9 +179,12 @@
   struct gw_probe *p = m->of->p;
 
   m->call = NULL;
-  m->answer = ANSWER_WRONG;
+  /* A busy member answers late; what it said before counts until it expires.
+     One that can't be reached or says otherwise is out at once. */
   if (end == HTTPC_WHOLE && m->status == 200)
     m->answer = read_state (m);
+  else if (end == HTTPC_WHOLE || end == HTTPC_CONNECT_FAILED)
+    m->answer = ANSWER_WRONG;
   if (m->answer == ANSWER_FITS)
     m->fits_at = m->asked_at;
   if (--p->asked == 0)
--- /dev/null
+++ b/front/view-config.c
@@ -0,0 +1,104 @@
+#include <string.h>
+
+#include <openssl/sha.h>
+
+#include "front/view.h"
+
+static bool
+newer (const struct gw *g, int64_t revision)
+{
+  return g->cfg == NULL || revision > g->cfg->revision;
+}
+
+/** Never an older one: a control process that came back from the past must
+    not take the whole node with it. */
+static void
+take_text (struct view_config *c, struct gw *g, int64_t revision,
+           struct str text)
+{
+  struct fnd_list findings = { 0 };
+  struct cfg *cfg;
+
+  if (!newer (g, revision))
+    return;
+  cfg = cfg_parse (text, revision, &findings);
+  if (cfg != NULL)
+    {
+      SHA256 ((const uint8_t *)text.ptr, text.len, c->hash_in_force);
+      gw_config_changed (g, cfg);
+    }
+  else
+    LOG (config_not_taken, LOG_I ("revision", revision),
+         LOG_C ("finding", findings.n ? findings.items[0].text : ""));
+  fnd_free (&findings);
+}
+
+static bool
+begins (const struct view_config *c, const Lapis__ConfigChunk *chunk)
+{
+  return chunk->offset == 0 || (int64_t)chunk->revision != c->revision
+         || memcmp (chunk->hash.data, c->hash, sizeof c->hash) != 0;
+}
+
+void
+view_config_chunk (struct view_config *c, struct gw *g,
+                   const Lapis__ConfigChunk *chunk)
+{
+  uint8_t sum[SHA256_DIGEST_LENGTH];
+
+  if (chunk->hash.len != sizeof c->hash || chunk->size > CFG_MAX_TEXT)
+    return;
+  if (begins (c, chunk))
+    {
+      c->revision = (int64_t)chunk->revision;
+      memcpy (c->hash, chunk->hash.data, sizeof c->hash);
+      buf_clear (&c->text);
+    }
+  if (chunk->offset != c->text.len
+      || c->text.len + chunk->bytes.len > chunk->size)
+    return;
+  buf_add (&c->text, str_make (chunk->bytes.data, chunk->bytes.len));
+  if (c->text.len < chunk->size)
+    return;
+  /* Whole only when it is what its name says. */
+  SHA256 ((const uint8_t *)c->text.ptr, c->text.len, sum);
+  if (memcmp (sum, c->hash, sizeof sum) == 0)
+    take_text (c, g, c->revision, buf_str (&c->text));
+  buf_free (&c->text);
+}
+
+/**
+ * The same text under a higher revision is not sent again.  Were the revision
+ * not taken over, this node would report the old one for good and whoever
+ * waits for the new one to be in force everywhere would wait for ever.
+ */
+static void
+take_revision (struct view_config *c, struct gw *g, const Lapis__View *v)
+{
+  if (g->cfg == NULL || v->config_hash.len != sizeof c->hash_in_force
+      || memcmp (v->config_hash.data, c->hash_in_force,
+                 sizeof c->hash_in_force)
+             != 0)
+    return;
+  g->cfg->revision = (int64_t)v->config_revision;
+}
+
+void
+view_config_view (struct view_config *c, struct gw *g, const Lapis__View *v)
+{
+  int64_t revision = (int64_t)v->config_revision;
+
+  if (!newer (g, revision))
+    return;
+  if (v->config.len > 0)
+    take_text (c, g, revision, str_make (v->config.data, v->config.len));
+  else
+    take_revision (c, g, v);
+}
+
+void
+view_config_clear (struct view_config *c)
+{
+  buf_free (&c->text);
+  c->revision = 0;
+}
--- /dev/null
+++ b/front/view-lists.c
@@ -0,0 +1,94 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "front/view.h"
+
+static struct str
+keep (struct view_lists *l, const char *text)
+{
+  l->texts = xrealloc (l->texts, (l->ntexts + 1) * sizeof l->texts[0]);
+  l->texts[l->ntexts] = xstrdup (text ? text : "");
+  return str_from (l->texts[l->ntexts++]);
+}
+
+void
+view_lists_free (struct view_lists *l)
+{
+  for (size_t i = 0; i < l->ntexts; i++)
+    free (l->texts[i]);
+  free (l->texts);
+  free (l->nodes);
+  free (l->replicas);
+  free (l->members);
+  memset (l, 0, sizeof *l);
+}
+
+static void
+keep_node (struct view_lists *l, const Lapis__NodeView *from)
+{
+  struct gw_node *n = &l->nodes[l->nnodes++];
+
+  n->name = keep (l, from->node);
+  n->zone = keep (l, from->zone);
+  n->region = keep (l, from->region);
+  n->boot = from->boot;
+  n->status = from->status;
+  n->load = from->load;
+  net_addr_parse (str_from (from->http_addr), true, &n->http);
+  net_addr_parse (str_from (from->peer_addr), true, &n->peer);
+}
+
+static struct str
+zone_of (const struct cfg *cfg, struct str domain)
+{
+  const struct cfg_domain *d = cfg ? cfg_domain (cfg, domain) : NULL;
+  return d ? d->zone : STR_EMPTY;
+}
+
+static void
+keep_members (struct view_lists *l, const Lapis__ReplicaView *from)
+{
+  struct gw_members *m = &l->members[l->nreplicas];
+
+  for (size_t i = 0; i < from->n_members && i < GW_MAX_MEMBERS; i++)
+    m->names[m->n++] = keep (l, from->members[i]);
+}
+
+static void
+keep_replica (struct view_lists *l, const struct cfg *cfg, clk_ms now,
+              const Lapis__ReplicaView *from)
+{
+  struct rt_replica *r = &l->replicas[l->nreplicas];
+  struct str zone = zone_of (cfg, str_from (from->domain));
+
+  memset (r, 0, sizeof *r);
+  if (!net_addr_parse (str_from (from->leader_addr), false, &r->addr))
+    return;
+  keep_members (l, from);
+  l->nreplicas++;
+  r->name = keep (l, from->replica);
+  r->model = keep (l, from->model);
+  r->zone = keep (l, zone.len ? zone.ptr : "");
+  r->generation = (int64_t)from->generation;
+  r->whole = from->whole;
+  r->draining = from->draining;
+  r->valid_until = now + from->valid_ms;
+  r->load = from->load;
+  r->load_at = now - from->load_age_ms;
+}
+
+void
+view_lists_read (struct view_lists *l, const struct cfg *cfg,
+                 const Lapis__View *v)
+{
+  clk_ms now = clk_now ();
+
+  view_lists_free (l);
+  l->nodes = xcalloc (v->n_nodes + 1, sizeof l->nodes[0]);
+  l->replicas = xcalloc (v->n_replicas + 1, sizeof l->replicas[0]);
+  l->members = xcalloc (v->n_replicas + 1, sizeof l->members[0]);
+  for (size_t i = 0; i < v->n_nodes; i++)
+    keep_node (l, v->nodes[i]);
+  for (size_t i = 0; i < v->n_replicas; i++)
+    keep_replica (l, cfg, now, v->replicas[i]);
+}
--- a/front/view.c
+++ b/front/view.c
@@ -1,8 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet/member.h"
-#include "front/gateway.h"
+#include "front/view.h"
 
 #define TICK_MS ((clk_ms)250)
 #define REPORT_MS CLK_SECOND
@@ -12,17 +11,10 @@
     taken for gone, also when its connection still looks open. */
 #define SILENCE_MS ((clk_ms)2500)
 
-/** Owned copy of one view's lists. */
-struct lists
-{
-  struct gw_node *nodes;
-  size_t nnodes;
-  struct rt_replica *replicas;
-  size_t nreplicas;
-  struct gw_members *members; /**< beside each replica */
-  char **texts;               /**< every string above */
-  size_t ntexts;
-};
+/** A view comes every 1 to 1.5 s and its evidence lasts up to 3 s.  Probing
+    begins when one is late, before the evidence runs out; waiting for the
+    link to be given up would leave a gap in which every request is refused. */
+#define VIEW_LATE_MS ((clk_ms)1600)
 
 struct gw_view
 {
@@ -31,126 +23,18 @@
   struct link_secret secret;
   uv_timer_t timer;
   bool up;
-  bool heard; /**< a view came over this link */
+  bool heard;     /**< a view came over this link */
+  clk_ms view_at; /**< when the last one came */
   bool probing;
   clk_ms reported_at;
   clk_ms connect_at;
   struct net_addr http, peer;
-  struct lists lists;
+  struct view_lists lists;
+  struct view_config config;
 };
 
-/* ---- the lists of a view ---- */
-
-static struct str
-keep (struct lists *l, const char *text)
-{
-  l->texts = xrealloc (l->texts, (l->ntexts + 1) * sizeof l->texts[0]);
-  l->texts[l->ntexts] = xstrdup (text ? text : "");
-  return str_from (l->texts[l->ntexts++]);
-}
-
-static void
-lists_free (struct lists *l)
-{
-  for (size_t i = 0; i < l->ntexts; i++)
-    free (l->texts[i]);
-  free (l->texts);
-  free (l->nodes);
-  free (l->replicas);
-  free (l->members);
-  memset (l, 0, sizeof *l);
-}
-
-static void
-keep_node (struct lists *l, const Lapis__NodeView *from)
-{
-  struct gw_node *n = &l->nodes[l->nnodes++];
-
-  n->name = keep (l, from->node);
-  n->zone = keep (l, from->zone);
-  n->region = keep (l, from->region);
-  n->boot = from->boot;
-  n->status = from->status;
-  n->load = from->load;
-  net_addr_parse (str_from (from->http_addr), true, &n->http);
-  net_addr_parse (str_from (from->peer_addr), true, &n->peer);
-}
-
-static struct str
-zone_of (const struct cfg *cfg, struct str domain)
-{
-  const struct cfg_domain *d = cfg ? cfg_domain (cfg, domain) : NULL;
-  return d ? d->zone : STR_EMPTY;
-}
-
-static void
-keep_members (struct lists *l, const Lapis__ReplicaView *from)
-{
-  struct gw_members *m = &l->members[l->nreplicas];
-
-  for (size_t i = 0; i < from->n_members && i < GW_MAX_MEMBERS; i++)
-    m->names[m->n++] = keep (l, from->members[i]);
-}
-
-static void
-keep_replica (struct lists *l, const struct cfg *cfg, clk_ms now,
-              const Lapis__ReplicaView *from)
-{
-  struct rt_replica *r = &l->replicas[l->nreplicas];
-  struct str zone = zone_of (cfg, str_from (from->domain));
-
-  memset (r, 0, sizeof *r);
-  if (!net_addr_parse (str_from (from->leader_addr), false, &r->addr))
-    return;
-  keep_members (l, from);
-  l->nreplicas++;
-  r->name = keep (l, from->replica);
-  r->model = keep (l, from->model);
-  r->zone = keep (l, zone.len ? zone.ptr : "");
-  r->generation = (int64_t)from->generation;
-  r->whole = from->whole;
-  r->draining = from->draining;
-  r->valid_until = now + from->valid_ms;
-  r->load = from->load;
-  r->load_at = now - from->load_age_ms;
-}
-
-static void
-lists_read (struct lists *l, const struct cfg *cfg, const Lapis__View *v)
-{
-  clk_ms now = clk_now ();
-
-  lists_free (l);
-  l->nodes = xcalloc (v->n_nodes + 1, sizeof l->nodes[0]);
-  l->replicas = xcalloc (v->n_replicas + 1, sizeof l->replicas[0]);
-  l->members = xcalloc (v->n_replicas + 1, sizeof l->members[0]);
-  for (size_t i = 0; i < v->n_nodes; i++)
-    keep_node (l, v->nodes[i]);
-  for (size_t i = 0; i < v->n_replicas; i++)
-    keep_replica (l, cfg, now, v->replicas[i]);
-}
-
 /* ---- frames of control ---- */
 
-static void
-take_config (struct gw *g, const Lapis__View *v)
-{
-  struct fnd_list findings = { 0 };
-  int64_t revision = (int64_t)v->config_revision;
-  struct cfg *cfg;
-
-  if (v->config.len == 0 || (g->cfg && revision <= g->cfg->revision))
-    return;
-  cfg = cfg_parse (str_make (v->config.data, v->config.len), revision,
-                   &findings);
-  if (cfg != NULL)
-    gw_config_changed (g, cfg);
-  else
-    LOG (config_not_taken, LOG_I ("revision", revision),
-         LOG_C ("finding", findings.n ? findings.items[0].text : ""));
-  fnd_free (&findings);
-}
-
 static void
 take_shares (struct gw *g, const Lapis__View *v)
 {
@@ -165,15 +49,29 @@
     }
 }
 
+/** Dead nodes count until they are forgotten: one that is only cut off goes
+    on serving, and counting too few would give more than the limit. */
+static size_t
+gateways_of_region (const struct gw_view *v)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < v->lists.nnodes; i++)
+    n += str_is (v->lists.nodes[i].region, v->g->set.region);
+  return n ? n : 1;
+}
+
 static void
 take_view (struct gw_view *v, const Lapis__View *view)
 {
   struct gw *g = v->g;
 
   v->heard = true;
-  take_config (g, view);
-  lists_read (&v->lists, g->cfg, view);
+  v->view_at = clk_now ();
+  view_config_view (&v->config, g, view);
+  view_lists_read (&v->lists, g->cfg, view);
   gw_callers_replicas (g->callers, v->lists.replicas, v->lists.nreplicas);
+  gw_callers_nodes (g->callers, gateways_of_region (v));
   take_shares (g, view);
   gw_claims_nodes (g->claims);
   gw_set_leaving (g, view->leaving);
@@ -206,6 +104,8 @@
 
   if (frame->body_case == LAPIS__FRAME__BODY_VIEW)
     take_view (v, frame->view);
+  else if (frame->body_case == LAPIS__FRAME__BODY_CONFIG_CHUNK)
+    view_config_chunk (&v->config, v->g, frame->config_chunk);
   else if (frame->body_case == LAPIS__FRAME__BODY_TRACE_ASK)
     answer_trace (v, l, frame->trace_ask);
 }
@@ -327,6 +227,7 @@
     return;
   v->up = state == LINK_UP;
   v->heard = false;
+  view_config_clear (&v->config);
   if (state == LINK_UP)
     {
       LOG (control_linked, LOG_C ("node", v->g->set.node));
@@ -376,7 +277,7 @@
                             &callbacks, v);
   if (v->up && now - v->reported_at >= REPORT_MS)
     send_report (v);
-  set_probing (v, !v->heard);
+  set_probing (v, !v->heard || now - v->view_at > VIEW_LATE_MS);
 }
 
 /* ---- life ---- */
@@ -424,7 +325,8 @@
 {
   struct gw_view *v = h->data;
 
-  lists_free (&v->lists);
+  view_lists_free (&v->lists);
+  view_config_clear (&v->config);
   free (v);
 }
 
--- /dev/null
+++ b/front/view.h
@@ -0,0 +1,47 @@
+/**
+ * @file
+ * What a gateway keeps of its control's words; used by view*.c only.
+ */
+#ifndef LAPISLINE_FRONT_VIEW_H
+#define LAPISLINE_FRONT_VIEW_H
+
+#include "front/gateway.h"
+
+/** Owned copy of one view's lists; all zero is valid. */
+struct view_lists
+{
+  struct gw_node *nodes;
+  size_t nnodes;
+  struct rt_replica *replicas;
+  size_t nreplicas;
+  struct gw_members *members; /**< beside each replica */
+  char **texts;               /**< every string above */
+  size_t ntexts;
+};
+
+/** Replace the lists; spans of a view count from now. */
+void view_lists_read (struct view_lists *l, const struct cfg *cfg,
+                      const Lapis__View *v);
+void view_lists_free (struct view_lists *l);
+
+/** A configuration on its way; all zero is valid. */
+struct view_config
+{
+  int64_t revision;
+  uint8_t hash[32];
+  struct buf text;           /**< the bytes from the start, without a gap */
+  uint8_t hash_in_force[32]; /**< of the text last taken */
+};
+
+/** One part of a text that exceeds a frame; the last one puts it in force. */
+void view_config_chunk (struct view_config *c, struct gw *g,
+                        const Lapis__ConfigChunk *chunk);
+
+/** The text, or the word that it has not changed, in a view. */
+void view_config_view (struct view_config *c, struct gw *g,
+                       const Lapis__View *v);
+
+/** Forget what has come in part. */
+void view_config_clear (struct view_config *c);
+
+#endif
--- a/route/record-names.h
+++ b/route/record-names.h
@@ -7,7 +7,7 @@
 
 #include "route/route.h"
 
-#define REC_EVENTS (RT_EV_CALLER_GONE + 1)
+#define REC_EVENTS (RT_EV_NODES + 1)
 #define REC_ACTIONS (RT_ACT_FORGET + 1)
 #define REC_VERDICTS (CLM_DONE + 1)
 
--- a/route/record-read.c
+++ b/route/record-read.c
@@ -14,6 +14,7 @@
   [RT_EV_HEAD] = "head",           [RT_EV_BODY] = "body",
   [RT_EV_WHOLE] = "whole",         [RT_EV_BROKEN] = "broken",
   [RT_EV_SILENT] = "silent",       [RT_EV_CALLER_GONE] = "caller-gone",
+  [RT_EV_NODES] = "nodes",
 };
 
 const char *const rec_action_names[REC_ACTIONS] = {
--- a/route/route.c
+++ b/route/route.c
@@ -380,6 +380,9 @@
     case RT_EV_LEAVING:
       r->leaving = ev->on;
       return;
+    case RT_EV_NODES:
+      r->nodes = (unsigned)ev->size;
+      return;
     case RT_EV_ARRIVE:
       if (find_request (r, ev->request->id))
         return;
--- a/route/route.h
+++ b/route/route.h
@@ -102,7 +102,8 @@
   RT_EV_WHOLE,          /**< id, attempt, tokens */
   RT_EV_BROKEN,         /**< id, attempt */
   RT_EV_SILENT,         /**< id, attempt */
-  RT_EV_CALLER_GONE     /**< id */
+  RT_EV_CALLER_GONE,    /**< id */
+  RT_EV_NODES           /**< size: gateways of the region, for limit / N */
 };
 
 struct rt_event
--- a/t/lib-front.h
+++ b/t/lib-front.h
@@ -28,6 +28,9 @@
  */
 void front_up (struct front *f, const char *model, const char *limits);
 
+/** SHA-256 of a bearer key as configurations hold it. */
+const char *front_digest (const char *key);
+
 /** Wait until a completion is answered with 200; false when none is. */
 bool front_routed (const struct front *f);
 
--- a/t/standin/standin.h
+++ b/t/standin/standin.h
@@ -7,6 +7,7 @@
 
 /* Each takes "--listen ADDR" and more (--help), prints "ready NAME http=ADDR"
    and serves /control/... at the same port.  Returns an exit code.  */
+int standin_control (int argc, char **argv);
 int standin_model (int argc, char **argv);
 int standin_platform (int argc, char **argv);
 int standin_service (int argc, char **argv);
--- /dev/null
+++ b/t/t7002-view.c
@@ -0,0 +1,304 @@
+#include <criterion/criterion.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "t/lib-front.h"
+
+#define SECRET "a secret of this test's processes"
+#define TEXT "/v1/completions"
+
+/** A gateway, its control, and two VMs of the one replica. */
+struct node
+{
+  struct front f;
+  struct proc *control;
+};
+
+TestSuite (view, .fini = proc_stop_all, .timeout = 120);
+
+static void
+post_view (struct node *n, const char *view)
+{
+  struct web_answer a = { 0 };
+
+  cr_assert (web_call (proc_addr (n->control, "http"), "POST", "/control/view",
+                       NULL, view, &a));
+  cr_assert_eq (a.status, 200);
+  web_free (&a);
+}
+
+/** The replica is only in the view: its members are known from there. */
+static const char *
+config_text (const struct node *n)
+{
+  return proc_file (
+      "config.json",
+      "{\"domains\":{\"hall-a-1\":{\"zone\":\"hall-a\",\"vms\":{"
+      "\"vm-1\":{\"addr\":\"%s\"},\"vm-2\":{\"addr\":\"%s\"}}}},"
+      "\"models\":{\"ghala-lm\":{\"mode\":\"manage\",\"vms\":2,"
+      "\"replicas\":1,\"capacity\":16,\"tokens_per_s\":900}},"
+      "\"replicas\":{\"ghala-lm-1\":{\"model\":\"ghala-lm\","
+      "\"domain\":\"hall-a-1\",\"mode\":\"manage\"}},"
+      "\"accounts\":{\"broker-app\":{\"may\":[\"*\"],\"key_digests\":["
+      "\"%s\"]}},\"limits\":{\"address_ms\":1000}}",
+      proc_addr (n->f.vm[0], "http"), proc_addr (n->f.vm[1], "http"),
+      front_digest ("broker-key"));
+}
+
+static char *
+read_all (const char *path)
+{
+  static char text[8192];
+  FILE *f = fopen (path, "r");
+
+  cr_assert_not_null (f);
+  text[fread (text, 1, sizeof text - 1, f)] = '\0';
+  fclose (f);
+  return text;
+}
+
+/** A view: its head as given, the configuration, nodes, the replica. */
+static void
+set_view (struct node *n, const char *head, const char *nodes,
+          const char *replica)
+{
+  struct buf view = BUF_INIT;
+
+  buf_addf (&view, "{%s,\"config\":%s,\"nodes\":[%s],\"replicas\":[%s]}", head,
+            read_all (config_text (n)), nodes, replica);
+  post_view (n, buf_c (&view));
+  buf_free (&view);
+}
+
+static const char *
+whole_replica (const struct node *n)
+{
+  static char text[512];
+
+  snprintf (text, sizeof text,
+            "{\"replica\":\"ghala-lm-1\",\"model\":\"ghala-lm\","
+            "\"domain\":\"hall-a-1\",\"generation\":5,\"whole\":true,"
+            "\"valid_ms\":3000,\"leader\":\"%s\","
+            "\"members\":[\"vm-1\",\"vm-2\"]}",
+            proc_addr (n->f.vm[0], "http"));
+  return text;
+}
+
+static struct proc *
+start_vm (void)
+{
+  return PROC_UP ("standin", "model", "--replica", "ghala-lm-1",
+                  "--generation", "5");
+}
+
+static void
+node_up (struct node *n)
+{
+  memset (n, 0, sizeof *n);
+  n->f.vm[0] = start_vm ();
+  n->f.vm[1] = start_vm ();
+  n->control = PROC_UP ("standin", "control", "--secret", SECRET);
+  proc_file ("secret.txt", "%s", SECRET);
+  const char *settings = proc_file (
+      "settings.json",
+      "{\"node\":\"entry-1\",\"zone\":\"hall-a\",\"region\":\"nairobi\","
+      "\"gateway\":{\"http\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\"},"
+      "\"control\":{\"swim\":\"127.0.0.1:0\",\"peer\":\"%s\","
+      "\"admin\":\"127.0.0.1:0\"},"
+      "\"store\":{\"endpoints\":[\"127.0.0.1:1\"]},"
+      "\"secret_file\":\"secret.txt\",\"log\":{\"level\":\"error\"}}",
+      proc_addr (n->control, "peer"));
+  n->f.gateway = PROC_UP ("lapisline", "gateway", "--settings", settings);
+  n->f.http = proc_addr (n->f.gateway, "http");
+}
+
+static bool
+heard (struct node *n, const char *text)
+{
+  return web_until (proc_addr (n->control, "http"), "/control/heard", NULL,
+                    text, PROC_WAIT_MS);
+}
+
+/** Names of the nodes in an address answer, in order. */
+static void
+log_addresses (struct node *n, struct buf *log)
+{
+  struct web_answer a = { 0 };
+  json_object *o, *list = NULL, *name;
+
+  web_call (n->f.http, "GET", "/v1/address?model=ghala-lm", FRONT_KEY, NULL,
+            &a);
+  o = json_tokener_parse (buf_c (&a.body));
+  json_object_object_get_ex (o, "addresses", &list);
+  buf_addf (log, "%d", a.status);
+  for (size_t i = 0; list && i < json_object_array_length (list); i++)
+    if (json_object_object_get_ex (json_object_array_get_idx (list, i), "node",
+                                   &name))
+      buf_addf (log, " %s", json_object_get_string (name));
+  buf_add_char (log, '\n');
+  json_object_put (o);
+  web_free (&a);
+}
+
+#define NODE(name, zone, status, load)                                        \
+  "{\"node\":\"" name "\",\"zone\":\"" zone "\",\"region\":\"nairobi\","      \
+  "\"http\":\"127.0.0.1:80\",\"status\":" #status ",\"load\":" #load "}"
+#define OTHERS                                                                \
+  NODE ("entry-4", "hall-a", 1, 0)                                            \
+  "," NODE ("entry-5", "hall-a", 2, 0) "," NODE ("entry-6", "hall-a", 3, 0)
+
+/* Callers keep an address answer and connect by it for its lifetime: a node
+   that is suspected, leaving or dead must not be in it.  Near zone first,
+   then the less loaded; this node itself no longer once it leaves.  */
+Test (view, addresses)
+{
+  struct node n;
+  struct buf log = BUF_INIT;
+
+  node_up (&n);
+  set_view (&n, "\"revision\":7",
+            NODE ("entry-3", "hall-b", 0, 0) "," NODE (
+                "entry-1", "hall-a", 0, 0) "," NODE ("entry-2", "hall-a", 0,
+                                                     500) "," OTHERS,
+            whole_replica (&n));
+  cr_assert (heard (&n, "\"revision\": 7"));
+  log_addresses (&n, &log);
+  set_view (&n, "\"revision\":8",
+            NODE ("entry-3", "hall-b", 0, 0) "," NODE (
+                "entry-1", "hall-a", 0, 900) "," NODE ("entry-2", "hall-a", 0,
+                                                       500) "," OTHERS,
+            whole_replica (&n));
+  cr_assert (heard (&n, "\"revision\": 8"));
+  log_addresses (&n, &log);
+  set_view (&n, "\"revision\":8,\"leaving\":true",
+            NODE ("entry-3", "hall-b", 0, 0) "," NODE ("entry-1", "hall-a", 0,
+                                                       0) "," OTHERS,
+            whole_replica (&n));
+  cr_assert (heard (&n, "\"leaving\": true"));
+  log_addresses (&n, &log);
+  cr_expect_str_eq (buf_c (&log), "200 entry-1 entry-2 entry-3\n"
+                                  "200 entry-2 entry-1 entry-3\n"
+                                  "200 entry-3\n");
+  buf_free (&log);
+}
+
+/* A text comes in two parts under revision 7; then a control that came back
+   from the past offers revision 6 without any account.  It must change
+   nothing.  The same text under revision 8 is not sent again; the gateway
+   must report 8 all the same, or a push would wait for it for good.  */
+Test (view, configuration_never_reverts)
+{
+  struct node n;
+  struct buf log = BUF_INIT;
+
+  node_up (&n);
+  set_view (&n, "\"revision\":7,\"chunked\":true", "", whole_replica (&n));
+  cr_assert (heard (&n, "\"revision\": 7"));
+  front_log (&n.f, &log, "GET", "/v1/models", FRONT_KEY, NULL);
+  post_view (&n, "{\"revision\":6,\"config\":{}}");
+  front_log (&n.f, &log, "GET", "/v1/models", FRONT_KEY, NULL);
+  post_view (&n, "{\"revision\":9,\"config\":{\"models\":7}}");
+  front_log (&n.f, &log, "GET", "/v1/models", FRONT_KEY, NULL);
+  set_view (&n, "\"revision\":8,\"same_text\":true", "", whole_replica (&n));
+  cr_expect (heard (&n, "\"revision\": 8"));
+  front_log (&n.f, &log, "GET", "/v1/models", FRONT_KEY, NULL);
+  cr_expect_str_eq (buf_c (&log), "GET /v1/models -> 200 done -\n"
+                                  "GET /v1/models -> 200 done -\n"
+                                  "GET /v1/models -> 200 done -\n"
+                                  "GET /v1/models -> 200 done -\n");
+  buf_free (&log);
+}
+
+/** Ask until the status is as wanted; log the last answer. */
+static void
+log_until (struct node *n, struct buf *log, int status)
+{
+  struct web_answer a = { 0 };
+
+  for (int i = 0; i < PROC_WAIT_MS / 20 && a.status != status; i++)
+    {
+      web_free (&a);
+      web_call (n->f.http, "POST", TEXT, FRONT_KEY,
+                front_prompt ("p", false, 2), &a);
+      usleep (20000);
+    }
+  front_log_answer (log, &a);
+  web_free (&a);
+}
+
+/* Control stops answering while its connections stay open.  The view's
+   evidence runs out after 3 s; by then the gateway must have probed the
+   members itself and go on serving.  A member of another generation, or one
+   that is not ready, ends that although the leader is well: no request may
+   reach a replica that is not whole.  Control's return restores all.  */
+Test (view, silent_control)
+{
+  struct node n;
+  struct buf log = BUF_INIT;
+  int refused = 0;
+
+  node_up (&n);
+  set_view (&n, "\"revision\":7", "", whole_replica (&n));
+  log_until (&n, &log, 200);
+  proc_signal (n.control, SIGSTOP);
+  for (int i = 0; i < 140; i++)
+    {
+      struct web_answer a = { 0 };
+      web_call (n.f.http, "POST", TEXT, FRONT_KEY,
+                front_prompt ("p", false, 2), &a);
+      refused += a.status != 200;
+      web_free (&a);
+      usleep (50000);
+    }
+  cr_expect_eq (refused, 0);
+  front_fault (n.f.vm[1], "{\"generation\": 4}");
+  log_until (&n, &log, 503);
+  int runs = front_count (n.f.vm[0], "runs");
+  log_until (&n, &log, 503);
+  cr_expect_eq (front_count (n.f.vm[0], "runs"), runs);
+  front_fault (n.f.vm[1], "{\"generation\": 5}");
+  log_until (&n, &log, 200);
+  front_fault (n.f.vm[1], "{\"not_ready\": true}");
+  log_until (&n, &log, 503);
+  proc_signal (n.control, SIGCONT);
+  log_until (&n, &log, 200);
+  cr_expect_str_eq (buf_c (&log), "200 done -\n"
+                                  "503 not-run no-replica\n"
+                                  "503 not-run no-replica\n"
+                                  "200 done -\n"
+                                  "503 not-run no-replica\n"
+                                  "200 done -\n");
+  buf_free (&log);
+}
+
+/* A caller's trace goes on through the gateway, which answers control with a
+   span for each hop; on SIGTERM it says at once that it leaves, as no other
+   node can know.  */
+Test (view, spans_and_leaving)
+{
+  struct node n;
+  struct buf log = BUF_INIT;
+  const char *trace = "0af7651916cd43dd8448eb211c80319c";
+  char header[200], path[80];
+
+  node_up (&n);
+  set_view (&n, "\"revision\":7", "", whole_replica (&n));
+  log_until (&n, &log, 200);
+  snprintf (header, sizeof header,
+            FRONT_KEY "traceparent: 00-%s-b7ad6b7169203331-01\r\n", trace);
+  front_log (&n.f, &log, "POST", TEXT, header, front_prompt ("p", false, 2));
+  snprintf (path, sizeof path, "/control/trace?%s", trace);
+  const char *at = proc_addr (n.control, "http");
+  cr_expect (web_until (at, path, NULL, "gateway.receive", PROC_WAIT_MS));
+  cr_expect (web_until (at, path, NULL, "gateway.queue", PROC_WAIT_MS));
+  cr_expect (web_until (at, path, NULL, "gateway.attempt", PROC_WAIT_MS));
+  cr_expect (web_until (at, path, NULL, "b7ad6b7169203331", PROC_WAIT_MS));
+  proc_signal (n.f.gateway, SIGTERM);
+  cr_expect (heard (&n, "\"leaving\": true"));
+  cr_expect_eq (proc_wait (n.f.gateway, PROC_WAIT_MS), 0);
+  buf_free (&log);
+}
