Split the store by job; send no write from before a pause

Cause: a process that is stopped between asking for a write and sending it would send it on waking, long after its lease has lapsed. Change: the adapter looks at the time again before the first byte; the budget (store/budget.c) and the watches (store/etcd-watch.c) have files of their own; the silence that ends a watch is an option. Conclusion: after a pause a write ends as unavailable, unsent.

--- a/store/etcd.c
+++ b/store/etcd.c
@@ -1,4 +1,4 @@
-#include "store/etcd.h"
+#include "store/etcd-int.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,16 +8,6 @@
 /* Longest wait for a connection; the rest of call_ms is for the answer. */
 #define ETCD_CONNECT_MS 1000
 
-/*
- * A watch that hears nothing for so long ends, and its owner reads again.
- * A connection can go silent without a close; a watch on it would wait for
- * good and its owner keep a state that has long changed.
- */
-#define ETCD_WATCH_IDLE_MS (15 * CLK_SECOND)
-
-/* An answer larger than this is not one of ours. */
-#define ETCD_ANSWER_MAX ((size_t)64 * 1024 * 1024)
-
 enum op
 {
   OP_RANGE,
@@ -31,18 +21,6 @@
     = { "/v3/kv/range", "/v3/kv/txn", "/v3/lease/grant", "/v3/lease/keepalive",
         "/v3/lease/revoke" };
 
-struct etcd
-{
-  uv_loop_t *loop;
-  struct httpc *http;
-  struct net_addr *endpoints;
-  size_t nendpoints;
-  size_t current; /* endpoint that worked last */
-  clk_ms call_ms;
-  struct etcd_call *calls;
-  struct etcd_watch *watches;
-};
-
 struct etcd_call
 {
   uv_timer_t timer; /* first; bounds the whole call */
@@ -57,36 +35,17 @@
   struct buf answer;
   size_t endpoint;
   size_t tried; /* endpoints that refused the connection */
-  bool sent;    /* bytes may have reached an endpoint */
-  bool again;   /* a read is tried once more on a connection of its own */
+  clk_ms started;
+  bool sent;  /* bytes may have reached an endpoint */
+  bool again; /* a read is tried once more on a connection of its own */
   int64_t lease;
 };
 
-struct etcd_watch
-{
-  struct etcd *e;
-  struct etcd_watch *next;
-  struct etcd_watch **prev;
-  struct httpc_call *http;
-  struct store_watch_cb cb;
-  void *ctx;
-  struct buf body;
-  json_tokener *parser;
-  size_t pending; /* bytes of an object that is not whole yet */
-  size_t endpoint;
-  size_t tried;
-  enum store_status why; /* set: end once h2o's callback is over */
-  bool ending;
-  bool busy; /* within a callback of the watch's owner */
-  bool stopped;
-};
-
 static const struct http_header json_header[]
     = { { { "content-type", 12 }, { "application/json", 16 } } };
 
-/* Use another endpoint from now on, unless that was done meanwhile. */
-static void
-rotate (struct etcd *e, size_t failed)
+void
+etcd_rotate (struct etcd *e, size_t failed)
 {
   if (e->current == failed)
     e->current = (e->current + 1) % e->nendpoints;
@@ -166,7 +125,7 @@
 
   if (!says_not_applied (code))
     {
-      rotate (c->e, c->endpoint);
+      etcd_rotate (c->e, c->endpoint);
       fail (c);
       return;
     }
@@ -192,7 +151,7 @@
 
   if (!etcd_parse (buf_str (&c->answer), &a))
     {
-      rotate (c->e, c->endpoint);
+      etcd_rotate (c->e, c->endpoint);
       fail (c);
     }
   else if (a.is_error)
@@ -212,11 +171,18 @@
 
 /* --- sending a call ---------------------------------------------------- */
 
+/*
+ * Stopped between being asked and being connected, this process would send a
+ * write long after its caller's lease has lapsed.  The loop may serve the
+ * connection before the timer, so the time is read here.
+ */
 static bool
 on_connected (void *ctx)
 {
   struct etcd_call *c = ctx;
 
+  if (clk_now () - c->started > c->e->call_ms)
+    return false;
   c->sent = true;
   return true;
 }
@@ -249,7 +215,7 @@
       finish_answer (c);
       return;
     }
-  rotate (c->e, c->endpoint);
+  etcd_rotate (c->e, c->endpoint);
   if (end == HTTPC_CONNECT_FAILED && ++c->tried < c->e->nendpoints)
     {
       start (c);
@@ -266,8 +232,8 @@
   fail (c);
 }
 
-static struct httpc_request
-request_to (const struct etcd *e, const char *path, const struct buf *body)
+struct httpc_request
+etcd_request (const struct etcd *e, const char *path, const struct buf *body)
 {
   struct httpc_request r = { .to = e->endpoints[e->current],
                              .method = STR ("POST"),
@@ -286,7 +252,7 @@
 {
   static const struct httpc_callbacks cb
       = { on_connected, on_head, on_body, on_end };
-  struct httpc_request r = request_to (c->e, op_paths[c->op], &c->body);
+  struct httpc_request r = etcd_request (c->e, op_paths[c->op], &c->body);
 
   r.fresh = c->again;
   c->endpoint = c->e->current;
@@ -298,7 +264,7 @@
 {
   struct etcd_call *c = (struct etcd_call *)t;
 
-  rotate (c->e, c->endpoint);
+  etcd_rotate (c->e, c->endpoint);
   fail (c);
 }
 
@@ -311,6 +277,7 @@
   c->op = op;
   c->cb = cb;
   c->ctx = ctx;
+  c->started = clk_now ();
   c->next = e->calls;
   c->prev = &e->calls;
   if (c->next != NULL)
@@ -369,173 +336,6 @@
   start (c);
 }
 
-/* --- watches ----------------------------------------------------------- */
-
-static void
-watch_unlink (struct etcd_watch *w)
-{
-  if (w->prev == NULL)
-    return;
-  *w->prev = w->next;
-  if (w->next != NULL)
-    w->next->prev = w->prev;
-  w->prev = NULL;
-}
-
-static void
-watch_free (struct etcd_watch *w)
-{
-  if (w->http != NULL)
-    httpc_cancel (w->http);
-  watch_unlink (w);
-  json_tokener_free (w->parser);
-  buf_free (&w->body);
-  free (w);
-}
-
-static void
-watch_end (struct etcd_watch *w, enum store_status why)
-{
-  struct store_watch_cb cb = w->cb;
-  void *ctx = w->ctx;
-
-  watch_free (w);
-  cb.on_end (ctx, why);
-}
-
-/* False once the watch is to end. */
-static bool
-watch_message (struct etcd_watch *w, json_object *o)
-{
-  struct etcd_answer a;
-  bool go_on = false;
-
-  if (!etcd_read (o, &a) || a.is_error)
-    w->why = a.is_error && a.code == ETCD_OUT_OF_RANGE ? STORE_GONE
-                                                       : STORE_UNAVAILABLE;
-  else if (a.canceled)
-    w->why = a.compacted ? STORE_GONE : STORE_UNAVAILABLE;
-  else
-    {
-      go_on = true;
-      if (a.nevents > 0)
-        w->cb.on_events (w->ctx, a.revision, a.events, a.nevents);
-    }
-  etcd_answer_free (&a);
-  return go_on && !w->stopped;
-}
-
-/* Take one object from @p in; its bytes, or 0 when there is no whole one. */
-static size_t
-watch_take (struct etcd_watch *w, struct str in, bool *go_on)
-{
-  json_object *o = json_tokener_parse_ex (w->parser, in.ptr, (int)in.len);
-  enum json_tokener_error err = json_tokener_get_error (w->parser);
-
-  *go_on = true;
-  if (o == NULL)
-    {
-      *go_on = err == json_tokener_continue
-               && (w->pending += in.len) <= ETCD_ANSWER_MAX;
-      w->why = STORE_UNAVAILABLE;
-      return 0;
-    }
-  w->pending = 0;
-  *go_on = watch_message (w, o);
-  json_object_put (o);
-  return json_tokener_get_parse_end (w->parser);
-}
-
-static struct str
-skip_space (struct str s)
-{
-  while (s.len > 0 && (s.ptr[0] == '\n' || s.ptr[0] == '\r'))
-    s = str_skip (s, 1);
-  return s;
-}
-
-static void
-on_watch_body (void *ctx, struct str bytes)
-{
-  struct etcd_watch *w = ctx;
-  bool go_on = true;
-
-  w->busy = true;
-  while (go_on && (bytes = skip_space (bytes)).len > 0)
-    {
-      size_t used = watch_take (w, bytes, &go_on);
-      if (used == 0)
-        break;
-      bytes = str_skip (bytes, used);
-    }
-  w->busy = false;
-  if (w->stopped)
-    watch_free (w);
-  else if (!go_on)
-    watch_end (w, w->why);
-}
-
-static void watch_start (struct etcd_watch *w);
-
-static void
-on_watch_end (void *ctx, enum httpc_end end)
-{
-  struct etcd_watch *w = ctx;
-
-  w->http = NULL;
-  /* Silence alone says nothing against an endpoint: nothing has changed. */
-  if (end != HTTPC_SILENT)
-    rotate (w->e, w->endpoint);
-  if (end == HTTPC_CONNECT_FAILED && ++w->tried < w->e->nendpoints)
-    watch_start (w);
-  else
-    watch_end (w, STORE_UNAVAILABLE);
-}
-
-static void
-watch_start (struct etcd_watch *w)
-{
-  static const struct httpc_callbacks cb
-      = { NULL, on_head, on_watch_body, on_watch_end };
-  struct httpc_request r = request_to (w->e, "/v3/watch", &w->body);
-
-  r.progress_ms = ETCD_WATCH_IDLE_MS;
-  r.fresh = true;
-  w->endpoint = w->e->current;
-  w->http = httpc_start (w->e->http, &r, &cb, w);
-}
-
-static void *
-op_watch (void *self, struct str key, struct str end, int64_t from,
-          const struct store_watch_cb *cb, void *ctx)
-{
-  struct etcd *e = self;
-  struct etcd_watch *w = xcalloc (1, sizeof *w);
-
-  w->e = e;
-  w->cb = *cb;
-  w->ctx = ctx;
-  w->parser = json_tokener_new ();
-  w->next = e->watches;
-  w->prev = &e->watches;
-  if (w->next != NULL)
-    w->next->prev = &w->next;
-  e->watches = w;
-  etcd_watch_json (key, end, from, &w->body);
-  watch_start (w);
-  return w;
-}
-
-static void
-op_watch_stop (void *self, void *watch)
-{
-  struct etcd_watch *w = watch;
-
-  w->stopped = true;
-  if (!w->busy)
-    watch_free (w);
-}
-
 /* --- the adapter ------------------------------------------------------- */
 
 static void
@@ -545,12 +345,7 @@
 
   while (e->calls != NULL)
     call_release (e->calls);
-  while (e->watches != NULL)
-    {
-      struct etcd_watch *w = e->watches;
-      watch_unlink (w);
-      op_watch_stop (e, w);
-    }
+  etcd_watches_drop (e);
   free (e->endpoints);
   free (e);
 }
@@ -565,8 +360,8 @@
                                         .lease_grant = op_grant,
                                         .lease_keep = op_keep,
                                         .lease_revoke = op_revoke,
-                                        .watch = op_watch,
-                                        .watch_stop = op_watch_stop,
+                                        .watch = etcd_watch_open,
+                                        .watch_stop = etcd_watch_stop,
                                         .free = op_free };
   struct etcd *e = xcalloc (1, sizeof *e);
 
@@ -577,5 +372,7 @@
   memcpy (e->endpoints, opt->endpoints,
           opt->nendpoints * sizeof *e->endpoints);
   e->call_ms = opt->call_ms;
+  e->watch_idle_ms
+      = opt->watch_idle_ms > 0 ? opt->watch_idle_ms : ETCD_WATCH_IDLE_MS;
   return store_new (loop, &ops, e, budget);
 }
--- a/store/etcd.h
+++ b/store/etcd.h
@@ -10,11 +10,15 @@
 #include "net/httpc.h"
 #include "store/store.h"
 
+/** Longest silence of a watch, unless the options say otherwise. */
+#define ETCD_WATCH_IDLE_MS (15 * CLK_SECOND)
+
 struct etcd_options
 {
   const struct net_addr *endpoints;
   size_t nendpoints;
-  clk_ms call_ms; /**< longest wait for an answer */
+  clk_ms call_ms;       /**< longest wait for an answer */
+  clk_ms watch_idle_ms; /**< a watch ends after such a silence; 0: default */
 };
 
 /** A store over @p http, which must outlive it. */
--- a/store/store.c
+++ b/store/store.c
@@ -1,4 +1,4 @@
-#include "store/store.h"
+#include "store/budget.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -14,30 +14,15 @@
   KIND_WATCH
 };
 
-enum bucket_name
-{
-  BUCKET_WRITES,
-  BUCKET_READS,
-  BUCKETS
-};
-
-/** Tokens come at a steady rate; as many as a second brings may be saved. */
-struct bucket
-{
-  double rate; /* a second */
-  double tokens;
-  clk_ms at; /* when tokens was brought up to date */
-};
-
 /** One call, first waiting for the budget and then open at the adapter. */
 struct store_call
 {
+  struct bud_item wait; /* first */
   struct store *s;
-  struct store_call *next;
+  struct store_call *next; /* of the open ones */
   struct store_call **prev;
   enum kind kind;
-  clk_ms deadline; /* of waiting */
-  store_cb cb;     /* NULL once forgotten */
+  store_cb cb; /* NULL once forgotten */
   void *ctx;
   char *copy; /* bytes that the arguments point into */
   struct str key, end;
@@ -59,82 +44,17 @@
   void *inner;                /* the adapter's */
 };
 
-struct queue
-{
-  struct store_call *head;
-  struct store_call **tail;
-};
-
 struct store
 {
   uv_timer_t timer; /* first; runs while calls wait */
   const struct store_ops *ops;
   void *self;
-  struct bucket buckets[BUCKETS];
-  struct queue waiting[BUCKETS][STORE_PRIORITIES];
+  struct bud budget;
   struct store_call *open;
   struct store_watch *watches;
   struct store_counts counts;
 };
 
-/* --- the budget -------------------------------------------------------- */
-
-static void
-bucket_refill (struct bucket *b, clk_ms now)
-{
-  b->tokens += b->rate * (double)(now - b->at) / CLK_SECOND;
-  if (b->tokens > b->rate)
-    b->tokens = b->rate;
-  b->at = now;
-}
-
-static bool
-bucket_take (struct bucket *b, clk_ms now)
-{
-  bucket_refill (b, now);
-  if (b->tokens < 1)
-    return false;
-  b->tokens -= 1;
-  return true;
-}
-
-/* Milliseconds until the next token; at least one, so timers move on. */
-static clk_ms
-bucket_wait (const struct bucket *b)
-{
-  double ms = (1 - b->tokens) * CLK_SECOND / b->rate;
-
-  if (b->rate <= 0 || ms > STORE_WAIT_MS)
-    return STORE_WAIT_MS;
-  return ms < 1 ? 1 : (clk_ms)ms + 1;
-}
-
-static enum bucket_name
-bucket_of (enum kind kind)
-{
-  return kind == KIND_RANGE || kind == KIND_WATCH ? BUCKET_READS
-                                                  : BUCKET_WRITES;
-}
-
-static void
-queue_add (struct queue *q, struct store_call *c)
-{
-  c->next = NULL;
-  c->prev = q->tail;
-  *q->tail = c;
-  q->tail = &c->next;
-}
-
-static void
-queue_remove (struct queue *q, struct store_call *c)
-{
-  *c->prev = c->next;
-  if (c->next != NULL)
-    c->next->prev = c->prev;
-  else
-    q->tail = c->prev;
-}
-
 /* --- calls ------------------------------------------------------------- */
 
 static void
@@ -260,64 +180,17 @@
   on_result (c, &r);
 }
 
-/* Next call that has waited too long, taken out of its queue. */
-static struct store_call *
-take_expired (struct store *s, clk_ms now)
-{
-  for (int b = 0; b < BUCKETS; b++)
-    for (int p = 0; p < STORE_PRIORITIES; p++)
-      {
-        struct queue *q = &s->waiting[b][p];
-        struct store_call *c = q->head;
-        if (c == NULL || c->deadline > now)
-          continue;
-        queue_remove (q, c);
-        return c;
-      }
-  return NULL;
-}
-
-/* Next call of one bucket: by priority, then in order of their coming. */
-static struct store_call *
-take_next (struct store *s, int b, clk_ms now)
-{
-  for (int p = 0; p < STORE_PRIORITIES; p++)
-    {
-      struct queue *q = &s->waiting[b][p];
-      struct store_call *c = q->head;
-      if (c == NULL)
-        continue;
-      if (!bucket_take (&s->buckets[b], now))
-        return NULL;
-      queue_remove (q, c);
-      return c;
-    }
-  return NULL;
-}
-
 static void on_timer (uv_timer_t *t);
 
-/* Wake for the next token or the next call that has waited too long. */
 static void
 arm (struct store *s, clk_ms now)
 {
-  clk_ms wait = CLK_NEVER;
+  clk_ms wake = bud_next_wake (&s->budget, now);
 
-  for (int b = 0; b < BUCKETS; b++)
-    for (int p = 0; p < STORE_PRIORITIES; p++)
-      {
-        const struct store_call *c = s->waiting[b][p].head;
-        if (c == NULL)
-          continue;
-        clk_ms token = bucket_wait (&s->buckets[b]);
-        clk_ms left = c->deadline > now ? c->deadline - now : 0;
-        wait = token < wait ? token : wait;
-        wait = left < wait ? left : wait;
-      }
-  if (wait == CLK_NEVER)
+  if (wake == CLK_NEVER)
     return;
   uv_update_time (s->timer.loop);
-  uv_timer_start (&s->timer, on_timer, (uint64_t)wait, 0);
+  uv_timer_start (&s->timer, on_timer, (uint64_t)wake, 0);
 }
 
 /*
@@ -329,45 +202,39 @@
 {
   struct store *s = (struct store *)t;
   clk_ms now = clk_now ();
-  struct store_call *c = take_expired (s, now);
+  struct bud_item *item = bud_take_expired (&s->budget, now);
 
-  if (c != NULL)
+  if (item != NULL)
     {
       uv_timer_start (t, on_timer, 0, 0);
-      expire (s, c); /* its callback may free the store */
+      expire (s, (struct store_call *)item); /* may free the store */
       return;
     }
-  for (int b = 0; b < BUCKETS; b++)
-    while ((c = take_next (s, b, now)) != NULL)
-      dispatch (s, c);
+  while ((item = bud_take_next (&s->budget, now)) != NULL)
+    dispatch (s, (struct store_call *)item);
   arm (s, now);
 }
 
-static bool
-others_wait (const struct store *s, enum bucket_name b,
-             enum store_priority upto)
+static enum bud_bucket
+bucket_of (enum kind kind)
 {
-  for (int p = 0; p <= (int)upto; p++)
-    if (s->waiting[b][p].head != NULL)
-      return true;
-  return false;
+  return kind == KIND_RANGE || kind == KIND_WATCH ? BUD_READS : BUD_WRITES;
 }
 
 /* Send at once when the budget allows, else wait. */
 static void
 submit (struct store *s, enum store_priority p, struct store_call *c)
 {
-  enum bucket_name b = bucket_of (c->kind);
+  enum bud_bucket bucket = bucket_of (c->kind);
   clk_ms now = clk_now ();
 
   c->s = s;
-  c->deadline = now + STORE_WAIT_MS;
-  if (!others_wait (s, b, p) && bucket_take (&s->buckets[b], now))
+  if (bud_admit (&s->budget, bucket, p, now))
     {
       dispatch (s, c);
       return;
     }
-  queue_add (&s->waiting[b][p], c);
+  bud_wait (&s->budget, bucket, p, &c->wait, now);
   arm (s, now);
 }
 
@@ -576,7 +443,7 @@
 
   if (w->waiting != NULL)
     {
-      queue_remove (&s->waiting[BUCKET_READS][STORE_CONFIG], w->waiting);
+      bud_remove (&s->budget, BUD_READS, STORE_CONFIG, &w->waiting->wait);
       call_free (w->waiting);
     }
   else
@@ -592,27 +459,43 @@
            const struct store_budget *budget)
 {
   struct store *s = xcalloc (1, sizeof *s);
-  clk_ms now = clk_now ();
 
   uv_timer_init (loop, &s->timer);
   s->ops = ops;
   s->self = self;
-  s->buckets[BUCKET_WRITES]
-      = (struct bucket){ budget->writes, budget->writes, now };
-  s->buckets[BUCKET_READS]
-      = (struct bucket){ budget->reads, budget->reads, now };
-  for (int b = 0; b < BUCKETS; b++)
-    for (int p = 0; p < STORE_PRIORITIES; p++)
-      s->waiting[b][p].tail = &s->waiting[b][p].head;
+  bud_init (&s->budget, budget, clk_now ());
   return s;
 }
 
+/* Call @p fn for each waiting call; it may free it. */
+static void
+each_waiting (struct store *s, void (*fn) (struct store_call *c, void *arg),
+              void *arg)
+{
+  struct bud_item *next;
+
+  for (int i = 0; i < BUD_BUCKETS; i++)
+    for (int p = 0; p < STORE_PRIORITIES; p++)
+      for (struct bud_item *w = s->budget.waiting[i][p].head; w != NULL;
+           w = next)
+        {
+          next = w->next;
+          fn ((struct store_call *)w, arg);
+        }
+}
+
+static void
+free_waiting (struct store_call *c, void *arg)
+{
+  call_free (c);
+}
+
 static void
-free_calls (struct store_call *c)
+free_open (struct store *s)
 {
   struct store_call *next;
 
-  for (; c != NULL; c = next)
+  for (struct store_call *c = s->open; c != NULL; c = next)
     {
       next = c->next;
       call_free (c);
@@ -631,10 +514,8 @@
   while (s->watches != NULL)
     store_watch_stop (s->watches);
   s->ops->free (s->self);
-  free_calls (s->open);
-  for (int b = 0; b < BUCKETS; b++)
-    for (int p = 0; p < STORE_PRIORITIES; p++)
-      free_calls (s->waiting[b][p].head);
+  free_open (s);
+  each_waiting (s, free_waiting, NULL);
   uv_close ((uv_handle_t *)&s->timer, on_timer_closed);
 }
 
@@ -663,11 +544,10 @@
 }
 
 static void
-forget_calls (struct store_call *c, const void *ctx)
+forget_call (struct store_call *c, void *ctx)
 {
-  for (; c != NULL; c = c->next)
-    if (c->ctx == ctx)
-      c->cb = NULL;
+  if (c->ctx == ctx)
+    c->cb = NULL;
 }
 
 void
@@ -675,10 +555,9 @@
 {
   struct store_watch *next;
 
-  forget_calls (s->open, ctx);
-  for (int b = 0; b < BUCKETS; b++)
-    for (int p = 0; p < STORE_PRIORITIES; p++)
-      forget_calls (s->waiting[b][p].head, ctx);
+  for (struct store_call *c = s->open; c != NULL; c = c->next)
+    forget_call (c, ctx);
+  each_waiting (s, forget_call, ctx);
   for (struct store_watch *w = s->watches; w != NULL; w = next)
     {
       next = w->next;
--- a/t/t2003-store.c
+++ b/t/t2003-store.c
@@ -185,6 +185,8 @@
     b->quiet = true;
   else if (str_is (word, "loud"))
     b->quiet = false;
+  else if (str_is (word, "sleep"))
+    uv_sleep ((unsigned)n);
   else if (str_is (word, "counts"))
     log_counts (b);
   else
@@ -193,16 +195,23 @@
 
 /* --- runs -------------------------------------------------------------- */
 
-/* Endpoint 0 may be one where nobody listens. */
+struct setup
+{
+  bool dead_first; /* the first of two endpoints refuses connections */
+  clk_ms watch_idle_ms;
+};
+
 static void
-play_at (bool dead_first, const char *script, const char *expected)
+play_with (struct setup setup, const char *script, const char *expected)
 {
   struct bench b = { 0 };
   struct proc *p = PROC_UP ("standin", "store");
   struct store_budget budget = { 300, 1000 };
   struct net_addr at[2] = { { "127.0.0.1", 1 } };
-  struct etcd_options opt
-      = { dead_first ? at : at + 1, dead_first ? 2 : 1, 400 };
+  struct etcd_options opt = { .endpoints = setup.dead_first ? at : at + 1,
+                              .nendpoints = setup.dead_first ? 2 : 1,
+                              .call_ms = 400,
+                              .watch_idle_ms = setup.watch_idle_ms };
 
   run_init (&b.run);
   cr_assert (net_addr_parse (str_from (proc_addr (p, "http")), false, &at[1]));
@@ -218,7 +227,7 @@
 static void
 play (const char *script, const char *expected)
 {
-  play_at (false, script, expected);
+  play_with ((struct setup){ 0 }, script, expected);
 }
 
 TestSuite (store, .fini = proc_stop_all, .timeout = 60);
@@ -287,11 +296,24 @@
         "write uncertain\nevent a =x\n");
 }
 
+/*
+ * The process stops between asking for a write and sending it, for longer
+ * than the call may take.  On waking the connection is ready, but the write
+ * is not sent any more: its owner may have lost its lease meanwhile.
+ */
+Test (store, write_from_before_a_pause_is_not_sent)
+{
+  play ("range a\n wait range ok 0\n put a x new\n sleep 600\n"
+        "wait write unavailable\n range a\n wait range ok 0",
+        "range ok 0\nwrite unavailable\nrange ok 0\n");
+}
+
 /* The first endpoint refuses; the second is used from then on. */
 Test (store, refused_connection_moves_to_the_next_endpoint)
 {
-  play_at (true, "put a x new\n wait write ok\n range a\n wait kv a=x last",
-           "write ok\nrange ok 1\nkv a=x last\n");
+  play_with ((struct setup){ .dead_first = true },
+             "put a x new\n wait write ok\n range a\n wait kv a=x last",
+             "write ok\nrange ok 1\nkv a=x last\n");
 }
 
 /*
@@ -336,6 +358,19 @@
         "kv a/1=x\nkv a/2=y last\nevent a/3 =z\nevent a/1 deleted\n");
 }
 
+/*
+ * The connection of a watch goes silent without a close, and a change is
+ * missed.  The watch ends by itself and reading finds the change.
+ */
+Test (store, silent_watch_ends)
+{
+  play_with ((struct setup){ .watch_idle_ms = 300 },
+             "watch a\n set {\"silence_watches\": true}\n quiet\n"
+             "put a x new\n wait watch ended unavailable\n range a\n"
+             "wait kv a=x last",
+             "watch ended unavailable\nrange ok 1\nkv a=x last\n");
+}
+
 /* The history that a watch asks for is gone: read everything again. */
 Test (store, compacted_watch_is_gone)
 {
