Refuse answers of the store without a revision

Cause: found by the new test: {"header":7} was taken for an answer, so that a txn answered by it would have read as a failed compare, which says that nothing was written. Conclusion: no beginning of an answer passes for one.

--- a/store/etcd-json.c
+++ b/store/etcd-json.c
@@ -283,8 +283,8 @@
   json_object *header = field (o, "header");
   int64_t compact;
 
-  if (header == NULL
-      || !read_number (field (header, "revision"), &out->revision))
+  if (!read_number (field (header, "revision"), &out->revision)
+      || out->revision <= 0)
     return false;
   out->succeeded = read_flag (field (o, "succeeded"));
   out->canceled = read_flag (field (o, "canceled"));
