Choose by what the gateway knows for sure

Change: least of our own in flight, those without a first byte counting twice; of two with the least, the one that a fresh report shows less used; a warm replica only as far as free slots allow; a replica that reports show full gets nothing; requests wait here once 1.15 of all capacity is taken. Ejection is smoothed more, as chance had ejected replicas that were merely full. Tests: t5001 names other servers where the choice is by lot; nothing else in its log changed. Conclusion: local knowledge is worth more than late reports; coming nearer to the limit takes slots reserved at a home of each replica.

--- a/route/choose.c
+++ b/route/choose.c
@@ -6,9 +6,16 @@
 #define AGE_OFTEN_MS 50   /* how often aged estimates are computed anew */
 #define SERVICE_MS 3000.0 /* time of a request until one was measured */
 #define COST_FIRST 1000.0 /* tokens of a request until one was seen */
-#define BOUND_FACTOR 1.25 /* of the mean load, for a warm server */
-#define BOUND_SLACK 1.0   /* requests */
-#define ZONE_COST 0.5     /* requests that a hop to another zone weighs */
+
+/* The figures below were found with `lapisline bench route`; docs/DESIGN.md
+   tells what else was tried. */
+#define FADE 0.3         /* of a service time: pace at which reports fade */
+#define FRESH 0.4        /* of a service time: age of a report that counts */
+#define FULL_FACTOR 1.1  /* of its capacity: a server that gets nothing */
+#define GATE 1.15        /* of all capacity: more than that waits here */
+#define WARM_FACTOR 2.5  /* of our part of the free slots of a server */
+#define WARM_OFFSET -1.0 /* requests */
+#define WARM_MOST 0.45   /* requests above our mean */
 
 bool
 rt_usable (const struct rt *r, const struct rt_server *s)
@@ -87,12 +94,19 @@
   t->aged_at = 0;
 }
 
+/** Mean time of a request on a server. */
+static double
+service_ms (const struct rt_target *t)
+{
+  double ms = t->ms_per_token * t->mean_cost;
+  return ms > 0 ? ms : SERVICE_MS;
+}
+
 /**
- * What a report says of one server fades as the requests that it counted
- * end, while the mean over all servers stays right much longer.  So each
- * estimate moves from the report to the mean with the age of the report, at
- * the pace of a request's time; a stale report then neither herds requests
- * to a server that was idle nor keeps them off one that was busy.
+ * What a report says of one server fades as the requests that it counted end
+ * and as the other gateways even out what it shows, while the mean over all
+ * servers stays right much longer.  So each estimate moves from the report to
+ * the mean with the age of the report.
  */
 static void
 age_estimates (struct rt *r, struct rt_target *t)
@@ -109,35 +123,101 @@
         n++;
       }
   t->mean_others = n ? sum / (double)n : 0;
-  double span = t->ms_per_token * t->mean_cost;
-  if (span <= 0)
-    span = SERVICE_MS;
+  double pace = FADE * service_ms (t);
   for (size_t i = 0; i < t->nservers; i++)
     {
       struct rt_server *s = t->servers[i];
       double w
-          = s->load_at == 0 ? 0 : exp (-(double)(r->now - s->load_at) / span);
+          = s->load_at == 0 ? 0 : exp (-(double)(r->now - s->load_at) / pace);
       s->others_now = w * s->others + (1 - w) * t->mean_others;
     }
 }
 
-double
-rt_estimate (const struct rt *r, const struct rt_target *t,
-             const struct rt_server *s)
+static bool
+candidate (const struct rt *r, const struct rt_server *s,
+           const struct rt_req *q)
 {
-  return s->in_flight + s->others_now;
+  return rt_usable (r, s) && !s->ejected_until
+         && !(q->ntried && rt_tried (q, s));
+}
+
+/** The candidates together. */
+struct sums
+{
+  size_t n;
+  double own;    /**< requests of this gateway */
+  double others; /**< of the others, as reported */
+  double capacity;
+  double tokens;      /**< of this gateway now... */
+  double tokens_then; /**< ...and when the reports were made */
+  double age;         /**< of the reports, ms */
+};
+
+static struct sums
+add_up (const struct rt *r, const struct rt_target *t, const struct rt_req *q)
+{
+  struct sums c = { 0 };
+  for (size_t i = 0; i < t->nservers; i++)
+    {
+      const struct rt_server *s = t->servers[i];
+      if (!candidate (r, s, q))
+        continue;
+      c.n++;
+      c.own += s->in_flight;
+      c.capacity += s->capacity;
+      if (s->load_at == 0)
+        continue;
+      c.others += t->mean_others;
+      c.tokens += s->own_tokens;
+      c.tokens_then += history_at (s, s->load_at);
+      c.age += (double)(r->now - s->load_at);
+    }
+  return c;
 }
 
 /**
- * A gateway that sees every server full may still keep its even part of
- * each busy.  Otherwise the gateways that hold the slots would hold them for
- * good, as they learn first of each one that is free.
+ * Requests of the other gateways now.  All gateways carry parts of the same
+ * load, so what changed here since the reports changed there too, about as
+ * much; the older the reports, the more this counts.
+ */
+static double
+others_by_now (const struct rt_target *t, const struct sums *c)
+{
+  if (c->tokens_then <= 0 || c->n == 0)
+    return c->others;
+  double age = c->age / (double)c->n;
+  double w = 1 - exp (-age / service_ms (t));
+  return c->others * pow ((c->tokens + 1) / (c->tokens_then + 1), w);
+}
+
+/**
+ * With every slot taken, requests wait here, where classes and accounts have
+ * their turn, and not in the servers, which know neither.  A gateway may
+ * always use its even part: those that hold the slots would otherwise hold
+ * them for good, as they learn first of each one that is free.
  */
 static bool
-has_room (const struct rt *r, const struct rt_server *s, double estimate)
+gate_open (const struct rt *r, const struct sums *c, double others)
+{
+  return c->own + others < GATE * c->capacity
+         || c->own < c->capacity / (r->nodes ? r->nodes : 1);
+}
+
+/**
+ * How many requests of ours a server may have and still get one more only
+ * because it holds the prefix.  With many free slots that is a little above
+ * our mean; it falls with them, until at the end only the servers with the
+ * least count: all gateways agree on the servers of a prefix, and these have
+ * no slots to spare for it.
+ */
+static double
+warm_bound (const struct sums *c, double others)
 {
-  return estimate < s->capacity
-         || s->in_flight < s->capacity / (r->nodes ? r->nodes : 1);
+  double n = (double)c->n;
+  double all = c->own + others;
+  double part = all > 0 ? c->own / all : 1;
+  double extra = WARM_FACTOR * part * (c->capacity - all) / n + WARM_OFFSET;
+  return (c->own + 1) / n + (extra < WARM_MOST ? extra : WARM_MOST);
 }
 
 static uint64_t
@@ -149,76 +229,108 @@
   return x;
 }
 
-/** What one pass over the servers finds. */
+/** What a pass over the servers finds. */
 struct scan
 {
-  struct rt_server *least;
-  double least_score;
-  struct rt_server *warm[2]; /* by rendezvous hash of the prefix */
-  uint64_t warm_hash[2];
-  double sum;
-  size_t n;
+  double bound; /**< of a warm server */
+  struct rt_server *warm;
+  uint64_t warm_hash;
+  struct rt_server *pick[2]; /**< at random of those with the least */
+  size_t ties;
+  uint32_t least;
 };
 
+/** Keep two of the servers with the least, each as likely as the other. */
 static void
-scan_warm (struct scan *c, struct rt_server *s, uint64_t prefix)
+scan_least (struct rt *r, struct scan *c, struct rt_server *s)
 {
-  uint64_t h = mix (s->hash ^ prefix);
-  if (h > c->warm_hash[0])
-    {
-      c->warm[1] = c->warm[0];
-      c->warm_hash[1] = c->warm_hash[0];
-      c->warm[0] = s;
-      c->warm_hash[0] = h;
-    }
-  else if (h > c->warm_hash[1])
+  uint32_t score = s->in_flight + s->pending;
+  if (c->ties && score > c->least)
+    return;
+  if (!c->ties || score < c->least)
     {
-      c->warm[1] = s;
-      c->warm_hash[1] = h;
+      c->least = score;
+      c->ties = 0;
     }
+  size_t at = c->ties++;
+  if (at >= 2)
+    at = (size_t)rng_below (&r->rng, c->ties);
+  if (at < 2)
+    c->pick[at] = s;
 }
 
 static void
 scan_server (struct rt *r, struct scan *c, struct rt_server *s,
              const struct rt_req *q)
 {
-  double estimate = s->in_flight + s->others_now;
-  c->sum += estimate;
-  c->n++;
-  if (q->prefix)
-    scan_warm (c, s, q->prefix);
-  if (!has_room (r, s, estimate))
-    return;
-  /* The fraction breaks ties, so that gateways with the same view part. */
-  double score
-      = estimate + (s->same_zone ? 0 : ZONE_COST) + 0.25 * rng_unit (&r->rng);
-  if (!c->least || score < c->least_score)
+  /* Rendezvous hashing: all gateways have the same order of servers for a
+     prefix without telling each other. */
+  if (q->prefix && s->in_flight + s->pending < c->bound)
     {
-      c->least = s;
-      c->least_score = score;
+      uint64_t h = mix (s->hash ^ q->prefix);
+      if (!c->warm || h > c->warm_hash)
+        {
+          c->warm = s;
+          c->warm_hash = h;
+        }
     }
+  scan_least (r, c, s);
+}
+
+/** Whether the server has more than it can run, by what is known. */
+static bool
+full (const struct rt_target *t, const struct rt_server *s)
+{
+  if (!t->is_model)
+    return s->in_flight >= s->capacity;
+  return s->in_flight + s->others_now >= FULL_FACTOR * s->capacity;
 }
 
-/** Consistent hashing with bounded load: a prefix's own servers while they
-    have no more than their part, so that a popular prefix spreads. */
+/**
+ * Two of those with the least of ours, at random; the one that others use
+ * less when a report is fresh.  Taking the least reported of all would send
+ * every gateway to the same server until the next report.
+ */
 static struct rt_server *
-warm_choice (struct rt *r, const struct scan *c)
+better_of_two (const struct rt *r, const struct rt_target *t,
+               const struct scan *c)
 {
-  double bound = BOUND_FACTOR * c->sum / (double)c->n + BOUND_SLACK;
-  for (unsigned i = 0; i < 2; i++)
+  if (c->ties < 2)
+    return c->ties ? c->pick[0] : NULL;
+  struct rt_server *a = c->pick[0], *b = c->pick[1];
+  if ((double)(r->now - a->load_at) > FRESH * service_ms (t))
     {
-      struct rt_server *s = c->warm[i];
-      if (!s)
-        continue;
-      double estimate = s->in_flight + s->others_now;
-      if (estimate <= bound && has_room (r, s, estimate))
-        return s;
+      if (a->same_zone != b->same_zone)
+        return a->same_zone ? a : b;
+      return a;
     }
+  return b->others < a->others ? b : a;
+}
+
+static struct rt_server *
+scan_all (struct rt *r, struct rt_target *t, const struct rt_req *q,
+          double bound, bool skip_full)
+{
+  struct scan c = { .bound = bound };
+  for (size_t i = 0; i < t->nservers; i++)
+    if (candidate (r, t->servers[i], q)
+        && !(skip_full && full (t, t->servers[i])))
+      scan_server (r, &c, t->servers[i], q);
+  return c.warm ? c.warm : better_of_two (r, t, &c);
+}
+
+/** An ejected server whose time is over and that is due for a look. */
+static struct rt_server *
+due_for_probe (struct rt *r, struct rt_target *t, const struct rt_req *q)
+{
+  for (size_t i = 0; q->idempotent && i < t->nservers; i++)
+    if (rt_usable (r, t->servers[i]) && !rt_tried (q, t->servers[i])
+        && rt_outlier_probe_due (r, t->servers[i]))
+      return t->servers[i];
   return NULL;
 }
 
-/** Ejected and already tried servers come last: when nothing else is left,
-    a slow answer is better than none. */
+/** When all that is left is ejected, a slow answer is better than none. */
 static struct rt_server *
 last_resort (struct rt *r, struct rt_target *t, const struct rt_req *q)
 {
@@ -226,10 +338,8 @@
   for (size_t i = 0; i < t->nservers; i++)
     {
       struct rt_server *s = t->servers[i];
-      if (!rt_usable (r, s) || rt_tried (q, s)
-          || !has_room (r, s, rt_estimate (r, t, s)))
-        continue;
-      if (!best || s->in_flight < best->in_flight)
+      if (rt_usable (r, s) && !rt_tried (q, s) && !full (t, s)
+          && (!best || s->in_flight < best->in_flight))
         best = s;
     }
   return best;
@@ -239,23 +349,18 @@
 rt_choose (void *ctx, struct rt *r, struct rt_target *t,
            const struct rt_req *q)
 {
-  struct scan c = { 0 };
+  struct rt_server *probe = due_for_probe (r, t, q);
+  if (probe)
+    return probe;
   age_estimates (r, t);
-  for (size_t i = 0; i < t->nservers; i++)
-    {
-      struct rt_server *s = t->servers[i];
-      if (!rt_usable (r, s) || (q->ntried && rt_tried (q, s)))
-        continue;
-      if (s->ejected_until)
-        {
-          if (q->idempotent && rt_outlier_probe_due (r, s))
-            return s;
-          continue;
-        }
-      scan_server (r, &c, s, q);
-    }
+  struct sums c = add_up (r, t, q);
   if (c.n == 0)
     return last_resort (r, t, q);
-  struct rt_server *warm = warm_choice (r, &c);
-  return warm ? warm : c.least;
+  double others = others_by_now (t, &c);
+  if (!gate_open (r, &c, others))
+    return NULL;
+  /* The fraction decides by chance, so that bounds below one count too. */
+  double bound = floor (warm_bound (&c, others) + rng_unit (&r->rng));
+  struct rt_server *s = scan_all (r, t, q, bound, true);
+  return s || !t->is_model ? s : scan_all (r, t, q, bound, false);
 }
--- a/route/core.h
+++ b/route/core.h
@@ -114,6 +114,7 @@
   double capacity; /**< requests at once */
   /* What is known of its load. */
   uint32_t in_flight;
+  uint32_t pending; /**< of these, sent and without a first byte */
   double own_tokens;
   double others;     /**< requests of other gateways at load_at */
   double others_now; /**< the same, aged towards the target's mean */
@@ -215,6 +216,7 @@
   bool passing;
   bool charged; /**< to the rate of its account */
   bool waiting; /**< in the queue */
+  bool pending; /**< counted in its server's pending */
   bool probe;   /**< of an ejected server */
   int status;
 };
@@ -304,9 +306,6 @@
 bool rt_usable (const struct rt *r, const struct rt_server *s);
 struct rt_server *rt_choose (void *ctx, struct rt *r, struct rt_target *t,
                              const struct rt_req *q);
-/** Requests on the server by all gateways, as far as we can tell. */
-double rt_estimate (const struct rt *r, const struct rt_target *t,
-                    const struct rt_server *s);
 bool rt_tried (const struct rt_req *q, const struct rt_server *s);
 void rt_server_load (struct rt *r, struct rt_target *t, struct rt_server *s,
                      uint32_t load, clk_ms at);
--- a/route/outlier.c
+++ b/route/outlier.c
@@ -6,7 +6,7 @@
 #define SLOW_FACTOR 3.0   /* times the peers' median that ejects */
 #define SLOW_LEAST_MS 100 /* beyond the median, so that noise does not */
 #define SLOW_SAMPLES 8
-#define SMOOTH 0.2 /* weight of the newest sample */
+#define SMOOTH 0.1 /* weight of the newest sample */
 #define MEDIAN_OFTEN_MS 250
 #define OUT_FIRST_MS 5000
 #define OUT_MOST_MS 60000
--- a/route/request.c
+++ b/route/request.c
@@ -70,12 +70,21 @@
   return q->server != NULL;
 }
 
+static void
+settle_pending (struct rt_req *q)
+{
+  if (q->pending)
+    q->server->pending--;
+  q->pending = false;
+}
+
 /** The attempt is over; its server no longer carries it. */
 static void
 leave_server (struct rt *r, struct rt_req *q)
 {
   if (!q->server)
     return;
+  settle_pending (q);
   rt_server_drop (r, q->server, q->cost);
   q->target->in_flight--;
   if (q->probe)
@@ -570,6 +579,8 @@
   step (q, RT_X_SEND);
   q->sent = true;
   q->started = r->now;
+  q->pending = true;
+  q->server->pending++;
   rt_act (r, RT_ACT_SEND, q);
 }
 
@@ -660,6 +671,7 @@
   step (q, RT_X_BODY);
   q->passing = true;
   rt_act (r, RT_ACT_PASS, q);
+  settle_pending (q);
   rt_outlier_first (r, q->target, q->server, r->now - q->started);
   q->probe = false;
 }
--- a/t/t5001-life.c
+++ b/t/t5001-life.c
@@ -69,10 +69,10 @@
          "1 arrive 1: connect(1/1 s1 fresh)\n"
          "2 open 1/1: send(1/1)\n"
          "3 silent 1/1: cancel(1/1) answer(1 504 silent unknown)\n"
-         "10 arrive 2: connect(2/1 s2 fresh)\n"
+         "10 arrive 2: connect(2/1 s1 fresh)\n"
          "11 open 2/1: send(2/1)\n"
          "12 broken 2/1: cancel(2/1) answer(2 502 broken unknown)\n"
-         "20 arrive 3: connect(3/1 s2 fresh)\n"
+         "20 arrive 3: connect(3/1 s1 fresh)\n"
          "21 open 3/1: send(3/1)\n"
          "22 head 3/1:\n"
          "23 body 3/1: pass(3/1)\n"
@@ -97,8 +97,8 @@
          "3 open 1/2: send(1/2)\n"
          "4 head 1/2:\n"
          "5 whole 1/2: pass(1/2) end(1 done)\n"
-         "10 arrive 2: connect(2/1 s2 fresh)\n"
-         "11 fail 2/1: connect(2/2 s1 fresh)\n"
+         "10 arrive 2: connect(2/1 s1 fresh)\n"
+         "11 fail 2/1: connect(2/2 s2 fresh)\n"
          "12 fail 2/2: answer(2 503 connect-failed not-run)\n");
 }
 
@@ -182,7 +182,7 @@
          "3 fail 1/1: connect(1/2 s2 fresh)\n"
          "4 fail 1/2: release(1) answer(1 503 connect-failed not-run)\n"
          "10 arrive 2: claim(2)\n"
-         "11 claim 2: connect(2/1 s2 fresh)\n"
+         "11 claim 2: connect(2/1 s1 fresh)\n"
          "12 open 2/1: send(2/1)\n"
          "13 head 2/1: cancel(2/1) release(2) answer(2 503 backend-refused "
          "not-run)\n"
