--- a/builtin/bench-claims.c
+++ b/builtin/bench-claims.c
@@ -272,7 +272,7 @@
         struct figures f[MAX_SEEDS];
         for (int i = 0; i < runs; i++)
           f[i] = run (rates[r], gaps[g], seconds * CLK_SECOND,
-                      (uint64_t)(seed + i));
+                      (uint64_t)seed + (uint64_t)i);
         print_row (rates[r], gaps[g], f, runs);
       }
   return EXIT_DONE;
--- a/front/claims-core.c
+++ b/front/claims-core.c
@@ -98,11 +98,13 @@
 void
 claims_core_stop (struct gw_claims *c)
 {
-  while (c->calls)
+  for (struct claims_call *call = c->calls, *next; call; call = next)
     {
-      store_forget (c->g->store, c->calls);
-      call_free (c->calls);
+      next = call->next;
+      store_forget (c->g->store, call);
+      free (call);
     }
+  c->calls = NULL;
   clm_free (c->core);
 }
 
--- a/front/claims.c
+++ b/front/claims.c
@@ -213,7 +213,7 @@
       ask_target (c, a);
       break;
     case CLM_ASKER_REPLY:
-      finish (c, a, reply);
+      finish (c, a, reply ? reply : &none);
       break;
     case CLM_ASKER_RELEASE:
       release (c, a);
