Let a run under a key end when its caller leaves; add 'address'

Cause: a caller that lost its connection had its run cancelled; with a key it asked again and heard for ten minutes that the end of its run was not known, although the backend server would have ended it in a moment. Change: with a claim and once sent, a caller's leaving changes nothing; the answer is kept and the repeat gets it. Such a run keeps a stopping gateway alive. 'lapisline address' asks a gateway which addresses to use. Not proved by a test: the stop that waits for such a run. Conclusion: a broken connection no longer costs a keyed caller its answer.

--- /dev/null
+++ b/builtin/address.c
@@ -0,0 +1,102 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "builtin/admin-client.h"
+#include "lapisline.h"
+
+struct options
+{
+  struct admin_client client; /**< a gateway takes the same calls */
+  char *model;
+  char *service;
+};
+
+static const struct admin_column columns[]
+    = { { "NODE", "node" }, { "ADDRESS", "address" } };
+
+static bool
+parse (struct options *o, int *argc, char ***argv)
+{
+  GError *error = NULL;
+  GOptionEntry entries[]
+      = { { "gateway", 0, 0, G_OPTION_ARG_STRING, &o->client.admin,
+            "any gateway's address for callers", "ADDR" },
+          { "key-file", 0, 0, G_OPTION_ARG_FILENAME, &o->client.token_file,
+            "file with the account's bearer key", "FILE" },
+          { "model", 0, 0, G_OPTION_ARG_STRING, &o->model, "a model", "NAME" },
+          { "service", 0, 0, G_OPTION_ARG_STRING, &o->service, "or a service",
+            "NAME" },
+          { "json", 0, 0, G_OPTION_ARG_NONE, &o->client.json,
+            "print the answer as it came", NULL },
+          { 0 } };
+  GOptionContext *oc = g_option_context_new ("- which address to use");
+
+  g_option_context_set_summary (
+      oc, "Ask a gateway which addresses an account's caller should use.");
+  g_option_context_add_main_entries (oc, entries, NULL);
+  bool ok = g_option_context_parse (oc, argc, argv, &error);
+  g_option_context_free (oc);
+  if (!ok)
+    fprintf (stderr, "lapisline address: %s\n", error->message);
+  g_clear_error (&error);
+  return ok;
+}
+
+static bool
+complete (const struct options *o, int argc)
+{
+  bool one = (o->model != NULL) != (o->service != NULL);
+
+  if (argc == 1 && one && o->client.admin && o->client.token_file)
+    return true;
+  fputs ("lapisline address: --gateway, --key-file and one of --model and "
+         "--service are needed\n",
+         stderr);
+  return false;
+}
+
+static void
+print_addresses (struct str answer)
+{
+  char *text = str_dup (answer);
+  json_object *root = json_tokener_parse (text), *rows = NULL, *valid = NULL;
+
+  if (json_object_object_get_ex (root, "addresses", &rows))
+    admin_client_table (rows, columns, G_N_ELEMENTS (columns));
+  if (json_object_object_get_ex (root, "valid_ms", &valid))
+    printf ("valid for %d ms\n", json_object_get_int (valid));
+  json_object_put (root);
+  free (text);
+}
+
+static int
+ask (const struct options *o)
+{
+  struct buf path = BUF_INIT, answer = BUF_INIT;
+
+  buf_addf (&path, "/v1/address?%s=%s", o->model ? "model" : "service",
+            o->model ? o->model : o->service);
+  int code = admin_client_call (&o->client, "GET", buf_c (&path), NULL, true,
+                                &answer);
+  if (code == EXIT_DONE && o->client.json)
+    fputs (buf_c (&answer), stdout);
+  else if (code == EXIT_DONE)
+    print_addresses (buf_str (&answer));
+  buf_free (&path);
+  buf_free (&answer);
+  return code;
+}
+
+int
+cmd_address (int argc, char **argv)
+{
+  struct options o = { 0 };
+  int code = EXIT_USAGE;
+
+  if (parse (&o, &argc, &argv) && complete (&o, argc))
+    code = ask (&o);
+  g_free (o.model);
+  g_free (o.service);
+  admin_client_free (&o.client);
+  return code;
+}
--- a/front/callers.c
+++ b/front/callers.c
@@ -337,7 +337,10 @@
 size_t
 gw_callers_open (const struct gw_callers *c)
 {
-  return httpd_open (c->httpd);
+  size_t open = httpd_open (c->httpd);
+
+  /* A run whose caller has left may go on for its key. */
+  return c->open > open ? c->open : open;
 }
 
 void
--- a/lapisline.c
+++ b/lapisline.c
@@ -13,6 +13,7 @@
 
 static const struct command commands[] = {
   { "account", cmd_account, "list client accounts" },
+  { "address", cmd_address, "ask which address callers should use" },
   { "bench", cmd_bench, "measure decisions and costs" },
   { "config", cmd_config, "check, push, show, diff and follow configuration" },
   { "gateway", cmd_gateway, "carry callers' requests" },
--- a/route/request.c
+++ b/route/request.c
@@ -740,6 +740,14 @@
 void
 rt_caller_gone (struct rt *r, struct rt_req *q)
 {
+  /*
+   * Who gave a key and lost the connection will ask again with it.  Cut off
+   * now, the run could be neither repeated nor answered, and the caller would
+   * hear for as long as the key is remembered that its end is not known; left
+   * to end, its answer is kept and the repeat gets it.
+   */
+  if (q->claimed && q->sent)
+    return;
   abandon (r, q);
   forget (r, q);
 }
