Split the HTTP and link files by job

Change: httpd-req.c holds a request and its answer, httpc-pool.c the connections by address, httpc-head.c the head of a request, link-server.c the listener.

--- /dev/null
+++ b/net/httpc-head.c
@@ -0,0 +1,80 @@
+#include "net/httpc-head.h"
+
+static bool
+has_control (struct str s)
+{
+  for (size_t i = 0; i < s.len; i++)
+    if ((unsigned char)s.ptr[i] < ' ' && s.ptr[i] != '\t')
+      return true;
+  return false;
+}
+
+static bool
+is_token (struct str s)
+{
+  return s.len > 0 && !has_control (s) && str_chr (s, ' ') == s.len
+         && str_chr (s, ':') == s.len;
+}
+
+bool
+httpc_head_ok (const struct httpc_request *req)
+{
+  if (!is_token (req->method) || req->path.len == 0 || has_control (req->path)
+      || str_chr (req->path, ' ') != req->path.len)
+    return false;
+  for (size_t i = 0; i < req->nheaders; i++)
+    if (!is_token (req->headers[i].name)
+        || has_control (req->headers[i].value))
+      return false;
+  return true;
+}
+
+/* Headers that describe this connection; we write our own. */
+static bool
+is_hop_header (struct str name)
+{
+  static const char *const names[]
+      = { "connection",       "keep-alive", "transfer-encoding",
+          "content-length",   "upgrade",    "te",
+          "proxy-connection", "trailer",    "expect" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (str_is (name, names[i]))
+      return true;
+  return false;
+}
+
+static bool
+carries_body (const struct httpc_request *req)
+{
+  return req->body.len > 0 || str_is (req->method, "POST")
+         || str_is (req->method, "PUT") || str_is (req->method, "PATCH");
+}
+
+void
+httpc_head_write (const struct httpc_request *req, struct buf *out)
+{
+  bool host = false;
+
+  buf_addf (out, "%.*s %.*s HTTP/1.1\r\n", STR_ARG (req->method),
+            STR_ARG (req->path));
+  for (size_t i = 0; i < req->nheaders; i++)
+    {
+      if (is_hop_header (req->headers[i].name))
+        continue;
+      host = host || str_is (req->headers[i].name, "host");
+      buf_addf (out, "%.*s: %.*s\r\n", STR_ARG (req->headers[i].name),
+                STR_ARG (req->headers[i].value));
+    }
+  if (!host)
+    {
+      buf_add_c (out, "host: ");
+      net_addr_format (&req->to, out);
+      buf_add_c (out, "\r\n");
+    }
+  if (carries_body (req))
+    buf_addf (out, "content-length: %zu\r\n", req->body.len);
+  if (req->fresh)
+    buf_add_c (out, "connection: close\r\n");
+  buf_add_c (out, "\r\n");
+}
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -1,17 +1,13 @@
 #include "net/httpc.h"
 
-#include <h2o.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* An idle connection is not trusted for longer; see httpc_request.fresh. */
-#define HTTPC_IDLE_MS (10 * CLK_SECOND)
-
-/* Calls to one address whose connections may return to its pool. */
-#define HTTPC_POOLED 64
+#include "net/httpc-head.h"
+#include "net/httpc-pool.h"
 
 /* h2o's own timeout is out of the way; calls carry their own timers. */
 #define HTTPC_NO_TIMEOUT ((uint64_t)365 * 24 * 3600 * 1000)
@@ -24,17 +20,6 @@
 #define HTTPC_LATE_MS 100
 #define HTTPC_GRACE_MS 50
 
-/* Connections to one address. */
-struct addr_pool
-{
-  struct net_addr addr;
-  h2o_socketpool_t reused;
-  h2o_socketpool_t fresh; /* stays empty: its connections never return */
-  size_t open;            /* calls */
-  clk_ms used;            /* when the last call ended */
-  struct addr_pool *next;
-};
-
 struct httpc
 {
   uv_loop_t *loop;
@@ -43,7 +28,7 @@
   h2o_timeout_t io_timeout;
   h2o_multithread_queue_t *queue;
   h2o_multithread_receiver_t receiver;
-  struct addr_pool *pools;
+  struct addr_pools pools;
 };
 
 enum phase
@@ -87,74 +72,6 @@
   bool in_callback; /* h2o acts on what its callback returns */
 };
 
-/* --- pools ------------------------------------------------------------- */
-
-/*
- * Expiry is set by hand: h2o_socketpool_set_timeout() would add a timer per
- * address.  Expired connections are dropped when the pool is next used, and
- * unused pools by on_sweep().
- */
-static void
-init_pool (struct httpc *c, h2o_socketpool_t *p, struct sockaddr_storage *ss)
-{
-  socklen_t len = ss->ss_family == AF_INET6 ? sizeof (struct sockaddr_in6)
-                                            : sizeof (struct sockaddr_in);
-
-  h2o_socketpool_init_by_address (p, (struct sockaddr *)ss, len, 0,
-                                  HTTPC_POOLED);
-  p->timeout = HTTPC_IDLE_MS;
-  p->_interval_cb.loop = c->loop;
-}
-
-static struct addr_pool *
-pool_get (struct httpc *c, const struct net_addr *a)
-{
-  struct sockaddr_storage ss;
-
-  for (struct addr_pool *p = c->pools; p != NULL; p = p->next)
-    if (net_addr_eq (&p->addr, a))
-      return p;
-  if (net_addr_sockaddr (a, &ss) != 0)
-    return NULL;
-  struct addr_pool *p = xcalloc (1, sizeof *p);
-  p->addr = *a;
-  init_pool (c, &p->reused, &ss);
-  init_pool (c, &p->fresh, &ss);
-  p->next = c->pools;
-  c->pools = p;
-  return p;
-}
-
-static void
-pool_free (struct addr_pool *p)
-{
-  p->reused._interval_cb.loop = NULL; /* no timer to dispose of */
-  p->fresh._interval_cb.loop = NULL;
-  h2o_socketpool_dispose (&p->reused);
-  h2o_socketpool_dispose (&p->fresh);
-  free (p);
-}
-
-/* Addresses come and go with their VMs; unused ones are dropped. */
-static void
-on_sweep (uv_timer_t *t)
-{
-  struct httpc *c = t->data;
-  clk_ms now = (clk_ms)uv_now (c->loop);
-
-  for (struct addr_pool **pp = &c->pools; *pp != NULL;)
-    {
-      struct addr_pool *p = *pp;
-      if (p->open > 0 || now - p->used < HTTPC_IDLE_MS)
-        {
-          pp = &p->next;
-          continue;
-        }
-      *pp = p->next;
-      pool_free (p);
-    }
-}
-
 /* --- the end of a call ------------------------------------------------- */
 
 static void
@@ -445,7 +362,7 @@
 connect_now (struct httpc_call *call)
 {
   if (!call->malformed)
-    call->pool = pool_get (call->c, &call->to);
+    call->pool = addr_pool_get (&call->c->pools, &call->to);
   if (call->pool == NULL)
     {
       finish (call, HTTPC_CONNECT_FAILED);
@@ -462,86 +379,6 @@
 
 /* --- requests ---------------------------------------------------------- */
 
-static bool
-has_control (struct str s)
-{
-  for (size_t i = 0; i < s.len; i++)
-    if ((unsigned char)s.ptr[i] < ' ' && s.ptr[i] != '\t')
-      return true;
-  return false;
-}
-
-static bool
-is_token (struct str s)
-{
-  return s.len > 0 && !has_control (s) && str_chr (s, ' ') == s.len
-         && str_chr (s, ':') == s.len;
-}
-
-/* A line break in any part would end the head early and start another. */
-static bool
-request_ok (const struct httpc_request *req)
-{
-  if (!is_token (req->method) || req->path.len == 0 || has_control (req->path)
-      || str_chr (req->path, ' ') != req->path.len)
-    return false;
-  for (size_t i = 0; i < req->nheaders; i++)
-    if (!is_token (req->headers[i].name)
-        || has_control (req->headers[i].value))
-      return false;
-  return true;
-}
-
-/* Headers that describe this connection; we write our own. */
-static bool
-is_hop_header (struct str name)
-{
-  static const char *const names[]
-      = { "connection",       "keep-alive", "transfer-encoding",
-          "content-length",   "upgrade",    "te",
-          "proxy-connection", "trailer",    "expect" };
-
-  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
-    if (str_is (name, names[i]))
-      return true;
-  return false;
-}
-
-static bool
-carries_body (const struct httpc_request *req)
-{
-  return req->body.len > 0 || str_is (req->method, "POST")
-         || str_is (req->method, "PUT") || str_is (req->method, "PATCH");
-}
-
-static void
-write_head (const struct httpc_request *req, struct buf *out)
-{
-  bool host = false;
-
-  buf_addf (out, "%.*s %.*s HTTP/1.1\r\n", STR_ARG (req->method),
-            STR_ARG (req->path));
-  for (size_t i = 0; i < req->nheaders; i++)
-    {
-      if (is_hop_header (req->headers[i].name))
-        continue;
-      host = host || str_is (req->headers[i].name, "host");
-      buf_addf (out, "%.*s: %.*s\r\n", STR_ARG (req->headers[i].name),
-                STR_ARG (req->headers[i].value));
-    }
-  if (!host)
-    {
-      buf_add_c (out, "host: ");
-      net_addr_format (&req->to, out);
-      buf_add_c (out, "\r\n");
-    }
-  if (carries_body (req))
-    buf_addf (out, "content-length: %zu\r\n", req->body.len);
-  if (req->fresh)
-    buf_add_c (out, "connection: close\r\n");
-  buf_add_c (out, "\r\n");
-}
-
 struct httpc_call *
 httpc_start (struct httpc *c, const struct httpc_request *req,
              const struct httpc_callbacks *cb, void *ctx)
@@ -556,9 +393,9 @@
   call->progress_ms = req->progress_ms;
   call->fresh = req->fresh;
   call->is_head = str_is (req->method, "HEAD");
-  call->malformed = !request_ok (req);
+  call->malformed = !httpc_head_ok (req);
   if (!call->malformed)
-    write_head (req, &call->head);
+    httpc_head_write (req, &call->head);
   buf_add (&call->body, req->body);
   uv_timer_init (c->loop, &call->timer);
   arm (call, 0);
@@ -589,6 +426,14 @@
 
 /* --- the client -------------------------------------------------------- */
 
+static void
+on_sweep (uv_timer_t *t)
+{
+  struct httpc *c = t->data;
+
+  addr_pools_sweep (&c->pools);
+}
+
 struct httpc *
 httpc_new (uv_loop_t *loop)
 {
@@ -597,6 +442,7 @@
   /* A peer that closes while we write must be an error, not a signal. */
   signal (SIGPIPE, SIG_IGN);
   c->loop = loop;
+  c->pools.loop = loop;
   c->queue = h2o_multithread_create_queue (loop);
   h2o_multithread_register_receiver (c->queue, &c->receiver,
                                      h2o_hostinfo_getaddr_receiver);
@@ -630,12 +476,7 @@
 void
 httpc_free (struct httpc *c)
 {
-  while (c->pools != NULL)
-    {
-      struct addr_pool *p = c->pools;
-      c->pools = p->next;
-      pool_free (p);
-    }
+  addr_pools_free (&c->pools);
   h2o_multithread_unregister_receiver (c->queue, &c->receiver);
   h2o_multithread_destroy_queue (c->queue);
   h2o_timeout_dispose (c->loop, &c->io_timeout);
--- /dev/null
+++ b/net/httpd-req.c
@@ -0,0 +1,451 @@
+#include "net/httpd-int.h"
+
+#include <fcntl.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+struct gone_watch
+{
+  uv_poll_t poll;
+  int fd;
+};
+
+/* --- watching for callers that leave ---------------------------------- */
+
+static void
+on_watch_closed (uv_handle_t *h)
+{
+  struct gone_watch *w = h->data;
+
+  close (w->fd);
+  free (w);
+}
+
+static void
+watch_stop (struct httpd_req *r)
+{
+  if (r->watch == NULL)
+    return;
+  struct gone_watch *w = r->watch;
+  r->watch = NULL;
+  uv_poll_stop (&w->poll);
+  w->poll.data = w;
+  uv_close ((uv_handle_t *)&w->poll, on_watch_closed);
+}
+
+static void flush (struct httpd_req *r);
+
+void
+httpd_abandon (struct httpd_req *r)
+{
+  r->detached = true;
+  r->ended = true;
+  r->whole = false;
+  watch_stop (r);
+  if (r->in_flight)
+    {
+      httpd_conn_shutdown (r->conn, SHUT_RDWR);
+      return;
+    }
+  if (!r->begun)
+    {
+      r->begun = true;
+      r->req->http1_is_persistent = 0;
+      r->req->res.status = 500;
+      r->req->res.reason = "Aborted";
+      h2o_start_response (r->req, &r->generator);
+    }
+  httpd_conn_shutdown (r->conn, SHUT_RDWR);
+  buf_clear (&r->queued);
+  flush (r);
+}
+
+static void
+tell_gone (struct httpd_req *r)
+{
+  void (*gone) (void *ctx) = r->gone;
+
+  if (r->ended || r->detached)
+    return;
+  r->detached = true;
+  if (gone != NULL)
+    gone (r->gone_ctx);
+}
+
+static void
+on_watch (uv_poll_t *poll, int status, int events)
+{
+  struct httpd_req *r = poll->data;
+
+  if (status == 0 && (events & UV_DISCONNECT) == 0)
+    return;
+  watch_stop (r);
+  tell_gone (r);
+  httpd_abandon (r);
+}
+
+/*
+ * h2o does not read from a connection while it answers a request, so a
+ * caller that leaves would only be noticed at the next write; a long wait in
+ * a queue or for a first token would go on for nobody.  A duplicate of the
+ * descriptor is polled for the hang-up alone; no byte is taken from h2o.
+ */
+static void
+watch_start (struct httpd_req *r)
+{
+  if (r->watch != NULL || r->ended)
+    return;
+  int fd = httpd_conn_fd (r->conn);
+  if (fd < 0 || (fd = fcntl (fd, F_DUPFD_CLOEXEC, 0)) < 0)
+    return;
+  struct gone_watch *w = xcalloc (1, sizeof *w);
+  w->fd = fd;
+  if (uv_poll_init (r->d->listener.loop, &w->poll, fd) != 0)
+    {
+      close (fd);
+      free (w);
+      return;
+    }
+  w->poll.data = r;
+  r->watch = w;
+  uv_poll_start (&w->poll, UV_DISCONNECT, on_watch);
+}
+
+/* --- one request ------------------------------------------------------- */
+
+static void
+req_unlink (struct httpd_req *r)
+{
+  if (r->prev == NULL)
+    return;
+  *r->prev = r->next;
+  if (r->next != NULL)
+    r->next->prev = r->prev;
+  r->prev = NULL;
+  r->conn->open--;
+  r->d->nopen--;
+}
+
+/* h2o frees the request's memory pool, in which we live. */
+static void
+on_req_dispose (void *p)
+{
+  struct httpd_req *r = p;
+
+  watch_stop (r);
+  tell_gone (r);
+  req_unlink (r);
+  buf_free (&r->queued);
+  buf_free (&r->sending);
+}
+
+static void
+on_proceed (h2o_generator_t *g, h2o_req_t *req)
+{
+  struct httpd_req *r = (struct httpd_req *)g;
+  bool tell = !r->ended && !r->detached && r->drained != NULL;
+
+  r->in_flight = false;
+  r->moved = clk_now ();
+  buf_clear (&r->sending);
+  if (r->queued.len > 0 || r->ended)
+    flush (r); /* may free the request when it has ended */
+  if (tell)
+    r->drained (r->drained_ctx);
+}
+
+static void
+on_stop (h2o_generator_t *g, h2o_req_t *req)
+{
+  struct httpd_req *r = (struct httpd_req *)g;
+
+  watch_stop (r);
+  tell_gone (r);
+}
+
+/* Hand queued bytes, and the end once it is known, to h2o. */
+static void
+flush (struct httpd_req *r)
+{
+  h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+  struct buf t = r->sending;
+
+  r->sending = r->queued;
+  r->queued = t;
+  buf_clear (&r->queued);
+  if (r->ended)
+    state = r->whole ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
+  r->in_flight = true;
+  r->moved = clk_now ();
+  h2o_iovec_t v = h2o_iovec_init (r->sending.ptr, r->sending.len);
+  h2o_send (r->req, &v, v.len > 0 ? 1 : 0, state);
+}
+
+static struct str
+str_of (h2o_iovec_t v)
+{
+  return str_make (v.base, v.len);
+}
+
+static void
+fill_peer (const h2o_req_t *req, struct net_addr *out)
+{
+  struct sockaddr_storage ss;
+  struct sockaddr *sa = (struct sockaddr *)&ss;
+  int port;
+
+  if (req->conn->callbacks->get_peername (req->conn, sa) == 0)
+    return;
+  if (sa->sa_family == AF_INET)
+    uv_ip4_name ((struct sockaddr_in *)sa, out->host, sizeof out->host);
+  else
+    uv_ip6_name ((struct sockaddr_in6 *)sa, out->host, sizeof out->host);
+  port = h2o_socket_getport (sa);
+  out->port = (uint16_t)(port > 0 ? port : 0);
+}
+
+static void
+fill_view (struct httpd_req *r, h2o_req_t *req)
+{
+  struct str whole = str_of (req->path);
+
+  r->view.method = str_of (req->method);
+  r->view.body = str_of (req->entity);
+  r->view.path = whole;
+  if (req->query_at != SIZE_MAX)
+    {
+      r->view.path = str_head (whole, req->query_at);
+      r->view.query = str_skip (whole, req->query_at + 1);
+    }
+  fill_peer (req, &r->view.peer);
+  r->nheaders = req->headers.size;
+  r->headers = h2o_mem_alloc_pool (&req->pool,
+                                   (r->nheaders + 1) * sizeof r->headers[0]);
+  for (size_t i = 0; i < r->nheaders; i++)
+    {
+      r->headers[i].name = str_of (*req->headers.entries[i].name);
+      r->headers[i].value = str_of (req->headers.entries[i].value);
+    }
+}
+
+static struct httpd_conn *
+conn_of (const h2o_req_t *req)
+{
+  h2o_socket_t *sock = req->conn->callbacks->get_socket (req->conn);
+
+  /* Our own slot, set when the connection was accepted. */
+  return sock->on_close.data;
+}
+
+int
+httpd_on_req (h2o_handler_t *self, h2o_req_t *req)
+{
+  struct httpd *d = ((struct httpd_handler_slot *)self)->d;
+  struct httpd_req *r
+      = h2o_mem_alloc_shared (&req->pool, sizeof *r, on_req_dispose);
+
+  memset (r, 0, sizeof *r);
+  r->generator.proceed = on_proceed;
+  r->generator.stop = on_stop;
+  r->req = req;
+  r->d = d;
+  r->conn = conn_of (req);
+  r->length = SIZE_MAX;
+  fill_view (r, req);
+  r->next = d->reqs;
+  r->prev = &d->reqs;
+  if (r->next != NULL)
+    r->next->prev = &r->next;
+  d->reqs = r;
+  d->nopen++;
+  r->conn->open++;
+  if (d->freeing)
+    httpd_abandon (r);
+  else
+    d->handler (d->handler_ctx, r);
+  return 0;
+}
+
+const struct httpd_view *
+httpd_get (const struct httpd_req *req)
+{
+  return &req->view;
+}
+
+struct str
+httpd_header (const struct httpd_req *req, const char *name)
+{
+  for (size_t i = 0; i < req->nheaders; i++)
+    if (str_is (req->headers[i].name, name))
+      return req->headers[i].value;
+  return STR_EMPTY;
+}
+
+const struct http_header *
+httpd_headers (const struct httpd_req *req, size_t *n)
+{
+  *n = req->nheaders;
+  return req->headers;
+}
+
+void
+httpd_on_gone (struct httpd_req *req, void (*gone) (void *ctx), void *ctx)
+{
+  req->gone = gone;
+  req->gone_ctx = ctx;
+  watch_start (req);
+}
+
+/* --- answers ----------------------------------------------------------- */
+
+/* Headers that h2o writes itself. */
+static bool
+is_framing_header (struct str name)
+{
+  return str_is (name, "content-length") || str_is (name, "connection")
+         || str_is (name, "transfer-encoding") || str_is (name, "keep-alive")
+         || str_is (name, "date") || str_is (name, "server");
+}
+
+static const char *
+reason_of (int status)
+{
+  static const struct
+  {
+    int status;
+    const char *reason;
+  } rows[] = { { 200, "OK" },
+               { 201, "Created" },
+               { 202, "Accepted" },
+               { 204, "No Content" },
+               { 400, "Bad Request" },
+               { 401, "Unauthorized" },
+               { 403, "Forbidden" },
+               { 404, "Not Found" },
+               { 405, "Method Not Allowed" },
+               { 409, "Conflict" },
+               { 413, "Request Entity Too Large" },
+               { 429, "Too Many Requests" },
+               { 500, "Internal Server Error" },
+               { 502, "Bad Gateway" },
+               { 503, "Service Unavailable" },
+               { 504, "Gateway Timeout" } };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    if (rows[i].status == status)
+      return rows[i].reason;
+  return "Other";
+}
+
+static void
+set_head (struct httpd_req *r, int status, const struct http_header *headers,
+          size_t n)
+{
+  h2o_req_t *req = r->req;
+
+  req->res.status = status;
+  req->res.reason = reason_of (status);
+  for (size_t i = 0; i < n; i++)
+    {
+      int64_t len;
+      struct str name = headers[i].name, value = headers[i].value;
+      if (str_is (name, "content-length") && str_to_i64 (value, &len)
+          && len >= 0)
+        r->length = (size_t)len;
+      if (is_framing_header (name))
+        continue;
+      h2o_iovec_t k = h2o_strdup (&req->pool, name.ptr, name.len);
+      h2o_iovec_t v = h2o_strdup (&req->pool, value.ptr, value.len);
+      h2o_add_header_by_str (&req->pool, &req->res.headers, k.base, k.len, 1,
+                             NULL, v.base, v.len);
+    }
+  req->res.content_length = r->length;
+}
+
+static bool
+is_head (const struct httpd_req *r)
+{
+  return str_is (r->view.method, "HEAD");
+}
+
+void
+httpd_begin (struct httpd_req *req, int status,
+             const struct http_header *headers, size_t n)
+{
+  set_head (req, status, headers, n);
+  req->begun = true;
+  h2o_start_response (req->req, &req->generator);
+}
+
+void
+httpd_write (struct httpd_req *req, struct str bytes)
+{
+  if (bytes.len == 0 || is_head (req))
+    return;
+  req->written += bytes.len;
+  buf_add (&req->queued, bytes);
+  if (!req->in_flight)
+    flush (req);
+}
+
+void
+httpd_answer (struct httpd_req *req, int status,
+              const struct http_header *headers, size_t n, struct str body)
+{
+  set_head (req, status, headers, n);
+  req->begun = true;
+  req->length = body.len;
+  req->req->res.content_length = body.len;
+  h2o_start_response (req->req, &req->generator);
+  if (!is_head (req))
+    {
+      req->written = body.len;
+      buf_add (&req->queued, body);
+    }
+  httpd_end (req, true);
+}
+
+size_t
+httpd_queued (const struct httpd_req *req)
+{
+  return req->queued.len + req->sending.len;
+}
+
+void
+httpd_on_drained (struct httpd_req *req, void (*drained) (void *ctx),
+                  void *ctx)
+{
+  req->drained = drained;
+  req->drained_ctx = ctx;
+}
+
+/* Callers of HTTP/1.0 see a cut only as a reset: they know no last chunk. */
+static void
+reset_on_close (const struct httpd_req *r)
+{
+  struct linger now = { 1, 0 };
+  int fd = httpd_conn_fd (r->conn);
+
+  if (r->req->version < 0x101 && r->length == SIZE_MAX && fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
+void
+httpd_end (struct httpd_req *req, bool whole)
+{
+  /* Shorter than stated is not whole, whatever the handler thinks. */
+  if (req->length != SIZE_MAX && req->written != req->length && !is_head (req))
+    whole = false;
+  req->ended = true;
+  req->whole = whole;
+  watch_stop (req);
+  if (!whole)
+    {
+      req->req->http1_is_persistent = 0;
+      reset_on_close (req);
+    }
+  if (!req->in_flight)
+    flush (req);
+  else if (!whole)
+    httpd_conn_shutdown (req->conn, SHUT_RDWR);
+}
--- a/net/link.c
+++ b/net/link.c
@@ -1,16 +1,12 @@
-#include "net/link-auth.h"
+#include "net/link-int.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define LINK_BACKLOG 256
 #define LINK_LENGTH ((size_t)4)
 #define LINK_HEADER (LINK_LENGTH + LINK_MAC)
 #define LINK_QUEUE_MAX ((size_t)4 * 1024 * 1024)
 
-/* Unproven connections at once; more are closed, so strangers stay cheap. */
-#define LINK_PENDING_MAX 256
-
 #define LINK_HEARTBEAT_MS (1 * CLK_SECOND)
 #define LINK_SILENCE_MS (3 * CLK_SECOND)
 
@@ -24,44 +20,6 @@
 /* A receive buffer larger than this is given back once it is empty. */
 #define LINK_KEEP_BUF ((size_t)65536)
 
-enum stage
-{
-  STAGE_CONNECT,
-  STAGE_HELLO,
-  STAGE_PROOF,
-  STAGE_UP,
-  STAGE_OVER
-};
-
-struct link
-{
-  uv_tcp_t tcp; /* first */
-  uv_timer_t timer;
-  uv_connect_t connect;
-  struct link_auth auth;
-  struct link_callbacks cb;
-  void *ctx;
-  struct link_server *server; /* while an accepted link is not proven */
-  struct link *next;          /* in the server's list of those */
-  struct link **prev;
-  struct buf in;
-  enum stage stage;
-  int handles; /* not closed yet */
-  clk_ms heard, sent, due;
-  uint64_t bytes_out, bytes_in;
-};
-
-struct link_server
-{
-  uv_tcp_t tcp; /* first */
-  struct link_secret secret;
-  struct link_callbacks cb;
-  void *ctx;
-  struct link *pending;
-  size_t npending;
-  uint16_t port;
-};
-
 struct link_write
 {
   uv_write_t req; /* first */
@@ -71,18 +29,6 @@
 
 /* --- the end of a link ------------------------------------------------- */
 
-static void
-leave_server (struct link *l)
-{
-  if (l->server == NULL)
-    return;
-  *l->prev = l->next;
-  if (l->next != NULL)
-    l->next->prev = l->prev;
-  l->server->npending--;
-  l->server = NULL;
-}
-
 static void
 on_link_closed (uv_handle_t *h)
 {
@@ -100,7 +46,7 @@
   if (l->stage == STAGE_OVER)
     return;
   l->stage = STAGE_OVER;
-  leave_server (l);
+  link_leave_server (l);
   uv_close ((uv_handle_t *)&l->tcp, on_link_closed);
   uv_close ((uv_handle_t *)&l->timer, on_link_closed);
 }
@@ -240,7 +186,7 @@
 static void
 set_up (struct link *l)
 {
-  leave_server (l);
+  link_leave_server (l);
   l->stage = STAGE_UP;
   l->heard = clk_now ();
   l->cb.on_state (l->ctx, l, LINK_UP);
@@ -391,7 +337,7 @@
 
 /* --- opening ----------------------------------------------------------- */
 
-static struct link *
+struct link *
 link_new (uv_loop_t *loop, const struct link_secret *secret, bool connecting,
           const struct link_callbacks *cb, void *ctx)
 {
@@ -411,8 +357,8 @@
   return l;
 }
 
-static void
-begin_handshake (struct link *l)
+void
+link_begin (struct link *l)
 {
   struct buf out = BUF_INIT;
 
@@ -435,7 +381,7 @@
   if (status != 0)
     fail (l);
   else
-    begin_handshake (l);
+    link_begin (l);
 }
 
 struct link *
@@ -460,92 +406,6 @@
   return l;
 }
 
-static void
-on_accept (uv_stream_t *stream, int status)
-{
-  struct link_server *s = stream->data;
-
-  if (status != 0)
-    return;
-  struct link *l = link_new (stream->loop, &s->secret, false, &s->cb, s->ctx);
-  l->server = s;
-  l->next = s->pending;
-  l->prev = &s->pending;
-  if (l->next != NULL)
-    l->next->prev = &l->next;
-  s->pending = l;
-  s->npending++;
-  if (uv_accept (stream, (uv_stream_t *)&l->tcp) != 0
-      || s->npending > LINK_PENDING_MAX)
-    link_close (l);
-  else
-    begin_handshake (l);
-}
-
-static void
-on_server_closed (uv_handle_t *h)
-{
-  free (h);
-}
-
-static int
-listen_at (struct link_server *s, const struct net_addr *at)
-{
-  struct sockaddr_storage ss;
-  int len = sizeof ss;
-  int rc = net_addr_sockaddr (at, &ss);
-
-  if (rc == 0)
-    rc = uv_tcp_bind (&s->tcp, (struct sockaddr *)&ss, 0);
-  if (rc == 0)
-    rc = uv_listen ((uv_stream_t *)&s->tcp, LINK_BACKLOG, on_accept);
-  if (rc == 0)
-    rc = uv_tcp_getsockname (&s->tcp, (struct sockaddr *)&ss, &len);
-  if (rc == 0)
-    s->port = ss.ss_family == AF_INET6
-                  ? ntohs (((struct sockaddr_in6 *)&ss)->sin6_port)
-                  : ntohs (((struct sockaddr_in *)&ss)->sin_port);
-  return rc;
-}
-
-struct link_server *
-link_listen (uv_loop_t *loop, const struct net_addr *at,
-             const struct link_secret *secret, const struct link_callbacks *cb,
-             void *ctx, struct buf *err)
-{
-  struct link_server *s = xcalloc (1, sizeof *s);
-  int rc;
-
-  s->secret = *secret;
-  s->cb = *cb;
-  s->ctx = ctx;
-  uv_tcp_init (loop, &s->tcp);
-  s->tcp.data = s;
-  rc = listen_at (s, at);
-  if (rc == 0)
-    return s;
-  if (err != NULL)
-    buf_addf (err, "cannot listen on %s:%u: %s", at->host, (unsigned)at->port,
-              uv_strerror (rc));
-  link_server_free (s);
-  return NULL;
-}
-
-uint16_t
-link_server_port (const struct link_server *s)
-{
-  return s->port;
-}
-
-/* Links that are up live on; those still proving themselves end here. */
-void
-link_server_free (struct link_server *s)
-{
-  while (s->pending != NULL)
-    link_close (s->pending);
-  uv_close ((uv_handle_t *)&s->tcp, on_server_closed);
-}
-
 /* --- small matters ----------------------------------------------------- */
 
 void
