Name batches by a random number, not by the time of the start

Cause: a claim core tells its own batch in the store by boot and sequence number, and the gateway gave it the millisecond of its start. Two gateways that a deployment starts in the same millisecond share both; one then takes the other's batch for its own lost write and grants what it never recorded. Found by reading; ruled out: a clash of two random numbers (64 bits). Change: the gateway draws the number; the header says that it must be unique. Conclusion: claims no longer lean on clocks of different nodes.

--- a/claim/claim.h
+++ b/claim/claim.h
@@ -140,7 +140,7 @@
   struct str prefix; /**< of all store keys */
   clk_ms window;     /**< how long a key is remembered */
   size_t kept_bytes; /**< memory for kept answers, oldest out first */
-  uint64_t boot;     /**< makes batch keys of this process unique */
+  uint64_t boot;     /**< random: no two processes may ever share it */
   clk_ms gap_ms;     /**< between transactions of a shard; 0: CLM_GAP_MS */
   size_t max_claims; /**< 0: CLM_MAX_CLAIMS */
 };
--- a/front/claims-core.c
+++ b/front/claims-core.c
@@ -87,10 +87,13 @@
 void
 claims_core_start (struct gw_claims *c)
 {
+  /* The node's boot number is a time: two gateways that start in the same
+     millisecond would share it, and one would take the other's batch for its
+     own and grant what it lost. */
   struct clm_options opt = { .prefix = str_from (c->g->set.store_prefix),
                              .window = DEFAULT_WINDOW_MS,
                              .kept_bytes = KEPT_BYTES,
-                             .boot = c->g->boot };
+                             .boot = rng_entropy () };
 
   c->core = clm_new (&opt, rng_next (&c->g->rng));
 }
--- a/t/lib-claim.c
+++ b/t/lib-claim.c
@@ -334,11 +334,12 @@
 /* Cores. */
 
 static struct clm *
-new_home (int home, const struct clm_options *opt, uint64_t seed)
+new_home (const struct cw *w, int home, const struct clm_options *opt,
+          uint64_t seed)
 {
   struct clm_options o = *opt;
 
-  o.boot = opt->boot * 16 + (uint64_t)home + 1;
+  o.boot = w->same_boot ? 1 : opt->boot * 16 + (uint64_t)home + 1;
   return clm_new (&o, seed);
 }
 
@@ -346,12 +347,11 @@
 cw_init (struct cw *w, size_t homes, const struct clm_options *opt,
          uint64_t seed)
 {
-  memset (w, 0, sizeof *w);
   w->nhomes = homes;
   w->now = 1000;
   w->kv.revision = 100;
   for (size_t i = 0; i < homes; i++)
-    w->homes[i] = new_home ((int)i, opt, seed + i);
+    w->homes[i] = new_home (w, (int)i, opt, seed + i);
 }
 
 void
@@ -359,7 +359,7 @@
             uint64_t seed)
 {
   clm_free (w->homes[home]);
-  w->homes[home] = new_home (home, opt, seed);
+  w->homes[home] = new_home (w, home, opt, seed);
   for (size_t i = 0; i < CW_CALLS; i++)
     if (w->calls[i].used && w->calls[i].home == home)
       {
--- a/t/lib-claim.h
+++ b/t/lib-claim.h
@@ -71,6 +71,7 @@
   struct kv kv;
   clk_ms now;
   struct clm *homes[CW_HOMES];
+  bool same_boot; /**< planted fault: homes share their boot */
   size_t nhomes;
   struct cw_call calls[CW_CALLS];
   unsigned last_call;
@@ -80,6 +81,7 @@
   void *ctx;
 };
 
+/** @p w is all zero but for `same_boot`. */
 void cw_init (struct cw *w, size_t homes, const struct clm_options *opt,
               uint64_t seed);
 void cw_clear (struct cw *w);
--- a/t/t4900-walk.c
+++ b/t/t4900-walk.c
@@ -26,7 +26,8 @@
   FAULT_NO_GRANT_CHECK,  /**< sends without clm_grant_valid() */
   FAULT_HOME_RELEASES,   /**< a home releases what another node asked for */
   FAULT_OWN_RELEASES,    /**< likewise, what it asked itself after others */
-  FAULT_FORGETS_GRANT    /**< an asker takes a second grant for a leftover */
+  FAULT_FORGETS_GRANT,   /**< an asker takes a second grant for a leftover */
+  FAULT_SAME_BOOT        /**< homes that started in the same millisecond */
 };
 
 enum req_state
@@ -502,6 +503,7 @@
                                  .gap_ms = 10 };
   for (int i = 0; i < KEYS; i++)
     k->last_send[i] = -2 * WINDOW;
+  k->w.same_boot = fault == FAULT_SAME_BOOT;
   cw_init (&k->w, CW_HOMES, &k->opt, seed);
   k->w.on_reply = on_reply;
   k->w.ctx = k;
@@ -644,3 +646,8 @@
 {
   must_find (FAULT_FORGETS_GRANT);
 }
+
+/* Gateways took the millisecond of their start as the name of their batches.
+   After a deployment two of them share it, and one takes the other's batch
+   for its own. */
+Test (walk, finds_homes_that_share_their_boot) { must_find (FAULT_SAME_BOOT); }
