--- a/replica/budget.c
+++ b/replica/budget.c
@@ -121,7 +121,7 @@
  * The weight store gives a fixed rate.  When a whole domain comes back and
  * all of its replicas load at once, each gets a part of the rate and all are
  * whole only at the very end.  One at a time, the first serves after a
- * fraction of that time and the last no later; the model with the fewest
+ * fraction of that time and the last hardly later; the model with the fewest
  * replicas alive goes first.
  */
 void
