Test that a grant found after a stop is given back

Cause: the test of late grants passed with the check of the deadline in clm_asker_answer() off, as it always ticked first. Change: a step in which time passes and the process does not run. Measured: 6 tests pass; with the check off late_grant_is_released is red. Conclusion: the check is tested by itself.

--- a/t/t4002-asker.c
+++ b/t/t4002-asker.c
@@ -1,6 +1,7 @@
 /*
  * Scripts for the asker of one claim.  Steps of a script, one a word:
  *   +MS            time passes
+ *   stopped:MS     time passes and the process does not run
  *   granted, running, unavailable   an answer comes
  *   unreachable    the last node asked could not be connected to
  *   silent         the last node asked went away with the ask
@@ -24,6 +25,11 @@
       *now += atoi (word + 1);
       return clm_asker_tick (a, *now);
     }
+  if (strncmp (word, "stopped:", 8) == 0)
+    {
+      *now += atoi (word + 8);
+      return CLM_ASKER_NOTHING;
+    }
   if (strcmp (word, "unreachable") == 0)
     return clm_asker_unreachable (a, *now);
   if (strcmp (word, "silent") == 0)
@@ -104,6 +110,7 @@
 {
   expect (2, 500, "+300 >ask +200 >give-up-and-release granted >release");
   expect (1, 500, "+500 >give-up granted >release");
+  expect (2, 500, "stopped:9000 granted >give-up-and-release +1");
 }
 
 /* A caller's patience longer than CLM_ASK_MS would let a grant outlive what
