Add the control command; stop its loop without uv_stop()

Cause: control was not linked into the binary, so no node could run as a whole. On the first runs a node that was drained logged that it had left and then stayed for ever: h2o runs the loop once more while a server closes, and that run takes uv_stop() back. Ruled out: a handle left open (the loop was waiting on the HTTP client's own timer only) and a lost signal (the leave check had run to its end).

--- a/control/control.c
+++ b/control/control.c
@@ -112,7 +112,6 @@
   uv_close ((uv_handle_t *)&p->term, NULL);
   uv_close ((uv_handle_t *)&p->interrupt, NULL);
   uv_close ((uv_handle_t *)&p->leave_check, NULL);
-  uv_stop (&p->loop);
 }
 
 static clk_ms
@@ -239,7 +238,11 @@
       uv_signal_start (&p->interrupt, on_signal, SIGINT);
       LOG (process_started, LOG_I ("boot", p->ctl.boot));
       print_ready (&p->ctl);
-      uv_run (&p->loop, UV_RUN_DEFAULT);
+      /* Not uv_stop(): h2o runs the loop once more within the closing of a
+         server, which takes the stop back, and the process would stay for
+         ever with nothing left to do. */
+      while (!p->finished)
+        uv_run (&p->loop, UV_RUN_ONCE);
       LOG (process_stopped, LOG_I ("boot", p->ctl.boot));
     }
   finish (p);
--- a/lapisline.c
+++ b/lapisline.c
@@ -15,6 +15,7 @@
   { "account", cmd_account, "list client accounts" },
   { "address", cmd_address, "ask which address callers should use" },
   { "bench", cmd_bench, "measure decisions and costs" },
+  { "control", cmd_control, "run a node's control process" },
   { "config", cmd_config, "check, push, show, diff and follow configuration" },
   { "gateway", cmd_gateway, "carry callers' requests" },
   { "metrics", cmd_metrics, "print counters of a process" },
