Decide over a compact view of the servers; measure its cost

Change: load.c keeps a compact list of the servers that may get work, computed anew after changes, each 200 ms and when evidence runs out; choose.c passes over it. Affinity is bounded in parts of a server's slots, so that it does not depend on the number of gateways; a server that never reported does not count as freshly reported; work on servers that may get no more does not close the gate.

--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -22,6 +22,7 @@
   { "path", bench_path, "what a gateway adds to a request" },
   { "claims", bench_claims, "store writes and waiting of claims" },
   { "members", bench_members, "detection, accusations, cost of membership" },
+  { "decide", bench_decide, "processor time and memory of decisions" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
 
--- a/route/core.h
+++ b/route/core.h
@@ -6,6 +6,7 @@
  *   request.c  life cycle of one request by charts/attempt.json
  *   queue.c    what waits: priority classes, fair shares of accounts
  *   limit.c    rate and concurrency of an account at this node
+ *   load.c     what is known of the servers' load
  *   choose.c   which server gets the next request
  *   retry.c    retry budget and backoff
  *   outlier.c  ejection of servers that do worse than their peers
@@ -116,10 +117,10 @@
   uint32_t in_flight;
   uint32_t pending; /**< of these, sent and without a first byte */
   double own_tokens;
-  double others;     /**< requests of other gateways at load_at */
-  double others_now; /**< the same, aged towards the target's mean */
+  double others; /**< requests of other gateways at load_at */
   clk_ms load_at;
   struct rt_history history;
+  struct rt_candidate *candidate; /**< its place in the target's view */
   /* Outlier detection. */
   uint64_t done, failed;
   unsigned bad_run; /**< failures in a row */
@@ -160,6 +161,33 @@
   unsigned since_aged; /**< turns since an aged request had one */
 };
 
+/** What the choice needs of a server, close together: at 600 of them reading
+    the servers themselves would cost more than deciding. */
+struct rt_candidate
+{
+  struct rt_server *server;
+  uint64_t hash;
+  uint32_t in_flight;
+  uint32_t score; /**< in flight, those without a first byte twice */
+  float room;     /**< how many of ours it may have */
+};
+
+/** Servers that may get work, computed now and then and after changes. */
+struct rt_view
+{
+  struct rt_candidate *list;
+  size_t n;
+  size_t ejected;
+  uint32_t outside; /**< own requests on servers that may get no more */
+  bool current;
+  clk_ms at;
+  clk_ms valid_until; /**< of the first evidence that runs out */
+  double capacity;    /**< requests */
+  double others;      /**< requests of other gateways, as reported */
+  double tokens_then; /**< of this gateway when the reports were made */
+  double age;         /**< of the reports, summed, ms */
+};
+
 /** Model or plain service with its servers and its queue. */
 struct rt_target
 {
@@ -171,11 +199,12 @@
   struct rt_queue queue;
   double mean_cost;    /**< moving average of the requests' cost */
   double mean_others;  /**< of servers' others, for stale reports */
-  clk_ms aged_at;      /**< when others_now was last computed */
   double ms_per_token; /**< moving average over whole answers */
   uint32_t in_flight;  /**< own requests on all its servers */
-  clk_ms measured_at;  /**< when ms_per_token last changed */
-  double median_ms;    /**< over servers, of the time to the first byte */
+  double own_tokens;   /**< and their tokens */
+  struct rt_view view;
+  clk_ms measured_at; /**< when ms_per_token last changed */
+  double median_ms;   /**< over servers, of the time to the first byte */
   clk_ms median_at;
   double retry_budget;
   clk_ms retry_at;
@@ -302,15 +331,28 @@
 /** The request turned out to cost @p actual instead of @p cost. */
 void rt_limit_settle (struct rt_account *a, double cost, double actual);
 
+/* load.c */
+void rt_server_load (struct rt *r, struct rt_target *t, struct rt_server *s,
+                     uint32_t load, clk_ms at);
+void rt_server_take (struct rt *r, struct rt_target *t, struct rt_server *s,
+                     double cost);
+void rt_server_drop (struct rt *r, struct rt_target *t, struct rt_server *s,
+                     double cost);
+/** The server's in_flight or pending changed. */
+void rt_server_changed (struct rt_server *s);
+const struct rt_view *rt_view (struct rt *r, struct rt_target *t);
+/** Own requests on all servers of the view. */
+double rt_own_in_view (const struct rt_target *t);
+/** Requests of other gateways on all servers of the view, estimated. */
+double rt_others_by_now (const struct rt_target *t);
+/** Mean time of a request on a server. */
+double rt_service_ms (const struct rt_target *t);
+
 /* choose.c */
 bool rt_usable (const struct rt *r, const struct rt_server *s);
 struct rt_server *rt_choose (void *ctx, struct rt *r, struct rt_target *t,
                              const struct rt_req *q);
 bool rt_tried (const struct rt_req *q, const struct rt_server *s);
-void rt_server_load (struct rt *r, struct rt_target *t, struct rt_server *s,
-                     uint32_t load, clk_ms at);
-void rt_server_take (struct rt *r, struct rt_server *s, double cost);
-void rt_server_drop (struct rt *r, struct rt_server *s, double cost);
 
 /* retry.c */
 bool rt_retry_spend (struct rt *r, struct rt_target *t);
--- /dev/null
+++ b/route/load.c
@@ -0,0 +1,222 @@
+#include <math.h>
+#include <stdlib.h>
+
+#include "route/core.h"
+
+#define REFRESH_MS 200    /* how often aged estimates are computed anew */
+#define SERVICE_MS 3000.0 /* time of a request until one was measured */
+#define COST_FIRST 1000.0 /* tokens of a request until one was seen */
+#define FADE 0.3          /* of a service time: pace at which reports fade */
+#define FULL_FACTOR 1.1   /* of its capacity: a server that gets nothing */
+
+/** Carry the present load on to the sample slots that passed since. */
+static void
+history_advance (struct rt_server *s, clk_ms now)
+{
+  struct rt_history *h = &s->history;
+  clk_ms slot = now / RT_HISTORY_MS;
+  clk_ms behind = slot - h->slot;
+  if (behind > RT_HISTORY)
+    behind = RT_HISTORY;
+  for (clk_ms i = 0; i < behind; i++)
+    h->tokens[(slot - i) % RT_HISTORY] = (float)s->own_tokens;
+  if (slot > h->slot)
+    h->slot = slot;
+}
+
+/** Own load at the time @p at, to the precision of the samples. */
+static double
+history_at (const struct rt_server *s, clk_ms at)
+{
+  const struct rt_history *h = &s->history;
+  clk_ms slot = at / RT_HISTORY_MS;
+  if (slot >= h->slot)
+    return s->own_tokens;
+  if (slot <= h->slot - RT_HISTORY)
+    slot = h->slot - RT_HISTORY + 1;
+  return slot < 0 ? 0 : h->tokens[slot % RT_HISTORY];
+}
+
+void
+rt_server_take (struct rt *r, struct rt_target *t, struct rt_server *s,
+                double cost)
+{
+  history_advance (s, r->now);
+  s->in_flight++;
+  t->in_flight++;
+  t->own_tokens += cost;
+  s->own_tokens += cost;
+  s->history.tokens[s->history.slot % RT_HISTORY] = (float)s->own_tokens;
+  rt_server_changed (s);
+}
+
+void
+rt_server_drop (struct rt *r, struct rt_target *t, struct rt_server *s,
+                double cost)
+{
+  history_advance (s, r->now);
+  s->in_flight--;
+  t->in_flight--;
+  t->own_tokens = t->in_flight ? t->own_tokens - cost : 0;
+  s->own_tokens = s->in_flight ? s->own_tokens - cost : 0;
+  s->history.tokens[s->history.slot % RT_HISTORY] = (float)s->own_tokens;
+  rt_server_changed (s);
+}
+
+/** The report holds our own work of that moment; the rest is of others. */
+void
+rt_server_load (struct rt *r, struct rt_target *t, struct rt_server *s,
+                uint32_t load, clk_ms at)
+{
+  if (at <= s->load_at && s->load_at != 0)
+    return;
+  history_advance (s, r->now);
+  double mean = t->mean_cost > 0 ? t->mean_cost : COST_FIRST;
+  double others = (double)load - history_at (s, at);
+  s->others = others > 0 ? others / mean : 0;
+  s->load_at = at;
+  t->view.current = false;
+}
+
+double
+rt_service_ms (const struct rt_target *t)
+{
+  double ms = t->ms_per_token * t->mean_cost;
+  return ms > 0 ? ms : SERVICE_MS;
+}
+
+/** Requests of others, averaged over the reports. */
+static double
+mean_others (const struct rt *r, const struct rt_target *t)
+{
+  double sum = 0;
+  size_t n = 0;
+  for (size_t i = 0; i < t->nservers; i++)
+    if (t->servers[i]->load_at != 0 && rt_usable (r, t->servers[i]))
+      {
+        sum += t->servers[i]->others;
+        n++;
+      }
+  return n ? sum / (double)n : 0;
+}
+
+/** How much of a report still holds; most of a list are of one time. */
+struct fading
+{
+  double pace;
+  clk_ms load_at;
+  double weight;
+};
+
+static double
+fade (struct fading *f, clk_ms now, clk_ms load_at)
+{
+  if (load_at == 0)
+    return 0;
+  if (load_at != f->load_at)
+    {
+      f->load_at = load_at;
+      f->weight = exp (-(double)(now - load_at) / f->pace);
+    }
+  return f->weight;
+}
+
+/** How many of ours the server may have, by what is known of others'. */
+static float
+room_of (const struct rt_target *t, const struct rt_server *s, double others)
+{
+  if (!t->is_model)
+    return (float)s->capacity;
+  return (float)(FULL_FACTOR * s->capacity - others);
+}
+
+static void
+add_candidate (struct rt *r, struct rt_target *t, struct rt_server *s,
+               double others)
+{
+  struct rt_view *v = &t->view;
+  struct rt_candidate *c = &v->list[v->n++];
+  *c = (struct rt_candidate){ .server = s,
+                              .hash = s->hash,
+                              .room = room_of (t, s, others) };
+  s->candidate = c;
+  rt_server_changed (s);
+  v->capacity += s->capacity;
+  if (s->valid_until < v->valid_until)
+    v->valid_until = s->valid_until;
+  if (s->load_at == 0)
+    return;
+  v->others += t->mean_others;
+  v->tokens_then += history_at (s, s->load_at);
+  v->age += (double)(r->now - s->load_at);
+}
+
+/**
+ * What a report says of one server fades as the requests that it counted end
+ * and as the other gateways even out what it shows, while the mean over all
+ * servers stays right much longer.  So each estimate moves from the report to
+ * the mean with the age of the report.
+ */
+static void
+refresh (struct rt *r, struct rt_target *t)
+{
+  struct fading fading = { .pace = FADE * rt_service_ms (t) };
+  struct rt_candidate *list
+      = xrealloc (t->view.list, (t->nservers + 1) * sizeof *t->view.list);
+  t->view = (struct rt_view){ .list = list,
+                              .at = r->now,
+                              .valid_until = CLK_NEVER };
+  t->mean_others = mean_others (r, t);
+  for (size_t i = 0; i < t->nservers; i++)
+    {
+      struct rt_server *s = t->servers[i];
+      double w = fade (&fading, r->now, s->load_at);
+      s->candidate = NULL;
+      if (rt_usable (r, s) && !s->ejected_until)
+        add_candidate (r, t, s, w * s->others + (1 - w) * t->mean_others);
+      else
+        t->view.outside += s->in_flight;
+      t->view.ejected += s->ejected_until != 0;
+    }
+  t->view.current = true;
+}
+
+const struct rt_view *
+rt_view (struct rt *r, struct rt_target *t)
+{
+  const struct rt_view *v = &t->view;
+  if (!v->current || r->now >= v->valid_until || r->now - v->at >= REFRESH_MS)
+    refresh (r, t);
+  return v;
+}
+
+void
+rt_server_changed (struct rt_server *s)
+{
+  if (!s->candidate)
+    return;
+  s->candidate->in_flight = s->in_flight;
+  s->candidate->score = s->in_flight + s->pending;
+}
+
+double
+rt_own_in_view (const struct rt_target *t)
+{
+  return t->in_flight > t->view.outside ? t->in_flight - t->view.outside : 0;
+}
+
+/**
+ * Requests of the other gateways now.  All gateways carry parts of the same
+ * load, so what changed here since the reports changed there too, about as
+ * much; the older the reports, the more this counts.
+ */
+double
+rt_others_by_now (const struct rt_target *t)
+{
+  const struct rt_view *v = &t->view;
+  if (v->tokens_then <= 0 || v->n == 0)
+    return v->others;
+  double age = v->age / (double)v->n;
+  double w = 1 - exp (-age / rt_service_ms (t));
+  return v->others * pow ((t->own_tokens + 1) / (v->tokens_then + 1), w);
+}
--- a/route/outlier.c
+++ b/route/outlier.c
@@ -42,6 +42,7 @@
   s->ejections++;
   s->ejected_until = r->now + (span < OUT_MOST_MS ? span : OUT_MOST_MS);
   s->probing = false;
+  t->view.current = false;
 }
 
 static int
@@ -101,6 +102,7 @@
           return;
         }
       s->ejected_until = 0;
+      t->view.current = false;
       s->first_n = 0;
     }
   s->first_ms = s->first_n == 0
--- a/route/request.c
+++ b/route/request.c
@@ -74,7 +74,10 @@
 settle_pending (struct rt_req *q)
 {
   if (q->pending)
-    q->server->pending--;
+    {
+      q->server->pending--;
+      rt_server_changed (q->server);
+    }
   q->pending = false;
 }
 
@@ -85,8 +88,7 @@
   if (!q->server)
     return;
   settle_pending (q);
-  rt_server_drop (r, q->server, q->cost);
-  q->target->in_flight--;
+  rt_server_drop (r, q->target, q->server, q->cost);
   if (q->probe)
     q->server->probing = false;
   q->probe = false;
@@ -438,8 +440,7 @@
 dispatch (struct rt *r, struct rt_req *q, struct rt_server *s)
 {
   q->server = s;
-  rt_server_take (r, s, q->cost);
-  q->target->in_flight++;
+  rt_server_take (r, q->target, s, q->cost);
   if (s->ejected_until && rt_outlier_probe_due (r, s))
     s->probing = q->probe = true;
   if (q->has_key && !q->sent && !grant_fresh (r, q))
@@ -581,6 +582,7 @@
   q->started = r->now;
   q->pending = true;
   q->server->pending++;
+  rt_server_changed (q->server);
   rt_act (r, RT_ACT_SEND, q);
 }
 
--- a/route/route.c
+++ b/route/route.c
@@ -204,6 +204,7 @@
     else
       server_free (t->servers[i]);
   t->nservers = kept;
+  t->view.current = false;
 }
 
 static void
@@ -318,7 +319,10 @@
   for (size_t i = 0; i < r->ntargets; i++)
     for (size_t k = 0; k < r->targets[i]->nservers; k++)
       if (r->targets[i]->servers[k]->hash == hash)
-        r->targets[i]->servers[k]->down = down;
+        {
+          r->targets[i]->servers[k]->down = down;
+          r->targets[i]->view.current = false;
+        }
 }
 
 /* --- events ------------------------------------------------------------ */
@@ -417,6 +421,7 @@
   for (size_t i = 0; i < t->nservers; i++)
     server_free (t->servers[i]);
   rt_queue_clear (&t->queue);
+  free (t->view.list);
   free (t->servers);
   free (t->name);
   free (t);
--- a/t/lib-route.c
+++ b/t/lib-route.c
@@ -101,6 +101,7 @@
   for (size_t i = 0; i < n; i++)
     {
       const char *load = strstr (w[i], "n=");
+      const char *until = strstr (w[i], "until=");
       list[i] = (struct rt_replica){
         .name = str_make (w[i], strcspn (w[i], "/")),
         .model = STR ("lm"),
@@ -108,7 +109,7 @@
         .generation = has_flag (w[i], "gen2") ? 2 : 1,
         .whole = !has_flag (w[i], "broken"),
         .draining = has_flag (w[i], "draining"),
-        .valid_until = has_flag (w[i], "old") ? s->now : s->now + 1000000,
+        .valid_until = s->now + (until ? atoi (until + 6) : 1000000),
         .load = load ? (uint32_t)atoi (load + 2) : 0,
         .load_at = load ? s->now : 0,
       };
--- a/t/lib-route.h
+++ b/t/lib-route.h
@@ -3,9 +3,8 @@
  * Scripts for the request core: lines "TIME VERB ARGS..." in, the actions of
  * each line out as text.
  *
- *   replicas NAME[/FLAG]...   the whole list; flags: broken draining old
- *                             (evidence ends at once) far (other zone) gen2
- *                             n=LOAD
+ *   replicas NAME[/FLAG]...   the whole list; flags: broken draining far
+ *                             (other zone) gen2 until=MS (evidence) n=LOAD
  *   arrive ID ACCOUNT TARGET [once] [key] [prio=N] [by=TIME] [cost=N]
  *                            [prefix=N]
  *   claim ID VERDICT          granted running answered unknown mismatch
--- /dev/null
+++ b/t/t5005-choose.c
@@ -0,0 +1,116 @@
+#include <criterion/criterion.h>
+
+#include "lib-route.h"
+
+/* Which replica gets the next request; each runs four at once. */
+
+#define CONFIG                                                                \
+  "{\"models\":{\"lm\":{\"mode\":\"route\",\"vms\":1,\"capacity\":4}},"       \
+  "\"accounts\":{"                                                            \
+  "\"acme\":{" KEY_DIGESTS ",\"may\":[\"*\"],\"priority\":0}}}"
+
+static void
+check (const char *script, const char *log)
+{
+  struct script s = script_new (CONFIG, 2);
+  script_expect (&s, script, log);
+  script_free (&s);
+}
+
+Test (choose, evidence_runs_out)
+{
+  /* Nothing more is heard of a replica.  From the moment that its evidence
+     ends it gets no new work, also when nothing else happened since the
+     last choice. */
+  check ("0 replicas r1/until=100 r2\n"
+         "99 arrive* 1-4 acme lm\n"
+         "100 arrive* 5-7 acme lm\n",
+         "0 replicas r1/until=100:\n"
+         "99 arrive* 1-4: connect(1/1 r2) connect(2/1 r1) connect(3/1 r2) "
+         "connect(4/1 r1)\n"
+         "100 arrive* 5-7: connect(5/1 r2) connect(6/1 r2) connect(7/1 r2)\n");
+}
+
+Test (choose, least_of_our_own)
+{
+  /* Three replicas get one request each before any gets a second. */
+  check ("0 replicas r1 r2 r3\n"
+         "1 arrive* 1-3 acme lm\n"
+         "2 gone 1\n"
+         "3 arrive 4 acme lm\n",
+         "0 replicas r1:\n"
+         "1 arrive* 1-3: connect(1/1 r2) connect(2/1 r3) connect(3/1 r1)\n"
+         "2 gone 1: cancel(1/1)\n"
+         "3 arrive 4: connect(4/1 r2)\n");
+}
+
+Test (choose, reported_full)
+{
+  /* A fresh report shows that others have filled one replica. */
+  check ("0 replicas r1 r2\n"
+         "1 arrive 1 acme lm\n"
+         "2 gone 1\n"
+         "3 replicas r1/n=500 r2/n=0\n"
+         "4 arrive* 2-4 acme lm\n",
+         "0 replicas r1:\n"
+         "1 arrive 1: connect(1/1 r2)\n"
+         "2 gone 1: cancel(1/1)\n"
+         "3 replicas r1/n=500:\n"
+         "4 arrive* 2-4: connect(2/1 r2) connect(3/1 r2) connect(4/1 r2)\n");
+}
+
+Test (choose, prefix_stays_while_slots_are_free)
+{
+  /* Requests of one prefix go to its replica although others have none, but
+     no further than free slots allow. */
+  check ("0 replicas r1 r2 r3 r4\n"
+         "1 arrive 1 acme lm prefix=7\n"
+         "2 open 1/1\n"
+         "3 head 1/1 200\n"
+         "4 body 1/1 1\n"
+         "5 gone 1\n"
+         "6 arrive 2 acme lm prefix=7\n"
+         "7 gone 2\n"
+         "8 arrive* 3-8 acme lm prefix=7\n",
+         "0 replicas r1:\n"
+         "1 arrive 1: connect(1/1 r4)\n"
+         "2 open 1/1: send(1/1)\n"
+         "3 head 1/1:\n"
+         "4 body 1/1: pass(1/1)\n"
+         "5 gone 1: cancel(1/1)\n"
+         "6 arrive 2: connect(2/1 r4)\n"
+         "7 gone 2: cancel(2/1)\n"
+         "8 arrive* 3-8: connect(3/1 r4) connect(4/1 r3) connect(5/1 r4) "
+         "connect(6/1 r3) connect(7/1 r4) connect(8/1 r2)\n");
+}
+
+Test (choose, waits_here_when_all_is_taken)
+{
+  /* Both replicas are full with ours and reported work.  What comes next
+     waits at the gateway, and goes when a slot is free. */
+  check ("0 replicas r1 r2\n"
+         "1 arrive* 1-12 acme lm\n"
+         "2 gone 1\n",
+         "0 replicas r1:\n"
+         "1 arrive* 1-12: connect(1/1 r2) connect(2/1 r1) connect(3/1 r2) "
+         "connect(4/1 r1) connect(5/1 r1) connect(6/1 r2) connect(7/1 r2) "
+         "connect(8/1 r1) connect(9/1 r1) connect(10/1 r2)\n"
+         "2 gone 1: cancel(1/1) connect(11/1 r2)\n");
+}
+
+Test (choose, same_zone_without_fresh_reports)
+{
+  /* Of two that have the same of ours, the one in this zone. */
+  check ("0 replicas r1 r2/far\n"
+         "1 arrive 1 acme lm\n"
+         "2 gone 1\n"
+         "3 arrive 2 acme lm\n"
+         "4 gone 2\n"
+         "5 arrive 3 acme lm\n",
+         "0 replicas r1:\n"
+         "1 arrive 1: connect(1/1 r1)\n"
+         "2 gone 1: cancel(1/1)\n"
+         "3 arrive 2: connect(2/1 r1)\n"
+         "4 gone 2: cancel(2/1)\n"
+         "5 arrive 3: connect(3/1 r1)\n");
+}
