Cut callers of HTTP/1.0 by a reset

Cause: such a caller takes a close for the end of its answer. Lingering for no time gave a reset only when no bytes waited; with bytes in flight the connection was shut down in good order and the cut looked whole. Change: the socket's association is dissolved, which sends a reset at once. Ruled out: a reset that libuv shows as an end of file when bytes come with it; the test asks the socket. Conclusion: a cut is visible to callers of both versions.

--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -419,15 +419,19 @@
   req->drained_ctx = ctx;
 }
 
-/* Callers of HTTP/1.0 see a cut only as a reset: they know no last chunk. */
+/*
+ * A caller of HTTP/1.0 knows neither last chunk nor, here, a length: an
+ * ordinary close is its sign for a whole answer, and only a reset is not.
+ * Dissolving the socket's association sends one, also while bytes wait.
+ */
 static void
-reset_on_close (const struct httpd_req *r)
+reset_old_caller (const struct httpd_req *r)
 {
-  struct linger now = { 1, 0 };
+  struct sockaddr nobody = { .sa_family = AF_UNSPEC };
   int fd = httpd_conn_fd (r->conn);
 
   if (r->req->version < 0x101 && r->length == SIZE_MAX && fd >= 0)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    (void)!connect (fd, &nobody, sizeof nobody);
 }
 
 void
@@ -442,7 +446,7 @@
   if (!whole)
     {
       req->req->http1_is_persistent = 0;
-      reset_on_close (req);
+      reset_old_caller (req);
     }
   if (!req->in_flight)
     flush (req);
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -37,6 +37,13 @@
   struct net_addr at;
   struct held held[MAX_HELD];
   struct caller callers[MAX_HELD];
+  struct old_caller
+  {
+    uv_tcp_t tcp; /* first */
+    uv_connect_t connect;
+    struct bench *b;
+    bool open;
+  } old;
 };
 
 /* --- the handler ------------------------------------------------------- */
@@ -159,6 +166,67 @@
   return c;
 }
 
+/* --- a caller of HTTP/1.0 ------------------------------------------------ */
+
+static void
+on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
+{
+  static char bytes[65536];
+
+  *out = uv_buf_init (bytes, sizeof bytes);
+}
+
+/* libuv takes a reset that comes with bytes for an end of file. */
+static bool
+was_reset (uv_stream_t *s, ssize_t n)
+{
+  int err = 0;
+  socklen_t len = sizeof err;
+  uv_os_fd_t fd;
+
+  uv_fileno ((uv_handle_t *)s, &fd);
+  getsockopt (fd, SOL_SOCKET, SO_ERROR, &err, &len);
+  return n == UV_ECONNRESET || err == ECONNRESET;
+}
+
+static void
+on_old_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  struct old_caller *o = (struct old_caller *)s;
+
+  if (n >= 0)
+    return;
+  run_log (&o->b->run, "old caller: %s",
+           was_reset (s, n) ? "reset" : "closed");
+  o->open = false;
+  uv_close ((uv_handle_t *)s, NULL);
+}
+
+static void
+on_old_connected (uv_connect_t *req, int status)
+{
+  struct old_caller *o = req->data;
+  uv_buf_t head = uv_buf_init ("GET /old HTTP/1.0\r\n\r\n", 21);
+
+  cr_assert_eq (status, 0);
+  cr_assert_eq (uv_try_write ((uv_stream_t *)&o->tcp, &head, 1), 21);
+  uv_read_start ((uv_stream_t *)&o->tcp, on_alloc, on_old_read);
+}
+
+static void
+old_call (struct bench *b)
+{
+  struct sockaddr_storage ss;
+
+  b->old.b = b;
+  b->old.open = true;
+  b->old.connect.data = &b->old;
+  net_addr_sockaddr (&b->at, &ss);
+  uv_tcp_init (&b->run.loop, &b->old.tcp);
+  uv_tcp_connect (&b->old.connect, &b->old.tcp, (struct sockaddr *)&ss,
+                  on_old_connected);
+}
+
 /* --- words ------------------------------------------------------------- */
 
 static struct httpd_req *
@@ -256,6 +324,8 @@
     call (b, rest, STR ("a body"), true);
   else if (str_is (word, "post-large"))
     call (b, rest, STR ("a body of more than sixteen bytes"), true);
+  else if (str_is (word, "old"))
+    old_call (b);
   else if (str_is (word, "read"))
     httpc_pause (caller_of (b, rest)->call, false);
   else if (str_is (word, "leave"))
@@ -333,6 +403,28 @@
                                                                           "/d") "/d: whole 200, 5 bytes\n");
 }
 
+/*
+ * A caller of HTTP/1.0 takes an ordinary close for the end of its answer.
+ * Cut, with and without bytes waiting, it gets a reset; whole, a close.
+ */
+Test (server, cut_is_seen_by_an_old_caller)
+{
+  const char *asked = "/old: asked by , query [], body []\n";
+  struct buf log = BUF_INIT;
+
+  buf_addf (&log, "%s/old: drained\nold caller: reset\n", asked);
+  buf_addf (&log, "%squeued\nold caller: reset\n", asked);
+  buf_addf (&log, "%sold caller: closed\n", asked);
+  play ("old\n wait /old: asked by , query [], body []\n begin /old\n"
+        "wait /old: drained\n cut /old\n wait old caller: reset\n"
+        "old\n wait /old: asked by , query [], body []\n begin /old\n"
+        "large /old\n cut /old\n wait old caller: reset\n"
+        "old\n wait /old: asked by , query [], body []\n begin /old\n"
+        "end /old\n wait old caller: closed",
+        buf_c (&log));
+  buf_free (&log);
+}
+
 /*
  * A caller leaves while its request waits for a first byte, and another in
  * the middle of its stream.  The handler is told at once, so that it stops
