--- a/builtin/control.c
+++ b/builtin/control.c
@@ -60,6 +60,7 @@
     return EXIT_USAGE;
   if (!read_settings (path, &set))
     {
+      settings_free (&set);
       g_free (path);
       return EXIT_INPUT;
     }
