Test roster and links of control processes over sockets

Several control processes in one loop, with fakes for the modules that take the frames: join by the roster alone, join with the store down, a predecessor that still runs, a row that must not go back, a region of twenty, a gateway and a stranger. Seen red on a scratch copy with these off: the boot check on greeting (evidence of a predecessor arrived), the order of boots in the roster, links on demand, the bound of the mesh, the seed in the greeting, one link per process, the check of the role. Not seen red: closing the link of a lower boot when the view names a higher one, as the successor's greeting closes it too.

--- /dev/null
+++ b/t/t8101-peers.c
@@ -0,0 +1,722 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/control.h"
+
+/*
+ * Membership, roster and links of several control processes, each with its
+ * own sockets, all in one loop; fakes in place of the other modules.  A
+ * process is a NAME or NAME/BOOT.  Commands of a script:
+ *   store up|down|loses-answer      what the store does from now on
+ *   start PROCESS [PEER...]         with the links of PEERs in its settings
+ *   stop PROCESS
+ *   until CONDITION                 turn the loop until it holds, log whether
+ *   send FROM TO                    evidence by name; log whether it went out
+ *   pester FROM TO                  try to send it for two seconds, unlogged
+ * and of a condition:
+ *   alive PROCESS N                 it knows so many live nodes
+ *   links PROCESS LEAST MOST        it holds so many links
+ *   got PROCESS N                   so much evidence has reached it
+ *   row NAME BOOT                   the roster names that boot
+ *   gateway PROCESS                 its gateway has greeted
+ *   closed stranger                 the link of a stranger was closed
+ */
+
+#define WAIT_MS (20 * CLK_SECOND)
+#define PESTER_MS (2 * CLK_SECOND)
+#define MAX_NODES 24
+#define MAX_ROWS 32
+
+struct node
+{
+  struct ctl c; /* first: fakes get it from the modules' pointers */
+  char name[16];
+  bool running;
+  size_t evidence;
+  bool gateway;
+};
+
+struct row
+{
+  struct buf key, value;
+  int64_t rev;
+};
+
+static struct world
+{
+  uv_loop_t loop;
+  struct buf log;
+  struct node nodes[MAX_NODES];
+  size_t n;
+  struct row rows[MAX_ROWS];
+  size_t nrows;
+  int64_t revision;
+  bool store_down, loses_answer;
+  bool closed; /* a stranger's link */
+} w;
+
+static const struct net_addr any_port = { .host = "127.0.0.1" };
+
+/* --- fakes of the other modules ----------------------------------------- */
+
+void
+ctl_member_changed (struct ctl *c, const struct mbr_node *node)
+{
+  if (c->peers != NULL)
+    ctl_peers_member (c->peers, node);
+}
+
+void
+ctl_spread_peer (struct ctl_spread *s, uint64_t peer, bool up)
+{
+}
+
+void
+ctl_spread_frame (struct ctl_spread *s, uint64_t peer, const Lapis__Frame *f)
+{
+}
+
+/* The fakes' pointers are those of the node that they belong to. */
+void
+ctl_domains_evidence (struct ctl_domains *d, const Lapis__Evidence *e)
+{
+  ((struct node *)d)->evidence++;
+}
+
+const struct ctl_replica *
+ctl_domains_replicas (struct ctl_domains *d, size_t *n)
+{
+  *n = 0;
+  return NULL;
+}
+
+#ifndef LAPISLINE_WITHOUT_SHARES
+void
+ctl_shares_demand (struct ctl_shares *s, struct str node,
+                   const Lapis__ShareDemand *d)
+{
+}
+
+void
+ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g)
+{
+}
+#endif
+
+void
+ctl_views_gateway (struct ctl_views *v, struct link *l,
+                   const Lapis__Hello *hello)
+{
+  ((struct node *)v)->gateway = true;
+}
+
+void
+ctl_views_gateway_down (struct ctl_views *v, struct link *l)
+{
+  ((struct node *)v)->gateway = false;
+}
+
+void
+ctl_views_frame (struct ctl_views *v, struct link *l, const Lapis__Frame *f)
+{
+}
+
+void
+ctl_admin_frame (struct ctl_admin *a, uint64_t peer, const Lapis__Frame *f)
+{
+}
+
+/* --- a store in memory -------------------------------------------------- */
+
+struct answer
+{
+  uv_timer_t timer;
+  void *self;
+  struct answer *next;
+  store_cb cb;
+  void *ctx;
+  struct store_result res;
+  struct store_kv kvs[MAX_ROWS];
+};
+
+static void
+free_handle (uv_handle_t *h)
+{
+  free (h->data);
+}
+
+static struct answer *answers;
+
+static void
+drop_answer (struct answer *a)
+{
+  struct answer **at = &answers;
+
+  while (*at != a)
+    at = &(*at)->next;
+  *at = a->next;
+  uv_close ((uv_handle_t *)&a->timer, free_handle);
+}
+
+static void
+on_answer (uv_timer_t *t)
+{
+  struct answer *a = t->data;
+
+  a->cb (a->ctx, &a->res);
+  drop_answer (a);
+}
+
+static struct answer *
+answer_later (void *self, store_cb cb, void *ctx)
+{
+  struct answer *a = xcalloc (1, sizeof *a);
+
+  a->self = self;
+  a->next = answers;
+  answers = a;
+  a->cb = cb;
+  a->ctx = ctx;
+  a->res.status = w.store_down ? STORE_UNAVAILABLE : STORE_OK;
+  uv_timer_init (&w.loop, &a->timer);
+  a->timer.data = a;
+  uv_timer_start (&a->timer, on_answer, 1, 0);
+  return a;
+}
+
+static struct row *
+find_row (struct str key)
+{
+  for (size_t i = 0; i < w.nrows; i++)
+    if (str_eq (buf_str (&w.rows[i].key), key))
+      return &w.rows[i];
+  return NULL;
+}
+
+static void
+kv_range (void *self, struct str key, struct str end, store_cb cb, void *ctx)
+{
+  struct answer *a = answer_later (self, cb, ctx);
+
+  a->res.kvs = a->kvs;
+  for (size_t i = 0; i < w.nrows && !w.store_down; i++)
+    if (str_cmp (buf_str (&w.rows[i].key), key) >= 0
+        && str_cmp (buf_str (&w.rows[i].key), end) < 0)
+      a->kvs[a->res.nkvs++]
+          = (struct store_kv){ .key = buf_str (&w.rows[i].key),
+                               .value = buf_str (&w.rows[i].value),
+                               .mod_rev = w.rows[i].rev };
+}
+
+static void
+kv_txn (void *self, const struct store_txn *txn, store_cb cb, void *ctx)
+{
+  struct answer *a = answer_later (self, cb, ctx);
+  struct row *row = find_row (txn->compares[0].key);
+
+  if (w.store_down)
+    return;
+  if (w.loses_answer)
+    a->res.status = STORE_UNCERTAIN;
+  w.loses_answer = false;
+  if ((row != NULL ? row->rev : 0) != txn->compares[0].mod_rev)
+    {
+      a->res.status = STORE_CONFLICT;
+      return;
+    }
+  if (row == NULL)
+    row = &w.rows[w.nrows++];
+  buf_clear (&row->key);
+  buf_add (&row->key, txn->puts[0].key);
+  buf_clear (&row->value);
+  buf_add (&row->value, txn->puts[0].value);
+  row->rev = ++w.revision;
+}
+
+static void
+kv_free (void *self)
+{
+  for (struct answer *a = answers, *next; a != NULL; a = next)
+    {
+      next = a->next;
+      if (a->self == self)
+        drop_answer (a);
+    }
+}
+
+static const struct store_ops kv_ops
+    = { .range = kv_range, .txn = kv_txn, .free = kv_free };
+
+/* --- processes ---------------------------------------------------------- */
+
+static struct node *
+find_node (const char *name)
+{
+  for (size_t i = 0; i < w.n; i++)
+    if (strcmp (w.nodes[i].name, name) == 0)
+      return &w.nodes[i];
+  cr_assert (false, "no process '%s'", name);
+  return NULL;
+}
+
+static void
+configure (struct node *n, const char *peers)
+{
+  struct settings *set = &n->c.set;
+  char *list = xstrdup (peers);
+  char *save = NULL;
+
+  set->node = str_dup (
+      str_head (str_from (n->name), str_chr (str_from (n->name), '/')));
+  set->zone = xstrdup ("hall-a");
+  set->region = xstrdup ("nairobi");
+  set->store_prefix = xstrdup ("/lapisline/");
+  set->control_swim = set->control_peer = any_port;
+  memcpy (set->secret, "tests", 5);
+  for (char *p = strtok_r (list, " ", &save); p != NULL;
+       p = strtok_r (NULL, " ", &save))
+    {
+      set->peers[set->npeers] = any_port;
+      set->peers[set->npeers++].port = ctl_peers_port (find_node (p)->c.peers);
+    }
+  free (list);
+}
+
+static void
+start (char *args)
+{
+  static const struct store_budget budget = { 1000, 1000 };
+  struct node *n = &w.nodes[w.n++];
+  char *peers = strchr (args, ' ');
+  struct buf err = BUF_INIT;
+  const char *boot;
+
+  if (peers != NULL)
+    *peers++ = '\0';
+  snprintf (n->name, sizeof n->name, "%s", args);
+  boot = strchr (n->name, '/');
+  configure (n, peers != NULL ? peers : "");
+  n->c.loop = &w.loop;
+  n->c.boot = boot != NULL ? strtoull (boot + 1, NULL, 10) : 1;
+  rng_seed (&n->c.rng, w.n);
+  n->c.met = met_new ();
+  n->c.store = store_new (&w.loop, &kv_ops, n, &budget);
+  n->c.domains = (struct ctl_domains *)n;
+  n->c.views = (struct ctl_views *)n;
+  n->c.spread = (struct ctl_spread *)n;
+  n->c.swim = ctl_swim_start (&n->c, &err);
+  cr_assert (n->c.swim != NULL, "%s", buf_c (&err));
+  n->c.peers = ctl_peers_start (&n->c, &err);
+  cr_assert (n->c.peers != NULL, "%s", buf_c (&err));
+  n->running = true;
+  buf_free (&err);
+}
+
+static void
+stop (struct node *n)
+{
+  if (!n->running)
+    return;
+  n->running = false;
+  ctl_peers_stop (n->c.peers);
+  n->c.peers = NULL;
+  ctl_swim_stop (n->c.swim);
+  store_free (n->c.store);
+  met_free (n->c.met);
+  settings_free (&n->c.set);
+}
+
+/* --- conditions --------------------------------------------------------- */
+
+static size_t
+alive (const struct node *n)
+{
+  size_t all, count = 0;
+  const struct mbr_node *const *nodes = ctl_swim_nodes (n->c.swim, &all);
+
+  for (size_t i = 0; i < all; i++)
+    count += nodes[i]->status == MBR_ALIVE;
+  return count;
+}
+
+static bool
+row_names (const char *name, unsigned boot)
+{
+  struct buf key = BUF_INIT, want = BUF_INIT;
+  struct row *row;
+  bool ok;
+
+  buf_addf (&key, "/lapisline/roster/hall-a/%s", name);
+  buf_addf (&want, "{\"boot\":%u,", boot);
+  row = find_row (buf_str (&key));
+  ok = row != NULL && str_starts (buf_str (&row->value), buf_str (&want));
+  buf_free (&key);
+  buf_free (&want);
+  return ok;
+}
+
+static bool
+holds (const char *condition)
+{
+  char what[16], name[16];
+  unsigned a = 0, b = 0;
+  uint64_t out, in;
+  size_t links;
+
+  cr_assert (sscanf (condition, "%15s %15s %u %u", what, name, &a, &b) >= 2);
+  if (strcmp (what, "row") == 0)
+    return row_names (name, a);
+  if (strcmp (what, "alive") == 0)
+    return alive (find_node (name)) == a;
+  if (strcmp (what, "got") == 0)
+    return find_node (name)->evidence == a;
+  if (strcmp (what, "closed") == 0)
+    return w.closed;
+  if (strcmp (what, "gateway") == 0)
+    return find_node (name)->gateway;
+  links = ctl_peers_traffic (find_node (name)->c.peers, &out, &in);
+  return links >= a && links <= b;
+}
+
+static void
+on_wake (uv_timer_t *t)
+{
+}
+
+static void
+until (const char *condition)
+{
+  clk_ms end = clk_now () + WAIT_MS;
+  uv_timer_t wake;
+
+  uv_timer_init (&w.loop, &wake);
+  uv_timer_start (&wake, on_wake, 20, 20);
+  while (!holds (condition) && clk_now () < end)
+    uv_run (&w.loop, UV_RUN_ONCE);
+  buf_addf (&w.log, "%s: %s\n", condition, holds (condition) ? "yes" : "no");
+  uv_close ((uv_handle_t *)&wake, NULL);
+  uv_run (&w.loop, UV_RUN_NOWAIT);
+}
+
+static void
+send_evidence (const char *args)
+{
+  char from[16], to[16];
+  Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+
+  cr_assert_eq (sscanf (args, "%15s %15s", from, to), 2);
+  f.body_case = LAPIS__FRAME__BODY_EVIDENCE;
+  f.evidence = &e;
+  buf_addf (&w.log, "%s to %s: %s\n", from, to,
+            ctl_peers_send_node (find_node (from)->c.peers, str_from (to), &f)
+                ? "sent"
+                : "no link");
+}
+
+static void
+on_pester (uv_timer_t *t)
+{
+  Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  struct node **ends = t->data;
+  struct str to = str_from (ends[1]->c.set.node);
+
+  f.body_case = LAPIS__FRAME__BODY_EVIDENCE;
+  f.evidence = &e;
+  ctl_peers_send_node (ends[0]->c.peers, to, &f);
+}
+
+static void
+pester (const char *args)
+{
+  char from[16], to[16];
+  struct node *ends[2];
+  clk_ms end = clk_now () + PESTER_MS;
+  uv_timer_t t;
+
+  cr_assert_eq (sscanf (args, "%15s %15s", from, to), 2);
+  ends[0] = find_node (from);
+  ends[1] = find_node (to);
+  uv_timer_init (&w.loop, &t);
+  t.data = ends;
+  uv_timer_start (&t, on_pester, 10, 10);
+  while (clk_now () < end)
+    uv_run (&w.loop, UV_RUN_ONCE);
+  uv_close ((uv_handle_t *)&t, NULL);
+  uv_run (&w.loop, UV_RUN_NOWAIT);
+}
+
+/* --- a gateway ---------------------------------------------------------- */
+
+static void
+on_gateway_state (void *ctx, struct link *l, enum link_state state)
+{
+  Lapis__Hello hello = LAPIS__HELLO__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+
+  if (state == LINK_DOWN)
+    w.closed = true;
+  if (state != LINK_UP)
+    return;
+  hello.node = strcmp (ctx, "gateway") == 0 ? "n1" : "n9";
+  hello.role = ctx;
+  f.body_case = LAPIS__FRAME__BODY_HELLO;
+  f.hello = &hello;
+  link_send (l, &f);
+}
+
+static void
+on_gateway_frame (void *ctx, struct link *l, const Lapis__Frame *f)
+{
+}
+
+/* --- scripts ------------------------------------------------------------ */
+
+static void
+run_line (char *line)
+{
+  char *args = strchr (line, ' ');
+
+  cr_assert (args != NULL, "line '%s'", line);
+  *args++ = '\0';
+  if (strcmp (line, "store") == 0)
+    {
+      w.store_down = strcmp (args, "down") == 0;
+      w.loses_answer = strcmp (args, "loses-answer") == 0;
+    }
+  else if (strcmp (line, "start") == 0)
+    start (args);
+  else if (strcmp (line, "stop") == 0)
+    stop (find_node (args));
+  else if (strcmp (line, "until") == 0)
+    until (args);
+  else if (strcmp (line, "send") == 0)
+    send_evidence (args);
+  else if (strcmp (line, "pester") == 0)
+    pester (args);
+  else
+    cr_assert (false, "command '%s'", line);
+}
+
+static void
+play (const char *script)
+{
+  char *text = xstrdup (script);
+  char *save = NULL;
+
+  for (char *line = strtok_r (text, "\n", &save); line != NULL;
+       line = strtok_r (NULL, "\n", &save))
+    run_line (line);
+  free (text);
+}
+
+static void
+begin (void)
+{
+  memset (&w, 0, sizeof w);
+  uv_loop_init (&w.loop);
+  log_setup (LOG_TEXT, LOG_ERROR, STR ("test"));
+}
+
+static void
+end (const char *expected)
+{
+  for (size_t i = 0; i < w.n; i++)
+    stop (&w.nodes[i]);
+  for (int i = 0; i < 100 && uv_loop_alive (&w.loop); i++)
+    uv_run (&w.loop, UV_RUN_NOWAIT);
+  cr_expect_eq (uv_loop_close (&w.loop), 0, "handles are left");
+  cr_expect_str_eq (buf_c (&w.log), expected);
+  buf_free (&w.log);
+  for (size_t i = 0; i < w.nrows; i++)
+    {
+      buf_free (&w.rows[i].key);
+      buf_free (&w.rows[i].value);
+    }
+}
+
+static void
+scripted (const char *script, const char *expected)
+{
+  begin ();
+  play (script);
+  end (expected);
+}
+
+Test (peers, nodes_find_each_other_by_the_roster)
+{
+  /* Three entry VMs start with nothing but the store.  Each must know the
+     others and hold exactly one link to each, whoever opened it first. */
+  scripted ("start n1\n"
+            "until row n1 1\n"
+            "start n2\n"
+            "start n3\n"
+            "until alive n1 3\n"
+            "until alive n2 3\n"
+            "until alive n3 3\n"
+            "until links n1 2 2\n"
+            "until links n2 2 2\n"
+            "until links n3 2 2\n"
+            "send n1 n3\n"
+            "send n3 n1\n"
+            "until got n3 1\n"
+            "until got n1 1\n",
+            "row n1 1: yes\n"
+            "alive n1 3: yes\n"
+            "alive n2 3: yes\n"
+            "alive n3 3: yes\n"
+            "links n1 2 2: yes\n"
+            "links n2 2 2: yes\n"
+            "links n3 2 2: yes\n"
+            "n1 to n3: sent\n"
+            "n3 to n1: sent\n"
+            "got n3 1: yes\n"
+            "got n1 1: yes\n");
+}
+
+Test (peers, store_down_they_join_through_settings)
+{
+  /* The store is out while VMs are replaced: a node must come in through any
+     peer that its settings name, and its row follows when the store is
+     back. */
+  scripted ("store down\n"
+            "start n1\n"
+            "start n2 n1\n"
+            "start n3 n1 n2\n"
+            "until alive n1 3\n"
+            "until alive n3 3\n"
+            "until links n1 2 2\n"
+            "until links n2 2 2\n"
+            "store up\n"
+            "until row n3 1\n",
+            "alive n1 3: yes\n"
+            "alive n3 3: yes\n"
+            "links n1 2 2: yes\n"
+            "links n2 2 2: yes\n"
+            "row n3 1: yes\n");
+}
+
+Test (peers, predecessor_is_turned_away)
+{
+  /* n2 is replaced while its old VM still runs, as the platform's list lags.
+     What the old one says about its domains must reach nobody any more, and
+     it must not take the roster's row back. */
+  scripted ("start n1\n"
+            "until row n1 1\n"
+            "start n2/1 n1\n"
+            "until links n1 1 1\n"
+            "send n2/1 n1\n"
+            "until got n1 1\n"
+            "until row n2 1\n"
+            "start n2/2 n1\n"
+            "until links n2/2 1 1\n"
+            "until row n2 2\n"
+            "until links n2/1 0 0\n"
+            "pester n2/1 n1\n"
+            "until got n1 1\n"
+            "until links n2/2 1 1\n"
+            "send n2/2 n1\n"
+            "until got n1 2\n"
+            "send n1 n2\n"
+            "until got n2/2 1\n"
+            "until row n2 2\n",
+            "row n1 1: yes\n"
+            "links n1 1 1: yes\n"
+            "n2/1 to n1: sent\n"
+            "got n1 1: yes\n"
+            "row n2 1: yes\n"
+            "links n2/2 1 1: yes\n"
+            "row n2 2: yes\n"
+            "links n2/1 0 0: yes\n"
+            "got n1 1: yes\n"
+            "links n2/2 1 1: yes\n"
+            "n2/2 to n1: sent\n"
+            "got n1 2: yes\n"
+            "n1 to n2: sent\n"
+            "got n2/2 1: yes\n"
+            "row n2 2: yes\n");
+}
+
+Test (peers, roster_keeps_the_higher_boot)
+{
+  /* A process that was paused while its VM was replaced wakes and joins: the
+     row of the successor stands, and a lost answer writes no second time. */
+  scripted ("store loses-answer\n"
+            "start n1/5\n"
+            "until row n1 5\n"
+            "start n1/4\n"
+            "start n2\n"
+            "until row n2 1\n"
+            "until row n1 5\n"
+            "until alive n2 2\n",
+            "row n1 5: yes\n"
+            "row n2 1: yes\n"
+            "row n1 5: yes\n"
+            "alive n2 2: yes\n");
+  cr_expect_eq (w.revision, 2);
+}
+
+Test (peers, large_regions_are_not_a_mesh)
+{
+  /* Twenty nodes: a link from each to each would cost more with every node.
+     Each holds a few; a frame for another node opens a link on demand. */
+  struct buf script = BUF_INIT;
+
+  begin ();
+  play ("start n1\nuntil row n1 1\n");
+  for (int i = 2; i <= 20; i++)
+    buf_addf (&script, "start n%d\n", i);
+  play (buf_c (&script));
+  play ("until alive n1 20\n"
+        "until alive n20 20\n"
+        "until links n1 4 16\n"
+        "until links n7 4 16\n"
+        "until links n20 4 16\n");
+  for (int i = 2; i <= 20; i++)
+    {
+      char to[16];
+      Lapis__Heartbeat hb = LAPIS__HEARTBEAT__INIT;
+      Lapis__Frame f = LAPIS__FRAME__INIT;
+
+      snprintf (to, sizeof to, "n%d", i);
+      f.body_case = LAPIS__FRAME__BODY_HEARTBEAT;
+      f.heartbeat = &hb;
+      ctl_peers_send_node (w.nodes[0].c.peers, str_from (to), &f);
+    }
+  play ("until links n1 19 19\n");
+  buf_free (&script);
+  end ("row n1 1: yes\n"
+       "alive n1 20: yes\n"
+       "alive n20 20: yes\n"
+       "links n1 4 16: yes\n"
+       "links n7 4 16: yes\n"
+       "links n20 4 16: yes\n"
+       "links n1 19 19: yes\n");
+}
+
+Test (peers, gateways_and_strangers)
+{
+  /* The same port takes this node's gateway; whoever has the secret but
+     claims another role gets nowhere. */
+  static const struct link_callbacks cb
+      = { on_gateway_state, on_gateway_frame };
+  struct link_secret secret = { { 't', 'e', 's', 't', 's' } };
+  struct net_addr at = any_port;
+  struct link *gateway;
+
+  begin ();
+  play ("start n1\n");
+  at.port = ctl_peers_port (w.nodes[0].c.peers);
+  gateway = link_connect (&w.loop, &at, &secret, &cb, "gateway");
+  play ("until gateway n1\n");
+  link_connect (&w.loop, &at, &secret, &cb, "operator");
+  play ("until closed stranger\n"
+        "until gateway n1\n");
+  link_close (gateway);
+  end ("gateway n1: yes\n"
+       "closed stranger: yes\n"
+       "gateway n1: yes\n");
+}
