Clear the linter's doubts about freed watches

Cause: clang-tidy could not see that stopping a watch takes it off its list. Change: the lists are walked with the next one in hand. Conclusion: no change of behaviour.

--- a/store/etcd-watch.c
+++ b/store/etcd-watch.c
@@ -200,10 +200,13 @@
 void
 etcd_watches_drop (struct etcd *e)
 {
-  while (e->watches != NULL)
+  struct etcd_watch *next;
+
+  for (struct etcd_watch *w = e->watches; w != NULL; w = next)
     {
-      struct etcd_watch *w = e->watches;
-      watch_unlink (w); /* one that is busy is freed after its callback */
+      next = w->next;
+      w->prev = NULL; /* on no list: one that is busy outlives the adapter */
       etcd_watch_stop (e, w);
     }
+  e->watches = NULL;
 }
--- a/store/store.c
+++ b/store/store.c
@@ -511,8 +511,13 @@
 void
 store_free (struct store *s)
 {
-  while (s->watches != NULL)
-    store_watch_stop (s->watches);
+  struct store_watch *next;
+
+  for (struct store_watch *w = s->watches; w != NULL; w = next)
+    {
+      next = w->next;
+      store_watch_stop (w);
+    }
   s->ops->free (s->self);
   free_open (s);
   each_waiting (s, free_waiting, NULL);
