Prove claims over gateways that know each other

Cause: with a view, claims go to the key's home over a link; the proofs so far had every gateway decide for itself.

--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -122,6 +122,34 @@
   buf_free (&out);
 }
 
+static int
+nodes_named (struct cluster *c, size_t i)
+{
+  struct web_answer a = { 0 };
+  int n = 0;
+
+  web_call (c->http[i], "GET", "/v1/address?service=soko-api", FRONT_KEY, NULL,
+            &a);
+  for (const char *at = buf_c (&a.body); (at = strstr (at, "\"node\"")); at++)
+    n++;
+  web_free (&a);
+  return n;
+}
+
+/** Until every gateway's view names them all, homes are not agreed on. */
+static void
+wait_for_views (struct cluster *c)
+{
+  size_t want = c->n < 4 ? c->n : 4;
+
+  for (size_t i = 0; i < c->n; i++)
+    for (int left = ROUTED_WAIT_MS; nodes_named (c, i) < (int)want; left -= 50)
+      {
+        cr_assert_gt (left, 0, "gateway %zu does not see the others", i);
+        usleep (50000);
+      }
+}
+
 static void
 up (struct cluster *c, size_t n, enum cluster_kind kind, bool relayed)
 {
@@ -141,6 +169,8 @@
     start_together (c);
   for (size_t i = 0; i < n; i++)
     cr_assert (routed (c, i), "gateway %zu does not route", i);
+  if (kind == CLUSTER_TOGETHER)
+    wait_for_views (c);
 }
 
 void
