Divide account limits among the nodes of a region by demand

Cause: an account's limit holds over all nodes, and a caller may come to any of them; even parts refuse a caller whose node is busy while others idle. Change: route/share.c, the core of an account's home: level filling by demand once a second, growth only out of what no other node can still hold, an even part reserved for nodes that are not heard; control/shares.c carries demands and grants. Measured: t5500, four nodes, limit 1000: one node with all demand gets 925 four seconds later; with a lost shrink and with a partition that has two homes the sum of usable shares never exceeds 1000 (checked each 500 ms). Conclusion: a partition costs unused parts, never a multiplied limit.

--- a/control/control.c
+++ b/control/control.c
@@ -51,8 +51,6 @@
   c->cfg = cfg_ref (cfg);
   if (c->domains)
     ctl_domains_config (c->domains);
-  if (c->shares)
-    ctl_shares_config (c->shares);
   if (c->views)
     ctl_views_config (c->views);
   if (old)
--- a/control/control.h
+++ b/control/control.h
@@ -158,7 +158,6 @@
 #else
 struct ctl_shares *ctl_shares_start (struct ctl *c, struct buf *err);
 void ctl_shares_stop (struct ctl_shares *s);
-void ctl_shares_config (struct ctl_shares *s);
 void ctl_shares_demand (struct ctl_shares *s, struct str node,
                         const Lapis__ShareDemand *d);
 void ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g);
--- a/control/shares.c
+++ b/control/shares.c
@@ -1,143 +1,81 @@
-#include "control/control.h"
-
 #include <stdlib.h>
+#include <string.h>
 
+#include "control/control.h"
 #include "fleet/hash.h"
 #include "route/share.h"
 
-/* Four times a period, so that a division is at most a quarter late. */
-#define TICK_MS (SHR_PERIOD_MS / 4)
-
-/** One account that has a limit, and where its shares are divided. */
-struct limited
-{
-  char *account;
-  char *home; /* NULL: not known yet */
-};
+#define TICK_MS 1000
 
 struct ctl_shares
 {
   struct ctl *c;
   struct shr *core;
   uv_timer_t timer;
-  struct limited *limited;
-  size_t n;
 };
 
-static void
-free_limited (struct ctl_shares *s)
-{
-  for (size_t i = 0; i < s->n; i++)
-    {
-      free (s->limited[i].account);
-      free (s->limited[i].home);
-    }
-  free (s->limited);
-  s->limited = NULL;
-  s->n = 0;
-}
-
-static struct limited *
-find_limited (struct ctl_shares *s, struct str account)
-{
-  for (size_t i = 0; i < s->n; i++)
-    if (str_is (account, s->limited[i].account))
-      return &s->limited[i];
-  return NULL;
-}
-
-static bool
-is_here (const struct ctl_shares *s, const char *home)
-{
-  return home && str_is (str_from (home), s->c->set.node);
-}
-
-/* --- homes -------------------------------------------------------------- */
-
-/** Names of the region's nodes; the first @p fit of them may be homes. */
-struct region
+/** The nodes of this region, gone ones included, or only those there. */
+static size_t
+region_nodes (const struct ctl *c, bool there, struct str *names)
 {
-  struct str *names;
-  size_t n;
-  size_t fit;
-};
+  size_t n, found = 0;
+  const struct mbr_node *const *nodes = ctl_swim_nodes (c->swim, &n);
 
-static void
-add_nodes (const struct ctl_shares *s, struct region *r, bool fit)
-{
-  size_t n;
-  const struct mbr_node *const *nodes = ctl_swim_nodes (s->c->swim, &n);
   for (size_t i = 0; i < n; i++)
-    {
-      /* A suspected node is mostly there; moving its accounts and back would
-         make two quiet times for nothing. */
-      bool there
-          = nodes[i]->status == MBR_ALIVE || nodes[i]->status == MBR_SUSPECT;
-      if (str_is (nodes[i]->region, s->c->set.region) && there == fit)
-        r->names[r->n++] = nodes[i]->name;
-    }
+    if (str_is (nodes[i]->region, c->set.region)
+        && (!there || nodes[i]->status <= MBR_SUSPECT))
+      names[found++] = nodes[i]->name;
+  return found;
 }
 
-/** Dead nodes count in N until they are forgotten, as gateways count them:
-    one that is only cut off goes on with its part of the limit. */
-static struct region
-look_around (const struct ctl_shares *s)
+/**
+ * The account's home, picked by hashing.  During a partition each side picks
+ * one, and for a moment after a change two nodes may both be one; the core
+ * leaves enough for those it does not hear that this costs no more than the
+ * limit.
+ */
+static struct str
+home_of (const struct ctl *c, struct str account, const struct str *there,
+         size_t n)
 {
-  struct region r = { 0 };
-  size_t n;
-  ctl_swim_nodes (s->c->swim, &n);
-  r.names = xcalloc (n + 1, sizeof *r.names);
-  add_nodes (s, &r, true);
-  r.fit = r.n;
-  add_nodes (s, &r, false);
-  return r;
+  return n ? there[hash_pick (account, there, n)] : str_from (c->set.node);
 }
 
 static void
-move_home (struct ctl_shares *s, struct limited *l, struct str home,
-           clk_ms now)
+set_accounts (struct ctl_shares *s, clk_ms now, const struct str *there,
+              size_t n)
 {
-  if (l->home && str_is (home, l->home))
-    return;
-  free (l->home);
-  l->home = str_dup (home);
-  shr_home (s->core, now, str_from (l->account), is_here (s, l->home));
-}
+  const struct cfg *cfg = s->c->cfg;
 
-static void
-find_homes (struct ctl_shares *s, clk_ms now)
-{
-  struct region r = look_around (s);
-  shr_nodes (s->core, now, r.names, r.n);
-  for (size_t i = 0; i < s->n && r.fit; i++)
+  for (size_t i = 0; cfg != NULL && i < cfg->naccounts; i++)
     {
-      struct buf role = BUF_INIT;
-      buf_addf (&role, "shares of %s", s->limited[i].account);
-      size_t at = hash_pick (buf_str (&role), r.names, r.fit);
-      move_home (s, &s->limited[i], r.names[at], now);
-      buf_free (&role);
+      const struct cfg_account *a = &cfg->accounts[i];
+      struct shr_amount limit = { a->tokens_per_s, a->concurrency };
+      struct str home = home_of (s->c, a->name, there, n);
+
+      shr_account (s->core, now, a->name, &limit,
+                   str_is (home, s->c->set.node));
     }
-  free (r.names);
+  shr_sweep (s->core);
 }
 
-/* --- grants and demands ------------------------------------------------- */
-
 static void
-send_grant (struct ctl_shares *s, const struct shr_grant *grant)
-{
-  Lapis__ShareGrant g = LAPIS__SHARE_GRANT__INIT;
-  Lapis__Frame f = LAPIS__FRAME__INIT;
-  char *account = str_dup (grant->account);
-  g.account = account;
-  g.tokens_per_s = grant->tokens_per_s;
-  g.concurrency = grant->concurrency;
-  g.valid_ms = (uint32_t)grant->valid_ms;
-  f.body_case = LAPIS__FRAME__BODY_SHARE_GRANT;
-  f.share_grant = &g;
-  if (str_is (grant->node, s->c->set.node))
-    ctl_shares_grant (s, &g);
+send_grant (struct ctl_shares *s, const struct shr_grant *g)
+{
+  Lapis__ShareGrant grant = LAPIS__SHARE_GRANT__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+  char *account = str_dup (g->account);
+
+  grant.account = account;
+  grant.tokens_per_s = g->amount.tokens_per_s;
+  grant.concurrency = g->amount.concurrency;
+  grant.valid_ms = (uint32_t)g->valid_ms;
+  frame.body_case = LAPIS__FRAME__BODY_SHARE_GRANT;
+  frame.share_grant = &grant;
+  if (str_is (g->node, s->c->set.node))
+    ctl_shares_grant (s, &grant);
   else
-    ctl_peers_send_node (s->c->peers, grant->node, &f);
+    ctl_peers_send_node (s->c->peers, g->node, &frame);
   free (account);
 }
 
@@ -147,101 +85,31 @@
   struct ctl_shares *s = t->data;
   struct shr_grant grant;
   clk_ms now = clk_now ();
-  find_homes (s, now);
+  size_t all, n;
+  struct str *names;
+
+  ctl_swim_nodes (s->c->swim, &all);
+  names = xcalloc (all + 1, sizeof *names);
+  n = region_nodes (s->c, false, names);
+  shr_nodes (s->core, names, n, all);
+  n = region_nodes (s->c, true, names);
+  set_accounts (s, now, names, n);
   shr_tick (s->core, now);
   while (shr_next (s->core, &grant))
     send_grant (s, &grant);
-}
-
-static void
-forward (struct ctl_shares *s, const struct limited *l,
-         const Lapis__ShareDemand *d)
-{
-  Lapis__Frame f = LAPIS__FRAME__INIT;
-  f.body_case = LAPIS__FRAME__BODY_SHARE_DEMAND;
-  f.share_demand = (Lapis__ShareDemand *)d;
-  ctl_peers_send_node (s->c->peers, str_from (l->home), &f);
-}
-
-/**
- * A demand of this node's gateway goes to the account's home.  One that came
- * from a peer is for this node or is dropped: the peer sees another home, and
- * passing it on could send it round for good while views differ.
- */
-void
-ctl_shares_demand (struct ctl_shares *s, struct str node,
-                   const Lapis__ShareDemand *d)
-{
-  if (!s)
-    return;
-  struct limited *l = find_limited (s, str_from (d->account));
-  if (!l || !l->home)
-    return;
-  if (is_here (s, l->home))
-    shr_demand (s->core, clk_now (), str_from (d->account), node,
-                d->tokens_per_s, d->concurrency);
-  else if (str_is (node, s->c->set.node))
-    forward (s, l, d);
-}
-
-void
-ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g)
-{
-  if (s && s->c->views)
-    ctl_views_share (s->c->views, g);
-}
-
-/* --- start and stop ----------------------------------------------------- */
-
-static size_t
-read_limits (struct ctl_shares *s, struct shr_limit *limits)
-{
-  const struct cfg *cfg = s->c->cfg;
-  size_t n = 0;
-  for (size_t i = 0; i < cfg->naccounts; i++)
-    {
-      const struct cfg_account *a = &cfg->accounts[i];
-      if (a->tokens_per_s <= 0 && a->concurrency == 0)
-        continue;
-      limits[n++] = (struct shr_limit){ a->name, a->tokens_per_s,
-                                        (double)a->concurrency };
-    }
-  return n;
-}
-
-void
-ctl_shares_config (struct ctl_shares *s)
-{
-  const struct cfg *cfg = s->c->cfg;
-  if (!cfg)
-    return;
-  struct shr_limit *limits = xcalloc (cfg->naccounts + 1, sizeof *limits);
-  size_t n = read_limits (s, limits);
-  struct limited *list = xcalloc (n + 1, sizeof *list);
-  for (size_t i = 0; i < n; i++)
-    {
-      struct limited *old = find_limited (s, limits[i].account);
-      list[i].account = str_dup (limits[i].account);
-      list[i].home = old && old->home ? xstrdup (old->home) : NULL;
-    }
-  shr_limits (s->core, limits, n);
-  free_limited (s);
-  s->limited = list;
-  s->n = n;
-  free (limits);
-  find_homes (s, clk_now ());
+  free (names);
 }
 
 struct ctl_shares *
 ctl_shares_start (struct ctl *c, struct buf *err)
 {
   struct ctl_shares *s = xcalloc (1, sizeof *s);
+
   s->c = c;
   s->core = shr_new ();
   uv_timer_init (c->loop, &s->timer);
   s->timer.data = s;
   uv_timer_start (&s->timer, on_tick, TICK_MS, TICK_MS);
-  ctl_shares_config (s);
   return s;
 }
 
@@ -250,7 +118,6 @@
 {
   struct ctl_shares *s = h->data;
   shr_free (s->core);
-  free_limited (s);
   free (s);
 }
 
@@ -259,3 +126,48 @@
 {
   uv_close ((uv_handle_t *)&s->timer, on_closed);
 }
+
+static void
+forward_demand (struct ctl_shares *s, struct str home,
+                const Lapis__ShareDemand *d)
+{
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+
+  frame.body_case = LAPIS__FRAME__BODY_SHARE_DEMAND;
+  frame.share_demand = (Lapis__ShareDemand *)d;
+  ctl_peers_send_node (s->c->peers, home, &frame);
+}
+
+void
+ctl_shares_demand (struct ctl_shares *s, struct str node,
+                   const Lapis__ShareDemand *d)
+{
+  struct shr_amount demand = { d->tokens_per_s, d->concurrency };
+  struct str account = str_from (d->account);
+  struct str *there;
+  struct str home;
+  size_t n;
+
+  /* What comes from a peer came because it takes this node for the home. */
+  if (!str_is (node, s->c->set.node))
+    {
+      shr_demand (s->core, clk_now (), account, node, &demand);
+      return;
+    }
+  ctl_swim_nodes (s->c->swim, &n);
+  there = xcalloc (n + 1, sizeof *there);
+  n = region_nodes (s->c, true, there);
+  home = home_of (s->c, account, there, n);
+  if (str_is (home, s->c->set.node))
+    shr_demand (s->core, clk_now (), account, node, &demand);
+  else
+    forward_demand (s, home, d);
+  free (there);
+}
+
+void
+ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g)
+{
+  if (s->c->views != NULL)
+    ctl_views_share (s->c->views, g);
+}
--- a/route/share.c
+++ b/route/share.c
@@ -2,62 +2,62 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
-#define ROUND 0.01         /* a sum that nears a whole number reaches it */
-#define LATE_MS CLK_SECOND /* longest way of a grant to its node */
+/* A node asks for what its callers asked lately; room above it lets the next
+   second's growth in without a refusal. */
+#define HEADROOM 1.25
+/* Part of an even share that a node keeps without any demand, so that its
+   first callers are not refused before the next division. */
+#define IDLE_PART 0.1
 
-/** One of the two limits at one node. */
+enum
+{
+  RATE,
+  CONCURRENCY,
+  KINDS
+};
+
+/** One node's part of one limit. */
 struct part
 {
   double demand;
   double granted;
-  double peak; /**< most that may still be held, should grants be lost */
-  clk_ms peak_at;
-  double next; /**< while dividing */
+  double peak;       /**< highest grant that may still be valid... */
+  clk_ms peak_until; /**< ...until then */
+  double target;
 };
 
-/** One node in one account. */
 struct member
 {
-  char *name;
-  bool counted;      /**< in N */
-  clk_ms heard;      /**< 0: never */
-  clk_ms granted_at; /**< 0: never by this home */
-  struct part rate, conc;
+  char *node;
+  bool known; /**< in the list of nodes */
+  clk_ms heard_at;
+  struct part part[KINDS];
 };
 
 struct account
 {
   char *name;
-  double rate, conc; /**< limits */
-  bool listed;
+  bool set;
   bool home;
-  clk_ms home_since;
-  clk_ms divided_at;
+  clk_ms even_until; /**< a new home: no more than even parts until then */
+  double limit[KINDS];
   struct member *members;
   size_t n;
 };
 
 struct shr
 {
-  struct account *accounts;
+  struct account **accounts;
   size_t n;
   char **nodes;
   size_t nnodes;
-  size_t out_account, out_member; /**< of the next grant */
-  clk_ms now;
-  bool fresh; /**< grants were divided and not all handed out */
+  size_t all;
+  struct shr_grant *grants;
+  size_t ngrants;
+  size_t next;
 };
 
-double
-shr_decayed (double share, double even, clk_ms age)
-{
-  if (age <= 0)
-    return share;
-  return even + (share - even) * exp2 (-(double)age / SHR_DECAY_MS);
-}
-
 struct shr *
 shr_new (void)
 {
@@ -65,12 +65,13 @@
 }
 
 static void
-account_clear (struct account *a)
+free_account (struct account *a)
 {
   for (size_t i = 0; i < a->n; i++)
-    free (a->members[i].name);
+    free (a->members[i].node);
   free (a->members);
   free (a->name);
+  free (a);
 }
 
 static void
@@ -79,17 +80,16 @@
   for (size_t i = 0; i < s->nnodes; i++)
     free (s->nodes[i]);
   free (s->nodes);
-  s->nodes = NULL;
-  s->nnodes = 0;
 }
 
 void
 shr_free (struct shr *s)
 {
   for (size_t i = 0; i < s->n; i++)
-    account_clear (&s->accounts[i]);
+    free_account (s->accounts[i]);
   free_nodes (s);
   free (s->accounts);
+  free (s->grants);
   free (s);
 }
 
@@ -97,363 +97,264 @@
 find_account (struct shr *s, struct str name)
 {
   for (size_t i = 0; i < s->n; i++)
-    if (str_is (name, s->accounts[i].name))
-      return &s->accounts[i];
+    if (str_is (name, s->accounts[i]->name))
+      return s->accounts[i];
   return NULL;
 }
 
+static struct account *
+add_account (struct shr *s, struct str name)
+{
+  struct account *a = xcalloc (1, sizeof *a);
+  a->name = str_dup (name);
+  s->accounts = xrealloc (s->accounts, (s->n + 1) * sizeof (void *));
+  s->accounts[s->n++] = a;
+  return a;
+}
+
 static struct member *
-member_of (struct account *a, struct str name)
+member_of (struct account *a, struct str node)
 {
   for (size_t i = 0; i < a->n; i++)
-    if (str_is (name, a->members[i].name))
+    if (str_is (node, a->members[i].node))
       return &a->members[i];
   a->members = xrealloc (a->members, (a->n + 1) * sizeof *a->members);
-  struct member *m = &a->members[a->n++];
-  *m = (struct member){ .name = str_dup (name) };
-  return m;
+  a->members[a->n]
+      = (struct member){ .node = str_dup (node), .heard_at = -SHR_HEARD_MS };
+  return &a->members[a->n++];
 }
 
 static void
-count_members (struct shr *s, struct account *a)
+sync_members (const struct shr *s, struct account *a)
 {
   for (size_t i = 0; i < a->n; i++)
-    a->members[i].counted = false;
+    a->members[i].known = false;
   for (size_t i = 0; i < s->nnodes; i++)
-    member_of (a, str_from (s->nodes[i]))->counted = true;
+    member_of (a, str_from (s->nodes[i]))->known = true;
 }
 
-static struct account *
-add_account (struct shr *s, struct str name)
+void
+shr_account (struct shr *s, clk_ms now, struct str account,
+             const struct shr_amount *limit, bool home)
 {
-  s->accounts = xrealloc (s->accounts, (s->n + 1) * sizeof *s->accounts);
-  struct account *a = &s->accounts[s->n++];
-  *a = (struct account){ .name = str_dup (name) };
-  count_members (s, a);
-  return a;
+  struct account *a = find_account (s, account);
+  if (a == NULL)
+    a = add_account (s, account);
+  if (home && !a->home)
+    a->even_until = now + SHR_VALID_MS + SHR_FLIGHT_MS;
+  a->set = true;
+  a->home = home;
+  a->limit[RATE] = limit->tokens_per_s;
+  a->limit[CONCURRENCY] = limit->concurrency;
+  sync_members (s, a);
 }
 
 void
-shr_limits (struct shr *s, const struct shr_limit *limits, size_t n)
+shr_sweep (struct shr *s)
 {
-  for (size_t i = 0; i < s->n; i++)
-    s->accounts[i].listed = false;
-  for (size_t i = 0; i < n; i++)
-    {
-      struct account *a = find_account (s, limits[i].account);
-      if (!a)
-        a = add_account (s, limits[i].account);
-      a->rate = limits[i].tokens_per_s;
-      a->conc = limits[i].concurrency;
-      a->listed = true;
-    }
   size_t kept = 0;
   for (size_t i = 0; i < s->n; i++)
-    if (s->accounts[i].listed)
-      s->accounts[kept++] = s->accounts[i];
+    if (s->accounts[i]->set)
+      {
+        s->accounts[i]->set = false;
+        s->accounts[kept++] = s->accounts[i];
+      }
     else
-      account_clear (&s->accounts[i]);
+      free_account (s->accounts[i]);
   s->n = kept;
-  s->fresh = false;
 }
 
 void
-shr_nodes (struct shr *s, clk_ms now, const struct str *names, size_t n)
+shr_nodes (struct shr *s, const struct str *names, size_t n, size_t all)
 {
   free_nodes (s);
-  s->nodes = xcalloc (n + 1, sizeof *s->nodes);
+  s->nodes = xcalloc (n + 1, sizeof (char *));
+  s->nnodes = n;
+  s->all = all < n ? n : all;
   for (size_t i = 0; i < n; i++)
-    s->nodes[s->nnodes++] = str_dup (names[i]);
+    s->nodes[i] = str_dup (names[i]);
   for (size_t i = 0; i < s->n; i++)
-    count_members (s, &s->accounts[i]);
-}
-
-void
-shr_home (struct shr *s, clk_ms now, struct str account, bool home)
-{
-  struct account *a = find_account (s, account);
-  if (!a || a->home == home)
-    return;
-  a->home = home;
-  a->home_since = now;
-  /* What the last home granted is not known here. */
-  for (size_t i = 0; i < a->n; i++)
-    a->members[i].granted_at = 0;
+    sync_members (s, s->accounts[i]);
 }
 
 void
 shr_demand (struct shr *s, clk_ms now, struct str account, struct str node,
-            double tokens_per_s, double concurrency)
+            const struct shr_amount *demand)
 {
   struct account *a = find_account (s, account);
-  if (!a)
+  struct member *m;
+  if (a == NULL)
     return;
-  struct member *m = member_of (a, node);
-  m->heard = now;
-  m->rate.demand = tokens_per_s;
-  m->conc.demand = concurrency;
-}
-
-/* --- dividing ----------------------------------------------------------- */
-
-static struct part *
-part_of (struct member *m, bool rate)
-{
-  return rate ? &m->rate : &m->conc;
+  m = member_of (a, node);
+  m->heard_at = now;
+  m->part[RATE].demand = demand->tokens_per_s;
+  m->part[CONCURRENCY].demand = demand->concurrency;
 }
 
 static bool
 heard (const struct member *m, clk_ms now)
 {
-  return m->heard != 0 && now - m->heard <= SHR_SILENT_MS;
+  return now - m->heard_at < SHR_HEARD_MS;
 }
 
-/** What a grant of that time may have become by @p at. */
+/** What a node may be using at most at this moment. */
 static double
-held (double share, double even, clk_ms granted_at, clk_ms at)
+outstanding (const struct part *p, clk_ms now)
 {
-  return shr_decayed (share, even, at - granted_at - SHR_VALID_MS);
+  return now < p->peak_until ? p->peak : 0;
 }
 
 /**
- * The most that a node that isn't heard may hold while the grants of now are
- * valid.  Its share falls towards even or rises to it, so the most is at one
- * end of that time; a later, smaller grant may not have reached it.
+ * Even levels: nobody gets more than it wants, and what some leave goes to
+ * the others in equal parts.
+ * @return  the level that uses up @p budget, or infinity when all fit
  */
 static double
-reserve (const struct member *m, const struct part *p, double even, clk_ms now)
+fill_level (const struct account *a, int kind, clk_ms now, double budget)
 {
-  if (m->granted_at == 0)
-    return even;
-  clk_ms late = now - LATE_MS, end = now + SHR_VALID_MS + LATE_MS;
-  double most = fmax (held (p->granted, even, m->granted_at, late),
-                      held (p->granted, even, m->granted_at, end));
-  return fmax (most, held (p->peak, even, p->peak_at, late));
-}
-
-/** Give each heard node what it asks for while that is below @p level. */
-static double
-fill (struct account *a, bool rate, clk_ms now, double level)
-{
-  double sum = 0;
-  for (size_t i = 0; i < a->n; i++)
-    if (heard (&a->members[i], now))
-      sum += fmin (part_of (&a->members[i], rate)->demand, level);
-  return sum;
-}
-
-/**
- * Max-min fair: the level up to which every demand is met such that all of
- * @p pool is given out; found by halving, as few steps are enough.
- */
-static double
-water_level (struct account *a, bool rate, clk_ms now, double pool)
-{
-  double low = 0, high = pool;
-  for (int i = 0; i < 50; i++)
+  double level = 0;
+  for (;;)
     {
-      double mid = (low + high) / 2;
-      if (fill (a, rate, now, mid) > pool)
-        high = mid;
-      else
-        low = mid;
+      double used = 0, next = INFINITY;
+      size_t open = 0;
+      for (size_t i = 0; i < a->n; i++)
+        {
+          const struct member *m = &a->members[i];
+          double want = m->part[kind].target;
+          if (!heard (m, now))
+            continue;
+          used += fmin (want, level);
+          open += want > level;
+          if (want > level)
+            next = fmin (next, want);
+        }
+      if (open == 0)
+        return INFINITY;
+      double rest = budget - used;
+      double step = rest / (double)open;
+      if (rest <= 0 || step <= next - level)
+        return level + fmax (step, 0);
+      level = next;
     }
-  return low;
 }
 
-/** What is left when all demands are met goes to all heard nodes alike, so
-    that a demand that starts finds some room. */
 static void
-divide_pool (struct account *a, bool rate, clk_ms now, double pool,
-             size_t nheard)
+set_targets (struct account *a, int kind, clk_ms now, double even)
 {
-  double level = water_level (a, rate, now, pool);
-  double left = pool - fill (a, rate, now, level);
   for (size_t i = 0; i < a->n; i++)
     {
-      struct member *m = &a->members[i];
-      struct part *p = part_of (m, rate);
-      if (heard (m, now))
-        p->next = fmin (p->demand, level) + fmax (0, left) / (double)nheard;
+      struct part *p = &a->members[i].part[kind];
+      p->target = fmax (p->demand * HEADROOM, even * IDLE_PART);
+      if (now < a->even_until)
+        p->target = fmin (p->target, even);
     }
 }
 
-/** What a heard node holds for sure or may still hold: a grant counts as
-    arrived when a demand came after it. */
+/** What is left of the region's part after nodes that are not heard. */
 static double
-holds (const struct member *m, const struct part *p, double even)
+budget_of (const struct account *a, int kind, clk_ms now, double even,
+           double limit)
 {
-  if (m->granted_at == 0)
-    return even;
-  return m->heard > m->granted_at ? p->granted : p->peak;
+  double silent = 0;
+  for (size_t i = 0; i < a->n; i++)
+    {
+      const struct member *m = &a->members[i];
+      if (!heard (m, now))
+        silent
+            += fmax (outstanding (&m->part[kind], now), m->known ? even : 0);
+    }
+  return fmax (limit - silent, 0);
 }
 
 /**
- * Shares rise only by what others are known to have given up.  A node that
- * was cut off a moment ago still counts as heard, its smaller grant is lost,
- * and what it keeps would be given out a second time.
+ * A grant that shrinks may be lost on its way, and the old one stays valid
+ * until it expires.  Growth of others before that would exceed the limit, so
+ * they grow only into what is surely free.
  */
 static void
-hold_back (struct account *a, bool rate, clk_ms now, double even, double pool)
+give (struct account *a, int kind, clk_ms now, double budget, double level)
 {
-  double held = 0, up = 0;
+  double held = 0, growth = 0;
   for (size_t i = 0; i < a->n; i++)
     {
-      struct member *m = &a->members[i];
-      struct part *p = part_of (m, rate);
-      if (!heard (m, now))
+      struct part *p = &a->members[i].part[kind];
+      if (!heard (&a->members[i], now))
         continue;
-      held += holds (m, p, even);
-      up += fmax (0, p->next - holds (m, p, even));
+      double peak = outstanding (p, now);
+      p->target = fmin (p->target, level);
+      held += peak;
+      growth += fmax (p->target - peak, 0);
     }
-  double room = fmax (0, pool - held);
-  double factor = up > room ? room / up : 1;
+  double room = fmax (budget - held, 0);
+  double part = growth > room ? room / growth : 1;
   for (size_t i = 0; i < a->n; i++)
     {
-      struct member *m = &a->members[i];
-      struct part *p = part_of (m, rate);
-      double from = holds (m, p, even);
-      if (heard (m, now) && p->next > from)
-        p->next = from + factor * (p->next - from);
-    }
-}
-
-/** Whole numbers that add up to no more: the largest fractions are rounded
-    up. */
-static void
-round_parts (struct account *a, clk_ms now)
-{
-  double given = 0, sum = 0;
-  for (size_t i = 0; i < a->n; i++)
-    if (heard (&a->members[i], now))
-      {
-        sum += a->members[i].conc.next;
-        given += floor (a->members[i].conc.next);
-      }
-  for (double left = floor (sum + ROUND) - given; left >= 1; left--)
-    {
-      struct member *best = NULL;
-      double most = 1e-6; /* less is an error of the halving */
-      for (size_t i = 0; i < a->n; i++)
+      struct part *p = &a->members[i].part[kind];
+      double peak = outstanding (p, now);
+      if (!heard (&a->members[i], now))
+        continue;
+      p->granted
+          = p->target <= peak ? p->target : peak + part * (p->target - peak);
+      if (p->granted >= peak)
         {
-          struct member *m = &a->members[i];
-          double over = m->conc.next - floor (m->conc.next);
-          if (heard (m, now) && over > most)
-            {
-              most = over;
-              best = m;
-            }
+          p->peak = p->granted;
+          p->peak_until = now + SHR_VALID_MS + SHR_FLIGHT_MS;
         }
-      if (!best)
-        break;
-      best->conc.next = floor (best->conc.next) + 1;
     }
-  for (size_t i = 0; i < a->n; i++)
-    a->members[i].conc.next = floor (a->members[i].conc.next);
 }
 
 static void
-divide (struct account *a, bool rate, clk_ms now)
+divide (const struct shr *s, struct account *a, int kind, clk_ms now)
 {
-  double limit = rate ? a->rate : a->conc;
-  size_t counted = 0, nheard = 0;
-  for (size_t i = 0; i < a->n; i++)
-    {
-      counted += a->members[i].counted || heard (&a->members[i], now);
-      nheard += heard (&a->members[i], now);
-    }
-  if (limit <= 0 || nheard == 0)
+  double all = s->all ? (double)s->all : 1;
+  double limit = a->limit[kind] * (double)s->nnodes / all;
+  double even = a->limit[kind] / all;
+  if (a->limit[kind] <= 0)
     return;
-  double even = limit / (double)counted, pool = limit;
-  for (size_t i = 0; i < a->n; i++)
-    {
-      struct member *m = &a->members[i];
-      if (m->counted && !heard (m, now))
-        pool -= reserve (m, part_of (m, rate), even, now);
-    }
-  if (pool < 0)
-    pool = 0;
-  /* Grants of the home before may still be held by nodes that aren't heard
-     here; with no more than even for the others the sum stays bounded. */
-  bool quiet = now - a->home_since < SHR_QUIET_MS;
-  if (quiet)
-    pool = fmin (pool, even * (double)nheard);
-  divide_pool (a, rate, now, pool, nheard);
-  for (size_t i = 0; quiet && i < a->n; i++)
-    {
-      struct part *p = part_of (&a->members[i], rate);
-      p->next = fmin (p->next, even);
-    }
-  hold_back (a, rate, now, even, pool);
-  if (!rate)
-    round_parts (a, now);
-}
-
-static void
-grant (const struct member *m, struct part *p, clk_ms now)
-{
-  bool arrived = m->heard > m->granted_at;
-  if (arrived || p->next >= p->peak)
-    {
-      p->peak = arrived ? fmax (p->granted, p->next) : p->next;
-      p->peak_at = now;
-    }
-  p->granted = p->next;
+  set_targets (a, kind, now, even);
+  double budget = budget_of (a, kind, now, even, limit);
+  give (a, kind, now, budget, fill_level (a, kind, now, budget));
 }
 
 static void
-divide_account (struct account *a, clk_ms now)
+add_grants (struct shr *s, const struct account *a, clk_ms now)
 {
-  divide (a, true, now);
-  divide (a, false, now);
-  a->divided_at = now;
   for (size_t i = 0; i < a->n; i++)
     {
-      struct member *m = &a->members[i];
+      const struct member *m = &a->members[i];
       if (!heard (m, now))
         continue;
-      grant (m, &m->rate, now);
-      grant (m, &m->conc, now);
-      m->granted_at = now;
+      s->grants = xrealloc (s->grants, (s->ngrants + 1) * sizeof *s->grants);
+      s->grants[s->ngrants++] = (struct shr_grant){
+        .account = str_from (a->name),
+        .node = str_from (m->node),
+        .amount = { m->part[RATE].granted, m->part[CONCURRENCY].granted },
+        .valid_ms = SHR_VALID_MS,
+      };
     }
 }
 
 void
 shr_tick (struct shr *s, clk_ms now)
 {
-  s->now = now;
+  s->ngrants = 0;
+  s->next = 0;
   for (size_t i = 0; i < s->n; i++)
     {
-      struct account *a = &s->accounts[i];
-      if (a->home && now - a->divided_at >= SHR_PERIOD_MS
-          && (a->rate > 0 || a->conc > 0))
-        divide_account (a, now);
+      struct account *a = s->accounts[i];
+      if (!a->home || (a->limit[RATE] <= 0 && a->limit[CONCURRENCY] <= 0))
+        continue;
+      divide (s, a, RATE, now);
+      divide (s, a, CONCURRENCY, now);
+      add_grants (s, a, now);
     }
-  s->out_account = s->out_member = 0;
-  s->fresh = true;
 }
 
 bool
 shr_next (struct shr *s, struct shr_grant *out)
 {
-  if (!s->fresh)
+  if (s->next == s->ngrants)
     return false;
-  for (; s->out_account < s->n; s->out_account++, s->out_member = 0)
-    {
-      struct account *a = &s->accounts[s->out_account];
-      while (a->home && a->divided_at == s->now && s->out_member < a->n)
-        {
-          const struct member *m = &a->members[s->out_member++];
-          if (m->granted_at != s->now)
-            continue;
-          *out = (struct shr_grant){ .account = str_from (a->name),
-                                     .node = str_from (m->name),
-                                     .tokens_per_s = m->rate.granted,
-                                     .concurrency = m->conc.granted,
-                                     .valid_ms = SHR_VALID_MS };
-          return true;
-        }
-    }
-  s->fresh = false;
-  return false;
+  *out = s->grants[s->next++];
+  return true;
 }
--- a/route/share.h
+++ b/route/share.h
@@ -1,16 +1,16 @@
 /**
  * @file
- * Division of an account's limits among the gateways of a region, by demand,
- * at the account's home node (decision core).
+ * Division of an account's limits among the nodes of a region (decision
+ * core of the account's home node).
  *
- * Nodes report their demand once a second; the home divides and grants shares
- * that are valid for SHR_VALID_MS.  A node that hears nothing keeps its share
- * until then and goes from it to limit / N (see route/limit.c).  A node that
- * the home doesn't hear is taken to hold the most that it may hold by that
- * rule, so the shares of all nodes together stay within the limit as long as
- * home and nodes count the same N.  What a home that just took over doesn't
- * know is covered by SHR_QUIET_MS, in which no node is granted more than
- * limit / N.
+ * Every second each node tells the account's home what its callers asked for,
+ * and gets a share with a lifetime.  The home adds up what may still be valid
+ * anywhere: unexpired grants, and for nodes that it does not hear what they
+ * fall back to (an even part of the limit).  It grants growth only out of
+ * what is left, so the shares of one home never exceed the limit.  Two homes
+ * on both sides of a partition each leave an even part to every node that
+ * they do not hear, which bounds their sum by the limit as well, once grants
+ * from before the partition have expired.
  */
 #ifndef LAPISLINE_ROUTE_SHARE_H
 #define LAPISLINE_ROUTE_SHARE_H
@@ -18,20 +18,16 @@
 #include "base/clock.h"
 #include "base/str.h"
 
-#define SHR_PERIOD_MS CLK_SECOND
-#define SHR_VALID_MS ((clk_ms)5000)  /**< of a grant */
-#define SHR_SILENT_MS ((clk_ms)3500) /**< without a demand: not heard */
-#define SHR_DECAY_MS ((clk_ms)5000)  /**< half-life of a share that ended */
-/** A grant of an earlier home has ended and gone by seven eighths. */
-#define SHR_QUIET_MS (SHR_VALID_MS + 3 * SHR_DECAY_MS)
+/** Lifetime of a share. */
+#define SHR_VALID_MS ((clk_ms)3000)
+/** Longest way of a grant to its gateway; counted as valid meanwhile. */
+#define SHR_FLIGHT_MS ((clk_ms)500)
+/** A node is heard while its last demand is younger. */
+#define SHR_HEARD_MS ((clk_ms)2500)
 
-/** Share of an expired grant, @p age ms after its end, on its way to even. */
-double shr_decayed (double share, double even, clk_ms age);
-
-/** A limit of the configuration; 0: none. */
-struct shr_limit
+/** The two limits of an account; also a demand or a share of them. */
+struct shr_amount
 {
-  struct str account;
   double tokens_per_s;
   double concurrency;
 };
@@ -40,8 +36,7 @@
 {
   struct str account;
   struct str node;
-  double tokens_per_s;
-  double concurrency; /**< a whole number */
+  struct shr_amount amount;
   clk_ms valid_ms;
 };
 
@@ -50,19 +45,29 @@
 struct shr *shr_new (void);
 void shr_free (struct shr *s);
 
-/** Whole list; accounts keep what is known of them. */
-void shr_limits (struct shr *s, const struct shr_limit *limits, size_t n);
+/**
+ * Set an account's limits; zero amounts mean no limit and no grants.
+ * @param home  whether this node is the account's home.  A new home grants
+ *              nobody more than an even part until the grants of its
+ *              predecessor, which it does not know, have expired.
+ */
+void shr_account (struct shr *s, clk_ms now, struct str account,
+                  const struct shr_amount *limit, bool home);
 
-/** Names of all nodes that count in N, those not heard included. */
-void shr_nodes (struct shr *s, clk_ms now, const struct str *names, size_t n);
+/** Accounts that were not set since the last call are dropped. */
+void shr_sweep (struct shr *s);
 
-/** Whether this node is the account's home; taking over begins quiet. */
-void shr_home (struct shr *s, clk_ms now, struct str account, bool home);
+/**
+ * The nodes of this region that are known, gone ones included as long as
+ * they are remembered: a node that can't be heard may still serve.
+ * @param all  nodes of all regions; the region divides its part of the limit
+ */
+void shr_nodes (struct shr *s, const struct str *names, size_t n, size_t all);
 
 void shr_demand (struct shr *s, clk_ms now, struct str account,
-                 struct str node, double tokens_per_s, double concurrency);
+                 struct str node, const struct shr_amount *demand);
 
-/** Divide anew what is due; grants follow by shr_next(). */
+/** Divide; then read the grants with shr_next(). Once a second. */
 void shr_tick (struct shr *s, clk_ms now);
 bool shr_next (struct shr *s, struct shr_grant *out);
 
--- /dev/null
+++ b/t/t5500-share.c
@@ -0,0 +1,161 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "route/share.h"
+
+#define LIMIT 1000.0
+#define NODES 4
+
+static const struct str names[NODES]
+    = { STR ("n0"), STR ("n1"), STR ("n2"), STR ("n3") };
+
+/* One home and what its nodes hold; grants reach the nodes that are linked. */
+struct side
+{
+  struct shr *core;
+  double demand[NODES];
+  bool linked[NODES];
+};
+
+/* What a node may use: the last grant while valid, then towards an even part
+   (as route/limit.c does). */
+struct held
+{
+  double amount;
+  clk_ms until;
+};
+
+static struct side
+side_new (clk_ms now, bool home)
+{
+  struct side s = { .core = shr_new () };
+  struct shr_amount limit = { LIMIT, 0 };
+  shr_nodes (s.core, names, NODES, NODES);
+  shr_account (s.core, now, STR ("acme"), &limit, home);
+  for (int i = 0; i < NODES; i++)
+    s.linked[i] = true;
+  return s;
+}
+
+static void
+turn (struct side *s, clk_ms now, struct held *held)
+{
+  struct shr_grant g;
+  for (int i = 0; i < NODES; i++)
+    {
+      struct shr_amount d = { s->demand[i], 0 };
+      if (s->linked[i])
+        shr_demand (s->core, now, STR ("acme"), names[i], &d);
+    }
+  shr_tick (s->core, now);
+  while (shr_next (s->core, &g))
+    {
+      int i = g.node.ptr[1] - '0';
+      if (s->linked[i])
+        held[i] = (struct held){ g.amount.tokens_per_s, now + g.valid_ms };
+    }
+}
+
+static double
+usable (const struct held *h, clk_ms now)
+{
+  double even = LIMIT / NODES;
+  return now <= h->until ? h->amount : even;
+}
+
+static double
+sum_usable (const struct held *held, clk_ms now)
+{
+  double sum = 0;
+  for (int i = 0; i < NODES; i++)
+    sum += usable (&held[i], now);
+  return sum;
+}
+
+static void
+expect_held (const struct held *held, const char *want)
+{
+  char got[128] = "";
+  for (int i = 0; i < NODES; i++)
+    snprintf (got + strlen (got), sizeof got - strlen (got), "%s%.0f",
+              i ? " " : "", held[i].amount);
+  cr_expect_str_eq (got, want);
+}
+
+Test (share, follows_demand)
+{
+  /* One node has all the callers.  It gets what is asked there, the others
+     keep enough for a first caller; when demand moves, the share moves once
+     the old grant can't be valid any more. */
+  struct side s = side_new (0, true);
+  struct held held[NODES] = { 0 };
+  s.demand[0] = 2000;
+  turn (&s, 1000, held);
+  expect_held (held, "250 25 25 25");
+  for (clk_ms t = 2000; t <= 8000; t += 1000)
+    turn (&s, t, held);
+  expect_held (held, "925 25 25 25");
+  s.demand[0] = 0;
+  s.demand[3] = 2000;
+  turn (&s, 9000, held);
+  expect_held (held, "25 25 25 25");
+  for (clk_ms t = 10000; t <= 14000; t += 1000)
+    turn (&s, t, held);
+  expect_held (held, "25 25 25 925");
+  shr_free (s.core);
+}
+
+Test (share, lost_shrink_is_waited_out)
+{
+  /* A node's share shrinks but the grant that says so is lost, so the node
+     goes on with the large one until it expires.  The others must not get
+     that part before, or the account runs past its limit. */
+  struct side s = side_new (-10000, true);
+  struct held held[NODES] = { 0 };
+  s.demand[0] = 2000;
+  for (clk_ms t = 0; t <= 5000; t += 1000)
+    turn (&s, t, held);
+  expect_held (held, "925 25 25 25");
+  s.demand[0] = 0;
+  s.demand[1] = 2000;
+  s.linked[0] = false;
+  for (clk_ms t = 6000; t <= 20000; t += 500)
+    {
+      if (t % 1000 == 0)
+        turn (&s, t, held);
+      cr_expect_leq (sum_usable (held, t), LIMIT + 0.5, "at %lld: %.1f",
+                     (long long)t, sum_usable (held, t));
+    }
+  cr_expect_float_eq (held[1].amount, 700, 0.5, "%.1f", held[1].amount);
+  shr_free (s.core);
+}
+
+Test (share, partition_does_not_multiply_the_limit)
+{
+  /* The network splits two and two, and both halves have a home.  The one
+     that is new does not know the grants of the old; both halves are flooded.
+     The sum stays within the limit all the time. */
+  struct side a = side_new (-10000, true);
+  struct side b = side_new (-10000, false);
+  struct shr_amount limit = { LIMIT, 0 };
+  struct held held[NODES] = { 0 };
+  a.demand[0] = a.demand[2] = b.demand[2] = b.demand[3] = 2000;
+  for (clk_ms t = 0; t <= 5000; t += 1000)
+    turn (&a, t, held);
+  a.linked[2] = a.linked[3] = b.linked[0] = b.linked[1] = false;
+  for (clk_ms t = 6000; t <= 30000; t += 500)
+    {
+      if (t == 7000)
+        shr_account (b.core, t, STR ("acme"), &limit, true);
+      if (t % 1000 == 0)
+        turn (&a, t, held);
+      if (t % 1000 == 500)
+        turn (&b, t, held);
+      cr_expect_leq (sum_usable (held, t), LIMIT + 0.5, "at %lld: %.1f",
+                     (long long)t, sum_usable (held, t));
+    }
+  expect_held (held, "475 25 250 250");
+  shr_free (a.core);
+  shr_free (b.core);
+}
