--- a/t/run-example.sh
+++ b/t/run-example.sh
@@ -11,6 +11,13 @@
 pids=
 keep=${1:-}
 
+# gone PID: it has ended (a child that nobody waited for is a zombie)
+gone ()
+{
+  ! kill -0 "$1" 2>/dev/null \
+    || grep -q '^State:[[:space:]]*Z' "/proc/$1/status" 2>/dev/null
+}
+
 stop_all ()
 {
   status=$?
@@ -19,7 +26,11 @@
     kill -TERM "$pid" 2>/dev/null || true
   done
   for pid in $pids; do
-    wait "$pid" 2>/dev/null || true
+    if ! until_true 200 gone "$pid"; then
+      echo "run: process $pid did not stop" >&2
+      kill -KILL "$pid" 2>/dev/null || true
+      status=1
+    fi
   done
   rm -rf "$work"
   exit $status
@@ -52,7 +63,7 @@
   shift
   "$@" >"$work/$name.out" 2>"$work/$name.err" &
   pids="$! $pids"
-  until_true 100 grep -q '^ready' "$work/$name.out" || {
+  until_true 100 grep -qs "^ready" "$work/$name.out" || {
     cat "$work/$name.err" >&2
     die "$name did not start"
   }
@@ -113,7 +124,9 @@
 cp -r examples/demo "$work/config"
 cat >"$work/config/90-addresses.json" <<END
 // Addresses that the kernel chose for this run.
-{ "domains": { "hall-a-1": { "vms": {
+// Nobody keeps an answer of this run, so a stop need not wait for its end.
+{ "limits": { "address_ms": 1000 },
+  "domains": { "hall-a-1": { "vms": {
     "vm-a1": { "addr": "$(port vm-a1 http)" },
     "vm-a2": { "addr": "$(port vm-a2 http)" } } } },
   "services": { "soko-api": { "backends": {
