Distrust idle connections beside a silent one

Cause: when something on the way forgets its connections, all of them to one address go silent. Each idle one in the pool then cost another call its whole wait: with 64 idle ones and a lease of seconds, the lease would lapse while new connections work. Change: a silent call makes the idle connections to its address suspect; the next call opens a new one and the others are closed. The store's calls notice silence a little before their own end. Conclusion: a silent path costs one wait for each address, not one for each connection.

--- a/net/httpc-pool.c
+++ b/net/httpc-pool.c
@@ -49,6 +49,18 @@
   free (p);
 }
 
+void
+addr_pool_connect (struct addr_pool *p, bool fresh, h2o_http1client_ctx_t *ctx,
+                   void *data, h2o_http1client_t **client,
+                   h2o_http1client_connect_cb cb)
+{
+  /* With no time to live, h2o drops every idle one before it takes any. */
+  p->reused.timeout = p->suspect ? 0 : HTTPC_IDLE_MS;
+  p->suspect = p->suspect && fresh;
+  h2o_http1client_connect_with_pool (client, data, ctx,
+                                     fresh ? &p->fresh : &p->reused, cb);
+}
+
 void
 addr_pools_sweep (struct addr_pools *pools)
 {
--- a/net/httpc-pool.h
+++ b/net/httpc-pool.h
@@ -23,6 +23,7 @@
   h2o_socketpool_t fresh; /**< stays empty: its connections never return */
   size_t open;            /**< calls */
   clk_ms used;            /**< when the last call ended, loop time */
+  bool suspect;           /**< idle connections are not to be used */
   struct addr_pool *next;
 };
 
@@ -37,6 +38,15 @@
 struct addr_pool *addr_pool_get (struct addr_pools *pools,
                                  const struct net_addr *a);
 
+/**
+ * Start a client on a connection of the pool, or one of its own if @p fresh.
+ * Idle connections of a suspect pool are closed first.
+ */
+void addr_pool_connect (struct addr_pool *p, bool fresh,
+                        h2o_http1client_ctx_t *ctx, void *data,
+                        h2o_http1client_t **client,
+                        h2o_http1client_connect_cb cb);
+
 /**
  * Drop pools that nobody has used for HTTPC_IDLE_MS; addresses come and go
  * with their VMs.
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -128,6 +128,18 @@
 
 static void connect_now (struct httpc_call *call);
 
+/*
+ * What made one connection go silent, such as a lost entry in a firewall on
+ * the way, has likely taken the idle ones to that address with it.  Each of
+ * them would cost another call its whole wait.
+ */
+static void
+finish_silent (struct httpc_call *call)
+{
+  call->pool->suspect = true;
+  finish (call, HTTPC_SILENT);
+}
+
 static void
 on_timer (uv_timer_t *t)
 {
@@ -154,7 +166,7 @@
   if (left > 0)
     arm (call, left);
   else
-    finish (call, HTTPC_SILENT);
+    finish_silent (call);
 }
 
 /* --- h2o's callbacks --------------------------------------------------- */
@@ -372,9 +384,8 @@
   call->phase = PHASE_CONNECTING;
   uv_update_time (call->c->loop);
   arm (call, call->connect_ms);
-  h2o_http1client_connect_with_pool (
-      &call->client, call, &call->c->ctx,
-      call->fresh ? &call->pool->fresh : &call->pool->reused, on_connect);
+  addr_pool_connect (call->pool, call->fresh, &call->c->ctx, call,
+                     &call->client, on_connect);
 }
 
 /* --- requests ---------------------------------------------------------- */
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -232,6 +232,16 @@
   fail (c);
 }
 
+/*
+ * A little less than the whole call may take, so that a silent connection is
+ * noticed as such, and with it the idle ones, before the call's own end.
+ */
+static clk_ms
+silence_ms (const struct etcd *e)
+{
+  return e->call_ms - e->call_ms / 8;
+}
+
 struct httpc_request
 etcd_request (const struct etcd *e, const char *path, const struct buf *body)
 {
@@ -242,7 +252,7 @@
                              .nheaders = 1,
                              .body = buf_str (body),
                              .connect_ms = ETCD_CONNECT_MS,
-                             .progress_ms = e->call_ms };
+                             .progress_ms = silence_ms (e) };
 
   return r;
 }
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -428,6 +428,23 @@
         "/empty over connection 1\n/empty: whole 200 []\n");
 }
 
+/*
+ * A connection goes silent while another to the same address lies idle.
+ * The idle one is likely as dead, so the next call opens a connection
+ * instead of losing its whole wait to it.
+ */
+Test (client, silence_makes_idle_connections_suspect)
+{
+  play ("get /silent\n wait /silent over connection 0\n get /length\n"
+        "wait /length: whole 200 [hello]\n wait /silent: silent 0 []\n"
+        "get /length\n wait /length: whole 200 [hello]\n get /empty\n"
+        "wait /empty: whole 200 []",
+        "/silent over connection 0\n/length over connection 1\n"
+        "/length: whole 200 [hello]\n/silent: silent 0 []\n"
+        "/length over connection 2\n/length: whole 200 [hello]\n"
+        "/empty over connection 2\n/empty: whole 200 []\n");
+}
+
 /*
  * A caller that does not take its answer pauses the call.  Nothing is read
  * for it, and its backend server is not called silent for that: the second
