--- a/control/dom-view.c
+++ b/control/dom-view.c
@@ -60,43 +60,80 @@
 }
 
 static void
-send_views (struct dom *d, const struct rep_view *views, size_t n, clk_ms now)
+send_evidence (struct dom *d, Lapis__Evidence *e)
+{
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+
+  e->domain = (char *)buf_c (&d->name);
+  /* Without a valid lease this is only what this node saw. */
+  e->fence = owns (d) ? (uint64_t)own_fence (d->own) : 0;
+  e->seq = ++d->seq;
+  frame.body_case = LAPIS__FRAME__BODY_EVIDENCE;
+  frame.evidence = e;
+  ctl_peers_broadcast (d->all->c->peers, &frame);
+  met_add (d->all->evidence_bytes,
+           (double)lapis__frame__get_packed_size (&frame));
+}
+
+static void
+send_full (struct dom *d, const struct rep_view *views, size_t n, clk_ms now)
 {
   Lapis__ReplicaView *list = xcalloc (n + 1, sizeof *list);
   Lapis__ReplicaView **ptrs = xcalloc (n + 1, sizeof *ptrs);
   Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
-  Lapis__Frame frame = LAPIS__FRAME__INIT;
 
   for (size_t i = 0; i < n; i++)
     {
       fill (&list[i], &views[i], now);
       ptrs[i] = &list[i];
     }
-  e.domain = (char *)buf_c (&d->name);
-  /* Without a valid lease this is only what this node saw. */
-  e.fence = owns (d) ? (uint64_t)own_fence (d->own) : 0;
-  e.seq = ++d->seq;
   e.n_replicas = n;
   e.replicas = ptrs;
-  frame.body_case = LAPIS__FRAME__BODY_EVIDENCE;
-  frame.evidence = &e;
-  ctl_peers_broadcast (d->all->c->peers, &frame);
-  met_add (d->all->evidence_bytes,
-           (double)lapis__frame__get_packed_size (&frame));
+  send_evidence (d, &e);
+  d->full_seq = d->seq;
+  d->full_at = now;
   for (size_t i = 0; i < n; i++)
     unfill (&list[i]);
   free (list);
   free (ptrs);
 }
 
+static void
+send_short (struct dom *d, const struct rep_view *views, size_t n, clk_ms now)
+{
+  Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
+
+  e.full_seq = d->full_seq;
+  e.loads = xcalloc (n + 1, sizeof *e.loads);
+  e.n_loads = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      e.loads[i] = views[i].load;
+      if (views[i].whole && age (now, views[i].evidence_at) > e.age_ms)
+        e.age_ms = age (now, views[i].evidence_at);
+    }
+  send_evidence (d, &e);
+  free (e.loads);
+}
+
+/* In rest, names and addresses are what evidence consists of: they go out
+   again only when something changed, and now and then for whoever missed it.
+   What changed since the full one is told by d->changed, which stands for
+   every step of the chart, every whole or not, and ownership. */
 void
 dom_broadcast (struct dom *d, clk_ms now)
 {
   size_t n;
   const struct rep_view *views = rep_views (d->rep, now, &n);
+  bool full = d->changed || !d->full_seq || n != d->sent_replicas
+              || now - d->full_at >= DOM_FULL_MS;
 
   d->sent_at = now;
-  send_views (d, views, n, now);
+  d->sent_replicas = n;
+  if (full)
+    send_full (d, views, n, now);
+  else
+    send_short (d, views, n, now);
 }
 
 /* ---- from the other nodes ---- */
@@ -128,6 +165,29 @@
   return out;
 }
 
+/* What the short form says stands in the list of the full one. */
+static bool
+renew (struct dom_remote *r, const Lapis__Evidence *e)
+{
+  Lapis__Evidence *full = r->last;
+
+  if (!full || full->seq != e->full_seq || full->fence != e->fence
+      || full->n_replicas != e->n_loads)
+    return false;
+  for (size_t i = 0; i < full->n_replicas; i++)
+    {
+      Lapis__ReplicaView *v = full->replicas[i];
+
+      v->load = e->loads[i];
+      v->load_age_ms = e->age_ms;
+      if (v->whole)
+        v->valid_ms = e->age_ms < REP_EVIDENCE_MS
+                          ? (uint32_t)REP_EVIDENCE_MS - e->age_ms
+                          : 0;
+    }
+  return true;
+}
+
 void
 ctl_domains_evidence (struct ctl_domains *all, const Lapis__Evidence *e)
 {
@@ -140,13 +200,21 @@
   r = &d->remote;
   if (!counts (r, (int64_t)e->fence, now))
     return;
+  if (e->full_seq)
+    {
+      if (!renew (r, e))
+        return;
+    }
+  else
+    {
+      dom_remote_free (r);
+      r->last = copy (e);
+    }
   if (e->fence)
     {
       r->fence = (int64_t)e->fence;
       r->owner_at = now;
     }
-  dom_remote_free (r);
-  r->last = copy (e);
   r->last_at = now;
   ctl_evidence_changed (all->c);
 }
@@ -257,147 +325,3 @@
     merge_dom (all, all->list[i], now);
   return all->merged;
 }
-
-/* ---- the weight-load budget over all domains ---- */
-
-/** How urgently a domain waits: lower goes first. */
-struct urgency
-{
-  bool waits;
-  unsigned live; /* of its scarcest model */
-  uint64_t tie;
-};
-
-static bool
-serves (const struct ctl_replica *r, clk_ms now)
-{
-  return r->whole && r->valid_until > now;
-}
-
-static size_t
-model_index (const struct cfg *cfg, struct str name)
-{
-  return (size_t)(cfg_model (cfg, name) - cfg->models);
-}
-
-/* Replicas of each model that serve, by the model's place in the
-   configuration. */
-static unsigned *
-count_live (const struct cfg *cfg, const struct ctl_replica *list, size_t n,
-            clk_ms now)
-{
-  unsigned *live = xcalloc (cfg->nmodels + 1, sizeof *live);
-
-  for (size_t i = 0; i < n; i++)
-    if (serves (&list[i], now))
-      live[model_index (cfg, list[i].model)]++;
-  return live;
-}
-
-static void
-note_waiting (const struct ctl_domains *all, const struct ctl_replica *r,
-              size_t index, const unsigned *live, clk_ms now,
-              struct urgency *u)
-{
-  unsigned of_model = live[model_index (all->cfg, r->model)];
-
-  if (all->cfg->replicas[index].mode != CFG_MANAGE || r->draining
-      || serves (r, now))
-    return;
-  u->waits = true;
-  if (of_model < u->live)
-    u->live = of_model;
-}
-
-static size_t
-dom_index (const struct ctl_domains *all, const struct dom *d)
-{
-  size_t i = 0;
-
-  while (all->list[i] != d)
-    i++;
-  return i;
-}
-
-static struct urgency *
-find_urgency (const struct ctl_domains *all, const struct ctl_replica *list,
-              size_t n, const unsigned *live, clk_ms now)
-{
-  struct urgency *u = xcalloc (all->n + 1, sizeof *u);
-
-  for (size_t i = 0; i < all->n; i++)
-    u[i] = (struct urgency){ .live = UINT32_MAX,
-                             .tie
-                             = str_hash (buf_str (&all->list[i]->name), 0) };
-  for (size_t i = 0; i < n; i++)
-    note_waiting (all, &list[i], i, live, now,
-                  &u[dom_index (all, all->dom_of[i])]);
-  return u;
-}
-
-static bool
-goes_before (const struct urgency *a, const struct urgency *b)
-{
-  if (!a->waits || a->live != b->live)
-    return a->waits && a->live < b->live;
-  return a->tie < b->tie;
-}
-
-static void
-give_turn (struct dom *d, const struct urgency *all, size_t n, size_t self,
-           clk_ms now)
-{
-  struct rep_event turn = { .kind = REP_TURN };
-  size_t before = 0;
-
-  for (size_t i = 0; i < n; i++)
-    before += i != self && goes_before (&all[i], &all[self]);
-  if (!all[self].waits)
-    d->waiting_since = 0;
-  else if (!d->waiting_since)
-    d->waiting_since = now;
-  /* A domain that cannot load must not keep the others waiting for ever. */
-  turn.on = before < DOM_LOADS
-            || (d->waiting_since && now - d->waiting_since >= DOM_TURN_MS);
-  rep_event (d->rep, now, &turn);
-}
-
-static void
-tell_live (struct dom *d, const unsigned *live, clk_ms now)
-{
-  for (size_t i = 0; i < d->all->cfg->nmodels; i++)
-    {
-      struct rep_event ev = { .kind = REP_LIVE };
-
-      ev.model = d->all->cfg->models[i].name;
-      ev.live = live[i];
-      rep_event (d->rep, now, &ev);
-    }
-}
-
-/* Owners agree on the order without asking each other: each sorts the domains
-   that wait by what it knows from evidence.  Views that differ for a second
-   load one domain more or less at a time, which costs speed only. */
-void
-dom_share_budget (struct ctl_domains *all, clk_ms now)
-{
-  const struct ctl_replica *list;
-  struct urgency *order;
-  unsigned *live;
-  size_t n;
-
-  if (!all->cfg || now < all->next_share)
-    return;
-  all->next_share = now + DOM_SHARE_MS;
-  list = ctl_domains_replicas (all, &n);
-  live = count_live (all->cfg, list, n, now);
-  order = find_urgency (all, list, n, live, now);
-  for (size_t i = 0; i < all->n; i++)
-    if (all->list[i]->rep && all->list[i]->managed)
-      {
-        give_turn (all->list[i], order, all->n, i, now);
-        tell_live (all->list[i], live, now);
-      }
-  free (order);
-  free (live);
-}
--- a/control/domains.c
+++ b/control/domains.c
@@ -240,6 +240,7 @@
   struct dom *d = xcalloc (1, sizeof *d);
 
   d->all = all;
+  d->seq = rng_next (&all->c->rng) >> 24;
   buf_add (&d->name, name);
   return d;
 }
--- a/control/domains.h
+++ b/control/domains.h
@@ -6,6 +6,7 @@
  *   dom-calls.c  probes, orders and the platform's list over HTTP
  *   dom-store.c  the cores' store calls
  *   dom-view.c   evidence to and from other nodes, and the merged list
+ *   dom-turn.c   whose turn it is to load weights, over all domains
  */
 #ifndef LAPISLINE_CONTROL_DOMAINS_H
 #define LAPISLINE_CONTROL_DOMAINS_H
@@ -20,6 +21,8 @@
 #define DOM_ORDER_MS ((clk_ms)2000)
 #define DOM_LEASE_MS ((clk_ms)6000)
 #define DOM_BROADCAST_MS ((clk_ms)1000)
+/** Evidence with all its names at least this often. */
+#define DOM_FULL_MS ((clk_ms)5000)
 #define DOM_PLATFORM_MS ((clk_ms)1000)
 /** Domains that load weights at the same time, and how long a domain waits at
     most for its turn. */
@@ -77,8 +80,10 @@
   struct own *own;
   struct rep *rep;
   struct dom_call *calls;
-  uint64_t seq;
-  clk_ms sent_at;
+  uint64_t seq; /* begins anywhere, so that no two senders share them */
+  uint64_t full_seq;
+  size_t sent_replicas;
+  clk_ms sent_at, full_at;
   struct dom_remote remote;
 };
 
@@ -125,6 +130,8 @@
 /* dom-view.c */
 void dom_broadcast (struct dom *d, clk_ms now);
 void dom_remote_free (struct dom_remote *r);
+
+/* dom-turn.c */
 /** Tell the cores whose turn it is to load weights, and who is alive. */
 void dom_share_budget (struct ctl_domains *all, clk_ms now);
 
--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -2330,7 +2330,7 @@
   (ProtobufCMessageInit) lapis__config_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__evidence__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__evidence__field_descriptors[7] =
 {
   {
     "domain",
@@ -2380,17 +2380,56 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "full_seq",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Evidence, full_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Evidence, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lapis__Evidence, n_loads),
+    offsetof(Lapis__Evidence, loads),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__evidence__field_indices_by_name[] = {
+  5,   /* field[5] = age_ms */
   0,   /* field[0] = domain */
   1,   /* field[1] = fence */
+  4,   /* field[4] = full_seq */
+  6,   /* field[6] = loads */
   3,   /* field[3] = replicas */
   2,   /* field[2] = seq */
 };
 static const ProtobufCIntRange lapis__evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lapis__evidence__descriptor =
 {
@@ -2400,7 +2439,7 @@
   "Lapis__Evidence",
   "lapis",
   sizeof(Lapis__Evidence),
-  4,
+  7,
   lapis__evidence__field_descriptors,
   lapis__evidence__field_indices_by_name,
   1,  lapis__evidence__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -364,10 +364,27 @@
   uint64_t seq;
   size_t n_replicas;
   Lapis__ReplicaView **replicas;
+  /*
+   * Short form, while nothing but loads changed: no replicas; what the full
+   * one of that number said still holds.
+   */
+  /*
+   * 0: this one is full
+   */
+  uint64_t full_seq;
+  /*
+   * oldest evidence of a whole replica
+   */
+  uint32_t age_ms;
+  /*
+   * in the order of the full one
+   */
+  size_t n_loads;
+  uint32_t *loads;
 };
 #define LAPIS__EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__evidence__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Lapis__ShareDemand
--- a/t/t6004-domains.c
+++ b/t/t6004-domains.c
@@ -45,6 +45,7 @@
   struct store_kv owner, assignment;
   struct buf owner_value, assignment_value;
   char last_evidence[64];
+  bool whole; /* as the last full evidence says */
   bool freeze;
   clk_ms kept_at; /* last renewal that succeeded */
 };
@@ -73,8 +74,13 @@
 ctl_peers_broadcast (struct ctl_peers *p, const Lapis__Frame *f)
 {
   const Lapis__Evidence *e = f->evidence;
-  bool whole = e->n_replicas && e->replicas[0]->whole;
   char line[64];
+  bool whole;
+
+  /* The short form says that what the full one said still holds. */
+  if (!e->full_seq)
+    world->whole = e->n_replicas && e->replicas[0]->whole;
+  whole = world->whole;
 
   snprintf (line, sizeof line, "evidence %s %s", whole ? "whole" : "broken",
             e->fence ? "of the owner" : "without a lease");
@@ -370,21 +376,41 @@
   view.leader_addr = "127.0.0.1:9";
   e.domain = (char *)domain;
   e.fence = (uint64_t)fence;
+  e.seq = 1;
   e.n_replicas = 1;
   e.replicas = views;
   ctl_domains_evidence (world->ctl.domains, &e);
 }
 
+/* The short form, for the full one of a number; theirs is 1. */
+static void
+remote_short (struct str rest)
+{
+  uint32_t loads[2] = { 70, 71 };
+  Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
+  int fence, age, n, of;
+
+  cr_assert_eq (sscanf (rest.ptr, "%d %d %d %d", &fence, &age, &n, &of), 4);
+  e.domain = "d";
+  e.fence = (uint64_t)fence;
+  e.full_seq = (uint64_t)of;
+  e.age_ms = (uint32_t)age;
+  e.n_loads = (size_t)n;
+  e.loads = loads;
+  ctl_domains_evidence (world->ctl.domains, &e);
+}
+
 static void
 show (void)
 {
   size_t n;
   const struct ctl_replica *r = ctl_domains_replicas (world->ctl.domains, &n);
+  clk_ms left = r->valid_until - clk_now ();
 
-  run_log (&world->run, "%s of %.*s fence %d%s", r->state, STR_ARG (r->owner),
-           (int)r->fence,
-           r->valid_until > clk_now () + REP_EVIDENCE_MS ? " for too long"
-                                                         : "");
+  run_log (&world->run, "%s of %.*s fence %d load %u%s%s", r->state,
+           STR_ARG (r->owner), (int)r->fence, r->load,
+           left > REP_EVIDENCE_MS ? " for too long" : "",
+           left < REP_EVIDENCE_MS / 2 ? " soon over" : "");
 }
 
 /* Turn the loop until a renewal is LATE_MS old, with the store down since. */
@@ -435,6 +461,8 @@
     }
   else if (str_is (word, "remote"))
     remote_evidence ("d", "r1", rest);
+  else if (str_is (word, "short"))
+    remote_short (rest);
   else if (str_is (word, "elsewhere"))
     for (unsigned i = 0; i < 5; i++)
       {
@@ -549,11 +577,11 @@
               "show\n remote 5 whole\n show\n remote 4 broken\n show\n"
               "remote 0 broken\n show\n remote 6 broken\n show\n",
               on_word, NULL);
-  end_world (&w, "unknown of n2 fence 0\n"
-                 "whole of n2 fence 5\n"
-                 "whole of n2 fence 5\n"
-                 "whole of n2 fence 5\n"
-                 "degraded of n2 fence 6\n");
+  end_world (&w, "unknown of n2 fence 0 load 0 soon over\n"
+                 "whole of n2 fence 5 load 0\n"
+                 "whole of n2 fence 5 load 0\n"
+                 "whole of n2 fence 5 load 0\n"
+                 "degraded of n2 fence 6 load 0\n");
 }
 
 /*
@@ -581,3 +609,32 @@
                  "load r1/1 fence 11 b\n"
                  "evidence whole of the owner b\n");
 }
+
+/*
+ * The short form of evidence renews what the full one said and brings the
+ * loads.  It says nothing by itself: of another owner, of other replicas, or
+ * with evidence that is old, it must not keep a replica in service.
+ */
+Test (domains, short_evidence_renews, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "manage", false);
+  w.other = (struct mbr_node){ .name = STR ("n2"),
+                               .zone = STR ("z"),
+                               .region = STR ("r") };
+  w.self.zone = STR ("y");
+  ctl_domains_members (w.ctl.domains);
+  run_script (&w.run,
+              "short 5 100 1 1\n show\n remote 5 whole\n"
+              "short 5 2000 1 1\n show\n short 6 100 1 1\n show\n"
+              "short 5 100 2 1\n show\n short 5 100 1 2\n show\n short 5 100 "
+              "1 1\n show\n",
+              on_word, NULL);
+  end_world (&w, "unknown of n2 fence 0 load 0 soon over\n"
+                 "whole of n2 fence 5 load 70 soon over\n"
+                 "whole of n2 fence 5 load 70 soon over\n"
+                 "whole of n2 fence 5 load 70 soon over\n"
+                 "whole of n2 fence 5 load 70 soon over\n"
+                 "whole of n2 fence 5 load 70\n");
+}
