Serve a new document to few peers at a time, each whole

Cause: when a large document is accepted, all nodes ask the few that read the store. These sent every asker a few chunks in turn, so all got it late and at the same time, nobody could serve in the meantime, and many ran into the 2 s of silence and began anew.

A push that fails names where its base came from.

Ruled out: the store (6 watches, constant) and parsing (54 ms for the whole check of 310 KB).

--- a/builtin/config-push.c
+++ b/builtin/config-push.c
@@ -109,6 +109,9 @@
                    rng_entropy (), clk_wall ());
       run_push (cs, p);
       code = report (p, path);
+      if (code != EXIT_DONE && base && !o->base)
+        fprintf (stderr, "lapisline: base %lld is from %s/%s\n",
+                 (long long)base, path, CONF_REVISION_FILE);
       psh_free (p);
     }
   cfg_folder_free (&folder);
--- a/config/spread-fetch.c
+++ b/config/spread-fetch.c
@@ -139,7 +139,7 @@
   const struct spr_fetch *f = &s->fetch;
 
   return ev->size == f->want.size && ev->offset == f->got.len
-         && ev->bytes.len > 0 && ev->bytes.len <= SPR_CHUNK
+         && ev->bytes.len <= SPR_CHUNK
          && ev->bytes.len <= f->want.size - f->got.len;
 }
 
@@ -166,6 +166,12 @@
   if (!f->open || f->peer != ev->peer || ev->revision != f->want.revision
       || memcmp (ev->hash, f->want.hash, SPR_HASH) != 0)
     return;
+  /* The peer serves others now. */
+  if (ev->bytes.len == 0)
+    {
+      abandon_peer (s);
+      return;
+    }
   if (!fits (s, ev))
     {
       s->counts.bad_chunks++;
--- a/config/spread-int.h
+++ b/config/spread-int.h
@@ -61,7 +61,8 @@
   clk_ms choose_at; /**< when a peer to fetch from is chosen */
   struct spr_store store;
   clk_ms next_tell;
-  size_t next_serve; /**< peer served next, in turn */
+  size_t next_serve;  /**< peer that is being served */
+  size_t chunks_left; /**< that may go out in this tick */
   struct spr_action *actions;
   size_t nactions, next_action, cap;
   struct spr_counts counts;
@@ -82,6 +83,6 @@
 
 /* spread-serve.c */
 void spr_on_want (struct spr *s, const struct spr_event *ev);
-void spr_serve (struct spr *s, size_t chunks);
+void spr_serve (struct spr *s);
 
 #endif
--- a/config/spread-serve.c
+++ b/config/spread-serve.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-#define CHUNKS_IN_TURN 4
-#define SERVED_NOW 4
+#define MAX_SERVED 4
 
 static void
 send_chunk (struct spr *s, struct spr_peer *p)
@@ -25,25 +24,49 @@
     }
 }
 
-/* A large document asked for by a whole zone would fill the links and hold
-   the small messages up; so few chunks go out per tick, to those that wait
-   in turn.  Who waits too long asks one of those that were served. */
+/* One peer after the other: who has it whole can serve others in turn, while
+   many that get it in small parts at the same time serve nobody.  The chunks
+   of a tick are bounded, as small messages share the links with them. */
 void
-spr_serve (struct spr *s, size_t chunks)
+spr_serve (struct spr *s)
 {
   size_t idle = 0;
 
-  while (chunks > 0 && idle < s->npeers)
+  while (s->chunks_left > 0 && idle < s->npeers)
     {
       struct spr_peer *p = &s->peers[s->next_serve % s->npeers];
-      size_t share = CHUNKS_IN_TURN;
-      s->next_serve = (s->next_serve + 1) % s->npeers;
-      idle = p->asked ? 0 : idle + 1;
-      for (; p->asked && share > 0 && chunks > 0; share--, chunks--)
+      for (; p->asked && s->chunks_left > 0; s->chunks_left--)
         send_chunk (s, p);
+      if (p->asked)
+        return;
+      s->next_serve = (s->next_serve + 1) % s->npeers;
+      idle++;
     }
 }
 
+static size_t
+count_served (const struct spr *s)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < s->npeers; i++)
+    n += s->peers[i].asked;
+  return n;
+}
+
+/* Everybody asks those who have a new document first.  Made to wait there
+   they would all be late; sent away, they ask those that were served. */
+static void
+refuse (struct spr *s, uint64_t peer)
+{
+  struct spr_action *a = spr_act (s, SPR_SEND_CHUNK);
+
+  a->peer = peer;
+  a->revision = s->cur.revision;
+  a->size = s->cur.size;
+  memcpy (a->hash, s->cur.hash, SPR_HASH);
+}
+
 void
 spr_on_want (struct spr *s, const struct spr_event *ev)
 {
@@ -57,7 +80,12 @@
       spr_tell (s, p->id);
       return;
     }
+  if (!p->asked && count_served (s) >= MAX_SERVED)
+    {
+      refuse (s, p->id);
+      return;
+    }
   p->asked = true;
   p->sent = 0;
-  spr_serve (s, SERVED_NOW);
+  spr_serve (s);
 }
--- a/config/spread.c
+++ b/config/spread.c
@@ -8,7 +8,7 @@
 #define READ_AGAIN (15 * CLK_SECOND)
 #define FIRST_BACKOFF ((clk_ms)500)
 #define LONGEST_BACKOFF (15 * CLK_SECOND)
-#define SERVED_PER_TICK 16
+#define CHUNKS_PER_TICK 64
 
 struct spr *
 spr_new (uint64_t seed)
@@ -246,7 +246,8 @@
   store_tick (s);
   tell_tick (s);
   spr_fetch_tick (s);
-  spr_serve (s, SERVED_PER_TICK);
+  s->chunks_left = CHUNKS_PER_TICK;
+  spr_serve (s);
 }
 
 void
--- a/t/t1201-spread.c
+++ b/t/t1201-spread.c
@@ -9,7 +9,8 @@
    doc REV DOC                the store's document
    fail                       the store gave no answer
    reader on|off
-   DOC is a letter: small ones are 5 bytes of it, A 70000, B 200000.  */
+   DOC is a letter: small ones are 5 bytes of it, A 70000, B 200000,
+   C 900000.  */
 #include <criterion/criterion.h>
 #include <openssl/sha.h>
 #include <stdio.h>
@@ -18,7 +19,7 @@
 
 #include "config/spread.h"
 
-#define LARGE 200000
+#define LARGE 900000
 
 static struct str
 doc_of (char letter)
@@ -27,7 +28,10 @@
   char *t = text[(int)letter];
 
   memset (t, letter, LARGE);
-  return str_make (t, letter == 'A' ? 70000 : letter == 'B' ? LARGE : 5);
+  return str_make (t, letter == 'A'   ? 70000
+                      : letter == 'B' ? 200000
+                      : letter == 'C' ? LARGE
+                                      : 5);
 }
 
 static void
@@ -44,7 +48,7 @@
 {
   uint8_t other[32];
 
-  for (const char *l = "abcdefAB"; *l; l++)
+  for (const char *l = "abcdefABC"; *l; l++)
     {
       hash_of (*l, other);
       if (memcmp (hash, other, sizeof other) == 0)
@@ -78,8 +82,9 @@
                 letter_of (a->hash));
       break;
     case SPR_SEND_CHUNK:
-      buf_addf (log, "send %d: %lld%c %zu+%zu/%zu\n", (int)a->peer, rev,
-                letter_of (a->hash), a->offset, a->bytes.len, a->size);
+      buf_addf (log, "send %d: %lld%c %zu..%zu of %zu\n", (int)a->peer, rev,
+                letter_of (a->hash), a->offset, a->offset + a->bytes.len,
+                a->size);
       break;
     case SPR_IN_FORCE:
       buf_addf (log, "in force: %lld%c, %zu bytes\n", rev, a->bytes.ptr[0],
@@ -95,14 +100,31 @@
   struct buf log;
 };
 
+/** Whether @p b goes on where the chunk @p a ended; then a grows by it. */
+static bool
+join_chunks (struct spr_action *a, const struct spr_action *b)
+{
+  if (a->kind != SPR_SEND_CHUNK || b->kind != SPR_SEND_CHUNK
+      || a->peer != b->peer || b->offset != a->offset + a->bytes.len)
+    return false;
+  cr_assert_leq (b->bytes.len, SPR_CHUNK);
+  a->bytes.len += b->bytes.len;
+  return true;
+}
+
 static void
 feed (struct run *r, const struct spr_event *ev)
 {
-  struct spr_action a;
+  struct spr_action a, next;
+  bool more;
 
   spr_event (r->spr, r->now, ev);
-  while (spr_next (r->spr, &a))
-    log_action (&r->log, &a);
+  for (more = spr_next (r->spr, &a); more; a = next)
+    {
+      while ((more = spr_next (r->spr, &next)) && join_chunks (&a, &next))
+        ;
+      log_action (&r->log, &a);
+    }
 }
 
 static void
@@ -207,7 +229,7 @@
           "in force: 10b, 5 bytes\n"
           "tell 1: 10b\n"
           "> want\n"
-          "send 1: 10b 0+5/5\n");
+          "send 1: 10b 0..5 of 5\n");
 }
 
 Test (spread, store_reverts_or_answers_late)
@@ -381,56 +403,92 @@
           "> chunk\n");
 }
 
-Test (spread, large_document_in_turns)
+Test (spread, large_document_one_after_the_other)
 {
-  /* Two peers ask for seven chunks each and get them in turn; a newer
-     revision ends the old one. */
-  expect ("reader on\nt 100\nmanifest 7 B 9\ndoc 7 B\nup 1\nup 2\nwant 1 7 B\n"
-          "want 2 7 B\nt 200\nwant 1 7 B\nmanifest 11 b 11\ndoc 11 b\nt 300\n",
+  /* Seven peers ask at once.  Each is served whole before the next; with four
+     waiting the seventh is sent away and asks somebody else.  A newer revision
+     ends what is left of the old. */
+  expect ("reader on\nt 100\nmanifest 7 C 9\ndoc 7 C\nup 1\nup 2\nup 3\nup 4\n"
+          "up 5\nup 6\nup 7\nwant 1 7 C\nwant 2 7 C\nwant 3 7 C\nwant 4 7 C\n"
+          "want 5 7 C\nwant 6 7 C\nwant 7 7 C\nt 200\nmanifest 11 b 11\n"
+          "doc 11 b\nt 300\n",
           "> reader\n"
           "> t\n"
           "read manifest\n"
           "> manifest\n"
-          "read doc 7B\n"
+          "read doc 7C\n"
           "> doc\n"
-          "in force: 7B, 200000 bytes\n"
+          "in force: 7C, 900000 bytes\n"
           "watch from 10\n"
           "> up\n"
-          "tell 1: 7B\n"
+          "tell 1: 7C\n"
+          "> up\n"
+          "tell 2: 7C\n"
+          "> up\n"
+          "tell 3: 7C\n"
+          "> up\n"
+          "tell 4: 7C\n"
+          "> up\n"
+          "tell 5: 7C\n"
           "> up\n"
-          "tell 2: 7B\n"
+          "tell 6: 7C\n"
+          "> up\n"
+          "tell 7: 7C\n"
+          "> want\n"
+          "send 1: 7C 0..900000 of 900000\n"
+          "> want\n"
+          "send 2: 7C 0..900000 of 900000\n"
+          "> want\n"
+          "send 3: 7C 0..262144 of 900000\n"
           "> want\n"
-          "send 1: 7B 0+32768/200000\n"
-          "send 1: 7B 32768+32768/200000\n"
-          "send 1: 7B 65536+32768/200000\n"
-          "send 1: 7B 98304+32768/200000\n"
           "> want\n"
-          "send 2: 7B 0+32768/200000\n"
-          "send 2: 7B 32768+32768/200000\n"
-          "send 2: 7B 65536+32768/200000\n"
-          "send 2: 7B 98304+32768/200000\n"
-          "> t\n"
-          "tell 2: 7B\n"
-          "send 1: 7B 131072+32768/200000\n"
-          "send 1: 7B 163840+32768/200000\n"
-          "send 1: 7B 196608+3392/200000\n"
-          "send 2: 7B 131072+32768/200000\n"
-          "send 2: 7B 163840+32768/200000\n"
-          "send 2: 7B 196608+3392/200000\n"
           "> want\n"
-          "send 1: 7B 0+32768/200000\n"
-          "send 1: 7B 32768+32768/200000\n"
-          "send 1: 7B 65536+32768/200000\n"
-          "send 1: 7B 98304+32768/200000\n"
+          "> want\n"
+          "send 7: 7C 0..0 of 900000\n"
+          "> t\n"
+          "tell 1: 7C\n"
+          "send 3: 7C 262144..900000 of 900000\n"
+          "send 4: 7C 0..900000 of 900000\n"
+          "send 5: 7C 0..524288 of 900000\n"
           "> manifest\n"
           "read doc 11b\n"
           "> doc\n"
           "in force: 11b, 5 bytes\n"
           "tell 1: 11b\n"
           "tell 2: 11b\n"
+          "tell 3: 11b\n"
+          "tell 4: 11b\n"
+          "tell 5: 11b\n"
+          "tell 6: 11b\n"
+          "tell 7: 11b\n"
           "> t\n");
 }
 
+Test (spread, sent_away)
+{
+  /* The peer serves others: another one that has it is asked at once, and the
+     first only when it offers again. */
+  expect ("up 1\nup 2\nhave 1 9 A\nt 200\nchunk 1 9 A 0 0\nt 400\nhave 2 9 A\n"
+          "t 600\nchunk 2 9 A 0 0\nhave 1 9 A\nt 800\n",
+          "> up\n"
+          "tell 1: 0-\n"
+          "> up\n"
+          "tell 2: 0-\n"
+          "> have\n"
+          "> t\n"
+          "tell 2: 0-\n"
+          "ask 1: 9A\n"
+          "> chunk\n"
+          "> t\n"
+          "> have\n"
+          "> t\n"
+          "ask 2: 9A\n"
+          "> chunk\n"
+          "> have\n"
+          "> t\n"
+          "ask 1: 9A\n");
+}
+
 Test (spread, watch_ends_or_goes_silent)
 {
   /* The watch ends: the manifest is read again, then watched from there.  A
