Start shares always

Cause: control was built without shares of limits until they were in the tree; they are. Change: the define that left them out and its macros are gone. Conclusion: one way to build.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,7 @@
 CC = gcc
 PKGS = libuv libh2o json-c glib-2.0 libxxhash libprotobuf-c
 CPPFLAGS = -I. -Iproto $(shell pkg-config --cflags $(PKGS)) \
-	-D_GNU_SOURCE -DH2O_USE_LIBUV=1 \
-	$(if $(wildcard control/shares.c),,-DLAPISLINE_WITHOUT_SHARES)
+	-D_GNU_SOURCE -DH2O_USE_LIBUV=1
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wmissing-prototypes \
 	-Wno-unused-parameter $(SAN)
 LDLIBS = -lh2o -luv -lssl -lcrypto -lprotobuf-c -ljson-c -lglib-2.0 \
--- a/control/control.h
+++ b/control/control.h
@@ -147,21 +147,12 @@
 /** Operator's drain; false when there is no such replica. */
 bool ctl_domains_drain (struct ctl_domains *d, struct str replica, bool on);
 
-/* shares.c; until it is in the tree, limits are not divided and each gateway
-   falls back to limit / N. */
-#ifdef LAPISLINE_WITHOUT_SHARES
-#define ctl_shares_start(c, err) ((struct ctl_shares *)(c))
-#define ctl_shares_stop(s) ((void)(s))
-#define ctl_shares_config(s) ((void)(s))
-#define ctl_shares_demand(s, node, d) ((void)(s), (void)(node), (void)(d))
-#define ctl_shares_grant(s, g) ((void)(s), (void)(g))
-#else
+/* shares.c */
 struct ctl_shares *ctl_shares_start (struct ctl *c, struct buf *err);
 void ctl_shares_stop (struct ctl_shares *s);
 void ctl_shares_demand (struct ctl_shares *s, struct str node,
                         const Lapis__ShareDemand *d);
 void ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g);
-#endif
 
 /* views.c */
 struct ctl_views *ctl_views_start (struct ctl *c, struct buf *err);
--- a/t/t8002-views.c
+++ b/t/t8002-views.c
@@ -76,13 +76,11 @@
   return buf_str (&w.text);
 }
 
-#ifndef LAPISLINE_WITHOUT_SHARES
 void
 ctl_shares_demand (struct ctl_shares *s, struct str node,
                    const Lapis__ShareDemand *d)
 {
 }
-#endif
 
 void
 ctl_admin_spans (struct ctl_admin *a, uint64_t id, struct str json)
