Count links and traffic between control processes in the metrics

The fakes of t8001 gain the function that the page now calls. The series are set at the time of the request, as the others are.

--- a/control/exposition.c
+++ b/control/exposition.c
@@ -73,6 +73,19 @@
            ctl_views_linked (c->views));
 }
 
+static void
+fill_peers (struct ctl *c)
+{
+  uint64_t out;
+  uint64_t in;
+  size_t links = ctl_peers_traffic (c->peers, &out, &in);
+  count (c, BYTES, BYTES_HELP, "mechanism=\"peer\",direction=\"out\"", out);
+  count (c, BYTES, BYTES_HELP, "mechanism=\"peer\",direction=\"in\"", in);
+  met_set (met_gauge (c->met, "lapisline_control_peer_links",
+                      "Linked control processes.", NULL),
+           (double)links);
+}
+
 static void
 fill_nodes (struct ctl *c)
 {
@@ -152,6 +165,7 @@
   fill_swim (c);
   fill_store (c);
   fill_views (c);
+  fill_peers (c);
   fill_nodes (c);
   fill_replicas (c);
   fill_process (c);
--- a/t/t8001-admin.c
+++ b/t/t8001-admin.c
@@ -122,6 +122,13 @@
   return true;
 }
 
+size_t
+ctl_peers_traffic (const struct ctl_peers *p, uint64_t *out, uint64_t *in)
+{
+  *out = *in = 0;
+  return w.linked;
+}
+
 struct str
 ctl_spread_text (const struct ctl_spread *s)
 {
