Test membership of control processes killed and stopped by signals

The cores are proved on a virtual clock; that the shipped process feeds them a clock that runs on while it is stopped was tried by hand only. Four processes over the store's stand-in: one is killed and replaced under its name, one is stopped until the others hold it for dead and goes on. What they think is read from /metrics, which gains the series of pauses. The strict statement, that a waking node accuses nobody, stays with t3001, as real time on a busy machine can't promise it.

--- a/control/exposition.c
+++ b/control/exposition.c
@@ -42,6 +42,7 @@
   count (c, SWIM, SWIM_HELP, "event=\"refuted\"", n->refuted);
   count (c, SWIM, SWIM_HELP, "event=\"died\"", n->died);
   count (c, SWIM, SWIM_HELP, "event=\"self-suspected\"", n->self_suspected);
+  count (c, SWIM, SWIM_HELP, "event=\"paused\"", n->pauses);
 }
 
 static void
--- /dev/null
+++ b/t/t8102-members.c
@@ -0,0 +1,108 @@
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "t/lib-proc.h"
+
+/* Membership of control processes as they ship, killed and stopped by
+   signals; what they think is read from their metrics. */
+
+#define NODES 4
+#define WAIT_MS 20000
+
+static struct proc *nodes[NODES];
+
+static void
+start (int i, const char *store)
+{
+  char name[32];
+  const char *path;
+  struct buf peers = BUF_INIT;
+
+  for (int j = 0; j < NODES; j++)
+    if (j != i && nodes[j] != NULL)
+      buf_addf (&peers, "%s\"%s\"", peers.len > 0 ? "," : "",
+                proc_addr (nodes[j], "peer"));
+  snprintf (name, sizeof name, "entry-%d.json", i + 1);
+  proc_file ("secret.txt", "a secret of the test");
+  path = proc_file (
+      name,
+      "{\"node\":\"entry-%d\",\"zone\":\"hall-a\",\"region\":\"nairobi\","
+      "\"gateway\":{\"http\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\"},"
+      "\"control\":{\"swim\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\","
+      "\"admin\":\"127.0.0.1:0\"},"
+      "\"store\":{\"endpoints\":[\"%s\"],\"prefix\":\"/lapisline/\","
+      "\"writes_per_s\":50,\"reads_per_s\":200},"
+      "\"peers\":[%s],\"log\":{\"level\":\"error\"},"
+      "\"secret_file\":\"secret.txt\"}",
+      i + 1, store, peers.len > 0 ? buf_c (&peers) : "");
+  nodes[i] = PROC_UP ("lapisline", "control", "--settings", path);
+  buf_free (&peers);
+}
+
+static bool
+shows (int i, const char *series, const char *value, int wait_ms)
+{
+  char text[128];
+
+  snprintf (text, sizeof text, "lapisline_control_%s %s\n", series, value);
+  return web_until (proc_addr (nodes[i], "admin"), "/metrics", NULL, text,
+                    wait_ms);
+}
+
+static void
+all_show (const char *series, const char *value, int except)
+{
+  for (int i = 0; i < NODES; i++)
+    if (i != except)
+      cr_assert (shows (i, series, value, WAIT_MS), "entry-%d: %s %s", i + 1,
+                 series, value);
+}
+
+static void
+start_all (void)
+{
+  struct proc *store = PROC_UP ("standin", "store", "--listen", "127.0.0.1:0");
+
+  memset (nodes, 0, sizeof nodes);
+  for (int i = 0; i < NODES; i++)
+    start (i, proc_addr (store, "http"));
+  all_show ("nodes{status=\"alive\"}", "4", -1);
+  all_show ("peer_links", "3", -1);
+}
+
+TestSuite (members, .fini = proc_stop_all, .timeout = 120);
+
+Test (members, killed_process_is_seen_and_its_successor_too)
+{
+  /* An entry VM dies without a word and is replaced under its name: the
+     others must hold it for dead, then for alive, and link with the new
+     process. */
+  start_all ();
+  proc_signal (nodes[3], SIGKILL);
+  all_show ("nodes{status=\"dead\"}", "1", 3);
+  nodes[3] = NULL;
+  start (3, "127.0.0.1:1");
+  all_show ("nodes{status=\"alive\"}", "4", -1);
+  all_show ("nodes{status=\"dead\"}", "0", -1);
+  all_show ("peer_links", "3", -1);
+}
+
+Test (members, stopped_process_is_taken_back_and_kills_nobody)
+{
+  /* A process is stopped for as long as the others need to hold it for dead.
+     When it goes on, all its deadlines have passed; it must notice that it
+     slept, have nobody declared dead, and be taken back in its old boot. */
+  start_all ();
+  proc_signal (nodes[2], SIGSTOP);
+  for (int i = 0; i < NODES; i++)
+    if (i != 2)
+      cr_assert (shows (i, "nodes{status=\"dead\"}", "1", WAIT_MS));
+  proc_signal (nodes[2], SIGCONT);
+  all_show ("nodes{status=\"alive\"}", "4", -1);
+  all_show ("peer_links", "3", -1);
+  cr_expect (shows (2, "swim_events_total{event=\"died\"}", "0", WAIT_MS));
+  cr_expect (!shows (2, "swim_events_total{event=\"paused\"}", "0", 0));
+}
