--- a/control/peers.c
+++ b/control/peers.c
@@ -401,8 +401,11 @@
 ctl_peers_stop (struct ctl_peers *p)
 {
   p->stopping = true;
-  while (p->peers != NULL)
-    prs_close (p->peers);
+  for (struct peer *at = p->peers, *next; at != NULL; at = next)
+    {
+      next = at->next;
+      prs_close (at);
+    }
   prs_policy_stop (p);
   link_server_free (p->server);
   uv_close ((uv_handle_t *)&p->timer, on_closed);
--- a/control/roster.c
+++ b/control/roster.c
@@ -94,18 +94,16 @@
 settle_own (struct ctl_roster *r, const struct store_kv *own)
 {
   struct net_addr swim;
-  uint64_t boot;
+  uint64_t boot = 0;
 
-  if (own == NULL)
-    write_row (r, 0);
-  else if (!parse_row (own->value, &boot, &swim) || boot < r->c->boot)
-    write_row (r, own->mod_rev);
-  else if (boot > r->c->boot)
+  if (own != NULL && !parse_row (own->value, &boot, &swim))
+    boot = 0;
+  if (boot > r->c->boot)
     LOG (roster_outranked, LOG_I ("boot", r->c->boot), LOG_I ("other", boot));
-  else if (!str_eq (own->value, buf_str (&r->value)))
-    write_row (r, own->mod_rev);
-  else
+  else if (own != NULL && str_eq (own->value, buf_str (&r->value)))
     LOG (roster_written, LOG_S ("at", buf_str (&r->key)));
+  else
+    write_row (r, own != NULL ? own->mod_rev : 0);
 }
 
 static void
--- a/fleet/bus.c
+++ b/fleet/bus.c
@@ -261,15 +261,17 @@
       return;
     }
   if (e->bytes != NULL)
-    mbr_packet (s->core, b->now, &b->nodes[e->from].addr,
-                str_make (e->bytes, e->len));
+    {
+      mbr_packet (s->core, b->now, &b->nodes[e->from].addr,
+                  str_make (e->bytes, e->len));
+      free (e->bytes);
+    }
   else
     {
       mbr_tick (s->core, b->now);
       e->at = b->now + TICK_MS;
       push (b, *e);
     }
-  free (e->bytes);
   take_actions (b, e->node);
 }
 
--- a/t/lib-fleet.c
+++ b/t/lib-fleet.c
@@ -323,7 +323,7 @@
 
   for (int second = 0; second < 10; second++)
     {
-      uint64_t before[MAX_NODES];
+      uint64_t before[MAX_NODES] = { 0 };
 
       for (size_t i = 0; i < bus_nodes (f->bus); i++)
         if (runs (f, i))
