Keep an account's shares within its limit while they end

Cause: homes took a share to end with its grant, while gateways let it fall slowly (half-life 5 s); and a new home gave even parts at once, on top of grants of the old home that it can't know. Change: one rule for both sides (shr_decayed, half-life 1 s); homes count with what is left of old grants, until a node is known to have a smaller one; a new home grants nothing for 14.5 s, in which shares go to even parts by themselves.

--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -23,6 +23,7 @@
   { "claims", bench_claims, "store writes and waiting of claims" },
   { "members", bench_members, "detection, accusations, cost of membership" },
   { "decide", bench_decide, "processor time and memory of decisions" },
+  { "limits", bench_limits, "an account's limit through a partition" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
 
--- a/builtin/bench.h
+++ b/builtin/bench.h
@@ -18,6 +18,7 @@
 int bench_claims (int argc, char **argv);
 int bench_members (int argc, char **argv);
 int bench_decide (int argc, char **argv);
+int bench_limits (int argc, char **argv);
 int bench_plot (int argc, char **argv);
 int bench_route (int argc, char **argv);
 
--- a/route/limit.c
+++ b/route/limit.c
@@ -2,9 +2,9 @@
 #include <stdlib.h>
 
 #include "route/core.h"
+#include "route/share.h"
 
-#define BURST_S 1.0     /* the bucket holds the rate of so many seconds */
-#define DECAY_MS 5000.0 /* half-life of a share that is not renewed */
+#define BURST_S 1.0 /* the bucket holds the rate of so many seconds */
 #define RETRY_LEAST_MS 50
 #define RETRY_MOST_MS 10000
 #define RETRY_CONC_MS 500
@@ -43,8 +43,7 @@
    * leave a node with nothing for as long as the partition lasts; taking the
    * whole limit would multiply it by the number of parts.
    */
-  double age = (double)(r->now - a->share_until);
-  return even + (share - even) * exp2 (-age / DECAY_MS);
+  return shr_decayed (share, even, r->now - a->share_until);
 }
 
 double
--- a/route/share.c
+++ b/route/share.c
@@ -9,6 +9,14 @@
 /* Part of an even share that a node keeps without any demand, so that its
    first callers are not refused before the next division. */
 #define IDLE_PART 0.1
+/*
+ * A node that is heard so long after its highest grant has got a smaller one:
+ * that went a second later over the same link, and a link that is silent in
+ * one direction is given up by its heartbeat after three.
+ */
+#define CONFIRM_MS ((clk_ms)4500)
+/* Half-lives after which nothing to speak of is left of an expired share. */
+#define QUIET_DECAYS 11
 
 enum
 {
@@ -22,7 +30,9 @@
 {
   double demand;
   double granted;
-  double peak;       /**< highest grant that may still be valid... */
+  clk_ms granted_until;
+  clk_ms peak_at;    /**< when the highest grant was last given... */
+  double peak;       /**< that may still be valid... */
   clk_ms peak_until; /**< ...until then */
   double target;
 };
@@ -40,7 +50,7 @@
   char *name;
   bool set;
   bool home;
-  clk_ms even_until; /**< a new home: no more than even parts until then */
+  clk_ms quiet_until; /**< a new home grants nothing until then */
   double limit[KINDS];
   struct member *members;
   size_t n;
@@ -58,6 +68,14 @@
   size_t next;
 };
 
+double
+shr_decayed (double share, double even, clk_ms age)
+{
+  if (age <= 0)
+    return share;
+  return even + (share - even) * exp2 (-(double)age / SHR_DECAY_MS);
+}
+
 struct shr *
 shr_new (void)
 {
@@ -141,7 +159,8 @@
   if (a == NULL)
     a = add_account (s, account);
   if (home && !a->home)
-    a->even_until = now + SHR_VALID_MS + SHR_FLIGHT_MS;
+    a->quiet_until
+        = now + SHR_VALID_MS + SHR_FLIGHT_MS + QUIET_DECAYS * SHR_DECAY_MS;
   a->set = true;
   a->home = home;
   a->limit[RATE] = limit->tokens_per_s;
@@ -197,11 +216,29 @@
   return now - m->heard_at < SHR_HEARD_MS;
 }
 
-/** What a node may be using at most at this moment. */
+/** What is left of a grant: once expired it falls towards an even part. */
 static double
-outstanding (const struct part *p, clk_ms now)
+left_of (double share, clk_ms until, double even, clk_ms now)
 {
-  return now < p->peak_until ? p->peak : 0;
+  if (now < until)
+    return share;
+  return share > even ? shr_decayed (share, even, now - until) : 0;
+}
+
+/**
+ * What a node may be using at most at this moment.  A share does not end with
+ * its grant: a gateway that hears nothing goes from it to an even part, and
+ * giving out at once what it still has would exceed the limit.
+ */
+static double
+outstanding (const struct member *m, int kind, double even, clk_ms now)
+{
+  const struct part *p = &m->part[kind];
+  double granted = left_of (p->granted, p->granted_until, even, now);
+
+  if (m->heard_at - p->peak_at >= CONFIRM_MS && heard (m, now))
+    return granted;
+  return fmax (granted, left_of (p->peak, p->peak_until, even, now));
 }
 
 /**
@@ -245,8 +282,6 @@
     {
       struct part *p = &a->members[i].part[kind];
       p->target = fmax (p->demand * HEADROOM, even * IDLE_PART);
-      if (now < a->even_until)
-        p->target = fmin (p->target, even);
     }
 }
 
@@ -260,8 +295,7 @@
     {
       const struct member *m = &a->members[i];
       if (!heard (m, now))
-        silent
-            += fmax (outstanding (&m->part[kind], now), m->known ? even : 0);
+        silent += fmax (outstanding (m, kind, even, now), m->known ? even : 0);
     }
   return fmax (limit - silent, 0);
 }
@@ -272,7 +306,8 @@
  * they grow only into what is surely free.
  */
 static void
-give (struct account *a, int kind, clk_ms now, double budget, double level)
+give (struct account *a, int kind, clk_ms now, double even, double budget,
+      double level)
 {
   double held = 0, growth = 0;
   for (size_t i = 0; i < a->n; i++)
@@ -280,7 +315,7 @@
       struct part *p = &a->members[i].part[kind];
       if (!heard (&a->members[i], now))
         continue;
-      double peak = outstanding (p, now);
+      double peak = outstanding (&a->members[i], kind, even, now);
       p->target = fmin (p->target, level);
       held += peak;
       growth += fmax (p->target - peak, 0);
@@ -290,15 +325,17 @@
   for (size_t i = 0; i < a->n; i++)
     {
       struct part *p = &a->members[i].part[kind];
-      double peak = outstanding (p, now);
+      double peak = outstanding (&a->members[i], kind, even, now);
       if (!heard (&a->members[i], now))
         continue;
       p->granted
           = p->target <= peak ? p->target : peak + part * (p->target - peak);
+      p->granted_until = now + SHR_VALID_MS + SHR_FLIGHT_MS;
       if (p->granted >= peak)
         {
           p->peak = p->granted;
-          p->peak_until = now + SHR_VALID_MS + SHR_FLIGHT_MS;
+          p->peak_at = now;
+          p->peak_until = p->granted_until;
         }
     }
 }
@@ -313,7 +350,7 @@
     return;
   set_targets (a, kind, now, even);
   double budget = budget_of (a, kind, now, even, limit);
-  give (a, kind, now, budget, fill_level (a, kind, now, budget));
+  give (a, kind, now, even, budget, fill_level (a, kind, now, budget));
 }
 
 static void
@@ -342,7 +379,12 @@
   for (size_t i = 0; i < s->n; i++)
     {
       struct account *a = s->accounts[i];
-      if (!a->home || (a->limit[RATE] <= 0 && a->limit[CONCURRENCY] <= 0))
+      /* What the last home granted is not known here, perhaps nearly all of
+         it to a node that can't be heard.  Shares that nobody renews fall or
+         rise to even parts by themselves, and their sum stays within the
+         limit all the way; a grant now would come on top. */
+      if (!a->home || now < a->quiet_until
+          || (a->limit[RATE] <= 0 && a->limit[CONCURRENCY] <= 0))
         continue;
       divide (s, a, RATE, now);
       divide (s, a, CONCURRENCY, now);
--- a/route/share.h
+++ b/route/share.h
@@ -20,6 +20,8 @@
 
 /** Lifetime of a share. */
 #define SHR_VALID_MS ((clk_ms)3000)
+/** Half-life of what an expired share has above or below an even part. */
+#define SHR_DECAY_MS ((clk_ms)1000)
 /** Longest way of a grant to its gateway; counted as valid meanwhile. */
 #define SHR_FLIGHT_MS ((clk_ms)500)
 /** A node is heard while its last demand is younger. */
@@ -40,6 +42,10 @@
   clk_ms valid_ms;
 };
 
+/** What a share has become @p age ms after its grant expired; the rule of
+    every gateway (route/limit.c), by which homes count with it. */
+double shr_decayed (double share, double even, clk_ms age);
+
 struct shr;
 
 struct shr *shr_new (void);
@@ -48,8 +54,8 @@
 /**
  * Set an account's limits; zero amounts mean no limit and no grants.
  * @param home  whether this node is the account's home.  A new home grants
- *              nobody more than an even part until the grants of its
- *              predecessor, which it does not know, have expired.
+ *              nothing until the grants of its predecessor, which it does
+ *              not know, have expired and gone.
  */
 void shr_account (struct shr *s, clk_ms now, struct str account,
                   const struct shr_amount *limit, bool home);
--- a/t/t5003-limits.c
+++ b/t/t5003-limits.c
@@ -82,7 +82,7 @@
 {
   /* The account's home falls silent behind a partition.  The share of seven
      calls holds until its end, half of what is above a quarter of the
-     limit goes each five seconds, and a quarter is left for good. */
+     limit goes each second, and a quarter is left for good. */
   check ("0 share few 0 7 10000\n"
          "1 arrive* 1-8 few api\n"
          "10000 arrive 10 few api\n"
@@ -90,7 +90,7 @@
          "10002 gone 2\n"
          "10003 gone 3\n"
          "10004 gone 4\n"
-         "15001 arrive* 11-12 few api\n"
+         "11001 arrive* 11-12 few api\n"
          "90000 gone 5\n"
          "90001 arrive 13 few api\n"
          "90002 gone 6\n"
@@ -106,7 +106,7 @@
          "10002 gone 2: cancel(2/1)\n"
          "10003 gone 3: cancel(3/1)\n"
          "10004 gone 4: cancel(4/1)\n"
-         "15001 arrive* 11-12: connect(11/1 s1) answer(12 429 "
+         "11001 arrive* 11-12: connect(11/1 s1) answer(12 429 "
          "concurrency-limit not-run)\n"
          "90000 gone 5: cancel(5/1)\n"
          "90001 arrive 13: answer(13 429 concurrency-limit not-run)\n"
--- a/t/t5500-share.c
+++ b/t/t5500-share.c
@@ -60,8 +60,7 @@
 static double
 usable (const struct held *h, clk_ms now)
 {
-  double even = LIMIT / NODES;
-  return now <= h->until ? h->amount : even;
+  return shr_decayed (h->amount, LIMIT / NODES, now - h->until);
 }
 
 static double
@@ -86,21 +85,23 @@
 Test (share, follows_demand)
 {
   /* One node has all the callers.  It gets what is asked there, the others
-     keep enough for a first caller; when demand moves, the share moves once
+     keep enough for a first caller; a new home first waits until grants of
+     another would be over; when demand moves, the share moves once
      the old grant can't be valid any more. */
   struct side s = side_new (0, true);
   struct held held[NODES] = { 0 };
   s.demand[0] = 2000;
-  turn (&s, 1000, held);
-  expect_held (held, "250 25 25 25");
-  for (clk_ms t = 2000; t <= 8000; t += 1000)
+  for (clk_ms t = 1000; t <= 14000; t += 1000)
+    turn (&s, t, held);
+  expect_held (held, "0 0 0 0");
+  for (clk_ms t = 15000; t <= 20000; t += 1000)
     turn (&s, t, held);
   expect_held (held, "925 25 25 25");
   s.demand[0] = 0;
   s.demand[3] = 2000;
-  turn (&s, 9000, held);
+  turn (&s, 21000, held);
   expect_held (held, "25 25 25 25");
-  for (clk_ms t = 10000; t <= 14000; t += 1000)
+  for (clk_ms t = 22000; t <= 26000; t += 1000)
     turn (&s, t, held);
   expect_held (held, "25 25 25 925");
   shr_free (s.core);
@@ -111,7 +112,7 @@
   /* A node's share shrinks but the grant that says so is lost, so the node
      goes on with the large one until it expires.  The others must not get
      that part before, or the account runs past its limit. */
-  struct side s = side_new (-10000, true);
+  struct side s = side_new (-20000, true);
   struct held held[NODES] = { 0 };
   s.demand[0] = 2000;
   for (clk_ms t = 0; t <= 5000; t += 1000)
@@ -136,8 +137,8 @@
   /* The network splits two and two, and both halves have a home.  The one
      that is new does not know the grants of the old; both halves are flooded.
      The sum stays within the limit all the time. */
-  struct side a = side_new (-10000, true);
-  struct side b = side_new (-10000, false);
+  struct side a = side_new (-20000, true);
+  struct side b = side_new (-20000, false);
   struct shr_amount limit = { LIMIT, 0 };
   struct held held[NODES] = { 0 };
   a.demand[0] = a.demand[2] = b.demand[2] = b.demand[3] = 2000;
@@ -159,3 +160,31 @@
   shr_free (a.core);
   shr_free (b.core);
 }
+
+Test (share, new_home_does_not_know_the_grants_of_the_old)
+{
+  /* The home dies and with it the knowledge that node 3 has nearly all; at
+     the same time node 3 is cut off and goes on serving.  The others flood
+     the new home.  Even parts for them at once would come on top of what
+     node 3 still has. */
+  struct side a = side_new (-20000, true);
+  struct side b = side_new (-20000, false);
+  struct shr_amount limit = { LIMIT, 0 };
+  struct held held[NODES] = { 0 };
+  a.demand[3] = 2000;
+  for (clk_ms t = 0; t <= 6000; t += 1000)
+    turn (&a, t, held);
+  expect_held (held, "25 25 25 925");
+  b.demand[0] = b.demand[1] = b.demand[2] = 2000;
+  b.linked[3] = false;
+  shr_account (b.core, 6500, STR ("acme"), &limit, true);
+  for (clk_ms t = 6500; t <= 30000; t += 500)
+    {
+      turn (&b, t, held);
+      cr_expect_leq (sum_usable (held, t), LIMIT + 0.5, "at %lld: %.1f",
+                     (long long)t, sum_usable (held, t));
+    }
+  expect_held (held, "250 250 250 925");
+  shr_free (a.core);
+  shr_free (b.core);
+}
