--- a/claim/claim.c
+++ b/claim/claim.c
@@ -5,7 +5,7 @@
 
 /** Wait between tries while the store is down: doubles up to the last. */
 #define PROBE_FIRST_MS ((clk_ms)125)
-#define PROBE_LAST_MS (2 * CLK_SECOND)
+#define PROBE_LAST_MS CLK_SECOND
 
 #define RETRY_DOWN_MS (2 * CLK_SECOND)
 #define RETRY_BUSY_MS ((clk_ms)500)
@@ -260,7 +260,7 @@
   if (c->fails >= DOWN_FAILS)
     {
       unsigned doublings = c->fails - DOWN_FAILS;
-      wait = doublings > 4 ? PROBE_LAST_MS : PROBE_FIRST_MS << doublings;
+      wait = doublings > 2 ? PROBE_LAST_MS : PROBE_FIRST_MS << doublings;
       wait += (clk_ms)rng_below (&c->rng, (uint64_t)wait / 4 + 1);
     }
   c->probe_at = now + wait;
