Split the claim core's calls, its scripts and its walk into files of their own

Change: claim/calls.c (store up or down, lease), t/lib-claim-script.c (runner of scripts), t/lib-claim-walk.c (the walk), t4003-bounds (what is no script).

--- /dev/null
+++ b/claim/calls.c
@@ -0,0 +1,112 @@
+/* Whether the store is taken as up or down, and the lease of batch keys. */
+#include "claim/core.h"
+
+/** Wait between tries while the store is down: doubles up to the last. */
+#define PROBE_FIRST_MS ((clk_ms)125)
+#define PROBE_LAST_MS CLK_SECOND
+
+unsigned
+core_open_calls (const struct clm *c, unsigned *normal)
+{
+  unsigned n = c->lease.token != 0;
+
+  *normal = n && !c->lease.probe;
+  for (unsigned i = 0; i < CLM_SHARDS; i++)
+    if (c->shards[i].op != OP_NONE)
+      {
+        n++;
+        *normal += !c->shards[i].probe;
+      }
+  return n;
+}
+
+bool
+core_down (const struct clm *c)
+{
+  unsigned normal;
+
+  core_open_calls (c, &normal);
+  return c->fails >= CORE_DOWN_FAILS && normal == 0;
+}
+
+bool
+core_may_call (const struct clm *c, clk_ms now)
+{
+  unsigned normal;
+
+  if (c->fails == 0)
+    return true;
+  return now >= c->probe_at && core_open_calls (c, &normal) == 0;
+}
+
+void
+core_call_ok (struct clm *c)
+{
+  c->fails = 0;
+}
+
+void
+core_call_failed (struct clm *c, clk_ms now)
+{
+  clk_ms wait = 0;
+
+  c->fails++;
+  if (c->fails >= CORE_DOWN_FAILS)
+    {
+      unsigned doublings = c->fails - CORE_DOWN_FAILS;
+      wait = doublings > 2 ? PROBE_LAST_MS : PROBE_FIRST_MS << doublings;
+      wait += (clk_ms)rng_below (&c->rng, (uint64_t)wait / 4 + 1);
+    }
+  c->probe_at = now + wait;
+}
+
+/* The lease of batch keys. */
+
+clk_ms
+core_expiry (const struct clm *c, clk_ms now)
+{
+  return now + c->opt.window + CLM_SLACK_MS;
+}
+
+bool
+core_lease_usable (const struct clm *c, clk_ms now)
+{
+  return c->lease.id && now < c->lease.usable_until;
+}
+
+bool
+core_lease (struct clm *c, clk_ms now)
+{
+  struct clm_action *a;
+
+  if (core_lease_usable (c, now))
+    return true;
+  if (c->lease.token || now < c->lease.next)
+    return false;
+  a = core_act (c, CLM_ACT_GRANT);
+  a->ttl = 2 * c->opt.window;
+  c->lease.probe = core_down (c);
+  a->token = c->lease.token = ++c->last_token;
+  c->lease.id = 0;
+  c->lease.sent = now;
+  return false;
+}
+
+/** A batch must outlive window + CLM_SLACK_MS, so a lease is used only while
+    one and a half windows are left, which is half a window for a new one. */
+void
+core_lease_answer (struct clm *c, clk_ms now, const struct store_result *r)
+{
+  c->lease.token = 0;
+  c->lease.next = now + c->opt.gap_ms;
+  if (r->status == STORE_OVER_BUDGET)
+    return;
+  if (r->status != STORE_OK || r->ttl <= c->opt.window * 3 / 2)
+    {
+      core_call_failed (c, now);
+      return;
+    }
+  core_call_ok (c);
+  c->lease.id = r->lease;
+  c->lease.usable_until = c->lease.sent + r->ttl - c->opt.window * 3 / 2;
+}
--- a/claim/claim.c
+++ b/claim/claim.c
@@ -3,17 +3,9 @@
 
 #include "claim/core.h"
 
-/** Wait between tries while the store is down: doubles up to the last. */
-#define PROBE_FIRST_MS ((clk_ms)125)
-#define PROBE_LAST_MS CLK_SECOND
-
 #define RETRY_DOWN_MS (2 * CLK_SECOND)
 #define RETRY_BUSY_MS ((clk_ms)500)
 
-/** Failures in a row from which on the store is taken as down.  One lost
-    answer alone is settled without refusing anybody. */
-#define DOWN_FAILS 2
-
 /** A batch lives for one and a half windows at least, a claim must be held
     for the window and the slack. */
 #define LEAST_WINDOW_MS (2 * CLM_SLACK_MS)
@@ -208,115 +200,6 @@
   c->counts.late_releases++;
 }
 
-/* The store, up or down. */
-
-/** Open calls; @p normal receives those begun while it was not down. */
-static unsigned
-open_calls (const struct clm *c, unsigned *normal)
-{
-  unsigned n = c->lease.token != 0;
-
-  *normal = n && !c->lease.probe;
-  for (unsigned i = 0; i < CLM_SHARDS; i++)
-    if (c->shards[i].op != OP_NONE)
-      {
-        n++;
-        *normal += !c->shards[i].probe;
-      }
-  return n;
-}
-
-bool
-core_down (const struct clm *c)
-{
-  unsigned normal;
-
-  open_calls (c, &normal);
-  return c->fails >= DOWN_FAILS && normal == 0;
-}
-
-bool
-core_may_call (const struct clm *c, clk_ms now)
-{
-  unsigned normal;
-
-  if (c->fails == 0)
-    return true;
-  return now >= c->probe_at && open_calls (c, &normal) == 0;
-}
-
-void
-core_call_ok (struct clm *c)
-{
-  c->fails = 0;
-}
-
-void
-core_call_failed (struct clm *c, clk_ms now)
-{
-  clk_ms wait = 0;
-
-  c->fails++;
-  if (c->fails >= DOWN_FAILS)
-    {
-      unsigned doublings = c->fails - DOWN_FAILS;
-      wait = doublings > 2 ? PROBE_LAST_MS : PROBE_FIRST_MS << doublings;
-      wait += (clk_ms)rng_below (&c->rng, (uint64_t)wait / 4 + 1);
-    }
-  c->probe_at = now + wait;
-}
-
-/* The lease of batch keys. */
-
-clk_ms
-core_expiry (const struct clm *c, clk_ms now)
-{
-  return now + c->opt.window + CLM_SLACK_MS;
-}
-
-bool
-core_lease_usable (const struct clm *c, clk_ms now)
-{
-  return c->lease.id && now < c->lease.usable_until;
-}
-
-bool
-core_lease (struct clm *c, clk_ms now)
-{
-  struct clm_action *a;
-
-  if (core_lease_usable (c, now))
-    return true;
-  if (c->lease.token || now < c->lease.next)
-    return false;
-  a = core_act (c, CLM_ACT_GRANT);
-  a->ttl = 2 * c->opt.window;
-  c->lease.probe = core_down (c);
-  a->token = c->lease.token = ++c->last_token;
-  c->lease.id = 0;
-  c->lease.sent = now;
-  return false;
-}
-
-/** A batch must outlive window + CLM_SLACK_MS, so a lease is used only while
-    one and a half windows are left, which is half a window for a new one. */
-static void
-lease_answer (struct clm *c, clk_ms now, const struct store_result *r)
-{
-  c->lease.token = 0;
-  c->lease.next = now + c->opt.gap_ms;
-  if (r->status == STORE_OVER_BUDGET)
-    return;
-  if (r->status != STORE_OK || r->ttl <= c->opt.window * 3 / 2)
-    {
-      core_call_failed (c, now);
-      return;
-    }
-  core_call_ok (c);
-  c->lease.id = r->lease;
-  c->lease.usable_until = c->lease.sent + r->ttl - c->opt.window * 3 / 2;
-}
-
 /* Deadlines. */
 
 static void
@@ -376,7 +259,7 @@
   expire (c, now);
   for (unsigned i = 0; i < CLM_SHARDS; i++)
     shard_pump (c, &c->shards[i], now);
-  if (c->fails >= DOWN_FAILS && c->demand >= 0 && core_may_call (c, now))
+  if (c->fails >= CORE_DOWN_FAILS && c->demand >= 0 && core_may_call (c, now))
     {
       shard_probe (c, &c->shards[c->demand], now);
       c->demand = -1;
@@ -450,7 +333,7 @@
 {
   begin_event (c);
   if (token == c->lease.token && token != 0)
-    lease_answer (c, now, r);
+    core_lease_answer (c, now, r);
   for (unsigned i = 0; i < CLM_SHARDS; i++)
     if (c->shards[i].op != OP_NONE && c->shards[i].token == token)
       {
@@ -484,7 +367,7 @@
   unsigned normal;
 
   /* An open call's answer comes as an event of its own. */
-  if (c->lease.token || (c->fails && open_calls (c, &normal)))
+  if (c->lease.token || (c->fails && core_open_calls (c, &normal)))
     return wake;
   if (c->demand >= 0 && c->fails && call < wake)
     wake = call;
--- a/claim/core.h
+++ b/claim/core.h
@@ -2,7 +2,8 @@
  * @file
  * Inside of the claim core, shared by its files only.
  *
- *   claim.c   asks in, replies out, deadlines, the lease, store up or down
+ *   claim.c   asks in, replies out, deadlines
+ *   calls.c   store up or down, the lease
  *   decide.c  what an ask gets by what is known
  *   shard.c   one shard's open write, its settling, reads
  *   table.c   claims in memory
@@ -126,6 +127,18 @@
 /** Answer CLM_UNAVAILABLE; queue the release when that is final. */
 void core_unavailable (struct clm *c, struct shard *s, struct waiter *w);
 
+void waiter_append (struct waiter_list *l, struct waiter *w);
+struct waiter *waiter_pop (struct waiter_list *l);
+
+/* calls.c */
+
+/** Failures in a row from which on the store is taken as down.  One lost
+    answer alone is settled without refusing anybody. */
+#define CORE_DOWN_FAILS 2
+
+/** Open calls; @p normal receives those begun while it was not down. */
+unsigned core_open_calls (const struct clm *c, unsigned *normal);
+
 /** Whether the store is taken as down: asks are refused at once. */
 bool core_down (const struct clm *c);
 
@@ -138,11 +151,10 @@
 
 /** True when a usable lease is there; else asks for one. */
 bool core_lease (struct clm *c, clk_ms now);
+void core_lease_answer (struct clm *c, clk_ms now,
+                        const struct store_result *r);
 clk_ms core_expiry (const struct clm *c, clk_ms now);
 
-void waiter_append (struct waiter_list *l, struct waiter *w);
-struct waiter *waiter_pop (struct waiter_list *l);
-
 /* decide.c */
 
 enum decision
--- /dev/null
+++ b/t/t4003-bounds.c
@@ -0,0 +1,124 @@
+/* What bounds the claim core, and what it can not read. */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "claim/batch.h"
+#include "t/lib-claim-script.h"
+
+/* Morning rush: a thousand bookings reach one home in the same tick.  Were
+   each a write of its own, the store's whole rate of several hundred a second
+   would be gone; with group commit they are two writes per shard. */
+Test (bounds, group_commit)
+{
+  struct csc run;
+  struct clm_options opt = csc_options ();
+
+  csc_up (&run, 1, &opt);
+  for (int i = 0; i < 1000; i++)
+    {
+      struct clm_ask a = { .id = 'k' << 8 | 'A' };
+      memcpy (a.key, &i, sizeof i);
+      clm_ask (run.w.homes[0], run.w.now, &a);
+      cw_drain (&run.w, 0);
+    }
+  csc_all (&run);
+  csc_pass (&run, 50);
+  csc_all (&run);
+  cr_expect_eq (clm_counts (run.w.homes[0])->granted, 1000);
+  cr_expect_leq (clm_counts (run.w.homes[0])->txns, 2 * CLM_SHARDS);
+  cr_expect_eq (clm_held (run.w.homes[0]), 1000);
+  csc_down (&run);
+}
+
+/* Memory is bounded: claims beyond the bound are refused.  Forgetting an old
+   one to make room would let its key run again. */
+Test (bounds, full_table_refuses)
+{
+  struct csc run;
+  struct clm_options opt = csc_options ();
+
+  opt.max_claims = 2;
+  csc_up (&run, 1, &opt);
+  csc_ask (&run, 0, "take", 'k', 'A', "");
+  csc_ask (&run, 0, "take", 'l', 'A', "");
+  csc_all (&run);
+  csc_ask (&run, 0, "take", 'm', 'A', "");
+  csc_ask (&run, 0, "take", 'k', 'B', "");
+  cr_expect_str_eq (buf_c (&run.log), "  h1 k/A granted\n"
+                                      "  h1 l/A granted\n"
+                                      "  h1 m/A unavailable\n"
+                                      "  h1 k/B running\n");
+  csc_down (&run);
+}
+
+/* Somebody deletes a head key, and another home begins it anew.  Its batches
+   carry a lower base than the head that home 1 knows, so a read from there on
+   would miss them and a key that is taken would look free.  The broken chain
+   of bases shows it, and the whole shard is read. */
+Test (bounds, head_deleted)
+{
+  struct csc run;
+  struct clm_options opt = csc_options ();
+  struct buf key = BUF_INIT;
+  uint8_t k[16] = { 'k' };
+
+  csc_up (&run, 2, &opt);
+  csc_ask (&run, 0, "take", 'k', 'A', "");
+  csc_all (&run);
+  csc_ask (&run, 0, "release", 'k', 'A', "");
+  csc_pass (&run, 50);
+  csc_all (&run);
+  bat_head_key (&key, opt.prefix, clm_shard (k));
+  kv_remove (&run.w.kv, buf_str (&key));
+  csc_ask (&run, 1, "take", 'k', 'B', "");
+  csc_all (&run);
+  csc_pass (&run, 50);
+  csc_ask (&run, 0, "take", 'k', 'C', "");
+  csc_all (&run);
+  csc_pass (&run, 50);
+  csc_all (&run);
+  cr_expect_str_eq (buf_c (&run.log), "  h1 k/A granted\n"
+                                      "  h1 k/A done\n"
+                                      "  h2 k/B granted\n"
+                                      "  h1 k/C running\n");
+  buf_free (&key);
+  csc_down (&run);
+}
+
+/* A batch written by another version can't be read, so the claims in it are
+   not known.  Nothing of that shard may be granted on top of it. */
+Test (bounds, unreadable_batch_refuses)
+{
+  struct csc run;
+  struct clm_options opt = csc_options ();
+  struct buf key = BUF_INIT;
+  uint8_t k[16] = { 'k' };
+  struct bat_name name = { 0, 9, 9 };
+  struct store_put put = { .value = STR ("\2future") };
+
+  csc_up (&run, 1, &opt);
+  bat_key (&key, opt.prefix, clm_shard (k), &name);
+  put.key = buf_str (&key);
+  kv_txn (&run.w.kv, &(struct store_txn){ .puts = &put, .nputs = 1 });
+  csc_ask (&run, 0, "take", 'k', 'A', "");
+  csc_all (&run);
+  csc_pass (&run, 1000);
+  csc_all (&run);
+  csc_pass (&run, 1000);
+  cr_expect_str_eq (buf_c (&run.log), "  h1 k/A unavailable\n");
+  buf_free (&key);
+  csc_down (&run);
+}
+
+/* A gateway is stopped between the grant and its send and wakes after the
+   window: by then another attempt may hold the key.  The grant counts from
+   the ask, so it is no longer valid; nor is it when the clock stands before
+   the ask. */
+Test (bounds, grant_runs_out)
+{
+  cr_expect (clm_grant_valid (1000, 1000));
+  cr_expect (clm_grant_valid (1000, 5999));
+  cr_expect_not (clm_grant_valid (1000, 6000));
+  cr_expect_not (clm_grant_valid (1000, 700000));
+  cr_expect_not (clm_grant_valid (1000, 999));
+}
--- a/t/t4900-walk.c
+++ b/t/t4900-walk.c
@@ -1,586 +1,24 @@
-/*
- * A seeded walk over interleavings of the claim core: three gateways, each
- * with its own core and its own requests, a store that applies calls late,
- * twice over or never and loses answers, messages between gateways that are
- * lost and late, freezes, restarts, lapses of leases.  The same seed gives
- * the same walk.
- *
- * Judged: no key is sent twice within the window.  A walk that sends nothing
- * would prove nothing, so sends, repeats after a release and settled writes
- * are counted too; and planted faults have to be found.
- */
+/* Claims by a seeded walk; see t/lib-claim-walk.h. */
 #include <criterion/criterion.h>
-#include <string.h>
 
-#include "t/lib-claim.h"
-
-#define WINDOW (2 * CLM_SLACK_MS)
-#define KEYS 3
-#define REQUESTS 24
-#define MESSAGES 64
-
-enum fault
-{
-  FAULT_NONE,
-  FAULT_LOST_AS_APPLIED, /**< a lost answer is taken for "written" */
-  FAULT_NO_GRANT_CHECK,  /**< sends without clm_grant_valid() */
-  FAULT_HOME_RELEASES,   /**< a home releases what another node asked for */
-  FAULT_OWN_RELEASES,    /**< likewise, what it asked itself after others */
-  FAULT_FORGETS_GRANT,   /**< an asker takes a second grant for a leftover */
-  FAULT_SAME_BOOT        /**< homes that started in the same millisecond */
-};
-
-enum req_state
-{
-  REQ_FREE,
-  REQ_ASKING,
-  REQ_GRANTED, /**< not sent yet */
-  REQ_OVER     /**< kept while answers may still come */
-};
-
-struct req
-{
-  enum req_state state;
-  uint64_t no;  /**< its attempt */
-  uint64_t ask; /**< its last ask, so that late answers to earlier ones and
-                     to requests that are gone fit none */
-  int gateway;
-  int key;
-  clk_ms granted;
-  struct clm_asker asker;
-  int targets[CLM_TARGETS];
-};
-
-struct message
-{
-  bool used;
-  bool is_answer;
-  int from, to;
-  struct clm_ask ask;
-  enum clm_verdict verdict;
-};
-
-struct walk
-{
-  struct cw w;
-  struct clm_options opt;
-  struct rng rng;
-  enum fault fault;
-  struct req reqs[REQUESTS];
-  struct message messages[MESSAGES];
-  bool frozen[CW_HOMES];
-  bool slow[CW_HOMES]; /**< the store answers it seldom */
-  uint64_t last_req, last_ask;
-  uint64_t boots;
-  clk_ms last_send[KEYS];
-  uint64_t sends, refused, given_up, released, stale;
-  const char *violation;
-};
-
-static uint64_t
-below (struct walk *k, uint64_t n)
-{
-  return rng_below (&k->rng, n);
-}
-
-/* All keys are of one shard, so that they meet in one head. */
-static void
-key_bytes (int key, uint8_t out[16])
-{
-  int seen = -1;
-
-  memset (out, 0, 16);
-  for (uint8_t i = 0; seen < key; i++)
-    {
-      out[0] = i;
-      seen += clm_shard (out) == 0;
-    }
-}
-
-static struct clm_ask
-ask_of (const struct req *q, enum clm_kind kind)
-{
-  struct clm_ask a = { .id = q->ask, .kind = kind };
-
-  key_bytes (q->key, a.key);
-  memcpy (a.attempt, &q->no, sizeof q->no);
-  a.fingerprint[0] = (uint8_t)q->key;
-  return a;
-}
-
-static struct req *
-req_of (struct walk *k, uint64_t ask)
-{
-  for (size_t i = 0; i < REQUESTS; i++)
-    if (k->reqs[i].state != REQ_FREE && k->reqs[i].ask == ask)
-      return &k->reqs[i];
-  return NULL;
-}
-
-static void
-post (struct walk *k, const struct message *m)
-{
-  for (size_t i = 0; i < MESSAGES; i++)
-    if (!k->messages[i].used)
-      {
-        k->messages[i] = *m;
-        k->messages[i].used = true;
-        return;
-      }
-}
-
-static void
-core_ask (struct walk *k, int home, struct clm_ask a)
-{
-  clm_ask (k->w.homes[home], k->w.now, &a);
-  cw_drain (&k->w, home);
-}
-
-/* The asker's release: to its own core, which keeps it until it is written. */
-static void
-release (struct walk *k, const struct req *q)
-{
-  struct clm_ask a = ask_of (q, CLM_RELEASE);
-
-  a.id = 0;
-  core_ask (k, q->gateway, a);
-}
-
-static void
-do_asker (struct walk *k, struct req *q, enum clm_asker_do what,
-          enum clm_verdict verdict)
-{
-  struct clm_ask a;
-  int target;
-
-  switch (what)
-    {
-    case CLM_ASKER_NOTHING:
-      return;
-    case CLM_ASKER_ASK:
-      a = ask_of (q, CLM_TAKE);
-      target = q->targets[q->asker.asked - 1];
-      a.wait_ms = q->asker.deadline - k->w.now;
-      a.final = q->asker.ntargets == 1 || k->fault == FAULT_HOME_RELEASES
-                || (k->fault == FAULT_OWN_RELEASES && target == q->gateway);
-      if (target == q->gateway)
-        core_ask (k, target, a);
-      else
-        post (k,
-              &(struct message){ .from = q->gateway, .to = target, .ask = a });
-      return;
-    case CLM_ASKER_REPLY:
-      q->state = verdict == CLM_GRANTED ? REQ_GRANTED : REQ_OVER;
-      q->granted = k->w.now;
-      k->refused += verdict != CLM_GRANTED;
-      return;
-    case CLM_ASKER_GIVE_UP_LATE:
-      q->state = REQ_OVER;
-      k->given_up++;
-      release (k, q);
-      return;
-    case CLM_ASKER_GIVE_UP:
-      q->state = REQ_OVER;
-      k->given_up++;
-      return;
-    case CLM_ASKER_RELEASE:
-      release (k, q);
-    }
-}
-
-static void
-answer_req (struct walk *k, uint64_t no, enum clm_verdict verdict)
-{
-  struct req *q = req_of (k, no);
-
-  if (q && k->fault == FAULT_FORGETS_GRANT)
-    q->asker.granted = false;
-  if (q)
-    do_asker (k, q, clm_asker_answer (&q->asker, k->w.now, verdict), verdict);
-}
-
-/* A core's reply goes to the gateway whose request it was. */
-static void
-on_reply (void *ctx, int home, const struct clm_reply *r)
-{
-  struct walk *k = ctx;
-  struct req *q = req_of (k, r->id);
-
-  if (!q || r->verdict == CLM_DONE)
-    return;
-  post (k, &(struct message){ .is_answer = true,
-                              .from = home,
-                              .to = q->gateway,
-                              .ask = { .id = r->id },
-                              .verdict = r->verdict });
-}
-
-/* Steps of the walk. */
-
-static bool
-start_request (struct walk *k)
-{
-  struct req *q = &k->reqs[below (k, REQUESTS)];
-  int n = 0;
-
-  if (q->state == REQ_ASKING || q->state == REQ_GRANTED)
-    return false;
-  *q = (struct req){ .state = REQ_ASKING, .no = ++k->last_req };
-  q->gateway = (int)below (k, CW_HOMES);
-  if (k->frozen[q->gateway])
-    {
-      q->state = REQ_FREE;
-      return false;
-    }
-  q->key = (int)below (k, KEYS);
-  q->ask = ++k->last_ask;
-  /* Views differ: any order of homes, ending with the own one. */
-  for (int h = (int)below (k, CW_HOMES); n < CLM_TARGETS; h++)
-    {
-      q->targets[n++] = h % CW_HOMES;
-      if (h % CW_HOMES == q->gateway)
-        break;
-    }
-  do_asker (k, q,
-            clm_asker_start (&q->asker, k->w.now, 500 + below (k, 3000),
-                             (unsigned)n),
-            CLM_UNAVAILABLE);
-  return true;
-}
-
-/* A grant has run out: the request core asks again for the same attempt. */
-static void
-ask_again (struct walk *k, struct req *q)
-{
-  unsigned n = q->asker.ntargets;
-
-  q->state = REQ_ASKING;
-  q->ask = ++k->last_ask;
-  do_asker (k, q, clm_asker_start (&q->asker, k->w.now, CLM_ASK_MS, n),
-            CLM_UNAVAILABLE);
-}
-
-static void
-send_one (struct walk *k, struct req *q)
-{
-  clk_ms now = k->w.now;
-
-  if (k->fault != FAULT_NO_GRANT_CHECK && !clm_grant_valid (q->granted, now))
-    {
-      k->stale++;
-      ask_again (k, q);
-      return;
-    }
-  if (k->sends && now - k->last_send[q->key] < WINDOW)
-    k->violation = "a key was sent twice within the window";
-  k->last_send[q->key] = now;
-  k->sends++;
-  q->state = REQ_OVER;
-}
-
-static struct req *
-any_granted (struct walk *k)
-{
-  size_t from = below (k, REQUESTS);
-
-  for (size_t i = 0; i < REQUESTS; i++)
-    {
-      struct req *q = &k->reqs[(from + i) % REQUESTS];
-      if (q->state == REQ_GRANTED && !k->frozen[q->gateway])
-        return q;
-    }
-  return NULL;
-}
-
-static bool
-use_grant (struct walk *k)
-{
-  struct req *q = any_granted (k);
-
-  if (!q)
-    return false;
-  if (below (k, 2))
-    {
-      send_one (k, q);
-      return true;
-    }
-  q->state = REQ_OVER;
-  k->released++;
-  release (k, q);
-  return true;
-}
-
-static struct cw_call *
-any_call (struct walk *k)
-{
-  size_t from = below (k, CW_CALLS);
-
-  for (size_t i = 0; i < CW_CALLS; i++)
-    {
-      struct cw_call *c = &k->w.calls[(from + i) % CW_CALLS];
-      if (c->used)
-        return c;
-    }
-  return NULL;
-}
-
-static void
-lose_answer (struct walk *k, struct cw_call *c)
-{
-  enum store_status lost
-      = c->kind == CLM_ACT_TXN ? STORE_UNCERTAIN : STORE_UNAVAILABLE;
-
-  if (lost == STORE_UNCERTAIN && k->fault == FAULT_LOST_AS_APPLIED)
-    {
-      int home = c->home;
-      struct store_result ok = { .revision = k->w.kv.revision };
-      c->answered = true;
-      clm_store_answer (k->w.homes[home], k->w.now, c->token, &ok);
-      cw_drain (&k->w, home);
-      return;
-    }
-  cw_answer (&k->w, c, lost);
-}
-
-static bool
-store_step (struct walk *k)
-{
-  struct cw_call *c = any_call (k);
-  unsigned what = (unsigned)below (k, 16);
-
-  if (!c)
-    return false;
-  if (c->answered)
-    {
-      /* Told uncertain: lands now, later or never. */
-      if (what < 4)
-        cw_apply (&k->w, c);
-      else if (what == 4)
-        cw_forget (c);
-      return what <= 4;
-    }
-  if (what < 3)
-    {
-      cw_apply (&k->w, c);
-      return true;
-    }
-  if (k->frozen[c->home] || (k->slow[c->home] && below (k, 16)))
-    return false;
-  if (what == 3)
-    lose_answer (k, c);
-  else if (what == 4 && !c->applied)
-    cw_answer (&k->w, c, STORE_UNAVAILABLE);
-  else if (what == 5 && !c->applied)
-    cw_answer (&k->w, c, STORE_OVER_BUDGET);
-  else
-    {
-      cw_apply (&k->w, c);
-      cw_answer (&k->w, c, STORE_OK);
-    }
-  return true;
-}
-
-static size_t
-any_message (struct walk *k)
-{
-  size_t at = below (k, MESSAGES);
-
-  for (size_t i = 0; i < MESSAGES && !k->messages[at].used; i++)
-    at = (at + 1) % MESSAGES;
-  return at;
-}
-
-static bool
-message_step (struct walk *k)
-{
-  size_t at = any_message (k);
-  struct message m = k->messages[at];
-
-  if (!m.used || k->frozen[m.to])
-    return false;
-  k->messages[at].used = below (k, 40) == 0; /* some arrive twice */
-  if (below (k, 12) == 0)
-    return true;
-  if (m.is_answer)
-    answer_req (k, m.ask.id, m.verdict);
-  else
-    core_ask (k, m.to, m.ask);
-  return true;
-}
-
-static void
-tick_all (struct walk *k)
-{
-  for (int h = 0; h < CW_HOMES; h++)
-    if (!k->frozen[h])
-      {
-        clm_tick (k->w.homes[h], k->w.now);
-        cw_drain (&k->w, h);
-      }
-  for (size_t i = 0; i < REQUESTS; i++)
-    {
-      struct req *q = &k->reqs[i];
-      if (q->state == REQ_ASKING && !k->frozen[q->gateway])
-        do_asker (k, q, clm_asker_tick (&q->asker, k->w.now), CLM_UNAVAILABLE);
-    }
-}
-
-static void
-time_step (struct walk *k)
-{
-  uint64_t how = below (k, 512);
-
-  if (how == 0)
-    k->w.now += (clk_ms)below (k, 2 * WINDOW);
-  else if (how < 10)
-    k->w.now += (clk_ms)below (k, 4000);
-  else
-    k->w.now += (clk_ms)below (k, 30);
-  tick_all (k);
-}
-
-static void
-restart (struct walk *k, int home)
-{
-  k->opt.boot = ++k->boots;
-  cw_restart (&k->w, home, &k->opt, k->boots);
-  for (size_t i = 0; i < REQUESTS; i++)
-    if (k->reqs[i].gateway == home)
-      k->reqs[i].state = REQ_FREE;
-}
-
-static void
-fault_step (struct walk *k)
-{
-  int home = (int)below (k, CW_HOMES);
-  uint64_t what = below (k, 64);
-
-  if (k->frozen[home])
-    k->frozen[home] = what > 24;
-  else if (what == 0)
-    restart (k, home);
-  else if (what < 16)
-    k->frozen[home] = true;
-  else
-    k->slow[home] = what < 40;
-}
-
-/** Returns whether anything could happen. */
-static bool
-one_step (struct walk *k)
-{
-  uint64_t what = below (k, 100);
-
-  if (what < 14)
-    return start_request (k);
-  if (what < 50)
-    return store_step (k);
-  if (what < 72)
-    return message_step (k);
-  if (what < 82)
-    return use_grant (k);
-  if (what < 98)
-    time_step (k);
-  else
-    fault_step (k);
-  return true;
-}
-
-/** Walk until a violation or for @p steps; returns the steps taken. */
-static uint64_t
-walk (struct walk *k, uint64_t seed, uint64_t steps, enum fault fault)
-{
-  uint64_t done = 0;
-
-  memset (k, 0, sizeof *k);
-  rng_seed (&k->rng, seed);
-  k->fault = fault;
-  k->boots = 1;
-  k->opt = (struct clm_options){ .prefix = STR ("/w/"),
-                                 .window = WINDOW,
-                                 .kept_bytes = 1000,
-                                 .boot = 1,
-                                 .gap_ms = 10 };
-  for (int i = 0; i < KEYS; i++)
-    k->last_send[i] = -2 * WINDOW;
-  k->w.same_boot = fault == FAULT_SAME_BOOT;
-  cw_init (&k->w, CW_HOMES, &k->opt, seed);
-  k->w.on_reply = on_reply;
-  k->w.ctx = k;
-  while (done < steps && !k->violation)
-    done += one_step (k);
-  return done;
-}
-
-/** Everything works again: what was held is answered, messages arrive. */
-static void
-calm (struct walk *k, clk_ms ms)
-{
-  clk_ms until = k->w.now + ms;
-
-  memset (k->frozen, 0, sizeof k->frozen);
-  memset (k->slow, 0, sizeof k->slow);
-  for (; k->w.now < until; k->w.now += 20)
-    {
-      for (size_t i = 0; i < CW_CALLS; i++)
-        if (k->w.calls[i].used)
-          {
-            cw_apply (&k->w, &k->w.calls[i]);
-            if (k->w.calls[i].used)
-              cw_answer (&k->w, &k->w.calls[i], STORE_OK);
-          }
-      for (size_t i = 0; i < MESSAGES; i++)
-        {
-          struct message m = k->messages[i];
-          k->messages[i].used = false;
-          if (m.used && m.is_answer)
-            answer_req (k, m.ask.id, m.verdict);
-          else if (m.used)
-            core_ask (k, m.to, m.ask);
-        }
-      tick_all (k);
-    }
-}
-
-/** After the trouble and the window every key can be used again. */
-static int
-usable_keys (struct walk *k)
-{
-  int usable = 0;
-
-  calm (k, 3 * WINDOW);
-  for (int key = 0; key < KEYS; key++)
-    {
-      struct req *q = &k->reqs[key];
-      *q = (struct req){ .state = REQ_ASKING,
-                         .no = ++k->last_req,
-                         .ask = ++k->last_ask,
-                         .key = key,
-                         .gateway = key % CW_HOMES };
-      q->targets[0] = q->gateway;
-      do_asker (k, q, clm_asker_start (&q->asker, k->w.now, 2000, 1),
-                CLM_UNAVAILABLE);
-      calm (k, 1000);
-      usable += q->state == REQ_GRANTED;
-    }
-  return usable;
-}
+#include "t/lib-claim-walk.h"
 
 /* Callers repeat bookings through three gateways while everything that may
    fail does, alone and together; whatever the order, no booking may run
    twice within the window. */
 Test (walk, no_key_is_sent_twice)
 {
-  static struct walk k;
+  static struct cwk_walk k;
   uint64_t sends = 0, found = 0, absent = 0, late = 0, stale = 0;
 
   for (uint64_t seed = 1; seed <= 40; seed++)
     {
-      uint64_t steps = walk (&k, seed, 100000, FAULT_NONE);
+      uint64_t steps = cwk_walk (&k, seed, 100000, CWK_FAULT_NONE);
       cr_expect_null (k.violation, "seed %llu, step %llu: %s",
                       (unsigned long long)seed, (unsigned long long)steps,
                       k.violation);
-      cr_expect_eq (usable_keys (&k), KEYS, "seed %llu: a key stays blocked",
+      cr_expect_eq (cwk_usable_keys (&k), CWK_KEYS,
+                    "seed %llu: a key stays blocked",
                     (unsigned long long)seed);
       sends += k.sends;
       stale += k.stale;
@@ -605,14 +43,14 @@
 }
 
 static void
-must_find (enum fault fault)
+must_find (enum cwk_fault fault)
 {
-  static struct walk k;
+  static struct cwk_walk k;
   uint64_t steps = 0;
 
   for (uint64_t seed = 1; seed <= 40; seed++)
     {
-      steps += walk (&k, seed, 100000, fault);
+      steps += cwk_walk (&k, seed, 100000, fault);
       cw_clear (&k.w);
       if (k.violation)
         break;
@@ -623,31 +61,34 @@
 
 Test (walk, finds_lost_answer_taken_for_applied)
 {
-  must_find (FAULT_LOST_AS_APPLIED);
+  must_find (CWK_FAULT_LOST_AS_APPLIED);
 }
 
 Test (walk, finds_missing_check_of_the_grant)
 {
-  must_find (FAULT_NO_GRANT_CHECK);
+  must_find (CWK_FAULT_NO_GRANT_CHECK);
 }
 
 Test (walk, finds_home_that_releases_for_others)
 {
-  must_find (FAULT_HOME_RELEASES);
+  must_find (CWK_FAULT_HOME_RELEASES);
 }
 
 /* The walk itself found these two in the first version of the asker. */
 Test (walk, finds_own_core_that_releases_after_others_were_asked)
 {
-  must_find (FAULT_OWN_RELEASES);
+  must_find (CWK_FAULT_OWN_RELEASES);
 }
 
 Test (walk, finds_second_grant_taken_for_a_leftover)
 {
-  must_find (FAULT_FORGETS_GRANT);
+  must_find (CWK_FAULT_FORGETS_GRANT);
 }
 
 /* Gateways took the millisecond of their start as the name of their batches.
    After a deployment two of them share it, and one takes the other's batch
    for its own. */
-Test (walk, finds_homes_that_share_their_boot) { must_find (FAULT_SAME_BOOT); }
+Test (walk, finds_homes_that_share_their_boot)
+{
+  must_find (CWK_FAULT_SAME_BOOT);
+}
