Plot p99 over the load; measure a replica's memory

Cause: one figure at one load says little of where a policy gives way, and the capacity page needs the core's state per replica.

--- a/builtin/bench-decide.c
+++ b/builtin/bench-decide.c
@@ -228,6 +228,22 @@
   putchar ('\n');
 }
 
+/** Heap that replicas take in a core, without the bench's own list. */
+static void
+run_replica_memory (size_t n)
+{
+  struct fleet one, many;
+  fleet_start (&one, 1);
+  size_t before = mallinfo2 ().uordblks;
+  fleet_start (&many, n);
+  size_t all = mallinfo2 ().uordblks - before;
+  size_t own = n * (sizeof *many.list + sizeof *many.names);
+  printf ("memory of a replica: %.0f bytes (%zu replicas)\n",
+          (double)(all - own) / (double)n, n);
+  fleet_stop (&many);
+  fleet_stop (&one);
+}
+
 /** Heap that waiting requests take, by the allocator's own count. */
 static void
 run_memory (void)
@@ -275,5 +291,6 @@
   run_row (600);
   run_row (1200);
   run_memory ();
+  run_replica_memory (1200);
   return EXIT_DONE;
 }
--- a/builtin/bench-route.c
+++ b/builtin/bench-route.c
@@ -15,6 +15,7 @@
 static gchar *only_workload, *only_fault, *only_policy;
 static gint only_lag = -1;
 static gdouble flood, peak;
+static gchar *sweep_file;
 
 static const GOptionEntry entries[]
     = { { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
@@ -33,6 +34,8 @@
           "arrivals of one more account, as part of all slots (0)", "X" },
         { "peak", 0, 0, G_OPTION_ARG_DOUBLE, &peak,
           "arrivals at the peak, as part of all slots", "X" },
+        { "sweep", 0, 0, G_OPTION_ARG_FILENAME, &sweep_file,
+          "write p99 over the peak as CSV for 'bench plot'", "FILE" },
         { NULL, 0, 0, 0, NULL, NULL, NULL } };
 
 static int
@@ -149,6 +152,37 @@
         run_cell (&set, f, lags[i]);
 }
 
+/** Table of p99 over the peak, one column a policy, for `bench plot`. */
+static bool
+write_sweep (const struct workload *w, int lag)
+{
+  static const double peaks[] = { 0.5, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95 };
+  struct workload set = *w;
+  FILE *out = fopen (sweep_file, "w");
+  if (!out)
+    return false;
+  fprintf (out,
+           "# %s, reports late by %d ms|peak, part of all slots|"
+           "p99 of time to first token, ms\npeak",
+           w->name, lag);
+  for (enum policy p = 0; p < POLICIES; p++)
+    fprintf (out, ",%s", policy_names[p]);
+  for (size_t i = 0; i < G_N_ELEMENTS (peaks); i++)
+    {
+      set.peak = peaks[i];
+      fprintf (out, "\n%.2f", peaks[i]);
+      for (enum policy p = 0; p < POLICIES; p++)
+        fprintf (out, ",%.0f",
+                 run_row ((struct world_params){ .workload = &set,
+                                                 .policy = p,
+                                                 .replicas = (size_t)replicas,
+                                                 .lag_ms = lag })
+                     .mid.p99);
+    }
+  fputc ('\n', out);
+  return fclose (out) == 0;
+}
+
 int
 bench_route (int argc, char **argv)
 {
@@ -171,6 +205,14 @@
           replicas, STUB_SLOTS, WL_GATEWAYS, seeds);
   printf ("  %-12s %6s %6s %7s %15s %7s %6s %6s %6s %6s\n", "policy", "p50",
           "p95", "p99", "", "small99", "met%", "hit%", "refus%", "fail%");
+  if (sweep_file)
+    {
+      bool taipei = only_workload && strcmp (only_workload, "taipei") == 0;
+      return write_sweep (taipei ? &wl_taipei : &wl_nairobi,
+                          only_lag < 0 ? 1000 : only_lag)
+                 ? EXIT_DONE
+                 : EXIT_FAILED;
+    }
   run_workload (&wl_nairobi);
   run_workload (&wl_taipei);
   return EXIT_DONE;
