Measure how a configuration spreads over 8 to 330 processes

Cause: in force everywhere within 6 s is a promise that has to be measured, at today's size and at the one that is planned for.

--- a/t/measure-spread.sh
+++ b/t/measure-spread.sh
@@ -6,7 +6,7 @@
 # Starts the store's stand-in and NODES control processes in three zones,
 # pushes FOLDER (examples/nairobi) PUSHES times with one file changed, and
 # prints for how long after the command's answer the last node had each
-# revision (or a higher one) in force, and the store's calls by kind.
+# revision (or a higher one) in force, the store's calls by kind, and memory.
 set -eu
 
 nodes=$1
@@ -93,6 +93,11 @@
   i=$((i + 1))
 done
 sleep 8
+# The store's stand-in is the last of the list.
+for pid in ${pids% *}; do
+  cat "/proc/$pid/status"
+done | awk '/^VmRSS/ { sum += $2; n++ }
+  END { printf "resident memory of a control process: %d KB on average\n", sum / n }'
 echo "calls after:  $(calls)"
 
 cat "$work"/n*.err | grep '"event":2001' \
