Prove fabric domains over real processes

The cores and the shell were proved apart; whether two control processes over the store's, the platform's and the models' stand-ins keep a replica whole, hand a domain over and follow the list had not been run.

t6010-replica-processes: a killed VM, an owner stopped past its lease that wakes, a store that is frozen while a member dies, a leaving VM, a drain asked at the other node.

Seen red with: probes only under a lease (store_frozen), the platform's list not read (leaving_vm), age and failures of probes ignored (killed_vm). Not seen red: frozen_owner_wakes, as the first tick after waking and the store's answer each stop the order alone; t6004 shows that one in a process.

--- /dev/null
+++ b/t/t6010-replica-processes.c
@@ -0,0 +1,268 @@
+/* Fabric domains over real processes: two control processes of one zone, the
+   store's and the platform's stand-ins, three VMs of one domain. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "t/lib-proc.h"
+
+#define TOKEN "replica-test-token"
+/* SHA-256 of TOKEN. */
+#define TOKEN_DIGEST                                                          \
+  "f59c1440a19cfa2dcf842848d7b52495d363620deb5aeab446684c45a283bed7"
+#define AUTH "Authorization: Bearer " TOKEN "\r\n"
+#define REPLICA "/admin/v1/replicas/r1"
+
+TestSuite (replica_processes, .fini = proc_stop_all, .timeout = 120);
+
+static struct proc *store, *platform, *vms[3], *nodes[2];
+static const char *admin[2];
+
+static struct proc *
+start_node (const char *name, const char *peer)
+{
+  const char *settings = proc_file (
+      name,
+      "{ \"node\": \"%s\", \"zone\": \"z\", \"region\": \"local\",\n"
+      "  \"gateway\": { \"http\": \"127.0.0.1:0\", \"peer\": "
+      "\"127.0.0.1:0\" },\n"
+      "  \"control\": { \"swim\": \"127.0.0.1:0\", \"peer\": "
+      "\"127.0.0.1:0\", \"admin\": \"127.0.0.1:0\" },\n"
+      "  \"store\": { \"endpoints\": [\"%s\"], \"prefix\": "
+      "\"/lapisline/\", \"writes_per_s\": 50, \"reads_per_s\": 200 },\n"
+      "  \"platform\": \"%s\",\n  \"peers\": [%s%s%s],\n"
+      "  \"secret_file\": \"secret.txt\",\n"
+      "  \"log\": { \"format\": \"text\", \"level\": \"warn\" } }\n",
+      name, proc_addr (store, "http"), proc_addr (platform, "http"),
+      peer ? "\"" : "", peer ? peer : "", peer ? "\"" : "");
+
+  return PROC_UP ("lapisline", "control", "--settings", settings);
+}
+
+static void
+write_config (void)
+{
+  proc_file ("config/10-all.json",
+             "{ \"domains\": { \"d\": { \"zone\": \"z\", \"checks_fence\": "
+             "true, \"vms\": {\n"
+             "    \"v1\": { \"addr\": \"%s\" },\n"
+             "    \"v2\": { \"addr\": \"%s\" },\n"
+             "    \"v3\": { \"addr\": \"%s\", \"spare_only\": true } } } },\n"
+             "  \"models\": { \"m\": { \"mode\": \"manage\", \"vms\": 2, "
+             "\"replicas\": 1, \"weight_gb\": 1, \"capacity\": 4, "
+             "\"tokens_per_s\": 100 } },\n"
+             "  \"replicas\": { \"r1\": { \"model\": \"m\", \"domain\": "
+             "\"d\", \"mode\": \"manage\", \"vms\": [\"v1\", \"v2\"] } },\n"
+             "  \"operators\": { \"amina\": { \"role\": \"operator\", "
+             "\"token_digest\": \"" TOKEN_DIGEST "\" } } }\n",
+             proc_addr (vms[0], "http"), proc_addr (vms[1], "http"),
+             proc_addr (vms[2], "http"));
+}
+
+static void
+push_config (void)
+{
+  struct buf out = BUF_INIT;
+  char folder[512];
+
+  snprintf (folder, sizeof folder, "%s/config", proc_dir ());
+  cr_assert_eq (PROC_RUN (&out, "lapisline", "config", "push", folder,
+                          "--store", proc_addr (store, "http"), "--who",
+                          "amina"),
+                0, "%s", buf_c (&out));
+  buf_free (&out);
+}
+
+static void
+until (int node, const char *text)
+{
+  cr_assert (web_until (admin[node], REPLICA, AUTH, text, 60000),
+             "node %d never said %s", node, text);
+}
+
+static void
+until_both (const char *text)
+{
+  until (0, text);
+  until (1, text);
+}
+
+static void
+start_all (void)
+{
+  store = PROC_UP ("standin", "store", "--listen", "127.0.0.1:0");
+  platform = PROC_UP ("standin", "platform", "--listen", "127.0.0.1:0", "--vm",
+                      "v1", "--vm", "v2", "--vm", "v3");
+  for (int i = 0; i < 3; i++)
+    vms[i] = PROC_UP ("standin", "model", "--listen", "127.0.0.1:0",
+                      "--unloaded", "--load-ms", "200");
+  proc_file ("secret.txt", "a secret of this test\n");
+  write_config ();
+  push_config ();
+  nodes[0] = start_node ("n1", NULL);
+  nodes[1] = start_node ("n2", proc_addr (nodes[0], "peer"));
+  for (int i = 0; i < 2; i++)
+    admin[i] = proc_addr (nodes[i], "admin");
+  until_both ("\"whole\":true");
+}
+
+static void
+post (const char *addr, const char *path, const char *body)
+{
+  struct web_answer a = { 0 };
+
+  cr_assert (web_call (addr, "POST", path, AUTH, body, &a));
+  cr_expect_eq (a.status, 200, "%s: %d %s", path, a.status, buf_c (&a.body));
+  web_free (&a);
+}
+
+/* What a node says of the replica, or a VM of itself. */
+static void
+get (const char *addr, const char *path, struct web_answer *a)
+{
+  cr_assert (web_call (addr, "GET", path, AUTH, NULL, a));
+}
+
+/* Node that owns the domain, as node 0 knows it. */
+static int
+owner (void)
+{
+  struct web_answer a = { 0 };
+  int which;
+
+  get (admin[0], REPLICA, &a);
+  which = strstr (buf_c (&a.body), "\"owner\":\"n2\"") != NULL;
+  web_free (&a);
+  return which;
+}
+
+/* The number after a key of an answer. */
+static long
+number (const char *addr, const char *path, const char *key)
+{
+  struct web_answer a = { 0 };
+  const char *at;
+  long n;
+
+  get (addr, path, &a);
+  at = strstr (buf_c (&a.body), key);
+  cr_assert_not_null (at, "no %s in %s", key, buf_c (&a.body));
+  n = strtol (at + strcspn (at, "0123456789"), NULL, 10);
+  web_free (&a);
+  return n;
+}
+
+static long
+vm_says (int vm, const char *key)
+{
+  return number (proc_addr (vms[vm], "http"), "/lapis/v1/state", key);
+}
+
+/* Wait until a node orders under a number above @p fence. */
+static void
+until_owner_above (int node, long fence)
+{
+  for (int i = 0; i < 1200; i++)
+    {
+      if (number (admin[node], REPLICA, "\"fence\"") > fence)
+        return;
+      usleep (50000);
+    }
+  cr_assert (false, "node %d did not get the domain", node);
+}
+
+/*
+ * The leader's VM is killed.  Both nodes stop showing the replica as whole,
+ * the spare takes its place under a new generation, and both show it again,
+ * with another leader.
+ */
+Test (replica_processes, killed_vm_is_replaced)
+{
+  char leader[64];
+
+  start_all ();
+  snprintf (leader, sizeof leader, "\"leader\":\"%s\"",
+            proc_addr (vms[0], "http"));
+  until_both (leader);
+  proc_signal (vms[0], SIGKILL);
+  until_both ("\"whole\":false");
+  until_both ("\"generation\":2");
+  until_both ("\"whole\":true");
+  snprintf (leader, sizeof leader, "\"leader\":\"%s\"",
+            proc_addr (vms[2], "http"));
+  until_both (leader);
+}
+
+/*
+ * The owner is stopped past its lease and the other node takes the domain.
+ * Then a VM loses its weights and the old owner wakes: both see a reason to
+ * order.  Only an order under a newer number than the old one's reaches the
+ * VM, and none that it has to refuse.
+ */
+Test (replica_processes, frozen_owner_wakes)
+{
+  int old;
+  long fence;
+
+  start_all ();
+  old = owner ();
+  fence = vm_says (1, "\"fence\"");
+  proc_signal (nodes[old], SIGSTOP);
+  until_owner_above (!old, fence);
+  until (!old, "\"whole\":true");
+  post (proc_addr (vms[1], "http"), "/control/set",
+        "{\"unloaded\":true,\"generation\":0}");
+  proc_signal (nodes[old], SIGCONT);
+  cr_assert (web_until (proc_addr (vms[1], "http"), "/lapis/v1/state", NULL,
+                        "\"unloaded\": false", 60000));
+  until_both ("\"whole\":true");
+  until_both ("\"generation\":1");
+  cr_expect_gt (vm_says (1, "\"fence\""), fence);
+  cr_expect_eq (vm_says (1, "\"old_orders\""), 0);
+}
+
+/* The store stops answering for longer than a lease, and a member is killed.
+   Nothing can be reassigned, but what both nodes say stays true. */
+Test (replica_processes, store_frozen)
+{
+  struct web_answer a = { 0 };
+
+  start_all ();
+  proc_signal (store, SIGSTOP);
+  until_both ("\"fence\":0");
+  get (admin[0], REPLICA, &a);
+  cr_expect_not_null (strstr (buf_c (&a.body), "\"whole\":true"));
+  web_free (&a);
+  proc_signal (vms[1], SIGKILL);
+  until_both ("\"whole\":false");
+  proc_signal (store, SIGCONT);
+  until_both ("\"generation\":2");
+  until_both ("\"whole\":true");
+}
+
+/* A member is listed as leaving: new work stops, the spare takes its place,
+   and the leaving VM ends without weights. */
+Test (replica_processes, leaving_vm)
+{
+  start_all ();
+  post (proc_addr (platform, "http"), "/control/set",
+        "{\"vms\":{\"v1\":\"leaving\"}}");
+  until_both ("\"draining\":true");
+  until_both ("\"generation\":2");
+  until_both ("\"draining\":false");
+  until_both ("\"whole\":true");
+  cr_expect (web_until (proc_addr (vms[0], "http"), "/lapis/v1/state", NULL,
+                        "\"unloaded\": true", PROC_WAIT_MS));
+}
+
+/* An operator drains the replica by the node that does not own it, and takes
+   it back. */
+Test (replica_processes, operator_drains)
+{
+  start_all ();
+  post (admin[!owner ()], REPLICA "/drain", "{}");
+  until_both ("\"draining\":true");
+  until_both ("\"state\":\"draining\"");
+}
