--- a/control/dom-view.c
+++ b/control/dom-view.c
@@ -284,7 +284,8 @@
 static struct ctl_replica *
 row (struct ctl_domains *all, struct str replica)
 {
-  const struct cfg_replica *c = cfg_replica (all->cfg, replica);
+  const struct cfg_replica *c
+      = all->cfg ? cfg_replica (all->cfg, replica) : NULL;
 
   return c ? &all->merged[c - all->cfg->replicas] : NULL;
 }
