Share raw sockets among the net tests

Cause: four tests each listened, connected, read and wrote by themselves. Change: t/lib-net has these once.

--- a/t/lib-net.c
+++ b/t/lib-net.c
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define RUN_BOUND_MS (10 * CLK_SECOND)
@@ -124,3 +125,80 @@
 
   return a;
 }
+
+struct net_addr
+run_listen (struct run *r, uv_tcp_t *tcp, uv_connection_cb cb, void *data)
+{
+  struct net_addr at = run_any_port ();
+  struct sockaddr_storage ss;
+  int len = sizeof ss;
+
+  net_addr_sockaddr (&at, &ss);
+  uv_tcp_init (&r->loop, tcp);
+  tcp->data = data;
+  uv_tcp_bind (tcp, (struct sockaddr *)&ss, 0);
+  cr_assert_eq (uv_listen ((uv_stream_t *)tcp, 16, cb), 0);
+  uv_tcp_getsockname (tcp, (struct sockaddr *)&ss, &len);
+  at.port = ntohs (((struct sockaddr_in *)&ss)->sin_port);
+  return at;
+}
+
+void
+run_connect (struct run *r, uv_tcp_t *tcp, const struct net_addr *to,
+             uv_connect_t *req, uv_connect_cb cb, void *data)
+{
+  struct sockaddr_storage ss;
+
+  net_addr_sockaddr (to, &ss);
+  req->data = data;
+  cr_assert_eq (uv_tcp_connect (req, tcp, (struct sockaddr *)&ss, cb), 0);
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
+{
+  static char bytes[65536];
+
+  *out = uv_buf_init (bytes, sizeof bytes);
+}
+
+void
+run_read (uv_tcp_t *tcp, uv_read_cb cb)
+{
+  uv_read_start ((uv_stream_t *)tcp, on_alloc, cb);
+}
+
+struct write
+{
+  uv_write_t req; /* first */
+  char bytes[];
+};
+
+static void
+on_written (uv_write_t *req, int status)
+{
+  free (req);
+}
+
+void
+run_write (uv_tcp_t *tcp, struct str bytes)
+{
+  struct write *w = xmalloc (sizeof *w + bytes.len);
+  uv_buf_t b = uv_buf_init (w->bytes, (unsigned)bytes.len);
+
+  if (bytes.len > 0)
+    memcpy (w->bytes, bytes.ptr, bytes.len);
+  if (bytes.len == 0
+      || uv_write (&w->req, (uv_stream_t *)tcp, &b, 1, on_written) != 0)
+    free (w);
+}
+
+const char *
+run_end_name (enum httpc_end end)
+{
+  static const char *const names[] = {
+    "whole", "connect-failed", "stopped", "broken", "silent", "unbounded"
+  };
+
+  return names[end];
+}
--- a/t/lib-net.h
+++ b/t/lib-net.h
@@ -47,4 +47,21 @@
 /** Loopback with a port of the kernel's choice. */
 struct net_addr run_any_port (void);
 
+/** Listen on it with a raw socket; the address that it got. */
+struct net_addr run_listen (struct run *r, uv_tcp_t *tcp, uv_connection_cb cb,
+                            void *data);
+
+/** Connect a raw socket. */
+void run_connect (struct run *r, uv_tcp_t *tcp, const struct net_addr *to,
+                  uv_connect_t *req, uv_connect_cb cb, void *data);
+
+/** Read from a raw socket; its bytes are valid during @p cb. */
+void run_read (uv_tcp_t *tcp, uv_read_cb cb);
+
+/** Write to a raw socket; a socket that is gone is left alone. */
+void run_write (uv_tcp_t *tcp, struct str bytes);
+
+/** Name of the end of a call. */
+const char *run_end_name (enum httpc_end end);
+
 #endif
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -97,15 +97,6 @@
   uv_close ((uv_handle_t *)&c->tcp, on_conn_closed);
 }
 
-static void
-say (struct conn *c, const char *bytes)
-{
-  uv_buf_t b = uv_buf_init ((char *)bytes, (unsigned)strlen (bytes));
-
-  if (b.len > 0)
-    cr_assert_eq (uv_try_write ((uv_stream_t *)&c->tcp, &b, 1), (int)b.len);
-}
-
 static void
 play_reply (struct conn *c, struct str path)
 {
@@ -113,20 +104,12 @@
     {
       if (!str_is (path, replies[i].path))
         continue;
-      say (c, replies[i].bytes);
+      run_write (&c->tcp, str_from (replies[i].bytes));
       if (replies[i].close)
         conn_close (c);
     }
 }
 
-static void
-on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
-{
-  static char bytes[65536];
-
-  *out = uv_buf_init (bytes, sizeof bytes);
-}
-
 static void
 on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -164,23 +147,7 @@
   b->conns[b->nconns++] = c;
   uv_tcp_init (&b->run.loop, &c->tcp);
   uv_accept (s, (uv_stream_t *)&c->tcp);
-  uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
-}
-
-static void
-serve (struct bench *b)
-{
-  struct sockaddr_storage ss;
-  int len = sizeof ss;
-
-  b->at = run_any_port ();
-  net_addr_sockaddr (&b->at, &ss);
-  uv_tcp_init (&b->run.loop, &b->server);
-  b->server.data = b;
-  uv_tcp_bind (&b->server, (struct sockaddr *)&ss, 0);
-  uv_listen ((uv_stream_t *)&b->server, 16, on_accept);
-  uv_tcp_getsockname (&b->server, (struct sockaddr *)&ss, &len);
-  b->at.port = ntohs (((struct sockaddr_in *)&ss)->sin_port);
+  run_read (&c->tcp, on_read);
 }
 
 /* --- the calls --------------------------------------------------------- */
@@ -225,13 +192,10 @@
 static void
 on_end (void *ctx, enum httpc_end end)
 {
-  static const char *const names[] = {
-    "whole", "connect-failed", "stopped", "broken", "silent", "unbounded"
-  };
   struct call *c = ctx;
 
-  run_log (&c->b->run, "%s: %s %d [%s]", c->name, names[end], c->status,
-           c->body.len > 64 ? "(long)" : buf_c (&c->body));
+  run_log (&c->b->run, "%s: %s %d [%s]", c->name, run_end_name (end),
+           c->status, c->body.len > 64 ? "(long)" : buf_c (&c->body));
   c->b->last = NULL;
   call_free (c);
 }
@@ -271,7 +235,7 @@
 
   str_to_i64 (str_head (rest, 1), &n);
   if (b->conns[n] != NULL)
-    say (b->conns[n], LENGTH (4) "late");
+    run_write (&b->conns[n]->tcp, STR (LENGTH (4) "late"));
   run_log (&b->run, "connection %d %s", (int)n,
            b->conns[n] != NULL ? "open" : "closed");
 }
@@ -302,7 +266,7 @@
   else if (str_is (word, "say"))
     say_late (b, rest);
   else if (str_is (word, "more"))
-    say (b->conns[n], "wor");
+    run_write (&b->conns[n]->tcp, STR ("wor"));
   else if (str_is (word, "close"))
     conn_close (b->conns[n]);
   else if (str_is (word, "sleep-after-reply"))
@@ -322,7 +286,7 @@
 
   run_init (&b.run);
   b.http = httpc_new (&b.run.loop);
-  serve (&b);
+  b.at = run_listen (&b.run, &b.server, on_accept, &b);
   run_script (&b.run, script, step, &b);
   httpc_free (b.http);
   for (int i = 0; i < b.nconns; i++)
--- a/t/t2002-link.c
+++ b/t/t2002-link.c
@@ -22,37 +22,6 @@
   int open; /* relay handles */
 };
 
-struct pass
-{
-  uv_write_t req;
-  char bytes[];
-};
-
-static void
-on_passed (uv_write_t *req, int status)
-{
-  free (req);
-}
-
-static void
-pass_on (uv_tcp_t *to, struct str bytes)
-{
-  struct pass *p = malloc (sizeof *p + bytes.len);
-  uv_buf_t b = uv_buf_init (p->bytes, (unsigned)bytes.len);
-
-  memcpy (p->bytes, bytes.ptr, bytes.len);
-  if (uv_write (&p->req, (uv_stream_t *)to, &b, 1, on_passed) != 0)
-    free (p);
-}
-
-static void
-on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
-{
-  static char bytes[65536];
-
-  *out = uv_buf_init (bytes, sizeof bytes);
-}
-
 static void
 relay_close (struct bench *b)
 {
@@ -78,9 +47,9 @@
   buf_add (&b->last, str_make (buf->base, (size_t)n));
   if (b->flip)
     b->last.ptr[b->last.len - 1] ^= 1;
-  pass_on (&b->right, buf_str (&b->last));
+  run_write (&b->right, buf_str (&b->last));
   if (b->repeat)
-    pass_on (&b->right, buf_str (&b->last));
+    run_write (&b->right, buf_str (&b->last));
 }
 
 static void
@@ -91,7 +60,7 @@
   if (n < 0)
     relay_close (b);
   else
-    pass_on (&b->left, str_make (buf->base, (size_t)n));
+    run_write (&b->left, str_make (buf->base, (size_t)n));
 }
 
 static void
@@ -100,40 +69,21 @@
   struct bench *b = req->data;
 
   cr_assert_eq (status, 0);
-  uv_read_start ((uv_stream_t *)&b->left, on_alloc, on_left);
-  uv_read_start ((uv_stream_t *)&b->right, on_alloc, on_right);
+  run_read (&b->left, on_left);
+  run_read (&b->right, on_right);
 }
 
 static void
 on_relay (uv_stream_t *s, int status)
 {
   struct bench *b = s->data;
-  struct sockaddr_storage ss;
 
   cr_assert_eq (status, 0);
   uv_tcp_init (&b->run.loop, &b->left);
   uv_tcp_init (&b->run.loop, &b->right);
-  b->left.data = b->right.data = b->connect.data = b;
+  b->left.data = b->right.data = b;
   uv_accept (s, (uv_stream_t *)&b->left);
-  net_addr_sockaddr (&b->at, &ss);
-  uv_tcp_connect (&b->connect, &b->right, (struct sockaddr *)&ss,
-                  on_relay_connected);
-}
-
-static void
-relay_listen (struct bench *b)
-{
-  struct sockaddr_storage ss;
-  int len = sizeof ss;
-
-  b->relay_at = run_any_port ();
-  net_addr_sockaddr (&b->relay_at, &ss);
-  uv_tcp_init (&b->run.loop, &b->relay);
-  b->relay.data = b;
-  uv_tcp_bind (&b->relay, (struct sockaddr *)&ss, 0);
-  uv_listen ((uv_stream_t *)&b->relay, 1, on_relay);
-  uv_tcp_getsockname (&b->relay, (struct sockaddr *)&ss, &len);
-  b->relay_at.port = ntohs (((struct sockaddr_in *)&ss)->sin_port);
+  run_connect (&b->run, &b->right, &b->at, &b->connect, on_relay_connected, b);
 }
 
 static const char *
@@ -240,9 +190,9 @@
   else if (str_is (word, "repeat"))
     b->repeat = true;
   else if (str_is (word, "inject"))
-    pass_on (&b->right, STR ("\0\0\0\2sixteen mac bytes"));
+    run_write (&b->right, STR ("\0\0\0\2sixteen mac bytes"));
   else if (str_is (word, "inject-long"))
-    pass_on (&b->right, STR ("\177\377\377\377sixteen mac bytes"));
+    run_write (&b->right, STR ("\177\377\377\377sixteen mac bytes"));
   else
     cr_assert (false, "no such step");
 }
@@ -260,7 +210,7 @@
   b.server = link_listen (&b.run.loop, &b.at, &s, &callbacks, &b, &err);
   cr_assert_not_null (b.server, "%s", buf_c (&err));
   b.at.port = link_server_port (b.server);
-  relay_listen (&b);
+  b.relay_at = run_listen (&b.run, &b.relay, on_relay, &b);
   run_script (&b.run, script, step, &b);
   if (b.client != NULL)
     link_close (b.client);
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -128,13 +128,10 @@
 static void
 on_end (void *ctx, enum httpc_end end)
 {
-  static const char *const names[] = {
-    "whole", "connect-failed", "stopped", "broken", "silent", "unbounded"
-  };
   struct caller *c = ctx;
 
-  run_log (&c->b->run, "%s: %s %d, %zu bytes", c->path, names[end], c->status,
-           c->got);
+  run_log (&c->b->run, "%s: %s %d, %zu bytes", c->path, run_end_name (end),
+           c->status, c->got);
   c->call = NULL;
 }
 
@@ -168,14 +165,6 @@
 
 /* --- a caller of HTTP/1.0 ------------------------------------------------ */
 
-static void
-on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
-{
-  static char bytes[65536];
-
-  *out = uv_buf_init (bytes, sizeof bytes);
-}
-
 /* libuv takes a reset that comes with bytes for an end of file. */
 static bool
 was_reset (uv_stream_t *s, ssize_t n)
@@ -206,25 +195,20 @@
 on_old_connected (uv_connect_t *req, int status)
 {
   struct old_caller *o = req->data;
-  uv_buf_t head = uv_buf_init ("GET /old HTTP/1.0\r\n\r\n", 21);
 
   cr_assert_eq (status, 0);
-  cr_assert_eq (uv_try_write ((uv_stream_t *)&o->tcp, &head, 1), 21);
-  uv_read_start ((uv_stream_t *)&o->tcp, on_alloc, on_old_read);
+  run_write (&o->tcp, STR ("GET /old HTTP/1.0\r\n\r\n"));
+  run_read (&o->tcp, on_old_read);
 }
 
 static void
 old_call (struct bench *b)
 {
-  struct sockaddr_storage ss;
-
   b->old.b = b;
   b->old.open = true;
-  b->old.connect.data = &b->old;
-  net_addr_sockaddr (&b->at, &ss);
   uv_tcp_init (&b->run.loop, &b->old.tcp);
-  uv_tcp_connect (&b->old.connect, &b->old.tcp, (struct sockaddr *)&ss,
-                  on_old_connected);
+  run_connect (&b->run, &b->old.tcp, &b->at, &b->old.connect, on_old_connected,
+               &b->old);
 }
 
 /* --- words ------------------------------------------------------------- */
--- a/t/t2006-malformed.c
+++ b/t/t2006-malformed.c
@@ -189,23 +189,6 @@
   b->frames++;
 }
 
-static void
-on_written (uv_write_t *req, int status)
-{
-  free (req);
-}
-
-static void
-peer_write (struct peer *p)
-{
-  uv_buf_t bytes = uv_buf_init (p->out.ptr, (unsigned)p->out.len);
-  uv_write_t *req = calloc (1, sizeof *req);
-
-  if (p->out.len == 0
-      || uv_write (req, (uv_stream_t *)&p->tcp, &bytes, 1, on_written) != 0)
-    free (req);
-}
-
 static void
 add_random (struct rng *rng, struct buf *out, size_t n)
 {
@@ -236,14 +219,6 @@
   buf_free (&body);
 }
 
-static void
-on_alloc (uv_handle_t *h, size_t n, uv_buf_t *out)
-{
-  static char bytes[65536];
-
-  *out = uv_buf_init (bytes, sizeof bytes);
-}
-
 static void
 on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -264,7 +239,7 @@
   for (int i = 0; i < 20; i++)
     add_bad_frame (p);
   add_random (&p->b->rng, &p->out, 64); /* closes it at the latest */
-  peer_write (p);
+  run_write (&p->tcp, buf_str (&p->out));
 }
 
 static void
@@ -274,13 +249,13 @@
   struct rng *rng = &p->b->rng;
 
   cr_assert_eq (status, 0);
-  uv_read_start ((uv_stream_t *)&p->tcp, on_alloc, on_read);
+  run_read (&p->tcp, on_read);
   buf_clear (&p->out);
   if (p->knows || rng_below (rng, 2) == 0)
     link_auth_hello (&p->auth, &p->out);
   if (!p->knows)
     add_random (rng, &p->out, 64 + rng_below (rng, 4000));
-  peer_write (p);
+  run_write (&p->tcp, buf_str (&p->out));
 }
 
 static void
@@ -293,17 +268,14 @@
 one_peer (struct bench *b, bool knows)
 {
   struct peer *p = &b->peer;
-  struct sockaddr_storage ss;
   bool gone = false;
 
   memset (p, 0, sizeof *p);
   p->b = b;
   p->knows = knows;
-  p->connect.data = p;
   link_auth_init (&p->auth, &b->secret, true);
-  net_addr_sockaddr (&b->at, &ss);
   uv_tcp_init (&b->run.loop, &p->tcp);
-  uv_tcp_connect (&p->connect, &p->tcp, (struct sockaddr *)&ss, on_connected);
+  run_connect (&b->run, &p->tcp, &b->at, &p->connect, on_connected, p);
   while (!p->closed)
     uv_run (&b->run.loop, UV_RUN_ONCE);
   p->tcp.data = &gone;
