Ask a suspect once more before it is held for dead

Each observer now pings the suspect once half way; its answer carries the refutation. A death costs each observer one packet more.

--- a/fleet/member-internal.h
+++ b/fleet/member-internal.h
@@ -48,6 +48,7 @@
   clk_ms since; /**< when it got its status */
   uint32_t accusers[MBR_ACCUSERS];
   size_t naccusers;
+  bool asked;           /**< of a suspect: pinged half way to its death */
   bool unsure;          /**< accused by this node while it heard nobody */
   enum mbr_status sure; /**< of an unsure one: what it was before */
   clk_ms mentioned;     /**< of another region: last named as a bridge */
@@ -257,6 +258,8 @@
 bool rgn_admit (struct mbr *m, const Swim__Member *s);
 void rgn_mention (struct mbr *m, struct mbr_row *row);
 void rgn_take_summary (struct mbr *m, const Swim__Summary *s);
+/** Send the next summary at once, as this node was accused. */
+void rgn_tell_soon (struct mbr *m);
 /** The next node to probe as a bridge, or NULL. */
 struct mbr_row *rgn_probe_target (struct mbr *m);
 /** Bridges of the own region towards @p region; returns how many. */
--- a/fleet/probe.c
+++ b/fleet/probe.c
@@ -151,6 +151,31 @@
   return scaled (m, (clk_ms)(least * factor));
 }
 
+static void send_ping (struct mbr *m, struct mbr_row *to, uint64_t number);
+
+/**
+ * Half way the suspect is asked once more by each that suspects it.  Gossip
+ * may have lost its refutation on the way to one of many; that one would
+ * hold it for dead although all others talk with it.
+ */
+static void
+age_suspect (struct mbr *m, struct mbr_row *row)
+{
+  clk_ms age = m->now - row->since;
+  clk_ms limit = suspicion_ms (m, row);
+
+  if (age >= limit)
+    {
+      m->counts.died++;
+      mark (m, row, MBR_DEAD, is_deaf (m, 3 * m->opt.probe_ms));
+    }
+  else if (!row->asked && age >= limit / 2)
+    {
+      row->asked = true;
+      send_ping (m, row, ++m->probe_no);
+    }
+}
+
 /** Declare suspects dead and forget the long dead. */
 static void
 age_rows (struct mbr *m)
@@ -160,11 +185,8 @@
       struct mbr_row *row = m->rows[i];
       clk_ms age = m->now - row->since;
 
-      if (row->node.status == MBR_SUSPECT && age >= suspicion_ms (m, row))
-        {
-          m->counts.died++;
-          mark (m, row, MBR_DEAD, is_deaf (m, 3 * m->opt.probe_ms));
-        }
+      if (row->node.status == MBR_SUSPECT)
+        age_suspect (m, row);
       else if (row->node.status == MBR_DEAD && mbt_local (m, row)
                && age >= m->opt.forget_ms)
         mbt_drop (m, row);
--- a/fleet/region.c
+++ b/fleet/region.c
@@ -198,6 +198,14 @@
     }
 }
 
+/* Something here must be known elsewhere before the next regular turn. */
+void
+rgn_tell_soon (struct mbr *m)
+{
+  for (size_t i = 0; i < m->nregions; i++)
+    m->regions[i].next_summary = m->now;
+}
+
 static void
 update_bridge (struct mbr *m, struct mbr_far_region *r)
 {
--- a/fleet/table.c
+++ b/fleet/table.c
@@ -179,6 +179,7 @@
   row->node.status = status;
   row->since = m->now;
   row->unsure = false;
+  row->asked = false;
   mbt_changed (m, row, false);
 }
 
@@ -244,6 +245,7 @@
     return;
   self->node.incarnation = s->incarnation + 1;
   gsp_queue_fact (m, self);
+  rgn_tell_soon (m);
 }
 
 static void
@@ -290,6 +292,7 @@
       row->since = m->now;
       row->mentioned = m->now;
       row->unsure = false;
+      row->asked = false;
     }
   row->naccusers = 0;
   if (node->status == MBR_SUSPECT)
--- a/t/t3001-member.c
+++ b/t/t3001-member.c
@@ -252,3 +252,21 @@
               "at-most 20 n4 suspected\n",
               "n4: suspected at most 20: yes\n");
 }
+
+Test (member, suspect_is_asked_before_it_is_buried)
+{
+  /* n4 freezes for less than a suspicion lasts and refutes on waking, but
+     most packets are lost for a moment.  Whoever has not heard the
+     refutation when its suspicion ends would hold n4 for dead, although all
+     others talk with it. */
+  every_seed ("nodes 40 3\n"
+              "run 10000\n"
+              "freeze n4 1800\n"
+              "run 1800\n"
+              "lossy all 80\n"
+              "run 1200\n"
+              "lossy all 0\n"
+              "run 15000\n"
+              "buried-by all\n",
+              "all held for dead:\n");
+}
