--- a/fleet/probe.c
+++ b/fleet/probe.c
@@ -55,7 +55,7 @@
  * A node that hears nobody at all can't tell whether the others died or its
  * own way in is cut.  It then marks whom it can't reach for its own callers
  * but tells no one, and takes its marks back as soon as it hears again.
- * Otherwise one deaf node would have the others declared dead one by one.
+ * Otherwise one deaf node has the others taken for silent one by one, by all.
  */
 static bool
 is_deaf (const struct mbr *m, clk_ms silence)
--- a/t/t3001-member.c
+++ b/t/t3001-member.c
@@ -67,7 +67,7 @@
 Test (member, deaf_node_accuses_nobody)
 {
   /* n1 sends but hears nobody.  To it all seem silent, one after another;
-     if it told, each in turn would be declared dead for all callers.  It
+     if it told, callers would be kept from each in turn.  It
      marks them for itself only, and takes that back when it hears again. */
   every_seed ("nodes 8 3\n"
               "run 5000\n"
