Bring figures to everybody who holds a row

Figures are now passed on as often as facts within the same room of a packet, go with whole views, with the regular comparison of views, and with probes between regions.

--- a/fleet/exchange.c
+++ b/fleet/exchange.c
@@ -18,6 +18,7 @@
   pkt_begin (m, &p, SWIM__KIND__JOIN, row);
   p.msg.view = mbt_view (m);
   pkt_add_member (&p, m->self, MBR_MAX_PACKET);
+  gsp_add_gauges (m, &p);
   pkt_send (m, &p, to);
 }
 
@@ -45,6 +46,13 @@
                                  .want_back = want_back };
 }
 
+static void
+take_gauges (struct mbr *m, const Swim__Packet *p)
+{
+  for (size_t i = 0; i < p->n_gauges; i++)
+    gsp_take_gauge (m, p->gauges[i]);
+}
+
 /** For a node of another region: whom it may talk to here and there. */
 static void
 send_contacts (struct mbr *m, const struct net_addr *to, struct str region)
@@ -73,6 +81,7 @@
     return;
   region = str_from (p->members[0]->region);
   mbt_merge (m, p->members[0]);
+  take_gauges (m, p);
   if (!str_eq (region, m->self->node.region))
     send_contacts (m, from, region);
   else if (p->view != mbt_view (m))
@@ -85,6 +94,7 @@
 {
   for (size_t i = 0; i < p->n_members; i++)
     mbt_merge (m, p->members[i]);
+  take_gauges (m, p);
   for (size_t i = 0; i < p->n_summaries; i++)
     rgn_take_summary (m, p->summaries[i]);
   if (p->want_back)
@@ -106,9 +116,12 @@
     {
       const struct mbr_row *row = m->rows[t->next];
 
-      if (row->node.status != MBR_DEAD
-          && !pkt_add_member (&p, row, MBR_MAX_PACKET))
+      if (row->node.status == MBR_DEAD)
+        continue;
+      if (!pkt_add_member (&p, row, MBR_MAX_PACKET))
         break;
+      if (row->gauge_version > 0)
+        pkt_add_gauge (&p, row, MBR_MAX_PACKET);
     }
   t->active = t->next < m->nrows;
   p.msg.want_back = !t->active && t->want_back;
--- a/fleet/gossip.c
+++ b/fleet/gossip.c
@@ -2,10 +2,6 @@
 
 #include <math.h>
 
-/* A gauge is passed on this often by each node; the next version follows
-   soon, so that a lost one does little harm. */
-#define GAUGE_SENDS 2
-
 /* Own gauges change at most this often. */
 #define GAUGE_MS ((clk_ms)1000)
 
@@ -119,29 +115,49 @@
     }
 }
 
+/*
+ * Figures are passed on as often as facts: a revision changes once, and
+ * whoever waits for it to be in force everywhere would wait for ever if the
+ * only version were lost.
+ */
 static void
 fill_gauges (struct mbr *m, struct pkt *p, size_t limit)
 {
+  unsigned sends = fact_sends (m);
   size_t start = m->nrows ? (size_t)rng_below (&m->rng, m->nrows) : 0;
 
   if (limit > p->size + GAUGE_ROOM)
     limit = p->size + GAUGE_ROOM;
   if (m->self->gauge_queued && pkt_add_gauge (p, m->self, limit)
-      && ++m->self->gauge_sent >= GAUGE_SENDS)
+      && ++m->self->gauge_sent >= sends)
     m->self->gauge_queued = false;
   for (size_t i = 0; i < m->nrows; i++)
     {
       struct mbr_row *row = m->rows[(start + i) % m->nrows];
 
-      if (!row->gauge_queued || row == m->self || !mbt_local (m, row))
+      if (!row->gauge_queued || row == m->self)
         continue;
       if (!pkt_add_gauge (p, row, limit))
         return;
-      if (++row->gauge_sent >= GAUGE_SENDS)
+      if (++row->gauge_sent >= sends)
         row->gauge_queued = false;
     }
 }
 
+void
+gsp_add_gauges (struct mbr *m, struct pkt *p)
+{
+  size_t start = (size_t)rng_below (&m->rng, m->nrows);
+
+  for (size_t i = 0; i < m->nrows; i++)
+    {
+      struct mbr_row *row = m->rows[(start + i) % m->nrows];
+
+      if (row->gauge_version > 0 && !pkt_add_gauge (p, row, MBR_MAX_PACKET))
+        return;
+    }
+}
+
 static void
 refill (struct mbr *m)
 {
--- a/fleet/member-internal.h
+++ b/fleet/member-internal.h
@@ -238,6 +238,8 @@
 void gsp_queue_fact (struct mbr *m, struct mbr_row *row);
 void gsp_queue_gauge (struct mbr_row *row);
 void gsp_take_gauge (struct mbr *m, const Swim__Gauge *g);
+/** Add known figures, from a random row on, as many as there is room for. */
+void gsp_add_gauges (struct mbr *m, struct pkt *p);
 /** Add what is due for a node of the own region. */
 void gsp_fill (struct mbr *m, struct pkt *p);
 void gsp_tick (struct mbr *m);
--- a/fleet/probe.c
+++ b/fleet/probe.c
@@ -256,6 +256,8 @@
     pkt_add_member (&p, to, MBR_MAX_PACKET);
   if (mbt_local (m, to))
     gsp_fill (m, &p);
+  else
+    pkt_add_gauge (&p, m->self, MBR_MAX_PACKET);
   pkt_send (m, &p, &to->node.swim);
 }
 
@@ -398,6 +400,8 @@
     pkt_add_member (&p, m->self, MBR_MAX_PACKET);
   if (local)
     gsp_fill (m, &p);
+  else
+    pkt_add_gauge (&p, m->self, MBR_MAX_PACKET);
   pkt_send (m, &p, addr);
 }
 
--- a/t/lib-fleet.c
+++ b/t/lib-fleet.c
@@ -127,6 +127,47 @@
             all_hold (f, name, status) ? "yes" : "no");
 }
 
+static bool matches (const struct fleet *f, size_t i, const char *who);
+
+/** Whether each row of one of WHO, wherever it is held, shows that load. */
+static bool
+all_show_load (const struct fleet *f, const char *who, uint32_t load)
+{
+  for (size_t i = 0; i < bus_nodes (f->bus); i++)
+    {
+      size_t n;
+      const struct mbr_node *const *nodes;
+
+      if (!runs (f, i))
+        continue;
+      nodes = mbr_nodes (bus_core (f->bus, i), &n);
+      for (size_t j = 0; j < n; j++)
+        if (matches (f, node_index (nodes[j]->name.ptr), who)
+            && nodes[j]->load != load)
+          return false;
+    }
+  return true;
+}
+
+/** Set a load and run until it is known, at most so long. */
+static void
+cmd_load (struct fleet *f, const char *args)
+{
+  char who[16];
+  unsigned load;
+  long long bound;
+  clk_ms start = bus_now (f->bus);
+
+  cr_assert_eq (sscanf (args, "%15s %u %lld", who, &load, &bound), 3);
+  for (size_t i = 0; i < bus_nodes (f->bus); i++)
+    if (runs (f, i) && matches (f, i, who))
+      bus_load (f->bus, i, load);
+  while (!all_show_load (f, who, load) && bus_now (f->bus) - start < bound)
+    bus_run (f->bus, STEP_MS);
+  buf_addf (&f->out, "load of %s known within %lld ms: %s\n", who, bound,
+            all_show_load (f, who, load) ? "yes" : "no");
+}
+
 static bool
 matches (const struct fleet *f, size_t i, const char *who)
 {
@@ -462,6 +503,8 @@
     cmd_cut (f, args, false);
   else if (strcmp (cmd, "lossy") == 0)
     cmd_lossy (f, args);
+  else if (strcmp (cmd, "load") == 0)
+    cmd_load (f, args);
   else if (strcmp (cmd, "views") == 0)
     cmd_views (f);
   else if (strcmp (cmd, "regions") == 0)
--- a/t/lib-fleet.h
+++ b/t/lib-fleet.h
@@ -8,6 +8,8 @@
  *   run MS
  *   until STATUS NODE MS      run until every other node in its region that
  *                             runs holds NODE for that; say whether within MS
+ *   load WHO N MS             give WHO that load; do all that hold a row of
+ *                             them know it within MS
  *   kill|leave|replace NODE
  *   restart NODE              replace, but the new one joins nobody
  *   freeze NODE MS
--- a/t/t3001-member.c
+++ b/t/t3001-member.c
@@ -253,6 +253,27 @@
               "n4: suspected at most 20: yes\n");
 }
 
+Test (member, figures_reach_all_that_hold_the_row)
+{
+  /* `config status --wait` waits until every node that it knows has the
+     revision in force, the bridges of other regions included: a figure that
+     never gets there, or not to a node that started after it had changed,
+     would have it wait for ever. */
+  every_seed ("nodes 8 3\n"
+              "nodes 6 3 far\n"
+              "run 60000\n"
+              "load home 7 10000\n"
+              "load far 9 10000\n"
+              "replace n4\n"
+              "run 5000\n"
+              "load n4 7 10000\n"
+              "load home 7 0\n",
+              "load of home known within 10000 ms: yes\n"
+              "load of far known within 10000 ms: yes\n"
+              "load of n4 known within 10000 ms: yes\n"
+              "load of home known within 0 ms: yes\n");
+}
+
 Test (member, suspect_is_asked_before_it_is_buried)
 {
   /* n4 freezes for less than a suspicion lasts and refutes on waking, but
