Tell repeats of a key the true end of the first call

Two ends were told wrongly. A whole answer with a 5xx status was heard as `failed` and replayed as `done`. After a lost or cut answer the key's home was told nothing, so repeats heard key-running for two minutes and only then key-unknown, though nobody would ever know more. The outcome of an answer follows from its status in one function, for the first caller and for replays. A sent request that is given up finishes its claim with status 0, for which the shell keeps no body, so that a part can't be taken for the whole. The fallback define of CLM_GRANT_MS is gone. Expectations of t9001 and of the doubled-confirmation trace named the old behaviour (key-running, no finish) and are changed to the new, stricter one; where each gateway is its own home, the other one still can't know. Seen red with exchange.c and request.c as before: kept_failure got '500 done', a_lost_end_is_told_anywhere and backend_server_killed got key-running, t5001 lacked the finish. Green: t4001, t5001, t5900, t7001, t7003, t9001, t9002. A lost call is now known as lost at once.

--- a/front/exchange.c
+++ b/front/exchange.c
@@ -302,14 +302,18 @@
   gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_told, NULL);
 }
 
-/** Kept form: content type, line feed, body; status 0: was too large. */
+/**
+ * Kept form: content type, line feed, body; status 0: no answer to keep, as
+ * it was too large or broke off.  A part must never be kept: a repeat would
+ * take it for the whole.
+ */
 static void
-claim_finish (struct gw_exchange *ex)
+claim_finish (struct gw_exchange *ex, bool whole)
 {
   struct clm_ask ask = make_ask (ex, CLM_FINISH);
   struct buf answer = BUF_INIT;
 
-  if (ex->keep && ex->body.len <= ex->call.cfg->limits.kept_answer)
+  if (whole && ex->keep && ex->body.len <= ex->call.cfg->limits.kept_answer)
     {
       ask.answer_status = ex->head.status;
       buf_add (&answer, back_find (ex->head.list, ex->head.n, "content-type"));
@@ -326,10 +330,11 @@
 {
   struct str kept = buf_str (&ex->kept);
   size_t line = str_chr (kept, '\n');
+  const char *outcome = rt_outcome_name (rt_status_outcome (ex->kept_status));
   struct http_header h[]
       = { { STR ("content-type"), str_head (kept, line) },
           { STR ("lapis-request-id"), str_from (ex->request_id) },
-          { STR ("lapis-outcome"), STR ("done") },
+          { STR ("lapis-outcome"), str_from (outcome) },
           { STR ("lapis-replayed"), STR ("true") } };
 
   if (ex->kept_status == 0)
@@ -337,7 +342,7 @@
       answer_error (ex, 0, RT_CODE_CLAIM_UNKNOWN, RT_UNKNOWN, 0);
       return;
     }
-  httpd_answer (take_req (ex, "done", "replayed"), ex->kept_status, h, 4,
+  httpd_answer (take_req (ex, outcome, "replayed"), ex->kept_status, h, 4,
                 str_skip (kept, line + 1));
 }
 
@@ -379,7 +384,7 @@
       claim_release (ex);
       break;
     case RT_ACT_FINISH:
-      claim_finish (ex);
+      claim_finish (ex, a->http_status != 0);
       break;
     case RT_ACT_CONNECT:
       act_connect (ex, a);
--- a/route/code.c
+++ b/route/code.c
@@ -43,6 +43,12 @@
   return codes[c].name;
 }
 
+enum rt_outcome
+rt_status_outcome (int http_status)
+{
+  return http_status >= 500 ? RT_FAILED : RT_DONE;
+}
+
 int
 rt_code_status (enum rt_code c)
 {
--- a/route/request.c
+++ b/route/request.c
@@ -2,12 +2,6 @@
 
 #include "route/core.h"
 
-/* "claim" defines it with its own rules; a grant older than this may have
-   lapsed at its home before the request is sent. */
-#ifndef CLM_GRANT_MS
-#define CLM_GRANT_MS 5000
-#endif
-
 #define CONNECT_MS 1000     /* of a model's backend server */
 #define CLAIM_WAIT_MS 5000  /* for a verdict */
 #define MEASURED_MS 5000    /* how long a measured pace counts */
@@ -121,6 +115,21 @@
     }
 }
 
+/**
+ * What becomes of the claim of a request that is given up.  Not sent: it is
+ * released, also while the verdict is awaited, as it may be granted after we
+ * stopped caring and would block the caller's next try.  Sent: nobody will
+ * ever know the end; without word of that the home would tell repeats for
+ * minutes that the request still runs, and the caller would wait for nothing.
+ */
+static void
+give_back_claim (struct rt *r, struct rt_req *q)
+{
+  if (q->claimed)
+    rt_act (r, q->sent ? RT_ACT_FINISH : RT_ACT_RELEASE, q);
+  q->claimed = false;
+}
+
 /** Give up what is under way: queue place, attempt, claim. */
 static void
 abandon (struct rt *r, struct rt_req *q)
@@ -130,11 +139,7 @@
   if (in_attempt (q) && q->state >= RT_S_CONNECTING)
     rt_act (r, RT_ACT_CANCEL, q);
   leave_server (r, q);
-  /* Also while the verdict is awaited: the claim may be granted after we
-     stopped caring, and would block the caller's next try. */
-  if (q->claimed && !q->sent)
-    rt_act (r, RT_ACT_RELEASE, q);
-  q->claimed = false;
+  give_back_claim (r, q);
 }
 
 /** The final answer of our own, at once. */
@@ -483,7 +488,7 @@
       q->claimed = false;
       abandon (r, q);
       step (q, RT_X_REPLAY);
-      rt_act (r, RT_ACT_REPLAY, q)->outcome = RT_DONE;
+      rt_act (r, RT_ACT_REPLAY, q);
       forget (r, q);
       return;
     case CLM_RUNNING:
@@ -706,8 +711,8 @@
   leave_server (r, q);
   step (q, RT_X_END);
   if (q->claimed)
-    rt_act (r, RT_ACT_FINISH, q);
-  rt_act (r, RT_ACT_END, q)->outcome = q->status >= 500 ? RT_FAILED : RT_DONE;
+    rt_act (r, RT_ACT_FINISH, q)->http_status = q->status;
+  rt_act (r, RT_ACT_END, q)->outcome = rt_status_outcome (q->status);
   forget (r, q);
 }
 
--- a/route/route.h
+++ b/route/route.h
@@ -131,7 +131,8 @@
 {
   RT_ACT_CLAIM,   /**< id: ask for the claim */
   RT_ACT_RELEASE, /**< id: the claim was not used */
-  RT_ACT_FINISH,  /**< id: keep the answer with the claim */
+  RT_ACT_FINISH,  /**< id, http_status: keep the whole answer with the claim;
+                       status 0: there is none, the end is not known */
   RT_ACT_CONNECT, /**< id, attempt, addr, name, fresh, timeouts */
   RT_ACT_SEND,    /**< id, attempt: answer to RT_EV_CONNECTED: go on */
   RT_ACT_CANCEL,  /**< id, attempt: close its connection */
@@ -139,7 +140,8 @@
                        now on (until then they are held by the shell) */
   RT_ACT_ANSWER,  /**< id, http_status, code, outcome, retry_ms: an error
                        answer of our own, final */
-  RT_ACT_REPLAY,  /**< id: answer with the kept answer of the claim */
+  RT_ACT_REPLAY,  /**< id: answer with the kept answer of the claim, whose
+                       outcome is that of its status */
   RT_ACT_END,     /**< id, outcome: the passed answer is whole */
   RT_ACT_CUT,     /**< id, code, outcome: end the passed answer visibly cut */
   RT_ACT_FORGET   /**< id: nothing more will come */
@@ -197,6 +199,9 @@
 const char *rt_code_name (enum rt_code c);       /**< "queue-full" and so on */
 int rt_code_status (enum rt_code c);
 
+/** Outcome of a whole answer with this HTTP status. */
+enum rt_outcome rt_status_outcome (int http_status);
+
 /** Own knowledge per replica or backend server, for reports. */
 struct rt_target_view
 {
--- a/t/lib-route.c
+++ b/t/lib-route.c
@@ -71,6 +71,8 @@
     buf_addf (&s->log, " from %zu", a->offset);
   if (a->kind == RT_ACT_ANSWER)
     buf_addf (&s->log, " %d", a->http_status);
+  if (a->kind == RT_ACT_FINISH && a->http_status == 0)
+    buf_add_c (&s->log, " unanswered");
   if (a->kind == RT_ACT_ANSWER || a->kind == RT_ACT_CUT)
     buf_addf (&s->log, " %s", rt_code_name (a->code));
   if (a->kind == RT_ACT_ANSWER || a->kind == RT_ACT_CUT
--- a/t/t5001-life.c
+++ b/t/t5001-life.c
@@ -192,16 +192,32 @@
 
 Test (life, claim_stays_when_it_may_have_run)
 {
-  /* The answer of a keyed booking is lost.  The claim must stay, so that a
-     repeat hears 'unknown' and does not run. */
+  /* The answer of a keyed booking is lost, or comes in part.  The claim must
+     stay, so that a repeat hears 'unknown' and does not run; and its home
+     must be told that no answer will come, or the repeat hears for minutes
+     that the booking still runs.  The part is not kept as an answer. */
   check ("1 arrive 1 acme api once key\n"
          "2 claim 1 granted\n"
          "3 open 1/1\n"
-         "4 broken 1/1\n",
+         "4 broken 1/1\n"
+         "5 arrive 2 acme api once key\n"
+         "6 claim 2 granted\n"
+         "7 open 2/1\n"
+         "8 head 2/1 200\n"
+         "9 body 2/1 10\n"
+         "10 broken 2/1\n",
          "1 arrive 1: claim(1)\n"
          "2 claim 1: connect(1/1 s2 fresh)\n"
          "3 open 1/1: send(1/1)\n"
-         "4 broken 1/1: cancel(1/1) answer(1 502 broken unknown)\n");
+         "4 broken 1/1: cancel(1/1) finish(1 unanswered) "
+         "answer(1 502 broken unknown)\n"
+         "5 arrive 2: claim(2)\n"
+         "6 claim 2: connect(2/1 s1 fresh)\n"
+         "7 open 2/1: send(2/1)\n"
+         "8 head 2/1:\n"
+         "9 body 2/1: pass(2/1)\n"
+         "10 broken 2/1: cancel(2/1) finish(2 unanswered) "
+         "cut(2 broken unknown)\n");
 }
 
 Test (life, old_grant_is_not_used)
--- a/t/t9001-once.c
+++ b/t/t9001-once.c
@@ -203,7 +203,9 @@
 
 /* A backend server breaks off after the first byte of its answer.  It may
    have booked: the caller hears "unknown", nobody tries the other server, and
-   a repeat with the key is refused at both nodes.  Then one is killed after
+   a repeat with the key hears at once that the end is not known.  The other
+   node, its own home here, has only the store's record, which doesn't tell
+   that the booking ended, and refuses as well.  Then one is killed after
    the first byte of a booking without a key: the other one gets nothing. */
 Test (once, backend_server_killed_after_the_first_byte)
 {
@@ -217,7 +219,7 @@
   cluster_book (&c, 0, "bay-7", &log);
   cluster_book (&c, 1, "bay-7", &log);
   expect (&log, "502 unknown broken\n"
-                "409 unknown key-running\n"
+                "409 unknown key-unknown\n"
                 "409 unknown key-running\n");
   cr_expect_eq (cluster_runs_of_key (&c, "bay-7"), 1);
   for (int i = 0; i < 2; i++)
@@ -234,6 +236,23 @@
   cr_expect_eq (alive, 1);
 }
 
+/* The service fails with 500, and the caller hears `failed`.  The client
+   library repeats with the key after the service came back: it must hear the
+   same, not an error page that is said to be done. */
+Test (once, kept_failure_stays_a_failure)
+{
+  struct cluster c;
+  struct buf log = BUF_INIT;
+
+  cluster_up (&c, 2, CLUSTER_APART);
+  front_fault_both (c.soko, "{\"fail_status\": 500}");
+  cluster_book (&c, 0, "bay-7", &log);
+  front_fault_both (c.soko, "{\"fail_status\": 0}");
+  cluster_book (&c, 0, "bay-7", &log);
+  expect (&log, "500 failed -\n"
+                "500 failed -\n");
+}
+
 /* A middlebox forgets the gateway's idle connections to the service: what is
    sent over them reaches nobody, and new ones work.  A booking must not be
    lost in one of them, as it could neither be sent again nor be called "not
--- a/t/t9002-homes.c
+++ b/t/t9002-homes.c
@@ -74,6 +74,32 @@
   expect_one_run_each (&c);
 }
 
+/* The service breaks off each booking after the first byte.  The caller asks
+   again at both addresses: the keys' homes were told that no answer will come,
+   so it hears at once that the end is not known, not for two minutes that the
+   booking runs, and nothing runs again. */
+Test (homes, a_lost_end_is_told_anywhere)
+{
+  struct cluster c;
+  struct cluster_answer a;
+
+  cluster_up (&c, 2, CLUSTER_TOGETHER);
+  front_fault_both (c.soko, "{\"close_first\": true}");
+  for (int i = 0; i < KEYS; i++)
+    {
+      cluster_book_answer (&c, 0, key_of (i), &a);
+      cr_expect_str_eq (a.code, "broken");
+      /* Through the same gateway first: its word to the home is ahead. */
+      for (size_t g = 0; g < 2; g++)
+        {
+          cluster_book_answer (&c, g, key_of (i), &a);
+          cr_expect_str_eq (a.code, "key-unknown", "%s at %zu: %s", key_of (i),
+                            g, a.code);
+        }
+    }
+  expect_one_run_each (&c);
+}
+
 /* All eight addresses are used for each booking at the same moment. */
 Test (homes, eight_gateways_at_the_same_moment)
 {
