Bound the deletes of one push

A push that drops hundreds of files puts their contents into one entry of the past. When that entry falls out, 64 pushes later, all deletes went into the one transaction of the swap; etcd takes 128 operations, so that push and each one after it was refused until somebody changed the store by hand. A push now deletes at most 100 keys; an entry that is not through stays in the past with what is left of it, and later pushes may drop several. Ruled out: deletes outside the swap, which would need a compare of their own or could delete what a newer push uses. The store of the tests refuses more than 128 operations as etcd does. The past may hold more than 64 entries for some pushes.

--- a/config/push-plan.c
+++ b/config/push-plan.c
@@ -2,6 +2,9 @@
 
 #include <stdio.h>
 
+/** Of one push.  etcd by default takes 128 operations in a transaction. */
+#define MAX_DELETES ((size_t)100)
+
 struct str
 psh_key (struct psh *p, const char *kind, struct str name)
 {
@@ -112,7 +115,6 @@
 {
   const struct mft *t = &p->theirs;
   struct mft m = { .change = p->change, .who = p->who, .when = p->wall };
-  size_t skip = t->npast == MFT_MAX_PAST;
 
   m.doc = mft_hash (&p->arena, p->merged);
   m.nfiles = p->result.n;
@@ -120,7 +122,7 @@
   for (size_t i = 0; i < m.nfiles; i++)
     m.files[i] = p->result.files[i].file;
   m.past = arena_alloc (&p->arena, t->npast + 1, sizeof *m.past);
-  for (size_t i = skip; i < t->npast; i++)
+  for (size_t i = 0; i < t->npast; i++)
     m.past[m.npast++] = t->past[i];
   if (t->revision)
     m.past[m.npast++] = past_entry (p);
@@ -135,21 +137,44 @@
     p->deletes[txn->ndeletes++] = psh_key (p, kind, hash);
 }
 
-/* The oldest entry falls out of the past: without deleting what only it
-   refers to, the store would grow by a document with each push. */
+/** False when the transaction has no room for more. */
+static bool
+drop_oldest (struct psh *p, struct mft *m, struct store_txn *txn)
+{
+  struct mft_past old = *m->past;
+  size_t i = 0;
+
+  m->past++;
+  m->npast--;
+  while (i < old.ndropped && txn->ndeletes < MAX_DELETES)
+    delete_unless_used (p, m, txn, "file/", old.dropped[i++]);
+  if (i == old.ndropped && txn->ndeletes + 2 <= MAX_DELETES)
+    {
+      p->deletes[txn->ndeletes++] = psh_past_key (p, old.revision);
+      delete_unless_used (p, m, txn, "doc/", old.doc);
+      return true;
+    }
+  old.dropped += i;
+  old.ndropped -= i;
+  *--m->past = old;
+  m->npast++;
+  return false;
+}
+
+/*
+ * The oldest entry falls out of the past: without deleting what only it
+ * refers to, the store would grow by a document with each push.  An entry of
+ * a push that dropped hundreds of files would make a transaction larger than
+ * the store takes, and from then on no push would succeed; so it stays, with
+ * what is left of it, for the next pushes, each of which may drop several.
+ */
 static void
-plan_deletes (struct psh *p, const struct mft *m, struct store_txn *txn)
+plan_deletes (struct psh *p, struct mft *m, struct store_txn *txn)
 {
-  const struct mft_past *old = p->theirs.past;
-
-  if (p->theirs.npast < MFT_MAX_PAST)
-    return;
-  p->deletes = arena_alloc (&p->arena, old->ndropped + 2, sizeof *p->deletes);
-  p->deletes[txn->ndeletes++] = psh_past_key (p, old->revision);
-  delete_unless_used (p, m, txn, "doc/", old->doc);
-  for (size_t i = 0; i < old->ndropped; i++)
-    delete_unless_used (p, m, txn, "file/", old->dropped[i]);
+  p->deletes = arena_alloc (&p->arena, MAX_DELETES, sizeof *p->deletes);
   txn->deletes = p->deletes;
+  while (m->npast > MFT_MAX_PAST && drop_oldest (p, m, txn))
+    ;
 }
 
 static struct str
@@ -171,13 +196,13 @@
   struct str manifest = psh_key (p, "manifest", STR_EMPTY);
 
   p->compare = (struct store_compare){ manifest, p->theirs.revision };
-  p->puts[0] = (struct store_put){ manifest, format_manifest (p, &m), 0 };
   *txn = (struct store_txn){
     .compares = &p->compare, .ncompares = 1, .puts = p->puts, .nputs = 1
   };
+  plan_deletes (p, &m, txn);
+  p->puts[0] = (struct store_put){ manifest, format_manifest (p, &m), 0 };
   if (p->theirs.revision)
     p->puts[txn->nputs++]
         = (struct store_put){ psh_past_key (p, p->theirs.revision),
                               format_manifest (p, &p->theirs), 0 };
-  plan_deletes (p, &m, txn);
 }
--- a/t/lib-memkv.c
+++ b/t/lib-memkv.c
@@ -96,6 +96,8 @@
 {
   struct store_result r = { .status = STORE_CONFLICT };
 
+  if (txn->nputs + txn->ndeletes > MEMKV_MAX_OPS)
+    return (struct store_result){ .status = STORE_UNAVAILABLE };
   if (holds (k, txn))
     {
       r.status = STORE_OK;
--- a/t/lib-memkv.h
+++ b/t/lib-memkv.h
@@ -8,6 +8,9 @@
 
 #include "store/store.h"
 
+/** Puts and deletes in a transaction; more are refused, as by etcd. */
+#define MEMKV_MAX_OPS 128
+
 struct memkv;
 
 struct memkv *memkv_new (void);
--- a/t/t1101-push.c
+++ b/t/t1101-push.c
@@ -20,7 +20,7 @@
 #include "t/lib-memkv.h"
 
 #define MAX_PUSHES 4
-#define MAX_FILES 8
+#define MAX_FILES 320
 #define PREFIX "/l/"
 
 struct pusher
@@ -606,3 +606,30 @@
   cr_expect_eq (memkv_count (r.kv, STR (PREFIX "config/doc/")), 2);
   end_run (&r);
 }
+
+Test (push, hundreds_of_dropped_files_leave_bit_by_bit)
+{
+  /* An operator moves 300 small files into one.  64 pushes later their
+     contents fall out of the past, all at once.  In one transaction they are
+     more than the store takes: this push and all that follow would be
+     refused for good.  They go a part with each push instead, and in the
+     end nothing of them is left. */
+  struct run r = { .kv = memkv_new () };
+  struct buf many = BUF_INIT;
+  char one[32];
+
+  for (int i = 0; i < 300; i++)
+    buf_addf (&many, "%sf%d=1", i ? "," : "", i);
+  seed (&r, (char *)buf_c (&many));
+  cr_expect_eq (memkv_count (r.kv, STR (PREFIX "config/file/")), 300);
+  for (size_t i = 0; i < MFT_MAX_PAST + 10; i++)
+    {
+      snprintf (one, sizeof one, "a=%zu", 1 + i % 2);
+      seed (&r, one);
+    }
+  buf_free (&many);
+  cr_expect_eq (memkv_count (r.kv, STR (PREFIX "config/past/")), MFT_MAX_PAST);
+  cr_expect_eq (memkv_count (r.kv, STR (PREFIX "config/file/")), 2);
+  cr_expect_eq (memkv_count (r.kv, STR (PREFIX "config/doc/")), 2);
+  end_run (&r);
+}
