Let a gateway write 80 times a second by default

A shard of claims writes up to 20 times a second, and a gateway is home of several: with the default of 20 for any process, claims of a home of four shards waited four times as long at full load, and timed out as store-unavailable when the load went on. The default is now the process's own: 80 for a gateway, four shards at their full rate, so that any two gateways carry all eight; 20 for control as before. All homes together still write 160 times a second at most, so the sum at the platform doesn't grow with the number of gateways. Weighed: 160 (a gateway alone carries all): more than a disputed home should be able to write. Worked out from CLM_GAP_MS, not measured here. The settings of the examples name no rate and get the new default.

--- a/config/settings.c
+++ b/config/settings.c
@@ -227,7 +227,6 @@
 read_all (struct reading *g, const char *path, struct settings *out)
 {
   g->draft.prefix = STR ("/lapisline/");
-  out->store_writes = 20;
   out->store_reads = 60;
   out->log_level = LOG_INFO;
   read_top (g);
@@ -272,6 +271,12 @@
   return findings->errors == errors;
 }
 
+double
+settings_writes (const struct settings *s, double usual)
+{
+  return s->store_writes > 0 ? s->store_writes : usual;
+}
+
 void
 settings_free (struct settings *s)
 {
--- a/config/settings.h
+++ b/config/settings.h
@@ -7,7 +7,7 @@
  *     "control": { "swim": "127.0.0.1:7002", "peer": "127.0.0.1:7003",
  *                  "admin": "127.0.0.1:7004" },
  *     "store": { "endpoints": ["127.0.0.1:2379"], "prefix": "/lapisline/",
- *                "writes_per_s": 20, "reads_per_s": 60 },
+ *                "writes_per_s": 80, "reads_per_s": 60 },
  *     "platform": "127.0.0.1:8500",         // list of live and leaving VMs
  *     "peers": ["127.0.0.1:7013"],          // control peer addresses
  *     "secret_file": "secret.txt",          // relative to the settings file
@@ -25,6 +25,13 @@
 #define SET_MAX_PEERS 64
 #define SET_MAX_ENDPOINTS 8
 
+/** Default of store.writes_per_s for control. */
+#define SETTINGS_CONTROL_WRITES 20.
+
+/** For a gateway: four of the eight claim shards at their full 20 a second,
+    so that any two gateways can carry all shards. */
+#define SETTINGS_GATEWAY_WRITES 80.
+
 struct settings
 {
   char *node;
@@ -39,7 +46,7 @@
   size_t nendpoints;
   struct net_addr platform; /**< port 0: none */
   char *store_prefix;
-  double store_writes;
+  double store_writes; /**< a second; 0: not set, see settings_writes() */
   double store_reads;
   struct net_addr peers[SET_MAX_PEERS];
   size_t npeers;
@@ -54,6 +61,10 @@
  */
 bool settings_read (const char *path, struct settings *out,
                     struct fnd_list *findings);
+
+/** The writes a second that are set, or else the default @p usual. */
+double settings_writes (const struct settings *s, double usual);
+
 void settings_free (struct settings *s);
 
 #endif
--- a/control/control.c
+++ b/control/control.c
@@ -188,7 +188,8 @@
   struct etcd_options store
       = { .endpoints = c->set.endpoints, .call_ms = STORE_CALL_MS };
   struct store_budget budget
-      = { .writes = set->store_writes, .reads = set->store_reads };
+      = { .writes = settings_writes (set, SETTINGS_CONTROL_WRITES),
+          .reads = set->store_reads };
   c->set = *set;
   store.nendpoints = c->set.nendpoints;
   c->loop = &p->loop;
--- a/front/gateway.c
+++ b/front/gateway.c
@@ -170,7 +170,9 @@
   struct etcd_options opt = { .endpoints = g->set.endpoints,
                               .nendpoints = g->set.nendpoints,
                               .call_ms = STORE_MS };
-  struct store_budget budget = { g->set.store_writes, g->set.store_reads };
+  struct store_budget budget
+      = { settings_writes (&g->set, SETTINGS_GATEWAY_WRITES),
+          g->set.store_reads };
 
   return etcd_store_new (g->loop, g->http, &opt, &budget);
 }
