--- a/control/dom-view.c
+++ b/control/dom-view.c
@@ -314,7 +314,10 @@
 {
   clk_ms now = clk_now ();
 
-  *n = all->cfg ? all->cfg->nreplicas : 0;
+  *n = 0;
+  if (!all->cfg)
+    return NULL;
+  *n = all->cfg->nreplicas;
   all->merged = xrealloc (all->merged, (*n + 1) * sizeof *all->merged);
   for (size_t i = 0; i < *n; i++)
     {
