--- a/builtin/bench-path.c
+++ b/builtin/bench-path.c
@@ -17,10 +17,12 @@
 #define HELD_TOKENS 60
 #define PROGRESS_MS (30 * CLK_SECOND)
 #define SETTLE_MS ((clk_ms)3000)
+#define STALLED_CALLS 200
+#define STALL_MS ((clk_ms)300)
 
 struct options
 {
-  char *direct, *gateway, *key, *model;
+  char *direct, *gateway, *key, *model, *stalled;
   int pid;
   int rounds;
   int requests;
@@ -162,13 +164,19 @@
 }
 
 static void
-load_run (struct load *l)
+load_start (struct load *l)
 {
   l->whole_ms = xcalloc ((size_t)l->total, sizeof (double));
   l->first_ms = xcalloc ((size_t)l->total, sizeof (double));
   l->calls = xcalloc ((size_t)l->total, sizeof *l->calls);
   for (int i = 0; i < l->width && i < l->total; i++)
     start_one (l);
+}
+
+static void
+load_run (struct load *l)
+{
+  load_start (l);
   uv_run (l->loop, UV_RUN_DEFAULT);
 }
 
@@ -395,12 +403,23 @@
   uv_stop (t->loop);
 }
 
+static void
+settle (struct bench *b, clk_ms ms)
+{
+  uv_timer_t timer;
+
+  uv_timer_init (&b->loop, &timer);
+  uv_timer_start (&timer, on_settled, (uint64_t)ms, 0);
+  uv_run (&b->loop, UV_RUN_DEFAULT);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  uv_run (&b->loop, UV_RUN_NOWAIT);
+}
+
 /** Memory of the gateway with many streams open. */
 static void
 hold_open (struct bench *b, const struct side *gateway)
 {
   struct buf body = BUF_INIT;
-  uv_timer_t timer;
 
   make_body (b, true, HELD_TOKENS, &body);
   struct load l = make_load (b, gateway, buf_str (&body));
@@ -408,9 +427,7 @@
   l.hold = true;
   double before = resident_kb (b->opt.pid);
   load_run (&l);
-  uv_timer_init (&b->loop, &timer);
-  uv_timer_start (&timer, on_settled, (uint64_t)SETTLE_MS, 0);
-  uv_run (&b->loop, UV_RUN_DEFAULT);
+  settle (b, SETTLE_MS);
   double after = resident_kb (b->opt.pid);
   printf ("open streams %d: gateway resident %.1f MB before, %.1f MB with "
           "them, %.2f kB a stream; ended early %d\n",
@@ -418,11 +435,46 @@
           l.first ? (after - before) / l.first : 0, l.ended);
   print_failure (&l);
   load_free (&l);
-  uv_close ((uv_handle_t *)&timer, NULL);
-  uv_run (&b->loop, UV_RUN_NOWAIT);
   buf_free (&body);
 }
 
+/** Whole answers through the gateway while calls to a service that never
+    answers fill its slots and its queue; in turn with and without them. */
+static void
+beside_stalled (struct bench *b, const struct side *gateway)
+{
+  struct figures f[2][MAX_ROUNDS];
+  struct buf path = BUF_INIT;
+  int n = b->opt.rounds;
+
+  buf_addf (&path, "/svc/%s/quote", b->opt.stalled);
+  for (int i = 0; i < n; i++)
+    {
+      f[0][i] = measure (b, gateway, false);
+      struct load l = make_load (b, gateway, STR_EMPTY);
+      l.req.method = STR ("GET");
+      l.req.path = buf_str (&path);
+      l.width = l.total = STALLED_CALLS;
+      load_start (&l);
+      settle (b, STALL_MS);
+      f[1][i] = measure (b, gateway, false);
+      printf ("  round %d: %d of %d calls to '%s' still waited\n", i + 1,
+              l.started - l.ended, STALLED_CALLS, b->opt.stalled);
+      load_free (&l);
+      settle (b, STALL_MS);
+    }
+  for (int k = 0; k < 2; k++)
+    {
+      printf ("whole gateway %s a stalled service:\n",
+              k ? "beside" : "without");
+      SPREAD ("requests/s", f[k], n, per_s);
+      SPREAD ("p50 ms", f[k], n, whole50);
+      SPREAD ("p99 ms", f[k], n, whole99);
+      printf ("\n");
+    }
+  buf_free (&path);
+}
+
 static void
 run (struct bench *b, const struct side side[2])
 {
@@ -435,6 +487,8 @@
           o->token_ms, o->open);
   set_token_ms (b, &side[0], 0);
   compare (b, side, false);
+  if (o->stalled != NULL)
+    beside_stalled (b, &side[1]);
   set_token_ms (b, &side[0], o->token_ms);
   compare (b, side, true);
   set_token_ms (b, &side[0], 1000);
@@ -454,6 +508,8 @@
       "its process, for processor time and memory", "PID" },
     { "key", 0, 0, G_OPTION_ARG_STRING, &o->key, "bearer key", "KEY" },
     { "model", 0, 0, G_OPTION_ARG_STRING, &o->model, "model", "NAME" },
+    { "stalled", 0, 0, G_OPTION_ARG_STRING, &o->stalled,
+      "a service that never answers, to measure beside it", "NAME" },
     { "rounds", 0, 0, G_OPTION_ARG_INT, &o->rounds, "1 to 15", "N" },
     { "requests", 0, 0, G_OPTION_ARG_INT, &o->requests, "a round", "N" },
     { "concurrency", 0, 0, G_OPTION_ARG_INT, &o->concurrency, "callers", "N" },
--- a/t/bench-path.sh
+++ b/t/bench-path.sh
@@ -26,6 +26,10 @@
 build/standin model --tokens 8 --no-counts >"$dir/model" &
 pids+=($!)
 model=$(address "$dir/model") || exit 1
+build/standin service >"$dir/service" &
+pids+=($!)
+service=$(address "$dir/service") || exit 1
+curl -sf -o /dev/null -d '{"silent":true}' "http://$service/control/set"
 key=bench-key
 cat >"$dir/10-bench.json" <<EOF
 { "domains": { "bench-1": { "zone": "bench",
@@ -34,9 +38,12 @@
       "capacity": 6000, "tokens_per_s": 100000 } },
   "replicas": { "ghala-lm-1": { "model": "ghala-lm", "domain": "bench-1",
       "mode": "route", "vms": ["vm-1"] } },
+  "services": { "stalled": { "mode": "route", "capacity": 8,
+      "first_byte_ms": 600000, "progress_ms": 600000,
+      "backends": { "stalled-1": { "addr": "$service", "zone": "bench" } } } },
   "accounts": { "bench": { "may": ["*"],
       "key_digests": ["$(printf %s $key | sha256sum | cut -d' ' -f1)"] } },
-  "limits": { "max_streams": 6000, "max_queue": 6000 } }
+  "limits": { "max_streams": 6000, "max_queue": 6000, "queue_ms": 600000 } }
 EOF
 mkdir "$dir/conf" && mv "$dir/10-bench.json" "$dir/conf/"
 echo bench-secret-of-this-run >"$dir/secret.txt"
@@ -56,4 +63,5 @@
 sleep 1.5
 [ -z "${PROFILE:-}" ] || echo "gateway pid $gateway_pid"
 timeout 300 build/lapisline bench path --direct "$model" \
-  --gateway "$gateway" --gateway-pid "$gateway_pid" --key "$key" "$@"
+  --gateway "$gateway" --gateway-pid "$gateway_pid" --key "$key" \
+  --stalled stalled "$@"
