Measure policies with any number of gateways

Cause: at the size of two years a region has 110 gateways before 200 replicas; the figures were for eight before 65. Eight gateways as before.

--- a/builtin/bench-route.c
+++ b/builtin/bench-route.c
@@ -11,7 +11,7 @@
 
 #define MOST_SEEDS 25
 
-static gint seed = 1, seeds = 5, replicas = 65;
+static gint seed = 1, seeds = 5, replicas = 65, gateways = 8;
 static gchar *only_workload, *only_fault, *only_policy;
 static gint only_lag = -1;
 static gdouble flood, peak;
@@ -22,6 +22,7 @@
         { "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "runs per cell (5)", "N" },
         { "replicas", 0, 0, G_OPTION_ARG_INT, &replicas, "replicas (65)",
           "N" },
+        { "gateways", 0, 0, G_OPTION_ARG_INT, &gateways, "gateways (8)", "N" },
         { "workload", 0, 0, G_OPTION_ARG_STRING, &only_workload,
           "nairobi or taipei only", "NAME" },
         { "fault", 0, 0, G_OPTION_ARG_STRING, &only_fault,
@@ -128,6 +129,7 @@
                                                 .policy = p,
                                                 .fault = fault,
                                                 .replicas = (size_t)replicas,
+                                                .gateways = (unsigned)gateways,
                                                 .lag_ms = lag });
       print_row (p, &rows[p]);
     }
@@ -172,12 +174,15 @@
       set.peak = peaks[i];
       fprintf (out, "\n%.2f", peaks[i]);
       for (enum policy p = 0; p < POLICIES; p++)
-        fprintf (out, ",%.0f",
-                 run_row ((struct world_params){ .workload = &set,
-                                                 .policy = p,
-                                                 .replicas = (size_t)replicas,
-                                                 .lag_ms = lag })
-                     .mid.p99);
+        fprintf (
+            out, ",%.0f",
+            run_row ((struct world_params){ .workload = &set,
+                                            .policy = p,
+                                            .replicas = (size_t)replicas,
+                                            .gateways = (unsigned)gateways,
+
+                                            .lag_ms = lag })
+                .mid.p99);
     }
   fputc ('\n', out);
   return fclose (out) == 0;
@@ -192,7 +197,8 @@
   g_option_context_add_main_entries (options, entries, NULL);
   bool ok = g_option_context_parse (options, &argc, &argv, &error);
   g_option_context_free (options);
-  if (!ok || seeds < 1 || seeds > MOST_SEEDS || replicas < 1)
+  if (!ok || seeds < 1 || seeds > MOST_SEEDS || replicas < 1 || gateways < 1
+      || gateways > WL_GATEWAYS)
     {
       fprintf (stderr, "bench route: %s\n",
                error ? error->message : "a number is out of range");
@@ -202,7 +208,7 @@
   bench_banner ("route", (uint64_t)seed);
   printf ("%d replicas of %d slots, %d gateways, %d seeds; medians, p99 with "
           "[least greatest]\n",
-          replicas, STUB_SLOTS, WL_GATEWAYS, seeds);
+          replicas, STUB_SLOTS, gateways, seeds);
   printf ("  %-12s %6s %6s %7s %15s %7s %6s %6s %6s %6s\n", "policy", "p50",
           "p95", "p99", "", "small99", "met%", "hit%", "refus%", "fail%");
   if (sweep_file)
--- a/builtin/workload.c
+++ b/builtin/workload.c
@@ -92,22 +92,23 @@
 }
 
 /** Callers keep an address answer, which is affine by account: most accounts
-    use three gateways, the largest all. */
+    use three eighths of the gateways, the largest all. */
 static uint8_t
-draw_gateway (struct rng *r, uint8_t account)
+draw_gateway (struct rng *r, uint8_t account, unsigned gateways)
 {
   if (account == 1 || account == 2 || account >= WL_ACCOUNTS)
-    return (uint8_t)rng_below (r, WL_GATEWAYS);
-  return (uint8_t)((account * 3 + rng_below (r, 3)) % WL_GATEWAYS);
+    return (uint8_t)rng_below (r, gateways);
+  unsigned span = gateways * 3 / 8 + (gateways * 3 % 8 != 0);
+  return (uint8_t)((account * span + rng_below (r, span)) % gateways);
 }
 
 static struct wl_request
 draw_request (const struct workload *w, struct rng *r, const double *sums,
-              double at)
+              unsigned gateways, double at)
 {
   struct wl_request q = { .at = at };
   q.account = draw_account (r);
-  q.gateway = draw_gateway (r, q.account);
+  q.gateway = draw_gateway (r, q.account, gateways);
   q.prefix = 1 + draw_rank (r, sums, w->prefixes);
   q.prefix_tokens = (float)w->prefix;
   q.prompt = (float)draw_length (r, w->prompt);
@@ -123,7 +124,7 @@
 
 struct wl_request *
 wl_make (const struct workload *w, double slots, double service_ms,
-         uint64_t seed, size_t *n)
+         unsigned gateways, uint64_t seed, size_t *n)
 {
   struct rng r;
   rng_seed (&r, seed);
@@ -146,11 +147,11 @@
         continue;
       if (*n == cap)
         list = xrealloc (list, (cap *= 2) * sizeof *list);
-      struct wl_request q = draw_request (w, &r, sums, at);
+      struct wl_request q = draw_request (w, &r, sums, gateways, at);
       if (x >= ours)
         {
           q.account = WL_ACCOUNTS;
-          q.gateway = draw_gateway (&r, q.account);
+          q.gateway = draw_gateway (&r, q.account, gateways);
         }
       list[(*n)++] = q;
     }
--- a/builtin/workload.h
+++ b/builtin/workload.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #define WL_ACCOUNTS 10
-#define WL_GATEWAYS 8
+#define WL_GATEWAYS 128 /* at most */
 #define WL_ZONES 3
 
 /** One deployment and its hours. */
@@ -48,8 +48,10 @@
  * Make the requests of one run, ordered by time; free() them.
  * @param slots        of all replicas
  * @param service_ms   mean time of a request in a slot
+ * @param gateways     that the callers are spread over
  */
 struct wl_request *wl_make (const struct workload *w, double slots,
-                            double service_ms, uint64_t seed, size_t *n);
+                            double service_ms, unsigned gateways,
+                            uint64_t seed, size_t *n);
 
 #endif
--- a/builtin/world.c
+++ b/builtin/world.c
@@ -303,7 +303,7 @@
       .load_at = (clk_ms)w->sampled_at[number] + 1,
     };
   struct rt_event ev = { .kind = RT_EV_REPLICAS, .replicas = list, .n = n };
-  for (uint32_t g = 0; g < WL_GATEWAYS; g++)
+  for (uint32_t g = 0; g < w->p->gateways; g++)
     tell (w, g, &ev);
   free (list);
 }
@@ -529,13 +529,13 @@
 start_gateways (struct world *w)
 {
   struct cfg *cfg = make_config (w->p->workload);
-  for (uint32_t g = 0; g < WL_GATEWAYS; g++)
+  for (uint32_t g = 0; g < w->p->gateways; g++)
     {
       char zone[8], node[16];
       snprintf (zone, sizeof zone, "z%u", g % WL_ZONES);
       snprintf (node, sizeof node, "entry-%u", g);
       struct rt_options opt
-          = { str_from (zone), str_from (node), WL_GATEWAYS };
+          = { str_from (zone), str_from (node), w->p->gateways };
       w->gateways[g] = rt_new (&opt, w->p->seed * 100 + g);
       w->tick_at[g] = INFINITY;
       policy_install (w->gateways[g], w->p->policy, &w->counters[g]);
@@ -551,7 +551,7 @@
   const struct world_params *p = w->p;
   double slots = (double)p->replicas * STUB_SLOTS;
   w->requests = wl_make (p->workload, slots, stub_service_ms (p->workload),
-                         p->seed, &w->n);
+                         p->gateways, p->seed, &w->n);
   w->trips = xcalloc (w->n, sizeof *w->trips);
   w->waiting = xcalloc (w->n, sizeof *w->waiting);
   w->stubs = xcalloc (p->replicas, sizeof *w->stubs);
@@ -651,7 +651,7 @@
 {
   for (size_t i = 0; i < w->njobs; i++)
     free (w->jobs[i]);
-  for (uint32_t g = 0; g < WL_GATEWAYS; g++)
+  for (uint32_t g = 0; g < w->p->gateways; g++)
     if (w->gateways[g])
       rt_free (w->gateways[g]);
   free (w->jobs);
--- a/builtin/world.h
+++ b/builtin/world.h
@@ -26,7 +26,8 @@
   enum policy policy;
   enum world_fault fault;
   size_t replicas;
-  double lag_ms; /**< of load reports */
+  unsigned gateways; /**< at most WL_GATEWAYS */
+  double lag_ms;     /**< of load reports */
   uint64_t seed;
 };
 
