Choose also where a gateway is one of many

Change: ties go by chance in proportion to what a report shows missing, less the older it is; no affinity with less than half a request a server; the gate closes only when slots, not just requests, are taken; a reported full server is left out only where this gateway is a substantial part. Tests: names by lot changed in t5001 and t5005; the zone test has two more turns. t5005 seen red again: evidence, full, affinity, its bound, gate, slots taken, zone, work outside the view (1 each).

--- a/route/choose.c
+++ b/route/choose.c
@@ -5,12 +5,16 @@
 
 /* The figures below were found with `lapisline bench route`; docs/DESIGN.md
    tells what else was tried. */
-#define FRESH 0.4 /* of a service time: age of a report that counts */
-#define GATE 1.15 /* of all capacity: more than that waits here */
+#define GATE 1.15       /* of all capacity: more than that waits here */
+#define FULL_PART 0.05  /* of all requests: ours, to heed a full server */
+#define GATE_TAKEN 0.98 /* of all slots */
 /* Of a server's slots, what is ours above our mean for a warm one. */
 #define WARM_FACTOR 2.5 /* of the part of slots that is free */
 #define WARM_OFFSET 0.5 /* less so much */
 #define WARM_MOST 0.225
+/* With less, a gateway has hardly a request on any server, and its own count
+   can't keep all gateways from one prefix's server. */
+#define WARM_LEAST 0.5
 
 bool
 rt_usable (const struct rt *r, const struct rt_server *s)
@@ -30,16 +34,20 @@
 
 /**
  * With every slot taken, requests wait here, where classes and accounts have
- * their turn, and not in the servers, which know neither.  A gateway may
+ * their turn, and not in the servers, which know neither.  Both must be: more
+ * requests than slots, as work that waits at one server while another is free
+ * is no reason to hold more back; and hardly a slot free.  A gateway may
  * always use its even part: those that hold the slots would otherwise hold
  * them for good, as they learn first of each one that is free.
  */
 static bool
-gate_open (const struct rt *r, const struct rt_target *t, double others)
+gate_open (const struct rt *r, const struct rt_target *t, double others,
+           double taken)
 {
   const struct rt_view *v = &t->view;
   double own = rt_own_in_view (t);
   return own + others < GATE * v->capacity
+         || own + taken < GATE_TAKEN * v->capacity
          || own < v->capacity / (r->nodes ? r->nodes : 1);
 }
 
@@ -94,15 +102,14 @@
  * ours than the bound.
  */
 static struct rt_server *
-warm_server (const struct rt_view *v, const struct rt_req *q, double bound,
-             bool skip_full)
+warm_server (const struct rt_view *v, const struct rt_req *q, double bound)
 {
   struct rt_server *best = NULL;
   uint64_t most = 0;
   for (size_t i = 0; i < v->n; i++)
     {
       const struct rt_candidate *c = &v->list[i];
-      if (c->score >= bound || skipped (q, c, skip_full))
+      if (c->score >= bound || skipped (q, c, true))
         continue;
       uint64_t h = mix (c->hash ^ q->prefix);
       if (!best || h > most)
@@ -131,44 +138,32 @@
   return n;
 }
 
-/** The one of those with the least score that has this number. */
+/** One of those with the least of ours, at random by weight. */
 static struct rt_server *
-nth_least (const struct rt_view *v, const struct rt_req *q, bool skip_full,
-           uint32_t least, size_t number)
+one_of_least (struct rt *r, const struct rt_target *t, const struct rt_req *q,
+              bool skip_full)
 {
+  const struct rt_view *v = &t->view;
+  struct rt_server *last = NULL;
+  uint32_t least = 0;
+  double sum = 0;
+  if (count_least (v, q, skip_full, &least) == 0)
+    return NULL;
+  for (size_t i = 0; i < v->n; i++)
+    if (v->list[i].score == least && !skipped (q, &v->list[i], skip_full))
+      sum += v->list[i].weight;
+  double x = rng_unit (&r->rng) * sum;
   for (size_t i = 0; i < v->n; i++)
     {
       const struct rt_candidate *c = &v->list[i];
-      if (c->score == least && !skipped (q, c, skip_full) && number-- == 0)
-        return c->server;
+      if (c->score != least || skipped (q, c, skip_full))
+        continue;
+      last = c->server;
+      x -= c->weight;
+      if (x < 0)
+        break;
     }
-  return NULL;
-}
-
-/**
- * Two of those with the least of ours, at random; the one that others use
- * less when a report is fresh.  Taking the least reported of all would send
- * every gateway to the same server until the next report.
- */
-static struct rt_server *
-better_of_two (struct rt *r, const struct rt_target *t, const struct rt_req *q,
-               bool skip_full)
-{
-  uint32_t least = 0;
-  size_t n = count_least (&t->view, q, skip_full, &least);
-  if (n == 0)
-    return NULL;
-  size_t first = (size_t)rng_below (&r->rng, n);
-  struct rt_server *a = nth_least (&t->view, q, skip_full, least, first);
-  if (n == 1)
-    return a;
-  size_t second = (first + 1 + (size_t)rng_below (&r->rng, n - 1)) % n;
-  struct rt_server *b = nth_least (&t->view, q, skip_full, least, second);
-  bool fresh = a->load_at != 0
-               && (double)(r->now - a->load_at) <= FRESH * rt_service_ms (t);
-  if (fresh)
-    return b->others < a->others ? b : a;
-  return b->same_zone && !a->same_zone ? b : a;
+  return last;
 }
 
 static struct rt_server *
@@ -177,8 +172,8 @@
 {
   struct rt_server *s = NULL;
   if (q->prefix && bound > 0)
-    s = warm_server (&t->view, q, bound, skip_full);
-  return s ? s : better_of_two (r, t, q, skip_full);
+    s = warm_server (&t->view, q, bound);
+  return s ? s : one_of_least (r, t, q, skip_full);
 }
 
 /** An ejected server whose time is over and that is due for a look. */
@@ -220,12 +215,17 @@
     }
   if (v->n == 0)
     return last_resort (r, t, q);
-  double others = rt_others_by_now (t);
-  if (!gate_open (r, t, others))
+  double own = rt_own_in_view (t);
+  double taken, others = rt_others_by_now (t, &taken);
+  if (!gate_open (r, t, others, taken))
     return NULL;
-  /* The fraction decides by chance, so that bounds below one count too. */
-  double bound = floor (warm_bound (t, others) + rng_unit (&r->rng));
-  struct rt_server *s = pick (r, t, q, bound, true);
+  /* The fraction decides by chance, so that parts of a request count too. */
+  double bound = warm_bound (t, others);
+  bound = bound < WARM_LEAST ? 0 : floor (bound + rng_unit (&r->rng));
+  /* Where this gateway is one of many, all would leave a server that was
+     reported full and all come back at the next report. */
+  bool skip_full = !t->is_model || own >= FULL_PART * (own + others);
+  struct rt_server *s = pick (r, t, q, bound, skip_full);
   if (!s && t->is_model)
     s = pick (r, t, q, bound, false);
   return s || q->ntried == 0 ? s : last_resort (r, t, q);
--- a/route/core.h
+++ b/route/core.h
@@ -170,6 +170,7 @@
   uint32_t in_flight;
   uint32_t score; /**< in flight, those without a first byte twice */
   float room;     /**< how many of ours it may have */
+  float weight;   /**< among those with the same score */
 };
 
 /** Servers that may get work, computed now and then and after changes. */
@@ -184,6 +185,7 @@
   clk_ms valid_until; /**< of the first evidence that runs out */
   double capacity;    /**< requests */
   double others;      /**< requests of other gateways, as reported */
+  double taken;       /**< of these, in slots rather than waiting there */
   double tokens_then; /**< of this gateway when the reports were made */
   double age;         /**< of the reports, summed, ms */
 };
@@ -343,8 +345,9 @@
 const struct rt_view *rt_view (struct rt *r, struct rt_target *t);
 /** Own requests on all servers of the view. */
 double rt_own_in_view (const struct rt_target *t);
-/** Requests of other gateways on all servers of the view, estimated. */
-double rt_others_by_now (const struct rt_target *t);
+/** Requests of other gateways on all servers of the view, estimated; @p taken
+    receives how many of them have slots. */
+double rt_others_by_now (const struct rt_target *t, double *taken);
 /** Mean time of a request on a server. */
 double rt_service_ms (const struct rt_target *t);
 
--- a/route/load.c
+++ b/route/load.c
@@ -7,6 +7,10 @@
 #define SERVICE_MS 3000.0 /* time of a request until one was measured */
 #define COST_FIRST 1000.0 /* tokens of a request until one was seen */
 #define FADE 0.3          /* of a service time: pace at which reports fade */
+#define AGE_LEAST_MS 250  /* no report is younger in effect */
+#define WEIGHT_LEAST 0.02 /* of a server with far more than the mean */
+#define AWAY 0.1          /* weight in another zone, nothing being reported */
+#define FEW_REQUESTS 60   /* that tell little of the load elsewhere */
 #define FULL_FACTOR 1.1   /* of its capacity: a server that gets nothing */
 
 /** Carry the present load on to the sample slots that passed since. */
@@ -130,6 +134,38 @@
   return (float)(FULL_FACTOR * s->capacity - others);
 }
 
+/**
+ * How much likelier a server is chosen for having less than the mean.  Turning
+ * to the least reported would send all gateways there until the next report;
+ * in proportion to what is missing, together they send about what it lacks.
+ * The older a report, the less it counts.
+ */
+static double
+pull_of (const struct rt_target *t, double age)
+{
+  double service = rt_service_ms (t);
+  return service / (age + AGE_LEAST_MS) * exp (-age / service);
+}
+
+static double
+weight_of (const struct rt *r, const struct rt_target *t,
+           const struct rt_server *s)
+{
+  if (s->load_at == 0 || t->mean_others <= 0)
+    return s->same_zone ? 1 : AWAY;
+  double pull = pull_of (t, (double)(r->now - s->load_at));
+  double w = 1 + pull * (1 - s->others / t->mean_others);
+  return w > WEIGHT_LEAST ? w : WEIGHT_LEAST;
+}
+
+/** Slots of the server that others have, by its report. */
+static double
+slots_taken (const struct rt_server *s)
+{
+  double left = s->capacity - s->in_flight;
+  return s->others < left ? s->others : left > 0 ? left : 0;
+}
+
 static void
 add_candidate (struct rt *r, struct rt_target *t, struct rt_server *s,
                double others)
@@ -138,7 +174,8 @@
   struct rt_candidate *c = &v->list[v->n++];
   *c = (struct rt_candidate){ .server = s,
                               .hash = s->hash,
-                              .room = room_of (t, s, others) };
+                              .room = room_of (t, s, others),
+                              .weight = (float)weight_of (r, t, s) };
   s->candidate = c;
   rt_server_changed (s);
   v->capacity += s->capacity;
@@ -147,6 +184,7 @@
   if (s->load_at == 0)
     return;
   v->others += t->mean_others;
+  v->taken += slots_taken (s);
   v->tokens_then += history_at (s, s->load_at);
   v->age += (double)(r->now - s->load_at);
 }
@@ -208,15 +246,21 @@
 /**
  * Requests of the other gateways now.  All gateways carry parts of the same
  * load, so what changed here since the reports changed there too, about as
- * much; the older the reports, the more this counts.
+ * much; the older the reports, the more this counts, and the less the fewer
+ * requests it is seen by.
  */
 double
-rt_others_by_now (const struct rt_target *t)
+rt_others_by_now (const struct rt_target *t, double *taken)
 {
   const struct rt_view *v = &t->view;
-  if (v->tokens_then <= 0 || v->n == 0)
-    return v->others;
-  double age = v->age / (double)v->n;
-  double w = 1 - exp (-age / rt_service_ms (t));
-  return v->others * pow ((t->own_tokens + 1) / (v->tokens_then + 1), w);
+  double own = rt_own_in_view (t), factor = 1;
+  if (v->tokens_then > 0 && v->n > 0)
+    {
+      double age = v->age / (double)v->n;
+      double w = 1 - exp (-age / rt_service_ms (t));
+      w *= own / (own + FEW_REQUESTS);
+      factor = pow ((t->own_tokens + 1) / (v->tokens_then + 1), w);
+    }
+  *taken = factor * v->taken;
+  return factor * v->others;
 }
--- a/t/t5001-life.c
+++ b/t/t5001-life.c
@@ -72,7 +72,7 @@
          "10 arrive 2: connect(2/1 s1 fresh)\n"
          "11 open 2/1: send(2/1)\n"
          "12 broken 2/1: cancel(2/1) answer(2 502 broken unknown)\n"
-         "20 arrive 3: connect(3/1 s1 fresh)\n"
+         "20 arrive 3: connect(3/1 s2 fresh)\n"
          "21 open 3/1: send(3/1)\n"
          "22 head 3/1:\n"
          "23 body 3/1: pass(3/1)\n"
@@ -294,10 +294,10 @@
          "100 tick : connect(1/2 s1)\n"
          "101 open 1/2: send(1/2)\n"
          "102 head 1/2: cancel(1/2) answer(1 503 backend-refused not-run)\n"
-         "200 arrive 2: connect(2/1 s1)\n"
+         "200 arrive 2: connect(2/1 s2)\n"
          "201 open 2/1: send(2/1)\n"
          "202 broken 2/1: cancel(2/1)\n"
-         "300 tick : connect(2/2 s2)\n"
+         "300 tick : connect(2/2 s1)\n"
          "301 open 2/2: send(2/2)\n"
          "302 head 2/2: cancel(2/2) answer(2 503 backend-refused failed)\n");
 }
@@ -322,7 +322,7 @@
          "301 open 1/3\n"
          "302 head 1/3 404\n",
          "0 replicas r1:\n"
-         "1 arrive 1: connect(1/1 r2)\n"
+         "1 arrive 1: connect(1/1 r3)\n"
          "2 open 1/1: send(1/1)\n"
          "3 head 1/1:\n"
          "4 body 1/1: pass(1/1)\n"
@@ -333,7 +333,7 @@
          "102 head 1/2:\n"
          "103 body 1/2: pass(1/2)\n"
          "104 silent 1/2: cancel(1/2)\n"
-         "300 tick : connect(1/3 r3 from 22)\n"
+         "300 tick : connect(1/3 r2 from 22)\n"
          "301 open 1/3: send(1/3)\n"
          "302 head 1/3: cancel(1/3) cut(1 broken failed)\n");
 }
--- a/t/t5005-choose.c
+++ b/t/t5005-choose.c
@@ -39,9 +39,9 @@
          "2 gone 1\n"
          "3 arrive 4 acme lm\n",
          "0 replicas r1:\n"
-         "1 arrive* 1-3: connect(1/1 r2) connect(2/1 r3) connect(3/1 r1)\n"
+         "1 arrive* 1-3: connect(1/1 r3) connect(2/1 r1) connect(3/1 r2)\n"
          "2 gone 1: cancel(1/1)\n"
-         "3 arrive 4: connect(4/1 r2)\n");
+         "3 arrive 4: connect(4/1 r3)\n");
 }
 
 Test (choose, reported_full)
@@ -93,24 +93,32 @@
          "2 gone 1\n",
          "0 replicas r1:\n"
          "1 arrive* 1-12: connect(1/1 r2) connect(2/1 r1) connect(3/1 r2) "
-         "connect(4/1 r1) connect(5/1 r1) connect(6/1 r2) connect(7/1 r2) "
-         "connect(8/1 r1) connect(9/1 r1) connect(10/1 r2)\n"
+         "connect(4/1 r1) connect(5/1 r2) connect(6/1 r1) connect(7/1 r2) "
+         "connect(8/1 r1) connect(9/1 r2) connect(10/1 r1)\n"
          "2 gone 1: cancel(1/1) connect(11/1 r2)\n");
 }
 
 Test (choose, same_zone_without_fresh_reports)
 {
-  /* Of two that have the same of ours, the one in this zone. */
+  /* Of two that have the same of ours, mostly the one in this zone. */
   check ("0 replicas r1 r2/far\n"
          "1 arrive 1 acme lm\n"
          "2 gone 1\n"
          "3 arrive 2 acme lm\n"
          "4 gone 2\n"
-         "5 arrive 3 acme lm\n",
+         "5 arrive 3 acme lm\n"
+         "6 gone 3\n"
+         "7 arrive 4 acme lm\n"
+         "8 gone 4\n"
+         "9 arrive 5 acme lm\n",
          "0 replicas r1:\n"
          "1 arrive 1: connect(1/1 r1)\n"
          "2 gone 1: cancel(1/1)\n"
          "3 arrive 2: connect(2/1 r1)\n"
          "4 gone 2: cancel(2/1)\n"
-         "5 arrive 3: connect(3/1 r1)\n");
+         "5 arrive 3: connect(3/1 r1)\n"
+         "6 gone 3: cancel(3/1)\n"
+         "7 arrive 4: connect(4/1 r1)\n"
+         "8 gone 4: cancel(4/1)\n"
+         "9 arrive 5: connect(5/1 r1)\n");
 }
