Count false deaths by the member that a report names

Cause: reports were counted by their place in concatenated logs, which are not in the order of time, so reports of stopped nodes counted as false. Change: reports are counted by member before and after each freeze.

--- a/t/measure-control.sh
+++ b/t/measure-control.sh
@@ -4,7 +4,8 @@
 # usage: t/measure-control.sh [NODES...]            (default 8 16 32)
 #   SEED=N       order of pushes, kills and freezes  (default 1)
 #   SECONDS_IDLE=N  window of the cost figures       (default 20)
-#   PUSHES=N     configuration changes               (default 10)
+#   PUSHES=N     configuration changes               (default 10; more with
+#                t/measure-spread.sh)
 #   FREEZES=N    nodes stopped for 1 to 5 s          (default 10)
 #   KILLS=N      nodes killed                        (default 3)
 #   OUT=FILE     append one CSV row a size
@@ -162,23 +163,26 @@
 
 dead_lines () { grep -h member_dead "$work"/n*.err || true; }
 
+dead_of () { # PATTERN: reports of the death of members whose name matches
+  dead_lines | grep -cE "\"member\":\"$1\"" || true
+}
+
 # Reports of a stopped node's death are right as far as anyone can tell;
 # false are those that name a node which ran all the time.
 measure_freezes () {
-  local i victim before all mine
+  local i victim all mine
   false_dead=0
   frozen_dead=0
   for ((i = 0; i < freezes; i++)); do
     victim=$((RANDOM % n))
-    before=$(dead_lines | wc -l)
+    all=$(dead_of '.*')
+    mine=$(dead_of "entry-$victim")
     kill -STOP "${node_pid[$victim]}"
     sleep "$((1 + RANDOM % 4)).$((RANDOM % 10))"
     kill -CONT "${node_pid[$victim]}"
     sleep 6
-    all=$(dead_lines | wc -l)
-    mine=$(dead_lines | tail -n +$((before + 1)) \
-      | grep -c "\"entry-$victim\"" || true)
-    false_dead=$((false_dead + all - before - mine))
+    mine=$(($(dead_of "entry-$victim") - mine))
+    false_dead=$((false_dead + $(dead_of '.*') - all - mine))
     frozen_dead=$((frozen_dead + mine))
   done
 }
@@ -190,8 +194,9 @@
     victim=$((n - 1 - i))
     t0=$(now_ms)
     kill -KILL "${node_pid[$victim]}"
+    wait "${node_pid[$victim]}" 2>/dev/null || true
     sleep 15
-    dead_lines | grep "\"entry-$victim\"" | times \
+    dead_lines | grep "\"member\":\"entry-$victim\"" | times \
       | awk -v t="$t0" '$1 >= t { print $1 - t }' >>"$work/detect"
   done
   detect50=$(quantile 0.5 <"$work/detect")
