Refuse what careless callers send; tell an id and outcome on each refusal

Tried as a new user would: 'X-Idempotent: False', an empty Idempotency-Key and a second Idempotency-Key were passed over in silence, so a caller that counted on at most one run didn't get it; a body with text after its JSON was sent on; /v1/models answered DELETE with 200; /v1/address without a name said that there is no such model; refusals before the request core had no lapis-request-id, those of the HTTP library no outcome; max_connections of the configuration was checked and then not used. All are refused with 400 or 405 (with Allow) now; one function makes ids and one refuses; a filter on h2o's fallback path, to which it binds what it refuses by itself, adds the outcome; the bound follows the configuration.

--- a/front/address.c
+++ b/front/address.c
@@ -127,14 +127,14 @@
 }
 
 static void
-refuse (struct httpd_req *req, enum rt_code code, clk_ms retry_ms)
+refuse (struct gw *g, struct httpd_req *req, enum rt_code code,
+        clk_ms retry_ms)
 {
   struct gw_error e = { .status = rt_code_status (code),
                         .code = rt_code_name (code),
                         .message = gw_message (code),
-                        .outcome = rt_outcome_name (RT_NOT_RUN),
                         .retry_ms = retry_ms };
-  gw_answer_error (req, &e);
+  gw_refuse (g, req, &e);
 }
 
 static bool
@@ -154,14 +154,22 @@
   struct str target = model.len ? model : service;
   struct buf out = BUF_INIT;
 
+  if ((model.len > 0) == (service.len > 0))
+    {
+      struct gw_error e = { .status = 400,
+                            .code = "bad-request",
+                            .message = "give either model= or service=" };
+      gw_refuse (g, req, &e);
+      return;
+    }
   if (!known (g->cfg, model, service))
     {
-      refuse (req, RT_CODE_NO_TARGET, 0);
+      refuse (g, req, RT_CODE_NO_TARGET, 0);
       return;
     }
   if (!cfg_account_may (account, target))
     {
-      refuse (req, RT_CODE_FORBIDDEN, 0);
+      refuse (g, req, RT_CODE_FORBIDDEN, 0);
       return;
     }
   struct candidate *list = xcalloc (MAX_NODES, sizeof *list);
@@ -169,11 +177,11 @@
   rank_by_hash (list, n, account->name, target);
   qsort_r (list, n, sizeof *list, compare, g->set.zone);
   if (n == 0)
-    refuse (req, RT_CODE_LEAVING, CLK_SECOND);
+    refuse (g, req, RT_CODE_LEAVING, CLK_SECOND);
   else
     {
       write_answer (list, n, g->cfg->limits.address_ms, &out);
-      gw_answer_json (req, buf_str (&out));
+      gw_answer_json (g, req, buf_str (&out));
     }
   buf_free (&out);
   free (list);
--- a/front/answer.c
+++ b/front/answer.c
@@ -57,7 +57,7 @@
 {
   struct buf body = BUF_INIT;
   char seconds[24];
-  struct http_header h[5];
+  struct http_header h[6];
   size_t n = 0;
 
   h[n++]
@@ -74,18 +74,43 @@
     }
   if (e->status == 401)
     h[n++] = (struct http_header){ STR ("www-authenticate"), STR ("Bearer") };
+  if (e->allow != NULL)
+    h[n++] = (struct http_header){ STR ("allow"), str_from (e->allow) };
   error_body (e, &body);
   httpd_answer (req, e->status, h, n, buf_str (&body));
   buf_free (&body);
 }
 
 void
-gw_answer_json (struct httpd_req *req, struct str json)
+gw_new_request_id (struct gw *g, char out[GW_ID_CHARS + 1])
 {
+  snprintf (out, GW_ID_CHARS + 1, "%016llx%016llx",
+            (unsigned long long)rng_next (&g->rng),
+            (unsigned long long)rng_next (&g->rng));
+}
+
+void
+gw_refuse (struct gw *g, struct httpd_req *req, struct gw_error *e)
+{
+  char id[GW_ID_CHARS + 1];
+
+  gw_new_request_id (g, id);
+  e->outcome = rt_outcome_name (RT_NOT_RUN);
+  e->request_id = str_from (id);
+  gw_answer_error (req, e);
+}
+
+void
+gw_answer_json (struct gw *g, struct httpd_req *req, struct str json)
+{
+  char id[GW_ID_CHARS + 1];
   struct http_header h[]
       = { { STR ("content-type"), STR ("application/json") },
+          { STR ("lapis-request-id"), { id, GW_ID_CHARS } },
           { STR ("lapis-outcome"), STR ("done") } };
-  httpd_answer (req, 200, h, 2, json);
+
+  gw_new_request_id (g, id);
+  httpd_answer (req, 200, h, 3, json);
 }
 
 /* ---- cut answers ---- */
--- a/front/callers.c
+++ b/front/callers.c
@@ -151,15 +151,35 @@
 /* ---- paths ---- */
 
 static void
-refuse (struct httpd_req *req, int status, const char *code,
-        const char *message)
+refuse (struct gw_callers *c, struct httpd_req *req, int status,
+        const char *code, const char *message)
 {
   struct gw_error e = { .status = status,
                         .code = code,
                         .message = message,
-                        .outcome = rt_outcome_name (RT_NOT_RUN),
                         .retry_ms = status == 503 ? CLK_SECOND : 0 };
-  gw_answer_error (req, &e);
+  gw_refuse (c->g, req, &e);
+}
+
+/** Whether @p path takes the request's method; refuses it otherwise. */
+static bool
+method_fits (struct gw_callers *c, enum gw_path path, struct httpd_req *req)
+{
+  struct str method = httpd_get (req)->method;
+  const char *methods = gw_path_methods (path);
+  struct gw_error e = { .status = 405,
+                        .code = "method-not-allowed",
+                        .message = "this path does not take that method",
+                        .allow = methods };
+
+  if (methods == NULL)
+    return true;
+  if (path == GW_PATH_COMPLETION
+          ? str_is (method, "POST")
+          : str_is (method, "GET") || str_is (method, "HEAD"))
+    return true;
+  gw_refuse (c->g, req, &e);
+  return false;
 }
 
 /** Requests that no backend server has yet. */
@@ -206,7 +226,7 @@
         comma = ",";
       }
   buf_add_c (&b, "]}\n");
-  gw_answer_json (req, buf_str (&b));
+  gw_answer_json (c->g, req, buf_str (&b));
   buf_free (&b);
 }
 
@@ -220,12 +240,12 @@
 
   if (c->open >= c->g->cfg->limits.max_streams)
     {
-      refuse (req, 503, "too-many-streams", "this node has no room; retry");
+      refuse (c, req, 503, "too-many-streams", "this node has no room; retry");
       return;
     }
   if (!gw_parse (c->g, c->g->cfg, account, req, now, &call, &why))
     {
-      refuse (req, why.status, why.code, why.message);
+      refuse (c, req, why.status, why.code, why.message);
       return;
     }
   struct gw_exchange *ex = gw_exchange_new (c, req, &call, now);
@@ -241,13 +261,15 @@
 
   if (c->g->cfg == NULL)
     {
-      refuse (req, 503, "no-configuration",
+      refuse (c, req, 503, "no-configuration",
               "this node has no configuration yet");
       return;
     }
   account = gw_auth (c->g->cfg, req);
   if (account == NULL)
-    refuse (req, 401, "unauthorized", "no known bearer key");
+    refuse (c, req, 401, "unauthorized", "no known bearer key");
+  else if (!method_fits (c, path, req))
+    return;
   else if (path == GW_PATH_MODELS)
     answer_models (c, account, req);
   else if (path == GW_PATH_ADDRESS)
@@ -263,13 +285,15 @@
   enum gw_path path = gw_path_of (httpd_get (req)->path);
 
   if (path == GW_PATH_NONE)
-    refuse (req, 404, "not-found", "no such path");
+    refuse (c, req, 404, "not-found", "no such path");
+  else if (path != GW_PATH_HEALTH && path != GW_PATH_METRICS)
+    with_account (c, path, req);
+  else if (!method_fits (c, path, req))
+    return;
   else if (path == GW_PATH_HEALTH)
-    gw_answer_json (req, STR ("{\"ok\":true}\n"));
-  else if (path == GW_PATH_METRICS)
-    answer_metrics (c, req);
+    gw_answer_json (c->g, req, STR ("{\"ok\":true}\n"));
   else
-    with_account (c, path, req);
+    answer_metrics (c, req);
 }
 
 /* ---- life ---- */
@@ -317,9 +341,12 @@
 struct gw_callers *
 gw_callers_start (struct gw *g, struct buf *err)
 {
+  static const struct http_header not_run
+      = { { "lapis-outcome", 13 }, { "not-run", 7 } };
   struct httpd_limits limits = { .max_body = GW_HARD_MAX_BODY,
                                  .max_connections = GW_MAX_CONNECTIONS,
-                                 .request_ms = 10 * CLK_SECOND };
+                                 .request_ms = 10 * CLK_SECOND,
+                                 .refusal_header = &not_run };
   struct rt_options opt
       = { .zone = str_from (g->set.zone), .node = str_from (g->set.node) };
   struct gw_callers *c = xcalloc (1, sizeof *c);
@@ -377,6 +404,7 @@
 {
   struct rt_event ev = { .kind = RT_EV_CONFIG, .cfg = c->g->cfg };
 
+  httpd_set_max_connections (c->httpd, c->g->cfg->limits.max_connections);
   gw_callers_event (c, &ev);
 }
 
--- a/front/callers.h
+++ b/front/callers.h
@@ -52,6 +52,9 @@
 
 enum gw_path gw_path_of (struct str path);
 
+/** Methods that a path takes, as in the header Allow; NULL: all. */
+const char *gw_path_methods (enum gw_path path);
+
 /** A caller's request, read; it owns its strings. */
 struct gw_call
 {
@@ -87,13 +90,23 @@
   const char *outcome;
   clk_ms retry_ms; /**< 0: no Retry-After */
   struct str request_id;
+  const char *allow; /**< methods, of a 405; NULL: none are told */
 };
 
+/** Characters of a request id, without the zero. */
+#define GW_ID_CHARS 32
+
+/** A new random request id. */
+void gw_new_request_id (struct gw *g, char out[GW_ID_CHARS + 1]);
+
 /** Answer with a JSON error body and the headers that go with it. */
 void gw_answer_error (struct httpd_req *req, const struct gw_error *e);
 
 /** Answer 200 with a JSON body of ours. */
-void gw_answer_json (struct httpd_req *req, struct str json);
+void gw_answer_json (struct gw *g, struct httpd_req *req, struct str json);
+
+/** Answer a request that never became an exchange: not run. */
+void gw_refuse (struct gw *g, struct httpd_req *req, struct gw_error *e);
 
 /** Cut a streamed answer visibly, once the caller has what was written. */
 void gw_cut (struct httpd_req *req);
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -484,9 +484,7 @@
   ex->call = *call;
   ex->keep = call->req.has_key;
   ex->began_at = now;
-  snprintf (ex->request_id, sizeof ex->request_id, "%016llx%016llx",
-            (unsigned long long)rng_next (&c->g->rng),
-            (unsigned long long)rng_next (&c->g->rng));
+  gw_new_request_id (c->g, ex->request_id);
   begin_trace (ex);
   gw_callers_add (c, ex);
   ex->call.req.id = ex->id;
--- a/front/parse.c
+++ b/front/parse.c
@@ -40,6 +40,14 @@
              : GW_PATH_NONE;
 }
 
+const char *
+gw_path_methods (enum gw_path path)
+{
+  if (path == GW_PATH_SERVICE)
+    return NULL;
+  return path == GW_PATH_COMPLETION ? "POST" : "GET, HEAD";
+}
+
 static bool
 refuse (struct gw_refusal *why, int status, const char *code,
         const char *message)
@@ -90,8 +98,10 @@
   json_tokener *t = json_tokener_new_ex (JSON_DEPTH);
   json_object *o = json_tokener_parse_ex (t, body.ptr, (int)body.len);
 
+  struct str rest = str_skip (body, json_tokener_get_parse_end (t));
+
   if (json_tokener_get_error (t) != json_tokener_success
-      || !json_object_is_type (o, json_type_object))
+      || str_trim (rest).len > 0 || !json_object_is_type (o, json_type_object))
     {
       json_object_put (o);
       o = NULL;
@@ -119,8 +129,6 @@
 {
   json_object *o, *model;
 
-  if (!str_is (v->method, "POST"))
-    return refuse (why, 405, "method-not-allowed", "use POST");
   o = parse_json (v->body);
   if (o == NULL)
     return refuse (why, 400, "bad-request", "the body is no JSON object");
@@ -187,6 +195,45 @@
   memcpy (out, sum, 16);
 }
 
+/** Headers by which a caller says how its request is to be treated. */
+static const char *const own_headers[]
+    = { "authorization", "idempotency-key", "x-idempotent", "x-deadline-ms",
+        "x-priority" };
+
+/**
+ * Of two headers of one name, others may take the one that we don't: with two
+ * keys, a backend server or a repeat would know the call by another key.
+ */
+static bool
+none_stands_twice (struct httpd_req *req, struct gw_refusal *why)
+{
+  size_t n;
+  const struct http_header *h = httpd_headers (req, &n);
+
+  for (size_t k = 0; k < sizeof own_headers / sizeof own_headers[0]; k++)
+    {
+      size_t found = 0;
+      for (size_t i = 0; i < n; i++)
+        found += str_is (h[i].name, own_headers[k]);
+      if (found > 1)
+        return refuse (why, 400, "bad-request",
+                       "a header that may stand once stands twice");
+    }
+  return true;
+}
+
+static bool
+has_header (struct httpd_req *req, const char *name)
+{
+  size_t n;
+  const struct http_header *h = httpd_headers (req, &n);
+
+  for (size_t i = 0; i < n; i++)
+    if (str_is (h[i].name, name))
+      return true;
+  return false;
+}
+
 static bool
 parse_key (struct httpd_req *req, struct gw_call *out, struct gw_refusal *why)
 {
@@ -195,8 +242,12 @@
   struct str of_key[] = { out->account->name, str_from (out->target), key };
   struct str of_call[] = { v->method, str_from (out->path), v->body };
 
-  if (key.len == 0)
+  if (!has_header (req, "idempotency-key"))
     return true;
+  /* Whoever sends one, if only by a variable that was not set, relies on at
+     most one run. */
+  if (key.len == 0)
+    return refuse (why, 400, "bad-request", "Idempotency-Key is empty");
   if (key.len > MAX_KEY_BYTES)
     return refuse (why, 400, "bad-request", "Idempotency-Key is too long");
   digest16 (of_key, 3, out->req.claim_key);
@@ -207,6 +258,23 @@
   return true;
 }
 
+static bool
+parse_idempotent (struct httpd_req *req, struct gw_call *out,
+                  struct gw_refusal *why)
+{
+  struct str word = str_trim (httpd_header (req, "x-idempotent"));
+
+  if (!has_header (req, "x-idempotent") || str_is (word, "true"))
+    return true;
+  /* A "False" that went unnoticed would let a booking be sent twice. */
+  if (!str_is (word, "false"))
+    return refuse (why, 400, "bad-request",
+                   "X-Idempotent must be true or false");
+  /* Only downwards: a caller may not declare a booking repeatable. */
+  out->req.idempotent = false;
+  return true;
+}
+
 static bool
 parse_headers (struct httpd_req *req, clk_ms now, struct gw_call *out,
                struct gw_refusal *why)
@@ -230,10 +298,8 @@
       if ((unsigned)n > out->req.priority)
         out->req.priority = (unsigned)n;
     }
-  /* Only downwards: a caller may not declare a booking repeatable. */
-  if (str_is (httpd_header (req, "x-idempotent"), "false"))
-    out->req.idempotent = false;
-  return parse_key (req, out, why);
+  return none_stands_twice (req, why) && parse_idempotent (req, out, why)
+         && parse_key (req, out, why);
 }
 
 bool
--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -47,6 +47,12 @@
   struct httpd *d;
 };
 
+struct httpd_refusal_filter
+{
+  h2o_filter_t super;
+  const struct http_header *header;
+};
+
 struct httpd_req
 {
   h2o_generator_t generator; /**< first: h2o hands it back */
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -16,6 +16,10 @@
   size_t max_body;        /**< bytes; larger: 413 */
   size_t max_connections; /**< accepted at once; more wait in the backlog */
   clk_ms request_ms;      /**< longest wait for a whole request head */
+  /** Added to refusals that the server gives without asking the handler (a
+      body that is too large or badly framed); NULL: none.  Bytes that are no
+      HTTP request at all are refused without it. */
+  const struct http_header *refusal_header;
 };
 
 /** What the handler sees; valid until the answer has ended. */
@@ -40,6 +44,9 @@
                             httpd_handler handler, void *ctx, struct buf *err);
 uint16_t httpd_port (const struct httpd *d);
 
+/** Change the bound; connections above a lower one stay. */
+void httpd_set_max_connections (struct httpd *d, size_t n);
+
 /** Stop accepting; open requests go on.  Idle connections are closed. */
 void httpd_stop_accepting (struct httpd *d);
 
--- a/t/standin/control.c
+++ b/t/standin/control.c
@@ -293,7 +293,8 @@
 serve (struct control *c, const char *secret)
 {
   static const struct link_callbacks cb = { on_state, on_frame };
-  struct httpd_limits limits = { 2 << 20, 64, 10000 };
+  struct httpd_limits limits
+      = { .max_body = 2 << 20, .max_connections = 64, .request_ms = 10000 };
   struct net_addr at = { "127.0.0.1", 0 };
   struct link_secret key;
   struct buf err = BUF_INIT;
--- a/t/standin/fault.c
+++ b/t/standin/fault.c
@@ -297,7 +297,8 @@
 backend_run (struct backend *b, const char *name, const char *listen,
              httpd_handler handler)
 {
-  struct httpd_limits limits = { 8 << 20, 20000, 30000 };
+  struct httpd_limits limits
+      = { .max_body = 8 << 20, .max_connections = 20000, .request_ms = 30000 };
   struct net_addr at;
   struct buf err = BUF_INIT;
 
--- a/t/standin/store.c
+++ b/t/standin/store.c
@@ -193,7 +193,8 @@
 
 /* --- control ----------------------------------------------------------- */
 
-static const struct httpd_limits limits = { 8 << 20, 20000, 30000 };
+static const struct httpd_limits limits
+    = { .max_body = 8 << 20, .max_connections = 20000, .request_ms = 30000 };
 
 static void on_request (void *ctx, struct httpd_req *req);
 
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -324,7 +324,8 @@
 play (const char *script, const char *expected)
 {
   struct bench b = { 0 };
-  struct httpd_limits limits = { 16, 2, 5000 };
+  struct httpd_limits limits
+      = { .max_body = 16, .max_connections = 2, .request_ms = 5000 };
   struct buf err = BUF_INIT;
 
   run_init (&b.run);
