--- a/builtin/world.c
+++ b/builtin/world.c
@@ -1,4 +1,4 @@
-#include "builtin/world.h"
+#include "builtin/world-run.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -7,12 +7,10 @@
 
 #include "builtin/stub.h"
 
-#define WARM_UP_MS 10000 /* caches are cold before; not counted */
-#define SAMPLE_MS 500    /* between load reports of a replica */
-#define SEEN_MS 3000     /* from a replica's loss to the view */
+#define SAMPLE_MS 500 /* between load reports of a replica */
+#define SEEN_MS 3000  /* from a replica's loss to the view */
 #define EVIDENCE_MS 20000
 #define STRAGGLE_FACTOR 4
-#define LOST_MS 60000 /* counted for a request that got no token */
 
 const char *const fault_names[FAULTS] = { "none", "straggler", "lost" };
 
@@ -40,40 +38,6 @@
   struct stub_job *job;
 };
 
-/** A request as the run sees it. */
-struct trip
-{
-  struct stub_job *job;
-  double first; /**< at the caller; 0: none yet */
-  double ended; /**< whole answer */
-  bool refused, failed;
-};
-
-struct world
-{
-  const struct world_params *p;
-  struct wl_request *requests;
-  size_t n;
-  struct trip *trips;
-  struct rt *gateways[WL_GATEWAYS];
-  double tick_at[WL_GATEWAYS];
-  size_t counters[WL_GATEWAYS];
-  struct stub *stubs;
-  char (*names)[24];
-  struct event *heap;
-  size_t heap_n, heap_cap;
-  uint64_t order;
-  double now;
-  double *loads;      /**< samples, replicas in a row */
-  double *sampled_at; /**< of each sample */
-  size_t nsamples;
-  bool seen; /**< the view knows of the lost replica */
-  struct stub_job **jobs;
-  size_t njobs, jobs_cap;
-  uint32_t *waiting; /**< the omniscient queue, a ring */
-  size_t wait_head, wait_n;
-};
-
 /* --- events in virtual time -------------------------------------------- */
 
 static bool
@@ -522,6 +486,7 @@
       abort ();
     }
   buf_free (&b);
+  fnd_free (&findings);
   return cfg;
 }
 
@@ -573,79 +538,6 @@
     post (w, 1000 * p->workload->seconds / 3, FAULT, 0, NULL);
 }
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-  return (x > y) - (x < y);
-}
-
-static double
-quantile (const double *sorted, size_t n, double q)
-{
-  return n ? sorted[(size_t)(q * (double)(n - 1))] : 0;
-}
-
-static double
-small_quantile (const struct world *w, double q)
-{
-  double *ms = xmalloc ((w->n + 1) * sizeof *ms);
-  size_t n = 0;
-  for (size_t i = 0; i < w->n; i++)
-    if (w->requests[i].account == 0 && w->requests[i].at >= WARM_UP_MS)
-      ms[n++] = w->trips[i].first > 0 ? w->trips[i].first - w->requests[i].at
-                                      : LOST_MS;
-  qsort (ms, n, sizeof *ms, compare);
-  double value = quantile (ms, n, q);
-  free (ms);
-  return value;
-}
-
-static double
-hit_share (const struct world *w)
-{
-  size_t started = 0, hit = 0;
-  for (size_t i = 0; i < w->njobs; i++)
-    if (w->jobs[i]->started && w->jobs[i]->request->at >= WARM_UP_MS)
-      {
-        started++;
-        hit += w->jobs[i]->hit;
-      }
-  return started ? (double)hit / (double)started : 0;
-}
-
-static struct world_result
-evaluate (const struct world *w)
-{
-  struct world_result r = { 0 };
-  double *ms = xmalloc ((w->n + 1) * sizeof *ms);
-  size_t due = 0, met = 0, refused = 0, failed = 0;
-  double way = 2 * w->p->workload->caller_ms;
-  for (size_t i = 0; i < w->n; i++)
-    {
-      const struct wl_request *q = &w->requests[i];
-      const struct trip *t = &w->trips[i];
-      if (q->at < WARM_UP_MS)
-        continue;
-      due += q->deadline > 0;
-      met += q->deadline > 0 && t->ended > 0 && t->ended <= q->deadline;
-      refused += t->refused;
-      failed += t->failed;
-      ms[r.n++] = t->first > 0 ? t->first - q->at + way : LOST_MS;
-    }
-  qsort (ms, r.n, sizeof *ms, compare);
-  r.p50 = quantile (ms, r.n, 0.50);
-  r.p95 = quantile (ms, r.n, 0.95);
-  r.p99 = quantile (ms, r.n, 0.99);
-  r.small_p99 = small_quantile (w, 0.99) + way;
-  r.met = due ? (double)met / (double)due : 1;
-  r.refused = (double)refused / (double)r.n;
-  r.failed = (double)failed / (double)r.n;
-  r.hit = hit_share (w);
-  free (ms);
-  return r;
-}
-
 static void
 stop (struct world *w)
 {
@@ -676,7 +568,7 @@
       w.now = e.at;
       handle (&w, &e);
     }
-  struct world_result r = evaluate (&w);
+  struct world_result r = wr_evaluate (&w);
   stop (&w);
   return r;
 }
--- a/route/choose.c
+++ b/route/choose.c
@@ -23,15 +23,21 @@
          && s->valid_until > r->now;
 }
 
-bool
-rt_tried (const struct rt_req *q, const struct rt_server *s)
+static bool
+tried (const struct rt_req *q, uint64_t hash)
 {
   for (unsigned i = 0; i < q->ntried; i++)
-    if (q->tried[i] == s->hash)
+    if (q->tried[i] == hash)
       return true;
   return false;
 }
 
+bool
+rt_tried (const struct rt_req *q, const struct rt_server *s)
+{
+  return tried (q, s->hash);
+}
+
 /**
  * With every slot taken, requests wait here, where classes and accounts have
  * their turn, and not in the servers, which know neither.  Both must be: more
@@ -79,15 +85,6 @@
   return x;
 }
 
-static bool
-tried (const struct rt_req *q, uint64_t hash)
-{
-  for (unsigned i = 0; i < q->ntried; i++)
-    if (q->tried[i] == hash)
-      return true;
-  return false;
-}
-
 /** Whether the candidate is out, for this request or as it is full. */
 static bool
 skipped (const struct rt_req *q, const struct rt_candidate *c, bool skip_full)
--- a/t/lib-route.c
+++ b/t/lib-route.c
@@ -29,6 +29,7 @@
       cr_assert_fail ("configuration: %s", buf_c (&text));
     }
   fnd_free (&findings);
+  fnd_free (&findings);
   struct rt_event ev = { .kind = RT_EV_CONFIG, .cfg = s.cfg };
   rt_event (s.rt, 0, &ev);
   return s;
