Split the life of a request into admission, life and attempts

Change: admit.c decides whether a request comes in, attempt.c what becomes of one attempt, request.c keeps the chart's steps, claims, timers and the pump. What they share has the prefix rt_ and stands in core.h. Conclusion: no change of behaviour.

--- /dev/null
+++ b/route/attempt.c
@@ -0,0 +1,235 @@
+#include "route/core.h"
+
+#define SMOOTH 0.05 /* of averages over requests */
+
+static void
+avoid (struct rt_req *q)
+{
+  q->tried[q->ntried % RT_TRIED] = q->server->hash;
+  if (q->ntried < RT_TRIED)
+    q->ntried++;
+}
+
+/** Back to the head of the queue for another server. */
+static void
+again (struct rt *r, struct rt_req *q, clk_ms after)
+{
+  struct rt_target *t = q->target;
+  rt_leave_server (r, q);
+  if (after > 0)
+    {
+      rt_timer (r, q, r->now + after);
+      rt_pump (r, t);
+      return;
+    }
+  rt_enqueue (r, q, true);
+  rt_pump (r, t);
+}
+
+static bool
+other_server (const struct rt *r, const struct rt_req *q)
+{
+  for (size_t i = 0; i < q->target->nservers; i++)
+    if (rt_usable (r, q->target->servers[i])
+        && !rt_tried (q, q->target->servers[i]))
+      return true;
+  return false;
+}
+
+static bool
+may_retry (struct rt *r, struct rt_req *q)
+{
+  return q->attempt < RT_MAX_ATTEMPTS && other_server (r, q)
+         && rt_retry_spend (r, q->target);
+}
+
+static void
+on_connect_failed (struct rt *r, struct rt_req *q)
+{
+  rt_outlier_bad (r, q->target, q->server);
+  avoid (q);
+  /* Nothing was sent, so even a non-idempotent request may go elsewhere. */
+  bool more = may_retry (r, q);
+  bool ran = q->state == RT_S_RECONNECTING;
+  rt_step (q, RT_X_CONNECT_FAILED);
+  rt_leave_server (r, q);
+  if (more)
+    again (r, q, 0);
+  else if (ran)
+    rt_give_up (r, q, RT_CODE_CONNECT);
+  else
+    rt_refuse (r, q, RT_CODE_CONNECT, RT_RETRY_MS);
+}
+
+static void
+on_connected (struct rt *r, struct rt_req *q)
+{
+  if (q->has_key && !q->sent && !rt_grant_fresh (r, q))
+    {
+      /* The connection took so long that the claim may have lapsed and been
+         given to a repeat; sending now could run it twice. */
+      rt_act (r, RT_ACT_CANCEL, q);
+      rt_start_claim (r, q);
+      return;
+    }
+  rt_step (q, RT_X_SEND);
+  q->sent = true;
+  q->started = r->now;
+  q->pending = true;
+  q->server->pending++;
+  rt_server_changed (q->server);
+  rt_act (r, RT_ACT_SEND, q);
+}
+
+/** A refusal that says the request was not run. */
+static void
+on_refused (struct rt *r, struct rt_req *q)
+{
+  rt_act (r, RT_ACT_CANCEL, q);
+  avoid (q);
+  bool first = q->state == RT_S_SENDING;
+  if (first)
+    q->sent = false; /* so that a claim is released: it surely did not run */
+  bool more = q->idempotent && may_retry (r, q);
+  clk_ms after = rt_retry_backoff (r, q->attempt);
+  rt_leave_server (r, q);
+  if (more)
+    {
+      rt_step (q, first ? RT_X_REFUSED_UNRUN : RT_X_RETRY);
+      again (r, q, after);
+      return;
+    }
+  if (!first)
+    {
+      rt_give_up (r, q, RT_CODE_BACKEND_REFUSED);
+      return;
+    }
+  rt_abandon (r, q);
+  rt_step (q, RT_X_REFUSED_FINAL);
+  rt_answer (r, q, RT_CODE_BACKEND_REFUSED, RT_RETRY_MS);
+}
+
+static bool
+refused_status (const struct rt_req *q, int status)
+{
+  const int *list
+      = q->model ? q->model->not_run_status : q->service->not_run_status;
+  size_t n = q->model ? q->model->nnot_run : q->service->nnot_run;
+  for (size_t i = 0; i < n; i++)
+    if (list[i] == status)
+      return true;
+  return false;
+}
+
+/** The attempt ended without a whole answer: broken or silent. */
+static void
+on_lost (struct rt *r, struct rt_req *q, enum rt_code code)
+{
+  rt_act (r, RT_ACT_CANCEL, q);
+  rt_outlier_bad (r, q->target, q->server);
+  avoid (q);
+  bool can = q->passing ? q->idempotent && q->model && q->model->can_resume
+                        : q->idempotent;
+  bool more = can && may_retry (r, q);
+  clk_ms after = rt_retry_backoff (r, q->attempt);
+  rt_leave_server (r, q);
+  if (!more)
+    {
+      rt_give_up (r, q, code);
+      return;
+    }
+  rt_step (q, RT_X_RETRY);
+  again (r, q, after);
+}
+
+static void
+on_head (struct rt *r, struct rt_req *q, int status)
+{
+  if (q->state != RT_S_SENDING && q->state != RT_S_RESENDING)
+    return;
+  q->status = status;
+  if (refused_status (q, status))
+    {
+      on_refused (r, q);
+      return;
+    }
+  /* An error in place of the rest of a stream must not be passed as text. */
+  if (q->passing && status >= 300)
+    {
+      on_lost (r, q, RT_CODE_BROKEN);
+      return;
+    }
+  rt_step (q, RT_X_HEAD);
+}
+
+static void
+first_bytes (struct rt *r, struct rt_req *q)
+{
+  rt_step (q, RT_X_BODY);
+  q->passing = true;
+  rt_act (r, RT_ACT_PASS, q);
+  rt_settle_pending (q);
+  rt_outlier_first (r, q->target, q->server, r->now - q->started);
+  q->probe = false;
+}
+
+static void
+on_body (struct rt *r, struct rt_req *q, size_t size)
+{
+  if (q->state == RT_S_SENT)
+    first_bytes (r, q);
+  if (q->state == RT_S_STREAMING)
+    q->passed += size;
+}
+
+static void
+on_whole (struct rt *r, struct rt_req *q, double tokens)
+{
+  if (q->state == RT_S_SENT)
+    first_bytes (r, q);
+  if (q->state != RT_S_STREAMING)
+    return;
+  struct rt_target *t = q->target;
+  rt_outlier_good (r, t, q->server);
+  rt_retry_earn (t);
+  if (tokens > 0)
+    rt_limit_settle (q->account, q->cost, tokens);
+  double ms = (double)(r->now - q->started) / q->cost;
+  t->ms_per_token
+      += (t->ms_per_token > 0 ? SMOOTH : 1) * (ms - t->ms_per_token);
+  t->measured_at = r->now;
+  rt_leave_server (r, q);
+  rt_step (q, RT_X_END);
+  if (q->claimed)
+    rt_act (r, RT_ACT_FINISH, q)->http_status = q->status;
+  rt_act (r, RT_ACT_END, q)->outcome = rt_status_outcome (q->status);
+  rt_forget (r, q);
+}
+
+void
+rt_attempt_event (struct rt *r, struct rt_req *q, const struct rt_event *ev)
+{
+  /* Events of an attempt that is over come late; what they carry belongs to
+     nobody any more. */
+  if (!rt_in_attempt (q) || ev->attempt != q->attempt
+      || q->state < RT_S_CONNECTING)
+    return;
+  bool connecting
+      = q->state == RT_S_CONNECTING || q->state == RT_S_RECONNECTING;
+  if (ev->kind == RT_EV_CONNECTED && connecting)
+    on_connected (r, q);
+  else if (ev->kind == RT_EV_CONNECT_FAILED && connecting)
+    on_connect_failed (r, q);
+  else if (connecting)
+    return;
+  else if (ev->kind == RT_EV_HEAD)
+    on_head (r, q, ev->status);
+  else if (ev->kind == RT_EV_BODY)
+    on_body (r, q, ev->size);
+  else if (ev->kind == RT_EV_WHOLE)
+    on_whole (r, q, ev->tokens);
+  else if (ev->kind == RT_EV_BROKEN)
+    on_lost (r, q, RT_CODE_BROKEN);
+  else if (ev->kind == RT_EV_SILENT)
+    on_lost (r, q, RT_CODE_SILENT);
+}
--- a/route/core.h
+++ b/route/core.h
@@ -3,7 +3,9 @@
  * Inner structures of the request core; only route/ and its benches use them.
  *
  *   route.c    events in, actions out, views of targets and servers
+ *   admit.c    whether a request comes in
  *   request.c  life cycle of one request by charts/attempt.json
+ *   attempt.c  what becomes of one attempt; retries
  *   queue.c    what waits: priority classes, fair shares of accounts
  *   limit.c    rate and concurrency of an account at this node
  *   load.c     what is known of the servers' load
@@ -131,6 +133,8 @@
   bool probing;         /**< ejected, with one request out */
 };
 
+#define RT_RETRY_MS 1000 /* to come back when nothing better is known */
+
 struct rt_req;
 
 /** Waiting requests of one account in one class. */
@@ -305,6 +309,26 @@
 /** Hand waiting requests to servers that have room. */
 void rt_pump (struct rt *r, struct rt_target *t);
 
+/* Between admit.c, request.c and attempt.c. */
+void rt_step (struct rt_req *q, enum rt_step x);
+void rt_leave_server (struct rt *r, struct rt_req *q);
+void rt_refuse (struct rt *r, struct rt_req *q, enum rt_code code,
+                clk_ms retry_ms);
+void rt_give_up (struct rt *r, struct rt_req *q, enum rt_code code);
+void rt_forget (struct rt *r, struct rt_req *q);
+bool rt_may_have_run (const struct rt_req *q);
+clk_ms rt_clamp_retry (double ms);
+void rt_enqueue (struct rt *r, struct rt_req *q, bool front);
+clk_ms rt_queue_until (const struct rt_req *q);
+bool rt_any_usable (const struct rt *r, const struct rt_target *t);
+void rt_start_claim (struct rt *r, struct rt_req *q);
+bool rt_grant_fresh (const struct rt *r, const struct rt_req *q);
+void rt_settle_pending (struct rt_req *q);
+void rt_answer (struct rt *r, struct rt_req *q, enum rt_code code,
+                clk_ms retry_ms);
+bool rt_in_attempt (const struct rt_req *q);
+void rt_abandon (struct rt *r, struct rt_req *q);
+
 /* queue.c */
 void rt_queue_push (struct rt_queue *w, struct rt_req *q, double weight,
                     bool front);
