Refuse a digest that holds a NUL byte

Cause: check_digest() looked digits up with strchr(), which also finds the terminating NUL, so "\u0000" in a configuration passed for a digit. Change: look in the sixteen digits only. Conclusion: what passes as a digest is one that a key can hash to.

--- a/config/read.c
+++ b/config/read.c
@@ -99,9 +99,10 @@
 static void
 check_digest (struct rd *r, const struct rd_at *at, struct str digest)
 {
+  static const char digits[] = "0123456789abcdef";
   size_t i = 0;
 
-  while (i < digest.len && strchr ("0123456789abcdef", digest.ptr[i]))
+  while (i < digest.len && memchr (digits, digest.ptr[i], sizeof digits - 1))
     i++;
   if (i < digest.len)
     rd_error (r, at, "a digest has only the digits 0-9 and a-f");
--- a/t/t1001-findings.c
+++ b/t/t1001-findings.c
@@ -132,7 +132,8 @@
           "30-over.json:1: /replicas/ghala-lm-1/vms: error: has 1 VMs; a "
           "replica of 'ghala-lm' has 2\n");
   expect ("{ \"accounts\": { \"shelter\": { \"may\": [\"quill\"],\n"
-          "  \"key_digests\": [ \"" DIGEST_A "\", \"AB\", \"ab\" ] } } }",
+          "  \"key_digests\": [ \"" DIGEST_A "\", \"AB\", \"ab\",\n"
+          "  \"ab\\u0000\" ] } } }",
           "30-over.json:1: /accounts/shelter/may/0: error: there is no model "
           "or service 'quill'\n"
           "30-over.json:2: /accounts/shelter/key_digests: error: account "
@@ -140,7 +141,9 @@
           "30-over.json:2: /accounts/shelter/key_digests/1: error: a digest "
           "has only the digits 0-9 and a-f\n"
           "30-over.json:2: /accounts/shelter/key_digests/2: error: a SHA-256 "
-          "digest has 64 digits, not 2\n");
+          "digest has 64 digits, not 2\n"
+          "30-over.json:3: /accounts/shelter/key_digests/3: error: a digest "
+          "has only the digits 0-9 and a-f\n");
   expect ("{ \"operators\": { \"amina\": { \"role\": \"operator\",\n"
           "  \"token_digest\": \"" DIGEST_A "\" } },\n"
           "  \"services\": { \"ghala-lm\": { \"mode\": \"observe\",\n"
