Tell an unknown kind and a loose batch key from valid ones

Cause: bat_count() compared the kind as a signed char, so kinds 128 to 255 of a later version passed for readable and their claims were passed over; bat_parse_key() used strtoull(), which takes blanks, signs and "0x". Change: compare as unsigned; parse by str_to_bytes(), a new strict decoder of hexadecimal digits in base/str. Measured: t4003-bounds failed with the old code at kinds 128 and 255 and at the keys with a blank and with "0x". Conclusion: a batch that can't be read whole refuses its shard, as meant.

--- a/base/str.c
+++ b/base/str.c
@@ -113,6 +113,32 @@
   return true;
 }
 
+static int
+hex_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+bool
+str_to_bytes (struct str s, void *out, size_t len)
+{
+  uint8_t *bytes = out;
+
+  if (s.len != 2 * len)
+    return false;
+  for (size_t i = 0; i < len; i++)
+    {
+      int high = hex_digit (s.ptr[2 * i]);
+      int low = hex_digit (s.ptr[2 * i + 1]);
+      if (high < 0 || low < 0)
+        return false;
+      bytes[i] = (uint8_t)(high << 4 | low);
+    }
+  return true;
+}
+
 uint64_t
 str_hash (struct str s, uint64_t seed)
 {
--- a/base/str.h
+++ b/base/str.h
@@ -68,6 +68,13 @@
  */
 bool str_to_i64 (struct str s, int64_t *out);
 
+/**
+ * Bytes written as two lower-case hexadecimal digits each.
+ * @param len  bytes that @p out holds
+ * @retval false  not just 2 * @p len such digits; @p out is undefined
+ */
+bool str_to_bytes (struct str s, void *out, size_t len);
+
 /** 64-bit hash (xxh3) with @p seed; stable between runs and machines. */
 uint64_t str_hash (struct str s, uint64_t seed);
 
--- a/claim/batch.c
+++ b/claim/batch.c
@@ -1,4 +1,3 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "claim/batch.h"
@@ -44,15 +43,16 @@
 }
 
 static bool
-hex64 (const char *p, uint64_t *out)
+parse_hex64 (const char *digits, uint64_t *out)
 {
-  char digits[17];
-  char *end;
+  uint8_t bytes[8];
 
-  memcpy (digits, p, 16);
-  digits[16] = '\0';
-  *out = strtoull (digits, &end, 16);
-  return end == digits + 16;
+  if (!str_to_bytes (str_make (digits, 16), bytes, sizeof bytes))
+    return false;
+  *out = 0;
+  for (size_t i = 0; i < sizeof bytes; i++)
+    *out = *out << 8 | bytes[i];
+  return true;
 }
 
 bool
@@ -66,8 +66,8 @@
   p = key.ptr + key.len - NAME_SIZE;
   if (memcmp (p - 2, "b/", 2) != 0 || p[16] != '-' || p[33] != '-')
     return false;
-  if (!hex64 (p, &base) || !hex64 (p + 17, &out->boot)
-      || !hex64 (p + 34, &out->seq))
+  if (!parse_hex64 (p, &base) || !parse_hex64 (p + 17, &out->boot)
+      || !parse_hex64 (p + 34, &out->seq))
     return false;
   out->base = (int64_t)base;
   return true;
@@ -97,7 +97,7 @@
     return false;
   *n = (value.len - 1) / RECORD_SIZE;
   for (size_t i = 0; i < *n; i++)
-    if (value.ptr[1 + i * RECORD_SIZE] > CLM_RELEASE)
+    if ((uint8_t)value.ptr[1 + i * RECORD_SIZE] > CLM_RELEASE)
       return false;
   return true;
 }
--- a/t/t0001-str.c
+++ b/t/t0001-str.c
@@ -63,6 +63,26 @@
     }
 }
 
+Test (str, hexadecimal)
+{
+  static const struct
+  {
+    const char *in;
+    bool ok;
+  } rows[] = { { "00ff1a", true },  { "00ff1", false },  { "00ff1a0", false },
+               { "00FF1A", false }, { "00ff1g", false }, { "0x0000", false },
+               { " 0ff1a", false }, { "", false } };
+  for (size_t i = 0; i < ROWS (rows); i++)
+    {
+      unsigned char bytes[3];
+      cr_expect_eq (str_to_bytes (str_from (rows[i].in), bytes, 3), rows[i].ok,
+                    "'%s'", rows[i].in);
+    }
+  unsigned char bytes[3];
+  cr_assert (str_to_bytes (STR ("00ff1a"), bytes, 3));
+  cr_expect_arr_eq (bytes, "\x00\xff\x1a", 3);
+}
+
 Test (str, views)
 {
   cr_expect (str_eq (STR_EMPTY, STR ("")));
--- a/t/t4003-bounds.c
+++ b/t/t4003-bounds.c
@@ -110,6 +110,60 @@
   csc_down (&run);
 }
 
+/* A record whose kind this version does not know is neither a take nor a
+   release.  Passed over, its key would look free and a booking would run
+   twice; so the whole batch counts as unreadable. */
+Test (bounds, unknown_kind_is_unreadable)
+{
+  static const struct
+  {
+    uint8_t kind;
+    bool readable;
+  } rows[] = { { CLM_TAKE, true },
+               { CLM_RELEASE, true },
+               { CLM_FINISH, false },
+               { 0x80, false },
+               { 0xff, false } };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct bat_record r = { .kind = (enum clm_kind)rows[i].kind };
+      struct buf value = BUF_INIT;
+      size_t n;
+      bat_begin (&value);
+      bat_add (&value, &r);
+      cr_expect_eq (bat_count (buf_str (&value), &n), rows[i].readable,
+                    "kind %u", rows[i].kind);
+      buf_free (&value);
+    }
+}
+
+/* Only a key as bat_key() writes it is a batch. */
+Test (bounds, batch_keys)
+{
+#define D "0123456789abcde"
+  static const struct
+  {
+    const char *key;
+    bool ok;
+  } rows[] = { { "/x/claim/03/b/" D "f-" D "f-" D "f", true },
+               { "/x/claim/03/b/" D "f-" D "f-" D "g", false },
+               { "/x/claim/03/b/" D "f_" D "f-" D "f", false },
+               { "/x/claim/03/b/+" D "-" D "f-" D "f", false },
+               { "/x/claim/03/b/ " D "-" D "f-" D "f", false },
+               { "/x/claim/03/b/" D "f-0x"
+                 "0123456789abcd"
+                 "-" D "f",
+                 false },
+               { "/x/claim/03/head", false } };
+  struct bat_name name;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    cr_expect_eq (bat_parse_key (str_from (rows[i].key), &name), rows[i].ok,
+                  "%s", rows[i].key);
+  cr_assert (bat_parse_key (str_from (rows[0].key), &name));
+  cr_expect_eq (name.seq, 0x0123456789abcdefu);
+#undef D
+}
+
 /* A gateway is stopped between the grant and its send and wakes after the
    window: by then another attempt may hold the key.  The grant counts from
    the ask, so it is no longer valid; nor is it when the clock stands before
