Decode hexadecimal digits in one place

Cause: trace contexts, the spread shell and the reader of recorded runs had a decoder of their own each, one of which checked the length after writing. Change: all use str_to_bytes(); traces keep their own check for all-zero ids.

--- a/base/trace.c
+++ b/base/trace.c
@@ -83,31 +83,16 @@
   buf_add_char (out, ']');
 }
 
-/* The header allows lower-case digits only. */
-static int
-hex_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
-}
-
-/* Parse 2 * n digits; false when one is none or when all are zero. */
+/* Parse 2 * n digits, lower-case only as the header demands; all zero is not
+   valid. */
 static bool
-parse_hex (struct str s, uint8_t *out, size_t n)
+parse_id (struct str s, uint8_t *out, size_t n)
 {
   uint8_t any = 0;
-  if (s.len != 2 * n)
+  if (!str_to_bytes (s, out, n))
     return false;
   for (size_t i = 0; i < n; i++)
-    {
-      int high = hex_digit (s.ptr[2 * i]);
-      int low = hex_digit (s.ptr[2 * i + 1]);
-      if (high < 0 || low < 0)
-        return false;
-      out[i] = (uint8_t)(high << 4 | low);
-      any |= out[i];
-    }
+    any |= out[i];
   return any != 0;
 }
 
@@ -116,21 +101,21 @@
 {
   struct str h = str_trim (header);
   struct trc_id id;
+  uint8_t version, flags;
   if (h.len < TRACEPARENT_LEN)
     return false;
-  if (hex_digit (h.ptr[0]) < 0 || hex_digit (h.ptr[1]) < 0
-      || str_starts (h, STR ("ff")))
+  if (!str_to_bytes (str_head (h, 2), &version, 1) || version == 0xff)
     return false;
   /* Later versions may append fields, version 00 may not. */
   if (h.len > TRACEPARENT_LEN
-      && (str_starts (h, STR ("00")) || h.ptr[TRACEPARENT_LEN] != '-'))
+      && (version == 0 || h.ptr[TRACEPARENT_LEN] != '-'))
     return false;
   if (h.ptr[2] != '-' || h.ptr[35] != '-' || h.ptr[52] != '-')
     return false;
-  if (hex_digit (h.ptr[53]) < 0 || hex_digit (h.ptr[54]) < 0)
+  if (!str_to_bytes (str_make (h.ptr + 53, 2), &flags, 1))
     return false;
-  if (!parse_hex (str_make (h.ptr + 3, 32), id.trace, sizeof id.trace)
-      || !parse_hex (str_make (h.ptr + 36, 16), id.span, sizeof id.span))
+  if (!parse_id (str_make (h.ptr + 3, 32), id.trace, sizeof id.trace)
+      || !parse_id (str_make (h.ptr + 36, 16), id.span, sizeof id.span))
     return false;
   *parent = id;
   return true;
@@ -168,5 +153,5 @@
     return false;
   for (size_t i = 0; i < sizeof lower; i++)
     lower[i] = (char)tolower ((unsigned char)hex.ptr[i]);
-  return parse_hex (str_make (lower, sizeof lower), trace, 16);
+  return parse_id (str_make (lower, sizeof lower), trace, 16);
 }
--- a/base/trace.h
+++ b/base/trace.h
@@ -46,7 +46,7 @@
 /** Append the traceparent header value for @p id. */
 void trc_format (const struct trc_id *id, struct buf *out);
 
-/** Parse 32 hexadecimal digits. */
+/** Parse 32 hexadecimal digits of either case; false for all zero. */
 bool trc_parse_trace (struct str hex, uint8_t trace[16]);
 
 #endif
--- a/control/spread.c
+++ b/control/spread.c
@@ -44,20 +44,6 @@
   feed (s, &(struct spr_event){ .kind = SPR_STORE_FAILED });
 }
 
-static bool
-parse_hex (struct str hex, uint8_t *out)
-{
-  for (size_t i = 0; i < hex.len; i++)
-    {
-      const char *digits = "0123456789abcdef";
-      const char *at = memchr (digits, hex.ptr[i], 16);
-      if (!at)
-        return false;
-      out[i / 2] = (uint8_t)(out[i / 2] << 4 | (at - digits));
-    }
-  return hex.len == 2 * HASH_SIZE;
-}
-
 /* A revision below the one in force is never taken: the store lost writes,
    for instance by being restored, and what was accepted must not revert. */
 static void
@@ -78,7 +64,7 @@
   struct arena arena = { NULL };
   struct mft m;
   bool good = mft_parse (kv->value, kv->mod_rev, &arena, &m, &findings)
-              && parse_hex (m.doc, ev->hash);
+              && str_to_bytes (m.doc, ev->hash, HASH_SIZE);
 
   ev->revision = kv->mod_rev;
   if (!good)
--- a/route/record-read.c
+++ b/route/record-read.c
@@ -95,31 +95,10 @@
   return -1;
 }
 
-static int
-hex_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  return -1;
-}
-
 static bool
 get_hex (struct json_object *o, const char *key, uint8_t *out, size_t len)
 {
-  struct str s = get_str (o, key);
-  if (s.len != 2 * len)
-    return false;
-  for (size_t i = 0; i < len; i++)
-    {
-      int hi = hex_digit (s.ptr[2 * i]);
-      int lo = hex_digit (s.ptr[2 * i + 1]);
-      if (hi < 0 || lo < 0)
-        return false;
-      out[i] = (uint8_t)(hi << 4 | lo);
-    }
-  return true;
+  return str_to_bytes (get_str (o, key), out, len);
 }
 
 static void
