--- a/config/manifest.c
+++ b/config/manifest.c
@@ -1,8 +1,8 @@
 #include "config/manifest.h"
 
-#include <openssl/sha.h>
 #include <stdlib.h>
 
+#include "base/digest.h"
 #include "config/json.h"
 #include "config/read.h"
 
@@ -184,12 +184,10 @@
 struct str
 mft_hash (struct arena *arena, struct str text)
 {
-  uint8_t digest[SHA256_DIGEST_LENGTH];
   struct buf hex = BUF_INIT;
   struct str result;
 
-  SHA256 ((const unsigned char *)(text.ptr ? text.ptr : ""), text.len, digest);
-  buf_add_hex (&hex, digest, sizeof digest);
+  dig_add_hex (&hex, text);
   result = arena_str (arena, buf_str (&hex));
   buf_free (&hex);
   return result;
--- a/config/manifest.h
+++ b/config/manifest.h
@@ -23,9 +23,6 @@
 /** Manifests that can still be rebased on and settled by. */
 #define MFT_MAX_PAST 64
 
-/** Hexadecimal digits of a hash. */
-#define MFT_HASH_LEN 64
-
 struct mft_file
 {
   struct str name;
--- a/config/read.c
+++ b/config/read.c
@@ -7,13 +7,14 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/digest.h"
 #include "config/json.h"
 #include "config/locate.h"
 #include "config/nearest.h"
 #include "net/httpc.h"
 
 #define MAX_NAME 63
-#define DIGEST_DIGITS 64
+#define DIGEST_DIGITS (2 * DIG_SIZE)
 
 void
 rd_pointer (const struct rd_at *at, struct buf *out)
--- a/config/settings.c
+++ b/config/settings.c
@@ -1,9 +1,9 @@
 #include "config/settings.h"
 
-#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/digest.h"
 #include "config/file.h"
 #include "config/json.h"
 #include "config/locate.h"
@@ -191,7 +191,7 @@
   else if (str_trim (buf_str (&content)).len < MIN_SECRET)
     rd_error (&g->rd, &here, "the secret has fewer than %d bytes", MIN_SECRET);
   else
-    SHA256 ((const unsigned char *)content.ptr, content.len, set->secret);
+    dig_sha256 (buf_str (&content), set->secret);
   free (file);
   buf_free (&content);
   buf_free (&why);
--- a/config/spread-fetch.c
+++ b/config/spread-fetch.c
@@ -11,7 +11,7 @@
 same_version (const struct spr_version *a, const struct spr_version *b)
 {
   return a->revision == b->revision
-         && memcmp (a->hash, b->hash, SPR_HASH) == 0;
+         && memcmp (a->hash, b->hash, DIG_SIZE) == 0;
 }
 
 static void
@@ -76,7 +76,7 @@
   buf_free (&s->fetch.got);
   a->peer = p->id;
   a->revision = p->has.revision;
-  memcpy (a->hash, p->has.hash, SPR_HASH);
+  memcpy (a->hash, p->has.hash, DIG_SIZE);
 }
 
 void
@@ -123,7 +123,7 @@
     return;
   p->has.revision = ev->revision;
   p->has.size = ev->size;
-  memcpy (p->has.hash, ev->hash, SPR_HASH);
+  memcpy (p->has.hash, ev->hash, DIG_SIZE);
   /* The peer has moved on and no longer sends what was asked for. */
   if (s->fetch.open && s->fetch.peer == p->id
       && !same_version (&s->fetch.want, &p->has))
@@ -164,7 +164,7 @@
   struct spr_fetch *f = &s->fetch;
 
   if (!f->open || f->peer != ev->peer || ev->revision != f->want.revision
-      || memcmp (ev->hash, f->want.hash, SPR_HASH) != 0)
+      || memcmp (ev->hash, f->want.hash, DIG_SIZE) != 0)
     return;
   /* The peer serves others now. */
   if (ev->bytes.len == 0)
--- a/config/spread-int.h
+++ b/config/spread-int.h
@@ -6,16 +6,15 @@
 #ifndef LAPISLINE_CONFIG_SPREAD_INT_H
 #define LAPISLINE_CONFIG_SPREAD_INT_H
 
+#include "base/rng.h"
 #include "config/config.h"
 #include "config/spread.h"
 
-#define SPR_HASH 32
-
 /** One version of the document. */
 struct spr_version
 {
   int64_t revision;
-  uint8_t hash[SPR_HASH];
+  uint8_t hash[DIG_SIZE];
   size_t size;
 };
 
--- a/config/spread-serve.c
+++ b/config/spread-serve.c
@@ -12,7 +12,7 @@
 
   a->peer = p->id;
   a->revision = s->cur.revision;
-  memcpy (a->hash, s->cur.hash, SPR_HASH);
+  memcpy (a->hash, s->cur.hash, DIG_SIZE);
   a->offset = p->sent;
   a->size = s->cur.size;
   a->bytes = str_head (rest, SPR_CHUNK);
@@ -64,7 +64,7 @@
   a->peer = peer;
   a->revision = s->cur.revision;
   a->size = s->cur.size;
-  memcpy (a->hash, s->cur.hash, SPR_HASH);
+  memcpy (a->hash, s->cur.hash, DIG_SIZE);
 }
 
 void
@@ -75,7 +75,7 @@
   if (!p)
     return;
   if (ev->revision != s->cur.revision
-      || memcmp (ev->hash, s->cur.hash, SPR_HASH) != 0 || s->cur.size == 0)
+      || memcmp (ev->hash, s->cur.hash, DIG_SIZE) != 0 || s->cur.size == 0)
     {
       spr_tell (s, p->id);
       return;
--- a/config/spread.c
+++ b/config/spread.c
@@ -1,6 +1,5 @@
 #include "config/spread-int.h"
 
-#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -73,7 +72,7 @@
   a->peer = peer;
   a->revision = s->cur.revision;
   a->size = s->cur.size;
-  memcpy (a->hash, s->cur.hash, SPR_HASH);
+  memcpy (a->hash, s->cur.hash, DIG_SIZE);
 }
 
 /** Tell all that are not known to have it; what they wait for is old. */
@@ -91,10 +90,10 @@
 static bool
 hash_fits (const struct spr_version *v, struct str text)
 {
-  uint8_t digest[SPR_HASH];
+  uint8_t digest[DIG_SIZE];
 
-  SHA256 ((const unsigned char *)(text.ptr ? text.ptr : ""), text.len, digest);
-  return memcmp (digest, v->hash, SPR_HASH) == 0;
+  dig_sha256 (text, digest);
+  return memcmp (digest, v->hash, DIG_SIZE) == 0;
 }
 
 /* The only place where the document in force changes.  Offers come late, in
@@ -170,10 +169,10 @@
     }
   s->store.busy = true;
   s->store.doc.revision = ev->revision;
-  memcpy (s->store.doc.hash, ev->hash, SPR_HASH);
+  memcpy (s->store.doc.hash, ev->hash, DIG_SIZE);
   a = spr_act (s, SPR_READ_DOCUMENT);
   a->revision = ev->revision;
-  memcpy (a->hash, ev->hash, SPR_HASH);
+  memcpy (a->hash, ev->hash, DIG_SIZE);
 }
 
 static void
--- a/config/spread.h
+++ b/config/spread.h
@@ -21,8 +21,7 @@
 #define LAPISLINE_CONFIG_SPREAD_H
 
 #include "base/clock.h"
-#include "base/rng.h"
-#include "base/str.h"
+#include "base/digest.h"
 
 struct spr;
 
@@ -46,7 +45,7 @@
   enum spr_event_kind kind;
   uint64_t peer; /**< a link's number, given by the shell */
   int64_t revision;
-  uint8_t hash[32];
+  uint8_t hash[DIG_SIZE];
   size_t offset;
   size_t size;
   struct str bytes;
@@ -71,7 +70,7 @@
   enum spr_action_kind kind;
   uint64_t peer;
   int64_t revision;
-  uint8_t hash[32];
+  uint8_t hash[DIG_SIZE];
   size_t offset;
   size_t size;
   struct str bytes; /**< owned by the core, valid until the next event */
--- a/control/spread.c
+++ b/control/spread.c
@@ -13,8 +13,6 @@
    for a reader; a zone that boots at once would all read the store. */
 #define READER_DELAY ((clk_ms)500)
 
-#define HASH_SIZE 32
-
 struct ctl_spread
 {
   struct ctl *c;
@@ -64,7 +62,7 @@
   struct arena arena = { NULL };
   struct mft m;
   bool good = mft_parse (kv->value, kv->mod_rev, &arena, &m, &findings)
-              && str_to_bytes (m.doc, ev->hash, HASH_SIZE);
+              && str_to_bytes (m.doc, ev->hash, DIG_SIZE);
 
   ev->revision = kv->mod_rev;
   if (!good)
@@ -126,7 +124,7 @@
   s->doc_revision = a->revision;
   buf_clear (&s->doc_key);
   buf_addf (&s->doc_key, "%sconfig/doc/", s->c->set.store_prefix);
-  buf_add_hex (&s->doc_key, a->hash, HASH_SIZE);
+  buf_add_hex (&s->doc_key, a->hash, DIG_SIZE);
   store_range (s->c->store, STORE_CONFIG, buf_str (&s->doc_key), STR_EMPTY,
                on_document, s);
 }
@@ -179,7 +177,7 @@
   Lapis__Frame f = LAPIS__FRAME__INIT;
 
   have.revision = (uint64_t)a->revision;
-  have.hash = (ProtobufCBinaryData){ HASH_SIZE, (uint8_t *)a->hash };
+  have.hash = (ProtobufCBinaryData){ DIG_SIZE, (uint8_t *)a->hash };
   have.size = a->size;
   f.body_case = LAPIS__FRAME__BODY_CONFIG_HAVE;
   f.config_have = &have;
@@ -193,7 +191,7 @@
   Lapis__Frame f = LAPIS__FRAME__INIT;
 
   want.revision = (uint64_t)a->revision;
-  want.hash = (ProtobufCBinaryData){ HASH_SIZE, (uint8_t *)a->hash };
+  want.hash = (ProtobufCBinaryData){ DIG_SIZE, (uint8_t *)a->hash };
   f.body_case = LAPIS__FRAME__BODY_CONFIG_WANT;
   f.config_want = &want;
   ctl_peers_send (s->c->peers, a->peer, &f);
@@ -208,7 +206,7 @@
   Lapis__Frame f = LAPIS__FRAME__INIT;
 
   chunk.revision = (uint64_t)a->revision;
-  chunk.hash = (ProtobufCBinaryData){ HASH_SIZE, (uint8_t *)a->hash };
+  chunk.hash = (ProtobufCBinaryData){ DIG_SIZE, (uint8_t *)a->hash };
   chunk.offset = a->offset;
   chunk.size = a->size;
   chunk.bytes = (ProtobufCBinaryData){ a->bytes.len, (uint8_t *)a->bytes.ptr };
@@ -227,9 +225,9 @@
 static bool
 set_hash (struct spr_event *ev, ProtobufCBinaryData hash)
 {
-  if (hash.len != HASH_SIZE)
+  if (hash.len != DIG_SIZE)
     return false;
-  memcpy (ev->hash, hash.data, HASH_SIZE);
+  memcpy (ev->hash, hash.data, DIG_SIZE);
   return true;
 }
 
--- a/t/t1201-spread.c
+++ b/t/t1201-spread.c
@@ -12,7 +12,6 @@
    DOC is a letter: small ones are 5 bytes of it, A 70000, B 200000,
    C 900000.  */
 #include <criterion/criterion.h>
-#include <openssl/sha.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,16 +34,16 @@
 }
 
 static void
-hash_of (char letter, uint8_t hash[32])
+hash_of (char letter, uint8_t hash[DIG_SIZE])
 {
   struct str text = doc_of (letter);
 
-  SHA256 ((const unsigned char *)text.ptr, text.len, hash);
+  dig_sha256 (text, hash);
 }
 
 /** Letter of the document with that hash. */
 static char
-letter_of (const uint8_t hash[32])
+letter_of (const uint8_t hash[DIG_SIZE])
 {
   uint8_t other[32];
 
--- a/t/t1202-spread-walk.c
+++ b/t/t1202-spread-walk.c
@@ -3,10 +3,10 @@
    node's revision falls and its document is the one of its revision; once all
    is well again, all nodes have the highest within seconds. */
 #include <criterion/criterion.h>
-#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/rng.h"
 #include "config/spread.h"
 
 #define NODES 8
@@ -46,11 +46,11 @@
 }
 
 static void
-hash_of (int64_t revision, uint8_t hash[32])
+hash_of (int64_t revision, uint8_t hash[DIG_SIZE])
 {
   struct str text = doc_of (revision);
 
-  SHA256 ((const unsigned char *)text.ptr, text.len, hash);
+  dig_sha256 (text, hash);
 }
 
 static void
