Read members of JSON objects in one place

Cause: seven files had their own getters over json-c. Change: base/json.h reads a member that is absent or of another type as nothing. Conclusion: an unexpected answer prints nothing instead of aborting, and a string that says "false" still is not true.

--- a/builtin/address.c
+++ b/builtin/address.c
@@ -1,6 +1,6 @@
 #include <stdio.h>
-#include <stdlib.h>
 
+#include "base/json.h"
 #include "builtin/admin-client.h"
 #include "lapisline.h"
 
@@ -58,15 +58,12 @@
 static void
 print_addresses (struct str answer)
 {
-  char *text = str_dup (answer);
-  json_object *root = json_tokener_parse (text), *rows = NULL, *valid = NULL;
+  json_object *root = jsn_parse (answer);
 
-  if (json_object_object_get_ex (root, "addresses", &rows))
-    admin_client_table (rows, columns, G_N_ELEMENTS (columns));
-  if (json_object_object_get_ex (root, "valid_ms", &valid))
-    printf ("valid for %d ms\n", json_object_get_int (valid));
+  admin_client_table (root, "addresses", columns, G_N_ELEMENTS (columns));
+  if (jsn_get (root, "valid_ms"))
+    printf ("valid for %lld ms\n", (long long)jsn_int (root, "valid_ms"));
   json_object_put (root);
-  free (text);
 }
 
 static int
--- a/builtin/admin-client.c
+++ b/builtin/admin-client.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "lapisline.h"
 #include "net/httpc.h"
 
@@ -138,12 +139,10 @@
 static void
 print_refusal (int status, struct buf *answer)
 {
-  json_object *root = json_tokener_parse (buf_c (answer));
-  json_object *error = NULL;
-  json_object *message = NULL;
-  if (json_object_object_get_ex (root, "error", &error)
-      && json_object_object_get_ex (error, "message", &message))
-    fprintf (stderr, "lapisline: %s\n", json_object_get_string (message));
+  json_object *root = jsn_parse (buf_str (answer));
+  const char *message = jsn_text (jsn_get (root, "error"), "message");
+  if (message[0] != '\0')
+    fprintf (stderr, "lapisline: %s\n", message);
   else
     fprintf (stderr, "lapisline: status %d: %s\n", status, buf_c (answer));
   json_object_put (root);
@@ -206,14 +205,30 @@
   return judge_call (a, &call, strcmp (method, "GET") != 0);
 }
 
+int
+admin_client_get (const struct admin_client *a, const char *path,
+                  json_object **root)
+{
+  struct buf answer = BUF_INIT;
+  int code = admin_client_call (a, "GET", path, NULL, true, &answer);
+  *root = code == EXIT_DONE ? jsn_parse (buf_str (&answer)) : NULL;
+  if (code == EXIT_DONE && a->json)
+    fputs (buf_c (&answer), stdout);
+  buf_free (&answer);
+  return code;
+}
+
 /* --- tables ------------------------------------------------------------- */
 
+/* Longest text of a cell, its end included; what is longer is cut. */
+#define CELL_SIZE 256
+
 /* What a cell shows; `text` backs it where the value is no string. */
 static const char *
 cell_text (json_object *row, const char *key, char *text, size_t size)
 {
-  json_object *value = NULL;
-  if (!json_object_object_get_ex (row, key, &value))
+  json_object *value = jsn_get (row, key);
+  if (!value)
     return "-";
   switch (json_object_get_type (value))
     {
@@ -230,36 +245,52 @@
     }
 }
 
-void
-admin_client_table (json_object *rows, const struct admin_column *columns,
-                    size_t n)
+/* Every column but the last is filled up to its width. */
+static void
+print_cell (const char *text, int width, bool last)
+{
+  printf ("%-*s%s", last ? 0 : width, text, last ? "\n" : "  ");
+}
+
+static int
+column_width (json_object *rows, size_t nrows,
+              const struct admin_column *column)
 {
-  char text[256];
-  size_t nrows = json_object_array_length (rows);
+  char text[CELL_SIZE];
+  size_t width = strlen (column->title);
+  for (size_t i = 0; i < nrows; i++)
+    {
+      json_object *row = json_object_array_get_idx (rows, i);
+      size_t len = strlen (cell_text (row, column->key, text, sizeof text));
+      width = MAX (width, len);
+    }
+  return (int)width;
+}
+
+bool
+admin_client_table (json_object *root, const char *key,
+                    const struct admin_column *columns, size_t n)
+{
+  char text[CELL_SIZE];
+  size_t nrows;
+  json_object *rows = jsn_array (root, key, &nrows);
+  if (!rows)
+    return false;
   int *width = xcalloc (n, sizeof *width);
   for (size_t c = 0; c < n; c++)
     {
-      width[c] = (int)strlen (columns[c].title);
-      for (size_t i = 0; i < nrows; i++)
-        {
-          json_object *row = json_object_array_get_idx (rows, i);
-          int len = (int)strlen (
-              cell_text (row, columns[c].key, text, sizeof text));
-          width[c] = MAX (width[c], len);
-        }
+      width[c] = column_width (rows, nrows, &columns[c]);
+      print_cell (columns[c].title, width[c], c + 1 == n);
     }
-  for (size_t c = 0; c < n; c++)
-    printf ("%-*s%s", c + 1 < n ? width[c] : 0, columns[c].title,
-            c + 1 < n ? "  " : "\n");
   for (size_t i = 0; i < nrows; i++)
     for (size_t c = 0; c < n; c++)
       {
         json_object *row = json_object_array_get_idx (rows, i);
-        printf ("%-*s%s", c + 1 < n ? width[c] : 0,
-                cell_text (row, columns[c].key, text, sizeof text),
-                c + 1 < n ? "  " : "\n");
+        print_cell (cell_text (row, columns[c].key, text, sizeof text),
+                    width[c], c + 1 == n);
       }
   free (width);
+  return true;
 }
 
 static void
@@ -279,19 +310,13 @@
 run_list (const struct admin_client *a, const struct admin_noun *noun)
 {
   struct buf path = BUF_INIT;
-  struct buf answer = BUF_INIT;
+  json_object *root;
   buf_addf (&path, "/admin/v1/%s", noun->resource);
-  int code = admin_client_call (a, "GET", buf_c (&path), NULL, true, &answer);
-  json_object *root
-      = code == EXIT_DONE ? json_tokener_parse (buf_c (&answer)) : NULL;
-  json_object *rows = NULL;
-  if (code == EXIT_DONE && a->json)
-    fputs (buf_c (&answer), stdout);
-  else if (json_object_object_get_ex (root, noun->resource, &rows))
-    admin_client_table (rows, noun->columns, noun->ncolumns);
+  int code = admin_client_get (a, buf_c (&path), &root);
+  if (!a->json)
+    admin_client_table (root, noun->resource, noun->columns, noun->ncolumns);
   json_object_put (root);
   buf_free (&path);
-  buf_free (&answer);
   return code;
 }
 
@@ -300,18 +325,13 @@
           const char *name)
 {
   struct buf path = BUF_INIT;
-  struct buf answer = BUF_INIT;
+  json_object *root;
   buf_addf (&path, "/admin/v1/%s/%s", noun->resource, name);
-  int code = admin_client_call (a, "GET", buf_c (&path), NULL, true, &answer);
-  json_object *root
-      = code == EXIT_DONE ? json_tokener_parse (buf_c (&answer)) : NULL;
-  if (code == EXIT_DONE && a->json)
-    fputs (buf_c (&answer), stdout);
-  else if (root)
+  int code = admin_client_get (a, buf_c (&path), &root);
+  if (!a->json && json_object_is_type (root, json_type_object))
     print_object (root);
   json_object_put (root);
   buf_free (&path);
-  buf_free (&answer);
   return code;
 }
 
--- a/builtin/admin-client.h
+++ b/builtin/admin-client.h
@@ -61,8 +61,20 @@
                        const char *path, const char *body, bool with_token,
                        struct buf *answer);
 
-/** Print an array of objects as a table. */
-void admin_client_table (json_object *rows, const struct admin_column *columns,
-                         size_t n);
+/**
+ * A GET with the operator's token; with --json the answer is printed as it
+ * came.
+ * @param root  receives the document, for json_object_put(), or NULL
+ * @return  as admin_client_call()
+ */
+int admin_client_get (const struct admin_client *a, const char *path,
+                      json_object **root);
+
+/**
+ * Print the array of objects at member @p key as a table.
+ * @retval false  there is none
+ */
+bool admin_client_table (json_object *root, const char *key,
+                         const struct admin_column *columns, size_t n);
 
 #endif
--- a/builtin/config-status.c
+++ b/builtin/config-status.c
@@ -1,6 +1,6 @@
 #include <stdio.h>
-#include <string.h>
 
+#include "base/json.h"
 #include "builtin/admin-client.h"
 #include "builtin/config.h"
 
@@ -21,43 +21,23 @@
   gint timeout_s;
 };
 
-static int64_t
-member_int (json_object *o, const char *key)
-{
-  json_object *value = NULL;
-
-  json_object_object_get_ex (o, key, &value);
-  return json_object_get_int64 (value);
-}
-
-static json_object *
-nodes_of (json_object *root)
-{
-  json_object *nodes = NULL;
-
-  return json_object_object_get_ex (root, "nodes", &nodes) ? nodes : NULL;
-}
-
 /** A node that leaves serves what it has and takes nothing new. */
 static bool
 counts (json_object *node)
 {
-  json_object *status = NULL;
-
-  json_object_object_get_ex (node, "status", &status);
-  return !status || strcmp (json_object_get_string (status), "leaving") != 0;
+  return !str_is (jsn_str (node, "status"), "leaving");
 }
 
 static bool
 all_have (json_object *root, int64_t revision)
 {
-  json_object *nodes = nodes_of (root);
-  size_t n = nodes ? json_object_array_length (nodes) : 0;
+  size_t n;
+  json_object *nodes = jsn_array (root, "nodes", &n);
 
   for (size_t i = 0; i < n; i++)
     {
       json_object *node = json_object_array_get_idx (nodes, i);
-      if (counts (node) && member_int (node, "revision") < revision)
+      if (counts (node) && jsn_int (node, "revision") < revision)
         return false;
     }
   return n > 0;
@@ -66,13 +46,13 @@
 static int64_t
 highest (json_object *root)
 {
-  json_object *nodes = nodes_of (root);
-  int64_t revision = member_int (root, "revision");
+  size_t n;
+  json_object *nodes = jsn_array (root, "nodes", &n);
+  int64_t revision = jsn_int (root, "revision");
 
-  for (size_t i = 0; nodes && i < json_object_array_length (nodes); i++)
+  for (size_t i = 0; i < n; i++)
     {
-      int64_t has
-          = member_int (json_object_array_get_idx (nodes, i), "revision");
+      int64_t has = jsn_int (json_object_array_get_idx (nodes, i), "revision");
       revision = has > revision ? has : revision;
     }
   return revision;
@@ -87,7 +67,7 @@
   *code = admin_client_call (&o->admin, "GET", "/admin/v1/status", NULL, true,
                              &answer);
   if (*code == EXIT_DONE)
-    root = json_tokener_parse (buf_c (&answer));
+    root = jsn_parse (buf_str (&answer));
   buf_free (&answer);
   return root;
 }
@@ -105,13 +85,10 @@
 
   if (o->admin.json)
     puts (json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
-  else if (nodes_of (root))
-    {
-      admin_client_table (nodes_of (root), columns, 4);
-      printf ("wanted: revision %lld: %s\n", (long long)wanted,
-              all_have (root, wanted) ? "in force on all live nodes"
-                                      : "not in force on all live nodes");
-    }
+  else if (admin_client_table (root, "nodes", columns, G_N_ELEMENTS (columns)))
+    printf ("wanted: revision %lld: %s\n", (long long)wanted,
+            all_have (root, wanted) ? "in force on all live nodes"
+                                    : "not in force on all live nodes");
 }
 
 /** The revision that all should have: given, or the store's, or the highest
--- a/builtin/trace.c
+++ b/builtin/trace.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "base/trace.h"
 #include "builtin/admin-client.h"
 #include "lapisline.h"
@@ -19,23 +20,6 @@
   bool printed;
 };
 
-static const char *
-get_text (json_object *object, const char *key)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, key, &value);
-  const char *text = json_object_get_string (value);
-  return text ? text : "";
-}
-
-static int64_t
-get_int (json_object *object, const char *key)
-{
-  json_object *value = NULL;
-  json_object_object_get_ex (object, key, &value);
-  return json_object_get_int64 (value);
-}
-
 static int
 by_start (const void *a, const void *b)
 {
@@ -72,20 +56,19 @@
 static void
 print_tree (json_object *root)
 {
-  json_object *spans = NULL;
-  json_object_object_get_ex (root, "spans", &spans);
-  size_t n = spans ? json_object_array_length (spans) : 0;
+  size_t n;
+  json_object *spans = jsn_array (root, "spans", &n);
   struct row *rows = xcalloc (n, sizeof *rows);
   for (size_t i = 0; i < n; i++)
     {
       json_object *s = json_object_array_get_idx (spans, i);
-      rows[i] = (struct row){ .span = get_text (s, "span"),
-                              .parent = get_text (s, "parent"),
-                              .node = get_text (s, "node"),
-                              .name = get_text (s, "name"),
-                              .detail = get_text (s, "detail"),
-                              .start = get_int (s, "start_ms"),
-                              .duration = get_int (s, "duration_ms") };
+      rows[i] = (struct row){ .span = jsn_text (s, "span"),
+                              .parent = jsn_text (s, "parent"),
+                              .node = jsn_text (s, "node"),
+                              .name = jsn_text (s, "name"),
+                              .detail = jsn_text (s, "detail"),
+                              .start = jsn_int (s, "start_ms"),
+                              .duration = jsn_int (s, "duration_ms") };
     }
   if (n > 0)
     qsort (rows, n, sizeof *rows, by_start);
@@ -101,22 +84,17 @@
 show_trace (const struct admin_client *a, const char *id)
 {
   struct buf path = BUF_INIT;
-  struct buf answer = BUF_INIT;
+  json_object *root;
   buf_addf (&path, "/admin/v1/traces/%s", id);
-  int code = admin_client_call (a, "GET", buf_c (&path), NULL, true, &answer);
-  json_object *root
-      = code == EXIT_DONE ? json_tokener_parse (buf_c (&answer)) : NULL;
-  if (code == EXIT_DONE && a->json)
-    fputs (buf_c (&answer), stdout);
-  else if (root)
+  int code = admin_client_get (a, buf_c (&path), &root);
+  if (!a->json)
     print_tree (root);
-  int64_t missing = root ? get_int (root, "missing_nodes") : 0;
+  int64_t missing = jsn_int (root, "missing_nodes");
   if (missing > 0)
     fprintf (stderr, "lapisline: %lld nodes gave no answer\n",
              (long long)missing);
   json_object_put (root);
   buf_free (&path);
-  buf_free (&answer);
   return code;
 }
 
--- a/route/record-read.c
+++ b/route/record-read.c
@@ -1,7 +1,7 @@
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
 #include "route/record-names.h"
 #include "route/record.h"
 
@@ -53,39 +53,6 @@
   memset (s, 0, sizeof *s);
 }
 
-static struct str
-get_str (struct json_object *o, const char *key)
-{
-  struct json_object *v;
-  if (!json_object_object_get_ex (o, key, &v))
-    return STR_EMPTY;
-  return str_make (json_object_get_string (v),
-                   (size_t)json_object_get_string_len (v));
-}
-
-static int64_t
-get_int (struct json_object *o, const char *key)
-{
-  struct json_object *v;
-  return json_object_object_get_ex (o, key, &v) ? json_object_get_int64 (v)
-                                                : 0;
-}
-
-static double
-get_double (struct json_object *o, const char *key)
-{
-  struct json_object *v;
-  return json_object_object_get_ex (o, key, &v) ? json_object_get_double (v)
-                                                : 0;
-}
-
-static bool
-get_bool (struct json_object *o, const char *key)
-{
-  struct json_object *v;
-  return json_object_object_get_ex (o, key, &v) && json_object_get_boolean (v);
-}
-
 static int
 find_name (const char *const *names, int n, struct str s)
 {
@@ -98,7 +65,7 @@
 static bool
 get_hex (struct json_object *o, const char *key, uint8_t *out, size_t len)
 {
-  return str_to_bytes (get_str (o, key), out, len);
+  return str_to_bytes (jsn_str (o, key), out, len);
 }
 
 static void
@@ -106,42 +73,43 @@
 {
   memset (q, 0, sizeof *q);
   q->id = id;
-  q->account = get_str (o, "account");
-  q->target = get_str (o, "target");
-  q->is_model = get_bool (o, "model");
-  q->idempotent = get_bool (o, "idempotent");
+  q->account = jsn_str (o, "account");
+  q->target = jsn_str (o, "target");
+  q->is_model = jsn_bool (o, "model");
+  q->idempotent = jsn_bool (o, "idempotent");
   q->has_key = get_hex (o, "claim", q->claim_key, sizeof q->claim_key);
   get_hex (o, "fingerprint", q->fingerprint, sizeof q->fingerprint);
   get_hex (o, "attempt_id", q->attempt_id, sizeof q->attempt_id);
-  q->priority = (unsigned)get_int (o, "priority");
-  q->deadline = get_int (o, "deadline");
-  q->cost = get_double (o, "cost");
-  q->prefix = (uint64_t)get_int (o, "prefix");
+  q->priority = (unsigned)jsn_int (o, "priority");
+  q->deadline = jsn_int (o, "deadline");
+  q->cost = jsn_double (o, "cost");
+  q->prefix = (uint64_t)jsn_int (o, "prefix");
 }
 
 static bool
 read_replica (struct json_object *o, struct rt_replica *p)
 {
-  struct str addr = get_str (o, "addr");
-  p->name = get_str (o, "name");
-  p->model = get_str (o, "model");
-  p->zone = get_str (o, "zone");
-  p->generation = get_int (o, "generation");
-  p->whole = get_bool (o, "whole");
-  p->draining = get_bool (o, "draining");
-  p->valid_until = get_int (o, "valid_until");
-  p->load = (uint32_t)get_int (o, "load");
-  p->load_at = get_int (o, "load_at");
+  struct str addr = jsn_str (o, "addr");
+  p->name = jsn_str (o, "name");
+  p->model = jsn_str (o, "model");
+  p->zone = jsn_str (o, "zone");
+  p->generation = jsn_int (o, "generation");
+  p->whole = jsn_bool (o, "whole");
+  p->draining = jsn_bool (o, "draining");
+  p->valid_until = jsn_int (o, "valid_until");
+  p->load = (uint32_t)jsn_int (o, "load");
+  p->load_at = jsn_int (o, "load_at");
   return addr.len == 0 || net_addr_parse (addr, true, &p->addr);
 }
 
 static bool
-read_replicas (struct json_object *list, struct scratch *s,
-               struct rt_event *ev)
+read_replicas (struct scratch *s, struct rt_event *ev)
 {
-  size_t n = json_object_is_type (list, json_type_array)
-                 ? json_object_array_length (list)
-                 : 0;
+  size_t n;
+  struct json_object *list = jsn_array (s->doc, "replicas", &n);
+
+  if (list == NULL)
+    return false;
   s->replicas = xcalloc (n + 1, sizeof *s->replicas);
   for (size_t i = 0; i < n; i++)
     if (!read_replica (json_object_array_get_idx (list, i), &s->replicas[i]))
@@ -202,14 +170,14 @@
   s->doc = parse_line (r, line, findings);
   if (s->doc == NULL)
     return false;
-  if (!str_is (get_str (s->doc, "core"), "route"))
+  if (!str_is (jsn_str (s->doc, "core"), "route"))
     return bad (r, findings, "/core",
                 "the only core that is replayed is "
                 "\"route\"");
-  head->seed = (uint64_t)get_int (s->doc, "seed");
-  head->options.zone = get_str (s->doc, "zone");
-  head->options.node = get_str (s->doc, "node");
-  head->options.nodes = (unsigned)get_int (s->doc, "nodes");
+  head->seed = (uint64_t)jsn_int (s->doc, "seed");
+  head->options.zone = jsn_str (s->doc, "zone");
+  head->options.node = jsn_str (s->doc, "node");
+  head->options.nodes = (unsigned)jsn_int (s->doc, "nodes");
   return true;
 }
 
@@ -217,13 +185,13 @@
 read_config (struct rec_reader *r, struct scratch *s, struct rt_event *ev,
              struct fnd_list *findings)
 {
-  struct json_object *v;
+  struct json_object *v = jsn_object (s->doc, "config");
   const char *text;
 
-  if (!json_object_object_get_ex (s->doc, "config", &v))
+  if (v == NULL)
     return bad (r, findings, "/config", "missing");
   text = json_object_to_json_string (v);
-  s->cfg = cfg_parse (str_from (text), get_int (v, "revision"), findings);
+  s->cfg = cfg_parse (str_from (text), jsn_int (v, "revision"), findings);
   ev->cfg = s->cfg;
   return s->cfg != NULL;
 }
@@ -238,21 +206,21 @@
   switch (ev->kind)
     {
     case RT_EV_ARRIVE:
-      if (!json_object_object_get_ex (s->doc, "request", &v))
+      v = jsn_object (s->doc, "request");
+      if (v == NULL)
         return bad (r, findings, "/request", "missing");
       read_request (v, ev->id, &s->request);
       ev->request = &s->request;
       return true;
     case RT_EV_REPLICAS:
-      if (!json_object_object_get_ex (s->doc, "replicas", &v)
-          || !read_replicas (v, s, ev))
+      if (!read_replicas (s, ev))
         return bad (r, findings, "/replicas", "missing or a wrong address");
       return true;
     case RT_EV_CONFIG:
       return read_config (r, s, ev, findings);
     case RT_EV_CLAIM:
       verdict = find_name (rec_verdict_names, REC_VERDICTS,
-                           get_str (s->doc, "verdict"));
+                           jsn_str (s->doc, "verdict"));
       if (verdict < 0)
         return bad (r, findings, "/verdict", "not a verdict");
       ev->verdict = (enum clm_verdict)verdict;
@@ -278,23 +246,23 @@
   s->doc = parse_line (r, line, findings);
   if (s->doc == NULL)
     return false;
-  kind = find_name (rec_event_names, REC_EVENTS, get_str (s->doc, "ev"));
+  kind = find_name (rec_event_names, REC_EVENTS, jsn_str (s->doc, "ev"));
   if (kind < 0)
     return bad (r, findings, "/ev", "not an event");
   memset (ev, 0, sizeof *ev);
   ev->kind = (enum rt_event_kind)kind;
-  *now = get_int (s->doc, "t");
-  ev->id = (uint64_t)get_int (s->doc, "id");
-  ev->attempt = (unsigned)get_int (s->doc, "attempt");
-  ev->name = get_str (s->doc, "name");
-  ev->on = get_bool (s->doc, "on");
-  ev->tokens_per_s = get_double (s->doc, "tokens_per_s");
-  ev->concurrency = get_double (s->doc, "concurrency");
-  ev->valid_ms = get_int (s->doc, "valid_ms");
-  ev->retry_ms = get_int (s->doc, "retry_ms");
-  ev->status = (int)get_int (s->doc, "status");
-  ev->size = (size_t)get_int (s->doc, "size");
-  ev->tokens = get_double (s->doc, "tokens");
+  *now = jsn_int (s->doc, "t");
+  ev->id = (uint64_t)jsn_int (s->doc, "id");
+  ev->attempt = (unsigned)jsn_int (s->doc, "attempt");
+  ev->name = jsn_str (s->doc, "name");
+  ev->on = jsn_bool (s->doc, "on");
+  ev->tokens_per_s = jsn_double (s->doc, "tokens_per_s");
+  ev->concurrency = jsn_double (s->doc, "concurrency");
+  ev->valid_ms = jsn_int (s->doc, "valid_ms");
+  ev->retry_ms = jsn_int (s->doc, "retry_ms");
+  ev->status = (int)jsn_int (s->doc, "status");
+  ev->size = (size_t)jsn_int (s->doc, "size");
+  ev->tokens = jsn_double (s->doc, "tokens");
   return read_parts (r, s, ev, findings);
 }
 
--- a/store/etcd-json.c
+++ b/store/etcd-json.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
+
 /* --- requests ---------------------------------------------------------- */
 
 void
@@ -144,30 +146,12 @@
 
 /* --- answers ----------------------------------------------------------- */
 
-static json_object *
-field (json_object *o, const char *name)
-{
-  json_object *v = NULL;
-
-  if (o == NULL || !json_object_is_type (o, json_type_object))
-    return NULL;
-  json_object_object_get_ex (o, name, &v);
-  return v;
-}
-
-static struct str
-text_of (json_object *v)
-{
-  if (v == NULL || !json_object_is_type (v, json_type_string))
-    return STR_EMPTY;
-  return str_make (json_object_get_string (v),
-                   (size_t)json_object_get_string_len (v));
-}
-
 /* Absent is zero, as in protobuf; a number may come with or without quotes. */
 static bool
-read_number (json_object *v, int64_t *out)
+read_number (json_object *o, const char *key, int64_t *out)
 {
+  json_object *v = jsn_get (o, key);
+
   *out = 0;
   if (v == NULL)
     return true;
@@ -176,19 +160,20 @@
       *out = json_object_get_int64 (v);
       return true;
     }
-  return str_to_i64 (text_of (v), out);
+  return str_to_i64 (jsn_str (o, key), out);
 }
 
 static bool
-read_bytes (json_object *v, struct str *out)
+read_bytes (json_object *o, const char *key, struct str *out)
 {
+  json_object *v = jsn_get (o, key);
   struct buf b = BUF_INIT;
 
   *out = STR_EMPTY;
   if (v == NULL)
     return true;
   if (!json_object_is_type (v, json_type_string)
-      || !etcd_base64 (text_of (v), &b))
+      || !etcd_base64 (jsn_str (o, key), &b))
     {
       buf_free (&b);
       return false;
@@ -200,25 +185,17 @@
 static bool
 read_kv (json_object *o, struct store_kv *kv)
 {
-  return o != NULL && read_bytes (field (o, "key"), &kv->key)
-         && read_bytes (field (o, "value"), &kv->value)
-         && read_number (field (o, "mod_revision"), &kv->mod_rev)
-         && read_number (field (o, "create_revision"), &kv->create_rev)
-         && read_number (field (o, "lease"), &kv->lease) && kv->key.len > 0;
-}
-
-static size_t
-array_len (json_object *v)
-{
-  if (v == NULL || !json_object_is_type (v, json_type_array))
-    return 0;
-  return json_object_array_length (v);
+  return read_bytes (o, "key", &kv->key) && read_bytes (o, "value", &kv->value)
+         && read_number (o, "mod_revision", &kv->mod_rev)
+         && read_number (o, "create_revision", &kv->create_rev)
+         && read_number (o, "lease", &kv->lease) && kv->key.len > 0;
 }
 
 static bool
-read_kvs (json_object *v, struct etcd_answer *out)
+read_kvs (json_object *o, struct etcd_answer *out)
 {
-  size_t n = array_len (v);
+  size_t n;
+  json_object *v = jsn_array (o, "kvs", &n);
 
   if (n == 0)
     return true;
@@ -231,9 +208,10 @@
 }
 
 static bool
-read_events (json_object *v, struct etcd_answer *out)
+read_events (json_object *o, struct etcd_answer *out)
 {
-  size_t n = array_len (v);
+  size_t n;
+  json_object *v = jsn_array (o, "events", &n);
 
   if (n == 0)
     return true;
@@ -242,32 +220,23 @@
   for (size_t i = 0; i < n; i++)
     {
       json_object *e = json_object_array_get_idx (v, i);
-      out->events[i].deleted = str_is (text_of (field (e, "type")), "DELETE");
-      if (!read_kv (field (e, "kv"), &out->events[i].kv))
+      out->events[i].deleted = str_is (jsn_str (e, "type"), "DELETE");
+      if (!read_kv (jsn_get (e, "kv"), &out->events[i].kv))
         return false;
     }
   return true;
 }
 
-static bool
-read_flag (json_object *v)
-{
-  return v != NULL && json_object_is_type (v, json_type_boolean)
-         && json_object_get_boolean (v);
-}
-
 static bool
 read_error (json_object *o, struct etcd_answer *out)
 {
-  json_object *e = field (o, "error");
-  json_object *code = field (o, "code");
+  json_object *nested = jsn_object (o, "error");
   int64_t n;
 
   /* Streams nest it: {"error":{"grpc_code":5,...}}. */
-  if (json_object_is_type (e, json_type_object))
-    code = field (e, "grpc_code");
   out->is_error = true;
-  if (!read_number (code, &n))
+  if (!(nested ? read_number (nested, "grpc_code", &n)
+               : read_number (o, "code", &n)))
     n = 0;
   out->code = (int)n;
   return true;
@@ -280,30 +249,28 @@
 static bool
 read_result (json_object *o, struct etcd_answer *out)
 {
-  json_object *header = field (o, "header");
   int64_t compact;
 
-  if (!read_number (field (header, "revision"), &out->revision)
+  if (!read_number (jsn_get (o, "header"), "revision", &out->revision)
       || out->revision <= 0)
     return false;
-  out->succeeded = read_flag (field (o, "succeeded"));
-  out->canceled = read_flag (field (o, "canceled"));
-  if (!read_number (field (o, "ID"), &out->lease)
-      || !read_number (field (o, "TTL"), &out->ttl_s)
-      || !read_number (field (o, "compact_revision"), &compact))
+  out->succeeded = jsn_bool (o, "succeeded");
+  out->canceled = jsn_bool (o, "canceled");
+  if (!read_number (o, "ID", &out->lease)
+      || !read_number (o, "TTL", &out->ttl_s)
+      || !read_number (o, "compact_revision", &compact))
     return false;
   out->compacted = compact > 0;
-  return read_kvs (field (o, "kvs"), out)
-         && read_events (field (o, "events"), out);
+  return read_kvs (o, out) && read_events (o, out);
 }
 
 bool
 etcd_read (json_object *o, struct etcd_answer *out)
 {
-  json_object *result = field (o, "result");
+  json_object *result = jsn_get (o, "result");
 
   memset (out, 0, sizeof *out);
-  if (field (o, "error") != NULL)
+  if (jsn_get (o, "error") != NULL)
     return read_error (o, out);
   return read_result (result != NULL ? result : o, out);
 }
@@ -311,16 +278,10 @@
 bool
 etcd_parse (struct str text, struct etcd_answer *out)
 {
-  json_tokener *t = json_tokener_new ();
-  json_object *o = NULL;
-  bool ok;
-
-  if (text.len > 0)
-    o = json_tokener_parse_ex (t, text.ptr, (int)text.len);
-  ok = etcd_read (o, out);
+  json_object *o = jsn_parse (text);
+  bool ok = etcd_read (o, out);
 
   json_object_put (o);
-  json_tokener_free (t);
   return ok;
 }
 
