Report a chart member of the wrong type instead of crashing

Cause: chart_load() walked "on" as an object whatever it was; a chart with "on": 5 ended the process in place of a finding. Change: members are read with base/json.h.

--- a/base/chart.c
+++ b/base/chart.c
@@ -1,10 +1,11 @@
 #include "base/chart.h"
 
-#include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
+
 /** One embedded file; the list ends with a NULL name. */
 struct chart_source
 {
@@ -58,9 +59,9 @@
   struct chart *c = ld->chart;
   json_object_object_foreach (states, state, body)
   {
-    json_object *on = NULL;
+    json_object *on = jsn_object (body, "on");
     add_name (&c->states, &c->nstates, state);
-    if (!json_object_object_get_ex (body, "on", &on))
+    if (!on)
       continue;
     json_object_object_foreach (on, event, target)
     {
@@ -76,13 +77,15 @@
              json_object *target)
 {
   struct chart *c = ld->chart;
-  const char *to = json_object_get_string (target);
-  int state = to ? find_name (c->states, c->nstates, to) : -1;
+  const char *to = json_object_is_type (target, json_type_string)
+                       ? json_object_get_string (target)
+                       : "";
+  int state = find_name (c->states, c->nstates, to);
   char pointer[256];
   snprintf (pointer, sizeof pointer, "/states/%s/on/%s", c->states[from],
             event);
   if (state < 0)
-    COMPLAIN (ld, pointer, "no state '%s'", to ? to : "null");
+    COMPLAIN (ld, pointer, "no state '%s'", to);
   int column = find_name (c->events, c->nevents, event);
   c->step[from * c->nevents + column] = state < 0 ? CHART_REFUSED : state;
 }
@@ -91,14 +94,12 @@
 load_state (struct loader *ld, int state, json_object *body)
 {
   struct chart *c = ld->chart;
-  json_object *on = NULL;
-  json_object *final = NULL;
+  json_object *on = jsn_object (body, "on");
   char pointer[256];
   int ways = 0;
   snprintf (pointer, sizeof pointer, "/states/%s", c->states[state]);
-  if (json_object_object_get_ex (body, "final", &final))
-    c->final[state] = json_object_get_boolean (final);
-  if (json_object_object_get_ex (body, "on", &on))
+  c->final[state] = jsn_bool (body, "final");
+  if (on)
     {
       json_object_object_foreach (on, event, target)
       {
@@ -146,12 +147,10 @@
 load_initial (struct loader *ld, json_object *root)
 {
   struct chart *c = ld->chart;
-  json_object *initial = NULL;
-  json_object_object_get_ex (root, "initial", &initial);
-  const char *name = json_object_get_string (initial);
-  c->initial = name ? find_name (c->states, c->nstates, name) : -1;
+  const char *name = jsn_text (root, "initial");
+  c->initial = find_name (c->states, c->nstates, name);
   if (c->initial < 0)
-    COMPLAIN (ld, "/initial", "no state '%s'", name ? name : "");
+    COMPLAIN (ld, "/initial", "no state '%s'", name);
 }
 
 static void
@@ -209,19 +208,16 @@
 chart_load (struct str json, const char *file, struct fnd_list *findings)
 {
   size_t errors = findings->errors;
-  json_object *name = NULL;
-  json_object *states = NULL;
   json_object *root = parse_json (json, file, findings);
   if (!root)
     return NULL;
+  json_object *states = jsn_object (root, "states");
   struct chart *c = xcalloc (1, sizeof *c);
   struct loader ld = { c, file, findings };
-  json_object_object_get_ex (root, "chart", &name);
-  if (!json_object_is_type (name, json_type_string))
+  c->name = xstrdup (jsn_text (root, "chart"));
+  if (c->name[0] == '\0')
     COMPLAIN (&ld, "/chart", "the chart has no name");
-  c->name = xstrdup (name ? json_object_get_string (name) : "");
-  json_object_object_get_ex (root, "states", &states);
-  if (json_object_is_type (states, json_type_object))
+  if (states)
     load_states (&ld, root, states);
   else
     COMPLAIN (&ld, "/states", "the chart has no states");
--- a/t/t0002-chart.c
+++ b/t/t0002-chart.c
@@ -35,6 +35,12 @@
     { "{\"chart\":\"c\",\n\"states\":[}",
       "c.json:2: error: unexpected character\n" },
     { "{\"chart\":", "c.json:1: error: continue\n" },
+    { CHART ("a", "\"a\":{\"on\":5}"),
+      "c.json: /states/a: error: no way out of a state that is not final\n" },
+    { CHART ("a", "\"a\":{\"on\":{\"go\":null}}"),
+      "c.json: /states/a/on/go: error: no state ''\n" },
+    { CHART ("a", "\"a\":null"),
+      "c.json: /states/a: error: no way out of a state that is not final\n" },
     { "[]", "c.json: /chart: error: the chart has no name\n"
             "c.json: /states: error: the chart has no states\n" },
   };
