--- a/builtin/admin-client.c
+++ b/builtin/admin-client.c
@@ -14,6 +14,15 @@
 
 /* --- options ------------------------------------------------------------ */
 
+/** A variable that is set to something, or NULL. */
+static const char *
+from_environment (const char *name)
+{
+  const char *value = g_getenv (name);
+
+  return value && *value ? value : NULL;
+}
+
 bool
 admin_client_options (struct admin_client *a, const char *parameters,
                       const char *summary, int *argc, char ***argv)
@@ -36,12 +45,12 @@
   g_option_context_free (context);
   if (!ok)
     {
-      fprintf (stderr, "lapisline: %s\n", error->message);
+      fprintf (stderr, "%s: %s\n", g_get_prgname (), error->message);
       g_error_free (error);
       return false;
     }
   if (!a->admin)
-    a->admin = g_strdup (g_getenv ("LAPISLINE_ADMIN"));
+    a->admin = g_strdup (from_environment ("LAPISLINE_ADMIN"));
   if (a->admin)
     return true;
   fputs ("lapisline: give --admin ADDR or set LAPISLINE_ADMIN\n", stderr);
@@ -59,7 +68,7 @@
 static bool
 read_token (const struct admin_client *a, struct buf *out)
 {
-  const char *env = g_getenv ("LAPISLINE_TOKEN");
+  const char *env = from_environment ("LAPISLINE_TOKEN");
   const char *path = a->token_file ? a->token_file : env;
   char text[MAX_TOKEN];
   if (!path)
--- a/builtin/config-store.c
+++ b/builtin/config-store.c
@@ -23,7 +23,7 @@
   good = g_option_context_parse (context, argc, argv, &error);
   if (!good)
     {
-      fprintf (stderr, "lapisline: %s\n", error->message);
+      fprintf (stderr, "%s: %s\n", g_get_prgname (), error->message);
       g_error_free (error);
     }
   else if (*argc != operands + 1)
@@ -51,7 +51,7 @@
                struct etcd_options *etcd)
 {
   struct fnd_list findings = { 0 };
-  bool good = settings_read (o->settings, &cs->set, &findings);
+  bool good = settings_read (o->settings, 0, &cs->set, &findings);
 
   conf_print_findings (&findings, stderr);
   fnd_free (&findings);
@@ -202,8 +202,8 @@
   struct fnd_list findings = { 0 };
   struct cfg *c = NULL;
 
-  if (cfg_folder_read (path, folder, &findings))
-    c = cfg_folder_check (folder, merged, &findings);
+  cfg_folder_read (path, folder, &findings);
+  c = cfg_folder_check (folder, merged, &findings);
   conf_print_findings (&findings, stderr);
   fnd_free (&findings);
   cfg_unref (c);
--- a/builtin/control.c
+++ b/builtin/control.c
@@ -41,7 +41,7 @@
 {
   struct fnd_list findings = { 0 };
   struct buf text = BUF_INIT;
-  bool ok = settings_read (path, set, &findings);
+  bool ok = settings_read (path, SETTINGS_NEED_CONTROL, set, &findings);
   fnd_print (&findings, &text);
   fputs (buf_c (&text), stderr);
   buf_free (&text);
--- a/builtin/trace.c
+++ b/builtin/trace.c
@@ -80,6 +80,15 @@
   free (rows);
 }
 
+static bool
+has_spans (json_object *root)
+{
+  size_t n;
+
+  jsn_array (root, "spans", &n);
+  return n > 0;
+}
+
 static int
 show_trace (const struct admin_client *a, const char *id)
 {
@@ -89,6 +98,12 @@
   int code = admin_client_get (a, buf_c (&path), &root);
   if (!a->json)
     print_tree (root);
+  if (root && !has_spans (root))
+    {
+      fputs ("lapisline: no node that answered has spans of this trace\n",
+             stderr);
+      code = EXIT_FAILED;
+    }
   int64_t missing = jsn_int (root, "missing_nodes");
   if (missing > 0)
     fprintf (stderr, "lapisline: %lld nodes gave no answer\n",
--- a/config/folder.c
+++ b/config/folder.c
@@ -97,7 +97,8 @@
       free (entries[i]);
     }
   free (entries);
-  return findings->errors == errors;
+  out->partial = findings->errors > errors;
+  return !out->partial;
 }
 
 void
@@ -226,7 +227,7 @@
   k.merged = json_object_new_object ();
   /* With a file missing, half of what the whole would be accused of is not
      wrong; entries are checked once every file can be read. */
-  if (merge_files (&k))
+  if (merge_files (&k) && !f->partial)
     {
       cfj_canon (k.merged, merged);
       check_size (&k, merged);
--- a/config/nearest.c
+++ b/config/nearest.c
@@ -50,5 +50,8 @@
           allowed = d - (d > 0);
         }
     }
+  for (size_t i = 0; best == n && word.len >= 3 && i < n; i++)
+    if (str_starts (known[i], word))
+      best = i;
   return best;
 }
--- a/config/settings.c
+++ b/config/settings.c
@@ -28,15 +28,15 @@
 };
 
 static void
-read_top (struct reading *g)
+read_top (struct reading *g, unsigned need)
 {
 #define AT(member) offsetof (struct draft, member)
-  static const struct rd_field fields[] = {
+  const struct rd_field fields[] = {
     RD_FIELD ("node", RD_NAME, AT (node), true),
     RD_FIELD ("zone", RD_NAME, AT (zone), true),
     RD_FIELD ("region", RD_NAME, AT (region), true),
-    RD_KNOWN ("gateway", false),
-    RD_KNOWN ("control", false),
+    RD_KNOWN ("gateway", need & SETTINGS_NEED_GATEWAY),
+    RD_KNOWN ("control", need & SETTINGS_NEED_CONTROL),
     RD_KNOWN ("store", true),
     RD_KNOWN ("platform", false),
     RD_KNOWN ("peers", false),
@@ -129,6 +129,10 @@
   rd_optional (&g->rd, &here, json, &prefix, &g->draft);
   set->nendpoints = read_addresses (g, &here, json, "endpoints",
                                     SET_MAX_ENDPOINTS, set->endpoints);
+  if (set->nendpoints == 0
+      && json_object_object_get_ex (json, "endpoints", NULL))
+    rd_error (&g->rd, &(struct rd_at){ &here, STR ("endpoints"), 0 },
+              "names no address");
   check_prefix (g, &here);
 }
 
@@ -224,12 +228,13 @@
 }
 
 static void
-read_all (struct reading *g, const char *path, struct settings *out)
+read_all (struct reading *g, const char *path, unsigned need,
+          struct settings *out)
 {
   g->draft.prefix = STR ("/lapisline/");
   out->store_reads = 60;
   out->log_level = LOG_INFO;
-  read_top (g);
+  read_top (g, need);
   read_listeners (g, out);
   read_store (g, out);
   read_others (g, out);
@@ -239,7 +244,7 @@
 }
 
 bool
-settings_read (const char *path, struct settings *out,
+settings_read (const char *path, unsigned need, struct settings *out,
                struct fnd_list *findings)
 {
   struct arena arena = { NULL };
@@ -260,7 +265,7 @@
   if (!g.top)
     goto out;
   loc_read (buf_str (&text), path, &map, findings);
-  read_all (&g, path, out);
+  read_all (&g, path, need, out);
   place (findings, first, path, &map);
   json_object_put (g.top);
 out:
--- a/config/settings.h
+++ b/config/settings.h
@@ -55,11 +55,19 @@
   enum log_level log_level;
 };
 
+/** Parts that a process can't do without, added up. */
+enum settings_need
+{
+  SETTINGS_NEED_GATEWAY = 1,
+  SETTINGS_NEED_CONTROL = 2
+};
+
 /**
  * Read and check; false with every finding when something is wrong.  @p out
  * is to be freed in either case.
+ * @param need  sum of enum settings_need
  */
-bool settings_read (const char *path, struct settings *out,
+bool settings_read (const char *path, unsigned need, struct settings *out,
                     struct fnd_list *findings);
 
 /** The writes a second that are set, or else the default @p usual. */
--- a/front/gateway.c
+++ b/front/gateway.c
@@ -151,8 +151,8 @@
   struct buf merged = BUF_INIT;
   struct cfg *cfg = NULL;
 
-  if (cfg_folder_read (path, &folder, &findings))
-    cfg = cfg_folder_check (&folder, &merged, &findings);
+  cfg_folder_read (path, &folder, &findings);
+  cfg = cfg_folder_check (&folder, &merged, &findings);
   print_findings (&findings);
   fnd_free (&findings);
   cfg_folder_free (&folder);
@@ -262,7 +262,9 @@
 {
   struct process *p = xcalloc (1, sizeof *p);
   struct fnd_list findings = { 0 };
-  bool read = settings_read (opt->settings, &p->g.set, &findings);
+  unsigned need
+      = SETTINGS_NEED_GATEWAY | (opt->config ? 0 : SETTINGS_NEED_CONTROL);
+  bool read = settings_read (opt->settings, need, &p->g.set, &findings);
 
   print_findings (&findings);
   fnd_free (&findings);
--- a/lapisline.c
+++ b/lapisline.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "config/nearest.h"
 #include "lapisline.h"
 
 struct command
@@ -37,6 +38,37 @@
   fputs ("\n'lapisline COMMAND --help' tells more.\n", out);
 }
 
+/**
+ * GLib's help says "[OPTION...]" with one character outside ASCII, which it
+ * turns into a question mark where the locale is "C", as on servers.
+ */
+static void
+print_plain (const gchar *text)
+{
+  static const char ellipsis[] = "\xe2\x80\xa6";
+  const char *at;
+
+  for (; (at = strstr (text, ellipsis)) != NULL; text = at + 3)
+    printf ("%.*s...", (int)(at - text), text);
+  fputs (text, stdout);
+}
+
+static int
+no_command (const char *word)
+{
+  struct str names[NCOMMANDS];
+
+  for (size_t i = 0; i < NCOMMANDS; i++)
+    names[i] = str_from (commands[i].name);
+  size_t pick = near_pick (str_from (word), names, NCOMMANDS);
+  fprintf (stderr, "lapisline: no command '%s'; ", word);
+  if (pick < NCOMMANDS)
+    fprintf (stderr, "did you mean '%s'?\n", commands[pick].name);
+  else
+    fputs ("see 'lapisline --help'\n", stderr);
+  return EXIT_USAGE;
+}
+
 static int
 run (const struct command *c, int argc, char **argv)
 {
@@ -49,6 +81,7 @@
 int
 main (int argc, char **argv)
 {
+  g_set_print_handler (print_plain);
   if (argc < 2)
     {
       print_usage (stderr);
@@ -64,7 +97,5 @@
   for (size_t i = 0; i < NCOMMANDS; i++)
     if (strcmp (argv[1], commands[i].name) == 0)
       return run (&commands[i], argc - 1, argv + 1);
-  fprintf (stderr, "lapisline: no command '%s'; see 'lapisline --help'\n",
-           argv[1]);
-  return EXIT_USAGE;
+  return no_command (argv[1]);
 }
--- a/t/t1001-findings.c
+++ b/t/t1001-findings.c
@@ -39,7 +39,7 @@
   struct cfg_file files[] = { file_of ("10-fleet.json", FLEET),
                               file_of ("20-callers.json", CALLERS),
                               file_of ("30-over.json", over) };
-  struct cfg_folder folder = { NULL, files, 3 };
+  struct cfg_folder folder = { .files = files, .n = 3 };
   struct fnd_list findings = { 0 };
   struct buf merged = BUF_INIT;
   struct cfg *c = cfg_folder_check (&folder, &merged, &findings);
@@ -234,6 +234,29 @@
   fnd_free (&findings);
 }
 
+Test (config, an_unreadable_file_hides_no_other_finding)
+{
+  /* One file can't be read, one has a syntax error.  The operator sees both
+     at once; of the rest nothing is said, as the file that can't be read may
+     declare what seems to be missing. */
+  struct fnd_list findings = { 0 };
+  struct cfg_folder folder;
+  struct buf merged = BUF_INIT;
+
+  proc_file ("10-a.json", "{ \"models\": 7 }");
+  proc_file ("20-b.json/not-a-file", "%s", "");
+  proc_file ("30-c.json", "{ , }");
+  cfg_folder_read (proc_dir (), &folder, &findings);
+  cr_expect_null (cfg_folder_check (&folder, &merged, &findings));
+  cr_assert_eq (findings.n, 2);
+  cr_expect_str_eq (findings.items[0].text,
+                    "can't read the file: Is a directory");
+  cr_expect_not_null (strstr (findings.items[1].text, "JSON syntax"));
+  cfg_folder_free (&folder);
+  fnd_free (&findings);
+  buf_free (&merged);
+}
+
 Test (config, answers_look_ups)
 {
   struct buf got = BUF_INIT;
@@ -263,7 +286,7 @@
 }
 
 static void
-expect_settings (const char *text, const char *want)
+expect_settings (unsigned need, const char *text, const char *want)
 {
   const char *path = proc_file ("settings.json", "%s", text);
   struct fnd_list findings = { 0 };
@@ -272,7 +295,7 @@
   bool good;
 
   proc_file ("secret.txt", "a secret of a zone's nodes\n");
-  good = settings_read (path, &set, &findings);
+  good = settings_read (path, need, &set, &findings);
   for (size_t i = 0; i < findings.n; i++)
     buf_addf (&got, "%d: %s: %s\n", findings.items[i].line,
               findings.items[i].pointer ? findings.items[i].pointer : "",
@@ -290,7 +313,8 @@
 
 Test (config, reads_settings)
 {
-  expect_settings ("{ \"node\": \"entry-1\", \"zone\": \"hall-a\",\n"
+  expect_settings (0,
+                   "{ \"node\": \"entry-1\", \"zone\": \"hall-a\",\n"
                    "  \"region\": \"nairobi\", // here\n"
                    "  \"control\": { \"swim\": \"127.0.0.1:0\",\n"
                    "    \"peer\": \"127.0.0.1:7003\",\n"
@@ -299,7 +323,8 @@
                    "  \"peers\": [\"127.0.0.1:7013\"],\n"
                    "  \"secret_file\": \"secret.txt\" }",
                    "entry-1 127.0.0.1:7003 /lapisline/ peers=1 9d\n");
-  expect_settings ("{ \"node\": \"entry 1\", \"zon\": \"hall-a\",\n"
+  expect_settings (0,
+                   "{ \"node\": \"entry 1\", \"zon\": \"hall-a\",\n"
                    "  \"gateway\": { \"http\": \"127.0.0.1:99999\" },\n"
                    "  \"store\": { \"endpoints\": [\"127.0.0.1:0\"],\n"
                    "    \"prefix\": \"/x\", \"reads_per_s\": \"many\" },\n"
@@ -322,3 +347,19 @@
                    "6: /log/level: 'loud' is none of debug, info, warn, "
                    "error\n");
 }
+
+Test (config, settings_name_what_the_process_needs)
+{
+  /* An operator starts a process with settings that lack its part.  It must
+     hear so with everything else that is wrong, not as a failed bind. */
+  expect_settings (SETTINGS_NEED_GATEWAY | SETTINGS_NEED_CONTROL,
+                   "{ \"node\": \"entry-1\", \"zone\": \"hall-a\",\n"
+                   "  \"region\": \"nairobi\",\n"
+                   "  \"store\": { \"endpoints\": [], \"writes\": 1 },\n"
+                   "  \"secret_file\": \"secret.txt\" }",
+                   "0: : 'control' is missing\n"
+                   "0: : 'gateway' is missing\n"
+                   "3: /store/endpoints: names no address\n"
+                   "3: /store/writes: unknown key; did you mean "
+                   "'writes_per_s'?\n");
+}
--- a/t/t1101-push.c
+++ b/t/t1101-push.c
@@ -76,7 +76,7 @@
       p->files[n].len = strlen (p->files[n].text);
       cr_assert (asprintf (&p->files[n].name, "%s.json", f) > 0);
     }
-  p->folder = (struct cfg_folder){ NULL, p->files, n };
+  p->folder = (struct cfg_folder){ .files = p->files, .n = n };
 }
 
 static struct pusher *
--- /dev/null
+++ b/t/t8201-commands.c
@@ -0,0 +1,81 @@
+/*
+ * The command line as an operator meets it: help, wrong options, missing
+ * files and exit codes.
+ */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "t/lib-proc.h"
+
+TestSuite (commands, .fini = proc_stop_all, .timeout = 60);
+
+#define MOST 8
+
+struct run
+{
+  const char *args[MOST]; /**< after the program's name */
+  int code;
+};
+
+static void
+check (const struct run *r)
+{
+  const char *argv[MOST + 2] = { "lapisline" };
+  struct buf out = BUF_INIT;
+
+  memcpy (argv + 1, r->args, sizeof r->args);
+  int code = proc_run (argv, &out, PROC_WAIT_MS);
+  cr_expect_eq (code, r->code, "%s %s: ended with %d", r->args[0],
+                r->args[1] ? r->args[1] : "", code);
+  buf_free (&out);
+}
+
+/* Scripts act on exit codes: 2 for a wrong command line, 3 for errors in
+   files, 4 when nobody answers. */
+Test (commands, exit_codes)
+{
+  static const struct run runs[] = {
+    { { "--version" }, 0 },
+    { { "version", "--nosuch" }, 2 },
+    { { "version", "now" }, 2 },
+    { { "confg" }, 2 },
+    { { "gateway" }, 2 },
+    { { "gateway", "--settings", "/nosuch" }, 3 },
+    { { "control", "--settings", "/nosuch" }, 3 },
+    { { "config", "nosuch" }, 2 },
+    { { "config", "check", "/nosuch" }, 3 },
+    { { "config", "show", "--store", "127.0.0.1:1" }, 4 },
+    { { "config", "show", "--settings", "/nosuch" }, 3 },
+    { { "replica", "list", "--admin", "nowhere" }, 2 },
+    { { "replica", "list", "--admin", "127.0.0.1:1", "--token-file",
+        "/dev/null" },
+      4 },
+    { { "replica", "list", "--admin", "127.0.0.1:1", "--token-file",
+        "/nosuch" },
+      2 },
+    { { "node", "drain", "--admin", "127.0.0.1:1" }, 2 },
+    { { "metrics", "--admin", "127.0.0.1:1" }, 4 },
+    { { "trace", "xyz", "--admin", "127.0.0.1:1" }, 2 },
+    { { "replay", "/nosuch" }, 3 },
+  };
+
+  for (size_t i = 0; i < sizeof runs / sizeof runs[0]; i++)
+    check (&runs[i]);
+}
+
+/* Help is read on servers, where the locale is "C". */
+Test (commands, help_is_plain_text)
+{
+  static const char *const commands[]
+      = { "account", "address", "bench",  "config",  "control", "gateway",
+          "metrics", "node",    "replay", "replica", "trace",   "version" };
+
+  for (size_t i = 0; i < sizeof commands / sizeof commands[0]; i++)
+    {
+      struct buf out = BUF_INIT;
+      cr_expect_eq (PROC_RUN (&out, "lapisline", commands[i], "--help"), 0);
+      cr_expect_not_null (strstr (buf_c (&out), commands[i]));
+      cr_expect_null (strchr (buf_c (&out), '?'), "%s", buf_c (&out));
+      buf_free (&out);
+    }
+}
