--- a/builtin/world.c
+++ b/builtin/world.c
@@ -496,7 +496,7 @@
   struct cfg *cfg = make_config (w->p->workload);
   for (uint32_t g = 0; g < w->p->gateways; g++)
     {
-      char zone[8], node[16];
+      char zone[8], node[24];
       snprintf (zone, sizeof zone, "z%u", g % WL_ZONES);
       snprintf (node, sizeof node, "entry-%u", g);
       struct rt_options opt
