Share the order statistics of the benches

Cause: nine benches had a comparison function of their own for qsort(), two a quantile and one a median. Change: builtin/stats sorts and takes medians and quantiles for all; what each bench prints is unchanged. Conclusion: one definition of a quantile for the figures in the docs.

--- a/builtin/bench-assign.c
+++ b/builtin/bench-assign.c
@@ -8,6 +8,7 @@
 
 #include "base/rng.h"
 #include "builtin/assign-world.h"
+#include "builtin/stats.h"
 #include "lapisline.h"
 
 #define DAY_MS (24 * 60 * CLK_MINUTE)
@@ -164,19 +165,11 @@
   return sum;
 }
 
-static int
-by_value (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-
-  return x < y ? -1 : x > y;
-}
-
 /* Median with the least and the greatest. */
 static void
 print_spread (double *values, unsigned n)
 {
-  qsort (values, n, sizeof *values, by_value);
+  sta_sort (values, n);
   printf (" %9.2f [%8.2f %8.2f]", values[n / 2], values[0], values[n - 1]);
 }
 
--- a/builtin/bench-claims.c
+++ b/builtin/bench-claims.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 #include "claim/claim.h"
+#include "builtin/stats.h"
 #include "lapisline.h"
 
 #define ROUND_TRIP_MS ((clk_ms)4)
@@ -195,14 +196,6 @@
   return f;
 }
 
-static int
-by_size (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-
-  return (x > y) - (x < y);
-}
-
 /** Median and half the spread of one figure over the seeds. */
 static void
 print_figure (const struct figures *f, int n, size_t offset, int width)
@@ -211,7 +204,7 @@
 
   for (int i = 0; i < n; i++)
     v[i] = *(const double *)((const char *)&f[i] + offset);
-  qsort (v, (size_t)n, sizeof v[0], by_size);
+  sta_sort (v, (size_t)n);
   printf (" %*.1f ±%-5.1f", width, v[n / 2], (v[n - 1] - v[0]) / 2);
 }
 
--- a/builtin/bench-decide.c
+++ b/builtin/bench-decide.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "builtin/stats.h"
 #include "lapisline.h"
 #include "route/core.h"
 
@@ -190,17 +191,10 @@
   return (processor_us () - start) / 200;
 }
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-  return (x > y) - (x < y);
-}
-
 static void
 print_figure (double *v)
 {
-  qsort (v, (size_t)runs, sizeof *v, compare);
+  sta_sort (v, (size_t)runs);
   printf (" %8.2f [%7.2f %7.2f]", v[runs / 2], v[0], v[runs - 1]);
 }
 
--- a/builtin/bench-limits.c
+++ b/builtin/bench-limits.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "builtin/stats.h"
 #include "lapisline.h"
 #include "route/core.h"
 #include "route/share.h"
@@ -304,20 +305,13 @@
   return f;
 }
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-  return (x > y) - (x < y);
-}
-
 static void
 print_figure (const struct figures f[MOST_SEEDS], size_t offset)
 {
   double v[MOST_SEEDS];
   for (int i = 0; i < seeds; i++)
     v[i] = *(const double *)((const char *)&f[i] + offset);
-  qsort (v, (size_t)seeds, sizeof *v, compare);
+  sta_sort (v, (size_t)seeds);
   printf ("  %5.2f [%4.2f %4.2f]", v[seeds / 2], v[0], v[seeds - 1]);
 }
 
--- a/builtin/bench-members.c
+++ b/builtin/bench-members.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "builtin/members-run.h"
+#include "builtin/stats.h"
 #include "lapisline.h"
 
 #define MOST_SIZES 16
@@ -71,14 +72,6 @@
 
 #define NFIGURES (sizeof figures / sizeof figures[0])
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-
-  return (x > y) - (x < y);
-}
-
 /** Values of one figure over all runs, in order. */
 static void
 values_of (const struct members_result *all, const struct figure *f,
@@ -86,7 +79,7 @@
 {
   for (int i = 0; i < runs; i++)
     out[i] = *(const double *)((const char *)&all[i] + f->at);
-  qsort (out, (size_t)runs, sizeof *out, compare);
+  sta_sort (out, (size_t)runs);
 }
 
 static void
@@ -114,11 +107,9 @@
       wire[i] = all[i].wire_most;
       core[i] = all[i].core_percent;
     }
-  qsort (wire, (size_t)runs, sizeof *wire, compare);
-  qsort (core, (size_t)runs, sizeof *core, compare);
   printf ("  of 25 KB a second: %.0f%%; of 2.9%% of a core: %.0f%%\n",
-          100 * wire[runs / 2] / BUDGET_BYTES,
-          100 * core[runs / 2] / BUDGET_CORE);
+          100 * sta_median (wire, (size_t)runs) / BUDGET_BYTES,
+          100 * sta_median (core, (size_t)runs) / BUDGET_CORE);
   fflush (stdout);
 }
 
--- a/builtin/bench-path.c
+++ b/builtin/bench-path.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "builtin/bench.h"
+#include "builtin/stats.h"
 #include "lapisline.h"
 #include "net/httpc.h"
 
@@ -235,18 +236,11 @@
 
 /* ---- figures ---- */
 
-static int
-by_value (const void *a, const void *b)
-{
-  const double *x = a, *y = b;
-  return *x < *y ? -1 : *x > *y;
-}
-
 static double
 percentile (double *v, int n, double share)
 {
-  qsort (v, (size_t)n, sizeof *v, by_value);
-  return n > 0 ? v[(int)((double)(n - 1) * share)] : 0;
+  sta_sort (v, (size_t)n);
+  return sta_quantile (v, (size_t)n, share);
 }
 
 /** "median (least..most)" over the rounds. */
@@ -257,7 +251,7 @@
 
   for (int i = 0; i < n; i++)
     memcpy (&v[i], (const char *)&f[i] + at, sizeof (double));
-  qsort (v, (size_t)n, sizeof v[0], by_value);
+  sta_sort (v, (size_t)n);
   printf ("  %s %.3f (%.3f..%.3f)", what, v[n / 2], v[0], v[n - 1]);
 }
 
--- a/builtin/bench-route.c
+++ b/builtin/bench-route.c
@@ -7,6 +7,7 @@
 
 #include "builtin/stub.h"
 #include "builtin/world.h"
+#include "builtin/stats.h"
 #include "lapisline.h"
 
 #define MOST_SEEDS 25
@@ -39,20 +40,6 @@
           "write p99 over the peak as CSV for 'bench plot'", "FILE" },
         { NULL, 0, 0, 0, NULL, NULL, NULL } };
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-  return (x > y) - (x < y);
-}
-
-static double
-median (double *v, int n)
-{
-  qsort (v, (size_t)n, sizeof *v, compare);
-  return v[n / 2];
-}
-
 /** Medians over the seeds; p99 with its least and greatest value. */
 struct row
 {
@@ -75,7 +62,7 @@
   ({                                                                          \
     for (int i = 0; i < seeds; i++)                                           \
       v[i] = all[i].field;                                                    \
-    median (v, seeds);                                                        \
+    sta_median (v, (size_t)seeds);                                            \
   })
   row.mid.p50 = MEDIAN (p50);
   row.mid.p95 = MEDIAN (p95);
--- a/builtin/members-run.c
+++ b/builtin/members-run.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "builtin/stats.h"
 #include "fleet/bus.h"
 
 #define WARM_MS (60 * CLK_SECOND)
@@ -169,14 +170,6 @@
   free (before);
 }
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-
-  return (x > y) - (x < y);
-}
-
 /** Sorted samples, growing. */
 struct samples
 {
@@ -200,7 +193,7 @@
 {
   if (s->n > 0)
     {
-      qsort (s->v, s->n, sizeof *s->v, compare);
+      sta_sort (s->v, s->n);
       *p50 = s->v[s->n / 2];
       *p99 = s->v[(s->n * 99 - 1) / 100];
     }
--- a/builtin/world-figures.c
+++ b/builtin/world-figures.c
@@ -2,22 +2,11 @@
 
 #include <stdlib.h>
 
+#include "builtin/stats.h"
+
 #define WARM_UP_MS 10000 /* caches are cold before; not counted */
 #define LOST_MS 60000    /* counted for a request that got no token */
 
-static int
-compare (const void *a, const void *b)
-{
-  double x = *(const double *)a, y = *(const double *)b;
-  return (x > y) - (x < y);
-}
-
-static double
-quantile (const double *sorted, size_t n, double q)
-{
-  return n ? sorted[(size_t)(q * (double)(n - 1))] : 0;
-}
-
 static double
 small_quantile (const struct world *w, double q)
 {
@@ -27,8 +16,8 @@
     if (w->requests[i].account == 0 && w->requests[i].at >= WARM_UP_MS)
       ms[n++] = w->trips[i].first > 0 ? w->trips[i].first - w->requests[i].at
                                       : LOST_MS;
-  qsort (ms, n, sizeof *ms, compare);
-  double value = quantile (ms, n, q);
+  sta_sort (ms, n);
+  double value = sta_quantile (ms, n, q);
   free (ms);
   return value;
 }
@@ -65,10 +54,10 @@
       failed += t->failed;
       ms[r.n++] = t->first > 0 ? t->first - q->at + way : LOST_MS;
     }
-  qsort (ms, r.n, sizeof *ms, compare);
-  r.p50 = quantile (ms, r.n, 0.50);
-  r.p95 = quantile (ms, r.n, 0.95);
-  r.p99 = quantile (ms, r.n, 0.99);
+  sta_sort (ms, r.n);
+  r.p50 = sta_quantile (ms, r.n, 0.50);
+  r.p95 = sta_quantile (ms, r.n, 0.95);
+  r.p99 = sta_quantile (ms, r.n, 0.99);
   r.small_p99 = small_quantile (w, 0.99) + way;
   r.met = due ? (double)met / (double)due : 1;
   r.refused = (double)refused / (double)r.n;
