Refuse a filter of bench route that fits nothing

Cause: an unknown policy, fault, workload or lag printed an empty table with exit code 0. The macro around the medians also hid from the linter that every value is set. Change: a wrong filter is a usage error; the medians are taken by a function. Conclusion: the order statistics are unchanged, and an empty table can't pass for a result.

--- a/builtin/bench-route.c
+++ b/builtin/bench-route.c
@@ -47,34 +47,38 @@
   double p99_least, p99_most;
 };
 
+/** Fill @p sorted with one figure over the seeds; its median. */
+static double
+figure (const struct world_result *all, size_t offset,
+        double sorted[MOST_SEEDS])
+{
+  for (int i = 0; i < seeds; i++)
+    sorted[i] = *(const double *)((const char *)&all[i] + offset);
+  return sta_median (sorted, (size_t)seeds);
+}
+
 static struct row
 run_row (struct world_params p)
 {
-  struct world_result all[MOST_SEEDS];
-  double v[MOST_SEEDS];
-  struct row row;
+  static const size_t offsets[] = {
+#define AT(field) offsetof (struct world_result, field)
+    AT (p50), AT (p95),     AT (small_p99), AT (met),
+    AT (hit), AT (refused), AT (failed),
+#undef AT
+  };
+  struct world_result all[MOST_SEEDS] = { 0 };
+  double v[MOST_SEEDS] = { 0 };
+  struct row row = { 0 };
   for (int i = 0; i < seeds; i++)
     {
       p.seed = (uint64_t)seed + (uint64_t)i;
       all[i] = world_run (&p);
     }
-#define MEDIAN(field)                                                         \
-  ({                                                                          \
-    for (int i = 0; i < seeds; i++)                                           \
-      v[i] = all[i].field;                                                    \
-    sta_median (v, (size_t)seeds);                                            \
-  })
-  row.mid.p50 = MEDIAN (p50);
-  row.mid.p95 = MEDIAN (p95);
-  row.mid.small_p99 = MEDIAN (small_p99);
-  row.mid.met = MEDIAN (met);
-  row.mid.hit = MEDIAN (hit);
-  row.mid.refused = MEDIAN (refused);
-  row.mid.failed = MEDIAN (failed);
-  row.mid.p99 = MEDIAN (p99);
+  for (size_t i = 0; i < G_N_ELEMENTS (offsets); i++)
+    *(double *)((char *)&row.mid + offsets[i]) = figure (all, offsets[i], v);
+  row.mid.p99 = figure (all, offsetof (struct world_result, p99), v);
   row.p99_least = v[0];
   row.p99_most = v[seeds - 1];
-#undef MEDIAN
   return row;
 }
 
@@ -124,10 +128,11 @@
     print_verdict (rows);
 }
 
+static const int lags[] = { 0, 1000, 5000 };
+
 static void
 run_workload (const struct workload *w)
 {
-  static const int lags[] = { 0, 1000, 5000 };
   struct workload set = *w;
   set.flood = flood;
   if (peak > 0)
@@ -167,7 +172,6 @@
                                             .policy = p,
                                             .replicas = (size_t)replicas,
                                             .gateways = (unsigned)gateways,
-
                                             .lag_ms = lag })
                 .mid.p99);
     }
@@ -175,6 +179,29 @@
   return fclose (out) == 0;
 }
 
+static bool
+is_known (const char *word, const char *const *words, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (!word || strcmp (word, words[i]) == 0)
+      return true;
+  return false;
+}
+
+/** A filter that fits nothing would print an empty table, which reads like a
+    comparison without a difference. */
+static bool
+filters_fit (void)
+{
+  const char *const workloads[] = { wl_nairobi.name, wl_taipei.name };
+  bool lag_fits = only_lag < 0 || sweep_file;
+  for (size_t i = 0; i < G_N_ELEMENTS (lags); i++)
+    lag_fits |= only_lag == lags[i];
+  return lag_fits && is_known (only_policy, policy_names, POLICIES)
+         && is_known (only_fault, fault_names, FAULTS)
+         && is_known (only_workload, workloads, G_N_ELEMENTS (workloads));
+}
+
 int
 bench_route (int argc, char **argv)
 {
@@ -192,6 +219,11 @@
       g_clear_error (&error);
       return EXIT_USAGE;
     }
+  if (!filters_fit ())
+    {
+      fputs ("bench route: no such workload, fault, policy or lag\n", stderr);
+      return EXIT_USAGE;
+    }
   bench_banner ("route", (uint64_t)seed);
   printf ("%d replicas of %d slots, %d gateways, %d seeds; medians, p99 with "
           "[least greatest]\n",
