Show a claim's home in the trace

A booking's claim is made by its key's home, mostly another node. The tree ended at gateway.claim of the caller's node, so an operator who looked for a slow booking saw the time but not which node took it, and whether it was granted stood nowhere. ClaimAsk carries the asking span; the home records gateway.claim-home under it; both tell the verdict. Costs 28 bytes in each ask.

--- a/front/callers.h
+++ b/front/callers.h
@@ -194,9 +194,10 @@
   struct trc_id span;
   uint8_t parent[8];
   clk_ms began_at;
-  clk_ms asked_at;      /**< of the claim; 0: none */
-  clk_ms first_byte_at; /**< 0: none yet */
-  bool connected;       /**< some attempt began: queueing is over */
+  struct trc_id claim_span; /**< of the last ask */
+  clk_ms asked_at;          /**< of the claim; 0: none */
+  clk_ms first_byte_at;     /**< 0: none yet */
+  bool connected;           /**< some attempt began: queueing is over */
 };
 
 struct gw_exchange *gw_exchange_new (struct gw_callers *c,
--- a/front/claims-peers.c
+++ b/front/claims-peers.c
@@ -156,6 +156,13 @@
   m.answer.data = (uint8_t *)a->answer.ptr;
   m.answer.len = a->answer.len;
   m.answer_status = (uint32_t)a->ask.answer_status;
+  if (a->traced)
+    {
+      m.trace.data = (uint8_t *)a->trace.trace;
+      m.trace.len = sizeof a->trace.trace;
+      m.span.data = (uint8_t *)a->trace.span;
+      m.span.len = sizeof a->trace.span;
+    }
   frame.body_case = LAPIS__FRAME__BODY_CLAIM_ASK;
   frame.claim_ask = &m;
   return link_send (l, &frame);
--- a/front/claims.c
+++ b/front/claims.c
@@ -3,7 +3,9 @@
 
 #include "fleet/hash.h"
 #include "fleet/member.h"
+#include "front/callers.h"
 #include "front/claims.h"
+#include "route/record-names.h"
 
 /** Resolution of the asks' deadlines while any is open. */
 #define TICK_MS 10
@@ -119,7 +121,8 @@
     return;
   ask.kind = CLM_RELEASE;
   ask.answer = STR_EMPTY;
-  gw_claims_ask (c, &ask, CLM_ASK_MS, ignore, NULL);
+  gw_claims_ask (c, &ask, a->traced ? &a->trace : NULL, CLM_ASK_MS, ignore,
+                 NULL);
 }
 
 static void
@@ -228,14 +231,18 @@
 }
 
 void
-gw_claims_ask (struct gw_claims *c, const struct clm_ask *ask, clk_ms wait_ms,
-               gw_claim_cb cb, void *ctx)
+gw_claims_ask (struct gw_claims *c, const struct clm_ask *ask,
+               const struct trc_id *trace, clk_ms wait_ms, gw_claim_cb cb,
+               void *ctx)
 {
   struct claims_ask *a = ask_new (c, ask);
   unsigned ntargets = choose_targets (c, a);
 
   a->cb = cb;
   a->ctx = ctx;
+  a->traced = trace != NULL;
+  if (trace != NULL)
+    a->trace = *trace;
   do_asker (c, a, clm_asker_start (&a->asker, clk_now (), wait_ms, ntargets),
             NULL);
   claims_settle (c);
@@ -243,6 +250,28 @@
 
 /* Answers and asks that come in. */
 
+/** What this node, as the home, did for another one's request. */
+static void
+home_span (struct gw_claims *c, const struct claims_ask *a,
+           const struct clm_reply *reply)
+{
+  struct trc_id id = trc_child (&a->trace, &c->g->rng);
+
+  gw_span (c->g, &id, a->trace.span, "gateway.claim-home",
+           str_from (rec_verdict_names[reply->verdict]), a->began_at);
+}
+
+static void
+take_trace (struct claims_ask *a, const Lapis__ClaimAsk *m)
+{
+  a->traced = m->trace.len == sizeof a->trace.trace
+              && m->span.len == sizeof a->trace.span;
+  if (!a->traced)
+    return;
+  memcpy (a->trace.trace, m->trace.data, m->trace.len);
+  memcpy (a->trace.span, m->span.data, m->span.len);
+}
+
 void
 claims_answered (struct gw_claims *c, uint64_t id,
                  const struct clm_reply *reply)
@@ -257,6 +286,8 @@
                 reply);
       return;
     }
+  if (a->traced)
+    home_span (c, a, reply);
   if (a->link)
     claims_peers_answer (a->link, a->remote_id, reply);
   ask_unlink (c, a);
@@ -281,6 +312,8 @@
   a->remote = true;
   a->remote_id = m->id;
   a->link = l;
+  a->began_at = clk_now ();
+  take_trace (a, m);
   clm_ask (c->core, clk_now (), &a->ask);
   claims_settle (c);
 }
--- a/front/claims.h
+++ b/front/claims.h
@@ -21,6 +21,9 @@
   struct claims_ask *chain;
   struct clm_ask ask;
   struct buf answer; /**< of a finish */
+  bool traced;
+  struct trc_id trace; /**< the asking span */
+  clk_ms began_at;
 
   /* Of another gateway. */
   struct link *link; /**< NULL: own, or the link is gone */
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "front/callers.h"
+#include "route/record-names.h"
 
 /** Longest wait for the home of a claim. */
 #define CLAIM_WAIT_MS (3 * CLK_SECOND)
@@ -259,7 +260,8 @@
       buf_add (&ex->kept, reply->answer);
     }
   if (ex != NULL)
-    exchange_span (ex, "gateway.claim", STR_EMPTY, ex->asked_at);
+    gw_span (ex->c->g, &ex->claim_span, ex->span.span, "gateway.claim",
+             str_from (rec_verdict_names[reply->verdict]), ex->asked_at);
   gw_callers_event (w->c, &ev);
   free (w);
 }
@@ -292,14 +294,17 @@
   w->c = ex->c;
   w->id = ex->id;
   ex->asked_at = clk_now ();
-  gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_claim, w);
+  ex->claim_span = trc_child (&ex->span, &ex->c->g->rng);
+  gw_claims_ask (ex->c->g->claims, &ask, &ex->claim_span, CLAIM_WAIT_MS,
+                 on_claim, w);
 }
 
 static void
 claim_release (struct gw_exchange *ex)
 {
   struct clm_ask ask = make_ask (ex, CLM_RELEASE);
-  gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_told, NULL);
+  gw_claims_ask (ex->c->g->claims, &ask, &ex->span, CLAIM_WAIT_MS, on_told,
+                 NULL);
 }
 
 /**
@@ -321,7 +326,8 @@
       buf_add (&answer, buf_str (&ex->body));
       ask.answer = buf_str (&answer);
     }
-  gw_claims_ask (ex->c->g->claims, &ask, CLAIM_WAIT_MS, on_told, NULL);
+  gw_claims_ask (ex->c->g->claims, &ask, &ex->span, CLAIM_WAIT_MS, on_told,
+                 NULL);
   buf_free (&answer);
 }
 
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -68,9 +68,11 @@
  * Ask the home node of the key's shard, this one if it is or if the home
  * can't be reached; @p cb comes exactly once, with CLM_UNAVAILABLE after
  * @p wait_ms at the latest.
+ * @param trace  the asking span, parent of the home's; NULL: not traced
  */
 void gw_claims_ask (struct gw_claims *c, const struct clm_ask *ask,
-                    clk_ms wait_ms, gw_claim_cb cb, void *ctx);
+                    const struct trc_id *trace, clk_ms wait_ms, gw_claim_cb cb,
+                    void *ctx);
 /** The view's nodes changed. */
 void gw_claims_nodes (struct gw_claims *c);
 
--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1906,7 +1906,7 @@
   (ProtobufCMessageInit) lapis__replica_observed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__claim_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lapis__claim_ask__field_descriptors[9] =
 {
   {
     "id",
@@ -1992,6 +1992,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trace",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ClaimAsk, trace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "span",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ClaimAsk, span),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__claim_ask__field_indices_by_name[] = {
   5,   /* field[5] = answer */
@@ -2001,11 +2025,13 @@
   0,   /* field[0] = id */
   1,   /* field[1] = key */
   4,   /* field[4] = kind */
+  8,   /* field[8] = span */
+  7,   /* field[7] = trace */
 };
 static const ProtobufCIntRange lapis__claim_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lapis__claim_ask__descriptor =
 {
@@ -2015,7 +2041,7 @@
   "Lapis__ClaimAsk",
   "lapis",
   sizeof(Lapis__ClaimAsk),
-  7,
+  9,
   lapis__claim_ask__field_descriptors,
   lapis__claim_ask__field_indices_by_name,
   1,  lapis__claim_ask__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -288,10 +288,18 @@
    */
   ProtobufCBinaryData answer;
   uint32_t answer_status;
+  /*
+   * 16 bytes; empty: not traced
+   */
+  ProtobufCBinaryData trace;
+  /*
+   * 8 bytes, the asker's
+   */
+  ProtobufCBinaryData span;
 };
 #define LAPIS__CLAIM_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__claim_ask__descriptor) \
-    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0 }
+    , 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, {0,NULL}, 0, {0,NULL}, {0,NULL} }
 
 
 struct  Lapis__ClaimAnswer
--- a/t/t9002-homes.c
+++ b/t/t9002-homes.c
@@ -100,6 +100,43 @@
   expect_one_run_each (&c);
 }
 
+/* An operator looks for where a slow booking spent its time.  A key's claim
+   is made by its home, on another node; the tree must show that node's part
+   under the claim of the node that the caller used. */
+Test (homes, a_trace_shows_the_home)
+{
+  static const char id[] = "4bf92f3577b34da6a3ce929d0e0e4736";
+  struct cluster c;
+  struct buf out = BUF_INIT, headers = BUF_INIT;
+  const char *token;
+
+  cluster_up (&c, 2, CLUSTER_TOGETHER);
+  for (int i = 0; i < KEYS; i++)
+    {
+      struct web_answer a = { 0 };
+      buf_clear (&headers);
+      buf_addf (&headers,
+                FRONT_KEY "Idempotency-Key: %s\r\n"
+                          "traceparent: 00-%s-00f067aa0ba902b7-01\r\n",
+                key_of (i), id);
+      cr_assert (web_call (c.http[0], "POST", "/svc/soko-api/bookings",
+                           buf_c (&headers), "{}", &a));
+      cr_expect_eq (a.status, 200);
+      web_free (&a);
+    }
+  token = proc_file ("token", "demo-token");
+  cr_expect_eq (PROC_RUN (&out, "lapisline", "trace", id, "--token-file",
+                          token, "--admin", proc_addr (c.control[0], "admin")),
+                0);
+  cr_expect_not_null (
+      strstr (buf_c (&out), "    gateway.claim  entry-1  granted\n"));
+  cr_expect_not_null (
+      strstr (buf_c (&out), "      gateway.claim-home  entry-2  granted\n"),
+      "%s", buf_c (&out));
+  buf_free (&out);
+  buf_free (&headers);
+}
+
 /* All eight addresses are used for each booking at the same moment. */
 Test (homes, eight_gateways_at_the_same_moment)
 {
