Split the store interface by job

Cause: store/store.c held calls, copies of arguments, the wait for the budget and watches in 572 lines. Change: call.c has one call with its copies, watch.c the watches; store.c keeps the calls of store.h and the wait (340 lines). Code is moved, names got the module's prefix. Conclusion: behaviour is unchanged; each file tells one job.

--- a/store/store.c
+++ b/store/store.c
@@ -1,71 +1,8 @@
-#include "store/budget.h"
+#include "store/store-int.h"
 
 #include <stdlib.h>
-#include <string.h>
-#include <uv.h>
 
-enum kind
-{
-  KIND_RANGE,
-  KIND_TXN,
-  KIND_GRANT,
-  KIND_KEEP,
-  KIND_REVOKE,
-  KIND_WATCH
-};
-
-/** One call, first waiting for the budget and then open at the adapter. */
-struct store_call
-{
-  struct bud_item wait; /* first */
-  struct store *s;
-  struct store_call *next; /* of the open ones */
-  struct store_call **prev;
-  enum kind kind;
-  store_cb cb; /* NULL once forgotten */
-  void *ctx;
-  char *copy; /* bytes that the arguments point into */
-  struct str key, end;
-  struct store_txn txn;
-  clk_ms ttl;
-  int64_t lease;
-  int64_t from;
-  struct store_watch *watch;
-};
-
-struct store_watch
-{
-  struct store *s;
-  struct store_watch *next;
-  struct store_watch **prev;
-  struct store_watch_cb cb;
-  void *ctx;
-  struct store_call *waiting; /* until the budget lets it go out */
-  void *inner;                /* the adapter's */
-};
-
-struct store
-{
-  uv_timer_t timer; /* first; runs while calls wait */
-  const struct store_ops *ops;
-  void *self;
-  struct bud budget;
-  struct store_call *open;
-  struct store_watch *watches;
-  struct store_counts counts;
-};
-
-/* --- calls ------------------------------------------------------------- */
-
-static void
-call_free (struct store_call *c)
-{
-  free ((void *)c->txn.compares);
-  free ((void *)c->txn.puts);
-  free ((void *)c->txn.deletes);
-  free (c->copy);
-  free (c);
-}
+/* --- open calls -------------------------------------------------------- */
 
 static void
 open_add (struct store *s, struct store_call *c)
@@ -85,8 +22,8 @@
     c->next->prev = c->prev;
 }
 
-static void
-count_status (struct store_counts *n, enum store_status status)
+void
+store_count (struct store_counts *n, enum store_status status)
 {
   switch (status)
     {
@@ -113,67 +50,63 @@
 {
   struct store_call *c = ctx;
 
-  count_status (&c->s->counts, r->status);
+  store_count (&c->s->counts, r->status);
   open_remove (c);
   if (c->cb != NULL)
     c->cb (c->ctx, r);
-  call_free (c);
+  store_call_free (c);
 }
 
-static void watch_send (struct store *s, struct store_call *c);
-
 static void
 dispatch (struct store *s, struct store_call *c)
 {
-  if (c->kind == KIND_WATCH)
+  if (c->kind == STORE_KIND_WATCH)
     {
-      watch_send (s, c);
+      store_watch_send (s, c);
       return;
     }
   open_add (s, c);
   switch (c->kind)
     {
-    case KIND_RANGE:
+    case STORE_KIND_RANGE:
       s->counts.ranges++;
       s->ops->range (s->self, c->key, c->end, on_result, c);
       break;
-    case KIND_TXN:
+    case STORE_KIND_TXN:
       s->counts.txns++;
       s->ops->txn (s->self, &c->txn, on_result, c);
       break;
-    case KIND_GRANT:
+    case STORE_KIND_GRANT:
       s->counts.grants++;
       s->ops->lease_grant (s->self, c->ttl, on_result, c);
       break;
-    case KIND_KEEP:
+    case STORE_KIND_KEEP:
       s->counts.keeps++;
       s->ops->lease_keep (s->self, c->lease, on_result, c);
       break;
-    case KIND_REVOKE:
+    case STORE_KIND_REVOKE:
       s->counts.revokes++;
       s->ops->lease_revoke (s->self, c->lease, on_result, c);
       break;
-    case KIND_WATCH:
+    case STORE_KIND_WATCH:
       break;
     }
 }
 
 /* --- waiting ----------------------------------------------------------- */
 
-static void watch_end (struct store_watch *w, enum store_status why);
-
 static void
 expire (struct store *s, struct store_call *c)
 {
   struct store_result r = { .status = STORE_OVER_BUDGET };
 
-  if (c->kind == KIND_WATCH)
+  if (c->kind == STORE_KIND_WATCH)
     {
       struct store_watch *w = c->watch;
       s->counts.over_budget++;
       w->waiting = NULL;
-      call_free (c);
-      watch_end (w, STORE_OVER_BUDGET);
+      store_call_free (c);
+      store_watch_end (w, STORE_OVER_BUDGET);
       return;
     }
   open_add (s, c);
@@ -216,14 +149,14 @@
 }
 
 static enum bud_bucket
-bucket_of (enum kind kind)
+bucket_of (enum store_kind kind)
 {
-  return kind == KIND_RANGE || kind == KIND_WATCH ? BUD_READS : BUD_WRITES;
+  return kind == STORE_KIND_RANGE || kind == STORE_KIND_WATCH ? BUD_READS
+                                                              : BUD_WRITES;
 }
 
-/* Send at once when the budget allows, else wait. */
-static void
-submit (struct store *s, enum store_priority p, struct store_call *c)
+void
+store_submit (struct store *s, enum store_priority p, struct store_call *c)
 {
   enum bud_bucket bucket = bucket_of (c->kind);
   clk_ms now = clk_now ();
@@ -240,216 +173,51 @@
 
 /* --- the calls of store.h ---------------------------------------------- */
 
-static struct store_call *
-call_new (enum kind kind, store_cb cb, void *ctx)
-{
-  struct store_call *c = xcalloc (1, sizeof *c);
-
-  c->kind = kind;
-  c->cb = cb;
-  c->ctx = ctx;
-  return c;
-}
-
-/* Move @p s into the copy at @p to; returns where the next goes. */
-static char *
-copy_str (char *to, struct str *s)
-{
-  if (s->len > 0)
-    memcpy (to, s->ptr, s->len);
-  s->ptr = to;
-  return to + s->len;
-}
-
-static void
-copy_keys (struct store_call *c, struct str key, struct str end)
-{
-  c->copy = xmalloc (key.len + end.len + 1);
-  c->key = key;
-  c->end = end;
-  copy_str (copy_str (c->copy, &c->key), &c->end);
-}
-
-static size_t
-txn_bytes (const struct store_txn *t)
-{
-  size_t n = 0;
-
-  for (size_t i = 0; i < t->ncompares; i++)
-    n += t->compares[i].key.len;
-  for (size_t i = 0; i < t->nputs; i++)
-    n += t->puts[i].key.len + t->puts[i].value.len;
-  for (size_t i = 0; i < t->ndeletes; i++)
-    n += t->deletes[i].len;
-  return n;
-}
-
-static void *
-copy_array (const void *from, size_t n, size_t size)
-{
-  void *to = xcalloc (n + 1, size);
-
-  if (n > 0)
-    memcpy (to, from, n * size);
-  return to;
-}
-
-static void
-copy_txn (struct store_call *c, const struct store_txn *t)
-{
-  struct store_compare *compares
-      = copy_array (t->compares, t->ncompares, sizeof *compares);
-  struct store_put *puts = copy_array (t->puts, t->nputs, sizeof *puts);
-  struct str *deletes = copy_array (t->deletes, t->ndeletes, sizeof *deletes);
-  char *to = c->copy = xmalloc (txn_bytes (t) + 1);
-
-  for (size_t i = 0; i < t->ncompares; i++)
-    to = copy_str (to, &compares[i].key);
-  for (size_t i = 0; i < t->nputs; i++)
-    to = copy_str (copy_str (to, &puts[i].key), &puts[i].value);
-  for (size_t i = 0; i < t->ndeletes; i++)
-    to = copy_str (to, &deletes[i]);
-  c->txn = *t;
-  c->txn.compares = compares;
-  c->txn.puts = puts;
-  c->txn.deletes = deletes;
-}
-
 void
 store_range (struct store *s, enum store_priority p, struct str key,
              struct str end, store_cb cb, void *ctx)
 {
-  struct store_call *c = call_new (KIND_RANGE, cb, ctx);
+  struct store_call *c = store_call_new (STORE_KIND_RANGE, cb, ctx);
 
-  copy_keys (c, key, end);
-  submit (s, p, c);
+  store_call_keys (c, key, end);
+  store_submit (s, p, c);
 }
 
 void
 store_txn (struct store *s, enum store_priority p, const struct store_txn *txn,
            store_cb cb, void *ctx)
 {
-  struct store_call *c = call_new (KIND_TXN, cb, ctx);
+  struct store_call *c = store_call_new (STORE_KIND_TXN, cb, ctx);
 
-  copy_txn (c, txn);
-  submit (s, p, c);
+  store_call_txn (c, txn);
+  store_submit (s, p, c);
 }
 
 void
 store_lease_grant (struct store *s, clk_ms ttl, store_cb cb, void *ctx)
 {
-  struct store_call *c = call_new (KIND_GRANT, cb, ctx);
+  struct store_call *c = store_call_new (STORE_KIND_GRANT, cb, ctx);
 
   c->ttl = ttl;
-  submit (s, STORE_OWNERSHIP, c);
+  store_submit (s, STORE_OWNERSHIP, c);
 }
 
 void
 store_lease_keep (struct store *s, int64_t lease, store_cb cb, void *ctx)
 {
-  struct store_call *c = call_new (KIND_KEEP, cb, ctx);
+  struct store_call *c = store_call_new (STORE_KIND_KEEP, cb, ctx);
 
   c->lease = lease;
-  submit (s, STORE_OWNERSHIP, c);
+  store_submit (s, STORE_OWNERSHIP, c);
 }
 
 void
 store_lease_revoke (struct store *s, int64_t lease, store_cb cb, void *ctx)
 {
-  struct store_call *c = call_new (KIND_REVOKE, cb, ctx);
+  struct store_call *c = store_call_new (STORE_KIND_REVOKE, cb, ctx);
 
   c->lease = lease;
-  submit (s, STORE_OWNERSHIP, c);
-}
-
-/* --- watches ----------------------------------------------------------- */
-
-static void
-watch_unlink (struct store_watch *w)
-{
-  *w->prev = w->next;
-  if (w->next != NULL)
-    w->next->prev = w->prev;
-}
-
-static void
-watch_end (struct store_watch *w, enum store_status why)
-{
-  struct store_watch_cb cb = w->cb;
-  void *ctx = w->ctx;
-
-  watch_unlink (w);
-  free (w);
-  cb.on_end (ctx, why);
-}
-
-static void
-on_watch_events (void *ctx, int64_t revision,
-                 const struct store_watch_event *ev, size_t n)
-{
-  struct store_watch *w = ctx;
-
-  w->cb.on_events (w->ctx, revision, ev, n);
-}
-
-static void
-on_watch_end (void *ctx, enum store_status why)
-{
-  struct store_watch *w = ctx;
-
-  count_status (&w->s->counts, why);
-  watch_end (w, why);
-}
-
-static void
-watch_send (struct store *s, struct store_call *c)
-{
-  static const struct store_watch_cb cb = { on_watch_events, on_watch_end };
-  struct store_watch *w = c->watch;
-
-  s->counts.watches++;
-  w->waiting = NULL;
-  w->inner = s->ops->watch (s->self, c->key, c->end, c->from, &cb, w);
-  call_free (c);
-}
-
-struct store_watch *
-store_watch (struct store *s, struct str key, struct str end, int64_t from,
-             const struct store_watch_cb *cb, void *ctx)
-{
-  struct store_watch *w = xcalloc (1, sizeof *w);
-  struct store_call *c = call_new (KIND_WATCH, NULL, NULL);
-
-  w->s = s;
-  w->cb = *cb;
-  w->ctx = ctx;
-  w->waiting = c;
-  w->next = s->watches;
-  w->prev = &s->watches;
-  if (w->next != NULL)
-    w->next->prev = &w->next;
-  s->watches = w;
-  copy_keys (c, key, end);
-  c->from = from;
-  c->watch = w;
-  submit (s, STORE_CONFIG, c);
-  return w;
-}
-
-void
-store_watch_stop (struct store_watch *w)
-{
-  struct store *s = w->s;
-
-  if (w->waiting != NULL)
-    {
-      bud_remove (&s->budget, BUD_READS, STORE_CONFIG, &w->waiting->wait);
-      call_free (w->waiting);
-    }
-  else
-    s->ops->watch_stop (s->self, w->inner);
-  watch_unlink (w);
-  free (w);
+  store_submit (s, STORE_OWNERSHIP, c);
 }
 
 /* --- the store --------------------------------------------------------- */
@@ -487,7 +255,7 @@
 static void
 free_waiting (struct store_call *c, void *arg)
 {
-  call_free (c);
+  store_call_free (c);
 }
 
 static void
@@ -498,7 +266,7 @@
   for (struct store_call *c = s->open; c != NULL; c = next)
     {
       next = c->next;
-      call_free (c);
+      store_call_free (c);
     }
 }
 
