Give leaving backend servers of services no new work

Cause: the platform's list was read for VMs of replicas alone. A backend server of a plain service that the list held as leaving went on getting calls; the core has an event for it (RT_EV_BACKEND_DOWN), which nothing sent.

Change: whoever reads the list (homes of domains; every node where there is no domain) keeps the names of services' backend servers that leave and sends them with full evidence; control passes them on in its view, and the gateway tells its core. A server that goes on leaving is never told to be back in between, as the queue would go to it; for 6 s after a link came up nobody is taken for back, as a restarted control may not know yet.

--- a/control/dom-calls.c
+++ b/control/dom-calls.c
@@ -270,20 +270,73 @@
       rep_event (all->list[i]->rep, clk_now (), &ev);
 }
 
+bool
+dom_named (const GPtrArray *names, const char *name)
+{
+  for (guint i = 0; i < names->len; i++)
+    if (strcmp (names->pdata[i], name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_backend (const struct cfg *cfg, const char *name)
+{
+  for (size_t i = 0; cfg && i < cfg->nservices; i++)
+    for (size_t k = 0; k < cfg->services[i].nbackends; k++)
+      if (str_is (cfg->services[i].backends[k].name, name))
+        return true;
+  return false;
+}
+
+static bool
+same_names (const GPtrArray *a, const GPtrArray *b)
+{
+  bool same = a->len == b->len;
+
+  for (guint i = 0; same && i < a->len; i++)
+    same = dom_named (b, a->pdata[i]);
+  return same;
+}
+
+/* A plain service has no owner who could drain its backend server: that it
+   leaves is told to every gateway, which then sends it nothing new. */
+static void
+set_leaving (struct ctl_domains *all, GPtrArray *names)
+{
+  bool changed = !same_names (names, all->leaving);
+
+  g_ptr_array_free (all->leaving, TRUE);
+  all->leaving = names;
+  if (!changed)
+    return;
+  for (size_t i = 0; i < all->n; i++)
+    all->list[i]->changed = true;
+  ctl_evidence_changed (all->c);
+}
+
 static void
 read_list (struct ctl_domains *all, struct json_object *list)
 {
+  GPtrArray *leaving;
+
   if (!json_object_is_type (list, json_type_array))
     return;
+  leaving = g_ptr_array_new_with_free_func (free);
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       struct json_object *vm = json_object_array_get_idx (list, i);
       const char *name = json_object_get_string (get (vm, "name"));
       const char *state = json_object_get_string (get (vm, "state"));
 
-      if (name && state)
-        tell_vm (all, str_from (name), strcmp (state, "leaving") != 0);
+      if (!name || !state)
+        continue;
+      tell_vm (all, str_from (name), strcmp (state, "leaving") != 0);
+      if (strcmp (state, "leaving") == 0 && is_backend (all->cfg, name)
+          && !dom_named (leaving, name))
+        g_ptr_array_add (leaving, xstrdup (name));
     }
+  set_leaving (all, leaving);
 }
 
 static void
@@ -318,13 +371,14 @@
   json_object_put (list);
 }
 
+/* Homes read the list, and every node where there is no domain at all. */
 static bool
-any_home (const struct ctl_domains *all)
+reads_list (const struct ctl_domains *all)
 {
   for (size_t i = 0; i < all->n; i++)
     if (all->list[i]->rep)
       return true;
-  return false;
+  return all->n == 0 && all->cfg && all->cfg->nservices > 0;
 }
 
 void
@@ -344,9 +398,15 @@
       httpc_cancel (all->platform);
       all->platform = NULL;
     }
-  if (!req.to.port || all->platform || now < all->next_platform
-      || !any_home (all))
+  if (!req.to.port || all->platform || now < all->next_platform)
     return;
+  if (!reads_list (all))
+    {
+      /* What was read as a home is nobody's word any more. */
+      if (all->leaving->len)
+        set_leaving (all, g_ptr_array_new_with_free_func (free));
+      return;
+    }
   all->next_platform = now + DOM_PLATFORM_MS;
   all->platform_deadline = now + 2 * DOM_PLATFORM_MS;
   all->platform_status = 0;
--- a/control/dom-view.c
+++ b/control/dom-view.c
@@ -111,6 +111,8 @@
     }
   e.n_replicas = n;
   e.replicas = ptrs;
+  e.n_leaving = d->all->leaving->len;
+  e.leaving = (char **)d->all->leaving->pdata;
   send_evidence (d, &e);
   d->full_seq = d->seq;
   d->full_at = now;
@@ -354,3 +356,32 @@
     merge_dom (all, all->list[i], now);
   return all->merged;
 }
+
+static void
+add_leaving (GPtrArray *names, char *name)
+{
+  if (!dom_named (names, name))
+    g_ptr_array_add (names, name);
+}
+
+/* Only homes read the platform's list, which is long; what concerns everybody
+   comes with their evidence. */
+char *const *
+ctl_domains_leaving (struct ctl_domains *all, size_t *n)
+{
+  GPtrArray *names = all->all_leaving;
+
+  g_ptr_array_set_size (names, 0);
+  for (guint i = 0; i < all->leaving->len; i++)
+    add_leaving (names, all->leaving->pdata[i]);
+  for (size_t i = 0; i < all->n; i++)
+    {
+      const Lapis__Evidence *e
+          = all->list[i]->rep ? NULL : all->list[i]->remote.last;
+
+      for (size_t k = 0; e && k < e->n_leaving; k++)
+        add_leaving (names, e->leaving[k]);
+    }
+  *n = names->len;
+  return (char *const *)names->pdata;
+}
--- a/control/domains.c
+++ b/control/domains.c
@@ -371,6 +371,8 @@
   all->timer.data = all;
   uv_timer_start (&all->timer, on_timer, (uint64_t)DOM_TICK_MS,
                   (uint64_t)DOM_TICK_MS);
+  all->leaving = g_ptr_array_new_with_free_func (free);
+  all->all_leaving = g_ptr_array_new ();
   if (c->cfg)
     ctl_domains_config (all);
   return all;
@@ -392,6 +394,8 @@
   free (all->list);
   free (all->dom_of);
   free (all->merged);
+  g_ptr_array_free (all->leaving, TRUE);
+  g_ptr_array_free (all->all_leaving, TRUE);
   if (all->cfg)
     cfg_unref (all->cfg);
   uv_close ((uv_handle_t *)&all->timer, on_closed);
--- a/control/domains.h
+++ b/control/domains.h
@@ -14,6 +14,8 @@
 #include "control/control.h"
 #include "replica/owner.h"
 
+#include <glib.h>
+
 #define DOM_TICK_MS ((clk_ms)100)
 /** A probe without an answer by then has failed. */
 #define DOM_PROBE_MS ((clk_ms)800)
@@ -104,6 +106,9 @@
   struct httpc_call *platform;
   struct buf platform_body;
   int platform_status;
+  GPtrArray
+      *leaving; /* backend servers, as the list that was read here says */
+  GPtrArray *all_leaving; /* and by the lists of other nodes; owns nothing */
   clk_ms platform_deadline;
   struct ctl_replica *merged;
   size_t nmerged;
@@ -126,6 +131,8 @@
 void dom_call_free (struct dom_call *call);
 void dom_platform_tick (struct ctl_domains *all, clk_ms now);
 void dom_platform_stop (struct ctl_domains *all);
+/** Whether a list of names holds @p name. */
+bool dom_named (const GPtrArray *names, const char *name);
 
 /* dom-store.c */
 void dom_own_action (struct dom *d, const struct own_action *a);
--- a/control/views.c
+++ b/control/views.c
@@ -234,6 +234,8 @@
   lapis__view__init (&b.view);
   b.view.seq = ++v->seq;
   b.view.leaving = v->c->leaving;
+  b.view.leaving_backends = (char **)ctl_domains_leaving (
+      v->c->domains, &b.view.n_leaving_backends);
   b.view.store_ok = now - v->store_failed_at >= STORE_OK_AFTER_MS;
   add_nodes (&b, v->c);
   add_replicas (&b, v->c, now);
--- a/front/callers.c
+++ b/front/callers.c
@@ -417,6 +417,15 @@
   gw_callers_event (c, &ev);
 }
 
+void
+gw_callers_leaving (struct gw_callers *c, struct str backend, bool on)
+{
+  struct rt_event ev
+      = { .kind = RT_EV_BACKEND_DOWN, .name = backend, .on = on };
+
+  gw_callers_event (c, &ev);
+}
+
 void
 gw_callers_share (struct gw_callers *c, const struct gw_share *share)
 {
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -100,6 +100,8 @@
 void gw_callers_config (struct gw_callers *c);
 void gw_callers_replicas (struct gw_callers *c, const struct rt_replica *list,
                           size_t n);
+/** A backend server of a plain service leaves, or is back. */
+void gw_callers_leaving (struct gw_callers *c, struct str backend, bool on);
 void gw_callers_share (struct gw_callers *c, const struct gw_share *share);
 /** Gateways of the region, this one included: shares are limit / N at worst.
  */
--- a/front/view-lists.c
+++ b/front/view-lists.c
@@ -30,6 +30,7 @@
   free (l->texts);
   free (l->nodes);
   free (l->replicas);
+  free (l->leaving);
   memset (l, 0, sizeof *l);
 }
 
@@ -110,21 +111,43 @@
     }
 }
 
+bool
+view_lists_leaving (const struct view_lists *l, struct str backend)
+{
+  for (size_t i = 0; i < l->nleaving; i++)
+    if (str_eq (l->leaving[i], backend))
+      return true;
+  return false;
+}
+
+static void
+keep_leaving (struct view_lists *l, const struct view_lists *old,
+              const Lapis__View *v, bool new_link)
+{
+  size_t nold = new_link ? old->nleaving : 0;
+
+  l->leaving = xcalloc (v->n_leaving_backends + nold + 1, sizeof *l->leaving);
+  for (size_t i = 0; i < v->n_leaving_backends; i++)
+    l->leaving[l->nleaving++] = keep (l, v->leaving_backends[i]);
+  for (size_t i = 0; i < nold; i++)
+    if (!view_lists_leaving (l, old->leaving[i]))
+      l->leaving[l->nleaving++] = keep_str (l, old->leaving[i]);
+}
+
 void
-view_lists_read (struct view_lists *l, const struct cfg *cfg,
-                 const Lapis__View *v)
+view_lists_read (struct view_lists *l, const struct view_lists *old,
+                 const struct cfg *cfg, const Lapis__View *v, bool new_link)
 {
-  struct view_lists old = *l;
   clk_ms now = clk_now ();
 
   memset (l, 0, sizeof *l);
   l->nodes = xcalloc (v->n_nodes + 1, sizeof l->nodes[0]);
   l->replicas
-      = xcalloc (v->n_replicas + old.nreplicas + 1, sizeof l->replicas[0]);
+      = xcalloc (v->n_replicas + old->nreplicas + 1, sizeof l->replicas[0]);
   for (size_t i = 0; i < v->n_nodes; i++)
     keep_node (l, v->nodes[i]);
   for (size_t i = 0; i < v->n_replicas; i++)
     keep_replica (l, cfg, now, v->replicas[i]);
-  keep_unknown (l, cfg, &old);
-  view_lists_free (&old);
+  keep_unknown (l, cfg, old);
+  keep_leaving (l, old, v, new_link);
 }
--- a/front/view.c
+++ b/front/view.c
@@ -16,6 +16,10 @@
     link to be given up would leave a gap in which every request is refused. */
 #define VIEW_LATE_MS ((clk_ms)1600)
 
+/** A restarted control hears all evidence once more within 5 s.  Until then
+    it may not know of a backend server that leaves. */
+#define NEW_LINK_MS ((clk_ms)6000)
+
 struct gw_view
 {
   struct gw *g;
@@ -25,6 +29,7 @@
   bool up;
   bool heard;     /**< a view came over this link */
   clk_ms view_at; /**< when the last one came */
+  clk_ms linked_at;
   clk_ms reported_at;
   clk_ms connect_at;
   struct net_addr http, peer;
@@ -60,6 +65,27 @@
   return n ? n : 1;
 }
 
+/**
+ * A server that goes on leaving is never told to be back in between: what is
+ * queued would go to it.  That it leaves is said again with each view, as a
+ * configuration may have brought it anew.
+ */
+static void
+take_lists (struct gw_view *v, const Lapis__View *view)
+{
+  struct gw_callers *callers = v->g->callers;
+  struct view_lists old = v->lists, *l = &v->lists;
+
+  view_lists_read (l, &old, v->g->cfg, view,
+                   clk_now () - v->linked_at < NEW_LINK_MS);
+  for (size_t i = 0; i < old.nleaving; i++)
+    if (!view_lists_leaving (l, old.leaving[i]))
+      gw_callers_leaving (callers, old.leaving[i], false);
+  for (size_t i = 0; i < l->nleaving; i++)
+    gw_callers_leaving (callers, l->leaving[i], true);
+  view_lists_free (&old);
+}
+
 static void
 take_view (struct gw_view *v, const Lapis__View *view)
 {
@@ -68,7 +94,7 @@
   v->heard = true;
   v->view_at = clk_now ();
   view_config_view (&v->config, g, view);
-  view_lists_read (&v->lists, g->cfg, view);
+  take_lists (v, view);
   gw_probe_view (g->probe);
   gw_callers_nodes (g->callers, gateways_of_region (v));
   take_shares (g, view);
@@ -229,6 +255,7 @@
   view_config_clear (&v->config);
   if (state == LINK_UP)
     {
+      v->linked_at = clk_now ();
       LOG (control_linked, LOG_C ("node", v->g->set.node));
       send_hello (v);
       send_report (v);
--- a/front/view.h
+++ b/front/view.h
@@ -14,13 +14,22 @@
   size_t nnodes;
   struct rt_replica *replicas;
   size_t nreplicas;
+  struct str *leaving; /**< backend servers of plain services */
+  size_t nleaving;
   char **texts; /**< every string above */
   size_t ntexts;
 };
 
-/** Replace the lists; spans of a view count from now. */
-void view_lists_read (struct view_lists *l, const struct cfg *cfg,
-                      const Lapis__View *v);
+/**
+ * Read a view's lists; its spans count from now.
+ * @param old       the last lists; what the view does not know is copied
+ * @param new_link  control may have restarted and not know yet who leaves
+ */
+void view_lists_read (struct view_lists *l, const struct view_lists *old,
+                      const struct cfg *cfg, const Lapis__View *v,
+                      bool new_link);
+/** Whether a backend server of a plain service leaves. */
+bool view_lists_leaving (const struct view_lists *l, struct str backend);
 void view_lists_free (struct view_lists *l);
 
 /** A configuration on its way; all zero is valid. */
--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1287,7 +1287,7 @@
   (ProtobufCMessageInit) lapis__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__view__field_descriptors[9] =
+static const ProtobufCFieldDescriptor lapis__view__field_descriptors[10] =
 {
   {
     "seq",
@@ -1397,12 +1397,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_backends",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__View, n_leaving_backends),
+    offsetof(Lapis__View, leaving_backends),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__view__field_indices_by_name[] = {
   3,   /* field[3] = config */
   2,   /* field[2] = config_hash */
   1,   /* field[1] = config_revision */
   8,   /* field[8] = leaving */
+  9,   /* field[9] = leaving_backends */
   4,   /* field[4] = nodes */
   5,   /* field[5] = replicas */
   0,   /* field[0] = seq */
@@ -1412,7 +1425,7 @@
 static const ProtobufCIntRange lapis__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lapis__view__descriptor =
 {
@@ -1422,7 +1435,7 @@
   "Lapis__View",
   "lapis",
   sizeof(Lapis__View),
-  9,
+  10,
   lapis__view__field_descriptors,
   lapis__view__field_indices_by_name,
   1,  lapis__view__number_ranges,
@@ -2343,7 +2356,7 @@
   (ProtobufCMessageInit) lapis__config_chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__evidence__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lapis__evidence__field_descriptors[8] =
 {
   {
     "domain",
@@ -2429,12 +2442,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__Evidence, n_leaving),
+    offsetof(Lapis__Evidence, leaving),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__evidence__field_indices_by_name[] = {
   5,   /* field[5] = age_ms */
   0,   /* field[0] = domain */
   1,   /* field[1] = fence */
   4,   /* field[4] = full_seq */
+  7,   /* field[7] = leaving */
   6,   /* field[6] = loads */
   3,   /* field[3] = replicas */
   2,   /* field[2] = seq */
@@ -2442,7 +2468,7 @@
 static const ProtobufCIntRange lapis__evidence__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lapis__evidence__descriptor =
 {
@@ -2452,7 +2478,7 @@
   "Lapis__Evidence",
   "lapis",
   sizeof(Lapis__Evidence),
-  7,
+  8,
   lapis__evidence__field_descriptors,
   lapis__evidence__field_indices_by_name,
   1,  lapis__evidence__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -157,10 +157,15 @@
    * this node is being drained
    */
   protobuf_c_boolean leaving;
+  /*
+   * of plain services
+   */
+  size_t n_leaving_backends;
+  char **leaving_backends;
 };
 #define LAPIS__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__view__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, {0,NULL}, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Lapis__NodeView
@@ -384,10 +389,16 @@
    */
   size_t n_loads;
   uint32_t *loads;
+  /*
+   * Backend servers of plain services that the platform lists as leaving, in
+   * full ones.
+   */
+  size_t n_leaving;
+  char **leaving;
 };
 #define LAPIS__EVIDENCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__evidence__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Lapis__ShareDemand
--- a/t/t8002-views.c
+++ b/t/t8002-views.c
@@ -61,6 +61,13 @@
   last = revision;
 }
 
+char *const *
+ctl_domains_leaving (struct ctl_domains *d, size_t *n)
+{
+  *n = 0;
+  return NULL;
+}
+
 const struct ctl_replica *
 ctl_domains_replicas (struct ctl_domains *d, size_t *n)
 {
--- a/t/t9101-stops.c
+++ b/t/t9101-stops.c
@@ -78,6 +78,52 @@
   cr_expect_eq (front_count (s.vm[0], "runs"), runs, "new work");
 }
 
+static void
+list_at (const struct site *s, int calls)
+{
+  for (int i = 0; i < calls; i++)
+    {
+      struct web_answer a = { 0 };
+      web_call (s->http[i % SITE_NODES], "GET", "/svc/soko-api/list",
+                FRONT_KEY, NULL, &a);
+      cr_expect_eq (a.status, 200);
+      web_free (&a);
+    }
+}
+
+/* The platform lists a backend server of the plain service as leaving.  After
+   three seconds every call goes to the other one, at both gateways, also when
+   a control process restarts, which does not know of it at first.  Listed as
+   live again, it gets work again. */
+Test (stops, leaving_service_backend_gets_no_new_work)
+{
+  struct site s;
+
+  site_up (&s, SITE_CHECK_FENCE);
+  front_fault (s.platform, "{\"vms\": {\"soko-1\": \"leaving\"}}");
+  usleep (LEAVING_MS * 1000);
+  int runs = front_count (s.soko[0], "runs");
+  list_at (&s, 40);
+  for (int i = 0; i < SITE_NODES; i++)
+    {
+      proc_signal (s.control[i], SIGKILL);
+      site_restart_control (&s, i);
+    }
+  for (int i = 0; i < 40; i++)
+    {
+      list_at (&s, 2);
+      usleep (50000);
+    }
+  cr_expect_eq (front_count (s.soko[0], "runs"), runs, "new work");
+  front_fault (s.platform, "{\"vms\": {\"soko-1\": \"live\"}}");
+  for (int i = 0; i < 400 && front_count (s.soko[0], "runs") == runs; i++)
+    {
+      list_at (&s, 2);
+      usleep (50000);
+    }
+  cr_expect_gt (front_count (s.soko[0], "runs"), runs, "never back");
+}
+
 /* A planned stop of one entry VM, its gateway first, then its control.  The
    caller whose stream is open reads it to its end; a caller that was told
    this address is served until that answer runs out, while the other node no
