Move the tools that test nothing from t/ to tools/

Cause: t/ held the example's script, two measurements, the path's bench and the maker of large folders. None is run by the tests, a reader of t/ had to find that out file by file, and they counted as test code. No line of the scripts changes but those. Measured: tools/run-example.sh ends with outcome done; make-folder's folder passes config check; bench-path and measure-spread (4 nodes, 2 pushes) end with their figures. Conclusion: t/ holds tests and what only they use.

--- a/Makefile
+++ b/Makefile
@@ -67,11 +67,11 @@
 # Users' commands: what is missing is installed first.
 run: install
 	$(MAKE) $(PARALLEL) all
-	t/run-example.sh
+	tools/run-example.sh
 
 run-keep: install
 	$(MAKE) $(PARALLEL) all
-	t/run-example.sh --keep
+	tools/run-example.sh --keep
 
 install:
 	@.ci/install --missing
--- a/t/bench-path.sh
+++ b/tools/bench-path.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# usage: t/bench-path.sh [OPTION of 'lapisline bench path'...]
+# usage: tools/bench-path.sh [OPTION of 'lapisline bench path'...]
 #
 # Start a model stand-in and a gateway before it, and measure what the
 # gateway adds.  Everything runs on loopback and ends with the measurement.
--- a/t/make-folder.sh
+++ b/tools/make-folder.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Write a configuration folder of a given size, for measurements.
 #
-# usage: make-folder.sh DIR REPLICAS VMS_EACH
+# usage: tools/make-folder.sh DIR REPLICAS VMS_EACH
 #
 # Fabric domains hold ten replicas each, in ten availability zones.
 set -eu
--- a/t/measure-control.sh
+++ b/tools/measure-control.sh
@@ -1,11 +1,11 @@
 #!/bin/bash
 # What control costs and how fast it is, with real processes on loopback.
 #
-# usage: t/measure-control.sh [NODES...]            (default 8 16 32)
+# usage: tools/measure-control.sh [NODES...]            (default 8 16 32)
 #   SEED=N       order of pushes, kills and freezes  (default 1)
 #   SECONDS_IDLE=N  window of the cost figures       (default 20)
 #   PUSHES=N     configuration changes               (default 10; more with
-#                t/measure-spread.sh)
+#                tools/measure-spread.sh)
 #   FREEZES=N    nodes stopped for 1 to 5 s          (default 10)
 #   KILLS=N      nodes killed                        (default 3)
 #   OUT=FILE     append one CSV row a size
--- a/t/measure-spread.sh
+++ b/tools/measure-spread.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Measure how long an accepted configuration takes to every control process.
 #
-# usage: measure-spread.sh NODES PUSHES [FOLDER]
+# usage: tools/measure-spread.sh NODES PUSHES [FOLDER]
 #
 # Starts the store's stand-in and NODES control processes in three zones,
 # pushes FOLDER (examples/nairobi) PUSHES times with one file changed, and
--- a/t/run-example.sh
+++ b/tools/run-example.sh
@@ -2,7 +2,7 @@
 # Start the whole path on this machine, make one streamed completion and one
 # booking call, print each answer with its outcome, stop what was started.
 #
-# usage: run-example.sh [--keep]
+# usage: tools/run-example.sh [--keep]
 set -eu
 
 bin=build/lapisline
