Give addresses a header of their own

Cause: struct net_addr stood in net/httpc.h, so the configuration and with it every decision core pulled in libuv and the HTTP client for one type. Change: net/addr.h has the type and its functions; config/ includes only that. Files that got stdio.h or uv.h by that way name it now. Conclusion: behaviour is unchanged; a core that includes I/O shows it.

--- a/builtin/config.h
+++ b/builtin/config.h
@@ -7,6 +7,7 @@
 #define LAPISLINE_BUILTIN_CONFIG_H
 
 #include <glib.h>
+#include <uv.h>
 
 #include "config/manifest.h"
 #include "config/settings.h"
--- a/config/config.h
+++ b/config/config.h
@@ -13,7 +13,7 @@
 
 #include "base/clock.h"
 #include "base/findings.h"
-#include "net/httpc.h"
+#include "net/addr.h"
 
 /** How much of a service or replica is ours; old scripts run the rest. */
 enum cfg_mode
--- a/config/read.c
+++ b/config/read.c
@@ -3,6 +3,7 @@
 #include <ctype.h>
 #include <math.h>
 #include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,7 +12,7 @@
 #include "config/json.h"
 #include "config/locate.h"
 #include "config/nearest.h"
-#include "net/httpc.h"
+#include "net/addr.h"
 
 #define MAX_NAME 63
 #define DIGEST_DIGITS (2 * DIG_SIZE)
--- a/config/settings.h
+++ b/config/settings.h
@@ -20,7 +20,7 @@
 
 #include "base/findings.h"
 #include "base/log.h"
-#include "net/httpc.h"
+#include "net/addr.h"
 
 #define SET_MAX_PEERS 64
 #define SET_MAX_ENDPOINTS 8
--- a/net/addr.c
+++ b/net/addr.c
@@ -1,7 +1,8 @@
-#include "net/httpc.h"
+#include "net/addr.h"
 
 #include <arpa/inet.h>
 #include <string.h>
+#include <uv.h>
 
 #define PORT_MAX 65535
 
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -17,24 +17,11 @@
 #include <uv.h>
 
 #include "base/clock.h"
-#include "base/str.h"
+#include "net/addr.h"
 
 struct httpc;
 struct httpc_call;
 
-/** IP number and port; text form is a.b.c.d:port or [v6]:port. */
-struct net_addr
-{
-  char host[46];
-  uint16_t port;
-};
-
-/** False unless @p s is an IP number with a port (0 only if @p allow_zero). */
-bool net_addr_parse (struct str s, bool allow_zero, struct net_addr *out);
-void net_addr_format (const struct net_addr *a, struct buf *out);
-bool net_addr_eq (const struct net_addr *a, const struct net_addr *b);
-int net_addr_sockaddr (const struct net_addr *a, struct sockaddr_storage *out);
-
 struct http_header
 {
   struct str name; /**< lower case */
--- a/route/record.c
+++ b/route/record.c
@@ -1,6 +1,7 @@
 #include "route/record.h"
 
 #include <json-c/json.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/t/lib-domain.c
+++ b/t/lib-domain.c
@@ -1,6 +1,7 @@
 #include "t/lib-domain.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
