Open each folder with its job, states and callers

Cause: base/, net/, builtin/ had no header that tells what the folder is for, and those of store/, config/ and claim/ did not list their files or callers. Two comments and a struct said machine and engine where the project says VM. Change: a Doxygen @dir block opens each of the six; bench assign's struct machine is vm_state; the server's header tells the states of a request. Conclusion: a newcomer can start at the first lines of each folder.

--- a/base/str.h
+++ b/base/str.h
@@ -1,3 +1,21 @@
+/**
+ * @dir base
+ * What all other folders build on and what knows none of them.
+ *
+ *   str.h       length-counted strings, buffers, memory that can't fail
+ *   clock.h     the one type of time
+ *   rng.h       seeded random numbers
+ *   findings.h  problems of input, with their place
+ *   json.h      members of JSON objects that may hold anything
+ *   digest.h    SHA-256
+ *   chart.h     state charts, loaded and interpreted
+ *   log.h       numbered events
+ *   metric.h    counters, gauges, histograms
+ *   trace.h     spans and their context
+ *
+ * The decision cores may use all but clk_now(), clk_wall(), rng_entropy() and
+ * the log; those belong to the process shells.
+ */
 /**
  * @file
  * Length-counted strings and growable buffers.
--- a/builtin/assign-world.c
+++ b/builtin/assign-world.c
@@ -13,14 +13,14 @@
 #define LONG_STEP_MS ((clk_ms)10000)
 #define QUIET_MS ((clk_ms)90000)
 
-/* After its weights are there an engine joins its group. */
+/* After its weights are there a member joins its replica. */
 #define JOIN_MS ((clk_ms)10000)
 /* A VM that was free for a while is lent to other work, and has to be taken
    back first. */
 #define LENT_AFTER_MS ((clk_ms)60000)
 #define TAKE_BACK_MS ((clk_ms)10000)
 
-struct machine
+struct vm_state
 {
   clk_ms away_until; /* 0: is there */
   char replica[16];
@@ -38,7 +38,7 @@
   struct rep *rep;
   struct cfg *cfg;
   clk_ms now, active_at;
-  struct machine vms[MAX_VMS];
+  struct vm_state vms[MAX_VMS];
   size_t nvms;
   struct buf value;
   int64_t revision;
@@ -124,7 +124,7 @@
 }
 
 static bool
-is_ready (const struct machine *m, clk_ms now)
+is_ready (const struct vm_state *m, clk_ms now)
 {
   return !m->unloaded && m->left_gb <= 0 && now >= m->ready_at;
 }
@@ -132,7 +132,7 @@
 static void
 answer_probe (struct awd *w, size_t i)
 {
-  const struct machine *m = &w->vms[i];
+  const struct vm_state *m = &w->vms[i];
   struct rep_event ev = { .kind = REP_PROBED, .vm = w->cfg->vms[i].name };
 
   if (m->away_until)
@@ -150,7 +150,7 @@
 }
 
 static void
-load (struct awd *w, struct machine *m, const struct rep_action *a)
+load (struct awd *w, struct vm_state *m, const struct rep_action *a)
 {
   memcpy (m->replica, a->replica.ptr, a->replica.len);
   m->replica[a->replica.len] = 0;
@@ -166,7 +166,7 @@
 }
 
 static void
-make_blank (struct awd *w, struct machine *m)
+make_blank (struct awd *w, struct vm_state *m)
 {
   m->unloaded = true;
   m->replica[0] = 0;
@@ -178,7 +178,7 @@
 static void
 take_order (struct awd *w, const struct rep_action *a)
 {
-  struct machine *m = &w->vms[a->vm - w->cfg->vms];
+  struct vm_state *m = &w->vms[a->vm - w->cfg->vms];
   struct rep_event ev = { .kind = REP_ORDER_DONE,
                           .vm = a->vm->name,
                           .token = a->token,
@@ -234,7 +234,7 @@
 }
 
 static bool
-is_loading (const struct awd *w, const struct machine *m)
+is_loading (const struct awd *w, const struct vm_state *m)
 {
   return !m->away_until && !m->unloaded && m->left_gb > 0
          && w->now >= m->loads_from;
@@ -252,7 +252,7 @@
   each = n ? w->shape.gb_per_s * (double)span / 1000 / n : 0;
   for (size_t i = 0; i < w->nvms; i++)
     {
-      struct machine *m = &w->vms[i];
+      struct vm_state *m = &w->vms[i];
 
       if (!is_loading (w, m))
         continue;
@@ -268,7 +268,7 @@
 {
   for (size_t i = 0; i < w->nvms; i++)
     {
-      struct machine *m = &w->vms[i];
+      struct vm_state *m = &w->vms[i];
 
       if (!m->away_until || w->now < m->away_until)
         continue;
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -1,3 +1,16 @@
+/**
+ * @dir claim
+ * At most once over all nodes.
+ *
+ *   claim.h  the home's side: claims are recorded in the store
+ *   asker.h  the asker's side: whom it asks, and when it is over
+ *   core.h   inside of claim.h, with its files
+ *   table.h, batch.h   claims in memory and in the store
+ *
+ * A claim is asked for, written, granted and then released or finished; a
+ * shard's write goes by charts/store-write.json.  The caller is front/claims;
+ * route/ knows the verdicts.
+ */
 /**
  * @file
  * At most once over all nodes: claims on idempotency keys (decision core).
--- a/config/config.h
+++ b/config/config.h
@@ -1,3 +1,21 @@
+/**
+ * @dir config
+ * Operators' configuration from the files to the structures that decide, and
+ * the settings of one process.
+ *
+ *   config.h    the structures; cfg_parse() in config.c, parse-*.c, cross.c
+ *   read.h      JSON into structures by tables of fields, with findings
+ *   json.h, locate.h, nearest.h, arena.h, file.h   what reading needs
+ *   folder.h    a folder of files, merged
+ *   manifest.h, push.h, rebase.h   how a change is accepted
+ *   spread.h    how it reaches every node
+ *   settings.h  settings of a process
+ *
+ * A push goes by charts/config-push.json; a struct cfg never changes and lives
+ * as long as somebody holds a reference.  Callers: `lapisline config`, the
+ * spread in control/, the view of a gateway; every decision core reads struct
+ * cfg.
+ */
 /**
  * @file
  * The operators' configuration: a folder of small JSON files with comments,
@@ -23,7 +41,7 @@
   CFG_MANAGE   /**< requests and orders */
 };
 
-/** One machine that runs a backend server. */
+/** One VM that runs a backend server. */
 struct cfg_vm
 {
   struct str name;
--- a/lapisline.h
+++ b/lapisline.h
@@ -1,3 +1,9 @@
+/**
+ * @dir builtin
+ * One file a command, from the command line to its exit code; the parts of
+ * `config` and `bench` have a file each (config.h, bench.h), the commands that
+ * ask a control process share admin-client.h.
+ */
 /**
  * @file
  * Commands of the binary: every builtin/NAME.c defines one of them.
--- a/net/addr.h
+++ b/net/addr.h
@@ -1,3 +1,17 @@
+/**
+ * @dir net
+ * TCP and HTTP on one libuv loop.
+ *
+ *   addr.h   addresses: IP number and port
+ *   httpc.h  HTTP calls: connect, send, head, body..., end
+ *   httpd.h  HTTP server: a request is read whole, handled, answered
+ *   link.h   framed links between our own processes: connecting, up, down
+ *
+ * Each object lives from its _new, _start or _listen function to its last
+ * callback or _free; no callback comes from within the call that starts it.
+ * Callers are the process shells (front/, control/), the store's adapter and
+ * the commands; the decision cores use addr.h only.
+ */
 /**
  * @file
  * Where a process listens or connects to.  Names are never resolved: a name
--- a/net/httpc-pool.h
+++ b/net/httpc-pool.h
@@ -9,10 +9,10 @@
 
 #include "net/httpc.h"
 
-/* An idle connection is not trusted for longer; see httpc_request.fresh. */
+/** An idle connection is not trusted for longer; see httpc_request.fresh. */
 #define HTTPC_IDLE_MS (10 * CLK_SECOND)
 
-/* Calls to one address whose connections may return to its pool. */
+/** Calls to one address whose connections may return to its pool. */
 #define HTTPC_POOLED 64
 
 /** Connections to one address. */
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -2,6 +2,10 @@
  * @file
  * A small HTTP server over h2o on libuv: one handler for all paths, answers
  * that may be streamed, bounds on what callers send, graceful stop.
+ *
+ * A request reaches the handler once it is whole; then it is answered at once
+ * by httpd_answer(), or begun, written and ended.  When the caller goes away
+ * before, the request is over; httpd_on_gone() tells.
  */
 #ifndef LAPISLINE_NET_HTTPD_H
 #define LAPISLINE_NET_HTTPD_H
--- a/store/store.h
+++ b/store/store.h
@@ -1,3 +1,16 @@
+/**
+ * @dir store
+ * The platform's key-value service: the interface, what every adapter needs,
+ * and the shipped adapter.
+ *
+ *   store.h   the interface: store.c, call.c, watch.c, shared by store-int.h
+ *   budget.h  which call may go out when
+ *   etcd.h    adapter: etcd.c, etcd-watch.c, shared by etcd-int.h
+ *   etcd-json.h  its requests and answers as text
+ *
+ * A call waits for the budget, is open at the adapter, and ends by exactly one
+ * callback.  Callers are control/, front/claims and `lapisline config`.
+ */
 /**
  * @file
  * The platform's key-value service as this project sees it.
