Call what the admin commands act on a resource

Cause: struct admin_noun took a word of grammar for what every API calls a resource, and had a member of that name for its path. Change: admin_resource with a path; admin_client_resource() runs its command. Conclusion: the standard term; output is unchanged.

--- a/builtin/account.c
+++ b/builtin/account.c
@@ -13,12 +13,12 @@
     { "KEYS", "keys" },
     { "MAY", "may" },
   };
-  static const struct admin_noun noun = {
+  static const struct admin_resource resource = {
     .name = "account",
-    .resource = "accounts",
+    .path = "accounts",
     .summary = "List the client accounts of the configuration in force.",
     .columns = columns,
     .ncolumns = sizeof columns / sizeof columns[0],
   };
-  return admin_client_noun (&noun, argc, argv);
+  return admin_client_resource (&resource, argc, argv);
 }
--- a/builtin/admin-client.c
+++ b/builtin/admin-client.c
@@ -313,29 +313,30 @@
   }
 }
 
-/* --- nouns with list, show and drain ------------------------------------ */
+/* --- resources: list, show, drain --------------------------------------- */
 
 static int
-run_list (const struct admin_client *a, const struct admin_noun *noun)
+run_list (const struct admin_client *a, const struct admin_resource *resource)
 {
   struct buf path = BUF_INIT;
   json_object *root;
-  buf_addf (&path, "/admin/v1/%s", noun->resource);
+  buf_addf (&path, "/admin/v1/%s", resource->path);
   int code = admin_client_get (a, buf_c (&path), &root);
   if (!a->json)
-    admin_client_table (root, noun->resource, noun->columns, noun->ncolumns);
+    admin_client_table (root, resource->path, resource->columns,
+                        resource->ncolumns);
   json_object_put (root);
   buf_free (&path);
   return code;
 }
 
 static int
-run_show (const struct admin_client *a, const struct admin_noun *noun,
+run_show (const struct admin_client *a, const struct admin_resource *resource,
           const char *name)
 {
   struct buf path = BUF_INIT;
   json_object *root;
-  buf_addf (&path, "/admin/v1/%s/%s", noun->resource, name);
+  buf_addf (&path, "/admin/v1/%s/%s", resource->path, name);
   int code = admin_client_get (a, buf_c (&path), &root);
   if (!a->json && json_object_is_type (root, json_type_object))
     print_object (root);
@@ -345,19 +346,19 @@
 }
 
 static int
-run_drain (const struct admin_client *a, const struct admin_noun *noun,
+run_drain (const struct admin_client *a, const struct admin_resource *resource,
            const char *name)
 {
   struct buf path = BUF_INIT;
   struct buf answer = BUF_INIT;
-  buf_addf (&path, "/admin/v1/%s/%s/drain", noun->resource, name);
+  buf_addf (&path, "/admin/v1/%s/%s/drain", resource->path, name);
   int code = admin_client_call (a, "POST", buf_c (&path),
                                 a->undo ? "{\"on\":false}" : "{\"on\":true}",
                                 true, &answer);
   if (code == EXIT_DONE && a->json)
     fputs (buf_c (&answer), stdout);
   else if (code == EXIT_DONE)
-    printf ("%s %s: %s\n", noun->name, name,
+    printf ("%s %s: %s\n", resource->name, name,
             a->undo ? "no longer draining" : "draining");
   buf_free (&path);
   buf_free (&answer);
@@ -374,36 +375,37 @@
 }
 
 static int
-run_verb (const struct admin_client *a, const struct admin_noun *noun,
+run_verb (const struct admin_client *a, const struct admin_resource *resource,
           int argc, char **argv)
 {
   const char *verb = argc > 1 ? argv[1] : "";
   if (argc == 2 && strcmp (verb, "list") == 0)
-    return run_list (a, noun);
+    return run_list (a, resource);
   if (argc == 3 && !is_name (argv[2]))
     {
       fprintf (stderr, "lapisline: '%s' is not a name\n", argv[2]);
       return EXIT_USAGE;
     }
-  if (argc == 3 && noun->can_show && strcmp (verb, "show") == 0)
-    return run_show (a, noun, argv[2]);
-  if (argc == 3 && noun->can_drain && strcmp (verb, "drain") == 0)
-    return run_drain (a, noun, argv[2]);
-  fprintf (stderr, "lapisline: see 'lapisline %s --help'\n", noun->name);
+  if (argc == 3 && resource->can_show && strcmp (verb, "show") == 0)
+    return run_show (a, resource, argv[2]);
+  if (argc == 3 && resource->can_drain && strcmp (verb, "drain") == 0)
+    return run_drain (a, resource, argv[2]);
+  fprintf (stderr, "lapisline: see 'lapisline %s --help'\n", resource->name);
   return EXIT_USAGE;
 }
 
 int
-admin_client_noun (const struct admin_noun *noun, int argc, char **argv)
+admin_client_resource (const struct admin_resource *resource, int argc,
+                       char **argv)
 {
   struct admin_client a = { 0 };
   char parameters[64];
   snprintf (parameters, sizeof parameters, "list%s%s",
-            noun->can_show ? " | show NAME" : "",
-            noun->can_drain ? " | drain NAME" : "");
+            resource->can_show ? " | show NAME" : "",
+            resource->can_drain ? " | drain NAME" : "");
   int code = EXIT_USAGE;
-  if (admin_client_options (&a, parameters, noun->summary, &argc, &argv))
-    code = run_verb (&a, noun, argc, argv);
+  if (admin_client_options (&a, parameters, resource->summary, &argc, &argv))
+    code = run_verb (&a, resource, argc, argv);
   admin_client_free (&a);
   return code;
 }
--- a/builtin/admin-client.h
+++ b/builtin/admin-client.h
@@ -28,20 +28,21 @@
   const char *key;
 };
 
-/** A kind of thing with the verbs list, show and drain. */
-struct admin_noun
+/** What a command lists, shows or drains. */
+struct admin_resource
 {
-  const char *name;     /**< e.g. "replica" */
-  const char *resource; /**< in paths and as the key of lists */
-  const char *summary;  /**< for --help */
+  const char *name;    /**< e.g. "replica" */
+  const char *path;    /**< in paths and as the key of lists */
+  const char *summary; /**< for --help */
   const struct admin_column *columns;
   size_t ncolumns;
   bool can_show;
   bool can_drain;
 };
 
-/** Run the command of a noun; an exit code of lapisline.h. */
-int admin_client_noun (const struct admin_noun *noun, int argc, char **argv);
+/** Run the command of a resource; an exit code of lapisline.h. */
+int admin_client_resource (const struct admin_resource *resource, int argc,
+                           char **argv);
 
 /**
  * Parse options; --help ends the process.
--- a/builtin/node.c
+++ b/builtin/node.c
@@ -9,9 +9,9 @@
     { "STATUS", "status" }, { "LOAD", "load" }, { "REVISION", "revision" },
     { "HTTP", "http" },     { "PEER", "peer" },
   };
-  static const struct admin_noun noun = {
+  static const struct admin_resource resource = {
     .name = "node",
-    .resource = "nodes",
+    .path = "nodes",
     .summary = "List and show nodes as one of them sees them; drain one: it "
                "takes no new callers,\nfinishes what is in flight and ends.",
     .columns = columns,
@@ -19,5 +19,5 @@
     .can_show = true,
     .can_drain = true,
   };
-  return admin_client_noun (&noun, argc, argv);
+  return admin_client_resource (&resource, argc, argv);
 }
--- a/builtin/replica.c
+++ b/builtin/replica.c
@@ -10,9 +10,9 @@
     { "GEN", "generation" },  { "LOAD", "load" },   { "LEADER", "leader" },
     { "OWNER", "owner" },
   };
-  static const struct admin_noun noun = {
+  static const struct admin_resource resource = {
     .name = "replica",
-    .resource = "replicas",
+    .path = "replicas",
     .summary = "List and show replicas as a node sees them; drain one: it "
                "gets no new work and\nfinishes what it has.",
     .columns = columns,
@@ -20,5 +20,5 @@
     .can_show = true,
     .can_drain = true,
   };
-  return admin_client_noun (&noun, argc, argv);
+  return admin_client_resource (&resource, argc, argv);
 }
