Answer refusals of the HTTP library in JSON as well

Cause: a body above 16 MiB, or one badly framed, is refused by h2o before the request reaches the gateway; the answer had the outcome, but a text for a body and no id, so a client that reads the error's code met none. Change: net/httpd asks a callback what to tell when h2o refuses by itself; a filter on h2o's fallback path sets headers and replaces the body. Seen red with the callback not set: refusals_of_the_http_library and the row of a badly framed body, whose expectation grew from no code to bad-request. Left: bytes that are no HTTP request at all get h2o's fixed 400.

--- a/front/answer.c
+++ b/front/answer.c
@@ -100,6 +100,29 @@
   gw_answer_error (req, e);
 }
 
+void
+gw_complete_refusal (struct gw *g, int status, struct httpd_refusal *r)
+{
+  char id[GW_ID_CHARS + 1];
+  struct buf body = BUF_INIT;
+  struct gw_error e = { .status = status, .code = "bad-request" };
+
+  e.message = "the request is badly framed";
+  if (status == 413)
+    {
+      e.code = "body-too-large";
+      e.message = "the body exceeds what any configuration allows";
+    }
+  gw_new_request_id (g, id);
+  e.outcome = rt_outcome_name (RT_NOT_RUN);
+  e.request_id = str_from (id);
+  error_body (&e, &body);
+  httpd_refusal_header (r, STR ("lapis-outcome"), str_from (e.outcome));
+  httpd_refusal_header (r, STR ("lapis-request-id"), e.request_id);
+  httpd_refusal_json (r, buf_str (&body));
+  buf_free (&body);
+}
+
 void
 gw_answer_json (struct gw *g, struct httpd_req *req, struct str json)
 {
--- a/front/callers.c
+++ b/front/callers.c
@@ -338,15 +338,22 @@
   return c->recorder != NULL;
 }
 
+/** What the HTTP server refuses before it asks us. */
+static void
+on_refused (void *ctx, int status, struct httpd_refusal *r)
+{
+  struct gw_callers *c = ctx;
+
+  gw_complete_refusal (c->g, status, r);
+}
+
 struct gw_callers *
 gw_callers_start (struct gw *g, struct buf *err)
 {
-  static const struct http_header not_run
-      = { { "lapis-outcome", 13 }, { "not-run", 7 } };
   struct httpd_limits limits = { .max_body = GW_HARD_MAX_BODY,
                                  .max_connections = GW_MAX_CONNECTIONS,
                                  .request_ms = 10 * CLK_SECOND,
-                                 .refusal_header = &not_run };
+                                 .refused = on_refused };
   struct rt_options opt
       = { .zone = str_from (g->set.zone), .node = str_from (g->set.node) };
   struct gw_callers *c = xcalloc (1, sizeof *c);
--- a/front/callers.h
+++ b/front/callers.h
@@ -108,6 +108,9 @@
 /** Answer a request that never became an exchange: not run. */
 void gw_refuse (struct gw *g, struct httpd_req *req, struct gw_error *e);
 
+/** Fill in a refusal of the HTTP server's own: not run. */
+void gw_complete_refusal (struct gw *g, int status, struct httpd_refusal *r);
+
 /** Cut a streamed answer visibly, once the caller has what was written. */
 void gw_cut (struct httpd_req *req);
 
--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -50,7 +50,8 @@
 struct httpd_refusal_filter
 {
   h2o_filter_t super;
-  const struct http_header *header;
+  httpd_refused refused;
+  void *ctx;
 };
 
 struct httpd_req
@@ -90,6 +91,14 @@
 /** Descriptor of a connection, or -1. */
 int httpd_conn_fd (const struct httpd_conn *c);
 
+/**
+ * Have refusals of h2o's own completed.  It binds a request that it refuses
+ * by itself to the fallback path; all others go to the path "/", which is
+ * the handler's.
+ */
+void httpd_refusal_setup (h2o_hostconf_t *host, httpd_refused refused,
+                          void *ctx);
+
 /** h2o's handler: make a request of ours and hand it to the server's. */
 int httpd_on_req (h2o_handler_t *self, h2o_req_t *req);
 
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -158,29 +158,6 @@
 
 /* --- the server -------------------------------------------------------- */
 
-static void
-add_refusal_header (h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
-{
-  const struct http_header *h = ((struct httpd_refusal_filter *)self)->header;
-
-  h2o_add_header_by_str (&req->pool, &req->res.headers, h->name.ptr,
-                         h->name.len, 1, NULL, h->value.ptr, h->value.len);
-  h2o_setup_next_ostream (req, slot);
-}
-
-/* h2o binds a request that it refuses by itself to the fallback path; all
-   others go to the path "/", which is ours. */
-static void
-setup_refusals (h2o_hostconf_t *host, const struct http_header *header)
-{
-  struct httpd_refusal_filter *f
-      = (struct httpd_refusal_filter *)h2o_create_filter (&host->fallback_path,
-                                                          sizeof *f);
-
-  f->super.on_setup_ostream = add_refusal_header;
-  f->header = header;
-}
-
 static void
 setup_h2o (struct httpd *d, uv_loop_t *loop, const struct httpd_limits *limits)
 {
@@ -198,8 +175,8 @@
       h2o_config_register_path (host, "/", 0), sizeof *slot);
   slot->super.on_req = httpd_on_req;
   slot->d = d;
-  if (limits->refusal_header != NULL)
-    setup_refusals (host, limits->refusal_header);
+  if (limits->refused != NULL)
+    httpd_refusal_setup (host, limits->refused, d->handler_ctx);
   h2o_context_init (&d->ctx, loop, &d->config);
   d->accept_ctx.ctx = &d->ctx;
   d->accept_ctx.hosts = d->config.hosts;
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -14,16 +14,29 @@
 
 struct httpd;
 struct httpd_req;
+struct httpd_refusal;
+
+/**
+ * The server refuses a request without asking the handler (a body that is
+ * too large or badly framed): what it answers besides @p status is set by the
+ * two functions below.  Bytes that are no HTTP request at all are refused
+ * without it.
+ */
+typedef void (*httpd_refused) (void *ctx, int status, struct httpd_refusal *r);
+
+/** Add a header (copied). */
+void httpd_refusal_header (struct httpd_refusal *r, struct str name,
+                           struct str value);
+
+/** Set the JSON body (copied). */
+void httpd_refusal_json (struct httpd_refusal *r, struct str body);
 
 struct httpd_limits
 {
   size_t max_body;        /**< bytes; larger: 413 */
   size_t max_connections; /**< accepted at once; more wait in the backlog */
   clk_ms request_ms;      /**< longest wait for a whole request head */
-  /** Added to refusals that the server gives without asking the handler (a
-      body that is too large or badly framed); NULL: none.  Bytes that are no
-      HTTP request at all are refused without it. */
-  const struct http_header *refusal_header;
+  httpd_refused refused;  /**< with the handler's context; NULL: h2o's text */
 };
 
 /** What the handler sees; valid until the answer has ended. */
--- a/t/t7004-callers.c
+++ b/t/t7004-callers.c
@@ -59,7 +59,7 @@
     { "POST", TEXT, NULL, "{\"model\":\"ghala-lm\"} {}", bad },
     { "POST", TEXT, NULL, "[]", bad },
     { "POST", "/svc/soko-api/x", "Transfer-Encoding: chunked\r\n", "zz",
-      "400 not-run -\n" },
+      "400 not-run bad-request\n" },
   };
   struct front f;
 
@@ -121,6 +121,28 @@
     }
 }
 
+/* A body above what any configuration allows is refused by the HTTP library,
+   before the gateway is asked.  The caller must read the same as below that
+   size: code, outcome and an id, not a bare text.  */
+Test (callers, refusals_of_the_http_library)
+{
+  struct front f;
+  struct buf body = BUF_INIT;
+
+  front_up (&f, "", "");
+  struct web_stream *s = web_open (
+      f.http, "POST", TEXT, FRONT_KEY "Content-Length: 17000000\r\n", NULL);
+  cr_assert_eq (web_status (s, PROC_WAIT_MS), 413);
+  cr_expect_not_null (strstr (web_stream_head (s), "lapis-request-id: "));
+  cr_expect_not_null (strstr (web_stream_head (s), "lapis-outcome: not-run"));
+  cr_expect_not_null (strstr (web_stream_head (s), "application/json"));
+  cr_expect (web_read_until (s, &body, "}}", PROC_WAIT_MS));
+  cr_expect_not_null (strstr (buf_c (&body), "\"code\":\"body-too-large\""));
+  cr_expect_not_null (strstr (buf_c (&body), "\"outcome\":\"not-run\""));
+  web_close (s);
+  buf_free (&body);
+}
+
 /* Four clients keep connections open where three are allowed.  The fourth
    waits until one of the others goes, and is then served. */
 Test (callers, connections_are_bounded_by_the_configuration)
