Begin a connection anew that does not stand after 200 to 400 ms

Cause: in some runs of t/bench-path.sh a part of 5,000 streams opened at once was refused with connect-failed. The backend server's queue of connections (1,024) was full while it was not scheduled, the kernel dropped the first packet of the others and repeats it after 1 s; the limit to connect is 1 s, so it ran out at that moment. The kernel's ListenOverflows rose by 1,598 in the run where 1,598 failed, by 0 in runs without failure. Ruled out: descriptors (15,000 of 20,000), max_connections, the callers' queue, views (nothing logged), the load tool (it got whole 503 answers). Change: net/httpc gives a connection under way up after 200 ms and an offset that grows from call to call, and tries again within the same limit. The bench prints what the first failure said.

--- a/builtin/bench-path.c
+++ b/builtin/bench-path.c
@@ -50,7 +50,8 @@
   int started, ended, failed;
   int bad_status; /**< of the first call that failed, and how it ended */
   enum httpc_end bad_end;
-  bool hold; /**< streams are to stay open: stop when all gave a byte */
+  struct buf why; /**< what the first answer that is no 200 said */
+  bool hold;      /**< streams are to stay open: stop when all gave a byte */
   int first;
   size_t events;
   double *whole_ms, *first_ms;
@@ -105,6 +106,8 @@
   struct load *l = c->l;
 
   l->events += count_events (bytes);
+  if (c->status != 200 && l->why.len == 0)
+    buf_add (&l->why, bytes);
   if (c->first != 0)
     return;
   c->first = uv_hrtime ();
@@ -127,8 +130,8 @@
 print_failure (const struct load *l)
 {
   if (l->failed > 0)
-    printf ("  %d failed, the first with status %d, end %d\n", l->failed,
-            l->bad_status, (int)l->bad_end);
+    printf ("  %d failed, the first with status %d, end %d: %.*s\n", l->failed,
+            l->bad_status, (int)l->bad_end, STR_ARG (buf_str (&l->why)));
 }
 
 static void
@@ -190,6 +193,7 @@
         httpc_cancel (l->calls[i]->call);
         free (l->calls[i]);
       }
+  buf_free (&l->why);
   free (l->calls);
   free (l->whole_ms);
   free (l->first_ms);
--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -78,3 +78,27 @@
     buf_add_c (out, "connection: close\r\n");
   buf_add_c (out, "\r\n");
 }
+
+bool
+httpc_head_framing (const struct http_header *h, size_t n,
+                    enum httpc_framing *out)
+{
+  struct str length = STR_EMPTY;
+  bool chunked = false;
+
+  for (size_t i = 0; i < n; i++)
+    if (str_is (h[i].name, "transfer-encoding"))
+      chunked = chunked || str_is (h[i].value, "chunked");
+    else if (str_is (h[i].name, "content-length"))
+      {
+        if (length.ptr != NULL && !str_eq (length, h[i].value))
+          return false;
+        length = h[i].value;
+      }
+  if (chunked && length.ptr != NULL)
+    return false;
+  *out = chunked              ? HTTPC_FRAMING_CHUNKED
+         : length.ptr != NULL ? HTTPC_FRAMING_LENGTH
+                              : HTTPC_FRAMING_CLOSE;
+  return true;
+}
--- a/net/httpc-head.h
+++ b/net/httpc-head.h
@@ -16,4 +16,21 @@
 /** Append the head; headers about the connection are ours. */
 void httpc_head_write (const struct httpc_request *req, struct buf *out);
 
+/** Where the body of an answer ends. */
+enum httpc_framing
+{
+  HTTPC_FRAMING_CLOSE, /**< when the connection does */
+  HTTPC_FRAMING_LENGTH,
+  HTTPC_FRAMING_CHUNKED
+};
+
+/**
+ * Read it from an answer's headers; false when they contradict each other.
+ * With both a length and chunks, or two lengths, two readers of the same bytes
+ * would see the answer end in different places, and one caller could get what
+ * belongs to the next.
+ */
+bool httpc_head_framing (const struct http_header *h, size_t n,
+                         enum httpc_framing *out);
+
 #endif
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -20,6 +20,17 @@
 #define HTTPC_LATE_MS 100
 #define HTTPC_GRACE_MS 50
 
+/*
+ * A connection whose first packet is lost, or dropped as the peer's queue of
+ * connections is full, is begun anew after a while.  The kernel would repeat
+ * the packet after 1 s only, and those of a whole burst at the same moment:
+ * they filled the queue again, and a part of the burst was refused.  Each
+ * call waits a little longer than the one before it, so that they come spread
+ * out.  Nothing was sent before the connection stands, so nothing runs twice.
+ */
+#define HTTPC_RECONNECT_MS 200
+#define HTTPC_SPREAD_MS 200
+
 struct httpc
 {
   uv_loop_t *loop;
@@ -29,6 +40,7 @@
   h2o_multithread_queue_t *queue;
   h2o_multithread_receiver_t receiver;
   struct addr_pools pools;
+  unsigned spread; /* of connections begun anew: next offset in ms */
 };
 
 enum phase
@@ -40,13 +52,6 @@
   PHASE_OVER
 };
 
-enum framing
-{
-  FRAMING_CLOSE, /* the body ends when the connection does */
-  FRAMING_LENGTH,
-  FRAMING_CHUNKED
-};
-
 struct httpc_call
 {
   uv_timer_t timer; /* first */
@@ -60,10 +65,11 @@
   struct buf body;
   h2o_iovec_t out[2];
   clk_ms connect_ms, progress_ms;
-  clk_ms moved; /* when bytes last came, loop time */
-  clk_ms due;   /* when the timer is to fire, loop time */
+  clk_ms connect_until; /* loop time */
+  clk_ms moved;         /* when bytes last came, loop time */
+  clk_ms due;           /* when the timer is to fire, loop time */
   enum phase phase;
-  enum framing framing;
+  enum httpc_framing framing;
   h2o_socket_cb stopped_read; /* what to resume; NULL while reading */
   bool is_head;
   bool fresh;
@@ -127,6 +133,16 @@
 }
 
 static void connect_now (struct httpc_call *call);
+static void connect_once (struct httpc_call *call);
+
+/* Give up on the connection that is under way, and try once more. */
+static void
+reconnect (struct httpc_call *call)
+{
+  h2o_http1client_cancel (call->client);
+  call->client = NULL;
+  connect_once (call);
+}
 
 /*
  * What made one connection go silent, such as a lost entry in a firewall on
@@ -159,7 +175,10 @@
     }
   if (call->phase == PHASE_CONNECTING)
     {
-      finish (call, HTTPC_CONNECT_FAILED);
+      if (now < call->connect_until)
+        reconnect (call);
+      else
+        finish (call, HTTPC_CONNECT_FAILED);
       return;
     }
   left = call->moved + call->progress_ms - now;
@@ -209,11 +228,11 @@
 {
   switch (call->framing)
     {
-    case FRAMING_LENGTH:
+    case HTTPC_FRAMING_LENGTH:
       return HTTPC_WHOLE;
-    case FRAMING_CHUNKED:
+    case HTTPC_FRAMING_CHUNKED:
       return call->client->sock->bytes_read > 0 ? HTTPC_WHOLE : HTTPC_BROKEN;
-    case FRAMING_CLOSE:
+    case HTTPC_FRAMING_CLOSE:
       break;
     }
   return HTTPC_UNBOUNDED;
@@ -252,39 +271,11 @@
   return str_make (v.base, v.len);
 }
 
-/*
- * Both a length and chunks, or two lengths: two readers of the same bytes
- * would see the answer end in different places, and one caller could get
- * what belongs to the next.
- */
-static bool
-read_framing (struct httpc_call *call, const struct http_header *h, size_t n)
-{
-  struct str length = STR_EMPTY;
-  bool chunked = false;
-
-  for (size_t i = 0; i < n; i++)
-    if (str_is (h[i].name, "transfer-encoding"))
-      chunked = chunked || str_is (h[i].value, "chunked");
-    else if (str_is (h[i].name, "content-length"))
-      {
-        if (length.ptr != NULL && !str_eq (length, h[i].value))
-          return false;
-        length = h[i].value;
-      }
-  if (chunked && length.ptr != NULL)
-    return false;
-  call->framing = chunked              ? FRAMING_CHUNKED
-                  : length.ptr != NULL ? FRAMING_LENGTH
-                                       : FRAMING_CLOSE;
-  return true;
-}
-
 static h2o_http1client_body_cb
 take_head (struct httpc_call *call, bool is_eos, int status,
            const struct http_header *headers, size_t n)
 {
-  if (!read_framing (call, headers, n))
+  if (!httpc_head_framing (headers, n, &call->framing))
     {
       finish (call, HTTPC_BROKEN);
       return NULL;
@@ -370,6 +361,18 @@
   return on_head;
 }
 
+static void
+connect_once (struct httpc_call *call)
+{
+  clk_ms left, wait;
+
+  left = call->connect_until - (clk_ms)uv_now (call->c->loop);
+  wait = HTTPC_RECONNECT_MS + call->c->spread++ % HTTPC_SPREAD_MS;
+  arm (call, left < wait ? left : wait);
+  addr_pool_connect (call->pool, call->fresh, &call->c->ctx, call,
+                     &call->client, on_connect);
+}
+
 static void
 connect_now (struct httpc_call *call)
 {
@@ -383,9 +386,8 @@
   call->pool->open++;
   call->phase = PHASE_CONNECTING;
   uv_update_time (call->c->loop);
-  arm (call, call->connect_ms);
-  addr_pool_connect (call->pool, call->fresh, &call->c->ctx, call,
-                     &call->client, on_connect);
+  call->connect_until = (clk_ms)uv_now (call->c->loop) + call->connect_ms;
+  connect_once (call);
 }
 
 /* --- requests ---------------------------------------------------------- */
