Test stalled streams, resets in mid-body and answers nobody asked for

Cause: three faults of backend servers and clients had no test on the whole path: a stream that stalls with its connection open, a client that resets within a booking's body, a backend server that sends a second answer or bytes into an idle connection. Change: t7005 brings them about with a stand-in, raw clients and a raw backend server, and compares what the callers read.

--- a/t/t7005-broken.c
+++ b/t/t7005-broken.c
@@ -93,3 +93,168 @@
   while (n > 0)
     close (fill[--n]);
 }
+
+/* An engine stops in the middle of a stream and keeps its connection open.
+   The caller must not wait for ever: after progress_ms its stream is cut,
+   visibly, and the last event says that it failed.  */
+Test (broken, stalled_stream_is_cut)
+{
+  struct front f;
+  struct buf got = BUF_INIT;
+  enum web_read last;
+
+  front_up (&f, "\"first_byte_ms\": 60000, \"progress_ms\": 700", "");
+  front_fault_both (f.vm, "{\"stall\": true}");
+  struct web_stream *s = web_open (f.http, "POST", TEXT, FRONT_KEY,
+                                   front_prompt ("stalls", true, 20));
+  cr_assert_eq (web_status (s, PROC_WAIT_MS), 200);
+  while ((last = web_read (s, &got, PROC_WAIT_MS)) == WEB_BYTES)
+    ;
+  cr_expect_eq (last, WEB_BROKEN);
+  cr_expect_not_null (strstr (buf_c (&got), " w3"));
+  cr_expect_null (strstr (buf_c (&got), "[DONE]"));
+  cr_expect_not_null (strstr (buf_c (&got), "event: lapis-outcome\ndata: "
+                                            "{\"outcome\":\"failed\","
+                                            "\"code\":\"silent\"}"));
+  for (int i = 0; i < 2; i++)
+    cr_expect (front_count_is (f.vm[i], "open", 0));
+  web_close (s);
+  buf_free (&got);
+}
+
+/** Close with a reset, as a process that died with unread bytes does. */
+static void
+reset (int fd)
+{
+  struct linger now = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  close (fd);
+}
+
+/* Clients reset their connections after half of a booking's body.  Half a
+   booking must not be sent on, and the next caller must be served.  */
+Test (broken, reset_in_mid_body)
+{
+  static const char half[]
+      = "POST /svc/soko-api/bookings HTTP/1.1\r\n"
+        "host: x\r\n" FRONT_KEY "content-type: application/json\r\n"
+        "content-length: 40\r\n\r\n{\"bay\":7,";
+  struct front f;
+  struct buf log = BUF_INIT;
+
+  front_up (&f, "", "");
+  struct sockaddr_in sa = sockaddr_of (f.http);
+  for (int i = 0; i < 50; i++)
+    {
+      int fd = connect_briefly (&sa);
+      cr_assert_geq (fd, 0);
+      cr_assert_eq (write (fd, half, strlen (half)), (ssize_t)strlen (half));
+      reset (fd);
+    }
+  front_log (&f, &log, "POST", "/svc/soko-api/bookings", FRONT_KEY, "{}");
+  cr_expect_str_eq (buf_c (&log),
+                    "POST /svc/soko-api/bookings -> 200 done -\n");
+  cr_expect_eq (front_count_both (f.soko, "runs"), 1);
+  cr_expect (web_until (f.http, "/metrics", NULL,
+                        "\nlapisline_open_requests 0\n", PROC_WAIT_MS));
+  buf_free (&log);
+}
+
+/* ---- a backend server of raw bytes ---- */
+
+static int
+listen_at (const struct sockaddr_in *sa)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  cr_assert_eq (bind (fd, (const struct sockaddr *)sa, sizeof *sa), 0);
+  cr_assert_eq (listen (fd, 16), 0);
+  return fd;
+}
+
+static void
+wait_readable (int fd)
+{
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+  cr_assert_eq (poll (&p, 1, PROC_WAIT_MS), 1);
+}
+
+/** Read a request without a body. */
+static void
+read_request (int fd)
+{
+  struct buf got = BUF_INIT;
+
+  while (strstr (buf_c (&got), "\r\n\r\n") == NULL)
+    {
+      char bytes[4096];
+      wait_readable (fd);
+      ssize_t n = read (fd, bytes, sizeof bytes);
+      cr_assert_gt (n, 0);
+      buf_add (&got, str_make (bytes, (size_t)n));
+    }
+  buf_free (&got);
+}
+
+static void
+write_answer (int fd, const char *body)
+{
+  struct buf b = BUF_INIT;
+
+  buf_addf (&b, "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n\r\n%s",
+            strlen (body), body);
+  cr_assert_eq (send (fd, b.ptr, b.len, MSG_NOSIGNAL), (ssize_t)b.len);
+  buf_free (&b);
+}
+
+/** A caller's answer must be @p body and nothing else. */
+static void
+expect_answer (struct web_stream *s, const char *body)
+{
+  struct buf got = BUF_INIT;
+
+  cr_expect_eq (web_status (s, PROC_WAIT_MS), 200);
+  while (web_read (s, &got, PROC_WAIT_MS) == WEB_BYTES)
+    ;
+  cr_expect_str_eq (buf_c (&got), body);
+  web_close (s);
+  buf_free (&got);
+}
+
+/* A backend server sends two answers to the first call, and a further one
+   into the idle connection after the second.  Kept connections would hand
+   those to the callers that come next; each must read its own, and its call
+   must come over a connection without such bytes.  */
+Test (broken, answers_that_nobody_asked_for)
+{
+  struct front f;
+  struct web_stream *s;
+  int conn[3];
+
+  front_up (&f, "", "");
+  struct sockaddr_in sa = sockaddr_of (proc_addr (f.quote, "http"));
+  proc_signal (f.quote, SIGKILL);
+  proc_wait (f.quote, PROC_WAIT_MS);
+  int listener = listen_at (&sa);
+  for (int i = 0; i < 3; i++)
+    {
+      char own[16];
+      snprintf (own, sizeof own, "call-%d", i);
+      s = web_open (f.http, "GET", "/svc/quote-api/x", FRONT_KEY, NULL);
+      cr_assert_not_null (s);
+      wait_readable (listener);
+      conn[i] = accept (listener, NULL, NULL);
+      read_request (conn[i]);
+      write_answer (conn[i], own);
+      if (i == 0)
+        write_answer (conn[i], "somebody else's");
+      expect_answer (s, own);
+      if (i == 1)
+        write_answer (conn[i], "somebody else's");
+    }
+  for (int i = 0; i < 3; i++)
+    close (conn[i]);
+  close (listener);
+}
