--- a/builtin/config.c
+++ b/builtin/config.c
@@ -1,16 +1,9 @@
 #include <stdio.h>
-#include <string.h>
 
+#include "builtin/commands.h"
 #include "builtin/config.h"
 #include "config/folder.h"
 
-struct verb
-{
-  const char *name;
-  cmd_fn run;
-  const char *summary;
-};
-
 static int
 conf_check (int argc, char **argv)
 {
@@ -42,7 +35,7 @@
   return code;
 }
 
-static const struct verb verbs[] = {
+static const struct command verbs[] = {
   { "check", conf_check, "check a folder" },
   { "push", conf_push, "put a folder in force" },
   { "show", conf_show, "show what was accepted last" },
@@ -50,34 +43,16 @@
   { "status", conf_status, "tell which nodes have it in force" },
 };
 
-#define NVERBS (sizeof verbs / sizeof verbs[0])
-
-static void
-print_usage (FILE *out)
-{
-  fputs ("usage: lapisline config VERB [OPTION...] [DIR]\n\nverbs:\n", out);
-  for (size_t i = 0; i < NVERBS; i++)
-    fprintf (out, "  %-7s %s\n", verbs[i].name, verbs[i].summary);
-  fputs ("\n'lapisline config VERB --help' tells more.\n", out);
-}
-
 int
 cmd_config (int argc, char **argv)
 {
-  char name[64];
+  static const struct command_table table = {
+    .prefix = "lapisline config",
+    .kind = "verb",
+    .syntax = "VERB [OPTION...] [DIR]",
+    .rows = verbs,
+    .n = G_N_ELEMENTS (verbs),
+  };
 
-  for (size_t i = 0; argc > 1 && i < NVERBS; i++)
-    if (strcmp (argv[1], verbs[i].name) == 0)
-      {
-        snprintf (name, sizeof name, "lapisline config %s", verbs[i].name);
-        g_set_prgname (name);
-        return verbs[i].run (argc - 1, argv + 1);
-      }
-  if (argc > 1 && strcmp (argv[1], "--help") == 0)
-    {
-      print_usage (stdout);
-      return EXIT_DONE;
-    }
-  print_usage (stderr);
-  return EXIT_USAGE;
+  return commands_run (&table, argc, argv);
 }
--- a/lapisline.c
+++ b/lapisline.c
@@ -2,15 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "config/nearest.h"
-#include "lapisline.h"
-
-struct command
-{
-  const char *name;
-  cmd_fn run;
-  const char *summary;
-};
+#include "builtin/commands.h"
 
 static const struct command commands[] = {
   { "account", cmd_account, "list client accounts" },
@@ -27,16 +19,13 @@
   { "version", cmd_version, "print the version" },
 };
 
-#define NCOMMANDS (sizeof commands / sizeof commands[0])
-
-static void
-print_usage (FILE *out)
-{
-  fputs ("usage: lapisline COMMAND [OPTION...]\n\ncommands:\n", out);
-  for (size_t i = 0; i < NCOMMANDS; i++)
-    fprintf (out, "  %-10s %s\n", commands[i].name, commands[i].summary);
-  fputs ("\n'lapisline COMMAND --help' tells more.\n", out);
-}
+static const struct command_table table = {
+  .prefix = "lapisline",
+  .kind = "command",
+  .syntax = "COMMAND [OPTION...]",
+  .rows = commands,
+  .n = G_N_ELEMENTS (commands),
+};
 
 /**
  * GLib's help says "[OPTION...]" with one character outside ASCII, which it
@@ -53,49 +42,11 @@
   fputs (text, stdout);
 }
 
-static int
-no_command (const char *word)
-{
-  struct str names[NCOMMANDS];
-
-  for (size_t i = 0; i < NCOMMANDS; i++)
-    names[i] = str_from (commands[i].name);
-  size_t pick = near_pick (str_from (word), names, NCOMMANDS);
-  fprintf (stderr, "lapisline: no command '%s'; ", word);
-  if (pick < NCOMMANDS)
-    fprintf (stderr, "did you mean '%s'?\n", commands[pick].name);
-  else
-    fputs ("see 'lapisline --help'\n", stderr);
-  return EXIT_USAGE;
-}
-
-static int
-run (const struct command *c, int argc, char **argv)
-{
-  char name[64];
-  snprintf (name, sizeof name, "lapisline %s", c->name);
-  g_set_prgname (name); /* shown by --help */
-  return c->run (argc, argv);
-}
-
 int
 main (int argc, char **argv)
 {
   g_set_print_handler (print_plain);
-  if (argc < 2)
-    {
-      print_usage (stderr);
-      return EXIT_USAGE;
-    }
-  if (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "help") == 0)
-    {
-      print_usage (stdout);
-      return EXIT_DONE;
-    }
-  if (strcmp (argv[1], "--version") == 0)
+  if (argc > 1 && strcmp (argv[1], "--version") == 0)
     return cmd_version (argc - 1, argv + 1);
-  for (size_t i = 0; i < NCOMMANDS; i++)
-    if (strcmp (argv[1], commands[i].name) == 0)
-      return run (&commands[i], argc - 1, argv + 1);
-  return no_command (argv[1]);
+  return commands_run (&table, argc, argv);
 }
