Refuse a drain whose body says neither on nor off

Any body but {"on": false} was taken for a drain: an undo with a slip in it ({"on": "false"}, on=false) drained the replica that it was to keep. Such a body is refused with 400 bad-request; an empty one still drains.

--- a/control/admin-ask.c
+++ b/control/admin-ask.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
+
 /* Longest wait for the node that carries out a drain. */
 #define DRAIN_MS (2 * CLK_SECOND)
 
@@ -201,18 +203,31 @@
   end_ask (k);
 }
 
-/* Whether the request's body takes a drain back: {"on": false}. */
+/**
+ * Whether to drain: an empty body or {"on": true}, against {"on": false}.
+ * @return false when the body says neither, and then it was refused: taken
+ *         for a drain, an undo with a slip in it would stop a replica
+ */
 static bool
-wants_on (const struct httpd_req *http)
+read_on (const struct httpd_req *http, bool *on)
 {
-  char *body = str_dup (httpd_get (http)->body);
-  json_object *root = json_tokener_parse (body);
-  json_object *on = NULL;
-  bool off = json_object_object_get_ex (root, "on", &on)
-             && !json_object_get_boolean (on);
+  struct str body = str_trim (httpd_get (http)->body);
+  json_object *root = jsn_parse (body);
+  json_object *value = jsn_get (root, "on");
+  bool empty
+      = body.len == 0 || (root && json_object_object_length (root) == 0);
+  bool good = empty || json_object_is_type (value, json_type_boolean);
+
+  *on = empty || json_object_get_boolean (value);
   json_object_put (root);
-  free (body);
-  return !off;
+  return good;
+}
+
+static void
+refuse_body (struct httpd_req *http)
+{
+  adm_error (http, 400, "bad-request",
+             "the body is neither empty nor {\"on\": true} or false");
 }
 
 void
@@ -220,7 +235,12 @@
 {
   struct ctl *c = r->a->c;
   const struct ctl_replica *found = adm_find_replica (c, r->name);
-  bool on = wants_on (r->http);
+  bool on;
+  if (!read_on (r->http, &on))
+    {
+      refuse_body (r->http);
+      return;
+    }
   if (!found || found->owner.len == 0)
     {
       if (!found)
@@ -251,7 +271,13 @@
 adm_drain_node (const struct adm_request *r)
 {
   struct ctl *c = r->a->c;
-  if (!wants_on (r->http))
+  bool on;
+  if (!read_on (r->http, &on))
+    {
+      refuse_body (r->http);
+      return;
+    }
+  if (!on)
     {
       adm_error (r->http, 400, "not-taken-back",
                  "a node that leaves can't be taken back; start it again");
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -325,6 +325,7 @@
                { 405, "Method Not Allowed" },
                { 409, "Conflict" },
                { 413, "Request Entity Too Large" },
+               { 422, "Unprocessable Content" },
                { 429, "Too Many Requests" },
                { 500, "Internal Server Error" },
                { 502, "Bad Gateway" },
--- a/t/t8001-admin.c
+++ b/t/t8001-admin.c
@@ -507,6 +507,35 @@
          "  404 no-node\n");
 }
 
+Test (admin, a_slip_in_an_undo_drains_nothing)
+{
+  /* An operator takes a drain back by a call with a slip in its body.  Read
+     as "no word of off", it would drain the replica, or the node, that the
+     operator meant to keep. */
+  w.c.cfg = make_config ();
+  check ("call operate POST /admin/v1/replicas/mine/drain {\"on\":\"false\"}\n"
+         "call operate POST /admin/v1/replicas/mine/drain {\"off\":true}\n"
+         "call operate POST /admin/v1/replicas/mine/drain on=false\n"
+         "call operate POST /admin/v1/nodes/entry-1/drain {\"on\":0}\n"
+         "call operate POST /admin/v1/replicas/mine/drain {}\n"
+         "call operate POST /admin/v1/replicas/mine/drain {\"on\":true}\n",
+         "> call operate POST /admin/v1/replicas/mine/drain "
+         "{\"on\":\"false\"}\n"
+         "  400 bad-request\n"
+         "> call operate POST /admin/v1/replicas/mine/drain {\"off\":true}\n"
+         "  400 bad-request\n"
+         "> call operate POST /admin/v1/replicas/mine/drain on=false\n"
+         "  400 bad-request\n"
+         "> call operate POST /admin/v1/nodes/entry-1/drain {\"on\":0}\n"
+         "  400 bad-request\n"
+         "> call operate POST /admin/v1/replicas/mine/drain {}\n"
+         "  drain mine on\n"
+         "  200 {\"done\":true,\"name\":\"mine\",\"node\":\"entry-1\"}\n"
+         "> call operate POST /admin/v1/replicas/mine/drain {\"on\":true}\n"
+         "  drain mine on\n"
+         "  200 {\"done\":true,\"name\":\"mine\",\"node\":\"entry-1\"}\n");
+}
+
 Test (admin, a_drain_asked_by_another_node)
 {
   /* The domain may have changed hands while the frame was on its way: a node
