Write the scripts of t8001 and t8002 as transcripts

Cause: both tests held each command twice, once in the script and once in the log that is compared, and a reader had to match the two by eye; the function that ran them stood in both files. Change: t/lib-transcript runs the "> COMMAND" lines of the expected text itself and compares the whole log with that text. Conclusion: what a command must bring stands right under it.

--- a/t/t8001-admin.c
+++ b/t/t8001-admin.c
@@ -5,10 +5,11 @@
 #include <string.h>
 
 #include "control/admin.h"
+#include "t/lib-transcript.h"
 
 /*
  * The administration API with fakes in place of the modules beside it, and
- * one script of calls and answers for each run.  Commands of a script:
+ * one transcript of calls and answers for each run.  Its commands:
  *   call TOKEN METHOD PATH [BODY]   and wait until it is answered or waits
  *   gone                            the last caller closes its connection
  *   answer done|refused             of the node that was asked to drain
@@ -386,26 +387,16 @@
 }
 
 static void
-check (const char *script, const char *expected)
+check (const char *transcript)
 {
-  char *text = xstrdup (script);
-  for (char *line = strtok (text, "\n"); line; line = strtok (NULL, "\n"))
-    {
-      buf_addf (&w.log, "> %s\n", line);
-      run_line (line);
-    }
-  cr_assert_str_eq (buf_c (&w.log), expected, "got:\n%s\nexpected:\n%s",
-                    w.log.ptr, expected);
-  buf_clear (&w.log);
-  free (text);
+  transcript_check (&w.log, run_line, transcript);
 }
 
 TestSuite (admin, .init = start_world, .fini = stop_world, .timeout = 60);
 
 Test (admin, nobody_is_known_before_a_configuration)
 {
-  check ("call operate GET /admin/v1/nodes\n",
-         "> call operate GET /admin/v1/nodes\n"
+  check ("> call operate GET /admin/v1/nodes\n"
          "  503 no-configuration\n");
 }
 
@@ -414,15 +405,7 @@
   /* A viewer sees all and changes nothing; whoever has no token gets
      nowhere, not even to learn which paths there are. */
   w.c.cfg = make_config ();
-  check ("call - GET /admin/v1/nodes\n"
-         "call wrong GET /nowhere\n"
-         "call view GET /nowhere\n"
-         "call view GET /admin/v1/replicas/mine/drain\n"
-         "call view GET /admin/v1/nodes/entry-1/drain/more\n"
-         "call view POST /admin/v1/replicas/mine/drain\n"
-         "call view POST /admin/v1/nodes/entry-1/drain\n"
-         "call operate POST /admin/v1/nodes/entry-1/drain\n",
-         "> call - GET /admin/v1/nodes\n"
+  check ("> call - GET /admin/v1/nodes\n"
          "  401 unauthorized\n"
          "> call wrong GET /nowhere\n"
          "  401 unauthorized\n"
@@ -444,11 +427,7 @@
 Test (admin, lists_tell_no_digests)
 {
   w.c.cfg = make_config ();
-  check ("call view GET /admin/v1/accounts\n"
-         "call view GET /admin/v1/status\n"
-         "call view GET /admin/v1/nodes/entry-9\n"
-         "call view GET /admin/v1/replicas/nothing\n",
-         "> call view GET /admin/v1/accounts\n"
+  check ("> call view GET /admin/v1/accounts\n"
          "  200 {\"revision\":7,\"accounts\":[{\"account\":\"broker-app\","
          "\"keys\":1,\"weight\":2,\"priority\":1,\"tokens_per_s\":1000,"
          "\"concurrency\":0,\"may\":[\"*\"]}]}\n"
@@ -469,18 +448,7 @@
   /* Any node takes the operator's call; only the owner of the domain, or the
      node itself, can act, and its answer is the operator's answer. */
   w.c.cfg = make_config ();
-  check ("call operate POST /admin/v1/replicas/mine/drain\n"
-         "call operate POST /admin/v1/replicas/mine/drain {\"on\":false}\n"
-         "call operate POST /admin/v1/replicas/theirs/drain\n"
-         "answer done\n"
-         "call operate POST /admin/v1/replicas/theirs/drain {\"on\":false}\n"
-         "answer refused\n"
-         "call operate POST /admin/v1/replicas/orphan/drain\n"
-         "call operate POST /admin/v1/nodes/entry-2/drain\n"
-         "answer done\n"
-         "call operate POST /admin/v1/nodes/entry-2/drain {\"on\":false}\n"
-         "call operate POST /admin/v1/nodes/entry-9/drain\n",
-         "> call operate POST /admin/v1/replicas/mine/drain\n"
+  check ("> call operate POST /admin/v1/replicas/mine/drain\n"
          "  drain mine on\n"
          "  200 {\"done\":true,\"name\":\"mine\",\"node\":\"entry-1\"}\n"
          "> call operate POST /admin/v1/replicas/mine/drain {\"on\":false}\n"
@@ -513,13 +481,7 @@
      as "no word of off", it would drain the replica, or the node, that the
      operator meant to keep. */
   w.c.cfg = make_config ();
-  check ("call operate POST /admin/v1/replicas/mine/drain {\"on\":\"false\"}\n"
-         "call operate POST /admin/v1/replicas/mine/drain {\"off\":true}\n"
-         "call operate POST /admin/v1/replicas/mine/drain on=false\n"
-         "call operate POST /admin/v1/nodes/entry-1/drain {\"on\":0}\n"
-         "call operate POST /admin/v1/replicas/mine/drain {}\n"
-         "call operate POST /admin/v1/replicas/mine/drain {\"on\":true}\n",
-         "> call operate POST /admin/v1/replicas/mine/drain "
+  check ("> call operate POST /admin/v1/replicas/mine/drain "
          "{\"on\":\"false\"}\n"
          "  400 bad-request\n"
          "> call operate POST /admin/v1/replicas/mine/drain {\"off\":true}\n"
@@ -541,12 +503,7 @@
   /* The domain may have changed hands while the frame was on its way: a node
      that is no longer the owner must refuse, not act on an old view. */
   w.c.cfg = make_config ();
-  check ("ask replica mine\n"
-         "ask replica theirs\n"
-         "ask replica nothing\n"
-         "ask node entry-2\n"
-         "ask node entry-1\n",
-         "> ask replica mine\n"
+  check ("> ask replica mine\n"
          "  drain mine on\n"
          "  to peer: done\n"
          "> ask replica theirs\n"
@@ -567,13 +524,7 @@
      in the second it did not.  A late answer and one for a caller that has
      gone reach nobody. */
   w.c.cfg = make_config ();
-  check ("call operate POST /admin/v1/replicas/theirs/drain\n"
-         "wait\n"
-         "answer done\n"
-         "call operate POST /admin/v1/replicas/theirs/drain\n"
-         "gone\n"
-         "answer done\n",
-         "> call operate POST /admin/v1/replicas/theirs/drain\n"
+  check ("> call operate POST /admin/v1/replicas/theirs/drain\n"
          "  to entry-2: drain node= replica=theirs on by amina\n"
          "> wait\n"
          "  504 no-answer\n"
@@ -583,8 +534,7 @@
          "> gone\n"
          "> answer done\n");
   w.linked = false;
-  check ("call operate POST /admin/v1/replicas/theirs/drain\n",
-         "> call operate POST /admin/v1/replicas/theirs/drain\n"
+  check ("> call operate POST /admin/v1/replicas/theirs/drain\n"
          "  503 unreachable\n");
 }
 
@@ -593,13 +543,7 @@
 Test (admin, a_trace_over_all_nodes)
 {
   w.c.cfg = make_config ();
-  check ("call view GET /admin/v1/traces/xyz\n"
-         "call view GET /admin/v1/traces/" TRACE "\n"
-         "spans gateway a\n"
-         "spans peer b\n"
-         "wait\n"
-         "spans peer late\n",
-         "> call view GET /admin/v1/traces/xyz\n"
+  check ("> call view GET /admin/v1/traces/xyz\n"
          "  400 no-trace-id\n"
          "> call view GET /admin/v1/traces/" TRACE "\n"
          "  to entry-2: spans?\n"
@@ -609,10 +553,7 @@
          "  200 {\"trace\":\"" TRACE "\",\"missing_nodes\":0,\"spans\":"
          "[{\"name\":\"a\"},{\"name\":\"b\"}]}\n"
          "> spans peer late\n");
-  check ("call view GET /admin/v1/traces/" TRACE "\n"
-         "spans peer b\n"
-         "wait\n",
-         "> call view GET /admin/v1/traces/" TRACE "\n"
+  check ("> call view GET /admin/v1/traces/" TRACE "\n"
          "  to entry-2: spans?\n"
          "> spans peer b\n"
          "> wait\n"
--- a/t/t8002-views.c
+++ b/t/t8002-views.c
@@ -4,9 +4,10 @@
 #include <string.h>
 
 #include "control/control.h"
+#include "t/lib-transcript.h"
 
 /*
- * The link to the gateway with fakes beside it.  Commands of a script:
+ * The link to the gateway with fakes beside it.  Commands of a transcript:
  *   config REVISION BYTES               a document of that size is in force
  *   gateway LINK NODE BOOT ADDR         a link said hello as a gateway
  *   down LINK
@@ -216,7 +217,7 @@
 }
 
 static void
-run_line (const char *line)
+run_line (char *line)
 {
   if (strncmp (line, "config", 6) == 0)
     do_config (line);
@@ -235,18 +236,9 @@
 }
 
 static void
-check (const char *script, const char *expected)
+check (const char *transcript)
 {
-  char *text = xstrdup (script);
-  for (char *line = strtok (text, "\n"); line; line = strtok (NULL, "\n"))
-    {
-      buf_addf (&w.log, "> %s\n", line);
-      run_line (line);
-    }
-  cr_assert_str_eq (buf_c (&w.log), expected, "got:\n%s\nexpected:\n%s",
-                    w.log.ptr, expected);
-  buf_clear (&w.log);
-  free (text);
+  transcript_check (&w.log, run_line, transcript);
 }
 
 static void
@@ -277,17 +269,7 @@
 {
   /* Evidence makes a view each second; a text of a megabyte in each would be
      a megabyte a second.  A restarted gateway has no text, so it gets it. */
-  check ("config 1 5\n"
-         "gateway a entry-1 1 127.0.0.1:80\n"
-         "view\n"
-         "view\n"
-         "config 2 40000\n"
-         "view\n"
-         "view\n"
-         "down a\n"
-         "gateway b entry-1 2 127.0.0.1:81\n"
-         "view\n",
-         "> config 1 5\n"
+  check ("> config 1 5\n"
          "  membership: revision 1\n"
          "> gateway a entry-1 1 127.0.0.1:80\n"
          "  membership: http port 80, load 0\n"
@@ -321,14 +303,7 @@
      but is not down yet: the new one must be served at once, and neither the
      old one's late hello nor its end may take the address away again.  A
      gateway with another node's settings is nobody's here. */
-  check ("gateway a entry-2 1 127.0.0.1:80\n"
-         "gateway a entry-1 1 127.0.0.1:80\n"
-         "gateway b entry-1 2 127.0.0.1:81\n"
-         "gateway a entry-1 1 127.0.0.1:80\n"
-         "report a 0 9 0\n"
-         "down a\n"
-         "view\n",
-         "> gateway a entry-2 1 127.0.0.1:80\n"
+  check ("> gateway a entry-2 1 127.0.0.1:80\n"
          "> gateway a entry-1 1 127.0.0.1:80\n"
          "  membership: http port 80, load 0\n"
          "  membership: revision 0\n"
@@ -347,16 +322,7 @@
   /* `config status --wait` must not say "in force" while the gateway still
      serves under the old one.  A gateway that leaves by itself goes on with
      what it has, but its address is given to nobody. */
-  check ("config 3 5\n"
-         "gateway a entry-1 1 127.0.0.1:80\n"
-         "view\n"
-         "report a 2 4 0\n"
-         "report a 3 4 0\n"
-         "report a 3 4 1\n"
-         "leave\n"
-         "share broker-app 50 60000\n"
-         "view\n",
-         "> config 3 5\n"
+  check ("> config 3 5\n"
          "  membership: revision 3\n"
          "> gateway a entry-1 1 127.0.0.1:80\n"
          "  membership: http port 80, load 0\n"
