Share what tests of control processes start with

Change: t/lib-control writes settings, starts, pushes and greets as a gateway; digests come from front_digest(). t6010's domain moves from zone "z" to "hall-a", which nothing there looks at. Conclusion: a key of the settings is changed in one place of these tests.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,11 @@
 $B/standin: $(patsubst %.c,$B/%.o,$(wildcard t/standin/*.c)) $B/liblapisline.a
 	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$B/t/%: $B/t/%.o $(T_OBJ) $B/liblapisline.a
+# An archive, so that a test may stand in for what only others' helpers need.
+$B/t/libhelpers.a: $(T_OBJ)
+	$(QUIET_AR)rm -f $@ && ar rcs $@ $^
+
+$B/t/%: $B/t/%.o $B/t/libhelpers.a $B/liblapisline.a
 	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcriterion
 
 $B/%.o: %.c
--- a/t/t6010-replica-processes.c
+++ b/t/t6010-replica-processes.c
@@ -6,12 +6,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "t/lib-proc.h"
+#include "t/lib-control.h"
 
 #define TOKEN "replica-test-token"
-/* SHA-256 of TOKEN. */
-#define TOKEN_DIGEST                                                          \
-  "f59c1440a19cfa2dcf842848d7b52495d363620deb5aeab446684c45a283bed7"
 #define AUTH "Authorization: Bearer " TOKEN "\r\n"
 #define REPLICA "/admin/v1/replicas/r1"
 
@@ -21,58 +18,37 @@
 static const char *admin[2];
 
 static struct proc *
-start_node (const char *name, const char *peer)
+start_node (const char *name, const char *peers)
 {
-  const char *settings = proc_file (
-      name,
-      "{ \"node\": \"%s\", \"zone\": \"z\", \"region\": \"local\",\n"
-      "  \"gateway\": { \"http\": \"127.0.0.1:0\", \"peer\": "
-      "\"127.0.0.1:0\" },\n"
-      "  \"control\": { \"swim\": \"127.0.0.1:0\", \"peer\": "
-      "\"127.0.0.1:0\", \"admin\": \"127.0.0.1:0\" },\n"
-      "  \"store\": { \"endpoints\": [\"%s\"], \"prefix\": "
-      "\"/lapisline/\", \"writes_per_s\": 50, \"reads_per_s\": 200 },\n"
-      "  \"platform\": \"%s\",\n  \"peers\": [%s%s%s],\n"
-      "  \"secret_file\": \"secret.txt\",\n"
-      "  \"log\": { \"format\": \"text\", \"level\": \"warn\" } }\n",
-      name, proc_addr (store, "http"), proc_addr (platform, "http"),
-      peer ? "\"" : "", peer ? peer : "", peer ? "\"" : "");
+  char more[128];
 
-  return PROC_UP ("lapisline", "control", "--settings", settings);
+  snprintf (more, sizeof more,
+            ",\"platform\":\"%s\",\"log\":{\"format\":\"text\","
+            "\"level\":\"warn\"}",
+            proc_addr (platform, "http"));
+  return control_up (
+      control_settings (name, proc_addr (store, "http"), peers, more));
 }
 
 static void
 write_config (void)
 {
-  proc_file ("config/10-all.json",
-             "{ \"domains\": { \"d\": { \"zone\": \"z\", \"checks_fence\": "
-             "true, \"vms\": {\n"
-             "    \"v1\": { \"addr\": \"%s\" },\n"
-             "    \"v2\": { \"addr\": \"%s\" },\n"
-             "    \"v3\": { \"addr\": \"%s\", \"spare_only\": true } } } },\n"
-             "  \"models\": { \"m\": { \"mode\": \"manage\", \"vms\": 2, "
-             "\"replicas\": 1, \"weight_gb\": 1, \"capacity\": 4, "
-             "\"tokens_per_s\": 100 } },\n"
-             "  \"replicas\": { \"r1\": { \"model\": \"m\", \"domain\": "
-             "\"d\", \"mode\": \"manage\", \"vms\": [\"v1\", \"v2\"] } },\n"
-             "  \"operators\": { \"amina\": { \"role\": \"operator\", "
-             "\"token_digest\": \"" TOKEN_DIGEST "\" } } }\n",
-             proc_addr (vms[0], "http"), proc_addr (vms[1], "http"),
-             proc_addr (vms[2], "http"));
-}
-
-static void
-push_config (void)
-{
-  struct buf out = BUF_INIT;
-  char folder[512];
-
-  snprintf (folder, sizeof folder, "%s/config", proc_dir ());
-  cr_assert_eq (PROC_RUN (&out, "lapisline", "config", "push", folder,
-                          "--store", proc_addr (store, "http"), "--who",
-                          "amina"),
-                0, "%s", buf_c (&out));
-  buf_free (&out);
+  proc_file (
+      "config/10-all.json",
+      "{ \"domains\": { \"d\": { \"zone\": \"hall-a\", \"checks_fence\": "
+      "true, \"vms\": {\n"
+      "    \"v1\": { \"addr\": \"%s\" },\n"
+      "    \"v2\": { \"addr\": \"%s\" },\n"
+      "    \"v3\": { \"addr\": \"%s\", \"spare_only\": true } } } },\n"
+      "  \"models\": { \"m\": { \"mode\": \"manage\", \"vms\": 2, "
+      "\"replicas\": 1, \"weight_gb\": 1, \"capacity\": 4, "
+      "\"tokens_per_s\": 100 } },\n"
+      "  \"replicas\": { \"r1\": { \"model\": \"m\", \"domain\": "
+      "\"d\", \"mode\": \"manage\", \"vms\": [\"v1\", \"v2\"] } },\n"
+      "  \"operators\": { \"amina\": { \"role\": \"operator\", "
+      "\"token_digest\": \"%s\" } } }\n",
+      proc_addr (vms[0], "http"), proc_addr (vms[1], "http"),
+      proc_addr (vms[2], "http"), front_digest (TOKEN));
 }
 
 static void
@@ -98,10 +74,9 @@
   for (int i = 0; i < 3; i++)
     vms[i] = PROC_UP ("standin", "model", "--listen", "127.0.0.1:0",
                       "--unloaded", "--load-ms", "200");
-  proc_file ("secret.txt", "a secret of this test\n");
   write_config ();
-  push_config ();
-  nodes[0] = start_node ("n1", NULL);
+  control_push ("--store", proc_addr (store, "http"));
+  nodes[0] = start_node ("n1", "");
   nodes[1] = start_node ("n2", proc_addr (nodes[0], "peer"));
   for (int i = 0; i < 2; i++)
     admin[i] = proc_addr (nodes[i], "admin");
--- a/t/t8001-admin.c
+++ b/t/t8001-admin.c
@@ -1,10 +1,10 @@
 #include <criterion/criterion.h>
-#include <openssl/sha.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "control/admin.h"
+#include "t/lib-front.h"
 #include "t/lib-transcript.h"
 
 /*
@@ -317,33 +317,18 @@
 
 /* --- the world ---------------------------------------------------------- */
 
-static void
-digest_of (const char *token, char out[65])
-{
-  uint8_t hash[SHA256_DIGEST_LENGTH];
-  struct buf hex = BUF_INIT;
-  SHA256 ((const uint8_t *)token, strlen (token), hash);
-  buf_add_hex (&hex, hash, sizeof hash);
-  memcpy (out, buf_c (&hex), 65);
-  buf_free (&hex);
-}
-
 static struct cfg *
 make_config (void)
 {
   struct buf text = BUF_INIT;
   struct fnd_list found = { 0 };
-  char viewer[65];
-  char operator[65];
-  digest_of ("view", viewer);
-  digest_of ("operate", operator);
   buf_addf (
       &text,
       "{\"operators\":{\"wei\":{\"token_digest\":\"%s\",\"role\":"
       "\"viewer\"},\"amina\":{\"token_digest\":\"%s\",\"role\":"
       "\"operator\"}},\"accounts\":{\"broker-app\":{\"key_digests\":"
       "[\"%064d\"],\"weight\":2,\"tokens_per_s\":1000,\"may\":[\"*\"]}}}",
-      viewer, operator, 1);
+      front_digest ("view"), front_digest ("operate"), 1);
   struct cfg *cfg = cfg_parse (buf_str (&text), 7, &found);
   buf_clear (&text);
   fnd_print (&found, &text);
--- a/t/t8003-control.c
+++ b/t/t8003-control.c
@@ -1,75 +1,31 @@
 #include <criterion/criterion.h>
-#include <openssl/sha.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "net/link.h"
-#include "t/lib-proc.h"
+#include "t/lib-control.h"
 
 /* The control process as it ships, with the store's stand-in and, where a
    gateway is needed, a link of this test in its place. */
 
-#define SECRET "a secret of the test"
 #define NOBODY "127.0.0.1:1"
 
 static const char *token_file;
 
-static const char *
-settings (const char *node, const char *store, const char *peers)
-{
-  char name[64];
-  proc_file ("secret.txt", SECRET);
-  snprintf (name, sizeof name, "%s.json", node);
-  return proc_file (
-      name,
-      "{\"node\":\"%s\",\"zone\":\"hall-a\",\"region\":\"nairobi\","
-      "\"gateway\":{\"http\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\"},"
-      "\"control\":{\"swim\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\","
-      "\"admin\":\"127.0.0.1:0\"},"
-      "\"store\":{\"endpoints\":[\"%s\"],\"prefix\":\"/lapisline/\","
-      "\"writes_per_s\":50,\"reads_per_s\":200},"
-      "\"peers\":[%s%s%s],\"secret_file\":\"secret.txt\"}",
-      node, store, peers ? "\"" : "", peers ? peers : "", peers ? "\"" : "");
-}
-
-static struct proc *
-control_up (const char *path)
-{
-  return PROC_UP ("lapisline", "control", "--settings", path);
-}
-
-static void
-digest_of (const char *token, char out[65])
-{
-  uint8_t hash[SHA256_DIGEST_LENGTH];
-  struct buf hex = BUF_INIT;
-  SHA256 ((const uint8_t *)token, strlen (token), hash);
-  buf_add_hex (&hex, hash, sizeof hash);
-  memcpy (out, buf_c (&hex), 65);
-  buf_free (&hex);
-}
-
 /* Push a configuration and wait until every node has it in force. */
 static void
 push (const char *path, const char *admin, int address_ms)
 {
-  char viewer[65];
-  char operator[65];
-  char folder[256];
   struct buf out = BUF_INIT;
-  digest_of ("view", viewer);
-  digest_of ("operate", operator);
+  int code;
+
   token_file = proc_file ("token", "operate\n");
   proc_file ("config/10-all.json",
              "{\"operators\":{\"wei\":{\"token_digest\":\"%s\",\"role\":"
              "\"viewer\"},\"amina\":{\"token_digest\":\"%s\",\"role\":"
              "\"operator\"}},\"limits\":{\"address_ms\":%d}}",
-             viewer, operator, address_ms);
-  snprintf (folder, sizeof folder, "%s/config", proc_dir ());
-  int code = PROC_RUN (&out, "lapisline", "config", "push", folder,
-                       "--settings", path, "--who", "amina");
-  cr_assert_eq (code, 0, "push: %d %s", code, buf_c (&out));
+             front_digest ("view"), front_digest ("operate"), address_ms);
+  control_push ("--settings", path);
   code = PROC_RUN (&out, "lapisline", "config", "status", "--wait", "--admin",
                    admin, "--token-file", token_file);
   cr_assert_eq (code, 0, "status: %d %s", code, buf_c (&out));
@@ -93,7 +49,7 @@
 {
   /* The store is down when the VM boots.  The node must come up, answer what
      it can and leave when told, as it would with a store. */
-  struct proc *p = control_up (settings ("entry-1", NOBODY, NULL));
+  struct proc *p = control_up (control_settings ("entry-1", NOBODY, "", ""));
   const char *admin = proc_addr (p, "admin");
   struct web_answer a;
   cr_assert (web_call (admin, "GET", "/admin/v1/nodes", NULL, NULL, &a));
@@ -119,11 +75,11 @@
      nothing. */
   struct proc *store = PROC_UP ("standin", "store");
   const char *at = proc_addr (store, "http");
-  const char *path = settings ("entry-1", at, NULL);
+  const char *path = control_settings ("entry-1", at, "", "");
   struct proc *one = control_up (path);
   const char *admin = proc_addr (one, "admin");
-  struct proc *two
-      = control_up (settings ("entry-2", at, proc_addr (one, "peer")));
+  struct proc *two = control_up (
+      control_settings ("entry-2", at, proc_addr (one, "peer"), ""));
   struct buf out = BUF_INIT;
   cr_assert (web_until (admin, "/metrics", NULL,
                         "lapisline_control_nodes{status=\"alive\"} 2",
@@ -156,73 +112,30 @@
 
 /* --- a gateway's link --------------------------------------------------- */
 
-static struct gateway
-{
-  uv_loop_t loop;
-  struct link *link;
-  enum link_state state;
-  uint64_t views;
-  bool leaving;
-  uint64_t revision;
-  size_t text;
-} gw;
-
-static void
-send_hello (void)
-{
-  Lapis__Hello hello = LAPIS__HELLO__INIT;
-  Lapis__Frame f = LAPIS__FRAME__INIT;
-  hello.node = "entry-1";
-  hello.boot = 1;
-  hello.role = "gateway";
-  hello.http_addr = "127.0.0.1:8080";
-  hello.peer_addr = "127.0.0.1:7001";
-  f.body_case = LAPIS__FRAME__BODY_HELLO;
-  f.hello = &hello;
-  cr_assert (link_send (gw.link, &f));
-}
-
-static void
-on_state (void *ctx, struct link *l, enum link_state state)
-{
-  gw.state = state;
-  if (state == LINK_UP)
-    send_hello ();
-}
-
-static void
-on_frame (void *ctx, struct link *l, const Lapis__Frame *f)
-{
-  if (f->body_case != LAPIS__FRAME__BODY_VIEW)
-    return;
-  gw.views = f->view->seq;
-  gw.leaving = f->view->leaving;
-  gw.revision = f->view->config_revision;
-  gw.text += f->view->config.len;
-}
+static uv_loop_t loop;
+static struct control_gateway gw;
+static uint64_t views;
+static bool leaving;
+static size_t text;
 
 static void
-gateway_up (const char *peer)
+on_view (struct control_gateway *g, const Lapis__View *view)
 {
-  static const struct link_callbacks cb = { on_state, on_frame };
-  struct link_secret secret;
-  struct net_addr to;
-  SHA256 ((const uint8_t *)SECRET, strlen (SECRET), secret.key);
-  cr_assert (net_addr_parse (str_from (peer), false, &to));
-  uv_loop_init (&gw.loop);
-  gw.link = link_connect (&gw.loop, &to, &secret, &cb, NULL);
+  views = view->seq;
+  leaving = view->leaving;
+  text += view->config.len;
 }
 
 static bool
 has_text (void)
 {
-  return gw.views > 0 && gw.text > 0;
+  return views > 0 && text > 0;
 }
 
 static bool
 is_leaving (void)
 {
-  return gw.leaving;
+  return leaving;
 }
 
 static bool
@@ -244,7 +157,7 @@
   clk_ms until = clk_now () + wait_ms;
   while (!done () && clk_now () < until)
     {
-      uv_run (&gw.loop, UV_RUN_NOWAIT);
+      uv_run (&loop, UV_RUN_NOWAIT);
       uv_sleep (1);
     }
   return done ();
@@ -255,8 +168,8 @@
 {
   if (gw.state != LINK_DOWN)
     link_close (gw.link);
-  uv_run (&gw.loop, UV_RUN_DEFAULT);
-  uv_loop_close (&gw.loop);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  uv_loop_close (&loop);
 }
 
 /* One node with a gateway linked and a configuration in force. */
@@ -264,10 +177,12 @@
 node_up (int address_ms)
 {
   struct proc *store = PROC_UP ("standin", "store");
-  const char *path = settings ("entry-1", proc_addr (store, "http"), NULL);
+  const char *path
+      = control_settings ("entry-1", proc_addr (store, "http"), "", "");
   struct proc *p = control_up (path);
   push (path, proc_addr (p, "admin"), address_ms);
-  gateway_up (proc_addr (p, "peer"));
+  uv_loop_init (&loop);
+  control_gateway_up (&gw, &loop, "entry-1", proc_addr (p, "peer"), on_view);
   cr_assert (pump (has_text, PROC_WAIT_MS), "the gateway got no text");
   return p;
 }
@@ -279,7 +194,7 @@
      Without the wait the gateway would lose its views, and with them its
      evidence, while it still serves. */
   struct proc *p = node_up (60000);
-  cr_expect (!gw.leaving);
+  cr_expect (!leaving);
   proc_signal (p, SIGTERM);
   cr_expect (pump (is_leaving, PROC_WAIT_MS), "the gateway was not told");
   cr_expect (!pump (never, 1500));
@@ -297,6 +212,6 @@
   proc_signal (p, SIGTERM);
   cr_expect (pump (is_down, PROC_WAIT_MS), "control waits for ever");
   cr_expect_eq (proc_wait (p, PROC_WAIT_MS), 0);
-  cr_expect (gw.leaving);
+  cr_expect (leaving);
   gateway_down ();
 }
--- a/t/t8102-members.c
+++ b/t/t8102-members.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "t/lib-proc.h"
+#include "t/lib-control.h"
 
 /* Membership of control processes as they ship, killed and stopped by
    signals; what they think is read from their metrics. */
@@ -18,27 +18,15 @@
 start (int i, const char *store)
 {
   char name[32];
-  const char *path;
   struct buf peers = BUF_INIT;
 
   for (int j = 0; j < NODES; j++)
     if (j != i && nodes[j] != NULL)
-      buf_addf (&peers, "%s\"%s\"", peers.len > 0 ? "," : "",
+      buf_addf (&peers, "%s%s", peers.len > 0 ? " " : "",
                 proc_addr (nodes[j], "peer"));
-  snprintf (name, sizeof name, "entry-%d.json", i + 1);
-  proc_file ("secret.txt", "a secret of the test");
-  path = proc_file (
-      name,
-      "{\"node\":\"entry-%d\",\"zone\":\"hall-a\",\"region\":\"nairobi\","
-      "\"gateway\":{\"http\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\"},"
-      "\"control\":{\"swim\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\","
-      "\"admin\":\"127.0.0.1:0\"},"
-      "\"store\":{\"endpoints\":[\"%s\"],\"prefix\":\"/lapisline/\","
-      "\"writes_per_s\":50,\"reads_per_s\":200},"
-      "\"peers\":[%s],\"log\":{\"level\":\"error\"},"
-      "\"secret_file\":\"secret.txt\"}",
-      i + 1, store, peers.len > 0 ? buf_c (&peers) : "");
-  nodes[i] = PROC_UP ("lapisline", "control", "--settings", path);
+  snprintf (name, sizeof name, "entry-%d", i + 1);
+  nodes[i] = control_up (control_settings (name, store, buf_c (&peers),
+                                           ",\"log\":{\"level\":\"error\"}"));
   buf_free (&peers);
 }
 
