Grant slots of a model's replicas at one home

route/slots.c is a decision core for the model's home gateway: fair queue over all gateways, exact free slots, prefixes that it sent there, a slot not told of for 3.5 s is free, a new home listens for 200 ms. Nothing that must hold relies on it. bench route gets the policy 'homes' and the fault 'home'; the bench's event heap moves to world-events.c.

t5600-slots: seen red without expiry of slots, without confirmation by lists, without learning, with reports from before it, without regard to prefixes, without sweeping a gone gateway, without shedding. The processes don't use the core yet.

--- a/builtin/bench-route.c
+++ b/builtin/bench-route.c
@@ -27,7 +27,7 @@
         { "workload", 0, 0, G_OPTION_ARG_STRING, &only_workload,
           "nairobi or taipei only", "NAME" },
         { "fault", 0, 0, G_OPTION_ARG_STRING, &only_fault,
-          "none, straggler or lost only", "NAME" },
+          "none, straggler, lost or home only", "NAME" },
         { "policy", 0, 0, G_OPTION_ARG_STRING, &only_policy, "one policy only",
           "NAME" },
         { "lag", 0, 0, G_OPTION_ARG_INT, &only_lag,
@@ -101,9 +101,11 @@
   for (enum policy p = POL_RANDOM; p < POL_OMNISCIENT; p++)
     if (rows[p].mid.p99 < rows[best].mid.p99)
       best = p;
-  printf ("  p99 of ours: %.2f of the best of four (%s), %.2f of the limit\n",
-          rows[POL_OURS].mid.p99 / rows[best].mid.p99, policy_names[best],
-          rows[POL_OURS].mid.p99 / rows[POL_OMNISCIENT].mid.p99);
+  for (enum policy p = POL_OURS; p <= POL_HOMES; p++)
+    printf ("  p99 of %s: %.2f of the best of four (%s), %.2f of the limit\n",
+            policy_names[p], rows[p].mid.p99 / rows[best].mid.p99,
+            policy_names[best],
+            rows[p].mid.p99 / rows[POL_OMNISCIENT].mid.p99);
 }
 
 static void
--- a/builtin/policies.h
+++ b/builtin/policies.h
@@ -11,6 +11,7 @@
 enum policy
 {
   POL_OURS,
+  POL_HOMES, /**< ours, with slots granted by a home */
   POL_RANDOM,
   POL_ROUND_ROBIN,
   POL_LEAST,      /**< least in flight from this gateway */
--- a/builtin/world.c
+++ b/builtin/world.c
@@ -12,85 +12,15 @@
 #define EVIDENCE_MS 20000
 #define STRAGGLE_FACTOR 4
 
-const char *const fault_names[FAULTS] = { "none", "straggler", "lost" };
-
-enum kind
-{
-  ARRIVE,
-  CONNECTED,
-  AT_STUB,
-  FIRST,
-  DONE,
-  BROKEN,
-  SAMPLE,
-  REPORT,
-  TICK,
-  FAULT,
-  SEEN
-};
-
-struct event
-{
-  double at;
-  uint64_t order; /**< ties run in the order of their making */
-  enum kind kind;
-  uint32_t who; /**< request, gateway or sample */
-  struct stub_job *job;
-};
-
-/* --- events in virtual time -------------------------------------------- */
-
-static bool
-earlier (const struct event *a, const struct event *b)
-{
-  return a->at < b->at || (a->at == b->at && a->order < b->order);
-}
-
-static void
-post (struct world *w, double at, enum kind kind, uint32_t who,
-      struct stub_job *job)
-{
-  if (w->heap_n == w->heap_cap)
-    {
-      w->heap_cap = w->heap_cap ? 2 * w->heap_cap : 1024;
-      w->heap = xrealloc (w->heap, w->heap_cap * sizeof *w->heap);
-    }
-  struct event e = { at, w->order++, kind, who, job };
-  size_t i = w->heap_n++;
-  while (i > 0 && earlier (&e, &w->heap[(i - 1) / 2]))
-    {
-      w->heap[i] = w->heap[(i - 1) / 2];
-      i = (i - 1) / 2;
-    }
-  w->heap[i] = e;
-}
-
-static struct event
-pop (struct world *w)
-{
-  struct event top = w->heap[0], last = w->heap[--w->heap_n];
-  size_t i = 0;
-  for (;;)
-    {
-      size_t kid = 2 * i + 1;
-      if (kid + 1 < w->heap_n && earlier (&w->heap[kid + 1], &w->heap[kid]))
-        kid++;
-      if (kid >= w->heap_n || !earlier (&w->heap[kid], &last))
-        break;
-      w->heap[i] = w->heap[kid];
-      i = kid;
-    }
-  w->heap[i] = last;
-  return top;
-}
+const char *const fault_names[FAULTS]
+    = { "none", "straggler", "lost", "home" };
 
 /* --- shared by all policies -------------------------------------------- */
 
-static double
-one_way (const struct world *w, uint32_t gateway, size_t replica)
+double
+wr_one_way (const struct world *w, size_t a, size_t b)
 {
-  return gateway % WL_ZONES == replica % WL_ZONES ? 0.1
-                                                  : w->p->workload->zone_ms;
+  return a % WL_ZONES == b % WL_ZONES ? 0.1 : w->p->workload->zone_ms;
 }
 
 static size_t
@@ -121,9 +51,9 @@
 {
   struct world *w = ctx;
   uint32_t gateway = job->request->gateway;
-  double back = one_way (w, gateway, replica_of (w, job->stub));
-  post (w, job->first_at + back, FIRST, job->owner, job);
-  post (w, job->done_at + back, DONE, job->owner, job);
+  double back = wr_one_way (w, gateway, replica_of (w, job->stub));
+  wr_post (w, job->first_at + back, FIRST, job->owner, job);
+  wr_post (w, job->done_at + back, DONE, job->owner, job);
 }
 
 static void
@@ -139,18 +69,20 @@
 {
   size_t replica = (size_t)atoi (a->name.ptr + 1);
   struct stub_job *job = new_job (w, (uint32_t)a->id - 1, replica, a->attempt);
+  wh_connect (w, job->owner, replica);
   double rtt = w->stubs[replica].lost
-                   ? 2 * one_way (w, job->request->gateway, replica)
+                   ? 2 * wr_one_way (w, job->request->gateway, replica)
                    : 0;
-  post (w, w->now + rtt, CONNECTED, job->owner, job);
+  wr_post (w, w->now + rtt, CONNECTED, job->owner, job);
 }
 
 static void
 on_send (struct world *w, const struct rt_action *a)
 {
   struct stub_job *job = w->trips[a->id - 1].job;
-  double there = one_way (w, job->request->gateway, replica_of (w, job->stub));
-  post (w, w->now + there, AT_STUB, job->owner, job);
+  double there
+      = wr_one_way (w, job->request->gateway, replica_of (w, job->stub));
+  wr_post (w, w->now + there, AT_STUB, job->owner, job);
 }
 
 static void
@@ -182,13 +114,16 @@
     case RT_ACT_END:
       t->ended = w->now;
       break;
+    case RT_ACT_FORGET:
+      wh_forget (w, (uint32_t)a->id - 1);
+      break;
     default:
       break;
     }
 }
 
-static void
-tell (struct world *w, uint32_t gateway, const struct rt_event *ev)
+void
+wr_tell (struct world *w, uint32_t gateway, const struct rt_event *ev)
 {
   struct rt *r = w->gateways[gateway];
   struct rt_action a;
@@ -199,7 +134,7 @@
   if (wake != CLK_NEVER && (double)wake < w->tick_at[gateway])
     {
       w->tick_at[gateway] = fmax ((double)wake, floor (w->now) + 1);
-      post (w, w->tick_at[gateway], TICK, gateway, NULL);
+      wr_post (w, w->tick_at[gateway], TICK, gateway, NULL);
     }
 }
 
@@ -212,11 +147,11 @@
                          .attempt = job->attempt,
                          .status = 200,
                          .size = 1 };
-  tell (w, job->request->gateway, &ev);
+  wr_tell (w, job->request->gateway, &ev);
 }
 
-static void
-arrive (struct world *w, uint32_t trip)
+void
+wr_arrive (struct world *w, uint32_t trip)
 {
   const struct wl_request *q = &w->requests[trip];
   char account[8];
@@ -230,7 +165,7 @@
                            .cost = q->cost,
                            .prefix = q->prefix * 0x9e3779b97f4a7c15u };
   struct rt_event ev = { .kind = RT_EV_ARRIVE, .request = &in };
-  tell (w, q->gateway, &ev);
+  wr_tell (w, q->gateway, &ev);
 }
 
 static void
@@ -243,10 +178,10 @@
   for (size_t i = 0; i < n; i++)
     w->loads[w->nsamples * n + i] = w->stubs[i].load;
   w->sampled_at[w->nsamples] = w->now;
-  post (w, w->now + w->p->lag_ms, REPORT, (uint32_t)w->nsamples, NULL);
+  wr_post (w, w->now + w->p->lag_ms, REPORT, (uint32_t)w->nsamples, NULL);
   w->nsamples++;
   if (w->now < 1000 * w->p->workload->seconds + 60000)
-    post (w, w->now + SAMPLE_MS, SAMPLE, 0, NULL);
+    wr_post (w, w->now + SAMPLE_MS, SAMPLE, 0, NULL);
 }
 
 static void
@@ -268,7 +203,8 @@
     };
   struct rt_event ev = { .kind = RT_EV_REPLICAS, .replicas = list, .n = n };
   for (uint32_t g = 0; g < w->p->gateways; g++)
-    tell (w, g, &ev);
+    wr_tell (w, g, &ev);
+  wh_replicas (w, list, n);
   free (list);
 }
 
@@ -285,7 +221,7 @@
       if (s->lost || s->running >= STUB_SLOTS)
         continue;
       double ms
-          = stub_first_ms (s, w->now, q) + 2 * one_way (w, q->gateway, i);
+          = stub_first_ms (s, w->now, q) + 2 * wr_one_way (w, q->gateway, i);
       if (ms < least)
         {
           least = ms;
@@ -341,13 +277,13 @@
         continue;
       leave_stub (w, job);
       if (!omniscient (w))
-        post (w, w->now + 1, BROKEN, job->owner, job);
+        wr_post (w, w->now + 1, BROKEN, job->owner, job);
       else if (w->trips[job->owner].first == 0)
         enqueue_omniscient (w, job->owner, true);
     }
   if (omniscient (w))
     pump_omniscient (w);
-  post (w, w->now + SEEN_MS, SEEN, 0, NULL);
+  wr_post (w, w->now + SEEN_MS, SEEN, 0, NULL);
 }
 
 static void
@@ -358,7 +294,7 @@
   if (omniscient (w))
     {
       double there
-          = one_way (w, job->request->gateway, replica_of (w, job->stub));
+          = wr_one_way (w, job->request->gateway, replica_of (w, job->stub));
       if (w->trips[job->owner].first == 0)
         w->trips[job->owner].first = w->now + there;
       return;
@@ -397,7 +333,7 @@
   if (job->stub->lost)
     {
       job->over = true;
-      post (w, w->now + 1, BROKEN, job->owner, job);
+      wr_post (w, w->now + 1, BROKEN, job->owner, job);
     }
   else
     stub_arrive (job->stub, w->now, job, started, w);
@@ -411,6 +347,8 @@
     s->slow = STRAGGLE_FACTOR;
   else if (w->p->fault == FAULT_LOST)
     lose (w, s);
+  else if (w->p->fault == FAULT_HOME)
+    wh_lose (w);
 }
 
 static void
@@ -419,8 +357,10 @@
   switch (e->kind)
     {
     case ARRIVE:
-      if (!omniscient (w))
-        arrive (w, e->who);
+      if (w->p->policy == POL_HOMES)
+        wh_arrive (w, e->who);
+      else if (!omniscient (w))
+        wr_arrive (w, e->who);
       else
         {
           enqueue_omniscient (w, e->who, false);
@@ -450,7 +390,7 @@
       break;
     case TICK:
       w->tick_at[e->who] = INFINITY;
-      tell (w, e->who, &(struct rt_event){ .kind = RT_EV_TICK });
+      wr_tell (w, e->who, &(struct rt_event){ .kind = RT_EV_TICK });
       break;
     case FAULT:
       on_fault (w);
@@ -458,6 +398,9 @@
     case SEEN:
       w->seen = true;
       break;
+    default:
+      wh_handle (w, e);
+      break;
     }
 }
 
@@ -505,8 +448,9 @@
       w->tick_at[g] = INFINITY;
       policy_install (w->gateways[g], w->p->policy, &w->counters[g]);
       struct rt_event ev = { .kind = RT_EV_CONFIG, .cfg = cfg };
-      tell (w, g, &ev);
+      wr_tell (w, g, &ev);
     }
+  wh_start (w, cfg);
   cfg_unref (cfg);
 }
 
@@ -533,9 +477,9 @@
       report (w, 0);
     }
   for (size_t i = 0; i < w->n; i++)
-    post (w, w->requests[i].at, ARRIVE, (uint32_t)i, NULL);
+    wr_post (w, w->requests[i].at, ARRIVE, (uint32_t)i, NULL);
   if (p->fault != FAULT_NONE)
-    post (w, 1000 * p->workload->seconds / 3, FAULT, 0, NULL);
+    wr_post (w, 1000 * p->workload->seconds / 3, FAULT, 0, NULL);
 }
 
 static void
@@ -546,6 +490,7 @@
   for (uint32_t g = 0; g < w->p->gateways; g++)
     if (w->gateways[g])
       rt_free (w->gateways[g]);
+  wh_stop (w);
   free (w->jobs);
   free (w->requests);
   free (w->trips);
@@ -564,7 +509,7 @@
   start (&w);
   while (w.heap_n)
     {
-      struct event e = pop (&w);
+      struct event e = wr_pop (&w);
       w.now = e.at;
       handle (&w, &e);
     }
--- a/builtin/world.h
+++ b/builtin/world.h
@@ -15,6 +15,7 @@
   FAULT_NONE,
   FAULT_STRAGGLER, /**< one replica turns four times as slow */
   FAULT_LOST,      /**< one replica dies; the view says so 3 s later */
+  FAULT_HOME,      /**< the slots' home falls silent; the next 3 s later */
   FAULTS
 };
 
--- a/route/core.h
+++ b/route/core.h
@@ -7,6 +7,7 @@
  *   request.c  life cycle of one request by charts/attempt.json
  *   attempt.c  what becomes of one attempt; retries
  *   queue.c    what waits: priority classes, fair shares of accounts
+ *   slots.c    slots of a model's replicas at its home
  *   limit.c    rate and concurrency of an account at this node
  *   load.c     what is known of the servers' load
  *   choose.c   which server gets the next request
@@ -98,6 +99,17 @@
   clk_ms slot; /**< number of the newest sample */
 };
 
+#define RT_WARM 32   /**< prefixes */
+#define RT_RECENT 16 /**< grants */
+
+/** What a model's home knows of its own grants on a server. */
+struct rt_warm
+{
+  uint64_t prefixes[RT_WARM]; /**< the last used first */
+  clk_ms recent[RT_RECENT];   /**< times of the last grants, a ring */
+  unsigned next;
+};
+
 /** One replica or one backend server of a plain service. */
 struct rt_server
 {
@@ -131,6 +143,7 @@
   clk_ms ejected_until; /**< 0: in */
   unsigned ejections;   /**< in a row, for the backoff */
   bool probing;         /**< ejected, with one request out */
+  struct rt_warm *warm; /**< at a model's home only, else NULL */
 };
 
 #define RT_RETRY_MS 1000 /* to come back when nothing better is known */
--- a/route/route.c
+++ b/route/route.c
@@ -190,6 +190,7 @@
 {
   free (s->name);
   free (s->zone);
+  free (s->warm);
   free (s);
 }
 
--- /dev/null
+++ b/route/slots.c
@@ -0,0 +1,463 @@
+#include "route/slots.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "route/core.h"
+
+#define TABLE_SIZE 4096 /* chains of entries */
+#define SWEEP_MS 500    /* between looks for slots that nobody tells of */
+#define SMOOTH 0.05     /* of averages over requests */
+#define FIRST_MS 150.0  /* to the first byte until one was measured */
+#define OTHERS_LEAST 4  /* reported requests of others that may be an error */
+#define BUSY_COST 0.2   /* a server without a free slot against an idle one */
+#define RETRY_MS 1000
+
+/** A request that waits here or holds a slot. */
+struct entry
+{
+  struct rt_req q; /* first: the queue hands it back */
+  struct entry *chain;
+  uint32_t gateway;
+  clk_ms told; /* of the slot, by its gateway */
+};
+
+struct slt
+{
+  /* Servers, configuration and accounts are kept as in any gateway. */
+  struct rt *core;
+  struct rt_target *target;
+  struct rt_queue queue;
+  struct entry *table[TABLE_SIZE];
+  struct slt_action *actions;
+  size_t act_head, act_n, act_cap;
+  clk_ms now;
+  clk_ms grants_from;
+  clk_ms swept;
+  double first_ms;
+  uint64_t turn;
+};
+
+/* --- entries ------------------------------------------------------------ */
+
+static struct entry **
+place_of (struct slt *s, uint32_t gateway, uint64_t id)
+{
+  uint64_t h = (id ^ (uint64_t)gateway << 40) * 0x9e3779b97f4a7c15u;
+  struct entry **at = &s->table[h >> 52];
+  while (*at && ((*at)->q.id != id || (*at)->gateway != gateway))
+    at = &(*at)->chain;
+  return at;
+}
+
+static struct entry *
+entry_new (struct slt *s, const struct slt_event *ev, uint64_t id, double cost)
+{
+  struct entry **at = place_of (s, ev->gateway, id);
+  struct entry *e = xcalloc (1, sizeof *e);
+  e->gateway = ev->gateway;
+  e->q.id = id;
+  e->q.cost = cost > 1 ? cost : 1;
+  e->q.arrived = s->now;
+  e->told = s->now;
+  return *at = e;
+}
+
+static void
+hold (struct slt *s, struct entry *e, struct rt_server *server)
+{
+  e->q.server = server;
+  e->q.started = e->told = s->now;
+  rt_server_take (s->core, s->target, server, e->q.cost);
+}
+
+/** Forget the entry, its place in the queue and its slot. */
+static void
+drop (struct slt *s, struct entry **at)
+{
+  struct entry *e = *at;
+  if (!e)
+    return;
+  if (e->q.waiting)
+    rt_queue_remove (&s->queue, &e->q);
+  if (e->q.server)
+    rt_server_drop (s->core, s->target, e->q.server, e->q.cost);
+  *at = e->chain;
+  free (e);
+}
+
+static struct slt_action *
+act (struct slt *s, enum slt_action_kind kind, const struct entry *e)
+{
+  if (s->act_n == s->act_cap)
+    {
+      s->act_cap = s->act_cap ? 2 * s->act_cap : 16;
+      s->actions = xrealloc (s->actions, s->act_cap * sizeof *s->actions);
+    }
+  struct slt_action *a = &s->actions[s->act_n++];
+  *a = (struct slt_action){ .kind = kind,
+                            .gateway = e->gateway,
+                            .id = e->q.id };
+  return a;
+}
+
+static void
+refuse (struct slt *s, struct entry *e, enum rt_code code, clk_ms retry_ms)
+{
+  struct slt_action *a = act (s, SLT_ACT_REFUSE, e);
+  a->code = code;
+  a->retry_ms = retry_ms;
+  drop (s, place_of (s, e->gateway, e->q.id));
+}
+
+/* --- choice of the replica ---------------------------------------------- */
+
+static struct rt_warm *
+warm_of (struct rt_server *server)
+{
+  if (!server->warm)
+    server->warm = xcalloc (1, sizeof *server->warm);
+  return server->warm;
+}
+
+static bool
+is_warm (const struct rt_warm *w, uint64_t prefix)
+{
+  for (unsigned i = 0; i < RT_WARM; i++)
+    if (w->prefixes[i] == prefix)
+      return true;
+  return false;
+}
+
+/** The prefix was used: to the front; the last one falls out. */
+static void
+touch (struct rt_warm *w, uint64_t prefix)
+{
+  unsigned at = 0;
+  while (at < RT_WARM - 1 && w->prefixes[at] != prefix)
+    at++;
+  memmove (w->prefixes + 1, w->prefixes, at * sizeof w->prefixes[0]);
+  w->prefixes[0] = prefix;
+}
+
+/** Grants that probably wait for their first byte. */
+static unsigned
+pending (const struct slt *s, const struct rt_warm *w)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < RT_RECENT; i++)
+    n += w->recent[i] && (double)(s->now - w->recent[i]) < s->first_ms;
+  return n;
+}
+
+/**
+ * Requests on the server that no gateway told of, by the engine's report.
+ * Costs are estimates and reports late, so little of it is noise; heeding that
+ * would leave slots empty for good.  A report from before a new home had
+ * learned what gateways hold shows all of that as unknown: with it the home
+ * would grant nothing for as long as reports are late.
+ */
+static double
+unknown_load (const struct slt *s, const struct rt_server *server)
+{
+  if (server->load_at <= s->grants_from || server->others <= OTHERS_LEAST)
+    return 0;
+  return server->others - OTHERS_LEAST;
+}
+
+/**
+ * The free server with the first token soonest: prefills run one after
+ * another, so a request that waits for its first byte and a prefix that must
+ * be computed count alike; how many it serves counts little beside these.
+ */
+static struct rt_server *
+choose (struct slt *s, const struct rt_req *q)
+{
+  struct rt_target *t = s->target;
+  struct rt_server *best = NULL;
+  double least = 0;
+  for (size_t i = 0; i < t->nservers; i++)
+    {
+      /* Start elsewhere each time, or the first of equals wears out. */
+      struct rt_server *server = t->servers[(i + s->turn) % t->nservers];
+      double load = server->in_flight + unknown_load (s, server);
+      if (!rt_usable (s->core, server) || load > server->capacity - 1)
+        continue;
+      const struct rt_warm *w = warm_of (server);
+      double score = pending (s, w) + BUSY_COST * load / server->capacity;
+      if (q->prefix && (!best || score < least))
+        score += !is_warm (w, q->prefix);
+      if (best && score >= least)
+        continue;
+      best = server;
+      least = score;
+    }
+  s->turn += 7;
+  return best;
+}
+
+static void
+grant (struct slt *s, struct entry *e, struct rt_server *server)
+{
+  struct rt_warm *w = warm_of (server);
+  w->recent[w->next++ % RT_RECENT] = s->now;
+  if (e->q.prefix)
+    touch (w, e->q.prefix);
+  hold (s, e, server);
+  act (s, SLT_ACT_GRANT, e)->replica = str_from (server->name);
+}
+
+static void
+pump (struct slt *s)
+{
+  struct rt_req *q;
+  if (s->now < s->grants_from)
+    return;
+  while ((q = rt_queue_turn (&s->queue, s->now)) != NULL)
+    {
+      struct rt_server *server = choose (s, q);
+      if (!server)
+        return;
+      rt_queue_take (&s->queue, q);
+      grant (s, (struct entry *)q, server);
+    }
+}
+
+/* --- events ------------------------------------------------------------- */
+
+static const struct cfg_account *
+account_config (const struct slt *s, struct str name)
+{
+  return s->core->cfg ? cfg_account (s->core->cfg, name) : NULL;
+}
+
+/** Whether it would end after its deadline at the pace of late. */
+static bool
+too_late (const struct slt *s, const struct entry *e, double weight)
+{
+  const struct rt_target *t = s->target;
+  if (!e->q.deadline)
+    return false;
+  double ahead = t->in_flight
+                     ? rt_queue_ahead (&s->queue, e->q.priority, e->q.account,
+                                       weight, e->q.cost)
+                           / t->in_flight
+                     : 0;
+  double end = (double)s->now + (ahead + e->q.cost) * t->ms_per_token;
+  return end > (double)e->q.deadline;
+}
+
+static bool
+queue_overfull (const struct slt *s)
+{
+  return s->core->cfg && s->queue.n > s->core->cfg->limits.max_queue;
+}
+
+/** The fair victim goes; it may be the newcomer itself. */
+static void
+shed (struct slt *s)
+{
+  while (queue_overfull (s))
+    refuse (s, (struct entry *)rt_queue_victim (&s->queue), RT_CODE_QUEUE_FULL,
+            RETRY_MS);
+}
+
+static void
+on_ask (struct slt *s, const struct slt_event *ev)
+{
+  if (*place_of (s, ev->gateway, ev->id))
+    return; /* the gateway's list was here first */
+  const struct cfg_account *a = account_config (s, ev->account);
+  double weight = a && a->weight > 0 ? a->weight : 1;
+  struct entry *e = entry_new (s, ev, ev->id, ev->cost);
+  e->q.account = rt_account (s->core, ev->account);
+  e->q.priority
+      = (uint8_t)(ev->priority < RT_CLASSES ? ev->priority : RT_CLASSES - 1);
+  e->q.deadline = ev->deadline;
+  e->q.prefix = ev->prefix;
+  if (too_late (s, e, weight))
+    {
+      refuse (s, e, RT_CODE_DEADLINE, RETRY_MS);
+      return;
+    }
+  rt_queue_push (&s->queue, &e->q, weight, false);
+  pump (s);
+  if (e->q.waiting)
+    {
+      act (s, SLT_ACT_QUEUED, e);
+      shed (s);
+    }
+}
+
+static struct rt_server *
+server_named (const struct slt *s, struct str name)
+{
+  uint64_t hash = str_hash (name, 0);
+  for (size_t i = 0; i < s->target->nservers; i++)
+    if (s->target->servers[i]->hash == hash)
+      return s->target->servers[i];
+  return NULL;
+}
+
+/** The gateway uses that replica, whatever was thought here. */
+static void
+on_held (struct slt *s, const struct slt_event *ev, const struct slt_open *o)
+{
+  struct entry **at = place_of (s, ev->gateway, o->id);
+  struct rt_server *server = server_named (s, o->replica);
+  if (*at && (*at)->q.server == server)
+    {
+      (*at)->told = s->now;
+      return;
+    }
+  if (*at)
+    drop (s, at);
+  if (server)
+    hold (s, entry_new (s, ev, o->id, o->cost), server);
+}
+
+static void
+on_open (struct slt *s, const struct slt_event *ev)
+{
+  for (size_t i = 0; i < ev->n; i++)
+    on_held (s, ev, &ev->open[i]);
+}
+
+static void
+average (double *mean, double value)
+{
+  *mean += (*mean > 0 ? SMOOTH : 1) * (value - *mean);
+}
+
+static void
+on_done (struct slt *s, const struct slt_event *ev)
+{
+  struct entry **at = place_of (s, ev->gateway, ev->id);
+  if (!*at)
+    return;
+  if (ev->first_ms > 0)
+    {
+      const struct rt_req *q = &(*at)->q;
+      s->first_ms += SMOOTH * (ev->first_ms - s->first_ms);
+      average (&s->target->mean_cost, q->cost);
+      average (&s->target->ms_per_token,
+               (double)(s->now - q->started) / q->cost);
+    }
+  drop (s, at);
+}
+
+static bool
+is_stale (const struct slt *s, const struct entry *e)
+{
+  return e->q.server && s->now - e->told > SLT_HELD_MS;
+}
+
+/**
+ * Free slots that their gateway no longer tells of.  The word of their end
+ * was lost, or the gateway was; kept, each would be out of use for ever and
+ * the model would dry up slot by slot.
+ */
+static void
+sweep (struct slt *s, bool all, uint32_t gone)
+{
+  s->swept = s->now;
+  for (size_t i = 0; i < TABLE_SIZE; i++)
+    for (struct entry **at = &s->table[i]; *at;)
+      if (is_stale (s, *at) || (all && (*at)->gateway == gone))
+        drop (s, at);
+      else
+        at = &(*at)->chain;
+}
+
+static void
+forward (struct slt *s, enum rt_event_kind kind, const struct slt_event *ev)
+{
+  struct rt_event in
+      = { .kind = kind, .cfg = ev->cfg, .replicas = ev->replicas, .n = ev->n };
+  rt_event (s->core, s->now, &in);
+}
+
+void
+slt_event (struct slt *s, clk_ms now, const struct slt_event *ev)
+{
+  if (now > s->now)
+    s->now = s->core->now = now;
+  switch (ev->kind)
+    {
+    case SLT_EV_TICK:
+      if (s->now - s->swept >= SWEEP_MS)
+        sweep (s, false, 0);
+      break;
+    case SLT_EV_CONFIG:
+      forward (s, RT_EV_CONFIG, ev);
+      break;
+    case SLT_EV_REPLICAS:
+      forward (s, RT_EV_REPLICAS, ev);
+      break;
+    case SLT_EV_ASK:
+      on_ask (s, ev);
+      return;
+    case SLT_EV_TAKEN:
+      on_held (s, ev, &(struct slt_open){ ev->id, ev->replica, ev->cost });
+      return;
+    case SLT_EV_DONE:
+      on_done (s, ev);
+      break;
+    case SLT_EV_OPEN:
+      on_open (s, ev);
+      break;
+    case SLT_EV_GONE:
+      sweep (s, true, ev->gateway);
+      break;
+    }
+  pump (s);
+}
+
+bool
+slt_next (struct slt *s, struct slt_action *out)
+{
+  if (s->act_head == s->act_n)
+    {
+      s->act_head = s->act_n = 0;
+      return false;
+    }
+  *out = s->actions[s->act_head++];
+  return true;
+}
+
+clk_ms
+slt_wake (const struct slt *s)
+{
+  return s->now < s->grants_from ? s->grants_from : s->swept + SWEEP_MS;
+}
+
+size_t
+slt_held (const struct slt *s)
+{
+  return s->target->in_flight;
+}
+
+struct slt *
+slt_new (struct str model, clk_ms now)
+{
+  struct slt *s = xcalloc (1, sizeof *s);
+  struct rt_options opt = { .zone = STR (""), .node = STR (""), .nodes = 1 };
+  s->core = rt_new (&opt, 1);
+  s->target = rt_target (s->core, model, true);
+  s->now = s->core->now = s->swept = now;
+  s->grants_from = now + SLT_LEARN_MS;
+  s->first_ms = FIRST_MS;
+  return s;
+}
+
+void
+slt_free (struct slt *s)
+{
+  for (size_t i = 0; i < TABLE_SIZE; i++)
+    while (s->table[i])
+      drop (s, &s->table[i]);
+  rt_queue_clear (&s->queue);
+  rt_free (s->core);
+  free (s->actions);
+  free (s);
+}
--- /dev/null
+++ b/t/t5600-slots.c
@@ -0,0 +1,239 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib-route.h"
+#include "route/slots.h"
+
+/*
+ * Scripts for the home of a model's slots: lines "TIME VERB ARGS..." in, the
+ * actions of each line out.  Two slots a replica.
+ *
+ *   replicas NAME[=LOAD]...      ask GATEWAY ID ACCOUNT [COST [DEADLINE]]
+ *   taken GATEWAY ID REPLICA     done GATEWAY ID       gone GATEWAY
+ *   open GATEWAY [ID=REPLICA]... warm GATEWAY ID PREFIX (an ask)     tick
+ */
+
+#define CONFIG                                                                \
+  "{\"models\":{\"lm\":{\"mode\":\"route\",\"vms\":1,\"capacity\":2}},"       \
+  "\"limits\":{\"max_queue\":3,\"queue_ms\":30000},\"accounts\":{"            \
+  "\"big\":{" KEY_DIGESTS ",\"may\":[\"*\"]},"                                \
+  "\"small\":{\"key_digests\":[],\"may\":[\"*\"]}}}"
+
+#define MOST_WORDS 16
+
+struct home
+{
+  struct slt *core;
+  struct buf log;
+  clk_ms now;
+};
+
+static void
+log_actions (struct home *h)
+{
+  struct slt_action a;
+  while (slt_next (h->core, &a))
+    {
+      unsigned long long id = a.id;
+      if (a.kind == SLT_ACT_GRANT)
+        buf_addf (&h->log, " grant(%u/%llu %.*s)", a.gateway, id,
+                  STR_ARG (a.replica));
+      else if (a.kind == SLT_ACT_QUEUED)
+        buf_addf (&h->log, " queued(%u/%llu)", a.gateway, id);
+      else
+        buf_addf (&h->log, " refuse(%u/%llu %s)", a.gateway, id,
+                  rt_code_name (a.code));
+    }
+}
+
+static void
+replicas (struct home *h, char **w, size_t n)
+{
+  struct rt_replica list[MOST_WORDS] = { 0 };
+  for (size_t i = 0; i < n; i++)
+    {
+      const char *load = strchr (w[i], '=');
+      list[i] = (struct rt_replica){
+        .name = str_make (w[i], strcspn (w[i], "=")),
+        .model = STR ("lm"),
+        .generation = 1,
+        .whole = true,
+        .valid_until = 1000000,
+        .load = load ? (uint32_t)atoi (load + 1) : 0,
+        .load_at = load ? h->now : 0,
+      };
+    }
+  struct slt_event ev = { .kind = SLT_EV_REPLICAS, .replicas = list, .n = n };
+  slt_event (h->core, h->now, &ev);
+}
+
+static void
+open_list (struct home *h, uint32_t gateway, char **w, size_t n)
+{
+  struct slt_open list[MOST_WORDS] = { 0 };
+  for (size_t i = 0; i < n; i++)
+    list[i] = (struct slt_open){ (uint64_t)atoll (w[i]),
+                                 str_from (strchr (w[i], '=') + 1), 100 };
+  struct slt_event ev
+      = { .kind = SLT_EV_OPEN, .gateway = gateway, .open = list, .n = n };
+  slt_event (h->core, h->now, &ev);
+}
+
+static void
+one_request (struct home *h, char **w, size_t n)
+{
+  struct slt_event ev = { .gateway = n > 1 ? (uint32_t)atoi (w[1]) : 0,
+                          .id = n > 2 ? (uint64_t)atoll (w[2]) : 0,
+                          .cost = 100 };
+  bool ask = strcmp (w[0], "ask") == 0;
+  if (ask && n > 4)
+    ev.cost = atof (w[4]);
+  if (ask && n > 5)
+    ev.deadline = atoll (w[5]);
+  ev.kind = SLT_EV_ASK;
+  ev.account = ask ? str_from (w[3]) : STR ("big");
+  if (strcmp (w[0], "warm") == 0)
+    ev.prefix = (uint64_t)atoll (w[3]);
+  else if (strcmp (w[0], "taken") == 0)
+    {
+      ev.kind = SLT_EV_TAKEN;
+      ev.replica = str_from (w[3]);
+    }
+  else if (strcmp (w[0], "done") == 0)
+    {
+      ev.kind = SLT_EV_DONE;
+      ev.first_ms = 50;
+    }
+  else if (strcmp (w[0], "gone") == 0)
+    ev.kind = SLT_EV_GONE;
+  else if (strcmp (w[0], "tick") == 0)
+    ev.kind = SLT_EV_TICK;
+  slt_event (h->core, h->now, &ev);
+}
+
+static void
+run_line (struct home *h, char *line)
+{
+  char *w[MOST_WORDS] = { NULL }, *save = NULL;
+  size_t n = 0;
+  for (char *x = strtok_r (line, " ", &save); x && n < MOST_WORDS;
+       x = strtok_r (NULL, " ", &save))
+    w[n++] = x;
+  h->now = atoll (w[0]);
+  buf_addf (&h->log, "%s %s%s%s:", w[0], w[1], n > 2 ? " " : "",
+            n > 2 ? w[2] : "");
+  if (strcmp (w[1], "replicas") == 0)
+    replicas (h, w + 2, n - 2);
+  else if (strcmp (w[1], "open") == 0)
+    open_list (h, (uint32_t)atoi (w[2]), w + 3, n - 3);
+  else
+    one_request (h, w + 1, n - 1);
+  log_actions (h);
+  buf_addf (&h->log, " [%zu]\n", slt_held (h->core));
+}
+
+/** The number in brackets is that of the slots taken after the line. */
+static void
+check (const char *script, const char *log)
+{
+  struct fnd_list findings = { 0 };
+  struct cfg *cfg = cfg_parse (STR (CONFIG), 1, &findings);
+  struct home h = { .core = slt_new (STR ("lm"), 0) };
+  struct slt_event ev = { .kind = SLT_EV_CONFIG, .cfg = cfg };
+  char *text = xstrdup (script), *save = NULL;
+
+  cr_assert (cfg);
+  slt_event (h.core, 0, &ev);
+  for (char *l = strtok_r (text, "\n", &save); l;
+       l = strtok_r (NULL, "\n", &save))
+    run_line (&h, l);
+  cr_expect_str_eq (buf_c (&h.log), log);
+  slt_free (h.core);
+  buf_free (&h.log);
+  cfg_unref (cfg);
+  fnd_free (&findings);
+  free (text);
+}
+
+Test (slots, exact_over_gateways)
+{
+  /* Four gateways share four slots; the fifth ask waits until one is done,
+     whoever's it is, and gets that very slot. */
+  check ("1 replicas r1 r2\n300 ask 1 1 big\n301 ask 2 1 big\n"
+         "302 ask 3 1 big\n303 ask 4 1 big\n304 ask 1 2 big\n"
+         "400 done 3 1\n",
+         "1 replicas r1: [0]\n"
+         "300 ask 1: grant(1/1 r1) [1]\n301 ask 2: grant(2/1 r2) [2]\n"
+         "302 ask 3: grant(3/1 r1) [3]\n303 ask 4: grant(4/1 r2) [4]\n"
+         "304 ask 1: queued(1/2) [4]\n"
+         "400 done 3: grant(1/2 r1) [4]\n");
+}
+
+Test (slots, prefix_and_fairness)
+{
+  /* An idle server with the prefix comes before one without.  What waits is
+     granted by fair shares: the small account's ask overtakes the flood of
+     another gateway; a full queue sheds the flood's newest. */
+  check ("1 replicas r1 r2\n300 warm 1 1 7\n900 done 1 1\n"
+         "1700 warm 2 3 7\n"
+         "1701 taken 2 4 r1\n1701 taken 2 5 r2\n1701 taken 2 6 r2\n"
+         "1702 ask 1 10 big 512\n1703 ask 1 11 big 512\n"
+         "1704 ask 1 12 big 512\n1705 ask 2 20 small 512\n1800 done 2 4\n"
+         "1801 done 2 5\n",
+         "1 replicas r1: [0]\n300 warm 1: grant(1/1 r1) [1]\n"
+         "900 done 1: [0]\n1700 warm 2: grant(2/3 r1) [1]\n"
+         "1701 taken 2: [2]\n1701 taken 2: [3]\n1701 taken 2: [4]\n"
+         "1702 ask 1: queued(1/10) [4]\n1703 ask 1: queued(1/11) [4]\n"
+         "1704 ask 1: queued(1/12) [4]\n"
+         "1705 ask 2: queued(2/20) refuse(1/12 queue-full) [4]\n"
+         "1800 done 2: grant(1/10 r1) [4]\n"
+         "1801 done 2: grant(2/20 r2) [4]\n");
+}
+
+Test (slots, lost_word_of_the_end)
+{
+  /* Gateway 1's word that its request ended is lost, and gateway 2 is killed
+     holding a slot.  Callers would see a model that dries up slot by slot.
+     Gateway 3 tells of its slots each second and keeps them. */
+  check ("1 replicas r1 r2\n300 ask 1 1 big\n300 ask 2 1 big\n"
+         "300 ask 3 1 big\n300 ask 3 2 big\n400 ask 3 3 big\n"
+         "2000 open 3 1=r1 2=r2\n3000 open 3 1=r1 2=r2\n3800 tick\n"
+         "4300 tick\n4301 ask 3 4 big\n4302 ask 3 5 big\n",
+         "1 replicas r1: [0]\n300 ask 1: grant(1/1 r1) [1]\n"
+         "300 ask 2: grant(2/1 r2) [2]\n300 ask 3: grant(3/1 r1) [3]\n"
+         "300 ask 3: grant(3/2 r2) [4]\n400 ask 3: queued(3/3) [4]\n"
+         "2000 open 3: [4]\n3000 open 3: [4]\n3800 tick: [4]\n"
+         "4300 tick: grant(3/3 r1) [3]\n"
+         "4301 ask 3: grant(3/4 r2) [4]\n4302 ask 3: queued(3/5) [4]\n");
+}
+
+Test (slots, new_home_learns)
+{
+  /* A home takes over in the middle of a rush.  Gateways tell what they
+     hold; an ask that comes first waits, or the callers of all gateways
+     would meet at replicas that are full.  Engine reports from before count
+     for nothing: all that they show would look like other people's load. */
+  check ("1 replicas r1=9000 r2=9000\n2 ask 1 9 big\n"
+         "10 open 1 1=r1 2=r1\n11 open 2 1=r2\n150 tick\n200 tick\n"
+         "300 ask 2 2 big\n301 done 1 1\n",
+         "1 replicas r1=9000: [0]\n2 ask 1: queued(1/9) [0]\n"
+         "10 open 1: [2]\n11 open 2: [3]\n150 tick: [3]\n"
+         "200 tick: grant(1/9 r2) [4]\n300 ask 2: queued(2/2) [4]\n"
+         "301 done 1: grant(2/2 r1) [4]\n");
+}
+
+Test (slots, deadline_and_gone)
+{
+  /* A request takes 600 ms at the measured pace: one that must end sooner is
+     refused at once.  A gateway that is gone leaves no slot behind. */
+  check ("1 replicas r1\n300 ask 1 1 big\n900 done 1 1\n"
+         "1000 ask 1 2 big 100 1300\n1000 ask 1 3 big 100 1700\n"
+         "1001 ask 2 4 big\n1002 ask 2 5 big\n1003 gone 1\n",
+         "1 replicas r1: [0]\n300 ask 1: grant(1/1 r1) [1]\n"
+         "900 done 1: [0]\n1000 ask 1: refuse(1/2 deadline) [0]\n"
+         "1000 ask 1: grant(1/3 r1) [1]\n1001 ask 2: grant(2/4 r1) [2]\n"
+         "1002 ask 2: queued(2/5) [2]\n"
+         "1003 gone 1: grant(2/5 r1) [2]\n");
+}
