Find a managed replica's leader by its members' ranks

Cause: a gateway that starts while control is gone knows neither members nor leader of a managed replica without declared VMs; it refused all requests for it until control was back, although the replica was whole. Change: a backend server may say the rank of its last load order in /lapis/v1/state. With no word of a leader, the gateway takes the newest generation of which each rank is said by exactly one member that fits; rank 0 leads. A rank said twice (a replaced VM that came back) or members of two generations never make a replica. What is concluded of members' answers moves out of probe.c into members.c. Without ranks all is as before.

--- a/front/probe.c
+++ b/front/probe.c
@@ -4,6 +4,7 @@
 #include <json-c/json.h>
 
 #include "front/gateway.h"
+#include "front/members.h"
 #include "replica/replica.h"
 
 /** Longest wait for the answer to a probe. */
@@ -44,6 +45,7 @@
   clk_ms asked_at;
   clk_ms fits_at;     /**< when the last question that fitted was asked */
   int64_t generation; /**< that it named then */
+  int64_t rank;       /**< that it named then; below 0: none */
   enum answer answer;
   uint32_t load;
 };
@@ -53,7 +55,8 @@
   struct gw_probe *p;
   const struct cfg_replica *cfg;
   struct rt_replica core;
-  size_t need; /**< members that must fit; all, or any of the domain's VMs */
+  bool by_rank; /**< nobody told the leader: the member of rank 0 */
+  size_t need;  /**< members that must fit; all, or any of the domain's VMs */
   size_t nmembers;
   struct probe_member *members;
 };
@@ -71,71 +74,70 @@
 
 /* ---- what the core is told ---- */
 
-static int
-latest_first (const void *a, const void *b)
-{
-  const clk_ms *x = a, *y = b;
-
-  return *x > *y ? -1 : *x < *y;
-}
-
-static const struct probe_member *
+static size_t
 leader_of (const struct probe_replica *r)
 {
-  for (size_t i = 0; i < r->nmembers; i++)
-    if (net_addr_eq (&r->members[i].addr, &r->core.addr))
-      return &r->members[i];
-  return NULL;
-}
+  size_t i = 0;
 
-/** While no generation is known, members of two of them would each fit. */
-static bool
-agrees (const struct probe_member *m, const struct probe_member *leader)
-{
-  return m->generation == 0 || leader->generation == 0
-         || m->generation == leader->generation;
+  while (i < r->nmembers && !net_addr_eq (&r->members[i].addr, &r->core.addr))
+    i++;
+  return i;
 }
 
-/** When the last of the needed members fitted, the leader among them; 0 when
-    they don't. */
+/**
+ * Whether enough members fit, and who leads them.
+ * @return when the last of them was asked, or 0: they don't fit
+ */
 static clk_ms
-fitted_at (const struct probe_replica *r)
+fitted_at (const struct probe_replica *r, size_t *leader)
 {
-  const struct probe_member *leader = leader_of (r);
-  clk_ms *at, oldest;
+  struct member_said *said = xcalloc (r->nmembers, sizeof *said);
+  clk_ms at;
 
-  if (leader == NULL || leader->answer != ANSWER_FITS)
-    return 0;
-  at = xcalloc (r->nmembers, sizeof *at);
   for (size_t i = 0; i < r->nmembers; i++)
     {
       const struct probe_member *m = &r->members[i];
-      at[i] = m->answer == ANSWER_FITS && agrees (m, leader) ? m->fits_at : 0;
+      said[i].generation = m->generation;
+      said[i].rank = m->rank;
+      said[i].at = m->answer == ANSWER_FITS ? m->fits_at : 0;
     }
-  qsort (at, r->nmembers, sizeof *at, latest_first);
-  oldest = at[r->need - 1];
-  free (at);
-  return leader->fits_at < oldest ? leader->fits_at : oldest;
+  *leader = leader_of (r);
+  if (r->by_rank)
+    *leader = members_leader (said, r->nmembers, r->need, &at);
+  else
+    at = members_whole_at (said, r->nmembers, r->need, *leader);
+  free (said);
+  return at;
 }
 
 /**
  * Whole only while as many members as it needs fit, each within the time of
  * evidence.  One that answers wrongly or can't be reached ends it at once; a
  * view's evidence covers the time until every member was asked.
+ * @return whether there is a leader to send to
  */
-static void
+static bool
 judge (const struct probe_replica *r, struct rt_replica *out)
 {
-  clk_ms at = fitted_at (r);
+  size_t leader;
+  clk_ms at = fitted_at (r, &leader);
 
   *out = r->core;
+  if (r->by_rank && at == 0)
+    return false;
   for (size_t i = 0; at == 0 && i < r->nmembers; i++)
     if (r->members[i].answer == ANSWER_NONE)
-      return;
+      return true;
+  if (r->by_rank)
+    {
+      out->addr = r->members[leader].addr;
+      out->generation = r->members[leader].generation;
+    }
   out->whole = at != 0;
   out->valid_until = at + REP_EVIDENCE_MS;
   out->load = r->members[0].load;
   out->load_at = r->members[0].asked_at;
+  return true;
 }
 
 static struct probe_replica *
@@ -157,7 +159,7 @@
     seen = gw_view_replicas (p->g->view, &nseen);
   struct rt_replica *all = xcalloc (p->n + nseen + 1, sizeof *all);
   for (size_t i = 0; i < p->n; i++)
-    judge (p->list[i], &all[n++]);
+    n += judge (p->list[i], &all[n]);
   for (size_t i = 0; i < nseen; i++)
     if (!probed (p, seen[i].name))
       all[n++] = seen[i];
@@ -199,6 +201,10 @@
   if (json_object_object_get_ex (o, "load", &v))
     m->load = (uint32_t)json_object_get_int64 (v);
   m->generation = generation;
+  m->rank = -1;
+  if (json_object_object_get_ex (o, "rank", &v)
+      && json_object_is_type (v, json_type_int))
+    m->rank = json_object_get_int64 (v);
   if (json_object_object_get_ex (o, "ready", &v) && json_object_get_boolean (v)
       && fits (m->of, replica ? replica : "", generation))
     a = ANSWER_FITS;
@@ -356,8 +362,10 @@
   add_members (p, r, d);
   if (seen == NULL && cr->nvms > 0)
     r->core.addr = p->cfg->vms[cr->vms[0]].addr;
+  r->by_rank = r->core.addr.port == 0 && cr->mode == CFG_MANAGE;
   /* Without a leader there is nowhere to send. */
-  if (r->need > 0 && r->need <= r->nmembers && r->core.addr.port != 0)
+  if (r->need > 0 && r->need <= r->nmembers
+      && (r->by_rank || r->core.addr.port != 0))
     return r;
   replica_free (r);
   return NULL;
@@ -392,13 +400,14 @@
 unheard (const struct gw_probe *p, const struct rt_replica *seen, clk_ms now)
 {
   const struct probe_replica *r;
+  size_t leader;
 
   if (seen == NULL || !seen->whole
       || seen->valid_until - now >= REP_EVIDENCE_MS - LATE_MS)
     return false;
   r = probed (p, seen->name);
   return now - seen->valid_until < GIVE_UP_MS
-         || (r != NULL && fitted_at (r) != 0);
+         || (r != NULL && fitted_at (r, &leader) != 0);
 }
 
 static void
--- a/t/standin/model.c
+++ b/t/standin/model.c
@@ -25,6 +25,7 @@
   bool no_end_mark; /**< fault: streams end cleanly before their end */
   char *replica;
   int64_t generation;
+  int64_t rank; /**< below 0: not told */
   int64_t fence;
   clk_ms ready_at;
   int64_t load;
@@ -43,6 +44,8 @@
   json_object_object_add (o, "replica", json_object_new_string (m->replica));
   json_object_object_add (o, "generation",
                           json_object_new_int64 (m->generation));
+  if (m->rank >= 0)
+    json_object_object_add (o, "rank", json_object_new_int64 (m->rank));
   json_object_object_add (o, "ready", json_object_new_boolean (ready));
   json_object_object_add (o, "unloaded",
                           json_object_new_boolean (m->unloaded));
@@ -83,6 +86,7 @@
   m->unloaded = order != NULL && strcmp (order, "unload") == 0;
   set_replica (m, m->unloaded ? "" : json_text (o, "replica"));
   m->generation = m->unloaded ? 0 : json_num (o, "generation", 0);
+  m->rank = m->unloaded ? -1 : json_num (o, "rank", -1);
   m->ready_at = clk_now () + m->load_ms;
 }
 
@@ -269,6 +273,7 @@
   m->skip_states = json_flag (o, "skip_states", m->skip_states);
   m->no_end_mark = json_flag (o, "no_end_mark", m->no_end_mark);
   m->generation = json_num (o, "generation", m->generation);
+  m->rank = json_num (o, "rank", m->rank);
   m->load = json_num (o, "load", m->load);
   m->tokens = (int)json_num (o, "tokens", m->tokens);
   m->token_ms = (int)json_num (o, "token_ms", m->token_ms);
@@ -280,7 +285,7 @@
 int
 standin_model (int argc, char **argv)
 {
-  static struct model m = { .tokens = 16 };
+  static struct model m = { .tokens = 16, .rank = -1 };
   char *listen = NULL;
   gboolean unloaded = FALSE;
   GOptionEntry entries[] = {
--- a/t/t7002-view.c
+++ b/t/t7002-view.c
@@ -16,6 +16,7 @@
 {
   struct front f;
   struct proc *control;
+  const char *settings;
   struct proc *spare; /**< a VM without weights in the same domain */
 };
 
@@ -38,7 +39,7 @@
 config_text (const struct node *n)
 {
   return proc_file (
-      "config.json",
+      "conf/10-all.json",
       "{\"domains\":{\"hall-a-1\":{\"zone\":\"hall-a\",\"vms\":{"
       "\"vm-1\":{\"addr\":\"%s\"},\"vm-2\":{\"addr\":\"%s\"},"
       "\"vm-3\":{\"addr\":\"%s\"}}}},"
@@ -106,7 +107,7 @@
   n->spare = PROC_UP ("standin", "model", "--unloaded");
   n->control = PROC_UP ("standin", "control", "--secret", SECRET);
   proc_file ("secret.txt", "%s", SECRET);
-  const char *settings = proc_file (
+  n->settings = proc_file (
       "settings.json",
       "{\"node\":\"entry-1\",\"zone\":\"hall-a\",\"region\":\"nairobi\","
       "\"gateway\":{\"http\":\"127.0.0.1:0\",\"peer\":\"127.0.0.1:0\"},"
@@ -115,7 +116,7 @@
       "\"store\":{\"endpoints\":[\"127.0.0.1:1\"]},"
       "\"secret_file\":\"secret.txt\",\"log\":{\"level\":\"error\"}}",
       proc_addr (n->control, "peer"));
-  n->f.gateway = PROC_UP ("lapisline", "gateway", "--settings", settings);
+  n->f.gateway = PROC_UP ("lapisline", "gateway", "--settings", n->settings);
   n->f.http = proc_addr (n->f.gateway, "http");
 }
 
@@ -281,6 +282,39 @@
   buf_free (&log);
 }
 
+/* Control is gone and the gateway is started anew: nobody tells it which VMs
+   are members of a managed replica, nor which of them leads.  It must serve
+   by what the members say of their ranks, and only while these are complete
+   (t7006 has the cases).  */
+Test (view, restart_without_control)
+{
+  struct node n;
+  struct buf log = BUF_INIT;
+
+  node_up (&n);
+  proc_signal (n.f.gateway, SIGKILL);
+  proc_wait (n.f.gateway, PROC_WAIT_MS);
+  proc_signal (n.control, SIGKILL);
+  char *config = xstrdup (config_text (&n));
+  *strrchr (config, '/') = '\0';
+  n.f.gateway = PROC_UP ("lapisline", "gateway", "--settings", n.settings,
+                         "--config", config);
+  free (config);
+  n.f.http = proc_addr (n.f.gateway, "http");
+  log_until (&n, &log, 503);
+  front_fault (n.f.vm[0], "{\"rank\": 1}");
+  front_fault (n.f.vm[1], "{\"rank\": 0}");
+  log_until (&n, &log, 200);
+  cr_expect_gt (front_count (n.f.vm[1], "runs"), 0);
+  cr_expect_eq (front_count (n.f.vm[0], "runs"), 0, "it does not lead");
+  front_fault (n.f.vm[0], "{\"rank\": 0}");
+  log_until (&n, &log, 503);
+  cr_expect_str_eq (buf_c (&log), "503 not-run no-replica\n"
+                                  "200 done -\n"
+                                  "503 not-run no-replica\n");
+  buf_free (&log);
+}
+
 /* Members are busy and leave every other probe without an answer.  What they
    said before counts until it expires, and the next answer comes before that:
    no request may be refused.  Were one late answer enough, those that come
