Tell a node that has just come the evidence in full

Tried: a node after the other replaced under load, callers asking for addresses. The gateway that came back was named in address answers at once, yet answered 1,100 calls in 4.2 s with no-replica, while the replica was whole all the time. Cause: a domain's home sends names and addresses every five seconds only, else the short form, with which a node that missed the full one can do nothing. Ruled out: membership (alive 0.4 s after the start) and configuration (in force after 0.1 s). After a control process has linked the next three broadcasts are full: it takes no evidence before it has its configuration, which comes a moment after the link. Cost: up to three full broadcasts a domain for each node that comes.

--- a/control/dom-view.c
+++ b/control/dom-view.c
@@ -142,24 +142,37 @@
 
 /* In rest, names and addresses are what evidence consists of: they go out
    again only when something changed, and now and then for whoever missed it.
-   What changed since the full one is told by d->changed, which stands for
-   every step of the chart, every whole or not, and ownership. */
+   A node that has just come has missed it for certain and can do nothing with
+   the short form; callers that use it would hear for seconds that there is no
+   replica.  It may get its configuration, without which it takes no evidence,
+   a moment after its link, so the next few are full.  What changed since the
+   full one is told by d->changed, which stands for every step of the chart,
+   every whole or not, and ownership. */
 void
 dom_broadcast (struct dom *d, clk_ms now)
 {
   size_t n;
   const struct rep_view *views = rep_views (d->rep, now, &n);
   bool full = d->changed || !d->full_seq || n != d->sent_replicas
-              || now - d->full_at >= DOM_FULL_MS;
+              || d->full_more > 0 || now - d->full_at >= DOM_FULL_MS;
 
   d->sent_at = now;
   d->sent_replicas = n;
+  if (d->full_more > 0)
+    d->full_more--;
   if (full)
     send_full (d, views, n, now);
   else
     send_short (d, views, n, now);
 }
 
+void
+ctl_domains_peer (struct ctl_domains *all)
+{
+  for (size_t i = 0; i < all->n; i++)
+    all->list[i]->full_more = DOM_FULL_MORE;
+}
+
 /* ---- from the other nodes ---- */
 
 /*
--- a/control/domains.h
+++ b/control/domains.h
@@ -25,6 +25,8 @@
 #define DOM_BROADCAST_MS ((clk_ms)1000)
 /** Evidence with all its names at least this often. */
 #define DOM_FULL_MS ((clk_ms)5000)
+/** Full broadcasts after a node has come. */
+#define DOM_FULL_MORE 3
 #define DOM_PLATFORM_MS ((clk_ms)1000)
 /** Domains that load weights at the same time, and how long a domain waits at
     most for its turn. */
@@ -88,6 +90,7 @@
   uint64_t seq; /* begins anywhere, so that no two senders share them */
   uint64_t full_seq;
   size_t sent_replicas;
+  int full_more; /* broadcasts that shall be full */
   clk_ms sent_at, full_at;
   clk_ms quiet_until; /* 0: it speaks */
   struct dom_remote remote;
--- a/control/peers.c
+++ b/control/peers.c
@@ -191,6 +191,7 @@
   if (net_addr_parse (str_from (hello->swim_addr), false, &swim))
     ctl_swim_seed (p->c->swim, &swim);
   ctl_spread_peer (p->c->spread, peer->number, true);
+  ctl_domains_peer (p->c->domains);
 }
 
 static void
--- a/t/t6004-domains.c
+++ b/t/t6004-domains.c
@@ -47,7 +47,8 @@
   char last_evidence[64];
   bool whole; /* as the last full evidence says */
   bool freeze;
-  clk_ms kept_at; /* last renewal that succeeded */
+  bool told_forms; /* log which form evidence has */
+  clk_ms kept_at;  /* last renewal that succeeded */
 };
 
 static struct world *world;
@@ -81,6 +82,8 @@
   if (!e->full_seq)
     world->whole = e->n_replicas && e->replicas[0]->whole;
   whole = world->whole;
+  if (world->told_forms)
+    run_log (&world->run, "%s form", e->full_seq ? "short" : "full");
 
   snprintf (line, sizeof line, "evidence %s %s", whole ? "whole" : "broken",
             e->fence ? "of the owner" : "without a lease");
@@ -463,6 +466,11 @@
     remote_evidence ("d", "r1", rest);
   else if (str_is (word, "short"))
     remote_short (rest);
+  else if (str_is (word, "peer"))
+    {
+      world->told_forms = true;
+      ctl_domains_peer (world->ctl.domains);
+    }
   else if (str_is (word, "elsewhere"))
     for (unsigned i = 0; i < 5; i++)
       {
@@ -635,3 +643,23 @@
                  "whole of n2 fence 5 load 70 soon over\n"
                  "whole of n2 fence 5 load 70\n");
 }
+
+/*
+ * A node starts anew and links.  It has missed the full evidence and can do
+ * nothing with the short form: were it told no more, its callers would hear
+ * for up to five seconds that there is no replica, while the node is already
+ * named in address answers.
+ */
+Test (domains, a_new_peer_is_told_in_full, .timeout = 60)
+{
+  struct world w;
+
+  start_world (&w, "route", false);
+  run_script (&w.run,
+              "phase a\n ready\n wait evidence whole without a lease a\n"
+              "peer\n wait full form\n wait full form\n wait full form\n"
+              "wait short form\n",
+              on_word, NULL);
+  end_world (&w, "evidence whole without a lease a\n"
+                 "full form\nfull form\nfull form\nshort form\n");
+}
--- a/t/t8101-peers.c
+++ b/t/t8101-peers.c
@@ -85,6 +85,11 @@
   ((struct node *)d)->evidence++;
 }
 
+void
+ctl_domains_peer (struct ctl_domains *d)
+{
+}
+
 const struct ctl_replica *
 ctl_domains_replicas (struct ctl_domains *d, size_t *n)
 {
