Say once how the replica tests begin

Cause: twelve tests of t6002 repeated the six or twelve lines of how the declared replicas are formed, and each test of t6004 its world's start, its run and, in three, the other node; what a test is about stood below the fold. Change: t6002 names the beginning (ONE_WHOLE, TWO_WHOLE); t6004 has play() with who else is there. The strings compared are the same. Conclusion: a log shows from its first line what its test is about.

--- a/t/t6002-replica.c
+++ b/t/t6002-replica.c
@@ -86,6 +86,30 @@
                   "\"manage\",\"vms\":[]}}}",
         .load_ms = 6000 };
 
+/* What comes first in most logs: the declared replicas are formed. */
+#define ONE_LOADS                                                             \
+  "0 r1/0 absent\n"                                                           \
+  "3000 write r1/1=v1+v2\n"                                                   \
+  "3000 r1/1 loading\n"                                                       \
+  "3100 load v1: r1/1 0 of 2\n"                                               \
+  "3100 load v2: r1/1 1 of 2\n"
+
+#define ONE_WHOLE ONE_LOADS "5200 r1/1 whole serves\n"
+
+#define TWO_WHOLE                                                             \
+  "0 r1/0 absent\n"                                                           \
+  "0 r2/0 absent\n"                                                           \
+  "3000 write r1/1=v1+v2\n"                                                   \
+  "3000 r1/1 loading\n"                                                       \
+  "3100 load v1: r1/1 0 of 2\n"                                               \
+  "3100 load v2: r1/1 1 of 2\n"                                               \
+  "3100 write r1/1=v1+v2 r2/2=v3+v4\n"                                        \
+  "3100 r2/2 loading\n"                                                       \
+  "5200 r1/1 whole serves\n"                                                  \
+  "5300 load v3: r2/2 0 of 2\n"                                               \
+  "5300 load v4: r2/2 1 of 2\n"                                               \
+  "7600 r2/2 whole serves\n"
+
 /* Two replicas of two VMs and a spare: each is formed by one write, and the
    weights are loaded by one replica at a time. */
 Test (replica, forms_one_after_the_other)
@@ -93,18 +117,7 @@
   dom_check (&two,
              "0 owner 20\n"
              "12000 run\n",
-             "0 r1/0 absent\n"
-             "0 r2/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "3100 write r1/1=v1+v2 r2/2=v3+v4\n"
-             "3100 r2/2 loading\n"
-             "5200 r1/1 whole serves\n"
-             "5300 load v3: r2/2 0 of 2\n"
-             "5300 load v4: r2/2 1 of 2\n"
-             "7600 r2/2 whole serves\n");
+             TWO_WHOLE);
 }
 
 /* A member goes silent.  Callers must stop being sent to its replica within
@@ -120,19 +133,13 @@
              "30000 run\n"
              "40000 start v1 r1 1\n"
              "50000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "12100 r1/1 degraded\n"
-             "17100 write r1/2=v5+v2\n"
-             "17100 r1/2 loading\n"
-             "17200 load v2: r1/2 1 of 2\n"
-             "17200 load v5: r1/2 0 of 2\n"
-             "19800 r1/2 whole serves\n"
-             "40200 unload v1: r1/1\n");
+             ONE_WHOLE "12100 r1/1 degraded\n"
+                       "17100 write r1/2=v5+v2\n"
+                       "17100 r1/2 loading\n"
+                       "17200 load v2: r1/2 1 of 2\n"
+                       "17200 load v5: r1/2 0 of 2\n"
+                       "19800 r1/2 whole serves\n"
+                       "40200 unload v1: r1/1\n");
 }
 
 /* A member is restarted quickly and still reports its place: nothing is
@@ -145,14 +152,8 @@
              "10000 kill v1\n"
              "14000 start v1 r1 1\n"
              "20000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "11100 r1/1 degraded\n"
-             "14100 r1/1 whole serves\n");
+             ONE_WHOLE "11100 r1/1 degraded\n"
+                       "14100 r1/1 whole serves\n");
 }
 
 /* The whole domain loses power and comes back without weights.  Nothing is
@@ -174,26 +175,14 @@
              "100000 blank v4\n"
              "100000 blank v5\n"
              "120000 run\n",
-             "0 r1/0 absent\n"
-             "0 r2/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "3100 write r1/1=v1+v2 r2/2=v3+v4\n"
-             "3100 r2/2 loading\n"
-             "5200 r1/1 whole serves\n"
-             "5300 load v3: r2/2 0 of 2\n"
-             "5300 load v4: r2/2 1 of 2\n"
-             "7600 r2/2 whole serves\n"
-             "13100 r1/1 degraded\n"
-             "13400 r2/2 degraded\n"
-             "100300 load v1: r1/1 0 of 2\n"
-             "100300 load v2: r1/1 1 of 2\n"
-             "103200 r1/1 whole serves\n"
-             "103300 load v3: r2/2 0 of 2\n"
-             "103300 load v4: r2/2 1 of 2\n"
-             "105600 r2/2 whole serves\n");
+             TWO_WHOLE "13100 r1/1 degraded\n"
+                       "13400 r2/2 degraded\n"
+                       "100300 load v1: r1/1 0 of 2\n"
+                       "100300 load v2: r1/1 1 of 2\n"
+                       "103200 r1/1 whole serves\n"
+                       "103300 load v3: r2/2 0 of 2\n"
+                       "103300 load v4: r2/2 1 of 2\n"
+                       "105600 r2/2 whole serves\n");
 }
 
 /* Replicas that old scripts run, of modes route and observe: declared members
@@ -233,20 +222,14 @@
              "30000 work v1 0\n"
              "30000 work v2 0\n"
              "50000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "11000 r1/1 draining serves no new work\n"
-             "11100 write r1/1=v1+v2 (v5 for v1)\n"
-             "11200 load v5: r1/2 0 of 2\n"
-             "33200 write r1/2=v5+v2\n"
-             "33200 r1/2 loading\n"
-             "33300 unload v1: r1/1\n"
-             "33300 load v2: r1/2 1 of 2\n"
-             "34200 r1/2 whole serves\n");
+             ONE_WHOLE "11000 r1/1 draining serves no new work\n"
+                       "11100 write r1/1=v1+v2 (v5 for v1)\n"
+                       "11200 load v5: r1/2 0 of 2\n"
+                       "33200 write r1/2=v5+v2\n"
+                       "33200 r1/2 loading\n"
+                       "33300 unload v1: r1/1\n"
+                       "33300 load v2: r1/2 1 of 2\n"
+                       "34200 r1/2 whole serves\n");
 }
 
 /* The list takes its word back before the member left: it stays. */
@@ -258,18 +241,12 @@
              "11000 leaving v1\n"
              "16000 listed v1\n"
              "25000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "11000 r1/1 draining serves no new work\n"
-             "11100 write r1/1=v1+v2 (v5 for v1)\n"
-             "11200 load v5: r1/2 0 of 2\n"
-             "16000 r1/1 whole serves\n"
-             "16100 write r1/1=v1+v2\n"
-             "16200 unload v5: r1/2\n");
+             ONE_WHOLE "11000 r1/1 draining serves no new work\n"
+                       "11100 write r1/1=v1+v2 (v5 for v1)\n"
+                       "11200 load v5: r1/2 0 of 2\n"
+                       "16000 r1/1 whole serves\n"
+                       "16100 write r1/1=v1+v2\n"
+                       "16200 unload v5: r1/2\n");
 }
 
 /* An operator drains a replica with requests in flight.  Its VMs are released
@@ -283,27 +260,21 @@
              "30000 work v1 0\n"
              "50000 undrain r1\n"
              "60000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "11100 write r1/1=v1+v2 drained r1\n"
-             "11100 r1/1 draining serves no new work\n"
-             "33200 write r1/1 releasing=v1+v2 drained r1\n"
-             "33200 r1/1 releasing no new work\n"
-             "33300 unload v1: r1/1\n"
-             "33300 unload v2: r1/1\n"
-             "34300 write drained r1\n"
-             "34300 r1/0 absent no new work\n"
-             "50100 write\n"
-             "50100 r1/0 absent\n"
-             "50200 write r1/2=v1+v2\n"
-             "50200 r1/2 loading\n"
-             "50300 load v1: r1/2 0 of 2\n"
-             "50300 load v2: r1/2 1 of 2\n"
-             "53200 r1/2 whole serves\n");
+             ONE_WHOLE "11100 write r1/1=v1+v2 drained r1\n"
+                       "11100 r1/1 draining serves no new work\n"
+                       "33200 write r1/1 releasing=v1+v2 drained r1\n"
+                       "33200 r1/1 releasing no new work\n"
+                       "33300 unload v1: r1/1\n"
+                       "33300 unload v2: r1/1\n"
+                       "34300 write drained r1\n"
+                       "34300 r1/0 absent no new work\n"
+                       "50100 write\n"
+                       "50100 r1/0 absent\n"
+                       "50200 write r1/2=v1+v2\n"
+                       "50200 r1/2 loading\n"
+                       "50300 load v1: r1/2 0 of 2\n"
+                       "50300 load v2: r1/2 1 of 2\n"
+                       "53200 r1/2 whole serves\n");
 }
 
 /* The answer to the first write is lost although it took effect; a later
@@ -346,14 +317,8 @@
              "30000 store up\n"
              "30000 owner 30\n"
              "40000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "9100 r1/1 degraded\n"
-             "20100 r1/1 whole serves\n");
+             ONE_WHOLE "9100 r1/1 degraded\n"
+                       "20100 r1/1 whole serves\n");
 }
 
 /* This node starts while the store is down and could never read who belongs to
@@ -382,15 +347,9 @@
              "0 owner 20\n"
              "6050 blank v2\n"
              "12000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "6200 r1/1 degraded\n"
-             "6300 load v2: r1/1 1 of 2\n"
-             "9200 r1/1 whole serves\n");
+             ONE_WHOLE "6200 r1/1 degraded\n"
+                       "6300 load v2: r1/1 1 of 2\n"
+                       "9200 r1/1 whole serves\n");
 }
 
 /* Replicas run already, and their VMs report name and generation: they are
@@ -444,16 +403,10 @@
              "6000 late v3 r1 1 10\n"
              "7000 late v2 r1 0 10\n"
              "16000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "6500 unload v3: r1/1\n"
-             "7200 r1/1 degraded\n"
-             "7300 load v2: r1/1 1 of 2\n"
-             "8200 r1/1 whole serves\n");
+             ONE_WHOLE "6500 unload v3: r1/1\n"
+                       "7200 r1/1 degraded\n"
+                       "7300 load v2: r1/1 1 of 2\n"
+                       "8200 r1/1 whole serves\n");
 }
 
 /* Another node took the domain and this one does not know yet.  The new owner
@@ -467,24 +420,18 @@
              "6000 late v1 r9 3 30\n"
              "8000 kill v2\n"
              "15000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "5200 r1/1 whole serves\n"
-             "6100 r1/1 degraded\n"
-             "6200 unload v1: r9/3 (refused)\n"
-             "7200 unload v1: r9/3 (refused)\n"
-             "8200 unload v1: r9/3 (refused)\n"
-             "9200 unload v1: r9/3 (refused)\n"
-             "10200 unload v1: r9/3 (refused)\n"
-             "11200 unload v1: r9/3 (refused)\n"
-             "12200 unload v1: r9/3 (refused)\n"
-             "13200 unload v1: r9/3 (refused)\n"
-             "13200 write r1/2=v1+v5 (conflict)\n"
-             "14200 unload v1: r9/3 (refused)\n"
-             "14700 write r1/2=v1+v5 (conflict)\n");
+             ONE_WHOLE "6100 r1/1 degraded\n"
+                       "6200 unload v1: r9/3 (refused)\n"
+                       "7200 unload v1: r9/3 (refused)\n"
+                       "8200 unload v1: r9/3 (refused)\n"
+                       "9200 unload v1: r9/3 (refused)\n"
+                       "10200 unload v1: r9/3 (refused)\n"
+                       "11200 unload v1: r9/3 (refused)\n"
+                       "12200 unload v1: r9/3 (refused)\n"
+                       "13200 unload v1: r9/3 (refused)\n"
+                       "13200 write r1/2=v1+v5 (conflict)\n"
+                       "14200 unload v1: r9/3 (refused)\n"
+                       "14700 write r1/2=v1+v5 (conflict)\n");
 }
 
 /* The old scripts restart r2, so that its VMs hold no weights for a while, as
@@ -528,20 +475,15 @@
              "0 owner 20\n"
              "30000 leaving v1\n"
              "70000 run\n",
-             "0 r1/0 absent\n"
-             "3000 write r1/1=v1+v2\n"
-             "3000 r1/1 loading\n"
-             "3100 load v1: r1/1 0 of 2\n"
-             "3100 load v2: r1/1 1 of 2\n"
-             "23200 r1/1 whole serves\n"
-             "30000 r1/1 draining serves no new work\n"
-             "30100 write r1/1=v1+v2 (v5 for v1)\n"
-             "30200 load v5: r1/2 0 of 2\n"
-             "50900 write r1/2=v5+v2\n"
-             "50900 r1/2 loading\n"
-             "51000 unload v1: r1/1\n"
-             "51000 load v2: r1/2 1 of 2\n"
-             "51200 r1/2 whole serves\n");
+             ONE_LOADS "23200 r1/1 whole serves\n"
+                       "30000 r1/1 draining serves no new work\n"
+                       "30100 write r1/1=v1+v2 (v5 for v1)\n"
+                       "30200 load v5: r1/2 0 of 2\n"
+                       "50900 write r1/2=v5+v2\n"
+                       "50900 r1/2 loading\n"
+                       "51000 unload v1: r1/1\n"
+                       "51000 load v2: r1/2 1 of 2\n"
+                       "51200 r1/2 whole serves\n");
 }
 
 /* A domain starts without weights.  Once one replica of a model serves, the
--- a/t/t6004-domains.c
+++ b/t/t6004-domains.c
@@ -51,7 +51,8 @@
   clk_ms kept_at;  /* last renewal that succeeded */
 };
 
-static struct world *world;
+static struct world the_world;
+static struct world *const world = &the_world;
 
 /* ---- membership and links ---- */
 
@@ -312,8 +313,30 @@
   buf_free (&text);
 }
 
+/* Another node, if there is one, is home of "d" or of what is elsewhere. */
+enum other
+{
+  ALONE,
+  HOME_OF_D,
+  HOME_ELSEWHERE
+};
+
 static void
-start_world (struct world *w, const char *mode, bool more)
+join_other (enum other other)
+{
+  static const struct mbr_node node
+      = { .name = STR ("n2"), .zone = STR ("z"), .region = STR ("r") };
+
+  world->other = node;
+  if (other == HOME_OF_D)
+    world->self.zone = STR ("y");
+  else
+    world->other.zone = STR ("y");
+  ctl_domains_members (world->ctl.domains);
+}
+
+static void
+start_world (const char *mode, enum other other)
 {
   static const struct httpd_limits limits
       = { .max_body = 4096, .max_connections = 16, .request_ms = 5000 };
@@ -321,45 +344,46 @@
   struct net_addr any = run_any_port ();
   struct buf err = BUF_INIT;
 
-  memset (w, 0, sizeof *w);
-  world = w;
-  run_init (&w->run);
-  uv_timer_init (&w->run.loop, &w->answers_timer);
-  w->unloaded = true;
-  w->revision = 10;
-  w->self = (struct mbr_node){ .name = STR ("n1"),
-                               .zone = STR ("z"),
-                               .region = STR ("r") };
-  w->vm = httpd_listen (&w->run.loop, &any, &limits, handle, NULL, &err);
-  cr_assert_not_null (w->vm);
-  w->ctl.loop = &w->run.loop;
-  w->ctl.set.node = "n1";
-  w->ctl.set.zone = "z";
-  w->ctl.set.region = "r";
-  w->ctl.set.store_prefix = "/lapisline/";
-  w->ctl.boot = 7;
-  w->ctl.met = met_new ();
-  w->ctl.http = httpc_new (&w->run.loop);
-  w->ctl.store = store_new (&w->run.loop, &fake_ops, NULL, &budget);
-  make_config (mode, more);
-  w->ctl.domains = ctl_domains_start (&w->ctl, &err);
+  run_init (&world->run);
+  uv_timer_init (&world->run.loop, &world->answers_timer);
+  world->unloaded = true;
+  world->revision = 10;
+  world->self = (struct mbr_node){ .name = STR ("n1"),
+                                   .zone = STR ("z"),
+                                   .region = STR ("r") };
+  world->vm
+      = httpd_listen (&world->run.loop, &any, &limits, handle, NULL, &err);
+  cr_assert_not_null (world->vm);
+  world->ctl.loop = &world->run.loop;
+  world->ctl.set.node = "n1";
+  world->ctl.set.zone = "z";
+  world->ctl.set.region = "r";
+  world->ctl.set.store_prefix = "/lapisline/";
+  world->ctl.boot = 7;
+  world->ctl.met = met_new ();
+  world->ctl.http = httpc_new (&world->run.loop);
+  world->ctl.store = store_new (&world->run.loop, &fake_ops, NULL, &budget);
+  make_config (mode, other == HOME_ELSEWHERE);
+  world->ctl.domains = ctl_domains_start (&world->ctl, &err);
+  if (other != ALONE)
+    join_other (other);
   buf_free (&err);
 }
 
 static void
-end_world (struct world *w, const char *expected)
+end_world (const char *expected)
 {
-  snprintf (w->phase, sizeof w->phase, "stopped");
-  ctl_domains_stop (w->ctl.domains);
-  store_free (w->ctl.store);
-  uv_close ((uv_handle_t *)&w->answers_timer, NULL);
-  httpd_free (w->vm);
-  httpc_free (w->ctl.http);
-  cfg_unref (w->ctl.cfg);
-  run_end (&w->run, expected);
-  met_free (w->ctl.met);
-  buf_free (&w->owner_value);
-  buf_free (&w->assignment_value);
+  snprintf (world->phase, sizeof world->phase, "stopped");
+  ctl_domains_stop (world->ctl.domains);
+  store_free (world->ctl.store);
+  uv_close ((uv_handle_t *)&world->answers_timer, NULL);
+  httpd_free (world->vm);
+  httpc_free (world->ctl.http);
+  cfg_unref (world->ctl.cfg);
+  run_end (&world->run, expected);
+  met_free (world->ctl.met);
+  buf_free (&world->owner_value);
+  buf_free (&world->assignment_value);
 }
 
 static void
@@ -484,35 +508,41 @@
     show ();
 }
 
+/* Start a world and run a script in it; end_world() compares. */
+static void
+play (const char *mode, enum other other, const char *script)
+{
+  start_world (mode, other);
+  run_script (&world->run, script, on_word, NULL);
+}
+
+TestSuite (domains, .timeout = 60);
+
 /*
  * The store goes down under an owner.  Its lease runs out and with it the
  * right to order, while probes and evidence go on: a caller is served as long
  * as the replica is whole, and is not once its VM came back blank.  With the
  * store back, the owner loads the VM.
  */
-Test (domains, store_down_stops_orders_not_evidence, .timeout = 60)
-{
-  struct world w;
-
-  start_world (&w, "manage", false);
-  run_script (&w.run,
-              "phase a\n"
-              "wait evidence whole of the owner a\n"
-              "phase b\n store down\n"
-              "wait evidence whole without a lease b\n"
-              "phase c\n blank\n"
-              "wait evidence broken without a lease c\n"
-              "phase d\n store up\n"
-              "wait evidence whole of the owner d\n",
-              on_word, NULL);
-  end_world (&w, "evidence broken of the owner a\n"
-                 "load r1/1 fence 11 a\n"
-                 "evidence whole of the owner a\n"
-                 "evidence whole without a lease b\n"
-                 "evidence broken without a lease c\n"
-                 "evidence broken of the owner d\n"
-                 "load r1/1 fence 11 d\n"
-                 "evidence whole of the owner d\n");
+Test (domains, store_down_stops_orders_not_evidence)
+{
+  play ("manage", ALONE,
+        "phase a\n"
+        "wait evidence whole of the owner a\n"
+        "phase b\n store down\n"
+        "wait evidence whole without a lease b\n"
+        "phase c\n blank\n"
+        "wait evidence broken without a lease c\n"
+        "phase d\n store up\n"
+        "wait evidence whole of the owner d\n");
+  end_world ("evidence broken of the owner a\n"
+             "load r1/1 fence 11 a\n"
+             "evidence whole of the owner a\n"
+             "evidence whole without a lease b\n"
+             "evidence broken without a lease c\n"
+             "evidence broken of the owner d\n"
+             "load r1/1 fence 11 d\n"
+             "evidence whole of the owner d\n");
 }
 
 /*
@@ -522,45 +552,37 @@
  * is there and the bytes would go: the question asked right then, with the
  * time read then, says no.
  */
-Test (domains, frozen_before_sending, .timeout = 60)
-{
-  struct world w;
-
-  start_world (&w, "manage", false);
-  run_script (&w.run,
-              "phase a\n"
-              "wait evidence whole of the owner a\n"
-              "phase b\n late\n freeze\n blank\n"
-              "wait evidence broken without a lease b\n"
-              "phase c\n release\n store up\n"
-              "wait evidence whole of the owner c\n",
-              on_word, NULL);
-  end_world (&w, "evidence broken of the owner a\n"
-                 "load r1/1 fence 11 a\n"
-                 "evidence whole of the owner a\n"
-                 "evidence broken of the owner b\n"
-                 "evidence broken without a lease b\n"
-                 "evidence broken of the owner c\n"
-                 "load r1/1 fence 13 c\n"
-                 "evidence whole of the owner c\n");
+Test (domains, frozen_before_sending)
+{
+  play ("manage", ALONE,
+        "phase a\n"
+        "wait evidence whole of the owner a\n"
+        "phase b\n late\n freeze\n blank\n"
+        "wait evidence broken without a lease b\n"
+        "phase c\n release\n store up\n"
+        "wait evidence whole of the owner c\n");
+  end_world ("evidence broken of the owner a\n"
+             "load r1/1 fence 11 a\n"
+             "evidence whole of the owner a\n"
+             "evidence broken of the owner b\n"
+             "evidence broken without a lease b\n"
+             "evidence broken of the owner c\n"
+             "load r1/1 fence 13 c\n"
+             "evidence whole of the owner c\n");
 }
 
 /* A replica of mode route is probed and told of, and nothing is ever asked of
    the store's leases nor of the VM, though it stands there without weights. */
-Test (domains, route_is_evidence_only, .timeout = 60)
+Test (domains, route_is_evidence_only)
 {
-  struct world w;
-
-  start_world (&w, "route", false);
-  run_script (&w.run,
-              "phase a\n"
-              "wait evidence broken without a lease a\n"
-              "phase b\n ready\n"
-              "wait evidence whole without a lease b\n",
-              on_word, NULL);
-  cr_expect_eq (store_counts (w.ctl.store)->grants, 0);
-  end_world (&w, "evidence broken without a lease a\n"
-                 "evidence whole without a lease b\n");
+  play ("route", ALONE,
+        "phase a\n"
+        "wait evidence broken without a lease a\n"
+        "phase b\n ready\n"
+        "wait evidence whole without a lease b\n");
+  cr_expect_eq (store_counts (world->ctl.store)->grants, 0);
+  end_world ("evidence broken without a lease a\n"
+             "evidence whole without a lease b\n");
 }
 
 /*
@@ -569,25 +591,16 @@
  * number while the owner is heard.  No evidence counts for longer than its
  * time, whatever its sender says.
  */
-Test (domains, evidence_of_an_old_owner_is_ignored, .timeout = 60)
-{
-  struct world w;
-
-  start_world (&w, "manage", false);
-  w.other = (struct mbr_node){ .name = STR ("n2"),
-                               .zone = STR ("z"),
-                               .region = STR ("r") };
-  w.self.zone = STR ("y");
-  ctl_domains_members (w.ctl.domains);
-  run_script (&w.run,
-              "show\n remote 5 whole\n show\n remote 4 broken\n show\n"
-              "remote 0 broken\n show\n remote 6 broken\n show\n",
-              on_word, NULL);
-  end_world (&w, "unknown of n2 fence 0 load 0 soon over\n"
-                 "whole of n2 fence 5 load 0\n"
-                 "whole of n2 fence 5 load 0\n"
-                 "whole of n2 fence 5 load 0\n"
-                 "degraded of n2 fence 6 load 0\n");
+Test (domains, evidence_of_an_old_owner_is_ignored)
+{
+  play ("manage", HOME_OF_D,
+        "show\n remote 5 whole\n show\n remote 4 broken\n show\n"
+        "remote 0 broken\n show\n remote 6 broken\n show\n");
+  end_world ("unknown of n2 fence 0 load 0 soon over\n"
+             "whole of n2 fence 5 load 0\n"
+             "whole of n2 fence 5 load 0\n"
+             "whole of n2 fence 5 load 0\n"
+             "degraded of n2 fence 6 load 0\n");
 }
 
 /*
@@ -595,24 +608,16 @@
  * come first.  This owner has its lease and could load, but four of them are
  * loading: the weight store is left to them until they are whole.
  */
-Test (domains, waits_for_its_turn_to_load, .timeout = 60)
-{
-  struct world w;
-
-  start_world (&w, "manage", true);
-  w.other = (struct mbr_node){ .name = STR ("n2"),
-                               .zone = STR ("y"),
-                               .region = STR ("r") };
-  ctl_domains_members (w.ctl.domains);
-  run_script (&w.run,
-              "phase a\n"
-              "wait evidence broken of the owner a\n"
-              "pause\n phase b\n elsewhere 5 whole\n"
-              "wait evidence whole of the owner b\n",
-              on_word, NULL);
-  end_world (&w, "evidence broken of the owner a\n"
-                 "load r1/1 fence 11 b\n"
-                 "evidence whole of the owner b\n");
+Test (domains, waits_for_its_turn_to_load)
+{
+  play ("manage", HOME_ELSEWHERE,
+        "phase a\n"
+        "wait evidence broken of the owner a\n"
+        "pause\n phase b\n elsewhere 5 whole\n"
+        "wait evidence whole of the owner b\n");
+  end_world ("evidence broken of the owner a\n"
+             "load r1/1 fence 11 b\n"
+             "evidence whole of the owner b\n");
 }
 
 /*
@@ -620,28 +625,19 @@
  * loads.  It says nothing by itself: of another owner, of other replicas, or
  * with evidence that is old, it must not keep a replica in service.
  */
-Test (domains, short_evidence_renews, .timeout = 60)
-{
-  struct world w;
-
-  start_world (&w, "manage", false);
-  w.other = (struct mbr_node){ .name = STR ("n2"),
-                               .zone = STR ("z"),
-                               .region = STR ("r") };
-  w.self.zone = STR ("y");
-  ctl_domains_members (w.ctl.domains);
-  run_script (&w.run,
-              "short 5 100 1 1\n show\n remote 5 whole\n"
-              "short 5 2000 1 1\n show\n short 6 100 1 1\n show\n"
-              "short 5 100 2 1\n show\n short 5 100 1 2\n show\n short 5 100 "
-              "1 1\n show\n",
-              on_word, NULL);
-  end_world (&w, "unknown of n2 fence 0 load 0 soon over\n"
-                 "whole of n2 fence 5 load 70 soon over\n"
-                 "whole of n2 fence 5 load 70 soon over\n"
-                 "whole of n2 fence 5 load 70 soon over\n"
-                 "whole of n2 fence 5 load 70 soon over\n"
-                 "whole of n2 fence 5 load 70\n");
+Test (domains, short_evidence_renews)
+{
+  play ("manage", HOME_OF_D,
+        "short 5 100 1 1\n show\n remote 5 whole\n"
+        "short 5 2000 1 1\n show\n short 6 100 1 1\n show\n"
+        "short 5 100 2 1\n show\n short 5 100 1 2\n show\n short 5 100 "
+        "1 1\n show\n");
+  end_world ("unknown of n2 fence 0 load 0 soon over\n"
+             "whole of n2 fence 5 load 70 soon over\n"
+             "whole of n2 fence 5 load 70 soon over\n"
+             "whole of n2 fence 5 load 70 soon over\n"
+             "whole of n2 fence 5 load 70 soon over\n"
+             "whole of n2 fence 5 load 70\n");
 }
 
 /*
@@ -650,16 +646,12 @@
  * for up to five seconds that there is no replica, while the node is already
  * named in address answers.
  */
-Test (domains, a_new_peer_is_told_in_full, .timeout = 60)
-{
-  struct world w;
-
-  start_world (&w, "route", false);
-  run_script (&w.run,
-              "phase a\n ready\n wait evidence whole without a lease a\n"
-              "peer\n wait full form\n wait full form\n wait full form\n"
-              "wait short form\n",
-              on_word, NULL);
-  end_world (&w, "evidence whole without a lease a\n"
-                 "full form\nfull form\nfull form\nshort form\n");
+Test (domains, a_new_peer_is_told_in_full)
+{
+  play ("route", ALONE,
+        "phase a\n ready\n wait evidence whole without a lease a\n"
+        "peer\n wait full form\n wait full form\n wait full form\n"
+        "wait short form\n");
+  end_world ("evidence whole without a lease a\n"
+             "full form\nfull form\nfull form\nshort form\n");
 }
