Prove what strangers to a link can't do

Cause: with both ends' proofs under one label, and without the bound on unproven connections, every test of links still passed (a trial that took each safeguard out in turn). Change: one test sends a connecting process its own proof back, another opens one connection more than the bound and says nothing. Conclusion: both safeguards are held by a test.

--- a/t/t2002-link.c
+++ b/t/t2002-link.c
@@ -5,6 +5,9 @@
 #include "net/link.h"
 #include "t/lib-net.h"
 
+/* One more than a server keeps while they have not proved themselves. */
+#define STRANGERS 257
+
 /*
  * Two ends and a relay between them that can keep, repeat, change and make
  * up bytes on their way from the client to the server.
@@ -18,8 +21,11 @@
   uv_tcp_t relay, left, right;
   uv_connect_t connect;
   struct buf last; /* bytes last passed from left to right */
-  bool hold, flip, repeat;
-  int open; /* relay handles */
+  bool relayed;    /* left and right are open, or were */
+  bool hold, flip, repeat, echo;
+  uv_tcp_t strangers[STRANGERS];
+  uv_connect_t stranger_connects[STRANGERS];
+  clk_ms strangers_at;
 };
 
 static void
@@ -47,6 +53,11 @@
   buf_add (&b->last, str_make (buf->base, (size_t)n));
   if (b->flip)
     b->last.ptr[b->last.len - 1] ^= 1;
+  if (b->echo)
+    {
+      run_write (&b->left, buf_str (&b->last));
+      return;
+    }
   run_write (&b->right, buf_str (&b->last));
   if (b->repeat)
     run_write (&b->right, buf_str (&b->last));
@@ -59,7 +70,7 @@
 
   if (n < 0)
     relay_close (b);
-  else
+  else if (!b->echo)
     run_write (&b->left, str_make (buf->base, (size_t)n));
 }
 
@@ -82,6 +93,7 @@
   uv_tcp_init (&b->run.loop, &b->left);
   uv_tcp_init (&b->run.loop, &b->right);
   b->left.data = b->right.data = b;
+  b->relayed = true;
   uv_accept (s, (uv_stream_t *)&b->left);
   run_connect (&b->run, &b->right, &b->at, &b->connect, on_relay_connected, b);
 }
@@ -162,6 +174,48 @@
   run_log (&b->run, "%s", n > 100 && n < 1000 ? "bounded" : "not bounded");
 }
 
+/* Refused at once is told from dropped after the time for a proof. */
+static void
+on_stranger (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  struct bench *b = s->data;
+
+  if (n >= 0)
+    return;
+  run_log (&b->run, "stranger %s",
+           clk_now () - b->strangers_at < 2 * CLK_SECOND ? "refused"
+                                                         : "dropped");
+  uv_close ((uv_handle_t *)s, NULL);
+}
+
+static void
+on_stranger_connected (uv_connect_t *req, int status)
+{
+  if (status == 0)
+    run_read ((uv_tcp_t *)req->handle, on_stranger);
+}
+
+static void
+strangers_up (struct bench *b)
+{
+  b->strangers_at = clk_now ();
+  for (int i = 0; i < STRANGERS; i++)
+    {
+      uv_tcp_init (&b->run.loop, &b->strangers[i]);
+      b->strangers[i].data = b;
+      run_connect (&b->run, &b->strangers[i], &b->at, &b->stranger_connects[i],
+                   on_stranger_connected, b);
+    }
+}
+
+static void
+strangers_down (struct bench *b)
+{
+  for (int i = 0; b->strangers_at > 0 && i < STRANGERS; i++)
+    if (!uv_is_closing ((uv_handle_t *)&b->strangers[i]))
+      uv_close ((uv_handle_t *)&b->strangers[i], NULL);
+}
+
 static void
 step (void *ctx, struct str word, struct str rest)
 {
@@ -189,6 +243,10 @@
     b->flip = true;
   else if (str_is (word, "repeat"))
     b->repeat = true;
+  else if (str_is (word, "echo"))
+    b->echo = true;
+  else if (str_is (word, "strangers"))
+    strangers_up (b);
   else if (str_is (word, "inject"))
     run_write (&b->right, STR ("\0\0\0\2sixteen mac bytes"));
   else if (str_is (word, "inject-long"))
@@ -200,7 +258,7 @@
 static void
 play (const char *script, const char *expected)
 {
-  struct bench b;
+  static struct bench b;
   struct buf err = BUF_INIT;
   struct link_secret s = secret_of (STR ("right"));
 
@@ -217,7 +275,9 @@
   if (b.served != NULL)
     link_close (b.served);
   link_server_free (b.server);
-  relay_close (&b);
+  strangers_down (&b);
+  if (b.relayed)
+    relay_close (&b);
   uv_close ((uv_handle_t *)&b.relay, NULL);
   run_end (&b.run, expected);
   buf_free (&b.last);
@@ -240,6 +300,25 @@
   play ("connect wrong\n wait client down", "client down\n");
 }
 
+/*
+ * Somebody without the secret answers a connecting process with its own
+ * bytes: its hello, then the proof that it sent.  The proof is right for the
+ * connecting end only, so the link does not come up.
+ */
+Test (link, own_proof_sent_back_gets_nowhere)
+{
+  play ("echo\n connect right\n wait client down", "client down\n");
+}
+
+/*
+ * Strangers open connections and say nothing, again and again.  Those over
+ * the bound are closed at once: descriptors and memory stay for peers.
+ */
+Test (link, silent_strangers_are_bounded)
+{
+  play ("strangers\n wait stranger refused", "stranger refused\n");
+}
+
 /*
  * Somebody on the way sends a genuine frame a second time.  Its MAC was
  * right once, but the counter has moved on: the link closes and the message
