Hold five safeguards of claims by tests

Cause: a trial took the safeguards of claim/ out one by one; with five of them gone all tests passed: the base of each batch in the chain, a release seen while a write is settled, keeping a batch whose first copy may land, the least window, a new lease after the window has changed. Change: two scripts in t4001 and two tests in t4003. Conclusion: the code was right; now a change that breaks it is seen.

--- a/t/t4001-claim.c
+++ b/t/t4001-claim.c
@@ -339,3 +339,68 @@
               "all\n"
               "  h2 k/A running\n");
 }
+
+/* The asker gives up on A while A's write at home 1 is settled by a read, and
+   releases it through home 2.  The read shows both the record and the
+   release: A is over, and a late grant must not let it be sent beside a
+   repeat that found the key free. */
+Test (claim, released_elsewhere_while_settling)
+{
+  csc_expect ("h1 take k A\n"
+              "  h1 #1 read from 0\n"
+              "ok 1\n"
+              "  h1 #2 grant 120000\n"
+              "ok 2\n"
+              "  h1 #3 write base=0 take:k/A\n"
+              "apply 3\n"
+              "h2 release k A\n"
+              "  h2 #4 read from 0\n"
+              "ok 4\n"
+              "  h2 #5 grant 120000\n"
+              "ok 5\n"
+              "  h2 #6 write base=102 release:k/A\n"
+              "ok 6\n"
+              "  h2 k/A done\n"
+              "lost 3\n"
+              "  h1 #7 read from 0\n"
+              "ok 7\n"
+              "  h1 k/A unavailable\n");
+}
+
+/* A write's answer is lost, the same write is sent again and that copy is
+   refused; the first may still land.  Its asker is told "not run", so the
+   release must follow: without it the key would stay taken for the whole
+   window once the first copy lands. */
+Test (claim, second_copy_refused_while_the_first_may_land)
+{
+  csc_expect ("h1 last k A\n"
+              "  h1 #1 read from 0\n"
+              "ok 1\n"
+              "  h1 #2 grant 120000\n"
+              "ok 2\n"
+              "  h1 #3 write base=0 take:k/A\n"
+              "lost 3\n"
+              "  h1 #4 read from 0\n"
+              "ok 4\n"
+              "+50\n"
+              "  h1 #5 write base=0 take:k/A\n"
+              "down 5\n"
+              "+2000\n"
+              "  h1 k/A unavailable\n"
+              "  h1 #6 write base=0 take:k/A\n"
+              "apply 3\n"
+              "ok 6\n"
+              "  h1 #7 read from 0\n"
+              "ok 7\n"
+              "+50\n"
+              "  h1 #8 write base=102 release:k/A\n"
+              "ok 8\n"
+              "h2 take k B\n"
+              "  h2 #9 read from 0\n"
+              "ok 9\n"
+              "  h2 #10 grant 120000\n"
+              "ok 10\n"
+              "  h2 #11 write base=103 take:k/B\n"
+              "ok 11\n"
+              "  h2 k/B granted\n");
+}
--- a/t/t4003-bounds.c
+++ b/t/t4003-bounds.c
@@ -85,6 +85,69 @@
   csc_down (&run);
 }
 
+/* The same, and the shard has since got a second batch.  That one alone is
+   seen by a read from home 1's head, and it is the last before the new head;
+   that its base is not what home 1 knows tells of the one before it. */
+Test (bounds, head_deleted_and_two_batches)
+{
+  struct csc run;
+  struct clm_options opt = csc_options ();
+  struct buf key = BUF_INIT;
+  uint8_t k[16] = { 'k' }, d[16] = { 'd' };
+
+  cr_assert_eq (clm_shard (d), clm_shard (k));
+  csc_up (&run, 2, &opt);
+  csc_ask (&run, 0, "take", 'd', 'A', "");
+  csc_all (&run);
+  bat_head_key (&key, opt.prefix, clm_shard (k));
+  kv_remove (&run.w.kv, buf_str (&key));
+  csc_ask (&run, 1, "take", 'k', 'B', "");
+  csc_all (&run);
+  csc_pass (&run, 50);
+  csc_ask (&run, 1, "release", 'd', 'Z', "");
+  csc_all (&run);
+  csc_ask (&run, 0, "take", 'k', 'C', "");
+  csc_pass (&run, 50);
+  csc_all (&run);
+  csc_pass (&run, 50);
+  csc_all (&run);
+  cr_expect_str_eq (buf_c (&run.log), "  h1 d/A granted\n"
+                                      "  h2 k/B granted\n"
+                                      "  h2 d/Z done\n"
+                                      "  h1 k/C running\n");
+  buf_free (&key);
+  csc_down (&run);
+}
+
+/* Operators set a window shorter than what an ask and a grant may take, or
+   a longer one while a lease of the old is at hand.  Batches must outlive
+   every claim in them: the lease is asked for twice the window that counts. */
+Test (bounds, lease_follows_the_window)
+{
+  struct csc run;
+  struct clm_options opt = csc_options ();
+
+  opt.window = CLK_SECOND;
+  csc_up (&run, 1, &opt);
+  run.w.log = &run.log;
+  csc_ask (&run, 0, "take", 'k', 'A', "");
+  csc_all (&run);
+  clm_set_window (run.w.homes[0], 300 * CLK_SECOND);
+  csc_ask (&run, 0, "take", 'l', 'A', "");
+  csc_all (&run);
+  csc_pass (&run, 50);
+  csc_all (&run);
+  cr_expect_str_eq (buf_c (&run.log), "  h1 #1 read from 0\n"
+                                      "  h1 #2 grant 40000\n"
+                                      "  h1 #3 write base=0 take:k/A\n"
+                                      "  h1 k/A granted\n"
+                                      "  h1 #4 read from 0\n"
+                                      "  h1 #5 grant 600000\n"
+                                      "  h1 #6 write base=0 take:l/A\n"
+                                      "  h1 l/A granted\n");
+  csc_down (&run);
+}
+
 /* A batch written by another version can't be read, so the claims in it are
    not known.  Nothing of that shard may be granted on top of it. */
 Test (bounds, unreadable_batch_refuses)
