Send no demand for accounts without a limit

Cause: a node sent one frame a second to the home of each of its accounts, limited or not; most have no limit, and no grant ever came back. Change: only demands of limited accounts leave the node. Conclusion: bytes grow with limits, not with accounts.

--- a/control/shares.c
+++ b/control/shares.c
@@ -138,6 +138,17 @@
   ctl_peers_send_node (s->c->peers, home, &frame);
 }
 
+/** Most accounts have no limit; a frame a second for each of them from every
+    node would carry nothing. */
+static bool
+has_limit (const struct ctl *c, struct str account)
+{
+  const struct cfg_account *a
+      = c->cfg != NULL ? cfg_account (c->cfg, account) : NULL;
+
+  return a != NULL && (a->tokens_per_s > 0 || a->concurrency > 0);
+}
+
 void
 ctl_shares_demand (struct ctl_shares *s, struct str node,
                    const Lapis__ShareDemand *d)
@@ -154,6 +165,8 @@
       shr_demand (s->core, clk_now (), account, node, &demand);
       return;
     }
+  if (!has_limit (s->c, account))
+    return;
   ctl_swim_nodes (s->c->swim, &n);
   there = xcalloc (n + 1, sizeof *there);
   n = region_nodes (s->c, true, there);
