Split what a view holds from when it goes out

Cause: control/views.c did two jobs in 476 lines: it keeps the gateway's link and decides when a view goes, and it copies nodes, replicas and shares into the message. Change: view-build.c fills the message in, views.h holds what both need; the hash of a document comes from base/digest.h. No line of logic changed. Conclusion: each of the two files has one job, and the folder's openings (admin.h, domains.h, peers.h, views.h) are of one kind.

--- a/control/views.c
+++ b/control/views.c
@@ -1,10 +1,8 @@
-#include "control/control.h"
-
-#include <glib.h>
-#include <openssl/sha.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "control/views.h"
+
 /*
  * Changes within this time go in one view.  A fleet that changes shape makes
  * many at once, and each view is whole.
@@ -17,169 +15,14 @@
 /* The store counts as reachable again after this long without a failure. */
 #define STORE_OK_AFTER_MS (3 * CLK_SECOND)
 
-struct share
-{
-  char *account;
-  double tokens_per_s;
-  double concurrency;
-  clk_ms until;
-};
-
-struct ctl_views
-{
-  struct ctl *c;
-  uv_timer_t send_timer;   /* one shot, when something changed */
-  uv_timer_t repeat_timer; /* VIEW_REPEAT_MS */
-  struct link *link;       /* NULL: no gateway */
-  struct net_addr http;    /* of the gateway */
-  struct net_addr peer;
-  uint64_t gateway_boot;
-  int64_t gateway_revision; /* in force there */
-  uint64_t seq;
-  clk_ms sent_at;
-  int64_t hashed_revision; /* that `hash` belongs to */
-  uint8_t hash[SHA256_DIGEST_LENGTH];
-  uint8_t sent_hash[SHA256_DIGEST_LENGTH]; /* that the gateway has */
-  GPtrArray *shares;
-  uint64_t store_failures; /* at the last look */
-  clk_ms store_failed_at;
-  uint64_t past_out, past_in; /* traffic of links that are gone */
-};
-
 static void
 free_share (void *p)
 {
-  struct share *s = p;
+  struct vws_share *s = p;
   free (s->account);
   free (s);
 }
 
-/* --- what a view holds -------------------------------------------------- */
-
-/* Strings of one view, released together after it was sent. */
-struct builder
-{
-  GStringChunk *text;
-  Lapis__View view;
-};
-
-static char *
-text_of (struct builder *b, struct str s)
-{
-  return g_string_chunk_insert_len (b->text, s.ptr ? s.ptr : "",
-                                    (gssize)s.len);
-}
-
-static char *
-addr_text (struct builder *b, const struct net_addr *a)
-{
-  struct buf text = BUF_INIT;
-  if (a->port != 0)
-    net_addr_format (a, &text);
-  char *copy = text_of (b, buf_str (&text));
-  buf_free (&text);
-  return copy;
-}
-
-static Lapis__NodeView *
-node_view (struct builder *b, const struct mbr_node *n)
-{
-  Lapis__NodeView *v = xmalloc (sizeof *v);
-  lapis__node_view__init (v);
-  v->node = text_of (b, n->name);
-  v->boot = n->boot;
-  v->zone = text_of (b, n->zone);
-  v->region = text_of (b, n->region);
-  v->status = n->status;
-  v->http_addr = addr_text (b, &n->gw_http);
-  v->peer_addr = addr_text (b, &n->gw_peer);
-  v->load = n->load;
-  return v;
-}
-
-static void
-add_nodes (struct builder *b, struct ctl *c)
-{
-  size_t n;
-  const struct mbr_node *const *nodes = ctl_swim_nodes (c->swim, &n);
-  b->view.nodes = xcalloc (n, sizeof *b->view.nodes);
-  for (size_t i = 0; i < n; i++)
-    b->view.nodes[b->view.n_nodes++] = node_view (b, nodes[i]);
-}
-
-static uint32_t
-span_ms (clk_ms from, clk_ms to)
-{
-  return to <= from               ? 0
-         : to - from > UINT32_MAX ? UINT32_MAX
-                                  : (uint32_t)(to - from);
-}
-
-static Lapis__ReplicaView *
-replica_view (struct builder *b, const struct ctl_replica *r, clk_ms now)
-{
-  Lapis__ReplicaView *v = xmalloc (sizeof *v);
-  lapis__replica_view__init (v);
-  v->replica = text_of (b, r->name);
-  v->model = text_of (b, r->model);
-  v->domain = text_of (b, r->domain);
-  v->generation = (uint64_t)r->generation;
-  v->whole = r->whole;
-  v->draining = r->draining;
-  v->valid_ms = span_ms (now, r->valid_until);
-  v->age_ms = span_ms (r->valid_until - REP_EVIDENCE_MS, now);
-  v->load = r->load;
-  v->load_age_ms = span_ms (r->load_at, now);
-  v->leader_addr = addr_text (b, &r->leader);
-  v->fence = (uint64_t)r->fence;
-  return v;
-}
-
-static void
-add_replicas (struct builder *b, struct ctl *c, clk_ms now)
-{
-  size_t n;
-  const struct ctl_replica *replicas = ctl_domains_replicas (c->domains, &n);
-  b->view.replicas = xcalloc (n, sizeof *b->view.replicas);
-  for (size_t i = 0; i < n; i++)
-    b->view.replicas[b->view.n_replicas++]
-        = replica_view (b, &replicas[i], now);
-}
-
-static void
-add_shares (struct builder *b, const struct ctl_views *v, clk_ms now)
-{
-  b->view.shares = xcalloc (v->shares->len, sizeof *b->view.shares);
-  for (guint i = 0; i < v->shares->len; i++)
-    {
-      const struct share *s = v->shares->pdata[i];
-      if (s->until <= now)
-        continue;
-      Lapis__ShareGrant *g = xmalloc (sizeof *g);
-      lapis__share_grant__init (g);
-      g->account = text_of (b, str_from (s->account));
-      g->tokens_per_s = s->tokens_per_s;
-      g->concurrency = s->concurrency;
-      g->valid_ms = span_ms (now, s->until);
-      b->view.shares[b->view.n_shares++] = g;
-    }
-}
-
-static void
-free_builder (struct builder *b)
-{
-  for (size_t i = 0; i < b->view.n_nodes; i++)
-    free (b->view.nodes[i]);
-  for (size_t i = 0; i < b->view.n_replicas; i++)
-    free (b->view.replicas[i]);
-  for (size_t i = 0; i < b->view.n_shares; i++)
-    free (b->view.shares[i]);
-  free (b->view.nodes);
-  free (b->view.replicas);
-  free (b->view.shares);
-  g_string_chunk_free (b->text);
-}
-
 /* --- sending ------------------------------------------------------------ */
 
 static bool
@@ -204,14 +47,14 @@
  * megabyte of text would be late.
  */
 static bool
-add_config (struct ctl_views *v, struct builder *b)
+add_config (struct ctl_views *v, struct vws_builder *b)
 {
   struct str text = ctl_spread_text (v->c->spread);
   if (!v->c->cfg || text.len == 0)
     return true;
   int64_t revision = v->c->cfg->revision;
   if (v->hashed_revision != revision)
-    SHA256 ((const uint8_t *)text.ptr, text.len, v->hash);
+    dig_sha256 (text, v->hash);
   v->hashed_revision = revision;
   b->view.config_revision = (uint64_t)revision;
   b->view.config_hash = (ProtobufCBinaryData){ sizeof v->hash, v->hash };
@@ -230,16 +73,10 @@
 {
   clk_ms now = clk_now ();
   Lapis__Frame f = LAPIS__FRAME__INIT;
-  struct builder b = { .text = g_string_chunk_new (4096) };
-  lapis__view__init (&b.view);
+  struct vws_builder b;
+  vws_build (&b, v, now);
   b.view.seq = ++v->seq;
-  b.view.leaving = v->c->leaving;
-  b.view.leaving_backends = (char **)ctl_domains_leaving (
-      v->c->domains, &b.view.n_leaving_backends);
   b.view.store_ok = now - v->store_failed_at >= STORE_OK_AFTER_MS;
-  add_nodes (&b, v->c);
-  add_replicas (&b, v->c, now);
-  add_shares (&b, v, now);
   f.body_case = LAPIS__FRAME__BODY_VIEW;
   f.view = &b.view;
   if (add_config (v, &b) && link_send (v->link, &f))
@@ -251,7 +88,7 @@
                1);
     }
   v->sent_at = now;
-  free_builder (&b);
+  vws_free (&b);
 }
 
 static void
@@ -424,10 +261,10 @@
 void
 ctl_views_share (struct ctl_views *v, const Lapis__ShareGrant *g)
 {
-  struct share *s = NULL;
+  struct vws_share *s = NULL;
   for (guint i = 0; i < v->shares->len && !s; i++)
     {
-      struct share *at = v->shares->pdata[i];
+      struct vws_share *at = v->shares->pdata[i];
       if (strcmp (at->account, g->account) == 0)
         s = at;
     }
