--- a/control/admin-show.c
+++ b/control/admin-show.c
@@ -1,6 +1,6 @@
 #include "control/admin.h"
 
-#include <openssl/sha.h>
+#include "base/digest.h"
 
 static const char *const status_names[] = {
   [MBR_ALIVE] = "alive",
@@ -284,11 +284,9 @@
 {
   struct str text = ctl_spread_text (r->a->c->spread);
   struct buf out = BUF_INIT;
-  uint8_t hash[SHA256_DIGEST_LENGTH];
-  SHA256 ((const uint8_t *)text.ptr, text.len, hash);
   buf_addf (&out, "{\"revision\":%lld,\"hash\":\"",
             (long long)revision_of (r));
-  buf_add_hex (&out, hash, sizeof hash);
+  dig_add_hex (&out, text);
   buf_add_char (&out, '"');
   add_text (&out, "text", text);
   buf_add_c (&out, "}\n");
--- a/control/admin.c
+++ b/control/admin.c
@@ -1,8 +1,9 @@
 #include "control/admin.h"
 
-#include <openssl/sha.h>
 #include <stdlib.h>
 
+#include "base/digest.h"
+
 #define MAX_BODY ((size_t)4096)
 #define MAX_CONNECTIONS 64
 #define REQUEST_MS (10 * CLK_SECOND)
@@ -122,12 +123,10 @@
 {
   struct str header = httpd_header (http, "authorization");
   struct buf digest = BUF_INIT;
-  uint8_t hash[SHA256_DIGEST_LENGTH];
   if (!str_starts (header, STR ("Bearer ")))
     return NULL;
   struct str token = str_trim (str_skip (header, 7));
-  SHA256 ((const uint8_t *)token.ptr, token.len, hash);
-  buf_add_hex (&digest, hash, sizeof hash);
+  dig_add_hex (&digest, token);
   const struct cfg_operator *who
       = cfg_operator_by_token (c->cfg, buf_str (&digest));
   buf_free (&digest);
