Keep a leaving port open until the others have heard of it

Tried: nodes replaced one by one under load, callers keeping to their address answers; one call was refused by a closed port. Cause: the port closed an answer's lifetime after the signal, but another node goes on naming the leaving one until it has heard of the leave, and that answer lives as long. Gateway and control wait two seconds more, by one function in place of two with two defaults; the other nodes of a region hear within a second or two. A planned stop takes two seconds longer.

--- a/config/config.c
+++ b/config/config.c
@@ -6,6 +6,9 @@
 #include "config/json.h"
 #include "config/parse.h"
 
+/** Until the other nodes of a region have heard that one leaves. */
+#define SPREAD_MS (2 * CLK_SECOND)
+
 /** The configuration and what owns its memory, in one allocation. */
 struct whole
 {
@@ -190,6 +193,12 @@
   return false;
 }
 
+clk_ms
+cfg_leave_ms (const struct cfg *c)
+{
+  return SPREAD_MS + (c ? c->limits.address_ms : CFG_ADDRESS_MS);
+}
+
 bool
 cfg_service_idempotent (const struct cfg_service *s, struct str method,
                         struct str path)
--- a/config/config.h
+++ b/config/config.h
@@ -145,6 +145,9 @@
   enum cfg_role role;
 };
 
+/** Lifetime of an address answer, unless limits say. */
+#define CFG_ADDRESS_MS ((clk_ms)30000)
+
 struct cfg_limits
 {
   size_t max_body;
@@ -227,6 +230,15 @@
                                                   struct str digest);
 bool cfg_account_may (const struct cfg_account *a, struct str target);
 
+/**
+ * How long a node that leaves is still named in callers' address answers.
+ * Another node goes on naming it until it has heard of the leave, and that
+ * answer then lives as long as any: were the port closed an answer's lifetime
+ * after the signal, its callers would be refused.
+ * @param c  NULL: without a configuration, by its defaults
+ */
+clk_ms cfg_leave_ms (const struct cfg *c);
+
 /** Whether a plain-service call may be repeated. */
 bool cfg_service_idempotent (const struct cfg_service *s, struct str method,
                              struct str path);
--- a/config/parse-callers.c
+++ b/config/parse-callers.c
@@ -200,7 +200,7 @@
                             .queue_ms = 10000,
                             .claim_window_ms = 600000,
                             .kept_answer = 65536,
-                            .address_ms = 30000 };
+                            .address_ms = CFG_ADDRESS_MS };
   if (json)
     rd_object (&p->rd, &here, json, fields, RD_LEN (fields), l);
 }
--- a/control/control.c
+++ b/control/control.c
@@ -19,9 +19,6 @@
  */
 #define LEAVE_LEAST_MS CLK_SECOND
 
-/* Lifetime of address answers before the first configuration. */
-#define ADDRESS_MS (30 * CLK_SECOND)
-
 #define SPANS 4096
 
 /* Rounds of the loop in which closing handles come to their end. */
@@ -112,12 +109,6 @@
   uv_close ((uv_handle_t *)&p->leave_check, NULL);
 }
 
-static clk_ms
-address_ms (const struct ctl *c)
-{
-  return c->cfg ? c->cfg->limits.address_ms : ADDRESS_MS;
-}
-
 /*
  * Callers keep an address answer for its lifetime, and the gateway serves
  * them meanwhile and tells so by keeping its link.  Only when the link is
@@ -129,7 +120,7 @@
   struct process *p = t->data;
   clk_ms past = clk_now () - p->left_at;
   bool linked = ctl_views_linked (p->ctl.views);
-  if (past < LEAVE_LEAST_MS || (linked && past < address_ms (&p->ctl)))
+  if (past < LEAVE_LEAST_MS || (linked && past < cfg_leave_ms (p->ctl.cfg)))
     return;
   if (linked)
     LOG (gateway_still_linked, LOG_I ("after_ms", past));
--- a/front/gateway.c
+++ b/front/gateway.c
@@ -19,9 +19,6 @@
 /** After the last answer: finished claims are still on their way. */
 #define LINGER_MS ((clk_ms)300)
 
-/** Lifetime of an address answer when there is no configuration. */
-#define DEFAULT_ADDRESS_MS (30 * CLK_SECOND)
-
 struct process
 {
   struct gw g; /**< first: the modules know no more */
@@ -44,13 +41,10 @@
 static void
 begin_leaving (struct process *p)
 {
-  const struct cfg *cfg = p->g.cfg;
-
   if (p->g.leaving)
     return;
   p->g.leaving = true;
-  p->refuse_at
-      = clk_now () + (cfg ? cfg->limits.address_ms : DEFAULT_ADDRESS_MS);
+  p->refuse_at = clk_now () + cfg_leave_ms (p->g.cfg);
   if (p->g.view != NULL)
     gw_view_report (p->g.view);
 }
--- a/t/t7001-gateway.c
+++ b/t/t7001-gateway.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "t/lib-front.h"
 
 #define CHAT "/v1/chat/completions"
@@ -382,3 +383,26 @@
   web_close (s);
   buf_free (&got);
 }
+
+/* Another node has not heard yet that this one leaves, and names it in an
+   address answer.  A caller that comes within that answer's lifetime must not
+   be refused: the port stays open for longer than an answer that was given
+   before the signal. */
+Test (gateway, planned_stop_outlasts_answers_of_other_nodes)
+{
+  struct front f;
+  struct web_answer a = { 0 };
+  clk_ms began;
+
+  front_up (&f, "", "\"address_ms\": 1000");
+  began = clk_now ();
+  proc_signal (f.gateway, SIGTERM);
+  while (web_call (f.http, "GET", "/healthz", NULL, NULL, &a))
+    {
+      web_free (&a);
+      usleep (20000);
+    }
+  cr_expect_geq (clk_now () - began, 2500);
+  web_free (&a);
+  cr_expect_eq (proc_wait (f.gateway, PROC_WAIT_MS), 0);
+}
