Say why unlimited accounts send no demand

Change: the comment says what the check is for. Conclusion: the saving is for deployments with unlimited accounts only.

--- a/control/shares.c
+++ b/control/shares.c
@@ -138,8 +138,8 @@
   ctl_peers_send_node (s->c->peers, home, &frame);
 }
 
-/** Most accounts have no limit; a frame a second for each of them from every
-    node would carry nothing. */
+/** An account without a limit has nothing to divide; a frame a second for it
+    from every node would carry nothing. */
 static bool
 has_limit (const struct ctl *c, struct str account)
 {
