Release a refused claim that a silent home may still record

Cause: the ask goes to the home, which is frozen, and after 300 ms to the next node, which refuses it for another attempt that holds the key. That one is released a moment later. The home wakes, finds the key free and records the claim of the refused request; its grant met an ask that was closed with the refusal, so nobody released it. Callers heard "key-running", then "unknown", for the rest of the window (10 minutes) though nothing ran. This is what trouble::second_plan met on a busy machine. Ruled out: the test's 200 tries (the key was still refused after 10 s, and the trace of claims shows one record taken and never released); a lost write (each was settled); a run that ended unknown (the service counted none). Change: an asker that hands on a refusal while another node has not answered releases its attempt at once, as it does when it gives up. The release is a record too, so it voids the claim whichever of the two lands first. The asker's script was red without the change. Conclusion: a real fault of claims, not of the test; failures now name the last answer.

--- a/claim/asker.c
+++ b/claim/asker.c
@@ -81,5 +81,10 @@
     return give_up (a, true);
   a->over = true;
   a->granted = verdict == CLM_GRANTED;
-  return CLM_ASKER_REPLY;
+  /* A frozen home that was asked before may wake and record the claim once
+     the holder that this verdict is about has released the key.  Nobody will
+     send for it, and callers would hear "running" for the whole window; a
+     release in the store voids the record whichever lands first. */
+  return !a->granted && a->answered < a->asked ? CLM_ASKER_REPLY_LATE
+                                               : CLM_ASKER_REPLY;
 }
--- a/claim/asker.h
+++ b/claim/asker.h
@@ -43,6 +43,8 @@
   CLM_ASKER_NOTHING,
   CLM_ASKER_ASK,          /**< ask target number asked - 1 */
   CLM_ASKER_REPLY,        /**< the verdict that came is the result */
+  CLM_ASKER_REPLY_LATE,   /**< likewise; no grant, and a record may still
+                               land: it must be released */
   CLM_ASKER_GIVE_UP,      /**< CLM_UNAVAILABLE; nothing can be recorded */
   CLM_ASKER_GIVE_UP_LATE, /**< CLM_UNAVAILABLE; a record may still land: it
                                must be released */
--- a/t/lib-claim-walk.c
+++ b/t/lib-claim-walk.c
@@ -100,6 +100,11 @@
       q->granted = k->w.now;
       k->refused += verdict != CLM_GRANTED;
       return;
+    case CLM_ASKER_REPLY_LATE:
+      q->state = REQ_OVER;
+      k->refused++;
+      release (k, q);
+      return;
     case CLM_ASKER_GIVE_UP_LATE:
       q->state = REQ_OVER;
       k->given_up++;
--- a/t/t4002-asker.c
+++ b/t/t4002-asker.c
@@ -14,8 +14,10 @@
 
 #include "claim/asker.h"
 
-static const char *const actions[]
-    = { "", "ask", "reply", "give-up", "give-up-and-release", "release" };
+static const char *const actions[] = { "",        "ask",
+                                       "reply",   "reply-and-release",
+                                       "give-up", "give-up-and-release",
+                                       "release" };
 
 static enum clm_asker_do
 step (struct clm_asker *a, clk_ms *now, const char *word)
@@ -104,6 +106,17 @@
   expect (2, 2000, "+300 >ask granted >reply granted");
 }
 
+/* The first node is frozen with the ask, the next one refuses for a holder
+   that releases the key right after.  The first one wakes, finds the key free
+   and records a claim that nobody will use; unless it is released, the key
+   is refused for the rest of the window though nothing ran. */
+Test (asker, refusal_beside_a_silent_home)
+{
+  expect (2, 2000, "+300 >ask running >reply-and-release granted >release");
+  expect (2, 2000, "unreachable >ask running >reply");
+  expect (2, 2000, "running >reply");
+}
+
 /* A grant that comes after the caller was told "not run" is given back, also
    when the process was stopped and finds it beside the passed deadline. */
 Test (asker, late_grant_is_released)
--- a/t/t4900-walk.c
+++ b/t/t4900-walk.c
@@ -48,7 +48,7 @@
   static struct cwk_walk k;
   uint64_t steps = 0;
 
-  for (uint64_t seed = 1; seed <= 40; seed++)
+  for (uint64_t seed = 1; seed <= 120; seed++)
     {
       steps += cwk_walk (&k, seed, 100000, fault);
       cw_clear (&k.w);
--- a/t/t9003-trouble.c
+++ b/t/t9003-trouble.c
@@ -130,7 +130,7 @@
 static void
 use_what_is_left (struct plan *p)
 {
-  struct cluster_answer a;
+  struct cluster_answer a = { 0 };
   char key[16];
 
   for (int i = 0; i < KEYS; i++)
@@ -143,7 +143,9 @@
           if (strcmp (a.outcome, "done") != 0)
             usleep (50000);
         }
-      cr_expect_eq (cluster_runs_of_key (&p->c, key), 1, "%s", key);
+      cr_expect_eq (cluster_runs_of_key (&p->c, key), 1,
+                    "%s, last answer %d %s %s", key, a.status, a.outcome,
+                    a.code);
     }
 }
 
@@ -165,3 +167,8 @@
 Test (trouble, first_plan) { run (1); }
 
 Test (trouble, second_plan) { run (2); }
+
+/* A home is frozen with the ask of a booking, and the next node refuses it
+   for a booking that is about to be released.  The home wakes and records the
+   claim of the refused one: the bay could not be booked for ten minutes. */
+Test (trouble, third_plan) { run (1072); }
