Hold two safeguards of pushes by tests

Cause: a trial took the safeguards of config/push out one by one; without past_covers(), and without the hash check of fetched files, every test passed. Change: one test lets Amina read back only after her push has left the past, one damages a file in the store before a rebase. Conclusion: a push that may have been applied is not called a clash, and a damaged file does not spread.

--- a/t/t1101-push.c
+++ b/t/t1101-push.c
@@ -270,6 +270,18 @@
       step (r, p, "ok");
 }
 
+static void
+run_lines (struct run *r, const char *script)
+{
+  char *text = xstrdup (script);
+  char *save = NULL;
+
+  for (char *line = strtok_r (text, "\n", &save); line;
+       line = strtok_r (NULL, "\n", &save))
+    run_line (r, line);
+  free (text);
+}
+
 static void
 end_run (struct run *r)
 {
@@ -283,15 +295,10 @@
 expect (const char *script, const char *want)
 {
   struct run r = { .kv = memkv_new () };
-  char *text = xstrdup (script);
-  char *save = NULL;
 
-  for (char *line = strtok_r (text, "\n", &save); line;
-       line = strtok_r (NULL, "\n", &save))
-    run_line (&r, line);
+  run_lines (&r, script);
   cr_expect_str_eq (buf_c (&r.log), want, "got:\n%s\nwant:\n%s",
                     buf_c (&r.log), want);
-  free (text);
   end_run (&r);
 }
 
@@ -583,6 +590,69 @@
           "store: 6 by otieno: a.json/ops, past 4/ops\n");
 }
 
+Test (push, applied_and_pushed_over_many_times)
+{
+  /* Amina's swap is applied, its answer lost, and she reads back only when
+     the past no longer names her push.  Whether it was applied can't be told
+     any more; "clash" would say that it was not. */
+  struct run r = { .kv = memkv_new () };
+  char files[32];
+
+  run_lines (&r, "seed a=1\npush amina 0 a=2\nstep amina\nstep amina\n"
+                 "step amina\nstep amina lost\n");
+  for (size_t i = 0; i < MFT_MAX_PAST + 2; i++)
+    {
+      snprintf (files, sizeof files, "a=%zu", 3 + i % 2);
+      seed (&r, files);
+    }
+  run_lines (&r, "run amina\n");
+  cr_expect_str_eq (buf_c (&r.log), "amina: read manifest: 204\n"
+                                    "amina: unknown\n");
+  end_run (&r);
+}
+
+/* Overwrite the contents of all files that the store keeps. */
+static void
+damage_files (struct run *r)
+{
+  struct store_kv files[8];
+  size_t n = memkv_list (r->kv, STR (PREFIX "config/file/"),
+                         STR (PREFIX "config/file0"), files, 8);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      char *key = str_dup (files[i].key);
+      struct store_put put = { str_from (key), STR ("{}"), 0 };
+      memkv_txn (r->kv, &(struct store_txn){ .puts = &put, .nputs = 1 });
+      free (key);
+    }
+}
+
+Test (push, damaged_file_is_not_taken_over)
+{
+  /* Otieno changed b, whose text the store has since lost by somebody's hand.
+     Amina's rebase would carry the wrong text into a whole that looks checked;
+     the hash under which it is kept tells. */
+  struct run r = { .kv = memkv_new () };
+
+  run_lines (&r, "seed a=1,b=1\npush amina 0 a=2,b=1\nstep amina\n"
+                 "push otieno 0 a=1,b=2\nrun otieno\n");
+  damage_files (&r);
+  buf_clear (&r.log);
+  run_lines (&r, "run amina\n");
+  cr_expect_str_eq (
+      buf_c (&r.log),
+      "amina: write file: at 11\n"
+      "amina: write doc: at 12\n"
+      "amina: swap on 4: conflict\n"
+      "amina: read manifest: 7\n"
+      "amina: read file: 8\n"
+      "amina: invalid\n"
+      "error: the store's file 039aa70f3d77352a22a66d4c523637e027025b1f0637d31"
+      "433a89ede3b396f4f does not have that hash\n");
+  end_run (&r);
+}
+
 Test (push, past_is_bounded)
 {
   /* A hundred pushes: the store keeps the last 64 manifests and what they
