--- a/t/lib-domain.c
+++ b/t/lib-domain.c
@@ -43,25 +43,33 @@
   char shown[16][64];
 };
 
+static struct cfg *
+parse_config (const char *json, int64_t revision)
+{
+  struct fnd_list findings = { 0 };
+  struct buf text = BUF_INIT;
+  struct cfg *cfg = cfg_parse (str_from (json), revision, &findings);
+
+  fnd_print (&findings, &text);
+  cr_assert (cfg, "%s", buf_c (&text));
+  buf_free (&text);
+  fnd_free (&findings);
+  return cfg;
+}
+
 struct dom *
 dom_new (const struct dom_options *opt, uint64_t seed)
 {
   struct dom *d = xcalloc (1, sizeof *d);
-  struct fnd_list findings = { 0 };
   struct rep_options ro = { .domain = STR ("d"),
                             .key = STR ("a"),
                             .owner_key = STR ("o"),
                             .no_budget = opt->no_budget };
   struct rep_event ev = { .kind = REP_CONFIG };
-  struct buf text = BUF_INIT;
 
   d->opt = *opt;
   d->revision = 10;
-  d->cfg = cfg_parse (str_from (opt->config), 1, &findings);
-  fnd_print (&findings, &text);
-  cr_assert (d->cfg, "%s", buf_c (&text));
-  buf_free (&text);
-  fnd_free (&findings);
+  d->cfg = parse_config (opt->config, 1);
   for (size_t i = 0; i < d->cfg->nvms; i++)
     d->vms[d->nvms++] = (struct fake_vm){ .name = d->cfg->vms[i].name,
                                           .up = true,
@@ -382,6 +390,17 @@
   return true;
 }
 
+static void
+accept_later (struct dom *d)
+{
+  struct rep_event ev
+      = { .kind = REP_CONFIG, .cfg = parse_config (d->opt.later, 2) };
+
+  for (size_t i = 0; i < d->nreps; i++)
+    rep_event (d->reps[i], d->now, &ev);
+  cfg_unref ((struct cfg *)ev.cfg);
+}
+
 void
 dom_do (struct dom *d, const char *line)
 {
@@ -404,6 +423,8 @@
     rep_event (d->reps[d->as], d->now, &ev);
   else if (strcmp (verb, "usurp") == 0)
     d->owner_rev = atoi (args[0]);
+  else if (strcmp (verb, "accept") == 0)
+    accept_later (d);
   else if (strcmp (verb, "as") == 0)
     d->as = *args[0] == '2' && d->nreps > 1;
   else if (strcmp (verb, "store") == 0)
--- a/t/lib-domain.h
+++ b/t/lib-domain.h
@@ -16,6 +16,7 @@
  *   store up|down|lost|race     next writes: normal, refused, applied with the
  *                               answer lost, beaten by another writer
  *   usurp FENCE                 somebody else wrote the owner key
+ *   accept                      the later configuration comes into force
  *   as 1|2                      which of two cores the next lines are for
  *   run                         nothing
  */
@@ -27,6 +28,7 @@
 struct dom_options
 {
   const char *config; /**< JSON; the domain is "d" */
+  const char *later;  /**< with the same VMs, or NULL */
   bool checks_fence;
   bool no_budget;
   clk_ms load_ms; /**< of one VM */
--- a/t/t6002-replica.c
+++ b/t/t6002-replica.c
@@ -5,17 +5,22 @@
 
 #include "t/lib-domain.h"
 
-#define CONFIG(replicas)                                                      \
+#define CONFIG_OF(models, replicas)                                           \
   "{\"domains\":{\"d\":{\"zone\":\"z\",\"checks_fence\":true,\"vms\":{"       \
   "\"v1\":{\"addr\":\"127.0.0.1:1\"},\"v2\":{\"addr\":\"127.0.0.1:2\"},"      \
   "\"v3\":{\"addr\":\"127.0.0.1:3\"},\"v4\":{\"addr\":\"127.0.0.1:4\"},"      \
   "\"v5\":{\"addr\":\"127.0.0.1:5\",\"spare_only\":true}}}},"                 \
-  "\"models\":{\"m\":{\"mode\":\"manage\",\"vms\":2,\"replicas\":2,"          \
-  "\"weight_gb\":40,\"capacity\":16,\"tokens_per_s\":900}},"                  \
+  "\"models\":{" models "},"                                                  \
   "\"replicas\":{" replicas "},"                                              \
   "\"policy\":{\"downtime_weight\":3,\"stranded_weight\":1,"                  \
   "\"weight_gb_per_s\":10,\"vm_return_ms\":300000}}"
 
+#define MODEL                                                                 \
+  "\"m\":{\"mode\":\"manage\",\"vms\":2,\"replicas\":2,"                      \
+  "\"weight_gb\":40,\"capacity\":16,\"tokens_per_s\":900}"
+
+#define CONFIG(replicas) CONFIG_OF (MODEL, replicas)
+
 #define REPLICA(name, mode, vms)                                              \
   "\"" name "\":{\"model\":\"m\",\"domain\":\"d\",\"mode\":\"" mode           \
   "\",\"vms\":[" vms "]}"
@@ -62,6 +67,12 @@
             "r2", "observe", "\"v3\",\"v4\"")),
         .load_ms = 2000 };
 
+static const struct dom_options shrinking
+    = { .config = CONFIG (REPLICA ("r1", "manage", "")),
+        .later = CONFIG_OF ("", ""),
+        .checks_fence = true,
+        .load_ms = 2000 };
+
 static const struct dom_options slow
     = { .config = CONFIG (REPLICA ("r1", "manage", "")),
         .checks_fence = true,
@@ -277,6 +288,25 @@
                        "53200 r1/2 whole serves\n");
 }
 
+/* An operator's push leaves a replica and its model out while requests run. It
+   takes no new work, its VMs are released only once they report no load, and
+   then the domain's assignment is empty: it can be left out as well. */
+Test (replica, left_out_of_the_configuration)
+{
+  dom_check (&shrinking,
+             "0 owner 20\n"
+             "10000 work v1 5\n"
+             "11000 accept\n"
+             "30000 work v1 0\n"
+             "50000 run\n",
+             ONE_WHOLE "11000 r1/1 draining serves no new work\n"
+                       "33100 write r1/1 releasing=v1+v2\n"
+                       "33100 r1/1 releasing no new work\n"
+                       "33200 unload v1: r1/1\n"
+                       "33200 unload v2: r1/1\n"
+                       "34200 write\n");
+}
+
 /* The answer to the first write is lost although it took effect; a later
    write is beaten by another writer.  In both cases the store is read, and
    what it holds counts. */
