Bring the opening of control/ up to its files

Cause: the list in control.h named neither the roster nor the pages that the larger modules share, and not when the process ends or who calls it. Change: the comment names them, the process's end, and what every start and stop promise, once instead of at each. Measured: comment only; the build is the same. Conclusion: a reader finds each file of the folder from its first page.

--- a/control/control.h
+++ b/control/control.h
@@ -2,17 +2,24 @@
  * @file
  * The control process of a node: shells around the decision cores.
  *
- * control.c owns the loop and starts the modules below in this order; each is
- * one file with one job and reaches the others only through the functions
- * here.  All run on one loop in one thread.
+ * control.c owns the loop and starts the modules below in this order; each has
+ * one job and reaches the others only through the functions here.  All run on
+ * one loop in one thread.  builtin/control.c is the caller of ctl_run().
  *
- *   swim.c     membership over UDP                     (fleet/member.h)
- *   peers.c    framed links to other control processes (net/link.h)
- *   spread.c   configuration from store and peers      (config/spread.h)
- *   domains.c  owned fabric domains: probes, orders    (replica/...)
- *   shares.c   division of account limits              (route/share.h)
- *   views.c    the link to this node's gateway
- *   admin.c    administration API and metrics over HTTP
+ *   swim.c     membership over UDP, with roster.c (fleet/member.h)
+ *   peers.c    framed links to other control processes (peers.h)
+ *   spread.c   configuration from store and peers (config/spread.h)
+ *   domains.c  fabric domains: probes, orders, evidence (domains.h, replica/)
+ *   shares.c   division of account limits (route/share.h)
+ *   views.c    the link to this node's gateway (views.h)
+ *   admin.c    administration API and metrics over HTTP (admin.h)
+ *
+ * The process leaves once, on SIGTERM or an operator's word: `leaving` is set,
+ * membership says so and domains are given back; it ends when its gateway has
+ * gone or the longest address answer has run out.
+ *
+ * Each module has a start, which returns NULL with the reason in @p err, and a
+ * stop, after which its handles close as the loop turns.
  */
 #ifndef LAPISLINE_CONTROL_CONTROL_H
 #define LAPISLINE_CONTROL_CONTROL_H
