Prove that a dropped first packet is sent again

Cause: with the second attempt to connect taken out, every test of the client passed. Change: a server whose queue of connections is full until 500 ms have passed; the call has to come through. Conclusion: a burst at a backend server costs its callers a delay, not a failure, and a test holds it.

--- a/t/lib-net.c
+++ b/t/lib-net.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define RUN_BOUND_MS (10 * CLK_SECOND)
 
@@ -143,6 +144,51 @@
   return at;
 }
 
+static void
+on_busy_end (uv_timer_t *t)
+{
+  struct run_busy *busy = t->data;
+
+  cr_assert_eq (uv_listen ((uv_stream_t *)&busy->tcp, 16, busy->cb), 0);
+}
+
+struct net_addr
+run_busy_up (struct run *r, struct run_busy *busy, uint64_t ms,
+             uv_connection_cb cb, void *data)
+{
+  struct net_addr at = run_any_port ();
+  struct sockaddr_storage ss;
+  struct sockaddr *sa = (struct sockaddr *)&ss;
+  socklen_t len = sizeof (struct sockaddr_in);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  net_addr_sockaddr (&at, &ss);
+  cr_assert_eq (bind (fd, sa, len), 0);
+  cr_assert_eq (listen (fd, 0), 0);
+  cr_assert_eq (getsockname (fd, sa, &len), 0);
+  at.port = ntohs (((struct sockaddr_in *)&ss)->sin_port);
+  busy->caller = socket (AF_INET, SOCK_STREAM, 0);
+  cr_assert_eq (connect (busy->caller, sa, len), 0);
+  busy->cb = cb;
+  uv_tcp_init (&r->loop, &busy->tcp);
+  busy->tcp.data = data;
+  uv_tcp_open (&busy->tcp, fd);
+  uv_timer_init (&r->loop, &busy->until);
+  busy->until.data = busy;
+  uv_timer_start (&busy->until, on_busy_end, ms, 0);
+  return at;
+}
+
+void
+run_busy_down (struct run_busy *busy)
+{
+  if (busy->caller == 0)
+    return;
+  close (busy->caller);
+  uv_close ((uv_handle_t *)&busy->tcp, NULL);
+  uv_close ((uv_handle_t *)&busy->until, NULL);
+}
+
 void
 run_connect (struct run *r, uv_tcp_t *tcp, const struct net_addr *to,
              uv_connect_t *req, uv_connect_cb cb, void *data)
--- a/t/lib-net.h
+++ b/t/lib-net.h
@@ -51,6 +51,23 @@
 struct net_addr run_listen (struct run *r, uv_tcp_t *tcp, uv_connection_cb cb,
                             void *data);
 
+/** A server whose queue of connections is full for a while. */
+struct run_busy
+{
+  uv_tcp_t tcp;
+  uv_timer_t until;
+  uv_connection_cb cb;
+  int caller; /**< the connection that fills it; 0: not up */
+};
+
+/**
+ * Take up connections after @p ms only.  One lies in the queue from the
+ * start; the first packet of any other is dropped.
+ */
+struct net_addr run_busy_up (struct run *r, struct run_busy *busy, uint64_t ms,
+                             uv_connection_cb cb, void *data);
+void run_busy_down (struct run_busy *busy);
+
 /** Connect a raw socket. */
 void run_connect (struct run *r, uv_tcp_t *tcp, const struct net_addr *to,
                   uv_connect_t *req, uv_connect_cb cb, void *data);
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -61,6 +61,7 @@
   struct httpc_call *last, *held;
   uv_tcp_t server;
   struct net_addr at;
+  struct run_busy busy;
   struct conn *conns[32];
   int nconns;
   struct call *last_call;
@@ -273,6 +274,8 @@
     b->sleep_ms = (unsigned)n;
   else if (str_is (word, "settle"))
     run_settle (&b->run);
+  else if (str_is (word, "busy"))
+    b->at = run_busy_up (&b->run, &b->busy, (uint64_t)n, on_accept, b);
   else if (str_is (word, "port"))
     b->at.port = (uint16_t)n;
   else
@@ -289,6 +292,7 @@
   b.at = run_listen (&b.run, &b.server, on_accept, &b);
   run_script (&b.run, script, step, &b);
   httpc_free (b.http);
+  run_busy_down (&b.busy);
   for (int i = 0; i < b.nconns; i++)
     conn_close (b.conns[i]);
   uv_close ((uv_handle_t *)&b.server, NULL);
@@ -438,3 +442,14 @@
         "/stall over connection 0\npaused\n/silent over connection 1\n"
         "/silent: silent 0 []\n/stall: broken 200 [hellowor]\n");
 }
+
+/*
+ * A burst fills the queue of a backend server, which drops the first packet
+ * of one more connection.  The call waits within its time to connect and
+ * begins anew, instead of telling its caller that the server is gone.
+ */
+Test (client, dropped_first_packet_is_sent_again)
+{
+  play ("busy 500\n get /length\n wait /length: whole 200 [hello]",
+        "/length over connection 1\n/length: whole 200 [hello]\n");
+}
