Write the ownership scripts as transcripts

Cause: t6001 held each step twice, once as what is done and once, in another string, as the beginning of the line that is expected of it. Change: one text for each test; a line's command runs up to its colon. Conclusion: what a step must bring stands on its line.

--- a/t/t6001-owner.c
+++ b/t/t6001-owner.c
@@ -5,8 +5,8 @@
 
 #include "replica/owner.h"
 
-/* Scripts: "TIME VERB ARG"; the log has one line per step with the actions,
-   the state, and whether an order may go at that moment. */
+/* Transcripts: one step a line, "TIME VERB ARG:", and behind it what has to
+   come of it: actions, the state, and whether an order may go then. */
 
 static const char *const state_names[]
     = { "idle", "granting", "taking", "waiting", "holding", "lapsed" };
@@ -69,30 +69,33 @@
 }
 
 static void
-check (const struct own_options *opt, const char *script, const char *want)
+do_line (struct run *r, const char *line)
 {
-  struct run r = { .o = own_new (opt, 1) };
-  char line[64], verb[32];
+  char verb[32];
   long long now;
-  long arg;
+  long arg = 0;
+
+  cr_assert_geq (sscanf (line, "%lld %31[a-z] %ld", &now, verb, &arg), 2);
+  if (strcmp (verb, "want") == 0)
+    own_want (r->o, now, arg);
+  else if (strcmp (verb, "tick") == 0)
+    own_tick (r->o, now);
+  else if (strcmp (verb, "ask") != 0)
+    answer (r, now, verb, arg);
+  buf_addf (&r->log, "%.*s:", (int)strcspn (line, ":"), line);
+  drain_actions (r);
+  buf_addf (&r->log, " [%s%s]\n", state_names[own_state (r->o)],
+            own_may_order (r->o, now) ? ", orders" : "");
+}
 
-  for (const char *p = script; *p; p += strcspn (p, "\n") + 1)
-    {
-      snprintf (line, sizeof line, "%.*s", (int)strcspn (p, "\n"), p);
-      arg = 0;
-      cr_assert_geq (sscanf (line, "%lld %31s %ld", &now, verb, &arg), 2);
-      if (strcmp (verb, "want") == 0)
-        own_want (r.o, now, arg);
-      else if (strcmp (verb, "tick") == 0)
-        own_tick (r.o, now);
-      else if (strcmp (verb, "ask") != 0)
-        answer (&r, now, verb, arg);
-      buf_addf (&r.log, "%lld %s:", now, verb);
-      drain_actions (&r);
-      buf_addf (&r.log, " [%s%s]\n", state_names[own_state (r.o)],
-                own_may_order (r.o, now) ? ", orders" : "");
-    }
-  cr_expect_str_eq (buf_c (&r.log), want);
+static void
+check (const struct own_options *opt, const char *transcript)
+{
+  struct run r = { .o = own_new (opt, 1) };
+
+  for (const char *p = transcript; *p; p += strcspn (p, "\n") + 1)
+    do_line (&r, p);
+  cr_expect_str_eq (buf_c (&r.log), transcript);
   buf_free (&r.log);
   own_free (r.o);
 }
@@ -108,19 +111,16 @@
    sending of the renewal that succeeded, not from its answer. */
 Test (owner, takes_renews_and_gives_back)
 {
-  check (&checking,
-         "0 want 1\n0 tick\n100 granted 5\n200 ok 42\n1000 tick\n2200 tick\n"
-         "3500 ok\n4200 tick\n5900 ok\n7000 want 0\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "100 granted: txn [taking]\n"
-         "200 ok: gained(42) [holding, orders]\n"
-         "1000 tick: [holding, orders]\n"
-         "2200 tick: keep [holding, orders]\n"
-         "3500 ok: [holding, orders]\n"
-         "4200 tick: keep [holding, orders]\n"
-         "5900 ok: [holding, orders]\n"
-         "7000 want: lost revoke [idle]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "100 granted 5: txn [taking]\n"
+                    "200 ok 42: gained(42) [holding, orders]\n"
+                    "1000 tick: [holding, orders]\n"
+                    "2200 tick: keep [holding, orders]\n"
+                    "3500 ok: [holding, orders]\n"
+                    "4200 tick: keep [holding, orders]\n"
+                    "5900 ok: [holding, orders]\n"
+                    "7000 want 0: lost revoke [idle]\n");
 }
 
 /* The owner is stopped for longer than its lease and wakes in the middle of
@@ -129,90 +129,73 @@
    the key again: somebody else has it. */
 Test (owner, frozen_past_its_lease_sends_nothing)
 {
-  check (&checking,
-         "0 want 1\n0 tick\n10 granted 5\n20 ok 42\n1000 tick\n9000 ask\n"
-         "9001 tick\n9010 gone\n12000 tick\n12010 granted 6\n"
-         "12020 conflict\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "10 granted: txn [taking]\n"
-         "20 ok: gained(42) [holding, orders]\n"
-         "1000 tick: [holding, orders]\n"
-         "9000 ask: [holding]\n"
-         "9001 tick: lost keep [lapsed]\n"
-         "9010 gone: revoke [idle]\n"
-         "12000 tick: grant [granting]\n"
-         "12010 granted: txn [taking]\n"
-         "12020 conflict: revoke [idle]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "10 granted 5: txn [taking]\n"
+                    "20 ok 42: gained(42) [holding, orders]\n"
+                    "1000 tick: [holding, orders]\n"
+                    "9000 ask: [holding]\n"
+                    "9001 tick: lost keep [lapsed]\n"
+                    "9010 gone: revoke [idle]\n"
+                    "12000 tick: grant [granting]\n"
+                    "12010 granted 6: txn [taking]\n"
+                    "12020 conflict: revoke [idle]\n");
 }
 
 /* A pause shorter than the lease: the key may still be ours, but what we know
    is old.  No order goes until it was renewed and read again. */
 Test (owner, short_pause_reads_again)
 {
-  check (&checking,
-         "0 want 1\n0 tick\n10 granted 5\n20 ok 42\n1000 tick\n3500 ask\n"
-         "3500 tick\n3510 ok\n3520 ours 42\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "10 granted: txn [taking]\n"
-         "20 ok: gained(42) [holding, orders]\n"
-         "1000 tick: [holding, orders]\n"
-         "3500 ask: [holding]\n"
-         "3500 tick: lost keep [lapsed]\n"
-         "3510 ok: range [lapsed]\n"
-         "3520 ours: gained(42) [holding, orders]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "10 granted 5: txn [taking]\n"
+                    "20 ok 42: gained(42) [holding, orders]\n"
+                    "1000 tick: [holding, orders]\n"
+                    "3500 ask: [holding]\n"
+                    "3500 tick: lost keep [lapsed]\n"
+                    "3510 ok: range [lapsed]\n"
+                    "3520 ours 42: gained(42) [holding, orders]\n");
 }
 
 /* The store is down: renewals fail and the owner stops at two thirds of the
    lease, before the store can have given the key to anybody else. */
 Test (owner, store_down_stops_orders_at_two_thirds)
 {
-  check (&checking,
-         "0 want 1\n0 tick\n10 granted 5\n20 ok 42\n1500 tick\n2100 tick\n"
-         "2200 unavailable\n3900 tick\n3950 unavailable\n3999 ask\n"
-         "4000 ask\n4001 tick\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "10 granted: txn [taking]\n"
-         "20 ok: gained(42) [holding, orders]\n"
-         "1500 tick: [holding, orders]\n"
-         "2100 tick: keep [holding, orders]\n"
-         "2200 unavailable: [holding, orders]\n"
-         "3900 tick: keep [holding, orders]\n"
-         "3950 unavailable: [holding, orders]\n"
-         "3999 ask: [holding, orders]\n"
-         "4000 ask: [holding]\n"
-         "4001 tick: lost keep [lapsed]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "10 granted 5: txn [taking]\n"
+                    "20 ok 42: gained(42) [holding, orders]\n"
+                    "1500 tick: [holding, orders]\n"
+                    "2100 tick: keep [holding, orders]\n"
+                    "2200 unavailable: [holding, orders]\n"
+                    "3900 tick: keep [holding, orders]\n"
+                    "3950 unavailable: [holding, orders]\n"
+                    "3999 ask: [holding, orders]\n"
+                    "4000 ask: [holding]\n"
+                    "4001 tick: lost keep [lapsed]\n");
 }
 
 /* The write that took the key had its answer lost.  Writing again blindly
    would meet our own key and give the domain up; reading tells. */
 Test (owner, lost_answer_is_settled_by_reading)
 {
-  check (&checking,
-         "0 want 1\n0 tick\n10 granted 5\n20 uncertain\n30 none\n"
-         "40 conflict\n50 ours 42\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "10 granted: txn [taking]\n"
-         "20 uncertain: range [taking]\n"
-         "30 none: txn [taking]\n"
-         "40 conflict: range [taking]\n"
-         "50 ours: gained(42) [holding, orders]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "10 granted 5: txn [taking]\n"
+                    "20 uncertain: range [taking]\n"
+                    "30 none: txn [taking]\n"
+                    "40 conflict: range [taking]\n"
+                    "50 ours 42: gained(42) [holding, orders]\n");
 }
 
 /* Two believe that they own the domain; the other's key is there. */
 Test (owner, loses_the_race_and_gives_its_lease_back)
 {
-  check (&checking,
-         "0 want 1\n0 tick\n10 granted 5\n20 uncertain\n"
-         "30 theirs 41\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "10 granted: txn [taking]\n"
-         "20 uncertain: range [taking]\n"
-         "30 theirs: revoke [idle]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "10 granted 5: txn [taking]\n"
+                    "20 uncertain: range [taking]\n"
+                    "30 theirs 41: revoke [idle]\n");
 }
 
 /* Backend servers that obey any order: an order of the owner before us may
@@ -223,32 +206,27 @@
   struct own_options opt = checking;
 
   opt.checks_fence = false;
-  check (&opt,
-         "0 want 1\n0 tick\n10 granted 5\n20 ok 42\n1500 tick\n2500 tick\n"
-         "2510 ok\n4200 tick\n4700 tick\n4710 ok\n6400 tick\n8019 tick\n"
-         "8020 tick\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "10 granted: txn [taking]\n"
-         "20 ok: [waiting]\n"
-         "1500 tick: [waiting]\n"
-         "2500 tick: keep [waiting]\n"
-         "2510 ok: [waiting]\n"
-         "4200 tick: [waiting]\n"
-         "4700 tick: keep [waiting]\n"
-         "4710 ok: [waiting]\n"
-         "6400 tick: [waiting]\n"
-         "8019 tick: keep [waiting]\n"
-         "8020 tick: gained(42) [holding, orders]\n");
+  check (&opt, "0 want 1: [idle]\n"
+               "0 tick: grant [granting]\n"
+               "10 granted 5: txn [taking]\n"
+               "20 ok 42: [waiting]\n"
+               "1500 tick: [waiting]\n"
+               "2500 tick: keep [waiting]\n"
+               "2510 ok: [waiting]\n"
+               "4200 tick: [waiting]\n"
+               "4700 tick: keep [waiting]\n"
+               "4710 ok: [waiting]\n"
+               "6400 tick: [waiting]\n"
+               "8019 tick: keep [waiting]\n"
+               "8020 tick: gained(42) [holding, orders]\n");
 }
 
 /* Not wanted any more while the grant is under way: the lease that comes late
    is given back instead of being left to run out. */
 Test (owner, late_grant_is_revoked)
 {
-  check (&checking, "0 want 1\n0 tick\n5 want 0\n10 granted 5\n",
-         "0 want: [idle]\n"
-         "0 tick: grant [granting]\n"
-         "5 want: [idle]\n"
-         "10 granted: revoke [idle]\n");
+  check (&checking, "0 want 1: [idle]\n"
+                    "0 tick: grant [granting]\n"
+                    "5 want 0: [idle]\n"
+                    "10 granted 5: revoke [idle]\n");
 }
