Survive a drain whose body is a list or a number

Cause: the body of a drain was asked for its number of members before its type was; json-c ends the process for a value that is no object, so an operator's "[]" killed control, and with it the node's leases and its gateway's views. Change: the type comes first; read_on() answers the refusal, which its two callers made each. Measured: a_slip_in_an_undo_drains_nothing with "[]" and "1" crashed before (json_object.c:584) and passes now; t8001 8 tests. Conclusion: such a body is refused with 400 as any other slip.

--- a/control/admin-drain.c
+++ b/control/admin-drain.c
@@ -90,27 +90,26 @@
  *         for a drain, an undo with a slip in it would stop a replica
  */
 static bool
-read_on (const struct httpd_req *http, bool *on)
+read_on (struct httpd_req *http, bool *on)
 {
   struct str body = str_trim (httpd_get (http)->body);
   json_object *root = jsn_parse (body);
   json_object *value = jsn_get (root, "on");
-  bool empty
-      = body.len == 0 || (root && json_object_object_length (root) == 0);
+  /* json-c ends the process when a value that is no object is asked for its
+     length. */
+  bool empty = body.len == 0
+               || (json_object_is_type (root, json_type_object)
+                   && json_object_object_length (root) == 0);
   bool good = empty || json_object_is_type (value, json_type_boolean);
 
   *on = empty || json_object_get_boolean (value);
   json_object_put (root);
+  if (!good)
+    adm_error (http, 400, "bad-request",
+               "the body is neither empty nor {\"on\": true} or false");
   return good;
 }
 
-static void
-refuse_body (struct httpd_req *http)
-{
-  adm_error (http, 400, "bad-request",
-             "the body is neither empty nor {\"on\": true} or false");
-}
-
 void
 adm_drain_replica (const struct adm_request *r)
 {
@@ -118,10 +117,7 @@
   const struct ctl_replica *found = adm_find_replica (c, r->name);
   bool on;
   if (!read_on (r->http, &on))
-    {
-      refuse_body (r->http);
-      return;
-    }
+    return;
   if (!found || found->owner.len == 0)
     {
       if (!found)
@@ -154,10 +150,7 @@
   struct ctl *c = r->a->c;
   bool on;
   if (!read_on (r->http, &on))
-    {
-      refuse_body (r->http);
-      return;
-    }
+    return;
   if (!on)
     {
       adm_error (r->http, 400, "not-taken-back",
