Read probes, platform lists, rosters and assignments by base/json.h

Cause: three files had a parser call and a look-up of members of their own, and json-c's rules for values of the wrong type had to be kept in mind at each. Change: base/json.h serves them. Two values count for less than before: a name in an assignment, and a phase, must be strings (we write no others). What a backend server says is read as before. Conclusion: documents from outside are read by one set of rules.

--- a/control/dom-calls.c
+++ b/control/dom-calls.c
@@ -1,8 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <json-c/json.h>
-
+#include "base/json.h"
 #include "control/domains.h"
 
 /* A longer answer to a probe is no answer. */
@@ -68,41 +67,24 @@
 static struct json_object *
 parse (struct str text, size_t most)
 {
-  struct json_tokener *t;
-  struct json_object *o = NULL;
-
-  if (!text.len || text.len > most)
-    return NULL;
-  t = json_tokener_new ();
-  o = json_tokener_parse_ex (t, text.ptr, (int)text.len);
-  json_tokener_free (t);
-  return o;
-}
-
-static struct json_object *
-get (struct json_object *o, const char *key)
-{
-  struct json_object *v = NULL;
-
-  json_object_object_get_ex (o, key, &v);
-  return v;
+  return text.len <= most ? jsn_parse (text) : NULL;
 }
 
 static bool
 read_state (struct json_object *o, struct rep_member_state *out)
 {
-  int64_t load = json_object_get_int64 (get (o, "load"));
+  int64_t load = jsn_int (o, "load");
 
   if (!json_object_is_type (o, json_type_object)
-      || !json_object_is_type (get (o, "ready"), json_type_boolean))
+      || !json_object_is_type (jsn_get (o, "ready"), json_type_boolean))
     return false;
   *out = (struct rep_member_state){
-    .replica = str_from (json_object_get_string (get (o, "replica"))),
-    .generation = json_object_get_int64 (get (o, "generation")),
-    .ready = json_object_get_boolean (get (o, "ready")),
-    .unloaded = json_object_get_boolean (get (o, "unloaded")),
+    .replica = str_from (json_object_get_string (jsn_get (o, "replica"))),
+    .generation = jsn_int (o, "generation"),
+    .ready = json_object_get_boolean (jsn_get (o, "ready")),
+    .unloaded = json_object_get_boolean (jsn_get (o, "unloaded")),
     .load = (uint32_t)(load < 0 ? 0 : load),
-    .fence = json_object_get_int64 (get (o, "fence")),
+    .fence = jsn_int (o, "fence"),
   };
   return true;
 }
@@ -326,8 +308,8 @@
   for (size_t i = 0; i < json_object_array_length (list); i++)
     {
       struct json_object *vm = json_object_array_get_idx (list, i);
-      const char *name = json_object_get_string (get (vm, "name"));
-      const char *state = json_object_get_string (get (vm, "state"));
+      const char *name = json_object_get_string (jsn_get (vm, "name"));
+      const char *state = json_object_get_string (jsn_get (vm, "state"));
 
       if (!name || !state)
         continue;
--- a/control/roster.c
+++ b/control/roster.c
@@ -1,9 +1,10 @@
 #include "control/roster.h"
 
-#include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/json.h"
+
 /* Waits between two tries, doubled up to the last. */
 #define RETRY_FIRST_MS CLK_SECOND
 #define RETRY_LAST_MS (30 * CLK_SECOND)
@@ -43,19 +44,13 @@
 static bool
 parse_row (struct str value, uint64_t *boot, struct net_addr *swim)
 {
-  char *text = str_dup (value);
-  json_object *root = json_tokener_parse (text);
-  json_object *jboot = NULL, *jswim = NULL;
-  bool ok = json_object_object_get_ex (root, "boot", &jboot)
-            && json_object_object_get_ex (root, "swim", &jswim)
-            && json_object_is_type (jswim, json_type_string)
-            && net_addr_parse (str_from (json_object_get_string (jswim)),
-                               false, swim);
+  json_object *root = jsn_parse (value);
+  bool ok = jsn_get (root, "boot")
+            && net_addr_parse (jsn_str (root, "swim"), false, swim);
 
   if (ok)
-    *boot = (uint64_t)json_object_get_int64 (jboot);
+    *boot = (uint64_t)jsn_int (root, "boot");
   json_object_put (root);
-  free (text);
   return ok;
 }
 
--- a/replica/assign.c
+++ b/replica/assign.c
@@ -1,8 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <json-c/json.h>
-
+#include "base/json.h"
 #include "replica/assign.h"
 
 static void
@@ -223,89 +222,68 @@
       }
 }
 
-static struct json_object *
-get (struct json_object *o, const char *key)
-{
-  struct json_object *v = NULL;
-
-  json_object_object_get_ex (o, key, &v);
-  return v;
-}
-
-static const char *
-get_text (struct json_object *o, const char *key)
-{
-  const char *s = json_object_get_string (get (o, key));
-
-  return s ? s : "";
-}
-
 static void
 parse_joining (struct json_object *o, struct asn_entry *e)
 {
   if (!o)
     return;
-  e->joining.vm = xstrdup (get_text (o, "vm"));
-  e->joining.replaces = xstrdup (get_text (o, "replaces"));
-  e->joining.generation = json_object_get_int64 (get (o, "generation"));
+  e->joining.vm = xstrdup (jsn_text (o, "vm"));
+  e->joining.replaces = xstrdup (jsn_text (o, "replaces"));
+  e->joining.generation = jsn_int (o, "generation");
 }
 
 static bool
 parse_entry (struct json_object *o, struct asn *a)
 {
-  struct json_object *vms = get (o, "vms");
+  size_t n;
+  struct json_object *vms = jsn_array (o, "vms", &n);
   struct asn_entry *e;
 
-  if (!json_object_is_type (o, json_type_object)
-      || !json_object_is_type (vms, json_type_array)
-      || json_object_array_length (vms) > ASN_MAX_VMS)
+  if (!vms || n > ASN_MAX_VMS)
     return false;
-  e = asn_add (a, str_from (get_text (o, "name")),
-               str_from (get_text (o, "model")));
-  e->generation = json_object_get_int64 (get (o, "generation"));
-  if (strcmp (get_text (o, "phase"), "releasing") == 0)
+  e = asn_add (a, str_from (jsn_text (o, "name")),
+               str_from (jsn_text (o, "model")));
+  e->generation = jsn_int (o, "generation");
+  if (strcmp (jsn_text (o, "phase"), "releasing") == 0)
     e->phase = ASN_RELEASING;
-  for (size_t i = 0; i < json_object_array_length (vms); i++)
+  for (size_t i = 0; i < n; i++)
     asn_entry_add_vm (e, str_from (json_object_get_string (
                              json_object_array_get_idx (vms, i))));
-  parse_joining (get (o, "joining"), e);
+  parse_joining (jsn_get (o, "joining"), e);
   return *e->name != 0;
 }
 
 static bool
 parse_all (struct json_object *o, struct asn *a)
 {
-  struct json_object *list = get (o, "replicas");
-  struct json_object *drained = get (o, "drained");
+  size_t n, ndrained;
+  struct json_object *list = jsn_array (o, "replicas", &n);
+  struct json_object *drained = jsn_array (o, "drained", &ndrained);
 
-  if (!json_object_is_type (o, json_type_object)
-      || !json_object_is_type (list, json_type_array))
+  if (!list)
     return false;
-  for (size_t i = 0; i < json_object_array_length (list); i++)
+  for (size_t i = 0; i < n; i++)
     if (!parse_entry (json_object_array_get_idx (list, i), a))
       return false;
-  if (json_object_is_type (drained, json_type_array))
-    for (size_t i = 0; i < json_object_array_length (drained); i++)
-      {
-        struct json_object *name = json_object_array_get_idx (drained, i);
+  for (size_t i = 0; i < ndrained; i++)
+    {
+      struct json_object *name = json_object_array_get_idx (drained, i);
 
-        if (json_object_is_type (name, json_type_string))
-          asn_set_drained (a, json_object_get_string (name), true);
-      }
-  a->next_generation = json_object_get_int64 (get (o, "next"));
+      if (json_object_is_type (name, json_type_string))
+        asn_set_drained (a, json_object_get_string (name), true);
+    }
+  a->next_generation = jsn_int (o, "next");
   return asn_valid (a);
 }
 
 bool
 asn_parse (struct str text, struct asn *out)
 {
-  struct json_tokener *t = json_tokener_new ();
-  struct json_object *o = json_tokener_parse_ex (t, text.ptr, (int)text.len);
+  struct json_object *o = jsn_parse (text);
   struct asn a = { 0 };
   bool ok = o && parse_all (o, &a);
 
   json_object_put (o);
-  json_tokener_free (t);
   if (ok)
     *out = a;
   else
