--- a/builtin/address.c
+++ b/builtin/address.c
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 #include "builtin/admin-client.h"
+#include "builtin/commands.h"
 #include "lapisline.h"
 
 struct options
@@ -17,7 +18,6 @@
 static bool
 parse (struct options *o, int *argc, char ***argv)
 {
-  GError *error = NULL;
   GOptionEntry entries[]
       = { { "gateway", 0, 0, G_OPTION_ARG_STRING, &o->client.admin,
             "any gateway's address for callers", "ADDR" },
@@ -29,17 +29,11 @@
           { "json", 0, 0, G_OPTION_ARG_NONE, &o->client.json,
             "print the answer as it came", NULL },
           { 0 } };
-  GOptionContext *oc = g_option_context_new ("- which address to use");
 
-  g_option_context_set_summary (
-      oc, "Ask a gateway which addresses an account's caller should use.");
-  g_option_context_add_main_entries (oc, entries, NULL);
-  bool ok = g_option_context_parse (oc, argc, argv, &error);
-  g_option_context_free (oc);
-  if (!ok)
-    fprintf (stderr, "lapisline address: %s\n", error->message);
-  g_clear_error (&error);
-  return ok;
+  return commands_options (
+      entries, "- which address to use",
+      "Ask a gateway which addresses an account's caller should use.", argc,
+      argv);
 }
 
 static bool
--- a/builtin/admin-client.c
+++ b/builtin/admin-client.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/json.h"
+#include "builtin/commands.h"
 #include "lapisline.h"
 #include "net/httpc.h"
 
@@ -37,18 +38,8 @@
       "with drain: take the drain of a replica back", NULL },
     { 0 },
   };
-  GError *error = NULL;
-  GOptionContext *context = g_option_context_new (parameters);
-  g_option_context_set_summary (context, summary);
-  g_option_context_add_main_entries (context, entries, NULL);
-  bool ok = g_option_context_parse (context, argc, argv, &error);
-  g_option_context_free (context);
-  if (!ok)
-    {
-      fprintf (stderr, "%s: %s\n", g_get_prgname (), error->message);
-      g_error_free (error);
-      return false;
-    }
+  if (!commands_options (entries, parameters, summary, argc, argv))
+    return false;
   if (!a->admin)
     a->admin = g_strdup (from_environment ("LAPISLINE_ADMIN"));
   if (a->admin)
--- a/builtin/bench-assign.c
+++ b/builtin/bench-assign.c
@@ -8,6 +8,7 @@
 
 #include "base/rng.h"
 #include "builtin/assign-world.h"
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 
@@ -275,20 +276,15 @@
           { "small", 0, 0, G_OPTION_ARG_NONE, &small,
             "only the deployments of 65 replicas", NULL },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
-  GOptionContext *ctx = g_option_context_new ("- measure the assignment");
-  GError *error = NULL;
 
-  g_option_context_add_main_entries (ctx, entries, NULL);
-  if (!g_option_context_parse (ctx, &argc, &argv, &error) || days < 1
-      || seeds < 1 || seeds > MAX_SEEDS)
+  if (!commands_options (entries, "- measure the assignment", NULL, &argc,
+                         &argv))
+    return EXIT_USAGE;
+  if (days < 1 || seeds < 1 || seeds > MAX_SEEDS)
     {
-      fprintf (stderr, "lapisline: bench assign: %s\n",
-               error ? error->message : "days or seeds out of range");
-      g_clear_error (&error);
-      g_option_context_free (ctx);
+      fputs ("lapisline bench assign: days or seeds out of range\n", stderr);
       return EXIT_USAGE;
     }
-  g_option_context_free (ctx);
   bench_banner ("assign", (uint64_t)seed);
   printf ("%d days, %d seeds; hours of group downtime, VM-hours stranded, "
           "weighted sum: median [least greatest]\n",
--- a/builtin/bench-claims.c
+++ b/builtin/bench-claims.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 #include "claim/claim.h"
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 
@@ -226,27 +227,19 @@
 bench_claims (int argc, char **argv)
 {
   int seed = 1, runs = 5, seconds = 20;
-  GError *error = NULL;
   GOptionEntry entries[]
       = { { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
           { "runs", 0, 0, G_OPTION_ARG_INT, &runs, "seeds, 1 to 15", "N" },
           { "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
             "virtual time of a run, 1 to 600", "N" },
           { 0 } };
-  GOptionContext *oc
-      = g_option_context_new ("- group commit of claims at one home");
 
-  g_option_context_set_summary (
-      oc, "Feeds one claim core with claims at a rate, over a store that "
-          "answers after\n4 ms of virtual time.");
-  g_option_context_add_main_entries (oc, entries, NULL);
-  if (!g_option_context_parse (oc, &argc, &argv, &error))
-    {
-      fprintf (stderr, "lapisline bench claims: %s\n", error->message);
-      g_clear_error (&error);
-      return EXIT_USAGE;
-    }
-  g_option_context_free (oc);
+  if (!commands_options (
+          entries, "- group commit of claims at one home",
+          "Feeds one claim core with claims at a rate, over a store that "
+          "answers after\n4 ms of virtual time.",
+          &argc, &argv))
+    return EXIT_USAGE;
   if (argc > 1 || runs < 1 || runs > MAX_SEEDS || seconds < 1 || seconds > 600)
     {
       fputs ("lapisline bench claims: see --help for what is allowed\n",
--- a/builtin/bench-decide.c
+++ b/builtin/bench-decide.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 #include "route/core.h"
@@ -261,17 +262,12 @@
 int
 bench_decide (int argc, char **argv)
 {
-  GError *error = NULL;
-  GOptionContext *options
-      = g_option_context_new ("- processor time and memory of decisions");
-  g_option_context_add_main_entries (options, entries, NULL);
-  bool ok = g_option_context_parse (options, &argc, &argv, &error);
-  g_option_context_free (options);
-  if (!ok || runs < 1 || runs > MOST_RUNS || requests < 200)
+  if (!commands_options (entries, "- processor time and memory of decisions",
+                         NULL, &argc, &argv))
+    return EXIT_USAGE;
+  if (runs < 1 || runs > MOST_RUNS || requests < 200)
     {
-      fprintf (stderr, "bench decide: %s\n",
-               error ? error->message : "a number is out of range");
-      g_clear_error (&error);
+      fputs ("lapisline bench decide: a number is out of range\n", stderr);
       return EXIT_USAGE;
     }
   bench_banner ("decide", 1);
--- a/builtin/bench-limits.c
+++ b/builtin/bench-limits.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 #include "route/core.h"
@@ -318,17 +319,12 @@
 int
 bench_limits (int argc, char **argv)
 {
-  GError *error = NULL;
-  GOptionContext *options
-      = g_option_context_new ("- an account's limit through a partition");
-  g_option_context_add_main_entries (options, entries, NULL);
-  bool ok = g_option_context_parse (options, &argc, &argv, &error);
-  g_option_context_free (options);
-  if (!ok || seeds < 1 || seeds > MOST_SEEDS)
+  if (!commands_options (entries, "- an account's limit through a partition",
+                         NULL, &argc, &argv))
+    return EXIT_USAGE;
+  if (seeds < 1 || seeds > MOST_SEEDS)
     {
-      fprintf (stderr, "bench limits: %s\n",
-               error ? error->message : "a number is out of range");
-      g_clear_error (&error);
+      fputs ("lapisline bench limits: a number is out of range\n", stderr);
       return EXIT_USAGE;
     }
   struct figures all[NPHASES][MOST_SEEDS];
--- a/builtin/bench-members.c
+++ b/builtin/bench-members.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "builtin/members-run.h"
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 
@@ -176,24 +177,18 @@
 int
 bench_members (int argc, char **argv)
 {
-  GOptionContext *options = g_option_context_new (
-      "- detection, accusations and cost of membership");
-  GError *error = NULL;
   int sizes[MOST_SIZES];
-  int n = 0;
-  gboolean ok;
-
-  g_option_context_add_main_entries (options, entries, NULL);
-  ok = g_option_context_parse (options, &argc, &argv, &error);
-  g_option_context_free (options);
-  if (ok)
-    n = parse_sizes (nodes_list ? nodes_list : "8,32,110,330", sizes);
-  if (!ok || argc > 1 || n == 0 || runs < 1 || runs > MOST_RUNS || kills < 1
+  int n;
+
+  if (!commands_options (entries,
+                         "- detection, accusations and cost of membership",
+                         NULL, &argc, &argv))
+    return EXIT_USAGE;
+  n = parse_sizes (nodes_list ? nodes_list : "8,32,110,330", sizes);
+  if (argc > 1 || n == 0 || runs < 1 || runs > MOST_RUNS || kills < 1
       || freeze_s < 0)
     {
-      fprintf (stderr, "lapisline bench members: %s\n",
-               error ? error->message : "wrong options; see --help");
-      g_clear_error (&error);
+      fputs ("lapisline bench members: wrong options; see --help\n", stderr);
       return EXIT_USAGE;
     }
   if (as_csv)
--- a/builtin/bench-path.c
+++ b/builtin/bench-path.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "builtin/bench.h"
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 #include "net/httpc.h"
@@ -500,7 +501,6 @@
 static bool
 parse (struct options *o, int *argc, char ***argv)
 {
-  GError *error = NULL;
   GOptionEntry entries[] = {
     { "direct", 0, 0, G_OPTION_ARG_STRING, &o->direct,
       "the backend server (a model stand-in)", "ADDR" },
@@ -521,15 +521,8 @@
     { "open", 0, 0, G_OPTION_ARG_INT, &o->open, "streams held open", "N" },
     { 0 }
   };
-  GOptionContext *oc = g_option_context_new ("- what a gateway adds");
-
-  g_option_context_add_main_entries (oc, entries, NULL);
-  bool ok = g_option_context_parse (oc, argc, argv, &error);
-  g_option_context_free (oc);
-  if (!ok)
-    fprintf (stderr, "lapisline bench path: %s\n", error->message);
-  g_clear_error (&error);
-  return ok;
+
+  return commands_options (entries, "- what a gateway adds", NULL, argc, argv);
 }
 
 static bool
--- a/builtin/bench-plot.c
+++ b/builtin/bench-plot.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/str.h"
+#include "builtin/commands.h"
 #include "lapisline.h"
 
 #define PLOT_MAX_SERIES 8
@@ -258,28 +259,19 @@
                              { "log-y", 0, 0, G_OPTION_ARG_NONE, &log_y,
                                "logarithmic vertical axis", NULL },
                              { NULL, 0, 0, 0, NULL, NULL, NULL } };
-  GOptionContext *options
-      = g_option_context_new ("CSV SVG - draw a table of figures");
-  GError *error = NULL;
-  int rc = EXIT_USAGE;
 
-  g_option_context_set_description (
-      options, "The table begins with '# TITLE|X LABEL|Y LABEL', then a line "
-               "of names\nand lines of numbers, the first column being x.");
-  g_option_context_add_main_entries (options, entries, NULL);
-  if (!g_option_context_parse (options, &argc, &argv, &error))
-    {
-      fprintf (stderr, "lapisline bench plot: %s\n", error->message);
-      g_error_free (error);
-    }
-  else if (argc != 3)
-    fputs ("usage: lapisline bench plot [--log-x] [--log-y] CSV SVG\n",
-           stderr);
-  else
+  if (!commands_options (
+          entries, "CSV SVG - draw a table of figures",
+          "The table begins with '# TITLE|X LABEL|Y LABEL', then a line "
+          "of names\nand lines of numbers, the first column being x.",
+          &argc, &argv))
+    return EXIT_USAGE;
+  if (argc != 3)
     {
-      struct axes a = { .log_x = log_x, .log_y = log_y };
-      rc = plot_file (argv[1], argv[2], &a);
+      fputs ("usage: lapisline bench plot [--log-x] [--log-y] CSV SVG\n",
+             stderr);
+      return EXIT_USAGE;
     }
-  g_option_context_free (options);
-  return rc;
+  struct axes a = { .log_x = log_x, .log_y = log_y };
+  return plot_file (argv[1], argv[2], &a);
 }
--- a/builtin/bench-route.c
+++ b/builtin/bench-route.c
@@ -7,6 +7,7 @@
 
 #include "builtin/stub.h"
 #include "builtin/world.h"
+#include "builtin/commands.h"
 #include "builtin/stats.h"
 #include "lapisline.h"
 
@@ -207,23 +208,19 @@
 int
 bench_route (int argc, char **argv)
 {
-  GError *error = NULL;
-  GOptionContext *options
-      = g_option_context_new ("- time to first token by routing policy");
-  g_option_context_add_main_entries (options, entries, NULL);
-  bool ok = g_option_context_parse (options, &argc, &argv, &error);
-  g_option_context_free (options);
-  if (!ok || seeds < 1 || seeds > MOST_SEEDS || replicas < 1 || gateways < 1
+  if (!commands_options (entries, "- time to first token by routing policy",
+                         NULL, &argc, &argv))
+    return EXIT_USAGE;
+  if (seeds < 1 || seeds > MOST_SEEDS || replicas < 1 || gateways < 1
       || gateways > WL_GATEWAYS)
     {
-      fprintf (stderr, "bench route: %s\n",
-               error ? error->message : "a number is out of range");
-      g_clear_error (&error);
+      fputs ("lapisline bench route: a number is out of range\n", stderr);
       return EXIT_USAGE;
     }
   if (!filters_fit ())
     {
-      fputs ("bench route: no such workload, fault, policy or lag\n", stderr);
+      fputs ("lapisline bench route: no such workload, fault, policy or lag\n",
+             stderr);
       return EXIT_USAGE;
     }
   bench_banner ("route", (uint64_t)seed);
--- a/builtin/commands.c
+++ b/builtin/commands.c
@@ -1,6 +1,5 @@
 #include "builtin/commands.h"
 
-#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -63,3 +62,21 @@
       return run_row (t, &t->rows[i], argc - 1, argv + 1);
   return refuse (t, argv[1]);
 }
+
+bool
+commands_options (const GOptionEntry *entries, const char *parameters,
+                  const char *summary, int *argc, char ***argv)
+{
+  GOptionContext *context = g_option_context_new (parameters);
+  GError *error = NULL;
+  bool ok;
+
+  g_option_context_set_summary (context, summary);
+  g_option_context_add_main_entries (context, entries, NULL);
+  ok = g_option_context_parse (context, argc, argv, &error);
+  g_option_context_free (context);
+  if (!ok)
+    fprintf (stderr, "%s: %s\n", g_get_prgname (), error->message);
+  g_clear_error (&error);
+  return ok;
+}
--- a/builtin/commands.h
+++ b/builtin/commands.h
@@ -1,10 +1,13 @@
 /**
  * @file
- * Tables of commands: those of the binary, and below `config` and `bench`.
+ * Tables of commands (those of the binary, and below `config` and `bench`)
+ * and the options of each.
  */
 #ifndef LAPISLINE_BUILTIN_COMMANDS_H
 #define LAPISLINE_BUILTIN_COMMANDS_H
 
+#include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "lapisline.h"
@@ -33,4 +36,13 @@
  */
 int commands_run (const struct command_table *t, int argc, char **argv);
 
+/**
+ * Parse a command's options; --help ends the process.
+ * @param parameters  what --help shows after "[OPTION...]", or NULL
+ * @param summary     sentences below it, or NULL
+ * @retval false  a wrong option; the reason was printed
+ */
+bool commands_options (const GOptionEntry *entries, const char *parameters,
+                       const char *summary, int *argc, char ***argv);
+
 #endif
--- a/builtin/config-store.c
+++ b/builtin/config-store.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "builtin/commands.h"
 #include "builtin/config.h"
 #include "config/file.h"
 #include "config/folder.h"
@@ -14,26 +15,12 @@
 conf_parse (const GOptionEntry *entries, const char *parameters,
             const char *summary, int operands, int *argc, char ***argv)
 {
-  GOptionContext *context = g_option_context_new (parameters);
-  GError *error = NULL;
-  bool good;
-
-  g_option_context_set_summary (context, summary);
-  g_option_context_add_main_entries (context, entries, NULL);
-  good = g_option_context_parse (context, argc, argv, &error);
-  if (!good)
-    {
-      fprintf (stderr, "%s: %s\n", g_get_prgname (), error->message);
-      g_error_free (error);
-    }
-  else if (*argc != operands + 1)
-    {
-      fprintf (stderr, "usage: %s [OPTION...] %s\n", g_get_prgname (),
-               parameters);
-      good = false;
-    }
-  g_option_context_free (context);
-  return good;
+  if (!commands_options (entries, parameters, summary, argc, argv))
+    return false;
+  if (*argc == operands + 1)
+    return true;
+  fprintf (stderr, "usage: %s [OPTION...] %s\n", g_get_prgname (), parameters);
+  return false;
 }
 
 void
--- a/builtin/control.c
+++ b/builtin/control.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <stdio.h>
 
+#include "builtin/commands.h"
 #include "control/control.h"
 #include "lapisline.h"
 
@@ -13,25 +14,16 @@
       "settings of this node (JSON with comments)", "FILE" },
     { 0 },
   };
-  GError *error = NULL;
-  GOptionContext *context = g_option_context_new (NULL);
-  g_option_context_set_summary (
-      context, "Run a node's control process: membership, configuration, "
-               "ownership of fabric\ndomains, shares, and the administration "
-               "API.  SIGTERM lets the node leave.");
-  g_option_context_add_main_entries (context, entries, NULL);
-  bool ok = g_option_context_parse (context, argc, argv, &error);
-  g_option_context_free (context);
-  if (!ok)
-    {
-      fprintf (stderr, "lapisline control: %s\n", error->message);
-      g_error_free (error);
-    }
-  else if (!path || *argc > 1)
-    fputs ("lapisline control: give --settings FILE and nothing else\n",
-           stderr);
-  else
+  if (!commands_options (
+          entries, NULL,
+          "Run a node's control process: membership, configuration, "
+          "ownership of fabric\ndomains, shares, and the administration "
+          "API.  SIGTERM lets the node leave.",
+          argc, argv))
+    return NULL;
+  if (path && *argc == 1)
     return path;
+  fputs ("lapisline control: give --settings FILE and nothing else\n", stderr);
   g_free (path);
   return NULL;
 }
--- a/builtin/policies.c
+++ b/builtin/policies.c
@@ -1,7 +1,8 @@
 #include "builtin/policies.h"
 
 const char *const policy_names[POLICIES]
-    = { "ours", "homes", "random", "round-robin", "least", "two-choices", "limit" };
+    = { "ours",  "homes",       "random", "round-robin",
+        "least", "two-choices", "limit" };
 
 static bool
 open_to (const struct rt *r, const struct rt_server *s, const struct rt_req *q)
--- a/builtin/replay.c
+++ b/builtin/replay.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "lapisline.h"
+#include "builtin/commands.h"
 #include "route/record.h"
 
 /** Feed the actions that one event caused to the log. */
@@ -145,23 +145,18 @@
       = { { "expect", 0, 0, G_OPTION_ARG_FILENAME, &expect,
             "compare the actions with FILE; exit 1 when they differ", "FILE" },
           { NULL, 0, 0, 0, NULL, NULL, NULL } };
-  GOptionContext *options = g_option_context_new (
-      "TRACE - feed recorded events to the request core and print its "
-      "actions");
-  GError *error = NULL;
   int rc = EXIT_USAGE;
 
-  g_option_context_add_main_entries (options, entries, NULL);
-  if (!g_option_context_parse (options, &argc, &argv, &error))
-    {
-      fprintf (stderr, "lapisline replay: %s\n", error->message);
-      g_error_free (error);
-    }
-  else if (argc != 2)
+  if (!commands_options (
+          entries,
+          "TRACE - feed recorded events to the request core and print its "
+          "actions",
+          NULL, &argc, &argv))
+    return EXIT_USAGE;
+  if (argc != 2)
     fputs ("usage: lapisline replay [--expect FILE] TRACE\n", stderr);
   else
     rc = replay_file (argv[1], expect);
   g_free (expect);
-  g_option_context_free (options);
   return rc;
 }
--- a/builtin/version.c
+++ b/builtin/version.c
@@ -1,23 +1,17 @@
-#include <stdbool.h>
-#include <glib.h>
 #include <stdio.h>
 
-#include "lapisline.h"
+#include "builtin/commands.h"
 
 int
 cmd_version (int argc, char **argv)
 {
-  GOptionContext *context = g_option_context_new (NULL);
-  GError *error = NULL;
+  const GOptionEntry entries[] = { { 0 } };
 
-  g_option_context_set_summary (context, "Print the version.");
-  bool ok = g_option_context_parse (context, &argc, &argv, &error);
-  g_option_context_free (context);
-  if (!ok || argc > 1)
+  if (!commands_options (entries, NULL, "Print the version.", &argc, &argv))
+    return EXIT_USAGE;
+  if (argc > 1)
     {
-      fprintf (stderr, "lapisline version: %s\n",
-               ok ? "takes no arguments" : error->message);
-      g_clear_error (&error);
+      fputs ("lapisline version: takes no arguments\n", stderr);
       return EXIT_USAGE;
     }
   puts ("lapisline " LAPISLINE_VERSION);
