--- a/builtin/world-homes.c
+++ b/builtin/world-homes.c
@@ -34,16 +34,16 @@
 static void
 run_actions (struct world *w)
 {
-  static const enum world_event_kind kinds[] = { [SLT_ACT_GRANT] = GRANTED,
-                                                 [SLT_ACT_QUEUED] = QUEUED,
-                                                 [SLT_ACT_REFUSE] = REFUSED };
+  static const enum world_event_kind kinds[] = { [RT_SLOT_GRANTED] = GRANTED,
+                                                 [RT_SLOT_QUEUED] = QUEUED,
+                                                 [RT_SLOT_REFUSED] = REFUSED };
   struct slt_action a;
   while (slt_next (w->homes.core, &a))
     {
       uint32_t trip = (uint32_t)a.id - 1;
-      if (a.kind == SLT_ACT_GRANT)
+      if (a.word == RT_SLOT_GRANTED)
         w->trips[trip].granted = (uint32_t)atoi (a.replica.ptr + 1) + 1;
-      post_hop (w, kinds[a.kind], trip);
+      post_hop (w, kinds[a.word], trip);
     }
 }
 
@@ -81,18 +81,17 @@
 static void
 tell_open (struct world *w)
 {
-  struct slt_open *list = xmalloc ((w->n + 1) * sizeof *list);
+  struct rt_slot *list = xmalloc ((w->n + 1) * sizeof *list);
   for (uint32_t g = 0; g < w->p->gateways; g++)
     {
       size_t n = 0;
       for (size_t i = w->homes.oldest; i < w->arrived; i++)
         if (w->requests[i].gateway == g && w->trips[i].slot == SLOT_OURS
             && w->trips[i].granted)
-          list[n++] = (struct slt_open){
-            .id = i + 1,
-            .replica = str_from (w->names[w->trips[i].granted - 1]),
-            .cost = w->requests[i].cost
-          };
+          list[n++] = (struct rt_slot){ .id = i + 1,
+                                        .replica = str_from (
+                                            w->names[w->trips[i].granted - 1]),
+                                        .cost = w->requests[i].cost };
       struct slt_event ev
           = { .kind = SLT_EV_OPEN, .gateway = g, .open = list, .n = n };
       tell_home (w, &ev);
--- a/config/parse-callers.c
+++ b/config/parse-callers.c
@@ -182,6 +182,7 @@
     RD_RANGE ("max_streams", RD_SIZE, AT (max_streams), false, 1, 1000000),
     RD_RANGE ("max_queue", RD_SIZE, AT (max_queue), false, 1, 1000000),
     RD_RANGE ("queue_ms", RD_MS, AT (queue_ms), false, 1, MAX_MS),
+    RD_RANGE ("slot_ms", RD_MS, AT (slot_ms), false, 0, 1000),
     RD_RANGE ("claim_window_ms", RD_MS, AT (claim_window_ms), false, 1000,
               DAY_MS),
     RD_RANGE ("kept_answer", RD_SIZE, AT (kept_answer), false, 0, 262144),
@@ -198,6 +199,7 @@
                             .max_streams = 5000,
                             .max_queue = 1000,
                             .queue_ms = 10000,
+                            .slot_ms = 50,
                             .claim_window_ms = 600000,
                             .kept_answer = 65536,
                             .address_ms = CFG_ADDRESS_MS };
--- a/front/callers.c
+++ b/front/callers.c
@@ -424,6 +424,12 @@
   gw_callers_event (c, &ev);
 }
 
+void
+gw_callers_tell (struct gw_callers *c, const struct rt_event *ev)
+{
+  gw_callers_event (c, ev);
+}
+
 void
 gw_callers_leaving (struct gw_callers *c, struct str backend, bool on)
 {
--- a/front/claims-peers.c
+++ b/front/claims-peers.c
@@ -23,15 +23,23 @@
 static void
 on_in_state (void *ctx, struct link *l, enum link_state state)
 {
-  if (state == LINK_DOWN)
-    claims_link_gone (ctx, l);
+  struct gw_claims *c = ctx;
+
+  if (state != LINK_DOWN)
+    return;
+  claims_link_gone (c, l);
+  gw_slots_link_gone (c->g->slots, l);
 }
 
 static void
 on_in_frame (void *ctx, struct link *l, const Lapis__Frame *frame)
 {
+  struct gw_claims *c = ctx;
+
   if (frame->body_case == LAPIS__FRAME__BODY_CLAIM_ASK)
-    claims_asked (ctx, l, frame->claim_ask);
+    claims_asked (c, l, frame->claim_ask);
+  else
+    gw_slots_asked (c->g->slots, l, frame);
 }
 
 static const struct link_callbacks in_callbacks = { on_in_state, on_in_frame };
@@ -75,12 +83,14 @@
     {
       p->failed_at = 0;
       claims_peer_up (p->c, p->name);
+      gw_slots_check (p->c->g->slots);
     }
   else if (state == LINK_DOWN)
     {
       p->link = NULL;
       p->failed_at = clk_now ();
       claims_peer_down (p->c, p->name);
+      gw_slots_check (p->c->g->slots);
     }
 }
 
@@ -91,6 +101,8 @@
   const Lapis__ClaimAnswer *a = frame->claim_answer;
   struct clm_reply reply = { 0 };
 
+  if (frame->body_case == LAPIS__FRAME__BODY_SLOT_ANSWER)
+    gw_slots_answered (p->c->g->slots, frame->slot_answer);
   if (frame->body_case != LAPIS__FRAME__BODY_CLAIM_ANSWER
       || a->verdict > CLM_DONE)
     return;
@@ -168,6 +180,18 @@
   return link_send (l, &frame);
 }
 
+/** Begin to connect, unless that failed a moment ago. */
+static bool
+open_link (struct claims_peer *p)
+{
+  if (p->failed_at && clk_now () - p->failed_at < RETRY_MS)
+    return false;
+  if (!p->link)
+    p->link = link_connect (p->c->g->loop, &p->addr, &p->c->secret,
+                            &out_callbacks, p);
+  return p->link != NULL;
+}
+
 enum claims_send
 claims_peers_ask (struct gw_claims *c, const char *name,
                   const struct claims_ask *a)
@@ -178,12 +202,17 @@
     return CLAIMS_UNREACHABLE;
   if (p->up)
     return send_ask (p->link, a) ? CLAIMS_SENT : CLAIMS_UNREACHABLE;
-  if (p->failed_at && clk_now () - p->failed_at < RETRY_MS)
-    return CLAIMS_UNREACHABLE;
-  if (!p->link)
-    p->link
-        = link_connect (c->g->loop, &p->addr, &c->secret, &out_callbacks, p);
-  return p->link ? CLAIMS_LATER : CLAIMS_UNREACHABLE;
+  return open_link (p) ? CLAIMS_LATER : CLAIMS_UNREACHABLE;
+}
+
+struct link *
+gw_claims_link (struct gw_claims *c, const char *name)
+{
+  struct claims_peer *p = peer_of (c, name);
+
+  if (p && !p->up)
+    open_link (p);
+  return p && p->up ? p->link : NULL;
 }
 
 static void
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -414,6 +414,11 @@
     case RT_ACT_CUT:
       end_cut (ex, a);
       break;
+    case RT_ACT_SLOT_ASK:
+    case RT_ACT_SLOT_TAKEN:
+    case RT_ACT_SLOT_DONE:
+      gw_slots_act (ex->c->g->slots, a);
+      break;
     case RT_ACT_FORGET:
       gw_exchange_free (ex);
       break;
--- a/front/gateway.c
+++ b/front/gateway.c
@@ -122,6 +122,7 @@
   g->cfg = cfg;
   gw_callers_config (g->callers);
   gw_probe_config (g->probe);
+  gw_slots_check (g->slots);
   cfg_unref (old);
   LOG (config_in_force, LOG_I ("revision", cfg->revision));
 }
@@ -185,6 +186,7 @@
   g->claims = gw_claims_start (g, err);
   if (g->claims == NULL)
     return false;
+  g->slots = gw_slots_start (g);
   if (with_control)
     g->view = gw_view_start (g, err);
   return !with_control || g->view != NULL;
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -7,6 +7,7 @@
  *              request core, its actions to I/O
  *   address.c  which address to use
  *   claims.c   claims: home node, links to other gateways, store
+ *   slots.c    slots of replicas: home of a model, asks of this gateway
  *   view.c     the link to this node's control process, last view
  *   probe.c    own probes when control is silent
  *   ../back/   model and plain-service adapters
@@ -29,6 +30,7 @@
 struct gw_claims;
 struct gw_view;
 struct gw_probe;
+struct gw_slots;
 
 struct gw
 {
@@ -47,6 +49,7 @@
   struct gw_claims *claims;
   struct gw_view *view;
   struct gw_probe *probe;
+  struct gw_slots *slots;
 };
 
 /** A node as the last view tells it. */
@@ -76,6 +79,29 @@
 /** The view's nodes changed. */
 void gw_claims_nodes (struct gw_claims *c);
 
+/** The link to another gateway; NULL while there is none, which opens one. */
+struct link *gw_claims_link (struct gw_claims *c, const char *name);
+
+/* slots.c */
+
+/**
+ * Slots of replicas granted by the home of their model, which is one gateway
+ * of the region by rendezvous hash.  Without control, and while the home can't
+ * be reached, each gateway decides by itself.
+ */
+struct gw_slots *gw_slots_start (struct gw *g);
+/** An action RT_ACT_SLOT_* of the request core. */
+void gw_slots_act (struct gw_slots *s, const struct rt_action *a);
+/** Nodes, links or the configuration changed. */
+void gw_slots_check (struct gw_slots *s);
+void gw_slots_replicas (struct gw_slots *s, const struct rt_replica *list,
+                        size_t n);
+/** A frame of another gateway that asks this one. */
+void gw_slots_asked (struct gw_slots *s, struct link *l,
+                     const Lapis__Frame *frame);
+void gw_slots_link_gone (struct gw_slots *s, const struct link *l);
+void gw_slots_answered (struct gw_slots *s, const Lapis__SlotAnswer *a);
+
 /* callers.c */
 
 /** Connections accepted at once; more wait in the backlog. */
@@ -107,6 +133,8 @@
  */
 void gw_callers_nodes (struct gw_callers *c, size_t gateways);
 struct rt *gw_callers_core (struct gw_callers *c);
+/** Tell the request core of a model's home. */
+void gw_callers_tell (struct gw_callers *c, const struct rt_event *ev);
 
 /* probe.c */
 
--- a/front/probe.c
+++ b/front/probe.c
@@ -164,6 +164,7 @@
     if (!probed (p, seen[i].name))
       all[n++] = seen[i];
   gw_callers_replicas (p->g->callers, all, n);
+  gw_slots_replicas (p->g->slots, all, n);
   free (all);
 }
 
--- /dev/null
+++ b/front/slots.c
@@ -0,0 +1,307 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/hash.h"
+#include "fleet/member.h"
+#include "front/slots.h"
+
+#define TICK_MS ((clk_ms)100)
+
+/** A home that is not heard for so long is stopped or cut off; its link says
+    something each second. */
+#define SILENT_MS ((clk_ms)2500)
+
+/** Of the slots told in one frame, which has a bound. */
+#define MOST_HELD 3000
+
+struct slots_model *
+slots_model (struct gw_slots *s, struct str name)
+{
+  struct slots_model *m = s->models;
+
+  while (m != NULL && !str_is (name, m->name))
+    m = m->next;
+  if (m != NULL || s->g->cfg == NULL || !cfg_model (s->g->cfg, name))
+    return m;
+  m = xcalloc (1, sizeof *m);
+  m->name = str_dup (name);
+  m->next = s->models;
+  return s->models = m;
+}
+
+bool
+slots_is_home (const struct gw_slots *s, const struct slots_model *m)
+{
+  return m->home != NULL && strcmp (m->home, s->g->set.node) == 0;
+}
+
+/* ---- who is the home ---- */
+
+static bool
+is_candidate (const struct gw_slots *s, const struct gw_node *n)
+{
+  return n->peer.port != 0 && !str_is (n->name, s->g->set.node)
+         && str_is (n->region, s->g->set.region)
+         && (n->status == MBR_ALIVE || n->status == MBR_SUSPECT);
+}
+
+/** Owned name of the model's home; NULL without control. */
+static char *
+pick_home (const struct gw_slots *s, const char *model)
+{
+  size_t n = 0, names_n = 0;
+  const struct gw_node *nodes
+      = s->g->view ? gw_view_nodes (s->g->view, &n) : NULL;
+  struct str *names;
+  char *home;
+  struct buf role = BUF_INIT;
+
+  if (n == 0)
+    return NULL;
+  names = xcalloc (n + 1, sizeof *names);
+  names[names_n++] = str_from (s->g->set.node);
+  for (size_t i = 0; i < n; i++)
+    if (is_candidate (s, &nodes[i]))
+      names[names_n++] = nodes[i].name;
+  buf_addf (&role, "slots/%s", model);
+  home = str_dup (names[hash_pick (buf_str (&role), names, names_n)]);
+  buf_free (&role);
+  free (names);
+  return home;
+}
+
+static void
+set_on (struct gw_slots *s, struct slots_model *m, bool on)
+{
+  struct rt_event ev
+      = { .kind = RT_EV_SLOT_HOME, .name = str_from (m->name), .on = on };
+
+  if (m->on == on)
+    return;
+  m->on = on;
+  gw_callers_tell (s->g->callers, &ev);
+}
+
+/* ---- what this gateway tells the home ---- */
+
+static void
+send_held (struct gw_slots *s, struct slots_model *m, struct link *l,
+           const struct rt_slot *held, size_t n)
+{
+  Lapis__SlotOpen open = LAPIS__SLOT_OPEN__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+  Lapis__SlotHeld *list;
+
+  if (n > MOST_HELD)
+    n = MOST_HELD;
+  list = xcalloc (n + 1, sizeof *list);
+  open.held = xcalloc (n + 1, sizeof *open.held);
+  for (size_t i = 0; i < n; i++)
+    {
+      lapis__slot_held__init (&list[i]);
+      list[i].id = held[i].id;
+      list[i].replica = str_dup (held[i].replica);
+      list[i].cost = held[i].cost;
+      open.held[open.n_held++] = &list[i];
+    }
+  open.model = m->name;
+  open.node = s->g->set.node;
+  frame.body_case = LAPIS__FRAME__BODY_SLOT_OPEN;
+  frame.slot_open = &open;
+  link_send (l, &frame);
+  for (size_t i = 0; i < n; i++)
+    free (list[i].replica);
+  free (open.held);
+  free (list);
+}
+
+/** @param l  NULL: this gateway is the home */
+static void
+tell_held (struct gw_slots *s, struct slots_model *m, struct link *l)
+{
+  struct slt_event ev = { .kind = SLT_EV_OPEN, .gateway = SLOTS_SELF };
+
+  ev.open
+      = rt_slots (gw_callers_core (s->g->callers), str_from (m->name), &ev.n);
+  if (l != NULL)
+    send_held (s, m, l, ev.open, ev.n);
+  else
+    slots_home_event (s, m, &ev);
+}
+
+static void
+send_action (struct slots_model *m, struct link *l, const struct rt_action *a)
+{
+  Lapis__SlotAsk ask = LAPIS__SLOT_ASK__INIT;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+  char *account = str_dup (a->slot.account), *replica = str_dup (a->name);
+  clk_ms now = clk_now ();
+
+  ask.id = a->id;
+  ask.kind = a->kind == RT_ACT_SLOT_ASK     ? LAPIS__SLOT_KIND__SLOT_ASK
+             : a->kind == RT_ACT_SLOT_TAKEN ? LAPIS__SLOT_KIND__SLOT_TAKEN
+                                            : LAPIS__SLOT_KIND__SLOT_DONE;
+  ask.model = m->name;
+  ask.account = account;
+  ask.priority = a->slot.priority;
+  ask.cost = a->slot.cost;
+  if (a->slot.deadline > now)
+    ask.deadline_ms = (uint32_t)(a->slot.deadline - now);
+  ask.prefix = a->slot.prefix;
+  ask.replica = replica;
+  ask.first_ms = (uint32_t)a->slot.first_ms;
+  frame.body_case = LAPIS__FRAME__BODY_SLOT_ASK;
+  frame.slot_ask = &ask;
+  link_send (l, &frame);
+  free (account);
+  free (replica);
+}
+
+static void
+tell_self (struct gw_slots *s, struct slots_model *m,
+           const struct rt_action *a)
+{
+  struct slt_event ev = { .kind = a->kind == RT_ACT_SLOT_ASK     ? SLT_EV_ASK
+                                  : a->kind == RT_ACT_SLOT_TAKEN ? SLT_EV_TAKEN
+                                                                 : SLT_EV_DONE,
+                          .gateway = SLOTS_SELF,
+                          .id = a->id,
+                          .account = a->slot.account,
+                          .priority = a->slot.priority,
+                          .cost = a->slot.cost,
+                          .deadline = a->slot.deadline,
+                          .prefix = a->slot.prefix,
+                          .replica = a->name,
+                          .first_ms = (double)a->slot.first_ms };
+
+  slots_home_event (s, m, &ev);
+}
+
+void
+gw_slots_act (struct gw_slots *s, const struct rt_action *a)
+{
+  struct slots_model *m = slots_model (s, a->slot.model);
+  struct link *l;
+
+  /* What is lost here is told again within a second, or times out. */
+  if (m == NULL || m->home == NULL)
+    return;
+  if (slots_is_home (s, m))
+    tell_self (s, m, a);
+  else if ((l = gw_claims_link (s->g->claims, m->home)) != NULL)
+    send_action (m, l, a);
+}
+
+void
+gw_slots_answered (struct gw_slots *s, const Lapis__SlotAnswer *a)
+{
+  struct rt_event ev = { .kind = RT_EV_SLOT,
+                         .id = a->id,
+                         .slot = (enum rt_slot_word)a->word,
+                         .name = str_from (a->replica),
+                         .code = (enum rt_code)a->code,
+                         .retry_ms = a->retry_ms };
+
+  if (s != NULL && a->word < RT_SLOT_WORDS && a->code <= RT_CODE_GONE)
+    gw_callers_tell (s->g->callers, &ev);
+}
+
+/* ---- links and time ---- */
+
+static void
+check_link (struct gw_slots *s, struct slots_model *m)
+{
+  struct link *l;
+
+  if (slots_is_home (s, m))
+    {
+      slots_home_begin (s, m);
+      set_on (s, m, true);
+      return;
+    }
+  l = m->home ? gw_claims_link (s->g->claims, m->home) : NULL;
+  if (l == NULL || link_silence (l) > SILENT_MS)
+    set_on (s, m, false);
+  else if (!m->on)
+    {
+      tell_held (s, m, l);
+      set_on (s, m, true);
+    }
+}
+
+static void
+check_model (struct gw_slots *s, struct slots_model *m)
+{
+  char *home = pick_home (s, m->name);
+
+  if (!home != !m->home || (home && strcmp (home, m->home) != 0))
+    {
+      set_on (s, m, false);
+      free (m->home);
+      m->home = home;
+    }
+  else
+    free (home);
+  check_link (s, m);
+}
+
+void
+gw_slots_check (struct gw_slots *s)
+{
+  const struct cfg *cfg = s ? s->g->cfg : NULL;
+
+  if (cfg == NULL)
+    return;
+  for (size_t i = 0; i < cfg->nmodels; i++)
+    slots_model (s, cfg->models[i].name);
+  for (struct slots_model *m = s->models; m != NULL; m = m->next)
+    {
+      slots_home_config (s, m);
+      check_model (s, m);
+    }
+}
+
+void
+gw_slots_replicas (struct gw_slots *s, const struct rt_replica *list, size_t n)
+{
+  if (s == NULL)
+    return;
+  for (struct slots_model *m = s->models; m != NULL; m = m->next)
+    slots_home_replicas (s, m, list, n);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct gw_slots *s = t->data;
+  clk_ms now = clk_now ();
+  bool tell = now - s->told_at >= SLT_OPEN_MS;
+
+  if (tell)
+    s->told_at = now;
+  for (struct slots_model *m = s->models; m != NULL; m = m->next)
+    {
+      check_link (s, m);
+      if (tell && m->on)
+        tell_held (s, m,
+                   slots_is_home (s, m)
+                       ? NULL
+                       : gw_claims_link (s->g->claims, m->home));
+      slots_home_tick (s, m);
+    }
+}
+
+/* ---- life ---- */
+
+struct gw_slots *
+gw_slots_start (struct gw *g)
+{
+  struct gw_slots *s = xcalloc (1, sizeof *s);
+
+  s->g = g;
+  uv_timer_init (g->loop, &s->timer);
+  s->timer.data = s;
+  uv_timer_start (&s->timer, on_tick, TICK_MS, TICK_MS);
+  return s;
+}
--- a/front/view.c
+++ b/front/view.c
@@ -99,6 +99,7 @@
   gw_callers_nodes (g->callers, gateways_of_region (v));
   take_shares (g, view);
   gw_claims_nodes (g->claims);
+  gw_slots_check (g->slots);
   gw_set_leaving (g, view->leaving);
 }
 
--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -907,7 +907,187 @@
   assert(message->base.descriptor == &lapis__drain_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[16] =
+void   lapis__slot_ask__init
+                     (Lapis__SlotAsk         *message)
+{
+  static const Lapis__SlotAsk init_value = LAPIS__SLOT_ASK__INIT;
+  *message = init_value;
+}
+size_t lapis__slot_ask__get_packed_size
+                     (const Lapis__SlotAsk *message)
+{
+  assert(message->base.descriptor == &lapis__slot_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__slot_ask__pack
+                     (const Lapis__SlotAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__slot_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__slot_ask__pack_to_buffer
+                     (const Lapis__SlotAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__slot_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__SlotAsk *
+       lapis__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__SlotAsk *)
+     protobuf_c_message_unpack (&lapis__slot_ask__descriptor,
+                                allocator, len, data);
+}
+void   lapis__slot_ask__free_unpacked
+                     (Lapis__SlotAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__slot_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__slot_open__init
+                     (Lapis__SlotOpen         *message)
+{
+  static const Lapis__SlotOpen init_value = LAPIS__SLOT_OPEN__INIT;
+  *message = init_value;
+}
+size_t lapis__slot_open__get_packed_size
+                     (const Lapis__SlotOpen *message)
+{
+  assert(message->base.descriptor == &lapis__slot_open__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__slot_open__pack
+                     (const Lapis__SlotOpen *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__slot_open__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__slot_open__pack_to_buffer
+                     (const Lapis__SlotOpen *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__slot_open__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__SlotOpen *
+       lapis__slot_open__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__SlotOpen *)
+     protobuf_c_message_unpack (&lapis__slot_open__descriptor,
+                                allocator, len, data);
+}
+void   lapis__slot_open__free_unpacked
+                     (Lapis__SlotOpen *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__slot_open__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__slot_held__init
+                     (Lapis__SlotHeld         *message)
+{
+  static const Lapis__SlotHeld init_value = LAPIS__SLOT_HELD__INIT;
+  *message = init_value;
+}
+size_t lapis__slot_held__get_packed_size
+                     (const Lapis__SlotHeld *message)
+{
+  assert(message->base.descriptor == &lapis__slot_held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__slot_held__pack
+                     (const Lapis__SlotHeld *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__slot_held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__slot_held__pack_to_buffer
+                     (const Lapis__SlotHeld *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__slot_held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__SlotHeld *
+       lapis__slot_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__SlotHeld *)
+     protobuf_c_message_unpack (&lapis__slot_held__descriptor,
+                                allocator, len, data);
+}
+void   lapis__slot_held__free_unpacked
+                     (Lapis__SlotHeld *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__slot_held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__slot_answer__init
+                     (Lapis__SlotAnswer         *message)
+{
+  static const Lapis__SlotAnswer init_value = LAPIS__SLOT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t lapis__slot_answer__get_packed_size
+                     (const Lapis__SlotAnswer *message)
+{
+  assert(message->base.descriptor == &lapis__slot_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__slot_answer__pack
+                     (const Lapis__SlotAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__slot_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__slot_answer__pack_to_buffer
+                     (const Lapis__SlotAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__slot_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__SlotAnswer *
+       lapis__slot_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__SlotAnswer *)
+     protobuf_c_message_unpack (&lapis__slot_answer__descriptor,
+                                allocator, len, data);
+}
+void   lapis__slot_answer__free_unpacked
+                     (Lapis__SlotAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__slot_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -1101,6 +1281,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_ask",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, slot_ask),
+    &lapis__slot_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_open",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, slot_open),
+    &lapis__slot_open__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_answer",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, slot_answer),
+    &lapis__slot_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -1116,6 +1332,9 @@
   2,   /* field[2] = report */
   9,   /* field[9] = share_demand */
   10,   /* field[10] = share_grant */
+  18,   /* field[18] = slot_answer */
+  16,   /* field[16] = slot_ask */
+  17,   /* field[17] = slot_open */
   13,   /* field[13] = trace_answer */
   12,   /* field[12] = trace_ask */
   1,   /* field[1] = view */
@@ -1123,7 +1342,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1133,7 +1352,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  16,
+  19,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -2895,3 +3114,408 @@
   (ProtobufCMessageInit) lapis__drain_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__slot_ask__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, kind),
+    &lapis__slot_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "account",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, cost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, deadline_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, replica),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAsk, first_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__slot_ask__field_indices_by_name[] = {
+  3,   /* field[3] = account */
+  5,   /* field[5] = cost */
+  6,   /* field[6] = deadline_ms */
+  9,   /* field[9] = first_ms */
+  0,   /* field[0] = id */
+  1,   /* field[1] = kind */
+  2,   /* field[2] = model */
+  7,   /* field[7] = prefix */
+  4,   /* field[4] = priority */
+  8,   /* field[8] = replica */
+};
+static const ProtobufCIntRange lapis__slot_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor lapis__slot_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.SlotAsk",
+  "SlotAsk",
+  "Lapis__SlotAsk",
+  "lapis",
+  sizeof(Lapis__SlotAsk),
+  10,
+  lapis__slot_ask__field_descriptors,
+  lapis__slot_ask__field_indices_by_name,
+  1,  lapis__slot_ask__number_ranges,
+  (ProtobufCMessageInit) lapis__slot_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__slot_open__field_descriptors[3] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotOpen, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotOpen, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__SlotOpen, n_held),
+    offsetof(Lapis__SlotOpen, held),
+    &lapis__slot_held__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__slot_open__field_indices_by_name[] = {
+  2,   /* field[2] = held */
+  0,   /* field[0] = model */
+  1,   /* field[1] = node */
+};
+static const ProtobufCIntRange lapis__slot_open__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lapis__slot_open__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.SlotOpen",
+  "SlotOpen",
+  "Lapis__SlotOpen",
+  "lapis",
+  sizeof(Lapis__SlotOpen),
+  3,
+  lapis__slot_open__field_descriptors,
+  lapis__slot_open__field_indices_by_name,
+  1,  lapis__slot_open__number_ranges,
+  (ProtobufCMessageInit) lapis__slot_open__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__slot_held__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotHeld, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotHeld, replica),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotHeld, cost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__slot_held__field_indices_by_name[] = {
+  2,   /* field[2] = cost */
+  0,   /* field[0] = id */
+  1,   /* field[1] = replica */
+};
+static const ProtobufCIntRange lapis__slot_held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lapis__slot_held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.SlotHeld",
+  "SlotHeld",
+  "Lapis__SlotHeld",
+  "lapis",
+  sizeof(Lapis__SlotHeld),
+  3,
+  lapis__slot_held__field_descriptors,
+  lapis__slot_held__field_indices_by_name,
+  1,  lapis__slot_held__number_ranges,
+  (ProtobufCMessageInit) lapis__slot_held__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__slot_answer__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "word",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAnswer, word),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAnswer, replica),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAnswer, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__SlotAnswer, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__slot_answer__field_indices_by_name[] = {
+  3,   /* field[3] = code */
+  0,   /* field[0] = id */
+  2,   /* field[2] = replica */
+  4,   /* field[4] = retry_ms */
+  1,   /* field[1] = word */
+};
+static const ProtobufCIntRange lapis__slot_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor lapis__slot_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.SlotAnswer",
+  "SlotAnswer",
+  "Lapis__SlotAnswer",
+  "lapis",
+  sizeof(Lapis__SlotAnswer),
+  5,
+  lapis__slot_answer__field_descriptors,
+  lapis__slot_answer__field_indices_by_name,
+  1,  lapis__slot_answer__number_ranges,
+  (ProtobufCMessageInit) lapis__slot_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue lapis__slot_kind__enum_values_by_number[4] =
+{
+  { "SLOT_NONE", "LAPIS__SLOT_KIND__SLOT_NONE", 0 },
+  { "SLOT_ASK", "LAPIS__SLOT_KIND__SLOT_ASK", 1 },
+  { "SLOT_TAKEN", "LAPIS__SLOT_KIND__SLOT_TAKEN", 2 },
+  { "SLOT_DONE", "LAPIS__SLOT_KIND__SLOT_DONE", 3 },
+};
+static const ProtobufCIntRange lapis__slot_kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex lapis__slot_kind__enum_values_by_name[4] =
+{
+  { "SLOT_ASK", 1 },
+  { "SLOT_DONE", 3 },
+  { "SLOT_NONE", 0 },
+  { "SLOT_TAKEN", 2 },
+};
+const ProtobufCEnumDescriptor lapis__slot_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lapis.SlotKind",
+  "SlotKind",
+  "Lapis__SlotKind",
+  "lapis",
+  4,
+  lapis__slot_kind__enum_values_by_number,
+  4,
+  lapis__slot_kind__enum_values_by_name,
+  1,
+  lapis__slot_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -35,10 +35,30 @@
 typedef struct Lapis__TraceAnswer Lapis__TraceAnswer;
 typedef struct Lapis__DrainAsk Lapis__DrainAsk;
 typedef struct Lapis__DrainAnswer Lapis__DrainAnswer;
+typedef struct Lapis__SlotAsk Lapis__SlotAsk;
+typedef struct Lapis__SlotOpen Lapis__SlotOpen;
+typedef struct Lapis__SlotHeld Lapis__SlotHeld;
+typedef struct Lapis__SlotAnswer Lapis__SlotAnswer;
 
 
 /* --- enums --- */
 
+/*
+ * Gateway to the home of a model's slots.
+ */
+typedef enum _Lapis__SlotKind {
+  LAPIS__SLOT_KIND__SLOT_NONE = 0,
+  LAPIS__SLOT_KIND__SLOT_ASK = 1,
+  /*
+   * chosen without a grant
+   */
+  LAPIS__SLOT_KIND__SLOT_TAKEN = 2,
+  /*
+   * no longer needed
+   */
+  LAPIS__SLOT_KIND__SLOT_DONE = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__SLOT_KIND)
+} Lapis__SlotKind;
 
 /* --- messages --- */
 
@@ -59,7 +79,10 @@
   LAPIS__FRAME__BODY_TRACE_ASK = 13,
   LAPIS__FRAME__BODY_TRACE_ANSWER = 14,
   LAPIS__FRAME__BODY_DRAIN_ASK = 15,
-  LAPIS__FRAME__BODY_DRAIN_ANSWER = 16
+  LAPIS__FRAME__BODY_DRAIN_ANSWER = 16,
+  LAPIS__FRAME__BODY_SLOT_ASK = 17,
+  LAPIS__FRAME__BODY_SLOT_OPEN = 18,
+  LAPIS__FRAME__BODY_SLOT_ANSWER = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -84,6 +107,9 @@
     Lapis__TraceAnswer *trace_answer;
     Lapis__DrainAsk *drain_ask;
     Lapis__DrainAnswer *drain_answer;
+    Lapis__SlotAsk *slot_ask;
+    Lapis__SlotOpen *slot_open;
+    Lapis__SlotAnswer *slot_answer;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -491,6 +517,85 @@
     , 0, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Lapis__SlotAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  Lapis__SlotKind kind;
+  char *model;
+  char *account;
+  uint32_t priority;
+  /*
+   * tokens
+   */
+  double cost;
+  /*
+   * left; 0: none
+   */
+  uint32_t deadline_ms;
+  uint64_t prefix;
+  /*
+   * taken
+   */
+  char *replica;
+  /*
+   * to the first byte, of a whole answer
+   */
+  uint32_t first_ms;
+};
+#define LAPIS__SLOT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__slot_ask__descriptor) \
+    , 0, LAPIS__SLOT_KIND__SLOT_NONE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * All slots that a gateway holds: first on a link, and once a second.
+ */
+struct  Lapis__SlotOpen
+{
+  ProtobufCMessage base;
+  char *model;
+  char *node;
+  size_t n_held;
+  Lapis__SlotHeld **held;
+};
+#define LAPIS__SLOT_OPEN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__slot_open__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+struct  Lapis__SlotHeld
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *replica;
+  double cost;
+};
+#define LAPIS__SLOT_HELD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__slot_held__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Lapis__SlotAnswer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * enum rt_slot_word
+   */
+  uint32_t word;
+  char *replica;
+  /*
+   * enum rt_code
+   */
+  uint32_t code;
+  uint32_t retry_ms;
+};
+#define LAPIS__SLOT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__slot_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /* Lapis__Frame methods */
 void   lapis__frame__init
                      (Lapis__Frame         *message);
@@ -871,6 +976,82 @@
 void   lapis__drain_answer__free_unpacked
                      (Lapis__DrainAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__SlotAsk methods */
+void   lapis__slot_ask__init
+                     (Lapis__SlotAsk         *message);
+size_t lapis__slot_ask__get_packed_size
+                     (const Lapis__SlotAsk   *message);
+size_t lapis__slot_ask__pack
+                     (const Lapis__SlotAsk   *message,
+                      uint8_t             *out);
+size_t lapis__slot_ask__pack_to_buffer
+                     (const Lapis__SlotAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__SlotAsk *
+       lapis__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__slot_ask__free_unpacked
+                     (Lapis__SlotAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__SlotOpen methods */
+void   lapis__slot_open__init
+                     (Lapis__SlotOpen         *message);
+size_t lapis__slot_open__get_packed_size
+                     (const Lapis__SlotOpen   *message);
+size_t lapis__slot_open__pack
+                     (const Lapis__SlotOpen   *message,
+                      uint8_t             *out);
+size_t lapis__slot_open__pack_to_buffer
+                     (const Lapis__SlotOpen   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__SlotOpen *
+       lapis__slot_open__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__slot_open__free_unpacked
+                     (Lapis__SlotOpen *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__SlotHeld methods */
+void   lapis__slot_held__init
+                     (Lapis__SlotHeld         *message);
+size_t lapis__slot_held__get_packed_size
+                     (const Lapis__SlotHeld   *message);
+size_t lapis__slot_held__pack
+                     (const Lapis__SlotHeld   *message,
+                      uint8_t             *out);
+size_t lapis__slot_held__pack_to_buffer
+                     (const Lapis__SlotHeld   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__SlotHeld *
+       lapis__slot_held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__slot_held__free_unpacked
+                     (Lapis__SlotHeld *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__SlotAnswer methods */
+void   lapis__slot_answer__init
+                     (Lapis__SlotAnswer         *message);
+size_t lapis__slot_answer__get_packed_size
+                     (const Lapis__SlotAnswer   *message);
+size_t lapis__slot_answer__pack
+                     (const Lapis__SlotAnswer   *message,
+                      uint8_t             *out);
+size_t lapis__slot_answer__pack_to_buffer
+                     (const Lapis__SlotAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__SlotAnswer *
+       lapis__slot_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__slot_answer__free_unpacked
+                     (Lapis__SlotAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lapis__Frame_Closure)
@@ -933,12 +1114,25 @@
 typedef void (*Lapis__DrainAnswer_Closure)
                  (const Lapis__DrainAnswer *message,
                   void *closure_data);
+typedef void (*Lapis__SlotAsk_Closure)
+                 (const Lapis__SlotAsk *message,
+                  void *closure_data);
+typedef void (*Lapis__SlotOpen_Closure)
+                 (const Lapis__SlotOpen *message,
+                  void *closure_data);
+typedef void (*Lapis__SlotHeld_Closure)
+                 (const Lapis__SlotHeld *message,
+                  void *closure_data);
+typedef void (*Lapis__SlotAnswer_Closure)
+                 (const Lapis__SlotAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    lapis__slot_kind__descriptor;
 extern const ProtobufCMessageDescriptor lapis__frame__descriptor;
 extern const ProtobufCMessageDescriptor lapis__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor lapis__hello__descriptor;
@@ -959,6 +1153,10 @@
 extern const ProtobufCMessageDescriptor lapis__trace_answer__descriptor;
 extern const ProtobufCMessageDescriptor lapis__drain_ask__descriptor;
 extern const ProtobufCMessageDescriptor lapis__drain_answer__descriptor;
+extern const ProtobufCMessageDescriptor lapis__slot_ask__descriptor;
+extern const ProtobufCMessageDescriptor lapis__slot_open__descriptor;
+extern const ProtobufCMessageDescriptor lapis__slot_held__descriptor;
+extern const ProtobufCMessageDescriptor lapis__slot_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/route/admit.c
+++ b/route/admit.c
@@ -199,6 +199,8 @@
   struct rt_target *t = q->target;
   t->mean_cost += (t->mean_cost > 0 ? SMOOTH : 1) * (q->cost - t->mean_cost);
   rt_step (q, RT_X_ADMIT);
+  if (rt_slot_ask (r, q))
+    return;
   rt_step (q, RT_X_ENQUEUE);
   rt_enqueue (r, q, false);
   rt_pump (r, t);
--- a/route/attempt.c
+++ b/route/attempt.c
@@ -169,7 +169,8 @@
   q->passing = true;
   rt_act (r, RT_ACT_PASS, q);
   rt_settle_pending (q);
-  rt_outlier_first (r, q->target, q->server, r->now - q->started);
+  q->first_ms = r->now - q->started;
+  rt_outlier_first (r, q->target, q->server, q->first_ms);
   q->probe = false;
 }
 
@@ -198,6 +199,7 @@
   t->ms_per_token
       += (t->ms_per_token > 0 ? SMOOTH : 1) * (ms - t->ms_per_token);
   t->measured_at = r->now;
+  q->whole = true;
   rt_leave_server (r, q);
   rt_step (q, RT_X_END);
   if (q->claimed)
--- a/route/core.h
+++ b/route/core.h
@@ -7,6 +7,7 @@
  *   request.c  life cycle of one request by charts/attempt.json
  *   attempt.c  what becomes of one attempt; retries
  *   queue.c    what waits: priority classes, fair shares of accounts
+ *   slot.c     asks for slots at a model's home
  *   slots.c    slots of a model's replicas at its home
  *   limit.c    rate and concurrency of an account at this node
  *   load.c     what is known of the servers' load
@@ -32,6 +33,7 @@
 {
   RT_S_RECEIVED,
   RT_S_ADMITTED,
+  RT_S_ASKING, /**< the model's home for a slot */
   RT_S_QUEUED,
   RT_S_CLAIMING,
   RT_S_CONNECTING,
@@ -54,6 +56,7 @@
   RT_X_ADMIT,
   RT_X_REFUSE,
   RT_X_ENQUEUE,
+  RT_X_ASK,
   RT_X_CLAIM,
   RT_X_CONNECT,
   RT_X_GRANTED,
@@ -225,6 +228,9 @@
   clk_ms measured_at; /**< when ms_per_token last changed */
   double median_ms;   /**< over servers, of the time to the first byte */
   clk_ms median_at;
+  bool has_home;     /**< its home can be asked for slots */
+  unsigned mute;     /**< asks without a word in time, in a row */
+  clk_ms mute_until; /**< the home is not asked */
   double retry_budget;
   clk_ms retry_at;
 };
@@ -249,6 +255,7 @@
   clk_ms deadline; /**< 0: none */
   clk_ms started;  /**< RT_ACT_SEND of the current attempt */
   clk_ms granted;  /**< the claim */
+  clk_ms first_ms; /**< to the first byte of the current attempt */
   clk_ms timer;
   size_t timer_at; /**< place in the heap */
   size_t passed;   /**< bytes handed to the caller */
@@ -266,6 +273,9 @@
   bool waiting; /**< in the queue */
   bool pending; /**< counted in its server's pending */
   bool probe;   /**< of an ejected server */
+  bool slot;    /**< the home knows of it */
+  bool heard;   /**< it waits at the home */
+  bool whole;   /**< the answer is */
   int status;
 };
 
@@ -301,6 +311,7 @@
   size_t act_head, act_n, act_cap;
   struct rt_demand *demands;
   struct rt_target_view *views;
+  struct rt_slot *slots;
 };
 
 /* route.c */
@@ -319,6 +330,8 @@
                  clk_ms retry_ms);
 void rt_caller_gone (struct rt *r, struct rt_req *q);
 void rt_req_timer (struct rt *r, struct rt_req *q);
+/** Send @p q, which waits nowhere, to @p s. */
+void rt_dispatch (struct rt *r, struct rt_req *q, struct rt_server *s);
 /** Hand waiting requests to servers that have room. */
 void rt_pump (struct rt *r, struct rt_target *t);
 
@@ -342,6 +355,19 @@
 bool rt_in_attempt (const struct rt_req *q);
 void rt_abandon (struct rt *r, struct rt_req *q);
 
+/* slot.c */
+
+/** Ask the home for a slot. @retval false  there is none to ask */
+bool rt_slot_ask (struct rt *r, struct rt_req *q);
+void rt_slot_event (struct rt *r, struct rt_req *q, const struct rt_event *ev);
+void rt_slot_home (struct rt *r, struct str model, bool on);
+/** The time of a request that asks is over. */
+void rt_slot_timer (struct rt *r, struct rt_req *q);
+/** The request got a server without the home's doing. */
+void rt_slot_taken (struct rt *r, struct rt_req *q);
+/** The request no longer needs a slot. */
+void rt_slot_done (struct rt *r, struct rt_req *q);
+
 /* queue.c */
 void rt_queue_push (struct rt_queue *w, struct rt_req *q, double weight,
                     bool front);
--- a/route/record-names.h
+++ b/route/record-names.h
@@ -7,12 +7,13 @@
 
 #include "route/route.h"
 
-#define REC_EVENTS (RT_EV_NODES + 1)
-#define REC_ACTIONS (RT_ACT_FORGET + 1)
+#define REC_EVENTS (RT_EV_SLOT_HOME + 1)
+#define REC_ACTIONS (RT_ACT_SLOT_DONE + 1)
 #define REC_VERDICTS (CLM_DONE + 1)
 
 extern const char *const rec_event_names[REC_EVENTS];
 extern const char *const rec_action_names[REC_ACTIONS];
 extern const char *const rec_verdict_names[REC_VERDICTS];
+extern const char *const rec_slot_names[RT_SLOT_WORDS];
 
 #endif
--- a/route/record-read.c
+++ b/route/record-read.c
@@ -14,16 +14,26 @@
   [RT_EV_HEAD] = "head",           [RT_EV_BODY] = "body",
   [RT_EV_WHOLE] = "whole",         [RT_EV_BROKEN] = "broken",
   [RT_EV_SILENT] = "silent",       [RT_EV_CALLER_GONE] = "caller-gone",
-  [RT_EV_NODES] = "nodes",
+  [RT_EV_NODES] = "nodes",         [RT_EV_SLOT] = "slot",
+  [RT_EV_SLOT_HOME] = "slot-home",
 };
 
 const char *const rec_action_names[REC_ACTIONS] = {
-  [RT_ACT_CLAIM] = "claim",   [RT_ACT_RELEASE] = "release",
-  [RT_ACT_FINISH] = "finish", [RT_ACT_CONNECT] = "connect",
-  [RT_ACT_SEND] = "send",     [RT_ACT_CANCEL] = "cancel",
-  [RT_ACT_PASS] = "pass",     [RT_ACT_ANSWER] = "answer",
-  [RT_ACT_REPLAY] = "replay", [RT_ACT_END] = "end",
-  [RT_ACT_CUT] = "cut",       [RT_ACT_FORGET] = "forget",
+  [RT_ACT_CLAIM] = "claim",
+  [RT_ACT_RELEASE] = "release",
+  [RT_ACT_FINISH] = "finish",
+  [RT_ACT_CONNECT] = "connect",
+  [RT_ACT_SEND] = "send",
+  [RT_ACT_CANCEL] = "cancel",
+  [RT_ACT_PASS] = "pass",
+  [RT_ACT_ANSWER] = "answer",
+  [RT_ACT_REPLAY] = "replay",
+  [RT_ACT_END] = "end",
+  [RT_ACT_CUT] = "cut",
+  [RT_ACT_FORGET] = "forget",
+  [RT_ACT_SLOT_ASK] = "slot-ask",
+  [RT_ACT_SLOT_TAKEN] = "slot-taken",
+  [RT_ACT_SLOT_DONE] = "slot-done",
 };
 
 const char *const rec_verdict_names[REC_VERDICTS] = {
@@ -33,6 +43,12 @@
   [CLM_DONE] = "done",
 };
 
+const char *const rec_slot_names[RT_SLOT_WORDS] = {
+  [RT_SLOT_GRANTED] = "granted",
+  [RT_SLOT_QUEUED] = "queued",
+  [RT_SLOT_REFUSED] = "refused",
+};
+
 /* What the event handed out last points to. */
 struct scratch
 {
@@ -196,6 +212,20 @@
   return s->cfg != NULL;
 }
 
+static bool
+read_slot (struct rec_reader *r, struct scratch *s, struct rt_event *ev,
+           struct fnd_list *findings)
+{
+  int word
+      = find_name (rec_slot_names, RT_SLOT_WORDS, jsn_str (s->doc, "slot"));
+
+  if (word < 0)
+    return bad (r, findings, "/slot", "not a word of a home");
+  ev->slot = (enum rt_slot_word)word;
+  ev->code = (enum rt_code)jsn_int (s->doc, "code");
+  return true;
+}
+
 static bool
 read_parts (struct rec_reader *r, struct scratch *s, struct rt_event *ev,
             struct fnd_list *findings)
@@ -225,6 +255,8 @@
         return bad (r, findings, "/verdict", "not a verdict");
       ev->verdict = (enum clm_verdict)verdict;
       return true;
+    case RT_EV_SLOT:
+      return read_slot (r, s, ev, findings);
     default:
       return true;
     }
--- a/route/record.c
+++ b/route/record.c
@@ -181,6 +181,9 @@
     json_object_object_add (o, "config", config_json (ev->cfg->text));
   if (ev->kind == RT_EV_CLAIM)
     put_str (o, "verdict", str_from (rec_verdict_names[ev->verdict]));
+  if (ev->kind == RT_EV_SLOT)
+    put_str (o, "slot", str_from (rec_slot_names[ev->slot]));
+  put_int (o, "code", ev->code);
   put_str (o, "name", ev->name);
   put_bool (o, "on", ev->on);
   put_double (o, "tokens_per_s", ev->tokens_per_s);
@@ -225,6 +228,9 @@
     case RT_ACT_CONNECT:
       add_target (act, out);
       break;
+    case RT_ACT_SLOT_TAKEN:
+      buf_addf (out, " to=%.*s", STR_ARG (act->name));
+      break;
     case RT_ACT_SEND:
     case RT_ACT_CANCEL:
     case RT_ACT_PASS:
--- a/route/request.c
+++ b/route/request.c
@@ -6,20 +6,30 @@
 #define CLAIM_WAIT_MS 5000 /* for a verdict */
 
 static const char *const state_names[RT_STATES]
-    = { "received",  "admitted", "queued",    "claiming", "connecting",
-        "sending",   "sent",     "streaming", "retrying", "reconnecting",
-        "resending", "done",     "not_run",   "failed",   "unknown" };
+    = { "received",  "admitted",   "asking",       "queued",
+        "claiming",  "connecting", "sending",      "sent",
+        "streaming", "retrying",   "reconnecting", "resending",
+        "done",      "not_run",    "failed",       "unknown" };
 
-static const char *const step_names[RT_STEPS]
-    = { "admit",         "refuse",
-        "enqueue",       "claim",
-        "connect",       "granted",
-        "replay",        "claimed_elsewhere",
-        "send",          "connect_failed",
-        "head",          "refused_unrun",
-        "refused_final", "retry",
-        "fail",          "lose",
-        "body",          "end" };
+static const char *const step_names[RT_STEPS] = { "admit",
+                                                  "refuse",
+                                                  "enqueue",
+                                                  "ask",
+                                                  "claim",
+                                                  "connect",
+                                                  "granted",
+                                                  "replay",
+                                                  "claimed_elsewhere",
+                                                  "send",
+                                                  "connect_failed",
+                                                  "head",
+                                                  "refused_unrun",
+                                                  "refused_final",
+                                                  "retry",
+                                                  "fail",
+                                                  "lose",
+                                                  "body",
+                                                  "end" };
 
 /** The chart as a table of our own numbers, read once. */
 static signed char table[RT_STATES][RT_STEPS];
@@ -78,6 +88,7 @@
 {
   if (!q->server)
     return;
+  rt_slot_done (r, q);
   rt_settle_pending (q);
   rt_server_drop (r, q->target, q->server, q->cost);
   if (q->probe)
@@ -90,6 +101,7 @@
 rt_forget (struct rt *r, struct rt_req *q)
 {
   struct rt_target *t = q->target;
+  rt_slot_done (r, q);
   rt_act (r, RT_ACT_FORGET, q);
   rt_req_free (r, q);
   if (t)
@@ -237,8 +249,8 @@
   return q->granted != 0 && r->now - q->granted < CLM_GRANT_MS;
 }
 
-static void
-dispatch (struct rt *r, struct rt_req *q, struct rt_server *s)
+void
+rt_dispatch (struct rt *r, struct rt_req *q, struct rt_server *s)
 {
   q->server = s;
   rt_server_take (r, q->target, s, q->cost);
@@ -263,7 +275,8 @@
       if (!s)
         return;
       rt_queue_take (&t->queue, q);
-      dispatch (r, q, s);
+      rt_dispatch (r, q, s);
+      rt_slot_taken (r, q);
     }
 }
 
@@ -329,6 +342,8 @@
 {
   if (q->deadline && r->now >= q->deadline)
     end_with (r, q, RT_CODE_DEADLINE, RT_RETRY_MS);
+  else if (q->state == RT_S_ASKING)
+    rt_slot_timer (r, q);
   else if (q->waiting && r->now >= rt_queue_until (q))
     end_with (r, q,
               rt_any_usable (r, q->target) ? RT_CODE_QUEUE_FULL
--- a/route/route.c
+++ b/route/route.c
@@ -352,7 +352,9 @@
   struct rt_req *q = find_request (r, ev->id);
   if (!q)
     return;
-  if (ev->kind == RT_EV_CLAIM)
+  if (ev->kind == RT_EV_SLOT)
+    rt_slot_event (r, q, ev);
+  else if (ev->kind == RT_EV_CLAIM)
     rt_claimed (r, q, ev->verdict, ev->retry_ms);
   else if (ev->kind == RT_EV_CALLER_GONE)
     rt_caller_gone (r, q);
@@ -385,6 +387,9 @@
     case RT_EV_LEAVING:
       r->leaving = ev->on;
       return;
+    case RT_EV_SLOT_HOME:
+      rt_slot_home (r, ev->name, ev->on);
+      return;
     case RT_EV_NODES:
       r->nodes = (unsigned)ev->size;
       return;
@@ -450,6 +455,7 @@
   free (r->actions);
   free (r->demands);
   free (r->views);
+  free (r->slots);
   free (r->zone);
   free (r->node);
   free (r);
--- a/route/route.h
+++ b/route/route.h
@@ -85,6 +85,15 @@
   clk_ms load_at;
 };
 
+/** What the home of a model's slots says, see route/slots.h. */
+enum rt_slot_word
+{
+  RT_SLOT_GRANTED, /**< name: the replica */
+  RT_SLOT_QUEUED,
+  RT_SLOT_REFUSED, /**< code, retry_ms */
+  RT_SLOT_WORDS
+};
+
 enum rt_event_kind
 {
   RT_EV_TICK,
@@ -103,7 +112,9 @@
   RT_EV_BROKEN,         /**< id, attempt */
   RT_EV_SILENT,         /**< id, attempt */
   RT_EV_CALLER_GONE,    /**< id */
-  RT_EV_NODES           /**< size: gateways of the region, for limit / N */
+  RT_EV_NODES,          /**< size: gateways of the region, for limit / N */
+  RT_EV_SLOT,     /**< id, slot, name, code, retry_ms: word of the home */
+  RT_EV_SLOT_HOME /**< name: the model's home can be asked; on */
 };
 
 struct rt_event
@@ -125,26 +136,43 @@
   int status;
   size_t size;
   double tokens;
+  enum rt_slot_word slot;
+  enum rt_code code;
 };
 
 enum rt_action_kind
 {
-  RT_ACT_CLAIM,   /**< id: ask for the claim */
-  RT_ACT_RELEASE, /**< id: the claim was not used */
-  RT_ACT_FINISH,  /**< id, http_status: keep the whole answer with the claim;
-                       status 0: there is none, the end is not known */
-  RT_ACT_CONNECT, /**< id, attempt, addr, name, fresh, timeouts */
-  RT_ACT_SEND,    /**< id, attempt: answer to RT_EV_CONNECTED: go on */
-  RT_ACT_CANCEL,  /**< id, attempt: close its connection */
-  RT_ACT_PASS,    /**< id, attempt: hand head and bytes to the caller from
-                       now on (until then they are held by the shell) */
-  RT_ACT_ANSWER,  /**< id, http_status, code, outcome, retry_ms: an error
-                       answer of our own, final */
-  RT_ACT_REPLAY,  /**< id: answer with the kept answer of the claim, whose
-                       outcome is that of its status */
-  RT_ACT_END,     /**< id, outcome: the passed answer is whole */
-  RT_ACT_CUT,     /**< id, code, outcome: end the passed answer visibly cut */
-  RT_ACT_FORGET   /**< id: nothing more will come */
+  RT_ACT_CLAIM,    /**< id: ask for the claim */
+  RT_ACT_RELEASE,  /**< id: the claim was not used */
+  RT_ACT_FINISH,   /**< id, http_status: keep the whole answer with the claim;
+                        status 0: there is none, the end is not known */
+  RT_ACT_CONNECT,  /**< id, attempt, addr, name, fresh, timeouts */
+  RT_ACT_SEND,     /**< id, attempt: answer to RT_EV_CONNECTED: go on */
+  RT_ACT_CANCEL,   /**< id, attempt: close its connection */
+  RT_ACT_PASS,     /**< id, attempt: hand head and bytes to the caller from
+                        now on (until then they are held by the shell) */
+  RT_ACT_ANSWER,   /**< id, http_status, code, outcome, retry_ms: an error
+                        answer of our own, final */
+  RT_ACT_REPLAY,   /**< id: answer with the kept answer of the claim, whose
+                        outcome is that of its status */
+  RT_ACT_END,      /**< id, outcome: the passed answer is whole */
+  RT_ACT_CUT,      /**< id, code, outcome: end the passed answer visibly cut */
+  RT_ACT_FORGET,   /**< id: nothing more will come */
+  RT_ACT_SLOT_ASK, /**< id, slot: ask the model's home */
+  RT_ACT_SLOT_TAKEN, /**< id, slot, name: tell it of a choice of our own */
+  RT_ACT_SLOT_DONE   /**< id, slot, first_ms: no longer needed */
+};
+
+/** What a home needs to know of a request. */
+struct rt_slot_ask
+{
+  struct str model;
+  struct str account;
+  unsigned priority;
+  clk_ms deadline; /**< absolute, or 0 */
+  double cost;
+  uint64_t prefix;
+  clk_ms first_ms; /**< of a whole answer; 0: not known */
 };
 
 struct rt_action
@@ -164,6 +192,7 @@
   enum rt_code code;
   enum rt_outcome outcome;
   clk_ms retry_ms;
+  struct rt_slot_ask slot;
 };
 
 struct rt;
@@ -195,6 +224,17 @@
 };
 const struct rt_demand *rt_demands (struct rt *r, clk_ms now, size_t *n);
 
+/** A slot that this gateway holds. */
+struct rt_slot
+{
+  uint64_t id;
+  struct str replica;
+  double cost; /**< tokens */
+};
+
+/** Requests of a model that have a replica. */
+const struct rt_slot *rt_slots (struct rt *r, struct str model, size_t *n);
+
 const char *rt_outcome_name (enum rt_outcome o); /**< "not-run" and so on */
 const char *rt_code_name (enum rt_code c);       /**< "queue-full" and so on */
 int rt_code_status (enum rt_code c);
--- /dev/null
+++ b/route/slot.c
@@ -0,0 +1,189 @@
+#include <stdlib.h>
+
+#include "route/core.h"
+
+#define MUTE_ASKS 3  /* without a word in time: the home is left alone */
+#define MUTE_MS 2000 /* for so long */
+
+static struct rt_action *
+act (struct rt *r, enum rt_action_kind kind, const struct rt_req *q)
+{
+  struct rt_action *a = rt_act (r, kind, q);
+  a->slot.model = str_from (q->target->name);
+  a->slot.account = str_from (q->account->name);
+  a->slot.priority = q->priority;
+  a->slot.deadline = q->deadline;
+  a->slot.cost = q->cost;
+  a->slot.prefix = q->prefix;
+  return a;
+}
+
+static bool
+asks_home (const struct rt *r, const struct rt_target *t)
+{
+  return t->has_home && r->now >= t->mute_until;
+}
+
+bool
+rt_slot_ask (struct rt *r, struct rt_req *q)
+{
+  clk_ms wait = q->cfg->limits.slot_ms;
+  if (!asks_home (r, q->target) || wait == 0)
+    return false;
+  rt_step (q, RT_X_ASK);
+  q->slot = true;
+  q->queued_at = r->now;
+  clk_ms at = r->now + wait;
+  rt_timer (r, q, q->deadline && q->deadline < at ? q->deadline : at);
+  act (r, RT_ACT_SLOT_ASK, q);
+  return true;
+}
+
+/** As without a home.  What the home says later is still welcome. */
+static void
+decide_here (struct rt *r, struct rt_req *q)
+{
+  rt_step (q, RT_X_ENQUEUE);
+  rt_enqueue (r, q, false);
+}
+
+/** All that wait at the home of @p t are decided here. */
+static void
+leave_home (struct rt *r, struct rt_target *t)
+{
+  for (size_t i = 0; i < r->table_size; i++)
+    for (struct rt_req *q = r->table[i]; q; q = q->chain)
+      if (q->target == t && q->state == RT_S_ASKING)
+        decide_here (r, q);
+}
+
+void
+rt_slot_home (struct rt *r, struct str model, bool on)
+{
+  struct rt_target *t = rt_target (r, model, true);
+  t->has_home = on;
+  t->mute = 0;
+  t->mute_until = 0;
+  if (on)
+    return;
+  leave_home (r, t);
+  rt_pump (r, t);
+}
+
+/**
+ * A home that answers nothing is stopped or cut off: each request would wait
+ * for its word in vain, and those that are queued there for ever.
+ */
+static void
+unanswered (struct rt *r, struct rt_req *q)
+{
+  struct rt_target *t = q->target;
+  decide_here (r, q);
+  if (++t->mute >= MUTE_ASKS)
+    {
+      t->mute = 0;
+      t->mute_until = r->now + MUTE_MS;
+      leave_home (r, t);
+    }
+  rt_pump (r, t);
+}
+
+void
+rt_slot_timer (struct rt *r, struct rt_req *q)
+{
+  if (q->heard)
+    rt_refuse (r, q,
+               rt_any_usable (r, q->target) ? RT_CODE_QUEUE_FULL
+                                            : RT_CODE_NO_REPLICA,
+               RT_RETRY_MS);
+  else
+    unanswered (r, q);
+}
+
+/** The server that was granted, if this gateway may use it by what it knows
+    itself. */
+static struct rt_server *
+granted_server (struct rt *r, const struct rt_req *q, struct str name)
+{
+  uint64_t hash = str_hash (name, 0);
+  for (size_t i = 0; i < q->target->nservers; i++)
+    {
+      struct rt_server *s = q->target->servers[i];
+      if (s->hash != hash || !str_is (name, s->name))
+        continue;
+      bool in = s->ejected_until == 0
+                || (q->idempotent && rt_outlier_probe_due (r, s));
+      return in && rt_usable (r, s) && !rt_tried (q, s) ? s : NULL;
+    }
+  return NULL;
+}
+
+static void
+on_granted (struct rt *r, struct rt_req *q, struct str name)
+{
+  struct rt_server *s = granted_server (r, q, name);
+  if (s)
+    {
+      if (q->waiting)
+        rt_queue_remove (&q->target->queue, q);
+      rt_dispatch (r, q, s);
+      return;
+    }
+  rt_slot_done (r, q);
+  if (q->state != RT_S_ASKING)
+    return;
+  decide_here (r, q);
+  rt_pump (r, q->target);
+}
+
+void
+rt_slot_event (struct rt *r, struct rt_req *q, const struct rt_event *ev)
+{
+  bool asking = q->state == RT_S_ASKING;
+  /* Decided here meanwhile, or a second word: what is under way stays. */
+  if (!q->slot || (!asking && (q->state != RT_S_QUEUED || !q->waiting)))
+    return;
+  q->target->mute = 0;
+  if (ev->slot == RT_SLOT_GRANTED)
+    on_granted (r, q, ev->name);
+  else if (!asking)
+    return;
+  else if (ev->slot == RT_SLOT_QUEUED)
+    {
+      q->heard = true;
+      rt_timer (r, q, rt_queue_until (q));
+    }
+  else
+    rt_refuse (r, q, ev->code, rt_clamp_retry ((double)ev->retry_ms));
+}
+
+void
+rt_slot_taken (struct rt *r, struct rt_req *q)
+{
+  if (!q->target->has_home || !q->server)
+    return;
+  q->slot = true;
+  act (r, RT_ACT_SLOT_TAKEN, q)->name = str_from (q->server->name);
+}
+
+void
+rt_slot_done (struct rt *r, struct rt_req *q)
+{
+  if (!q->slot)
+    return;
+  q->slot = false;
+  act (r, RT_ACT_SLOT_DONE, q)->slot.first_ms = q->whole ? q->first_ms : 0;
+}
+
+const struct rt_slot *
+rt_slots (struct rt *r, struct str model, size_t *n)
+{
+  r->slots = xrealloc (r->slots, (r->open + 1) * sizeof *r->slots);
+  *n = 0;
+  for (size_t i = 0; i < r->table_size; i++)
+    for (const struct rt_req *q = r->table[i]; q; q = q->chain)
+      if (q->server && q->target->is_model && str_is (model, q->target->name))
+        r->slots[(*n)++]
+            = (struct rt_slot){ q->id, str_from (q->server->name), q->cost };
+  return r->slots;
+}
--- a/route/slots.c
+++ b/route/slots.c
@@ -36,6 +36,7 @@
   clk_ms swept;
   double first_ms;
   uint64_t turn;
+  size_t nodes; /* gateways that ask */
 };
 
 /* --- entries ------------------------------------------------------------ */
@@ -87,7 +88,7 @@
 }
 
 static struct slt_action *
-act (struct slt *s, enum slt_action_kind kind, const struct entry *e)
+act (struct slt *s, enum rt_slot_word word, const struct entry *e)
 {
   if (s->act_n == s->act_cap)
     {
@@ -95,7 +96,7 @@
       s->actions = xrealloc (s->actions, s->act_cap * sizeof *s->actions);
     }
   struct slt_action *a = &s->actions[s->act_n++];
-  *a = (struct slt_action){ .kind = kind,
+  *a = (struct slt_action){ .word = word,
                             .gateway = e->gateway,
                             .id = e->q.id };
   return a;
@@ -104,7 +105,7 @@
 static void
 refuse (struct slt *s, struct entry *e, enum rt_code code, clk_ms retry_ms)
 {
-  struct slt_action *a = act (s, SLT_ACT_REFUSE, e);
+  struct slt_action *a = act (s, RT_SLOT_REFUSED, e);
   a->code = code;
   a->retry_ms = retry_ms;
   drop (s, place_of (s, e->gateway, e->q.id));
@@ -204,7 +205,7 @@
   if (e->q.prefix)
     touch (w, e->q.prefix);
   hold (s, e, server);
-  act (s, SLT_ACT_GRANT, e)->replica = str_from (server->name);
+  act (s, RT_SLOT_GRANTED, e)->replica = str_from (server->name);
 }
 
 static void
@@ -250,7 +251,8 @@
 static bool
 queue_overfull (const struct slt *s)
 {
-  return s->core->cfg && s->queue.n > s->core->cfg->limits.max_queue;
+  return s->core->cfg
+         && s->queue.n > s->nodes * s->core->cfg->limits.max_queue;
 }
 
 /** The fair victim goes; it may be the newcomer itself. */
@@ -284,7 +286,7 @@
   pump (s);
   if (e->q.waiting)
     {
-      act (s, SLT_ACT_QUEUED, e);
+      act (s, RT_SLOT_QUEUED, e);
       shed (s);
     }
 }
@@ -301,7 +303,7 @@
 
 /** The gateway uses that replica, whatever was thought here. */
 static void
-on_held (struct slt *s, const struct slt_event *ev, const struct slt_open *o)
+on_held (struct slt *s, const struct slt_event *ev, const struct rt_slot *o)
 {
   struct entry **at = place_of (s, ev->gateway, o->id);
   struct rt_server *server = server_named (s, o->replica);
@@ -358,12 +360,24 @@
  * the model would dry up slot by slot.
  */
 static void
-sweep (struct slt *s, bool all, uint32_t gone)
+sweep (struct slt *s)
 {
   s->swept = s->now;
   for (size_t i = 0; i < TABLE_SIZE; i++)
     for (struct entry **at = &s->table[i]; *at;)
-      if (is_stale (s, *at) || (all && (*at)->gateway == gone))
+      if (is_stale (s, *at))
+        drop (s, at);
+      else
+        at = &(*at)->chain;
+}
+
+/** Nobody would hear of their grants, and each would hold a slot in vain. */
+static void
+drop_waiting (struct slt *s, uint32_t gateway)
+{
+  for (size_t i = 0; i < TABLE_SIZE; i++)
+    for (struct entry **at = &s->table[i]; *at;)
+      if ((*at)->gateway == gateway && (*at)->q.waiting)
         drop (s, at);
       else
         at = &(*at)->chain;
@@ -386,7 +400,7 @@
     {
     case SLT_EV_TICK:
       if (s->now - s->swept >= SWEEP_MS)
-        sweep (s, false, 0);
+        sweep (s);
       break;
     case SLT_EV_CONFIG:
       forward (s, RT_EV_CONFIG, ev);
@@ -398,7 +412,7 @@
       on_ask (s, ev);
       return;
     case SLT_EV_TAKEN:
-      on_held (s, ev, &(struct slt_open){ ev->id, ev->replica, ev->cost });
+      on_held (s, ev, &(struct rt_slot){ ev->id, ev->replica, ev->cost });
       return;
     case SLT_EV_DONE:
       on_done (s, ev);
@@ -407,8 +421,11 @@
       on_open (s, ev);
       break;
     case SLT_EV_GONE:
-      sweep (s, true, ev->gateway);
+      drop_waiting (s, ev->gateway);
       break;
+    case SLT_EV_NODES:
+      s->nodes = ev->n ? ev->n : 1;
+      return;
     }
   pump (s);
 }
@@ -447,6 +464,7 @@
   s->now = s->core->now = s->swept = now;
   s->grants_from = now + SLT_LEARN_MS;
   s->first_ms = FIRST_MS;
+  s->nodes = 1;
   return s;
 }
 
--- a/route/slots.h
+++ b/route/slots.h
@@ -26,14 +26,6 @@
 /** How long a gateway waits for the first word about its ask. */
 #define SLT_ANSWER_MS ((clk_ms)50)
 
-/** A slot that a gateway holds. */
-struct slt_open
-{
-  uint64_t id;
-  struct str replica;
-  double cost; /**< tokens */
-};
-
 enum slt_event_kind
 {
   SLT_EV_TICK,
@@ -43,7 +35,9 @@
   SLT_EV_TAKEN, /**< gateway, id, replica, cost: decided without a grant */
   SLT_EV_DONE,  /**< gateway, id, first_ms: ended, or no longer wanted */
   SLT_EV_OPEN,  /**< gateway, open, n: all that it holds */
-  SLT_EV_GONE   /**< gateway: will not come back */
+  SLT_EV_GONE,  /**< gateway: its link is; what waits is dropped, and its
+                     slots are held as long as they would be anyhow */
+  SLT_EV_NODES  /**< n: gateways, each may have limits.max_queue waiting */
 };
 
 struct slt_event
@@ -60,20 +54,13 @@
   double first_ms; /**< time to the first byte, 0: not known */
   struct cfg *cfg;
   const struct rt_replica *replicas;
-  const struct slt_open *open;
+  const struct rt_slot *open;
   size_t n;
 };
 
-enum slt_action_kind
-{
-  SLT_ACT_GRANT,  /**< replica */
-  SLT_ACT_QUEUED, /**< all slots are taken; its turn comes */
-  SLT_ACT_REFUSE  /**< code, retry_ms */
-};
-
 struct slt_action
 {
-  enum slt_action_kind kind;
+  enum rt_slot_word word;
   uint32_t gateway;
   uint64_t id;
   struct str replica; /**< valid until the next event */
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -12,6 +12,24 @@
 
 #define ROUTED_WAIT_MS 15000
 
+static void
+write_model (struct cluster *c)
+{
+  proc_file (
+      "conf/20-model.json",
+      "{ \"domains\": { \"hall-a-1\": { \"zone\": \"hall-a\",\n"
+      "    \"vms\": { \"vm-1\": { \"addr\": \"%s\" },\n"
+      "      \"vm-2\": { \"addr\": \"%s\" } } } },\n"
+      "  \"models\": { \"ghala-lm\": { \"mode\": \"route\",\n"
+      "    \"vms\": 1, \"replicas\": 2, \"capacity\": 2 } },\n"
+      "  \"replicas\": {\n"
+      "    \"ghala-lm-1\": { \"model\": \"ghala-lm\", \"domain\":\n"
+      "      \"hall-a-1\", \"mode\": \"route\", \"vms\": [\"vm-1\"] },\n"
+      "    \"ghala-lm-2\": { \"model\": \"ghala-lm\", \"domain\":\n"
+      "      \"hall-a-1\", \"mode\": \"route\", \"vms\": [\"vm-2\"] } } }\n",
+      proc_addr (c->vm[0], "http"), proc_addr (c->vm[1], "http"));
+}
+
 static const char *
 write_config (struct cluster *c)
 {
@@ -153,7 +171,6 @@
 static void
 up (struct cluster *c, size_t n, enum cluster_kind kind, bool relayed)
 {
-  memset (c, 0, sizeof *c);
   c->n = n;
   c->store = PROC_UP ("standin", "store");
   for (int i = 0; i < 2; i++)
@@ -163,6 +180,8 @@
                           proc_addr (c->soko[1], "http"));
   proc_file ("secret.txt", "a secret of this test's processes\n");
   c->config = write_config (c);
+  if (c->vm[0])
+    write_model (c);
   for (size_t i = 0; i < n && kind == CLUSTER_APART; i++)
     start_apart (c, i);
   if (kind == CLUSTER_TOGETHER)
@@ -194,12 +213,33 @@
 void
 cluster_up (struct cluster *c, size_t n, enum cluster_kind kind)
 {
+  memset (c, 0, sizeof *c);
   up (c, n, kind, false);
 }
 
+static bool
+model_routed (struct cluster *c, size_t i)
+{
+  struct front f = { .http = c->http[i] };
+
+  return front_routed (&f);
+}
+
+void
+cluster_up_model (struct cluster *c, size_t n)
+{
+  memset (c, 0, sizeof *c);
+  for (int i = 0; i < 2; i++)
+    c->vm[i] = PROC_UP ("standin", "model");
+  up (c, n, CLUSTER_TOGETHER, false);
+  for (size_t i = 0; i < n; i++)
+    cr_assert (model_routed (c, i), "gateway %zu has no model", i);
+}
+
 void
 cluster_up_relayed (struct cluster *c, size_t n)
 {
+  memset (c, 0, sizeof *c);
   up (c, n, CLUSTER_APART, true);
 }
 
@@ -340,6 +380,12 @@
          + runs (c->soko[1], "by_request", id);
 }
 
+int
+cluster_model_runs (struct cluster *c, const char *id)
+{
+  return runs (c->vm[0], "by_request", id) + runs (c->vm[1], "by_request", id);
+}
+
 void
 cluster_forget_connections (struct cluster *c)
 {
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -20,6 +20,7 @@
   size_t n;
   struct proc *store;
   struct proc *soko[2];
+  struct proc *vm[2]; /**< of one replica each of "ghala-lm"; NULL: none */
   struct relay *relay; /**< before soko[0] and soko[1]; NULL: none */
   struct proc *control[CLUSTER_MAX]; /**< all NULL: without */
   struct proc *gateway[CLUSTER_MAX];
@@ -36,6 +37,10 @@
 /** Start @p n gateways and wait until each routes to the service. */
 void cluster_up (struct cluster *c, size_t n, enum cluster_kind kind);
 
+/** As cluster_up() together, with two replicas of one VM each that serve two
+    requests at once, and wait until each gateway routes to them. */
+void cluster_up_model (struct cluster *c, size_t n);
+
 /** As cluster_up(), with a relay between the gateways and the service. */
 void cluster_up_relayed (struct cluster *c, size_t n);
 
@@ -73,6 +78,9 @@
 int cluster_runs_of_key (struct cluster *c, const char *key);
 int cluster_runs_of_request (struct cluster *c, const char *id);
 
+/** How often the model's replicas ran a request id. */
+int cluster_model_runs (struct cluster *c, const char *id);
+
 /** Connections so far and bytes of all that are open now are swallowed for
     good, while new ones work. */
 void cluster_forget_connections (struct cluster *c);
--- a/t/lib-route.c
+++ b/t/lib-route.c
@@ -8,8 +8,9 @@
 #define MOST_WORDS 64
 
 static const char *const action_names[]
-    = { "claim", "release", "finish", "connect", "send", "cancel",
-        "pass",  "answer",  "replay", "end",     "cut",  "forget" };
+    = { "claim",  "release", "finish", "connect", "send",
+        "cancel", "pass",    "answer", "replay",  "end",
+        "cut",    "forget",  "ask",    "taken",   "slot-done" };
 
 static const char *const verdicts[] = { "granted", "running",  "answered",
                                         "unknown", "mismatch", "unavailable" };
@@ -68,6 +69,8 @@
     buf_addf (&s->log, "/%u", a->attempt);
   if (a->kind == RT_ACT_CONNECT)
     buf_addf (&s->log, " %.*s%s", STR_ARG (a->name), a->fresh ? " fresh" : "");
+  if (a->kind == RT_ACT_SLOT_TAKEN)
+    buf_addf (&s->log, " %.*s", STR_ARG (a->name));
   if (a->resume)
     buf_addf (&s->log, " from %zu", a->offset);
   if (a->kind == RT_ACT_ANSWER)
@@ -205,6 +208,30 @@
   rt_event (s->rt, s->now, &ev);
 }
 
+static void
+slot (struct script *s, char **w, size_t n)
+{
+  struct rt_event ev = { .kind = RT_EV_SLOT,
+                         .id = strtoull (w[1], NULL, 10),
+                         .retry_ms = 300 };
+  if (strcmp (w[2], "granted") == 0)
+    ev.name = str_from (n > 3 ? w[3] : "");
+  else
+    ev.slot = strcmp (w[2], "queued") == 0 ? RT_SLOT_QUEUED : RT_SLOT_REFUSED;
+  if (ev.slot == RT_SLOT_REFUSED)
+    ev.code = RT_CODE_DEADLINE;
+  rt_event (s->rt, s->now, &ev);
+}
+
+static void
+home (struct script *s, const char *on)
+{
+  struct rt_event ev = { .kind = RT_EV_SLOT_HOME,
+                         .name = STR ("lm"),
+                         .on = strcmp (on, "on") == 0 };
+  rt_event (s->rt, s->now, &ev);
+}
+
 static void
 share (struct script *s, char **w)
 {
@@ -286,6 +313,10 @@
     arrive_many (s, w + 1, n - 1);
   else if (strcmp (w[1], "claim") == 0)
     claim (s, w + 1);
+  else if (strcmp (w[1], "slot") == 0)
+    slot (s, w + 1, n - 1);
+  else if (strcmp (w[1], "home") == 0)
+    home (s, w[2]);
   else if (strcmp (w[1], "serve") == 0)
     serve (s, atoi (w[2]), n > 3 ? atoll (w[3]) : 0, true);
   else if (strcmp (w[1], "break") == 0)
--- a/t/lib-route.h
+++ b/t/lib-route.h
@@ -12,6 +12,8 @@
  *   open|fail|broken|silent|whole ID/ATTEMPT
  *   head ID/ATTEMPT STATUS    body ID/ATTEMPT SIZE
  *   gone ID    tick    leaving    down NAME    up NAME
+ *   home on|off              the home of model "lm" can be asked for slots
+ *   slot ID granted NAME | slot ID queued | slot ID refused
  *   serve COUNT STEP_MS       so many times: time goes on, the attempt that
  *                             connected first is opened and answered whole;
  *                             only the ids that connect next are logged
--- a/t/standin/fault.c
+++ b/t/standin/fault.c
@@ -99,6 +99,8 @@
   if (json_flag (o, "clear", false))
     b->fault = (struct fault){ 0 };
   fault_set (&b->fault, o);
+  if (json_flag (o, "clear_peak", false))
+    b->peak = b->open;
   if (b->set != NULL)
     b->set (b->ctx, o);
   json_object_put (o);
--- a/t/t5600-slots.c
+++ b/t/t5600-slots.c
@@ -37,10 +37,10 @@
   while (slt_next (h->core, &a))
     {
       unsigned long long id = a.id;
-      if (a.kind == SLT_ACT_GRANT)
+      if (a.word == RT_SLOT_GRANTED)
         buf_addf (&h->log, " grant(%u/%llu %.*s)", a.gateway, id,
                   STR_ARG (a.replica));
-      else if (a.kind == SLT_ACT_QUEUED)
+      else if (a.word == RT_SLOT_QUEUED)
         buf_addf (&h->log, " queued(%u/%llu)", a.gateway, id);
       else
         buf_addf (&h->log, " refuse(%u/%llu %s)", a.gateway, id,
@@ -72,10 +72,10 @@
 static void
 open_list (struct home *h, uint32_t gateway, char **w, size_t n)
 {
-  struct slt_open list[MOST_WORDS] = { 0 };
+  struct rt_slot list[MOST_WORDS] = { 0 };
   for (size_t i = 0; i < n; i++)
-    list[i] = (struct slt_open){ (uint64_t)atoll (w[i]),
-                                 str_from (strchr (w[i], '=') + 1), 100 };
+    list[i] = (struct rt_slot){ (uint64_t)atoll (w[i]),
+                                str_from (strchr (w[i], '=') + 1), 100 };
   struct slt_event ev
       = { .kind = SLT_EV_OPEN, .gateway = gateway, .open = list, .n = n };
   slt_event (h->core, h->now, &ev);
@@ -227,13 +227,16 @@
 Test (slots, deadline_and_gone)
 {
   /* A request takes 600 ms at the measured pace: one that must end sooner is
-     refused at once.  A gateway that is gone leaves no slot behind. */
+     refused at once.  A gateway's link breaks: its ask no longer waits, or
+     the next free slot would go to nobody; its request may go on and keeps
+     its slot. */
   check ("1 replicas r1\n300 ask 1 1 big\n900 done 1 1\n"
          "1000 ask 1 2 big 100 1300\n1000 ask 1 3 big 100 1700\n"
-         "1001 ask 2 4 big\n1002 ask 2 5 big\n1003 gone 1\n",
+         "1001 ask 2 4 big\n1002 ask 1 5 big\n1003 ask 2 6 big\n"
+         "1004 gone 1\n1005 done 2 4\n",
          "1 replicas r1: [0]\n300 ask 1: grant(1/1 r1) [1]\n"
          "900 done 1: [0]\n1000 ask 1: refuse(1/2 deadline) [0]\n"
          "1000 ask 1: grant(1/3 r1) [1]\n1001 ask 2: grant(2/4 r1) [2]\n"
-         "1002 ask 2: queued(2/5) [2]\n"
-         "1003 gone 1: grant(2/5 r1) [2]\n");
+         "1002 ask 1: queued(1/5) [2]\n1003 ask 2: queued(2/6) [2]\n"
+         "1004 gone 1: [2]\n1005 done 2: grant(2/6 r1) [2]\n");
 }
--- /dev/null
+++ b/t/t5601-slot.c
@@ -0,0 +1,94 @@
+#include <criterion/criterion.h>
+
+#include "lib-route.h"
+
+/* A gateway that asks the model's home for slots, and all the ways in which
+   the home says nothing. */
+
+#define CONFIG                                                                \
+  "{\"models\":{\"lm\":{\"mode\":\"route\",\"vms\":1,\"capacity\":1}},"       \
+  "\"limits\":{\"queue_ms\":5000},"                                           \
+  "\"accounts\":{\"acme\":{" KEY_DIGESTS ",\"may\":[\"*\"]}}}"
+
+static void
+check (const char *script, const char *log)
+{
+  struct script s = script_new (CONFIG, 1);
+  script_expect (&s, script, log);
+  script_free (&s);
+}
+
+Test (slot, granted)
+{
+  /* The home's replica is used, and its claim comes after the slot.  The home
+     hears when the slot is free, also when the caller hangs up while the
+     request waits there. */
+  check ("1 replicas r1 r2\n2 home on\n3 arrive 1 acme lm\n"
+         "4 slot 1 granted r2\n5 open 1/1\n6 head 1/1 200\n7 whole 1/1\n"
+         "8 arrive 2 acme lm once key\n9 slot 2 granted r1\n"
+         "10 claim 2 granted\n11 arrive 3 acme lm\n12 slot 3 queued\n"
+         "13 gone 3\n14 slot 3 granted r2\n"
+         "15 arrive 4 acme lm\n16 slot 4 refused\n",
+         "1 replicas r1:\n2 home on:\n3 arrive 1: ask(1)\n"
+         "4 slot 1: connect(1/1 r2)\n5 open 1/1: send(1/1)\n6 head 1/1:\n"
+         "7 whole 1/1: pass(1/1) slot-done(1) end(1 done)\n"
+         "8 arrive 2: ask(2)\n9 slot 2: claim(2)\n"
+         "10 claim 2: connect(2/1 r1 fresh)\n11 arrive 3: ask(3)\n"
+         "12 slot 3:\n13 gone 3: slot-done(3)\n14 slot 3:\n"
+         "15 arrive 4: ask(4)\n"
+         "16 slot 4: answer(4 504 deadline not-run) slot-done(4)\n");
+}
+
+Test (slot, no_word)
+{
+  /* The home is frozen.  Nobody waits for it longer than 50 ms; after three
+     asks it is left alone for 2 s, and what it had queued is decided here
+     too, or those callers would wait for their deadline.  A grant that comes
+     late starts nothing a second time. */
+  check ("1 replicas r1 r2 r3 r4 r5 r6\n2 home on\n"
+         "3 arrive 9 acme lm\n4 slot 9 queued\n"
+         "10 arrive 1 acme lm\n20 arrive 2 acme lm\n30 arrive 3 acme lm\n"
+         "59 tick\n60 tick\n70 tick\n75 slot 1 granted r6\n80 tick\n"
+         "90 arrive 4 acme lm\n91 slot 9 granted r6\n"
+         "2080 arrive 5 acme lm\n",
+         "1 replicas r1:\n2 home on:\n3 arrive 9: ask(9)\n4 slot 9:\n"
+         "10 arrive 1: ask(1)\n20 arrive 2: ask(2)\n30 arrive 3: ask(3)\n"
+         "59 tick :\n60 tick : connect(1/1 r4) taken(1 r4)\n"
+         "70 tick : connect(2/1 r6) taken(2 r6)\n75 slot 1:\n"
+         "80 tick : connect(3/1 r2) taken(3 r2) connect(9/1 r5) taken(9 r5)\n"
+         "90 arrive 4: connect(4/1 r1) taken(4 r1)\n91 slot 9:\n"
+         "2080 arrive 5: ask(5)\n");
+}
+
+Test (slot, home_lost)
+{
+  /* The link to the home breaks with two requests waiting there, one that
+     must not run twice: both go on by this gateway's choice, once. */
+  check ("1 replicas r1 r2\n2 home on\n3 arrive 1 acme lm once\n"
+         "4 slot 1 queued\n5 arrive 2 acme lm\n6 home off\n"
+         "7 slot 1 granted r1\n8 open 1/1\n9 slot 1 granted r2\n"
+         "10 home on\n60 tick\n",
+         "1 replicas r1:\n2 home on:\n3 arrive 1: ask(1)\n4 slot 1:\n"
+         "5 arrive 2: ask(2)\n"
+         "6 home off: connect(1/1 r2 fresh) connect(2/1 r1)\n"
+         "7 slot 1:\n8 open 1/1: send(1/1)\n9 slot 1:\n10 home on:\n"
+         "60 tick :\n");
+}
+
+Test (slot, unusable_grant)
+{
+  /* The home thinks of a replica that this gateway knows to be broken, or of
+     none that it has: it says so and decides itself.  A retry is its own
+     choice as well, which it tells. */
+  check ("1 replicas r1/broken r2 r3\n2 home on\n3 arrive 1 acme lm\n"
+         "4 slot 1 granted r1\n5 fail 1/1\n6 arrive 2 acme lm\n"
+         "7 slot 2 granted nobody\n8 arrive 3 acme lm\n9 slot 3 queued\n"
+         "5009 tick\n",
+         "1 replicas r1/broken:\n2 home on:\n3 arrive 1: ask(1)\n"
+         "4 slot 1: slot-done(1) connect(1/1 r3) taken(1 r3)\n"
+         "5 fail 1/1: slot-done(1) connect(1/2 r2) taken(1 r2)\n"
+         "6 arrive 2: ask(2)\n"
+         "7 slot 2: slot-done(2) connect(2/1 r3) taken(2 r3)\n"
+         "8 arrive 3: ask(3)\n9 slot 3:\n"
+         "5009 tick : answer(3 503 queue-full not-run) slot-done(3)\n");
+}
