--- a/t/lib-domain.c
+++ b/t/lib-domain.c
@@ -434,8 +434,8 @@
   pump (d);
 }
 
-const char *
-dom_run (struct dom *d, const char *script)
+static const char *
+run_script (struct dom *d, const char *script)
 {
   char line[128];
 
@@ -496,12 +496,6 @@
   return d->orders;
 }
 
-struct str
-dom_assignment (const struct dom *d)
-{
-  return buf_str (&d->value);
-}
-
 unsigned
 dom_wrong_loads (const struct dom *d)
 {
@@ -513,7 +507,7 @@
 {
   struct dom *d = dom_new (opt, 1);
 
-  cr_expect_str_eq (dom_run (d, script), want);
+  cr_expect_str_eq (run_script (d, script), want);
   cr_expect_eq (dom_wrong_loads (d), 0);
   dom_free (d);
 }
--- a/t/lib-domain.h
+++ b/t/lib-domain.h
@@ -40,9 +40,6 @@
 struct dom *dom_new (const struct dom_options *opt, uint64_t seed);
 void dom_free (struct dom *d);
 
-/** Run a script and return the log so far. */
-const char *dom_run (struct dom *d, const char *script);
-
 /** One script line without its time. */
 void dom_do (struct dom *d, const char *line);
 
@@ -52,9 +49,6 @@
 clk_ms dom_now (const struct dom *d);
 unsigned dom_orders (const struct dom *d);
 
-/** The assignment as the store holds it. */
-struct str dom_assignment (const struct dom *d);
-
 /** How many VMs obeyed a load order for a replica that the assignment did not
     give them at that moment. */
 unsigned dom_wrong_loads (const struct dom *d);
--- a/t/t8101-peers.c
+++ b/t/t8101-peers.c
@@ -27,6 +27,7 @@
 
 #define WAIT_MS (20 * CLK_SECOND)
 #define PESTER_MS (2 * CLK_SECOND)
+#define WAKE_MS 10
 #define MAX_NODES 24
 
 struct node
@@ -41,6 +42,7 @@
 static struct world
 {
   uv_loop_t loop;
+  uv_timer_t wake; /* no wait for a condition is longer */
   struct node nodes[MAX_NODES];
   size_t n;
   struct latekv store;
@@ -87,7 +89,6 @@
   return NULL;
 }
 
-#ifndef LAPISLINE_WITHOUT_SHARES
 void
 ctl_shares_demand (struct ctl_shares *s, struct str node,
                    const Lapis__ShareDemand *d)
@@ -98,7 +99,6 @@
 ctl_shares_grant (struct ctl_shares *s, const Lapis__ShareGrant *g)
 {
 }
-#endif
 
 void
 ctl_views_gateway (struct ctl_views *v, struct link *l,
@@ -253,28 +253,18 @@
   return links >= a && links <= b;
 }
 
-static void
-on_wake (uv_timer_t *t)
-{
-}
-
 static void
 until (const char *condition)
 {
   clk_ms end = clk_now () + WAIT_MS;
-  uv_timer_t wake;
 
-  uv_timer_init (&w.loop, &wake);
-  uv_timer_start (&wake, on_wake, 20, 20);
   while (!holds (condition) && clk_now () < end)
     uv_run (&w.loop, UV_RUN_ONCE);
   cr_assert (holds (condition), "not in time: %s", condition);
-  uv_close ((uv_handle_t *)&wake, NULL);
-  uv_run (&w.loop, UV_RUN_NOWAIT);
 }
 
-static void
-send_evidence (const char *args)
+static bool
+try_to_send (const char *args)
 {
   char from[16], to[16];
   Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
@@ -283,42 +273,19 @@
   cr_assert_eq (sscanf (args, "%15s %15s", from, to), 2);
   f.body_case = LAPIS__FRAME__BODY_EVIDENCE;
   f.evidence = &e;
-  cr_assert (
-      ctl_peers_send_node (find_node (from)->c.peers, str_from (to), &f),
-      "no link from %s to %s", from, to);
-}
-
-static void
-on_pester (uv_timer_t *t)
-{
-  Lapis__Evidence e = LAPIS__EVIDENCE__INIT;
-  Lapis__Frame f = LAPIS__FRAME__INIT;
-  struct node **ends = t->data;
-  struct str to = str_from (ends[1]->c.set.node);
-
-  f.body_case = LAPIS__FRAME__BODY_EVIDENCE;
-  f.evidence = &e;
-  ctl_peers_send_node (ends[0]->c.peers, to, &f);
+  return ctl_peers_send_node (find_node (from)->c.peers, str_from (to), &f);
 }
 
 static void
 pester (const char *args)
 {
-  char from[16], to[16];
-  struct node *ends[2];
   clk_ms end = clk_now () + PESTER_MS;
-  uv_timer_t t;
 
-  cr_assert_eq (sscanf (args, "%15s %15s", from, to), 2);
-  ends[0] = find_node (from);
-  ends[1] = find_node (to);
-  uv_timer_init (&w.loop, &t);
-  t.data = ends;
-  uv_timer_start (&t, on_pester, 10, 10);
   while (clk_now () < end)
-    uv_run (&w.loop, UV_RUN_ONCE);
-  uv_close ((uv_handle_t *)&t, NULL);
-  uv_run (&w.loop, UV_RUN_NOWAIT);
+    {
+      try_to_send (args);
+      uv_run (&w.loop, UV_RUN_ONCE);
+    }
 }
 
 /* --- a gateway ---------------------------------------------------------- */
@@ -366,7 +333,7 @@
   else if (strcmp (line, "until") == 0)
     until (args);
   else if (strcmp (line, "send") == 0)
-    send_evidence (args);
+    cr_assert (try_to_send (args), "no link: %s", args);
   else if (strcmp (line, "pester") == 0)
     pester (args);
   else
@@ -385,11 +352,18 @@
   free (text);
 }
 
+static void
+on_wake (uv_timer_t *t)
+{
+}
+
 static void
 begin (void)
 {
   memset (&w, 0, sizeof w);
   uv_loop_init (&w.loop);
+  uv_timer_init (&w.loop, &w.wake);
+  uv_timer_start (&w.wake, on_wake, WAKE_MS, WAKE_MS);
   latekv_init (&w.store, &w.loop);
   log_setup (LOG_TEXT, LOG_ERROR, STR ("test"));
 }
@@ -399,6 +373,7 @@
 {
   for (size_t i = 0; i < w.n; i++)
     stop (&w.nodes[i]);
+  uv_close ((uv_handle_t *)&w.wake, NULL);
   for (int i = 0; i < 100 && uv_loop_alive (&w.loop); i++)
     uv_run (&w.loop, UV_RUN_NOWAIT);
   cr_expect_eq (uv_loop_close (&w.loop), 0, "handles are left");
