Say once how eight nodes begin, and sum counters in one place

Change: EIGHT; sum_of(); the name is looked up once. Conclusion: a script begins with what its test is about.

--- a/t/lib-fleet.c
+++ b/t/lib-fleet.c
@@ -319,6 +319,18 @@
   return 0;
 }
 
+/** A counter summed over the running nodes among WHO. */
+static uint64_t
+sum_of (const struct fleet *f, const char *who, const char *name)
+{
+  uint64_t sum = 0;
+
+  for (size_t i = 0; i < bus_nodes (f->bus); i++)
+    if (runs (f, i) && matches (f, i, who))
+      sum += counter (mbr_counts (bus_core (f->bus, i)), name);
+  return sum;
+}
+
 static void
 cmd_count (struct fleet *f, char *args)
 {
@@ -328,14 +340,8 @@
 
   buf_addf (&f->out, "%s:", who);
   while ((name = strtok_r (NULL, " ", &save)) != NULL)
-    {
-      uint64_t sum = 0;
-
-      for (size_t i = 0; i < bus_nodes (f->bus); i++)
-        if (runs (f, i) && matches (f, i, who))
-          sum += counter (mbr_counts (bus_core (f->bus, i)), name);
-      buf_addf (&f->out, " %s %llu", name, (unsigned long long)sum);
-    }
+    buf_addf (&f->out, " %s %llu", name,
+              (unsigned long long)sum_of (f, who, name));
   buf_add_char (&f->out, '\n');
 }
 
@@ -345,14 +351,10 @@
 {
   unsigned long long bound;
   char who[16], name[32];
-  uint64_t sum = 0;
 
   cr_assert_eq (sscanf (args, "%llu %15s %31s", &bound, who, name), 3);
-  for (size_t i = 0; i < bus_nodes (f->bus); i++)
-    if (runs (f, i) && matches (f, i, who))
-      sum += counter (mbr_counts (bus_core (f->bus, i)), name);
   buf_addf (&f->out, "%s: %s at most %llu: %s\n", who, name, bound,
-            sum <= bound ? "yes" : "no");
+            sum_of (f, who, name) <= bound ? "yes" : "no");
 }
 
 /** Bytes that each node sends in each of the next ten seconds. */
@@ -447,37 +449,30 @@
     }
 }
 
+/** What is done to the node that the arguments name. */
 static bool
 cmd_on_node (struct fleet *f, const char *cmd, const char *args)
 {
-  char name[16];
-  long long ms = 0;
-  size_t node;
+  size_t node = node_index (args);
+  clk_ms ms = strtoll (args + strcspn (args, " "), NULL, 10);
 
-  if (sscanf (args, "%15s %lld", name, &ms) < 1)
-    return false;
   if (strcmp (cmd, "kill") == 0)
-    bus_kill (f->bus, node_index (name));
+    bus_kill (f->bus, node);
+  else if (strcmp (cmd, "tap") == 0)
+    bus_tap (f->bus, node, &f->tap);
+  else if (strcmp (cmd, "leave") == 0)
+    mbr_leave (bus_core (f->bus, node), bus_now (f->bus));
+  else if (strcmp (cmd, "restart") == 0 || strcmp (cmd, "replace") == 0)
+    bus_replace (f->bus, node);
   else if (strcmp (cmd, "freeze") == 0)
     {
-      node = node_index (name);
       bus_freeze (f->bus, node, ms);
       f->frozen[node] = bus_now (f->bus) + ms;
     }
-  else if (strcmp (cmd, "restart") == 0)
-    bus_replace (f->bus, node_index (name));
-  else if (strcmp (cmd, "tap") == 0)
-    bus_tap (f->bus, node_index (name), &f->tap);
-  else if (strcmp (cmd, "leave") == 0)
-    mbr_leave (bus_core (f->bus, node_index (name)), bus_now (f->bus));
-  else if (strcmp (cmd, "replace") == 0)
-    {
-      node = node_index (name);
-      bus_replace (f->bus, node);
-      bus_join (f->bus, node, node == 0 ? 1 : 0);
-    }
   else
     return false;
+  if (strcmp (cmd, "replace") == 0)
+    bus_join (f->bus, node, node == 0 ? 1 : 0);
   return true;
 }
 
--- a/t/t3001-member.c
+++ b/t/t3001-member.c
@@ -4,6 +4,9 @@
 
 #define SEEDS 20
 
+/* Eight nodes in three zones that know each other. */
+#define EIGHT "nodes 8 3\nrun 5000\n"
+
 /** The outcome must not depend on the order of random choices. */
 static void
 every_seed (const char *script, const char *expected)
@@ -16,13 +19,11 @@
 {
   /* A node dies without a word.  Callers are sent to it until the view says
      so; bound for 8 nodes: 6 s, and nobody else is accused on the way. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "kill n3\n"
-              "until dead n3 6000\n"
-              "run 30000\n"
-              "views\n"
-              "accused\n",
+  every_seed (EIGHT "kill n3\n"
+                    "until dead n3 6000\n"
+                    "run 30000\n"
+                    "views\n"
+                    "accused\n",
               "n3 dead at all within 6000 ms: yes\n"
               "n1 n2 n4 n5 n6 n7 n8: alive 7 dead 1 (n3)\n"
               "healthy nodes accused 0 times\n");
@@ -33,17 +34,15 @@
   /* A VM is paused for 1, 3 and 5 s.  On waking, its probe's deadline has
      passed while the answer lies unread in its socket: it would accuse the
      node it was probing, and all would send their callers elsewhere. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "freeze n4 1000\n"
-              "run 9000\n"
-              "freeze n4 3000\n"
-              "run 12000\n"
-              "freeze n4 5000\n"
-              "run 15000\n"
-              "count n4 suspected died pauses\n"
-              "accused\n"
-              "views\n",
+  every_seed (EIGHT "freeze n4 1000\n"
+                    "run 9000\n"
+                    "freeze n4 3000\n"
+                    "run 12000\n"
+                    "freeze n4 5000\n"
+                    "run 15000\n"
+                    "count n4 suspected died pauses\n"
+                    "accused\n"
+                    "views\n",
               "n4: suspected 0 died 0 pauses 3\n"
               "healthy nodes accused 0 times\n"
               "n1 n2 n3 n4 n5 n6 n7 n8: alive 8\n");
@@ -54,12 +53,10 @@
   /* n1 gets nothing that n2 sends, so n2's answers to its probes are lost.
      Both run and all others reach them: helpers find n2 for n1, and nobody
      is taken for silent. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "cut n2 n1\n"
-              "run 60000\n"
-              "count all suspected died\n"
-              "views\n",
+  every_seed (EIGHT "cut n2 n1\n"
+                    "run 60000\n"
+                    "count all suspected died\n"
+                    "views\n",
               "all: suspected 0 died 0\n"
               "n1 n2 n3 n4 n5 n6 n7 n8: alive 8\n");
 }
@@ -69,17 +66,15 @@
   /* n1 sends but hears nobody.  To it all seem silent, one after another;
      if it told, callers would be kept from each in turn.  It
      marks them for itself only, and takes that back when it hears again. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "cut all n1\n"
-              "run 90000\n"
-              "views\n"
-              "buried-by z2\n"
-              "buried-by z3\n"
-              "mend all n1\n"
-              "until alive n1 5000\n"
-              "run 3000\n"
-              "views\n",
+  every_seed (EIGHT "cut all n1\n"
+                    "run 90000\n"
+                    "views\n"
+                    "buried-by z2\n"
+                    "buried-by z3\n"
+                    "mend all n1\n"
+                    "until alive n1 5000\n"
+                    "run 3000\n"
+                    "views\n",
               "n1: alive 1 dead 7 (n2 n3 n4 n5 n6 n7 n8)\n"
               "n2 n3 n4 n5 n6 n7 n8: alive 7 dead 1 (n1)\n"
               "z2 held for dead: n1\n"
@@ -117,12 +112,10 @@
   /* A node frozen for 20 s is declared dead, rightly.  When it goes on in
      the same boot it must come back by a higher incarnation, though the
      others hold its death at the one that it had. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "freeze n4 20000\n"
-              "until dead n4 8000\n"
-              "run 20000\n"
-              "until alive n4 1\n",
+  every_seed (EIGHT "freeze n4 20000\n"
+                    "until dead n4 8000\n"
+                    "run 20000\n"
+                    "until alive n4 1\n",
               "n4 dead at all within 8000 ms: yes\n"
               "n4 alive at all within 1 ms: yes\n");
 }
@@ -132,17 +125,15 @@
   /* A VM is replaced under its name and address.  Packets of the old one
      that arrive late must neither bring it back nor count for the new one,
      and the new one must not wait until the old one is forgotten. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "tap n3\n"
-              "run 3000\n"
-              "replace n3\n"
-              "run 2000\n"
-              "views\n"
-              "replay n1\n"
-              "run 10000\n"
-              "views\n"
-              "accused\n",
+  every_seed (EIGHT "tap n3\n"
+                    "run 3000\n"
+                    "replace n3\n"
+                    "run 2000\n"
+                    "views\n"
+                    "replay n1\n"
+                    "run 10000\n"
+                    "views\n"
+                    "accused\n",
               "n1 n2 n3 n4 n5 n6 n7 n8: alive 8\n"
               "n1 n2 n3 n4 n5 n6 n7 n8: alive 8\n"
               "healthy nodes accused 0 times\n");
@@ -153,10 +144,8 @@
   /* A VM is replaced and its successor, at the same address, reaches nobody
      to join.  It gets the probes meant for its predecessor; if it answered
      them, callers would be sent to a node that serves nothing yet. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "restart n3\n"
-              "until dead n3 6000\n",
+  every_seed (EIGHT "restart n3\n"
+                    "until dead n3 6000\n",
               "n3 dead at all within 6000 ms: yes\n");
 }
 
@@ -179,14 +168,12 @@
 {
   /* A node that drains says so, and is no more offered to callers while it
      finishes its work; the word must not end as an accusation. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "leave n5\n"
-              "until leaving n5 2500\n"
-              "run 20000\n"
-              "views\n"
-              "kill n5\n"
-              "until dead n5 6000\n",
+  every_seed (EIGHT "leave n5\n"
+                    "until leaving n5 2500\n"
+                    "run 20000\n"
+                    "views\n"
+                    "kill n5\n"
+                    "until dead n5 6000\n",
               "n5 leaving at all within 2500 ms: yes\n"
               "n1 n2 n3 n4 n5 n6 n7 n8: alive 7 leaving 1 (n5)\n"
               "n5 dead at all within 6000 ms: yes\n");
@@ -245,11 +232,9 @@
   /* n4 loses most of what comes in, so that many of its probes fail though
      their targets run.  Silent helpers tell it that the fault is its own: it
      waits longer before it accuses. */
-  every_seed ("nodes 8 3\n"
-              "run 5000\n"
-              "lossy n4 70\n"
-              "run 60000\n"
-              "at-most 20 n4 suspected\n",
+  every_seed (EIGHT "lossy n4 70\n"
+                    "run 60000\n"
+                    "at-most 20 n4 suspected\n",
               "n4: suspected at most 20: yes\n");
 }
 
