Watch only requests that are open for 100 ms

Most requests end before their caller could leave. Change: net/httpd-watch.c lists requests in the order of their beginning and starts watches from one timer for all, which runs while there are any. A caller that left before is found then, as the hang-up is still reported.

--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * What the files of the HTTP server share: httpd.c holds the listener and
- * its connections, httpd-req.c a request and its answer.
+ * its connections, httpd-req.c a request and its answer, httpd-watch.c looks
+ * for callers that leave, httpd-refusal.c completes what h2o refuses.
  */
 #ifndef LAPISLINE_NET_HTTPD_INT_H
 #define LAPISLINE_NET_HTTPD_INT_H
@@ -34,6 +35,9 @@
   size_t nopen;
   struct httpd_conn *conns;
   struct httpd_req *reqs;
+  uv_timer_t watch_timer;
+  struct httpd_req *unwatched; /**< oldest first */
+  struct httpd_req **last_unwatched;
   uint16_t port;
   int handles;       /**< of our own that are not closed yet */
   bool accept_waits; /**< a connection waits for one to close */
@@ -80,6 +84,9 @@
   void (*drained) (void *ctx);
   void *drained_ctx;
   struct gone_watch *watch;
+  struct httpd_req *next_unwatched;
+  struct httpd_req **prev_unwatched; /**< NULL: not in the list */
+  clk_ms watch_at;                   /**< loop time */
 };
 
 /**
@@ -102,6 +109,18 @@
 /** h2o's handler: make a request of ours and hand it to the server's. */
 int httpd_on_req (h2o_handler_t *self, h2o_req_t *req);
 
+/** Get ready to look for callers that leave. */
+void httpd_watch_init (struct httpd *d, uv_loop_t *loop);
+
+/** Look for the caller's leaving once the request has been open a while. */
+void httpd_watch_later (struct httpd_req *r);
+
+/** Look no more. */
+void httpd_watch_stop (struct httpd_req *r);
+
+/** Tell the handler that the caller left. */
+void httpd_tell_gone (struct httpd_req *r);
+
 /** End h2o's side of a request that nobody answers any more. */
 void httpd_abandon (struct httpd_req *r);
 
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -1,37 +1,6 @@
 #include "net/httpd-int.h"
 
-#include <fcntl.h>
 #include <stdlib.h>
-#include <unistd.h>
-
-struct gone_watch
-{
-  uv_poll_t poll;
-  int fd;
-};
-
-/* --- watching for callers that leave ---------------------------------- */
-
-static void
-on_watch_closed (uv_handle_t *h)
-{
-  struct gone_watch *w = h->data;
-
-  close (w->fd);
-  free (w);
-}
-
-static void
-watch_stop (struct httpd_req *r)
-{
-  if (r->watch == NULL)
-    return;
-  struct gone_watch *w = r->watch;
-  r->watch = NULL;
-  uv_poll_stop (&w->poll);
-  w->poll.data = w;
-  uv_close ((uv_handle_t *)&w->poll, on_watch_closed);
-}
 
 static void flush (struct httpd_req *r);
 
@@ -41,7 +10,7 @@
   r->detached = true;
   r->ended = true;
   r->whole = false;
-  watch_stop (r);
+  httpd_watch_stop (r);
   if (r->in_flight)
     {
       httpd_conn_shutdown (r->conn, SHUT_RDWR);
@@ -60,8 +29,8 @@
   flush (r);
 }
 
-static void
-tell_gone (struct httpd_req *r)
+void
+httpd_tell_gone (struct httpd_req *r)
 {
   void (*gone) (void *ctx) = r->gone;
 
@@ -72,45 +41,6 @@
     gone (r->gone_ctx);
 }
 
-static void
-on_watch (uv_poll_t *poll, int status, int events)
-{
-  struct httpd_req *r = poll->data;
-
-  if (status == 0 && (events & UV_DISCONNECT) == 0)
-    return;
-  watch_stop (r);
-  tell_gone (r);
-  httpd_abandon (r);
-}
-
-/*
- * h2o does not read from a connection while it answers a request, so a
- * caller that leaves would only be noticed at the next write; a long wait in
- * a queue or for a first token would go on for nobody.  A duplicate of the
- * descriptor is polled for the hang-up alone; no byte is taken from h2o.
- */
-static void
-watch_start (struct httpd_req *r)
-{
-  if (r->watch != NULL || r->ended)
-    return;
-  int fd = httpd_conn_fd (r->conn);
-  if (fd < 0 || (fd = fcntl (fd, F_DUPFD_CLOEXEC, 0)) < 0)
-    return;
-  struct gone_watch *w = xcalloc (1, sizeof *w);
-  w->fd = fd;
-  if (uv_poll_init (r->d->listener.loop, &w->poll, fd) != 0)
-    {
-      close (fd);
-      free (w);
-      return;
-    }
-  w->poll.data = r;
-  r->watch = w;
-  uv_poll_start (&w->poll, UV_DISCONNECT, on_watch);
-}
-
 /* --- one request ------------------------------------------------------- */
 
 static void
@@ -132,8 +62,8 @@
 {
   struct httpd_req *r = p;
 
-  watch_stop (r);
-  tell_gone (r);
+  httpd_watch_stop (r);
+  httpd_tell_gone (r);
   req_unlink (r);
   buf_free (&r->queued);
   buf_free (&r->sending);
@@ -159,8 +89,8 @@
 {
   struct httpd_req *r = (struct httpd_req *)g;
 
-  watch_stop (r);
-  tell_gone (r);
+  httpd_watch_stop (r);
+  httpd_tell_gone (r);
 }
 
 /* Hand queued bytes, and the end once it is known, to h2o. */
@@ -293,7 +223,7 @@
 {
   req->gone = gone;
   req->gone_ctx = ctx;
-  watch_start (req);
+  httpd_watch_later (req);
 }
 
 /* --- answers ----------------------------------------------------------- */
@@ -443,7 +373,7 @@
     whole = false;
   req->ended = true;
   req->whole = whole;
-  watch_stop (req);
+  httpd_watch_stop (req);
   if (!whole)
     {
       req->req->http1_is_persistent = 0;
--- /dev/null
+++ b/net/httpd-watch.c
@@ -0,0 +1,142 @@
+#include "net/httpd-int.h"
+
+#include <fcntl.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+/*
+ * A watch costs eight system calls, and most requests end before their caller
+ * could leave.  So it begins only for those that are open for so long; a
+ * caller that left before is found then, as the hang-up is still reported.
+ */
+#define WATCH_AFTER_MS 100
+
+struct gone_watch
+{
+  uv_poll_t poll;
+  int fd;
+};
+
+static void
+on_watch_closed (uv_handle_t *h)
+{
+  struct gone_watch *w = h->data;
+
+  close (w->fd);
+  free (w);
+}
+
+static void
+unwatched_add (struct httpd_req *r)
+{
+  struct httpd *d = r->d;
+
+  r->watch_at = (clk_ms)uv_now (d->listener.loop) + WATCH_AFTER_MS;
+  r->prev_unwatched = d->last_unwatched;
+  *d->last_unwatched = r;
+  d->last_unwatched = &r->next_unwatched;
+}
+
+static void
+unwatched_remove (struct httpd_req *r)
+{
+  if (r->prev_unwatched == NULL)
+    return;
+  *r->prev_unwatched = r->next_unwatched;
+  if (r->next_unwatched != NULL)
+    r->next_unwatched->prev_unwatched = r->prev_unwatched;
+  else
+    r->d->last_unwatched = r->prev_unwatched;
+  r->prev_unwatched = NULL;
+  r->next_unwatched = NULL;
+}
+
+void
+httpd_watch_stop (struct httpd_req *r)
+{
+  unwatched_remove (r);
+  if (r->watch == NULL)
+    return;
+  struct gone_watch *w = r->watch;
+  r->watch = NULL;
+  uv_poll_stop (&w->poll);
+  w->poll.data = w;
+  uv_close ((uv_handle_t *)&w->poll, on_watch_closed);
+}
+
+static void
+on_watch (uv_poll_t *poll, int status, int events)
+{
+  struct httpd_req *r = poll->data;
+
+  if (status == 0 && (events & UV_DISCONNECT) == 0)
+    return;
+  httpd_watch_stop (r);
+  httpd_tell_gone (r);
+  httpd_abandon (r);
+}
+
+/*
+ * h2o does not read from a connection while it answers a request, so a
+ * caller that leaves would only be noticed at the next write; a long wait in
+ * a queue or for a first token would go on for nobody.  A duplicate of the
+ * descriptor is polled for the hang-up alone; no byte is taken from h2o.
+ */
+static void
+watch_start (struct httpd_req *r)
+{
+  int fd = httpd_conn_fd (r->conn);
+  if (fd < 0 || (fd = fcntl (fd, F_DUPFD_CLOEXEC, 0)) < 0)
+    return;
+  struct gone_watch *w = xcalloc (1, sizeof *w);
+  w->fd = fd;
+  if (uv_poll_init (r->d->listener.loop, &w->poll, fd) != 0)
+    {
+      close (fd);
+      free (w);
+      return;
+    }
+  w->poll.data = r;
+  r->watch = w;
+  uv_poll_start (&w->poll, UV_DISCONNECT, on_watch);
+}
+
+/* The timer runs on while there is anything to watch later: one that stopped
+   and started with each request would cost what it saves. */
+static void
+on_watch_timer (uv_timer_t *t)
+{
+  struct httpd *d = t->data;
+  clk_ms now = (clk_ms)uv_now (t->loop);
+
+  if (d->unwatched == NULL)
+    uv_timer_stop (t);
+  while (d->unwatched != NULL && d->unwatched->watch_at <= now)
+    {
+      struct httpd_req *r = d->unwatched;
+      unwatched_remove (r);
+      watch_start (r);
+    }
+}
+
+void
+httpd_watch_later (struct httpd_req *r)
+{
+  struct httpd *d = r->d;
+
+  if (r->watch != NULL || r->prev_unwatched != NULL || r->ended || d->freeing)
+    return;
+  unwatched_add (r);
+  if (!uv_is_active ((uv_handle_t *)&d->watch_timer))
+    uv_timer_start (&d->watch_timer, on_watch_timer, WATCH_AFTER_MS,
+                    WATCH_AFTER_MS / 2);
+}
+
+void
+httpd_watch_init (struct httpd *d, uv_loop_t *loop)
+{
+  d->last_unwatched = &d->unwatched;
+  uv_timer_init (loop, &d->watch_timer);
+  d->watch_timer.data = d;
+  uv_unref ((uv_handle_t *)&d->watch_timer);
+}
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -240,7 +240,8 @@
       return NULL;
     }
   setup_h2o (d, loop, limits);
-  d->handles = 2;
+  d->handles = 3;
+  httpd_watch_init (d, loop);
   uv_timer_init (loop, &d->sweep);
   d->sweep.data = d;
   d->swept = clk_now ();
@@ -312,5 +313,6 @@
     }
   for (struct httpd_conn *c = d->conns; c != NULL; c = c->next)
     httpd_conn_shutdown (c, SHUT_RDWR);
+  uv_close ((uv_handle_t *)&d->watch_timer, on_handle_closed);
   uv_close ((uv_handle_t *)&d->sweep, on_handle_closed);
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -84,7 +84,7 @@
  * Be told when the caller's connection goes away before the answer's end.
  * Not called after the end.  After it no function may be called on @p req.
  * A caller that closes only its sending side counts as gone.  Each request
- * that is watched holds a second descriptor.
+ * that is open for 100 ms is watched, and then holds a second descriptor.
  */
 void httpd_on_gone (struct httpd_req *req, void (*gone) (void *ctx),
                     void *ctx);
