Write request heads without printf

Cause: a profile of 9,000 whole answers and 5,000 tokens through a gateway showed a seventh of its instructions in buf_addf under httpc_head_write: two vsnprintf for the first line and for each of five to six headers. Change: the parts are appended one by one.

--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -56,15 +56,19 @@
 {
   bool host = false;
 
-  buf_addf (out, "%.*s %.*s HTTP/1.1\r\n", STR_ARG (req->method),
-            STR_ARG (req->path));
+  buf_add (out, req->method);
+  buf_add_char (out, ' ');
+  buf_add (out, req->path);
+  buf_add_c (out, " HTTP/1.1\r\n");
   for (size_t i = 0; i < req->nheaders; i++)
     {
       if (is_hop_header (req->headers[i].name))
         continue;
       host = host || str_is (req->headers[i].name, "host");
-      buf_addf (out, "%.*s: %.*s\r\n", STR_ARG (req->headers[i].name),
-                STR_ARG (req->headers[i].value));
+      buf_add (out, req->headers[i].name);
+      buf_add_c (out, ": ");
+      buf_add (out, req->headers[i].value);
+      buf_add_c (out, "\r\n");
     }
   if (!host)
     {
