Set TCP_NODELAY on new connections only

Change: h2o hands an idle connection back while it is asked for one, and a new one later; the option is set on the latter alone.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -75,6 +75,7 @@
   bool fresh;
   bool malformed;
   bool paused;
+  bool pooled;      /* its connection was idle before and has its options */
   bool in_callback; /* h2o acts on what its callback returns */
 };
 
@@ -341,7 +342,8 @@
     }
   if (call->fresh || call->pool->open > HTTPC_POOLED)
     client->sockpool.pool = NULL; /* h2o then closes instead of keeping */
-  no_delay (client->sock);
+  if (!call->pooled)
+    no_delay (client->sock);
   bool go = call->cb.on_connected == NULL || call->cb.on_connected (call->ctx);
   if (call->phase == PHASE_OVER)
     return NULL;
@@ -369,8 +371,12 @@
   left = call->connect_until - (clk_ms)uv_now (call->c->loop);
   wait = HTTPC_RECONNECT_MS + call->c->spread++ % HTTPC_SPREAD_MS;
   arm (call, left < wait ? left : wait);
+  /* h2o calls back at once with an idle connection, later with a new one.
+     A call that ended is kept until its timer is closed. */
+  call->pooled = true;
   addr_pool_connect (call->pool, call->fresh, &call->c->ctx, call,
                      &call->client, on_connect);
+  call->pooled = false;
 }
 
 static void
