Hold four safeguards of the store's adapter and budget by tests

Change: the stand-in applies a write and answers with an error, and cuts reads; three tests in t2003, one in t2005. Conclusion: a write that may have been applied stays uncertain, whatever error the store gives.

--- a/t/standin/store-int.h
+++ b/t/standin/store-int.h
@@ -44,7 +44,8 @@
   struct counts counts;
   enum down_mode down;
   unsigned outages; /**< times that the listener went, with its requests */
-  int delay_ms, answer_delay_ms, lose_next;
+  int delay_ms, answer_delay_ms, lose_next, lose_read_next;
+  int fail_write; /**< error code, or 0 */
   bool silence_watches;
   GPtrArray *watches;
 };
--- a/t/standin/store.c
+++ b/t/standin/store.c
@@ -8,6 +8,8 @@
  *   "delay_ms": N          wait, then apply, then answer
  *   "answer_delay_ms": N   apply, wait, then answer
  *   "lose_answer_next": N  apply the next N writes and close unanswered
+ *   "lose_read_next": N    close the next N reads unanswered
+ *   "fail_write": CODE     apply writes and answer with that error; 0: off
  *   "drop_watches": true   cut every watch
  *   "silence_watches": B   watches get nothing more, and stay open
  *   "lapse_lease": ID or "all"
@@ -110,12 +112,15 @@
   else
     p->status = c->run (s, o, &p->answer);
   json_object_put (o);
-  if (c->write && s->lose_next > 0)
+  int *lose = c->write ? &s->lose_next : &s->lose_read_next;
+  if (*lose > 0)
     {
-      s->lose_next--;
+      --*lose;
       s->counts.lost++;
       p->lose = true;
     }
+  if (c->write && s->fail_write > 0)
+    p->status = store_error (&p->answer, 503, s->fail_write, "stand-in fails");
   store_feed_watches (s);
   if (s->answer_delay_ms > 0)
     uv_timer_start (t, on_answer_time, (uint64_t)s->answer_delay_ms, 0);
@@ -247,7 +252,8 @@
 static void
 clear_faults (struct server *s)
 {
-  s->delay_ms = s->answer_delay_ms = s->lose_next = 0;
+  s->delay_ms = s->answer_delay_ms = 0;
+  s->lose_next = s->lose_read_next = s->fail_write = 0;
   s->silence_watches = false;
   set_down (s, UP);
 }
@@ -263,6 +269,8 @@
   s->answer_delay_ms
       = (int)json_num (o, "answer_delay_ms", s->answer_delay_ms);
   s->lose_next = (int)json_num (o, "lose_answer_next", s->lose_next);
+  s->lose_read_next = (int)json_num (o, "lose_read_next", s->lose_read_next);
+  s->fail_write = (int)json_num (o, "fail_write", s->fail_write);
   s->silence_watches = json_flag (o, "silence_watches", s->silence_watches);
   if (json_object_object_get_ex (o, "lapse_lease", &which))
     lapse (s, which);
--- a/t/t2003-store.c
+++ b/t/t2003-store.c
@@ -19,6 +19,7 @@
   const char *control;
   int64_t revision, lease;
   bool quiet; /* writes are not logged: they race with the watch's events */
+  bool close_on_event;
 };
 
 static const char *const status_names[]
@@ -71,6 +72,10 @@
   for (size_t i = 0; i < n; i++)
     run_log (&b->run, "event %.*s %s%.*s", STR_ARG (ev[i].kv.key),
              ev[i].deleted ? "deleted" : "=", STR_ARG (ev[i].kv.value));
+  if (!b->close_on_event)
+    return;
+  store_free (b->store);
+  b->store = NULL;
 }
 
 static void
@@ -181,6 +186,8 @@
     store_lease_revoke (b->store, b->lease, on_lease, b);
   else if (str_is (word, "forget"))
     store_forget (b->store, b);
+  else if (str_is (word, "close-on-event"))
+    b->close_on_event = true;
   else if (str_is (word, "quiet"))
     b->quiet = true;
   else if (str_is (word, "loud"))
@@ -219,7 +226,8 @@
   b.http = httpc_new (&b.run.loop);
   b.store = etcd_store_new (&b.run.loop, b.http, &opt, &budget);
   run_script (&b.run, script, step, &b);
-  store_free (b.store);
+  if (b.store != NULL)
+    store_free (b.store);
   httpc_free (b.http);
   run_end (&b.run, expected);
 }
@@ -257,6 +265,32 @@
         "write uncertain\nrange ok 1\nkv a=x\n");
 }
 
+/*
+ * The store hands a write on among its members, loses its leader and answers
+ * "unavailable"; the write is applied all the same.  Only errors by which it
+ * says that it did nothing are taken for that.
+ */
+Test (store, error_that_says_nothing_is_uncertain)
+{
+  play ("set {\"fail_write\": 14}\n put a x new\n wait write uncertain\n"
+        "set {\"fail_write\": 2}\n put b x new\n wait write uncertain\n"
+        "set {\"clear\": true}\n range \n wait range ok 2",
+        "write uncertain\nwrite uncertain\nrange ok 2\nkv a=x\n"
+        "kv b=x\n");
+}
+
+/*
+ * The store closes a connection just as a read goes out on it.  A read has
+ * no effect and is sent again, once, over a new connection.
+ */
+Test (store, cut_read_is_sent_again_once)
+{
+  play ("set {\"lose_read_next\": 1}\n range a\n wait range ok 0\n"
+        "set {\"lose_read_next\": 2}\n range a\n"
+        "wait range unavailable 0",
+        "range ok 0\nrange unavailable 0\n");
+}
+
 /*
  * The store takes the bytes and goes silent.  The write may have taken
  * effect, the read has no effect and is only unavailable.
@@ -389,3 +423,10 @@
         "wait write ok\n counts",
         "write ok\ncounts r1 t2 g0 k0 v0 w1\n");
 }
+
+/* An owner stops everything, the store with it, from within an event. */
+Test (store, closed_from_within_an_event)
+{
+  play ("quiet\n watch a\n close-on-event\n put a x new\n wait event a =x",
+        "event a =x\n");
+}
--- a/t/t2005-budget.c
+++ b/t/t2005-budget.c
@@ -106,7 +106,8 @@
   b->quiet = false;
 }
 
-/* "burst", "write PRIORITY NAME" and "read PRIORITY NAME", "watch NAME". */
+/* "burst", "sleep" (time for one token), "write PRIORITY NAME" and "read
+ * PRIORITY NAME", "watch NAME". */
 static void
 step (void *ctx, struct str word, struct str rest)
 {
@@ -126,6 +127,8 @@
     store_watch (b->store, rest, STR_EMPTY, 1, &watch_cb, b);
   else if (str_is (word, "burst"))
     burst (b);
+  else if (str_is (word, "sleep"))
+    uv_sleep (150);
   else if (str_is (word, "forget"))
     store_forget (b->store, b);
   else
@@ -158,6 +161,19 @@
         "txn e sent\ntxn g sent\ntxn f sent\n");
 }
 
+/*
+ * A token has come while this process did something else, and a new call is
+ * there before the timer that serves those who wait.  It does not overtake
+ * them: under steady load they would wait until they are given up.
+ */
+Test (budget, newcomer_does_not_overtake)
+{
+  play (10, 10,
+        "burst\n write claims a\n sleep\n write claims b\n"
+        "wait txn b sent",
+        "txn a sent\ntxn b sent\n");
+}
+
 /* Reads have a budget of their own: writes that wait hold none of them. */
 Test (budget, reads_and_writes_apart)
 {
