Prove whole replicas over real processes in mode manage

Cause: that nothing reaches a replica with a VM missing was proved by scripts of the cores and by a gateway before a stand-in of control, not over the whole path with a managed replica that is formed, hit and formed anew.

--- a/t/lib-site.c
+++ b/t/lib-site.c
@@ -12,12 +12,10 @@
 
 #define REPLICA "/admin/v1/replicas/r1"
 
-static const char *const load_orders = "--load-ms";
-
 /* ---- starting ---- */
 
 static const char *
-write_config (const struct site *s, enum site_servers servers)
+write_config (const struct site *s)
 {
   return proc_file (
       "config/10-all.json",
@@ -40,7 +38,7 @@
       "  \"operators\": { \"amina\": { \"role\": \"operator\",\n"
       "    \"token_digest\": \"%s\" } },\n"
       "  \"limits\": { \"address_ms\": 5000, \"queue_ms\": 1000 } }\n",
-      servers == SITE_CHECK_FENCE ? "true" : "false",
+      s->servers == SITE_CHECK_FENCE ? "true" : "false",
       proc_addr (s->vm[0], "http"), proc_addr (s->vm[1], "http"),
       proc_addr (s->vm[2], "http"), proc_addr (s->soko[0], "http"),
       proc_addr (s->soko[1], "http"), front_digest ("broker-key"),
@@ -81,13 +79,14 @@
 }
 
 static void
-start_vm (struct site *s, int vm, enum site_servers servers)
+start_vm (struct site *s, int vm, const char *listen)
 {
   s->vm[vm]
-      = servers == SITE_CHECK_FENCE
-            ? PROC_UP ("standin", "model", "--unloaded", load_orders, "200")
-            : PROC_UP ("standin", "model", "--unloaded", load_orders, "200",
-                       "--ignore-fence");
+      = s->servers == SITE_CHECK_FENCE
+            ? PROC_UP ("standin", "model", "--listen", listen, "--unloaded",
+                       "--load-ms", "200")
+            : PROC_UP ("standin", "model", "--listen", listen, "--unloaded",
+                       "--load-ms", "200", "--ignore-fence");
 }
 
 static void
@@ -108,15 +107,16 @@
 site_up (struct site *s, enum site_servers servers)
 {
   memset (s, 0, sizeof *s);
+  s->servers = servers;
   s->store = PROC_UP ("standin", "store");
   s->platform = PROC_UP ("standin", "platform", "--vm", "v1", "--vm", "v2",
                          "--vm", "v3", "--vm", "soko-1", "--vm", "soko-2");
   for (int i = 0; i < SITE_VMS; i++)
-    start_vm (s, i, servers);
+    start_vm (s, i, "127.0.0.1:0");
   for (int i = 0; i < 2; i++)
     s->soko[i] = PROC_UP ("standin", "service");
   proc_file ("secret.txt", "a secret of this test's processes\n");
-  write_config (s, servers);
+  write_config (s);
   push (s);
   for (int i = 0; i < SITE_NODES; i++)
     {
@@ -139,9 +139,7 @@
 void
 site_replace_vm (struct site *s, int vm)
 {
-  s->vm[vm]
-      = PROC_UP ("standin", "model", "--listen", proc_addr (s->vm[vm], "http"),
-                 "--unloaded", load_orders, "200");
+  start_vm (s, vm, proc_addr (s->vm[vm], "http"));
 }
 
 /* ---- calls ---- */
@@ -222,7 +220,7 @@
   const char *at;
   long n;
 
-  cr_assert (web_call (addr, "GET", path, NULL, NULL, &a));
+  cr_assert (web_call (addr, "GET", path, SITE_ADMIN, NULL, &a));
   at = strstr (buf_c (&a.body), word);
   cr_assert_not_null (at, "no %s in %s", word, path);
   n = strtol (at + strlen (word) + strspn (at + strlen (word), ": "), NULL,
@@ -232,12 +230,21 @@
 }
 
 long
-site_metric (const struct site *s, int node, const char *series)
+site_fence (const struct site *s, int node)
 {
-  char line[128];
+  return number_at (s->admin[node], REPLICA, "\"fence\"");
+}
 
-  snprintf (line, sizeof line, "\n%s ", series);
-  return number_at (s->admin[node], "/metrics", line);
+void
+site_until_fence_above (const struct site *s, int node, long fence)
+{
+  for (int i = 0; i < TURNS; i++)
+    {
+      if (site_fence (s, node) > fence)
+        return;
+      usleep (TURN_US);
+    }
+  cr_assert (false, "entry-%d did not get the domain", node + 1);
 }
 
 long
--- a/t/lib-site.h
+++ b/t/lib-site.h
@@ -18,8 +18,15 @@
     from control to a busy gateway. */
 #define SITE_BOUND_MS 4000
 
+enum site_servers
+{
+  SITE_CHECK_FENCE, /**< backend servers refuse old fencing numbers */
+  SITE_IGNORE_FENCE
+};
+
 struct site
 {
+  enum site_servers servers;
   struct proc *store, *platform;
   struct proc *vm[SITE_VMS]; /**< v1 (the leader), v2, v3 (the spare) */
   struct proc *soko[2];
@@ -30,12 +37,6 @@
   const char *http[SITE_NODES];  /**< callers' addresses */
 };
 
-enum site_servers
-{
-  SITE_CHECK_FENCE, /**< backend servers refuse old fencing numbers */
-  SITE_IGNORE_FENCE
-};
-
 /** Start all, and wait until each gateway answers a completion. */
 void site_up (struct site *s, enum site_servers servers);
 
@@ -58,12 +59,15 @@
 /** Number of the node that owns the domain. */
 int site_owner (const struct site *s);
 
+/** Fencing number of the domain's owner as a node knows it; 0: none. */
+long site_fence (const struct site *s, int node);
+
+/** Wait until a node knows of an owner under a number above @p fence. */
+void site_until_fence_above (const struct site *s, int node, long fence);
+
 /** Set faults of the store, also while it refuses connections. */
 void site_store_fault (const struct site *s, const char *json);
 
-/** Value of a series of a node's control, e.g. "lapisline_orders_total". */
-long site_metric (const struct site *s, int node, const char *series);
-
 /** Number behind a key of a VM's state, e.g. "\"orders\"". */
 long site_vm_says (const struct site *s, int vm, const char *key);
 
