Keep the periods of membership in one place

Cause: control/swim.c and fleet/bus.c each passed the same four periods to the core, and no caller passed two more options at all. Change: they are constants of the core, with units and the page of their measurements; member.h tells states and callers.

--- a/control/swim.c
+++ b/control/swim.c
@@ -231,8 +231,7 @@
 {
   static const char label[] = "lapisline membership";
   struct ctl *c = s->c;
-  struct mbr_options opt
-      = { .probe_ms = 500, .ack_ms = 200, .indirect = 3, .suspect_mult = 4 };
+  struct mbr_options opt = { 0 };
 
   s->self.name = str_from (c->set.node);
   s->self.zone = str_from (c->set.zone);
--- a/fleet/bus.c
+++ b/fleet/bus.c
@@ -191,8 +191,7 @@
 start (struct bus *b, size_t node)
 {
   struct station *s = &b->nodes[node];
-  struct mbr_options opt
-      = { .probe_ms = 500, .ack_ms = 200, .indirect = 3, .suspect_mult = 4 };
+  struct mbr_options opt = { 0 };
 
   opt.self.name = str_from (s->name);
   opt.self.zone = str_from (s->zone);
--- a/fleet/gossip.c
+++ b/fleet/gossip.c
@@ -161,7 +161,7 @@
 static void
 refill (struct mbr *m)
 {
-  double budget = m->opt.gossip_bps;
+  double budget = MBR_GOSSIP_BPS;
 
   m->tokens += budget * (double)(m->now - m->tokens_at) / CLK_SECOND;
   if (m->tokens > budget)
--- a/fleet/member-internal.h
+++ b/fleet/member-internal.h
@@ -16,6 +16,18 @@
 #include "fleet/member.h"
 #include "proto/swim.pb-c.h"
 
+/*
+ * The periods, in milliseconds, and what follows from them at 330 nodes is
+ * measured in docs/CAPACITY.md ("Membership").  A suspicion lasts
+ * MBR_SUSPECT_MULT * log10 (n + 1) * MBR_PROBE_MS.
+ */
+#define MBR_PROBE_MS ((clk_ms)500) /**< a node probes one other in each */
+#define MBR_ACK_MS ((clk_ms)200)   /**< wait for a direct answer */
+#define MBR_HELPERS 3u             /**< asked when there was none */
+#define MBR_SUSPECT_MULT 4u
+#define MBR_GOSSIP_BPS 6000u           /**< piggybacked bytes a second */
+#define MBR_FORGET_MS (5 * CLK_MINUTE) /**< the dead are forgotten after */
+
 #define MBR_MAC_LEN 16
 #define MBR_MAX_PACKET 1200
 #define MBR_MAX_NAME 64
--- a/fleet/member.c
+++ b/fleet/member.c
@@ -3,9 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define DEFAULT_GOSSIP_BPS 6000
-#define DEFAULT_FORGET_MS (5 * CLK_MINUTE)
-
 struct mbr *
 mbr_new (const struct mbr_options *opt, uint64_t seed)
 {
@@ -18,10 +15,6 @@
     return NULL;
   m = xcalloc (1, sizeof *m);
   m->opt = *opt;
-  if (m->opt.gossip_bps == 0)
-    m->opt.gossip_bps = DEFAULT_GOSSIP_BPS;
-  if (m->opt.forget_ms == 0)
-    m->opt.forget_ms = DEFAULT_FORGET_MS;
   rng_seed (&m->rng, seed);
   self.status = MBR_ALIVE;
   self.incarnation = 1;
@@ -88,10 +81,10 @@
       m->tokens_at = now;
       m->heard = now;
       m->next_probe
-          = now + (clk_ms)rng_below (&m->rng, (uint64_t)m->opt.probe_ms);
+          = now + (clk_ms)rng_below (&m->rng, (uint64_t)MBR_PROBE_MS);
       m->next_sync = now + CLK_SECOND;
     }
-  else if (now - m->last_tick > m->opt.probe_ms)
+  else if (now - m->last_tick > MBR_PROBE_MS)
     {
       prb_resume (m, now - m->last_tick);
       m->last_tick = now;
--- a/fleet/member.h
+++ b/fleet/member.h
@@ -13,6 +13,11 @@
  * dropped and counted.
  *
  * Nothing that must not happen twice relies on this view.
+ *
+ * A node is alive, then suspect and either alive again or dead, or it says
+ * that it is leaving.  Callers: control/swim.c with sockets and a clock, and
+ * fleet/bus.h with virtual ones.  docs/CAPACITY.md has what it costs and how
+ * fast it is; the periods behind that stand in member-internal.h.
  */
 #ifndef LAPISLINE_FLEET_MEMBER_H
 #define LAPISLINE_FLEET_MEMBER_H
@@ -24,10 +29,10 @@
 
 enum mbr_status
 {
-  MBR_ALIVE,
-  MBR_SUSPECT,
+  MBR_ALIVE,   /**< answered somebody of late */
+  MBR_SUSPECT, /**< silent; dead unless it refutes that in time */
   MBR_LEAVING, /**< drains: takes no new callers */
-  MBR_DEAD
+  MBR_DEAD     /**< gave no answer; its place in views is kept a while */
 };
 
 /** What a node says about itself; strings are NUL-terminated, owned by the
@@ -51,13 +56,7 @@
 struct mbr_options
 {
   struct mbr_node self;
-  uint8_t secret[32];
-  clk_ms probe_ms;       /**< period, 500 */
-  clk_ms ack_ms;         /**< wait for a direct answer, 200 */
-  unsigned indirect;     /**< helpers, 3 */
-  unsigned suspect_mult; /**< suspicion lasts mult * log10(n+1) * probe_ms */
-  unsigned gossip_bps;   /**< piggybacked bytes a second, 6000 */
-  clk_ms forget_ms;      /**< dead nodes are forgotten after, 300000 */
+  uint8_t secret[32]; /**< key of the packets' HMAC, one for all nodes */
 };
 
 enum mbr_action_kind
@@ -104,7 +103,11 @@
     no port. */
 struct mbr *mbr_new (const struct mbr_options *opt, uint64_t seed);
 void mbr_free (struct mbr *m);
-void mbr_tick (struct mbr *m, clk_ms now); /**< every 50 ms or so */
+
+/** Time passes; call it every 50 ms or so, as what is due waits for it. */
+void mbr_tick (struct mbr *m, clk_ms now);
+
+/** A datagram came; one that does not verify is counted and dropped. */
 void mbr_packet (struct mbr *m, clk_ms now, const struct net_addr *from,
                  struct str bytes);
 
@@ -116,10 +119,14 @@
 
 /** Say that this node leaves. */
 void mbr_leave (struct mbr *m, clk_ms now);
+
+/** The next action, or false; call it until then after each event. */
 bool mbr_next (struct mbr *m, struct mbr_action *out);
 
 /** All nodes known, this one included, in the order of their names. */
 const struct mbr_node *const *mbr_nodes (const struct mbr *m, size_t *n);
+
+/** What happened since the start. */
 const struct mbr_counts *mbr_counts (const struct mbr *m);
 
 /** Other regions known; their nodes in mbr_nodes() are the bridges only. */
--- a/fleet/probe.c
+++ b/fleet/probe.c
@@ -42,7 +42,7 @@
 {
   m->counts.pauses++;
   m->probe.active = false;
-  m->next_probe = m->now + m->opt.probe_ms;
+  m->next_probe = m->now + MBR_PROBE_MS;
   m->heard = m->now;
   prb_worse (m, 2);
   for (size_t i = 0; i < MBR_RELAYS; i++)
@@ -115,7 +115,7 @@
     {
       m->counts.suspected++;
       /* Not even a helper's word since the probe began. */
-      mark (m, row, MBR_SUSPECT, is_deaf (m, m->opt.probe_ms));
+      mark (m, row, MBR_SUSPECT, is_deaf (m, MBR_PROBE_MS));
     }
   for (size_t i = 0; i < row->naccusers; i++)
     if (row->accusers[i] == self)
@@ -140,8 +140,8 @@
   size_t others = present > 2 ? present - 2 : 0;
   size_t want = others < MBR_CONFIRM ? others : MBR_CONFIRM;
   size_t have = row->naccusers > 1 ? row->naccusers - 1 : 0;
-  double least = m->opt.suspect_mult * log10 ((double)present + 1)
-                 * (double)m->opt.probe_ms;
+  double least
+      = MBR_SUSPECT_MULT * log10 ((double)present + 1) * (double)MBR_PROBE_MS;
   double factor = 1;
 
   if (have < want)
@@ -167,7 +167,7 @@
   if (age >= limit)
     {
       m->counts.died++;
-      mark (m, row, MBR_DEAD, is_deaf (m, 3 * m->opt.probe_ms));
+      mark (m, row, MBR_DEAD, is_deaf (m, 3 * MBR_PROBE_MS));
     }
   else if (!row->asked && age >= limit / 2)
     {
@@ -188,7 +188,7 @@
       if (row->node.status == MBR_SUSPECT)
         age_suspect (m, row);
       else if (row->node.status == MBR_DEAD && mbt_local (m, row)
-               && age >= m->opt.forget_ms)
+               && age >= MBR_FORGET_MS)
         mbt_drop (m, row);
     }
 }
@@ -266,7 +266,7 @@
 {
   struct mbr_row *target = next_target (m);
 
-  m->next_probe = m->now + scaled (m, m->opt.probe_ms);
+  m->next_probe = m->now + scaled (m, MBR_PROBE_MS);
   if (target == NULL)
     return;
   m->probe = (struct mbr_probe){ .active = true,
@@ -283,7 +283,7 @@
   size_t first = (size_t)rng_below (&m->rng, m->nrows);
 
   m->probe.asked = true;
-  for (size_t i = 0; i < m->nrows && m->probe.helpers < m->opt.indirect; i++)
+  for (size_t i = 0; i < m->nrows && m->probe.helpers < MBR_HELPERS; i++)
     {
       struct mbr_row *row = m->rows[(first + i) % m->nrows];
       struct pkt p;
@@ -319,9 +319,9 @@
 
   if (target == NULL || target->node.status == MBR_DEAD)
     m->probe.active = false;
-  else if (age >= scaled (m, m->opt.probe_ms))
+  else if (age >= scaled (m, MBR_PROBE_MS))
     fail_probe (m, target);
-  else if (!m->probe.asked && age >= scaled (m, m->opt.ack_ms))
+  else if (!m->probe.asked && age >= scaled (m, MBR_ACK_MS))
     ask_helpers (m, target);
 }
 
@@ -460,7 +460,7 @@
       r->number = ++m->probe_no;
       r->asked_no = p->probe;
       r->requester = from->id;
-      r->deadline = m->now + m->opt.ack_ms;
+      r->deadline = m->now + MBR_ACK_MS;
       send_ping (m, target, r->number);
       return;
     }
