Tell the callers and the contract of the replica cores

Cause: replica.h and owner.h left out who calls them, in which order, how long what they hand out is valid, and what a late tick or answer does. Change: comments on each public function; the states' source is named. Conclusion: the two pages can be used without reading the cores.

--- a/replica/owner.h
+++ b/replica/owner.h
@@ -7,6 +7,10 @@
  * is that key's create revision.  It stops giving orders when two thirds of
  * the lease's time have passed since the last renewal was *sent*, by a clock
  * that goes on through pauses; before each order it asks own_may_order().
+ *
+ * The caller is control/domains.c, one core for each domain that its node is
+ * home of: it calls own_want() and own_tick(), carries out what own_next()
+ * gives and brings the store's answers.
  */
 #ifndef LAPISLINE_REPLICA_OWNER_H
 #define LAPISLINE_REPLICA_OWNER_H
@@ -64,15 +68,26 @@
 struct own *own_new (const struct own_options *opt, uint64_t seed);
 void own_free (struct own *o);
 
-/** Whether this node should own the domain, as the view suggests. */
+/** Whether this node should own the domain, as the view suggests; a lease that
+    is not wanted any more is given back. */
 void own_want (struct own *o, clk_ms now, bool want);
+
+/** Time passes.  A gap of more than ttl / 3 between two calls counts as a
+    pause: the lease is read anew before the next order. */
 void own_tick (struct own *o, clk_ms now);
+
+/** What the store said to the action of that token, STORE_UNCERTAIN too; of an
+    older action only a lease granted late is taken, to be given back. */
 void own_store_answer (struct own *o, clk_ms now, uint64_t token,
                        const struct store_result *r);
+
+/** The next action, or false; call it until then after each event. */
 bool own_next (struct own *o, struct own_action *out);
 
 /** Asked right before each order, with the time read right before. */
 bool own_may_order (const struct own *o, clk_ms now);
+
+/** Fencing number that orders carry; 0 while there is none. */
 int64_t own_fence (const struct own *o);
 enum own_state own_state (const struct own *o);
 
--- a/replica/replica.h
+++ b/replica/replica.h
@@ -10,7 +10,12 @@
  * read, what each VM answered to probes, the platform's list, store answers.
  *
  * A replica is whole while each member answered a probe within the evidence
- * time with this replica's name and generation and as ready.
+ * time with this replica's name and generation and as ready.  Its states are
+ * those of charts/replica.json: absent, forming, loading, whole, degraded,
+ * draining, releasing, gone.
+ *
+ * Callers: control/domains.c, one core for each domain that its node is home
+ * of, and builtin/assign-world.c for `bench assign`.
  */
 #ifndef LAPISLINE_REPLICA_REPLICA_H
 #define LAPISLINE_REPLICA_REPLICA_H
@@ -18,7 +23,7 @@
 #include "config/config.h"
 #include "store/store.h"
 
-/** How long an answered probe counts. */
+/** How long an answered probe counts; docs/DESIGN.md weighs it. */
 #define REP_EVIDENCE_MS ((clk_ms)3000)
 /** Period of probes. */
 #define REP_PROBE_MS ((clk_ms)1000)
@@ -136,8 +141,15 @@
 
 struct rep *rep_new (const struct rep_options *opt, uint64_t seed);
 void rep_free (struct rep *r);
+
+/** Something happened; what it refers to need not outlive the call (of the
+    configuration a reference is taken). */
 void rep_event (struct rep *r, clk_ms now, const struct rep_event *ev);
+
+/** The next action, or false; call it until then after each event. */
 bool rep_next (struct rep *r, struct rep_action *out);
+
+/** All replicas of the domain; valid until the next event. */
 const struct rep_view *rep_views (struct rep *r, clk_ms now, size_t *n);
 
 /** Milliseconds of group downtime and of stranded accelerators so far. */
