Hold six findings of configurations and the budget's burst by tests

Cause: a trial took every finding of config/ out one by one; without six of them, and without the bound on saved tokens, all tests passed. One of the six keeps a wrong path from pushing an empty configuration. Change: three tests in t1001 (an unknown domain, a spare in a replica, a token of two operators, a folder that is not there, documents over a megabyte) and one in t2005. Conclusion: what is refused at a push stays refused.

--- a/t/t1001-findings.c
+++ b/t/t1001-findings.c
@@ -23,6 +23,8 @@
 #define CALLERS                                                               \
   "{ \"accounts\": { \"broker\": { \"may\": [\"*\"], \"key_digests\": [\n"    \
   "  \"" DIGEST_A "\" ] } } } /* end */\n"
+#define DIGEST_B                                                              \
+  "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
 #define DIGEST_A                                                              \
   "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 
@@ -159,6 +161,65 @@
           "stranded_weight are both 0\n");
 }
 
+Test (config, tells_what_replicas_and_operators_break)
+{
+  expect ("{ \"replicas\": { \"ghala-lm-1\": { \"vms\": [],\n"
+          "  \"domain\": \"hall-a-2\", \"mode\": \"manage\" } } }",
+          "30-over.json:2: /replicas/ghala-lm-1/domain: error: there is no "
+          "domain 'hall-a-2'; did you mean 'hall-a-1'?\n");
+  expect ("{ \"domains\": { \"hall-a-1\": { \"vms\": { \"vm-2\": {\n"
+          "  \"spare_only\": true } } } } }",
+          "10-fleet.json:8: /replicas/ghala-lm-1/vms/1: error: VM 'vm-2' is "
+          "spare only\n");
+  expect ("{ \"operators\": {\n"
+          "  \"amina\": { \"role\": \"operator\",\n"
+          "    \"token_digest\": \"" DIGEST_B "\" },\n"
+          "  \"otieno\": { \"role\": \"viewer\",\n"
+          "    \"token_digest\": \"" DIGEST_B "\" } } }",
+          "30-over.json:5: /operators/otieno/token_digest: error: operator "
+          "'amina' has this digest as well\n");
+}
+
+Test (config, refuses_what_the_store_can_not_hold)
+{
+  /* One value of the store holds a megabyte.  A larger document would pass
+     every check and then be refused by the store, push after push. */
+  size_t size = CFG_MAX_TEXT + 1;
+  char *text = xmalloc (size + 1);
+  struct fnd_list findings = { 0 };
+  struct buf got = BUF_INIT;
+
+  memset (text, ' ', size);
+  text[0] = '{';
+  text[size - 1] = '}';
+  text[size] = '\0';
+  expect (text, "30-over.json: error: has 1000001 bytes; at most 1000000 fit "
+                "into the store\n");
+  cr_expect_null (cfg_parse (str_from (text), 1, &findings));
+  fnd_print (&findings, &got);
+  cr_expect_str_eq (buf_c (&got), "error: has 1000001 bytes; at most 1000000 "
+                                  "fit into the store\n");
+  fnd_free (&findings);
+  buf_free (&got);
+  free (text);
+}
+
+Test (config, folder_that_can_not_be_opened)
+{
+  /* A wrong path must not push an empty configuration over a full one. */
+  struct cfg_folder folder;
+  struct fnd_list findings = { 0 };
+  struct buf got = BUF_INIT;
+
+  cr_expect (!cfg_folder_read ("/nonexistent", &folder, &findings));
+  fnd_print (&findings, &got);
+  cr_expect_str_eq (buf_c (&got), "/nonexistent: error: can't open the "
+                                  "folder: No such file or directory\n");
+  cfg_folder_free (&folder);
+  fnd_free (&findings);
+  buf_free (&got);
+}
+
 Test (config, loses_nothing_of_a_file)
 {
   /* A key twice in one file: a parser keeps the last, and the operator's
--- a/t/t2005-budget.c
+++ b/t/t2005-budget.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "store/store.h"
+#include "store/budget.h"
 #include "t/lib-net.h"
 
 /*
@@ -174,6 +174,20 @@
         "txn a sent\ntxn b sent\n");
 }
 
+/* After a quiet hour a second's worth of calls goes out at once, no more: an
+   hour's worth would be the outage that the budget is there to prevent. */
+Test (budget, burst_is_a_seconds_worth)
+{
+  struct store_budget rates = { 10, 10 };
+  struct bud b;
+  int n = 0;
+
+  bud_init (&b, &rates, 0);
+  while (n < 1000 && bud_admit (&b, BUD_WRITES, STORE_CLAIMS, 60 * CLK_MINUTE))
+    n++;
+  cr_expect_eq (n, 10);
+}
+
 /* Reads have a budget of their own: writes that wait hold none of them. */
 Test (budget, reads_and_writes_apart)
 {
