Prove that a stop answers what lies in the kernel

Cause: with both directions of idle connections shut at a stop, instead of reading alone, every test of the server passed, though a request already handed to the kernel was then cut off. Change: a caller writes on its idle connection right before the stop. Conclusion: a planned stop cuts no request that a caller has handed over.

--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -43,6 +43,7 @@
     uv_connect_t connect;
     struct bench *b;
     bool open;
+    bool idle; /* asks nothing by itself */
   } old;
 };
 
@@ -183,6 +184,9 @@
 {
   struct old_caller *o = (struct old_caller *)s;
 
+  if (n > 0 && o->idle)
+    run_log (&o->b->run, "old caller: %.*s",
+             STR_ARG (str_head (str_make (buf->base, (size_t)n), 12)));
   if (n >= 0)
     return;
   run_log (&o->b->run, "old caller: %s",
@@ -197,13 +201,17 @@
   struct old_caller *o = req->data;
 
   cr_assert_eq (status, 0);
-  run_write (&o->tcp, STR ("GET /old HTTP/1.0\r\n\r\n"));
+  if (o->idle)
+    run_log (&o->b->run, "old caller: connected");
+  else
+    run_write (&o->tcp, STR ("GET /old HTTP/1.0\r\n\r\n"));
   run_read (&o->tcp, on_old_read);
 }
 
 static void
-old_call (struct bench *b)
+old_call (struct bench *b, bool idle)
 {
+  b->old.idle = idle;
   b->old.b = b;
   b->old.open = true;
   uv_tcp_init (&b->run.loop, &b->old.tcp);
@@ -309,7 +317,15 @@
   else if (str_is (word, "post-large"))
     call (b, rest, STR ("a body of more than sixteen bytes"), true);
   else if (str_is (word, "old"))
-    old_call (b);
+    old_call (b, false);
+  else if (str_is (word, "idle"))
+    old_call (b, true);
+  else if (str_is (word, "ask-then-stop"))
+    {
+      run_write (&b->old.tcp, STR ("GET /late HTTP/1.1\r\nx-caller: me\r\n"
+                                   "host: h\r\n\r\n"));
+      httpd_stop_accepting (b->httpd);
+    }
   else if (str_is (word, "read"))
     httpc_pause (caller_of (b, rest)->call, false);
   else if (str_is (word, "leave"))
@@ -473,3 +489,18 @@
             "/b") "/c: connect-failed 0, 0 bytes\n"
                   "/b: whole 200, 5 bytes\n0 open\n");
 }
+
+/*
+ * A caller writes a request on its idle connection just before the server
+ * stops; the bytes lie in the kernel, unread.  The caller has handed them
+ * over, so they are read and answered, and only then is the connection
+ * closed.
+ */
+Test (server, request_in_the_kernel_is_answered)
+{
+  play ("idle\n wait old caller: connected\n settle\n ask-then-stop\n"
+        "wait /late: asked by me, query [], body []\n answer /late\n"
+        "wait old caller: closed",
+        "old caller: connected\n" ASKED (
+            "/late") "old caller: HTTP/1.1 200\nold caller: closed\n");
+}
