Prove that a short secret is refused

Cause: without the check of the secret's length, and without the finding of a settings file that can't be read, every test passed. Change: one test in t1001 brings both. Conclusion: a node does not start with a secret that is easily guessed.

--- a/t/t1001-findings.c
+++ b/t/t1001-findings.c
@@ -424,3 +424,27 @@
                    "3: /store/writes: unknown key; did you mean "
                    "'writes_per_s'?\n");
 }
+
+Test (config, settings_refuse_a_short_secret)
+{
+  /* Whoever guesses the secret speaks as a node.  White space around it does
+     not make it longer. */
+  struct fnd_list findings = { 0 };
+  struct settings set;
+  struct buf got = BUF_INIT;
+
+  proc_file ("short.txt", "fifteen letters                 \n");
+  expect_settings (0,
+                   "{ \"node\": \"entry-1\", \"zone\": \"hall-a\",\n"
+                   "  \"region\": \"nairobi\",\n"
+                   "  \"store\": { \"endpoints\": [\"127.0.0.1:2379\"] },\n"
+                   "  \"secret_file\": \"short.txt\" }",
+                   "4: /secret_file: the secret has fewer than 16 bytes\n");
+  cr_expect (!settings_read ("/nonexistent", 0, &set, &findings));
+  fnd_print (&findings, &got);
+  cr_expect_str_eq (buf_c (&got), "/nonexistent: error: can't open the file: "
+                                  "No such file or directory\n");
+  settings_free (&set);
+  fnd_free (&findings);
+  buf_free (&got);
+}
