Prove that two homes heed each other's work by reports

Two gateways that both believe to be a model's home each know half of the grants. The engine's reports show the rest; no test held that.

--- a/route/slots.c
+++ b/route/slots.c
@@ -81,10 +81,12 @@
     return;
   if (e->q.waiting)
     rt_queue_remove (&s->queue, &e->q);
-  if (e->q.probe)
-    e->q.server->probing = false;
   if (e->q.server)
-    rt_server_drop (s->core, s->target, e->q.server, e->q.cost);
+    {
+      if (e->q.probe)
+        e->q.server->probing = false;
+      rt_server_drop (s->core, s->target, e->q.server, e->q.cost);
+    }
   *at = e->chain;
   free (e);
 }
--- a/t/t5600-slots.c
+++ b/t/t5600-slots.c
@@ -269,3 +269,17 @@
          "5401 ask 1: queued(1/8) [5]\n"
          "5402 done 1: grant(1/7 r1) grant(1/8 r1) [6]\n");
 }
+
+Test (slots, two_homes)
+{
+  /* A partition of views: another gateway believes to be the home as well and
+     fills r1.  This one was told of nothing, but the engine's report shows
+     work that nobody told of; without heeding it callers of both homes would
+     wait at r1 while r2 is idle. */
+  check ("1 replicas r1 r2\n300 replicas r1=20000 r2\n301 ask 1 1 big\n"
+         "302 ask 1 2 big\n303 ask 1 3 big\n1300 replicas r1=100 r2=200\n",
+         "1 replicas r1: [0]\n300 replicas r1=20000: [0]\n"
+         "301 ask 1: grant(1/1 r2) [1]\n302 ask 1: grant(1/2 r2) [2]\n"
+         "303 ask 1: queued(1/3) [2]\n"
+         "1300 replicas r1=100: grant(1/3 r1) [3]\n");
+}
