Wait twice as long each time a connection is begun anew

Cause: a connection was begun anew each 200 to 400 ms for as long as its limit allowed. A peer behind a round trip of more than that, in another region or behind a slow path, could never be reached, whatever the limit. Change: the wait doubles with each try of a call. Not tested: a far peer; loopback can't delay a handshake without a tool that changes the machine's network.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -66,8 +66,9 @@
   h2o_iovec_t out[2];
   clk_ms connect_ms, progress_ms;
   clk_ms connect_until; /* loop time */
-  clk_ms moved;         /* when bytes last came, loop time */
-  clk_ms due;           /* when the timer is to fire, loop time */
+  unsigned reconnects;
+  clk_ms moved; /* when bytes last came, loop time */
+  clk_ms due;   /* when the timer is to fire, loop time */
   enum phase phase;
   enum httpc_framing framing;
   h2o_socket_cb stopped_read; /* what to resume; NULL while reading */
@@ -142,6 +143,7 @@
 {
   h2o_http1client_cancel (call->client);
   call->client = NULL;
+  call->reconnects++;
   connect_once (call);
 }
 
@@ -370,6 +372,7 @@
 
   left = call->connect_until - (clk_ms)uv_now (call->c->loop);
   wait = HTTPC_RECONNECT_MS + call->c->spread++ % HTTPC_SPREAD_MS;
+  wait <<= call->reconnects; /* the peer may be far */
   arm (call, left < wait ? left : wait);
   /* h2o calls back at once with an idle connection, later with a new one.
      A call that ended is kept until its timer is closed. */
