Keep a release that nobody has confirmed at the own node

Cause: a release goes to the key's home like any ask, for at most 3 s. When this gateway is stopped meanwhile and the home was frozen, the time is over at its waking: the release was dropped, never having reached a core that could write it, while the claim it was for still landed. The key was then refused for the rest of the window though nothing ran. Change: a release that is given up goes to this node's own core, which keeps it until it is written, as the walk of claims has assumed all along. A refusal is also copied before its attempt is released: the release may ask the own core, whose next event frees the answer that the reply points to. The claims' bytes in batches are counted as a metric now.

--- a/front/claims-core.c
+++ b/front/claims-core.c
@@ -115,6 +115,7 @@
 static const struct metric metrics[] = {
   COUNT ("txns", "Store transactions of claims", txns),
   COUNT ("records", "Claims and releases written", batch_records),
+  COUNT ("bytes", "Of the batches written", batch_bytes),
   COUNT ("conflicts", "Transactions that met another home's", conflicts),
   COUNT ("uncertain", "Transactions whose answer was lost", uncertain),
   COUNT ("reads", "Reads of claims in the store", reads),
--- a/front/claims.c
+++ b/front/claims.c
@@ -178,6 +178,19 @@
   clm_ask (c->core, now, &a->ask);
 }
 
+/**
+ * Nobody has confirmed a release.  This process may have been stopped until
+ * the time for it had passed, or the home it was handed to may have died; the
+ * key would be refused for the whole window though nothing ran.  The own core
+ * keeps a release until it is written, and a second one changes nothing.
+ */
+static void
+keep_release (struct gw_claims *c, struct claims_ask *a)
+{
+  if (a->ask.kind == CLM_RELEASE && a->asker.asked < a->asker.ntargets)
+    ask_own_core (c, a);
+}
+
 static void
 ask_target (struct gw_claims *c, struct claims_ask *a)
 {
@@ -219,17 +232,21 @@
       finish (c, a, reply ? reply : &none);
       break;
     case CLM_ASKER_REPLY_LATE:
-      release (c, a);
+      /* In this order: the release may ask the own core, which then frees
+         the answer that the reply points to. */
       finish (c, a, reply ? reply : &none);
+      release (c, a);
       break;
     case CLM_ASKER_RELEASE:
       release (c, a);
       break;
     case CLM_ASKER_GIVE_UP_LATE:
       release (c, a);
+      keep_release (c, a);
       finish (c, a, &none);
       break;
     case CLM_ASKER_GIVE_UP:
+      keep_release (c, a);
       finish (c, a, &none);
     }
 }
