Give each test's processes a secret of their own

Cause: homes::a_lost_end_is_told_anywhere failed in 1 of 40 runs: bay-2, 3 and 4 were "key-running" at their first booking and had run 0 times. All tests shared one secret, the same node names and the same keys. When home_killed_in_mid_claim kills a gateway, the kernel may give its port to a gateway of another test beside it; the survivor links up with that one and has it claim bay-2, 3 and 4, in the other test's store. Ruled out: a lost release (the test has no refusal and no store fault); a repeat of the call by the test's client (it sends once). Change: proc_secret() writes a secret that names the test's own folder. Conclusion: the failure was between tests, not in claims.

--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -178,7 +178,7 @@
   if (relayed)
     c->relay = relay_new (proc_addr (c->soko[0], "http"),
                           proc_addr (c->soko[1], "http"));
-  proc_file ("secret.txt", "a secret of this test's processes\n");
+  proc_secret ();
   c->config = write_config (c);
   if (c->vm[0])
     write_model (c);
--- a/t/lib-front.c
+++ b/t/lib-front.c
@@ -72,7 +72,7 @@
 static const char *
 write_settings (void)
 {
-  proc_file ("secret.txt", "a secret of this test's processes\n");
+  proc_secret ();
   return proc_file ("settings.json",
                     "{ \"node\": \"entry-1\", \"zone\": \"hall-a\", "
                     "\"region\": \"nairobi\",\n"
--- a/t/lib-proc.c
+++ b/t/lib-proc.c
@@ -298,3 +298,10 @@
   fclose (f);
   return keep (path);
 }
+
+const char *
+proc_secret (void)
+{
+  return proc_file ("secret.txt", "a secret of the processes under %s\n",
+                    proc_dir ());
+}
--- a/t/lib-proc.h
+++ b/t/lib-proc.h
@@ -65,6 +65,13 @@
 /** This test's own folder under the temporary folder. */
 const char *proc_dir (void);
 
+/**
+ * Write secret.txt, another one for each test.  The port of a process that a
+ * test has killed is soon another test's; under one secret for all, the
+ * survivors would take that test's node, of the same name, for their own.
+ */
+const char *proc_secret (void);
+
 /**
  * Write a file into proc_dir(); folders in @p name are made.
  * @return its path, valid until proc_stop_all()
--- a/t/lib-site.c
+++ b/t/lib-site.c
@@ -115,7 +115,7 @@
     start_vm (s, i, "127.0.0.1:0");
   for (int i = 0; i < 2; i++)
     s->soko[i] = PROC_UP ("standin", "service");
-  proc_file ("secret.txt", "a secret of this test's processes\n");
+  proc_secret ();
   write_config (s);
   push (s);
   for (int i = 0; i < SITE_NODES; i++)
