--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -14,6 +14,7 @@
   { "assign", bench_assign, "replicas through months of lost VMs" },
   { "path", bench_path, "what a gateway adds to a request" },
   { "claims", bench_claims, "store writes and waiting of claims" },
+  { "bookings", bench_bookings, "what a claim adds, over real gateways" },
   { "members", bench_members, "detection, accusations, cost of membership" },
   { "decide", bench_decide, "processor time and memory of decisions" },
   { "limits", bench_limits, "an account's limit through a partition" },
--- a/builtin/bench.h
+++ b/builtin/bench.h
@@ -16,6 +16,7 @@
 int bench_assign (int argc, char **argv);
 int bench_path (int argc, char **argv);
 int bench_claims (int argc, char **argv);
+int bench_bookings (int argc, char **argv);
 int bench_members (int argc, char **argv);
 int bench_decide (int argc, char **argv);
 int bench_limits (int argc, char **argv);
