Give the stand-ins a folder of their own

Cause: the stand-ins serve the example run and the measurements as well as the tests, but stood among the tests. Change: t/standin/ is standins/; the program is still build/standin. Conclusion: t/ holds tests and what only tests use.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 TESTS = $(patsubst t/%.c,$B/t/%,$(wildcard t/t[0-9]*.c))
 T_OBJ = $(patsubst %.c,$B/%.o,$(wildcard t/lib-*.c))
 
-all: $B/lapisline $(if $(wildcard t/standin/*.c),$B/standin)
+all: $B/lapisline $(if $(wildcard standins/*.c),$B/standin)
 
 $B/liblapisline.a: $(LIB_OBJ)
 	$(QUIET_AR)rm -f $@ && ar rcs $@ $^
@@ -34,7 +34,7 @@
 $B/lapisline: $(CMD_OBJ) $B/liblapisline.a
 	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$B/standin: $(patsubst %.c,$B/%.o,$(wildcard t/standin/*.c)) $B/liblapisline.a
+$B/standin: $(patsubst %.c,$B/%.o,$(wildcard standins/*.c)) $B/liblapisline.a
 	$(QUIET_LINK)$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 # An archive, so that a test may stand in for what only others' helpers need.
@@ -95,7 +95,7 @@
 
 # Sources held to the house style; generated code is not.
 STYLED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard *.[ch] builtin/*.[ch] \
-	$(FOLDERS:%=%/*.[ch]) t/*.[ch] t/standin/*.[ch]))
+	$(FOLDERS:%=%/*.[ch]) t/*.[ch] standins/*.[ch]))
 
 format:
 	@clang-format --dry-run -Werror $(STYLED)
--- a/t/standin/control.c
+++ b/standins/control.c
@@ -16,8 +16,8 @@
 
 #include "base/trace.h"
 #include "net/link.h"
-#include "t/standin/fault.h"
-#include "t/standin/standin.h"
+#include "standins/fault.h"
+#include "standins/standin.h"
 
 #define REPEAT_MS 1000
 
--- a/t/standin/fault.c
+++ b/standins/fault.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#include "t/standin/fault.h"
+#include "standins/fault.h"
 
 #define MAX_QUEUED ((size_t)1 << 20)
 
--- a/t/standin/fault.h
+++ b/standins/fault.h
@@ -3,8 +3,8 @@
  * What the stand-ins of backend servers share: faults that a test switches
  * on by POST /control/set, counts of runs, and replies sent piece by piece.
  */
-#ifndef LAPISLINE_T_STANDIN_FAULT_H
-#define LAPISLINE_T_STANDIN_FAULT_H
+#ifndef LAPISLINE_STANDINS_FAULT_H
+#define LAPISLINE_STANDINS_FAULT_H
 
 #include <glib.h>
 #include <json-c/json.h>
--- a/t/standin/kv.c
+++ b/standins/kv.c
@@ -1,4 +1,4 @@
-#include "t/standin/kv.h"
+#include "standins/kv.h"
 
 static int
 by_bytes (const void *a, const void *b, void *ctx)
--- a/t/standin/kv.h
+++ b/standins/kv.h
@@ -2,8 +2,8 @@
  * @file
  * Data of the store's stand-in: keys with revisions, leases, history.
  */
-#ifndef LAPISLINE_T_STANDIN_KV_H
-#define LAPISLINE_T_STANDIN_KV_H
+#ifndef LAPISLINE_STANDINS_KV_H
+#define LAPISLINE_STANDINS_KV_H
 
 #include <glib.h>
 
--- a/t/standin/main.c
+++ b/standins/main.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "t/standin/standin.h"
+#include "standins/standin.h"
 
 static const struct
 {
--- a/t/standin/model.c
+++ b/standins/model.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "t/standin/fault.h"
-#include "t/standin/standin.h"
+#include "standins/fault.h"
+#include "standins/standin.h"
 
 struct model
 {
--- a/t/standin/platform.c
+++ b/standins/platform.c
@@ -1,8 +1,8 @@
 /* Stand-in of the platform's list of VMs, changed by /control/set. */
 #include <stdlib.h>
 
-#include "t/standin/fault.h"
-#include "t/standin/standin.h"
+#include "standins/fault.h"
+#include "standins/standin.h"
 
 struct platform
 {
--- a/t/standin/service.c
+++ b/standins/service.c
@@ -1,8 +1,8 @@
 /* Stand-in of a plain service: it echoes what it was asked. */
 #include <stdlib.h>
 
-#include "t/standin/fault.h"
-#include "t/standin/standin.h"
+#include "standins/fault.h"
+#include "standins/standin.h"
 
 struct service
 {
--- a/t/standin/standin.h
+++ b/standins/standin.h
@@ -2,8 +2,8 @@
  * @file
  * The stand-ins of what the system meets: one program, one file each.
  */
-#ifndef LAPISLINE_T_STANDIN_STANDIN_H
-#define LAPISLINE_T_STANDIN_STANDIN_H
+#ifndef LAPISLINE_STANDINS_STANDIN_H
+#define LAPISLINE_STANDINS_STANDIN_H
 
 /* Each takes "--listen ADDR" and more (--help), prints "ready NAME http=ADDR"
    and serves /control/... at the same port.  Returns an exit code.  */
--- a/t/standin/store-int.h
+++ b/standins/store-int.h
@@ -3,12 +3,12 @@
  * What the files of the store's stand-in share: store.c takes requests and
  * faults, store-calls.c carries out calls, store-watch.c feeds watches.
  */
-#ifndef LAPISLINE_T_STANDIN_STORE_INT_H
-#define LAPISLINE_T_STANDIN_STORE_INT_H
+#ifndef LAPISLINE_STANDINS_STORE_INT_H
+#define LAPISLINE_STANDINS_STORE_INT_H
 
 #include "store/etcd-json.h"
-#include "t/standin/fault.h"
-#include "t/standin/kv.h"
+#include "standins/fault.h"
+#include "standins/kv.h"
 
 /** Largest request in bytes. */
 #define MAX_REQUEST ((size_t)1536 * 1024)
--- a/t/standin/store-watch.c
+++ b/standins/store-watch.c
@@ -1,4 +1,4 @@
-#include "t/standin/store-int.h"
+#include "standins/store-int.h"
 
 static void
 watch_free (struct watch *w)
--- a/t/standin/store.c
+++ b/standins/store.c
@@ -22,8 +22,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "t/standin/standin.h"
-#include "t/standin/store-int.h"
+#include "standins/standin.h"
+#include "standins/store-int.h"
 
 #define TICK_MS 20
 
