Read bearer tokens in one place, whatever the scheme's case

Cause: the gateway took 'bearer' in any case, control only 'Bearer', so a client that callers' HTTP lets in was turned away by the administration API; the digest in hexadecimal stood a second time in front/auth.c. Change: dig_add_bearer() serves both. Conclusion: one rule for callers and operators.

--- a/base/digest.c
+++ b/base/digest.c
@@ -1,5 +1,7 @@
 #include "base/digest.h"
 
+#include <strings.h>
+
 #include <openssl/sha.h>
 
 _Static_assert(DIG_SIZE == SHA256_DIGEST_LENGTH, "a digest is a SHA-256");
@@ -18,3 +20,18 @@
   dig_sha256 (text, digest);
   buf_add_hex (out, digest, sizeof digest);
 }
+
+bool
+dig_add_bearer (struct buf *out, struct str authorization)
+{
+  static const struct str scheme = { "Bearer ", 7 };
+  struct str token;
+
+  if (authorization.len <= scheme.len
+      || strncasecmp (authorization.ptr, scheme.ptr, scheme.len) != 0)
+    return false;
+  token = str_trim (str_skip (authorization, scheme.len));
+  if (token.len > 0)
+    dig_add_hex (out, token);
+  return token.len > 0;
+}
--- a/base/digest.h
+++ b/base/digest.h
@@ -19,4 +19,11 @@
 /** Append the digest of @p text as lower-case hexadecimal digits. */
 void dig_add_hex (struct buf *out, struct str text);
 
+/**
+ * Append the digest of the token that an Authorization header carries, as
+ * dig_add_hex() does.  The scheme's case does not matter (RFC 9110).
+ * @retval false  not the scheme "Bearer", or no token; nothing is appended
+ */
+bool dig_add_bearer (struct buf *out, struct str authorization);
+
 #endif
--- a/control/admin.c
+++ b/control/admin.c
@@ -121,12 +121,9 @@
 static const struct cfg_operator *
 find_operator (const struct ctl *c, const struct httpd_req *http)
 {
-  struct str header = httpd_header (http, "authorization");
   struct buf digest = BUF_INIT;
-  if (!str_starts (header, STR ("Bearer ")))
+  if (!dig_add_bearer (&digest, httpd_header (http, "authorization")))
     return NULL;
-  struct str token = str_trim (str_skip (header, 7));
-  dig_add_hex (&digest, token);
   const struct cfg_operator *who
       = cfg_operator_by_token (c->cfg, buf_str (&digest));
   buf_free (&digest);
--- a/front/auth.c
+++ b/front/auth.c
@@ -1,46 +1,16 @@
-#include <string.h>
-#include <strings.h>
-
 #include <openssl/crypto.h>
-#include <openssl/sha.h>
 
+#include "base/digest.h"
 #include "front/callers.h"
 
 static bool
-bearer_key (const struct httpd_req *req, struct str *key)
-{
-  static const struct str scheme = { "Bearer ", 7 };
-  struct str h = httpd_header (req, "authorization");
-
-  if (h.len <= scheme.len || strncasecmp (h.ptr, scheme.ptr, scheme.len) != 0)
-    return false;
-  *key = str_trim (str_skip (h, scheme.len));
-  return key->len > 0;
-}
-
-static void
-hex_digest (struct str key, char out[65])
-{
-  static const char digits[] = "0123456789abcdef";
-  uint8_t sum[SHA256_DIGEST_LENGTH];
-
-  SHA256 ((const uint8_t *)key.ptr, key.len, sum);
-  for (size_t i = 0; i < sizeof sum; i++)
-    {
-      out[2 * i] = digits[sum[i] >> 4];
-      out[2 * i + 1] = digits[sum[i] & 15];
-    }
-  out[64] = '\0';
-}
-
-static bool
-account_has (const struct cfg_account *a, const char digest[65])
+account_has (const struct cfg_account *a, struct str digest)
 {
   bool found = false;
 
   for (size_t i = 0; i < a->nkeys; i++)
-    if (a->key_digests[i].len == 64
-        && CRYPTO_memcmp (a->key_digests[i].ptr, digest, 64) == 0)
+    if (a->key_digests[i].len == digest.len
+        && CRYPTO_memcmp (a->key_digests[i].ptr, digest.ptr, digest.len) == 0)
       found = true;
   return found;
 }
@@ -51,14 +21,13 @@
 gw_auth (const struct cfg *cfg, const struct httpd_req *req)
 {
   const struct cfg_account *found = NULL;
-  struct str key;
-  char digest[65];
+  struct buf digest = BUF_INIT;
 
-  if (!bearer_key (req, &key))
+  if (!dig_add_bearer (&digest, httpd_header (req, "authorization")))
     return NULL;
-  hex_digest (key, digest);
   for (size_t i = 0; i < cfg->naccounts; i++)
-    if (account_has (&cfg->accounts[i], digest))
+    if (account_has (&cfg->accounts[i], buf_str (&digest)))
       found = &cfg->accounts[i];
+  buf_free (&digest);
   return found;
 }
