--- a/builtin/bench-shares.c
+++ b/builtin/bench-shares.c
@@ -47,7 +47,7 @@
 make_home (void)
 {
   struct shr *s = shr_new ();
-  struct str names[MOST_NODES];
+  struct str names[MOST_NODES] = { 0 };
   struct shr_amount limit = { 100000, 500 };
 
   for (int i = 0; i < nodes; i++)
