--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -1,5 +1,8 @@
 #include "net/httpc-head.h"
 
+#include <string.h>
+#include <strings.h>
+
 static bool
 has_control (struct str s)
 {
@@ -106,3 +109,75 @@
                               : HTTPC_FRAMING_CLOSE;
   return true;
 }
+
+/* --- what comes in ----------------------------------------------------- */
+
+/** Offset behind the empty line that ends a head; 0: it is not there yet. */
+static size_t
+end_of_head (struct str s)
+{
+  for (size_t i = 0; i + 1 < s.len; i++)
+    {
+      const char *nl = memchr (s.ptr + i, '\n', s.len - i);
+      if (nl == NULL)
+        return 0;
+      i = (size_t)(nl - s.ptr);
+      if (i + 1 < s.len && s.ptr[i + 1] == '\n')
+        return i + 2;
+      if (i + 2 < s.len && s.ptr[i + 1] == '\r' && s.ptr[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+static bool
+is_named (struct str line, const char *name, struct str *value)
+{
+  size_t colon = str_chr (line, ':'), len = strlen (name);
+
+  if (colon != len || strncasecmp (line.ptr, name, len) != 0)
+    return false;
+  *value = str_trim (str_skip (line, colon + 1));
+  return true;
+}
+
+static bool
+framing_ok (struct str head)
+{
+  int64_t length;
+  struct str value;
+
+  while (head.len > 0)
+    {
+      size_t end = str_chr (head, '\n');
+      struct str line = str_head (head, end);
+      if (is_named (line, "content-length", &value)
+          && (!str_to_i64 (value, &length) || length < 0))
+        return false;
+      if (is_named (line, "transfer-encoding", &value)
+          && !str_is (value, "chunked") && !str_is (value, "identity"))
+        return false;
+      head = str_skip (head, end + 1);
+    }
+  return true;
+}
+
+bool
+httpc_head_input_ok (struct str input)
+{
+  size_t end;
+
+  while ((end = end_of_head (input)) > 0)
+    {
+      if (!framing_ok (str_head (input, end)))
+        return false;
+      /* "HTTP/1.1 1xx": an interim head, and another has to follow. */
+      if (input.len < 10 || input.ptr[9] != '1')
+        return true;
+      input = str_skip (input, end);
+      if (input.len > 0
+          && !str_starts (input, str_head (STR ("HTTP/1."), input.len)))
+        return false;
+    }
+  return true;
+}
--- a/net/httpc-head.h
+++ b/net/httpc-head.h
@@ -33,4 +33,12 @@
 bool httpc_head_framing (const struct http_header *h, size_t n,
                          enum httpc_framing *out);
 
+/**
+ * Whether bytes that begin with an answer's head may be given to h2o's client.
+ * It ends the process by an assertion when a length or an encoding that it
+ * does not know comes in a head, or anything but a head after an interim one.
+ * One backend server with a fault would take down each node it answers.
+ */
+bool httpc_head_input_ok (struct str input);
+
 #endif
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -35,6 +35,8 @@
 {
   uv_loop_t *loop;
   uv_timer_t sweep;
+  uv_prepare_t guard;
+  struct httpc_call *unguarded; /* sent; h2o will read their heads */
   h2o_http1client_ctx_t ctx;
   h2o_timeout_t io_timeout;
   h2o_multithread_queue_t *queue;
@@ -71,6 +73,8 @@
   clk_ms due;   /* when the timer is to fire, loop time */
   enum phase phase;
   enum httpc_framing framing;
+  struct httpc_call *next_unguarded, **prev_unguarded;
+  h2o_socket_cb guarded_read; /* h2o's, behind the check of the head */
   h2o_socket_cb stopped_read; /* what to resume; NULL while reading */
   bool is_head;
   bool fresh;
@@ -92,11 +96,23 @@
   free (call);
 }
 
+static void
+guard_unlink (struct httpc_call *call)
+{
+  if (call->prev_unguarded == NULL)
+    return;
+  *call->prev_unguarded = call->next_unguarded;
+  if (call->next_unguarded != NULL)
+    call->next_unguarded->prev_unguarded = call->prev_unguarded;
+  call->prev_unguarded = NULL;
+}
+
 /* Leave h2o and free the call once the loop has closed its timer. */
 static void
 release (struct httpc_call *call)
 {
   call->phase = PHASE_OVER;
+  guard_unlink (call);
   if (call->client != NULL && !call->in_callback)
     h2o_http1client_cancel (call->client);
   call->client = NULL;
@@ -268,6 +284,58 @@
   return 0;
 }
 
+/* --- the check before h2o's ---------------------------------------------- */
+
+/*
+ * h2o's client ends the process on some heads; see httpc_head_input_ok().  So
+ * its read callback is replaced until the head is whole.  It is set when the
+ * request has been written, for which there is no callback; a round of the
+ * loop writes before it reads, and the replacement is made between the two.
+ */
+static void
+guard_read (h2o_socket_t *sock, const char *err)
+{
+  h2o_http1client_t *client = sock->data;
+  struct httpc_call *call = client->data;
+
+  if (err != NULL
+      || !httpc_head_input_ok (
+          str_make (sock->input->bytes, sock->input->size)))
+    finish (call, HTTPC_BROKEN);
+  else
+    call->guarded_read (sock, err);
+}
+
+static void
+on_guard (uv_prepare_t *p)
+{
+  struct httpc *c = p->data;
+  struct httpc_call *next;
+
+  for (struct httpc_call *call = c->unguarded; call != NULL; call = next)
+    {
+      h2o_socket_t *sock = call->client->sock;
+      next = call->next_unguarded;
+      if (sock->_cb.read == NULL)
+        continue;
+      call->guarded_read = sock->_cb.read;
+      sock->_cb.read = guard_read;
+      guard_unlink (call);
+    }
+}
+
+static void
+guard (struct httpc_call *call)
+{
+  struct httpc *c = call->c;
+
+  call->next_unguarded = c->unguarded;
+  call->prev_unguarded = &c->unguarded;
+  if (call->next_unguarded != NULL)
+    call->next_unguarded->prev_unguarded = &call->next_unguarded;
+  c->unguarded = call;
+}
+
 static struct str
 str_of (h2o_iovec_t v)
 {
@@ -355,6 +423,7 @@
       return NULL;
     }
   call->phase = PHASE_SENT;
+  guard (call);
   begin_progress (call);
   call->out[0] = h2o_iovec_init (call->head.ptr, call->head.len);
   call->out[1] = h2o_iovec_init (call->body.ptr, call->body.len);
@@ -472,6 +541,10 @@
   c->ctx.loop = loop;
   c->ctx.getaddr_receiver = &c->receiver;
   c->ctx.io_timeout = &c->io_timeout;
+  uv_prepare_init (loop, &c->guard);
+  c->guard.data = c;
+  uv_prepare_start (&c->guard, on_guard);
+  uv_unref ((uv_handle_t *)&c->guard);
   uv_timer_init (loop, &c->sweep);
   c->sweep.data = c;
   uv_timer_start (&c->sweep, on_sweep, HTTPC_IDLE_MS, HTTPC_IDLE_MS);
@@ -495,6 +568,14 @@
   uv_close (h, on_client_closed);
 }
 
+static void
+on_guard_closed (uv_handle_t *h)
+{
+  struct httpc *c = h->data;
+
+  uv_close ((uv_handle_t *)&c->sweep, on_sweep_closed);
+}
+
 void
 httpc_free (struct httpc *c)
 {
@@ -502,5 +583,5 @@
   h2o_multithread_unregister_receiver (c->queue, &c->receiver);
   h2o_multithread_destroy_queue (c->queue);
   h2o_timeout_dispose (c->loop, &c->io_timeout);
-  uv_close ((uv_handle_t *)&c->sweep, on_sweep_closed);
+  uv_close ((uv_handle_t *)&c->guard, on_guard_closed);
 }
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -377,11 +377,12 @@
   httpd_watch_stop (req);
   if (!whole)
     {
+      /* First the connection: h2o marks a cut chunked answer by bytes that
+         are no chunk, and to the caller they are no HTTP either. */
       req->req->http1_is_persistent = 0;
       reset_old_caller (req);
+      httpd_conn_shutdown (req->conn, SHUT_RDWR);
     }
   if (!req->in_flight)
     flush (req);
-  else if (!whole)
-    httpd_conn_shutdown (req->conn, SHUT_RDWR);
 }
