Tell a reset from a close where an answer has no length

Ruled out: chunked and counted bodies, whose ends are checked already.

Change: at the end of such an answer the kernel is asked for the peer, which it forgets on a reset only. t2001's reset_is_no_end was red before.

--- a/net/httpc.c
+++ b/net/httpc.c
@@ -236,6 +236,21 @@
   buf_free (&bytes);
 }
 
+/*
+ * h2o tells an end by close and one by reset in the same way.  A crashed
+ * server's answer without a length would pass for a whole one.  The kernel
+ * forgets the peer of a connection that was reset, and of no other.
+ */
+static bool
+was_reset (const struct httpc_call *call)
+{
+  struct sockaddr_storage peer;
+  socklen_t len = sizeof peer;
+  int fd = h2o_socket_get_fd (call->client->sock);
+
+  return getpeername (fd, (struct sockaddr *)&peer, &len) != 0;
+}
+
 /*
  * h2o reports a chunked body as complete also when the peer closed between
  * two chunks.  A stream cut there would pass for a whole answer.  The last
@@ -254,7 +269,7 @@
     case HTTPC_FRAMING_CLOSE:
       break;
     }
-  return HTTPC_UNBOUNDED;
+  return was_reset (call) ? HTTPC_BROKEN : HTTPC_UNBOUNDED;
 }
 
 static int
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -32,6 +32,7 @@
   { "/in-last-chunk", CHUNKED "5\r\nhello\r\n0", true },
   { "/bad-chunk", CHUNKED "5\r\nhello\r\nxyz\r\n", true },
   { "/no-length", HEAD "\r\nhello", true },
+  { "/no-length-yet", HEAD "\r\nhello", false },
   { "/two-lengths",
     HEAD "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!", true },
   { "/length-and-chunks",
@@ -106,6 +107,13 @@
   uv_close ((uv_handle_t *)&c->tcp, on_conn_closed);
 }
 
+static void
+conn_reset (struct conn *c)
+{
+  c->b->conns[c->number] = NULL;
+  uv_tcp_close_reset (&c->tcp, on_conn_closed);
+}
+
 static void
 play_reply (struct conn *c, struct str path)
 {
@@ -278,6 +286,8 @@
     run_write (&b->conns[n]->tcp, STR ("wor"));
   else if (str_is (word, "close"))
     conn_close (b->conns[n]);
+  else if (str_is (word, "reset"))
+    conn_reset (b->conns[n]);
   else if (str_is (word, "sleep-after-reply"))
     b->sleep_ms = (unsigned)n;
   else if (str_is (word, "settle"))
@@ -329,6 +339,7 @@
           "/in-last-chunk: broken 200 [hello]",
           "/bad-chunk: broken 200 []",
           "/no-length: unbounded 200 [hello]",
+          "/no-length-yet: silent 200 [hello]",
           "/two-lengths: broken 0 []",
           "/length-and-chunks: broken 0 []",
           "/garbage: broken 0 []",
@@ -369,6 +380,23 @@
         "/length: connect-failed 0 []\n");
 }
 
+/*
+ * An answer without a length ends with its connection.  A server that closes
+ * has said all; one that crashes resets, and what came until then is no whole
+ * answer, though it looks like one.
+ */
+Test (client, reset_is_no_end)
+{
+  play ("get /no-length-yet\n wait /no-length-yet over connection 0\n"
+        "settle\n close 0\n wait /no-length-yet: unbounded 200 [hello]\n"
+        "get /no-length-yet\n wait /no-length-yet over connection 1\n"
+        "settle\n reset 1\n wait /no-length-yet: broken 200 [hello]\n",
+        "/no-length-yet over connection 0\n"
+        "/no-length-yet: unbounded 200 [hello]\n"
+        "/no-length-yet over connection 1\n"
+        "/no-length-yet: broken 200 [hello]\n");
+}
+
 /*
  * A call is given up and its answer comes late.  Were the connection used
  * again, the next caller would get the answer of another.
