Let the owner tell the others of backend servers, judge stalls over all nodes

Changes: a loading VM counts as cold, and nothing is loaded while VMs appear; nodes tell each other what they hear of a place; the owner's reading goes to the others as changes over their links, and they read only when it is silent; the lease of the duty is 1.2 s.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1177,7 +1177,97 @@
   assert(message->base.descriptor == &lapis__place_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[20] =
+void   lapis__server_list__init
+                     (Lapis__ServerList         *message)
+{
+  static const Lapis__ServerList init_value = LAPIS__SERVER_LIST__INIT;
+  *message = init_value;
+}
+size_t lapis__server_list__get_packed_size
+                     (const Lapis__ServerList *message)
+{
+  assert(message->base.descriptor == &lapis__server_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__server_list__pack
+                     (const Lapis__ServerList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__server_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__server_list__pack_to_buffer
+                     (const Lapis__ServerList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__server_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__ServerList *
+       lapis__server_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__ServerList *)
+     protobuf_c_message_unpack (&lapis__server_list__descriptor,
+                                allocator, len, data);
+}
+void   lapis__server_list__free_unpacked
+                     (Lapis__ServerList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__server_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__server_entry__init
+                     (Lapis__ServerEntry         *message)
+{
+  static const Lapis__ServerEntry init_value = LAPIS__SERVER_ENTRY__INIT;
+  *message = init_value;
+}
+size_t lapis__server_entry__get_packed_size
+                     (const Lapis__ServerEntry *message)
+{
+  assert(message->base.descriptor == &lapis__server_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__server_entry__pack
+                     (const Lapis__ServerEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__server_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__server_entry__pack_to_buffer
+                     (const Lapis__ServerEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__server_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__ServerEntry *
+       lapis__server_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__ServerEntry *)
+     protobuf_c_message_unpack (&lapis__server_entry__descriptor,
+                                allocator, len, data);
+}
+void   lapis__server_entry__free_unpacked
+                     (Lapis__ServerEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__server_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[21] =
 {
   {
     "hello",
@@ -1419,6 +1509,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_list",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, server_list),
+    &lapis__server_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -1433,6 +1535,7 @@
   0,   /* field[0] = hello */
   19,   /* field[19] = node_load */
   2,   /* field[2] = report */
+  20,   /* field[20] = server_list */
   9,   /* field[9] = share_demand */
   10,   /* field[10] = share_grant */
   18,   /* field[18] = slot_answer */
@@ -1445,7 +1548,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1455,7 +1558,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  20,
+  21,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -3616,7 +3719,7 @@
   (ProtobufCMessageInit) lapis__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[5] =
 {
   {
     "ready",
@@ -3643,8 +3746,32 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "places",
+    "leads",
     3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeLoad, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeLoad, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "places",
+    5,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Lapis__NodeLoad, n_places),
@@ -3656,14 +3783,16 @@
   },
 };
 static const unsigned lapis__node_load__field_indices_by_name[] = {
-  2,   /* field[2] = places */
+  2,   /* field[2] = leads */
+  3,   /* field[3] = list_age_ms */
+  4,   /* field[4] = places */
   0,   /* field[0] = ready */
   1,   /* field[1] = traffic */
 };
 static const ProtobufCIntRange lapis__node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lapis__node_load__descriptor =
 {
@@ -3673,14 +3802,14 @@
   "Lapis__NodeLoad",
   "lapis",
   sizeof(Lapis__NodeLoad),
-  3,
+  5,
   lapis__node_load__field_descriptors,
   lapis__node_load__field_indices_by_name,
   1,  lapis__node_load__number_ranges,
   (ProtobufCMessageInit) lapis__node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[5] =
 {
   {
     "place",
@@ -3707,9 +3836,33 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stalled",
+    "begun",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, heard_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stalled",
+    5,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
     offsetof(Lapis__PlaceLoad, stalled),
@@ -3720,14 +3873,16 @@
   },
 };
 static const unsigned lapis__place_load__field_indices_by_name[] = {
+  2,   /* field[2] = begun */
+  3,   /* field[3] = heard_age_ms */
   1,   /* field[1] = in_flight */
   0,   /* field[0] = place */
-  2,   /* field[2] = stalled */
+  4,   /* field[4] = stalled */
 };
 static const ProtobufCIntRange lapis__place_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lapis__place_load__descriptor =
 {
@@ -3737,13 +3892,284 @@
   "Lapis__PlaceLoad",
   "lapis",
   sizeof(Lapis__PlaceLoad),
-  3,
+  5,
   lapis__place_load__field_descriptors,
   lapis__place_load__field_indices_by_name,
   1,  lapis__place_load__number_ranges,
   (ProtobufCMessageInit) lapis__place_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__server_list__field_descriptors[4] =
+{
+  {
+    "age_ms",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerList, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerList, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__ServerList, n_servers),
+    offsetof(Lapis__ServerList, servers),
+    &lapis__server_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__ServerList, n_gone),
+    offsetof(Lapis__ServerList, gone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__server_list__field_indices_by_name[] = {
+  0,   /* field[0] = age_ms */
+  3,   /* field[3] = gone */
+  2,   /* field[2] = servers */
+  1,   /* field[1] = whole */
+};
+static const ProtobufCIntRange lapis__server_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lapis__server_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.ServerList",
+  "ServerList",
+  "Lapis__ServerList",
+  "lapis",
+  sizeof(Lapis__ServerList),
+  4,
+  lapis__server_list__field_descriptors,
+  lapis__server_list__field_indices_by_name,
+  1,  lapis__server_list__number_ranges,
+  (ProtobufCMessageInit) lapis__server_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[13] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "addr",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, addr),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "staged",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__ServerEntry, n_staged),
+    offsetof(Lapis__ServerEntry, staged),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, replica),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__server_entry__field_indices_by_name[] = {
+  4,   /* field[4] = addr */
+  5,   /* field[5] = capacity */
+  3,   /* field[3] = domain */
+  6,   /* field[6] = draining */
+  10,   /* field[10] = generation */
+  0,   /* field[0] = id */
+  7,   /* field[7] = model */
+  12,   /* field[12] = part */
+  11,   /* field[11] = rank */
+  9,   /* field[9] = replica */
+  1,   /* field[1] = service */
+  8,   /* field[8] = staged */
+  2,   /* field[2] = zone */
+};
+static const ProtobufCIntRange lapis__server_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor lapis__server_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.ServerEntry",
+  "ServerEntry",
+  "Lapis__ServerEntry",
+  "lapis",
+  sizeof(Lapis__ServerEntry),
+  13,
+  lapis__server_entry__field_descriptors,
+  lapis__server_entry__field_indices_by_name,
+  1,  lapis__server_entry__number_ranges,
+  (ProtobufCMessageInit) lapis__server_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue lapis__slot_kind__enum_values_by_number[4] =
 {
   { "SLOT_NONE", "LAPIS__SLOT_KIND__SLOT_NONE", 0 },
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -41,6 +41,8 @@
 typedef struct Lapis__SlotAnswer Lapis__SlotAnswer;
 typedef struct Lapis__NodeLoad Lapis__NodeLoad;
 typedef struct Lapis__PlaceLoad Lapis__PlaceLoad;
+typedef struct Lapis__ServerList Lapis__ServerList;
+typedef struct Lapis__ServerEntry Lapis__ServerEntry;
 
 
 /* --- enums --- */
@@ -85,7 +87,8 @@
   LAPIS__FRAME__BODY_SLOT_ASK = 17,
   LAPIS__FRAME__BODY_SLOT_OPEN = 18,
   LAPIS__FRAME__BODY_SLOT_ANSWER = 19,
-  LAPIS__FRAME__BODY_NODE_LOAD = 20
+  LAPIS__FRAME__BODY_NODE_LOAD = 20,
+  LAPIS__FRAME__BODY_SERVER_LIST = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -114,6 +117,7 @@
     Lapis__SlotOpen *slot_open;
     Lapis__SlotAnswer *slot_answer;
     Lapis__NodeLoad *node_load;
+    Lapis__ServerList *server_list;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -620,12 +624,20 @@
    * it has had requests
    */
   protobuf_c_boolean traffic;
+  /*
+   * it forms replicas
+   */
+  protobuf_c_boolean leads;
+  /*
+   * if so: of what ServerList told last
+   */
+  uint32_t list_age_ms;
   size_t n_places;
   Lapis__PlaceLoad **places;
 };
 #define LAPIS__NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_load__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL }
 
 
 struct  Lapis__PlaceLoad
@@ -636,6 +648,14 @@
    */
   uint64_t place;
   uint32_t in_flight;
+  /*
+   * of these, streams with an event
+   */
+  uint32_t begun;
+  /*
+   * since the last event of any of them
+   */
+  uint32_t heard_age_ms;
   /*
    * nothing moves there
    */
@@ -643,7 +663,58 @@
 };
 #define LAPIS__PLACE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__place_load__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * The backend servers as the node that forms replicas has read them: all of
+ * them first on a link, then what changed.
+ */
+struct  Lapis__ServerList
+{
+  ProtobufCMessage base;
+  /*
+   * of the reading
+   */
+  uint32_t age_ms;
+  /*
+   * what it does not name is gone
+   */
+  protobuf_c_boolean whole;
+  size_t n_servers;
+  Lapis__ServerEntry **servers;
+  size_t n_gone;
+  char **gone;
+};
+#define LAPIS__SERVER_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__server_list__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Lapis__ServerEntry
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *zone;
+  char *domain;
+  char *addr;
+  uint32_t capacity;
+  protobuf_c_boolean draining;
+  char *model;
+  size_t n_staged;
+  char **staged;
+  char *replica;
+  int64_t generation;
+  uint32_t rank;
+  /*
+   * enum bks_part
+   */
+  uint32_t part;
+};
+#define LAPIS__SERVER_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__server_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /* Lapis__Frame methods */
@@ -1140,6 +1211,44 @@
 void   lapis__place_load__free_unpacked
                      (Lapis__PlaceLoad *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__ServerList methods */
+void   lapis__server_list__init
+                     (Lapis__ServerList         *message);
+size_t lapis__server_list__get_packed_size
+                     (const Lapis__ServerList   *message);
+size_t lapis__server_list__pack
+                     (const Lapis__ServerList   *message,
+                      uint8_t             *out);
+size_t lapis__server_list__pack_to_buffer
+                     (const Lapis__ServerList   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__ServerList *
+       lapis__server_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__server_list__free_unpacked
+                     (Lapis__ServerList *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__ServerEntry methods */
+void   lapis__server_entry__init
+                     (Lapis__ServerEntry         *message);
+size_t lapis__server_entry__get_packed_size
+                     (const Lapis__ServerEntry   *message);
+size_t lapis__server_entry__pack
+                     (const Lapis__ServerEntry   *message,
+                      uint8_t             *out);
+size_t lapis__server_entry__pack_to_buffer
+                     (const Lapis__ServerEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__ServerEntry *
+       lapis__server_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__server_entry__free_unpacked
+                     (Lapis__ServerEntry *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lapis__Frame_Closure)
@@ -1220,6 +1329,12 @@
 typedef void (*Lapis__PlaceLoad_Closure)
                  (const Lapis__PlaceLoad *message,
                   void *closure_data);
+typedef void (*Lapis__ServerList_Closure)
+                 (const Lapis__ServerList *message,
+                  void *closure_data);
+typedef void (*Lapis__ServerEntry_Closure)
+                 (const Lapis__ServerEntry *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1253,6 +1368,8 @@
 extern const ProtobufCMessageDescriptor lapis__slot_answer__descriptor;
 extern const ProtobufCMessageDescriptor lapis__node_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__place_load__descriptor;
+extern const ProtobufCMessageDescriptor lapis__server_list__descriptor;
+extern const ProtobufCMessageDescriptor lapis__server_entry__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -11,8 +11,22 @@
  */
 #define RETURN_MS ((clk_ms)2200)
 
+/** Servers that went and are remembered, for other nodes that have not heard;
+    one that is further behind gets the whole list. */
+#define GONE_MOST 128
+
+struct gone
+{
+  char *id;
+  uint64_t version;
+};
+
 struct bks
 {
+  uint64_t version;
+  struct gone gone[GONE_MOST]; /* a ring */
+  size_t ngone;
+  struct str gone_ids[GONE_MOST];
   struct bks_server **list;
   size_t n;
   bool known;
@@ -42,11 +56,46 @@
     return;
   for (size_t i = 0; i < b->n; i++)
     server_free (b->list[i]);
+  for (size_t i = 0; i < GONE_MOST; i++)
+    free (b->gone[i].id);
   free (b->list);
   free (b->places);
   free (b);
 }
 
+static void
+remember_gone (struct bks *b, struct str id)
+{
+  struct gone *g = &b->gone[b->ngone++ % GONE_MOST];
+
+  free (g->id);
+  g->id = str_dup (id);
+  g->version = b->version;
+}
+
+uint64_t
+bks_version (const struct bks *b)
+{
+  return b->version;
+}
+
+bool
+bks_gone_since (struct bks *b, uint64_t version, const struct str **ids,
+                size_t *n)
+{
+  size_t kept = b->ngone < GONE_MOST ? b->ngone : GONE_MOST;
+
+  *n = 0;
+  *ids = b->gone_ids;
+  if (b->ngone > GONE_MOST
+      && b->gone[b->ngone % GONE_MOST].version > version)
+    return false;
+  for (size_t i = 0; i < kept; i++)
+    if (b->gone[i].version > version)
+      b->gone_ids[(*n)++] = str_from (b->gone[i].id);
+  return true;
+}
+
 static struct bks_server *
 find (const struct bks *b, struct str id)
 {
@@ -121,6 +170,7 @@
     }
   copy_entry (s, in);
   s->named = true;
+  s->version = b->version;
   return true;
 }
 
@@ -134,7 +184,10 @@
     if (b->list[i]->named)
       b->list[kept++] = b->list[i];
     else
-      server_free (b->list[i]);
+      {
+        remember_gone (b, b->list[i]->e.id);
+        server_free (b->list[i]);
+      }
   bool changed = kept != b->n;
   b->n = kept;
   return changed;
@@ -146,17 +199,28 @@
   return b->asked_at;
 }
 
-bool
-bks_update (struct bks *b, clk_ms now, clk_ms asked_at,
-            const struct bks_entry *list, size_t n)
+/** A list was read, here or elsewhere. */
+static bool
+begin_list (struct bks *b, clk_ms now, clk_ms asked_at)
 {
-  bool changed = !b->known;
+  bool first = !b->known;
 
   if (b->failing)
     b->steady_since = now;
   b->failing = false;
   b->known = true;
-  b->asked_at = asked_at;
+  if (asked_at > b->asked_at)
+    b->asked_at = asked_at;
+  b->version++;
+  return first;
+}
+
+bool
+bks_update (struct bks *b, clk_ms now, clk_ms asked_at,
+            const struct bks_entry *list, size_t n)
+{
+  bool changed = begin_list (b, now, asked_at);
+
   for (size_t i = 0; i < b->n; i++)
     b->list[i]->named = false;
   for (size_t i = 0; i < n; i++)
@@ -166,6 +230,26 @@
   return changed;
 }
 
+bool
+bks_apply (struct bks *b, clk_ms now, clk_ms asked_at,
+           const struct bks_entry *list, size_t n, const struct str *gone,
+           size_t ngone)
+{
+  bool changed = begin_list (b, now, asked_at);
+
+  for (size_t i = 0; i < b->n; i++)
+    b->list[i]->named = true;
+  for (size_t i = 0; i < n; i++)
+    changed |= take_entry (b, now, &list[i]);
+  for (size_t i = 0; i < ngone; i++)
+    {
+      struct bks_server *s = find (b, gone[i]);
+      if (s)
+        s->named = false;
+    }
+  return drop_missing (b) || changed;
+}
+
 void
 bks_unreadable (struct bks *b, clk_ms now)
 {
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -54,6 +54,7 @@
   struct bks_entry e; /**< its text is in `text` */
   struct arena text;
   bool named;   /**< by the list that is being read */
+  uint64_t version; /**< of the list at which it last changed */
   clk_ms since; /**< first seen */
 };
 
@@ -73,6 +74,25 @@
 /** When the last good read was sent. */
 clk_ms bks_asked_at (const struct bks *b);
 
+/**
+ * Changes to the list as another node has read it.
+ * @param asked_at  when that reading was sent, by this node's clock
+ * @return  whether anything changed
+ */
+bool bks_apply (struct bks *b, clk_ms now, clk_ms asked_at,
+                const struct bks_entry *list, size_t n, const struct str *gone,
+                size_t ngone);
+
+/** Number of the list; it rises with each change. */
+uint64_t bks_version (const struct bks *b);
+
+/**
+ * Ids of those that went since @p version; valid until the next change.
+ * @retval false  that is too long ago to tell
+ */
+bool bks_gone_since (struct bks *b, uint64_t version, const struct str **ids,
+                     size_t *n);
+
 /** The list could not be read. */
 void bks_unreadable (struct bks *b, clk_ms now);
 
--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -13,14 +13,18 @@
 
 /*
  * A replica writes an event to each of its streams in every pass, some 60 to
- * 100 ms apart, and a pass that reads long prompts takes 200 ms at most.  A
- * replica that has lost a member moves none of them.  With several streams
- * open, this long a silence of all is no chance; one alone may also have been
- * preempted for others.
+ * 100 ms apart; a pass that reads several long prompts takes up to 300 ms.  A
+ * replica that has lost a member moves none of them.  Over all nodes it has a
+ * dozen streams or more, and so long a silence of all is no chance; a single
+ * one may also have been preempted for others.
  */
-#define STALL_MANY_MS ((clk_ms)450)
+#define STALL_MANY_MS ((clk_ms)400)
+#define STALL_FEW_MS ((clk_ms)600)
 #define STALL_ONE_MS ((clk_ms)900)
-#define STALL_MANY 2
+#define STALL_MANY 4
+#define STALL_FEW 2
+/** What another node told longer ago says nothing of now. */
+#define TOLD_MS ((clk_ms)350)
 /** Without any stream begun: a request's wait for its first event, in parts of
     the goal, and at least so long; a full replica makes requests wait too. */
 #define STALL_BEGIN_FACTOR 3
@@ -156,17 +160,48 @@
   return m;
 }
 
+/** Add what the other nodes see of the place. */
+static void
+add_others (const struct dsp *d, const struct dsp_server *s, unsigned *begun,
+            clk_ms *heard)
+{
+  for (size_t i = 0; i < d->npeers; i++)
+    {
+      const struct dsp_peer *p = &d->peers[i];
+      if (d->now - p->told_at > TOLD_MS)
+        continue;
+      for (size_t k = 0; k < p->n; k++)
+        {
+          const struct dsp_count *c = &p->counts[k];
+          if (c->place != s->hash || c->begun == 0 || c->stalled)
+            continue;
+          *begun += c->begun;
+          if (c->heard > *heard)
+            *heard = c->heard;
+        }
+    }
+}
+
+/** How long a silence of that many streams is no chance. */
+static clk_ms
+silence_of (unsigned begun)
+{
+  if (begun >= STALL_MANY)
+    return STALL_MANY_MS;
+  return begun >= STALL_FEW ? STALL_FEW_MS : STALL_ONE_MS;
+}
+
 static bool
 has_stalled (const struct dsp *d, const struct dsp_server *s)
 {
   struct moving m = count_moving (d, s);
-  clk_ms silence = d->now - s->heard;
+  clk_ms heard = s->heard;
   clk_ms begin = STALL_BEGIN_FACTOR * m.goal_ms;
+  unsigned begun = m.begun;
 
-  if (m.begun >= STALL_MANY)
-    return silence > STALL_MANY_MS;
-  if (m.begun > 0)
-    return silence > STALL_ONE_MS;
+  add_others (d, s, &begun, &heard);
+  if (begun > 0)
+    return d->now - heard > silence_of (begun);
   if (m.oldest == CLK_NEVER)
     return false;
   if (begin < STALL_BEGIN_MS)
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -137,6 +137,7 @@
 struct dsp_peer
 {
   uint64_t node;
+  clk_ms told_at;
   struct dsp_count *counts;
   size_t n;
 };
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -188,10 +188,21 @@
   if (n)
     memcpy (p->counts, counts, n * sizeof *counts);
   p->n = n;
+  p->told_at = now;
   add_counts (d, p, true);
   pump_all (d);
 }
 
+static uint32_t
+count_begun (const struct dsp *d, const struct dsp_server *s)
+{
+  uint32_t n = 0;
+
+  for (const struct dsp_req *q = d->open_list; q; q = q->next)
+    n += q->server == s && q->begun;
+  return n;
+}
+
 const struct dsp_count *
 dsp_own_load (struct dsp *d, size_t *n)
 {
@@ -208,6 +219,8 @@
         if (s->own || s->stalled)
           d->own[(*n)++] = (struct dsp_count){ .place = s->hash,
                                                .in_flight = s->own,
+                                               .begun = count_begun (d, s),
+                                               .heard = s->heard,
                                                .stalled = s->stalled };
       }
   return d->own;
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -66,7 +66,10 @@
 {
   uint64_t place; /**< dsp_place_hash() */
   uint32_t in_flight;
-  bool stalled; /**< nothing moves there, as far as this node sees */
+  uint32_t begun;  /**< of these, streams that have had an event */
+  clk_ms heard;    /**< when the last event of any of them came, by the clock
+                        of the node that is told */
+  bool stalled;    /**< nothing moves there, as far as this node sees */
 };
 
 /** The number by which nodes tell each other of a place. */
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -9,15 +9,15 @@
  */
 
 /** A new owner is found this long after the old one has died, at most. */
-#define LEASE_MS ((clk_ms)2000)
+#define LEASE_MS ((clk_ms)1200)
 /** Between two nodes that may try to take the duty, so that one does. */
 #define TURN_MS ((clk_ms)60)
 /** Longest wait for the answer to an order. */
 #define ORDER_MS ((clk_ms)800)
 /** Longest wait of a server that is asked whether it lives: it answers from
     memory, so some ways between availability zones suffice. */
-#define ASK_MS ((clk_ms)300)
-#define CONNECT_MS ((clk_ms)300)
+#define ASK_MS ((clk_ms)200)
+#define CONNECT_MS ((clk_ms)250)
 
 struct duty_call;
 
@@ -301,6 +301,12 @@
   carry_out (d);
 }
 
+bool
+srv_duty_busy (const struct srv *s)
+{
+  return srv_duty_holds (s) && frm_busy (s->duty->form);
+}
+
 void
 srv_duty_stalled (struct srv *s, uint64_t place)
 {
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -28,9 +28,12 @@
 static enum cost
 cost_of (const struct frm_vm *vm, struct str model)
 {
-  if (str_eq (vm->e.model, model))
+  /* One that is still loading is as far from ready as an empty one. */
+  bool loading = vm->e.part == BKS_JOINING;
+
+  if (str_eq (vm->e.model, model) && !loading)
     return COST_SAME;
-  if (frm_is_warm (vm, model))
+  if (frm_is_warm (vm, model) && !loading)
     return COST_STAGED;
   return vm->e.model.len ? COST_OTHER : COST_EMPTY;
 }
@@ -182,6 +185,9 @@
       struct choice c;
       if (choose_domain (f, s, order[i], &c))
         {
+          /* While VMs appear, one that holds the weights may be next. */
+          if (c.loads && f->traffic && f->now - f->arrived_at < ARRIVAL_MS)
+            return false;
           if (!frm_may_load (f, s, c.loads))
             return false;
           form (f, service, order[i], &c, false);
--- a/serve/form.c
+++ b/serve/form.c
@@ -392,6 +392,20 @@
   ask_silent (f);
 }
 
+bool
+frm_busy (const struct frm *f)
+{
+  for (size_t i = 0; i < f->ngroups; i++)
+    {
+      const struct frm_group *g = f->groups[i];
+      if (g->phase == FRM_PH_OPENING || g->phase == FRM_PH_CLOSING
+          || (g->phase == FRM_PH_JOINING && !g->spare
+              && f->now - g->since < FRM_PATIENCE_MS))
+        return true;
+    }
+  return false;
+}
+
 const struct frm_figures *
 frm_figures (struct frm *f)
 {
--- a/serve/form.h
+++ b/serve/form.h
@@ -109,6 +109,8 @@
   unsigned forming, open, closing, spares, warm;
   uint64_t loads, orders, formed, lost;
 };
+/** Whether a replica is on its way, so that reports should be read often. */
+bool frm_busy (const struct frm *f);
 const struct frm_figures *frm_figures (struct frm *f);
 
 #endif
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -56,6 +56,10 @@
 /* sync.c: configuration and backend servers out of the store */
 void srv_sync_start (struct srv *s);
 void srv_sync_tick (struct srv *s, clk_ms now);
+/** The list was read by another node @p age_ms ago. */
+void srv_sync_heard (struct srv *s, clk_ms now, clk_ms age_ms);
+/** Age of the last reading by this node. */
+clk_ms srv_sync_age (const struct srv *s, clk_ms now);
 /** Read the list of backend servers soon: something there has changed. */
 void srv_sync_hurry (struct srv *s, clk_ms now);
 
@@ -76,6 +80,8 @@
 /** A node sees nothing move at a place. */
 void srv_duty_stalled (struct srv *s, uint64_t place);
 bool srv_duty_holds (const struct srv *s);
+/** A replica is on its way. */
+bool srv_duty_busy (const struct srv *s);
 
 /* peers.c: links to the other nodes */
 struct srv_entry
@@ -89,6 +95,9 @@
                       struct buf *err);
 /** All entries of nodes as the store has them. */
 void srv_peers_entries (struct srv *s, const struct srv_entry *list, size_t n);
+/** Tell the other nodes what changed in the list of backend servers, if this
+    node forms replicas. */
+void srv_peers_servers (struct srv *s);
 void srv_peers_tick (struct srv *s, clk_ms now);
 /** Front addresses of the nodes that callers may be sent to. */
 size_t srv_peers_ready (const struct srv *s, struct net_addr *out,
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -1,4 +1,5 @@
 #include "serve/node-int.h"
+#include "serve/share.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +34,9 @@
   bool ready;
   struct link *link; /* NULL: none */
   bool up;
+  bool listing;  /* its ServerList has come on this link */
+  uint64_t told; /* version of the list of backend servers that it has from
+                    this node; 0: none */
   clk_ms heard;
   clk_ms next_connect;
 };
@@ -103,7 +107,8 @@
   if (x->up)
     LOG (node_lost, LOG_C ("peer", x->node));
   x->link = NULL;
-  x->up = x->ready = false;
+  x->up = x->ready = x->listing = false;
+  x->told = 0;
   x->next_connect = clk_now () + CONNECT_AGAIN_MS;
   dsp_peer_load (s->dispatch, clk_now (), x->hash, NULL, 0);
   srv_act (s);
@@ -157,18 +162,35 @@
       const Lapis__PlaceLoad *pl = load->places[i];
       counts[i] = (struct dsp_count){ .place = pl->place,
                                       .in_flight = pl->in_flight,
+                                      .begun = pl->begun,
+                                      .heard = clk_now () - pl->heard_age_ms,
                                       .stalled = pl->stalled };
       if (pl->stalled)
         srv_duty_stalled (s, pl->place);
     }
   x->heard = clk_now ();
   x->ready = load->ready;
+  if (load->leads && x->listing)
+    srv_sync_heard (s, x->heard, load->list_age_ms);
   s->traffic = s->traffic || load->traffic;
   dsp_peer_load (s->dispatch, x->heard, x->hash, counts, load->n_places);
   free (counts);
   srv_act (s);
 }
 
+static void
+on_servers (struct peer *x, const Lapis__ServerList *list)
+{
+  struct srv *s = x->p->s;
+  clk_ms now = clk_now ();
+
+  x->heard = now;
+  x->listing = true;
+  srv_sync_heard (s, now, list->age_ms);
+  if (shr_take (s->backends, now, list))
+    srv_places_changed (s);
+}
+
 static void
 on_frame (void *ctx, struct link *l, const Lapis__Frame *f)
 {
@@ -179,6 +201,8 @@
     on_hello (p, l, f->hello);
   else if (x && f->body_case == LAPIS__FRAME__BODY_NODE_LOAD)
     on_load (x, f->node_load);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_SERVER_LIST)
+    on_servers (x, f->server_list);
 }
 
 static void
@@ -224,6 +248,9 @@
       lapis__place_load__init (&places[i]);
       places[i].place = own[i].place;
       places[i].in_flight = own[i].in_flight;
+      places[i].begun = own[i].begun;
+      places[i].heard_age_ms
+          = (uint32_t)(now > own[i].heard ? now - own[i].heard : 0);
       places[i].stalled = own[i].stalled;
       rows[i] = &places[i];
       if (own[i].stalled)
@@ -231,6 +258,9 @@
     }
   load.ready = srv_is_ready (s);
   load.traffic = s->traffic;
+  load.leads = srv_duty_holds (s);
+  if (load.leads)
+    load.list_age_ms = (uint32_t)srv_sync_age (s, now);
   load.n_places = n;
   load.places = rows;
   f.body_case = LAPIS__FRAME__BODY_NODE_LOAD;
@@ -291,11 +321,24 @@
     check_peer (x, now);
   if (now < p->next_tell)
     return;
+  srv_peers_servers (s);
   period = (clk_ms)(count_up (p) * 1000 / FRAMES_PER_S);
   p->next_tell = now + (period > TELL_MS ? period : TELL_MS);
   send_load (p, now);
 }
 
+void
+srv_peers_servers (struct srv *s)
+{
+  clk_ms age = srv_sync_age (s, clk_now ());
+
+  if (!s->peers || !srv_duty_holds (s))
+    return;
+  for (struct peer *x = s->peers->list; x; x = x->next)
+    if (x->up && x->told != bks_version (s->backends))
+      shr_send (x->link, s->backends, age, &x->told);
+}
+
 void
 srv_peers_entries (struct srv *s, const struct srv_entry *list, size_t n)
 {
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -3,13 +3,17 @@
 #include <stdlib.h>
 
 /**
- * How often the list of backend servers is read.  A leaving one must get
- * nothing new drain_ms after it said so, so twice in that time and once more
- * for a lost answer; each read is a priced call.
+ * How often the list of backend servers is read by the node that forms
+ * replicas, and while one is on its way, when each step waits for a report.
+ * The others hear of changes from that node.
+ */
+#define POLL_DUTY_MS ((clk_ms)300)
+#define POLL_BUSY_MS ((clk_ms)100)
+/**
+ * Where nobody tells them they read by themselves: a leaving server must get
+ * nothing new drain_ms after it said so, so some times in that.
  */
 #define POLL_PER_DRAIN 3
-/** While this node forms replicas it waits for their reports. */
-#define POLL_DUTY_MS ((clk_ms)250)
 /** After a failed read, and while nothing is known yet. */
 #define POLL_AGAIN_MS ((clk_ms)200)
 /** A watch that ended is begun again after this. */
@@ -25,6 +29,7 @@
   bool reading_servers;
   clk_ms asked_servers;
   clk_ms next_servers;
+  clk_ms read_at; /* sending of the last good read of this node's own */
   bool store_ok;
 };
 
@@ -151,6 +156,7 @@
   if (bks_update (s->backends, clk_now (), y->asked_servers, list, n))
     srv_places_changed (s);
   srv_duty_servers (s);
+  srv_peers_servers (s);
   arena_free (&text);
   free (list);
 }
@@ -160,11 +166,27 @@
 {
   clk_ms ms = s->set.drain_ms / POLL_PER_DRAIN;
 
-  if (srv_duty_holds (s) && ms > POLL_DUTY_MS)
-    return POLL_DUTY_MS;
+  if (srv_duty_holds (s))
+    return srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS;
   return ms > POLL_AGAIN_MS ? ms : POLL_AGAIN_MS;
 }
 
+void
+srv_sync_heard (struct srv *s, clk_ms now, clk_ms age_ms)
+{
+  struct srv_sync *y = s->sync;
+  clk_ms next = now - age_ms + poll_ms (s);
+
+  if (!srv_duty_holds (s) && next > y->next_servers)
+    y->next_servers = next;
+}
+
+clk_ms
+srv_sync_age (const struct srv *s, clk_ms now)
+{
+  return now - s->sync->read_at;
+}
+
 static void
 on_servers (void *ctx, const struct store_result *r)
 {
@@ -180,6 +202,7 @@
       y->next_servers = now + POLL_AGAIN_MS;
       return;
     }
+  y->read_at = y->asked_servers;
   take_servers (y, r);
   y->next_servers = y->asked_servers + poll_ms (s);
 }
