Have a leader leave its replica before its members join another

Ruled out: two owners at once (the old one's fencing number was refused).

Change: a replica that may have been told to open ends by an accepted leave of its leader, which refuses late orders by the replica's name; a leader that comes back with an old replica goes the same way. t6101 was red with TWO before.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -107,7 +107,7 @@
   if (c->term == (uint64_t)own_fence (d->own) && c->is_order)
     {
       enum frm_result result = result_of (c, end);
-      LOG (order_ended, LOG_C ("server", c->vm), LOG_I ("token", c->token),
+      LOG (order_ended, LOG_C ("server", c->vm), LOG_I ("number", c->token),
            LOG_I ("status", c->status));
       frm_order_done (d->form, now, c->token, result);
       srv_sync_hurry (d->s, now);
@@ -151,7 +151,7 @@
   if (order)
     s->ad->order (a, &body);
   if (order)
-    LOG (order_sent, LOG_S ("server", a->vm), LOG_I ("token", a->token),
+    LOG (order_sent, LOG_S ("server", a->vm), LOG_I ("number", a->token),
          LOG_S ("order", buf_str (&body)));
   r.body = buf_str (&body);
   c->http = httpc_start (s->http, &r, &cb, c);
--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -47,9 +47,8 @@
 {
   if (!all_there (f, g))
     {
-      /* The leader was never told to open, so its members are free. */
       if (g->n >= g->size || f->now - g->since > ADOPT_MS)
-        frm_group_over (f, g);
+        frm_group_end (f, g);
       return;
     }
   if (all_ready (g))
@@ -60,7 +59,7 @@
     }
   if (f->now - g->since > 3 * g->load_ms + FRM_PATIENCE_MS)
     {
-      frm_group_over (f, g);
+      frm_group_end (f, g);
       return;
     }
   for (size_t i = 0; i < g->n; i++)
@@ -92,8 +91,10 @@
       frm_enter (f, g, FRM_PH_OPEN);
       return;
     }
-  if (all_ready (g))
-    frm_order (f, g->members[0], FRM_OPEN, g);
+  if (!all_ready (g))
+    return;
+  g->may_open = true;
+  frm_order (f, g->members[0], FRM_OPEN, g);
 }
 
 /* --- open -------------------------------------------------------------- */
@@ -135,7 +136,7 @@
     {
       /* It has closed, broken or moved on; either way it leads no more. */
       f->figures.lost++;
-      frm_group_over (f, g);
+      frm_group_end (f, g);
       return;
     }
   if (leader->e.part == BKS_CLOSING)
@@ -193,7 +194,7 @@
     }
   if (has_closed (f, g))
     {
-      frm_group_over (f, g);
+      frm_group_end (f, g);
       return;
     }
   if (!g->cut && f->now - g->since > CLOSE_MOST_MS)
@@ -205,6 +206,17 @@
     frm_order (f, leader, FRM_CLOSE, g);
 }
 
+static void
+tick_leaving (struct frm *f, struct frm_group *g)
+{
+  if (member_lost (g->members[0]))
+    frm_enter (f, g, FRM_PH_FENCING);
+  else if (g->left[0])
+    frm_group_over (f, g);
+  else
+    frm_order (f, g->members[0], FRM_LEAVE, g);
+}
+
 /**
  * The leader can't be asked.  It may be cut off from this node and the store
  * and still take requests; were a member joined to another replica now, two
@@ -257,6 +269,9 @@
     case FRM_PH_CLOSING:
       tick_closing (f, g);
       break;
+    case FRM_PH_LEAVING:
+      tick_leaving (f, g);
+      break;
     case FRM_PH_FENCING:
       tick_fencing (f, g);
       break;
@@ -275,7 +290,7 @@
     return;
   vm->bad_until = f->now + BAD_MS;
   if (g->phase == FRM_PH_JOINING)
-    frm_group_over (f, g);
+    frm_group_end (f, g);
 }
 
 static void
@@ -290,7 +305,7 @@
 }
 
 static void
-leave_done (struct frm_group *g, const struct frm_vm *vm,
+leave_done (struct frm *f, struct frm_group *g, const struct frm_vm *vm,
             enum frm_result result)
 {
   if (result == FRM_UNANSWERED || result == FRM_OUTDATED)
@@ -298,6 +313,8 @@
   for (size_t i = 0; i < g->n; i++)
     if (g->members[i] == vm)
       g->left[i] = true;
+  if (g->phase == FRM_PH_LEAVING && g->left[0])
+    frm_group_over (f, g);
 }
 
 void
@@ -320,7 +337,7 @@
         close_done (f, g, result);
       break;
     case FRM_LEAVE:
-      leave_done (g, vm, result);
+      leave_done (f, g, vm, result);
       break;
     }
 }
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -34,6 +34,8 @@
   uint64_t order;     /**< token under way; 0: none */
   enum frm_order_kind order_kind;
   clk_ms next_order;
+  int64_t cleared;    /**< generations up to this can't open with it as the
+                           leader any more */
   clk_ms bad_until;   /**< it rejected an order; use another */
   struct frm_group *group; /**< the replica it is planned for, or none */
 };
@@ -45,6 +47,7 @@
   FRM_PH_OPENING, /**< all were ready; the leader is told to open */
   FRM_PH_OPEN,
   FRM_PH_CLOSING, /**< the leader is told to close */
+  FRM_PH_LEAVING, /**< the leader is told to leave, for good */
   FRM_PH_FENCING, /**< the leader can't be asked; members leave and time
                        passes until it must have given up */
   FRM_PH_OVER     /**< its members are free */
@@ -61,6 +64,7 @@
   clk_ms since;  /**< of the phase */
   bool spare;    /**< one VM that only loads; never opened */
   bool cut;      /**< close without waiting */
+  bool may_open; /**< somebody may have told the leader to open */
   bool suspect;  /**< callers see nothing move */
   clk_ms suspect_since;
   unsigned unanswered; /**< orders to its leader in a row */
@@ -110,6 +114,8 @@
                                  struct str name, struct str model,
                                  int64_t generation);
 void frm_enter (struct frm *f, struct frm_group *g, enum frm_phase phase);
+/** Free its members for others, at once or once that is safe. */
+void frm_group_end (struct frm *f, struct frm_group *g);
 /** Its members are free for others. */
 void frm_group_over (struct frm *f, struct frm_group *g);
 
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -22,7 +22,7 @@
 is_free (const struct frm *f, const struct frm_vm *vm)
 {
   return frm_usable (f, vm) && !vm->order && vm->e.domain.len > 0
-         && (!vm->group || vm->group->spare);
+         && vm->e.part < BKS_OPEN && (!vm->group || vm->group->spare);
 }
 
 static enum cost
--- a/serve/form.c
+++ b/serve/form.c
@@ -120,12 +120,34 @@
 frm_group_over (struct frm *f, struct frm_group *g)
 {
   for (size_t i = 0; i < g->n; i++)
-    if (g->members[i] && g->members[i]->group == g)
-      g->members[i]->group = NULL;
+    {
+      struct frm_vm *vm = g->members[i];
+      if (!vm)
+        continue;
+      if (vm->group == g)
+        vm->group = NULL;
+      if (vm->present && !vm->silent && vm->cleared < g->generation)
+        vm->cleared = g->generation;
+    }
   frm_enter (f, g, FRM_PH_OVER);
   g->n = 0;
 }
 
+/**
+ * An order to open may still be under way, from this owner or an earlier one,
+ * and be carried out seconds later: after a close, too.  A leader that has
+ * left the replica refuses it, as the order names the replica; were it only
+ * closed, it could open again while its members join others.
+ */
+void
+frm_group_end (struct frm *f, struct frm_group *g)
+{
+  if (g->may_open && !g->spare)
+    frm_enter (f, g, FRM_PH_LEAVING);
+  else
+    frm_group_over (f, g);
+}
+
 static void
 sweep_groups (struct frm *f)
 {
@@ -227,6 +249,7 @@
                        first->e.generation);
 
   g->spare = is_spare_name (first->e.replica);
+  g->may_open = !g->spare; /* by an owner before us */
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
@@ -265,6 +288,20 @@
   f->adopted = true;
 }
 
+/** A leader that came back after its replica was given up may be open still,
+    or open again by a late order; it goes the way of any other. */
+static void
+adopt_stray (struct frm *f)
+{
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      struct frm_vm *vm = f->vms[i];
+      if (!vm->group && vm->e.part != BKS_ALONE && vm->e.rank == 0
+          && vm->e.generation > vm->cleared && !is_spare_name (vm->e.replica))
+        adopt_group (f, vm);
+    }
+}
+
 /* --- events ------------------------------------------------------------ */
 
 void
@@ -311,6 +348,8 @@
   drop_unnamed (f);
   if (f->owner && !f->adopted)
     adopt (f);
+  else if (f->owner)
+    adopt_stray (f);
 }
 
 void
--- /dev/null
+++ b/t/lib-form.c
@@ -0,0 +1,463 @@
+#include "t/lib-form.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "serve/form.h"
+
+#define MOST 64
+#define STEP_MS 50
+#define LIST_MS 100
+#define JOIN_MS 200
+#define LOAD_MS 2000
+
+struct vm
+{
+  char id[16], domain[8], model[16], replica[32], members[256];
+  int64_t generation;
+  unsigned rank;
+  enum bks_part part;
+  clk_ms ready_at;
+  bool gone, dark, unlisted, draining;
+};
+
+struct late
+{
+  struct frm_action a;
+  char vm[16], replica[32], model[16], members[256];
+  bool lost;
+};
+
+struct world
+{
+  struct frm *cores[2];
+  bool owner[2];
+  struct bks *lists[2];
+  struct tbl *table;
+  clk_ms now, listed;
+  struct vm vms[MOST];
+  size_t n;
+  struct late late[16];
+  size_t nlate;
+  const char *next_late;
+  bool next_lost, trap;
+  char joins[64][32];
+  size_t njoins;
+  struct buf log;
+};
+
+static const char *const kinds[] = { "join", "open", "close", "leave" };
+
+static struct tbl *
+make_table (void)
+{
+  struct tbl *t = tbl_new ();
+  struct tbl_service *s
+      = arena_alloc (&t->arena, 1, sizeof (struct tbl_service));
+  struct tbl_model *m = arena_alloc (&t->arena, 2, sizeof (struct tbl_model));
+
+  m[0] = (struct tbl_model){ STR ("big"), 3, 0.6, 1, LOAD_MS, JOIN_MS };
+  m[1] = (struct tbl_model){ STR ("small"), 2, 0.4, 1, LOAD_MS, JOIN_MS };
+  s->name = STR ("lm");
+  s->models = m;
+  s->nmodels = 2;
+  s->capacity = 8;
+  s->loads_per_s = 10;
+  t->services = s;
+  t->nservices = 1;
+  tbl_seal (t);
+  return t;
+}
+
+static struct vm *
+find (struct world *w, struct str id)
+{
+  for (size_t i = 0; i < w->n; i++)
+    if (str_is (id, w->vms[i].id))
+      return &w->vms[i];
+  return NULL;
+}
+
+/* --- the servers ------------------------------------------------------- */
+
+static struct vm *
+leader_of (struct world *w, const struct vm *vm)
+{
+  for (size_t i = 0; i < w->n; i++)
+    if (w->vms[i].rank == 0 && w->vms[i].replica[0]
+        && strcmp (w->vms[i].replica, vm->replica) == 0)
+      return &w->vms[i];
+  return NULL;
+}
+
+static void
+check_two (struct world *w, const struct vm *vm, const char *replica)
+{
+  const struct vm *leader = vm->replica[0] ? leader_of (w, vm) : NULL;
+
+  if (leader && !leader->gone && strcmp (vm->replica, replica) != 0
+      && (leader->part == BKS_OPEN || leader->part == BKS_CLOSING))
+    buf_addf (&w->log, "TWO %s joins %s while %s is open\n", vm->id, replica,
+              vm->replica);
+}
+
+static void
+check_partial (struct world *w, const struct vm *leader)
+{
+  unsigned ready = 0, wanted = 1;
+
+  for (const char *c = leader->members; *c; c++)
+    wanted += *c == ' ';
+  for (size_t i = 0; i < w->n; i++)
+    ready += strcmp (w->vms[i].replica, leader->replica) == 0
+             && w->vms[i].part >= BKS_READY && !w->vms[i].gone;
+  if (ready != wanted)
+    buf_addf (&w->log, "PARTIAL %s opens with %u of %u\n", leader->replica,
+              ready, wanted);
+}
+
+static bool
+in_replica (const struct vm *vm, const struct late *o)
+{
+  return strcmp (vm->replica, o->replica) == 0
+         && vm->generation == o->a.generation;
+}
+
+static enum frm_result
+do_join (struct world *w, struct vm *vm, const struct late *o)
+{
+  bool warm = strcmp (vm->model, o->model) == 0;
+
+  if (o->a.generation < vm->generation)
+    return FRM_OUTDATED;
+  if (in_replica (vm, o))
+    return FRM_ACCEPTED;
+  check_two (w, vm, o->replica);
+  snprintf (vm->replica, sizeof vm->replica, "%s", o->replica);
+  snprintf (vm->model, sizeof vm->model, "%s", o->model);
+  snprintf (vm->members, sizeof vm->members, "%s", o->members);
+  vm->generation = o->a.generation;
+  vm->rank = 0;
+  for (const char *c = strstr (o->members, vm->id); c > o->members; c--)
+    vm->rank += c[-1] == ' ';
+  vm->part = BKS_JOINING;
+  vm->ready_at = w->now + (warm ? JOIN_MS : LOAD_MS);
+  return FRM_ACCEPTED;
+}
+
+static enum frm_result
+carry_out (struct world *w, const struct late *o)
+{
+  struct vm *vm = find (w, str_from (o->vm));
+
+  if (o->a.order == FRM_JOIN)
+    return do_join (w, vm, o);
+  if (!in_replica (vm, o))
+    return FRM_REJECTED;
+  if (o->a.order == FRM_OPEN)
+    {
+      if (vm->part != BKS_READY)
+        return vm->part == BKS_OPEN ? FRM_ACCEPTED : FRM_REJECTED;
+      check_partial (w, vm);
+      vm->part = BKS_OPEN;
+    }
+  else if (o->a.order == FRM_CLOSE && vm->part >= BKS_OPEN)
+    vm->part = BKS_READY;
+  else if (o->a.order == FRM_LEAVE)
+    {
+      vm->replica[0] = '\0';
+      vm->part = BKS_ALONE;
+    }
+  return FRM_ACCEPTED;
+}
+
+/* --- orders ------------------------------------------------------------ */
+
+static bool
+seen_join (struct world *w, const char *replica)
+{
+  for (size_t i = 0; i < w->njoins; i++)
+    if (strcmp (w->joins[i], replica) == 0)
+      return true;
+  snprintf (w->joins[w->njoins++ % 64], 32, "%s", replica);
+  return false;
+}
+
+static void
+log_order (struct world *w, const struct late *o)
+{
+  if (o->a.order != FRM_JOIN)
+    buf_addf (&w->log, "%s%s %s %s\n", kinds[o->a.order],
+              o->a.order == FRM_CLOSE && o->a.cut ? " cut" : "", o->replica,
+              o->vm);
+  else if (!seen_join (w, o->replica))
+    buf_addf (&w->log, "join %s %s: %s\n", o->replica, o->model, o->members);
+}
+
+static void
+copy_order (struct late *o, const struct frm_action *a)
+{
+  size_t at = 0;
+
+  o->a = *a;
+  snprintf (o->vm, sizeof o->vm, "%.*s", STR_ARG (a->vm));
+  snprintf (o->replica, sizeof o->replica, "%.*s", STR_ARG (a->replica));
+  snprintf (o->model, sizeof o->model, "%.*s", STR_ARG (a->model));
+  o->members[0] = '\0';
+  for (size_t i = 0; i < a->nmembers; i++)
+    at += (size_t)snprintf (o->members + at, sizeof o->members - at, "%s%.*s",
+                            i ? " " : "", STR_ARG (a->members[i]));
+}
+
+static void
+apply_late (struct world *w)
+{
+  w->trap = false;
+  for (; w->nlate > 0; w->nlate--)
+    carry_out (w, &w->late[w->nlate - 1]);
+}
+
+static void
+order (struct world *w, size_t core, const struct frm_action *a)
+{
+  struct late o = { 0 };
+  const struct vm *vm;
+  enum frm_result result = FRM_UNANSWERED;
+
+  copy_order (&o, a);
+  vm = find (w, a->vm);
+  if (w->trap && a->order == FRM_JOIN)
+    apply_late (w);
+  log_order (w, &o);
+  if (w->next_late && strcmp (w->next_late, kinds[a->order]) == 0)
+    {
+      if (!w->next_lost)
+        w->late[w->nlate++] = o;
+      w->next_late = NULL;
+    }
+  else if (vm && !vm->gone && !vm->dark && !vm->unlisted)
+    result = carry_out (w, &o);
+  frm_order_done (w->cores[core], w->now, a->token, result);
+}
+
+static void
+take_actions (struct world *w, size_t core)
+{
+  struct frm_action a;
+
+  while (frm_next (w->cores[core], &a))
+    {
+      const struct vm *vm = find (w, a.vm);
+      if (a.kind == FRM_ORDER)
+        order (w, core, &a);
+      else
+        frm_asked (w->cores[core], w->now, a.token,
+                   vm && !vm->gone && !vm->dark);
+      free ((void *)a.members);
+    }
+}
+
+/* --- time -------------------------------------------------------------- */
+
+static void
+read_list (struct world *w, size_t core)
+{
+  struct bks_entry list[MOST];
+  size_t n = 0;
+
+  for (size_t i = 0; i < w->n; i++)
+    {
+      const struct vm *vm = &w->vms[i];
+      if (vm->gone || vm->unlisted)
+        continue;
+      list[n++] = (struct bks_entry){ .id = str_from (vm->id),
+                                      .service = STR ("lm"),
+                                      .zone = STR ("z"),
+                                      .domain = str_from (vm->domain),
+                                      .capacity = 8,
+                                      .draining = vm->draining,
+                                      .model = str_from (vm->model),
+                                      .replica = str_from (vm->replica),
+                                      .generation = vm->generation,
+                                      .rank = vm->rank,
+                                      .part = vm->part };
+    }
+  bks_update (w->lists[core], w->now, w->now, list, n);
+  frm_servers (w->cores[core], w->now, w->lists[core], w->table);
+}
+
+static void
+advance (struct world *w)
+{
+  w->now += STEP_MS;
+  for (size_t i = 0; i < w->n; i++)
+    if (w->vms[i].part == BKS_JOINING && w->now >= w->vms[i].ready_at)
+      w->vms[i].part = BKS_READY;
+  for (size_t c = 0; c < 2; c++)
+    {
+      if (w->now - w->listed >= LIST_MS)
+        read_list (w, c);
+      frm_tick (w->cores[c], w->now);
+      take_actions (w, c);
+    }
+  if (w->now - w->listed >= LIST_MS)
+    w->listed = w->now;
+}
+
+static void
+set_owner (struct world *w, size_t core, int64_t fence)
+{
+  if (w->owner[!core])
+    frm_owner (w->cores[!core], w->now, false, 0);
+  frm_owner (w->cores[core], w->now, true, fence);
+  w->owner[core] = true;
+  w->owner[!core] = false;
+}
+
+/* --- the script -------------------------------------------------------- */
+
+static void
+add_vms (struct world *w, const char *domain, int n)
+{
+  int had = 0;
+
+  for (size_t i = 0; i < w->n; i++)
+    had += strcmp (w->vms[i].domain, domain) == 0;
+  for (int i = 1; i <= n; i++)
+    {
+      struct vm *vm = &w->vms[w->n++];
+      snprintf (vm->domain, sizeof vm->domain, "%s", domain);
+      snprintf (vm->id, sizeof vm->id, "%s%d", domain, had + i);
+    }
+}
+
+static void
+show (struct world *w)
+{
+  for (size_t i = 0; i < w->n; i++)
+    {
+      const struct vm *vm = &w->vms[i];
+      if (vm->gone || vm->rank != 0 || !vm->replica[0])
+        continue;
+      if (vm->part == BKS_OPEN)
+        buf_addf (&w->log, "%s %s is open: %s\n", vm->replica, vm->model,
+                  vm->members);
+      else if (vm->part == BKS_READY && vm->replica[0] == 's')
+        buf_addf (&w->log, "%s is warm for %s\n", vm->id, vm->model);
+    }
+}
+
+static void
+mark (struct vm *vm, const char *word)
+{
+  cr_assert_not_null (vm);
+  if (strcmp (word, "kill") == 0)
+    vm->gone = true;
+  else if (strcmp (word, "dark") == 0)
+    vm->dark = true;
+  else if (strcmp (word, "back") == 0)
+    vm->dark = vm->unlisted = false;
+  else if (strcmp (word, "unlist") == 0)
+    vm->unlisted = true;
+  else if (strcmp (word, "drain") == 0)
+    vm->draining = true;
+  else if (strcmp (word, "broken") == 0)
+    vm->part = BKS_BROKEN;
+  else
+    cr_assert (false, "no such word: %s", word);
+}
+
+static void
+fail_next (struct world *w, const char *kind, bool lost)
+{
+  for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+    if (strcmp (kind, kinds[i]) == 0)
+      w->next_late = kinds[i];
+  w->next_lost = lost;
+}
+
+static void
+line (struct world *w, const char *word, const char *a, int n)
+{
+  struct vm *vm = find (w, str_from (a));
+
+  if (strcmp (word, "vms") == 0)
+    add_vms (w, a, n);
+  else if (strcmp (word, "owner") == 0)
+    set_owner (w, 0, atoi (a));
+  else if (strcmp (word, "other") == 0)
+    set_owner (w, 1, atoi (a));
+  else if (strcmp (word, "run") == 0)
+    for (int t = 0; t < atoi (a); t += STEP_MS)
+      advance (w);
+  else if (strcmp (word, "late") == 0 || strcmp (word, "lose") == 0)
+    fail_next (w, a, word[1] == 'o');
+  else if (strcmp (word, "apply") == 0)
+    apply_late (w);
+  else if (strcmp (word, "trap") == 0)
+    w->trap = true;
+  else if (strcmp (word, "traffic") == 0)
+    frm_traffic (w->cores[0]);
+  else if (strcmp (word, "stalled") == 0)
+    frm_stalled (w->cores[0], w->now,
+                 dsp_place_hash (str_from (vm->id), vm->generation));
+  else if (strcmp (word, "show") == 0)
+    show (w);
+  else
+    mark (vm, word);
+}
+
+static void
+play_lines (struct world *w, const char *script)
+{
+  char word[16], a[16];
+  int n;
+
+  while (*script)
+    {
+      int used = 0;
+      word[0] = a[0] = '\0';
+      n = 0;
+      if (sscanf (script, " %15[a-z]%n", word, &used) < 1)
+        break;
+      script += used;
+      /* What follows on the same line. */
+      if (*script == ' ')
+        {
+          sscanf (script, " %15[a-zA-Z0-9]%n", a, &used);
+          script += used;
+          if (*script == ' ' && sscanf (script, " %d%n", &n, &used) == 1)
+            script += used;
+        }
+      line (w, word, a, n);
+      while (*script == '\n' || *script == ' ')
+        script++;
+    }
+}
+
+void
+form_play (const char *script, const char *expected)
+{
+  struct frm_options opt = { .stall_ms = 1000,
+                             .ceiling_window_s = 5,
+                             .ceiling_over = 1.1 };
+  struct world w = { .now = 1000, .table = make_table () };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      w.cores[i] = frm_new (&opt);
+      w.lists[i] = bks_new ();
+    }
+  play_lines (&w, script);
+  cr_expect_str_eq (buf_c (&w.log), expected, "got:\n%s\nexpected:\n%s",
+                    buf_c (&w.log), expected);
+  for (size_t i = 0; i < 2; i++)
+    {
+      frm_free (w.cores[i]);
+      bks_free (w.lists[i]);
+    }
+  tbl_unref (w.table);
+  buf_free (&w.log);
+}
--- /dev/null
+++ b/t/lib-form.h
@@ -0,0 +1,37 @@
+/**
+ * @file
+ * Backend servers in memory that obey the orders of the forming core, driven
+ * by a script.
+ *
+ *   vms DOMAIN N         N servers named DOMAIN1 .. appear in that domain
+ *   owner FENCE | other FENCE   this core, or a second one, becomes owner; the
+ *                        one before no longer is
+ *   run MS               time passes; lists are read every 100 ms
+ *   kill ID              it is gone: no answer, and the list drops it
+ *   dark ID              no answer; the list still names it
+ *   back ID              it answers again
+ *   unlist ID            the list drops it, and it answers no orders
+ *   drain ID             it says that it leaves
+ *   broken ID            it reports its replica as broken
+ *   late KIND            the next order of this kind gets no answer and is
+ *                        carried out by "apply"
+ *   lose KIND            the next order of this kind gets no answer, ever
+ *   apply                late orders are carried out
+ *   trap                 late orders are carried out right before the next
+ *                        join arrives
+ *   traffic              requests have come
+ *   stalled ID           callers see nothing move there
+ *   show                 the open replicas and the warm spares are logged
+ *
+ * The log has a line for each order but repeated joins of one replica, and
+ * "TWO ..." or "PARTIAL ..." when a server is joined while its old replica may
+ * still serve, or a leader opens without all members ready.
+ */
+#ifndef LAPISLINE_T_LIB_FORM_H
+#define LAPISLINE_T_LIB_FORM_H
+
+/** Play @p script against models big of 3 VMs and small of 2, and compare the
+    log with @p expected. */
+void form_play (const char *script, const char *expected);
+
+#endif
--- /dev/null
+++ b/t/t6101-form.c
@@ -0,0 +1,156 @@
+/*
+ * The forming core against servers in memory that obey its orders; see
+ * t/lib-form.h for the script.
+ */
+#include <criterion/criterion.h>
+
+#include "t/lib-form.h"
+
+/*
+ * Servers of a domain register one after the other.  One replica of each model
+ * is formed, and what is left loads a model and waits.
+ */
+Test (form, a_domain_is_filled)
+{
+  form_play ("owner 1\n vms a 3\n run 100\n vms a 3\n run 5000\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join r1002 small: a4 a5\n"
+             "join s1003 big: a6\n"
+             "open r1001 a1\n"
+             "open r1002 a4\n"
+             "r1001 big is open: a1 a2 a3\n"
+             "r1002 small is open: a4 a5\n"
+             "a6 is warm for big\n");
+}
+
+/*
+ * Callers wait: a member of an open replica is gone.  The leader closes, the
+ * warm spare takes the place, and the replica opens again within a second.
+ */
+Test (form, a_lost_member_is_replaced_by_the_warm_spare)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n kill a2\n run 1000\n"
+             "show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join r1002 small: a4 a5\n"
+             "join s1003 big: a6\n"
+             "open r1001 a1\n"
+             "open r1002 a4\n"
+             "close cut r1001 a1\n"
+             "leave r1001 a1\n"
+             "join r1004 big: a1 a3 a6\n"
+             "open r1004 a1\n"
+             "r1004 big is open: a1 a3 a6\n"
+             "r1002 small is open: a4 a5\n");
+}
+
+/*
+ * The old owner told a leader to open and got no answer.  A member is lost, a
+ * new owner forms another replica of the rest, and just then the old order is
+ * carried out: the leader would be open in one replica and join the next.
+ */
+Test (form, an_order_to_open_that_comes_late_finds_nobody)
+{
+  form_play ("owner 1\n vms a 4\n late open\n run 2600\n kill a2\n"
+             "other 2\n trap\n run 1500\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join s1002 big: a4\n"
+             "open r1001 a1\n"
+             "leave r1001 a1\n"
+             "join r2001 big: a1 a3 a4\n"
+             "open r2001 a1\n"
+             "r2001 big is open: a1 a3 a4\n");
+}
+
+/*
+ * The same within one owner: the order to open is answered late, the leader is
+ * told to close, says so, and then the late one opens it again.
+ */
+Test (form, an_order_to_open_after_the_close_finds_nobody)
+{
+  form_play ("owner 1\n vms a 4\n late open\n run 2600\n kill a2\n trap\n"
+             "run 2000\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join s1002 big: a4\n"
+             "open r1001 a1\n"
+             "close cut r1001 a1\n"
+             "leave r1001 a1\n"
+             "join r1003 big: a1 a3 a4\n"
+             "open r1003 a1\n"
+             "r1003 big is open: a1 a3 a4\n");
+}
+
+/*
+ * The leader falls silent while it may still take requests.  Its members leave
+ * it, and only when it must have given up they join another replica.
+ */
+Test (form, members_of_a_silent_leader_wait_until_it_gave_up)
+{
+  form_play ("owner 1\n vms a 4\n run 3000\n unlist a1\n run 1500\n show\n"
+             "run 1500\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join s1002 big: a4\n"
+             "open r1001 a1\n"
+             "leave r1001 a2\n"
+             "leave r1001 a3\n"
+             "r1001 big is open: a1 a2 a3\n"
+             "a4 is warm for big\n"
+             "join r1003 big: a2 a3 a4\n"
+             "open r1003 a2\n"
+             "r1001 big is open: a1 a2 a3\n"
+             "r1003 big is open: a2 a3 a4\n");
+}
+
+/*
+ * A new owner takes over what it finds and gives no order at all.
+ */
+Test (form, a_new_owner_changes_nothing)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n other 2\n run 3000\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join r1002 small: a4 a5\n"
+             "join s1003 big: a6\n"
+             "open r1001 a1\n"
+             "open r1002 a4\n"
+             "r1001 big is open: a1 a2 a3\n"
+             "r1002 small is open: a4 a5\n"
+             "a6 is warm for big\n");
+}
+
+/*
+ * Callers see nothing move at a replica.  The members are asked; the one that
+ * does not answer counts as missing though the list still names it.
+ */
+Test (form, a_stalled_replica_is_mended_before_the_list_tells)
+{
+  form_play ("owner 1\n vms a 4\n run 5000\n traffic\n dark a3\n"
+             "stalled a1\n run 1500\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join s1002 big: a4\n"
+             "open r1001 a1\n"
+             "close cut r1001 a1\n"
+             "leave r1001 a1\n"
+             "join r1003 big: a1 a2 a4\n"
+             "open r1003 a1\n"
+             "r1003 big is open: a1 a2 a4\n");
+}
+
+/*
+ * The same leader comes back, open still and without its members.  It closes
+ * and leaves before it becomes a member of anything else.
+ */
+Test (form, a_leader_that_comes_back_is_closed_first)
+{
+  form_play ("owner 1\n vms a 4\n run 3000\n unlist a1\n run 3000\n"
+             "back a1\n run 3000\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join s1002 big: a4\n"
+             "open r1001 a1\n"
+             "leave r1001 a2\n"
+             "leave r1001 a3\n"
+             "join r1003 big: a2 a3 a4\n"
+             "open r1003 a2\n"
+             "close cut r1001 a1\n"
+             "leave r1001 a1\n"
+             "r1003 big is open: a2 a3 a4\n");
+}
