--- a/base/log.h
+++ b/base/log.h
@@ -7,7 +7,8 @@
  *     LOG_EVENT (number, name, level, "sentence")
  * and docs/EVENTS.md carries the same list for operators (a test compares).
  * Number ranges: base 1000, config 2000, store 3000, fleet 4000, claim 4500,
- * route 5000, replica 6000, front 7000, back 7500, control 8000.
+ * route 5000, replica 6000, front 7000, back 7500, control 8000,
+ * serve 9000.
  * Libraries return errors; only process shells and commands log.
  */
 #ifndef LAPISLINE_BASE_LOG_H
--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -35,7 +35,7 @@
   clk_ms grace_ms; /**< from SIGTERM to SIGKILL */
   clk_ms apply_ms; /**< in which a configuration is in force everywhere */
   clk_ms address_ms; /**< longest life of an address answer */
-  clk_ms stall_ms; /**< a replica that lost a member gives up after this */
+  clk_ms stall_ms;   /**< a replica that lost a member gives up after this */
   double retry_ratio;
   double retry_slack;
   clk_ms retry_window_ms;
--- a/serve/address.c
+++ b/serve/address.c
@@ -62,11 +62,10 @@
                                  .max_connections = CONNECTIONS_MOST,
                                  .request_ms = IDLE_MS };
 
-  s->ready
-      = httpd_listen (&s->loop, &s->set.ready, &limits, on_ready, s, err);
+  s->ready = httpd_listen (&s->loop, &s->set.ready, &limits, on_ready, s, err);
   if (!s->ready)
     return false;
-  s->address = httpd_listen (&s->loop, &s->set.address, &limits, on_address,
-                             s, err);
+  s->address
+      = httpd_listen (&s->loop, &s->set.address, &limits, on_address, s, err);
   return s->address != NULL;
 }
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -87,8 +87,7 @@
 
   *n = 0;
   *ids = b->gone_ids;
-  if (b->ngone > GONE_MOST
-      && b->gone[b->ngone % GONE_MOST].version > version)
+  if (b->ngone > GONE_MOST && b->gone[b->ngone % GONE_MOST].version > version)
     return false;
   for (size_t i = 0; i < kept; i++)
     if (b->gone[i].version > version)
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -39,7 +39,7 @@
   struct net_addr addr;
   unsigned capacity; /**< requests at once */
   bool draining;
-  struct str model;  /**< loaded; empty: none */
+  struct str model;              /**< loaded; empty: none */
   struct str staged[BKS_STAGED]; /**< models in its host's memory */
   size_t nstaged;
   struct str replica; /**< name; empty: none */
@@ -53,9 +53,9 @@
 {
   struct bks_entry e; /**< its text is in `text` */
   struct arena text;
-  bool named;   /**< by the list that is being read */
+  bool named;       /**< by the list that is being read */
   uint64_t version; /**< of the list at which it last changed */
-  clk_ms since; /**< first seen */
+  clk_ms since;     /**< first seen */
 };
 
 struct bks;
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -61,17 +61,17 @@
   bool fresh;  /**< named by the list that is being read */
   bool accepting;
   unsigned capacity;
-  uint32_t own;     /**< requests of this node */
-  uint32_t unbegun; /**< of these, sent and without a first event */
-  uint32_t others;  /**< of the other nodes, as they told last */
-  clk_ms heard;     /**< bytes of any answer came */
+  uint32_t own;      /**< requests of this node */
+  uint32_t unbegun;  /**< of these, sent and without a first event */
+  uint32_t others;   /**< of the other nodes, as they told last */
+  clk_ms heard;      /**< bytes of any answer came */
   clk_ms busy_since; /**< own has been above 0 since */
   clk_ms full_until; /**< it said that it has no room */
   bool stalled;      /**< nothing moves there */
   clk_ms stalled_at;
-  unsigned bad_run;  /**< failures in a row */
-  double errors;     /**< moving average of failures, 0 to 1 */
-  double slow_ms;    /**< moving average of the time to the first event */
+  unsigned bad_run; /**< failures in a row */
+  double errors;    /**< moving average of failures, 0 to 1 */
+  double slow_ms;   /**< moving average of the time to the first event */
   unsigned samples;
   clk_ms ejected_until; /**< 0: in */
   unsigned ejections;   /**< in a row, for the backoff */
@@ -107,8 +107,8 @@
 struct dsp_req
 {
   uint64_t id;
-  struct dsp_req *chain;       /**< in the table */
-  struct dsp_req *prev, *next; /**< of all that are open */
+  struct dsp_req *chain;          /**< in the table */
+  struct dsp_req *prev, *next;    /**< of all that are open */
   struct dsp_req *before, *after; /**< of those that wait in its pool */
   struct dsp_pool *pool;
   struct dsp_server *server; /**< of the current attempt */
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -137,8 +137,7 @@
       d->pools[i]->servers[k]->fresh = false;
   for (size_t i = 0; i < n; i++)
     {
-      struct dsp_pool *p
-          = dsp_pool_of (d, list[i].service, list[i].model);
+      struct dsp_pool *p = dsp_pool_of (d, list[i].service, list[i].model);
       struct dsp_server *s = server_of (p, &list[i]);
       s->fresh = true;
       s->addr = list[i].addr;
@@ -286,17 +285,19 @@
 }
 
 /** A place that failed and is due for a look, by what may be repeated. */
-static struct dsp_server *
+static bool
 due_for_probe (const struct dsp *d, const struct dsp_pool *p,
-               const struct dsp_req *q)
+               const struct dsp_req *q, struct dsp_server **out)
 {
   if (!q->repeatable || q->passing || q->sends + 1 >= q->route->max_attempts)
-    return NULL;
+    return false;
   for (size_t i = 0; i < p->n; i++)
-    if (!dsp_tried (q, p->servers[i])
-        && dsp_health_probe_due (d, p->servers[i]))
-      return p->servers[i];
-  return NULL;
+    {
+      *out = p->servers[i];
+      if (!dsp_tried (q, *out) && dsp_health_probe_due (d, *out))
+        return true;
+    }
+  return false;
 }
 
 /** When all that is left has failed lately, a doubtful place is better than
@@ -322,9 +323,10 @@
 struct dsp_server *
 dsp_choose (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q)
 {
-  struct dsp_server *s = due_for_probe (d, p, q);
+  struct dsp_server *s;
 
-  if (!s)
-    s = least_loaded (d, p, q);
+  if (due_for_probe (d, p, q, &s))
+    return s;
+  s = least_loaded (d, p, q);
   return s || dsp_any_place (d, p) ? s : last_resort (d, p, q);
 }
--- a/serve/dispatch-retry.c
+++ b/serve/dispatch-retry.c
@@ -13,8 +13,7 @@
   for (size_t i = 0; i < d->nbudgets; i++)
     if (strcmp (d->budgets[i]->service, service) == 0)
       return d->budgets[i];
-  d->budgets
-      = xrealloc (d->budgets, (d->nbudgets + 1) * sizeof *d->budgets);
+  d->budgets = xrealloc (d->budgets, (d->nbudgets + 1) * sizeof *d->budgets);
   struct dsp_budget *b = xcalloc (1, sizeof *b);
   b->service = xstrdup (service);
   d->budgets[d->nbudgets++] = b;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -30,13 +30,13 @@
 #define SILENT_FACTOR 1.0
 
 static const char *const state_names[DSP_STATES]
-    = { "received",     "waiting", "connecting", "sent",    "rewaiting",
-        "reconnecting", "resent",  "passing",    "done",    "not_run",
-        "failed" };
+    = { "received",  "waiting",      "connecting", "sent",
+        "rewaiting", "reconnecting", "resent",     "passing",
+        "done",      "not_run",      "failed" };
 
 static const char *const step_names[DSP_STEPS]
-    = { "wait", "refuse", "connect", "sent", "unrun",
-        "retry", "pass",  "whole",   "fail" };
+    = { "wait",  "refuse", "connect", "sent", "unrun",
+        "retry", "pass",   "whole",   "fail" };
 
 /** The chart as a table of our own numbers, read once. */
 static signed char table[DSP_STATES][DSP_STEPS];
@@ -652,8 +652,7 @@
 static clk_ms
 wait_until (const struct dsp_req *q)
 {
-  return q->arrived
-         + (clk_ms)(WAIT_PART * (double)(q->deadline - q->arrived));
+  return q->arrived + (clk_ms)(WAIT_PART * (double)(q->deadline - q->arrived));
 }
 
 /** A whole answer in one piece is overdue, and another place may do better. */
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -39,12 +39,12 @@
   const struct tbl_route *route; /**< of @p table */
   struct tbl *table;             /**< a reference is taken */
   const struct tbl_service *service;
-  struct str model;    /**< empty: the service has none */
-  unsigned priority;   /**< 0 is the highest */
-  clk_ms deadline;     /**< absolute: the caller's or the route's, which is
-                            earlier */
-  double prompt;       /**< tokens to be read, 0: not known */
-  double answer;       /**< tokens to be written at most, 0: not known */
+  struct str model;  /**< empty: the service has none */
+  unsigned priority; /**< 0 is the highest */
+  clk_ms deadline;   /**< absolute: the caller's or the route's, which is
+                          earlier */
+  double prompt;     /**< tokens to be read, 0: not known */
+  double answer;     /**< tokens to be written at most, 0: not known */
 };
 
 /** A place that requests can be sent to: a backend server of a plain service,
@@ -66,10 +66,10 @@
 {
   uint64_t place; /**< dsp_place_hash() */
   uint32_t in_flight;
-  uint32_t begun;  /**< of these, streams that have had an event */
-  clk_ms heard;    /**< when the last event of any of them came, by the clock
-                        of the node that is told */
-  bool stalled;    /**< nothing moves there, as far as this node sees */
+  uint32_t begun; /**< of these, streams that have had an event */
+  clk_ms heard;   /**< when the last event of any of them came, by the clock
+                       of the node that is told */
+  bool stalled;   /**< nothing moves there, as far as this node sees */
 };
 
 /** The number by which nodes tell each other of a place. */
@@ -101,13 +101,13 @@
   uint64_t id;
   unsigned attempt;
   struct net_addr addr;
-  struct str server;      /**< valid until the next event */
-  clk_ms left_ms;         /**< of the request's time */
-  bool fresh;             /**< use a connection of its own */
-  bool resume;            /**< go on after the last event passed */
-  bool late;              /**< its goal is missed already */
+  struct str server; /**< valid until the next event */
+  clk_ms left_ms;    /**< of the request's time */
+  bool fresh;        /**< use a connection of its own */
+  bool resume;       /**< go on after the last event passed */
+  bool late;         /**< its goal is missed already */
   enum dsp_code code;
-  clk_ms retry_ms;        /**< when to come back; 0: nothing to say */
+  clk_ms retry_ms; /**< when to come back; 0: nothing to say */
 };
 
 struct dsp_options
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -127,9 +127,9 @@
   struct srv *s = d->s;
   struct duty_call *c = xcalloc (1, sizeof *c);
   struct buf body = BUF_INIT;
-  struct http_header h[] = { { str_from (s->ad->expect_header), a->vm },
-                             { STR ("content-type"),
-                               STR ("application/json") } };
+  struct http_header h[]
+      = { { str_from (s->ad->expect_header), a->vm },
+          { STR ("content-type"), STR ("application/json") } };
   bool order = a->kind == FRM_ORDER;
   struct httpc_request r
       = { .to = a->addr,
@@ -335,17 +335,16 @@
 srv_duty_start (struct srv *s)
 {
   struct srv_duty *d = xcalloc (1, sizeof *d);
-  struct frm_options form
-      = { .stall_ms = s->set.stall_ms,
-          .ceiling_window_s = s->set.ceiling_window_s,
-          .ceiling_over = s->set.ceiling_over };
-  struct own_options own = { .node = s->set.node,
-                             .boot = s->boot,
-                             .ttl = s->set.lease_least_ms > LEASE_MS
-                                        ? s->set.lease_least_ms
-                                        : LEASE_MS,
-                             .checks_fence = true,
-                             .order_flight_ms = ORDER_MS };
+  struct frm_options form = { .stall_ms = s->set.stall_ms,
+                              .ceiling_window_s = s->set.ceiling_window_s,
+                              .ceiling_over = s->set.ceiling_over };
+  struct own_options own
+      = { .node = s->set.node,
+          .boot = s->boot,
+          .ttl = s->set.lease_least_ms > LEASE_MS ? s->set.lease_least_ms
+                                                  : LEASE_MS,
+          .checks_fence = true,
+          .order_flight_ms = ORDER_MS };
 
   d->s = s;
   s->duty = d;
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -268,8 +268,8 @@
 /* --- the caller's answer ----------------------------------------------- */
 
 void
-srv_refuse (struct srv *s, struct httpd_req *req, int status,
-            const char *code, clk_ms retry_ms)
+srv_refuse (struct srv *s, struct httpd_req *req, int status, const char *code,
+            clk_ms retry_ms)
 {
   struct buf name = BUF_INIT, value = BUF_INIT, body = BUF_INIT;
   struct http_header h[2]
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -23,10 +23,10 @@
   char *id;
   char *service;
   char *domain;
-  struct bks_entry e; /**< as reported; strings borrowed from `servers` */
-  bool present;       /**< listed */
-  bool named;         /**< by the list that is being read */
-  bool silent;        /**< did not answer when asked; counts as missing */
+  struct bks_entry e;  /**< as reported; strings borrowed from `servers` */
+  bool present;        /**< listed */
+  bool named;          /**< by the list that is being read */
+  bool silent;         /**< did not answer when asked; counts as missing */
   unsigned unanswered; /**< asks in a row */
   clk_ms next_ask;
   clk_ms answered_at; /**< last answer to being asked */
@@ -34,9 +34,9 @@
   uint64_t order;     /**< token under way; 0: none */
   enum frm_order_kind order_kind;
   clk_ms next_order;
-  int64_t cleared;    /**< generations up to this can't open with it as the
-                           leader any more */
-  clk_ms bad_until;   /**< it rejected an order; use another */
+  int64_t cleared;  /**< generations up to this can't open with it as the
+                         leader any more */
+  clk_ms bad_until; /**< it rejected an order; use another */
   struct frm_group *group; /**< the replica it is planned for, or none */
 };
 
@@ -68,11 +68,11 @@
   bool suspect;  /**< callers see nothing move */
   clk_ms suspect_since;
   unsigned unanswered; /**< orders to its leader in a row */
-  clk_ms closed_at; /**< its leader accepted to close; 0: not yet */
+  clk_ms closed_at;    /**< its leader accepted to close; 0: not yet */
   struct frm_vm *members[FRM_MEMBERS]; /**< by rank; NULL: not known, gone */
   bool left[FRM_MEMBERS];              /**< its leave was accepted */
   size_t n;
-  unsigned size; /**< of its model */
+  unsigned size;  /**< of its model */
   clk_ms load_ms; /**< that joining may take */
 };
 
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -115,8 +115,7 @@
     {
       const struct frm_group *g = f->groups[i];
       if (!g->spare && g->phase <= FRM_PH_OPEN
-          && strcmp (g->service, service) == 0
-          && str_is (m->name, g->model))
+          && strcmp (g->service, service) == 0 && str_is (m->name, g->model))
         n++;
     }
   return n / ((m->pace > 0 ? m->pace : 1) * (m->share > 0 ? m->share : 1e-3));
@@ -152,8 +151,8 @@
 
 /** Models of a service, the one with the least supply first. */
 static size_t
-by_need (const struct frm *f, const struct tbl_service *s,
-         const char *service, const struct tbl_model **out)
+by_need (const struct frm *f, const struct tbl_service *s, const char *service,
+         const struct tbl_model **out)
 {
   double need[16];
   size_t n = 0;
@@ -203,8 +202,7 @@
 
 /** Free VMs of a domain that could join a replica of @p m at once. */
 static unsigned
-count_warm (const struct frm *f, const char *domain,
-            const struct tbl_model *m)
+count_warm (const struct frm *f, const char *domain, const struct tbl_model *m)
 {
   unsigned n = 0;
 
--- a/serve/form.c
+++ b/serve/form.c
@@ -244,9 +244,8 @@
 static void
 adopt_group (struct frm *f, struct frm_vm *first)
 {
-  struct frm_group *g
-      = frm_group_add (f, first->service, first->e.replica, first->e.model,
-                       first->e.generation);
+  struct frm_group *g = frm_group_add (f, first->service, first->e.replica,
+                                       first->e.model, first->e.generation);
 
   g->spare = is_spare_name (first->e.replica);
   g->may_open = !g->spare; /* by an owner before us */
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -93,9 +93,8 @@
 static unsigned
 priority_of (const struct srv_exchange *ex)
 {
-  unsigned p = ex->account && ex->account->has_priority
-                   ? ex->account->priority
-                   : ex->route->priority;
+  unsigned p = ex->account && ex->account->has_priority ? ex->account->priority
+                                                        : ex->route->priority;
 
   return p > 9 ? 9 : p;
 }
@@ -167,11 +166,11 @@
   size_t fds = s->set.max_fds;
   struct httpd_limits limits
       = { .max_body = BODY_MOST,
-          .max_connections = fds > 2 * FDS_KEPT ? (fds - FDS_KEPT) / 2
-                                                : FDS_KEPT / 2,
+          .max_connections
+          = fds > 2 * FDS_KEPT ? (fds - FDS_KEPT) / 2 : FDS_KEPT / 2,
           .request_ms = IDLE_MS };
 
-  s->front = httpd_listen (&s->loop, &s->set.front, &limits, on_request, s,
-                           err);
+  s->front
+      = httpd_listen (&s->loop, &s->set.front, &limits, on_request, s, err);
   return s->front != NULL;
 }
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -42,8 +42,8 @@
   struct srv_peers *peers;
   struct srv_exchange *exchanges;
   uint64_t next_id;
-  bool acting;  /**< actions are being carried out */
-  bool traffic; /**< a request has come */
+  bool acting;          /**< actions are being carried out */
+  bool traffic;         /**< a request has come */
   clk_ms leaving_since; /**< 0: not leaving */
 };
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -294,8 +294,7 @@
       || str_cmp (s->set.node, str_from (x->node)) >= 0)
     return;
   x->next_connect = now + CONNECT_AGAIN_MS;
-  x->link
-      = link_connect (&s->loop, &x->addr, &x->p->secret, &callbacks, x->p);
+  x->link = link_connect (&s->loop, &x->addr, &x->p->secret, &callbacks, x->p);
 }
 
 static void
@@ -387,8 +386,7 @@
 
   p->s = s;
   p->secret = *secret;
-  p->server
-      = link_listen (&s->loop, &s->set.peer, secret, &callbacks, p, err);
+  p->server = link_listen (&s->loop, &s->set.peer, secret, &callbacks, p, err);
   if (!p->server)
     {
       free (p);
--- a/serve/register.c
+++ b/serve/register.c
@@ -78,8 +78,7 @@
       && net_addr_parse (jsn_str (o, "peer"), false, &n.e.peer))
     {
       n.key = str_dup (kv->key);
-      n.name
-          = str_dup (str_skip (kv->key, prefix.len + sizeof "nodes/" - 1));
+      n.name = str_dup (str_skip (kv->key, prefix.len + sizeof "nodes/" - 1));
       n.e.node = str_from (n.name);
       g->nodes = xrealloc (g->nodes, (g->nnodes + 1) * sizeof *g->nodes);
       g->nodes[g->nnodes++] = n;
@@ -206,8 +205,8 @@
     }
   g->next_read = CLK_NEVER;
   take_all (g, r);
-  g->watch = store_watch (g->s->store, buf_str (&g->prefix),
-                          buf_str (&g->end), r->revision + 1, &cb, g);
+  g->watch = store_watch (g->s->store, buf_str (&g->prefix), buf_str (&g->end),
+                          r->revision + 1, &cb, g);
 }
 
 /* --- the own entry ----------------------------------------------------- */
@@ -284,10 +283,9 @@
 {
   uint8_t bytes[SECRET_BYTES];
   struct buf text = BUF_INIT;
-  struct store_txn txn = { .compares = &g->compare,
-                           .ncompares = 1,
-                           .puts = &g->put,
-                           .nputs = 1 };
+  struct store_txn txn = {
+    .compares = &g->compare, .ncompares = 1, .puts = &g->put, .nputs = 1
+  };
 
   for (size_t i = 0; i < sizeof bytes; i += 8)
     {
--- a/serve/share.c
+++ b/serve/share.c
@@ -158,9 +158,9 @@
       n++;
   for (size_t i = 0; i < list->n_gone; i++)
     gone[i] = str_from (list->gone[i]);
-  changed = list->whole ? bks_update (b, now, asked_at, entries, n)
-                        : bks_apply (b, now, asked_at, entries, n, gone,
-                                     list->n_gone);
+  changed = list->whole
+                ? bks_update (b, now, asked_at, entries, n)
+                : bks_apply (b, now, asked_at, entries, n, gone, list->n_gone);
   free (entries);
   free (gone);
   return changed;
--- a/serve/split.h
+++ b/serve/split.h
@@ -13,8 +13,8 @@
 
 struct spl
 {
-  struct buf rest;  /**< of an event that is not whole yet */
-  int64_t last_id;  /**< of the last whole event */
+  struct buf rest; /**< of an event that is not whole yet */
+  int64_t last_id; /**< of the last whole event */
   bool has_id;
 };
 
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -112,8 +112,7 @@
 static void
 on_config (void *ctx, const struct store_result *r)
 {
-  static const struct store_watch_cb cb
-      = { on_config_events, on_config_end };
+  static const struct store_watch_cb cb = { on_config_events, on_config_end };
   struct srv_sync *y = ctx;
   struct srv *s = y->s;
 
--- a/serve/table.h
+++ b/serve/table.h
@@ -25,9 +25,9 @@
 struct tbl_model
 {
   struct str name;
-  unsigned size; /**< VMs of one replica */
-  double share;  /**< expected part of the service's work, 0 to 1 */
-  double pace;   /**< factor on the engine's times; below 1 is faster */
+  unsigned size;  /**< VMs of one replica */
+  double share;   /**< expected part of the service's work, 0 to 1 */
+  double pace;    /**< factor on the engine's times; below 1 is faster */
   clk_ms load_ms; /**< from the weight store */
   clk_ms warm_ms; /**< from the VM's own memory */
 };
@@ -36,10 +36,11 @@
 {
   struct str name;
   struct str health_path;
-  struct tbl_model *models; /**< none: its backend servers serve by themselves */
+  struct tbl_model
+      *models; /**< none: its backend servers serve by themselves */
   size_t nmodels;
-  unsigned capacity; /**< requests at once of one replica; 0: as reported */
-  double kv_tokens;  /**< memory of one replica, in tokens; 0: not limited */
+  unsigned capacity;  /**< requests at once of one replica; 0: as reported */
+  double kv_tokens;   /**< memory of one replica, in tokens; 0: not limited */
   double loads_per_s; /**< loads that may begin at the weight store */
   unsigned loads_at_once; /**< beyond these, loads share its bandwidth */
   clk_ms pass_ms; /**< between two events of a stream on an idle replica */
@@ -58,11 +59,11 @@
   struct str host;
   struct str prefix; /**< of the path; begins and ends with a slash */
   enum tbl_kind kind;
-  clk_ms timeout_ms; /**< longest time that a caller is kept waiting */
-  clk_ms goal_ms;    /**< to the whole answer, or a stream's first event */
-  clk_ms gap_ms;     /**< longest pause between events that is on time; 0:
-                          none declared */
-  unsigned priority; /**< 0 is the highest */
+  clk_ms timeout_ms;     /**< longest time that a caller is kept waiting */
+  clk_ms goal_ms;        /**< to the whole answer, or a stream's first event */
+  clk_ms gap_ms;         /**< longest pause between events that is on time; 0:
+                              none declared */
+  unsigned priority;     /**< 0 is the highest */
   unsigned max_attempts; /**< backend servers that one request may reach */
   bool open;             /**< needs no key */
   bool resumable;        /**< a stream may go on at another replica */
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -440,9 +440,8 @@
 void
 form_play (const char *script, const char *expected)
 {
-  struct frm_options opt = { .stall_ms = 1000,
-                             .ceiling_window_s = 5,
-                             .ceiling_over = 1.1 };
+  struct frm_options opt
+      = { .stall_ms = 1000, .ceiling_window_s = 5, .ceiling_over = 1.1 };
   struct world w = { .now = 1000, .table = make_table () };
 
   for (size_t i = 0; i < 2; i++)
