Offer at once what can't be on time, behind all others

Ruled out: too few slots offered to the fresh ones (the engines were full).

Change: a place takes fresh requests up to one beyond its slots; the rest goes there with the last priority and gets what is left over; what a caller waited before, by its deadline, counts against the goal; a place whose streams all paused for 220 ms gets nothing new.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -3809,7 +3809,7 @@
   (ProtobufCMessageInit) lapis__node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[6] =
 {
   {
     "place",
@@ -3871,18 +3871,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "patient",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, patient),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__place_load__field_indices_by_name[] = {
   2,   /* field[2] = begun */
   3,   /* field[3] = heard_age_ms */
   1,   /* field[1] = in_flight */
+  5,   /* field[5] = patient */
   0,   /* field[0] = place */
   4,   /* field[4] = stalled */
 };
 static const ProtobufCIntRange lapis__place_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lapis__place_load__descriptor =
 {
@@ -3892,7 +3905,7 @@
   "Lapis__PlaceLoad",
   "lapis",
   sizeof(Lapis__PlaceLoad),
-  5,
+  6,
   lapis__place_load__field_descriptors,
   lapis__place_load__field_indices_by_name,
   1,  lapis__place_load__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -647,6 +647,9 @@
    * dsp_place_hash()
    */
   uint64_t place;
+  /*
+   * without the patient ones
+   */
   uint32_t in_flight;
   /*
    * of these, streams with an event
@@ -660,10 +663,14 @@
    * nothing moves there
    */
   protobuf_c_boolean stalled;
+  /*
+   * sent to wait there behind all others
+   */
+  uint32_t patient;
 };
 #define LAPIS__PLACE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__place_load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -25,6 +25,9 @@
 #define STALL_FEW 2
 /** What another node told longer ago says nothing of now. */
 #define TOLD_MS ((clk_ms)350)
+/** New requests go elsewhere after so long a silence of several streams: too
+    short to move what is there, but it costs nothing. */
+#define QUIET_MS ((clk_ms)220)
 /** Without any stream begun: a request's wait for its first event, in parts of
     the goal, and at least so long; a full replica makes requests wait too. */
 #define STALL_BEGIN_FACTOR 3
@@ -151,7 +154,7 @@
       if (q->server != s || q->route->kind != TBL_STREAM)
         continue;
       m.begun += q->begun;
-      if (q->unbegun && q->sent_at < m.oldest)
+      if (q->unbegun && !q->patient && q->sent_at < m.oldest)
         {
           m.oldest = q->sent_at;
           m.goal_ms = q->route->goal_ms;
@@ -191,6 +194,19 @@
   return begun >= STALL_FEW ? STALL_FEW_MS : STALL_ONE_MS;
 }
 
+bool
+dsp_health_quiet (const struct dsp *d, const struct dsp_server *s)
+{
+  clk_ms heard = s->heard;
+  unsigned begun = 0;
+
+  if (s->own == s->unbegun && s->others == 0)
+    return false;
+  add_others (d, s, &begun, &heard);
+  begun += s->own - s->unbegun;
+  return begun >= STALL_MANY && d->now - heard > QUIET_MS;
+}
+
 static bool
 has_stalled (const struct dsp *d, const struct dsp_server *s)
 {
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -61,13 +61,14 @@
   bool fresh;  /**< named by the list that is being read */
   bool accepting;
   unsigned capacity;
-  uint32_t own;      /**< requests of this node */
-  uint32_t unbegun;  /**< of these, sent and without a first event */
-  uint32_t others;   /**< of the other nodes, as they told last */
-  clk_ms heard;      /**< bytes of any answer came */
-  clk_ms busy_since; /**< own has been above 0 since */
-  clk_ms full_until; /**< it said that it has no room */
-  bool stalled;      /**< nothing moves there */
+  uint32_t own;            /**< requests of this node */
+  uint32_t patient;        /**< of these, sent to wait and not begun */
+  uint32_t unbegun;        /**< of these, sent and without a first event */
+  uint32_t others;         /**< of the other nodes, as they told last */
+  uint32_t others_patient; /**< and those that wait */
+  clk_ms heard;            /**< bytes of any answer came */
+  clk_ms full_until;       /**< it said that it has no room */
+  bool stalled;            /**< nothing moves there */
   clk_ms stalled_at;
   unsigned bad_run; /**< failures in a row */
   double errors;    /**< moving average of failures, 0 to 1 */
@@ -129,6 +130,7 @@
   bool passing; /**< some of the answer is at the caller */
   bool probe;
   bool unbegun; /**< counted in its server's unbegun */
+  bool patient; /**< and in its patient */
   uint64_t tried[DSP_TRIED];
   unsigned ntried;
 };
@@ -180,9 +182,12 @@
 bool dsp_tried (const struct dsp_req *q, const struct dsp_server *s);
 /** Whether any place may take requests of the pool at all. */
 bool dsp_any_place (const struct dsp *d, const struct dsp_pool *p);
-/** Place for @p q now, or NULL: it waits. */
+/**
+ * Place for @p q now, or NULL: it waits here.
+ * @param patient  receives whether it is to wait there behind all others
+ */
 struct dsp_server *dsp_choose (struct dsp *d, struct dsp_pool *p,
-                               const struct dsp_req *q);
+                               const struct dsp_req *q, bool *patient);
 void dsp_pool_free (struct dsp_pool *p);
 
 /* dispatch-health.c */
@@ -191,6 +196,9 @@
 void dsp_health_begun (struct dsp *d, struct dsp_server *s, clk_ms ms);
 bool dsp_health_usable (const struct dsp *d, const struct dsp_server *s);
 bool dsp_health_probe_due (const struct dsp *d, const struct dsp_server *s);
+/** Whether its streams have paused for so long that new requests had better
+    go elsewhere. */
+bool dsp_health_quiet (const struct dsp *d, const struct dsp_server *s);
 /** Look for places where nothing moves any more. */
 void dsp_health_tick (struct dsp *d);
 
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -3,10 +3,20 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Of a place's capacity: how full it may be for one more request.  A little
-    more than its slots, as what the others have there was told a moment ago
-    and some of it has ended since. */
-#define GATE 1.0
+/**
+ * Requests that a place may have beyond its slots and still get one that can
+ * be on time: a slot becomes free there every 60 ms or so, and the goals leave
+ * a little more than one such wait.
+ */
+#define BEYOND 1
+
+/**
+ * And those that wait there behind all others, for what is left over, in parts
+ * of its slots; its own queue is twice its slots or more.  One that waits at a
+ * backend server gets the first slot that nobody else needs; waiting at a node
+ * it would get it later, and the price of being held.
+ */
+#define PATIENT_PART 1.5
 
 /** What a request to another zone costs, in parts of one request under way:
     enough to decide between equals, too little to shift load. */
@@ -96,18 +106,25 @@
   return NULL;
 }
 
+static uint32_t
+less (uint32_t a, uint32_t b)
+{
+  return a > b ? a - b : 0;
+}
+
 static void
 add_counts (const struct dsp *d, const struct dsp_peer *p, bool add)
 {
   for (size_t i = 0; i < p->n; i++)
     {
-      struct dsp_server *s = find_place (d, p->counts[i].place);
-      if (s && add)
-        s->others += p->counts[i].in_flight;
-      else if (s)
-        s->others -= p->counts[i].in_flight < s->others
-                         ? p->counts[i].in_flight
-                         : s->others;
+      const struct dsp_count *c = &p->counts[i];
+      struct dsp_server *s = find_place (d, c->place);
+      if (!s)
+        continue;
+      s->others
+          = add ? s->others + c->in_flight : less (s->others, c->in_flight);
+      s->others_patient = add ? s->others_patient + c->patient
+                              : less (s->others_patient, c->patient);
     }
 }
 
@@ -116,7 +133,8 @@
 {
   for (size_t i = 0; i < d->npools; i++)
     for (size_t k = 0; k < d->pools[i]->n; k++)
-      d->pools[i]->servers[k]->others = 0;
+      d->pools[i]->servers[k]->others = d->pools[i]->servers[k]->others_patient
+          = 0;
   for (size_t i = 0; i < d->npeers; i++)
     add_counts (d, &d->peers[i], true);
 }
@@ -216,11 +234,13 @@
       {
         const struct dsp_server *s = d->pools[i]->servers[k];
         if (s->own || s->stalled)
-          d->own[(*n)++] = (struct dsp_count){ .place = s->hash,
-                                               .in_flight = s->own,
-                                               .begun = count_begun (d, s),
-                                               .heard = s->heard,
-                                               .stalled = s->stalled };
+          d->own[(*n)++]
+              = (struct dsp_count){ .place = s->hash,
+                                    .in_flight = s->own - s->patient,
+                                    .patient = s->patient,
+                                    .begun = count_begun (d, s),
+                                    .heard = s->heard,
+                                    .stalled = s->stalled };
       }
   return d->own;
 }
@@ -245,23 +265,32 @@
   return false;
 }
 
-static double
-load_of (const struct dsp_server *s)
+/** Requests that have a slot or will have the next ones. */
+static uint32_t
+taken (const struct dsp_server *s)
 {
-  double n = s->own + s->others + (s->same_zone ? 0 : AWAY);
+  return s->own - s->patient + s->others;
+}
 
-  return n / (s->capacity ? s->capacity : 1);
+static double
+load_of (const struct dsp_server *s, uint32_t n)
+{
+  return (n + (s->same_zone ? 0 : AWAY)) / (s->capacity ? s->capacity : 1);
 }
 
 static bool
-has_room (const struct dsp_server *s)
+may_take (const struct dsp *d, const struct dsp_server *s,
+          const struct dsp_req *q)
 {
-  return s->own + s->others < GATE * s->capacity;
+  return dsp_health_usable (d, s) && !dsp_tried (q, s)
+         && !dsp_health_quiet (d, s);
 }
 
-/** The least loaded place; of equals, each is as likely. */
+/** The least loaded place, without those that wait there behind all others;
+    of equals, each is as likely. */
 static struct dsp_server *
-least_loaded (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q)
+least_taken (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q,
+             unsigned beyond)
 {
   struct dsp_server *best = NULL;
   double least = 0;
@@ -270,9 +299,9 @@
   for (size_t i = 0; i < p->n; i++)
     {
       struct dsp_server *s = p->servers[i];
-      if (!dsp_health_usable (d, s) || !has_room (s) || dsp_tried (q, s))
+      if (!may_take (d, s, q) || taken (s) >= s->capacity + beyond)
         continue;
-      double load = load_of (s);
+      double load = load_of (s, taken (s));
       if (!best || load < least - 1e-9)
         equals = 0;
       else if (load > least + 1e-9)
@@ -284,6 +313,24 @@
   return best;
 }
 
+/** The place where the fewest wait for what is left over. */
+static struct dsp_server *
+least_waiting (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q)
+{
+  struct dsp_server *best = NULL;
+
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct dsp_server *s = p->servers[i];
+      uint32_t n = s->patient + s->others_patient;
+      if (!may_take (d, s, q) || n >= PATIENT_PART * s->capacity)
+        continue;
+      if (!best || n < best->patient + best->others_patient)
+        best = s;
+    }
+  return best;
+}
+
 /** A place that failed and is due for a look, by what may be repeated. */
 static bool
 due_for_probe (const struct dsp *d, const struct dsp_pool *p,
@@ -312,21 +359,30 @@
     {
       struct dsp_server *s = p->servers[i];
       if (!s->listed || !s->accepting || s->stalled || dsp_tried (q, s)
-          || d->now < s->full_until || !has_room (s))
+          || d->now < s->full_until || taken (s) >= s->capacity)
         continue;
-      if (!best || load_of (s) < load_of (best))
+      if (!best || taken (s) < taken (best))
         best = s;
     }
   return best;
 }
 
 struct dsp_server *
-dsp_choose (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q)
+dsp_choose (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q,
+            bool *patient)
 {
+  bool late = d->now >= q->goal && !q->passing;
   struct dsp_server *s;
 
   if (due_for_probe (d, p, q, &s))
     return s;
-  s = least_loaded (d, p, q);
-  return s || dsp_any_place (d, p) ? s : last_resort (d, p, q);
+  s = least_taken (d, p, q, late ? 0 : BEYOND);
+  if (s)
+    return s;
+  *patient = true;
+  s = least_waiting (d, p, q);
+  if (s || dsp_any_place (d, p))
+    return s;
+  *patient = false;
+  return last_resort (d, p, q);
 }
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -15,9 +15,15 @@
     can't be reached says that the fault is on this node's side. */
 #define CONNECTS_MOST 3
 
-/** Of a request's time: how long it may wait for a place.  What comes later
-    has hardly time to run, and the caller can still come back. */
-#define WAIT_PART 0.6
+/** Of a request's goal: how long it may wait here for a place.  What waits
+    longer would be late, and the caller, told at once, can come back. */
+#define WAIT_PART 0.75
+
+/** Priorities at backend servers: of streams that go on there after a pause,
+    of what waits for the rest, and the last of all others. */
+#define PRIORITY_URGENT 0
+#define PRIORITY_PATIENT 9
+#define PRIORITY_LAST 8
 
 /** When to come back after a refusal: about the time that a few places need
     to become free. */
@@ -158,7 +164,7 @@
   q->route = r;
   q->priority = in->priority;
   q->arrived = d->now;
-  q->goal = d->now + r->goal_ms;
+  q->goal = d->now - in->waited + r->goal_ms;
   q->deadline = in->deadline;
   q->prompt = in->prompt;
   q->repeatable = tbl_repeatable (r);
@@ -276,8 +282,20 @@
   return best;
 }
 
+static unsigned
+server_priority (const struct dsp_req *q)
+{
+  unsigned p = q->priority + 1;
+
+  if (q->passing)
+    return PRIORITY_URGENT;
+  if (q->patient)
+    return PRIORITY_PATIENT;
+  return p < PRIORITY_LAST ? p : PRIORITY_LAST;
+}
+
 static void
-dispatch (struct dsp *d, struct dsp_req *q, struct dsp_server *s)
+dispatch (struct dsp *d, struct dsp_req *q, struct dsp_server *s, bool patient)
 {
   struct dsp_action *a;
 
@@ -286,8 +304,9 @@
   q->server = s;
   q->attempt++;
   q->begun = false;
-  if (s->own++ == 0)
-    s->busy_since = d->now;
+  s->own++;
+  q->patient = patient;
+  s->patient += patient;
   if (s->ejected_until || s->stalled)
     s->probing = q->probe = true;
   a = dsp_act (d, DSP_ACT_SEND, q);
@@ -298,7 +317,7 @@
      be sent twice must not be the one to find out. */
   a->fresh = !q->repeatable;
   a->resume = q->passing;
-  a->late = is_late (d, q);
+  a->priority = server_priority (q);
 }
 
 void
@@ -309,9 +328,10 @@
 
   while ((q = next_waiting (d, p, without_tried)) != NULL)
     {
-      struct dsp_server *s = dsp_choose (d, p, q);
+      bool patient = false;
+      struct dsp_server *s = dsp_choose (d, p, q, &patient);
       if (s)
-        dispatch (d, q, s);
+        dispatch (d, q, s, patient);
       else if (q->ntried == 0 || without_tried)
         return;
       else
@@ -326,7 +346,9 @@
 {
   if (q->unbegun)
     q->server->unbegun--;
-  q->unbegun = false;
+  if (q->patient)
+    q->server->patient--;
+  q->unbegun = q->patient = false;
 }
 
 static void
@@ -652,7 +674,7 @@
 static clk_ms
 wait_until (const struct dsp_req *q)
 {
-  return q->arrived + (clk_ms)(WAIT_PART * (double)(q->deadline - q->arrived));
+  return q->queued_at + (clk_ms)(WAIT_PART * (double)q->route->goal_ms);
 }
 
 /** A whole answer in one piece is overdue, and another place may do better. */
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -43,6 +43,8 @@
   unsigned priority; /**< 0 is the highest */
   clk_ms deadline;   /**< absolute: the caller's or the route's, which is
                           earlier */
+  clk_ms waited;     /**< what the caller has waited already, for an answer
+                          to an earlier try */
   double prompt;     /**< tokens to be read, 0: not known */
   double answer;     /**< tokens to be written at most, 0: not known */
 };
@@ -64,12 +66,13 @@
 /** What another node has under way at one place. */
 struct dsp_count
 {
-  uint64_t place; /**< dsp_place_hash() */
-  uint32_t in_flight;
-  uint32_t begun; /**< of these, streams that have had an event */
-  clk_ms heard;   /**< when the last event of any of them came, by the clock
-                       of the node that is told */
-  bool stalled;   /**< nothing moves there, as far as this node sees */
+  uint64_t place;     /**< dsp_place_hash() */
+  uint32_t in_flight; /**< without the next */
+  uint32_t patient;   /**< sent to wait there for what is left over */
+  uint32_t begun;     /**< of these, streams that have had an event */
+  clk_ms heard; /**< when the last event of any of them came, by the clock
+                     of the node that is told */
+  bool stalled; /**< nothing moves there, as far as this node sees */
 };
 
 /** The number by which nodes tell each other of a place. */
@@ -105,7 +108,7 @@
   clk_ms left_ms;    /**< of the request's time */
   bool fresh;        /**< use a connection of its own */
   bool resume;       /**< go on after the last event passed */
-  bool late;         /**< its goal is missed already */
+  unsigned priority; /**< at the backend server, 0 to 9, 0 is first */
   enum dsp_code code;
   clk_ms retry_ms; /**< when to come back; 0: nothing to say */
 };
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -216,7 +216,7 @@
   struct srv_forward f = { .host = ex->host,
                            .server = a->server,
                            .left_ms = a->left_ms > 0 ? a->left_ms : 1,
-                           .priority = (int)ex->priority };
+                           .priority = (int)a->priority };
 
   if (ex->account)
     f.account = ex->account->name;
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -43,7 +43,6 @@
   struct tbl *table;
   const struct tbl_route *route;
   const struct tbl_account *account; /**< NULL: none */
-  unsigned priority;
   struct srv_attempt *attempts;
   bool begun;         /**< the head of a stream was passed on */
   int64_t last_event; /**< that was passed on */
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -99,6 +99,21 @@
   return p > 9 ? 9 : p;
 }
 
+/**
+ * A caller that tries again sends what is left of its time.  What it has
+ * waited counts against the goal: served after those that can still be on
+ * time, such a request loses nothing, and they don't lose their goal to it.
+ */
+static clk_ms
+waited_before (const struct srv_exchange *ex)
+{
+  clk_ms whole = ex->route->timeout_ms;
+
+  return ex->call.deadline_ms > 0 && ex->call.deadline_ms < whole
+             ? whole - ex->call.deadline_ms
+             : 0;
+}
+
 static clk_ms
 deadline_of (const struct srv_exchange *ex)
 {
@@ -120,12 +135,12 @@
           .service = tbl_pick_service (ex->route, rng_unit (&s->rng)),
           .priority = priority_of (ex),
           .deadline = deadline_of (ex),
+          .waited = waited_before (ex),
           .prompt = ex->call.prompt,
           .answer = ex->call.answer };
 
   if (q.service->nmodels)
     q.model = ex->call.model;
-  ex->priority = q.priority;
   s->traffic = true;
   dsp_arrive (s->dispatch, ex->since, &q);
   srv_act (s);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -162,6 +162,7 @@
       const Lapis__PlaceLoad *pl = load->places[i];
       counts[i] = (struct dsp_count){ .place = pl->place,
                                       .in_flight = pl->in_flight,
+                                      .patient = pl->patient,
                                       .begun = pl->begun,
                                       .heard = clk_now () - pl->heard_age_ms,
                                       .stalled = pl->stalled };
@@ -248,6 +249,7 @@
       lapis__place_load__init (&places[i]);
       places[i].place = own[i].place;
       places[i].in_flight = own[i].in_flight;
+      places[i].patient = own[i].patient;
       places[i].begun = own[i].begun;
       places[i].heard_age_ms
           = (uint32_t)(now > own[i].heard ? now - own[i].heard : 0);
