Form replicas of warm VMs, load the others on the side by a domain's plan

Each replica formed with one cold member held its warm ones for 16 s, and survivors of the larger model were loaded with the smaller one. Ruled out: detection (0.6 s after the list) and fencing (one of six).

Change: under traffic a replica is formed only of VMs that hold the model; a plan of each domain says how many replicas of which model its VMs suffice for; single VMs load what is missing, then what covers the most members.

--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -106,6 +106,8 @@
 
 /* form.c */
 bool frm_usable (const struct frm *f, const struct frm_vm *vm);
+/** It is a warm spare whose load has ended. */
+bool frm_is_ready (const struct frm_vm *vm);
 /** It reports this replica and generation, in at least @p part. */
 bool frm_reports (const struct frm_vm *vm, const struct frm_group *g,
                   enum bks_part part);
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -4,10 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** After the last VM appeared: how long a smaller replica is not formed from
-    what a larger one, which is needed more, may still get complete. */
+/** After the last VM appeared: how long nothing is loaded on the side, as a
+    replica may still be formed of what is there. */
 #define ARRIVAL_MS ((clk_ms)1000)
 
+#define MODELS_MOST 16 /* of one service */
+
+/** From so many VMs on, a domain keeps one out of its replicas, so that the
+    loss of a VM finds one that can take its place. */
+#define SPARE_FROM 10
+
 /** What it costs to use a VM for a model, least first. */
 enum cost
 {
@@ -18,6 +24,24 @@
   COSTS
 };
 
+/** A fabric domain of one service, as the decisions below see it. */
+struct domain
+{
+  const struct tbl_service *s;
+  const char *service;
+  const char *name;
+  unsigned want[MODELS_MOST]; /**< replicas that its VMs suffice for */
+  unsigned have[MODELS_MOST]; /**< that are there or on their way */
+  unsigned warm[MODELS_MOST]; /**< free VMs that hold the model or load it */
+};
+
+static bool
+in_domain (const struct frm_vm *vm, const struct domain *d)
+{
+  return strcmp (vm->service, d->service) == 0
+         && strcmp (vm->domain, d->name) == 0;
+}
+
 static bool
 is_free (const struct frm *f, const struct frm_vm *vm)
 {
@@ -38,37 +62,145 @@
   return vm->e.model.len ? COST_OTHER : COST_EMPTY;
 }
 
-/* --- a replica's members ----------------------------------------------- */
+/* --- the plan of a domain ---------------------------------------------- */
+
+/** How well @p n replicas of a model do for its part of the work. */
+static double
+supply (unsigned n, const struct tbl_model *m)
+{
+  return n / ((m->pace > 0 ? m->pace : 1) * (m->share > 0 ? m->share : 1e-3));
+}
+
+/** The model that is worst supplied and still fits; the larger one of two. */
+static size_t
+next_model (const struct domain *d, unsigned room)
+{
+  const struct tbl_service *s = d->s;
+  size_t best = s->nmodels;
+
+  for (size_t i = 0; i < s->nmodels && i < MODELS_MOST; i++)
+    {
+      double x = supply (d->want[i], &s->models[i]);
+      if (s->models[i].size > room || s->models[i].size == 0)
+        continue;
+      if (best == s->nmodels || x < supply (d->want[best], &s->models[best])
+          || (x <= supply (d->want[best], &s->models[best])
+              && s->models[i].size > s->models[best].size))
+        best = i;
+    }
+  return best;
+}
+
+static unsigned
+count_usable (const struct frm *f, const struct domain *d)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    n += in_domain (f->vms[i], d) && frm_usable (f, f->vms[i]);
+  return n;
+}
+
+static void
+plan (const struct frm *f, struct domain *d)
+{
+  unsigned n = count_usable (f, d);
+  unsigned room = n >= SPARE_FROM ? n - 1 : n;
+  size_t i;
+
+  while ((i = next_model (d, room)) < d->s->nmodels)
+    {
+      d->want[i]++;
+      room -= d->s->models[i].size;
+    }
+}
+
+static bool
+is_of_domain (const struct frm_group *g, const struct domain *d)
+{
+  for (size_t i = 0; i < g->n; i++)
+    if (g->members[i])
+      return in_domain (g->members[i], d);
+  return false;
+}
+
+static void
+count_replicas (const struct frm *f, struct domain *d)
+{
+  for (size_t i = 0; i < f->ngroups; i++)
+    {
+      const struct frm_group *g = f->groups[i];
+      if (g->spare || g->phase > FRM_PH_OPEN || !is_of_domain (g, d))
+        continue;
+      for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
+        d->have[k] += str_is (d->s->models[k].name, g->model);
+    }
+}
+
+/** The model that a free VM holds or loads, or nmodels. */
+static size_t
+held_model (const struct frm_vm *vm, const struct tbl_service *s)
+{
+  struct str name = vm->group ? str_from (vm->group->model) : vm->e.model;
+
+  for (size_t k = 0; k < s->nmodels && k < MODELS_MOST; k++)
+    if (str_eq (s->models[k].name, name))
+      return k;
+  return s->nmodels;
+}
+
+static void
+count_warm (const struct frm *f, struct domain *d)
+{
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      if (!in_domain (vm, d) || !frm_usable (f, vm)
+          || (vm->group && !vm->group->spare))
+        continue;
+      size_t k = held_model (vm, d->s);
+      if (k < d->s->nmodels)
+        d->warm[k]++;
+    }
+}
+
+static void
+look_at (const struct frm *f, struct domain *d)
+{
+  memset (d->want, 0, sizeof d->want);
+  memset (d->have, 0, sizeof d->have);
+  memset (d->warm, 0, sizeof d->warm);
+  plan (f, d);
+  count_replicas (f, d);
+  count_warm (f, d);
+}
+
+/* --- forming a replica ------------------------------------------------- */
 
 struct choice
 {
   struct frm_vm *members[FRM_MEMBERS];
   unsigned n;
   unsigned loads;
-  unsigned free; /**< in the domain */
 };
 
 /** The cheapest free VMs of a domain for a replica of @p m. */
 static bool
-choose_members (const struct frm *f, const char *service, const char *domain,
-                const struct tbl_model *m, struct choice *out)
+choose_members (const struct frm *f, const struct domain *d,
+                const struct tbl_model *m, enum cost most, struct choice *out)
 {
   memset (out, 0, sizeof *out);
-  for (int cost = COST_SAME; cost < COSTS; cost++)
-    for (size_t i = 0; i < f->nvms; i++)
+  for (int cost = COST_SAME; cost <= (int)most; cost++)
+    for (size_t i = 0; i < f->nvms && out->n < m->size; i++)
       {
         struct frm_vm *vm = f->vms[i];
-        if (strcmp (vm->service, service) != 0
-            || strcmp (vm->domain, domain) != 0 || !is_free (f, vm)
+        if (!in_domain (vm, d) || !is_free (f, vm)
             || cost_of (vm, m->name) != (enum cost)cost)
           continue;
-        out->free++;
-        if (out->n >= m->size)
-          continue;
         out->members[out->n++] = vm;
         out->loads += cost >= COST_EMPTY;
       }
-  return out->n == m->size && m->size <= FRM_MEMBERS;
+  return out->n == m->size;
 }
 
 static struct str
@@ -103,182 +235,154 @@
   frm_count_loads (f, c->loads);
 }
 
-/* --- which model next -------------------------------------------------- */
-
-/** Work that the model's replicas can do, for its part of the work. */
-static double
-supply (const struct frm *f, const char *service, const struct tbl_model *m)
+/*
+ * Once there is traffic, a load takes 12 to 16 s.  A replica that waits for
+ * one member's load holds all its other members for as long, though a VM that
+ * comes back, or a spare, might complete it at once.  So replicas are formed
+ * of VMs that hold the model, and single VMs load it on the side.
+ */
+static bool
+form_one (struct frm *f, struct domain *d)
 {
-  double n = 0;
+  enum cost most = f->traffic ? COST_STAGED : COST_OTHER;
 
-  for (size_t i = 0; i < f->ngroups; i++)
+  look_at (f, d);
+  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
     {
-      const struct frm_group *g = f->groups[i];
-      if (!g->spare && g->phase <= FRM_PH_OPEN
-          && strcmp (g->service, service) == 0 && str_is (m->name, g->model))
-        n++;
+      const struct tbl_model *m = &d->s->models[k];
+      struct choice c;
+      if (d->have[k] >= d->want[k] || m->size > FRM_MEMBERS
+          || !choose_members (f, d, m, most, &c))
+        continue;
+      form (f, d->service, m, &c, false);
+      return true;
     }
-  return n / ((m->pace > 0 ? m->pace : 1) * (m->share > 0 ? m->share : 1e-3));
+  return false;
 }
 
-/** Best choice over all domains: the fewest loads, then the most free VMs. */
-static bool
-choose_domain (const struct frm *f, const struct tbl_service *s,
-               const struct tbl_model *m, struct choice *best)
+/* --- loading on the side ----------------------------------------------- */
+
+/** Free VMs that replicas of the model need that are missing. */
+static unsigned
+missing (const struct domain *d, size_t k)
 {
-  char service[256];
-  bool found = false;
+  unsigned n = d->want[k] > d->have[k] ? d->want[k] - d->have[k] : 0;
 
-  snprintf (service, sizeof service, "%.*s", STR_ARG (s->name));
-  for (size_t i = 0; i < f->nvms; i++)
-    {
-      struct choice c;
-      const char *domain = f->vms[i]->domain;
-      bool seen = false;
-      for (size_t k = 0; k < i && !seen; k++)
-        seen = strcmp (f->vms[k]->domain, domain) == 0;
-      if (seen || !choose_members (f, service, domain, m, &c))
-        continue;
-      if (found
-          && (c.loads > best->loads
-              || (c.loads == best->loads && c.free <= best->free)))
-        continue;
-      *best = c;
-      found = true;
-    }
-  return found;
+  return n * d->s->models[k].size;
 }
 
-/** Models of a service, the one with the least supply first. */
+/** The model of which the most VMs are missing, in parts of a replica. */
 static size_t
-by_need (const struct frm *f, const struct tbl_service *s, const char *service,
-         const struct tbl_model **out)
+most_missing (const struct domain *d)
 {
-  double need[16];
-  size_t n = 0;
+  size_t best = d->s->nmodels;
+  double most = 0;
 
-  for (size_t i = 0; i < s->nmodels && i < 16; i++)
+  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
     {
-      double x = supply (f, service, &s->models[i]);
-      size_t at = n++;
-      for (; at > 0 && need[at - 1] > x; at--)
-        {
-          need[at] = need[at - 1];
-          out[at] = out[at - 1];
-        }
-      need[at] = x;
-      out[at] = &s->models[i];
+      unsigned need = missing (d, k);
+      double part = need > d->warm[k]
+                        ? (double)(need - d->warm[k]) / d->s->models[k].size
+                        : 0;
+      if (part <= most)
+        continue;
+      best = k;
+      most = part;
     }
-  return n;
+  return best;
 }
 
-/** Form one replica if there is one to form. */
-static bool
-form_one (struct frm *f, const struct tbl_service *s, const char *service)
+/** The model with the fewest VMs to spare for the members that may be lost;
+    of two, the one with more members. */
+static size_t
+least_covered (const struct domain *d)
 {
-  const struct tbl_model *order[16];
-  size_t n = by_need (f, s, service, order);
+  size_t best = d->s->nmodels;
+  double least = 0, members_best = 0;
 
-  for (size_t i = 0; i < n; i++)
+  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
     {
-      struct choice c;
-      if (choose_domain (f, s, order[i], &c))
-        {
-          /* While VMs appear, one that holds the weights may be next. */
-          if (c.loads && f->traffic && f->now - f->arrived_at < ARRIVAL_MS)
-            return false;
-          if (!frm_may_load (f, s, c.loads))
-            return false;
-          form (f, service, order[i], &c, false);
-          return true;
-        }
-      if (f->now - f->arrived_at < ARRIVAL_MS)
-        return false;
+      double members = (double)d->want[k] * d->s->models[k].size;
+      double spare = (double)d->warm[k] - missing (d, k);
+      double x = members > 0 ? spare / members : 1e9;
+      if (best < d->s->nmodels
+          && (x > least || (x >= least && members <= members_best)))
+        continue;
+      best = k;
+      least = x;
+      members_best = members;
     }
-  return false;
+  return best;
 }
 
-/* --- warm spares ------------------------------------------------------- */
-
-/** Free VMs of a domain that could join a replica of @p m at once. */
-static unsigned
-count_warm (const struct frm *f, const char *domain, const struct tbl_model *m)
+/** Whether the VM may load @p k: it holds nothing, or of its kind at least two
+    are to spare and of the other none. */
+static bool
+may_change (const struct domain *d, const struct frm_vm *vm, size_t k)
 {
-  unsigned n = 0;
+  size_t held = held_model (vm, d->s);
 
-  for (size_t i = 0; i < f->nvms; i++)
-    {
-      const struct frm_vm *vm = f->vms[i];
-      if (strcmp (vm->domain, domain) != 0 || !frm_usable (f, vm))
-        continue;
-      if (vm->group)
-        n += vm->group->spare && str_is (m->name, vm->group->model);
-      else
-        n += str_eq (vm->e.model, m->name);
-    }
-  return n;
+  if (held == d->s->nmodels)
+    return true;
+  return held != k && d->warm[held] > missing (d, held) + 1
+         && d->warm[k] <= missing (d, k);
 }
 
 static void
-warm_up (struct frm *f, const struct tbl_service *s, struct frm_vm *vm)
+load_one (struct frm *f, struct domain *d, struct frm_vm *vm)
 {
-  const struct tbl_model *want = NULL;
-  unsigned least = 0, held = 0;
   struct choice c = { .members = { vm }, .n = 1 };
+  size_t k = most_missing (d);
 
-  for (size_t i = 0; i < s->nmodels; i++)
-    {
-      const struct tbl_model *m = &s->models[i];
-      unsigned n = count_warm (f, vm->domain, m);
-      if (str_eq (vm->e.model, m->name))
-        held = n;
-      if (!want || n < least || (n == least && m->size > want->size))
-        {
-          want = m;
-          least = n;
-        }
-    }
-  /* One that is warm already changes only if its kind is there twice and
-     another not at all. */
-  if (!want || (vm->e.model.len && (least > 0 || held < 2)))
+  if (k == d->s->nmodels)
+    k = least_covered (d);
+  if (k == d->s->nmodels || !may_change (d, vm, k))
+    return;
+  c.loads = !frm_is_warm (vm, d->s->models[k].name);
+  if (!frm_may_load (f, d->s, c.loads))
     return;
-  c.loads = !frm_is_warm (vm, want->name);
-  if (!frm_may_load (f, s, 2 * c.loads))
-    return; /* repairs go first */
-  form (f, vm->service, want, &c, true);
+  form (f, d->service, &d->s->models[k], &c, true);
+  look_at (f, d);
 }
 
-/*
- * A replica that loses a VM takes 12 to 16 s to load a new member's weights,
- * and about a second when the new member holds them.  So VMs that no replica
- * can be formed of load a model and wait.
- */
 static void
-warm_spares (struct frm *f, const struct tbl_service *s)
+load_spares (struct frm *f, struct domain *d)
 {
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
-      if (str_is (s->name, vm->service) && is_free (f, vm)
-          && (!vm->group || vm->e.part == BKS_READY))
-        warm_up (f, s, vm);
+      if (in_domain (vm, d) && is_free (f, vm) && vm->e.part != BKS_JOINING
+          && (!vm->group || frm_is_ready (vm)))
+        load_one (f, d, vm);
     }
 }
 
+/* --- all domains ------------------------------------------------------- */
+
+static bool
+seen_before (const struct frm *f, size_t at)
+{
+  for (size_t i = 0; i < at; i++)
+    if (strcmp (f->vms[i]->domain, f->vms[at]->domain) == 0
+        && strcmp (f->vms[i]->service, f->vms[at]->service) == 0)
+      return true;
+  return false;
+}
+
 void
 frm_place (struct frm *f)
 {
-  char service[256];
-
-  for (size_t i = 0; i < f->table->nservices; i++)
+  for (size_t i = 0; i < f->nvms; i++)
     {
-      const struct tbl_service *s = &f->table->services[i];
-      if (s->nmodels == 0)
+      const struct frm_vm *vm = f->vms[i];
+      struct domain d = { .s = frm_service (f, vm->service),
+                          .service = vm->service,
+                          .name = vm->domain };
+      if (!d.s || vm->domain[0] == '\0' || seen_before (f, i))
         continue;
-      snprintf (service, sizeof service, "%.*s", STR_ARG (s->name));
-      while (form_one (f, s, service))
+      while (form_one (f, &d))
         ;
       if (f->now - f->arrived_at >= ARRIVAL_MS)
-        warm_spares (f, s);
+        load_spares (f, &d);
     }
 }
--- a/serve/form.c
+++ b/serve/form.c
@@ -187,6 +187,12 @@
          && vm->e.generation == g->generation && vm->e.part >= part;
 }
 
+bool
+frm_is_ready (const struct frm_vm *vm)
+{
+  return vm->group && frm_reports (vm, vm->group, BKS_READY);
+}
+
 static void
 take_server (struct frm *f, const struct bks_server *s)
 {
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -41,6 +41,7 @@
   struct srv_duty *duty;
   struct srv_peers *peers;
   struct srv_exchange *exchanges;
+  struct buf places_told; /**< what was logged of them last */
   uint64_t next_id;
   bool acting;          /**< actions are being carried out */
   bool traffic;         /**< a request has come */
--- a/serve/node.c
+++ b/serve/node.c
@@ -20,6 +20,38 @@
   return s->table && bks_known (s->backends) && !s->leaving_since;
 }
 
+/** Write how many places each model or service has, when that has changed. */
+static void
+log_places (struct srv *s, const struct dsp_place *list, size_t n)
+{
+  struct buf text = BUF_INIT;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      struct str name = list[i].model.len ? list[i].model : list[i].service;
+      size_t open = 0;
+      bool first = true;
+      for (size_t k = 0; k < n; k++)
+        {
+          struct str other
+              = list[k].model.len ? list[k].model : list[k].service;
+          if (!str_eq (name, other))
+            continue;
+          first = first && k >= i;
+          open += list[k].accepting;
+        }
+      if (first)
+        buf_addf (&text, "%s%.*s=%zu", text.len ? " " : "", STR_ARG (name),
+                  open);
+    }
+  if (!str_eq (buf_str (&text), buf_str (&s->places_told)))
+    LOG (servers_changed, LOG_S ("places", buf_str (&text)),
+         LOG_I ("version", bks_version (s->backends)));
+  buf_clear (&s->places_told);
+  buf_add (&s->places_told, buf_str (&text));
+  buf_free (&text);
+}
+
 void
 srv_places_changed (struct srv *s)
 {
@@ -28,6 +60,7 @@
   if (!s->table || !bks_known (s->backends))
     return;
   const struct dsp_place *list = bks_places (s->backends, s->table, &n);
+  log_places (s, list, n);
   dsp_places (s->dispatch, clk_now (), list, n);
   srv_act (s);
 }
