Tell the sum of all loads from the node that leads, pace watches of entries

Ruled out: too few replicas (12 and 5 to 6 throughout).

Change: with more than 15 peers each node tells the one that forms replicas every 100 ms, which adds up and tells all; nodes fall back to what peers tell each other once a second. A node's entry wakes all watches, so a watch of entries begins again only after a pause that grows with the nodes.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &lapis__node_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lapis__fleet_load__init
+                     (Lapis__FleetLoad         *message)
+{
+  static const Lapis__FleetLoad init_value = LAPIS__FLEET_LOAD__INIT;
+  *message = init_value;
+}
+size_t lapis__fleet_load__get_packed_size
+                     (const Lapis__FleetLoad *message)
+{
+  assert(message->base.descriptor == &lapis__fleet_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__fleet_load__pack
+                     (const Lapis__FleetLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__fleet_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__fleet_load__pack_to_buffer
+                     (const Lapis__FleetLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__fleet_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__FleetLoad *
+       lapis__fleet_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__FleetLoad *)
+     protobuf_c_message_unpack (&lapis__fleet_load__descriptor,
+                                allocator, len, data);
+}
+void   lapis__fleet_load__free_unpacked
+                     (Lapis__FleetLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__fleet_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lapis__place_load__init
                      (Lapis__PlaceLoad         *message)
 {
@@ -1267,7 +1312,7 @@
   assert(message->base.descriptor == &lapis__server_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[21] =
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[22] =
 {
   {
     "hello",
@@ -1521,6 +1566,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet_load",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, fleet_load),
+    &lapis__fleet_load__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -1531,6 +1588,7 @@
   15,   /* field[15] = drain_answer */
   14,   /* field[14] = drain_ask */
   8,   /* field[8] = evidence */
+  21,   /* field[21] = fleet_load */
   11,   /* field[11] = heartbeat */
   0,   /* field[0] = hello */
   19,   /* field[19] = node_load */
@@ -1548,7 +1606,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1558,7 +1616,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  21,
+  22,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -3809,6 +3867,57 @@
   (ProtobufCMessageInit) lapis__node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__fleet_load__field_descriptors[2] =
+{
+  {
+    "places",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__FleetLoad, n_places),
+    offsetof(Lapis__FleetLoad, places),
+    &lapis__place_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__FleetLoad, list_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__fleet_load__field_indices_by_name[] = {
+  1,   /* field[1] = list_age_ms */
+  0,   /* field[0] = places */
+};
+static const ProtobufCIntRange lapis__fleet_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lapis__fleet_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.FleetLoad",
+  "FleetLoad",
+  "Lapis__FleetLoad",
+  "lapis",
+  sizeof(Lapis__FleetLoad),
+  2,
+  lapis__fleet_load__field_descriptors,
+  lapis__fleet_load__field_indices_by_name,
+  1,  lapis__fleet_load__number_ranges,
+  (ProtobufCMessageInit) lapis__fleet_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[6] =
 {
   {
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Lapis__SlotHeld Lapis__SlotHeld;
 typedef struct Lapis__SlotAnswer Lapis__SlotAnswer;
 typedef struct Lapis__NodeLoad Lapis__NodeLoad;
+typedef struct Lapis__FleetLoad Lapis__FleetLoad;
 typedef struct Lapis__PlaceLoad Lapis__PlaceLoad;
 typedef struct Lapis__ServerList Lapis__ServerList;
 typedef struct Lapis__ServerEntry Lapis__ServerEntry;
@@ -88,7 +89,8 @@
   LAPIS__FRAME__BODY_SLOT_OPEN = 18,
   LAPIS__FRAME__BODY_SLOT_ANSWER = 19,
   LAPIS__FRAME__BODY_NODE_LOAD = 20,
-  LAPIS__FRAME__BODY_SERVER_LIST = 21
+  LAPIS__FRAME__BODY_SERVER_LIST = 21,
+  LAPIS__FRAME__BODY_FLEET_LOAD = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -118,6 +120,7 @@
     Lapis__SlotAnswer *slot_answer;
     Lapis__NodeLoad *node_load;
     Lapis__ServerList *server_list;
+    Lapis__FleetLoad *fleet_load;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -640,6 +643,24 @@
     , 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * What all nodes have under way together, from the one that forms replicas.
+ */
+struct  Lapis__FleetLoad
+{
+  ProtobufCMessage base;
+  size_t n_places;
+  Lapis__PlaceLoad **places;
+  /*
+   * as in NodeLoad
+   */
+  uint32_t list_age_ms;
+};
+#define LAPIS__FLEET_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__fleet_load__descriptor) \
+    , 0,NULL, 0 }
+
+
 struct  Lapis__PlaceLoad
 {
   ProtobufCMessage base;
@@ -1199,6 +1220,25 @@
 void   lapis__node_load__free_unpacked
                      (Lapis__NodeLoad *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__FleetLoad methods */
+void   lapis__fleet_load__init
+                     (Lapis__FleetLoad         *message);
+size_t lapis__fleet_load__get_packed_size
+                     (const Lapis__FleetLoad   *message);
+size_t lapis__fleet_load__pack
+                     (const Lapis__FleetLoad   *message,
+                      uint8_t             *out);
+size_t lapis__fleet_load__pack_to_buffer
+                     (const Lapis__FleetLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__FleetLoad *
+       lapis__fleet_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__fleet_load__free_unpacked
+                     (Lapis__FleetLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Lapis__PlaceLoad methods */
 void   lapis__place_load__init
                      (Lapis__PlaceLoad         *message);
@@ -1333,6 +1373,9 @@
 typedef void (*Lapis__NodeLoad_Closure)
                  (const Lapis__NodeLoad *message,
                   void *closure_data);
+typedef void (*Lapis__FleetLoad_Closure)
+                 (const Lapis__FleetLoad *message,
+                  void *closure_data);
 typedef void (*Lapis__PlaceLoad_Closure)
                  (const Lapis__PlaceLoad *message,
                   void *closure_data);
@@ -1374,6 +1417,7 @@
 extern const ProtobufCMessageDescriptor lapis__slot_held__descriptor;
 extern const ProtobufCMessageDescriptor lapis__slot_answer__descriptor;
 extern const ProtobufCMessageDescriptor lapis__node_load__descriptor;
+extern const ProtobufCMessageDescriptor lapis__fleet_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__place_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__server_list__descriptor;
 extern const ProtobufCMessageDescriptor lapis__server_entry__descriptor;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -5,19 +5,26 @@
 #include <string.h>
 
 /*
- * Links between nodes: each tells each other what it has under way where.
- * Places fill and empty within a second, so what was told has to be some tenth
- * of a second old at most to keep two nodes from taking the same last slot.
+ * Links between nodes: each tells what it has under way where.  Places fill
+ * and empty within a second, so what was told has to be some tenth of a second
+ * old at most to keep two nodes from taking the same last slot.
+ *
+ * Few nodes tell each other.  With many, that would be frames by the square of
+ * their number; so each tells the one that forms replicas, which adds up and
+ * tells all.  When that one is gone, nodes go by what they hear from each
+ * other now and then, until there is the next.
  */
 
-/** How often a node tells its load, with few nodes. */
+/** How often a node tells its load, and how often the sum is told. */
 #define TELL_MS ((clk_ms)100)
-/** With many, each node sends and takes about this many frames a second. */
-#define FRAMES_PER_S 110
-/** What has not changed is told again after this, as a sign of life. */
-#define ALIVE_MS ((clk_ms)400)
+/** Up to so many peers, each is told by each. */
+#define DIRECT_MOST 15
+/** With more, those that don't need it are told as often as this. */
+#define TELL_REST_MS ((clk_ms)1000)
+/** A sum that is older says too little of now. */
+#define SUM_MS ((clk_ms)450)
 /** A peer that was not heard for so long gets no new callers. */
-#define SILENT_MS ((clk_ms)1200)
+#define SILENT_MS ((clk_ms)1600)
 /** Its link is given up after this: it may have gone silent for good. */
 #define DEAD_MS ((clk_ms)2500)
 #define CONNECT_AGAIN_MS ((clk_ms)300)
@@ -32,6 +39,10 @@
   bool listed; /* the store has its entry */
   bool named;
   bool ready;
+  bool leads;               /* it forms replicas */
+  struct dsp_count *counts; /* what it told last */
+  size_t ncounts;
+  clk_ms told_at;    /* by this node */
   struct link *link; /* NULL: none */
   bool up;
   bool listing;  /* its ServerList has come on this link */
@@ -47,9 +58,10 @@
   struct link_secret secret;
   struct link_server *server;
   struct peer *list;
-  struct buf told; /* the last frame's content */
-  clk_ms told_at;
   clk_ms next_tell;
+  struct dsp_count *own; /* what was told of this node last */
+  size_t nown;
+  clk_ms sum_at; /* when the sum of all nodes came last */
 };
 
 static struct peer *
@@ -99,6 +111,43 @@
   dsp_nodes (p->s->dispatch, n);
 }
 
+/** Number under which the request core knows the sum of all other nodes. */
+#define ALL_OTHERS 0
+
+static bool
+uses_sum (const struct srv_peers *p, clk_ms now)
+{
+  return now - p->sum_at < SUM_MS;
+}
+
+/** Hand on what the peer told, unless the sum is better. */
+static void
+feed_peer (struct peer *x, clk_ms now)
+{
+  bool direct = x->up && !uses_sum (x->p, now);
+
+  dsp_peer_load (x->p->s->dispatch, now, x->hash, x->counts,
+                 direct ? x->ncounts : 0);
+}
+
+static void
+feed_all (struct srv_peers *p, clk_ms now)
+{
+  for (struct peer *x = p->list; x; x = x->next)
+    feed_peer (x, now);
+}
+
+/** The sum has grown too old: go by what each peer told. */
+static void
+check_sum (struct srv_peers *p, clk_ms now)
+{
+  if (p->sum_at == 0 || uses_sum (p, now))
+    return;
+  p->sum_at = 0;
+  dsp_peer_load (p->s->dispatch, now, ALL_OTHERS, NULL, 0);
+  feed_all (p, now);
+}
+
 static void
 peer_down (struct peer *x)
 {
@@ -107,10 +156,11 @@
   if (x->up)
     LOG (node_lost, LOG_C ("peer", x->node));
   x->link = NULL;
-  x->up = x->ready = x->listing = false;
+  x->up = x->ready = x->listing = x->leads = false;
   x->told = 0;
+  x->ncounts = 0;
   x->next_connect = clk_now () + CONNECT_AGAIN_MS;
-  dsp_peer_load (s->dispatch, clk_now (), x->hash, NULL, 0);
+  feed_peer (x, clk_now ());
   srv_act (s);
   count_nodes (x->p);
 }
@@ -146,39 +196,89 @@
   x->link = l;
   x->up = true;
   x->heard = clk_now ();
-  p->told_at = 0;
+  x->told_at = 0;
   LOG (node_linked, LOG_C ("peer", x->node));
   count_nodes (p);
 }
 
-static void
-on_load (struct peer *x, const Lapis__NodeLoad *load)
+static size_t
+read_places (struct srv *s, Lapis__PlaceLoad *const *rows, size_t n,
+             struct dsp_count **out)
 {
-  struct srv *s = x->p->s;
-  struct dsp_count *counts = xcalloc (load->n_places + 1, sizeof *counts);
+  clk_ms now = clk_now ();
 
-  for (size_t i = 0; i < load->n_places; i++)
+  *out = xrealloc (*out, (n + 1) * sizeof (**out));
+  for (size_t i = 0; i < n; i++)
     {
-      const Lapis__PlaceLoad *pl = load->places[i];
-      counts[i] = (struct dsp_count){ .place = pl->place,
+      const Lapis__PlaceLoad *pl = rows[i];
+      (*out)[i] = (struct dsp_count){ .place = pl->place,
                                       .in_flight = pl->in_flight,
                                       .patient = pl->patient,
                                       .begun = pl->begun,
-                                      .heard = clk_now () - pl->heard_age_ms,
+                                      .heard = now - pl->heard_age_ms,
                                       .stalled = pl->stalled };
       if (pl->stalled)
         srv_duty_stalled (s, pl->place);
     }
+  return n;
+}
+
+static void
+on_load (struct peer *x, const Lapis__NodeLoad *load)
+{
+  struct srv *s = x->p->s;
+
   x->heard = clk_now ();
+  x->ncounts = read_places (s, load->places, load->n_places, &x->counts);
   x->ready = load->ready;
+  x->leads = load->leads;
   if (load->leads && x->listing)
     srv_sync_heard (s, x->heard, load->list_age_ms);
   s->traffic = s->traffic || load->traffic;
-  dsp_peer_load (s->dispatch, x->heard, x->hash, counts, load->n_places);
-  free (counts);
+  feed_peer (x, x->heard);
   srv_act (s);
 }
 
+/** What this node told is in the sum; the rest is of the others. */
+static void
+take_away_own (const struct srv_peers *p, struct dsp_count *sum, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    for (size_t k = 0; k < p->nown; k++)
+      {
+        const struct dsp_count *own = &p->own[k];
+        struct dsp_count *c = &sum[i];
+        if (own->place != c->place)
+          continue;
+        c->in_flight
+            -= own->in_flight < c->in_flight ? own->in_flight : c->in_flight;
+        c->patient -= own->patient < c->patient ? own->patient : c->patient;
+        c->begun -= own->begun < c->begun ? own->begun : c->begun;
+      }
+}
+
+static void
+on_sum (struct peer *x, const Lapis__FleetLoad *load)
+{
+  struct srv_peers *p = x->p;
+  struct dsp_count *sum = NULL;
+  clk_ms now = clk_now ();
+  bool first = !uses_sum (p, now);
+  size_t n = read_places (p->s, load->places, load->n_places, &sum);
+
+  x->heard = now;
+  x->leads = true;
+  if (x->listing)
+    srv_sync_heard (p->s, now, load->list_age_ms);
+  p->sum_at = now;
+  if (first)
+    feed_all (p, now);
+  take_away_own (p, sum, n);
+  dsp_peer_load (p->s->dispatch, now, ALL_OTHERS, sum, n);
+  free (sum);
+  srv_act (p->s);
+}
+
 static void
 on_servers (struct peer *x, const Lapis__ServerList *list)
 {
@@ -204,6 +304,8 @@
     on_load (x, f->node_load);
   else if (x && f->body_case == LAPIS__FRAME__BODY_SERVER_LIST)
     on_servers (x, f->server_list);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_FLEET_LOAD)
+    on_sum (x, f->fleet_load);
 }
 
 static void
@@ -232,56 +334,140 @@
   return n;
 }
 
+/** Rows of a frame, from counts. */
+struct rows
+{
+  Lapis__PlaceLoad *places;
+  Lapis__PlaceLoad **list;
+};
+
+static void
+make_rows (struct rows *r, const struct dsp_count *counts, size_t n,
+           clk_ms now)
+{
+  r->places = xcalloc (n + 1, sizeof *r->places);
+  r->list = xcalloc (n + 1, sizeof (*r->list));
+  for (size_t i = 0; i < n; i++)
+    {
+      Lapis__PlaceLoad *pl = &r->places[i];
+      lapis__place_load__init (pl);
+      pl->place = counts[i].place;
+      pl->in_flight = counts[i].in_flight;
+      pl->patient = counts[i].patient;
+      pl->begun = counts[i].begun;
+      pl->heard_age_ms
+          = (uint32_t)(now > counts[i].heard ? now - counts[i].heard : 0);
+      pl->stalled = counts[i].stalled;
+      r->list[i] = pl;
+    }
+}
+
+static void
+free_rows (struct rows *r)
+{
+  free (r->places);
+  free (r->list);
+}
+
+/** Whether the peer is to hear now what this node has under way. */
+static bool
+is_due (const struct srv_peers *p, const struct peer *x, size_t up, clk_ms now)
+{
+  if (!x->up)
+    return false;
+  if (up <= DIRECT_MOST || x->leads)
+    return now - x->told_at >= TELL_MS;
+  /* The one that leads tells the sum instead. */
+  return now - x->told_at >= TELL_REST_MS;
+}
+
 static void
 send_load (struct srv_peers *p, clk_ms now)
 {
   struct srv *s = p->s;
-  size_t n;
-  const struct dsp_count *own = dsp_own_load (s->dispatch, &n);
+  size_t up = count_up (p);
+  const struct dsp_count *own = dsp_own_load (s->dispatch, &p->nown);
   Lapis__NodeLoad load = LAPIS__NODE_LOAD__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
-  Lapis__PlaceLoad *places = xcalloc (n + 1, sizeof *places);
-  Lapis__PlaceLoad **rows = xcalloc (n + 1, sizeof (*rows));
-  struct buf packed = BUF_INIT;
+  struct rows rows;
 
-  for (size_t i = 0; i < n; i++)
-    {
-      lapis__place_load__init (&places[i]);
-      places[i].place = own[i].place;
-      places[i].in_flight = own[i].in_flight;
-      places[i].patient = own[i].patient;
-      places[i].begun = own[i].begun;
-      places[i].heard_age_ms
-          = (uint32_t)(now > own[i].heard ? now - own[i].heard : 0);
-      places[i].stalled = own[i].stalled;
-      rows[i] = &places[i];
-      if (own[i].stalled)
-        srv_duty_stalled (s, own[i].place);
-    }
+  p->own = xrealloc (p->own, (p->nown + 1) * sizeof *p->own);
+  memcpy (p->own, own, p->nown * sizeof *own);
+  make_rows (&rows, own, p->nown, now);
   load.ready = srv_is_ready (s);
   load.traffic = s->traffic;
   load.leads = srv_duty_holds (s);
   if (load.leads)
     load.list_age_ms = (uint32_t)srv_sync_age (s, now);
-  load.n_places = n;
-  load.places = rows;
+  load.n_places = p->nown;
+  load.places = rows.list;
   f.body_case = LAPIS__FRAME__BODY_NODE_LOAD;
   f.node_load = &load;
-  buf_reserve (&packed, lapis__node_load__get_packed_size (&load));
-  packed.len = lapis__node_load__pack (&load, (uint8_t *)packed.ptr);
-  if (!str_eq (buf_str (&packed), buf_str (&p->told))
-      || now - p->told_at >= ALIVE_MS)
+  for (struct peer *x = p->list; x; x = x->next)
+    if (is_due (p, x, up, now) && link_send (x->link, &f))
+      x->told_at = now;
+  for (size_t i = 0; i < p->nown; i++)
+    if (own[i].stalled)
+      srv_duty_stalled (s, own[i].place);
+  free_rows (&rows);
+}
+
+/* --- the sum of all nodes ---------------------------------------------- */
+
+struct sum
+{
+  struct dsp_count *list;
+  size_t n;
+};
+
+static void
+add_counts (struct sum *sum, const struct dsp_count *counts, size_t n)
+{
+  sum->list = xrealloc (sum->list, (sum->n + n + 1) * sizeof *sum->list);
+  for (size_t i = 0; i < n; i++)
     {
-      for (struct peer *x = p->list; x; x = x->next)
-        if (x->up)
-          link_send (x->link, &f);
-      buf_clear (&p->told);
-      buf_add (&p->told, buf_str (&packed));
-      p->told_at = now;
+      size_t k = 0;
+      while (k < sum->n && sum->list[k].place != counts[i].place)
+        k++;
+      if (k == sum->n)
+        {
+          sum->list[sum->n++] = counts[i];
+          continue;
+        }
+      sum->list[k].in_flight += counts[i].in_flight;
+      sum->list[k].patient += counts[i].patient;
+      sum->list[k].begun += counts[i].begun;
+      sum->list[k].stalled |= counts[i].stalled;
+      if (counts[i].begun && counts[i].heard > sum->list[k].heard)
+        sum->list[k].heard = counts[i].heard;
     }
-  buf_free (&packed);
-  free (places);
-  free (rows);
+}
+
+static void
+send_sum (struct srv_peers *p, clk_ms now)
+{
+  Lapis__FleetLoad load = LAPIS__FLEET_LOAD__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  struct sum sum = { 0 };
+  struct rows rows;
+
+  if (!srv_duty_holds (p->s) || count_up (p) <= DIRECT_MOST)
+    return;
+  add_counts (&sum, p->own, p->nown);
+  for (struct peer *x = p->list; x; x = x->next)
+    if (x->up && now - x->heard < SILENT_MS)
+      add_counts (&sum, x->counts, x->ncounts);
+  make_rows (&rows, sum.list, sum.n, now);
+  load.list_age_ms = (uint32_t)srv_sync_age (p->s, now);
+  load.n_places = sum.n;
+  load.places = rows.list;
+  f.body_case = LAPIS__FRAME__BODY_FLEET_LOAD;
+  f.fleet_load = &load;
+  for (struct peer *x = p->list; x; x = x->next)
+    if (x->up)
+      link_send (x->link, &f);
+  free_rows (&rows);
+  free (sum.list);
 }
 
 /* --- keeping links ----------------------------------------------------- */
@@ -314,7 +500,6 @@
 srv_peers_tick (struct srv *s, clk_ms now)
 {
   struct srv_peers *p = s->peers;
-  clk_ms period;
 
   if (!p)
     return;
@@ -322,10 +507,11 @@
     check_peer (x, now);
   if (now < p->next_tell)
     return;
+  p->next_tell = now + TELL_MS;
   srv_peers_servers (s);
-  period = (clk_ms)(count_up (p) * 1000 / FRAMES_PER_S);
-  p->next_tell = now + (period > TELL_MS ? period : TELL_MS);
+  check_sum (p, now);
   send_load (p, now);
+  send_sum (p, now);
 }
 
 void
--- a/serve/register.c
+++ b/serve/register.c
@@ -18,6 +18,12 @@
 #define LEASE_MS ((clk_ms)6000)
 #define RENEW_MS (LEASE_MS / 4)
 #define AGAIN_MS ((clk_ms)250)
+/** Each change wakes every node's watch, and each wake is a priced call.  So a
+    watch that has brought something begins again only after so long for each
+    node that is known: at the start of many, their entries come in few calls.
+ */
+#define WATCH_PACE_MS ((clk_ms)12)
+#define WATCH_PACE_MOST_MS ((clk_ms)800)
 
 #define SECRET_BYTES 32
 
@@ -26,6 +32,8 @@
   struct srv *s;
   struct buf prefix, end, node_key, secret_key, duty_key;
   struct store_watch *watch;
+  clk_ms next_watch; /* CLK_NEVER: it runs, or the whole is read first */
+  int64_t revision;  /* up to which everything was seen */
   bool reading;
   clk_ms next_read; /* CLK_NEVER: the watch runs */
   /* The own entry. */
@@ -154,8 +162,15 @@
            size_t n)
 {
   struct srv_register *g = ctx;
+  clk_ms pace = (clk_ms)g->nnodes * WATCH_PACE_MS;
 
-  (void)revision;
+  if (revision > g->revision)
+    g->revision = revision;
+  if (g->watch)
+    store_watch_stop (g->watch);
+  g->watch = NULL;
+  g->next_watch
+      = clk_now () + (pace < WATCH_PACE_MOST_MS ? pace : WATCH_PACE_MOST_MS);
   for (size_t i = 0; i < n; i++)
     take_item (g, ev[i].deleted, &ev[i].kv);
   start_links (g);
@@ -169,6 +184,7 @@
 
   (void)why; /* whatever ended it, the whole is read again */
   g->watch = NULL;
+  g->next_watch = CLK_NEVER;
   g->next_read = clk_now () + AGAIN_MS;
 }
 
@@ -192,9 +208,18 @@
 }
 
 static void
-on_read (void *ctx, const struct store_result *r)
+begin_watch (struct srv_register *g)
 {
   static const struct store_watch_cb cb = { on_events, on_watch_end };
+
+  g->next_watch = CLK_NEVER;
+  g->watch = store_watch (g->s->store, buf_str (&g->prefix), buf_str (&g->end),
+                          g->revision + 1, &cb, g);
+}
+
+static void
+on_read (void *ctx, const struct store_result *r)
+{
   struct srv_register *g = ctx;
 
   g->reading = false;
@@ -204,9 +229,9 @@
       return;
     }
   g->next_read = CLK_NEVER;
+  g->revision = r->revision;
   take_all (g, r);
-  g->watch = store_watch (g->s->store, buf_str (&g->prefix), buf_str (&g->end),
-                          r->revision + 1, &cb, g);
+  begin_watch (g);
 }
 
 /* --- the own entry ----------------------------------------------------- */
@@ -332,6 +357,8 @@
       store_range (s->store, STORE_ROSTER, buf_str (&g->prefix),
                    buf_str (&g->end), on_read, g);
     }
+  if (now >= g->next_watch)
+    begin_watch (g);
   if (!g->calling && now >= g->next_call)
     next_call (g);
 }
@@ -358,6 +385,7 @@
 
   g->s = s;
   s->reg = g;
+  g->next_watch = CLK_NEVER;
   buf_add_c (&g->prefix, s->ad->own_prefix);
   store_prefix_end (buf_str (&g->prefix), &g->end);
   buf_addf (&g->node_key, "%snodes/%.*s", s->ad->own_prefix,
