--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -147,10 +147,6 @@
 /** What this node has under way; valid until the next event. */
 const struct dsp_count *dsp_own_load (struct dsp *d, size_t *n);
 
-/** Requests for a model, of all nodes: those that run or wait anywhere. */
-unsigned dsp_demand (const struct dsp *d, struct str service,
-                     struct str model);
-
 /** No new request is taken from now on. */
 void dsp_leave (struct dsp *d);
 
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -4,7 +4,6 @@
  *
  *   form.c        events, what is known of VMs, taking over
  *   form-group.c  a replica's way from joining to closed
- *   form-need.c   how many requests there are for each model
  *   form-place.c  which VMs become which replica, warm spares
  *   form-order.c  orders under way, the pace of loads
  */
@@ -80,15 +79,6 @@
 
 #define FRM_LOADS 512
 
-/** Requests for a model, averaged. */
-struct frm_need
-{
-  char *service;
-  char *model;
-  double requests;
-  clk_ms since, at; /**< of the first and the last word */
-};
-
 struct frm
 {
   struct frm_options opt;
@@ -108,8 +98,6 @@
   size_t ngroups;
   clk_ms loads[FRM_LOADS]; /**< when the last ones began, a ring */
   size_t nloads;
-  struct frm_need *needs;
-  size_t nneeds;
   uint64_t tokens;
   struct frm_action *queue;
   size_t head, count, cap;
@@ -139,11 +127,6 @@
 void frm_group_order_done (struct frm *f, struct frm_vm *vm,
                            enum frm_order_kind kind, enum frm_result result);
 
-/* form-need.c */
-/** Averaged requests for a model; below 0: not known for long enough. */
-double frm_need (const struct frm *f, const char *service, struct str model);
-void frm_needs_free (struct frm *f);
-
 /* form-place.c */
 void frm_place (struct frm *f);
 
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -101,9 +101,8 @@
   return n;
 }
 
-/** Before there is traffic: by each model's part of the work. */
 static void
-plan_by_share (const struct frm *f, struct domain *d)
+plan (const struct frm *f, struct domain *d)
 {
   unsigned n = count_usable (f, d);
   unsigned room = n >= SPARE_FROM ? n - 1 : n;
@@ -165,145 +164,15 @@
     }
 }
 
-/* --- the plan under traffic -------------------------------------------- */
-
-/** How full a replica should be at most for its requests to be on time. */
-#define FULL 0.85
-/** One VM more would do: how much the hope for it counts. */
-#define HOPE 0.5
-/** What a load costs, in requests served: it decides between equals. */
-#define LOAD_COST 0.3
-
-/** Free VMs of a domain and what might be made of them. */
-struct option
-{
-  unsigned extra[MODELS_MOST];
-  double value;
-};
-
-static unsigned
-count_all (const struct frm *f, const char *service, const struct tbl_model *m)
-{
-  unsigned n = 0;
-
-  for (size_t i = 0; i < f->ngroups; i++)
-    {
-      const struct frm_group *g = f->groups[i];
-      n += !g->spare && g->phase <= FRM_PH_OPEN
-           && strcmp (g->service, service) == 0 && str_is (m->name, g->model);
-    }
-  return n;
-}
-
-/** Requests that all replicas can serve well, with @p extra more. */
-static double
-served (const struct frm *f, const struct domain *d, const unsigned *extra)
-{
-  double sum = 0;
-
-  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
-    {
-      const struct tbl_model *m = &d->s->models[k];
-      double need = frm_need (f, d->service, m->name);
-      double room
-          = FULL * (count_all (f, d->service, m) + extra[k]) * d->s->capacity;
-      sum += room < need ? room : need;
-    }
-  return sum;
-}
-
-static void
-rate (const struct frm *f, const struct domain *d, double worth,
-      struct option *o)
-{
-  static const unsigned none[MODELS_MOST];
-
-  o->value = worth * (served (f, d, o->extra) - served (f, d, none));
-  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
-    {
-      unsigned need = o->extra[k] * d->s->models[k].size;
-      if (need > d->warm[k])
-        o->value -= LOAD_COST * (need - d->warm[k]);
-    }
-}
-
-/** Try every way to use @p room VMs, from model @p k on. */
-static void
-search (const struct frm *f, const struct domain *d, unsigned room, size_t k,
-        double worth, struct option *now, struct option *best)
-{
-  unsigned size;
-
-  if (k == d->s->nmodels || k == MODELS_MOST)
-    {
-      rate (f, d, worth, now);
-      if (now->value > best->value)
-        *best = *now;
-      return;
-    }
-  size = d->s->models[k].size;
-  for (unsigned n = 0; n * size <= room; n++)
-    {
-      now->extra[k] = n;
-      search (f, d, room - n * size, k + 1, worth, now, best);
-      if (size == 0)
-        break;
-    }
-  now->extra[k] = 0;
-}
-
-static unsigned
-count_free (const struct frm *f, const struct domain *d)
-{
-  unsigned n = 0;
-
-  for (size_t i = 0; i < f->nvms; i++)
-    {
-      const struct frm_vm *vm = f->vms[i];
-      n += in_domain (vm, d) && frm_usable (f, vm)
-           && (!vm->group || vm->group->spare);
-    }
-  return n;
-}
-
-/**
- * What is open stays; the free VMs are used so that the most requests are
- * served, by what is asked for now over all domains.  A domain that lacks one
- * VM for the better use of them may wait for it.
- */
-static void
-plan_by_need (const struct frm *f, struct domain *d)
-{
-  unsigned n = count_free (f, d);
-  struct option now = { 0 }, best = { 0 };
-
-  search (f, d, n, 0, 1, &now, &best);
-  search (f, d, n + 1, 0, HOPE, &now, &best);
-  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
-    d->want[k] = d->have[k] + best.extra[k];
-}
-
-static bool
-needs_known (const struct frm *f, const struct domain *d)
-{
-  for (size_t k = 0; k < d->s->nmodels; k++)
-    if (frm_need (f, d->service, d->s->models[k].name) < 0)
-      return false;
-  return f->traffic;
-}
-
 static void
 look_at (const struct frm *f, struct domain *d)
 {
   memset (d->want, 0, sizeof d->want);
   memset (d->have, 0, sizeof d->have);
   memset (d->warm, 0, sizeof d->warm);
+  plan (f, d);
   count_replicas (f, d);
   count_warm (f, d);
-  if (needs_known (f, d))
-    plan_by_need (f, d);
-  else
-    plan_by_share (f, d);
 }
 
 /* --- forming a replica ------------------------------------------------- */
--- a/serve/form.c
+++ b/serve/form.c
@@ -69,7 +69,6 @@
     return;
   drop_groups (f);
   drop_actions (f);
-  frm_needs_free (f);
   for (size_t i = 0; i < f->nvms; i++)
     vm_free (f->vms[i]);
   tbl_unref (f->table);
