--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -1,6 +1,5 @@
 #include "serve/form-int.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -65,14 +64,11 @@
 
 /* --- the plan of a domain ---------------------------------------------- */
 
-static unsigned
-count_usable (const struct frm *f, const struct domain *d)
+/** How well @p n replicas of a model do for its part of the work. */
+static double
+supply (unsigned n, const struct tbl_model *m)
 {
-  unsigned n = 0;
-
-  for (size_t i = 0; i < f->nvms; i++)
-    n += in_domain (f->vms[i], d) && frm_usable (f, f->vms[i]);
-  return n;
+  return n / ((m->pace > 0 ? m->pace : 1) * (m->share > 0 ? m->share : 1e-3));
 }
 
 /** The model that is worst supplied and still fits; the larger one of two. */
@@ -81,30 +77,32 @@
 {
   const struct tbl_service *s = d->s;
   size_t best = s->nmodels;
-  double least = 0;
 
   for (size_t i = 0; i < s->nmodels && i < MODELS_MOST; i++)
     {
-      const struct tbl_model *m = &s->models[i];
-      double x = d->want[i] * m->size / (m->share > 0 ? m->share : 1e-3);
-      if (m->size == 0 || m->size > room)
-        continue;
-      if (best < s->nmodels
-          && (x > least || (x >= least && m->size <= s->models[best].size)))
+      double x = supply (d->want[i], &s->models[i]);
+      if (s->models[i].size > room || s->models[i].size == 0)
         continue;
-      best = i;
-      least = x;
+      if (best == s->nmodels || x < supply (d->want[best], &s->models[best])
+          || (x <= supply (d->want[best], &s->models[best])
+              && s->models[i].size > s->models[best].size))
+        best = i;
     }
   return best;
 }
 
-/**
- * While VMs appear, each domain by itself: what the VMs that are there suffice
- * for, the ones in replicas included, so that the first three don't all become
- * replicas of the smallest model.
- */
+static unsigned
+count_usable (const struct frm *f, const struct domain *d)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    n += in_domain (f->vms[i], d) && frm_usable (f, f->vms[i]);
+  return n;
+}
+
 static void
-plan_alone (const struct frm *f, struct domain *d)
+plan (const struct frm *f, struct domain *d)
 {
   unsigned n = count_usable (f, d);
   unsigned room = n >= SPARE_FROM ? n - 1 : n;
@@ -166,157 +164,15 @@
     }
 }
 
-/** One VM more would do: how much the hope for it counts. */
-#define HOPE 0.5
-/** What a load costs, in parts of all work: it decides between equals. */
-#define LOAD_COST 0.0002
-
-/** What might be made of a domain's free VMs. */
-struct option
-{
-  unsigned extra[MODELS_MOST];
-  double value;
-};
-
-/** What a search goes through. */
-struct search
-{
-  const struct domain *d;
-  double all[MODELS_MOST]; /**< VMs in replicas of the model, all domains */
-  double vms;              /**< of the service */
-  double worth;            /**< how much a gain counts */
-  struct option now, best;
-};
-
-static double
-count_all (const struct frm *f, const struct domain *d,
-           const struct tbl_model *m)
-{
-  double n = 0;
-
-  for (size_t i = 0; i < f->ngroups; i++)
-    {
-      const struct frm_group *g = f->groups[i];
-      if (!g->spare && g->phase <= FRM_PH_OPEN
-          && strcmp (g->service, d->service) == 0
-          && str_is (m->name, g->model))
-        n += m->size;
-    }
-  return n;
-}
-
-static double
-count_vms (const struct frm *f, const struct domain *d)
-{
-  double n = 0;
-
-  for (size_t i = 0; i < f->nvms; i++)
-    n += strcmp (f->vms[i]->service, d->service) == 0;
-  return n;
-}
-
-/**
- * How much of all work is done well when a model has @p vms of its VMs.  The
- * part of the work that a model has is also the part of the VMs that it needs.
- * More than that still helps, less and less, so that the models are kept even.
- */
-static double
-done_well (const struct search *s, const struct tbl_model *m, double vms)
-{
-  double share = m->share > 0 ? m->share : 1.0 / (double)s->d->s->nmodels;
-
-  return share * (1 - exp (-2 * vms / (share * s->vms)));
-}
-
-static void
-rate (struct search *s)
-{
-  struct option *o = &s->now;
-
-  o->value = 0;
-  for (size_t k = 0; k < s->d->s->nmodels && k < MODELS_MOST; k++)
-    {
-      const struct tbl_model *m = &s->d->s->models[k];
-      unsigned need = o->extra[k] * m->size;
-      o->value += s->worth
-                  * (done_well (s, m, s->all[k] + need)
-                     - done_well (s, m, s->all[k]));
-      if (need > s->d->warm[k])
-        o->value -= LOAD_COST * (need - s->d->warm[k]);
-    }
-  if (o->value > s->best.value)
-    s->best = *o;
-}
-
-/** Try every way to use @p room VMs, from model @p k on. */
-static void
-search (struct search *s, unsigned room, size_t k)
-{
-  unsigned size, most;
-
-  if (k == s->d->s->nmodels || k == MODELS_MOST)
-    {
-      rate (s);
-      return;
-    }
-  size = s->d->s->models[k].size;
-  most = size ? room / size : 0;
-  for (unsigned n = 0; n <= most; n++)
-    {
-      s->now.extra[k] = n;
-      search (s, room - n * size, k + 1);
-    }
-  s->now.extra[k] = 0;
-}
-
-static unsigned
-count_free (const struct frm *f, const struct domain *d)
-{
-  unsigned n = 0;
-
-  for (size_t i = 0; i < f->nvms; i++)
-    {
-      const struct frm_vm *vm = f->vms[i];
-      n += in_domain (vm, d) && frm_usable (f, vm)
-           && (!vm->group || vm->group->spare);
-    }
-  return n;
-}
-
-/**
- * What is open stays; the free VMs are used so that the models are supplied
- * best over all domains.  A domain that lacks one VM for the better use of
- * them may wait for it.
- */
-static void
-plan (const struct frm *f, struct domain *d)
-{
-  struct search s = { .d = d, .vms = count_vms (f, d), .worth = 1 };
-  unsigned n = count_free (f, d);
-
-  if (n > 0 && count_usable (f, d) >= SPARE_FROM)
-    n--;
-  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
-    s.all[k] = count_all (f, d, &d->s->models[k]);
-  search (&s, n, 0);
-  s.worth = HOPE;
-  search (&s, n + 1, 0);
-  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
-    d->want[k] = d->have[k] + s.best.extra[k];
-}
-
 static void
 look_at (const struct frm *f, struct domain *d)
 {
   memset (d->want, 0, sizeof d->want);
   memset (d->have, 0, sizeof d->have);
   memset (d->warm, 0, sizeof d->warm);
+  plan (f, d);
   count_replicas (f, d);
   count_warm (f, d);
-  if (f->traffic)
-    plan (f, d);
-  else
-    plan_alone (f, d);
 }
 
 /* --- forming a replica ------------------------------------------------- */
