Let nodes try for the duty one after the other

Cause: with 63 nodes each raced for the duty at every change: three priced calls each, and four grants a node in 12 s. Change: each waits by its rank among the known nodes.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -10,8 +10,12 @@
 
 /** A new owner is found this long after the old one has died, at most. */
 #define LEASE_MS ((clk_ms)1200)
-/** Between two nodes that may try to take the duty, so that one does. */
-#define TURN_MS ((clk_ms)60)
+/** Between two nodes that may try to take the duty, so that one does: each
+    try is three priced calls.  Longer than a watch takes to tell of the first
+    that succeeds. */
+#define TURN_MS ((clk_ms)250)
+/** The last of many that are all gone don't wait for each other for good. */
+#define TURN_MOST_MS ((clk_ms)3000)
 /** Longest wait for the answer to an order. */
 #define ORDER_MS ((clk_ms)800)
 /** Longest wait of a server that is asked whether it lives: it answers from
@@ -267,14 +271,16 @@
 wants (const struct srv_duty *d, clk_ms now)
 {
   const struct srv *s = d->s;
-  clk_ms turn = (clk_ms)(str_hash (s->set.node, 0) % 16) * TURN_MS;
+  clk_ms turn;
 
   if (s->leaving_since || !s->table)
     return false;
   if (own_state (d->own) != OWN_IDLE)
     return !d->held_by_other;
-  return d->free_since && srv_register_duty_free (s)
-         && now - d->free_since >= turn;
+  if (!d->free_since || !srv_register_duty_free (s))
+    return false;
+  turn = (clk_ms)srv_register_rank (s) * TURN_MS;
+  return now - d->free_since >= (turn < TURN_MOST_MS ? turn : TURN_MOST_MS);
 }
 
 void
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -73,8 +73,11 @@
 void srv_register_tick (struct srv *s, clk_ms now);
 /** Take the own entry back. */
 void srv_register_end (struct srv *s);
-/** Whether anybody holds the key of the duty. */
+/** Whether it is known that nobody holds the key of the duty. */
 bool srv_register_duty_free (const struct srv *s);
+/** How many of the known nodes come before this one in an order that is the
+    same at all of them. */
+unsigned srv_register_rank (const struct srv *s);
 
 /* duty.c: forming replicas while this node is owner */
 void srv_duty_start (struct srv *s);
--- a/serve/register.c
+++ b/serve/register.c
@@ -23,6 +23,7 @@
     node that is known: at the start of many, their entries come in few calls.
  */
 #define WATCH_PACE_MS ((clk_ms)12)
+#define WATCH_PACE_LEAST_MS ((clk_ms)150)
 #define WATCH_PACE_MOST_MS ((clk_ms)800)
 
 #define SECRET_BYTES 32
@@ -144,6 +145,18 @@
   return s->reg && s->reg->next_read == CLK_NEVER && !s->reg->duty_held;
 }
 
+unsigned
+srv_register_rank (const struct srv *s)
+{
+  const struct srv_register *g = s->reg;
+  uint64_t own = str_hash (s->set.node, 0);
+  unsigned rank = 0;
+
+  for (size_t i = 0; i < g->nnodes; i++)
+    rank += str_hash (g->nodes[i].e.node, 0) < own;
+  return rank;
+}
+
 static void
 start_links (struct srv_register *g)
 {
@@ -169,6 +182,8 @@
   if (g->watch)
     store_watch_stop (g->watch);
   g->watch = NULL;
+  if (pace < WATCH_PACE_LEAST_MS)
+    pace = WATCH_PACE_LEAST_MS;
   g->next_watch
       = clk_now () + (pace < WATCH_PACE_MOST_MS ? pace : WATCH_PACE_MOST_MS);
   for (size_t i = 0; i < n; i++)
