Take the less loaded of two drawn places

Cause: all nodes took the least loaded place of all until the next word, so the requests of a tenth of a second went to the same one, and the first events of each waited for the others' prompts.

Change: each request draws two places and takes the less loaded.

--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -286,31 +286,37 @@
          && !dsp_health_quiet (d, s);
 }
 
-/** The least loaded place, without those that wait there behind all others;
-    of equals, each is as likely. */
+/**
+ * The less loaded of two places drawn by chance.  What others have there was
+ * told a tenth of a second ago; were the least loaded of all taken, all nodes
+ * would take the same one until the next word, and the requests of that time
+ * would wait there for each other.
+ */
 static struct dsp_server *
-least_taken (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q,
-             unsigned beyond)
+less_taken (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q,
+            unsigned beyond)
 {
-  struct dsp_server *best = NULL;
-  double least = 0;
-  unsigned equals = 0;
+  struct dsp_server *drawn[2] = { NULL, NULL };
+  unsigned n = 0;
 
   for (size_t i = 0; i < p->n; i++)
     {
       struct dsp_server *s = p->servers[i];
       if (!may_take (d, s, q) || taken (s) >= s->capacity + beyond)
         continue;
-      double load = load_of (s, taken (s));
-      if (!best || load < least - 1e-9)
-        equals = 0;
-      else if (load > least + 1e-9)
-        continue;
-      if (rng_below (&d->rng, ++equals) == 0)
-        best = s;
-      least = load;
+      /* Draw two of those that come by, each pair as likely. */
+      uint64_t at = rng_below (&d->rng, ++n);
+      if (n <= 2)
+        drawn[n - 1] = s;
+      else if (at < 2)
+        drawn[at] = s;
     }
-  return best;
+  if (!drawn[1])
+    return drawn[0];
+  return load_of (drawn[1], taken (drawn[1]))
+                 < load_of (drawn[0], taken (drawn[0]))
+             ? drawn[1]
+             : drawn[0];
 }
 
 /** The place where the fewest wait for what is left over. */
@@ -376,7 +382,7 @@
 
   if (due_for_probe (d, p, q, &s))
     return s;
-  s = least_taken (d, p, q, late ? 0 : BEYOND);
+  s = less_taken (d, p, q, late ? 0 : BEYOND);
   if (s)
     return s;
   *patient = true;
