--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -66,6 +66,7 @@
   uint32_t unbegun;        /**< of these, sent and without a first event */
   uint32_t others;         /**< of the other nodes, as they told last */
   uint32_t others_patient; /**< and those that wait */
+  uint32_t others_begun;   /**< of others: streams that have had an event */
   clk_ms heard;            /**< bytes of any answer came */
   clk_ms full_until;       /**< it said that it has no room */
   bool stalled;            /**< nothing moves there */
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -18,6 +18,9 @@
  */
 #define PATIENT_PART 1.5
 
+/** What a request without a first event weighs beside one that has it. */
+#define UNREAD 3.0
+
 /** What a request to another zone costs, in parts of one request under way:
     enough to decide between equals, too little to shift load. */
 #define AWAY 0.3
@@ -123,6 +126,8 @@
         continue;
       s->others
           = add ? s->others + c->in_flight : less (s->others, c->in_flight);
+      s->others_begun = add ? s->others_begun + c->begun
+                            : less (s->others_begun, c->begun);
       s->others_patient = add ? s->others_patient + c->patient
                               : less (s->others_patient, c->patient);
     }
@@ -272,10 +277,26 @@
   return s->own - s->patient + s->others;
 }
 
+/** Requests there whose prompts are still to be read. */
+static uint32_t
+unread (const struct dsp_server *s)
+{
+  uint32_t own = less (s->unbegun, s->patient);
+
+  return own + less (s->others, s->others_begun);
+}
+
+/**
+ * How long one more would wait for its first event, in parts of the place: the
+ * prompts before its own are read first, and that takes longer than the events
+ * of the streams that run.
+ */
 static double
-load_of (const struct dsp_server *s, uint32_t n)
+load_of (const struct dsp_server *s)
 {
-  return (n + (s->same_zone ? 0 : AWAY)) / (s->capacity ? s->capacity : 1);
+  double n = taken (s) + UNREAD * unread (s) + (s->same_zone ? 0 : AWAY);
+
+  return n / (s->capacity ? s->capacity : 1);
 }
 
 static bool
@@ -313,10 +334,7 @@
     }
   if (!drawn[1])
     return drawn[0];
-  return load_of (drawn[1], taken (drawn[1]))
-                 < load_of (drawn[0], taken (drawn[0]))
-             ? drawn[1]
-             : drawn[0];
+  return load_of (drawn[1]) < load_of (drawn[0]) ? drawn[1] : drawn[0];
 }
 
 /** The place where the fewest wait for what is left over. */
