Count begun streams apart; tests of the request core, lists and headers

Cause, found by t9201's overload script: attempts that were still connecting counted as streams that had begun, so a place with four of them and none begun counted as quiet and got nothing.

Change: streams that have had an event are counted by themselves.

--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -200,10 +200,10 @@
   clk_ms heard = s->heard;
   unsigned begun = 0;
 
-  if (s->own == s->unbegun && s->others == 0)
+  if (s->begun == 0 && s->others_begun == 0)
     return false;
   add_others (d, s, &begun, &heard);
-  begun += s->own - s->unbegun;
+  begun += s->begun;
   return begun >= STALL_MANY && d->now - heard > QUIET_MS;
 }
 
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -64,6 +64,7 @@
   uint32_t own;            /**< requests of this node */
   uint32_t patient;        /**< of these, sent to wait and not begun */
   uint32_t unbegun;        /**< of these, sent and without a first event */
+  uint32_t begun;          /**< and streams that have had one */
   uint32_t others;         /**< of the other nodes, as they told last */
   uint32_t others_patient; /**< and those that wait */
   uint32_t others_begun;   /**< of others: streams that have had an event */
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -215,16 +215,6 @@
   pump_all (d);
 }
 
-static uint32_t
-count_begun (const struct dsp *d, const struct dsp_server *s)
-{
-  uint32_t n = 0;
-
-  for (const struct dsp_req *q = d->open_list; q; q = q->next)
-    n += q->server == s && q->begun;
-  return n;
-}
-
 const struct dsp_count *
 dsp_own_load (struct dsp *d, size_t *n)
 {
@@ -243,7 +233,7 @@
               = (struct dsp_count){ .place = s->hash,
                                     .in_flight = s->own - s->patient,
                                     .patient = s->patient,
-                                    .begun = count_begun (d, s),
+                                    .begun = s->begun,
                                     .heard = s->heard,
                                     .stalled = s->stalled };
       }
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -357,6 +357,8 @@
   if (!q->server)
     return;
   settle_unbegun (q);
+  q->server->begun -= q->begun;
+  q->begun = false;
   q->server->own--;
   if (q->probe)
     q->server->probing = false;
@@ -570,6 +572,7 @@
 {
   settle_unbegun (q);
   q->begun = true;
+  q->server->begun++;
   dsp_health_begun (d, q->server, d->now - q->sent_at);
   if (q->state == DSP_S_PASSING)
     return;
--- /dev/null
+++ b/t/lib-dispatch.c
@@ -0,0 +1,265 @@
+#include "t/lib-dispatch.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "serve/dispatch.h"
+
+#define MOST 32
+
+struct bench
+{
+  struct dsp *d;
+  struct tbl *table;
+  clk_ms now;
+  struct dsp_place places[MOST];
+  char names[MOST][16];
+  size_t n;
+  unsigned attempt[100];
+  struct buf log;
+};
+
+static struct tbl *
+make_table (void)
+{
+  struct tbl *t = tbl_new ();
+  struct tbl_service *s = arena_alloc (&t->arena, 2, sizeof *s);
+  struct tbl_route *r = arena_alloc (&t->arena, 3, sizeof *r);
+  struct tbl_target *to = arena_alloc (&t->arena, 2, sizeof *to);
+
+  s[0].name = STR ("lm");
+  s[1].name = STR ("app");
+  to[0] = (struct tbl_target){ &s[0], 1 };
+  to[1] = (struct tbl_target){ &s[1], 1 };
+  r[0] = (struct tbl_route){ .name = STR ("stream"),
+                             .prefix = STR ("/a/"),
+                             .kind = TBL_STREAM,
+                             .resumable = true,
+                             .goal_ms = 400,
+                             .max_attempts = 2,
+                             .targets = &to[0],
+                             .ntargets = 1 };
+  r[1] = (struct tbl_route){ .name = STR ("once"),
+                             .prefix = STR ("/b/"),
+                             .kind = TBL_ONCE,
+                             .goal_ms = 200,
+                             .max_attempts = 1,
+                             .targets = &to[1],
+                             .ntargets = 1 };
+  r[2] = (struct tbl_route){ .name = STR ("safe"),
+                             .prefix = STR ("/c/"),
+                             .kind = TBL_IDEMPOTENT,
+                             .goal_ms = 200,
+                             .max_attempts = 2,
+                             .targets = &to[1],
+                             .ntargets = 1 };
+  t->services = s;
+  t->nservices = 2;
+  t->routes = r;
+  t->nroutes = 3;
+  return t;
+}
+
+static const struct tbl_route *
+find_route (const struct bench *b, const char *name)
+{
+  for (size_t i = 0; i < b->table->nroutes; i++)
+    if (str_is (b->table->routes[i].name, name))
+      return &b->table->routes[i];
+  cr_assert (false, "no route %s", name);
+  return NULL;
+}
+
+/* --- actions ----------------------------------------------------------- */
+
+static void
+log_send (struct bench *b, const struct dsp_action *a)
+{
+  b->attempt[a->id] = a->attempt;
+  buf_addf (&b->log, "send %d %.*s%s", (int)a->id, STR_ARG (a->server),
+            a->resume ? " resume" : "");
+  if (a->priority != 1)
+    buf_addf (&b->log, " p%u", a->priority);
+  buf_add_char (&b->log, '\n');
+}
+
+static void
+take_actions (struct bench *b)
+{
+  struct dsp_action a;
+
+  while (dsp_next (b->d, &a))
+    switch (a.kind)
+      {
+      case DSP_ACT_SEND:
+        log_send (b, &a);
+        break;
+      case DSP_ACT_CANCEL:
+        buf_addf (&b->log, "cancel %d\n", (int)a.id);
+        break;
+      case DSP_ACT_PASS:
+        buf_addf (&b->log, "pass %d\n", (int)a.id);
+        break;
+      case DSP_ACT_END:
+        buf_addf (&b->log, "end %d\n", (int)a.id);
+        break;
+      case DSP_ACT_ANSWER:
+        buf_addf (&b->log, "answer %d %s %d%s\n", (int)a.id,
+                  dsp_code_name (a.code), dsp_code_status (a.code),
+                  a.retry_ms ? " retry" : "");
+        break;
+      case DSP_ACT_CUT:
+        buf_addf (&b->log, "cut %d %s\n", (int)a.id, dsp_code_name (a.code));
+        break;
+      case DSP_ACT_FORGET:
+        break;
+      }
+}
+
+/* --- the script -------------------------------------------------------- */
+
+static void
+add_places (struct bench *b, const char *service, int n, unsigned capacity,
+            bool model)
+{
+  for (int i = 0; i < n; i++)
+    {
+      snprintf (b->names[b->n], sizeof b->names[0], "%s%d", service, i + 1);
+      b->places[b->n]
+          = (struct dsp_place){ .server = str_from (b->names[b->n]),
+                                .service = model ? STR ("lm") : STR ("app"),
+                                .model = model ? STR ("m") : STR_EMPTY,
+                                .zone = STR ("z"),
+                                .capacity = capacity,
+                                .accepting = true };
+      b->n++;
+    }
+  dsp_places (b->d, b->now, b->places, b->n);
+}
+
+static void
+ask (struct bench *b, uint64_t id, const char *route, bool late)
+{
+  const struct tbl_route *r = find_route (b, route);
+  struct dsp_request q = { .id = id,
+                           .route = r,
+                           .table = b->table,
+                           .service = r->targets[0].service,
+                           .deadline = b->now + 2000,
+                           .waited = late ? r->goal_ms : 0 };
+
+  if (r->kind == TBL_STREAM)
+    q.model = STR ("m");
+  dsp_arrive (b->d, b->now, &q);
+}
+
+static void
+others (struct bench *b, const char *place, unsigned n, unsigned begun)
+{
+  struct dsp_count c = { .place = dsp_place_hash (str_from (place), 0),
+                         .in_flight = n,
+                         .begun = begun,
+                         .heard = b->now };
+
+  dsp_peer_load (b->d, b->now, 7, &c, 1);
+}
+
+static void
+answer_event (struct bench *b, const char *word, uint64_t id)
+{
+  unsigned at = b->attempt[id];
+
+  if (strcmp (word, "sent") == 0)
+    dsp_sent (b->d, b->now, id, at);
+  else if (strcmp (word, "failed") == 0)
+    dsp_connect_failed (b->d, b->now, id, at);
+  else if (strcmp (word, "good") == 0)
+    dsp_head (b->d, b->now, id, at, DSP_HEAD_GOOD);
+  else if (strcmp (word, "error") == 0)
+    dsp_head (b->d, b->now, id, at, DSP_HEAD_ERROR);
+  else if (strcmp (word, "final") == 0)
+    dsp_head (b->d, b->now, id, at, DSP_HEAD_FINAL);
+  else if (strcmp (word, "unrun") == 0)
+    dsp_head (b->d, b->now, id, at, DSP_HEAD_UNRUN);
+  else if (strcmp (word, "event") == 0)
+    dsp_heard (b->d, b->now, id, at, true);
+  else if (strcmp (word, "whole") == 0)
+    dsp_whole (b->d, b->now, id, at);
+  else if (strcmp (word, "broken") == 0)
+    dsp_broken (b->d, b->now, id, at);
+  else if (strcmp (word, "gone") == 0)
+    dsp_gone (b->d, b->now, id);
+  else
+    cr_assert (false, "no such word: %s", word);
+}
+
+static void
+run (struct bench *b, int ms)
+{
+  for (int t = 0; t < ms; t += 20)
+    {
+      b->now += 20;
+      dsp_tick (b->d, b->now);
+      take_actions (b);
+    }
+}
+
+static void
+close_place (struct bench *b, const char *name)
+{
+  for (size_t i = 0; i < b->n; i++)
+    if (strcmp (b->names[i], name) == 0)
+      b->places[i].accepting = false;
+  dsp_places (b->d, b->now, b->places, b->n);
+}
+
+static void
+line (struct bench *b, const char *word, const char *x, const char *y,
+      const char *z)
+{
+  if (strcmp (word, "places") == 0 || strcmp (word, "streams") == 0)
+    add_places (b, x, atoi (y), (unsigned)atoi (z), word[0] == 's');
+  else if (strcmp (word, "closed") == 0)
+    close_place (b, x);
+  else if (strcmp (word, "nodes") == 0)
+    dsp_nodes (b->d, (unsigned)atoi (x));
+  else if (strcmp (word, "others") == 0)
+    others (b, x, (unsigned)atoi (y), (unsigned)atoi (z));
+  else if (strcmp (word, "ask") == 0 || strcmp (word, "late") == 0)
+    ask (b, (uint64_t)atoi (x), y, word[0] == 'l');
+  else if (strcmp (word, "run") == 0)
+    run (b, atoi (x));
+  else if (strcmp (word, "leave") == 0)
+    dsp_leave (b->d);
+  else
+    answer_event (b, word, (uint64_t)atoi (x));
+  take_actions (b);
+}
+
+void
+dispatch_play (const char *script, const char *expected)
+{
+  struct dsp_options opt = { .zone = STR ("z"),
+                             .retry_ratio = 0.2,
+                             .retry_slack = 10,
+                             .retry_window_ms = 10000,
+                             .stall_ms = 4000 };
+  struct bench b = { .now = 100000, .table = make_table () };
+  char *copy = xstrdup (script), *next = copy, *text;
+
+  b.d = dsp_new (&opt, 1);
+  while ((text = strsep (&next, "\n")) != NULL)
+    {
+      char word[16] = "", x[16] = "", y[16] = "", z[16] = "";
+      if (sscanf (text, " %15s %15s %15s %15s", word, x, y, z) > 0)
+        line (&b, word, x, y, z);
+    }
+  cr_expect_str_eq (buf_c (&b.log), expected, "got:\n%s\nexpected:\n%s",
+                    buf_c (&b.log), expected);
+  dsp_free (b.d);
+  tbl_unref (b.table);
+  buf_free (&b.log);
+  free (copy);
+}
--- /dev/null
+++ b/t/lib-dispatch.h
@@ -0,0 +1,25 @@
+/**
+ * @file
+ * The request core of a node on a platform, driven by a script.
+ *
+ *   places NAME N CAPACITY   N places NAME1.. of service NAME, of that
+ * capacity streams NAME N CAPACITY  the same with the model "m" closed PLACE
+ * it gets nothing new nodes N              nodes that share the budget of
+ * repeats others PLACE N BEGUN another node has N there, BEGUN of them streams
+ * that had an event just now ask ID ROUTE         a request; ROUTE is stream,
+ * once or safe late ID ROUTE        the same from a caller that has waited its
+ * goal before sent|failed|good|error|final|unrun|event|whole|broken|gone ID
+ *   run MS               time passes in steps of 20 ms
+ *   leave
+ *
+ * The log has a line for each action: "send ID PLACE [resume] [pN]" with the
+ * priority where it is not the usual, "cancel", "pass", "end", "cut CODE",
+ * "answer CODE STATUS [retry]".
+ */
+#ifndef LAPISLINE_T_LIB_DISPATCH_H
+#define LAPISLINE_T_LIB_DISPATCH_H
+
+/** Play @p script and compare the log with @p expected. */
+void dispatch_play (const char *script, const char *expected);
+
+#endif
--- a/t/t5910-attempt-chart.c
+++ b/t/t5910-attempt-chart.c
@@ -28,7 +28,7 @@
 static bool
 after (const struct chart *c, int event, bool out)
 {
-  if (is_event (c, event, "send"))
+  if (is_event (c, event, "send") || is_event (c, event, "sent"))
     return true;
   if (is_event (c, event, "refused_unrun")
       || is_event (c, event, "refused_final"))
@@ -124,3 +124,25 @@
   cr_expect (wrong_with ("\"retry\": \"retrying\"", "\"retry\": \"queued\""));
   cr_expect_not (wrong_with ("\"chart\"", "\"chart\""));
 }
+
+/* The same of a node's chart on a platform.  There "unrun" takes back only the
+   attempt that it answers; after an earlier one that may have run, the chart
+   is in states from which "not run" can't be reached at all. */
+Test (attempt_chart, not_run_means_not_run_on_a_platform)
+{
+  const struct chart *c = chart_embedded ("forward");
+  static const char *const never[]
+      = { "rewaiting", "reconnecting", "resent", "passing" };
+  bool wrong;
+
+  cr_expect_geq (walk (c, &wrong), chart_states (c));
+  cr_expect_not (wrong);
+  for (size_t i = 0; i < sizeof never / sizeof never[0]; i++)
+    for (int e = 0; e < chart_events (c); e++)
+      {
+        int next = chart_step (c, chart_state (c, never[i]), e);
+        cr_expect_neq (next, chart_state (c, "not_run"), "%s", never[i]);
+        cr_expect_neq (next, chart_state (c, "waiting"), "%s", never[i]);
+        cr_expect_neq (next, chart_state (c, "connecting"), "%s", never[i]);
+      }
+}
--- /dev/null
+++ b/t/t9201-dispatch.c
@@ -0,0 +1,148 @@
+/*
+ * The request core of a node on a platform; see t/lib-dispatch.h for the
+ * script.
+ */
+#include <criterion/criterion.h>
+
+#include "t/lib-dispatch.h"
+
+/* A stream and a call are sent, passed and ended. */
+Test (dispatch, life)
+{
+  dispatch_play ("streams s 1 4\n places p 1 4\n"
+                 "ask 1 stream\n sent 1\n good 1\n event 1\n event 1\n"
+                 "whole 1\n ask 2 once\n sent 2\n good 2\n whole 2\n",
+                 "send 1 s1\npass 1\nend 1\nsend 2 p1\nend 2\n");
+}
+
+/*
+ * A stream's replica breaks off after some events.  The stream goes on at the
+ * other one, ahead of all that wait there; a second break ends it visibly.
+ */
+Test (dispatch, a_stream_goes_on_elsewhere_once)
+{
+  dispatch_play ("streams s 2 4\n ask 1 stream\n sent 1\n good 1\n event 1\n"
+                 "broken 1\n sent 1\n good 1\n event 1\n broken 1\n",
+                 "send 1 s1\npass 1\ncancel 1\nsend 1 s2 resume p0\npass 1\n"
+                 "cancel 1\ncut 1 broken\n");
+}
+
+/*
+ * A call that must run once was sent, and its connection breaks.  It may have
+ * run: it goes nowhere else, and the caller is not told "not run".
+ */
+Test (dispatch, what_may_have_run_once_is_not_repeated)
+{
+  dispatch_play ("places p 2 4\n ask 1 once\n sent 1\n broken 1\n",
+                 "send 1 p1\ncancel 1\nanswer 1 broken 502\n");
+}
+
+/*
+ * The same, but the connection was never made, or the server says that it did
+ * not run the call: that is told, with when to come back.
+ */
+Test (dispatch, what_has_not_run_is_told_so)
+{
+  dispatch_play ("places p 2 4\n ask 1 once\n failed 1\n failed 1\n"
+                 "run 200\n ask 2 once\n sent 2\n unrun 2\n",
+                 "send 1 p1\nsend 1 p2\n"
+                 "answer 1 overload 503 retry\n"
+                 "send 2 p1\ncancel 2\nanswer 2 refused 503 retry\n");
+}
+
+/* An idempotent call meets an error and is tried at the other place; its
+   second error is passed on as it is. */
+Test (dispatch, an_error_is_tried_elsewhere)
+{
+  dispatch_play ("places p 2 4\n ask 1 safe\n sent 1\n error 1\n sent 1\n"
+                 "error 1\n whole 1\n",
+                 "send 1 p1\ncancel 1\nsend 1 p2\nend 1\n");
+}
+
+/* An idempotent call without an answer is tried elsewhere once its goal has
+   passed; a call that must run once waits to its deadline. */
+Test (dispatch, silence)
+{
+  dispatch_play ("places p 2 4\n ask 1 safe\n sent 1\n ask 2 once\n sent 2\n"
+                 "run 240\n sent 1\n good 1\n whole 1\n run 2000\n",
+                 "send 1 p1\nsend 2 p2\ncancel 1\nsend 1 p2\nend 1\n"
+                 "cancel 2\nanswer 2 deadline 504\n");
+}
+
+/*
+ * All slots are taken.  One more that can be on time is sent all the same, the
+ * rest waits there behind all others, and so does one whose caller has waited
+ * its goal before.  Beyond that requests wait here, and are refused while
+ * their callers can still come back.
+ */
+Test (dispatch, overload)
+{
+  dispatch_play ("streams s 1 2\n ask 1 stream\n ask 2 stream\n"
+                 "late 3 stream\n ask 4 stream\n ask 5 stream\n"
+                 "ask 6 stream\n ask 7 stream\n run 400\n",
+                 "send 1 s1\nsend 2 s1\nsend 3 s1 p9\nsend 4 s1\n"
+                 "send 5 s1 p9\nsend 6 s1 p9\nanswer 7 overload 503 retry\n");
+}
+
+/*
+ * A replica has lost a member: none of its streams moves.  They go on at the
+ * other replica after 400 ms, with those that wait for their first event, and
+ * new ones go there too; nobody is sent back before it answers again.
+ */
+Test (dispatch, a_stalled_replica_is_left)
+{
+  dispatch_play ("streams s 2 8\n others s2 4 0\n ask 1 stream\n sent 1\n"
+                 "good 1\n event 1\n ask 2 stream\n sent 2\n good 2\n"
+                 "event 2\n ask 3 stream\n sent 3\n others s1 4 4\n"
+                 "run 300\n ask 4 stream\n run 400\n",
+                 "send 1 s1\npass 1\nsend 2 s1\npass 2\nsend 3 s1\n"
+                 "send 4 s2\ncancel 3\nsend 3 s2\ncancel 2\n"
+                 "send 2 s2 resume p0\ncancel 1\nsend 1 s2 resume p0\n");
+}
+
+/*
+ * Another node still hears events from that replica: it is slow here by
+ * chance, and nothing is moved.
+ */
+Test (dispatch, others_hear_it)
+{
+  dispatch_play ("streams s 2 8\n ask 1 stream\n sent 1\n good 1\n event 1\n"
+                 "run 300\n others s1 4 4\n run 300\n"
+                 "others s1 4 4\n run 300\n",
+                 "send 1 s1\npass 1\n");
+}
+
+/* The budget of repeats is shared: of a slack of 10, four nodes have 2 each.
+ */
+Test (dispatch, repeats_keep_to_the_budget)
+{
+  dispatch_play ("places p 4 4\n nodes 4\n"
+                 "ask 1 safe\n sent 1\n error 1\n sent 1\n good 1\n whole 1\n"
+                 "ask 2 safe\n sent 2\n error 2\n sent 2\n good 2\n whole 2\n"
+                 "ask 3 safe\n sent 3\n error 3\n sent 3\n good 3\n whole 3\n",
+                 "send 1 p3\ncancel 1\nsend 1 p4\nend 1\n"
+                 "send 2 p1\ncancel 2\nsend 2 p2\nend 2\n"
+                 "send 3 p3\ncancel 3\nanswer 3 broken 502\n");
+}
+
+/* The caller leaves: the attempt ends at once, also one that only waits. */
+Test (dispatch, a_caller_that_leaves)
+{
+  dispatch_play ("streams s 1 1\n ask 1 stream\n sent 1\n good 1\n event 1\n"
+                 "gone 1\n ask 2 stream\n gone 2\n",
+                 "send 1 s1\npass 1\ncancel 1\nsend 2 s1\ncancel 2\n");
+}
+
+/* A node that stops refuses what comes later as not run. */
+Test (dispatch, leaving)
+{
+  dispatch_play ("places p 1 4\n ask 1 once\n leave\n ask 2 once\n sent 1\n"
+                 "good 1\n whole 1\n",
+                 "send 1 p1\nanswer 2 leaving 503 retry\nend 1\n");
+}
+
+/* Nothing is known that could serve: told after part of the goal. */
+Test (dispatch, no_place)
+{
+  dispatch_play ("ask 1 stream\n run 400\n", "answer 1 no-server 503 retry\n");
+}
--- /dev/null
+++ b/t/t9202-views.c
@@ -0,0 +1,249 @@
+/*
+ * What a node knows: events out of bytes, the list of backend servers, the
+ * configuration as the platform writes it.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/platform.h"
+#include "serve/backends.h"
+#include "serve/split.h"
+
+/* Bytes come in any pieces; events go out whole, each id once. */
+Test (split, events_out_of_any_pieces)
+{
+  static const char text[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "id: 2\ndata: again\n\nid: 3\ndata: c\n\nid: 4";
+  static const char expected[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                                 "id: 3\ndata: c\n\n";
+
+  for (size_t size = 1; size < sizeof text; size++)
+    {
+      struct spl s = { 0 };
+      struct buf out = BUF_INIT;
+      struct str left = STR (text);
+      for (; left.len > 0; left = str_skip (left, size))
+        spl_take (&s, str_head (left, size), &out);
+      cr_expect_str_eq (buf_c (&out), expected, "pieces of %zu: %s", size,
+                        buf_c (&out));
+      cr_expect_eq (s.last_id, 3);
+      buf_free (&out);
+      spl_free (&s);
+    }
+}
+
+static void
+add (struct bks_entry *e, const char *id, bool draining)
+{
+  *e = (struct bks_entry){ .id = str_from (id),
+                           .service = STR ("app"),
+                           .capacity = 4,
+                           .draining = draining };
+}
+
+static void
+expect_ids (const struct bks *b, const char *expected)
+{
+  struct buf text = BUF_INIT;
+  size_t n;
+  const struct bks_server *const *list = bks_list (b, &n);
+
+  for (size_t i = 0; i < n; i++)
+    buf_addf (&text, "%.*s ", STR_ARG (list[i]->e.id));
+  cr_expect_str_eq (buf_c (&text), expected, "%s", buf_c (&text));
+  buf_free (&text);
+}
+
+/*
+ * The store was away and entries lapsed.  Servers that are missing in the
+ * first lists after its return still count for about two seconds; one that is
+ * missing then is gone, as is one that is missing at other times.
+ */
+Test (backends, lapsed_entries_have_time_to_come_back)
+{
+  struct bks *b = bks_new ();
+  struct bks_entry e[3];
+
+  add (&e[0], "a", false);
+  add (&e[1], "b", false);
+  add (&e[2], "c", false);
+  cr_expect (bks_update (b, 1000, 1000, e, 3));
+  cr_expect_not (bks_update (b, 2000, 2000, e, 3));
+  cr_expect (bks_update (b, 3000, 3000, e, 2));
+  expect_ids (b, "a b ");
+  bks_unreadable (b, 4000);
+  bks_update (b, 9000, 9000, e, 1);
+  expect_ids (b, "a b ");
+  cr_expect_not (bks_settled (b, 9500));
+  bks_update (b, 11100, 11100, e, 1);
+  expect_ids (b, "a b ");
+  cr_expect (bks_update (b, 11300, 11300, e, 1));
+  expect_ids (b, "a ");
+  cr_expect (bks_settled (b, 11300));
+  bks_free (b);
+}
+
+/* Another node tells what has changed: the same list results. */
+Test (backends, changes_lead_to_the_same_list)
+{
+  struct bks *from = bks_new (), *to = bks_new ();
+  struct bks_entry e[3];
+  const struct str *gone;
+  uint64_t version;
+  size_t n;
+
+  add (&e[0], "a", false);
+  add (&e[1], "b", false);
+  bks_update (from, 1000, 1000, e, 2);
+  bks_update (to, 1000, 1000, e, 2);
+  version = bks_version (from);
+  add (&e[1], "c", false);
+  add (&e[0], "a", true);
+  bks_update (from, 2000, 2000, e, 2);
+  cr_assert (bks_gone_since (from, version, &gone, &n));
+  cr_expect_eq (n, 1);
+  cr_expect (bks_apply (to, 2000, 2000, e, 2, gone, n));
+  expect_ids (to, "a c ");
+  cr_expect (bks_find (to, STR ("a"))->e.draining);
+  bks_free (from);
+  bks_free (to);
+}
+
+#define SERVICE                                                               \
+  "\"services\": [{\"name\": \"lm\", \"engine\": {\"capacity\": 8, "          \
+  "\"models\": [{\"name\": \"m\", \"size\": 2}]}}, {\"name\": \"app\"}]"
+
+static struct str
+entry (char *out, size_t size, const char *id, const char *rest)
+{
+  return str_make (
+      out, (size_t)snprintf (
+               out, size,
+               "{\"service\":\"lm\",\"address\":\"10.0.0.1:80\","
+               "\"capacity\":8,\"state\":\"%s\",\"models\":[{\"name\":\"m\"}],"
+               "\"group\":{\"name\":\"r1\",\"epoch\":5,%s}}",
+               strcmp (id, "d") == 0 ? "draining" : "ready", rest));
+}
+
+/* A replica takes requests only while all its members are there, ready under
+   its generation, and none of them leaves. */
+Test (backends, a_replica_counts_only_when_whole)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t = plt_table (STR ("{\"version\": 1, " SERVICE "}"), &findings);
+  struct bks *b = bks_new ();
+  struct arena text = { 0 };
+  struct bks_entry e[2];
+  char json[512];
+  size_t n;
+
+  cr_assert_not_null (t);
+  cr_assert (plt_server (
+      STR ("servers/h"),
+      entry (json, sizeof json, "h", "\"rank\":0,\"state\":\"open\""), &text,
+      &e[0]));
+  bks_update (b, 1000, 1000, e, 1);
+  cr_expect_not (bks_places (b, t, &n)[0].accepting);
+  cr_expect_eq (n, 1);
+  cr_assert (plt_server (
+      STR ("servers/k"),
+      entry (json, sizeof json, "k", "\"rank\":1,\"state\":\"ready\""), &text,
+      &e[1]));
+  bks_update (b, 2000, 2000, e, 2);
+  cr_expect (bks_places (b, t, &n)[0].accepting);
+  cr_assert (plt_server (
+      STR ("servers/k"),
+      entry (json, sizeof json, "d", "\"rank\":1,\"state\":\"ready\""), &text,
+      &e[1]));
+  bks_update (b, 3000, 3000, e, 2);
+  cr_expect_not (bks_places (b, t, &n)[0].accepting);
+  arena_free (&text);
+  bks_free (b);
+  tbl_unref (t);
+}
+
+/* Routes by host and longest prefix, split by weight; keys of accounts. */
+Test (table, look_ups)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t = plt_table (
+      STR (
+          "{\"version\": 3, \"new_field\": 1, " SERVICE ", \"routes\": ["
+          "{\"name\": \"a\", \"host\": \"h\", \"prefix\": \"/x/\","
+          " \"kind\": \"idempotent\", \"service\": \"app\"},"
+          "{\"name\": \"b\", \"host\": \"h\", \"prefix\": \"/x/y/\","
+          " \"kind\": \"streaming\", \"split\": [{\"service\": \"app\","
+          " \"weight\": 1}, {\"service\": \"lm\", \"weight\": 3}]}],"
+          "\"tenants\": [{\"name\": \"t\", \"api_keys\": [\"k1\", \"k2\"]}]}"),
+      &findings);
+
+  cr_assert_not_null (t);
+  cr_expect (
+      str_is (tbl_find_route (t, STR ("h"), STR ("/x/y/z"))->name, "b"));
+  cr_expect (str_is (tbl_find_route (t, STR ("h"), STR ("/x/z"))->name, "a"));
+  cr_expect_null (tbl_find_route (t, STR ("h"), STR ("/x")));
+  cr_expect_null (tbl_find_route (t, STR ("g"), STR ("/x/z")));
+  const struct tbl_route *b = tbl_find_route (t, STR ("h"), STR ("/x/y/"));
+  cr_expect (str_is (tbl_pick_service (b, 0.2)->name, "app"));
+  cr_expect (str_is (tbl_pick_service (b, 0.3)->name, "lm"));
+  cr_expect (str_is (tbl_find_account (t, STR ("k2"))->name, "t"));
+  cr_expect_null (tbl_find_account (t, STR ("k3")));
+  cr_expect_null (tbl_find_account (t, STR_EMPTY));
+  tbl_unref (t);
+}
+
+/* Every fault of a configuration is found at once, with its place. */
+Test (table, findings)
+{
+  struct fnd_list findings = { 0 };
+  struct buf text = BUF_INIT;
+
+  cr_expect_null (
+      plt_table (STR ("{\"version\": 3, \"services\": [{}], \"routes\": ["
+                      "{\"kind\": \"odd\", \"service\": \"none\"}]}"),
+                 &findings));
+  fnd_print (&findings, &text);
+  cr_expect_str_eq (buf_c (&text),
+                    "/services/0: error: has no name\n"
+                    "/routes/0: error: has no kind that is known\n"
+                    "/routes/0: error: goes to no service that is known\n",
+                    "%s", buf_c (&text));
+  cr_expect_null (plt_table (STR ("[1"), &findings));
+  fnd_free (&findings);
+  buf_free (&text);
+}
+
+/* Headers to a backend server: the account in place of the key, nothing of
+   the caller's connection, and no account of the caller's own making. */
+Test (caller, headers)
+{
+  static const struct http_header in[]
+      = { { { "x-api-key", 9 }, { "k", 1 } },
+          { { "x-lapisline-tenant", 18 }, { "forged", 6 } },
+          { { "connection", 10 }, { "x-drop, close", 13 } },
+          { { "x-drop", 6 }, { "1", 1 } },
+          { { "last-event-id", 13 }, { "3", 1 } },
+          { { "x-keep", 6 }, { "2", 1 } } };
+  struct srv_forward f = { .host = STR ("h"),
+                           .server = STR ("i-1"),
+                           .account = STR ("acc"),
+                           .left_ms = 900,
+                           .priority = 2,
+                           .last_event = STR ("7") };
+  struct srv_headers out = { 0 };
+  struct buf text = BUF_INIT;
+
+  cr_assert (plt_forward (in, sizeof in / sizeof in[0], &f, &out));
+  for (size_t i = 0; i < out.n; i++)
+    buf_addf (&text, "%.*s: %.*s\n", STR_ARG (out.list[i].name),
+              STR_ARG (out.list[i].value));
+  cr_expect_str_eq (buf_c (&text),
+                    "host: h\nx-keep: 2\nx-lapisline-deadline-ms: 900\n"
+                    "x-lapisline-expect-instance: i-1\n"
+                    "x-lapisline-tenant: acc\n"
+                    "x-lapisline-request-priority: 2\nlast-event-id: 7\n",
+                    "%s", buf_c (&text));
+  srv_headers_free (&out);
+  buf_free (&text);
+}
