--- a/t/t5910-attempt-chart.c
+++ b/t/t5910-attempt-chart.c
@@ -31,7 +31,7 @@
   if (is_event (c, event, "send") || is_event (c, event, "sent"))
     return true;
   if (is_event (c, event, "refused_unrun")
-      || is_event (c, event, "refused_final"))
+      || is_event (c, event, "refused_final") || is_event (c, event, "unrun"))
     return false;
   return out;
 }
