--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -231,6 +231,10 @@
 {
   struct dsp_req *next;
 
+  struct dsp_action *note = dsp_act (d, DSP_ACT_STALLED, NULL);
+
+  note->server = str_from (s->id);
+  note->left_ms = d->now - s->heard;
   s->stalled = true;
   s->stalled_at = d->now;
   d->figures.stalls++;
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -171,6 +171,7 @@
 };
 
 /* dispatch.c */
+/** @param q  NULL: it concerns no request */
 struct dsp_action *dsp_act (struct dsp *d, enum dsp_action_kind kind,
                             const struct dsp_req *q);
 /** Hand waiting requests to places that have room. */
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -98,8 +98,11 @@
   d->act_n++;
   memset (a, 0, sizeof *a);
   a->kind = kind;
-  a->id = q->id;
-  a->attempt = q->attempt;
+  if (q)
+    {
+      a->id = q->id;
+      a->attempt = q->attempt;
+    }
   return a;
 }
 
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -95,7 +95,9 @@
   DSP_ACT_END,    /**< id, attempt: its answer is whole; deliver the rest */
   DSP_ACT_ANSWER, /**< id, code, retry_ms: an error answer of our own */
   DSP_ACT_CUT,    /**< id, code: end the passed answer visibly cut */
-  DSP_ACT_FORGET  /**< id: nothing more will come */
+  DSP_ACT_FORGET, /**< id: nothing more will come */
+  DSP_ACT_STALLED /**< server, left_ms: nothing has moved there for so long;
+                       for the log, its requests follow by themselves */
 };
 
 struct dsp_action
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -74,11 +74,22 @@
     httpc_cancel (at->call);
   free (at->head.list);
   buf_free (&at->head.text);
+  free (at->server);
   buf_free (&at->body);
   spl_free (&at->split);
   free (at);
 }
 
+/** An attempt that brought no whole answer, and why. */
+static void
+log_lost (const struct srv_attempt *at, const char *why)
+{
+  LOG (attempt_lost, LOG_S ("id", at->ex->call.id),
+       LOG_I ("attempt", at->number), LOG_C ("server", at->server),
+       LOG_C ("why", why), LOG_I ("status", at->head.status),
+       LOG_I ("passed", at->passing), LOG_I ("ms", clk_now () - at->since));
+}
+
 static bool
 on_connected (void *ctx)
 {
@@ -126,11 +137,16 @@
 
   s->ad->answer (ex->call.id, status, h, n, &at->answer);
   head_keep (s, &at->head, status, h, n);
+  if (at->answer.unrun || status >= 500)
+    log_lost (at, at->answer.unrun ? "not-run" : "error");
   if (is_answer (at, status))
     dsp_head (s->dispatch, clk_now (), ex->id, at->number,
               head_of (at, status));
   else
-    dsp_broken (s->dispatch, clk_now (), ex->id, at->number);
+    {
+      log_lost (at, "no-answer-to-this");
+      dsp_broken (s->dispatch, clk_now (), ex->id, at->number);
+    }
   srv_act (s);
 }
 
@@ -199,17 +215,22 @@
     {
     case HTTPC_WHOLE:
     case HTTPC_UNBOUNDED: /* closed in order, without a length */
-      if (at->head.status == 0 || (is_stream (at) && at->split.rest.len > 0))
-        dsp_broken (s->dispatch, now, ex->id, at->number);
-      else
-        dsp_whole (s->dispatch, now, ex->id, at->number);
+      if (at->head.status != 0 && !(is_stream (at) && at->split.rest.len > 0))
+        {
+          dsp_whole (s->dispatch, now, ex->id, at->number);
+          break;
+        }
+      log_lost (at, "cut-in-an-event");
+      dsp_broken (s->dispatch, now, ex->id, at->number);
       break;
     case HTTPC_CONNECT_FAILED:
     case HTTPC_STOPPED:
+      log_lost (at, "no-connection");
       dsp_connect_failed (s->dispatch, now, ex->id, at->number);
       break;
     case HTTPC_BROKEN:
     case HTTPC_SILENT:
+      log_lost (at, end == HTTPC_SILENT ? "silent" : "broken");
       dsp_broken (s->dispatch, now, ex->id, at->number);
       break;
     }
@@ -270,6 +291,8 @@
   if (ex->servers.len)
     buf_add_char (&ex->servers, ' ');
   buf_add (&ex->servers, a->server);
+  at->server = str_dup (a->server);
+  at->since = clk_now ();
   at->ex = ex;
   at->number = a->attempt;
   at->next = ex->attempts;
@@ -413,6 +436,8 @@
     case DSP_ACT_FORGET:
       srv_exchange_free (ex);
       break;
+    case DSP_ACT_STALLED:
+      break; /* concerns no request */
     }
 }
 
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -30,6 +30,8 @@
   struct buf body;  /**< not passed on yet */
   struct spl split; /**< of a stream */
   bool passing;
+  char *server; /**< id */
+  clk_ms since;
 };
 
 struct srv_exchange
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -41,7 +41,10 @@
   while (dsp_next (s->dispatch, &a))
     {
       struct srv_exchange *ex = srv_find (s, a.id);
-      if (ex)
+      if (a.kind == DSP_ACT_STALLED)
+        LOG (place_stalled, LOG_S ("server", a.server),
+             LOG_I ("silent_ms", a.left_ms));
+      else if (ex)
         srv_exchange_act (ex, &a);
     }
   s->acting = false;
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -115,6 +115,9 @@
         break;
       case DSP_ACT_FORGET:
         break;
+      case DSP_ACT_STALLED:
+        buf_addf (&b->log, "stalled %.*s\n", STR_ARG (a.server));
+        break;
       }
 }
 
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -96,7 +96,7 @@
                  "event 2\n ask 3 stream\n sent 3\n others s1 4 4\n"
                  "run 300\n ask 4 stream\n run 400\n",
                  "send 1 s1\npass 1\nsend 2 s1\npass 2\nsend 3 s1\n"
-                 "send 4 s2\ncancel 3\nsend 3 s2\ncancel 2\n"
+                 "send 4 s2\nstalled s1\ncancel 3\nsend 3 s2\ncancel 2\n"
                  "send 2 s2 resume p0\ncancel 1\nsend 1 s2 resume p0\n");
 }
 
