Look at time from the last tick, not from the last event

A tick was due 20 ms after the last event of any kind, and events come every few milliseconds, so it hardly ever came. Ruled out: what others hear (silent_ms gave the crash's own time).

Change: it is due 20 ms after the last tick. t9201's time_is_looked_at_among_many_events was red before.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -152,6 +152,7 @@
   char *zone;
   struct rng rng;
   clk_ms now;
+  clk_ms ticked_at; /**< time was looked at last */
   unsigned nodes;
   bool leaving;
   struct dsp_pool **pools;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -715,7 +715,7 @@
 {
   struct dsp_req *next;
 
-  d->now = now;
+  d->now = d->ticked_at = now;
   dsp_health_tick (d);
   /* A step may end its own request and send others, but ends no other one. */
   for (struct dsp_req *q = d->open_list; q; q = next)
@@ -730,7 +730,9 @@
 clk_ms
 dsp_wake (const struct dsp *d)
 {
-  return d->open ? d->now + TICK_MS : CLK_NEVER;
+  /* From the last tick, not from the last event: of these there are so many
+     that a tick would never be due. */
+  return d->open ? d->ticked_at + TICK_MS : CLK_NEVER;
 }
 
 /* --- life -------------------------------------------------------------- */
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -209,6 +209,19 @@
     }
 }
 
+static void
+busy (struct bench *b, int ms, uint64_t id)
+{
+  for (int t = 0; t < ms; t += 10)
+    {
+      b->now += 10;
+      dsp_heard (b->d, b->now, id, b->attempt[id], true);
+      if (b->now >= dsp_wake (b->d))
+        dsp_tick (b->d, b->now);
+      take_actions (b);
+    }
+}
+
 static void
 close_place (struct bench *b, const char *name)
 {
@@ -234,6 +247,8 @@
     ask (b, (uint64_t)atoi (x), y, word[0] == 'l');
   else if (strcmp (word, "run") == 0)
     run (b, atoi (x));
+  else if (strcmp (word, "busy") == 0)
+    busy (b, atoi (x), (uint64_t)atoi (y));
   else if (strcmp (word, "leave") == 0)
     dsp_leave (b->d);
   else
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -146,3 +146,17 @@
 {
   dispatch_play ("ask 1 stream\n run 400\n", "answer 1 no-server 503 retry\n");
 }
+
+/*
+ * Other streams have events all the time, more often than a tick.  A place
+ * where nothing moves is seen all the same; counted from the last event, a
+ * tick was never due, and it took seconds.
+ */
+Test (dispatch, time_is_looked_at_among_many_events)
+{
+  dispatch_play ("streams s 2 8\n ask 1 stream\n sent 1\n good 1\n event 1\n"
+                 "ask 2 stream\n sent 2\n good 2\n event 2\n"
+                 "busy 1000 2\n",
+                 "send 1 s1\npass 1\nsend 2 s2\npass 2\nstalled s1\n"
+                 "cancel 1\nsend 1 s2 resume p0\n");
+}
