Let more wait at the places, refuse at once where there is none

Change: up to 1.9 of a place's slots wait there; a request waits at the node for an eighth of its goal only. t9201's overload script has one more request, as four instead of three wait at a place of two slots.

--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -12,11 +12,12 @@
 
 /**
  * And those that wait there behind all others, for what is left over, in parts
- * of its slots; its own queue is twice its slots or more.  One that waits at a
- * backend server gets the first slot that nobody else needs; waiting at a node
- * it would get it later, and the price of being held.
+ * of its slots; its own queue is twice its slots, and a little is left of it
+ * for what other nodes send meanwhile.  One that waits at a backend server
+ * gets the first slot that nobody else needs; waiting at a node it would get
+ * it later, and the price of being held.
  */
-#define PATIENT_PART 1.5
+#define PATIENT_PART 1.9
 
 /** What a request without a first event weighs beside one that has it. */
 #define UNREAD 3.0
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -15,9 +15,13 @@
     can't be reached says that the fault is on this node's side. */
 #define CONNECTS_MOST 3
 
-/** Of a request's goal: how long it may wait here for a place.  What waits
-    longer would be late, and the caller, told at once, can come back. */
-#define WAIT_PART 0.75
+/**
+ * Of a request's goal: how long it may wait here for a place.  There is none
+ * only when all have their slots and their waiting room taken, or none is
+ * usable; that does not pass within a goal, and the caller, told at once, can
+ * come back when it has.
+ */
+#define WAIT_PART 0.12
 
 /** Priorities at backend servers: of streams that go on there after a pause,
     of what waits for the rest, and the last of all others. */
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -79,9 +79,10 @@
 {
   dispatch_play ("streams s 1 2\n ask 1 stream\n ask 2 stream\n"
                  "late 3 stream\n ask 4 stream\n ask 5 stream\n"
-                 "ask 6 stream\n ask 7 stream\n run 400\n",
+                 "ask 6 stream\n ask 7 stream\n ask 8 stream\n run 60\n",
                  "send 1 s1\nsend 2 s1\nsend 3 s1 p9\nsend 4 s1\n"
-                 "send 5 s1 p9\nsend 6 s1 p9\nanswer 7 overload 503 retry\n");
+                 "send 5 s1 p9\nsend 6 s1 p9\nsend 7 s1 p9\n"
+                 "answer 8 overload 503 retry\n");
 }
 
 /*
