--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -292,25 +292,24 @@
   return best;
 }
 
-/** The model with the most members for each VM that could take the place of
-    one, this next one included; the one with more members of two. */
+/** The model with the fewest VMs to spare for the members that may be lost;
+    of two, the one with more members. */
 static size_t
 least_covered (const struct domain *d)
 {
   size_t best = d->s->nmodels;
-  double most = 0, members_best = 0;
+  double least = 0, members_best = 0;
 
   for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
     {
       double members = (double)d->want[k] * d->s->models[k].size;
-      double spare = d->warm[k] > missing (d, k)
-                         ? (double)(d->warm[k] - missing (d, k))
-                         : 0;
-      double x = members / (spare + 1);
-      if (x < most || (x <= most && members <= members_best))
+      double spare = (double)d->warm[k] - missing (d, k);
+      double x = members > 0 ? spare / members : 1e9;
+      if (best < d->s->nmodels
+          && (x > least || (x >= least && members <= members_best)))
         continue;
       best = k;
-      most = x;
+      least = x;
       members_best = members;
     }
   return best;
