--- a/base/str.c
+++ b/base/str.c
@@ -57,6 +57,23 @@
   return at ? (size_t)(at - s.ptr) : s.len;
 }
 
+size_t
+str_past_empty_line (struct str s, size_t from)
+{
+  for (size_t i = from; i + 1 < s.len; i++)
+    {
+      const char *nl = memchr (s.ptr + i, '\n', s.len - i);
+      if (!nl)
+        return 0;
+      i = (size_t)(nl - s.ptr);
+      if (i + 1 < s.len && s.ptr[i + 1] == '\n')
+        return i + 2;
+      if (i + 2 < s.len && s.ptr[i + 1] == '\r' && s.ptr[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
 struct str
 str_skip (struct str s, size_t n)
 {
--- a/base/str.h
+++ b/base/str.h
@@ -68,6 +68,13 @@
 /** Offset of the first @p c, or s.len when there is none. */
 size_t str_chr (struct str s, char c);
 
+/**
+ * Offset behind the first empty line, which ends a head or an event; 0: there
+ * is none.
+ * @param from  where the search may begin
+ */
+size_t str_past_empty_line (struct str s, size_t from);
+
 /** The view without its first @p n bytes (at most all of them). */
 struct str str_skip (struct str s, size_t n);
 
--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -112,24 +112,6 @@
 
 /* --- what comes in ----------------------------------------------------- */
 
-/** Offset behind the empty line that ends a head; 0: it is not there yet. */
-static size_t
-end_of_head (struct str s)
-{
-  for (size_t i = 0; i + 1 < s.len; i++)
-    {
-      const char *nl = memchr (s.ptr + i, '\n', s.len - i);
-      if (nl == NULL)
-        return 0;
-      i = (size_t)(nl - s.ptr);
-      if (i + 1 < s.len && s.ptr[i + 1] == '\n')
-        return i + 2;
-      if (i + 2 < s.len && s.ptr[i + 1] == '\r' && s.ptr[i + 2] == '\n')
-        return i + 3;
-    }
-  return 0;
-}
-
 static bool
 is_named (struct str line, const char *name, struct str *value)
 {
@@ -167,7 +149,7 @@
 {
   size_t end;
 
-  while ((end = end_of_head (input)) > 0)
+  while ((end = str_past_empty_line (input, 0)) > 0)
     {
       if (!framing_ok (str_head (input, end)))
         return false;
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -3,6 +3,7 @@
  * Inner structures of the request core.
  *
  *   dispatch.c        a request's life by charts/forward.json
+ *   dispatch-wait.c   what waits here, and whose turn it is
  *   dispatch-place.c  places, what others have there, which one is next
  *   dispatch-health.c places that fail, stall or fall silent
  *   dispatch-retry.c  the share of the fleet's budget of repeats
@@ -175,11 +176,18 @@
 /** @param q  NULL: it concerns no request */
 struct dsp_action *dsp_act (struct dsp *d, enum dsp_action_kind kind,
                             const struct dsp_req *q);
-/** Hand waiting requests to places that have room. */
-void dsp_pump (struct dsp *d, struct dsp_pool *p);
+/** A step of the chart; one that it refuses ends the process. */
+void dsp_step (struct dsp_req *q, enum dsp_step x);
 /** The attempt is given up; the request goes elsewhere if it may. */
 void dsp_attempt_lost (struct dsp *d, struct dsp_req *q, enum dsp_code code);
 
+/* dispatch-wait.c */
+void dsp_enqueue (struct dsp *d, struct dsp_req *q, bool front);
+/** Take it out, if it waits. */
+void dsp_dequeue (struct dsp_req *q);
+/** Hand waiting requests to places that have room. */
+void dsp_pump (struct dsp *d, struct dsp_pool *p);
+
 /* dispatch-place.c */
 struct dsp_pool *dsp_pool_of (struct dsp *d, struct str service,
                               struct str model);
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -23,12 +23,6 @@
  */
 #define WAIT_PART 0.12
 
-/** Priorities at backend servers: of streams that go on there after a pause,
-    of what waits for the rest, and the last of all others. */
-#define PRIORITY_URGENT 0
-#define PRIORITY_PATIENT 9
-#define PRIORITY_LAST 8
-
 /** When to come back after a refusal: about the time that a few places need
     to become free. */
 #define RETRY_LEAST_MS ((clk_ms)150)
@@ -72,8 +66,8 @@
 
 /** A step that the chart refuses is a fault of ours; going on would give the
     caller a word that nobody can trust. */
-static void
-step (struct dsp_req *q, enum dsp_step x)
+void
+dsp_step (struct dsp_req *q, enum dsp_step x)
 {
   int to = table[q->state][x];
 
@@ -206,146 +200,6 @@
   d->open--;
 }
 
-/* --- waiting ----------------------------------------------------------- */
-
-static void
-enqueue (struct dsp *d, struct dsp_req *q, bool front)
-{
-  struct dsp_pool *p = q->pool;
-
-  q->queued = true;
-  q->queued_at = d->now;
-  q->before = front ? NULL : p->last;
-  q->after = front ? p->first : NULL;
-  if (q->before)
-    q->before->after = q;
-  else
-    p->first = q;
-  if (q->after)
-    q->after->before = q;
-  else
-    p->last = q;
-  p->waiting++;
-}
-
-static void
-dequeue (struct dsp_req *q)
-{
-  struct dsp_pool *p = q->pool;
-
-  if (!q->queued)
-    return;
-  q->queued = false;
-  if (q->before)
-    q->before->after = q->after;
-  else
-    p->first = q->after;
-  if (q->after)
-    q->after->before = q->before;
-  else
-    p->last = q->before;
-  q->before = q->after = NULL;
-  p->waiting--;
-}
-
-/** Whether it can't meet its goal any more, begun now. */
-static bool
-is_late (const struct dsp *d, const struct dsp_req *q)
-{
-  return d->now + (clk_ms)q->pool->begin_ms > q->goal;
-}
-
-/**
- * Those that can still meet their goal go before those that can't: an answer
- * that is late anyway loses nothing by waiting, and one that waits behind it
- * loses most of its worth.  Then the more urgent, then the elder.
- */
-static bool
-goes_before (const struct dsp *d, const struct dsp_req *a,
-             const struct dsp_req *b)
-{
-  bool late_a = is_late (d, a) && !a->passing;
-  bool late_b = is_late (d, b) && !b->passing;
-
-  if (late_a != late_b)
-    return !late_a;
-  if (a->passing != b->passing)
-    return a->passing;
-  if (a->priority != b->priority)
-    return a->priority < b->priority;
-  return a->arrived < b->arrived;
-}
-
-/** The next waiting request that @p skip does not mark. */
-static struct dsp_req *
-next_waiting (const struct dsp *d, const struct dsp_pool *p,
-              bool without_tried)
-{
-  struct dsp_req *best = NULL;
-
-  for (struct dsp_req *q = p->first; q; q = q->after)
-    if (!(without_tried && q->ntried) && (!best || goes_before (d, q, best)))
-      best = q;
-  return best;
-}
-
-static unsigned
-server_priority (const struct dsp_req *q)
-{
-  unsigned p = q->priority + 1;
-
-  if (q->passing)
-    return PRIORITY_URGENT;
-  if (q->patient)
-    return PRIORITY_PATIENT;
-  return p < PRIORITY_LAST ? p : PRIORITY_LAST;
-}
-
-static void
-dispatch (struct dsp *d, struct dsp_req *q, struct dsp_server *s, bool patient)
-{
-  struct dsp_action *a;
-
-  dequeue (q);
-  step (q, DSP_X_CONNECT);
-  q->server = s;
-  q->attempt++;
-  q->begun = false;
-  s->own++;
-  q->patient = patient;
-  s->patient += patient;
-  if (s->ejected_until || s->stalled)
-    s->probing = q->probe = true;
-  a = dsp_act (d, DSP_ACT_SEND, q);
-  a->addr = s->addr;
-  a->server = str_from (s->id);
-  a->left_ms = q->deadline - d->now;
-  /* An idle connection may have been closed or gone silent unseen; what can't
-     be sent twice must not be the one to find out. */
-  a->fresh = !q->repeatable;
-  a->resume = q->passing;
-  a->priority = server_priority (q);
-}
-
-void
-dsp_pump (struct dsp *d, struct dsp_pool *p)
-{
-  struct dsp_req *q;
-  bool without_tried = false;
-
-  while ((q = next_waiting (d, p, without_tried)) != NULL)
-    {
-      bool patient = false;
-      struct dsp_server *s = dsp_choose (d, p, q, &patient);
-      if (s)
-        dispatch (d, q, s, patient);
-      else if (q->ntried == 0 || without_tried)
-        return;
-      else
-        without_tried = true; /* what is left may do for others */
-    }
-}
-
 /* --- the end of an attempt --------------------------------------------- */
 
 static void
@@ -386,7 +240,7 @@
 {
   struct dsp_pool *p = q->pool;
 
-  dequeue (q);
+  dsp_dequeue (q);
   leave_server (q);
   dsp_act (d, DSP_ACT_FORGET, q);
   free_request (d, q);
@@ -447,11 +301,11 @@
   cancel_attempt (d, q);
   if (may_have_run (q))
     {
-      step (q, DSP_X_FAIL);
+      dsp_step (q, DSP_X_FAIL);
       answer (d, q, ran, 0);
       return;
     }
-  step (q, DSP_X_REFUSE);
+  dsp_step (q, DSP_X_REFUSE);
   answer (d, q, unrun, retry_ms);
 }
 
@@ -460,7 +314,7 @@
 {
   struct dsp_pool *p = q->pool;
 
-  enqueue (d, q, true);
+  dsp_enqueue (d, q, true);
   dsp_pump (d, p);
 }
 
@@ -484,7 +338,7 @@
       return;
     }
   d->figures.resumed += q->passing;
-  step (q, DSP_X_RETRY);
+  dsp_step (q, DSP_X_RETRY);
   again (d, q);
 }
 
@@ -498,7 +352,7 @@
   d->now = now;
   if (!q || (q->state != DSP_S_CONNECTING && q->state != DSP_S_RECONNECTING))
     return false;
-  step (q, DSP_X_SENT);
+  dsp_step (q, DSP_X_SENT);
   q->sends++;
   q->sent_at = q->heard = now;
   q->unbegun = true;
@@ -520,7 +374,7 @@
   dsp_health_bad (d, q->server);
   avoid (q);
   leave_server (q);
-  step (q, DSP_X_UNRUN);
+  dsp_step (q, DSP_X_UNRUN);
   if (++q->connects_failed >= CONNECTS_MOST)
     give_up (d, q, DSP_CONNECT, DSP_BROKEN);
   else
@@ -537,7 +391,7 @@
   s->full_until = d->now + TICK_MS;
   avoid (q);
   cancel_attempt (d, q);
-  step (q, DSP_X_UNRUN);
+  dsp_step (q, DSP_X_UNRUN);
   if (more)
     again (d, q);
   else
@@ -583,7 +437,7 @@
   dsp_health_begun (d, q->server, d->now - q->sent_at);
   if (q->state == DSP_S_PASSING)
     return;
-  step (q, DSP_X_PASS);
+  dsp_step (q, DSP_X_PASS);
   q->passing = true;
   dsp_act (d, DSP_ACT_PASS, q);
 }
@@ -622,7 +476,7 @@
   dsp_health_good (d, q->server);
   ms = (double)(now - q->sent_at);
   q->pool->run_ms += (q->pool->run_ms > 0 ? 0.05 : 1) * (ms - q->pool->run_ms);
-  step (q, DSP_X_WHOLE);
+  dsp_step (q, DSP_X_WHOLE);
   dsp_act (d, DSP_ACT_END, q);
   forget (d, q);
 }
@@ -653,13 +507,13 @@
   d->figures.arrived++;
   if (d->leaving)
     {
-      step (q, DSP_X_REFUSE);
+      dsp_step (q, DSP_X_REFUSE);
       answer (d, q, DSP_LEAVING, RETRY_LEAST_MS);
       return;
     }
   dsp_budget_request (d, q->pool);
-  step (q, DSP_X_WAIT);
-  enqueue (d, q, false);
+  dsp_step (q, DSP_X_WAIT);
+  dsp_enqueue (d, q, false);
   dsp_pump (d, q->pool);
 }
 
--- a/serve/split.c
+++ b/serve/split.c
@@ -1,32 +1,11 @@
 #include "serve/split.h"
 
-#include <string.h>
-
 void
 spl_free (struct spl *s)
 {
   buf_free (&s->rest);
 }
 
-/** Length of the first whole event with the empty line that ends it; 0: there
-    is none.  @p from: where the search may begin. */
-static size_t
-event_length (struct str s, size_t from)
-{
-  for (size_t i = from; i + 1 < s.len; i++)
-    {
-      const char *nl = memchr (s.ptr + i, '\n', s.len - i);
-      if (!nl)
-        return 0;
-      i = (size_t)(nl - s.ptr);
-      if (i + 1 < s.len && s.ptr[i + 1] == '\n')
-        return i + 2;
-      if (i + 2 < s.len && s.ptr[i + 1] == '\r' && s.ptr[i + 2] == '\n')
-        return i + 3;
-    }
-  return 0;
-}
-
 /** Value of the event's "id" line. */
 static bool
 event_id (struct str event, int64_t *id)
@@ -66,7 +45,7 @@
 
   buf_add (&s->rest, bytes);
   all = buf_str (&s->rest);
-  while ((len = event_length (str_skip (all, used), from)) > 0)
+  while ((len = str_past_empty_line (str_skip (all, used), from)) > 0)
     {
       n += take_event (s, str_make (all.ptr + used, len), out);
       used += len;
