--- a/builtin/serve.c
+++ b/builtin/serve.c
@@ -45,6 +45,8 @@
       fputs ("lapisline serve: --log-format is json or text, and there are "
              "no arguments\n",
              stderr);
+      g_free (settings);
+      g_free (format);
       return EXIT_USAGE;
     }
   opt.settings = settings;
--- a/serve/node.c
+++ b/serve/node.c
@@ -231,7 +231,13 @@
   LOG (serve_stopped, LOG_I ("open", dsp_open (s->dispatch)));
   code = EXIT_DONE;
 done:
-  /* The kernel takes memory and sockets back with the process. */
+  /* Once there are sockets and timers, the kernel takes them back with the
+     process. */
   buf_free (&err);
+  if (code == EXIT_INPUT)
+    {
+      arena_free (&s->set.text);
+      free (s);
+    }
   return code;
 }
