Draw the tests' ports below those that the kernel gives out

Cause: a port of the kernel's choice, free a moment ago, went to a connection of another test before the node listened on it. Change: ports from 16384 to 32383, a part for each test's process.

--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -14,19 +14,42 @@
 #define TURN_US 50000
 #define TURNS 300 /* 15 s */
 
-/** A port of the kernel's choice, free a moment ago. */
-static int
-free_port (void)
+/** Ports below those that the kernel gives out by itself.  One of its choice,
+    free a moment ago, went to a connection of another test before the node
+    listened on it; the node ended with "address already in use". */
+#define PORT_FIRST 16384
+#define PORT_END 32384
+#define PORT_BLOCK 40 /* more than a test takes; each has its own process */
+
+static bool
+can_listen (int port)
 {
   struct sockaddr_in sa = { .sin_family = AF_INET };
-  socklen_t len = sizeof sa;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
+  bool ok;
 
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  cr_assert (bind (fd, (struct sockaddr *)&sa, sizeof sa) == 0);
-  getsockname (fd, (struct sockaddr *)&sa, &len);
+  sa.sin_port = htons ((uint16_t)port);
+  ok = bind (fd, (struct sockaddr *)&sa, sizeof sa) == 0;
   close (fd);
-  return ntohs (sa.sin_port);
+  return ok;
+}
+
+static int
+free_port (void)
+{
+  static int next;
+
+  if (next == 0)
+    next = getpid () % ((PORT_END - PORT_FIRST) / PORT_BLOCK) * PORT_BLOCK;
+  for (int i = PORT_FIRST; i < PORT_END; i++)
+    {
+      int port = PORT_FIRST + next++ % (PORT_END - PORT_FIRST);
+      if (can_listen (port))
+        return port;
+    }
+  cr_assert_fail ("no port is free");
+  return 0;
 }
 
 static void
