Keep a replica whose member's entry lapsed while the member answers

Change: the owner asks a member whose entry lapsed, each 0.5 s, and closes the replica only when it no longer answers. A leader whose entry lapsed gets no new calls; it is told to close and to leave, in place of waiting until it must have given up. A node goes on using a replica that it has seen whole unless a member is listed as leaving or in another replica. An answer 421 means that the one asked is no more. A new owner, which can't ask whom it has never seen, closes such a replica when callers see nothing move.

Five tests seen red first.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -43,9 +43,20 @@
   return xcalloc (1, sizeof (struct bks));
 }
 
+static void
+forget_crew (struct bks_server *s)
+{
+  for (size_t i = 0; i < s->ncrew; i++)
+    free (s->crew[i]);
+  free (s->crew);
+  s->crew = NULL;
+  s->ncrew = 0;
+}
+
 static void
 server_free (struct bks_server *s)
 {
+  forget_crew (s);
   arena_free (&s->text);
   free (s);
 }
@@ -282,24 +293,87 @@
 
 /* --- places ------------------------------------------------------------ */
 
-/** Whether all members of the replica that @p leader leads are there, and
-    none of them is about to go. */
 static bool
-is_whole (const struct bks *b, const struct bks_entry *leader, unsigned size)
+is_member (const struct bks_entry *e, const struct bks_entry *leader)
+{
+  return str_eq (e->replica, leader->replica)
+         && e->generation == leader->generation;
+}
+
+/** A member that is about to go, or not ready any more. */
+static bool
+is_unfit (const struct bks_entry *e)
+{
+  return e->draining || (e->rank > 0 && e->part != BKS_READY);
+}
+
+static unsigned
+count_members (const struct bks *b, const struct bks_entry *leader,
+               bool *unfit)
 {
   unsigned members = 0;
 
+  *unfit = false;
+  for (size_t i = 0; i < b->n; i++)
+    if (is_member (&b->list[i]->e, leader))
+      {
+        members++;
+        *unfit |= is_unfit (&b->list[i]->e);
+      }
+  return members;
+}
+
+static void
+remember_crew (const struct bks *b, struct bks_server *leader, unsigned size)
+{
+  if (leader->ncrew && leader->crew_generation == leader->e.generation)
+    return;
+  forget_crew (leader);
+  leader->crew = xcalloc (size, sizeof *leader->crew);
+  leader->crew_generation = leader->e.generation;
   for (size_t i = 0; i < b->n; i++)
+    if (is_member (&b->list[i]->e, &leader->e))
+      leader->crew[leader->ncrew++] = str_dup (b->list[i]->e.id);
+}
+
+/** No member of a replica that was whole is listed as anything else. */
+static bool
+is_crew_loyal (const struct bks *b, const struct bks_server *leader)
+{
+  if (!leader->ncrew || leader->crew_generation != leader->e.generation)
+    return false;
+  for (size_t i = 0; i < leader->ncrew; i++)
     {
-      const struct bks_entry *e = &b->list[i]->e;
-      if (!str_eq (e->replica, leader->replica)
-          || e->generation != leader->generation)
-        continue;
-      if (e->draining || (e->rank > 0 && e->part != BKS_READY))
+      const struct bks_server *s = find (b, str_from (leader->crew[i]));
+      if (s && !is_member (&s->e, &leader->e))
         return false;
-      members++;
     }
-  return members == size;
+  return true;
+}
+
+/**
+ * Whether the replica may take requests: all its members have been there,
+ * ready, and none of them is about to go or has joined another.
+ *
+ * A member whose entry lapses counts on.  One that is cut off from the store
+ * works as before, and were its replica left out, a cut of one server in eight
+ * would take away most replicas of six members.  If it is dead its replica
+ * stands still, and that shows in the streams sooner than in the list.
+ */
+static bool
+is_whole (const struct bks *b, struct bks_server *leader, unsigned size)
+{
+  bool unfit;
+  unsigned members = count_members (b, &leader->e, &unfit);
+
+  if (unfit || members > size)
+    {
+      forget_crew (leader);
+      return false;
+    }
+  if (members == size)
+    remember_crew (b, leader, size);
+  return members == size || is_crew_loyal (b, leader);
 }
 
 static void
@@ -321,14 +395,15 @@
  */
 static void
 add_leader (struct bks *b, const struct tbl_service *s,
-            const struct bks_entry *e, size_t *n)
+            struct bks_server *leader, size_t *n)
 {
+  const struct bks_entry *e = &leader->e;
   const struct tbl_model *m = tbl_find_model (s, e->model);
 
   if (!m || e->rank != 0 || e->replica.len == 0 || e->part < BKS_OPEN)
     return;
   add_place (b, n, e, s->capacity ? s->capacity : e->capacity,
-             e->part == BKS_OPEN && is_whole (b, e, m->size));
+             e->part == BKS_OPEN && is_whole (b, leader, m->size));
   b->places[*n - 1].model = m->name;
   b->places[*n - 1].generation = e->generation;
 }
@@ -345,7 +420,7 @@
       if (!s)
         continue;
       if (s->nmodels)
-        add_leader (b, s, e, n);
+        add_leader (b, s, b->list[i], n);
       else
         add_place (b, n, e, e->capacity, !e->draining);
     }
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -56,6 +56,9 @@
   bool named;       /**< by the list that is being read */
   uint64_t version; /**< of the list at which it last changed */
   clk_ms since;     /**< first seen */
+  char **crew;      /**< ids of its members when it led a whole replica */
+  size_t ncrew;     /**< 0: it has not been seen to */
+  int64_t crew_generation;
 };
 
 struct bks;
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -22,6 +22,9 @@
     memory, so some ways between availability zones suffice. */
 #define ASK_MS ((clk_ms)200)
 #define CONNECT_MS ((clk_ms)250)
+/** HTTP's answer of a server that is not the one meant: the address has gone
+    to another, and the one that was asked is no more. */
+#define STATUS_MISDIRECTED 421
 
 struct duty_call;
 
@@ -117,7 +120,8 @@
       srv_sync_hurry (d->s, now);
     }
   else if (c->term == (uint64_t)own_fence (d->own))
-    frm_asked (d->form, now, c->token, c->status != 0);
+    frm_asked (d->form, now, c->token,
+               c->status != 0 && c->status != STATUS_MISDIRECTED);
   free (c->vm);
   free (c);
   carry_out (d);
--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -17,10 +17,14 @@
 /** Orders to a leader without an answer after which it counts as cut off. */
 #define UNANSWERED_MOST 2
 
+/** For a leader that is not listed and so gets no new calls: what runs there
+    may go on for so long, as most streams end in that time. */
+#define LAPSED_CLOSE_MS ((clk_ms)2000)
+
 static bool
 member_lost (const struct frm_vm *vm)
 {
-  return !vm || !vm->present || vm->silent;
+  return !vm || vm->silent;
 }
 
 static bool
@@ -124,6 +128,30 @@
     g->suspect = false;
 }
 
+/** A member is gone, or it says that it is no longer ready. */
+static bool
+has_lost (const struct frm_group *g)
+{
+  for (size_t i = 0; i < g->n; i++)
+    {
+      const struct frm_vm *vm = g->members[i];
+      if (vm
+          && (vm->silent || (vm->present && !frm_reports (vm, g, BKS_READY))))
+        return true;
+    }
+  return g->bereft;
+}
+
+/** It was found open, with members that this owner has never seen listed. */
+static bool
+has_unknown (const struct frm_group *g)
+{
+  for (size_t i = 0; i < g->n; i++)
+    if (!g->members[i])
+      return true;
+  return g->n < g->size;
+}
+
 static void
 tick_open (struct frm *f, struct frm_group *g)
 {
@@ -135,6 +163,12 @@
       frm_enter (f, g, FRM_PH_FENCING);
       return;
     }
+  if (!leader->present)
+    {
+      if (leader->answered_at)
+        begin_close (f, g, false);
+      return;
+    }
   if (!frm_reports (leader, g, BKS_OPEN) || leader->e.part == BKS_BROKEN)
     {
       /* It has closed, broken or moved on; either way it leads no more. */
@@ -147,22 +181,18 @@
       begin_close (f, g, false);
       return;
     }
+  if (has_lost (g) || ((g->suspect || g->stray) && has_unknown (g)))
+    {
+      begin_close (f, g, true);
+      return;
+    }
   for (size_t i = 0; i < g->n; i++)
-    if (member_lost (g->members[i])
-        || !frm_reports (g->members[i], g, BKS_READY))
-      {
-        begin_close (f, g, true);
-        return;
-      }
-  for (size_t i = 0; i < g->n; i++)
-    if (g->members[i]->e.draining)
+    if (g->members[i] && g->members[i]->e.draining)
       {
         begin_close (f, g, false);
         return;
       }
-  if (g->n < g->size)
-    begin_close (f, g, true);
-  else if (g->suspect)
+  if (g->suspect)
     look_closer (f, g);
 }
 
@@ -181,7 +211,7 @@
 
   if (frm_reports (leader, g, BKS_BROKEN))
     return true;
-  return g->closed_at && f->asked_at > g->closed_at
+  return g->closed_at && f->asked_at > g->closed_at && leader->present
          && !frm_reports (leader, g, BKS_OPEN);
 }
 
@@ -195,7 +225,9 @@
       frm_enter (f, g, FRM_PH_FENCING);
       return;
     }
-  if (has_closed (f, g))
+  if (has_closed (f, g)
+      || (!leader->present && g->closed_at
+          && f->now - g->since > LAPSED_CLOSE_MS))
     {
       frm_group_end (f, g);
       return;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -24,7 +24,7 @@
   char *service;
   char *domain;
   struct bks_entry e;  /**< as reported; strings borrowed from `servers` */
-  bool present;        /**< listed */
+  bool present;        /**< listed; if not, its replica is kept for it */
   bool named;          /**< by the list that is being read */
   bool silent;         /**< did not answer when asked; counts as missing */
   unsigned unanswered; /**< asks in a row */
@@ -66,6 +66,9 @@
   bool spare;    /**< one VM that only loads; never opened */
   bool cut;      /**< close without waiting */
   bool may_open; /**< somebody may have told the leader to open */
+  bool stray;    /**< it appeared under this owner: its members may have been
+                      given to others, so who is not listed is no member */
+  bool bereft;   /**< a member is gone for good */
   bool suspect;  /**< callers see nothing move */
   clk_ms suspect_since;
   unsigned unanswered; /**< orders to its leader in a row */
--- a/serve/form.c
+++ b/serve/form.c
@@ -13,6 +13,10 @@
 #define UNANSWERED_MOST 2
 /** How often a VM under suspicion is asked. */
 #define ASK_MS ((clk_ms)250)
+/** How often a member that is not listed is asked whether it works on: as
+    often as callers can wait for a repair without noticing much more than the
+    repair.  A cut lasts seconds, so this is some ten questions a member. */
+#define ASK_LAPSED_MS ((clk_ms)500)
 /** How often one that counts as missing is asked whether it is back. */
 #define ASK_SILENT_MS ((clk_ms)2000)
 
@@ -221,20 +225,58 @@
   for (size_t i = 0; i < f->ngroups; i++)
     for (size_t k = 0; k < f->groups[i]->n; k++)
       if (f->groups[i]->members[k] == vm)
-        f->groups[i]->members[k] = NULL;
+        {
+          f->groups[i]->members[k] = NULL;
+          f->groups[i]->bereft = true;
+        }
   vm_free (vm);
 }
 
+/**
+ * A member whose entry lapsed may only be cut off from the store.  While it
+ * answers when asked it stays in its replica: to close that for each lapsed
+ * entry cost half of the replicas when one VM in eight was cut off, and with
+ * them their warm members.
+ */
+static bool
+may_work_on (const struct frm_vm *vm)
+{
+  const struct frm_group *g = vm->group;
+
+  return g && !g->spare && !vm->silent && !vm->e.draining
+         && (g->phase == FRM_PH_OPEN || g->phase == FRM_PH_CLOSING
+             || g->phase == FRM_PH_LEAVING);
+}
+
+static void
+take_lapsed (struct frm_vm *vm)
+{
+  if (vm->present)
+    {
+      vm->unanswered = 0;
+      vm->next_ask = vm->answered_at = 0;
+    }
+  vm->present = false;
+  vm->e = (struct bks_entry){ .addr = vm->e.addr }; /* its text is gone */
+}
+
 static void
 drop_unnamed (struct frm *f)
 {
   size_t kept = 0;
 
   for (size_t i = 0; i < f->nvms; i++)
-    if (f->vms[i]->named)
-      f->vms[kept++] = f->vms[i];
-    else
-      forget_vm (f, f->vms[i]);
+    {
+      struct frm_vm *vm = f->vms[i];
+      if (!vm->named && !may_work_on (vm))
+        {
+          forget_vm (f, vm);
+          continue;
+        }
+      if (!vm->named)
+        take_lapsed (vm);
+      f->vms[kept++] = vm;
+    }
   f->nvms = kept;
 }
 
@@ -259,7 +301,7 @@
 }
 
 /** Gather the VMs that report the replica of @p first into a group. */
-static void
+static struct frm_group *
 adopt_group (struct frm *f, struct frm_vm *first)
 {
   struct frm_group *g = frm_group_add (f, first->service, first->e.replica,
@@ -282,6 +324,7 @@
     frm_group_over (f, g);
   else
     enter_found (f, g);
+  return g;
 }
 
 /**
@@ -342,7 +385,7 @@
       if (g)
         attach (f, g, vm);
       else
-        adopt_group (f, vm);
+        adopt_group (f, vm)->stray = true;
     }
 }
 
@@ -436,6 +479,14 @@
       }
 }
 
+static clk_ms
+ask_every (const struct frm_vm *vm)
+{
+  if (!vm->present && vm->unanswered == 0)
+    return ASK_LAPSED_MS;
+  return vm->silent ? ASK_SILENT_MS : ASK_MS;
+}
+
 void
 frm_asked (struct frm *f, clk_ms now, uint64_t token, bool answered)
 {
@@ -450,15 +501,15 @@
       vm->silent = vm->unanswered >= UNANSWERED_MOST;
       if (answered)
         vm->answered_at = now;
-      vm->next_ask = now + (vm->silent ? ASK_SILENT_MS : ASK_MS);
+      vm->next_ask = now + ask_every (vm);
     }
 }
 
 static void
-ask_silent (struct frm *f)
+ask_doubtful (struct frm *f)
 {
   for (size_t i = 0; i < f->nvms; i++)
-    if (f->vms[i]->silent && f->vms[i]->present)
+    if (f->vms[i]->present ? f->vms[i]->silent : f->vms[i]->group != NULL)
       frm_ask (f, f->vms[i]);
 }
 
@@ -472,7 +523,7 @@
     frm_group_tick (f, f->groups[i]);
   sweep_groups (f);
   frm_place (f);
-  ask_silent (f);
+  ask_doubtful (f);
 }
 
 bool
@@ -508,6 +559,7 @@
         x->closing++;
     }
   for (size_t i = 0; i < f->nvms; i++)
-    x->spares += !f->vms[i]->group || f->vms[i]->group->spare;
+    x->spares += f->vms[i]->present
+                 && (!f->vms[i]->group || f->vms[i]->group->spare);
   return x;
 }
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -20,7 +20,7 @@
   unsigned rank;
   enum bks_part part;
   clk_ms ready_at;
-  bool gone, dark, unlisted, draining;
+  bool gone, dark, unlisted, lapsed, draining;
 };
 
 struct late
@@ -254,7 +254,7 @@
         order (w, core, &a);
       else
         frm_asked (w->cores[core], w->now, a.token,
-                   vm && !vm->gone && !vm->dark);
+                   vm && !vm->gone && !vm->dark && !vm->unlisted);
       free ((void *)a.members);
     }
 }
@@ -270,7 +270,7 @@
   for (size_t i = 0; i < w->n; i++)
     {
       const struct vm *vm = &w->vms[i];
-      if (vm->gone || vm->unlisted)
+      if (vm->gone || vm->unlisted || vm->lapsed)
         continue;
       list[n++] = (struct bks_entry){ .id = str_from (vm->id),
                                       .service = STR ("lm"),
@@ -359,9 +359,11 @@
   else if (strcmp (word, "dark") == 0)
     vm->dark = true;
   else if (strcmp (word, "back") == 0)
-    vm->dark = vm->unlisted = false;
+    vm->dark = vm->unlisted = vm->lapsed = false;
   else if (strcmp (word, "unlist") == 0)
     vm->unlisted = true;
+  else if (strcmp (word, "lapse") == 0)
+    vm->lapsed = true;
   else if (strcmp (word, "drain") == 0)
     vm->draining = true;
   else if (strcmp (word, "broken") == 0)
@@ -404,8 +406,9 @@
   else if (strcmp (word, "traffic") == 0)
     frm_traffic (w->cores[0]);
   else if (strcmp (word, "stalled") == 0)
-    frm_stalled (w->cores[0], w->now,
-                 dsp_place_hash (str_from (vm->id), vm->generation));
+    for (size_t c = 0; c < 2; c++)
+      frm_stalled (w->cores[c], w->now,
+                   dsp_place_hash (str_from (vm->id), vm->generation));
   else if (strcmp (word, "show") == 0)
     show (w);
   else
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -10,7 +10,8 @@
  *   kill ID              it is gone: no answer, and the list drops it
  *   dark ID              no answer; the list still names it
  *   back ID              it answers again
- *   unlist ID            the list drops it, and it answers no orders
+ *   unlist ID            cut off: the list drops it, and it answers nothing
+ *   lapse ID             the list drops it; it works and answers as before
  *   drain ID             it says that it leaves
  *   broken ID            it reports its replica as broken
  *   late KIND            the next order of this kind gets no answer and is
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -174,3 +174,84 @@
              "r1002 small is open: a4 a5\n"
              "a6 is warm for big\n");
 }
+
+#define FORMED                                                                \
+  "join r1001 big: a1 a2 a3\n"                                                \
+  "join r1002 small: a4 a5\n"                                                 \
+  "join s1003 big: a6\n"                                                      \
+  "open r1001 a1\n"                                                           \
+  "open r1002 a4\n"
+
+/*
+ * Callers notice nothing: a member can't reach the store, so that its entry
+ * lapses, but it works on.  The replica stays open; later the entry is back.
+ */
+Test (form, a_member_that_lapses_and_works_on_is_kept)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n lapse a2\n run 5000\n"
+             "show\n back a2\n run 1000\n show\n",
+             FORMED "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n"
+                    "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n");
+}
+
+/*
+ * Streams stand still: the member whose entry had lapsed ends after all, as
+ * one does that leaves without a word.  Within a second of that it is replaced
+ * by the warm spare.
+ */
+Test (form, a_lapsed_member_that_ends_is_replaced)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n lapse a2\n run 2000\n"
+             "show\n kill a2\n run 2000\n show\n",
+             FORMED "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n"
+                    "close cut r1001 a1\n"
+                    "leave r1001 a1\n"
+                    "join r1004 big: a1 a3 a6\n"
+                    "open r1004 a1\n"
+                    "r1004 big is open: a1 a3 a6\n"
+                    "r1002 small is open: a4 a5\n");
+}
+
+/*
+ * A leader's entry lapses.  No new call may go there, so the replica closes:
+ * what runs gets some time, then the leader leaves.  It answers orders, so
+ * nobody has to wait until it must have given up by itself.
+ */
+Test (form, a_lapsed_leader_closes_and_leaves)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n lapse a1\n run 4000\n"
+             "show\n",
+             FORMED "close r1001 a1\n"
+                    "leave r1001 a1\n"
+                    "join r1004 big: a2 a3 a6\n"
+                    "open r1004 a2\n"
+                    "r1004 big is open: a2 a3 a6\n"
+                    "r1002 small is open: a4 a5\n");
+}
+
+/*
+ * The owner changes while a member's entry has lapsed.  The new one can't ask
+ * whom it has never seen, and changes nothing; it closes the replica once
+ * callers see nothing move there.
+ */
+Test (form, a_new_owner_keeps_a_replica_with_a_lapsed_member)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n lapse a2\n run 500\n"
+             "other 2\n run 2000\n show\n kill a2\n stalled a1\n run 2000\n"
+             "show\n",
+             FORMED "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n"
+                    "close cut r1001 a1\n"
+                    "leave r1001 a1\n"
+                    "join r2001 big: a1 a3 a6\n"
+                    "open r2001 a1\n"
+                    "r2001 big is open: a1 a3 a6\n"
+                    "r1002 small is open: a4 a5\n");
+}
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -163,6 +163,51 @@
   tbl_unref (t);
 }
 
+static const char HEAD[] = "\"rank\":0,\"state\":\"open\"";
+static const char MEMBER[] = "\"rank\":1,\"state\":\"ready\"";
+
+/*
+ * The entry of a member lapses while the replica that was whole serves on, as
+ * a member that can't reach the store keeps working.  The replica still
+ * counts, until the member is listed again as one that leaves, or as
+ * another's.
+ */
+Test (backends, a_replica_that_was_whole_outlives_a_lapsed_entry)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t = plt_table (STR ("{\"version\": 1, " SERVICE "}"), &findings);
+  struct bks *b = bks_new ();
+  struct arena text = { 0 };
+  struct bks_entry e[2], leaving, elsewhere;
+  char json[512];
+  size_t n;
+
+  cr_assert_not_null (t);
+  cr_assert (plt_server (STR ("servers/h"),
+                         entry (json, sizeof json, "h", HEAD), &text, &e[0]));
+  cr_assert (plt_server (STR ("servers/k"),
+                         entry (json, sizeof json, "k", MEMBER), &text,
+                         &e[1]));
+  bks_update (b, 1000, 1000, e, 2);
+  cr_expect (bks_places (b, t, &n)[0].accepting);
+  bks_update (b, 2000, 2000, e, 1);
+  cr_expect (bks_places (b, t, &n)[0].accepting);
+
+  leaving = e[1];
+  leaving.draining = true;
+  bks_apply (b, 3000, 3000, &leaving, 1, NULL, 0);
+  cr_expect_not (bks_places (b, t, &n)[0].accepting);
+
+  elsewhere = e[1];
+  elsewhere.replica = STR ("other");
+  elsewhere.generation++;
+  bks_apply (b, 4000, 4000, &elsewhere, 1, NULL, 0);
+  cr_expect_not (bks_places (b, t, &n)[0].accepting);
+  arena_free (&text);
+  bks_free (b);
+  tbl_unref (t);
+}
+
 /* Routes by host and longest prefix, split by weight; keys of accounts. */
 Test (table, look_ups)
 {
