Call a store that does not answer once at a time, at growing intervals

Change: a node's calls share one pause (serve/pause.c): while the store does not answer one call at a time finds out, 200 ms to 1 s apart, and its success lets all others go. The owner's lease keeps its own calls.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -119,7 +119,7 @@
   for (size_t i = 0; i < g->n; i++)
     {
       struct frm_vm *vm = g->members[i];
-      if (vm->answered_at > g->suspect_since)
+      if (!vm || vm->answered_at > g->suspect_since)
         continue;
       all = false;
       frm_ask (f, vm);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -13,6 +13,7 @@
 #include "net/link.h"
 #include "replica/owner.h"
 #include "serve/node.h"
+#include "serve/pause.h"
 
 struct srv_exchange;
 struct srv_sync;
@@ -32,6 +33,7 @@
   uint64_t boot;
   struct httpc *http;
   struct store *store;
+  struct pau store_pause; /**< of all reads, and of the own entry */
   struct httpd *front, *ready, *address;
   struct met_reg *met;
   struct tbl *table; /**< NULL: none is known yet */
--- a/serve/register.c
+++ b/serve/register.c
@@ -238,6 +238,7 @@
   struct srv_register *g = ctx;
 
   g->reading = false;
+  pau_ended (&g->s->store_pause, clk_now (), r->status, &g->s->rng);
   if (r->status != STORE_OK)
     {
       g->next_read = clk_now () + AGAIN_MS;
@@ -254,10 +255,20 @@
 /* --- the own entry ----------------------------------------------------- */
 
 static void
-call_ended (struct srv_register *g, clk_ms wait)
+begin_call (struct srv_register *g)
 {
+  g->calling = true;
+  pau_called (&g->s->store_pause);
+}
+
+static void
+call_ended (struct srv_register *g, enum store_status status, clk_ms wait)
+{
+  clk_ms now = clk_now ();
+
   g->calling = false;
-  g->next_call = clk_now () + wait;
+  g->next_call = now + wait;
+  pau_ended (&g->s->store_pause, now, status, &g->s->rng);
 }
 
 static void
@@ -269,7 +280,7 @@
   if (r->status == STORE_GONE)
     g->lease = 0;
   /* A lost answer is settled by writing the same once more. */
-  call_ended (g, g->entered ? RENEW_MS : AGAIN_MS);
+  call_ended (g, r->status, g->entered ? RENEW_MS : AGAIN_MS);
 }
 
 static void
@@ -277,7 +288,7 @@
 {
   struct store_txn txn = { .puts = &g->put, .nputs = 1 };
 
-  g->calling = true;
+  begin_call (g);
   g->put = (struct store_put){ buf_str (&g->node_key), buf_str (&g->value),
                                g->lease };
   store_txn (g->s->store, STORE_ROSTER, &txn, on_entered, g);
@@ -290,7 +301,7 @@
 
   if (r->status != STORE_OK)
     {
-      call_ended (g, AGAIN_MS);
+      call_ended (g, r->status, AGAIN_MS);
       return;
     }
   g->lease = r->lease;
@@ -307,7 +318,7 @@
       g->lease = 0;
       g->entered = false;
     }
-  call_ended (g, r->status == STORE_OK ? RENEW_MS : AGAIN_MS);
+  call_ended (g, r->status, r->status == STORE_OK ? RENEW_MS : AGAIN_MS);
 }
 
 static void
@@ -315,8 +326,8 @@
 {
   struct srv_register *g = ctx;
 
-  (void)r; /* written or not, the watch shows the one that counts */
-  call_ended (g, AGAIN_MS);
+  /* Written or not, the watch shows the one that counts. */
+  call_ended (g, r->status, AGAIN_MS);
 }
 
 /** The first node makes the secret; a race is settled by the store. */
@@ -335,7 +346,7 @@
       memcpy (bytes + i, &x, 8);
     }
   buf_add_hex (&text, bytes, sizeof bytes);
-  g->calling = true;
+  begin_call (g);
   g->compare = (struct store_compare){ buf_str (&g->secret_key), 0 };
   g->put = (struct store_put){ buf_str (&g->secret_key), buf_str (&text), 0 };
   store_txn (g->s->store, STORE_ROSTER, &txn, on_secret, g);
@@ -351,14 +362,14 @@
     return;
   else if (g->lease == 0)
     {
-      g->calling = true;
+      begin_call (g);
       store_lease_grant (g->s->store, LEASE_MS, on_granted, g);
     }
   else if (!g->entered)
     enter (g);
   else
     {
-      g->calling = true;
+      begin_call (g);
       store_lease_keep (g->s->store, g->lease, on_kept, g);
     }
 }
@@ -368,15 +379,18 @@
 {
   struct srv_register *g = s->reg;
 
-  if (!g->reading && now >= g->next_read)
+  if (!g->reading && now >= g->next_read
+      && pau_may_call (&s->store_pause, now))
     {
       g->reading = true;
+      pau_called (&s->store_pause);
       store_range (s->store, STORE_ROSTER, buf_str (&g->prefix),
                    buf_str (&g->end), on_read, g);
     }
   if (now >= g->next_watch)
     begin_watch (g);
-  if (!g->calling && now >= g->next_call)
+  if (!g->calling && now >= g->next_call
+      && pau_may_call (&s->store_pause, now))
     next_call (g);
 }
 
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -117,6 +117,7 @@
   struct srv *s = y->s;
 
   y->reading_config = false;
+  pau_ended (&s->store_pause, clk_now (), r->status, &s->rng);
   if (r->status != STORE_OK)
     {
       y->next_config = clk_now () + POLL_AGAIN_MS;
@@ -135,6 +136,7 @@
   struct srv *s = y->s;
 
   y->reading_config = true;
+  pau_called (&s->store_pause);
   store_range (s->store, STORE_CONFIG, str_from (s->ad->config_key),
                buf_str (&y->config_end), on_config, y);
 }
@@ -200,6 +202,7 @@
   clk_ms now = clk_now ();
 
   y->reading_servers = false;
+  pau_ended (&s->store_pause, now, r->status, &s->rng);
   note_store (y, r->status == STORE_OK);
   if (r->status != STORE_OK)
     {
@@ -218,6 +221,7 @@
   struct srv *s = y->s;
 
   y->reading_servers = true;
+  pau_called (&s->store_pause);
   y->asked_servers = now;
   store_range (s->store, STORE_ASSIGNMENT, str_from (s->ad->servers_prefix),
                buf_str (&y->servers_end), on_servers, y);
@@ -235,9 +239,11 @@
 {
   struct srv_sync *y = s->sync;
 
-  if (!y->reading_config && now >= y->next_config)
+  if (!y->reading_config && now >= y->next_config
+      && pau_may_call (&s->store_pause, now))
     read_config (y);
-  if (!y->reading_servers && now >= y->next_servers)
+  if (!y->reading_servers && now >= y->next_servers
+      && pau_may_call (&s->store_pause, now))
     read_servers (y, now);
 }
 
