Keep spares ready for both models

A VM keeps what it last joined with, and its host one more model, which was not used.

Change: the host of each spare loads the model that the VM does not hold; before the first request such loads are quick. A free VM counts as warm for both, and one that could join at once is not loaded anew.

Tried first, and not kept: the hosts of all VMs.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -378,5 +378,7 @@
     case FRM_LEAVE:
       leave_done (f, g, vm, result);
       break;
+    case FRM_STAGE: /* concerns no replica */
+      break;
     }
 }
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -6,6 +6,7 @@
  *   form-group.c  a replica's way from joining to closed
  *   form-place.c  which VMs become which replica, warm spares
  *   form-order.c  orders under way, the pace of loads
+ *   form-stage.c  weights that hosts load into their memory ahead of need
  */
 #ifndef LAPISLINE_SERVE_FORM_INT_H
 #define LAPISLINE_SERVE_FORM_INT_H
@@ -34,9 +35,10 @@
   uint64_t order;     /**< token under way; 0: none */
   enum frm_order_kind order_kind;
   clk_ms next_order;
-  int64_t cleared;  /**< generations up to this can't open with it as the
-                         leader any more */
-  clk_ms bad_until; /**< it rejected an order; use another */
+  clk_ms staging_until; /**< its host loads weights on the side, about */
+  int64_t cleared;      /**< generations up to this can't open with it as the
+                             leader any more */
+  clk_ms bad_until;     /**< it rejected an order; use another */
   struct frm_group *group; /**< the replica it is planned for, or none */
 };
 
@@ -136,11 +138,16 @@
 /* form-order.c */
 bool frm_order (struct frm *f, struct frm_vm *vm, enum frm_order_kind kind,
                 struct frm_group *g);
+void frm_order_stage (struct frm *f, struct frm_vm *vm, struct str model);
 void frm_ask (struct frm *f, struct frm_vm *vm);
 /** Whether @p n loads may begin now. */
 bool frm_may_load (const struct frm *f, const struct tbl_service *s,
                    unsigned n);
 void frm_count_loads (struct frm *f, unsigned n);
+/* form-stage.c */
+void frm_stage (struct frm *f);
+void frm_stage_done (struct frm *f, struct frm_vm *vm, enum frm_result result);
+
 /** Whether joining for @p model needs no load from the weight store. */
 bool frm_is_warm (const struct frm_vm *vm, struct str model);
 
--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -75,6 +75,19 @@
   return true;
 }
 
+void
+frm_order_stage (struct frm *f, struct frm_vm *vm, struct str model)
+{
+  struct frm_action *a = push (f, FRM_ORDER, vm);
+
+  a->order = FRM_STAGE;
+  a->fence = f->fence;
+  a->model = model;
+  vm->order = a->token;
+  vm->order_kind = FRM_STAGE;
+  f->figures.orders++;
+}
+
 void
 frm_ask (struct frm *f, struct frm_vm *vm)
 {
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -158,9 +158,11 @@
       if (!in_domain (vm, d) || !frm_usable (f, vm)
           || (vm->group && !vm->group->spare))
         continue;
-      size_t k = held_model (vm, d->s);
-      if (k < d->s->nmodels)
-        d->warm[k]++;
+      size_t held = held_model (vm, d->s);
+      for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
+        d->warm[k] += k == held
+                      || (vm->e.part != BKS_JOINING
+                          && frm_is_warm (vm, d->s->models[k].name));
     }
 }
 
@@ -336,7 +338,8 @@
 
   if (k == d->s->nmodels)
     k = least_covered (d);
-  if (k == d->s->nmodels || !may_change (d, vm, k))
+  if (k == d->s->nmodels || !may_change (d, vm, k)
+      || frm_is_warm (vm, d->s->models[k].name))
     return;
   c.loads = !frm_is_warm (vm, d->s->models[k].name);
   if (!frm_may_load (f, d->s, c.loads))
--- a/serve/form.c
+++ b/serve/form.c
@@ -405,6 +405,7 @@
       f->vms[i]->order = f->vms[i]->ask = 0;
       f->vms[i]->silent = false;
       f->vms[i]->next_order = f->vms[i]->bad_until = 0;
+      f->vms[i]->staging_until = 0;
     }
   if (on && f->generation < fence * GENERATIONS_PER_FENCE)
     f->generation = fence * GENERATIONS_PER_FENCE;
@@ -473,7 +474,9 @@
       {
         struct frm_vm *vm = f->vms[i];
         vm->order = 0;
-        if (vm->group)
+        if (vm->order_kind == FRM_STAGE)
+          frm_stage_done (f, vm, result);
+        else if (vm->group)
           frm_group_order_done (f, vm, vm->order_kind, result);
         return;
       }
@@ -523,6 +526,7 @@
     frm_group_tick (f, f->groups[i]);
   sweep_groups (f);
   frm_place (f);
+  frm_stage (f);
   ask_doubtful (f);
 }
 
--- a/serve/form.h
+++ b/serve/form.h
@@ -32,7 +32,8 @@
   FRM_JOIN,  /**< replica, generation, model, members */
   FRM_OPEN,  /**< replica, generation */
   FRM_CLOSE, /**< replica, generation, cut */
-  FRM_LEAVE  /**< replica, generation */
+  FRM_LEAVE, /**< replica, generation */
+  FRM_STAGE  /**< model: its host loads the weights into its own memory */
 };
 
 /** What became of an order. */
--- a/serve/table.h
+++ b/serve/table.h
@@ -43,6 +43,7 @@
   double kv_tokens;   /**< memory of one replica, in tokens; 0: not limited */
   double loads_per_s; /**< loads that may begin at the weight store */
   unsigned loads_at_once; /**< beyond these, loads share its bandwidth */
+  unsigned host_keeps;    /**< models that a VM's host keeps in its memory */
   clk_ms pass_ms; /**< between two events of a stream on an idle replica */
 };
 
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -16,6 +16,8 @@
 struct vm
 {
   char id[16], domain[8], model[16], replica[32], members[256];
+  char staged[16], staging[16]; /* by its host; and what comes next */
+  clk_ms staged_at;
   int64_t generation;
   unsigned rank;
   enum bks_part part;
@@ -48,7 +50,8 @@
   struct buf log;
 };
 
-static const char *const kinds[] = { "join", "open", "close", "leave" };
+static const char *const kinds[]
+    = { "join", "open", "close", "leave", "stage" };
 
 static struct tbl *
 make_table (void)
@@ -128,7 +131,8 @@
 static enum frm_result
 do_join (struct world *w, struct vm *vm, const struct late *o)
 {
-  bool warm = strcmp (vm->model, o->model) == 0;
+  bool warm = strcmp (vm->model, o->model) == 0
+              || strcmp (vm->staged, o->model) == 0;
 
   if (o->a.generation < vm->generation)
     return FRM_OUTDATED;
@@ -144,6 +148,8 @@
     vm->rank += c[-1] == ' ';
   vm->part = BKS_JOINING;
   vm->ready_at = w->now + (warm ? JOIN_MS : LOAD_MS);
+  if (!warm)
+    snprintf (vm->staged, sizeof vm->staged, "%s", o->model);
   return FRM_ACCEPTED;
 }
 
@@ -154,6 +160,12 @@
 
   if (o->a.order == FRM_JOIN)
     return do_join (w, vm, o);
+  if (o->a.order == FRM_STAGE)
+    {
+      snprintf (vm->staging, sizeof vm->staging, "%s", o->model);
+      vm->staged_at = w->now + LOAD_MS;
+      return FRM_ACCEPTED;
+    }
   if (!in_replica (vm, o))
     return FRM_REJECTED;
   if (o->a.order == FRM_OPEN)
@@ -188,7 +200,9 @@
 static void
 log_order (struct world *w, const struct late *o)
 {
-  if (o->a.order != FRM_JOIN)
+  if (o->a.order == FRM_STAGE)
+    buf_addf (&w->log, "stage %s %s\n", o->model, o->vm);
+  else if (o->a.order != FRM_JOIN)
     buf_addf (&w->log, "%s%s %s %s\n", kinds[o->a.order],
               o->a.order == FRM_CLOSE && o->a.cut ? " cut" : "", o->replica,
               o->vm);
@@ -279,6 +293,8 @@
                                       .capacity = 8,
                                       .draining = vm->draining,
                                       .model = str_from (vm->model),
+                                      .staged = { str_from (vm->staged) },
+                                      .nstaged = vm->staged[0] != '\0',
                                       .replica = str_from (vm->replica),
                                       .generation = vm->generation,
                                       .rank = vm->rank,
@@ -294,8 +310,16 @@
 {
   w->now += STEP_MS;
   for (size_t i = 0; i < w->n; i++)
-    if (w->vms[i].part == BKS_JOINING && w->now >= w->vms[i].ready_at)
-      w->vms[i].part = BKS_READY;
+    {
+      struct vm *vm = &w->vms[i];
+      if (vm->part == BKS_JOINING && w->now >= vm->ready_at)
+        vm->part = BKS_READY;
+      if (vm->staging[0] && w->now >= vm->staged_at)
+        {
+          memcpy (vm->staged, vm->staging, sizeof vm->staged);
+          vm->staging[0] = '\0';
+        }
+    }
   for (size_t c = 0; c < 2; c++)
     {
       if (w->now - w->listed >= LIST_MS)
@@ -405,6 +429,8 @@
     w->trap = true;
   else if (strcmp (word, "traffic") == 0)
     frm_traffic (w->cores[0]);
+  else if (strcmp (word, "hosts") == 0)
+    w->table->services[0].host_keeps = 1;
   else if (strcmp (word, "stalled") == 0)
     for (size_t c = 0; c < 2; c++)
       frm_stalled (w->cores[c], w->now,
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -22,6 +22,7 @@
  *                        join arrives
  *   unsettled | settled  whether lists count as whole; they do at first
  *   traffic              requests have come
+ *   hosts                hosts keep one model in their memory from now on
  *   stalled ID           callers see nothing move there
  *   show                 the open replicas and the warm spares are logged
  *
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -255,3 +255,21 @@
                     "r2001 big is open: a1 a3 a6\n"
                     "r1002 small is open: a4 a5\n");
 }
+
+/*
+ * Callers of one model lose a replica.  The spare is warm for the other model,
+ * but before there were callers each host has taken the other model's weights
+ * into its memory: the replica is back at once, not after a load.
+ */
+Test (form, a_spare_serves_either_model)
+{
+  form_play ("hosts\n owner 1\n vms a 6\n run 8000\n traffic\n kill a5\n"
+             "run 1000\n show\n",
+             FORMED "stage small a6\n"
+                    "close cut r1002 a4\n"
+                    "leave r1002 a4\n"
+                    "join r1004 small: a4 a6\n"
+                    "open r1004 a4\n"
+                    "r1001 big is open: a1 a2 a3\n"
+                    "r1004 small is open: a4 a6\n");
+}
