Let a node that has just started believe an open leader with most members

The nodes that start have never seen the members whose entries lapsed, so nearly no replica counted as whole: for eight seconds requests were refused for want of a place, though the replicas were open (469 such refusals in two seconds of the log).

Change: a leader that reports open was told so when all its members were ready. A node that has not seen them takes it for whole when more than half of its members are listed, ready and staying; fewer may be what is left of one whose members have joined others.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -323,10 +323,16 @@
   return members;
 }
 
+static bool
+knows_crew (const struct bks_server *leader)
+{
+  return leader->ncrew && leader->crew_generation == leader->e.generation;
+}
+
 static void
 remember_crew (const struct bks *b, struct bks_server *leader, unsigned size)
 {
-  if (leader->ncrew && leader->crew_generation == leader->e.generation)
+  if (knows_crew (leader))
     return;
   forget_crew (leader);
   leader->crew = xcalloc (size, sizeof *leader->crew);
@@ -340,8 +346,6 @@
 static bool
 is_crew_loyal (const struct bks *b, const struct bks_server *leader)
 {
-  if (!leader->ncrew || leader->crew_generation != leader->e.generation)
-    return false;
   for (size_t i = 0; i < leader->ncrew; i++)
     {
       const struct bks_server *s = find (b, str_from (leader->crew[i]));
@@ -359,6 +363,10 @@
  * works as before, and were its replica left out, a cut of one server in eight
  * would take away most replicas of six members.  If it is dead its replica
  * stands still, and that shows in the streams sooner than in the list.
+ *
+ * A node that has just started can't have seen the members.  A leader is told
+ * to open only when all are ready, so most of them suffice; fewer may be what
+ * is left of one whose members have joined others.
  */
 static bool
 is_whole (const struct bks *b, struct bks_server *leader, unsigned size)
@@ -373,7 +381,9 @@
     }
   if (members == size)
     remember_crew (b, leader, size);
-  return members == size || is_crew_loyal (b, leader);
+  if (knows_crew (leader))
+    return is_crew_loyal (b, leader);
+  return 2 * members > size;
 }
 
 static void
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -110,9 +110,11 @@
   bks_free (to);
 }
 
-#define SERVICE                                                               \
+#define SERVICE_OF(size)                                                      \
   "\"services\": [{\"name\": \"lm\", \"engine\": {\"capacity\": 8, "          \
-  "\"models\": [{\"name\": \"m\", \"size\": 2}]}}, {\"name\": \"app\"}]"
+  "\"models\": [{\"name\": \"m\", \"size\": " size                            \
+  "}]}}, {\"name\": \"app\"}]"
+#define SERVICE SERVICE_OF ("2")
 
 static struct str
 entry (char *out, size_t size, const char *id, const char *rest)
@@ -208,6 +210,39 @@
   tbl_unref (t);
 }
 
+/*
+ * All nodes lost power while some servers can't reach the store.  A node that
+ * has just started sees a leader that takes requests and most of its members:
+ * it was told to open when all were ready, and the others work on unlisted.
+ * One that is alone may be left over from a replica whose members have joined
+ * others.
+ */
+Test (backends, a_new_node_believes_a_leader_with_most_members)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t
+      = plt_table (STR ("{\"version\": 1, " SERVICE_OF ("3") "}"), &findings);
+  struct bks *b = bks_new ();
+  struct arena text = { 0 };
+  struct bks_entry e[2];
+  char json[512];
+  size_t n;
+
+  cr_assert_not_null (t);
+  cr_assert (plt_server (STR ("servers/h"),
+                         entry (json, sizeof json, "h", HEAD), &text, &e[0]));
+  cr_assert (plt_server (STR ("servers/k"),
+                         entry (json, sizeof json, "k", MEMBER), &text,
+                         &e[1]));
+  bks_update (b, 1000, 1000, e, 1);
+  cr_expect_not (bks_places (b, t, &n)[0].accepting, "one of three");
+  bks_update (b, 2000, 2000, e, 2);
+  cr_expect (bks_places (b, t, &n)[0].accepting, "two of three");
+  arena_free (&text);
+  bks_free (b);
+  tbl_unref (t);
+}
+
 /* Routes by host and longest prefix, split by weight; keys of accounts. */
 Test (table, look_ups)
 {
