--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -31,8 +31,6 @@
   const char *service;
   const char *name;
   unsigned want[MODELS_MOST]; /**< replicas that its VMs suffice for */
-  unsigned
-      elsewhere[MODELS_MOST]; /**< there in other domains, or on their way */
   unsigned have[MODELS_MOST]; /**< that are there or on their way */
   unsigned warm[MODELS_MOST]; /**< free VMs that hold the model or load it */
 };
@@ -79,19 +77,16 @@
 {
   const struct tbl_service *s = d->s;
   size_t best = s->nmodels;
-  double least = 0;
 
   for (size_t i = 0; i < s->nmodels && i < MODELS_MOST; i++)
     {
-      double x = supply (d->elsewhere[i] + d->want[i], &s->models[i]);
+      double x = supply (d->want[i], &s->models[i]);
       if (s->models[i].size > room || s->models[i].size == 0)
         continue;
-      if (best == s->nmodels || x < least
-          || (x <= least && s->models[i].size > s->models[best].size))
-        {
-          best = i;
-          least = x;
-        }
+      if (best == s->nmodels || x < supply (d->want[best], &s->models[best])
+          || (x <= supply (d->want[best], &s->models[best])
+              && s->models[i].size > s->models[best].size))
+        best = i;
     }
   return best;
 }
@@ -135,13 +130,10 @@
   for (size_t i = 0; i < f->ngroups; i++)
     {
       const struct frm_group *g = f->groups[i];
-      bool here = is_of_domain (g, d);
-      if (g->spare || g->phase > FRM_PH_OPEN
-          || strcmp (g->service, d->service) != 0)
+      if (g->spare || g->phase > FRM_PH_OPEN || !is_of_domain (g, d))
         continue;
       for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
-        if (str_is (d->s->models[k].name, g->model))
-          (here ? d->have : d->elsewhere)[k]++;
+        d->have[k] += str_is (d->s->models[k].name, g->model);
     }
 }
 
@@ -180,9 +172,8 @@
   memset (d->want, 0, sizeof d->want);
   memset (d->have, 0, sizeof d->have);
   memset (d->warm, 0, sizeof d->warm);
-  memset (d->elsewhere, 0, sizeof d->elsewhere);
-  count_replicas (f, d);
   plan (f, d);
+  count_replicas (f, d);
   count_warm (f, d);
 }
 
