--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -84,6 +84,12 @@
   frm_enter (f, g, FRM_PH_CLOSING);
 }
 
+void
+frm_group_close (struct frm *f, struct frm_group *g)
+{
+  begin_close (f, g, false);
+}
+
 static void
 tick_opening (struct frm *f, struct frm_group *g)
 {
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -40,6 +40,7 @@
                              leader any more */
   clk_ms bad_until;     /**< it rejected an order; use another */
   struct frm_group *group; /**< the replica it is planned for, or none */
+  clk_ms free_since;       /**< it last left a replica */
 };
 
 /** Where a replica is on its way. */
@@ -93,8 +94,9 @@
   int64_t fence;
   int64_t generation; /**< last one given */
   clk_ms now;
-  clk_ms arrived_at; /**< of the newest VM */
-  clk_ms asked_at;   /**< sending of the read that showed the reports */
+  clk_ms arrived_at;  /**< of the newest VM */
+  clk_ms next_across; /**< next look for what domains have left over */
+  clk_ms asked_at;    /**< sending of the read that showed the reports */
   const struct bks *servers;
   struct tbl *table;
   struct frm_vm **vms;
@@ -129,6 +131,8 @@
 
 /* form-group.c */
 void frm_group_tick (struct frm *f, struct frm_group *g);
+/** Close it once what runs there has ended, or some seconds have passed. */
+void frm_group_close (struct frm *f, struct frm_group *g);
 void frm_group_order_done (struct frm *f, struct frm_vm *vm,
                            enum frm_order_kind kind, enum frm_result result);
 
--- a/serve/form.c
+++ b/serve/form.c
@@ -129,7 +129,10 @@
       if (!vm)
         continue;
       if (vm->group == g)
-        vm->group = NULL;
+        {
+          vm->group = NULL;
+          vm->free_since = f->now;
+        }
       if (vm->present && !vm->silent && vm->cleared < g->generation)
         vm->cleared = g->generation;
     }
