Let the tests' calls that may run once have a second attempt

Cause: the routes of such calls allowed one attempt, so that no test saw it when dsp_attempt_lost no longer asked whether a call may be repeated.

Change: both allow two. The script in which a server says that it did not run the call follows it to the second server, which refuses too.

Before: with the question taken out, 14 of 14 pass. After: t9201's what_may_have_run_once_is_not_repeated fails, and t9301 still passes.

--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -45,7 +45,7 @@
                              .prefix = STR ("/b/"),
                              .kind = TBL_ONCE,
                              .goal_ms = 200,
-                             .max_attempts = 1,
+                             .max_attempts = 2,
                              .targets = &to[1],
                              .ntargets = 1 };
   r[2] = (struct tbl_route){ .name = STR ("safe"),
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -143,7 +143,7 @@
       "{\"name\": \"o\", \"host\": \"h\", \"prefix\": \"/once/\","
       " \"kind\": \"non_idempotent\", \"timeout_ms\": 1500,"
       " \"goal_ms\": 300, \"priority\": 2, \"service\": \"app\","
-      " \"max_attempts\": 1},"
+      " \"max_attempts\": 2},"
       "{\"name\": \"f\", \"host\": \"h\", \"prefix\": \"/safe/\","
       " \"kind\": \"idempotent\", \"timeout_ms\": 3000,"
       " \"goal_ms\": 300, \"priority\": 2, \"service\": \"app\","
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -39,15 +39,18 @@
 
 /*
  * The same, but the connection was never made, or the server says that it did
- * not run the call: that is told, with when to come back.
+ * not run the call: then it goes to the other one, and when that does not run
+ * it either, the caller is told so and when to come back.
  */
 Test (dispatch, what_has_not_run_is_told_so)
 {
   dispatch_play ("places p 2 4\n ask 1 once\n failed 1\n failed 1\n"
-                 "run 200\n ask 2 once\n sent 2\n unrun 2\n",
+                 "run 200\n ask 2 once\n sent 2\n unrun 2\n"
+                 "sent 2\n unrun 2\n",
                  "send 1 p1\nsend 1 p2\n"
                  "answer 1 overload 503 retry\n"
-                 "send 2 p1\ncancel 2\nanswer 2 refused 503 retry\n");
+                 "send 2 p1\ncancel 2\nsend 2 p2\ncancel 2\n"
+                 "answer 2 refused 503 retry\n");
 }
 
 /* An idempotent call meets an error and is tried at the other place; its
