See an answer that ends within an event, and orders on the wire

Cause: no test saw it when the rest of an event at the end of an answer was let pass, as the stand-in broke the connection there; and no test read an order as it is written.

Change: the stand-in can end a stream in order within an event; a test over processes, and one of all five orders' bodies.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -229,12 +229,14 @@
   n = snprintf (text, sizeof text, "id: %d\ndata: w%d\n\n", st->next,
                 st->next);
   httpd_write (req, str_make (text, (size_t)n));
-  if (s->cut_after && st->next >= s->cut_after)
+  if ((s->cut_after && st->next >= s->cut_after)
+      || (s->end_after && st->next >= s->end_after))
     {
-      s->cut_after = 0;
+      bool in_order = s->end_after != 0;
+      s->cut_after = s->end_after = 0;
       httpd_write (req, STR ("id: 9"));
       stream_over (st);
-      httpd_end (req, false);
+      httpd_end (req, in_order);
     }
   else if (st->next++ >= s->rack->events)
     {
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -7,7 +7,7 @@
  *                          leases
  *   "event_ms", "events"   of the streams
  *   "server": ID, and of it "dead", "dark", "draining", "unlisted",
- *             "unsealed": B, "fail": STATUS, "cut_after": N
+ *             "unsealed": B, "fail": STATUS, "cut_after": N, "end_after": N
  *
  * GET /control/counts: runs by server, and by request id where above one.
  * GET /control/runs: runs by request id.
@@ -61,6 +61,8 @@
     s->fail = (int)jsn_int (o, "fail");
   if (jsn_get (o, "cut_after"))
     s->cut_after = (int)jsn_int (o, "cut_after");
+  if (jsn_get (o, "end_after"))
+    s->end_after = (int)jsn_int (o, "end_after");
   if (!s->dead)
     rack_list (s);
 }
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -41,6 +41,7 @@
   bool unlisted; /**< cut from the key-value service only */
   int fail;      /**< status of the next answers, 0: none */
   int cut_after; /**< events, then the connection breaks; 0: never */
+  int end_after; /**< events, then the answer ends in the next; 0: never */
   bool unsealed; /**< answers lack the signature */
   char model[32], replica[32];
   char members[RACK_SERVERS][16];
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -243,6 +243,37 @@
   tbl_unref (t);
 }
 
+/* Orders as the platform's servers read them. */
+Test (orders, on_the_wire)
+{
+  const struct str members[] = { STR ("a"), STR ("b") };
+  struct frm_action a = { .order = FRM_JOIN,
+                          .replica = STR ("r5"),
+                          .generation = 5,
+                          .fence = 7,
+                          .model = STR ("m"),
+                          .members = members,
+                          .nmembers = 2,
+                          .cut = true };
+  static const char *const expected[]
+      = { "{\"op\":\"join\",\"fence\":7,\"group\":\"r5\",\"epoch\":5,"
+          "\"model\":\"m\",\"members\":[\"a\",\"b\"]}",
+          "{\"op\":\"open\",\"fence\":7,\"group\":\"r5\",\"epoch\":5}",
+          "{\"op\":\"close\",\"fence\":7,\"group\":\"r5\",\"epoch\":5,"
+          "\"mode\":\"cut\"}",
+          "{\"op\":\"leave\",\"fence\":7,\"group\":\"r5\",\"epoch\":5}",
+          "{\"op\":\"stage\",\"fence\":7,\"model\":\"m\"}" };
+
+  for (int k = FRM_JOIN; k <= FRM_STAGE; k++)
+    {
+      struct buf body = BUF_INIT;
+      a.order = (enum frm_order_kind)k;
+      plt_order (&a, &body);
+      cr_expect_str_eq (buf_c (&body), expected[k]);
+      buf_free (&body);
+    }
+}
+
 /* Routes by host and longest prefix, split by weight; keys of accounts. */
 Test (table, look_ups)
 {
--- a/t/t9301-serve.c
+++ b/t/t9301-serve.c
@@ -131,6 +131,27 @@
   buf_free (&body);
 }
 
+/*
+ * The same, but the answer ends as if it were whole, within an event.  It is
+ * not: the stream goes on at the other replica.
+ */
+Test (serve, an_answer_that_ends_in_an_event_is_not_whole)
+{
+  struct rack r;
+  struct buf body = BUF_INIT;
+
+  rack_serve (&r, 8);
+  for (int i = 0; i < 4; i++)
+    {
+      rack_set (&r, "{\"server\": \"%s\", \"end_after\": 4}",
+                i < 2 ? "e1" : "e5");
+      buf_clear (&body);
+      cr_expect_eq (rack_stream (&r, i % 2, "cut", &body), 200);
+      cr_expect (rack_whole (&body, 10));
+    }
+  buf_free (&body);
+}
+
 /*
  * A plain server says that it leaves.  Within the drain time no node sends it
  * anything.
