--- a/route/core.h
+++ b/route/core.h
@@ -117,6 +117,7 @@
 struct rt_server
 {
   char *name;
+  struct str key; /**< its name */
   char *zone;
   uint64_t hash;
   struct net_addr addr;
@@ -218,6 +219,7 @@
   bool is_model;
   struct rt_server **servers;
   size_t nservers;
+  struct _GHashTable *by_name; /**< the same; key: rt_server.key */
   struct rt_queue queue;
   double mean_cost;    /**< moving average of the requests' cost */
   double mean_others;  /**< of servers' others, for stale reports */
--- a/route/route.c
+++ b/route/route.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -153,6 +154,18 @@
 
 /* --- targets and servers ----------------------------------------------- */
 
+static guint
+key_hash (const void *key)
+{
+  return (guint)str_hash (*(const struct str *)key, 0);
+}
+
+static gboolean
+key_equal (const void *a, const void *b)
+{
+  return str_eq (*(const struct str *)a, *(const struct str *)b);
+}
+
 struct rt_target *
 rt_target (struct rt *r, struct str name, bool is_model)
 {
@@ -165,6 +178,7 @@
   t->name = str_dup (name);
   t->hash = hash;
   t->is_model = is_model;
+  t->by_name = g_hash_table_new (key_hash, key_equal);
   r->targets = xrealloc (r->targets, (r->ntargets + 1) * sizeof *r->targets);
   r->targets[r->ntargets++] = t;
   return t;
@@ -173,13 +187,14 @@
 static struct rt_server *
 server_of (struct rt_target *t, struct str name)
 {
-  uint64_t hash = str_hash (name, 0);
-  for (size_t i = 0; i < t->nservers; i++)
-    if (t->servers[i]->hash == hash && str_is (name, t->servers[i]->name))
-      return t->servers[i];
-  struct rt_server *s = xcalloc (1, sizeof *s);
+  struct rt_server *s = g_hash_table_lookup (t->by_name, &name);
+  if (s)
+    return s;
+  s = xcalloc (1, sizeof *s);
   s->name = str_dup (name);
-  s->hash = hash;
+  s->key = str_from (s->name);
+  s->hash = str_hash (name, 0);
+  g_hash_table_insert (t->by_name, &s->key, s);
   t->servers = xrealloc (t->servers, (t->nservers + 1) * sizeof *t->servers);
   t->servers[t->nservers++] = s;
   return s;
@@ -203,7 +218,10 @@
     if (t->servers[i]->listed || t->servers[i]->in_flight)
       t->servers[kept++] = t->servers[i];
     else
-      server_free (t->servers[i]);
+      {
+        g_hash_table_remove (t->by_name, &t->servers[i]->key);
+        server_free (t->servers[i]);
+      }
   t->nservers = kept;
   t->view.current = false;
 }
@@ -424,6 +442,7 @@
 static void
 target_free (struct rt_target *t)
 {
+  g_hash_table_destroy (t->by_name);
   for (size_t i = 0; i < t->nservers; i++)
     server_free (t->servers[i]);
   rt_queue_clear (&t->queue);
