Take over what is listed at once, and give nothing up before it settles

Cause: after all nodes have stopped the owner waits 2.2 s for the list to settle before it takes anything over, as members without their leader once looked like spares.

Change: the new owner takes over what is listed. Until the list has settled, a replica without its leader, or one that was joining and lacks members, waits; a leader that appears without members is kept; no spare is loaded for another model. Where a replica is open there has been traffic.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -47,11 +47,26 @@
   return true;
 }
 
+/** It was found with members that this owner has never seen listed. */
+static bool
+has_unknown (const struct frm_group *g)
+{
+  for (size_t i = 0; i < g->n; i++)
+    if (!g->members[i])
+      return true;
+  return g->n < g->size;
+}
+
 /* --- joining and opening ----------------------------------------------- */
 
 static void
 tick_joining (struct frm *f, struct frm_group *g)
 {
+  if (!f->settled && !g->bereft && has_unknown (g))
+    {
+      g->since = f->now;
+      return;
+    }
   if (!all_there (f, g))
     {
       if (g->n >= g->size || f->now - g->since > ADOPT_MS)
@@ -148,16 +163,6 @@
   return g->bereft;
 }
 
-/** It was found open, with members that this owner has never seen listed. */
-static bool
-has_unknown (const struct frm_group *g)
-{
-  for (size_t i = 0; i < g->n; i++)
-    if (!g->members[i])
-      return true;
-  return g->n < g->size;
-}
-
 static void
 tick_open (struct frm *f, struct frm_group *g)
 {
@@ -311,7 +316,9 @@
       tick_closing (f, g);
       break;
     case FRM_PH_LOST:
-      if (f->now - g->since > LOST_MS)
+      if (!f->settled)
+        g->since = f->now;
+      else if (f->now - g->since > LOST_MS)
         frm_enter (f, g, FRM_PH_FENCING);
       break;
     case FRM_PH_LEAVING:
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -90,6 +90,7 @@
   struct frm_options opt;
   bool owner;
   bool adopted; /**< what is there was taken over */
+  bool settled; /**< the list is whole: who is missing there is gone */
   bool traffic;
   int64_t fence;
   int64_t generation; /**< last one given */
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -529,7 +529,7 @@
         continue;
       while (form_one (f, &d))
         ;
-      if (f->now - f->arrived_at >= ARRIVAL_MS)
+      if (f->settled && f->now - f->arrived_at >= ARRIVAL_MS)
         load_spares (f, &d);
     }
   if (f->traffic && f->now >= f->next_across)
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -67,7 +67,7 @@
 void
 frm_stage (struct frm *f)
 {
-  if (f->now - f->arrived_at < SETTLE_MS)
+  if (!f->settled || f->now - f->arrived_at < SETTLE_MS)
     return;
   for (size_t i = 0; i < f->nvms; i++)
     {
--- a/serve/form.c
+++ b/serve/form.c
@@ -332,7 +332,9 @@
 
 /**
  * What is there is taken over as it is: nothing is formed anew, so callers
- * notice a change of owner by nothing.
+ * notice a change of owner by nothing.  Where a replica is open there have been
+ * requests, though this node, which may have just started, has not seen one;
+ * loads take their full time.
  */
 static void
 adopt (struct frm *f)
@@ -341,6 +343,8 @@
   for (size_t i = 0; i < f->nvms; i++)
     if (!f->vms[i]->group && f->vms[i]->e.part != BKS_ALONE)
       adopt_group (f, f->vms[i]);
+  for (size_t i = 0; i < f->ngroups; i++)
+    f->traffic |= f->groups[i]->phase == FRM_PH_OPEN;
   f->adopted = true;
 }
 
@@ -388,7 +392,7 @@
       if (g)
         attach (f, g, vm);
       else
-        adopt_group (f, vm)->stray = true;
+        adopt_group (f, vm)->stray = f->settled;
     }
 }
 
@@ -437,9 +441,10 @@
         take_server (f, list[i]);
     }
   drop_unnamed (f);
+  f->settled = settled;
   if (f->owner && f->adopted)
     adopt_stray (f);
-  else if (f->owner && settled)
+  else if (f->owner)
     adopt (f);
 }
 
--- a/serve/form.h
+++ b/serve/form.h
@@ -86,8 +86,8 @@
 
 /**
  * The backend servers as listed, and the table in force.
- * @param settled  whether the list is whole: before, nothing is taken over,
- *                 as members without their leader would look like spares
+ * @param settled  whether the list is whole: before, who is missing may only
+ *                 have lapsed, so nothing is given up or loaded for its sake
  */
 void frm_servers (struct frm *f, clk_ms now, const struct bks *servers,
                   const struct tbl *t, bool settled);
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -278,8 +278,8 @@
  * Callers of the large model have lost both replicas: each domain has two VMs
  * warm for it and nobody that could take the third place before a load of many
  * seconds.  The four are more use in a slow replica across the domains than in
- * waiting.  When the lost VM is back in its domain, the replica there is formed
- * again and the one across closes.
+ * waiting.  When the lost VM is back in its domain, the replica there is
+ * formed again and the one across closes.
  */
 Test (form, leftovers_of_two_domains_form_a_replica)
 {
@@ -314,3 +314,34 @@
              "r1002 small is open: a4 a5\n"
              "r1004 small is open: b4 b5\n");
 }
+
+/*
+ * All nodes were away for a moment and a member died meanwhile.  Whether the
+ * list is whole is not known yet; but the replica that lacks the member, and
+ * the spare, are listed.  Callers don't wait two seconds more for the repair.
+ */
+Test (form, what_is_listed_is_repaired_before_the_list_settles)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n unsettled\n other 2\n"
+             "run 200\n kill a2\n run 1500\n show\n",
+             FORMED "close cut r1001 a1\n"
+                    "leave r1001 a1\n"
+                    "join r2001 big: a1 a3 a6\n"
+                    "open r2001 a1\n"
+                    "r2001 big is open: a1 a3 a6\n"
+                    "r1002 small is open: a4 a5\n");
+}
+
+/*
+ * After an outage of the store a leader is listed before its members.  It is
+ * open and its replica whole: nothing is closed, whoever is listed first.
+ */
+Test (form, a_leader_listed_before_its_members_stays_open)
+{
+  form_play ("owner 1\n vms a 6\n run 5000\n traffic\n unlist a1\n unlist a2\n"
+             "unlist a3\n unsettled\n other 2\n run 500\n back a1\n run 500\n"
+             "back a2\n back a3\n run 200\n settled\n run 3000\n show\n",
+             FORMED "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n");
+}
