Keep the owner's link free for its lease with a hundred nodes

The owner read a list of 600 kB ten times a second and after each order, told each change to each node, and told 2.3 kB of loads to 99 nodes ten times a second: each alone comes near to the 20 Mbit/s of a small VM's link, and the renewals of its lease waited behind them.

Change: a long list is read less often, in proportion above 250 servers; the list and the sum of loads take three tenths of the link each (the settings say what it carries), the least informed node first, changes that wait going together.

--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -42,6 +42,7 @@
   double ceiling_window_s; /**< of the bound on loads */
   double ceiling_over;
   size_t max_fds;
+  double link_bytes_per_s; /**< of this VM; 0: not known */
 };
 
 /** A caller's request, decoded from its headers. */
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -15,6 +15,11 @@
     one that is further behind gets the whole list. */
 #define GONE_MOST 128
 
+/** Servers that may be read as often as wanted.  An entry is some 600 bytes
+    on the wire: 250 of them ten times a second are 1.5 MB/s, over half of what
+    the smallest VMs' links carry. */
+#define PACE_SERVERS 250
+
 struct gone
 {
   char *id;
@@ -278,6 +283,12 @@
          && (b->steady_since == 0 || now - b->steady_since >= RETURN_MS);
 }
 
+clk_ms
+bks_pace (const struct bks *b, clk_ms least)
+{
+  return b->n > PACE_SERVERS ? least * (clk_ms)b->n / PACE_SERVERS : least;
+}
+
 bool
 bks_known (const struct bks *b)
 {
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -106,6 +106,12 @@
  */
 bool bks_settled (const struct bks *b, clk_ms now);
 
+/**
+ * How often the list is to be read: each @p least, but less often in
+ * proportion when it is long, as each reading brings all of it.
+ */
+clk_ms bks_pace (const struct bks *b, clk_ms least);
+
 /** Whether the list was read at least once. */
 bool bks_known (const struct bks *b);
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -23,6 +23,13 @@
 #define TELL_REST_MS ((clk_ms)1000)
 /** A sum that is older says too little of now. */
 #define SUM_MS ((clk_ms)450)
+/** Part of this VM's link that the sum may take; it is told less often where
+   it would take more, but so that the one before is not too old by then. */
+#define SUM_PART 0.3
+#define SUM_LONGEST_MS ((clk_ms)400)
+/** Part of this VM's link that may go to telling the list: three tenths leave
+    room for reading it, for loads and for callers. */
+#define LIST_PART 0.3
 /** A peer that was not heard for so long gets no new callers. */
 #define SILENT_MS ((clk_ms)1600)
 /** Its link is given up after this: it may have gone silent for good. */
@@ -48,6 +55,7 @@
   bool listing;  /* its ServerList has come on this link */
   uint64_t told; /* version of the list of backend servers that it has from
                     this node; 0: none */
+  clk_ms told_list_at;
   clk_ms heard;
   clk_ms next_connect;
 };
@@ -61,7 +69,10 @@
   clk_ms next_tell;
   struct dsp_count *own; /* what was told of this node last */
   size_t nown;
-  clk_ms sum_at; /* when the sum of all nodes came last */
+  clk_ms sum_at;      /* when the sum of all nodes came last */
+  double list_credit; /* bytes of the list that may be told now */
+  clk_ms credit_at;
+  clk_ms next_sum;
 };
 
 static struct peer *
@@ -443,6 +454,16 @@
     }
 }
 
+/** How long after telling @p bytes to @p n nodes they may be told again. */
+static clk_ms
+sum_pause (const struct srv_peers *p, size_t bytes, size_t n)
+{
+  double per_ms = SUM_PART * p->s->set.link_bytes_per_s / (double)CLK_SECOND;
+  clk_ms ms = per_ms > 0 ? (clk_ms)((double)(bytes * n) / per_ms) : 0;
+
+  return ms < SUM_LONGEST_MS ? ms : SUM_LONGEST_MS;
+}
+
 static void
 send_sum (struct srv_peers *p, clk_ms now)
 {
@@ -451,7 +472,8 @@
   struct sum sum = { 0 };
   struct rows rows;
 
-  if (!srv_duty_holds (p->s) || count_up (p) <= DIRECT_MOST)
+  if (!srv_duty_holds (p->s) || count_up (p) <= DIRECT_MOST
+      || now < p->next_sum)
     return;
   add_counts (&sum, p->own, p->nown);
   for (struct peer *x = p->list; x; x = x->next)
@@ -466,6 +488,9 @@
   for (struct peer *x = p->list; x; x = x->next)
     if (x->up)
       link_send (x->link, &f);
+  p->next_sum = now
+                + sum_pause (p, lapis__fleet_load__get_packed_size (&load),
+                             count_up (p));
   free_rows (&rows);
   free (sum.list);
 }
@@ -514,16 +539,58 @@
   send_sum (p, now);
 }
 
+static void
+earn_credit (struct srv_peers *p, clk_ms now)
+{
+  double per_s = LIST_PART * p->s->set.link_bytes_per_s;
+  double earned = per_s * (double)(now - p->credit_at) / (double)CLK_SECOND;
+
+  p->list_credit += earned;
+  if (p->list_credit > per_s)
+    p->list_credit = per_s;
+  p->credit_at = now;
+}
+
+/** Of those that lack changes of the list and were not told just now, the one
+    told longest ago. */
+static struct peer *
+least_informed (const struct srv_peers *p, uint64_t version, clk_ms now)
+{
+  struct peer *best = NULL;
+
+  for (struct peer *x = p->list; x; x = x->next)
+    if (x->up && x->told != version && x->told_list_at != now
+        && (!best || x->told_list_at < best->told_list_at))
+      best = x;
+  return best;
+}
+
+/**
+ * A thousand servers that are formed into replicas change some three times
+ * each, and to tell each change to a hundred nodes takes more than a small
+ * VM's link; then the owner's own lease is not renewed in time, the next owner
+ * begins with the whole list for everybody, and loses it too.  So the list
+ * takes a part of the link, the least informed first.  Changes that wait go
+ * together, and a node that hears nothing reads by itself.
+ */
 void
 srv_peers_servers (struct srv *s)
 {
-  clk_ms age = srv_sync_age (s, clk_now ());
+  struct srv_peers *p = s->peers;
+  clk_ms now = clk_now ();
+  struct peer *x;
 
-  if (!s->peers || !srv_duty_holds (s))
+  if (!p || !srv_duty_holds (s))
     return;
-  for (struct peer *x = s->peers->list; x; x = x->next)
-    if (x->up && x->told != bks_version (s->backends))
-      shr_send (x->link, s->backends, age, &x->told);
+  earn_credit (p, now);
+  while ((s->set.link_bytes_per_s <= 0 || p->list_credit >= 0)
+         && (x = least_informed (p, bks_version (s->backends), now)) != NULL)
+    {
+      size_t bytes
+          = shr_send (x->link, s->backends, srv_sync_age (s, now), &x->told);
+      x->told_list_at = now;
+      p->list_credit -= (double)bytes;
+    }
 }
 
 void
--- a/serve/share.c
+++ b/serve/share.c
@@ -92,7 +92,7 @@
     out->gone[out->ngone++] = copy (t, gone[i]);
 }
 
-void
+size_t
 shr_send (struct link *l, struct bks *b, clk_ms age_ms, uint64_t *told)
 {
   Lapis__ServerList list = LAPIS__SERVER_LIST__INIT;
@@ -100,7 +100,7 @@
   struct texts t = { 0 };
   struct rows rows = { 0 };
   const struct str *gone;
-  size_t ngone;
+  size_t ngone, bytes;
 
   if (*told && !bks_gone_since (b, *told, &gone, &ngone))
     *told = 0;
@@ -113,6 +113,7 @@
   list.gone = rows.gone;
   f.body_case = LAPIS__FRAME__BODY_SERVER_LIST;
   f.server_list = &list;
+  bytes = lapis__server_list__get_packed_size (&list);
   if ((rows.n == 0 && rows.ngone == 0 && !list.whole) || link_send (l, &f))
     *told = bks_version (b);
   texts_free (&t);
@@ -120,6 +121,7 @@
   free (rows.list);
   free (rows.staged);
   free (rows.gone);
+  return bytes;
 }
 
 /* --- taking ------------------------------------------------------------ */
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -9,6 +9,9 @@
  */
 #define POLL_DUTY_MS ((clk_ms)300)
 #define POLL_BUSY_MS ((clk_ms)100)
+/** And when an order has ended: its effect is reported at once, but many
+   orders end together, and one reading shows the effects of all. */
+#define POLL_HURRY_MS ((clk_ms)50)
 /**
  * Where nobody tells them they read by themselves: a leaving server must get
  * nothing new drain_ms after it said so, so some times in that.
@@ -168,7 +171,8 @@
   clk_ms ms = s->set.drain_ms / POLL_PER_DRAIN;
 
   if (srv_duty_holds (s))
-    return srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS;
+    return bks_pace (s->backends,
+                     srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS);
   return ms > POLL_AGAIN_MS ? ms : POLL_AGAIN_MS;
 }
 
@@ -230,8 +234,13 @@
 void
 srv_sync_hurry (struct srv *s, clk_ms now)
 {
-  if (s->sync->next_servers > now)
-    s->sync->next_servers = now;
+  struct srv_sync *y = s->sync;
+  clk_ms next = y->asked_servers + bks_pace (s->backends, POLL_HURRY_MS);
+
+  if (next < now)
+    next = now;
+  if (next < y->next_servers)
+    y->next_servers = next;
 }
 
 void
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -243,6 +243,31 @@
   tbl_unref (t);
 }
 
+/*
+ * A thousand servers are listed.  Were the list read as often as that of two
+ * hundred, the owner's link would carry nothing else, and neither orders nor
+ * the other nodes would hear from it.
+ */
+Test (backends, a_long_list_is_read_less_often)
+{
+  static struct bks_entry e[1000];
+  static char ids[1000][8];
+  struct bks *b = bks_new ();
+
+  for (size_t i = 0; i < 1000; i++)
+    {
+      snprintf (ids[i], sizeof ids[i], "s%zu", i);
+      add (&e[i], ids[i], false);
+    }
+  cr_expect_eq (bks_pace (b, 100), 100, "nothing is known");
+  bks_update (b, 1000, 1000, e, 200);
+  cr_expect_eq (bks_pace (b, 100), 100);
+  bks_update (b, 2000, 2000, e, 1000);
+  cr_expect_eq (bks_pace (b, 100), 400);
+  cr_expect_eq (bks_pace (b, 300), 1200);
+  bks_free (b);
+}
+
 /* Orders as the platform's servers read them. */
 Test (orders, on_the_wire)
 {
