Find servers and VMs by hash tables, domains by number

Cause: with 1,006 backend servers the owner takes 0.107 of its 0.12 cores: each reading of the list looks up each server in a row, twice, and each tick compares the names of all pairs of VMs for their domains.

Change: hash tables by id; a domain has a number.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -1,5 +1,6 @@
 #include "serve/backends.h"
 
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,6 +35,7 @@
   struct str gone_ids[GONE_MOST];
   struct bks_server **list;
   size_t n;
+  GHashTable *by_id; /* the same; key: bks_server.e.id */
   bool known;
   bool failing;        /* the last read failed */
   clk_ms asked_at;     /* of the last good read */
@@ -42,10 +44,25 @@
   struct dsp_place *places;
 };
 
+static guint
+id_hash (const void *id)
+{
+  return (guint)str_hash (*(const struct str *)id, 0);
+}
+
+static gboolean
+id_equal (const void *a, const void *b)
+{
+  return str_eq (*(const struct str *)a, *(const struct str *)b);
+}
+
 struct bks *
 bks_new (void)
 {
-  return xcalloc (1, sizeof (struct bks));
+  struct bks *b = xcalloc (1, sizeof *b);
+
+  b->by_id = g_hash_table_new (id_hash, id_equal);
+  return b;
 }
 
 static void
@@ -71,6 +88,7 @@
 {
   if (!b)
     return;
+  g_hash_table_destroy (b->by_id);
   for (size_t i = 0; i < b->n; i++)
     server_free (b->list[i]);
   for (size_t i = 0; i < GONE_MOST; i++)
@@ -115,10 +133,7 @@
 static struct bks_server *
 find (const struct bks *b, struct str id)
 {
-  for (size_t i = 0; i < b->n; i++)
-    if (str_eq (b->list[i]->e.id, id))
-      return b->list[i];
-  return NULL;
+  return g_hash_table_lookup (b->by_id, &id);
 }
 
 const struct bks_server *
@@ -185,6 +200,7 @@
       b->list[b->n++] = s;
     }
   copy_entry (s, in);
+  g_hash_table_insert (b->by_id, &s->e.id, s);
   s->named = true;
   s->version = b->version;
   return true;
@@ -202,6 +218,7 @@
     else
       {
         remember_gone (b, b->list[i]->e.id);
+        g_hash_table_remove (b->by_id, &b->list[i]->e.id);
         server_free (b->list[i]);
       }
   bool changed = kept != b->n;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -24,11 +24,12 @@
   char *id;
   char *service;
   char *domain;
-  struct bks_entry e;  /**< as reported; strings borrowed from `servers` */
-  bool present;        /**< listed; if not, its replica is kept for it */
-  bool named;          /**< by the list that is being read */
-  bool silent;         /**< did not answer when asked; counts as missing */
-  unsigned unanswered; /**< asks in a row */
+  unsigned domain_number; /**< of the service and domain, for quick compares */
+  struct bks_entry e;     /**< as reported; strings borrowed from `servers` */
+  bool present;           /**< listed; if not, its replica is kept for it */
+  bool named;             /**< by the list that is being read */
+  bool silent;            /**< did not answer when asked; counts as missing */
+  unsigned unanswered;    /**< asks in a row */
   clk_ms next_ask;
   clk_ms answered_at; /**< last answer to being asked */
   uint64_t ask;       /**< token under way; 0: none */
@@ -102,6 +103,8 @@
   struct tbl *table;
   struct frm_vm **vms;
   size_t nvms;
+  struct _GHashTable *by_id; /**< the same by id */
+  unsigned domains;          /**< numbers given */
   struct frm_group **groups;
   size_t ngroups;
   clk_ms loads[FRM_LOADS]; /**< when the last ones began, a ring */
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -38,7 +38,7 @@
 {
   const struct tbl_service *s;
   const char *service;
-  const char *name;
+  unsigned number;            /**< frm_vm.domain_number */
   unsigned want[MODELS_MOST]; /**< replicas that its VMs suffice for */
   unsigned have[MODELS_MOST]; /**< that are there or on their way */
   unsigned warm[MODELS_MOST]; /**< free VMs that hold the model or load it */
@@ -47,8 +47,7 @@
 static bool
 in_domain (const struct frm_vm *vm, const struct domain *d)
 {
-  return strcmp (vm->service, d->service) == 0
-         && strcmp (vm->domain, d->name) == 0;
+  return vm->domain_number == d->number;
 }
 
 static bool
@@ -465,22 +464,23 @@
     }
 }
 
-static bool seen_before (const struct frm *f, size_t at);
-
 /** Use what is left of one model in all domains of a service. */
 static void
 place_across (struct frm *f, const struct tbl_service *s, const char *service,
               size_t k)
 {
   struct leftovers left = { .n = 0 };
+  bool *seen = xcalloc (f->domains + 1, sizeof *seen);
 
   for (size_t i = 0; i < f->nvms; i++)
     {
+      const struct frm_vm *vm = f->vms[i];
       struct domain d
-          = { .s = s, .service = service, .name = f->vms[i]->domain };
-      if (strcmp (f->vms[i]->service, service) != 0 || d.name[0] == '\0'
-          || seen_before (f, i))
+          = { .s = s, .service = service, .number = vm->domain_number };
+      if (strcmp (vm->service, service) != 0 || vm->domain[0] == '\0'
+          || seen[d.number])
         continue;
+      seen[d.number] = true;
       look_at (f, &d);
       if (d.have[k] >= d.want[k])
         continue;
@@ -488,6 +488,7 @@
       gather (f, &d, k, &left);
     }
   form_across (f, service, &s->models[k], &left);
+  free (seen);
 }
 
 static void
@@ -506,32 +507,26 @@
 
 /* --- all domains ------------------------------------------------------- */
 
-static bool
-seen_before (const struct frm *f, size_t at)
-{
-  for (size_t i = 0; i < at; i++)
-    if (strcmp (f->vms[i]->domain, f->vms[at]->domain) == 0
-        && strcmp (f->vms[i]->service, f->vms[at]->service) == 0)
-      return true;
-  return false;
-}
-
 void
 frm_place (struct frm *f)
 {
+  bool *seen = xcalloc (f->domains + 1, sizeof *seen);
+
   for (size_t i = 0; i < f->nvms; i++)
     {
       const struct frm_vm *vm = f->vms[i];
       struct domain d = { .s = frm_service (f, vm->service),
                           .service = vm->service,
-                          .name = vm->domain };
-      if (!d.s || vm->domain[0] == '\0' || seen_before (f, i))
+                          .number = vm->domain_number };
+      if (!d.s || vm->domain[0] == '\0' || seen[d.number])
         continue;
+      seen[d.number] = true;
       while (form_one (f, &d))
         ;
       if (f->settled && f->now - f->arrived_at >= ARRIVAL_MS)
         load_spares (f, &d);
     }
+  free (seen);
   if (f->traffic && f->now >= f->next_across)
     place_all_across (f);
 }
--- a/serve/form.c
+++ b/serve/form.c
@@ -1,5 +1,6 @@
 #include "serve/form-int.h"
 
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -26,6 +27,7 @@
   struct frm *f = xcalloc (1, sizeof *f);
 
   f->opt = *opt;
+  f->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   return f;
 }
 
@@ -76,6 +78,7 @@
   for (size_t i = 0; i < f->nvms; i++)
     vm_free (f->vms[i]);
   tbl_unref (f->table);
+  g_hash_table_destroy (f->by_id);
   free (f->vms);
   free (f->groups);
   free (f->queue);
@@ -172,11 +175,23 @@
 
 static struct frm_vm *
 find_vm (const struct frm *f, struct str id)
+{
+  char *key = str_dup (id);
+  struct frm_vm *vm = g_hash_table_lookup (f->by_id, key);
+
+  free (key);
+  return vm;
+}
+
+/** VMs of the same service and domain have the same number. */
+static unsigned
+domain_number (struct frm *f, const struct frm_vm *vm)
 {
   for (size_t i = 0; i < f->nvms; i++)
-    if (str_is (id, f->vms[i]->id))
-      return f->vms[i];
-  return NULL;
+    if (strcmp (f->vms[i]->domain, vm->domain) == 0
+        && strcmp (f->vms[i]->service, vm->service) == 0)
+      return f->vms[i]->domain_number;
+  return ++f->domains;
 }
 
 bool
@@ -211,6 +226,8 @@
       vm->id = str_dup (s->e.id);
       vm->service = str_dup (s->e.service);
       vm->domain = str_dup (s->e.domain);
+      vm->domain_number = domain_number (f, vm);
+      g_hash_table_insert (f->by_id, vm->id, vm);
       f->vms = xrealloc (f->vms, (f->nvms + 1) * sizeof (*f->vms));
       f->vms[f->nvms++] = vm;
       f->arrived_at = f->now;
@@ -232,6 +249,7 @@
           f->groups[i]->members[k] = NULL;
           f->groups[i]->bereft = true;
         }
+  g_hash_table_remove (f->by_id, vm->id);
   vm_free (vm);
 }
 
@@ -332,9 +350,9 @@
 
 /**
  * What is there is taken over as it is: nothing is formed anew, so callers
- * notice a change of owner by nothing.  Where a replica is open there have been
- * requests, though this node, which may have just started, has not seen one;
- * loads take their full time.
+ * notice a change of owner by nothing.  Where a replica is open there have
+ * been requests, though this node, which may have just started, has not seen
+ * one; loads take their full time.
  */
 static void
 adopt (struct frm *f)
