--- a/serve/peers.c
+++ b/serve/peers.c
@@ -23,17 +23,6 @@
 #define TELL_REST_MS ((clk_ms)1000)
 /** A sum that is older says too little of now. */
 #define SUM_MS ((clk_ms)450)
-/** Part of this VM's link that the sum may take; it is told less often where
-   it would take more, but so that the one before is not too old by then. */
-#define SUM_PART 0.3
-#define SUM_LONGEST_MS ((clk_ms)400)
-/** Part of this VM's link that may go to telling the list; the rest is for
-    reading it, for loads and for callers. */
-#define LIST_PART 0.5
-/** What was not used is kept for so long: the repair of a few replicas is told
-    at once.  With a part of 0.3 and one second kept, nodes heard so late of
-    repairs with 63 of them that twice as many requests failed. */
-#define LIST_KEPT_S 2.0
 /** A peer that was not heard for so long gets no new callers. */
 #define SILENT_MS ((clk_ms)1600)
 /** Its link is given up after this: it may have gone silent for good. */
@@ -73,9 +62,8 @@
   clk_ms next_tell;
   struct dsp_count *own; /* what was told of this node last */
   size_t nown;
-  clk_ms sum_at;      /* when the sum of all nodes came last */
-  double list_credit; /* bytes of the list that may be told now */
-  clk_ms credit_at;
+  clk_ms sum_at;            /* when the sum of all nodes came last */
+  struct shr_credit credit; /* for telling the list */
   clk_ms next_sum;
 };
 
@@ -458,16 +446,6 @@
     }
 }
 
-/** How long after telling @p bytes to @p n nodes they may be told again. */
-static clk_ms
-sum_pause (const struct srv_peers *p, size_t bytes, size_t n)
-{
-  double per_ms = SUM_PART * p->s->set.link_bytes_per_s / (double)CLK_SECOND;
-  clk_ms ms = per_ms > 0 ? (clk_ms)((double)(bytes * n) / per_ms) : 0;
-
-  return ms < SUM_LONGEST_MS ? ms : SUM_LONGEST_MS;
-}
-
 static void
 send_sum (struct srv_peers *p, clk_ms now)
 {
@@ -493,8 +471,9 @@
     if (x->up)
       link_send (x->link, &f);
   p->next_sum = now
-                + sum_pause (p, lapis__fleet_load__get_packed_size (&load),
-                             count_up (p));
+                + shr_sum_pause (p->s->set.link_bytes_per_s,
+                                 lapis__fleet_load__get_packed_size (&load),
+                                 count_up (p));
   free_rows (&rows);
   free (sum.list);
 }
@@ -543,18 +522,6 @@
   send_sum (p, now);
 }
 
-static void
-earn_credit (struct srv_peers *p, clk_ms now)
-{
-  double per_s = LIST_PART * p->s->set.link_bytes_per_s;
-  double earned = per_s * (double)(now - p->credit_at) / (double)CLK_SECOND;
-
-  p->list_credit += earned;
-  if (p->list_credit > LIST_KEPT_S * per_s)
-    p->list_credit = LIST_KEPT_S * per_s;
-  p->credit_at = now;
-}
-
 /** Of those that lack changes of the list and were not told just now, the one
     told longest ago. */
 static struct peer *
@@ -586,14 +553,13 @@
 
   if (!p || !srv_duty_holds (s))
     return;
-  earn_credit (p, now);
-  while ((s->set.link_bytes_per_s <= 0 || p->list_credit >= 0)
+  while (shr_may_tell (&p->credit, now, s->set.link_bytes_per_s)
          && (x = least_informed (p, bks_version (s->backends), now)) != NULL)
     {
       size_t bytes
           = shr_send (x->link, s->backends, srv_sync_age (s, now), &x->told);
       x->told_list_at = now;
-      p->list_credit -= (double)bytes;
+      p->credit.bytes -= (double)bytes;
     }
 }
 
--- a/serve/share.c
+++ b/serve/share.c
@@ -2,6 +2,18 @@
 
 #include <stdlib.h>
 
+/** Part of this VM's link that the sum may take; it is told less often where
+   it would take more, but so that the one before is not too old by then. */
+#define SUM_PART 0.3
+#define SUM_LONGEST_MS ((clk_ms)400)
+/** Part of this VM's link that may go to telling the list; the rest is for
+    reading it, for loads and for callers. */
+#define LIST_PART 0.5
+/** What was not used is kept for so long: the repair of a few replicas is told
+    at once.  With a part of 0.3 and one second kept, nodes heard so late of
+    repairs with 63 of them that twice as many requests failed. */
+#define LIST_KEPT_S 2.0
+
 /** NUL-terminated copies, released together. */
 struct texts
 {
@@ -124,6 +136,31 @@
   return bytes;
 }
 
+/* --- parts of the link ------------------------------------------------- */
+
+bool
+shr_may_tell (struct shr_credit *c, clk_ms now, double link_bytes_per_s)
+{
+  double per_s = LIST_PART * link_bytes_per_s;
+
+  if (link_bytes_per_s <= 0)
+    return true;
+  c->bytes += per_s * (double)(now - c->at) / (double)CLK_SECOND;
+  if (c->bytes > LIST_KEPT_S * per_s)
+    c->bytes = LIST_KEPT_S * per_s;
+  c->at = now;
+  return c->bytes >= 0;
+}
+
+clk_ms
+shr_sum_pause (double link_bytes_per_s, size_t bytes, size_t n)
+{
+  double per_ms = SUM_PART * link_bytes_per_s / (double)CLK_SECOND;
+  clk_ms ms = per_ms > 0 ? (clk_ms)((double)(bytes * n) / per_ms) : 0;
+
+  return ms < SUM_LONGEST_MS ? ms : SUM_LONGEST_MS;
+}
+
 /* --- taking ------------------------------------------------------------ */
 
 static bool
--- a/serve/share.h
+++ b/serve/share.h
@@ -16,6 +16,23 @@
  */
 size_t shr_send (struct link *l, struct bks *b, clk_ms age_ms, uint64_t *told);
 
+/** What may be sent of the list now, so that it takes a part of the link. */
+struct shr_credit
+{
+  double bytes; /**< below 0: more than that was sent */
+  clk_ms at;    /**< when it was last added to */
+};
+
+/**
+ * Whether a frame may go out; take its bytes off then.
+ * @param link_bytes_per_s  of this VM; 0: without a bound
+ */
+bool shr_may_tell (struct shr_credit *c, clk_ms now, double link_bytes_per_s);
+
+/** How long after telling the sum of loads, @p bytes to each of @p n nodes, it
+    may be told again. */
+clk_ms shr_sum_pause (double link_bytes_per_s, size_t bytes, size_t n);
+
 /** Take such a frame. @return whether anything changed */
 bool shr_take (struct bks *b, clk_ms now, const Lapis__ServerList *list);
 
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -8,6 +8,7 @@
 
 #include "platform/platform.h"
 #include "serve/backends.h"
+#include "serve/share.h"
 #include "serve/split.h"
 
 /* Bytes come in any pieces; events go out whole, each id once. */
@@ -268,6 +269,43 @@
   bks_free (b);
 }
 
+/*
+ * The owner of a hundred nodes tells them a list of 150 kB over a link of 2.5
+ * MB/s.  A burst for some repairs goes out at once; after that it tells half
+ * of the link a second, and its lease's renewals find room.
+ */
+Test (share, the_list_takes_half_of_the_link)
+{
+  struct shr_credit c = { 0 };
+  size_t burst = 0, later = 0;
+
+  while (shr_may_tell (&c, 1000000, 2.5e6))
+    {
+      burst++;
+      c.bytes -= 150e3;
+    }
+  cr_expect_eq (burst, 17, "%zu frames at once", burst);
+  for (clk_ms now = 1000000; now <= 1010000; now += 10)
+    while (shr_may_tell (&c, now, 2.5e6))
+      {
+        later++;
+        c.bytes -= 150e3;
+      }
+  cr_expect_eq (later, 84, "%zu frames in ten seconds", later);
+  cr_expect (shr_may_tell (&c, 1010000, 0), "a link without a bound");
+}
+
+/* The sum of loads: as often as wanted in small fleets, 0.3 s apart where it
+   would take the whole link, and never so rarely that it is too old. */
+Test (share, the_sum_is_told_less_often_to_many)
+{
+  cr_expect_eq (shr_sum_pause (1.25e8, 300, 7), 0);
+  cr_expect_eq (shr_sum_pause (2.5e6, 620, 71), 58);
+  cr_expect_eq (shr_sum_pause (2.5e6, 2340, 99), 308);
+  cr_expect_eq (shr_sum_pause (2.5e6, 12000, 329), 400);
+  cr_expect_eq (shr_sum_pause (0, 12000, 329), 0);
+}
+
 /* Orders as the platform's servers read them. */
 Test (orders, on_the_wire)
 {
