--- a/serve/form.c
+++ b/serve/form.c
@@ -14,9 +14,10 @@
 #define UNANSWERED_MOST 2
 /** How often a VM under suspicion is asked. */
 #define ASK_MS ((clk_ms)250)
-/** How often a member that is not listed is asked whether it works on: as
-    often as callers can wait for a repair without noticing much more than the
-    repair.  A cut lasts seconds, so this is some ten questions a member. */
+/** How often a member that is not listed is asked whether it works on.  A
+    repair takes a second or more, so half a second more before it begins is
+    little; a cut from the store lasts some seconds, which makes ten questions
+    a member. */
 #define ASK_LAPSED_MS ((clk_ms)500)
 /** How often one that counts as missing is asked whether it is back. */
 #define ASK_SILENT_MS ((clk_ms)2000)
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -9,9 +9,9 @@
  */
 #define POLL_DUTY_MS ((clk_ms)300)
 #define POLL_BUSY_MS ((clk_ms)100)
-/** When an order has ended, its effect is reported at once and the list is
-   read at once, as each step of a repair waits for it.  Only a long list makes
-   this wait, by what it is paced beyond so much. */
+/** When an order has ended, the list is read at once, as the next step of a
+    repair waits for what it shows.  Where the list is long this waits, by what
+    such a pause would grow with its length. */
 #define POLL_HURRY_MS ((clk_ms)50)
 /**
  * Where nobody tells them they read by themselves: a leaving server must get
