End a resumed stream whose events have all been had, in the stand-in

A stream is cut right after its last event, the node resumes it after event 20, and the stand-in makes an event 21 that no server has.

Change: such a stream of the stand-in just ends.

Conclusion: a fault of the stand-in, not of the node.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -226,6 +226,13 @@
 
   if (s->dark || stands_still (s))
     return;
+  if (st->next > s->rack->events)
+    {
+      /* The caller has had all events and missed only the end. */
+      stream_over (st);
+      httpd_end (req, true);
+      return;
+    }
   n = snprintf (text, sizeof text, "id: %d\ndata: w%d\n\n", st->next,
                 st->next);
   httpd_write (req, str_make (text, (size_t)n));
