--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -19,7 +19,9 @@
  */
 #define PATIENT_PART 1.9
 
-/** What a request without a first event weighs beside one that has it. */
+/** What a request without a first event weighs beside one that has it.  Set by
+    hand: 1, 3 and 6 earned 0.693, 0.696 and 0.704 of what was owed on the
+    average of four days with failures, and single days differ by more. */
 #define UNREAD 3.0
 
 /** What a request to another zone costs, in parts of one request under way:
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -11,7 +11,8 @@
 #define MODELS_MOST 16 /* of one service */
 
 /** From so many VMs on, a domain keeps one out of its replicas, so that the
-    loss of a VM finds one that can take its place. */
+    loss of a VM finds one that can take its place.  A domain of fewer holds a
+    replica of each of two models, of six and three VMs, and would lose one. */
 #define SPARE_FROM 10
 
 /** VMs of a replica that can't be repaired have this time for one that is
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -13,7 +13,8 @@
 
 /** After the last VM appeared: replicas come first. */
 #define SETTLE_MS ((clk_ms)1000)
-/** Before an order to stage that was refused is given again. */
+/** Before an order to stage that was refused is given again: nobody waits for
+    it, and a VM that is busy with another order is free again by then. */
 #define REFUSED_MS ((clk_ms)5000)
 /** Of the loads at once: what is left to VMs that a replica waits for. */
 #define STAGE_PART 0.5
