Forget a VM by the one replica that it is in

Cause: forget_vm looked through the members of all replicas, three levels deep, though a VM names the one it is in.

Change: it goes by vm->group.

--- a/serve/form.c
+++ b/serve/form.c
@@ -239,17 +239,18 @@
     f->generation = s->e.generation;
 }
 
-/** A VM that is gone leaves the replicas that it was in. */
+/** A VM that is gone leaves the replica that it was in. */
 static void
 forget_vm (struct frm *f, struct frm_vm *vm)
 {
-  for (size_t i = 0; i < f->ngroups; i++)
-    for (size_t k = 0; k < f->groups[i]->n; k++)
-      if (f->groups[i]->members[k] == vm)
-        {
-          f->groups[i]->members[k] = NULL;
-          f->groups[i]->bereft = true;
-        }
+  struct frm_group *g = vm->group;
+
+  for (size_t k = 0; g && k < g->n; k++)
+    if (g->members[k] == vm)
+      {
+        g->members[k] = NULL;
+        g->bereft = true;
+      }
   g_hash_table_remove (f->by_id, vm->id);
   vm_free (vm);
 }
