See the pace at which a node reads the list that nobody tells it

Change: the interval is a function of the drain time, beside the list, with a test of it.

Measured: with a quarter in place of three, a_leaving_server_is_read_in_time fails; before, nothing did. Over processes it is still not seen.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -21,6 +21,10 @@
     the smallest VMs' links carry. */
 #define PACE_SERVERS 250
 
+/** A leaving server must get nothing new drain_ms after it said so; one
+   reading may fail and one be slow, and there is still one in time. */
+#define READS_PER_DRAIN 3
+
 struct gone
 {
   char *id;
@@ -306,6 +310,12 @@
   return b->n > PACE_SERVERS ? least * (clk_ms)b->n / PACE_SERVERS : least;
 }
 
+clk_ms
+bks_untold_ms (clk_ms drain_ms)
+{
+  return drain_ms / READS_PER_DRAIN;
+}
+
 bool
 bks_known (const struct bks *b)
 {
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -112,6 +112,9 @@
  */
 clk_ms bks_pace (const struct bks *b, clk_ms least);
 
+/** How often a node reads the list that hears of it from nobody. */
+clk_ms bks_untold_ms (clk_ms drain_ms);
+
 /** Whether the list was read at least once. */
 bool bks_known (const struct bks *b);
 
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -13,11 +13,7 @@
     repair waits for what it shows.  Where the list is long this waits, by what
     such a pause would grow with its length. */
 #define POLL_HURRY_MS ((clk_ms)50)
-/**
- * Where nobody tells them they read by themselves: a leaving server must get
- * nothing new drain_ms after it said so, so some times in that.
- */
-#define POLL_PER_DRAIN 3
+
 /** After a failed read, and while nothing is known yet. */
 #define POLL_AGAIN_MS ((clk_ms)200)
 /** A watch that ended is begun again after this. */
@@ -169,7 +165,7 @@
 static clk_ms
 poll_ms (const struct srv *s)
 {
-  clk_ms ms = s->set.drain_ms / POLL_PER_DRAIN;
+  clk_ms ms = bks_untold_ms (s->set.drain_ms);
 
   if (srv_duty_holds (s))
     return bks_pace (s->backends,
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -269,6 +269,17 @@
   bks_free (b);
 }
 
+/*
+ * A server leaves, and this node hears from no other.  One of its readings
+ * fails and the next takes long; the third still comes within the drain time.
+ */
+Test (backends, a_leaving_server_is_read_in_time)
+{
+  cr_expect_leq (3 * bks_untold_ms (2000), 2000);
+  cr_expect_leq (3 * bks_untold_ms (3000), 3000);
+  cr_expect_gt (bks_untold_ms (2000), 300, "each reading is a priced call");
+}
+
 /*
  * The owner of a hundred nodes tells them a list of 150 kB over a link of 2.5
  * MB/s.  A burst for some repairs goes out at once; after that it tells half
