Plan small domains together, and form once all VMs have registered

Change: such a domain is for one model, what its VMs hold or else the one with the fewest VMs for its share of the work; before traffic replicas are formed when a list shows no new VM.

--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -98,14 +98,18 @@
   int64_t fence;
   int64_t generation; /**< last one given */
   clk_ms now;
-  clk_ms arrived_at; /**< of the newest VM */
-  clk_ms asked_at;   /**< sending of the read that showed the reports */
+  clk_ms arrived_at;       /**< of the newest VM */
+  clk_ms arrived_asked_at; /**< sending of the read that showed it */
+  clk_ms gather_since;     /**< of the first one that this owner saw */
+  clk_ms asked_at;         /**< sending of the read that showed the reports */
   const struct bks *servers;
   struct tbl *table;
   struct frm_vm **vms;
   size_t nvms;
   struct _GHashTable *by_id; /**< the same by id */
   unsigned domains;          /**< numbers given */
+  unsigned *domain_vms;      /**< by number: the most VMs seen there at once */
+  size_t ndomain_vms;
   struct frm_group **groups;
   size_t ngroups;
   clk_ms loads[FRM_LOADS]; /**< when the last ones began, a ring */
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -10,6 +10,13 @@
 
 #define MODELS_MOST 16 /* of one service */
 
+/** Before there is traffic, a list that was read this long after the one that
+    showed the last new VM, and shows none, has all that start with the system:
+    they come some milliseconds to a tenth of a second apart. */
+#define GATHER_MS ((clk_ms)200)
+/** Where they keep appearing, replicas are formed of those that are there. */
+#define GATHER_MOST_MS ((clk_ms)5000)
+
 /** From so many VMs on, a domain keeps one out of its replicas, so that the
     loss of a VM finds one that can take its place.  A domain of fewer holds a
     replica of each of two models, of six and three VMs, and would lose one. */
@@ -34,6 +41,8 @@
   unsigned want[MODELS_MOST]; /**< replicas that its VMs suffice for */
   unsigned have[MODELS_MOST]; /**< that are there or on their way */
   unsigned warm[MODELS_MOST]; /**< free VMs that hold the model or load it */
+  size_t main; /**< of a domain too small for a replica of each model, the one
+                    that it is for; else the number of models */
 };
 
 static bool
@@ -101,18 +110,30 @@
   return n;
 }
 
+/** VMs of @p n that replicas may take; the rest is to spare. */
+static unsigned
+room_of (unsigned n)
+{
+  return n >= SPARE_FROM ? n - 1 : n;
+}
+
+static void
+want (struct domain *d, size_t k, unsigned *room)
+{
+  d->want[k]++;
+  *room -= d->s->models[k].size;
+}
+
 static void
 plan (const struct frm *f, struct domain *d)
 {
-  unsigned n = count_usable (f, d);
-  unsigned room = n >= SPARE_FROM ? n - 1 : n;
+  unsigned room = room_of (count_usable (f, d));
   size_t i;
 
+  while (d->main < d->s->nmodels && d->s->models[d->main].size <= room)
+    want (d, d->main, &room);
   while ((i = next_model (d, room)) < d->s->nmodels)
-    {
-      d->want[i]++;
-      room -= d->s->models[i].size;
-    }
+    want (d, i, &room);
 }
 
 /** All its members are of that domain. */
@@ -183,6 +204,137 @@
   count_warm (f, d);
 }
 
+/* --- domains too small for each model ----------------------------------- */
+
+/*
+ * Where a domain holds a replica of each model, each domain's plan by itself
+ * serves all models.  Where it doesn't, each would choose the same one, and
+ * callers of the other models are served nowhere.  Such a domain is for one
+ * model, its main one: what its VMs hold, or else the model with the fewest
+ * VMs over all domains for its share of the work.
+ */
+
+/** VMs that replicas of the models have, over all domains of a service. */
+struct tally
+{
+  unsigned vms[MODELS_MOST];
+};
+
+static size_t
+model_number (const struct tbl_service *s, const char *name)
+{
+  size_t k = 0;
+
+  while (k < s->nmodels && k < MODELS_MOST
+         && !str_is (s->models[k].name, name))
+    k++;
+  return k < MODELS_MOST ? k : s->nmodels;
+}
+
+static void
+count_vms (const struct frm *f, const struct tbl_service *s, struct tally *t)
+{
+  memset (t, 0, sizeof *t);
+  for (size_t i = 0; i < f->ngroups; i++)
+    {
+      const struct frm_group *g = f->groups[i];
+      size_t k = model_number (s, g->model);
+      if (!g->spare && g->phase <= FRM_PH_OPEN && k < s->nmodels
+          && str_is (s->name, g->service))
+        t->vms[k] += (unsigned)g->n;
+    }
+}
+
+/** The model with the fewest VMs for its share that fits; the larger of two.
+ */
+static size_t
+scarcest (const struct tbl_service *s, const struct tally *t, unsigned room)
+{
+  size_t best = s->nmodels;
+  double least = 0;
+
+  for (size_t k = 0; k < s->nmodels && k < MODELS_MOST; k++)
+    {
+      const struct tbl_model *m = &s->models[k];
+      double x = t->vms[k] / (m->share > 0 ? m->share : 1e-3);
+      if (m->size > room || m->size == 0)
+        continue;
+      if (best < s->nmodels
+          && (x > least || (x >= least && m->size <= s->models[best].size)))
+        continue;
+      best = k;
+      least = x;
+    }
+  return best;
+}
+
+/** The model that most of a domain's VMs hold or get, if any does. */
+static size_t
+most_held (const struct frm *f, const struct domain *d)
+{
+  unsigned n[MODELS_MOST] = { 0 };
+  size_t best = d->s->nmodels;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      struct str held = vm->group ? str_from (vm->group->model) : vm->e.model;
+      if (!in_domain (vm, d) || (vm->group && vm->group->spare))
+        continue;
+      for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
+        n[k] += str_eq (d->s->models[k].name, held);
+    }
+  for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
+    if (n[k] > 0 && (best == d->s->nmodels || n[k] > n[best]))
+      best = k;
+  return best;
+}
+
+static bool
+is_tight (const struct domain *d, unsigned vms)
+{
+  unsigned all = 0;
+
+  for (size_t k = 0; k < d->s->nmodels; k++)
+    all += d->s->models[k].size;
+  return d->s->nmodels > 1 && all > room_of (vms);
+}
+
+static void
+choose_main (const struct frm *f, struct domain *d)
+{
+  struct tally t;
+
+  d->main = d->s->nmodels;
+  if (!is_tight (d, f->domain_vms[d->number]))
+    return;
+  d->main = most_held (f, d);
+  if (d->main < d->s->nmodels)
+    return;
+  count_vms (f, d->s, &t);
+  d->main = scarcest (d->s, &t, room_of (f->domain_vms[d->number]));
+}
+
+/** The most VMs that were there at once: a domain that has lost some is not
+    for another model therefore. */
+static void
+count_domains (struct frm *f)
+{
+  unsigned *n = xcalloc (f->domains + 1, sizeof *n);
+
+  for (size_t i = 0; i < f->nvms; i++)
+    n[f->vms[i]->domain_number] += f->vms[i]->present;
+  f->domain_vms
+      = xrealloc (f->domain_vms, (f->domains + 1) * sizeof *f->domain_vms);
+  for (size_t i = f->ndomain_vms; i <= f->domains; i++)
+    f->domain_vms[i] = 0;
+  f->ndomain_vms = f->domains + 1;
+  for (size_t i = 0; i <= f->domains; i++)
+    if (n[i] > f->domain_vms[i])
+      f->domain_vms[i] = n[i];
+  free (n);
+}
+
 /* --- forming a replica ------------------------------------------------- */
 
 struct choice
@@ -243,6 +395,18 @@
   frm_count_loads (f, c->loads);
 }
 
+/**
+ * While VMs are still appearing, a domain's plan would be for those that are
+ * there: small replicas take the VMs of a large one, and nothing gives them
+ * back.  Before there is traffic nobody waits for a replica.
+ */
+static bool
+is_gathering (const struct frm *f)
+{
+  return !f->traffic && f->asked_at - f->arrived_asked_at < GATHER_MS
+         && f->now - f->gather_since < GATHER_MOST_MS;
+}
+
 /*
  * Once there is traffic, a load takes 12 to 16 s.  A replica that waits for
  * one member's load holds all its other members for as long, though a VM that
@@ -254,6 +418,8 @@
 {
   enum cost most = f->traffic ? COST_STAGED : COST_OTHER;
 
+  if (is_gathering (f))
+    return false;
   look_at (f, d);
   for (size_t k = 0; k < d->s->nmodels && k < MODELS_MOST; k++)
     {
@@ -357,6 +523,7 @@
 static void
 load_spares (struct frm *f, struct domain *d)
 {
+  look_at (f, d);
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
@@ -378,8 +545,9 @@
 
 /* --- all domains ------------------------------------------------------- */
 
-void
-frm_place (struct frm *f)
+/** Call @p fn for each domain of a service whose replicas are formed here. */
+static void
+each_domain (struct frm *f, void (*fn) (struct frm *f, struct domain *d))
 {
   bool *seen = xcalloc (f->domains + 1, sizeof *seen);
 
@@ -392,10 +560,24 @@
       if (!d.s || vm->domain[0] == '\0' || seen[d.number])
         continue;
       seen[d.number] = true;
-      while (form_one (f, &d))
-        ;
-      if (f->settled && f->now - f->arrived_at >= ARRIVAL_MS)
-        load_spares (f, &d);
+      choose_main (f, &d);
+      fn (f, &d);
     }
   free (seen);
 }
+
+static void
+form_all (struct frm *f, struct domain *d)
+{
+  while (form_one (f, d))
+    ;
+}
+
+void
+frm_place (struct frm *f)
+{
+  count_domains (f);
+  each_domain (f, form_all);
+  if (f->settled && f->now - f->arrived_at >= ARRIVAL_MS)
+    each_domain (f, load_spares);
+}
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -59,7 +59,7 @@
 has_room (const struct frm *f, const struct tbl_service *s)
 {
   if (!f->traffic)
-    return true;
+    return !frm_busy (f);
   return frm_may_load (f, s, 1)
          && (s->loads_at_once == 0
              || count_staging (f) < STAGE_PART * s->loads_at_once);
--- a/serve/form.c
+++ b/serve/form.c
@@ -89,6 +89,7 @@
   free (f->vms);
   free (f->groups);
   free (f->queue);
+  free (f->domain_vms);
   free (f);
 }
 
@@ -303,6 +304,9 @@
       f->vms = xrealloc (f->vms, (f->nvms + 1) * sizeof (*f->vms));
       f->vms[f->nvms++] = vm;
       f->arrived_at = f->now;
+      f->arrived_asked_at = f->asked_at;
+      if (f->nvms == 1)
+        f->gather_since = f->now;
     }
   if (vm->born != s->e.born)
     begin_life (f, vm);
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -298,6 +298,68 @@
                     "r1002 small is open: a4 a5\n");
 }
 
+/*
+ * Callers of both models come.  Each domain has room for a replica of either,
+ * not of both, and were each planned by itself all would choose the same: one
+ * model would be served nowhere.
+ */
+Test (form, domains_too_small_for_both_models_share_them)
+{
+  form_play ("owner 1\n vms a 4\n vms b 4\n run 5000\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join r1002 small: b1 b2\n"
+             "join r1003 small: b3 b4\n"
+             "join s1004 big: a4\n"
+             "open r1001 a1\n"
+             "open r1002 b1\n"
+             "open r1003 b3\n"
+             "r1001 big is open: a1 a2 a3\n"
+             "a4 is warm for big\n"
+             "r1002 small is open: b1 b2\n"
+             "r1003 small is open: b3 b4\n");
+}
+
+/*
+ * The same, and callers are there.  Two VMs of the small model's domain are
+ * lost, and blank ones come for them.  They load the model that their domain
+ * is for, and its replica is back; for the large one they would wait for good.
+ */
+Test (form, a_small_domain_keeps_its_model)
+{
+  form_play ("hosts\n owner 1\n vms a 4\n vms b 4\n run 5000\n traffic\n"
+             "kill b1\n kill b2\n run 1000\n vms b 2\n run 20000\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join r1002 small: b1 b2\n"
+             "join r1003 small: b3 b4\n"
+             "join s1004 big: a4\n"
+             "open r1001 a1\n"
+             "open r1002 b1\n"
+             "open r1003 b3\n"
+             "stage small a4\n"
+             "join s1005 small: b5\n"
+             "join s1006 small: b6\n"
+             "join r1007 small: b5 b6\n"
+             "open r1007 b5\n"
+             "r1001 big is open: a1 a2 a3\n"
+             "a4 is warm for big\n"
+             "r1003 small is open: b3 b4\n"
+             "r1007 small is open: b5 b6\n");
+}
+
+/*
+ * Servers register a few at a time over a second.  Were replicas formed of
+ * those that are there, the small model would take the VMs of the large one,
+ * and its callers would be refused all day.
+ */
+Test (form, replicas_wait_until_all_have_registered)
+{
+  form_play ("owner 1\n vms a 2\n run 100\n vms a 1\n run 100\n vms a 1\n"
+             "run 100\n vms a 2\n run 5000\n show\n",
+             FORMED "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n");
+}
+
 /*
  * Callers get events that only a whole replica may make.  A leader has been
  * told to join, its two members' orders are on their way for seconds, and the
