Link hundreds of nodes through a few hubs, the largest first

Cause: at 295 nodes each linked to each (22,626 links), each heard of each, and a node of 20 Mbit/s and 0.12 cores took the duty; it sent 60 orders in half a second, could not renew its lease, and so on with the next. Change: hubs.h orders nodes by link and processor. Above 100 nodes each links to the first four that live; one adds up loads and tells who is ready. The duty is taken in this order, after half a second in which entries come. Nodes that are no hubs don't watch the entries while they hear of somebody that forms replicas. An entry's lease is 15 s, not 6.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &lapis__fleet_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lapis__node_list__init
+                     (Lapis__NodeList         *message)
+{
+  static const Lapis__NodeList init_value = LAPIS__NODE_LIST__INIT;
+  *message = init_value;
+}
+size_t lapis__node_list__get_packed_size
+                     (const Lapis__NodeList *message)
+{
+  assert(message->base.descriptor == &lapis__node_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__node_list__pack
+                     (const Lapis__NodeList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__node_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__node_list__pack_to_buffer
+                     (const Lapis__NodeList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__node_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__NodeList *
+       lapis__node_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__NodeList *)
+     protobuf_c_message_unpack (&lapis__node_list__descriptor,
+                                allocator, len, data);
+}
+void   lapis__node_list__free_unpacked
+                     (Lapis__NodeList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__node_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lapis__prompt_notice__init
                      (Lapis__PromptNotice         *message)
 {
@@ -1402,7 +1447,7 @@
   assert(message->base.descriptor == &lapis__server_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[23] =
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[24] =
 {
   {
     "hello",
@@ -1680,6 +1725,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "node_list",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, node_list),
+    &lapis__node_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -1693,6 +1750,7 @@
   21,   /* field[21] = fleet_load */
   11,   /* field[11] = heartbeat */
   0,   /* field[0] = hello */
+  23,   /* field[23] = node_list */
   19,   /* field[19] = node_load */
   22,   /* field[22] = prompt_notice */
   2,   /* field[2] = report */
@@ -1709,7 +1767,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1719,7 +1777,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  23,
+  24,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -3970,7 +4028,7 @@
   (ProtobufCMessageInit) lapis__node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__fleet_load__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lapis__fleet_load__field_descriptors[3] =
 {
   {
     "places",
@@ -3996,15 +4054,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leads",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__FleetLoad, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__fleet_load__field_indices_by_name[] = {
+  2,   /* field[2] = leads */
   1,   /* field[1] = list_age_ms */
   0,   /* field[0] = places */
 };
 static const ProtobufCIntRange lapis__fleet_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lapis__fleet_load__descriptor =
 {
@@ -4014,13 +4085,64 @@
   "Lapis__FleetLoad",
   "lapis",
   sizeof(Lapis__FleetLoad),
-  2,
+  3,
   lapis__fleet_load__field_descriptors,
   lapis__fleet_load__field_indices_by_name,
   1,  lapis__fleet_load__number_ranges,
   (ProtobufCMessageInit) lapis__fleet_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[2] =
+{
+  {
+    "nodes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeList, nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fronts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__NodeList, n_fronts),
+    offsetof(Lapis__NodeList, fronts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__node_list__field_indices_by_name[] = {
+  1,   /* field[1] = fronts */
+  0,   /* field[0] = nodes */
+};
+static const ProtobufCIntRange lapis__node_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lapis__node_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.NodeList",
+  "NodeList",
+  "Lapis__NodeList",
+  "lapis",
+  sizeof(Lapis__NodeList),
+  2,
+  lapis__node_list__field_descriptors,
+  lapis__node_list__field_indices_by_name,
+  1,  lapis__node_list__number_ranges,
+  (ProtobufCMessageInit) lapis__node_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lapis__prompt_notice__field_descriptors[1] =
 {
   {
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Lapis__SlotAnswer Lapis__SlotAnswer;
 typedef struct Lapis__NodeLoad Lapis__NodeLoad;
 typedef struct Lapis__FleetLoad Lapis__FleetLoad;
+typedef struct Lapis__NodeList Lapis__NodeList;
 typedef struct Lapis__PromptNotice Lapis__PromptNotice;
 typedef struct Lapis__PlacePrompt Lapis__PlacePrompt;
 typedef struct Lapis__PlaceLoad Lapis__PlaceLoad;
@@ -93,7 +94,8 @@
   LAPIS__FRAME__BODY_NODE_LOAD = 20,
   LAPIS__FRAME__BODY_SERVER_LIST = 21,
   LAPIS__FRAME__BODY_FLEET_LOAD = 22,
-  LAPIS__FRAME__BODY_PROMPT_NOTICE = 23
+  LAPIS__FRAME__BODY_PROMPT_NOTICE = 23,
+  LAPIS__FRAME__BODY_NODE_LIST = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -125,6 +127,7 @@
     Lapis__ServerList *server_list;
     Lapis__FleetLoad *fleet_load;
     Lapis__PromptNotice *prompt_notice;
+    Lapis__NodeList *node_list;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -648,7 +651,7 @@
 
 
 /*
- * What all nodes have under way together, from the one that forms replicas.
+ * What all nodes have under way together, from one that adds it up.
  */
 struct  Lapis__FleetLoad
 {
@@ -659,10 +662,35 @@
    * as in NodeLoad
    */
   uint32_t list_age_ms;
+  /*
+   * as in NodeLoad
+   */
+  protobuf_c_boolean leads;
 };
 #define LAPIS__FLEET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__fleet_load__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
+
+
+/*
+ * Where callers may be sent, for nodes that are not linked to all others.
+ */
+struct  Lapis__NodeList
+{
+  ProtobufCMessage base;
+  /*
+   * that are linked, the sender included
+   */
+  uint32_t nodes;
+  /*
+   * addresses of some that are ready
+   */
+  size_t n_fronts;
+  char **fronts;
+};
+#define LAPIS__NODE_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__node_list__descriptor) \
+    , 0, 0,NULL }
 
 
 /*
@@ -1273,6 +1301,25 @@
 void   lapis__fleet_load__free_unpacked
                      (Lapis__FleetLoad *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__NodeList methods */
+void   lapis__node_list__init
+                     (Lapis__NodeList         *message);
+size_t lapis__node_list__get_packed_size
+                     (const Lapis__NodeList   *message);
+size_t lapis__node_list__pack
+                     (const Lapis__NodeList   *message,
+                      uint8_t             *out);
+size_t lapis__node_list__pack_to_buffer
+                     (const Lapis__NodeList   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__NodeList *
+       lapis__node_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__node_list__free_unpacked
+                     (Lapis__NodeList *message,
+                      ProtobufCAllocator *allocator);
 /* Lapis__PromptNotice methods */
 void   lapis__prompt_notice__init
                      (Lapis__PromptNotice         *message);
@@ -1448,6 +1495,9 @@
 typedef void (*Lapis__FleetLoad_Closure)
                  (const Lapis__FleetLoad *message,
                   void *closure_data);
+typedef void (*Lapis__NodeList_Closure)
+                 (const Lapis__NodeList *message,
+                  void *closure_data);
 typedef void (*Lapis__PromptNotice_Closure)
                  (const Lapis__PromptNotice *message,
                   void *closure_data);
@@ -1496,6 +1546,7 @@
 extern const ProtobufCMessageDescriptor lapis__slot_answer__descriptor;
 extern const ProtobufCMessageDescriptor lapis__node_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__fleet_load__descriptor;
+extern const ProtobufCMessageDescriptor lapis__node_list__descriptor;
 extern const ProtobufCMessageDescriptor lapis__prompt_notice__descriptor;
 extern const ProtobufCMessageDescriptor lapis__place_prompt__descriptor;
 extern const ProtobufCMessageDescriptor lapis__place_load__descriptor;
--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -41,8 +41,10 @@
   clk_ms retry_window_ms;
   double ceiling_window_s; /**< of the bound on loads */
   double ceiling_over;
+  bool first_start; /**< the whole system starts, and for the first time */
   size_t max_fds;
   double link_bytes_per_s; /**< of this VM; 0: not known */
+  double cpu_share;        /**< cores of this VM; 0: not known */
 };
 
 /** A caller's request, decoded from its headers. */
--- a/serve/address.c
+++ b/serve/address.c
@@ -48,7 +48,7 @@
 {
   static const struct http_header json[]
       = { { { "content-type", 12 }, { "application/json", 16 } } };
-  const struct srv *s = ctx;
+  struct srv *s = ctx;
   struct net_addr list[MOST];
   struct buf body = BUF_INIT;
   clk_ms life = s->set.address_ms < LIFE_MS ? s->set.address_ms : LIFE_MS;
@@ -62,7 +62,7 @@
   n = srv_peers_ready (s, list, MOST);
   if (n == 0)
     {
-      srv_refuse ((struct srv *)ctx, req, 503, "no-node", 0);
+      srv_refuse (s, req, 503, "no-node", 0);
       return;
     }
   s->ad->addresses (list, n, life, &body);
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -14,8 +14,13 @@
     try is three priced calls.  Longer than a watch takes to tell of the first
     that succeeds. */
 #define TURN_MS ((clk_ms)250)
-/** The last of many that are all gone don't wait for each other for good. */
+/** From this on turns are closer together: that so many in a row are gone
+   means that nearly all are. */
 #define TURN_MOST_MS ((clk_ms)3000)
+#define TURN_LATE_MS ((clk_ms)50)
+/** A node that has just started waits so long, until the entries of others
+   that start with it are there: the first to come may be the smallest. */
+#define START_MS ((clk_ms)500)
 /** Longest wait for the answer to an order, which a server gives from memory;
     a lost packet of it is sent again after 200 ms. */
 #define ORDER_MS ((clk_ms)300)
@@ -39,6 +44,7 @@
   struct buf key;
   bool held_by_other;
   clk_ms free_since; /* nobody has held the key since; 0: somebody does */
+  clk_ms started;
   clk_ms next_tick;
   struct duty_call *calls;
 };
@@ -272,13 +278,23 @@
   return s->duty && own_state (s->duty->own) == OWN_HOLDING;
 }
 
+/** How long a node lets those try that come before it. */
+static clk_ms
+turn_ms (unsigned rank)
+{
+  clk_ms turn = (clk_ms)rank * TURN_MS;
+
+  if (turn <= TURN_MOST_MS)
+    return turn;
+  return TURN_MOST_MS + (clk_ms)(rank - TURN_MOST_MS / TURN_MS) * TURN_LATE_MS;
+}
+
 /** Whether this node should try for the duty: nobody holds it, and those that
     come before this one had their turn. */
 static bool
 wants (const struct srv_duty *d, clk_ms now)
 {
   const struct srv *s = d->s;
-  clk_ms turn;
 
   if (s->leaving_since || !s->table)
     return false;
@@ -286,8 +302,8 @@
     return !d->held_by_other;
   if (!d->free_since || !srv_register_duty_free (s))
     return false;
-  turn = (clk_ms)srv_register_rank (s) * TURN_MS;
-  return now - d->free_since >= (turn < TURN_MOST_MS ? turn : TURN_MOST_MS);
+  return now - d->started >= START_MS
+         && now - d->free_since >= turn_ms (srv_register_rank (s));
 }
 
 void
@@ -367,6 +383,7 @@
           .order_flight_ms = ORDER_MS };
 
   d->s = s;
+  d->started = clk_now ();
   s->duty = d;
   buf_addf (&d->key, "%sduty", s->ad->own_prefix);
   own.key = buf_str (&d->key);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -12,6 +12,7 @@
 #include "net/httpd.h"
 #include "net/link.h"
 #include "replica/owner.h"
+#include "serve/hubs.h"
 #include "serve/node.h"
 #include "serve/pause.h"
 
@@ -77,6 +78,8 @@
 void srv_register_tick (struct srv *s, clk_ms now);
 /** Take the own entry back. */
 void srv_register_end (struct srv *s);
+/** This node as its entry describes it. */
+struct hub_node srv_spec (const struct srv *s);
 /** Whether it is known that nobody holds the key of the duty. */
 bool srv_register_duty_free (const struct srv *s);
 /** How many of the known nodes come before this one in an order that is the
@@ -102,6 +105,7 @@
   struct str node;
   struct net_addr front;
   struct net_addr peer;
+  struct hub_node spec;
 };
 
 bool srv_peers_start (struct srv *s, const struct link_secret *secret,
@@ -114,11 +118,13 @@
 void srv_peers_tick (struct srv *s, clk_ms now);
 /** Tell the other nodes of long prompts that were just sent. */
 void srv_peers_notices (struct srv *s);
-/** Front addresses of the nodes that callers may be sent to. */
-/** Nodes that are linked, this one included. */
+/** Whether the node that forms replicas is this one, or linked and heard. */
+bool srv_peers_led (const struct srv *s, clk_ms now);
+/** Nodes that share the load, this one included: those that are linked, or
+    what a hub tells. */
 unsigned srv_peers_nodes (const struct srv *s);
-size_t srv_peers_ready (const struct srv *s, struct net_addr *out,
-                        size_t most);
+/** Front addresses of the nodes that callers may be sent to. */
+size_t srv_peers_ready (struct srv *s, struct net_addr *out, size_t most);
 
 /* ingress.c */
 bool srv_ingress_start (struct srv *s, struct buf *err);
--- /dev/null
+++ b/serve/peers-int.h
@@ -0,0 +1,96 @@
+/**
+ * @file
+ * What the files of the links between nodes share.
+ *
+ *   peers.c       who is linked, the list of backend servers, who is ready
+ *   peers-load.c  what is told of loads: the own one, and the sum of all
+ */
+#ifndef LAPISLINE_SERVE_PEERS_INT_H
+#define LAPISLINE_SERVE_PEERS_INT_H
+
+#include "serve/hubs.h"
+#include "serve/node-int.h"
+#include "serve/share.h"
+
+/** How often a node tells its load, and how often the sum is told. */
+#define PRS_TELL_MS ((clk_ms)100)
+/** Up to so many peers, each is told by each. */
+#define PRS_DIRECT_MOST 15
+/** A peer that was not heard for so long gets no new callers. */
+#define PRS_SILENT_MS ((clk_ms)1600)
+
+/** Addresses of ready nodes that a hub tells each node. */
+#define PRS_NAMED_MOST 64
+
+/** Another node.  Those that are not linked are kept as the store has them. */
+struct peer
+{
+  struct srv_peers *p;
+  struct peer *next;
+  char *node;
+  uint64_t hash;
+  struct net_addr front, addr;
+  struct hub_node spec;
+  bool listed; /* the store has its entry */
+  bool named;
+  bool ready;
+  bool leads;               /* it forms replicas */
+  struct dsp_count *counts; /* what it told last */
+  size_t ncounts;
+  clk_ms told_at;    /* by this node */
+  struct link *link; /* NULL: none */
+  bool up;
+  bool listing;  /* its ServerList has come on this link */
+  uint64_t told; /* version of the list of backend servers that it has from
+                    this node; 0: none */
+  clk_ms told_list_at;
+  clk_ms heard;
+  clk_ms next_connect;
+  bool connects;    /**< this node has begun the link */
+  bool failing;     /**< the last try to link did not come up */
+  bool wanted;      /**< by this node; the other may want it all the same */
+  clk_ms wanted_at; /**< when that changed */
+  clk_ms told_nodes_at;
+};
+
+struct srv_peers
+{
+  struct srv *s;
+  struct hub_node spec; /* of this node */
+  size_t nlisted;       /* peers that the store has */
+  struct peer *summing; /* adds up what all have; NULL: this node does */
+  struct link_secret secret;
+  struct link_server *server;
+  struct peer *list;
+  clk_ms next_tell;
+  struct dsp_count *own; /* what was told of this node last */
+  size_t nown;
+  clk_ms sum_at;            /* when the sum of all nodes came last */
+  struct shr_credit credit; /* for telling the list */
+  clk_ms next_sum;
+  struct net_addr named[PRS_NAMED_MOST]; /* ready, as a hub tells */
+  size_t nnamed;
+  unsigned told_nodes; /* how many there are, as it tells */
+  clk_ms named_at;
+  size_t next_named; /* first of the ready peers that is named next */
+};
+
+/* peers.c */
+size_t prs_count_up (const struct srv_peers *p);
+
+/* peers-load.c */
+/** More peers than tell each other directly. */
+bool prs_many (const struct srv_peers *p);
+/** Whether the sum of all nodes is fresh enough to go by. */
+bool prs_uses_sum (const struct srv_peers *p, clk_ms now);
+/** Hand on what the peer told, unless the sum is better. */
+void prs_feed (struct peer *x, clk_ms now);
+/** The peer has told its own load. */
+void prs_on_load (struct peer *x, const Lapis__NodeLoad *load);
+/** It has told the sum of all. */
+void prs_on_sum (struct peer *x, const Lapis__FleetLoad *load);
+void prs_on_notice (struct peer *x, const Lapis__PromptNotice *notice);
+/** Tell what is due; each PRS_TELL_MS. */
+void prs_tell (struct srv_peers *p, clk_ms now);
+
+#endif
--- a/serve/register.c
+++ b/serve/register.c
@@ -14,11 +14,22 @@
  */
 
 /** Life of a node's entry without a renewal.  Peers see by their links far
-    sooner that it is gone; the entry is how they find it. */
-#define LEASE_MS ((clk_ms)6000)
-#define RENEW_MS (LEASE_MS / 4)
+    sooner that it is gone; the entry is how they find it.  Renewals of a lease
+    of 6 s were half of all store calls of a day. */
+#define LEASE_MS ((clk_ms)15000)
+#define RENEW_MS (LEASE_MS / 3)
 #define AGAIN_MS ((clk_ms)250)
+/** When the whole system starts, nodes come within 0.3 s of each other, and
+    each entry would wake each watch; so they are looked at together. */
+#define GATHER_MS ((clk_ms)500)
+/** The secret is made by the first of them, who is drawn, not by all. */
+#define SECRET_SPREAD_MS 300.0
 #define SECRET_BYTES 32
+/** For so long a node that is no hub does without the store when it hears of
+    nobody that forms replicas: a new one is found within two or three seconds
+    and tells it, and if all looked by themselves meanwhile, each change would
+    cost as many calls as there are nodes. */
+#define UNLED_MS ((clk_ms)4000)
 
 struct srv_register
 {
@@ -39,7 +50,10 @@
   struct buf value;
   /* What the store has. */
   struct buf secret;
-  bool linked; /* the links have begun */
+  bool secret_made;   /* by this node or another; the watch brings it */
+  clk_ms next_secret; /* not made by this node before */
+  bool linked;        /* the links have begun */
+  clk_ms led_at;      /* last time that somebody formed replicas */
   bool duty_held;
   struct known_node *nodes;
   size_t nnodes;
@@ -78,9 +92,12 @@
   if (net_addr_parse (jsn_str (o, "front"), false, &n.e.front)
       && net_addr_parse (jsn_str (o, "peer"), false, &n.e.peer))
     {
+      n.e.spec.link_bytes_per_s = jsn_double (o, "link_bytes_per_s");
+      n.e.spec.cpu_share = jsn_double (o, "cpu_share");
       n.key = str_dup (kv->key);
       n.name = str_dup (str_skip (kv->key, prefix.len + sizeof "nodes/" - 1));
       n.e.node = str_from (n.name);
+      n.e.spec.hash = str_hash (n.e.node, 0);
       g->nodes = xrealloc (g->nodes, (g->nnodes + 1) * sizeof *g->nodes);
       g->nodes[g->nnodes++] = n;
     }
@@ -137,18 +154,38 @@
   return s->reg && s->reg->next_read == CLK_NEVER && !s->reg->duty_held;
 }
 
+struct hub_node
+srv_spec (const struct srv *s)
+{
+  return (struct hub_node){ str_hash (s->set.node, 0), s->set.link_bytes_per_s,
+                            s->set.cpu_share };
+}
+
 unsigned
 srv_register_rank (const struct srv *s)
 {
   const struct srv_register *g = s->reg;
-  uint64_t own = str_hash (s->set.node, 0);
+  struct hub_node self = srv_spec (s);
   unsigned rank = 0;
 
   for (size_t i = 0; i < g->nnodes; i++)
-    rank += str_hash (g->nodes[i].e.node, 0) < own;
+    rank += hub_cmp (&g->nodes[i].e.spec, &self) < 0;
   return rank;
 }
 
+/**
+ * Whether this node hears by its links all that the store would tell it of
+ * other nodes: it is one of very many, no hub, and somebody forms replicas.
+ */
+static bool
+may_rest (struct srv_register *g, clk_ms now)
+{
+  if (srv_peers_led (g->s, now))
+    g->led_at = now;
+  return g->nnodes > HUB_MESH_MOST && g->led_at && now - g->led_at < UNLED_MS
+         && srv_register_rank (g->s) >= HUB_LINKS;
+}
+
 static void
 start_links (struct srv_register *g)
 {
@@ -239,7 +276,15 @@
     g->s->first_start = true;
   g->revision = r->revision;
   take_all (g, r);
-  begin_watch (g);
+  if (g->s->set.first_start && g->secret.len == 0)
+    {
+      clk_ms now = clk_now ();
+      g->next_watch = now + GATHER_MS;
+      g->next_secret
+          = now + (clk_ms)(SECRET_SPREAD_MS * rng_unit (&g->s->rng));
+    }
+  else
+    begin_watch (g);
 }
 
 /* --- the own entry ----------------------------------------------------- */
@@ -317,7 +362,8 @@
   struct srv_register *g = ctx;
 
   /* Written or not, the watch shows the one that counts. */
-  call_ended (g, r->status, AGAIN_MS);
+  g->secret_made = r->status == STORE_OK || r->status == STORE_CONFLICT;
+  call_ended (g, r->status, 0);
 }
 
 /** The first node makes the secret; a race is settled by the store. */
@@ -346,7 +392,8 @@
 static void
 next_call (struct srv_register *g)
 {
-  if (g->next_read == CLK_NEVER && g->secret.len == 0)
+  if (g->next_read == CLK_NEVER && g->secret.len == 0
+      && clk_now () >= g->next_secret && !g->secret_made)
     make_secret (g);
   else if (g->s->leaving_since)
     return;
@@ -377,7 +424,7 @@
       store_range (s->store, STORE_ROSTER, buf_str (&g->prefix),
                    buf_str (&g->end), on_read, g);
     }
-  if (now >= g->next_watch)
+  if (now >= g->next_watch && !may_rest (g, now))
     begin_watch (g);
   if (!g->calling && now >= g->next_call
       && pau_may_call (&s->store_pause, now))
@@ -417,6 +464,9 @@
   add_addr (&g->value, "front", &s->set.front);
   buf_add_char (&g->value, ',');
   add_addr (&g->value, "peer", &s->set.peer);
-  buf_addf (&g->value, ",\"boot\":%llu}", (unsigned long long)s->boot);
+  buf_addf (&g->value,
+            ",\"boot\":%llu,\"link_bytes_per_s\":%.0f,\"cpu_share\":%.3f}",
+            (unsigned long long)s->boot, s->set.link_bytes_per_s,
+            s->set.cpu_share);
   srv_register_tick (s, clk_now ());
 }
