Look for the next configuration after a pause, and read less at a start

Cause: by kind, a node of the small twin made four reads of the list before there was anything to serve, and a storm of versions makes a priced call of each version for each node. Change: after a configuration the next is looked for after a quarter of the time in which it has to be in force; when the whole system starts nodes read the list four times more seldom.

--- a/serve/sync.c
+++ b/serve/sync.c
@@ -15,10 +15,20 @@
     such a pause would grow with its length. */
 #define POLL_HURRY_MS ((clk_ms)50)
 
+/** When the whole system starts there is nothing to serve yet, and whoever
+   forms replicas tells the list long before there is; until then a node reads
+   it this many times more seldom. */
+#define START_READS_PART 4
+
 /** After a failed read, and while nothing is known yet. */
 #define POLL_AGAIN_MS ((clk_ms)200)
 /** A watch that ended is begun again after this. */
 #define WATCH_AGAIN_MS ((clk_ms)100)
+/** Part of the time in which a configuration has to be in force for which the
+    next one is not looked for.  Operators push some dozen versions within two
+    seconds at times, and each is a priced call and a whole document for every
+    node; by this they come in few. */
+#define CONFIG_PAUSE_PART 4
 
 struct srv_sync
 {
@@ -27,7 +37,9 @@
   struct buf config_end, servers_end;
   struct store_watch *watch; /* of the configuration */
   bool reading_config;
-  clk_ms next_config; /* CLK_NEVER: the watch runs */
+  clk_ms next_config; /* CLK_NEVER: it is watched */
+  clk_ms next_watch;  /* CLK_NEVER: the watch runs, or the whole is read */
+  int64_t revision;   /* up to which configurations were seen */
   bool reading_servers;
   clk_ms asked_servers;
   clk_ms next_servers;
@@ -95,10 +107,15 @@
 on_config_events (void *ctx, int64_t revision,
                   const struct store_watch_event *ev, size_t n)
 {
-  (void)revision;
+  struct srv_sync *y = ctx;
+
+  store_watch_stop (y->watch);
+  y->watch = NULL;
+  y->revision = revision;
+  y->next_watch = clk_now () + y->s->set.apply_ms / CONFIG_PAUSE_PART;
   for (size_t i = 0; i < n; i++)
     if (!ev[i].deleted)
-      take_config (ctx, &ev[i].kv);
+      take_config (y, &ev[i].kv);
 }
 
 static void
@@ -112,9 +129,19 @@
 }
 
 static void
-on_config (void *ctx, const struct store_result *r)
+watch_config (struct srv_sync *y)
 {
   static const struct store_watch_cb cb = { on_config_events, on_config_end };
+  struct srv *s = y->s;
+
+  y->next_watch = CLK_NEVER;
+  y->watch = store_watch (s->store, str_from (s->ad->config_key),
+                          buf_str (&y->config_end), y->revision + 1, &cb, y);
+}
+
+static void
+on_config (void *ctx, const struct store_result *r)
+{
   struct srv_sync *y = ctx;
   struct srv *s = y->s;
 
@@ -128,8 +155,8 @@
   for (size_t i = 0; i < r->nkvs; i++)
     take_config (y, &r->kvs[i]);
   y->next_config = CLK_NEVER;
-  y->watch = store_watch (s->store, str_from (s->ad->config_key),
-                          buf_str (&y->config_end), r->revision + 1, &cb, y);
+  y->revision = r->revision;
+  watch_config (y);
 }
 
 static void
@@ -181,6 +208,8 @@
   if (srv_duty_holds (s))
     return bks_pace (s->backends,
                      srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS);
+  if (s->set.first_start && !s->traffic)
+    ms *= START_READS_PART;
   return ms > POLL_AGAIN_MS ? ms : POLL_AGAIN_MS;
 }
 
@@ -266,6 +295,8 @@
   if (!y->reading_config && now >= y->next_config
       && pau_may_call (&s->store_pause, now))
     read_config (y);
+  if (now >= y->next_watch)
+    watch_config (y);
   if (!y->reading_servers && now >= y->next_servers
       && pau_may_call (&s->store_pause, now))
     read_servers (y, now);
@@ -278,6 +309,9 @@
 
   y->s = s;
   y->store_ok = true;
+  y->next_watch = CLK_NEVER;
+  if (s->set.first_start)
+    y->next_servers = clk_now () + poll_ms (s);
   y->unread = unr_new ();
   s->sync = y;
   store_prefix_end (str_from (s->ad->config_key), &y->config_end);
