Make a frame of the list once for all nodes that lack the same

Cause: to tell 875 servers' entries to 294 nodes, the frame was made of copies of each string for each node: some 3 ms a node, a second for all. Change: the frame is made once and sent to all that have the same version.

--- a/serve/peers.c
+++ b/serve/peers.c
@@ -316,6 +316,7 @@
 srv_peers_servers (struct srv *s)
 {
   struct srv_peers *p = s->peers;
+  struct shr_frame *frame = NULL;
   clk_ms now = clk_now ();
   struct peer *x;
 
@@ -324,11 +325,15 @@
   while (shr_may_tell (&p->credit, now, s->set.link_bytes_per_s)
          && (x = least_informed (p, bks_version (s->backends), now)) != NULL)
     {
-      size_t bytes
-          = shr_send (x->link, s->backends, srv_sync_age (s, now), &x->told);
+      if (!shr_frame_fits (frame, x->told))
+        {
+          shr_frame_free (frame);
+          frame = shr_frame_new (s->backends, srv_sync_age (s, now), x->told);
+        }
+      p->credit.bytes -= (double)shr_frame_send (frame, x->link, &x->told);
       x->told_list_at = now;
-      p->credit.bytes -= (double)bytes;
     }
+  shr_frame_free (frame);
 }
 
 void
--- a/serve/share.c
+++ b/serve/share.c
@@ -69,72 +69,96 @@
   buf_free (&addr);
 }
 
-/** Entries of one frame. */
-struct rows
+struct shr_frame
 {
+  Lapis__ServerList list;
   Lapis__ServerEntry *entries;
-  Lapis__ServerEntry **list;
   char *(*staged)[BKS_STAGED];
-  size_t n;
-  char **gone;
-  size_t ngone;
+  struct texts texts;
+  uint64_t since;   /* of the nodes that it is for */
+  uint64_t version; /* that they have then */
+  size_t bytes;
 };
 
 static void
-collect (struct bks *b, uint64_t since, struct texts *t, struct rows *out)
+add_entries (struct shr_frame *f, struct bks *b, uint64_t since)
 {
-  size_t n, ngone = 0;
+  size_t n;
   const struct bks_server *const *list = bks_list (b, &n);
-  const struct str *gone = NULL;
 
-  out->entries = xcalloc (n + 1, sizeof *out->entries);
-  out->list = xcalloc (n + 1, sizeof (*out->list));
-  out->staged = xcalloc (n + 1, sizeof *out->staged);
+  f->entries = xcalloc (n + 1, sizeof *f->entries);
+  f->staged = xcalloc (n + 1, sizeof (*f->staged));
+  f->list.servers = xcalloc (n + 1, sizeof (*f->list.servers));
   for (size_t i = 0; i < n; i++)
     {
+      size_t k = f->list.n_servers;
       if (list[i]->version <= since)
         continue;
-      fill_entry (t, &list[i]->e, &out->entries[out->n], out->staged[out->n]);
-      out->list[out->n] = &out->entries[out->n];
-      out->n++;
+      fill_entry (&f->texts, &list[i]->e, &f->entries[k], f->staged[k]);
+      f->list.servers[k] = &f->entries[k];
+      f->list.n_servers++;
     }
-  if (since)
-    bks_gone_since (b, since, &gone, &ngone);
-  out->gone = xcalloc (ngone + 1, sizeof (*out->gone));
-  for (size_t i = 0; i < ngone; i++)
-    out->gone[out->ngone++] = copy (t, gone[i]);
+}
+
+static void
+add_gone (struct shr_frame *f, const struct str *gone, size_t n)
+{
+  f->list.gone = xcalloc (n + 1, sizeof (*f->list.gone));
+  f->list.n_gone = n;
+  for (size_t i = 0; i < n; i++)
+    f->list.gone[i] = copy (&f->texts, gone[i]);
+}
+
+struct shr_frame *
+shr_frame_new (struct bks *b, clk_ms age_ms, uint64_t since)
+{
+  struct shr_frame *f = xcalloc (1, sizeof *f);
+  const struct str *gone = NULL;
+  size_t ngone = 0;
+  uint64_t from
+      = since && bks_gone_since (b, since, &gone, &ngone) ? since : 0;
+
+  lapis__server_list__init (&f->list);
+  f->since = since;
+  f->version = bks_version (b);
+  f->list.age_ms = (uint32_t)(age_ms > 0 ? age_ms : 0);
+  f->list.whole = from == 0;
+  add_entries (f, b, from);
+  add_gone (f, gone, from ? ngone : 0);
+  f->bytes = lapis__server_list__get_packed_size (&f->list);
+  return f;
+}
+
+void
+shr_frame_free (struct shr_frame *f)
+{
+  if (!f)
+    return;
+  texts_free (&f->texts);
+  free (f->entries);
+  free (f->staged);
+  free (f->list.servers);
+  free (f->list.gone);
+  free (f);
+}
+
+bool
+shr_frame_fits (const struct shr_frame *f, uint64_t told)
+{
+  return f && f->since == told;
 }
 
 size_t
-shr_send (struct link *l, struct bks *b, clk_ms age_ms, uint64_t *told)
+shr_frame_send (const struct shr_frame *f, struct link *l, uint64_t *told)
 {
-  Lapis__ServerList list = LAPIS__SERVER_LIST__INIT;
-  Lapis__Frame f = LAPIS__FRAME__INIT;
-  struct texts t = { 0 };
-  struct rows rows = { 0 };
-  const struct str *gone;
-  size_t ngone, bytes;
-
-  if (*told && !bks_gone_since (b, *told, &gone, &ngone))
-    *told = 0;
-  collect (b, *told, &t, &rows);
-  list.age_ms = (uint32_t)(age_ms > 0 ? age_ms : 0);
-  list.whole = *told == 0;
-  list.n_servers = rows.n;
-  list.servers = rows.list;
-  list.n_gone = rows.ngone;
-  list.gone = rows.gone;
-  f.body_case = LAPIS__FRAME__BODY_SERVER_LIST;
-  f.server_list = &list;
-  bytes = lapis__server_list__get_packed_size (&list);
-  if ((rows.n == 0 && rows.ngone == 0 && !list.whole) || link_send (l, &f))
-    *told = bks_version (b);
-  texts_free (&t);
-  free (rows.entries);
-  free (rows.list);
-  free (rows.staged);
-  free (rows.gone);
-  return bytes;
+  Lapis__Frame frame = LAPIS__FRAME__INIT;
+  bool empty = f->list.n_servers == 0 && f->list.n_gone == 0 && !f->list.whole;
+
+  frame.body_case = LAPIS__FRAME__BODY_SERVER_LIST;
+  frame.server_list = (Lapis__ServerList *)&f->list;
+  if (empty || link_send (l, &frame))
+    *told = f->version;
+  return f->bytes;
 }
 
 /* --- parts of the link ------------------------------------------------- */
--- a/serve/share.h
+++ b/serve/share.h
@@ -8,13 +8,26 @@
 #include "net/link.h"
 #include "serve/backends.h"
 
+/** A frame of the list, made once for all nodes that lack the same. */
+struct shr_frame;
+
 /**
- * Send what has changed since version @p *told of the list, or all of it when
- * that is 0, and bring @p *told up to date.
+ * What has changed since version @p since of the list, or all of it when that
+ * is 0 or too long ago.
  * @param age_ms  of the reading
+ */
+struct shr_frame *shr_frame_new (struct bks *b, clk_ms age_ms, uint64_t since);
+void shr_frame_free (struct shr_frame *f);
+
+/** Whether it is the one for a node that has version @p told. */
+bool shr_frame_fits (const struct shr_frame *f, uint64_t told);
+
+/**
+ * Send it, and bring @p *told up to date.
  * @return  bytes that it takes on the link
  */
-size_t shr_send (struct link *l, struct bks *b, clk_ms age_ms, uint64_t *told);
+size_t shr_frame_send (const struct shr_frame *f, struct link *l,
+                       uint64_t *told);
 
 /** What may be sent of the list now, so that it takes a part of the link. */
 struct shr_credit
