Log the silence of a place that has answered nothing as its wait

Cause: place_stalled told silent_ms 90,310,740 for a place that had never sent an event: the clock's whole time. Change: it is silent since the first request that waits there.

--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -225,6 +225,17 @@
   return d->now - m.oldest > begin && s->heard < m.oldest;
 }
 
+/** For how long nothing has moved; a place that has answered nothing yet is
+    silent since the first request that waits there. */
+static clk_ms
+silence (const struct dsp *d, const struct dsp_server *s)
+{
+  struct moving m = count_moving (d, s);
+  bool begins = m.begun == 0 && m.oldest != CLK_NEVER;
+
+  return d->now - (begins && s->heard < m.oldest ? m.oldest : s->heard);
+}
+
 /** Take everything off a place where nothing moves. */
 static void
 move_away (struct dsp *d, struct dsp_server *s)
@@ -234,7 +245,7 @@
   struct dsp_action *note = dsp_act (d, DSP_ACT_STALLED, NULL);
 
   note->server = str_from (s->id);
-  note->left_ms = d->now - s->heard;
+  note->left_ms = silence (d, s);
   s->stalled = true;
   s->stalled_at = d->now;
   d->figures.stalls++;
