Read the list often only when a step may show in it

Change: a joining replica asks for frequent reads once its members may be ready, and an accepted order to join for none at once.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -58,6 +58,7 @@
   uint64_t token;
   uint64_t term; /* fencing number under which it went out */
   bool is_order;
+  enum frm_order_kind order;
   bool sent;
   int status;
   char *vm;
@@ -126,7 +127,9 @@
       LOG (order_ended, LOG_C ("server", c->vm), LOG_I ("number", c->token),
            LOG_I ("status", c->status));
       frm_order_done (d->form, now, c->token, result);
-      srv_sync_hurry (d->s, now);
+      /* Who joins is not ready at once. */
+      if (c->order != FRM_JOIN || result != FRM_ACCEPTED)
+        srv_sync_hurry (d->s, now);
     }
   else if (c->term == (uint64_t)own_fence (d->own))
     frm_asked (d->form, now, c->token,
@@ -161,6 +164,7 @@
   c->d = d;
   c->token = a->token;
   c->is_order = order;
+  c->order = a->order;
   c->term = (uint64_t)own_fence (d->own);
   c->vm = str_dup (a->vm);
   c->next = d->calls;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -84,6 +84,7 @@
   size_t n;
   unsigned size;  /**< of its model; 0: not known yet, of one that was found */
   clk_ms load_ms; /**< that joining may take */
+  clk_ms ready_at; /**< its members aren't ready before */
 };
 
 #define FRM_LOADS 512
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -390,6 +390,23 @@
   return str_make (text, (size_t)n);
 }
 
+/**
+ * How long the members of @p c take to get ready at the least.  The list is
+ * read often only from then on: each reading is a priced call, and in half of
+ * a day on which servers crash all the time some replica is joining.
+ */
+static clk_ms
+joining_ms (const struct frm *f, const struct tbl_model *m,
+            const struct choice *c)
+{
+  clk_ms ms = 0;
+
+  for (unsigned i = 0; f->traffic && i < c->n; i++)
+    if (cost_of (c->members[i], m->name) != COST_SAME)
+      ms = m->warm_ms;
+  return ms;
+}
+
 static void
 form (struct frm *f, const char *service, const struct tbl_model *m,
       const struct choice *c, bool spare)
@@ -400,6 +417,7 @@
       = frm_group_add (f, service, name, m->name, f->generation);
 
   g->spare = spare;
+  g->ready_at = f->now + joining_ms (f, m, c);
   g->n = c->n;
   for (unsigned i = 0; i < c->n; i++)
     {
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -54,12 +54,21 @@
   return n;
 }
 
+static bool
+is_forming (const struct frm *f)
+{
+  for (size_t i = 0; i < f->ngroups; i++)
+    if (f->groups[i]->phase <= FRM_PH_OPENING && !f->groups[i]->spare)
+      return true;
+  return false;
+}
+
 /** Whether the weight store has room for one that nobody waits for. */
 static bool
 has_room (const struct frm *f, const struct tbl_service *s)
 {
   if (!f->traffic)
-    return !frm_busy (f);
+    return !is_forming (f);
   return frm_may_load (f, s, 1)
          && (s->loads_at_once == 0
              || count_staging (f) < STAGE_PART * s->loads_at_once);
--- a/serve/form.c
+++ b/serve/form.c
@@ -642,17 +642,22 @@
   ask_doubtful (f);
 }
 
+/** Whether the next step of a replica may show in a report by now. */
+static bool
+is_due (const struct frm *f, const struct frm_group *g)
+{
+  if (g->phase == FRM_PH_OPENING || g->phase == FRM_PH_CLOSING)
+    return true;
+  return g->phase == FRM_PH_JOINING && !g->spare && f->now >= g->ready_at
+         && f->now - g->since < FRM_PATIENCE_MS;
+}
+
 bool
 frm_busy (const struct frm *f)
 {
   for (size_t i = 0; i < f->ngroups; i++)
-    {
-      const struct frm_group *g = f->groups[i];
-      if (g->phase == FRM_PH_OPENING || g->phase == FRM_PH_CLOSING
-          || (g->phase == FRM_PH_JOINING && !g->spare
-              && f->now - g->since < FRM_PATIENCE_MS))
-        return true;
-    }
+    if (is_due (f, f->groups[i]))
+      return true;
   return false;
 }
 
