Make the secret when its turn comes, not with the next renewal

Cause: with the secret's making spread over 0.3 s, a node entered the roster first and made the secret with its next renewal, five seconds later; until then no node was linked (seen in a small twin: links at -8.9 s, not -13.4 s). Change: the secret's turn is looked at each tick.

--- a/serve/register.c
+++ b/serve/register.c
@@ -389,11 +389,18 @@
   buf_free (&text);
 }
 
+/** Whether the secret is missing and it is this node's turn to make it. */
+static bool
+lacks_secret (const struct srv_register *g, clk_ms now)
+{
+  return g->next_read == CLK_NEVER && g->secret.len == 0 && !g->secret_made
+         && now >= g->next_secret;
+}
+
 static void
-next_call (struct srv_register *g)
+next_call (struct srv_register *g, clk_ms now)
 {
-  if (g->next_read == CLK_NEVER && g->secret.len == 0
-      && clk_now () >= g->next_secret && !g->secret_made)
+  if (lacks_secret (g, now))
     make_secret (g);
   else if (g->s->leaving_since)
     return;
@@ -426,9 +433,9 @@
     }
   if (now >= g->next_watch && !may_rest (g, now))
     begin_watch (g);
-  if (!g->calling && now >= g->next_call
+  if (!g->calling && (now >= g->next_call || lacks_secret (g, now))
       && pau_may_call (&s->store_pause, now))
-    next_call (g);
+    next_call (g, now);
 }
 
 void
