Tell the list in small bursts, give 64 orders at once

Cause: at 295 nodes the owner formed all 875 servers, and lost its lease of 1.2 s as it did: two seconds of its part of the link were told at once, which waits before a renewal, and 800 orders went out together and were given again when their answers took over 0.3 s. Change: 0.25 s are kept of what the list may take; 64 calls to servers at once; before traffic each node is told the list once a second. The test of the burst expects 3 frames, not 17: a shorter wait for a renewal.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -34,6 +34,11 @@
     to another, and the one that was asked is no more. */
 #define STATUS_MISDIRECTED 421
 
+/** Orders and questions under way at once.  A thousand servers join at a
+   start, and each call is a connection of its own: with all at once answers
+   took longer than their timeout, and the orders were given again. */
+#define CALLS_MOST 64
+
 struct duty_call;
 
 struct srv_duty
@@ -47,6 +52,7 @@
   clk_ms started;
   clk_ms next_tick;
   struct duty_call *calls;
+  unsigned ncalls;
 };
 
 /** An order or a question on its way. */
@@ -111,6 +117,7 @@
   while (*p != c)
     p = &(*p)->next;
   *p = c->next;
+  c->d->ncalls--;
 }
 
 static void
@@ -169,6 +176,7 @@
   c->vm = str_dup (a->vm);
   c->next = d->calls;
   d->calls = c;
+  d->ncalls++;
   if (order)
     s->ad->order (a, &body);
   if (order)
@@ -184,7 +192,7 @@
 {
   struct frm_action a;
 
-  while (frm_next (d->form, &a))
+  while (d->ncalls < CALLS_MOST && frm_next (d->form, &a))
     {
       if (own_may_order (d->own, clk_now ()))
         call_server (d, &a);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -20,6 +20,10 @@
     any more: what is known of other nodes grows within seconds after a start.
  */
 #define UNWANTED_MS ((clk_ms)5000)
+/** Before there is traffic each node is told the list this often: servers that
+    appear, load and open change thrice each within seconds, and nobody needs
+    what is between. */
+#define START_LIST_MS ((clk_ms)1000)
 /** What a hub told of ready nodes holds for so long: two changes of the node
     that forms replicas, of some two seconds each. */
 #define NAMED_MS ((clk_ms)5000)
@@ -295,10 +299,11 @@
 static struct peer *
 least_informed (const struct srv_peers *p, uint64_t version, clk_ms now)
 {
+  clk_ms pause = p->s->traffic ? 1 : START_LIST_MS;
   struct peer *best = NULL;
 
   for (struct peer *x = p->list; x; x = x->next)
-    if (x->up && x->told != version && x->told_list_at != now
+    if (x->up && x->told != version && now - x->told_list_at >= pause
         && (!best || x->told_list_at < best->told_list_at))
       best = x;
   return best;
--- a/serve/share.c
+++ b/serve/share.c
@@ -9,10 +9,11 @@
 /** Part of this VM's link that may go to telling the list; the rest is for
     reading it, for loads and for callers. */
 #define LIST_PART 0.5
-/** What was not used is kept for so long: the repair of a few replicas is told
-    at once.  With a part of 0.3 and one second kept, nodes heard so late of
-    repairs with 63 of them that twice as many requests failed. */
-#define LIST_KEPT_S 2.0
+/** What was not used is kept for so long.  All that is sent at once waits in
+    the link before a renewal of the lease: with two seconds kept, the owner of
+    875 servers lost a lease of 1.2 s as it told 294 nodes the list.  Of this
+    1/8 s of the link goes out at once, the changes of some repairs. */
+#define LIST_KEPT_S 0.25
 
 /** NUL-terminated copies, released together. */
 struct texts
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -299,7 +299,7 @@
       burst++;
       c.bytes -= 150e3;
     }
-  cr_expect_eq (burst, 17, "%zu frames at once", burst);
+  cr_expect_eq (burst, 3, "%zu frames at once", burst);
   for (clk_ms now = 1000000; now <= 1010000; now += 10)
     while (shr_may_tell (&c, now, 2.5e6))
       {
