--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4092,7 +4092,7 @@
   (ProtobufCMessageInit) lapis__fleet_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[4] =
 {
   {
     "nodes",
@@ -4118,15 +4118,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leads",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeList, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_revision",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeList, config_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__node_list__field_indices_by_name[] = {
+  3,   /* field[3] = config_revision */
   1,   /* field[1] = fronts */
+  2,   /* field[2] = leads */
   0,   /* field[0] = nodes */
 };
 static const ProtobufCIntRange lapis__node_list__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lapis__node_list__descriptor =
 {
@@ -4136,7 +4162,7 @@
   "Lapis__NodeList",
   "lapis",
   sizeof(Lapis__NodeList),
-  2,
+  4,
   lapis__node_list__field_descriptors,
   lapis__node_list__field_indices_by_name,
   1,  lapis__node_list__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -673,7 +673,7 @@
 
 
 /*
- * Where callers may be sent, for nodes that are not linked to all others.
+ * What nodes that are not linked to all others need to know of them.
  */
 struct  Lapis__NodeList
 {
@@ -687,10 +687,18 @@
    */
   size_t n_fronts;
   char **fronts;
+  /*
+   * the sender forms replicas
+   */
+  protobuf_c_boolean leads;
+  /*
+   * of the configuration in force there
+   */
+  int64_t config_revision;
 };
 #define LAPIS__NODE_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_list__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -70,6 +70,10 @@
 clk_ms srv_sync_age (const struct srv *s, clk_ms now);
 /** Entries of the last reading that name no server to use. */
 size_t srv_sync_unread (const struct srv *s);
+/** Revision of the configuration that was last read here; 0: none. */
+int64_t srv_sync_config (const struct srv *s);
+/** The node that forms replicas says which revision it has in force. */
+void srv_sync_config_told (struct srv *s, clk_ms now, int64_t revision);
 /** Read the list of backend servers soon: something there has changed. */
 void srv_sync_hurry (struct srv *s, clk_ms now);
 
@@ -78,6 +82,9 @@
 void srv_register_tick (struct srv *s, clk_ms now);
 /** Take the own entry back. */
 void srv_register_end (struct srv *s);
+/** Whether this node is one of very many and no hub: it leaves to these what
+    they can tell it. */
+bool srv_register_follows (const struct srv *s);
 /** This node as its entry describes it. */
 struct hub_node srv_spec (const struct srv *s);
 /** Whether it is known that nobody holds the key of the duty. */
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -72,7 +72,8 @@
   size_t nnamed;
   unsigned told_nodes; /* how many there are, as it tells */
   clk_ms named_at;
-  size_t next_named; /* first of the ready peers that is named next */
+  int64_t told_config; /* revision that was told last */
+  size_t next_named;   /* first of the ready peers that is named next */
 };
 
 /* peers.c */
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -342,6 +342,8 @@
   nodes.nodes = srv_peers_nodes (p->s);
   nodes.n_fronts = n;
   nodes.fronts = fronts;
+  nodes.leads = srv_duty_holds (p->s);
+  nodes.config_revision = srv_sync_config (p->s);
   f.body_case = LAPIS__FRAME__BODY_NODE_LIST;
   f.node_list = &nodes;
   link_send (x->link, &f);
@@ -349,18 +351,22 @@
     free (fronts[i]);
 }
 
-/** In each round some of the peers, so that none takes long. */
+/** In each round some of the peers, so that none takes long; all hear of a new
+    configuration at once. */
 static void
 tell_nodes (struct srv_peers *p, clk_ms now)
 {
   size_t most = prs_count_up (p) / (TELL_NODES_MS / PRS_TELL_MS) + 1;
+  int64_t config = srv_sync_config (p->s);
+  bool news = config != p->told_config;
 
-  for (struct peer *x = p->list; x && most > 0; x = x->next)
-    if (x->up && now - x->told_nodes_at >= TELL_NODES_MS)
+  p->told_config = config;
+  for (struct peer *x = p->list; x && (news || most > 0); x = x->next)
+    if (x->up && (news || now - x->told_nodes_at >= TELL_NODES_MS))
       {
         send_nodes (x);
         x->told_nodes_at = now;
-        most--;
+        most -= most > 0;
       }
 }
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -153,6 +153,8 @@
                         &p->named[p->nnamed]))
       p->nnamed++;
   count_nodes (p);
+  if (list->leads)
+    srv_sync_config_told (p->s, p->named_at, list->config_revision);
 }
 
 static void
--- a/serve/register.c
+++ b/serve/register.c
@@ -168,6 +168,12 @@
   return rank;
 }
 
+bool
+srv_register_follows (const struct srv *s)
+{
+  return s->reg->nnodes > HUB_MESH_MOST && srv_register_rank (s) >= HUB_LINKS;
+}
+
 /**
  * Whether this node hears by its links all that the store would tell it of
  * other nodes: it is one of very many, no hub, and somebody forms replicas.
@@ -177,8 +183,8 @@
 {
   if (srv_peers_led (g->s, now))
     g->led_at = now;
-  return g->nnodes > HUB_MESH_MOST && g->led_at && now - g->led_at < UNLED_MS
-         && srv_register_rank (g->s) >= HUB_LINKS;
+  return g->led_at && now - g->led_at < UNLED_MS
+         && srv_register_follows (g->s);
 }
 
 bool
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -29,6 +29,14 @@
     seconds at times, and each is a priced call and a whole document for every
     node; by this they come in few. */
 #define CONFIG_PAUSE_PART 4
+/** Among very many nodes the one that forms replicas tells which revision is
+   in force, and the others read it once when it is newer; a watch at each was
+   a third of all store calls.  One that was not told for so long, as a part of
+    the time in which a configuration has to be in force, watches by itself. */
+#define CONFIG_UNTOLD_PART 0.6
+/** What all go by, the one that forms replicas reads again this often, so that
+    a watch that has gone silent holds up nobody. */
+#define CONFIG_CHECK_MS ((clk_ms)1000)
 
 struct srv_sync
 {
@@ -40,6 +48,8 @@
   clk_ms next_config; /* CLK_NEVER: it is watched */
   clk_ms next_watch;  /* CLK_NEVER: the watch runs, or the whole is read */
   int64_t revision;   /* up to which configurations were seen */
+  int64_t in_force;   /* revision of the newest one that was read */
+  clk_ms told_at;     /* when the revision in force was told last; 0: never */
   bool reading_servers;
   clk_ms asked_servers;
   clk_ms next_servers;
@@ -84,6 +94,8 @@
 
   if (!str_is (kv->key, s->ad->config_key))
     return;
+  if (kv->mod_rev > y->in_force)
+    y->in_force = kv->mod_rev;
   t = s->ad->table (kv->value, &findings);
   if (!t)
     {
@@ -139,6 +151,51 @@
                           buf_str (&y->config_end), y->revision + 1, &cb, y);
 }
 
+/** Whether the node that forms replicas tells this one what is in force. */
+static bool
+is_told (const struct srv_sync *y, clk_ms now)
+{
+  clk_ms most = (clk_ms)((double)y->s->set.apply_ms * CONFIG_UNTOLD_PART);
+
+  return y->told_at && now - y->told_at < most && srv_register_follows (y->s);
+}
+
+int64_t
+srv_sync_config (const struct srv *s)
+{
+  return s->sync->in_force;
+}
+
+void
+srv_sync_config_told (struct srv *s, clk_ms now, int64_t revision)
+{
+  struct srv_sync *y = s->sync;
+
+  y->told_at = now;
+  if (!is_told (y, now))
+    return;
+  if (y->watch)
+    store_watch_stop (y->watch);
+  y->watch = NULL;
+  y->next_watch = CLK_NEVER;
+  if (revision > y->in_force && y->next_config == CLK_NEVER)
+    y->next_config = now;
+}
+
+/** Who is told no more watches again; who tells others looks again. */
+static void
+check_config (struct srv_sync *y, clk_ms now)
+{
+  bool idle = !y->reading_config && y->next_config == CLK_NEVER;
+
+  if (!idle)
+    return;
+  if (!y->watch && y->next_watch == CLK_NEVER && !is_told (y, now))
+    y->next_config = now;
+  else if (srv_duty_holds (y->s) && srv_peers_nodes (y->s) > HUB_MESH_MOST)
+    y->next_config = now + CONFIG_CHECK_MS;
+}
+
 static void
 on_config (void *ctx, const struct store_result *r)
 {
@@ -156,7 +213,10 @@
     take_config (y, &r->kvs[i]);
   y->next_config = CLK_NEVER;
   y->revision = r->revision;
-  watch_config (y);
+  if (y->watch || y->next_watch != CLK_NEVER)
+    return; /* a second look; check_config() says when the next is due */
+  if (!is_told (y, clk_now ()))
+    watch_config (y);
 }
 
 static void
@@ -292,6 +352,7 @@
 {
   struct srv_sync *y = s->sync;
 
+  check_config (y, now);
   if (!y->reading_config && now >= y->next_config
       && pau_may_call (&s->store_pause, now))
     read_config (y);
