--- a/serve/sync.c
+++ b/serve/sync.c
@@ -45,6 +45,7 @@
   struct buf config_end, servers_end;
   struct store_watch *watch; /* of the configuration */
   bool reading_config;
+  clk_ms asked_config;
   clk_ms next_config; /* CLK_NEVER: it is watched */
   clk_ms next_watch;  /* CLK_NEVER: the watch runs, or the whole is read */
   int64_t revision;   /* up to which configurations were seen */
@@ -166,6 +167,15 @@
   return s->sync->in_force;
 }
 
+/** When the next version may be read: of a storm only some are. */
+static clk_ms
+config_due (const struct srv_sync *y, clk_ms now)
+{
+  clk_ms due = y->asked_config + y->s->set.apply_ms / CONFIG_PAUSE_PART;
+
+  return due > now ? due : now;
+}
+
 void
 srv_sync_config_told (struct srv *s, clk_ms now, int64_t revision)
 {
@@ -179,7 +189,7 @@
   y->watch = NULL;
   y->next_watch = CLK_NEVER;
   if (revision > y->in_force && y->next_config == CLK_NEVER)
-    y->next_config = now;
+    y->next_config = config_due (y, now);
 }
 
 /** Who is told no more watches again; who tells others looks again. */
@@ -225,6 +235,7 @@
   struct srv *s = y->s;
 
   y->reading_config = true;
+  y->asked_config = clk_now ();
   pau_called (&s->store_pause);
   store_range (s->store, STORE_CONFIG, str_from (s->ad->config_key),
                buf_str (&y->config_end), on_config, y);
