Feed the forming core again when another node's list was taken

It borrows the entries' text; this node's lease had lapsed and might be renewed yet, so the core was still on, and a ServerList of the next owner replaced the list behind it. Change: who holds the duty leaves others' lists alone, as its own reading is newer; otherwise the core is fed again at once.

--- a/serve/peers.c
+++ b/serve/peers.c
@@ -135,9 +135,13 @@
 
   x->heard = now;
   x->listing = true;
+  if (srv_duty_holds (s))
+    return; /* of an owner before this one; what this one reads is newer */
   srv_sync_heard (s, now, list->age_ms);
-  if (shr_take (s->backends, now, list))
-    srv_places_changed (s);
+  if (!shr_take (s->backends, now, list))
+    return;
+  srv_places_changed (s);
+  srv_duty_list_taken (s);
 }
 
 static void
--- a/t/t9301-serve.c
+++ b/t/t9301-serve.c
@@ -294,6 +294,35 @@
   buf_free (&body);
 }
 
+/*
+ * The node that forms replicas stands still while a server dies, and the other
+ * takes over.  When it goes on it hears of the next owner's list before it
+ * knows that it is none any more: it drops the dead server, and callers of
+ * both nodes are served on.  Each node stands still once, as either may be the
+ * owner.
+ */
+Test (serve, an_owner_that_stood_still_takes_the_next_ones_list)
+{
+  struct rack r;
+  const char *const lost[RACK_NODES] = { "e7", "e8" };
+
+  rack_serve (&r, 8);
+  for (int i = 0; i < RACK_NODES; i++)
+    {
+      proc_signal (r.node[i], SIGSTOP);
+      rack_set (&r, "{\"server\": \"%s\", \"dead\": true}", lost[i]);
+      usleep (3500000);
+      proc_signal (r.node[i], SIGCONT);
+      usleep (1500000);
+      cr_expect (rack_until (&r, 0, "/stream/x", rack_headers ("a"), 200));
+      cr_expect (rack_until (&r, 1, "/stream/x", rack_headers ("b"), 200));
+    }
+  for (int i = 0; i < RACK_NODES; i++)
+    proc_signal (r.node[i], SIGTERM);
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_expect_eq (proc_wait (r.node[i], PROC_WAIT_MS), 0, "node %d", i);
+}
+
 /*
  * A caller leaves in the middle of a stream: the backend server sees it within
  * half a second and stops.
