--- a/serve/duty.c
+++ b/serve/duty.c
@@ -35,8 +35,8 @@
 #define STATUS_MISDIRECTED 421
 
 /** Orders and questions under way at once.  A thousand servers join at a
-   start, and each call is a connection of its own: with all at once answers
-   took longer than their timeout, and the orders were given again. */
+    start, each call is a connection of its own, and the descriptors of a small
+    VM, some four thousand, are for its callers. */
 #define CALLS_MOST 64
 
 struct duty_call;
--- a/serve/hubs.h
+++ b/serve/hubs.h
@@ -19,8 +19,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Nodes up to which each links to each.  At 63 nodes the mesh, which also
-    carries notices of long prompts, takes 0.0015 of a core at each. */
+/** Nodes up to which each links to each: as many as tell each other of long
+    prompts at once, for which a hub would be a detour. */
 #define HUB_MESH_MOST 100
 /** Hubs that a node is linked to, so that the loss of one leaves others, and
     a new owner is found among those that are linked already. */
--- a/serve/node.h
+++ b/serve/node.h
@@ -9,6 +9,7 @@
  *   dispatch.h  decision core: which request goes where
  *   form.h      decision core: which VMs become which replica
  *   split.h     events out of bytes
+ *   hubs.h      decision core: which nodes link to which
  *   node.h      the process: node.c, sync.c (the store), register.c (this
  *               node's own entry), duty.c (orders), peers.c (other nodes),
  *               ingress.c and exchange.c (requests), address.c; node-int.h
