Split the plan of a domain from the choice of its VMs

form-place.c held two jobs in 619 lines: which replicas a domain's VMs are for, and which VMs become which replica. The first is form-plan.c now.

--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -4,6 +4,7 @@
  *
  *   form.c        events, what is known of VMs, taking over
  *   form-group.c  a replica's way from joining to closed
+ *   form-plan.c   which replicas a domain's VMs are for
  *   form-place.c  which VMs become which replica, warm spares
  *   form-order.c  orders under way, the pace of loads
  *   form-stage.c  weights that hosts load into their memory ahead of need
--- /dev/null
+++ b/serve/form-plan.c
@@ -0,0 +1,336 @@
+#include "serve/form-plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** From so many VMs on, a domain keeps one out of its replicas, so that the
+    loss of a VM finds one that can take its place.  A domain of fewer holds a
+    replica of each of two models, of six and three VMs, and would lose one. */
+#define SPARE_FROM 10
+
+bool
+frm_in_domain (const struct frm_vm *vm, const struct frm_domain *d)
+{
+  return vm->domain_number == d->number;
+}
+
+bool
+frm_is_free (const struct frm *f, const struct frm_vm *vm)
+{
+  return frm_usable (f, vm) && !vm->order && vm->e.domain.len > 0
+         && vm->e.part < BKS_OPEN && (!vm->group || vm->group->spare);
+}
+
+enum frm_cost
+frm_cost_of (const struct frm_vm *vm, struct str model)
+{
+  /* One that is still loading is as far from ready as an empty one. */
+  bool loading = vm->e.part == BKS_JOINING;
+
+  if (str_eq (vm->e.model, model) && !loading)
+    return FRM_COST_SAME;
+  if (frm_is_warm (vm, model) && !loading)
+    return FRM_COST_STAGED;
+  return vm->e.model.len ? FRM_COST_OTHER : FRM_COST_EMPTY;
+}
+
+/* --- the plan of a domain ---------------------------------------------- */
+
+/** How well @p n replicas of a model do for its part of the work. */
+static double
+supply (unsigned n, const struct tbl_model *m)
+{
+  return n / ((m->pace > 0 ? m->pace : 1) * (m->share > 0 ? m->share : 1e-3));
+}
+
+/** The model that is worst supplied and still fits; the larger one of two. */
+static size_t
+next_model (const struct frm_domain *d, unsigned room)
+{
+  const struct tbl_service *s = d->s;
+  size_t best = s->nmodels;
+
+  for (size_t i = 0; i < s->nmodels && i < FRM_MODELS; i++)
+    {
+      double x = supply (d->want[i], &s->models[i]);
+      if (s->models[i].size > room || s->models[i].size == 0)
+        continue;
+      if (best == s->nmodels || x < supply (d->want[best], &s->models[best])
+          || (x <= supply (d->want[best], &s->models[best])
+              && s->models[i].size > s->models[best].size))
+        best = i;
+    }
+  return best;
+}
+
+static unsigned
+count_usable (const struct frm *f, const struct frm_domain *d)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    n += frm_in_domain (f->vms[i], d) && frm_usable (f, f->vms[i]);
+  return n;
+}
+
+/** VMs of @p n that replicas may take; the rest is to spare. */
+static unsigned
+room_of (unsigned n)
+{
+  return n >= SPARE_FROM ? n - 1 : n;
+}
+
+static void
+want (struct frm_domain *d, size_t k, unsigned *room)
+{
+  d->want[k]++;
+  *room -= d->s->models[k].size;
+}
+
+static void
+plan (const struct frm *f, struct frm_domain *d)
+{
+  unsigned room = room_of (count_usable (f, d));
+  size_t i;
+
+  while (d->main < d->s->nmodels && d->s->models[d->main].size <= room)
+    want (d, d->main, &room);
+  while ((i = next_model (d, room)) < d->s->nmodels)
+    want (d, i, &room);
+}
+
+bool
+frm_is_of_domain (const struct frm_group *g, const struct frm_domain *d)
+{
+  bool any = false;
+
+  for (size_t i = 0; i < g->n; i++)
+    {
+      if (g->members[i] && !frm_in_domain (g->members[i], d))
+        return false;
+      any |= g->members[i] != NULL;
+    }
+  return any;
+}
+
+static void
+count_replicas (const struct frm *f, struct frm_domain *d)
+{
+  for (size_t i = 0; i < f->ngroups; i++)
+    {
+      const struct frm_group *g = f->groups[i];
+      if (g->spare || g->phase > FRM_PH_OPEN || !frm_is_of_domain (g, d))
+        continue;
+      for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
+        d->have[k] += str_is (d->s->models[k].name, g->model);
+    }
+}
+
+size_t
+frm_held_model (const struct frm_vm *vm, const struct tbl_service *s)
+{
+  struct str name = vm->group ? str_from (vm->group->model) : vm->e.model;
+
+  for (size_t k = 0; k < s->nmodels && k < FRM_MODELS; k++)
+    if (str_eq (s->models[k].name, name))
+      return k;
+  return s->nmodels;
+}
+
+static void
+count_warm (const struct frm *f, struct frm_domain *d)
+{
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      if (!frm_in_domain (vm, d) || !frm_usable (f, vm)
+          || (vm->group && !vm->group->spare))
+        continue;
+      size_t held = frm_held_model (vm, d->s);
+      for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
+        d->warm[k] += k == held
+                      || (vm->e.part != BKS_JOINING
+                          && frm_is_warm (vm, d->s->models[k].name));
+    }
+}
+
+void
+frm_look (const struct frm *f, struct frm_domain *d)
+{
+  memset (d->want, 0, sizeof d->want);
+  memset (d->have, 0, sizeof d->have);
+  memset (d->warm, 0, sizeof d->warm);
+  plan (f, d);
+  count_replicas (f, d);
+  count_warm (f, d);
+}
+
+/* --- domains too small for each model ----------------------------------- */
+
+/*
+ * Where a domain holds a replica of each model, each domain's plan by itself
+ * serves all models.  Where it doesn't, each would choose the same one, and
+ * callers of the other models are served nowhere.  Such a domain is for one
+ * model, its main one: what its VMs hold, or else the model with the fewest
+ * VMs over all domains for its share of the work.
+ */
+
+/** VMs that replicas of the models have, over all domains of a service. */
+struct tally
+{
+  unsigned vms[FRM_MODELS];
+};
+
+static size_t
+model_number (const struct tbl_service *s, const char *name)
+{
+  size_t k = 0;
+
+  while (k < s->nmodels && k < FRM_MODELS && !str_is (s->models[k].name, name))
+    k++;
+  return k < FRM_MODELS ? k : s->nmodels;
+}
+
+static void
+count_vms (const struct frm *f, const struct tbl_service *s, struct tally *t)
+{
+  memset (t, 0, sizeof *t);
+  for (size_t i = 0; i < f->ngroups; i++)
+    {
+      const struct frm_group *g = f->groups[i];
+      size_t k = model_number (s, g->model);
+      if (!g->spare && g->phase <= FRM_PH_OPEN && k < s->nmodels
+          && str_is (s->name, g->service))
+        t->vms[k] += (unsigned)g->n;
+    }
+}
+
+/** The model with the fewest VMs for its share that fits; the larger of two.
+ */
+static size_t
+scarcest (const struct tbl_service *s, const struct tally *t, unsigned room)
+{
+  size_t best = s->nmodels;
+  double least = 0;
+
+  for (size_t k = 0; k < s->nmodels && k < FRM_MODELS; k++)
+    {
+      const struct tbl_model *m = &s->models[k];
+      double x = t->vms[k] / (m->share > 0 ? m->share : 1e-3);
+      if (m->size > room || m->size == 0)
+        continue;
+      if (best < s->nmodels
+          && (x > least || (x >= least && m->size <= s->models[best].size)))
+        continue;
+      best = k;
+      least = x;
+    }
+  return best;
+}
+
+/** The model that most of a domain's VMs hold or get, if any does. */
+static size_t
+most_held (const struct frm *f, const struct frm_domain *d)
+{
+  unsigned n[FRM_MODELS] = { 0 };
+  size_t best = d->s->nmodels;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      struct str held = vm->group ? str_from (vm->group->model) : vm->e.model;
+      if (!frm_in_domain (vm, d) || (vm->group && vm->group->spare))
+        continue;
+      for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
+        n[k] += str_eq (d->s->models[k].name, held);
+    }
+  for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
+    if (n[k] > 0 && (best == d->s->nmodels || n[k] > n[best]))
+      best = k;
+  return best;
+}
+
+/** VMs of a service's largest domain.  Domains are built alike; one that has
+    few may have lost the others, or they have yet to appear. */
+static unsigned
+domain_size (const struct frm *f, const struct frm_domain *d)
+{
+  unsigned most = 0;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      if (f->domain_vms[vm->domain_number] > most
+          && strcmp (vm->service, d->service) == 0)
+        most = f->domain_vms[vm->domain_number];
+    }
+  return most;
+}
+
+static bool
+is_tight (const struct frm_domain *d, unsigned vms)
+{
+  unsigned all = 0;
+
+  for (size_t k = 0; k < d->s->nmodels; k++)
+    all += d->s->models[k].size;
+  return d->s->nmodels > 1 && all > room_of (vms);
+}
+
+static void
+choose_main (const struct frm *f, struct frm_domain *d)
+{
+  struct tally t;
+  unsigned vms = domain_size (f, d);
+
+  d->main = d->s->nmodels;
+  if (!is_tight (d, vms))
+    return;
+  d->main = most_held (f, d);
+  if (d->main < d->s->nmodels)
+    return;
+  count_vms (f, d->s, &t);
+  d->main = scarcest (d->s, &t, room_of (vms));
+}
+
+/** A domain that has lost some is not for another model therefore. */
+void
+frm_count_domains (struct frm *f)
+{
+  unsigned *n = xcalloc (f->domains + 1, sizeof *n);
+
+  for (size_t i = 0; i < f->nvms; i++)
+    n[f->vms[i]->domain_number] += f->vms[i]->present;
+  f->domain_vms
+      = xrealloc (f->domain_vms, (f->domains + 1) * sizeof *f->domain_vms);
+  for (size_t i = f->ndomain_vms; i <= f->domains; i++)
+    f->domain_vms[i] = 0;
+  f->ndomain_vms = f->domains + 1;
+  for (size_t i = 0; i <= f->domains; i++)
+    if (n[i] > f->domain_vms[i])
+      f->domain_vms[i] = n[i];
+  free (n);
+}
+
+/* --- all domains ------------------------------------------------------- */
+
+void
+frm_each_domain (struct frm *f,
+                 void (*fn) (struct frm *f, struct frm_domain *d))
+{
+  bool *seen = xcalloc (f->domains + 1, sizeof *seen);
+
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      struct frm_domain d = { .s = frm_service (f, vm->service),
+                              .service = vm->service,
+                              .number = vm->domain_number };
+      if (!d.s || vm->domain[0] == '\0' || seen[d.number])
+        continue;
+      seen[d.number] = true;
+      choose_main (f, &d);
+      fn (f, &d);
+    }
+  free (seen);
+}
