Count a model's share in VMs, not in replicas

The plan weighed replicas by pace and share, so one replica of 4 VMs counted for more than one of 16: a domain of 37 held two large replicas and one small one, before 40 requests a second for the large model and 422 for the small. Until all VMs of a domain were waited for, the order of their arrival hid it.

Change: a share is one of the VMs' work; supply is replicas x size / share.

On domains of 11, 27 and 35 both ways plan the same replicas, as the declared shares there stand as the sizes do.

--- a/serve/form-plan.c
+++ b/serve/form-plan.c
@@ -36,11 +36,12 @@
 
 /* --- the plan of a domain ---------------------------------------------- */
 
-/** How well @p n replicas of a model do for its part of the work. */
+/** VMs that a model gets with @p n replicas, for its share of the work: a
+    share is one of the VMs' work, whatever a replica of it can do. */
 static double
 supply (unsigned n, const struct tbl_model *m)
 {
-  return n / ((m->pace > 0 ? m->pace : 1) * (m->share > 0 ? m->share : 1e-3));
+  return (double)n * m->size / (m->share > 0 ? m->share : 1e-3);
 }
 
 /** The model that is worst supplied and still fits; the larger one of two. */
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -7,7 +7,7 @@
 
 #include "serve/form.h"
 
-#define MOST 64
+#define MOST 256
 #define STEP_MS 50
 #define LIST_MS 100
 #define JOIN_MS 200
@@ -46,7 +46,7 @@
   struct late late[16];
   size_t nlate;
   const char *next_late;
-  bool next_lost, all_late, trap, unsettled;
+  bool next_lost, all_late, trap, unsettled, quiet;
   char joins[64][32];
   size_t njoins;
   struct buf log;
@@ -215,6 +215,8 @@
 {
   char text[128];
 
+  if (w->quiet)
+    return;
   if (o->a.order == FRM_STAGE)
     buf_addf (&w->log, "stage %s %s\n", o->model, o->vm);
   else if (o->a.order != FRM_JOIN)
@@ -397,6 +399,44 @@
     }
 }
 
+/** Open replicas of a domain by model. */
+static void
+count (struct world *w, const char *domain)
+{
+  const struct tbl_service *s = &w->table->services[0];
+
+  buf_addf (&w->log, "%s:", domain);
+  for (size_t k = 0; k < s->nmodels; k++)
+    {
+      unsigned n = 0;
+      for (size_t i = 0; i < w->n; i++)
+        n += strcmp (w->vms[i].domain, domain) == 0 && !w->vms[i].gone
+             && w->vms[i].rank == 0 && w->vms[i].part == BKS_OPEN
+             && str_is (s->models[k].name, w->vms[i].model);
+      buf_addf (&w->log, " %u %.*s", n, STR_ARG (s->models[k].name));
+    }
+  buf_addf (&w->log, "\n");
+}
+
+static void
+set_model (struct world *w, const char *word, const char *name, int n)
+{
+  struct tbl_service *s = &w->table->services[0];
+
+  for (size_t k = 0; k < s->nmodels; k++)
+    {
+      struct tbl_model *m = &s->models[k];
+      if (!str_is (m->name, name))
+        continue;
+      if (strcmp (word, "size") == 0)
+        m->size = (unsigned)n;
+      else if (strcmp (word, "share") == 0)
+        m->share = n / 100.0;
+      else
+        m->pace = n / 100.0;
+    }
+}
+
 /** It starts again under its id: it holds nothing and knows nothing, but for
     what its host keeps. */
 static void
@@ -481,6 +521,13 @@
           dsp_place_hash (str_from (vm->id), vm->born, vm->generation));
   else if (strcmp (word, "show") == 0)
     show (w);
+  else if (strcmp (word, "count") == 0)
+    count (w, a);
+  else if (strcmp (word, "quiet") == 0)
+    w->quiet = true;
+  else if (strcmp (word, "size") == 0 || strcmp (word, "share") == 0
+           || strcmp (word, "pace") == 0)
+    set_model (w, word, a, n);
   else
     mark (vm, word);
 }
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -28,6 +28,11 @@
  *   hosts                hosts keep one model in their memory from now on
  *   stalled ID           callers see nothing move there
  *   show                 the open replicas and the warm spares are logged
+ *   count DOMAIN         how many replicas of each model are open there
+ *   quiet                orders are not logged any more
+ *   size MODEL N         VMs of one replica
+ *   share MODEL PERCENT  declared part of the work
+ *   pace MODEL PERCENT   factor on its times
  *
  * The log has a line for each order but repeated ones, and
  * "TWO ..." or "PARTIAL ..." when a server is joined while its old replica may
