Know the weights that a VM holds after it has left its replica

Cause: the leader of a replica that closes is told to leave, and reports no model from then on, though it holds the weights and joins a replica of that model in 0.2 s. It counted as empty, or as ready from its host's memory where that kept the same model; with hosts that keep the other model it was lost to its own replica, which took a spare instead, and loaded the model again.

Change: the forming core keeps the model that a VM last reported as a member, until it starts anew. The stand-in of t6101 reports none after a leave, as the platform's servers do; with that 12 of its 25 scripts fail without the change.

--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -28,6 +28,8 @@
   unsigned domain_number; /**< of the service and domain, for quick compares */
   struct bks_entry e;     /**< as reported; strings borrowed from `servers` */
   int64_t born;           /**< as in `e`, also while it is not listed */
+  char *held; /**< model of its last replica since its start, or NULL: it holds
+                   the weights on, also where it reports none any more */
   int64_t after; /**< generation of the replica of its earlier life, which has
                       to be over before it joins another; 0: none */
   bool present;  /**< listed; if not, its replica is kept for it */
@@ -163,6 +165,8 @@
 void frm_stage (struct frm *f);
 void frm_stage_done (struct frm *f, struct frm_vm *vm, enum frm_result result);
 
+/** The model whose weights the VM holds, or empty. */
+struct str frm_held (const struct frm_vm *vm);
 /** Whether joining for @p model needs no load from the weight store. */
 bool frm_is_warm (const struct frm_vm *vm, struct str model);
 
--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -99,7 +99,7 @@
 bool
 frm_is_warm (const struct frm_vm *vm, struct str model)
 {
-  if (str_eq (vm->e.model, model))
+  if (str_eq (frm_held (vm), model))
     return true;
   for (size_t i = 0; i < vm->e.nstaged; i++)
     if (str_eq (vm->e.staged[i], model))
--- a/serve/form-plan.c
+++ b/serve/form-plan.c
@@ -27,11 +27,11 @@
   /* One that is still loading is as far from ready as an empty one. */
   bool loading = vm->e.part == BKS_JOINING;
 
-  if (str_eq (vm->e.model, model) && !loading)
+  if (str_eq (frm_held (vm), model) && !loading)
     return FRM_COST_SAME;
   if (frm_is_warm (vm, model) && !loading)
     return FRM_COST_STAGED;
-  return vm->e.model.len ? FRM_COST_OTHER : FRM_COST_EMPTY;
+  return frm_held (vm).len ? FRM_COST_OTHER : FRM_COST_EMPTY;
 }
 
 /* --- the plan of a domain ---------------------------------------------- */
@@ -130,7 +130,7 @@
 size_t
 frm_held_model (const struct frm_vm *vm, const struct tbl_service *s)
 {
-  struct str name = vm->group ? str_from (vm->group->model) : vm->e.model;
+  struct str name = vm->group ? str_from (vm->group->model) : frm_held (vm);
 
   for (size_t k = 0; k < s->nmodels && k < FRM_MODELS; k++)
     if (str_eq (s->models[k].name, name))
@@ -239,7 +239,8 @@
   for (size_t i = 0; i < f->nvms; i++)
     {
       const struct frm_vm *vm = f->vms[i];
-      struct str held = vm->group ? str_from (vm->group->model) : vm->e.model;
+      struct str held
+          = vm->group ? str_from (vm->group->model) : frm_held (vm);
       if (!frm_in_domain (vm, d) || (vm->group && vm->group->spare))
         continue;
       for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -26,10 +26,10 @@
   const struct tbl_model *best = NULL;
 
   for (size_t i = 0; i < vm->e.nstaged; i++)
-    if (!str_eq (vm->e.staged[i], vm->e.model))
+    if (!str_eq (vm->e.staged[i], frm_held (vm)))
       return NULL; /* it keeps another one already */
   for (size_t k = 0; k < s->nmodels; k++)
-    if (!str_eq (s->models[k].name, vm->e.model)
+    if (!str_eq (s->models[k].name, frm_held (vm))
         && (!best || s->models[k].share > best->share))
       best = &s->models[k];
   return best;
@@ -39,7 +39,7 @@
 may_stage (const struct frm *f, const struct frm_vm *vm)
 {
   return frm_usable (f, vm) && !vm->order && f->now >= vm->staging_until
-         && vm->e.domain.len > 0 && vm->e.model.len > 0
+         && vm->e.domain.len > 0 && frm_held (vm).len > 0
          && (vm->group ? vm->group->spare && frm_is_ready (vm)
                        : vm->e.part == BKS_ALONE);
 }
--- a/serve/form.c
+++ b/serve/form.c
@@ -63,6 +63,7 @@
   free (vm->id);
   free (vm->service);
   free (vm->domain);
+  free (vm->held);
   free (vm);
 }
 
@@ -280,6 +281,7 @@
     frm_group_over (f, g);
   else
     leave_group (vm);
+  free (vm->held);
   *vm = (struct frm_vm){ .id = vm->id,
                          .service = vm->service,
                          .domain = vm->domain,
@@ -287,6 +289,22 @@
                          .after = after };
 }
 
+struct str
+frm_held (const struct frm_vm *vm)
+{
+  return vm->e.model.len ? vm->e.model : str_from (vm->held);
+}
+
+static void
+note_held (struct frm_vm *vm)
+{
+  if (vm->e.model.len == 0 || vm->e.part < BKS_READY
+      || str_is (vm->e.model, vm->held))
+    return;
+  free (vm->held);
+  vm->held = str_dup (vm->e.model);
+}
+
 static void
 take_server (struct frm *f, const struct bks_server *s)
 {
@@ -313,6 +331,7 @@
   vm->born = s->e.born;
   vm->e = s->e;
   vm->present = vm->named = true;
+  note_held (vm);
   /* No owner gave more than its own numbers; another writer's would put all
      that are given from now on beyond what the next owner begins with. */
   if (s->e.generation > f->generation
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -296,6 +296,16 @@
 
 /* --- time -------------------------------------------------------------- */
 
+/** While it joins it still reports the model before, and none after it has
+    left; it holds the weights on. */
+static struct str
+reported_model (const struct vm *vm)
+{
+  if (vm->part == BKS_ALONE)
+    return STR_EMPTY;
+  return str_from (vm->part == BKS_JOINING ? vm->held : vm->model);
+}
+
 static void
 read_list (struct world *w, size_t core)
 {
@@ -315,7 +325,7 @@
         .domain = str_from (vm->domain),
         .capacity = 8,
         .draining = vm->draining,
-        .model = str_from (vm->part == BKS_JOINING ? vm->held : vm->model),
+        .model = reported_model (vm),
         .staged = { str_from (vm->staged) },
         .nstaged = vm->staged[0] != '\0',
         .replica = str_from (vm->replica),
