Let hosts of members keep the other model, where a restart can bear it

Change: before there is traffic, when loads take a tenth of their time and cost nobody anything, the hosts of members load the model that the member does not hold.

--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -1,14 +1,16 @@
-#include "serve/form-int.h"
+#include "serve/form-plan.h"
 
 /*
  * A VM keeps the weights with which it last joined a replica, and its host
- * keeps others in its memory.  So each spare can be ready for two models: its
- * host loads the model that the VM does not hold.  Any spare then repairs a
- * replica of any kind in one or two seconds, against 12 to 16 s of a load.
+ * keeps others in its memory.  So each VM can be ready for two models: its
+ * host loads the one that the VM does not hold.  It then takes part in a
+ * replica of either in one or two seconds, against 12 to 16 s of a load.
  *
- * The hosts of members keep the model that the member serves: a VM that
- * restarts has only what its host kept, and after a restart of a whole domain
- * its replicas are formed of the same VMs again.
+ * The hosts of members do so while there is no traffic, when it costs nobody
+ * anything: what is left of a replica that can't be mended then serves the
+ * other model, and a replica that is not needed gives its VMs to one that is.
+ * Where a domain could not form its replicas after a restart of all its VMs,
+ * they keep the model that the member serves.
  */
 
 /** After the last VM appeared: replicas come first. */
@@ -19,29 +21,66 @@
 /** Of the loads at once: what is left to VMs that a replica waits for. */
 #define STAGE_PART 0.5
 
-/** The model that a VM's host should keep for it, or NULL. */
-static const struct tbl_model *
-model_to_stage (const struct frm_vm *vm, const struct tbl_service *s)
+/** The model that a VM's host should keep beside the one that the VM holds, or
+    nmodels. */
+static size_t
+other_model (const struct frm_vm *vm, const struct tbl_service *s)
 {
-  const struct tbl_model *best = NULL;
+  size_t best = s->nmodels;
 
-  for (size_t i = 0; i < vm->e.nstaged; i++)
-    if (!str_eq (vm->e.staged[i], frm_held (vm)))
-      return NULL; /* it keeps another one already */
   for (size_t k = 0; k < s->nmodels; k++)
     if (!str_eq (s->models[k].name, frm_held (vm))
-        && (!best || s->models[k].share > best->share))
-      best = &s->models[k];
+        && (best == s->nmodels || s->models[k].share > s->models[best].share))
+      best = k;
   return best;
 }
 
+/** Its host keeps another model than the VM holds. */
+static bool
+keeps_other (const struct frm_vm *vm)
+{
+  for (size_t i = 0; i < vm->e.nstaged; i++)
+    if (!str_eq (vm->e.staged[i], frm_held (vm)))
+      return true;
+  return false;
+}
+
+static bool
+is_member (const struct frm_vm *vm)
+{
+  return vm->group && !vm->group->spare;
+}
+
 static bool
 may_stage (const struct frm *f, const struct frm_vm *vm)
 {
   return frm_usable (f, vm) && !vm->order && f->now >= vm->staging_until
-         && vm->e.domain.len > 0 && frm_held (vm).len > 0
-         && (vm->group ? vm->group->spare && frm_is_ready (vm)
-                       : vm->e.part == BKS_ALONE);
+         && vm->e.domain.len > 0 && frm_held (vm).len > 0 && !keeps_other (vm)
+         && (vm->group ? frm_is_ready (vm) : vm->e.part == BKS_ALONE);
+}
+
+/**
+ * Whether a replica of each model could be formed again at once, if the whole
+ * domain started anew and each host kept the other model: a VM that has
+ * started holds nothing but what its host keeps.
+ */
+static bool
+may_restart (const struct frm *f, const struct frm_domain *d)
+{
+  unsigned kept[FRM_MODELS] = { 0 };
+
+  for (size_t i = 0; i < f->nvms; i++)
+    if (frm_in_domain (f->vms[i], d) && frm_usable (f, f->vms[i])
+        && frm_held (f->vms[i]).len > 0)
+      {
+        size_t k = other_model (f->vms[i], d->s);
+        if (k < FRM_MODELS)
+          kept[k]++;
+      }
+  for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
+    if (d->want[k] > 0 && kept[k] < d->s->models[k].size)
+      return false;
+  return true;
 }
 
 static unsigned
@@ -74,29 +113,38 @@
              || count_staging (f) < STAGE_PART * s->loads_at_once);
 }
 
-void
-frm_stage (struct frm *f)
+static void
+stage_in (struct frm *f, struct frm_domain *d)
 {
-  if (!f->settled || f->now - f->arrived_at < SETTLE_MS)
+  bool members;
+
+  if (d->s->host_keeps == 0 || d->s->nmodels < 2)
     return;
+  frm_look (f, d);
+  members = !f->traffic && may_restart (f, d);
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
-      const struct tbl_service *s = frm_service (f, vm->service);
       const struct tbl_model *m;
-      if (!s || s->host_keeps == 0 || s->nmodels < 2 || !may_stage (f, vm))
-        continue;
-      m = model_to_stage (vm, s);
-      if (!m)
+      if (!frm_in_domain (vm, d) || !may_stage (f, vm)
+          || (is_member (vm) && !members))
         continue;
-      if (!has_room (f, s))
+      if (!has_room (f, d->s))
         return;
+      m = &d->s->models[other_model (vm, d->s)];
       frm_order_stage (f, vm, m->name);
       frm_count_loads (f, 1);
       vm->staging_until = f->now + 2 * m->load_ms;
     }
 }
 
+void
+frm_stage (struct frm *f)
+{
+  if (f->settled && f->now - f->arrived_at >= SETTLE_MS)
+    frm_each_domain (f, stage_in);
+}
+
 void
 frm_stage_done (struct frm *f, struct frm_vm *vm, enum frm_result result)
 {
--- a/t/t6102-work.c
+++ b/t/t6102-work.c
@@ -26,3 +26,18 @@
              "a: 1 big 5 small\n"
              "b: 1 big 5 small\n");
 }
+
+/*
+ * Callers of the large model wait: its replica has lost more VMs than there are
+ * to spare, and two small replicas have lost a member each.  What is left of
+ * these could only wait for loads; as the hosts of their members took the large
+ * model's weights before there was traffic, it completes the large replica
+ * within seconds.
+ */
+Test (work, what_is_left_of_small_replicas_completes_a_large_one)
+{
+  form_play (MODELS "hosts\n owner 1\n vms a 37\n run 9000\n traffic\n"
+                    "kill a2\n kill a3\n kill a4\n kill a17\n kill a18\n"
+                    "kill a21\n run 3000\n count a\n",
+             "a: 1 big 3 small\n");
+}
