Close an idle replica for one that is missed

Cause: a domain of 37 that has lost two VMs can't hold one replica of 16 and five of 4 any more.

Change: the owner averages the requests that each model has under way or waiting over all nodes (5 s), and a replica of which a domain has one too many closes for one that it lacks, if the busier of the two models is at least 15 in 100 less busy then than the busier one is now. Its hosts keep the weights, so the other is back in some two seconds.

Both scripts of t6102 that name it go red without it, or with the comparison of the two models left out.

--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -141,6 +141,24 @@
   return d->own;
 }
 
+double
+dsp_demand (const struct dsp *d, struct str service, struct str model)
+{
+  double n = 0;
+
+  for (size_t i = 0; i < d->npools; i++)
+    {
+      const struct dsp_pool *p = d->pools[i];
+      if (!str_is (service, p->service) || !str_is (model, p->model))
+        continue;
+      /* Callers choose their nodes by chance, so as many wait at others. */
+      n += (double)p->waiting * d->nodes;
+      for (size_t k = 0; k < p->n; k++)
+        n += p->servers[k]->own + p->servers[k]->others;
+    }
+  return n;
+}
+
 /* --- prompts ------------------------------------------------------------ */
 
 double
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -196,6 +196,10 @@
 /** Requests that have not ended. */
 size_t dsp_open (const struct dsp *d);
 
+/** Requests of a model that have a slot or wait for one, at all nodes as far
+    as this one knows. */
+double dsp_demand (const struct dsp *d, struct str service, struct str model);
+
 const char *dsp_code_name (enum dsp_code c);
 int dsp_code_status (enum dsp_code c);
 
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -362,6 +362,21 @@
     frm_stalled (s->duty->form, clk_now (), place);
 }
 
+static void
+tell_demand (struct srv_duty *d, clk_ms now)
+{
+  const struct tbl *t = d->s->table;
+
+  for (size_t i = 0; t && i < t->nservices; i++)
+    for (size_t k = 0; k < t->services[i].nmodels; k++)
+      {
+        struct str service = t->services[i].name;
+        struct str model = t->services[i].models[k].name;
+        frm_demand (d->form, now, service, model,
+                    dsp_demand (d->s->dispatch, service, model));
+      }
+}
+
 void
 srv_duty_tick (struct srv *s, clk_ms now)
 {
@@ -375,6 +390,7 @@
   if (now < d->next_tick)
     return;
   d->next_tick = now + FRM_TICK_MS;
+  tell_demand (d, now);
   frm_tick (d->form, now);
   carry_out (d);
 }
--- /dev/null
+++ b/serve/form-demand.c
@@ -0,0 +1,64 @@
+#include "serve/form-int.h"
+
+#include <stdlib.h>
+
+/** Over which the requests of a model are averaged: some times as long as a
+    stream lasts, so that a burst of a few seconds changes little. */
+#define AVERAGE_MS ((clk_ms)5000)
+
+/** Use of a model that has requests and no replica. */
+#define USE_WITHOUT 1e6
+
+static struct frm_demand *
+demand_of (struct frm *f, struct str service, struct str model)
+{
+  for (size_t i = 0; i < f->ndemands; i++)
+    if (str_is (service, f->demands[i].service)
+        && str_is (model, f->demands[i].model))
+      return &f->demands[i];
+  f->demands = xrealloc (f->demands, (f->ndemands + 1) * sizeof *f->demands);
+  f->demands[f->ndemands] = (struct frm_demand){ .service = str_dup (service),
+                                                 .model = str_dup (model) };
+  return &f->demands[f->ndemands++];
+}
+
+void
+frm_demand (struct frm *f, clk_ms now, struct str service, struct str model,
+            double requests)
+{
+  struct frm_demand *d = demand_of (f, service, model);
+  double part = (double)(now - d->at) / (double)AVERAGE_MS;
+
+  if (d->at == 0 || part > 1)
+    part = 1;
+  d->requests += part * (requests - d->requests);
+  d->at = now;
+}
+
+double
+frm_use (const struct frm *f, const struct tbl_service *s, size_t model,
+         unsigned n)
+{
+  for (size_t i = 0; i < f->ndemands; i++)
+    {
+      const struct frm_demand *d = &f->demands[i];
+      if (!str_is (s->name, d->service)
+          || !str_is (s->models[model].name, d->model) || d->requests <= 0)
+        continue;
+      if (n == 0)
+        return USE_WITHOUT * d->requests;
+      return d->requests / ((double)n * (s->capacity ? s->capacity : 1));
+    }
+  return 0;
+}
+
+void
+frm_demands_free (struct frm *f)
+{
+  for (size_t i = 0; i < f->ndemands; i++)
+    {
+      free (f->demands[i].service);
+      free (f->demands[i].model);
+    }
+  free (f->demands);
+}
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -6,6 +6,8 @@
  *   form-group.c  a replica's way from joining to closed
  *   form-plan.c   which replicas a domain's VMs are for
  *   form-place.c  which VMs become which replica, warm spares
+ *   form-demand.c what is asked of each model
+ *   form-yield.c  replicas that close for one of another model
  *   form-order.c  orders under way, the pace of loads
  *   form-stage.c  weights that hosts load into their memory ahead of need
  */
@@ -90,6 +92,15 @@
   clk_ms ready_at; /**< its members aren't ready before */
 };
 
+/** Requests of one model, averaged over some seconds. */
+struct frm_demand
+{
+  char *service;
+  char *model;
+  double requests;
+  clk_ms at; /**< when it was told last; 0: never */
+};
+
 #define FRM_LOADS 512
 
 struct frm
@@ -118,6 +129,8 @@
   size_t ngroups;
   clk_ms loads[FRM_LOADS]; /**< when the last ones began, a ring */
   size_t nloads;
+  struct frm_demand *demands;
+  size_t ndemands;
   uint64_t tokens;
   struct frm_action *queue;
   size_t head, count, cap;
@@ -152,6 +165,16 @@
 /* form-place.c */
 void frm_place (struct frm *f);
 
+/* form-demand.c */
+void frm_demands_free (struct frm *f);
+/** Requests for each slot of @p n replicas of that model; 0: nobody asks. */
+double frm_use (const struct frm *f, const struct tbl_service *s, size_t model,
+                unsigned n);
+
+/* form-yield.c */
+/** Close replicas whose VMs another model needs more. */
+void frm_yield (struct frm *f);
+
 /* form-order.c */
 bool frm_order (struct frm *f, struct frm_vm *vm, enum frm_order_kind kind,
                 struct frm_group *g);
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -253,7 +253,6 @@
 void
 frm_place (struct frm *f)
 {
-  frm_count_domains (f);
   frm_each_domain (f, form_all);
   if (f->settled && f->now - f->arrived_at >= ARRIVAL_MS)
     frm_each_domain (f, load_spares);
--- a/serve/form.c
+++ b/serve/form.c
@@ -1,4 +1,4 @@
-#include "serve/form-int.h"
+#include "serve/form-plan.h"
 
 #include <glib.h>
 #include <stdlib.h>
@@ -85,6 +85,7 @@
   drop_actions (f);
   for (size_t i = 0; i < f->nvms; i++)
     vm_free (f->vms[i]);
+  frm_demands_free (f);
   tbl_unref (f->table);
   g_hash_table_destroy (f->by_id);
   free (f->vms);
@@ -656,6 +657,8 @@
   for (size_t i = 0; i < f->ngroups; i++)
     frm_group_tick (f, f->groups[i]);
   sweep_groups (f);
+  frm_count_domains (f);
+  frm_yield (f);
   frm_place (f);
   frm_stage (f);
   ask_doubtful (f);
--- a/serve/form.h
+++ b/serve/form.h
@@ -96,6 +96,11 @@
 /** Requests have come: from now on loads take their full time and count. */
 void frm_traffic (struct frm *f);
 
+/** So many requests of a model have a slot or wait for one, at all nodes;
+    call it each FRM_TICK_MS. */
+void frm_demand (struct frm *f, clk_ms now, struct str service,
+                 struct str model, double requests);
+
 /** A node sees nothing move at the leader of that place hash. */
 void frm_stalled (struct frm *f, clk_ms now, uint64_t place);
 
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -47,6 +47,7 @@
   size_t nlate;
   const char *next_late;
   bool next_lost, all_late, trap, unsettled, quiet;
+  double asked[2]; /**< requests for each model */
   char joins[64][32];
   size_t njoins;
   struct buf log;
@@ -339,6 +340,16 @@
                !w->unsettled);
 }
 
+static void
+tell_demand (struct world *w, size_t core)
+{
+  const struct tbl_service *s = &w->table->services[0];
+
+  for (size_t k = 0; k < s->nmodels; k++)
+    frm_demand (w->cores[core], w->now, s->name, s->models[k].name,
+                w->asked[k]);
+}
+
 static void
 advance (struct world *w)
 {
@@ -358,6 +369,7 @@
     {
       if (w->now - w->listed >= LIST_MS)
         read_list (w, c);
+      tell_demand (w, c);
       frm_tick (w->cores[c], w->now);
       take_actions (w, c);
     }
@@ -442,8 +454,10 @@
         m->size = (unsigned)n;
       else if (strcmp (word, "share") == 0)
         m->share = n / 100.0;
-      else
+      else if (strcmp (word, "pace") == 0)
         m->pace = n / 100.0;
+      else
+        w->asked[k] = n;
     }
 }
 
@@ -536,7 +550,7 @@
   else if (strcmp (word, "quiet") == 0)
     w->quiet = true;
   else if (strcmp (word, "size") == 0 || strcmp (word, "share") == 0
-           || strcmp (word, "pace") == 0)
+           || strcmp (word, "pace") == 0 || strcmp (word, "ask") == 0)
     set_model (w, word, a, n);
   else
     mark (vm, word);
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -33,6 +33,8 @@
  *   size MODEL N         VMs of one replica
  *   share MODEL PERCENT  declared part of the work
  *   pace MODEL PERCENT   factor on its times
+ *   ask MODEL N          so many requests have or want a slot; one replica has
+ *                        eight
  *
  * The log has a line for each order but repeated ones, and
  * "TWO ..." or "PARTIAL ..." when a server is joined while its old replica may
--- a/t/t6102-work.c
+++ b/t/t6102-work.c
@@ -41,3 +41,44 @@
                     "kill a21\n run 3000\n count a\n",
              "a: 1 big 3 small\n");
 }
+
+/*
+ * Callers of the large model wait: its only replica has lost two members, and
+ * one VM was to spare.  Beside it five replicas of the small model have more
+ * slots than requests.  One of them closes, and its VMs, whose hosts keep the
+ * large model's weights, complete the large replica within three seconds; a
+ * load would take many.
+ */
+Test (work, an_idle_replica_closes_for_one_that_is_missed)
+{
+  form_play (MODELS "hosts\n owner 1\n vms a 37\n run 9000\n traffic\n"
+                    "ask big 6\n ask small 16\n run 6000\n"
+                    "kill a2\n kill a3\n run 3000\n count a\n",
+             "a: 1 big 4 small\n");
+}
+
+/*
+ * The same, but the small model's callers need all of its replicas: one less
+ * would make them wait more than those of the large model do.  Nothing closes;
+ * the large replica waits for loads.
+ */
+Test (work, a_busy_replica_stays)
+{
+  form_play (MODELS "hosts\n owner 1\n vms a 37\n vms b 37\n run 9000\n"
+                    "traffic\n ask big 6\n ask small 76\n run 6000\n"
+                    "kill a2\n kill a3\n run 3000\n count a\n count b\n",
+             "a: 0 big 5 small\n"
+             "b: 1 big 5 small\n");
+}
+
+/*
+ * The small model's callers come in a burst of three seconds that takes all of
+ * its slots, while the large model's replica is whole.  Nothing moves.
+ */
+Test (work, a_short_burst_moves_nothing)
+{
+  form_play (MODELS "hosts\n owner 1\n vms a 37\n run 9000\n traffic\n"
+                    "ask big 4\n ask small 16\n run 6000\n ask small 60\n"
+                    "run 3000\n ask small 16\n run 6000\n count a\n",
+             "a: 1 big 5 small\n");
+}
