Say what replicas a model should have, has, and is asked for

Change: one line when a model's replicas, wanted or formed, change, with the requests seen, what it had before and the age of the list; gauges of the same and of replicas that closed for another model, on the node that forms them.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -349,6 +349,12 @@
   return frm_figures (s->duty->form);
 }
 
+size_t
+srv_duty_models (const struct srv *s, struct frm_model *out)
+{
+  return frm_models (s->duty->form, out);
+}
+
 bool
 srv_duty_busy (const struct srv *s)
 {
@@ -393,6 +399,7 @@
   tell_demand (d, now);
   frm_tick (d->form, now);
   carry_out (d);
+  srv_plan_look (s, d->form, now);
 }
 
 void
@@ -413,6 +420,7 @@
   d->s = s;
   d->started = clk_now ();
   s->duty = d;
+  srv_plan_start (s);
   buf_addf (&d->key, "%sduty", s->ad->own_prefix);
   own.key = buf_str (&d->key);
   d->form = frm_new (&form);
--- a/serve/form-demand.c
+++ b/serve/form-demand.c
@@ -1,4 +1,4 @@
-#include "serve/form-int.h"
+#include "serve/form-plan.h"
 
 #include <stdlib.h>
 
@@ -52,6 +52,61 @@
   return 0;
 }
 
+void
+frm_count_yield (struct frm *f, const struct frm_group *g)
+{
+  demand_of (f, str_from (g->service), str_from (g->model))->yielded++;
+}
+
+static struct frm_model *
+row_of (struct frm *f, const struct frm_domain *d, size_t k)
+{
+  struct str name = d->s->models[k].name;
+
+  for (size_t i = 0; i < f->nrows; i++)
+    if (str_eq (f->rows[i].service, d->s->name)
+        && str_eq (f->rows[i].name, name))
+      return &f->rows[i];
+  if (f->nrows == FRM_MODEL_ROWS)
+    return NULL;
+  f->rows[f->nrows]
+      = (struct frm_model){ .service = d->s->name, .name = name };
+  return &f->rows[f->nrows++];
+}
+
+static void
+add_plan (struct frm *f, struct frm_domain *d)
+{
+  frm_look (f, d);
+  for (size_t k = 0; k < d->s->nmodels && k < FRM_MODELS; k++)
+    {
+      struct frm_model *row = row_of (f, d, k);
+      if (!row)
+        return;
+      row->wanted += d->want[k];
+      row->formed += d->have[k];
+    }
+}
+
+size_t
+frm_models (struct frm *f, struct frm_model *out)
+{
+  f->rows = out;
+  f->nrows = 0;
+  if (f->table && f->owner && f->adopted)
+    {
+      frm_count_domains (f);
+      frm_each_domain (f, add_plan);
+    }
+  for (size_t i = 0; i < f->nrows; i++)
+    {
+      const struct frm_demand *d = demand_of (f, out[i].service, out[i].name);
+      out[i].requests = d->requests;
+      out[i].yielded = d->yielded;
+    }
+  return f->nrows;
+}
+
 void
 frm_demands_free (struct frm *f)
 {
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -98,7 +98,8 @@
   char *service;
   char *model;
   double requests;
-  clk_ms at; /**< when it was told last; 0: never */
+  clk_ms at;        /**< when it was told last; 0: never */
+  uint64_t yielded; /**< replicas that closed for another model */
 };
 
 #define FRM_LOADS 512
@@ -136,6 +137,8 @@
   size_t head, count, cap;
   struct str ids[FRM_MEMBERS]; /**< of the action that was fetched last */
   struct frm_figures figures;
+  struct frm_model *rows; /**< that frm_models() fills */
+  size_t nrows;
 };
 
 /* form.c */
@@ -171,6 +174,9 @@
 double frm_use (const struct frm *f, const struct tbl_service *s, size_t model,
                 unsigned n);
 
+/** A replica of that model closes for one of another. */
+void frm_count_yield (struct frm *f, const struct frm_group *g);
+
 /* form-yield.c */
 /** Close replicas whose VMs another model needs more. */
 void frm_yield (struct frm *f);
--- a/serve/form-yield.c
+++ b/serve/form-yield.c
@@ -103,8 +103,10 @@
         continue;
       vms += count_warm_members (f, g, m->name);
       given++;
-      if (!dry)
-        frm_group_close (f, g);
+      if (dry)
+        continue;
+      frm_count_yield (f, g);
+      frm_group_close (f, g);
     }
   return vms >= m->size ? given : 0;
 }
--- a/serve/form.h
+++ b/serve/form.h
@@ -120,6 +120,22 @@
   unsigned forming, open, closing, spares, warm;
   uint64_t loads, orders, formed, lost;
 };
+/** One model, over all domains. */
+struct frm_model
+{
+  struct str service, name;
+  unsigned wanted;  /**< replicas that the plans of all domains have */
+  unsigned formed;  /**< open ones, and those on their way */
+  double requests;  /**< under way or waiting, averaged over some seconds */
+  uint64_t yielded; /**< replicas that closed for one of another model */
+};
+
+#define FRM_MODEL_ROWS 16
+
+/** All models of which replicas are formed, at most FRM_MODEL_ROWS.
+    @return how many; names are valid until the next table */
+size_t frm_models (struct frm *f, struct frm_model *out);
+
 /** Whether a replica is on its way, so that reports should be read often. */
 bool frm_busy (const struct frm *f);
 const struct frm_figures *frm_figures (struct frm *f);
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -123,11 +123,38 @@
        (double)f->orders);
 }
 
+static void
+set_models (struct srv *s)
+{
+  struct frm_model list[FRM_MODEL_ROWS];
+  size_t n = srv_duty_models (s, list);
+  char labels[256];
+
+  for (size_t i = 0; i < n; i++)
+    {
+      snprintf (labels, sizeof labels, "service=\"%.*s\",model=\"%.*s\"",
+                STR_ARG (list[i].service), STR_ARG (list[i].name));
+      set (s, PREFIX "replicas_wanted",
+           "Replicas that the plans of all domains have, by model.", labels,
+           list[i].wanted);
+      set (s, PREFIX "replicas_formed",
+           "Replicas that are open or on their way, by model.", labels,
+           list[i].formed);
+      set (s, PREFIX "requests_asked",
+           "Requests under way or waiting at all nodes, averaged, by model.",
+           labels, list[i].requests);
+      set (s, PREFIX "replicas_yielded",
+           "Replicas that closed for one of another model.", labels,
+           (double)list[i].yielded);
+    }
+}
+
 void
 srv_metrics (struct srv *s, struct buf *out)
 {
   set_dispatch (s);
   set_store (s);
   set_views (s);
+  set_models (s);
   met_expose (s->met, out);
 }
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -20,6 +20,7 @@
 struct srv_sync;
 struct srv_register;
 struct srv_duty;
+struct srv_plan;
 struct srv_peers;
 
 struct srv
@@ -43,6 +44,7 @@
   struct srv_sync *sync;
   struct srv_register *reg;
   struct srv_duty *duty;
+  struct srv_plan *plan;
   struct srv_peers *peers;
   struct srv_exchange *exchanges;
   struct buf places_told; /**< what was logged of them last */
@@ -93,6 +95,11 @@
     same at all of them. */
 unsigned srv_register_rank (const struct srv *s);
 
+/* duty-plan.c: what is said of the plan of replicas */
+void srv_plan_start (struct srv *s);
+/** Look at it, and log what has changed. */
+void srv_plan_look (struct srv *s, struct frm *form, clk_ms now);
+
 /* duty.c: forming replicas while this node is owner */
 void srv_duty_start (struct srv *s);
 void srv_duty_tick (struct srv *s, clk_ms now);
@@ -103,6 +110,8 @@
 void srv_duty_stalled (struct srv *s, uint64_t place);
 bool srv_duty_holds (const struct srv *s);
 const struct frm_figures *srv_duty_figures (const struct srv *s);
+/** As frm_models(); none where another node forms replicas. */
+size_t srv_duty_models (const struct srv *s, struct frm_model *out);
 /** A replica is on its way. */
 bool srv_duty_busy (const struct srv *s);
 
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -318,22 +318,20 @@
       const struct vm *vm = &w->vms[i];
       if (vm->gone || vm->unlisted || vm->lapsed)
         continue;
-      list[n++] = (struct bks_entry){
-        .id = str_from (vm->id),
-        .born = vm->born,
-        .service = STR ("lm"),
-        .zone = STR ("z"),
-        .domain = str_from (vm->domain),
-        .capacity = 8,
-        .draining = vm->draining,
-        .model = reported_model (vm),
-        .staged = { str_from (vm->staged) },
-        .nstaged = vm->staged[0] != '\0',
-        .replica = str_from (vm->replica),
-        .generation = vm->generation,
-        .rank = vm->rank,
-        .part = vm->part
-      };
+      list[n++] = (struct bks_entry){ .id = str_from (vm->id),
+                                      .born = vm->born,
+                                      .service = STR ("lm"),
+                                      .zone = STR ("z"),
+                                      .domain = str_from (vm->domain),
+                                      .capacity = 8,
+                                      .draining = vm->draining,
+                                      .model = reported_model (vm),
+                                      .staged = { str_from (vm->staged) },
+                                      .nstaged = vm->staged[0] != '\0',
+                                      .replica = str_from (vm->replica),
+                                      .generation = vm->generation,
+                                      .rank = vm->rank,
+                                      .part = vm->part };
     }
   bks_update (w->lists[core], w->now, w->now, list, n);
   frm_servers (w->cores[core], w->now, w->lists[core], w->table,
@@ -440,6 +438,18 @@
   buf_addf (&w->log, "\n");
 }
 
+static void
+show_plan (struct world *w)
+{
+  struct frm_model list[FRM_MODEL_ROWS];
+  size_t n = frm_models (w->cores[0], list);
+
+  for (size_t i = 0; i < n; i++)
+    buf_addf (&w->log, "%.*s: wanted %u, formed %u, asked %.0f, yielded %u\n",
+              STR_ARG (list[i].name), list[i].wanted, list[i].formed,
+              list[i].requests, (unsigned)list[i].yielded);
+}
+
 static void
 set_model (struct world *w, const char *word, const char *name, int n)
 {
@@ -547,6 +557,8 @@
     show (w);
   else if (strcmp (word, "count") == 0)
     count (w, a);
+  else if (strcmp (word, "plan") == 0)
+    show_plan (w);
   else if (strcmp (word, "quiet") == 0)
     w->quiet = true;
   else if (strcmp (word, "size") == 0 || strcmp (word, "share") == 0
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -29,6 +29,7 @@
  *   stalled ID           callers see nothing move there
  *   show                 the open replicas and the warm spares are logged
  *   count DOMAIN         how many replicas of each model are open there
+ *   plan                 what the first core tells of its models
  *   quiet                orders are not logged any more
  *   size MODEL N         VMs of one replica
  *   share MODEL PERCENT  declared part of the work
--- a/t/t6102-work.c
+++ b/t/t6102-work.c
@@ -53,8 +53,10 @@
 {
   form_play (MODELS "hosts\n owner 1\n vms a 37\n run 9000\n traffic\n"
                     "ask big 6\n ask small 16\n run 6000\n"
-                    "kill a2\n kill a3\n run 3000\n count a\n",
-             "a: 1 big 4 small\n");
+                    "kill a2\n kill a3\n run 3000\n count a\n plan\n",
+             "a: 1 big 4 small\n"
+             "big: wanted 1, formed 1, asked 5, yielded 0\n"
+             "small: wanted 4, formed 4, asked 13, yielded 1\n");
 }
 
 /*
