--- a/serve/pause.c
+++ b/serve/pause.c
@@ -26,6 +26,9 @@
  * configuration has to be in force two seconds after it was accepted.
  */
 #define PAUSE_MOST_MS ((clk_ms)1000)
+/** The same of a node that is told by others: its entry's lease, of which a
+    two thirds are left when it is renewed, outlives some of these. */
+#define PAUSE_TOLD_MS ((clk_ms)3000)
 /** Part of the pause that is drawn, so that nodes don't call together. */
 #define PAUSE_SPREAD 0.25
 
@@ -42,14 +45,14 @@
 }
 
 static clk_ms
-pause_ms (unsigned failures, struct rng *r)
+pause_ms (unsigned failures, clk_ms most, struct rng *r)
 {
   clk_ms ms = PAUSE_FIRST_MS;
 
-  for (unsigned i = 1; i < failures && ms < PAUSE_MOST_MS; i++)
+  for (unsigned i = 1; i < failures && ms < most; i++)
     ms *= 2;
-  if (ms > PAUSE_MOST_MS)
-    ms = PAUSE_MOST_MS;
+  if (ms > most)
+    ms = most;
   return (clk_ms)((double)ms * (1 - PAUSE_SPREAD * rng_unit (r)));
 }
 
@@ -63,7 +66,9 @@
   else if (status == STORE_UNAVAILABLE && (!p->failures || now >= p->next))
     {
       p->failures++;
-      p->next = now + pause_ms (p->failures, r);
+      p->next = now
+                + pause_ms (p->failures,
+                            p->told ? PAUSE_TOLD_MS : PAUSE_MOST_MS, r);
     }
 }
 
--- a/t/t9203-pause.c
+++ b/t/t9203-pause.c
@@ -55,6 +55,21 @@
   cr_expect_geq (n.calls, 8, "%u calls", n.calls);
 }
 
+/*
+ * The store turns this node away for nine seconds; the others tell it all that
+ * it needs.  Its callers notice nothing, and it asks every third second.
+ */
+Test (pause, a_node_that_is_told_asks_seldom)
+{
+  struct node n = { .p = { .told = true } };
+
+  rng_seed (&n.rng, 4);
+  run (&n, 1000, 1100, STORE_OK);
+  n.calls = 0;
+  run (&n, 1100, 10100, STORE_UNAVAILABLE);
+  cr_expect_leq (n.calls, ASKERS + 7, "%u calls", n.calls);
+}
+
 /*
  * It is back.  Within a second and a bit the node knows, and then nothing
  * waits: all askers call in the same step.
