Link 16 nodes and more by hubs, and tell them configurations whole

Prompts are told at once only where each node is linked to each.

Fleets of up to 15 nodes are linked as before.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1222,6 +1222,96 @@
   assert(message->base.descriptor == &lapis__node_list__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lapis__hub_entry__init
+                     (Lapis__HubEntry         *message)
+{
+  static const Lapis__HubEntry init_value = LAPIS__HUB_ENTRY__INIT;
+  *message = init_value;
+}
+size_t lapis__hub_entry__get_packed_size
+                     (const Lapis__HubEntry *message)
+{
+  assert(message->base.descriptor == &lapis__hub_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__hub_entry__pack
+                     (const Lapis__HubEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__hub_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__hub_entry__pack_to_buffer
+                     (const Lapis__HubEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__hub_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__HubEntry *
+       lapis__hub_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__HubEntry *)
+     protobuf_c_message_unpack (&lapis__hub_entry__descriptor,
+                                allocator, len, data);
+}
+void   lapis__hub_entry__free_unpacked
+                     (Lapis__HubEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__hub_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__config_text__init
+                     (Lapis__ConfigText         *message)
+{
+  static const Lapis__ConfigText init_value = LAPIS__CONFIG_TEXT__INIT;
+  *message = init_value;
+}
+size_t lapis__config_text__get_packed_size
+                     (const Lapis__ConfigText *message)
+{
+  assert(message->base.descriptor == &lapis__config_text__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__config_text__pack
+                     (const Lapis__ConfigText *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__config_text__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__config_text__pack_to_buffer
+                     (const Lapis__ConfigText *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__config_text__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__ConfigText *
+       lapis__config_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__ConfigText *)
+     protobuf_c_message_unpack (&lapis__config_text__descriptor,
+                                allocator, len, data);
+}
+void   lapis__config_text__free_unpacked
+                     (Lapis__ConfigText *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__config_text__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lapis__prompt_notice__init
                      (Lapis__PromptNotice         *message)
 {
@@ -1447,7 +1537,7 @@
   assert(message->base.descriptor == &lapis__server_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[24] =
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[25] =
 {
   {
     "hello",
@@ -1737,12 +1827,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_text",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, config_text),
+    &lapis__config_text__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
   3,   /* field[3] = claim_ask */
   7,   /* field[7] = config_chunk */
   5,   /* field[5] = config_have */
+  24,   /* field[24] = config_text */
   6,   /* field[6] = config_want */
   15,   /* field[15] = drain_answer */
   14,   /* field[14] = drain_ask */
@@ -1767,7 +1870,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1777,7 +1880,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  24,
+  25,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -4092,7 +4195,7 @@
   (ProtobufCMessageInit) lapis__fleet_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[6] =
 {
   {
     "nodes",
@@ -4142,17 +4245,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeList, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hubs",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__NodeList, n_hubs),
+    offsetof(Lapis__NodeList, hubs),
+    &lapis__hub_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__node_list__field_indices_by_name[] = {
+  4,   /* field[4] = config_age_ms */
   3,   /* field[3] = config_revision */
   1,   /* field[1] = fronts */
+  5,   /* field[5] = hubs */
   2,   /* field[2] = leads */
   0,   /* field[0] = nodes */
 };
 static const ProtobufCIntRange lapis__node_list__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lapis__node_list__descriptor =
 {
@@ -4162,13 +4291,154 @@
   "Lapis__NodeList",
   "lapis",
   sizeof(Lapis__NodeList),
-  4,
+  6,
   lapis__node_list__field_descriptors,
   lapis__node_list__field_indices_by_name,
   1,  lapis__node_list__number_ranges,
   (ProtobufCMessageInit) lapis__node_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__hub_entry__field_descriptors[5] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__HubEntry, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "front",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__HubEntry, front),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__HubEntry, peer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_bytes_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__HubEntry, link_bytes_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_share",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__HubEntry, cpu_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__hub_entry__field_indices_by_name[] = {
+  4,   /* field[4] = cpu_share */
+  1,   /* field[1] = front */
+  3,   /* field[3] = link_bytes_per_s */
+  0,   /* field[0] = node */
+  2,   /* field[2] = peer */
+};
+static const ProtobufCIntRange lapis__hub_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor lapis__hub_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.HubEntry",
+  "HubEntry",
+  "Lapis__HubEntry",
+  "lapis",
+  sizeof(Lapis__HubEntry),
+  5,
+  lapis__hub_entry__field_descriptors,
+  lapis__hub_entry__field_indices_by_name,
+  1,  lapis__hub_entry__number_ranges,
+  (ProtobufCMessageInit) lapis__hub_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__config_text__field_descriptors[2] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ConfigText, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ConfigText, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__config_text__field_indices_by_name[] = {
+  0,   /* field[0] = revision */
+  1,   /* field[1] = text */
+};
+static const ProtobufCIntRange lapis__config_text__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lapis__config_text__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.ConfigText",
+  "ConfigText",
+  "Lapis__ConfigText",
+  "lapis",
+  sizeof(Lapis__ConfigText),
+  2,
+  lapis__config_text__field_descriptors,
+  lapis__config_text__field_indices_by_name,
+  1,  lapis__config_text__number_ranges,
+  (ProtobufCMessageInit) lapis__config_text__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lapis__prompt_notice__field_descriptors[1] =
 {
   {
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -42,6 +42,8 @@
 typedef struct Lapis__NodeLoad Lapis__NodeLoad;
 typedef struct Lapis__FleetLoad Lapis__FleetLoad;
 typedef struct Lapis__NodeList Lapis__NodeList;
+typedef struct Lapis__HubEntry Lapis__HubEntry;
+typedef struct Lapis__ConfigText Lapis__ConfigText;
 typedef struct Lapis__PromptNotice Lapis__PromptNotice;
 typedef struct Lapis__PlacePrompt Lapis__PlacePrompt;
 typedef struct Lapis__PlaceLoad Lapis__PlaceLoad;
@@ -95,7 +97,8 @@
   LAPIS__FRAME__BODY_SERVER_LIST = 21,
   LAPIS__FRAME__BODY_FLEET_LOAD = 22,
   LAPIS__FRAME__BODY_PROMPT_NOTICE = 23,
-  LAPIS__FRAME__BODY_NODE_LIST = 24
+  LAPIS__FRAME__BODY_NODE_LIST = 24,
+  LAPIS__FRAME__BODY_CONFIG_TEXT = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -128,6 +131,7 @@
     Lapis__FleetLoad *fleet_load;
     Lapis__PromptNotice *prompt_notice;
     Lapis__NodeList *node_list;
+    Lapis__ConfigText *config_text;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -695,10 +699,65 @@
    * of the configuration in force there
    */
   int64_t config_revision;
+  /*
+   * since the sender last read the store
+   */
+  uint32_t config_age_ms;
+  /*
+   * if it leads: all but itself
+   */
+  size_t n_hubs;
+  Lapis__HubEntry **hubs;
 };
 #define LAPIS__NODE_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_list__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0,NULL }
+
+
+/*
+ * A node to which all others link, as its entry in the store describes it.
+ */
+struct  Lapis__HubEntry
+{
+  ProtobufCMessage base;
+  char *node;
+  /*
+   * where callers connect
+   */
+  char *front;
+  /*
+   * where links are accepted
+   */
+  char *peer;
+  /*
+   * 0: without a bound
+   */
+  double link_bytes_per_s;
+  /*
+   * of a core; 0: without a bound
+   */
+  double cpu_share;
+};
+#define LAPIS__HUB_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__hub_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * A new configuration, from the node that forms replicas to all others.
+ */
+struct  Lapis__ConfigText
+{
+  ProtobufCMessage base;
+  int64_t revision;
+  /*
+   * as the store has it
+   */
+  ProtobufCBinaryData text;
+};
+#define LAPIS__CONFIG_TEXT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__config_text__descriptor) \
+    , 0, {0,NULL} }
 
 
 /*
@@ -1328,6 +1387,44 @@
 void   lapis__node_list__free_unpacked
                      (Lapis__NodeList *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__HubEntry methods */
+void   lapis__hub_entry__init
+                     (Lapis__HubEntry         *message);
+size_t lapis__hub_entry__get_packed_size
+                     (const Lapis__HubEntry   *message);
+size_t lapis__hub_entry__pack
+                     (const Lapis__HubEntry   *message,
+                      uint8_t             *out);
+size_t lapis__hub_entry__pack_to_buffer
+                     (const Lapis__HubEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__HubEntry *
+       lapis__hub_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__hub_entry__free_unpacked
+                     (Lapis__HubEntry *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__ConfigText methods */
+void   lapis__config_text__init
+                     (Lapis__ConfigText         *message);
+size_t lapis__config_text__get_packed_size
+                     (const Lapis__ConfigText   *message);
+size_t lapis__config_text__pack
+                     (const Lapis__ConfigText   *message,
+                      uint8_t             *out);
+size_t lapis__config_text__pack_to_buffer
+                     (const Lapis__ConfigText   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__ConfigText *
+       lapis__config_text__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__config_text__free_unpacked
+                     (Lapis__ConfigText *message,
+                      ProtobufCAllocator *allocator);
 /* Lapis__PromptNotice methods */
 void   lapis__prompt_notice__init
                      (Lapis__PromptNotice         *message);
@@ -1506,6 +1603,12 @@
 typedef void (*Lapis__NodeList_Closure)
                  (const Lapis__NodeList *message,
                   void *closure_data);
+typedef void (*Lapis__HubEntry_Closure)
+                 (const Lapis__HubEntry *message,
+                  void *closure_data);
+typedef void (*Lapis__ConfigText_Closure)
+                 (const Lapis__ConfigText *message,
+                  void *closure_data);
 typedef void (*Lapis__PromptNotice_Closure)
                  (const Lapis__PromptNotice *message,
                   void *closure_data);
@@ -1555,6 +1658,8 @@
 extern const ProtobufCMessageDescriptor lapis__node_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__fleet_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__node_list__descriptor;
+extern const ProtobufCMessageDescriptor lapis__hub_entry__descriptor;
+extern const ProtobufCMessageDescriptor lapis__config_text__descriptor;
 extern const ProtobufCMessageDescriptor lapis__prompt_notice__descriptor;
 extern const ProtobufCMessageDescriptor lapis__place_prompt__descriptor;
 extern const ProtobufCMessageDescriptor lapis__place_load__descriptor;
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -1,4 +1,5 @@
 #include "serve/dispatch-int.h"
+#include "serve/hubs.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -12,12 +13,10 @@
  * A prompt that takes its replica so long to read is told to the other nodes
  * as it is sent.  What they have is told each tenth of a second; in that time
  * two nodes would send their longest prompts to the same replica, and while it
- * reads both, all its streams pause for longer than callers accept.
+ * reads both, all its streams pause for longer than callers accept.  More
+ * nodes than are linked each to each go by what is told of loads.
  */
 #define NOTICE_READ_MS 20.0
-/** With more nodes the frames would take too much of the smallest links; what
-    is told of loads must do. */
-#define NOTICE_NODES 100
 /** After this such a prompt counts as read.  Half of the larger model's first
     events come within 200 ms and nine in ten within 240 to 320 on a replica
    that has room; set by hand, other spans were not measured. */
@@ -171,7 +170,7 @@
 is_notable (const struct dsp *d, const struct dsp_server *s, double prompt)
 {
   return s->read_per_ms > 0 && prompt / s->read_per_ms >= NOTICE_READ_MS
-         && d->nodes > 1 && d->nodes <= NOTICE_NODES
+         && d->nodes > 1 && d->nodes <= HUB_MESH_MOST
          && d->nnotices < DSP_NOTICES;
 }
 
--- a/serve/hubs.h
+++ b/serve/hubs.h
@@ -19,9 +19,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Nodes up to which each links to each: as many as tell each other of long
-    prompts at once, for which a hub would be a detour. */
-#define HUB_MESH_MOST 100
+/** Nodes up to which each links to each, and tells the others its load and of
+    long prompts at once.  Among more of them each watches the store for what
+    all the others do, and their calls grow by the square of their number. */
+#define HUB_MESH_MOST 15
 /** Hubs that a node is linked to, so that the loss of one leaves others, and
     a new owner is found among those that are linked already. */
 #define HUB_LINKS 4
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -17,6 +17,7 @@
 #include "serve/pause.h"
 
 struct srv_exchange;
+struct srv_config;
 struct srv_sync;
 struct srv_register;
 struct srv_duty;
@@ -41,6 +42,7 @@
   struct tbl *table; /**< NULL: none is known yet */
   struct bks *backends;
   struct dsp *dispatch;
+  struct srv_config *config;
   struct srv_sync *sync;
   struct srv_register *reg;
   struct srv_duty *duty;
@@ -61,7 +63,24 @@
 /** The table or the list of backend servers changed. */
 void srv_places_changed (struct srv *s);
 
-/* sync.c: configuration and backend servers out of the store */
+/* config.c: the configuration in force */
+void srv_config_start (struct srv *s);
+void srv_config_tick (struct srv *s, clk_ms now);
+/** Revision of the newest configuration that is known here; 0: none. */
+int64_t srv_config_revision (const struct srv *s);
+/**
+ * Its document, for other nodes.
+ * @retval false  it is too long to be told to so many
+ */
+bool srv_config_text (const struct srv *s, size_t nodes, struct str *text);
+/** Another node hands this document on. */
+void srv_config_given (struct srv *s, int64_t revision, struct str text);
+/** The node that forms replicas says which revision it has in force, and how
+    long ago it last read the store. */
+void srv_config_told (struct srv *s, clk_ms now, int64_t revision,
+                      clk_ms age_ms);
+
+/* sync.c: backend servers out of the store */
 void srv_sync_start (struct srv *s);
 void srv_sync_tick (struct srv *s, clk_ms now);
 /** The list was read by another node @p age_ms ago. */
@@ -72,10 +91,6 @@
 clk_ms srv_sync_age (const struct srv *s, clk_ms now);
 /** Entries of the last reading that name no server to use. */
 size_t srv_sync_unread (const struct srv *s);
-/** Revision of the configuration that was last read here; 0: none. */
-int64_t srv_sync_config (const struct srv *s);
-/** The node that forms replicas says which revision it has in force. */
-void srv_sync_config_told (struct srv *s, clk_ms now, int64_t revision);
 /** Read the list of backend servers soon: something there has changed. */
 void srv_sync_hurry (struct srv *s, clk_ms now);
 
--- a/serve/node.c
+++ b/serve/node.c
@@ -137,6 +137,7 @@
       dsp_tick (s->dispatch, now);
       srv_act (s);
     }
+  srv_config_tick (s, now);
   srv_sync_tick (s, now);
   srv_register_tick (s, now);
   srv_duty_tick (s, now);
@@ -181,6 +182,7 @@
   s->http = httpc_new (&s->loop);
   s->store = s->ad->store (&s->loop, s->http, &s->set);
   srv_duty_start (s);
+  srv_config_start (s);
   srv_sync_start (s);
   srv_register_start (s);
   uv_timer_init (&s->loop, &s->tick);
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -3,6 +3,7 @@
  * What the files of the links between nodes share.
  *
  *   peers.c       who is linked, the list of backend servers, who is ready
+ *   peers-nodes.c what is told of other nodes, and of the configuration
  *   peers-load.c  what is told of loads: the own one, and the sum of all
  */
 #ifndef LAPISLINE_SERVE_PEERS_INT_H
@@ -14,8 +15,6 @@
 
 /** How often a node tells its load, and how often the sum is told. */
 #define PRS_TELL_MS ((clk_ms)100)
-/** Up to so many peers, each is told by each. */
-#define PRS_DIRECT_MOST 15
 /** A peer that was not heard for so long gets no new callers. */
 #define PRS_SILENT_MS ((clk_ms)1600)
 
@@ -78,9 +77,19 @@
 
 /* peers.c */
 size_t prs_count_up (const struct srv_peers *p);
+/** The peer of that name, also one that was not known. */
+struct peer *prs_peer_of (struct srv_peers *p, struct str node);
+/** Tell the request core between how many budgets are shared. */
+void prs_count_nodes (struct srv_peers *p);
+
+/* peers-nodes.c */
+/** In each round some of the peers, so that none takes long; all hear of a new
+    configuration at once. */
+void prs_tell_nodes (struct srv_peers *p, clk_ms now);
+void prs_on_nodes (struct peer *x, const Lapis__NodeList *list);
 
 /* peers-load.c */
-/** More peers than tell each other directly. */
+/** More nodes than tell each other directly. */
 bool prs_many (const struct srv_peers *p);
 /** Whether the sum of all nodes is fresh enough to go by. */
 bool prs_uses_sum (const struct srv_peers *p, clk_ms now);
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -15,10 +15,6 @@
 #define TELL_REST_MS ((clk_ms)1000)
 /** A sum that is older says too little of now. */
 #define SUM_MS ((clk_ms)450)
-/** How often a node that is not linked to all hears which are ready: callers
-    keep an answer for two seconds. */
-#define TELL_NODES_MS ((clk_ms)1000)
-
 /** Number under which the request core knows the sum of all other nodes. */
 #define ALL_OTHERS 0
 
@@ -186,7 +182,9 @@
 bool
 prs_many (const struct srv_peers *p)
 {
-  return p->nlisted > PRS_DIRECT_MOST || prs_count_up (p) > PRS_DIRECT_MOST;
+  size_t up = prs_count_up (p);
+
+  return (p->nlisted > up ? p->nlisted : up) + 1 > HUB_MESH_MOST;
 }
 
 /** Whether the peer is to hear now what this node has under way. */
@@ -320,56 +318,6 @@
   free (sum.list);
 }
 
-/* --- which nodes are ready --------------------------------------------- */
-
-static void
-send_nodes (struct peer *x)
-{
-  struct srv_peers *p = x->p;
-  struct net_addr list[PRS_NAMED_MOST];
-  char *fronts[PRS_NAMED_MOST];
-  size_t n = srv_peers_ready (p->s, list, PRS_NAMED_MOST);
-  Lapis__NodeList nodes = LAPIS__NODE_LIST__INIT;
-  Lapis__Frame f = LAPIS__FRAME__INIT;
-
-  for (size_t i = 0; i < n; i++)
-    {
-      struct buf text = BUF_INIT;
-      net_addr_format (&list[i], &text);
-      fronts[i] = str_dup (buf_str (&text));
-      buf_free (&text);
-    }
-  nodes.nodes = srv_peers_nodes (p->s);
-  nodes.n_fronts = n;
-  nodes.fronts = fronts;
-  nodes.leads = srv_duty_holds (p->s);
-  nodes.config_revision = srv_sync_config (p->s);
-  f.body_case = LAPIS__FRAME__BODY_NODE_LIST;
-  f.node_list = &nodes;
-  link_send (x->link, &f);
-  for (size_t i = 0; i < n; i++)
-    free (fronts[i]);
-}
-
-/** In each round some of the peers, so that none takes long; all hear of a new
-    configuration at once. */
-static void
-tell_nodes (struct srv_peers *p, clk_ms now)
-{
-  size_t most = prs_count_up (p) / (TELL_NODES_MS / PRS_TELL_MS) + 1;
-  int64_t config = srv_sync_config (p->s);
-  bool news = config != p->told_config;
-
-  p->told_config = config;
-  for (struct peer *x = p->list; x && (news || most > 0); x = x->next)
-    if (x->up && (news || now - x->told_nodes_at >= TELL_NODES_MS))
-      {
-        send_nodes (x);
-        x->told_nodes_at = now;
-        most -= most > 0;
-      }
-}
-
 void
 prs_tell (struct srv_peers *p, clk_ms now)
 {
@@ -377,5 +325,5 @@
   send_load (p, now);
   send_sum (p, now);
   if (!p->summing && p->nlisted + 1 > HUB_MESH_MOST)
-    tell_nodes (p, now);
+    prs_tell_nodes (p, now);
 }
--- /dev/null
+++ b/serve/peers-nodes.c
@@ -0,0 +1,205 @@
+#include "serve/peers-int.h"
+
+#include <stdlib.h>
+
+/*
+ * What nodes that are not linked to all others are told of them: how many
+ * there are, addresses of ready ones for their callers, which ones are the
+ * hubs, and the configuration in force.
+ *
+ * A node that is no hub does not look into the store while it is told all
+ * this.  Of a new node that is a hub from now on it hears here; otherwise the
+ * hubs would leave adding up the loads to one that is linked to nobody else,
+ * and when the node that forms replicas is lost, all others would know of no
+ * load but their own.
+ */
+
+/** How often a node that is not linked to all hears which are ready: callers
+    keep an answer for two seconds. */
+#define TELL_NODES_MS ((clk_ms)1000)
+
+static char *
+addr_text (const struct net_addr *a)
+{
+  struct buf text = BUF_INIT;
+  char *copy;
+
+  net_addr_format (a, &text);
+  copy = str_dup (buf_str (&text));
+  buf_free (&text);
+  return copy;
+}
+
+/* --- hubs --------------------------------------------------------------- */
+
+struct hub_rows
+{
+  Lapis__HubEntry rows[HUB_LINKS];
+  Lapis__HubEntry *list[HUB_LINKS];
+};
+
+static void
+fill_hub (Lapis__HubEntry *row, char *node, const struct net_addr *front,
+          const struct net_addr *peer, const struct hub_node *spec)
+{
+  lapis__hub_entry__init (row);
+  row->node = node;
+  row->front = addr_text (front);
+  row->peer = addr_text (peer);
+  row->link_bytes_per_s = spec->link_bytes_per_s;
+  row->cpu_share = spec->cpu_share;
+}
+
+static void
+free_hub (Lapis__HubEntry *row)
+{
+  free (row->node);
+  free (row->front);
+  free (row->peer);
+}
+
+/** The listed peer that comes next after @p after in the order of hubs. */
+static const struct peer *
+next_hub (const struct srv_peers *p, const struct hub_node *after)
+{
+  const struct peer *best = NULL;
+
+  for (const struct peer *x = p->list; x; x = x->next)
+    if (x->listed && (!after || hub_cmp (&x->spec, after) > 0)
+        && (!best || hub_cmp (&x->spec, &best->spec) < 0))
+      best = x;
+  return best;
+}
+
+/** The first nodes in the order of hubs but this one, to which the receiver is
+    linked. */
+static void
+name_hubs (const struct srv_peers *p, struct hub_rows *r,
+           Lapis__NodeList *nodes)
+{
+  const struct peer *x = NULL;
+
+  nodes->n_hubs = 0;
+  nodes->hubs = r->list;
+  while (nodes->n_hubs < HUB_LINKS
+         && (x = next_hub (p, x ? &x->spec : NULL)) != NULL)
+    {
+      Lapis__HubEntry *row = &r->rows[nodes->n_hubs];
+      fill_hub (row, xstrdup (x->node), &x->front, &x->addr, &x->spec);
+      r->list[nodes->n_hubs++] = row;
+    }
+}
+
+static void
+take_hub (struct srv_peers *p, const Lapis__HubEntry *row)
+{
+  struct str node = str_from (row->node);
+  struct net_addr front, addr;
+  struct peer *x;
+
+  if (str_eq (node, p->s->set.node)
+      || !net_addr_parse (str_from (row->front), false, &front)
+      || !net_addr_parse (str_from (row->peer), false, &addr))
+    return;
+  x = prs_peer_of (p, node);
+  x->front = front;
+  x->addr = addr;
+  x->spec
+      = (struct hub_node){ x->hash, row->link_bytes_per_s, row->cpu_share };
+  x->listed = true;
+}
+
+/* --- telling ------------------------------------------------------------ */
+
+static void
+send_nodes (struct peer *x)
+{
+  struct srv_peers *p = x->p;
+  struct hub_rows hubs;
+  struct net_addr list[PRS_NAMED_MOST];
+  char *fronts[PRS_NAMED_MOST];
+  size_t n = srv_peers_ready (p->s, list, PRS_NAMED_MOST);
+  Lapis__NodeList nodes = LAPIS__NODE_LIST__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+
+  for (size_t i = 0; i < n; i++)
+    fronts[i] = addr_text (&list[i]);
+  nodes.nodes = srv_peers_nodes (p->s);
+  nodes.n_fronts = n;
+  nodes.fronts = fronts;
+  nodes.leads = srv_duty_holds (p->s);
+  if (nodes.leads)
+    name_hubs (p, &hubs, &nodes);
+  nodes.config_revision = srv_config_revision (p->s);
+  nodes.config_age_ms = (uint32_t)srv_sync_age (p->s, clk_now ());
+  f.body_case = LAPIS__FRAME__BODY_NODE_LIST;
+  f.node_list = &nodes;
+  link_send (x->link, &f);
+  for (size_t i = 0; i < n; i++)
+    free (fronts[i]);
+  for (size_t i = 0; i < nodes.n_hubs; i++)
+    free_hub (&hubs.rows[i]);
+}
+
+/** Hand the configuration on to all, unless it is too long; what is told of
+    nodes then names its revision. */
+static void
+send_config (struct srv_peers *p)
+{
+  Lapis__ConfigText config = LAPIS__CONFIG_TEXT__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  struct str text;
+
+  if (!srv_duty_holds (p->s)
+      || !srv_config_text (p->s, prs_count_up (p), &text))
+    return;
+  config.revision = srv_config_revision (p->s);
+  config.text.data = (uint8_t *)text.ptr;
+  config.text.len = text.len;
+  f.body_case = LAPIS__FRAME__BODY_CONFIG_TEXT;
+  f.config_text = &config;
+  for (struct peer *x = p->list; x; x = x->next)
+    if (x->up)
+      link_send (x->link, &f);
+}
+
+void
+prs_tell_nodes (struct srv_peers *p, clk_ms now)
+{
+  size_t most = prs_count_up (p) / (TELL_NODES_MS / PRS_TELL_MS) + 1;
+  int64_t config = srv_config_revision (p->s);
+  bool news = config != p->told_config;
+
+  p->told_config = config;
+  if (news)
+    send_config (p);
+  for (struct peer *x = p->list; x && (news || most > 0); x = x->next)
+    if (x->up && (news || now - x->told_nodes_at >= TELL_NODES_MS))
+      {
+        send_nodes (x);
+        x->told_nodes_at = now;
+        most -= most > 0;
+      }
+}
+
+/* --- being told --------------------------------------------------------- */
+
+void
+prs_on_nodes (struct peer *x, const Lapis__NodeList *list)
+{
+  struct srv_peers *p = x->p;
+
+  x->heard = p->named_at = clk_now ();
+  p->told_nodes = list->nodes;
+  p->nnamed = 0;
+  for (size_t i = 0; i < list->n_fronts && p->nnamed < PRS_NAMED_MOST; i++)
+    if (net_addr_parse (str_from (list->fronts[i]), false,
+                        &p->named[p->nnamed]))
+      p->nnamed++;
+  prs_count_nodes (p);
+  for (size_t i = 0; i < list->n_hubs; i++)
+    take_hub (p, list->hubs[i]);
+  if (list->leads)
+    srv_config_told (p->s, p->named_at, list->config_revision,
+                     list->config_age_ms);
+}
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -48,8 +48,8 @@
   return x;
 }
 
-static struct peer *
-peer_of (struct srv_peers *p, struct str node)
+struct peer *
+prs_peer_of (struct srv_peers *p, struct str node)
 {
   struct peer *x = find_peer (p, node);
 
@@ -64,9 +64,8 @@
   return x;
 }
 
-/** The request core shares budgets between so many. */
-static void
-count_nodes (struct srv_peers *p)
+void
+prs_count_nodes (struct srv_peers *p)
 {
   dsp_nodes (p->s->dispatch, srv_peers_nodes (p->s));
 }
@@ -86,7 +85,7 @@
   x->next_connect = clk_now () + CONNECT_AGAIN_MS;
   prs_feed (x, clk_now ());
   srv_act (s);
-  count_nodes (x->p);
+  prs_count_nodes (x->p);
 }
 
 /* --- frames ------------------------------------------------------------ */
@@ -109,7 +108,7 @@
 static void
 on_hello (struct srv_peers *p, struct link *l, const Lapis__Hello *hello)
 {
-  struct peer *x = peer_of (p, str_from (hello->node));
+  struct peer *x = prs_peer_of (p, str_from (hello->node));
 
   if (x->link && x->link != l)
     {
@@ -124,7 +123,7 @@
   x->heard = clk_now ();
   x->told_at = 0;
   LOG (node_linked, LOG_C ("peer", x->node));
-  count_nodes (p);
+  prs_count_nodes (p);
 }
 
 static void
@@ -145,23 +144,6 @@
     srv_places_changed (s);
 }
 
-static void
-on_nodes (struct peer *x, const Lapis__NodeList *list)
-{
-  struct srv_peers *p = x->p;
-
-  x->heard = p->named_at = clk_now ();
-  p->told_nodes = list->nodes;
-  p->nnamed = 0;
-  for (size_t i = 0; i < list->n_fronts && p->nnamed < PRS_NAMED_MOST; i++)
-    if (net_addr_parse (str_from (list->fronts[i]), false,
-                        &p->named[p->nnamed]))
-      p->nnamed++;
-  count_nodes (p);
-  if (list->leads)
-    srv_sync_config_told (p->s, p->named_at, list->config_revision);
-}
-
 static void
 on_frame (void *ctx, struct link *l, const Lapis__Frame *f)
 {
@@ -179,7 +161,11 @@
   else if (x && f->body_case == LAPIS__FRAME__BODY_PROMPT_NOTICE)
     prs_on_notice (x, f->prompt_notice);
   else if (x && f->body_case == LAPIS__FRAME__BODY_NODE_LIST)
-    on_nodes (x, f->node_list);
+    prs_on_nodes (x, f->node_list);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_CONFIG_TEXT)
+    srv_config_given (
+        p->s, f->config_text->revision,
+        str_make (f->config_text->text.data, f->config_text->text.len));
 }
 
 static void
@@ -361,7 +347,7 @@
     {
       if (str_eq (list[i].node, s->set.node))
         continue;
-      struct peer *x = peer_of (p, list[i].node);
+      struct peer *x = prs_peer_of (p, list[i].node);
       x->front = list[i].front;
       x->addr = list[i].peer;
       x->spec = list[i].spec;
--- a/serve/register.c
+++ b/serve/register.c
@@ -221,13 +221,13 @@
   if (g->watch)
     store_watch_stop (g->watch);
   g->watch = NULL;
-  g->next_watch = clk_now ()
-                  + pau_watch_again (g->nnodes, srv_register_rank (g->s),
-                                     !g->linked || srv_duty_holds (g->s));
   for (size_t i = 0; i < n; i++)
     take_item (g, ev[i].deleted, &ev[i].kv);
   start_links (g);
   tell_nodes (g);
+  g->next_watch = clk_now ()
+                  + pau_watch_again (g->nnodes, srv_register_rank (g->s),
+                                     !g->linked || srv_duty_holds (g->s));
 }
 
 static void
@@ -292,6 +292,8 @@
       g->next_watch = clk_now () + GATHER_MS;
       g->next_secret = g->next_watch + SECRET_TURN_MS;
     }
+  else if (g->nnodes > HUB_MESH_MOST)
+    g->next_watch = clk_now () + GATHER_MS; /* the links are up by then */
   else
     begin_watch (g);
 }
@@ -433,6 +435,7 @@
 {
   struct srv_register *g = s->reg;
 
+  s->store_pause.told = may_rest (g, now);
   if (!g->reading && now >= g->next_read
       && pau_may_call (&s->store_pause, now))
     {
@@ -470,6 +473,8 @@
 
   g->s = s;
   s->reg = g;
+  /* Others run already, and whoever leads will be linked in a moment. */
+  g->led_at = s->set.first_start ? 0 : clk_now ();
   g->next_watch = CLK_NEVER;
   buf_add_c (&g->prefix, s->ad->own_prefix);
   store_prefix_end (buf_str (&g->prefix), &g->end);
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -22,35 +22,11 @@
 
 /** After a failed read, and while nothing is known yet. */
 #define POLL_AGAIN_MS ((clk_ms)200)
-/** A watch that ended is begun again after this. */
-#define WATCH_AGAIN_MS ((clk_ms)100)
-/** Part of the time in which a configuration has to be in force for which the
-    next one is not looked for.  Operators push some dozen versions within two
-    seconds at times, and each is a priced call and a whole document for every
-    node; by this they come in few. */
-#define CONFIG_PAUSE_PART 4
-/** Among very many nodes the one that forms replicas tells which revision is
-   in force, and the others read it once when it is newer; a watch at each was
-   a third of all store calls.  One that was not told for so long, as a part of
-    the time in which a configuration has to be in force, watches by itself. */
-#define CONFIG_UNTOLD_PART 0.6
-/** What all go by, the one that forms replicas reads again this often, so that
-    a watch that has gone silent holds up nobody. */
-#define CONFIG_CHECK_MS ((clk_ms)1000)
-
 struct srv_sync
 {
   struct srv *s;
   struct unr *unread; /* entries of the list that can't be read */
-  struct buf config_end, servers_end;
-  struct store_watch *watch; /* of the configuration */
-  bool reading_config;
-  clk_ms asked_config;
-  clk_ms next_config; /* CLK_NEVER: it is watched */
-  clk_ms next_watch;  /* CLK_NEVER: the watch runs, or the whole is read */
-  int64_t revision;   /* up to which configurations were seen */
-  int64_t in_force;   /* revision of the newest one that was read */
-  clk_ms told_at;     /* when the revision in force was told last; 0: never */
+  struct buf servers_end;
   bool reading_servers;
   clk_ms asked_servers;
   clk_ms next_servers;
@@ -68,179 +44,6 @@
   y->store_ok = ok;
 }
 
-/* --- configuration ----------------------------------------------------- */
-
-static void
-log_findings (struct fnd_list *findings, int64_t revision)
-{
-  struct buf text = BUF_INIT;
-
-  fnd_print (findings, &text);
-  LOG (table_not_taken, LOG_I ("revision", revision),
-       LOG_S ("findings", buf_str (&text)));
-  buf_free (&text);
-  fnd_free (findings);
-}
-
-/**
- * What is in force never goes back: an answer of the store that was under way
- * while a newer one came must not undo it.
- */
-static void
-take_config (struct srv_sync *y, const struct store_kv *kv)
-{
-  struct srv *s = y->s;
-  struct fnd_list findings = { 0 };
-  struct tbl *t;
-
-  if (!str_is (kv->key, s->ad->config_key))
-    return;
-  if (kv->mod_rev > y->in_force)
-    y->in_force = kv->mod_rev;
-  t = s->ad->table (kv->value, &findings);
-  if (!t)
-    {
-      log_findings (&findings, kv->mod_rev);
-      return;
-    }
-  fnd_free (&findings);
-  if (s->table && t->version <= s->table->version)
-    {
-      tbl_unref (t);
-      return;
-    }
-  LOG (table_in_force, LOG_I ("version", t->version),
-       LOG_I ("revision", kv->mod_rev), LOG_I ("routes", t->nroutes));
-  tbl_unref (s->table);
-  s->table = t;
-  srv_places_changed (s);
-}
-
-static void
-on_config_events (void *ctx, int64_t revision,
-                  const struct store_watch_event *ev, size_t n)
-{
-  struct srv_sync *y = ctx;
-
-  store_watch_stop (y->watch);
-  y->watch = NULL;
-  y->revision = revision;
-  y->next_watch = clk_now () + y->s->set.apply_ms / CONFIG_PAUSE_PART;
-  for (size_t i = 0; i < n; i++)
-    if (!ev[i].deleted)
-      take_config (y, &ev[i].kv);
-}
-
-static void
-on_config_end (void *ctx, enum store_status why)
-{
-  struct srv_sync *y = ctx;
-
-  (void)why; /* whatever ended it, the whole is read again */
-  y->watch = NULL;
-  y->next_config = clk_now () + WATCH_AGAIN_MS;
-}
-
-static void
-watch_config (struct srv_sync *y)
-{
-  static const struct store_watch_cb cb = { on_config_events, on_config_end };
-  struct srv *s = y->s;
-
-  y->next_watch = CLK_NEVER;
-  y->watch = store_watch (s->store, str_from (s->ad->config_key),
-                          buf_str (&y->config_end), y->revision + 1, &cb, y);
-}
-
-/** Whether the node that forms replicas tells this one what is in force. */
-static bool
-is_told (const struct srv_sync *y, clk_ms now)
-{
-  clk_ms most = (clk_ms)((double)y->s->set.apply_ms * CONFIG_UNTOLD_PART);
-
-  return y->told_at && now - y->told_at < most && srv_register_follows (y->s);
-}
-
-int64_t
-srv_sync_config (const struct srv *s)
-{
-  return s->sync->in_force;
-}
-
-/** When the next version may be read: of a storm only some are. */
-static clk_ms
-config_due (const struct srv_sync *y, clk_ms now)
-{
-  clk_ms due = y->asked_config + y->s->set.apply_ms / CONFIG_PAUSE_PART;
-
-  return due > now ? due : now;
-}
-
-void
-srv_sync_config_told (struct srv *s, clk_ms now, int64_t revision)
-{
-  struct srv_sync *y = s->sync;
-
-  y->told_at = now;
-  if (!is_told (y, now))
-    return;
-  if (y->watch)
-    store_watch_stop (y->watch);
-  y->watch = NULL;
-  y->next_watch = CLK_NEVER;
-  if (revision > y->in_force && y->next_config == CLK_NEVER)
-    y->next_config = config_due (y, now);
-}
-
-/** Who is told no more watches again; who tells others looks again. */
-static void
-check_config (struct srv_sync *y, clk_ms now)
-{
-  bool idle = !y->reading_config && y->next_config == CLK_NEVER;
-
-  if (!idle)
-    return;
-  if (!y->watch && y->next_watch == CLK_NEVER && !is_told (y, now))
-    y->next_config = now;
-  else if (srv_duty_holds (y->s) && srv_peers_nodes (y->s) > HUB_MESH_MOST)
-    y->next_config = now + CONFIG_CHECK_MS;
-}
-
-static void
-on_config (void *ctx, const struct store_result *r)
-{
-  struct srv_sync *y = ctx;
-  struct srv *s = y->s;
-
-  y->reading_config = false;
-  pau_ended (&s->store_pause, clk_now (), r->status, &s->rng);
-  if (r->status != STORE_OK)
-    {
-      y->next_config = clk_now () + POLL_AGAIN_MS;
-      return;
-    }
-  for (size_t i = 0; i < r->nkvs; i++)
-    take_config (y, &r->kvs[i]);
-  y->next_config = CLK_NEVER;
-  y->revision = r->revision;
-  if (y->watch || y->next_watch != CLK_NEVER)
-    return; /* a second look; check_config() says when the next is due */
-  if (!is_told (y, clk_now ()))
-    watch_config (y);
-}
-
-static void
-read_config (struct srv_sync *y)
-{
-  struct srv *s = y->s;
-
-  y->reading_config = true;
-  y->asked_config = clk_now ();
-  pau_called (&s->store_pause);
-  store_range (s->store, STORE_CONFIG, str_from (s->ad->config_key),
-               buf_str (&y->config_end), on_config, y);
-}
-
 /* --- backend servers --------------------------------------------------- */
 
 static void
@@ -363,12 +166,6 @@
 {
   struct srv_sync *y = s->sync;
 
-  check_config (y, now);
-  if (!y->reading_config && now >= y->next_config
-      && pau_may_call (&s->store_pause, now))
-    read_config (y);
-  if (now >= y->next_watch)
-    watch_config (y);
   if (!y->reading_servers && now >= y->next_servers
       && pau_may_call (&s->store_pause, now))
     read_servers (y, now);
@@ -381,12 +178,10 @@
 
   y->s = s;
   y->store_ok = true;
-  y->next_watch = CLK_NEVER;
   if (s->set.first_start)
     y->next_servers = clk_now () + poll_ms (s);
   y->unread = unr_new ();
   s->sync = y;
-  store_prefix_end (str_from (s->ad->config_key), &y->config_end);
   store_prefix_end (str_from (s->ad->servers_prefix), &y->servers_end);
   srv_sync_tick (s, clk_now ());
 }
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -13,7 +13,7 @@
 #define TURNS 300 /* 15 s */
 
 static void
-write_settings (struct rack *r, int node)
+write_settings (struct rack *r, int node, const char *at)
 {
   char name[32];
   int port[4];
@@ -41,11 +41,12 @@
           "  \"ceiling_over\": 1.1},\n"
           " \"platform\": {\"address\": \"%s\", \"writes_per_s\": 400,\n"
           "  \"reads_per_s\": 2000, \"ttl_min_ms\": 1000}}\n",
-          node + 1, port[0], port[1], port[2], port[3], port[3], r->at));
+          node + 1, port[0], port[1], port[2], port[3], port[3], at));
 }
 
 void
-rack_up (struct rack *r, int engines)
+rack_up_many (struct rack *r, int engines, int nodes,
+              const char *(*last) (const char *at))
 {
   char n[8];
 
@@ -53,8 +54,14 @@
   snprintf (n, sizeof n, "%d", engines);
   r->platform = PROC_UP ("standin", "rack", "--engines", n);
   r->at = proc_addr (r->platform, "http");
-  for (int i = 0; i < RACK_NODES; i++)
-    write_settings (r, i);
+  for (int i = 0; i < nodes; i++)
+    write_settings (r, i, last && i + 1 == nodes ? last (r->at) : r->at);
+}
+
+void
+rack_up (struct rack *r, int engines)
+{
+  rack_up_many (r, engines, RACK_NODES, NULL);
 }
 
 void
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -12,21 +12,27 @@
 #include "t/lib-proc.h"
 
 #define RACK_NODES 2
+#define RACK_MOST 18 /**< of those that rack_up_many() starts */
 
 struct rack
 {
   struct proc *platform;
-  struct proc *node[RACK_NODES];
-  const char *at;                 /**< the platform's address */
-  char settings[RACK_NODES][256]; /**< paths */
-  char front[RACK_NODES][32];
-  char ready[RACK_NODES][32];
-  char address[RACK_NODES][32];
+  struct proc *node[RACK_MOST];
+  const char *at;                /**< the platform's address */
+  char settings[RACK_MOST][256]; /**< paths */
+  char front[RACK_MOST][32];
+  char ready[RACK_MOST][32];
+  char address[RACK_MOST][32];
 };
 
 /** Start the platform with so many engine servers; nothing is configured. */
 void rack_up (struct rack *r, int engines);
 
+/** The same with settings for @p nodes, of which the last one reaches the
+    platform by way of @p last, "127.0.0.1:PORT", unless that is NULL. */
+void rack_up_many (struct rack *r, int engines, int nodes,
+                   const char *(*last) (const char *at));
+
 /** Start a node, also one that was ended. */
 void rack_start_node (struct rack *r, int node);
 
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -28,6 +28,7 @@
   size_t n;
   atomic_bool forget;
   atomic_bool forgot;
+  atomic_bool refuse;
 };
 
 static void
@@ -53,7 +54,7 @@
   int b = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   net_addr_sockaddr (&r->to[i], &to);
-  if (a < 0 || r->n == MAX_PAIRS
+  if (a < 0 || r->n == MAX_PAIRS || atomic_load (&r->refuse)
       || connect (b, (struct sockaddr *)&to, sizeof (struct sockaddr_in)) != 0)
     {
       close (a);
@@ -101,6 +102,16 @@
     }
 }
 
+static void
+close_pairs (struct relay *r)
+{
+  for (; r->n > 0; r->n--)
+    {
+      close (r->pairs[r->n - 1].a);
+      close (r->pairs[r->n - 1].b);
+    }
+}
+
 static void *
 run (void *arg)
 {
@@ -129,6 +140,8 @@
           continue;
         }
       serve_pairs (r, fds);
+      if (atomic_load (&r->refuse))
+        close_pairs (r);
       for (int i = 0; i < 2; i++)
         if (fds[i].revents)
           accept_one (r, i);
@@ -165,3 +178,9 @@
   while (!atomic_load (&r->forgot))
     usleep (1000);
 }
+
+void
+relay_refuse (struct relay *r)
+{
+  atomic_store (&r->refuse, true);
+}
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -15,4 +15,7 @@
     neither end is told.  New ones work. */
 void relay_forget (struct relay *r);
 
+/** From now on close every connection, old and new. */
+void relay_refuse (struct relay *r);
+
 #endif
--- /dev/null
+++ b/t/t9304-many.c
@@ -0,0 +1,52 @@
+/*
+ * More nodes than are linked each to each, over real processes: most of them
+ * are told by a few what the store would tell them.
+ */
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include "t/lib-rack.h"
+#include "t/lib-relay.h"
+
+TestSuite (many, .fini = proc_stop_all, .timeout = 120);
+
+static struct relay *relay;
+
+static const char *
+by_relay (const char *at)
+{
+  relay = relay_new (at, at);
+  return relay_addr (relay, 0);
+}
+
+/*
+ * The store turns one of 18 nodes away, and then the operators take a key from
+ * its account and give it another.  Callers at that node are held to the new
+ * configuration like all others within the time of the settings: the node that
+ * forms replicas hands it on.
+ */
+Test (many, a_node_that_the_store_refuses_hears_of_the_next_configuration)
+{
+  struct rack r;
+  const int last = RACK_MOST - 1;
+
+  rack_up_many (&r, 4, RACK_MOST, by_relay);
+  rack_configure (&r, 1, "k1", "");
+  for (int i = 0; i < RACK_MOST; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i < RACK_MOST; i++)
+    cr_assert (rack_until (&r, i, "/once/x", rack_headers ("warm"), 200));
+  /* All have been told by the node that forms replicas. */
+  usleep (3000000);
+  relay_refuse (relay);
+  rack_configure (&r, 2, "k2", "");
+  usleep (2000000);
+  for (int i = 0; i < RACK_MOST; i++)
+    cr_expect_eq (rack_call (&r, i, "/once/x", "a", NULL, NULL), 401,
+                  "node %d", i);
+  cr_expect_eq (rack_call (&r, last, "/once/x", "",
+                           "Host: h\r\nX-Lapisline-Request-Id: b\r\n"
+                           "X-Api-Key: k2\r\n",
+                           NULL),
+                200);
+}
