Free a member that returns to a replica that is over

Cause: VMs that were cut off from the store come back and still report the replica that was closed without them.

Change: the owner remembers the generations of replicas that are over, whose leaders therefore lead no more; who returns as another member of one is free. A leader that returns is still closed first, and a new owner remembers nothing.

--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -103,6 +103,7 @@
 };
 
 #define FRM_LOADS 512
+#define FRM_ENDED 512 /**< replicas whose end is remembered */
 
 struct frm
 {
@@ -130,6 +131,9 @@
   size_t ngroups;
   clk_ms loads[FRM_LOADS]; /**< when the last ones began, a ring */
   size_t nloads;
+  int64_t
+      ended[FRM_ENDED]; /**< generations of replicas that are over, a ring */
+  size_t nended;
   struct frm_demand *demands;
   size_t ndemands;
   uint64_t tokens;
--- a/serve/form.c
+++ b/serve/form.c
@@ -157,6 +157,16 @@
     }
   frm_enter (f, g, FRM_PH_OVER);
   g->n = 0;
+  f->ended[f->nended++ % FRM_ENDED] = g->generation;
+}
+
+static bool
+has_ended (const struct frm *f, int64_t generation)
+{
+  for (size_t i = 0; i < f->nended && i < FRM_ENDED; i++)
+    if (f->ended[i] == generation)
+      return true;
+  return false;
 }
 
 /**
@@ -492,6 +502,24 @@
     enter_found (f, g);
 }
 
+/**
+ * A member that was cut off while its replica was closed comes back and still
+ * reports it.  Its leader is known to lead no more, or the replica would not
+ * be over, so the member is free; waiting until such a leader must have given
+ * up kept it idle for seven seconds.
+ */
+static void
+clear_returned (struct frm *f)
+{
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      struct frm_vm *vm = f->vms[i];
+      if (!vm->group && vm->e.part != BKS_ALONE && vm->e.rank > 0
+          && vm->e.generation > vm->cleared && has_ended (f, vm->e.generation))
+        vm->cleared = vm->e.generation;
+    }
+}
+
 /**
  * VMs that appear with a replica of which this owner has not disposed.  A
  * leader may be open still, or open again by a late order, and a member's
@@ -523,6 +551,7 @@
   f->now = now;
   f->owner = on;
   f->adopted = false;
+  f->nended = 0; /* another owner may have ordered meanwhile */
   f->fence = fence;
   drop_groups (f);
   drop_actions (f);
@@ -561,6 +590,7 @@
     }
   drop_unnamed (f);
   f->settled = settled;
+  clear_returned (f);
   if (f->owner && f->adopted)
     adopt_stray (f);
   else if (f->owner)
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -479,3 +479,27 @@
              "r1002 small is open: a4 a5\n"
              "a6 is warm for big\n");
 }
+
+/*
+ * Callers of the large model wait: a member was cut off, its replica was closed
+ * and formed again with the spare, and then another member dies.  The one that
+ * was cut off is back and still reports the old replica; as that one's leader
+ * was told to leave it, the member takes the dead one's place at once.
+ */
+Test (form, a_member_that_returns_to_a_closed_replica_is_free)
+{
+  form_play ("owner 1\n vms a 4\n run 5000\n traffic\n unlist a2\n run 3000\n"
+             "back a2\n run 300\n kill a3\n run 1500\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "join s1002 big: a4\n"
+             "open r1001 a1\n"
+             "close cut r1001 a1\n"
+             "leave r1001 a1\n"
+             "join r1003 big: a1 a3 a4\n"
+             "open r1003 a1\n"
+             "close cut r1003 a1\n"
+             "leave r1003 a1\n"
+             "join r1004 big: a1 a4 a2\n"
+             "open r1004 a1\n"
+             "r1004 big is open: a1 a4 a2\n");
+}
