Tell each node the age of the list that it has itself

The owner tells changes of the list in turns, as they take a part of its link, but told all nodes with each sum of loads how long ago it had read the list itself; a node that waited for its turn took its own list for as fresh, and did not read it. Ruled out: the owner's reading, which showed the leave to other nodes in time.

Change: each node is told the age of what it has.

--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -43,6 +43,7 @@
   uint64_t told; /* version of the list of backend servers that it has from
                     this node; 0: none */
   clk_ms told_list_at;
+  clk_ms current_at; /* when the list was read of which it last had all */
   clk_ms heard;
   clk_ms next_connect;
   bool connects;    /**< this node has begun the link */
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -194,6 +194,18 @@
   return x->up && now - x->told_at >= (often ? PRS_TELL_MS : TELL_REST_MS);
 }
 
+/** Age of what the peer has of the list of backend servers. */
+static clk_ms
+list_age (struct peer *x, clk_ms now)
+{
+  struct srv *s = x->p->s;
+
+  if (!srv_duty_holds (s))
+    return 0;
+  return shr_age (&x->current_at, x->told, bks_version (s->backends),
+                  now - srv_sync_age (s, now), now);
+}
+
 static void
 send_load (struct srv_peers *p, clk_ms now)
 {
@@ -210,15 +222,18 @@
   load.ready = srv_is_ready (s);
   load.traffic = s->traffic;
   load.leads = srv_duty_holds (s);
-  if (load.leads)
-    load.list_age_ms = (uint32_t)srv_sync_age (s, now);
   load.n_places = p->nown;
   load.places = rows.list;
   f.body_case = LAPIS__FRAME__BODY_NODE_LOAD;
   f.node_load = &load;
   for (struct peer *x = p->list; x; x = x->next)
-    if (is_due (x, few || x == p->summing, now) && link_send (x->link, &f))
-      x->told_at = now;
+    {
+      if (!is_due (x, few || x == p->summing, now))
+        continue;
+      load.list_age_ms = (uint32_t)list_age (x, now);
+      if (link_send (x->link, &f))
+        x->told_at = now;
+    }
   for (size_t i = 0; i < p->nown; i++)
     if (own[i].stalled)
       srv_duty_stalled (s, own[i].place);
@@ -302,14 +317,16 @@
       add_counts (&sum, x->counts, x->ncounts);
   make_rows (&rows, sum.list, sum.n, now);
   load.leads = srv_duty_holds (p->s);
-  load.list_age_ms = (uint32_t)srv_sync_age (p->s, now);
   load.n_places = sum.n;
   load.places = rows.list;
   f.body_case = LAPIS__FRAME__BODY_FLEET_LOAD;
   f.fleet_load = &load;
   for (struct peer *x = p->list; x; x = x->next)
     if (x->up)
-      link_send (x->link, &f);
+      {
+        load.list_age_ms = (uint32_t)list_age (x, now);
+        link_send (x->link, &f);
+      }
   p->next_sum = now
                 + shr_sum_pause (p->s->set.link_bytes_per_s,
                                  lapis__fleet_load__get_packed_size (&load),
--- a/serve/share.c
+++ b/serve/share.c
@@ -187,6 +187,21 @@
   return ms < SUM_LONGEST_MS ? ms : SUM_LONGEST_MS;
 }
 
+/**
+ * Where the list is long and nodes are many, some wait for what has changed in
+ * it.  Were these told the age of what others have, they would go by it, and
+ * send requests to a server that has left seconds ago; by the age of what they
+ * have themselves they read the list when that is too old.
+ */
+clk_ms
+shr_age (clk_ms *current_at, uint64_t told, uint64_t version, clk_ms read_at,
+         clk_ms now)
+{
+  if (told == version)
+    *current_at = read_at;
+  return now - *current_at;
+}
+
 /* --- taking ------------------------------------------------------------ */
 
 static bool
--- a/serve/share.h
+++ b/serve/share.h
@@ -46,6 +46,16 @@
     may be told again. */
 clk_ms shr_sum_pause (double link_bytes_per_s, size_t bytes, size_t n);
 
+/**
+ * How old the list is that a node has from this one.
+ * @param current_at  kept for it: when the list was read of which it last had
+ *                    all changes
+ * @param told        version that it was told last
+ * @param read_at     when this node read version @p version or nothing newer
+ */
+clk_ms shr_age (clk_ms *current_at, uint64_t told, uint64_t version,
+                clk_ms read_at, clk_ms now);
+
 /** Take such a frame. @return whether anything changed */
 bool shr_take (struct bks *b, clk_ms now, const Lapis__ServerList *list);
 
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -321,6 +321,22 @@
   cr_expect_eq (shr_sum_pause (0, 12000, 329), 0);
 }
 
+/*
+ * A caller's request is sent to a server that left four seconds ago: its node
+ * waits for its turn to be told of a long list, and goes by the age of what
+ * the others have.  It is told the age of its own, so it reads the list by
+ * itself.
+ */
+Test (share, who_waits_for_the_list_is_told_the_age_of_its_own)
+{
+  clk_ms current_at = 0;
+
+  cr_expect_eq (shr_age (&current_at, 7, 7, 1000, 1050), 50);
+  cr_expect_eq (shr_age (&current_at, 7, 8, 1300, 1350), 350);
+  cr_expect_eq (shr_age (&current_at, 7, 9, 4000, 4050), 3050);
+  cr_expect_eq (shr_age (&current_at, 9, 9, 4300, 4310), 10);
+}
+
 /* Orders as the platform's servers read them. */
 Test (orders, on_the_wire)
 {
