Tell places only, and go by the age of the list that shows an order's effect

Orders whose effect the list did not show yet were given again each 1.5 s (join 2,997 servers: some 10,000 orders; 479 orders to open, six times), replicas that were open were closed after six seconds as the list did not show it, and before the second reading all VMs were loaded on the side (ten replicas of eleven formed anew at second 9).

Changes, as none helps without the others: nodes are told of places alone, the plain servers and the leaders of open replicas, each with the verdict of the node that reads the list; an order that was accepted is given again, and a replica that does not open is given up, by what lists show that were read later; nothing is loaded on the side while VMs are awaited.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4709,7 +4709,7 @@
   (ProtobufCMessageInit) lapis__server_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[14] =
+static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[13] =
 {
   {
     "id",
@@ -4747,18 +4747,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "domain",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lapis__ServerEntry, domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "addr",
     5,
@@ -4807,18 +4795,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "staged",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Lapis__ServerEntry, n_staged),
-    offsetof(Lapis__ServerEntry, staged),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "replica",
     10,
@@ -4879,27 +4855,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "verdict",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__server_entry__field_indices_by_name[] = {
-  4,   /* field[4] = addr */
-  13,   /* field[13] = born */
-  5,   /* field[5] = capacity */
-  3,   /* field[3] = domain */
-  6,   /* field[6] = draining */
-  10,   /* field[10] = generation */
+  3,   /* field[3] = addr */
+  11,   /* field[11] = born */
+  4,   /* field[4] = capacity */
+  5,   /* field[5] = draining */
+  8,   /* field[8] = generation */
   0,   /* field[0] = id */
-  7,   /* field[7] = model */
-  12,   /* field[12] = part */
-  11,   /* field[11] = rank */
-  9,   /* field[9] = replica */
+  6,   /* field[6] = model */
+  10,   /* field[10] = part */
+  9,   /* field[9] = rank */
+  7,   /* field[7] = replica */
   1,   /* field[1] = service */
-  8,   /* field[8] = staged */
+  12,   /* field[12] = verdict */
   2,   /* field[2] = zone */
 };
-static const ProtobufCIntRange lapis__server_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange lapis__server_entry__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 5, 3 },
+  { 10, 7 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lapis__server_entry__descriptor =
 {
@@ -4909,10 +4898,10 @@
   "Lapis__ServerEntry",
   "lapis",
   sizeof(Lapis__ServerEntry),
-  14,
+  13,
   lapis__server_entry__field_descriptors,
   lapis__server_entry__field_indices_by_name,
-  1,  lapis__server_entry__number_ranges,
+  3,  lapis__server_entry__number_ranges,
   (ProtobufCMessageInit) lapis__server_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -820,8 +820,9 @@
 
 
 /*
- * The backend servers as the node that forms replicas has read them: all of
- * them first on a link, then what changed.
+ * The backend servers that requests can be sent to, as the node that forms
+ * replicas has read them: all of them first on a link, then what changed.  The
+ * other members of replicas are not told; the verdict stands for them.
  */
 struct  Lapis__ServerList
 {
@@ -850,13 +851,10 @@
   char *id;
   char *service;
   char *zone;
-  char *domain;
   char *addr;
   uint32_t capacity;
   protobuf_c_boolean draining;
   char *model;
-  size_t n_staged;
-  char **staged;
   char *replica;
   int64_t generation;
   uint32_t rank;
@@ -868,10 +866,14 @@
    * Unix ms of its process's start
    */
   int64_t born;
+  /*
+   * enum bks_verdict
+   */
+  uint32_t verdict;
 };
 #define LAPIS__SERVER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__server_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /* Lapis__Frame methods */
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -166,7 +166,7 @@
          && a->draining == b->draining && str_eq (a->model, b->model)
          && same_staged (a, b) && str_eq (a->replica, b->replica)
          && a->generation == b->generation && a->rank == b->rank
-         && a->part == b->part;
+         && a->part == b->part && a->verdict == b->verdict;
 }
 
 static void
@@ -449,9 +449,24 @@
 }
 
 static void
-add_place (struct bks *b, size_t *n, const struct bks_entry *e,
-           unsigned capacity, bool accepting)
+note_place (struct bks *b, struct bks_server *s, bool place, bool accepting)
 {
+  bool same = s->place == place && s->accepting == accepting
+              && (!place || s->version <= s->place_version);
+
+  s->place = place;
+  s->accepting = accepting;
+  if (!same)
+    s->place_version = b->version;
+}
+
+static void
+add_place (struct bks *b, size_t *n, struct bks_server *s, unsigned capacity,
+           bool accepting)
+{
+  const struct bks_entry *e = &s->e;
+
+  note_place (b, s, true, accepting);
   b->places[(*n)++] = (struct dsp_place){ .server = e->id,
                                           .born = e->born,
                                           .service = e->service,
@@ -472,11 +487,16 @@
 {
   const struct bks_entry *e = &leader->e;
   const struct tbl_model *m = tbl_find_model (s, e->model);
+  bool takes = e->verdict == BKS_TAKES;
 
   if (!m || e->rank != 0 || e->replica.len == 0 || e->part < BKS_OPEN)
-    return;
-  add_place (b, n, e, s->capacity ? s->capacity : e->capacity,
-             e->part == BKS_OPEN && is_whole (b, leader, m->size));
+    {
+      note_place (b, leader, false, false);
+      return;
+    }
+  if (e->verdict == BKS_UNJUDGED)
+    takes = e->part == BKS_OPEN && is_whole (b, leader, m->size);
+  add_place (b, n, leader, s->capacity ? s->capacity : e->capacity, takes);
   b->places[*n - 1].model = m->name;
   b->places[*n - 1].read_per_ms = s->read_per_ms / (m->pace > 0 ? m->pace : 1);
   b->places[*n - 1].generation = e->generation;
@@ -492,11 +512,11 @@
       const struct bks_entry *e = &b->list[i]->e;
       const struct tbl_service *s = tbl_find_service (t, e->service);
       if (!s)
-        continue;
-      if (s->nmodels)
+        note_place (b, b->list[i], false, false);
+      else if (s->nmodels)
         add_leader (b, s, b->list[i], n);
       else
-        add_place (b, n, e, e->capacity, !e->draining);
+        add_place (b, n, b->list[i], e->capacity, !e->draining);
     }
   return b->places;
 }
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -29,6 +29,14 @@
   BKS_BROKEN   /**< it leads and has lost a member */
 };
 
+/** What the node that reads the list says of a leader's replica. */
+enum bks_verdict
+{
+  BKS_UNJUDGED, /**< nothing: this node has read the list itself */
+  BKS_TAKES,    /**< it takes requests */
+  BKS_REFUSES   /**< it gets nothing new */
+};
+
 /** One backend server as the platform lists it. */
 struct bks_entry
 {
@@ -49,6 +57,7 @@
   int64_t generation;
   unsigned rank;
   enum bks_part part;
+  enum bks_verdict verdict;
 };
 
 /** A member of a replica that was whole. */
@@ -63,11 +72,14 @@
 {
   struct bks_entry e; /**< its text is in `text` */
   struct arena text;
-  bool named;            /**< by the list that is being read */
-  uint64_t version;      /**< of the list at which it last changed */
-  clk_ms since;          /**< first seen */
-  struct bks_mate *crew; /**< its members when it led a whole replica */
-  size_t ncrew;          /**< 0: it has not been seen to */
+  bool named;             /**< by the list that is being read */
+  uint64_t version;       /**< of the list at which it last changed */
+  clk_ms since;           /**< first seen */
+  bool place;             /**< requests may be sent there, or were */
+  bool accepting;         /**< as a place */
+  uint64_t place_version; /**< of the list at which that, or it, changed */
+  struct bks_mate *crew;  /**< its members when it led a whole replica */
+  size_t ncrew;           /**< 0: it has not been seen to */
   int64_t crew_generation;
 };
 
@@ -131,7 +143,10 @@
 const struct bks_server *const *bks_list (const struct bks *b, size_t *n);
 const struct bks_server *bks_find (const struct bks *b, struct str id);
 
-/** Places for requests under @p t; valid until the next update. */
+/**
+ * Places for requests under @p t; valid until the next update.
+ * Notes with each server whether it is one, for those who are told of places.
+ */
 const struct dsp_place *bks_places (struct bks *b, const struct tbl *t,
                                     size_t *n);
 
--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -77,7 +77,7 @@
         frm_enter (f, g, FRM_PH_OPENING);
       return;
     }
-  if (f->now - g->since > 3 * g->load_ms + FRM_PATIENCE_MS)
+  if (f->asked_at - g->since > 3 * g->load_ms + FRM_PATIENCE_MS)
     {
       frm_group_end (f, g);
       return;
@@ -106,7 +106,9 @@
 static void
 tick_opening (struct frm *f, struct frm_group *g)
 {
-  if (!all_there (f, g) || f->now - g->since > FRM_PATIENCE_MS)
+  /* By the time of the list: one of thousands of servers is read for seconds,
+     and a replica that is open may not show in it yet. */
+  if (!all_there (f, g) || f->asked_at - g->since > FRM_PATIENCE_MS)
     {
       begin_close (f, g, true);
       return;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -18,6 +18,9 @@
 
 /** After this an order without a sign of its effect is given again. */
 #define FRM_AGAIN_MS ((clk_ms)1500)
+/** An order that was accepted shows in lists that were read so much later, as
+    its server reports at once. */
+#define FRM_SHOWN_MS ((clk_ms)1000)
 /** Joining or opening that takes longer than expected by this is given up. */
 #define FRM_PATIENCE_MS ((clk_ms)6000)
 
@@ -44,6 +47,9 @@
   uint64_t order;     /**< token under way; 0: none */
   enum frm_order_kind order_kind;
   clk_ms next_order;
+  enum frm_order_kind accepted_kind; /**< of the last order accepted */
+  int64_t accepted_generation;       /**< 0: none was */
+  clk_ms accepted_at;
   clk_ms staging_until; /**< its host loads weights on the side, about */
   int64_t cleared;      /**< generations up to this can't open with it as the
                              leader any more */
--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -45,13 +45,27 @@
   return true;
 }
 
+/**
+ * Whether the same order was accepted, and no list has been read since that
+ * would show its effect.  Of thousands of servers the list is read every few
+ * seconds, and orders that were given again until then came to three for each
+ * step of a server.
+ */
+static bool
+is_pending (const struct frm *f, const struct frm_vm *vm,
+            enum frm_order_kind kind, const struct frm_group *g)
+{
+  return vm->accepted_generation == g->generation && vm->accepted_kind == kind
+         && f->asked_at < vm->accepted_at + FRM_SHOWN_MS;
+}
+
 bool
 frm_order (struct frm *f, struct frm_vm *vm, enum frm_order_kind kind,
            struct frm_group *g)
 {
   struct frm_action *a;
 
-  if (vm->order || f->now < vm->next_order)
+  if (vm->order || f->now < vm->next_order || is_pending (f, vm, kind, g))
     return false;
   a = push (f, FRM_ORDER, vm);
   a->order = kind;
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -254,6 +254,6 @@
 frm_place (struct frm *f)
 {
   frm_each_domain (f, form_all);
-  if (f->settled && f->now - f->arrived_at >= ARRIVAL_MS)
+  if (f->settled && !is_gathering (f) && f->now - f->arrived_at >= ARRIVAL_MS)
     frm_each_domain (f, load_spares);
 }
--- a/serve/form.c
+++ b/serve/form.c
@@ -636,6 +636,12 @@
         vm->order = 0;
         if (result == FRM_UNANSWERED && vm->order_kind != FRM_STAGE)
           vm->next_order = now + UNANSWERED_AGAIN_MS;
+        if (result == FRM_ACCEPTED && vm->group)
+          {
+            vm->accepted_kind = vm->order_kind;
+            vm->accepted_generation = vm->group->generation;
+            vm->accepted_at = now;
+          }
         if (vm->order_kind == FRM_STAGE)
           frm_stage_done (f, vm, result);
         else if (vm->group)
--- a/serve/peers-nodes.c
+++ b/serve/peers-nodes.c
@@ -115,7 +115,7 @@
 send_nodes (struct peer *x)
 {
   struct srv_peers *p = x->p;
-  struct hub_rows hubs;
+  struct hub_rows hubs = { 0 };
   struct net_addr list[PRS_NAMED_MOST];
   char *fronts[PRS_NAMED_MOST];
   size_t n = srv_peers_ready (p->s, list, PRS_NAMED_MOST);
--- a/serve/share.c
+++ b/serve/share.c
@@ -43,9 +43,10 @@
 }
 
 static void
-fill_entry (struct texts *t, const struct bks_entry *e,
-            Lapis__ServerEntry *out, char **staged)
+fill_entry (struct texts *t, const struct bks_server *s,
+            Lapis__ServerEntry *out)
 {
+  const struct bks_entry *e = &s->e;
   struct buf addr = BUF_INIT;
 
   lapis__server_entry__init (out);
@@ -53,20 +54,16 @@
   out->id = copy (t, e->id);
   out->service = copy (t, e->service);
   out->zone = copy (t, e->zone);
-  out->domain = copy (t, e->domain);
   out->addr = copy (t, buf_str (&addr));
   out->capacity = e->capacity;
   out->draining = e->draining;
   out->model = copy (t, e->model);
-  for (size_t i = 0; i < e->nstaged; i++)
-    staged[i] = copy (t, e->staged[i]);
-  out->n_staged = e->nstaged;
-  out->staged = staged;
   out->replica = copy (t, e->replica);
   out->generation = e->generation;
   out->rank = e->rank;
   out->part = e->part;
   out->born = e->born;
+  out->verdict = s->accepting ? BKS_TAKES : BKS_REFUSES;
   buf_free (&addr);
 }
 
@@ -74,7 +71,6 @@
 {
   Lapis__ServerList list;
   Lapis__ServerEntry *entries;
-  char *(*staged)[BKS_STAGED];
   struct texts texts;
   uint64_t since;   /* of the nodes that it is for */
   uint64_t version; /* that they have then */
@@ -88,26 +84,32 @@
   const struct bks_server *const *list = bks_list (b, &n);
 
   f->entries = xcalloc (n + 1, sizeof *f->entries);
-  f->staged = xcalloc (n + 1, sizeof (*f->staged));
   f->list.servers = xcalloc (n + 1, sizeof (*f->list.servers));
   for (size_t i = 0; i < n; i++)
     {
       size_t k = f->list.n_servers;
-      if (list[i]->version <= since)
+      if (!list[i]->place || list[i]->place_version <= since)
         continue;
-      fill_entry (&f->texts, &list[i]->e, &f->entries[k], f->staged[k]);
+      fill_entry (&f->texts, list[i], &f->entries[k]);
       f->list.servers[k] = &f->entries[k];
       f->list.n_servers++;
     }
 }
 
+/** Servers that went, and those that are no places any more. */
 static void
-add_gone (struct shr_frame *f, const struct str *gone, size_t n)
+add_gone (struct shr_frame *f, const struct bks *b, uint64_t since,
+          const struct str *gone, size_t ngone)
 {
-  f->list.gone = xcalloc (n + 1, sizeof (*f->list.gone));
-  f->list.n_gone = n;
+  size_t n;
+  const struct bks_server *const *list = bks_list (b, &n);
+
+  f->list.gone = xcalloc (n + ngone + 1, sizeof (*f->list.gone));
+  for (size_t i = 0; i < ngone; i++)
+    f->list.gone[f->list.n_gone++] = copy (&f->texts, gone[i]);
   for (size_t i = 0; i < n; i++)
-    f->list.gone[i] = copy (&f->texts, gone[i]);
+    if (!list[i]->place && list[i]->place_version > since)
+      f->list.gone[f->list.n_gone++] = copy (&f->texts, list[i]->e.id);
 }
 
 struct shr_frame *
@@ -125,7 +127,8 @@
   f->list.age_ms = (uint32_t)(age_ms > 0 ? age_ms : 0);
   f->list.whole = from == 0;
   add_entries (f, b, from);
-  add_gone (f, gone, from ? ngone : 0);
+  if (from)
+    add_gone (f, b, from, gone, ngone);
   f->bytes = lapis__server_list__get_packed_size (&f->list);
   return f;
 }
@@ -137,12 +140,17 @@
     return;
   texts_free (&f->texts);
   free (f->entries);
-  free (f->staged);
   free (f->list.servers);
   free (f->list.gone);
   free (f);
 }
 
+const Lapis__ServerList *
+shr_frame_list (const struct shr_frame *f)
+{
+  return &f->list;
+}
+
 bool
 shr_frame_fits (const struct shr_frame *f, uint64_t told)
 {
@@ -210,7 +218,6 @@
   *out = (struct bks_entry){ .id = str_from (in->id),
                              .service = str_from (in->service),
                              .zone = str_from (in->zone),
-                             .domain = str_from (in->domain),
                              .capacity = in->capacity,
                              .draining = in->draining,
                              .model = str_from (in->model),
@@ -219,8 +226,8 @@
                              .rank = in->rank,
                              .born = in->born };
   out->part = in->part <= BKS_BROKEN ? (enum bks_part)in->part : BKS_ALONE;
-  for (size_t i = 0; i < in->n_staged && i < BKS_STAGED; i++)
-    out->staged[out->nstaged++] = str_from (in->staged[i]);
+  if (in->verdict <= BKS_REFUSES)
+    out->verdict = (enum bks_verdict)in->verdict;
   return out->id.len > 0
          && net_addr_parse (str_from (in->addr), false, &out->addr);
 }
--- a/serve/share.h
+++ b/serve/share.h
@@ -1,6 +1,8 @@
 /**
  * @file
- * The list of backend servers as frames between nodes.
+ * The list of backend servers as frames between nodes: those that requests can
+ * be sent to.  A thousand servers are two hundred places, and among hundreds
+ * of nodes the whole list would not pass the link of the one that tells it.
  */
 #ifndef LAPISLINE_SERVE_SHARE_H
 #define LAPISLINE_SERVE_SHARE_H
@@ -19,6 +21,9 @@
 struct shr_frame *shr_frame_new (struct bks *b, clk_ms age_ms, uint64_t since);
 void shr_frame_free (struct shr_frame *f);
 
+/** What it says, as on the link. */
+const Lapis__ServerList *shr_frame_list (const struct shr_frame *f);
+
 /** Whether it is the one for a node that has version @p told. */
 bool shr_frame_fits (const struct shr_frame *f, uint64_t told);
 
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -41,6 +41,7 @@
   struct bks *lists[2];
   struct tbl *table;
   clk_ms now, listed;
+  clk_ms list_ms; /**< between two lists */
   struct vm vms[MOST];
   size_t n;
   struct late late[16];
@@ -365,13 +366,13 @@
     }
   for (size_t c = 0; c < 2; c++)
     {
-      if (w->now - w->listed >= LIST_MS)
+      if (w->now - w->listed >= w->list_ms)
         read_list (w, c);
       tell_demand (w, c);
       frm_tick (w->cores[c], w->now);
       take_actions (w, c);
     }
-  if (w->now - w->listed >= LIST_MS)
+  if (w->now - w->listed >= w->list_ms)
     w->listed = w->now;
 }
 
@@ -557,6 +558,11 @@
     show (w);
   else if (strcmp (word, "count") == 0)
     count (w, a);
+  else if (strcmp (word, "lists") == 0)
+    w->list_ms = atoi (a);
+  else if (strcmp (word, "orders") == 0)
+    buf_addf (&w->log, "%u orders\n",
+              (unsigned)frm_figures (w->cores[0])->orders);
   else if (strcmp (word, "plan") == 0)
     show_plan (w);
   else if (strcmp (word, "quiet") == 0)
@@ -601,7 +607,7 @@
 {
   struct frm_options opt
       = { .stall_ms = 1000, .ceiling_window_s = 5, .ceiling_over = 1.1 };
-  struct world w = { .now = 1000, .table = make_table () };
+  struct world w = { .now = 1000, .list_ms = LIST_MS, .table = make_table () };
 
   for (size_t i = 0; i < 2; i++)
     {
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -28,6 +28,8 @@
  *   hosts                hosts keep one model in their memory from now on
  *   stalled ID           callers see nothing move there
  *   show                 the open replicas and the warm spares are logged
+ *   lists MS             how often lists are read from now on
+ *   orders               how many orders the first core has given
  *   count DOMAIN         how many replicas of each model are open there
  *   plan                 what the first core tells of its models
  *   quiet                orders are not logged any more
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -481,10 +481,11 @@
 }
 
 /*
- * Callers of the large model wait: a member was cut off, its replica was closed
- * and formed again with the spare, and then another member dies.  The one that
- * was cut off is back and still reports the old replica; as that one's leader
- * was told to leave it, the member takes the dead one's place at once.
+ * Callers of the large model wait: a member was cut off, its replica was
+ * closed and formed again with the spare, and then another member dies.  The
+ * one that was cut off is back and still reports the old replica; as that
+ * one's leader was told to leave it, the member takes the dead one's place at
+ * once.
  */
 Test (form, a_member_that_returns_to_a_closed_replica_is_free)
 {
@@ -503,3 +504,18 @@
              "open r1004 a1\n"
              "r1004 big is open: a1 a4 a2\n");
 }
+
+/*
+ * Callers of a fleet of thousands of servers find no replica: the list is read
+ * every four seconds, and a replica that had been opened was closed again as
+ * it did not show there in time.  Each server gets one order for each step,
+ * and what is open stays so.
+ */
+Test (form, a_list_that_is_seldom_read_costs_no_orders)
+{
+  form_play ("lists 4000\n owner 1\n vms a 6\n run 30000\n orders\n show\n",
+             FORMED "8 orders\n"
+                    "r1001 big is open: a1 a2 a3\n"
+                    "r1002 small is open: a4 a5\n"
+                    "a6 is warm for big\n");
+}
--- a/t/t6102-work.c
+++ b/t/t6102-work.c
@@ -28,11 +28,11 @@
 }
 
 /*
- * Callers of the large model wait: its replica has lost more VMs than there are
- * to spare, and two small replicas have lost a member each.  What is left of
- * these could only wait for loads; as the hosts of their members took the large
- * model's weights before there was traffic, it completes the large replica
- * within seconds.
+ * Callers of the large model wait: its replica has lost more VMs than there
+ * are to spare, and two small replicas have lost a member each.  What is left
+ * of these could only wait for loads; as the hosts of their members took the
+ * large model's weights before there was traffic, it completes the large
+ * replica within seconds.
  */
 Test (work, what_is_left_of_small_replicas_completes_a_large_one)
 {
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -321,6 +321,74 @@
   cr_expect_eq (shr_sum_pause (0, 12000, 329), 0);
 }
 
+/** Tell @p to what has changed in @p from since @p since, and log its places:
+    one that takes requests with a plus. */
+static void
+tell_places (struct bks *from, struct bks *to, uint64_t since,
+             const struct tbl *t, struct buf *log)
+{
+  struct shr_frame *f = shr_frame_new (from, 0, since);
+  const struct dsp_place *list;
+  size_t n;
+
+  shr_take (to, 5000, shr_frame_list (f));
+  shr_frame_free (f);
+  list = bks_places (to, t, &n);
+  for (size_t i = 0; i < n; i++)
+    buf_addf (log, "%.*s%s ", STR_ARG (list[i].server),
+              list[i].accepting ? "+" : "");
+  buf_add_c (log, "\n");
+}
+
+/*
+ * Callers are sent to the same places by each node, whether it has read the
+ * list or is told: a replica takes requests, then a member of it leaves, then
+ * it is closed.  Of the members themselves nobody is told.
+ */
+Test (share, who_is_told_has_the_same_places)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t = plt_table (STR ("{\"version\": 1, " SERVICE "}"), &findings);
+  struct bks *from = bks_new (), *to = bks_new ();
+  struct arena text = { 0 };
+  struct buf log = BUF_INIT;
+  struct bks_entry e[3];
+  char json[512];
+  uint64_t version;
+  size_t n;
+
+  cr_assert_not_null (t);
+  cr_assert (plt_server (STR ("servers/h"),
+                         entry (json, sizeof json, "h", HEAD), &text, &e[0],
+                         NULL));
+  cr_assert (plt_server (STR ("servers/k"),
+                         entry (json, sizeof json, "k", MEMBER), &text, &e[1],
+                         NULL));
+  add (&e[2], "p", false);
+  cr_assert (net_addr_parse (STR ("10.0.0.9:80"), false, &e[2].addr));
+  bks_update (from, 1000, 1000, e, 3);
+  bks_places (from, t, &n);
+  tell_places (from, to, 0, t, &log);
+  expect_ids (to, "h p ");
+  version = bks_version (from);
+  e[1].draining = true;
+  bks_update (from, 2000, 2000, e, 3);
+  bks_places (from, t, &n);
+  tell_places (from, to, version, t, &log);
+  version = bks_version (from);
+  e[0].part = BKS_READY;
+  e[2].draining = true;
+  bks_update (from, 3000, 3000, e, 3);
+  bks_places (from, t, &n);
+  tell_places (from, to, version, t, &log);
+  cr_expect_str_eq (buf_c (&log), "h+ p+ \nh p+ \np \n", "%s", buf_c (&log));
+  buf_free (&log);
+  arena_free (&text);
+  bks_free (from);
+  bks_free (to);
+  tbl_unref (t);
+}
+
 /*
  * A caller's request is sent to a server that left four seconds ago: its node
  * waits for its turn to be told of a long list, and goes by the age of what
