Read a long list in time for a server that leaves

Change: it reads at least three times in the time within which a leave has to be known, however long the list is.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -330,6 +330,15 @@
   return b->n > PACE_SERVERS ? least * (clk_ms)b->n / PACE_SERVERS : least;
 }
 
+clk_ms
+bks_duty_pace (const struct bks *b, clk_ms least, clk_ms drain_ms)
+{
+  clk_ms pace = bks_pace (b, least);
+  clk_ms most = bks_untold_ms (drain_ms);
+
+  return pace < most ? pace : most;
+}
+
 clk_ms
 bks_untold_ms (clk_ms drain_ms)
 {
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -134,6 +134,10 @@
  */
 clk_ms bks_pace (const struct bks *b, clk_ms least);
 
+/** The same for the node that all others hear from: often enough for all to
+    know in time that a server leaves. */
+clk_ms bks_duty_pace (const struct bks *b, clk_ms least, clk_ms drain_ms);
+
 /** How often a node reads the list that hears of it from nobody. */
 clk_ms bks_untold_ms (clk_ms drain_ms);
 
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -80,8 +80,9 @@
   clk_ms ms = bks_untold_ms (s->set.drain_ms);
 
   if (srv_duty_holds (s))
-    return bks_pace (s->backends,
-                     srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS);
+    return bks_duty_pace (s->backends,
+                          srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS,
+                          s->set.drain_ms);
   if (s->set.first_start && !s->traffic)
     ms *= START_READS_PART;
   return ms > POLL_AGAIN_MS ? ms : POLL_AGAIN_MS;
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -270,6 +270,9 @@
   bks_update (b, 2000, 2000, e, 1000);
   cr_expect_eq (bks_pace (b, 100), 400);
   cr_expect_eq (bks_pace (b, 300), 1200);
+  cr_expect_eq (bks_duty_pace (b, 300, 3000), 1000,
+                "a leave is known in time though the list is long");
+  cr_expect_eq (bks_duty_pace (b, 100, 3000), 400);
   bks_free (b);
 }
 
