Know no other node before the entries are read

Change: a node that starts knows of no other. The nodes of t9304 start for the first time now, as those of a new deployment do; without the change it goes red.

--- a/serve/register.c
+++ b/serve/register.c
@@ -171,7 +171,9 @@
 bool
 srv_register_follows (const struct srv *s)
 {
-  return s->reg->nnodes > HUB_MESH_MOST && srv_register_rank (s) >= HUB_LINKS;
+  /* While a node starts it knows of no other. */
+  return s->reg && s->reg->nnodes > HUB_MESH_MOST
+         && srv_register_rank (s) >= HUB_LINKS;
 }
 
 /**
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -13,7 +13,7 @@
 #define TURNS 300 /* 15 s */
 
 static void
-write_settings (struct rack *r, int node, const char *at)
+write_settings (struct rack *r, int node, const char *at, bool first)
 {
   char name[32];
   int port[4];
@@ -30,6 +30,7 @@
       proc_file (
           name,
           "{\"node_name\": \"node-%d\", \"zone\": \"z1\", \"region\": \"r\",\n"
+          " \"bootstrap\": %s,\n"
           " \"listen\": {\"front\": \"127.0.0.1:%d\", \"ready\": "
           "\"127.0.0.1:%d\", \"directory\": \"127.0.0.1:%d\"},\n"
           " \"port_range\": [%d, %d], \"limits\": {\"max_fds\": 2000},\n"
@@ -41,7 +42,8 @@
           "  \"ceiling_over\": 1.1},\n"
           " \"platform\": {\"address\": \"%s\", \"writes_per_s\": 400,\n"
           "  \"reads_per_s\": 2000, \"ttl_min_ms\": 1000}}\n",
-          node + 1, port[0], port[1], port[2], port[3], port[3], at));
+          node + 1, first ? "true" : "false", port[0], port[1], port[2],
+          port[3], port[3], at));
 }
 
 void
@@ -55,7 +57,8 @@
   r->platform = PROC_UP ("standin", "rack", "--engines", n);
   r->at = proc_addr (r->platform, "http");
   for (int i = 0; i < nodes; i++)
-    write_settings (r, i, last && i + 1 == nodes ? last (r->at) : r->at);
+    write_settings (r, i, last && i + 1 == nodes ? last (r->at) : r->at,
+                    nodes > RACK_NODES);
 }
 
 void
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -28,8 +28,9 @@
 /** Start the platform with so many engine servers; nothing is configured. */
 void rack_up (struct rack *r, int engines);
 
-/** The same with settings for @p nodes, of which the last one reaches the
-    platform by way of @p last, "127.0.0.1:PORT", unless that is NULL. */
+/** The same with settings for @p nodes that start for the first time, of which
+   the last one reaches the platform by way of @p last, "127.0.0.1:PORT",
+   unless that is NULL. */
 void rack_up_many (struct rack *r, int engines, int nodes,
                    const char *(*last) (const char *at));
 
