--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -48,8 +48,8 @@
 /**
  * Whether the same order was accepted, and no list has been read since that
  * would show its effect.  Of thousands of servers the list is read every few
- * seconds, and orders that were given again until then came to three for each
- * step of a server.
+ * seconds; were orders given again until then, each server would get several
+ * for each step.
  */
 static bool
 is_pending (const struct frm *f, const struct frm_vm *vm,
--- a/serve/form.c
+++ b/serve/form.c
@@ -505,8 +505,8 @@
 /**
  * A member that was cut off while its replica was closed comes back and still
  * reports it.  Its leader is known to lead no more, or the replica would not
- * be over, so the member is free; waiting until such a leader must have given
- * up kept it idle for seven seconds.
+ * be over, so the member is free; nobody has to wait until that leader must
+ * have given up.
  */
 static void
 clear_returned (struct frm *f)
--- a/serve/pause.c
+++ b/serve/pause.c
@@ -26,7 +26,7 @@
  * configuration has to be in force two seconds after it was accepted.
  */
 #define PAUSE_MOST_MS ((clk_ms)1000)
-/** The same of a node that is told by others: its entry's lease, of which a
+/** The same of a node that is told by others: its entry's lease, of which
     two thirds are left when it is renewed, outlives some of these. */
 #define PAUSE_PUSHED_MS ((clk_ms)3000)
 /** Part of the pause that is drawn, so that nodes don't call together. */
