Let the node that forms replicas know all others

The lease by which a node forms replicas was taken by one that is no hub, as it had seen few entries by then; it counted as led, by itself, rested like all that are no hubs, and never heard of the others, so that none was told a place. They read the list by themselves at -8 s, and, waiting 0.6 and not a third of the time now, again only at 2 s.

Change: who forms replicas does not rest, and looks for entries at once when it begins; before traffic a node that is told nothing reads as often as before.

Ruled out: the frames of places, which reach all at 300 nodes where a hub leads.

Measured: t9304 who_leads_links_to_all_others starts the last of 18 nodes first; it goes red without the change.

--- a/serve/register.c
+++ b/serve/register.c
@@ -183,6 +183,9 @@
 static bool
 may_rest (struct srv_register *g, clk_ms now)
 {
+  /* It tells all others, so it has to know them. */
+  if (srv_duty_holds (g->s))
+    return false;
   if (srv_peers_led (g->s, now))
     g->led_at = now;
   return g->led_at && now - g->led_at < UNLED_MS
@@ -432,11 +435,25 @@
     }
 }
 
+/** A node that has just taken the duty may have begun to wait as one of many.
+ */
+static void
+hurry_watch (struct srv_register *g, clk_ms now)
+{
+  clk_ms soon
+      = now + pau_watch_again (g->nnodes, srv_register_rank (g->s), true);
+
+  if (srv_duty_holds (g->s) && g->next_watch != CLK_NEVER
+      && g->next_watch > soon)
+    g->next_watch = soon;
+}
+
 void
 srv_register_tick (struct srv *s, clk_ms now)
 {
   struct srv_register *g = s->reg;
 
+  hurry_watch (g, now);
   s->store_pause.pushed
       = may_rest (g, now) && srv_peers_led (s, now) && bks_known (s->backends);
   if (!g->reading && now >= g->next_read
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -84,7 +84,7 @@
                           srv_duty_busy (s) ? POLL_BUSY_MS : POLL_DUTY_MS,
                           s->set.drain_ms);
   if (s->set.first_start && !s->traffic)
-    ms *= START_READS_PART;
+    ms = bks_untold_ms (s->set.drain_ms, false) * START_READS_PART;
   return ms > POLL_AGAIN_MS ? ms : POLL_AGAIN_MS;
 }
 
--- a/t/t9304-many.c
+++ b/t/t9304-many.c
@@ -3,6 +3,7 @@
  * are told by a few what the store would tell them.
  */
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <unistd.h>
 
 #include "t/lib-rack.h"
@@ -50,3 +51,53 @@
                            NULL),
                 200);
 }
+
+/** The node that comes last in the order of hubs: all have the same size, so
+    that their names decide. */
+static int
+last_in_order (void)
+{
+  char name[16];
+  uint64_t most = 0;
+  int last = 0;
+
+  for (int i = 0; i < RACK_MOST; i++)
+    {
+      snprintf (name, sizeof name, "node-%d", i + 1);
+      uint64_t hash = str_hash (str_from (name), 0);
+      if (hash >= most)
+        last = i;
+      if (hash >= most)
+        most = hash;
+    }
+  return last;
+}
+
+static bool
+metric_until (const struct rack *r, int node, const char *line)
+{
+  return web_until (r->ready[node], "/metrics", NULL, line, PROC_WAIT_MS);
+}
+
+/*
+ * A small node comes seconds before all others and takes the lease by which it
+ * forms replicas.  The others push their loads to the hubs and hear from it
+ * alone which places there are: it has to know each of them, though as one of
+ * many that come after the hubs it would not look for them.  Were it to rest
+ * like these, callers at all others would be refused until each has read the
+ * list by itself.
+ */
+Test (many, who_leads_links_to_all_others)
+{
+  struct rack r;
+  const int first = last_in_order ();
+
+  rack_up_many (&r, 4, RACK_MOST, NULL);
+  rack_configure (&r, 1, "k1", "");
+  rack_start_node (&r, first);
+  cr_assert (metric_until (&r, first, "lapisline_serve_duty 1"));
+  for (int i = 0; i < RACK_MOST; i++)
+    if (i != first)
+      rack_start_node (&r, i);
+  cr_expect (metric_until (&r, first, "lapisline_serve_nodes 18"));
+}
