Log what makes requests the same, how far runs came, and ends of servers

Callers of one path got 502 while replicas ended one after the other; the logs could not say whether one request came again and again, whether one attempt of a caller did it, or whether the requests were bystanders.

Change: request_ended and attempt_lost have a digest of method, host, path, account and body, and attempt_lost the time since the run's first event. A server at which runs broke off is asked once whether its process lives (server_checked); connections that were reset are told from servers that ended. Nothing is decided by it yet.

t9201: two scripts show the new action 'check' between the same lines as before.

--- /dev/null
+++ b/serve/check.c
@@ -0,0 +1,89 @@
+#include "serve/node-int.h"
+
+#include <stdlib.h>
+
+/*
+ * Whether a backend server's process has ended, or only the connection to it
+ * was lost.  A VM whose process is gone refuses connections at once; one that
+ * can't be reached says nothing.
+ */
+
+/** Longest wait for a connection: a lost first packet is sent again by then.
+ */
+#define CONNECT_MS ((clk_ms)400)
+/** Longest wait for the answer, which a server gives from memory. */
+#define ANSWER_MS ((clk_ms)300)
+/** HTTP's answer of a server that is not the one meant: the address has gone
+    to another, and the one that was asked is no more. */
+#define STATUS_MISDIRECTED 421
+
+struct check
+{
+  struct srv *s;
+  uint64_t place;
+  char *server;
+  clk_ms since;
+  int status;
+};
+
+static void
+on_head (void *ctx, int status, const struct http_header *h, size_t n)
+{
+  struct check *c = ctx;
+
+  c->status = status;
+}
+
+static void
+on_body (void *ctx, struct str bytes)
+{
+}
+
+static enum dsp_life
+life_of (const struct check *c, enum httpc_end end, clk_ms ms)
+{
+  if (c->status)
+    return c->status == STATUS_MISDIRECTED ? DSP_LIFE_ENDED : DSP_LIFE_ALIVE;
+  if (end == HTTPC_CONNECT_FAILED && ms < CONNECT_MS)
+    return DSP_LIFE_ENDED;
+  return DSP_LIFE_UNKNOWN;
+}
+
+static void
+on_end (void *ctx, enum httpc_end end)
+{
+  struct check *c = ctx;
+  struct srv *s = c->s;
+  clk_ms now = clk_now ();
+  enum dsp_life life = life_of (c, end, now - c->since);
+  size_t runs = dsp_checked (s->dispatch, now, c->place, life);
+
+  LOG (server_checked, LOG_C ("server", c->server),
+       LOG_C ("life", dsp_life_name (life)), LOG_I ("runs", runs),
+       LOG_I ("ms", now - c->since));
+  free (c->server);
+  free (c);
+  srv_act (s);
+}
+
+void
+srv_check_server (struct srv *s, const struct dsp_action *a)
+{
+  static const struct httpc_callbacks cb = { NULL, on_head, on_body, on_end };
+  struct check *c = xcalloc (1, sizeof *c);
+  struct http_header h = { str_from (s->ad->expect_header), a->server };
+  struct httpc_request r = { .to = a->addr,
+                             .method = STR ("GET"),
+                             .path = str_from (s->ad->report_path),
+                             .headers = &h,
+                             .nheaders = 1,
+                             .connect_ms = CONNECT_MS,
+                             .progress_ms = ANSWER_MS,
+                             .fresh = true };
+
+  c->s = s;
+  c->place = a->place;
+  c->server = str_dup (a->server);
+  c->since = clk_now ();
+  httpc_start (s->http, &r, &cb, c);
+}
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -8,6 +8,7 @@
  *   dispatch-load.c   what this node and the others have there
  *   dispatch-health.c places that fail, stall or fall silent
  *   dispatch-retry.c  the share of the fleet's budget of repeats
+ *   dispatch-crash.c  runs that broke off, and whether their server has ended
  */
 #ifndef LAPISLINE_SERVE_DISPATCH_INT_H
 #define LAPISLINE_SERVE_DISPATCH_INT_H
@@ -131,6 +132,7 @@
   clk_ms sent_at, queued_at;
   clk_ms heard;
   double prompt;
+  uint64_t digest;
   bool repeatable;
   bool queued;
   bool begun;   /**< the first event of the current attempt came */
@@ -161,6 +163,19 @@
 
 #define DSP_NOTICES 256 /**< remembered; older ones go first */
 
+#define DSP_BREAKS 64 /**< remembered; older ones go first */
+#define DSP_BREAK_RUNS 64
+
+/** Runs that broke off at one place. */
+struct dsp_break
+{
+  uint64_t place; /**< 0: unused */
+  clk_ms at;      /**< of the first */
+  bool checked;   /**< `life` is known */
+  enum dsp_life life;
+  size_t nruns;
+};
+
 struct dsp
 {
   struct dsp_options opt;
@@ -187,6 +202,7 @@
   size_t heard_first, nheard;
   struct dsp_notice notices[DSP_NOTICES]; /**< to be told */
   size_t nnotices;
+  struct dsp_break breaks[DSP_BREAKS];
   struct dsp_figures figures;
 };
 
@@ -244,6 +260,10 @@
 /** Look for places where nothing moves any more. */
 void dsp_health_tick (struct dsp *d);
 
+/* dispatch-crash.c */
+/** The run of @p q has broken off at its server. */
+void dsp_run_broken (struct dsp *d, const struct dsp_req *q);
+
 /* dispatch-retry.c */
 struct dsp_budget *dsp_budget_of (struct dsp *d, const char *service);
 void dsp_budget_request (struct dsp *d, struct dsp_pool *p);
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -172,6 +172,7 @@
   q->goal = d->now - in->waited + r->goal_ms;
   q->deadline = in->deadline;
   q->prompt = in->prompt > 0 ? in->prompt : PROMPT_UNKNOWN;
+  q->digest = in->digest;
   q->repeatable = tbl_repeatable (r);
   q->state = DSP_S_RECEIVED;
   q->pool = dsp_pool_of (d, in->service->name, in->model);
@@ -490,6 +491,7 @@
   if (!q || q->state == DSP_S_CONNECTING || q->state == DSP_S_RECONNECTING)
     return;
   dsp_health_bad (d, q->server);
+  dsp_run_broken (d, q);
   dsp_attempt_lost (d, q, DSP_BROKEN);
 }
 
@@ -663,6 +665,16 @@
               [DSP_BROKEN] = { "broken", 502 },
               [DSP_DEADLINE] = { "deadline", 504 } };
 
+const char *
+dsp_life_name (enum dsp_life l)
+{
+  static const char *const names[] = { [DSP_LIFE_UNKNOWN] = "unknown",
+                                       [DSP_LIFE_ALIVE] = "alive",
+                                       [DSP_LIFE_ENDED] = "ended" };
+
+  return names[l];
+}
+
 const char *
 dsp_code_name (enum dsp_code c)
 {
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -47,6 +47,7 @@
                           to an earlier try */
   double prompt;     /**< tokens to be read, 0: not known */
   double answer;     /**< tokens to be written at most, 0: not known */
+  uint64_t digest;   /**< the same whenever this caller asks for the same */
 };
 
 /** A place that requests can be sent to: a backend server of a plain service,
@@ -99,15 +100,25 @@
 
 enum dsp_action_kind
 {
-  DSP_ACT_SEND,   /**< id, attempt, server, addr, left_ms: connect and send */
-  DSP_ACT_CANCEL, /**< id, attempt: close its connection */
-  DSP_ACT_PASS,   /**< id, attempt: hand events to the caller as they come */
-  DSP_ACT_END,    /**< id, attempt: its answer is whole; deliver the rest */
-  DSP_ACT_ANSWER, /**< id, code, retry_ms: an error answer of our own */
-  DSP_ACT_CUT,    /**< id, code: end the passed answer visibly cut */
-  DSP_ACT_FORGET, /**< id: nothing more will come */
-  DSP_ACT_STALLED /**< server, left_ms: nothing has moved there for so long;
-                       for the log, its requests follow by themselves */
+  DSP_ACT_SEND,    /**< id, attempt, server, addr, left_ms: connect and send */
+  DSP_ACT_CANCEL,  /**< id, attempt: close its connection */
+  DSP_ACT_PASS,    /**< id, attempt: hand events to the caller as they come */
+  DSP_ACT_END,     /**< id, attempt: its answer is whole; deliver the rest */
+  DSP_ACT_ANSWER,  /**< id, code, retry_ms: an error answer of our own */
+  DSP_ACT_CUT,     /**< id, code: end the passed answer visibly cut */
+  DSP_ACT_FORGET,  /**< id: nothing more will come */
+  DSP_ACT_STALLED, /**< server, left_ms: nothing has moved there for so long;
+                        for the log, its requests follow by themselves */
+  DSP_ACT_CHECK    /**< server, addr, place: runs broke off there; find out
+                        whether its process has ended, then dsp_checked() */
+};
+
+/** What is known of a backend server's process. */
+enum dsp_life
+{
+  DSP_LIFE_UNKNOWN, /**< it could not be reached */
+  DSP_LIFE_ALIVE,
+  DSP_LIFE_ENDED
 };
 
 struct dsp_action
@@ -117,6 +128,7 @@
   unsigned attempt;
   struct net_addr addr;
   struct str server; /**< valid until the next event */
+  uint64_t place;    /**< dsp_place_hash() */
   clk_ms left_ms;    /**< of the request's time */
   bool fresh;        /**< use a connection of its own */
   bool resume;       /**< go on after the last event passed */
@@ -190,6 +202,11 @@
 /** The answer broke off, or was none. */
 void dsp_broken (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt);
 
+/** The answer to DSP_ACT_CHECK.
+    @return  how many runs had broken off there */
+size_t dsp_checked (struct dsp *d, clk_ms now, uint64_t place,
+                    enum dsp_life life);
+
 /** The next action, or false; call it until then after each event. */
 bool dsp_next (struct dsp *d, struct dsp_action *out);
 
@@ -200,6 +217,7 @@
     as this one knows. */
 double dsp_demand (const struct dsp *d, struct str service, struct str model);
 
+const char *dsp_life_name (enum dsp_life l);
 const char *dsp_code_name (enum dsp_code c);
 int dsp_code_status (enum dsp_code c);
 
@@ -208,6 +226,7 @@
 {
   uint64_t arrived, ended, answered[DSP_DEADLINE + 1];
   uint64_t sent, repeated, repeat_denied, resumed, stalls, ejections;
+  uint64_t servers_ended; /**< under requests of this node */
 };
 const struct dsp_figures *dsp_figures (const struct dsp *d);
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/digest.h"
+
 /** Longest wait for a connection to a backend server: some times the way
     between two availability zones, and one repeat of a lost first packet. */
 #define CONNECT_MS ((clk_ms)400)
@@ -84,10 +86,14 @@
 static void
 log_lost (const struct srv_attempt *at, const char *why)
 {
+  clk_ms now = clk_now ();
+
   LOG (attempt_lost, LOG_S ("id", at->ex->call.id),
-       LOG_I ("attempt", at->number), LOG_C ("server", at->server),
-       LOG_C ("why", why), LOG_I ("status", at->head.status),
-       LOG_I ("passed", at->passing), LOG_I ("ms", clk_now () - at->since));
+       LOG_C ("digest", at->ex->digest_text), LOG_I ("attempt", at->number),
+       LOG_C ("server", at->server), LOG_C ("why", why),
+       LOG_I ("status", at->head.status), LOG_I ("passed", at->passing),
+       LOG_I ("ran_ms", at->begun_at ? now - at->begun_at : -1),
+       LOG_I ("ms", now - at->since));
 }
 
 static bool
@@ -197,6 +203,8 @@
       return;
     }
   events = spl_take (&at->split, bytes, &at->body);
+  if (events > 0 && !at->begun_at)
+    at->begun_at = clk_now ();
   write_events (at);
   dsp_heard (s->dispatch, clk_now (), at->ex->id, at->number, events > 0);
   srv_act (s);
@@ -306,6 +314,36 @@
     dsp_connect_failed (ex->s->dispatch, clk_now (), ex->id, a->attempt);
 }
 
+/* --- what makes two requests the same ---------------------------------- */
+
+static void
+add_part (struct buf *text, struct str part)
+{
+  buf_addf (text, "%zu:", part.len);
+  buf_add (text, part);
+}
+
+uint64_t
+srv_request_digest (const struct srv_exchange *ex)
+{
+  const struct httpd_view *v = httpd_get (ex->req);
+  uint8_t body[DIG_SIZE], whole[DIG_SIZE];
+  struct buf text = BUF_INIT;
+  uint64_t digest;
+
+  dig_sha256 (v->body, body);
+  add_part (&text, v->method);
+  add_part (&text, ex->host);
+  add_part (&text, v->path);
+  add_part (&text, v->query);
+  add_part (&text, ex->account ? ex->account->name : STR_EMPTY);
+  add_part (&text, str_make ((const char *)body, sizeof body));
+  dig_sha256 (buf_str (&text), whole);
+  buf_free (&text);
+  memcpy (&digest, whole, sizeof digest);
+  return digest ? digest : 1;
+}
+
 /* --- the caller's answer ----------------------------------------------- */
 
 void
@@ -338,8 +376,9 @@
   srv_metrics_request (ex->s, tbl_kind_name (ex->route->kind), status, code,
                        ms);
   LOG (request_ended, LOG_S ("id", ex->call.id),
-       LOG_S ("route", ex->route->name), LOG_I ("status", status),
-       LOG_C ("code", code), LOG_I ("attempts", ex->tries),
+       LOG_C ("digest", ex->digest_text), LOG_S ("route", ex->route->name),
+       LOG_I ("status", status), LOG_C ("code", code),
+       LOG_I ("attempts", ex->tries),
        LOG_S ("servers", buf_str (&ex->servers)),
        LOG_I ("first_ms", ex->first_ms), LOG_I ("pause_ms", ex->pause_ms),
        LOG_I ("ms", ms), LOG_I ("config", ex->table->version));
@@ -437,7 +476,8 @@
       srv_exchange_free (ex);
       break;
     case DSP_ACT_STALLED:
-      break; /* concerns no request */
+    case DSP_ACT_CHECK:
+      break; /* concern no request */
     }
 }
 
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -32,6 +32,7 @@
   bool passing;
   char *server; /**< id */
   clk_ms since;
+  clk_ms begun_at; /**< when its first event came; 0: none has */
 };
 
 struct srv_exchange
@@ -45,6 +46,8 @@
   struct tbl *table;
   const struct tbl_route *route;
   const struct tbl_account *account; /**< NULL: none */
+  uint64_t digest;                   /**< srv_request_digest() */
+  char digest_text[17];              /**< in hexadecimal, for the log */
   struct srv_attempt *attempts;
   bool begun;         /**< the head of a stream was passed on */
   int status;         /**< that was passed on with it */
@@ -63,6 +66,10 @@
 void srv_exchange_act (struct srv_exchange *ex, const struct dsp_action *a);
 void srv_exchange_free (struct srv_exchange *ex);
 
+/** Number that is the same whenever the same caller sends the same method,
+    path and body to the same host; never 0. */
+uint64_t srv_request_digest (const struct srv_exchange *ex);
+
 /** Error answer of this node's own. @p retry_ms 0: nothing to say */
 void srv_refuse (struct srv *s, struct httpd_req *req, int status,
                  const char *code, clk_ms retry_ms);
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -1,5 +1,6 @@
 #include "serve/exchange.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 /** Largest body that is read at all; the configuration's bound is checked for
@@ -44,6 +45,8 @@
       if (a.kind == DSP_ACT_STALLED)
         LOG (place_stalled, LOG_S ("server", a.server),
              LOG_I ("silent_ms", a.left_ms));
+      else if (a.kind == DSP_ACT_CHECK)
+        srv_check_server (s, &a);
       else if (ex)
         srv_exchange_act (ex, &a);
     }
@@ -132,6 +135,11 @@
 arrive (struct srv_exchange *ex)
 {
   struct srv *s = ex->s;
+
+  ex->digest = srv_request_digest (ex);
+  snprintf (ex->digest_text, sizeof ex->digest_text, "%016llx",
+            (unsigned long long)ex->digest);
+
   struct dsp_request q
       = { .id = ex->id,
           .route = ex->route,
@@ -141,7 +149,8 @@
           .deadline = deadline_of (ex),
           .waited = waited_before (ex),
           .prompt = ex->call.prompt,
-          .answer = ex->call.answer };
+          .answer = ex->call.answer,
+          .digest = ex->digest };
 
   if (q.service->nmodels)
     q.model = ex->call.model;
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -66,6 +66,9 @@
        (double)f->resumed);
   set (s, PREFIX "stalls", "Places at which nothing moved.", NULL,
        (double)f->stalls);
+  set (s, PREFIX "servers_ended",
+       "Backend servers whose process ended under requests of this node.",
+       NULL, (double)f->servers_ended);
   set (s, PREFIX "ejections",
        "Places that failed and got nothing for a while.", NULL,
        (double)f->ejections);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -163,6 +163,10 @@
 void srv_act (struct srv *s);
 struct srv_exchange *srv_find (const struct srv *s, uint64_t id);
 
+/* check.c */
+/** Ask the backend server of a DSP_ACT_CHECK whether its process lives. */
+void srv_check_server (struct srv *s, const struct dsp_action *a);
+
 /* metrics.c */
 /** Where they are read, at the address of readiness. */
 #define SRV_METRICS_PATH "/metrics"
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -118,6 +118,9 @@
       case DSP_ACT_STALLED:
         buf_addf (&b->log, "stalled %.*s\n", STR_ARG (a.server));
         break;
+      case DSP_ACT_CHECK:
+        buf_addf (&b->log, "check %.*s\n", STR_ARG (a.server));
+        break;
       }
 }
 
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -23,8 +23,8 @@
 {
   dispatch_play ("streams s 2 4\n ask 1 stream\n sent 1\n good 1\n event 1\n"
                  "broken 1\n sent 1\n good 1\n event 1\n broken 1\n",
-                 "send 1 s1\npass 1\ncancel 1\nsend 1 s2 resume p0\npass 1\n"
-                 "cancel 1\ncut 1 broken\n");
+                 "send 1 s1\npass 1\ncheck s1\ncancel 1\nsend 1 s2 resume p0\n"
+                 "pass 1\ncheck s2\ncancel 1\ncut 1 broken\n");
 }
 
 /*
@@ -34,7 +34,7 @@
 Test (dispatch, what_may_have_run_once_is_not_repeated)
 {
   dispatch_play ("places p 2 4\n ask 1 once\n sent 1\n broken 1\n",
-                 "send 1 p1\ncancel 1\nanswer 1 broken 502\n");
+                 "send 1 p1\ncheck p1\ncancel 1\nanswer 1 broken 502\n");
 }
 
 /*
