Show that a request goes on ending server after server

Callers of one model are refused for seconds while a request that ends each server that runs it comes back: no node remembers what it did.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -184,6 +184,7 @@
   struct httpd_req *req;
   uv_timer_t timer;
   int next;
+  struct stream *after, **before; /**< of its server */
 };
 
 static void
@@ -196,6 +197,9 @@
 stream_over (struct stream *st)
 {
   st->s->open--;
+  *st->before = st->after;
+  if (st->after)
+    st->after->before = st->before;
   uv_close ((uv_handle_t *)&st->timer, on_stream_closed);
 }
 
@@ -285,6 +289,11 @@
   st->req = req;
   st->next = (int)last + 1;
   s->open++;
+  st->after = s->streams;
+  st->before = &s->streams;
+  if (st->after)
+    st->after->before = &st->after;
+  s->streams = st;
   httpd_on_gone (req, on_stream_gone, st);
   uv_timer_init (&s->rack->loop, &st->timer);
   st->timer.data = st;
@@ -311,6 +320,25 @@
   g_hash_table_replace (s->rack->runs, id, GINT_TO_POINTER (n + 1));
 }
 
+static void
+on_crash (uv_timer_t *t)
+{
+  rack_server_crash (t->data);
+}
+
+/** Whether it is a request that ends its server's process. */
+static bool
+does_crash (struct server *s, struct httpd_req *req)
+{
+  struct rack *r = s->rack;
+
+  if (!r->crash_body[0] || !str_is (httpd_get (req)->body, r->crash_body))
+    return false;
+  if (!uv_is_active ((uv_handle_t *)&s->crash))
+    uv_timer_start (&s->crash, on_crash, (uint64_t)r->crash_ms, 0);
+  return true;
+}
+
 static void
 answer_plain (struct server *s, struct httpd_req *req)
 {
@@ -345,10 +373,11 @@
     refuse (req, s->part == PART_READY ? 503 : 421);
   else
     {
+      bool crashes = does_crash (s, req);
       count_run (s, req);
       if (s->engine)
         start_stream (s, req);
-      else
+      else if (!crashes)
         answer_plain (s, req);
     }
 }
@@ -374,6 +403,8 @@
   buf_free (&text);
   uv_timer_init (&s->rack->loop, &s->timer);
   s->timer.data = s;
+  uv_timer_init (&s->rack->loop, &s->crash);
+  s->crash.data = s;
   s->born = clk_wall ();
   rack_list (s);
   return true;
@@ -389,6 +420,28 @@
   rack_list (s);
 }
 
+/** The list shows a process that is gone for as long as three heartbeats. */
+#define LAPSE_MS 1500
+
+static void
+on_lapsed (uv_timer_t *t)
+{
+  rack_list (t->data);
+}
+
+void
+rack_server_crash (struct server *s)
+{
+  if (s->dead)
+    return;
+  s->dead = true;
+  s->rack->crashed++;
+  while (s->streams)
+    stream_over (s->streams);
+  httpd_free (s->httpd);
+  uv_timer_start (&s->timer, on_lapsed, LAPSE_MS, 0);
+}
+
 void
 rack_server_restart (struct server *s)
 {
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -6,14 +6,16 @@
  *             "lapse": true}   faults of the key-value service; lapse ends all
  *                          leases
  *   "event_ms", "events"   of the streams
+ *   "crash_body": TEXT, "crash_ms"   a request with that body ends the process
+ *                          of each server that runs it
  *   "server": ID, and of it "dead", "dark", "draining", "unlisted",
  *             "unsealed": B, "fail": STATUS, "cut_after": N, "end_after": N,
  *             "reborn": true   it starts again under its id and address
  *   "entry": {"id": ID, "value": TEXT}   an entry of the list by another
  *                          writer
  *
- * GET /control/counts: runs by server, and by request id where above one.
- * GET /control/runs: runs by request id.
+ * GET /control/counts: how many servers have crashed, runs by server, and by
+ * request id where above one. GET /control/runs: runs by request id.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -97,6 +99,11 @@
     r->event_ms = (int)jsn_int (o, "event_ms");
   if (jsn_get (o, "events"))
     r->events = (int)jsn_int (o, "events");
+  if (jsn_get (o, "crash_body"))
+    snprintf (r->crash_body, sizeof r->crash_body, "%s",
+              jsn_text (o, "crash_body"));
+  if (jsn_get (o, "crash_ms"))
+    r->crash_ms = (int)jsn_int (o, "crash_ms");
   if (jsn_get (o, "server"))
     s = rack_find (r, jsn_text (o, "server"));
   if (s)
@@ -137,6 +144,7 @@
       json_object_object_add (row, "model", json_object_new_string (s->model));
       json_object_object_add (o, s->id, row);
     }
+  json_object_object_add (o, "crashed", json_object_new_int (r->crashed));
   g_hash_table_foreach (r->runs, add_repeated, repeated);
   json_object_object_add (o, "repeated", repeated);
   return o;
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -50,6 +50,8 @@
   int64_t generation, fence;
   enum part part;
   uv_timer_t timer; /**< the end of joining */
+  uv_timer_t crash; /**< when its process ends under a request */
+  struct stream *streams;
   unsigned runs, open, gone;
 };
 
@@ -62,6 +64,7 @@
 };
 
 struct watch_call;
+struct stream;
 
 struct rack
 {
@@ -73,9 +76,12 @@
   struct watch_call *watches;
   struct server servers[RACK_SERVERS];
   size_t n;
-  int event_ms;     /**< between two events of a stream */
-  int events;       /**< of a stream */
-  GHashTable *runs; /**< request id -> how often it began to run */
+  int event_ms;        /**< between two events of a stream */
+  int events;          /**< of a stream */
+  char crash_body[64]; /**< a request with it ends its server's process */
+  int crash_ms;        /**< after it has begun to run */
+  int crashed;         /**< servers whose process has ended so */
+  GHashTable *runs;    /**< request id -> how often it began to run */
 };
 
 /* rack-store.c */
@@ -93,6 +99,8 @@
 /** Write its entry, or remove it. */
 void rack_list (struct server *s);
 void rack_server_stop (struct server *s);
+/** Its process ends; connections break, the entry lapses after a while. */
+void rack_server_crash (struct server *s);
 /** Its process starts again: it holds and knows nothing of before. */
 void rack_server_restart (struct server *s);
 
