--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1537,7 +1537,97 @@
   assert(message->base.descriptor == &lapis__server_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[25] =
+void   lapis__poison_news__init
+                     (Lapis__PoisonNews         *message)
+{
+  static const Lapis__PoisonNews init_value = LAPIS__POISON_NEWS__INIT;
+  *message = init_value;
+}
+size_t lapis__poison_news__get_packed_size
+                     (const Lapis__PoisonNews *message)
+{
+  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__poison_news__pack
+                     (const Lapis__PoisonNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__poison_news__pack_to_buffer
+                     (const Lapis__PoisonNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__PoisonNews *
+       lapis__poison_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__PoisonNews *)
+     protobuf_c_message_unpack (&lapis__poison_news__descriptor,
+                                allocator, len, data);
+}
+void   lapis__poison_news__free_unpacked
+                     (Lapis__PoisonNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__poison_item__init
+                     (Lapis__PoisonItem         *message)
+{
+  static const Lapis__PoisonItem init_value = LAPIS__POISON_ITEM__INIT;
+  *message = init_value;
+}
+size_t lapis__poison_item__get_packed_size
+                     (const Lapis__PoisonItem *message)
+{
+  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__poison_item__pack
+                     (const Lapis__PoisonItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__poison_item__pack_to_buffer
+                     (const Lapis__PoisonItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__PoisonItem *
+       lapis__poison_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__PoisonItem *)
+     protobuf_c_message_unpack (&lapis__poison_item__descriptor,
+                                allocator, len, data);
+}
+void   lapis__poison_item__free_unpacked
+                     (Lapis__PoisonItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[26] =
 {
   {
     "hello",
@@ -1839,6 +1929,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "poison_news",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, poison_news),
+    &lapis__poison_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -1855,6 +1957,7 @@
   0,   /* field[0] = hello */
   23,   /* field[23] = node_list */
   19,   /* field[19] = node_load */
+  25,   /* field[25] = poison_news */
   22,   /* field[22] = prompt_notice */
   2,   /* field[2] = report */
   20,   /* field[20] = server_list */
@@ -1870,7 +1973,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1880,7 +1983,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  25,
+  26,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -4905,6 +5008,147 @@
   (ProtobufCMessageInit) lapis__server_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__poison_news__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__PoisonNews, n_items),
+    offsetof(Lapis__PoisonNews, items),
+    &lapis__poison_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__poison_news__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange lapis__poison_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor lapis__poison_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.PoisonNews",
+  "PoisonNews",
+  "Lapis__PoisonNews",
+  "lapis",
+  sizeof(Lapis__PoisonNews),
+  1,
+  lapis__poison_news__field_descriptors,
+  lapis__poison_news__field_indices_by_name,
+  1,  lapis__poison_news__number_ranges,
+  (ProtobufCMessageInit) lapis__poison_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__poison_item__field_descriptors[6] =
+{
+  {
+    "word",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonItem, word),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonItem, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonItem, place),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ran_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonItem, ran_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonItem, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wide",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonItem, wide),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__poison_item__field_indices_by_name[] = {
+  1,   /* field[1] = digest */
+  4,   /* field[4] = hold_ms */
+  2,   /* field[2] = place */
+  3,   /* field[3] = ran_ms */
+  5,   /* field[5] = wide */
+  0,   /* field[0] = word */
+};
+static const ProtobufCIntRange lapis__poison_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor lapis__poison_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.PoisonItem",
+  "PoisonItem",
+  "Lapis__PoisonItem",
+  "lapis",
+  sizeof(Lapis__PoisonItem),
+  6,
+  lapis__poison_item__field_descriptors,
+  lapis__poison_item__field_indices_by_name,
+  1,  lapis__poison_item__number_ranges,
+  (ProtobufCMessageInit) lapis__poison_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue lapis__slot_kind__enum_values_by_number[4] =
 {
   { "SLOT_NONE", "LAPIS__SLOT_KIND__SLOT_NONE", 0 },
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -49,6 +49,8 @@
 typedef struct Lapis__PlaceLoad Lapis__PlaceLoad;
 typedef struct Lapis__ServerList Lapis__ServerList;
 typedef struct Lapis__ServerEntry Lapis__ServerEntry;
+typedef struct Lapis__PoisonNews Lapis__PoisonNews;
+typedef struct Lapis__PoisonItem Lapis__PoisonItem;
 
 
 /* --- enums --- */
@@ -98,7 +100,8 @@
   LAPIS__FRAME__BODY_FLEET_LOAD = 22,
   LAPIS__FRAME__BODY_PROMPT_NOTICE = 23,
   LAPIS__FRAME__BODY_NODE_LIST = 24,
-  LAPIS__FRAME__BODY_CONFIG_TEXT = 25
+  LAPIS__FRAME__BODY_CONFIG_TEXT = 25,
+  LAPIS__FRAME__BODY_POISON_NEWS = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -132,6 +135,7 @@
     Lapis__PromptNotice *prompt_notice;
     Lapis__NodeList *node_list;
     Lapis__ConfigText *config_text;
+    Lapis__PoisonNews *poison_news;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -876,6 +880,48 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What a node has found out of requests that crash backend servers, to those
+ * that it is linked to.
+ */
+struct  Lapis__PoisonNews
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Lapis__PoisonItem **items;
+};
+#define LAPIS__POISON_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_news__descriptor) \
+    , 0,NULL }
+
+
+struct  Lapis__PoisonItem
+{
+  ProtobufCMessage base;
+  /*
+   * enum psn_word
+   */
+  uint32_t word;
+  /*
+   * of the request
+   */
+  uint64_t digest;
+  /*
+   * dsp_place_hash()
+   */
+  uint64_t place;
+  int64_t ran_ms;
+  uint32_t hold_ms;
+  /*
+   * all nodes need it
+   */
+  protobuf_c_boolean wide;
+};
+#define LAPIS__POISON_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_item__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 /* Lapis__Frame methods */
 void   lapis__frame__init
                      (Lapis__Frame         *message);
@@ -1522,6 +1568,44 @@
 void   lapis__server_entry__free_unpacked
                      (Lapis__ServerEntry *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__PoisonNews methods */
+void   lapis__poison_news__init
+                     (Lapis__PoisonNews         *message);
+size_t lapis__poison_news__get_packed_size
+                     (const Lapis__PoisonNews   *message);
+size_t lapis__poison_news__pack
+                     (const Lapis__PoisonNews   *message,
+                      uint8_t             *out);
+size_t lapis__poison_news__pack_to_buffer
+                     (const Lapis__PoisonNews   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__PoisonNews *
+       lapis__poison_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__poison_news__free_unpacked
+                     (Lapis__PoisonNews *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__PoisonItem methods */
+void   lapis__poison_item__init
+                     (Lapis__PoisonItem         *message);
+size_t lapis__poison_item__get_packed_size
+                     (const Lapis__PoisonItem   *message);
+size_t lapis__poison_item__pack
+                     (const Lapis__PoisonItem   *message,
+                      uint8_t             *out);
+size_t lapis__poison_item__pack_to_buffer
+                     (const Lapis__PoisonItem   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__PoisonItem *
+       lapis__poison_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__poison_item__free_unpacked
+                     (Lapis__PoisonItem *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lapis__Frame_Closure)
@@ -1626,6 +1710,12 @@
 typedef void (*Lapis__ServerEntry_Closure)
                  (const Lapis__ServerEntry *message,
                   void *closure_data);
+typedef void (*Lapis__PoisonNews_Closure)
+                 (const Lapis__PoisonNews *message,
+                  void *closure_data);
+typedef void (*Lapis__PoisonItem_Closure)
+                 (const Lapis__PoisonItem *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1667,6 +1757,8 @@
 extern const ProtobufCMessageDescriptor lapis__place_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__server_list__descriptor;
 extern const ProtobufCMessageDescriptor lapis__server_entry__descriptor;
+extern const ProtobufCMessageDescriptor lapis__poison_news__descriptor;
+extern const ProtobufCMessageDescriptor lapis__poison_item__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -11,13 +11,16 @@
 /** Runs that break off at a place within this are of one cause. */
 #define BREAK_MS ((clk_ms)2000)
 
+/** The break that a run which breaks off now belongs to.  Of a server that
+    lived, or could not be asked, the next one begins anew. */
 static struct dsp_break *
 find_break (struct dsp *d, uint64_t place)
 {
   for (size_t i = 0; i < DSP_BREAKS; i++)
     {
       struct dsp_break *b = &d->breaks[i];
-      if (b->place == place && d->now - b->at < BREAK_MS)
+      if (b->place == place && d->now - b->at < BREAK_MS
+          && (!b->checked || b->life == DSP_LIFE_ENDED))
         return b;
     }
   return NULL;
@@ -37,28 +40,37 @@
   return oldest;
 }
 
+static struct dsp_break *
+ask_server (struct dsp *d, const struct dsp_server *s)
+{
+  struct dsp_action *a = dsp_act (d, DSP_ACT_CHECK, NULL);
+
+  a->server = str_from (s->id);
+  a->addr = s->addr;
+  a->place = s->hash;
+  return new_break (d, s->hash);
+}
+
 void
 dsp_run_broken (struct dsp *d, const struct dsp_req *q)
 {
   const struct dsp_server *s = q->server;
-  struct dsp_break *b;
-  struct dsp_action *a;
+  struct psn_news run
+      = { .word = PSN_RAN,
+          .digest = q->digest,
+          .place = s->hash,
+          .ran_ms = q->begun ? d->now - q->begun_at : PSN_NO_EVENT };
+  struct dsp_break *b = find_break (d, s->hash);
 
   /* A server that is leaving ends by itself. */
   if (!s->listed || !s->accepting)
     return;
-  b = find_break (d, s->hash);
-  if (b)
-    {
-      b->nruns++;
-      return;
-    }
-  b = new_break (d, s->hash);
-  b->nruns = 1;
-  a = dsp_act (d, DSP_ACT_CHECK, NULL);
-  a->server = str_from (s->id);
-  a->addr = s->addr;
-  a->place = s->hash;
+  if (!b)
+    b = ask_server (d, s);
+  if (b->checked && d->opt.poison)
+    psn_hear (d->opt.poison, d->now, &run);
+  else if (b->nruns < DSP_BREAK_RUNS)
+    b->runs[b->nruns++] = run;
 }
 
 size_t
@@ -72,6 +84,37 @@
     return 0;
   b->checked = true;
   b->life = life;
-  d->figures.servers_ended += life == DSP_LIFE_ENDED;
+  if (life != DSP_LIFE_ENDED)
+    return b->nruns;
+  d->figures.servers_ended++;
+  for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
+    psn_hear (d->opt.poison, now, &b->runs[i]);
   return b->nruns;
 }
+
+bool
+dsp_suspects (const struct dsp *d, const struct dsp_req *q)
+{
+  return d->opt.poison && psn_suspects (d->opt.poison, q->digest);
+}
+
+/** Whether its run may still be kept from beginning. */
+static bool
+may_stop (const struct dsp_req *q)
+{
+  return q->queued || (q->route->kind == TBL_STREAM && !q->begun);
+}
+
+void
+dsp_blocked (struct dsp *d, clk_ms now, uint64_t digest)
+{
+  struct dsp_req *next;
+
+  d->now = now;
+  for (struct dsp_req *q = d->open_list; q; q = next)
+    {
+      next = q->next;
+      if (q->digest == digest && may_stop (q))
+        dsp_give_up (d, q, DSP_POISON, DSP_BROKEN, 0);
+    }
+}
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -135,7 +135,8 @@
   uint64_t digest;
   bool repeatable;
   bool queued;
-  bool begun;   /**< the first event of the current attempt came */
+  bool begun; /**< the first event of the current attempt came */
+  clk_ms begun_at;
   bool passing; /**< some of the answer is at the caller */
   bool probe;
   bool unread;  /**< its prompt is counted in its server's unread */
@@ -163,8 +164,8 @@
 
 #define DSP_NOTICES 256 /**< remembered; older ones go first */
 
-#define DSP_BREAKS 64 /**< remembered; older ones go first */
-#define DSP_BREAK_RUNS 64
+#define DSP_BREAKS 64     /**< remembered; older ones go first */
+#define DSP_BREAK_RUNS 64 /**< of one break; more are not counted */
 
 /** Runs that broke off at one place. */
 struct dsp_break
@@ -173,6 +174,7 @@
   clk_ms at;      /**< of the first */
   bool checked;   /**< `life` is known */
   enum dsp_life life;
+  struct psn_news runs[DSP_BREAK_RUNS]; /**< until it is known */
   size_t nruns;
 };
 
@@ -215,6 +217,11 @@
 /** The attempt is given up; the request goes elsewhere if it may. */
 void dsp_attempt_lost (struct dsp *d, struct dsp_req *q, enum dsp_code code);
 
+/** Give up with that answer: as not run, where that is sure, else as failed.
+    @param retry_ms  when to come back, if it has not run; 0: not said */
+void dsp_give_up (struct dsp *d, struct dsp_req *q, enum dsp_code unrun,
+                  enum dsp_code ran, clk_ms retry_ms);
+
 /* dispatch-wait.c */
 void dsp_enqueue (struct dsp *d, struct dsp_req *q, bool front);
 /** Take it out, if it waits. */
@@ -263,6 +270,8 @@
 /* dispatch-crash.c */
 /** The run of @p q has broken off at its server. */
 void dsp_run_broken (struct dsp *d, const struct dsp_req *q);
+/** Whether @p q is not worth a further attempt, as it may crash servers. */
+bool dsp_suspects (const struct dsp *d, const struct dsp_req *q);
 
 /* dispatch-retry.c */
 struct dsp_budget *dsp_budget_of (struct dsp *d, const char *service);
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -293,13 +293,10 @@
          && q->state != DSP_S_CONNECTING;
 }
 
-/** Give up: with "not run" where that is sure, else as failed. */
-static void
-give_up (struct dsp *d, struct dsp_req *q, enum dsp_code unrun,
-         enum dsp_code ran)
+void
+dsp_give_up (struct dsp *d, struct dsp_req *q, enum dsp_code unrun,
+             enum dsp_code ran, clk_ms retry_ms)
 {
-  clk_ms retry_ms = retry_after (d, q->pool);
-
   cancel_attempt (d, q);
   if (may_have_run (q))
     {
@@ -311,6 +308,14 @@
   answer (d, q, unrun, retry_ms);
 }
 
+/** The same, to come back when places will be free. */
+static void
+give_up (struct dsp *d, struct dsp_req *q, enum dsp_code unrun,
+         enum dsp_code ran)
+{
+  dsp_give_up (d, q, unrun, ran, retry_after (d, q->pool));
+}
+
 static void
 again (struct dsp *d, struct dsp_req *q)
 {
@@ -330,7 +335,7 @@
 void
 dsp_attempt_lost (struct dsp *d, struct dsp_req *q, enum dsp_code code)
 {
-  bool more = q->repeatable && may_send_again (d, q);
+  bool more = q->repeatable && !dsp_suspects (d, q) && may_send_again (d, q);
 
   avoid (q);
   cancel_attempt (d, q);
@@ -434,6 +439,7 @@
 {
   settle_unbegun (q);
   q->begun = true;
+  q->begun_at = d->now;
   q->server->begun++;
   dsp_health_begun (d, q->server, d->now - q->sent_at);
   if (q->state == DSP_S_PASSING)
@@ -475,6 +481,8 @@
       dsp_health_begun (d, q->server, now - q->sent_at);
     }
   dsp_health_good (d, q->server);
+  if (d->opt.poison)
+    psn_completed (d->opt.poison, now, q->digest);
   ms = (double)(now - q->sent_at);
   q->pool->run_ms += (q->pool->run_ms > 0 ? 0.05 : 1) * (ms - q->pool->run_ms);
   dsp_step (q, DSP_X_WHOLE);
@@ -501,6 +509,7 @@
 dsp_arrive (struct dsp *d, clk_ms now, const struct dsp_request *in)
 {
   struct dsp_req *q;
+  clk_ms again_ms;
 
   d->now = now;
   if (find_request (d, in->id))
@@ -513,6 +522,12 @@
       answer (d, q, DSP_LEAVING, RETRY_LEAST_MS);
       return;
     }
+  if (d->opt.poison && psn_refuses (d->opt.poison, now, q->digest, &again_ms))
+    {
+      dsp_step (q, DSP_X_REFUSE);
+      answer (d, q, DSP_POISON, again_ms);
+      return;
+    }
   dsp_budget_request (d, q->pool);
   dsp_step (q, DSP_X_WAIT);
   dsp_enqueue (d, q, false);
@@ -662,6 +677,7 @@
               [DSP_UNRUN] = { "refused", 503 },
               [DSP_CONNECT] = { "no-connection", 503 },
               [DSP_LEAVING] = { "leaving", 503 },
+              [DSP_POISON] = { "crashes-servers", 503 },
               [DSP_BROKEN] = { "broken", 502 },
               [DSP_DEADLINE] = { "deadline", 504 } };
 
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -17,6 +17,7 @@
 
 #include "base/rng.h"
 #include "net/addr.h"
+#include "serve/poison.h"
 #include "serve/table.h"
 
 /** Why a request got an answer of our own. */
@@ -28,6 +29,7 @@
   DSP_UNRUN,     /**< 503: every backend server that was asked refused it */
   DSP_CONNECT,   /**< 503: no connection to any backend server */
   DSP_LEAVING,   /**< 503: this node is stopping */
+  DSP_POISON,    /**< 503: servers crash when they run it */
   DSP_BROKEN,    /**< 502: it may have run; the answer broke off */
   DSP_DEADLINE   /**< 504: it may have run; its time is over */
 };
@@ -143,7 +145,9 @@
   double retry_ratio; /**< of requests, all nodes together */
   double retry_slack; /**< retries in a window beside these, all nodes */
   clk_ms retry_window_ms;
-  clk_ms stall_ms; /**< after which a replica without a member gives up */
+  clk_ms stall_ms;    /**< after which a replica without a member gives up */
+  struct psn *poison; /**< requests that crash servers; borrowed; NULL: none
+                           is known */
 };
 
 struct dsp;
@@ -207,6 +211,9 @@
 size_t dsp_checked (struct dsp *d, clk_ms now, uint64_t place,
                     enum dsp_life life);
 
+/** It crashes servers: end those requests that have not begun to run. */
+void dsp_blocked (struct dsp *d, clk_ms now, uint64_t digest);
+
 /** The next action, or false; call it until then after each event. */
 bool dsp_next (struct dsp *d, struct dsp_action *out);
 
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -52,6 +52,7 @@
     }
   s->acting = false;
   srv_peers_notices (s);
+  srv_poison_act (s);
 }
 
 /* --- a request's way in ------------------------------------------------ */
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -66,6 +66,9 @@
        (double)f->resumed);
   set (s, PREFIX "stalls", "Places at which nothing moved.", NULL,
        (double)f->stalls);
+  set (s, PREFIX "requests_blocked",
+       "Requests that are refused as servers crash when they run them.", NULL,
+       (double)psn_count_blocked (s->poison));
   set (s, PREFIX "servers_ended",
        "Backend servers whose process ended under requests of this node.",
        NULL, (double)f->servers_ended);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -23,6 +23,7 @@
 struct srv_duty;
 struct srv_plan;
 struct srv_peers;
+struct srv_poison;
 
 struct srv
 {
@@ -42,6 +43,8 @@
   struct tbl *table; /**< NULL: none is known yet */
   struct bks *backends;
   struct dsp *dispatch;
+  struct psn *poison;
+  struct srv_poison *poison_keys;
   struct srv_config *config;
   struct srv_sync *sync;
   struct srv_register *reg;
@@ -163,6 +166,28 @@
 void srv_act (struct srv *s);
 struct srv_exchange *srv_find (const struct srv *s, uint64_t id);
 
+/** Whether any other node is linked. */
+bool srv_peers_linked (const struct srv *s);
+/** Tell the other nodes of requests that crash servers. */
+void srv_peers_poison (struct srv *s, const struct psn_news *list, size_t n);
+
+/* poison-node.c: requests that crash servers */
+/** Act on what is new of them. */
+void srv_poison_act (struct srv *s);
+void srv_poison_tick (struct srv *s, clk_ms now);
+
+/* poison-store.c: those that are blocked, in the store */
+void srv_poison_store_start (struct srv *s);
+void srv_poison_store_tick (struct srv *s, clk_ms now);
+/** It is blocked from now on, or no longer. */
+void srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest);
+/** The store has this item below the prefix of blocked requests, or has it no
+    longer. @param name  of the key, behind that prefix */
+void srv_poison_item (struct srv *s, bool deleted, struct str name,
+                      struct str value);
+/** All items are read anew: what does not come again is gone. */
+void srv_poison_reread (struct srv *s);
+
 /* check.c */
 /** Ask the backend server of a DSP_ACT_CHECK whether its process lives. */
 void srv_check_server (struct srv *s, const struct dsp_action *a);
--- a/serve/node.c
+++ b/serve/node.c
@@ -142,6 +142,7 @@
   srv_register_tick (s, now);
   srv_duty_tick (s, now);
   srv_peers_tick (s, now);
+  srv_poison_tick (s, now);
   if (s->leaving_since)
     tick_leave (s, now);
 }
@@ -157,6 +158,7 @@
                              .retry_window_ms = s->set.retry_window_ms,
                              .stall_ms = s->set.stall_ms };
 
+  s->poison = opt.poison = psn_new ();
   srv_metrics_start (s);
   s->backends = bks_new ();
   s->dispatch = dsp_new (&opt, rng_next (&s->rng));
@@ -184,6 +186,7 @@
   srv_duty_start (s);
   srv_config_start (s);
   srv_sync_start (s);
+  srv_poison_store_start (s);
   srv_register_start (s);
   uv_timer_init (&s->loop, &s->tick);
   s->tick.data = s;
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -5,6 +5,7 @@
  *   peers.c       who is linked, the list of backend servers, who is ready
  *   peers-nodes.c what is told of other nodes, and of the configuration
  *   peers-load.c  what is told of loads: the own one, and the sum of all
+ *   peers-poison.c  what is told of requests that crash servers
  */
 #ifndef LAPISLINE_SERVE_PEERS_INT_H
 #define LAPISLINE_SERVE_PEERS_INT_H
@@ -88,6 +89,14 @@
     configuration at once. */
 void prs_tell_nodes (struct srv_peers *p, clk_ms now);
 void prs_on_nodes (struct peer *x, const Lapis__NodeList *list);
+/** The listed peer that comes next after @p after in the order of hubs. */
+struct peer *prs_next_hub (const struct srv_peers *p,
+                           const struct hub_node *after);
+
+/* peers-poison.c */
+/** Tell a peer that has just been linked what is known. */
+void prs_tell_poison (struct peer *x, clk_ms now);
+void prs_on_poison (struct peer *x, const Lapis__PoisonNews *news);
 
 /* peers-load.c */
 /** More nodes than tell each other directly. */
--- a/serve/peers-nodes.c
+++ b/serve/peers-nodes.c
@@ -58,13 +58,12 @@
   free (row->peer);
 }
 
-/** The listed peer that comes next after @p after in the order of hubs. */
-static const struct peer *
-next_hub (const struct srv_peers *p, const struct hub_node *after)
+struct peer *
+prs_next_hub (const struct srv_peers *p, const struct hub_node *after)
 {
-  const struct peer *best = NULL;
+  struct peer *best = NULL;
 
-  for (const struct peer *x = p->list; x; x = x->next)
+  for (struct peer *x = p->list; x; x = x->next)
     if (x->listed && (!after || hub_cmp (&x->spec, after) > 0)
         && (!best || hub_cmp (&x->spec, &best->spec) < 0))
       best = x;
@@ -82,7 +81,7 @@
   nodes->n_hubs = 0;
   nodes->hubs = r->list;
   while (nodes->n_hubs < HUB_LINKS
-         && (x = next_hub (p, x ? &x->spec : NULL)) != NULL)
+         && (x = prs_next_hub (p, x ? &x->spec : NULL)) != NULL)
     {
       Lapis__HubEntry *row = &r->rows[nodes->n_hubs];
       fill_hub (row, xstrdup (x->node), &x->front, &x->addr, &x->spec);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -124,6 +124,7 @@
   x->told_at = 0;
   LOG (node_linked, LOG_C ("peer", x->node));
   prs_count_nodes (p);
+  prs_tell_poison (x, x->heard);
 }
 
 static void
@@ -162,6 +163,8 @@
     prs_on_notice (x, f->prompt_notice);
   else if (x && f->body_case == LAPIS__FRAME__BODY_NODE_LIST)
     prs_on_nodes (x, f->node_list);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_POISON_NEWS)
+    prs_on_poison (x, f->poison_news);
   else if (x && f->body_case == LAPIS__FRAME__BODY_CONFIG_TEXT)
     srv_config_pushed (
         p->s, f->config_text->revision,
@@ -192,6 +195,12 @@
   return n;
 }
 
+bool
+srv_peers_linked (const struct srv *s)
+{
+  return s->peers && prs_count_up (s->peers) > 0;
+}
+
 /* --- keeping links ----------------------------------------------------- */
 
 /** Decide anew which nodes to link to. */
--- /dev/null
+++ b/serve/poison-node.c
@@ -0,0 +1,64 @@
+#include "serve/node-int.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+act (struct srv *s, clk_ms now, const struct psn_news *news)
+{
+  char digest[17];
+
+  snprintf (digest, sizeof digest, "%016llx",
+            (unsigned long long)news->digest);
+  switch (news->word)
+    {
+    case PSN_BLOCKED:
+      LOG (request_blocked, LOG_C ("digest", digest),
+           LOG_I ("hold_ms", news->hold_ms));
+      dsp_blocked (s->dispatch, now, news->digest);
+      srv_poison_changed (s, now, news->digest);
+      break;
+    case PSN_CLEARED:
+      if (news->wide)
+        LOG (request_unblocked, LOG_C ("digest", digest));
+      srv_poison_changed (s, now, news->digest);
+      break;
+    case PSN_RAN:
+    case PSN_CHARGED:
+      break;
+    }
+}
+
+void
+srv_poison_act (struct srv *s)
+{
+  clk_ms now = clk_now ();
+  struct psn_news *copy;
+  size_t n;
+  const struct psn_news *news = psn_take (s->poison, &n);
+
+  if (n == 0)
+    return;
+  /* Ending requests may bring further news. */
+  copy = xmalloc (n * sizeof *copy);
+  memcpy (copy, news, n * sizeof *copy);
+  srv_peers_poison (s, copy, n);
+  for (size_t i = 0; i < n; i++)
+    act (s, now, &copy[i]);
+  free (copy);
+  srv_act (s);
+}
+
+void
+srv_poison_tick (struct srv *s, clk_ms now)
+{
+  psn_collect (s->poison, now,
+               !srv_register_follows (s) || !srv_peers_linked (s));
+  if (now >= psn_wake (s->poison))
+    {
+      psn_tick (s->poison, now);
+      srv_poison_act (s);
+    }
+  srv_poison_store_tick (s, now);
+}
--- /dev/null
+++ b/serve/poison-store.c
@@ -0,0 +1,273 @@
+#include "serve/node-int.h"
+
+#include <stdlib.h>
+
+#include "base/json.h"
+
+/*
+ * Requests that are blocked are kept in the store under a lease as long as the
+ * block: nodes that have all been stopped find them there, and so do nodes
+ * that are cut off from each other.
+ *
+ *   blocked/DIGEST  {"until": Unix ms}
+ *
+ * The first node in the order of hubs writes and removes these keys; each of
+ * the others does so only if those before it have not.
+ */
+
+#define TURN_MS ((clk_ms)150)
+#define AGAIN_MS ((clk_ms)1000)
+/** Keys that are written within this share a lease. */
+#define SHARE_LEASE_MS ((clk_ms)30000)
+/** A key that goes when its lease is nearly over has lapsed; one that goes
+    before was removed. */
+#define LAPSE_MS (SHARE_LEASE_MS + 10 * CLK_SECOND)
+/** Keys that are kept track of. */
+#define KEYS_MOST 256
+
+/** A request that is blocked, or has a key in the store. */
+struct blocked_key
+{
+  uint64_t digest;
+  bool stored;
+  clk_ms stored_at;
+  clk_ms due; /**< no call about it before */
+};
+
+struct srv_poison
+{
+  struct srv *s;
+  struct blocked_key keys[KEYS_MOST];
+  size_t n;
+  int64_t lease;
+  clk_ms granted_at;
+  bool calling;
+  uint64_t digest; /**< that the call is about */
+  bool storing;    /**< else it is removed */
+  struct buf key;
+};
+
+static struct blocked_key *
+find (struct srv_poison *k, uint64_t digest)
+{
+  for (size_t i = 0; i < k->n; i++)
+    if (k->keys[i].digest == digest)
+      return &k->keys[i];
+  return NULL;
+}
+
+static struct blocked_key *
+key_of (struct srv_poison *k, uint64_t digest)
+{
+  struct blocked_key *b = find (k, digest);
+
+  if (b || k->n == KEYS_MOST)
+    return b;
+  b = &k->keys[k->n++];
+  *b = (struct blocked_key){ .digest = digest };
+  return b;
+}
+
+static clk_ms
+turn_ms (const struct srv *s)
+{
+  return (clk_ms)srv_register_rank (s) * TURN_MS;
+}
+
+void
+srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest)
+{
+  struct blocked_key *b = key_of (s->poison_keys, digest);
+
+  if (b)
+    b->due = now + turn_ms (s);
+}
+
+/* --- what the store has -------------------------------------------------- */
+
+static clk_ms
+hold_of (struct str value)
+{
+  struct json_object *o = jsn_parse (value);
+  clk_ms hold = jsn_int (o, "until") - clk_wall ();
+
+  json_object_put (o);
+  return hold < PSN_HOLD_MS ? hold : PSN_HOLD_MS;
+}
+
+static void
+on_stored (struct srv_poison *k, clk_ms now, uint64_t digest, clk_ms hold)
+{
+  struct blocked_key *b = key_of (k, digest);
+
+  if (b)
+    {
+      b->stored = true;
+      b->stored_at = now;
+    }
+  if (hold > 0)
+    psn_hear (k->s->poison, now,
+              &(struct psn_news){ .word = PSN_BLOCKED,
+                                  .digest = digest,
+                                  .hold_ms = hold,
+                                  .wide = true });
+}
+
+static void
+on_gone (struct srv_poison *k, clk_ms now, uint64_t digest)
+{
+  struct blocked_key *b = find (k, digest);
+
+  if (!b || !b->stored)
+    return;
+  b->stored = false;
+  b->due = now + turn_ms (k->s);
+  if (now - b->stored_at < PSN_HOLD_MS - LAPSE_MS)
+    psn_hear (k->s->poison, now,
+              &(struct psn_news){
+                  .word = PSN_CLEARED, .digest = digest, .wide = true });
+}
+
+void
+srv_poison_item (struct srv *s, bool deleted, struct str name,
+                 struct str value)
+{
+  struct srv_poison *k = s->poison_keys;
+  clk_ms now = clk_now ();
+  uint8_t bytes[sizeof (uint64_t)];
+  uint64_t digest = 0;
+
+  if (!str_to_bytes (name, bytes, sizeof bytes))
+    return;
+  for (size_t i = 0; i < sizeof bytes; i++)
+    digest = digest << 8 | bytes[i];
+  if (deleted)
+    on_gone (k, now, digest);
+  else
+    on_stored (k, now, digest, hold_of (value));
+  srv_poison_act (s);
+}
+
+void
+srv_poison_reread (struct srv *s)
+{
+  struct srv_poison *k = s->poison_keys;
+
+  for (size_t i = 0; i < k->n; i++)
+    {
+      k->keys[i].stored = false;
+      k->keys[i].due = clk_now () + AGAIN_MS + turn_ms (s);
+    }
+}
+
+/* --- calls --------------------------------------------------------------- */
+
+static void
+call_ended (struct srv_poison *k, enum store_status status)
+{
+  struct blocked_key *b = find (k, k->digest);
+  clk_ms now = clk_now ();
+
+  k->calling = false;
+  if (status == STORE_GONE)
+    k->lease = 0;
+  if (b && status == STORE_OK)
+    {
+      b->stored = k->storing;
+      b->stored_at = now;
+    }
+  else if (b)
+    b->due = now + AGAIN_MS;
+  pau_ended (&k->s->store_pause, now, status, &k->s->rng);
+}
+
+static void
+on_written (void *ctx, const struct store_result *r)
+{
+  call_ended (ctx, r->status);
+}
+
+static void
+write_key (struct srv_poison *k)
+{
+  struct buf value = BUF_INIT;
+  struct str key = buf_str (&k->key);
+  struct store_put put = { .key = key, .lease = k->lease };
+  struct store_txn txn = { 0 };
+  clk_ms until = clk_wall () + PSN_HOLD_MS;
+
+  buf_addf (&value, "{\"until\":%lld}", (long long)until);
+  put.value = buf_str (&value);
+  if (k->storing)
+    {
+      txn.puts = &put;
+      txn.nputs = 1;
+    }
+  else
+    {
+      txn.deletes = &key;
+      txn.ndeletes = 1;
+    }
+  store_txn (k->s->store, STORE_ROSTER, &txn, on_written, k);
+  buf_free (&value);
+}
+
+static void
+on_granted (void *ctx, const struct store_result *r)
+{
+  struct srv_poison *k = ctx;
+
+  if (r->status != STORE_OK)
+    {
+      call_ended (k, r->status);
+      return;
+    }
+  k->lease = r->lease;
+  k->granted_at = clk_now ();
+  write_key (k);
+}
+
+static void
+begin_call (struct srv_poison *k, clk_ms now, const struct blocked_key *b)
+{
+  k->calling = true;
+  k->digest = b->digest;
+  k->storing = !b->stored;
+  buf_clear (&k->key);
+  buf_addf (&k->key, "%sblocked/%016llx", k->s->ad->own_prefix,
+            (unsigned long long)b->digest);
+  pau_called (&k->s->store_pause);
+  if (k->storing && (!k->lease || now - k->granted_at > SHARE_LEASE_MS))
+    store_lease_grant (k->s->store, PSN_HOLD_MS, on_granted, k);
+  else
+    write_key (k);
+}
+
+void
+srv_poison_store_tick (struct srv *s, clk_ms now)
+{
+  struct srv_poison *k = s->poison_keys;
+
+  if (k->n == 0 || k->calling || s->leaving_since || srv_register_follows (s)
+      || !pau_may_call (&s->store_pause, now))
+    return;
+  for (size_t i = 0; i < k->n; i++)
+    {
+      struct blocked_key *b = &k->keys[i];
+      bool blocked = psn_is_blocked (s->poison, b->digest);
+      if (blocked != b->stored && now >= b->due)
+        {
+          begin_call (k, now, b);
+          return;
+        }
+      if (!blocked && !b->stored)
+        *b = k->keys[--k->n];
+    }
+}
+
+void
+srv_poison_store_start (struct srv *s)
+{
+  s->poison_keys = xcalloc (1, sizeof *s->poison_keys);
+  s->poison_keys->s = s;
+}
--- a/serve/register.c
+++ b/serve/register.c
@@ -11,6 +11,7 @@
  *   nodes/NODE  where the node is reached, under its lease
  *   secret      by which nodes prove to each other that they belong together
  *   duty        who gives orders to backend servers; see duty.c
+ *   blocked/    requests that crash backend servers; see poison-store.c
  */
 
 /** Life of a node's entry without a renewal.  Peers see by their links far
@@ -132,6 +133,12 @@
   json_object_put (o);
 }
 
+static bool
+is_blocked_key (const struct srv_register *g, struct str key)
+{
+  return str_starts (str_skip (key, g->prefix.len), STR ("blocked/"));
+}
+
 static void
 take_item (struct srv_register *g, bool deleted, const struct store_kv *kv)
 {
@@ -144,6 +151,10 @@
     }
   else if (str_eq (kv->key, buf_str (&g->duty_key)))
     take_duty (g, !deleted, kv->value);
+  else if (is_blocked_key (g, kv->key))
+    srv_poison_item (g->s, deleted,
+                     str_skip (kv->key, g->prefix.len + sizeof "blocked/" - 1),
+                     kv->value);
   else if (!deleted && str_eq (kv->key, buf_str (&g->secret_key))
            && g->secret.len == 0)
     buf_add (&g->secret, kv->value);
@@ -254,6 +265,7 @@
 
   while (g->nnodes > 0)
     forget_node (g, str_from (g->nodes[0].key));
+  srv_poison_reread (g->s);
   for (size_t i = 0; i < r->nkvs; i++)
     {
       take_item (g, false, &r->kvs[i]);
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -12,6 +12,7 @@
 struct bench
 {
   struct dsp *d;
+  struct psn *poison;
   struct tbl *table;
   clk_ms now;
   struct dsp_place places[MOST];
@@ -146,7 +147,8 @@
 }
 
 static void
-ask (struct bench *b, uint64_t id, const char *route, bool late)
+ask (struct bench *b, uint64_t id, const char *route, uint64_t digest,
+     bool late)
 {
   const struct tbl_route *r = find_route (b, route);
   struct dsp_request q = { .id = id,
@@ -154,7 +156,8 @@
                            .table = b->table,
                            .service = r->targets[0].service,
                            .deadline = b->now + 2000,
-                           .waited = late ? r->goal_ms : 0 };
+                           .waited = late ? r->goal_ms : 0,
+                           .digest = digest ? digest : 1000 + id };
 
   if (r->kind == TBL_STREAM)
     q.model = STR ("m");
@@ -172,6 +175,22 @@
   dsp_peer_load (b->d, b->now, 7, &c, 1);
 }
 
+static void
+checked (struct bench *b, const char *place, enum dsp_life life)
+{
+  dsp_checked (b->d, b->now, dsp_place_hash (str_from (place), 0, 0), life);
+}
+
+static void
+blocked (struct bench *b, uint64_t digest)
+{
+  psn_hear (b->poison, b->now,
+            &(struct psn_news){ .word = PSN_BLOCKED,
+                                .digest = digest,
+                                .hold_ms = PSN_HOLD_MS });
+  dsp_blocked (b->d, b->now, digest);
+}
+
 static void
 answer_event (struct bench *b, const char *word, uint64_t id)
 {
@@ -207,6 +226,7 @@
   for (int t = 0; t < ms; t += 20)
     {
       b->now += 20;
+      psn_tick (b->poison, b->now);
       dsp_tick (b->d, b->now);
       take_actions (b);
     }
@@ -247,7 +267,15 @@
   else if (strcmp (word, "others") == 0)
     others (b, x, (unsigned)atoi (y), (unsigned)atoi (z));
   else if (strcmp (word, "ask") == 0 || strcmp (word, "late") == 0)
-    ask (b, (uint64_t)atoi (x), y, word[0] == 'l');
+    ask (b, (uint64_t)atoi (x), y, (uint64_t)atoi (z), word[0] == 'l');
+  else if (strcmp (word, "crashed") == 0)
+    checked (b, x, DSP_LIFE_ENDED);
+  else if (strcmp (word, "alive") == 0)
+    checked (b, x, DSP_LIFE_ALIVE);
+  else if (strcmp (word, "unknown") == 0)
+    checked (b, x, DSP_LIFE_UNKNOWN);
+  else if (strcmp (word, "blocked") == 0)
+    blocked (b, (uint64_t)atoi (x));
   else if (strcmp (word, "run") == 0)
     run (b, atoi (x));
   else if (strcmp (word, "busy") == 0)
@@ -270,6 +298,7 @@
   struct bench b = { .now = 100000, .table = make_table () };
   char *copy = xstrdup (script), *next = copy, *text;
 
+  b.poison = opt.poison = psn_new ();
   b.d = dsp_new (&opt, 1);
   while ((text = strsep (&next, "\n")) != NULL)
     {
@@ -280,6 +309,7 @@
   cr_expect_str_eq (buf_c (&b.log), expected, "got:\n%s\nexpected:\n%s",
                     buf_c (&b.log), expected);
   dsp_free (b.d);
+  psn_free (b.poison);
   tbl_unref (b.table);
   buf_free (&b.log);
   free (copy);
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -4,14 +4,17 @@
  *
  *   places NAME N CAPACITY   N places NAME1.. of service NAME, of that
  * capacity streams NAME N CAPACITY  the same with the model "m" closed PLACE
- * it gets nothing new nodes N              nodes that share the budget of
- * repeats others PLACE N BEGUN another node has N there, BEGUN of them streams
- * that had an event just now ask ID ROUTE         a request; ROUTE is stream,
- * once or safe late ID ROUTE        the same from a caller that has waited its
+ * it gets nothing new nodes N                  nodes that share the budget of
+ * repeats others PLACE N BEGUN     another node has N there, BEGUN of them
+ * streams that had an event just now ask ID ROUTE [DIGEST]    a request; ROUTE
+ * is stream, once or safe; DIGEST is a number, without it that of no other
+ * request late ID ROUTE            the same from a caller that has waited its
  * goal before sent|failed|good|error|final|unrun|event|whole|broken|gone ID
- *   busy MS ID           time passes, a tick comes when the core asks for one,
- *                        and that stream has an event every 10 ms
- *   run MS               time passes in steps of 20 ms
+ *   crashed|alive|unknown PLACE   what a check of its server has found
+ *   blocked DIGEST           servers crash when they run it
+ *   busy MS ID               time passes, a tick comes when the core asks for
+ *                            one, and that stream has an event every 10 ms
+ *   run MS                   time passes in steps of 20 ms
  *   leave
  *
  * The log has a line for each action: "send ID PLACE [resume] [pN]" with the
--- /dev/null
+++ b/t/lib-poison.c
@@ -0,0 +1,203 @@
+#include "t/lib-poison.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/str.h"
+
+#define STEP_MS ((clk_ms)10)
+
+static bool
+collects (const struct psn_fleet *f, int node)
+{
+  return f->hubs == 0 || node < f->hubs;
+}
+
+static void
+post (struct psn_fleet *f, int from, int to, const struct psn_news *list,
+      size_t n)
+{
+  f->queue[to] = xrealloc (f->queue[to],
+                           (f->nqueue[to] + n + 1) * sizeof (*f->queue[to]));
+  for (size_t i = 0; i < n; i++)
+    if (f->linked[from][to] && (list[i].wide || collects (f, to)))
+      {
+        f->queue[to][f->nqueue[to]++] = list[i];
+        f->sent++;
+      }
+}
+
+static void
+post_new (struct psn_fleet *f, int from)
+{
+  size_t n;
+  const struct psn_news *list = psn_take (f->node[from], &n);
+
+  for (int to = 0; to < f->n; to++)
+    post (f, from, to, list, n);
+}
+
+void
+psn_fleet_step (struct psn_fleet *f)
+{
+  f->now += STEP_MS;
+  for (int i = 0; i < f->n; i++)
+    {
+      struct psn_news *list = f->queue[i];
+      size_t n = f->nqueue[i];
+      f->queue[i] = NULL;
+      f->nqueue[i] = 0;
+      for (size_t k = 0; k < n; k++)
+        psn_hear (f->node[i], f->now, &list[k]);
+      free (list);
+      if (f->now >= psn_wake (f->node[i]))
+        psn_tick (f->node[i], f->now);
+    }
+  for (int i = 0; i < f->n; i++)
+    post_new (f, i);
+}
+
+void
+psn_fleet_ran (struct psn_fleet *f, int node, uint64_t digest, uint64_t place,
+               clk_ms ran_ms)
+{
+  psn_hear (f->node[node], f->now,
+            &(struct psn_news){ .word = PSN_RAN,
+                                .digest = digest,
+                                .place = place,
+                                .ran_ms = ran_ms });
+}
+
+void
+psn_fleet_link (struct psn_fleet *f, int a, int b, bool linked)
+{
+  const struct psn_news *list;
+  size_t n;
+
+  f->linked[a][b] = f->linked[b][a] = linked;
+  if (!linked)
+    return;
+  list = psn_all (f->node[a], f->now, &n);
+  post (f, a, b, list, n);
+  list = psn_all (f->node[b], f->now, &n);
+  post (f, b, a, list, n);
+}
+
+static bool
+may_link (const struct psn_fleet *f, int a, int b)
+{
+  return a != b && (f->hubs == 0 || a < f->hubs || b < f->hubs);
+}
+
+void
+psn_fleet_restart (struct psn_fleet *f, int node)
+{
+  psn_free (f->node[node]);
+  f->node[node] = psn_new ();
+  psn_collect (f->node[node], f->now, collects (f, node));
+  f->nqueue[node] = 0;
+  for (int i = 0; i < f->n; i++)
+    if (may_link (f, node, i))
+      psn_fleet_link (f, node, i, true);
+}
+
+void
+psn_fleet_up (struct psn_fleet *f, int nodes, int hubs)
+{
+  memset (f, 0, sizeof *f);
+  f->n = nodes;
+  f->hubs = hubs;
+  f->now = 100000;
+  for (int i = 0; i < nodes; i++)
+    {
+      f->node[i] = psn_new ();
+      psn_collect (f->node[i], f->now, collects (f, i));
+    }
+  for (int i = 0; i < nodes; i++)
+    for (int k = 0; k < nodes; k++)
+      f->linked[i][k] = may_link (f, i, k);
+}
+
+void
+psn_fleet_down (struct psn_fleet *f)
+{
+  for (int i = 0; i < f->n; i++)
+    {
+      psn_free (f->node[i]);
+      free (f->queue[i]);
+    }
+}
+
+/* --- the script ---------------------------------------------------------- */
+
+static void
+ask (struct psn_fleet *f, const char *request, struct buf *log)
+{
+  clk_ms again_ms;
+
+  buf_addf (log, "%s ", request);
+  for (int i = 0; i < f->n; i++)
+    {
+      bool refused
+          = psn_refuses (f->node[i], f->now, (uint64_t)request[0], &again_ms);
+      buf_add_char (log, !refused ? '-' : again_ms ? 'w' : 'B');
+    }
+  buf_add_char (log, '\n');
+}
+
+static void
+line (struct psn_fleet *f, const char *word, const char *x, const char *y,
+      const char *z, const char *ms, struct buf *log)
+{
+  int node = atoi (x) - 1;
+
+  if (strcmp (word, "nodes") == 0)
+    psn_fleet_up (f, atoi (x), 0);
+  else if (strcmp (word, "hubs") == 0)
+    psn_fleet_up (f, atoi (x), 4);
+  else if (strcmp (word, "ran") == 0)
+    psn_fleet_ran (f, node, (uint64_t)y[0], (uint64_t)atoi (z), atoi (ms));
+  else if (strcmp (word, "whole") == 0)
+    psn_completed (f->node[node], f->now, (uint64_t)y[0]);
+  else if (strcmp (word, "cut") == 0 || strcmp (word, "join") == 0)
+    psn_fleet_link (f, node, atoi (y) - 1, word[0] == 'j');
+  else if (strcmp (word, "alone") == 0)
+    psn_collect (f->node[node], f->now, true);
+  else if (strcmp (word, "restart") == 0)
+    psn_fleet_restart (f, node);
+  else if (strcmp (word, "store") == 0)
+    psn_hear (f->node[node], f->now,
+              &(struct psn_news){ .word = PSN_BLOCKED,
+                                  .digest = (uint64_t)y[0],
+                                  .hold_ms = PSN_HOLD_MS,
+                                  .wide = true });
+  else if (strcmp (word, "ask") == 0)
+    ask (f, x, log);
+  else if (strcmp (word, "run") == 0)
+    for (clk_ms end = f->now + atoi (x); f->now < end;)
+      psn_fleet_step (f);
+  else
+    cr_assert (false, "no such word: %s", word);
+}
+
+void
+poison_play (const char *script, const char *expected)
+{
+  struct psn_fleet f = { 0 };
+  struct buf log = BUF_INIT;
+  char *copy = xstrdup (script), *next = copy, *text;
+
+  while ((text = strsep (&next, "\n")) != NULL)
+    {
+      char word[16] = "", x[16] = "", y[16] = "", z[16] = "", ms[16] = "";
+      if (sscanf (text, " %15s %15s %15s %15s %15s", word, x, y, z, ms) > 0)
+        line (&f, word, x, y, z, ms, &log);
+    }
+  cr_expect_str_eq (buf_c (&log), expected, "got:\n%s\nexpected:\n%s",
+                    buf_c (&log), expected);
+  psn_fleet_down (&f);
+  buf_free (&log);
+  free (copy);
+}
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -165,3 +165,75 @@
                  "send 1 s1\npass 1\nsend 2 s2\npass 2\nstalled s1\n"
                  "cancel 1\nsend 1 s2 resume p0\n");
 }
+
+/* Guards against callers that end server after server with the same request,
+   and against a refusal that makes them come back for nothing. */
+Test (dispatch, what_three_servers_crashed_under_is_refused)
+{
+  dispatch_play ("streams s 4 4\n"
+                 "ask 1 stream 7\n sent 1\n broken 1\n crashed s3\n"
+                 "closed s3\n sent 1\n broken 1\n crashed s4\n closed s4\n"
+                 "ask 2 stream 7\n sent 2\n broken 2\n crashed s1\n"
+                 "closed s1\n ask 3 stream 7\n run 400\n ask 4 stream 7\n"
+                 "ask 5 stream 8\n",
+                 "send 1 s3\ncheck s3\ncancel 1\nsend 1 s4\ncheck s4\n"
+                 "cancel 1\nanswer 1 broken 502\nsend 2 s1\ncheck s1\n"
+                 "cancel 2\nanswer 2 broken 502\n"
+                 "answer 3 crashes-servers 503 retry\n"
+                 "answer 4 crashes-servers 503\nsend 5 s2\n");
+}
+
+/* Guards against a block of requests whose connections were reset, or whose
+   servers could not be asked: nothing says that they have crashed. */
+Test (dispatch, a_connection_that_breaks_is_no_crash)
+{
+  dispatch_play ("streams s 3 4\n"
+                 "ask 1 stream 7\n sent 1\n broken 1\n alive s3\n"
+                 "sent 1\n broken 1\n unknown s1\n"
+                 "ask 2 stream 7\n sent 2\n broken 2\n alive s3\n"
+                 "sent 2\n broken 2\n alive s1\n run 400\n"
+                 "ask 3 stream 7\n",
+                 "send 1 s3\ncheck s3\ncancel 1\nsend 1 s1\ncheck s1\n"
+                 "cancel 1\nanswer 1 broken 502\nsend 2 s3\ncheck s3\n"
+                 "cancel 2\nsend 2 s1\ncheck s1\ncancel 2\n"
+                 "answer 2 broken 502\nsend 3 s1\n");
+}
+
+/* Guards against a charge for the end of a server that was leaving: it ends by
+   itself. */
+Test (dispatch, a_server_that_leaves_is_not_asked)
+{
+  dispatch_play ("streams s 1 4\n ask 1 stream 7\n sent 1\n closed s1\n"
+                 "broken 1\n run 100\n",
+                 "send 1 s1\ncancel 1\nanswer 1 broken 502\n");
+}
+
+/* Guards against a further attempt that crashes one more server: a request
+   that two servers have crashed under waits for its caller to ask again. */
+Test (dispatch, a_suspect_is_not_sent_elsewhere)
+{
+  dispatch_play ("streams s 4 4\n"
+                 "ask 1 stream 7\n sent 1\n broken 1\n crashed s3\n"
+                 "closed s3\n sent 1\n broken 1\n crashed s4\n closed s4\n"
+                 "ask 2 stream 7\n sent 2\n broken 2\n",
+                 "send 1 s3\ncheck s3\ncancel 1\nsend 1 s4\ncheck s4\n"
+                 "cancel 1\nanswer 1 broken 502\nsend 2 s1\ncheck s1\n"
+                 "cancel 2\nanswer 2 broken 502\n");
+}
+
+/* Guards against runs that begin after the verdict, of requests that wait here
+   or at a server; what has had events goes on, as it has not crashed. */
+Test (dispatch, a_verdict_ends_what_has_not_begun)
+{
+  dispatch_play ("streams s 1 2\n"
+                 "ask 1 stream 7\n sent 1\n good 1\n event 1\n"
+                 "ask 2 stream 7\n sent 2\n"
+                 "ask 3 stream 7\n sent 3\n ask 4 stream 7\n"
+                 "ask 5 stream 8\n blocked 7\n event 1\n whole 1\n",
+                 "send 1 s1\npass 1\nsend 2 s1\nsend 3 s1\n"
+                 "answer 4 crashes-servers 503\n"
+                 "cancel 3\nanswer 3 broken 502\n"
+                 "send 5 s1\n"
+                 "cancel 2\nanswer 2 broken 502\n"
+                 "end 1\n");
+}
--- /dev/null
+++ b/t/t9207-poison.c
@@ -0,0 +1,385 @@
+/*
+ * Requests that crash the servers that run them, as the nodes tell each other;
+ * see t/lib-poison.h for the script.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+
+#include "base/rng.h"
+#include "base/str.h"
+#include "t/lib-poison.h"
+
+/* Guards against a request that ends server after server by way of one node
+   after the other, none of which has seen three ends. */
+Test (poison, three_crashes_at_three_nodes_block_it_everywhere)
+{
+  poison_play ("nodes 4\n ran 1 p 1 -1\n run 300\n ask p\n ran 2 p 2 40\n"
+               "run 300\n ask p\n ran 3 p 3 -1\n run 50\n ask p\n run 350\n"
+               "ask p\n ask q\n",
+               "p ----\np ----\np wwww\np BBBB\nq ----\n");
+}
+
+/* Guards against a verdict that stays with the hubs, where not all nodes are
+   linked to each other. */
+Test (poison, hubs_collect_crashes_and_all_hear_the_verdict)
+{
+  poison_play ("hubs 8\n ran 5 p 1 -1\n run 100\n ran 6 p 2 -1\n run 100\n"
+               "ran 8 p 3 -1\n run 500\n ask p\n",
+               "p BBBBBBBB\n");
+}
+
+/* Guards against a refusal of requests that were running by chance in each of
+   three crashes of another one. */
+Test (poison, a_bystander_in_three_crashes_is_served)
+{
+  poison_play ("nodes 3\n"
+               "ran 1 b 1 300\n ran 2 p 1 -1\n run 300\n"
+               "ran 1 b 2 30\n ran 3 p 2 -1\n run 300\n"
+               "ran 1 b 3 500\n ran 1 p 3 20\n run 500\n ask b\n ask p\n",
+               "b ---\np BBB\n");
+}
+
+/* Guards against the same when the other one's run is heard a little later. */
+Test (poison, the_worst_of_a_crash_is_charged_though_heard_last)
+{
+  poison_play ("nodes 2\n"
+               "ran 1 b 1 300\n ran 2 p 1 -1\n run 300\n"
+               "ran 1 b 2 30\n ran 2 p 2 -1\n run 300\n"
+               "ran 1 b 3 500\n run 60\n ran 2 p 3 -1\n run 600\n"
+               "ask b\n ask p\n",
+               "b --\np BB\n");
+}
+
+/* Guards against a refusal of what many callers ask for, when a rack with
+   several replicas that run it fails at once. */
+Test (poison, a_request_that_completes_elsewhere_is_served)
+{
+  poison_play ("nodes 3\n whole 3 h\n run 500\n"
+               "ran 1 h 1 -1\n ran 1 h 2 -1\n ran 2 h 3 -1\n ran 2 h 4 -1\n"
+               "run 50\n ask h\n run 350\n ask h\n"
+               "ran 1 h 5 -1\n run 500\n ask h\n",
+               "h www\nh ---\nh ---\n");
+}
+
+/* Guards against a request that stays blocked though it runs to its end. */
+Test (poison, a_run_that_completes_lifts_the_block)
+{
+  poison_play ("nodes 3\n ran 1 h 1 -1\n ran 1 h 2 -1\n ran 2 h 3 -1\n"
+               "run 500\n ask h\n whole 2 h\n run 50\n ask h\n",
+               "h BBB\nh ---\n");
+}
+
+/* Guards against a charge from streams that had run for a while when their
+   replicas ended: these count less. */
+Test (poison, the_longer_the_run_the_less_a_crash_counts)
+{
+  poison_play ("nodes 2\n ran 1 b 1 1500\n ran 1 b 2 2000\n ran 1 b 3 3000\n"
+               "ran 1 c 11 100\n ran 1 c 12 0\n ran 2 c 13 499\n"
+               "run 500\n ask b\n ask c\n ran 1 b 4 1500\n ran 1 b 5 1500\n"
+               "ran 2 b 6 1500\n ran 1 c 14 200\n run 500\n ask b\n ask c\n",
+               "b --\nc --\nb BB\nc BB\n");
+}
+
+/* Guards against a verdict that hangs on the hubs: a node that has lost them
+   decides by itself. */
+Test (poison, a_node_without_hubs_decides_by_itself)
+{
+  poison_play ("hubs 6\n cut 6 1\n cut 6 2\n cut 6 3\n cut 6 4\n"
+               "ran 6 p 1 -1\n ran 6 p 2 -1\n alone 6\n ran 6 p 3 -1\n"
+               "run 500\n ask p\n",
+               "p -----B\n");
+}
+
+/* Guards against one crash that several nodes report and that counts as
+   several. */
+Test (poison, one_crash_counts_once)
+{
+  poison_play ("nodes 3\n ran 1 b 7 -1\n ran 2 b 7 -1\n ran 3 b 7 -1\n"
+               "run 500\n ask b\n",
+               "b ---\n");
+}
+
+/* Guards against a wrong verdict that stands: a bystander of the same crashes
+   had run less in each.  The first crash without it shows which one it is. */
+Test (poison, the_wrong_one_is_cleared_once_crashes_go_on)
+{
+  poison_play ("nodes 2\n ran 1 b 1 -1\n ran 2 p 1 20\n run 300\n"
+               "ran 1 b 2 -1\n ran 2 p 2 20\n run 300\n"
+               "ran 1 b 3 -1\n ran 2 p 3 20\n run 500\n ask b\n ask p\n"
+               "ran 2 p 4 20\n run 500\n ask b\n ask p\n",
+               "b BB\np --\nb --\np BB\n");
+}
+
+/* Guards against nodes that miss a verdict while their links are cut: others
+   hand it on, and whoever is linked again is told. */
+Test (poison, a_verdict_passes_around_cut_links)
+{
+  poison_play ("nodes 4\n cut 1 2\n cut 1 3\n cut 4 1\n cut 4 2\n"
+               "ran 2 p 1 -1\n ran 2 p 2 -1\n ran 2 p 3 -1\n run 500\n ask p\n"
+               "join 1 4\n run 50\n ask p\n",
+               "p -BBB\np BBBB\n");
+}
+
+/* Guards against a node that starts and takes what all others refuse. */
+Test (poison, a_node_that_starts_is_told)
+{
+  poison_play ("nodes 3\n ran 2 p 1 -1\n ran 2 p 2 -1\n run 50\n restart 2\n"
+               "run 50\n ran 2 p 3 -1\n run 500\n ask p\n restart 1\n run 20\n"
+               "ask p\n",
+               "p BBB\np BBB\n");
+}
+
+/* Guards against nodes that were all stopped: one that finds it in the store
+   tells the others. */
+Test (poison, the_store_tells_after_all_have_stopped)
+{
+  poison_play ("nodes 3\n ran 1 p 1 -1\n ran 1 p 2 -1\n ran 1 p 3 -1\n"
+               "run 500\n cut 1 2\n cut 1 3\n cut 2 3\n restart 1\n"
+               "restart 2\n restart 3\n store 2 p\n run 50\n ask p\n",
+               "p BBB\n");
+}
+
+/* Guards against a block for ever: servers may have been mended.  If not, one
+   more crash suffices. */
+Test (poison, a_block_ends_and_one_crash_brings_it_back)
+{
+  poison_play (
+      "nodes 2\n ran 1 p 1 -1\n ran 1 p 2 -1\n ran 1 p 3 -1\n"
+      "run 500\n ask p\n run 600000\n ask p\n ran 2 p 9 -1\n run 500\n"
+      "ask p\n",
+      "p BB\np --\np BB\n");
+}
+
+/* Guards against callers that make nodes forget a verdict, or fill their
+   memory, by ten thousand other requests that were running in crashes. */
+Test (poison, ten_thousand_others_don_t_push_it_out)
+{
+  struct psn_fleet f;
+  clk_ms again_ms;
+  size_t n;
+
+  psn_fleet_up (&f, 2, 0);
+  for (uint64_t i = 0; i < 3; i++)
+    psn_fleet_ran (&f, 0, 'p', 1 + i, PSN_NO_EVENT);
+  for (int i = 0; i < 50; i++)
+    psn_fleet_step (&f);
+  for (uint64_t i = 0; i < 10000; i++)
+    {
+      psn_fleet_ran (&f, (int)(i % 2), 1000 + i, 1000 + i / 20, 50);
+      if (i % 100 == 0)
+        psn_fleet_step (&f);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      cr_expect (psn_refuses (f.node[i], f.now, 'p', &again_ms));
+      psn_all (f.node[i], f.now, &n);
+      cr_expect_leq (n, PSN_MOST * 9);
+    }
+  psn_fleet_down (&f);
+}
+
+/* Guards against news that nodes hand on to each other for ever. */
+Test (poison, news_come_to_rest)
+{
+  struct psn_fleet f;
+
+  psn_fleet_up (&f, 8, 0);
+  for (uint64_t place = 1; place <= 40; place++)
+    for (int i = 0; i < 8; i++)
+      psn_fleet_ran (&f, i, 'h', place, PSN_NO_EVENT);
+  for (int i = 0; i < 100; i++)
+    psn_fleet_step (&f);
+  f.sent = 0;
+  for (int i = 0; i < 100; i++)
+    psn_fleet_step (&f);
+  cr_expect_eq (f.sent, 0);
+  psn_fleet_down (&f);
+}
+
+/* --- random days --------------------------------------------------------- */
+
+#define SEEDS 100
+#define DAY_STEPS 3000 /* 30 s */
+#define CONTACT_MS ((clk_ms)3000)
+#define RUNS 120
+#define PLACES 12
+#define POISON 'p'
+
+/** A run that is under way. */
+struct run
+{
+  uint64_t digest; /* 0: none */
+  int node;
+  uint64_t place;
+  clk_ms since, ends; /* ends: it completes */
+  unsigned crashes;
+};
+
+struct day
+{
+  struct psn_fleet f;
+  struct rng rng;
+  struct run runs[RUNS];
+  uint64_t places[PLACES];
+  uint64_t next_place, next_request;
+  clk_ms crash_at; /* of the poison's server; 0: it does not run */
+  clk_ms asks_at;
+  unsigned poison_crashes, late_sends;
+  clk_ms third_at;
+  unsigned attempts;
+};
+
+static clk_ms
+draw (struct day *d, clk_ms least, clk_ms span)
+{
+  return least + (clk_ms)rng_below (&d->rng, (uint64_t)span);
+}
+
+static struct run *
+free_run (struct day *d)
+{
+  for (int i = 0; i < RUNS; i++)
+    if (!d->runs[i].digest)
+      return &d->runs[i];
+  return NULL;
+}
+
+static void
+begin (struct day *d, uint64_t digest, int node, unsigned crashes)
+{
+  struct run *r = free_run (d);
+
+  if (r)
+    *r = (struct run){ digest,
+                       node,
+                       d->places[rng_below (&d->rng, PLACES)],
+                       d->f.now,
+                       d->f.now + draw (d, 300, 3000),
+                       crashes };
+}
+
+/** The caller of the poison asks again, soon after its last answer. */
+static void
+ask_poison (struct day *d, bool again)
+{
+  int node = (int)rng_below (&d->rng, (uint64_t)d->f.n);
+  clk_ms again_ms;
+
+  if (!again)
+    d->attempts = 0;
+  if (again ? psn_suspects (d->f.node[node], POISON) || ++d->attempts > 1
+            : psn_refuses (d->f.node[node], d->f.now, POISON, &again_ms))
+    {
+      d->asks_at = d->f.now + draw (d, 50, 500);
+      return;
+    }
+  if (d->third_at && d->f.now > d->third_at + CONTACT_MS)
+    d->late_sends++;
+  begin (d, POISON, node, 0);
+  d->crash_at = d->f.now + draw (d, 100, 200);
+}
+
+/** The server at a place ends: runs that were under way begin anew. */
+static void
+crash (struct day *d, uint64_t place)
+{
+  for (int i = 0; i < PLACES; i++)
+    if (d->places[i] == place)
+      d->places[i] = ++d->next_place;
+  for (int i = 0; i < RUNS; i++)
+    {
+      struct run r = d->runs[i];
+      clk_ms ran = d->f.now - r.since - 100;
+      if (!r.digest || r.place != place)
+        continue;
+      psn_fleet_ran (&d->f, r.node, r.digest, place,
+                     ran < 0 ? PSN_NO_EVENT : ran);
+      d->runs[i].digest = 0;
+      if (r.digest != POISON)
+        begin (d, r.digest, r.node, r.crashes + 1);
+    }
+}
+
+static void
+crash_poison (struct day *d)
+{
+  for (int i = 0; i < RUNS; i++)
+    if (d->runs[i].digest == POISON)
+      {
+        d->crash_at = 0;
+        d->poison_crashes++;
+        if (d->poison_crashes == PSN_CRASHES)
+          d->third_at = d->f.now;
+        crash (d, d->runs[i].place);
+        ask_poison (d, true);
+        return;
+      }
+}
+
+static void
+check_bystander (struct day *d, const struct run *r, uint64_t seed)
+{
+  clk_ms again_ms;
+  bool refused
+      = psn_refuses (d->f.node[r->node], d->f.now, r->digest, &again_ms);
+
+  cr_expect (!refused || again_ms || r->crashes > 3,
+             "seed %d: a request is blocked after %u crashes", (int)seed,
+             r->crashes);
+}
+
+static void
+step (struct day *d, uint64_t seed)
+{
+  psn_fleet_step (&d->f);
+  if (d->crash_at && d->f.now >= d->crash_at)
+    crash_poison (d);
+  else if (!d->crash_at && d->f.now >= d->asks_at)
+    ask_poison (d, false);
+  if (rng_below (&d->rng, 400) == 0)
+    crash (d, d->places[rng_below (&d->rng, PLACES)]);
+  if (rng_below (&d->rng, 10) == 0)
+    begin (d, 1000 + ++d->next_request,
+           (int)rng_below (&d->rng, (uint64_t)d->f.n), 0);
+  for (int i = 0; i < RUNS; i++)
+    {
+      struct run *r = &d->runs[i];
+      if (!r->digest || r->digest == POISON || d->f.now < r->ends)
+        continue;
+      check_bystander (d, r, seed);
+      psn_completed (d->f.node[r->node], d->f.now, r->digest);
+      r->digest = 0;
+    }
+}
+
+static void
+play_day (uint64_t seed)
+{
+  struct day d = { 0 };
+
+  rng_seed (&d.rng, seed);
+  psn_fleet_up (&d.f, seed % 2 ? 8 : 20, seed % 2 ? 0 : 4);
+  d.next_place = PLACES;
+  for (uint64_t i = 0; i < PLACES; i++)
+    d.places[i] = i + 1;
+  d.asks_at = d.f.now + 1000;
+  for (int i = 0; i < DAY_STEPS; i++)
+    {
+      if (d.crash_at == 0 && d.asks_at == 0)
+        d.asks_at = d.f.now;
+      step (&d, seed);
+    }
+  cr_expect_leq (d.late_sends, 3, "seed %d: sent %u times late", (int)seed,
+                 d.late_sends);
+  cr_expect_leq (d.poison_crashes, PSN_CRASHES + 3, "seed %d: %u crashes",
+                 (int)seed, d.poison_crashes);
+  psn_fleet_down (&d.f);
+}
+
+/* Guards against orders of crashes, completions and news in which it goes on
+   crashing servers, or others are blocked for it. */
+Test (poison, random_days)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    play_day (seed);
+}
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -104,3 +104,168 @@
       cr_expect_eq (ask_status (&r, i, "/stream/x", "good"), 200);
     }
 }
+
+/** Ask until it is known that the request ends servers. */
+static void
+until_blocked (const struct rack *r)
+{
+  for (int i = 0; i < 12; i++)
+    {
+      ask_status (r, i % RACK_NODES, "/stream/x", "bad");
+      usleep (SPREAD_US);
+    }
+  cr_assert_eq (count_crashed (r), 3, "%d ended", count_crashed (r));
+}
+
+static void
+serve_crashing (struct rack *r)
+{
+  rack_serve (r, ENGINES);
+  until_leaders (r, REPLICAS);
+  rack_set (r, "{\"crash_body\": \"bad\", \"crash_ms\": 10}");
+}
+
+static void
+stop_node (struct rack *r, int node)
+{
+  proc_signal (r->node[node], SIGKILL);
+  proc_wait (r->node[node], PROC_WAIT_MS);
+}
+
+/** Wait for a usual request to be served, then ask for the one that ends
+    servers: nobody runs it. */
+static void
+expect_refused (struct rack *r)
+{
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_assert (rack_until (r, i, "/stream/x", rack_headers ("usual"), 200));
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_expect_eq (ask_status (r, i, "/stream/x", "bad"), 503);
+  cr_expect_eq (count_crashed (r), 3);
+}
+
+/* Guards against a node that starts again, or all of them, and runs what was
+   known to end servers. */
+Test (crash, nodes_that_start_again_refuse_it_too)
+{
+  struct rack r;
+
+  serve_crashing (&r);
+  until_blocked (&r);
+  stop_node (&r, 0);
+  rack_start_node (&r, 0);
+  expect_refused (&r);
+  for (int i = 0; i < RACK_NODES; i++)
+    stop_node (&r, i);
+  for (int i = 0; i < RACK_NODES; i++)
+    rack_start_node (&r, i);
+  expect_refused (&r);
+}
+
+/* Guards against a verdict that needs the store: it is away, and has the
+   verdict once it is back. */
+Test (crash, the_store_is_away)
+{
+  struct rack r;
+
+  serve_crashing (&r);
+  rack_set (&r, "{\"store\": {\"refuse\": true}}");
+  until_blocked (&r);
+  rack_set (&r, "{\"store\": {\"refuse\": false}}");
+  usleep (4000000);
+  for (int i = 0; i < RACK_NODES; i++)
+    stop_node (&r, i);
+  for (int i = 0; i < RACK_NODES; i++)
+    rack_start_node (&r, i);
+  expect_refused (&r);
+}
+
+/* Guards against a block of requests whose connections broke while their
+   servers lived. */
+Test (crash, broken_connections_are_no_crash)
+{
+  struct rack r;
+
+  rack_serve (&r, 8);
+  for (int i = 0; i < 8; i++)
+    {
+      rack_set (&r, "{\"server\": \"e1\", \"cut_after\": 1}");
+      rack_set (&r, "{\"server\": \"e5\", \"cut_after\": 1}");
+      ask_status (&r, i % RACK_NODES, "/stream/x", "same");
+    }
+  rack_set (&r, "{\"server\": \"e1\", \"cut_after\": 0}");
+  rack_set (&r, "{\"server\": \"e5\", \"cut_after\": 0}");
+  for (int i = 0; i < RACK_NODES; i++)
+    {
+      cr_expect (web_until (r.ready[i], "/metrics", NULL,
+                            "lapisline_serve_requests_blocked 0",
+                            PROC_WAIT_MS));
+      cr_expect_eq (ask_status (&r, i, "/stream/x", "same"), 200);
+    }
+}
+
+#define BYSTANDERS 12
+
+/* Guards against the refusal of streams that were running at the servers that
+   ended: each is served, by itself or when its caller asks again. */
+Test (crash, bystanders_are_served)
+{
+  struct rack r;
+  struct web_stream *w[BYSTANDERS];
+  char body[BYSTANDERS][8];
+  struct buf got = BUF_INIT;
+
+  serve_crashing (&r);
+  rack_set (&r, "{\"events\": 120}");
+  for (int i = 0; i < BYSTANDERS; i++)
+    {
+      snprintf (body[i], sizeof body[i], "by%d", i);
+      w[i] = web_open (r.front[i % RACK_NODES], "POST", "/stream/x",
+                       rack_headers (body[i]), body[i]);
+    }
+  for (int i = 0; i < 4; i++)
+    {
+      ask_status (&r, i % RACK_NODES, "/stream/x", "bad");
+      usleep (SPREAD_US);
+    }
+  rack_set (&r, "{\"events\": 5}");
+  for (int i = 0; i < BYSTANDERS; i++)
+    {
+      while (web_read (w[i], &got, PROC_WAIT_MS) == WEB_BYTES)
+        ;
+      web_close (w[i]);
+    }
+  for (int i = 0; i < BYSTANDERS; i++)
+    cr_expect_eq (ask_status (&r, i % RACK_NODES, "/stream/x", body[i]), 200,
+                  "%s", body[i]);
+  cr_expect_eq (ask_status (&r, 0, "/stream/x", "bad"), 503);
+  buf_free (&got);
+}
+
+/* Guards against more ends by a caller that asks all nodes at once, without
+   waiting for answers. */
+Test (crash, asked_at_all_nodes_at_once)
+{
+  struct rack r;
+  struct web_stream *w[RACK_NODES];
+  struct buf got = BUF_INIT;
+
+  serve_crashing (&r);
+  for (int n = 0; n < 10; n++)
+    {
+      for (int i = 0; i < RACK_NODES; i++)
+        w[i] = web_open (r.front[i], "POST", "/stream/x", rack_headers ("at"),
+                         "bad");
+      usleep (50000);
+      for (int i = 0; i < RACK_NODES; i++)
+        {
+          while (web_read (w[i], &got, PROC_WAIT_MS) == WEB_BYTES)
+            ;
+          web_close (w[i]);
+        }
+    }
+  /* Three, and what was under way at the other node by then. */
+  cr_expect_leq (count_crashed (&r), 6, "%d ended", count_crashed (&r));
+  cr_expect_eq (ask_status (&r, 0, "/stream/x", "bad"), 503);
+  buf_free (&got);
+}
