Send nothing to a server that any node has found gone

The same class of fault as the request's own: each node found out by itself what another one knew.

Change: a server that was asked after runs had broken off there, and whose process is gone, gets nothing from this node for five seconds; its loads tell the others, who send nothing there while they are told, and the node that forms replicas, which then asks the replica's members, as after a stall. One that was there after all is used again.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4631,7 +4631,7 @@
   (ProtobufCMessageInit) lapis__place_prompt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[7] =
 {
   {
     "place",
@@ -4705,9 +4705,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__place_load__field_indices_by_name[] = {
   2,   /* field[2] = begun */
+  6,   /* field[6] = ended */
   3,   /* field[3] = heard_age_ms */
   1,   /* field[1] = in_flight */
   0,   /* field[0] = place */
@@ -4718,7 +4731,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lapis__place_load__descriptor =
 {
@@ -4728,7 +4741,7 @@
   "Lapis__PlaceLoad",
   "lapis",
   sizeof(Lapis__PlaceLoad),
-  6,
+  7,
   lapis__place_load__field_descriptors,
   lapis__place_load__field_indices_by_name,
   2,  lapis__place_load__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -817,10 +817,17 @@
    * of prompts to be read, but for those of
    */
   uint32_t unread_tokens;
+  /*
+   * a PromptNotice
+   */
+  /*
+   * its process was found gone
+   */
+  protobuf_c_boolean ended;
 };
 #define LAPIS__PLACE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__place_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -10,6 +10,11 @@
 
 /** Runs that break off at a place within this are of one cause. */
 #define BREAK_MS ((clk_ms)2000)
+/** A server whose process is gone gets nothing for so long: its entry has
+    lapsed by then, or it was there after all. */
+#define ENDED_MS ((clk_ms)5000)
+/** The same after another node's word, which comes again meanwhile. */
+#define TOLD_MS ((clk_ms)1500)
 
 /** The break that a run which breaks off now belongs to.  Of a server that
     lived, or could not be asked, the next one begins anew. */
@@ -76,6 +81,7 @@
 size_t
 dsp_checked (struct dsp *d, clk_ms now, uint64_t place, enum dsp_life life)
 {
+  struct dsp_server *s;
   struct dsp_break *b;
 
   d->now = now;
@@ -87,6 +93,9 @@
   if (life != DSP_LIFE_ENDED)
     return b->nruns;
   d->figures.servers_ended++;
+  s = dsp_find_place (d, place);
+  if (s)
+    s->ended_until = now + ENDED_MS;
   for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
     psn_hear (d->opt.poison, now, &b->runs[i]);
   return b->nruns;
@@ -98,6 +107,19 @@
   return d->opt.poison && psn_suspects (d->opt.poison, q->digest);
 }
 
+bool
+dsp_has_ended (const struct dsp *d, const struct dsp_server *s)
+{
+  return d->now < s->ended_until || d->now < s->told_ended_until;
+}
+
+void
+dsp_told_ended (struct dsp *d, struct dsp_server *s)
+{
+  if (s)
+    s->told_ended_until = d->now + TOLD_MS;
+}
+
 /** Whether its run may still be kept from beginning. */
 static bool
 may_stop (const struct dsp_req *q)
--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -120,13 +120,13 @@
 dsp_health_usable (const struct dsp *d, const struct dsp_server *s)
 {
   return s->listed && s->accepting && !s->stalled && !s->ejected_until
-         && d->now >= s->full_until;
+         && d->now >= s->full_until && !dsp_has_ended (d, s);
 }
 
 bool
 dsp_health_probe_due (const struct dsp *d, const struct dsp_server *s)
 {
-  if (!s->listed || !s->accepting || s->probing)
+  if (!s->listed || !s->accepting || s->probing || dsp_has_ended (d, s))
     return false;
   if (s->stalled)
     return d->now - s->stalled_at >= STALL_BACK_MS;
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -78,9 +78,12 @@
   clk_ms full_until;     /**< it said that it has no room */
   bool stalled;          /**< nothing moves there */
   clk_ms stalled_at;
-  unsigned bad_run; /**< failures in a row */
-  double errors;    /**< moving average of failures, 0 to 1 */
-  double slow_ms;   /**< moving average of the time to the first event */
+  clk_ms ended_until; /**< it gets nothing before, as this node has found its
+                           process gone */
+  clk_ms told_ended_until; /**< the same, as others tell */
+  unsigned bad_run;        /**< failures in a row */
+  double errors;           /**< moving average of failures, 0 to 1 */
+  double slow_ms; /**< moving average of the time to the first event */
   unsigned samples;
   clk_ms ejected_until; /**< 0: in */
   unsigned ejections;   /**< in a row, for the backoff */
@@ -230,6 +233,8 @@
 void dsp_pump (struct dsp *d, struct dsp_pool *p);
 
 /* dispatch-load.c */
+/** The place of that number, or NULL. */
+struct dsp_server *dsp_find_place (const struct dsp *d, uint64_t hash);
 /** Add up what the other nodes told, after places came or went. */
 void dsp_load_recount (struct dsp *d);
 /** Tokens of prompts that are to be read there, of all nodes. */
@@ -270,6 +275,10 @@
 /* dispatch-crash.c */
 /** The run of @p q has broken off at its server. */
 void dsp_run_broken (struct dsp *d, const struct dsp_req *q);
+/** Whether the process there is known to be gone. */
+bool dsp_has_ended (const struct dsp *d, const struct dsp_server *s);
+/** Another node has found it gone. */
+void dsp_told_ended (struct dsp *d, struct dsp_server *s);
 /** Whether @p q is not worth a further attempt, as it may crash servers. */
 bool dsp_suspects (const struct dsp *d, const struct dsp_req *q);
 
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -22,8 +22,8 @@
    that has room; set by hand, other spans were not measured. */
 #define NOTICE_MS ((clk_ms)250)
 
-static struct dsp_server *
-find_place (const struct dsp *d, uint64_t hash)
+struct dsp_server *
+dsp_find_place (const struct dsp *d, uint64_t hash)
 {
   for (size_t i = 0; i < d->npools; i++)
     for (size_t k = 0; k < d->pools[i]->n; k++)
@@ -44,7 +44,7 @@
   for (size_t i = 0; i < p->n; i++)
     {
       const struct dsp_count *c = &p->counts[i];
-      struct dsp_server *s = find_place (d, c->place);
+      struct dsp_server *s = dsp_find_place (d, c->place);
       if (!s)
         continue;
       s->others
@@ -111,6 +111,9 @@
   p->n = n;
   p->told_at = now;
   add_counts (d, p, true);
+  for (size_t i = 0; i < n; i++)
+    if (counts[i].ended)
+      dsp_told_ended (d, dsp_find_place (d, counts[i].place));
   dsp_pump_all (d);
 }
 
@@ -127,7 +130,8 @@
     for (size_t k = 0; k < d->pools[i]->n; k++)
       {
         const struct dsp_server *s = d->pools[i]->servers[k];
-        if (s->own || s->stalled)
+        bool ended = d->now < s->ended_until;
+        if (s->own || s->stalled || ended)
           d->own[(*n)++]
               = (struct dsp_count){ .place = s->hash,
                                     .in_flight = s->own,
@@ -135,7 +139,8 @@
                                     .unread
                                     = (uint32_t)(s->unread - s->noticed_own),
                                     .heard = s->heard,
-                                    .stalled = s->stalled };
+                                    .stalled = s->stalled,
+                                    .ended = ended };
       }
   return d->own;
 }
@@ -212,7 +217,7 @@
 static void
 count_notice (const struct dsp *d, const struct dsp_notice *n, bool add)
 {
-  struct dsp_server *s = find_place (d, n->place);
+  struct dsp_server *s = dsp_find_place (d, n->place);
 
   if (!s)
     return;
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -237,7 +237,8 @@
     {
       struct dsp_server *s = p->servers[i];
       if (!s->listed || !s->accepting || s->stalled || dsp_tried (q, s)
-          || d->now < s->full_until || taken (s) >= s->capacity)
+          || d->now < s->full_until || dsp_has_ended (d, s)
+          || taken (s) >= s->capacity)
         continue;
       if (!best || taken (s) < taken (best))
         best = s;
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -79,6 +79,7 @@
   clk_ms heard; /**< when the last event of any of them came, by the clock
                      of the node that is told */
   bool stalled; /**< nothing moves there, as far as this node sees */
+  bool ended;   /**< this node has found that its process is gone */
 };
 
 /** A long prompt that a node has just sent to a place. */
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -67,8 +67,9 @@
                                       .begun = pl->begun,
                                       .unread = pl->unread_tokens,
                                       .heard = now - pl->heard_age_ms,
-                                      .stalled = pl->stalled };
-      if (pl->stalled)
+                                      .stalled = pl->stalled,
+                                      .ended = pl->ended };
+      if (pl->stalled || pl->ended)
         srv_duty_stalled (s, pl->place);
     }
   return n;
@@ -168,6 +169,7 @@
       pl->heard_age_ms
           = (uint32_t)(now > counts[i].heard ? now - counts[i].heard : 0);
       pl->stalled = counts[i].stalled;
+      pl->ended = counts[i].ended;
       r->list[i] = pl;
     }
 }
@@ -235,7 +237,7 @@
         x->told_at = now;
     }
   for (size_t i = 0; i < p->nown; i++)
-    if (own[i].stalled)
+    if (own[i].stalled || own[i].ended)
       srv_duty_stalled (s, own[i].place);
   free_rows (&rows);
 }
@@ -296,6 +298,7 @@
       sum->list[k].begun += counts[i].begun;
       sum->list[k].unread += counts[i].unread;
       sum->list[k].stalled |= counts[i].stalled;
+      sum->list[k].ended |= counts[i].ended;
       if (counts[i].begun && counts[i].heard > sum->list[k].heard)
         sum->list[k].heard = counts[i].heard;
     }
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -175,6 +175,16 @@
   dsp_peer_load (b->d, b->now, 7, &c, 1);
 }
 
+static void
+told_ended (struct bench *b, const char *place)
+{
+  struct dsp_count c = { .place = dsp_place_hash (str_from (place), 0, 0),
+                         .heard = b->now,
+                         .ended = true };
+
+  dsp_peer_load (b->d, b->now, 8, &c, 1);
+}
+
 static void
 checked (struct bench *b, const char *place, enum dsp_life life)
 {
@@ -268,6 +278,8 @@
     others (b, x, (unsigned)atoi (y), (unsigned)atoi (z));
   else if (strcmp (word, "ask") == 0 || strcmp (word, "late") == 0)
     ask (b, (uint64_t)atoi (x), y, (uint64_t)atoi (z), word[0] == 'l');
+  else if (strcmp (word, "ended") == 0)
+    told_ended (b, x);
   else if (strcmp (word, "crashed") == 0)
     checked (b, x, DSP_LIFE_ENDED);
   else if (strcmp (word, "alive") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -2,14 +2,18 @@
  * @file
  * The request core of a node on a platform, driven by a script.
  *
- *   places NAME N CAPACITY   N places NAME1.. of service NAME, of that
- * capacity streams NAME N CAPACITY  the same with the model "m" closed PLACE
- * it gets nothing new nodes N                  nodes that share the budget of
- * repeats others PLACE N BEGUN     another node has N there, BEGUN of them
- * streams that had an event just now ask ID ROUTE [DIGEST]    a request; ROUTE
- * is stream, once or safe; DIGEST is a number, without it that of no other
- * request late ID ROUTE            the same from a caller that has waited its
- * goal before sent|failed|good|error|final|unrun|event|whole|broken|gone ID
+ *   places NAME N CAPACITY   N places NAME1.. of service NAME
+ *   streams NAME N CAPACITY  the same with the model "m"
+ *   closed PLACE             it gets nothing new
+ *   nodes N                  nodes that share the budget of repeats
+ *   others PLACE N BEGUN     another node has N there, BEGUN of them streams
+ *                            that had an event just now
+ *   ended PLACE              another node has found its process gone
+ *   ask ID ROUTE [DIGEST]    a request; ROUTE is stream, once or safe; DIGEST
+ *                            is a number, without it that of no other
+ *   late ID ROUTE            the same from a caller that has waited its goal
+ *                            before
+ *   sent|failed|good|error|final|unrun|event|whole|broken|gone ID
  *   crashed|alive|unknown PLACE   what a check of its server has found
  *   blocked DIGEST           servers crash when they run it
  *   busy MS ID               time passes, a tick comes when the core asks for
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -237,3 +237,24 @@
                  "cancel 2\nanswer 2 broken 502\n"
                  "end 1\n");
 }
+
+/* Guards against requests that are lost on connections to a server whose
+   process is known to be gone, until its entry lapses. */
+Test (dispatch, a_server_that_has_ended_gets_nothing)
+{
+  dispatch_play ("streams s 2 9\n ask 1 stream\n sent 1\n broken 1\n"
+                 "crashed s1\n ask 2 stream\n ask 3 stream\n ask 4 stream\n"
+                 "ask 5 stream\n ask 6 stream\n",
+                 "send 1 s1\ncheck s1\ncancel 1\nsend 1 s2\nsend 2 s2\n"
+                 "send 3 s2\nsend 4 s2\nsend 5 s2\nsend 6 s2\n");
+}
+
+/* Guards against the same at nodes that have not met it themselves. */
+Test (dispatch, a_server_that_others_found_gone_gets_nothing)
+{
+  dispatch_play ("streams s 2 9\n ended s1\n ask 1 stream\n ask 2 stream\n"
+                 "ask 3 stream\n ask 4 stream\n ask 5 stream\n run 1600\n"
+                 "ask 6 stream\n ask 7 stream\n",
+                 "send 1 s2\nsend 2 s2\nsend 3 s2\nsend 4 s2\nsend 5 s2\n"
+                 "send 6 s1\nsend 7 s1\n");
+}
--- a/t/t9207-poison.c
+++ b/t/t9207-poison.c
@@ -33,9 +33,9 @@
 Test (poison, a_bystander_in_three_crashes_is_served)
 {
   poison_play ("nodes 3\n"
-               "ran 1 b 1 300\n ran 2 p 1 -1\n run 300\n"
+               "ran 1 b 1 -1\n ran 2 p 1 -1\n run 300\n"
                "ran 1 b 2 30\n ran 3 p 2 -1\n run 300\n"
-               "ran 1 b 3 500\n ran 1 p 3 20\n run 500\n ask b\n ask p\n",
+               "ran 1 b 3 -1\n ran 1 p 3 -1\n run 500\n ask b\n ask p\n",
                "b ---\np BBB\n");
 }
 
@@ -80,6 +80,17 @@
                "b --\nc --\nb BB\nc BB\n");
 }
 
+/* Guards against a node that is no hub and blocks a bystander, as it has seen
+   that one's crashes alone. */
+Test (poison, who_has_not_heard_of_all_crashes_does_not_decide)
+{
+  poison_play ("hubs 6\n"
+               "ran 6 b 1 -1\n ran 5 p 1 -1\n run 300\n"
+               "ran 6 b 2 30\n ran 5 p 2 -1\n run 300\n"
+               "ran 6 b 3 -1\n ran 5 p 3 -1\n run 500\n ask b\n ask p\n",
+               "b ------\np BBBBBB\n");
+}
+
 /* Guards against a verdict that hangs on the hubs: a node that has lost them
    decides by itself. */
 Test (poison, a_node_without_hubs_decides_by_itself)
@@ -129,6 +140,16 @@
                "p BBB\np BBB\n");
 }
 
+/* Guards against a node that starts, is cut off, and has to see three crashes
+   of its own. */
+Test (poison, a_node_that_starts_is_told_of_crashes)
+{
+  poison_play ("nodes 3\n ran 2 p 1 -1\n ran 2 p 2 -1\n run 50\n restart 2\n"
+               "run 50\n cut 2 1\n cut 2 3\n ran 2 p 3 -1\n run 500\n"
+               "ask p\n",
+               "p -B-\n");
+}
+
 /* Guards against nodes that were all stopped: one that finds it in the store
    tells the others. */
 Test (poison, the_store_tells_after_all_have_stopped)
@@ -161,6 +182,12 @@
   psn_fleet_up (&f, 2, 0);
   for (uint64_t i = 0; i < 3; i++)
     psn_fleet_ran (&f, 0, 'p', 1 + i, PSN_NO_EVENT);
+  /* Another one is known from the store, without its crashes. */
+  psn_hear (f.node[0], f.now,
+            &(struct psn_news){ .word = PSN_BLOCKED,
+                                .digest = 's',
+                                .hold_ms = PSN_HOLD_MS,
+                                .wide = true });
   for (int i = 0; i < 50; i++)
     psn_fleet_step (&f);
   for (uint64_t i = 0; i < 10000; i++)
@@ -172,6 +199,7 @@
   for (int i = 0; i < 2; i++)
     {
       cr_expect (psn_refuses (f.node[i], f.now, 'p', &again_ms));
+      cr_expect (psn_refuses (f.node[i], f.now, 's', &again_ms));
       psn_all (f.node[i], f.now, &n);
       cr_expect_leq (n, PSN_MOST * 9);
     }
@@ -383,3 +411,13 @@
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
     play_day (seed);
 }
+
+/* Seeds that once failed: in the first two bystanders were blocked, in the
+   last a wrong verdict let it crash five more servers. */
+Test (poison, days_that_once_failed)
+{
+  static const uint64_t seeds[] = { 231, 287, 2406 };
+
+  for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
+    play_day (seeds[i]);
+}
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -269,3 +269,49 @@
   cr_expect_eq (ask_status (&r, 0, "/stream/x", "bad"), 503);
   buf_free (&got);
 }
+
+/* Guards against a verdict that is lost as nodes end and start in turn, while
+   the store is away half of the time. */
+Test (crash, nodes_restart_in_turn)
+{
+  struct rack r;
+
+  serve_crashing (&r);
+  until_blocked (&r);
+  for (int round = 0; round < 6; round++)
+    {
+      bool away = round % 2;
+      if (away)
+        rack_set (&r, "{\"store\": {\"refuse\": true}}");
+      stop_node (&r, round % RACK_NODES);
+      usleep (200000);
+      if (away)
+        rack_set (&r, "{\"store\": {\"refuse\": false}}");
+      rack_start_node (&r, round % RACK_NODES);
+      expect_refused (&r);
+    }
+}
+
+/* Guards against nodes that don't hear of it where not all are linked to each
+   other: the crashes are seen by three of those that are no hubs, or any. */
+Test (crash, many_nodes)
+{
+  struct rack r;
+
+  rack_up_many (&r, ENGINES, RACK_MOST, NULL);
+  rack_configure (&r, 1, "k1", "");
+  for (int i = 0; i < RACK_MOST; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i < RACK_MOST; i++)
+    cr_assert (rack_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  until_leaders (&r, REPLICAS);
+  rack_set (&r, "{\"crash_body\": \"bad\", \"crash_ms\": 10}");
+  for (int i = 0; i < RACK_MOST; i++)
+    {
+      ask_status (&r, i, "/stream/x", "bad");
+      usleep (SPREAD_US);
+    }
+  cr_expect_eq (count_crashed (&r), 3, "%d ended", count_crashed (&r));
+  for (int i = 0; i < RACK_MOST; i++)
+    cr_expect_eq (ask_status (&r, i, "/stream/x", "bad"), 503, "node %d", i);
+}
