Keep a block when its key goes early, and let a word in the store lift it

A key of the store that went before its lease was nearly over counted as lifted: a store that ends leases early would have let a request that crashes servers run again at all nodes at once.

Change: a key that goes is written again by whoever still refuses the request; a block is lifted by a key that says so, which also serves operators. An error as a whole answer no longer clears a request: a server at which it waited in vain gives one too, and the run has not begun.

Tests: t9305 the_store_loses_leases_and_operators_lift_a_block, t9201 an_error_does_not_clear_a_suspect (red without the change).

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -145,6 +145,7 @@
   bool unread;  /**< its prompt is counted in its server's unread */
   bool noticed; /**< and in its noticed_own */
   bool unbegun; /**< sent, and without a first event */
+  bool error;   /**< the current attempt's answer is an error */
   uint64_t tried[DSP_TRIED];
   unsigned ntried;
 };
--- a/serve/dispatch-wait.c
+++ b/serve/dispatch-wait.c
@@ -105,7 +105,7 @@
   dsp_step (q, DSP_X_CONNECT);
   q->server = s;
   q->attempt++;
-  q->begun = false;
+  q->begun = q->error = false;
   s->own++;
   dsp_prompt_sent (d, q);
   if (s->ejected_until || s->stalled)
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -422,6 +422,7 @@
       on_unrun (d, q);
       break;
     case DSP_HEAD_ERROR:
+      q->error = true;
       dsp_health_bad (d, q->server);
       /* An error in place of the rest of a stream is no part of it. */
       if (q->passing || (q->repeatable && q->sends < q->route->max_attempts))
@@ -481,7 +482,8 @@
       dsp_health_begun (d, q->server, now - q->sent_at);
     }
   dsp_health_good (d, q->server);
-  if (d->opt.poison)
+  /* An error may come before the run has begun. */
+  if (d->opt.poison && !q->error)
     psn_completed (d->opt.poison, now, q->digest);
   ms = (double)(now - q->sent_at);
   q->pool->run_ms += (q->pool->run_ms > 0 ? 0.05 : 1) * (ms - q->pool->run_ms);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -179,8 +179,9 @@
 /* poison-store.c: those that are blocked, in the store */
 void srv_poison_store_start (struct srv *s);
 void srv_poison_store_tick (struct srv *s, clk_ms now);
-/** It is blocked from now on, or no longer. */
-void srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest);
+/** It is blocked from now on, or has been cleared. */
+void srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest,
+                         bool blocked);
 /** The store has this item below the prefix of blocked requests, or has it no
     longer. @param name  of the key, behind that prefix */
 void srv_poison_item (struct srv *s, bool deleted, struct str name,
--- a/serve/poison-node.c
+++ b/serve/poison-node.c
@@ -17,12 +17,12 @@
       LOG (request_blocked, LOG_C ("digest", digest),
            LOG_I ("hold_ms", news->hold_ms));
       dsp_blocked (s->dispatch, now, news->digest);
-      srv_poison_changed (s, now, news->digest);
+      srv_poison_changed (s, now, news->digest, true);
       break;
     case PSN_CLEARED:
       if (news->wide)
         LOG (request_unblocked, LOG_C ("digest", digest));
-      srv_poison_changed (s, now, news->digest);
+      srv_poison_changed (s, now, news->digest, false);
       break;
     case PSN_RAN:
     case PSN_CHARGED:
--- a/serve/poison-store.c
+++ b/serve/poison-store.c
@@ -9,19 +9,21 @@
  * block: nodes that have all been stopped find them there, and so do nodes
  * that are cut off from each other.
  *
- *   blocked/DIGEST  {"until": Unix ms}
+ *   blocked/DIGEST  {"until": Unix ms}, or {"cleared": true}
  *
- * The first node in the order of hubs writes and removes these keys; each of
- * the others does so only if those before it have not.
+ * The first node in the order of hubs writes these keys; each of the others
+ * does so only if those before it have not.  A key that goes says nothing: its
+ * lease may have ended early, and whoever still refuses the request writes it
+ * again.
  */
 
 #define TURN_MS ((clk_ms)150)
 #define AGAIN_MS ((clk_ms)1000)
 /** Keys that are written within this share a lease. */
 #define SHARE_LEASE_MS ((clk_ms)30000)
-/** A key that goes when its lease is nearly over has lapsed; one that goes
-    before was removed. */
-#define LAPSE_MS (SHARE_LEASE_MS + 10 * CLK_SECOND)
+/** How long a key says that its request was cleared: until all nodes that
+    reach the store have seen it. */
+#define CLEARED_MS ((clk_ms)30000)
 /** Keys that are kept track of. */
 #define KEYS_MOST 256
 
@@ -29,9 +31,9 @@
 struct blocked_key
 {
   uint64_t digest;
-  bool stored;
-  clk_ms stored_at;
-  clk_ms due; /**< no call about it before */
+  bool stored;  /**< as blocked */
+  bool cleared; /**< the store is to say so */
+  clk_ms due;   /**< no call about it before */
 };
 
 struct srv_poison
@@ -43,7 +45,7 @@
   clk_ms granted_at;
   bool calling;
   uint64_t digest; /**< that the call is about */
-  bool storing;    /**< else it is removed */
+  bool storing;    /**< as blocked, else as cleared */
   struct buf key;
 };
 
@@ -75,46 +77,50 @@
 }
 
 void
-srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest)
+srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest, bool blocked)
 {
-  struct blocked_key *b = key_of (s->poison_keys, digest);
+  struct srv_poison *k = s->poison_keys;
+  struct blocked_key *b = blocked ? key_of (k, digest) : find (k, digest);
 
-  if (b)
-    b->due = now + turn_ms (s);
+  if (!b)
+    return;
+  b->cleared = !blocked;
+  b->due = now + turn_ms (s);
 }
 
 /* --- what the store has -------------------------------------------------- */
 
-static clk_ms
-hold_of (struct str value)
+static void
+hear_blocked (struct srv_poison *k, clk_ms now, uint64_t digest, clk_ms hold)
 {
-  struct json_object *o = jsn_parse (value);
-  clk_ms hold = jsn_int (o, "until") - clk_wall ();
+  struct blocked_key *b = key_of (k, digest);
 
-  json_object_put (o);
-  return hold < PSN_HOLD_MS ? hold : PSN_HOLD_MS;
+  if (b)
+    b->stored = true;
+  if (hold <= 0)
+    return;
+  psn_hear (
+      k->s->poison, now,
+      &(struct psn_news){ .word = PSN_BLOCKED,
+                          .digest = digest,
+                          .hold_ms = hold < PSN_HOLD_MS ? hold : PSN_HOLD_MS,
+                          .wide = true });
 }
 
 static void
-on_stored (struct srv_poison *k, clk_ms now, uint64_t digest, clk_ms hold)
+hear_cleared (struct srv_poison *k, clk_ms now, uint64_t digest)
 {
-  struct blocked_key *b = key_of (k, digest);
+  struct blocked_key *b = find (k, digest);
 
   if (b)
-    {
-      b->stored = true;
-      b->stored_at = now;
-    }
-  if (hold > 0)
-    psn_hear (k->s->poison, now,
-              &(struct psn_news){ .word = PSN_BLOCKED,
-                                  .digest = digest,
-                                  .hold_ms = hold,
-                                  .wide = true });
+    b->stored = b->cleared = false;
+  psn_hear (k->s->poison, now,
+            &(struct psn_news){
+                .word = PSN_CLEARED, .digest = digest, .wide = true });
 }
 
 static void
-on_gone (struct srv_poison *k, clk_ms now, uint64_t digest)
+hear_gone (struct srv_poison *k, clk_ms now, uint64_t digest)
 {
   struct blocked_key *b = find (k, digest);
 
@@ -122,10 +128,19 @@
     return;
   b->stored = false;
   b->due = now + turn_ms (k->s);
-  if (now - b->stored_at < PSN_HOLD_MS - LAPSE_MS)
-    psn_hear (k->s->poison, now,
-              &(struct psn_news){
-                  .word = PSN_CLEARED, .digest = digest, .wide = true });
+}
+
+static void
+hear_value (struct srv_poison *k, clk_ms now, uint64_t digest,
+            struct str value)
+{
+  struct json_object *o = jsn_parse (value);
+
+  if (jsn_bool (o, "cleared"))
+    hear_cleared (k, now, digest);
+  else
+    hear_blocked (k, now, digest, jsn_int (o, "until") - clk_wall ());
+  json_object_put (o);
 }
 
 void
@@ -142,9 +157,9 @@
   for (size_t i = 0; i < sizeof bytes; i++)
     digest = digest << 8 | bytes[i];
   if (deleted)
-    on_gone (k, now, digest);
+    hear_gone (k, now, digest);
   else
-    on_stored (k, now, digest, hold_of (value));
+    hear_value (k, now, digest, value);
   srv_poison_act (s);
 }
 
@@ -174,7 +189,7 @@
   if (b && status == STORE_OK)
     {
       b->stored = k->storing;
-      b->stored_at = now;
+      b->cleared = b->cleared && k->storing;
     }
   else if (b)
     b->due = now + AGAIN_MS;
@@ -188,26 +203,18 @@
 }
 
 static void
-write_key (struct srv_poison *k)
+write_key (struct srv_poison *k, int64_t lease)
 {
   struct buf value = BUF_INIT;
-  struct str key = buf_str (&k->key);
-  struct store_put put = { .key = key, .lease = k->lease };
-  struct store_txn txn = { 0 };
+  struct store_put put = { .key = buf_str (&k->key), .lease = lease };
+  struct store_txn txn = { .puts = &put, .nputs = 1 };
   clk_ms until = clk_wall () + PSN_HOLD_MS;
 
-  buf_addf (&value, "{\"until\":%lld}", (long long)until);
-  put.value = buf_str (&value);
   if (k->storing)
-    {
-      txn.puts = &put;
-      txn.nputs = 1;
-    }
+    buf_addf (&value, "{\"until\":%lld}", (long long)until);
   else
-    {
-      txn.deletes = &key;
-      txn.ndeletes = 1;
-    }
+    buf_add_c (&value, "{\"cleared\":true}");
+  put.value = buf_str (&value);
   store_txn (k->s->store, STORE_ROSTER, &txn, on_written, k);
   buf_free (&value);
 }
@@ -222,9 +229,12 @@
       call_ended (k, r->status);
       return;
     }
-  k->lease = r->lease;
-  k->granted_at = clk_now ();
-  write_key (k);
+  if (k->storing)
+    {
+      k->lease = r->lease;
+      k->granted_at = clk_now ();
+    }
+  write_key (k, r->lease);
 }
 
 static void
@@ -232,15 +242,16 @@
 {
   k->calling = true;
   k->digest = b->digest;
-  k->storing = !b->stored;
+  k->storing = !b->cleared;
   buf_clear (&k->key);
   buf_addf (&k->key, "%sblocked/%016llx", k->s->ad->own_prefix,
             (unsigned long long)b->digest);
   pau_called (&k->s->store_pause);
-  if (k->storing && (!k->lease || now - k->granted_at > SHARE_LEASE_MS))
-    store_lease_grant (k->s->store, PSN_HOLD_MS, on_granted, k);
+  if (k->storing && k->lease && now - k->granted_at < SHARE_LEASE_MS)
+    write_key (k, k->lease);
   else
-    write_key (k);
+    store_lease_grant (k->s->store, k->storing ? PSN_HOLD_MS : CLEARED_MS,
+                       on_granted, k);
 }
 
 void
@@ -255,12 +266,13 @@
     {
       struct blocked_key *b = &k->keys[i];
       bool blocked = psn_is_blocked (s->poison, b->digest);
-      if (blocked != b->stored && now >= b->due)
+      bool lacks = b->cleared ? b->stored : blocked && !b->stored;
+      if (lacks && now >= b->due)
         {
           begin_call (k, now, b);
           return;
         }
-      if (!blocked && !b->stored)
+      if (!lacks && !blocked && !b->stored)
         *b = k->keys[--k->n];
     }
 }
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -258,3 +258,19 @@
                  "send 1 s2\nsend 2 s2\nsend 3 s2\nsend 4 s2\nsend 5 s2\n"
                  "send 6 s1\nsend 7 s1\n");
 }
+
+/* Guards against an error, as of a server at which the request waited in vain,
+   that clears a request which crashes servers. */
+Test (dispatch, an_error_does_not_clear_a_suspect)
+{
+  dispatch_play ("places p 5 4\n"
+                 "ask 1 safe 7\n sent 1\n broken 1\n crashed p3\n"
+                 "closed p3\n sent 1\n broken 1\n crashed p5\n closed p5\n"
+                 "ask 2 once 7\n sent 2\n error 2\n whole 2\n"
+                 "ask 3 once 7\n sent 3\n broken 3\n crashed p1\n"
+                 "run 400\n ask 4 once 7\n",
+                 "send 1 p3\ncheck p3\ncancel 1\nsend 1 p5\ncheck p5\n"
+                 "cancel 1\nanswer 1 broken 502\nsend 2 p1\nend 2\n"
+                 "send 3 p1\ncheck p1\ncancel 3\nanswer 3 broken 502\n"
+                 "answer 4 crashes-servers 503\n");
+}
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/json.h"
+#include "platform/names.h"
 #include "t/lib-rack.h"
 
 TestSuite (crash, .fini = proc_stop_all, .timeout = 120);
@@ -204,6 +205,60 @@
     }
 }
 
+/** The key of the blocked request, below the project's prefix. */
+static void
+find_blocked_key (const struct rack *r, char *key, size_t size)
+{
+  struct web_answer a = { 0 };
+  struct json_object *o;
+  size_t n = 0;
+
+  for (int i = 0; i < 100 && n == 0; i++)
+    {
+      web_call (r->at, "GET",
+                PLT_KV_RANGE "?prefix=" PLT_PREFIX_OWN "blocked/", NULL, NULL,
+                &a);
+      o = jsn_parse (buf_str (&a.body));
+      struct json_object *items = jsn_array (o, "items", &n);
+      if (n > 0)
+        snprintf (key, size, "%s",
+                  jsn_text (json_object_array_get_idx (items, 0), "key"));
+      json_object_put (o);
+      web_free (&a);
+      usleep (50000);
+    }
+  cr_assert_gt (n, 0);
+}
+
+/* Guards against a block that goes with a lease that the store has ended
+   early, and against one that operators can't end. */
+Test (crash, the_store_loses_leases_and_operators_lift_a_block)
+{
+  struct rack r;
+  struct web_answer a = { 0 };
+  char key[128], text[256];
+
+  serve_crashing (&r);
+  until_blocked (&r);
+  find_blocked_key (&r, key, sizeof key);
+  rack_set (&r, "{\"store\": {\"lapse\": true}}");
+  usleep (500000);
+  expect_refused (&r);
+  find_blocked_key (&r, key, sizeof key);
+  rack_set (&r, "{\"crash_body\": \"none\"}");
+  /* {"cleared":true} */
+  snprintf (text, sizeof text,
+            "{\"expected\":[],\"writes\":[{\"key\":\"%s\",\"value\":"
+            "\"eyJjbGVhcmVkIjp0cnVlfQ==\",\"lease\":0}],\"remove\":[]}",
+            key);
+  cr_assert (web_call (r.at, "POST", PLT_KV_TXN, NULL, text, &a));
+  cr_assert_eq (a.status, 200, "%s", buf_c (&a.body));
+  web_free (&a);
+  usleep (1500000);
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_expect_eq (ask_status (&r, i, "/stream/x", "bad"), 200);
+}
+
 #define BYSTANDERS 12
 
 /* Guards against the refusal of streams that were running at the servers that
