--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1537,94 +1537,94 @@
   assert(message->base.descriptor == &lapis__server_entry__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   lapis__poison_news__init
-                     (Lapis__PoisonNews         *message)
+void   lapis__poison_updates__init
+                     (Lapis__PoisonUpdates         *message)
 {
-  static const Lapis__PoisonNews init_value = LAPIS__POISON_NEWS__INIT;
+  static const Lapis__PoisonUpdates init_value = LAPIS__POISON_UPDATES__INIT;
   *message = init_value;
 }
-size_t lapis__poison_news__get_packed_size
-                     (const Lapis__PoisonNews *message)
+size_t lapis__poison_updates__get_packed_size
+                     (const Lapis__PoisonUpdates *message)
 {
-  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  assert(message->base.descriptor == &lapis__poison_updates__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t lapis__poison_news__pack
-                     (const Lapis__PoisonNews *message,
+size_t lapis__poison_updates__pack
+                     (const Lapis__PoisonUpdates *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  assert(message->base.descriptor == &lapis__poison_updates__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t lapis__poison_news__pack_to_buffer
-                     (const Lapis__PoisonNews *message,
+size_t lapis__poison_updates__pack_to_buffer
+                     (const Lapis__PoisonUpdates *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  assert(message->base.descriptor == &lapis__poison_updates__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Lapis__PoisonNews *
-       lapis__poison_news__unpack
+Lapis__PoisonUpdates *
+       lapis__poison_updates__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Lapis__PoisonNews *)
-     protobuf_c_message_unpack (&lapis__poison_news__descriptor,
+  return (Lapis__PoisonUpdates *)
+     protobuf_c_message_unpack (&lapis__poison_updates__descriptor,
                                 allocator, len, data);
 }
-void   lapis__poison_news__free_unpacked
-                     (Lapis__PoisonNews *message,
+void   lapis__poison_updates__free_unpacked
+                     (Lapis__PoisonUpdates *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &lapis__poison_news__descriptor);
+  assert(message->base.descriptor == &lapis__poison_updates__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   lapis__poison_item__init
-                     (Lapis__PoisonItem         *message)
+void   lapis__poison_update__init
+                     (Lapis__PoisonUpdate         *message)
 {
-  static const Lapis__PoisonItem init_value = LAPIS__POISON_ITEM__INIT;
+  static const Lapis__PoisonUpdate init_value = LAPIS__POISON_UPDATE__INIT;
   *message = init_value;
 }
-size_t lapis__poison_item__get_packed_size
-                     (const Lapis__PoisonItem *message)
+size_t lapis__poison_update__get_packed_size
+                     (const Lapis__PoisonUpdate *message)
 {
-  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  assert(message->base.descriptor == &lapis__poison_update__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t lapis__poison_item__pack
-                     (const Lapis__PoisonItem *message,
+size_t lapis__poison_update__pack
+                     (const Lapis__PoisonUpdate *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  assert(message->base.descriptor == &lapis__poison_update__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t lapis__poison_item__pack_to_buffer
-                     (const Lapis__PoisonItem *message,
+size_t lapis__poison_update__pack_to_buffer
+                     (const Lapis__PoisonUpdate *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  assert(message->base.descriptor == &lapis__poison_update__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Lapis__PoisonItem *
-       lapis__poison_item__unpack
+Lapis__PoisonUpdate *
+       lapis__poison_update__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Lapis__PoisonItem *)
-     protobuf_c_message_unpack (&lapis__poison_item__descriptor,
+  return (Lapis__PoisonUpdate *)
+     protobuf_c_message_unpack (&lapis__poison_update__descriptor,
                                 allocator, len, data);
 }
-void   lapis__poison_item__free_unpacked
-                     (Lapis__PoisonItem *message,
+void   lapis__poison_update__free_unpacked
+                     (Lapis__PoisonUpdate *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &lapis__poison_item__descriptor);
+  assert(message->base.descriptor == &lapis__poison_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[26] =
@@ -1930,13 +1930,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "poison_news",
+    "poison_updates",
     26,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Lapis__Frame, body_case),
-    offsetof(Lapis__Frame, poison_news),
-    &lapis__poison_news__descriptor,
+    offsetof(Lapis__Frame, poison_updates),
+    &lapis__poison_updates__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1957,7 +1957,7 @@
   0,   /* field[0] = hello */
   23,   /* field[23] = node_list */
   19,   /* field[19] = node_load */
-  25,   /* field[25] = poison_news */
+  25,   /* field[25] = poison_updates */
   22,   /* field[22] = prompt_notice */
   2,   /* field[2] = report */
   20,   /* field[20] = server_list */
@@ -5021,53 +5021,53 @@
   (ProtobufCMessageInit) lapis__server_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__poison_news__field_descriptors[1] =
+static const ProtobufCFieldDescriptor lapis__poison_updates__field_descriptors[1] =
 {
   {
-    "items",
+    "updates",
     1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Lapis__PoisonNews, n_items),
-    offsetof(Lapis__PoisonNews, items),
-    &lapis__poison_item__descriptor,
+    offsetof(Lapis__PoisonUpdates, n_updates),
+    offsetof(Lapis__PoisonUpdates, updates),
+    &lapis__poison_update__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned lapis__poison_news__field_indices_by_name[] = {
-  0,   /* field[0] = items */
+static const unsigned lapis__poison_updates__field_indices_by_name[] = {
+  0,   /* field[0] = updates */
 };
-static const ProtobufCIntRange lapis__poison_news__number_ranges[1 + 1] =
+static const ProtobufCIntRange lapis__poison_updates__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor lapis__poison_news__descriptor =
+const ProtobufCMessageDescriptor lapis__poison_updates__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lapis.PoisonNews",
-  "PoisonNews",
-  "Lapis__PoisonNews",
+  "lapis.PoisonUpdates",
+  "PoisonUpdates",
+  "Lapis__PoisonUpdates",
   "lapis",
-  sizeof(Lapis__PoisonNews),
+  sizeof(Lapis__PoisonUpdates),
   1,
-  lapis__poison_news__field_descriptors,
-  lapis__poison_news__field_indices_by_name,
-  1,  lapis__poison_news__number_ranges,
-  (ProtobufCMessageInit) lapis__poison_news__init,
+  lapis__poison_updates__field_descriptors,
+  lapis__poison_updates__field_indices_by_name,
+  1,  lapis__poison_updates__number_ranges,
+  (ProtobufCMessageInit) lapis__poison_updates__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__poison_item__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lapis__poison_update__field_descriptors[6] =
 {
   {
-    "word",
+    "kind",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Lapis__PoisonItem, word),
+    offsetof(Lapis__PoisonUpdate, kind),
     NULL,
     NULL,
     0,             /* flags */
@@ -5079,7 +5079,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Lapis__PoisonItem, digest),
+    offsetof(Lapis__PoisonUpdate, digest),
     NULL,
     NULL,
     0,             /* flags */
@@ -5091,7 +5091,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Lapis__PoisonItem, place),
+    offsetof(Lapis__PoisonUpdate, place),
     NULL,
     NULL,
     0,             /* flags */
@@ -5103,7 +5103,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_SINT64,
     0,   /* quantifier_offset */
-    offsetof(Lapis__PoisonItem, ran_ms),
+    offsetof(Lapis__PoisonUpdate, ran_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -5115,51 +5115,51 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Lapis__PoisonItem, hold_ms),
+    offsetof(Lapis__PoisonUpdate, hold_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wide",
+    "broadcast",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Lapis__PoisonItem, wide),
+    offsetof(Lapis__PoisonUpdate, broadcast),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned lapis__poison_item__field_indices_by_name[] = {
+static const unsigned lapis__poison_update__field_indices_by_name[] = {
+  5,   /* field[5] = broadcast */
   1,   /* field[1] = digest */
   4,   /* field[4] = hold_ms */
+  0,   /* field[0] = kind */
   2,   /* field[2] = place */
   3,   /* field[3] = ran_ms */
-  5,   /* field[5] = wide */
-  0,   /* field[0] = word */
 };
-static const ProtobufCIntRange lapis__poison_item__number_ranges[1 + 1] =
+static const ProtobufCIntRange lapis__poison_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 6 }
 };
-const ProtobufCMessageDescriptor lapis__poison_item__descriptor =
+const ProtobufCMessageDescriptor lapis__poison_update__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lapis.PoisonItem",
-  "PoisonItem",
-  "Lapis__PoisonItem",
+  "lapis.PoisonUpdate",
+  "PoisonUpdate",
+  "Lapis__PoisonUpdate",
   "lapis",
-  sizeof(Lapis__PoisonItem),
+  sizeof(Lapis__PoisonUpdate),
   6,
-  lapis__poison_item__field_descriptors,
-  lapis__poison_item__field_indices_by_name,
-  1,  lapis__poison_item__number_ranges,
-  (ProtobufCMessageInit) lapis__poison_item__init,
+  lapis__poison_update__field_descriptors,
+  lapis__poison_update__field_indices_by_name,
+  1,  lapis__poison_update__number_ranges,
+  (ProtobufCMessageInit) lapis__poison_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCEnumValue lapis__slot_kind__enum_values_by_number[4] =
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -49,8 +49,8 @@
 typedef struct Lapis__PlaceLoad Lapis__PlaceLoad;
 typedef struct Lapis__ServerList Lapis__ServerList;
 typedef struct Lapis__ServerEntry Lapis__ServerEntry;
-typedef struct Lapis__PoisonNews Lapis__PoisonNews;
-typedef struct Lapis__PoisonItem Lapis__PoisonItem;
+typedef struct Lapis__PoisonUpdates Lapis__PoisonUpdates;
+typedef struct Lapis__PoisonUpdate Lapis__PoisonUpdate;
 
 
 /* --- enums --- */
@@ -101,7 +101,7 @@
   LAPIS__FRAME__BODY_PROMPT_NOTICE = 23,
   LAPIS__FRAME__BODY_NODE_LIST = 24,
   LAPIS__FRAME__BODY_CONFIG_TEXT = 25,
-  LAPIS__FRAME__BODY_POISON_NEWS = 26
+  LAPIS__FRAME__BODY_POISON_UPDATES = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -135,7 +135,7 @@
     Lapis__PromptNotice *prompt_notice;
     Lapis__NodeList *node_list;
     Lapis__ConfigText *config_text;
-    Lapis__PoisonNews *poison_news;
+    Lapis__PoisonUpdates *poison_updates;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -891,24 +891,24 @@
  * What a node has found out of requests that crash backend servers, to those
  * that it is linked to.
  */
-struct  Lapis__PoisonNews
+struct  Lapis__PoisonUpdates
 {
   ProtobufCMessage base;
-  size_t n_items;
-  Lapis__PoisonItem **items;
+  size_t n_updates;
+  Lapis__PoisonUpdate **updates;
 };
-#define LAPIS__POISON_NEWS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_news__descriptor) \
+#define LAPIS__POISON_UPDATES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_updates__descriptor) \
     , 0,NULL }
 
 
-struct  Lapis__PoisonItem
+struct  Lapis__PoisonUpdate
 {
   ProtobufCMessage base;
   /*
-   * enum psn_word
+   * enum psn_kind
    */
-  uint32_t word;
+  uint32_t kind;
   /*
    * of the request
    */
@@ -922,10 +922,10 @@
   /*
    * all nodes need it
    */
-  protobuf_c_boolean wide;
+  protobuf_c_boolean broadcast;
 };
-#define LAPIS__POISON_ITEM__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_item__descriptor) \
+#define LAPIS__POISON_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_update__descriptor) \
     , 0, 0, 0, 0, 0, 0 }
 
 
@@ -1575,43 +1575,43 @@
 void   lapis__server_entry__free_unpacked
                      (Lapis__ServerEntry *message,
                       ProtobufCAllocator *allocator);
-/* Lapis__PoisonNews methods */
-void   lapis__poison_news__init
-                     (Lapis__PoisonNews         *message);
-size_t lapis__poison_news__get_packed_size
-                     (const Lapis__PoisonNews   *message);
-size_t lapis__poison_news__pack
-                     (const Lapis__PoisonNews   *message,
+/* Lapis__PoisonUpdates methods */
+void   lapis__poison_updates__init
+                     (Lapis__PoisonUpdates         *message);
+size_t lapis__poison_updates__get_packed_size
+                     (const Lapis__PoisonUpdates   *message);
+size_t lapis__poison_updates__pack
+                     (const Lapis__PoisonUpdates   *message,
                       uint8_t             *out);
-size_t lapis__poison_news__pack_to_buffer
-                     (const Lapis__PoisonNews   *message,
+size_t lapis__poison_updates__pack_to_buffer
+                     (const Lapis__PoisonUpdates   *message,
                       ProtobufCBuffer     *buffer);
-Lapis__PoisonNews *
-       lapis__poison_news__unpack
+Lapis__PoisonUpdates *
+       lapis__poison_updates__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   lapis__poison_news__free_unpacked
-                     (Lapis__PoisonNews *message,
+void   lapis__poison_updates__free_unpacked
+                     (Lapis__PoisonUpdates *message,
                       ProtobufCAllocator *allocator);
-/* Lapis__PoisonItem methods */
-void   lapis__poison_item__init
-                     (Lapis__PoisonItem         *message);
-size_t lapis__poison_item__get_packed_size
-                     (const Lapis__PoisonItem   *message);
-size_t lapis__poison_item__pack
-                     (const Lapis__PoisonItem   *message,
+/* Lapis__PoisonUpdate methods */
+void   lapis__poison_update__init
+                     (Lapis__PoisonUpdate         *message);
+size_t lapis__poison_update__get_packed_size
+                     (const Lapis__PoisonUpdate   *message);
+size_t lapis__poison_update__pack
+                     (const Lapis__PoisonUpdate   *message,
                       uint8_t             *out);
-size_t lapis__poison_item__pack_to_buffer
-                     (const Lapis__PoisonItem   *message,
+size_t lapis__poison_update__pack_to_buffer
+                     (const Lapis__PoisonUpdate   *message,
                       ProtobufCBuffer     *buffer);
-Lapis__PoisonItem *
-       lapis__poison_item__unpack
+Lapis__PoisonUpdate *
+       lapis__poison_update__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   lapis__poison_item__free_unpacked
-                     (Lapis__PoisonItem *message,
+void   lapis__poison_update__free_unpacked
+                     (Lapis__PoisonUpdate *message,
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
@@ -1717,11 +1717,11 @@
 typedef void (*Lapis__ServerEntry_Closure)
                  (const Lapis__ServerEntry *message,
                   void *closure_data);
-typedef void (*Lapis__PoisonNews_Closure)
-                 (const Lapis__PoisonNews *message,
+typedef void (*Lapis__PoisonUpdates_Closure)
+                 (const Lapis__PoisonUpdates *message,
                   void *closure_data);
-typedef void (*Lapis__PoisonItem_Closure)
-                 (const Lapis__PoisonItem *message,
+typedef void (*Lapis__PoisonUpdate_Closure)
+                 (const Lapis__PoisonUpdate *message,
                   void *closure_data);
 
 /* --- services --- */
@@ -1764,8 +1764,8 @@
 extern const ProtobufCMessageDescriptor lapis__place_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__server_list__descriptor;
 extern const ProtobufCMessageDescriptor lapis__server_entry__descriptor;
-extern const ProtobufCMessageDescriptor lapis__poison_news__descriptor;
-extern const ProtobufCMessageDescriptor lapis__poison_item__descriptor;
+extern const ProtobufCMessageDescriptor lapis__poison_updates__descriptor;
+extern const ProtobufCMessageDescriptor lapis__poison_update__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/check.c
+++ b/serve/check.c
@@ -39,14 +39,14 @@
 {
 }
 
-static enum dsp_life
-life_of (const struct check *c, enum httpc_end end, clk_ms ms)
+static enum dsp_liveness
+liveness_of (const struct check *c, enum httpc_end end, clk_ms ms)
 {
   if (c->status)
-    return c->status == STATUS_MISDIRECTED ? DSP_LIFE_ENDED : DSP_LIFE_ALIVE;
+    return c->status == STATUS_MISDIRECTED ? DSP_ENDED : DSP_ALIVE;
   if (end == HTTPC_CONNECT_FAILED && ms < CONNECT_MS)
-    return DSP_LIFE_ENDED;
-  return DSP_LIFE_UNKNOWN;
+    return DSP_ENDED;
+  return DSP_UNREACHABLE;
 }
 
 static void
@@ -55,11 +55,11 @@
   struct check *c = ctx;
   struct srv *s = c->s;
   clk_ms now = clk_now ();
-  enum dsp_life life = life_of (c, end, now - c->since);
-  size_t runs = dsp_checked (s->dispatch, now, c->place, life);
+  enum dsp_liveness found = liveness_of (c, end, now - c->since);
+  size_t runs = dsp_checked (s->dispatch, now, c->place, found);
 
   LOG (server_checked, LOG_C ("server", c->server),
-       LOG_C ("life", dsp_life_name (life)), LOG_I ("runs", runs),
+       LOG_C ("process", dsp_liveness_name (found)), LOG_I ("runs", runs),
        LOG_I ("ms", now - c->since));
   free (c->server);
   free (c);
--- /dev/null
+++ b/serve/dispatch-code.c
@@ -0,0 +1,37 @@
+#include "serve/dispatch-int.h"
+
+static const struct
+{
+  const char *name;
+  int status;
+} codes[] = { [DSP_NONE] = { "none", 200 },
+              [DSP_NO_SERVER] = { "no-server", 503 },
+              [DSP_OVERLOAD] = { "overload", 503 },
+              [DSP_UNRUN] = { "refused", 503 },
+              [DSP_CONNECT] = { "no-connection", 503 },
+              [DSP_LEAVING] = { "leaving", 503 },
+              [DSP_POISON] = { "crashes-servers", 503 },
+              [DSP_BROKEN] = { "broken", 502 },
+              [DSP_DEADLINE] = { "deadline", 504 } };
+
+const char *
+dsp_liveness_name (enum dsp_liveness found)
+{
+  static const char *const names[] = {
+    [DSP_UNREACHABLE] = "unknown", [DSP_ALIVE] = "alive", [DSP_ENDED] = "ended"
+  };
+
+  return names[found];
+}
+
+const char *
+dsp_code_name (enum dsp_code c)
+{
+  return codes[c].name;
+}
+
+int
+dsp_code_status (enum dsp_code c)
+{
+  return codes[c].status;
+}
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -13,8 +13,8 @@
 /** A server whose process is gone gets nothing for so long: its entry has
     lapsed by then, or it was there after all. */
 #define ENDED_MS ((clk_ms)5000)
-/** The same after another node's word, which comes again meanwhile. */
-#define TOLD_MS ((clk_ms)1500)
+/** The same when another node reports it, as it does again meanwhile. */
+#define REPORTED_MS ((clk_ms)1500)
 
 /** The break that a run which breaks off now belongs to.  Of a server that
     lived, or could not be asked, the next one begins anew. */
@@ -25,7 +25,7 @@
     {
       struct dsp_break *b = &d->breaks[i];
       if (b->place == place && d->now - b->at < BREAK_MS
-          && (!b->checked || b->life == DSP_LIFE_ENDED))
+          && (!b->checked || b->found == DSP_ENDED))
         return b;
     }
   return NULL;
@@ -60,8 +60,8 @@
 dsp_run_broken (struct dsp *d, const struct dsp_req *q)
 {
   const struct dsp_server *s = q->server;
-  struct psn_news run
-      = { .word = PSN_RAN,
+  struct psn_update run
+      = { .kind = PSN_CRASH,
           .digest = q->digest,
           .place = s->hash,
           .ran_ms = q->begun ? d->now - q->begun_at : PSN_NO_EVENT };
@@ -73,13 +73,14 @@
   if (!b)
     b = ask_server (d, s);
   if (b->checked && d->opt.poison)
-    psn_hear (d->opt.poison, d->now, &run);
+    psn_apply (d->opt.poison, d->now, &run);
   else if (b->nruns < DSP_BREAK_RUNS)
     b->runs[b->nruns++] = run;
 }
 
 size_t
-dsp_checked (struct dsp *d, clk_ms now, uint64_t place, enum dsp_life life)
+dsp_checked (struct dsp *d, clk_ms now, uint64_t place,
+             enum dsp_liveness found)
 {
   struct dsp_server *s;
   struct dsp_break *b;
@@ -89,15 +90,15 @@
   if (!b || b->checked)
     return 0;
   b->checked = true;
-  b->life = life;
-  if (life != DSP_LIFE_ENDED)
+  b->found = found;
+  if (found != DSP_ENDED)
     return b->nruns;
   d->figures.servers_ended++;
   s = dsp_find_place (d, place);
   if (s)
     s->ended_until = now + ENDED_MS;
   for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
-    psn_hear (d->opt.poison, now, &b->runs[i]);
+    psn_apply (d->opt.poison, now, &b->runs[i]);
   return b->nruns;
 }
 
@@ -110,14 +111,14 @@
 bool
 dsp_has_ended (const struct dsp *d, const struct dsp_server *s)
 {
-  return d->now < s->ended_until || d->now < s->told_ended_until;
+  return d->now < s->ended_until || d->now < s->reported_ended_until;
 }
 
 void
-dsp_told_ended (struct dsp *d, struct dsp_server *s)
+dsp_reported_ended (struct dsp *d, struct dsp_server *s)
 {
   if (s)
-    s->told_ended_until = d->now + TOLD_MS;
+    s->reported_ended_until = d->now + REPORTED_MS;
 }
 
 /** Whether its run may still be kept from beginning. */
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -3,6 +3,7 @@
  * Inner structures of the request core.
  *
  *   dispatch.c        a request's life by charts/forward.json
+ *   dispatch-code.c   names and statuses of what becomes of a request
  *   dispatch-wait.c   what waits here, and whose turn it is
  *   dispatch-place.c  places, and which one is next
  *   dispatch-load.c   what this node and the others have there
@@ -80,9 +81,9 @@
   clk_ms stalled_at;
   clk_ms ended_until; /**< it gets nothing before, as this node has found its
                            process gone */
-  clk_ms told_ended_until; /**< the same, as others tell */
-  unsigned bad_run;        /**< failures in a row */
-  double errors;           /**< moving average of failures, 0 to 1 */
+  clk_ms reported_ended_until; /**< the same, as others tell */
+  unsigned bad_run;            /**< failures in a row */
+  double errors;               /**< moving average of failures, 0 to 1 */
   double slow_ms; /**< moving average of the time to the first event */
   unsigned samples;
   clk_ms ejected_until; /**< 0: in */
@@ -176,9 +177,9 @@
 {
   uint64_t place; /**< 0: unused */
   clk_ms at;      /**< of the first */
-  bool checked;   /**< `life` is known */
-  enum dsp_life life;
-  struct psn_news runs[DSP_BREAK_RUNS]; /**< until it is known */
+  bool checked;   /**< `found` is known */
+  enum dsp_liveness found;
+  struct psn_update runs[DSP_BREAK_RUNS]; /**< until it is known */
   size_t nruns;
 };
 
@@ -279,7 +280,7 @@
 /** Whether the process there is known to be gone. */
 bool dsp_has_ended (const struct dsp *d, const struct dsp_server *s);
 /** Another node has found it gone. */
-void dsp_told_ended (struct dsp *d, struct dsp_server *s);
+void dsp_reported_ended (struct dsp *d, struct dsp_server *s);
 /** Whether @p q is not worth a further attempt, as it may crash servers. */
 bool dsp_suspects (const struct dsp *d, const struct dsp_req *q);
 
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -113,7 +113,7 @@
   add_counts (d, p, true);
   for (size_t i = 0; i < n; i++)
     if (counts[i].ended)
-      dsp_told_ended (d, dsp_find_place (d, counts[i].place));
+      dsp_reported_ended (d, dsp_find_place (d, counts[i].place));
   dsp_pump_all (d);
 }
 
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -668,39 +668,3 @@
 {
   return &d->figures;
 }
-
-static const struct
-{
-  const char *name;
-  int status;
-} codes[] = { [DSP_NONE] = { "none", 200 },
-              [DSP_NO_SERVER] = { "no-server", 503 },
-              [DSP_OVERLOAD] = { "overload", 503 },
-              [DSP_UNRUN] = { "refused", 503 },
-              [DSP_CONNECT] = { "no-connection", 503 },
-              [DSP_LEAVING] = { "leaving", 503 },
-              [DSP_POISON] = { "crashes-servers", 503 },
-              [DSP_BROKEN] = { "broken", 502 },
-              [DSP_DEADLINE] = { "deadline", 504 } };
-
-const char *
-dsp_life_name (enum dsp_life l)
-{
-  static const char *const names[] = { [DSP_LIFE_UNKNOWN] = "unknown",
-                                       [DSP_LIFE_ALIVE] = "alive",
-                                       [DSP_LIFE_ENDED] = "ended" };
-
-  return names[l];
-}
-
-const char *
-dsp_code_name (enum dsp_code c)
-{
-  return codes[c].name;
-}
-
-int
-dsp_code_status (enum dsp_code c)
-{
-  return codes[c].status;
-}
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -117,11 +117,11 @@
 };
 
 /** What is known of a backend server's process. */
-enum dsp_life
+enum dsp_liveness
 {
-  DSP_LIFE_UNKNOWN, /**< it could not be reached */
-  DSP_LIFE_ALIVE,
-  DSP_LIFE_ENDED
+  DSP_UNREACHABLE, /**< it could not be reached */
+  DSP_ALIVE,
+  DSP_ENDED
 };
 
 struct dsp_action
@@ -210,7 +210,7 @@
 /** The answer to DSP_ACT_CHECK.
     @return  how many runs had broken off there */
 size_t dsp_checked (struct dsp *d, clk_ms now, uint64_t place,
-                    enum dsp_life life);
+                    enum dsp_liveness found);
 
 /** It crashes servers: end those requests that have not begun to run. */
 void dsp_blocked (struct dsp *d, clk_ms now, uint64_t digest);
@@ -225,7 +225,7 @@
     as this one knows. */
 double dsp_demand (const struct dsp *d, struct str service, struct str model);
 
-const char *dsp_life_name (enum dsp_life l);
+const char *dsp_liveness_name (enum dsp_liveness found);
 const char *dsp_code_name (enum dsp_code c);
 int dsp_code_status (enum dsp_code c);
 
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -169,7 +169,7 @@
 /** Whether any other node is linked. */
 bool srv_peers_linked (const struct srv *s);
 /** Tell the other nodes of requests that crash servers. */
-void srv_peers_poison (struct srv *s, const struct psn_news *list, size_t n);
+void srv_peers_poison (struct srv *s, const struct psn_update *list, size_t n);
 
 /* poison-node.c: requests that crash servers */
 /** Act on what is new of them. */
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -95,8 +95,8 @@
 
 /* peers-poison.c */
 /** Tell a peer that has just been linked what is known. */
-void prs_tell_poison (struct peer *x, clk_ms now);
-void prs_on_poison (struct peer *x, const Lapis__PoisonNews *news);
+void prs_send_poison_snapshot (struct peer *x, clk_ms now);
+void prs_on_poison_updates (struct peer *x, const Lapis__PoisonUpdates *news);
 
 /* peers-load.c */
 /** More nodes than tell each other directly. */
--- a/serve/peers-poison.c
+++ b/serve/peers-poison.c
@@ -3,59 +3,55 @@
 #include <stdlib.h>
 
 /*
- * What nodes tell each other of requests that crash backend servers.  Each
- * hands on what is new to it, so that a link that is cut keeps nobody from
- * hearing.  Which requests were running in a crash is collected at the hubs
- * only: with hundreds of nodes, a rack that fails would fill all their links.
+ * Updates about requests that crash backend servers, between nodes.  Each node
+ * passes on what is new to it, so that an update also gets around links that
+ * are cut.  Only hubs aggregate which requests were running in a crash: with
+ * hundreds of nodes, a rack that fails would fill all their links.
  */
 
-/** Items of one frame. */
-#define ITEMS_MOST 512
+/** Updates in one frame. */
+#define UPDATES_MOST 512
 
 static void
-fill_item (Lapis__PoisonItem *item, const struct psn_news *news)
+fill_row (Lapis__PoisonUpdate *row, const struct psn_update *update)
 {
-  lapis__poison_item__init (item);
-  item->word = news->word;
-  item->digest = news->digest;
-  item->place = news->place;
-  item->ran_ms = news->ran_ms;
-  item->hold_ms = (uint32_t)news->hold_ms;
-  item->wide = news->wide;
+  lapis__poison_update__init (row);
+  row->kind = update->kind;
+  row->digest = update->digest;
+  row->place = update->place;
+  row->ran_ms = update->ran_ms;
+  row->hold_ms = (uint32_t)update->hold_ms;
+  row->broadcast = update->broadcast;
 }
 
-/** @param all  also what only hubs need */
+/** @param all  also what only nodes that aggregate need */
 static void
-send_frame (struct peer *x, const struct psn_news *list, size_t n, bool all)
+send_frame (struct peer *x, const struct psn_update *list, size_t n, bool all)
 {
-  Lapis__PoisonNews news = LAPIS__POISON_NEWS__INIT;
+  Lapis__PoisonUpdates updates = LAPIS__POISON_UPDATES__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
-  Lapis__PoisonItem rows[ITEMS_MOST], *items[ITEMS_MOST];
+  Lapis__PoisonUpdate rows[UPDATES_MOST], *row_list[UPDATES_MOST];
+  size_t k = 0;
 
   for (size_t i = 0; i < n; i++)
-    if (all || list[i].wide)
+    if (all || list[i].broadcast)
       {
-        items[news.n_items] = &rows[news.n_items];
-        fill_item (&rows[news.n_items++], &list[i]);
+        fill_row (&rows[k], &list[i]);
+        row_list[k] = &rows[k];
+        k++;
       }
-  if (news.n_items == 0)
+  if (k == 0)
     return;
-  news.items = items;
-  f.body_case = LAPIS__FRAME__BODY_POISON_NEWS;
-  f.poison_news = &news;
+  updates.n_updates = k;
+  updates.updates = row_list;
+  f.body_case = LAPIS__FRAME__BODY_POISON_UPDATES;
+  f.poison_updates = &updates;
   link_send (x->link, &f);
 }
 
-static void
-send_news (struct peer *x, const struct psn_news *list, size_t n, bool all)
-{
-  for (size_t i = 0; i < n; i += ITEMS_MOST)
-    send_frame (x, list + i, n - i < ITEMS_MOST ? n - i : ITEMS_MOST, all);
-}
-
-/** Whether the peer collects which requests were running in crashes. */
+/** Whether the peer aggregates which requests were running in crashes. */
 static bool
-collects (const struct peer *x)
+aggregates (const struct peer *x)
 {
   const struct peer *hub = NULL;
   unsigned hubs = 0;
@@ -72,41 +68,50 @@
   return false;
 }
 
+static void
+send_updates (struct peer *x, const struct psn_update *list, size_t n)
+{
+  bool all = aggregates (x);
+
+  for (size_t i = 0; i < n; i += UPDATES_MOST)
+    send_frame (x, list + i, n - i < UPDATES_MOST ? n - i : UPDATES_MOST, all);
+}
+
 void
-srv_peers_poison (struct srv *s, const struct psn_news *list, size_t n)
+srv_peers_poison (struct srv *s, const struct psn_update *list, size_t n)
 {
   for (struct peer *x = s->peers ? s->peers->list : NULL; x; x = x->next)
     if (x->up)
-      send_news (x, list, n, collects (x));
+      send_updates (x, list, n);
 }
 
 void
-prs_tell_poison (struct peer *x, clk_ms now)
+prs_send_poison_snapshot (struct peer *x, clk_ms now)
 {
   size_t n;
-  const struct psn_news *list = psn_all (x->p->s->poison, now, &n);
+  const struct psn_update *list = psn_snapshot (x->p->s->poison, now, &n);
 
-  send_news (x, list, n, collects (x));
+  send_updates (x, list, n);
 }
 
 void
-prs_on_poison (struct peer *x, const Lapis__PoisonNews *news)
+prs_on_poison_updates (struct peer *x, const Lapis__PoisonUpdates *updates)
 {
   struct srv *s = x->p->s;
   clk_ms now = clk_now ();
 
-  for (size_t i = 0; i < news->n_items; i++)
+  for (size_t i = 0; i < updates->n_updates; i++)
     {
-      const Lapis__PoisonItem *item = news->items[i];
-      if (item->word > PSN_CLEARED || item->hold_ms > PSN_HOLD_MS)
+      const Lapis__PoisonUpdate *row = updates->updates[i];
+      if (row->kind > PSN_CLEARED || row->hold_ms > PSN_HOLD_MS)
         continue;
-      psn_hear (s->poison, now,
-                &(struct psn_news){ .word = item->word,
-                                    .digest = item->digest,
-                                    .place = item->place,
-                                    .ran_ms = item->ran_ms,
-                                    .hold_ms = item->hold_ms,
-                                    .wide = item->wide });
+      psn_apply (s->poison, now,
+                 &(struct psn_update){ .kind = row->kind,
+                                       .digest = row->digest,
+                                       .place = row->place,
+                                       .ran_ms = row->ran_ms,
+                                       .hold_ms = row->hold_ms,
+                                       .broadcast = row->broadcast });
     }
   srv_poison_act (s);
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -124,7 +124,7 @@
   x->told_at = 0;
   LOG (node_linked, LOG_C ("peer", x->node));
   prs_count_nodes (p);
-  prs_tell_poison (x, x->heard);
+  prs_send_poison_snapshot (x, x->heard);
 }
 
 static void
@@ -163,8 +163,8 @@
     prs_on_notice (x, f->prompt_notice);
   else if (x && f->body_case == LAPIS__FRAME__BODY_NODE_LIST)
     prs_on_nodes (x, f->node_list);
-  else if (x && f->body_case == LAPIS__FRAME__BODY_POISON_NEWS)
-    prs_on_poison (x, f->poison_news);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_POISON_UPDATES)
+    prs_on_poison_updates (x, f->poison_updates);
   else if (x && f->body_case == LAPIS__FRAME__BODY_CONFIG_TEXT)
     srv_config_pushed (
         p->s, f->config_text->revision,
--- a/serve/poison-node.c
+++ b/serve/poison-node.c
@@ -5,27 +5,27 @@
 #include <string.h>
 
 static void
-act (struct srv *s, clk_ms now, const struct psn_news *news)
+act (struct srv *s, clk_ms now, const struct psn_update *update)
 {
   char digest[17];
 
   snprintf (digest, sizeof digest, "%016llx",
-            (unsigned long long)news->digest);
-  switch (news->word)
+            (unsigned long long)update->digest);
+  switch (update->kind)
     {
     case PSN_BLOCKED:
       LOG (request_blocked, LOG_C ("digest", digest),
-           LOG_I ("hold_ms", news->hold_ms));
-      dsp_blocked (s->dispatch, now, news->digest);
-      srv_poison_changed (s, now, news->digest, true);
+           LOG_I ("hold_ms", update->hold_ms));
+      dsp_blocked (s->dispatch, now, update->digest);
+      srv_poison_changed (s, now, update->digest, true);
       break;
     case PSN_CLEARED:
-      if (news->wide)
+      if (update->broadcast)
         LOG (request_unblocked, LOG_C ("digest", digest));
-      srv_poison_changed (s, now, news->digest, false);
+      srv_poison_changed (s, now, update->digest, false);
       break;
-    case PSN_RAN:
-    case PSN_CHARGED:
+    case PSN_CRASH:
+    case PSN_PENDING:
       break;
     }
 }
@@ -34,15 +34,15 @@
 srv_poison_act (struct srv *s)
 {
   clk_ms now = clk_now ();
-  struct psn_news *copy;
+  struct psn_update *copy;
   size_t n;
-  const struct psn_news *news = psn_take (s->poison, &n);
+  const struct psn_update *updates = psn_updates (s->poison, &n);
 
   if (n == 0)
     return;
-  /* Ending requests may bring further news. */
+  /* Ending requests may bring further updates. */
   copy = xmalloc (n * sizeof *copy);
-  memcpy (copy, news, n * sizeof *copy);
+  memcpy (copy, updates, n * sizeof *copy);
   srv_peers_poison (s, copy, n);
   for (size_t i = 0; i < n; i++)
     act (s, now, &copy[i]);
@@ -53,8 +53,8 @@
 void
 srv_poison_tick (struct srv *s, clk_ms now)
 {
-  psn_collect (s->poison, now,
-               !srv_register_follows (s) || !srv_peers_linked (s));
+  psn_aggregate (s->poison, now,
+                 !srv_register_follows (s) || !srv_peers_linked (s));
   if (now >= psn_wake (s->poison))
     {
       psn_tick (s->poison, now);
--- a/serve/poison-store.c
+++ b/serve/poison-store.c
@@ -17,7 +17,9 @@
  * again.
  */
 
-#define TURN_MS ((clk_ms)150)
+/** Between two nodes that may write the same key, so that one does. */
+#define STAGGER_MS ((clk_ms)150)
+/** After a call that failed. */
 #define AGAIN_MS ((clk_ms)1000)
 /** Keys that are written within this share a lease. */
 #define SHARE_LEASE_MS ((clk_ms)30000)
@@ -71,9 +73,9 @@
 }
 
 static clk_ms
-turn_ms (const struct srv *s)
+stagger_ms (const struct srv *s)
 {
-  return (clk_ms)srv_register_rank (s) * TURN_MS;
+  return (clk_ms)srv_register_rank (s) * STAGGER_MS;
 }
 
 void
@@ -85,13 +87,13 @@
   if (!b)
     return;
   b->cleared = !blocked;
-  b->due = now + turn_ms (s);
+  b->due = now + stagger_ms (s);
 }
 
 /* --- what the store has -------------------------------------------------- */
 
 static void
-hear_blocked (struct srv_poison *k, clk_ms now, uint64_t digest, clk_ms hold)
+apply_blocked (struct srv_poison *k, clk_ms now, uint64_t digest, clk_ms hold)
 {
   struct blocked_key *b = key_of (k, digest);
 
@@ -99,47 +101,47 @@
     b->stored = true;
   if (hold <= 0)
     return;
-  psn_hear (
+  psn_apply (
       k->s->poison, now,
-      &(struct psn_news){ .word = PSN_BLOCKED,
-                          .digest = digest,
-                          .hold_ms = hold < PSN_HOLD_MS ? hold : PSN_HOLD_MS,
-                          .wide = true });
+      &(struct psn_update){ .kind = PSN_BLOCKED,
+                            .digest = digest,
+                            .hold_ms = hold < PSN_HOLD_MS ? hold : PSN_HOLD_MS,
+                            .broadcast = true });
 }
 
 static void
-hear_cleared (struct srv_poison *k, clk_ms now, uint64_t digest)
+apply_cleared (struct srv_poison *k, clk_ms now, uint64_t digest)
 {
   struct blocked_key *b = find (k, digest);
 
   if (b)
     b->stored = b->cleared = false;
-  psn_hear (k->s->poison, now,
-            &(struct psn_news){
-                .word = PSN_CLEARED, .digest = digest, .wide = true });
+  psn_apply (k->s->poison, now,
+             &(struct psn_update){
+                 .kind = PSN_CLEARED, .digest = digest, .broadcast = true });
 }
 
 static void
-hear_gone (struct srv_poison *k, clk_ms now, uint64_t digest)
+apply_gone (struct srv_poison *k, clk_ms now, uint64_t digest)
 {
   struct blocked_key *b = find (k, digest);
 
   if (!b || !b->stored)
     return;
   b->stored = false;
-  b->due = now + turn_ms (k->s);
+  b->due = now + stagger_ms (k->s);
 }
 
 static void
-hear_value (struct srv_poison *k, clk_ms now, uint64_t digest,
-            struct str value)
+apply_value (struct srv_poison *k, clk_ms now, uint64_t digest,
+             struct str value)
 {
   struct json_object *o = jsn_parse (value);
 
   if (jsn_bool (o, "cleared"))
-    hear_cleared (k, now, digest);
+    apply_cleared (k, now, digest);
   else
-    hear_blocked (k, now, digest, jsn_int (o, "until") - clk_wall ());
+    apply_blocked (k, now, digest, jsn_int (o, "until") - clk_wall ());
   json_object_put (o);
 }
 
@@ -157,9 +159,9 @@
   for (size_t i = 0; i < sizeof bytes; i++)
     digest = digest << 8 | bytes[i];
   if (deleted)
-    hear_gone (k, now, digest);
+    apply_gone (k, now, digest);
   else
-    hear_value (k, now, digest, value);
+    apply_value (k, now, digest, value);
   srv_poison_act (s);
 }
 
@@ -171,7 +173,7 @@
   for (size_t i = 0; i < k->n; i++)
     {
       k->keys[i].stored = false;
-      k->keys[i].due = clk_now () + AGAIN_MS + turn_ms (s);
+      k->keys[i].due = clk_now () + AGAIN_MS + stagger_ms (s);
     }
 }
 
--- /dev/null
+++ b/serve/poison-suspect.c
@@ -0,0 +1,250 @@
+#include "serve/poison-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/str.h"
+
+/** A request that crashes servers does so as it begins to run.  So the less
+    there was of the run the more a crash counts, and half of that when another
+    request is to blame for it. */
+#define WEIGHT_NO_EVENT 4
+#define WEIGHT_BEGUN 3
+#define WEIGHT_LONG 2
+#define BEGUN_MS ((clk_ms)500)
+#define WEIGHT_BLOCK ((PSN_CRASHES - 1) * WEIGHT_NO_EVENT + WEIGHT_BEGUN)
+#define WEIGHT_SUSPECT (WEIGHT_BLOCK - WEIGHT_NO_EVENT)
+
+/** From the crash that suffices until it is acted upon: other nodes report the
+    requests that they had in the same crash meanwhile. */
+#define SETTLE_MS ((clk_ms)100)
+
+/* --- the table --------------------------------------------------------------
+ */
+
+struct psn_suspect *
+psn_find (const struct psn *p, uint64_t digest)
+{
+  for (size_t i = 0; i < p->n; i++)
+    if (p->list[i].digest == digest)
+      return &p->list[i];
+  return NULL;
+}
+
+static unsigned
+run_weight (const struct psn_run *r)
+{
+  if (r->ran_ms == PSN_NO_EVENT)
+    return WEIGHT_NO_EVENT;
+  return r->ran_ms < BEGUN_MS ? WEIGHT_BEGUN : WEIGHT_LONG;
+}
+
+/** What there is against it, whoever else is to blame. */
+static unsigned
+total_weight (const struct psn_suspect *s)
+{
+  unsigned w = 0;
+
+  for (size_t i = 0; i < s->nruns; i++)
+    w += run_weight (&s->runs[i]);
+  return w;
+}
+
+static unsigned
+weight (const struct psn_suspect *s)
+{
+  unsigned w = 0;
+
+  for (size_t i = 0; i < s->nruns; i++)
+    w += run_weight (&s->runs[i]) / (s->runs[i].attributed ? 2 : 1);
+  return w;
+}
+
+/** Whether @p a goes before @p b when there are too many. */
+static bool
+is_evicted_before (const struct psn_suspect *a, const struct psn_suspect *b)
+{
+  bool blocked_a = a->state == PSN_S_BLOCKED;
+  bool blocked_b = b->state == PSN_S_BLOCKED;
+  unsigned weight_a = weight (a), weight_b = weight (b);
+
+  if (blocked_a != blocked_b)
+    return blocked_b;
+  if (!blocked_a && weight_a != weight_b)
+    return weight_a < weight_b;
+  return a->until < b->until;
+}
+
+static struct psn_suspect *
+next_evicted (struct psn *p)
+{
+  struct psn_suspect *next = &p->list[0];
+
+  for (size_t i = 1; i < p->n; i++)
+    if (is_evicted_before (&p->list[i], next))
+      next = &p->list[i];
+  return next;
+}
+
+struct psn_suspect *
+psn_suspect_of (struct psn *p, clk_ms now, uint64_t digest)
+{
+  struct psn_suspect *s = psn_find (p, digest);
+
+  if (s)
+    return s;
+  if (p->n == PSN_MOST)
+    s = next_evicted (p);
+  else
+    {
+      if (p->n == p->room)
+        {
+          p->room = 2 * p->room + 16;
+          p->list = xrealloc (p->list, p->room * sizeof *p->list);
+        }
+      s = &p->list[p->n++];
+    }
+  memset (s, 0, sizeof *s);
+  s->digest = digest;
+  s->due = CLK_NEVER;
+  s->until = now + PSN_HOLD_MS;
+  return s;
+}
+
+void
+psn_forget (struct psn *p, struct psn_suspect *s)
+{
+  *s = p->list[--p->n];
+}
+
+/* --- whom to blame ----------------------------------------------------------
+ */
+
+struct psn_run *
+psn_find_run (struct psn_suspect *s, uint64_t place)
+{
+  for (size_t i = 0; i < s->nruns; i++)
+    if (s->runs[i].place == place)
+      return &s->runs[i];
+  return NULL;
+}
+
+bool
+psn_is_blamed (const struct psn_suspect *s)
+{
+  return s->state == PSN_S_PENDING || s->state == PSN_S_BLOCKED;
+}
+
+bool
+psn_is_suspect (const struct psn_suspect *s)
+{
+  return weight (s) >= WEIGHT_SUSPECT;
+}
+
+bool
+psn_is_covered (const struct psn_suspect *a, struct psn_suspect *b)
+{
+  for (size_t i = 0; i < a->nruns; i++)
+    if (!psn_find_run (b, a->runs[i].place))
+      return false;
+  return a->nruns > 0 && a->nruns < b->nruns;
+}
+
+/** Whether servers went on crashing under it after another request was blamed
+    for all crashes until then. */
+static bool
+crashes_continue (const struct psn *p, struct psn_suspect *s)
+{
+  for (size_t i = 0; i < p->n; i++)
+    if (psn_is_blamed (&p->list[i]) && psn_is_covered (&p->list[i], s))
+      return true;
+  return false;
+}
+
+static bool
+is_block_due (const struct psn *p, struct psn_suspect *s)
+{
+  if (!p->aggregates || s->state != PSN_S_OBSERVED
+      || total_weight (s) < WEIGHT_BLOCK)
+    return false;
+  return weight (s) >= WEIGHT_BLOCK || crashes_continue (p, s);
+}
+
+void
+psn_set_due (const struct psn *p, clk_ms now, struct psn_suspect *s)
+{
+  if (!is_block_due (p, s))
+    s->due = CLK_NEVER;
+  else if (s->due == CLK_NEVER)
+    s->due = now + SETTLE_MS;
+}
+
+bool
+psn_is_attributed (const struct psn *p, uint64_t place)
+{
+  for (size_t i = 0; i < PSN_ATTRIBUTED; i++)
+    if (p->attributed[i] == place)
+      return true;
+  return false;
+}
+
+static void
+attribute_crash (struct psn *p, clk_ms now, uint64_t place)
+{
+  if (place == 0 || psn_is_attributed (p, place))
+    return;
+  p->attributed[p->next_attributed++ % PSN_ATTRIBUTED] = place;
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->list[i];
+      struct psn_run *r = psn_find_run (s, place);
+      if (s->state != PSN_S_OBSERVED || !r)
+        continue;
+      r->attributed = true;
+      psn_set_due (p, now, s);
+    }
+}
+
+void
+psn_attribute (struct psn *p, clk_ms now, const struct psn_suspect *s)
+{
+  for (size_t i = 0; i < s->nruns; i++)
+    attribute_crash (p, now, s->runs[i].place);
+}
+
+/** Whether there is more against @p a; the less it had run the more likely it
+    is to blame. */
+static bool
+is_more_suspect (const struct psn_suspect *a, const struct psn_suspect *b)
+{
+  unsigned weight_a = weight (a), weight_b = weight (b);
+  clk_ms ran_a = 0, ran_b = 0;
+
+  if (weight_a != weight_b)
+    return weight_a > weight_b;
+  for (size_t i = 0; i < a->nruns; i++)
+    ran_a += a->runs[i].ran_ms;
+  for (size_t i = 0; i < b->nruns; i++)
+    ran_b += b->runs[i].ran_ms;
+  if (ran_a != ran_b)
+    return ran_a < ran_b;
+  return a->digest < b->digest;
+}
+
+struct psn_suspect *
+psn_next_due (const struct psn *p, clk_ms now)
+{
+  struct psn_suspect *most = NULL;
+  bool settled = false;
+
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->list[i];
+      if (s->state != PSN_S_OBSERVED || s->due == CLK_NEVER)
+        continue;
+      settled = settled || now >= s->due;
+      if (!most || is_more_suspect (s, most))
+        most = s;
+    }
+  return settled ? most : NULL;
+}
--- a/serve/poison.h
+++ b/serve/poison.h
@@ -2,21 +2,21 @@
  * @file
  * Requests that crash the backend servers that run them (decision core).
  *
- * Such a request comes back under a new id, to any node.  Each node passes on
+ * Such a request comes back under a new id, to any node.  Each node reports
  * which requests were running as a server's process ended, and which of these
- * ran to their end elsewhere.  A request that PSN_CRASHES servers have ended
- * under as it began (more, if it had run for a while) is charged: all nodes
- * hear of it, and one that has seen it complete lately objects.  Without an
- * objection it is blocked at all nodes for PSN_HOLD_MS.
+ * ran to their end elsewhere.  Once PSN_CRASHES servers have ended under a
+ * request as it began (more, if it had run for a while), a block is pending:
+ * all nodes hear of it, and one where the request has completed lately clears
+ * it.  Otherwise it is blocked at all nodes for PSN_HOLD_MS.
  *
- * A server runs many requests when it ends, and only one is to blame.  The one
- * with the most crashes is charged first; a crash in which it was running then
- * counts less against the others.  If it was the wrong one, the right one goes
- * on crashing servers; once that is charged too, with all crashes of the first
- * and more, the first is cleared.
+ * A server runs many requests when it crashes, and only one is to blame.  The
+ * one with the most evidence is blocked first; its crashes then count less
+ * against the others.  If it was the wrong one, the crashes continue without
+ * it: the one that was running in all of them is blocked, and the first is
+ * cleared.
  *
  * Requests are known by a digest that is the same each time.  Events and time
- * go in; what others need to hear comes out of psn_take().
+ * go in; what other nodes need comes out of psn_updates().
  */
 #ifndef LAPISLINE_SERVE_POISON_H
 #define LAPISLINE_SERVE_POISON_H
@@ -27,8 +27,8 @@
 
 #include "base/clock.h"
 
-/** Crashes after which a request is charged, if in all but one of them its run
-    had brought no event. */
+/** Crashes that get a request blocked, if in all but one of them its run had
+    brought no event. */
 #define PSN_CRASHES 3
 /** How long a request stays blocked; the longest lease of a store. */
 #define PSN_HOLD_MS (10 * CLK_MINUTE)
@@ -38,23 +38,23 @@
 /** `ran_ms` of a run that had brought no event. */
 #define PSN_NO_EVENT (-1)
 
-enum psn_word
+enum psn_kind
 {
-  PSN_RAN,     /**< place, ran_ms: it was running there in a crash */
-  PSN_CHARGED, /**< blocked soon, unless somebody objects */
+  PSN_CRASH,   /**< place, ran_ms: it was running there in a crash */
+  PSN_PENDING, /**< blocked soon, unless some node clears it */
   PSN_BLOCKED, /**< hold_ms: for so long */
   PSN_CLEARED  /**< it has run to its end */
 };
 
 /** What a node has found out of a request. */
-struct psn_news
+struct psn_update
 {
-  enum psn_word word;
+  enum psn_kind kind;
   uint64_t digest; /**< of the request */
-  uint64_t place;  /**< where it ran; one for each life of a server */
+  uint64_t place;  /**< where it ran; differs when the server starts again */
   clk_ms ran_ms;   /**< since its first event, or PSN_NO_EVENT */
   clk_ms hold_ms;
-  bool wide; /**< all nodes need it; else those that collect crashes */
+  bool broadcast; /**< all nodes need it; else those that aggregate */
 };
 
 struct psn;
@@ -67,21 +67,21 @@
 clk_ms psn_wake (const struct psn *p);
 
 /** This node has seen it, or another node or the store says so. */
-void psn_hear (struct psn *p, clk_ms now, const struct psn_news *news);
+void psn_apply (struct psn *p, clk_ms now, const struct psn_update *update);
 
 /**
- * Whether this node decides by itself, as it does at first; one that does not
- * passes on what it sees to those that hear of all crashes.
+ * Whether this node hears of all crashes and decides, as it does at first; one
+ * that does not only reports.
  */
-void psn_collect (struct psn *p, clk_ms now, bool collects);
+void psn_aggregate (struct psn *p, clk_ms now, bool aggregates);
 
 /** A run has come to its end at this node. */
 void psn_completed (struct psn *p, clk_ms now, uint64_t digest);
 
 /**
  * Whether a request that arrives has to be refused.
- * @param again_ms  receives when it is decided whether it is blocked, or 0:
- *                  it is, and to come back is of no use
+ * @param again_ms  receives when to come back, as it is not decided yet
+ * whether it is blocked; 0: it is, and to come back is of no use
  */
 bool psn_refuses (struct psn *p, clk_ms now, uint64_t digest,
                   clk_ms *again_ms);
@@ -91,11 +91,11 @@
 bool psn_suspects (const struct psn *p, uint64_t digest);
 
 /** What was new since the last call; valid until the next event. */
-const struct psn_news *psn_take (struct psn *p, size_t *n);
+const struct psn_update *psn_updates (struct psn *p, size_t *n);
 
 /** All that is known, for a node that has just been linked; valid until the
     next event. */
-const struct psn_news *psn_all (struct psn *p, clk_ms now, size_t *n);
+const struct psn_update *psn_snapshot (struct psn *p, clk_ms now, size_t *n);
 
 bool psn_is_blocked (const struct psn *p, uint64_t digest);
 
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -186,7 +186,7 @@
 }
 
 static void
-checked (struct bench *b, const char *place, enum dsp_life life)
+checked (struct bench *b, const char *place, enum dsp_liveness life)
 {
   dsp_checked (b->d, b->now, dsp_place_hash (str_from (place), 0, 0), life);
 }
@@ -194,10 +194,10 @@
 static void
 blocked (struct bench *b, uint64_t digest)
 {
-  psn_hear (b->poison, b->now,
-            &(struct psn_news){ .word = PSN_BLOCKED,
-                                .digest = digest,
-                                .hold_ms = PSN_HOLD_MS });
+  psn_apply (b->poison, b->now,
+             &(struct psn_update){ .kind = PSN_BLOCKED,
+                                   .digest = digest,
+                                   .hold_ms = PSN_HOLD_MS });
   dsp_blocked (b->d, b->now, digest);
 }
 
@@ -281,11 +281,11 @@
   else if (strcmp (word, "ended") == 0)
     told_ended (b, x);
   else if (strcmp (word, "crashed") == 0)
-    checked (b, x, DSP_LIFE_ENDED);
+    checked (b, x, DSP_ENDED);
   else if (strcmp (word, "alive") == 0)
-    checked (b, x, DSP_LIFE_ALIVE);
+    checked (b, x, DSP_ALIVE);
   else if (strcmp (word, "unknown") == 0)
-    checked (b, x, DSP_LIFE_UNKNOWN);
+    checked (b, x, DSP_UNREACHABLE);
   else if (strcmp (word, "blocked") == 0)
     blocked (b, (uint64_t)atoi (x));
   else if (strcmp (word, "run") == 0)
--- a/t/lib-poison.c
+++ b/t/lib-poison.c
@@ -10,19 +10,19 @@
 #define STEP_MS ((clk_ms)10)
 
 static bool
-collects (const struct psn_fleet *f, int node)
+aggregates (const struct psn_fleet *f, int node)
 {
   return f->hubs == 0 || node < f->hubs;
 }
 
 static void
-post (struct psn_fleet *f, int from, int to, const struct psn_news *list,
+post (struct psn_fleet *f, int from, int to, const struct psn_update *list,
       size_t n)
 {
   f->queue[to] = xrealloc (f->queue[to],
                            (f->nqueue[to] + n + 1) * sizeof (*f->queue[to]));
   for (size_t i = 0; i < n; i++)
-    if (f->linked[from][to] && (list[i].wide || collects (f, to)))
+    if (f->linked[from][to] && (list[i].broadcast || aggregates (f, to)))
       {
         f->queue[to][f->nqueue[to]++] = list[i];
         f->sent++;
@@ -33,7 +33,7 @@
 post_new (struct psn_fleet *f, int from)
 {
   size_t n;
-  const struct psn_news *list = psn_take (f->node[from], &n);
+  const struct psn_update *list = psn_updates (f->node[from], &n);
 
   for (int to = 0; to < f->n; to++)
     post (f, from, to, list, n);
@@ -45,12 +45,12 @@
   f->now += STEP_MS;
   for (int i = 0; i < f->n; i++)
     {
-      struct psn_news *list = f->queue[i];
+      struct psn_update *list = f->queue[i];
       size_t n = f->nqueue[i];
       f->queue[i] = NULL;
       f->nqueue[i] = 0;
       for (size_t k = 0; k < n; k++)
-        psn_hear (f->node[i], f->now, &list[k]);
+        psn_apply (f->node[i], f->now, &list[k]);
       free (list);
       if (f->now >= psn_wake (f->node[i]))
         psn_tick (f->node[i], f->now);
@@ -63,25 +63,25 @@
 psn_fleet_ran (struct psn_fleet *f, int node, uint64_t digest, uint64_t place,
                clk_ms ran_ms)
 {
-  psn_hear (f->node[node], f->now,
-            &(struct psn_news){ .word = PSN_RAN,
-                                .digest = digest,
-                                .place = place,
-                                .ran_ms = ran_ms });
+  psn_apply (f->node[node], f->now,
+             &(struct psn_update){ .kind = PSN_CRASH,
+                                   .digest = digest,
+                                   .place = place,
+                                   .ran_ms = ran_ms });
 }
 
 void
 psn_fleet_link (struct psn_fleet *f, int a, int b, bool linked)
 {
-  const struct psn_news *list;
+  const struct psn_update *list;
   size_t n;
 
   f->linked[a][b] = f->linked[b][a] = linked;
   if (!linked)
     return;
-  list = psn_all (f->node[a], f->now, &n);
+  list = psn_snapshot (f->node[a], f->now, &n);
   post (f, a, b, list, n);
-  list = psn_all (f->node[b], f->now, &n);
+  list = psn_snapshot (f->node[b], f->now, &n);
   post (f, b, a, list, n);
 }
 
@@ -96,7 +96,7 @@
 {
   psn_free (f->node[node]);
   f->node[node] = psn_new ();
-  psn_collect (f->node[node], f->now, collects (f, node));
+  psn_aggregate (f->node[node], f->now, aggregates (f, node));
   f->nqueue[node] = 0;
   for (int i = 0; i < f->n; i++)
     if (may_link (f, node, i))
@@ -113,7 +113,7 @@
   for (int i = 0; i < nodes; i++)
     {
       f->node[i] = psn_new ();
-      psn_collect (f->node[i], f->now, collects (f, i));
+      psn_aggregate (f->node[i], f->now, aggregates (f, i));
     }
   for (int i = 0; i < nodes; i++)
     for (int k = 0; k < nodes; k++)
@@ -164,15 +164,15 @@
   else if (strcmp (word, "cut") == 0 || strcmp (word, "join") == 0)
     psn_fleet_link (f, node, atoi (y) - 1, word[0] == 'j');
   else if (strcmp (word, "alone") == 0)
-    psn_collect (f->node[node], f->now, true);
+    psn_aggregate (f->node[node], f->now, true);
   else if (strcmp (word, "restart") == 0)
     psn_fleet_restart (f, node);
   else if (strcmp (word, "store") == 0)
-    psn_hear (f->node[node], f->now,
-              &(struct psn_news){ .word = PSN_BLOCKED,
-                                  .digest = (uint64_t)y[0],
-                                  .hold_ms = PSN_HOLD_MS,
-                                  .wide = true });
+    psn_apply (f->node[node], f->now,
+               &(struct psn_update){ .kind = PSN_BLOCKED,
+                                     .digest = (uint64_t)y[0],
+                                     .hold_ms = PSN_HOLD_MS,
+                                     .broadcast = true });
   else if (strcmp (word, "ask") == 0)
     ask (f, x, log);
   else if (strcmp (word, "run") == 0)
--- a/t/lib-poison.h
+++ b/t/lib-poison.h
@@ -13,7 +13,7 @@
  *   restart NODE     it knows nothing of before, and is linked again
  *   store NODE REQUEST          the store tells that it is blocked
  *   ask REQUEST      at each node
- *   run MS           time passes; news take 10 ms over a link
+ *   run MS           time passes; updates take 10 ms over a link
  *
  * A request is a letter, a place a number.  The log has a line for each ask:
  * the request and a letter for each node: "-" it takes it, "w" it refuses it
@@ -32,9 +32,10 @@
   bool linked[PSN_NODES][PSN_NODES];
   int n, hubs;
   clk_ms now;
-  struct psn_news *queue[PSN_NODES]; /**< to be heard there at the next step */
+  struct psn_update
+      *queue[PSN_NODES]; /**< to be heard there at the next step */
   size_t nqueue[PSN_NODES];
-  size_t sent; /**< news over links */
+  size_t sent; /**< updates over links */
 };
 
 void psn_fleet_up (struct psn_fleet *f, int nodes, int hubs);
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -199,7 +199,7 @@
                  "answer 2 broken 502\nsend 3 s1\n");
 }
 
-/* Guards against a charge for the end of a server that was leaving: it ends by
+/* Guards against blame for the end of a server that was leaving: it ends by
    itself. */
 Test (dispatch, a_server_that_leaves_is_not_asked)
 {
--- a/t/t9207-poison.c
+++ b/t/t9207-poison.c
@@ -40,7 +40,7 @@
 }
 
 /* Guards against the same when the other one's run is heard a little later. */
-Test (poison, the_worst_of_a_crash_is_charged_though_heard_last)
+Test (poison, the_most_suspect_is_blocked_though_heard_last)
 {
   poison_play ("nodes 2\n"
                "ran 1 b 1 300\n ran 2 p 1 -1\n run 300\n"
@@ -69,7 +69,7 @@
                "h BBB\nh ---\n");
 }
 
-/* Guards against a charge from streams that had run for a while when their
+/* Guards against a block of streams that had run for a while when their
    replicas ended: these count less. */
 Test (poison, the_longer_the_run_the_less_a_crash_counts)
 {
@@ -183,11 +183,11 @@
   for (uint64_t i = 0; i < 3; i++)
     psn_fleet_ran (&f, 0, 'p', 1 + i, PSN_NO_EVENT);
   /* Another one is known from the store, without its crashes. */
-  psn_hear (f.node[0], f.now,
-            &(struct psn_news){ .word = PSN_BLOCKED,
-                                .digest = 's',
-                                .hold_ms = PSN_HOLD_MS,
-                                .wide = true });
+  psn_apply (f.node[0], f.now,
+             &(struct psn_update){ .kind = PSN_BLOCKED,
+                                   .digest = 's',
+                                   .hold_ms = PSN_HOLD_MS,
+                                   .broadcast = true });
   for (int i = 0; i < 50; i++)
     psn_fleet_step (&f);
   for (uint64_t i = 0; i < 10000; i++)
@@ -200,14 +200,14 @@
     {
       cr_expect (psn_refuses (f.node[i], f.now, 'p', &again_ms));
       cr_expect (psn_refuses (f.node[i], f.now, 's', &again_ms));
-      psn_all (f.node[i], f.now, &n);
+      psn_snapshot (f.node[i], f.now, &n);
       cr_expect_leq (n, PSN_MOST * 9);
     }
   psn_fleet_down (&f);
 }
 
-/* Guards against news that nodes hand on to each other for ever. */
-Test (poison, news_come_to_rest)
+/* Guards against updates that nodes hand on to each other for ever. */
+Test (poison, updates_come_to_rest)
 {
   struct psn_fleet f;
 
@@ -404,8 +404,8 @@
   psn_fleet_down (&d.f);
 }
 
-/* Guards against orders of crashes, completions and news in which it goes on
-   crashing servers, or others are blocked for it. */
+/* Guards against orders of crashes, completions and updates in which it goes
+   on crashing servers, or others are blocked for it. */
 Test (poison, random_days)
 {
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
