--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -19,8 +19,7 @@
     requests that they had in the same crash meanwhile. */
 #define SETTLE_MS ((clk_ms)100)
 
-/* --- the table --------------------------------------------------------------
- */
+/* --- the table --------------------------------------------------------- */
 
 struct psn_suspect *
 psn_find (const struct psn *p, uint64_t digest)
@@ -117,8 +116,7 @@
   *s = p->list[--p->n];
 }
 
-/* --- whom to blame ----------------------------------------------------------
- */
+/* --- whom to blame ----------------------------------------------------- */
 
 struct psn_run *
 psn_find_run (struct psn_suspect *s, uint64_t place)
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -35,8 +35,7 @@
   free (p);
 }
 
-/* --- updates ----------------------------------------------------------------
- */
+/* --- updates ----------------------------------------------------------- */
 
 static void
 add_update (struct psn *p, const struct psn_update *update)
@@ -70,8 +69,7 @@
     psn_set_due (p, now, &p->list[i]);
 }
 
-/* --- pending, blocked, cleared ----------------------------------------------
- */
+/* --- pending, blocked, cleared ----------------------------------------- */
 
 static void
 clear (struct psn *p, clk_ms now, struct psn_suspect *s, bool broadcast)
@@ -160,8 +158,7 @@
     s->runs[s->nruns++] = (struct psn_run){ 0, PSN_NO_EVENT, false };
 }
 
-/* --- what is found, here and elsewhere --------------------------------------
- */
+/* --- what is found, here and elsewhere --------------------------------- */
 
 static void
 apply_crash (struct psn *p, clk_ms now, const struct psn_update *update)
@@ -257,8 +254,7 @@
     clear (p, now, s, false);
 }
 
-/* --- questions, time --------------------------------------------------------
- */
+/* --- questions, time --------------------------------------------------- */
 
 bool
 psn_refuses (struct psn *p, clk_ms now, uint64_t digest, clk_ms *again_ms)
