Log and count what servers say of the rate that they take

What callers saw: nothing. What could not be told: whether an answer had named a limit, to which node and when, and how many requests that node sent to the server afterwards, so that "nobody reads it" and "each node keeps it for itself" look the same in our output.

A node remembers what each server's newest answer said: an answer is newer than another if its request was sent after that one had come. limit_named, limit_ended (with the number of requests that this node sent meanwhile) and limit_unreadable, once a server; two gauges. Nothing else goes by it: requests are sent as before.

--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -88,6 +88,9 @@
   bool unrun;        /**< it says that the request was not run */
   bool events;       /**< a stream of events */
   bool encoded;      /**< its body is not what the backend server made */
+  bool misdirected;  /**< it is not the server that was meant */
+  enum lim_says limit;
+  double rate; /**< if LIM_SAYS_RATE: requests a second */
   bool has_load;
   unsigned running, waiting, slots;
 };
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -9,6 +9,7 @@
  *   dispatch-load.c   what this node and the others have there
  *   dispatch-health.c places that fail, stall or fall silent
  *   dispatch-retry.c  the share of the fleet's budget of repeats
+ *   dispatch-limit.c  rates that servers ask for
  *   dispatch-crash.c  runs that broke off, and whether their server has ended
  */
 #ifndef LAPISLINE_SERVE_DISPATCH_INT_H
@@ -59,6 +60,7 @@
   char *id;
   int64_t generation;
   uint64_t hash;
+  uint64_t process; /**< the same number without the generation */
   struct net_addr addr;
   bool same_zone;
   bool listed; /**< in the last list; else kept for work in flight only */
@@ -222,6 +224,10 @@
 /** The attempt is given up; the request goes elsewhere if it may. */
 void dsp_attempt_lost (struct dsp *d, struct dsp_req *q, enum dsp_code code);
 
+/** The request, if @p attempt is its current one. */
+struct dsp_req *dsp_find_attempt (const struct dsp *d, uint64_t id,
+                                  unsigned attempt);
+
 /** Give up with that answer: as not run, where that is sure, else as failed.
     @param retry_ms  when to come back, if it has not run; 0: not said */
 void dsp_give_up (struct dsp *d, struct dsp_req *q, enum dsp_code unrun,
@@ -274,6 +280,10 @@
 /** Look for places where nothing moves any more. */
 void dsp_health_tick (struct dsp *d);
 
+/* dispatch-limit.c */
+/** A request's bytes go out to that place. */
+void dsp_limit_sent (struct dsp *d, const struct dsp_server *s);
+
 /* dispatch-crash.c */
 /** The run of @p q has broken off at its server. */
 void dsp_run_broken (struct dsp *d, const struct dsp_req *q);
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -78,6 +78,7 @@
   s->id = str_dup (in->server);
   s->generation = in->generation;
   s->hash = hash;
+  s->process = dsp_place_hash (in->server, in->born, 0);
   p->servers = xrealloc (p->servers, (p->n + 1) * sizeof (*p->servers));
   p->servers[p->n++] = s;
   return s;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -131,9 +131,8 @@
   return q;
 }
 
-/** The request, if @p attempt is its current one. */
-static struct dsp_req *
-find_attempt (const struct dsp *d, uint64_t id, unsigned attempt)
+struct dsp_req *
+dsp_find_attempt (const struct dsp *d, uint64_t id, unsigned attempt)
 {
   struct dsp_req *q = find_request (d, id);
 
@@ -354,7 +353,7 @@
 bool
 dsp_sent (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
-  struct dsp_req *q = find_attempt (d, id, attempt);
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
 
   d->now = now;
   if (!q || (q->state != DSP_S_CONNECTING && q->state != DSP_S_RECONNECTING))
@@ -363,6 +362,7 @@
   q->sends++;
   q->sent_at = q->heard = now;
   q->unbegun = true;
+  dsp_limit_sent (d, q->server);
   d->figures.sent++;
   d->figures.repeated += q->sends > 1;
   return true;
@@ -371,7 +371,7 @@
 void
 dsp_connect_failed (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
-  struct dsp_req *q = find_attempt (d, id, attempt);
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
 
   d->now = now;
   if (!q || (q->state != DSP_S_CONNECTING && q->state != DSP_S_RECONNECTING))
@@ -408,7 +408,7 @@
 dsp_head (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
           enum dsp_head head)
 {
-  struct dsp_req *q = find_attempt (d, id, attempt);
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
 
   d->now = now;
   if (!q || (q->state != DSP_S_SENT && q->state != DSP_S_RESENT))
@@ -454,7 +454,7 @@
 dsp_heard (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
            bool event)
 {
-  struct dsp_req *q = find_attempt (d, id, attempt);
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
 
   d->now = now;
   if (!q)
@@ -468,7 +468,7 @@
 void
 dsp_whole (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
-  struct dsp_req *q = find_attempt (d, id, attempt);
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
   double ms;
 
   d->now = now;
@@ -495,7 +495,7 @@
 void
 dsp_broken (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
-  struct dsp_req *q = find_attempt (d, id, attempt);
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
 
   d->now = now;
   if (!q || q->state == DSP_S_CONNECTING || q->state == DSP_S_RECONNECTING)
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -17,6 +17,7 @@
 
 #include "base/rng.h"
 #include "net/addr.h"
+#include "serve/limit.h"
 #include "serve/poison.h"
 #include "serve/table.h"
 
@@ -149,6 +150,8 @@
   clk_ms stall_ms;    /**< after which a replica without a member gives up */
   struct psn *poison; /**< requests that crash servers; borrowed; NULL: none
                            is known */
+  struct lim *limits; /**< rates that servers ask for; borrowed; NULL: none is
+                           heeded */
 };
 
 struct dsp;
@@ -199,6 +202,15 @@
 void dsp_head (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
                enum dsp_head head);
 
+/** What the answer's head says of the rate that its server takes; call it
+    before dsp_head(). @param rate  requests a second */
+enum lim_change dsp_answer_limit (struct dsp *d, clk_ms now, uint64_t id,
+                                  unsigned attempt, enum lim_says says,
+                                  double rate);
+/** Requests that this node has sent to that attempt's server while it was
+    limited. */
+uint64_t dsp_sent_limited (const struct dsp *d, uint64_t id, unsigned attempt);
+
 /** Bytes of a stream came; @p event: at least one whole event is among them.
  */
 void dsp_heard (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -134,6 +134,41 @@
   return status >= 300 ? DSP_HEAD_FINAL : DSP_HEAD_GOOD;
 }
 
+/** What the answer says of the rate that its server takes. */
+static void
+take_limit (const struct srv_attempt *at)
+{
+  struct srv_exchange *ex = at->ex;
+  struct dsp *d = ex->s->dispatch;
+  enum lim_change change = LIM_SAME;
+  char rate[32];
+
+  /* Another server's answer, or another request's, says nothing of this one.
+   */
+  if (!at->answer.misdirected && at->answer.same_request)
+    change = dsp_answer_limit (d, clk_now (), ex->id, at->number,
+                               at->answer.limit, at->answer.rate);
+  snprintf (rate, sizeof rate, "%g", at->answer.rate);
+  switch (change)
+    {
+    case LIM_SAME:
+      break;
+    case LIM_NAMED:
+      LOG (limit_named, LOG_C ("server", at->server), LOG_C ("per_s", rate),
+           LOG_S ("id", ex->call.id));
+      break;
+    case LIM_ENDED:
+      LOG (limit_ended, LOG_C ("server", at->server),
+           LOG_S ("id", ex->call.id),
+           LOG_I ("sent", dsp_sent_limited (d, ex->id, at->number)));
+      break;
+    case LIM_UNREADABLE:
+      LOG (limit_unreadable, LOG_C ("server", at->server),
+           LOG_S ("id", ex->call.id));
+      break;
+    }
+}
+
 static void
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
@@ -143,6 +178,7 @@
 
   s->ad->answer (ex->call.id, status, h, n, &at->answer);
   head_keep (s, &at->head, status, h, n);
+  take_limit (at);
   if (at->answer.unrun || status >= 500)
     log_lost (at, at->answer.unrun ? "not-run" : "error");
   if (is_answer (at, status))
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -77,6 +77,18 @@
        (double)f->ejections);
 }
 
+static void
+set_limits (struct srv *s)
+{
+  struct lim_figures f = lim_figures (s->limits);
+
+  set (s, PREFIX "servers_limited",
+       "Backend servers that have named the request rate that they take.",
+       NULL, (double)f.limited);
+  set (s, PREFIX "sent_limited", "Requests sent to such servers.", NULL,
+       (double)f.sent);
+}
+
 static void
 set_store (struct srv *s)
 {
@@ -159,6 +171,7 @@
 srv_metrics (struct srv *s, struct buf *out)
 {
   set_dispatch (s);
+  set_limits (s);
   set_store (s);
   set_views (s);
   set_models (s);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -44,6 +44,7 @@
   struct bks *backends;
   struct dsp *dispatch;
   struct psn *poison;
+  struct lim *limits;
   struct srv_poison *poison_keys;
   struct srv_config *config;
   struct srv_sync *sync;
