Show that servers get what they have said they can't take

The stand-in of the platform names a limit on command and counts what begins there in any 4 s, from half a second after its first such answer.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -9,6 +9,8 @@
 /** Loading a model takes so long, and joining with a loaded one. */
 #define LOAD_MS 400
 #define JOIN_MS 50
+/** Of an answer, at most. */
+#define HEADERS 5
 
 static const char *const part_names[]
     = { "", "joining", "ready", "open", "closing" };
@@ -263,7 +265,7 @@
 }
 
 static size_t
-make_head (const struct server *s, struct httpd_req *req, const char *type,
+make_head (struct server *s, struct httpd_req *req, const char *type,
            struct http_header *h)
 {
   size_t n = 0;
@@ -273,6 +275,7 @@
                                  httpd_header (req, PLT_H_REQUEST_ID) };
   if (!s->unsealed)
     h[n++] = (struct http_header){ STR (PLT_H_SEAL), str_from (s->id) };
+  n += rack_limit_header (&s->limit, &h[n]);
   return n;
 }
 
@@ -280,7 +283,7 @@
 start_stream (struct server *s, struct httpd_req *req)
 {
   struct stream *st = xcalloc (1, sizeof *st);
-  struct http_header h[4];
+  struct http_header h[HEADERS];
   size_t n = make_head (s, req, "text/event-stream", h);
   int64_t last = 0;
 
@@ -342,7 +345,7 @@
 static void
 answer_plain (struct server *s, struct httpd_req *req)
 {
-  struct http_header h[4];
+  struct http_header h[HEADERS];
   size_t n = make_head (s, req, "application/json", h);
   struct buf body = BUF_INIT;
 
@@ -374,6 +377,7 @@
   else
     {
       bool crashes = does_crash (s, req);
+      rack_limit_count (&s->limit);
       count_run (s, req);
       if (s->engine)
         start_stream (s, req);
@@ -451,4 +455,5 @@
   s->generation = s->fence = 0;
   s->nmembers = s->rank = 0;
   s->born = clk_wall ();
+  rack_limit_set (&s->limit, "");
 }
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -10,12 +10,15 @@
  *                          of each server that runs it
  *   "server": ID, and of it "dead", "dark", "draining", "unlisted",
  *             "unsealed": B, "fail": STATUS, "cut_after": N, "end_after": N,
- *             "reborn": true   it starts again under its id and address
+ *             "reborn": true   it starts again under its id and address,
+ *             "limit": TEXT    request rate that its answers name; "": none
  *   "entry": {"id": ID, "value": TEXT}   an entry of the list by another
  *                          writer
  *
  * GET /control/counts: how many servers have crashed, runs by server, and by
- * request id where above one. GET /control/runs: runs by request id.
+ * request id where above one; of a server that names a limit, the requests
+ * that began from half a second after its first such answer on, and the most
+ * of them in any 4 s. GET /control/runs: runs by request id.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -68,6 +71,8 @@
     s->fail = (int)jsn_int (o, "fail");
   if (jsn_get (o, "cut_after"))
     s->cut_after = (int)jsn_int (o, "cut_after");
+  if (jsn_get (o, "limit"))
+    rack_limit_set (&s->limit, jsn_text (o, "limit"));
   if (jsn_get (o, "end_after"))
     s->end_after = (int)jsn_int (o, "end_after");
   if (!s->dead)
@@ -142,6 +147,10 @@
       json_object_object_add (row, "leads",
                               json_object_new_boolean (s->part == PART_OPEN));
       json_object_object_add (row, "model", json_object_new_string (s->model));
+      json_object_object_add (row, "limited_arrived",
+                              json_object_new_int ((int)s->limit.arrived));
+      json_object_object_add (row, "limited_most",
+                              json_object_new_int ((int)s->limit.most));
       json_object_object_add (o, s->id, row);
     }
   json_object_object_add (o, "crashed", json_object_new_int (r->crashed));
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -6,6 +6,7 @@
  *   rack.c         command line, control, the list entries
  *   rack-store.c   the key-value service
  *   rack-server.c  a backend server: requests, orders, its part in a replica
+ *   rack-limit.c   the request rate that it names, and what it gets
  */
 #ifndef LAPISLINE_STANDINS_RACK_H
 #define LAPISLINE_STANDINS_RACK_H
@@ -26,6 +27,21 @@
   PART_CLOSING
 };
 
+#define LIMIT_WINDOW_MS ((clk_ms)4000)
+/** Arrivals that are remembered; more in one window count as so many. */
+#define LIMIT_ARRIVALS 512
+
+/** The request rate that a server names, and what it has had since. */
+struct limit
+{
+  char text[32];   /**< as the answers say it; empty: they say nothing */
+  clk_ms named_at; /**< first; 0: not yet */
+  clk_ms arrivals[LIMIT_ARRIVALS]; /**< a ring */
+  unsigned first, n;
+  unsigned arrived; /**< all of them */
+  unsigned most;    /**< in one window */
+};
+
 /** One backend server. */
 struct server
 {
@@ -49,6 +65,7 @@
   unsigned nmembers, rank;
   int64_t generation, fence;
   enum part part;
+  struct limit limit;
   uv_timer_t timer; /**< the end of joining */
   uv_timer_t crash; /**< when its process ends under a request */
   struct stream *streams;
@@ -93,6 +110,14 @@
 /** Answer the watches that have something, or have waited enough. */
 void rack_store_tick (struct rack *r);
 
+/* rack-limit.c */
+/** Name that rate from now on, and count anew. */
+void rack_limit_set (struct limit *l, const char *text);
+/** A request has come. */
+void rack_limit_count (struct limit *l);
+/** An answer is made; its header, or false. */
+bool rack_limit_header (struct limit *l, struct http_header *out);
+
 /* rack-server.c */
 bool rack_server_start (struct server *s);
 struct server *rack_find (struct rack *r, const char *id);
