--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1627,7 +1627,232 @@
   assert(message->base.descriptor == &lapis__poison_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[26] =
+void   lapis__rate_limits__init
+                     (Lapis__RateLimits         *message)
+{
+  static const Lapis__RateLimits init_value = LAPIS__RATE_LIMITS__INIT;
+  *message = init_value;
+}
+size_t lapis__rate_limits__get_packed_size
+                     (const Lapis__RateLimits *message)
+{
+  assert(message->base.descriptor == &lapis__rate_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__rate_limits__pack
+                     (const Lapis__RateLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__rate_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__rate_limits__pack_to_buffer
+                     (const Lapis__RateLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__rate_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__RateLimits *
+       lapis__rate_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__RateLimits *)
+     protobuf_c_message_unpack (&lapis__rate_limits__descriptor,
+                                allocator, len, data);
+}
+void   lapis__rate_limits__free_unpacked
+                     (Lapis__RateLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__rate_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__rate_limit__init
+                     (Lapis__RateLimit         *message)
+{
+  static const Lapis__RateLimit init_value = LAPIS__RATE_LIMIT__INIT;
+  *message = init_value;
+}
+size_t lapis__rate_limit__get_packed_size
+                     (const Lapis__RateLimit *message)
+{
+  assert(message->base.descriptor == &lapis__rate_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__rate_limit__pack
+                     (const Lapis__RateLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__rate_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__rate_limit__pack_to_buffer
+                     (const Lapis__RateLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__rate_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__RateLimit *
+       lapis__rate_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__RateLimit *)
+     protobuf_c_message_unpack (&lapis__rate_limit__descriptor,
+                                allocator, len, data);
+}
+void   lapis__rate_limit__free_unpacked
+                     (Lapis__RateLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__rate_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__permit_grants__init
+                     (Lapis__PermitGrants         *message)
+{
+  static const Lapis__PermitGrants init_value = LAPIS__PERMIT_GRANTS__INIT;
+  *message = init_value;
+}
+size_t lapis__permit_grants__get_packed_size
+                     (const Lapis__PermitGrants *message)
+{
+  assert(message->base.descriptor == &lapis__permit_grants__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__permit_grants__pack
+                     (const Lapis__PermitGrants *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__permit_grants__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__permit_grants__pack_to_buffer
+                     (const Lapis__PermitGrants *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__permit_grants__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__PermitGrants *
+       lapis__permit_grants__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__PermitGrants *)
+     protobuf_c_message_unpack (&lapis__permit_grants__descriptor,
+                                allocator, len, data);
+}
+void   lapis__permit_grants__free_unpacked
+                     (Lapis__PermitGrants *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__permit_grants__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__permits__init
+                     (Lapis__Permits         *message)
+{
+  static const Lapis__Permits init_value = LAPIS__PERMITS__INIT;
+  *message = init_value;
+}
+size_t lapis__permits__get_packed_size
+                     (const Lapis__Permits *message)
+{
+  assert(message->base.descriptor == &lapis__permits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__permits__pack
+                     (const Lapis__Permits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__permits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__permits__pack_to_buffer
+                     (const Lapis__Permits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__permits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__Permits *
+       lapis__permits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__Permits *)
+     protobuf_c_message_unpack (&lapis__permits__descriptor,
+                                allocator, len, data);
+}
+void   lapis__permits__free_unpacked
+                     (Lapis__Permits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__permits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lapis__permit_ask__init
+                     (Lapis__PermitAsk         *message)
+{
+  static const Lapis__PermitAsk init_value = LAPIS__PERMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t lapis__permit_ask__get_packed_size
+                     (const Lapis__PermitAsk *message)
+{
+  assert(message->base.descriptor == &lapis__permit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__permit_ask__pack
+                     (const Lapis__PermitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__permit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__permit_ask__pack_to_buffer
+                     (const Lapis__PermitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__permit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__PermitAsk *
+       lapis__permit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__PermitAsk *)
+     protobuf_c_message_unpack (&lapis__permit_ask__descriptor,
+                                allocator, len, data);
+}
+void   lapis__permit_ask__free_unpacked
+                     (Lapis__PermitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__permit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[29] =
 {
   {
     "hello",
@@ -1941,6 +2166,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate_limits",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, rate_limits),
+    &lapis__rate_limits__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_grants",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, permit_grants),
+    &lapis__permit_grants__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_ask",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, permit_ask),
+    &lapis__permit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -1957,8 +2218,11 @@
   0,   /* field[0] = hello */
   23,   /* field[23] = node_list */
   19,   /* field[19] = node_load */
+  28,   /* field[28] = permit_ask */
+  27,   /* field[27] = permit_grants */
   25,   /* field[25] = poison_updates */
   22,   /* field[22] = prompt_notice */
+  26,   /* field[26] = rate_limits */
   2,   /* field[2] = report */
   20,   /* field[20] = server_list */
   9,   /* field[9] = share_demand */
@@ -1973,7 +2237,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -1983,7 +2247,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  26,
+  29,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -4144,7 +4408,7 @@
   (ProtobufCMessageInit) lapis__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[7] =
 {
   {
     "ready",
@@ -4206,18 +4470,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "follows",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeLoad, follows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__NodeLoad, n_wanted),
+    offsetof(Lapis__NodeLoad, wanted),
+    &lapis__permits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__node_load__field_indices_by_name[] = {
+  5,   /* field[5] = follows */
   2,   /* field[2] = leads */
   3,   /* field[3] = list_age_ms */
   4,   /* field[4] = places */
   0,   /* field[0] = ready */
   1,   /* field[1] = traffic */
+  6,   /* field[6] = wanted */
 };
 static const ProtobufCIntRange lapis__node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lapis__node_load__descriptor =
 {
@@ -4227,7 +4517,7 @@
   "Lapis__NodeLoad",
   "lapis",
   sizeof(Lapis__NodeLoad),
-  5,
+  7,
   lapis__node_load__field_descriptors,
   lapis__node_load__field_indices_by_name,
   1,  lapis__node_load__number_ranges,
@@ -5162,6 +5452,248 @@
   (ProtobufCMessageInit) lapis__poison_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__rate_limits__field_descriptors[1] =
+{
+  {
+    "limits",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__RateLimits, n_limits),
+    offsetof(Lapis__RateLimits, limits),
+    &lapis__rate_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__rate_limits__field_indices_by_name[] = {
+  0,   /* field[0] = limits */
+};
+static const ProtobufCIntRange lapis__rate_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor lapis__rate_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.RateLimits",
+  "RateLimits",
+  "Lapis__RateLimits",
+  "lapis",
+  sizeof(Lapis__RateLimits),
+  1,
+  lapis__rate_limits__field_descriptors,
+  lapis__rate_limits__field_indices_by_name,
+  1,  lapis__rate_limits__number_ranges,
+  (ProtobufCMessageInit) lapis__rate_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__rate_limit__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__RateLimit, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__RateLimit, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__RateLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__RateLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__rate_limit__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = limited */
+  2,   /* field[2] = per_s */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange lapis__rate_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lapis__rate_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.RateLimit",
+  "RateLimit",
+  "Lapis__RateLimit",
+  "lapis",
+  sizeof(Lapis__RateLimit),
+  4,
+  lapis__rate_limit__field_descriptors,
+  lapis__rate_limit__field_indices_by_name,
+  1,  lapis__rate_limit__number_ranges,
+  (ProtobufCMessageInit) lapis__rate_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__permit_grants__field_descriptors[1] =
+{
+  {
+    "permits",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__PermitGrants, n_permits),
+    offsetof(Lapis__PermitGrants, permits),
+    &lapis__permits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__permit_grants__field_indices_by_name[] = {
+  0,   /* field[0] = permits */
+};
+static const ProtobufCIntRange lapis__permit_grants__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor lapis__permit_grants__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.PermitGrants",
+  "PermitGrants",
+  "Lapis__PermitGrants",
+  "lapis",
+  sizeof(Lapis__PermitGrants),
+  1,
+  lapis__permit_grants__field_descriptors,
+  lapis__permit_grants__field_indices_by_name,
+  1,  lapis__permit_grants__number_ranges,
+  (ProtobufCMessageInit) lapis__permit_grants__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__permits__field_descriptors[2] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Permits, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Permits, n),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__permits__field_indices_by_name[] = {
+  1,   /* field[1] = n */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange lapis__permits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lapis__permits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.Permits",
+  "Permits",
+  "Lapis__Permits",
+  "lapis",
+  sizeof(Lapis__Permits),
+  2,
+  lapis__permits__field_descriptors,
+  lapis__permits__field_indices_by_name,
+  1,  lapis__permits__number_ranges,
+  (ProtobufCMessageInit) lapis__permits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lapis__permit_ask__field_descriptors[1] =
+{
+  {
+    "wanted",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__PermitAsk, n_wanted),
+    offsetof(Lapis__PermitAsk, wanted),
+    &lapis__permits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__permit_ask__field_indices_by_name[] = {
+  0,   /* field[0] = wanted */
+};
+static const ProtobufCIntRange lapis__permit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor lapis__permit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.PermitAsk",
+  "PermitAsk",
+  "Lapis__PermitAsk",
+  "lapis",
+  sizeof(Lapis__PermitAsk),
+  1,
+  lapis__permit_ask__field_descriptors,
+  lapis__permit_ask__field_indices_by_name,
+  1,  lapis__permit_ask__number_ranges,
+  (ProtobufCMessageInit) lapis__permit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue lapis__slot_kind__enum_values_by_number[4] =
 {
   { "SLOT_NONE", "LAPIS__SLOT_KIND__SLOT_NONE", 0 },
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -51,6 +51,11 @@
 typedef struct Lapis__ServerEntry Lapis__ServerEntry;
 typedef struct Lapis__PoisonUpdates Lapis__PoisonUpdates;
 typedef struct Lapis__PoisonUpdate Lapis__PoisonUpdate;
+typedef struct Lapis__RateLimits Lapis__RateLimits;
+typedef struct Lapis__RateLimit Lapis__RateLimit;
+typedef struct Lapis__PermitGrants Lapis__PermitGrants;
+typedef struct Lapis__Permits Lapis__Permits;
+typedef struct Lapis__PermitAsk Lapis__PermitAsk;
 
 
 /* --- enums --- */
@@ -101,7 +106,10 @@
   LAPIS__FRAME__BODY_PROMPT_NOTICE = 23,
   LAPIS__FRAME__BODY_NODE_LIST = 24,
   LAPIS__FRAME__BODY_CONFIG_TEXT = 25,
-  LAPIS__FRAME__BODY_POISON_UPDATES = 26
+  LAPIS__FRAME__BODY_POISON_UPDATES = 26,
+  LAPIS__FRAME__BODY_RATE_LIMITS = 27,
+  LAPIS__FRAME__BODY_PERMIT_GRANTS = 28,
+  LAPIS__FRAME__BODY_PERMIT_ASK = 29
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -136,6 +144,9 @@
     Lapis__NodeList *node_list;
     Lapis__ConfigText *config_text;
     Lapis__PoisonUpdates *poison_updates;
+    Lapis__RateLimits *rate_limits;
+    Lapis__PermitGrants *permit_grants;
+    Lapis__PermitAsk *permit_ask;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -652,10 +663,19 @@
   uint32_t list_age_ms;
   size_t n_places;
   Lapis__PlaceLoad **places;
+  /*
+   * it takes its permits from the receiver,
+   */
+  protobuf_c_boolean follows;
+  /*
+   * and wants these
+   */
+  size_t n_wanted;
+  Lapis__Permits **wanted;
 };
 #define LAPIS__NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -929,6 +949,88 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Rates that backend servers have named, to each node that is linked: what is
+ * new, and all limits first on a link.
+ */
+struct  Lapis__RateLimits
+{
+  ProtobufCMessage base;
+  size_t n_limits;
+  Lapis__RateLimit **limits;
+};
+#define LAPIS__RATE_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__rate_limits__descriptor) \
+    , 0,NULL }
+
+
+struct  Lapis__RateLimit
+{
+  ProtobufCMessage base;
+  /*
+   * dsp_place_hash() without a generation
+   */
+  uint64_t server;
+  /*
+   * false: it takes any rate again
+   */
+  protobuf_c_boolean limited;
+  /*
+   * requests, from all nodes together
+   */
+  double per_s;
+  /*
+   * since the answer came that says so
+   */
+  uint32_t age_ms;
+};
+#define LAPIS__RATE_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__rate_limit__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Requests that a node may send to limited servers, to a node that follows it.
+ */
+struct  Lapis__PermitGrants
+{
+  ProtobufCMessage base;
+  size_t n_permits;
+  Lapis__Permits **permits;
+};
+#define LAPIS__PERMIT_GRANTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__permit_grants__descriptor) \
+    , 0,NULL }
+
+
+struct  Lapis__Permits
+{
+  ProtobufCMessage base;
+  /*
+   * as in RateLimit
+   */
+  uint64_t server;
+  uint32_t n;
+};
+#define LAPIS__PERMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__permits__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * From a node that follows the receiver, at once: as in its NodeLoad.
+ */
+struct  Lapis__PermitAsk
+{
+  ProtobufCMessage base;
+  size_t n_wanted;
+  Lapis__Permits **wanted;
+};
+#define LAPIS__PERMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__permit_ask__descriptor) \
+    , 0,NULL }
+
+
 /* Lapis__Frame methods */
 void   lapis__frame__init
                      (Lapis__Frame         *message);
@@ -1613,6 +1715,101 @@
 void   lapis__poison_update__free_unpacked
                      (Lapis__PoisonUpdate *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__RateLimits methods */
+void   lapis__rate_limits__init
+                     (Lapis__RateLimits         *message);
+size_t lapis__rate_limits__get_packed_size
+                     (const Lapis__RateLimits   *message);
+size_t lapis__rate_limits__pack
+                     (const Lapis__RateLimits   *message,
+                      uint8_t             *out);
+size_t lapis__rate_limits__pack_to_buffer
+                     (const Lapis__RateLimits   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__RateLimits *
+       lapis__rate_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__rate_limits__free_unpacked
+                     (Lapis__RateLimits *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__RateLimit methods */
+void   lapis__rate_limit__init
+                     (Lapis__RateLimit         *message);
+size_t lapis__rate_limit__get_packed_size
+                     (const Lapis__RateLimit   *message);
+size_t lapis__rate_limit__pack
+                     (const Lapis__RateLimit   *message,
+                      uint8_t             *out);
+size_t lapis__rate_limit__pack_to_buffer
+                     (const Lapis__RateLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__RateLimit *
+       lapis__rate_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__rate_limit__free_unpacked
+                     (Lapis__RateLimit *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__PermitGrants methods */
+void   lapis__permit_grants__init
+                     (Lapis__PermitGrants         *message);
+size_t lapis__permit_grants__get_packed_size
+                     (const Lapis__PermitGrants   *message);
+size_t lapis__permit_grants__pack
+                     (const Lapis__PermitGrants   *message,
+                      uint8_t             *out);
+size_t lapis__permit_grants__pack_to_buffer
+                     (const Lapis__PermitGrants   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__PermitGrants *
+       lapis__permit_grants__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__permit_grants__free_unpacked
+                     (Lapis__PermitGrants *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__Permits methods */
+void   lapis__permits__init
+                     (Lapis__Permits         *message);
+size_t lapis__permits__get_packed_size
+                     (const Lapis__Permits   *message);
+size_t lapis__permits__pack
+                     (const Lapis__Permits   *message,
+                      uint8_t             *out);
+size_t lapis__permits__pack_to_buffer
+                     (const Lapis__Permits   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__Permits *
+       lapis__permits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__permits__free_unpacked
+                     (Lapis__Permits *message,
+                      ProtobufCAllocator *allocator);
+/* Lapis__PermitAsk methods */
+void   lapis__permit_ask__init
+                     (Lapis__PermitAsk         *message);
+size_t lapis__permit_ask__get_packed_size
+                     (const Lapis__PermitAsk   *message);
+size_t lapis__permit_ask__pack
+                     (const Lapis__PermitAsk   *message,
+                      uint8_t             *out);
+size_t lapis__permit_ask__pack_to_buffer
+                     (const Lapis__PermitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__PermitAsk *
+       lapis__permit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__permit_ask__free_unpacked
+                     (Lapis__PermitAsk *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lapis__Frame_Closure)
@@ -1723,6 +1920,21 @@
 typedef void (*Lapis__PoisonUpdate_Closure)
                  (const Lapis__PoisonUpdate *message,
                   void *closure_data);
+typedef void (*Lapis__RateLimits_Closure)
+                 (const Lapis__RateLimits *message,
+                  void *closure_data);
+typedef void (*Lapis__RateLimit_Closure)
+                 (const Lapis__RateLimit *message,
+                  void *closure_data);
+typedef void (*Lapis__PermitGrants_Closure)
+                 (const Lapis__PermitGrants *message,
+                  void *closure_data);
+typedef void (*Lapis__Permits_Closure)
+                 (const Lapis__Permits *message,
+                  void *closure_data);
+typedef void (*Lapis__PermitAsk_Closure)
+                 (const Lapis__PermitAsk *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1766,6 +1978,11 @@
 extern const ProtobufCMessageDescriptor lapis__server_entry__descriptor;
 extern const ProtobufCMessageDescriptor lapis__poison_updates__descriptor;
 extern const ProtobufCMessageDescriptor lapis__poison_update__descriptor;
+extern const ProtobufCMessageDescriptor lapis__rate_limits__descriptor;
+extern const ProtobufCMessageDescriptor lapis__rate_limit__descriptor;
+extern const ProtobufCMessageDescriptor lapis__permit_grants__descriptor;
+extern const ProtobufCMessageDescriptor lapis__permits__descriptor;
+extern const ProtobufCMessageDescriptor lapis__permit_ask__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -105,6 +105,15 @@
   clk_ms second; /**< number of the newest slot */
 };
 
+#define DSP_PRIORITIES 10
+
+/** How often something happens, a moving average. */
+struct dsp_pace
+{
+  double n; /**< events, each counting less with its age */
+  clk_ms at;
+};
+
 /** Places that can serve the same requests, and the requests that wait. */
 struct dsp_pool
 {
@@ -117,6 +126,10 @@
   double begin_ms; /**< moving average: from sending to the first event */
   double run_ms;   /**< moving average: from sending to the end */
   struct dsp_budget *budget; /**< shared by the pools of a service */
+  struct dsp_pace asked[DSP_PRIORITIES]; /**< requests by priority */
+  struct dsp_pace limited; /**< requests refused as all places are limited */
+  clk_ms promised; /**< until when what limits allow has been promised to
+                        callers that were refused */
 };
 
 struct dsp_req
@@ -281,8 +294,29 @@
 void dsp_health_tick (struct dsp *d);
 
 /* dispatch-limit.c */
-/** A request's bytes go out to that place. */
-void dsp_limit_sent (struct dsp *d, const struct dsp_server *s);
+/** Whether the place's limit allows one more request now. */
+bool dsp_limit_allows (const struct dsp *d, const struct dsp_server *s);
+/** It does not, and the request would go there. */
+void dsp_limit_want (const struct dsp *d, const struct dsp_server *s,
+                     const struct dsp_req *q);
+/** A request is sent there. */
+void dsp_limit_take (const struct dsp *d, const struct dsp_server *s);
+bool dsp_is_limited (const struct dsp *d, const struct dsp_server *s);
+/** Slots of the place that its limit lets be used. */
+double dsp_limit_slots (const struct dsp *d, const struct dsp_server *s);
+/** A request has come for the pool. */
+void dsp_limit_asked (const struct dsp *d, const struct dsp_req *q);
+/** Whether it leaves what limits allow to more urgent requests, as these use
+    all of it. */
+bool dsp_limit_yields (const struct dsp *d, const struct dsp_pool *p,
+                       const struct dsp_req *q);
+/** When what waits for the pool can be sent, if all its usable places are
+    limited and have no permits left; else 0. */
+clk_ms dsp_limit_wait (const struct dsp *d, const struct dsp_pool *p);
+/** When a caller that is refused for that may come back; counts it. */
+clk_ms dsp_limit_refuse (const struct dsp *d, struct dsp_pool *p);
+/** Requests that the refused ones would have under way, all nodes together. */
+double dsp_limit_demand (const struct dsp *d, const struct dsp_pool *p);
 
 /* dispatch-crash.c */
 /** The run of @p q has broken off at its server. */
--- a/serve/dispatch-limit.c
+++ b/serve/dispatch-limit.c
@@ -1,6 +1,19 @@
 #include "serve/dispatch-int.h"
 
-#include "serve/limit.h"
+#include <math.h>
+
+/*
+ * Rates that servers ask for.  A place whose allowance is used counts as full;
+ * it stays usable, and no request is lost by it.
+ */
+
+/** Longest wait that a caller is told. */
+#define RETRY_MOST_MS ((clk_ms)10000)
+/** Requests a second that a server is taken to allow at least, where it names
+    none or next to none: some are sent there, to learn of the end. */
+#define RATE_LEAST 0.1
+/** Over which paces are averaged. */
+#define PACE_MS 2000.0
 
 enum lim_change
 dsp_answer_limit (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
@@ -17,13 +30,6 @@
   return lim_answered (d->opt.limits, now, &word);
 }
 
-void
-dsp_limit_sent (struct dsp *d, const struct dsp_server *s)
-{
-  if (d->opt.limits)
-    lim_sent (d->opt.limits, s->process);
-}
-
 uint64_t
 dsp_sent_limited (const struct dsp *d, uint64_t id, unsigned attempt)
 {
@@ -33,3 +39,165 @@
              ? lim_count_sent (d->opt.limits, q->server->process)
              : 0;
 }
+
+bool
+dsp_limit_allows (const struct dsp *d, const struct dsp_server *s)
+{
+  return !d->opt.limits || lim_allows (d->opt.limits, d->now, s->process);
+}
+
+void
+dsp_limit_want (const struct dsp *d, const struct dsp_server *s,
+                const struct dsp_req *q)
+{
+  /* Once for each request, however often it looks for a place. */
+  if (q->queued_at == d->now)
+    lim_want (d->opt.limits, d->now, s->process);
+}
+
+void
+dsp_limit_take (const struct dsp *d, const struct dsp_server *s)
+{
+  if (d->opt.limits)
+    lim_take (d->opt.limits, d->now, s->process);
+}
+
+bool
+dsp_is_limited (const struct dsp *d, const struct dsp_server *s)
+{
+  double rate;
+
+  return d->opt.limits && lim_rate (d->opt.limits, s->process, &rate);
+}
+
+void
+dsp_permitted (struct dsp *d, clk_ms now)
+{
+  d->now = now;
+  dsp_pump_all (d);
+}
+
+double
+dsp_limit_slots (const struct dsp *d, const struct dsp_server *s)
+{
+  double rate, slots = s->capacity;
+
+  if (d->opt.limits && lim_rate (d->opt.limits, s->process, &rate)
+      && s->pool->run_ms > 0)
+    slots = fmin (slots, rate * s->pool->run_ms / (double)CLK_SECOND);
+  return slots;
+}
+
+/* --- paces --------------------------------------------------------------- */
+
+static double
+per_second (const struct dsp_pace *x, clk_ms now)
+{
+  return x->n * exp (-(double)(now - x->at) / PACE_MS)
+         / (PACE_MS / (double)CLK_SECOND);
+}
+
+static void
+count (struct dsp_pace *x, clk_ms now)
+{
+  x->n = x->n * exp (-(double)(now - x->at) / PACE_MS) + 1;
+  x->at = now;
+}
+
+void
+dsp_limit_asked (const struct dsp *d, const struct dsp_req *q)
+{
+  if (d->opt.limits && lim_any (d->opt.limits))
+    count (&q->pool->asked[q->priority < DSP_PRIORITIES ? q->priority
+                                                        : DSP_PRIORITIES - 1],
+           d->now);
+}
+
+/* --- pools of which all places are limited ------------------------------- */
+
+/** Requests a second that the usable places of a pool take, if all of them are
+    limited; else 0. @param spent  receives whether none has a permit left */
+static double
+sum_of_limits (const struct dsp *d, const struct dsp_pool *p, bool *spent)
+{
+  double sum = 0, rate;
+
+  *spent = true;
+  if (!d->opt.limits || !lim_any (d->opt.limits))
+    return 0;
+  for (size_t i = 0; i < p->n; i++)
+    {
+      const struct dsp_server *s = p->servers[i];
+      if (!dsp_health_usable (d, s))
+        continue;
+      if (!lim_rate (d->opt.limits, s->process, &rate))
+        return 0;
+      sum += fmax (rate, RATE_LEAST);
+      *spent = *spent && lim_is_spent (d->opt.limits, d->now, s->process);
+    }
+  return sum;
+}
+
+/** What this node may send of that. */
+static double
+own_part (const struct dsp *d, double sum)
+{
+  return sum / (d->nodes ? d->nodes : 1);
+}
+
+bool
+dsp_limit_yields (const struct dsp *d, const struct dsp_pool *p,
+                  const struct dsp_req *q)
+{
+  double urgent = 0, sum;
+  bool spent;
+
+  sum = sum_of_limits (d, p, &spent);
+  if (sum <= 0 || q->passing)
+    return false;
+  for (unsigned i = 0; i < q->priority && i < DSP_PRIORITIES; i++)
+    urgent += per_second (&p->asked[i], d->now);
+  return urgent >= own_part (d, sum);
+}
+
+/** Time in which this node may send @p n requests. */
+static clk_ms
+time_for (const struct dsp *d, double sum, double n)
+{
+  return (clk_ms)fmin (n * (double)CLK_SECOND / own_part (d, sum),
+                       (double)RETRY_MOST_MS);
+}
+
+clk_ms
+dsp_limit_wait (const struct dsp *d, const struct dsp_pool *p)
+{
+  bool spent;
+  double sum = sum_of_limits (d, p, &spent);
+
+  return sum > 0 && spent ? time_for (d, sum, (double)p->waiting) : 0;
+}
+
+/**
+ * Were all that are refused told the same moment, they would come together and
+ * be refused again; each is told its turn.
+ */
+clk_ms
+dsp_limit_refuse (const struct dsp *d, struct dsp_pool *p)
+{
+  bool spent;
+  double sum = sum_of_limits (d, p, &spent);
+  clk_ms from = p->promised > d->now ? p->promised : d->now;
+
+  count (&p->limited, d->now);
+  p->promised = from + (sum > 0 ? time_for (d, sum, 1) : RETRY_MOST_MS);
+  if (p->promised > d->now + RETRY_MOST_MS)
+    p->promised = d->now + RETRY_MOST_MS;
+  return p->promised - d->now;
+}
+
+double
+dsp_limit_demand (const struct dsp *d, const struct dsp_pool *p)
+{
+  return per_second (&p->limited, d->now) * d->nodes * p->run_ms
+         / (double)CLK_SECOND;
+}
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -156,9 +156,12 @@
       if (!str_is (service, p->service) || !str_is (model, p->model))
         continue;
       /* Callers choose their nodes by chance, so as many wait at others. */
-      n += (double)p->waiting * d->nodes;
+      n += (double)p->waiting * d->nodes + dsp_limit_demand (d, p);
       for (size_t k = 0; k < p->n; k++)
-        n += p->servers[k]->own + p->servers[k]->others;
+        {
+          const struct dsp_server *s = p->servers[k];
+          n += s->own + s->others + s->capacity - dsp_limit_slots (d, s);
+        }
     }
   return n;
 }
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -180,17 +180,28 @@
          && !dsp_health_quiet (d, s);
 }
 
+static struct dsp_server *
+less_loaded (struct dsp_server *a, struct dsp_server *b)
+{
+  if (!a || !b)
+    return a ? a : b;
+  return load_of (b) < load_of (a) ? b : a;
+}
+
 /**
  * The less loaded of two places drawn by chance.  What others have there was
  * told a tenth of a second ago; were the least loaded of all taken, all nodes
  * would take the same one until the next word, and the requests of that time
  * would wait there for each other.
+ *
+ * A limited place for which this node has a permit comes beside them: the
+ * permit is this node's alone, and lapses if it is not used.
  */
 static struct dsp_server *
 less_taken (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q,
             unsigned beyond)
 {
-  struct dsp_server *drawn[2] = { NULL, NULL };
+  struct dsp_server *drawn[2] = { NULL, NULL }, *permitted = NULL;
   unsigned n = 0;
 
   for (size_t i = 0; i < p->n; i++)
@@ -198,6 +209,16 @@
       struct dsp_server *s = p->servers[i];
       if (!may_take (d, s, q) || taken (s) >= s->capacity + beyond)
         continue;
+      if (!dsp_limit_allows (d, s))
+        {
+          dsp_limit_want (d, s, q);
+          continue;
+        }
+      if (dsp_is_limited (d, s))
+        {
+          permitted = less_loaded (permitted, s);
+          continue;
+        }
       /* Draw two of those that come by, each pair as likely. */
       uint64_t at = rng_below (&d->rng, ++n);
       if (n <= 2)
@@ -205,9 +226,7 @@
       else if (at < 2)
         drawn[at] = s;
     }
-  if (!drawn[1])
-    return drawn[0];
-  return load_of (drawn[1]) < load_of (drawn[0]) ? drawn[1] : drawn[0];
+  return less_loaded (permitted, less_loaded (drawn[0], drawn[1]));
 }
 
 /** A place that failed and is due for a look, by what may be repeated. */
@@ -220,7 +239,8 @@
   for (size_t i = 0; i < p->n; i++)
     {
       *out = p->servers[i];
-      if (!dsp_tried (q, *out) && dsp_health_probe_due (d, *out))
+      if (!dsp_tried (q, *out) && dsp_health_probe_due (d, *out)
+          && dsp_limit_allows (d, *out))
         return true;
     }
   return false;
@@ -239,7 +259,7 @@
       struct dsp_server *s = p->servers[i];
       if (!s->listed || !s->accepting || s->stalled || dsp_tried (q, s)
           || d->now < s->full_until || dsp_has_ended (d, s)
-          || taken (s) >= s->capacity)
+          || taken (s) >= s->capacity || !dsp_limit_allows (d, s))
         continue;
       if (!best || taken (s) < taken (best))
         best = s;
@@ -263,6 +283,8 @@
   struct dsp_server *s;
 
   dsp_load_forget (d);
+  if (dsp_limit_yields (d, p, q))
+    return NULL;
   if (due_for_probe (d, p, q, &s))
     return s;
   s = less_taken (d, p, q, late ? 0 : BEYOND);
--- a/serve/dispatch-wait.c
+++ b/serve/dispatch-wait.c
@@ -107,6 +107,7 @@
   q->attempt++;
   q->begun = q->error = false;
   s->own++;
+  dsp_limit_take (d, s);
   dsp_prompt_sent (d, q);
   if (s->ejected_until || s->stalled)
     s->probing = q->probe = true;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -257,7 +257,8 @@
   double places = 1, ms;
 
   for (size_t i = 0; i < p->n; i++)
-    places += p->servers[i]->listed ? p->servers[i]->capacity : 0;
+    if (p->servers[i]->listed)
+      places += dsp_limit_slots (d, p->servers[i]);
   ms = p->run_ms * (double)(p->waiting * d->nodes) / places;
   if (ms < (double)RETRY_LEAST_MS)
     return RETRY_LEAST_MS;
@@ -362,7 +363,6 @@
   q->sends++;
   q->sent_at = q->heard = now;
   q->unbegun = true;
-  dsp_limit_sent (d, q->server);
   d->figures.sent++;
   d->figures.repeated += q->sends > 1;
   return true;
@@ -507,6 +507,12 @@
 
 /* --- arrival, leave, time ---------------------------------------------- */
 
+static clk_ms
+wait_until (const struct dsp_req *q)
+{
+  return q->queued_at + (clk_ms)(WAIT_PART * (double)q->route->goal_ms);
+}
+
 void
 dsp_arrive (struct dsp *d, clk_ms now, const struct dsp_request *in)
 {
@@ -531,9 +537,15 @@
       return;
     }
   dsp_budget_request (d, q->pool);
+  dsp_limit_asked (d, q);
   dsp_step (q, DSP_X_WAIT);
   dsp_enqueue (d, q, false);
   dsp_pump (d, q->pool);
+  if (q->queued
+      && (dsp_limit_yields (d, q->pool, q)
+          || now + dsp_limit_wait (d, q->pool) > wait_until (q)))
+    dsp_give_up (d, q, DSP_OVERLOAD, DSP_BROKEN,
+                 dsp_limit_refuse (d, q->pool));
 }
 
 void
@@ -554,12 +566,6 @@
   d->leaving = true;
 }
 
-static clk_ms
-wait_until (const struct dsp_req *q)
-{
-  return q->queued_at + (clk_ms)(WAIT_PART * (double)q->route->goal_ms);
-}
-
 /** A whole answer in one piece is overdue, and another place may do better. */
 static bool
 is_silent (const struct dsp *d, const struct dsp_req *q)
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -211,6 +211,9 @@
     limited. */
 uint64_t dsp_sent_limited (const struct dsp *d, uint64_t id, unsigned attempt);
 
+/** Permits for limited servers have been granted. */
+void dsp_permitted (struct dsp *d, clk_ms now);
+
 /** Bytes of a stream came; @p event: at least one whole event is among them.
  */
 void dsp_heard (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -149,6 +149,8 @@
     change = dsp_answer_limit (d, clk_now (), ex->id, at->number,
                                at->answer.limit, at->answer.rate);
   snprintf (rate, sizeof rate, "%g", at->answer.rate);
+  if (change != LIM_SAME)
+    srv_peers_limits (ex->s);
   switch (change)
     {
     case LIM_SAME:
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -53,6 +53,7 @@
   s->acting = false;
   srv_peers_notices (s);
   srv_poison_act (s);
+  srv_peers_wants (s);
 }
 
 /* --- a request's way in ------------------------------------------------ */
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -80,13 +80,18 @@
 static void
 set_limits (struct srv *s)
 {
-  struct lim_figures f = lim_figures (s->limits);
+  struct lim_figures f = lim_figures (s->limits, clk_now ());
 
   set (s, PREFIX "servers_limited",
        "Backend servers that have named the request rate that they take.",
        NULL, (double)f.limited);
   set (s, PREFIX "sent_limited", "Requests sent to such servers.", NULL,
        (double)f.sent);
+  set (s, PREFIX "permits_granted", "Permits for such requests, by this node.",
+       NULL, (double)f.granted);
+  set (s, PREFIX "permits_followers",
+       "Nodes that take their permits from this one.", NULL,
+       (double)f.followers);
 }
 
 static void
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -172,6 +172,11 @@
 /** Tell the other nodes of requests that crash servers. */
 void srv_peers_poison (struct srv *s, const struct psn_update *list, size_t n);
 
+/** Tell the other nodes what is new of rates that servers ask for. */
+void srv_peers_limits (struct srv *s);
+/** Ask at once for permits that have come to be wanted. */
+void srv_peers_wants (struct srv *s);
+
 /* poison-node.c: requests that crash servers */
 /** Act on what is new of them. */
 void srv_poison_act (struct srv *s);
--- a/serve/node.c
+++ b/serve/node.c
@@ -159,7 +159,7 @@
                              .stall_ms = s->set.stall_ms };
 
   s->poison = opt.poison = psn_new ();
-  s->limits = opt.limits = lim_new ();
+  s->limits = opt.limits = lim_new (str_hash (s->set.node, s->boot));
   srv_metrics_start (s);
   s->backends = bks_new ();
   s->dispatch = dsp_new (&opt, rng_next (&s->rng));
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -6,6 +6,7 @@
  *   peers-nodes.c what is told of other nodes, and of the configuration
  *   peers-load.c  what is told of loads: the own one, and the sum of all
  *   peers-poison.c  what is told of requests that crash servers
+ *   peers-limit.c what is told of rates that servers ask for, and permits
  */
 #ifndef LAPISLINE_SERVE_PEERS_INT_H
 #define LAPISLINE_SERVE_PEERS_INT_H
@@ -98,6 +99,29 @@
 void prs_send_poison_snapshot (struct peer *x, clk_ms now);
 void prs_on_poison_updates (struct peer *x, const Lapis__PoisonUpdates *news);
 
+/* peers-limit.c */
+/** Rows of a frame. */
+struct prs_wanted
+{
+  Lapis__Permits *rows;
+  Lapis__Permits **list;
+};
+
+/** Tell a peer that has just been linked which servers are limited. */
+void prs_send_limits (struct peer *x, clk_ms now);
+void prs_on_limits (struct peer *x, const Lapis__RateLimits *limits);
+/** Say in a load that goes to the peer which permits are wanted of it. */
+void prs_fill_wanted (const struct peer *x, clk_ms now, struct prs_wanted *w,
+                      Lapis__NodeLoad *load);
+void prs_wanted_free (struct prs_wanted *w);
+/** The peer says so. */
+void prs_on_wanted (struct peer *x, const Lapis__NodeLoad *load);
+void prs_on_ask (struct peer *x, const Lapis__PermitAsk *ask);
+void prs_on_permits (struct peer *x, const Lapis__PermitGrants *grants);
+/** Grant what is due, if this node does. @param all  each PRS_TELL_MS; else
+    only where more is wanted since */
+void prs_grant (struct srv_peers *p, clk_ms now, bool all);
+
 /* peers-load.c */
 /** More nodes than tell each other directly. */
 bool prs_many (const struct srv_peers *p);
--- /dev/null
+++ b/serve/peers-limit.c
@@ -0,0 +1,260 @@
+#include "serve/peers-int.h"
+
+#include <stdlib.h>
+
+/*
+ * Rates that backend servers ask for, between nodes.  What is new goes to each
+ * node that is linked, and each passes on what is new to it, so that it also
+ * gets around links that are cut.  Permits are granted by the node that adds
+ * up the loads; what a node wants goes to it with its own load.
+ */
+
+/** Rows in one frame. */
+#define ROWS_MOST 256
+/** A node that was not heard for so long grants nothing any more. */
+#define GRANTS_MS ((clk_ms)1000)
+
+/* --- limits -------------------------------------------------------------- */
+
+static void
+send_limits (struct peer *x, const struct lim_update *list, size_t n)
+{
+  Lapis__RateLimits limits = LAPIS__RATE_LIMITS__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  Lapis__RateLimit rows[ROWS_MOST], *row_list[ROWS_MOST];
+
+  for (size_t i = 0; i < n; i++)
+    {
+      lapis__rate_limit__init (&rows[i]);
+      rows[i].server = list[i].server;
+      rows[i].limited = list[i].limited;
+      rows[i].per_s = list[i].rate;
+      rows[i].age_ms = (uint32_t)list[i].age_ms;
+      row_list[i] = &rows[i];
+    }
+  limits.n_limits = n;
+  limits.limits = row_list;
+  f.body_case = LAPIS__FRAME__BODY_RATE_LIMITS;
+  f.rate_limits = &limits;
+  link_send (x->link, &f);
+}
+
+static void
+send_all_limits (struct peer *x, const struct lim_update *list, size_t n)
+{
+  for (size_t i = 0; i < n; i += ROWS_MOST)
+    send_limits (x, list + i, n - i < ROWS_MOST ? n - i : ROWS_MOST);
+}
+
+void
+prs_send_limits (struct peer *x, clk_ms now)
+{
+  size_t n;
+  const struct lim_update *list = lim_snapshot (x->p->s->limits, now, &n);
+
+  send_all_limits (x, list, n);
+}
+
+void
+srv_peers_limits (struct srv *s)
+{
+  size_t n;
+  const struct lim_update *list = lim_updates (s->limits, clk_now (), &n);
+
+  for (struct peer *x = s->peers ? s->peers->list : NULL; x; x = x->next)
+    if (x->up)
+      send_all_limits (x, list, n);
+}
+
+void
+prs_on_limits (struct peer *x, const Lapis__RateLimits *limits)
+{
+  struct srv *s = x->p->s;
+  clk_ms now = clk_now ();
+  size_t fresh = 0;
+
+  for (size_t i = 0; i < limits->n_limits; i++)
+    {
+      const Lapis__RateLimit *row = limits->limits[i];
+      struct lim_update update = { .server = row->server,
+                                   .limited = row->limited,
+                                   .rate = row->per_s,
+                                   .age_ms = row->age_ms };
+      if (row->per_s >= 0)
+        fresh += lim_apply (s->limits, now, &update);
+    }
+  if (fresh == 0)
+    return;
+  LOG (limits_heard, LOG_C ("peer", x->node), LOG_I ("servers", fresh),
+       LOG_I ("limited", lim_figures (s->limits, now).limited));
+  srv_peers_limits (s);
+  dsp_permitted (s->dispatch, now);
+  srv_act (s);
+}
+
+/* --- permits ------------------------------------------------------------- */
+
+/** Whether this node takes its permits from the peer. */
+static bool
+takes_from (const struct peer *x, clk_ms now)
+{
+  return x == x->p->summing && now - x->heard < GRANTS_MS;
+}
+
+/** Rows of what is wanted, as on the link. */
+static size_t
+make_wanted (const struct srv *s, clk_ms now, bool again, struct prs_wanted *w)
+{
+  size_t n;
+  const struct lim_permits *list = lim_wanted (s->limits, now, again, &n);
+
+  w->rows = xrealloc (w->rows, (n + 1) * sizeof *w->rows);
+  w->list = xrealloc (w->list, (n + 1) * sizeof (*w->list));
+  for (size_t i = 0; i < n; i++)
+    {
+      lapis__permits__init (&w->rows[i]);
+      w->rows[i].server = list[i].server;
+      w->rows[i].n = list[i].n;
+      w->list[i] = &w->rows[i];
+    }
+  return n;
+}
+
+void
+prs_fill_wanted (const struct peer *x, clk_ms now, struct prs_wanted *w,
+                 Lapis__NodeLoad *load)
+{
+  load->follows = lim_any (x->p->s->limits) && takes_from (x, now);
+  load->n_wanted = 0;
+  if (!load->follows)
+    return;
+  load->n_wanted = make_wanted (x->p->s, now, true, w);
+  load->wanted = w->list;
+}
+
+void
+prs_wanted_free (struct prs_wanted *w)
+{
+  free (w->rows);
+  free (w->list);
+}
+
+static void
+take_wanted (struct peer *x, bool again, Lapis__Permits *const *rows, size_t n)
+{
+  struct lim_permits *list = xcalloc (n + 1, sizeof *list);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      list[i].server = rows[i]->server;
+      list[i].n = rows[i]->n;
+    }
+  lim_followed (x->p->s->limits, clk_now (), x->hash, again, list, n);
+  free (list);
+  prs_grant (x->p, clk_now (), false);
+}
+
+void
+prs_on_wanted (struct peer *x, const Lapis__NodeLoad *load)
+{
+  if (load->follows)
+    take_wanted (x, true, load->wanted, load->n_wanted);
+  else
+    lim_unfollowed (x->p->s->limits, x->hash);
+}
+
+void
+prs_on_ask (struct peer *x, const Lapis__PermitAsk *ask)
+{
+  take_wanted (x, false, ask->wanted, ask->n_wanted);
+}
+
+void
+srv_peers_wants (struct srv *s)
+{
+  struct srv_peers *p = s->peers;
+  clk_ms now = clk_now ();
+  Lapis__PermitAsk ask = LAPIS__PERMIT_ASK__INIT;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+  struct prs_wanted w = { 0 };
+
+  if (!p || !lim_wants_more (s->limits))
+    return;
+  if (!p->summing || !takes_from (p->summing, now))
+    {
+      prs_grant (p, now, false);
+      return;
+    }
+  ask.n_wanted = make_wanted (s, now, false, &w);
+  ask.wanted = w.list;
+  f.body_case = LAPIS__FRAME__BODY_PERMIT_ASK;
+  f.permit_ask = &ask;
+  link_send (p->summing->link, &f);
+  prs_wanted_free (&w);
+}
+
+void
+prs_on_permits (struct peer *x, const Lapis__PermitGrants *grants)
+{
+  struct srv *s = x->p->s;
+  clk_ms now = clk_now ();
+
+  if (!takes_from (x, now))
+    return;
+  for (size_t i = 0; i < grants->n_permits; i++)
+    lim_granted (s->limits, now, grants->permits[i]->server,
+                 grants->permits[i]->n);
+  dsp_permitted (s->dispatch, now);
+  srv_act (s);
+}
+
+static struct peer *
+find_hash (const struct srv_peers *p, uint64_t hash)
+{
+  struct peer *x = p->list;
+
+  while (x && x->hash != hash)
+    x = x->next;
+  return x;
+}
+
+/** Those of one node follow each other in the order of servers only, so each
+    permit is a frame; there are few. */
+static void
+send_permits (struct srv_peers *p, const struct lim_permits *list, size_t n)
+{
+  Lapis__PermitGrants grants = LAPIS__PERMIT_GRANTS__INIT;
+  Lapis__Permits row = LAPIS__PERMITS__INIT, *rows = &row;
+  Lapis__Frame f = LAPIS__FRAME__INIT;
+
+  grants.n_permits = 1;
+  grants.permits = &rows;
+  f.body_case = LAPIS__FRAME__BODY_PERMIT_GRANTS;
+  f.permit_grants = &grants;
+  for (size_t i = 0; i < n; i++)
+    {
+      struct peer *x = find_hash (p, list[i].node);
+      row.server = list[i].server;
+      row.n = list[i].n;
+      if (x && x->up)
+        link_send (x->link, &f);
+    }
+}
+
+void
+prs_grant (struct srv_peers *p, clk_ms now, bool all)
+{
+  struct srv *s = p->s;
+  unsigned known = (unsigned)p->nlisted + 1, told = srv_peers_nodes (s);
+  const struct lim_permits *list;
+  size_t n;
+
+  if (!lim_any (s->limits))
+    return;
+  lim_lead (s->limits, now, !p->summing || !takes_from (p->summing, now),
+            known > told ? known : told);
+  list = lim_grant (s->limits, now, all, &n);
+  send_permits (p, list, n);
+  dsp_permitted (s->dispatch, now);
+  srv_act (s);
+}
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -87,6 +87,7 @@
   if (load->leads && x->listing)
     srv_sync_heard (s, x->heard, load->list_age_ms);
   s->traffic = s->traffic || load->traffic;
+  prs_on_wanted (x, load);
   prs_feed (x, x->heard);
   srv_act (s);
 }
@@ -216,6 +217,7 @@
   const struct dsp_count *own = dsp_own_load (s->dispatch, &p->nown);
   Lapis__NodeLoad load = LAPIS__NODE_LOAD__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
+  struct prs_wanted wanted = { 0 };
   struct rows rows;
 
   p->own = xrealloc (p->own, (p->nown + 1) * sizeof *p->own);
@@ -233,6 +235,7 @@
       if (!is_due (x, few || x == p->summing, now))
         continue;
       load.list_age_ms = (uint32_t)list_age (x, now);
+      prs_fill_wanted (x, now, &wanted, &load);
       if (link_send (x->link, &f))
         x->told_at = now;
     }
@@ -240,6 +243,7 @@
     if (own[i].stalled || own[i].ended)
       srv_duty_stalled (s, own[i].place);
   free_rows (&rows);
+  prs_wanted_free (&wanted);
 }
 
 void
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -82,6 +82,7 @@
   x->up = x->ready = x->listing = x->leads = false;
   x->told = 0;
   x->ncounts = 0;
+  lim_unfollowed (s->limits, x->hash);
   x->next_connect = clk_now () + CONNECT_AGAIN_MS;
   prs_feed (x, clk_now ());
   srv_act (s);
@@ -125,6 +126,7 @@
   LOG (node_linked, LOG_C ("peer", x->node));
   prs_count_nodes (p);
   prs_send_poison_snapshot (x, x->heard);
+  prs_send_limits (x, x->heard);
 }
 
 static void
@@ -165,6 +167,12 @@
     prs_on_nodes (x, f->node_list);
   else if (x && f->body_case == LAPIS__FRAME__BODY_POISON_UPDATES)
     prs_on_poison_updates (x, f->poison_updates);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_RATE_LIMITS)
+    prs_on_limits (x, f->rate_limits);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_PERMIT_ASK)
+    prs_on_ask (x, f->permit_ask);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_PERMIT_GRANTS)
+    prs_on_permits (x, f->permit_grants);
   else if (x && f->body_case == LAPIS__FRAME__BODY_CONFIG_TEXT)
     srv_config_pushed (
         p->s, f->config_text->revision,
@@ -294,6 +302,7 @@
   choose_links (p, now);
   srv_peers_servers (s);
   prs_tell (p, now);
+  prs_grant (p, now, true);
 }
 
 /** Of those that lack changes of the list and were not told just now, the one
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -13,6 +13,7 @@
 {
   struct dsp *d;
   struct psn *poison;
+  struct lim *limits;
   struct tbl *table;
   clk_ms now;
   struct dsp_place places[MOST];
@@ -148,7 +149,7 @@
 
 static void
 ask (struct bench *b, uint64_t id, const char *route, uint64_t digest,
-     bool late)
+     bool late, unsigned priority)
 {
   const struct tbl_route *r = find_route (b, route);
   struct dsp_request q = { .id = id,
@@ -157,7 +158,8 @@
                            .service = r->targets[0].service,
                            .deadline = b->now + 2000,
                            .waited = late ? r->goal_ms : 0,
-                           .digest = digest ? digest : 1000 + id };
+                           .digest = digest ? digest : 1000 + id,
+                           .priority = priority };
 
   if (r->kind == TBL_STREAM)
     q.model = STR ("m");
@@ -201,6 +203,24 @@
   dsp_blocked (b->d, b->now, digest);
 }
 
+static void
+limit (struct bench *b, const char *place, const char *rate)
+{
+  struct lim_update update = { .limited = strcmp (rate, "none") != 0 };
+
+  update.server = dsp_place_hash (str_from (place), 0, 0);
+  update.rate = atof (rate);
+  lim_apply (b->limits, b->now, &update);
+  dsp_permitted (b->d, b->now);
+}
+
+static void
+permit (struct bench *b, const char *place)
+{
+  lim_granted (b->limits, b->now, dsp_place_hash (str_from (place), 0, 0), 1);
+  dsp_permitted (b->d, b->now);
+}
+
 static void
 answer_event (struct bench *b, const char *word, uint64_t id)
 {
@@ -277,7 +297,13 @@
   else if (strcmp (word, "others") == 0)
     others (b, x, (unsigned)atoi (y), (unsigned)atoi (z));
   else if (strcmp (word, "ask") == 0 || strcmp (word, "late") == 0)
-    ask (b, (uint64_t)atoi (x), y, (uint64_t)atoi (z), word[0] == 'l');
+    ask (b, (uint64_t)atoi (x), y, (uint64_t)atoi (z), word[0] == 'l', 0);
+  else if (strcmp (word, "minor") == 0)
+    ask (b, (uint64_t)atoi (x), y, 0, false, 1);
+  else if (strcmp (word, "limit") == 0)
+    limit (b, x, y);
+  else if (strcmp (word, "permit") == 0)
+    permit (b, x);
   else if (strcmp (word, "ended") == 0)
     told_ended (b, x);
   else if (strcmp (word, "crashed") == 0)
@@ -311,6 +337,8 @@
   char *copy = xstrdup (script), *next = copy, *text;
 
   b.poison = opt.poison = psn_new ();
+  b.limits = opt.limits = lim_new (1);
+  lim_lead (b.limits, b.now, false, 1);
   b.d = dsp_new (&opt, 1);
   while ((text = strsep (&next, "\n")) != NULL)
     {
@@ -322,6 +350,7 @@
                     buf_c (&b.log), expected);
   dsp_free (b.d);
   psn_free (b.poison);
+  lim_free (b.limits);
   tbl_unref (b.table);
   buf_free (&b.log);
   free (copy);
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -13,6 +13,10 @@
  *                            is a number, without it that of no other
  *   late ID ROUTE            the same from a caller that has waited its goal
  *                            before
+ *   minor ID ROUTE           the same, less urgent
+ *   limit PLACE RATE         its server takes so many requests a second;
+ *                            "none": any
+ *   permit PLACE             this node may send one there
  *   sent|failed|good|error|final|unrun|event|whole|broken|gone ID
  *   crashed|alive|unknown PLACE   what a check of its server has found
  *   blocked DIGEST           servers crash when they run it
--- /dev/null
+++ b/t/lib-limit.c
@@ -0,0 +1,562 @@
+#include "base/str.h"
+
+#include "t/lib-limit.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_MS ((clk_ms)10)
+#define TELL_MS ((clk_ms)100)
+/** A hub that was not heard for so long grants nothing; after the longer one
+    the next hub takes its place. */
+#define GRANTS_MS ((clk_ms)1000)
+#define DEAD_MS ((clk_ms)2500)
+#define WINDOW_MS ((clk_ms)4000)
+/** A process that starts has so long to learn of limits. */
+#define TOLD_MS ((clk_ms)500)
+/** A request waits so long for a permit. */
+#define WAIT_MS ((clk_ms)40)
+#define LIST_MOST 16
+
+/** What a node sends to another. */
+struct limit_frame
+{
+  struct limit_frame *next;
+  int from;
+  clk_ms due;
+  bool tells, follows, grants;
+  struct lim_permits permits[LIST_MOST]; /**< wanted, or granted */
+  size_t npermits;
+  struct lim_update updates[LIST_MOST];
+  size_t nupdates;
+};
+
+struct limit_answer
+{
+  struct limit_answer *next;
+  int node;
+  struct limit_server *server;
+  struct lim *asker; /**< the process that asked */
+  clk_ms sent, due;
+};
+
+/* --- links --------------------------------------------------------------- */
+
+static bool
+is_linked (const struct limit_fleet *f, int a, int b)
+{
+  return a != b && (a < LIMIT_HUBS || b < LIMIT_HUBS) && f->node[a].l
+         && f->node[b].l && !f->node[a].cut && !f->node[b].cut;
+}
+
+static void
+post (struct limit_fleet *f, int to, const struct limit_frame *frame)
+{
+  struct limit_frame **end = &f->node[to].inbox, *copy;
+
+  if (!is_linked (f, frame->from, to))
+    return;
+  copy = xmalloc (sizeof *copy);
+  *copy = *frame;
+  copy->next = NULL;
+  copy->due = f->now + STEP_MS;
+  while (*end)
+    end = &(*end)->next;
+  *end = copy;
+}
+
+static void
+fill_updates (struct limit_frame *frame, const struct lim_update *list,
+              size_t n)
+{
+  frame->nupdates = n < LIST_MOST ? n : LIST_MOST;
+  if (n)
+    memcpy (frame->updates, list, frame->nupdates * sizeof *list);
+}
+
+static void
+post_new (struct limit_fleet *f, int from)
+{
+  struct limit_frame frame = { .from = from };
+  size_t n;
+  const struct lim_update *list = lim_updates (f->node[from].l, f->now, &n);
+
+  fill_updates (&frame, list, n);
+  for (int to = 0; n > 0 && to < f->n; to++)
+    post (f, to, &frame);
+}
+
+static void
+post_all (struct limit_fleet *f, int from, int to)
+{
+  struct limit_frame frame = { .from = from };
+  size_t n;
+  const struct lim_update *list = lim_snapshot (f->node[from].l, f->now, &n);
+
+  fill_updates (&frame, list, n);
+  post (f, to, &frame);
+}
+
+static void
+link_again (struct limit_fleet *f, int node)
+{
+  for (int i = 0; i < f->n; i++)
+    if (is_linked (f, node, i))
+      {
+        post_all (f, node, i);
+        post_all (f, i, node);
+      }
+}
+
+/* --- nodes --------------------------------------------------------------- */
+
+/** The hub that a node takes its permits from, or -1: it grants. */
+static int
+leader_of (const struct limit_fleet *f, int node)
+{
+  for (int i = 0; i < LIMIT_HUBS && i < f->n; i++)
+    {
+      clk_ms silent = f->now - f->node[node].heard[i];
+      if (i == node)
+        return -1;
+      if (silent < DEAD_MS)
+        return silent < GRANTS_MS ? i : -1;
+    }
+  return -1;
+}
+
+/** What a node wants, to the one it follows. */
+static void
+post_wanted (struct limit_fleet *f, int node, int leader, bool tells)
+{
+  struct limit_frame frame = { .from = node, .tells = tells, .follows = true };
+  size_t n;
+  const struct lim_permits *list
+      = lim_wanted (f->node[node].l, f->now, tells, &n);
+
+  frame.npermits = n < LIST_MOST ? n : LIST_MOST;
+  if (n)
+    memcpy (frame.permits, list, frame.npermits * sizeof *list);
+  post (f, leader, &frame);
+}
+
+static void
+grant (struct limit_fleet *f, int node)
+{
+  struct lim *l = f->node[node].l;
+  size_t n;
+
+  lim_lead (l, f->now, leader_of (f, node) < 0, (unsigned)f->n);
+  const struct lim_permits *due = lim_grant (l, f->now, true, &n);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct limit_frame frame = { .from = node, .grants = true };
+      frame.npermits = 1;
+      frame.permits[0] = due[i];
+      post (f, (int)due[i].node - 1, &frame);
+    }
+}
+
+static void
+tell (struct limit_fleet *f, int node)
+{
+  int leader = leader_of (f, node);
+  struct limit_frame frame = { .from = node, .tells = true };
+
+  if (leader >= 0)
+    post_wanted (f, node, leader, true);
+  for (int to = 0; to < f->n; to++)
+    if (to != leader && (node < LIMIT_HUBS || to < LIMIT_HUBS))
+      post (f, to, &frame);
+  grant (f, node);
+}
+
+static void
+take_frame (struct limit_fleet *f, int node, const struct limit_frame *in)
+{
+  struct lim *l = f->node[node].l;
+
+  if (in->from < LIMIT_HUBS)
+    f->node[node].heard[in->from] = f->now;
+  for (size_t i = 0; i < in->nupdates; i++)
+    lim_apply (l, f->now, &in->updates[i]);
+  for (size_t i = 0; in->grants && i < in->npermits; i++)
+    if (leader_of (f, node) == in->from)
+      lim_granted (l, f->now, in->permits[i].server, in->permits[i].n);
+  if (in->follows)
+    lim_followed (l, f->now, (uint64_t)in->from + 1, in->tells, in->permits,
+                  in->npermits);
+  else if (in->tells)
+    lim_unfollowed (l, (uint64_t)in->from + 1);
+  if (in->follows)
+    grant (f, node);
+}
+
+/* --- requests ------------------------------------------------------------ */
+
+static void
+add_arrival (struct limit_server *s, clk_ms now)
+{
+  if (s->n == s->room)
+    {
+      s->room = 2 * s->room + 64;
+      s->arrivals = xrealloc (s->arrivals, s->room * sizeof *s->arrivals);
+    }
+  s->arrivals[s->n++] = now;
+}
+
+static void
+send_request (struct limit_fleet *f, int node, struct limit_server *s)
+{
+  struct limit_answer *a = xmalloc (sizeof *a);
+
+  lim_take (f->node[node].l, f->now, (uint64_t)s->name);
+  if (f->now - f->node[node].started_at >= TOLD_MS)
+    add_arrival (s, f->now);
+  *a = (struct limit_answer){ .next = f->answers,
+                              .node = node,
+                              .server = s,
+                              .asker = f->node[node].l,
+                              .sent = f->now };
+  a->due = f->now + 100 + (clk_ms)rng_below (&f->rng, 100);
+  f->answers = a;
+}
+
+/** Ask at once for what has come to be wanted. */
+static void
+ask_more (struct limit_fleet *f, int node)
+{
+  int leader = leader_of (f, node);
+
+  if (!lim_wants_more (f->node[node].l))
+    return;
+  if (leader < 0)
+    grant (f, node);
+  else
+    post_wanted (f, node, leader, false);
+}
+
+static void
+ask (struct limit_fleet *f)
+{
+  int node = f->at ? f->at - 1 : (int)rng_below (&f->rng, (uint64_t)f->n);
+  struct limit_node *x = &f->node[node];
+  struct limit_server *s = &f->server[f->turn++ % f->nservers];
+
+  if (!x->l || x->frozen)
+    return;
+  if (lim_allows (x->l, f->now, (uint64_t)s->name))
+    {
+      send_request (f, node, s);
+      return;
+    }
+  lim_want (x->l, f->now, (uint64_t)s->name);
+  ask_more (f, node);
+  if (!lim_is_spent (x->l, f->now, (uint64_t)s->name))
+    x->waiting[s - f->server] = f->now + WAIT_MS;
+}
+
+/** Requests that wait for a permit. */
+static void
+send_waiting (struct limit_fleet *f, int node)
+{
+  struct limit_node *x = &f->node[node];
+
+  for (int i = 0; i < f->nservers; i++)
+    if (x->waiting[i] >= f->now
+        && lim_allows (x->l, f->now, (uint64_t)f->server[i].name))
+      {
+        x->waiting[i] = 0;
+        send_request (f, node, &f->server[i]);
+      }
+}
+
+/* --- life ---------------------------------------------------------------- */
+
+static void
+step_node (struct limit_fleet *f, int node)
+{
+  struct limit_node *x = &f->node[node];
+
+  if (!x->l || x->frozen)
+    return;
+  while (x->inbox && x->inbox->due <= f->now && !x->held)
+    {
+      struct limit_frame *in = x->inbox;
+      x->inbox = in->next;
+      take_frame (f, node, in);
+      free (in);
+    }
+  if (f->now >= x->next_tell)
+    {
+      x->next_tell = f->now + TELL_MS;
+      tell (f, node);
+    }
+  post_new (f, node);
+  send_waiting (f, node);
+}
+
+static void
+start_node (struct limit_fleet *f, int node)
+{
+  struct limit_node *x = &f->node[node];
+
+  *x = (struct limit_node){ .l = lim_new (rng_next (&f->rng)) };
+  x->started_at = f->now;
+  x->next_tell = f->now + (clk_ms)rng_below (&f->rng, TELL_MS);
+  for (int i = 0; i < LIMIT_HUBS; i++)
+    x->heard[i] = f->now;
+}
+
+static void
+drop_inbox (struct limit_node *x)
+{
+  while (x->inbox)
+    {
+      struct limit_frame *next = x->inbox->next;
+      free (x->inbox);
+      x->inbox = next;
+    }
+}
+
+static void
+kill_node (struct limit_fleet *f, int node)
+{
+  struct limit_node *x = &f->node[node];
+  struct limit_answer **at = &f->answers;
+
+  while (*at)
+    if ((*at)->asker == x->l)
+      {
+        struct limit_answer *gone = *at;
+        *at = gone->next;
+        free (gone);
+      }
+    else
+      at = &(*at)->next;
+  lim_free (x->l);
+  x->l = NULL;
+  drop_inbox (x);
+}
+
+/* --- time ---------------------------------------------------------------- */
+
+static void
+take_answers (struct limit_fleet *f)
+{
+  struct limit_answer **at = &f->answers;
+
+  while (*at)
+    {
+      struct limit_answer *a = *at;
+      struct limit_server *s = a->server;
+      if (a->due > f->now || f->node[a->node].frozen)
+        {
+          at = &a->next;
+          continue;
+        }
+      lim_answered (a->asker, f->now,
+                    &(struct lim_word){ .server = (uint64_t)s->name,
+                                        .says = s->limited ? LIM_SAYS_RATE
+                                                           : LIM_SAYS_NOTHING,
+                                        .rate = s->rate,
+                                        .sent_at = a->sent });
+      *at = a->next;
+      free (a);
+    }
+}
+
+static void
+step (struct limit_fleet *f)
+{
+  f->now += STEP_MS;
+  take_answers (f);
+  for (int i = 0; i < f->n; i++)
+    step_node (f, i);
+  if (f->nservers == 0)
+    return;
+  f->owed += f->load * (double)STEP_MS / (double)CLK_SECOND;
+  for (; f->owed >= 1; f->owed--)
+    ask (f);
+}
+
+/* --- the script ---------------------------------------------------------- */
+
+size_t
+limit_most (const struct limit_server *s)
+{
+  size_t most = 0, first = 0;
+
+  for (size_t i = 0; i < s->n; i++)
+    {
+      while (s->arrivals[i] - s->arrivals[first] >= WINDOW_MS)
+        first++;
+      if (i + 1 - first > most)
+        most = i + 1 - first;
+    }
+  return most;
+}
+
+static struct limit_server *
+server_of (struct limit_fleet *f, char name)
+{
+  for (int i = 0; i < f->nservers; i++)
+    if (f->server[i].name == name)
+      return &f->server[i];
+  cr_assert_lt (f->nservers, LIMIT_SERVERS);
+  f->server[f->nservers].name = name;
+  return &f->server[f->nservers++];
+}
+
+static const char *
+grade (size_t n, double owed)
+{
+  if ((double)n >= 0.8 * owed)
+    return "used";
+  return (double)n >= 0.5 * owed ? "half" : "little";
+}
+
+static void
+log_count (struct limit_fleet *f, const struct limit_server *s,
+           struct buf *log)
+{
+  double allowed = 1.5 * s->rate * (double)WINDOW_MS / (double)CLK_SECOND + 5;
+  double owed = s->rate * (double)(f->now - s->reset_at) / (double)CLK_SECOND;
+  size_t most = limit_most (s);
+
+  buf_addf (log, "%c ", s->name);
+  if ((double)most <= allowed)
+    buf_add_c (log, "kept");
+  else
+    buf_addf (log, "%zu of %d", most, (int)allowed);
+  buf_addf (log, " %s\n", grade (s->n, owed));
+}
+
+static void
+log_known (const struct limit_fleet *f, const struct limit_server *s,
+           struct buf *log)
+{
+  double rate;
+
+  buf_addf (log, "%c ", s->name);
+  for (int i = 0; i < f->n; i++)
+    buf_add_char (log, !f->node[i].l ? '.'
+                       : lim_rate (f->node[i].l, (uint64_t)s->name, &rate)
+                           ? 'L'
+                           : '-');
+  buf_add_char (log, '\n');
+}
+
+static void
+reset (struct limit_fleet *f)
+{
+  for (int i = 0; i < f->nservers; i++)
+    {
+      f->server[i].n = 0;
+      f->server[i].reset_at = f->now;
+    }
+}
+
+static void
+set_limit (struct limit_fleet *f, char name, const char *rate)
+{
+  struct limit_server *s = server_of (f, name);
+
+  s->limited = strcmp (rate, "none") != 0;
+  if (s->limited)
+    s->rate = atof (rate);
+}
+
+static void
+change_node (struct limit_fleet *f, const char *word, int node)
+{
+  struct limit_node *x = &f->node[node];
+
+  if (strcmp (word, "cut") == 0)
+    x->cut = true;
+  else if (strcmp (word, "freeze") == 0 || strcmp (word, "wake") == 0)
+    x->frozen = word[0] == 'f';
+  else if (strcmp (word, "hold") == 0 || strcmp (word, "pass") == 0)
+    x->held = word[0] == 'h';
+  else if (strcmp (word, "kill") == 0)
+    kill_node (f, node);
+  else if (strcmp (word, "start") == 0)
+    start_node (f, node);
+  else if (strcmp (word, "join") == 0)
+    x->cut = false;
+  else
+    cr_assert (false, "no such word: %s", word);
+  if (strcmp (word, "start") == 0 || strcmp (word, "join") == 0)
+    link_again (f, node);
+}
+
+void
+limit_fleet_up (struct limit_fleet *f, int nodes, uint64_t seed)
+{
+  memset (f, 0, sizeof *f);
+  rng_seed (&f->rng, seed);
+  f->n = nodes;
+  f->now = 100000;
+  for (int i = 0; i < nodes; i++)
+    start_node (f, i);
+}
+
+void
+limit_fleet_down (struct limit_fleet *f)
+{
+  for (int i = 0; i < f->n; i++)
+    if (f->node[i].l)
+      kill_node (f, i);
+  for (int i = 0; i < f->nservers; i++)
+    free (f->server[i].arrivals);
+}
+
+void
+limit_line (struct limit_fleet *f, const char *text, struct buf *log)
+{
+  char word[16] = "", x[16] = "", y[16] = "";
+
+  if (sscanf (text, " %15s %15s %15s", word, x, y) <= 0)
+    return;
+  if (strcmp (word, "nodes") == 0)
+    limit_fleet_up (f, atoi (x), 1);
+  else if (strcmp (word, "alone") == 0)
+    for (int i = 0; i < f->n; i++)
+      f->node[i].cut = true;
+  else if (strcmp (word, "load") == 0)
+    f->load = atof (x);
+  else if (strcmp (word, "at") == 0)
+    f->at = atoi (x);
+  else if (strcmp (word, "limit") == 0)
+    set_limit (f, x[0], y);
+  else if (strcmp (word, "reset") == 0)
+    reset (f);
+  else if (strcmp (word, "count") == 0)
+    log_count (f, server_of (f, x[0]), log);
+  else if (strcmp (word, "known") == 0)
+    log_known (f, server_of (f, x[0]), log);
+  else if (strcmp (word, "run") == 0)
+    for (clk_ms end = f->now + atoi (x); f->now < end;)
+      step (f);
+  else
+    change_node (f, word, atoi (x) - 1);
+}
+
+void
+limit_play (const char *script, const char *expected)
+{
+  struct limit_fleet *f = xcalloc (1, sizeof *f);
+  struct buf log = BUF_INIT;
+  char *copy = xstrdup (script), *next = copy, *text;
+
+  while ((text = strsep (&next, "\n")) != NULL)
+    limit_line (f, text, &log);
+  cr_expect_str_eq (buf_c (&log), expected, "got:\n%s\nexpected:\n%s",
+                    buf_c (&log), expected);
+  limit_fleet_down (f);
+  free (f);
+  buf_free (&log);
+  free (copy);
+}
--- a/t/t9208-limit.c
+++ b/t/t9208-limit.c
@@ -4,9 +4,12 @@
  */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "platform/names.h"
 #include "platform/platform.h"
+#include "t/lib-dispatch.h"
+#include "t/lib-limit.h"
 
 /** What the adapter reads from an answer with these values of the header. */
 static const char *
@@ -62,3 +65,315 @@
   plt_answer (STR ("id"), 200, NULL, 0, &a);
   cr_expect_eq (a.limit, LIM_SAYS_NOTHING);
 }
+
+/* Guards against each node taking the number for its own: it is one for all of
+   them, however many they are. */
+Test (limit, one_rate_for_all_nodes)
+{
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 3000\n known s\n reset\n"
+              "run 20000\n count s\n",
+              "s LLLLLLLL\ns kept used\n");
+  limit_play ("nodes 78\n load 500\n limit s 2\n run 3000\n reset\n"
+              "run 20000\n count s\n",
+              "s kept used\n");
+  limit_play ("nodes 295\n load 800\n limit s 2\n run 3000\n reset\n"
+              "run 20000\n count s\n",
+              "s kept used\n");
+}
+
+/* Guards against a limit that only those nodes heed that were told. */
+Test (limit, all_nodes_know_within_moments)
+{
+  limit_play ("nodes 18\n load 100\n at 18\n limit s 2\n run 250\n known s\n",
+              "s LLLLLLLLLLLLLLLLLL\n");
+}
+
+/* Guards against permits that many nodes save up while nobody asks, and use
+   together. */
+Test (limit, nothing_is_saved_up)
+{
+  limit_play ("nodes 78\n load 500\n limit s 2\n run 3000\n load 0\n"
+              "run 60000\n reset\n load 500\n run 4000\n count s\n",
+              "s kept used\n");
+}
+
+/* Guards against an allowance that is left lying where few requests come, each
+   at another node. */
+Test (limit, few_requests_use_it_up)
+{
+  limit_play ("nodes 8\n load 3\n limit s 2\n run 10000\n reset\n"
+              "run 60000\n count s\n",
+              "s kept used\n");
+  limit_play ("nodes 78\n load 3\n limit s 2\n run 60000\n reset\n"
+              "run 60000\n count s\n",
+              "s kept used\n");
+}
+
+/* Guards against a server that gets nothing, or twice its rate, as the node
+   that grants permits ends and starts again. */
+Test (limit, the_node_that_grants_ends)
+{
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 5000\n reset\n kill 1\n"
+              "run 10000\n count s\n known s\n reset\n start 1\n run 10000\n"
+              "count s\n known s\n",
+              "s kept half\ns .LLLLLLL\ns kept used\ns LLLLLLLL\n");
+}
+
+/* The same for one that freezes, and wakes with what it believed before. */
+Test (limit, the_node_that_grants_freezes)
+{
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 5000\n reset\n freeze 1\n"
+              "run 6000\n count s\n reset\n wake 1\n run 10000\n count s\n",
+              "s kept half\ns kept used\n");
+}
+
+/* Guards against a rate for each side where links are cut. */
+Test (limit, two_nodes_grant_while_links_are_cut)
+{
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 5000\n cut 1\n cut 2\n"
+              "cut 3\n reset\n run 20000\n count s\n reset\n join 1\n"
+              "join 2\n join 3\n run 10000\n count s\n",
+              "s kept used\ns kept used\n");
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 5000\n alone\n reset\n"
+              "run 20000\n count s\n",
+              "s kept used\n");
+}
+
+/* Guards against nodes that start, all at once, without knowing of it. */
+Test (limit, all_nodes_start_again)
+{
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 5000\n kill 1\n kill 2\n"
+              "kill 3\n kill 4\n kill 5\n kill 6\n kill 7\n kill 8\n"
+              "start 1\n start 2\n start 3\n start 4\n start 5\n start 6\n"
+              "start 7\n start 8\n run 500\n known s\n reset\n run 10000\n"
+              "count s\n",
+              "s LLLLLLLL\ns kept used\n");
+}
+
+/* Guards against a node that joins and takes the server for unlimited. */
+Test (limit, a_node_that_starts_is_told)
+{
+  limit_play ("nodes 8\n load 100\n at 1\n limit s 2\n run 3000\n kill 8\n"
+              "start 8\n run 20\n known s\n",
+              "s LLLLLLLL\n");
+}
+
+/* Guards against permits that were held up on their way and are used
+   together. */
+Test (limit, late_permits_dont_add_up)
+{
+  limit_play ("nodes 8\n load 400\n at 5\n limit s 10\n run 3000\n hold 5\n"
+              "run 900\n reset\n pass 5\n run 1000\n count s\n",
+              "s kept used\n");
+}
+
+/* Guards against a limit that outlives its server's trouble, and against one
+   that is missed as it falls. */
+Test (limit, it_changes_and_ends)
+{
+  limit_play ("nodes 8\n load 100\n limit s 8\n run 5000\n limit s 1\n"
+              "run 2000\n reset\n run 20000\n count s\n limit s 12\n"
+              "run 3000\n reset\n run 10000\n count s\n limit s none\n"
+              "run 1000\n known s\n",
+              "s kept used\ns kept used\ns --------\n");
+}
+
+/* Guards against a limit of zero that never ends, as nobody sends what would
+   tell so. */
+Test (limit, none_at_all_is_tried_now_and_then)
+{
+  limit_play ("nodes 8\n load 100\n limit s 0\n run 3000\n reset\n run 30000\n"
+              "count s\n limit s none\n run 21000\n known s\n",
+              "s kept used\ns --------\n");
+}
+
+/* Guards against one server's limit counting for another. */
+Test (limit, servers_apart)
+{
+  limit_play (
+      "nodes 8\n load 200\n limit s 2\n limit t 6\n limit u none\n"
+      "run 3000\n known s\n known t\n known u\n reset\n run 20000\n"
+      "count s\n count t\n",
+      "s LLLLLLLL\nt LLLLLLLL\nu --------\ns kept used\nt kept used\n");
+}
+
+static enum lim_change
+answer (struct lim *l, clk_ms now, double rate, clk_ms sent_at)
+{
+  struct lim_word word = { .server = 7, .rate = rate, .sent_at = sent_at };
+
+  word.says = rate < 0 ? LIM_SAYS_NOTHING : LIM_SAYS_RATE;
+  return lim_answered (l, now, &word);
+}
+
+/* Guards against an older answer that arrives late: it must not end a limit,
+   or raise it. */
+Test (limit, answers_overtake_each_other)
+{
+  struct lim *l = lim_new (1);
+  double rate;
+
+  cr_expect_eq (answer (l, 1000, 4, 900), LIM_NAMED);
+  cr_expect_eq (answer (l, 1010, -1, 950), LIM_SAME);
+  cr_expect_eq (answer (l, 1020, 9, 990), LIM_SAME);
+  cr_expect_eq (answer (l, 1030, 2, 960), LIM_NAMED);
+  cr_expect (lim_rate (l, 7, &rate) && rate == 2);
+  cr_expect_eq (answer (l, 1200, 5, 1040), LIM_NAMED);
+  cr_expect_eq (answer (l, 1300, -1, 1199), LIM_SAME);
+  cr_expect_eq (answer (l, 1400, -1, 1350), LIM_ENDED);
+  cr_expect_not (lim_any (l));
+  lim_free (l);
+}
+
+/* Guards against a word of another node that is older than what this one has
+   seen itself. */
+Test (limit, the_newer_word_holds)
+{
+  struct lim *l = lim_new (1);
+  struct lim_update ended = { .server = 7, .age_ms = 300 };
+
+  answer (l, 1000, 4, 900);
+  cr_expect_not (lim_apply (l, 1100, &ended));
+  ended.age_ms = 50;
+  cr_expect (lim_apply (l, 1100, &ended));
+  cr_expect_not (lim_apply (l, 1100, &ended));
+  cr_expect_not (lim_any (l));
+  lim_free (l);
+}
+
+/* Guards against a line of log for each answer that can't be read. */
+Test (limit, nonsense_is_reported_once)
+{
+  struct lim *l = lim_new (1);
+  struct lim_word word = { .server = 7, .says = LIM_SAYS_UNREADABLE };
+  double rate;
+
+  answer (l, 1000, 4, 900);
+  cr_expect_eq (lim_answered (l, 1100, &word), LIM_UNREADABLE);
+  cr_expect_eq (lim_answered (l, 1200, &word), LIM_SAME);
+  cr_expect (lim_rate (l, 7, &rate) && rate == 4);
+  lim_free (l);
+}
+
+/* Guards against memory that grows with each server that ever named a limit.
+ */
+Test (limit, memory_is_bounded)
+{
+  struct lim *l = lim_new (1);
+  struct lim_word word = { .says = LIM_SAYS_RATE, .rate = 1 };
+
+  for (uint64_t i = 1; i <= 5 * LIM_MOST; i++)
+    {
+      word.server = i;
+      lim_answered (l, (clk_ms)i, &word);
+    }
+  cr_expect_eq (lim_figures (l, 0).limited, LIM_MOST);
+  lim_free (l);
+}
+
+/** A day of faults drawn from @p seed: what reaches the server stays within
+   its rate over all nodes. */
+static void
+random_day (uint64_t seed)
+{
+  static const char *const words[]
+      = { "kill", "start", "freeze", "wake", "cut", "join", "hold", "pass" };
+  struct limit_fleet *f = xcalloc (1, sizeof *f);
+  struct buf log = BUF_INIT;
+  char text[64];
+  size_t most;
+
+  limit_fleet_up (f, 8, seed);
+  limit_line (f, "load 200", &log);
+  limit_line (f, "limit s 3", &log);
+  limit_line (f, "run 2000", &log);
+  limit_line (f, "reset", &log);
+  for (int i = 0; i < 60; i++)
+    {
+      int pair = (int)rng_below (&f->rng, 4);
+      int node = (int)rng_below (&f->rng, 8);
+      bool was[4] = { !f->node[node].l, f->node[node].frozen,
+                      f->node[node].cut, f->node[node].held };
+      snprintf (text, sizeof text, "%s %d", words[2 * pair + was[pair]],
+                node + 1);
+      limit_line (f, text, &log);
+      snprintf (text, sizeof text, "run %d",
+                (int)(100 + rng_below (&f->rng, 2000)));
+      limit_line (f, text, &log);
+    }
+  most = limit_most (&f->server[0]);
+  cr_expect_leq (most, 23, "seed %d: %zu", (int)seed, most);
+  limit_fleet_down (f);
+  free (f);
+  buf_free (&log);
+}
+
+/* Guards against kills, freezes, cuts and late frames in any order. */
+Test (limit, random_days)
+{
+  const char *seeds = getenv ("LIMIT_SEEDS");
+  uint64_t n = seeds ? strtoull (seeds, NULL, 10) : 100;
+
+  for (uint64_t seed = 1; seed <= n; seed++)
+    random_day (seed);
+}
+
+/* Guards against a limited place that draws all requests, as it looks idle. */
+Test (limit, a_limited_place_counts_as_full)
+{
+  dispatch_play ("places app 2 10\n limit app1 2\n ask 1 safe\n ask 2 safe\n"
+                 "ask 3 safe\n permit app1\n ask 4 safe\n ask 5 safe\n"
+                 "run 20\n"
+                 "limit app1 none\n ask 6 safe\n",
+                 "send 1 app2\nsend 2 app2\nsend 3 app2\nsend 4 app1\n"
+                 "send 5 app2\nsend 6 app1\n");
+}
+
+/* Guards against a request that waits for what it can't get, where all places
+   are limited: at first for the answer to this node's asking, then not at
+   all. */
+Test (limit, refused_at_once_when_all_are_spent)
+{
+  dispatch_play ("nodes 8\n places app 1 10\n limit app1 2\n ask 1 safe\n"
+                 "run 20\n ask 2 safe\n run 20\n",
+                 "answer 2 overload 503 retry\nanswer 1 overload 503 retry\n");
+}
+
+/* Guards against a permit that comes for a request which waits, and is not
+   used. */
+Test (limit, a_permit_goes_to_what_waits)
+{
+  dispatch_play ("nodes 8\n places app 1 10\n limit app1 2\n ask 1 safe\n"
+                 "permit app1\n permit app1\n ask 2 safe\n",
+                 "send 1 app1\nsend 2 app1\n");
+}
+
+/* Guards against less urgent requests that use up what a limit allows. */
+Test (limit, urgent_requests_go_first)
+{
+  dispatch_play ("nodes 8\n places app 1 10\n limit app1 2\n permit app1\n"
+                 "minor 1 safe\n permit app1\n ask 2 safe\n permit app1\n"
+                 "minor 3 safe\n ask 4 safe\n",
+                 "send 1 app1 p2\nsend 2 app1\n"
+                 "answer 3 overload 503 retry\nsend 4 app1\n");
+}
+
+/* Guards against further attempts that go where first ones may not. */
+Test (limit, further_attempts_need_a_permit)
+{
+  dispatch_play ("places app 2 10\n limit app2 2\n ask 1 safe\n sent 1\n"
+                 "error 1\n run 40\n",
+                 "send 1 app1\ncancel 1\nanswer 1 broken 502\n");
+  dispatch_play ("places app 2 10\n limit app2 2\n ask 1 safe\n sent 1\n"
+                 "error 1\n permit app2\n",
+                 "send 1 app1\ncancel 1\nsend 1 app2\n");
+}
+
+/* Guards against streams that go on where first attempts may not. */
+Test (limit, resumed_streams_need_a_permit)
+{
+  dispatch_play ("streams lm 2 10\n limit lm2 2\n ask 1 stream\n sent 1\n"
+                 "event 1\n broken 1\n permit lm2\n",
+                 "send 1 lm1\npass 1\ncheck lm1\ncancel 1\n"
+                 "send 1 lm2 resume p0\n");
+}
