Prove the shared rate under ends, freezes, many nodes and outages

Five process tests beside the first: 18 nodes over hubs, all servers limited at once (refused within 150 ms, with a time to come back, and what they take is used), nodes that end and freeze in turn, the end of a limit by word and by a process that starts anew, the store silent.

--- a/t/t9306-limit.c
+++ b/t/t9306-limit.c
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include "base/clock.h"
@@ -50,3 +51,137 @@
   /* It is limited, not gone. */
   cr_expect_geq (rack_count (&r, "p1", "limited_arrived"), 8);
 }
+
+static void
+limit_server (const struct rack *r, const char *server, const char *rate)
+{
+  rack_set (r, "{\"server\": \"%s\", \"limit\": \"%s\"}", server, rate);
+}
+
+static void
+expect_kept (const struct rack *r, const char *server, double per_s)
+{
+  int most = rack_count (r, server, "limited_most");
+
+  cr_expect_leq (most, MOST (per_s), "%s: %d requests in 4 s", server, most);
+}
+
+static void
+stop_node (struct rack *r, int node)
+{
+  proc_signal (r->node[node], SIGKILL);
+  proc_wait (r->node[node], PROC_WAIT_MS);
+}
+
+/* Guards against one rate for each of many nodes, where not all are linked to
+   each other. */
+Test (rate_limit, many_nodes)
+{
+  struct rack r;
+
+  rack_up_many (&r, 4, RACK_MOST, NULL);
+  rack_configure (&r, 1, "k1", "");
+  for (int i = 0; i < RACK_MOST; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i < RACK_MOST; i++)
+    cr_assert (rack_until (&r, i, "/safe/x", rack_headers ("warm"), 200));
+  limit_server (&r, "p1", "2");
+  cr_expect_eq (call_for (&r, RACK_MOST, 8000), 0);
+  expect_kept (&r, "p1", 2);
+  cr_expect_geq (rack_count (&r, "p1", "limited_arrived"), 8);
+}
+
+/* Guards against callers who wait, though nothing can serve them: where all
+   servers are limited, what they take is used and the rest is refused at once,
+   with a time to come back. */
+Test (rate_limit, all_servers_are_limited)
+{
+  struct rack r;
+  struct web_answer a = { 0 };
+  int refused = 0;
+
+  rack_serve (&r, 4);
+  limit_server (&r, "p1", "3");
+  limit_server (&r, "p2", "3");
+  call_for (&r, RACK_NODES, 3000);
+  for (int i = 0; i < 200; i++)
+    {
+      clk_ms since = clk_now ();
+      web_call (r.front[i % RACK_NODES], "POST", "/safe/x",
+                rack_headers ("all"), "hello", &a);
+      if (a.status != 200)
+        {
+          refused++;
+          cr_expect_eq (a.status, 503);
+          cr_expect_gt (web_header (&a, "retry-after").len, 0);
+          cr_expect_lt (clk_now () - since, 150);
+        }
+      web_free (&a);
+      usleep (PAUSE_US);
+    }
+  cr_expect_gt (refused, 100);
+  expect_kept (&r, "p1", 3);
+  expect_kept (&r, "p2", 3);
+  cr_expect_geq (rack_count (&r, "p1", "limited_arrived"), 10);
+  cr_expect_geq (rack_count (&r, "p2", "limited_arrived"), 10);
+}
+
+/* Guards against a rate that is forgotten, or doubled, as nodes end and start,
+   and as they freeze. */
+Test (rate_limit, nodes_end_and_freeze_in_turn)
+{
+  struct rack r;
+
+  rack_serve (&r, 4);
+  limit_server (&r, "p1", "2");
+  for (int round = 0; round < 2 * RACK_NODES; round++)
+    {
+      int node = round % RACK_NODES;
+      stop_node (&r, node);
+      rack_start_node (&r, node);
+      cr_assert (rack_until (&r, node, "/safe/x", rack_headers ("up"), 200));
+      call_for (&r, RACK_NODES, 1500);
+      proc_signal (r.node[node], SIGSTOP);
+      usleep (1500000);
+      proc_signal (r.node[node], SIGCONT);
+      call_for (&r, RACK_NODES, 1500);
+    }
+  expect_kept (&r, "p1", 2);
+}
+
+/* Guards against a limit that outlives what its server says, or its process.
+ */
+Test (rate_limit, it_ends_with_the_word_and_with_the_process)
+{
+  struct rack r;
+  int before;
+
+  rack_serve (&r, 4);
+  limit_server (&r, "p1", "1");
+  call_for (&r, RACK_NODES, 2000);
+  limit_server (&r, "p1", "");
+  call_for (&r, RACK_NODES, 3000);
+  before = rack_count (&r, "p1", "runs");
+  call_for (&r, RACK_NODES, 2000);
+  cr_expect_gt (rack_count (&r, "p1", "runs") - before, 20);
+  limit_server (&r, "p1", "0");
+  limit_server (&r, "p2", "0");
+  call_for (&r, RACK_NODES, 2000);
+  cr_expect_gt (call_for (&r, RACK_NODES, 500), 0);
+  rack_set (&r, "{\"server\": \"p1\", \"reborn\": true}");
+  usleep (1000000);
+  cr_expect_eq (call_for (&r, RACK_NODES, 2000), 0);
+}
+
+/* Guards against a rate that nodes share by way of the store alone. */
+Test (rate_limit, the_store_is_away)
+{
+  struct rack r;
+
+  rack_serve (&r, 4);
+  rack_set (&r, "{\"store\": {\"silent\": true}}");
+  limit_server (&r, "p1", "2");
+  cr_expect_eq (call_for (&r, RACK_NODES, 8000), 0);
+  expect_kept (&r, "p1", 2);
+  cr_expect_geq (rack_count (&r, "p1", "limited_arrived"), 8);
+}
