Queue what nodes want of permits, and say why a request was refused

The node that grants looked through all followers for each permit and each want.

A request that is refused as all servers have named rates and these are used up ends with the code rate-limited in place of overload.

The soak draws limits as a fourth series of faults; what a limited server gets is checked unless nodes were ended or frozen meanwhile.

--- a/serve/dispatch-code.c
+++ b/serve/dispatch-code.c
@@ -7,6 +7,7 @@
 } codes[] = { [DSP_NONE] = { "none", 200 },
               [DSP_NO_SERVER] = { "no-server", 503 },
               [DSP_OVERLOAD] = { "overload", 503 },
+              [DSP_LIMITED] = { "rate-limited", 503 },
               [DSP_UNRUN] = { "refused", 503 },
               [DSP_CONNECT] = { "no-connection", 503 },
               [DSP_LEAVING] = { "leaving", 503 },
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -310,6 +310,8 @@
     all of it. */
 bool dsp_limit_yields (const struct dsp *d, const struct dsp_pool *p,
                        const struct dsp_req *q);
+/** Whether all usable places of the pool are limited. */
+bool dsp_limit_all (const struct dsp *d, const struct dsp_pool *p);
 /** When what waits for the pool can be sent, if all its usable places are
     limited and have no permits left; else 0. */
 clk_ms dsp_limit_wait (const struct dsp *d, const struct dsp_pool *p);
--- a/serve/dispatch-limit.c
+++ b/serve/dispatch-limit.c
@@ -138,6 +138,14 @@
   return sum;
 }
 
+bool
+dsp_limit_all (const struct dsp *d, const struct dsp_pool *p)
+{
+  bool spent;
+
+  return sum_of_limits (d, p, &spent) > 0;
+}
+
 /** What this node may send of that. */
 static double
 own_part (const struct dsp *d, double sum)
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -544,8 +544,7 @@
   if (q->queued
       && (dsp_limit_yields (d, q->pool, q)
           || now + dsp_limit_wait (d, q->pool) > wait_until (q)))
-    dsp_give_up (d, q, DSP_OVERLOAD, DSP_BROKEN,
-                 dsp_limit_refuse (d, q->pool));
+    dsp_give_up (d, q, DSP_LIMITED, DSP_BROKEN, dsp_limit_refuse (d, q->pool));
 }
 
 void
@@ -576,11 +575,19 @@
                 > SILENT_FACTOR * (double)q->route->goal_ms;
 }
 
+/** Why a request has found no place. */
+static enum dsp_code
+why_none (const struct dsp *d, const struct dsp_pool *p)
+{
+  if (!dsp_any_place (d, p))
+    return DSP_NO_SERVER;
+  return dsp_limit_all (d, p) ? DSP_LIMITED : DSP_OVERLOAD;
+}
+
 static void
 tick_request (struct dsp *d, struct dsp_req *q)
 {
-  enum dsp_code none
-      = dsp_any_place (d, q->pool) ? DSP_OVERLOAD : DSP_NO_SERVER;
+  enum dsp_code none = why_none (d, q->pool);
 
   if (d->now >= q->deadline)
     give_up (d, q, none, DSP_DEADLINE);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -27,6 +27,7 @@
   DSP_NONE,
   DSP_NO_SERVER, /**< 503: none is known that could run it */
   DSP_OVERLOAD,  /**< 503: no place became free in time */
+  DSP_LIMITED,   /**< 503: all servers name rates, which are used up */
   DSP_UNRUN,     /**< 503: every backend server that was asked refused it */
   DSP_CONNECT,   /**< 503: no connection to any backend server */
   DSP_LEAVING,   /**< 503: this node is stopping */
--- a/serve/limit-grant.c
+++ b/serve/limit-grant.c
@@ -37,33 +37,23 @@
   return f;
 }
 
-static struct lim_want *
-find_want (const struct lim_row *r, uint64_t node)
+/** Drop those that were granted, once they are most of them. */
+static void
+compact (struct lim_row *r)
 {
-  for (guint i = 0; i < r->wants->len; i++)
-    {
-      struct lim_want *w = &g_array_index (r->wants, struct lim_want, i);
-      if (w->node == node)
-        return w;
-    }
-  return NULL;
+  if (2 * r->first < r->wants->len)
+    return;
+  g_array_remove_range (r->wants, 0, r->first);
+  r->first = 0;
 }
 
 static void
-add_want (struct lim *l, const struct lim_want *want, uint64_t server)
+add_want (struct lim_row *r, const struct lim_want *want)
 {
-  struct lim_row *r = lim_find (l, server);
-  struct lim_want *known;
-
-  if (!r || !r->limited)
-    return;
   if (!r->wants)
     r->wants = g_array_new (false, false, sizeof *want);
-  known = find_want (r, want->node);
-  if (known)
-    *known = *want;
-  else
-    g_array_append_vals (r->wants, want, 1);
+  compact (r);
+  g_array_append_vals (r->wants, want, 1);
   r->asked = true;
 }
 
@@ -80,8 +70,10 @@
   f->heard = now;
   for (size_t i = 0; i < n; i++)
     {
+      struct lim_row *r = lim_find (l, wanted[i].server);
       want.n = wanted[i].n;
-      add_want (l, &want, wanted[i].server);
+      if (r && r->limited)
+        add_want (r, &want);
     }
 }
 
@@ -175,64 +167,46 @@
   return true;
 }
 
-/* --- whose turn it is --------------------------------------------------- */
-
-/** This node among those that want a permit. */
-#define SELF 0
+/* --- whose turn it is ---------------------------------------------------- */
 
+/** What this node wants itself joins the others' wants. */
 static void
-drop_old_wants (struct lim_row *r, clk_ms now)
+add_own_want (struct lim_row *r, clk_ms now)
 {
-  for (guint i = 0; r->wants && i < r->wants->len;)
-    {
-      const struct lim_want *w = &g_array_index (r->wants, struct lim_want, i);
-      if (w->n > 0 && now < w->until)
-        i++;
-      else
-        g_array_remove_index_fast (r->wants, i);
-    }
+  struct lim_want want = { .node = LIM_SELF, .until = now + WANTS_MS };
+
+  want.n = lim_missing (r, now);
+  if (want.n == 0 || now < r->own_until)
+    return;
+  r->own_until = want.until;
+  add_want (r, &want);
 }
 
-/**
- * Of the nodes that want a permit, the first from number `next` on, around.
- * @param want  receives what it wants, or NULL: it is this node
- * @retval false  none wants one
- */
-static bool
-find_turn (struct lim_row *r, clk_ms now, struct lim_want **want)
+/** The want that came first and still holds, or NULL. */
+static struct lim_want *
+first_want (struct lim_row *r, clk_ms now)
 {
-  bool any = lim_missing (r, now) > 0;
-  uint64_t distance = SELF - r->next;
-
-  *want = NULL;
-  drop_old_wants (r, now);
-  for (guint i = 0; r->wants && i < r->wants->len; i++)
+  for (; r->wants && r->first < r->wants->len; r->first++)
     {
-      struct lim_want *w = &g_array_index (r->wants, struct lim_want, i);
-      if (any && w->node - r->next >= distance)
-        continue;
-      any = true;
-      distance = w->node - r->next;
-      *want = w;
+      struct lim_want *w
+          = &g_array_index (r->wants, struct lim_want, r->first);
+      if (w->n > 0 && now < w->until)
+        return w;
     }
-  return any;
+  return NULL;
 }
 
 static void
 grant_one (struct lim *l, struct lim_row *r, clk_ms now, struct lim_want *want)
 {
-  struct lim_permits p = { .server = r->server, .n = 1 };
+  struct lim_permits p = { .node = want->node, .server = r->server, .n = 1 };
 
   l->granted++;
-  r->next = (want ? want->node : SELF) + 1;
-  if (!want)
-    {
-      lim_granted (l, now, r->server, 1);
-      return;
-    }
   want->n--;
-  p.node = want->node;
-  g_array_append_val (l->permits, p);
+  if (want->node == LIM_SELF)
+    lim_granted (l, now, r->server, 1);
+  else
+    g_array_append_val (l->permits, p);
 }
 
 static void
@@ -241,7 +215,8 @@
   struct lim_want *want;
 
   accrue (r, now, part);
-  while (find_turn (r, now, &want))
+  add_own_want (r, now);
+  while ((want = first_want (r, now)) != NULL)
     {
       r->asked_at = now;
       if (!take_due (l, r, part))
--- a/serve/limit-int.h
+++ b/serve/limit-int.h
@@ -13,10 +13,12 @@
 #include "base/rng.h"
 #include "serve/limit.h"
 
-/** Permits that a follower wants for a server. */
+#define LIM_SELF 0
+
+/** Permits that a node wants for a server. */
 struct lim_want
 {
-  uint64_t node;
+  uint64_t node; /**< LIM_SELF: this one */
   unsigned n;
   clk_ms until;
 };
@@ -36,13 +38,14 @@
   clk_ms wanted_since; /**< without a permit; 0: it is not */
   bool wanted_often;   /**< by more than one request */
   /* Of a node that grants: */
-  GArray *wants;    /**< of struct lim_want; NULL: none yet */
+  GArray *wants;    /**< of struct lim_want, in the order of their coming */
+  guint first;      /**< of them that was not granted */
+  clk_ms own_until; /**< this node's own is among them until then */
   bool asked;       /**< something is wanted since the last look */
   double due;       /**< permits that may be granted */
   clk_ms due_at;    /**< when that was */
   double threshold; /**< of the next one, where a part is less than one */
   clk_ms asked_at;  /**< any node wanted one; 0: never */
-  uint64_t next;    /**< nodes from this number on come first */
 };
 
 /** A node that takes its permits from this one. */
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -2,9 +2,9 @@
  * Stand-in of the users' platform.  POST /control/set:
  *
  *   "config": {...}        the operators' configuration
- *   "store": {"silent": B, "refuse": B, "lose_next": N, "compact": true,
- *             "lapse": true}   faults of the key-value service; lapse ends all
- *                          leases
+ *   "store": {"silent": B, "refuse": B, "no_writes": B, "lose_next": N,
+ *             "compact": true, "lapse": true}   faults of its key-value
+ *                          service; lapse ends all leases
  *   "event_ms", "events"   of the streams
  *   "crash_body": TEXT, "crash_ms"   a request with that body ends the process
  *                          of each server that runs it
@@ -48,6 +48,7 @@
 {
   set_flag (o, "silent", &r->fault.silent);
   set_flag (o, "refuse", &r->fault.refuse);
+  set_flag (o, "no_writes", &r->fault.no_writes);
   if (jsn_get (o, "lose_next"))
     r->fault.lose_next = (int)jsn_int (o, "lose_next");
   if (jsn_bool (o, "compact"))
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -75,9 +75,10 @@
 /** Faults of the key-value service. */
 struct store_fault
 {
-  bool silent;   /**< read, never answered */
-  bool refuse;   /**< 503 */
-  int lose_next; /**< writes that are applied and not answered */
+  bool silent;    /**< read, never answered */
+  bool refuse;    /**< 503 */
+  bool no_writes; /**< 503 to transactions only */
+  int lose_next;  /**< writes that are applied and not answered */
 };
 
 struct watch_call;
--- a/t/lib-poison.c
+++ b/t/lib-poison.c
@@ -173,6 +173,11 @@
                                      .digest = (uint64_t)y[0],
                                      .hold_ms = PSN_HOLD_MS,
                                      .broadcast = true });
+  else if (strcmp (word, "lift") == 0)
+    psn_apply (f->node[node], f->now,
+               &(struct psn_update){ .kind = PSN_CLEARED,
+                                     .digest = (uint64_t)y[0],
+                                     .broadcast = true });
   else if (strcmp (word, "ask") == 0)
     ask (f, x, log);
   else if (strcmp (word, "run") == 0)
--- a/t/lib-poison.h
+++ b/t/lib-poison.h
@@ -12,6 +12,7 @@
  *   alone NODE       it has no hub any more
  *   restart NODE     it knows nothing of before, and is linked again
  *   store NODE REQUEST          the store tells that it is blocked
+ *   lift NODE REQUEST           the store tells that it is cleared
  *   ask REQUEST      at each node
  *   run MS           time passes; updates take 10 ms over a link
  *
--- a/t/t9207-poison.c
+++ b/t/t9207-poison.c
@@ -160,6 +160,18 @@
                "p BBB\n");
 }
 
+/* Guards against crashes that were reported before a block was lifted and are
+   heard after it: they would bring it back. */
+Test (poison, late_reports_don_t_bring_a_lifted_block_back)
+{
+  poison_play ("nodes 2\n ran 1 p 1 -1\n ran 1 p 2 -1\n ran 1 p 3 -1\n"
+               "run 500\n ask p\n lift 1 p\n run 50\n ran 2 p 4 -1\n"
+               "ran 2 p 5 -1\n ran 2 p 6 -1\n run 1000\n ask p\n run 1500\n"
+               "ran 2 p 7 -1\n ran 2 p 8 -1\n ran 2 p 9 -1\n run 500\n"
+               "ask p\n",
+               "p BB\np --\np BB\n");
+}
+
 /* Guards against a block for ever: servers may have been mended.  If not, one
    more crash suffices. */
 Test (poison, a_block_ends_and_one_crash_brings_it_back)
--- a/t/t9208-limit.c
+++ b/t/t9208-limit.c
@@ -334,9 +334,10 @@
    all. */
 Test (limit, refused_at_once_when_all_are_spent)
 {
-  dispatch_play ("nodes 8\n places app 1 10\n limit app1 2\n ask 1 safe\n"
-                 "run 20\n ask 2 safe\n run 20\n",
-                 "answer 2 overload 503 retry\nanswer 1 overload 503 retry\n");
+  dispatch_play (
+      "nodes 8\n places app 1 10\n limit app1 2\n ask 1 safe\n"
+      "run 20\n ask 2 safe\n run 20\n",
+      "answer 2 rate-limited 503 retry\nanswer 1 rate-limited 503 retry\n");
 }
 
 /* Guards against a permit that comes for a request which waits, and is not
@@ -355,7 +356,7 @@
                  "minor 1 safe\n permit app1\n ask 2 safe\n permit app1\n"
                  "minor 3 safe\n ask 4 safe\n",
                  "send 1 app1 p2\nsend 2 app1\n"
-                 "answer 3 overload 503 retry\nsend 4 app1\n");
+                 "answer 3 rate-limited 503 retry\nsend 4 app1\n");
 }
 
 /* Guards against further attempts that go where first ones may not. */
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -230,6 +230,22 @@
   cr_assert_gt (n, 0);
 }
 
+/* Guards against a node that starts, finds nothing in the store, and takes
+   what the others refuse: it is told as it is linked. */
+Test (crash, a_node_that_starts_is_told_over_its_link)
+{
+  struct rack r;
+
+  serve_crashing (&r);
+  rack_set (&r, "{\"store\": {\"no_writes\": true}}");
+  until_blocked (&r);
+  stop_node (&r, 0);
+  rack_start_node (&r, 0);
+  cr_expect (web_until (r.ready[0], "/metrics", NULL,
+                        "lapisline_serve_requests_blocked 1", PROC_WAIT_MS));
+  expect_refused (&r);
+}
+
 /* Guards against a block that goes with a lease that the store has ended
    early, and against one that operators can't end. */
 Test (crash, the_store_loses_leases_and_operators_lift_a_block)
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -40,6 +40,17 @@
   pthread_mutex_t lock;
   struct buf wrong;   /* a line for each promise that was broken */
   struct buf refused; /* ids that were told "not run", one a line */
+  unsigned disturbed; /* times that a node was ended, frozen or started */
+};
+
+/** Series of faults, beside each other. */
+enum series
+{
+  SERIES_NODES,
+  SERIES_STORE,
+  SERIES_SERVERS,
+  SERIES_LIMITS,
+  SERIES
 };
 
 struct caller
@@ -148,11 +159,20 @@
 
 /* --- faults ------------------------------------------------------------ */
 
+static void
+note_disturbed (struct soak *s)
+{
+  pthread_mutex_lock (&s->lock);
+  s->disturbed++;
+  pthread_mutex_unlock (&s->lock);
+}
+
 static void
 fail_node (struct soak *s, struct rng *rng)
 {
   int node = (int)rng_below (rng, RACK_NODES);
 
+  note_disturbed (s);
   switch (rng_below (rng, 4))
     {
     case 0:
@@ -173,6 +193,7 @@
     default:
       proc_signal (s->r.node[node], SIGHUP);
     }
+  note_disturbed (s);
 }
 
 static void
@@ -206,6 +227,39 @@
             id);
 }
 
+static unsigned
+count_disturbed (struct soak *s)
+{
+  unsigned n;
+
+  pthread_mutex_lock (&s->lock);
+  n = s->disturbed;
+  pthread_mutex_unlock (&s->lock);
+  return n;
+}
+
+/** A server names a rate for a while, and gets no more unless nodes that were
+    ended or frozen meanwhile had to learn of it anew. */
+static void
+limit_server (struct soak *s, struct rng *rng)
+{
+  static const double rates[] = { 0, 0.5, 2, 6 };
+  double rate = rates[rng_below (rng, 4)];
+  unsigned before = count_disturbed (s);
+  bool engine = rng_below (rng, 2);
+  char id[16];
+  int most;
+
+  snprintf (id, sizeof id, "%c%d", engine ? 'e' : 'p',
+            1 + (int)rng_below (rng, engine ? ENGINES : PLAIN));
+  rack_set (&s->r, "{\"server\": \"%s\", \"limit\": \"%g\"}", id, rate);
+  usleep (500000 + (useconds_t)rng_below (rng, 4000000));
+  most = rack_count (&s->r, id, "limited_most");
+  if (count_disturbed (s) == before && most > (int)(1.5 * rate * 4) + 5)
+    note (s, &s->wrong, "%s: over its limit, %d requests in 4 s", id, most);
+  rack_set (&s->r, "{\"server\": \"%s\", \"limit\": \"\"}", id);
+}
+
 /** A series of faults; several of them run beside each other. */
 static void *
 run_faults (void *ctx)
@@ -215,12 +269,14 @@
 
   while (clk_now () < s->until)
     {
-      if (c->number == 0)
+      if (c->number == SERIES_NODES)
         fail_node (s, &c->rng);
-      else if (c->number == 1)
+      else if (c->number == SERIES_STORE)
         fail_store (s, &c->rng);
-      else
+      else if (c->number == SERIES_SERVERS)
         fail_server (s, &c->rng);
+      else
+        limit_server (s, &c->rng);
       usleep ((useconds_t)rng_below (&c->rng, 800000));
     }
   return NULL;
@@ -272,15 +328,15 @@
 play (uint64_t seed, uint64_t seconds)
 {
   static struct soak s;
-  struct caller callers[CALLERS + 3];
-  pthread_t threads[CALLERS + 3];
+  struct caller callers[CALLERS + SERIES];
+  pthread_t threads[CALLERS + SERIES];
 
   s.seed = seed;
   pthread_mutex_init (&s.lock, NULL);
   rack_serve (&s.r, ENGINES);
   rack_set (&s.r, "{\"events\": %d, \"event_ms\": 15}", EVENTS);
   s.until = clk_now () + (clk_ms)seconds * CLK_SECOND;
-  for (unsigned i = 0; i < CALLERS + 3; i++)
+  for (unsigned i = 0; i < CALLERS + SERIES; i++)
     {
       callers[i] = (struct caller){ .s = &s,
                                     .number = i < CALLERS ? i : i - CALLERS };
@@ -292,7 +348,7 @@
   /* Faults of nodes in this thread: a process is killed with the thread that
      started it. */
   run_faults (&callers[CALLERS]);
-  for (unsigned i = 0; i < CALLERS + 3; i++)
+  for (unsigned i = 0; i < CALLERS + SERIES; i++)
     if (i != CALLERS)
       pthread_join (threads[i], NULL);
   check_runs (&s);
