Ask no node for permits whose link has just gone down

What callers saw: a node ended by itself, as the other one was killed: its callers' connections broke, and it served nothing until it was started.

Cause: which node adds up the loads, and so grants permits, is chosen each tenth of a second. A request that wanted a permit in between was asked for over the link that was gone.

t9306 asking_a_node_that_has_just_ended failed before (a node answered fewer than 100 of 100 calls) and passes now.

--- a/serve/peers-limit.c
+++ b/serve/peers-limit.c
@@ -98,7 +98,7 @@
 static bool
 takes_from (const struct peer *x, clk_ms now)
 {
-  return x == x->p->summing && now - x->heard < GRANTS_MS;
+  return x == x->p->summing && x->up && now - x->heard < GRANTS_MS;
 }
 
 /** Rows of what is wanted, as on the link. */
--- a/t/t9306-limit.c
+++ b/t/t9306-limit.c
@@ -149,6 +149,40 @@
   expect_kept (&r, "p1", 2);
 }
 
+/** Call a node without a pause. @return  how many calls had an answer */
+static int
+call_often (const struct rack *r, int node, int n)
+{
+  int answered = 0;
+  char id[16];
+
+  for (int i = 0; i < n; i++)
+    {
+      snprintf (id, sizeof id, "b%d", i);
+      answered += rack_call (r, node, "/safe/x", id, NULL, NULL) > 0;
+    }
+  return answered;
+}
+
+/* Guards against a node that ends as it asks for a permit just after the link
+   to the node that grants has gone down. */
+Test (rate_limit, asking_a_node_that_has_just_ended)
+{
+  struct rack r;
+
+  rack_serve (&r, 4);
+  limit_server (&r, "p1", "1");
+  limit_server (&r, "p2", "1");
+  call_for (&r, RACK_NODES, 2000);
+  for (int node = 0; node < RACK_NODES; node++)
+    {
+      stop_node (&r, node);
+      cr_expect_eq (call_often (&r, 1 - node, 100), 100);
+      rack_start_node (&r, node);
+      cr_assert (rack_until (&r, node, "/safe/x", rack_headers ("up"), 200));
+    }
+}
+
 /* Guards against a limit that outlives what its server says, or its process.
  */
 Test (rate_limit, it_ends_with_the_word_and_with_the_process)
