Bring nodes that know different limits together

A node that takes a server to be limited asks for permits of one that may take it to be unlimited, and got none, for ever: with the updates lost of one node's word, it kept its limit for as long as the script ran (t9208 nodes_that_disagree_come_together, failed before).

What is wanted now says which limit its node knows, and since when; the newer word of the two becomes an update to all. Two words of the same moment no longer both hold: the stricter one does.

A server that takes nothing is tried every 4 s in place of 10, which stays within the five requests that any limit allows: until then nobody learns that its limit has ended.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -5605,7 +5605,7 @@
   (ProtobufCMessageInit) lapis__permit_grants__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__permits__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lapis__permits__field_descriptors[4] =
 {
   {
     "server",
@@ -5631,15 +5631,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Permits, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Permits, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__permits__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
   1,   /* field[1] = n */
+  2,   /* field[2] = per_s */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange lapis__permits__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lapis__permits__descriptor =
 {
@@ -5649,7 +5675,7 @@
   "Lapis__Permits",
   "lapis",
   sizeof(Lapis__Permits),
-  2,
+  4,
   lapis__permits__field_descriptors,
   lapis__permits__field_indices_by_name,
   1,  lapis__permits__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -1011,10 +1011,18 @@
    */
   uint64_t server;
   uint32_t n;
+  /*
+   * of what is wanted: the rate that its
+   */
+  double per_s;
+  /*
+   * sender knows, as in RateLimit
+   */
+  uint32_t age_ms;
 };
 #define LAPIS__PERMITS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__permits__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/serve/dispatch-limit.c
+++ b/serve/dispatch-limit.c
@@ -11,7 +11,7 @@
 #define RETRY_MOST_MS ((clk_ms)10000)
 /** Requests a second that a server is taken to allow at least, where it names
     none or next to none: some are sent there, to learn of the end. */
-#define RATE_LEAST 0.1
+#define RATE_LEAST 0.25
 /** Over which paces are averaged. */
 #define PACE_MS 2000.0
 
--- a/serve/limit-grant.c
+++ b/serve/limit-grant.c
@@ -57,6 +57,22 @@
   r->asked = true;
 }
 
+/** Come to know the same limit as the follower: the newer one of both. */
+static void
+reconcile (struct lim *l, clk_ms now, const struct lim_permits *wanted)
+{
+  struct lim_update update = { .server = wanted->server,
+                               .limited = true,
+                               .rate = wanted->rate,
+                               .age_ms = wanted->age_ms };
+  const struct lim_row *r = lim_find (l, wanted->server);
+
+  if (r && r->limited && r->rate == wanted->rate)
+    return;
+  if (!lim_apply (l, now, &update))
+    g_array_append_val (l->updates, wanted->server);
+}
+
 void
 lim_followed (struct lim *l, clk_ms now, uint64_t node, bool again,
               const struct lim_permits *wanted, size_t n)
@@ -70,7 +86,9 @@
   f->heard = now;
   for (size_t i = 0; i < n; i++)
     {
-      struct lim_row *r = lim_find (l, wanted[i].server);
+      struct lim_row *r;
+      reconcile (l, now, &wanted[i]);
+      r = lim_find (l, wanted[i].server);
       want.n = wanted[i].n;
       if (r && r->limited)
         add_want (r, &want);
--- a/serve/limit.c
+++ b/serve/limit.c
@@ -14,7 +14,7 @@
 /** How often permits are asked for, about. */
 #define ASK_S 0.1
 /** One request in so many seconds goes to a server that takes none. */
-#define PROBE_S 10.0
+#define PROBE_S 4.0
 
 /* --- life --------------------------------------------------------------- */
 
@@ -183,6 +183,12 @@
   return set_limit (l, r, now, limited, word->rate);
 }
 
+static bool
+is_stricter (const struct lim_update *update, const struct lim_row *r)
+{
+  return update->limited && (!r->limited || update->rate < r->rate);
+}
+
 bool
 lim_apply (struct lim *l, clk_ms now, const struct lim_update *update)
 {
@@ -193,7 +199,10 @@
     return false;
   if (!r)
     r = add (l, update->server);
-  if (at <= r->at || is_same (r, update->limited, update->rate))
+  if (is_same (r, update->limited, update->rate))
+    return false;
+  /* Of two words of one moment the stricter holds, at all nodes. */
+  if (at < r->at || (at == r->at && !is_stricter (update, r)))
     return false;
   set_limit (l, r, at, update->limited, update->rate);
   return true;
@@ -359,8 +368,10 @@
   g_hash_table_iter_init (&at, l->rows);
   while (g_hash_table_iter_next (&at, NULL, (gpointer *)&r))
     {
-      struct lim_permits p
-          = { .server = r->server, .n = lim_missing (r, now) };
+      struct lim_permits p = { .server = r->server,
+                               .n = lim_missing (r, now),
+                               .rate = r->rate,
+                               .age_ms = now - r->at };
       if (p.n > 0 && (r->wanted_often || !again))
         g_array_append_val (l->permits, p);
     }
--- a/serve/limit.h
+++ b/serve/limit.h
@@ -76,6 +76,8 @@
   uint64_t node;
   uint64_t server;
   unsigned n;
+  double rate;   /**< of what is wanted: the limit that the node knows */
+  clk_ms age_ms; /**< and since when */
 };
 
 struct lim;
@@ -146,7 +148,8 @@
 void lim_lead (struct lim *l, clk_ms now, bool grants, unsigned nodes);
 
 /**
- * Another node follows this one, and wants these permits.
+ * Another node follows this one, and wants these permits.  Where the two know
+ * different limits, the newer one becomes an update.
  * @param again  it says so each tenth of a second; else at once, for a request
  *               that waits for a moment only
  */
--- a/serve/peers-limit.c
+++ b/serve/peers-limit.c
@@ -115,6 +115,8 @@
       lapis__permits__init (&w->rows[i]);
       w->rows[i].server = list[i].server;
       w->rows[i].n = list[i].n;
+      w->rows[i].per_s = list[i].rate;
+      w->rows[i].age_ms = (uint32_t)list[i].age_ms;
       w->list[i] = &w->rows[i];
     }
   return n;
@@ -148,9 +150,12 @@
     {
       list[i].server = rows[i]->server;
       list[i].n = rows[i]->n;
+      list[i].rate = rows[i]->per_s;
+      list[i].age_ms = rows[i]->age_ms;
     }
   lim_followed (x->p->s->limits, clk_now (), x->hash, again, list, n);
   free (list);
+  srv_peers_limits (x->p->s);
   prs_grant (x->p, clk_now (), false);
 }
 
--- a/t/lib-limit.c
+++ b/t/lib-limit.c
@@ -469,6 +469,18 @@
     s->rate = atof (rate);
 }
 
+static void
+set_belief (struct limit_fleet *f, int node, char server, const char *rate)
+{
+  struct lim_update update = { .server = (uint64_t)server };
+  size_t n;
+
+  update.limited = strcmp (rate, "none") != 0;
+  update.rate = atof (rate);
+  lim_apply (f->node[node].l, f->now, &update);
+  lim_updates (f->node[node].l, f->now, &n);
+}
+
 static void
 change_node (struct limit_fleet *f, const char *word, int node)
 {
@@ -516,9 +528,9 @@
 void
 limit_line (struct limit_fleet *f, const char *text, struct buf *log)
 {
-  char word[16] = "", x[16] = "", y[16] = "";
+  char word[16] = "", x[16] = "", y[16] = "", z[16] = "";
 
-  if (sscanf (text, " %15s %15s %15s", word, x, y) <= 0)
+  if (sscanf (text, " %15s %15s %15s %15s", word, x, y, z) <= 0)
     return;
   if (strcmp (word, "nodes") == 0)
     limit_fleet_up (f, atoi (x), 1);
@@ -531,6 +543,8 @@
     f->at = atoi (x);
   else if (strcmp (word, "limit") == 0)
     set_limit (f, x[0], y);
+  else if (strcmp (word, "believes") == 0)
+    set_belief (f, atoi (x) - 1, y[0], z);
   else if (strcmp (word, "reset") == 0)
     reset (f);
   else if (strcmp (word, "count") == 0)
--- a/t/t9208-limit.c
+++ b/t/t9208-limit.c
@@ -183,7 +183,7 @@
 Test (limit, none_at_all_is_tried_now_and_then)
 {
   limit_play ("nodes 8\n load 100\n limit s 0\n run 3000\n reset\n run 30000\n"
-              "count s\n limit s none\n run 21000\n known s\n",
+              "count s\n limit s none\n run 9000\n known s\n",
               "s kept used\ns --------\n");
 }
 
@@ -197,6 +197,19 @@
       "s LLLLLLLL\nt LLLLLLLL\nu --------\ns kept used\nt kept used\n");
 }
 
+/* Guards against a node that waits for ever for permits of one that takes the
+   server to be unlimited. */
+Test (limit, nodes_that_disagree_come_together)
+{
+  limit_play ("nodes 8\n load 100\n limit s none\n run 1000\n"
+              "believes 8 s 0\n run 8000\n known s\n",
+              "s --------\n");
+  limit_play ("nodes 8\n load 100\n limit s 2\n run 3000\n"
+              "believes 1 s none\n run 2000\n known s\n reset\n"
+              "run 10000\n count s\n",
+              "s LLLLLLLL\ns kept used\n");
+}
+
 static enum lim_change
 answer (struct lim *l, clk_ms now, double rate, clk_ms sent_at)
 {
