--- a/t/lib-limit.h
+++ b/t/lib-limit.h
@@ -13,8 +13,8 @@
  *   kill NODE, start NODE    its process; it knows nothing of before
  *   freeze NODE, wake NODE
  *   hold NODE, pass NODE     what is sent to it waits, then comes at once
- *   believes NODE SERVER N   that node alone takes the server to be limited so,
- *                    or with "none" not at all, and has told nobody
+ *   believes NODE SERVER N   that node alone knows this limit, or "none", and
+ *                    has told nobody
  *   run MS           time passes; frames take 10 ms, answers 100 to 200
  *   reset            count anew
  *   count SERVER     a line of the log
