Count the age of the list from when it was last known to be new

What was seen: servers_age_ms of three refusals in the incident's logs was 5,026, 8,979 and 13,725, as if those nodes had not heard of the list of backend servers for seconds, which would break draining.

Cause: a node that is told that its list is the newest keeps the time of the last change. When to read the list itself goes by what it is told; only the log field and the gauge did not.

--- a/serve/sync.c
+++ b/serve/sync.c
@@ -30,7 +30,9 @@
   bool reading_servers;
   clk_ms asked_servers;
   clk_ms next_servers;
-  clk_ms read_at; /* sending of the last good read of this node's own */
+  clk_ms current_at; /* when the list that this node has was the newest, as the
+                        node that reads it has told */
+  clk_ms read_at;    /* sending of the last good read of this node's own */
   bool store_ok;
 };
 
@@ -94,6 +96,8 @@
   struct srv_sync *y = s->sync;
   clk_ms next = now - age_ms + poll_ms (s);
 
+  if (now - age_ms > y->current_at)
+    y->current_at = now - age_ms;
   if (!srv_duty_holds (s) && next > y->next_servers)
     y->next_servers = next;
 }
@@ -101,7 +105,11 @@
 clk_ms
 srv_sync_list_age (const struct srv *s, clk_ms now)
 {
-  return bks_known (s->backends) ? now - bks_asked_at (s->backends) : -1;
+  clk_ms read_at = bks_asked_at (s->backends);
+
+  if (!bks_known (s->backends))
+    return -1;
+  return now - (s->sync->current_at > read_at ? s->sync->current_at : read_at);
 }
 
 size_t
--- a/t/t9301-serve.c
+++ b/t/t9301-serve.c
@@ -385,3 +385,34 @@
   cr_expect_eq (PROC_RUN (&out, "lapisline", "serve", "--log-format", "x"), 2);
   buf_free (&out);
 }
+
+/** A figure of a node's metrics. */
+static double
+read_metric (const struct rack *r, int node, const char *name)
+{
+  struct web_answer a = { 0 };
+  const char *at;
+  double x = -1;
+
+  web_call (r->ready[node], "GET", "/metrics", NULL, NULL, &a);
+  at = strstr (buf_c (&a.body), name);
+  if (at)
+    x = atof (at + strlen (name));
+  web_free (&a);
+  return x;
+}
+
+/* Guards against a list that looks old in logs and metrics, as nothing in it
+   has changed. */
+Test (serve, an_unchanged_list_is_not_old)
+{
+  struct rack r;
+
+  rack_serve (&r, 4);
+  usleep (4000000);
+  for (int i = 0; i < RACK_NODES; i++)
+    {
+      double age = read_metric (&r, i, "\nlapisline_serve_servers_age_ms ");
+      cr_expect (age >= 0 && age < 1500, "node %d: %g ms", i + 1, age);
+    }
+}
