Grant the permits that a node wants together

A limit far above what is asked, such as 1e9 a second, made the node that grants hand out up to 65,535 permits one by one, each in a frame of its own. They go out as one now.

--- a/serve/limit-grant.c
+++ b/serve/limit-grant.c
@@ -170,19 +170,22 @@
 }
 
 /**
- * Take one permit from what is due.  Many nodes that grant to themselves must
- * not do so at the same moment, nor keep a whole permit each while they are
- * idle: such a node grants its next one at a point between none and one that
- * is due, and makes up for it afterwards.
+ * Take at most @p n permits from what is due.  Many nodes that grant to
+ * themselves must not do so at the same moment, nor keep a whole permit each
+ * while they are idle: such a node grants its next one at a point between none
+ * and one that is due, and makes up for it afterwards.
  */
-static bool
-take_due (struct lim *l, struct lim_row *r, double part)
+static unsigned
+take_due (struct lim *l, struct lim_row *r, double part, unsigned n)
 {
-  if (r->due < (most_kept (r, part) < 1 ? r->threshold : 1))
-    return false;
-  r->due--;
-  r->threshold = rng_unit (&l->rng);
-  return true;
+  if (most_kept (r, part) >= 1)
+    n = (double)n < r->due ? n : (unsigned)MAX (r->due, 0);
+  else
+    n = r->due >= r->threshold ? 1 : 0;
+  r->due -= n;
+  if (n > 0)
+    r->threshold = rng_unit (&l->rng);
+  return n;
 }
 
 /* --- whose turn it is ---------------------------------------------------- */
@@ -215,14 +218,15 @@
 }
 
 static void
-grant_one (struct lim *l, struct lim_row *r, clk_ms now, struct lim_want *want)
+grant_to (struct lim *l, struct lim_row *r, clk_ms now, struct lim_want *want,
+          unsigned n)
 {
-  struct lim_permits p = { .node = want->node, .server = r->server, .n = 1 };
+  struct lim_permits p = { .node = want->node, .server = r->server, .n = n };
 
-  l->granted++;
-  want->n--;
+  l->granted += n;
+  want->n -= n;
   if (want->node == LIM_SELF)
-    lim_granted (l, now, r->server, 1);
+    lim_granted (l, now, r->server, n);
   else
     g_array_append_val (l->permits, p);
 }
@@ -231,15 +235,17 @@
 grant_due (struct lim *l, struct lim_row *r, clk_ms now, double part)
 {
   struct lim_want *want;
+  unsigned n;
 
   accrue (r, now, part);
   add_own_want (r, now);
   while ((want = first_want (r, now)) != NULL)
     {
       r->asked_at = now;
-      if (!take_due (l, r, part))
+      n = take_due (l, r, part, want->n);
+      if (n == 0)
         return;
-      grant_one (l, r, now, want);
+      grant_to (l, r, now, want, n);
     }
 }
 
--- a/t/t9208-limit.c
+++ b/t/t9208-limit.c
@@ -187,6 +187,26 @@
               "s kept used\ns --------\n");
 }
 
+/* Guards against a limit far above what is asked that holds requests up. */
+Test (limit, a_limit_that_does_not_bind)
+{
+  struct limit_fleet *f = xcalloc (1, sizeof *f);
+  struct buf log = BUF_INIT;
+
+  limit_fleet_up (f, 8, 1);
+  limit_line (f, "load 100", &log);
+  limit_line (f, "limit s 1e9", &log);
+  limit_line (f, "run 3000", &log);
+  limit_line (f, "reset", &log);
+  limit_line (f, "run 10000", &log);
+  cr_expect_geq (f->server[0].n, 950);
+  cr_expect_leq (lim_figures (f->node[0].l, f->now).granted,
+                 200u * UINT16_MAX);
+  limit_fleet_down (f);
+  free (f);
+  buf_free (&log);
+}
+
 /* Guards against one server's limit counting for another. */
 Test (limit, servers_apart)
 {
