Tests that see each safeguard of shared rates taken out

Eleven mutations of the core and its use (trials): any answer supersedes, permits not taken, the whole rate for each, an idle node keeps a whole permit, permits never lapse, late ones add up, zero is never tried, urgent requests don't go first, the last resort takes no permit, an older update is taken, all nodes on their own send together.

--- a/t/t9208-limit.c
+++ b/t/t9208-limit.c
@@ -139,6 +139,18 @@
               "s kept used\n");
 }
 
+/* Guards against many nodes that grant to themselves at the same moment. */
+Test (limit, nodes_on_their_own_dont_send_together)
+{
+  limit_play ("nodes 78\n load 500\n limit s 2\n run 3000\n alone\n run 3000\n"
+              "reset\n run 90000\n count s\n",
+              "s kept used\n");
+  limit_play (
+      "nodes 78\n load 500\n limit s 2\n run 3000\n alone\n run 60000\n"
+      "load 0\n run 60000\n reset\n load 500\n run 4000\n count s\n",
+      "s kept little\n");
+}
+
 /* Guards against nodes that start, all at once, without knowing of it. */
 Test (limit, all_nodes_start_again)
 {
@@ -258,6 +270,24 @@
   lim_free (l);
 }
 
+/* Guards against permits that a node keeps, and uses long after. */
+Test (limit, permits_lapse_and_dont_pile_up)
+{
+  struct lim *l = lim_new (1);
+
+  answer (l, 1000, 2, 900);
+  lim_granted (l, 1100, 7, 1);
+  lim_granted (l, 1110, 7, 1);
+  lim_granted (l, 1120, 7, 5);
+  cr_expect (lim_allows (l, 1130, 7));
+  lim_take (l, 1130, 7);
+  cr_expect_not (lim_allows (l, 1130, 7));
+  lim_granted (l, 1200, 7, 1);
+  cr_expect (lim_allows (l, 2100, 7));
+  cr_expect_not (lim_allows (l, 2300, 7));
+  lim_free (l);
+}
+
 /* Guards against a word of another node that is older than what this one has
    seen itself. */
 Test (limit, the_newer_word_holds)
@@ -411,3 +441,17 @@
                  "send 1 lm1\npass 1\ncheck lm1\ncancel 1\n"
                  "send 1 lm2 resume p0\n");
 }
+
+/* Guards against a place that failed and is tried, as there is no other,
+   beyond its limit. */
+Test (limit, the_last_resort_needs_a_permit)
+{
+  dispatch_play ("places app 2 10\n closed app2\n ask 1 once\n sent 1\n"
+                 "broken 1\n ask 2 once\n sent 2\n broken 2\n ask 3 once\n"
+                 "sent 3\n broken 3\n ask 4 once\n limit app1 2\n ask 5 once\n"
+                 "run 60\n",
+                 "send 1 app1\ncheck app1\ncancel 1\nanswer 1 broken 502\n"
+                 "send 2 app1\ncancel 2\nanswer 2 broken 502\n"
+                 "send 3 app1\ncancel 3\nanswer 3 broken 502\n"
+                 "send 4 app1\nanswer 5 no-server 503 retry\n");
+}
