--- a/serve/dispatch-limit.c
+++ b/serve/dispatch-limit.c
@@ -9,9 +9,6 @@
 
 /** Longest wait that a caller is told. */
 #define RETRY_MOST_MS ((clk_ms)10000)
-/** Requests a second that a server is taken to allow at least, where it names
-    none or next to none: some are sent there, to learn of the end. */
-#define RATE_LEAST 0.25
 /** Over which paces are averaged. */
 #define PACE_MS 2000.0
 
@@ -132,7 +129,7 @@
         continue;
       if (!lim_rate (d->opt.limits, s->process, &rate))
         return 0;
-      sum += fmax (rate, RATE_LEAST);
+      sum += fmax (rate, LIM_RATE_LEAST);
       *spent = *spent && lim_is_spent (d->opt.limits, d->now, s->process);
     }
   return sum;
--- a/serve/limit-int.h
+++ b/serve/limit-int.h
@@ -73,8 +73,7 @@
 
 struct lim_row *lim_find (const struct lim *l, uint64_t server);
 
-/** Requests a second that are granted for: the end of a limit is learnt from
-    answers, so one that allows nothing is tried now and then all the same. */
+/** Requests a second that are granted for. */
 double lim_granted_rate (const struct lim_row *r);
 
 /** Permits that a node asks for at a time. */
--- a/serve/limit.c
+++ b/serve/limit.c
@@ -13,8 +13,6 @@
 #define ANSWER_MS ((clk_ms)20)
 /** How often permits are asked for, about. */
 #define ASK_S 0.1
-/** One request in so many seconds goes to a server that takes none. */
-#define PROBE_S 4.0
 
 /* --- life --------------------------------------------------------------- */
 
@@ -97,7 +95,7 @@
 double
 lim_granted_rate (const struct lim_row *r)
 {
-  return r->rate > 1 / PROBE_S ? r->rate : 1 / PROBE_S;
+  return MAX (r->rate, LIM_RATE_LEAST);
 }
 
 unsigned
--- a/serve/limit.h
+++ b/serve/limit.h
@@ -35,6 +35,9 @@
 
 /** Servers that are remembered. */
 #define LIM_MOST 1024
+/** Requests a second that a limited server is sent at least: only answers tell
+    that a limit has ended. */
+#define LIM_RATE_LEAST 0.25
 
 /** What an answer says of the rate that its server takes. */
 enum lim_says
--- a/serve/peers-limit.c
+++ b/serve/peers-limit.c
@@ -223,8 +223,7 @@
   return x;
 }
 
-/** Those of one node follow each other in the order of servers only, so each
-    permit is a frame; there are few. */
+/** One frame for each grant: there are few, and a request waits for it. */
 static void
 send_permits (struct srv_peers *p, const struct lim_permits *list, size_t n)
 {
