Log and count how old the knowledge of the configuration is

An on-call engineer could not tell whether nodes had stood still, had lost the node that tells them of configurations, or believed what was no longer so. Lines for a process that did not run, for why a link went down and how long nothing was heard, for refusals by the configuration (none had a line), where a version came from, and when a node begins or ends to go by another's word; a metric of the age. No decision changes.

--- a/serve/config.c
+++ b/serve/config.c
@@ -31,6 +31,14 @@
 /** Beside it in a frame. */
 #define FRAME_REST ((size_t)1024)
 
+/** How a configuration came to this node. */
+enum source
+{
+  SOURCE_READ,
+  SOURCE_WATCH,
+  SOURCE_NODE /* another one handed it on */
+};
+
 struct srv_config
 {
   struct srv *s;
@@ -44,6 +52,9 @@
   int64_t seen;        /* revision up to which changes were seen */
   int64_t in_force;    /* revision of the newest one that was read */
   clk_ms announced_at; /* when the teller last read the store; 0: never */
+  clk_ms known_at;     /* when what is in force was last the newest, as far as
+                          is known here; 0: never */
+  bool told;           /* is_announced(), as it was logged last */
 };
 
 static void
@@ -67,13 +78,31 @@
     buf_add (&c->text, kv->value);
 }
 
+static void
+note_known (struct srv_config *c, clk_ms at)
+{
+  if (at > c->known_at)
+    c->known_at = at;
+}
+
+clk_ms
+srv_config_age (const struct srv *s, clk_ms now)
+{
+  const struct srv_config *c = s->config;
+
+  return c->known_at ? now - c->known_at : -1;
+}
+
 /**
  * What is in force never goes back: an answer of the store that was under way
  * while a newer one came must not undo it.
  */
 static void
-take_config (struct srv_config *c, const struct store_kv *kv)
+take_config (struct srv_config *c, const struct store_kv *kv, enum source from)
 {
+  static const char *const names[] = {
+    [SOURCE_READ] = "read", [SOURCE_WATCH] = "watch", [SOURCE_NODE] = "node"
+  };
   struct srv *s = c->s;
   struct fnd_list findings = { 0 };
   struct tbl *t;
@@ -95,7 +124,9 @@
       return;
     }
   LOG (table_in_force, LOG_I ("version", t->version),
-       LOG_I ("revision", kv->mod_rev), LOG_I ("routes", t->nroutes));
+       LOG_I ("revision", kv->mod_rev), LOG_I ("routes", t->nroutes),
+       LOG_C ("from", names[from]),
+       LOG_I ("known_age_ms", srv_config_age (s, clk_now ())));
   tbl_unref (s->table);
   s->table = t;
   srv_places_changed (s);
@@ -113,7 +144,7 @@
   c->next_watch = clk_now () + c->s->set.apply_ms / PAUSE_PART;
   for (size_t i = 0; i < n; i++)
     if (!ev[i].deleted)
-      take_config (c, &ev[i].kv);
+      take_config (c, &ev[i].kv, SOURCE_WATCH);
 }
 
 static void
@@ -173,7 +204,7 @@
                          .mod_rev = revision };
 
   if (revision > s->config->in_force)
-    take_config (s->config, &kv);
+    take_config (s->config, &kv, SOURCE_NODE);
 }
 
 /** When the next version may be read: of a storm only some are. */
@@ -194,6 +225,8 @@
   c->announced_at = now - age_ms;
   if (!is_announced (c, now))
     return;
+  if (revision <= c->in_force)
+    note_known (c, c->announced_at);
   if (c->watch)
     store_watch_stop (c->watch);
   c->watch = NULL;
@@ -208,6 +241,13 @@
 {
   bool idle = !c->reading && c->next_read == CLK_NEVER;
 
+  if (c->told != is_announced (c, now))
+    {
+      c->told = !c->told;
+      LOG (config_followed, LOG_I ("follows", c->told),
+           LOG_I ("revision", c->in_force),
+           LOG_I ("known_age_ms", srv_config_age (c->s, now)));
+    }
   if (!idle)
     return;
   if (!c->watch && c->next_watch == CLK_NEVER && !is_announced (c, now))
@@ -230,7 +270,8 @@
       return;
     }
   for (size_t i = 0; i < r->nkvs; i++)
-    take_config (c, &r->kvs[i]);
+    take_config (c, &r->kvs[i], SOURCE_READ);
+  note_known (c, c->asked);
   /* After a start this read will do until somebody tells the next. */
   if (!c->announced_at && s->table)
     c->announced_at = c->asked;
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -161,6 +161,19 @@
   srv_act (s);
 }
 
+static void
+log_denied (const struct srv_exchange *ex, const struct refusal *why)
+{
+  struct srv *s = ex->s;
+
+  LOG (request_denied, LOG_S ("id", ex->call.id), LOG_S ("host", ex->host),
+       LOG_S ("path", httpd_get (ex->req)->path),
+       LOG_I ("status", why->status), LOG_C ("code", why->code),
+       LOG_I ("config", ex->table->version),
+       LOG_I ("known_age_ms", srv_config_age (s, clk_now ())));
+  srv_metrics_request (s, "none", why->status, why->code, 0);
+}
+
 static void
 on_request (void *ctx, struct httpd_req *req)
 {
@@ -185,6 +198,7 @@
       arrive (ex);
       return;
     }
+  log_denied (ex, &why);
   ex->req = NULL;
   srv_exchange_free (ex);
   srv_refuse (s, req, why.status, why.code, why.retry_ms);
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -121,6 +121,9 @@
   bks_list (s->backends, &n);
   set (s, PREFIX "config_version", "Version in force; 0: none.", NULL,
        s->table ? (double)s->table->version : 0);
+  set (s, PREFIX "config_age_ms",
+       "Time since it was last known to be the newest; -1: never.", NULL,
+       (double)srv_config_age (s, clk_now ()));
   set (s, PREFIX "servers", "Backend servers in the list.", NULL, (double)n);
   set (s, PREFIX "entries_not_taken",
        "Entries of the list that can't be read, at this node's last reading.",
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -58,6 +58,7 @@
   bool acting;      /**< actions are being carried out */
   bool traffic;     /**< a request has come */
   bool first_start; /**< no node ran here before: nothing can have lapsed */
+  clk_ms ticked_at;     /**< last tick; 0: none */
   clk_ms leaving_since; /**< 0: not leaving */
 };
 
@@ -72,6 +73,9 @@
 void srv_config_tick (struct srv *s, clk_ms now);
 /** Revision of the newest configuration that is known here; 0: none. */
 int64_t srv_config_revision (const struct srv *s);
+/** How long ago the configuration in force was known to be the newest, by
+    whoever read it; -1: never. */
+clk_ms srv_config_age (const struct srv *s, clk_ms now);
 /**
  * Its document, for other nodes.
  * @retval false  it is too long to be told to so many
--- a/serve/node.c
+++ b/serve/node.c
@@ -8,6 +8,9 @@
 #include "lapisline.h"
 
 #define TICK_MS 10
+/** A tick that comes so late shows that the process was stopped, or got no
+    processor. */
+#define PAUSED_MS ((clk_ms)500)
 
 /** Log lines a second of each event: above what a node has of any on a usual
     day, at 15 us a line under a hundredth of a core. */
@@ -132,6 +135,9 @@
   struct srv *s = t->data;
   clk_ms now = clk_now ();
 
+  if (s->ticked_at && now - s->ticked_at > PAUSED_MS)
+    LOG (serve_paused, LOG_I ("ms", now - s->ticked_at));
+  s->ticked_at = now;
   if (now >= dsp_wake (s->dispatch))
     {
       dsp_tick (s->dispatch, now);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -71,12 +71,13 @@
 }
 
 static void
-peer_down (struct peer *x)
+peer_down (struct peer *x, const char *why)
 {
   struct srv *s = x->p->s;
 
   if (x->up)
-    LOG (node_lost, LOG_C ("peer", x->node));
+    LOG (node_lost, LOG_C ("peer", x->node), LOG_C ("why", why),
+         LOG_I ("unheard_ms", clk_now () - x->heard));
   x->failing = !x->up;
   x->link = NULL;
   x->up = x->ready = x->listing = x->leads = false;
@@ -115,7 +116,7 @@
     {
       /* It has begun a new link; the old one is of an earlier life. */
       link_close (x->link);
-      peer_down (x);
+      peer_down (x, "replaced");
     }
   x->connects = x->connects && x->link == l;
   x->link = l;
@@ -188,7 +189,7 @@
   if (state == LINK_UP)
     send_hello (p, l);
   else if (state == LINK_DOWN && x)
-    peer_down (x);
+    peer_down (x, "closed");
 }
 
 static const struct link_callbacks callbacks = { on_state, on_frame };
@@ -282,7 +283,7 @@
   if (dead || unwanted)
     {
       link_close (x->link);
-      peer_down (x);
+      peer_down (x, dead ? "silent" : "unwanted");
     }
   connect_peer (x, now);
 }
