Show that nodes that stood still refuse by an old configuration

18 nodes stand still for 2.8 s, a version comes into force meanwhile, and callers that ask later than its bound get a final 401 from 14 of them; 1 to 3 ms later these nodes have the version.

--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -12,7 +12,9 @@
 #include "t/lib-proc.h"
 
 #define RACK_NODES 2
-#define RACK_MOST 18 /**< of those that rack_up_many() starts */
+/** Nodes of a test with more of them than are linked each to each. */
+#define RACK_MANY 18
+#define RACK_MOST 80 /**< of those that rack_up_many() starts */
 
 struct rack
 {
--- a/t/t9304-many.c
+++ b/t/t9304-many.c
@@ -29,20 +29,20 @@
 Test (many, a_node_that_the_store_refuses_hears_of_the_next_configuration)
 {
   struct rack r;
-  const int last = RACK_MOST - 1;
+  const int last = RACK_MANY - 1;
 
-  rack_up_many (&r, 4, RACK_MOST, by_relay);
+  rack_up_many (&r, 4, RACK_MANY, by_relay);
   rack_configure (&r, 1, "k1", "");
-  for (int i = 0; i < RACK_MOST; i++)
+  for (int i = 0; i < RACK_MANY; i++)
     rack_start_node (&r, i);
-  for (int i = 0; i < RACK_MOST; i++)
+  for (int i = 0; i < RACK_MANY; i++)
     cr_assert (rack_until (&r, i, "/once/x", rack_headers ("warm"), 200));
   /* All have been told by the node that forms replicas. */
   usleep (3000000);
   relay_refuse (relay);
   rack_configure (&r, 2, "k2", "");
   usleep (2000000);
-  for (int i = 0; i < RACK_MOST; i++)
+  for (int i = 0; i < RACK_MANY; i++)
     cr_expect_eq (rack_call (&r, i, "/once/x", "a", NULL, NULL), 401,
                   "node %d", i);
   cr_expect_eq (rack_call (&r, last, "/once/x", "",
@@ -61,7 +61,7 @@
   uint64_t most = 0;
   int last = 0;
 
-  for (int i = 0; i < RACK_MOST; i++)
+  for (int i = 0; i < RACK_MANY; i++)
     {
       snprintf (name, sizeof name, "node-%d", i + 1);
       uint64_t hash = str_hash (str_from (name), 0);
@@ -92,11 +92,11 @@
   struct rack r;
   const int first = last_in_order ();
 
-  rack_up_many (&r, 4, RACK_MOST, NULL);
+  rack_up_many (&r, 4, RACK_MANY, NULL);
   rack_configure (&r, 1, "k1", "");
   rack_start_node (&r, first);
   cr_assert (metric_until (&r, first, "lapisline_serve_duty 1"));
-  for (int i = 0; i < RACK_MOST; i++)
+  for (int i = 0; i < RACK_MANY; i++)
     if (i != first)
       rack_start_node (&r, i);
   cr_expect (metric_until (&r, first, "lapisline_serve_nodes 18"));
--- /dev/null
+++ b/t/t9307-config.c
@@ -0,0 +1,64 @@
+/*
+ * A configuration that operators have put in force, at nodes that were about
+ * to be told of it, over real processes.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "t/lib-rack.h"
+
+TestSuite (config, .fini = proc_stop_all, .timeout = 120);
+
+/** Within this a configuration is in force at all nodes; of the settings. */
+#define APPLY_MS ((clk_ms)2000)
+/** Nodes that were linked so long have been told by another what is new. */
+#define SETTLED_US 3000000
+
+static void
+up_many (struct rack *r)
+{
+  rack_up_many (r, 4, RACK_MANY, NULL);
+  rack_configure (r, 1, "k1", "");
+  for (int i = 0; i < RACK_MANY; i++)
+    rack_start_node (r, i);
+  for (int i = 0; i < RACK_MANY; i++)
+    cr_assert (rack_until (r, i, "/once/x", rack_headers ("warm"), 200));
+  usleep (SETTLED_US);
+}
+
+static void
+signal_all (struct rack *r, int sig)
+{
+  for (int i = 0; i < RACK_MANY; i++)
+    proc_signal (r->node[i], sig);
+}
+
+static const char k2_headers[]
+    = "Host: h\r\nX-Lapisline-Request-Id: b\r\nX-Api-Key: k2\r\n";
+
+/* Guards against a final refusal by a configuration from before a pause of the
+   process: callers don't come back after it. */
+Test (config, nodes_that_stood_still_deny_nothing_by_an_old_version)
+{
+  struct web_stream *asked[RACK_MANY];
+  struct rack r;
+
+  up_many (&r);
+  signal_all (&r, SIGSTOP);
+  rack_configure (&r, 2, "k2", "");
+  usleep ((useconds_t)(APPLY_MS + 300) * 1000);
+  for (int i = 0; i < RACK_MANY; i++)
+    asked[i] = web_open (r.front[i], "POST", "/once/x", k2_headers, "hello");
+  usleep (500000);
+  signal_all (&r, SIGCONT);
+  for (int i = 0; i < RACK_MANY; i++)
+    {
+      int status = web_status (asked[i], PROC_WAIT_MS);
+      cr_expect (status == 200 || status == 503, "node %d: %d", i + 1, status);
+    }
+  for (int i = 0; i < RACK_MANY; i++)
+    cr_expect (rack_until (&r, i, "/once/x", k2_headers, 200), "node %d",
+               i + 1);
+}
