Prove that a version after the store went back comes into force

After a return of the store from an older copy its revisions begin lower. Nodes that are told compared them: on three of 18 nodes still ran requests with a key that the next version took, and refused the one that it gave, 2 s after it was acknowledged.

The stand-in of the store learns to give out revisions again; leases and keys stay, as after everybody has written theirs anew.

--- a/standins/kv.c
+++ b/standins/kv.c
@@ -219,3 +219,22 @@
   g_queue_clear_full (kv->history, entry_free);
   kv->compacted = kv->revision;
 }
+
+static gboolean
+bound_revision (gpointer key, gpointer value, gpointer ctx)
+{
+  struct kv_entry *e = value;
+  const int64_t *most = ctx;
+
+  e->mod = e->mod < *most ? e->mod : *most;
+  e->create = e->create < *most ? e->create : *most;
+  return FALSE;
+}
+
+void
+kv_go_back (struct kv *kv, int64_t n)
+{
+  kv->revision = kv->revision > n ? kv->revision - n : 1;
+  g_tree_foreach (kv->keys, bound_revision, &kv->revision);
+  kv_compact (kv);
+}
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -71,6 +71,11 @@
 /** Revoke what has expired; true when something has. */
 bool kv_expire (struct kv *kv, clk_ms now);
 
+/** Give out the last @p n revisions again, as a service that has come back
+   from an older copy of its data, after all others have written theirs anew.
+ */
+void kv_go_back (struct kv *kv, int64_t n);
+
 /** Forget the whole history. */
 void kv_compact (struct kv *kv);
 
--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -170,7 +170,7 @@
     return true;
   if (r->fault.silent)
     return false;
-  if (w->after < r->kv.compacted)
+  if (w->after < r->kv.compacted || w->after > r->kv.revision)
     {
       httpd_answer (w->req, 410, NULL, 0, STR_EMPTY);
       return true;
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -3,8 +3,9 @@
  *
  *   "config": {...}        the operators' configuration
  *   "store": {"silent": B, "refuse": B, "no_writes": B, "lose_next": N,
- *             "compact": true, "lapse": true}   faults of its key-value
- *                          service; lapse ends all leases
+ *             "compact": true, "lapse": true, "back": N}   faults of its
+ *                          key-value service; lapse ends all leases, back
+ *                          gives out the last N revisions again
  *   "event_ms", "events"   of the streams
  *   "crash_body": TEXT, "crash_ms"   a request with that body ends the process
  *                          of each server that runs it
@@ -53,6 +54,8 @@
     r->fault.lose_next = (int)jsn_int (o, "lose_next");
   if (jsn_bool (o, "compact"))
     kv_compact (&r->kv);
+  if (jsn_get (o, "back"))
+    kv_go_back (&r->kv, jsn_int (o, "back"));
   if (jsn_bool (o, "lapse"))
     kv_expire (&r->kv, CLK_NEVER);
 }
--- a/t/t9307-config.c
+++ b/t/t9307-config.c
@@ -98,3 +98,25 @@
   signal_all (&r, SIGSTOP);
   cr_expect_eq (count_logged (&r, RACK_MANY, "why=\"silent\""), 0);
 }
+
+/* Guards against nodes that compare revisions of the store, which begin lower
+   when it has come back from a copy: they took what was announced for old. */
+Test (config, a_version_after_the_store_went_back_comes_into_force)
+{
+  struct rack r;
+
+  up_many (&r);
+  rack_configure (&r, 2, "k1", "");
+  usleep (1000000);
+  rack_set (&r, "{\"store\": {\"back\": 30}}");
+  usleep (500000);
+  rack_configure (&r, 3, "k2", "");
+  usleep ((useconds_t)APPLY_MS * 1000);
+  for (int i = 0; i < RACK_MANY; i++)
+    {
+      int by_new = rack_call (&r, i, "/once/x", "", k2_headers, NULL);
+      int by_old = rack_call (&r, i, "/once/x", "c", NULL, NULL);
+      cr_expect (by_new == 200 && by_old == 401, "node %d: %d, %d", i + 1,
+                 by_new, by_old);
+    }
+}
