Tell how current a configuration is known to be, and what follows

A caller whose request would be denied while the store is away is told to come back in a second, one that met a process just after a pause in 0.2 s.

--- a/serve/config.c
+++ b/serve/config.c
@@ -147,7 +147,7 @@
 static bool
 is_announced (const struct srv_config *c, clk_ms now)
 {
-  return srv_register_follows (c->s) && cur_is_announced (&c->cur, now);
+  return cur_is_announced (&c->cur, now) && srv_register_follows (c->s);
 }
 
 static void
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -11,8 +11,11 @@
     started is ready. */
 #define START_RETRY_MS ((clk_ms)300)
 
-/** The same while the store is asked whether there is a newer one. */
-#define CONFIRM_RETRY_MS ((clk_ms)200)
+/** The same for one whose request the configuration does not allow, while the
+    store does not say whether there is a newer one. */
+#define CONFIRM_RETRY_MS ((clk_ms)1000)
+/** The same while the first answer after a pause of this process is due. */
+#define RESUMED_RETRY_MS ((clk_ms)200)
 
 /** Descriptors kept for anything but callers: files, links, the store, and
     connections to backend servers. */
@@ -170,7 +173,8 @@
 check_current (const struct srv *s, struct refusal why)
 {
   static const struct refusal unconfirmed
-      = { 503, "config-unconfirmed", CONFIRM_RETRY_MS };
+      = { 503, "config-unconfirmed", CONFIRM_RETRY_MS },
+      resumed = { 503, "config-unconfirmed", RESUMED_RETRY_MS };
 
   switch (srv_config_trust (s, clk_now ()))
     {
@@ -179,7 +183,7 @@
     case CUR_UNCONFIRMED:
       return why.status ? unconfirmed : why;
     case CUR_RESUMED:
-      return unconfirmed;
+      return resumed;
     }
   return why;
 }
