Go on after the store has come back from an older copy of its data

Callers of a model saw 503 for good once a VM of its replica had died, and a node that started was never linked to the others: after a return from a copy the store gives out its revisions again. The new owner's fencing number, a revision, was lower than what backend servers had seen, and they refused its orders; the next node to start found no secret and made another one.

Nodes write their entries and the secret again when a reading lacks them; the secret that the store has is the one that counts.

t9308: copy taken before the nodes start, 100,000 revisions skipped, back half a second after an outage. The stand-in gains copies, returns and eras.

--- a/net/link-server.c
+++ b/net/link-server.c
@@ -90,6 +90,13 @@
   return NULL;
 }
 
+void
+link_server_set_secret (struct link_server *s,
+                        const struct link_secret *secret)
+{
+  s->secret = *secret;
+}
+
 uint16_t
 link_server_port (const struct link_server *s)
 {
--- a/net/link.h
+++ b/net/link.h
@@ -48,6 +48,9 @@
                                  const struct link_secret *secret,
                                  const struct link_callbacks *cb, void *ctx,
                                  struct buf *err);
+/** Links that are accepted from now on prove this secret. */
+void link_server_set_secret (struct link_server *s,
+                             const struct link_secret *secret);
 uint16_t link_server_port (const struct link_server *s);
 void link_server_free (struct link_server *s);
 
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -154,6 +154,8 @@
 
 bool srv_peers_start (struct srv *s, const struct link_secret *secret,
                       struct buf *err);
+/** Links that begin from now on prove this secret. */
+void srv_peers_secret (struct srv *s, const struct link_secret *secret);
 /** All entries of nodes as the store has them. */
 void srv_peers_entries (struct srv *s, const struct srv_entry *list, size_t n);
 /** Tell the other nodes what changed in the list of backend servers, if this
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -499,6 +499,13 @@
   return n + name_linked (p, p->next_named, now, out + n, most - n);
 }
 
+void
+srv_peers_secret (struct srv *s, const struct link_secret *secret)
+{
+  s->peers->secret = *secret;
+  link_server_set_secret (s->peers->server, secret);
+}
+
 bool
 srv_peers_start (struct srv *s, const struct link_secret *secret,
                  struct buf *err)
--- a/serve/register.c
+++ b/serve/register.c
@@ -27,6 +27,8 @@
    only if those before it, so far apart, have not. */
 #define SECRET_TURN_MS ((clk_ms)50)
 #define SECRET_BYTES 32
+/** Entries that the store has lost are written again so far apart. */
+#define ENTER_TURN_MS ((clk_ms)10)
 /** For so long a node that is no hub does without the store when it hears of
     nobody that forms replicas: a new one is found within two or three seconds
     and tells it, and if all looked by themselves meanwhile, each change would
@@ -52,6 +54,7 @@
   struct buf value;
   /* What the store has. */
   struct buf secret;
+  bool secret_stored; /* the store has it */
   bool secret_made;   /* by this node or another; the watch brings it */
   clk_ms next_secret; /* not made by this node before */
   bool linked;        /* the links have begun */
@@ -139,6 +142,29 @@
   return str_starts (str_skip (key, g->prefix.len), STR ("blocked/"));
 }
 
+static bool
+read_secret (const struct srv_register *g, struct link_secret *out)
+{
+  return g->secret.len
+         && str_to_bytes (buf_str (&g->secret), out->key, SECRET_BYTES);
+}
+
+/** The store's is the one that counts: after it has come back from an older
+    copy, a node that did not know the secret may have made another. */
+static void
+take_secret (struct srv_register *g, struct str value)
+{
+  struct link_secret secret;
+
+  g->secret_stored = true;
+  if (str_eq (value, buf_str (&g->secret)))
+    return;
+  buf_clear (&g->secret);
+  buf_add (&g->secret, value);
+  if (g->linked && read_secret (g, &secret))
+    srv_peers_secret (g->s, &secret);
+}
+
 static void
 take_item (struct srv_register *g, bool deleted, const struct store_kv *kv)
 {
@@ -155,9 +181,8 @@
     srv_poison_item (g->s, deleted,
                      str_skip (kv->key, g->prefix.len + sizeof "blocked/" - 1),
                      kv->value);
-  else if (!deleted && str_eq (kv->key, buf_str (&g->secret_key))
-           && g->secret.len == 0)
-    buf_add (&g->secret, kv->value);
+  else if (!deleted && str_eq (kv->key, buf_str (&g->secret_key)))
+    take_secret (g, kv->value);
 }
 
 struct hub_node
@@ -219,8 +244,7 @@
   struct link_secret secret;
   struct buf err = BUF_INIT;
 
-  if (g->linked || g->secret.len == 0
-      || !str_to_bytes (buf_str (&g->secret), secret.key, SECRET_BYTES))
+  if (g->linked || !read_secret (g, &secret))
     return;
   g->linked = srv_peers_start (g->s, &secret, &err);
   buf_free (&err);
@@ -257,22 +281,34 @@
   g->next_read = clk_now () + AGAIN_MS;
 }
 
+/** The store has lost this node's entry: it came back from an older copy. */
+static void
+enter_again (struct srv_register *g)
+{
+  g->entered = false;
+  g->next_call = clk_now () + srv_register_rank (g->s) * ENTER_TURN_MS;
+}
+
 /** The whole was read: what is not in it is gone. */
 static void
 take_all (struct srv_register *g, const struct store_result *r)
 {
-  bool duty = false;
+  bool duty = false, own = false;
 
   while (g->nnodes > 0)
     forget_node (g, str_from (g->nodes[0].key));
+  g->secret_stored = g->secret_made = false;
   srv_poison_reread (g->s);
   for (size_t i = 0; i < r->nkvs; i++)
     {
       take_item (g, false, &r->kvs[i]);
       duty = duty || str_eq (r->kvs[i].key, buf_str (&g->duty_key));
+      own = own || str_eq (r->kvs[i].key, buf_str (&g->node_key));
     }
   if (!duty)
     take_duty (g, false, STR_EMPTY);
+  if (!own && g->entered)
+    enter_again (g);
   start_links (g);
   tell_nodes (g);
 }
@@ -394,22 +430,33 @@
   call_ended (g, r->status, 0);
 }
 
-/** The first node makes the secret; a race is settled by the store. */
 static void
-make_secret (struct srv_register *g)
+draw_secret (struct buf *text)
 {
   uint8_t bytes[SECRET_BYTES];
-  struct buf text = BUF_INIT;
-  struct store_txn txn = {
-    .compares = &g->compare, .ncompares = 1, .puts = &g->put, .nputs = 1
-  };
 
   for (size_t i = 0; i < sizeof bytes; i += 8)
     {
       uint64_t x = rng_entropy ();
       memcpy (bytes + i, &x, 8);
     }
-  buf_add_hex (&text, bytes, sizeof bytes);
+  buf_add_hex (text, bytes, sizeof bytes);
+}
+
+/** The first node makes the secret, or writes it again if the store has lost
+    it; a race is settled by the store. */
+static void
+make_secret (struct srv_register *g)
+{
+  struct buf text = BUF_INIT;
+  struct store_txn txn = {
+    .compares = &g->compare, .ncompares = 1, .puts = &g->put, .nputs = 1
+  };
+
+  if (g->secret.len)
+    buf_add (&text, buf_str (&g->secret));
+  else
+    draw_secret (&text);
   begin_call (g);
   g->compare = (struct store_compare){ buf_str (&g->secret_key), 0 };
   g->put = (struct store_put){ buf_str (&g->secret_key), buf_str (&text), 0 };
@@ -421,7 +468,7 @@
 static bool
 lacks_secret (const struct srv_register *g, clk_ms now)
 {
-  return g->next_read == CLK_NEVER && g->secret.len == 0 && !g->secret_made
+  return g->next_read == CLK_NEVER && !g->secret_stored && !g->secret_made
          && (g->nnodes > 0 || !g->s->set.first_start)
          && now >= g->next_secret + srv_register_rank (g->s) * SECRET_TURN_MS;
 }
--- a/standins/kv.c
+++ b/standins/kv.c
@@ -20,6 +20,7 @@
 void
 kv_init (struct kv *kv)
 {
+  kv->era = 1;
   kv->revision = 1;
   kv->next_lease = 7001;
   kv->keys = g_tree_new_full (by_bytes, NULL, NULL, entry_free);
@@ -238,3 +239,39 @@
   g_tree_foreach (kv->keys, bound_revision, &kv->revision);
   kv_compact (kv);
 }
+
+static gboolean
+copy_entry (gpointer key, gpointer value, gpointer ctx)
+{
+  const struct kv_entry *e = value;
+  struct kv_entry *copy = g_new (struct kv_entry, 1);
+  struct kv *to = ctx;
+
+  *copy = *e;
+  g_bytes_ref (copy->key);
+  g_bytes_ref (copy->value);
+  if (copy->lease)
+    entry_free (copy);
+  else
+    g_tree_replace (to->keys, copy->key, copy);
+  return FALSE;
+}
+
+void
+kv_copy (struct kv *to, const struct kv *from)
+{
+  if (!to->keys)
+    kv_init (to);
+  g_tree_remove_all (to->keys);
+  g_tree_foreach (from->keys, copy_entry, to);
+  to->revision = from->revision;
+}
+
+void
+kv_restore (struct kv *kv, const struct kv *copy)
+{
+  kv_copy (kv, copy);
+  g_hash_table_remove_all (kv->leases);
+  kv_compact (kv);
+  kv->era++;
+}
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -29,6 +29,7 @@
 
 struct kv
 {
+  int64_t era; /**< rises when the data goes back to a copy */
   int64_t revision;
   int64_t compacted; /**< changes up to it are forgotten */
   int64_t next_lease;
@@ -76,6 +77,12 @@
  */
 void kv_go_back (struct kv *kv, int64_t n);
 
+/** Copy the keys and the revision; neither leases nor history. */
+void kv_copy (struct kv *to, const struct kv *from);
+
+/** Go back to a copy, as the next era.  Keys under leases are gone. */
+void kv_restore (struct kv *kv, const struct kv *copy);
+
 /** Forget the whole history. */
 void kv_compact (struct kv *kv);
 
--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -44,12 +44,24 @@
 }
 
 static void
-answer (struct httpd_req *req, int status, json_object *o)
+answer_text (const struct rack *r, struct httpd_req *req, int status,
+             struct str body)
 {
-  struct http_header type = { STR ("content-type"), STR ("application/json") };
+  char era[24];
+  struct http_header h[]
+      = { { STR ("content-type"), STR ("application/json") },
+          { STR (PLT_H_ERA), STR_EMPTY } };
+
+  snprintf (era, sizeof era, "%lld", (long long)r->kv.era);
+  h[1].value = str_from (era);
+  httpd_answer (req, status, h, 2, body);
+}
 
-  httpd_answer (req, status, &type, 1,
-                str_from (json_object_to_json_string (o)));
+static void
+answer (const struct rack *r, struct httpd_req *req, int status,
+        json_object *o)
+{
+  answer_text (r, req, status, str_from (json_object_to_json_string (o)));
   json_object_put (o);
 }
 
@@ -93,14 +105,14 @@
   json_object *list = json_object_new_array (), *o;
 
   if (e == NULL)
-    httpd_answer (req, 404, NULL, 0, STR_EMPTY);
+    answer_text (r, req, 404, STR_EMPTY);
   else
     {
       add_item (list, e);
       o = json_object_get (json_object_array_get_idx (list, 0));
       json_object_object_add (o, "store_revision",
                               json_object_new_int64 (r->kv.revision));
-      answer (req, 200, o);
+      answer (r, req, 200, o);
     }
   json_object_put (list);
   g_bytes_unref (bytes);
@@ -135,7 +147,7 @@
   json_object_object_add (o, "truncated", json_object_new_boolean (false));
   json_object_object_add (o, "store_revision",
                           json_object_new_int64 (r->kv.revision));
-  answer (req, 200, o);
+  answer (r, req, 200, o);
   g_bytes_unref (from);
   g_bytes_unref (end);
   g_free (prefix);
@@ -172,7 +184,7 @@
     return false;
   if (w->after < r->kv.compacted || w->after > r->kv.revision)
     {
-      httpd_answer (w->req, 410, NULL, 0, STR_EMPTY);
+      answer_text (r, w->req, 410, STR_EMPTY);
       return true;
     }
   list = json_object_new_array ();
@@ -185,7 +197,7 @@
   json_object_object_add (o, "events", list);
   json_object_object_add (o, "store_revision",
                           json_object_new_int64 (r->kv.revision));
-  answer (w->req, 200, o);
+  answer (r, w->req, 200, o);
   return true;
 }
 
@@ -300,11 +312,11 @@
   json_object *removed = jsn_array (o, "remove", &n);
 
   if (!expected || !writes || !removed)
-    httpd_answer (req, 400, NULL, 0, STR_EMPTY);
+    answer_text (r, req, 400, STR_EMPTY);
   else if (!leases_live (r, writes))
-    httpd_answer (req, 404, NULL, 0, STR_EMPTY);
+    answer_text (r, req, 404, STR_EMPTY);
   else if (!holds (r, expected))
-    httpd_answer (req, 412, NULL, 0, STR ("{\"items\":[]}"));
+    answer_text (r, req, 412, STR ("{\"items\":[]}"));
   else
     {
       apply (r, writes, removed);
@@ -319,7 +331,7 @@
           out = json_object_new_object ();
           json_object_object_add (out, "rev",
                                   json_object_new_int64 (r->kv.revision));
-          answer (req, 200, out);
+          answer (r, req, 200, out);
         }
     }
   json_object_put (o);
@@ -336,7 +348,7 @@
       out, "lease",
       json_object_new_int64 (kv_grant (&r->kv, ttl, clk_now ())));
   json_object_object_add (out, "ttl_ms", json_object_new_int64 (ttl));
-  answer (req, 200, out);
+  answer (r, req, 200, out);
   json_object_put (in);
 }
 
@@ -348,13 +360,13 @@
 
   if (l == NULL)
     {
-      httpd_answer (req, 404, NULL, 0, STR_EMPTY);
+      answer_text (r, req, 404, STR_EMPTY);
       return;
     }
   l->expires = clk_now () + l->ttl;
   out = json_object_new_object ();
   json_object_object_add (out, "ttl_ms", json_object_new_int64 (l->ttl));
-  answer (req, 200, out);
+  answer (r, req, 200, out);
 }
 
 /* --- dispatch ---------------------------------------------------------- */
@@ -401,7 +413,7 @@
   if (r->fault.silent)
     return true;
   if (r->fault.refuse || (r->fault.no_writes && str_is (path, PLT_KV_TXN)))
-    httpd_answer (req, 503, NULL, 0, STR_EMPTY);
+    answer_text (r, req, 503, STR_EMPTY);
   else if (str_is (path, PLT_KV_KEY))
     on_key (r, req);
   else if (str_is (path, PLT_KV_RANGE))
@@ -417,10 +429,10 @@
   else if (str_starts (path, STR (PLT_KV_LEASE_END)))
     {
       kv_revoke (&r->kv, id_after (path, PLT_KV_LEASE_END));
-      httpd_answer (req, 200, NULL, 0, STR ("{}"));
+      answer_text (r, req, 200, STR ("{}"));
     }
   else
-    httpd_answer (req, 404, NULL, 0, STR_EMPTY);
+    answer_text (r, req, 404, STR_EMPTY);
   rack_store_tick (r);
   return true;
 }
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -3,9 +3,12 @@
  *
  *   "config": {...}        the operators' configuration
  *   "store": {"silent": B, "refuse": B, "no_writes": B, "lose_next": N,
- *             "compact": true, "lapse": true, "back": N}   faults of its
- *                          key-value service; lapse ends all leases, back
- *                          gives out the last N revisions again
+ *             "compact": true, "lapse": true, "back": N, "skip": N,
+ *             "copy": true, "restore": true}   faults of its key-value
+ *                          service; lapse ends all leases, back gives out the
+ *                          last N revisions again, skip leaves out N, restore
+ *                          goes back to the copy, and the backend servers
+ *                          write their entries again
  *   "event_ms", "events"   of the streams
  *   "crash_body": TEXT, "crash_ms"   a request with that body ends the process
  *                          of each server that runs it
@@ -44,6 +47,15 @@
     *flag = jsn_bool (o, key);
 }
 
+static void
+restore (struct rack *r)
+{
+  kv_restore (&r->kv, &r->copy);
+  for (size_t i = 0; i < r->n; i++)
+    if (!r->servers[i].dead)
+      rack_list (&r->servers[i]);
+}
+
 static void
 set_store (struct rack *r, json_object *o)
 {
@@ -56,6 +68,11 @@
     kv_compact (&r->kv);
   if (jsn_get (o, "back"))
     kv_go_back (&r->kv, jsn_int (o, "back"));
+  r->kv.revision += jsn_int (o, "skip");
+  if (jsn_bool (o, "copy"))
+    kv_copy (&r->copy, &r->kv);
+  if (jsn_bool (o, "restore"))
+    restore (r);
   if (jsn_bool (o, "lapse"))
     kv_expire (&r->kv, CLK_NEVER);
 }
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -90,6 +90,7 @@
   struct httpd *httpd;
   uv_timer_t tick;
   struct kv kv;
+  struct kv copy; /**< that the service may come back from */
   struct store_fault fault;
   struct watch_call *watches;
   struct server servers[RACK_SERVERS];
--- a/store/store.h
+++ b/store/store.h
@@ -103,6 +103,9 @@
 struct store_result
 {
   enum store_status status;
+  int64_t era; /**< of a read: rises when the store comes back from an older
+                  copy of its data; 0: not known.  Revisions rise all the
+                  same */
   int64_t revision;           /**< of the store, or of the write */
   const struct store_kv *kvs; /**< of a range; valid during the callback */
   size_t nkvs;
--- /dev/null
+++ b/t/t9308-era.c
@@ -0,0 +1,67 @@
+/*
+ * The store comes back from an older copy of its data, over real processes:
+ * what was written since is gone, leases too, and its revisions are given out
+ * again.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "t/lib-rack.h"
+
+TestSuite (era, .fini = proc_stop_all, .timeout = 120);
+
+/** Revisions between the copy and the first change of the nodes: those that
+   are given out after the return stay below these. */
+#define SKIPPED 100000
+#define NODES 3
+
+/** Nodes of which the last is not started, before a store with a copy from the
+    time before them. */
+static void
+up (struct rack *r)
+{
+  rack_up_many (r, 4, NODES, NULL);
+  rack_configure (r, 1, "k1", "");
+  rack_set (r, "{\"store\": {\"copy\": true, \"skip\": %d}}", SKIPPED);
+  for (int i = 0; i < NODES - 1; i++)
+    rack_start_node (r, i);
+  for (int i = 0; i < NODES - 1; i++)
+    cr_assert (rack_until (r, i, "/stream/x", rack_headers ("warm"), 200));
+}
+
+static void
+come_back (struct rack *r)
+{
+  rack_set (r, "{\"store\": {\"refuse\": true}}");
+  usleep (500000);
+  rack_set (r, "{\"store\": {\"refuse\": false, \"restore\": true}}");
+}
+
+/* Guards against a new owner whose fencing number is lower than one that
+   backend servers have seen: they refuse its orders for good. */
+Test (era, replicas_are_mended_after_the_store_went_back)
+{
+  struct rack r;
+
+  up (&r);
+  come_back (&r);
+  rack_set (&r, "{\"server\": \"e1\", \"dead\": true}");
+  usleep (1000000);
+  cr_expect (rack_until (&r, 0, "/stream/x", rack_headers ("a"), 200));
+}
+
+/* Guards against a second secret in place of the one that is gone: a node that
+   starts then would never be linked. */
+Test (era, a_node_that_starts_after_the_return_is_linked)
+{
+  struct rack r;
+
+  up (&r);
+  come_back (&r);
+  rack_start_node (&r, NODES - 1);
+  for (int i = 0; i < NODES; i++)
+    cr_expect (web_until (r.ready[i], "/metrics", NULL,
+                          "lapisline_serve_nodes 3", PROC_WAIT_MS),
+               "node %d", i + 1);
+}
