Use no backend server that only an older copy of the store still lists

After the store has come back from a copy its list shows servers that have left or are draining as they were, and lacks those that came since; callers' requests would go to the former, and replicas lose members that live.

An entry names the heartbeat that wrote it. For 10 s after a return, one from an earlier heartbeat than is known of the server, or of its end, is not taken; what is missing counts for as long as after an outage. A gauge of the era.

t9202 an_older_copy_of_the_list_brings_nobody_back and who_is_missing_after_a_return_from_a_copy_has_time; both fail without bks_restored() (the first lists p3 and takes p2 for ready, the second drops p2 at once).

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -5251,7 +5251,7 @@
   (ProtobufCMessageInit) lapis__server_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[13] =
+static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[14] =
 {
   {
     "id",
@@ -5409,9 +5409,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "beat",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, beat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__server_entry__field_indices_by_name[] = {
   3,   /* field[3] = addr */
+  13,   /* field[13] = beat */
   11,   /* field[11] = born */
   4,   /* field[4] = capacity */
   5,   /* field[5] = draining */
@@ -5430,7 +5443,7 @@
   { 1, 0 },
   { 5, 3 },
   { 10, 7 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lapis__server_entry__descriptor =
 {
@@ -5440,7 +5453,7 @@
   "Lapis__ServerEntry",
   "lapis",
   sizeof(Lapis__ServerEntry),
-  13,
+  14,
   lapis__server_entry__field_descriptors,
   lapis__server_entry__field_indices_by_name,
   3,  lapis__server_entry__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -928,10 +928,14 @@
    * enum bks_verdict
    */
   uint32_t verdict;
+  /*
+   * number of the heartbeat that wrote it
+   */
+  int64_t beat;
 };
 #define LAPIS__SERVER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__server_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -30,10 +30,15 @@
    is tried again in time. */
 #define UNTOLD_MANY_PART 0.6
 
+/** A server that has left may stand for so long in a list from an older copy:
+    its entry lapses there after three heartbeats of some seconds. */
+#define RESTORED_MS ((clk_ms)10000)
+
 struct gone
 {
   char *id;
   uint64_t version;
+  int64_t beat;
 };
 
 struct bks
@@ -50,6 +55,7 @@
   clk_ms asked_at;     /* of the last good read */
   clk_ms first_at;     /* of the first good read */
   clk_ms steady_since; /* first good read after a failed one */
+  clk_ms restored_at;  /* 0: the store has not come back from a copy */
   struct dsp_place *places;
 };
 
@@ -108,13 +114,14 @@
 }
 
 static void
-remember_gone (struct bks *b, struct str id)
+remember_gone (struct bks *b, const struct bks_entry *e)
 {
   struct gone *g = &b->gone[b->ngone++ % GONE_MOST];
 
   free (g->id);
-  g->id = str_dup (id);
+  g->id = str_dup (e->id);
   g->version = b->version;
+  g->beat = e->beat;
 }
 
 uint64_t
@@ -200,6 +207,34 @@
   return in->born < known->born;
 }
 
+static const struct gone *
+find_gone (const struct bks *b, struct str id)
+{
+  const struct gone *last = NULL;
+
+  for (size_t i = 0; i < GONE_MOST && b->gone[i].id; i++)
+    if (str_is (id, b->gone[i].id)
+        && (!last || b->gone[i].version > last->version))
+      last = &b->gone[i];
+  return last;
+}
+
+/** Written before what is known of the server, or of its end: it comes from an
+    older copy of the store's data. */
+static bool
+is_from_copy (const struct bks *b, clk_ms now, const struct bks_server *known,
+              const struct bks_entry *in)
+{
+  const struct gone *gone;
+
+  if (!b->restored_at || now - b->restored_at >= RESTORED_MS)
+    return false;
+  if (known)
+    return in->born == known->e.born && in->beat < known->e.beat;
+  gone = find_gone (b, in->id);
+  return gone && in->beat && in->beat <= gone->beat;
+}
+
 /** The server has started again under its id: it holds nothing, and what it
     led or belonged to is over. */
 static void
@@ -213,10 +248,15 @@
 take_entry (struct bks *b, clk_ms now, const struct bks_entry *in)
 {
   struct bks_server *s = find (b, in->id);
+  bool from_copy = is_from_copy (b, now, s, in);
 
-  if (s && (same_entry (&s->e, in) || is_earlier_life (&s->e, in)))
+  if (!s && from_copy)
+    return false;
+  if (s
+      && (same_entry (&s->e, in) || is_earlier_life (&s->e, in) || from_copy))
     {
       s->named = true;
+      s->e.beat = in->beat > s->e.beat ? in->beat : s->e.beat;
       return false;
     }
   if (s && s->e.born != in->born)
@@ -246,7 +286,7 @@
       b->list[kept++] = b->list[i];
     else
       {
-        remember_gone (b, b->list[i]->e.id);
+        remember_gone (b, &b->list[i]->e);
         g_hash_table_remove (b->by_id, &b->list[i]->e.id);
         server_free (b->list[i]);
       }
@@ -322,6 +362,13 @@
     b->failing = true;
 }
 
+void
+bks_restored (struct bks *b, clk_ms now)
+{
+  bks_unreadable (b, now);
+  b->restored_at = now;
+}
+
 bool
 bks_settled (const struct bks *b, clk_ms now)
 {
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -44,6 +44,7 @@
   int64_t born; /**< wall clock of its process's start, Unix ms: one that
                      starts again under its id is another server; 0: not
                      told */
+  int64_t beat; /**< number of the heartbeat that wrote it; 0: not known */
   struct str service;
   struct str zone;
   struct str domain; /**< fabric domain; empty: none */
@@ -96,6 +97,13 @@
 bool bks_update (struct bks *b, clk_ms now, clk_ms asked_at,
                  const struct bks_entry *list, size_t n);
 
+/**
+ * The store has come back from an older copy of its data: until the backend
+ * servers have written again, the list shows entries as they were, and lacks
+ * some.
+ */
+void bks_restored (struct bks *b, clk_ms now);
+
 /** When the last good read was sent. */
 clk_ms bks_asked_at (const struct bks *b);
 
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -125,6 +125,10 @@
        "Time since it was last known to be the newest; -1: never.", NULL,
        (double)srv_config_age (s, clk_now ()));
   set (s, PREFIX "servers", "Backend servers in the list.", NULL, (double)n);
+  set (s, PREFIX "store_era",
+       "How often the store has come back from an older copy of its data, as "
+       "it counts; 0: not known.",
+       NULL, (double)srv_sync_era (s));
   set (s, PREFIX "entries_not_taken",
        "Entries of the list that can't be read, at this node's last reading.",
        NULL, (double)srv_sync_unread (s));
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -100,6 +100,8 @@
 void srv_sync_heard (struct srv *s, clk_ms now, clk_ms age_ms);
 /** Age of the list of backend servers, by whoever read it. */
 clk_ms srv_sync_list_age (const struct srv *s, clk_ms now);
+/** As the last reading says; see struct store_result. */
+int64_t srv_sync_era (const struct srv *s);
 /** Age of the last reading by this node. */
 clk_ms srv_sync_age (const struct srv *s, clk_ms now);
 /** Entries of the last reading that name no server to use. */
--- a/serve/share.c
+++ b/serve/share.c
@@ -63,6 +63,7 @@
   out->rank = e->rank;
   out->part = e->part;
   out->born = e->born;
+  out->beat = e->beat;
   out->verdict = s->accepting ? BKS_TAKES : BKS_REFUSES;
   buf_free (&addr);
 }
@@ -224,7 +225,8 @@
                              .replica = str_from (in->replica),
                              .generation = in->generation,
                              .rank = in->rank,
-                             .born = in->born };
+                             .born = in->born,
+                             .beat = in->beat };
   out->part = in->part <= BKS_BROKEN ? (enum bks_part)in->part : BKS_ALONE;
   if (in->verdict <= BKS_REFUSES)
     out->verdict = (enum bks_verdict)in->verdict;
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -33,6 +33,7 @@
   clk_ms current_at; /* when the list that this node has was the newest, as the
                         node that reads it has told */
   clk_ms read_at;    /* sending of the last good read of this node's own */
+  int64_t era;       /* of that reading; see struct store_result */
   bool store_ok;
 };
 
@@ -118,6 +119,12 @@
   return unr_count (s->sync->unread);
 }
 
+int64_t
+srv_sync_era (const struct srv *s)
+{
+  return s->sync->era;
+}
+
 clk_ms
 srv_sync_age (const struct srv *s, clk_ms now)
 {
@@ -141,6 +148,9 @@
       return;
     }
   y->read_at = y->asked_servers;
+  if (y->era && r->era > y->era)
+    bks_restored (s->backends, now);
+  y->era = r->era;
   take_servers (y, r);
   y->next_servers = y->asked_servers + poll_ms (s);
 }
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -528,3 +528,54 @@
   srv_headers_free (&out);
   buf_free (&text);
 }
+
+static void
+add_beat (struct bks_entry *e, const char *id, bool draining, int64_t beat)
+{
+  add (e, id, draining);
+  e->beat = beat;
+}
+
+/* Guards against servers that have left, or are about to, and get requests
+   again as the store shows their entries from an older copy. */
+Test (backends, an_older_copy_of_the_list_brings_nobody_back)
+{
+  struct bks *b = bks_new ();
+  struct bks_entry list[3];
+
+  add_beat (&list[0], "p1", false, 7);
+  add_beat (&list[1], "p2", true, 7);
+  add_beat (&list[2], "p3", false, 7);
+  bks_update (b, 10000, 10000, list, 3);
+  bks_update (b, 11000, 11000, list, 2); /* p3 has left */
+  bks_restored (b, 12000);
+  add_beat (&list[1], "p2", false, 5);
+  add_beat (&list[2], "p3", false, 5);
+  bks_update (b, 12100, 12100, list, 3);
+  expect_ids (b, "p1 p2 ");
+  cr_expect (bks_find (b, STR ("p2"))->e.draining);
+  /* They have written again, and live. */
+  add_beat (&list[1], "p2", false, 9);
+  add_beat (&list[2], "p3", false, 9);
+  bks_update (b, 14000, 14000, list, 3);
+  expect_ids (b, "p1 p2 p3 ");
+  cr_expect_not (bks_find (b, STR ("p2"))->e.draining);
+  bks_free (b);
+}
+
+/* Guards against servers that are taken for gone as the copy lacks them. */
+Test (backends, who_is_missing_after_a_return_from_a_copy_has_time)
+{
+  struct bks *b = bks_new ();
+  struct bks_entry list[2];
+
+  add_beat (&list[0], "p1", false, 7);
+  add_beat (&list[1], "p2", false, 7);
+  bks_update (b, 10000, 10000, list, 2);
+  bks_restored (b, 12000);
+  bks_update (b, 12100, 12100, list, 1);
+  expect_ids (b, "p1 p2 ");
+  bks_update (b, 14500, 14500, list, 1);
+  expect_ids (b, "p1 ");
+  bks_free (b);
+}
