Hand the configuration on among few nodes too

A node that started after the store had come back from a copy took the version of the copy, older than what the others had in force, and ran requests with a key that had been taken since: few nodes watch by themselves and handed nothing on. The node that others go by hands its document to each that has had an older one for half a second; so a node that the store turns away has it too.

t9308 no_node_goes_by_the_configuration_of_the_copy fails without it (the third node goes on by the copy). Two returns in a row, and the key of a blocked request, hold.

--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -2,11 +2,15 @@
 
 /*
  * What nodes announce of the configuration, with each load: the version in
- * force, and how current it is known to be.  Among many, the one that others
- * go by also hands the document on to each that has an older one; few watch
- * the store by themselves.
+ * force, and how current it is known to be.  The one that others go by also
+ * hands the document on to each that has an older one.  Few watch the store by
+ * themselves and have it by then, unless the store turns them away or shows
+ * them an older one.
  */
 
+/** Few nodes are given so long to read a version by themselves. */
+#define FEW_MS ((clk_ms)500)
+
 void
 prs_on_stamp (struct peer *x, clk_ms now, const Lapis__NodeLoad *load)
 {
@@ -54,26 +58,36 @@
          && x->version_sent < version;
 }
 
+static bool
+is_due (struct peer *x, int64_t version, clk_ms now)
+{
+  if (!lacks_config (x, version))
+    x->lacks_since = 0;
+  else if (!x->lacks_since)
+    x->lacks_since = now;
+  return x->lacks_since && (prs_many (x->p) || now - x->lacks_since >= FEW_MS);
+}
+
 static size_t
-count_lacking (const struct srv_peers *p, int64_t version)
+count_due (struct srv_peers *p, int64_t version, clk_ms now)
 {
   size_t n = 0;
 
-  for (const struct peer *x = p->list; x; x = x->next)
-    n += lacks_config (x, version);
+  for (struct peer *x = p->list; x; x = x->next)
+    n += is_due (x, version, now);
   return n;
 }
 
 void
-prs_hand_on_config (struct srv_peers *p)
+prs_hand_on_config (struct srv_peers *p, clk_ms now)
 {
   int64_t version = srv_config_version (p->s);
-  size_t n = count_lacking (p, version);
+  size_t n = count_due (p, version, now);
   Lapis__ConfigText config = LAPIS__CONFIG_TEXT__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
   struct str text;
 
-  if (n == 0 || !prs_many (p) || !srv_peers_announces (p->s)
+  if (n == 0 || !srv_peers_announces (p->s)
       || !srv_config_text (p->s, n, &text))
     return;
   config.version = version;
@@ -82,6 +96,6 @@
   f.body_case = LAPIS__FRAME__BODY_CONFIG_TEXT;
   f.config_text = &config;
   for (struct peer *x = p->list; x; x = x->next)
-    if (lacks_config (x, version) && link_send (x->link, &f))
+    if (is_due (x, version, now) && link_send (x->link, &f))
       x->version_sent = version;
 }
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -59,6 +59,7 @@
   clk_ms stamp;         /* the time that it bore, by the peer's clock */
   clk_ms stamp_at;      /* when it came */
   int64_t version;      /* in force there, as it says */
+  clk_ms lacks_since;   /* it has an older one than this node; 0: it has not */
   int64_t version_sent; /* newest document that went to it on this link */
 };
 
@@ -108,7 +109,7 @@
 void prs_fill_config (const struct peer *x, Lapis__ConfigState *c);
 /** Hand the configuration on to peers that have an older one, if others go by
     this node. */
-void prs_hand_on_config (struct srv_peers *p);
+void prs_hand_on_config (struct srv_peers *p, clk_ms now);
 
 /* peers-poison.c */
 /** Tell a peer that has just been linked what is known. */
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -277,6 +277,21 @@
 
 #define BYSTANDERS 12
 
+/* Guards against a request that is free again as the store has come back from
+   a copy that lacks its key. */
+Test (crash, the_key_outlives_a_return_from_a_copy)
+{
+  struct rack r;
+  char key[64];
+
+  serve_crashing (&r);
+  rack_set (&r, "{\"store\": {\"copy\": true, \"skip\": 1000}}");
+  until_blocked (&r);
+  find_blocked_key (&r, key, sizeof key);
+  rack_set (&r, "{\"store\": {\"restore\": true}}");
+  find_blocked_key (&r, key, sizeof key);
+}
+
 /* Guards against the refusal of streams that were running at the servers that
    ended: each is served, by itself or when its caller asks again. */
 Test (crash, bystanders_are_served)
--- a/t/t9308-era.c
+++ b/t/t9308-era.c
@@ -19,9 +19,9 @@
 /** Nodes of which the last is not started, before a store with a copy from the
     time before them. */
 static void
-up (struct rack *r)
+up (struct rack *r, int engines)
 {
-  rack_up_many (r, 4, NODES, NULL);
+  rack_up_many (r, engines, NODES, NULL);
   rack_configure (r, 1, "k1", "");
   rack_set (r, "{\"store\": {\"copy\": true, \"skip\": %d}}", SKIPPED);
   for (int i = 0; i < NODES - 1; i++)
@@ -44,7 +44,7 @@
 {
   struct rack r;
 
-  up (&r);
+  up (&r, 4);
   come_back (&r);
   rack_set (&r, "{\"server\": \"e1\", \"dead\": true}");
   usleep (1000000);
@@ -57,7 +57,7 @@
 {
   struct rack r;
 
-  up (&r);
+  up (&r, 4);
   come_back (&r);
   rack_start_node (&r, NODES - 1);
   for (int i = 0; i < NODES; i++)
@@ -65,3 +65,42 @@
                           "lapisline_serve_nodes 3", PROC_WAIT_MS),
                "node %d", i + 1);
 }
+
+static const char k2_headers[]
+    = "Host: h\r\nX-Lapisline-Request-Id: b\r\nX-Api-Key: k2\r\n";
+
+/* Guards against a configuration that goes back where the store shows an older
+   one, also at a node that starts then. */
+Test (era, no_node_goes_by_the_configuration_of_the_copy)
+{
+  struct rack r;
+
+  up (&r, 4);
+  rack_configure (&r, 2, "k2", "");
+  for (int i = 0; i < NODES - 1; i++)
+    cr_assert (rack_until (&r, i, "/once/x", k2_headers, 200));
+  come_back (&r);
+  rack_start_node (&r, NODES - 1);
+  cr_expect (rack_until (&r, NODES - 1, "/once/x", k2_headers, 200));
+  for (int i = 0; i < NODES; i++)
+    cr_expect_eq (rack_call (&r, i, "/once/x", "c", NULL, NULL), 401,
+                  "node %d", i + 1);
+}
+
+/* Guards against a second return while nodes still write again what the first
+   one lost. */
+Test (era, twice_in_a_row)
+{
+  struct rack r;
+
+  up (&r, 4);
+  come_back (&r);
+  usleep (200000);
+  come_back (&r);
+  rack_set (&r, "{\"server\": \"e1\", \"dead\": true}");
+  usleep (1000000);
+  cr_expect (rack_until (&r, 0, "/stream/x", rack_headers ("a"), 200));
+  rack_start_node (&r, NODES - 1);
+  cr_expect (web_until (r.ready[0], "/metrics", NULL,
+                        "lapisline_serve_nodes 3", PROC_WAIT_MS));
+}
