Keep the ports of a test until it ends

Two tests of 18 nodes side by side took the same ports: each looked that nobody listened there, and started its processes seconds later. A test has 72 ports then, and the next process number begins 40 further on. The nodes that came second ended with "address already in use".

proc_port() now keeps a socket bound to each port, which doesn't listen and lets servers in. t0900 fails without it.

--- a/t/lib-proc.c
+++ b/t/lib-proc.c
@@ -316,20 +316,27 @@
     address that it had; it ends with "address already in use". */
 #define PORT_FIRST 16384
 #define PORT_END 32384
-#define PORT_BLOCK 40 /* more than a test takes; each has its own process */
+#define PORT_BLOCK 40
 
+/** Whether nobody has the port.  From then on this test has it: its socket
+    stays bound and never listens, which lets in those that allow to share an
+    address, as servers do, and keeps out the same look of another test. */
 static bool
-can_listen (int port)
+take_port (int port)
 {
   struct sockaddr_in sa = { .sin_family = AF_INET };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  bool ok;
+  const int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   sa.sin_port = htons ((uint16_t)port);
-  ok = bind (fd, (struct sockaddr *)&sa, sizeof sa) == 0;
-  close (fd);
-  return ok;
+  if (bind (fd, (struct sockaddr *)&sa, sizeof sa) != 0)
+    {
+      close (fd);
+      return false;
+    }
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  return true;
 }
 
 int
@@ -342,7 +349,7 @@
   for (int i = PORT_FIRST; i < PORT_END; i++)
     {
       int port = PORT_FIRST + next++ % (PORT_END - PORT_FIRST);
-      if (can_listen (port))
+      if (take_port (port))
         return port;
     }
   cr_assert_fail ("no port is free");
--- a/t/lib-proc.h
+++ b/t/lib-proc.h
@@ -79,8 +79,8 @@
 const char *proc_file (const char *name, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
 
-/** A port that nobody listens on and that the kernel gives to no connection:
-   for a process that is started again at its address. */
+/** A port that nobody has and that the kernel gives to no connection, for
+   processes of this test: one may be started again at its address. */
 int proc_port (void);
 
 /** Address with such a port, valid until proc_stop_all(). */
--- a/t/t0900-proc.c
+++ b/t/t0900-proc.c
@@ -1,6 +1,9 @@
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "t/lib-proc.h"
 
@@ -57,3 +60,25 @@
       before = port;
     }
 }
+
+/*
+ * Two tests with many processes chose the same ports before any of these
+ * listened, and the processes of the second ended with "address already in
+ * use".
+ */
+Test (proc, ports_that_no_other_test_is_given)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  const int on = 1;
+  int other = socket (AF_INET, SOCK_STREAM, 0);
+  int server = socket (AF_INET, SOCK_STREAM, 0);
+
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  sa.sin_port = htons ((uint16_t)proc_port ());
+  cr_expect_neq (bind (other, (struct sockaddr *)&sa, sizeof sa), 0);
+  setsockopt (server, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  cr_expect_eq (bind (server, (struct sockaddr *)&sa, sizeof sa), 0);
+  cr_expect_eq (listen (server, 1), 0);
+  close (other);
+  close (server);
+}
