Let requests wait for the store's first answer after a pause

Callers whose requests lay in the sockets of a node that had stood still were refused with 503 as it went on, though the store answered 1 to 3 ms later: the requests are read in the same round as that answer is asked for.

The new test with two nodes held before as well: its answer of the store came first. It is there for requests that would be held and never let go.

--- a/serve/currency.h
+++ b/serve/currency.h
@@ -39,7 +39,7 @@
   CUR_CONFIRMED,   /**< known to be the newest within the bound */
   CUR_UNCONFIRMED, /**< there may be a newer one */
   CUR_RESUMED      /**< the same, as this process did not run; an answer of the
-                      store is due at once */
+                      store is due at once, and requests wait for it */
 };
 
 struct cur
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -14,8 +14,6 @@
 /** The same for one whose request the configuration does not allow, while the
     store does not say whether there is a newer one. */
 #define CONFIRM_RETRY_MS ((clk_ms)1000)
-/** The same while the first answer after a pause of this process is due. */
-#define RESUMED_RETRY_MS ((clk_ms)200)
 
 /** Descriptors kept for anything but callers: files, links, the store, and
     connections to backend servers. */
@@ -173,19 +171,10 @@
 check_current (const struct srv *s, struct refusal why)
 {
   static const struct refusal unconfirmed
-      = { 503, "config-unconfirmed", CONFIRM_RETRY_MS },
-      resumed = { 503, "config-unconfirmed", RESUMED_RETRY_MS };
+      = { 503, "config-unconfirmed", CONFIRM_RETRY_MS };
+  bool confirmed = srv_config_trust (s, clk_now ()) == CUR_CONFIRMED;
 
-  switch (srv_config_trust (s, clk_now ()))
-    {
-    case CUR_CONFIRMED:
-      return why;
-    case CUR_UNCONFIRMED:
-      return why.status ? unconfirmed : why;
-    case CUR_RESUMED:
-      return resumed;
-    }
-  return why;
+  return why.status && !confirmed ? unconfirmed : why;
 }
 
 static void
@@ -202,21 +191,14 @@
 }
 
 static void
-on_request (void *ctx, struct httpd_req *req)
+admit (struct srv *s, struct httpd_req *req, clk_ms since)
 {
-  struct srv *s = ctx;
-  struct srv_exchange *ex;
+  struct srv_exchange *ex = srv_exchange_new (s, req, s->table);
   struct refusal why;
   size_t n;
   const struct http_header *h = httpd_headers (req, &n);
 
-  if (!s->table)
-    {
-      /* 404 or 401 would be final; what is allowed is just not known yet. */
-      srv_refuse (s, req, 503, "starting", START_RETRY_MS);
-      return;
-    }
-  ex = srv_exchange_new (s, req, s->table);
+  ex->since = since;
   s->ad->call (h, n, &ex->call);
   ex->host = httpd_get (req)->host;
   why = check_current (s, check (ex));
@@ -231,6 +213,72 @@
   srv_refuse (s, req, why.status, why.code, why.retry_ms);
 }
 
+/* --- after a pause of this process -------------------------------------- */
+
+/** A request that waits for the store's first answer after a pause. */
+struct srv_held
+{
+  struct srv_held *next, **prev;
+  struct httpd_req *req;
+  clk_ms since;
+};
+
+static void
+unhold (struct srv_held *w)
+{
+  *w->prev = w->next;
+  if (w->next)
+    w->next->prev = w->prev;
+  free (w);
+}
+
+static void
+on_held_gone (void *ctx)
+{
+  unhold (ctx);
+}
+
+static void
+hold (struct srv *s, struct httpd_req *req)
+{
+  struct srv_held *w = xcalloc (1, sizeof *w);
+
+  w->req = req;
+  w->since = clk_now ();
+  w->next = s->held;
+  w->prev = &s->held;
+  if (w->next)
+    w->next->prev = &w->next;
+  s->held = w;
+  httpd_on_gone (req, on_held_gone, w);
+}
+
+void
+srv_ingress_tick (struct srv *s, clk_ms now)
+{
+  while (s->held && srv_config_trust (s, now) != CUR_RESUMED)
+    {
+      struct httpd_req *req = s->held->req;
+      clk_ms since = s->held->since;
+      unhold (s->held);
+      admit (s, req, since);
+    }
+}
+
+static void
+on_request (void *ctx, struct httpd_req *req)
+{
+  struct srv *s = ctx;
+
+  /* 404 or 401 would be final; what is allowed is just not known yet. */
+  if (!s->table)
+    srv_refuse (s, req, 503, "starting", START_RETRY_MS);
+  else if (srv_config_trust (s, clk_now ()) == CUR_RESUMED)
+    hold (s, req);
+  else
+    admit (s, req, clk_now ());
+}
+
 bool
 srv_ingress_start (struct srv *s, struct buf *err)
 {
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -18,6 +18,7 @@
 #include "serve/pause.h"
 
 struct srv_exchange;
+struct srv_held;
 struct srv_config;
 struct srv_sync;
 struct srv_register;
@@ -54,6 +55,7 @@
   struct srv_plan *plan;
   struct srv_peers *peers;
   struct srv_exchange *exchanges;
+  struct srv_held *held;  /**< requests that wait for the store */
   struct buf places_told; /**< what was logged of them last */
   uint64_t next_id;
   bool acting;      /**< actions are being carried out */
@@ -176,6 +178,8 @@
 
 /* ingress.c */
 bool srv_ingress_start (struct srv *s, struct buf *err);
+/** Go on with the requests that wait for the store after a pause. */
+void srv_ingress_tick (struct srv *s, clk_ms now);
 /** Carry out what the request core wants. */
 void srv_act (struct srv *s);
 struct srv_exchange *srv_find (const struct srv *s, uint64_t id);
--- a/serve/node.c
+++ b/serve/node.c
@@ -154,6 +154,7 @@
       srv_act (s);
     }
   srv_config_tick (s, now);
+  srv_ingress_tick (s, now);
   srv_sync_tick (s, now);
   srv_register_tick (s, now);
   srv_duty_tick (s, now);
--- a/t/t9307-config.c
+++ b/t/t9307-config.c
@@ -65,6 +65,23 @@
                i + 1);
 }
 
+/* Guards against callers who are refused for want of an answer of the store
+   that comes within milliseconds. */
+Test (config, who_waited_for_a_node_that_stood_still_is_served)
+{
+  struct web_stream *asked;
+  struct rack r;
+
+  rack_serve (&r, 4);
+  proc_signal (r.node[0], SIGSTOP);
+  rack_configure (&r, 2, "k2", "");
+  usleep ((useconds_t)(APPLY_MS + 1000) * 1000);
+  asked = web_open (r.front[0], "POST", "/once/x", k2_headers, "hello");
+  usleep (300000);
+  proc_signal (r.node[0], SIGCONT);
+  cr_expect_eq (web_status (asked, PROC_WAIT_MS), 200);
+}
+
 /** How often a text stands in what the nodes have logged; ends them. */
 static int
 count_logged (struct rack *r, int nodes, const char *text)
