Judge no request by time in which this process stood still

A node that stood still for a second or more, as its VM may, took every replica for stalled as it went on. All its streams were moved, and those that found no other place were cut: with two replicas, three callers of six lost their answers. A request whose answer had come meanwhile ran a second time, or was answered 504.

Timers run before sockets are read, so the first tick after a pause judges by what was known before it. A tick over 100 ms late now leaves that to the next one, 20 ms later, when all that waited has been read. The next one judges in any case, else a node with too little processor would give nothing up.

paused::* stop a node for 1 s and for 4 s among six streams, and around an answer.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -205,6 +205,8 @@
   struct rng rng;
   clk_ms now;
   clk_ms ticked_at; /**< time was looked at last */
+  clk_ms judged_at; /**< the same, or since when requests are open */
+  bool skipped;     /**< the last tick came too late to judge */
   unsigned nodes;
   bool leaving;
   struct dsp_pool **pools;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -15,6 +15,10 @@
     pause that a caller feels is some hundred milliseconds. */
 #define TICK_MS ((clk_ms)20)
 
+/** A tick that comes so late shows that this process stood still; what came
+    meanwhile lies unread, as timers run before sockets are read. */
+#define LATE_MS ((clk_ms)100)
+
 /** Connections that may fail before a request is given up: a third place that
     can't be reached says that the fault is on this node's side. */
 #define CONNECTS_MOST 3
@@ -522,6 +526,8 @@
   d->now = now;
   if (find_request (d, in->id))
     return;
+  if (d->open == 0)
+    d->judged_at = now;
   q = add_request (d, in);
   d->figures.arrived++;
   if (d->leaving)
@@ -600,12 +606,24 @@
     }
 }
 
+/** Whether to leave it to the next tick to judge by silence and time; that one
+    judges in any case, else a node with too little processor never would. */
+static bool
+skips (struct dsp *d, clk_ms now)
+{
+  d->skipped = !d->skipped && now - d->judged_at > LATE_MS;
+  d->judged_at = now;
+  return d->skipped;
+}
+
 void
 dsp_tick (struct dsp *d, clk_ms now)
 {
   struct dsp_req *next;
 
   d->now = d->ticked_at = now;
+  if (skips (d, now))
+    return;
   dsp_health_tick (d);
   /* A step may end its own request and send others, but ends no other one. */
   for (struct dsp_req *q = d->open_list; q; q = next)
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -262,6 +262,15 @@
     }
 }
 
+/** As after a pause of the process: a tick comes before what waits is read. */
+static void
+stand_still (struct bench *b, int ms)
+{
+  b->now += ms;
+  dsp_tick (b->d, b->now);
+  take_actions (b);
+}
+
 static void
 busy (struct bench *b, int ms, uint64_t id)
 {
@@ -316,6 +325,8 @@
     blocked (b, (uint64_t)atoi (x));
   else if (strcmp (word, "run") == 0)
     run (b, atoi (x));
+  else if (strcmp (word, "pause") == 0)
+    stand_still (b, atoi (x));
   else if (strcmp (word, "busy") == 0)
     busy (b, atoi (x), (uint64_t)atoi (y));
   else if (strcmp (word, "leave") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -23,6 +23,7 @@
  *   busy MS ID               time passes, a tick comes when the core asks for
  *                            one, and that stream has an event every 10 ms
  *   run MS                   time passes in steps of 20 ms
+ *   pause MS                 the process stands still, then a tick comes
  *   leave
  *
  * The log has a line for each action: "send ID PLACE [resume] [pN]" with the
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -166,6 +166,37 @@
                  "cancel 1\nsend 1 s2 resume p0\n");
 }
 
+/* Guards against streams that are taken off all their places, and cut where
+   none is left, after a pause of this process. */
+Test (dispatch, a_pause_of_this_process_is_no_stall)
+{
+  dispatch_play ("streams s 2 8\n ask 1 stream\n sent 1\n good 1\n event 1\n"
+                 "ask 2 stream\n sent 2\n good 2\n event 2\n"
+                 "run 100\n pause 1500\n event 1\n event 2\n run 20\n"
+                 "event 1\n event 2\n whole 1\n whole 2\n",
+                 "send 1 s1\npass 1\nsend 2 s2\npass 2\nend 1\nend 2\n");
+}
+
+/* Guards against requests that are sent again, or given up, as this process
+   goes on after a pause, though their answers wait in its sockets. */
+Test (dispatch, an_answer_that_came_in_a_pause_is_passed_on)
+{
+  dispatch_play ("places p 2 4\n ask 1 safe\n sent 1\n run 40\n pause 1000\n"
+                 "good 1\n whole 1\n"
+                 "ask 2 once\n sent 2\n run 40\n pause 4000\n good 2\n"
+                 "whole 2\n",
+                 "send 1 p1\nend 1\nsend 2 p1\nend 2\n");
+}
+
+/* Guards against a node with too little processor that gives nothing up. */
+Test (dispatch, of_late_ticks_each_second_one_judges)
+{
+  dispatch_play ("streams s 2 8\n ask 1 stream\n sent 1\n good 1\n event 1\n"
+                 "run 100\n pause 600\n pause 600\n",
+                 "send 1 s1\npass 1\nstalled s1\ncancel 1\n"
+                 "send 1 s2 resume p0\n");
+}
+
 /* Guards against callers that end server after server with the same request,
    and against a refusal that makes them come back for nothing. */
 Test (dispatch, what_three_servers_crashed_under_is_refused)
--- /dev/null
+++ b/t/t9309-paused.c
@@ -0,0 +1,104 @@
+/*
+ * Nodes that stand still for a while, as their VM may, and go on, over real
+ * processes.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "t/lib-rack.h"
+
+TestSuite (paused, .fini = proc_stop_all, .timeout = 120);
+
+#define STREAMS 6
+
+static void
+stand_still (struct rack *r, int node, int ms)
+{
+  proc_signal (r->node[node], SIGSTOP);
+  usleep ((useconds_t)ms * 1000);
+  proc_signal (r->node[node], SIGCONT);
+}
+
+/** How often the request has run. */
+static int
+count_runs (const struct rack *r, const char *id)
+{
+  struct web_answer a;
+  char name[32];
+  const char *at;
+  int n = 0;
+
+  snprintf (name, sizeof name, "\"%s\": ", id);
+  web_call (r->at, "GET", "/control/runs", NULL, NULL, &a);
+  at = strstr (buf_c (&a.body), name);
+  if (at)
+    sscanf (at + strlen (name), "%d", &n);
+  web_free (&a);
+  return n;
+}
+
+static void
+streams_over_a_pause (int ms)
+{
+  struct web_stream *w[STREAMS];
+  struct buf body = BUF_INIT;
+  struct rack r;
+  char id[16];
+
+  rack_serve (&r, 8);
+  rack_set (&r, "{\"events\": 200, \"event_ms\": 40}");
+  for (int i = 0; i < STREAMS; i++)
+    {
+      snprintf (id, sizeof id, "s%d", i);
+      w[i]
+          = web_open (r.front[0], "POST", "/stream/x", rack_headers (id), "x");
+    }
+  usleep (500000);
+  stand_still (&r, 0, ms);
+  for (int i = 0; i < STREAMS; i++)
+    {
+      while (web_read (w[i], &body, PROC_WAIT_MS) == WEB_BYTES)
+        ;
+      cr_expect (rack_whole (&body, 200), "stream %d", i);
+      snprintf (id, sizeof id, "s%d", i);
+      cr_expect_eq (count_runs (&r, id), 1);
+      web_close (w[i]);
+      buf_clear (&body);
+    }
+  buf_free (&body);
+}
+
+/* Guards against a node that finds all replicas silent as it goes on after a
+   pause, moves its streams, and cuts those that find no place. */
+Test (paused, streams_outlive_a_pause_of_their_node)
+{
+  streams_over_a_pause (1000);
+}
+
+Test (paused, streams_outlive_a_long_pause_of_their_node)
+{
+  streams_over_a_pause (4000);
+}
+
+/* Guards against a second run of a request whose answer came while its node
+   stood still. */
+Test (paused, an_answer_that_waits_is_passed_on)
+{
+  struct web_stream *w;
+  struct rack r;
+
+  rack_serve (&r, 4);
+  cr_assert (rack_until (&r, 0, "/safe/x", rack_headers ("warm"), 200));
+  proc_signal (r.platform, SIGSTOP);
+  w = web_open (r.front[0], "POST", "/safe/x", rack_headers ("asked"), "x");
+  usleep (100000);
+  proc_signal (r.node[0], SIGSTOP);
+  proc_signal (r.platform, SIGCONT);
+  usleep (1000000);
+  proc_signal (r.node[0], SIGCONT);
+  cr_expect_eq (web_status (w, PROC_WAIT_MS), 200);
+  cr_expect_eq (count_runs (&r, "asked"), 1);
+  web_close (w);
+}
