--- a/t/t9309-paused.c
+++ b/t/t9309-paused.c
@@ -4,6 +4,7 @@
  */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -102,3 +103,43 @@
   cr_expect_eq (count_runs (&r, "asked"), 1);
   web_close (w);
 }
+
+static void
+signal_nodes (struct rack *r, int sig)
+{
+  for (int i = 0; i < RACK_NODES; i++)
+    proc_signal (r->node[i], sig);
+}
+
+/** Whether a node has logged @p text; ends it. */
+static bool
+has_logged (struct rack *r, int node, const char *text)
+{
+  char *log;
+  bool found;
+
+  proc_signal (r->node[node], SIGKILL);
+  proc_wait (r->node[node], PROC_WAIT_MS);
+  log = str_dup (proc_output (r->node[node]));
+  found = strstr (log, text) != NULL;
+  free (log);
+  return found;
+}
+
+/* Guards against a node that takes the store for lost, and holds back further
+   calls, as its answers came while the node stood still. */
+Test (paused, answers_of_the_store_that_wait_are_read)
+{
+  struct rack r;
+
+  rack_serve (&r, 4);
+  proc_signal (r.platform, SIGSTOP);
+  usleep (500000);
+  signal_nodes (&r, SIGSTOP);
+  proc_signal (r.platform, SIGCONT);
+  usleep (1300000);
+  signal_nodes (&r, SIGCONT);
+  usleep (1500000);
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_expect (!has_logged (&r, i, "store_lost"), "node %d", i + 1);
+}
