Notice a pause before a request is judged, and ask less for what can't be read

A process that got no processor while it waited for events reads its sockets before its timers run: requests were judged by the old table before the tick that notices the pause, and were run with keys that had been taken. Each request now looks first. Peers that were heard since are not taken for heard in the future.

A version that this program can't read was asked for five times a second by each node; now twice in the bound.

--- a/serve/config.c
+++ b/serve/config.c
@@ -178,14 +178,15 @@
 {
   struct srv_config *c = ctx;
   struct srv *s = c->s;
-  bool ok = r->status == STORE_OK;
+  enum cur_answer what = r->status == STORE_OK ? CUR_READ : CUR_FAILED;
 
   pau_ended (&s->store_pause, clk_now (), r->status, &s->rng);
   for (size_t i = 0; i < r->nkvs; i++)
-    ok = take_config (c, &r->kvs[i], SOURCE_READ) && ok;
+    if (!take_config (c, &r->kvs[i], SOURCE_READ))
+      what = CUR_UNREADABLE;
   if (r->status == STORE_OK)
     c->seen = r->revision;
-  cur_answered (&c->cur, clk_now (), ok);
+  cur_answered (&c->cur, clk_now (), what);
 }
 
 static void
--- a/serve/currency.c
+++ b/serve/currency.c
@@ -54,7 +54,7 @@
 }
 
 void
-cur_answered (struct cur *c, clk_ms now, bool ok)
+cur_answered (struct cur *c, clk_ms now, enum cur_answer what)
 {
   c->reading = false;
   /* A call from before the pause says nothing of the store now. */
@@ -64,9 +64,11 @@
       return;
     }
   c->resumed_at = 0;
-  if (!ok)
+  if (what != CUR_READ)
     {
-      c->next_read = now + READ_AGAIN_MS;
+      c->next_read
+          = now
+            + (what == CUR_FAILED ? READ_AGAIN_MS : c->apply_ms / RENEW_PART);
       return;
     }
   known (c, c->asked);
--- a/serve/currency.h
+++ b/serve/currency.h
@@ -65,8 +65,15 @@
 /** A read of the store is sent. */
 void cur_asked (struct cur *c, clk_ms now);
 
-/** It has ended. @param ok  what it brought is in force, or older than that */
-void cur_answered (struct cur *c, clk_ms now, bool ok);
+/** How a read of the store ended. */
+enum cur_answer
+{
+  CUR_READ,       /**< what it brought is in force, or older than that */
+  CUR_UNREADABLE, /**< it brought what this program can't read */
+  CUR_FAILED
+};
+
+void cur_answered (struct cur *c, clk_ms now, enum cur_answer what);
 
 /** A watch has brought a version. */
 void cur_watched (struct cur *c, clk_ms now);
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -269,14 +269,16 @@
 on_request (void *ctx, struct httpd_req *req)
 {
   struct srv *s = ctx;
+  clk_ms now = clk_now ();
 
+  srv_check_pause (s, now);
   /* 404 or 401 would be final; what is allowed is just not known yet. */
   if (!s->table)
     srv_refuse (s, req, 503, "starting", START_RETRY_MS);
-  else if (srv_config_trust (s, clk_now ()) == CUR_RESUMED)
+  else if (srv_config_trust (s, now) == CUR_RESUMED)
     hold (s, req);
   else
-    admit (s, req, clk_now ());
+    admit (s, req, now);
 }
 
 bool
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -66,6 +66,9 @@
 };
 
 /* node.c */
+/** Find out whether this process did not run until now.  Called with each
+   tick, and before a request is judged, as sockets may be read first. */
+void srv_check_pause (struct srv *s, clk_ms now);
 /** Whether callers may be sent to this node. */
 bool srv_is_ready (const struct srv *s);
 /** The table or the list of backend servers changed. */
@@ -187,7 +190,7 @@
 /** Whether other nodes go by what this one announces. */
 bool srv_peers_announces (const struct srv *s);
 /** This process goes on after a pause of @p ms. */
-void srv_peers_resumed (struct srv *s, clk_ms ms);
+void srv_peers_resumed (struct srv *s, clk_ms now, clk_ms ms);
 /** Whether any other node is linked. */
 bool srv_peers_linked (const struct srv *s);
 /** Tell the other nodes of requests that crash servers. */
--- a/serve/node.c
+++ b/serve/node.c
@@ -129,24 +129,33 @@
 
 /* --- time -------------------------------------------------------------- */
 
-/** Timers run before sockets are read: whatever came in a pause of this
-   process waits there still. */
+/** Whatever came in a pause of this process waits in its sockets still. */
 static void
 resume (struct srv *s, clk_ms now, clk_ms ms)
 {
   LOG (serve_paused, LOG_I ("ms", ms));
-  srv_peers_resumed (s, ms);
+  srv_peers_resumed (s, now, ms);
   srv_config_resumed (s, now);
 }
 
+void
+srv_check_pause (struct srv *s, clk_ms now)
+{
+  clk_ms ms = now - s->ticked_at;
+
+  if (s->ticked_at == 0 || ms <= PAUSED_MS)
+    return;
+  s->ticked_at = now;
+  resume (s, now, ms);
+}
+
 static void
 on_tick (uv_timer_t *t)
 {
   struct srv *s = t->data;
   clk_ms now = clk_now ();
 
-  if (s->ticked_at && now - s->ticked_at > PAUSED_MS)
-    resume (s, now, now - s->ticked_at);
+  srv_check_pause (s, now);
   s->ticked_at = now;
   if (now >= dsp_wake (s->dispatch))
     {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -321,11 +321,11 @@
 /** Silence of the others is not judged by time in which this process could
     not hear them. */
 void
-srv_peers_resumed (struct srv *s, clk_ms ms)
+srv_peers_resumed (struct srv *s, clk_ms now, clk_ms ms)
 {
   for (struct peer *x = s->peers ? s->peers->list : NULL; x; x = x->next)
     if (x->up)
-      x->heard += ms;
+      x->heard = x->heard + ms < now ? x->heard + ms : now;
 }
 
 /** Of those that lack changes of the list and were not told just now, the one
--- a/t/t9209-currency.c
+++ b/t/t9209-currency.c
@@ -5,6 +5,7 @@
  *   store VERSION     the version that the store has
  *   answers MS        reads are answered after so long; "none": after a second
  *                     they have failed
+ *   readable VERSION  later ones can't be read
  *   in-force VERSION
  *   hear VERSION AGE  an announcement, of knowledge that is so old
  *   hear-new VERSION  one that returns no time of this node
@@ -36,6 +37,7 @@
   struct cur cur;
   clk_ms now;
   int64_t store;
+  int64_t readable; /* the last version that this program can read */
   clk_ms answer_ms;
   bool silent, announces;
   clk_ms answer_at;
@@ -52,14 +54,22 @@
   s.answer_at = s.now + (s.silent ? NO_ANSWER_MS : s.answer_ms);
 }
 
+static enum cur_answer
+result (void)
+{
+  if (s.answer == 0)
+    return CUR_FAILED;
+  return s.answer > s.readable ? CUR_UNREADABLE : CUR_READ;
+}
+
 static void
 step (void)
 {
   if (s.cur.reading && s.now >= s.answer_at)
     {
-      if (s.answer > s.cur.version)
+      if (s.answer > s.cur.version && s.answer <= s.readable)
         cur_in_force (&s.cur, s.answer);
-      cur_answered (&s.cur, s.now, s.answer > 0);
+      cur_answered (&s.cur, s.now, result ());
     }
   if (cur_should_read (&s.cur, s.now, s.announces))
     read_store ();
@@ -101,6 +111,8 @@
 
   if (!strcmp (word, "store"))
     s.store = n;
+  else if (!strcmp (word, "readable"))
+    s.readable = n;
   else if (!strcmp (word, "answers"))
     {
       s.silent = !strcmp (arg, "none");
@@ -132,7 +144,9 @@
 static void
 play (const char *text)
 {
-  s = (struct script){ .now = START_MS, .store = 1, .answer_ms = 10 };
+  s = (struct script){
+    .now = START_MS, .store = 1, .readable = INT64_MAX, .answer_ms = 10
+  };
   cur_init (&s.cur, APPLY_MS);
   transcript_check (&log_text, run_command, text);
 }
@@ -264,6 +278,21 @@
         "version 1 unconfirmed\n");
 }
 
+/* Guards against a node that asks the store all the time for a version that it
+   can't read, and against one that denies what that version may allow. */
+Test (currency, a_version_that_cannot_be_read_confirms_nothing)
+{
+  play ("> readable 1\n"
+        "> run 500\n"
+        "0 read\n"
+        "> store 2\n"
+        "> run 3000\n"
+        "1500 read\n"
+        "3010 read\n"
+        "> show\n"
+        "version 1 unconfirmed may-watch\n");
+}
+
 /* Guards against a watch that ended, and may have missed a version, without a
    read after it. */
 Test (currency, a_watch_that_ended_is_followed_by_a_read)
@@ -381,7 +410,7 @@
     {
       if (n->answer > n->cur.version)
         cur_in_force (&n->cur, n->answer);
-      cur_answered (&n->cur, now, n->answer > 0);
+      cur_answered (&n->cur, now, n->answer > 0 ? CUR_READ : CUR_FAILED);
     }
   if (cur_should_read (&n->cur, now, i < RELAYS))
     {
--- a/t/t9307-config.c
+++ b/t/t9307-config.c
@@ -17,6 +17,8 @@
 #define APPLY_MS ((clk_ms)2000)
 /** Nodes that were linked so long have been told by another what is new. */
 #define SETTLED_US 3000000
+/** Links that are not needed once all nodes run are closed after so long. */
+#define UNWANTED_US 4000000
 
 static void
 up_many (struct rack *r)
@@ -82,9 +84,10 @@
   cr_expect_eq (web_status (asked, PROC_WAIT_MS), 200);
 }
 
-/** How often a text stands in what the nodes have logged; ends them. */
+/** How often nodes have logged the loss of a link since they last stood still;
+    ends them. */
 static int
-count_logged (struct rack *r, int nodes, const char *text)
+count_lost_links (struct rack *r, int nodes)
 {
   int n = 0;
 
@@ -94,7 +97,8 @@
       proc_signal (r->node[i], SIGKILL);
       proc_wait (r->node[i], PROC_WAIT_MS);
       log = str_dup (proc_output (r->node[i]));
-      for (const char *at = log; (at = strstr (at, text)); at++)
+      for (const char *at = strstr (log, "serve_paused");
+           at && (at = strstr (at, "node_lost")); at++)
         n++;
       free (log);
     }
@@ -108,12 +112,50 @@
   struct rack r;
 
   up_many (&r);
+  usleep (UNWANTED_US);
   signal_all (&r, SIGSTOP);
-  usleep (2800000);
+  usleep (4000000);
   signal_all (&r, SIGCONT);
   usleep (1000000);
   signal_all (&r, SIGSTOP);
-  cr_expect_eq (count_logged (&r, RACK_MANY, "why=\"silent\""), 0);
+  cr_expect_eq (count_lost_links (&r, RACK_MANY), 0);
+}
+
+/* Guards against a request that waited for a stopped process and then runs
+   with a key that has been taken away meanwhile. */
+Test (config, nodes_that_stood_still_run_nothing_by_an_old_version)
+{
+  struct web_stream *asked[RACK_MANY];
+  struct rack r;
+
+  up_many (&r);
+  signal_all (&r, SIGSTOP);
+  rack_configure (&r, 2, "k2", "");
+  usleep ((useconds_t)(APPLY_MS + 300) * 1000);
+  for (int i = 0; i < RACK_MANY; i++)
+    asked[i] = web_open (r.front[i], "POST", "/once/x", rack_headers ("a"),
+                         "hello");
+  usleep (500000);
+  signal_all (&r, SIGCONT);
+  for (int i = 0; i < RACK_MANY; i++)
+    {
+      int status = web_status (asked[i], PROC_WAIT_MS);
+      cr_expect (status == 401 || status == 503, "node %d: %d", i + 1, status);
+    }
+}
+
+/* Guards against a final refusal while nobody can say whether there is a newer
+   configuration. */
+Test (config, nothing_is_final_while_the_store_is_silent)
+{
+  struct rack r;
+
+  rack_serve (&r, 4);
+  cr_expect_eq (rack_call (&r, 0, "/once/x", "", k2_headers, NULL), 401);
+  rack_set (&r, "{\"store\": {\"silent\": true}}");
+  usleep ((useconds_t)(APPLY_MS + 500) * 1000);
+  cr_expect_eq (rack_call (&r, 0, "/once/x", "", k2_headers, NULL), 503);
+  cr_expect_eq (rack_call (&r, 0, "/once/x", "a", NULL, NULL), 200);
 }
 
 /* Guards against nodes that compare revisions of the store, which begin lower
