Keep nodes of the earlier program reading by themselves

In a rolling restart a node of the earlier program heard from a new one that forms replicas that revision 0 was the newest, just read, and so neither read nor watched: no version came into force there until it was restarted. The field that it goes by now says that the knowledge is as old as can be.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4749,7 +4749,7 @@
   (ProtobufCMessageInit) lapis__fleet_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[5] =
 {
   {
     "nodes",
@@ -4787,6 +4787,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeList, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "hubs",
     6,
@@ -4801,16 +4813,17 @@
   },
 };
 static const unsigned lapis__node_list__field_indices_by_name[] = {
+  3,   /* field[3] = config_age_ms */
   1,   /* field[1] = fronts */
-  3,   /* field[3] = hubs */
+  4,   /* field[4] = hubs */
   2,   /* field[2] = leads */
   0,   /* field[0] = nodes */
 };
 static const ProtobufCIntRange lapis__node_list__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 6, 3 },
-  { 0, 4 }
+  { 5, 3 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lapis__node_list__descriptor =
 {
@@ -4820,7 +4833,7 @@
   "Lapis__NodeList",
   "lapis",
   sizeof(Lapis__NodeList),
-  4,
+  5,
   lapis__node_list__field_descriptors,
   lapis__node_list__field_indices_by_name,
   2,  lapis__node_list__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -754,6 +754,13 @@
    * the sender forms replicas
    */
   protobuf_c_boolean leads;
+  /*
+   * earlier programs go by it; the largest
+   */
+  uint32_t config_age_ms;
+  /*
+   * keeps them reading by themselves
+   */
   /*
    * if it leads: all but itself
    */
@@ -762,7 +769,7 @@
 };
 #define LAPIS__NODE_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_list__descriptor) \
-    , 0, 0,NULL, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
--- a/serve/peers-nodes.c
+++ b/serve/peers-nodes.c
@@ -127,6 +127,7 @@
   nodes.n_fronts = n;
   nodes.fronts = fronts;
   nodes.leads = srv_duty_holds (p->s);
+  nodes.config_age_ms = UINT32_MAX;
   if (nodes.leads)
     name_hubs (p, &hubs, &nodes);
   f.body_case = LAPIS__FRAME__BODY_NODE_LIST;
