Count time on the way in the age of the list of backend servers

What had waited in a queue, or in the socket of a node that got no processor, made an old list look new, and a server that had left could get requests.

Each load already returns the time that the receiver's last one bore. With how long it was held, a receiver knows by its own clock when a frame was sent at the earliest; the list's age counts from there.

t9202 time_on_the_way_makes_a_list_older.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4595,7 +4595,7 @@
   (ProtobufCMessageInit) lapis__node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__config_state__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__config_state__field_descriptors[6] =
 {
   {
     "version",
@@ -4645,9 +4645,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ConfigState, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ConfigState, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__config_state__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  4,   /* field[4] = held_ms */
+  5,   /* field[5] = known */
   2,   /* field[2] = stamp */
   1,   /* field[1] = stamped */
   0,   /* field[0] = version */
@@ -4655,7 +4681,7 @@
 static const ProtobufCIntRange lapis__config_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lapis__config_state__descriptor =
 {
@@ -4665,7 +4691,7 @@
   "Lapis__ConfigState",
   "lapis",
   sizeof(Lapis__ConfigState),
-  4,
+  6,
   lapis__config_state__field_descriptors,
   lapis__config_state__field_indices_by_name,
   1,  lapis__config_state__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -702,6 +702,14 @@
    * sent_ms of the receiver's last NodeLoad
    */
   int64_t stamp;
+  /*
+   * since that frame came
+   */
+  uint32_t held_ms;
+  /*
+   * the next one is set too
+   */
+  protobuf_c_boolean known;
   /*
    * since the version in force was known to
    */
@@ -709,7 +717,7 @@
 };
 #define LAPIS__CONFIG_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__config_state__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/currency.c
+++ b/serve/currency.c
@@ -109,6 +109,8 @@
     }
   if (a->version != c->version)
     return;
+  if (at > now)
+    at = now;
   known (c, at);
   if (at > c->announced_at)
     c->announced_at = at;
--- a/serve/currency.h
+++ b/serve/currency.h
@@ -11,7 +11,8 @@
  * Clocks of different nodes are not compared.  Each frame that a node sends
  * carries the sender's time, and an announcement returns the last one that
  * came from its receiver.  So time on the way makes an announcement older,
- * never younger: see cur_announced_at().
+ * never younger: see cur_announced_at().  Each clock has to go on while its
+ * process or VM stands still.
  *
  * Events and time go in.
  */
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -101,8 +101,9 @@
 /* sync.c: backend servers out of the store */
 void srv_sync_start (struct srv *s);
 void srv_sync_tick (struct srv *s, clk_ms now);
-/** The list was read by another node @p age_ms ago. */
-void srv_sync_heard (struct srv *s, clk_ms now, clk_ms age_ms);
+/** The list that this node has was the newest at @p current_at, as another one
+    says that has read it. */
+void srv_sync_heard (struct srv *s, clk_ms current_at);
 /** Age of the list of backend servers, by whoever read it. */
 clk_ms srv_sync_list_age (const struct srv *s, clk_ms now);
 /** As the last reading says; see struct store_result. */
--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -27,26 +27,36 @@
   if (!c)
     return;
   x->version = c->version;
+  if (c->stamped)
+    x->sent_at = c->stamp + c->held_ms;
   a = (struct cur_announcement){ .version = c->version,
-                                 .stamped = c->stamped,
+                                 .stamped = c->stamped && c->known,
                                  .stamp = c->stamp,
                                  .age_ms = c->age_ms };
   srv_config_announced (x->p->s, now, &a);
 }
 
+clk_ms
+prs_sent_at (const struct peer *x, clk_ms now)
+{
+  return x->sent_at && x->sent_at < now ? x->sent_at : now;
+}
+
 void
-prs_fill_config (const struct peer *x, Lapis__ConfigState *c)
+prs_fill_config (const struct peer *x, clk_ms now, Lapis__ConfigState *c)
 {
   const struct srv *s = x->p->s;
   clk_ms known_at = srv_config_known_at (s);
 
   lapis__config_state__init (c);
   c->version = srv_config_version (s);
-  c->stamped = x->stamped && known_at != 0;
+  c->stamped = x->stamped;
   if (!c->stamped)
     return;
   c->stamp = x->stamp;
-  c->age_ms = x->stamp_at - known_at;
+  c->held_ms = (uint32_t)(now - x->stamp_at);
+  c->known = known_at != 0;
+  c->age_ms = c->known ? x->stamp_at - known_at : 0;
 }
 
 /** It says so itself, so a node that has just been linked is not sent what it
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -58,6 +58,8 @@
   bool stamped;         /* its NodeLoad has come on this link */
   clk_ms stamp;         /* the time that it bore, by the peer's clock */
   clk_ms stamp_at;      /* when it came */
+  clk_ms sent_at;       /* of its last load, by this node's clock, at the
+                           earliest; 0: not known */
   int64_t version;      /* in force there, as it says */
   clk_ms lacks_since;   /* it has an older one than this node; 0: it has not */
   int64_t version_sent; /* newest document that went to it on this link */
@@ -106,7 +108,12 @@
 /** What the peer says of its configuration; NULL: nothing. */
 void prs_on_config (struct peer *x, clk_ms now, const Lapis__ConfigState *c);
 /** What to say to the peer. */
-void prs_fill_config (const struct peer *x, Lapis__ConfigState *c);
+void prs_fill_config (const struct peer *x, clk_ms now, Lapis__ConfigState *c);
+/**
+ * When the peer sent what comes from it now, at the earliest, by this node's
+ * clock: frames may have waited in queues, or while this process stood still.
+ */
+clk_ms prs_sent_at (const struct peer *x, clk_ms now);
 /** Hand the configuration on to peers that have an older one, if others go by
     this node. */
 void prs_hand_on_config (struct srv_peers *p, clk_ms now);
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -87,7 +87,7 @@
   x->ready = load->ready;
   x->leads = load->leads;
   if (load->leads && x->listing)
-    srv_sync_heard (s, x->heard, load->list_age_ms);
+    srv_sync_heard (s, prs_sent_at (x, x->heard) - load->list_age_ms);
   s->traffic = s->traffic || load->traffic;
   prs_on_wanted (x, load);
   prs_feed (x, x->heard);
@@ -125,7 +125,7 @@
   prs_on_config (x, now, load->config);
   x->leads = load->leads;
   if (load->leads && x->listing)
-    srv_sync_heard (p->s, now, load->list_age_ms);
+    srv_sync_heard (p->s, prs_sent_at (x, now) - load->list_age_ms);
   p->sum_at = now;
   if (first)
     feed_all (p, now);
@@ -241,7 +241,7 @@
       if (!is_due (x, few || x == p->summing, now))
         continue;
       load.list_age_ms = (uint32_t)list_age (x, now);
-      prs_fill_config (x, &config);
+      prs_fill_config (x, now, &config);
       prs_fill_wanted (x, now, &wanted, &load);
       if (link_send (x->link, &f))
         x->told_at = now;
@@ -341,7 +341,7 @@
     if (x->up)
       {
         load.list_age_ms = (uint32_t)list_age (x, now);
-        prs_fill_config (x, &config);
+        prs_fill_config (x, now, &config);
         link_send (x->link, &f);
       }
   p->next_sum = now
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -83,6 +83,7 @@
   x->up = x->ready = x->listing = x->leads = false;
   x->told = 0;
   x->stamped = false;
+  x->sent_at = 0;
   x->version = x->version_sent = 0;
   x->ncounts = 0;
   lim_unfollowed (s->limits, x->hash);
@@ -145,8 +146,8 @@
      core borrows the text of these entries: it read freed memory. */
   if (srv_duty_holds (s))
     return;
-  srv_sync_heard (s, now, list->age_ms);
-  if (shr_take (s->backends, now, list))
+  srv_sync_heard (s, prs_sent_at (x, now) - list->age_ms);
+  if (shr_take (s->backends, now, prs_sent_at (x, now), list))
     srv_places_changed (s);
 }
 
--- a/serve/share.c
+++ b/serve/share.c
@@ -235,11 +235,12 @@
 }
 
 bool
-shr_take (struct bks *b, clk_ms now, const Lapis__ServerList *list)
+shr_take (struct bks *b, clk_ms now, clk_ms sent_at,
+          const Lapis__ServerList *list)
 {
   struct bks_entry *entries = xcalloc (list->n_servers + 1, sizeof *entries);
   struct str *gone = xcalloc (list->n_gone + 1, sizeof *gone);
-  clk_ms asked_at = now - list->age_ms;
+  clk_ms asked_at = sent_at - list->age_ms;
   size_t n = 0;
   bool changed;
 
--- a/serve/share.h
+++ b/serve/share.h
@@ -62,6 +62,7 @@
                 clk_ms read_at, clk_ms now);
 
 /** Take such a frame. @return whether anything changed */
-bool shr_take (struct bks *b, clk_ms now, const Lapis__ServerList *list);
+bool shr_take (struct bks *b, clk_ms now, clk_ms sent_at,
+               const Lapis__ServerList *list);
 
 #endif
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -92,13 +92,13 @@
 }
 
 void
-srv_sync_heard (struct srv *s, clk_ms now, clk_ms age_ms)
+srv_sync_heard (struct srv *s, clk_ms current_at)
 {
   struct srv_sync *y = s->sync;
-  clk_ms next = now - age_ms + poll_ms (s);
+  clk_ms next = current_at + poll_ms (s);
 
-  if (now - age_ms > y->current_at)
-    y->current_at = now - age_ms;
+  if (current_at > y->current_at)
+    y->current_at = current_at;
   if (!srv_duty_holds (s) && next > y->next_servers)
     y->next_servers = next;
 }
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -339,7 +339,7 @@
   const struct dsp_place *list;
   size_t n;
 
-  shr_take (to, 5000, shr_frame_list (f));
+  shr_take (to, 5000, 5000, shr_frame_list (f));
   shr_frame_free (f);
   list = bks_places (to, t, &n);
   for (size_t i = 0; i < n; i++)
@@ -529,6 +529,24 @@
   buf_free (&text);
 }
 
+/* Guards against a list that waited in queues for seconds and is taken for as
+   new as its arrival: servers that have left since would get requests. */
+Test (share, time_on_the_way_makes_a_list_older)
+{
+  struct bks *from = bks_new (), *to = bks_new ();
+  struct shr_frame *f;
+  struct bks_entry e;
+
+  add (&e, "p", false);
+  bks_update (from, 1000, 1000, &e, 1);
+  f = shr_frame_new (from, 300, 0);
+  shr_take (to, 5000, 2000, shr_frame_list (f));
+  cr_expect_eq (bks_asked_at (to), 1700);
+  shr_frame_free (f);
+  bks_free (from);
+  bks_free (to);
+}
+
 static void
 add_beat (struct bks_entry *e, const char *id, bool draining, int64_t beat)
 {
