Let requests wait after a pause for the list of backend servers too

The list is read at once when it is older than half of that time, and requests wait for it, half a second at most.

--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -215,7 +215,7 @@
 
 /* --- after a pause of this process -------------------------------------- */
 
-/** A request that waits for the store's first answer after a pause. */
+/** A request that waits for what the store says after a pause. */
 struct srv_held
 {
   struct srv_held *next, **prev;
@@ -223,6 +223,13 @@
   clk_ms since;
 };
 
+static bool
+is_resuming (const struct srv *s, clk_ms now)
+{
+  return srv_config_trust (s, now) == CUR_RESUMED
+         || srv_sync_is_resuming (s, now);
+}
+
 static void
 unhold (struct srv_held *w)
 {
@@ -256,7 +263,7 @@
 void
 srv_ingress_tick (struct srv *s, clk_ms now)
 {
-  while (s->held && srv_config_trust (s, now) != CUR_RESUMED)
+  while (s->held && !is_resuming (s, now))
     {
       struct httpd_req *req = s->held->req;
       clk_ms since = s->held->since;
@@ -275,7 +282,7 @@
   /* 404 or 401 would be final; what is allowed is just not known yet. */
   if (!s->table)
     srv_refuse (s, req, 503, "starting", START_RETRY_MS);
-  else if (srv_config_trust (s, now) == CUR_RESUMED)
+  else if (is_resuming (s, now))
     hold (s, req);
   else
     admit (s, req, now);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -106,6 +106,11 @@
 void srv_sync_heard (struct srv *s, clk_ms current_at);
 /** Age of the list of backend servers, by whoever read it. */
 clk_ms srv_sync_list_age (const struct srv *s, clk_ms now);
+/** This process goes on after a pause. */
+void srv_sync_resumed (struct srv *s, clk_ms now);
+/** Whether the list is still the one from before the pause, and old; a newer
+    one is due at once. */
+bool srv_sync_is_resuming (const struct srv *s, clk_ms now);
 /** As the last reading says; see struct store_result. */
 int64_t srv_sync_era (const struct srv *s);
 /** Age of the last reading by this node. */
--- a/serve/node.c
+++ b/serve/node.c
@@ -136,6 +136,7 @@
   LOG (serve_paused, LOG_I ("ms", ms));
   srv_peers_resumed (s, now, ms);
   srv_config_resumed (s, now);
+  srv_sync_resumed (s, now);
 }
 
 void
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -22,6 +22,9 @@
 
 /** After a failed read, and while nothing is known yet. */
 #define POLL_AGAIN_MS ((clk_ms)200)
+/** Callers wait so long for a list after a pause of this process. */
+#define RESUMED_MS ((clk_ms)500)
+
 struct srv_sync
 {
   struct srv *s;
@@ -32,6 +35,7 @@
   clk_ms next_servers;
   clk_ms current_at; /* when the list that this node has was the newest, as the
                         node that reads it has told */
+  clk_ms resumed_at; /* 0: this process has not stood still */
   clk_ms read_at;    /* sending of the last good read of this node's own */
   int64_t era;       /* of that reading; see struct store_result */
   bool store_ok;
@@ -119,6 +123,30 @@
   return unr_count (s->sync->unread);
 }
 
+/** It may name servers that have said since that they leave. */
+static bool
+is_outdated (const struct srv *s, clk_ms now)
+{
+  return srv_sync_list_age (s, now) > s->set.drain_ms / 2;
+}
+
+void
+srv_sync_resumed (struct srv *s, clk_ms now)
+{
+  s->sync->resumed_at = now;
+  if (is_outdated (s, now))
+    s->sync->next_servers = now;
+}
+
+bool
+srv_sync_is_resuming (const struct srv *s, clk_ms now)
+{
+  const struct srv_sync *y = s->sync;
+
+  return y->resumed_at && now - y->resumed_at < RESUMED_MS
+         && is_outdated (s, now);
+}
+
 int64_t
 srv_sync_era (const struct srv *s)
 {
--- a/t/t9309-paused.c
+++ b/t/t9309-paused.c
@@ -143,3 +143,32 @@
   for (int i = 0; i < RACK_NODES; i++)
     cr_expect (!has_logged (&r, i, "store_lost"), "node %d", i + 1);
 }
+
+#define ASKED 8
+
+/* Guards against requests that waited for a node that stood still and go to a
+   server that has said meanwhile that it leaves. */
+Test (paused, who_waited_is_not_sent_to_a_server_that_leaves)
+{
+  struct web_stream *w[ASKED];
+  struct rack r;
+  int before;
+
+  rack_serve (&r, 4);
+  cr_assert (rack_until (&r, 0, "/safe/x", rack_headers ("warm"), 200));
+  signal_nodes (&r, SIGSTOP);
+  before = rack_count (&r, "p1", "runs");
+  rack_set (&r, "{\"server\": \"p1\", \"draining\": true}");
+  usleep (2600000);
+  for (int i = 0; i < ASKED; i++)
+    w[i] = web_open (r.front[0], "POST", "/safe/x", rack_headers ("asked"),
+                     "x");
+  usleep (200000);
+  signal_nodes (&r, SIGCONT);
+  for (int i = 0; i < ASKED; i++)
+    {
+      cr_expect_eq (web_status (w[i], PROC_WAIT_MS), 200);
+      web_close (w[i]);
+    }
+  cr_expect_eq (rack_count (&r, "p1", "runs"), before);
+}
