--- a/serve/config.c
+++ b/serve/config.c
@@ -147,7 +147,8 @@
 static bool
 is_announced (const struct srv_config *c, clk_ms now)
 {
-  return cur_is_announced (&c->cur, now) && srv_register_follows (c->s);
+  return cur_is_announced (&c->cur, now) && !srv_peers_announces (c->s)
+         && srv_register_follows (c->s);
 }
 
 static void
--- a/t/t9304-many.c
+++ b/t/t9304-many.c
@@ -4,6 +4,8 @@
  */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "t/lib-rack.h"
@@ -101,3 +103,30 @@
       rack_start_node (&r, i);
   cr_expect (metric_until (&r, first, "lapisline_serve_nodes 18"));
 }
+
+/* Guards against a node that others go by and that itself goes by one that
+   watches: each new version would be read once more before it is handed on. */
+Test (many, who_leads_watches_the_configuration)
+{
+  struct rack r;
+  const int first = last_in_order ();
+
+  rack_up_many (&r, 4, RACK_MANY, NULL);
+  rack_configure (&r, 1, "k1", "");
+  rack_start_node (&r, first);
+  cr_assert (metric_until (&r, first, "lapisline_serve_duty 1"));
+  for (int i = 0; i < RACK_MANY; i++)
+    if (i != first)
+      rack_start_node (&r, i);
+  cr_assert (metric_until (&r, first, "lapisline_serve_nodes 18"));
+  usleep (3000000);
+  rack_configure (&r, 2, "k2", "");
+  cr_expect (metric_until (&r, first, "lapisline_serve_config_version 2"));
+  proc_signal (r.node[first], SIGKILL);
+  proc_wait (r.node[first], PROC_WAIT_MS);
+  char *log = str_dup (proc_output (r.node[first]));
+  char *line = strstr (log, "version=2");
+  cr_expect (line && strstr (line, "from=\"watch\""), "%s",
+             line ? line : "none");
+  free (log);
+}
