Wait out no long pause once nothing is pushed any more

A node that others push everything to asks a store that fails it every third second only.

The pause ends within 0.2 s of the loss. t9203 who_is_pushed_to_no_more_calls_soon fails without it.

--- a/serve/pause.c
+++ b/serve/pause.c
@@ -56,6 +56,16 @@
   return (clk_ms)((double)ms * (1 - PAUSE_SPREAD * rng_unit (r)));
 }
 
+void
+pau_set_pushed (struct pau *p, clk_ms now, bool pushed, struct rng *r)
+{
+  clk_ms soon = now + pause_ms (1, PAUSE_MOST_MS, r);
+
+  if (p->pushed && !pushed && p->next > soon)
+    p->next = soon;
+  p->pushed = pushed;
+}
+
 void
 pau_ended (struct pau *p, clk_ms now, enum store_status status, struct rng *r)
 {
--- a/serve/pause.h
+++ b/serve/pause.h
@@ -24,6 +24,9 @@
                   waits for it but the own entry's lease */
 };
 
+/** Others push what the store would tell, or do so no more: then the next call
+    waits as briefly as after a first failure. */
+void pau_set_pushed (struct pau *p, clk_ms now, bool pushed, struct rng *r);
 /** Whether a call may go out. */
 bool pau_may_call (const struct pau *p, clk_ms now);
 /** It goes out. */
--- a/serve/register.c
+++ b/serve/register.c
@@ -513,8 +513,10 @@
   struct srv_register *g = s->reg;
 
   hurry_watch (g, now);
-  s->store_pause.pushed
-      = may_rest (g, now) && srv_peers_led (s, now) && bks_known (s->backends);
+  pau_set_pushed (&s->store_pause, now,
+                  may_rest (g, now) && srv_peers_led (s, now)
+                      && bks_known (s->backends),
+                  &s->rng);
   if (!g->reading && now >= g->next_read
       && pau_may_call (&s->store_pause, now))
     {
--- a/t/t9203-pause.c
+++ b/t/t9203-pause.c
@@ -141,3 +141,18 @@
   cr_expect_leq (pau_watch_again (60, 30, true), 800);
   cr_expect_leq (pau_watch_again (9, 8, false), 200);
 }
+
+/* Guards against a node that waits out a long pause after it has lost the
+   nodes that pushed the configuration to it: a new version would come too
+   late. */
+Test (pause, who_is_pushed_to_no_more_calls_soon)
+{
+  struct node n = { 0 };
+
+  rng_seed (&n.rng, 1);
+  pau_set_pushed (&n.p, 1000, true, &n.rng);
+  run (&n, 1000, 10000, STORE_UNAVAILABLE);
+  cr_assert_gt (n.p.next, 10000 + 300);
+  pau_set_pushed (&n.p, 10000, false, &n.rng);
+  cr_expect_leq (n.p.next, 10000 + 200);
+}
