Let a soak keep connections and the logs of its nodes

Preparation, no test changes what it checks. web_next() sends a further request over an open connection, as callers with kept connections do. Nodes may write their log to a file: a pipe that nobody reads holds 64 kB, and nodes drop further lines. A soak that starts nodes again and again needs more than 256 processes in one test.

--- a/t/lib-proc.c
+++ b/t/lib-proc.c
@@ -20,13 +20,13 @@
 
 #include "base/clock.h"
 
-#define MAX_PROCS 256
+#define MAX_PROCS 1024
 #define POLL_MS 5
 
 struct proc
 {
   pid_t pid;
-  int out; /* its standard output */
+  int out; /* its standard output; -1: a file */
   bool ended;
   int status;
   struct buf output;
@@ -82,22 +82,36 @@
   _exit (127);
 }
 
-struct proc *
-proc_start (const char *const argv[])
+static struct proc *
+start (const char *const argv[], int out, int in)
 {
-  int fds[2];
   cr_assert (nprocs < MAX_PROCS, "too many processes");
-  cr_assert (pipe2 (fds, O_CLOEXEC) == 0, "pipe: %s", strerror (errno));
   struct proc *p = &procs[nprocs++];
-  *p = (struct proc){ .out = fds[0] };
+  *p = (struct proc){ .out = in };
   p->pid = fork ();
   if (p->pid == 0)
-    run_child (argv, fds[1]);
-  close (fds[1]);
+    run_child (argv, out);
+  close (out);
   cr_assert (p->pid > 0, "fork: %s", strerror (errno));
   return p;
 }
 
+struct proc *
+proc_start (const char *const argv[])
+{
+  int fds[2];
+  cr_assert (pipe2 (fds, O_CLOEXEC) == 0, "pipe: %s", strerror (errno));
+  return start (argv, fds[1], fds[0]);
+}
+
+struct proc *
+proc_start_to (const char *const argv[], const char *path)
+{
+  int fd = open (path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  cr_assert (fd >= 0, "%s: %s", path, strerror (errno));
+  return start (argv, fd, -1);
+}
+
 /* Append what the process has printed; false at the end of its output. */
 static bool
 read_output (struct proc *p, int wait_ms)
@@ -251,7 +265,8 @@
   for (size_t i = 0; i < nprocs; i++)
     {
       reap (&procs[i], 0);
-      close (procs[i].out);
+      if (procs[i].out >= 0)
+        close (procs[i].out);
       buf_free (&procs[i].output);
       buf_free (&procs[i].ready);
     }
--- a/t/lib-proc.h
+++ b/t/lib-proc.h
@@ -27,6 +27,10 @@
  */
 struct proc *proc_start (const char *const argv[]);
 
+/** Start a program whose output is appended to a file: more than a pipe holds.
+ */
+struct proc *proc_start_to (const char *const argv[], const char *path);
+
 /** proc_start() with the arguments in a row: PROC ("standin", "store"). */
 #define PROC(...) proc_start ((const char *const[]){ __VA_ARGS__, NULL })
 
@@ -120,6 +124,11 @@
                              const char *path, const char *headers,
                              const char *body);
 
+/** Send a further request over the connection, once the last answer was read
+    to its end; false when that was not so, or the other end will close it. */
+bool web_next (struct web_stream *s, const char *addr, const char *method,
+               const char *path, const char *headers, const char *body);
+
 /** Wait for the head: its status, or 0. */
 int web_status (struct web_stream *s, int wait_ms);
 
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -70,10 +70,15 @@
 void
 rack_start_node (struct rack *r, int node)
 {
+  const char *const argv[]
+      = { "lapisline",       "serve", "--log-format", "text", "--settings",
+          r->settings[node], NULL };
   struct web_answer a = { 0 };
+  char path[512];
 
-  r->node[node] = PROC ("lapisline", "serve", "--log-format", "text",
-                        "--settings", r->settings[node]);
+  snprintf (path, sizeof path, "%s/node-%d.log", r->logs ? r->logs : "",
+            node + 1);
+  r->node[node] = r->logs ? proc_start_to (argv, path) : proc_start (argv);
   for (int i = 0; i < TURNS; i++)
     {
       bool ok = web_call (r->ready[node], "GET", "/ready", NULL, NULL, &a);
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -20,7 +20,8 @@
 {
   struct proc *platform;
   struct proc *node[RACK_MOST];
-  const char *at;                /**< the platform's address */
+  const char *at;   /**< the platform's address */
+  const char *logs; /**< folder for the nodes' output; NULL: as of proc.h */
   char settings[RACK_MOST][256]; /**< paths */
   char front[RACK_MOST][32];
   char ready[RACK_MOST][32];
--- a/t/lib-web.c
+++ b/t/lib-web.c
@@ -62,13 +62,10 @@
     }
 }
 
-struct web_stream *
-web_open (const char *addr, const char *method, const char *path,
-          const char *headers, const char *body)
+static void
+send_request (int fd, const char *addr, const char *method, const char *path,
+              const char *headers, const char *body)
 {
-  int fd = connect_to (addr);
-  if (fd < 0)
-    return NULL;
   struct buf req = BUF_INIT;
   buf_addf (&req, "%s %s HTTP/1.1\r\nhost: %s\r\n%s", method, path, addr,
             headers ? headers : "");
@@ -77,11 +74,36 @@
   buf_addf (&req, "\r\n%s", body ? body : "");
   send_all (fd, buf_str (&req));
   buf_free (&req);
+}
+
+struct web_stream *
+web_open (const char *addr, const char *method, const char *path,
+          const char *headers, const char *body)
+{
+  int fd = connect_to (addr);
+  if (fd < 0)
+    return NULL;
+  send_request (fd, addr, method, path, headers, body);
   struct web_stream *s = xcalloc (1, sizeof *s);
   s->fd = fd;
   return s;
 }
 
+bool
+web_next (struct web_stream *s, const char *addr, const char *method,
+          const char *path, const char *headers, const char *body)
+{
+  if (!s->ended || strcasestr (buf_c (&s->head), "\r\nconnection: close\r\n"))
+    return false;
+  buf_clear (&s->head);
+  s->status = 0;
+  s->framing = BY_LENGTH;
+  s->in_chunk = false;
+  s->ended = false;
+  send_request (s->fd, addr, method, path, headers, body);
+  return true;
+}
+
 void
 web_close (struct web_stream *s)
 {
