Soak many nodes while operators put versions in force

Now 18 nodes, up to 64 by hand, get a version about every second, with a key and a route of its own and some of those before taken away. Beside it nodes end and start, stand still (single ones, halves by turns, all at once), the relays end or stop around a version, also twice in a row, and the store is silent, refuses, loses answers and compacts.

A caller at each node, over a connection that it keeps, asks for what came or went a moment ago and checks as RULES has it: a node in touch handles no request as only a version from before the bound allows (while the store has failed within 3 s, the bound is stretched by 5 s); none goes back within a life later than 250 ms after it showed a version; what all versions allow is never denied; nothing is denied by a version from before the bound, in touch or not; what was added is served by nodes in touch a quarter as often as what was there, at least; and in the end all serve the newest version. 503 is always allowed but for the last two.

--- /dev/null
+++ b/t/t0901-versions.c
@@ -0,0 +1,68 @@
+/*
+ * What the soak concludes from answers; a check that takes old versions for
+ * new ones sees nothing.
+ */
+#include <criterion/criterion.h>
+
+#include "t/lib-versions.h"
+
+TestSuite (versions, .timeout = 60);
+
+/** Version 2 brings its item, 3 takes it away. */
+static struct versions vs = { .newest = 3,
+                              .v = { [1] = { .sent = 1, .acked = 10 },
+                                     [2] = { 100, 110, .removed = 3 },
+                                     [3] = { .sent = 200, .acked = 210 } } };
+
+static unsigned
+least (unsigned item, bool denied, clk_ms answered, unsigned from)
+{
+  struct ver_asked a
+      = { .item = item, .denied = denied, .answered = answered };
+
+  return ver_least (&vs, &a, from);
+}
+
+Test (versions, acknowledged_by_a_time)
+{
+  cr_expect_eq (ver_acked (&vs, 9), 0);
+  cr_expect_eq (ver_acked (&vs, 109), 1);
+  cr_expect_eq (ver_acked (&vs, 110), 2);
+  cr_expect_eq (ver_acked (&vs, 1000), 3);
+}
+
+Test (versions, an_item_is_served_only_by_versions_that_have_it)
+{
+  cr_expect_eq (least (2, false, 300, 1), 2);
+  cr_expect_eq (least (2, false, 300, 2), 2);
+  cr_expect_eq (least (2, false, 300, 3), 0, "run with a removed key");
+}
+
+Test (versions, an_item_is_denied_only_by_versions_without_it)
+{
+  cr_expect_eq (least (2, true, 150, 1), 1);
+  cr_expect_eq (least (2, true, 150, 2), 0, "denied though it is there");
+  cr_expect_eq (least (2, true, 199, 2), 0, "the next was not yet sent");
+  cr_expect_eq (least (2, true, 200, 2), 3);
+}
+
+Test (versions, what_all_allow_is_never_denied)
+{
+  cr_expect_eq (least (0, false, 300, 3), 3);
+  cr_expect_eq (least (0, true, 300, 0), 0);
+}
+
+Test (versions, same_seed_same_versions)
+{
+  static struct versions a, b;
+
+  rng_seed (&a.rng, 7);
+  rng_seed (&b.rng, 7);
+  for (int i = 0; i < 100; i++)
+    {
+      ver_send (&a, 10 * i);
+      ver_send (&b, 20 * i);
+    }
+  for (int i = 1; i <= 100; i++)
+    cr_expect_eq (a.v[i].removed, b.v[i].removed, "version %d", i);
+}
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,15 +1,26 @@
 #!/bin/bash
-# Play the soak with many seeds, some side by side.
-# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS]
-# Prints the seeds that fail and keeps their output in soak-SEED.log.
+# Play a soak with many seeds, some side by side.
+# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES]
+# Without NODES the soak of two nodes under load; with it that of so many
+# (18 usual, up to 64) at which operators put versions in force.
+# Prints the seeds that fail and keeps their output in soak-SEED.log, and what
+# the nodes logged in soak-SEED/.
 set -u
 cd "$(dirname "$0")/.."
 export SOAK_SECONDS=${3:-10}
+export TEST=promises_hold_under_faults
+if [ -n "${5:-}" ]; then
+  export TEST=versions_are_in_force_under_faults SOAK_NODES=$5
+fi
 make -s build/t/t9401-soak build/lapisline build/standin || exit 1
 
 play () {
-  if SOAK_SEED=$1 build/t/t9401-soak >"soak-$1.log" 2>&1; then
-    rm -f "soak-$1.log"
+  export SOAK_LOGS=soak-$1
+  mkdir -p "$SOAK_LOGS"
+  if SOAK_SEED=$1 build/t/t9401-soak --verbose=1 --filter "soak/$TEST" \
+      >"soak-$1.log" 2>&1; then
+    grep -h "seed $1:" "soak-$1.log"
+    rm -rf "soak-$1.log" "$SOAK_LOGS"
   else
     echo "seed $1 failed: soak-$1.log"
   fi
