--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -19,6 +19,7 @@
 #define EVENTS 20
 #define ENGINES 8
 #define PLAIN 2
+#define SERIES 5
 /** Bounds of a run in CI. */
 #define SEED 1
 #define SEED_MANY 6
@@ -144,8 +145,7 @@
       soak_start (s, &node, 1);
     }
   else if (kind == 2)
-    soak_stop (s, &node, 1,
-               100 + (clk_ms)rng_below (&t->rng, 1500000) / 1000);
+    soak_stop (s, &node, 1, 100 + (clk_ms)rng_below (&t->rng, 1500000) / 1000);
   else
     soak_signal (s, &node, 1, SIGHUP);
   soak_rest (&t->rng, REST_MS);
@@ -215,6 +215,16 @@
   soak_rest (&t->rng, REST_MS);
 }
 
+/** The store goes back to a copy up to some seconds old. */
+static void
+restore_store (struct soak_thread *t)
+{
+  rack_set (&t->s->r, "{\"store\": {\"copy\": true}}");
+  soak_rest (&t->rng, 3000);
+  rack_set (&t->s->r, "{\"store\": {\"restore\": true}}");
+  soak_rest (&t->rng, 3000);
+}
+
 /* --- what ran ---------------------------------------------------------- */
 
 static void
@@ -264,17 +274,17 @@
   static struct two two;
   struct soak *s = &two.s;
   static void (*const series[]) (struct soak_thread *)
-      = { fail_node, fail_store, fail_server, limit_server };
-  struct soak_thread threads[CALLERS + 4] = { 0 };
+      = { fail_node, fail_store, fail_server, limit_server, restore_store };
+  struct soak_thread threads[CALLERS + SERIES] = { 0 };
 
   soak_init (s, seed, RACK_NODES);
   rack_serve (&s->r, ENGINES);
   rack_set (&s->r, "{\"events\": %d, \"event_ms\": 15}", EVENTS);
-  for (unsigned i = 0; i < CALLERS + 4; i++)
+  for (unsigned i = 0; i < CALLERS + SERIES; i++)
     threads[i] = (struct soak_thread){
       .number = i, .turn = i < CALLERS ? ask : series[i - CALLERS], .ctx = &two
     };
-  soak_run (s, threads, CALLERS + 4, CALLERS, seconds);
+  soak_run (s, threads, CALLERS + SERIES, CALLERS, seconds);
   check_runs (s);
   check_refused (&two);
   for (int i = 0; i < RACK_NODES; i++)
