--- a/serve/config.c
+++ b/serve/config.c
@@ -4,16 +4,16 @@
 
 /*
  * The configuration in force.  Few nodes watch it in the store.  Among many,
- * one announces it to the others and hands on each new one, as a watch and a
+ * one announces it to the others and pushes each new one, as a watch and a
  * read by each of them are most of all calls to the store.  That also reaches
  * nodes that the store turns away.  How current it is, and what follows from
  * that, is decided in currency.h.
  */
 
-/** A document is handed on if that takes no longer on the link of this node.
+/** A document is pushed if that takes no longer on the link of this node.
     A longer one would hold up the list of backend servers; of that only the
     version is announced, and each node reads it. */
-#define HAND_ON_MS ((clk_ms)500)
+#define PUSH_LINK_MS ((clk_ms)500)
 /** Beside it in a frame. */
 #define FRAME_REST ((size_t)1024)
 
@@ -29,11 +29,11 @@
 {
   struct srv *s;
   struct buf end;  /* of the range that is the key alone */
-  struct buf text; /* of the version in force, if it may be handed on */
+  struct buf text; /* of the version in force, if it may be pushed */
   struct store_watch *watch;
   struct cur cur;
   int64_t seen;  /* revision up to which changes were seen */
-  bool followed; /* is_announced(), as it was logged last */
+  bool followed; /* follows(), as it was logged last */
 };
 
 static void
@@ -145,7 +145,7 @@
 
 /** Whether this node leaves it to another one to watch. */
 static bool
-is_announced (const struct srv_config *c, clk_ms now)
+follows (const struct srv_config *c, clk_ms now)
 {
   return cur_is_announced (&c->cur, now) && !srv_peers_announces (c->s)
          && srv_register_follows (c->s);
@@ -154,7 +154,7 @@
 static void
 check_watch (struct srv_config *c, clk_ms now)
 {
-  bool followed = is_announced (c, now);
+  bool followed = follows (c, now);
 
   if (followed != c->followed)
     LOG (config_followed, LOG_I ("follows", followed),
@@ -166,7 +166,7 @@
       if (c->watch)
         store_watch_stop (c->watch);
       c->watch = NULL;
-      cur_unwatched (&c->cur);
+      cur_watch_stopped (&c->cur);
     }
   else if (!c->watch && cur_may_watch (&c->cur, now))
     watch_config (c);
@@ -225,11 +225,11 @@
   if (s->set.link_bytes_per_s > 0)
     ms = (double)(text->len * nodes) * (double)CLK_SECOND
          / s->set.link_bytes_per_s;
-  return text->len > 0 && ms <= (double)HAND_ON_MS;
+  return text->len > 0 && ms <= (double)PUSH_LINK_MS;
 }
 
 void
-srv_config_handed_on (struct srv *s, int64_t version, struct str text)
+srv_config_pushed (struct srv *s, int64_t version, struct str text)
 {
   struct store_kv kv = { .key = str_from (s->ad->config_key), .value = text };
 
@@ -241,7 +241,7 @@
 srv_config_announced (struct srv *s, clk_ms now,
                       const struct cur_announcement *a)
 {
-  cur_heard (&s->config->cur, now, a);
+  cur_announced (&s->config->cur, now, a);
 }
 
 /* --- time --------------------------------------------------------------- */
--- a/serve/currency.c
+++ b/serve/currency.c
@@ -2,16 +2,16 @@
 
 /** Knowledge that is older than this part of the bound is renewed by a read;
     the rest is for one that gets no answer, and a second one. */
-#define RENEW_PART 2
-/** The same of a node by which others go, so that what they hear is younger
-    than what they would renew. */
-#define RENEW_ANNOUNCED_PART 3
+#define RENEW_DIVISOR 2
+/** The same of a node on which others rely, so that what it announces is
+    younger than what they would renew. */
+#define RENEW_ANNOUNCED_DIVISOR 3
 /** Part of the bound in which versions of a storm come together: operators
     push some dozen within two seconds at times, and each is a priced call and
     a whole document for every node. */
-#define PAUSE_PART 4
-/** What is announced is handed on too, and comes sooner than a read. */
-#define HANDED_ON_MS ((clk_ms)150)
+#define PAUSE_DIVISOR 4
+/** What is announced is pushed too, and comes sooner than a read. */
+#define PUSH_WAIT_MS ((clk_ms)150)
 /** After a failed read. */
 #define READ_AGAIN_MS ((clk_ms)200)
 /** After a watch ended the whole is read. */
@@ -43,6 +43,7 @@
 void
 cur_in_force (struct cur *c, int64_t version)
 {
+  /* known_at stays: the earlier version was the newest then. */
   c->version = version;
 }
 
@@ -66,22 +67,22 @@
   c->resumed_at = 0;
   if (what != CUR_READ)
     {
-      c->next_read
-          = now
-            + (what == CUR_FAILED ? READ_AGAIN_MS : c->apply_ms / RENEW_PART);
+      c->next_read = now
+                     + (what == CUR_FAILED ? READ_AGAIN_MS
+                                           : c->apply_ms / RENEW_DIVISOR);
       return;
     }
   known (c, c->asked);
   c->next_read = CLK_NEVER;
   /* By then the links are up after a start, and announcements come. */
   if (c->next_watch == CLK_NEVER)
-    c->next_watch = now + c->apply_ms / PAUSE_PART;
+    c->next_watch = now + c->apply_ms / PAUSE_DIVISOR;
 }
 
 void
 cur_watched (struct cur *c, clk_ms now)
 {
-  c->next_watch = now + c->apply_ms / PAUSE_PART;
+  c->next_watch = now + c->apply_ms / PAUSE_DIVISOR;
 }
 
 void
@@ -98,7 +99,7 @@
 }
 
 void
-cur_heard (struct cur *c, clk_ms now, const struct cur_announcement *a)
+cur_announced (struct cur *c, clk_ms now, const struct cur_announcement *a)
 {
   clk_ms at = cur_announced_at (a);
 
@@ -128,18 +129,19 @@
   return c->known_at ? now - c->known_at : CLK_NEVER;
 }
 
-/** Whether a version that was announced has not been handed on in time. */
+/** Whether a version that was announced has not been pushed in time. */
 static bool
 is_behind (const struct cur *c, clk_ms now)
 {
-  return c->newest > c->version && now >= c->newest_at + HANDED_ON_MS
-         && now >= c->asked + c->apply_ms / PAUSE_PART;
+  return c->newest > c->version && now >= c->newest_at + PUSH_WAIT_MS
+         && now >= c->asked + c->apply_ms / PAUSE_DIVISOR;
 }
 
 bool
 cur_should_read (const struct cur *c, clk_ms now, bool announces)
 {
-  clk_ms most = c->apply_ms / (announces ? RENEW_ANNOUNCED_PART : RENEW_PART);
+  clk_ms most
+      = c->apply_ms / (announces ? RENEW_ANNOUNCED_DIVISOR : RENEW_DIVISOR);
 
   if (c->reading)
     return false;
@@ -151,11 +153,12 @@
 bool
 cur_is_announced (const struct cur *c, clk_ms now)
 {
-  return c->announced_at && now - c->announced_at < c->apply_ms / RENEW_PART;
+  return c->announced_at
+         && now - c->announced_at < c->apply_ms / RENEW_DIVISOR;
 }
 
 void
-cur_unwatched (struct cur *c)
+cur_watch_stopped (struct cur *c)
 {
   c->next_watch = CLK_NEVER;
 }
--- a/serve/currency.h
+++ b/serve/currency.h
@@ -34,7 +34,7 @@
                     it has learned more since */
 };
 
-/** How far a node may go by its configuration. */
+/** How far a node may rely on its configuration. */
 enum cur_trust
 {
   CUR_CONFIRMED,   /**< known to be the newest within the bound */
@@ -55,7 +55,8 @@
   clk_ms asked;      /**< sending of the last read */
   clk_ms next_read;  /**< CLK_NEVER: when the knowledge grows old */
   clk_ms next_watch; /**< CLK_NEVER: after the next read */
-  clk_ms resumed_at; /**< 0: a read that was sent since has ended */
+  clk_ms resumed_at; /**< end of the last pause, until a read that was sent
+                        after it has ended; 0: none */
 };
 
 void cur_init (struct cur *c, clk_ms apply_ms);
@@ -86,21 +87,23 @@
     0: not known. */
 clk_ms cur_announced_at (const struct cur_announcement *a);
 
-/** Another node has said this. */
-void cur_heard (struct cur *c, clk_ms now, const struct cur_announcement *a);
+/** Another node has announced this. */
+void cur_announced (struct cur *c, clk_ms now,
+                    const struct cur_announcement *a);
 
 /** This process goes on after it did not run for a while. */
 void cur_resumed (struct cur *c, clk_ms now);
 
-/** Whether to read the store now. @param announces  others go by this node */
+/** Whether to read the store now. @param announces  others rely on this node
+ */
 bool cur_should_read (const struct cur *c, clk_ms now, bool announces);
 
 /** Whether others announce to this node what is in force. */
 bool cur_is_announced (const struct cur *c, clk_ms now);
 
-/** No watch is needed, as announcements come: the next one begins after a
+/** The watch was stopped, as announcements come: the next one begins after a
     read. */
-void cur_unwatched (struct cur *c);
+void cur_watch_stopped (struct cur *c);
 
 /** Whether a watch may begin now. */
 bool cur_may_watch (const struct cur *c, clk_ms now);
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -168,7 +168,7 @@
 /** Callers don't come back after a 4xx: it is given only by a configuration
     that is known to be the newest. */
 static struct refusal
-check_current (const struct srv *s, struct refusal why)
+confirm_refusal (const struct srv *s, struct refusal why)
 {
   static const struct refusal unconfirmed
       = { 503, "config-unconfirmed", CONFIRM_RETRY_MS };
@@ -201,7 +201,7 @@
   ex->since = since;
   s->ad->call (h, n, &ex->call);
   ex->host = httpd_get (req)->host;
-  why = check_current (s, check (ex));
+  why = confirm_refusal (s, check (ex));
   if (why.status == 0)
     {
       arrive (ex);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -83,15 +83,15 @@
 clk_ms srv_config_known_at (const struct srv *s);
 /** How long ago that was; -1: never. */
 clk_ms srv_config_age (const struct srv *s, clk_ms now);
-/** How far to go by it. */
+/** How far to rely on it. */
 enum cur_trust srv_config_trust (const struct srv *s, clk_ms now);
 /**
  * Its document, for other nodes.
  * @retval false  it is too long to be sent to so many
  */
 bool srv_config_text (const struct srv *s, size_t nodes, struct str *text);
-/** Another node hands this document on. */
-void srv_config_handed_on (struct srv *s, int64_t version, struct str text);
+/** Another node has pushed this document. */
+void srv_config_pushed (struct srv *s, int64_t version, struct str text);
 /** Another node says how current its own is. */
 void srv_config_announced (struct srv *s, clk_ms now,
                            const struct cur_announcement *a);
@@ -193,7 +193,7 @@
 void srv_act (struct srv *s);
 struct srv_exchange *srv_find (const struct srv *s, uint64_t id);
 
-/** Whether other nodes go by what this one announces. */
+/** Whether other nodes rely on what this one announces. */
 bool srv_peers_announces (const struct srv *s);
 /** This process goes on after a pause of @p ms. */
 void srv_peers_resumed (struct srv *s, clk_ms now, clk_ms ms);
--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -2,8 +2,8 @@
 
 /*
  * What nodes announce of the configuration, with each load: the version in
- * force, and how current it is known to be.  The one that others go by also
- * hands the document on to each that has an older one.  Few watch the store by
+ * force, and how current it is known to be.  The one that others rely on also
+ * pushes the document to each that has an older one.  Few watch the store by
  * themselves and have it by then, unless the store turns them away or shows
  * them an older one.
  */
@@ -89,7 +89,7 @@
 }
 
 void
-prs_hand_on_config (struct srv_peers *p, clk_ms now)
+prs_push_config (struct srv_peers *p, clk_ms now)
 {
   int64_t version = srv_config_version (p->s);
   size_t n = count_due (p, version, now);
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -114,9 +114,9 @@
  * clock: frames may have waited in queues, or while this process stood still.
  */
 clk_ms prs_sent_at (const struct peer *x, clk_ms now);
-/** Hand the configuration on to peers that have an older one, if others go by
+/** Push the configuration to peers that have an older one, if others rely on
     this node. */
-void prs_hand_on_config (struct srv_peers *p, clk_ms now);
+void prs_push_config (struct srv_peers *p, clk_ms now);
 
 /* peers-poison.c */
 /** Tell a peer that has just been linked what is known. */
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -358,7 +358,7 @@
   check_sum (p, now);
   send_load (p, now);
   send_sum (p, now);
-  prs_hand_on_config (p, now);
+  prs_push_config (p, now);
   if (!p->summing && p->nlisted + 1 > HUB_MESH_MOST)
     prs_tell_nodes (p, now);
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -178,7 +178,7 @@
   else if (x && f->body_case == LAPIS__FRAME__BODY_PERMIT_GRANTS)
     prs_on_permits (x, f->permit_grants);
   else if (x && f->body_case == LAPIS__FRAME__BODY_CONFIG_TEXT)
-    srv_config_handed_on (
+    srv_config_pushed (
         p->s, f->config_text->version,
         str_make (f->config_text->text.data, f->config_text->text.len));
 }
--- a/t/t9209-currency.c
+++ b/t/t9209-currency.c
@@ -87,7 +87,7 @@
 {
   struct cur_announcement a = { version, stamped, s.now, age };
 
-  cur_heard (&s.cur, s.now, &a);
+  cur_announced (&s.cur, s.now, &a);
 }
 
 static void
@@ -394,7 +394,7 @@
     return;
   n->stamp[x->from] = x->sent;
   n->stamp_at[x->from] = clock_of (n);
-  cur_heard (&n->cur, clock_of (n), &x->a);
+  cur_announced (&n->cur, clock_of (n), &x->a);
 }
 
 static void
