--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -92,13 +92,15 @@
 prs_push_config (struct srv_peers *p, clk_ms now)
 {
   int64_t version = srv_config_version (p->s);
-  size_t n = count_due (p, version, now);
+  bool any = count_due (p, version, now) > 0;
   Lapis__ConfigText config = LAPIS__CONFIG_TEXT__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
   struct str text;
 
-  if (n == 0 || !srv_peers_announces (p->s)
-      || !srv_config_text (p->s, n, &text))
+  /* What is too long for all is for each to read: else those that are slow to
+     do so would be sent it as well. */
+  if (!any || !srv_peers_announces (p->s)
+      || !srv_config_text (p->s, prs_count_up (p), &text))
     return;
   config.version = version;
   config.text.data = (uint8_t *)text.ptr;
--- a/t/t9307-config.c
+++ b/t/t9307-config.c
@@ -61,6 +61,7 @@
     {
       int status = web_status (asked[i], PROC_WAIT_MS);
       cr_expect (status == 200 || status == 503, "node %d: %d", i + 1, status);
+      web_close (asked[i]);
     }
   for (int i = 0; i < RACK_MANY; i++)
     cr_expect (rack_until (&r, i, "/once/x", k2_headers, 200), "node %d",
@@ -82,6 +83,7 @@
   usleep (300000);
   proc_signal (r.node[0], SIGCONT);
   cr_expect_eq (web_status (asked, PROC_WAIT_MS), 200);
+  web_close (asked);
 }
 
 /** How often nodes have logged the loss of a link since they last stood still;
@@ -141,6 +143,7 @@
     {
       int status = web_status (asked[i], PROC_WAIT_MS);
       cr_expect (status == 401 || status == 503, "node %d: %d", i + 1, status);
+      web_close (asked[i]);
     }
 }
 
