Open a replica that was found once its members know the new owner

An owner's join to it went unanswered; the next owner took it for free and gave it another replica, unanswered too; the first node became owner again, found the replica ready and opened it by an order to its leader alone. The join of the owner in between was carried out four seconds later: the member had seen no higher fencing number.

Members of a replica that an owner has found get their join once more under its number before the leader is told to open. They are in that state, so it changes nothing, and they refuse what is older. It costs an order for each member, only where a replica was joined and not open as the owner changed.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -56,6 +56,26 @@
 
 /* --- joining and opening ----------------------------------------------- */
 
+/** A join by an owner between the one that formed the replica and this one may
+    still be on its way to the member, and would take it out of the replica
+   once that is open.  Whoever has accepted an order of this owner refuses it.
+ */
+static bool
+takes_older_orders (const struct frm *f, const struct frm_group *g,
+                    const struct frm_vm *vm)
+{
+  return g->found && !g->spare && vm->fence != f->fence;
+}
+
+static bool
+any_takes_older_orders (const struct frm *f, const struct frm_group *g)
+{
+  for (size_t i = 0; i < g->n; i++)
+    if (takes_older_orders (f, g, g->members[i]))
+      return true;
+  return false;
+}
+
 static void
 tick_joining (struct frm *f, struct frm_group *g)
 {
@@ -71,7 +91,7 @@
         frm_group_end (f, g);
       return;
     }
-  if (all_ready (g))
+  if (all_ready (g) && !any_takes_older_orders (f, g))
     {
       if (!g->spare)
         frm_enter (f, g, FRM_PH_OPENING);
@@ -83,7 +103,8 @@
       return;
     }
   for (size_t i = 0; i < g->n; i++)
-    if (!frm_reports (g->members[i], g, BKS_JOINING))
+    if (!frm_reports (g->members[i], g, BKS_JOINING)
+        || takes_older_orders (f, g, g->members[i]))
       frm_order (f, g->members[i], FRM_JOIN, g);
 }
 
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -48,6 +48,7 @@
   enum frm_order_kind order_kind;
   clk_ms next_order;
   enum frm_order_kind accepted_kind; /**< of the last order accepted */
+  int64_t fence;                     /**< of the last order that it accepted */
   int64_t accepted_generation;       /**< 0: none was */
   clk_ms accepted_at;
   clk_ms staging_until; /**< its host loads weights on the side, about */
@@ -80,6 +81,7 @@
   int64_t generation;
   enum frm_phase phase;
   clk_ms since;  /**< of the phase */
+  bool found;    /**< formed by an owner before this one */
   bool spare;    /**< one VM that only loads; never opened */
   bool cut;      /**< close without waiting */
   bool may_open; /**< somebody may have told the leader to open */
--- a/serve/form.c
+++ b/serve/form.c
@@ -440,6 +440,7 @@
 
   g->spare = is_spare_name (first->e.replica);
   g->may_open = !g->spare; /* by an owner before us */
+  g->found = true;
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
@@ -641,6 +642,7 @@
             vm->accepted_kind = vm->order_kind;
             vm->accepted_generation = vm->group->generation;
             vm->accepted_at = now;
+            vm->fence = f->fence;
           }
         if (vm->order_kind == FRM_STAGE)
           frm_stage_done (f, vm, result);
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -519,3 +519,16 @@
                     "r1002 small is open: a4 a5\n"
                     "a6 is warm for big\n");
 }
+
+/* Guards against a member that an owner in between took for free: its late
+   join to another replica takes the member out of this one once it is open.
+   Who has had an order of the new owner refuses it. */
+Test (form, a_replica_that_was_found_opens_once_its_members_know_the_owner)
+{
+  form_play ("other 1\n vms a 3\n lose-all open\n run 2600\n prompt\n"
+             "owner 2\n run 1000\n orders\n show\n",
+             "join r1001 big: a1 a2 a3\n"
+             "open r1001 a1\n"
+             "4 orders\n"
+             "r1001 big is open: a1 a2 a3\n");
+}
