serve: log and count what backend servers say of their availability

A backend server that turns a request away with 503 may add Retry-After, and one that shuts down says so in all its responses. Neither was decoded, so from logs and metrics a node that is not told, one that forgets and one that does not care look the same.

Both headers are decoded in platform/, from responses to requests, orders, checks and probes; serve/avail.c keeps them by the server's process. The log tells which node was asked for how long and what it has sent since (server_asks_pause, server_leaving), and five gauges count it. No decision uses them yet.

--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -11,6 +11,7 @@
 
 #include "base/findings.h"
 #include "net/httpc.h"
+#include "serve/avail.h"
 #include "serve/backends.h"
 #include "serve/form.h"
 #include "serve/table.h"
@@ -96,7 +97,8 @@
   bool encoded;         /**< encoded body: not as the backend server sent it */
   bool misdirected; /**< it comes from a server other than the intended one */
   enum lim_report_kind limit;
-  double rate;   /**< if LIM_REPORT_RATE: requests per second */
+  double rate; /**< if LIM_REPORT_RATE: requests per second */
+  struct avl_notice notice;
   bool has_load; /**< the three counts below are set */
   unsigned running, waiting, slots;
 };
@@ -150,6 +152,10 @@
   void (*parse_response) (struct str request_id, int status,
                           const struct http_header *h, size_t n,
                           struct srv_response *out);
+  /** Parse what any response of a backend server says of its
+      availability. */
+  void (*parse_notice) (int status, const struct http_header *h, size_t n,
+                        struct avl_notice *out);
   /** Whether a header of a response is forwarded to the client. */
   bool (*forwards_header) (const struct http_header *h);
   /** Name and value of the header that tells the client when to retry, for
--- a/serve/check.c
+++ b/serve/check.c
@@ -20,6 +20,7 @@
 {
   struct srv *s;
   uint64_t endpoint;
+  uint64_t process;
   char *server;
   clk_ms started_at;
   int status;
@@ -29,8 +30,15 @@
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
   struct check *c = ctx;
+  struct srv_notice_source from = { .server = str_from (c->server),
+                                    .process = c->process,
+                                    .what = "check" };
+  struct avl_notice notice;
 
   c->status = status;
+  c->s->adapter->parse_notice (status, h, n, &notice);
+  if (status != STATUS_MISDIRECTED)
+    srv_notice_received (c->s, &from, &notice);
 }
 
 static void
@@ -82,6 +90,7 @@
 
   c->s = s;
   c->endpoint = a->endpoint;
+  c->process = a->process;
   c->server = str_dup (a->server);
   c->started_at = clk_now ();
   httpc_start (s->http, &r, &cb, c);
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -56,6 +56,7 @@
   a->server = str_from (s->server);
   a->addr = s->addr;
   a->endpoint = s->hash;
+  a->process = s->process_hash;
   return add_interruption (d, s->hash);
 }
 
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -379,9 +379,19 @@
   q->awaits_first_event = true;
   d->stats.sent++;
   d->stats.retried += q->sent_attempts > 1;
+  if (d->opt.avail)
+    avl_count_sent (d->opt.avail, now, q->endpoint->process_hash);
   return true;
 }
 
+uint64_t
+dsp_attempt_process (const struct dsp *d, uint64_t id, unsigned attempt)
+{
+  const struct dsp_req *q = dsp_find_attempt (d, id, attempt);
+
+  return q ? q->endpoint->process_hash : 0;
+}
+
 void
 dsp_connect_failed (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -19,6 +19,7 @@
 
 #include "base/rng.h"
 #include "net/addr.h"
+#include "serve/avail.h"
 #include "serve/limit.h"
 #include "serve/poison.h"
 #include "serve/table.h"
@@ -151,6 +152,7 @@
   struct net_addr addr;
   struct str server;   /**< valid until the next event */
   uint64_t endpoint;   /**< dsp_endpoint_hash() */
+  uint64_t process;    /**< CHECK_PROCESS: the same without a generation */
   clk_ms duration_ms;  /**< SEND: time until the request's deadline; STALLED:
                             duration of the silence */
   bool new_connection; /**< don't reuse an idle connection */
@@ -176,6 +178,8 @@
                            tracked */
   struct lim *limits; /**< rate limits set by servers; borrowed; NULL: not
                            enforced */
+  struct avl *avail;  /**< availability announced by servers; borrowed; NULL:
+                           not tracked */
 };
 
 struct dsp;
@@ -234,6 +238,10 @@
 enum lim_change dsp_response_limit (struct dsp *d, clk_ms now, uint64_t id,
                                     unsigned attempt,
                                     enum lim_report_kind kind, double rate);
+/** Hash of the process of the attempt's server: dsp_endpoint_hash() without a
+    generation; 0: the attempt has ended. */
+uint64_t dsp_attempt_process (const struct dsp *d, uint64_t id,
+                              unsigned attempt);
 /** Number of requests that this node has sent to the attempt's server while
     that server was rate-limited. */
 uint64_t dsp_sent_while_limited (const struct dsp *d, uint64_t id,
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -75,6 +75,7 @@
   bool sent;
   int status;
   char *vm;
+  uint64_t process; /* dsp_endpoint_hash() without a generation */
 };
 
 /* --- calls to backend servers ------------------------------------------ */
@@ -88,6 +89,7 @@
   if (c->is_order && !own_may_order (c->lead->own, clk_now ()))
     return false;
   c->sent = true;
+  avl_count_sent (c->lead->s->avail, clk_now (), c->process);
   return true;
 }
 
@@ -95,8 +97,16 @@
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
   struct server_call *c = ctx;
+  struct srv *s = c->lead->s;
+  struct srv_notice_source from = { .server = str_from (c->vm),
+                                    .process = c->process,
+                                    .what = c->is_order ? "order" : "probe" };
+  struct avl_notice notice;
 
   c->status = status;
+  s->adapter->parse_notice (status, h, n, &notice);
+  if (status != STATUS_MISDIRECTED)
+    srv_notice_received (s, &from, &notice);
 }
 
 static void
@@ -183,6 +193,7 @@
   c->order = a->order;
   c->sent_fence = (uint64_t)own_fence (lead->own);
   c->vm = str_dup (a->vm);
+  c->process = a->process;
   c->next = lead->calls;
   lead->calls = c;
   lead->ncalls++;
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -175,6 +175,21 @@
     }
 }
 
+/** Process what the response says of its server's availability. */
+static void
+handle_notice (const struct srv_attempt *at)
+{
+  struct srv_exchange *ex = at->ex;
+  struct srv_notice_source from
+      = { .server = str_from (at->server),
+          .process = dsp_attempt_process (ex->s->dispatch, ex->id, at->number),
+          .what = "request",
+          .id = ex->request.id };
+
+  if (from.process && !at->response.misdirected && at->response.same_request)
+    srv_notice_received (ex->s, &from, &at->response.notice);
+}
+
 static void
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
@@ -185,6 +200,7 @@
   s->adapter->parse_response (ex->request.id, status, h, n, &at->response);
   copy_head (s, &at->head, status, h, n);
   handle_rate_limit (at);
+  handle_notice (at);
   if (at->response.not_run || status >= 500)
     log_attempt_lost (at, at->response.not_run ? "not-run" : "error");
   if (is_valid_response (at, status))
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -38,6 +38,8 @@
   struct bks_entry entry;
   /** Start time of its process, kept while it is not listed. */
   int64_t started_at;
+  /** dsp_endpoint_hash() of its process, without a generation. */
+  uint64_t process;
   /**
    * Model of its last replica in this incarnation, or NULL; the VM keeps these
    * weights after it has left the replica.
--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -31,6 +31,7 @@
   a->token = ++f->tokens;
   a->vm = str_from (vm->id);
   a->addr = vm->entry.addr;
+  a->process = vm->process;
   return a;
 }
 
--- a/serve/form.c
+++ b/serve/form.c
@@ -352,6 +352,7 @@
   if (vm->started_at != s->e.start_time)
     reset_restarted_vm (f, vm);
   vm->started_at = s->e.start_time;
+  vm->process = dsp_endpoint_hash (s->e.id, s->e.start_time, 0);
   vm->entry = s->e;
   vm->listed = vm->seen_in_list = true;
   update_loaded_model (vm);
--- a/serve/form.h
+++ b/serve/form.h
@@ -66,6 +66,7 @@
   uint64_t token;
   struct str vm; /**< id of the backend server */
   struct net_addr addr;
+  uint64_t process; /**< dsp_endpoint_hash() without a generation */
   enum frm_order_kind order;
   struct str replica;
   int64_t generation;
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -94,6 +94,28 @@
          (double)f.followers);
 }
 
+static void
+set_avail (struct srv *s)
+{
+  struct avl_stats f = avl_stats (s->avail, clk_now ());
+
+  gauge (s, PREFIX "servers_paused",
+         "Backend servers that have asked this node to send nothing for a "
+         "while.",
+         NULL, (double)f.paused);
+  gauge (s, PREFIX "servers_leaving",
+         "Backend servers that have announced that they shut down.", NULL,
+         (double)f.leaving);
+  gauge (s, PREFIX "pauses_asked", "Answers that asked for a pause.", NULL,
+         (double)f.pauses);
+  gauge (s, PREFIX "sent_paused",
+         "Requests, orders and probes sent to servers in a pause.", NULL,
+         (double)f.sent_paused);
+  gauge (s, PREFIX "sent_leaving",
+         "Requests, orders and probes sent to servers that were leaving.",
+         NULL, (double)f.sent_leaving);
+}
+
 static void
 set_store (struct srv *s)
 {
@@ -190,6 +212,7 @@
 {
   set_dispatch (s);
   set_limits (s);
+  set_avail (s);
   set_store (s);
   set_state (s);
   set_models (s);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -49,6 +49,7 @@
   struct dsp *dispatch;
   struct psn *poison;
   struct lim *limits;
+  struct avl *avail;
   struct srv_poison *poison_keys; /**< keys of blocked requests in the store */
   struct srv_config *config;
   struct srv_sync *sync;
@@ -246,6 +247,18 @@
     deleted. */
 void srv_poison_store_reread (struct srv *s);
 
+/* notice.c: availability notices of backend servers */
+/** Response that carries a notice. */
+struct srv_notice_source
+{
+  struct str server; /**< id of the backend server */
+  uint64_t process;  /**< dsp_endpoint_hash() without a generation */
+  const char *what;  /**< kind of call, for the log */
+  struct str id;     /**< of the client request; empty: none */
+};
+void srv_notice_received (struct srv *s, const struct srv_notice_source *from,
+                          const struct avl_notice *notice);
+
 /* check.c */
 /** Probe the backend server of a DSP_ACT_CHECK_PROCESS to find out whether its
     process is alive. */
--- a/serve/node.c
+++ b/serve/node.c
@@ -192,6 +192,7 @@
 
   s->poison = opt.poison = psn_new ();
   s->limits = opt.limits = lim_new (str_hash (s->settings.node, s->boot));
+  s->avail = opt.avail = avl_new ();
   srv_metrics_start (s);
   s->backends = bks_new ();
   s->dispatch = dsp_new (&opt, rng_next (&s->rng));
--- /dev/null
+++ b/serve/notice.c
@@ -0,0 +1,28 @@
+#include "serve/node-int.h"
+
+/*
+ * Availability notices in responses of backend servers: to requests, orders
+ * and probes alike.
+ */
+
+void
+srv_notice_received (struct srv *s, const struct srv_notice_source *from,
+                     const struct avl_notice *notice)
+{
+  clk_ms now = clk_now ();
+  struct avl_change change
+      = avl_on_notice (s->avail, now, from->process, notice);
+
+  if (change.paused)
+    LOG (server_asks_pause, LOG_S ("server", from->server),
+         LOG_I ("ms", notice->retry_after_ms),
+         LOG_I ("paused_for_ms", change.paused_for),
+         LOG_I ("sent", change.sent), LOG_C ("to", from->what),
+         LOG_S ("id", from->id));
+  if (change.leaving)
+    LOG (server_leaving, LOG_S ("server", from->server),
+         LOG_C ("to", from->what), LOG_S ("id", from->id));
+  if (change.malformed)
+    LOG (server_pause_unreadable, LOG_S ("server", from->server),
+         LOG_C ("to", from->what), LOG_S ("id", from->id));
+}
