--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -10,7 +10,7 @@
    it is loaded already. */
 #define LOAD_MS 400
 #define JOIN_MS 50
-#define MAX_HEADERS 5
+#define MAX_HEADERS 7
 
 static const char *const member_state_names[]
     = { "", "joining", "ready", "open", "closing" };
@@ -171,10 +171,12 @@
 {
   json_object *o = jsn_parse (httpd_get (req)->body);
   int status = o ? do_order (s, o) : 400;
+  struct http_header h[MAX_HEADERS];
+  size_t n = rack_avail_headers (s, req, false, h);
 
   rack_server_publish (s);
   json_object_put (o);
-  httpd_answer (req, status, NULL, 0, STR_EMPTY);
+  httpd_answer (req, status, h, n, STR_EMPTY);
 }
 
 /* --- requests ---------------------------------------------------------- */
@@ -276,6 +278,7 @@
   if (!s->unsealed)
     h[n++] = (struct http_header){ STR (PLT_H_SEAL), str_from (s->id) };
   n += rack_limit_header (&s->limit, &h[n]);
+  n += rack_avail_headers (s, req, false, &h[n]);
   return n;
 }
 
@@ -306,11 +309,14 @@
 }
 
 static void
-reject_request (struct httpd_req *req, int status)
+reject_request (struct server *s, struct httpd_req *req, int status)
 {
-  struct http_header h[] = { { STR (PLT_H_NOT_RUN), STR ("1") } };
+  struct http_header h[MAX_HEADERS] = { { STR (PLT_H_NOT_RUN), STR ("1") } };
+  size_t n = 1;
 
-  httpd_answer (req, status, h, 1, STR_EMPTY);
+  if (status != 421)
+    n += rack_avail_headers (s, req, true, &h[n]);
+  httpd_answer (req, status, h, n, STR_EMPTY);
 }
 
 static void
@@ -368,13 +374,23 @@
   if (s->unresponsive)
     return;
   if (!str_is (httpd_header (req, PLT_H_EXPECT), s->id))
-    reject_request (req, 421);
-  else if (str_is (path, PLT_ORDER))
+    {
+      reject_request (s, req, 421);
+      return;
+    }
+  rack_avail_count_arrival (s, req);
+  if (str_is (path, PLT_ORDER))
     on_order (s, req);
   else if (str_is (path, PLT_REPORT))
-    httpd_answer (req, 200, NULL, 0, STR ("{}"));
+    {
+      struct http_header h[MAX_HEADERS];
+      size_t n = rack_avail_headers (s, req, false, h);
+      httpd_answer (req, 200, h, n, STR ("{}"));
+    }
   else if (s->engine && (s->member_state != MEMBER_OPEN || s->rank != 0))
-    reject_request (req, s->member_state == MEMBER_READY ? 503 : 421);
+    reject_request (s, req, s->member_state == MEMBER_READY ? 503 : 421);
+  else if (s->avail.rejects)
+    reject_request (s, req, 503);
   else
     {
       bool crashes = schedule_crash (s, req);
@@ -457,4 +473,5 @@
   s->nmembers = s->rank = 0;
   s->start_time = clk_wall ();
   rack_limit_set (&s->limit, "");
+  memset (&s->avail, 0, sizeof s->avail);
 }
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -17,13 +17,21 @@
  *             "fail": STATUS, "cut_after": N, "end_after": N,
  *             "reborn": true   restart with the same id and address,
  *             "limit": TEXT    announced request rate limit; "": none
+ *             "rejects": B     answers all requests with 503 "not run"
+ *             "retry_after": TEXT   announced with each 503; "": none
+ *             "leaving": B     announces its shutdown in all responses
+ *   "forget_node": N       what node N was told no longer counts
  *   "entry": {"id": ID, "value": TEXT}   write any entry into the server list
  *
  * GET /control/counts returns the number of crashed servers, the executions
  * by server, and the ids of requests executed more than once.  For a server
  * with a limit, limited_arrived counts the requests later than half a second
  * after its first response with the limit, limited_most their maximum in any
- * 4 s.  GET /control/runs returns the executions by request id.
+ * 4 s.  pause_most is the maximum of requests, orders and probes that one node
+ * sent to the server in a pause, after half a second of it; late_leaving
+ * counts client requests later than drain_ms after their node was told that
+ * the server leaves.  Nodes are told apart by request ids "NODE/...".  GET
+ * /control/runs returns the executions by request id.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -95,6 +103,11 @@
     s->cut_after = (int)jsn_int (o, "cut_after");
   if (jsn_get (o, "limit"))
     rack_limit_set (&s->limit, jsn_text (o, "limit"));
+  if (jsn_get (o, "retry_after"))
+    snprintf (s->avail.retry_after, sizeof s->avail.retry_after, "%s",
+              jsn_text (o, "retry_after"));
+  set_flag (o, "rejects", &s->avail.rejects);
+  set_flag (o, "leaving", &s->avail.leaving);
   if (jsn_get (o, "end_after"))
     s->end_after = (int)jsn_int (o, "end_after");
   if (!s->dead)
@@ -131,6 +144,8 @@
               jsn_text (o, "crash_body"));
   if (jsn_get (o, "crash_ms"))
     r->crash_ms = (int)jsn_int (o, "crash_ms");
+  if (jsn_get (o, "forget_node"))
+    rack_avail_forget_node (r, (unsigned)jsn_int (o, "forget_node"));
   if (jsn_get (o, "server"))
     s = rack_find_server (r, jsn_text (o, "server"));
   if (s)
@@ -177,6 +192,11 @@
       json_object_object_add (
           row, "limited_most",
           json_object_new_int ((int)s->limit.max_arrivals));
+      json_object_object_add (row, "pause_most",
+                              json_object_new_int ((int)s->avail.pause_max));
+      json_object_object_add (
+          row, "late_leaving",
+          json_object_new_int ((int)s->avail.late_arrivals));
       json_object_object_add (o, s->id, row);
     }
   json_object_object_add (o, "crashed", json_object_new_int (r->crashed));
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -8,6 +8,7 @@
  *   rack-server.c  backend server: entry in the server list, requests, orders,
  *                  replica membership
  *   rack-limit.c   announced request rate limits, and counts of arrivals
+ *   rack-avail.c   announced pauses and shutdowns, and counts of arrivals
  */
 #ifndef LAPISLINE_STANDINS_RACK_H
 #define LAPISLINE_STANDINS_RACK_H
@@ -44,6 +45,40 @@
   unsigned max_arrivals; /**< maximum in one window */
 };
 
+#define AVAIL_NODES 80  /**< nodes that are told apart */
+#define AVAIL_PAUSES 64 /**< pauses whose arrivals are counted, per node */
+
+/** A pause that one node was asked for, and what it sent meanwhile. */
+struct asked_pause
+{
+  clk_ms counts_from, ends_at;
+  unsigned arrivals;
+};
+
+/** What one node was told, and what it sent afterwards. */
+struct told_node
+{
+  struct asked_pause pauses[AVAIL_PAUSES]; /**< ring buffer */
+  unsigned npauses;
+  clk_ms told_leaving_at; /**< 0: not told */
+};
+
+/**
+ * Announced pause and shutdown.  Nodes are told apart by the ids of the
+ * requests that they pass on: "NODE/..." with the number of a node; requests
+ * with other ids count for node 0, and so do orders and probes.
+ */
+struct availability
+{
+  char retry_after[32]; /**< header value of rejections; empty: none */
+  bool rejects;         /**< rejects all requests */
+  bool leaving;         /**< announces its shutdown in all responses */
+  struct told_node nodes[AVAIL_NODES];
+  unsigned pause_max;     /**< maximum of arrivals in one pause of a node */
+  unsigned late_arrivals; /**< requests of nodes that were told more than
+                               LEAVING_GRACE_MS before */
+};
+
 /** One backend server. */
 struct server
 {
@@ -69,6 +104,7 @@
   int64_t generation, fence;
   enum member_state member_state;
   struct rate_limit limit;
+  struct availability avail;
   uv_timer_t timer;       /**< end of joining, or expiry of the entry */
   uv_timer_t crash_timer; /**< delay from a crashing request to the crash */
   struct stream *streams;
@@ -122,6 +158,16 @@
 /** Fills the header that announces the limit; false if none is set. */
 bool rack_limit_header (struct rate_limit *l, struct http_header *out);
 
+/* rack-avail.c */
+/** Counts a request, order or probe against the announcements so far. */
+void rack_avail_count_arrival (struct server *s, struct httpd_req *req);
+/** Fills the headers of a response that announce a pause or a shutdown, and
+    records that the node was told. @param rejected the request is rejected */
+size_t rack_avail_headers (struct server *s, struct httpd_req *req,
+                           bool rejected, struct http_header *out);
+/** The node was restarted or paused: what it was told no longer counts. */
+void rack_avail_forget_node (struct rack *r, unsigned node);
+
 /* rack-server.c */
 bool rack_server_start (struct server *s);
 struct server *rack_find_server (struct rack *r, const char *id);
