serve: send nothing to servers that ask for a pause, and no requests to leaving ones

What callers saw: nothing but slower answers; what servers saw: one that answered 503 with Retry-After: 3 got up to 11 more requests of the same node in that time, each of which it turned away and which cost a repeat.

Cause: nobody read what a server says of itself. A rejection was taken for one full moment (20 ms), whatever it named, and Server-Leaving for nothing at all.

Change: serve/avail.c, which has kept both by the server's process since, now decides. Dispatch leaves such endpoints out everywhere a request can be sent: first attempts, repeats, resumed streams, trial requests, the choice of last resort, and once more as the connection stands (dsp_request_sent). Orders wait until the pause is over; probes and checks only connect. A server that has announced its shutdown counts as draining when replicas are formed, and its end is no crash. Where all endpoints are paused or leaving for longer than a request may wait, its caller is told at once (code servers-paused or no-server), with the end of the first pause as Retry-After, each caller a little later than the one before, at the rate at which the slots complete requests; such rejections count as demand when replicas are planned.

Why this works: each of these places asks the same table, by the process and not by the replica's generation, at the last moment before bytes are written.

--- a/serve/check.c
+++ b/serve/check.c
@@ -46,9 +46,25 @@
 {
 }
 
+/** A paused server is sent nothing.  The established connection shows that a
+    process listens there. */
+static bool
+on_connected (void *ctx)
+{
+  struct check *c = ctx;
+  clk_ms now = clk_now ();
+
+  if (avl_paused_until (c->s->avail, now, c->process))
+    return false;
+  avl_count_sent (c->s->avail, now, c->process);
+  return true;
+}
+
 static enum dsp_liveness
 classify_liveness (const struct check *c, enum httpc_end end, clk_ms ms)
 {
+  if (end == HTTPC_STOPPED)
+    return DSP_ALIVE;
   if (c->status)
     return c->status == STATUS_MISDIRECTED ? DSP_ENDED : DSP_ALIVE;
   if (end == HTTPC_CONNECT_FAILED && ms < CONNECT_MS)
@@ -76,7 +92,8 @@
 void
 srv_check_server_process (struct srv *s, const struct dsp_action *a)
 {
-  static const struct httpc_callbacks cb = { NULL, on_head, on_body, on_end };
+  static const struct httpc_callbacks cb
+      = { on_connected, on_head, on_body, on_end };
   struct check *c = xcalloc (1, sizeof *c);
   struct http_header h = { str_from (s->adapter->expect_header), a->server };
   struct httpc_request r = { .to = a->addr,
--- a/serve/dispatch-code.c
+++ b/serve/dispatch-code.c
@@ -8,6 +8,7 @@
               [DSP_NO_SERVER] = { "no-server", 503 },
               [DSP_OVERLOAD] = { "overload", 503 },
               [DSP_RATE_LIMITED] = { "rate-limited", 503 },
+              [DSP_PAUSED] = { "servers-paused", 503 },
               [DSP_REFUSED] = { "refused", 503 },
               [DSP_NO_CONNECTION] = { "no-connection", 503 },
               [DSP_SHUTTING_DOWN] = { "leaving", 503 },
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -72,7 +72,7 @@
   struct dsp_interruption *b = find_interruption (d, s->hash);
 
   /* A server that is shutting down ends its process without a crash. */
-  if (!s->listed || !s->accepting)
+  if (!s->listed || !s->accepting || dsp_avail_is_leaving (d, s))
     return;
   if (!b)
     b = start_check (d, s);
--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -133,14 +133,15 @@
                             const struct dsp_endpoint_state *s)
 {
   return s->listed && s->accepting && !s->stalled && !s->ejected_until
-         && d->now >= s->full_until && !dsp_process_ended (d, s);
+         && d->now >= s->full_until && !dsp_process_ended (d, s)
+         && dsp_avail_allows (d, s);
 }
 
 bool
 dsp_health_trial_due (const struct dsp *d, const struct dsp_endpoint_state *s)
 {
   if (!s->listed || !s->accepting || s->trial_in_flight
-      || dsp_process_ended (d, s))
+      || dsp_process_ended (d, s) || !dsp_avail_allows (d, s))
     return false;
   if (s->stalled)
     return d->now - s->stalled_at >= STALL_TRIAL_MS;
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -10,6 +10,7 @@
  *   dispatch-health.c failure, ejection and stall detection of endpoints
  *   dispatch-retry.c  this node's share of the fleet's retry budget
  *   dispatch-limit.c  rate limits set by servers
+ *   dispatch-avail.c  pauses and shutdowns announced by servers
  *   dispatch-crash.c  interrupted runs and crash detection
  */
 #ifndef LAPISLINE_SERVE_DISPATCH_INT_H
@@ -150,9 +151,11 @@
   /** indexed by priority */
   struct dsp_rate request_rates[DSP_PRIORITIES];
   struct dsp_rate rejection_rate; /**< rate of requests rejected because all
-                                       endpoints are rate-limited */
+                                       endpoints are rate-limited or paused */
   clk_ms assigned_until; /**< latest retry time given to a rejected client; the
                               next client gets a later one */
+  clk_ms pause_retry_at; /**< retry time of the next client that is rejected
+                              because of pauses */
 };
 
 struct dsp_req
@@ -354,6 +357,9 @@
 /** Slots of the endpoint that can be used under its rate limit. */
 double dsp_limit_slots (const struct dsp *d,
                         const struct dsp_endpoint_state *s);
+/** Counts a rejection because of rate limits or pauses, as part of the
+    demand. */
+void dsp_limit_count_rejection (const struct dsp *d, struct dsp_pool *p);
 /** Counts a new request in the pool's rate for its priority. */
 void dsp_limit_count_request (const struct dsp *d, const struct dsp_req *q);
 /** Whether requests of higher priority need all of the permitted rate, so that
@@ -373,6 +379,23 @@
 /** Estimated number of slots that rejected requests of all nodes would use. */
 double dsp_limit_demand (const struct dsp *d, const struct dsp_pool *p);
 
+/* dispatch-avail.c */
+/** Whether the endpoint's server takes requests from this node: it has neither
+    asked for a pause nor announced that it is shutting down. */
+bool dsp_avail_allows (const struct dsp *d,
+                       const struct dsp_endpoint_state *s);
+bool dsp_avail_is_leaving (const struct dsp *d,
+                           const struct dsp_endpoint_state *s);
+/** Whether announcements leave no endpoint that could take @p q before
+    @p until. */
+bool dsp_avail_none_before (const struct dsp *d, const struct dsp_req *q,
+                            clk_ms until);
+/** Error code for a request that no endpoint of the pool takes in time. */
+enum dsp_code dsp_avail_code (const struct dsp *d, const struct dsp_pool *p);
+/** Delay after which a client may retry, if all endpoints are paused or
+    leaving; else 0. */
+clk_ms dsp_avail_retry_ms (struct dsp *d, struct dsp_pool *p);
+
 /* dispatch-crash.c */
 void dsp_run_interrupted (struct dsp *d, const struct dsp_req *q);
 /** Whether this node or another one found, a short time ago, that the
--- a/serve/dispatch-limit.c
+++ b/serve/dispatch-limit.c
@@ -195,6 +195,12 @@
                               : 0;
 }
 
+void
+dsp_limit_count_rejection (const struct dsp *d, struct dsp_pool *p)
+{
+  count_event (&p->rejection_rate, d->now);
+}
+
 /**
  * If all rejected clients got the same retry delay, they would return at the
  * same moment and be rejected again. Each client therefore gets a later time
@@ -207,7 +213,7 @@
   double sum = sum_of_limits (d, p, &exhausted);
   clk_ms start = p->assigned_until > d->now ? p->assigned_until : d->now;
 
-  count_event (&p->rejection_rate, d->now);
+  dsp_limit_count_rejection (d, p);
   p->assigned_until
       = start + (sum > 0 ? time_to_send (d, sum, 1) : MAX_LIMIT_RETRY_MS);
   if (p->assigned_until > d->now + MAX_LIMIT_RETRY_MS)
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -265,7 +265,7 @@
       struct dsp_endpoint_state *s = p->endpoints[i];
       if (!s->listed || !s->accepting || s->stalled || dsp_has_failed_at (q, s)
           || d->now < s->full_until || dsp_process_ended (d, s)
-          || slots_taken (s) >= s->capacity
+          || !dsp_avail_allows (d, s) || slots_taken (s) >= s->capacity
           || !dsp_limit_allows_request (d, s))
         continue;
       if (!best || slots_taken (s) < slots_taken (best))
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -260,13 +260,16 @@
   dsp_send_queued (d, p);
 }
 
-/** Estimated time until an endpoint has room for one more request: the queue,
-    divided by the rate at which the pool completes requests. */
+/** Estimated time until an endpoint has room for one more request: the end of
+   a pause, if all servers have asked for one; else the queue, divided by the
+    rate at which the pool completes requests. */
 static clk_ms
-estimate_retry_ms (const struct dsp *d, const struct dsp_pool *p)
+estimate_retry_ms (struct dsp *d, struct dsp_pool *p)
 {
-  double slots = 1, ms;
+  double slots = 1, ms = (double)dsp_avail_retry_ms (d, p);
 
+  if (ms > 0)
+    return (clk_ms)ms;
   for (size_t i = 0; i < p->n; i++)
     if (p->endpoints[i]->listed)
       slots += dsp_limit_slots (d, p->endpoints[i]);
@@ -330,11 +333,45 @@
                estimate_retry_ms (d, q->pool));
 }
 
+static clk_ms
+max_queue_ms (const struct dsp_req *q)
+{
+  return (clk_ms)(QUEUE_TIME_FRACTION * (double)q->route->latency_goal_ms);
+}
+
+static clk_ms
+queue_deadline (const struct dsp_req *q)
+{
+  return q->queued_at + max_queue_ms (q);
+}
+
+/** Whether all endpoints are paused or leaving for longer than the request may
+    wait. */
+static bool
+waits_in_vain (const struct dsp *d, const struct dsp_req *q)
+{
+  return dsp_avail_none_before (
+      d, q, q->queued ? queue_deadline (q) : d->now + max_queue_ms (q));
+}
+
+/** Rejects the request, which waits in vain. */
+static void
+reject_waiting (struct dsp *d, struct dsp_req *q)
+{
+  dsp_limit_count_rejection (d, q->pool);
+  give_up (d, q, dsp_avail_code (d, q->pool), DSP_INTERRUPTED);
+}
+
 static void
 requeue (struct dsp *d, struct dsp_req *q)
 {
   struct dsp_pool *p = q->pool;
 
+  if (waits_in_vain (d, q))
+    {
+      reject_waiting (d, q);
+      return;
+    }
   dsp_enqueue (d, q, true);
   dsp_send_queued (d, p);
 }
@@ -343,15 +380,16 @@
 take_retry (struct dsp *d, const struct dsp_req *q)
 {
   return q->sent_attempts < q->route->max_attempts && d->now < q->deadline
-         && dsp_budget_take_retry (d, q->pool);
+         && !waits_in_vain (d, q) && dsp_budget_take_retry (d, q->pool);
 }
 
 void
 dsp_attempt_failed (struct dsp *d, struct dsp_req *q, enum dsp_code code)
 {
-  bool retry = q->retryable && !dsp_is_suspect (d, q) && take_retry (d, q);
+  bool retry;
 
   record_failed_endpoint (q);
+  retry = q->retryable && !dsp_is_suspect (d, q) && take_retry (d, q);
   cancel_attempt (d, q);
   if (!retry)
     {
@@ -373,6 +411,13 @@
   d->now = now;
   if (!q || (q->state != DSP_S_CONNECTING && q->state != DSP_S_RECONNECTING))
     return false;
+  if (!dsp_avail_allows (d, q->endpoint))
+    {
+      cancel_attempt (d, q);
+      dsp_transition (q, DSP_EVENT_UNRUN);
+      requeue (d, q);
+      return false;
+    }
   dsp_transition (q, DSP_EVENT_SENT);
   q->sent_attempts++;
   q->sent_at = q->last_data_at = now;
@@ -416,15 +461,17 @@
 static void
 on_not_executed (struct dsp *d, struct dsp_req *q)
 {
-  struct dsp_endpoint_state *s = q->endpoint;
-  bool retry = take_retry (d, q);
+  bool retry;
 
-  s->full_until = d->now + TICK_INTERVAL_MS;
+  q->endpoint->full_until = d->now + TICK_INTERVAL_MS;
   record_failed_endpoint (q);
+  retry = take_retry (d, q);
   cancel_attempt (d, q);
   dsp_transition (q, DSP_EVENT_UNRUN);
   if (retry)
     requeue (d, q);
+  else if (waits_in_vain (d, q))
+    reject_waiting (d, q);
   else
     give_up (d, q, DSP_REFUSED, DSP_INTERRUPTED);
 }
@@ -537,13 +584,6 @@
 
 /* --- arrival, cancellation, time --------------------------------------- */
 
-static clk_ms
-queue_deadline (const struct dsp_req *q)
-{
-  return q->queued_at
-         + (clk_ms)(QUEUE_TIME_FRACTION * (double)q->route->latency_goal_ms);
-}
-
 void
 dsp_submit (struct dsp *d, clk_ms now, const struct dsp_request *in)
 {
@@ -575,9 +615,11 @@
   dsp_transition (q, DSP_EVENT_WAIT);
   dsp_enqueue (d, q, false);
   dsp_send_queued (d, q->pool);
-  if (q->queued
-      && (dsp_limit_needed_by_higher_priority (d, q->pool, q)
-          || now + dsp_limit_wait_ms (d, q->pool) > queue_deadline (q)))
+  if (q->queued && waits_in_vain (d, q))
+    reject_waiting (d, q);
+  else if (q->queued
+           && (dsp_limit_needed_by_higher_priority (d, q->pool, q)
+               || now + dsp_limit_wait_ms (d, q->pool) > queue_deadline (q)))
     dsp_give_up (d, q, DSP_RATE_LIMITED, DSP_INTERRUPTED,
                  dsp_limit_reject (d, q->pool));
 }
@@ -629,6 +671,8 @@
     give_up (d, q, code, DSP_DEADLINE);
   else if (q->queued && d->now >= queue_deadline (q))
     give_up (d, q, code, DSP_INTERRUPTED);
+  else if (q->queued && waits_in_vain (d, q))
+    reject_waiting (d, q);
   else if (is_overdue (d, q))
     {
       dsp_health_failure (d, q->endpoint);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -32,6 +32,7 @@
   DSP_OVERLOAD,      /**< 503: no endpoint had a free slot in time */
   DSP_RATE_LIMITED,  /**< 503: all servers have set rate limits, and the limits
                           are used up */
+  DSP_PAUSED,        /**< 503: all servers have asked this node for a pause */
   DSP_REFUSED,       /**< 503: every backend server tried reported that it did
                           not execute the request */
   DSP_NO_CONNECTION, /**< 503: no connection to any backend server */
@@ -225,7 +226,8 @@
 void dsp_client_disconnected (struct dsp *d, clk_ms now, uint64_t id);
 
 /** The request's bytes are about to be written to the socket.
-    @retval false the attempt has ended */
+    @retval false the attempt has ended, or its server has asked for a pause or
+    announced its shutdown since; nothing may be written */
 bool dsp_request_sent (struct dsp *d, clk_ms now, uint64_t id,
                        unsigned attempt);
 void dsp_connect_failed (struct dsp *d, clk_ms now, uint64_t id,
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -72,6 +72,7 @@
   uint64_t sent_fence; /* fencing number at the time of sending */
   bool is_order;
   enum frm_order_kind order;
+  bool connected;
   bool sent;
   int status;
   char *vm;
@@ -85,11 +86,19 @@
 {
   struct server_call *c = ctx;
 
+  clk_ms now = clk_now ();
+  const struct avl *avail = c->lead->s->avail;
+
+  c->connected = true;
   /* The lease may have expired while the connection was being opened. */
-  if (c->is_order && !own_may_order (c->lead->own, clk_now ()))
+  if (c->is_order && !own_may_order (c->lead->own, now))
+    return false;
+  /* A paused server is sent nothing.  An established connection answers a
+     probe as well: a process listens there. */
+  if (avl_paused_until (avail, now, c->process))
     return false;
   c->sent = true;
-  avl_count_sent (c->lead->s->avail, clk_now (), c->process);
+  avl_count_sent (c->lead->s->avail, now, c->process);
   return true;
 }
 
@@ -126,6 +135,14 @@
   return FRM_UNANSWERED;
 }
 
+static bool
+probe_answered (const struct server_call *c)
+{
+  if (!c->sent)
+    return c->connected;
+  return c->status != 0 && c->status != STATUS_MISDIRECTED;
+}
+
 static void
 unlink_call (struct server_call *c)
 {
@@ -157,8 +174,7 @@
         srv_sync_read_soon (lead->s, now);
     }
   else if (c->sent_fence == (uint64_t)own_fence (lead->own))
-    frm_probe_done (lead->form, now, c->token,
-                    c->status != 0 && c->status != STATUS_MISDIRECTED);
+    frm_probe_done (lead->form, now, c->token, probe_answered (c));
   free (c->vm);
   free (c);
   run_form_actions (lead);
@@ -432,7 +448,8 @@
 srv_leader_start (struct srv *s)
 {
   struct srv_leader *lead = xcalloc (1, sizeof *lead);
-  struct frm_options form = { .stall_ms = s->settings.stall_ms,
+  struct frm_options form = { .avail = s->avail,
+                              .stall_ms = s->settings.stall_ms,
                               .ceiling_window_s = s->settings.ceiling_window_s,
                               .ceiling_over = s->settings.ceiling_over };
   struct own_options own
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -103,9 +103,11 @@
 {
   struct srv_attempt *at = ctx;
 
+  if (!dsp_request_sent (at->ex->s->dispatch, clk_now (), at->ex->id,
+                         at->number))
+    return false;
   at->ex->attempts_sent++;
-  return dsp_request_sent (at->ex->s->dispatch, clk_now (), at->ex->id,
-                           at->number);
+  return true;
 }
 
 /** Whether the status tells clients that the request was not run.  A backend
@@ -292,7 +294,8 @@
       break;
     case HTTPC_CONNECT_FAILED:
     case HTTPC_STOPPED:
-      log_attempt_lost (at, "no-connection");
+      log_attempt_lost (at,
+                        end == HTTPC_STOPPED ? "not-sent" : "no-connection");
       dsp_connect_failed (s->dispatch, now, ex->id, at->number);
       break;
     case HTTPC_BROKEN:
--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -254,7 +254,7 @@
       return;
     }
   for (size_t i = 0; i < r->nmembers; i++)
-    if (r->members[i] && r->members[i]->entry.draining)
+    if (r->members[i] && frm_is_leaving (f, r->members[i]))
       {
         begin_close (f, r, false);
         return;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -196,6 +196,10 @@
  * Whether the VM may be a member: listed, responsive, not draining, not
  * excluded and not blocked by the replica of its previous incarnation.
  */
+/** Whether the VM drains: it is listed so, or its server has announced it. */
+bool frm_is_leaving (const struct frm *f, const struct frm_vm *vm);
+/** Whether the VM's server has asked this node to send it nothing. */
+bool frm_is_paused (const struct frm *f, const struct frm_vm *vm);
 bool frm_may_be_member (const struct frm *f, const struct frm_vm *vm);
 /** Whether the VM reports that it is ready in its assigned replica. */
 bool frm_is_ready (const struct frm_vm *vm);
--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -60,13 +60,21 @@
          && f->list_read_at < vm->accepted_at + FRM_REPORT_DELAY_MS;
 }
 
+bool
+frm_is_paused (const struct frm *f, const struct frm_vm *vm)
+{
+  return f->opt.avail && avl_paused_until (f->opt.avail, f->now, vm->process);
+}
+
 bool
 frm_send_order (struct frm *f, struct frm_vm *vm, enum frm_order_kind kind,
                 struct frm_replica *r)
 {
   struct frm_action *a;
 
-  if (vm->order_token || f->now < vm->next_order_at
+  /* An order to a paused server is sent on a later tick, if it is still needed
+     then. */
+  if (vm->order_token || f->now < vm->next_order_at || frm_is_paused (f, vm)
       || is_awaiting_report (f, vm, kind, r))
     return false;
   a = push_action (f, FRM_ORDER, vm);
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -65,8 +65,9 @@
 may_preload (const struct frm *f, const struct frm_vm *vm)
 {
   return frm_may_be_member (f, vm) && !vm->order_token
-         && f->now >= vm->preload_until && vm->entry.domain.len > 0
-         && frm_loaded_model (vm).len > 0 && !has_preloaded_other (vm)
+         && !frm_is_paused (f, vm) && f->now >= vm->preload_until
+         && vm->entry.domain.len > 0 && frm_loaded_model (vm).len > 0
+         && !has_preloaded_other (vm)
          && (vm->replica ? frm_is_ready (vm)
                          : vm->entry.member_state == BKS_NO_REPLICA);
 }
--- a/serve/form.c
+++ b/serve/form.c
@@ -240,10 +240,17 @@
   return false;
 }
 
+bool
+frm_is_leaving (const struct frm *f, const struct frm_vm *vm)
+{
+  return vm->entry.draining
+         || (f->opt.avail && avl_is_leaving (f->opt.avail, vm->process));
+}
+
 bool
 frm_may_be_member (const struct frm *f, const struct frm_vm *vm)
 {
-  return vm->listed && !vm->unresponsive && !vm->entry.draining
+  return vm->listed && !vm->unresponsive && !frm_is_leaving (f, vm)
          && f->now >= vm->excluded_until && !is_blocked_by_old_replica (f, vm);
 }
 
--- a/serve/form.h
+++ b/serve/form.h
@@ -83,6 +83,8 @@
   clk_ms stall_ms;
   double ceiling_window_s; /**< window of the limit on loads */
   double ceiling_over;     /**< factor on the allowed rate of loads */
+  const struct avl *avail; /**< availability announced by servers; borrowed;
+                                NULL: not tracked */
 };
 
 struct frm;
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -14,12 +14,14 @@
   struct dsp *d;
   struct psn *poison;
   struct lim *limits;
+  struct avl *avail;
   struct tbl *config;
   clk_ms now;
   struct dsp_endpoint endpoints[MAX_ENDPOINTS];
   char names[MAX_ENDPOINTS][16];
   size_t n;
   unsigned attempt[100];
+  bool show_delays;
   struct buf log;
 };
 
@@ -87,6 +89,16 @@
   buf_add_char (&b->log, '\n');
 }
 
+static void
+log_error (struct fixture *b, const struct dsp_action *a)
+{
+  buf_addf (&b->log, "error %d %s %d%s", (int)a->id, dsp_code_name (a->code),
+            dsp_code_status (a->code), a->retry_after_ms ? " retry" : "");
+  if (b->show_delays && a->retry_after_ms)
+    buf_addf (&b->log, " %lld", (long long)a->retry_after_ms);
+  buf_add_char (&b->log, '\n');
+}
+
 static void
 take_actions (struct fixture *b)
 {
@@ -108,9 +120,7 @@
         buf_addf (&b->log, "complete %d\n", (int)a.id);
         break;
       case DSP_ACT_RESPOND_ERROR:
-        buf_addf (&b->log, "error %d %s %d%s\n", (int)a.id,
-                  dsp_code_name (a.code), dsp_code_status (a.code),
-                  a.retry_after_ms ? " retry" : "");
+        log_error (b, &a);
         break;
       case DSP_ACT_TRUNCATE:
         buf_addf (&b->log, "truncate %d %s\n", (int)a.id,
@@ -228,6 +238,28 @@
   dsp_permits_granted (b->d, b->now);
 }
 
+/** A response of the server carries this notice. */
+static void
+give_notice (struct fixture *b, const char *server, clk_ms pause_ms,
+             bool leaving)
+{
+  struct avl_notice notice
+      = { .leaving = leaving, .retry_after_ms = pause_ms };
+
+  avl_on_notice (b->avail, b->now, dsp_endpoint_hash (str_from (server), 0, 0),
+                 &notice);
+}
+
+/** Forms the replica anew: the same server leads its next generation. */
+static void
+form_again (struct fixture *b, const char *name)
+{
+  for (size_t i = 0; i < b->n; i++)
+    if (strcmp (b->names[i], name) == 0)
+      b->endpoints[i].generation++;
+  dsp_set_endpoints (b->d, b->now, b->endpoints, b->n);
+}
+
 static void
 response_event (struct fixture *b, const char *command, uint64_t id)
 {
@@ -323,6 +355,14 @@
     set_limit (b, x, y);
   else if (strcmp (command, "permit") == 0)
     grant_permit (b, x);
+  else if (strcmp (command, "pause") == 0)
+    give_notice (b, x, atoi (y), false);
+  else if (strcmp (command, "leave") == 0)
+    give_notice (b, x, 0, true);
+  else if (strcmp (command, "form-again") == 0)
+    form_again (b, x);
+  else if (strcmp (command, "delays") == 0)
+    b->show_delays = true;
   else if (strcmp (command, "peer-ended") == 0)
     report_ended (b, x);
   else if (strcmp (command, "crashed") == 0)
@@ -359,6 +399,7 @@
 
   b.poison = opt.poison = psn_new ();
   b.limits = opt.limits = lim_new (1);
+  b.avail = opt.avail = avl_new ();
   lim_set_role (b.limits, b.now, false, 1);
   b.d = dsp_new (&opt, 1);
   while ((text = strsep (&next, "\n")) != NULL)
@@ -372,6 +413,7 @@
   dsp_free (b.d);
   psn_free (b.poison);
   lim_free (b.limits);
+  avl_free (b.avail);
   tbl_unref (b.config);
   buf_free (&b.log);
   free (copy);
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -17,6 +17,10 @@
  *   limit SERVER RATE          the server accepts RATE requests per second;
  *                              "none" removes the limit
  *   permit SERVER              grants this node a permit for one request
+ *   pause SERVER MS            a response of the server asks for a pause
+ *   leave SERVER               a response announces the server's shutdown
+ *   form-again SERVER          it leads the next generation of its replica
+ *   delays                     retry delays are logged from now on
  *   sent|connect-failed|ok|error|final|not-executed|event|complete|interrupted
  *   |client-gone ID            event of the request's current attempt
  *   crashed|alive|unknown SERVER
@@ -30,7 +34,7 @@
  *
  * The log has a line for each action: "send ID SERVER [resume] [pN]", with the
  * priority if it is not 1, "cancel ID", "forward ID", "complete ID", "truncate
- * ID CODE", "error ID CODE STATUS [retry]", "stalled SERVER" and "check
+ * ID CODE", "error ID CODE STATUS [retry [MS]]", "stalled SERVER" and "check
  * SERVER".
  */
 #ifndef LAPISLINE_T_LIB_DISPATCH_H
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -39,6 +39,7 @@
   struct frm *cores[2];
   bool leading[2];
   struct bks *lists[2];
+  struct avl *avail; /**< for both cores */
   struct tbl *config;
   clk_ms now, last_list_at;
   clk_ms list_ms; /**< interval between two lists */
@@ -525,6 +526,19 @@
   w->delay_all = all;
 }
 
+/** A response of the server carries this notice. */
+static void
+give_notice (struct world *w, const struct vm *vm, clk_ms pause_ms,
+             bool leaving)
+{
+  struct avl_notice notice
+      = { .leaving = leaving, .retry_after_ms = pause_ms };
+
+  avl_on_notice (w->avail, w->now,
+                 dsp_endpoint_hash (str_from (vm->id), vm->started_at, 0),
+                 &notice);
+}
+
 static void
 run_command (struct world *w, const char *command, const char *a, int n)
 {
@@ -544,6 +558,10 @@
   else if (strcmp (command, "delay-all") == 0
            || strcmp (command, "drop-all") == 0)
     delay_orders (w, a, command[1] == 'r', true);
+  else if (strcmp (command, "pause") == 0)
+    give_notice (w, vm, n, false);
+  else if (strcmp (command, "leave") == 0)
+    give_notice (w, vm, 0, true);
   else if (strcmp (command, "restart") == 0)
     restart_vm (w, vm);
   else if (strcmp (command, "respond") == 0)
@@ -621,6 +639,8 @@
   struct world w
       = { .now = 1000, .list_ms = LIST_MS, .config = make_config () };
 
+  w.avail = avl_new ();
+  opt.avail = w.avail;
   for (size_t i = 0; i < 2; i++)
     {
       w.cores[i] = frm_new (&opt);
@@ -634,6 +654,7 @@
       frm_free (w.cores[i]);
       bks_free (w.lists[i]);
     }
+  avl_free (w.avail);
   tbl_unref (w.config);
   buf_free (&w.log);
 }
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -15,6 +15,8 @@
  *   disconnect ID        no responses, not listed, but it keeps running
  *   expire ID            not listed; it runs and responds as before
  *   drain ID             it reports that it is draining
+ *   pause ID MS          one of its responses asks for a pause
+ *   leave ID             one of its responses announces its shutdown
  *   broken ID            it reports its replica as broken
  *   delay KIND           the next order of this kind gets no response and is
  *                        carried out by "apply"
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -545,3 +545,60 @@
               "4 orders\n"
               "r1001 big is open: a1 a2 a3\n");
 }
+
+/*
+ * Guards against an order to a server that has asked for a pause.  A member is
+ * lost meanwhile; the order to close is sent when the pause is over.
+ */
+Test (form, a_paused_leader_gets_no_orders)
+{
+  form_check ("lead 1\n vms a 6\n run 5000\n traffic\n pause a1 1500\n"
+              "kill a2\n run 1400\n show\n run 1100\n show\n",
+              FORMED "r1001 big is open: a1 a2 a3\n"
+                     "r1002 small is open: a4 a5\n"
+                     "a6 is warm for big\n"
+                     "force-close r1001 a1\n"
+                     "leave r1001 a1\n"
+                     "join r1004 big: a1 a3 a6\n"
+                     "open r1004 a1\n"
+                     "r1004 big is open: a1 a3 a6\n"
+                     "r1002 small is open: a4 a5\n");
+}
+
+/*
+ * Guards against a member that has announced its shutdown in a response and is
+ * still listed as ready: its replica closes after its running requests, and is
+ * formed again with the spare.
+ */
+Test (form, a_leaving_member_is_replaced)
+{
+  form_check ("lead 1\n vms a 6\n run 5000\n traffic\n leave a2\n run 1500\n"
+              "show\n",
+              FORMED "close r1001 a1\n"
+                     "leave r1001 a1\n"
+                     "join r1004 big: a1 a3 a6\n"
+                     "open r1004 a1\n"
+                     "r1004 big is open: a1 a3 a6\n"
+                     "r1002 small is open: a4 a5\n");
+}
+
+/*
+ * A server that has announced its shutdown is in no replica.  Once it has
+ * restarted under the same id, it is used again.
+ */
+Test (form, a_leaving_server_is_used_again_after_its_restart)
+{
+  form_check ("lead 1\n vms a 5\n run 5000\n leave a4\n run 2000\n show\n"
+              "restart a4\n run 5000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "join r1002 small: a4 a5\n"
+              "open r1001 a1\n"
+              "open r1002 a4\n"
+              "close r1002 a4\n"
+              "leave r1002 a4\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "join r1003 small: a5 a4\n"
+              "open r1003 a5\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "r1003 small is open: a5 a4\n");
+}
