route, front: send nothing to backend servers that ask for a pause or leave

Same cause on the classic path: a gateway took a status of not_run_status for a reason to try another server and read nothing else, so a server that named a Retry-After went on getting its part of all requests, and one that shut down too.

back/ decodes both headers of the product's own protocol (Retry-After with 503 or 429, Server-Leaving with any status), from answers to requests and state probes. The table of announcements moves from serve/ to back/, so both paths have one. The request core leaves such servers out of each choice (candidates, ejected servers due for a probe, last resort, slots granted by the home) and asks once more as the connection stands; requests that wait for a target without any server left end at once with code servers-paused, as new ones do, and a Retry-After of the first pause's end. State probes wait for the end of the pause. A pause is found by the server's address.

--- a/serve/avail.c
+++ b/back/avail.c
@@ -1,15 +1,15 @@
-#include "serve/avail.h"
+#include "back/avail.h"
 
 #include <glib.h>
+#include <math.h>
 #include <stdlib.h>
 
-#include "base/str.h"
-
 /** A server that has announced something. */
 struct avl_server
 {
   uint64_t server;
   bool leaving;
+  clk_ms leaving_since;  /**< when its shutdown was first announced */
   bool malformed_logged; /**< a malformed delay of this server was logged */
   clk_ms paused_until;   /**< end of the latest pause; 0: never paused */
   clk_ms noticed_at;     /**< time of the newest notice */
@@ -22,6 +22,9 @@
   uint64_t pauses, sent_paused, sent_leaving;
 };
 
+/** Limit on delays, so that times computed from them don't overflow. */
+#define MAX_DELAY_S 1e9
+
 /* --- table --------------------------------------------------------------- */
 
 struct avl *
@@ -100,6 +103,21 @@
 
 /* --- notices ------------------------------------------------------------- */
 
+void
+avl_add_delay (struct avl_notice *notice, struct str seconds)
+{
+  double x;
+
+  if (!str_to_decimal (str_trim (seconds), &x))
+    {
+      notice->malformed = true;
+      return;
+    }
+  clk_ms ms = (clk_ms)ceil (fmin (x, MAX_DELAY_S) * (double)CLK_SECOND);
+  if (ms > notice->retry_after_ms)
+    notice->retry_after_ms = ms;
+}
+
 static void
 extend_pause (struct avl *a, struct avl_server *x, clk_ms now, clk_ms ms,
               struct avl_change *out)
@@ -127,8 +145,11 @@
     return out;
   x = find_or_add (a, now, server);
   x->noticed_at = now;
-  out.leaving = notice->leaving && !x->leaving;
-  x->leaving |= notice->leaving;
+  if (notice->leaving && !x->leaving)
+    {
+      out.leaving = x->leaving = true;
+      x->leaving_since = now;
+    }
   out.malformed = notice->malformed && !x->malformed_logged;
   x->malformed_logged |= notice->malformed;
   if (notice->retry_after_ms > 0)
@@ -154,6 +175,23 @@
   return x && x->leaving;
 }
 
+clk_ms
+avl_leaving_since (const struct avl *a, uint64_t server)
+{
+  const struct avl_server *x = find (a, server);
+
+  return x && x->leaving ? x->leaving_since : 0;
+}
+
+void
+avl_forget_leaving (struct avl *a, uint64_t server)
+{
+  struct avl_server *x = find (a, server);
+
+  if (x)
+    x->leaving = false;
+}
+
 clk_ms
 avl_paused_until (const struct avl *a, clk_ms now, uint64_t server)
 {
--- a/serve/avail.h
+++ b/back/avail.h
@@ -11,18 +11,20 @@
  * Responses can be reordered, so a pause is only ever extended: it ends at the
  * latest time that any response gave.  An announced shutdown is final.
  *
- * A server is identified by dsp_endpoint_hash() without a generation, because
- * both belong to the process and not to the replica that it leads.  The core
- * does no I/O: its caller passes in events and the current time.
+ * A server is identified by a hash that its user chooses.  Both belong to the
+ * process and not to the replica that it leads, so the hash must not depend on
+ * the replica's generation.  The core does no I/O: its caller passes in events
+ * and the current time.
  */
-#ifndef LAPISLINE_SERVE_AVAIL_H
-#define LAPISLINE_SERVE_AVAIL_H
+#ifndef LAPISLINE_BACK_AVAIL_H
+#define LAPISLINE_BACK_AVAIL_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "base/str.h"
 
 /** Maximum number of servers in the table. */
 #define AVL_MAX_SERVERS 4096
@@ -48,6 +50,10 @@
   clk_ms paused_for; /**< remaining time of the pause */
 };
 
+/** Add a delay in seconds, as in a Retry-After header; the longest one
+    counts. */
+void avl_add_delay (struct avl_notice *notice, struct str seconds);
+
 struct avl;
 
 struct avl *avl_new (void);
@@ -63,6 +69,13 @@
 /** Whether the server has announced its shutdown. */
 bool avl_is_leaving (const struct avl *a, uint64_t server);
 
+/** When the server first announced its shutdown; 0: it has not. */
+clk_ms avl_leaving_since (const struct avl *a, uint64_t server);
+
+/** The process that announced its shutdown has ended, and another one may take
+    its place.  Needed only where a process is not told by its hash. */
+void avl_forget_leaving (struct avl *a, uint64_t server);
+
 /** End of the server's pause; 0: it is not paused. */
 clk_ms avl_paused_until (const struct avl *a, clk_ms now, uint64_t server);
 
--- a/back/back.h
+++ b/back/back.h
@@ -3,6 +3,7 @@
  * Adapters to kinds of backend servers: how a caller's request is forwarded
  * and when an answer is whole.  One file a kind; no I/O here.
  *
+ *   avail.h    pauses and shutdowns that backend servers announce
  *   headers.c  what is passed on and what is not, both ways
  *   model.c    OpenAI-style HTTP with server-sent events
  *   service.c  plain HTTP as it is
@@ -10,6 +11,7 @@
 #ifndef LAPISLINE_BACK_BACK_H
 #define LAPISLINE_BACK_BACK_H
 
+#include "back/avail.h"
 #include "base/trace.h"
 #include "net/httpc.h"
 
@@ -84,6 +86,9 @@
 
 void back_answer_head (struct back_answer *a, int status,
                        const struct http_header *headers, size_t n);
+/** What an answer says of its server's availability. */
+void back_answer_notice (int status, const struct http_header *headers,
+                         size_t n, struct avl_notice *out);
 void back_answer_body (struct back_answer *a, struct str bytes);
 
 /** Header of that lower-case name, or the empty view. */
--- a/back/headers.c
+++ b/back/headers.c
@@ -148,6 +148,20 @@
   a->events = str_starts (type, STR ("text/event-stream"));
 }
 
+void
+back_answer_notice (int status, const struct http_header *headers, size_t n,
+                    struct avl_notice *out)
+{
+  bool rejected = status == 503 || status == 429;
+
+  *out = (struct avl_notice){ 0 };
+  for (size_t i = 0; i < n; i++)
+    if (rejected && str_is (headers[i].name, "retry-after"))
+      avl_add_delay (out, headers[i].value);
+    else if (str_is (headers[i].name, "server-leaving"))
+      out->leaving |= str_is (str_trim (headers[i].value), "1");
+}
+
 static void
 keep_tail (struct back_answer *a, struct str bytes)
 {
--- a/base/str.c
+++ b/base/str.c
@@ -2,6 +2,8 @@
 
 #include <ctype.h>
 #include <errno.h>
+#include <glib.h>
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -130,6 +132,24 @@
   return true;
 }
 
+bool
+str_to_decimal (struct str s, double *out)
+{
+  char text[32], *end;
+  if (s.len == 0 || s.len >= sizeof text || !isdigit ((unsigned char)s.ptr[0]))
+    return false;
+  memcpy (text, s.ptr, s.len);
+  text[s.len] = '\0';
+  /* strtod also accepts hexadecimal numbers. */
+  if (strpbrk (text, "xX"))
+    return false;
+  double x = g_ascii_strtod (text, &end);
+  if (*end != '\0' || !isfinite (x))
+    return false;
+  *out = x;
+  return true;
+}
+
 static int
 hex_digit (char c)
 {
--- a/base/str.h
+++ b/base/str.h
@@ -93,6 +93,12 @@
  */
 bool str_to_i64 (struct str s, int64_t *out);
 
+/**
+ * Decimal number, also with a fraction or an exponent.
+ * @retval false  not such a number, negative, or not finite; @p out is left
+ */
+bool str_to_decimal (struct str s, double *out);
+
 /**
  * Bytes written as two lower-case hexadecimal digits each.
  * @param len  bytes that @p out holds
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -149,6 +149,24 @@
   return at->granted && !at->stopped;
 }
 
+/** Tell the core what the answer says of its server's availability. */
+static void
+send_notice (const struct gw_attempt *at, int status,
+             const struct http_header *h, size_t n)
+{
+  struct avl_notice notice;
+
+  back_answer_notice (status, h, n, &notice);
+  gw_log_notice (str_from (at->name), &notice);
+  struct rt_event ev = { .kind = RT_EV_NOTICE,
+                         .id = at->ex->id,
+                         .attempt = at->number,
+                         .on = notice.leaving,
+                         .retry_ms = notice.retry_after_ms };
+  if (notice.leaving || notice.retry_after_ms)
+    gw_callers_event (at->ex->c, &ev);
+}
+
 static void
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
@@ -158,7 +176,9 @@
   at->heard_at = clk_now ();
   head_keep (&at->head, status, h, n);
   back_answer_head (&at->answer, status, h, n);
-  send_event (at, RT_EV_HEAD, status, 0, 0);
+  send_notice (at, status, h, n);
+  if (!at->stopped)
+    send_event (at, RT_EV_HEAD, status, 0, 0);
   /* Bytes that continue an answer follow those that were passed. */
   if (at->resumed && !at->stopped)
     at->passing = true;
--- a/front/callers.c
+++ b/front/callers.c
@@ -202,6 +202,7 @@
   struct buf text = BUF_INIT;
 
   met_set (c->m_waiting, (double)waiting (c));
+  gw_notice_metrics (c);
   met_expose (c->g->met, &text);
   httpd_answer (req, 200, &type, 1, buf_str (&text));
   buf_free (&text);
@@ -307,6 +308,17 @@
                          "Requests that have not ended.", NULL);
   c->m_waiting = met_gauge (m, "lapisline_waiting_requests",
                             "Requests that wait for a backend server.", NULL);
+  c->m_paused
+      = met_gauge (m, "lapisline_backends_paused",
+                   "Backend servers that have asked this gateway to send "
+                   "nothing for a while.",
+                   NULL);
+  c->m_leaving = met_gauge (
+      m, "lapisline_backends_leaving",
+      "Backend servers that have announced that they shut down.", NULL);
+  c->m_sent_paused
+      = met_gauge (m, "lapisline_sent_paused",
+                   "Requests sent to backend servers in a pause.", NULL);
   c->m_first_byte
       = met_histogram (m, "lapisline_first_byte_ms",
                        "From a request to its answer's first byte.", NULL);
--- a/front/callers.h
+++ b/front/callers.h
@@ -7,6 +7,7 @@
  *   parse.c     HTTP request to a request of the core
  *   exchange.c  I/O of one request: attempts, what the caller is sent
  *   attempt.c   one attempt at a backend server
+ *   notice.c    pauses and shutdowns that backend servers announce
  *   answer.c    answers of our own, with code and outcome
  *   address.c   which address to use
  */
@@ -240,6 +241,7 @@
   uint32_t serial;
   struct met_series *m_open;
   struct met_series *m_waiting;
+  struct met_series *m_paused, *m_leaving, *m_sent_paused;
   struct met_series *m_first_byte;
   struct met_series *m_latency;
 };
@@ -250,6 +252,13 @@
 void gw_callers_add (struct gw_callers *c, struct gw_exchange *ex);
 void gw_callers_remove (struct gw_callers *c, struct gw_exchange *ex);
 
+/* ---- notice.c ---- */
+
+/** Log what a response says of the availability of its server. */
+void gw_log_notice (struct str server, const struct avl_notice *notice);
+/** Set the gauges of announced pauses and shutdowns. */
+void gw_notice_metrics (struct gw_callers *c);
+
 /* ---- address.c ---- */
 
 /** Answer GET /v1/address. */
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -136,6 +136,13 @@
 /** Tell the request core of a model's home. */
 void gw_callers_tell (struct gw_callers *c, const struct rt_event *ev);
 
+/** A response to a state probe of the server at @p addr carries a notice. */
+void gw_callers_notice (struct gw_callers *c, const struct net_addr *addr,
+                        const struct avl_notice *notice);
+/** Whether the server at @p addr has asked this node to send it nothing. */
+bool gw_callers_paused (const struct gw_callers *c,
+                        const struct net_addr *addr);
+
 /* probe.c */
 
 /**
--- a/front/probe.c
+++ b/front/probe.c
@@ -3,6 +3,7 @@
 
 #include <json-c/json.h>
 
+#include "back/back.h"
 #include "front/gateway.h"
 #include "front/members.h"
 #include "replica/replica.h"
@@ -217,7 +218,11 @@
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
   struct probe_member *m = ctx;
+  struct avl_notice notice;
+
   m->status = status;
+  back_answer_notice (status, h, n, &notice);
+  gw_callers_notice (m->of->p->g->callers, &m->addr, &notice);
 }
 
 static void
@@ -257,7 +262,7 @@
                              .connect_ms = ANSWER_MS,
                              .progress_ms = ANSWER_MS };
 
-  if (m->call != NULL)
+  if (m->call != NULL || gw_callers_paused (p->g->callers, &m->addr))
     return;
   buf_clear (&m->body);
   m->status = 0;
--- a/route/admit.c
+++ b/route/admit.c
@@ -138,10 +138,7 @@
   if (misses_deadline (r, q, wait))
     return RT_CODE_DEADLINE;
   if (!rt_has_usable_server (r, q->target))
-    {
-      *retry_ms = RT_DEFAULT_RETRY_MS;
-      return RT_CODE_NO_REPLICA;
-    }
+    return rt_avail_code (r, q->target, retry_ms);
   enum rt_code code = rt_limit_admit (r, q->account, q->cost, retry_ms);
   if (code != RT_CODE_NONE)
     return code;
--- a/route/attempt.c
+++ b/route/attempt.c
@@ -17,6 +17,11 @@
 {
   struct rt_target *t = q->target;
   rt_detach_server (r, q);
+  if (rt_avail_blocks (r, t))
+    {
+      rt_fail_blocked (r, q);
+      return;
+    }
   if (delay > 0)
     {
       rt_set_timer (r, q, r->now + delay);
@@ -66,6 +71,15 @@
 static void
 on_connected (struct rt *r, struct rt_req *q)
 {
+  if (!rt_avail_allows (r, q->server))
+    {
+      /* It has asked for a pause, or announced its shutdown, since it was
+         chosen. */
+      rt_push_action (r, RT_ACT_CANCEL, q);
+      rt_apply_chart_event (q, RT_X_CONNECT_FAILED);
+      requeue (r, q, 0);
+      return;
+    }
   if (q->has_key && !q->sent && !rt_grant_is_valid (r, q))
     {
       /* The claim may have expired while the connection was set up, and
@@ -77,6 +91,7 @@
     }
   rt_apply_chart_event (q, RT_X_SEND);
   q->sent = true;
+  avl_count_sent (r->avail, r->now, q->server->avail_key);
   q->started_at = r->now;
   q->pending = true;
   q->server->pending++;
@@ -108,9 +123,12 @@
       rt_give_up (r, q, RT_CODE_BACKEND_REFUSED);
       return;
     }
+  clk_ms retry_ms = RT_DEFAULT_RETRY_MS;
+  if (rt_avail_blocks (r, q->target))
+    rt_avail_code (r, q->target, &retry_ms);
   rt_cancel_work (r, q);
   rt_apply_chart_event (q, RT_X_REFUSED_FINAL);
-  rt_respond_error (r, q, RT_CODE_BACKEND_REFUSED, RT_DEFAULT_RETRY_MS);
+  rt_respond_error (r, q, RT_CODE_BACKEND_REFUSED, retry_ms);
 }
 
 static bool
@@ -224,7 +242,9 @@
     return;
   bool connecting
       = q->state == RT_S_CONNECTING || q->state == RT_S_RECONNECTING;
-  if (ev->kind == RT_EV_CONNECTED && connecting)
+  if (ev->kind == RT_EV_NOTICE)
+    rt_avail_notice (r, q, ev);
+  else if (ev->kind == RT_EV_CONNECTED && connecting)
     on_connected (r, q);
   else if (ev->kind == RT_EV_CONNECT_FAILED && connecting)
     on_connect_failed (r, q);
--- a/route/choose.c
+++ b/route/choose.c
@@ -22,12 +22,18 @@
 #define PREFIX_MIN_BOUND 0.5
 
 bool
-rt_is_usable (const struct rt *r, const struct rt_server *s)
+rt_is_offered (const struct rt *r, const struct rt_server *s)
 {
   return s->listed && s->complete && !s->draining && !s->down && !s->observe
          && s->valid_until > r->now;
 }
 
+bool
+rt_is_usable (const struct rt *r, const struct rt_server *s)
+{
+  return rt_is_offered (r, s) && rt_avail_allows (r, s);
+}
+
 static bool
 was_tried (const struct rt_req *q, uint64_t hash)
 {
--- a/route/code.c
+++ b/route/code.c
@@ -29,6 +29,7 @@
   [RT_CODE_CLAIM_MISMATCH] = { "key-mismatch", 422 },
   [RT_CODE_BACKEND_REFUSED] = { "backend-refused", 503 },
   [RT_CODE_CALLER_GONE] = { "caller-gone", 499 },
+  [RT_CODE_PAUSED] = { "servers-paused", 503 },
 };
 
 const char *
--- a/route/core.h
+++ b/route/core.h
@@ -15,6 +15,7 @@
  *   choose.c   choice of the server
  *   retry.c    retry budget and backoff
  *   outlier.c  ejection of servers that do worse than their peers
+ *   avail.c    pauses and shutdowns announced by servers
  *   code.c     names and statuses of outcomes and codes
  */
 #ifndef LAPISLINE_ROUTE_CORE_H
@@ -123,6 +124,8 @@
   char *zone;
   uint64_t hash;
   struct net_addr addr;
+  uint64_t avail_key;   /**< rt_avail_key() of `addr` */
+  uint64_t leaving_key; /**< rt_leaving_key() */
   int64_t generation;
   bool same_zone;
   bool listed; /**< in the last list; otherwise kept for requests in flight */
@@ -319,6 +322,7 @@
   struct rt_demand *demands;
   struct rt_server_stats *views;
   struct rt_slot *slots;
+  struct avl *avail;
 };
 
 /* route.c */
@@ -349,6 +353,8 @@
                 clk_ms retry_ms);
 void rt_give_up (struct rt *r, struct rt_req *q, enum rt_code code);
 void rt_end_request (struct rt *r, struct rt_req *q);
+/** End a request whose target has no server left because of announcements. */
+void rt_fail_blocked (struct rt *r, struct rt_req *q);
 bool rt_may_have_run (const struct rt_req *q);
 clk_ms rt_clamp_retry (double ms);
 void rt_enqueue (struct rt *r, struct rt_req *q, bool front);
@@ -426,7 +432,29 @@
 /** Mean service time of a request, ms. */
 double rt_service_ms (const struct rt_target *t);
 
+/* avail.c */
+/** Key of a server's pause. */
+uint64_t rt_avail_key (const struct net_addr *addr);
+/** Key of a server's shutdown, from its address and generation. */
+uint64_t rt_leaving_key (const struct rt_server *s);
+/** Whether the server has neither asked for a pause nor announced its
+    shutdown. */
+bool rt_avail_allows (const struct rt *r, const struct rt_server *s);
+/** Whether announcements leave the target no usable server. */
+bool rt_avail_blocks (const struct rt *r, const struct rt_target *t);
+/** Code and retry delay for a request to a target that has no server. */
+enum rt_code rt_avail_code (struct rt *r, const struct rt_target *t,
+                            clk_ms *retry_ms);
+/** A response to the current attempt of @p q carries a notice. */
+void rt_avail_notice (struct rt *r, struct rt_req *q,
+                      const struct rt_event *ev);
+/** Same, for a response to a state probe. */
+void rt_avail_notice_from (struct rt *r, const struct rt_event *ev);
+
 /* choose.c */
+/** Whether the server is listed for requests and valid. */
+bool rt_is_offered (const struct rt *r, const struct rt_server *s);
+/** Whether requests may be sent to the server now. */
 bool rt_is_usable (const struct rt *r, const struct rt_server *s);
 struct rt_server *rt_choose (void *ctx, struct rt *r, struct rt_target *t,
                              const struct rt_req *q);
--- a/route/record-read.c
+++ b/route/record-read.c
@@ -15,7 +15,7 @@
   [RT_EV_WHOLE] = "whole",         [RT_EV_BROKEN] = "broken",
   [RT_EV_SILENT] = "silent",       [RT_EV_CALLER_GONE] = "caller-gone",
   [RT_EV_NODES] = "nodes",         [RT_EV_SLOT] = "slot",
-  [RT_EV_SLOT_HOME] = "slot-home",
+  [RT_EV_SLOT_HOME] = "slot-home", [RT_EV_NOTICE] = "notice",
 };
 
 const char *const rec_action_names[REC_ACTIONS] = {
--- a/route/request.c
+++ b/route/request.c
@@ -212,6 +212,14 @@
     rt_refuse (r, q, code, retry_ms);
 }
 
+void
+rt_fail_blocked (struct rt *r, struct rt_req *q)
+{
+  clk_ms retry_ms;
+  enum rt_code code = rt_avail_code (r, q->target, &retry_ms);
+  fail_request (r, q, code, retry_ms);
+}
+
 static void
 start_connect (struct rt *r, struct rt_req *q)
 {
@@ -353,6 +361,8 @@
                   RT_DEFAULT_RETRY_MS);
   else if (q->state == RT_S_CLAIMING)
     rt_refuse (r, q, RT_CODE_STORE, RT_DEFAULT_RETRY_MS);
+  else if (!q->queued && !rt_has_server (q) && rt_avail_blocks (r, q->target))
+    rt_fail_blocked (r, q);
   else if (!q->queued && !rt_has_server (q))
     {
       struct rt_target *t = q->target;
--- a/route/route.c
+++ b/route/route.c
@@ -238,6 +238,7 @@
     }
   s->same_zone = str_is (zone, r->zone);
   s->addr = *addr;
+  s->avail_key = rt_avail_key (addr);
   s->listed = true;
 }
 
@@ -252,6 +253,7 @@
       const struct cfg_backend *b = &c->backends[i];
       struct rt_server *s = get_server (t, b->name);
       server_set_location (r, s, b->zone, &b->addr);
+      s->leaving_key = rt_leaving_key (s);
       s->complete = true;
       s->valid_until = CLK_NEVER;
       s->observe = c->mode == CFG_OBSERVE;
@@ -307,6 +309,7 @@
       s->ejections = s->consecutive_failures = s->first_byte_samples = 0;
       s->probing = false;
     }
+  s->leaving_key = rt_leaving_key (s);
   s->complete = v->whole;
   s->draining = v->draining;
   s->valid_until = v->valid_until;
@@ -342,6 +345,9 @@
       if (r->targets[i]->servers[k]->hash == hash)
         {
           r->targets[i]->servers[k]->down = down;
+          if (!down)
+            avl_forget_leaving (r->avail,
+                                r->targets[i]->servers[k]->leaving_key);
           r->targets[i]->view.valid = false;
         }
 }
@@ -370,6 +376,8 @@
 on_request_event (struct rt *r, const struct rt_event *ev)
 {
   struct rt_req *q = find_request (r, ev->id);
+  if (ev->kind == RT_EV_NOTICE && ev->id == 0)
+    rt_avail_notice_from (r, ev);
   if (!q)
     return;
   if (ev->kind == RT_EV_SLOT)
@@ -435,6 +443,7 @@
   r->node = str_dup (opt->node);
   r->nodes = opt->nodes;
   r->choose = rt_choose;
+  r->avail = avl_new ();
   rng_seed (&r->rng, seed);
   r->table_size = TABLE_INITIAL_SIZE;
   r->table = xcalloc (r->table_size, sizeof *r->table);
@@ -469,6 +478,7 @@
     }
   if (r->cfg)
     cfg_unref (r->cfg);
+  avl_free (r->avail);
   free (r->targets);
   free (r->accounts);
   free (r->table);
--- a/route/route.h
+++ b/route/route.h
@@ -16,6 +16,7 @@
 #ifndef LAPISLINE_ROUTE_ROUTE_H
 #define LAPISLINE_ROUTE_ROUTE_H
 
+#include "back/avail.h"
 #include "base/rng.h"
 #include "claim/claim.h"
 #include "config/config.h"
@@ -49,7 +50,8 @@
   RT_CODE_CLAIM_UNKNOWN,   /**< 409: key was used, outcome not known */
   RT_CODE_CLAIM_MISMATCH,  /**< 422: the same key with a different request */
   RT_CODE_BACKEND_REFUSED, /**< 503: refused without execution */
-  RT_CODE_CALLER_GONE      /**< the client disconnected */
+  RT_CODE_CALLER_GONE,     /**< the client disconnected */
+  RT_CODE_PAUSED /**< 503: all servers have asked this node for a pause */
 };
 
 /** A request on arrival. */
@@ -114,8 +116,12 @@
   RT_EV_SILENT,         /**< id, attempt */
   RT_EV_CALLER_GONE,    /**< id */
   RT_EV_NODES,          /**< size: number of gateways in the region */
-  RT_EV_SLOT,     /**< id, slot, name, code, retry_ms: reply of the home */
-  RT_EV_SLOT_HOME /**< name, on: whether the model's home is reachable */
+  RT_EV_SLOT,      /**< id, slot, name, code, retry_ms: reply of the home */
+  RT_EV_SLOT_HOME, /**< name, on: whether the model's home is reachable */
+  RT_EV_NOTICE     /**< what a response says of its server: on: it shuts down;
+                        retry_ms: pause that it asks for.  Of the response to
+                        id, attempt (before its RT_EV_HEAD), or with id 0 of
+                        the server at the address `name` */
 };
 
 struct rt_event
@@ -214,6 +220,11 @@
 /** Take the next action from the queue; false if there is none. */
 bool rt_next (struct rt *r, struct rt_action *out);
 
+/** Whether the server at @p addr has asked this node for a pause. */
+bool rt_is_paused (const struct rt *r, clk_ms now,
+                   const struct net_addr *addr);
+struct avl_stats rt_avail_stats (const struct rt *r);
+
 size_t rt_open_requests (const struct rt *r);
 
 /** Time of the next RT_EV_TICK that the core needs. */
--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -11,7 +11,7 @@
 
 #include "base/findings.h"
 #include "net/httpc.h"
-#include "serve/avail.h"
+#include "back/avail.h"
 #include "serve/backends.h"
 #include "serve/form.h"
 #include "serve/table.h"
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -19,7 +19,7 @@
 
 #include "base/rng.h"
 #include "net/addr.h"
-#include "serve/avail.h"
+#include "back/avail.h"
 #include "serve/limit.h"
 #include "serve/poison.h"
 #include "serve/table.h"
--- a/serve/node.h
+++ b/serve/node.h
@@ -10,7 +10,6 @@
  *   dispatch.h  decision core: routes each request to an endpoint
  *   form.h      decision core: forms replicas of VMs
  *   limit.h     decision core: request rates that backend servers allow
- *   avail.h     decision core: pauses and shutdowns that they announce
  *   split.h     splits a byte stream into events
  *   hubs.h      decision core: which nodes link to which
  *   node.h      the process: node.c, sync.c (the server list in the store),
--- a/standins/fault.c
+++ b/standins/fault.c
@@ -52,6 +52,10 @@
   f->close_first = json_flag (o, "close_first", f->close_first);
   f->die_first = json_flag (o, "die_first", f->die_first);
   f->stall = json_flag (o, "stall", f->stall);
+  f->leaving = json_flag (o, "leaving", f->leaving);
+  if (json_text (o, "retry_after") != NULL)
+    snprintf (f->retry_after, sizeof f->retry_after, "%s",
+              json_text (o, "retry_after"));
 }
 
 static json_object *
@@ -135,13 +139,31 @@
   g_hash_table_replace (t, k, GINT_TO_POINTER (n + 1));
 }
 
+size_t
+backend_headers (const struct backend *b, const char *type, bool rejected,
+                 struct http_header *out)
+{
+  size_t n = 0;
+
+  if (type != NULL)
+    out[n++] = (struct http_header){ STR ("content-type"), str_from (type) };
+  if (rejected && b->fault.retry_after[0])
+    out[n++] = (struct http_header){ STR ("retry-after"),
+                                     str_from (b->fault.retry_after) };
+  if (b->fault.leaving)
+    out[n++] = (struct http_header){ STR ("server-leaving"), STR ("1") };
+  return n;
+}
+
 bool
 backend_admit (struct backend *b, struct httpd_req *req)
 {
   if (b->fault.fail_status != 0)
     {
+      struct http_header h[BACKEND_HEADERS];
+      size_t n = backend_headers (b, NULL, true, h);
       b->refused++;
-      httpd_answer (req, b->fault.fail_status, NULL, 0, STR ("refused\n"));
+      httpd_answer (req, b->fault.fail_status, h, n, STR ("refused\n"));
       return false;
     }
   b->runs++;
@@ -198,9 +220,10 @@
 static void
 reply_begin (struct reply *r)
 {
-  struct http_header type = { STR ("content-type"), str_from (r->type) };
+  struct http_header h[BACKEND_HEADERS];
+  size_t n = backend_headers (r->b, r->type, false, h);
   if (!r->headers_sent)
-    httpd_begin (r->req, r->status, &type, 1);
+    httpd_begin (r->req, r->status, h, n);
   r->headers_sent = true;
 }
 
@@ -277,13 +300,14 @@
 reply_send_whole (struct reply *r)
 {
   const struct fault *f = &r->b->fault;
-  struct http_header type = { STR ("content-type"), str_from (r->type) };
+  struct http_header h[BACKEND_HEADERS];
+  size_t n = backend_headers (r->b, r->type, false, h);
   struct httpd_req *req = r->req;
 
   if (r->npieces > 0 || r->offset > 0 || f->truncate_after > 0
       || f->close_first || f->die_first || f->stall || f->slow_ms > 0)
     return false;
-  httpd_answer (req, r->status, &type, 1, buf_str (&r->body));
+  httpd_answer (req, r->status, h, n, buf_str (&r->body));
   reply_free (r);
   return true;
 }
--- a/standins/fault.h
+++ b/standins/fault.h
@@ -14,13 +14,15 @@
 /** Injected faults; a zeroed struct means none. */
 struct fault
 {
-  int slow_ms;        /**< delay before the first byte, in ms */
-  int fail_status;    /**< reject requests with this status; 0: off */
-  bool silent;        /**< read requests and never respond */
-  int truncate_after; /**< close after this many body bytes; 0: off */
-  bool close_first;   /**< close the connection after one body byte */
-  bool die_first;     /**< exit the process after one body byte */
-  bool stall;         /**< send at most half of the body, then hang */
+  int slow_ms;          /**< delay before the first byte, in ms */
+  int fail_status;      /**< reject requests with this status; 0: off */
+  bool silent;          /**< read requests and never respond */
+  int truncate_after;   /**< close after this many body bytes; 0: off */
+  bool close_first;     /**< close the connection after one body byte */
+  bool die_first;       /**< exit the process after one body byte */
+  bool stall;           /**< send at most half of the body, then hang */
+  char retry_after[16]; /**< Retry-After of rejected requests; empty: none */
+  bool leaving;         /**< announce a shutdown in all responses */
 };
 
 struct backend
@@ -68,6 +70,13 @@
 /** Handles /control/set and /control/counts; false for any other path. */
 bool backend_control (struct backend *b, struct httpd_req *req);
 
+#define BACKEND_HEADERS 3
+
+/** Fills the headers of a response: its type, unless NULL, and what the faults
+    announce. */
+size_t backend_headers (const struct backend *b, const char *type,
+                        bool rejected, struct http_header *out);
+
 /** Counts an execution, or rejects the request by fail_status: false. */
 bool backend_admit (struct backend *b, struct httpd_req *req);
 
--- a/t/check-names.sh
+++ b/t/check-names.sh
@@ -8,7 +8,7 @@
 # Words that have no other use in this project's sources.
 words='x-lapisline-|lapisline_boot|kv-(key|range|watch|txn|lease|keep)|op/config'
 words="$words|store_revision|api_keys|kv_capacity"
-words="$words|gap_goal_ms|cold_left_ms|port_range|ttl_max_s|server-leaving"
+words="$words|gap_goal_ms|cold_left_ms|port_range|ttl_max_s"
 
 # The stand-in of the platform and the tests against it speak its wire.
 found=$(grep -rniE "$words" --include='*.[ch]' . \
--- a/t/lib-route.c
+++ b/t/lib-route.c
@@ -77,6 +77,8 @@
     buf_addf (&s->log, " from %zu", a->offset);
   if (a->kind == RT_ACT_ANSWER)
     buf_addf (&s->log, " %d", a->http_status);
+  if (a->kind == RT_ACT_ANSWER && s->show_delays)
+    buf_addf (&s->log, " retry=%lld", (long long)a->retry_ms);
   if (a->kind == RT_ACT_FINISH && a->http_status == 0)
     buf_add_c (&s->log, " unanswered");
   if (a->kind == RT_ACT_ANSWER || a->kind == RT_ACT_CUT)
@@ -103,6 +105,17 @@
   return at && strstr (at, flag);
 }
 
+/** An address that depends on the name only. */
+static struct net_addr
+replica_addr (const char *name)
+{
+  struct net_addr addr = { .host = "127.0.0.1" };
+  addr.port = (uint16_t)(1
+                         + str_hash (str_make (name, strcspn (name, "/")), 0)
+                               % 60000);
+  return addr;
+}
+
 static void
 replicas (struct script *s, char **w, size_t n)
 {
@@ -116,6 +129,7 @@
         .model = STR ("lm"),
         .zone = has_flag (w[i], "far") ? STR ("b") : STR ("a"),
         .generation = has_flag (w[i], "gen2") ? 2 : 1,
+        .addr = replica_addr (w[i]),
         .whole = !has_flag (w[i], "broken"),
         .draining = has_flag (w[i], "draining"),
         .valid_until = s->now + (until ? atoi (until + 6) : 1000000),
@@ -225,6 +239,20 @@
   rt_event (s->rt, s->now, &ev);
 }
 
+/** notice ID/ATTEMPT pause=MS | notice ID/ATTEMPT leaving */
+static void
+notice (struct script *s, char **w)
+{
+  const char *slash = strchr (w[1], '/');
+  struct rt_event ev = { .kind = RT_EV_NOTICE,
+                         .id = strtoull (w[1], NULL, 10),
+                         .attempt = slash ? (unsigned)atoi (slash + 1) : 0,
+                         .on = strcmp (w[2], "leaving") == 0 };
+  if (!ev.on)
+    ev.retry_ms = atoll (w[2] + strlen ("pause="));
+  rt_event (s->rt, s->now, &ev);
+}
+
 static void
 home (struct script *s, const char *on)
 {
@@ -317,6 +345,8 @@
     claim (s, w + 1);
   else if (strcmp (w[1], "slot") == 0)
     slot (s, w + 1, n - 1);
+  else if (strcmp (w[1], "notice") == 0)
+    notice (s, w + 1);
   else if (strcmp (w[1], "home") == 0)
     home (s, w[2]);
   else if (strcmp (w[1], "serve") == 0)
--- a/t/lib-route.h
+++ b/t/lib-route.h
@@ -11,6 +11,8 @@
  *                             unavailable
  *   open|fail|broken|silent|whole ID/ATTEMPT
  *   head ID/ATTEMPT STATUS    body ID/ATTEMPT SIZE
+ *   notice ID/ATTEMPT pause=MS | notice ID/ATTEMPT leaving
+ *                             what the response says of its server
  *   gone ID    tick    leaving    down NAME    up NAME
  *   home on|off               whether the home of model "lm" is reachable
  *   slot ID granted NAME | slot ID queued | slot ID refused
@@ -40,6 +42,7 @@
   struct cfg *cfg;
   clk_ms now;
   struct buf log;
+  bool show_delays;      /**< log retry delays of error responses */
   bool brief;            /**< log only ids of connects and error responses */
   uint64_t running[256]; /**< ids in the order of their connects */
   unsigned attempts[256];
