soak: servers ask for pauses and announce their shutdown

A sixth series of faults in the soak of two nodes. Servers reject requests and name 0.8, 1.5 or 3 s, or announce their shutdown and restart under the same id; the stand-in counts for each node what reaches them, told apart by the ids of the requests. More than two requests, orders or probes of a node in a pause, or a client's request more than drain_ms after its node was told of the shutdown, is a violation; a node that was killed, restarted or paused since is excused.

--- a/t/lib-soak.c
+++ b/t/lib-soak.c
@@ -101,6 +101,14 @@
   s->disturbances++;
 }
 
+/** What servers told the node no longer counts. */
+static void
+forget_told (struct soak *s, int node)
+{
+  if (s->forgets_told)
+    rack_set (&s->r, "{\"forget_node\": %d}", node + 1);
+}
+
 void
 soak_signal_exit (struct soak *s, const int *nodes, int n, int sig)
 {
@@ -112,6 +120,7 @@
       mark_disturbed (s, nodes[i]);
       proc_signal (s->r.node[nodes[i]], sig);
       proc_signal (s->r.node[nodes[i]], SIGCONT);
+      forget_told (s, nodes[i]);
     }
   pthread_mutex_unlock (&s->lock);
 }
@@ -126,6 +135,7 @@
   state->incarnation++;
   mark_disturbed (s, node);
   pthread_mutex_unlock (&s->lock);
+  forget_told (s, node);
   rack_start_node (&s->r, node);
   pthread_mutex_lock (&s->lock);
   state->restarting = false;
@@ -153,7 +163,12 @@
       state->paused = sig == SIGSTOP;
       if (sig == SIGSTOP || sig == SIGCONT)
         state->paused_at = state->disturbed_at;
-      proc_signal (s->r.node[nodes[i]], sig);
+      if (sig != SIGCONT)
+        proc_signal (s->r.node[nodes[i]], sig);
+      if (sig == SIGSTOP || sig == SIGCONT)
+        forget_told (s, nodes[i]);
+      if (sig == SIGCONT)
+        proc_signal (s->r.node[nodes[i]], sig);
     }
   pthread_mutex_unlock (&s->lock);
 }
--- a/t/lib-soak.h
+++ b/t/lib-soak.h
@@ -35,6 +35,8 @@
   unsigned nviolations;
   unsigned disturbances; /**< exits, starts, pauses, other signals */
   struct soak_node node[RACK_MAX_NODES];
+  bool forgets_told; /**< servers' announcements to a node no longer count once
+                          it was disturbed */
   bool store_faulty;
   clk_ms store_fault_at; /**< start or end of the last store fault */
 };
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -19,7 +19,9 @@
 #define EVENTS 20
 #define ENGINES 8
 #define PLAIN_SERVERS 2
-#define FAULT_SERIES 5
+#define FAULT_SERIES 6
+/** Maximum of requests that a node may send to a server in a pause. */
+#define MAX_IN_PAUSE 2
 /** Default seeds and duration, for CI. */
 #define SEED 1
 #define SEED_MANY 6
@@ -105,16 +107,17 @@
   struct soak *s = t->s;
   struct web_answer a = { 0 };
   bool stream = rng_below (&t->rng, 2);
+  int node = (int)rng_below (&t->rng, RACK_NODES);
   char id[32], headers[256];
 
-  snprintf (id, sizeof id, "%s-%u-%u", stream ? "s" : "o", t->number,
-            t->steps);
+  snprintf (id, sizeof id, "%d/%s-%u-%u", node + 1, stream ? "s" : "o",
+            t->number, t->steps);
   snprintf (headers, sizeof headers,
             "Host: h\r\nX-Lapisline-Request-Id: %s\r\n"
             "X-Lapisline-Model: big\r\nX-Api-Key: k1\r\n",
             id);
-  web_call (s->r.front[rng_below (&t->rng, RACK_NODES)], "POST",
-            stream ? "/stream/x" : "/once/x", headers, "hello", &a);
+  web_call (s->r.front[node], "POST", stream ? "/stream/x" : "/once/x",
+            headers, "hello", &a);
   buf_c (&a.body);
   check_answer (two, id, stream, &a);
   pthread_mutex_lock (&s->lock);
@@ -216,6 +219,49 @@
   soak_random_sleep (&t->rng, FAULT_INTERVAL_MS);
 }
 
+/** Checks what reached a server in its pauses and after its announcement. */
+static void
+check_announcements (struct soak *s, const char *id)
+{
+  int in_pause = rack_get_count (&s->r, id, "pause_most");
+  int late = rack_get_count (&s->r, id, "late_leaving");
+
+  if (in_pause > MAX_IN_PAUSE)
+    soak_report_violation (s, "%s: %d requests of a node in a pause", id,
+                           in_pause);
+  if (late > 0)
+    soak_report_violation (s, "%s: %d requests after it was leaving", id,
+                           late);
+}
+
+/** A server rejects requests and asks for pauses, or announces its shutdown
+    and restarts. */
+static void
+announce (struct soak_thread *t)
+{
+  struct soak *s = t->s;
+  static const char *const pauses[] = { "0.8", "1.5", "3" };
+  bool engine = rng_below (&t->rng, 2), leaves = rng_below (&t->rng, 3) == 0;
+  char id[16];
+
+  snprintf (id, sizeof id, "%c%d", engine ? 'e' : 'p',
+            1 + (int)rng_below (&t->rng, engine ? ENGINES : PLAIN_SERVERS));
+  if (leaves)
+    rack_set (&s->r, "{\"server\": \"%s\", \"leaving\": true}", id);
+  else
+    rack_set (&s->r,
+              "{\"server\": \"%s\", \"rejects\": true,"
+              " \"retry_after\": \"%s\"}",
+              id, pauses[rng_below (&t->rng, 3)]);
+  soak_random_sleep (&t->rng, 4000);
+  check_announcements (s, id);
+  rack_set (&s->r,
+            "{\"server\": \"%s\", \"rejects\": false,"
+            " \"retry_after\": \"\", \"reborn\": %s}",
+            id, leaves ? "true" : "false");
+  soak_random_sleep (&t->rng, FAULT_INTERVAL_MS);
+}
+
 /** Restores the store from a copy that is up to 3 s old. */
 static void
 restore_store (struct soak_thread *t)
@@ -238,7 +284,7 @@
   o = jsn_parse (buf_str (&a.body));
   json_object_object_foreach (jsn_object (o, "repeated"), id, n)
   {
-    if (id[0] == 'o')
+    if (strstr (id, "/o-"))
       soak_report_violation (s, "%s: ran %d times", id,
                              json_object_get_int (n));
   }
@@ -276,10 +322,12 @@
   static struct two_nodes two;
   struct soak *s = &two.s;
   static void (*const series[]) (struct soak_thread *)
-      = { fail_node, fail_store, fail_server, limit_server, restore_store };
+      = { fail_node,    fail_store,    fail_server,
+          limit_server, restore_store, announce };
   struct soak_thread threads[CLIENTS + FAULT_SERIES] = { 0 };
 
   soak_init (s, seed, RACK_NODES);
+  s->forgets_told = true;
   rack_start_all (&s->r, ENGINES);
   rack_set (&s->r, "{\"events\": %d, \"event_ms\": 15}", EVENTS);
   for (unsigned i = 0; i < CLIENTS + FAULT_SERIES; i++)
