Tests that see each safeguard taken out: soak, orders and probes, repeat budget

The soak had too few requests for a node to send more than two in a pause: four more clients, which only call the plain service; the draws of the other threads stay. Repeats for which no endpoint is left were charged to the budget without an effect on the request itself: a script over ten of them.

Found by reading: orders and probes reached the stand-in without the name of their node and were not counted. A test with one node sees both safeguards taken out.

--- a/t/t9211-dispatch-avail.c
+++ b/t/t9211-dispatch-avail.c
@@ -4,6 +4,7 @@
  */
 #include <criterion/criterion.h>
 
+#include "base/str.h"
 #include "t/lib-dispatch.h"
 
 /* Guards against a server that gets first attempts in a pause. */
@@ -151,3 +152,27 @@
       "send 4 p2\ncomplete 4\nerror 5 servers-paused 503 retry\n"
       "send 6 p1\n");
 }
+
+/* Guards against repeats that are charged to the budget although no endpoint
+   is left for them: a later request would be denied its repeat. */
+Test (dispatch_avail, vain_repeats_cost_no_budget)
+{
+  struct buf script = BUF_INIT, expected = BUF_INIT;
+
+  buf_add_c (&script, "endpoints p 2 4\n pause p2 500\n");
+  for (int i = 1; i <= 10; i++)
+    {
+      buf_addf (&script,
+                "submit %d once\n sent %d\n not-executed %d\n run 20\n", i, i,
+                i);
+      buf_addf (&expected,
+                "send %d p1\ncancel %d\nerror %d overload 503 retry\n", i, i,
+                i);
+    }
+  buf_add_c (&script, "run 300\n peer-load p2 3 0\n submit 11 once\n sent 11\n"
+                      "not-executed 11\n");
+  buf_add_c (&expected, "send 11 p1\ncancel 11\nsend 11 p2\n");
+  dispatch_play (buf_c (&script), buf_c (&expected));
+  buf_free (&script);
+  buf_free (&expected);
+}
--- a/t/t9310-avail.c
+++ b/t/t9310-avail.c
@@ -196,3 +196,37 @@
   for (size_t i = 0; i < sizeof servers / sizeof servers[0]; i++)
     expect_pauses_respected (&r, servers[i]);
 }
+
+/* Guards against orders and probes to a replica leader in its pause.  There is
+   one node, so all of them come from the node that was told. */
+Test (avail, paused_leader_gets_no_orders_and_probes)
+{
+  struct rack r;
+  char id[8];
+  int leader = 0;
+
+  rack_prepare_nodes (&r, 8, 1, NULL);
+  rack_configure (&r, 1, "k1", "");
+  rack_start_node (&r, 0);
+  cr_assert (rack_call_until (&r, 0, "/stream/x", rack_headers ("up"), 200));
+  for (int i = 1; i <= 8; i++)
+    {
+      snprintf (id, sizeof id, "e%d", i);
+      ask_pause (&r, id, "4");
+      if (rack_get_count (&r, id, "leads"))
+        leader = i;
+    }
+  cr_assert (leader);
+  for (int i = 0; i < 10; i++)
+    rack_call (&r, 0, "/stream/x", "x", NULL, NULL);
+  for (int i = 1; i <= 8; i++)
+    if (i != leader)
+      rack_set (&r, "{\"server\": \"e%d\", \"dark\": true}", i);
+  rack_set (&r, "{\"server\": \"e%d\", \"unlisted\": true}", leader);
+  usleep (3500000);
+  for (int i = 1; i <= 8; i++)
+    {
+      snprintf (id, sizeof id, "e%d", i);
+      expect_pauses_respected (&r, id);
+    }
+}
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -20,6 +20,9 @@
 #define ENGINES 8
 #define PLAIN_SERVERS 2
 #define FAULT_SERIES 6
+/** Further clients, which only call the plain service: with them each node
+    sends several requests to each server in a pause. */
+#define PLAIN_CLIENTS 4
 /** Maximum of requests that a node may send to a server in a pause. */
 #define MAX_IN_PAUSE 2
 /** Default seeds and duration, for CI. */
@@ -101,12 +104,11 @@
 }
 
 static void
-send_request (struct soak_thread *t)
+send (struct soak_thread *t, bool stream)
 {
   struct two_nodes *two = t->ctx;
   struct soak *s = t->s;
   struct web_answer a = { 0 };
-  bool stream = rng_below (&t->rng, 2);
   int node = (int)rng_below (&t->rng, RACK_NODES);
   char id[32], headers[256];
 
@@ -129,6 +131,19 @@
   web_free (&a);
 }
 
+static void
+send_request (struct soak_thread *t)
+{
+  send (t, rng_below (&t->rng, 2));
+}
+
+static void
+call_service (struct soak_thread *t)
+{
+  send (t, false);
+  usleep (10000);
+}
+
 /* --- faults ------------------------------------------------------------ */
 
 /** Maximum time between two faults of a series. */
@@ -324,19 +339,24 @@
   static void (*const series[]) (struct soak_thread *)
       = { fail_node,    fail_store,    fail_server,
           limit_server, restore_store, announce };
-  struct soak_thread threads[CLIENTS + FAULT_SERIES] = { 0 };
+  struct soak_thread threads[CLIENTS + FAULT_SERIES + PLAIN_CLIENTS] = { 0 };
+  const unsigned nfirst = CLIENTS + FAULT_SERIES;
 
   soak_init (s, seed, RACK_NODES);
   s->forgets_told = true;
   rack_start_all (&s->r, ENGINES);
   rack_set (&s->r, "{\"events\": %d, \"event_ms\": 15}", EVENTS);
-  for (unsigned i = 0; i < CLIENTS + FAULT_SERIES; i++)
+  for (unsigned i = 0; i < nfirst; i++)
     threads[i]
         = (struct soak_thread){ .number = i,
                                 .step = i < CLIENTS ? send_request
                                                     : series[i - CLIENTS],
                                 .ctx = &two };
-  soak_run (s, threads, CLIENTS + FAULT_SERIES, CLIENTS, seconds);
+  for (unsigned i = nfirst; i < nfirst + PLAIN_CLIENTS; i++)
+    threads[i] = (struct soak_thread){ .number = i,
+                                       .step = call_service,
+                                       .ctx = &two };
+  soak_run (s, threads, nfirst + PLAIN_CLIENTS, CLIENTS, seconds);
   check_runs (s);
   check_refused (&two);
   for (int i = 0; i < RACK_NODES; i++)
