serve: read the clock for announcements only where there are any

Where no server has announced anything, neither is read now, and orders, probes and checks share one function.

--- a/back/avail.c
+++ b/back/avail.c
@@ -45,11 +45,17 @@
   free (a);
 }
 
+bool
+avl_is_empty (const struct avl *a)
+{
+  return g_hash_table_size (a->servers) == 0;
+}
+
 static struct avl_server *
 find (const struct avl *a, uint64_t server)
 {
   /* Mostly empty, and asked for each endpoint of each request. */
-  if (g_hash_table_size (a->servers) == 0)
+  if (avl_is_empty (a))
     return NULL;
   return g_hash_table_lookup (a->servers, &server);
 }
--- a/back/avail.h
+++ b/back/avail.h
@@ -63,6 +63,9 @@
 struct avl_change avl_on_notice (struct avl *a, clk_ms now, uint64_t server,
                                  const struct avl_notice *notice);
 
+/** Whether no server has announced anything. */
+bool avl_is_empty (const struct avl *a);
+
 /** Whether this node may send requests to the server now. */
 bool avl_allows (const struct avl *a, clk_ms now, uint64_t server);
 
--- a/serve/check.c
+++ b/serve/check.c
@@ -52,12 +52,8 @@
 on_connected (void *ctx)
 {
   struct check *c = ctx;
-  clk_ms now = clk_now ();
 
-  if (avl_paused_until (c->s->avail, now, c->process))
-    return false;
-  avl_count_sent (c->s->avail, now, c->process);
-  return true;
+  return srv_may_call_server (c->s, c->process);
 }
 
 static enum dsp_liveness
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -86,20 +86,14 @@
 {
   struct server_call *c = ctx;
 
-  clk_ms now = clk_now ();
-  const struct avl *avail = c->lead->s->avail;
-
   c->connected = true;
   /* The lease may have expired while the connection was being opened. */
-  if (c->is_order && !own_may_order (c->lead->own, now))
-    return false;
-  /* A paused server is sent nothing.  An established connection answers a
-     probe as well: a process listens there. */
-  if (avl_paused_until (avail, now, c->process))
+  if (c->is_order && !own_may_order (c->lead->own, clk_now ()))
     return false;
-  c->sent = true;
-  avl_count_sent (c->lead->s->avail, now, c->process);
-  return true;
+  /* For a probe, the established connection shows that a process listens
+     there. */
+  c->sent = srv_may_call_server (c->lead->s, c->process);
+  return c->sent;
 }
 
 static void
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -259,6 +259,10 @@
 void srv_notice_received (struct srv *s, const struct srv_notice_source *from,
                           const struct avl_notice *notice);
 
+/** Whether an order or a probe may be sent to the server now; counts it.  A
+    server that has asked this node for a pause is sent nothing. */
+bool srv_may_call_server (struct srv *s, uint64_t process);
+
 /* check.c */
 /** Probe the backend server of a DSP_ACT_CHECK_PROCESS to find out whether its
     process is alive. */
