front: read the sockets before deadlines end requests after a pause

What callers saw: after a pause of a gateway's process, 504 for a request whose answer had come in time and waited in the socket; likewise waits in the queue ended although slots had become free meanwhile.

Cause: the event loop runs timers before it reads sockets, and the first wake-up after the pause ended whatever was due.

Change: a wake-up that is over 100 ms late is left out once and comes again after the sockets were read. The second one counts even if it is late too, so that a gateway that is short of processor time still ends requests.

--- a/front/callers.c
+++ b/front/callers.c
@@ -5,6 +5,8 @@
 
 /** Period of the sweep for silence. */
 #define SWEEP_MS ((clk_ms)100)
+/** A wake-up that is later than this is left out once. */
+#define LATE_WAKE_MS ((clk_ms)100)
 
 /* ---- exchanges by number ---- */
 
@@ -117,12 +119,31 @@
   pump (c);
 }
 
+/**
+ * Whether this wake-up is left out: it is so late that the process was paused,
+ * and what came meanwhile still waits in the sockets, which are read after
+ * timers.  The next one counts even if it is late too; otherwise a gateway
+ * that is short of processor time would never end a request by its deadline.
+ */
+static bool
+skip_late_wake (struct gw_callers *c)
+{
+  c->skipped_wake = !c->skipped_wake && c->wake_at != CLK_NEVER
+                    && clk_now () - c->wake_at > LATE_WAKE_MS;
+  return c->skipped_wake;
+}
+
 static void
 on_wake (uv_timer_t *t)
 {
   struct gw_callers *c = t->data;
   struct rt_event tick = { .kind = RT_EV_TICK };
 
+  if (skip_late_wake (c))
+    {
+      uv_timer_start (&c->wake, on_wake, 1, 0);
+      return;
+    }
   c->wake_at = CLK_NEVER;
   gw_callers_event (c, &tick);
 }
--- a/front/callers.h
+++ b/front/callers.h
@@ -230,6 +230,7 @@
   struct gw_recorder *recorder; /**< NULL: not recording */
   uv_timer_t wake;
   clk_ms wake_at;
+  bool skipped_wake; /**< the last wake-up was too late and did nothing */
   uv_timer_t sweep;
   clk_ms swept_at;
   bool pumping;
--- a/t/t7003-attempts.c
+++ b/t/t7003-attempts.c
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "t/lib-cluster.h"
 
@@ -71,3 +73,24 @@
   cr_expect_eq (front_count_both (c.soko, "gone"), 1);
   buf_free (&log);
 }
+
+/* Guards against a gateway that, after a pause of its process, ends a request
+   by its deadline although the answer came in time and waits in the socket. */
+Test (attempts, answer_that_came_during_a_pause_is_given)
+{
+  struct front f;
+  struct web_stream *s;
+
+  front_up (&f, "", "");
+  front_fault_both (f.soko, "{\"slow_ms\": 300}");
+  s = web_open (f.http, "GET", "/svc/soko-api/x",
+                FRONT_KEY "X-Deadline-Ms: 700\r\n", NULL);
+  cr_assert_not_null (s);
+  while (front_count_both (f.soko, "open") == 0)
+    ;
+  proc_signal (f.gateway, SIGSTOP);
+  usleep (1000000);
+  proc_signal (f.gateway, SIGCONT);
+  cr_expect_eq (web_status (s, PROC_WAIT_MS), 200);
+  web_close (s);
+}
