--- a/t/t9310-avail.c
+++ b/t/t9310-avail.c
@@ -3,7 +3,7 @@
  * processes. The checks use the platform's counts of what reaches each server.
  */
 #include <criterion/criterion.h>
-#include <signal.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -92,7 +92,7 @@
       answered_at = clk_now ();
       cr_expect_eq (a.status, 503);
       cr_expect_lt (answered_at - started_at, 150);
-      retry_ms = (clk_ms)(1000 * atof (web_header (&a, "retry-after").ptr));
+      retry_ms = lround (1000 * atof (web_header (&a, "retry-after").ptr));
       cr_expect_geq (answered_at + retry_ms, paused_at + 3000);
       cr_expect_leq (answered_at + retry_ms, paused_at + 6000);
       web_free (&a);
