--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -260,16 +260,17 @@
   dsp_send_queued (d, p);
 }
 
-/** Estimated time until an endpoint has room for one more request: the end of
-   a pause, if all servers have asked for one; else the queue, divided by the
-    rate at which the pool completes requests. */
+/** Estimated time until an endpoint has room for one more request.  That is
+    the end of the first pause if all servers are paused, and else the queue
+    divided by the rate at which the pool completes requests. */
 static clk_ms
 estimate_retry_ms (struct dsp *d, struct dsp_pool *p)
 {
-  double slots = 1, ms = (double)dsp_avail_retry_ms (d, p);
+  clk_ms pause_ms = dsp_avail_retry_ms (d, p);
+  double slots = 1, ms;
 
-  if (ms > 0)
-    return (clk_ms)ms;
+  if (pause_ms > 0)
+    return pause_ms;
   for (size_t i = 0; i < p->n; i++)
     if (p->endpoints[i]->listed)
       slots += dsp_limit_slots (d, p->endpoints[i]);
