limit: drop permits of before a pause

What servers saw, by reading: a node that stands still holds its permits, and the grants that wait in its sockets count from their arrival, so both are used up to the length of the pause later, when the grantor has long granted the same rate to others.

A pause of the process now ends the permits that it holds, and grants that arrive in the first 50 ms after it, which waited in the sockets, are ignored; a grant that is read before the timer runs makes the node notice the pause first.

t9208 permits_of_before_a_pause_are_not_used: fails with either half taken out.

--- a/serve/limit-grant.c
+++ b/serve/limit-grant.c
@@ -240,7 +240,7 @@
   l->granted += n;
   demand->n -= n;
   if (demand->node == LIM_SELF)
-    lim_add_permits (l, now, r->server, n);
+    lim_store_permits (r, now, n);
   else
     g_array_append_val (l->permits, p);
 }
--- a/serve/limit-int.h
+++ b/serve/limit-int.h
@@ -73,6 +73,8 @@
   GArray *unreported_servers; /**< uint64_t: servers with unreported changes */
   GArray *update_list; /**< struct lim_update: storage for returned lists */
   GArray *permits;     /**< struct lim_permits: storage for returned lists */
+  clk_ms grants_ignored_until; /**< grants that arrive before this may have
+                                    been sent before a pause of this process */
   uint64_t sent, granted;
 };
 
@@ -89,6 +91,9 @@
     that it holds. */
 unsigned lim_permits_needed (const struct lim_server *r, clk_ms now);
 
+/** Add permits that were granted to this node. */
+void lim_store_permits (struct lim_server *r, clk_ms now, unsigned n);
+
 size_t lim_count_followers (const struct lim *l, clk_ms now);
 
 #endif
--- a/serve/limit.c
+++ b/serve/limit.c
@@ -12,6 +12,9 @@
 /** If the grantor has a permit available, the grant arrives within this
     time. */
 #define GRANT_TIMEOUT_MS ((clk_ms)20)
+/** Messages that waited in the sockets during a pause of this process are read
+    within this time. */
+#define RESUME_MS ((clk_ms)50)
 /** Approximate interval between permit requests, in seconds. */
 #define REQUEST_INTERVAL_S 0.1
 
@@ -388,18 +391,35 @@
 /** Delayed grants can arrive at the same time.  The total is capped at one
     batch, so that they don't add up to a burst. */
 void
-lim_add_permits (struct lim *l, clk_ms now, uint64_t server, unsigned n)
+lim_store_permits (struct lim_server *r, clk_ms now, unsigned n)
 {
-  struct lim_server *r = lim_find_server (l, server);
-
-  if (!r || !r->limited)
-    return;
   expire_permits (r, now);
   r->permits = MIN (r->permits + n, lim_batch_size (r));
   r->permits_expire_at = now + PERMIT_TTL_MS;
   r->demand_since = 0;
 }
 
+void
+lim_add_permits (struct lim *l, clk_ms now, uint64_t server, unsigned n)
+{
+  struct lim_server *r = lim_find_server (l, server);
+
+  if (r && r->limited && now >= l->grants_ignored_until)
+    lim_store_permits (r, now, n);
+}
+
+void
+lim_resumed (struct lim *l, clk_ms now)
+{
+  struct lim_server *r;
+  GHashTableIter iter;
+
+  l->grants_ignored_until = now + RESUME_MS;
+  g_hash_table_iter_init (&iter, l->servers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&r))
+    r->permits = 0;
+}
+
 struct lim_stats
 lim_stats (const struct lim *l, clk_ms now)
 {
--- a/serve/limit.h
+++ b/serve/limit.h
@@ -154,6 +154,11 @@
 /** Add permits that the grantor has sent to this node. */
 void lim_add_permits (struct lim *l, clk_ms now, uint64_t server, unsigned n);
 
+/** This process has resumed after a pause.  Permits that it holds, and those
+    that waited in its sockets, were granted before the pause and expired at
+   the grantor's clock. */
+void lim_resumed (struct lim *l, clk_ms now);
+
 /* --- granting ----------------------------------------------------------- */
 
 /** Set whether this node is a grantor or a follower.
--- a/serve/peers-limit.c
+++ b/serve/peers-limit.c
@@ -210,6 +210,7 @@
   struct srv *s = x->p->s;
   clk_ms now = clk_now ();
 
+  srv_check_pause (s, now);
   if (!is_grantor (x, now))
     return;
   for (size_t i = 0; i < grants->n_permits; i++)
--- a/t/t9208-limit.c
+++ b/t/t9208-limit.c
@@ -300,6 +300,24 @@
   lim_free (l);
 }
 
+/* Guards against permits that are used after a pause of the process, by when
+   they have expired at the grantor: those that it held, and those that waited
+   in its sockets. */
+Test (limit, permits_of_before_a_pause_are_not_used)
+{
+  struct lim *l = lim_new (1);
+
+  respond (l, 1000, 2, 900);
+  lim_add_permits (l, 1100, 7, 1);
+  lim_resumed (l, 1900);
+  cr_expect_not (lim_allows (l, 1900, 7));
+  lim_add_permits (l, 1910, 7, 1);
+  cr_expect_not (lim_allows (l, 1910, 7));
+  lim_add_permits (l, 1960, 7, 1);
+  cr_expect (lim_allows (l, 1960, 7));
+  lim_free (l);
+}
+
 /* An update from another node that is older than the recorded limit must be
    ignored. */
 Test (limit, newer_update_applies)
