form: a pause of the leader node does not count against missing servers

What callers saw, in a script of the core: a replica leader's entry has expired for 0.6 s, the leader node stands still for 0.9 s, and its first tick after that, before it reads a list, takes the replica leader for gone (1.2 s): the replica is force-closed with the streams that it runs, although its entry is back.

Cause: the spans after which a phase ends without evidence from the list were counted over the pause, in which no list could be read.

Change: a pause moves the begin of the phases that wait for the list (joining, opening, leader missing). The others wait for what backend servers do by themselves.

t6101 pause_does_not_count_against_a_missing_leader: without the call the replica is closed and formed anew, with it it stays open.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -379,6 +379,12 @@
   run_form_actions (lead);
 }
 
+void
+srv_leader_resumed (struct srv *s, clk_ms now, clk_ms ms)
+{
+  frm_resumed (s->leader->form, now, ms);
+}
+
 const struct frm_stats *
 srv_leader_stats (const struct srv *s)
 {
--- a/serve/form.c
+++ b/serve/form.c
@@ -599,6 +599,27 @@
     f->generation = fence * GENERATIONS_PER_FENCE;
 }
 
+/** Whether the phase ends when the list has not shown something in time.  In
+    the other phases backend servers go on by themselves during a pause. */
+static bool
+awaits_list (const struct frm_replica *r)
+{
+  return r->phase == FRM_PH_JOINING || r->phase == FRM_PH_OPENING
+         || r->phase == FRM_PH_LEADER_MISSING;
+}
+
+void
+frm_resumed (struct frm *f, clk_ms now, clk_ms ms)
+{
+  f->now = now;
+  for (size_t i = 0; i < f->nreplicas; i++)
+    {
+      struct frm_replica *r = f->replicas[i];
+      if (awaits_list (r))
+        r->phase_since = r->phase_since + ms < now ? r->phase_since + ms : now;
+    }
+}
+
 void
 frm_set_servers (struct frm *f, clk_ms now, const struct bks *servers,
                  const struct tbl *config, bool list_complete)
--- a/serve/form.h
+++ b/serve/form.h
@@ -110,6 +110,12 @@
 void frm_set_servers (struct frm *f, clk_ms now, const struct bks *servers,
                       const struct tbl *config, bool list_complete);
 
+/**
+ * This process has resumed after a pause of @p ms, in which it read no list.
+ * The time does not count against servers that have to appear in the list.
+ */
+void frm_resumed (struct frm *f, clk_ms now, clk_ms ms);
+
 /**
  * Clients have sent requests: from now on loads take their full time and are
  * rate limited.
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -159,6 +159,7 @@
     named in the key */
 void srv_leader_key_changed (struct srv *s, bool held, struct str holder);
 void srv_leader_servers_changed (struct srv *s);
+void srv_leader_resumed (struct srv *s, clk_ms now, clk_ms ms);
 /** A node reports that the endpoint with this hash is stalled, or that its
     process has ended. */
 void srv_leader_endpoint_stalled_or_ended (struct srv *s, uint64_t endpoint);
--- a/serve/node.c
+++ b/serve/node.c
@@ -140,6 +140,7 @@
 {
   LOG (serve_paused, LOG_I ("ms", ms));
   srv_peers_resumed (s, now, ms);
+  srv_leader_resumed (s, now, ms);
   lim_resumed (s->limits, now);
   srv_config_resumed (s, now);
   srv_sync_resumed (s, now);
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -539,6 +539,19 @@
                  &notice);
 }
 
+/** Suspends both cores' processes; the backend servers go on.  Their first
+    ticks come before they read a list. */
+static void
+suspend (struct world *w, clk_ms ms)
+{
+  w->now += ms;
+  for (size_t i = 0; i < 2; i++)
+    {
+      frm_resumed (w->cores[i], w->now, ms);
+      frm_tick (w->cores[i], w->now);
+    }
+}
+
 static void
 run_command (struct world *w, const char *command, const char *a, int n)
 {
@@ -558,6 +571,8 @@
   else if (strcmp (command, "delay-all") == 0
            || strcmp (command, "drop-all") == 0)
     delay_orders (w, a, command[1] == 'r', true);
+  else if (strcmp (command, "suspend") == 0)
+    suspend (w, atoi (a));
   else if (strcmp (command, "pause") == 0)
     give_notice (w, vm, n, false);
   else if (strcmp (command, "leave") == 0)
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -8,6 +8,7 @@
  *                        the first or second core becomes the leader node, and
  *                        the other one stops being it
  *   run MS               advances the time; lists are read every 100 ms
+ *   suspend MS           suspends both cores' processes for that time
  *   kill ID              stops the server: no responses, not listed
  *   hang ID              no responses, still listed
  *   restore ID           undoes hang, disconnect and expire
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -602,3 +602,18 @@
               "r1001 big is open: a1 a2 a3\n"
               "r1003 small is open: a5 a4\n");
 }
+
+/*
+ * Guards against a leader node that counts a pause of its process against a
+ * replica leader whose entry has expired: it would end the replica although
+ * the entry is back at the first list that it reads.
+ */
+Test (form, pause_does_not_count_against_a_missing_leader)
+{
+  form_check ("lead 1\n vms a 6\n run 5000\n traffic\n expire a1\n"
+              "lead-other 2\n run 600\n suspend 900\n restore a1\n run 1000\n"
+              "show\n",
+              FORMED "r1001 big is open: a1 a2 a3\n"
+                     "r1002 small is open: a4 a5\n"
+                     "a6 is warm for big\n");
+}
