poison: read what waited in the sockets before a pause ends in a block

What callers saw, by reading: after a pause of a node a pending request is blocked by the first tick, although another node's report that it completed waits in the socket; its callers are refused for as long as the correction takes.

t9207 pause_does_not_end_the_wait_for_a_completion fails with the wait left as it was.

--- a/serve/node.c
+++ b/serve/node.c
@@ -142,6 +142,7 @@
   srv_peers_resumed (s, now, ms);
   srv_leader_resumed (s, now, ms);
   lim_resumed (s->limits, now);
+  psn_resumed (s->poison, now);
   srv_config_resumed (s, now);
   srv_sync_resumed (s, now);
 }
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -319,6 +319,20 @@
   expire (p, now);
 }
 
+void
+psn_resumed (struct psn *p, clk_ms now)
+{
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->suspects[i];
+      if (s->state == PSN_S_BLOCK_PENDING
+          && s->state_ends_at < now + PENDING_MS)
+        s->state_ends_at = now + PENDING_MS;
+      if (s->pending_at < now + PENDING_MS)
+        s->pending_at = now + PENDING_MS;
+    }
+}
+
 clk_ms
 psn_next_deadline (const struct psn *p)
 {
--- a/serve/poison.h
+++ b/serve/poison.h
@@ -72,6 +72,10 @@
 void psn_tick (struct psn *p, clk_ms now);
 clk_ms psn_next_deadline (const struct psn *p);
 
+/** This process has resumed after a pause: nothing is decided before the
+    updates that waited in its sockets are read. */
+void psn_resumed (struct psn *p, clk_ms now);
+
 /** Apply an update that this node observed, or that came from another node or
     from the store. */
 void psn_apply (struct psn *p, clk_ms now, const struct psn_update *update);
--- a/t/t9207-poison.c
+++ b/t/t9207-poison.c
@@ -454,3 +454,32 @@
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
     run_simulation (seeds[i]);
 }
+
+/* Guards against a node that blocks a request right after a pause of its
+   process, although another node has reported that it completed: the report
+   waits in the socket. */
+Test (poison, pause_does_not_end_the_wait_for_a_completion)
+{
+  struct psn *p = psn_new ();
+  struct psn_update cleared = { .kind = PSN_CLEARED, .digest = 1 };
+  clk_ms now = 1000;
+
+  for (uint64_t i = 0; i < PSN_CRASHES; i++)
+    psn_apply (p, now,
+               &(struct psn_update){ .kind = PSN_CRASH,
+                                     .digest = 1,
+                                     .endpoint = 10 + i,
+                                     .ran_ms = PSN_NO_EVENT });
+  for (; now < 1150; now += 10)
+    psn_tick (p, now);
+  cr_assert (psn_is_suspect (p, 1));
+  cr_assert_not (psn_is_blocked (p, 1));
+  now += 1000;
+  psn_resumed (p, now);
+  psn_tick (p, now);
+  cr_expect_not (psn_is_blocked (p, 1));
+  psn_apply (p, now + 10, &cleared);
+  psn_tick (p, now + 1000);
+  cr_expect_not (psn_is_blocked (p, 1));
+  psn_free (p);
+}
