front: nothing final by a configuration that may be outdated

What callers saw: while a gateway hears nothing of control, by its loss or by a pause of the gateway, 401 for a key and 404 for a model that a newer configuration has. Callers don't repeat these.

Cause: the gateway judged by the last view of whatever age.

Change: without a view for 2.5 s such a refusal (401, 403, 404) is 503 config-unconfirmed with a second to wait. A gateway that has never heard of control runs by the operators' folder, which counts as confirmed.

--- a/front/answer.c
+++ b/front/answer.c
@@ -89,6 +89,17 @@
             (unsigned long long)rng_next (&g->rng));
 }
 
+void
+gw_confirm (const struct gw *g, struct gw_error *e)
+{
+  if (gw_view_is_recent (g->view))
+    return;
+  e->status = 503;
+  e->code = "config-unconfirmed";
+  e->message = "this node's configuration may be outdated; retry";
+  e->retry_ms = CLK_SECOND;
+}
+
 void
 gw_refuse (struct gw *g, struct httpd_req *req, struct gw_error *e)
 {
--- a/front/callers.c
+++ b/front/callers.c
@@ -171,6 +171,17 @@
 
 /* ---- paths ---- */
 
+static void
+refuse_unknown_key (struct gw_callers *c, struct httpd_req *req)
+{
+  struct gw_error e = { .status = 401,
+                        .code = "unauthorized",
+                        .message = "no known bearer key" };
+
+  gw_confirm (c->g, &e);
+  gw_refuse (c->g, req, &e);
+}
+
 static void
 refuse (struct gw_callers *c, struct httpd_req *req, int status,
         const char *code, const char *message)
@@ -289,7 +300,7 @@
     }
   account = gw_auth (c->g->cfg, req);
   if (account == NULL)
-    refuse (c, req, 401, "unauthorized", "no known bearer key");
+    refuse_unknown_key (c, req);
   else if (!method_fits (c, path, req))
     return;
   else if (path == GW_PATH_MODELS)
--- a/front/callers.h
+++ b/front/callers.h
@@ -109,6 +109,10 @@
 /** Answer a request that never became an exchange: not run. */
 void gw_refuse (struct gw *g, struct httpd_req *req, struct gw_error *e);
 
+/** Callers do not repeat what a configuration does not allow, so such an error
+    becomes a 503 while a newer configuration may exist. */
+void gw_confirm (const struct gw *g, struct gw_error *e);
+
 /** Fill in a refusal of the HTTP server's own: not run. */
 void gw_complete_refusal (struct gw *g, int status, struct httpd_refusal *r);
 
--- a/front/exchange.c
+++ b/front/exchange.c
@@ -76,6 +76,8 @@
                         .retry_ms = retry_ms,
                         .request_id = str_from (ex->request_id) };
 
+  if (code == RT_CODE_NO_TARGET || code == RT_CODE_FORBIDDEN)
+    gw_confirm (ex->c->g, &e);
   gw_answer_error (take_req (ex, e.outcome, e.code), &e);
 }
 
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -183,6 +183,10 @@
 void gw_view_report (struct gw_view *v);
 struct gw_view *gw_view_start (struct gw *g, struct buf *err);
 void gw_view_stop (struct gw_view *v);
+/** Whether the configuration may be taken for the newest: a view came lately,
+    or none ever did and the configuration is from a folder.  @p v may be
+    NULL. */
+bool gw_view_is_recent (const struct gw_view *v);
 const struct gw_node *gw_view_nodes (const struct gw_view *v, size_t *n);
 /** The caller and peer ports are known: say hello to control. */
 void gw_view_announce (struct gw_view *v, const struct net_addr *http,
--- a/front/view.c
+++ b/front/view.c
@@ -322,6 +322,12 @@
   uv_timer_start (&v->timer, on_tick, 0, TICK_MS);
 }
 
+bool
+gw_view_is_recent (const struct gw_view *v)
+{
+  return v == NULL || v->view_at == 0 || clk_now () - v->view_at < SILENCE_MS;
+}
+
 const struct gw_node *
 gw_view_nodes (const struct gw_view *v, size_t *n)
 {
--- a/t/t7002-view.c
+++ b/t/t7002-view.c
@@ -367,3 +367,38 @@
   cr_expect_eq (proc_wait (n.f.gateway, PROC_WAIT_MS), 0);
   buf_free (&log);
 }
+
+/* Control has fallen silent, so a newer configuration may exist that has the
+   key or the model.  A 401 or 404 would be final for callers: they must get a
+   503 until control is heard again.  */
+Test (view, nothing_final_by_an_old_view)
+{
+  static const char unknown[] = "Authorization: Bearer other-key\r\n";
+  static const char other_model[] = "{\"model\":\"other\",\"prompt\":\"p\"}";
+  struct node n;
+  struct buf log = BUF_INIT;
+
+  node_up (&n);
+  set_view (&n, "\"revision\":7", "", whole_replica (&n));
+  log_until (&n, &log, 200);
+  buf_clear (&log);
+  front_log (&n.f, &log, "GET", "/v1/models", unknown, NULL);
+  front_log (&n.f, &log, "POST", TEXT, FRONT_KEY, other_model);
+  proc_signal (n.control, SIGSTOP);
+  usleep (3000000);
+  front_log (&n.f, &log, "GET", "/v1/models", unknown, NULL);
+  front_log (&n.f, &log, "POST", TEXT, FRONT_KEY, other_model);
+  front_log (&n.f, &log, "GET", "/v1/models", FRONT_KEY, NULL);
+  proc_signal (n.control, SIGCONT);
+  usleep (3000000);
+  front_log (&n.f, &log, "GET", "/v1/models", unknown, NULL);
+  cr_expect_str_eq (buf_c (&log),
+                    "GET /v1/models -> 401 not-run unauthorized\n"
+                    "POST " TEXT " -> 404 not-run no-target\n"
+                    "GET /v1/models -> 503 not-run config-unconfirmed\n"
+                    "POST " TEXT " -> 503 not-run config-unconfirmed\n"
+                    "GET /v1/models -> 200 done -\n"
+                    "GET /v1/models -> 401 not-run unauthorized\n",
+                    "%s", buf_c (&log));
+  buf_free (&log);
+}
