--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -3,6 +3,7 @@
  * Internal structures of the request dispatcher.
  *
  *   dispatch.c        life cycle of a request, by charts/forward.json
+ *   dispatch-request.c  table of open requests
  *   dispatch-code.c   names and HTTP statuses of error codes
  *   dispatch-wait.c   queue of waiting requests and its order
  *   dispatch-place.c  endpoints and the choice among them
@@ -276,10 +277,6 @@
     allowed; else ends the request with @p code. */
 void dsp_attempt_failed (struct dsp *d, struct dsp_req *q, enum dsp_code code);
 
-/** The request, or NULL if @p attempt is not its current attempt. */
-struct dsp_req *dsp_find_attempt (const struct dsp *d, uint64_t id,
-                                  unsigned attempt);
-
 /** Ends the request with the error @p if_not_executed if it was certainly not
     executed, else with @p if_executed.
     @param retry_ms delay after which the client may retry; sent only if the
@@ -288,6 +285,15 @@
                   enum dsp_code if_not_executed, enum dsp_code if_executed,
                   clk_ms retry_ms);
 
+/* dispatch-request.c */
+struct dsp_req *dsp_find_request (const struct dsp *d, uint64_t id);
+/** The request, or NULL if @p attempt is not its current attempt. */
+struct dsp_req *dsp_find_attempt (const struct dsp *d, uint64_t id,
+                                  unsigned attempt);
+struct dsp_req *dsp_add_request (struct dsp *d, const struct dsp_request *in);
+/** Removes the request from the table and frees it; it must not be queued. */
+void dsp_free_request (struct dsp *d, struct dsp_req *q);
+
 /* dispatch-wait.c */
 void dsp_enqueue (struct dsp *d, struct dsp_req *q, bool front);
 /** Removes the request from the queue; does nothing if it isn't queued. */
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -7,10 +7,6 @@
 
 #define INITIAL_BUCKETS 256
 
-/** Prompt length assumed for a request that doesn't state one: about the mean
-    of those that do. */
-#define DEFAULT_PROMPT_TOKENS 1000.0
-
 /** Interval of the timeout checks while requests are open; clients notice
     delays of some hundred milliseconds. */
 #define TICK_INTERVAL_MS ((clk_ms)20)
@@ -128,92 +124,6 @@
   return true;
 }
 
-/* --- lookup of requests ------------------------------------------------ */
-
-static struct dsp_req *
-find_request (const struct dsp *d, uint64_t id)
-{
-  struct dsp_req *q = d->buckets[id & (d->nbuckets - 1)];
-
-  while (q && q->id != id)
-    q = q->hash_next;
-  return q;
-}
-
-struct dsp_req *
-dsp_find_attempt (const struct dsp *d, uint64_t id, unsigned attempt)
-{
-  struct dsp_req *q = find_request (d, id);
-
-  return q && q->endpoint && q->attempt == attempt ? q : NULL;
-}
-
-static void
-grow_buckets (struct dsp *d)
-{
-  size_t size = 2 * d->nbuckets;
-  struct dsp_req **grown = xcalloc (size, sizeof *grown);
-
-  for (struct dsp_req *q = d->open_list; q; q = q->next)
-    {
-      q->hash_next = grown[q->id & (size - 1)];
-      grown[q->id & (size - 1)] = q;
-    }
-  free (d->buckets);
-  d->buckets = grown;
-  d->nbuckets = size;
-}
-
-static struct dsp_req *
-add_request (struct dsp *d, const struct dsp_request *in)
-{
-  struct dsp_req *q = xcalloc (1, sizeof *q);
-  const struct tbl_route *r = in->route;
-
-  if (d->open_count >= d->nbuckets)
-    grow_buckets (d);
-  q->id = in->id;
-  q->config = tbl_ref (in->config);
-  q->route = r;
-  q->priority = in->priority;
-  q->arrived_at = d->now;
-  q->goal_at = d->now - in->waited_ms + r->latency_goal_ms;
-  q->deadline = in->deadline;
-  q->prompt_tokens
-      = in->prompt_tokens > 0 ? in->prompt_tokens : DEFAULT_PROMPT_TOKENS;
-  q->digest = in->digest;
-  q->retryable = tbl_is_retryable (r);
-  q->state = DSP_S_RECEIVED;
-  q->pool = dsp_get_pool (d, in->service->name, in->model);
-  q->hash_next = d->buckets[q->id & (d->nbuckets - 1)];
-  d->buckets[q->id & (d->nbuckets - 1)] = q;
-  q->next = d->open_list;
-  if (q->next)
-    q->next->prev = q;
-  d->open_list = q;
-  d->open_count++;
-  return q;
-}
-
-static void
-free_request (struct dsp *d, struct dsp_req *q)
-{
-  struct dsp_req **at = &d->buckets[q->id & (d->nbuckets - 1)];
-
-  while (*at != q)
-    at = &(*at)->hash_next;
-  *at = q->hash_next;
-  if (q->prev)
-    q->prev->next = q->next;
-  else
-    d->open_list = q->next;
-  if (q->next)
-    q->next->prev = q->prev;
-  tbl_unref (q->config);
-  free (q);
-  d->open_count--;
-}
-
 /* --- end of an attempt ------------------------------------------------- */
 
 static void
@@ -255,7 +165,7 @@
   dsp_dequeue (q);
   release_endpoint (q);
   dsp_add_action (d, DSP_ACT_RELEASE, q);
-  free_request (d, q);
+  dsp_free_request (d, q);
   d->stats.ended++;
   dsp_send_queued (d, p);
 }
@@ -592,11 +502,11 @@
   clk_ms retry_ms;
 
   d->now = now;
-  if (find_request (d, in->id))
+  if (dsp_find_request (d, in->id))
     return;
   if (d->open_count == 0)
     d->last_check_at = now;
-  q = add_request (d, in);
+  q = dsp_add_request (d, in);
   d->stats.arrived++;
   if (d->shutting_down)
     {
@@ -628,7 +538,7 @@
 void
 dsp_client_disconnected (struct dsp *d, clk_ms now, uint64_t id)
 {
-  struct dsp_req *q = find_request (d, id);
+  struct dsp_req *q = dsp_find_request (d, id);
 
   d->now = now;
   if (!q)
@@ -745,7 +655,7 @@
   if (!d)
     return;
   while (d->open_list)
-    free_request (d, d->open_list);
+    dsp_free_request (d, d->open_list);
   for (size_t i = 0; i < d->npools; i++)
     dsp_pool_free (d->pools[i]);
   for (size_t i = 0; i < d->nbudgets; i++)
