--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -161,6 +161,18 @@
   cr_assert (rack_wait_for_counts (r, has_leader));
 }
 
+void
+rack_start_many (struct rack *r, int engines)
+{
+  rack_prepare_nodes (r, engines, RACK_MANY_NODES, NULL);
+  rack_configure (r, 1, "k1", "");
+  for (int i = 0; i < RACK_MANY_NODES; i++)
+    rack_start_node (r, i);
+  for (int i = 0; i < RACK_MANY_NODES; i++)
+    cr_assert (
+        rack_call_until (r, i, "/stream/x", rack_headers ("warm"), 200));
+}
+
 const char *
 rack_headers (const char *id)
 {
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -56,6 +56,9 @@
    node serves a stream. */
 void rack_start_all (struct rack *r, int engines);
 
+/** Same for RACK_MANY_NODES nodes, without the wait for a leader. */
+void rack_start_many (struct rack *r, int engines);
+
 /** Headers with this id, key "k1" and the model; overwritten by the next
    call. */
 const char *rack_headers (const char *id);
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -390,13 +390,7 @@
 {
   struct rack r;
 
-  rack_prepare_nodes (&r, ENGINES, RACK_MANY_NODES, NULL);
-  rack_configure (&r, 1, "k1", "");
-  for (int i = 0; i < RACK_MANY_NODES; i++)
-    rack_start_node (&r, i);
-  for (int i = 0; i < RACK_MANY_NODES; i++)
-    cr_assert (
-        rack_call_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  rack_start_many (&r, ENGINES);
   wait_for_leaders (&r, REPLICAS);
   rack_set (&r, "{\"crash_body\": \"bad\", \"crash_ms\": 10}");
   for (int i = 0; i < RACK_MANY_NODES; i++)
--- a/t/t9310-avail.c
+++ b/t/t9310-avail.c
@@ -182,13 +182,7 @@
   struct rack r;
   const char *const servers[] = { "p1", "p2", "e1", "e5", "e9", "e13" };
 
-  rack_prepare_nodes (&r, 16, RACK_MANY_NODES, NULL);
-  rack_configure (&r, 1, "k1", "");
-  for (int i = 0; i < RACK_MANY_NODES; i++)
-    rack_start_node (&r, i);
-  for (int i = 0; i < RACK_MANY_NODES; i++)
-    cr_assert (
-        rack_call_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  rack_start_many (&r, 16);
   for (size_t i = 0; i < sizeof servers / sizeof servers[0]; i++)
     ask_pause (&r, servers[i], "1.5");
   call_for_duration (&r, RACK_MANY_NODES, "/safe/x", 5000);
