--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -552,6 +552,27 @@
     }
 }
 
+/** Runs a command that adds to the log or shortens it.
+    @return false if it is another one. */
+static bool
+run_log_command (struct world *w, const char *command, const char *a)
+{
+  if (strcmp (command, "show") == 0)
+    show (w);
+  else if (strcmp (command, "count-open") == 0)
+    count (w, a);
+  else if (strcmp (command, "count-orders") == 0)
+    buf_addf (&w->log, "%u orders\n",
+              (unsigned)frm_stats (w->cores[0])->orders);
+  else if (strcmp (command, "plan") == 0)
+    show_plan (w);
+  else if (strcmp (command, "no-order-log") == 0)
+    w->hide_orders = true;
+  else
+    return false;
+  return true;
+}
+
 static void
 run_command (struct world *w, const char *command, const char *a, int n)
 {
@@ -597,24 +618,13 @@
       frm_stalled (w->cores[c], w->now,
                    dsp_endpoint_hash (str_from (vm->id), vm->started_at,
                                       vm->generation));
-  else if (strcmp (command, "show") == 0)
-    show (w);
-  else if (strcmp (command, "count-open") == 0)
-    count (w, a);
   else if (strcmp (command, "list-interval") == 0)
     w->list_ms = atoi (a);
-  else if (strcmp (command, "count-orders") == 0)
-    buf_addf (&w->log, "%u orders\n",
-              (unsigned)frm_stats (w->cores[0])->orders);
-  else if (strcmp (command, "plan") == 0)
-    show_plan (w);
-  else if (strcmp (command, "no-order-log") == 0)
-    w->hide_orders = true;
   else if (strcmp (command, "size") == 0 || strcmp (command, "work-share") == 0
            || strcmp (command, "time-factor") == 0
            || strcmp (command, "demand") == 0)
     set_model (w, command, a, n);
-  else
+  else if (!run_log_command (w, command, a))
     set_vm_state (vm, command);
 }
 
