t: read the status of a response before the view of its head

buf_c() appends a terminator and may move the buffer, so the view that was taken before it pointed into freed memory when the head filled the buffer to the byte.

--- a/t/lib-web.c
+++ b/t/lib-web.c
@@ -150,10 +150,12 @@
 static void
 parse_head (struct web_stream *s)
 {
+  /* buf_c() may move the buffer, so it comes before the view of it. */
+  const char *status = strchr (buf_c (&s->head), ' ');
   struct str head = buf_str (&s->head);
   struct str length = find_header (head, "content-length");
   int64_t n;
-  s->status = atoi (strchr (buf_c (&s->head), ' '));
+  s->status = atoi (status);
   if (str_is (find_header (head, "transfer-encoding"), "chunked"))
     s->framing = BY_CHUNKS;
   else if (str_to_i64 (length, &n))
