control: hold probes and orders in a VM's pause, count announced shutdowns

What servers saw: control went on with its state read every second, and with its orders, in the time for which a VM had asked it for none; a VM that announced its shutdown in responses went on serving until the platform listed it as leaving.

Change: control/dom-avail.c reads both headers from responses to state reads and orders, with the decoder that gateways have. In a pause no state is read, so the evidence expires as it does for each VM that can't be asked, and orders, which are repeated anyway, wait; both ask once more as the connection stands. A VM that announces its shutdown counts as leaving, whatever the platform's list says, until a response from its address lacks the header. The gateway's state probes ask once more as their connection stands, too. The stand-in of a model server announces its shutdown in responses to state reads and orders as well, as it said it did.

--- a/back/avail.c
+++ b/back/avail.c
@@ -25,6 +25,12 @@
 /** Limit on delays, so that times computed from them don't overflow. */
 #define MAX_DELAY_S 1e9
 
+uint64_t
+avl_address_key (const struct net_addr *addr)
+{
+  return str_hash (str_from (addr->host), addr->port);
+}
+
 /* --- table --------------------------------------------------------------- */
 
 struct avl *
--- a/back/avail.h
+++ b/back/avail.h
@@ -25,6 +25,7 @@
 
 #include "base/clock.h"
 #include "base/str.h"
+#include "net/addr.h"
 
 /** Maximum number of servers in the table. */
 #define AVL_MAX_SERVERS 4096
@@ -54,6 +55,10 @@
     counts. */
 void avl_add_delay (struct avl_notice *notice, struct str seconds);
 
+/** Key of the server at an address, where nothing tells its processes
+    apart. */
+uint64_t avl_address_key (const struct net_addr *addr);
+
 struct avl;
 
 struct avl *avl_new (void);
--- a/control/dom-calls.c
+++ b/control/dom-calls.c
@@ -50,7 +50,10 @@
 static void
 on_head (void *ctx, int status, const struct http_header *headers, size_t n)
 {
-  ((struct dom_call *)ctx)->status = status;
+  struct dom_call *call = ctx;
+
+  call->status = status;
+  dom_avail_response (call, status, headers, n);
 }
 
 static void
@@ -148,18 +151,28 @@
 {
   struct dom_call *call = ctx;
   struct dom *d = call->dom;
-  bool allowed = own_may_order (d->own, clk_now ());
+  bool allowed
+      = own_may_order (d->own, clk_now ()) && dom_avail_may_send (call);
 
   met_add (allowed ? d->domains->orders : d->domains->stopped_orders, 1);
   return allowed;
 }
 
+/* The pause may have begun while the probe waited for its connection. */
+static bool
+may_send_probe (void *ctx)
+{
+  return dom_avail_may_send (ctx);
+}
+
 static void
 start_call (struct dom_call *call, struct httpc_request *req,
             clk_ms timeout_ms)
 {
-  static const struct httpc_callbacks probe
-      = { .on_head = on_head, .on_body = on_body, .on_end = on_end };
+  static const struct httpc_callbacks probe = { .on_connected = may_send_probe,
+                                                .on_head = on_head,
+                                                .on_body = on_body,
+                                                .on_end = on_end };
   static const struct httpc_callbacks order = { .on_connected = may_send_order,
                                                 .on_head = on_head,
                                                 .on_body = on_body,
@@ -168,6 +181,7 @@
   req->connect_ms = timeout_ms;
   req->progress_ms = timeout_ms;
   call->deadline = clk_now () + timeout_ms;
+  call->server = avl_address_key (&req->to);
   call->http = httpc_start (call->dom->domains->c->http, req,
                             call->kind == DCALL_PROBE ? &probe : &order, call);
 }
@@ -175,11 +189,14 @@
 void
 dom_probe (struct dom *d, const struct cfg_vm *vm)
 {
-  struct dom_call *call = dom_call_new (d, DCALL_PROBE);
+  struct dom_call *call;
   struct httpc_request req = { .to = vm->addr,
                                .method = STR ("GET"),
                                .path = STR ("/lapis/v1/state") };
 
+  if (dom_avail_is_paused (d, vm))
+    return;
+  call = dom_call_new (d, DCALL_PROBE);
   buf_add (&call->vm, vm->name);
   met_add (d->domains->probes, 1);
   start_call (call, &req, DOM_PROBE_TIMEOUT_MS);
@@ -202,7 +219,7 @@
 dom_order (struct dom *d, const struct rep_action *a)
 {
   struct http_header type = { STR ("content-type"), STR ("application/json") };
-  struct dom_call *call = dom_call_new (d, DCALL_ORDER);
+  struct dom_call *call;
   struct buf body = BUF_INIT;
   struct httpc_request req = { .to = a->vm->addr,
                                .method = STR ("POST"),
@@ -211,6 +228,10 @@
                                .nheaders = 1,
                                .fresh = true };
 
+  /* The order is repeated until the VM reports the state that it asks for. */
+  if (dom_avail_is_paused (d, a->vm))
+    return;
+  call = dom_call_new (d, DCALL_ORDER);
   format_order (a, &body);
   req.body = buf_str (&body);
   buf_add (&call->vm, a->vm->name);
@@ -315,7 +336,9 @@
 
       if (!name || !state)
         continue;
-      set_vm_listed (domains, str_from (name), strcmp (state, "leaving") != 0);
+      set_vm_listed (domains, str_from (name),
+                     strcmp (state, "leaving") != 0
+                         && !dom_avail_is_leaving (domains, str_from (name)));
       if (strcmp (state, "leaving") == 0 && is_backend (domains->cfg, name)
           && !dom_list_contains (leaving, name))
         g_ptr_array_add (leaving, xstrdup (name));
--- a/control/domains.c
+++ b/control/domains.c
@@ -349,6 +349,7 @@
         domains->list[i]->changed = false;
       }
   dom_platform_tick (domains, now);
+  dom_avail_tick (domains);
   if (changed)
     ctl_evidence_changed (domains->c);
 }
@@ -370,6 +371,13 @@
   domains->evidence_bytes
       = met_counter (c->met, "lapisline_evidence_bytes_total",
                      "Bytes of evidence packed, before copies.", NULL);
+  domains->paused
+      = met_gauge (c->met, "lapisline_vms_paused",
+                   "VMs that have asked this process for a pause.", NULL);
+  domains->announced_leaving = met_gauge (
+      c->met, "lapisline_vms_leaving",
+      "VMs that have announced their shutdown to this process.", NULL);
+  domains->avail = avl_new ();
   uv_timer_init (c->loop, &domains->timer);
   domains->timer.data = domains;
   uv_timer_start (&domains->timer, on_timer, (uint64_t)DOM_TICK_MS,
@@ -397,6 +405,7 @@
   free (domains->list);
   free (domains->dom_by_replica);
   free (domains->merged);
+  avl_free (domains->avail);
   g_ptr_array_free (domains->leaving, TRUE);
   g_ptr_array_free (domains->all_leaving, TRUE);
   if (domains->cfg)
--- a/control/domains.h
+++ b/control/domains.h
@@ -4,6 +4,7 @@
  *
  *   domains.c    which domains this node is home of; runs the cores' actions
  *   dom-calls.c  probes, orders and the platform's list over HTTP
+ *   dom-avail.c  pauses and shutdowns that VMs announce
  *   dom-store.c  store calls for the cores
  *   dom-view.c   evidence to and from other nodes, and the merged list
  *   dom-turn.c   which domains may load weights at the same time
@@ -17,6 +18,7 @@
 #ifndef LAPISLINE_CONTROL_DOMAINS_H
 #define LAPISLINE_CONTROL_DOMAINS_H
 
+#include "back/back.h"
 #include "control/control.h"
 #include "replica/owner.h"
 
@@ -62,6 +64,7 @@
   enum dom_call_kind kind;
   struct httpc_call *http; /* NULL for store calls */
   struct buf vm;
+  uint64_t server; /* avl_address_key() of the VM's address */
   struct buf body;
   uint64_t token; /* of the core's action */
   int status;
@@ -118,9 +121,11 @@
   GPtrArray *leaving; /* backend servers that leave, from the list read here */
   GPtrArray *all_leaving; /* and those from evidence; borrows strings */
   clk_ms platform_deadline;
+  struct avl *avail; /* what VMs have announced to this process */
   struct ctl_replica *merged;
   size_t nmerged;
   struct met_series *probes, *orders, *stopped_orders, *evidence_bytes;
+  struct met_series *paused, *announced_leaving;
 };
 
 /* domains.c */
@@ -140,6 +145,18 @@
 void dom_platform_stop (struct ctl_domains *domains);
 bool dom_list_contains (const GPtrArray *names, const char *name);
 
+/* dom-avail.c */
+/** Reads what the head of a response says of the VM's availability. */
+void dom_avail_response (struct dom_call *call, int status,
+                         const struct http_header *headers, size_t n);
+/** Whether a connected probe or order may be sent; counts it. */
+bool dom_avail_may_send (const struct dom_call *call);
+bool dom_avail_is_paused (const struct dom *d, const struct cfg_vm *vm);
+/** Whether the VM has announced its shutdown. */
+bool dom_avail_is_leaving (const struct ctl_domains *domains, struct str vm);
+/** Updates the metrics. */
+void dom_avail_tick (struct ctl_domains *domains);
+
 /* dom-store.c */
 void dom_store_owner (struct dom *d, const struct own_action *a);
 void dom_store_assignment (struct dom *d, const struct rep_action *a);
--- a/front/probe.c
+++ b/front/probe.c
@@ -214,6 +214,14 @@
   return a;
 }
 
+/** The pause may have begun while the probe waited for its connection. */
+static bool
+on_connected (void *ctx)
+{
+  const struct probe_member *m = ctx;
+  return !gw_callers_paused (m->of->p->g->callers, &m->addr);
+}
+
 static void
 on_head (void *ctx, int status, const struct http_header *h, size_t n)
 {
@@ -255,7 +263,8 @@
 static void
 ask (struct gw_probe *p, struct probe_member *m)
 {
-  static const struct httpc_callbacks cb = { NULL, on_head, on_body, on_end };
+  static const struct httpc_callbacks cb
+      = { on_connected, on_head, on_body, on_end };
   struct httpc_request r = { .to = m->addr,
                              .method = STR ("GET"),
                              .path = STR ("/lapis/v1/state"),
--- a/route/avail.c
+++ b/route/avail.c
@@ -18,12 +18,6 @@
     they would be rejected again. */
 #define RETRY_SPREAD_MS 500.0
 
-uint64_t
-rt_avail_key (const struct net_addr *addr)
-{
-  return str_hash (str_from (addr->host), addr->port);
-}
-
 uint64_t
 rt_leaving_key (const struct rt_server *s)
 {
@@ -146,13 +140,13 @@
 {
   struct net_addr addr;
   if (net_addr_parse (ev->name, false, &addr))
-    apply (r, rt_avail_key (&addr), ev);
+    apply (r, avl_address_key (&addr), ev);
 }
 
 bool
 rt_is_paused (const struct rt *r, clk_ms now, const struct net_addr *addr)
 {
-  return avl_paused_until (r->avail, now, rt_avail_key (addr)) != 0;
+  return avl_paused_until (r->avail, now, avl_address_key (addr)) != 0;
 }
 
 struct avl_stats
--- a/route/core.h
+++ b/route/core.h
@@ -124,7 +124,7 @@
   char *zone;
   uint64_t hash;
   struct net_addr addr;
-  uint64_t avail_key;   /**< rt_avail_key() of `addr` */
+  uint64_t avail_key;   /**< avl_address_key() of `addr` */
   uint64_t leaving_key; /**< rt_leaving_key() */
   int64_t generation;
   bool same_zone;
@@ -433,8 +433,6 @@
 double rt_service_ms (const struct rt_target *t);
 
 /* avail.c */
-/** Key of a server's pause. */
-uint64_t rt_avail_key (const struct net_addr *addr);
 /** Key of a server's shutdown, from its address and generation. */
 uint64_t rt_leaving_key (const struct rt_server *s);
 /** Whether the server has neither asked for a pause nor announced its
--- a/route/route.c
+++ b/route/route.c
@@ -238,7 +238,7 @@
     }
   s->same_zone = str_is (zone, r->zone);
   s->addr = *addr;
-  s->avail_key = rt_avail_key (addr);
+  s->avail_key = avl_address_key (addr);
   s->listed = true;
 }
 
--- a/standins/model.c
+++ b/standins/model.c
@@ -35,6 +35,17 @@
 
 /* ---- state and orders ---- */
 
+/** Responds with JSON, and with what the faults announce. */
+static void
+respond (const struct model *m, struct httpd_req *req, int status,
+         const char *json)
+{
+  struct http_header h[BACKEND_HEADERS];
+  size_t n = backend_headers (&m->b, "application/json", false, h);
+
+  httpd_answer (req, status, h, n, str_from (json));
+}
+
 static void
 answer_state (struct model *m, struct httpd_req *req)
 {
@@ -57,7 +68,8 @@
                           json_object_new_int ((int)m->applied_orders));
   json_object_object_add (o, "old_orders",
                           json_object_new_int ((int)m->stale_orders));
-  backend_answer_json (req, 200, o);
+  respond (m, req, 200, json_object_to_json_string (o));
+  json_object_put (o);
 }
 
 static void
@@ -75,7 +87,8 @@
   m->stale_orders++;
   json_object_object_add (o, "error", json_object_new_string ("old-fence"));
   json_object_object_add (o, "fence", json_object_new_int64 (m->fence));
-  backend_answer_json (req, 409, o);
+  respond (m, req, 409, json_object_to_json_string (o));
+  json_object_put (o);
 }
 
 static void
@@ -109,7 +122,7 @@
     {
       m->fence = fence;
       apply_order (m, o);
-      httpd_answer (req, 200, NULL, 0, STR ("{\"ok\":true}"));
+      respond (m, req, 200, "{\"ok\":true}");
     }
   json_object_put (o);
 }
--- a/t/t6004-domains.c
+++ b/t/t6004-domains.c
@@ -35,7 +35,12 @@
   char last_evidence[64];
   bool whole; /* by the last full evidence */
   bool suspend_next;
-  bool log_forms; /* full or short */
+  bool log_forms;      /* full or short */
+  char rejected[8];    /* method of requests that the VM rejects */
+  char retry_after[8]; /* in its rejections */
+  clk_ms paused_until; /* end of the pause that it has asked for */
+  int during_pause;    /* requests that arrived in it */
+  bool leaving;        /* it announces its shutdown in all responses */
 };
 
 static struct fixture the_fixture;
@@ -111,11 +116,31 @@
   free (text);
 }
 
+/* Rejects the request if the script says so. */
+static bool
+reject (struct httpd_req *req)
+{
+  struct http_header pause
+      = { STR ("retry-after"), str_from (fixture->retry_after) };
+
+  fixture->during_pause += clk_now () < fixture->paused_until;
+  if (!str_is (httpd_get (req)->method, fixture->rejected))
+    return false;
+  fixture->paused_until
+      = clk_now () + (clk_ms)(1000 * atof (fixture->retry_after));
+  run_log (&fixture->run, "%s rejected %s", fixture->rejected, fixture->phase);
+  httpd_answer (req, 503, &pause, 1, STR (""));
+  return true;
+}
+
 static void
 handle (void *ctx, struct httpd_req *req)
 {
+  struct http_header leaving = { STR ("server-leaving"), STR ("1") };
   char state[160];
 
+  if (reject (req))
+    return;
   if (str_is (httpd_get (req)->method, "POST"))
     {
       execute_order (httpd_get (req)->body);
@@ -128,7 +153,7 @@
             fixture->replica, (int)fixture->generation,
             fixture->unloaded ? "false" : "true",
             fixture->unloaded ? "true" : "false");
-  httpd_answer (req, 200, NULL, 0, str_from (state));
+  httpd_answer (req, 200, &leaving, fixture->leaving, str_from (state));
 }
 
 /* Scripts. */
@@ -328,6 +353,14 @@
     uv_run (&fixture->run.loop, UV_RUN_ONCE);
 }
 
+/* "METHOD SECONDS"; with "none", no requests are rejected. */
+static void
+set_rejected (struct str rest)
+{
+  fixture->rejected[0] = fixture->retry_after[0] = '\0';
+  sscanf (rest.ptr, "%7s %7[0-9.]", fixture->rejected, fixture->retry_after);
+}
+
 /* Steps that need explanation: late: fail_renewals(); freeze: suspend this
    process at the next incomplete evidence until the owner's time for orders is
    over; release: the store ends the lease; elsewhere: remote evidence about
@@ -374,6 +407,13 @@
       }
   else if (str_is (word, "pause"))
     run_loop_for (4500);
+  else if (str_is (word, "reject"))
+    set_rejected (rest);
+  else if (str_is (word, "count"))
+    run_log (&fixture->run, "%d in pauses %s", fixture->during_pause,
+             fixture->phase);
+  else if (str_is (word, "leave") || str_is (word, "stay"))
+    fixture->leaving = str_is (word, "leave");
   else if (str_is (word, "show"))
     log_replica ();
 }
@@ -490,6 +530,58 @@
                "evidence whole of the owner b\n");
 }
 
+/* Guards against state probes to a VM that has asked this process for a pause;
+   its replica is not used without evidence. */
+Test (domains, paused_vm_gets_no_probes)
+{
+  run_fixture ("manage", ALONE,
+               "phase a\n"
+               "wait evidence whole of the owner a\n"
+               "phase b\n reject GET 4\n"
+               "wait evidence broken of the owner b\n"
+               "phase c\n reject none\n"
+               "wait evidence whole of the owner c\n count\n");
+  end_fixture ("evidence broken of the owner a\n"
+               "load r1/1 fence 11 a\n"
+               "evidence whole of the owner a\n"
+               "GET rejected b\n"
+               "evidence broken of the owner b\n"
+               "evidence whole of the owner c\n"
+               "0 in pauses c\n");
+}
+
+/* Guards against orders to a VM in its pause; the order follows after it. */
+Test (domains, paused_vm_gets_no_orders)
+{
+  run_fixture ("manage", ALONE,
+               "phase a\n reject POST 2.5\n"
+               "wait POST rejected a\n"
+               "phase b\n reject none\n"
+               "wait evidence whole of the owner b\n count\n");
+  end_fixture ("evidence broken of the owner a\n"
+               "POST rejected a\n"
+               "load r1/1 fence 11 b\n"
+               "evidence whole of the owner b\n"
+               "0 in pauses b\n");
+}
+
+/* Guards against a VM that announces its shutdown in responses only: its
+   replica drains until another process responds there. */
+Test (domains, leaving_vm_is_drained)
+{
+  run_fixture ("manage", ALONE,
+               "phase a\n"
+               "wait evidence whole of the owner a\n show\n"
+               "leave\n pause\n show\n"
+               "stay\n pause\n show\n");
+  end_fixture ("evidence broken of the owner a\n"
+               "load r1/1 fence 11 a\n"
+               "evidence whole of the owner a\n"
+               "whole of n1 fence 11 load 0\n"
+               "draining of n1 fence 11 load 0\n"
+               "whole of n1 fence 11 load 0\n");
+}
+
 /*
  * Short evidence renews the full evidence and carries the loads.  It must not
  * keep a replica in service if it is from another owner, about another set of
--- a/t/t6010-replica-processes.c
+++ b/t/t6010-replica-processes.c
@@ -233,6 +233,20 @@
                              NULL, "\"unloaded\": true", PROC_WAIT_MS));
 }
 
+/* Guards against a VM that serves on after it has announced its shutdown in
+   responses, while the platform still lists it as live. */
+Test (replica_processes, vm_that_announces_its_shutdown_is_replaced)
+{
+  start_all ();
+  post (proc_addr (vms[0], "http"), "/control/set", "{\"leaving\":true}");
+  wait_for_both ("\"draining\":true");
+  wait_for_both ("\"generation\":2");
+  wait_for_both ("\"draining\":false");
+  wait_for_both ("\"whole\":true");
+  cr_expect (web_poll_until (proc_addr (vms[0], "http"), "/lapis/v1/state",
+                             NULL, "\"unloaded\": true", PROC_WAIT_MS));
+}
+
 /* An operator drains the replica through the node that is not the owner. */
 Test (replica_processes, operator_drains)
 {
