--- a/builtin/bench.c
+++ b/builtin/bench.c
@@ -18,6 +18,7 @@
   { "members", bench_members, "detection, accusations, cost of membership" },
   { "decide", bench_decide, "processor time and memory of decisions" },
   { "limits", bench_limits, "an account's limit through a partition" },
+  { "pauses", bench_pauses, "days on which servers ask for pauses" },
   { "shares", bench_shares, "cost of an account's home" },
   { "plot", bench_plot, "draw a table of figures as SVG" },
 };
--- a/builtin/bench.h
+++ b/builtin/bench.h
@@ -20,6 +20,7 @@
 int bench_members (int argc, char **argv);
 int bench_decide (int argc, char **argv);
 int bench_limits (int argc, char **argv);
+int bench_pauses (int argc, char **argv);
 int bench_plot (int argc, char **argv);
 int bench_shares (int argc, char **argv);
 int bench_route (int argc, char **argv);
--- a/t/t8201-commands.c
+++ b/t/t8201-commands.c
@@ -56,6 +56,7 @@
     { { "metrics", "--admin", "127.0.0.1:1" }, 4 },
     { { "trace", "xyz", "--admin", "127.0.0.1:1" }, 2 },
     { { "replay", "/nosuch" }, 3 },
+    { { "bench", "pauses", "--share", "2" }, 2 },
   };
 
   for (size_t i = 0; i < sizeof invocations / sizeof invocations[0]; i++)
