dispatch: a test of the time that a run took before a crash, across a pause

The last open row of the postmortem of configurations not in force: a node that stood still counts its own pause as time for which a stream ran before its server crashed.

How long the server went on during the pause is not known here. Taken for too short, the run counts as one that had just begun, and its request, which may not be the cause, can be blocked for ten minutes after this third crash; taken for too long, a request that is the cause gets one crash more.

--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -235,6 +235,22 @@
                  "error 4 crashes-servers 503\nsend 5 s2\n");
 }
 
+/* Guards against blocking a request that may have run for as long as this
+   process was suspended before its server crashed. */
+Test (dispatch, suspension_counts_as_run_time)
+{
+  dispatch_play ("replicas s 5 4\n"
+                 "submit 1 stream 7\n sent 1\n interrupted 1\n crashed s3\n"
+                 "close s3\n sent 1\n interrupted 1\n crashed s5\n close s5\n"
+                 "submit 2 stream 7\n sent 2\n ok 2\n event 2\n"
+                 "suspend 3000\n interrupted 2\n crashed s1\n close s1\n"
+                 "submit 3 stream 7\n run 400\n submit 4 stream 7\n",
+                 "send 1 s3\ncheck s3\ncancel 1\nsend 1 s5\ncheck s5\n"
+                 "cancel 1\nerror 1 broken 502\nsend 2 s1\nforward 2\n"
+                 "check s1\ncancel 2\ntruncate 2 broken\n"
+                 "send 3 s2\nsend 4 s4\n");
+}
+
 /* Guards against blocking a request because its connections were reset or its
    servers could not be reached: neither proves a crash. */
 Test (dispatch, reset_connection_is_not_a_crash)
