config: hand a newer configuration to a leader that is behind

What callers saw: after the store had come back from an older copy, a node that started then and became leader kept the older configuration until the operators wrote again: a key that had been taken away was good there, one that had been given was refused.

Cause: the leader alone pushes the configuration to nodes that are behind. Nobody pushed it to the leader, which takes what the store shows for the newest. A leader that can't read the store has the same fault.

Change: a node with a newer version pushes it to the leader (or to the node that adds up loads in its place) after the half second that small fleets have for a reading, and 150 ms later for each rank, so that one node does it.

--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -8,11 +8,17 @@
  * to each peer with an older version.  In a small fleet, each node watches the
  * store and usually reads a new version before a push is due, unless the store
  * rejects its requests or returns an older revision.
+ *
+ * That node may itself be behind: it started after the store was restored from
+ * an older copy, or can't reach the store.  Then the others push to it, one
+ * after the other, until it announces the newer version.
  */
 
 /** Time that each node of a small fleet is given to read a new version from
     the store before the document is pushed to it. */
 #define SMALL_FLEET_DELAY_MS ((clk_ms)500)
+/** Stagger, per rank, of pushes to the node that announces. */
+#define PUSH_STAGGER_MS ((clk_ms)150)
 
 void
 prs_on_load_timestamp (struct peer *x, clk_ms now, const Lapis__NodeLoad *load)
@@ -73,6 +79,19 @@
          && x->config_version_sent < version;
 }
 
+/** Delay of a push to a peer, CLK_NEVER: another node pushes to it. */
+static clk_ms
+push_delay (const struct peer *x)
+{
+  const struct srv_peers *p = x->p;
+
+  if (srv_peers_is_announcer (p->s))
+    return prs_exceeds_full_mesh (p) ? 0 : SMALL_FLEET_DELAY_MS;
+  if (x->is_leader || x == p->aggregator)
+    return SMALL_FLEET_DELAY_MS + srv_node_rank (p->s) * PUSH_STAGGER_MS;
+  return CLK_NEVER;
+}
+
 static bool
 is_push_due (struct peer *x, int64_t version, clk_ms now)
 {
@@ -81,8 +100,7 @@
   else if (!x->config_behind_since)
     x->config_behind_since = now;
   return x->config_behind_since
-         && (prs_exceeds_full_mesh (x->p)
-             || now - x->config_behind_since >= SMALL_FLEET_DELAY_MS);
+         && now - x->config_behind_since >= push_delay (x);
 }
 
 static size_t
@@ -99,7 +117,8 @@
 prs_push_config (struct srv_peers *p, clk_ms now)
 {
   int64_t version = srv_config_version (p->s);
-  bool any_due = count_push_due (p, version, now) > 0;
+  size_t ndue = count_push_due (p, version, now);
+  bool announces = srv_peers_is_announcer (p->s);
   Lapis__ConfigText config = LAPIS__CONFIG_TEXT__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
   struct str text;
@@ -108,8 +127,9 @@
      behind.  If a document is too long to be sent to all of them, each reads
      it from the store, and it must not be sent to the last few peers that have
      not read it yet. */
-  if (!any_due || !srv_peers_is_announcer (p->s)
-      || !srv_config_document (p->s, prs_count_up (p), &text))
+  if (!ndue
+      || !srv_config_document (p->s, announces ? prs_count_up (p) : ndue,
+                               &text))
     return;
   config.version = version;
   config.text.data = (uint8_t *)text.ptr;
--- a/t/t9308-era.c
+++ b/t/t9308-era.c
@@ -3,6 +3,7 @@
  * and leases are lost, and their revision numbers are assigned again.
  */
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -87,6 +88,29 @@
                   "node %d", i + 1);
 }
 
+/* Guards against a node that becomes leader with the older configuration that
+   the restored store returns: the other nodes receive theirs from the leader,
+   and nobody sent the leader a newer one. */
+Test (store_restore, new_leader_receives_newer_configuration)
+{
+  struct rack r;
+
+  start_with_backup (&r, 4);
+  rack_configure (&r, 2, "k2", "");
+  for (int i = 0; i < NODES - 1; i++)
+    cr_assert (rack_call_until (&r, i, "/once/x", k2_headers, 200));
+  for (int i = 0; i < NODES - 1; i++)
+    proc_signal (r.node[i], SIGSTOP);
+  restore_store (&r);
+  rack_start_node (&r, NODES - 1);
+  cr_assert (web_poll_until (r.ready[NODES - 1], "/metrics", NULL,
+                             "lapisline_serve_duty 1", PROC_WAIT_MS));
+  for (int i = 0; i < NODES - 1; i++)
+    proc_signal (r.node[i], SIGCONT);
+  cr_expect (rack_call_until (&r, NODES - 1, "/once/x", k2_headers, 200));
+  cr_expect_eq (rack_call (&r, NODES - 1, "/once/x", "c", NULL, NULL), 401);
+}
+
 /* Guards against state lost by a second restore while nodes are still
    rewriting what the first one lost. */
 Test (store_restore, two_restores_in_a_row)
