store: announce the store's restore counter over the links, write entries at once

What nodes saw: after the store had come back from an older copy, the entries of 18 nodes were back after 4.7 s, with the renewals of leases; a node that starts meanwhile doesn't find the others. A node that can't reach the store took revisions of before the restore for valid until it could.

Change: each node tells the highest counter that it knows with the state of its configuration; store_learn_era() makes it count as if the store had sent it (late answers fail, old watches end). A revoke of the lease had the callback of the secret, and ended a call that had not begun.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4595,7 +4595,7 @@
   (ProtobufCMessageInit) lapis__node_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__config_state__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lapis__config_state__field_descriptors[7] =
 {
   {
     "version",
@@ -4669,6 +4669,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ConfigState, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__config_state__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
@@ -4676,12 +4688,13 @@
   5,   /* field[5] = known */
   2,   /* field[2] = stamp */
   1,   /* field[1] = stamped */
+  6,   /* field[6] = store_era */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange lapis__config_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lapis__config_state__descriptor =
 {
@@ -4691,7 +4704,7 @@
   "Lapis__ConfigState",
   "lapis",
   sizeof(Lapis__ConfigState),
-  6,
+  7,
   lapis__config_state__field_descriptors,
   lapis__config_state__field_indices_by_name,
   1,  lapis__config_state__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -714,10 +714,17 @@
    * since the version in force was known to
    */
   int64_t age_ms;
+  /*
+   * be the newest, as that frame came
+   */
+  /*
+   * highest restore counter of the store
+   */
+  int64_t store_era;
 };
 #define LAPIS__CONFIG_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__config_state__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -151,7 +151,7 @@
       s, PREFIX "store_era",
       "How often the store has come back from an older copy of its data, as "
       "it counts; 0: not known.",
-      NULL, (double)srv_sync_store_era (s));
+      NULL, (double)store_era (s->store));
   gauge (
       s, PREFIX "entries_not_taken",
       "Entries of the list that can't be read, at this node's last reading.",
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -119,9 +119,6 @@
 /** Whether requests are deferred: the list is outdated since the last pause of
     this process, and the wait for a new list has not timed out. */
 bool srv_sync_is_resuming (const struct srv *s, clk_ms now);
-/** Restore counter of the store at the last read; it increases when the store
-    is restored from an older copy of its data. */
-int64_t srv_sync_store_era (const struct srv *s);
 /** Time since this node's last successful read. */
 clk_ms srv_sync_read_age (const struct srv *s, clk_ms now);
 /** Number of entries that could not be parsed in the last read. */
--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -36,6 +36,7 @@
   if (!c)
     return;
   x->config_version = c->version;
+  store_learn_era (x->p->s->store, c->store_era, x->node);
   if (c->stamped)
     x->load_sent_earliest = c->stamp + c->held_ms;
   a = (struct cur_announcement){ .version = c->version,
@@ -61,6 +62,7 @@
 
   lapis__config_state__init (c);
   c->version = srv_config_version (s);
+  c->store_era = store_era (s->store);
   c->stamped = x->has_timestamp;
   if (!c->stamped)
     return;
--- a/serve/register.c
+++ b/serve/register.c
@@ -28,6 +28,10 @@
     after SETTLE_MS, plus this time per rank of the writing node. */
 #define SECRET_STAGGER_MS ((clk_ms)50)
 #define SECRET_BYTES 32
+/** Number of nodes that write the secret again after a restore, before their
+    entries: a node that starts and finds entries without a secret would make
+    one of its own. */
+#define SECRET_WRITERS 3
 /** Stagger, per rank, of the rewriting of entries that the store has lost. */
 #define ENTRY_STAGGER_MS ((clk_ms)10)
 /** A leaf that receives nothing from a leader does not read the store for this
@@ -49,6 +53,10 @@
   /* This node's entry. */
   int64_t lease;
   bool entry_written;
+  int64_t entry_era;  /* restore counter of the store when it was written */
+  int64_t known_era;  /* the last one that this node has acted upon */
+  clk_ms restored_at; /* when it learned of the last restore */
+  bool secret_lost;   /* the restore may have lost the secret */
   bool call_in_flight;
   clk_ms call_due_at;
   struct store_compare compare;
@@ -383,8 +391,14 @@
 on_entry_written (void *ctx, const struct store_result *r)
 {
   struct srv_register *g = ctx;
+  int64_t era = store_era (g->s->store);
 
   g->entry_written = r->status == STORE_OK;
+  if (g->entry_written && g->entry_era && era > g->entry_era)
+    LOG (entry_rewritten, LOG_I ("era", era),
+         LOG_I ("after_ms", clk_now () - g->restored_at));
+  if (g->entry_written)
+    g->entry_era = era;
   if (r->status == STORE_GONE)
     g->lease = 0;
   /* If the answer was lost, writing the same value again is harmless. */
@@ -437,6 +451,8 @@
   /* On a conflict, another node has written the secret; in both cases the
      watch returns it. */
   g->secret_written = r->status == STORE_OK || r->status == STORE_CONFLICT;
+  if (r->status == STORE_OK && g->secret.len)
+    LOG (secret_rewritten, LOG_I ("era", store_era (g->s->store)));
   end_call (g, r->status, 0);
 }
 
@@ -468,6 +484,7 @@
   else
     generate_secret (&text);
   begin_call (g);
+  g->secret_lost = false;
   g->compare = (struct store_compare){ buf_str (&g->secret_key), 0 };
   g->put = (struct store_put){ buf_str (&g->secret_key), buf_str (&text), 0 };
   store_txn (g->s->store, STORE_ROSTER, &txn, on_secret, g);
@@ -484,10 +501,28 @@
          && now >= g->secret_due_at + srv_node_rank (g->s) * SECRET_STAGGER_MS;
 }
 
+/** After a restore of the store, write this node's entry again under a new
+    lease: whether the copy has them is not known. */
+static void
+check_restore (struct srv_register *g)
+{
+  int64_t era = store_era (g->s->store);
+
+  if (g->call_in_flight || !g->entry_era || era == g->known_era)
+    return;
+  g->known_era = era;
+  if (era == g->entry_era)
+    return;
+  g->lease = 0;
+  g->restored_at = clk_now ();
+  g->secret_lost = g->secret.len > 0 && srv_node_rank (g->s) < SECRET_WRITERS;
+  schedule_entry_rewrite (g);
+}
+
 static void
 make_due_call (struct srv_register *g, clk_ms now)
 {
-  if (should_write_secret (g, now))
+  if (g->secret_lost || should_write_secret (g, now))
     write_secret (g);
   else if (g->s->stopping_since)
     return;
@@ -524,6 +559,7 @@
   struct srv_register *g = s->registration;
 
   advance_watch (g, now);
+  check_restore (g);
   pau_set_pushed (&s->store_backoff, now,
                   may_skip_reads (g, now) && srv_peers_has_leader (s, now)
                       && bks_has_list (s->backends),
@@ -544,11 +580,18 @@
     make_due_call (g, now);
 }
 
+static void
+on_revoked (void *ctx, const struct store_result *r)
+{
+  (void)ctx; /* the lease expires if it could not be revoked */
+  (void)r;
+}
+
 void
 srv_register_revoke (struct srv *s)
 {
   if (s->registration->lease)
-    store_lease_revoke (s->store, s->registration->lease, on_secret,
+    store_lease_revoke (s->store, s->registration->lease, on_revoked,
                         s->registration);
 }
 
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -159,12 +159,6 @@
          && is_outdated (s, now);
 }
 
-int64_t
-srv_sync_store_era (const struct srv *s)
-{
-  return s->sync->store_era;
-}
-
 clk_ms
 srv_sync_read_age (const struct srv *s, clk_ms now)
 {
--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -44,7 +44,7 @@
 }
 
 static void
-answer_text (const struct rack *r, struct httpd_req *req, int status,
+answer_text (struct rack *r, struct httpd_req *req, int status,
              struct str body)
 {
   char era[24];
@@ -54,12 +54,12 @@
 
   snprintf (era, sizeof era, "%lld", (long long)r->kv.era);
   h[1].value = str_from (era);
+  r->store_bytes += body.len;
   httpd_answer (req, status, h, 2, body);
 }
 
 static void
-answer_json (const struct rack *r, struct httpd_req *req, int status,
-             json_object *o)
+answer_json (struct rack *r, struct httpd_req *req, int status, json_object *o)
 {
   answer_text (r, req, status, str_from (json_object_to_json_string (o)));
   json_object_put (o);
@@ -404,6 +404,29 @@
   return id;
 }
 
+static void
+count_entry (void *ctx, const struct kv_entry *e)
+{
+  *(int *)ctx += str_starts (kv_str (e->key), STR (PLT_PREFIX_OWN "nodes/"));
+}
+
+json_object *
+rack_store_counts (struct rack *r)
+{
+  json_object *o = json_object_new_object ();
+  GBytes *all = g_bytes_new ("", 1);
+  int nodes = 0;
+
+  kv_range (&r->kv, all, all, count_entry, &nodes);
+  g_bytes_unref (all);
+  json_object_object_add (o, "calls",
+                          json_object_new_int ((int)r->store_calls));
+  json_object_object_add (o, "bytes",
+                          json_object_new_int64 ((int64_t)r->store_bytes));
+  json_object_object_add (o, "nodes", json_object_new_int (nodes));
+  return o;
+}
+
 bool
 rack_store_call (struct rack *r, struct httpd_req *req)
 {
@@ -411,6 +434,7 @@
 
   if (!str_starts (path, STR ("/kv-")))
     return false;
+  r->store_calls++;
   kv_expire (&r->kv, clk_now ());
   if (r->fault.silent)
     return true;
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -199,6 +199,7 @@
           json_object_new_int ((int)s->avail.late_arrivals));
       json_object_object_add (o, s->id, row);
     }
+  json_object_object_add (o, "store", rack_store_counts (r));
   json_object_object_add (o, "crashed", json_object_new_int (r->crashed));
   g_hash_table_foreach (r->runs, add_repeated, repeated);
   json_object_object_add (o, "repeated", repeated);
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -131,6 +131,8 @@
   struct kv kv;
   struct kv backup; /**< written by "copy", read by "restore" */
   struct store_fault fault;
+  unsigned store_calls; /**< calls received */
+  size_t store_bytes;   /**< bytes of response bodies */
   struct watch_call *watches;
   struct server servers[RACK_SERVERS];
   size_t nservers;
@@ -145,6 +147,8 @@
 /* rack-store.c */
 /** Handles a call of the key-value service; false for any other path. */
 bool rack_store_call (struct rack *r, struct httpd_req *req);
+/** Calls and bytes so far, and how many nodes have an entry. */
+json_object *rack_store_counts (struct rack *r);
 /** Writes a key without a lease. */
 void rack_store_put (struct rack *r, const char *key, const char *value);
 void rack_store_remove (struct rack *r, const char *key);
--- a/store/store.c
+++ b/store/store.c
@@ -211,6 +211,19 @@
   store_submit (s, STORE_OWNERSHIP, c);
 }
 
+int64_t
+store_era (const struct store *s)
+{
+  return s->ops->era ? s->ops->era (s->self) : 0;
+}
+
+void
+store_learn_era (struct store *s, int64_t era, const char *from)
+{
+  if (s->ops->learn_era && era > store_era (s))
+    s->ops->learn_era (s->self, era, from);
+}
+
 void
 store_lease_revoke (struct store *s, int64_t lease, store_cb cb, void *ctx)
 {
--- a/store/store.h
+++ b/store/store.h
@@ -150,6 +150,9 @@
                   const struct store_watch_cb *cb, void *ctx);
   void (*watch_stop) (void *self, void *watch);
   void (*free) (void *self);
+  /** Both NULL where the service names no restore counter. */
+  int64_t (*era) (const void *self);
+  void (*learn_era) (void *self, int64_t era, const char *from);
 };
 
 /** Rates of the budget, calls a second; each also bounds the burst. */
@@ -173,6 +176,14 @@
 void store_free (struct store *s);
 const struct store_counts *store_counts (const struct store *s);
 
+/** Highest restore counter of the service that is known; 0: none. */
+int64_t store_era (const struct store *s);
+
+/** Another process, @p from, knows this restore counter.  From then on,
+   results of earlier eras are not valid, as if this process had received it
+   itself. */
+void store_learn_era (struct store *s, int64_t era, const char *from);
+
 /** End of the range of all keys that begin with @p prefix. */
 void store_prefix_end (struct str prefix, struct buf *out);
 
--- a/t/t9308-era.c
+++ b/t/t9308-era.c
@@ -7,7 +7,9 @@
 #include <stdio.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "t/lib-rack.h"
+#include "t/lib-relay.h"
 
 TestSuite (store_restore, .fini = proc_stop_all, .timeout = 120);
 
@@ -15,6 +17,9 @@
    assigned after the restore stay below that of this write. */
 #define REVISION_GAP 100000
 #define NODES 3
+/** Longest time until the nodes' entries are in the store again, the same as
+    for those of backend servers. */
+#define ENTRIES_BACK_MS ((clk_ms)2000)
 
 /** Starts all nodes but the last. The store has a copy made before the nodes
    started. */
@@ -88,6 +93,70 @@
                   "node %d", i + 1);
 }
 
+/** Time from the restore until @p nodes nodes have an entry again. */
+static clk_ms
+wait_for_entries (const struct rack *r, int nodes)
+{
+  clk_ms start = clk_now ();
+
+  while (rack_get_count (r, "store", "nodes") < nodes
+         && clk_now () - start < PROC_WAIT_MS)
+    usleep (10000);
+  return clk_now () - start;
+}
+
+/* Guards against node entries that are missing after a restore until each node
+   has renewed its lease: nodes that start meanwhile don't find the others. */
+Test (store_restore, entries_are_back_soon)
+{
+  const int nodes = RACK_MANY_NODES;
+  struct rack r;
+  clk_ms ms;
+
+  rack_prepare_nodes (&r, 4, nodes, NULL);
+  rack_configure (&r, 1, "k1", "");
+  rack_set (&r, "{\"store\": {\"copy\": true}}");
+  for (int i = 0; i < nodes; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i < nodes; i++)
+    cr_assert (
+        rack_call_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  cr_assert_eq (rack_get_count (&r, "store", "nodes"), nodes);
+  restore_store (&r);
+  cr_assert_lt (rack_get_count (&r, "store", "nodes"), nodes);
+  ms = wait_for_entries (&r, nodes);
+  cr_expect_leq (ms, ENTRIES_BACK_MS, "%lld ms", (long long)ms);
+}
+
+static struct relay *tcp_proxy;
+
+static const char *
+connect_by_proxy (const char *at)
+{
+  tcp_proxy = relay_new (at, at);
+  return relay_addr (tcp_proxy, 0);
+}
+
+/* Guards against a node that takes revisions of before a restore for valid
+   because it can't reach the store itself. */
+Test (store_restore, cut_off_node_learns_of_restore)
+{
+  struct rack r;
+
+  rack_prepare_nodes (&r, 4, NODES, connect_by_proxy);
+  rack_configure (&r, 1, "k1", "");
+  rack_set (&r, "{\"store\": {\"copy\": true}}");
+  for (int i = 0; i < NODES; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i < NODES; i++)
+    cr_assert (
+        rack_call_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  relay_close_connections (tcp_proxy);
+  restore_store (&r);
+  cr_expect (web_poll_until (r.ready[NODES - 1], "/metrics", NULL,
+                             "lapisline_serve_store_era 2", 2000));
+}
+
 /* Guards against a node that becomes leader with the older configuration that
    the restored store returns: the other nodes receive theirs from the leader,
    and nobody sent the leader a newer one. */
