load: no stall is seen in old reports of other nodes

The leader, which adds up all loads, was busy with the versions and sent no sum for 450 ms.

Cause: when the sum expires, the loads that other nodes had sent directly, once a second, are handed to the dispatcher again, which took them for received at that moment. What they say of the last event was up to a second old, and four streams without an event for 400 ms are a stall.

t9201 late_report_is_not_a_stall: stalled at once before.

--- a/builtin/bench-pauses.c
+++ b/builtin/bench-pauses.c
@@ -477,7 +477,8 @@
                 += (uint32_t)(sign * (int)own[k].pending_prefill);
           }
         if (pass)
-          dsp_set_peer_load (d->dsp[i], d->now, 1, others, (size_t)nservers);
+          dsp_set_peer_load (d->dsp[i], d->now, d->now, 1, others,
+                             (size_t)nservers);
       }
   for (int i = 0; i < nnodes; i++)
     take_actions (d, i);
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -102,8 +102,9 @@
 }
 
 void
-dsp_set_peer_load (struct dsp *d, clk_ms now, uint64_t peer,
-                   const struct dsp_endpoint_load *loads, size_t n)
+dsp_set_peer_load (struct dsp *d, clk_ms now, clk_ms received_at,
+                   uint64_t peer, const struct dsp_endpoint_load *loads,
+                   size_t n)
 {
   struct dsp_peer *p = get_peer (d, peer);
 
@@ -113,7 +114,7 @@
   if (n)
     memcpy (p->loads, loads, n * sizeof *loads);
   p->n = n;
-  p->received_at = now;
+  p->received_at = received_at;
   add_peer_loads (d, p, true);
   for (size_t i = 0; i < n; i++)
     if (loads[i].process_ended)
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -202,9 +202,11 @@
 void dsp_set_node_count (struct dsp *d, unsigned n);
 
 /** Replaces the load reported by the node @p peer; @p n is 0 also when the
-    peer is gone. */
-void dsp_set_peer_load (struct dsp *d, clk_ms now, uint64_t peer,
-                        const struct dsp_endpoint_load *loads, size_t n);
+    peer is gone.
+    @param received_at  when the report came, which may be passed on later */
+void dsp_set_peer_load (struct dsp *d, clk_ms now, clk_ms received_at,
+                        uint64_t peer, const struct dsp_endpoint_load *loads,
+                        size_t n);
 
 /** Records long prompts that another node has just sent. */
 void dsp_receive_notices (struct dsp *d, clk_ms now,
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -34,8 +34,8 @@
 {
   bool direct = x->up && !prs_is_sum_fresh (x->p, now);
 
-  dsp_set_peer_load (x->p->s->dispatch, now, x->hash, x->loads,
-                     direct ? x->nloads : 0);
+  dsp_set_peer_load (x->p->s->dispatch, now, x->timestamp_received_at, x->hash,
+                     x->loads, direct ? x->nloads : 0);
 }
 
 static void
@@ -53,7 +53,7 @@
   if (p->sum_received_at == 0 || prs_is_sum_fresh (p, now))
     return;
   p->sum_received_at = 0;
-  dsp_set_peer_load (p->s->dispatch, now, SUM_OF_OTHERS, NULL, 0);
+  dsp_set_peer_load (p->s->dispatch, now, now, SUM_OF_OTHERS, NULL, 0);
   pass_all_loads_to_dispatch (p, now);
 }
 
@@ -142,7 +142,7 @@
   if (was_stale)
     pass_all_loads_to_dispatch (p, now);
   subtract_own_load (p, sum, n);
-  dsp_set_peer_load (p->s->dispatch, now, SUM_OF_OTHERS, sum, n);
+  dsp_set_peer_load (p->s->dispatch, now, now, SUM_OF_OTHERS, sum, n);
   free (sum);
   srv_run_actions (p->s);
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -332,10 +332,6 @@
   return srv_is_leader (s) || (prs_exceeds_full_mesh (p) && !p->aggregator);
 }
 
-/**
- * Add the length of the pause to the time of the last frame of each peer,
- * because frames that arrived during the pause are not read yet.
- */
 /** A time of before a pause of this process, moved by its duration. */
 static clk_ms
 add_pause (clk_ms at, clk_ms now, clk_ms ms)
@@ -343,6 +339,10 @@
   return at + ms < now ? at + ms : now;
 }
 
+/**
+ * Add the length of the pause to the time of the last frame of each peer,
+ * because frames that arrived during the pause are not read yet.
+ */
 void
 srv_peers_resumed (struct srv *s, clk_ms now, clk_ms ms)
 {
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -179,15 +179,15 @@
 
 static void
 report_load (struct fixture *b, const char *server, unsigned n,
-             unsigned streaming)
+             unsigned streaming, clk_ms age)
 {
   struct dsp_endpoint_load c
       = { .endpoint = dsp_endpoint_hash (str_from (server), 0, 0),
           .in_flight = n,
           .streaming = streaming,
-          .last_event_at = b->now };
+          .last_event_at = b->now - age };
 
-  dsp_set_peer_load (b->d, b->now, 7, &c, 1);
+  dsp_set_peer_load (b->d, b->now, b->now - age, 7, &c, 1);
 }
 
 static void
@@ -198,7 +198,7 @@
           .last_event_at = b->now,
           .process_ended = true };
 
-  dsp_set_peer_load (b->d, b->now, 8, &c, 1);
+  dsp_set_peer_load (b->d, b->now, b->now, 8, &c, 1);
 }
 
 static void
@@ -344,7 +344,9 @@
   else if (strcmp (command, "nodes") == 0)
     dsp_set_node_count (b->d, (unsigned)atoi (x));
   else if (strcmp (command, "peer-load") == 0)
-    report_load (b, x, (unsigned)atoi (y), (unsigned)atoi (z));
+    report_load (b, x, (unsigned)atoi (y), (unsigned)atoi (z), 0);
+  else if (strcmp (command, "peer-load-late") == 0)
+    report_load (b, x, (unsigned)atoi (y), (unsigned)atoi (y), atoi (z));
   else if (strcmp (command, "submit") == 0
            || strcmp (command, "submit-late") == 0)
     submit (b, (uint64_t)atoi (x), y, (uint64_t)atoi (z),
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -8,11 +8,13 @@
  *   nodes N                    sets the number of nodes
  *   peer-load SERVER N STREAMING
  *                              another node reports N requests there,
- * STREAMING of them streams that received an event just now peer-ended SERVER
- * another node reports that the process ended submit ID ROUTE [DIGEST]   a
- * request; ROUTE is stream, once (at most once) or safe (idempotent); DIGEST
- * is a number, by default one that no other request has submit-late ID ROUTE
- * the same, from a client that has already waited as long as the latency goal
+ * STREAMING of them streams that received an event just now peer-load-late
+ * SERVER N MS the same of N streams, in a report that came MS ago peer-ended
+ * SERVER          another node reports that the process ended submit ID ROUTE
+ * [DIGEST]   a request; ROUTE is stream, once (at most once) or safe
+ * (idempotent); DIGEST is a number, by default one that no other request has
+ *   submit-late ID ROUTE       the same, from a client that has already waited
+ *                              as long as the latency goal
  *   submit-low ID ROUTE        the same, with the next lower priority
  *   limit SERVER RATE          the server accepts RATE requests per second;
  *                              "none" removes the limit
@@ -28,9 +30,9 @@
  *   block DIGEST               the request is blocked, as it crashes servers
  *   run MS                     advances the time in steps of 20 ms
  *   run-events MS ID           advances the time, with ticks at
- * dsp_next_tick() and an event of the stream every 10 ms suspend MS the
- * process is suspended, then a tick comes shutdown                   the node
- * shuts down
+ *                              dsp_next_tick() and an event of the stream
+ * every 10 ms suspend MS                 the process is suspended, then a tick
+ * comes shutdown                   the node shuts down
  *
  * The log has a line for each action: "send ID SERVER [resume] [pN]", with the
  * priority if it is not 1, "cancel ID", "forward ID", "complete ID", "truncate
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -181,6 +181,17 @@
                  "cancel 1\nsend 1 s2 resume p0\n");
 }
 
+/* Guards against a stall that is seen in an old report of another node:
+   streams were moved off all replicas when the sums of a large fleet stopped.
+ */
+Test (dispatch, late_report_is_not_a_stall)
+{
+  dispatch_play ("replicas s 2 8\n submit 1 stream\n sent 1\n"
+                 "peer-load-late s1 6 1000\n run 100\n"
+                 "peer-load-late s1 6 300\n run 200\n",
+                 "send 1 s1\n");
+}
+
 /* Guards against a suspension of this process that is taken for a stall of all
    endpoints: streams were moved off all of them, and aborted as none was
    left. */
--- a/t/t9204-prompts.c
+++ b/t/t9204-prompts.c
@@ -152,7 +152,7 @@
 
   for (unsigned i = 0; i < NODES; i++)
     if (i != from)
-      dsp_set_peer_load (f->nodes[i], f->now, from + 1, own, n);
+      dsp_set_peer_load (f->nodes[i], f->now, f->now, from + 1, own, n);
 }
 
 /** Mostly a few hundred tokens; about one in ten is several thousand. */
