--- a/t/t6010-replica-processes.c
+++ b/t/t6010-replica-processes.c
@@ -218,13 +218,10 @@
   wait_for_both ("\"whole\":true");
 }
 
-/* A member is listed as leaving: the replica accepts no new requests, the
-   spare replaces the VM, and the VM ends without weights. */
-Test (replica_processes, leaving_vm_is_replaced)
+/* The replica drains, is formed anew, and its former leader is unloaded. */
+static void
+expect_leader_replaced (void)
 {
-  start_all ();
-  post (proc_addr (platform, "http"), "/control/set",
-        "{\"vms\":{\"v1\":\"leaving\"}}");
   wait_for_both ("\"draining\":true");
   wait_for_both ("\"generation\":2");
   wait_for_both ("\"draining\":false");
@@ -233,18 +230,23 @@
                              NULL, "\"unloaded\": true", PROC_WAIT_MS));
 }
 
+/* A member is listed as leaving: the replica accepts no new requests, the
+   spare replaces the VM, and the VM ends without weights. */
+Test (replica_processes, leaving_vm_is_replaced)
+{
+  start_all ();
+  post (proc_addr (platform, "http"), "/control/set",
+        "{\"vms\":{\"v1\":\"leaving\"}}");
+  expect_leader_replaced ();
+}
+
 /* Guards against a VM that serves on after it has announced its shutdown in
    responses, while the platform still lists it as live. */
 Test (replica_processes, vm_that_announces_its_shutdown_is_replaced)
 {
   start_all ();
   post (proc_addr (vms[0], "http"), "/control/set", "{\"leaving\":true}");
-  wait_for_both ("\"draining\":true");
-  wait_for_both ("\"generation\":2");
-  wait_for_both ("\"draining\":false");
-  wait_for_both ("\"whole\":true");
-  cr_expect (web_poll_until (proc_addr (vms[0], "http"), "/lapis/v1/state",
-                             NULL, "\"unloaded\": true", PROC_WAIT_MS));
+  expect_leader_replaced ();
 }
 
 /* An operator drains the replica through the node that is not the owner. */
--- a/t/t9308-era.c
+++ b/t/t9308-era.c
@@ -21,6 +21,17 @@
     for those of backend servers. */
 #define ENTRIES_BACK_MS ((clk_ms)2000)
 
+/** Starts the first @p nodes and waits until each serves a stream. */
+static void
+start_nodes (struct rack *r, int nodes)
+{
+  for (int i = 0; i < nodes; i++)
+    rack_start_node (r, i);
+  for (int i = 0; i < nodes; i++)
+    cr_assert (
+        rack_call_until (r, i, "/stream/x", rack_headers ("warm"), 200));
+}
+
 /** Starts all nodes but the last. The store has a copy made before the nodes
    started. */
 static void
@@ -29,11 +40,7 @@
   rack_prepare_nodes (r, engines, NODES, NULL);
   rack_configure (r, 1, "k1", "");
   rack_set (r, "{\"store\": {\"copy\": true, \"skip\": %d}}", REVISION_GAP);
-  for (int i = 0; i < NODES - 1; i++)
-    rack_start_node (r, i);
-  for (int i = 0; i < NODES - 1; i++)
-    cr_assert (
-        rack_call_until (r, i, "/stream/x", rack_headers ("warm"), 200));
+  start_nodes (r, NODES - 1);
 }
 
 static void
@@ -116,11 +123,7 @@
   rack_prepare_nodes (&r, 4, nodes, NULL);
   rack_configure (&r, 1, "k1", "");
   rack_set (&r, "{\"store\": {\"copy\": true}}");
-  for (int i = 0; i < nodes; i++)
-    rack_start_node (&r, i);
-  for (int i = 0; i < nodes; i++)
-    cr_assert (
-        rack_call_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  start_nodes (&r, nodes);
   cr_assert_eq (rack_get_count (&r, "store", "nodes"), nodes);
   restore_store (&r);
   cr_assert_lt (rack_get_count (&r, "store", "nodes"), nodes);
@@ -146,11 +149,7 @@
   rack_prepare_nodes (&r, 4, NODES, connect_by_proxy);
   rack_configure (&r, 1, "k1", "");
   rack_set (&r, "{\"store\": {\"copy\": true}}");
-  for (int i = 0; i < NODES; i++)
-    rack_start_node (&r, i);
-  for (int i = 0; i < NODES; i++)
-    cr_assert (
-        rack_call_until (&r, i, "/stream/x", rack_headers ("warm"), 200));
+  start_nodes (&r, NODES);
   relay_close_connections (tcp_proxy);
   restore_store (&r);
   cr_expect (web_poll_until (r.ready[NODES - 1], "/metrics", NULL,
