front: wait until the sockets were read before a late wake-up counts

What callers saw: after a pause of a gateway's process still a 504, now and then, for a request whose answer had come in time and waited in the socket.

With wake-ups and events printed: both wake-ups of the core come in the same millisecond, and nothing is read between them.

Change: the wake-up that was left out counts in a check callback, which the loop runs after it has read the sockets; the timer only ends the loop's wait.

--- a/front/callers.c
+++ b/front/callers.c
@@ -119,33 +119,44 @@
   pump (c);
 }
 
-/**
- * Whether this wake-up is left out: it is so late that the process was paused,
- * and what came meanwhile still waits in the sockets, which are read after
- * timers.  The next one counts even if it is late too; otherwise a gateway
- * that is short of processor time would never end a request by its deadline.
- */
-static bool
-skip_late_wake (struct gw_callers *c)
+static void
+tick_core (struct gw_callers *c)
+{
+  struct rt_event tick = { .kind = RT_EV_TICK };
+
+  c->wake_at = CLK_NEVER;
+  gw_callers_event (c, &tick);
+}
+
+/** What arrived during the pause has been read, so the wake-up that was left
+    out counts, even if it is late again: a gateway that is short of processor
+    time still ends requests by their deadlines. */
+static void
+on_sockets_read (uv_check_t *check)
 {
-  c->skipped_wake = !c->skipped_wake && c->wake_at != CLK_NEVER
-                    && clk_now () - c->wake_at > LATE_WAKE_MS;
-  return c->skipped_wake;
+  struct gw_callers *c = check->data;
+
+  uv_check_stop (check);
+  c->skipped_wake = false;
+  tick_core (c);
 }
 
+/** A wake-up that is so late means that the process was paused, and what came
+    meanwhile still waits in the sockets: the loop runs timers first.  The
+    timer ends the loop's wait for sockets at once. */
 static void
 on_wake (uv_timer_t *t)
 {
   struct gw_callers *c = t->data;
-  struct rt_event tick = { .kind = RT_EV_TICK };
 
-  if (skip_late_wake (c))
+  if (!c->skipped_wake && clk_now () - c->wake_at <= LATE_WAKE_MS)
     {
-      uv_timer_start (&c->wake, on_wake, 1, 0);
+      tick_core (c);
       return;
     }
-  c->wake_at = CLK_NEVER;
-  gw_callers_event (c, &tick);
+  c->skipped_wake = true;
+  uv_check_start (&c->after_read, on_sockets_read);
+  uv_timer_start (&c->wake, on_wake, 1, 0);
 }
 
 /**
@@ -364,6 +375,8 @@
   uv_timer_init (c->g->loop, &c->wake);
   c->wake.data = c;
   c->wake_at = CLK_NEVER;
+  uv_check_init (c->g->loop, &c->after_read);
+  c->after_read.data = c;
   uv_timer_init (c->g->loop, &c->sweep);
   c->sweep.data = c;
   c->swept_at = clk_now ();
@@ -516,6 +529,7 @@
 gw_callers_stop (struct gw_callers *c)
 {
   uv_close ((uv_handle_t *)&c->wake, NULL);
+  uv_close ((uv_handle_t *)&c->after_read, NULL);
   uv_close ((uv_handle_t *)&c->sweep, NULL);
   httpd_free (c->httpd);
   /* Both handles close in the loop's next turn; freed by the caller's exit. */
--- a/front/callers.h
+++ b/front/callers.h
@@ -234,7 +234,9 @@
   struct gw_recorder *recorder; /**< NULL: not recording */
   uv_timer_t wake;
   clk_ms wake_at;
-  bool skipped_wake; /**< the last wake-up was too late and did nothing */
+  uv_check_t after_read; /**< runs after the sockets were read, while a late
+                              wake-up is left out */
+  bool skipped_wake;     /**< a late wake-up is left out */
   uv_timer_t sweep;
   clk_ms swept_at;
   bool pumping;
