config: no final refusal while a newer version is announced, or before the first word

What callers saw: a node that started after the store had come back from an older copy refused keys of the newer version with 401, which clients don't repeat, until it was handed that version: 112 to 116 of some 525 calls in its first three seconds with links.

Cause: the node had read the version from the store a moment ago, so it held it for confirmed, although the other nodes announced a newer one; and before it was linked nobody could tell it. Its reading doesn't show that nodes are there: their entries may be lost as well.

Change: nothing is confirmed while another node has announced a newer version, nor in the first two seconds of a process before any node has announced one. Such refusals are 503 config-unconfirmed with a Retry-After, as they are by a version that is old.

--- a/serve/config.c
+++ b/serve/config.c
@@ -15,6 +15,10 @@
     node's link.  A longer one would delay the list of backend servers; its
     version is only announced, and each node reads it from the store. */
 #define PUSH_MAX_MS ((clk_ms)500)
+/** Time from the start of this process in which it is linked to other nodes,
+    if there are any.  Their entries in the store don't tell: after a restore
+    they may be missing. */
+#define ANNOUNCEMENT_WAIT_MS ((clk_ms)2000)
 /** Space in a frame for everything but the document. */
 #define FRAME_OVERHEAD ((size_t)1024)
 
@@ -282,6 +286,7 @@
 
   c->s = s;
   cur_init (&c->fresh, s->settings.config_apply_ms);
+  cur_expect_announcement (&c->fresh, clk_now () + ANNOUNCEMENT_WAIT_MS);
   store_prefix_end (str_from (s->adapter->config_key), &c->range_end);
   s->config = c;
   srv_config_tick (s, clk_now ());
--- a/serve/currency.c
+++ b/serve/currency.c
@@ -30,6 +30,12 @@
   *f = (struct cur){ .apply_ms = apply_ms, .next_watch = CLK_NEVER };
 }
 
+void
+cur_expect_announcement (struct cur *f, clk_ms until)
+{
+  f->expected_until = until;
+}
+
 static void
 confirm (struct cur *f, clk_ms at)
 {
@@ -181,7 +187,11 @@
 enum cur_state
 cur_state (const struct cur *f, clk_ms now)
 {
-  if (age (f, now) <= f->apply_ms)
+  /* A restored store may return an older version than other nodes have. */
+  bool newer_known = f->announced_version > f->version;
+  bool unheard = f->announced_version == 0 && now < f->expected_until;
+
+  if (age (f, now) <= f->apply_ms && !newer_known && !unheard)
     return CUR_CONFIRMED;
   return f->resumed_at && now - f->resumed_at < RESUME_WAIT_MS
              ? CUR_AWAITING_STORE
--- a/serve/currency.h
+++ b/serve/currency.h
@@ -6,8 +6,9 @@
  * sent at this time returned no newer version.  The read was made by this node
  * or by a node that announced the same version.  When `confirmed_at` is too
  * old, the node reads the store itself.  Each new version is to be in force at
- * all nodes within a limit.  While `confirmed_at` is older than this limit,
- * the node serves requests but sends no final refusals.
+ * all nodes within a limit.  While `confirmed_at` is older than this limit, or
+ * another node has announced a newer version, the node serves requests but
+ * sends no final refusals.
  *
  * Clocks of different nodes are not compared.  Each frame carries the sender's
  * time, and an announcement echoes the latest time received from its receiver.
@@ -56,6 +57,8 @@
   int64_t announced_version; /**< newest version announced by another node; 0:
                                   none */
   clk_ms announced_since; /**< when `announced_version` was first announced */
+  clk_ms expected_until;  /**< until then a first announcement is expected, and
+                               nothing is confirmed without it */
   bool reading;
   clk_ms read_sent_at; /**< when the last read was sent */
   clk_ms next_read;    /**< CLK_NEVER: when `confirmed_at` is too old */
@@ -66,6 +69,10 @@
 
 void cur_init (struct cur *f, clk_ms apply_ms);
 
+/** This process has just started, and other nodes may be running: until one
+    has announced its version, or this time, nothing is confirmed. */
+void cur_expect_announcement (struct cur *f, clk_ms until);
+
 void cur_set_version (struct cur *f, int64_t version);
 
 void cur_read_sent (struct cur *f, clk_ms now);
--- a/t/t9209-currency.c
+++ b/t/t9209-currency.c
@@ -10,6 +10,8 @@
  *   announce VERSION AGE  receive an announcement confirmed AGE ms ago
  *   announce-unstamped VERSION
  *                         receive one that echoes no time of this node
+ *   expect-announcement MS
+ *                         the process has just started; wait so long
  *   announces yes|no      whether other nodes rely on this node
  *   run MS                let time pass
  *   pause MS              the same, while the process is suspended
@@ -126,6 +128,8 @@
     receive_announcement (n, true, atoll (strtok (NULL, " ")));
   else if (!strcmp (word, "announce-unstamped"))
     receive_announcement (n, false, 0);
+  else if (!strcmp (word, "expect-announcement"))
+    cur_expect_announcement (&s.fresh, s.now + n);
   else if (!strcmp (word, "announces"))
     s.announces = !strcmp (arg, "yes");
   else if (!strcmp (word, "run"))
@@ -297,6 +301,42 @@
               "version 1 unconfirmed may-watch\n");
 }
 
+/* Guards against final refusals by an older version that a restored store
+   returns, while another node announces a newer one. */
+Test (freshness, older_version_than_announced_confirms_nothing)
+{
+  run_script ("> run 500\n"
+              "0 read\n"
+              "> announce-unstamped 2\n"
+              "> run 1000\n"
+              "750 read\n"
+              "> show\n"
+              "version 1 unconfirmed may-watch\n"
+              "> in-force 2\n"
+              "> show\n"
+              "version 2 confirmed may-watch\n");
+}
+
+/* Guards against final refusals by a node that has just started with what a
+   restored store returns, before other nodes could announce their version. */
+Test (freshness, started_node_awaits_an_announcement)
+{
+  run_script ("> expect-announcement 2000\n"
+              "> run 500\n"
+              "0 read\n"
+              "> show\n"
+              "version 1 unconfirmed\n"
+              "> announce 1 0\n"
+              "> show\n"
+              "version 1 confirmed announced\n");
+  run_script ("> expect-announcement 2000\n"
+              "> run 2010\n"
+              "0 read\n"
+              "1500 read\n"
+              "> show\n"
+              "version 1 confirmed may-watch\n");
+}
+
 /* A failed watch may have missed a version, so a read must follow. */
 Test (freshness, failed_watch_is_followed_by_a_read)
 {
--- a/t/t9308-era.c
+++ b/t/t9308-era.c
@@ -179,6 +179,26 @@
   cr_expect_eq (rack_call (&r, NODES - 1, "/once/x", "c", NULL, NULL), 401);
 }
 
+/* Guards against a final refusal, by the older version, of a key that a newer
+   version has: a client does not repeat it. */
+Test (store_restore, older_version_denies_nothing)
+{
+  struct rack r;
+  int statuses[600] = { 0 };
+
+  start_with_backup (&r, 4);
+  rack_configure (&r, 2, "k2", "");
+  for (int i = 0; i < NODES - 1; i++)
+    cr_assert (rack_call_until (&r, i, "/once/x", k2_headers, 200));
+  restore_store (&r);
+  rack_start_node (&r, NODES - 1);
+  for (clk_ms end = clk_now () + 3000; clk_now () < end; usleep (5000))
+    statuses[rack_call (&r, NODES - 1, "/once/x", "", k2_headers, NULL)]++;
+  cr_expect_eq (statuses[401], 0, "%d of %d calls denied", statuses[401],
+                statuses[401] + statuses[200] + statuses[503]);
+  cr_expect_gt (statuses[200], 0);
+}
+
 /* Guards against state lost by a second restore while nodes are still
    rewriting what the first one lost. */
 Test (store_restore, two_restores_in_a_row)
