dispatch: log what a denied retry's limit was worked out from

A restarted process that spends its node's constant part of the retry budget again, and one that divides it by too few nodes, could not be told apart by logs or metrics. retries_denied has requests, retries, limit and nodes, once a second and service.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -122,6 +122,7 @@
   uint32_t requests[DSP_BUDGET_SECONDS];
   uint32_t retries[DSP_BUDGET_SECONDS];
   clk_ms newest_second;
+  struct dsp_denied_retries denied; /**< denials not reported yet */
 };
 
 #define DSP_PRIORITIES 10
--- a/serve/dispatch-retry.c
+++ b/serve/dispatch-retry.c
@@ -69,16 +69,40 @@
 dsp_budget_take_retry (struct dsp *d, struct dsp_pool *p)
 {
   struct dsp_retry_budget *b = p->retry_budget;
+  unsigned nodes = d->node_count ? d->node_count : 1;
+  uint32_t requests, retries;
   double limit;
 
   advance (d, b);
-  limit = d->opt.retry_ratio * window_sum (d, b, b->requests)
-          + d->opt.retry_slack / (d->node_count ? d->node_count : 1);
-  if (window_sum (d, b, b->retries) + 1 > USED_FRACTION * limit)
+  requests = window_sum (d, b, b->requests);
+  retries = window_sum (d, b, b->retries);
+  limit = USED_FRACTION
+          * (d->opt.retry_ratio * requests + d->opt.retry_slack / nodes);
+  if (retries + 1 > limit)
     {
+      b->denied
+          = (struct dsp_denied_retries){ .service = str_from (b->service),
+                                         .denied = b->denied.denied + 1,
+                                         .requests = requests,
+                                         .retries = retries,
+                                         .limit = limit,
+                                         .nodes = nodes };
       d->stats.retries_denied++;
       return false;
     }
   b->retries[b->newest_second % DSP_BUDGET_SECONDS]++;
   return true;
 }
+
+bool
+dsp_next_denied_retries (struct dsp *d, struct dsp_denied_retries *out)
+{
+  for (size_t i = 0; i < d->nbudgets; i++)
+    if (d->budgets[i]->denied.denied)
+      {
+        *out = d->budgets[i]->denied;
+        d->budgets[i]->denied.denied = 0;
+        return true;
+      }
+  return false;
+}
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -273,6 +273,21 @@
     execution has not begun. */
 void dsp_request_blocked (struct dsp *d, clk_ms now, uint64_t digest);
 
+/** Retry budget of a service, as of the last retry that it denied. */
+struct dsp_denied_retries
+{
+  struct str service;
+  uint64_t denied;   /**< since the last report */
+  uint32_t requests; /**< of this node in the current window */
+  uint32_t retries;  /**< of these requests, in the same window */
+  double limit;      /**< retries that this node may make in the window */
+  unsigned nodes;    /**< nodes that share the constant part of the budget */
+};
+
+/** Reports a service whose budget has denied retries since its last report.
+    @retval false there is none */
+bool dsp_next_denied_retries (struct dsp *d, struct dsp_denied_retries *out);
+
 /** Takes the next action; call it after each event until it returns false. */
 bool dsp_next_action (struct dsp *d, struct dsp_action *out);
 
--- a/serve/node.c
+++ b/serve/node.c
@@ -17,6 +17,9 @@
     core. */
 #define LOG_LINES_PER_S 60
 
+/** Interval at which denied retries are logged. */
+#define DENIED_RETRIES_LOG_MS CLK_SECOND
+
 /** New requests are accepted for this long after SIGTERM, until clients have
     received addresses without this node. */
 #define SHUTDOWN_ACCEPT_MS ((clk_ms)3000)
@@ -158,6 +161,27 @@
   handle_resume (s, now, ms);
 }
 
+/** Log the services whose retry budget has denied retries since the last
+    call. */
+static void
+log_denied_retries (struct srv *s, clk_ms now)
+{
+  struct dsp_denied_retries b;
+  char limit[32];
+
+  if (now < s->next_denied_log_at)
+    return;
+  s->next_denied_log_at = now + DENIED_RETRIES_LOG_MS;
+  while (dsp_next_denied_retries (s->dispatch, &b))
+    {
+      snprintf (limit, sizeof limit, "%.1f", b.limit);
+      LOG (retries_denied, LOG_S ("service", b.service),
+           LOG_I ("denied", b.denied), LOG_I ("requests", b.requests),
+           LOG_I ("retries", b.retries), LOG_C ("limit", limit),
+           LOG_I ("nodes", b.nodes));
+    }
+}
+
 static void
 on_tick (uv_timer_t *t)
 {
@@ -171,6 +195,7 @@
       dsp_tick (s->dispatch, now);
       srv_run_actions (s);
     }
+  log_denied_retries (s, now);
   srv_config_tick (s, now);
   srv_ingress_tick (s, now);
   srv_sync_tick (s, now);
