--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -390,7 +390,10 @@
   else if (s->engine && (s->member_state != MEMBER_OPEN || s->rank != 0))
     reject_request (s, req, s->member_state == MEMBER_READY ? 503 : 421);
   else if (s->avail.rejects)
-    reject_request (s, req, 503);
+    {
+      s->rejected++;
+      reject_request (s, req, 503);
+    }
   else
     {
       bool crashes = schedule_crash (s, req);
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -24,7 +24,8 @@
  *   "entry": {"id": ID, "value": TEXT}   write any entry into the server list
  *
  * GET /control/counts returns the number of crashed servers, the executions
- * by server, and the ids of requests executed more than once.  For a server
+ * by server, the requests that it rejected by "rejects", and the ids of
+ * requests executed more than once.  For a server
  * with a limit, limited_arrived counts the requests later than half a second
  * after its first response with the limit, limited_most their maximum in any
  * 4 s.  pause_most is the maximum of requests, orders and probes that one node
@@ -179,6 +180,8 @@
       const struct server *s = &r->servers[i];
       json_object *row = json_object_new_object ();
       json_object_object_add (row, "runs", json_object_new_int ((int)s->runs));
+      json_object_object_add (row, "rejected",
+                              json_object_new_int ((int)s->rejected));
       json_object_object_add (row, "open", json_object_new_int ((int)s->open));
       json_object_object_add (row, "gone",
                               json_object_new_int ((int)s->disconnects));
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -109,6 +109,7 @@
   uv_timer_t crash_timer; /**< delay from a crashing request to the crash */
   struct stream *streams;
   unsigned runs, open, disconnects;
+  unsigned rejected; /**< requests rejected by `avail.rejects` */
 };
 
 /** Faults of the key-value service. */
