dispatch: a restarted node does not spend its share of the retry budget again

What callers saw: nothing at once, but servers in trouble got up to 1.4 times the retries that are allowed (912 in 10 s, 644 allowed), so that they recover later.

Cause: each node counts its retries in memory. A process that starts knew nothing of its predecessor's and had the whole share again; killed three times within a window, a node had it four times. Class: a bound over a time that survives no restart.

Change: for one window after a start, unless the whole system starts for the first time, a node uses the part of its share that its predecessor leaves in any case (the limit keeps a fifth back).

t9311 restarts_do_not_renew_the_retry_budget: 258 to 267 retries of 366 requests, 173 allowed; now 56.

--- a/serve/dispatch-retry.c
+++ b/serve/dispatch-retry.c
@@ -59,6 +59,16 @@
       ->requests[p->retry_budget->newest_second % DSP_BUDGET_SECONDS]++;
 }
 
+/** Part of its share of the budget that this node may use.  An earlier process
+    of the node may have used up to USED_FRACTION of the share within the
+    window, of which this process knows nothing; that leaves the rest. */
+static double
+used_fraction (const struct dsp *d)
+{
+  return d->now < d->opt.earlier_retries_until ? 1 - USED_FRACTION
+                                               : USED_FRACTION;
+}
+
 /*
  * When a whole service fails, every request fails. Retrying them all would
  * multiply the load and keep the service from recovering. All nodes share one
@@ -76,7 +86,7 @@
   advance (d, b);
   requests = window_sum (d, b, b->requests);
   retries = window_sum (d, b, b->retries);
-  limit = USED_FRACTION
+  limit = used_fraction (d)
           * (d->opt.retry_ratio * requests + d->opt.retry_slack / nodes);
   if (retries + 1 > limit)
     {
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -173,6 +173,9 @@
   double retry_slack; /**< additional retries allowed in each window, over all
                            nodes */
   clk_ms retry_window_ms;
+  /** until then, retries of an earlier process of this node may still count in
+      the window; 0: there was none */
+  clk_ms earlier_retries_until;
   clk_ms stall_ms;    /**< time after which a replica that has lost a member
                            fails */
   struct psn *poison; /**< requests that crash servers; borrowed; NULL: not
--- a/serve/node.c
+++ b/serve/node.c
@@ -218,6 +218,8 @@
                              .retry_window_ms = s->settings.retry_window_ms,
                              .stall_ms = s->settings.stall_ms };
 
+  if (!s->settings.first_start)
+    opt.earlier_retries_until = clk_now () + s->settings.retry_window_ms;
   s->poison = opt.poison = psn_new ();
   s->limits = opt.limits = lim_new (str_hash (s->settings.node, s->boot));
   s->avail = opt.avail = avl_new ();
