dispatch: nodes without links still share the retry budget

The constant part of the budget was divided by the nodes that are linked at the moment, so each node that lost its links took the parts of the others, which go on spending theirs. Nobody reported it; found while looking for the cause of the restarts' fault.

Change: the budget is divided by the nodes that are listed or linked, by the most of them in the last window.

t9201 lost_links_do_not_raise_the_retry_budget failed before (the third retry of two that are a node's part was made); unlinked_nodes_share_the_retry_budget covers a loss that outlasts the window.

--- a/builtin/bench-pauses.c
+++ b/builtin/bench-pauses.c
@@ -185,7 +185,8 @@
   opt.limits = d->lim[node] = lim_new (1);
   opt.avail = d->avl[node] = respect ? avl_new () : NULL;
   d->dsp[node] = dsp_new (&opt, (uint64_t)seed * 1000 + (uint64_t)node);
-  dsp_set_node_count (d->dsp[node], (unsigned)nnodes);
+  dsp_set_node_count (d->dsp[node], d->now, (unsigned)nnodes,
+                      (unsigned)nnodes);
   dsp_set_endpoints (d->dsp[node], d->now, d->endpoints, (size_t)nservers);
 }
 
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -243,6 +243,9 @@
                              was opened */
   bool skipped_tick; /**< the last tick was too late and checked no timeouts */
   unsigned node_count;
+  unsigned known_nodes;   /**< nodes that may be running */
+  unsigned budget_nodes;  /**< maximum of `known_nodes` in the retry window */
+  clk_ms budget_nodes_at; /**< when `known_nodes` last had that value */
   bool shutting_down;
   struct dsp_pool **pools;
   size_t npools;
@@ -415,6 +418,9 @@
 
 /* dispatch-retry.c */
 struct dsp_retry_budget *dsp_get_budget (struct dsp *d, const char *service);
+/** Number of nodes that share the retry budget: it falls only one window after
+    other nodes are gone, as their retries count that long. */
+unsigned dsp_budget_nodes (struct dsp *d);
 void dsp_budget_count_request (struct dsp *d, struct dsp_pool *p);
 /** Uses up one retry.
     @retval false the retry budget of the service is exhausted */
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -85,9 +85,12 @@
 /* --- other nodes ------------------------------------------------------- */
 
 void
-dsp_set_node_count (struct dsp *d, unsigned n)
+dsp_set_node_count (struct dsp *d, clk_ms now, unsigned n, unsigned known)
 {
+  d->now = now;
+  dsp_budget_nodes (d);
   d->node_count = n ? n : 1;
+  d->known_nodes = known > d->node_count ? known : d->node_count;
 }
 
 static struct dsp_peer *
--- a/serve/dispatch-retry.c
+++ b/serve/dispatch-retry.c
@@ -59,6 +59,18 @@
       ->requests[p->retry_budget->newest_second % DSP_BUDGET_SECONDS]++;
 }
 
+unsigned
+dsp_budget_nodes (struct dsp *d)
+{
+  if (d->known_nodes >= d->budget_nodes
+      || d->now - d->budget_nodes_at > d->opt.retry_window_ms)
+    {
+      d->budget_nodes = d->known_nodes;
+      d->budget_nodes_at = d->now;
+    }
+  return d->budget_nodes;
+}
+
 /** Part of its share of the budget that this node may use.  An earlier process
     of the node may have used up to USED_FRACTION of the share within the
     window, of which this process knows nothing; that leaves the rest. */
@@ -79,7 +91,7 @@
 dsp_budget_take_retry (struct dsp *d, struct dsp_pool *p)
 {
   struct dsp_retry_budget *b = p->retry_budget;
-  unsigned nodes = d->node_count ? d->node_count : 1;
+  unsigned nodes = dsp_budget_nodes (d);
   uint32_t requests, retries;
   double limit;
 
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -642,7 +642,7 @@
   d->opt = *opt;
   d->zone = str_dup (opt->zone);
   d->opt.zone = str_from (d->zone);
-  d->node_count = 1;
+  d->node_count = d->known_nodes = d->budget_nodes = 1;
   rng_seed (&d->rng, seed);
   d->nbuckets = INITIAL_BUCKETS;
   d->buckets = xcalloc (d->nbuckets, sizeof *d->buckets);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -201,8 +201,11 @@
 void dsp_set_endpoints (struct dsp *d, clk_ms now,
                         const struct dsp_endpoint *list, size_t n);
 
-/** Sets the number of nodes that share the load, this one included. */
-void dsp_set_node_count (struct dsp *d, unsigned n);
+/** Sets the number of nodes that share the load, this one included.
+    @param known  nodes that may be running: these, and those to which this
+   node has no link; they share the retry budget */
+void dsp_set_node_count (struct dsp *d, clk_ms now, unsigned n,
+                         unsigned known);
 
 /** Replaces the load reported by the node @p peer; @p n is 0 also when the
     peer is gone.
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -74,7 +74,11 @@
 void
 prs_update_node_count (struct srv_peers *p)
 {
-  dsp_set_node_count (p->s->dispatch, srv_peers_count_nodes (p->s));
+  unsigned listed = (unsigned)p->nlisted_peers + 1;
+
+  dsp_set_node_count (p->s->dispatch, clk_now (), srv_peers_count_nodes (p->s),
+                      listed > p->announced_nodes ? listed
+                                                  : p->announced_nodes);
 }
 
 static void
@@ -317,6 +321,7 @@
     return;
   p->next_send_at = now + PRS_SEND_INTERVAL_MS;
   choose_links (p, now);
+  prs_update_node_count (p);
   srv_peers_send_servers (s);
   prs_send_due (p, now);
   prs_grant_permits (p, now, true);
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -342,7 +342,8 @@
   else if (strcmp (command, "close") == 0)
     close_endpoint (b, x);
   else if (strcmp (command, "nodes") == 0)
-    dsp_set_node_count (b->d, (unsigned)atoi (x));
+    dsp_set_node_count (b->d, b->now, (unsigned)atoi (x),
+                        (unsigned)atoi (y[0] ? y : x));
   else if (strcmp (command, "peer-load") == 0)
     report_load (b, x, (unsigned)atoi (y), (unsigned)atoi (z), 0);
   else if (strcmp (command, "peer-load-late") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -5,7 +5,7 @@
  *   endpoints NAME N CAPACITY  adds N endpoints NAME1.. of the plain service
  *   replicas NAME N CAPACITY   adds N replicas of the model "m"
  *   close SERVER               the endpoint accepts no new requests
- *   nodes N                    sets the number of nodes
+ *   nodes N [KNOWN]            sets the numbers of linked and of known nodes
  *   peer-load SERVER N STREAMING
  *                              another node reports N requests there,
  * STREAMING of them streams that received an event just now peer-load-late
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -141,6 +141,35 @@
       "send 3 p3\ncancel 3\nerror 3 broken 502\n");
 }
 
+/* Guards against a node that takes the other nodes' parts of the retry budget
+   as soon as its links to them are lost.  They still run, and spend them. */
+Test (dispatch, lost_links_do_not_raise_the_retry_budget)
+{
+  dispatch_play (
+      "endpoints p 4 4\n nodes 4\n"
+      "submit 1 safe\n sent 1\n error 1\n sent 1\n ok 1\n complete 1\n"
+      "submit 2 safe\n sent 2\n error 2\n sent 2\n ok 2\n complete 2\n"
+      "nodes 1\n run 2000\n"
+      "submit 3 safe\n sent 3\n error 3\n sent 3\n ok 3\n complete 3\n",
+      "send 1 p3\ncancel 1\nsend 1 p4\ncomplete 1\n"
+      "send 2 p1\ncancel 2\nsend 2 p2\ncomplete 2\n"
+      "send 3 p3\ncancel 3\nerror 3 broken 502\n");
+}
+
+/* Guards against a node that takes the parts of nodes to which it has had no
+   link for longer than the window, though their entries say that they run. */
+Test (dispatch, unlinked_nodes_share_the_retry_budget)
+{
+  dispatch_play (
+      "endpoints p 4 4\n nodes 1 4\n run 13000\n"
+      "submit 1 safe\n sent 1\n error 1\n sent 1\n ok 1\n complete 1\n"
+      "submit 2 safe\n sent 2\n error 2\n sent 2\n ok 2\n complete 2\n"
+      "submit 3 safe\n sent 3\n error 3\n sent 3\n ok 3\n complete 3\n",
+      "send 1 p3\ncancel 1\nsend 1 p4\ncomplete 1\n"
+      "send 2 p1\ncancel 2\nsend 2 p2\ncomplete 2\n"
+      "send 3 p3\ncancel 3\nerror 3 broken 502\n");
+}
+
 /* The client disconnects: its attempt is canceled at once, also one that has
    not been sent. */
 Test (dispatch, client_disconnects)
--- a/t/t9204-prompts.c
+++ b/t/t9204-prompts.c
@@ -110,7 +110,7 @@
   for (unsigned i = 0; i < NODES; i++)
     {
       f->nodes[i] = dsp_new (&opt, i + 1);
-      dsp_set_node_count (f->nodes[i], NODES);
+      dsp_set_node_count (f->nodes[i], f->now, NODES, NODES);
       dsp_set_endpoints (f->nodes[i], f->now, endpoints, REPLICAS);
     }
 }
