--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -187,6 +187,7 @@
   struct httpd_req *req;
   uv_timer_t timer;
   int next_event;
+  bool side;                             /**< came by the second port */
   struct stream *list_next, **list_prev; /**< links in the server's list */
 };
 
@@ -238,7 +239,8 @@
   char text[64];
   int n;
 
-  if (s->unresponsive || replica_stalled (s))
+  if (s->unresponsive || replica_stalled (s)
+      || (st->side && s->rack->cut == CUT_SILENT))
     return;
   if (st->next_event > s->rack->events)
     {
@@ -283,7 +285,7 @@
 }
 
 static void
-start_stream (struct server *s, struct httpd_req *req)
+start_stream (struct server *s, struct httpd_req *req, bool side)
 {
   struct stream *st = xcalloc (1, sizeof *st);
   struct http_header h[MAX_HEADERS];
@@ -293,6 +295,7 @@
   str_to_i64 (httpd_header (req, PLT_H_LAST_EVENT), &last);
   st->s = s;
   st->req = req;
+  st->side = side;
   st->next_event = (int)last + 1;
   s->open++;
   st->list_next = s->streams;
@@ -365,10 +368,9 @@
   buf_free (&body);
 }
 
-static void
-on_request (void *ctx, struct httpd_req *req)
+void
+rack_server_on_request (struct server *s, struct httpd_req *req, bool side)
 {
-  struct server *s = ctx;
   struct str path = httpd_get (req)->path;
 
   if (s->unresponsive)
@@ -400,12 +402,31 @@
       rack_limit_count_arrival (&s->limit);
       count_run (s, req);
       if (s->engine)
-        start_stream (s, req);
+        start_stream (s, req, side);
       else if (!crashes)
         answer_plain (s, req);
     }
 }
 
+static void
+on_request (void *ctx, struct httpd_req *req)
+{
+  rack_server_on_request (ctx, req, false);
+}
+
+void
+rack_server_close_side (struct server *s)
+{
+  struct stream *next;
+
+  for (struct stream *st = s->streams; st; st = next)
+    {
+      next = st->list_next;
+      if (st->side)
+        stream_close (st);
+    }
+}
+
 bool
 rack_server_start (struct server *s)
 {
@@ -425,6 +446,8 @@
   net_addr_format (&at, &text);
   snprintf (s->addr, sizeof s->addr, "%s", buf_c (&text));
   buf_free (&text);
+  if (!rack_cut_start (s))
+    return false;
   uv_timer_init (&s->rack->loop, &s->timer);
   s->timer.data = s;
   uv_timer_init (&s->rack->loop, &s->crash_timer);
@@ -441,6 +464,9 @@
     return;
   s->dead = true;
   httpd_free (s->httpd);
+  if (s->side_httpd)
+    httpd_free (s->side_httpd);
+  s->side_httpd = NULL;
   rack_server_publish (s);
 }
 
@@ -463,6 +489,9 @@
   while (s->streams)
     stream_close (s->streams);
   httpd_free (s->httpd);
+  if (s->side_httpd)
+    httpd_free (s->side_httpd);
+  s->side_httpd = NULL;
   uv_timer_start (&s->timer, on_entry_expired, ENTRY_EXPIRY_MS, 0);
 }
 
--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -15,16 +15,43 @@
   char *prefix;
   int64_t after;
   clk_ms deadline;
+  bool side; /* came by the second port */
+};
+
+/** List of items that is being filled. */
+struct item_list
+{
+  struct rack *r;
+  json_object *list;
 };
 
 /* --- requests and responses -------------------------------------------- */
 
+/** The value in base64, with the servers' second addresses where these apply;
+    free with g_free(). */
+static gchar *
+encode_value (const struct rack *r, const struct kv_entry *e)
+{
+  struct str value = kv_str (e->value);
+  GString *text = g_string_new_len (value.ptr, (gssize)value.len);
+  gchar *encoded;
+
+  if (r->side_view && str_starts (kv_str (e->key), STR (PLT_PREFIX_SERVERS)))
+    rack_cut_rewrite (r, text);
+  encoded = g_base64_encode ((const guchar *)text->str, text->len);
+  g_string_free (text, TRUE);
+  return encoded;
+}
+
 static void
-add_item (json_object *list, const struct kv_entry *e)
+add_item (const struct rack *r, json_object *list, const struct kv_entry *e)
 {
-  json_object *o = json_object_new_object ();
   struct str key = kv_str (e->key);
+  json_object *o;
 
+  if (r->side_view && !rack_cut_shows (r, key))
+    return;
+  o = json_object_new_object ();
   json_object_object_add (o, "key",
                           json_object_new_string_len (key.ptr, (int)key.len));
   json_object_object_add (o, "rev", json_object_new_int64 (e->mod));
@@ -32,8 +59,7 @@
     json_object_object_add (o, "tombstone", json_object_new_boolean (true));
   else
     {
-      struct str value = kv_str (e->value);
-      gchar *text = g_base64_encode ((const guchar *)value.ptr, value.len);
+      gchar *text = encode_value (r, e);
       json_object_object_add (o, "value", json_object_new_string (text));
       json_object_object_add (o, "create_revision",
                               json_object_new_int64 (e->create));
@@ -93,7 +119,9 @@
 static void
 collect_item (void *ctx, const struct kv_entry *e)
 {
-  add_item (ctx, e);
+  const struct item_list *l = ctx;
+
+  add_item (l->r, l->list, e);
 }
 
 static void
@@ -108,7 +136,7 @@
     answer_text (r, req, 404, STR_EMPTY);
   else
     {
-      add_item (list, e);
+      add_item (r, list, e);
       o = json_object_get (json_object_array_get_idx (list, 0));
       json_object_object_add (o, "store_revision",
                               json_object_new_int64 (r->kv.revision));
@@ -141,8 +169,9 @@
   GBytes *end = prefix_end (prefix);
   json_object *o = json_object_new_object ();
   json_object *list = json_object_new_array ();
+  struct item_list items = { r, list };
 
-  kv_range (&r->kv, from, end, collect_item, list);
+  kv_range (&r->kv, from, end, collect_item, &items);
   json_object_object_add (o, "items", list);
   json_object_object_add (o, "truncated", json_object_new_boolean (false));
   json_object_object_add (o, "store_revision",
@@ -166,7 +195,7 @@
       struct str key = kv_str (e->key);
       if (e->mod <= w->after || !str_starts (key, str_from (w->prefix)))
         continue;
-      add_item (list, e);
+      add_item (r, list, e);
       n++;
     }
   return n;
@@ -178,6 +207,7 @@
 try_answer_watch (struct rack *r, struct watch_call *w)
 {
   json_object *o, *list;
+  size_t n;
 
   if (w->req == NULL)
     return true;
@@ -189,7 +219,10 @@
       return true;
     }
   list = json_object_new_array ();
-  if (events_after (r, w, list) == 0 && clk_now () < w->deadline)
+  r->side_view = w->side;
+  n = events_after (r, w, list);
+  r->side_view = false;
+  if (n == 0 && clk_now () < w->deadline)
     {
       json_object_put (list);
       return false;
@@ -236,6 +269,7 @@
 
   w->r = r;
   w->req = req;
+  w->side = r->side_view;
   w->prefix = query_param (req, "prefix");
   w->after = atoll (after);
   w->deadline = clk_now () + atoll (wait);
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -20,8 +20,11 @@
  *             "rejects": B     answers all requests with 503 "not run"
  *             "retry_after": TEXT   announced with each 503; "": none
  *             "leaving": B     announces its shutdown in all responses
- *   "forget_node": N       what node N was told no longer counts
- *   "entry": {"id": ID, "value": TEXT}   write any entry into the server list
+ *   "cut": "silent", "refuse", "reset" or "none"   partitions the nodes that
+ * use the second address (side) from all servers: nothing is answered; new
+ * connections are refused; and open ones are closed as well "forget_node": N
+ * what node N was told no longer counts "entry": {"id": ID, "value": TEXT}
+ * write any entry into the server list
  *
  * GET /control/counts returns the number of crashed servers, the executions
  * by server, the requests that it rejected by "rejects", and the ids of
@@ -145,6 +148,11 @@
               jsn_text (o, "crash_body"));
   if (jsn_get (o, "crash_ms"))
     r->crash_ms = (int)jsn_int (o, "crash_ms");
+  if (jsn_get (o, "side_hides"))
+    snprintf (r->side_hides, sizeof r->side_hides, "%s",
+              jsn_text (o, "side_hides"));
+  if (jsn_get (o, "cut"))
+    rack_cut_set (r, jsn_str (o, "cut"));
   if (jsn_get (o, "forget_node"))
     rack_avail_forget_node (r, (unsigned)jsn_int (o, "forget_node"));
   if (jsn_get (o, "server"))
@@ -243,6 +251,17 @@
   httpd_answer (req, 404, NULL, 0, STR_EMPTY);
 }
 
+/** Calls that come by the second port. */
+static void
+on_side_request (void *ctx, struct httpd_req *req)
+{
+  struct rack *r = ctx;
+
+  r->side_view = true;
+  on_request (ctx, req);
+  r->side_view = false;
+}
+
 /* --- process ----------------------------------------------------------- */
 
 static void
@@ -277,8 +296,8 @@
 {
   struct httpd_limits limits
       = { .max_body = 4 << 20, .max_connections = 1000, .request_ms = 60000 };
-  struct net_addr at;
-  struct buf text = BUF_INIT;
+  struct net_addr at, side_at = { .host = "127.0.0.1" };
+  struct buf text = BUF_INIT, side = BUF_INIT;
 
   uv_loop_init (&r->loop);
   kv_init (&r->kv);
@@ -288,7 +307,9 @@
   if (!net_addr_parse (str_from (listen), true, &at)
       || !(r->httpd
            = httpd_listen (&r->loop, &at, &limits, on_request, r, &text))
-      || !add_servers (r, engines, plain))
+      || !add_servers (r, engines, plain)
+      || !(r->side_httpd = httpd_listen (&r->loop, &side_at, &limits,
+                                         on_side_request, r, &text)))
     {
       fprintf (stderr, "standin rack: %s\n", buf_c (&text));
       return 1;
@@ -299,9 +320,12 @@
   at.port = httpd_port (r->httpd);
   buf_clear (&text);
   net_addr_format (&at, &text);
-  printf ("ready rack http=%s\n", buf_c (&text));
+  side_at.port = httpd_port (r->side_httpd);
+  net_addr_format (&side_at, &side);
+  printf ("ready rack http=%s side=%s\n", buf_c (&text), buf_c (&side));
   fflush (stdout);
   buf_free (&text);
+  buf_free (&side);
   return uv_run (&r->loop, UV_RUN_DEFAULT);
 }
 
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -9,10 +9,12 @@
  *                  replica membership
  *   rack-limit.c   announced request rate limits, and counts of arrivals
  *   rack-avail.c   announced pauses and shutdowns, and counts of arrivals
+ *   rack-cut.c     partition between some nodes and all backend servers
  */
 #ifndef LAPISLINE_STANDINS_RACK_H
 #define LAPISLINE_STANDINS_RACK_H
 
+#include <glib.h>
 #include <json-c/json.h>
 
 #include "net/httpd.h"
@@ -79,11 +81,23 @@
                                LEAVING_GRACE_MS before */
 };
 
+/** How the nodes behind the second set of ports are partitioned from all
+    backend servers. */
+enum cut
+{
+  CUT_NONE,
+  CUT_SILENT, /**< connections stay open, and nothing is answered */
+  CUT_REFUSE, /**< new connections are refused, open requests go on */
+  CUT_RESET   /**< open connections are closed, too */
+};
+
 /** One backend server. */
 struct server
 {
   struct rack *rack;
   struct httpd *httpd;
+  struct httpd *side_httpd; /**< second port; NULL: closed */
+  char side_addr[32];
   char id[16];
   char addr[32];
   char domain[16];
@@ -128,6 +142,11 @@
 {
   uv_loop_t loop;
   struct httpd *httpd;
+  /** second port: its server list names the servers' second ports */
+  struct httpd *side_httpd;
+  char side_hides[32]; /**< node without an entry there; empty: none */
+  bool side_view;      /**< the call being answered came by the second port */
+  enum cut cut;
   uv_timer_t tick;
   struct kv kv;
   struct kv backup; /**< written by "copy", read by "restore" */
@@ -173,7 +192,21 @@
 /** The node was restarted or paused: what it was told no longer counts. */
 void rack_avail_forget_node (struct rack *r, unsigned node);
 
+/* rack-cut.c */
+/** Opens the second port; a request there that is cut off gets no answer. */
+bool rack_cut_start (struct server *s);
+/** Partitions the second ports, or ends that. */
+void rack_cut_set (struct rack *r, struct str how);
+/** Whether the second port of the key-value service shows the key. */
+bool rack_cut_shows (const struct rack *r, struct str key);
+/** Replaces the servers' addresses in an entry's text by the second ones. */
+void rack_cut_rewrite (const struct rack *r, GString *text);
+
 /* rack-server.c */
+void rack_server_on_request (struct server *s, struct httpd_req *req,
+                             bool side);
+/** Closes the streams that came by the second port. */
+void rack_server_close_side (struct server *s);
 bool rack_server_start (struct server *s);
 struct server *rack_find_server (struct rack *r, const char *id);
 /** Writes the entry, or removes it if the server is dead or unlisted. */
--- /dev/null
+++ b/t/t9312-cut.c
@@ -0,0 +1,168 @@
+/*
+ * A node that is partitioned from all backend servers, while clients, the
+ * store and the other nodes still reach it, with real processes.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "t/lib-rack.h"
+
+TestSuite (cut, .fini = proc_stop_all, .timeout = 120);
+
+#define MIN_NODES 3
+/** Time for a node to find out that it is cut off. */
+#define CONTACT_MS ((clk_ms)3000)
+#define MEASURED_MS ((clk_ms)3000)
+/** Smallest part of what the other nodes serve that the cut one serves. */
+#define MIN_SHARE (2.0 / 3)
+
+static struct rack r;
+static int leader, cut_node;
+
+static uint64_t
+node_hash (int node)
+{
+  char name[24];
+
+  snprintf (name, sizeof name, "node-%d", node + 1);
+  return str_hash (str_from (name), 0);
+}
+
+static uint64_t
+highest_hash (void)
+{
+  uint64_t highest = 0;
+
+  for (int i = 0; i < cut_node; i++)
+    if (node_hash (i) > highest)
+      highest = node_hash (i);
+  return highest;
+}
+
+static const char *
+second_address (const char *at)
+{
+  return proc_addr (r.platform, "side");
+}
+
+/** Chooses a number of nodes such that the last one, which is cut off, comes
+    last in the order of relays.  Then the first in that order, which becomes
+    leader, does not connect to it. */
+static void
+choose_nodes (void)
+{
+  leader = 0;
+  cut_node = 1;
+  while (cut_node + 1 < MIN_NODES || node_hash (cut_node) < highest_hash ())
+    cut_node++;
+  for (int i = 0; i < cut_node; i++)
+    if (node_hash (i) < node_hash (leader))
+      leader = i;
+}
+
+static void
+start_nodes (void)
+{
+  choose_nodes ();
+  rack_prepare_nodes (&r, 8, cut_node + 1, second_address);
+  rack_set (&r, "{\"side_hides\": \"node-%d\"}", leader + 1);
+  rack_configure (&r, 1, "k1", "");
+  for (int i = 0; i <= cut_node; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i <= cut_node; i++)
+    {
+      cr_assert (rack_call_until (&r, i, "/stream/x", rack_headers (""), 200));
+      cr_assert (rack_call_until (&r, i, "/once/x", rack_headers (""), 200));
+    }
+}
+
+/** Outcome of requests at one node. */
+struct outcome
+{
+  int sent, served;
+};
+
+static void
+call_node (int node, struct outcome *out)
+{
+  static const char *const paths[] = { "/safe/x", "/once/x" };
+  static int nrequests;
+  struct buf body = BUF_INIT;
+  char id[16];
+
+  nrequests++;
+  snprintf (id, sizeof id, "%c%d", "tso"[nrequests % 3], nrequests);
+  if (nrequests % 3 == 0)
+    out->served += rack_stream (&r, node, id, &body) == 200
+                   && rack_is_complete (&body, 10);
+  else
+    {
+      out->served
+          += rack_call (&r, node, paths[nrequests % 3 - 1], id, NULL, &body)
+                 == 200
+             && strstr (buf_c (&body), "\"account\":\"acc\",\"key\":\"\"");
+    }
+  out->sent++;
+  buf_free (&body);
+}
+
+/** Sends requests in turn to the leader and to the cut node. */
+static void
+call_nodes (clk_ms ms, struct outcome *other, struct outcome *cut)
+{
+  clk_ms end = clk_now () + ms;
+
+  for (int i = 0; clk_now () < end; i++)
+    {
+      call_node (i / 3 % 2 ? cut_node : leader, i / 3 % 2 ? cut : other);
+      usleep (5000);
+    }
+}
+
+/** Non-idempotent requests have ids that begin with "o". */
+static void
+expect_none_repeated (void)
+{
+  struct web_answer a = { 0 };
+
+  web_call (r.platform_addr, "GET", "/control/counts", NULL, NULL, &a);
+  cr_expect_null (strstr (strstr (buf_c (&a.body), "\"repeated\""), "\"o"),
+                  "a non-idempotent request was executed twice");
+  web_free (&a);
+}
+
+static void
+expect_served_while_cut (const char *how)
+{
+  struct outcome other = { 0 }, cut = { 0 }, ignored = { 0 };
+
+  rack_set (&r, "{\"cut\": \"%s\"}", how);
+  call_nodes (CONTACT_MS, &ignored, &ignored);
+  call_nodes (MEASURED_MS, &other, &cut);
+  rack_set (&r, "{\"cut\": \"none\"}");
+  cr_log_info ("%s: served %d of %d at the cut node, %d of %d at another", how,
+               cut.served, cut.sent, other.served, other.sent);
+  cr_expect_geq ((double)cut.served * other.sent,
+                 MIN_SHARE * other.served * cut.sent,
+                 "%s: served %d of %d, at another node %d of %d", how,
+                 cut.served, cut.sent, other.served, other.sent);
+  cr_expect_geq ((double)other.served, 0.95 * other.sent);
+  cr_expect (rack_call_until (&r, cut_node, "/once/x", rack_headers (""), 200),
+             "%s: not served after the partition", how);
+}
+
+/* Guards against a node that refuses its clients because it reaches no backend
+   server, though other nodes do: servers are silent, connections are refused
+   while open ones live on, or all are reset. */
+Test (cut, clients_of_a_node_without_servers_are_served)
+{
+  start_nodes ();
+  rack_set (&r, "{\"event_ms\": 5}");
+  expect_served_while_cut ("silent");
+  expect_served_while_cut ("refuse");
+  expect_served_while_cut ("reset");
+  expect_none_repeated ();
+}
