--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &lapis__node_list__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lapis__unreachable__init
+                     (Lapis__Unreachable         *message)
+{
+  static const Lapis__Unreachable init_value = LAPIS__UNREACHABLE__INIT;
+  *message = init_value;
+}
+size_t lapis__unreachable__get_packed_size
+                     (const Lapis__Unreachable *message)
+{
+  assert(message->base.descriptor == &lapis__unreachable__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__unreachable__pack
+                     (const Lapis__Unreachable *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__unreachable__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__unreachable__pack_to_buffer
+                     (const Lapis__Unreachable *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__unreachable__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__Unreachable *
+       lapis__unreachable__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__Unreachable *)
+     protobuf_c_message_unpack (&lapis__unreachable__descriptor,
+                                allocator, len, data);
+}
+void   lapis__unreachable__free_unpacked
+                     (Lapis__Unreachable *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__unreachable__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lapis__hub_entry__init
                      (Lapis__HubEntry         *message)
 {
@@ -4453,7 +4498,7 @@
   (ProtobufCMessageInit) lapis__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[10] =
 {
   {
     "ready",
@@ -4563,6 +4608,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreachable",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Lapis__NodeLoad, n_unreachable),
+    offsetof(Lapis__NodeLoad, unreachable),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__node_load__field_indices_by_name[] = {
   8,   /* field[8] = config */
@@ -4573,12 +4630,13 @@
   0,   /* field[0] = ready */
   7,   /* field[7] = sent_ms */
   1,   /* field[1] = traffic */
+  9,   /* field[9] = unreachable */
   6,   /* field[6] = wanted */
 };
 static const ProtobufCIntRange lapis__node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lapis__node_load__descriptor =
 {
@@ -4588,7 +4646,7 @@
   "Lapis__NodeLoad",
   "lapis",
   sizeof(Lapis__NodeLoad),
-  9,
+  10,
   lapis__node_load__field_descriptors,
   lapis__node_load__field_indices_by_name,
   1,  lapis__node_load__number_ranges,
@@ -4788,7 +4846,7 @@
   (ProtobufCMessageInit) lapis__fleet_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lapis__node_list__field_descriptors[6] =
 {
   {
     "nodes",
@@ -4850,6 +4908,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unreachable",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__NodeList, n_unreachable),
+    offsetof(Lapis__NodeList, unreachable),
+    &lapis__unreachable__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__node_list__field_indices_by_name[] = {
   3,   /* field[3] = config_age_ms */
@@ -4857,12 +4927,13 @@
   4,   /* field[4] = hubs */
   2,   /* field[2] = leads */
   0,   /* field[0] = nodes */
+  5,   /* field[5] = unreachable */
 };
 static const ProtobufCIntRange lapis__node_list__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lapis__node_list__descriptor =
 {
@@ -4872,13 +4943,64 @@
   "Lapis__NodeList",
   "lapis",
   sizeof(Lapis__NodeList),
-  5,
+  6,
   lapis__node_list__field_descriptors,
   lapis__node_list__field_indices_by_name,
   2,  lapis__node_list__number_ranges,
   (ProtobufCMessageInit) lapis__node_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__unreachable__field_descriptors[2] =
+{
+  {
+    "front",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Unreachable, front),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Unreachable, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__unreachable__field_indices_by_name[] = {
+  0,   /* field[0] = front */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange lapis__unreachable__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lapis__unreachable__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.Unreachable",
+  "Unreachable",
+  "Lapis__Unreachable",
+  "lapis",
+  sizeof(Lapis__Unreachable),
+  2,
+  lapis__unreachable__field_descriptors,
+  lapis__unreachable__field_indices_by_name,
+  1,  lapis__unreachable__number_ranges,
+  (ProtobufCMessageInit) lapis__unreachable__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lapis__hub_entry__field_descriptors[5] =
 {
   {
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -43,6 +43,7 @@
 typedef struct Lapis__ConfigState Lapis__ConfigState;
 typedef struct Lapis__FleetLoad Lapis__FleetLoad;
 typedef struct Lapis__NodeList Lapis__NodeList;
+typedef struct Lapis__Unreachable Lapis__Unreachable;
 typedef struct Lapis__HubEntry Lapis__HubEntry;
 typedef struct Lapis__ConfigText Lapis__ConfigText;
 typedef struct Lapis__PromptNotice Lapis__PromptNotice;
@@ -678,10 +679,15 @@
    */
   int64_t sent_ms;
   Lapis__ConfigState *config;
+  /*
+   * hashes of services of which it reaches
+   */
+  size_t n_unreachable;
+  uint64_t *unreachable;
 };
 #define LAPIS__NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, NULL, 0,NULL }
 
 
 /*
@@ -781,10 +787,32 @@
    */
   size_t n_hubs;
   Lapis__HubEntry **hubs;
+  size_t n_unreachable;
+  Lapis__Unreachable **unreachable;
 };
 #define LAPIS__NODE_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_list__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * A service of which a node reaches no backend server.
+ */
+struct  Lapis__Unreachable
+{
+  ProtobufCMessage base;
+  /*
+   * index of the node's address in fronts
+   */
+  uint32_t front;
+  /*
+   * hash of its name
+   */
+  uint64_t service;
+};
+#define LAPIS__UNREACHABLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__unreachable__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -1624,6 +1652,25 @@
 void   lapis__node_list__free_unpacked
                      (Lapis__NodeList *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__Unreachable methods */
+void   lapis__unreachable__init
+                     (Lapis__Unreachable         *message);
+size_t lapis__unreachable__get_packed_size
+                     (const Lapis__Unreachable   *message);
+size_t lapis__unreachable__pack
+                     (const Lapis__Unreachable   *message,
+                      uint8_t             *out);
+size_t lapis__unreachable__pack_to_buffer
+                     (const Lapis__Unreachable   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__Unreachable *
+       lapis__unreachable__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__unreachable__free_unpacked
+                     (Lapis__Unreachable *message,
+                      ProtobufCAllocator *allocator);
 /* Lapis__HubEntry methods */
 void   lapis__hub_entry__init
                      (Lapis__HubEntry         *message);
@@ -1976,6 +2023,9 @@
 typedef void (*Lapis__NodeList_Closure)
                  (const Lapis__NodeList *message,
                   void *closure_data);
+typedef void (*Lapis__Unreachable_Closure)
+                 (const Lapis__Unreachable *message,
+                  void *closure_data);
 typedef void (*Lapis__HubEntry_Closure)
                  (const Lapis__HubEntry *message,
                   void *closure_data);
@@ -2053,6 +2103,7 @@
 extern const ProtobufCMessageDescriptor lapis__config_state__descriptor;
 extern const ProtobufCMessageDescriptor lapis__fleet_load__descriptor;
 extern const ProtobufCMessageDescriptor lapis__node_list__descriptor;
+extern const ProtobufCMessageDescriptor lapis__unreachable__descriptor;
 extern const ProtobufCMessageDescriptor lapis__hub_entry__descriptor;
 extern const ProtobufCMessageDescriptor lapis__config_text__descriptor;
 extern const ProtobufCMessageDescriptor lapis__prompt_notice__descriptor;
--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -85,8 +85,16 @@
   int priority;          /**< 0 is the highest; negative: not specified */
   struct str last_event; /**< resume after this event; empty: keep the
                               value from the client */
+  bool proxy; /**< the request goes to another node: keep the API key, and
+                   name no server, account or priority */
 };
 
+/** Header of a request that another node sends because it reaches no backend
+    server; lower case.  Its prefix marks headers between nodes, which backend
+    servers don't get. */
+#define SRV_H_NODE_PREFIX "lapisline-"
+#define SRV_H_PROXIED SRV_H_NODE_PREFIX "proxied"
+
 /** Head of a response from a backend server, decoded. */
 struct srv_response
 {
--- a/serve/check.c
+++ b/serve/check.c
@@ -64,7 +64,7 @@
   if (c->status)
     return c->status == STATUS_MISDIRECTED ? DSP_ENDED : DSP_ALIVE;
   if (end == HTTPC_CONNECT_FAILED && ms < CONNECT_MS)
-    return DSP_ENDED;
+    return DSP_CONN_REFUSED;
   return DSP_UNREACHABLE;
 }
 
--- a/serve/dispatch-code.c
+++ b/serve/dispatch-code.c
@@ -19,9 +19,10 @@
 const char *
 dsp_liveness_name (enum dsp_liveness found)
 {
-  static const char *const names[] = {
-    [DSP_UNREACHABLE] = "unknown", [DSP_ALIVE] = "alive", [DSP_ENDED] = "ended"
-  };
+  static const char *const names[] = { [DSP_UNREACHABLE] = "unknown",
+                                       [DSP_ALIVE] = "alive",
+                                       [DSP_ENDED] = "ended",
+                                       [DSP_CONN_REFUSED] = "refused" };
 
   return names[found];
 }
@@ -37,3 +38,11 @@
 {
   return codes[c].status;
 }
+
+const char *
+dsp_path_name (enum dsp_path_state state)
+{
+  static const char *const names[] = { "ok", "no-connections", "lost" };
+
+  return names[state];
+}
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -72,7 +72,8 @@
   struct dsp_interruption *b = find_interruption (d, s->hash);
 
   /* A server that is shutting down ends its process without a crash. */
-  if (!s->listed || !s->accepting || dsp_avail_is_leaving (d, s))
+  if (s->is_proxy || !s->listed || !s->accepting
+      || dsp_avail_is_leaving (d, s))
     return;
   if (!b)
     b = start_check (d, s);
@@ -90,6 +91,14 @@
   struct dsp_interruption *b;
 
   d->now = now;
+  s = dsp_find_endpoint (d, endpoint);
+  if (s && (found == DSP_ALIVE || found == DSP_ENDED))
+    dsp_path_connected (d, s);
+  else if (s)
+    dsp_path_connect_failed (d, s);
+  if (found == DSP_CONN_REFUSED)
+    found = s && dsp_path_is_own_loss (d, s->pool->path) ? DSP_UNREACHABLE
+                                                         : DSP_ENDED;
   b = find_interruption (d, endpoint);
   if (!b || b->checked)
     return 0;
@@ -98,7 +107,6 @@
   if (found != DSP_ENDED)
     return b->nruns;
   d->stats.servers_ended++;
-  s = dsp_find_endpoint (d, endpoint);
   if (s)
     s->process_ended_until = now + PROCESS_ENDED_MS;
   for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -108,6 +108,13 @@
 void
 dsp_health_failure (struct dsp *d, struct dsp_endpoint_state *s)
 {
+  if (s->is_proxy)
+    {
+      dsp_proxy_failed (d, s);
+      return;
+    }
+  if (dsp_path_is_own_loss (d, s->pool->path))
+    return;
   s->failures_in_row++;
   s->failure_rate += SMOOTHING * (1 - s->failure_rate);
   s->samples++;
@@ -274,8 +281,10 @@
 
   note->server = str_from (s->server);
   note->duration_ms = silence_duration (d, s);
-  s->stalled = true;
+  s->stalled = !s->is_proxy;
   s->stalled_at = d->now;
+  if (s->is_proxy)
+    dsp_proxy_failed (d, s);
   d->stats.stalls++;
   for (struct dsp_req *q = d->open_list; q; q = next)
     {
@@ -295,14 +304,21 @@
  * replica is formed anew. Clients see a pause of about half a second instead
  * of a lost response.
  */
+static void
+check_stalls (struct dsp *d, struct dsp_endpoint_state *const *list, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    if (list[i]->own_requests > 0 && !list[i]->stalled
+        && has_stalled (d, list[i]))
+      move_requests (d, list[i]);
+}
+
 void
 dsp_health_tick (struct dsp *d)
 {
   for (size_t i = 0; i < d->npools; i++)
-    for (size_t k = 0; k < d->pools[i]->n; k++)
-      {
-        struct dsp_endpoint_state *s = d->pools[i]->endpoints[k];
-        if (s->own_requests > 0 && !s->stalled && has_stalled (d, s))
-          move_requests (d, s);
-      }
+    {
+      check_stalls (d, d->pools[i]->endpoints, d->pools[i]->n);
+      check_stalls (d, d->pools[i]->proxies, d->pools[i]->nproxies);
+    }
 }
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -12,6 +12,7 @@
  *   dispatch-retry.c  this node's share of the fleet's retry budget
  *   dispatch-limit.c  rate limits set by servers
  *   dispatch-avail.c  pauses and shutdowns announced by servers
+ *   dispatch-path.c   whether this node reaches servers, proxies if not
  *   dispatch-crash.c  interrupted runs and crash detection
  */
 #ifndef LAPISLINE_SERVE_DISPATCH_INT_H
@@ -68,8 +69,9 @@
                               generation */
   struct net_addr addr;
   bool same_zone;
-  bool listed; /**< in the current list; else kept only until its requests
-                    end */
+  bool is_proxy; /**< another node, which sends requests on to a server */
+  bool listed;   /**< in the current list; else kept only until its requests
+                      end */
   /** in the list that is being applied; becomes `listed` */
   bool seen_in_list;
   bool accepting;
@@ -141,6 +143,8 @@
   char *model;
   struct dsp_endpoint_state **endpoints;
   size_t n;
+  struct dsp_endpoint_state **proxies;
+  size_t nproxies;
   /** queued, in the order of arrival */
   struct dsp_req *queue_head, *queue_tail;
   size_t queue_length;
@@ -149,7 +153,8 @@
   double mean_response_ms; /**< moving average: from sending to the end of the
                            response */
   struct dsp_retry_budget
-      *retry_budget; /**< shared by the pools of a service */
+      *retry_budget;     /**< shared by the pools of a service */
+  struct dsp_path *path; /**< likewise */
   /** indexed by priority */
   struct dsp_rate request_rates[DSP_PRIORITIES];
   struct dsp_rate rejection_rate; /**< rate of requests rejected because all
@@ -172,7 +177,9 @@
   const struct tbl_route *route;
   enum dsp_state state;
   unsigned priority;
-  unsigned attempt;       /**< number of the current attempt */
+  unsigned attempt; /**< number of the current attempt */
+  unsigned max_attempts;
+  bool proxied;           /**< another node sent it */
   unsigned sent_attempts; /**< attempts whose bytes were sent, including
                                rejected ones */
   unsigned connect_failures;
@@ -232,6 +239,29 @@
   size_t nruns;
 };
 
+/** Servers whose failures are recorded in a row. */
+#define DSP_PATH_FAILED_MAX 8
+
+/** Evidence of the paths from this node to the servers of a service. */
+struct dsp_path
+{
+  char *service;
+  uint64_t service_hash;
+  enum dsp_path_state state;
+  bool changed; /**< since dsp_next_path_change() returned it */
+  /** hashes of server processes to which no connection could be made since one
+      was last made */
+  uint64_t failed[DSP_PATH_FAILED_MAX];
+  size_t nfailed;
+  clk_ms first_failed_at;
+  /** the same of those that left a request without an answer since any server
+      last sent data */
+  uint64_t silent[DSP_PATH_FAILED_MAX];
+  size_t nsilent;
+  clk_ms heard_at; /**< time of the last data from any server */
+  clk_ms next_check_at;
+};
+
 struct dsp
 {
   struct dsp_options opt;
@@ -266,6 +296,10 @@
   /** not yet announced */
   struct dsp_prompt_notice outgoing_notices[DSP_NOTICES_MAX];
   size_t noutgoing;
+  struct dsp_path **paths;
+  size_t npaths;
+  struct dsp_proxy proxies[DSP_PROXIES_MAX];
+  size_t nproxies;
   struct dsp_interruption interruptions[DSP_INTERRUPTIONS_MAX];
   struct dsp_stats stats;
 };
@@ -336,6 +370,28 @@
                                                 const struct dsp_req *q);
 void dsp_pool_free (struct dsp_pool *p);
 
+/* dispatch-path.c */
+struct dsp_path *dsp_get_path (struct dsp *d, const char *service);
+void dsp_path_connect_failed (struct dsp *d,
+                              const struct dsp_endpoint_state *s);
+/** A new connection to the server was made and answered. */
+void dsp_path_connected (struct dsp *d, const struct dsp_endpoint_state *s);
+/** The endpoint has not answered a request in time. */
+void dsp_path_unanswered (struct dsp *d, const struct dsp_endpoint_state *s);
+/** The endpoint has sent data. */
+void dsp_path_heard (struct dsp *d, const struct dsp_endpoint_state *s);
+void dsp_path_tick (struct dsp *d);
+/** Whether this node doesn't reach the service, but another node does: then
+    failures of its servers here say nothing of the servers. */
+bool dsp_path_is_own_loss (const struct dsp *d, const struct dsp_path *p);
+/** Whether @p q is better sent through another node than to a server. */
+bool dsp_prefers_proxy (const struct dsp_req *q);
+/** A random proxy; NULL if there is none for @p q. */
+struct dsp_endpoint_state *dsp_choose_proxy (struct dsp *d, struct dsp_pool *p,
+                                             const struct dsp_req *q);
+/** The proxy could not be reached, or has failed a request. */
+void dsp_proxy_failed (const struct dsp *d, struct dsp_endpoint_state *s);
+
 /* dispatch-health.c */
 void dsp_health_success (struct dsp *d, struct dsp_endpoint_state *s);
 void dsp_health_failure (struct dsp *d, struct dsp_endpoint_state *s);
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -139,15 +139,17 @@
     for (size_t k = 0; k < d->pools[i]->n; k++)
       {
         const struct dsp_endpoint_state *s = d->pools[i]->endpoints[k];
-        bool ended = d->now < s->process_ended_until;
-        if (s->own_requests || s->stalled || ended)
+        bool reached = !dsp_path_is_own_loss (d, s->pool->path);
+        bool ended = reached && d->now < s->process_ended_until;
+        bool stalled = reached && s->stalled;
+        if (s->own_requests || stalled || ended)
           d->own_loads[(*n)++] = (struct dsp_endpoint_load){
             .endpoint = s->hash,
             .in_flight = s->own_requests,
             .streaming = s->own_streaming,
             .pending_prefill = (uint32_t)(s->own_prefill - s->own_announced),
             .last_event_at = s->last_data_at,
-            .stalled = s->stalled,
+            .stalled = stalled,
             .process_ended = ended
           };
       }
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -44,6 +44,7 @@
   p->service = str_dup (service);
   p->model = str_dup (model);
   p->retry_budget = dsp_get_budget (d, p->service);
+  p->path = dsp_get_path (d, p->service);
   d->pools = xrealloc (d->pools, (d->npools + 1) * sizeof *d->pools);
   d->pools[d->npools++] = p;
   return p;
@@ -61,7 +62,10 @@
 {
   for (size_t i = 0; i < p->n; i++)
     free_endpoint (p->endpoints[i]);
+  for (size_t i = 0; i < p->nproxies; i++)
+    free_endpoint (p->proxies[i]);
   free (p->endpoints);
+  free (p->proxies);
   free (p->service);
   free (p->model);
   free (p);
@@ -241,7 +245,7 @@
                      const struct dsp_req *q, struct dsp_endpoint_state **out)
 {
   if (!q->retryable || q->partly_forwarded
-      || q->sent_attempts + 1 >= q->route->max_attempts)
+      || q->sent_attempts + 1 >= q->max_attempts)
     return false;
   for (size_t i = 0; i < p->n; i++)
     {
@@ -285,9 +289,8 @@
  * with failures and high load; by 1.2 and 1.7 on 10 days of two other
  * workloads).
  */
-struct dsp_endpoint_state *
-dsp_choose_endpoint (struct dsp *d, struct dsp_pool *p,
-                     const struct dsp_req *q)
+static struct dsp_endpoint_state *
+choose_server (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q)
 {
   bool goal_missed = d->now >= q->goal_at && !q->partly_forwarded;
   struct dsp_endpoint_state *s;
@@ -300,3 +303,14 @@
   s = choose_of_two (d, p, q, goal_missed ? 0 : EXTRA_REQUESTS);
   return s || dsp_any_usable (d, p) ? s : choose_fallback (d, p, q);
 }
+
+struct dsp_endpoint_state *
+dsp_choose_endpoint (struct dsp *d, struct dsp_pool *p,
+                     const struct dsp_req *q)
+{
+  struct dsp_endpoint_state *s = NULL;
+
+  if (dsp_prefers_proxy (q))
+    s = dsp_choose_proxy (d, p, q);
+  return s ? s : choose_server (d, p, q);
+}
--- a/serve/dispatch-request.c
+++ b/serve/dispatch-request.c
@@ -59,6 +59,8 @@
       = in->prompt_tokens > 0 ? in->prompt_tokens : DEFAULT_PROMPT_TOKENS;
   q->digest = in->digest;
   q->retryable = tbl_is_retryable (r);
+  q->proxied = in->proxied;
+  q->max_attempts = in->proxied ? 1 : r->max_attempts;
   q->state = DSP_S_RECEIVED;
   q->pool = dsp_get_pool (d, in->service->name, in->model);
   q->hash_next = d->buckets[q->id & (d->nbuckets - 1)];
--- a/serve/dispatch-wait.c
+++ b/serve/dispatch-wait.c
@@ -116,6 +116,7 @@
     s->trial_in_flight = q->is_trial = true;
   a = dsp_add_action (d, DSP_ACT_SEND, q);
   a->addr = s->addr;
+  a->proxy = s->is_proxy;
   a->server = str_from (s->server);
   a->duration_ms = q->deadline - d->now;
   /* The backend server may have closed an idle connection, or the connection
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -19,6 +19,8 @@
 /** Failed connections after which a request is given up: if three endpoints
     can't be reached, the cause is on this node. */
 #define MAX_CONNECT_FAILURES 3
+/** The same if another node can be tried. */
+#define MAX_CONNECT_FAILURES_PROXY 5
 
 /**
  * Part of a request's latency goal that it may spend in the queue. A request
@@ -290,7 +292,7 @@
 static bool
 take_retry (struct dsp *d, const struct dsp_req *q)
 {
-  return q->sent_attempts < q->route->max_attempts && d->now < q->deadline
+  return q->sent_attempts < q->max_attempts && d->now < q->deadline
          && !waits_in_vain (d, q) && dsp_budget_take_retry (d, q->pool);
 }
 
@@ -334,6 +336,7 @@
   q->sent_at = q->last_data_at = now;
   q->awaits_first_event = true;
   d->stats.sent++;
+  d->stats.proxied += q->endpoint->is_proxy;
   d->stats.retried += q->sent_attempts > 1;
   if (d->opt.avail)
     avl_count_sent (d->opt.avail, now, q->endpoint->process_hash);
@@ -348,6 +351,14 @@
   return q ? q->endpoint->process_hash : 0;
 }
 
+static unsigned
+max_connect_failures (struct dsp *d, const struct dsp_req *q)
+{
+  return dsp_prefers_proxy (q) && dsp_choose_proxy (d, q->pool, q)
+             ? MAX_CONNECT_FAILURES_PROXY
+             : MAX_CONNECT_FAILURES;
+}
+
 void
 dsp_connect_failed (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
@@ -358,11 +369,12 @@
     return;
   /* Nothing was sent, so a retry is safe even for a request that must be
      executed at most once. */
+  dsp_path_connect_failed (d, q->endpoint);
   dsp_health_failure (d, q->endpoint);
   record_failed_endpoint (q);
   release_endpoint (q);
   dsp_transition (q, DSP_EVENT_UNRUN);
-  if (++q->connect_failures >= MAX_CONNECT_FAILURES)
+  if (++q->connect_failures >= max_connect_failures (d, q))
     give_up (d, q, DSP_NO_CONNECTION, DSP_INTERRUPTED);
   else
     requeue (d, q);
@@ -397,6 +409,7 @@
   if (!q || (q->state != DSP_S_SENT && q->state != DSP_S_RESENT))
     return;
   q->last_data_at = q->endpoint->last_data_at = now;
+  dsp_path_heard (d, q->endpoint);
   switch (head)
     {
     case DSP_RESPONSE_OK:
@@ -410,7 +423,7 @@
       /* An error response to a resumed stream can't be appended to what the
          client already has. */
       if (q->partly_forwarded
-          || (q->retryable && q->sent_attempts < q->route->max_attempts))
+          || (q->retryable && q->sent_attempts < q->max_attempts))
         dsp_attempt_failed (d, q, DSP_INTERRUPTED);
       break;
     case DSP_RESPONSE_FINAL:
@@ -445,6 +458,7 @@
   if (!q)
     return;
   q->last_data_at = q->endpoint->last_data_at = now;
+  dsp_path_heard (d, q->endpoint);
   q->endpoint->stalled = false;
   if (event && !q->streaming)
     on_first_event (d, q);
@@ -514,6 +528,12 @@
       respond_error (d, q, DSP_SHUTTING_DOWN, MIN_RETRY_MS);
       return;
     }
+  if (q->proxied && q->pool->path->state != DSP_PATH_OK)
+    {
+      dsp_transition (q, DSP_EVENT_REFUSE);
+      respond_error (d, q, DSP_NO_CONNECTION, MIN_RETRY_MS);
+      return;
+    }
   if (d->opt.poison
       && psn_should_refuse (d->opt.poison, now, q->digest, &retry_ms))
     {
@@ -521,7 +541,8 @@
       respond_error (d, q, DSP_POISON, retry_ms);
       return;
     }
-  dsp_budget_count_request (d, q->pool);
+  if (!q->proxied)
+    dsp_budget_count_request (d, q->pool);
   dsp_limit_count_request (d, q);
   dsp_transition (q, DSP_EVENT_WAIT);
   dsp_enqueue (d, q, false);
@@ -559,7 +580,7 @@
 is_overdue (const struct dsp *d, const struct dsp_req *q)
 {
   return q->route->kind == TBL_IDEMPOTENT && q->state == DSP_S_SENT
-         && q->sent_attempts < q->route->max_attempts
+         && q->sent_attempts < q->max_attempts
          && (double)(d->now - q->sent_at)
                 > RESPONSE_TIMEOUT_FACTOR * (double)q->route->latency_goal_ms;
 }
@@ -586,6 +607,7 @@
     reject_waiting (d, q);
   else if (is_overdue (d, q))
     {
+      dsp_path_unanswered (d, q->endpoint);
       dsp_health_failure (d, q->endpoint);
       dsp_attempt_failed (d, q, DSP_DEADLINE);
     }
@@ -610,6 +632,7 @@
   d->now = d->ticked_at = now;
   if (skip_late_tick (d, now))
     return;
+  dsp_path_tick (d);
   dsp_health_tick (d);
   /* check_timeouts() may free q and send other requests, but it frees no other
      request. */
@@ -665,6 +688,12 @@
     }
   for (size_t i = 0; i < d->npeers; i++)
     free (d->peers[i].loads);
+  for (size_t i = 0; i < d->npaths; i++)
+    {
+      free (d->paths[i]->service);
+      free (d->paths[i]);
+    }
+  free (d->paths);
   free (d->pools);
   free (d->budgets);
   free (d->peers);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -58,6 +58,8 @@
   double prompt_tokens; /**< prompt length in tokens; 0: unknown */
   double max_output_tokens; /**< limit on generated tokens; 0: unknown */
   uint64_t digest; /**< equal for identical requests of the same client */
+  bool proxied;    /**< another node sent it, because it reaches no backend
+                        server: one attempt, outside the retry budget */
 };
 
 /** A destination for requests: a backend server of a plain service, or the
@@ -142,7 +144,37 @@
 {
   DSP_UNREACHABLE, /**< no connection could be made */
   DSP_ALIVE,
-  DSP_ENDED
+  DSP_ENDED,       /**< another server responded at its address */
+  DSP_CONN_REFUSED /**< the connection was refused or reset: the process has
+                   ended, unless no server can be reached from this node */
+};
+
+/** Whether this node reaches the backend servers of a service. */
+enum dsp_path_state
+{
+  DSP_PATH_OK,
+  DSP_PATH_NO_CONNECTIONS, /**< new connections fail, open ones work */
+  DSP_PATH_LOST            /**< no server answers */
+};
+
+/** Maximum number of proxies. */
+#define DSP_PROXIES_MAX 64
+/** Maximum number of services that a node reports as unreachable. */
+#define DSP_UNREACHABLE_MAX 8
+
+/** Another node that may send requests on to backend servers. */
+struct dsp_proxy
+{
+  struct net_addr front; /**< its address for clients */
+  /** hashes of the names of services whose servers it doesn't reach */
+  uint64_t unreachable[DSP_UNREACHABLE_MAX];
+  size_t nunreachable;
+};
+
+struct dsp_path_change
+{
+  struct str service;
+  enum dsp_path_state state;
 };
 
 struct dsp_action
@@ -156,6 +188,8 @@
   uint64_t process;    /**< CHECK_PROCESS: the same without a generation */
   clk_ms duration_ms;  /**< SEND: time until the request's deadline; STALLED:
                             duration of the silence */
+  bool proxy;          /**< SEND: addr is another node, which sends the
+                            request on; server is its address */
   bool new_connection; /**< don't reuse an idle connection */
   bool resume;         /**< resume the stream after the last event forwarded */
   unsigned priority;   /**< priority sent to the backend server, 0 (first) to
@@ -222,6 +256,18 @@
     at once; valid until the next event. */
 const struct dsp_prompt_notice *dsp_take_notices (struct dsp *d, size_t *n);
 
+/** Sets the other ready nodes. */
+void dsp_set_proxies (struct dsp *d, clk_ms now, const struct dsp_proxy *list,
+                      size_t n);
+/** Hashes of the names of services whose servers this node doesn't reach.
+    @return how many */
+size_t dsp_unreachable_services (const struct dsp *d, uint64_t *out,
+                                 size_t max);
+/** A path that has changed and was not returned yet.
+    @retval false there is none */
+bool dsp_next_path_change (struct dsp *d, struct dsp_path_change *out);
+const char *dsp_path_name (enum dsp_path_state state);
+
 /** Load of this node, to be reported to the others; valid until the next
     event. */
 const struct dsp_endpoint_load *dsp_own_load (struct dsp *d, size_t *n);
@@ -313,6 +359,7 @@
 {
   /** answered: error responses and truncated responses, by enum dsp_code */
   uint64_t arrived, ended, answered[DSP_DEADLINE + 1];
+  uint64_t proxied; /**< attempts sent through another node */
   uint64_t sent, retried, retries_denied, resumed, stalls, ejections;
   uint64_t servers_ended; /**< servers whose process ended while they executed
                                requests of this node */
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -140,6 +140,18 @@
   return status >= 300 ? DSP_RESPONSE_FINAL : DSP_RESPONSE_OK;
 }
 
+/** A response that a proxy generated itself says that it sent the request to
+   no server, or that it can't tell. */
+static void
+interpret_proxy_response (struct srv_attempt *at, int status)
+{
+  if (at->response.sealed)
+    return;
+  at->response.not_run
+      = is_not_run_status (status) || (status >= 400 && status < 500);
+  at->response.same_request = at->response.not_run;
+}
+
 /** Process the rate limit in a response, and log changes. */
 static void
 handle_rate_limit (const struct srv_attempt *at)
@@ -201,8 +213,13 @@
 
   s->adapter->parse_response (ex->request.id, status, h, n, &at->response);
   copy_head (s, &at->head, status, h, n);
-  handle_rate_limit (at);
-  handle_notice (at);
+  if (at->proxy)
+    interpret_proxy_response (at, status);
+  else
+    {
+      handle_rate_limit (at);
+      handle_notice (at);
+    }
   if (at->response.not_run || status >= 500)
     log_attempt_lost (at, at->response.not_run ? "not-run" : "error");
   if (is_valid_response (at, status))
@@ -324,7 +341,8 @@
       = { .host = ex->host,
           .server = a->server,
           .left_ms = a->duration_ms > 0 ? a->duration_ms : 1,
-          .priority = (int)a->priority };
+          .priority = (int)a->priority,
+          .proxy = a->proxy };
 
   if (ex->account)
     f.account = ex->account->name;
@@ -338,6 +356,8 @@
       buf_add (&path, v->query);
     }
   bool ok = ex->s->adapter->build_headers (from, n, &f, &headers);
+  if (a->proxy)
+    srv_headers_add (&headers, SRV_H_PROXIED, STR ("1"));
   struct httpc_request r = { .to = a->addr,
                              .method = v->method,
                              .path = buf_str (&path),
@@ -367,6 +387,7 @@
   at->started_at = clk_now ();
   at->ex = ex;
   at->number = a->attempt;
+  at->proxy = a->proxy;
   at->next = ex->attempts;
   ex->attempts = at;
   if (a->resume)
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -25,6 +25,7 @@
   struct srv_exchange *ex;
   struct srv_attempt *next;
   unsigned number;
+  bool proxy;              /**< sent to another node, which sends it on */
   struct httpc_call *call; /**< NULL: the call has ended */
   struct srv_response_head head;
   struct srv_response response;
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -161,7 +161,8 @@
           .waited_ms = earlier_wait (ex),
           .prompt_tokens = ex->request.prompt_tokens,
           .max_output_tokens = ex->request.max_output_tokens,
-          .digest = ex->digest };
+          .digest = ex->digest,
+          .proxied = httpd_header (ex->req, SRV_H_PROXIED).len > 0 };
 
   if (q.service->nmodels)
     q.model = ex->request.model;
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -53,11 +53,18 @@
 set_dispatch (struct srv *s)
 {
   const struct dsp_stats *f = dsp_stats (s->dispatch);
+  uint64_t unreachable[DSP_UNREACHABLE_MAX];
 
   gauge (s, PREFIX "open", "Requests that have not ended.", NULL,
          (double)dsp_count_open (s->dispatch));
   gauge (s, PREFIX "attempts_sent", "Attempts whose bytes went out.", NULL,
          (double)f->sent);
+  gauge (s, PREFIX "attempts_proxied", "Of these, sent through another node.",
+         NULL, (double)f->proxied);
+  gauge (s, PREFIX "services_unreachable",
+         "Services of which this node reaches no backend server.", NULL,
+         (double)dsp_unreachable_services (s->dispatch, unreachable,
+                                           DSP_UNREACHABLE_MAX));
   gauge (s, PREFIX "attempts_repeated", "Of these, beyond a request's first.",
          NULL, (double)f->retried);
   gauge (s, PREFIX "repeats_denied", "Repeats that the budget did not allow.",
--- a/serve/node.c
+++ b/serve/node.c
@@ -182,6 +182,19 @@
     }
 }
 
+static void
+log_path_changes (struct srv *s)
+{
+  struct dsp_path_change c;
+
+  while (dsp_next_path_change (s->dispatch, &c))
+    if (c.state == DSP_PATH_OK)
+      LOG (servers_reached, LOG_S ("service", c.service));
+    else
+      LOG (servers_unreachable, LOG_S ("service", c.service),
+           LOG_C ("paths", dsp_path_name (c.state)));
+}
+
 static void
 on_tick (uv_timer_t *t)
 {
@@ -196,6 +209,7 @@
       srv_run_actions (s);
     }
   log_denied_retries (s, now);
+  log_path_changes (s);
   srv_config_tick (s, now);
   srv_ingress_tick (s, now);
   srv_sync_tick (s, now);
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -41,6 +41,7 @@
                   up */
   bool in_entries;
   bool ready;
+  struct dsp_proxy proxy; /* its client address, and what it doesn't reach */
   bool is_leader;
   struct dsp_endpoint_load *loads; /* its load per endpoint, as last
                                       received */
@@ -94,8 +95,10 @@
   struct svl_budget list_budget; /* limits the rate at which the server list
                                     is sent */
   clk_ms next_sum_at;
-  struct net_addr fronts[PRS_FRONTS_MAX]; /* ready nodes, from the last
-                                             NodeList */
+  struct net_addr fronts[PRS_FRONTS_MAX];   /* ready nodes, from the last
+                                               NodeList */
+  struct dsp_proxy proxies[PRS_FRONTS_MAX]; /* the same with what their nodes
+                                               don't reach */
   size_t nfronts;
   unsigned announced_nodes; /* number of nodes in the last NodeList */
   clk_ms node_list_received_at;
@@ -107,10 +110,16 @@
 size_t prs_count_up (const struct srv_peers *p);
 /** Find the peer with this name; add it if there is none. */
 struct peer *prs_find_or_add_peer (struct srv_peers *p, struct str node);
+/** Whether a NodeList of an aggregator is recent enough to be used. */
+bool prs_has_recent_node_list (const struct srv_peers *p, clk_ms now);
+/** Whether clients may be sent to the peer. */
+bool prs_is_ready (const struct peer *x, clk_ms now);
 /** Pass the number of nodes that share budgets to the dispatch core. */
 void prs_update_node_count (struct srv_peers *p);
 
 /* peers-nodes.c */
+/** Pass the ready nodes that reach backend servers to the dispatch core. */
+void prs_update_proxies (struct srv_peers *p, clk_ms now);
 /** Send NodeList frames to a part of the peers in each call, so that no call
     takes long. */
 void prs_send_node_lists (struct srv_peers *p, clk_ms now);
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -92,6 +92,11 @@
   prs_on_config_state (x, x->received_at, load->config);
   x->nloads = read_loads (s, load->places, load->n_places, &x->loads);
   x->ready = load->ready;
+  x->proxy.nunreachable = 0;
+  for (size_t i = 0;
+       i < load->n_unreachable && x->proxy.nunreachable < DSP_UNREACHABLE_MAX;
+       i++)
+    x->proxy.unreachable[x->proxy.nunreachable++] = load->unreachable[i];
   x->is_leader = load->leads;
   if (load->leads && x->server_list_received)
     srv_sync_list_confirmed (s, prs_sent_at (x, x->received_at)
@@ -242,6 +247,7 @@
   Lapis__ConfigState config = LAPIS__CONFIG_STATE__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
   struct prs_permit_rows wanted = { 0 };
+  uint64_t unreachable[DSP_UNREACHABLE_MAX];
   struct load_rows rows;
 
   p->own_load
@@ -249,6 +255,9 @@
   memcpy (p->own_load, own, p->nown_load * sizeof *own);
   make_rows (&rows, own, p->nown_load, now);
   load.ready = srv_is_ready (s);
+  load.n_unreachable = dsp_unreachable_services (s->dispatch, unreachable,
+                                                 DSP_UNREACHABLE_MAX);
+  load.unreachable = unreachable;
   load.traffic = s->had_traffic;
   load.leads = srv_is_leader (s);
   load.n_places = p->nown_load;
--- a/serve/peers-nodes.c
+++ b/serve/peers-nodes.c
@@ -1,6 +1,7 @@
 #include "serve/peers-int.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /*
  * NodeList frames, which the aggregator sends to nodes that are not linked to
@@ -110,6 +111,50 @@
 
 /* --- sending ----------------------------------------------------------- */
 
+/** Services of which the node with this client address reaches no server. */
+static size_t
+list_unreachable (const struct srv_peers *p, const struct net_addr *front,
+                  uint64_t *out)
+{
+  if (net_addr_eq (front, &p->s->settings.front))
+    return dsp_unreachable_services (p->s->dispatch, out, DSP_UNREACHABLE_MAX);
+  for (const struct peer *x = p->peers; x; x = x->next)
+    if (net_addr_eq (front, &x->front))
+      {
+        memcpy (out, x->proxy.unreachable, sizeof x->proxy.unreachable);
+        return x->proxy.nunreachable;
+      }
+  return 0;
+}
+
+/** Rows of unreachable services in a frame. */
+struct unreachable_rows
+{
+  Lapis__Unreachable rows[PRS_FRONTS_MAX * DSP_UNREACHABLE_MAX];
+  Lapis__Unreachable *list[PRS_FRONTS_MAX * DSP_UNREACHABLE_MAX];
+};
+
+static void
+fill_unreachable (const struct srv_peers *p, const struct net_addr *fronts,
+                  size_t n, struct unreachable_rows *r, Lapis__NodeList *nodes)
+{
+  uint64_t services[DSP_UNREACHABLE_MAX];
+
+  nodes->unreachable = r->list;
+  for (size_t i = 0; i < n; i++)
+    {
+      size_t lost = list_unreachable (p, &fronts[i], services);
+      for (size_t k = 0; k < lost; k++)
+        {
+          Lapis__Unreachable *row = &r->rows[nodes->n_unreachable];
+          lapis__unreachable__init (row);
+          row->front = (uint32_t)i;
+          row->service = services[k];
+          r->list[nodes->n_unreachable++] = row;
+        }
+    }
+}
+
 static void
 send_node_list (struct peer *x)
 {
@@ -117,6 +162,7 @@
   struct relay_rows relays = { 0 };
   struct net_addr list[PRS_FRONTS_MAX];
   char *fronts[PRS_FRONTS_MAX];
+  struct unreachable_rows unreachable;
   size_t n = srv_peers_list_ready (p->s, list, PRS_FRONTS_MAX);
   Lapis__NodeList nodes = LAPIS__NODE_LIST__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
@@ -126,6 +172,7 @@
   nodes.nodes = srv_peers_count_nodes (p->s);
   nodes.n_fronts = n;
   nodes.fronts = fronts;
+  fill_unreachable (p, list, n, &unreachable, &nodes);
   nodes.leads = srv_is_leader (p->s);
   nodes.config_age_ms = UINT32_MAX;
   if (nodes.leads)
@@ -156,6 +203,18 @@
 
 /* --- receiving --------------------------------------------------------- */
 
+/** Keep the services that the node with index @p front doesn't reach. */
+static void
+read_unreachable (const Lapis__NodeList *list, size_t front,
+                  struct dsp_proxy *out)
+{
+  out->nunreachable = 0;
+  for (size_t i = 0; i < list->n_unreachable; i++)
+    if (list->unreachable[i]->front == front
+        && out->nunreachable < DSP_UNREACHABLE_MAX)
+      out->unreachable[out->nunreachable++] = list->unreachable[i]->service;
+}
+
 void
 prs_on_node_list (struct peer *x, const Lapis__NodeList *list)
 {
@@ -167,8 +226,36 @@
   for (size_t i = 0; i < list->n_fronts && p->nfronts < PRS_FRONTS_MAX; i++)
     if (net_addr_parse (str_from (list->fronts[i]), false,
                         &p->fronts[p->nfronts]))
-      p->nfronts++;
+      {
+        struct dsp_proxy *proxy = &p->proxies[p->nfronts];
+        proxy->front = p->fronts[p->nfronts++];
+        read_unreachable (list, i, proxy);
+      }
   prs_update_node_count (p);
   for (size_t i = 0; i < list->n_hubs; i++)
     add_relay (p, list->hubs[i]);
 }
+
+/* --- proxies ------------------------------------------------------------ */
+
+void
+prs_update_proxies (struct srv_peers *p, clk_ms now)
+{
+  struct dsp_proxy list[DSP_PROXIES_MAX];
+  size_t n = 0;
+
+  if (prs_has_recent_node_list (p, now))
+    {
+      for (size_t i = 0; i < p->nfronts && n < DSP_PROXIES_MAX; i++)
+        if (!net_addr_eq (&p->fronts[i], &p->s->settings.front))
+          list[n++] = p->proxies[i];
+    }
+  else
+    for (struct peer *x = p->peers; x && n < DSP_PROXIES_MAX; x = x->next)
+      if (prs_is_ready (x, now))
+        {
+          x->proxy.front = x->front;
+          list[n++] = x->proxy;
+        }
+  dsp_set_proxies (p->s->dispatch, now, list, n);
+}
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -322,6 +322,7 @@
   p->next_send_at = now + PRS_SEND_INTERVAL_MS;
   choose_links (p, now);
   prs_update_node_count (p);
+  prs_update_proxies (p, now);
   srv_peers_send_servers (s);
   prs_send_due (p, now);
   prs_grant_permits (p, now, true);
@@ -454,9 +455,8 @@
   return false;
 }
 
-/** Whether a NodeList of an aggregator is recent enough to be used. */
-static bool
-has_recent_node_list (const struct srv_peers *p, clk_ms now)
+bool
+prs_has_recent_node_list (const struct srv_peers *p, clk_ms now)
 {
   return p->node_list_received_at
          && now - p->node_list_received_at < NODE_LIST_VALID_MS
@@ -469,13 +469,14 @@
   const struct srv_peers *p = s->peers;
   unsigned up = p ? (unsigned)prs_count_up (p) + 1 : 1;
 
-  return p && has_recent_node_list (p, clk_now ()) && p->announced_nodes > up
+  return p && prs_has_recent_node_list (p, clk_now ())
+                 && p->announced_nodes > up
              ? p->announced_nodes
              : up;
 }
 
-static bool
-is_ready_peer (const struct peer *x, clk_ms now)
+bool
+prs_is_ready (const struct peer *x, clk_ms now)
 {
   return x->up && x->ready && x->listed && now - x->received_at < PRS_STALE_MS;
 }
@@ -489,11 +490,11 @@
   size_t n = 0, i = 0;
 
   for (const struct peer *x = p->peers; x && n < max; x = x->next)
-    if (is_ready_peer (x, now) && i++ >= from)
+    if (prs_is_ready (x, now) && i++ >= from)
       out[n++] = x->front;
   i = 0;
   for (const struct peer *x = p->peers; x && n < max && i < from; x = x->next)
-    if (is_ready_peer (x, now) && i++ < from)
+    if (prs_is_ready (x, now) && i++ < from)
       out[n++] = x->front;
   return n;
 }
@@ -504,7 +505,7 @@
   size_t n = 0;
 
   for (const struct peer *x = p->peers; x; x = x->next)
-    n += is_ready_peer (x, now);
+    n += prs_is_ready (x, now);
   return n;
 }
 
@@ -537,7 +538,7 @@
     out[n++] = s->settings.front;
   if (!p)
     return n;
-  if (has_recent_node_list (p, now))
+  if (prs_has_recent_node_list (p, now))
     return n + copy_announced_fronts (p, out + n, max - n);
   ready_peers = count_ready_peers (p, now);
   if (ready_peers <= max - n)
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -22,6 +22,7 @@
   size_t n;
   unsigned attempt[100];
   bool show_delays;
+  bool submit_proxied;
   struct buf log;
 };
 
@@ -158,6 +159,27 @@
   dsp_set_endpoints (b->d, b->now, b->endpoints, b->n);
 }
 
+/** Adds nodes 10.0.0.1 to 10.0.0.N that may send requests on. */
+static void
+set_proxies (struct fixture *b, int n, bool reach_servers)
+{
+  struct dsp_proxy list[MAX_ENDPOINTS] = { 0 };
+
+  for (int i = 0; i < n; i++)
+    {
+      snprintf (list[i].front.host, sizeof list[i].front.host, "10.0.0.%d",
+                i + 1);
+      list[i].front.port = 80;
+      if (!reach_servers)
+        {
+          list[i].unreachable[0] = str_hash (STR ("lm"), 0);
+          list[i].unreachable[1] = str_hash (STR ("app"), 0);
+          list[i].nunreachable = 2;
+        }
+    }
+  dsp_set_proxies (b->d, b->now, list, (size_t)n);
+}
+
 static void
 submit (struct fixture *b, uint64_t id, const char *route, uint64_t digest,
         bool late, unsigned priority)
@@ -170,7 +192,8 @@
                            .deadline = b->now + 2000,
                            .waited_ms = late ? r->latency_goal_ms : 0,
                            .digest = digest ? digest : 1000 + id,
-                           .priority = priority };
+                           .priority = priority,
+                           .proxied = b->submit_proxied };
 
   if (r->kind == TBL_STREAM)
     q.model = STR ("m");
@@ -368,6 +391,12 @@
     b->show_delays = true;
   else if (strcmp (command, "peer-ended") == 0)
     report_ended (b, x);
+  else if (strcmp (command, "proxies") == 0)
+    set_proxies (b, atoi (x), strcmp (y, "cut") != 0);
+  else if (strcmp (command, "proxied") == 0)
+    b->submit_proxied = true;
+  else if (strcmp (command, "refused") == 0)
+    finish_check (b, x, DSP_CONN_REFUSED);
   else if (strcmp (command, "crashed") == 0)
     finish_check (b, x, DSP_ENDED);
   else if (strcmp (command, "alive") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -22,10 +22,13 @@
  *   pause SERVER MS            a response of the server asks for a pause
  *   leave SERVER               a response announces the server's shutdown
  *   form-again SERVER          it leads the next generation of its replica
+ *   proxies N [cut]            N other nodes may send requests on; cut: they
+ *                              reach no server either
+ *   proxied                    requests from now on come from another node
  *   delays                     retry delays are logged from now on
  *   sent|connect-failed|ok|error|final|not-executed|event|complete|interrupted
  *   |client-gone ID            event of the request's current attempt
- *   crashed|alive|unknown SERVER
+ *   crashed|refused|alive|unknown SERVER
  *                              result of the check of the server's process
  *   block DIGEST               the request is blocked, as it crashes servers
  *   run MS                     advances the time in steps of 20 ms
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -176,7 +176,7 @@
 const char *
 rack_headers (const char *id)
 {
-  static char text[256];
+  static _Thread_local char text[256];
 
   snprintf (text, sizeof text,
             "Host: h\r\nX-Lapisline-Request-Id: %s\r\n"
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -531,6 +531,36 @@
   buf_free (&text);
 }
 
+/* Guards against a request that reaches another node without its API key, or
+   with headers that only backend servers get. */
+Test (forward, headers_to_another_node)
+{
+  static const struct http_header in[]
+      = { { { "x-api-key", 9 }, { "k", 1 } },
+          { { "x-lapisline-tenant", 18 }, { "forged", 6 } },
+          { { "lapisline-proxied", 17 }, { "forged", 6 } },
+          { { "x-keep", 6 }, { "2", 1 } } };
+  struct srv_forward_params f = { .host = STR ("h"),
+                                  .server = STR ("10.0.0.1:80"),
+                                  .account = STR ("acc"),
+                                  .left_ms = 900,
+                                  .priority = 2,
+                                  .proxy = true };
+  struct srv_headers out = { 0 };
+  struct buf text = BUF_INIT;
+
+  cr_assert (plt_build_headers (in, sizeof in / sizeof in[0], &f, &out));
+  for (size_t i = 0; i < out.n; i++)
+    buf_addf (&text, "%.*s: %.*s\n", STR_ARG (out.list[i].name),
+              STR_ARG (out.list[i].value));
+  cr_expect_str_eq (buf_c (&text),
+                    "host: h\nx-api-key: k\nx-keep: 2\n"
+                    "x-lapisline-deadline-ms: 900\n",
+                    "%s", buf_c (&text));
+  srv_headers_free (&out);
+  buf_free (&text);
+}
+
 /* Guards against taking a list that waited in queues for seconds as new
    when it arrives: servers that have left since would get requests. */
 Test (server_list, transit_time_adds_to_age)
--- /dev/null
+++ b/t/t9213-dispatch-path.c
@@ -0,0 +1,84 @@
+/*
+ * Request dispatcher of a node that reaches no backend server of a service.
+ * The script language is described in t/lib-dispatch.h.
+ */
+#include <criterion/criterion.h>
+
+#include "t/lib-dispatch.h"
+
+#define THREE_CONNECTIONS_FAIL                                                \
+  "endpoints p 3 4\n proxies 2\n submit 1 once\n connect-failed 1\n"          \
+  "connect-failed 1\n connect-failed 1\n"
+
+/* Guards against a request that is refused although another node reaches the
+   servers, and against one that tries them again after they all failed. */
+Test (dispatch_path, request_is_sent_through_another_node)
+{
+  dispatch_play (THREE_CONNECTIONS_FAIL
+                 "sent 1\n ok 1\n complete 1\n submit 2 safe\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
+                 "complete 1\nsend 2 10.0.0.2:80\n");
+}
+
+/* Guards against requests that go to and fro between nodes without servers. */
+Test (dispatch_path, nodes_do_not_send_on_what_another_sent)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 2\n proxied\n submit 1 once\n"
+                 "connect-failed 1\n connect-failed 1\n connect-failed 1\n"
+                 "submit 2 safe\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\n"
+                 "error 1 no-connection 503 retry\n"
+                 "error 2 no-connection 503 retry\n");
+  dispatch_play ("endpoints p 3 4\n proxies 2 cut\n submit 1 once\n"
+                 "connect-failed 1\n connect-failed 1\n connect-failed 1\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\n"
+                 "error 1 no-connection 503 retry\n");
+}
+
+/* Guards against a request that runs twice because another node broke off
+   after it had received it. */
+Test (dispatch_path, possibly_executed_request_is_not_sent_again)
+{
+  dispatch_play (THREE_CONNECTIONS_FAIL "sent 1\n interrupted 1\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
+                 "cancel 1\nerror 1 broken 502\n");
+}
+
+/* Guards against more attempts than the route allows when other nodes reject
+   the request, each of which may have offered it to a server. */
+Test (dispatch_path, rejected_request_keeps_to_its_attempts)
+{
+  dispatch_play (THREE_CONNECTIONS_FAIL
+                 "sent 1\n not-executed 1\n sent 1\n not-executed 1\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
+                 "cancel 1\nsend 1 10.0.0.1:80\ncancel 1\n"
+                 "error 1 refused 503 retry\n");
+}
+
+/* Guards against a node that makes several attempts at what another node sent,
+   which counts one. */
+Test (dispatch_path, proxied_request_has_one_attempt)
+{
+  dispatch_play ("endpoints p 3 4\n proxied\n submit 1 safe\n sent 1\n"
+                 "not-executed 1\n",
+                 "send 1 p3\ncancel 1\nerror 1 refused 503 retry\n");
+}
+
+/* Guards against a request that still runs behind another node after its
+   client has left. */
+Test (dispatch_path, disconnect_cancels_the_attempt)
+{
+  dispatch_play (THREE_CONNECTIONS_FAIL "sent 1\n client-gone 1\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
+                 "cancel 1\n");
+}
+
+/* Guards against a node that goes on sending its requests through others after
+   it reaches a server again. */
+Test (dispatch_path, servers_are_used_again)
+{
+  dispatch_play (THREE_CONNECTIONS_FAIL
+                 "sent 1\n run 320\n alive p1\n submit 2 once\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
+                 "check p1\nsend 2 p1\n");
+}
--- a/t/t9312-cut.c
+++ b/t/t9312-cut.c
@@ -3,6 +3,8 @@
  * store and the other nodes still reach it, with real processes.
  */
 #include <criterion/criterion.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -79,46 +81,76 @@
     }
 }
 
-/** Outcome of requests at one node. */
-struct outcome
+#define CLIENTS 4
+
+/** Requests of one client to one node. */
+struct client
 {
+  pthread_t thread;
+  int node, number;
+  clk_ms end;
   int sent, served;
 };
 
-static void
-call_node (int node, struct outcome *out)
+static bool
+call_node (int node, int client, int request)
 {
   static const char *const paths[] = { "/safe/x", "/once/x" };
-  static int nrequests;
   struct buf body = BUF_INIT;
-  char id[16];
-
-  nrequests++;
-  snprintf (id, sizeof id, "%c%d", "tso"[nrequests % 3], nrequests);
-  if (nrequests % 3 == 0)
-    out->served += rack_stream (&r, node, id, &body) == 200
-                   && rack_is_complete (&body, 10);
+  bool served;
+  char id[32];
+
+  snprintf (id, sizeof id, "%c%d-%d-%d", "sot"[request % 3], node, client,
+            request);
+  if (request % 3 == 2)
+    served = rack_stream (&r, node, id, &body) == 200
+             && rack_is_complete (&body, 10);
   else
-    {
-      out->served
-          += rack_call (&r, node, paths[nrequests % 3 - 1], id, NULL, &body)
-                 == 200
+    served = rack_call (&r, node, paths[request % 3], id, NULL, &body) == 200
              && strstr (buf_c (&body), "\"account\":\"acc\",\"key\":\"\"");
-    }
-  out->sent++;
   buf_free (&body);
+  return served;
 }
 
-/** Sends requests in turn to the leader and to the cut node. */
+static void *
+run_client (void *arg)
+{
+  struct client *c = arg;
+  static atomic_int nrequests;
+
+  for (; clk_now () < c->end; usleep (5000))
+    {
+      c->served += call_node (c->node, c->number, ++nrequests);
+      c->sent++;
+    }
+  return NULL;
+}
+
+/** Outcome of requests at one node. */
+struct outcome
+{
+  int sent, served;
+};
+
+/** Calls the leader and the cut node at the same time. */
 static void
 call_nodes (clk_ms ms, struct outcome *other, struct outcome *cut)
 {
-  clk_ms end = clk_now () + ms;
+  struct client clients[2 * CLIENTS] = { 0 };
 
-  for (int i = 0; clk_now () < end; i++)
+  for (int i = 0; i < 2 * CLIENTS; i++)
+    {
+      clients[i].node = i % 2 ? cut_node : leader;
+      clients[i].number = i;
+      clients[i].end = clk_now () + ms;
+      pthread_create (&clients[i].thread, NULL, run_client, &clients[i]);
+    }
+  for (int i = 0; i < 2 * CLIENTS; i++)
     {
-      call_node (i / 3 % 2 ? cut_node : leader, i / 3 % 2 ? cut : other);
-      usleep (5000);
+      struct outcome *out = i % 2 ? cut : other;
+      pthread_join (clients[i].thread, NULL);
+      out->sent += clients[i].sent;
+      out->served += clients[i].served;
     }
 }
 
