dispatch: a refused connection ends a process only if the paths work

Cause: a check whose connection was refused at once was the end of the process. A path that resets refuses for a live server as well. The node avoided these servers for 5 s and told the others, which did the same and mended replicas that served.

Change: beside each check another server of the service is checked. The process has ended if that one answers, or any other sends data, after the interruption; if it doesn't and other nodes reach the service, nothing is concluded. A 421 still proves the end.

t9213 resets_of_all_paths_end_no_process, refused_server_has_ended_if_others_answer, another_server_is_checked_to_confirm_a_crash.

--- a/serve/check.c
+++ b/serve/check.c
@@ -85,14 +85,14 @@
   srv_run_actions (s);
 }
 
-void
-srv_check_server_process (struct srv *s, const struct dsp_action *a)
+static void
+check_server (struct srv *s, const struct dsp_check_target *t)
 {
   static const struct httpc_callbacks cb
       = { on_connected, on_head, on_body, on_end };
   struct check *c = xcalloc (1, sizeof *c);
-  struct http_header h = { str_from (s->adapter->expect_header), a->server };
-  struct httpc_request r = { .to = a->addr,
+  struct http_header h = { str_from (s->adapter->expect_header), t->server };
+  struct httpc_request r = { .to = t->addr,
                              .method = STR ("GET"),
                              .path = str_from (s->adapter->report_path),
                              .headers = &h,
@@ -102,9 +102,20 @@
                              .fresh = true };
 
   c->s = s;
-  c->endpoint = a->endpoint;
-  c->process = a->process;
-  c->server = str_dup (a->server);
+  c->endpoint = t->endpoint;
+  c->process = t->process;
+  c->server = str_dup (t->server);
   c->started_at = clk_now ();
   httpc_start (s->http, &r, &cb, c);
 }
+
+void
+srv_check_server_process (struct srv *s, const struct dsp_action *a)
+{
+  struct dsp_check_target target
+      = { a->addr, a->server, a->endpoint, a->process };
+
+  check_server (s, &target);
+  if (a->other.server.len)
+    check_server (s, &a->other);
+}
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -19,6 +19,15 @@
     PROCESS_ENDED_MS. */
 #define REPORTED_ENDED_MS ((clk_ms)1500)
 
+/** A lost path resets all connections within this time; until then, data of
+   one of them doesn't show that the path works. */
+#define PATHS_SETTLE_MS ((clk_ms)5)
+/** Time for the confirmation of a refused connection; after it the process
+    counts as ended. */
+#define CONFIRM_MS ((clk_ms)500)
+/** Time for the answer of another server, and interval between such checks. */
+#define REFERENCE_INTERVAL_MS ((clk_ms)50)
+
 /** Finds the record for a run that is interrupted now. A record whose check
     found the server alive or unreachable is not reused. */
 static struct dsp_interruption *
@@ -52,7 +61,10 @@
 start_check (struct dsp *d, const struct dsp_endpoint_state *s)
 {
   struct dsp_action *a = dsp_add_action (d, DSP_ACT_CHECK_PROCESS, NULL);
+  struct dsp_path *p = s->pool->path;
 
+  if (dsp_path_choose_check (d, p, s->process_hash, &a->other))
+    p->reference_check_at = d->now;
   a->server = str_from (s->server);
   a->addr = s->addr;
   a->endpoint = s->hash;
@@ -83,6 +95,22 @@
     b->runs[b->nruns++] = run;
 }
 
+static void
+conclude (struct dsp *d, struct dsp_interruption *b,
+          struct dsp_endpoint_state *s, enum dsp_liveness found)
+{
+  b->checked = true;
+  b->refused_at = 0;
+  b->liveness = found;
+  if (found != DSP_ENDED)
+    return;
+  d->stats.servers_ended++;
+  if (s)
+    s->process_ended_until = d->now + PROCESS_ENDED_MS;
+  for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
+    psn_apply (d->opt.poison, d->now, &b->runs[i]);
+}
+
 size_t
 dsp_process_checked (struct dsp *d, clk_ms now, uint64_t endpoint,
                      enum dsp_liveness found)
@@ -96,22 +124,56 @@
     dsp_path_connected (d, s);
   else if (s)
     dsp_path_connect_failed (d, s);
-  if (found == DSP_CONN_REFUSED)
-    found = s && dsp_path_is_own_loss (d, s->pool->path) ? DSP_UNREACHABLE
-                                                         : DSP_ENDED;
   b = find_interruption (d, endpoint);
-  if (!b || b->checked)
-    return 0;
-  b->checked = true;
-  b->liveness = found;
-  if (found != DSP_ENDED)
-    return b->nruns;
-  d->stats.servers_ended++;
-  if (s)
-    s->process_ended_until = now + PROCESS_ENDED_MS;
-  for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
-    psn_apply (d->opt.poison, now, &b->runs[i]);
-  return b->nruns;
+  if (b && b->checked)
+    b = NULL;
+  if (b && found == DSP_CONN_REFUSED)
+    b->refused_at = now;
+  else if (b)
+    conclude (d, b, s, found);
+  dsp_crash_tick (d);
+  return b ? b->nruns : 0;
+}
+
+/*
+ * A path that resets connections refuses them for a live server as well. The
+ * process has ended if another server of the service has sent data since, or
+ * has answered on a new connection, so that the paths work.
+ */
+static void
+confirm_refusal (struct dsp *d, struct dsp_interruption *b)
+{
+  struct dsp_endpoint_state *s = dsp_find_endpoint (d, b->endpoint);
+  struct dsp_path *p = s ? s->pool->path : NULL;
+
+  if (!p || p->heard_at > b->first_at + PATHS_SETTLE_MS
+      || p->connected_at >= b->first_at || d->now - b->refused_at > CONFIRM_MS)
+    conclude (d, b, s, DSP_ENDED);
+  else if (d->now - b->refused_at > REFERENCE_INTERVAL_MS
+           && dsp_path_is_own_loss (d, p))
+    conclude (d, b, s, DSP_UNREACHABLE);
+  else if (d->now - p->reference_check_at > REFERENCE_INTERVAL_MS)
+    {
+      p->reference_check_at = d->now;
+      dsp_path_check_server (d, p, s->process_hash);
+    }
+}
+
+void
+dsp_crash_tick (struct dsp *d)
+{
+  for (size_t i = 0; i < DSP_INTERRUPTIONS_MAX; i++)
+    if (d->interruptions[i].refused_at)
+      confirm_refusal (d, &d->interruptions[i]);
+}
+
+bool
+dsp_crash_pending (const struct dsp *d)
+{
+  for (size_t i = 0; i < DSP_INTERRUPTIONS_MAX; i++)
+    if (d->interruptions[i].refused_at)
+      return true;
+  return false;
 }
 
 bool
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -233,6 +233,8 @@
   uint64_t endpoint; /**< 0: unused */
   clk_ms first_at;   /**< time of the first interruption */
   bool checked;      /**< `liveness` is valid */
+  clk_ms refused_at; /**< the check's connection was refused then, which is to
+                          be confirmed; 0: it was not */
   enum dsp_liveness liveness;
   struct psn_update runs[DSP_INTERRUPTED_RUNS_MAX]; /**< pending until the
                                                          check is complete */
@@ -258,8 +260,11 @@
       last sent data */
   uint64_t silent[DSP_PATH_FAILED_MAX];
   size_t nsilent;
-  clk_ms heard_at; /**< time of the last data from any server */
+  clk_ms heard_at;     /**< time of the last data from any server */
+  clk_ms connected_at; /**< time of the last answer on a new connection */
   clk_ms next_check_at;
+  clk_ms reference_check_at; /**< when a server was last checked to confirm
+                                that another one has ended */
 };
 
 struct dsp
@@ -296,6 +301,8 @@
   /** not yet announced */
   struct dsp_prompt_notice outgoing_notices[DSP_NOTICES_MAX];
   size_t noutgoing;
+  struct rng check_rng; /**< so that checks don't change the choice of
+                             endpoints */
   struct dsp_path **paths;
   size_t npaths;
   struct dsp_proxy proxies[DSP_PROXIES_MAX];
@@ -376,11 +383,22 @@
                               const struct dsp_endpoint_state *s);
 /** A new connection to the server was made and answered. */
 void dsp_path_connected (struct dsp *d, const struct dsp_endpoint_state *s);
+/** A new connection to the server was made. */
+void dsp_path_new_connection (const struct dsp *d,
+                              const struct dsp_endpoint_state *s);
 /** The endpoint has not answered a request in time. */
 void dsp_path_unanswered (struct dsp *d, const struct dsp_endpoint_state *s);
 /** The endpoint has sent data. */
 void dsp_path_heard (struct dsp *d, const struct dsp_endpoint_state *s);
 void dsp_path_tick (struct dsp *d);
+/** Chooses a random server of the service to be checked.
+    @param except  hash of the process of one that is left out; 0: none
+    @retval false there is none */
+bool dsp_path_choose_check (struct dsp *d, const struct dsp_path *p,
+                            uint64_t except, struct dsp_check_target *out);
+/** Checks a random server of the service. */
+void dsp_path_check_server (struct dsp *d, const struct dsp_path *p,
+                            uint64_t except);
 /** Whether this node doesn't reach the service, but another node does: then
     failures of its servers here say nothing of the servers. */
 bool dsp_path_is_own_loss (const struct dsp *d, const struct dsp_path *p);
@@ -392,6 +410,12 @@
 /** The proxy could not be reached, or has failed a request. */
 void dsp_proxy_failed (const struct dsp *d, struct dsp_endpoint_state *s);
 
+/* dispatch-crash.c */
+/** Confirms or dismisses refused connections as the end of processes. */
+void dsp_crash_tick (struct dsp *d);
+/** Whether a refused connection waits for that. */
+bool dsp_crash_pending (const struct dsp *d);
+
 /* dispatch-health.c */
 void dsp_health_success (struct dsp *d, struct dsp_endpoint_state *s);
 void dsp_health_failure (struct dsp *d, struct dsp_endpoint_state *s);
--- a/serve/dispatch-path.c
+++ b/serve/dispatch-path.c
@@ -131,6 +131,8 @@
 {
   struct dsp_path *p = s->pool->path;
 
+  if (p->heard_at == 0)
+    p->heard_at = d->now; /* the first requests of this process */
   if (s->is_proxy || d->now - p->heard_at <= SILENCE_MS)
     return;
   add_server (p->silent, &p->nsilent, s);
@@ -145,10 +147,23 @@
   struct dsp_path *p = s->pool->path;
 
   p->nfailed = p->nsilent = 0;
-  p->heard_at = d->now;
+  p->heard_at = p->connected_at = d->now;
   set_state (d, p, DSP_PATH_OK);
 }
 
+void
+dsp_path_new_connection (const struct dsp *d,
+                         const struct dsp_endpoint_state *s)
+{
+  struct dsp_path *p = s->pool->path;
+
+  if (s->is_proxy)
+    return;
+  p->nfailed = 0;
+  if (p->state == DSP_PATH_NO_CONNECTIONS)
+    set_state (d, p, DSP_PATH_OK);
+}
+
 void
 dsp_path_heard (struct dsp *d, const struct dsp_endpoint_state *s)
 {
@@ -174,31 +189,66 @@
       dsp_path_unanswered (d, q->endpoint);
 }
 
-/** Checks a random server of the service. */
-static void
-check_server (struct dsp *d, const struct dsp_path *p)
+static bool
+is_suspect_server (const struct dsp *d, const struct dsp_path *p,
+                   const struct dsp_endpoint_state *s)
 {
-  size_t listed = count_listed (d, p), skip;
-  struct dsp_action *a;
+  for (size_t i = 0; i < p->nfailed; i++)
+    if (p->failed[i] == s->process_hash)
+      return true;
+  return dsp_process_ended (d, s);
+}
+
+/** A random server of the service.
+    @param suspect  one that may have failed */
+static const struct dsp_endpoint_state *
+random_server (struct dsp *d, const struct dsp_path *p, uint64_t except,
+               bool suspect)
+{
+  const struct dsp_endpoint_state *chosen = NULL;
+  uint64_t n = 0;
 
-  if (listed == 0)
-    return;
-  skip = rng_below (&d->rng, listed);
   for (size_t i = 0; i < d->npools; i++)
-    for (size_t k = 0; k < d->pools[i]->n; k++)
+    for (size_t k = 0; k < d->pools[i]->n && d->pools[i]->path == p; k++)
       {
         const struct dsp_endpoint_state *s = d->pools[i]->endpoints[k];
-        if (d->pools[i]->path != p || !s->listed || skip-- > 0)
-          continue;
-        if (!dsp_avail_allows (d, s))
-          return;
-        a = dsp_add_action (d, DSP_ACT_CHECK_PROCESS, NULL);
-        a->server = str_from (s->server);
-        a->addr = s->addr;
-        a->endpoint = s->hash;
-        a->process = s->process_hash;
-        return;
+        if (s->listed && s->process_hash != except
+            && is_suspect_server (d, p, s) == suspect
+            && rng_below (&d->check_rng, ++n) == 0)
+          chosen = s;
       }
+  return chosen;
+}
+
+bool
+dsp_path_choose_check (struct dsp *d, const struct dsp_path *p,
+                       uint64_t except, struct dsp_check_target *out)
+{
+  const struct dsp_endpoint_state *s = random_server (d, p, except, false);
+
+  if (!s)
+    s = random_server (d, p, except, true);
+  if (!s || !dsp_avail_allows (d, s))
+    return false;
+  *out = (struct dsp_check_target){ s->addr, str_from (s->server), s->hash,
+                                    s->process_hash };
+  return true;
+}
+
+void
+dsp_path_check_server (struct dsp *d, const struct dsp_path *p,
+                       uint64_t except)
+{
+  struct dsp_check_target target;
+  struct dsp_action *a;
+
+  if (!dsp_path_choose_check (d, p, except, &target))
+    return;
+  a = dsp_add_action (d, DSP_ACT_CHECK_PROCESS, NULL);
+  a->server = target.server;
+  a->addr = target.addr;
+  a->endpoint = target.endpoint;
+  a->process = target.process;
 }
 
 void
@@ -211,7 +261,7 @@
       if (p->state == DSP_PATH_OK || d->now < p->next_check_at)
         continue;
       p->next_check_at = d->now + CHECK_INTERVAL_MS;
-      check_server (d, p);
+      dsp_path_check_server (d, p, 0);
     }
 }
 
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -332,6 +332,8 @@
       return false;
     }
   dsp_transition (q, DSP_EVENT_SENT);
+  if (!q->retryable)
+    dsp_path_new_connection (d, q->endpoint);
   q->sent_attempts++;
   q->sent_at = q->last_data_at = now;
   q->awaits_first_event = true;
@@ -633,6 +635,7 @@
   if (skip_late_tick (d, now))
     return;
   dsp_path_tick (d);
+  dsp_crash_tick (d);
   dsp_health_tick (d);
   /* check_timeouts() may free q and send other requests, but it frees no other
      request. */
@@ -650,7 +653,9 @@
 {
   /* Measured from the last tick, not from the last event: events are so
      frequent that a tick would never become due. */
-  return d->open_count ? d->ticked_at + TICK_INTERVAL_MS : CLK_NEVER;
+  return d->open_count || dsp_crash_pending (d)
+             ? d->ticked_at + TICK_INTERVAL_MS
+             : CLK_NEVER;
 }
 
 /* --- construction ------------------------------------------------------ */
@@ -667,6 +672,7 @@
   d->opt.zone = str_from (d->zone);
   d->node_count = d->known_nodes = d->budget_nodes = 1;
   rng_seed (&d->rng, seed);
+  rng_seed (&d->check_rng, seed);
   d->nbuckets = INITIAL_BUCKETS;
   d->buckets = xcalloc (d->nbuckets, sizeof *d->buckets);
   return d;
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -136,7 +136,8 @@
                         requests */
   DSP_ACT_CHECK_PROCESS /**< server, addr, endpoint: responses were interrupted
                              there; find out whether the process has ended,
-                             then call dsp_process_checked() */
+                             then call dsp_process_checked(), and do the same
+                             with `other` at the same time */
 };
 
 /** State of a backend server's process. */
@@ -177,15 +178,27 @@
   enum dsp_path_state state;
 };
 
+/** A server to be checked. */
+struct dsp_check_target
+{
+  struct net_addr addr;
+  struct str server; /**< empty: none; valid until the next event */
+  uint64_t endpoint; /**< dsp_endpoint_hash() */
+  uint64_t process;  /**< the same without a generation */
+};
+
 struct dsp_action
 {
   enum dsp_action_kind kind;
   uint64_t id;
   unsigned attempt;
   struct net_addr addr;
-  struct str server;   /**< valid until the next event */
-  uint64_t endpoint;   /**< dsp_endpoint_hash() */
-  uint64_t process;    /**< CHECK_PROCESS: the same without a generation */
+  struct str server; /**< valid until the next event */
+  uint64_t endpoint; /**< dsp_endpoint_hash() */
+  uint64_t process;  /**< CHECK_PROCESS: the same without a generation */
+  struct dsp_check_target other; /**< CHECK_PROCESS: another server of the
+                                      service; its answer shows that the path
+                                      from this node works */
   clk_ms duration_ms;  /**< SEND: time until the request's deadline; STALLED:
                             duration of the silence */
   bool proxy;          /**< SEND: addr is another node, which sends the
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -232,6 +232,19 @@
                        dsp_endpoint_hash (str_from (server), 0, 0), liveness);
 }
 
+/** Logs the servers that this node reports to others as ended. */
+static void
+log_ended (struct fixture *b)
+{
+  size_t n;
+  const struct dsp_endpoint_load *own = dsp_own_load (b->d, &n);
+
+  for (size_t i = 0; i < n; i++)
+    for (size_t k = 0; own[i].process_ended && k < b->n; k++)
+      if (dsp_endpoint_hash (str_from (b->names[k]), 0, 0) == own[i].endpoint)
+        buf_addf (&b->log, "ended %s\n", b->names[k]);
+}
+
 static void
 block (struct fixture *b, uint64_t digest)
 {
@@ -393,6 +406,8 @@
     report_ended (b, x);
   else if (strcmp (command, "proxies") == 0)
     set_proxies (b, atoi (x), strcmp (y, "cut") != 0);
+  else if (strcmp (command, "own-ended") == 0)
+    log_ended (b);
   else if (strcmp (command, "proxied") == 0)
     b->submit_proxied = true;
   else if (strcmp (command, "refused") == 0)
--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -78,7 +78,47 @@
 Test (dispatch_path, servers_are_used_again)
 {
   dispatch_play (THREE_CONNECTIONS_FAIL
-                 "sent 1\n run 320\n alive p1\n submit 2 once\n",
+                 "sent 1\n run 320\n alive p3\n submit 2 once\n",
                  "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
-                 "check p1\nsend 2 p1\n");
+                 "check p3\nsend 2 p1\n");
+}
+
+/* Guards against servers that are taken for ended because one node's
+   connections to all of them are reset and refused. */
+Test (dispatch_path, resets_of_all_paths_end_no_process)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n"
+                 "submit 1 safe\n sent 1\n submit 2 safe\n sent 2\n"
+                 "submit 3 safe\n sent 3\n"
+                 "interrupted 1\n interrupted 2\n interrupted 3\n"
+                 "refused p1\n refused p2\n refused p3\n run 600\n"
+                 "own-ended\n",
+                 "send 1 p3\nsend 2 p1\nsend 3 p2\n"
+                 "check p3\ncancel 1\nsend 1 p1\n"
+                 "check p1\ncancel 2\nsend 2 p3\n"
+                 "check p2\ncancel 3\nsend 3 p1\n"
+                 "check p3\ncheck p1\n");
+}
+
+/* Guards against a crash that is found late: another server goes on, so that
+   the paths work. */
+Test (dispatch_path, refused_server_has_ended_if_others_answer)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n"
+                 "submit 1 safe\n sent 1\n submit 2 safe\n sent 2\n"
+                 "interrupted 1\n refused p3\n own-ended\n run 20\n ok 2\n"
+                 "run 20\n own-ended\n",
+                 "send 1 p3\nsend 2 p1\ncheck p3\ncancel 1\nsend 1 p2\n"
+                 "ended p3\n");
+}
+
+/* Guards against a crash that is never found on a node without other requests:
+   another server is checked. */
+Test (dispatch_path, another_server_is_checked_to_confirm_a_crash)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n"
+                 "submit 1 once\n sent 1\n interrupted 1\n run 20\n"
+                 "refused p3\n own-ended\n alive p1\n own-ended\n",
+                 "send 1 p3\ncheck p3\ncancel 1\nerror 1 broken 502\n"
+                 "ended p3\n");
 }
