duty: a leader without paths to a model's servers hands over

What callers saw: replicas that lost a member while the leader was cut off were not mended until the paths came back, as the leader's orders and probes failed.

Change: a node that has not reached the servers of a model's service for a second, while another node does, gives up the key and makes no attempt at it.

--- a/serve/dispatch-path.c
+++ b/serve/dispatch-path.c
@@ -296,6 +296,15 @@
   return false;
 }
 
+bool
+dsp_is_cut_off (const struct dsp *d, struct str service)
+{
+  for (size_t i = 0; i < d->npaths; i++)
+    if (str_is (service, d->paths[i]->service))
+      return dsp_path_is_own_loss (d, d->paths[i]);
+  return false;
+}
+
 /** The proxy as an endpoint of the pool; added if need be. */
 static struct dsp_endpoint_state *
 get_proxy (struct dsp_pool *p, const struct net_addr *addr)
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -276,6 +276,9 @@
     @return how many */
 size_t dsp_unreachable_services (const struct dsp *d, uint64_t *out,
                                  size_t max);
+/** Whether this node doesn't reach the servers of a service that another node
+    reaches. */
+bool dsp_is_cut_off (const struct dsp *d, struct str service);
 /** A path that has changed and was not returned yet.
     @retval false there is none */
 bool dsp_next_path_change (struct dsp *d, struct dsp_path_change *out);
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -26,6 +26,10 @@
     of all nodes that start together are in the store; otherwise the first one
     to register would become leader, even if it is the smallest. */
 #define START_WAIT_MS ((clk_ms)500)
+/** A node that has not reached the servers of a model's service for this long,
+    while another node does, is not leader: it could neither form nor check
+    replicas. */
+#define CUT_OFF_MS ((clk_ms)1000)
 /** Timeout of an order's answer.  The server answers from memory; the timeout
     leaves room for one retransmission of a lost packet after 200 ms. */
 #define ORDER_TIMEOUT_MS ((clk_ms)300)
@@ -56,6 +60,9 @@
   bool other_is_leader;
   clk_ms vacant_since; /* when the leader key was first found missing; 0: it
                           exists */
+  clk_ms
+      cut_off_since; /* since when this node, but not all others, has not
+                        reached the servers of a model; 0: it reaches them */
   clk_ms started;
   clk_ms next_tick;
   struct server_call *calls;
@@ -335,6 +342,27 @@
                * ATTEMPT_LATE_STAGGER_MS;
 }
 
+static bool
+is_cut_off (const struct srv *s)
+{
+  const struct tbl *t = s->active_config;
+
+  for (size_t i = 0; t && i < t->nservices; i++)
+    if (t->services[i].nmodels
+        && dsp_is_cut_off (s->dispatch, t->services[i].name))
+      return true;
+  return false;
+}
+
+static void
+update_cut_off (struct srv_leader *lead, clk_ms now)
+{
+  if (!is_cut_off (lead->s))
+    lead->cut_off_since = 0;
+  else if (!lead->cut_off_since)
+    lead->cut_off_since = now;
+}
+
 /** Whether this node should become or stay leader: no other node is leader
     and, if this node is not either, the nodes of the preceding ranks have had
     time for their attempts. */
@@ -343,7 +371,8 @@
 {
   const struct srv *s = lead->s;
 
-  if (s->stopping_since || !s->active_config)
+  if (s->stopping_since || !s->active_config
+      || (lead->cut_off_since && now - lead->cut_off_since >= CUT_OFF_MS))
     return false;
   if (own_state (lead->own) != OWN_IDLE)
     return !lead->other_is_leader;
@@ -430,6 +459,7 @@
 {
   struct srv_leader *lead = s->leader;
 
+  update_cut_off (lead, now);
   own_set_wanted (lead->own, now, should_lead (lead, now));
   own_tick (lead->own, now);
   run_lease_actions (lead);
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -408,6 +408,9 @@
     set_proxies (b, atoi (x), strcmp (y, "cut") != 0);
   else if (strcmp (command, "own-ended") == 0)
     log_ended (b);
+  else if (strcmp (command, "cut-off") == 0)
+    buf_addf (&b->log, "cut-off %s\n",
+              dsp_is_cut_off (b->d, str_from (x)) ? "yes" : "no");
   else if (strcmp (command, "proxied") == 0)
     b->submit_proxied = true;
   else if (strcmp (command, "refused") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -25,9 +25,10 @@
  *   proxies N [cut]            N other nodes may send requests on; cut: they
  *                              reach no server either
  *   proxied                    requests from now on come from another node
- *   own-ended                  logs "ended SERVER" for each server that this
- *                              node reports as ended
- *   delays                     retry delays are logged from now on
+ *   cut-off SERVICE            logs whether this node, but not all others,
+ * does not reach the service own-ended                  logs "ended SERVER"
+ * for each server that this node reports as ended delays retry delays are
+ * logged from now on
  *   sent|connect-failed|ok|error|final|not-executed|event|complete|interrupted
  *   |client-gone ID            event of the request's current attempt
  *   crashed|refused|alive|unknown SERVER
--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -122,3 +122,14 @@
                  "send 1 p3\ncheck p3\ncancel 1\nerror 1 broken 502\n"
                  "ended p3\n");
 }
+
+/* Guards against a leader that hands over because all servers have failed, for
+   which no other node is better placed, and against one that stays leader
+   although only this node doesn't reach them. */
+Test (dispatch_path, node_is_cut_off_if_another_reaches_the_service)
+{
+  dispatch_play (THREE_CONNECTIONS_FAIL
+                 "cut-off app\n cut-off lm\n proxies 2 cut\n cut-off app\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
+                 "cut-off yes\ncut-off no\ncut-off no\n");
+}
