t: a soak of a store that comes back from older copies

Three nodes under load; the store is restored, often after an outage and at times twice in a row, with or without the copy's leases, and the servers rewrite their entries up to 2 s later; nodes are killed, the last one is cut off the store. At the end all nodes know the last restore and are linked.

--- a/standins/kv.c
+++ b/standins/kv.c
@@ -250,13 +250,20 @@
   *copy = *e;
   g_bytes_ref (copy->key);
   g_bytes_ref (copy->value);
-  if (copy->lease)
-    entry_free (copy);
-  else
-    g_tree_replace (to->keys, copy->key, copy);
+  g_tree_replace (to->keys, copy->key, copy);
   return FALSE;
 }
 
+static void
+copy_lease (gpointer key, gpointer value, gpointer ctx)
+{
+  struct kv_lease *copy = g_new (struct kv_lease, 1);
+  struct kv *to = ctx;
+
+  *copy = *(const struct kv_lease *)value;
+  g_hash_table_replace (to->leases, &copy->id, copy);
+}
+
 void
 kv_copy (struct kv *to, const struct kv *from)
 {
@@ -264,14 +271,29 @@
     kv_init (to);
   g_tree_remove_all (to->keys);
   g_tree_foreach (from->keys, copy_entry, to);
+  g_hash_table_remove_all (to->leases);
+  g_hash_table_foreach (from->leases, copy_lease, to);
   to->revision = from->revision;
+  to->next_lease = from->next_lease;
+}
+
+static void
+restart_lease (gpointer key, gpointer value, gpointer ctx)
+{
+  struct kv_lease *l = value;
+
+  l->expires = *(const clk_ms *)ctx + l->ttl;
 }
 
 void
-kv_restore (struct kv *kv, const struct kv *copy)
+kv_restore (struct kv *kv, const struct kv *copy, bool keep_leases, clk_ms now)
 {
   kv_copy (kv, copy);
-  g_hash_table_remove_all (kv->leases);
+  if (keep_leases)
+    g_hash_table_foreach (kv->leases, restart_lease, &now);
+  else
+    kv_expire (kv, CLK_NEVER);
+  kv->revision = copy->revision;
   kv_compact (kv);
   kv->era++;
 }
--- a/standins/kv.h
+++ b/standins/kv.h
@@ -77,12 +77,14 @@
     restored from an old backup and all clients have rewritten their keys. */
 void kv_rewind (struct kv *kv, int64_t n);
 
-/** Copies the revision and the keys without a lease; no leases, no history. */
+/** Copies the revision, the keys and the leases; no history. */
 void kv_copy (struct kv *to, const struct kv *from);
 
-/** Restores a copy made by kv_copy() and increments the era.  All leases and
-    the keys under them are lost. */
-void kv_restore (struct kv *kv, const struct kv *copy);
+/** Restores a copy made by kv_copy() and increments the era.  Revisions and
+   the ids of leases are assigned again.  The copy's leases start anew at @p
+   now, or are lost with the keys under them. */
+void kv_restore (struct kv *kv, const struct kv *copy, bool keep_leases,
+                 clk_ms now);
 
 /** Discards the history. */
 void kv_compact (struct kv *kv);
--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -458,6 +458,7 @@
   json_object_object_add (o, "bytes",
                           json_object_new_int64 ((int64_t)r->store_bytes));
   json_object_object_add (o, "nodes", json_object_new_int (nodes));
+  json_object_object_add (o, "era", json_object_new_int64 (r->kv.era));
   return o;
 }
 
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -4,11 +4,13 @@
  *   "config": {...}        the operators' configuration
  *   "store": {"silent": B, "refuse": B, "no_writes": B, "lose_next": N,
  *             "compact": true, "lapse": true, "back": N, "skip": N,
- *             "copy": true, "restore": true}   faults of the key-value
- *                          service: lapse expires all leases, back assigns the
- *                          last N revisions again, skip leaves out N
- *                          revisions, copy makes a backup, restore restores it
- *                          and lets the backend servers rewrite their entries
+ *             "copy": true, "restore": true, "rewrite_ms": N,
+ *             "keep_leases": B}   faults of the key-value service: lapse
+ *                          expires all leases, back assigns the last N
+ *                          revisions again, skip leaves out N revisions, copy
+ *                          makes a backup, restore restores it, with its
+ *                          leases or without, and lets the backend servers
+ *                          rewrite their entries after rewrite_ms
  *   "event_ms", "events"   delay and number of the events of a stream
  *   "crash_body": TEXT, "crash_ms"   a request with this body crashes every
  *                          server that executes it, after crash_ms
@@ -61,14 +63,23 @@
 }
 
 static void
-restore_backup (struct rack *r)
+publish_servers (struct rack *r)
 {
-  kv_restore (&r->kv, &r->backup);
+  r->rewrite_at = CLK_NEVER;
   for (size_t i = 0; i < r->nservers; i++)
     if (!r->servers[i].dead)
       rack_server_publish (&r->servers[i]);
 }
 
+static void
+restore_backup (struct rack *r, json_object *o)
+{
+  kv_restore (&r->kv, &r->backup, jsn_bool (o, "keep_leases"), clk_now ());
+  r->rewrite_at = clk_now () + jsn_int (o, "rewrite_ms");
+  if (jsn_int (o, "rewrite_ms") <= 0)
+    publish_servers (r);
+}
+
 static void
 set_store (struct rack *r, json_object *o)
 {
@@ -85,7 +96,7 @@
   if (jsn_bool (o, "copy"))
     kv_copy (&r->backup, &r->kv);
   if (jsn_bool (o, "restore"))
-    restore_backup (r);
+    restore_backup (r, o);
   if (jsn_bool (o, "lapse"))
     kv_expire (&r->kv, CLK_NEVER);
 }
@@ -270,6 +281,8 @@
   struct rack *r = t->data;
 
   kv_expire (&r->kv, clk_now ());
+  if (clk_now () >= r->rewrite_at)
+    publish_servers (r);
   rack_answer_watches (r);
 }
 
@@ -301,6 +314,7 @@
 
   uv_loop_init (&r->loop);
   kv_init (&r->kv);
+  r->rewrite_at = CLK_NEVER;
   r->runs = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->event_ms = 20;
   r->events = 10;
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -149,7 +149,9 @@
   enum cut cut;
   uv_timer_t tick;
   struct kv kv;
-  struct kv backup; /**< written by "copy", read by "restore" */
+  struct kv backup;  /**< written by "copy", read by "restore" */
+  clk_ms rewrite_at; /**< when the servers rewrite their entries; CLK_NEVER:
+                          they did */
   struct store_fault fault;
   unsigned store_calls; /**< calls received */
   size_t store_bytes;   /**< bytes of response bodies */
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -184,3 +184,9 @@
 {
   atomic_store (&r->refuse, true);
 }
+
+void
+relay_accept_connections (struct relay *r)
+{
+  atomic_store (&r->refuse, false);
+}
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -17,5 +17,7 @@
 
 /** Closes all connections, and new ones as soon as they are accepted. */
 void relay_close_connections (struct relay *r);
+/** Ends that. */
+void relay_accept_connections (struct relay *r);
 
 #endif
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -14,12 +14,14 @@
 
 #include "base/json.h"
 #include "t/lib-many.h"
+#include "t/lib-relay.h"
 
 #define CLIENTS 4
 #define EVENTS 20
 #define ENGINES 8
 #define PLAIN_SERVERS 2
 #define FAULT_SERIES 6
+#define RESTORE_NODES 3 /* of the soak of restores */
 /** Further clients, which only call the plain service: with them each node
     sends several requests to each server in a pause. */
 #define PLAIN_CLIENTS 4
@@ -36,7 +38,8 @@
 
 TestSuite (soak, .fini = proc_stop_all, .timeout = 900);
 
-struct two_nodes
+/** A run of few nodes under load. */
+struct load_run
 {
   struct soak s;
   unsigned requests, served;
@@ -68,26 +71,29 @@
   return n;
 }
 
+/** Step of a thread that injects faults. */
+typedef void fault_series (struct soak_thread *t);
+
 static void
-record_refused (struct two_nodes *two, const char *id)
+record_refused (struct load_run *run, const char *id)
 {
-  pthread_mutex_lock (&two->s.lock);
-  buf_addf (&two->refused, "%s\n", id);
-  pthread_mutex_unlock (&two->s.lock);
+  pthread_mutex_lock (&run->s.lock);
+  buf_addf (&run->refused, "%s\n", id);
+  pthread_mutex_unlock (&run->s.lock);
 }
 
 static void
-check_answer (struct two_nodes *two, const char *id, bool stream,
+check_answer (struct load_run *run, const char *id, bool stream,
               const struct web_answer *a)
 {
-  struct soak *s = &two->s;
+  struct soak *s = &run->s;
   bool ok;
   int n;
 
   if (a->status == 401 || a->status == 404)
     soak_report_violation (s, "%s: denied with %d", id, a->status);
   if (a->status == 503 && a->whole)
-    record_refused (two, id);
+    record_refused (run, id);
   if (a->status != 200)
     return;
   if (!stream)
@@ -106,10 +112,10 @@
 static void
 send (struct soak_thread *t, bool stream)
 {
-  struct two_nodes *two = t->ctx;
+  struct load_run *run = t->ctx;
   struct soak *s = t->s;
   struct web_answer a = { 0 };
-  int node = (int)rng_below (&t->rng, RACK_NODES);
+  int node = (int)rng_below (&t->rng, (uint64_t)s->nodes);
   char id[32], headers[256];
 
   snprintf (id, sizeof id, "%d/%s-%u-%u", node + 1, stream ? "s" : "o",
@@ -121,10 +127,10 @@
   web_call (s->r.front[node], "POST", stream ? "/stream/x" : "/once/x",
             headers, "hello", &a);
   buf_c (&a.body);
-  check_answer (two, id, stream, &a);
+  check_answer (run, id, stream, &a);
   pthread_mutex_lock (&s->lock);
-  two->requests++;
-  two->served += a.status == 200 && a.whole;
+  run->requests++;
+  run->served += a.status == 200 && a.whole;
   pthread_mutex_unlock (&s->lock);
   if (a.status != 200)
     usleep (20000);
@@ -153,7 +159,7 @@
 fail_node (struct soak_thread *t)
 {
   struct soak *s = t->s;
-  int node = (int)rng_below (&t->rng, RACK_NODES);
+  int node = (int)rng_below (&t->rng, (uint64_t)s->nodes);
   uint64_t kind = rng_below (&t->rng, 4);
 
   if (kind < 2)
@@ -287,6 +293,77 @@
   soak_random_sleep (&t->rng, 3000);
 }
 
+/* --- restores, and what comes beside them -------------------------------- */
+
+/** Before the last node's connections to the store. */
+static struct relay *tcp_proxy;
+
+static const char *
+connect_by_proxy (const char *at)
+{
+  tcp_proxy = relay_new (at, at);
+  return relay_addr (tcp_proxy, 0);
+}
+
+/** The backend servers rewrite their entries some time later. */
+static void
+restore_once (struct soak_thread *t)
+{
+  rack_set (&t->s->r,
+            "{\"store\": {\"refuse\": false, \"restore\": true,"
+            " \"rewrite_ms\": %d, \"keep_leases\": %s}}",
+            (int)rng_below (&t->rng, 2000),
+            rng_below (&t->rng, 2) ? "true" : "false");
+}
+
+/** Restores the store, often after an outage, and at times once more while
+    what the first restore lost is still being written again. */
+static void
+restore_repeatedly (struct soak_thread *t)
+{
+  rack_set (&t->s->r, "{\"store\": {\"copy\": true}}");
+  soak_random_sleep (&t->rng, 3000);
+  if (rng_below (&t->rng, 3))
+    {
+      rack_set (&t->s->r, "{\"store\": {\"refuse\": true}}");
+      soak_random_sleep (&t->rng, 1500);
+    }
+  restore_once (t);
+  if (rng_below (&t->rng, 3) == 0)
+    {
+      soak_random_sleep (&t->rng, 500);
+      restore_once (t);
+    }
+  soak_random_sleep (&t->rng, 3000);
+}
+
+/** Ends one node or all of them at the same moment. */
+static void
+kill_nodes (struct soak_thread *t)
+{
+  struct soak *s = t->s;
+  int nodes[RACK_MAX_NODES], n = 0;
+  bool all = rng_below (&t->rng, 4) == 0;
+  int one = (int)rng_below (&t->rng, (uint64_t)s->nodes);
+
+  for (int i = 0; i < s->nodes; i++)
+    if (all || i == one)
+      nodes[n++] = i;
+  soak_signal_exit (s, nodes, n, SIGKILL);
+  soak_restart (s, nodes, n);
+  soak_random_sleep (&t->rng, 2500);
+}
+
+/** Cuts the last node off the store for a while. */
+static void
+cut_off_node (struct soak_thread *t)
+{
+  soak_random_sleep (&t->rng, 3000);
+  relay_close_connections (tcp_proxy);
+  soak_random_sleep (&t->rng, 3000);
+  relay_accept_connections (tcp_proxy);
+}
+
 /* --- requests that ran ------------------------------------------------- */
 
 static void
@@ -309,10 +386,10 @@
 
 /** Checks that no request refused as "not run" has run. */
 static void
-check_refused (struct two_nodes *two)
+check_refused (struct load_run *run)
 {
-  struct soak *s = &two->s;
-  struct str left = buf_str (&two->refused);
+  struct soak *s = &run->s;
+  struct str left = buf_str (&run->refused);
   struct web_answer a = { 0 };
   struct json_object *o;
 
@@ -331,35 +408,40 @@
   web_free (&a);
 }
 
+/** Runs clients beside series of faults, the first of them in the calling
+    thread, and checks what ran. */
 static void
-run_two_nodes (uint64_t seed, uint64_t seconds)
+run_under_load (struct load_run *run, fault_series *const *series,
+                unsigned nseries, uint64_t seconds)
 {
-  static struct two_nodes two;
-  struct soak *s = &two.s;
-  static void (*const series[]) (struct soak_thread *)
-      = { fail_node,    fail_store,    fail_server,
-          limit_server, restore_store, announce };
+  struct soak *s = &run->s;
   struct soak_thread threads[CLIENTS + FAULT_SERIES + PLAIN_CLIENTS] = { 0 };
-  const unsigned nfirst = CLIENTS + FAULT_SERIES;
+  const unsigned nfirst = CLIENTS + nseries;
 
-  soak_init (s, seed, RACK_NODES);
   s->forgets_told = true;
-  rack_start_all (&s->r, ENGINES);
   rack_set (&s->r, "{\"events\": %d, \"event_ms\": 15}", EVENTS);
   for (unsigned i = 0; i < nfirst; i++)
     threads[i]
         = (struct soak_thread){ .number = i,
                                 .step = i < CLIENTS ? send_request
                                                     : series[i - CLIENTS],
-                                .ctx = &two };
+                                .ctx = run };
   for (unsigned i = nfirst; i < nfirst + PLAIN_CLIENTS; i++)
     threads[i] = (struct soak_thread){ .number = i,
                                        .step = call_service,
-                                       .ctx = &two };
+                                       .ctx = run };
   soak_run (s, threads, nfirst + PLAIN_CLIENTS, CLIENTS, seconds);
   check_runs (s);
-  check_refused (&two);
-  for (int i = 0; i < RACK_NODES; i++)
+  check_refused (run);
+}
+
+/** Each node serves after the faults; the requests of the run are reported. */
+static void
+finish_load (struct load_run *run)
+{
+  struct soak *s = &run->s;
+
+  for (int i = 0; i < s->nodes; i++)
     {
       cr_expect (
           rack_call_until (&s->r, i, "/stream/x", rack_headers ("end"), 200),
@@ -368,14 +450,71 @@
           rack_call_until (&s->r, i, "/once/x", rack_headers ("end"), 200),
           "node %d serves no call after the faults", i + 1);
     }
-  cr_expect_gt (two.served, two.requests / 10, "served %u of %u", two.served,
-                two.requests);
-  cr_log_info ("seed %llu: %u of %u served", (unsigned long long)seed,
-               two.served, two.requests);
-  buf_free (&two.refused);
+  cr_expect_gt (run->served, run->requests / 10, "served %u of %u",
+                run->served, run->requests);
+  cr_log_info ("seed %llu: %u of %u served", (unsigned long long)s->seed,
+               run->served, run->requests);
+  buf_free (&run->refused);
   soak_finish (s);
 }
 
+static void
+run_two_nodes (uint64_t seed, uint64_t seconds)
+{
+  static struct load_run run;
+  static fault_series *const series[FAULT_SERIES]
+      = { fail_node,    fail_store,    fail_server,
+          limit_server, restore_store, announce };
+
+  soak_init (&run.s, seed, RACK_NODES);
+  rack_start_all (&run.s.r, ENGINES);
+  run_under_load (&run, series, FAULT_SERIES, seconds);
+  finish_load (&run);
+}
+
+/** All nodes know the store's last restore, and are linked again. */
+static void
+expect_recovered (struct soak *s)
+{
+  char era[64];
+
+  snprintf (era, sizeof era, "lapisline_serve_store_era %d",
+            rack_get_count (&s->r, "store", "era"));
+  for (int i = 0; i < s->nodes; i++)
+    {
+      cr_expect (
+          web_poll_until (s->r.ready[i], "/metrics", NULL, era, PROC_WAIT_MS),
+          "node %d: %s", i + 1, era);
+      cr_expect (web_poll_until (s->r.ready[i], "/metrics", NULL,
+                                 "lapisline_serve_nodes 3", PROC_WAIT_MS),
+                 "node %d is not linked to both others", i + 1);
+    }
+  cr_expect (rack_wait_for_counts (&s->r, "\"nodes\": 3"),
+             "entries are missing in the store");
+}
+
+static void
+run_restores (uint64_t seed, uint64_t seconds)
+{
+  static struct load_run run;
+  struct soak *s = &run.s;
+  static fault_series *const series[]
+      = { kill_nodes, restore_repeatedly, fail_store, cut_off_node };
+
+  soak_init (s, seed, RESTORE_NODES);
+  rack_prepare_nodes (&s->r, ENGINES, s->nodes, connect_by_proxy);
+  rack_configure (&s->r, 1, "k1", "");
+  for (int i = 0; i < s->nodes; i++)
+    rack_start_node (&s->r, i);
+  for (int i = 0; i < s->nodes; i++)
+    cr_assert (
+        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+  run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
+  rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
+  expect_recovered (s);
+  finish_load (&run);
+}
+
 Test (soak, promises_hold_under_faults)
 {
   run_two_nodes (soak_env_number ("SOAK_SEED", SEED),
@@ -389,6 +528,15 @@
     run_two_nodes (SEED_CUT_AT_THE_END, SECONDS_CUT_AT_THE_END);
 }
 
+/* Guards against promises that are broken when the store comes back from an
+   older copy, also beside nodes that are killed or cut off, and lost writes.
+ */
+Test (soak, promises_hold_under_restores)
+{
+  run_restores (soak_env_number ("SOAK_SEED", SEED),
+                soak_env_number ("SOAK_SECONDS", SECONDS));
+}
+
 /* --- versions at many nodes -------------------------------------------- */
 
 static void
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,15 +1,18 @@
 #!/bin/bash
 # Play a soak with many seeds, some side by side.
-# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES]
+# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|restores]
 # Without NODES the soak of two nodes under load; with it that of so many
-# (18 usual, up to 64) at which operators put versions in force.
+# (18 usual, up to 64) at which operators put versions in force; with
+# "restores" that of three nodes whose store comes back from older copies.
 # Prints the seeds that fail and keeps their output in soak-SEED.log, and what
 # the nodes logged in soak-SEED/.
 set -u
 cd "$(dirname "$0")/.."
 export SOAK_SECONDS=${3:-10}
 export TEST=promises_hold_under_faults
-if [ -n "${5:-}" ]; then
+if [ "${5:-}" = restores ]; then
+  export TEST=promises_hold_under_restores
+elif [ -n "${5:-}" ]; then
   export TEST=versions_are_in_force_under_faults SOAK_NODES=$5
 fi
 make -s build/t/t9401-soak build/lapisline build/standin || exit 1
