t: a soak of a node that is partitioned from all servers

The last node's paths to all servers are silent, refused or reset for up to 6 s, in series and from one to the next; servers fall silent for about a second and go on; the store fails.

--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -71,6 +71,52 @@
                     nodes > RACK_NODES);
 }
 
+static uint64_t
+node_hash (int node)
+{
+  char name[24];
+
+  snprintf (name, sizeof name, "node-%d", node + 1);
+  return str_hash (str_from (name), 0);
+}
+
+/** Whether the node comes last in the order of relays among those before it:
+    it connects to them, and they don't connect to it. */
+static bool
+comes_last (int node)
+{
+  for (int i = 0; i < node; i++)
+    if (node_hash (i) > node_hash (node))
+      return false;
+  return true;
+}
+
+static const struct rack *prepared;
+
+static const char *
+second_address (const char *at)
+{
+  (void)at;
+  return proc_addr (prepared->platform, "side");
+}
+
+int
+rack_prepare_cut (struct rack *r, int engines, int min_nodes, int *leader)
+{
+  int nodes = min_nodes;
+
+  while (!comes_last (nodes - 1))
+    nodes++;
+  *leader = 0;
+  for (int i = 1; i < nodes; i++)
+    if (node_hash (i) < node_hash (*leader))
+      *leader = i;
+  prepared = r;
+  rack_prepare_nodes (r, engines, nodes, second_address);
+  rack_set (r, "{\"side_hides\": \"node-%d\"}", *leader + 1);
+  return nodes;
+}
+
 void
 rack_start_platform (struct rack *r, int engines)
 {
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -37,6 +37,16 @@
 void rack_prepare_nodes (struct rack *r, int engines, int nodes,
                          const char *(*last) (const char *at));
 
+/**
+ * Same with the last node behind the second addresses, which {"cut": ...} of
+ * the stand-in partitions from all servers.  That node is not linked to the
+ * leader, which would send it the servers' first addresses.
+ * @param min_nodes  there are at least as many nodes, and more if need be
+ * @param leader  receives the index of the node that becomes leader
+ * @return number of nodes
+ */
+int rack_prepare_cut (struct rack *r, int engines, int min_nodes, int *leader);
+
 /** Sets drain_ms of settings written from now on; the default is 2,000. */
 void rack_set_drain_ms (int ms);
 
--- a/t/t9312-cut.c
+++ b/t/t9312-cut.c
@@ -24,57 +24,16 @@
 static struct rack r;
 static int leader, cut_node;
 
-static uint64_t
-node_hash (int node)
-{
-  char name[24];
-
-  snprintf (name, sizeof name, "node-%d", node + 1);
-  return str_hash (str_from (name), 0);
-}
-
-static uint64_t
-highest_hash (void)
-{
-  uint64_t highest = 0;
-
-  for (int i = 0; i < cut_node; i++)
-    if (node_hash (i) > highest)
-      highest = node_hash (i);
-  return highest;
-}
-
-static const char *
-second_address (const char *at)
-{
-  return proc_addr (r.platform, "side");
-}
-
-/** Chooses a number of nodes such that the last one, which is cut off, comes
-    last in the order of relays.  Then the first in that order, which becomes
-    leader, does not connect to it. */
-static void
-choose_nodes (void)
-{
-  leader = 0;
-  cut_node = 1;
-  while (cut_node + 1 < MIN_NODES || node_hash (cut_node) < highest_hash ())
-    cut_node++;
-  for (int i = 0; i < cut_node; i++)
-    if (node_hash (i) < node_hash (leader))
-      leader = i;
-}
-
 static void
 start_nodes (void)
 {
-  choose_nodes ();
-  rack_prepare_nodes (&r, 8, cut_node + 1, second_address);
-  rack_set (&r, "{\"side_hides\": \"node-%d\"}", leader + 1);
+  int nodes = rack_prepare_cut (&r, 8, MIN_NODES, &leader);
+
+  cut_node = nodes - 1;
   rack_configure (&r, 1, "k1", "");
-  for (int i = 0; i <= cut_node; i++)
+  for (int i = 0; i < nodes; i++)
     rack_start_node (&r, i);
-  for (int i = 0; i <= cut_node; i++)
+  for (int i = 0; i < nodes; i++)
     {
       cr_assert (rack_call_until (&r, i, "/stream/x", rack_headers (""), 200));
       cr_assert (rack_call_until (&r, i, "/once/x", rack_headers (""), 200));
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -43,9 +43,18 @@
 {
   struct soak s;
   unsigned requests, served;
+  /* With a node that is partitioned from the servers: */
+  int cut_node;
+  clk_ms cut_since; /**< 0: it reaches them */
+  /** requests later than CONTACT_MS after the cut, at the other nodes and at
+      this one */
+  unsigned cut_sent[2], cut_served[2];
   struct buf refused; /* ids refused as "not run", one per line */
 };
 
+/** Time in which a node finds out that it is partitioned. */
+#define CONTACT_MS ((clk_ms)3000)
+
 /* --- clients ----------------------------------------------------------- */
 
 /** Counts the events; @p ok: each one from 1 on occurs once and in order. */
@@ -109,10 +118,24 @@
     soak_report_violation (s, "%s: marked complete after event %d", id, n);
 }
 
+/** Counts a request that was sent while the cut node had been partitioned from
+    the servers for CONTACT_MS, and still is. */
+static void
+count_while_cut (struct load_run *run, int node, clk_ms sent_at, bool served)
+{
+  int at_cut_node = node == run->cut_node;
+
+  if (!run->cut_since || sent_at - run->cut_since < CONTACT_MS)
+    return;
+  run->cut_sent[at_cut_node]++;
+  run->cut_served[at_cut_node] += served;
+}
+
 static void
 send (struct soak_thread *t, bool stream)
 {
   struct load_run *run = t->ctx;
+  clk_ms sent_at = clk_now ();
   struct soak *s = t->s;
   struct web_answer a = { 0 };
   int node = (int)rng_below (&t->rng, (uint64_t)s->nodes);
@@ -131,6 +154,7 @@
   pthread_mutex_lock (&s->lock);
   run->requests++;
   run->served += a.status == 200 && a.whole;
+  count_while_cut (run, node, sent_at, a.status == 200 && a.whole);
   pthread_mutex_unlock (&s->lock);
   if (a.status != 200)
     usleep (20000);
@@ -364,6 +388,52 @@
   relay_accept_connections (tcp_proxy);
 }
 
+/* --- partitions from all servers ----------------------------------------- */
+
+/** What the cut node serves, as a part of what the others do. */
+#define MIN_CUT_SHARE (2.0 / 3)
+
+static void
+set_cut (struct load_run *run, const char *how, clk_ms since)
+{
+  pthread_mutex_lock (&run->s.lock);
+  run->cut_since = 0;
+  pthread_mutex_unlock (&run->s.lock);
+  rack_set (&run->s.r, "{\"cut\": \"%s\"}", how);
+  pthread_mutex_lock (&run->s.lock);
+  run->cut_since = since;
+  pthread_mutex_unlock (&run->s.lock);
+}
+
+/** Partitions the last node from all servers, some times from one way to the
+    next without a pause. */
+static void
+partition_node (struct soak_thread *t)
+{
+  static const char *const ways[] = { "silent", "refuse", "reset" };
+  struct load_run *run = t->ctx;
+
+  set_cut (run, ways[rng_below (&t->rng, 3)], clk_now ());
+  soak_random_sleep (&t->rng, 6000);
+  if (rng_below (&t->rng, 3) == 0)
+    return;
+  set_cut (run, "none", 0);
+  soak_random_sleep (&t->rng, 1500);
+}
+
+/** Lets a server fall silent for about a second; it goes on afterwards. */
+static void
+silence_server (struct soak_thread *t)
+{
+  char id[16];
+
+  snprintf (id, sizeof id, "e%d", 1 + (int)rng_below (&t->rng, ENGINES));
+  rack_set (&t->s->r, "{\"server\": \"%s\", \"dark\": true}", id);
+  usleep (700000 + (useconds_t)rng_below (&t->rng, 600000));
+  rack_set (&t->s->r, "{\"server\": \"%s\", \"dark\": false}", id);
+  soak_random_sleep (&t->rng, 3000);
+}
+
 /* --- requests that ran ------------------------------------------------- */
 
 static void
@@ -515,6 +585,55 @@
   finish_load (&run);
 }
 
+static void
+expect_served_while_cut (const struct load_run *run)
+{
+  unsigned sent = run->cut_sent[0] + run->cut_sent[1];
+  unsigned failed = sent - run->cut_served[0] - run->cut_served[1];
+
+  cr_log_info ("while cut: %u of %u served at the node, %u of %u at others",
+               run->cut_served[1], run->cut_sent[1], run->cut_served[0],
+               run->cut_sent[0]);
+  if (failed <= 10 + sent / 50)
+    return;
+  cr_expect_geq ((double)run->cut_served[1] * run->cut_sent[0],
+                 MIN_CUT_SHARE * run->cut_served[0] * run->cut_sent[1]);
+}
+
+static void
+run_partitions (uint64_t seed, uint64_t seconds)
+{
+  static struct load_run run;
+  struct soak *s = &run.s;
+  static fault_series *const series[]
+      = { partition_node, silence_server, fail_store };
+  int nodes, leader;
+
+  soak_init (s, seed, RESTORE_NODES);
+  nodes = rack_prepare_cut (&s->r, ENGINES, RESTORE_NODES, &leader);
+  s->nodes = nodes;
+  run.cut_node = nodes - 1;
+  rack_configure (&s->r, 1, "k1", "");
+  for (int i = 0; i < nodes; i++)
+    rack_start_node (&s->r, i);
+  for (int i = 0; i < nodes; i++)
+    cr_assert (
+        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+  run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
+  set_cut (&run, "none", 0);
+  rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
+  expect_served_while_cut (&run);
+  finish_load (&run);
+}
+
+/* Guards against a node that serves nobody while it reaches no server, beside
+   servers that are silent for a second and a store that fails. */
+Test (soak, promises_hold_under_partitions)
+{
+  run_partitions (soak_env_number ("SOAK_SEED", SEED),
+                  soak_env_number ("SOAK_SECONDS", SECONDS));
+}
+
 Test (soak, promises_hold_under_faults)
 {
   run_two_nodes (soak_env_number ("SOAK_SEED", SEED),
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,17 +1,18 @@
 #!/bin/bash
 # Play a soak with many seeds, some side by side.
-# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|restores]
+# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|restores|partitions]
 # Without NODES the soak of two nodes under load; with it that of so many
 # (18 usual, up to 64) at which operators put versions in force; with
-# "restores" that of three nodes whose store comes back from older copies.
+# "restores" that of three nodes whose store comes back from older copies, with
+# "partitions" that of a node that is partitioned from all servers.
 # Prints the seeds that fail and keeps their output in soak-SEED.log, and what
 # the nodes logged in soak-SEED/.
 set -u
 cd "$(dirname "$0")/.."
 export SOAK_SECONDS=${3:-10}
 export TEST=promises_hold_under_faults
-if [ "${5:-}" = restores ]; then
-  export TEST=promises_hold_under_restores
+if [ "${5:-}" = restores ] || [ "${5:-}" = partitions ]; then
+  export TEST=promises_hold_under_$5
 elif [ -n "${5:-}" ]; then
   export TEST=versions_are_in_force_under_faults SOAK_NODES=$5
 fi
