--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -369,6 +369,25 @@
   dsp_set_endpoints (b->d, b->now, b->endpoints, b->n);
 }
 
+/** Commands for nodes that reach no server; false: it is another command. */
+static bool
+run_path_command (struct fixture *b, const char *command, const char *x,
+                  const char *y)
+{
+  if (strcmp (command, "proxies") == 0)
+    set_proxies (b, atoi (x), strcmp (y, "cut") != 0);
+  else if (strcmp (command, "proxied") == 0)
+    b->submit_proxied = true;
+  else if (strcmp (command, "own-ended") == 0)
+    log_ended (b);
+  else if (strcmp (command, "cut-off") == 0)
+    buf_addf (&b->log, "cut-off %s\n",
+              dsp_is_cut_off (b->d, str_from (x)) ? "yes" : "no");
+  else
+    return false;
+  return true;
+}
+
 static void
 run_command (struct fixture *b, const char *command, const char *x,
              const char *y, const char *z)
@@ -404,15 +423,6 @@
     b->show_delays = true;
   else if (strcmp (command, "peer-ended") == 0)
     report_ended (b, x);
-  else if (strcmp (command, "proxies") == 0)
-    set_proxies (b, atoi (x), strcmp (y, "cut") != 0);
-  else if (strcmp (command, "own-ended") == 0)
-    log_ended (b);
-  else if (strcmp (command, "cut-off") == 0)
-    buf_addf (&b->log, "cut-off %s\n",
-              dsp_is_cut_off (b->d, str_from (x)) ? "yes" : "no");
-  else if (strcmp (command, "proxied") == 0)
-    b->submit_proxied = true;
   else if (strcmp (command, "refused") == 0)
     finish_check (b, x, DSP_CONN_REFUSED);
   else if (strcmp (command, "crashed") == 0)
@@ -431,7 +441,7 @@
     run_with_events (b, atoi (x), (uint64_t)atoi (y));
   else if (strcmp (command, "shutdown") == 0)
     dsp_stop_accepting (b->d);
-  else
+  else if (!run_path_command (b, command, x, y))
     response_event (b, command, (uint64_t)atoi (x));
   take_actions (b);
 }
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -7,12 +7,15 @@
  *   close SERVER               the endpoint accepts no new requests
  *   nodes N [KNOWN]            sets the numbers of linked and of known nodes
  *   peer-load SERVER N STREAMING
- *                              another node reports N requests there,
- * STREAMING of them streams that received an event just now peer-load-late
- * SERVER N MS the same of N streams, in a report that came MS ago peer-ended
- * SERVER          another node reports that the process ended submit ID ROUTE
- * [DIGEST]   a request; ROUTE is stream, once (at most once) or safe
- * (idempotent); DIGEST is a number, by default one that no other request has
+ *                              another node reports N requests there; that
+ *                              many are streams that received an event now
+ *
+ *   peer-load-late SERVER N MS the same of N streams, reported MS ago
+ *   peer-ended SERVER          another node reports that the process ended
+ *   submit ID ROUTE [DIGEST]   a request; ROUTE is stream, once (at most once)
+ *                              or safe (idempotent); DIGEST is a number, by
+ *                              default one that no other request has
+ *
  *   submit-late ID ROUTE       the same, from a client that has already waited
  *                              as long as the latency goal
  *   submit-low ID ROUTE        the same, with the next lower priority
@@ -25,20 +28,23 @@
  *   proxies N [cut]            N other nodes may send requests on; cut: they
  *                              reach no server either
  *   proxied                    requests from now on come from another node
- *   cut-off SERVICE            logs whether this node, but not all others,
- * does not reach the service own-ended                  logs "ended SERVER"
- * for each server that this node reports as ended delays retry delays are
- * logged from now on
+ *   cut-off SERVICE            logs whether this node doesn't reach the
+ *                              service, but another node does
+ *   own-ended                  logs "ended SERVER" for each server that this
+ *                              node reports as ended
+ *
+ *   delays                     retry delays are logged from now on
+ *
  *   sent|connect-failed|ok|error|final|not-executed|event|complete|interrupted
  *   |client-gone ID            event of the request's current attempt
  *   crashed|refused|alive|unknown SERVER
  *                              result of the check of the server's process
  *   block DIGEST               the request is blocked, as it crashes servers
  *   run MS                     advances the time in steps of 20 ms
- *   run-events MS ID           advances the time, with ticks at
- *                              dsp_next_tick() and an event of the stream
- * every 10 ms suspend MS                 the process is suspended, then a tick
- * comes shutdown                   the node shuts down
+ *   run-events MS ID           advances the time, with ticks when due and an
+ *                              event of the stream every 10 ms
+ *   suspend MS                 the process is suspended, then a tick comes
+ *   shutdown                   the node shuts down
  *
  * The log has a line for each action: "send ID SERVER [resume] [pN]", with the
  * priority if it is not 1, "cancel ID", "forward ID", "complete ID", "truncate
