--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -338,6 +338,20 @@
   return true;
 }
 
+/** Whether a node behind the second port attempts to become leader.  As leader
+    it would send the servers' second addresses to the nodes that are not to be
+    partitioned. */
+static bool
+takes_leadership (const struct rack *r, json_object *writes)
+{
+  for (size_t i = 0; r->side_view && i < json_object_array_length (writes);
+       i++)
+    if (str_is (jsn_str (json_object_array_get_idx (writes, i), "key"),
+                PLT_PREFIX_OWN "duty"))
+      return true;
+  return false;
+}
+
 static void
 on_txn (struct rack *r, struct httpd_req *req)
 {
@@ -349,6 +363,8 @@
 
   if (!expected || !writes || !removed)
     answer_text (r, req, 400, STR_EMPTY);
+  else if (takes_leadership (r, writes))
+    answer_text (r, req, 503, STR_EMPTY);
   else if (!leases_exist (r, writes))
     answer_text (r, req, 404, STR_EMPTY);
   else if (!conditions_met (r, expected))
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -611,6 +611,7 @@
 
   soak_init (s, seed, RESTORE_NODES);
   nodes = rack_prepare_cut (&s->r, ENGINES, RESTORE_NODES, &leader);
+  s->r.logs = getenv ("SOAK_LOGS");
   s->nodes = nodes;
   run.cut_node = nodes - 1;
   rack_configure (&s->r, 1, "k1", "");
