t: each safeguard of lost paths, seen red without it

Taking out one safeguard at a time left four of eleven unseen, and one test could not fail: resets_of_all_paths_end_no_process asked what is announced, which a lost path holds back anyway. It now asks after the other node has lost its path, too.

New: a lost path reports no ended server; proxied requests add nothing to the budget; lost paths eject no server; silence of all servers is a lost path; a failed proxy is left alone.

--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -378,6 +378,8 @@
     set_proxies (b, atoi (x), strcmp (y, "cut") != 0);
   else if (strcmp (command, "proxied") == 0)
     b->submit_proxied = true;
+  else if (strcmp (command, "direct") == 0)
+    b->submit_proxied = false;
   else if (strcmp (command, "own-ended") == 0)
     log_ended (b);
   else if (strcmp (command, "cut-off") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -27,7 +27,8 @@
  *   form-again SERVER          it leads the next generation of its replica
  *   proxies N [cut]            N other nodes may send requests on; cut: they
  *                              reach no server either
- *   proxied                    requests from now on come from another node
+ *   proxied|direct             requests from now on come from another node,
+ *                              from clients
  *   cut-off SERVICE            logs whether this node doesn't reach the
  *                              service, but another node does
  *   own-ended                  logs "ended SERVER" for each server that this
--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -4,6 +4,7 @@
  */
 #include <criterion/criterion.h>
 
+#include "base/str.h"
 #include "t/lib-dispatch.h"
 
 #define THREE_CONNECTIONS_FAIL                                                \
@@ -92,7 +93,7 @@
                  "submit 3 safe\n sent 3\n"
                  "interrupted 1\n interrupted 2\n interrupted 3\n"
                  "refused p1\n refused p2\n refused p3\n run 600\n"
-                 "own-ended\n",
+                 "proxies 1 cut\n own-ended\n",
                  "send 1 p3\nsend 2 p1\nsend 3 p2\n"
                  "check p3\ncancel 1\nsend 1 p1\n"
                  "check p1\ncancel 2\nsend 2 p3\n"
@@ -133,3 +134,142 @@
                  "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.2:80\n"
                  "cut-off yes\ncut-off no\ncut-off no\n");
 }
+
+/* Guards against a node that goes on telling others of ended servers when it
+   no longer reaches any. */
+Test (dispatch_path, node_without_paths_reports_no_ended_server)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n"
+                 "submit 1 once\n sent 1\n interrupted 1\n run 20\n"
+                 "refused p3\n alive p1\n own-ended\n"
+                 "refused p1\n refused p2\n refused p3\n own-ended\n"
+                 "proxies 1 cut\n own-ended\n",
+                 "send 1 p3\n"
+                 "check p3\n"
+                 "cancel 1\n"
+                 "error 1 broken 502\n"
+                 "ended p3\n"
+                 "ended p3\n");
+}
+
+/* Guards against a retry budget that grows by requests which the other node
+   counts, too. */
+Test (dispatch_path, proxied_requests_add_nothing_to_the_budget)
+{
+  struct buf script = BUF_INIT, expected = BUF_INIT;
+
+  buf_add_c (&script, "endpoints p 1 4\n nodes 4\n proxied\n");
+  for (int i = 10; i < 40; i++)
+    {
+      buf_addf (&script, "submit %d safe\n sent %d\n ok %d\n complete %d\n", i,
+                i, i, i);
+      buf_addf (&expected, "send %d p1\ncomplete %d\n", i, i);
+    }
+  buf_add_c (&script, "direct\n endpoints q 3 4\n");
+  for (int i = 1; i <= 3; i++)
+    buf_addf (&script,
+              "submit %d safe\n sent %d\n error %d\n sent %d\n ok %d\n"
+              "complete %d\n",
+              i, i, i, i, i, i);
+  buf_add_c (&expected, "send 1 q3\n"
+                        "cancel 1\n"
+                        "send 1 p1\n"
+                        "complete 1\n"
+                        "send 2 p1\n"
+                        "cancel 2\n"
+                        "send 2 q1\n"
+                        "complete 2\n"
+                        "send 3 q2\n"
+                        "cancel 3\n"
+                        "error 3 broken 502\n");
+  dispatch_play (buf_c (&script), buf_c (&expected));
+  buf_free (&script);
+  buf_free (&expected);
+}
+
+/* Guards against servers that get nothing after a partition because what broke
+   off in it counted as their failures. */
+Test (dispatch_path, lost_paths_eject_no_server)
+{
+  dispatch_play ("endpoints p 3 9\n proxies 1\n"
+                 "submit 1 once\n sent 1\n submit 2 once\n sent 2\n"
+                 "submit 3 once\n sent 3\n submit 4 once\n sent 4\n"
+                 "submit 5 once\n sent 5\n submit 6 once\n sent 6\n"
+                 "submit 7 once\n sent 7\n submit 8 once\n sent 8\n"
+                 "submit 9 once\n sent 9\n"
+                 "refused p1\n refused p2\n refused p3\n"
+                 "interrupted 1\n interrupted 2\n interrupted 3\n"
+                 "interrupted 4\n interrupted 5\n interrupted 6\n"
+                 "interrupted 7\n interrupted 8\n interrupted 9\n"
+                 "alive p1\n alive p2\n alive p3\n"
+                 "submit 11 once\n submit 12 once\n submit 13 once\n"
+                 "submit 14 once\n submit 15 once\n submit 16 once\n",
+                 "send 1 p3\n"
+                 "send 2 p1\n"
+                 "send 3 p2\n"
+                 "send 4 p1\n"
+                 "send 5 p3\n"
+                 "send 6 p2\n"
+                 "send 7 p1\n"
+                 "send 8 p2\n"
+                 "send 9 p3\n"
+                 "check p3\n"
+                 "cancel 1\n"
+                 "error 1 broken 502\n"
+                 "check p1\n"
+                 "cancel 2\n"
+                 "error 2 broken 502\n"
+                 "check p2\n"
+                 "cancel 3\n"
+                 "error 3 broken 502\n"
+                 "cancel 4\n"
+                 "error 4 broken 502\n"
+                 "cancel 5\n"
+                 "error 5 broken 502\n"
+                 "cancel 6\n"
+                 "error 6 broken 502\n"
+                 "cancel 7\n"
+                 "error 7 broken 502\n"
+                 "cancel 8\n"
+                 "error 8 broken 502\n"
+                 "cancel 9\n"
+                 "error 9 broken 502\n"
+                 "send 11 p1\n"
+                 "send 12 p3\n"
+                 "send 13 p2\n"
+                 "send 14 p1\n"
+                 "send 15 p3\n"
+                 "send 16 p1\n");
+}
+
+/* Guards against requests that wait for their deadlines at servers none of
+   which answers, one after the other. */
+Test (dispatch_path, silence_of_all_servers_is_a_lost_path)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n"
+                 "submit 1 once\n sent 1\n submit 2 once\n sent 2\n"
+                 "submit 3 once\n sent 3\n run 900\n submit 4 once\n",
+                 "send 1 p3\n"
+                 "send 2 p1\n"
+                 "send 3 p2\n"
+                 "send 4 10.0.0.1:80\n");
+}
+
+/* Guards against a node that has broken off a request and gets the next one at
+   once. */
+Test (dispatch_path, failed_proxy_is_left_alone)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n submit 1 once\n"
+                 "connect-failed 1\n connect-failed 1\n connect-failed 1\n"
+                 "sent 1\n interrupted 1\n submit 2 safe\n run 520\n"
+                 "submit 3 safe\n",
+                 "send 1 p3\n"
+                 "send 1 p1\n"
+                 "send 1 p2\n"
+                 "send 1 10.0.0.1:80\n"
+                 "cancel 1\n"
+                 "error 1 broken 502\n"
+                 "send 2 p3\n"
+                 "check p3\n"
+                 "send 3 10.0.0.1:80\n");
+}
