--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -617,3 +617,27 @@
                      "r1002 small is open: a4 a5\n"
                      "a6 is warm for big\n");
 }
+
+/*
+ * A replica's leader and all of its members lose their connections together,
+ * so that the leader goes on serving.  The members come back first.  They may
+ * join no other replica before they have left and the leader has stopped.
+ */
+Test (form, members_that_never_left_are_not_spares)
+{
+  form_check ("lead 1\n vms a 6\n run 5000\n disconnect a1\n disconnect a2\n"
+              "disconnect a3\n run 4000\n restore a2\n restore a3\n"
+              "run 8000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "join r1002 small: a4 a5\n"
+              "join s1003 big: a6\n"
+              "open r1001 a1\n"
+              "open r1002 a4\n"
+              "leave r1001 a2\n"
+              "leave r1001 a3\n"
+              "join r1004 big: a6 a2 a3\n"
+              "open r1004 a6\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "r1002 small is open: a4 a5\n"
+              "r1004 big is open: a6 a2 a3\n");
+}
