form: members that never left an unreachable leader are not free

Cause: a replica whose leader is unreachable ends when its members have left and a leader without members has had the time to stop. Members that aren't listed were passed over. If none is listed, none has left, and a leader that is cut off together with its members goes on; members that came back were then taken for free.

Change: the replica's generation counts as ended only if a member is known to have left, or to have restarted. Else the replica is forgotten, and adopted again when it is reported: its members leave and wait as usual, or it goes on serving whole.

No VM is held back by it: those concerned aren't listed.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -328,6 +328,10 @@
  * member that joined another replica now would serve in both.  After all
  * members have left, the leader makes no progress and stops serving after
  * stall_ms, whether or not this node can reach it.
+ *
+ * Members that are not listed may be disconnected together with the leader,
+ * which then goes on serving.  Unless one member is known to have left, they
+ * are not free when they return.
  */
 static void
 tick_fencing (struct frm *f, struct frm_replica *r)
@@ -346,7 +350,7 @@
         continue;
       if (!frm_reports (vm, r, BKS_JOINING))
         {
-          r->leave_accepted[i] = true;
+          r->leave_accepted[i] = r->member_left = true;
           continue;
         }
       all_left = false;
@@ -355,7 +359,12 @@
   if (!all_left)
     r->phase_since = f->now;
   else if (f->now - r->phase_since > f->opt.stall_ms + FENCE_MARGIN_MS)
-    frm_replica_release (f, r);
+    {
+      if (r->member_left)
+        frm_replica_release (f, r);
+      else
+        frm_replica_forget (f, r);
+    }
 }
 
 void
@@ -426,7 +435,10 @@
     return;
   for (size_t i = 0; i < r->nmembers; i++)
     if (r->members[i] == vm)
-      r->leave_accepted[i] = true;
+      {
+        r->leave_accepted[i] = true;
+        r->member_left = r->member_left || i > 0;
+      }
   if (r->phase == FRM_PH_LEAVING && r->leave_accepted[0])
     frm_replica_release (f, r);
 }
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -117,6 +117,8 @@
    */
   bool appeared_late;
   bool member_lost;    /**< a member is permanently gone */
+  bool member_left;    /**< a member is known to have left, or its process to
+                            have ended, so that the leader makes no progress */
   bool stall_reported; /**< a node reported that requests make no progress */
   clk_ms stall_reported_at;
   bool close_unanswered; /**< the order to close got no response */
@@ -222,6 +224,9 @@
  */
 void frm_replica_end (struct frm *f, struct frm_replica *r);
 void frm_replica_release (struct frm *f, struct frm_replica *r);
+/** Removes a replica whose leader may still serve.  If it is reported again,
+   it is adopted like that of an earlier leader node. */
+void frm_replica_forget (struct frm *f, struct frm_replica *r);
 
 /* form-group.c */
 void frm_replica_tick (struct frm *f, struct frm_replica *r);
--- a/serve/form.c
+++ b/serve/form.c
@@ -169,6 +169,16 @@
   f->ended_generations[f->nended++ % FRM_ENDED_RING] = r->generation;
 }
 
+void
+frm_replica_forget (struct frm *f, struct frm_replica *r)
+{
+  for (size_t i = 0; i < r->nmembers; i++)
+    if (r->members[i] && r->members[i]->replica == r)
+      r->members[i]->replica = NULL;
+  frm_enter_phase (f, r, FRM_PH_ENDED);
+  r->nmembers = 0;
+}
+
 static bool
 generation_has_ended (const struct frm *f, int64_t generation)
 {
@@ -311,6 +321,8 @@
     frm_replica_release (f, r);
   else
     remove_from_replica (vm);
+  if (r && !was_leader)
+    r->member_left = true;
   free (vm->loaded_model);
   *vm = (struct frm_vm){ .id = vm->id,
                          .service = vm->service,
