--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -24,7 +24,7 @@
   unsigned rank;
   enum bks_member_state state;
   clk_ms ready_at;
-  bool killed, hung, disconnected, expired, draining;
+  bool killed, hung, silent, disconnected, expired, draining;
 };
 
 struct delayed_order
@@ -257,6 +257,12 @@
     execute_order (w, &w->delayed[w->ndelayed - 1]);
 }
 
+static bool
+responds (const struct vm *vm)
+{
+  return !vm->killed && !vm->hung && !vm->silent && !vm->disconnected;
+}
+
 static void
 handle_order (struct world *w, size_t core, const struct frm_action *a)
 {
@@ -277,7 +283,7 @@
       if (!w->delay_all)
         w->delayed_kind = NULL;
     }
-  else if (vm && !vm->killed && !vm->hung && !vm->disconnected)
+  else if (vm && responds (vm))
     result = execute_order (w, &o);
   frm_order_done (w->cores[core], w->now, a->token, result);
 }
@@ -293,8 +299,7 @@
       if (a.kind == FRM_ORDER)
         handle_order (w, core, &a);
       else
-        frm_probe_done (w->cores[core], w->now, a.token,
-                        vm && !vm->killed && !vm->hung && !vm->disconnected);
+        frm_probe_done (w->cores[core], w->now, a.token, vm && responds (vm));
       free ((void *)a.members);
     }
 }
@@ -502,8 +507,10 @@
     vm->killed = true;
   else if (strcmp (command, "hang") == 0)
     vm->hung = true;
+  else if (strcmp (command, "silence") == 0)
+    vm->silent = true;
   else if (strcmp (command, "restore") == 0)
-    vm->hung = vm->disconnected = vm->expired = false;
+    vm->silent = vm->hung = vm->disconnected = vm->expired = false;
   else if (strcmp (command, "disconnect") == 0)
     vm->disconnected = true;
   else if (strcmp (command, "expire") == 0)
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -11,7 +11,8 @@
  *   suspend MS           suspends both cores' processes for that time
  *   kill ID              stops the server: no responses, not listed
  *   hang ID              no responses, still listed
- *   restore ID           undoes hang, disconnect and expire
+ *   silence ID           likewise, but it accepts connections
+ *   restore ID           undoes hang, silence, disconnect and expire
  *   restart ID           starts it again under the same id, without weights
  *   disconnect ID        no responses, not listed, but it keeps running
  *   expire ID            not listed; it runs and responds as before
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -641,3 +641,16 @@
               "r1002 small is open: a4 a5\n"
               "r1004 big is open: a6 a2 a3\n");
 }
+
+/* Guards against a replica that is formed anew because one of its members fell
+   silent for a second and went on. */
+Test (form, a_member_that_is_silent_for_a_second_is_kept)
+{
+  form_check ("lead 1\n vms a 4\n run 5000\n traffic\n silence a3\n"
+              "report-stall a1\n run 1200\n restore a3\n run 2000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "join s1002 big: a4\n"
+              "open r1001 a1\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "a4 is warm for big\n");
+}
