form: a server that accepts connections may be silent for a second

What callors saw: a sound server that stood still for a second had its replica closed, and the rest of the replica's requests broke off or moved with it.

Cause: a probe that connected and got no answer counted like one that could not connect; two in a row, some 0.4 s, made a VM unresponsive.

Change: a probe has three results. A VM that only connects is unresponsive after 1.5 s; one that can't be connected to, or closes the connection, after two probes as before.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -136,12 +136,16 @@
   return FRM_UNANSWERED;
 }
 
-static bool
-probe_answered (const struct server_call *c)
-{
-  if (!c->sent)
-    return c->connected;
-  return c->status != 0 && c->status != STATUS_MISDIRECTED;
+static enum frm_probe_result
+probe_result (const struct server_call *c, enum httpc_end end)
+{
+  if (!c->connected || c->status == STATUS_MISDIRECTED)
+    return FRM_PROBE_UNREACHABLE;
+  /* A process that stands still closes no connection. */
+  if (!c->status && end == HTTPC_BROKEN)
+    return FRM_PROBE_UNREACHABLE;
+  /* A server that is not sent the probe because of its pause listens. */
+  return c->status || !c->sent ? FRM_PROBE_ANSWERED : FRM_PROBE_SILENT;
 }
 
 static void
@@ -175,7 +179,7 @@
         srv_sync_read_soon (lead->s, now);
     }
   else if (c->sent_fence == (uint64_t)own_fence (lead->own))
-    frm_probe_done (lead->form, now, c->token, probe_answered (c));
+    frm_probe_done (lead->form, now, c->token, probe_result (c, end));
   free (c->vm);
   free (c);
   run_form_actions (lead);
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -56,6 +56,8 @@
   unsigned failed_probes; /**< consecutive probes without a response */
   clk_ms next_probe_at;
   clk_ms probe_ok_at;   /**< time of the last response to a probe */
+  clk_ms silent_since;  /**< time of the first of consecutive probes that only
+                             connected; 0: the last one did not */
   uint64_t probe_token; /**< probe in flight; 0: none */
   uint64_t order_token; /**< order in flight; 0: none */
   enum frm_order_kind order_kind;
--- a/serve/form.c
+++ b/serve/form.c
@@ -32,6 +32,11 @@
  * ten probes.
  */
 #define PROBE_UNLISTED_MS ((clk_ms)500)
+/**
+ * Time for which a VM may accept connections without a response.  Its process
+ * may stand still for about a second and go on; a dead VM accepts none.
+ */
+#define SILENT_MAX_MS ((clk_ms)1500)
 /** Interval between the probes of an unresponsive VM. */
 #define PROBE_UNRESPONSIVE_MS ((clk_ms)2000)
 
@@ -726,8 +731,29 @@
   return vm->unresponsive ? PROBE_UNRESPONSIVE_MS : PROBE_MS;
 }
 
+static void
+record_probe (const struct frm *f, struct frm_vm *vm,
+              enum frm_probe_result result)
+{
+  if (result != FRM_PROBE_SILENT)
+    vm->silent_since = 0;
+  else if (!vm->silent_since)
+    vm->silent_since = f->now;
+  if (result == FRM_PROBE_ANSWERED)
+    {
+      vm->failed_probes = 0;
+      vm->probe_ok_at = f->now;
+    }
+  else if (result == FRM_PROBE_UNREACHABLE)
+    vm->failed_probes++;
+  else if (f->now - vm->silent_since >= SILENT_MAX_MS)
+    vm->failed_probes = PROBE_FAILURES_MAX;
+  vm->unresponsive = vm->failed_probes >= PROBE_FAILURES_MAX;
+}
+
 void
-frm_probe_done (struct frm *f, clk_ms now, uint64_t token, bool answered)
+frm_probe_done (struct frm *f, clk_ms now, uint64_t token,
+                enum frm_probe_result result)
 {
   f->now = now;
   for (size_t i = 0; i < f->nvms; i++)
@@ -736,10 +762,7 @@
       if (vm->probe_token != token || token == 0)
         continue;
       vm->probe_token = 0;
-      vm->failed_probes = answered ? 0 : vm->failed_probes + 1;
-      vm->unresponsive = vm->failed_probes >= PROBE_FAILURES_MAX;
-      if (answered)
-        vm->probe_ok_at = now;
+      record_probe (f, vm, result);
       vm->next_probe_at = now + probe_interval (vm);
     }
 }
--- a/serve/form.h
+++ b/serve/form.h
@@ -50,6 +50,15 @@
   FRM_UNANSWERED    /**< no response: it may still be carried out */
 };
 
+/** Result of a probe. */
+enum frm_probe_result
+{
+  FRM_PROBE_ANSWERED,
+  FRM_PROBE_SILENT,     /**< connected, but no response: the process may stand
+                             still for a moment */
+  FRM_PROBE_UNREACHABLE /**< no connection */
+};
+
 enum frm_action_kind
 {
   FRM_ORDER, /**< send an order; uses vm, token, order and the fields below */
@@ -137,7 +146,8 @@
 
 void frm_order_done (struct frm *f, clk_ms now, uint64_t token,
                      enum frm_result result);
-void frm_probe_done (struct frm *f, clk_ms now, uint64_t token, bool answered);
+void frm_probe_done (struct frm *f, clk_ms now, uint64_t token,
+                     enum frm_probe_result result);
 
 /** Advances all replicas; call it every FRM_TICK_MS. */
 void frm_tick (struct frm *f, clk_ms now);
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -263,6 +263,16 @@
   return !vm->killed && !vm->hung && !vm->silent && !vm->disconnected;
 }
 
+static enum frm_probe_result
+probe_result (const struct vm *vm)
+{
+  if (responds (vm))
+    return FRM_PROBE_ANSWERED;
+  return vm->silent && !vm->killed && !vm->hung && !vm->disconnected
+             ? FRM_PROBE_SILENT
+             : FRM_PROBE_UNREACHABLE;
+}
+
 static void
 handle_order (struct world *w, size_t core, const struct frm_action *a)
 {
@@ -299,7 +309,8 @@
       if (a.kind == FRM_ORDER)
         handle_order (w, core, &a);
       else
-        frm_probe_done (w->cores[core], w->now, a.token, vm && responds (vm));
+        frm_probe_done (w->cores[core], w->now, a.token,
+                        vm ? probe_result (vm) : FRM_PROBE_UNREACHABLE);
       free ((void *)a.members);
     }
 }
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -654,3 +654,20 @@
               "r1001 big is open: a1 a2 a3\n"
               "a4 is warm for big\n");
 }
+
+/* Guards against a member that is kept although it stands still for good. */
+Test (form, a_member_that_stays_silent_is_replaced)
+{
+  form_check ("lead 1\n vms a 4\n run 5000\n traffic\n silence a3\n"
+              "report-stall a1\n run 1400\n show\n run 2000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "join s1002 big: a4\n"
+              "open r1001 a1\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "a4 is warm for big\n"
+              "force-close r1001 a1\n"
+              "leave r1001 a1\n"
+              "join r1003 big: a1 a2 a4\n"
+              "open r1003 a1\n"
+              "r1003 big is open: a1 a2 a4\n");
+}
