dispatch: a server's error is not held against the node that passes it on

A 5xx with a server's seal that came through another node kept that node from being used for half a second, as if the node had failed; beside servers that fail requests a node without paths had fewer nodes to go through. Found on reading.

t9213 error_of_a_server_is_not_held_against_the_proxy is red without.

--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -421,7 +421,9 @@
       break;
     case DSP_RESPONSE_ERROR:
       q->error_response = true;
-      dsp_health_failure (d, q->endpoint);
+      /* The response of a server; its proxy works. */
+      if (!q->endpoint->is_proxy)
+        dsp_health_failure (d, q->endpoint);
       /* An error response to a resumed stream can't be appended to what the
          client already has. */
       if (q->partly_forwarded
--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -273,3 +273,14 @@
                  "check p3\n"
                  "send 3 10.0.0.1:80\n");
 }
+
+/* Guards against a node that is left alone because a server behind it failed a
+   request. */
+Test (dispatch_path, error_of_a_server_is_not_held_against_the_proxy)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n submit 1 once\n"
+                 "connect-failed 1\n connect-failed 1\n connect-failed 1\n"
+                 "sent 1\n error 1\n complete 1\n submit 2 safe\n",
+                 "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.1:80\n"
+                 "complete 1\nsend 2 10.0.0.1:80\n");
+}
