dispatch: free proxies that are gone

Each address that a node ever sent requests through stayed in memory as an endpoint of each pool, some 300 bytes, until the process ended. Found on reading.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -376,6 +376,7 @@
                                                 struct dsp_pool *p,
                                                 const struct dsp_req *q);
 void dsp_pool_free (struct dsp_pool *p);
+void dsp_endpoint_free (struct dsp_endpoint_state *s);
 
 /* dispatch-path.c */
 struct dsp_path *dsp_get_path (struct dsp *d, const char *service);
--- a/serve/dispatch-path.c
+++ b/serve/dispatch-path.c
@@ -267,6 +267,29 @@
 
 /* --- proxies ------------------------------------------------------------ */
 
+static bool
+is_current_proxy (const struct dsp *d, const struct dsp_endpoint_state *s)
+{
+  for (size_t i = 0; i < d->nproxies; i++)
+    if (net_addr_eq (&d->proxies[i].front, &s->addr))
+      return true;
+  return false;
+}
+
+/** Frees proxies that are gone and have no requests. */
+static void
+remove_old_proxies (const struct dsp *d, struct dsp_pool *p)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < p->nproxies; i++)
+    if (p->proxies[i]->own_requests || is_current_proxy (d, p->proxies[i]))
+      p->proxies[kept++] = p->proxies[i];
+    else
+      dsp_endpoint_free (p->proxies[i]);
+  p->nproxies = kept;
+}
+
 void
 dsp_set_proxies (struct dsp *d, clk_ms now, const struct dsp_proxy *list,
                  size_t n)
@@ -274,6 +297,8 @@
   d->now = now;
   d->nproxies = n < DSP_PROXIES_MAX ? n : DSP_PROXIES_MAX;
   memcpy (d->proxies, list, d->nproxies * sizeof *list);
+  for (size_t i = 0; i < d->npools; i++)
+    remove_old_proxies (d, d->pools[i]);
 }
 
 static bool
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -50,8 +50,8 @@
   return p;
 }
 
-static void
-free_endpoint (struct dsp_endpoint_state *s)
+void
+dsp_endpoint_free (struct dsp_endpoint_state *s)
 {
   free (s->server);
   free (s);
@@ -61,9 +61,9 @@
 dsp_pool_free (struct dsp_pool *p)
 {
   for (size_t i = 0; i < p->n; i++)
-    free_endpoint (p->endpoints[i]);
+    dsp_endpoint_free (p->endpoints[i]);
   for (size_t i = 0; i < p->nproxies; i++)
-    free_endpoint (p->proxies[i]);
+    dsp_endpoint_free (p->proxies[i]);
   free (p->endpoints);
   free (p->proxies);
   free (p->service);
@@ -101,7 +101,7 @@
     if (p->endpoints[i]->listed || p->endpoints[i]->own_requests)
       p->endpoints[kept++] = p->endpoints[i];
     else
-      free_endpoint (p->endpoints[i]);
+      dsp_endpoint_free (p->endpoints[i]);
   p->n = kept;
 }
 
