dispatch: silence counts from the first request on

A process that started without paths took 0.8 s to see that all servers are silent: the time began only when the first requests had waited for 0.4 s. Found on writing its test, whose time is cut to 0.44 s: t9213 silence_of_all_servers_is_a_lost_path.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -387,6 +387,10 @@
 /** A new connection to the server was made. */
 void dsp_path_new_connection (const struct dsp *d,
                               const struct dsp_endpoint_state *s);
+/** A request was sent to the endpoint: from the first one on, silence counts.
+ */
+void dsp_path_request_sent (const struct dsp *d,
+                            const struct dsp_endpoint_state *s);
 /** The endpoint has not answered a request in time. */
 void dsp_path_unanswered (struct dsp *d, const struct dsp_endpoint_state *s);
 /** The endpoint has sent data. */
--- a/serve/dispatch-path.c
+++ b/serve/dispatch-path.c
@@ -126,13 +126,18 @@
                                               : DSP_PATH_NO_CONNECTIONS);
 }
 
+void
+dsp_path_request_sent (const struct dsp *d, const struct dsp_endpoint_state *s)
+{
+  if (!s->is_proxy && s->pool->path->heard_at == 0)
+    s->pool->path->heard_at = d->now;
+}
+
 void
 dsp_path_unanswered (struct dsp *d, const struct dsp_endpoint_state *s)
 {
   struct dsp_path *p = s->pool->path;
 
-  if (p->heard_at == 0)
-    p->heard_at = d->now; /* the first requests of this process */
   if (s->is_proxy || d->now - p->heard_at <= SILENCE_MS)
     return;
   add_server (p->silent, &p->nsilent, s);
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -334,6 +334,7 @@
   dsp_transition (q, DSP_EVENT_SENT);
   if (!q->retryable)
     dsp_path_new_connection (d, q->endpoint);
+  dsp_path_request_sent (d, q->endpoint);
   q->sent_attempts++;
   q->sent_at = q->last_data_at = now;
   q->awaits_first_event = true;
--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -248,7 +248,7 @@
 {
   dispatch_play ("endpoints p 3 4\n proxies 1\n"
                  "submit 1 once\n sent 1\n submit 2 once\n sent 2\n"
-                 "submit 3 once\n sent 3\n run 900\n submit 4 once\n",
+                 "submit 3 once\n sent 3\n run 440\n submit 4 once\n",
                  "send 1 p3\n"
                  "send 2 p1\n"
                  "send 3 p2\n"
