t: a lost path blames no request

The runs that a cut breaks off must not count towards a request that crashes servers. Red when a refused connection is the end of a process at once (trial on a scratch copy).

--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -284,3 +284,30 @@
                  "send 1 p3\nsend 1 p1\nsend 1 p2\nsend 1 10.0.0.1:80\n"
                  "complete 1\nsend 2 10.0.0.1:80\n");
 }
+
+/* Guards against a request that is blocked as one that crashes servers because
+   a lost path broke off its runs. */
+Test (dispatch_path, lost_paths_blame_no_request)
+{
+  dispatch_play ("endpoints p 3 4\n proxies 1\n"
+                 "submit 1 once 7\n sent 1\n submit 2 once 7\n sent 2\n"
+                 "submit 3 once 7\n sent 3\n"
+                 "interrupted 1\n interrupted 2\n interrupted 3\n"
+                 "refused p1\n refused p2\n refused p3\n run 600\n"
+                 "alive p1\n alive p2\n alive p3\n submit 4 once 7\n",
+                 "send 1 p3\n"
+                 "send 2 p1\n"
+                 "send 3 p2\n"
+                 "check p3\n"
+                 "cancel 1\n"
+                 "error 1 broken 502\n"
+                 "check p1\n"
+                 "cancel 2\n"
+                 "error 2 broken 502\n"
+                 "check p2\n"
+                 "cancel 3\n"
+                 "error 3 broken 502\n"
+                 "check p3\n"
+                 "check p1\n"
+                 "send 4 p1\n");
+}
