exchange: log the shared parts of the prompt with each lost attempt

The adapter decodes the ids of the parts, all but the last one, which belongs to the request or its session; the log line lists them.

--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -61,6 +61,10 @@
   double prompt_tokens;     /**< tokens in the prompt; 0: not specified */
   double max_output_tokens; /**< maximum number of output tokens; 0: not
                                  specified */
+  /** Ids of the parts of the prompt that other requests may have as well, in
+      order; NULL: none.  The owner releases it with free(). */
+  uint64_t *shared_parts;
+  size_t nshared_parts;
 };
 
 /** Maximum number of headers in a list before those that an attempt adds. */
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -91,9 +91,11 @@
   clk_ms now = clk_now ();
 
   LOG (attempt_lost, LOG_S ("id", at->ex->request.id),
-       LOG_C ("digest", at->ex->digest_text), LOG_I ("attempt", at->number),
-       LOG_C ("server", at->server), LOG_C ("why", why),
-       LOG_I ("status", at->head.status), LOG_I ("passed", at->forwarding),
+       LOG_C ("digest", at->ex->digest_text),
+       LOG_S ("parts", buf_str (&at->ex->parts_text)),
+       LOG_I ("attempt", at->number), LOG_C ("server", at->server),
+       LOG_C ("why", why), LOG_I ("status", at->head.status),
+       LOG_I ("passed", at->forwarding),
        LOG_I ("ran_ms", at->first_event_at ? now - at->first_event_at : -1),
        LOG_I ("ms", now - at->started_at));
 }
@@ -610,5 +612,7 @@
     ex->next->prev = ex->prev;
   tbl_unref (ex->config);
   buf_free (&ex->servers);
+  buf_free (&ex->parts_text);
+  free (ex->request.shared_parts);
   free (ex);
 }
--- a/serve/exchange.h
+++ b/serve/exchange.h
@@ -51,6 +51,7 @@
   const struct tbl_account *account; /**< NULL: no account */
   uint64_t digest;                   /**< srv_request_digest() */
   char digest_text[17];              /**< in hexadecimal, for the log */
+  struct buf parts_text; /**< ids of `request.shared_parts`, for the log */
   struct srv_attempt *attempts;
   bool head_sent;     /**< the head of a streaming response was forwarded */
   int status;         /**< of the forwarded head */
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -142,6 +142,14 @@
   return ex->started_at + (left ? left : CLK_MINUTE);
 }
 
+static void
+format_parts (struct srv_exchange *ex)
+{
+  for (size_t i = 0; i < ex->request.nshared_parts; i++)
+    buf_addf (&ex->parts_text, i ? " %llx" : "%llx",
+              (unsigned long long)ex->request.shared_parts[i]);
+}
+
 static void
 submit (struct srv_exchange *ex)
 {
@@ -150,6 +158,7 @@
   ex->digest = srv_request_digest (ex);
   snprintf (ex->digest_text, sizeof ex->digest_text, "%016llx",
             (unsigned long long)ex->digest);
+  format_parts (ex);
 
   struct dsp_request q
       = { .id = ex->id,
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -2,6 +2,7 @@
    and the platform's configuration format. */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "platform/platform.h"
@@ -289,6 +290,37 @@
                 "each read is a billed call");
 }
 
+static void
+expect_shared_parts (const char *header, size_t n, const uint64_t *expected)
+{
+  struct http_header h
+      = { STR ("x-lapisline-prompt-prefix"), str_from (header) };
+  struct srv_request r;
+
+  plt_parse_request (&h, 1, &r);
+  cr_assert_eq (r.nshared_parts, n, "%s: %zu", header, r.nshared_parts);
+  for (size_t i = 0; i < n; i++)
+    cr_expect_eq (r.shared_parts[i], expected[i], "%s: %llx", header,
+                  (unsigned long long)r.shared_parts[i]);
+  free (r.shared_parts);
+}
+
+/* The last part of a prompt is the request's own and is shared by none. */
+Test (forward, shared_parts_of_a_prompt)
+{
+  const uint64_t two[] = { 0x5c1e07a2, 0x91bd3f06 };
+  const uint64_t longest[] = { UINT64_MAX };
+  const uint64_t hashed[]
+      = { str_hash (STR ("no number"), 0), str_hash (STR_EMPTY, 0) };
+
+  expect_shared_parts ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", 2, two);
+  expect_shared_parts (" 5C1E07A2 : 800 , 91bd3f06,e4402b7d", 2, two);
+  expect_shared_parts ("ffffffffffffffff:1,2:2", 1, longest);
+  expect_shared_parts ("no number:1,:2,3:3", 2, hashed);
+  expect_shared_parts ("5c1e07a2:800", 0, NULL);
+  expect_shared_parts ("", 0, NULL);
+}
+
 /*
  * The leader sends a list of 150 kB to 100 nodes over a link of 2.5 MB/s.  A
  * burst sufficient for some repairs is sent at once; after that the list uses
--- a/t/t9302-walk.c
+++ b/t/t9302-walk.c
@@ -94,13 +94,18 @@
   rack_set (&r, "{\"server\": \"e2\", \"cut_after\": 3}");
   rack_set (&r, "{\"server\": \"e3\", \"cut_after\": 3}");
   rack_set (&r, "{\"server\": \"e4\", \"cut_after\": 3}");
-  cr_expect_lt (rack_stream (&r, 0, "walk-2", &body), 0);
+  cr_expect_lt (rack_stream (&r, 0,
+                             "walk-2\r\nX-Lapisline-Prompt-Prefix: "
+                             "5c1e07a2:800,91:410,e4402b7d:250",
+                             &body),
+                0);
   kill_node (&r, 0);
   const char *line = expect_line (&r, 0, "request_ended", "id=\"walk-2\"");
   expect_text (line, "status=200");
   expect_text (line, "code=\"broken\"");
   line = expect_line (&r, 0, "attempt_lost", "id=\"walk-2\"");
   expect_text (line, "why=\"broken\"");
+  expect_text (line, "parts=\"5c1e07a2 91\"");
   expect_text (line, "passed=1");
   buf_free (&body);
 }
