t: a part of a prompt that crashes each server, as a failing test

The stand-in of the platform crashes a server under a part of the prompt, wherever it stands but last. Expected: five at most, and the sound ones go on.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -338,13 +338,28 @@
   rack_server_crash (t->data);
 }
 
+/** Whether the prompt has the part before its last one. */
+static bool
+has_part (struct str prompt, const char *part)
+{
+  for (size_t end; (end = str_chr (prompt, ',')) < prompt.len;
+       prompt = str_skip (prompt, end + 1))
+    if (str_is (str_head (prompt, str_chr (prompt, ':')), part))
+      return true;
+  return false;
+}
+
 /** Whether the request crashes the server; starts the crash timer if so. */
 static bool
 schedule_crash (struct server *s, struct httpd_req *req)
 {
   struct rack *r = s->rack;
+  bool by_part = r->crash_part[0]
+                 && has_part (httpd_header (req, PLT_H_PROMPT), r->crash_part);
 
-  if (!r->crash_body[0] || !str_is (httpd_get (req)->body, r->crash_body))
+  r->part_runs += by_part;
+  if (!by_part
+      && (!r->crash_body[0] || !str_is (httpd_get (req)->body, r->crash_body)))
     return false;
   if (!uv_is_active ((uv_handle_t *)&s->crash_timer))
     uv_timer_start (&s->crash_timer, on_crash, (uint64_t)r->crash_ms, 0);
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -157,6 +157,9 @@
   if (jsn_get (o, "crash_body"))
     snprintf (r->crash_body, sizeof r->crash_body, "%s",
               jsn_text (o, "crash_body"));
+  if (jsn_get (o, "crash_part"))
+    snprintf (r->crash_part, sizeof r->crash_part, "%s",
+              jsn_text (o, "crash_part"));
   if (jsn_get (o, "crash_ms"))
     r->crash_ms = (int)jsn_int (o, "crash_ms");
   if (jsn_get (o, "side_hides"))
@@ -223,6 +226,7 @@
     }
   json_object_object_add (o, "store", rack_store_counts (r));
   json_object_object_add (o, "crashed", json_object_new_int (r->crashed));
+  json_object_object_add (o, "part_runs", json_object_new_int (r->part_runs));
   g_hash_table_foreach (r->runs, add_repeated, repeated);
   json_object_object_add (o, "repeated", repeated);
   return o;
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -161,7 +161,10 @@
   int event_ms;        /**< delay between events of a stream, in ms */
   int events;          /**< per stream */
   char crash_body[64]; /**< request body that crashes the server */
+  char crash_part[32]; /**< id of a part of the prompt, except the last one,
+                            that crashes the server; empty: none */
   int crash_ms;        /**< delay from the request to the crash, in ms */
+  int part_runs;       /**< requests with that part that reached servers */
   int crashed;
   GHashTable *runs; /**< request id -> number of executions */
 };
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -41,8 +41,9 @@
   cr_assert_geq (count_leaders (r), n);
 }
 
+/** Value of a counter that the stand-in has for all servers together. */
 static int
-count_crashed (const struct rack *r)
+get_total (const struct rack *r, const char *name)
 {
   struct web_answer a = { 0 };
   struct json_object *o;
@@ -50,12 +51,18 @@
 
   web_call (r->platform_addr, "GET", "/control/counts", NULL, NULL, &a);
   o = jsn_parse (buf_str (&a.body));
-  n = (int)jsn_int (o, "crashed");
+  n = (int)jsn_int (o, name);
   json_object_put (o);
   web_free (&a);
   return n;
 }
 
+static int
+count_crashed (const struct rack *r)
+{
+  return get_total (r, "crashed");
+}
+
 /** Sends a request with @p body; @p a receives the response. */
 static void
 send_request (const struct rack *r, int node, const char *path,
@@ -404,3 +411,65 @@
     cr_expect_eq (request_status (&r, i, "/stream/x", "bad"), 503, "node %d",
                   i);
 }
+
+/* --- parts of prompts that crash servers ----------------------------------
+ */
+
+/** Number of crashes after which a part has to be blocked at the latest. */
+#define MAX_PART_CRASHES 5
+/** Id of the part that crashes servers. */
+#define BAD_PART "bad"
+
+/** Sends a request that no other one equals. @param parts  of its prompt that
+    others share */
+static int
+request_with_parts (const struct rack *r, int node, const char *parts)
+{
+  static int n;
+  struct web_answer a = { 0 };
+  char id[32], body[32], headers[512];
+  int status;
+
+  snprintf (id, sizeof id, "w%d", ++n);
+  snprintf (body, sizeof body, "own %d", n);
+  snprintf (headers, sizeof headers,
+            "%sX-Lapisline-Prompt-Prefix: %s,f%x:250\r\n", rack_headers (id),
+            parts, n);
+  web_call (r->front[node], "POST", "/stream/x", headers, body, &a);
+  status = a.whole ? a.status : -a.status;
+  web_free (&a);
+  return status;
+}
+
+static void
+start_with_crash_part (struct rack *r)
+{
+  rack_start_all (r, ENGINES);
+  wait_for_leaders (r, REPLICAS);
+  rack_set (r, "{\"crash_part\": \"" BAD_PART "\", \"crash_ms\": 70}");
+}
+
+/* Guards against requests that crash one server after another because of a
+   part of the prompt that they share, while no two of them are the same. */
+Test (crash, part_of_prompts_is_blocked)
+{
+  struct rack r;
+
+  start_with_crash_part (&r);
+  for (int i = 0; i < 12; i++)
+    {
+      cr_expect_eq (request_with_parts (&r, i % RACK_NODES, "aa:800,cc:90"),
+                    200);
+      request_with_parts (&r, i % RACK_NODES, "aa:800," BAD_PART ":410,cc:90");
+      usleep (PROPAGATION_US);
+    }
+  cr_expect_leq (count_crashed (&r), MAX_PART_CRASHES, "%d servers crashed",
+                 count_crashed (&r));
+  for (int i = 0; i < RACK_NODES; i++)
+    {
+      cr_expect_eq (request_with_parts (&r, i, "aa:800," BAD_PART ":410"),
+                    503);
+      cr_expect_eq (request_with_parts (&r, i, "aa:800,dd:70"), 200);
+      cr_expect_eq (request_with_parts (&r, i, "aa:800,cc:90"), 200);
+    }
+}
