--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -5672,7 +5672,7 @@
   (ProtobufCMessageInit) lapis__poison_updates__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__poison_update__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lapis__poison_update__field_descriptors[8] =
 {
   {
     "kind",
@@ -5746,19 +5746,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonUpdate, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "companions",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Lapis__PoisonUpdate, n_companions),
+    offsetof(Lapis__PoisonUpdate, companions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__poison_update__field_indices_by_name[] = {
   5,   /* field[5] = broadcast */
+  7,   /* field[7] = companions */
   1,   /* field[1] = digest */
   4,   /* field[4] = hold_ms */
   0,   /* field[0] = kind */
   2,   /* field[2] = place */
   3,   /* field[3] = ran_ms */
+  6,   /* field[6] = request */
 };
 static const ProtobufCIntRange lapis__poison_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lapis__poison_update__descriptor =
 {
@@ -5768,7 +5794,7 @@
   "Lapis__PoisonUpdate",
   "lapis",
   sizeof(Lapis__PoisonUpdate),
-  6,
+  8,
   lapis__poison_update__field_descriptors,
   lapis__poison_update__field_indices_by_name,
   1,  lapis__poison_update__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -1007,11 +1007,12 @@
 {
   ProtobufCMessage base;
   /*
-   * enum psn_kind
+   * enum psn_kind; 8 more for a part of a prompt.  Nodes that don't know
+   * these kinds ignore the update.
    */
   uint32_t kind;
   /*
-   * of the request
+   * of the request, or id of the part
    */
   uint64_t digest;
   /*
@@ -1024,10 +1025,19 @@
    * all nodes need it
    */
   protobuf_c_boolean broadcast;
+  /*
+   * crash of a part: the request that had it
+   */
+  uint64_t request;
+  /*
+   * parts that are blocked together
+   */
+  size_t n_companions;
+  uint64_t *companions;
 };
 #define LAPIS__POISON_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_update__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -1,7 +1,10 @@
 #include "serve/dispatch-int.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/str.h"
+
 /*
  * An interrupted connection doesn't show whether the backend server crashed or
  * the connection was reset. The server is checked once for all runs that were
@@ -28,6 +31,23 @@
 /** Time for the answer of another server, and interval between such checks. */
 #define REFERENCE_INTERVAL_MS ((clk_ms)50)
 
+static void
+free_runs (struct dsp_interruption *b)
+{
+  for (size_t i = 0; i < b->nruns; i++)
+    free ((void *)b->runs[i].request.parts);
+  free (b->runs);
+  b->runs = NULL;
+  b->nruns = b->runs_capacity = 0;
+}
+
+void
+dsp_crash_free (struct dsp *d)
+{
+  for (size_t i = 0; i < DSP_INTERRUPTIONS_MAX; i++)
+    free_runs (&d->interruptions[i]);
+}
+
 /** Finds the record for a run that is interrupted now. A record whose check
     found the server alive or unreachable is not reused. */
 static struct dsp_interruption *
@@ -51,6 +71,7 @@
   for (size_t i = 1; i < DSP_INTERRUPTIONS_MAX; i++)
     if (d->interruptions[i].first_at < oldest->first_at)
       oldest = &d->interruptions[i];
+  free_runs (oldest);
   memset (oldest, 0, sizeof *oldest);
   oldest->endpoint = endpoint;
   oldest->first_at = d->now;
@@ -72,13 +93,26 @@
   return add_interruption (d, s->hash);
 }
 
+/** Keeps a copy of the run until the check is complete. */
+static void
+add_run (struct dsp_interruption *b, const struct psn_run *run)
+{
+  if (b->nruns == b->runs_capacity)
+    {
+      b->runs_capacity = 2 * b->runs_capacity + 8;
+      b->runs = xrealloc (b->runs, b->runs_capacity * sizeof (*b->runs));
+    }
+  b->runs[b->nruns] = *run;
+  b->runs[b->nruns++].request.parts
+      = dsp_copy_parts (run->request.parts, run->request.nparts);
+}
+
 void
 dsp_run_interrupted (struct dsp *d, const struct dsp_req *q)
 {
   const struct dsp_endpoint_state *s = q->endpoint;
-  struct psn_update run
-      = { .kind = PSN_CRASH,
-          .digest = q->digest,
+  struct psn_run run
+      = { .request = q->poison_ids,
           .endpoint = s->hash,
           .ran_ms = q->streaming ? d->now - q->first_event_at : PSN_NO_EVENT };
   struct dsp_interruption *b = find_interruption (d, s->hash);
@@ -90,9 +124,9 @@
   if (!b)
     b = start_check (d, s);
   if (b->checked && d->opt.poison)
-    psn_apply (d->opt.poison, d->now, &run);
-  else if (b->nruns < DSP_INTERRUPTED_RUNS_MAX)
-    b->runs[b->nruns++] = run;
+    psn_run_crashed (d->opt.poison, d->now, &run);
+  else
+    add_run (b, &run);
 }
 
 static void
@@ -103,12 +137,16 @@
   b->refused_at = 0;
   b->liveness = found;
   if (found != DSP_ENDED)
-    return;
+    {
+      free_runs (b);
+      return;
+    }
   d->stats.servers_ended++;
   if (s)
     s->process_ended_until = d->now + PROCESS_ENDED_MS;
   for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
-    psn_apply (d->opt.poison, d->now, &b->runs[i]);
+    psn_run_crashed (d->opt.poison, d->now, &b->runs[i]);
+  free_runs (b);
 }
 
 size_t
@@ -117,6 +155,7 @@
 {
   struct dsp_endpoint_state *s;
   struct dsp_interruption *b;
+  size_t runs;
 
   d->now = now;
   s = dsp_find_endpoint (d, endpoint);
@@ -127,12 +166,13 @@
   b = find_interruption (d, endpoint);
   if (b && b->checked)
     b = NULL;
+  runs = b ? b->nruns : 0;
   if (b && found == DSP_CONN_REFUSED)
     b->refused_at = now;
   else if (b)
     conclude (d, b, s, found);
   dsp_crash_tick (d);
-  return b ? b->nruns : 0;
+  return runs;
 }
 
 /*
@@ -179,7 +219,16 @@
 bool
 dsp_is_suspect (const struct dsp *d, const struct dsp_req *q)
 {
-  return d->opt.poison && psn_is_suspect (d->opt.poison, q->digest);
+  return d->opt.poison
+         && psn_is_suspect (d->opt.poison, d->now, &q->poison_ids);
+}
+
+bool
+dsp_is_refused (const struct dsp *d, const struct dsp_req *q,
+                struct psn_refusal *out)
+{
+  return d->opt.poison
+         && psn_should_refuse (d->opt.poison, d->now, &q->poison_ids, out);
 }
 
 bool
@@ -203,15 +252,16 @@
 }
 
 void
-dsp_request_blocked (struct dsp *d, clk_ms now, uint64_t digest)
+dsp_poison_blocked (struct dsp *d, clk_ms now)
 {
+  struct psn_refusal why;
   struct dsp_req *next;
 
   d->now = now;
   for (struct dsp_req *q = d->open_list; q; q = next)
     {
       next = q->next;
-      if (q->digest == digest && can_prevent (q))
-        dsp_give_up (d, q, DSP_POISON, DSP_INTERRUPTED, 0);
+      if (can_prevent (q) && dsp_is_refused (d, q, &why) && !why.retry_ms)
+        dsp_refuse_poison (d, q, &why);
     }
 }
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -187,7 +187,8 @@
   clk_ms sent_at, queued_at;
   clk_ms last_data_at;
   double prompt_tokens;
-  uint64_t digest;
+  struct psn_request poison_ids; /**< owns the list of parts */
+  struct psn_id refused_for; /**< the one of these that it is refused for */
   bool retryable;
   bool queued;
   bool streaming; /**< the current attempt has received its first event */
@@ -225,7 +226,6 @@
 #define DSP_NOTICES_MAX 256 /**< capacity; the oldest are overwritten */
 
 #define DSP_INTERRUPTIONS_MAX 64 /**< capacity; the oldest are overwritten */
-#define DSP_INTERRUPTED_RUNS_MAX 64 /**< more are not counted */
 
 /** Runs interrupted at one endpoint at about the same time. */
 struct dsp_interruption
@@ -236,9 +236,9 @@
   clk_ms refused_at; /**< the check's connection was refused then, which is to
                           be confirmed; 0: it was not */
   enum dsp_liveness liveness;
-  struct psn_update runs[DSP_INTERRUPTED_RUNS_MAX]; /**< pending until the
-                                                         check is complete */
-  size_t nruns;
+  struct psn_run *runs; /**< pending until the check is complete; each owns its
+                             list of parts */
+  size_t nruns, runs_capacity;
 };
 
 /** Servers whose failures are recorded in a row. */
@@ -330,12 +330,18 @@
                   enum dsp_code if_not_executed, enum dsp_code if_executed,
                   clk_ms retry_ms);
 
+/** Ends the request, which may crash servers, or its retry. */
+void dsp_refuse_poison (struct dsp *d, struct dsp_req *q,
+                        const struct psn_refusal *why);
+
 /* dispatch-request.c */
 struct dsp_req *dsp_find_request (const struct dsp *d, uint64_t id);
 /** The request, or NULL if @p attempt is not its current attempt. */
 struct dsp_req *dsp_find_attempt (const struct dsp *d, uint64_t id,
                                   unsigned attempt);
 struct dsp_req *dsp_add_request (struct dsp *d, const struct dsp_request *in);
+/** @return a copy of the list, to be freed; NULL if it is empty */
+const uint64_t *dsp_copy_parts (const uint64_t *parts, size_t n);
 /** Removes the request from the table and frees it; it must not be queued. */
 void dsp_free_request (struct dsp *d, struct dsp_req *q);
 
@@ -493,6 +499,11 @@
 
 /* dispatch-crash.c */
 void dsp_run_interrupted (struct dsp *d, const struct dsp_req *q);
+void dsp_crash_free (struct dsp *d);
+/** Whether the request must not be run, as it may crash servers.
+    @param out  receives the reason */
+bool dsp_is_refused (const struct dsp *d, const struct dsp_req *q,
+                     struct psn_refusal *out);
 /** Whether this node or another one found, a short time ago, that the
     endpoint's process ended. */
 bool dsp_process_ended (const struct dsp *d,
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -202,6 +202,7 @@
 
   a->code = code;
   a->retry_after_ms = retry_ms;
+  a->poison = q->refused_for;
   d->stats.answered[code]++;
   finish_request (d, q);
 }
@@ -236,6 +237,14 @@
   respond_error (d, q, if_not_executed, retry_ms);
 }
 
+void
+dsp_refuse_poison (struct dsp *d, struct dsp_req *q,
+                   const struct psn_refusal *why)
+{
+  q->refused_for = why->id;
+  dsp_give_up (d, q, DSP_POISON, DSP_INTERRUPTED, why->retry_ms);
+}
+
 /** Does the same as dsp_give_up(), with the estimated time until a slot is
     free as the retry delay. */
 static void
@@ -320,10 +329,16 @@
 dsp_request_sent (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt)
 {
   struct dsp_req *q = dsp_find_attempt (d, id, attempt);
+  struct psn_refusal why;
 
   d->now = now;
   if (!q || (q->state != DSP_S_CONNECTING && q->state != DSP_S_RECONNECTING))
     return false;
+  if (dsp_is_refused (d, q, &why))
+    {
+      dsp_refuse_poison (d, q, &why);
+      return false;
+    }
   if (!dsp_avail_allows (d, q->endpoint))
     {
       cancel_attempt (d, q);
@@ -489,7 +504,7 @@
   dsp_health_success (d, q->endpoint);
   /* An error response doesn't prove that execution had begun. */
   if (d->opt.poison && !q->error_response)
-    psn_completed (d->opt.poison, now, q->digest);
+    psn_completed (d->opt.poison, now, &q->poison_ids);
   ms = (double)(now - q->sent_at);
   q->pool->mean_response_ms += (q->pool->mean_response_ms > 0 ? 0.05 : 1)
                                * (ms - q->pool->mean_response_ms);
@@ -518,7 +533,7 @@
 dsp_submit (struct dsp *d, clk_ms now, const struct dsp_request *in)
 {
   struct dsp_req *q;
-  clk_ms retry_ms;
+  struct psn_refusal why;
 
   d->now = now;
   if (dsp_find_request (d, in->id))
@@ -539,11 +554,9 @@
       respond_error (d, q, DSP_NO_CONNECTION, MIN_RETRY_MS);
       return;
     }
-  if (d->opt.poison
-      && psn_should_refuse (d->opt.poison, now, q->digest, &retry_ms))
+  if (dsp_is_refused (d, q, &why))
     {
-      dsp_transition (q, DSP_EVENT_REFUSE);
-      respond_error (d, q, DSP_POISON, retry_ms);
+      dsp_refuse_poison (d, q, &why);
       return;
     }
   if (!q->proxied)
@@ -702,6 +715,7 @@
       free (d->paths[i]->service);
       free (d->paths[i]);
     }
+  dsp_crash_free (d);
   free (d->paths);
   free (d->pools);
   free (d->budgets);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -58,8 +58,11 @@
   double prompt_tokens; /**< prompt length in tokens; 0: unknown */
   double max_output_tokens; /**< limit on generated tokens; 0: unknown */
   uint64_t digest; /**< equal for identical requests of the same client */
-  bool proxied;    /**< another node sent it, because it reaches no backend
-                        server: one attempt, outside the retry budget */
+  /** ids of the parts of its prompt that other requests may have; copied */
+  const uint64_t *parts;
+  size_t nparts;
+  bool proxied; /**< another node sent it, because it reaches no backend
+                     server: one attempt, outside the retry budget */
 };
 
 /** A destination for requests: a backend server of a plain service, or the
@@ -210,6 +213,7 @@
   enum dsp_code code;
   clk_ms retry_after_ms; /**< delay after which the client may retry; 0: not
                               given */
+  struct psn_id poison;  /**< DSP_POISON: the request or part that decided */
 };
 
 struct dsp_options
@@ -337,9 +341,9 @@
 size_t dsp_process_checked (struct dsp *d, clk_ms now, uint64_t endpoint,
                             enum dsp_liveness found);
 
-/** The request with that digest crashes servers: fails those instances whose
-    execution has not begun. */
-void dsp_request_blocked (struct dsp *d, clk_ms now, uint64_t digest);
+/** A request or part that crashes servers was blocked: fails the requests that
+    are refused from now on and whose execution has not begun. */
+void dsp_poison_blocked (struct dsp *d, clk_ms now);
 
 /** Retry budget of a service, as of the last retry that it denied. */
 struct dsp_denied_retries
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -518,10 +518,14 @@
 static void
 send_error_response (struct srv_exchange *ex, const struct dsp_action *a)
 {
+  char part[17] = "";
+
+  if (a->poison.is_part)
+    snprintf (part, sizeof part, "%llx", (unsigned long long)a->poison.value);
   LOG (request_failed, LOG_S ("id", ex->request.id),
        LOG_C ("code", dsp_code_name (a->code)),
-       LOG_S ("route", ex->route->name), LOG_I ("attempts", a->attempt),
-       LOG_I ("retry_ms", a->retry_after_ms),
+       LOG_S ("route", ex->route->name), LOG_C ("part", part),
+       LOG_I ("attempts", a->attempt), LOG_I ("retry_ms", a->retry_after_ms),
        LOG_I ("servers_age_ms", srv_sync_list_age (ex->s, clk_now ())),
        LOG_I ("after_ms", clk_now () - ex->started_at));
   if (ex->req)
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -171,6 +171,8 @@
           .prompt_tokens = ex->request.prompt_tokens,
           .max_output_tokens = ex->request.max_output_tokens,
           .digest = ex->digest,
+          .parts = ex->request.shared_parts,
+          .nparts = ex->request.nshared_parts,
           .proxied = httpd_header (ex->req, SRV_H_PROXIED).len > 0 };
 
   if (q.service->nmodels)
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -75,7 +75,10 @@
          (double)f->stalls);
   gauge (s, PREFIX "requests_blocked",
          "Requests that are refused as servers crash when they run them.",
-         NULL, (double)psn_count_blocked (s->poison));
+         NULL, (double)psn_count_blocked (s->poison, false));
+  gauge (s, PREFIX "parts_blocked",
+         "Parts of prompts whose requests are refused as servers crash.", NULL,
+         (double)psn_count_blocked (s->poison, true));
   gauge (s, PREFIX "servers_ended",
          "Backend servers whose process ended under requests of this node.",
          NULL, (double)f->servers_ended);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -235,8 +235,8 @@
 /* poison-store.c: blocked poison requests in the store */
 void srv_poison_store_start (struct srv *s);
 void srv_poison_store_tick (struct srv *s, clk_ms now);
-/** This request was blocked, or unblocked. */
-void srv_poison_changed (struct srv *s, clk_ms now, uint64_t digest,
+/** This request or part was blocked, or unblocked. */
+void srv_poison_changed (struct srv *s, clk_ms now, struct psn_id id,
                          bool blocked);
 /** An item below the prefix of blocked requests was read from the store, or
     was deleted there. @param name  rest of the key after that prefix */
--- a/serve/peers-poison.c
+++ b/serve/peers-poison.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 
 /*
- * Updates about poison requests, which crash backend servers, in the frames
+ * Updates about poison requests, which crash backend servers, and about parts
+ * of prompts that make requests do so, in the frames
  * between nodes.  Each node forwards updates that are new to it, so an update
  * also reaches nodes whose links to the sender are cut.  In a large fleet,
  * only relays are collectors, which receive the reports of requests that were
@@ -13,13 +14,18 @@
 
 /** Most updates in one frame. */
 #define UPDATES_MAX 512
+/** Added to the kind of an update about a part of a prompt. */
+#define PART_KINDS 8
 
 static void
-fill_row (Lapis__PoisonUpdate *row, const struct psn_update *update)
+fill_row (Lapis__PoisonUpdate *row, struct psn_update *update)
 {
   lapis__poison_update__init (row);
-  row->kind = update->kind;
-  row->digest = update->digest;
+  row->kind = update->kind + (update->id.is_part ? PART_KINDS : 0);
+  row->digest = update->id.value;
+  row->request = update->request;
+  row->n_companions = update->ncompanions;
+  row->companions = update->companions;
   row->place = update->endpoint;
   row->ran_ms = update->ran_ms;
   row->hold_ms = (uint32_t)update->hold_ms;
@@ -35,12 +41,14 @@
   Lapis__PoisonUpdates updates = LAPIS__POISON_UPDATES__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
   Lapis__PoisonUpdate rows[UPDATES_MAX], *row_list[UPDATES_MAX];
+  struct psn_update copies[UPDATES_MAX];
   size_t k = 0;
 
   for (size_t i = 0; i < n; i++)
     if (collector || list[i].broadcast)
       {
-        fill_row (&rows[k], &list[i]);
+        copies[k] = list[i];
+        fill_row (&rows[k], &copies[k]);
         row_list[k] = &rows[k];
         k++;
       }
@@ -99,6 +107,29 @@
   send_updates (x, list, n);
 }
 
+/** @retval false  the row is invalid, or of a kind that is not known here */
+static bool
+read_row (const Lapis__PoisonUpdate *row, struct psn_update *out)
+{
+  bool is_part = row->kind >= PART_KINDS;
+  uint32_t kind = is_part ? row->kind - PART_KINDS : row->kind;
+
+  if (kind > (is_part ? PSN_COMPLETED : PSN_CLEARED)
+      || row->hold_ms > PSN_HOLD_MS || row->n_companions > PSN_MAX_COMPANIONS)
+    return false;
+  *out = (struct psn_update){ .kind = kind,
+                              .id = { is_part, row->digest },
+                              .endpoint = row->place,
+                              .ran_ms = row->ran_ms,
+                              .request = row->request,
+                              .hold_ms = row->hold_ms,
+                              .ncompanions = row->n_companions,
+                              .broadcast = row->broadcast };
+  for (size_t i = 0; i < row->n_companions; i++)
+    out->companions[i] = row->companions[i];
+  return true;
+}
+
 void
 prs_on_poison_updates (struct peer *x, const Lapis__PoisonUpdates *updates)
 {
@@ -107,16 +138,9 @@
 
   for (size_t i = 0; i < updates->n_updates; i++)
     {
-      const Lapis__PoisonUpdate *row = updates->updates[i];
-      if (row->kind > PSN_CLEARED || row->hold_ms > PSN_HOLD_MS)
-        continue;
-      psn_apply (s->poison, now,
-                 &(struct psn_update){ .kind = row->kind,
-                                       .digest = row->digest,
-                                       .endpoint = row->place,
-                                       .ran_ms = row->ran_ms,
-                                       .hold_ms = row->hold_ms,
-                                       .broadcast = row->broadcast });
+      struct psn_update update;
+      if (read_row (updates->updates[i], &update))
+        psn_apply (s->poison, now, &update);
     }
   srv_poison_process (s);
 }
--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -2,8 +2,9 @@
  * @file
  * Internal structures of the detection of poison requests.
  *
- *   poison.c          updates, states and timeouts
- *   poison-suspect.c  table of requests, and the evidence against each one
+ *   poison.c            updates, states and timeouts
+ *   poison-suspect.c    table of suspects, and the evidence against each one
+ *   poison-completed.c  completed runs, which clear suspects
  */
 #ifndef LAPISLINE_SERVE_POISON_INT_H
 #define LAPISLINE_SERVE_POISON_INT_H
@@ -14,8 +15,15 @@
 #define PSN_MAX_CRASHED_RUNS 8
 /** Number of recent crashes recorded as attributed to a request. */
 #define PSN_MAX_ATTRIBUTED 64
-/** Number of recent completions recorded. */
+/** Number of recent crashes that are told apart by their time. */
+#define PSN_MAX_CRASHES 64
+/** Number of recent completions of requests recorded. */
 #define PSN_MAX_COMPLETED 1024
+/** Size of the cache of completed parts.  It holds those of the last seconds
+   at 10,000 different parts per minute. */
+#define PSN_PART_SETS 1024
+#define PSN_PART_WAYS 4
+#define PSN_BUCKETS 1024
 
 enum psn_state
 {
@@ -26,41 +34,67 @@
   PSN_S_CLEARED /**< delayed updates about the request are ignored */
 };
 
-/** A run of the request that was in progress when its server crashed. */
+/** A run of the request, or with the part, that was in progress when its
+    server crashed. */
 struct psn_crashed_run
 {
   uint64_t endpoint; /**< 0: placeholder for a crash before the last block */
   clk_ms ran_ms;
-  bool attributed_to_other; /**< the crash is attributed to another request */
+  uint64_t request;         /**< of a part: the request that had it */
+  uint32_t moment;          /**< the same for servers that crashed together */
+  bool attributed_to_other; /**< the crash is attributed to another suspect */
 };
 
+/** A request or a part. */
 struct psn_suspect
 {
-  uint64_t digest;
+  struct psn_id id;
+  uint32_t
+      bucket_next; /**< index + 1 of the next one in its bucket; 0: none */
   enum psn_state state;
   clk_ms state_ends_at;
-  clk_ms pending_at; /**< when the observed request becomes pending; CLK_NEVER:
+  clk_ms pending_at; /**< when the observed suspect becomes pending; CLK_NEVER:
                       not enough evidence */
   struct psn_crashed_run crashed_runs[PSN_MAX_CRASHED_RUNS];
   size_t ncrashed_runs;
+  /** pending or blocked part: it is refused only together with these */
+  uint64_t companions[PSN_MAX_COMPANIONS];
+  size_t ncompanions;
+  clk_ms companions_at; /**< when to compare them with the part again, after a
+                             crash; CLK_NEVER: no crash since */
 };
 
 struct psn_completion
 {
-  uint64_t digest;
-  clk_ms at;
+  uint64_t digest; /**< or id of the part */
+  clk_ms at;       /**< 0: unused */
+};
+
+/** When a server crashed. */
+struct psn_crash_time
+{
+  uint64_t endpoint;
+  clk_ms at;       /**< of the first crash of that moment */
+  uint32_t moment; /**< 0: unused */
 };
 
 struct psn
 {
   struct psn_suspect *suspects;
   size_t n, capacity;
+  uint32_t buckets[PSN_BUCKETS]; /**< index + 1 of the first one; 0: none */
   struct psn_completion completed[PSN_MAX_COMPLETED]; /**< a ring */
   size_t next_completed;
+  /** by id; the oldest one of a set is replaced */
+  struct psn_completion completed_parts[PSN_PART_SETS][PSN_PART_WAYS];
+  struct psn_crash_time crashes[PSN_MAX_CRASHES]; /**< a ring */
+  size_t next_crash;
+  uint32_t last_moment;
   /** Endpoints whose crash is attributed to any request; a ring. */
   uint64_t attributed_endpoints[PSN_MAX_ATTRIBUTED];
   size_t next_attributed;
-  bool is_collector; /**< see psn_set_collecting() */
+  bool is_collector;   /**< see psn_set_collecting() */
+  bool has_companions; /**< a suspect may have companions */
   struct psn_update *updates;
   size_t nupdates, updates_capacity;
   bool fetched; /**< the list was returned; the next update starts a new one */
@@ -68,35 +102,52 @@
 };
 
 /* poison-suspect.c */
-struct psn_suspect *psn_find (const struct psn *p, uint64_t digest);
-/** Find the request or add it.  In a full table, it replaces the request with
-    the least evidence; a blocked request only if all of them are blocked. */
+struct psn_suspect *psn_find (const struct psn *p, struct psn_id id);
+/** Find the suspect or add it.  In a full table, it replaces the one with the
+    least evidence; a blocked one only if all of them are blocked. */
 struct psn_suspect *psn_find_or_add (struct psn *p, clk_ms now,
-                                     uint64_t digest);
+                                     struct psn_id id);
 void psn_remove (struct psn *p, struct psn_suspect *s);
-/** Find the crashed run of the request at an endpoint, or NULL. */
+/** Find the crashed run of the suspect at an endpoint, or NULL. */
 struct psn_crashed_run *psn_find_crashed_run (struct psn_suspect *s,
                                               uint64_t endpoint);
-/** Whether the request is pending or blocked, so that its crashes are
+/** Identifies the moment at which the server crashed. */
+uint32_t psn_crash_moment (struct psn *p, clk_ms now, uint64_t endpoint);
+/** Whether the suspect is pending or blocked, so that its crashes are
     attributed to it. */
 bool psn_is_pending_or_blocked (const struct psn_suspect *s);
-/** Whether one more crash would block the request. */
-bool psn_is_near_block (const struct psn_suspect *s);
-/** Whether the crash at an endpoint is attributed to any request. */
+/** Whether one more crash would block the suspect. */
+bool psn_is_near_block (const struct psn *p, clk_ms now,
+                        const struct psn_suspect *s);
+/** Whether the crash at an endpoint is attributed to any suspect. */
 bool psn_is_attributed (const struct psn *p, uint64_t endpoint);
-/** Attribute all crashes of the request to it; they then count less against
-    other requests. */
+/** Attribute all crashes of the suspect to it; they then count less against
+    others. */
 void psn_attribute_crashes (struct psn *p, clk_ms now,
                             const struct psn_suspect *s);
 /** Whether the crashes of @p a are a proper subset of those of @p b. */
 bool psn_crashes_are_subset (const struct psn_suspect *a,
                              struct psn_suspect *b);
+/** Find the parts that were in each crashed run with the part @p s. */
+void psn_find_companions (const struct psn *p, struct psn_suspect *s);
+/** Remove the companions that were missing in a crashed run with @p s.
+    @retval false  there are none */
+bool psn_check_companions (const struct psn *p, struct psn_suspect *s);
+/** @retval false  the part is no companion of @p s */
+bool psn_remove_companion (struct psn_suspect *s, uint64_t part);
 /** Update `pending_at` from the evidence. */
 void psn_update_pending_time (const struct psn *p, clk_ms now,
                               struct psn_suspect *s);
-/** The observed request to be set pending now: among those with a
+/** The observed suspect to be set pending now: among those with a
    `pending_at`, the one with the most evidence.  NULL: none of these times has
    passed. */
 struct psn_suspect *psn_next_pending (const struct psn *p, clk_ms now);
 
+/* poison-completed.c */
+/** A run of the request, or with the part, has completed. */
+void psn_record_completion (struct psn *p, clk_ms now, struct psn_id id);
+/** Whether one completed within the last @p ms. */
+bool psn_has_completed (const struct psn *p, clk_ms now, struct psn_id id,
+                        clk_ms ms);
+
 #endif
--- a/serve/poison-node.c
+++ b/serve/poison-node.c
@@ -5,24 +5,56 @@
 #include <string.h>
 
 static void
-handle_update (struct srv *s, clk_ms now, const struct psn_update *update)
+log_blocked (const struct psn_update *update)
 {
+  struct buf parts = BUF_INIT;
   char digest[17];
 
-  snprintf (digest, sizeof digest, "%016llx",
-            (unsigned long long)update->digest);
-  switch (update->kind)
+  if (!update->id.is_part)
     {
-    case PSN_BLOCKED:
+      snprintf (digest, sizeof digest, "%016llx",
+                (unsigned long long)update->id.value);
       LOG (request_blocked, LOG_C ("digest", digest),
            LOG_I ("hold_ms", update->hold_ms));
-      dsp_request_blocked (s->dispatch, now, update->digest);
-      srv_poison_changed (s, now, update->digest, true);
+      return;
+    }
+  buf_addf (&parts, "%llx", (unsigned long long)update->id.value);
+  for (size_t i = 0; i < update->ncompanions; i++)
+    buf_addf (&parts, " %llx", (unsigned long long)update->companions[i]);
+  LOG (part_blocked, LOG_S ("parts", buf_str (&parts)),
+       LOG_I ("hold_ms", update->hold_ms));
+  buf_free (&parts);
+}
+
+static void
+log_unblocked (const struct psn_update *update)
+{
+  char id[17];
+
+  snprintf (id, sizeof id, update->id.is_part ? "%llx" : "%016llx",
+            (unsigned long long)update->id.value);
+  if (update->id.is_part)
+    LOG (part_unblocked, LOG_C ("part", id),
+         LOG_I ("completed", update->kind == PSN_COMPLETED));
+  else
+    LOG (request_unblocked, LOG_C ("digest", id));
+}
+
+static void
+handle_update (struct srv *s, clk_ms now, const struct psn_update *update)
+{
+  switch (update->kind)
+    {
+    case PSN_BLOCKED:
+      log_blocked (update);
+      dsp_poison_blocked (s->dispatch, now);
+      srv_poison_changed (s, now, update->id, true);
       break;
     case PSN_CLEARED:
+    case PSN_COMPLETED:
       if (update->broadcast)
-        LOG (request_unblocked, LOG_C ("digest", digest));
-      srv_poison_changed (s, now, update->digest, false);
+        log_unblocked (update);
+      srv_poison_changed (s, now, update->id, false);
       break;
     case PSN_CRASH:
     case PSN_BLOCK_PENDING:
--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -7,61 +7,129 @@
 
 /** Weights of a crash as evidence.  A poison request crashes its server soon
     after it starts to run, so the weight is higher for short runs.  It is
-    halved if the crash is attributed to another request. */
+    halved if the crash is attributed to another suspect. */
 #define WEIGHT_NO_EVENT 4 /* the run had produced no event */
 #define WEIGHT_EARLY 3
 #define WEIGHT_LONG 2
 #define EARLY_MS ((clk_ms)500)
-/** Weights from which a request is blocked, or would be blocked after one more
+/** A run with a part is long only from this time on: the server writes the
+    first tokens at the pace of all its runs, and events hold several. */
+#define PART_EARLY_MS ((clk_ms)1000)
+/** Weights from which a suspect is blocked, or would be blocked after one more
     crash. */
 #define MIN_BLOCK_WEIGHT ((PSN_CRASHES - 1) * WEIGHT_NO_EVENT + WEIGHT_EARLY)
-#define MIN_NEAR_BLOCK_WEIGHT (MIN_BLOCK_WEIGHT - WEIGHT_NO_EVENT)
 
 /** Delay between the crash after which the evidence suffices for a block and
     the decision.
     Other nodes need this time to report which of their requests were running
     when the same server crashed. */
 #define SETTLE_MS ((clk_ms)100)
+/** Servers whose crashes are reported within this time have crashed together.
+    It covers the check of each server. */
+#define SAME_MOMENT_MS ((clk_ms)50)
 
-/* --- table of requests -------------------------------------------------- */
+/* --- table of suspects -------------------------------------------------- */
+
+static bool
+is_same (struct psn_id a, struct psn_id b)
+{
+  return a.value == b.value && a.is_part == b.is_part;
+}
 
 struct psn_suspect *
-psn_find (const struct psn *p, uint64_t digest)
+psn_find (const struct psn *p, struct psn_id id)
 {
-  for (size_t i = 0; i < p->n; i++)
-    if (p->suspects[i].digest == digest)
-      return &p->suspects[i];
-  return NULL;
+  uint32_t k = p->buckets[id.value % PSN_BUCKETS];
+
+  while (k && !is_same (p->suspects[k - 1].id, id))
+    k = p->suspects[k - 1].bucket_next;
+  return k ? &p->suspects[k - 1] : NULL;
+}
+
+static void
+add_to_bucket (struct psn *p, struct psn_suspect *s)
+{
+  uint32_t *bucket = &p->buckets[s->id.value % PSN_BUCKETS];
+
+  s->bucket_next = *bucket;
+  *bucket = (uint32_t)(s - p->suspects) + 1;
 }
 
+static void
+remove_from_bucket (struct psn *p, const struct psn_suspect *s)
+{
+  uint32_t *k = &p->buckets[s->id.value % PSN_BUCKETS];
+
+  while (*k != (uint32_t)(s - p->suspects) + 1)
+    k = &p->suspects[*k - 1].bucket_next;
+  *k = s->bucket_next;
+}
+
+/* --- weight of the evidence --------------------------------------------- */
+
 static unsigned
-crash_weight (const struct psn_crashed_run *r)
+crash_weight (const struct psn_suspect *s, size_t i, bool halve_attributed)
 {
+  const struct psn_crashed_run *r = &s->crashed_runs[i];
+  unsigned w;
+
   if (r->ran_ms == PSN_NO_EVENT)
-    return WEIGHT_NO_EVENT;
-  return r->ran_ms < EARLY_MS ? WEIGHT_EARLY : WEIGHT_LONG;
+    w = WEIGHT_NO_EVENT;
+  else if (s->id.is_part)
+    w = r->ran_ms < PART_EARLY_MS ? WEIGHT_NO_EVENT : WEIGHT_LONG;
+  else
+    w = r->ran_ms < EARLY_MS ? WEIGHT_EARLY : WEIGHT_LONG;
+  return halve_attributed && r->attributed_to_other ? w / 2 : w;
+}
+
+/** Whether another crash of the same moment counts instead of this one. */
+static bool
+is_counted_elsewhere (const struct psn_suspect *s, size_t i,
+                      bool halve_attributed)
+{
+  unsigned w = crash_weight (s, i, halve_attributed);
+
+  for (size_t k = 0; s->id.is_part && k < s->ncrashed_runs; k++)
+    {
+      unsigned other = crash_weight (s, k, halve_attributed);
+      if (k != i && s->crashed_runs[k].moment == s->crashed_runs[i].moment
+          && (other > w || (other == w && k < i)))
+        return true;
+    }
+  return false;
 }
 
-/** Weight of all crashes, regardless of attribution. */
 static unsigned
-total_weight (const struct psn_suspect *s)
+sum_weights (const struct psn_suspect *s, bool halve_attributed)
 {
   unsigned w = 0;
 
   for (size_t i = 0; i < s->ncrashed_runs; i++)
-    w += crash_weight (&s->crashed_runs[i]);
+    if (!is_counted_elsewhere (s, i, halve_attributed))
+      w += crash_weight (s, i, halve_attributed);
   return w;
 }
 
+/** Weight of all crashes, regardless of attribution. */
+static unsigned
+total_weight (const struct psn_suspect *s)
+{
+  return sum_weights (s, false);
+}
+
 static unsigned
 weight (const struct psn_suspect *s)
 {
-  unsigned w = 0;
+  return sum_weights (s, true);
+}
 
-  for (size_t i = 0; i < s->ncrashed_runs; i++)
-    w += crash_weight (&s->crashed_runs[i])
-         / (s->crashed_runs[i].attributed_to_other ? 2 : 1);
-  return w;
+/** A part that has completed, though some time ago, takes more evidence. */
+static unsigned
+min_block_weight (const struct psn *p, clk_ms now, const struct psn_suspect *s)
+{
+  return s->id.is_part && psn_has_completed (p, now, s->id, PSN_HOLD_MS)
+             ? 2 * MIN_BLOCK_WEIGHT
+             : MIN_BLOCK_WEIGHT;
 }
 
 /** Whether @p a is evicted before @p b from a full table. */
@@ -91,14 +159,17 @@
 }
 
 struct psn_suspect *
-psn_find_or_add (struct psn *p, clk_ms now, uint64_t digest)
+psn_find_or_add (struct psn *p, clk_ms now, struct psn_id id)
 {
-  struct psn_suspect *s = psn_find (p, digest);
+  struct psn_suspect *s = psn_find (p, id);
 
   if (s)
     return s;
-  if (p->n == PSN_MAX_REQUESTS)
-    s = find_evicted (p);
+  if (p->n == PSN_MAX_SUSPECTS)
+    {
+      s = find_evicted (p);
+      remove_from_bucket (p, s);
+    }
   else
     {
       if (p->n == p->capacity)
@@ -110,16 +181,26 @@
       s = &p->suspects[p->n++];
     }
   memset (s, 0, sizeof *s);
-  s->digest = digest;
-  s->pending_at = CLK_NEVER;
+  s->id = id;
+  s->pending_at = s->companions_at = CLK_NEVER;
   s->state_ends_at = now + PSN_HOLD_MS;
+  add_to_bucket (p, s);
   return s;
 }
 
 void
 psn_remove (struct psn *p, struct psn_suspect *s)
 {
-  *s = p->suspects[--p->n];
+  struct psn_suspect *last = &p->suspects[p->n - 1];
+
+  remove_from_bucket (p, s);
+  if (s != last)
+    {
+      remove_from_bucket (p, last);
+      *s = *last;
+      add_to_bucket (p, s);
+    }
+  p->n--;
 }
 
 /* --- attribution of crashes --------------------------------------------- */
@@ -140,20 +221,112 @@
 }
 
 bool
-psn_is_near_block (const struct psn_suspect *s)
+psn_is_near_block (const struct psn *p, clk_ms now,
+                   const struct psn_suspect *s)
 {
-  return weight (s) >= MIN_NEAR_BLOCK_WEIGHT;
+  return weight (s) + WEIGHT_NO_EVENT >= min_block_weight (p, now, s);
+}
+
+uint32_t
+psn_crash_moment (struct psn *p, clk_ms now, uint64_t endpoint)
+{
+  struct psn_crash_time *c = &p->crashes[p->next_crash % PSN_MAX_CRASHES];
+  const struct psn_crash_time *latest = NULL;
+
+  for (size_t i = 0; i < PSN_MAX_CRASHES; i++)
+    {
+      const struct psn_crash_time *other = &p->crashes[i];
+      if (other->moment && other->endpoint == endpoint)
+        return other->moment;
+      if (other->moment && (!latest || other->moment > latest->moment))
+        latest = other;
+    }
+  p->next_crash++;
+  if (latest && now - latest->at < SAME_MOMENT_MS)
+    *c = (struct psn_crash_time){ endpoint, latest->at, latest->moment };
+  else
+    *c = (struct psn_crash_time){ endpoint, now, ++p->last_moment };
+  return c->moment;
+}
+
+/** Whether @p s was running in all crashes of @p other. */
+static bool
+was_in_all_crashes (struct psn_suspect *s, const struct psn_suspect *other)
+{
+  for (size_t i = 0; i < other->ncrashed_runs; i++)
+    if (!psn_find_crashed_run (s, other->crashed_runs[i].endpoint))
+      return false;
+  return true;
 }
 
 bool
 psn_crashes_are_subset (const struct psn_suspect *a, struct psn_suspect *b)
+{
+  return a->ncrashed_runs > 0 && a->ncrashed_runs < b->ncrashed_runs
+         && was_in_all_crashes (b, a);
+}
+
+/* --- parts that are always together -------------------------------------- */
+
+/** Whether both parts were in the same requests in all crashes of @p a. */
+static bool
+was_companion (const struct psn_suspect *a, struct psn_suspect *b)
 {
   for (size_t i = 0; i < a->ncrashed_runs; i++)
-    if (!psn_find_crashed_run (b, a->crashed_runs[i].endpoint))
-      return false;
-  return a->ncrashed_runs > 0 && a->ncrashed_runs < b->ncrashed_runs;
+    {
+      const struct psn_crashed_run *x = &a->crashed_runs[i];
+      const struct psn_crashed_run *y = psn_find_crashed_run (b, x->endpoint);
+      if (!y || y->request != x->request)
+        return false;
+    }
+  return true;
 }
 
+void
+psn_find_companions (const struct psn *p, struct psn_suspect *s)
+{
+  s->ncompanions = 0;
+  s->companions_at = CLK_NEVER;
+  for (size_t i = 0; i < p->n && s->ncompanions < PSN_MAX_COMPANIONS; i++)
+    {
+      struct psn_suspect *other = &p->suspects[i];
+      if (other != s && other->id.is_part && other->state == PSN_S_OBSERVED
+          && was_companion (s, other))
+        s->companions[s->ncompanions++] = other->id.value;
+    }
+}
+
+bool
+psn_check_companions (const struct psn *p, struct psn_suspect *s)
+{
+  size_t n = s->ncompanions;
+
+  s->companions_at = CLK_NEVER;
+  s->ncompanions = 0;
+  for (size_t i = 0; i < n; i++)
+    {
+      struct psn_id id = { true, s->companions[i] };
+      struct psn_suspect *other = psn_find (p, id);
+      if (other && was_companion (s, other))
+        s->companions[s->ncompanions++] = id.value;
+    }
+  return s->ncompanions < n;
+}
+
+bool
+psn_remove_companion (struct psn_suspect *s, uint64_t part)
+{
+  for (size_t i = 0; i < s->ncompanions; i++)
+    if (s->companions[i] == part)
+      {
+        s->companions[i] = s->companions[--s->ncompanions];
+        return true;
+      }
+  return false;
+}
+
+/* --- decision ------------------------------------------------------------ */
+
 /** Whether @p s was running in all crashes of another request, which is
     pending or blocked, and in further crashes.  The other request is then
     probably not the cause. */
@@ -167,20 +340,40 @@
   return false;
 }
 
+/** Whether several requests with the part were running in its crashes, and
+    none of them in all. */
 static bool
-has_enough_evidence (const struct psn *p, struct psn_suspect *s)
+has_several_requests (const struct psn *p, const struct psn_suspect *part)
 {
-  if (!p->is_collector || s->state != PSN_S_OBSERVED
-      || total_weight (s) < MIN_BLOCK_WEIGHT)
+  bool several = false;
+
+  for (size_t i = 0; i < part->ncrashed_runs; i++)
+    {
+      struct psn_id id = { false, part->crashed_runs[i].request };
+      struct psn_suspect *r = psn_find (p, id);
+      several = several || id.value != part->crashed_runs[0].request;
+      if (r && r->state != PSN_S_CLEARED && was_in_all_crashes (r, part))
+        return false;
+    }
+  return several;
+}
+
+static bool
+has_enough_evidence (const struct psn *p, clk_ms now, struct psn_suspect *s)
+{
+  unsigned min = min_block_weight (p, now, s);
+
+  if (!p->is_collector || s->state != PSN_S_OBSERVED || total_weight (s) < min
+      || (s->id.is_part && !has_several_requests (p, s)))
     return false;
-  return weight (s) >= MIN_BLOCK_WEIGHT || explains_more_crashes (p, s);
+  return weight (s) >= min || explains_more_crashes (p, s);
 }
 
 void
 psn_update_pending_time (const struct psn *p, clk_ms now,
                          struct psn_suspect *s)
 {
-  if (!has_enough_evidence (p, s))
+  if (!has_enough_evidence (p, now, s))
     s->pending_at = CLK_NEVER;
   else if (s->pending_at == CLK_NEVER)
     s->pending_at = now + SETTLE_MS;
@@ -220,8 +413,9 @@
     attribute_crash (p, now, s->crashed_runs[i].endpoint);
 }
 
-/** Whether the evidence against @p a is stronger.  At equal weight, the
-    request with the shorter runs is the more likely cause. */
+/** Whether the evidence against @p a is stronger.  At equal weight, a request
+    is the more likely cause than a part, as its block affects fewer others,
+   and so is the one with the shorter runs. */
 static bool
 is_more_suspect (const struct psn_suspect *a, const struct psn_suspect *b)
 {
@@ -230,13 +424,15 @@
 
   if (weight_a != weight_b)
     return weight_a > weight_b;
+  if (a->id.is_part != b->id.is_part)
+    return b->id.is_part;
   for (size_t i = 0; i < a->ncrashed_runs; i++)
     ran_a += a->crashed_runs[i].ran_ms;
   for (size_t i = 0; i < b->ncrashed_runs; i++)
     ran_b += b->crashed_runs[i].ran_ms;
   if (ran_a != ran_b)
     return ran_a < ran_b;
-  return a->digest < b->digest;
+  return a->id.value < b->id.value;
 }
 
 struct psn_suspect *
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -1,18 +1,19 @@
 #include "serve/poison-int.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/str.h"
 
-/** How long a request stays pending.  In this time, nodes at which it has
+/** How long a suspect stays pending.  In this time, nodes at which it has
     completed can clear it. */
 #define PENDING_MS ((clk_ms)200)
 /** Retry delay reported to a client whose request is pending. */
 #define PENDING_RETRY_MS ((clk_ms)300)
-/** How long updates about a cleared request are ignored, because they may have
-    been sent before the request was cleared. */
+/** How long updates about a cleared suspect are ignored, because they may have
+    been sent before it was cleared. */
 #define CLEARED_TTL_MS ((clk_ms)2000)
-/** How long a completed run prevents a block of the request. */
+/** How long a completed run prevents a block. */
 #define COMPLETION_TTL_MS ((clk_ms)10000)
 
 struct psn *
@@ -72,34 +73,44 @@
 
 /* --- pending, blocked, cleared ----------------------------------------- */
 
+static struct psn_update
+make_update (const struct psn_suspect *s, enum psn_kind kind)
+{
+  struct psn_update update = { .kind = kind, .id = s->id, .broadcast = true };
+
+  if (kind == PSN_BLOCKED || kind == PSN_BLOCK_PENDING)
+    {
+      memcpy (update.companions, s->companions, sizeof update.companions);
+      update.ncompanions = s->ncompanions;
+    }
+  return update;
+}
+
 static void
-clear (struct psn *p, clk_ms now, struct psn_suspect *s, bool broadcast)
+add_block_update (struct psn *p, clk_ms now, const struct psn_suspect *s)
 {
-  struct psn_update update
-      = { .kind = PSN_CLEARED,
-          .digest = s->digest,
-          .broadcast = broadcast || psn_is_pending_or_blocked (s) };
+  struct psn_update update = make_update (s, PSN_BLOCKED);
 
-  s->state = PSN_S_CLEARED;
-  s->state_ends_at = now + CLEARED_TTL_MS;
-  s->pending_at = CLK_NEVER;
-  s->ncrashed_runs = 0;
+  update.hold_ms = s->state_ends_at - now;
   add_update (p, &update);
 }
 
-static bool
-has_completed (const struct psn *p, clk_ms now, uint64_t digest)
+/** @param kind  PSN_CLEARED, or PSN_COMPLETED of a part */
+static void
+clear (struct psn *p, clk_ms now, struct psn_suspect *s, enum psn_kind kind,
+       bool broadcast)
 {
-  for (size_t i = 0; i < PSN_MAX_COMPLETED; i++)
-    {
-      const struct psn_completion *c = &p->completed[i];
-      if (c->digest == digest && c->at && now - c->at < COMPLETION_TTL_MS)
-        return true;
-    }
-  return false;
+  struct psn_update update = make_update (s, kind);
+
+  update.broadcast = broadcast || psn_is_pending_or_blocked (s);
+  s->state = PSN_S_CLEARED;
+  s->state_ends_at = now + CLEARED_TTL_MS;
+  s->pending_at = s->companions_at = CLK_NEVER;
+  s->ncrashed_runs = s->ncompanions = 0;
+  add_update (p, &update);
 }
 
-/** Clear pending or blocked requests whose crashes are a proper subset of
+/** Clear pending or blocked suspects whose crashes are a proper subset of
     those of @p culprit: they were running there by coincidence. */
 static void
 clear_subsets (struct psn *p, clk_ms now, struct psn_suspect *culprit)
@@ -109,25 +120,47 @@
       struct psn_suspect *s = &p->suspects[i];
       if (s != culprit && psn_is_pending_or_blocked (s)
           && psn_crashes_are_subset (s, culprit))
-        clear (p, now, s, true);
+        clear (p, now, s, PSN_CLEARED, true);
     }
 }
 
+static enum psn_kind
+completion_kind (struct psn_id id)
+{
+  return id.is_part ? PSN_COMPLETED : PSN_CLEARED;
+}
+
+static void
+set_companions (struct psn *p, struct psn_suspect *s,
+                const struct psn_update *update)
+{
+  memcpy (s->companions, update->companions, sizeof s->companions);
+  s->ncompanions = update->ncompanions;
+  p->has_companions = p->has_companions || s->ncompanions > 0;
+}
+
+/** @param update  from another node; NULL: decided here */
 static void
-set_pending (struct psn *p, clk_ms now, struct psn_suspect *s)
+set_pending (struct psn *p, clk_ms now, struct psn_suspect *s,
+             const struct psn_update *update)
 {
-  struct psn_update update
-      = { .kind = PSN_BLOCK_PENDING, .digest = s->digest, .broadcast = true };
+  struct psn_update sent;
 
-  if (has_completed (p, now, s->digest))
+  if (psn_has_completed (p, now, s->id, COMPLETION_TTL_MS))
     {
-      clear (p, now, s, true);
+      clear (p, now, s, completion_kind (s->id), true);
       return;
     }
+  if (update)
+    set_companions (p, s, update);
+  else if (s->id.is_part)
+    psn_find_companions (p, s);
+  p->has_companions = p->has_companions || s->ncompanions > 0;
   s->state = PSN_S_BLOCK_PENDING;
   s->state_ends_at = now + PENDING_MS;
   s->pending_at = CLK_NEVER;
-  add_update (p, &update);
+  sent = make_update (s, PSN_BLOCK_PENDING);
+  add_update (p, &sent);
   psn_attribute_crashes (p, now, s);
   clear_subsets (p, now, s);
 }
@@ -135,57 +168,120 @@
 static void
 block (struct psn *p, clk_ms now, struct psn_suspect *s, clk_ms hold_ms)
 {
-  struct psn_update update = { .kind = PSN_BLOCKED,
-                               .digest = s->digest,
-                               .hold_ms = hold_ms,
-                               .broadcast = true };
-
   s->state = PSN_S_BLOCKED;
   s->state_ends_at = now + hold_ms;
   s->pending_at = CLK_NEVER;
-  add_update (p, &update);
+  add_block_update (p, now, s);
   psn_attribute_crashes (p, now, s);
 }
 
 /**
- * The hold time of a block is over.  The request may run again, because the
+ * The hold time of a block is over.  The suspect may run again, because the
  * servers may have been fixed, but one more crash blocks it again.
  */
 static void
-end_block (struct psn_suspect *s, clk_ms now)
+end_block (struct psn *p, struct psn_suspect *s, clk_ms now)
 {
   s->state = PSN_S_OBSERVED;
   s->state_ends_at = now + PSN_HOLD_MS;
   s->pending_at = CLK_NEVER;
-  s->ncrashed_runs = 0;
+  s->ncrashed_runs = s->ncompanions = 0;
   for (unsigned i = 1; i < PSN_CRASHES; i++)
-    s->crashed_runs[s->ncrashed_runs++]
-        = (struct psn_crashed_run){ 0, PSN_NO_EVENT, false };
+    s->crashed_runs[s->ncrashed_runs++] = (struct psn_crashed_run){
+      .ran_ms = PSN_NO_EVENT, .request = i, .moment = ++p->last_moment
+    };
+}
+
+/** A part has completed: blocks together with it apply without it. */
+static void
+remove_companion (struct psn *p, clk_ms now, uint64_t part)
+{
+  for (size_t i = 0; p->has_companions && i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->suspects[i];
+      if (psn_remove_companion (s, part) && s->state == PSN_S_BLOCKED)
+        add_block_update (p, now, s);
+    }
+}
+
+/** A part has completed that was blocked together with others: one of these
+    is the cause. */
+static void
+block_companions (struct psn *p, clk_ms now, const struct psn_suspect *part)
+{
+  struct psn_suspect copy = *part, *s;
+  struct psn_id id = { .is_part = true };
+
+  for (size_t i = 0; i < copy.ncompanions; i++)
+    {
+      id.value = copy.companions[i];
+      if (psn_has_completed (p, now, id, COMPLETION_TTL_MS))
+        psn_remove_companion (&copy, id.value);
+    }
+  if (copy.ncompanions == 0)
+    return;
+  id.value = copy.companions[0];
+  psn_remove_companion (&copy, id.value);
+  s = psn_find_or_add (p, now, id);
+  memcpy (s->companions, copy.companions, sizeof s->companions);
+  s->ncompanions = copy.ncompanions;
+  block (p, now, s, copy.state_ends_at - now);
+}
+
+static void
+part_completed (struct psn *p, clk_ms now, struct psn_id id, bool broadcast)
+{
+  struct psn_suspect *s = psn_find (p, id), copy;
+
+  psn_record_completion (p, now, id);
+  remove_companion (p, now, id.value);
+  if (!s || s->state == PSN_S_CLEARED)
+    return;
+  copy = *s;
+  clear (p, now, s, PSN_COMPLETED, broadcast);
+  if (copy.state == PSN_S_BLOCKED)
+    block_companions (p, now, &copy);
 }
 
 /* --- applying updates --------------------------------------------------- */
 
+static void
+add_crashed_run (struct psn *p, clk_ms now, struct psn_suspect *s,
+                 const struct psn_update *update, bool decided)
+{
+  s->crashed_runs[s->ncrashed_runs++] = (struct psn_crashed_run){
+    .endpoint = update->endpoint,
+    .ran_ms = update->ran_ms,
+    .request = update->request,
+    .moment = psn_crash_moment (p, now, update->endpoint),
+    .attributed_to_other = !decided && psn_is_attributed (p, update->endpoint)
+  };
+  add_update (p, update);
+}
+
 static void
 apply_crash (struct psn *p, clk_ms now, const struct psn_update *update)
 {
-  struct psn_suspect *s = psn_find (p, update->digest);
+  struct psn_suspect *s = psn_find (p, update->id);
   bool decided = s && psn_is_pending_or_blocked (s);
 
   if (s
       && (s->state == PSN_S_CLEARED
           || psn_find_crashed_run (s, update->endpoint)))
     return;
-  s = psn_find_or_add (p, now, update->digest);
-  if (s->ncrashed_runs < PSN_MAX_CRASHED_RUNS)
+  s = psn_find_or_add (p, now, update->id);
+  if (update->id.is_part
+      && psn_has_completed (p, now, update->id, COMPLETION_TTL_MS))
     {
-      s->crashed_runs[s->ncrashed_runs++] = (struct psn_crashed_run){
-        update->endpoint, update->ran_ms,
-        !decided && psn_is_attributed (p, update->endpoint)
-      };
-      add_update (p, update);
+      clear (p, now, s, PSN_COMPLETED, false);
+      return;
     }
+  if (s->ncrashed_runs < PSN_MAX_CRASHED_RUNS)
+    add_crashed_run (p, now, s, update, decided);
   if (decided)
     {
+      if (s->ncompanions > 0)
+        s->companions_at = now + PENDING_MS;
       psn_attribute_crashes (p, now, s);
       /* The node that ran the request has not received the block; block()
          sends it again. */
@@ -197,38 +293,80 @@
   psn_update_pending_time (p, now, s);
 }
 
+void
+psn_run_crashed (struct psn *p, clk_ms now, const struct psn_run *run)
+{
+  struct psn_update update = { .kind = PSN_CRASH,
+                               .id = { false, run->request.digest },
+                               .endpoint = run->endpoint,
+                               .ran_ms = run->ran_ms };
+
+  apply_crash (p, now, &update);
+  update.request = run->request.digest;
+  for (size_t i = 0; i < run->request.nparts; i++)
+    {
+      update.id = (struct psn_id){ true, run->request.parts[i] };
+      if (!psn_has_completed (p, now, update.id, COMPLETION_TTL_MS))
+        apply_crash (p, now, &update);
+    }
+}
+
 static void
 apply_pending (struct psn *p, clk_ms now, const struct psn_update *update)
 {
-  struct psn_suspect *s = psn_find_or_add (p, now, update->digest);
+  struct psn_suspect *s = psn_find_or_add (p, now, update->id);
 
   if (s->state == PSN_S_OBSERVED)
-    set_pending (p, now, s);
+    set_pending (p, now, s, update);
+}
+
+/** Keep the companions that @p update names, too.
+    @retval false  nothing has changed */
+static bool
+keep_common_companions (struct psn_suspect *s, const struct psn_update *update)
+{
+  size_t kept = 0, n = s->ncompanions;
+
+  for (size_t i = 0; i < n; i++)
+    for (size_t k = 0; k < update->ncompanions; k++)
+      if (s->companions[i] == update->companions[k])
+        {
+          s->companions[kept++] = s->companions[i];
+          break;
+        }
+  s->ncompanions = kept;
+  return kept < n;
 }
 
 static void
 apply_blocked (struct psn *p, clk_ms now, const struct psn_update *update)
 {
-  struct psn_suspect *s = psn_find_or_add (p, now, update->digest);
+  struct psn_suspect *s = psn_find_or_add (p, now, update->id);
 
   if (s->state == PSN_S_BLOCKED)
     {
       if (s->state_ends_at < now + update->hold_ms)
         s->state_ends_at = now + update->hold_ms;
+      if (keep_common_companions (s, update))
+        add_block_update (p, now, s);
     }
-  else if (s->state == PSN_S_CLEARED || has_completed (p, now, update->digest))
-    clear (p, now, s, true);
+  else if (s->state == PSN_S_CLEARED
+           || psn_has_completed (p, now, update->id, COMPLETION_TTL_MS))
+    clear (p, now, s, completion_kind (update->id), true);
   else
-    block (p, now, s, update->hold_ms);
+    {
+      set_companions (p, s, update);
+      block (p, now, s, update->hold_ms);
+    }
 }
 
 static void
 apply_cleared (struct psn *p, clk_ms now, const struct psn_update *update)
 {
-  struct psn_suspect *s = psn_find (p, update->digest);
+  struct psn_suspect *s = psn_find (p, update->id);
 
   if (s && s->state != PSN_S_CLEARED)
-    clear (p, now, s, update->broadcast);
+    clear (p, now, s, PSN_CLEARED, update->broadcast);
 }
 
 void
@@ -248,49 +386,131 @@
     case PSN_CLEARED:
       apply_cleared (p, now, update);
       break;
+    case PSN_COMPLETED:
+      part_completed (p, now, update->id, update->broadcast);
+      break;
     }
 }
 
 void
-psn_completed (struct psn *p, clk_ms now, uint64_t digest)
+psn_completed (struct psn *p, clk_ms now, const struct psn_request *r)
 {
-  struct psn_suspect *s = psn_find (p, digest);
+  struct psn_id id = { false, r->digest };
+  struct psn_suspect *s = psn_find (p, id);
 
-  p->completed[p->next_completed++ % PSN_MAX_COMPLETED]
-      = (struct psn_completion){ digest, now };
+  psn_record_completion (p, now, id);
   if (s && s->state != PSN_S_CLEARED)
-    clear (p, now, s, false);
+    clear (p, now, s, PSN_CLEARED, false);
+  for (size_t i = 0; i < r->nparts; i++)
+    part_completed (p, now, (struct psn_id){ true, r->parts[i] }, false);
 }
 
 /* --- queries and timeouts ----------------------------------------------- */
 
+static bool
+has_part (const struct psn_request *r, uint64_t part)
+{
+  for (size_t i = 0; i < r->nparts; i++)
+    if (r->parts[i] == part)
+      return true;
+  return false;
+}
+
+/** Whether the request has all parts that are blocked together with @p s. */
+static bool
+has_companions (const struct psn_request *r, const struct psn_suspect *s)
+{
+  for (size_t i = 0; i < s->ncompanions; i++)
+    if (!has_part (r, s->companions[i]))
+      return false;
+  return true;
+}
+
+/** The @p i th of the ids that can cause a refusal of the request: its own and
+    those of its parts. */
+static struct psn_id
+nth_id (const struct psn_request *r, size_t i)
+{
+  return i == 0 ? (struct psn_id){ false, r->digest }
+                : (struct psn_id){ true, r->parts[i - 1] };
+}
+
+static struct psn_suspect *
+find_block (const struct psn *p, const struct psn_request *r)
+{
+  for (size_t i = 0; i <= r->nparts; i++)
+    {
+      struct psn_suspect *s = psn_find (p, nth_id (r, i));
+      if (s && s->state == PSN_S_BLOCKED && has_companions (r, s))
+        return s;
+    }
+  return NULL;
+}
+
+static struct psn_suspect *
+find_pending (const struct psn *p, const struct psn_request *r)
+{
+  for (size_t i = 0; i <= r->nparts; i++)
+    {
+      struct psn_suspect *s = psn_find (p, nth_id (r, i));
+      if (s && (s->state == PSN_S_BLOCK_PENDING || s->pending_at != CLK_NEVER)
+          && has_companions (r, s))
+        return s;
+    }
+  return NULL;
+}
+
 bool
-psn_should_refuse (struct psn *p, clk_ms now, uint64_t digest,
-                   clk_ms *retry_ms)
+psn_should_refuse (struct psn *p, clk_ms now, const struct psn_request *r,
+                   struct psn_refusal *out)
 {
-  struct psn_suspect *s = psn_find (p, digest);
+  struct psn_suspect *s = find_block (p, r);
 
-  *retry_ms = 0;
-  if (!s)
-    return false;
-  if (s->state == PSN_S_BLOCKED)
+  if (s)
     {
-      s->state_ends_at = now + PSN_HOLD_MS;
+      *out = (struct psn_refusal){ s->id, 0 };
+      if (!s->id.is_part)
+        s->state_ends_at = now + PSN_HOLD_MS;
       return true;
     }
-  *retry_ms = PENDING_RETRY_MS;
-  return s->state == PSN_S_BLOCK_PENDING || s->pending_at != CLK_NEVER;
+  s = find_pending (p, r);
+  if (s)
+    *out = (struct psn_refusal){ s->id, PENDING_RETRY_MS };
+  return s != NULL;
 }
 
 bool
-psn_is_suspect (const struct psn *p, uint64_t digest)
+psn_is_suspect (const struct psn *p, clk_ms now, const struct psn_request *r)
+{
+  for (size_t i = 0; i <= r->nparts; i++)
+    {
+      struct psn_suspect *s = psn_find (p, nth_id (r, i));
+      if (s
+          && (psn_is_pending_or_blocked (s) ? has_companions (r, s)
+                                            : psn_is_near_block (p, now, s)))
+        return true;
+    }
+  return false;
+}
+
+/** Compare blocked parts that have crashed again with their companions. */
+static void
+check_companions (struct psn *p, clk_ms now)
 {
-  const struct psn_suspect *s = psn_find (p, digest);
+  bool any = false;
 
-  return s && (psn_is_pending_or_blocked (s) || psn_is_near_block (s));
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->suspects[i];
+      if (now >= s->companions_at && psn_check_companions (p, s)
+          && s->state == PSN_S_BLOCKED)
+        add_block_update (p, now, s);
+      any = any || s->ncompanions > 0;
+    }
+  p->has_companions = any;
 }
 
-/** Process timeouts of states; remove requests whose observed or cleared state
+/** Process timeouts of states; remove suspects whose observed or cleared state
     has ended. */
 static void
 expire (struct psn *p, clk_ms now)
@@ -303,7 +523,7 @@
       else if (s->state == PSN_S_BLOCK_PENDING)
         block (p, now, s, PSN_HOLD_MS);
       else if (s->state == PSN_S_BLOCKED)
-        end_block (s, now);
+        end_block (p, s, now);
       else
         psn_remove (p, s);
     }
@@ -315,7 +535,9 @@
   struct psn_suspect *s;
 
   while ((s = psn_next_pending (p, now)) != NULL)
-    set_pending (p, now, s);
+    set_pending (p, now, s, NULL);
+  if (p->has_companions)
+    check_companions (p, now);
   expire (p, now);
 }
 
@@ -345,10 +567,50 @@
         wake = s->state_ends_at;
       if (s->pending_at < wake)
         wake = s->pending_at;
+      if (s->companions_at < wake)
+        wake = s->companions_at;
     }
   return wake;
 }
 
+bool
+psn_get_block (const struct psn *p, clk_ms now, struct psn_id id,
+               struct psn_update *out)
+{
+  const struct psn_suspect *s = psn_find (p, id);
+
+  if (!s || s->state != PSN_S_BLOCKED)
+    return false;
+  *out = make_update (s, PSN_BLOCKED);
+  out->hold_ms = s->state_ends_at - now;
+  return true;
+}
+
+/** Append the state of the suspect to the snapshot, and its crashes. */
+static size_t
+add_to_snapshot (const struct psn_suspect *s, clk_ms now,
+                 struct psn_update *out)
+{
+  size_t n = 0;
+
+  if (psn_is_pending_or_blocked (s))
+    {
+      out[n] = make_update (s, s->state == PSN_S_BLOCKED ? PSN_BLOCKED
+                                                         : PSN_BLOCK_PENDING);
+      if (s->state == PSN_S_BLOCKED)
+        out[n].hold_ms = s->state_ends_at - now;
+      n++;
+    }
+  for (size_t i = 0; i < s->ncrashed_runs; i++)
+    if (s->crashed_runs[i].endpoint)
+      out[n++] = (struct psn_update){ .kind = PSN_CRASH,
+                                      .id = s->id,
+                                      .endpoint = s->crashed_runs[i].endpoint,
+                                      .ran_ms = s->crashed_runs[i].ran_ms,
+                                      .request = s->crashed_runs[i].request };
+  return n;
+}
+
 const struct psn_update *
 psn_snapshot (struct psn *p, clk_ms now, size_t *n)
 {
@@ -356,43 +618,17 @@
                                            * sizeof *p->snapshot);
   *n = 0;
   for (size_t i = 0; i < p->n; i++)
-    {
-      const struct psn_suspect *s = &p->suspects[i];
-      if (s->state == PSN_S_BLOCKED)
-        p->snapshot[(*n)++]
-            = (struct psn_update){ .kind = PSN_BLOCKED,
-                                   .digest = s->digest,
-                                   .hold_ms = s->state_ends_at - now,
-                                   .broadcast = true };
-      else if (s->state == PSN_S_BLOCK_PENDING)
-        p->snapshot[(*n)++] = (struct psn_update){ .kind = PSN_BLOCK_PENDING,
-                                                   .digest = s->digest,
-                                                   .broadcast = true };
-      for (size_t k = 0; k < s->ncrashed_runs; k++)
-        if (s->crashed_runs[k].endpoint)
-          p->snapshot[(*n)++]
-              = (struct psn_update){ .kind = PSN_CRASH,
-                                     .digest = s->digest,
-                                     .endpoint = s->crashed_runs[k].endpoint,
-                                     .ran_ms = s->crashed_runs[k].ran_ms };
-    }
+    *n += add_to_snapshot (&p->suspects[i], now, p->snapshot + *n);
   return p->snapshot;
 }
 
-bool
-psn_is_blocked (const struct psn *p, uint64_t digest)
-{
-  const struct psn_suspect *s = psn_find (p, digest);
-
-  return s && s->state == PSN_S_BLOCKED;
-}
-
 size_t
-psn_count_blocked (const struct psn *p)
+psn_count_blocked (const struct psn *p, bool parts)
 {
   size_t n = 0;
 
   for (size_t i = 0; i < p->n; i++)
-    n += p->suspects[i].state == PSN_S_BLOCKED;
+    n += p->suspects[i].state == PSN_S_BLOCKED
+         && p->suspects[i].id.is_part == parts;
   return n;
 }
--- a/serve/poison.h
+++ b/serve/poison.h
@@ -19,9 +19,27 @@
  * running in all crashes, including the new ones, is blocked, and the first
  * one is cleared.
  *
- * A request is identified by a digest that is the same for every repetition.
- * The core does no I/O: its caller passes in events and the current time, and
- * psn_updates() returns what must be sent to other nodes.
+ * Requests that share a part of their prompts can crash servers because of
+ * that part, while no two of them are the same.  The parts of a request are
+ * therefore counted like the request itself, with these differences:
+ *
+ * - A part that is innocent is in many requests, and these complete.  A run
+ *   that completes at any node clears each part of its prompt.  Nodes at which
+ *   a part completed a short time ago ignore its crashes, and answer reports
+ *   of them with PSN_COMPLETED.
+ * - A part is blocked only for crashes of several requests, and not while one
+ *   request was running in all of them: then the request is the cause.
+ * - Servers that crash at the same moment count as one crash: a rack has
+ *   failed.
+ * - The time for which a run had produced events has less weight.
+ * - Parts that were together in all these runs can't be told apart and are
+ *   blocked together: a request is refused if it has all of them.  Requests
+ *   with one of them go on, and their runs show which one is the cause.
+ * - A request that is refused doesn't prolong the block of a part.
+ *
+ * A request is identified by a digest that is the same for every repetition, a
+ * part by its id.  The core does no I/O: its caller passes in events and the
+ * current time, and psn_updates() returns what must be sent to other nodes.
  */
 #ifndef LAPISLINE_SERVE_POISON_H
 #define LAPISLINE_SERVE_POISON_H
@@ -37,32 +55,70 @@
 #define PSN_CRASHES 3
 /** Duration of a block; also the longest lease that a store grants. */
 #define PSN_HOLD_MS (10 * CLK_MINUTE)
-/** Maximum number of requests in the table. */
-#define PSN_MAX_REQUESTS 1024
+/** Maximum number of requests and parts in the table. */
+#define PSN_MAX_SUSPECTS 2048
+/** Maximum number of parts that are blocked together with another one. */
+#define PSN_MAX_COMPANIONS 3
 
 /** Value of `ran_ms` if the run had produced no event. */
 #define PSN_NO_EVENT (-1)
 
 enum psn_kind
 {
-  PSN_CRASH, /**< place, ran_ms: the request was running there in a crash */
+  PSN_CRASH,         /**< endpoint, ran_ms: it was running there in a crash */
   PSN_BLOCK_PENDING, /**< to be blocked soon, unless a node clears it */
   PSN_BLOCKED,       /**< hold_ms: remaining duration of the block */
-  PSN_CLEARED        /**< a run of the request completed */
+  PSN_CLEARED,       /**< it is not the cause of crashes */
+  PSN_COMPLETED      /**< a run with this part completed */
+};
+
+/** What other nodes know a request or a part by. */
+struct psn_id
+{
+  bool is_part;
+  uint64_t value; /**< digest of the request, or id of the part */
 };
 
-/** Evidence about a request or a change of its state. */
+/** Evidence about a request or a part, or a change of its state. */
 struct psn_update
 {
   enum psn_kind kind;
-  uint64_t digest; /**< of the request */
+  struct psn_id id;
   uint64_t
       endpoint;  /**< endpoint that ran it; changes when the server restarts */
   clk_ms ran_ms; /**< time since its first event, or PSN_NO_EVENT */
+  uint64_t request; /**< crash of a part: digest of the request that had it */
   clk_ms hold_ms;
+  /** ids of parts without which the block of a part does not apply */
+  uint64_t companions[PSN_MAX_COMPANIONS];
+  size_t ncompanions;
   bool broadcast; /**< to all nodes; false: to collectors only */
 };
 
+/** A request, and the parts of its prompt that other requests may have. */
+struct psn_request
+{
+  uint64_t digest;
+  const uint64_t *parts; /**< ids */
+  size_t nparts;
+};
+
+/** A run that was in progress when its server crashed. */
+struct psn_run
+{
+  struct psn_request request;
+  uint64_t endpoint;
+  clk_ms ran_ms; /**< time since its first event, or PSN_NO_EVENT */
+};
+
+/** Why a request is refused. */
+struct psn_refusal
+{
+  struct psn_id id; /**< of the request or of the part that decided */
+  clk_ms retry_ms;  /**< delay after which the client may retry, as it is not
+                         blocked yet; 0: it is blocked, a retry is useless */
+};
+
 struct psn;
 
 struct psn *psn_new (void);
@@ -76,32 +132,32 @@
     updates that waited in its sockets are read. */
 void psn_resumed (struct psn *p, clk_ms now);
 
-/** Apply an update that this node observed, or that came from another node or
-    from the store. */
+/** Apply an update that came from another node or from the store. */
 void psn_apply (struct psn *p, clk_ms now, const struct psn_update *update);
 
+/** A run of this node was in progress when its server crashed. */
+void psn_run_crashed (struct psn *p, clk_ms now, const struct psn_run *run);
+
 /**
  * Set whether this node is a collector: it receives the crashes reported by
- * all nodes and decides which requests to block.  This is the initial
- * setting.  Other nodes only report crashes.
+ * all nodes and decides what to block.  This is the initial setting.  Other
+ * nodes only report crashes.
  */
 void psn_set_collecting (struct psn *p, clk_ms now, bool collects);
 
 /** A run of the request has completed at this node. */
-void psn_completed (struct psn *p, clk_ms now, uint64_t digest);
+void psn_completed (struct psn *p, clk_ms now, const struct psn_request *r);
 
-/**
- * Whether a request that arrives must be refused.
- * @param retry_ms  receives the delay after which the client may retry, as the
- *                  request is not blocked yet; 0: the request is blocked and a
- *                  retry is useless
- */
-bool psn_should_refuse (struct psn *p, clk_ms now, uint64_t digest,
-                        clk_ms *retry_ms);
+/** Whether a request that arrives must be refused.
+    @param out  receives the reason */
+bool psn_should_refuse (struct psn *p, clk_ms now, const struct psn_request *r,
+                        struct psn_refusal *out);
 
-/** Whether the request is pending or blocked, or would be blocked after one
-    more crash.  A node doesn't retry it on another server. */
-bool psn_is_suspect (const struct psn *p, uint64_t digest);
+/** Whether the request or one of its parts is pending or blocked, or would be
+    blocked after one more crash.  A node doesn't retry it on another server.
+ */
+bool psn_is_suspect (const struct psn *p, clk_ms now,
+                     const struct psn_request *r);
 
 /** Changes since the last call.  The list is valid until the next call that
     modifies @p p. */
@@ -111,8 +167,12 @@
     until the next call that modifies @p p. */
 const struct psn_update *psn_snapshot (struct psn *p, clk_ms now, size_t *n);
 
-bool psn_is_blocked (const struct psn *p, uint64_t digest);
+/** Get the block of a request or part as an update.
+    @retval false  it is not blocked */
+bool psn_get_block (const struct psn *p, clk_ms now, struct psn_id id,
+                    struct psn_update *out);
 
-size_t psn_count_blocked (const struct psn *p);
+/** Number of blocked requests, or parts. */
+size_t psn_count_blocked (const struct psn *p, bool parts);
 
 #endif
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -250,9 +250,9 @@
 {
   psn_apply (b->poison, b->now,
              &(struct psn_update){ .kind = PSN_BLOCKED,
-                                   .digest = digest,
+                                   .id = { false, digest },
                                    .hold_ms = PSN_HOLD_MS });
-  dsp_request_blocked (b->d, b->now, digest);
+  dsp_poison_blocked (b->d, b->now);
 }
 
 static void
--- a/t/lib-poison.c
+++ b/t/lib-poison.c
@@ -63,11 +63,28 @@
 psn_fleet_crash (struct psn_fleet *f, int node, uint64_t digest,
                  uint64_t endpoint, clk_ms ran_ms)
 {
-  psn_apply (f->node[node], f->now,
-             &(struct psn_update){ .kind = PSN_CRASH,
-                                   .digest = digest,
-                                   .endpoint = endpoint,
-                                   .ran_ms = ran_ms });
+  psn_run_crashed (
+      f->node[node], f->now,
+      &(struct psn_run){ { .digest = digest }, endpoint, ran_ms });
+}
+
+void
+psn_fleet_complete (struct psn_fleet *f, int node, uint64_t digest)
+{
+  psn_completed (f->node[node], f->now,
+                 &(struct psn_request){ .digest = digest });
+}
+
+bool
+psn_fleet_refuses (struct psn_fleet *f, int node, uint64_t digest,
+                   clk_ms *retry_ms)
+{
+  struct psn_request r = { .digest = digest };
+  struct psn_refusal why = { .retry_ms = 0 };
+  bool refused = psn_should_refuse (f->node[node], f->now, &r, &why);
+
+  *retry_ms = why.retry_ms;
+  return refused;
 }
 
 void
@@ -132,17 +149,39 @@
 
 /* --- the script ---------------------------------------------------------- */
 
+#define MAX_PARTS 8
+
+/** A request of the script; @p parts is its list of parts. */
+static struct psn_request
+parse_request (const char *text, uint64_t parts[MAX_PARTS])
+{
+  struct psn_request r = { .digest = (uint64_t)text[0], .parts = parts };
+
+  for (size_t i = 2; text[1] == '.' && text[i] && r.nparts < MAX_PARTS; i++)
+    parts[r.nparts++] = (uint64_t)text[i];
+  return r;
+}
+
+static struct psn_id
+parse_id (const char *text)
+{
+  bool is_part = text[0] == '.';
+
+  return (struct psn_id){ is_part, (uint64_t)text[is_part] };
+}
+
 static void
 query (struct psn_fleet *f, const char *request, struct buf *log)
 {
-  clk_ms retry_ms;
+  uint64_t parts[MAX_PARTS];
+  struct psn_request r = parse_request (request, parts);
+  struct psn_refusal why;
 
   buf_addf (log, "%s ", request);
   for (int i = 0; i < f->n; i++)
     {
-      bool refused = psn_should_refuse (f->node[i], f->now,
-                                        (uint64_t)request[0], &retry_ms);
-      buf_add_char (log, !refused ? '-' : retry_ms ? 'w' : 'B');
+      bool refused = psn_should_refuse (f->node[i], f->now, &r, &why);
+      buf_add_char (log, !refused ? '-' : why.retry_ms ? 'w' : 'B');
     }
   buf_add_char (log, '\n');
 }
@@ -152,15 +191,18 @@
           const char *y, const char *z, const char *ms, struct buf *log)
 {
   int node = atoi (x) - 1;
+  uint64_t parts[MAX_PARTS];
+  struct psn_request r = parse_request (y, parts);
 
   if (strcmp (command, "nodes") == 0)
     psn_fleet_init (f, atoi (x), 0);
   else if (strcmp (command, "relays") == 0)
     psn_fleet_init (f, atoi (x), 4);
   else if (strcmp (command, "crash") == 0)
-    psn_fleet_crash (f, node, (uint64_t)y[0], (uint64_t)atoi (z), atoi (ms));
+    psn_run_crashed (f->node[node], f->now,
+                     &(struct psn_run){ r, (uint64_t)atoi (z), atoi (ms) });
   else if (strcmp (command, "complete") == 0)
-    psn_completed (f->node[node], f->now, (uint64_t)y[0]);
+    psn_completed (f->node[node], f->now, &r);
   else if (strcmp (command, "cut") == 0 || strcmp (command, "link") == 0)
     psn_fleet_link (f, node, atoi (y) - 1, command[0] == 'l');
   else if (strcmp (command, "collect") == 0)
@@ -170,13 +212,13 @@
   else if (strcmp (command, "stored") == 0)
     psn_apply (f->node[node], f->now,
                &(struct psn_update){ .kind = PSN_BLOCKED,
-                                     .digest = (uint64_t)y[0],
+                                     .id = parse_id (y),
                                      .hold_ms = PSN_HOLD_MS,
                                      .broadcast = true });
   else if (strcmp (command, "clear") == 0)
     psn_apply (f->node[node], f->now,
                &(struct psn_update){ .kind = PSN_CLEARED,
-                                     .digest = (uint64_t)y[0],
+                                     .id = parse_id (y),
                                      .broadcast = true });
   else if (strcmp (command, "query") == 0)
     query (f, x, log);
--- a/t/lib-poison.h
+++ b/t/lib-poison.h
@@ -23,6 +23,10 @@
  * A request is a letter, an endpoint a number.  A query logs the request and a
  * letter for each node: "-" if it accepts the request, "w" if it refuses it
  * temporarily, "B" if it has blocked it.
+ *
+ * The letters after a dot are parts of the request's prompt that others may
+ * have: "q.KN" is the request q with the parts K and N.  For "stored" and
+ * "clear", ".K" is the part itself.
  */
 #ifndef LAPISLINE_T_LIB_POISON_H
 #define LAPISLINE_T_LIB_POISON_H
@@ -49,6 +53,10 @@
 void psn_fleet_step (struct psn_fleet *f);
 void psn_fleet_crash (struct psn_fleet *f, int node, uint64_t digest,
                       uint64_t endpoint, clk_ms ran_ms);
+void psn_fleet_complete (struct psn_fleet *f, int node, uint64_t digest);
+/** @param retry_ms  as in struct psn_refusal */
+bool psn_fleet_refuses (struct psn_fleet *f, int node, uint64_t digest,
+                        clk_ms *retry_ms);
 void psn_fleet_link (struct psn_fleet *f, int a, int b, bool linked);
 void psn_fleet_restart (struct psn_fleet *f, int node);
 
--- a/t/t9207-poison.c
+++ b/t/t9207-poison.c
@@ -215,7 +215,7 @@
   /* Another request is blocked according to the store, without crashes. */
   psn_apply (f.node[0], f.now,
              &(struct psn_update){ .kind = PSN_BLOCKED,
-                                   .digest = 's',
+                                   .id = { false, 's' },
                                    .hold_ms = PSN_HOLD_MS,
                                    .broadcast = true });
   for (int i = 0; i < 50; i++)
@@ -228,10 +228,10 @@
     }
   for (int i = 0; i < 2; i++)
     {
-      cr_expect (psn_should_refuse (f.node[i], f.now, 'p', &retry_ms));
-      cr_expect (psn_should_refuse (f.node[i], f.now, 's', &retry_ms));
+      cr_expect (psn_fleet_refuses (&f, i, 'p', &retry_ms));
+      cr_expect (psn_fleet_refuses (&f, i, 's', &retry_ms));
       psn_snapshot (f.node[i], f.now, &n);
-      cr_expect_leq (n, PSN_MAX_REQUESTS * 9);
+      cr_expect_leq (n, PSN_MAX_SUSPECTS * 9);
     }
   psn_fleet_free (&f);
 }
@@ -321,13 +321,15 @@
 static void
 send_poison (struct sim *d, bool retry)
 {
+  const struct psn_request poison = { .digest = POISON };
   int node = (int)rng_below (&d->rng, (uint64_t)d->f.n);
   clk_ms retry_ms;
 
   if (!retry)
     d->attempts = 0;
-  if (retry ? psn_is_suspect (d->f.node[node], POISON) || ++d->attempts > 1
-            : psn_should_refuse (d->f.node[node], d->f.now, POISON, &retry_ms))
+  if (retry ? psn_is_suspect (d->f.node[node], d->f.now, &poison)
+                  || ++d->attempts > 1
+            : psn_fleet_refuses (&d->f, node, POISON, &retry_ms))
     {
       d->next_send_at = d->f.now + draw (d, 50, 500);
       return;
@@ -380,8 +382,7 @@
 check_other_request (struct sim *d, const struct run *r, uint64_t seed)
 {
   clk_ms retry_ms;
-  bool refused
-      = psn_should_refuse (d->f.node[r->node], d->f.now, r->digest, &retry_ms);
+  bool refused = psn_fleet_refuses (&d->f, r->node, r->digest, &retry_ms);
 
   cr_expect (!refused || retry_ms || r->crashes > 3,
              "seed %d: a request is blocked after %u crashes", (int)seed,
@@ -407,7 +408,7 @@
       if (!r->digest || r->digest == POISON || d->f.now < r->ends)
         continue;
       check_other_request (d, r, seed);
-      psn_completed (d->f.node[r->node], d->f.now, r->digest);
+      psn_fleet_complete (&d->f, r->node, r->digest);
       r->digest = 0;
     }
 }
@@ -461,25 +462,26 @@
 Test (poison, pause_does_not_end_the_wait_for_a_completion)
 {
   struct psn *p = psn_new ();
-  struct psn_update cleared = { .kind = PSN_CLEARED, .digest = 1 };
+  const struct psn_request request = { .digest = 1 };
+  struct psn_update cleared = { .kind = PSN_CLEARED, .id = { false, 1 } };
   clk_ms now = 1000;
 
   for (uint64_t i = 0; i < PSN_CRASHES; i++)
     psn_apply (p, now,
                &(struct psn_update){ .kind = PSN_CRASH,
-                                     .digest = 1,
+                                     .id = { false, 1 },
                                      .endpoint = 10 + i,
                                      .ran_ms = PSN_NO_EVENT });
   for (; now < 1150; now += 10)
     psn_tick (p, now);
-  cr_assert (psn_is_suspect (p, 1));
-  cr_assert_not (psn_is_blocked (p, 1));
+  cr_assert (psn_is_suspect (p, now, &request));
+  cr_assert_eq (psn_count_blocked (p, false), 0);
   now += 1000;
   psn_resumed (p, now);
   psn_tick (p, now);
-  cr_expect_not (psn_is_blocked (p, 1));
+  cr_expect_eq (psn_count_blocked (p, false), 0);
   psn_apply (p, now + 10, &cleared);
   psn_tick (p, now + 1000);
-  cr_expect_not (psn_is_blocked (p, 1));
+  cr_expect_eq (psn_count_blocked (p, false), 0);
   psn_free (p);
 }
--- /dev/null
+++ b/t/t9214-poison-parts.c
@@ -0,0 +1,164 @@
+/*
+ * Detection of parts of prompts that crash backend servers, in a simulation of
+ * nodes that exchange updates; t/lib-poison.h describes the scripts.
+ */
+#include <criterion/criterion.h>
+
+#include "t/lib-poison.h"
+
+/* Guards against requests that crash one server each because of a part that
+   they share, while no two of them are the same. */
+Test (poison_parts, part_of_three_crashes_is_blocked)
+{
+  poison_run_script (
+      "nodes 4\n crash 1 a.K 1 -1\n run 300\n query z.K\n"
+      "crash 2 b.K 2 400\n run 300\n query z.K\n crash 3 c.K 3 90\n run 50\n"
+      "query z.K\n run 350\n query z.K\n query z.L\n query z\n",
+      "z.K ----\nz.K ----\nz.K wwww\nz.K BBBB\nz.L ----\nz ----\n");
+}
+
+/* Guards against requests that are refused for a part that they share with
+   those that crash servers, and that completes in other requests. */
+Test (poison_parts, part_of_completed_requests_is_accepted)
+{
+  poison_run_script (
+      "nodes 4\n complete 1 s.A\n complete 4 t.AC\n run 500\n"
+      "crash 1 a.AKC 1 -1\n run 100\n crash 2 b.AKC 2 -1\n run 100\n"
+      "crash 3 c.AKC 3 -1\n run 500\n query z.AK\n query z.AC\n query z.K\n"
+      "crash 2 d.AC 4 -1\n crash 2 e.AC 5 -1\n run 500\n query z.AC\n",
+      "z.AK BBBB\nz.AC ----\nz.K BBBB\nz.AC ----\n");
+}
+
+/* Guards against a part that is cleared by runs which say nothing of it: of
+   other requests, and before its crashes by so much that servers may have
+   changed. */
+Test (poison_parts, old_completion_takes_more_crashes)
+{
+  poison_run_script (
+      "nodes 2\n complete 1 s.K\n complete 2 s.K\n run 20000\n"
+      "crash 1 a.K 1 -1\n run 100\n crash 2 b.K 2 -1\n run 100\n"
+      "crash 1 c.K 3 -1\n run 500\n query z.K\n crash 2 d.K 4 -1\n run 100\n"
+      "crash 1 e.K 5 -1\n run 100\n crash 2 f.K 6 -1\n run 500\n query z.K\n",
+      "z.K --\nz.K BB\n");
+}
+
+/* Guards against a block of sound requests that share a part with a request
+   which is sent again and again and crashes each server itself. */
+Test (poison_parts, repeated_request_does_not_block_its_parts)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.K 1 -1\n run 300\n crash 2 a.K 2 -1\n run 300\n"
+      "crash 1 a.K 3 -1\n crash 2 b.K 3 -1\n run 500\n"
+      "query a.K\n query a\n query z.K\n crash 1 a.K 4 -1\n run 500\n"
+      "query z.K\n",
+      "a.K BB\na BB\nz.K --\nz.K --\n");
+}
+
+/* Guards against a request that stays blocked in place of the part which
+   crashes servers: its first crashes were all of one request. */
+Test (poison_parts, crash_of_another_request_moves_the_block)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.K 1 -1\n run 300\n crash 2 a.K 2 -1\n run 300\n"
+      "crash 1 a.K 3 -1\n run 500\n query a\n query z.K\n"
+      "crash 2 b.K 4 -1\n run 500\n query a\n query z.K\n",
+      "a BB\nz.K --\na --\nz.K BB\n");
+}
+
+/* Guards against blocking what was popular in a rack whose servers failed at
+   the same moment. */
+Test (poison_parts, rack_failure_counts_as_one_crash)
+{
+  poison_run_script (
+      "nodes 3\n crash 1 a.P 1 -1\n crash 2 b.P 2 -1\n crash 3 c.P 3 -1\n"
+      "crash 1 d.P 4 -1\n run 20\n crash 1 e.P 5 -1\n crash 2 f.P 6 -1\n"
+      "run 500\n query z.P\n crash 1 g.P 7 -1\n crash 2 h.P 8 -1\n run 500\n"
+      "query z.P\n",
+      "z.P ---\nz.P ---\n");
+}
+
+/* Guards against blocking a part for runs that had written for seconds: the
+   cause crashes its server as its answer begins. */
+Test (poison_parts, long_runs_have_less_weight)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.P 1 1500\n run 100\n crash 2 b.P 2 2000\n run 100\n"
+      "crash 1 c.P 3 9000\n run 500\n query z.P\n",
+      "z.P --\n");
+}
+
+/* Guards against refusing sound requests with a part that was only ever seen
+   beside the cause. */
+Test (poison_parts, companion_goes_on_alone)
+{
+  poison_run_script (
+      "nodes 3\n crash 1 a.NK 1 -1\n run 100\n crash 2 b.NK 2 -1\n run 100\n"
+      "crash 3 c.NK 3 -1\n run 500\n query z.NK\n query z.N\n query z.K\n"
+      "complete 2 s.N\n run 50\n query z.NK\n query z.N\n query z.K\n",
+      "z.NK BBB\nz.N ---\nz.K ---\nz.NK BBB\nz.N ---\nz.K BBB\n");
+}
+
+/* Guards against a cause that goes on without its usual companion. */
+Test (poison_parts, crash_without_companion_blocks_the_part_alone)
+{
+  poison_run_script (
+      "nodes 3\n crash 1 a.NK 1 -1\n run 100\n crash 2 b.NK 2 -1\n run 100\n"
+      "crash 3 c.NK 3 -1\n run 500\n query z.KM\n crash 1 d.KM 4 -1\n"
+      "run 500\n query z.KM\n query z.K\n query z.N\n query z.M\n",
+      "z.KM ---\nz.KM BBB\nz.K BBB\nz.N ---\nz.M ---\n");
+}
+
+/* Guards against two causes that hide each other. */
+Test (poison_parts, two_parts_at_once_are_blocked)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.K 1 -1\n run 100\n crash 2 b.L 2 -1\n run 100\n"
+      "crash 1 c.K 3 -1\n run 100\n crash 2 d.L 4 -1\n run 100\n"
+      "crash 1 e.K 5 -1\n run 100\n crash 2 f.L 6 -1\n run 500\n"
+      "query z.K\n query z.L\n",
+      "z.K BB\nz.L BB\n");
+}
+
+/* Guards against a block that stays after a run with the part completed. */
+Test (poison_parts, completed_run_clears_block_everywhere)
+{
+  poison_run_script (
+      "relays 8\n crash 5 a.K 1 -1\n run 100\n crash 6 b.K 2 -1\n run 100\n"
+      "crash 7 c.K 3 -1\n run 500\n query z.K\n complete 8 s.K\n run 50\n"
+      "query z.K\n",
+      "z.K BBBBBBBB\nz.K --------\n");
+}
+
+/* Guards against blocking a part because the node that decides is not the one
+   at which it completed. */
+Test (poison_parts, node_with_completion_objects_in_large_fleet)
+{
+  poison_run_script (
+      "relays 8\n complete 8 s.A\n run 500\n crash 5 a.A 1 -1\n run 100\n"
+      "crash 6 b.A 2 -1\n run 100\n crash 7 c.A 3 -1\n run 500\n query z.A\n",
+      "z.A --------\n");
+}
+
+/* Guards against a block that is lost with all nodes, or that ends at nodes
+   which receive it from the store. */
+Test (poison_parts, block_survives_restarts)
+{
+  poison_run_script (
+      "nodes 3\n crash 1 a.K 1 -1\n run 100\n crash 2 b.K 2 -1\n run 50\n"
+      "restart 2\n run 50\n crash 3 c.K 3 -1\n run 500\n restart 1\n run 50\n"
+      "query z.K\n"
+      "cut 1 2\n cut 1 3\n cut 2 3\n restart 1\n restart 2\n restart 3\n"
+      "stored 2 .K\n run 50\n query z.K\n clear 1 .K\n run 50\n query z.K\n",
+      "z.K BBB\nz.K BBB\nz.K ---\n");
+}
+
+/* Guards against refusals that keep a wrong block in force for ever: the block
+   of a part ends, although its requests go on to be sent. */
+Test (poison_parts, refusals_do_not_prolong_the_block)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.K 1 -1\n run 100\n crash 2 b.K 2 -1\n run 100\n"
+      "crash 1 c.K 3 -1\n run 300000\n query z.K\n run 301000\n query z.K\n"
+      "crash 2 d.K 4 -1\n run 500\n query z.K\n",
+      "z.K BB\nz.K --\nz.K BB\n");
+}
