poison: a cleared part gives its crashes back; ask for completions before a block

What callers saw (18 nodes, t9305 part_is_blocked_at_many_nodes, 0.67 s between requests): seven servers crashed under a part, five allowed, in each of five runs.

Cause, from the nodes' lines: after four crashes the popular first part "aa" and the culprit had the same evidence, as the relays had served no request with "aa". "aa" was chosen, all crashes were attributed to it, and another node cleared it 0.1 s later. The crashes stayed attributed, so the culprit's evidence counted half and took two more. Ruled out: times of reports as the cause (the crash's own time alone changed nothing).

Change: a suspect that is cleared gives its crashes back; when one more crash would block a part, the nodes that decide ask all nodes whether it has completed, so that popular parts are gone before the choice; reports carry the time of the crash, so that servers that fail together are told apart from a request that is tried twice.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -5672,7 +5672,7 @@
   (ProtobufCMessageInit) lapis__poison_updates__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__poison_update__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lapis__poison_update__field_descriptors[9] =
 {
   {
     "kind",
@@ -5770,8 +5770,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ago_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PoisonUpdate, ago_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__poison_update__field_indices_by_name[] = {
+  8,   /* field[8] = ago_ms */
   5,   /* field[5] = broadcast */
   7,   /* field[7] = companions */
   1,   /* field[1] = digest */
@@ -5784,7 +5797,7 @@
 static const ProtobufCIntRange lapis__poison_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lapis__poison_update__descriptor =
 {
@@ -5794,7 +5807,7 @@
   "Lapis__PoisonUpdate",
   "lapis",
   sizeof(Lapis__PoisonUpdate),
-  8,
+  9,
   lapis__poison_update__field_descriptors,
   lapis__poison_update__field_indices_by_name,
   1,  lapis__poison_update__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -1034,10 +1034,14 @@
    */
   size_t n_companions;
   uint64_t *companions;
+  /*
+   * time since the crash
+   */
+  uint32_t ago_ms;
 };
 #define LAPIS__POISON_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__poison_update__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/serve/peers-poison.c
+++ b/serve/peers-poison.c
@@ -24,6 +24,7 @@
   row->kind = update->kind + (update->id.is_part ? PART_KINDS : 0);
   row->digest = update->id.value;
   row->request = update->request;
+  row->ago_ms = (uint32_t)update->ago_ms;
   row->n_companions = update->ncompanions;
   row->companions = update->companions;
   row->place = update->endpoint;
@@ -114,14 +115,15 @@
   bool is_part = row->kind >= PART_KINDS;
   uint32_t kind = is_part ? row->kind - PART_KINDS : row->kind;
 
-  if (kind > (is_part ? PSN_COMPLETED : PSN_CLEARED)
-      || row->hold_ms > PSN_HOLD_MS || row->n_companions > PSN_MAX_COMPANIONS)
+  if (kind > (is_part ? PSN_QUERY : PSN_CLEARED) || row->hold_ms > PSN_HOLD_MS
+      || row->n_companions > PSN_MAX_COMPANIONS)
     return false;
   *out = (struct psn_update){ .kind = kind,
                               .id = { is_part, row->digest },
                               .endpoint = row->place,
                               .ran_ms = row->ran_ms,
                               .request = row->request,
+                              .ago_ms = row->ago_ms,
                               .hold_ms = row->hold_ms,
                               .ncompanions = row->n_companions,
                               .broadcast = row->broadcast };
--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -55,6 +55,8 @@
   clk_ms state_ends_at;
   clk_ms pending_at; /**< when the observed suspect becomes pending; CLK_NEVER:
                       not enough evidence */
+  clk_ms queried_at; /**< part: when all nodes were asked for completions; 0:
+                          they were not */
   struct psn_crashed_run crashed_runs[PSN_MAX_CRASHED_RUNS];
   size_t ncrashed_runs;
   /** pending or blocked part: it is refused only together with these */
@@ -74,7 +76,7 @@
 struct psn_crash_time
 {
   uint64_t endpoint;
-  clk_ms at;       /**< of the first crash of that moment */
+  clk_ms at;
   uint32_t moment; /**< 0: unused */
 };
 
@@ -111,8 +113,9 @@
 /** Find the crashed run of the suspect at an endpoint, or NULL. */
 struct psn_crashed_run *psn_find_crashed_run (struct psn_suspect *s,
                                               uint64_t endpoint);
-/** Identifies the moment at which the server crashed. */
-uint32_t psn_crash_moment (struct psn *p, clk_ms now, uint64_t endpoint);
+/** Identifies the moment at which the server crashed.
+    @param at  time of the crash as reported */
+uint32_t psn_crash_moment (struct psn *p, clk_ms at, uint64_t endpoint);
 /** Whether the suspect is pending or blocked, so that its crashes are
     attributed to it. */
 bool psn_is_pending_or_blocked (const struct psn_suspect *s);
@@ -125,6 +128,9 @@
     others. */
 void psn_attribute_crashes (struct psn *p, clk_ms now,
                             const struct psn_suspect *s);
+/** The suspect is cleared: its crashes count in full against others again. */
+void psn_release_crashes (struct psn *p, clk_ms now,
+                          const struct psn_suspect *s);
 /** Whether the crashes of @p a are a proper subset of those of @p b. */
 bool psn_crashes_are_subset (const struct psn_suspect *a,
                              struct psn_suspect *b);
--- a/serve/poison-node.c
+++ b/serve/poison-node.c
@@ -58,6 +58,7 @@
       break;
     case PSN_CRASH:
     case PSN_BLOCK_PENDING:
+    case PSN_QUERY:
       break;
     }
 }
--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -24,8 +24,8 @@
     Other nodes need this time to report which of their requests were running
     when the same server crashed. */
 #define SETTLE_MS ((clk_ms)100)
-/** Servers whose crashes are reported within this time have crashed together.
-    It covers the check of each server. */
+/** Servers that crash within this time have crashed together.  It covers the
+    delays of reports from other nodes. */
 #define SAME_MOMENT_MS ((clk_ms)50)
 
 /* --- table of suspects -------------------------------------------------- */
@@ -228,24 +228,24 @@
 }
 
 uint32_t
-psn_crash_moment (struct psn *p, clk_ms now, uint64_t endpoint)
+psn_crash_moment (struct psn *p, clk_ms at, uint64_t endpoint)
 {
   struct psn_crash_time *c = &p->crashes[p->next_crash % PSN_MAX_CRASHES];
-  const struct psn_crash_time *latest = NULL;
+  uint32_t moment = 0;
 
   for (size_t i = 0; i < PSN_MAX_CRASHES; i++)
     {
       const struct psn_crash_time *other = &p->crashes[i];
-      if (other->moment && other->endpoint == endpoint)
+      if (!other->moment)
+        continue;
+      if (other->endpoint == endpoint)
         return other->moment;
-      if (other->moment && (!latest || other->moment > latest->moment))
-        latest = other;
+      if (llabs (other->at - at) < SAME_MOMENT_MS)
+        moment = other->moment;
     }
   p->next_crash++;
-  if (latest && now - latest->at < SAME_MOMENT_MS)
-    *c = (struct psn_crash_time){ endpoint, latest->at, latest->moment };
-  else
-    *c = (struct psn_crash_time){ endpoint, now, ++p->last_moment };
+  *c = (struct psn_crash_time){ endpoint, at,
+                                moment ? moment : ++p->last_moment };
   return c->moment;
 }
 
@@ -413,6 +413,46 @@
     attribute_crash (p, now, s->crashed_runs[i].endpoint);
 }
 
+/** Whether the crash at an endpoint is attributed to a suspect that is still
+    pending or blocked. */
+static bool
+has_culprit (const struct psn *p, uint64_t endpoint)
+{
+  for (size_t i = 0; i < p->n; i++)
+    if (psn_is_pending_or_blocked (&p->suspects[i])
+        && psn_find_crashed_run (&p->suspects[i], endpoint))
+      return true;
+  return false;
+}
+
+static void
+release_crash (struct psn *p, clk_ms now, uint64_t endpoint)
+{
+  for (size_t i = 0; i < PSN_MAX_ATTRIBUTED; i++)
+    if (p->attributed_endpoints[i] == endpoint)
+      p->attributed_endpoints[i] = 0;
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->suspects[i];
+      struct psn_crashed_run *r = psn_find_crashed_run (s, endpoint);
+      if (!r || !r->attributed_to_other)
+        continue;
+      r->attributed_to_other = false;
+      psn_update_pending_time (p, now, s);
+    }
+}
+
+void
+psn_release_crashes (struct psn *p, clk_ms now, const struct psn_suspect *s)
+{
+  for (size_t i = 0; i < s->ncrashed_runs; i++)
+    {
+      uint64_t endpoint = s->crashed_runs[i].endpoint;
+      if (endpoint && !has_culprit (p, endpoint))
+        release_crash (p, now, endpoint);
+    }
+}
+
 /** Whether the evidence against @p a is stronger.  At equal weight, a request
     is the more likely cause than a part, as its block affects fewer others,
    and so is the one with the shorter runs. */
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -101,9 +101,12 @@
        bool broadcast)
 {
   struct psn_update update = make_update (s, kind);
+  bool had_crashes = psn_is_pending_or_blocked (s);
 
-  update.broadcast = broadcast || psn_is_pending_or_blocked (s);
+  update.broadcast = broadcast || had_crashes;
   s->state = PSN_S_CLEARED;
+  if (had_crashes)
+    psn_release_crashes (p, now, s);
   s->state_ends_at = now + CLEARED_TTL_MS;
   s->pending_at = s->companions_at = CLK_NEVER;
   s->ncrashed_runs = s->ncompanions = 0;
@@ -158,6 +161,8 @@
   p->has_companions = p->has_companions || s->ncompanions > 0;
   s->state = PSN_S_BLOCK_PENDING;
   s->state_ends_at = now + PENDING_MS;
+  if (s->queried_at && s->queried_at + PENDING_MS < s->state_ends_at)
+    s->state_ends_at = s->queried_at + PENDING_MS;
   s->pending_at = CLK_NEVER;
   sent = make_update (s, PSN_BLOCK_PENDING);
   add_update (p, &sent);
@@ -253,12 +258,22 @@
     .endpoint = update->endpoint,
     .ran_ms = update->ran_ms,
     .request = update->request,
-    .moment = psn_crash_moment (p, now, update->endpoint),
+    .moment = psn_crash_moment (p, now - update->ago_ms, update->endpoint),
     .attributed_to_other = !decided && psn_is_attributed (p, update->endpoint)
   };
   add_update (p, update);
 }
 
+/** Ask all nodes whether the part has completed there. */
+static void
+send_query (struct psn *p, clk_ms now, struct psn_suspect *s)
+{
+  struct psn_update query = make_update (s, PSN_QUERY);
+
+  s->queried_at = now;
+  add_update (p, &query);
+}
+
 static void
 apply_crash (struct psn *p, clk_ms now, const struct psn_update *update)
 {
@@ -291,6 +306,24 @@
     }
   s->state_ends_at = now + PSN_HOLD_MS;
   psn_update_pending_time (p, now, s);
+  if (s->id.is_part && p->is_collector && !s->queried_at
+      && psn_is_near_block (p, now, s))
+    send_query (p, now, s);
+}
+
+static void
+apply_query (struct psn *p, clk_ms now, const struct psn_update *update)
+{
+  struct psn_suspect *s = psn_find (p, update->id);
+
+  if (psn_has_completed (p, now, update->id, COMPLETION_TTL_MS))
+    {
+      struct psn_update completed
+          = { .kind = PSN_COMPLETED, .id = update->id };
+      add_update (p, &completed);
+    }
+  else if (s && !s->queried_at)
+    send_query (p, now, s);
 }
 
 void
@@ -299,7 +332,8 @@
   struct psn_update update = { .kind = PSN_CRASH,
                                .id = { false, run->request.digest },
                                .endpoint = run->endpoint,
-                               .ran_ms = run->ran_ms };
+                               .ran_ms = run->ran_ms,
+                               .ago_ms = run->ago_ms };
 
   apply_crash (p, now, &update);
   update.request = run->request.digest;
@@ -389,6 +423,9 @@
     case PSN_COMPLETED:
       part_completed (p, now, update->id, update->broadcast);
       break;
+    case PSN_QUERY:
+      apply_query (p, now, update);
+      break;
     }
 }
 
--- a/serve/poison.h
+++ b/serve/poison.h
@@ -26,7 +26,8 @@
  * - A part that is innocent is in many requests, and these complete.  A run
  *   that completes at any node clears each part of its prompt.  Nodes at which
  *   a part completed a short time ago ignore its crashes, and answer reports
- *   of them with PSN_COMPLETED.
+ *   of them with PSN_COMPLETED.  All nodes are asked for completions when one
+ *   more crash would block a part.
  * - A part is blocked only for crashes of several requests, and not while one
  *   request was running in all of them: then the request is the cause.
  * - Servers that crash at the same moment count as one crash: a rack has
@@ -69,7 +70,9 @@
   PSN_BLOCK_PENDING, /**< to be blocked soon, unless a node clears it */
   PSN_BLOCKED,       /**< hold_ms: remaining duration of the block */
   PSN_CLEARED,       /**< it is not the cause of crashes */
-  PSN_COMPLETED      /**< a run with this part completed */
+  PSN_COMPLETED,     /**< a run with this part completed */
+  PSN_QUERY          /**< nodes at which this part completed are to answer with
+                          PSN_COMPLETED */
 };
 
 /** What other nodes know a request or a part by. */
@@ -88,6 +91,7 @@
       endpoint;  /**< endpoint that ran it; changes when the server restarts */
   clk_ms ran_ms; /**< time since its first event, or PSN_NO_EVENT */
   uint64_t request; /**< crash of a part: digest of the request that had it */
+  clk_ms ago_ms;    /**< crash: time since then */
   clk_ms hold_ms;
   /** ids of parts without which the block of a part does not apply */
   uint64_t companions[PSN_MAX_COMPANIONS];
@@ -108,7 +112,8 @@
 {
   struct psn_request request;
   uint64_t endpoint;
-  clk_ms ran_ms; /**< time since its first event, or PSN_NO_EVENT */
+  clk_ms ran_ms; /**< time from its first event, or PSN_NO_EVENT */
+  clk_ms ago_ms; /**< time since the crash */
 };
 
 /** Why a request is refused. */
--- a/t/lib-poison.c
+++ b/t/lib-poison.c
@@ -63,9 +63,10 @@
 psn_fleet_crash (struct psn_fleet *f, int node, uint64_t digest,
                  uint64_t endpoint, clk_ms ran_ms)
 {
-  psn_run_crashed (
-      f->node[node], f->now,
-      &(struct psn_run){ { .digest = digest }, endpoint, ran_ms });
+  psn_run_crashed (f->node[node], f->now,
+                   &(struct psn_run){ .request = { .digest = digest },
+                                      .endpoint = endpoint,
+                                      .ran_ms = ran_ms });
 }
 
 void
@@ -200,7 +201,9 @@
     psn_fleet_init (f, atoi (x), 4);
   else if (strcmp (command, "crash") == 0)
     psn_run_crashed (f->node[node], f->now,
-                     &(struct psn_run){ r, (uint64_t)atoi (z), atoi (ms) });
+                     &(struct psn_run){ .request = r,
+                                        .endpoint = (uint64_t)atoi (z),
+                                        .ran_ms = atoi (ms) });
   else if (strcmp (command, "complete") == 0)
     psn_completed (f->node[node], f->now, &r);
   else if (strcmp (command, "cut") == 0 || strcmp (command, "link") == 0)
--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -162,3 +162,26 @@
       "crash 2 d.K 4 -1\n run 500\n query z.K\n",
       "z.K BB\nz.K --\nz.K BB\n");
 }
+
+/* Guards against a cause that goes on because its crashes were attributed to a
+   popular part beside it, which was cleared since. */
+Test (poison_parts, cleared_part_does_not_hide_the_cause)
+{
+  poison_run_script (
+      "relays 8\n complete 8 s.A\n run 500\n"
+      "crash 5 a.AK 1 -1\n run 300\n crash 6 b.AK 2 -1\n run 300\n"
+      "crash 7 c.AK 3 -1\n run 400\n query z.K\n query z.A\n",
+      "z.K BBBBBBBB\nz.A --------\n");
+}
+
+/* Guards against a popular part that is blocked for a moment, as the nodes
+   that decide learn of its completions late. */
+Test (poison_parts, completions_are_known_before_the_decision)
+{
+  poison_run_script (
+      "relays 8\n complete 8 s.A\n run 500\n"
+      "crash 5 a.A 1 -1\n run 300\n crash 6 b.A 2 -1\n run 300\n"
+      "crash 7 c.A 3 -1\n run 20\n query z.A\n run 100\n query z.A\n"
+      "run 100\n query z.A\n",
+      "z.A --------\nz.A --------\nz.A --------\n");
+}
