dispatch: which ends of a response prove a run

A 200 whose connection closes in order before any byte counted as a whole response and cleared its request, so a server that crashes right after its head spoke for the request that crashed it. A final error (4xx) cleared its request too, and an error of the first attempt kept a whole second one from clearing it.

Change: only a 2xx with content proves a run. A stream without an event that ends with its connection is interrupted. A response with content that ends with its connection is passed on as whole; its run counts as completed once the server has answered a request that was sent later, as crashed if its process has ended, and not at all after 5 s. A refused connection to such a server starts the check of its process.

--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -31,6 +31,10 @@
 /** Time for the answer of another server, and interval between such checks. */
 #define REFERENCE_INTERVAL_MS ((clk_ms)50)
 
+/** Time in which a run whose response ended with its connection is confirmed;
+    after it nothing is concluded from the run. */
+#define CLOSED_RUN_MS ((clk_ms)5000)
+
 static void
 free_runs (struct dsp_interruption *b)
 {
@@ -46,6 +50,8 @@
 {
   for (size_t i = 0; i < DSP_INTERRUPTIONS_MAX; i++)
     free_runs (&d->interruptions[i]);
+  for (size_t i = 0; i < DSP_CLOSED_RUNS_MAX; i++)
+    free ((void *)d->closed_runs[i].run.request.parts);
 }
 
 /** Finds the record for a run that is interrupted now. A record whose check
@@ -107,14 +113,21 @@
       = dsp_copy_parts (run->request.parts, run->request.nparts);
 }
 
+/** The run of the current attempt; its list of parts belongs to @p q. */
+static struct psn_run
+make_run (const struct dsp *d, const struct dsp_req *q)
+{
+  return (struct psn_run){ .request = q->poison_ids,
+                           .endpoint = q->endpoint->hash,
+                           .ran_ms = q->streaming ? d->now - q->first_event_at
+                                                  : PSN_NO_EVENT };
+}
+
 void
 dsp_run_interrupted (struct dsp *d, const struct dsp_req *q)
 {
   const struct dsp_endpoint_state *s = q->endpoint;
-  struct psn_run run
-      = { .request = q->poison_ids,
-          .endpoint = s->hash,
-          .ran_ms = q->streaming ? d->now - q->first_event_at : PSN_NO_EVENT };
+  struct psn_run run = make_run (d, q);
   struct dsp_interruption *b = find_interruption (d, s->hash);
 
   /* A server that is shutting down ends its process without a crash. */
@@ -129,6 +142,73 @@
     add_run (b, &run);
 }
 
+/* --- responses that ended with their connection ---------------------------
+ */
+
+void
+dsp_run_closed (struct dsp *d, const struct dsp_req *q)
+{
+  struct dsp_closed_run *c
+      = &d->closed_runs[d->next_closed_run++ % DSP_CLOSED_RUNS_MAX];
+
+  if (q->endpoint->is_proxy || !d->opt.poison)
+    return;
+  free ((void *)c->run.request.parts);
+  *c = (struct dsp_closed_run){ d->now, make_run (d, q) };
+  c->run.request.parts
+      = dsp_copy_parts (q->poison_ids.parts, q->poison_ids.nparts);
+}
+
+static bool
+is_closed_at (const struct dsp *d, const struct dsp_closed_run *c,
+              const struct dsp_endpoint_state *s)
+{
+  return c->closed_at && c->run.endpoint == s->hash
+         && d->now - c->closed_at < CLOSED_RUN_MS;
+}
+
+void
+dsp_server_answered (struct dsp *d, const struct dsp_endpoint_state *s,
+                     clk_ms sent_at)
+{
+  for (size_t i = 0; i < DSP_CLOSED_RUNS_MAX; i++)
+    {
+      struct dsp_closed_run *c = &d->closed_runs[i];
+      if (!is_closed_at (d, c, s) || c->closed_at >= sent_at)
+        continue;
+      c->closed_at = 0;
+      psn_completed (d->opt.poison, d->now, &c->run.request);
+    }
+}
+
+static void
+closed_runs_crashed (struct dsp *d, const struct dsp_endpoint_state *s)
+{
+  for (size_t i = 0; i < DSP_CLOSED_RUNS_MAX; i++)
+    {
+      struct dsp_closed_run *c = &d->closed_runs[i];
+      if (!is_closed_at (d, c, s))
+        continue;
+      c->run.ago_ms = d->now - c->closed_at;
+      c->closed_at = 0;
+      psn_run_crashed (d->opt.poison, d->now, &c->run);
+    }
+}
+
+void
+dsp_check_closed_runs (struct dsp *d, const struct dsp_endpoint_state *s)
+{
+  for (size_t i = 0; i < DSP_CLOSED_RUNS_MAX; i++)
+    if (is_closed_at (d, &d->closed_runs[i], s))
+      {
+        if (!find_interruption (d, s->hash))
+          start_check (d, s);
+        return;
+      }
+}
+
+/* --- result of the check ------------------------------------------------- */
+
 static void
 conclude (struct dsp *d, struct dsp_interruption *b,
           struct dsp_endpoint_state *s, enum dsp_liveness found)
@@ -143,9 +223,15 @@
     }
   d->stats.servers_ended++;
   if (s)
-    s->process_ended_until = d->now + PROCESS_ENDED_MS;
+    {
+      s->process_ended_until = d->now + PROCESS_ENDED_MS;
+      closed_runs_crashed (d, s);
+    }
   for (size_t i = 0; d->opt.poison && i < b->nruns; i++)
-    psn_run_crashed (d->opt.poison, d->now, &b->runs[i]);
+    {
+      b->runs[i].ago_ms = d->now - b->first_at;
+      psn_run_crashed (d->opt.poison, d->now, &b->runs[i]);
+    }
   free_runs (b);
 }
 
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -202,6 +202,7 @@
                                 `own_announced` */
   bool awaits_first_event; /**< sent, and no event received yet */
   bool error_response;     /**< the current attempt's response is an error */
+  bool success_response; /**< the current attempt's response has status 2xx */
   /** hashes of the endpoints at which an attempt failed or was rejected */
   uint64_t failed_endpoints[DSP_FAILED_ENDPOINTS_MAX];
   unsigned nfailed_endpoints;
@@ -241,6 +242,16 @@
   size_t nruns, runs_capacity;
 };
 
+#define DSP_CLOSED_RUNS_MAX 64 /**< capacity; the oldest are overwritten */
+
+/** A run whose response ended with its connection: complete, or interrupted by
+    a crash of the server. */
+struct dsp_closed_run
+{
+  clk_ms closed_at;   /**< 0: unused */
+  struct psn_run run; /**< owns its list of parts */
+};
+
 /** Servers whose failures are recorded in a row. */
 #define DSP_PATH_FAILED_MAX 8
 
@@ -308,6 +319,8 @@
   struct dsp_proxy proxies[DSP_PROXIES_MAX];
   size_t nproxies;
   struct dsp_interruption interruptions[DSP_INTERRUPTIONS_MAX];
+  struct dsp_closed_run closed_runs[DSP_CLOSED_RUNS_MAX]; /**< a ring */
+  size_t next_closed_run;
   struct dsp_stats stats;
 };
 
@@ -500,6 +513,14 @@
 /* dispatch-crash.c */
 void dsp_run_interrupted (struct dsp *d, const struct dsp_req *q);
 void dsp_crash_free (struct dsp *d);
+/** The response ended with its connection. */
+void dsp_run_closed (struct dsp *d, const struct dsp_req *q);
+/** The server has answered a request that was sent at @p sent_at. */
+void dsp_server_answered (struct dsp *d, const struct dsp_endpoint_state *s,
+                          clk_ms sent_at);
+/** The server can't be reached: checks it if responses ended with their
+    connections there. */
+void dsp_check_closed_runs (struct dsp *d, const struct dsp_endpoint_state *s);
 /** Whether the request must not be run, as it may crash servers.
     @param out  receives the reason */
 bool dsp_is_refused (const struct dsp *d, const struct dsp_req *q,
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -353,6 +353,7 @@
   q->sent_attempts++;
   q->sent_at = q->last_data_at = now;
   q->awaits_first_event = true;
+  q->error_response = q->success_response = false;
   d->stats.sent++;
   d->stats.proxied += q->endpoint->is_proxy;
   d->stats.retried += q->sent_attempts > 1;
@@ -388,6 +389,7 @@
   /* Nothing was sent, so a retry is safe even for a request that must be
      executed at most once. */
   dsp_path_connect_failed (d, q->endpoint);
+  dsp_check_closed_runs (d, q->endpoint);
   dsp_health_failure (d, q->endpoint);
   record_failed_endpoint (q);
   release_endpoint (q);
@@ -428,9 +430,11 @@
     return;
   q->last_data_at = q->endpoint->last_data_at = now;
   dsp_path_heard (d, q->endpoint);
+  dsp_server_answered (d, q->endpoint, q->sent_at);
   switch (head)
     {
     case DSP_RESPONSE_OK:
+      q->success_response = true;
       break;
     case DSP_RESPONSE_NOT_EXECUTED:
       on_not_executed (d, q);
@@ -484,28 +488,31 @@
     on_first_event (d, q);
 }
 
-void
-dsp_response_complete (struct dsp *d, clk_ms now, uint64_t id,
-                       unsigned attempt)
+/** Whether the complete response shows that the request was executed. */
+static bool
+proves_run (const struct dsp_req *q)
 {
-  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
-  double ms;
+  return q->success_response && (q->streaming || q->route->kind != TBL_STREAM);
+}
+
+static bool
+is_answered (const struct dsp_req *q)
+{
+  return q->state == DSP_S_SENT || q->state == DSP_S_RESENT
+         || q->state == DSP_S_PASSING;
+}
+
+static void
+complete_request (struct dsp *d, struct dsp_req *q)
+{
+  double ms = (double)(d->now - q->sent_at);
 
-  d->now = now;
-  if (!q
-      || (q->state != DSP_S_SENT && q->state != DSP_S_RESENT
-          && q->state != DSP_S_PASSING))
-    return;
   if (!q->streaming)
     {
       stop_awaiting_first_event (q);
-      dsp_health_first_event (d, q->endpoint, now - q->sent_at);
+      dsp_health_first_event (d, q->endpoint, d->now - q->sent_at);
     }
   dsp_health_success (d, q->endpoint);
-  /* An error response doesn't prove that execution had begun. */
-  if (d->opt.poison && !q->error_response)
-    psn_completed (d->opt.poison, now, &q->poison_ids);
-  ms = (double)(now - q->sent_at);
   q->pool->mean_response_ms += (q->pool->mean_response_ms > 0 ? 0.05 : 1)
                                * (ms - q->pool->mean_response_ms);
   dsp_transition (q, DSP_EVENT_WHOLE);
@@ -513,6 +520,39 @@
   finish_request (d, q);
 }
 
+void
+dsp_response_complete (struct dsp *d, clk_ms now, uint64_t id,
+                       unsigned attempt)
+{
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
+
+  d->now = now;
+  if (!q || !is_answered (q))
+    return;
+  if (d->opt.poison && proves_run (q))
+    psn_completed (d->opt.poison, now, &q->poison_ids);
+  complete_request (d, q);
+}
+
+void
+dsp_response_closed (struct dsp *d, clk_ms now, uint64_t id, unsigned attempt,
+                     bool empty)
+{
+  struct dsp_req *q = dsp_find_attempt (d, id, attempt);
+
+  d->now = now;
+  if (!q || !is_answered (q))
+    return;
+  if (empty && q->route->kind == TBL_STREAM && q->success_response)
+    {
+      dsp_response_interrupted (d, now, id, attempt);
+      return;
+    }
+  if (!empty && proves_run (q))
+    dsp_run_closed (d, q);
+  complete_request (d, q);
+}
+
 void
 dsp_response_interrupted (struct dsp *d, clk_ms now, uint64_t id,
                           unsigned attempt)
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -332,6 +332,14 @@
                         unsigned attempt, bool event);
 void dsp_response_complete (struct dsp *d, clk_ms now, uint64_t id,
                             unsigned attempt);
+/**
+ * The response, whose length was not stated, ended when the server closed its
+ * connection.  A server that crashes closes it as well: the response counts as
+ * complete, but its run only once the server has answered a later request.
+ * @param empty  there was no content; a stream is then interrupted
+ */
+void dsp_response_closed (struct dsp *d, clk_ms now, uint64_t id,
+                          unsigned attempt, bool empty);
 /** The response was interrupted, or none came. */
 void dsp_response_interrupted (struct dsp *d, clk_ms now, uint64_t id,
                                unsigned attempt);
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -290,6 +290,33 @@
   srv_run_actions (s);
 }
 
+/** The body has ended.
+    @param closed  its length was not stated, and the server closed the
+                   connection */
+static void
+on_body_end (struct srv_attempt *at, bool closed)
+{
+  struct dsp *d = at->ex->s->dispatch;
+  uint64_t id = at->ex->id;
+  clk_ms now = clk_now ();
+  bool empty = is_stream (at) ? !at->first_event_at : at->body.len == 0;
+
+  if (at->head.status == 0 || (is_stream (at) && at->split.rest.len > 0))
+    {
+      log_attempt_lost (at, "cut-in-an-event");
+      dsp_response_interrupted (d, now, id, at->number);
+      return;
+    }
+  if (!closed)
+    {
+      dsp_response_complete (d, now, id, at->number);
+      return;
+    }
+  if (empty)
+    log_attempt_lost (at, "closed-without-content");
+  dsp_response_closed (d, now, id, at->number, empty);
+}
+
 static void
 on_end (void *ctx, enum httpc_end end)
 {
@@ -302,14 +329,8 @@
   switch (end)
     {
     case HTTPC_WHOLE:
-    case HTTPC_UNBOUNDED: /* closed cleanly, without a length */
-      if (at->head.status != 0 && !(is_stream (at) && at->split.rest.len > 0))
-        {
-          dsp_response_complete (s->dispatch, now, ex->id, at->number);
-          break;
-        }
-      log_attempt_lost (at, "cut-in-an-event");
-      dsp_response_interrupted (s->dispatch, now, ex->id, at->number);
+    case HTTPC_UNBOUNDED:
+      on_body_end (at, end == HTTPC_UNBOUNDED);
       break;
     case HTTPC_CONNECT_FAILED:
     case HTTPC_STOPPED:
--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -10,7 +10,7 @@
    it is loaded already. */
 #define LOAD_MS 400
 #define JOIN_MS 50
-#define MAX_HEADERS 7
+#define MAX_HEADERS 8
 
 static const char *const member_state_names[]
     = { "", "joining", "ready", "open", "closing" };
@@ -277,6 +277,10 @@
   h[n++] = (struct http_header){ STR ("content-type"), str_from (type) };
   h[n++] = (struct http_header){ STR (PLT_H_REQUEST_ID),
                                  httpd_header (req, PLT_H_REQUEST_ID) };
+  /* Keeps the HTTP library from sending chunks. */
+  if (s->rack->unframed)
+    h[n++]
+        = (struct http_header){ STR ("transfer-encoding"), STR ("identity") };
   if (!s->unsealed)
     h[n++] = (struct http_header){ STR (PLT_H_SEAL), str_from (s->id) };
   n += rack_limit_header (&s->limit, &h[n]);
@@ -378,8 +382,15 @@
   buf_add_c (&body, ",\"key\":");
   buf_add_json (&body, httpd_header (req, PLT_H_KEY));
   buf_add_c (&body, "}");
-  httpd_answer (req, s->fail_status ? s->fail_status : 200, h, n,
-                buf_str (&body));
+  if (s->rack->unframed)
+    {
+      httpd_begin (req, s->fail_status ? s->fail_status : 200, h, n);
+      httpd_write (req, buf_str (&body));
+      httpd_end (req, true);
+    }
+  else
+    httpd_answer (req, s->fail_status ? s->fail_status : 200, h, n,
+                  buf_str (&body));
   buf_free (&body);
 }
 
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -160,6 +160,7 @@
   if (jsn_get (o, "crash_part"))
     snprintf (r->crash_part, sizeof r->crash_part, "%s",
               jsn_text (o, "crash_part"));
+  set_flag (o, "unframed", &r->unframed);
   if (jsn_get (o, "crash_ms"))
     r->crash_ms = (int)jsn_int (o, "crash_ms");
   if (jsn_get (o, "side_hides"))
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -164,7 +164,9 @@
   char crash_part[32]; /**< id of a part of the prompt, except the last one,
                             that crashes the server; empty: none */
   int crash_ms;        /**< delay from the request to the crash, in ms */
-  int part_runs;       /**< requests with that part that reached servers */
+  bool unframed; /**< responses have neither a length nor chunks: they end with
+                      their connection */
+  int part_runs; /**< requests with that part that reached servers */
   int crashed;
   GHashTable *runs; /**< request id -> number of executions */
 };
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -180,21 +180,28 @@
   dsp_set_proxies (b->d, b->now, list, (size_t)n);
 }
 
+/** @param digest  see "submit" in lib-dispatch.h */
 static void
-submit (struct fixture *b, uint64_t id, const char *route, uint64_t digest,
+submit (struct fixture *b, uint64_t id, const char *route, const char *digest,
         bool late, unsigned priority)
 {
   const struct tbl_route *r = find_route (b, route);
-  struct dsp_request q = { .id = id,
-                           .route = r,
-                           .config = b->config,
-                           .service = r->targets[0].service,
-                           .deadline = b->now + 2000,
-                           .waited_ms = late ? r->latency_goal_ms : 0,
-                           .digest = digest ? digest : 1000 + id,
-                           .priority = priority,
-                           .proxied = b->submit_proxied };
-
+  const char *letters = strchr (digest, '.');
+  uint64_t parts[16];
+  struct dsp_request q
+      = { .id = id,
+          .route = r,
+          .config = b->config,
+          .service = r->targets[0].service,
+          .deadline = b->now + 2000,
+          .waited_ms = late ? r->latency_goal_ms : 0,
+          .digest = atoi (digest) ? (uint64_t)atoi (digest) : 1000 + id,
+          .parts = parts,
+          .priority = priority,
+          .proxied = b->submit_proxied };
+
+  for (letters = letters ? letters + 1 : ""; *letters; letters++)
+    parts[q.nparts++] = (uint64_t)*letters;
   if (r->kind == TBL_STREAM)
     q.model = STR ("m");
   dsp_submit (b->d, b->now, &q);
@@ -246,11 +253,11 @@
 }
 
 static void
-block (struct fixture *b, uint64_t digest)
+block (struct fixture *b, bool is_part, uint64_t id)
 {
   psn_apply (b->poison, b->now,
              &(struct psn_update){ .kind = PSN_BLOCKED,
-                                   .id = { false, digest },
+                                   .id = { is_part, id },
                                    .hold_ms = PSN_HOLD_MS });
   dsp_poison_blocked (b->d, b->now);
 }
@@ -317,6 +324,10 @@
     dsp_data_received (b->d, b->now, id, at, true);
   else if (strcmp (command, "complete") == 0)
     dsp_response_complete (b->d, b->now, id, at);
+  else if (strcmp (command, "closed") == 0)
+    dsp_response_closed (b->d, b->now, id, at, false);
+  else if (strcmp (command, "closed-empty") == 0)
+    dsp_response_closed (b->d, b->now, id, at, true);
   else if (strcmp (command, "interrupted") == 0)
     dsp_response_interrupted (b->d, b->now, id, at);
   else if (strcmp (command, "client-gone") == 0)
@@ -407,10 +418,10 @@
     report_load (b, x, (unsigned)atoi (y), (unsigned)atoi (y), atoi (z));
   else if (strcmp (command, "submit") == 0
            || strcmp (command, "submit-late") == 0)
-    submit (b, (uint64_t)atoi (x), y, (uint64_t)atoi (z),
-            strcmp (command, "submit-late") == 0, 0);
+    submit (b, (uint64_t)atoi (x), y, z, strcmp (command, "submit-late") == 0,
+            0);
   else if (strcmp (command, "submit-low") == 0)
-    submit (b, (uint64_t)atoi (x), y, 0, false, 1);
+    submit (b, (uint64_t)atoi (x), y, "", false, 1);
   else if (strcmp (command, "limit") == 0)
     set_limit (b, x, y);
   else if (strcmp (command, "permit") == 0)
@@ -434,7 +445,9 @@
   else if (strcmp (command, "unknown") == 0)
     finish_check (b, x, DSP_UNREACHABLE);
   else if (strcmp (command, "block") == 0)
-    block (b, (uint64_t)atoi (x));
+    block (b, false, (uint64_t)atoi (x));
+  else if (strcmp (command, "block-part") == 0)
+    block (b, true, (uint64_t)x[0]);
   else if (strcmp (command, "run") == 0)
     run (b, atoi (x));
   else if (strcmp (command, "suspend") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -14,7 +14,8 @@
  *   peer-ended SERVER          another node reports that the process ended
  *   submit ID ROUTE [DIGEST]   a request; ROUTE is stream, once (at most once)
  *                              or safe (idempotent); DIGEST is a number, by
- *                              default one that no other request has
+ *                              default one that no other request has.  Letters
+ *                              after a dot are parts of its prompt: "7.KN"
  *
  *   submit-late ID ROUTE       the same, from a client that has already waited
  *                              as long as the latency goal
@@ -37,10 +38,13 @@
  *   delays                     retry delays are logged from now on
  *
  *   sent|connect-failed|ok|error|final|not-executed|event|complete|interrupted
- *   |client-gone ID            event of the request's current attempt
+ *   |closed|closed-empty|client-gone ID
+ *                              event of the request's current attempt; closed:
+ *                              its response ended with the connection
  *   crashed|refused|alive|unknown SERVER
  *                              result of the check of the server's process
  *   block DIGEST               the request is blocked, as it crashes servers
+ *   block-part LETTER          the same of a part
  *   run MS                     advances the time in steps of 20 ms
  *   run-events MS ID           advances the time, with ticks when due and an
  *                              event of the stream every 10 ms
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -473,3 +473,77 @@
       cr_expect_eq (request_with_parts (&r, i, "aa:800,cc:90"), 200);
     }
 }
+
+/* Guards against a server that speaks for the request which crashes it: its
+   responses end with their connections, and so do those that a crash cuts. */
+Test (crash, part_is_blocked_if_responses_end_with_connections)
+{
+  struct rack r;
+
+  start_with_crash_part (&r);
+  rack_set (&r, "{\"unframed\": true}");
+  for (int i = 0; i < 12; i++)
+    {
+      cr_expect_eq (request_with_parts (&r, i % RACK_NODES, "aa:800"), 200);
+      request_with_parts (&r, i % RACK_NODES, "aa:800," BAD_PART ":410");
+      usleep (PROPAGATION_US);
+    }
+  cr_expect_leq (count_crashed (&r), MAX_PART_CRASHES, "%d servers crashed",
+                 count_crashed (&r));
+  for (int i = 0; i < RACK_NODES; i++)
+    {
+      cr_expect_eq (request_with_parts (&r, i, "aa:800," BAD_PART ":410"),
+                    503);
+      cr_expect_eq (request_with_parts (&r, i, "aa:800"), 200);
+    }
+}
+
+/* Guards against nodes of a large fleet that don't learn of the block, or that
+   refuse a part which completes at few nodes. */
+Test (crash, part_is_blocked_at_many_nodes)
+{
+  struct rack r;
+
+  rack_start_many (&r, ENGINES);
+  wait_for_leaders (&r, REPLICAS);
+  rack_set (&r, "{\"crash_part\": \"" BAD_PART "\", \"crash_ms\": 70}");
+  for (int i = 0; i < RACK_MANY_NODES; i++)
+    {
+      request_with_parts (&r, (i + 5) % RACK_MANY_NODES, "aa:800");
+      request_with_parts (&r, i, "aa:800," BAD_PART ":410");
+      usleep (PROPAGATION_US);
+    }
+  cr_expect_leq (count_crashed (&r), MAX_PART_CRASHES, "%d servers crashed",
+                 count_crashed (&r));
+  for (int i = 0; i < RACK_MANY_NODES; i++)
+    {
+      cr_expect_eq (request_with_parts (&r, i, "aa:800," BAD_PART ":410"), 503,
+                    "node %d", i);
+      cr_expect_eq (request_with_parts (&r, i, "aa:800"), 200, "node %d", i);
+    }
+}
+
+/* Guards against restarted nodes that run requests with a blocked part. */
+Test (crash, restarted_nodes_keep_the_block_of_a_part)
+{
+  struct rack r;
+
+  start_with_crash_part (&r);
+  for (int i = 0; i < 8; i++)
+    {
+      request_with_parts (&r, i % RACK_NODES, "aa:800");
+      request_with_parts (&r, i % RACK_NODES, "aa:800," BAD_PART ":410");
+      usleep (PROPAGATION_US);
+    }
+  for (int i = 0; i < RACK_NODES; i++)
+    kill_node (&r, i);
+  for (int i = 0; i < RACK_NODES; i++)
+    rack_start_node (&r, i);
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_assert (
+        rack_call_until (&r, i, "/stream/x", rack_headers ("usual"), 200));
+  int crashed = count_crashed (&r);
+  for (int i = 0; i < RACK_NODES; i++)
+    cr_expect_eq (request_with_parts (&r, i, BAD_PART ":410"), 503);
+  cr_expect_eq (count_crashed (&r), crashed);
+}
