soak: requests that crash servers because of a part of their prompts

Two nodes, 32 servers that come back a second after a crash, nodes that are killed, stopped and paused, a store that fails, responses that end with their connections by turns, clients that share all parts but one with the culprits. The stand-in counts the requests with the part that arrive later than 3 s after the fifth crash: three at most.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -339,7 +339,22 @@
 static void
 on_crash (uv_timer_t *t)
 {
-  rack_server_crash (t->data);
+  struct server *s = t->data;
+  struct rack *r = s->rack;
+
+  if (s->crashes_by_part && !s->dead && ++r->part_crashes == PART_CRASHES)
+    r->last_allowed_part_crash_at = clk_now ();
+  s->crashes_by_part = false;
+  rack_server_crash (s);
+}
+
+static void
+count_part_run (struct rack *r)
+{
+  r->part_runs++;
+  if (r->part_crashes >= PART_CRASHES
+      && clk_now () - r->last_allowed_part_crash_at > PART_CONTACT_MS)
+    r->part_late++;
 }
 
 /** Whether the prompt has the part before its last one. */
@@ -361,7 +376,9 @@
   bool by_part = r->crash_part[0]
                  && has_part (httpd_header (req, PLT_H_PROMPT), r->crash_part);
 
-  r->part_runs += by_part;
+  if (by_part)
+    count_part_run (r);
+  s->crashes_by_part = s->crashes_by_part || by_part;
   if (!by_part
       && (!r->crash_body[0] || !str_is (httpd_get (req)->body, r->crash_body)))
     return false;
@@ -453,8 +470,8 @@
     }
 }
 
-bool
-rack_server_start (struct server *s)
+static bool
+listen_for_requests (struct server *s)
 {
   struct httpd_limits limits
       = { .max_body = 1 << 20, .max_connections = 1000, .request_ms = 30000 };
@@ -472,7 +489,13 @@
   net_addr_format (&at, &text);
   snprintf (s->addr, sizeof s->addr, "%s", buf_c (&text));
   buf_free (&text);
-  if (!rack_cut_start (s))
+  return rack_cut_start (s);
+}
+
+bool
+rack_server_start (struct server *s)
+{
+  if (!listen_for_requests (s))
     return false;
   uv_timer_init (&s->rack->loop, &s->timer);
   s->timer.data = s;
@@ -499,10 +522,26 @@
 /** Time until the entry of a crashed server expires: three heartbeats. */
 #define ENTRY_EXPIRY_MS 1500
 
+static void
+on_revived (uv_timer_t *t)
+{
+  struct server *s = t->data;
+
+  if (!listen_for_requests (s))
+    return;
+  s->dead = false;
+  rack_server_restart (s);
+  rack_server_publish (s);
+}
+
 static void
 on_entry_expired (uv_timer_t *t)
 {
-  rack_server_publish (t->data);
+  struct server *s = t->data;
+
+  rack_server_publish (s);
+  if (s->rack->revive_ms)
+    uv_timer_start (t, on_revived, (uint64_t)s->rack->revive_ms, 0);
 }
 
 void
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -161,6 +161,8 @@
     snprintf (r->crash_part, sizeof r->crash_part, "%s",
               jsn_text (o, "crash_part"));
   set_flag (o, "unframed", &r->unframed);
+  if (jsn_get (o, "revive_ms"))
+    r->revive_ms = (int)jsn_int (o, "revive_ms");
   if (jsn_get (o, "crash_ms"))
     r->crash_ms = (int)jsn_int (o, "crash_ms");
   if (jsn_get (o, "side_hides"))
@@ -228,6 +230,9 @@
   json_object_object_add (o, "store", rack_store_counts (r));
   json_object_object_add (o, "crashed", json_object_new_int (r->crashed));
   json_object_object_add (o, "part_runs", json_object_new_int (r->part_runs));
+  json_object_object_add (o, "part_crashes",
+                          json_object_new_int (r->part_crashes));
+  json_object_object_add (o, "part_late", json_object_new_int (r->part_late));
   g_hash_table_foreach (r->runs, add_repeated, repeated);
   json_object_object_add (o, "repeated", repeated);
   return o;
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -91,6 +91,11 @@
   CUT_RESET   /**< open connections are closed, too */
 };
 
+/** Crashes after which the nodes have to know the part that causes them, and
+    the time that they may take to learn of it. */
+#define PART_CRASHES 5
+#define PART_CONTACT_MS ((clk_ms)3000)
+
 /** One backend server. */
 struct server
 {
@@ -121,6 +126,7 @@
   struct availability avail;
   uv_timer_t timer;       /**< end of joining, or expiry of the entry */
   uv_timer_t crash_timer; /**< delay from a crashing request to the crash */
+  bool crashes_by_part;   /**< the timer was started by a part of a prompt */
   struct stream *streams;
   unsigned runs, open, disconnects;
   unsigned rejected; /**< requests rejected by `avail.rejects` */
@@ -167,6 +173,11 @@
   bool unframed; /**< responses have neither a length nor chunks: they end with
                       their connection */
   int part_runs; /**< requests with that part that reached servers */
+  int part_crashes;                  /**< servers that crashed under it */
+  clk_ms last_allowed_part_crash_at; /**< time of crash PART_CRASHES */
+  int part_late; /**< requests with the part later than PART_CONTACT_MS after
+                      that crash */
+  int revive_ms; /**< time until a crashed server starts again; 0: never */
   int crashed;
   GHashTable *runs; /**< request id -> number of executions */
 };
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -145,8 +145,9 @@
             t->number, t->steps);
   snprintf (headers, sizeof headers,
             "Host: h\r\nX-Lapisline-Request-Id: %s\r\n"
-            "X-Lapisline-Model: big\r\nX-Api-Key: k1\r\n",
-            id);
+            "X-Lapisline-Model: big\r\nX-Api-Key: k1\r\n"
+            "X-Lapisline-Prompt-Prefix: aa:800,c%u:90,f%u:9\r\n",
+            id, t->steps % 5, t->steps);
   web_call (s->r.front[node], "POST", stream ? "/stream/x" : "/once/x",
             headers, "hello", &a);
   buf_c (&a.body);
@@ -434,6 +435,42 @@
   soak_random_sleep (&t->rng, 3000);
 }
 
+/* --- requests that crash servers ----------------------------------------- */
+
+/** Maximum number of requests with the part that reach servers once the nodes
+    have to know it. */
+#define MAX_LATE_PARTS 3
+#define PART_ENGINES 32
+
+/** Sends a request that crashes its server because of a part of its prompt,
+    which the others share in all but that part. */
+static void
+crash_by_part (struct soak_thread *t)
+{
+  struct soak *s = t->s;
+  struct web_answer a = { 0 };
+  int node = (int)rng_below (&t->rng, (uint64_t)s->nodes);
+  char headers[256], body[32];
+
+  snprintf (headers, sizeof headers,
+            "Host: h\r\nX-Lapisline-Request-Id: %d/s-%u-%u\r\n"
+            "X-Lapisline-Model: big\r\nX-Api-Key: k1\r\n"
+            "X-Lapisline-Prompt-Prefix: aa:800,bad:70,c%u:90,f%u:9\r\n",
+            node + 1, t->number, t->steps, t->steps % 5, t->steps);
+  snprintf (body, sizeof body, "crash %u", t->steps);
+  web_call (s->r.front[node], "POST", "/stream/x", headers, body, &a);
+  web_free (&a);
+  soak_random_sleep (&t->rng, 500);
+}
+
+static void
+frame_responses (struct soak_thread *t)
+{
+  rack_set (&t->s->r, "{\"unframed\": %s}",
+            rng_below (&t->rng, 2) ? "true" : "false");
+  soak_random_sleep (&t->rng, 2000);
+}
+
 /* --- requests that ran ------------------------------------------------- */
 
 static void
@@ -627,6 +664,52 @@
   finish_load (&run);
 }
 
+static int
+get_total (const struct soak *s, const char *name)
+{
+  struct web_answer a = { 0 };
+  struct json_object *o;
+  int n;
+
+  web_call (s->r.platform_addr, "GET", "/control/counts", NULL, NULL, &a);
+  o = jsn_parse (buf_str (&a.body));
+  n = (int)jsn_int (o, name);
+  json_object_put (o);
+  web_free (&a);
+  return n;
+}
+
+static void
+run_crashing_parts (uint64_t seed, uint64_t seconds)
+{
+  static struct load_run run;
+  struct soak *s = &run.s;
+  static fault_series *const series[]
+      = { fail_node, crash_by_part, fail_store, frame_responses };
+
+  soak_init (s, seed, RACK_NODES);
+  rack_start_all (&s->r, PART_ENGINES);
+  rack_set (&s->r, "{\"crash_part\": \"bad\", \"crash_ms\": 40,"
+                   " \"revive_ms\": 1000}");
+  run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
+  rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
+  cr_log_info ("%d requests with the part ran, %d servers crashed",
+               get_total (s, "part_runs"), get_total (s, "part_crashes"));
+  cr_expect_leq (get_total (s, "part_late"), MAX_LATE_PARTS,
+                 "%d requests with the part were sent too late",
+                 get_total (s, "part_late"));
+  finish_load (&run);
+}
+
+/* Guards against requests that go on crashing servers because of a part of
+   their prompts while nodes restart and the store fails, and against responses
+   that end with their connections. */
+Test (soak, promises_hold_under_crashing_parts)
+{
+  run_crashing_parts (soak_env_number ("SOAK_SEED", SEED),
+                      soak_env_number ("SOAK_SECONDS", SECONDS));
+}
+
 /* Guards against a node that serves nobody while it reaches no server, beside
    servers that are silent for a second and a store that fails. */
 Test (soak, promises_hold_under_partitions)
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,21 +1,23 @@
 #!/bin/bash
 # Play a soak with many seeds, some side by side.
-# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|restores|partitions]
+# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|restores|partitions|crashing_parts]
 # Without NODES the soak of two nodes under load; with it that of so many
 # (18 usual, up to 64) at which operators put versions in force; with
 # "restores" that of three nodes whose store comes back from older copies, with
-# "partitions" that of a node that is partitioned from all servers.
+# "partitions" that of a node that is partitioned from all servers, with
+# "crashing_parts" that of servers that crash under a part of prompts.
 # Prints the seeds that fail and keeps their output in soak-SEED.log, and what
 # the nodes logged in soak-SEED/.
 set -u
 cd "$(dirname "$0")/.."
 export SOAK_SECONDS=${3:-10}
 export TEST=promises_hold_under_faults
-if [ "${5:-}" = restores ] || [ "${5:-}" = partitions ]; then
-  export TEST=promises_hold_under_$5
-elif [ -n "${5:-}" ]; then
-  export TEST=versions_are_in_force_under_faults SOAK_NODES=$5
-fi
+case "${5:-}" in
+  restores | partitions | crashing_parts)
+    export TEST=promises_hold_under_$5 ;;
+  ?*)
+    export TEST=versions_are_in_force_under_faults SOAK_NODES=$5 ;;
+esac
 make -s build/t/t9401-soak build/lapisline build/standin || exit 1
 
 play () {
