back: answers that end with their connection

What callers saw: through the gateway (front/, route/), an answer without a length or chunks was always a 502, or a cut stream, although the contract allows it; and a stream that stopped inside an event passed for whole if its framing was complete.

Change: such an answer is whole if it has a body and does not stop inside an event; a reset, an empty body and half an event are broken. The same rule as in serve/. t7005 answers_that_end_with_their_connection: plain, reset, empty, and a stream cut after each byte of two events; it fails without the change.

--- a/back/back.h
+++ b/back/back.h
@@ -90,6 +90,11 @@
 void back_answer_notice (int status, const struct http_header *headers,
                          size_t n, struct avl_notice *out);
 void back_answer_body (struct back_answer *a, struct str bytes);
+/** Whether the answer is whole, its framing being complete.
+    @param closed  its length was not stated, and the server closed the
+                   connection: an answer without a body may be a crash */
+bool back_answer_whole (const struct back_kind *kind,
+                        const struct back_answer *a, bool closed);
 
 /** Header of that lower-case name, or the empty view. */
 struct str back_find (const struct http_header *headers, size_t n,
--- a/back/headers.c
+++ b/back/headers.c
@@ -205,3 +205,28 @@
   a->tokens += count_events (bytes);
   keep_tail (a, bytes);
 }
+
+/** Whether the events stop before the empty line that ends the last one. */
+static bool
+ends_in_event (const struct back_answer *a)
+{
+  static const char *const ends[] = { "\n\n", "\n\r\n", "\r\r" };
+  struct str tail = str_make (a->tail, a->ntail);
+
+  if (!a->events || a->bytes == 0)
+    return false;
+  for (size_t i = 0; i < sizeof ends / sizeof ends[0]; i++)
+    {
+      size_t len = strlen (ends[i]);
+      if (tail.len >= len && str_is (str_skip (tail, tail.len - len), ends[i]))
+        return false;
+    }
+  return true;
+}
+
+bool
+back_answer_whole (const struct back_kind *kind, const struct back_answer *a,
+                   bool closed)
+{
+  return kind->whole (a) && !ends_in_event (a) && !(closed && a->bytes == 0);
+}
--- a/back/service.c
+++ b/back/service.c
@@ -1,6 +1,6 @@
 #include "back/back.h"
 
-/** The framing says all; an answer ended by close alone never gets here. */
+/** The framing says all. */
 static bool
 service_whole (const struct back_answer *a)
 {
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -209,15 +209,17 @@
   switch (end)
     {
     case HTTPC_WHOLE:
-      return at->ex->call.kind->whole (&at->answer) ? RT_EV_WHOLE
-                                                    : RT_EV_BROKEN;
+    case HTTPC_UNBOUNDED:
+      return back_answer_whole (at->ex->call.kind, &at->answer,
+                                end == HTTPC_UNBOUNDED)
+                 ? RT_EV_WHOLE
+                 : RT_EV_BROKEN;
     case HTTPC_CONNECT_FAILED:
     case HTTPC_STOPPED:
       return RT_EV_CONNECT_FAILED;
     case HTTPC_SILENT:
       return RT_EV_SILENT;
     case HTTPC_BROKEN:
-    case HTTPC_UNBOUNDED:
       break;
     }
   return RT_EV_BROKEN;
--- a/t/t7005-broken.c
+++ b/t/t7005-broken.c
@@ -258,3 +258,67 @@
     close (conn[i]);
   close (listener);
 }
+
+/** One call whose answer has no length and ends with its connection.
+    @param reset  the connection is reset instead of closed
+    @return the status, negated if the caller's answer is cut */
+static int
+call_closed (const struct front *f, int listener, const char *type,
+             const char *body, bool reset_it)
+{
+  struct web_stream *s
+      = web_open (f->http, "POST", "/svc/quote-api/x", FRONT_KEY, "{}");
+  struct buf head = BUF_INIT, got = BUF_INIT;
+  enum web_read last;
+  int status, fd;
+
+  cr_assert_not_null (s);
+  wait_readable (listener);
+  fd = accept (listener, NULL, NULL);
+  read_request (fd);
+  buf_addf (&head, "HTTP/1.1 200 OK\r\ncontent-type: %s\r\n\r\n%s", type,
+            body);
+  cr_assert_eq (send (fd, head.ptr, head.len, MSG_NOSIGNAL),
+                (ssize_t)head.len);
+  usleep (20000); /* the gateway has read the body before a reset */
+  if (reset_it)
+    reset (fd);
+  else
+    close (fd);
+  status = web_status (s, PROC_WAIT_MS);
+  while ((last = web_read (s, &got, PROC_WAIT_MS)) == WEB_BYTES)
+    ;
+  web_close (s);
+  buf_free (&head);
+  buf_free (&got);
+  return last == WEB_WHOLE ? status : -status;
+}
+
+/* An answer without a length or chunks is whole when its connection ends.  A
+   part of one would pass for the whole if it was reset, if its stream stopped
+   inside an event, or if the server crashed before the body.  */
+Test (broken, answers_that_end_with_their_connection)
+{
+  static const char stream[] = "text/event-stream";
+  static const char events[] = "data: 1\n\ndata: 2\n\n";
+  struct front f;
+
+  front_up (&f, "", "");
+  struct sockaddr_in sa = sockaddr_of (proc_addr (f.quote, "http"));
+  proc_signal (f.quote, SIGKILL);
+  proc_wait (f.quote, PROC_WAIT_MS);
+  int listener = listen_at (&sa);
+  cr_expect_eq (call_closed (&f, listener, "text/plain", "hello", false), 200);
+  cr_expect_eq (call_closed (&f, listener, stream, events, false), 200);
+  cr_expect_neq (call_closed (&f, listener, "text/plain", "", false), 200);
+  cr_expect_neq (call_closed (&f, listener, "text/plain", "hello", true), 200);
+  for (size_t n = 1; n < sizeof events - 1; n++)
+    {
+      char *part = str_dup (str_make (events, n));
+      bool whole = n == strlen ("data: 1\n\n");
+      int status = call_closed (&f, listener, stream, part, false);
+      cr_expect_eq (status == 200, whole, "after %zu bytes: %d", n, status);
+      free (part);
+    }
+  close (listener);
+}
