--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -109,8 +109,7 @@
       b->runs = xrealloc (b->runs, b->runs_capacity * sizeof (*b->runs));
     }
   b->runs[b->nruns] = *run;
-  b->runs[b->nruns++].request.parts
-      = dsp_copy_parts (run->request.parts, run->request.nparts);
+  b->runs[b->nruns++].request.parts = psn_copy_parts (&run->request);
 }
 
 /** The run of the current attempt; its list of parts belongs to @p q. */
@@ -155,8 +154,7 @@
     return;
   free ((void *)c->run.request.parts);
   *c = (struct dsp_closed_run){ d->now, make_run (d, q) };
-  c->run.request.parts
-      = dsp_copy_parts (q->poison_ids.parts, q->poison_ids.nparts);
+  c->run.request.parts = psn_copy_parts (&q->poison_ids);
 }
 
 static bool
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -353,8 +353,6 @@
 struct dsp_req *dsp_find_attempt (const struct dsp *d, uint64_t id,
                                   unsigned attempt);
 struct dsp_req *dsp_add_request (struct dsp *d, const struct dsp_request *in);
-/** @return a copy of the list, to be freed; NULL if it is empty */
-const uint64_t *dsp_copy_parts (const uint64_t *parts, size_t n);
 /** Removes the request from the table and frees it; it must not be queued. */
 void dsp_free_request (struct dsp *d, struct dsp_req *q);
 
--- a/serve/dispatch-request.c
+++ b/serve/dispatch-request.c
@@ -1,7 +1,6 @@
 #include "serve/dispatch-int.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 /** Prompt length assumed for a request that doesn't state one: about the mean
     of those that do. */
@@ -41,18 +40,6 @@
   d->nbuckets = size;
 }
 
-const uint64_t *
-dsp_copy_parts (const uint64_t *parts, size_t n)
-{
-  uint64_t *copy;
-
-  if (n == 0)
-    return NULL;
-  copy = xcalloc (n, sizeof *copy);
-  memcpy (copy, parts, n * sizeof *copy);
-  return copy;
-}
-
 struct dsp_req *
 dsp_add_request (struct dsp *d, const struct dsp_request *in)
 {
@@ -70,9 +57,8 @@
   q->deadline = in->deadline;
   q->prompt_tokens
       = in->prompt_tokens > 0 ? in->prompt_tokens : DEFAULT_PROMPT_TOKENS;
-  q->poison_ids = (struct psn_request){ in->digest,
-                                        dsp_copy_parts (in->parts, in->nparts),
-                                        in->nparts };
+  q->poison_ids = (struct psn_request){ in->digest, in->parts, in->nparts };
+  q->poison_ids.parts = psn_copy_parts (&q->poison_ids);
   q->retryable = tbl_is_retryable (r);
   q->proxied = in->proxied;
   q->max_attempts = in->proxied ? 1 : r->max_attempts;
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -16,6 +16,18 @@
 /** How long a completed run prevents a block. */
 #define COMPLETION_TTL_MS ((clk_ms)10000)
 
+const uint64_t *
+psn_copy_parts (const struct psn_request *r)
+{
+  uint64_t *copy;
+
+  if (r->nparts == 0)
+    return NULL;
+  copy = xcalloc (r->nparts, sizeof *copy);
+  memcpy (copy, r->parts, r->nparts * sizeof *copy);
+  return copy;
+}
+
 struct psn *
 psn_new (void)
 {
--- a/serve/poison.h
+++ b/serve/poison.h
@@ -124,6 +124,9 @@
                          blocked yet; 0: it is blocked, a retry is useless */
 };
 
+/** @return a copy of the list of parts, to be freed; NULL if it is empty */
+const uint64_t *psn_copy_parts (const struct psn_request *r);
+
 struct psn;
 
 struct psn *psn_new (void);
