poison: only a node with all reports clears what it takes for bystanders

A node that is no collector has only its own crashes; there the culprit had one and the bystander two, so the culprit's crashes looked like a subset of the bystander's, and the node cleared the culprit everywhere for two seconds. The same with whole requests since they are tracked. A pending suspect, which a completed run may still clear, did the same.

Change: only collectors clear bystanders, and only once the suspect is blocked.

--- a/serve/poison.c
+++ b/serve/poison.c
@@ -126,11 +126,12 @@
 }
 
 /** Clear pending or blocked suspects whose crashes are a proper subset of
-    those of @p culprit: they were running there by coincidence. */
+    those of @p culprit: they were running there by coincidence.  Only a
+    collector knows all crashes. */
 static void
 clear_subsets (struct psn *p, clk_ms now, struct psn_suspect *culprit)
 {
-  for (size_t i = 0; i < p->n; i++)
+  for (size_t i = 0; p->is_collector && i < p->n; i++)
     {
       struct psn_suspect *s = &p->suspects[i];
       if (s != culprit && psn_is_pending_or_blocked (s)
@@ -179,7 +180,6 @@
   sent = make_update (s, PSN_BLOCK_PENDING);
   add_update (p, &sent);
   psn_attribute_crashes (p, now, s);
-  clear_subsets (p, now, s);
 }
 
 static void
@@ -190,6 +190,8 @@
   s->pending_at = CLK_NEVER;
   add_block_update (p, now, s);
   psn_attribute_crashes (p, now, s);
+  /* Not while it is pending: a run of it may have completed. */
+  clear_subsets (p, now, s);
 }
 
 /**
