poison: a full list of crashes makes room for those that have no culprit

Cause, from a trace of seed 1101: both parts were running in the first eight crashes. These were attributed to the part that was blocked first. A suspect keeps eight crashes, so none that came afterwards was recorded for the second one, and its evidence stayed at half the weight for ever.

Change: a crash without a culprit takes the place of one that is attributed to another.

--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -113,6 +113,11 @@
 /** Find the crashed run of the suspect at an endpoint, or NULL. */
 struct psn_crashed_run *psn_find_crashed_run (struct psn_suspect *s,
                                               uint64_t endpoint);
+/** Where to record one more crashed run: a free place, or that of a run whose
+    crash is attributed to another suspect.  NULL: the run adds nothing.
+    @param attributed  so is the new one */
+struct psn_crashed_run *psn_place_for_run (struct psn_suspect *s,
+                                           bool attributed);
 /** Identifies the moment at which the server crashed.
     @param at  time of the crash as reported */
 uint32_t psn_crash_moment (struct psn *p, clk_ms at, uint64_t endpoint);
--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -214,6 +214,17 @@
   return NULL;
 }
 
+struct psn_crashed_run *
+psn_place_for_run (struct psn_suspect *s, bool attributed)
+{
+  if (s->ncrashed_runs < PSN_MAX_CRASHED_RUNS)
+    return &s->crashed_runs[s->ncrashed_runs++];
+  for (size_t i = 0; i < s->ncrashed_runs && !attributed; i++)
+    if (s->crashed_runs[i].attributed_to_other)
+      return &s->crashed_runs[i];
+  return NULL;
+}
+
 bool
 psn_is_pending_or_blocked (const struct psn_suspect *s)
 {
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -268,12 +268,17 @@
 add_crashed_run (struct psn *p, clk_ms now, struct psn_suspect *s,
                  const struct psn_update *update, bool decided)
 {
-  s->crashed_runs[s->ncrashed_runs++] = (struct psn_crashed_run){
+  bool attributed = !decided && psn_is_attributed (p, update->endpoint);
+  struct psn_crashed_run *r = psn_place_for_run (s, attributed);
+
+  if (!r)
+    return;
+  *r = (struct psn_crashed_run){
     .endpoint = update->endpoint,
     .ran_ms = update->ran_ms,
     .request = update->request,
     .moment = psn_crash_moment (p, now - update->ago_ms, update->endpoint),
-    .attributed_to_other = !decided && psn_is_attributed (p, update->endpoint)
+    .attributed_to_other = attributed
   };
   add_update (p, update);
 }
@@ -305,8 +310,7 @@
       clear (p, now, s, PSN_COMPLETED, false);
       return;
     }
-  if (s->ncrashed_runs < PSN_MAX_CRASHED_RUNS)
-    add_crashed_run (p, now, s, update, decided);
+  add_crashed_run (p, now, s, update, decided);
   if (decided)
     {
       if (s->ncompanions > 0)
