poison: only a run that completed is reported as completed, with its time

Found by the model (t9216), seeds 1261 and 1701 of 3,000 on the code before: 59 and 138 servers crashed under the second of two parts, 34 and 94 late requests.

Cause, from a trace of seed 1701: the second part was cleared as a bystander of the first one. A node that then received its block answered as if the part had completed there. Each node that heard so kept it as a completion of that moment and answered the same to the next question, so the part counted as completed for ever.

Change: a part that was cleared is reported as cleared; a completion is reported with its time, and a node keeps the latest time that it knows. After: both seeds pass; t9214 answers_do_not_renew_a_completion. t9216's two seeds.

--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -156,7 +156,9 @@
 
 /* poison-completed.c */
 /** A run of the request, or with the part, has completed. */
-void psn_record_completion (struct psn *p, clk_ms now, struct psn_id id);
+void psn_record_completion (struct psn *p, clk_ms at, struct psn_id id);
+/** When one last completed; 0: that is not known. */
+clk_ms psn_completed_at (const struct psn *p, struct psn_id id);
 /** Whether one completed within the last @p ms. */
 bool psn_has_completed (const struct psn *p, clk_ms now, struct psn_id id,
                         clk_ms ms);
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -115,6 +115,9 @@
   struct psn_update update = make_update (s, kind);
   bool had_crashes = psn_is_pending_or_blocked (s);
 
+  if (kind == PSN_COMPLETED)
+    update.ago_ms = now - psn_completed_at (p, s->id);
+
   update.broadcast = broadcast || had_crashes;
   s->state = PSN_S_CLEARED;
   if (had_crashes)
@@ -140,10 +143,13 @@
     }
 }
 
+/** How other nodes are told of a suspect that is cleared. */
 static enum psn_kind
-completion_kind (struct psn_id id)
+clear_kind (const struct psn *p, clk_ms now, struct psn_id id)
 {
-  return id.is_part ? PSN_COMPLETED : PSN_CLEARED;
+  return id.is_part && psn_has_completed (p, now, id, COMPLETION_TTL_MS)
+             ? PSN_COMPLETED
+             : PSN_CLEARED;
 }
 
 static void
@@ -164,7 +170,7 @@
 
   if (psn_has_completed (p, now, s->id, COMPLETION_TTL_MS))
     {
-      clear (p, now, s, completion_kind (s->id), true);
+      clear (p, now, s, clear_kind (p, now, s->id), true);
       return;
     }
   if (update)
@@ -248,11 +254,12 @@
 }
 
 static void
-part_completed (struct psn *p, clk_ms now, struct psn_id id, bool broadcast)
+part_completed (struct psn *p, clk_ms now, clk_ms completed_at,
+                struct psn_id id, bool broadcast)
 {
   struct psn_suspect *s = psn_find (p, id), copy;
 
-  psn_record_completion (p, now, id);
+  psn_record_completion (p, completed_at, id);
   remove_companion (p, now, id.value);
   if (!s || s->state == PSN_S_CLEARED)
     return;
@@ -337,7 +344,9 @@
   if (psn_has_completed (p, now, update->id, COMPLETION_TTL_MS))
     {
       struct psn_update completed
-          = { .kind = PSN_COMPLETED, .id = update->id };
+          = { .kind = PSN_COMPLETED,
+              .id = update->id,
+              .ago_ms = now - psn_completed_at (p, update->id) };
       add_update (p, &completed);
     }
   else if (s && !s->queried_at)
@@ -404,7 +413,7 @@
     }
   else if (s->state == PSN_S_CLEARED
            || psn_has_completed (p, now, update->id, COMPLETION_TTL_MS))
-    clear (p, now, s, completion_kind (update->id), true);
+    clear (p, now, s, clear_kind (p, now, s->id), true);
   else
     {
       set_companions (p, s, update);
@@ -439,7 +448,8 @@
       apply_cleared (p, now, update);
       break;
     case PSN_COMPLETED:
-      part_completed (p, now, update->id, update->broadcast);
+      part_completed (p, now, now - update->ago_ms, update->id,
+                      update->broadcast);
       break;
     case PSN_QUERY:
       apply_query (p, now, update);
@@ -457,7 +467,7 @@
   if (s && s->state != PSN_S_CLEARED)
     clear (p, now, s, PSN_CLEARED, false);
   for (size_t i = 0; i < r->nparts; i++)
-    part_completed (p, now, (struct psn_id){ true, r->parts[i] }, false);
+    part_completed (p, now, now, (struct psn_id){ true, r->parts[i] }, false);
 }
 
 /* --- queries and timeouts ----------------------------------------------- */
--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -185,3 +185,17 @@
       "run 100\n query z.A\n",
       "z.A --------\nz.A --------\nz.A --------\n");
 }
+
+/* Guards against a part that is taken for completed for ever, as nodes tell
+   each other of the same run again and again. */
+Test (poison_parts, answers_do_not_renew_a_completion)
+{
+  poison_run_script (
+      "nodes 3\n complete 1 s.K\n run 5000\n crash 1 a.K 1 -1\n"
+      "crash 2 b.K 2 -1\n run 100\n crash 3 c.K 3 -1\n run 4000\n"
+      "crash 2 d.K 4 -1\n run 2100\n crash 2 e.K 5 -1\n run 100\n"
+      "crash 3 f.K 6 -1\n run 100\n crash 1 g.K 7 -1\n run 100\n"
+      "crash 2 h.K 8 -1\n run 100\n crash 3 i.K 9 -1\n run 100\n"
+      "crash 1 j.K 10 -1\n run 500\n query z.K\n",
+      "z.K BBB\n");
+}
--- a/t/t9216-poison-model.c
+++ b/t/t9216-poison-model.c
@@ -355,11 +355,13 @@
 }
 
 /* Seeds of earlier failures.  In the first two, a node that was no collector
-   cleared the cause; in the others, the list of its crashes was full of those
-   that were attributed to another part. */
+   cleared the cause; in the last two, nodes took a cause for completed that
+   had been cleared as a bystander; in the others, the list of its crashes was
+   full of those that were attributed to another part. */
 Test (poison_model, regression_seeds)
 {
-  static const uint64_t seeds[] = { 236, 1435, 396, 1101, 1296, 1441, 2126 };
+  static const uint64_t seeds[]
+      = { 236, 1435, 396, 1101, 1296, 1441, 2126, 1261, 1701 };
 
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
     run_model (seeds[i]);
