gateway: requests and shared messages that crash model servers are refused

The parts of a chat are its messages but the last one. A broken attempt at a model's server is checked by a connection 30 ms later; the crash counts once another server accepts one, so that a gateway without paths blames nobody. The request core gets two inputs: a request is to be ended (new event "poison"), and a broken attempt is not to be tried again ("suspect"); traces record both. Answers that end with their connection prove no run.

Not done: services, whose processes have no generation to be told apart by; the store.

--- a/front/answer.c
+++ b/front/answer.c
@@ -23,6 +23,7 @@
   [RT_CODE_CLAIM_MISMATCH] = "this key was used for another request",
   [RT_CODE_BACKEND_REFUSED] = "the backend server refused without running it",
   [RT_CODE_CALLER_GONE] = "the caller left",
+  [RT_CODE_POISON] = "backend servers crash when they run this request",
 };
 
 const char *
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -116,12 +116,14 @@
 send_event (struct gw_attempt *at, enum rt_event_kind kind, int status,
             size_t size, double tokens)
 {
-  struct rt_event ev = { .kind = kind,
-                         .id = at->ex->id,
-                         .attempt = at->number,
-                         .status = status,
-                         .size = size,
-                         .tokens = tokens };
+  struct rt_event ev
+      = { .kind = kind,
+          .id = at->ex->id,
+          .attempt = at->number,
+          .suspect = kind == RT_EV_BROKEN && gw_poison_is_suspect (at->ex),
+          .status = status,
+          .size = size,
+          .tokens = tokens };
   gw_callers_event (at->ex->c, &ev);
 }
 
@@ -143,7 +145,8 @@
 
   at->busy = true;
   at->heard_at = clk_now ();
-  send_event (at, RT_EV_CONNECTED, 0, 0, 0);
+  if (!gw_poison_end_refused (at->ex))
+    send_event (at, RT_EV_CONNECTED, 0, 0, 0);
   at->busy = false;
   /* Stopped: nothing is sent, and on_end comes. */
   return at->granted && !at->stopped;
@@ -174,6 +177,7 @@
 
   at->busy = true;
   at->heard_at = clk_now ();
+  gw_poison_heard (at->ex->c->g->poison);
   head_keep (&at->head, status, h, n);
   back_answer_head (&at->answer, status, h, n);
   send_notice (at, status, h, n);
@@ -194,6 +198,8 @@
     return;
   at->busy = true;
   at->heard_at = clk_now ();
+  if (!at->first_body_at)
+    at->first_body_at = at->heard_at;
   back_answer_body (&at->answer, bytes);
   if (at->passing)
     gw_exchange_body (at->ex, at, bytes);
@@ -240,6 +246,7 @@
 {
   at->call = NULL;
   at->busy = true;
+  gw_poison_attempt_over (at, kind == RT_EV_WHOLE, kind == RT_EV_BROKEN);
   send_event (at, kind, 0, 0, kind == RT_EV_WHOLE ? tokens_of (at) : 0);
   if (at->ex != NULL)
     attempt_unlink (at);
@@ -251,6 +258,7 @@
 {
   struct gw_attempt *at = ctx;
 
+  at->closed = end == HTTPC_UNBOUNDED;
   if (at->stopped)
     attempt_free (at);
   else
@@ -285,6 +293,8 @@
   at->span = trc_child (&ex->span, &ex->c->g->rng);
   at->began_at = clk_now ();
   snprintf (at->name, sizeof at->name, "%.*s", STR_ARG (a->name));
+  at->addr = a->addr;
+  at->generation = a->generation;
   at->next = ex->attempts;
   ex->attempts = at;
   return at;
--- a/front/callers.c
+++ b/front/callers.c
@@ -292,6 +292,11 @@
       refuse (c, req, why.status, why.code, why.message);
       return;
     }
+  if (gw_poison_refuse (c->g->poison, &call.poison_ids, req))
+    {
+      gw_call_free (&call);
+      return;
+    }
   struct gw_exchange *ex = gw_exchange_new (c, req, &call, now);
   struct rt_event ev
       = { .kind = RT_EV_ARRIVE, .id = ex->id, .request = &ex->call.req };
@@ -478,6 +483,7 @@
 {
   struct rt_event ev = { .kind = RT_EV_REPLICAS, .replicas = list, .n = n };
 
+  gw_poison_replicas (c->g->poison, list, n);
   gw_callers_event (c, &ev);
 }
 
--- a/front/callers.h
+++ b/front/callers.h
@@ -16,6 +16,7 @@
 
 #include "back/back.h"
 #include "front/gateway.h"
+#include "front/poison.h"
 #include "front/recorder.h"
 
 /** Bodies above this are refused before any configuration is asked. */
@@ -65,6 +66,7 @@
   char *target;
   char *path; /**< as forwarded, with the query */
   struct rt_request req;
+  struct psn_request poison_ids; /**< owns the list of parts */
 };
 
 /** Why a request can't be read: an answer of status 400 to 413. */
@@ -150,9 +152,13 @@
   struct buf held; /**< body until RT_ACT_PASS */
   struct back_answer answer;
   clk_ms heard_at;
+  clk_ms first_body_at; /**< first bytes of the body; 0: none */
+  bool closed; /**< the answer had no length and ended with its connection */
   clk_ms first_byte_ms;
   clk_ms progress_ms;
   char name[64];
+  struct net_addr addr;
+  int64_t generation; /**< of the replica; 0: none */
   struct trc_id span;
   clk_ms began_at;
 };
--- a/front/claims-peers.c
+++ b/front/claims-peers.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "front/claims.h"
+#include "front/poison.h"
 
 /** After a failed connection the node counts as unreachable for so long. */
 #define RETRY_MS ((clk_ms)500)
@@ -38,6 +39,8 @@
 
   if (frame->body_case == LAPIS__FRAME__BODY_CLAIM_ASK)
     claims_asked (c, l, frame->claim_ask);
+  else if (frame->body_case == LAPIS__FRAME__BODY_POISON_UPDATES)
+    gw_poison_received (c->g->poison, frame->poison_updates);
   else
     gw_slots_asked (c->g->slots, l, frame);
 }
@@ -82,6 +85,7 @@
   if (state == LINK_UP)
     {
       p->failed_at = 0;
+      gw_poison_link_up (p->c->g->poison, l);
       claims_peer_up (p->c, p->name);
       gw_slots_check (p->c->g->slots);
     }
--- a/front/gateway.c
+++ b/front/gateway.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "config/folder.h"
+#include "front/poison.h"
 #include "lapisline.h"
 #include "store/etcd.h"
 
@@ -180,6 +181,7 @@
   g->met = met_new ();
   g->spans = trc_ring_new (MAX_SPANS);
   g->probe = gw_probe_start (g);
+  g->poison = gw_poison_start (g);
   g->callers = gw_callers_start (g, err);
   if (g->callers == NULL)
     return false;
--- a/front/gateway.h
+++ b/front/gateway.h
@@ -10,6 +10,7 @@
  *   slots.c    slots of replicas: home of a model, asks of this gateway
  *   view.c     the link to this node's control process, last view
  *   probe.c    own probes when control is silent
+ *   poison.c   requests that crash backend servers
  *   ../back/   model and plain-service adapters
  */
 #ifndef LAPISLINE_FRONT_GATEWAY_H
@@ -31,6 +32,7 @@
 struct gw_view;
 struct gw_probe;
 struct gw_slots;
+struct gw_poison;
 
 struct gw
 {
@@ -50,6 +52,7 @@
   struct gw_view *view;
   struct gw_probe *probe;
   struct gw_slots *slots;
+  struct gw_poison *poison;
 };
 
 /** A node as the last view tells it. */
--- a/front/parse.c
+++ b/front/parse.c
@@ -123,6 +123,29 @@
   return DEFAULT_TOKENS;
 }
 
+/** Ids of all messages but the last one, which is the request's own. */
+static void
+parse_shared_parts (json_object *o, struct psn_request *out)
+{
+  json_object *list;
+  uint64_t *parts;
+  size_t n;
+
+  if (!json_object_object_get_ex (o, "messages", &list)
+      || !json_object_is_type (list, json_type_array)
+      || json_object_array_length (list) < 2)
+    return;
+  n = json_object_array_length (list) - 1;
+  parts = xcalloc (n, sizeof *parts);
+  for (size_t i = 0; i < n; i++)
+    parts[i] = str_hash (
+        str_from (json_object_to_json_string_ext (
+            json_object_array_get_idx (list, i), JSON_C_TO_STRING_PLAIN)),
+        0);
+  out->parts = parts;
+  out->nparts = n;
+}
+
 static bool
 parse_completion (const struct httpd_view *v, struct gw_call *out,
                   struct gw_refusal *why)
@@ -147,6 +170,7 @@
   out->req.idempotent = true;
   out->req.cost = asked_tokens (o) + (double)v->body.len / 4;
   out->req.prefix = prefix_hash (v->body);
+  parse_shared_parts (o, &out->poison_ids);
   json_object_put (o);
   return true;
 }
@@ -302,6 +326,21 @@
          && parse_key (req, out, why);
 }
 
+/** The same for every repetition of a request. */
+static uint64_t
+request_digest (const struct httpd_view *v, const struct gw_call *c)
+{
+  const struct str parts[]
+      = { c->account->name, v->method, str_from (c->target),
+          str_from (c->path), v->body };
+  uint8_t digest[16];
+  uint64_t id;
+
+  digest16 (parts, sizeof parts / sizeof parts[0], digest);
+  memcpy (&id, digest, sizeof id);
+  return id;
+}
+
 bool
 gw_parse (struct gw *g, struct cfg *cfg, const struct cfg_account *account,
           struct httpd_req *req, clk_ms now, struct gw_call *out,
@@ -325,6 +364,7 @@
       gw_call_free (out);
       return false;
     }
+  out->poison_ids.digest = request_digest (v, out);
   out->req.account = account->name;
   out->req.target = str_from (out->target);
   for (size_t i = 0; i < 2; i++)
@@ -340,6 +380,7 @@
 {
   free (c->target);
   free (c->path);
+  free ((void *)c->poison_ids.parts);
   cfg_unref (c->cfg);
   memset (c, 0, sizeof *c);
 }
--- a/route/attempt.c
+++ b/route/attempt.c
@@ -145,7 +145,8 @@
 
 /** The attempt ended without a complete response: broken or silent. */
 static void
-on_attempt_failed (struct rt *r, struct rt_req *q, enum rt_code code)
+on_attempt_failed (struct rt *r, struct rt_req *q, enum rt_code code,
+                   bool may_repeat)
 {
   rt_push_action (r, RT_ACT_CANCEL, q);
   rt_outlier_failure (r, q->target, q->server);
@@ -154,7 +155,7 @@
   bool repeatable = q->forwarding
                         ? q->idempotent && q->model && q->model->can_resume
                         : q->idempotent;
-  bool retry = repeatable && may_retry (r, q);
+  bool retry = may_repeat && repeatable && may_retry (r, q);
   clk_ms delay = rt_retry_backoff (r, q->attempt);
   rt_detach_server (r, q);
   if (!retry)
@@ -181,7 +182,7 @@
      of the stream. */
   if (q->forwarding && status >= 300)
     {
-      on_attempt_failed (r, q, RT_CODE_BROKEN);
+      on_attempt_failed (r, q, RT_CODE_BROKEN, true);
       return;
     }
   rt_apply_chart_event (q, RT_X_HEAD);
@@ -257,7 +258,7 @@
   else if (ev->kind == RT_EV_WHOLE)
     on_complete (r, q, ev->tokens);
   else if (ev->kind == RT_EV_BROKEN)
-    on_attempt_failed (r, q, RT_CODE_BROKEN);
+    on_attempt_failed (r, q, RT_CODE_BROKEN, !ev->suspect);
   else if (ev->kind == RT_EV_SILENT)
-    on_attempt_failed (r, q, RT_CODE_SILENT);
+    on_attempt_failed (r, q, RT_CODE_SILENT, true);
 }
--- a/route/code.c
+++ b/route/code.c
@@ -30,6 +30,7 @@
   [RT_CODE_BACKEND_REFUSED] = { "backend-refused", 503 },
   [RT_CODE_CALLER_GONE] = { "caller-gone", 499 },
   [RT_CODE_PAUSED] = { "servers-paused", 503 },
+  [RT_CODE_POISON] = { "crashes-servers", 503 },
 };
 
 const char *
--- a/route/core.h
+++ b/route/core.h
@@ -340,6 +340,7 @@
 void rt_on_claim (struct rt *r, struct rt_req *q, enum clm_verdict verdict,
                   clk_ms retry_ms);
 void rt_on_caller_gone (struct rt *r, struct rt_req *q);
+void rt_on_poison (struct rt *r, struct rt_req *q, clk_ms retry_ms);
 void rt_on_timer (struct rt *r, struct rt_req *q);
 /** Assign @p q, which must not be queued, to @p s. */
 void rt_dispatch (struct rt *r, struct rt_req *q, struct rt_server *s);
--- a/route/record-names.h
+++ b/route/record-names.h
@@ -7,7 +7,7 @@
 
 #include "route/route.h"
 
-#define REC_EVENTS (RT_EV_NOTICE + 1)
+#define REC_EVENTS (RT_EV_POISON + 1)
 #define REC_ACTIONS (RT_ACT_SLOT_DONE + 1)
 #define REC_VERDICTS (CLM_ACKNOWLEDGED + 1)
 
--- a/route/record-read.c
+++ b/route/record-read.c
@@ -16,6 +16,7 @@
   [RT_EV_SILENT] = "silent",       [RT_EV_CALLER_GONE] = "caller-gone",
   [RT_EV_NODES] = "nodes",         [RT_EV_SLOT] = "slot",
   [RT_EV_SLOT_HOME] = "slot-home", [RT_EV_NOTICE] = "notice",
+  [RT_EV_POISON] = "poison",
 };
 
 const char *const rec_action_names[REC_ACTIONS] = {
@@ -288,6 +289,7 @@
   ev->attempt = (unsigned)jsn_int (s->doc, "attempt");
   ev->name = jsn_str (s->doc, "name");
   ev->on = jsn_bool (s->doc, "on");
+  ev->suspect = jsn_bool (s->doc, "suspect");
   ev->tokens_per_s = jsn_double (s->doc, "tokens_per_s");
   ev->concurrency = jsn_double (s->doc, "concurrency");
   ev->valid_ms = jsn_int (s->doc, "valid_ms");
--- a/route/record.c
+++ b/route/record.c
@@ -186,6 +186,7 @@
   put_int (o, "code", ev->code);
   put_str (o, "name", ev->name);
   put_bool (o, "on", ev->on);
+  put_bool (o, "suspect", ev->suspect);
   put_double (o, "tokens_per_s", ev->tokens_per_s);
   put_double (o, "concurrency", ev->concurrency);
   put_int (o, "valid_ms", ev->valid_ms);
--- a/route/request.c
+++ b/route/request.c
@@ -227,6 +227,7 @@
   struct rt_action *a = rt_push_action (r, RT_ACT_CONNECT, q);
   a->addr = q->server->addr;
   a->name = str_from (q->server->name);
+  a->generation = q->server->generation;
   /* A pooled connection may be broken without notice, and a non-idempotent
    * request that is lost on it can't be sent again. */
   a->fresh = !q->idempotent;
@@ -347,6 +348,15 @@
   rt_end_request (r, q);
 }
 
+void
+rt_on_poison (struct rt *r, struct rt_req *q, clk_ms retry_ms)
+{
+  if (q->forwarding && rt_has_server (q))
+    return;
+  fail_request (r, q, rt_may_have_run (q) ? RT_CODE_BROKEN : RT_CODE_POISON,
+                retry_ms);
+}
+
 void
 rt_on_timer (struct rt *r, struct rt_req *q)
 {
--- a/route/route.c
+++ b/route/route.c
@@ -386,6 +386,8 @@
     rt_on_claim (r, q, ev->verdict, ev->retry_ms);
   else if (ev->kind == RT_EV_CALLER_GONE)
     rt_on_caller_gone (r, q);
+  else if (ev->kind == RT_EV_POISON)
+    rt_on_poison (r, q, ev->retry_ms);
   else
     rt_on_attempt_event (r, q, ev);
 }
--- a/route/route.h
+++ b/route/route.h
@@ -51,7 +51,8 @@
   RT_CODE_CLAIM_MISMATCH,  /**< 422: the same key with a different request */
   RT_CODE_BACKEND_REFUSED, /**< 503: refused without execution */
   RT_CODE_CALLER_GONE,     /**< the client disconnected */
-  RT_CODE_PAUSED /**< 503: all servers have asked this node for a pause */
+  RT_CODE_PAUSED, /**< 503: all servers have asked this node for a pause */
+  RT_CODE_POISON  /**< 503: backend servers crash when they run the request */
 };
 
 /** A request on arrival. */
@@ -112,16 +113,18 @@
   RT_EV_HEAD,           /**< id, attempt, status */
   RT_EV_BODY,           /**< id, attempt, size: more bytes of the body */
   RT_EV_WHOLE,          /**< id, attempt, tokens */
-  RT_EV_BROKEN,         /**< id, attempt */
+  RT_EV_BROKEN,         /**< id, attempt, suspect */
   RT_EV_SILENT,         /**< id, attempt */
   RT_EV_CALLER_GONE,    /**< id */
   RT_EV_NODES,          /**< size: number of gateways in the region */
   RT_EV_SLOT,      /**< id, slot, name, code, retry_ms: reply of the home */
   RT_EV_SLOT_HOME, /**< name, on: whether the model's home is reachable */
-  RT_EV_NOTICE     /**< what a response says of its server: on: it shuts down;
+  RT_EV_NOTICE,    /**< what a response says of its server: on: it shuts down;
                         retry_ms: pause that it asks for.  Of the response to
                         id, attempt (before its RT_EV_HEAD), or with id 0 of
                         the server at the address `name` */
+  RT_EV_POISON     /**< id, retry_ms: the request may crash servers; ends it
+                        unless a response has begun */
 };
 
 struct rt_event
@@ -135,6 +138,7 @@
   size_t n;
   struct str name;
   bool on;
+  bool suspect; /**< the request may crash servers and is not tried again */
   double tokens_per_s;
   double concurrency;
   clk_ms valid_ms;
@@ -191,7 +195,8 @@
   uint64_t id;
   unsigned attempt;
   struct net_addr addr;
-  struct str name; /**< replica or backend server */
+  struct str name;    /**< replica or backend server */
+  int64_t generation; /**< of the replica; 0: none */
   bool fresh;
   bool resume; /**< continue a stream at `offset` bytes */
   size_t offset;
--- a/standins/model.c
+++ b/standins/model.c
@@ -3,6 +3,7 @@
    The response is a pure function of the request id and body and contains the
    prompt.  A test can therefore match each response to its request, and a
    stream can be resumed at any offset.  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,6 +24,8 @@
   bool skip_states;      /**< fault: answer only every other state probe */
   unsigned state_probes; /**< state probes received under skip_states */
   bool no_end_mark;      /**< fault: streams end without "data: [DONE]" */
+  char crash_text[64];   /**< fault: exit when a response to a request with
+                              this text begins; empty: off */
   char *replica;
   int64_t generation;
   int64_t rank; /**< rank in the replica; negative: omitted from the state */
@@ -232,6 +235,8 @@
   struct str resumed_id = httpd_header (req, "x-resume-request");
   struct reply *r;
 
+  if (m->crash_text[0] && strstr (text, m->crash_text))
+    m->b.fault.die_first = true;
   free (text);
   if (o == NULL)
     {
@@ -288,6 +293,9 @@
   m->drop_orders = json_flag (o, "drop_orders", m->drop_orders);
   m->skip_states = json_flag (o, "skip_states", m->skip_states);
   m->no_end_mark = json_flag (o, "no_end_mark", m->no_end_mark);
+  if (json_text (o, "crash_text") != NULL)
+    snprintf (m->crash_text, sizeof m->crash_text, "%s",
+              json_text (o, "crash_text"));
   m->generation = json_num (o, "generation", m->generation);
   m->rank = json_num (o, "rank", m->rank);
   m->extra_load = json_num (o, "load", m->extra_load);
--- a/t/lib-cluster.c
+++ b/t/lib-cluster.c
@@ -12,22 +12,31 @@
 
 #define ROUTED_WAIT_MS 15000
 
+/** One replica of one VM for each of c->vm. */
 static void
 write_model (struct cluster *c)
 {
-  proc_file (
-      "conf/20-model.json",
-      "{ \"domains\": { \"hall-a-1\": { \"zone\": \"hall-a\",\n"
-      "    \"vms\": { \"vm-1\": { \"addr\": \"%s\" },\n"
-      "      \"vm-2\": { \"addr\": \"%s\" } } } },\n"
-      "  \"models\": { \"ghala-lm\": { \"mode\": \"route\",\n"
-      "    \"vms\": 1, \"replicas\": 2, \"capacity\": 2 } },\n"
-      "  \"replicas\": {\n"
-      "    \"ghala-lm-1\": { \"model\": \"ghala-lm\", \"domain\":\n"
-      "      \"hall-a-1\", \"mode\": \"route\", \"vms\": [\"vm-1\"] },\n"
-      "    \"ghala-lm-2\": { \"model\": \"ghala-lm\", \"domain\":\n"
-      "      \"hall-a-1\", \"mode\": \"route\", \"vms\": [\"vm-2\"] } } }\n",
-      proc_addr (c->vm[0], "http"), proc_addr (c->vm[1], "http"));
+  struct buf vms = BUF_INIT, replicas = BUF_INIT;
+
+  for (size_t i = 0; i < c->nvms; i++)
+    {
+      const char *comma = i ? ", " : "";
+      buf_addf (&vms, "%s\"vm-%zu\": { \"addr\": \"%s\" }", comma, i + 1,
+                proc_addr (c->vm[i], "http"));
+      buf_addf (&replicas,
+                "%s\"ghala-lm-%zu\": { \"model\": \"ghala-lm\", \"domain\": "
+                "\"hall-a-1\", \"mode\": \"route\", \"vms\": [\"vm-%zu\"] }",
+                comma, i + 1, i + 1);
+    }
+  proc_file ("conf/20-model.json",
+             "{ \"domains\": { \"hall-a-1\": { \"zone\": \"hall-a\", "
+             "\"vms\": { %s } } },\n"
+             "  \"models\": { \"ghala-lm\": { \"mode\": \"route\", "
+             "\"vms\": 1, \"replicas\": %zu, \"capacity\": 2 } },\n"
+             "  \"replicas\": { %s } }\n",
+             buf_c (&vms), c->nvms, buf_c (&replicas));
+  buf_free (&vms);
+  buf_free (&replicas);
 }
 
 static const char *
@@ -227,10 +236,11 @@
 }
 
 void
-cluster_up_model (struct cluster *c, size_t n)
+cluster_up_model (struct cluster *c, size_t n, size_t vms)
 {
   memset (c, 0, sizeof *c);
-  for (int i = 0; i < 2; i++)
+  c->nvms = vms;
+  for (size_t i = 0; i < vms; i++)
     c->vm[i] = PROC_START_READY ("standin", "model");
   up (c, n, CLUSTER_TOGETHER, false);
   for (size_t i = 0; i < n; i++)
--- a/t/lib-cluster.h
+++ b/t/lib-cluster.h
@@ -12,6 +12,7 @@
 #include "t/lib-front.h"
 
 #define CLUSTER_MAX 8
+#define CLUSTER_MAX_VMS 16
 
 struct relay;
 
@@ -20,7 +21,8 @@
   size_t n;
   struct proc *store;
   struct proc *soko[2];
-  struct proc *vm[2];  /**< of one replica each of "ghala-lm"; NULL: none */
+  struct proc *vm[CLUSTER_MAX_VMS]; /**< of one replica each of "ghala-lm" */
+  size_t nvms;
   struct relay *relay; /**< before soko[0] and soko[1]; NULL: none */
   struct proc *control[CLUSTER_MAX]; /**< all NULL: without */
   struct proc *gateway[CLUSTER_MAX];
@@ -37,9 +39,9 @@
 /** Start @p n gateways and wait until each routes to the service. */
 void cluster_up (struct cluster *c, size_t n, enum cluster_kind kind);
 
-/** As cluster_up() together, with two replicas of one VM each that serve two
-    requests at once, and wait until each gateway routes to them. */
-void cluster_up_model (struct cluster *c, size_t n);
+/** As cluster_up() together, with @p vms replicas of one VM each that serve
+    two requests at once, and wait until each gateway routes to them. */
+void cluster_up_model (struct cluster *c, size_t n, size_t vms);
 
 /** As cluster_up(), with a relay between the gateways and the service. */
 void cluster_up_relayed (struct cluster *c, size_t n);
--- a/t/t9004-slots.c
+++ b/t/t9004-slots.c
@@ -113,7 +113,7 @@
   char fault[64];
   size_t home;
 
-  cluster_up_model (c, GATEWAYS);
+  cluster_up_model (c, GATEWAYS, 2);
   home = find_home (c);
   snprintf (fault, sizeof fault, "{\"slow_ms\": %d}", slow_ms);
   front_fault_both (c->vm, fault);
