--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -199,3 +199,14 @@
       "crash 1 j.K 10 -1\n run 500\n query z.K\n",
       "z.K BBB\n");
 }
+
+/* Guards against blaming a part for a request that alone was running in its
+   crashes, but that takes one more crash, as it had written for a moment. */
+Test (poison_parts, part_of_one_request_is_not_blamed_before_it)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.K 1 100\n run 300\n crash 2 a.K 2 100\n run 300\n"
+      "crash 1 a.K 3 100\n run 500\n query a\n query z.K\n"
+      "crash 2 a.K 4 100\n run 500\n query a\n query z.K\n",
+      "a --\nz.K --\na BB\nz.K --\n");
+}
