poison: ask again for completions when the last question is old

Found by reading: nodes are asked once whether a part has completed. If its next crash came minutes later, what completed since at a node that was asked before was not known, the time for objections was over at once, and the part was blocked until that node objected to the block. Sound requests with it were refused meanwhile.

Also, of two companions that completed both are left out, not every second one. t9214 nodes_are_asked_again_for_completions fails without the change.

--- a/serve/poison.c
+++ b/serve/poison.c
@@ -117,7 +117,6 @@
 
   if (kind == PSN_COMPLETED)
     update.ago_ms = now - psn_completed_at (p, s->id);
-
   update.broadcast = broadcast || had_crashes;
   s->state = PSN_S_CLEARED;
   if (had_crashes)
@@ -237,7 +236,7 @@
   struct psn_suspect copy = *part, *s;
   struct psn_id id = { .is_part = true };
 
-  for (size_t i = 0; i < copy.ncompanions; i++)
+  for (size_t i = copy.ncompanions; i-- > 0;)
     {
       id.value = copy.companions[i];
       if (psn_has_completed (p, now, id, COMPLETION_TTL_MS))
@@ -290,6 +289,15 @@
   add_update (p, update);
 }
 
+/** Whether no question about the part has been sent for so long that it may
+    have completed since. */
+static bool
+needs_query (const struct psn_suspect *s, clk_ms now)
+{
+  return s->id.is_part
+         && (!s->queried_at || now - s->queried_at > COMPLETION_TTL_MS);
+}
+
 /** Ask all nodes whether the part has completed there. */
 static void
 send_query (struct psn *p, clk_ms now, struct psn_suspect *s)
@@ -331,8 +339,7 @@
     }
   s->state_ends_at = now + PSN_HOLD_MS;
   psn_update_pending_time (p, now, s);
-  if (s->id.is_part && p->is_collector && !s->queried_at
-      && psn_is_near_block (p, now, s))
+  if (p->is_collector && needs_query (s, now) && psn_is_near_block (p, now, s))
     send_query (p, now, s);
 }
 
@@ -349,7 +356,7 @@
               .ago_ms = now - psn_completed_at (p, update->id) };
       add_update (p, &completed);
     }
-  else if (s && !s->queried_at)
+  else if (s && needs_query (s, now))
     send_query (p, now, s);
 }
 
--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -210,3 +210,15 @@
       "crash 2 a.K 4 100\n run 500\n query a\n query z.K\n",
       "a --\nz.K --\na BB\nz.K --\n");
 }
+
+/* Guards against a popular part that is blocked for a moment, as all nodes
+   were asked for completions long before its last crash. */
+Test (poison_parts, nodes_are_asked_again_for_completions)
+{
+  poison_run_script (
+      "relays 8\n crash 5 a.A 1 -1\n run 300\n crash 6 b.A 2 -1\n"
+      "run 60000\n complete 8 s.A\n run 500\n"
+      "crash 7 c.A 3 -1\n run 90\n query z.A\n run 30\n query z.A\n"
+      "run 100\n query z.A\n",
+      "z.A --------\nz.A --------\nz.A --------\n");
+}
