--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -3,6 +3,7 @@
  * Internal structures of the detection of poison requests.
  *
  *   poison.c            updates, states and timeouts
+ *   poison-query.c      what is refused, snapshots
  *   poison-suspect.c    table of suspects, and the evidence against each one
  *   poison-completed.c  completed runs, which clear suspects
  */
@@ -103,6 +104,12 @@
   struct psn_update *snapshot;
 };
 
+/* poison.c */
+/** An update about the suspect, with its companions if it is pending or
+    blocked; broadcast. */
+struct psn_update psn_make_update (const struct psn_suspect *s,
+                                   enum psn_kind kind);
+
 /* poison-suspect.c */
 struct psn_suspect *psn_find (const struct psn *p, struct psn_id id);
 /** Find the suspect or add it.  In a full table, it replaces the one with the
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -8,8 +8,6 @@
 /** How long a suspect stays pending.  In this time, nodes at which it has
     completed can clear it. */
 #define PENDING_MS ((clk_ms)200)
-/** Retry delay reported to a client whose request is pending. */
-#define PENDING_RETRY_MS ((clk_ms)300)
 /** How long updates about a cleared suspect are ignored, because they may have
     been sent before it was cleared. */
 #define CLEARED_TTL_MS ((clk_ms)2000)
@@ -85,8 +83,8 @@
 
 /* --- pending, blocked, cleared ----------------------------------------- */
 
-static struct psn_update
-make_update (const struct psn_suspect *s, enum psn_kind kind)
+struct psn_update
+psn_make_update (const struct psn_suspect *s, enum psn_kind kind)
 {
   struct psn_update update = { .kind = kind, .id = s->id, .broadcast = true };
 
@@ -101,7 +99,7 @@
 static void
 add_block_update (struct psn *p, clk_ms now, const struct psn_suspect *s)
 {
-  struct psn_update update = make_update (s, PSN_BLOCKED);
+  struct psn_update update = psn_make_update (s, PSN_BLOCKED);
 
   update.hold_ms = s->state_ends_at - now;
   add_update (p, &update);
@@ -112,7 +110,7 @@
 clear (struct psn *p, clk_ms now, struct psn_suspect *s, enum psn_kind kind,
        bool broadcast)
 {
-  struct psn_update update = make_update (s, kind);
+  struct psn_update update = psn_make_update (s, kind);
   bool had_crashes = psn_is_pending_or_blocked (s);
 
   if (kind == PSN_COMPLETED)
@@ -182,7 +180,7 @@
   if (s->queried_at && s->queried_at + PENDING_MS < s->state_ends_at)
     s->state_ends_at = s->queried_at + PENDING_MS;
   s->pending_at = CLK_NEVER;
-  sent = make_update (s, PSN_BLOCK_PENDING);
+  sent = psn_make_update (s, PSN_BLOCK_PENDING);
   add_update (p, &sent);
   psn_attribute_crashes (p, now, s);
 }
@@ -302,7 +300,7 @@
 static void
 send_query (struct psn *p, clk_ms now, struct psn_suspect *s)
 {
-  struct psn_update query = make_update (s, PSN_QUERY);
+  struct psn_update query = psn_make_update (s, PSN_QUERY);
 
   s->queried_at = now;
   add_update (p, &query);
@@ -477,93 +475,7 @@
     part_completed (p, now, now, (struct psn_id){ true, r->parts[i] }, false);
 }
 
-/* --- queries and timeouts ----------------------------------------------- */
-
-static bool
-has_part (const struct psn_request *r, uint64_t part)
-{
-  for (size_t i = 0; i < r->nparts; i++)
-    if (r->parts[i] == part)
-      return true;
-  return false;
-}
-
-/** Whether the request has all parts that are blocked together with @p s. */
-static bool
-has_companions (const struct psn_request *r, const struct psn_suspect *s)
-{
-  for (size_t i = 0; i < s->ncompanions; i++)
-    if (!has_part (r, s->companions[i]))
-      return false;
-  return true;
-}
-
-/** The @p i th of the ids that can cause a refusal of the request: its own and
-    those of its parts. */
-static struct psn_id
-nth_id (const struct psn_request *r, size_t i)
-{
-  return i == 0 ? (struct psn_id){ false, r->digest }
-                : (struct psn_id){ true, r->parts[i - 1] };
-}
-
-static struct psn_suspect *
-find_block (const struct psn *p, const struct psn_request *r)
-{
-  for (size_t i = 0; i <= r->nparts; i++)
-    {
-      struct psn_suspect *s = psn_find (p, nth_id (r, i));
-      if (s && s->state == PSN_S_BLOCKED && has_companions (r, s))
-        return s;
-    }
-  return NULL;
-}
-
-static struct psn_suspect *
-find_pending (const struct psn *p, const struct psn_request *r)
-{
-  for (size_t i = 0; i <= r->nparts; i++)
-    {
-      struct psn_suspect *s = psn_find (p, nth_id (r, i));
-      if (s && (s->state == PSN_S_BLOCK_PENDING || s->pending_at != CLK_NEVER)
-          && has_companions (r, s))
-        return s;
-    }
-  return NULL;
-}
-
-bool
-psn_should_refuse (struct psn *p, clk_ms now, const struct psn_request *r,
-                   struct psn_refusal *out)
-{
-  struct psn_suspect *s = find_block (p, r);
-
-  if (s)
-    {
-      *out = (struct psn_refusal){ s->id, 0 };
-      if (!s->id.is_part)
-        s->state_ends_at = now + PSN_HOLD_MS;
-      return true;
-    }
-  s = find_pending (p, r);
-  if (s)
-    *out = (struct psn_refusal){ s->id, PENDING_RETRY_MS };
-  return s != NULL;
-}
-
-bool
-psn_is_suspect (const struct psn *p, clk_ms now, const struct psn_request *r)
-{
-  for (size_t i = 0; i <= r->nparts; i++)
-    {
-      struct psn_suspect *s = psn_find (p, nth_id (r, i));
-      if (s
-          && (psn_is_pending_or_blocked (s) ? has_companions (r, s)
-                                            : psn_is_near_block (p, now, s)))
-        return true;
-    }
-  return false;
-}
+/* --- timeouts ------------------------------------------------------------ */
 
 /** Compare blocked parts that have crashed again with their companions. */
 static void
@@ -644,63 +556,3 @@
     }
   return wake;
 }
-
-bool
-psn_get_block (const struct psn *p, clk_ms now, struct psn_id id,
-               struct psn_update *out)
-{
-  const struct psn_suspect *s = psn_find (p, id);
-
-  if (!s || s->state != PSN_S_BLOCKED)
-    return false;
-  *out = make_update (s, PSN_BLOCKED);
-  out->hold_ms = s->state_ends_at - now;
-  return true;
-}
-
-/** Append the state of the suspect to the snapshot, and its crashes. */
-static size_t
-add_to_snapshot (const struct psn_suspect *s, clk_ms now,
-                 struct psn_update *out)
-{
-  size_t n = 0;
-
-  if (psn_is_pending_or_blocked (s))
-    {
-      out[n] = make_update (s, s->state == PSN_S_BLOCKED ? PSN_BLOCKED
-                                                         : PSN_BLOCK_PENDING);
-      if (s->state == PSN_S_BLOCKED)
-        out[n].hold_ms = s->state_ends_at - now;
-      n++;
-    }
-  for (size_t i = 0; i < s->ncrashed_runs; i++)
-    if (s->crashed_runs[i].endpoint)
-      out[n++] = (struct psn_update){ .kind = PSN_CRASH,
-                                      .id = s->id,
-                                      .endpoint = s->crashed_runs[i].endpoint,
-                                      .ran_ms = s->crashed_runs[i].ran_ms,
-                                      .request = s->crashed_runs[i].request };
-  return n;
-}
-
-const struct psn_update *
-psn_snapshot (struct psn *p, clk_ms now, size_t *n)
-{
-  p->snapshot = xrealloc (p->snapshot, (p->n * (PSN_MAX_CRASHED_RUNS + 1) + 1)
-                                           * sizeof *p->snapshot);
-  *n = 0;
-  for (size_t i = 0; i < p->n; i++)
-    *n += add_to_snapshot (&p->suspects[i], now, p->snapshot + *n);
-  return p->snapshot;
-}
-
-size_t
-psn_count_blocked (const struct psn *p, bool parts)
-{
-  size_t n = 0;
-
-  for (size_t i = 0; i < p->n; i++)
-    n += p->suspects[i].state == PSN_S_BLOCKED
-         && p->suspects[i].id.is_part == parts;
-  return n;
-}
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -449,6 +449,20 @@
   rack_set (r, "{\"crash_part\": \"" BAD_PART "\", \"crash_ms\": 70}");
 }
 
+/** Sends sound requests and such that crash servers in turn, to both nodes. */
+static void
+crash_by_part (const struct rack *r, const char *sound, const char *bad)
+{
+  for (int i = 0; i < 12; i++)
+    {
+      cr_expect_eq (request_with_parts (r, i % RACK_NODES, sound), 200);
+      request_with_parts (r, i % RACK_NODES, bad);
+      usleep (PROPAGATION_US);
+    }
+  cr_expect_leq (count_crashed (r), MAX_PART_CRASHES, "%d servers crashed",
+                 count_crashed (r));
+}
+
 /* Guards against requests that crash one server after another because of a
    part of the prompt that they share, while no two of them are the same. */
 Test (crash, part_of_prompts_is_blocked)
@@ -456,15 +470,7 @@
   struct rack r;
 
   start_with_crash_part (&r);
-  for (int i = 0; i < 12; i++)
-    {
-      cr_expect_eq (request_with_parts (&r, i % RACK_NODES, "aa:800,cc:90"),
-                    200);
-      request_with_parts (&r, i % RACK_NODES, "aa:800," BAD_PART ":410,cc:90");
-      usleep (PROPAGATION_US);
-    }
-  cr_expect_leq (count_crashed (&r), MAX_PART_CRASHES, "%d servers crashed",
-                 count_crashed (&r));
+  crash_by_part (&r, "aa:800,cc:90", "aa:800," BAD_PART ":410,cc:90");
   for (int i = 0; i < RACK_NODES; i++)
     {
       cr_expect_eq (request_with_parts (&r, i, "aa:800," BAD_PART ":410"),
@@ -482,14 +488,7 @@
 
   start_with_crash_part (&r);
   rack_set (&r, "{\"unframed\": true}");
-  for (int i = 0; i < 12; i++)
-    {
-      cr_expect_eq (request_with_parts (&r, i % RACK_NODES, "aa:800"), 200);
-      request_with_parts (&r, i % RACK_NODES, "aa:800," BAD_PART ":410");
-      usleep (PROPAGATION_US);
-    }
-  cr_expect_leq (count_crashed (&r), MAX_PART_CRASHES, "%d servers crashed",
-                 count_crashed (&r));
+  crash_by_part (&r, "aa:800", "aa:800," BAD_PART ":410");
   for (int i = 0; i < RACK_NODES; i++)
     {
       cr_expect_eq (request_with_parts (&r, i, "aa:800," BAD_PART ":410"),
