Plan of the work on uneven load, and what its parts share

Evacuated zones, cold servers, VMs that follow demand and slow replicas are built side by side. What several of them need comes first: the settings and configuration fields, the frames, and the interface of the evacuations. Nothing uses them yet.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -1942,7 +1942,52 @@
   assert(message->base.descriptor == &lapis__permit_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[29] =
+void   lapis__evacuations__init
+                     (Lapis__Evacuations         *message)
+{
+  static const Lapis__Evacuations init_value = LAPIS__EVACUATIONS__INIT;
+  *message = init_value;
+}
+size_t lapis__evacuations__get_packed_size
+                     (const Lapis__Evacuations *message)
+{
+  assert(message->base.descriptor == &lapis__evacuations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lapis__evacuations__pack
+                     (const Lapis__Evacuations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lapis__evacuations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lapis__evacuations__pack_to_buffer
+                     (const Lapis__Evacuations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lapis__evacuations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lapis__Evacuations *
+       lapis__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lapis__Evacuations *)
+     protobuf_c_message_unpack (&lapis__evacuations__descriptor,
+                                allocator, len, data);
+}
+void   lapis__evacuations__free_unpacked
+                     (Lapis__Evacuations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lapis__evacuations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor lapis__frame__field_descriptors[30] =
 {
   {
     "hello",
@@ -2292,6 +2337,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lapis__Frame, body_case),
+    offsetof(Lapis__Frame, evacuations),
+    &lapis__evacuations__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__frame__field_indices_by_name[] = {
   4,   /* field[4] = claim_answer */
@@ -2302,6 +2359,7 @@
   6,   /* field[6] = config_want */
   15,   /* field[15] = drain_answer */
   14,   /* field[14] = drain_ask */
+  29,   /* field[29] = evacuations */
   8,   /* field[8] = evidence */
   21,   /* field[21] = fleet_load */
   11,   /* field[11] = heartbeat */
@@ -2327,7 +2385,7 @@
 static const ProtobufCIntRange lapis__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor lapis__frame__descriptor =
 {
@@ -2337,7 +2395,7 @@
   "Lapis__Frame",
   "lapis",
   sizeof(Lapis__Frame),
-  29,
+  30,
   lapis__frame__field_descriptors,
   lapis__frame__field_indices_by_name,
   1,  lapis__frame__number_ranges,
@@ -5231,7 +5289,7 @@
   (ProtobufCMessageInit) lapis__place_prompt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[11] =
 {
   {
     "place",
@@ -5317,12 +5375,64 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "intervals",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, intervals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intervals_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, intervals_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_events",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, first_events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_events_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__PlaceLoad, first_events_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__place_load__field_indices_by_name[] = {
   2,   /* field[2] = begun */
   6,   /* field[6] = ended */
+  9,   /* field[9] = first_events */
+  10,   /* field[10] = first_events_ms */
   3,   /* field[3] = heard_age_ms */
   1,   /* field[1] = in_flight */
+  7,   /* field[7] = intervals */
+  8,   /* field[8] = intervals_ms */
   0,   /* field[0] = place */
   4,   /* field[4] = stalled */
   5,   /* field[5] = unread_tokens */
@@ -5331,7 +5441,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 7 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lapis__place_load__descriptor =
 {
@@ -5341,7 +5451,7 @@
   "Lapis__PlaceLoad",
   "lapis",
   sizeof(Lapis__PlaceLoad),
-  7,
+  11,
   lapis__place_load__field_descriptors,
   lapis__place_load__field_indices_by_name,
   2,  lapis__place_load__number_ranges,
@@ -5425,7 +5535,7 @@
   (ProtobufCMessageInit) lapis__server_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[14] =
+static const ProtobufCFieldDescriptor lapis__server_entry__field_descriptors[15] =
 {
   {
     "id",
@@ -5595,12 +5705,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerEntry, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__server_entry__field_indices_by_name[] = {
   3,   /* field[3] = addr */
   13,   /* field[13] = beat */
   11,   /* field[11] = born */
   4,   /* field[4] = capacity */
+  14,   /* field[14] = cold_ms */
   5,   /* field[5] = draining */
   8,   /* field[8] = generation */
   0,   /* field[0] = id */
@@ -5617,7 +5740,7 @@
   { 1, 0 },
   { 5, 3 },
   { 10, 7 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor lapis__server_entry__descriptor =
 {
@@ -5627,7 +5750,7 @@
   "Lapis__ServerEntry",
   "lapis",
   sizeof(Lapis__ServerEntry),
-  14,
+  15,
   lapis__server_entry__field_descriptors,
   lapis__server_entry__field_indices_by_name,
   3,  lapis__server_entry__number_ranges,
@@ -5967,7 +6090,7 @@
   (ProtobufCMessageInit) lapis__permit_grants__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__permits__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__permits__field_descriptors[5] =
 {
   {
     "server",
@@ -6017,9 +6140,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Permits, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__permits__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  4,   /* field[4] = cold_ms */
   1,   /* field[1] = n */
   2,   /* field[2] = per_s */
   0,   /* field[0] = server */
@@ -6027,7 +6163,7 @@
 static const ProtobufCIntRange lapis__permits__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lapis__permits__descriptor =
 {
@@ -6037,7 +6173,7 @@
   "Lapis__Permits",
   "lapis",
   sizeof(Lapis__Permits),
-  4,
+  5,
   lapis__permits__field_descriptors,
   lapis__permits__field_indices_by_name,
   1,  lapis__permits__number_ranges,
@@ -6082,6 +6218,70 @@
   (ProtobufCMessageInit) lapis__permit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lapis__evacuations__field_descriptors[3] =
+{
+  {
+    "store_era",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Evacuations, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__Evacuations, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lapis__Evacuations, n_zones),
+    offsetof(Lapis__Evacuations, zones),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lapis__evacuations__field_indices_by_name[] = {
+  1,   /* field[1] = revision */
+  0,   /* field[0] = store_era */
+  2,   /* field[2] = zones */
+};
+static const ProtobufCIntRange lapis__evacuations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lapis__evacuations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lapis.Evacuations",
+  "Evacuations",
+  "Lapis__Evacuations",
+  "lapis",
+  sizeof(Lapis__Evacuations),
+  3,
+  lapis__evacuations__field_descriptors,
+  lapis__evacuations__field_indices_by_name,
+  1,  lapis__evacuations__number_ranges,
+  (ProtobufCMessageInit) lapis__evacuations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue lapis__slot_kind__enum_values_by_number[4] =
 {
   { "SLOT_NONE", "LAPIS__SLOT_KIND__SLOT_NONE", 0 },
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -58,6 +58,7 @@
 typedef struct Lapis__PermitGrants Lapis__PermitGrants;
 typedef struct Lapis__Permits Lapis__Permits;
 typedef struct Lapis__PermitAsk Lapis__PermitAsk;
+typedef struct Lapis__Evacuations Lapis__Evacuations;
 
 
 /* --- enums --- */
@@ -111,7 +112,8 @@
   LAPIS__FRAME__BODY_POISON_UPDATES = 26,
   LAPIS__FRAME__BODY_RATE_LIMITS = 27,
   LAPIS__FRAME__BODY_PERMIT_GRANTS = 28,
-  LAPIS__FRAME__BODY_PERMIT_ASK = 29
+  LAPIS__FRAME__BODY_PERMIT_ASK = 29,
+  LAPIS__FRAME__BODY_EVACUATIONS = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LAPIS__FRAME__BODY__CASE)
 } Lapis__Frame__BodyCase;
 
@@ -149,6 +151,7 @@
     Lapis__RateLimits *rate_limits;
     Lapis__PermitGrants *permit_grants;
     Lapis__PermitAsk *permit_ask;
+    Lapis__Evacuations *evacuations;
   };
 };
 #define LAPIS__FRAME__INIT \
@@ -921,10 +924,30 @@
    * its process was found gone
    */
   protobuf_c_boolean ended;
+  /*
+   * Streams and requests in the last second: intervals between two events of
+   * a stream, and times from sending to the first event.
+   */
+  /*
+   * number of intervals
+   */
+  uint32_t intervals;
+  /*
+   * their sum
+   */
+  uint32_t intervals_ms;
+  /*
+   * number of first events
+   */
+  uint32_t first_events;
+  /*
+   * sum of the times
+   */
+  uint32_t first_events_ms;
 };
 #define LAPIS__PLACE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__place_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -982,10 +1005,14 @@
    * number of the heartbeat that wrote it
    */
   int64_t beat;
+  /*
+   * how much longer it is cold; 0: it is not
+   */
+  uint32_t cold_ms;
 };
 #define LAPIS__SERVER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__server_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1114,10 +1141,14 @@
    * sender knows, as in RateLimit
    */
   uint32_t age_ms;
+  /*
+   * of what is wanted: how much longer the
+   */
+  uint32_t cold_ms;
 };
 #define LAPIS__PERMITS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__permits__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1134,6 +1165,29 @@
     , 0,NULL }
 
 
+/*
+ * Availability zones that the operators have evacuated, as the store had them
+ * at this revision.
+ */
+struct  Lapis__Evacuations
+{
+  ProtobufCMessage base;
+  /*
+   * restore counter of the store; 0: unknown
+   */
+  int64_t store_era;
+  /*
+   * of the store
+   */
+  int64_t revision;
+  size_t n_zones;
+  char **zones;
+};
+#define LAPIS__EVACUATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lapis__evacuations__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /* Lapis__Frame methods */
 void   lapis__frame__init
                      (Lapis__Frame         *message);
@@ -1951,6 +2005,25 @@
 void   lapis__permit_ask__free_unpacked
                      (Lapis__PermitAsk *message,
                       ProtobufCAllocator *allocator);
+/* Lapis__Evacuations methods */
+void   lapis__evacuations__init
+                     (Lapis__Evacuations         *message);
+size_t lapis__evacuations__get_packed_size
+                     (const Lapis__Evacuations   *message);
+size_t lapis__evacuations__pack
+                     (const Lapis__Evacuations   *message,
+                      uint8_t             *out);
+size_t lapis__evacuations__pack_to_buffer
+                     (const Lapis__Evacuations   *message,
+                      ProtobufCBuffer     *buffer);
+Lapis__Evacuations *
+       lapis__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lapis__evacuations__free_unpacked
+                     (Lapis__Evacuations *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lapis__Frame_Closure)
@@ -2082,6 +2155,9 @@
 typedef void (*Lapis__PermitAsk_Closure)
                  (const Lapis__PermitAsk *message,
                   void *closure_data);
+typedef void (*Lapis__Evacuations_Closure)
+                 (const Lapis__Evacuations *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -2132,6 +2208,7 @@
 extern const ProtobufCMessageDescriptor lapis__permit_grants__descriptor;
 extern const ProtobufCMessageDescriptor lapis__permits__descriptor;
 extern const ProtobufCMessageDescriptor lapis__permit_ask__descriptor;
+extern const ProtobufCMessageDescriptor lapis__evacuations__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/serve/adapter.h
+++ b/serve/adapter.h
@@ -44,6 +44,14 @@
   clk_ms retry_window_ms;
   double ceiling_window_s; /**< window of the limit on model loads */
   double ceiling_over;     /**< factor on the allowed rate of model loads */
+  /** Time in which all nodes obey the evacuation of an availability zone; 0:
+      the platform evacuates none. */
+  clk_ms evacuation_ms;
+  /** A cold server may get tbl_service.cold_per_s times cold_over, plus
+      cold_slack, requests in any second, from all nodes together.  0: the
+      platform sets no such limit. */
+  double cold_over;
+  double cold_slack;
   bool first_start; /**< first start of the whole system, without any state */
   size_t max_fds;
   double link_bytes_per_s; /**< of this VM; 0: unknown */
@@ -132,7 +140,13 @@
   struct store *(*open_store) (uv_loop_t *loop, struct httpc *http,
                                const struct srv_settings *set);
 
-  const char *config_key;     /**< store key of the configuration */
+  const char *config_key; /**< store key of the configuration */
+  /** Store prefix of everything that the operators write, the configuration
+      included. */
+  const char *operator_prefix;
+  /** Store prefix of the evacuated availability zones: the rest of a key is
+      the name of a zone, which is evacuated as long as the key exists. */
+  const char *evacuation_prefix;
   const char *servers_prefix; /**< store prefix of the server list */
   const char *own_prefix; /**< store prefix of the keys that the nodes write */
 
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -56,6 +56,8 @@
   struct net_addr addr;
   unsigned capacity; /**< requests in parallel */
   bool draining;
+  clk_ms cold_ms;   /**< how much longer the server is cold, when the entry was
+                         written; 0: it is not cold */
   struct str model; /**< loaded model; empty: none */
   struct str
       preloaded[BKS_PRELOADED_MAX]; /**< models in the memory of its host */
--- a/serve/table.h
+++ b/serve/table.h
@@ -45,6 +45,10 @@
   unsigned loads_at_once; /**< above this number, concurrent loads share the
                                bandwidth of the weight store */
   unsigned host_cache_models; /**< models that a VM's host keeps in memory */
+  clk_ms cold_ms;    /**< a server is cold for this long after its start; 0:
+                          its servers are never cold */
+  double cold_per_s; /**< requests per second that a cold server tolerates,
+                          from all nodes together */
   clk_ms event_interval_ms; /**< interval between two events of a stream on an
                                  idle replica */
   double
