poison: compare crashes only when all reports of the last one are in

A part and its usual companion were blocked; a crash of both was reported for one before the other. One node applied the report of the companion first and cleared the part, whose crashes were a proper subset at that moment; another node did the converse. Both parts were cleared, and their crashes ignored for two seconds.

Blocked suspects are compared PSN_SETTLE_MS after the last crash of the one that explains more, which is the time that a decision to block leaves for the reports, too.

--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -25,6 +25,10 @@
 #define PSN_PART_SETS 1024
 #define PSN_PART_WAYS 4
 #define PSN_BUCKETS 1024
+/** Delay between a crash and the decisions that depend on it.  Other nodes
+    need this time to report which of their requests were running when the same
+    server crashed. */
+#define PSN_SETTLE_MS ((clk_ms)100)
 
 enum psn_state
 {
@@ -65,6 +69,8 @@
   size_t ncompanions;
   clk_ms companions_at; /**< when to compare them with the part again, after a
                              crash; CLK_NEVER: no crash since */
+  clk_ms compare_at;    /**< pending or blocked: when to clear others whose
+                             crashes it explains; CLK_NEVER: no crash since */
 };
 
 struct psn_completion
--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -19,11 +19,6 @@
     crash. */
 #define MIN_BLOCK_WEIGHT ((PSN_CRASHES - 1) * WEIGHT_NO_EVENT + WEIGHT_EARLY)
 
-/** Delay between the crash after which the evidence suffices for a block and
-    the decision.
-    Other nodes need this time to report which of their requests were running
-    when the same server crashed. */
-#define SETTLE_MS ((clk_ms)100)
 /** Servers that crash within this time have crashed together.  It covers the
     delays of reports from other nodes. */
 #define SAME_MOMENT_MS ((clk_ms)50)
@@ -182,7 +177,7 @@
     }
   memset (s, 0, sizeof *s);
   s->id = id;
-  s->pending_at = s->companions_at = CLK_NEVER;
+  s->pending_at = s->companions_at = s->compare_at = CLK_NEVER;
   s->state_ends_at = now + PSN_HOLD_MS;
   add_to_bucket (p, s);
   return s;
@@ -387,7 +382,7 @@
   if (!has_enough_evidence (p, now, s))
     s->pending_at = CLK_NEVER;
   else if (s->pending_at == CLK_NEVER)
-    s->pending_at = now + SETTLE_MS;
+    s->pending_at = now + PSN_SETTLE_MS;
 }
 
 bool
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -120,7 +120,7 @@
   if (had_crashes)
     psn_release_crashes (p, now, s);
   s->state_ends_at = now + CLEARED_TTL_MS;
-  s->pending_at = s->companions_at = CLK_NEVER;
+  s->pending_at = s->companions_at = s->compare_at = CLK_NEVER;
   s->ncrashed_runs = s->ncompanions = 0;
   add_update (p, &update);
 }
@@ -193,8 +193,8 @@
   s->pending_at = CLK_NEVER;
   add_block_update (p, now, s);
   psn_attribute_crashes (p, now, s);
-  /* Not while it is pending: a run of it may have completed. */
-  clear_subsets (p, now, s);
+  if (s->compare_at == CLK_NEVER)
+    s->compare_at = now + PSN_SETTLE_MS;
 }
 
 /**
@@ -206,7 +206,7 @@
 {
   s->state = PSN_S_OBSERVED;
   s->state_ends_at = now + PSN_HOLD_MS;
-  s->pending_at = CLK_NEVER;
+  s->pending_at = s->compare_at = CLK_NEVER;
   s->ncrashed_runs = s->ncompanions = 0;
   for (unsigned i = 1; i < PSN_CRASHES; i++)
     s->crashed_runs[s->ncrashed_runs++] = (struct psn_crashed_run){
@@ -284,6 +284,8 @@
     .moment = psn_crash_moment (p, now - update->ago_ms, update->endpoint),
     .attributed_to_other = attributed
   };
+  if (decided)
+    s->compare_at = now + PSN_SETTLE_MS;
   add_update (p, update);
 }
 
@@ -477,6 +479,24 @@
 
 /* --- timeouts ------------------------------------------------------------ */
 
+/** Clear bystanders of blocked suspects whose last crash has been reported by
+    all nodes.  A crash is reported for one suspect after the other: until then
+    the crashes of one that runs in all of them can look like a subset. */
+static void
+clear_bystanders (struct psn *p, clk_ms now)
+{
+  for (size_t i = 0; i < p->n; i++)
+    {
+      struct psn_suspect *s = &p->suspects[i];
+      if (now < s->compare_at)
+        continue;
+      s->compare_at = CLK_NEVER;
+      /* Not while it is pending: a run of it may have completed. */
+      if (s->state == PSN_S_BLOCKED)
+        clear_subsets (p, now, s);
+    }
+}
+
 /** Compare blocked parts that have crashed again with their companions. */
 static void
 check_companions (struct psn *p, clk_ms now)
@@ -522,6 +542,7 @@
     set_pending (p, now, s, NULL);
   if (p->has_companions)
     check_companions (p, now);
+  clear_bystanders (p, now);
   expire (p, now);
 }
 
@@ -536,6 +557,8 @@
         s->state_ends_at = now + PENDING_MS;
       if (s->pending_at < now + PENDING_MS)
         s->pending_at = now + PENDING_MS;
+      if (s->compare_at < now + PENDING_MS)
+        s->compare_at = now + PENDING_MS;
     }
 }
 
@@ -553,6 +576,8 @@
         wake = s->pending_at;
       if (s->companions_at < wake)
         wake = s->companions_at;
+      if (s->compare_at < wake)
+        wake = s->compare_at;
     }
   return wake;
 }
--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -236,3 +236,16 @@
       "link 8 1\n run 400\n query q.K\n query q.A\n",
       "q.A BBBBBBB-\nq.K BBBBBBBB\nq.A --------\n");
 }
+
+/* Guards against a cause that is cleared for its companion: each of two nodes
+   reports the same crash for one of them after the other. */
+Test (poison_parts, report_of_one_part_does_not_clear_the_other)
+{
+  poison_run_script (
+      "nodes 3\n crash 1 a.KN 1 100\n run 300\n crash 1 a.KN 2 100\n run 300\n"
+      "crash 1 a.KN 3 100\n run 300\n crash 1 a.KN 4 100\n run 600\n query a\n"
+      "crash 3 b.KN 5 400\n run 30\n crash 2 b.KN 6 400\n run 600\n"
+      "query z.KN\n crash 1 c.NK 7 400\n crash 2 d.KN 7 400\n run 600\n"
+      "query z.KN\n",
+      "a BBB\nz.KN BBB\nz.KN BBB\n");
+}
