--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -134,6 +134,8 @@
 /** Identifies the moment at which the server crashed.
     @param at  time of the crash as reported */
 uint32_t psn_crash_moment (struct psn *p, clk_ms at, uint64_t endpoint);
+/** When the server crashed, as first reported; 0: that is not known. */
+clk_ms psn_crashed_at (const struct psn *p, uint64_t endpoint);
 /** Whether the suspect is pending or blocked, so that its crashes are
     attributed to it. */
 bool psn_is_pending_or_blocked (const struct psn_suspect *s);
--- a/serve/poison-query.c
+++ b/serve/poison-query.c
@@ -104,9 +104,19 @@
   return true;
 }
 
+/** Time since the crash.  Of one that isn't recorded any more, evidence was
+    reported within PSN_HOLD_MS. */
+static clk_ms
+time_since_crash (const struct psn *p, clk_ms now, uint64_t endpoint)
+{
+  clk_ms at = psn_crashed_at (p, endpoint);
+
+  return at ? now - at : PSN_HOLD_MS;
+}
+
 /** Append the state of the suspect to the snapshot, and its crashes. */
 static size_t
-add_to_snapshot (const struct psn_suspect *s, clk_ms now,
+add_to_snapshot (const struct psn *p, const struct psn_suspect *s, clk_ms now,
                  struct psn_update *out)
 {
   size_t n = 0;
@@ -120,12 +130,17 @@
       n++;
     }
   for (size_t i = 0; i < s->ncrashed_runs; i++)
-    if (s->crashed_runs[i].endpoint)
-      out[n++] = (struct psn_update){ .kind = PSN_CRASH,
-                                      .id = s->id,
-                                      .endpoint = s->crashed_runs[i].endpoint,
-                                      .ran_ms = s->crashed_runs[i].ran_ms,
-                                      .request = s->crashed_runs[i].request };
+    {
+      const struct psn_crashed_run *r = &s->crashed_runs[i];
+      if (r->endpoint)
+        out[n++] = (struct psn_update){ .kind = PSN_CRASH,
+                                        .id = s->id,
+                                        .endpoint = r->endpoint,
+                                        .ran_ms = r->ran_ms,
+                                        .request = r->request,
+                                        .ago_ms = time_since_crash (
+                                            p, now, r->endpoint) };
+    }
   return n;
 }
 
@@ -136,7 +151,7 @@
                                            * sizeof *p->snapshot);
   *n = 0;
   for (size_t i = 0; i < p->n; i++)
-    *n += add_to_snapshot (&p->suspects[i], now, p->snapshot + *n);
+    *n += add_to_snapshot (p, &p->suspects[i], now, p->snapshot + *n);
   return p->snapshot;
 }
 
--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -255,6 +255,15 @@
   return c->moment;
 }
 
+clk_ms
+psn_crashed_at (const struct psn *p, uint64_t endpoint)
+{
+  for (size_t i = 0; i < PSN_MAX_CRASHES; i++)
+    if (p->crashes[i].moment && p->crashes[i].endpoint == endpoint)
+      return p->crashes[i].at;
+  return 0;
+}
+
 /** Whether @p s was running in all crashes of @p other. */
 static bool
 was_in_all_crashes (struct psn_suspect *s, const struct psn_suspect *other)
--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -249,3 +249,14 @@
       "query z.KN\n",
       "a BBB\nz.KN BBB\nz.KN BBB\n");
 }
+
+/* Guards against a node that takes the crashes before its start for a rack
+   that failed at one moment. */
+Test (poison_parts, restarted_node_knows_the_times_of_crashes)
+{
+  poison_run_script (
+      "nodes 2\n crash 1 a.K 1 -1\n run 200\n crash 1 b.K 2 -1\n run 200\n"
+      "restart 2\n run 50\n cut 1 2\n crash 2 c.K 3 -1\n run 500\n"
+      "query z.K\n",
+      "z.K -B\n");
+}
