poison: a cleared suspect is observed again once it crashes

Model had four requests of its second culprit after the fifth crash. The part was pending, all its crashes were also those of the other culprit, so it was cleared as a bystander. For CLEARED_TTL_MS after that, nodes ignored all updates about it, new crashes among them: it crashed ten servers in two seconds of which no node took notice.

Only updates about crashes before the clearing are ignored now. The time of the first report of a crash decides, as an update may be late. Updates of pending and blocked suspects name their last crash in fields that they left empty; without them, as from older nodes or the store, they are ignored as before.

--- a/serve/poison-int.h
+++ b/serve/poison-int.h
@@ -14,6 +14,9 @@
 
 /** Maximum number of crashes recorded per request. */
 #define PSN_MAX_CRASHED_RUNS 8
+/** Servers that crash within this time have crashed together.  It covers the
+    delays of reports from other nodes. */
+#define PSN_SAME_MOMENT_MS ((clk_ms)50)
 /** Number of recent crashes recorded as attributed to a request. */
 #define PSN_MAX_ATTRIBUTED 64
 /** Number of recent crashes that are told apart by their time. */
@@ -36,7 +39,7 @@
   PSN_S_BLOCK_PENDING, /**< blocked when the pending time ends, unless a
                             node clears it */
   PSN_S_BLOCKED,
-  PSN_S_CLEARED /**< delayed updates about the request are ignored */
+  PSN_S_CLEARED /**< updates about earlier crashes are ignored */
 };
 
 /** A run of the request, or with the part, that was in progress when its
@@ -58,10 +61,14 @@
       bucket_next; /**< index + 1 of the next one in its bucket; 0: none */
   enum psn_state state;
   clk_ms state_ends_at;
+  clk_ms cleared_at; /**< when the state became cleared */
   clk_ms pending_at; /**< when the observed suspect becomes pending; CLK_NEVER:
                       not enough evidence */
   clk_ms queried_at; /**< part: when all nodes were asked for completions; 0:
                           they were not */
+  /** its last crash, also of one that only other nodes know; 0: not known */
+  clk_ms crashed_at;
+  uint64_t crashed_endpoint;
   struct psn_crashed_run crashed_runs[PSN_MAX_CRASHED_RUNS];
   size_t ncrashed_runs;
   /** pending or blocked part: it is refused only together with these */
@@ -111,9 +118,9 @@
 };
 
 /* poison.c */
-/** An update about the suspect, with its companions if it is pending or
-    blocked; broadcast. */
-struct psn_update psn_make_update (const struct psn_suspect *s,
+/** An update about the suspect, with its companions and its last crash if it
+   is pending or blocked; broadcast. */
+struct psn_update psn_make_update (const struct psn_suspect *s, clk_ms now,
                                    enum psn_kind kind);
 
 /* poison-suspect.c */
--- a/serve/poison-query.c
+++ b/serve/poison-query.c
@@ -99,7 +99,7 @@
 
   if (!s || s->state != PSN_S_BLOCKED)
     return false;
-  *out = psn_make_update (s, PSN_BLOCKED);
+  *out = psn_make_update (s, now, PSN_BLOCKED);
   out->hold_ms = s->state_ends_at - now;
   return true;
 }
@@ -124,7 +124,7 @@
   if (psn_is_pending_or_blocked (s))
     {
       out[n] = psn_make_update (
-          s, s->state == PSN_S_BLOCKED ? PSN_BLOCKED : PSN_BLOCK_PENDING);
+          s, now, s->state == PSN_S_BLOCKED ? PSN_BLOCKED : PSN_BLOCK_PENDING);
       if (s->state == PSN_S_BLOCKED)
         out[n].hold_ms = s->state_ends_at - now;
       n++;
--- a/serve/poison-suspect.c
+++ b/serve/poison-suspect.c
@@ -19,10 +19,6 @@
     crash. */
 #define MIN_BLOCK_WEIGHT ((PSN_CRASHES - 1) * WEIGHT_NO_EVENT + WEIGHT_EARLY)
 
-/** Servers that crash within this time have crashed together.  It covers the
-    delays of reports from other nodes. */
-#define SAME_MOMENT_MS ((clk_ms)50)
-
 /* --- table of suspects -------------------------------------------------- */
 
 static bool
@@ -246,7 +242,7 @@
         continue;
       if (other->endpoint == endpoint)
         return other->moment;
-      if (llabs (other->at - at) < SAME_MOMENT_MS)
+      if (llabs (other->at - at) < PSN_SAME_MOMENT_MS)
         moment = other->moment;
     }
   p->next_crash++;
--- a/serve/poison.c
+++ b/serve/poison.c
@@ -8,8 +8,8 @@
 /** How long a suspect stays pending.  In this time, nodes at which it has
     completed can clear it. */
 #define PENDING_MS ((clk_ms)200)
-/** How long updates about a cleared suspect are ignored, because they may have
-    been sent before it was cleared. */
+/** How long updates about a cleared suspect are ignored that tell of crashes
+    before then, or may do so. */
 #define CLEARED_TTL_MS ((clk_ms)2000)
 /** How long a completed run prevents a block. */
 #define COMPLETION_TTL_MS ((clk_ms)10000)
@@ -84,7 +84,7 @@
 /* --- pending, blocked, cleared ----------------------------------------- */
 
 struct psn_update
-psn_make_update (const struct psn_suspect *s, enum psn_kind kind)
+psn_make_update (const struct psn_suspect *s, clk_ms now, enum psn_kind kind)
 {
   struct psn_update update = { .kind = kind, .id = s->id, .broadcast = true };
 
@@ -92,6 +92,9 @@
     {
       memcpy (update.companions, s->companions, sizeof update.companions);
       update.ncompanions = s->ncompanions;
+      update.endpoint = s->crashed_endpoint;
+      if (s->crashed_at)
+        update.ago_ms = now > s->crashed_at ? now - s->crashed_at : 1;
     }
   return update;
 }
@@ -99,7 +102,7 @@
 static void
 add_block_update (struct psn *p, clk_ms now, const struct psn_suspect *s)
 {
-  struct psn_update update = psn_make_update (s, PSN_BLOCKED);
+  struct psn_update update = psn_make_update (s, now, PSN_BLOCKED);
 
   update.hold_ms = s->state_ends_at - now;
   add_update (p, &update);
@@ -110,12 +113,14 @@
 clear (struct psn *p, clk_ms now, struct psn_suspect *s, enum psn_kind kind,
        bool broadcast)
 {
-  struct psn_update update = psn_make_update (s, kind);
+  struct psn_update update = psn_make_update (s, now, kind);
   bool had_crashes = psn_is_pending_or_blocked (s);
 
   if (kind == PSN_COMPLETED)
     update.ago_ms = now - psn_completed_at (p, s->id);
   update.broadcast = broadcast || had_crashes;
+  if (s->state != PSN_S_CLEARED)
+    s->cleared_at = now;
   s->state = PSN_S_CLEARED;
   if (had_crashes)
     psn_release_crashes (p, now, s);
@@ -149,10 +154,32 @@
              : PSN_CLEARED;
 }
 
+/** When the crash was that an update tells of, or the last one behind a block.
+    The time of the first report is preferred, as the update may be late. */
+static clk_ms
+crash_time (const struct psn *p, clk_ms now, const struct psn_update *update)
+{
+  clk_ms at = psn_crashed_at (p, update->endpoint);
+
+  return at ? at : now - update->ago_ms;
+}
+
+static void
+note_crash (struct psn_suspect *s, clk_ms at, uint64_t endpoint)
+{
+  if (at <= s->crashed_at)
+    return;
+  s->crashed_at = at;
+  s->crashed_endpoint = endpoint;
+}
+
+/** Take over what another node knows of a pending or blocked suspect. */
 static void
-set_companions (struct psn *p, struct psn_suspect *s,
-                const struct psn_update *update)
+take_over (struct psn *p, clk_ms now, struct psn_suspect *s,
+           const struct psn_update *update)
 {
+  if (update->ago_ms)
+    note_crash (s, crash_time (p, now, update), update->endpoint);
   memcpy (s->companions, update->companions, sizeof s->companions);
   s->ncompanions = update->ncompanions;
   p->has_companions = p->has_companions || s->ncompanions > 0;
@@ -171,7 +198,7 @@
       return;
     }
   if (update)
-    set_companions (p, s, update);
+    take_over (p, now, s, update);
   else if (s->id.is_part)
     psn_find_companions (p, s);
   p->has_companions = p->has_companions || s->ncompanions > 0;
@@ -180,7 +207,7 @@
   if (s->queried_at && s->queried_at + PENDING_MS < s->state_ends_at)
     s->state_ends_at = s->queried_at + PENDING_MS;
   s->pending_at = CLK_NEVER;
-  sent = psn_make_update (s, PSN_BLOCK_PENDING);
+  sent = psn_make_update (s, now, PSN_BLOCK_PENDING);
   add_update (p, &sent);
   psn_attribute_crashes (p, now, s);
 }
@@ -268,22 +295,46 @@
 
 /* --- applying updates --------------------------------------------------- */
 
+/** Whether @p at is after the suspect was cleared, also at nodes that did so a
+    little earlier. */
+static bool
+is_after_clearing (const struct psn_suspect *s, clk_ms at)
+{
+  return at > s->cleared_at + PSN_SAME_MOMENT_MS;
+}
+
+/** Observe a cleared suspect again if it has crashed since.  Without that, a
+    cause that was cleared as a bystander would crash servers unobserved until
+    CLEARED_TTL_MS has passed.
+    @param at  its crash */
+static void
+reopen (struct psn *p, clk_ms now, struct psn_suspect *s, clk_ms at)
+{
+  if (s->state != PSN_S_CLEARED || !is_after_clearing (s, at)
+      || psn_has_completed (p, now, s->id, COMPLETION_TTL_MS))
+    return;
+  s->state = PSN_S_OBSERVED;
+  s->state_ends_at = now + PSN_HOLD_MS;
+  s->queried_at = 0;
+}
+
 static void
 add_crashed_run (struct psn *p, clk_ms now, struct psn_suspect *s,
                  const struct psn_update *update, bool decided)
 {
   bool attributed = !decided && psn_is_attributed (p, update->endpoint);
   struct psn_crashed_run *r = psn_place_for_run (s, attributed);
+  clk_ms at = now - update->ago_ms;
+  uint32_t moment = psn_crash_moment (p, at, update->endpoint);
 
+  note_crash (s, crash_time (p, now, update), update->endpoint);
   if (!r)
     return;
-  *r = (struct psn_crashed_run){
-    .endpoint = update->endpoint,
-    .ran_ms = update->ran_ms,
-    .request = update->request,
-    .moment = psn_crash_moment (p, now - update->ago_ms, update->endpoint),
-    .attributed_to_other = attributed
-  };
+  *r = (struct psn_crashed_run){ .endpoint = update->endpoint,
+                                 .ran_ms = update->ran_ms,
+                                 .request = update->request,
+                                 .moment = moment,
+                                 .attributed_to_other = attributed };
   if (decided)
     s->compare_at = now + PSN_SETTLE_MS;
   add_update (p, update);
@@ -302,7 +353,7 @@
 static void
 send_query (struct psn *p, clk_ms now, struct psn_suspect *s)
 {
-  struct psn_update query = psn_make_update (s, PSN_QUERY);
+  struct psn_update query = psn_make_update (s, now, PSN_QUERY);
 
   s->queried_at = now;
   add_update (p, &query);
@@ -314,6 +365,8 @@
   struct psn_suspect *s = psn_find (p, update->id);
   bool decided = s && psn_is_pending_or_blocked (s);
 
+  if (s)
+    reopen (p, now, s, crash_time (p, now, update));
   if (s
       && (s->state == PSN_S_CLEARED
           || psn_find_crashed_run (s, update->endpoint)))
@@ -384,6 +437,8 @@
 {
   struct psn_suspect *s = psn_find_or_add (p, now, update->id);
 
+  if (update->ago_ms)
+    reopen (p, now, s, crash_time (p, now, update));
   if (s->state == PSN_S_OBSERVED)
     set_pending (p, now, s, update);
 }
@@ -411,6 +466,8 @@
 {
   struct psn_suspect *s = psn_find_or_add (p, now, update->id);
 
+  if (update->ago_ms)
+    reopen (p, now, s, crash_time (p, now, update));
   if (s->state == PSN_S_BLOCKED)
     {
       if (s->state_ends_at < now + update->hold_ms)
@@ -423,7 +480,7 @@
     clear (p, now, s, clear_kind (p, now, s->id), true);
   else
     {
-      set_companions (p, s, update);
+      take_over (p, now, s, update);
       block (p, now, s, update->hold_ms);
     }
 }
--- a/serve/poison.h
+++ b/serve/poison.h
@@ -91,7 +91,9 @@
       endpoint;  /**< endpoint that ran it; changes when the server restarts */
   clk_ms ran_ms; /**< time since its first event, or PSN_NO_EVENT */
   uint64_t request; /**< crash of a part: digest of the request that had it */
-  clk_ms ago_ms;    /**< crash, completion: time since then */
+  /** crash, completion: time since then; pending, blocked: time since its last
+      crash, which was at `endpoint`, or 0 if that is not known */
+  clk_ms ago_ms;
   clk_ms hold_ms;
   /** ids of parts without which the block of a part does not apply */
   uint64_t companions[PSN_MAX_COMPANIONS];
--- a/t/t9214-poison-parts.c
+++ b/t/t9214-poison-parts.c
@@ -260,3 +260,51 @@
       "query z.K\n",
       "z.K -B\n");
 }
+
+/* Guards against a cause that crashes servers unobserved for seconds because
+   it was cleared as a bystander of another one. */
+Test (poison_parts, cause_cleared_as_bystander_is_blocked_soon)
+{
+  poison_run_script (
+      "relays 8\n crash 5 a.K 1 1500\n crash 6 b.N 1 -1\n run 100\n"
+      "crash 6 c.K 2 -1\n crash 7 d.N 2 -1\n run 100\n"
+      "crash 7 e.K 3 -1\n crash 8 f.N 3 -1\n run 400\n query z.N\n"
+      "crash 8 g.K 4 -1\n run 700\n query z.K\n query z.N\n"
+      "crash 5 h.N 5 -1\n run 100\n crash 6 i.N 6 -1\n run 100\n"
+      "crash 7 j.N 7 -1\n run 400\n query z.K\n query z.N\n"
+      "complete 8 s.N\n run 50\n query z.N\n",
+      "z.N BBBBBBBB\nz.K BBBBBBBB\nz.N --------\n"
+      "z.K BBBBBBBB\nz.N BBBBBBBB\nz.N --------\n");
+}
+
+/* Guards against a block that returns with an update that was sent before it
+   was cleared and comes late, and against a new one that is ignored. */
+Test (poison_parts, late_update_does_not_return_a_cleared_block)
+{
+  uint64_t part = 'K';
+  struct psn_request z = { .digest = 'z', .parts = &part, .nparts = 1 };
+  struct psn_update update = { .id = { true, 'K' }, .ran_ms = PSN_NO_EVENT };
+  struct psn_refusal why;
+  struct psn *p = psn_new ();
+  clk_ms now = 100000;
+
+  for (update.endpoint = 1; update.endpoint <= 3; update.endpoint++, now += 20)
+    psn_apply (p, now, &update);
+  update = (struct psn_update){ .kind = PSN_BLOCKED,
+                                .id = { true, 'K' },
+                                .endpoint = 3,
+                                .ago_ms = 1,
+                                .hold_ms = PSN_HOLD_MS,
+                                .broadcast = true };
+  psn_apply (p, now, &update);
+  cr_expect (psn_should_refuse (p, now, &z, &why));
+  update.kind = PSN_CLEARED;
+  psn_apply (p, now, &update);
+  update.kind = PSN_BLOCKED;
+  psn_apply (p, now + 100, &update);
+  cr_expect_not (psn_should_refuse (p, now + 100, &z, &why));
+  update.endpoint = 4;
+  psn_apply (p, now + 100, &update);
+  cr_expect (psn_should_refuse (p, now + 100, &z, &why));
+  psn_free (p);
+}
--- a/t/t9216-poison-model.c
+++ b/t/t9216-poison-model.c
@@ -360,14 +360,15 @@
    - 236, 1435: a node that was no collector cleared the cause.
    - 1261, 1701: nodes took a cause for completed that had been cleared as a
      bystander.
+   - 700766: a cause that had been cleared as a bystander went on unobserved.
    - 1000687: two parts that were always together cleared each other, as
      nodes compared them between the reports of one crash.
    - The others: the list of the cause's crashes was full of those that were
      attributed to another part. */
 Test (poison_model, regression_seeds)
 {
-  static const uint64_t seeds[]
-      = { 236, 1435, 396, 1101, 1296, 1441, 2126, 1261, 1701, 1000687 };
+  static const uint64_t seeds[] = { 236,  1435, 396,  1101,   1296,   1441,
+                                    2126, 1261, 1701, 700766, 1000687 };
 
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
     run_model (seeds[i]);
