--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -61,6 +61,7 @@
   char n[8];
 
   memset (r, 0, sizeof *r);
+  r->logs = getenv ("RACK_LOGS");
   snprintf (n, sizeof n, "%d", engines);
   r->platform = PROC_START_READY ("standin", "rack", "--engines", n);
   r->platform_addr = proc_addr (r->platform, "http");
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -20,7 +20,8 @@
   struct proc *platform;
   struct proc *node[RACK_MAX_NODES];
   const char *platform_addr; /**< host and port */
-  const char *logs;          /**< output folder; NULL: pipes of lib-proc.h */
+  const char *logs; /**< output folder, RACK_LOGS unless the test sets it;
+                       NULL: pipes of lib-proc.h */
   char settings[RACK_MAX_NODES][256]; /**< paths of settings files */
   char front[RACK_MAX_NODES][32];
   char ready[RACK_MAX_NODES][32];
--- a/t/t9305-crash.c
+++ b/t/t9305-crash.c
@@ -334,8 +334,10 @@
       web_close (w[i]);
     }
   for (int i = 0; i < CONCURRENT_STREAMS; i++)
-    cr_expect_eq (request_status (&r, i % RACK_NODES, "/stream/x", body[i]),
-                  200, "%s", body[i]);
+    {
+      int status = request_status (&r, i % RACK_NODES, "/stream/x", body[i]);
+      cr_expect_eq (status, 200, "%s: %d", body[i], status);
+    }
   cr_expect_eq (request_status (&r, 0, "/stream/x", "bad"), 503);
   buf_free (&got);
 }
