Evacuate availability zones: core, endpoints, dispatch, frames

The operators evacuate a zone by a key in the store, and requests still went to its servers: nothing read the key.

The read and the watch of the configuration cover all keys of the operators where evac_ms is set. The frame Evacuations is sent first on each link, and before each announcement of the configuration. Endpoints in an evacuated zone do not accept; a request whose connection is being made is moved; if nothing is left, requests are rejected at once. VMs in such a zone are not assigned.

The frames and reads are not tested with processes yet.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -71,6 +71,8 @@
   clk_ms restored_at;     /* when the store was restored from an older copy;
                              0: never */
   struct dsp_endpoint *endpoints;
+  const struct evc *evacuations; /* passed to bks_endpoints() */
+  uint64_t evacuations_version;  /* of the endpoints */
 };
 
 static guint
@@ -560,12 +562,41 @@
     s->endpoint_version = b->version;
 }
 
+static bool
+is_evacuated (const struct bks *b, const struct bks_entry *e)
+{
+  return b->evacuations && evc_is_evacuated (b->evacuations, e->zone);
+}
+
+/** Whether a listed member of the replica is in an evacuated zone. */
+static bool
+has_evacuated_member (const struct bks *b, const struct bks_entry *leader)
+{
+  if (!b->evacuations || evc_count (b->evacuations) == 0)
+    return false;
+  for (size_t i = 0; i < b->n; i++)
+    if (is_member (&b->list[i]->e, leader) && is_evacuated (b, &b->list[i]->e))
+      return true;
+  return false;
+}
+
+size_t
+bks_count_in_zone (const struct bks *b, struct str zone)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < b->n; i++)
+    n += str_eq (b->list[i]->e.zone, zone);
+  return n;
+}
+
 static void
 add_endpoint (struct bks *b, size_t *n, struct bks_server *s,
-              unsigned capacity, bool accepting)
+              unsigned capacity, bool accepting, bool evacuated)
 {
   const struct bks_entry *e = &s->e;
 
+  accepting = accepting && !evacuated;
   mark_endpoint (b, s, true, accepting);
   b->endpoints[(*n)++] = (struct dsp_endpoint){ .server = e->id,
                                                 .start_time = e->start_time,
@@ -573,7 +604,8 @@
                                                 .zone = e->zone,
                                                 .addr = e->addr,
                                                 .capacity = capacity,
-                                                .accepting = accepting };
+                                                .accepting = accepting,
+                                                .evacuated = evacuated };
 }
 
 /**
@@ -588,6 +620,7 @@
   const struct bks_entry *e = &leader->e;
   const struct tbl_model *m = tbl_find_model (s, e->model);
   bool accepting = e->acceptance == BKS_ACCEPTING;
+  bool evacuated = is_evacuated (b, e);
 
   if (!m || e->rank != 0 || e->replica.len == 0 || e->member_state < BKS_OPEN)
     {
@@ -595,20 +628,37 @@
       return;
     }
   if (e->acceptance == BKS_ACCEPTANCE_UNKNOWN)
-    accepting
-        = e->member_state == BKS_OPEN && is_complete (b, leader, m->size);
+    {
+      accepting
+          = e->member_state == BKS_OPEN && is_complete (b, leader, m->size);
+      evacuated = evacuated || has_evacuated_member (b, e);
+    }
   add_endpoint (b, n, leader, s->capacity ? s->capacity : e->capacity,
-                accepting);
+                accepting, evacuated);
   b->endpoints[*n - 1].model = m->name;
   b->endpoints[*n - 1].prefill_per_ms
       = s->prefill_per_ms / (m->time_factor > 0 ? m->time_factor : 1);
   b->endpoints[*n - 1].generation = e->generation;
 }
 
+/** Nodes that already have the present version of the list must also receive
+    the changes that result from the evacuations. */
+static void
+set_evacuations (struct bks *b, const struct evc *evacuations)
+{
+  b->evacuations = evacuations;
+  if (!evacuations || evc_version (evacuations) == b->evacuations_version)
+    return;
+  b->evacuations_version = evc_version (evacuations);
+  b->version++;
+}
+
 const struct dsp_endpoint *
-bks_endpoints (struct bks *b, const struct tbl *t, size_t *n)
+bks_endpoints (struct bks *b, const struct tbl *t,
+               const struct evc *evacuations, size_t *n)
 {
   *n = 0;
+  set_evacuations (b, evacuations);
   b->endpoints = xrealloc (b->endpoints, (b->n + 1) * sizeof *b->endpoints);
   for (size_t i = 0; i < b->n; i++)
     {
@@ -619,7 +669,8 @@
       else if (s->nmodels)
         add_leader (b, s, b->list[i], n);
       else
-        add_endpoint (b, n, b->list[i], e->capacity, !e->draining);
+        add_endpoint (b, n, b->list[i], e->capacity, !e->draining,
+                      is_evacuated (b, e));
     }
   return b->endpoints;
 }
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -15,6 +15,7 @@
 #include "config/arena.h"
 #include "net/addr.h"
 #include "serve/dispatch.h"
+#include "serve/evacuation.h"
 
 /** Maximum number of models that the host of a VM keeps in memory. */
 #define BKS_PRELOADED_MAX 8
@@ -180,8 +181,17 @@
  * Endpoints for requests under @p t; valid until the next update.  Also
  * records for each server whether it is an endpoint, for the frames to other
  * nodes.
+ *
+ * An endpoint in an evacuated zone does not accept.  A node that has read the
+ * list itself also excludes replicas with a member in such a zone; the other
+ * nodes receive this as the acceptance of the entry.
+ * @param evacuations  NULL: zones are not evacuated
  */
 const struct dsp_endpoint *bks_endpoints (struct bks *b, const struct tbl *t,
+                                          const struct evc *evacuations,
                                           size_t *n);
 
+/** Number of listed servers in the zone. */
+size_t bks_count_in_zone (const struct bks *b, struct str zone);
+
 #endif
--- a/serve/config.c
+++ b/serve/config.c
@@ -19,6 +19,8 @@
     if there are any.  Their entries in the store don't tell: after a restore
     they may be missing. */
 #define ANNOUNCEMENT_WAIT_MS ((clk_ms)2000)
+/** Shortest interval of the reads that end evacuations after a restore. */
+#define KEPT_READ_INTERVAL_MS CLK_SECOND
 /** Space in a frame for everything but the document. */
 #define FRAME_OVERHEAD ((size_t)1024)
 
@@ -33,13 +35,18 @@
 struct srv_config
 {
   struct srv *s;
-  struct buf range_end; /* end of the key range of config_key alone */
-  struct buf document;  /* document in force; empty if it doesn't fit into a
-                           frame */
+  struct str range; /* start of the keys that are read and watched: of
+                       config_key alone, or of all keys of the operators where
+                       zones may be evacuated */
+  struct buf range_end;
+  struct buf document; /* document in force; empty if it doesn't fit into a
+                          frame */
   struct store_watch *watch;
   struct cur fresh;
   int64_t seen_revision; /* store revision up to which changes were seen */
   bool was_following;    /* last logged relies_on_announcements() */
+  clk_ms kept_read_at;   /* when the read for srv_evacuations_need_read() was
+                            last sent */
 };
 
 static void
@@ -125,6 +132,9 @@
   c->watch = NULL;
   c->seen_revision = revision;
   cur_watch_fired (&c->fresh, clk_now ());
+  /* Before the configuration, which other nodes then learn to be in force
+     here. */
+  srv_evacuations_watched (c->s, ev, n);
   for (size_t i = 0; i < n; i++)
     if (!ev[i].deleted)
       apply_config (c, &ev[i].kv, SOURCE_WATCH);
@@ -146,9 +156,8 @@
   static const struct store_watch_cb cb = { on_config_events, on_config_end };
   struct srv *s = c->s;
 
-  c->watch
-      = store_watch (s->store, str_from (s->adapter->config_key),
-                     buf_str (&c->range_end), c->seen_revision + 1, &cb, c);
+  c->watch = store_watch (s->store, c->range, buf_str (&c->range_end),
+                          c->seen_revision + 1, &cb, c);
 }
 
 /** Whether announcements replace the watch of this node. */
@@ -191,6 +200,7 @@
       = r->status == STORE_OK ? CUR_READ_OK : CUR_READ_FAILED;
 
   pau_call_ended (&s->store_backoff, clk_now (), r->status, &s->rng);
+  srv_evacuations_read (s, r);
   for (size_t i = 0; i < r->nkvs; i++)
     if (!apply_config (c, &r->kvs[i], SOURCE_READ))
       result = CUR_READ_UNPARSABLE;
@@ -206,8 +216,8 @@
 
   cur_read_sent (&c->fresh, now);
   pau_call_started (&s->store_backoff);
-  store_range (s->store, STORE_CONFIG, str_from (s->adapter->config_key),
-               buf_str (&c->range_end), on_config, c);
+  store_range (s->store, STORE_CONFIG, c->range, buf_str (&c->range_end),
+               on_config, c);
 }
 
 /* --- announcements and pushes ------------------------------------------- */
@@ -268,12 +278,26 @@
   cur_on_resume (&s->config->fresh, now);
 }
 
+/** Whether a read of this node's own is due after a restore, although the
+    announcements of other nodes confirm the configuration: only a read ends
+    evacuations that the restored store lacks. */
+static bool
+is_kept_read_due (struct srv_config *c, clk_ms now)
+{
+  if (c->fresh.reading || !srv_evacuations_need_read (c->s, now)
+      || now < c->kept_read_at + KEPT_READ_INTERVAL_MS)
+    return false;
+  c->kept_read_at = now;
+  return true;
+}
+
 void
 srv_config_tick (struct srv *s, clk_ms now)
 {
   struct srv_config *c = s->config;
 
-  if (cur_should_read (&c->fresh, now, srv_peers_is_announcer (s))
+  if ((cur_should_read (&c->fresh, now, srv_peers_is_announcer (s))
+       || is_kept_read_due (c, now))
       && pau_may_call (&s->store_backoff, now))
     read_config (c, now);
   check_watch (c, now);
@@ -287,7 +311,9 @@
   c->s = s;
   cur_init (&c->fresh, s->settings.config_apply_ms);
   cur_expect_announcement (&c->fresh, clk_now () + ANNOUNCEMENT_WAIT_MS);
-  store_prefix_end (str_from (s->adapter->config_key), &c->range_end);
+  c->range = str_from (s->evacuations ? s->adapter->operator_prefix
+                                      : s->adapter->config_key);
+  store_prefix_end (c->range, &c->range_end);
   s->config = c;
   srv_config_tick (s, clk_now ());
 }
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -68,6 +68,7 @@
   uint64_t process_hash; /**< hash of the server's process: without the
                               generation */
   struct net_addr addr;
+  char *zone; /**< NULL: unknown */
   bool same_zone;
   bool is_proxy; /**< another node, which sends requests on to a server */
   bool listed;   /**< in the current list; else kept only until its requests
@@ -75,6 +76,8 @@
   /** in the list that is being applied; becomes `listed` */
   bool seen_in_list;
   bool accepting;
+  bool evacuated; /**< the server, or a member of its replica, is in an
+                       evacuated zone */
   unsigned capacity;
   double prefill_per_ms;
   uint32_t own_requests;  /**< requests of this node */
@@ -498,14 +501,21 @@
                        const struct dsp_endpoint_state *s);
 bool dsp_avail_is_leaving (const struct dsp *d,
                            const struct dsp_endpoint_state *s);
-/** Whether announcements leave no endpoint that could take @p q before
-    @p until. */
+/** Whether the endpoint gets no requests because of evacuated zones.  Also
+    covers endpoints that are no longer listed. */
+bool dsp_is_evacuated (const struct dsp *d,
+                       const struct dsp_endpoint_state *s);
+/** Whether evacuations leave no endpoint of the pool. */
+bool dsp_evacuations_leave_none (const struct dsp *d,
+                                 const struct dsp_pool *p);
+/** Whether announcements and evacuations leave no endpoint that could take
+    @p q before @p until. */
 bool dsp_avail_none_before (const struct dsp *d, const struct dsp_req *q,
                             clk_ms until);
 /** Error code for a request that no endpoint of the pool takes in time. */
 enum dsp_code dsp_avail_code (const struct dsp *d, const struct dsp_pool *p);
-/** Delay after which a client may retry, if all endpoints are paused or
-    leaving; else 0. */
+/** Delay after which a client may retry, if all endpoints are paused, leaving
+    or evacuated; else 0. */
 clk_ms dsp_avail_retry_ms (struct dsp *d, struct dsp_pool *p);
 
 /* dispatch-crash.c */
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -54,6 +54,7 @@
 dsp_endpoint_free (struct dsp_endpoint_state *s)
 {
   free (s->server);
+  free (s->zone);
   free (s);
 }
 
@@ -120,6 +121,12 @@
       s->seen_in_list = true;
       s->addr = list[i].addr;
       s->same_zone = str_is (list[i].zone, d->zone);
+      if (!s->zone || !str_is (list[i].zone, s->zone))
+        {
+          free (s->zone);
+          s->zone = str_dup (list[i].zone);
+        }
+      s->evacuated = list[i].evacuated;
       s->capacity = list[i].capacity;
       s->prefill_per_ms = list[i].prefill_per_ms;
       s->accepting = list[i].accepting;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -267,8 +267,8 @@
   return q->queued_at + max_queue_ms (q);
 }
 
-/** Whether all endpoints are paused or leaving for longer than the request may
-    wait. */
+/** Whether all endpoints are paused, leaving or evacuated for longer than the
+    request may wait. */
 static bool
 waits_in_vain (const struct dsp *d, const struct dsp_req *q)
 {
@@ -280,6 +280,7 @@
 static void
 reject_waiting (struct dsp *d, struct dsp_req *q)
 {
+  d->stats.evacuated += dsp_evacuations_leave_none (d, q->pool);
   dsp_limit_count_rejection (d, q->pool);
   give_up (d, q, dsp_avail_code (d, q->pool), DSP_INTERRUPTED);
 }
@@ -339,8 +340,9 @@
       dsp_refuse_poison (d, q, &why);
       return false;
     }
-  if (!dsp_avail_allows (d, q->endpoint))
+  if (!dsp_avail_allows (d, q->endpoint) || dsp_is_evacuated (d, q->endpoint))
     {
+      d->stats.evacuated += dsp_is_evacuated (d, q->endpoint);
       cancel_attempt (d, q);
       dsp_transition (q, DSP_EVENT_UNRUN);
       requeue (d, q);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -20,6 +20,7 @@
 #include "base/rng.h"
 #include "net/addr.h"
 #include "back/avail.h"
+#include "serve/evacuation.h"
 #include "serve/limit.h"
 #include "serve/poison.h"
 #include "serve/table.h"
@@ -80,6 +81,8 @@
   double prefill_per_ms; /**< prompt tokens processed per ms; 0: unknown */
   bool accepting;        /**< false: requests in flight continue, but no new
                               ones are sent */
+  bool evacuated;        /**< the server, or a member of its replica, is in an
+                              evacuated zone */
 };
 
 /** Load that one node has at one endpoint, as exchanged between nodes. */
@@ -235,6 +238,8 @@
                            enforced */
   struct avl *avail;  /**< availability announced by servers; borrowed; NULL:
                            not tracked */
+  const struct evc *evacuations; /**< evacuated zones; borrowed; NULL: zones
+                                      are not evacuated */
 };
 
 struct dsp;
@@ -300,8 +305,9 @@
 void dsp_client_disconnected (struct dsp *d, clk_ms now, uint64_t id);
 
 /** The request's bytes are about to be written to the socket.
-    @retval false the attempt has ended, or its server has asked for a pause or
-    announced its shutdown since; nothing may be written */
+    @retval false the attempt has ended, its server has asked for a pause or
+    announced its shutdown since, or its zone was evacuated since; nothing may
+    be written */
 bool dsp_request_sent (struct dsp *d, clk_ms now, uint64_t id,
                        unsigned attempt);
 void dsp_connect_failed (struct dsp *d, clk_ms now, uint64_t id,
@@ -389,6 +395,8 @@
   uint64_t arrived, ended, answered[DSP_DEADLINE + 1];
   uint64_t proxied; /**< attempts sent through another node */
   uint64_t sent, retried, retries_denied, resumed, stalls, ejections;
+  uint64_t evacuated; /**< attempts that were not sent, and requests that were
+                           rejected, because zones were evacuated */
   uint64_t servers_ended; /**< servers whose process ended while they executed
                                requests of this node */
 };
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -483,6 +483,7 @@
 {
   struct srv_leader *lead = xcalloc (1, sizeof *lead);
   struct frm_options form = { .avail = s->avail,
+                              .evacuations = s->evacuations,
                               .stall_ms = s->settings.stall_ms,
                               .ceiling_window_s = s->settings.ceiling_window_s,
                               .ceiling_over = s->settings.ceiling_over };
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -205,6 +205,8 @@
 /** Whether the VM's server has asked this node to send it nothing. */
 bool frm_is_paused (const struct frm *f, const struct frm_vm *vm);
 bool frm_may_be_member (const struct frm *f, const struct frm_vm *vm);
+/** Whether the listed VM is in an evacuated zone. */
+bool frm_is_evacuated (const struct frm *f, const struct frm_vm *vm);
 /** Whether the VM reports that it is ready in its assigned replica. */
 bool frm_is_ready (const struct frm_vm *vm);
 /**
--- a/serve/form-plan.c
+++ b/serve/form-plan.c
@@ -19,8 +19,9 @@
 bool
 frm_is_assignable (const struct frm *f, const struct frm_vm *vm)
 {
-  return frm_may_be_member (f, vm) && !vm->order_token
-         && vm->entry.domain.len > 0 && vm->entry.member_state < BKS_OPEN
+  return frm_may_be_member (f, vm) && !frm_is_evacuated (f, vm)
+         && !vm->order_token && vm->entry.domain.len > 0
+         && vm->entry.member_state < BKS_OPEN
          && (!vm->replica || vm->replica->warm_spare);
 }
 
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -64,10 +64,10 @@
 static bool
 may_preload (const struct frm *f, const struct frm_vm *vm)
 {
-  return frm_may_be_member (f, vm) && !vm->order_token
-         && !frm_is_paused (f, vm) && f->now >= vm->preload_until
-         && vm->entry.domain.len > 0 && frm_loaded_model (vm).len > 0
-         && !has_preloaded_other (vm)
+  return frm_may_be_member (f, vm) && !frm_is_evacuated (f, vm)
+         && !vm->order_token && !frm_is_paused (f, vm)
+         && f->now >= vm->preload_until && vm->entry.domain.len > 0
+         && frm_loaded_model (vm).len > 0 && !has_preloaded_other (vm)
          && (vm->replica ? frm_is_ready (vm)
                          : vm->entry.member_state == BKS_NO_REPLICA);
 }
--- a/serve/form-yield.c
+++ b/serve/form-yield.c
@@ -67,7 +67,8 @@
 is_available_with_weights (const struct frm *f, const struct frm_vm *vm,
                            struct str model)
 {
-  if (!frm_may_be_member (f, vm) || !frm_has_weights_in_memory (vm, model))
+  if (!frm_may_be_member (f, vm) || frm_is_evacuated (f, vm)
+      || !frm_has_weights_in_memory (vm, model))
     return false;
   if (!vm->replica)
     return true;
@@ -96,6 +97,7 @@
 
   for (size_t i = 0; i < r->nmembers; i++)
     n += r->members[i] && frm_may_be_member (f, r->members[i])
+         && !frm_is_evacuated (f, r->members[i])
          && frm_has_weights_in_memory (r->members[i], model);
   return n;
 }
--- a/serve/form.c
+++ b/serve/form.c
@@ -262,6 +262,13 @@
          || (f->opt.avail && avl_is_leaving (f->opt.avail, vm->process));
 }
 
+bool
+frm_is_evacuated (const struct frm *f, const struct frm_vm *vm)
+{
+  return f->opt.evacuations
+         && evc_is_evacuated (f->opt.evacuations, vm->entry.zone);
+}
+
 bool
 frm_may_be_member (const struct frm *f, const struct frm_vm *vm)
 {
--- a/serve/form.h
+++ b/serve/form.h
@@ -21,6 +21,8 @@
  *   above its fencing token times a constant; servers therefore reject an
  *   order that arrives late.
  * - Loads from the weight store are rate limited over all replicas.
+ * - A VM in an evacuated zone is assigned to no replica and preloads nothing;
+ * a replica that it belongs to stays open.
  */
 #ifndef LAPISLINE_SERVE_FORM_H
 #define LAPISLINE_SERVE_FORM_H
@@ -94,6 +96,8 @@
   double ceiling_over;     /**< factor on the allowed rate of loads */
   const struct avl *avail; /**< availability announced by servers; borrowed;
                                 NULL: not tracked */
+  const struct evc *evacuations; /**< evacuated zones; borrowed; NULL: zones
+                                      are not evacuated */
 };
 
 struct frm;
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -82,6 +82,11 @@
   gauge (s, PREFIX "servers_ended",
          "Backend servers whose process ended under requests of this node.",
          NULL, (double)f->servers_ended);
+  gauge (s, PREFIX "zones_evacuated", "Evacuated availability zones.", NULL,
+         s->evacuations ? (double)evc_count (s->evacuations) : 0);
+  gauge (s, PREFIX "requests_evacuated",
+         "Requests not sent because availability zones are evacuated.", NULL,
+         (double)f->evacuated);
   gauge (s, PREFIX "ejections",
          "Places that failed and got nothing for a while.", NULL,
          (double)f->ejections);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -26,6 +26,7 @@
 struct srv_plan;
 struct srv_peers;
 struct srv_poison;
+struct srv_evacuation;
 
 struct srv
 {
@@ -50,6 +51,9 @@
   struct psn *poison;
   struct lim *limits;
   struct avl *avail;
+  struct evc *evacuations; /**< evacuated zones; NULL: the platform evacuates
+                                none */
+  struct srv_evacuation *evacuation_log; /**< zones as last logged */
   struct srv_poison *poison_keys; /**< keys of blocked requests in the store */
   struct srv_config *config;
   struct srv_sync *sync;
@@ -81,6 +85,8 @@
 /** Pass the endpoints to the dispatch core: the configuration or the list of
     backend servers has changed. */
 void srv_endpoints_changed (struct srv *s);
+/** The evacuation of the zone has ended: its servers may be cold. */
+void srv_evacuation_ended (struct srv *s, struct str zone);
 
 /* config.c: the configuration in force */
 void srv_config_start (struct srv *s);
@@ -246,6 +252,24 @@
     deleted. */
 void srv_poison_store_reread (struct srv *s);
 
+/* evacuation-node.c: evacuated zones; only if the settings enable them */
+void srv_evacuation_start (struct srv *s);
+void srv_evacuation_tick (struct srv *s, clk_ms now);
+/** Process the result of a core function.
+    @param changed  the set of evacuated zones has changed
+    @param source  "read", "watch" or the name of a node, for the log */
+void srv_evacuations_applied (struct srv *s, bool changed, struct str source);
+/** The keys of evacuated zones were read. */
+void srv_evacuations_read (struct srv *s, const struct store_result *r);
+/** A watch has returned changes of any keys of the operators. */
+void srv_evacuations_watched (struct srv *s,
+                              const struct store_watch_event *ev, size_t n);
+/** Whether a read of the store can end evacuations that were kept after its
+    restore. */
+bool srv_evacuations_need_read (const struct srv *s, clk_ms now);
+/** Send the state to the linked nodes that lack it. */
+void srv_peers_send_evacuations (struct srv *s);
+
 /* notice.c: availability notices of backend servers */
 /** Response that carries a notice. */
 struct srv_notice_source
--- a/serve/node.c
+++ b/serve/node.c
@@ -74,12 +74,20 @@
   if (!s->active_config || !bks_has_list (s->backends))
     return;
   const struct dsp_endpoint *list
-      = bks_endpoints (s->backends, s->active_config, &n);
+      = bks_endpoints (s->backends, s->active_config, s->evacuations, &n);
   log_endpoints (s, list, n);
   dsp_set_endpoints (s->dispatch, clk_now (), list, n);
   srv_run_actions (s);
 }
 
+void
+srv_evacuation_ended (struct srv *s, struct str zone)
+{
+  LOG (evacuation_ended, LOG_S ("zone", zone),
+       LOG_I ("revision", evc_state (s->evacuations).revision),
+       LOG_I ("servers", bks_count_in_zone (s->backends, zone)));
+}
+
 /* --- shutdown ----------------------------------------------------------- */
 
 static void
@@ -211,6 +219,7 @@
   log_denied_retries (s, now);
   log_path_changes (s);
   srv_config_tick (s, now);
+  srv_evacuation_tick (s, now);
   srv_ingress_tick (s, now);
   srv_sync_tick (s, now);
   srv_register_tick (s, now);
@@ -237,6 +246,8 @@
   s->poison = opt.poison = psn_new ();
   s->limits = opt.limits = lim_new (str_hash (s->settings.node, s->boot));
   s->avail = opt.avail = avl_new ();
+  srv_evacuation_start (s);
+  opt.evacuations = s->evacuations;
   srv_metrics_start (s);
   s->backends = bks_new ();
   s->dispatch = dsp_new (&opt, rng_next (&s->rng));
--- a/serve/peers-config.c
+++ b/serve/peers-config.c
@@ -55,7 +55,7 @@
 }
 
 void
-prs_fill_config_state (const struct peer *x, clk_ms now, Lapis__ConfigState *c)
+prs_fill_config_state (struct peer *x, clk_ms now, Lapis__ConfigState *c)
 {
   const struct srv *s = x->p->s;
   clk_ms confirmed_at = srv_config_confirmed_at (s);
@@ -68,7 +68,7 @@
     return;
   c->stamp = x->timestamp;
   c->held_ms = (uint32_t)(now - x->timestamp_received_at);
-  c->known = confirmed_at != 0;
+  c->known = confirmed_at != 0 && prs_send_evacuations (x);
   c->age_ms = c->known ? x->timestamp_received_at - confirmed_at : 0;
 }
 
@@ -139,6 +139,7 @@
   f.body_case = LAPIS__FRAME__BODY_CONFIG_TEXT;
   f.config_text = &config;
   for (struct peer *x = p->peers; x; x = x->next)
-    if (is_push_due (x, version, now) && link_send (x->link, &f))
+    if (is_push_due (x, version, now) && prs_send_evacuations (x)
+        && link_send (x->link, &f))
       x->config_version_sent = version;
 }
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -8,6 +8,7 @@
  *   peers-load.c    load of this node, sum of the loads of all nodes
  *   peers-poison.c  poison requests
  *   peers-limit.c   rate limits of backend servers, permits
+ *   peers-evacuation.c  evacuated availability zones
  */
 #ifndef LAPISLINE_SERVE_PEERS_INT_H
 #define LAPISLINE_SERVE_PEERS_INT_H
@@ -76,6 +77,9 @@
   clk_ms config_behind_since;   /* since when its version is older than this
                                    node's; 0: it is not older */
   int64_t config_version_sent;  /* newest version sent to it on this link */
+  uint64_t evacuations_sent;    /* evc_version() of the state that it has: sent
+                                   to it on this link, or received from it; 0:
+                                   none */
 };
 
 struct srv_peers
@@ -140,8 +144,7 @@
 void prs_on_config_state (struct peer *x, clk_ms now,
                           const Lapis__ConfigState *c);
 /** Fill in this node's configuration state for a frame to the peer. */
-void prs_fill_config_state (const struct peer *x, clk_ms now,
-                            Lapis__ConfigState *c);
+void prs_fill_config_state (struct peer *x, clk_ms now, Lapis__ConfigState *c);
 /**
  * The earliest time, by this node's clock, at which the peer can have sent the
  * frame that is being processed.  The frame may have waited in queues, or
@@ -158,6 +161,15 @@
 void prs_on_poison_updates (struct peer *x,
                             const Lapis__PoisonUpdates *updates);
 
+/* peers-evacuation.c */
+/**
+ * Send the evacuated zones to the peer unless it has them.  To be called
+ * before each frame that lets the peer take its configuration for the newest.
+ * @retval false  they could not be sent
+ */
+bool prs_send_evacuations (struct peer *x);
+void prs_on_evacuations (struct peer *x, const Lapis__Evacuations *in);
+
 /* peers-limit.c */
 /** Rows of permits in a frame. */
 struct prs_permit_rows
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -96,6 +96,7 @@
   x->has_timestamp = false;
   x->load_sent_earliest = 0;
   x->config_version = x->config_version_sent = 0;
+  x->evacuations_sent = 0;
   x->nloads = 0;
   lim_remove_follower (s->limits, x->hash);
   x->next_connect_at = clk_now () + RECONNECT_MS;
@@ -140,6 +141,8 @@
   x->received_at = clk_now ();
   x->load_sent_at = 0;
   LOG (node_linked, LOG_C ("peer", x->node));
+  x->evacuations_sent = 0;
+  prs_send_evacuations (x);
   prs_update_node_count (p);
   prs_send_poison_snapshot (x, x->received_at);
   prs_send_limits (x, x->received_at);
@@ -190,6 +193,8 @@
     prs_on_permit_ask (x, f->permit_ask);
   else if (x && f->body_case == LAPIS__FRAME__BODY_PERMIT_GRANTS)
     prs_on_permit_grants (x, f->permit_grants);
+  else if (x && f->body_case == LAPIS__FRAME__BODY_EVACUATIONS)
+    prs_on_evacuations (x, f->evacuations);
   else if (x && f->body_case == LAPIS__FRAME__BODY_CONFIG_TEXT)
     srv_config_pushed (
         p->s, f->config_text->version,
@@ -323,6 +328,7 @@
   choose_links (p, now);
   prs_update_node_count (p);
   prs_update_proxies (p, now);
+  srv_peers_send_evacuations (s);
   srv_peers_send_servers (s);
   prs_send_due (p, now);
   prs_grant_permits (p, now, true);
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -15,10 +15,14 @@
   struct psn *poison;
   struct lim *limits;
   struct avl *avail;
+  struct evc *evacuations;
+  int64_t revision; /* of `evacuations` */
   struct tbl *config;
   clk_ms now;
   struct dsp_endpoint endpoints[MAX_ENDPOINTS];
   char names[MAX_ENDPOINTS][16];
+  char zones[MAX_ENDPOINTS][16];
+  bool unlisted[MAX_ENDPOINTS];
   size_t n;
   unsigned attempt[100];
   bool show_delays;
@@ -380,6 +384,69 @@
   dsp_set_endpoints (b->d, b->now, b->endpoints, b->n);
 }
 
+static void
+set_listed_endpoints (struct fixture *b)
+{
+  struct dsp_endpoint listed[MAX_ENDPOINTS];
+  size_t n = 0;
+
+  for (size_t i = 0; i < b->n; i++)
+    if (!b->unlisted[i])
+      listed[n++] = b->endpoints[i];
+  dsp_set_endpoints (b->d, b->now, listed, n);
+}
+
+static void
+set_zone (struct fixture *b, const char *name, const char *zone)
+{
+  for (size_t i = 0; i < b->n; i++)
+    if (strcmp (b->names[i], name) == 0)
+      {
+        snprintf (b->zones[i], sizeof b->zones[i], "%s", zone);
+        b->endpoints[i].zone = str_from (b->zones[i]);
+      }
+  dsp_set_endpoints (b->d, b->now, b->endpoints, b->n);
+}
+
+static void
+set_evacuated (struct fixture *b, const char *zone, bool evacuated)
+{
+  evc_apply_change (b->evacuations, b->now, 1, ++b->revision, str_from (zone),
+                    evacuated);
+  for (size_t i = 0; i < b->n; i++)
+    if (str_is (b->endpoints[i].zone, zone))
+      {
+        b->endpoints[i].evacuated = evacuated;
+        b->endpoints[i].accepting = !evacuated;
+      }
+  set_listed_endpoints (b);
+}
+
+static void
+unlist_endpoint (struct fixture *b, const char *name)
+{
+  for (size_t i = 0; i < b->n; i++)
+    b->unlisted[i] = b->unlisted[i] || strcmp (b->names[i], name) == 0;
+  set_listed_endpoints (b);
+}
+
+/** Commands for evacuated zones; false: it is another command. */
+static bool
+run_zone_command (struct fixture *b, const char *command, const char *x,
+                  const char *y)
+{
+  if (strcmp (command, "zone") == 0)
+    set_zone (b, x, y);
+  else if (strcmp (command, "evacuate") == 0
+           || strcmp (command, "return") == 0)
+    set_evacuated (b, x, command[0] == 'e');
+  else if (strcmp (command, "unlist") == 0)
+    unlist_endpoint (b, x);
+  else
+    return false;
+  return true;
+}
+
 /** Commands for nodes that reach no server; false: it is another command. */
 static bool
 run_path_command (struct fixture *b, const char *command, const char *x,
@@ -456,7 +523,8 @@
     run_with_events (b, atoi (x), (uint64_t)atoi (y));
   else if (strcmp (command, "shutdown") == 0)
     dsp_stop_accepting (b->d);
-  else if (!run_path_command (b, command, x, y))
+  else if (!run_path_command (b, command, x, y)
+           && !run_zone_command (b, command, x, y))
     response_event (b, command, (uint64_t)atoi (x));
   take_actions (b);
 }
@@ -475,6 +543,7 @@
   b.poison = opt.poison = psn_new ();
   b.limits = opt.limits = lim_new (1);
   b.avail = opt.avail = avl_new ();
+  opt.evacuations = b.evacuations = evc_new ();
   lim_set_role (b.limits, b.now, false, 1);
   b.d = dsp_new (&opt, 1);
   while ((text = strsep (&next, "\n")) != NULL)
@@ -489,6 +558,7 @@
   psn_free (b.poison);
   lim_free (b.limits);
   avl_free (b.avail);
+  evc_free (b.evacuations);
   tbl_unref (b.config);
   buf_free (&b.log);
   free (copy);
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -26,6 +26,9 @@
  *   pause SERVER MS            a response of the server asks for a pause
  *   leave SERVER               a response announces the server's shutdown
  *   form-again SERVER          it leads the next generation of its replica
+ *   zone SERVER ZONE           the server is in this zone; "z" by default
+ *   evacuate|return ZONE       the evacuation of the zone begins, or ends
+ *   unlist SERVER              the server is removed from the list
  *   proxies N [cut]            N other nodes may send requests on; cut: they
  *                              reach no server either
  *   proxied|direct             requests from now on come from another node,
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -151,20 +151,20 @@
       entry_json (json, sizeof json, "h", "\"rank\":0,\"state\":\"open\""),
       &text, &e[0], NULL));
   bks_update (b, 1000, 1000, e, 1);
-  cr_expect_not (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect_not (bks_endpoints (b, t, NULL, &n)[0].accepting);
   cr_expect_eq (n, 1);
   cr_assert (plt_parse_server (
       STR ("servers/k"),
       entry_json (json, sizeof json, "k", "\"rank\":1,\"state\":\"ready\""),
       &text, &e[1], NULL));
   bks_update (b, 2000, 2000, e, 2);
-  cr_expect (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect (bks_endpoints (b, t, NULL, &n)[0].accepting);
   cr_assert (plt_parse_server (
       STR ("servers/k"),
       entry_json (json, sizeof json, "d", "\"rank\":1,\"state\":\"ready\""),
       &text, &e[1], NULL));
   bks_update (b, 3000, 3000, e, 2);
-  cr_expect_not (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect_not (bks_endpoints (b, t, NULL, &n)[0].accepting);
   arena_free (&text);
   bks_free (b);
   tbl_unref (t);
@@ -197,20 +197,20 @@
                                entry_json (json, sizeof json, "k", MEMBER),
                                &text, &e[1], NULL));
   bks_update (b, 1000, 1000, e, 2);
-  cr_expect (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect (bks_endpoints (b, t, NULL, &n)[0].accepting);
   bks_update (b, 2000, 2000, e, 1);
-  cr_expect (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect (bks_endpoints (b, t, NULL, &n)[0].accepting);
 
   draining_member = e[1];
   draining_member.draining = true;
   bks_apply_changes (b, 3000, 3000, &draining_member, 1, NULL, 0);
-  cr_expect_not (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect_not (bks_endpoints (b, t, NULL, &n)[0].accepting);
 
   moved_member = e[1];
   moved_member.replica = STR ("other");
   moved_member.generation++;
   bks_apply_changes (b, 4000, 4000, &moved_member, 1, NULL, 0);
-  cr_expect_not (bks_endpoints (b, t, &n)[0].accepting);
+  cr_expect_not (bks_endpoints (b, t, NULL, &n)[0].accepting);
   arena_free (&text);
   bks_free (b);
   tbl_unref (t);
@@ -241,9 +241,9 @@
                                entry_json (json, sizeof json, "k", MEMBER),
                                &text, &e[1], NULL));
   bks_update (b, 1000, 1000, e, 1);
-  cr_expect_not (bks_endpoints (b, t, &n)[0].accepting, "one of three");
+  cr_expect_not (bks_endpoints (b, t, NULL, &n)[0].accepting, "one of three");
   bks_update (b, 2000, 2000, e, 2);
-  cr_expect (bks_endpoints (b, t, &n)[0].accepting, "two of three");
+  cr_expect (bks_endpoints (b, t, NULL, &n)[0].accepting, "two of three");
   arena_free (&text);
   bks_free (b);
   tbl_unref (t);
@@ -373,7 +373,7 @@
 
   svl_apply (to, 5000, 5000, svl_frame_list (f));
   svl_frame_free (f);
-  list = bks_endpoints (to, t, &n);
+  list = bks_endpoints (to, t, NULL, &n);
   for (size_t i = 0; i < n; i++)
     buf_addf (log, "%.*s%s ", STR_ARG (list[i].server),
               list[i].accepting ? "+" : "");
@@ -408,19 +408,19 @@
   make_entry (&e[2], "p", false);
   cr_assert (net_addr_parse (STR ("10.0.0.9:80"), false, &e[2].addr));
   bks_update (from, 1000, 1000, e, 3);
-  bks_endpoints (from, t, &n);
+  bks_endpoints (from, t, NULL, &n);
   apply_and_log_endpoints (from, to, 0, t, &log);
   expect_ids (to, "h p ");
   version = bks_version (from);
   e[1].draining = true;
   bks_update (from, 2000, 2000, e, 3);
-  bks_endpoints (from, t, &n);
+  bks_endpoints (from, t, NULL, &n);
   apply_and_log_endpoints (from, to, version, t, &log);
   version = bks_version (from);
   e[0].member_state = BKS_READY;
   e[2].draining = true;
   bks_update (from, 3000, 3000, e, 3);
-  bks_endpoints (from, t, &n);
+  bks_endpoints (from, t, NULL, &n);
   apply_and_log_endpoints (from, to, version, t, &log);
   cr_expect_str_eq (buf_c (&log), "h+ p+ \nh p+ \np \n", "%s", buf_c (&log));
   buf_free (&log);
