evacuation: tests with processes and of the formation; operations

The read, the watch and the frames of evacuated zones were not tested.

The new test of t6101 fails without the condition on assignable VMs, and without that on preloads; the new one of t6102 fails only if both conditions in form-yield.c are removed.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -52,7 +52,7 @@
 
   add_text (o, "service", s->engine ? "lm" : "app");
   add_text (o, "address", s->addr);
-  add_text (o, "zone", "z1");
+  add_text (o, "zone", s->zone);
   if (s->domain[0])
     add_text (o, "domain", s->domain);
   add_text (o, "version", "v1");
@@ -424,6 +424,8 @@
       return;
     }
   rack_avail_count_arrival (s, req);
+  if (!str_is (path, PLT_ORDER) && !str_is (path, PLT_REPORT))
+    rack_zone_count_arrival (s);
   if (str_is (path, PLT_ORDER))
     on_order (s, req);
   else if (str_is (path, PLT_REPORT))
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -22,6 +22,9 @@
  *             "rejects": B     answers all requests with 503 "not run"
  *             "retry_after": TEXT   announced with each 503; "": none
  *             "leaving": B     announces its shutdown in all responses
+ *             "zone": TEXT     its availability zone
+ *   "evacuate": ZONE, "return": ZONE   writes or removes the key of an
+ *                          evacuated zone
  *   "cut": "silent", "refuse", "reset" or "none"   partitions the nodes that
  * use the second address (side) from all servers: nothing is answered; new
  * connections are refused; and open ones are closed as well "forget_node": N
@@ -36,8 +39,11 @@
  * 4 s.  pause_most is the maximum of requests, orders and probes that one node
  * sent to the server in a pause, after half a second of it; late_leaving
  * counts client requests later than drain_ms after their node was told that
- * the server leaves.  Nodes are told apart by request ids "NODE/...".  GET
- * /control/runs returns the executions by request id.
+ * the server leaves.  evacuated_last_ms is the time from the evacuation of the
+ * server's zone to the last request that arrived there during it, 0 if there
+ * was none; a restore of the store does not end an evacuation.  Nodes are told
+ * apart by request ids "NODE/...".  GET /control/runs returns the executions
+ * by request id.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -123,6 +129,8 @@
               jsn_text (o, "retry_after"));
   set_flag (o, "rejects", &s->avail.rejects);
   set_flag (o, "leaving", &s->avail.leaving);
+  if (jsn_get (o, "zone"))
+    snprintf (s->zone, sizeof s->zone, "%s", jsn_text (o, "zone"));
   if (jsn_get (o, "end_after"))
     s->end_after = (int)jsn_int (o, "end_after");
   if (!s->dead)
@@ -170,6 +178,10 @@
               jsn_text (o, "side_hides"));
   if (jsn_get (o, "cut"))
     rack_cut_set (r, jsn_str (o, "cut"));
+  if (jsn_get (o, "evacuate"))
+    rack_zone_evacuate (r, jsn_text (o, "evacuate"));
+  if (jsn_get (o, "return"))
+    rack_zone_return (r, jsn_text (o, "return"));
   if (jsn_get (o, "forget_node"))
     rack_avail_forget_node (r, (unsigned)jsn_int (o, "forget_node"));
   if (jsn_get (o, "server"))
@@ -225,6 +237,8 @@
       json_object_object_add (
           row, "late_leaving",
           json_object_new_int ((int)s->avail.late_arrivals));
+      json_object_object_add (row, "evacuated_last_ms",
+                              json_object_new_int (s->evacuated_last_ms));
       json_object_object_add (o, s->id, row);
     }
   json_object_object_add (o, "store", rack_store_counts (r));
@@ -304,6 +318,7 @@
       struct server *s = &r->servers[r->nservers++];
       s->rack = r;
       s->engine = i < engines;
+      snprintf (s->zone, sizeof s->zone, "z1");
       snprintf (s->id, sizeof s->id, "%c%d", s->engine ? 'e' : 'p',
                 s->engine ? i + 1 : i - engines + 1);
       if (s->engine)
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -10,6 +10,7 @@
  *   rack-limit.c   announced request rate limits, and counts of arrivals
  *   rack-avail.c   announced pauses and shutdowns, and counts of arrivals
  *   rack-cut.c     partition between some nodes and all backend servers
+ *   rack-zone.c    evacuated availability zones, and counts of arrivals
  */
 #ifndef LAPISLINE_STANDINS_RACK_H
 #define LAPISLINE_STANDINS_RACK_H
@@ -21,6 +22,7 @@
 #include "standins/kv.h"
 
 #define RACK_SERVERS 64
+#define RACK_EVACUATED 8 /**< zones evacuated at once, at most */
 
 /** State of a server as a member of a replica. */
 enum member_state
@@ -106,6 +108,9 @@
   char id[16];
   char addr[32];
   char domain[16];
+  char zone[16];
+  int evacuated_last_ms; /**< from the evacuation of its zone to the last
+                              request that arrived during it; 0: none */
   bool engine;       /**< runs models; else a server of the plain service */
   bool dead;         /**< port closed; the entry is removed from the list */
   bool unresponsive; /**< ignores new requests and stops streaming */
@@ -141,6 +146,13 @@
   int lose_next_writes; /**< number of writes to apply without an answer */
 };
 
+/** An availability zone that the operators have evacuated. */
+struct evacuated_zone
+{
+  char name[16];
+  clk_ms since; /**< when its key was first written; 0: unused */
+};
+
 struct watch_call;
 struct stream;
 
@@ -162,6 +174,7 @@
   unsigned store_calls; /**< calls received */
   size_t store_bytes;   /**< bytes of response bodies */
   struct watch_call *watches;
+  struct evacuated_zone evacuated[RACK_EVACUATED];
   struct server servers[RACK_SERVERS];
   size_t nservers;
   int event_ms;        /**< delay between events of a stream, in ms */
@@ -220,6 +233,14 @@
 /** Replaces the servers' addresses in an entry's text by the second ones. */
 void rack_cut_rewrite (const struct rack *r, GString *text);
 
+/* rack-zone.c */
+/** Writes the key of the zone. */
+void rack_zone_evacuate (struct rack *r, const char *zone);
+/** Removes the key of the zone. */
+void rack_zone_return (struct rack *r, const char *zone);
+/** Records a request that has arrived at the server. */
+void rack_zone_count_arrival (struct server *s);
+
 /* rack-server.c */
 void rack_server_on_request (struct server *s, struct httpd_req *req,
                              bool side);
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -39,7 +39,9 @@
   struct frm *cores[2];
   bool leading[2];
   struct bks *lists[2];
-  struct avl *avail; /**< for both cores */
+  struct avl *avail;       /**< for both cores */
+  struct evc *evacuations; /**< likewise */
+  int64_t revision;        /**< of `evacuations` */
   struct tbl *config;
   clk_ms now, last_list_at;
   clk_ms list_ms; /**< interval between two lists */
@@ -344,7 +346,7 @@
           = (struct bks_entry){ .id = str_from (vm->id),
                                 .start_time = vm->started_at,
                                 .service = STR ("lm"),
-                                .zone = STR ("z"),
+                                .zone = str_from (vm->domain),
                                 .domain = str_from (vm->domain),
                                 .capacity = 8,
                                 .draining = vm->draining,
@@ -616,6 +618,10 @@
     give_notice (w, vm, n, false);
   else if (strcmp (command, "leave") == 0)
     give_notice (w, vm, 0, true);
+  else if (strcmp (command, "evacuate") == 0
+           || strcmp (command, "return") == 0)
+    evc_apply_change (w->evacuations, w->now, 1, ++w->revision, str_from (a),
+                      command[0] == 'e');
   else if (strcmp (command, "restart") == 0)
     restart_vm (w, vm);
   else if (strcmp (command, "respond") == 0)
@@ -684,6 +690,7 @@
 
   w.avail = avl_new ();
   opt.avail = w.avail;
+  opt.evacuations = w.evacuations = evc_new ();
   for (size_t i = 0; i < 2; i++)
     {
       w.cores[i] = frm_new (&opt);
@@ -698,6 +705,7 @@
       bks_free (w.lists[i]);
     }
   avl_free (w.avail);
+  evc_free (w.evacuations);
   tbl_unref (w.config);
   buf_free (&w.log);
 }
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -19,6 +19,9 @@
  *   drain ID             it reports that it is draining
  *   pause ID MS          one of its responses asks for a pause
  *   leave ID             one of its responses announces its shutdown
+ *   evacuate DOMAIN | return DOMAIN
+ *                        the zone of the domain, which has its name, is
+ *                        evacuated, or that ends
  *   broken ID            it reports its replica as broken
  *   delay KIND           the next order of this kind gets no response and is
  *                        carried out by "apply"
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -20,12 +20,23 @@
   drain_ms = ms;
 }
 
+static int evacuation_ms;
+
+void
+rack_set_evacuation_ms (int ms)
+{
+  evacuation_ms = ms;
+}
+
 static void
 write_settings (struct rack *r, int node, const char *at, bool first)
 {
-  char name[32];
+  char name[32], evacuation[32] = "";
   int port[4];
 
+  if (evacuation_ms > 0)
+    snprintf (evacuation, sizeof evacuation, " \"evac_ms\": %d,",
+              evacuation_ms);
   for (int i = 0; i < 4; i++)
     port[i] = proc_port ();
   snprintf (name, sizeof name, "node-%d.json", node + 1);
@@ -42,7 +53,7 @@
           " \"listen\": {\"front\": \"127.0.0.1:%d\", \"ready\": "
           "\"127.0.0.1:%d\", \"directory\": \"127.0.0.1:%d\"},\n"
           " \"port_range\": [%d, %d], \"limits\": {\"max_fds\": 2000},\n"
-          " \"bounds\": {\"drain_ms\": %d, \"grace_s\": 8,\n"
+          " \"bounds\": {%s\"drain_ms\": %d, \"grace_s\": 8,\n"
           "  \"config_apply_ms\": 2000, \"ttl_max_s\": 5, \"stall_ms\": "
           "1500,\n"
           "  \"retry_ratio\": 0.2, \"retry_slack\": 100,\n"
@@ -51,7 +62,7 @@
           " \"platform\": {\"address\": \"%s\", \"writes_per_s\": 400,\n"
           "  \"reads_per_s\": 2000, \"ttl_min_ms\": 1000}}\n",
           node + 1, first ? "true" : "false", port[0], port[1], port[2],
-          port[3], port[3], drain_ms, at));
+          port[3], port[3], evacuation, drain_ms, at));
 }
 
 void
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -47,6 +47,10 @@
  */
 int rack_prepare_cut (struct rack *r, int engines, int min_nodes, int *leader);
 
+/** Sets evac_ms of settings written from now on; the default is 0: zones are
+    not evacuated. */
+void rack_set_evacuation_ms (int ms);
+
 /** Sets drain_ms of settings written from now on; the default is 2,000. */
 void rack_set_drain_ms (int ms);
 
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -671,3 +671,33 @@
               "open r1003 a1\n"
               "r1003 big is open: a1 a2 a4\n");
 }
+
+/*
+ * Guards against orders to VMs in an evacuated zone: no new replica, load,
+ * preload or spare.  The open replicas stay open, and one that loses a member
+ * is formed again when the evacuation has ended.
+ */
+Test (form, evacuated_zone_gets_no_orders)
+{
+  form_check ("lead 1\n evacuate a\n vms a 6\n run 5000\n show\n"
+              "return a\n run 5000\n show\n evacuate a\n traffic\n run 5000\n"
+              "show\n kill a2\n run 5000\n show\n return a\n run 3000\n"
+              "show\n",
+              FORMED "r1001 big is open: a1 a2 a3\n"
+                     "r1002 small is open: a4 a5\n"
+                     "a6 is warm for big\n"
+                     "r1001 big is open: a1 a2 a3\n"
+                     "r1002 small is open: a4 a5\n"
+                     "a6 is warm for big\n"
+                     "force-close r1001 a1\n"
+                     "leave r1001 a1\n"
+                     "r1002 small is open: a4 a5\n"
+                     "a6 is warm for big\n"
+                     "join r1004 big: a1 a3 a6\n"
+                     "open r1004 a1\n"
+                     "r1004 big is open: a1 a3 a6\n"
+                     "r1002 small is open: a4 a5\n");
+  form_check ("host-memory\n lead 1\n vms a 6\n run 1500\n evacuate a\n"
+              "run 8000\n",
+              FORMED);
+}
--- a/t/t6102-work.c
+++ b/t/t6102-work.c
@@ -60,9 +60,22 @@
 }
 
 /*
- * The same, but the small model needs all its replicas: with one less, its
- * requests would wait longer than those of the large model.  Nothing is
- * closed; the large replica waits for loads.
+ * Guards against a replica in an evacuated zone that is closed to give its VMs
+ * to another model: they may not be assigned.
+ */
+Test (work, evacuated_zone_gives_no_vms_to_another_model)
+{
+  form_check (MODELS "host-memory\n lead 1\n vms a 37\n run 9000\n traffic\n"
+                     "demand big 6\n demand small 16\n run 6000\n"
+                     "evacuate a\n kill a2\n kill a3\n run 3000\n"
+                     "count-open a\n",
+              "a: 0 big 5 small\n");
+}
+
+/*
+ * As before the last one, but the small model needs all its replicas: with one
+ * less, its requests would wait longer than those of the large model.  Nothing
+ * is closed; the large replica waits for loads.
  */
 Test (work, a_busy_replica_is_not_closed)
 {
