Rate limits: cold servers need permits as a second source of a rate

A server that has just started tolerates a lower rate for some seconds. lim_set_cold() records it; until then, requests to it need permits at the lower of the rate for cold servers and of the limit that it has named. The grantor, the followers and a node's own share work as for named limits.

The receiver knows the time of the grant from the remaining cold time that the grantor returns less the time that the request waited, so a grant that was late in a link expires. A process that has just started grants nothing for 2 s, because it may not know the nodes that share the rate. Requests for cold servers' permits are sent at once only: with those in the periodic reports, half of the permits expired unused.

--- a/serve/limit-grant.c
+++ b/serve/limit-grant.c
@@ -8,7 +8,7 @@
     follower reports every 100 ms. */
 #define FOLLOWER_TIMEOUT_MS ((clk_ms)350)
 /** How long demand in a periodic report is valid: until the next report. */
-#define PERIODIC_DEMAND_TTL_MS ((clk_ms)120)
+#define PERIODIC_DEMAND_TTL_MS LIM_MAX_WAIT_MS
 /** How long demand that is sent for a waiting request is valid: as long as the
     request waits at the follower. */
 #define URGENT_DEMAND_TTL_MS ((clk_ms)20)
@@ -72,12 +72,32 @@
                                .age_ms = wanted->age_ms };
   const struct lim_server *r = lim_find_server (l, wanted->server);
 
+  if (wanted->cold_ms > 0 && wanted->rate < 0)
+    return;
   if (r && r->limited && r->rate == wanted->rate)
     return;
   if (!lim_apply_update (l, now, &update))
     g_array_append_val (l->unreported_servers, wanted->server);
 }
 
+/** Record that the server is cold, if only the follower knows it. */
+static void
+learn_cold (struct lim *l, clk_ms now, const struct lim_permits *wanted)
+{
+  if (wanted->cold_ms > 0 && l->cold_bound.per_s > 0
+      && !lim_is_cold (l, wanted->server))
+    lim_set_cold (l, now, wanted->server, l->cold_bound.per_s,
+                  now + wanted->cold_ms);
+}
+
+/** Whether permits may be granted to a follower.  If only this node knows that
+    the server is cold, the follower would keep them for too long. */
+static bool
+may_grant (const struct lim_server *r, const struct lim_permits *wanted)
+{
+  return r && lim_needs_permit (r) && (!r->cold || wanted->cold_ms > 0);
+}
+
 void
 lim_on_follower_demand (struct lim *l, clk_ms now, uint64_t node,
                         bool periodic, const struct lim_permits *wanted,
@@ -96,9 +116,11 @@
     {
       struct lim_server *r;
       reconcile (l, now, &wanted[i]);
+      learn_cold (l, now, &wanted[i]);
       r = lim_find_server (l, wanted[i].server);
       demand.n = wanted[i].n;
-      if (r && r->limited)
+      demand.cold_until = now + wanted[i].cold_ms;
+      if (may_grant (r, &wanted[i]))
         add_demand (r, &demand);
     }
 }
@@ -158,20 +180,23 @@
 
 /** Maximum credit that accrues while there is no demand. */
 static double
-max_credit (const struct lim_server *r, double share)
+max_credit (const struct lim *l, const struct lim_server *r, double share)
 {
-  return share * (lim_permit_rate (r) * BURST_S + 1);
+  double seconds = r->cold ? LIM_COLD_BURST_S : BURST_S;
+
+  return share * (lim_permit_rate (l, r) * seconds + 1);
 }
 
 static void
-accrue_credit (struct lim_server *r, clk_ms now, double share)
+accrue_credit (const struct lim *l, struct lim_server *r, clk_ms now,
+               double share)
 {
   bool idle = r->last_demand_at == 0 || now - r->last_demand_at > IDLE_MS;
-  double max = max_credit (r, share);
+  double max = max_credit (l, r, share);
 
   if (!idle)
     max = MAX (max, 1);
-  r->credit += share * lim_permit_rate (r) * (double)(now - r->credit_at)
+  r->credit += share * lim_permit_rate (l, r) * (double)(now - r->credit_at)
                / (double)CLK_SECOND;
   r->credit = MIN (r->credit, max);
   r->credit_at = now;
@@ -190,7 +215,7 @@
 static unsigned
 spend_credit (struct lim *l, struct lim_server *r, double share, unsigned n)
 {
-  if (max_credit (r, share) >= 1)
+  if (max_credit (l, r, share) >= 1)
     n = (double)n < r->credit ? n : (unsigned)MAX (r->credit, 0);
   else
     n = r->credit >= r->threshold ? 1 : 0;
@@ -204,12 +229,12 @@
 
 /** Append the demand of this node, unless an earlier one is still valid. */
 static void
-add_own_demand (struct lim_server *r, clk_ms now)
+add_own_demand (const struct lim *l, struct lim_server *r, clk_ms now)
 {
   struct lim_demand demand
       = { .node = LIM_SELF, .expires_at = now + URGENT_DEMAND_TTL_MS };
 
-  demand.n = lim_permits_needed (r, now);
+  demand.n = lim_permits_needed (l, r, now);
   if (demand.n == 0 || now < r->own_demand_until)
     return;
   r->own_demand_until = demand.expires_at;
@@ -235,12 +260,16 @@
 grant_to (struct lim *l, struct lim_server *r, clk_ms now,
           struct lim_demand *demand, unsigned n)
 {
-  struct lim_permits p = { .node = demand->node, .server = r->server, .n = n };
+  struct lim_permits p = { .node = demand->node,
+                           .server = r->server,
+                           .n = n,
+                           .cold_ms = r->cold ? demand->cold_until - now : 0 };
 
   l->granted += n;
+  l->cold_granted += r->cold ? n : 0;
   demand->n -= n;
   if (demand->node == LIM_SELF)
-    lim_store_permits (r, now, n);
+    lim_store_permits (l, r, now, now, n);
   else
     g_array_append_val (l->permits, p);
 }
@@ -252,8 +281,10 @@
   struct lim_demand *demand;
   unsigned n;
 
-  accrue_credit (r, now, share);
-  add_own_demand (r, now);
+  if (r->cold)
+    share = lim_cold_share (l, now, r, lim_count_followers (l, now));
+  accrue_credit (l, r, now, share);
+  add_own_demand (l, r, now);
   while ((demand = next_demand (r, now)) != NULL)
     {
       r->last_demand_at = now;
@@ -275,7 +306,7 @@
   g_hash_table_iter_init (&iter, l->servers);
   while (l->is_granting
          && g_hash_table_iter_next (&iter, NULL, (gpointer *)&r))
-    if (r->limited && (all_servers || r->has_new_demand))
+    if (lim_needs_permit (r) && (all_servers || r->has_new_demand))
       {
         r->has_new_demand = false;
         grant_for_server (l, r, now, share);
--- a/serve/limit.c
+++ b/serve/limit.c
@@ -67,7 +67,16 @@
   return g_hash_table_lookup (l->servers, &server);
 }
 
-/** Remove the server with the oldest report, to make room in the table. */
+/** Whether @p a rather than @p b is removed to make room in the table: the one
+    with the older report, and a cold server only after all others. */
+static bool
+is_evicted_first (const struct lim_server *a, const struct lim_server *b)
+{
+  if (a->cold != b->cold)
+    return b->cold;
+  return a->reported_at < b->reported_at;
+}
+
 static void
 evict_oldest (struct lim *l)
 {
@@ -76,16 +85,17 @@
 
   g_hash_table_iter_init (&iter, l->servers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&r))
-    if (!oldest || r->reported_at < oldest->reported_at)
+    if (!oldest || is_evicted_first (r, oldest))
       oldest = r;
   if (!oldest)
     return;
   l->limited -= oldest->limited;
+  l->cold -= oldest->cold;
   g_hash_table_remove (l->servers, &oldest->server);
 }
 
-static struct lim_server *
-add_server (struct lim *l, uint64_t server)
+struct lim_server *
+lim_add_server (struct lim *l, uint64_t server)
 {
   struct lim_server *r = xcalloc (1, sizeof *r);
 
@@ -96,16 +106,26 @@
   return r;
 }
 
+bool
+lim_needs_permit (const struct lim_server *r)
+{
+  return r->limited || r->cold;
+}
+
 double
-lim_permit_rate (const struct lim_server *r)
+lim_permit_rate (const struct lim *l, const struct lim_server *r)
 {
-  return MAX (r->rate, LIM_MIN_RATE);
+  double rate = MAX (r->rate, LIM_MIN_RATE);
+
+  if (!r->cold)
+    return rate;
+  return r->limited ? MIN (rate, lim_cold_rate (l, r)) : lim_cold_rate (l, r);
 }
 
 unsigned
-lim_batch_size (const struct lim_server *r)
+lim_batch_size (const struct lim *l, const struct lim_server *r)
 {
-  double n = r->rate * REQUEST_INTERVAL_S;
+  double n = (r->cold ? lim_permit_rate (l, r) : r->rate) * REQUEST_INTERVAL_S;
 
   if (n > UINT16_MAX)
     return UINT16_MAX;
@@ -118,7 +138,7 @@
 set_limit (struct lim *l, struct lim_server *r, clk_ms at, bool limited,
            double rate)
 {
-  if (!r->limited)
+  if (!lim_needs_permit (r))
     {
       r->sent = 0;
       r->permits = 0;
@@ -142,8 +162,9 @@
 {
   struct lim_server *r = lim_find_server (l, report->server);
 
-  return r || report->kind == LIM_REPORT_NONE ? r
-                                              : add_server (l, report->server);
+  return r || report->kind == LIM_REPORT_NONE
+             ? r
+             : lim_add_server (l, report->server);
 }
 
 static bool
@@ -203,7 +224,7 @@
   if (!r && !update->limited)
     return false;
   if (!r)
-    r = add_server (l, update->server);
+    r = lim_add_server (l, update->server);
   if (is_same (r, update->limited, update->rate))
     return false;
   /* Of two updates with the same timestamp the stricter one applies, so that
@@ -266,7 +287,7 @@
 bool
 lim_any_limited (const struct lim *l)
 {
-  return l->limited > 0;
+  return l->limited > 0 || l->cold > 0;
 }
 
 bool
@@ -274,9 +295,9 @@
 {
   const struct lim_server *r = lim_find_server (l, server);
 
-  if (!r || !r->limited)
+  if (!r || !lim_needs_permit (r))
     return false;
-  *rate = r->rate;
+  *rate = r->cold ? lim_permit_rate (l, r) : r->rate;
   return true;
 }
 
@@ -300,7 +321,8 @@
 {
   const struct lim_server *r = lim_find_server (l, server);
 
-  return !r || !r->limited || (r->permits > 0 && now < r->permits_expire_at);
+  return !r || !lim_needs_permit (r)
+         || (r->permits > 0 && now < r->permits_expire_at);
 }
 
 void
@@ -308,12 +330,15 @@
 {
   struct lim_server *r = lim_find_server (l, server);
 
-  if (!r || !r->limited)
+  if (!r || !lim_needs_permit (r))
     return;
   r->repeated_demand = has_demand (r, now);
   if (!r->repeated_demand)
+    r->demand_since = now;
+  if (!r->repeated_demand
+      || (r->cold && now - r->requested_at >= GRANT_TIMEOUT_MS))
     {
-      r->demand_since = now;
+      r->requested_at = now;
       r->has_new_demand = l->has_new_demand = true;
     }
   r->demand_at = now;
@@ -333,21 +358,32 @@
 {
   const struct lim_server *r = lim_find_server (l, server);
 
-  return r && r->limited && has_demand (r, now)
+  return r && lim_needs_permit (r) && has_demand (r, now)
          && now - r->demand_since >= GRANT_TIMEOUT_MS;
 }
 
-void
+clk_ms
 lim_use_permit (struct lim *l, clk_ms now, uint64_t server)
 {
   struct lim_server *r = lim_find_server (l, server);
+  bool permitted;
 
-  if (!r || !r->limited)
-    return;
+  if (!r || !lim_needs_permit (r))
+    return 0;
   expire_permits (r, now);
-  r->permits -= r->permits > 0;
+  permitted = r->permits > 0;
+  r->permits -= permitted;
   r->sent++;
-  l->sent++;
+  l->sent += r->limited;
+  l->cold_sent += r->cold;
+  return permitted ? r->permits_expire_at : now;
+}
+
+bool
+lim_may_write (const struct lim *l, clk_ms now, uint64_t server,
+               clk_ms permit_expires_at)
+{
+  return l->cold == 0 || !lim_is_cold (l, server) || now < permit_expires_at;
 }
 
 uint64_t
@@ -359,12 +395,15 @@
 }
 
 unsigned
-lim_permits_needed (const struct lim_server *r, clk_ms now)
+lim_permits_needed (const struct lim *l, const struct lim_server *r,
+                    clk_ms now)
 {
   unsigned has = now < r->permits_expire_at ? r->permits : 0;
-  unsigned batch = lim_batch_size (r);
+  unsigned batch = lim_batch_size (l, r);
 
-  return r->limited && has_demand (r, now) && has < batch ? batch - has : 0;
+  return lim_needs_permit (r) && has_demand (r, now) && has < batch
+             ? batch - has
+             : 0;
 }
 
 const struct lim_permits *
@@ -378,24 +417,43 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&r))
     {
       struct lim_permits p = { .server = r->server,
-                               .n = lim_permits_needed (r, now),
+                               .n = lim_permits_needed (l, r, now),
                                .rate = r->rate,
-                               .age_ms = now - r->reported_at };
-      if (p.n > 0 && (r->repeated_demand || !periodic))
+                               .age_ms = now - r->reported_at,
+                               .cold_ms = lim_cold_left (l, now, r->server) };
+      if (!r->limited)
+        {
+          p.rate = -1;
+          p.age_ms = 0;
+        }
+      if (p.n > 0 && (!periodic || (r->repeated_demand && !r->cold)))
         g_array_append_val (l->permits, p);
     }
   *n = l->permits->len;
   return (const struct lim_permits *)(void *)l->permits->data;
 }
 
+/** Permits are stored with one expiry.  For a cold server it is the earliest
+   of them, as none may be used late. */
+static clk_ms
+expiry_of (const struct lim_server *r, clk_ms now, clk_ms granted_at)
+{
+  clk_ms at = granted_at + LIM_COLD_TTL_MS;
+
+  if (!r->cold)
+    return now + PERMIT_TTL_MS;
+  return r->permits > 0 ? MIN (r->permits_expire_at, at) : at;
+}
+
 /** Delayed grants can arrive at the same time.  The total is capped at one
     batch, so that they don't add up to a burst. */
 void
-lim_store_permits (struct lim_server *r, clk_ms now, unsigned n)
+lim_store_permits (const struct lim *l, struct lim_server *r, clk_ms now,
+                   clk_ms granted_at, unsigned n)
 {
   expire_permits (r, now);
-  r->permits = MIN (r->permits + n, lim_batch_size (r));
-  r->permits_expire_at = now + PERMIT_TTL_MS;
+  r->permits_expire_at = expiry_of (r, now, granted_at);
+  r->permits = MIN (r->permits + n, lim_batch_size (l, r));
   r->demand_since = 0;
 }
 
@@ -404,8 +462,20 @@
 {
   struct lim_server *r = lim_find_server (l, server);
 
-  if (r && r->limited && now >= l->grants_ignored_until)
-    lim_store_permits (r, now, n);
+  if (r && r->limited && !r->cold && now >= l->grants_ignored_until)
+    lim_store_permits (l, r, now, now, n);
+}
+
+void
+lim_add_cold_permits (struct lim *l, clk_ms now, uint64_t server, unsigned n,
+                      clk_ms cold_ms)
+{
+  struct lim_server *r = lim_find_server (l, server);
+  clk_ms granted_at;
+
+  if (r && r->cold && now >= l->grants_ignored_until
+      && lim_cold_granted_at (r, now, cold_ms, &granted_at))
+    lim_store_permits (l, r, now, granted_at, n);
 }
 
 void
@@ -424,7 +494,10 @@
 lim_stats (const struct lim *l, clk_ms now)
 {
   return (struct lim_stats){ .limited = l->limited,
+                             .cold = l->cold,
                              .followers = lim_count_followers (l, now),
                              .sent = l->sent,
-                             .granted = l->granted };
+                             .granted = l->granted,
+                             .cold_sent = l->cold_sent,
+                             .cold_granted = l->cold_granted };
 }
--- a/serve/limit.h
+++ b/serve/limit.h
@@ -23,6 +23,12 @@
  * An unused permit expires after a short time, so that nodes can't accumulate
  * permits and spend them in one burst.
  *
+ * Cold servers: a server that has just started tolerates a lower rate for some
+ * seconds.  It needs permits until then, at the lower of the rate for cold
+ * servers and of the limit that it has set.  lim_configure_cold() describes
+ * the bound that is kept.  Nodes exchange no updates of cold servers; each
+ * learns of them from the list of backend servers.
+ *
  * A server is identified by dsp_endpoint_hash() without a generation, because
  * the limit belongs to the process and not to the replica that it leads.  The
  * core does no I/O: its caller passes in events and the current time.
@@ -84,8 +90,12 @@
   uint64_t node;
   uint64_t server;
   unsigned n;
-  double rate; /**< if requested: the limit recorded at the requesting node */
-  clk_ms age_ms; /**< if requested: the age of that limit */
+  double rate;    /**< if requested: the limit recorded at the requesting node;
+                       negative: none, the server is only cold */
+  clk_ms age_ms;  /**< if requested: the age of that limit */
+  clk_ms cold_ms; /**< if requested: how much longer the server is cold at the
+                       requesting node, 0: it is not; if granted: this value
+                       of the request less the time that it waited */
 };
 
 struct lim;
@@ -112,11 +122,53 @@
     is valid until the next call that modifies @p l. */
 const struct lim_update *lim_snapshot (struct lim *l, clk_ms now, size_t *n);
 
+/** Whether any server is limited or cold. */
 bool lim_any_limited (const struct lim *l);
 
-/** Whether the server is limited. @param rate  receives the limit */
+/** Whether the server is limited or cold. @param rate  receives the rate at
+    which permits for it are granted */
 bool lim_get_rate (const struct lim *l, uint64_t server, double *rate);
 
+/* --- cold servers ------------------------------------------------------- */
+
+/** Requests that a cold server may get. */
+struct lim_cold_bound
+{
+  double per_s; /**< rate of servers that only another node knows to be cold */
+  double over;  /**< all nodes together send at most the rate times `over` */
+  double slack; /**< plus `slack` requests in any second; 0 and 0: cold servers
+                     are not limited */
+};
+
+/**
+ * Set the bound for cold servers.  For the first seconds after the first call
+ * this node grants no permits for them, because it may not know yet how many
+ * nodes share the rate.
+ */
+void lim_configure_cold (struct lim *l, clk_ms now,
+                         const struct lim_cold_bound *bound);
+
+/**
+ * The server is cold until @p until, and tolerates @p per_s requests per
+ * second until then.  Of several times for one cold period the earliest
+ * applies, because each was calculated from a message that took some time.
+ * @param until  not after @p now: it is warm
+ * @return  whether it was warm before
+ */
+bool lim_set_cold (struct lim *l, clk_ms now, uint64_t server, double per_s,
+                   clk_ms until);
+
+bool lim_is_cold (const struct lim *l, uint64_t server);
+
+/** How much longer the server is cold; 0: it is warm. */
+clk_ms lim_cold_left (const struct lim *l, clk_ms now, uint64_t server);
+
+/** A server whose cold period has ended; call it until it returns false.
+    Until then, the server counts as cold.
+    @param sent  receives the number of requests that this node sent to it */
+bool lim_next_warm (struct lim *l, clk_ms now, uint64_t *server,
+                    uint64_t *sent);
+
 /* --- requests of this node ---------------------------------------------- */
 
 /** Whether this node may send a request to the server now. */
@@ -126,11 +178,19 @@
     permit. */
 void lim_record_demand (struct lim *l, clk_ms now, uint64_t server);
 
-/** Use up one permit: a request is being sent to the server. */
-void lim_use_permit (struct lim *l, clk_ms now, uint64_t server);
+/** Use up one permit: a request is being sent to the server.
+    @return  when the permit expires: if the server is cold, the request must
+             be written before; 0: no permit was needed */
+clk_ms lim_use_permit (struct lim *l, clk_ms now, uint64_t server);
+
+/** Whether a request that used a permit with this expiry may be written now.
+    If not, the server is cold, and the permit has expired or was used before
+    this node learned that the server is cold. */
+bool lim_may_write (const struct lim *l, clk_ms now, uint64_t server,
+                    clk_ms permit_expires_at);
 
 /** Number of requests that this node has sent to the server since the limit
-    was set. */
+    was set, or since it became cold. */
 uint64_t lim_count_sent (const struct lim *l, uint64_t server);
 
 /** Whether new demand was recorded since the last call.  If so, permits must
@@ -146,14 +206,23 @@
  * Permits to request from the grantor.  The list is valid until the next call
  * that modifies @p l.
  * @param periodic  only servers for which more than one request needed a
- *                  permit, for the periodic report; false: all demand
+ *                  permit, for the periodic report; false: all demand.  Cold
+ *                  servers are not in the report, because their permits would
+ *                  often expire before another request needs them
  */
 const struct lim_permits *lim_get_demand (struct lim *l, clk_ms now,
                                           bool periodic, size_t *n);
 
-/** Add permits that the grantor has sent to this node. */
+/** Add permits that the grantor has sent to this node; ignored if the server
+   is cold. */
 void lim_add_permits (struct lim *l, clk_ms now, uint64_t server, unsigned n);
 
+/** Add permits for a cold server.  They are ignored if they were
+    granted too long ago.
+    @param cold_ms  lim_permits.cold_ms of the grant */
+void lim_add_cold_permits (struct lim *l, clk_ms now, uint64_t server,
+                           unsigned n, clk_ms cold_ms);
+
 /** This process has resumed after a pause.  Permits that it holds, and those
     that waited in its sockets, were granted before the pause and expired at
    the grantor's clock. */
@@ -192,10 +261,12 @@
 /** Current gauges, and counters since the start of the process. */
 struct lim_stats
 {
-  size_t limited;   /**< limited servers */
-  size_t followers; /**< nodes that follow this one */
-  uint64_t sent;    /**< requests sent to limited servers */
-  uint64_t granted; /**< permits granted by this node */
+  size_t limited;                   /**< limited servers */
+  size_t cold;                      /**< cold servers */
+  size_t followers;                 /**< nodes that follow this one */
+  uint64_t sent;                    /**< requests sent to limited servers */
+  uint64_t granted;                 /**< permits granted by this node */
+  uint64_t cold_sent, cold_granted; /**< of these, for cold servers */
 };
 struct lim_stats lim_stats (const struct lim *l, clk_ms now);
 
--- a/t/lib-limit.c
+++ b/t/lib-limit.c
@@ -3,6 +3,7 @@
 #include "t/lib-limit.h"
 
 #include <criterion/criterion.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -20,6 +21,10 @@
 #define LEARN_MS ((clk_ms)500)
 /** How long a request waits for a permit. */
 #define WAIT_MS ((clk_ms)40)
+/** How long the entry of a node that is cut off or does not run is kept, and
+    how long a started process does not know the other nodes. */
+#define LEASE_MS ((clk_ms)3000)
+#define LIST_MS ((clk_ms)1000)
 #define MAX_LIST 16
 
 /** A message between two nodes. */
@@ -44,6 +49,16 @@
   clk_ms sent, due;
 };
 
+/** A connection that is being established; its request is written then. */
+struct limit_connection
+{
+  struct limit_connection *next;
+  int node;
+  struct limit_server *server;
+  struct lim *sender;
+  clk_ms due, permit_expires_at;
+};
+
 /* --- links --------------------------------------------------------------- */
 
 static bool
@@ -57,7 +72,8 @@
 send_message (struct limit_fleet *f, int to,
               const struct limit_message *message)
 {
-  struct limit_message **end = &f->node[to].inbox, *copy;
+  struct limit_node *x = &f->node[to];
+  struct limit_message *copy;
 
   if (!is_linked (f, message->from, to))
     return;
@@ -65,9 +81,13 @@
   *copy = *message;
   copy->next = NULL;
   copy->due = f->now + STEP_MS;
-  while (*end)
-    end = &(*end)->next;
-  *end = copy;
+  if (f->delay)
+    copy->due += (clk_ms)rng_below (&f->rng, (uint64_t)f->delay);
+  if (x->inbox)
+    x->inbox_last->next = copy;
+  else
+    x->inbox = copy;
+  x->inbox_last = copy;
 }
 
 static void
@@ -147,13 +167,24 @@
   send_message (f, grantor, &message);
 }
 
+/** Number of nodes that a node knows. */
+static unsigned
+count_nodes (const struct limit_fleet *f, int node)
+{
+  const struct limit_node *x = &f->node[node];
+
+  if (!f->leases || x->cut)
+    return (unsigned)f->n;
+  return f->now - x->started_at < LIST_MS ? 1 : f->counted;
+}
+
 static void
 grant (struct limit_fleet *f, int node)
 {
   struct lim *l = f->node[node].l;
   size_t n;
 
-  lim_set_role (l, f->now, find_grantor (f, node) < 0, (unsigned)f->n);
+  lim_set_role (l, f->now, find_grantor (f, node) < 0, count_nodes (f, node));
   const struct lim_permits *due = lim_grant (l, f->now, true, &n);
   for (size_t i = 0; i < n; i++)
     {
@@ -189,7 +220,10 @@
   for (size_t i = 0; i < in->nupdates; i++)
     lim_apply_update (l, f->now, &in->updates[i]);
   for (size_t i = 0; in->grants && i < in->npermits; i++)
-    if (find_grantor (f, node) == in->from)
+    if (find_grantor (f, node) == in->from && in->permits[i].cold_ms > 0)
+      lim_add_cold_permits (l, f->now, in->permits[i].server, in->permits[i].n,
+                            in->permits[i].cold_ms);
+    else if (find_grantor (f, node) == in->from)
       lim_add_permits (l, f->now, in->permits[i].server, in->permits[i].n);
   if (in->is_follower)
     lim_on_follower_demand (l, f->now, (uint64_t)in->from + 1, in->periodic,
@@ -213,11 +247,60 @@
   s->arrivals[s->n++] = now;
 }
 
+/** Establish the connection for a request to a cold server. */
+static void
+connect_to_cold (struct limit_fleet *f, int node, struct limit_server *s)
+{
+  struct limit_connection *c = xmalloc (sizeof *c);
+
+  *c = (struct limit_connection){ .next = f->connections,
+                                  .node = node,
+                                  .server = s,
+                                  .sender = f->node[node].l,
+                                  .due = f->now };
+  c->permit_expires_at
+      = lim_use_permit (f->node[node].l, f->now, (uint64_t)s->name);
+  if (f->connect && rng_below (&f->rng, 3) == 0)
+    c->due += (clk_ms)rng_below (&f->rng, (uint64_t)f->connect);
+  f->connections = c;
+}
+
+/** Write the requests whose connections are established. */
+static void
+write_requests (struct limit_fleet *f)
+{
+  struct limit_connection **at = &f->connections;
+
+  while (*at)
+    {
+      struct limit_connection *c = *at;
+      struct limit_node *x = &f->node[c->node];
+      if (x->l == c->sender && (x->frozen || c->due > f->now))
+        {
+          at = &c->next;
+          continue;
+        }
+      if (x->l == c->sender
+          && lim_may_write (x->l, f->now, (uint64_t)c->server->name,
+                            c->permit_expires_at)
+          && f->now < c->server->cold_until)
+        add_arrival (c->server, f->now);
+      *at = c->next;
+      free (c);
+    }
+}
+
 static void
 send_request (struct limit_fleet *f, int node, struct limit_server *s)
 {
-  struct limit_response *a = xmalloc (sizeof *a);
+  struct limit_response *a;
 
+  if (s->cold_per_s > 0)
+    {
+      connect_to_cold (f, node, s);
+      return;
+    }
+  a = xmalloc (sizeof *a);
   lim_use_permit (f->node[node].l, f->now, (uint64_t)s->name);
   if (f->now - f->node[node].started_at >= LEARN_MS)
     add_arrival (s, f->now);
@@ -254,6 +337,9 @@
 
   if (!x->l || x->frozen)
     return;
+  if (s->cold_per_s > 0
+      && (f->now >= s->cold_until || !lim_is_cold (x->l, (uint64_t)s->name)))
+    return;
   if (lim_allows (x->l, f->now, (uint64_t)s->name))
     {
       send_request (f, node, s);
@@ -280,6 +366,39 @@
       }
 }
 
+/* --- cold servers -------------------------------------------------------- */
+
+/** The node learns which servers are cold; the times that it is told are late
+    by up to 100 ms. */
+static void
+learn_cold (struct limit_fleet *f, struct limit_node *x)
+{
+  uint64_t server, sent;
+
+  for (int i = 0; i < f->nservers; i++)
+    if (x->learns_at[i] && f->now >= x->learns_at[i])
+      {
+        struct limit_server *s = &f->server[i];
+        x->learns_at[i] = 0;
+        lim_set_cold (x->l, f->now, (uint64_t)s->name, s->cold_per_s,
+                      s->cold_until + (clk_ms)rng_below (&f->rng, 100));
+      }
+  while (lim_next_warm (x->l, f->now, &server, &sent))
+    ;
+}
+
+static void
+make_cold (struct limit_fleet *f, struct limit_server *s, double per_s,
+           clk_ms ms)
+{
+  s->cold_ms += MIN (ms, f->now + ms - MAX (s->cold_until, f->now - ms));
+  s->cold_per_s = per_s;
+  s->cold_until = f->now + ms;
+  for (int i = 0; i < f->n; i++)
+    f->node[i].learns_at[s - f->server]
+        = f->now + 1 + (clk_ms)rng_below (&f->rng, 300);
+}
+
 /* --- processes ----------------------------------------------------------- */
 
 static void
@@ -287,8 +406,11 @@
 {
   struct limit_node *x = &f->node[node];
 
+  if (x->l && !x->cut && !x->frozen)
+    x->listed_until = f->now + LEASE_MS;
   if (!x->l || x->frozen)
     return;
+  learn_cold (f, x);
   while (x->inbox && x->inbox->due <= f->now && !x->held)
     {
       struct limit_message *in = x->inbox;
@@ -314,7 +436,12 @@
   x->started_at = f->now;
   x->next_report = f->now + (clk_ms)rng_below (&f->rng, REPORT_MS);
   for (int i = 0; i < LIMIT_RELAYS; i++)
-    x->last_seen[i] = f->now;
+    x->last_seen[i] = f->leases ? f->now - GRANT_TIMEOUT_MS : f->now;
+  if (f->bound.over > 0)
+    lim_configure_cold (x->l, f->now, &f->bound);
+  for (int i = 0; i < f->nservers; i++)
+    if (f->now < f->server[i].cold_until)
+      x->learns_at[i] = f->now;
 }
 
 static void
@@ -381,8 +508,12 @@
 {
   f->now += STEP_MS;
   receive_responses (f);
+  f->counted = 0;
+  for (int i = 0; i < f->n; i++)
+    f->counted += f->now < f->node[i].listed_until;
   for (int i = 0; i < f->n; i++)
     step_node (f, i);
+  write_requests (f);
   if (f->nservers == 0)
     return;
   f->credit += f->load * (double)STEP_MS / (double)CLK_SECOND;
@@ -392,14 +523,14 @@
 
 /* --- the script ---------------------------------------------------------- */
 
-size_t
-limit_max_in_window (const struct limit_server *s)
+static size_t
+max_in (const struct limit_server *s, clk_ms ms)
 {
   size_t most = 0, first = 0;
 
   for (size_t i = 0; i < s->n; i++)
     {
-      while (s->arrivals[i] - s->arrivals[first] >= WINDOW_MS)
+      while (s->arrivals[i] - s->arrivals[first] >= ms)
         first++;
       if (i + 1 - first > most)
         most = i + 1 - first;
@@ -407,6 +538,18 @@
   return most;
 }
 
+size_t
+limit_max_in_window (const struct limit_server *s)
+{
+  return max_in (s, WINDOW_MS);
+}
+
+size_t
+limit_max_in_second (const struct limit_server *s)
+{
+  return max_in (s, CLK_SECOND);
+}
+
 static struct limit_server *
 server_of (struct limit_fleet *f, char name)
 {
@@ -442,6 +585,41 @@
   buf_addf (log, " %s\n", classify_usage (s->n, owed));
 }
 
+/** Permits for cold servers that the nodes granted, or used. */
+static size_t
+sum_stats (const struct limit_fleet *f, bool granted)
+{
+  size_t sum = 0;
+
+  for (int i = 0; i < f->n; i++)
+    if (f->node[i].l)
+      {
+        struct lim_stats x = lim_stats (f->node[i].l, f->now);
+        sum += granted ? x.cold_granted : x.cold_sent;
+      }
+  return sum;
+}
+
+static void
+log_second (struct limit_fleet *f, const struct limit_server *s,
+            struct buf *log)
+{
+  double allowed = s->cold_per_s * f->bound.over + f->bound.slack;
+  double owed = s->cold_per_s * (double)s->cold_ms / (double)CLK_SECOND;
+  size_t most = limit_max_in_second (s);
+
+  buf_addf (log, "%c ", s->name);
+  if ((double)most <= allowed)
+    buf_add_c (log, "kept");
+  else
+    buf_addf (log, "%zu of %d", most, (int)allowed);
+  buf_addf (log, " %s\n", classify_usage (s->n, owed));
+  if (getenv ("LIMIT_FIGURES"))
+    fprintf (stderr, "%c: most %zu, %zu of %.0f, granted %zu, used %zu\n",
+             s->name, most, s->n, owed, sum_stats (f, true),
+             sum_stats (f, false));
+}
+
 static void
 log_limited (const struct limit_fleet *f, const struct limit_server *s,
              struct buf *log)
@@ -464,6 +642,7 @@
     {
       f->server[i].n = 0;
       f->server[i].reset_at = f->now;
+      f->server[i].cold_ms = MAX (f->server[i].cold_until - f->now, 0);
     }
 }
 
@@ -489,6 +668,15 @@
   lim_updates (f->node[node].l, f->now, &n);
 }
 
+static void
+set_bound (struct limit_fleet *f, double over, double slack)
+{
+  f->bound
+      = (struct lim_cold_bound){ .per_s = 26, .over = over, .slack = slack };
+  for (int i = 0; i < f->n; i++)
+    lim_configure_cold (f->node[i].l, f->now, &f->bound);
+}
+
 static void
 change_node (struct limit_fleet *f, const char *command, int node)
 {
@@ -529,6 +717,7 @@
   for (int i = 0; i < f->n; i++)
     if (f->node[i].l)
       kill_node (f, i);
+  write_requests (f);
   for (int i = 0; i < f->nservers; i++)
     free (f->server[i].arrivals);
 }
@@ -551,6 +740,21 @@
     f->target = atoi (x);
   else if (strcmp (command, "limit") == 0)
     set_limit (f, x[0], y);
+  else if (strcmp (command, "each") == 0)
+    for (int i = atoi (y); i <= atoi (z); i++)
+      change_node (f, x, i - 1);
+  else if (strcmp (command, "cold") == 0)
+    make_cold (f, server_of (f, x[0]), atof (y), atoi (z));
+  else if (strcmp (command, "bound") == 0)
+    set_bound (f, atof (x), atof (y));
+  else if (strcmp (command, "delay") == 0)
+    f->delay = atoi (x);
+  else if (strcmp (command, "connect") == 0)
+    f->connect = atoi (x);
+  else if (strcmp (command, "leases") == 0)
+    f->leases = true;
+  else if (strcmp (command, "second") == 0)
+    log_second (f, server_of (f, x[0]), log);
   else if (strcmp (command, "record") == 0)
     record_limit (f, atoi (x) - 1, y[0], z);
   else if (strcmp (command, "reset") == 0)
