Cold servers: limit the requests to servers that have just started

A server tolerates few requests for some seconds after its start, and crashes above that. The new core serve/cold.c decides which servers are cold: by their entries, by a header of any response, and by the end of the evacuation of their zone (srv_zone_may_be_cold(), to be called by the evacuation). A response or the end of an evacuation may be newer than an entry that is read later, so such an entry ends the period only from the second heartbeat on, or a second later if the leader sent it.

The leader sends the remaining time with the list; only a change between cold and warm, or a new cold period, makes an entry a changed one. Nodes send it with the permits that they want. The dispatch core treats a cold endpoint without a permit as full, and compares those with a permit by load, warm ones first. It asks for permits of two cold endpoints per request, as permits for the others would expire. A request is not written to a cold server after its permit has expired, or if it was chosen while the server was warm.

Enabled by cold_s and cold_per_s of a service and by cold_over in the settings; otherwise cold times are ignored, and no frame changes.

--- a/back/avail.h
+++ b/back/avail.h
@@ -37,6 +37,8 @@
   clk_ms retry_after_ms; /**< it takes no requests from this node for so long;
                               0: not stated */
   bool malformed;        /**< a delay was stated that can't be parsed */
+  clk_ms cold_ms; /**< how much longer the server is cold; 0: not stated, or it
+                       is warm */
 };
 
 /** What a notice told that was not known before. */
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -46,6 +46,12 @@
  */
 #define OLD_COPY_MS ((clk_ms)10000)
 
+/**
+ * The end of a cold period that is calculated from two entries differs by the
+ * delays of their reads.  A larger difference is a new cold period.
+ */
+#define NEW_COLD_PERIOD_MS ((clk_ms)250)
+
 struct removed
 {
   char *id;
@@ -64,6 +70,7 @@
   GHashTable *by_id; /* the servers of `list`; key: bks_server.e.id */
   bool has_list;
   bool last_read_failed;
+  bool tracks_cold;
   clk_ms read_started_at; /* when the last successful read was sent */
   clk_ms first_read_at;   /* when the first successful read arrived */
   clk_ms stable_since;    /* when the first successful read after a failed
@@ -184,6 +191,40 @@
   return true;
 }
 
+/** Whether the server was warm and is cold, or the other way round, or its
+   cold period has begun anew. */
+static bool
+cold_changed (const struct bks_server *s, clk_ms stated_at,
+              const struct bks_entry *in)
+{
+  return (s->e.cold_ms > 0) != (in->cold_ms > 0)
+         || (in->cold_ms > 0
+             && stated_at + in->cold_ms > s->cold_until + NEW_COLD_PERIOD_MS);
+}
+
+/** Record the cold state of an entry that was read or received.  A read that
+    returns the same entry again says nothing new. */
+static void
+record_cold (struct bks_server *s, clk_ms stated_at,
+             const struct bks_entry *in)
+{
+  s->e.cold_ms = in->cold_ms;
+  s->cold_stated_at = stated_at;
+  s->cold_until = in->cold_ms > 0 ? stated_at + in->cold_ms : 0;
+}
+
+/** Whether the entry was written later than the recorded one, or was sent by
+    the leader, which sends only entries that have changed.  Not all servers
+    count their heartbeats; the same heartbeat with another cold time is a
+   later entry, too. */
+static bool
+is_later_statement (const struct bks_server *s, const struct bks_entry *in)
+{
+  return in->heartbeat > s->e.heartbeat
+         || (in->heartbeat == s->e.heartbeat && in->cold_ms != s->e.cold_ms)
+         || in->acceptance != BKS_ACCEPTANCE_UNKNOWN;
+}
+
 static bool
 same_entry (const struct bks_entry *a, const struct bks_entry *b)
 {
@@ -267,18 +308,27 @@
 }
 
 static bool
-apply_entry (struct bks *b, clk_ms now, const struct bks_entry *in)
+apply_entry (struct bks *b, clk_ms now, clk_ms read_started_at,
+             const struct bks_entry *listed)
 {
+  struct bks_entry entry = *listed;
+  const struct bks_entry *in = &entry;
   struct bks_server *s = find (b, in->id);
   bool from_older_copy = is_from_older_copy (b, now, s, in);
+  bool earlier = s && (is_earlier_incarnation (&s->e, in) || from_older_copy);
+  bool later = s && !earlier && is_later_statement (s, in);
 
+  entry.cold_ms = b->tracks_cold ? MIN (listed->cold_ms, BKS_COLD_MS_MAX) : 0;
   if (!s && from_older_copy)
     return false;
   if (s
-      && (same_entry (&s->e, in) || is_earlier_incarnation (&s->e, in)
-          || from_older_copy))
+      && (earlier
+          || (same_entry (&s->e, in)
+              && !(later && cold_changed (s, read_started_at, in)))))
     {
       s->seen = true;
+      if (later && b->tracks_cold)
+        record_cold (s, read_started_at, in);
       s->e.heartbeat
           = in->heartbeat > s->e.heartbeat ? in->heartbeat : s->e.heartbeat;
       return false;
@@ -293,6 +343,7 @@
       b->list[b->n++] = s;
     }
   copy_entry (s, in);
+  record_cold (s, read_started_at, in);
   g_hash_table_insert (b->by_id, &s->e.id, s);
   s->seen = true;
   s->version = b->version;
@@ -346,6 +397,14 @@
   return first;
 }
 
+void
+bks_track_cold (struct bks *b, bool enabled)
+{
+  b->tracks_cold = enabled;
+  for (size_t i = 0; !enabled && i < b->n; i++)
+    b->list[i]->e.cold_ms = b->list[i]->cold_until = 0;
+}
+
 bool
 bks_update (struct bks *b, clk_ms now, clk_ms read_started_at,
             const struct bks_entry *list, size_t n)
@@ -355,7 +414,7 @@
   for (size_t i = 0; i < b->n; i++)
     b->list[i]->seen = false;
   for (size_t i = 0; i < n; i++)
-    changed |= apply_entry (b, now, &list[i]);
+    changed |= apply_entry (b, now, read_started_at, &list[i]);
   if (b->stable_since == 0 || now - b->stable_since >= RECOVERY_MS)
     changed |= remove_missing (b);
   return changed;
@@ -371,7 +430,7 @@
   for (size_t i = 0; i < b->n; i++)
     b->list[i]->seen = true;
   for (size_t i = 0; i < n; i++)
-    changed |= apply_entry (b, now, &list[i]);
+    changed |= apply_entry (b, now, read_started_at, &list[i]);
   for (size_t i = 0; i < nremoved; i++)
     {
       struct bks_server *s = find (b, removed[i]);
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -19,6 +19,9 @@
 /** Maximum number of models that the host of a VM keeps in memory. */
 #define BKS_PRELOADED_MAX 8
 
+/** Longest cold period of a server; longer ones are shortened to it. */
+#define BKS_COLD_MS_MAX ((clk_ms)600000)
+
 /** State of a backend server as a member of a replica. */
 enum bks_member_state
 {
@@ -86,6 +89,9 @@
   uint64_t version;           /**< version of the list in which it last
                                    changed */
   clk_ms first_seen_at;       /**< when this incarnation was first listed */
+  clk_ms cold_until;          /**< end of its cold period by the newest entry;
+                                   0: the entry says that it is warm */
+  clk_ms cold_stated_at;      /**< when the read of that entry was sent */
   bool is_endpoint;           /**< requests may be sent to it, or may still run
                                    there */
   bool accepting;             /**< as an endpoint, takes new requests */
@@ -118,6 +124,10 @@
  */
 void bks_store_restored (struct bks *b, clk_ms now);
 
+/** Whether the cold state in the entries is recorded; otherwise it is ignored,
+    and no change. */
+void bks_track_cold (struct bks *b, bool enabled);
+
 /** When the last successful read was sent. */
 clk_ms bks_read_started_at (const struct bks *b);
 
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -185,6 +185,7 @@
   unsigned connect_failures;
   clk_ms arrived_at, goal_at, deadline;
   clk_ms sent_at, queued_at;
+  clk_ms permit_expires_at; /**< lim_use_permit() of the current attempt */
   clk_ms last_data_at;
   double prompt_tokens;
   struct psn_request poison_ids; /**< owns the list of parts */
@@ -462,8 +463,12 @@
 void dsp_limit_ask_permit (const struct dsp *d,
                            const struct dsp_endpoint_state *s,
                            const struct dsp_req *q);
-void dsp_limit_use_permit (const struct dsp *d,
-                           const struct dsp_endpoint_state *s);
+/** Uses a permit; returns lim_use_permit(). */
+clk_ms dsp_limit_use_permit (const struct dsp *d,
+                             const struct dsp_endpoint_state *s);
+/** Whether the request may be written to its endpoint now. */
+bool dsp_limit_may_write (const struct dsp *d, const struct dsp_req *q);
+bool dsp_is_cold (const struct dsp *d, const struct dsp_endpoint_state *s);
 bool dsp_has_rate_limit (const struct dsp *d,
                          const struct dsp_endpoint_state *s);
 /** Slots of the endpoint that can be used under its rate limit. */
--- a/serve/dispatch-limit.c
+++ b/serve/dispatch-limit.c
@@ -53,11 +53,26 @@
     lim_record_demand (d->opt.limits, d->now, s->process_hash);
 }
 
-void
+clk_ms
 dsp_limit_use_permit (const struct dsp *d, const struct dsp_endpoint_state *s)
 {
-  if (d->opt.limits)
-    lim_use_permit (d->opt.limits, d->now, s->process_hash);
+  return d->opt.limits
+             ? lim_use_permit (d->opt.limits, d->now, s->process_hash)
+             : 0;
+}
+
+bool
+dsp_limit_may_write (const struct dsp *d, const struct dsp_req *q)
+{
+  return !d->opt.limits || q->endpoint->is_proxy
+         || lim_may_write (d->opt.limits, d->now, q->endpoint->process_hash,
+                           q->permit_expires_at);
+}
+
+bool
+dsp_is_cold (const struct dsp *d, const struct dsp_endpoint_state *s)
+{
+  return d->opt.limits && lim_is_cold (d->opt.limits, s->process_hash);
 }
 
 bool
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -196,6 +196,52 @@
   return load_of (b) < load_of (a) ? b : a;
 }
 
+/** Cold endpoints of a pool, while one is chosen for a request. */
+struct cold_choice
+{
+  struct dsp_endpoint_state *permitted; /**< least loaded one with a permit */
+  struct dsp_endpoint_state *drawn[2];  /**< of those without a permit */
+  unsigned n;                           /**< number of those */
+  bool has_warm; /**< the pool has warm endpoints, too */
+};
+
+static void
+consider_cold (struct dsp *d, struct dsp_endpoint_state *s,
+               struct cold_choice *c)
+{
+  uint64_t slot;
+
+  if (dsp_limit_allows_request (d, s))
+    {
+      c->permitted = less_loaded (c->permitted, s);
+      return;
+    }
+  slot = rng_below (&d->rng, ++c->n);
+  if (c->n <= 2)
+    c->drawn[c->n - 1] = s;
+  else if (slot < 2)
+    c->drawn[slot] = s;
+}
+
+/**
+ * Requests permits for cold endpoints: for two of them, since a request uses
+ * one and the others would expire, or for all if the pool has no warm
+ * endpoint, so that the request can be rejected once no permit is left.
+ */
+static void
+ask_for_cold (const struct dsp *d, const struct dsp_pool *p,
+              const struct dsp_req *q, unsigned extra,
+              const struct cold_choice *c)
+{
+  for (unsigned i = 0; c->has_warm && i < 2 && i < c->n; i++)
+    dsp_limit_ask_permit (d, c->drawn[i], q);
+  for (size_t i = 0; c->n > 0 && !c->has_warm && i < p->n; i++)
+    if (is_candidate (d, p->endpoints[i], q)
+        && slots_taken (p->endpoints[i]) < p->endpoints[i]->capacity + extra
+        && !dsp_limit_allows_request (d, p->endpoints[i]))
+      dsp_limit_ask_permit (d, p->endpoints[i], q);
+}
+
 /**
  * Chooses the less loaded of two random endpoints. The load reported by the
  * other nodes is up to a tenth of a second old. If every node chose the least
@@ -204,19 +250,30 @@
  *
  * Rate-limited endpoints for which this node has a permit are not drawn: the
  * least loaded of them is always compared with the two. The permit is valid
- * for this node only and expires if it is not used.
+ * for this node only and expires if it is not used. The same holds for cold
+ * endpoints; of equally loaded endpoints, a warm one is chosen.
  */
 static struct dsp_endpoint_state *
 choose_of_two (struct dsp *d, struct dsp_pool *p, const struct dsp_req *q,
                unsigned extra)
 {
   struct dsp_endpoint_state *drawn[2] = { NULL, NULL }, *permitted = NULL;
+  struct cold_choice cold = { 0 };
   unsigned n = 0;
 
   for (size_t i = 0; i < p->n; i++)
     {
       struct dsp_endpoint_state *s = p->endpoints[i];
-      if (!is_candidate (d, s, q) || slots_taken (s) >= s->capacity + extra)
+      if (!is_candidate (d, s, q))
+        continue;
+      if (dsp_is_cold (d, s))
+        {
+          if (slots_taken (s) < s->capacity + extra)
+            consider_cold (d, s, &cold);
+          continue;
+        }
+      cold.has_warm = true;
+      if (slots_taken (s) >= s->capacity + extra)
         continue;
       if (!dsp_limit_allows_request (d, s))
         {
@@ -235,7 +292,10 @@
       else if (slot < 2)
         drawn[slot] = s;
     }
-  return less_loaded (permitted, less_loaded (drawn[0], drawn[1]));
+  ask_for_cold (d, p, q, extra, &cold);
+  return less_loaded (
+      less_loaded (permitted, less_loaded (drawn[0], drawn[1])),
+      cold.permitted);
 }
 
 /** Finds an ejected or stalled endpoint that is due for a trial request, if @p
--- a/serve/dispatch-wait.c
+++ b/serve/dispatch-wait.c
@@ -110,7 +110,7 @@
   q->attempt++;
   q->streaming = q->error_response = false;
   s->own_requests++;
-  dsp_limit_use_permit (d, s);
+  q->permit_expires_at = dsp_limit_use_permit (d, s);
   dsp_load_prompt_sent (d, q);
   if (s->ejected_until || s->stalled)
     s->trial_in_flight = q->is_trial = true;
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -339,7 +339,7 @@
       dsp_refuse_poison (d, q, &why);
       return false;
     }
-  if (!dsp_avail_allows (d, q->endpoint))
+  if (!dsp_avail_allows (d, q->endpoint) || !dsp_limit_may_write (d, q))
     {
       cancel_attempt (d, q);
       dsp_transition (q, DSP_EVENT_UNRUN);
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -97,6 +97,13 @@
          NULL, (double)f.limited);
   gauge (s, PREFIX "sent_limited", "Requests sent to such servers.", NULL,
          (double)f.sent);
+  gauge (s, PREFIX "servers_cold", "Backend servers that are cold.", NULL,
+         (double)f.cold);
+  gauge (s, PREFIX "sent_cold", "Requests sent to cold backend servers.", NULL,
+         (double)f.cold_sent);
+  gauge (s, PREFIX "permits_granted_cold",
+         "Permits for requests to cold servers, by this node.", NULL,
+         (double)f.cold_granted);
   gauge (s, PREFIX "permits_granted",
          "Permits for such requests, by this node.", NULL, (double)f.granted);
   gauge (s, PREFIX "permits_followers",
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -12,6 +12,7 @@
 #include "net/httpd.h"
 #include "net/link.h"
 #include "replica/owner.h"
+#include "serve/cold.h"
 #include "serve/currency.h"
 #include "serve/hubs.h"
 #include "serve/node.h"
@@ -50,6 +51,8 @@
   struct psn *poison;
   struct lim *limits;
   struct avl *avail;
+  struct cld *cold;
+  const struct tbl *cold_config;  /**< configuration that `cold` has */
   struct srv_poison *poison_keys; /**< keys of blocked requests in the store */
   struct srv_config *config;
   struct srv_sync *sync;
@@ -262,6 +265,16 @@
     server that has asked this node for a pause is sent nothing. */
 bool srv_may_call_server (struct srv *s, uint64_t process);
 
+/* cold-node.c: cold backend servers */
+void srv_cold_start (struct srv *s);
+/** The configuration or the list of backend servers has changed; call it
+   before the endpoints are passed to the dispatch core. */
+void srv_cold_list_changed (struct srv *s);
+void srv_cold_tick (struct srv *s, clk_ms now);
+/** The evacuation of the zone has ended; call it before its endpoints accept
+    requests again. */
+void srv_zone_may_be_cold (struct srv *s, struct str zone);
+
 /* check.c */
 /** Probe the backend server of a DSP_ACT_CHECK_PROCESS to find out whether its
     process is alive. */
--- a/serve/node.c
+++ b/serve/node.c
@@ -73,6 +73,7 @@
 
   if (!s->active_config || !bks_has_list (s->backends))
     return;
+  srv_cold_list_changed (s);
   const struct dsp_endpoint *list
       = bks_endpoints (s->backends, s->active_config, &n);
   log_endpoints (s, list, n);
@@ -213,6 +214,7 @@
   srv_config_tick (s, now);
   srv_ingress_tick (s, now);
   srv_sync_tick (s, now);
+  srv_cold_tick (s, now);
   srv_register_tick (s, now);
   srv_leader_tick (s, now);
   srv_peers_tick (s, now);
@@ -240,6 +242,7 @@
   srv_metrics_start (s);
   s->backends = bks_new ();
   s->dispatch = dsp_new (&opt, rng_next (&s->rng));
+  srv_cold_start (s);
 }
 
 static void
--- a/serve/notice.c
+++ b/serve/notice.c
@@ -11,6 +11,8 @@
 {
   struct avl_change change;
 
+  cld_response (s->cold, clk_now (), from->server, from->process,
+                notice->cold_ms);
   if (!notice->leaving && !notice->malformed && notice->retry_after_ms == 0)
     return;
   change = avl_on_notice (s->avail, clk_now (), from->process, notice);
--- a/serve/peers-limit.c
+++ b/serve/peers-limit.c
@@ -121,6 +121,7 @@
       w->rows[i].n = list[i].n;
       w->rows[i].per_s = list[i].rate;
       w->rows[i].age_ms = (uint32_t)list[i].age_ms;
+      w->rows[i].cold_ms = (uint32_t)list[i].cold_ms;
       w->list[i] = &w->rows[i];
     }
   return n;
@@ -157,6 +158,7 @@
       list[i].n = rows[i]->n;
       list[i].rate = rows[i]->per_s;
       list[i].age_ms = rows[i]->age_ms;
+      list[i].cold_ms = rows[i]->cold_ms;
     }
   lim_on_follower_demand (x->p->s->limits, clk_now (), x->hash, repeat, list,
                           n);
@@ -214,8 +216,13 @@
   if (!is_grantor (x, now))
     return;
   for (size_t i = 0; i < grants->n_permits; i++)
-    lim_add_permits (s->limits, now, grants->permits[i]->server,
-                     grants->permits[i]->n);
+    if (grants->permits[i]->cold_ms > 0)
+      lim_add_cold_permits (s->limits, now, grants->permits[i]->server,
+                            grants->permits[i]->n,
+                            grants->permits[i]->cold_ms);
+    else
+      lim_add_permits (s->limits, now, grants->permits[i]->server,
+                       grants->permits[i]->n);
   dsp_permits_granted (s->dispatch, now);
   srv_run_actions (s);
 }
@@ -248,6 +255,7 @@
       struct peer *x = find_peer_by_hash (p, list[i].node);
       row.server = list[i].server;
       row.n = list[i].n;
+      row.cold_ms = (uint32_t)list[i].cold_ms;
       if (x && x->up)
         link_send (x->link, &f);
     }
--- a/serve/server-list.c
+++ b/serve/server-list.c
@@ -48,8 +48,16 @@
   free (t->list);
 }
 
+/** How much longer the server is cold, from the time at which the list was
+   read on; the receiver adds it to that time. */
+static clk_ms
+cold_since_read (const struct bks_server *s, clk_ms read_at)
+{
+  return s->cold_until > read_at ? s->cold_until - read_at : 0;
+}
+
 static void
-fill_entry (struct string_list *t, const struct bks_server *s,
+fill_entry (struct string_list *t, const struct bks_server *s, clk_ms read_at,
             Lapis__ServerEntry *out)
 {
   const struct bks_entry *e = &s->e;
@@ -71,6 +79,7 @@
   out->born = e->start_time;
   out->beat = e->heartbeat;
   out->verdict = s->accepting ? BKS_ACCEPTING : BKS_NOT_ACCEPTING;
+  out->cold_ms = (uint32_t)cold_since_read (s, read_at);
   buf_free (&addr);
 }
 
@@ -97,7 +106,8 @@
       size_t k = f->list.n_servers;
       if (!list[i]->is_endpoint || list[i]->endpoint_version <= since)
         continue;
-      fill_entry (&f->strings, list[i], &f->entries[k]);
+      fill_entry (&f->strings, list[i], bks_read_started_at (b),
+                  &f->entries[k]);
       f->list.servers[k] = &f->entries[k];
       f->list.n_servers++;
     }
@@ -236,6 +246,7 @@
                              .generation = in->generation,
                              .rank = in->rank,
                              .start_time = in->born,
+                             .cold_ms = in->cold_ms,
                              .heartbeat = in->beat };
   out->member_state = in->part <= BKS_BROKEN ? (enum bks_member_state)in->part
                                              : BKS_NO_REPLICA;
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -273,11 +273,25 @@
   dsp_permits_granted (b->d, b->now);
 }
 
+static void
+set_cold (struct fixture *b, const char *server, clk_ms ms)
+{
+  lim_configure_cold (b->limits, b->now,
+                      &(struct lim_cold_bound){ 26, 1.5, 5 });
+  lim_set_cold (b->limits, b->now, dsp_endpoint_hash (str_from (server), 0, 0),
+                26, b->now + ms);
+}
+
 static void
 grant_permit (struct fixture *b, const char *server)
 {
-  lim_add_permits (b->limits, b->now,
-                   dsp_endpoint_hash (str_from (server), 0, 0), 1);
+  uint64_t process = dsp_endpoint_hash (str_from (server), 0, 0);
+
+  if (lim_is_cold (b->limits, process))
+    lim_add_cold_permits (b->limits, b->now, process, 1,
+                          lim_cold_left (b->limits, b->now, process));
+  else
+    lim_add_permits (b->limits, b->now, process, 1);
   dsp_permits_granted (b->d, b->now);
 }
 
@@ -424,6 +438,8 @@
     submit (b, (uint64_t)atoi (x), y, "", false, 1);
   else if (strcmp (command, "limit") == 0)
     set_limit (b, x, y);
+  else if (strcmp (command, "cold") == 0)
+    set_cold (b, x, atoi (y));
   else if (strcmp (command, "permit") == 0)
     grant_permit (b, x);
   else if (strcmp (command, "pause") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -22,6 +22,8 @@
  *   submit-low ID ROUTE        the same, with the next lower priority
  *   limit SERVER RATE          the server accepts RATE requests per second;
  *                              "none" removes the limit
+ *   cold SERVER MS             the server is cold for MS and tolerates 26
+ *                              requests per second
  *   permit SERVER              grants this node a permit for one request
  *   pause SERVER MS            a response of the server asks for a pause
  *   leave SERVER               a response announces the server's shutdown
--- a/t/t9218-cold.c
+++ b/t/t9218-cold.c
@@ -8,6 +8,10 @@
 #include <stdlib.h>
 
 #include "base/str.h"
+#include "platform/names.h"
+#include "platform/platform.h"
+#include "serve/cold.h"
+#include "serve/server-list.h"
 #include "t/lib-dispatch.h"
 #include "t/lib-limit.h"
 
@@ -238,6 +242,306 @@
   lim_free (l);
 }
 
+/* --- choice of an endpoint ----------------------------------------------- */
+
+/* A cold endpoint looks idle, but must not attract all requests; with a permit
+   it must not be left out while warm ones have free slots. */
+Test (cold, endpoint_counts_as_full_without_permit)
+{
+  dispatch_play ("nodes 8\n endpoints app 2 10\n cold app1 3000\n"
+                 "submit 1 safe\n submit 2 safe\n permit app1\n"
+                 "submit 3 safe\n submit 4 safe\n",
+                 "send 1 app2\nsend 2 app2\nsend 3 app1\nsend 4 app2\n");
+}
+
+/* At equal load, a warm endpoint must come first. */
+Test (cold, warm_endpoint_first)
+{
+  dispatch_play ("nodes 8\n endpoints app 2 10\n cold app1 3000\n"
+                 "permit app1\n submit 1 safe\n submit 2 safe\n",
+                 "send 1 app2\nsend 2 app1\n");
+}
+
+/* While all endpoints are cold and out of permits, requests must be rejected
+   as with rate limits, and not wait. */
+Test (cold, all_endpoints_are_cold)
+{
+  dispatch_play (
+      "nodes 8\n endpoints app 1 10\n cold app1 3000\n submit 1 safe\n"
+      "run 20\n submit 2 safe\n permit app1\n submit 3 safe\n",
+      "error 2 rate-limited 503 retry\nsend 1 app1\n");
+}
+
+/* A request whose connection took longer than the lifetime of its permit must
+   not be written. */
+Test (cold, connection_takes_too_long)
+{
+  dispatch_play ("nodes 8\n endpoints app 2 1\n cold app1 3000\n"
+                 "submit 1 safe\n permit app1\n submit 2 safe\n run 120\n"
+                 "sent 2\n",
+                 "send 1 app2\nsend 2 app1\ncancel 2\nsend 2 app2\n");
+}
+
+/* A request that was sent to a warm server must not be written after it became
+   cold. */
+Test (cold, server_becomes_cold_while_connecting)
+{
+  dispatch_play ("nodes 8\n endpoints app 1 10\n submit 1 safe\n"
+                 "cold app1 3000\n sent 1\n",
+                 "send 1 app1\ncancel 1\n");
+}
+
+/* Retries and resumed streams must not bypass the permits. */
+Test (cold, retries_and_resumed_streams_need_a_permit)
+{
+  dispatch_play ("nodes 8\n endpoints app 2 10\n cold app2 3000\n"
+                 "submit 1 safe\n sent 1\n error 1\n permit app2\n",
+                 "send 1 app1\ncancel 1\nsend 1 app2\n");
+  dispatch_play ("nodes 8\n replicas lm 2 10\n cold lm2 3000\n"
+                 "submit 1 stream\n sent 1\n event 1\n interrupted 1\n"
+                 "permit lm2\n",
+                 "send 1 lm1\nforward 1\ncheck lm1\ncancel 1\n"
+                 "send 1 lm2 resume p0\n");
+}
+
+/* --- which servers are cold ---------------------------------------------- */
+
+/** The core with a service "app" whose servers are cold for 3 s. */
+struct fixture
+{
+  struct lim *limits;
+  struct bks *backends;
+  struct cld *cold;
+  struct bks_entry e;
+};
+
+static void
+set_up (struct fixture *x, double over)
+{
+  struct tbl *t = tbl_new ();
+
+  t->services = arena_alloc (&t->arena, 1, sizeof *t->services);
+  t->services[0] = (struct tbl_service){ .name = STR ("app"),
+                                         .cold_ms = 3000,
+                                         .cold_per_s = 26 };
+  t->nservices = 1;
+  x->limits = lim_new (1);
+  x->backends = bks_new ();
+  x->cold = cld_new (x->limits, x->backends);
+  cld_set_config (x->cold, 1000, t, over, 5);
+  tbl_unref (t);
+  x->e = (struct bks_entry){ .id = STR ("p1"),
+                             .service = STR ("app"),
+                             .zone = STR ("z1"),
+                             .start_time = 5,
+                             .heartbeat = 10,
+                             .capacity = 8 };
+  net_addr_parse (STR ("127.0.0.1:80"), false, &x->e.addr);
+}
+
+static void
+tear_down (struct fixture *x)
+{
+  cld_free (x->cold);
+  bks_free (x->backends);
+  lim_free (x->limits);
+}
+
+/** The list is read and has the entry of p1 with this cold time. */
+static bool
+read_entry (struct fixture *x, clk_ms now, int64_t heartbeat, clk_ms cold_ms)
+{
+  bool changed;
+
+  x->e.heartbeat = heartbeat;
+  x->e.cold_ms = cold_ms;
+  changed = bks_update (x->backends, now, now, &x->e, 1);
+  cld_tick (x->cold, now);
+  return changed;
+}
+
+/** Whether p1 is cold, after its warm servers were taken out. */
+static bool
+is_cold (struct fixture *x, clk_ms now)
+{
+  struct cld_change change;
+
+  while (cld_next_change (x->cold, now, &change))
+    ;
+  return lim_is_cold (x->limits,
+                      dsp_endpoint_hash (x->e.id, x->e.start_time, 0));
+}
+
+/* A server must be cold for as long as its entry says, from the time of the
+   read on, however often the same entry is read. */
+Test (cold, entry_says_how_long)
+{
+  struct fixture x;
+
+  set_up (&x, 1.5);
+  cr_expect (read_entry (&x, 10000, 10, 2000));
+  cr_expect (is_cold (&x, 10000));
+  cr_expect_not (read_entry (&x, 11900, 10, 2000));
+  cr_expect (is_cold (&x, 12249));
+  cr_expect_not (is_cold (&x, 12250));
+  tear_down (&x);
+}
+
+/* Only a change between cold and warm, or a new cold period, must make an
+   entry a changed one: the changes are sent to all nodes. */
+Test (cold, remaining_time_alone_is_no_change)
+{
+  struct fixture x;
+
+  set_up (&x, 1.5);
+  cr_expect (read_entry (&x, 10000, 10, 2000));
+  cr_expect_not (read_entry (&x, 11000, 11, 1000));
+  cr_expect (read_entry (&x, 11500, 12, 2900));
+  cr_expect (read_entry (&x, 13000, 13, 0));
+  cr_expect_not (is_cold (&x, 13000));
+  cr_expect_not (read_entry (&x, 14000, 14, 0));
+  tear_down (&x);
+}
+
+/* Without a bound in the settings, nothing must be limited, and the cold time
+   must be no change. */
+Test (cold, not_enabled)
+{
+  struct fixture x;
+
+  set_up (&x, 0);
+  cr_expect (read_entry (&x, 10000, 10, 2000));
+  cr_expect_not (read_entry (&x, 10100, 11, 0));
+  cr_expect_not (read_entry (&x, 10200, 12, 2000));
+  cld_zone_may_be_cold (x.cold, 10200, STR ("z1"));
+  cr_expect_not (is_cold (&x, 10200));
+  cr_expect_not (lim_any_limited (x.limits));
+  tear_down (&x);
+}
+
+/* Servers of a zone must be cold when its evacuation ends, until an entry that
+   is certain to be newer says otherwise: the next heartbeat may have been
+   written before the end. */
+Test (cold, evacuation_ends)
+{
+  struct fixture x;
+
+  set_up (&x, 1.5);
+  read_entry (&x, 10000, 10, 0);
+  cld_zone_may_be_cold (x.cold, 10100, STR ("z2"));
+  cr_expect_not (is_cold (&x, 10100));
+  cld_zone_may_be_cold (x.cold, 10100, STR ("z1"));
+  cr_expect (is_cold (&x, 10100));
+  read_entry (&x, 10200, 11, 0);
+  cr_expect (is_cold (&x, 10200));
+  read_entry (&x, 11200, 12, 0);
+  cr_expect_not (is_cold (&x, 11200));
+  cld_zone_may_be_cold (x.cold, 20000, STR ("z1"));
+  cr_expect (is_cold (&x, 23249));
+  cr_expect_not (is_cold (&x, 23250));
+  tear_down (&x);
+}
+
+/* An entry that another node had read before the evacuation ended must not
+   end the cold period. */
+Test (cold, evacuation_ends_at_node_without_list)
+{
+  struct fixture x;
+
+  set_up (&x, 1.5);
+  x.e.acceptance = BKS_ACCEPTING;
+  read_entry (&x, 10000, 10, 0);
+  cld_zone_may_be_cold (x.cold, 20000, STR ("z1"));
+  read_entry (&x, 20500, 30, 0);
+  cr_expect (is_cold (&x, 20500));
+  read_entry (&x, 21000, 31, 0);
+  cr_expect_not (is_cold (&x, 21000));
+  tear_down (&x);
+}
+
+/* A response that says that its server is cold must count although the list
+   does not say it yet; a late one must not shorten the period. */
+Test (cold, response_says_so)
+{
+  struct fixture x;
+  uint64_t process = dsp_endpoint_hash (STR ("p1"), 5, 0);
+
+  set_up (&x, 1.5);
+  read_entry (&x, 10000, 10, 0);
+  cld_response (x.cold, 10000, STR ("p1"), process + 1, 2500);
+  cr_expect_not (is_cold (&x, 10000));
+  cld_response (x.cold, 10000, STR ("p1"), process, 2500);
+  cld_response (x.cold, 10100, STR ("p1"), process, 100);
+  read_entry (&x, 10100, 10, 0);
+  cr_expect (is_cold (&x, 12749));
+  cr_expect_not (is_cold (&x, 12750));
+  tear_down (&x);
+}
+
+/* A restarted server must be cold by its own entry, whatever the earlier
+   process was. */
+Test (cold, new_process)
+{
+  struct fixture x;
+
+  set_up (&x, 1.5);
+  read_entry (&x, 10000, 10, 0);
+  x.e.start_time = 6;
+  read_entry (&x, 10100, 1, 3000);
+  cr_expect (is_cold (&x, 10100));
+  tear_down (&x);
+}
+
+/* The remaining time must reach the other nodes less the age of the read and
+   of the frame. */
+Test (cold, sent_to_other_nodes)
+{
+  struct fixture a, b;
+  struct svl_frame *frame;
+  struct tbl *t = tbl_new ();
+  size_t n;
+
+  t->services = arena_alloc (&t->arena, 1, sizeof *t->services);
+  t->services[0] = (struct tbl_service){ .name = STR ("app") };
+  t->nservices = 1;
+  set_up (&a, 1.5);
+  set_up (&b, 1.5);
+  read_entry (&a, 10000, 10, 2000);
+  bks_endpoints (a.backends, t, &n);
+  frame = svl_frame_new (a.backends, 300, 0);
+  cr_expect_eq (svl_frame_list (frame)->servers[0]->cold_ms, 2000);
+  svl_apply (b.backends, 50500, 50400, svl_frame_list (frame));
+  cld_tick (b.cold, 50500);
+  cr_expect (is_cold (&b, 50100 + 2249));
+  cr_expect_not (is_cold (&b, 50100 + 2250));
+  svl_frame_free (frame);
+  tbl_unref (t);
+  tear_down (&a);
+  tear_down (&b);
+}
+
+/** `cold_ms` of a response with this header; NULL: without it. */
+static clk_ms
+parse_header (const char *value)
+{
+  struct http_header h = { STR (PLT_H_COLD), str_from (value ? value : "") };
+  struct srv_response a;
+
+  plt_parse_response (STR ("id"), 200, &h, value != NULL, &a);
+  return a.notice.cold_ms;
+}
+
+/* A malformed header must not be taken for a cold period. */
+Test (cold, header_values)
+{
+  cr_expect_eq (parse_header ("2950"), 2950);
+  cr_expect_eq (parse_header (" 1 "), 1);
+  cr_expect_eq (parse_header ("0"), 0);
+  cr_expect_eq (parse_header ("-5"), 0);
+  cr_expect_eq (parse_header ("soon"), 0);
+  cr_expect_eq (parse_header (NULL), 0);
+}
+
 /* --- random schedules ---------------------------------------------------- */
 
 /** A fault that can be taken back. */
