standins, t9314: servers that are cold after a crash

A server of the stand-in that starts again after a crash is cold for a set time, says so in its entry and in its answers to probes, and crashes of more than a set number of requests in a second. It counts the requests in each second of its cold time.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -57,7 +57,8 @@
     add_text (o, "domain", s->domain);
   add_text (o, "version", "v1");
   json_object_object_add (o, "seq", json_object_new_int (0));
-  json_object_object_add (o, "cold_left_ms", json_object_new_int (0));
+  json_object_object_add (o, "cold_left_ms",
+                          json_object_new_int64 (rack_cold_left (s)));
   if (s->start_time)
     json_object_object_add (o, "born", json_object_new_int64 (s->start_time));
   json_object_object_add (o, "capacity", json_object_new_int (8));
@@ -348,6 +349,14 @@
   rack_server_crash (s);
 }
 
+/** Crashes the server after the event that is being processed. */
+static void
+crash_soon (struct server *s)
+{
+  if (!uv_is_active ((uv_handle_t *)&s->crash_timer))
+    uv_timer_start (&s->crash_timer, on_crash, 0, 0);
+}
+
 static void
 count_part_run (struct rack *r)
 {
@@ -430,6 +439,8 @@
     {
       struct http_header h[MAX_HEADERS];
       size_t n = rack_avail_headers (s, req, false, h);
+      char cold[24];
+      n += rack_cold_header (s, &h[n], cold, sizeof cold);
       httpd_answer (req, 200, h, n, STR ("{}"));
     }
   else if (s->engine && (s->member_state != MEMBER_OPEN || s->rank != 0))
@@ -444,7 +455,9 @@
       bool crashes = schedule_crash (s, req);
       rack_limit_count_arrival (&s->limit);
       count_run (s, req);
-      if (s->engine)
+      if (rack_cold_count_arrival (s))
+        crash_soon (s);
+      else if (s->engine)
         start_stream (s, req, side);
       else if (!crashes)
         answer_plain (s, req);
@@ -531,6 +544,7 @@
     return;
   s->dead = false;
   rack_server_restart (s);
+  rack_cold_begin (s, s->rack->cold_ms);
   rack_server_publish (s);
 }
 
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -21,7 +21,12 @@
  *             "limit": TEXT    announced request rate limit; "": none
  *             "rejects": B     answers all requests with 503 "not run"
  *             "retry_after": TEXT   announced with each 503; "": none
+ *             "crash": true    its process crashes
+ *             "cold_ms": N     it is cold for N ms
  *             "leaving": B     announces its shutdown in all responses
+ *   "cold": {"ms": N, "crash": N}   servers that start again after a crash are
+ *                          cold for ms; a cold server crashes of more than so
+ *                          many requests in a second
  *   "cut": "silent", "refuse", "reset" or "none"   partitions the nodes that
  * use the second address (side) from all servers: nothing is answered; new
  * connections are refused; and open ones are closed as well "forget_node": N
@@ -36,8 +41,10 @@
  * 4 s.  pause_most is the maximum of requests, orders and probes that one node
  * sent to the server in a pause, after half a second of it; late_leaving
  * counts client requests later than drain_ms after their node was told that
- * the server leaves.  Nodes are told apart by request ids "NODE/...".  GET
- * /control/runs returns the executions by request id.
+ * the server leaves.  cold_arrived and cold_most are the requests to the
+ * server while it was cold, and their maximum in any second.  Nodes are told
+ * apart by request ids "NODE/...".  GET /control/runs returns the executions
+ * by request id.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -106,6 +113,10 @@
 {
   if (jsn_bool (o, "dead"))
     rack_server_stop (s);
+  if (jsn_bool (o, "crash"))
+    rack_server_crash (s);
+  if (jsn_get (o, "cold_ms"))
+    rack_cold_begin (s, jsn_int (o, "cold_ms"));
   if (jsn_bool (o, "reborn"))
     rack_server_restart (s);
   set_flag (o, "dark", &s->unresponsive);
@@ -163,6 +174,11 @@
   set_flag (o, "unframed", &r->unframed);
   if (jsn_get (o, "revive_ms"))
     r->revive_ms = (int)jsn_int (o, "revive_ms");
+  if (jsn_object (o, "cold"))
+    {
+      r->cold_ms = (int)jsn_int (jsn_object (o, "cold"), "ms");
+      r->cold_crash = (int)jsn_int (jsn_object (o, "cold"), "crash");
+    }
   if (jsn_get (o, "crash_ms"))
     r->crash_ms = (int)jsn_int (o, "crash_ms");
   if (jsn_get (o, "side_hides"))
@@ -220,6 +236,11 @@
       json_object_object_add (
           row, "limited_most",
           json_object_new_int ((int)s->limit.max_arrivals));
+      json_object_object_add (
+          row, "cold_arrived",
+          json_object_new_int ((int)s->cold.total_arrivals));
+      json_object_object_add (row, "cold_most",
+                              json_object_new_int ((int)s->cold.max_arrivals));
       json_object_object_add (row, "pause_most",
                               json_object_new_int ((int)s->avail.pause_max));
       json_object_object_add (
@@ -291,6 +312,7 @@
   struct rack *r = t->data;
 
   kv_expire (&r->kv, clk_now ());
+  rack_cold_tick (r);
   if (clk_now () >= r->rewrite_at)
     publish_servers (r);
   rack_answer_watches (r);
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -9,6 +9,7 @@
  *                  replica membership
  *   rack-limit.c   announced request rate limits, and counts of arrivals
  *   rack-avail.c   announced pauses and shutdowns, and counts of arrivals
+ *   rack-cold.c    servers that are cold after a start, and counts of arrivals
  *   rack-cut.c     partition between some nodes and all backend servers
  */
 #ifndef LAPISLINE_STANDINS_RACK_H
@@ -81,6 +82,19 @@
                                LEAVING_GRACE_MS before */
 };
 
+/** Maximum number of arrivals recorded per second. */
+#define COLD_ARRIVALS 2048
+
+/** A server that is cold, and the requests that arrived meanwhile. */
+struct cold_state
+{
+  clk_ms until;                   /**< 0: it is not cold */
+  clk_ms arrivals[COLD_ARRIVALS]; /**< ring buffer of the last second */
+  unsigned first_arrival, narrivals;
+  unsigned total_arrivals; /**< in all cold periods */
+  unsigned max_arrivals;   /**< maximum in any second, in all cold periods */
+};
+
 /** How the nodes behind the second set of ports are partitioned from all
     backend servers. */
 enum cut
@@ -124,6 +138,7 @@
   enum member_state member_state;
   struct rate_limit limit;
   struct availability avail;
+  struct cold_state cold;
   uv_timer_t timer;       /**< end of joining, or expiry of the entry */
   uv_timer_t crash_timer; /**< delay from a crashing request to the crash */
   bool crashes_by_part;   /**< the timer was started by a part of a prompt */
@@ -175,9 +190,12 @@
   int part_runs; /**< requests with that part that reached servers */
   int part_crashes;                  /**< servers that crashed under it */
   clk_ms last_allowed_part_crash_at; /**< time of crash PART_CRASHES */
-  int part_late; /**< requests with the part later than PART_CONTACT_MS after
-                      that crash */
-  int revive_ms; /**< time until a crashed server starts again; 0: never */
+  int part_late;  /**< requests with the part later than PART_CONTACT_MS after
+                       that crash */
+  int cold_ms;    /**< a server that starts again is cold for so long */
+  int cold_crash; /**< a cold server that gets more requests in one second
+                       crashes; 0: never */
+  int revive_ms;  /**< time until a crashed server starts again; 0: never */
   int crashed;
   GHashTable *runs; /**< request id -> number of executions */
 };
@@ -210,6 +228,19 @@
 /** The node was restarted or paused: what it was told no longer counts. */
 void rack_avail_forget_node (struct rack *r, unsigned node);
 
+/* rack-cold.c */
+/** The server is cold for this long. @param ms  0: it is warm */
+void rack_cold_begin (struct server *s, clk_ms ms);
+clk_ms rack_cold_left (const struct server *s);
+/** Writes the entries of servers that are no longer cold. */
+void rack_cold_tick (struct rack *r);
+/** Counts a request.  @return whether the server crashes of it */
+bool rack_cold_count_arrival (struct server *s);
+/** Fills the header that says how much longer the server is cold.
+    @return 0 if it is warm, or 1 */
+size_t rack_cold_header (const struct server *s, struct http_header *out,
+                         char *text, size_t size);
+
 /* rack-cut.c */
 /** Opens the second port; a request there that is cut off gets no answer. */
 bool rack_cut_start (struct server *s);
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -20,6 +20,15 @@
   drain_ms = ms;
 }
 
+static const char *cold_bounds = "", *cold_service = "";
+
+void
+rack_limit_cold (void)
+{
+  cold_bounds = ", \"cold_over\": 1.5, \"cold_slack\": 5";
+  cold_service = ", \"cold_s\": 3, \"cold_per_s\": 26";
+}
+
 static void
 write_settings (struct rack *r, int node, const char *at, bool first)
 {
@@ -47,11 +56,11 @@
           "1500,\n"
           "  \"retry_ratio\": 0.2, \"retry_slack\": 100,\n"
           "  \"retry_window_s\": 10, \"ceiling_window_s\": 5,\n"
-          "  \"ceiling_over\": 1.1},\n"
+          "  \"ceiling_over\": 1.1%s},\n"
           " \"platform\": {\"address\": \"%s\", \"writes_per_s\": 400,\n"
           "  \"reads_per_s\": 2000, \"ttl_min_ms\": 1000}}\n",
           node + 1, first ? "true" : "false", port[0], port[1], port[2],
-          port[3], port[3], drain_ms, at));
+          port[3], port[3], drain_ms, cold_bounds, at));
 }
 
 void
@@ -80,6 +89,17 @@
   return str_hash (str_from (name), 0);
 }
 
+int
+rack_leader (int nodes)
+{
+  int leader = 0;
+
+  for (int i = 1; i < nodes; i++)
+    if (node_hash (i) < node_hash (leader))
+      leader = i;
+  return leader;
+}
+
 /** Whether the node comes last in the order of relays among those before it:
     it connects to them, and they don't connect to it. */
 static bool
@@ -107,10 +127,7 @@
 
   while (!comes_last (nodes - 1))
     nodes++;
-  *leader = 0;
-  for (int i = 1; i < nodes; i++)
-    if (node_hash (i) < node_hash (*leader))
-      *leader = i;
+  *leader = rack_leader (nodes);
   prepared = r;
   rack_prepare_nodes (r, engines, nodes, second_address);
   rack_set (r, "{\"side_hides\": \"node-%d\"}", *leader + 1);
@@ -184,10 +201,10 @@
       " \"engine\": {\"capacity\": 8, \"loads_per_s\": 10,"
       " \"models\": [{\"name\": \"big\", \"size\": 3, \"share\": 1,"
       " \"pace\": 1, \"load_s\": 0.4, \"warm_s\": 0.1}]}},"
-      "{\"name\": \"app\", \"health_path\": \"/h\"}],"
+      "{\"name\": \"app\", \"health_path\": \"/h\"%s}],"
       "\"limits\": {\"max_body_bytes\": 10000},"
       "\"tenants\": [{\"name\": \"acc\", \"api_keys\": [\"%s\"]}]}}",
-      version, more, key);
+      version, more, cold_service, key);
 }
 
 void
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -50,6 +50,14 @@
 /** Sets drain_ms of settings written from now on; the default is 2,000. */
 void rack_set_drain_ms (int ms);
 
+/** Service "app" of configurations stored from now on, and settings written
+    from now on, limit cold servers: 26 requests per second for 3 s,
+   factor 1.5, slack 5. */
+void rack_limit_cold (void);
+
+/** Index of the node that becomes leader of so many nodes. */
+int rack_leader (int nodes);
+
 /** Starts or restarts a node and waits until it listens. */
 void rack_start_node (struct rack *r, int node);
 
