--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -340,7 +340,8 @@
       dsp_refuse_poison (d, q, &why);
       return false;
     }
-  if (!dsp_avail_allows (d, q->endpoint) || dsp_is_evacuated (d, q->endpoint))
+  if (!dsp_avail_allows (d, q->endpoint) || dsp_is_evacuated (d, q->endpoint)
+      || !dsp_limit_may_write (d, q))
     {
       d->stats.evacuated += dsp_is_evacuated (d, q->endpoint);
       cancel_attempt (d, q);
--- a/serve/evacuation-node.c
+++ b/serve/evacuation-node.c
@@ -110,13 +110,13 @@
   log_ignored (s, source);
   if (changed)
     {
-      /* First of all the endpoints: they decide what is sent. */
+      /* Before the endpoints, which get requests at once. */
+      while (evc_next_ended (s->evacuations, &zone))
+        srv_evacuation_ended (s, zone);
       srv_endpoints_changed (s);
       log_begun (s, &state, source);
       log_begun (s, &kept, source);
       forget_ended (s);
-      while (evc_next_ended (s->evacuations, &zone))
-        srv_evacuation_ended (s, zone);
       if (bks_has_list (s->backends))
         srv_leader_servers_changed (s);
     }
