config: read often enough for the bound of evacuations; source of their end

Where evac_ms is shorter than config_apply_ms, a node that has lost its watch would have read evacuations too late: the reads followed config_apply_ms alone. evacuation_ended now has the source, too.

--- a/serve/config.c
+++ b/serve/config.c
@@ -303,13 +303,24 @@
   check_watch (c, now);
 }
 
+/** The reads that confirm the configuration also find evacuated zones, and
+   have to be frequent enough for both. */
+static clk_ms
+limit_ms (const struct srv *s)
+{
+  return s->evacuations
+                 && s->settings.evacuation_ms < s->settings.config_apply_ms
+             ? s->settings.evacuation_ms
+             : s->settings.config_apply_ms;
+}
+
 void
 srv_config_start (struct srv *s)
 {
   struct srv_config *c = xcalloc (1, sizeof *c);
 
   c->s = s;
-  cur_init (&c->fresh, s->settings.config_apply_ms);
+  cur_init (&c->fresh, limit_ms (s));
   cur_expect_announcement (&c->fresh, clk_now () + ANNOUNCEMENT_WAIT_MS);
   c->range = str_from (s->evacuations ? s->adapter->operator_prefix
                                       : s->adapter->config_key);
--- a/serve/evacuation-node.c
+++ b/serve/evacuation-node.c
@@ -21,6 +21,7 @@
   struct logged_zone zones[EVC_MAX_ZONES];
   size_t n;
   struct evc_ignored ignored;
+  struct buf source; /* of the change that is being logged */
 };
 
 /* --- log --------------------------------------------------------------- */
@@ -110,6 +111,8 @@
   log_ignored (s, source);
   if (changed)
     {
+      buf_clear (&s->evacuation_log->source);
+      buf_add (&s->evacuation_log->source, source);
       /* First of all the endpoints: they decide what is sent. */
       srv_endpoints_changed (s);
       log_begun (s, &state, source);
@@ -169,6 +172,12 @@
   srv_evacuations_applied (s, changed, STR ("watch"));
 }
 
+struct str
+srv_evacuation_source (const struct srv *s)
+{
+  return buf_str (&s->evacuation_log->source);
+}
+
 bool
 srv_evacuations_need_read (const struct srv *s, clk_ms now)
 {
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -264,6 +264,8 @@
 /** A watch has returned changes of any keys of the operators. */
 void srv_evacuations_watched (struct srv *s,
                               const struct store_watch_event *ev, size_t n);
+/** Source of the last change of the set of evacuated zones. */
+struct str srv_evacuation_source (const struct srv *s);
 /** Whether a read of the store can end evacuations that were kept after its
     restore. */
 bool srv_evacuations_need_read (const struct srv *s, clk_ms now);
--- a/serve/node.c
+++ b/serve/node.c
@@ -85,6 +85,7 @@
 {
   LOG (evacuation_ended, LOG_S ("zone", zone),
        LOG_I ("revision", evc_state (s->evacuations).revision),
+       LOG_S ("source", srv_evacuation_source (s)),
        LOG_I ("servers", bks_count_in_zone (s->backends, zone)));
 }
 
