--- a/serve/evacuation-node.c
+++ b/serve/evacuation-node.c
@@ -9,6 +9,9 @@
  * the other nodes report to the core, applies changes, and logs them.
  */
 
+/** Interval at which ignored zones are logged: each read finds them again. */
+#define IGNORED_LOG_MS (60 * CLK_SECOND)
+
 /** An evacuated zone, as logged. */
 struct logged_zone
 {
@@ -20,8 +23,9 @@
 {
   struct logged_zone zones[EVC_MAX_ZONES];
   size_t n;
-  struct evc_ignored ignored;
-  struct buf source; /* of the change that is being logged */
+  struct evc_ignored ignored; /* as last logged */
+  clk_ms next_ignored_at;     /* when ignored zones may be logged again */
+  struct buf source;          /* of the change that is being logged */
 };
 
 /* --- log --------------------------------------------------------------- */
@@ -72,12 +76,16 @@
   struct srv_evacuation *g = s->evacuation_log;
   struct evc_ignored now = evc_ignored (s->evacuations);
 
-  if (now.unnamed != g->ignored.unnamed || now.too_many != g->ignored.too_many)
-    LOG (evacuations_ignored, LOG_S ("source", source),
-         LOG_I ("unnamed", now.unnamed - g->ignored.unnamed),
-         LOG_I ("too_many", now.too_many - g->ignored.too_many),
-         LOG_I ("limit", EVC_MAX_ZONES));
+  if ((now.unnamed == g->ignored.unnamed
+       && now.too_many == g->ignored.too_many)
+      || clk_now () < g->next_ignored_at)
+    return;
+  LOG (evacuations_ignored, LOG_S ("source", source),
+       LOG_I ("unnamed", now.unnamed - g->ignored.unnamed),
+       LOG_I ("too_many", now.too_many - g->ignored.too_many),
+       LOG_I ("limit", EVC_MAX_ZONES));
   g->ignored = now;
+  g->next_ignored_at = clk_now () + IGNORED_LOG_MS;
 }
 
 /** Log evacuated zones without servers, once each.  Only the leader has the
--- a/t/t9313-evacuate.c
+++ b/t/t9313-evacuate.c
@@ -35,6 +35,8 @@
 prepare (int nodes, const char *(*last) (const char *at))
 {
   rack_prepare_nodes (&r, ENGINES, nodes, last);
+  /* Requests are logged: more than a pipe holds. */
+  r.logs = proc_dir ();
   for (int i = 0; i < SERVERS; i++)
     {
       rack_set (&r, "{\"server\": \"%s\", \"zone\": \"z2\"}",
@@ -246,6 +248,26 @@
     }
 }
 
+/** Number of lines with @p text in the logs of all nodes. */
+static int
+count_logged (int nodes, const char *text)
+{
+  char path[512], line[4096];
+  int n = 0;
+
+  for (int i = 0; i < nodes; i++)
+    {
+      FILE *log;
+      snprintf (path, sizeof path, "%s/node-%d.log", r.logs, i + 1);
+      log = fopen (path, "r");
+      cr_assert (log != NULL, "%s", path);
+      while (fgets (line, sizeof line, log))
+        n += strstr (line, text) != NULL;
+      fclose (log);
+    }
+  return n;
+}
+
 /* --- tests ------------------------------------------------------------- */
 
 /* Guards against a node that sends requests to an evacuated zone, refuses its
@@ -260,10 +282,31 @@
   evacuate_in_use ();
   wait_ms (EVACUATION_MS + 2000);
   expect_obeyed ("all nodes");
+  for (int i = 0; i < NODES; i++)
+    cr_expect (web_poll_until (r.ready[i], "/metrics", NULL,
+                               "lapisline_serve_zones_evacuated 1", 100));
+  stop_clients ();
   expect_served (-1);
   rack_set (&r, "{\"return\": \"z2\"}");
-  stop_clients ();
   expect_zone_used (NODES);
+  cr_expect_eq (count_logged (NODES, "evacuation_begun:"), NODES);
+  cr_expect_eq (count_logged (NODES, "evacuation_ended:"), NODES);
+}
+
+/* Guards against a key without a zone name, or of an unknown zone, that has an
+   effect, and against one that is logged at each read. */
+Test (evacuate, other_keys_have_no_effect)
+{
+  rack_set_evacuation_ms (EVACUATION_MS);
+  prepare (NODES, NULL);
+  start_nodes (NODES);
+  rack_set (&r, "{\"evacuate\": \"\"}");
+  rack_set (&r, "{\"evacuate\": \"zz\"}");
+  wait_ms (4000);
+  expect_zone_used (NODES);
+  cr_expect_eq (count_logged (NODES, "evacuation_begun:"), NODES);
+  cr_expect_eq (count_logged (NODES, "evacuation_without_servers:"), 1);
+  cr_expect_eq (count_logged (NODES, "evacuations_ignored:"), NODES);
 }
 
 /* Guards against nodes that read and watch other keys, or obey, although
