--- a/t/t9313-evacuate.c
+++ b/t/t9313-evacuate.c
@@ -413,6 +413,24 @@
   stop_clients ();
 }
 
+/* Guards against nodes that wait on a watch or a read that a silent store
+   never answers, and learn too late of a write that it acknowledged before. */
+Test (evacuate, store_silent_after_the_write)
+{
+  rack_set_evacuation_ms (EVACUATION_MS);
+  prepare (NODES, NULL);
+  start_nodes (NODES);
+  start_clients (0, NODES);
+  wait_ms (2000);
+  rack_set (&r, "{\"store\": {\"silent\": true}, \"evacuate\": \"z2\"}");
+  wait_ms (3000);
+  rack_set (&r, "{\"store\": {\"silent\": false}}");
+  wait_ms (4000);
+  stop_clients ();
+  expect_obeyed ("silent store");
+  expect_served (-1);
+}
+
 /* Guards against a node that starts while the store is away and sends requests
    to the zone until it is back. */
 Test (evacuate, node_started_while_the_store_is_away_obeys)
