t9313: an incomplete read of the store ends no evacuation

A response with truncated set and no items was taken for a complete list. The stand-in gives such responses with no_items.

--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -171,9 +171,11 @@
   json_object *list = json_object_new_array ();
   struct item_list items = { r, list };
 
-  kv_range (&r->kv, from, end, collect_item, &items);
+  if (!r->fault.no_items)
+    kv_range (&r->kv, from, end, collect_item, &items);
   json_object_object_add (o, "items", list);
-  json_object_object_add (o, "truncated", json_object_new_boolean (false));
+  json_object_object_add (o, "truncated",
+                          json_object_new_boolean (r->fault.no_items));
   json_object_object_add (o, "store_revision",
                           json_object_new_int64 (r->kv.revision));
   answer_json (r, req, 200, o);
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -2,7 +2,8 @@
  * Stand-in for the users' platform.  POST /control/set:
  *
  *   "config": {...}        the operators' configuration
- *   "store": {"silent": B, "refuse": B, "no_writes": B, "lose_next": N,
+ *   "store": {"silent": B, "refuse": B, "no_writes": B, "no_items": B,
+ *             "lose_next": N,
  *             "compact": true, "lapse": true, "back": N, "skip": N,
  *             "copy": true, "restore": true, "rewrite_ms": N,
  *             "keep_leases": B}   faults of the key-value service: lapse
@@ -92,6 +93,7 @@
   set_flag (o, "silent", &r->fault.silent);
   set_flag (o, "refuse", &r->fault.refuse);
   set_flag (o, "no_writes", &r->fault.no_writes);
+  set_flag (o, "no_items", &r->fault.no_items);
   if (jsn_get (o, "lose_next"))
     r->fault.lose_next_writes = (int)jsn_int (o, "lose_next");
   if (jsn_bool (o, "compact"))
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -140,9 +140,11 @@
 /** Faults of the key-value service. */
 struct store_fault
 {
-  bool silent;          /**< read requests, never answer */
-  bool refuse;          /**< answer 503 */
-  bool no_writes;       /**< answer 503 to transactions only */
+  bool silent;    /**< read requests, never answer */
+  bool refuse;    /**< answer 503 */
+  bool no_writes; /**< answer 503 to transactions only */
+  bool no_items;  /**< ranges are answered with no items, as the first part of
+                       a longer list */
   int lose_next_writes; /**< number of writes to apply without an answer */
 };
 
--- a/t/t9313-evacuate.c
+++ b/t/t9313-evacuate.c
@@ -431,6 +431,23 @@
   expect_served (-1);
 }
 
+/* Guards against a read that doesn't contain all keys and ends an evacuation:
+   the store sends a part without items and no more. */
+Test (evacuate, incomplete_read_ends_nothing)
+{
+  rack_set_evacuation_ms (EVACUATION_MS);
+  prepare (NODES, NULL);
+  start_nodes (NODES);
+  rack_set (&r, "{\"evacuate\": \"z2\"}");
+  wait_ms (1000);
+  rack_set (&r, "{\"store\": {\"no_items\": true}}");
+  wait_ms (EVACUATION_MS);
+  for (int i = 0; i < NODES; i++)
+    send_bursts (i, 20);
+  expect_obeyed ("incomplete reads");
+  cr_expect_eq (count_logged (NODES, "evacuation_ended:"), 0);
+}
+
 /* Guards against a node that starts while the store is away and sends requests
    to the zone until it is back. */
 Test (evacuate, node_started_while_the_store_is_away_obeys)
