--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -172,8 +172,10 @@
       for (size_t k = 0; k < p->n; k++)
         {
           const struct dsp_endpoint_state *s = p->endpoints[k];
-          n += s->own_requests + s->peer_requests + s->capacity
-               - dsp_limit_slots (d, s);
+          n += s->own_requests + s->peer_requests;
+          /* A server is cold for seconds, a replica takes longer to form. */
+          if (!dsp_is_cold (d, s))
+            n += s->capacity - dsp_limit_slots (d, s);
         }
     }
   return n;
