Cold servers: the leader sends cold times that no entry states yet

After the end of an evacuation, a node that started within the cold time took the servers of the zone for warm, because their entries were written before. The frames now carry the later of the entry's time and of the one that the leader knows. The new test of t9218 fails without it, and if the mark is not removed by a newer entry.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -304,6 +304,7 @@
 begin_incarnation (struct bks_server *s, clk_ms now)
 {
   clear_members (s);
+  s->cold_marked_until = 0;
   s->first_seen_at = now;
 }
 
@@ -405,6 +406,15 @@
     b->list[i]->e.cold_ms = b->list[i]->cold_until = 0;
 }
 
+void
+bks_mark_cold (struct bks *b, struct str id, clk_ms until)
+{
+  struct bks_server *s = find (b, id);
+
+  if (s)
+    s->cold_marked_until = until;
+}
+
 bool
 bks_update (struct bks *b, clk_ms now, clk_ms read_started_at,
             const struct bks_entry *list, size_t n)
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -91,6 +91,7 @@
   clk_ms first_seen_at;       /**< when this incarnation was first listed */
   clk_ms cold_until;          /**< end of its cold period by the newest entry;
                                    0: the entry says that it is warm */
+  clk_ms cold_marked_until;   /**< bks_mark_cold(); 0: none */
   clk_ms cold_stated_at;      /**< when the read of that entry was sent */
   bool is_endpoint;           /**< requests may be sent to it, or may still run
                                    there */
@@ -128,6 +129,11 @@
     and no change. */
 void bks_track_cold (struct bks *b, bool enabled);
 
+/** The server is cold until @p until, although its entry does not say so yet;
+   0: it is as the entry says.  Other nodes are sent the later one of the two
+    times: a node that has just started knows nothing else of the server. */
+void bks_mark_cold (struct bks *b, struct str id, clk_ms until);
+
 /** When the last successful read was sent. */
 clk_ms bks_read_started_at (const struct bks *b);
 
--- a/serve/cold.c
+++ b/serve/cold.c
@@ -169,6 +169,8 @@
   if (r && !is_newer (s, r))
     return;
   r = get_record (c, process, s->e.id);
+  if (r->source != CLD_ENTRY)
+    bks_mark_cold (c->backends, s->e.id, 0);
   r->source = CLD_ENTRY;
   r->entry_taken_at = s->cold_stated_at;
   if (s->cold_until > now)
@@ -215,6 +217,7 @@
   r->source = source;
   r->stated_at = now;
   r->heartbeat = s->e.heartbeat;
+  bks_mark_cold (c->backends, s->e.id, now + MAX (cold_ms, left_ms));
   if (cold_ms > left_ms)
     set_cold (c, now, r, t, now + cold_ms);
 }
--- a/serve/server-list.c
+++ b/serve/server-list.c
@@ -53,7 +53,10 @@
 static clk_ms
 cold_since_read (const struct bks_server *s, clk_ms read_at)
 {
-  return s->cold_until > read_at ? s->cold_until - read_at : 0;
+  clk_ms until = s->cold_until > s->cold_marked_until ? s->cold_until
+                                                      : s->cold_marked_until;
+
+  return until > read_at ? until - read_at : 0;
 }
 
 static void
--- a/t/t9218-cold.c
+++ b/t/t9218-cold.c
@@ -520,6 +520,38 @@
   tear_down (&b);
 }
 
+/* A node that starts after the end of an evacuation must not take the servers
+   of the zone for warm, as their entries were written before. */
+Test (cold, evacuation_ended_before_node_started)
+{
+  struct fixture a, b;
+  struct svl_frame *frame;
+  struct tbl *t = tbl_new ();
+  size_t n;
+
+  t->services = arena_alloc (&t->arena, 1, sizeof *t->services);
+  t->services[0] = (struct tbl_service){ .name = STR ("app") };
+  t->nservices = 1;
+  set_up (&a, 1.5);
+  set_up (&b, 1.5);
+  read_entry (&a, 10000, 10, 0);
+  cld_zone_may_be_cold (a.cold, 10100, STR ("z1"));
+  read_entry (&a, 10200, 10, 0);
+  bks_endpoints (a.backends, t, &n);
+  frame = svl_frame_new (a.backends, 0, 0);
+  svl_apply (b.backends, 50000, 50000, svl_frame_list (frame));
+  cld_tick (b.cold, 50000);
+  cr_expect (is_cold (&b, 50000));
+  svl_frame_free (frame);
+  read_entry (&a, 11200, 12, 0);
+  frame = svl_frame_new (a.backends, 0, 0);
+  cr_expect_eq (svl_frame_list (frame)->servers[0]->cold_ms, 0);
+  svl_frame_free (frame);
+  tbl_unref (t);
+  tear_down (&a);
+  tear_down (&b);
+}
+
 /** `cold_ms` of a response with this header; NULL: without it. */
 static clk_ms
 parse_header (const char *value)
