--- a/t/t9314-cold.c
+++ b/t/t9314-cold.c
@@ -21,8 +21,10 @@
 #define COLD_MAX 44
 /** A cold server crashes of more than twice its rate. */
 #define COLD_CRASH 52
-/** Half of the rate that two servers tolerate in 3 s. */
-#define COLD_USED (26 * 3)
+/** How long servers are cold. */
+#define COLD_S 6
+/** Half of the requests that two servers tolerate in this time. */
+#define COLD_USED (26 * COLD_S)
 
 /** Callers of the plain service, each at another node. */
 struct callers
@@ -76,8 +78,8 @@
     rack_start_node (r, i);
   for (int i = 0; i < NODES; i++)
     cr_assert (rack_call_until (r, i, "/safe/x", rack_headers ("warm"), 200));
-  rack_set (r, "{\"cold\": {\"ms\": 3000, \"crash\": %d}, \"revive_ms\": 500}",
-            COLD_CRASH);
+  rack_set (r, "{\"cold\": {\"ms\": %d, \"crash\": %d}, \"revive_ms\": 500}",
+            COLD_S * 1000, COLD_CRASH);
   /* Nodes that have just started grant no permits. */
   usleep (2500000);
 }
@@ -119,7 +121,7 @@
   start_callers (&c, &r);
   crash_servers (&r);
   /* Expiry of the entry, start, cold period. */
-  usleep (1500000 + 500000 + 3000000 + 500000);
+  usleep (1500000 + 500000 + COLD_S * 1000000 + 500000);
   stop_callers (&c);
   expect_bound_kept (&r);
   cr_expect (rack_wait_for_counts (&r, "\"crashed\": 2"));
@@ -140,7 +142,7 @@
   usleep (1500000 + 500000 + 1000000);
   g_atomic_int_set (&c.dead_node, leader);
   proc_signal (r.node[leader], SIGKILL);
-  usleep (2000000 + 500000);
+  usleep ((COLD_S - 1) * 1000000 + 500000);
   stop_callers (&c);
   for (int i = 1; i <= 2; i++)
     {
