Allocate VMs to models by demand over all fabric domains

Every domain was planned by the declared shares. Where the observed mix differs from them, one model's callers wait while replicas of another one are idle: 300 requests of a model with 12 replicas of 6 VMs beside 55 of a model with 6 replicas of 12 VMs.

Replica formation closes replicas of the model that gives up VMs, after their hosts have preloaded the other model, and forms replicas of the other model.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -155,6 +155,8 @@
   struct dsp_retry_budget
       *retry_budget;     /**< shared by the pools of a service */
   struct dsp_path *path; /**< likewise */
+  /** moving average over the requests of this node; -1: there was none */
+  double mean_priority;
   /** indexed by priority */
   struct dsp_rate request_rates[DSP_PRIORITIES];
   struct dsp_rate rejection_rate; /**< rate of requests rejected because all
@@ -368,6 +370,8 @@
                                               uint64_t hash);
 /** Sums the peers' load reports again after a change of the endpoint list. */
 void dsp_load_sum_peers (struct dsp *d);
+/** Counts a new request in the mean priority of its pool. */
+void dsp_load_count_priority (struct dsp_req *q);
 /** Prompt tokens of all nodes' requests that the endpoint has not processed
     yet. */
 double dsp_load_pending_prefill (const struct dsp_endpoint_state *s);
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -22,6 +22,8 @@
     free slots, half of the larger model's first events arrive within 200 ms,
     and nine in ten within 240 to 320 ms. */
 #define NOTICE_LIFETIME_MS ((clk_ms)250)
+/** Weight of one request in the mean priority of its pool. */
+#define PRIORITY_WEIGHT 0.02
 
 struct dsp_endpoint_state *
 dsp_find_endpoint (const struct dsp *d, uint64_t hash)
@@ -179,6 +181,26 @@
   return n;
 }
 
+void
+dsp_load_count_priority (struct dsp_req *q)
+{
+  struct dsp_pool *p = q->pool;
+
+  if (p->mean_priority < 0)
+    p->mean_priority = q->priority;
+  p->mean_priority += PRIORITY_WEIGHT * (q->priority - p->mean_priority);
+}
+
+double
+dsp_mean_priority (const struct dsp *d, struct str service, struct str model)
+{
+  for (size_t i = 0; i < d->npools; i++)
+    if (str_is (service, d->pools[i]->service)
+        && str_is (model, d->pools[i]->model))
+      return d->pools[i]->mean_priority;
+  return -1;
+}
+
 /* --- prompts ------------------------------------------------------------ */
 
 double
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -42,6 +42,7 @@
       return d->pools[i];
   struct dsp_pool *p = xcalloc (1, sizeof *p);
   p->service = str_dup (service);
+  p->mean_priority = -1;
   p->model = str_dup (model);
   p->retry_budget = dsp_get_budget (d, p->service);
   p->path = dsp_get_path (d, p->service);
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -602,6 +602,7 @@
   if (!q->proxied)
     dsp_budget_count_request (d, q->pool);
   dsp_limit_count_request (d, q);
+  dsp_load_count_priority (q);
   dsp_transition (q, DSP_EVENT_WAIT);
   dsp_enqueue (d, q, false);
   dsp_send_queued (d, q->pool);
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -378,6 +378,11 @@
     nodes. */
 double dsp_demand (const struct dsp *d, struct str service, struct str model);
 
+/** Mean priority of the requests of a model at this node; 0 is the most
+    urgent, -1: there was none. */
+double dsp_mean_priority (const struct dsp *d, struct str service,
+                          struct str model);
+
 const char *dsp_liveness_name (enum dsp_liveness found);
 const char *dsp_code_name (enum dsp_code c);
 int dsp_code_status (enum dsp_code c);
--- a/serve/duty-plan.c
+++ b/serve/duty-plan.c
@@ -1,8 +1,9 @@
 #include "serve/node-int.h"
 
 /*
- * Logs each change of a model's replica plan, at most once a second, so that
- * an operator can find out later why a model had few replicas.
+ * Logs each change of a model's replica plan, at most once a second, and each
+ * change of the plan by demand, so that an operator can find out later why a
+ * model had few replicas.
  */
 
 #define CHECK_MS ((clk_ms)1000)
@@ -55,13 +56,36 @@
   logged->reassigned = m->reassigned;
 }
 
+/** Logs one line for each model, because the number of fields of an event is
+    limited. */
+static void
+log_plan_change (const struct frm_plan_change *p)
+{
+  const struct alc_change *c = p->change;
+
+  for (size_t k = 0; k < c->nmodels; k++)
+    LOG (allocation_changed, LOG_S ("service", p->service),
+         LOG_S ("model", p->models[k].name),
+         LOG_S ("reason", str_from (alc_reason_name (c->reason))),
+         LOG_I ("from", c->from[k]), LOG_I ("to", c->to[k]),
+         LOG_I ("requests", (long long)(c->requests[k] + 0.5)),
+         LOG_I ("utilization_from_percent",
+                (long long)(100 * c->utilization_from[k] + 0.5)),
+         LOG_I ("utilization_to_percent",
+                (long long)(100 * c->utilization_to[k] + 0.5)),
+         LOG_I ("urgency_percent", (long long)(100 * c->urgency[k])));
+}
+
 void
 srv_plan_log_changes (struct srv *s, struct frm *form, clk_ms now)
 {
   struct srv_plan *p = s->plan;
   struct frm_model models[FRM_MODEL_ROWS];
+  struct frm_plan_change change;
   size_t n;
 
+  while (frm_next_plan_change (form, &change))
+    log_plan_change (&change);
   if (now - p->checked_at < CHECK_MS)
     return;
   p->checked_at = now;
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -455,6 +455,8 @@
         struct str model = t->services[i].models[k].name;
         frm_demand (lead->form, now, service, model,
                     dsp_demand (lead->s->dispatch, service, model));
+        frm_urgency (lead->form, service, model,
+                     dsp_mean_priority (lead->s->dispatch, service, model));
       }
 }
 
--- /dev/null
+++ b/serve/form-alloc.c
@@ -0,0 +1,267 @@
+#include "serve/form-plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The plan by demand over all domains of a service (serve/allocation.h).  It
+ * is enabled for a service with two or more models whose VMs are in two or
+ * more domains, if each domain has room for a replica of each model and hosts
+ * keep weights in memory.  Without them every change would take a load from
+ * the weight store, during which the VMs serve no model.
+ *
+ * The plan is not stored.  A new leader node starts from the replicas that the
+ * VMs report.
+ */
+
+static struct frm_allocation *
+find_allocation (const struct frm *f, struct str service)
+{
+  for (size_t i = 0; i < f->nallocations; i++)
+    if (str_is (service, f->allocations[i].service))
+      return &f->allocations[i];
+  return NULL;
+}
+
+static uint64_t
+models_hash (const struct tbl_service *s)
+{
+  uint64_t x = s->nmodels;
+
+  for (size_t k = 0; k < s->nmodels; k++)
+    x = str_hash (s->models[k].name, x) + s->models[k].size;
+  return x;
+}
+
+/** Discards what was counted for other models.  They are identified by their
+    index, so none is added, removed or exchanged. */
+static void
+check_models (struct frm_allocation *a, const struct tbl_service *s)
+{
+  if (a->models == models_hash (s))
+    return;
+  alc_free (a->core);
+  a->core = alc_new ();
+  a->models = models_hash (s);
+  memset (a->urgency, 0, sizeof a->urgency);
+  a->reported = true;
+}
+
+static struct frm_allocation *
+find_or_add_allocation (struct frm *f, const struct tbl_service *s)
+{
+  struct frm_allocation *a = find_allocation (f, s->name);
+
+  if (a)
+    {
+      check_models (a, s);
+      return a;
+    }
+  f->allocations = xrealloc (f->allocations,
+                             (f->nallocations + 1) * sizeof *f->allocations);
+  a = &f->allocations[f->nallocations++];
+  *a = (struct frm_allocation){ .service = str_dup (s->name),
+                                .core = alc_new (),
+                                .models = models_hash (s),
+                                .reported = true };
+  return a;
+}
+
+/** Index of the model, or ALC_MAX_MODELS. */
+static size_t
+find_model (const struct tbl_service *s, struct str model)
+{
+  for (size_t k = 0; k < s->nmodels && k < ALC_MAX_MODELS; k++)
+    if (str_eq (s->models[k].name, model))
+      return k;
+  return ALC_MAX_MODELS;
+}
+
+void
+frm_allocation_demand (struct frm *f, clk_ms now, struct str service,
+                       struct str model, double requests)
+{
+  const struct tbl_service *s
+      = f->config ? tbl_find_service (f->config, service) : NULL;
+
+  if (s && find_model (s, model) < ALC_MAX_MODELS)
+    alc_demand (find_or_add_allocation (f, s)->core, now,
+                find_model (s, model), requests);
+}
+
+void
+frm_urgency (struct frm *f, struct str service, struct str model,
+             double priority)
+{
+  const struct tbl_service *s
+      = f->config ? tbl_find_service (f->config, service) : NULL;
+
+  if (s && find_model (s, model) < ALC_MAX_MODELS)
+    find_or_add_allocation (f, s)->urgency[find_model (s, model)] = priority;
+}
+
+/* --- input ------------------------------------------------------------- */
+
+/** Input of one service while it is collected. */
+struct frm_alloc_input
+{
+  const struct tbl_service *s;
+  struct alc_domain *domains;
+  size_t n;
+  bool too_small; /**< a domain has no room for a replica of each model */
+};
+
+static void
+count_weights (const struct frm *f, const struct frm_fabric_domain *d,
+               unsigned *n)
+{
+  for (size_t i = 0; i < f->nvms; i++)
+    {
+      const struct frm_vm *vm = f->vms[i];
+      if (!frm_in_domain (vm, d) || !frm_may_be_member (f, vm))
+        continue;
+      for (size_t k = 0; k < d->s->nmodels; k++)
+        n[k] += frm_has_weights_in_memory (vm, d->s->models[k].name)
+                && !(vm->replica && !vm->replica->warm_spare
+                     && str_is (d->s->models[k].name, vm->replica->model));
+    }
+}
+
+static void
+add_domain (struct frm *f, struct frm_fabric_domain *d)
+{
+  struct frm_alloc_input *in = f->alloc_input;
+  unsigned vms = f->domain_max_vms[d->number];
+  struct alc_domain *x;
+
+  if (d->s != in->s)
+    return;
+  in->too_small |= frm_is_too_small_for_all_models (d, vms);
+  in->domains = xrealloc (in->domains, (in->n + 1) * sizeof *in->domains);
+  x = &in->domains[in->n++];
+  *x = (struct alc_domain){ .id = d->number,
+                            .vms = frm_vms_for_replicas (vms),
+                            .usable = frm_vms_for_replicas (
+                                frm_count_eligible_vms (f, d)) };
+  frm_plan_and_count (f, d);
+  memcpy (x->held, d->open_or_forming, sizeof x->held);
+  frm_plan_by_shares (d, vms);
+  memcpy (x->by_shares, d->planned, sizeof x->by_shares);
+  count_weights (f, d, x->with_weights);
+}
+
+static void
+fill_models (const struct frm_allocation *a, const struct tbl_service *s,
+             struct alc_model *out)
+{
+  for (size_t k = 0; k < s->nmodels; k++)
+    out[k] = (struct alc_model){ .size = s->models[k].size,
+                                 .slots = s->capacity ? s->capacity : 1,
+                                 .urgency = a->urgency[k],
+                                 .cold_ms = s->models[k].cold_load_ms };
+}
+
+static void
+allocate_service (struct frm *f, const struct tbl_service *s)
+{
+  struct frm_allocation *a = find_or_add_allocation (f, s);
+  struct frm_alloc_input in = { .s = s };
+  struct alc_model models[ALC_MAX_MODELS];
+  struct alc_input input = { .models = models, .nmodels = s->nmodels };
+
+  if (!alc_is_due (a->core, f->now))
+    return;
+  f->alloc_input = &in;
+  frm_for_each_domain (f, add_domain);
+  f->alloc_input = NULL;
+  a->enabled = in.n >= 2 && !in.too_small;
+  fill_models (a, s, models);
+  input.domains = in.domains;
+  input.ndomains = in.n;
+  if (a->enabled && alc_update (a->core, f->now, &input))
+    {
+      a->changed_at = f->now;
+      a->reported = false;
+    }
+  free (in.domains);
+}
+
+void
+frm_allocate (struct frm *f)
+{
+  if (!f->had_traffic || !f->server_list_complete)
+    return;
+  for (size_t i = 0; i < f->config->nservices; i++)
+    {
+      const struct tbl_service *s = &f->config->services[i];
+      if (s->nmodels >= 2 && s->nmodels <= ALC_MAX_MODELS
+          && s->host_cache_models > 0)
+        allocate_service (f, s);
+    }
+}
+
+/* --- output ------------------------------------------------------------ */
+
+const unsigned *
+frm_allocated (const struct frm *f, const struct frm_fabric_domain *d)
+{
+  const struct frm_allocation *a = find_allocation (f, d->s->name);
+
+  return a ? alc_target (a->core, d->number) : NULL;
+}
+
+clk_ms
+frm_allocation_changed_at (const struct frm *f,
+                           const struct frm_fabric_domain *d)
+{
+  const struct frm_allocation *a = find_allocation (f, d->s->name);
+
+  return a ? a->changed_at : 0;
+}
+
+bool
+frm_is_giving_up (const struct frm_fabric_domain *d, size_t model)
+{
+  return d->target && d->open_or_forming[model] > d->target[model];
+}
+
+bool
+frm_next_plan_change (struct frm *f, struct frm_plan_change *out)
+{
+  for (size_t i = 0; i < f->nallocations; i++)
+    {
+      struct frm_allocation *a = &f->allocations[i];
+      const struct tbl_service *s = frm_find_service (f, a->service);
+      const struct alc_change *change = alc_last_change (a->core);
+      if (a->reported || !s || s->nmodels != change->nmodels)
+        continue;
+      a->reported = true;
+      *out = (struct frm_plan_change){ .service = s->name,
+                                       .models = s->models,
+                                       .change = change };
+      return true;
+    }
+  return false;
+}
+
+void
+frm_allocations_reset (struct frm *f)
+{
+  for (size_t i = 0; i < f->nallocations; i++)
+    {
+      alc_reset (f->allocations[i].core);
+      f->allocations[i].enabled = false;
+      f->allocations[i].changed_at = 0;
+    }
+}
+
+void
+frm_allocations_free (struct frm *f)
+{
+  for (size_t i = 0; i < f->nallocations; i++)
+    {
+      free (f->allocations[i].service);
+      alc_free (f->allocations[i].core);
+    }
+  free (f->allocations);
+}
--- a/serve/form-demand.c
+++ b/serve/form-demand.c
@@ -36,6 +36,7 @@
     weight = 1;
   d->requests += weight * (requests - d->requests);
   d->updated_at = now;
+  frm_allocation_demand (f, now, service, model, requests);
 }
 
 double
@@ -89,9 +90,19 @@
         return;
       row->planned += d->planned[k];
       row->open_or_forming += d->open_or_forming[k];
+      row->by_demand |= d->target != NULL;
     }
 }
 
+static double
+row_utilization (const struct frm *f, const struct frm_model *row)
+{
+  const struct tbl_service *s = tbl_find_service (f->config, row->service);
+  struct alc_model m = { .slots = s && s->capacity ? s->capacity : 1 };
+
+  return alc_utilization (&m, row->requests, row->planned);
+}
+
 size_t
 frm_models (struct frm *f, struct frm_model *out)
 {
@@ -107,6 +118,7 @@
       const struct frm_demand *d
           = find_or_add_demand (f, out[i].service, out[i].name);
       out[i].requests = d->requests;
+      out[i].utilization = row_utilization (f, &out[i]);
       out[i].reassigned = d->reassigned;
     }
   return f->nrows;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -7,6 +7,7 @@
  *   form-plan.c   how many replicas of each model a domain should have
  *   form-place.c  assignment of VMs to replicas, warm spares
  *   form-demand.c requests of each model
+ *   form-alloc.c  plan by demand over all domains, where it is enabled
  *   form-yield.c  reassignment of VMs from one model to another
  *   form-order.c  queue of orders and probes, rate limit of loads
  *   form-stage.c  preloading of weights into host memory
@@ -14,6 +15,7 @@
 #ifndef LAPISLINE_SERVE_FORM_INT_H
 #define LAPISLINE_SERVE_FORM_INT_H
 
+#include "serve/allocation.h"
 #include "serve/form.h"
 
 /** An order whose effect has not been reported is sent again after this. */
@@ -26,6 +28,13 @@
 /** Joining or opening fails when it takes this much longer than expected. */
 #define FRM_STEP_TIMEOUT_MS ((clk_ms)6000)
 
+/**
+ * Share of the limit on loads that one leader node uses.  A new leader node
+ * does not know which loads its predecessor started in the same window.  As
+ * each uses less than half, both together stay below the limit.
+ */
+#define FRM_LOADS_SHARE 0.45
+
 /** State of one backend server, as this leader node has recorded it. */
 struct frm_vm
 {
@@ -71,6 +80,7 @@
   clk_ms accepted_at;
   clk_ms preload_until; /**< no preload is ordered before this: expected end of
                            the current one */
+  char *preload_model;  /**< model of the last order to preload, or NULL */
   /**
    * Replicas of generations up to this can no longer open with this VM as
    * replica leader.
@@ -146,6 +156,20 @@
   uint64_t reassigned; /**< replicas closed to free VMs for another model */
 };
 
+/** Plan by demand of one service. */
+struct frm_allocation
+{
+  char *service;
+  struct alc *core;
+  uint64_t models; /**< hash of the models that the core has counted */
+  double urgency[ALC_MAX_MODELS];
+  bool enabled;      /**< at the last update; what was planned stays planned */
+  clk_ms changed_at; /**< time of the last change of the plan; 0: never */
+  bool reported;     /**< frm_next_plan_change() has returned it */
+};
+
+struct frm_alloc_input;
+
 #define FRM_LOAD_RING 512
 #define FRM_ENDED_RING 512 /**< ended replicas whose generation is kept */
 
@@ -184,6 +208,9 @@
   /** Ring of the generations of ended replicas. */
   int64_t ended_generations[FRM_ENDED_RING];
   size_t nended;
+  struct frm_allocation *allocations;
+  size_t nallocations;
+  struct frm_alloc_input *alloc_input; /**< while it is collected */
   struct frm_demand *demands;
   size_t ndemands;
   uint64_t tokens;
@@ -252,6 +279,16 @@
 /** Counts a replica that closes to free its VMs for another model. */
 void frm_record_reassigned (struct frm *f, const struct frm_replica *r);
 
+/* form-alloc.c */
+/** Updates the plans by demand, twice a second. */
+void frm_allocate (struct frm *f);
+/** Passes the requests of a model on to the plan by demand. */
+void frm_allocation_demand (struct frm *f, clk_ms now, struct str service,
+                            struct str model, double requests);
+/** Discards the plans, because another node may have changed the replicas. */
+void frm_allocations_reset (struct frm *f);
+void frm_allocations_free (struct frm *f);
+
 /* form-yield.c */
 /** Closes replicas whose VMs another model needs more. */
 void frm_reassign (struct frm *f);
--- a/serve/form-order.c
+++ b/serve/form-order.c
@@ -3,13 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/**
- * Share of the limit on loads that one leader node uses.  A new leader node
- * does not know which loads its predecessor started in the same window.  As
- * each uses less than half, both together stay below the limit.
- */
-#define LOADS_SHARE 0.45
-
 static struct frm_action *
 push_action (struct frm *f, enum frm_action_kind kind, struct frm_vm *vm)
 {
@@ -134,7 +127,7 @@
 bool
 frm_may_load (const struct frm *f, const struct tbl_service *s, unsigned n)
 {
-  double limit = s->loads_per_s * f->opt.ceiling_window_s * LOADS_SHARE;
+  double limit = s->loads_per_s * f->opt.ceiling_window_s * FRM_LOADS_SHARE;
   clk_ms from
       = f->now - (clk_ms)(f->opt.ceiling_window_s * (double)CLK_SECOND);
   double recent = n;
--- a/serve/form-plan.c
+++ b/serve/form-plan.c
@@ -76,8 +76,8 @@
   return best;
 }
 
-static unsigned
-count_eligible_vms (const struct frm *f, const struct frm_fabric_domain *d)
+unsigned
+frm_count_eligible_vms (const struct frm *f, const struct frm_fabric_domain *d)
 {
   unsigned n = 0;
 
@@ -86,9 +86,8 @@
   return n;
 }
 
-/** How many of @p n VMs replicas may use; the rest is kept as a reserve. */
-static unsigned
-vms_for_replicas (unsigned n)
+unsigned
+frm_vms_for_replicas (unsigned n)
 {
   return n >= RESERVE_MIN_VMS ? n - 1 : n;
 }
@@ -100,12 +99,13 @@
   *room -= d->s->models[k].size;
 }
 
-static void
-plan_replicas (const struct frm *f, struct frm_fabric_domain *d)
+void
+frm_plan_by_shares (struct frm_fabric_domain *d, unsigned vms)
 {
-  unsigned room = vms_for_replicas (count_eligible_vms (f, d));
+  unsigned room = frm_vms_for_replicas (vms);
   size_t i;
 
+  memset (d->planned, 0, sizeof d->planned);
   while (d->dedicated_model < d->s->nmodels
          && d->s->models[d->dedicated_model].size <= room)
     plan_replica (d, d->dedicated_model, &room);
@@ -113,6 +113,24 @@
     plan_replica (d, i, &room);
 }
 
+static void
+plan_replicas (const struct frm *f, struct frm_fabric_domain *d)
+{
+  unsigned vms = frm_count_eligible_vms (f, d);
+  unsigned sizes[FRM_MAX_MODELS];
+
+  d->target = frm_allocated (f, d);
+  if (!d->target)
+    {
+      frm_plan_by_shares (d, vms);
+      return;
+    }
+  for (size_t k = 0; k < d->s->nmodels; k++)
+    sizes[k] = d->s->models[k].size;
+  alc_fit (d->target, sizes, d->s->nmodels, frm_vms_for_replicas (vms),
+           d->planned);
+}
+
 bool
 frm_replica_in_domain (const struct frm_replica *r,
                        const struct frm_fabric_domain *d)
@@ -176,7 +194,6 @@
 void
 frm_plan_and_count (const struct frm *f, struct frm_fabric_domain *d)
 {
-  memset (d->planned, 0, sizeof d->planned);
   memset (d->open_or_forming, 0, sizeof d->open_or_forming);
   memset (d->spares_with_model, 0, sizeof d->spares_with_model);
   plan_replicas (f, d);
@@ -296,14 +313,15 @@
   return max;
 }
 
-static bool
-is_too_small_for_all_models (const struct frm_fabric_domain *d, unsigned vms)
+bool
+frm_is_too_small_for_all_models (const struct frm_fabric_domain *d,
+                                 unsigned vms)
 {
   unsigned all = 0;
 
   for (size_t k = 0; k < d->s->nmodels; k++)
     all += d->s->models[k].size;
-  return d->s->nmodels > 1 && all > vms_for_replicas (vms);
+  return d->s->nmodels > 1 && all > frm_vms_for_replicas (vms);
 }
 
 static void
@@ -313,14 +331,14 @@
   unsigned vms = largest_domain_size (f, d);
 
   d->dedicated_model = d->s->nmodels;
-  if (!is_too_small_for_all_models (d, vms))
+  if (!frm_is_too_small_for_all_models (d, vms))
     return;
   d->dedicated_model = most_loaded_model (f, d);
   if (d->dedicated_model < d->s->nmodels)
     return;
   count_model_vms (f, d->s, &t);
   d->dedicated_model
-      = least_supplied_in_service (d->s, &t, vms_for_replicas (vms));
+      = least_supplied_in_service (d->s, &t, frm_vms_for_replicas (vms));
 }
 
 /**
--- a/serve/form-plan.h
+++ b/serve/form-plan.h
@@ -41,8 +41,42 @@
    * each model; otherwise the number of models.
    */
   size_t dedicated_model;
+  /**
+   * Replicas of each model by the plan by demand when all VMs of the domain
+   * are there; NULL: planned by the declared shares.
+   */
+  const unsigned *target;
 };
 
+/** Replicas by the declared shares in @p vms VMs of the domain. */
+void frm_plan_by_shares (struct frm_fabric_domain *d, unsigned vms);
+/** How many of @p n VMs replicas may use; the rest is kept as a reserve. */
+unsigned frm_vms_for_replicas (unsigned n);
+unsigned frm_count_eligible_vms (const struct frm *f,
+                                 const struct frm_fabric_domain *d);
+/** Whether a domain of this many VMs has no room for a replica of each
+    model. */
+bool frm_is_too_small_for_all_models (const struct frm_fabric_domain *d,
+                                      unsigned vms);
+
+/** Plan by demand of the domain, or NULL. */
+const unsigned *frm_allocated (const struct frm *f,
+                               const struct frm_fabric_domain *d);
+/** When the plan by demand of the domain's service last changed; 0: never. */
+clk_ms frm_allocation_changed_at (const struct frm *f,
+                                  const struct frm_fabric_domain *d);
+/**
+ * VMs that must hold the weights of model @p receiver so that all its missing
+ * replicas can be formed from surplus replicas of model @p donor and free VMs;
+ * 0: nothing is missing, or there is no surplus.
+ */
+unsigned frm_vms_to_prepare (const struct frm *f,
+                             const struct frm_fabric_domain *d, size_t donor,
+                             size_t receiver);
+/** Whether the plan by demand has fewer replicas of the model than the domain
+    holds, so that some of them close for other models. */
+bool frm_is_giving_up (const struct frm_fabric_domain *d, size_t model);
+
 bool frm_in_domain (const struct frm_vm *vm,
                     const struct frm_fabric_domain *d);
 /** Whether all known members are in that domain. */
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -1,5 +1,7 @@
 #include "serve/form-plan.h"
 
+#include <stdlib.h>
+
 /*
  * A VM keeps the weights of the model for which it last joined a replica, and
  * its host keeps weights of other models in host memory.  Each VM can
@@ -13,6 +15,11 @@
  * replica that needs them.  If the domain could then not form its replicas
  * after a restart of all its VMs, the members' hosts preload nothing and keep
  * the model that the member serves.
+ *
+ * If the plan by demand gives replicas of a domain up for another model, their
+ * members' hosts preload that model first, while the replicas go on serving.
+ * Afterwards, hosts preload the model that has fewer replicas now, so that the
+ * change can be taken back.
  */
 
 /** Delay after the last VM appeared, so that replicas are formed first. */
@@ -129,6 +136,174 @@
              || count_preloading (f) < PRELOAD_SHARE * s->loads_at_once);
 }
 
+/* --- preloads for the plan by demand ---------------------------------------
+ */
+
+/** Whether the VM holds the model, or its host holds or preloads it. */
+static bool
+will_have_weights (const struct frm *f, const struct frm_vm *vm,
+                   struct str model)
+{
+  return frm_has_weights_in_memory (vm, model)
+         || (f->now < vm->preload_until && str_is (model, vm->preload_model));
+}
+
+static bool
+is_replica_of (const struct frm_replica *r, const struct tbl_model *m)
+{
+  return r && !r->warm_spare && r->phase <= FRM_PH_OPEN
+         && str_is (m->name, r->model);
+}
+
+/** VMs of the domain outside the model's replicas that will have its weights.
+ */
+static unsigned
+count_prepared (const struct frm *f, const struct frm_fabric_domain *d,
+                const struct tbl_model *m)
+{
+  unsigned n = 0;
+
+  for (size_t i = 0; i < f->nvms; i++)
+    n += frm_in_domain (f->vms[i], d) && frm_may_be_member (f, f->vms[i])
+         && !is_replica_of (f->vms[i]->replica, m)
+         && will_have_weights (f, f->vms[i], m->name);
+  return n;
+}
+
+static bool
+may_preload_now (const struct frm *f, const struct frm_vm *vm)
+{
+  return frm_may_be_member (f, vm) && !vm->order_token
+         && !frm_is_paused (f, vm) && f->now >= vm->preload_until
+         && (vm->replica ? frm_is_ready (vm)
+                         : vm->entry.member_state == BKS_NO_REPLICA);
+}
+
+static void
+send_preload (struct frm *f, struct frm_vm *vm, const struct tbl_model *m)
+{
+  frm_send_preload (f, vm, m->name);
+  frm_record_loads (f, 1);
+  vm->preload_until = f->now + 2 * m->cold_load_ms;
+  free (vm->preload_model);
+  vm->preload_model = str_dup (m->name);
+}
+
+/** Loads that a preload which nothing waits for leaves to crashed VMs: half of
+    those that the weight store allows within the window. */
+static unsigned
+loads_kept_free (const struct frm *f, const struct tbl_service *s)
+{
+  return 1
+         + (unsigned)(s->loads_per_s * f->opt.ceiling_window_s
+                      * FRM_LOADS_SHARE / 2);
+}
+
+/**
+ * Preloads @p to on the hosts of VMs that hold @p holder, or of any VMs
+ * without a replica, until @p wanted VMs are prepared.
+ * @param replace  whether hosts that hold another model may lose it
+ */
+static void
+prepare_vms (struct frm *f, const struct frm_fabric_domain *d,
+             const struct tbl_model *to, const struct tbl_model *holder,
+             unsigned wanted, bool replace)
+{
+  unsigned n = count_prepared (f, d, to);
+
+  for (size_t i = 0; i < f->nvms && n < wanted; i++)
+    {
+      struct frm_vm *vm = f->vms[i];
+      if (!frm_in_domain (vm, d) || !may_preload_now (f, vm)
+          || will_have_weights (f, vm, to->name)
+          || (is_member (vm) && !is_replica_of (vm->replica, holder))
+          || (!replace && has_preloaded_other (vm)))
+        continue;
+      if (!has_load_capacity (f, d->s)
+          || (!replace && !frm_may_load (f, d->s, loads_kept_free (f, d->s))))
+        return;
+      send_preload (f, vm, to);
+      n++;
+    }
+}
+
+/** Preloads what a change of the plan needs, while the replicas that will
+    close go on serving. */
+static void
+prepare_change (struct frm *f, const struct frm_fabric_domain *d)
+{
+  for (size_t to = 0; to < d->s->nmodels && to < FRM_MAX_MODELS; to++)
+    for (size_t from = 0; from < d->s->nmodels && from < FRM_MAX_MODELS;
+         from++)
+      if (from != to && frm_is_giving_up (d, from))
+        prepare_vms (f, d, &d->s->models[to], &d->s->models[from],
+                     frm_vms_to_prepare (f, d, from, to), true);
+}
+
+/**
+ * Number of VMs whose hosts should hold the model so that the change that has
+ * taken its replicas away can be taken back.  At most half of the domain's
+ * hosts are used for this: a VM that crashes and returns needs the weights of
+ * its own model in the host's memory.
+ */
+static unsigned
+vms_to_keep_prepared (const struct frm *f, const struct frm_fabric_domain *d,
+                      size_t k)
+{
+  struct frm_fabric_domain shares = *d;
+  unsigned vms = f->domain_max_vms[d->number], n;
+
+  frm_plan_by_shares (&shares, vms);
+  if (!d->target || shares.planned[k] <= d->target[k])
+    return 0;
+  n = (shares.planned[k] - d->target[k]) * d->s->models[k].size;
+  return n < vms / 2 ? n : vms / 2;
+}
+
+static bool
+is_changing (const struct frm_fabric_domain *d)
+{
+  for (size_t k = 0; k < d->s->nmodels && k < FRM_MAX_MODELS; k++)
+    if (frm_is_giving_up (d, k))
+      return true;
+  return false;
+}
+
+static void
+prepare_return (struct frm *f, const struct frm_fabric_domain *d)
+{
+  for (size_t k = 0; k < d->s->nmodels && k < FRM_MAX_MODELS; k++)
+    for (size_t other = 0; other < d->s->nmodels && other < FRM_MAX_MODELS;
+         other++)
+      if (other != k)
+        prepare_vms (f, d, &d->s->models[k], &d->s->models[other],
+                     vms_to_keep_prepared (f, d, k), false);
+}
+
+/** Whether the plan by demand needs no more hosts that hold the model. */
+static bool
+is_prepared_enough (const struct frm *f, const struct frm_fabric_domain *d,
+                    size_t k)
+{
+  return vms_to_keep_prepared (f, d, k) > 0
+         && count_prepared (f, d, &d->s->models[k])
+                >= vms_to_keep_prepared (f, d, k);
+}
+
+/* --- all domains -----------------------------------------------------------
+ */
+
+static void
+preload_for_allocation (struct frm *f, const struct frm_fabric_domain *d)
+{
+  if (!d->target || !f->had_traffic)
+    return;
+  if (is_changing (d))
+    prepare_change (f, d);
+  else
+    prepare_return (f, d);
+}
+
 static void
 preload_domain (struct frm *f, struct frm_fabric_domain *d)
 {
@@ -138,6 +313,7 @@
     return;
   frm_plan_and_count (f, d);
   include_members = !f->had_traffic && survives_restart (f, d);
+  preload_for_allocation (f, d);
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
@@ -145,12 +321,12 @@
       if (!frm_in_domain (vm, d) || !may_preload (f, vm)
           || (is_member (vm) && !include_members))
         continue;
+      m = &d->s->models[model_to_preload (vm, d->s)];
+      if (d->target && is_prepared_enough (f, d, model_to_preload (vm, d->s)))
+        continue;
       if (!has_load_capacity (f, d->s))
         return;
-      m = &d->s->models[model_to_preload (vm, d->s)];
-      frm_send_preload (f, vm, m->name);
-      frm_record_loads (f, 1);
-      vm->preload_until = f->now + 2 * m->cold_load_ms;
+      send_preload (f, vm, m);
     }
 }
 
--- a/serve/form-yield.c
+++ b/serve/form-yield.c
@@ -1,5 +1,7 @@
 #include "serve/form-plan.h"
 
+#include <stdlib.h>
+
 /*
  * A domain that has lost more VMs than it had spares can't hold all its
  * replicas any more.  The remaining VMs of a large replica would wait many
@@ -100,9 +102,105 @@
   return n;
 }
 
+/* --- replicas to close --------------------------------------------------- */
+
+/** A replica that may close for another model. */
+struct candidate
+{
+  struct frm_replica *r;
+  unsigned
+      with_weights; /**< members that can join the other model's replica */
+};
+
+static int
+compare_candidates (const void *a, const void *b)
+{
+  const struct candidate *x = a, *y = b;
+
+  if (x->with_weights != y->with_weights)
+    return x->with_weights < y->with_weights ? 1 : -1;
+  return x->r->generation < y->r->generation ? -1 : 1;
+}
+
+/**
+ * Lists the open replicas of model @p donor in the domain.  If the plan by
+ * demand gives replicas up, those with the most members that hold the weights
+ * of model @p receiver come first.
+ * @return an array that the caller frees
+ */
+static struct candidate *
+list_candidates (const struct frm *f, const struct frm_fabric_domain *d,
+                 size_t donor, size_t receiver, size_t *n)
+{
+  struct candidate *list = xcalloc (f->nreplicas + 1, sizeof *list);
+
+  *n = 0;
+  for (size_t i = 0; i < f->nreplicas; i++)
+    {
+      struct frm_replica *r = f->replicas[i];
+      if (r->warm_spare || r->phase != FRM_PH_OPEN
+          || !frm_replica_in_domain (r, d)
+          || !str_is (d->s->models[donor].name, r->model))
+        continue;
+      list[*n].r = r;
+      list[(*n)++].with_weights
+          = count_members_with_weights (f, r, d->s->models[receiver].name);
+    }
+  if (frm_is_giving_up (d, donor))
+    qsort (list, *n, sizeof *list, compare_candidates);
+  return list;
+}
+
+/**
+ * After this, a replica closes although the hosts of only a part of its
+ * members hold the weights of the other model: some VM may never answer the
+ * order to preload.
+ */
+static clk_ms
+preload_deadline (const struct frm *f, const struct frm_fabric_domain *d,
+                  size_t receiver)
+{
+  return frm_allocation_changed_at (f, d)
+         + 3 * d->s->models[receiver].cold_load_ms;
+}
+
+unsigned
+frm_vms_to_prepare (const struct frm *f, const struct frm_fabric_domain *d,
+                    size_t donor, size_t receiver)
+{
+  unsigned size = d->s->models[receiver].size;
+  unsigned missing = d->planned[receiver] > d->open_or_forming[receiver]
+                         ? d->planned[receiver] - d->open_or_forming[receiver]
+                         : 0;
+  unsigned vms = (d->open_or_forming[donor] > d->planned[donor]
+                      ? d->open_or_forming[donor] - d->planned[donor]
+                      : 0)
+                 * d->s->models[donor].size;
+
+  if (missing == 0 || vms == 0 || size == 0)
+    return 0;
+  for (size_t i = 0; i < f->nvms; i++)
+    vms += frm_in_domain (f->vms[i], d) && frm_is_assignable (f, f->vms[i]);
+  return (missing < vms / size ? missing : vms / size) * size;
+}
+
+/** VMs with the weights that must be available before replicas close. */
+static unsigned
+vms_required (const struct frm *f, const struct frm_fabric_domain *d,
+              size_t donor, size_t receiver)
+{
+  unsigned size = d->s->models[receiver].size, all;
+
+  if (!frm_is_giving_up (d, donor)
+      || f->now >= preload_deadline (f, d, receiver))
+    return size;
+  all = frm_vms_to_prepare (f, d, donor, receiver);
+  return all > size ? all : size;
+}
+
 /**
  * Closes replicas of model @p donor until enough VMs are available for one
- * more replica of model @p receiver.
+ * more replica of model @p receiver, or for all that the plan by demand has.
  * @param dry_run only count the replicas that would be closed
  * @return number of replicas closed; 0: none needs to be closed, or closing
  *        all of them would not free enough VMs
@@ -111,25 +209,24 @@
 close_replicas_for (struct frm *f, const struct frm_fabric_domain *d,
                     size_t donor, size_t receiver, bool dry_run)
 {
-  const struct tbl_model *m = &d->s->models[receiver];
-  unsigned vms = count_available_with_weights (f, d, m->name);
+  unsigned required = vms_required (f, d, donor, receiver);
+  unsigned vms
+      = count_available_with_weights (f, d, d->s->models[receiver].name);
   unsigned closed = 0;
+  size_t n;
+  struct candidate *list = list_candidates (f, d, donor, receiver, &n);
 
-  for (size_t i = 0; i < f->nreplicas && vms < m->size; i++)
+  for (size_t i = 0; i < n && vms < required; i++)
     {
-      struct frm_replica *r = f->replicas[i];
-      if (r->warm_spare || r->phase != FRM_PH_OPEN
-          || !frm_replica_in_domain (r, d)
-          || !str_is (d->s->models[donor].name, r->model))
-        continue;
-      vms += count_members_with_weights (f, r, m->name);
+      vms += list[i].with_weights;
       closed++;
       if (dry_run)
         continue;
-      frm_record_reassigned (f, r);
-      frm_replica_close (f, r);
+      frm_record_reassigned (f, list[i].r);
+      frm_replica_close (f, list[i].r);
     }
-  return vms >= m->size ? closed : 0;
+  free (list);
+  return vms >= required ? closed : 0;
 }
 
 static void
@@ -146,8 +243,11 @@
         continue;
       closed = close_replicas_for (f, d, donor, receiver, true);
       if (closed == 0 || closed > d->open_or_forming[donor] - d->planned[donor]
-          || closed >= n[donor]
-          || !lowers_peak_utilization (f, d->s, n, donor, closed, receiver))
+          || closed >= n[donor])
+        continue;
+      /* The plan by demand has compared the utilizations already. */
+      if (!frm_is_giving_up (d, donor)
+          && !lowers_peak_utilization (f, d->s, n, donor, closed, receiver))
         continue;
       close_replicas_for (f, d, donor, receiver, false);
       return;
--- a/serve/form.c
+++ b/serve/form.c
@@ -76,6 +76,7 @@
   free (vm->service);
   free (vm->domain);
   free (vm->loaded_model);
+  free (vm->preload_model);
   free (vm);
 }
 
@@ -98,6 +99,7 @@
   for (size_t i = 0; i < f->nvms; i++)
     vm_free (f->vms[i]);
   frm_demands_free (f);
+  frm_allocations_free (f);
   tbl_unref (f->config);
   g_hash_table_destroy (f->by_id);
   free (f->vms);
@@ -329,6 +331,7 @@
   if (r && !was_leader)
     r->member_left = true;
   free (vm->loaded_model);
+  free (vm->preload_model);
   *vm = (struct frm_vm){ .id = vm->id,
                          .service = vm->service,
                          .domain = vm->domain,
@@ -603,6 +606,7 @@
   f->adopted = false;
   f->nended = 0; /* another leader node may have sent orders in between */
   f->fence = fence;
+  frm_allocations_reset (f);
   drop_replicas (f);
   drop_actions (f);
   for (size_t i = 0; i < f->nvms; i++)
@@ -786,6 +790,7 @@
     frm_replica_tick (f, f->replicas[i]);
   remove_ended_replicas (f);
   frm_update_domain_sizes (f);
+  frm_allocate (f);
   frm_reassign (f);
   frm_assign_vms (f);
   frm_preload (f);
--- a/serve/form.h
+++ b/serve/form.h
@@ -25,6 +25,7 @@
 #ifndef LAPISLINE_SERVE_FORM_H
 #define LAPISLINE_SERVE_FORM_H
 
+#include "serve/allocation.h"
 #include "serve/backends.h"
 #include "serve/table.h"
 
@@ -138,6 +139,12 @@
 void frm_demand (struct frm *f, clk_ms now, struct str service,
                  struct str model, double requests);
 
+/**
+ * Sets the mean priority of the requests of a model; 0 is the most urgent.
+ */
+void frm_urgency (struct frm *f, struct str service, struct str model,
+                  double priority);
+
 /**
  * A node reports that requests at a replica leader make no progress.
  * @param endpoint  dsp_endpoint_hash() of that leader
@@ -169,6 +176,8 @@
   unsigned planned; /**< replicas that the plans of all domains contain */
   unsigned open_or_forming; /**< replicas that are open or being formed */
   double requests;          /**< running or waiting, moving average */
+  double utilization;       /**< alc_utilization() with the planned replicas */
+  bool by_demand;      /**< the plan by demand has changed a domain's plan */
   uint64_t reassigned; /**< replicas closed to free VMs for another model */
 };
 
@@ -181,6 +190,19 @@
  */
 size_t frm_models (struct frm *f, struct frm_model *out);
 
+/** A change of the plan by demand. */
+struct frm_plan_change
+{
+  struct str service;
+  const struct tbl_model *models;
+  const struct alc_change *change;
+};
+
+/** Returns a change of the plan by demand that was not returned before; valid
+    until the next call of this core.
+    @retval false  there is none */
+bool frm_next_plan_change (struct frm *f, struct frm_plan_change *out);
+
 /**
  * Whether a replica is about to change state, so that the server list should
  * be polled at the fast interval.
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -211,6 +211,13 @@
       gauge (s, PREFIX "requests_asked",
              "Requests under way or waiting at all nodes, averaged, by model.",
              labels, list[i].requests);
+      gauge (s, PREFIX "model_utilization",
+             "Requests divided by the slots of the planned replicas, less "
+             "those that are expected to be broken, by model.",
+             labels, list[i].utilization);
+      gauge (s, PREFIX "plan_by_demand",
+             "Whether the plan by demand has changed that of a domain.",
+             labels, list[i].by_demand);
       gauge (s, PREFIX "replicas_yielded",
              "Replicas that closed for one of another model.", labels,
              (double)list[i].reassigned);
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -25,6 +25,7 @@
   enum bks_member_state state;
   clk_ms ready_at;
   bool killed, hung, silent, disconnected, expired, draining;
+  bool busy; /**< it runs requests, so that a close waits */
 };
 
 struct delayed_order
@@ -183,7 +184,7 @@
       vm->state = BKS_OPEN;
     }
   else if (o->a.order == FRM_CLOSE && vm->state >= BKS_OPEN)
-    vm->state = BKS_READY;
+    vm->state = vm->busy && !o->a.force ? BKS_CLOSING : BKS_READY;
   else if (o->a.order == FRM_LEAVE)
     {
       vm->replica[0] = '\0';
@@ -534,6 +535,23 @@
     cr_assert (false, "unknown command: %s", command);
 }
 
+static void
+set_domain_state (struct world *w, const char *command, const char *domain)
+{
+  for (size_t i = 0; i < w->n; i++)
+    {
+      struct vm *vm = &w->vms[i];
+      if (strcmp (vm->domain, domain) != 0)
+        continue;
+      if (strcmp (command, "clear-hosts") == 0)
+        vm->preloaded[0] = '\0';
+      else
+        vm->busy = strcmp (command, "busy") == 0;
+      if (!vm->busy && vm->state == BKS_CLOSING)
+        vm->state = BKS_READY;
+    }
+}
+
 static void
 delay_orders (struct world *w, const char *kind, bool drop, bool all)
 {
@@ -610,6 +628,9 @@
   else if (strcmp (command, "delay-all") == 0
            || strcmp (command, "drop-all") == 0)
     delay_orders (w, a, command[1] == 'r', true);
+  else if (strcmp (command, "clear-hosts") == 0
+           || strcmp (command, "busy") == 0 || strcmp (command, "idle") == 0)
+    set_domain_state (w, command, a);
   else if (strcmp (command, "suspend") == 0)
     suspend (w, atoi (a));
   else if (strcmp (command, "pause") == 0)
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -35,6 +35,10 @@
  *                        at first
  *   traffic              requests have arrived
  *   host-memory          hosts can hold one model in memory from now on
+ *   clear-hosts DOMAIN   the memory of the domain's hosts holds no weights
+ *   busy DOMAIN          replicas of the domain that are ordered to close wait
+ *                        for their running requests
+ *   idle DOMAIN          these requests have ended
  *   report-stall ID      reports that requests to this leader make no progress
  *   show                 logs the open replicas and the warm spares
  *   list-interval MS     sets the interval between lists
