Allocation by demand: operations, domains that grow, fewer passes over VMs

A domain with a changed plan kept that plan when it got more VMs, so that the new VMs stayed without a replica; the room is now filled (t9219). Whether enough hosts are prepared is found once for each domain and model, no longer for each VM.

--- a/serve/allocation.c
+++ b/serve/allocation.c
@@ -564,34 +564,26 @@
   return false;
 }
 
-/** Starts from the replicas that the domain holds; what else fits is planned
-    by the shares. */
+/** Adds replicas where the domain has room for more than its plan, because it
+    has more VMs than before: first those that the shares give it, then those
+    of a model that it has more of than by the shares. */
 static void
-take_over (const struct alc_input *in, const struct alc_domain *d,
+fill_room (const struct alc_input *in, const struct alc_domain *d,
            struct domain *out)
 {
   unsigned used = 0;
 
-  out->touched = true;
   for (size_t k = 0; k < in->nmodels; k++)
-    {
-      out->target[k] = d->held[k];
-      used += d->held[k] * in->models[k].size;
-    }
-  for (size_t k = 0; k < in->nmodels; k++)
-    while (out->target[k] < d->by_shares[k] && in->models[k].size > 0
-           && used + in->models[k].size <= d->vms)
-      {
-        out->target[k]++;
-        used += in->models[k].size;
-      }
-  for (size_t k = 0; k < in->nmodels; k++)
-    while (in->models[k].size > 0 && d->held[k] > d->by_shares[k]
-           && used + in->models[k].size <= d->vms)
-      {
-        out->target[k]++;
-        used += in->models[k].size;
-      }
+    used += out->target[k] * in->models[k].size;
+  for (int step = 0; step < 2; step++)
+    for (size_t k = 0; k < in->nmodels; k++)
+      while ((step == 0 ? out->target[k] < d->by_shares[k]
+                        : out->target[k] > d->by_shares[k])
+             && in->models[k].size > 0 && used + in->models[k].size <= d->vms)
+        {
+          out->target[k]++;
+          used += in->models[k].size;
+        }
 }
 
 static void
@@ -602,11 +594,16 @@
 
   get_sizes (in, sizes);
   if (!a->started && holds_more_than_shares (d, in->nmodels))
-    take_over (in, d, out);
+    {
+      out->touched = true;
+      memcpy (out->target, d->held, sizeof out->target);
+    }
   if (!out->touched)
     memcpy (out->target, d->by_shares, sizeof out->target);
   alc_fit (out->target, sizes, in->nmodels, d->vms, fitted);
   memcpy (out->target, fitted, in->nmodels * sizeof *fitted);
+  if (out->touched)
+    fill_room (in, d, out);
 }
 
 static void
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -307,23 +307,27 @@
 static void
 preload_domain (struct frm *f, struct frm_fabric_domain *d)
 {
-  bool include_members;
+  bool include_members, enough[FRM_MAX_MODELS] = { false };
 
   if (d->s->host_cache_models == 0 || d->s->nmodels < 2)
     return;
   frm_plan_and_count (f, d);
   include_members = !f->had_traffic && survives_restart (f, d);
   preload_for_allocation (f, d);
+  for (size_t k = 0; d->target && k < d->s->nmodels && k < FRM_MAX_MODELS; k++)
+    enough[k] = is_prepared_enough (f, d, k);
   for (size_t i = 0; i < f->nvms; i++)
     {
       struct frm_vm *vm = f->vms[i];
       const struct tbl_model *m;
+      size_t k;
       if (!frm_in_domain (vm, d) || !may_preload (f, vm)
           || (is_member (vm) && !include_members))
         continue;
-      m = &d->s->models[model_to_preload (vm, d->s)];
-      if (d->target && is_prepared_enough (f, d, model_to_preload (vm, d->s)))
+      k = model_to_preload (vm, d->s);
+      if (enough[k < FRM_MAX_MODELS ? k : 0])
         continue;
+      m = &d->s->models[k];
       if (!has_load_capacity (f, d->s))
         return;
       send_preload (f, vm, m);
--- a/t/t9219-allocation.c
+++ b/t/t9219-allocation.c
@@ -415,6 +415,26 @@
   alc_free (f.core);
 }
 
+/* A changed domain gets more VMs: they are planned like its others. */
+Test (allocation, a_changed_domain_grows)
+{
+  struct fleet f;
+  unsigned sum = 0;
+
+  fleet_start (&f, 6);
+  run (&f, 30000, 55, 300);
+  for (size_t i = 0; i < 6; i++)
+    {
+      f.domains[i].vms = f.domains[i].usable = 32;
+      f.domains[i].by_shares[SMALL] = 3;
+    }
+  run (&f, 1000, 55, 300);
+  for (size_t i = 0; i < 6; i++)
+    sum += planned (&f, i, LARGE) * 12 + planned (&f, i, SMALL) * 6;
+  cr_expect_eq (sum, 6 * 30);
+  alc_free (f.core);
+}
+
 /* A new leader node finds what an earlier one has changed, and one replica of
    it is broken at that moment. */
 Test (allocation, a_new_leader_node_takes_the_plan_over)
