Keep the observed mix of models in the store

A system that starts began with the declared shares and closed replicas when the first requests showed another mix. Before the first request, the plan by demand uses it; replicas are formed by it at once (t6103). Missing, incomplete or unreadable: the declared shares (t9219).

--- a/serve/allocation.c
+++ b/serve/allocation.c
@@ -49,6 +49,8 @@
 
 /** Fewer requests than this in total are no reason for a change. */
 #define MIN_REQUESTS 1.0
+/** Number of requests that a stored mix is applied to. */
+#define MIX_REQUESTS 1000.0
 /** Moves in one change, at most. */
 #define MAX_MOVES 64
 /** Of the moves found, only those are made that come this close to the lowest
@@ -121,7 +123,7 @@
 alc_reason_name (enum alc_reason reason)
 {
   static const char *const names[]
-      = { "by_shares", "demand", "overload", "demand_fits", "taken_over" };
+      = { "by_shares", "demand", "overload", "demand_fits", "stored_mix" };
 
   return names[reason];
 }
@@ -590,7 +592,7 @@
 set_domain_target (const struct alc *a, const struct alc_input *in,
                    const struct alc_domain *d, struct domain *out)
 {
-  unsigned sizes[ALC_MAX_MODELS], fitted[ALC_MAX_MODELS];
+  unsigned sizes[ALC_MAX_MODELS] = { 0 }, fitted[ALC_MAX_MODELS];
 
   get_sizes (in, sizes);
   if (!a->started && holds_more_than_shares (d, in->nmodels))
@@ -624,7 +626,7 @@
 static void
 calc_init (const struct alc *a, const struct alc_input *in, struct calc *c)
 {
-  unsigned sizes[ALC_MAX_MODELS];
+  unsigned sizes[ALC_MAX_MODELS] = { 0 };
 
   memset (c, 0, sizeof *c);
   c->in = in;
@@ -790,13 +792,49 @@
   return true;
 }
 
+double
+alc_part (const struct alc *a, clk_ms now, size_t model)
+{
+  double sum = 0;
+
+  for (size_t k = 0; k < ALC_MAX_MODELS; k++)
+    sum += a->demands[k].smooth;
+  return is_mean_known (a, now) && sum >= MIN_REQUESTS
+             ? a->demands[model].smooth / sum
+             : -1;
+}
+
+/** Before the first request, the stored mix shows which demand to expect.  The
+    utilizations are compared with each other only, so any number of requests
+    will do. */
+static bool
+change_by_stored_mix (struct alc *a, clk_ms now, const struct calc *before,
+                      struct calc *c)
+{
+  double requests[ALC_MAX_MODELS] = { 0 }, ratio;
+
+  if (a->first_request_at)
+    return false;
+  for (size_t k = 0; k < c->in->nmodels; k++)
+    {
+      if (c->in->models[k].stored_part < 0)
+        return false;
+      requests[k] = c->in->models[k].stored_part * MIX_REQUESTS;
+    }
+  set_requests (c, requests);
+  if (search (c, &ratio) == 0 || ratio >= MAX_RATIO)
+    return false;
+  adopt_plan (a, now, before, c, ALC_STORED_MIX);
+  return true;
+}
+
 /** Whether the declared shares serve the mean demand as well as the plan. */
 static bool
 return_to_shares (struct alc *a, clk_ms now, const struct calc *before,
                   struct calc *c)
 {
   double requests[ALC_MAX_MODELS] = { 0 }, peak, peak_by_shares;
-  unsigned sizes[ALC_MAX_MODELS];
+  unsigned sizes[ALC_MAX_MODELS] = { 0 };
   bool differs = false;
 
   get_sizes (c->in, sizes);
@@ -860,7 +898,8 @@
   a->updated_at = now;
   settled = a->changed_at == 0 || now - a->changed_at >= SETTLE_MS;
   return settled
-         && (decide (a, now, in, change_by_overload)
+         && (decide (a, now, in, change_by_stored_mix)
+             || decide (a, now, in, change_by_overload)
              || decide (a, now, in, change_by_demand)
              || decide (a, now, in, return_to_shares));
 }
--- a/serve/allocation.h
+++ b/serve/allocation.h
@@ -53,7 +53,7 @@
   ALC_DEMAND,      /**< the mean demand differs from the plan */
   ALC_OVERLOAD,    /**< a model's slots have all been in use for seconds */
   ALC_DEMAND_FITS, /**< the demand fits the declared shares again */
-  ALC_TAKEN_OVER   /**< replicas reported at the start of a leadership */
+  ALC_STORED_MIX   /**< before the first request: the mix observed earlier */
 };
 
 const char *alc_reason_name (enum alc_reason reason);
@@ -65,6 +65,9 @@
   double urgency; /**< mean priority of its requests; 0 is the most urgent,
                        -1: unknown */
   clk_ms cold_ms; /**< load time from the weight store */
+  /** Part of the service's requests that were for the model in an earlier run;
+      -1: unknown. */
+  double stored_part;
 };
 
 /** One fabric domain.  Counts are of VMs that replicas may use: a reserve is
@@ -114,6 +117,10 @@
     @param model  index of the model in the input */
 void alc_demand (struct alc *a, clk_ms now, size_t model, double requests);
 
+/** Part of the service's requests that are for the model; -1: unknown, because
+    the mean is not known yet.  Known only while the plan is updated. */
+double alc_part (const struct alc *a, clk_ms now, size_t model);
+
 /** Whether ALC_INTERVAL_MS have passed since the last update. */
 bool alc_is_due (const struct alc *a, clk_ms now);
 
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -424,6 +424,12 @@
   return frm_stats (s->leader->form);
 }
 
+struct frm *
+srv_leader_form (const struct srv *s)
+{
+  return s->leader->form;
+}
+
 size_t
 srv_leader_models (const struct srv *s, struct frm_model *out)
 {
@@ -478,6 +484,7 @@
   frm_tick (lead->form, now);
   run_form_actions (lead);
   srv_plan_log_changes (s, lead->form, now);
+  srv_mix_tick (s, now);
 }
 
 void
--- a/serve/form-alloc.c
+++ b/serve/form-alloc.c
@@ -1,5 +1,6 @@
 #include "serve/form-plan.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,12 @@
  * VMs report.
  */
 
+/** Relative change of a part from which the store is updated. */
+#define PART_CHANGE 0.1
+/** Smaller parts count as this one: a model with hardly any requests changes
+    by a tenth all the time. */
+#define MIN_PART 0.02
+
 static struct frm_allocation *
 find_allocation (const struct frm *f, struct str service)
 {
@@ -164,15 +171,29 @@
   count_weights (f, d, x->with_weights);
 }
 
+static bool
+has_stored_mix (struct frm *f, const struct tbl_service *s)
+{
+  for (size_t k = 0; k < s->nmodels; k++)
+    if (frm_find_or_add_demand (f, s->name, s->models[k].name)->stored_part
+        < 0)
+      return false;
+  return true;
+}
+
 static void
-fill_models (const struct frm_allocation *a, const struct tbl_service *s,
-             struct alc_model *out)
+fill_models (struct frm *f, const struct frm_allocation *a,
+             const struct tbl_service *s, struct alc_model *out)
 {
   for (size_t k = 0; k < s->nmodels; k++)
-    out[k] = (struct alc_model){ .size = s->models[k].size,
-                                 .slots = s->capacity ? s->capacity : 1,
-                                 .urgency = a->urgency[k],
-                                 .cold_ms = s->models[k].cold_load_ms };
+    out[k] = (struct alc_model){
+      .size = s->models[k].size,
+      .slots = s->capacity ? s->capacity : 1,
+      .urgency = a->urgency[k],
+      .cold_ms = s->models[k].cold_load_ms,
+      .stored_part
+      = frm_find_or_add_demand (f, s->name, s->models[k].name)->stored_part
+    };
 }
 
 static void
@@ -189,7 +210,7 @@
   frm_for_each_domain (f, add_domain);
   f->alloc_input = NULL;
   a->enabled = in.n >= 2 && !in.too_small;
-  fill_models (a, s, models);
+  fill_models (f, a, s, models);
   input.domains = in.domains;
   input.ndomains = in.n;
   if (a->enabled && alc_update (a->core, f->now, &input))
@@ -203,17 +224,70 @@
 void
 frm_allocate (struct frm *f)
 {
-  if (!f->had_traffic || !f->server_list_complete)
+  if (!f->server_list_complete || frm_is_settling (f))
     return;
   for (size_t i = 0; i < f->config->nservices; i++)
     {
       const struct tbl_service *s = &f->config->services[i];
       if (s->nmodels >= 2 && s->nmodels <= ALC_MAX_MODELS
-          && s->host_cache_models > 0)
+          && s->host_cache_models > 0
+          && (f->had_traffic || has_stored_mix (f, s)))
         allocate_service (f, s);
     }
 }
 
+/* --- the mix in the store ------------------------------------------------ */
+
+void
+frm_set_stored_part (struct frm *f, struct str service, struct str model,
+                     double part)
+{
+  frm_find_or_add_demand (f, service, model)->stored_part
+      = part >= 0 && part <= 1 ? part : -1;
+}
+
+void
+frm_clear_stored_parts (struct frm *f)
+{
+  for (size_t i = 0; i < f->ndemands; i++)
+    f->demands[i].stored_part = -1;
+}
+
+static bool
+differs_by_a_tenth (double part, double stored)
+{
+  double larger = fmax (fmax (part, stored), MIN_PART);
+  double smaller = fmax (fmin (part, stored), MIN_PART);
+
+  return stored < 0 || larger - smaller >= PART_CHANGE * larger;
+}
+
+size_t
+frm_parts (struct frm *f, clk_ms now, struct frm_part *out, bool *changed)
+{
+  size_t n = 0;
+
+  *changed = false;
+  for (size_t i = 0; i < f->nallocations; i++)
+    {
+      const struct frm_allocation *a = &f->allocations[i];
+      const struct tbl_service *s = frm_find_service (f, a->service);
+      for (size_t k = 0; s && a->enabled && k < s->nmodels; k++)
+        {
+          struct str model = s->models[k].name;
+          double part = alc_part (a->core, now, k);
+          if (part < 0 || n == FRM_MODEL_ROWS)
+            continue;
+          out[n++] = (struct frm_part){ s->name, model, part };
+          if (differs_by_a_tenth (
+                  part,
+                  frm_find_or_add_demand (f, s->name, model)->stored_part))
+            *changed = true;
+        }
+    }
+  return n;
+}
+
 /* --- output ------------------------------------------------------------ */
 
 const unsigned *
--- a/serve/form-demand.c
+++ b/serve/form-demand.c
@@ -12,8 +12,8 @@
 /** Utilization of a model that has requests and no replica. */
 #define UTILIZATION_NO_REPLICA 1e6
 
-static struct frm_demand *
-find_or_add_demand (struct frm *f, struct str service, struct str model)
+struct frm_demand *
+frm_find_or_add_demand (struct frm *f, struct str service, struct str model)
 {
   for (size_t i = 0; i < f->ndemands; i++)
     if (str_is (service, f->demands[i].service)
@@ -21,7 +21,8 @@
       return &f->demands[i];
   f->demands = xrealloc (f->demands, (f->ndemands + 1) * sizeof *f->demands);
   f->demands[f->ndemands] = (struct frm_demand){ .service = str_dup (service),
-                                                 .model = str_dup (model) };
+                                                 .model = str_dup (model),
+                                                 .stored_part = -1 };
   return &f->demands[f->ndemands++];
 }
 
@@ -29,7 +30,7 @@
 frm_demand (struct frm *f, clk_ms now, struct str service, struct str model,
             double requests)
 {
-  struct frm_demand *d = find_or_add_demand (f, service, model);
+  struct frm_demand *d = frm_find_or_add_demand (f, service, model);
   double weight = (double)(now - d->updated_at) / (double)AVERAGING_MS;
 
   if (d->updated_at == 0 || weight > 1)
@@ -59,7 +60,7 @@
 void
 frm_record_reassigned (struct frm *f, const struct frm_replica *r)
 {
-  find_or_add_demand (f, str_from (r->service), str_from (r->model))
+  frm_find_or_add_demand (f, str_from (r->service), str_from (r->model))
       ->reassigned++;
 }
 
@@ -116,7 +117,7 @@
   for (size_t i = 0; i < f->nrows; i++)
     {
       const struct frm_demand *d
-          = find_or_add_demand (f, out[i].service, out[i].name);
+          = frm_find_or_add_demand (f, out[i].service, out[i].name);
       out[i].requests = d->requests;
       out[i].utilization = row_utilization (f, &out[i]);
       out[i].reassigned = d->reassigned;
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -154,6 +154,8 @@
   double requests;
   clk_ms updated_at;   /**< time of the last update; 0: never */
   uint64_t reassigned; /**< replicas closed to free VMs for another model */
+  /** Part of the service's requests, as in the store; -1: not there. */
+  double stored_part;
 };
 
 /** Plan by demand of one service. */
@@ -269,9 +271,18 @@
 
 /* form-place.c */
 void frm_assign_vms (struct frm *f);
+/**
+ * Whether to wait for more VMs before forming replicas.  If a domain were
+ * planned while VMs are still appearing, small replicas would take the VMs of
+ * a large one, and no later step returns them.  Before there is traffic, no
+ * client waits for a replica.
+ */
+bool frm_is_settling (const struct frm *f);
 
 /* form-demand.c */
 void frm_demands_free (struct frm *f);
+struct frm_demand *frm_find_or_add_demand (struct frm *f, struct str service,
+                                           struct str model);
 /** Requests per slot if the model has @p n replicas; 0: there is no demand. */
 double frm_utilization (const struct frm *f, const struct tbl_service *s,
                         size_t model, unsigned n);
--- a/serve/form-place.c
+++ b/serve/form-place.c
@@ -113,14 +113,8 @@
   frm_record_loads (f, c->members_to_load);
 }
 
-/**
- * Whether to wait for more VMs before forming replicas.  If a domain were
- * planned while VMs are still appearing, small replicas would take the VMs of
- * a large one, and no later step returns them.  Before there is traffic, no
- * client waits for a replica.
- */
-static bool
-is_settling (const struct frm *f)
+bool
+frm_is_settling (const struct frm *f)
 {
   return !f->had_traffic
          && f->list_read_at - f->last_arrival_read_at < SETTLE_WINDOW_MS
@@ -140,7 +134,7 @@
   enum frm_cost max_cost
       = f->had_traffic ? FRM_COST_HOST_MEMORY : FRM_COST_OTHER_MODEL;
 
-  if (is_settling (f))
+  if (frm_is_settling (f))
     return false;
   frm_plan_and_count (f, d);
   for (size_t k = 0; k < d->s->nmodels && k < FRM_MAX_MODELS; k++)
@@ -279,7 +273,7 @@
 frm_assign_vms (struct frm *f)
 {
   frm_for_each_domain (f, form_domain_replicas);
-  if (f->server_list_complete && !is_settling (f)
+  if (f->server_list_complete && !frm_is_settling (f)
       && f->now - f->last_arrival_at >= ARRIVAL_QUIET_MS)
     frm_for_each_domain (f, load_domain_warm_spares);
 }
--- a/serve/form-stage.c
+++ b/serve/form-stage.c
@@ -296,7 +296,7 @@
 static void
 preload_for_allocation (struct frm *f, const struct frm_fabric_domain *d)
 {
-  if (!d->target || !f->had_traffic)
+  if (!d->target)
     return;
   if (is_changing (d))
     prepare_change (f, d);
--- a/serve/form.h
+++ b/serve/form.h
@@ -190,6 +190,33 @@
  */
 size_t frm_models (struct frm *f, struct frm_model *out);
 
+/**
+ * Passes the part of a service's requests that were for the model, as read
+ * from the store.
+ * @param part  0 to 1; any other value: unknown
+ */
+void frm_set_stored_part (struct frm *f, struct str service, struct str model,
+                          double part);
+/** All stored parts are unknown again. */
+void frm_clear_stored_parts (struct frm *f);
+
+/** Part of a service's requests that are for the model. */
+struct frm_part
+{
+  struct str service, model;
+  double part;
+};
+
+/**
+ * Lists the observed parts of the models of all services that are planned by
+ * demand, at most FRM_MODEL_ROWS.
+ * @param changed  receives whether one differs from the stored part by a tenth
+ *        or more
+ * @return number of rows in @p out; 0: nothing is known
+ */
+size_t frm_parts (struct frm *f, clk_ms now, struct frm_part *out,
+                  bool *changed);
+
 /** A change of the plan by demand. */
 struct frm_plan_change
 {
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -24,6 +24,7 @@
 struct srv_register;
 struct srv_leader;
 struct srv_plan;
+struct srv_mix;
 struct srv_peers;
 struct srv_poison;
 
@@ -56,6 +57,7 @@
   struct srv_register *registration;
   struct srv_leader *leader;
   struct srv_plan *plan;
+  struct srv_mix *mix; /**< mix of each service's requests in the store */
   struct srv_peers *peers;
   struct srv_exchange *exchanges;
   struct srv_deferred *deferred; /**< requests deferred until the store
@@ -163,6 +165,7 @@
 void srv_leader_endpoint_stalled_or_ended (struct srv *s, uint64_t endpoint);
 bool srv_is_leader (const struct srv *s);
 const struct frm_stats *srv_leader_stats (const struct srv *s);
+struct frm *srv_leader_form (const struct srv *s);
 /** As frm_models(); returns 0 unless this node is leader. */
 size_t srv_leader_models (const struct srv *s, struct frm_model *out);
 bool srv_leader_is_forming (const struct srv *s);
@@ -246,6 +249,15 @@
     deleted. */
 void srv_poison_store_reread (struct srv *s);
 
+/* mix-store.c: mix of each service's requests in the store */
+void srv_mix_start (struct srv *s);
+void srv_mix_tick (struct srv *s, clk_ms now);
+/** The key was read from the store, or was deleted there. */
+void srv_mix_store_item (struct srv *s, bool deleted, struct str value);
+/** A full read of the store follows; if it does not return the key, there is
+    none. */
+void srv_mix_store_reread (struct srv *s);
+
 /* notice.c: availability notices of backend servers */
 /** Response that carries a notice. */
 struct srv_notice_source
--- a/serve/node.c
+++ b/serve/node.c
@@ -265,6 +265,7 @@
   srv_config_start (s);
   srv_sync_start (s);
   srv_poison_store_start (s);
+  srv_mix_start (s);
   srv_register_start (s);
   uv_timer_init (&s->loop, &s->tick);
   s->tick.data = s;
--- a/serve/register.c
+++ b/serve/register.c
@@ -12,6 +12,7 @@
  *   secret      shared by the nodes to authenticate the links between them
  *   duty        the leader, which sends orders to backend servers; see duty.c
  *   blocked/    poison requests that are blocked; see poison-store.c
+ *   mix         parts of the models in the requests; see mix-store.c
  */
 
 /** Lease of a node's entry.  Other nodes need the entry only to find this
@@ -43,7 +44,7 @@
 struct srv_register
 {
   struct srv *s;
-  struct buf prefix, end, node_key, secret_key, leader_key;
+  struct buf prefix, end, node_key, secret_key, leader_key, mix_key;
   struct store_watch *watch;
   clk_ms next_watch; /* CLK_NEVER: it is running, or starts after the next
                         full read */
@@ -193,6 +194,8 @@
     srv_poison_store_item (
         g->s, deleted,
         str_skip (kv->key, g->prefix.len + sizeof "blocked/" - 1), kv->value);
+  else if (str_eq (kv->key, buf_str (&g->mix_key)))
+    srv_mix_store_item (g->s, deleted, kv->value);
   else if (!deleted && str_eq (kv->key, buf_str (&g->secret_key)))
     apply_secret (g, kv->value);
 }
@@ -314,6 +317,7 @@
     remove_node (g, str_from (g->nodes[0].key));
   g->secret_stored = g->secret_written = false;
   srv_poison_store_reread (g->s);
+  srv_mix_store_reread (g->s);
   for (size_t i = 0; i < r->nkvs; i++)
     {
       apply_item (g, false, &r->kvs[i]);
@@ -620,6 +624,7 @@
             STR_ARG (s->settings.node));
   buf_addf (&g->secret_key, "%ssecret", s->adapter->own_prefix);
   buf_addf (&g->leader_key, "%sduty", s->adapter->own_prefix);
+  buf_addf (&g->mix_key, "%smix", s->adapter->own_prefix);
   buf_add_char (&g->value, '{');
   add_addr (&g->value, "front", &s->settings.front);
   buf_add_char (&g->value, ',');
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -475,6 +475,19 @@
               list[i].requests, (unsigned)list[i].reassigned);
 }
 
+static void
+show_parts (struct world *w)
+{
+  struct frm_part parts[FRM_MODEL_ROWS];
+  bool changed;
+  size_t n = frm_parts (w->cores[0], w->now, parts, &changed);
+
+  for (size_t i = 0; i < n; i++)
+    buf_addf (&w->log, "%.*s %.0f ", STR_ARG (parts[i].model),
+              100 * parts[i].part);
+  buf_addf (&w->log, "%s\n", changed ? "changed" : "unchanged");
+}
+
 static void
 set_model (struct world *w, const char *command, const char *name, int n)
 {
@@ -491,6 +504,9 @@
         m->work_share = n / 100.0;
       else if (strcmp (command, "time-factor") == 0)
         m->time_factor = n / 100.0;
+      else if (strcmp (command, "stored-part") == 0)
+        for (size_t c = 0; c < 2; c++)
+          frm_set_stored_part (w->cores[c], s->name, m->name, n / 100.0);
       else
         w->demand[k] = n;
     }
@@ -606,6 +622,8 @@
               (unsigned)frm_stats (w->cores[0])->orders);
   else if (strcmp (command, "plan") == 0)
     show_plan (w);
+  else if (strcmp (command, "parts") == 0)
+    show_parts (w);
   else if (strcmp (command, "no-order-log") == 0)
     w->hide_orders = true;
   else
@@ -668,7 +686,8 @@
     w->list_ms = atoi (a);
   else if (strcmp (command, "size") == 0 || strcmp (command, "work-share") == 0
            || strcmp (command, "time-factor") == 0
-           || strcmp (command, "demand") == 0)
+           || strcmp (command, "demand") == 0
+           || strcmp (command, "stored-part") == 0)
     set_model (w, command, a, n);
   else if (!run_log_command (w, command, a))
     set_vm_state (vm, command);
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -54,9 +54,13 @@
  *                        sets the declared share of the work
  *   time-factor MODEL PERCENT
  *                        sets the factor on the engine's times
- *   load-rate N          sets the loads per second that the weight store
- * allows demand MODEL N       sets how many requests have a slot or wait for
- * one; a replica has eight slots
+ *   load-rate N          sets how many loads per second may start
+ *   stored-part MODEL PERCENT
+ *                        part of the requests that the store has for the model
+ *   parts                logs the observed parts in percent, and whether they
+ *                        differ from the stored ones
+ *   demand MODEL N       sets how many requests have a slot or wait for one; a
+ *                        replica has eight slots
  *
  * The log has one line for each order; repeated orders are logged once.  It
  * also has "VIOLATION ..." if a server joins a replica while its previous one
--- a/t/t6103-demand.c
+++ b/t/t6103-demand.c
@@ -199,3 +199,38 @@
               "a: 1 big 1 small\n"
               "b: 1 big 1 small\n");
 }
+
+/*
+ * The store has the mix of an earlier run.  The domains are formed by it at
+ * once, not by the shares first, so that no replica closes when requests come.
+ */
+Test (demand, a_system_starts_with_the_stored_mix)
+{
+  form_check ("no-order-log\n size big 12\n size small 6\n"
+              "work-share big 50\n work-share small 50\n host-memory\n"
+              "run 100\n stored-part big 9\n stored-part small 91\n"
+              "lead 1\n vms a 27\n vms b 27\n vms c 27\n run 3000\n" COUNT
+              "traffic\n demand big 4\n demand small 40\n run 20000\n"
+              "plan\n",
+              "a: 0 big 4 small\n"
+              "b: 1 big 2 small\n"
+              "c: 1 big 2 small\n"
+              "big: wanted 2, formed 2, requests 4, reassigned 0\n"
+              "small: wanted 8, formed 8, requests 39, reassigned 0\n");
+}
+
+/* Guards against a write to the store for each small change of the mix, and
+   against a mix of the first seconds. */
+Test (demand, the_mix_is_stored_when_it_has_changed)
+{
+  form_check (DOMAINS "demand big 8\n demand small 24\n run 5000\n parts\n"
+                      "run 10000\n parts\n stored-part big 25\n"
+                      "stored-part small 75\n parts\n demand big 9\n"
+                      "run 30000\n parts\n demand big 10\n run 40000\n"
+                      "parts\n",
+              "unchanged\n"
+              "big 25 small 75 changed\n"
+              "big 25 small 75 unchanged\n"
+              "big 27 small 73 unchanged\n"
+              "big 29 small 71 changed\n");
+}
--- a/t/t9219-allocation.c
+++ b/t/t9219-allocation.c
@@ -46,8 +46,8 @@
 {
   memset (f, 0, sizeof *f);
   f->core = alc_new ();
-  f->models[LARGE] = (struct alc_model){ 12, SLOTS, 1, 16000 };
-  f->models[SMALL] = (struct alc_model){ 6, SLOTS, 1, 12000 };
+  f->models[LARGE] = (struct alc_model){ 12, SLOTS, 1, 16000, -1 };
+  f->models[SMALL] = (struct alc_model){ 6, SLOTS, 1, 12000, -1 };
   f->ndomains = ndomains;
   f->now = 1000;
   for (size_t i = 0; i < ndomains; i++)
@@ -371,8 +371,9 @@
 Test (allocation, two_models_are_busy_and_one_is_idle)
 {
   struct alc *core = alc_new ();
-  struct alc_model models[3]
-      = { { 6, SLOTS, 1, 0 }, { 6, SLOTS, 1, 0 }, { 6, SLOTS, 1, 0 } };
+  struct alc_model models[3] = { { 6, SLOTS, 1, 0, -1 },
+                                 { 6, SLOTS, 1, 0, -1 },
+                                 { 6, SLOTS, 1, 0, -1 } };
   struct alc_domain domains[4];
   struct alc_input in = { models, 3, domains, 4 };
   unsigned n[3] = { 0 };
@@ -415,6 +416,53 @@
   alc_free (f.core);
 }
 
+/* The mix of an earlier run is in effect before the first request, and its
+   plan stays while the demand is the same. */
+Test (allocation, the_stored_mix_is_used_before_the_first_request)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  f.models[LARGE].stored_part = 0.155;
+  f.models[SMALL].stored_part = 0.845;
+  run (&f, 1000, 0, 0);
+  expect_plan (&f, 5, 14);
+  cr_expect_eq (alc_last_change (f.core)->reason, ALC_STORED_MIX);
+  run (&f, 60000, 55, 300);
+  expect_plan (&f, 5, 14);
+  cr_expect_eq (f.changes, 1);
+  cr_expect_float_eq (alc_part (f.core, f.now, LARGE), 0.155, 0.001);
+  alc_free (f.core);
+}
+
+/* Guards against an old mix that outweighs the demand: the demand decides from
+   the first request on. */
+Test (allocation, the_demand_overrides_the_stored_mix)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  f.models[LARGE].stored_part = 0.05;
+  f.models[SMALL].stored_part = 0.95;
+  run (&f, 1000, 0, 0);
+  cr_expect_lt (total (&f, LARGE), 6);
+  run (&f, 60000, 120, 300);
+  expect_plan (&f, 6, 12);
+  alc_free (f.core);
+}
+
+/* The mix of one model is missing in the store: the declared shares. */
+Test (allocation, an_incomplete_stored_mix_is_not_used)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  f.models[SMALL].stored_part = 0.95;
+  run (&f, 5000, 0, 0);
+  cr_expect_eq (f.changes, 0);
+  alc_free (f.core);
+}
+
 /* A changed domain gets more VMs: they are planned like its others. */
 Test (allocation, a_changed_domain_grows)
 {
