Keep requests in the stored mix; change no plan at low utilization

Two domains of four servers with four requests for one model and none for the other had their plan changed at a utilization of 0.22: no caller waited. The plan by demand is now used only from a utilization of 0.45 (measured with 16 and 18 replicas: below that, callers get no better service), and the shares are in effect again below 0.36. The store therefore keeps the mean requests of each model in place of their parts.

Tests fail when these are removed in turn: both utilizations, the stored mix, its use before the first request only, an incomplete mix, the thresholds of writes, room in domains that grow. No test fails when the plan is calculated while servers are still appearing; it is then repeated.

--- a/serve/allocation.c
+++ b/serve/allocation.c
@@ -49,8 +49,14 @@
 
 /** Fewer requests than this in total are no reason for a change. */
 #define MIN_REQUESTS 1.0
-/** Number of requests that a stored mix is applied to. */
-#define MIX_REQUESTS 1000.0
+/**
+ * Highest utilization from which the plan by demand is used, and below which
+ * the declared shares are in effect again.  Measured with 16 and with 18
+ * replicas, at utilizations of 0.45 and 0.39, callers got equally good
+ * service, so that below there is nothing to gain.
+ */
+#define MIN_PEAK 0.45
+#define RETURN_PEAK 0.36
 /** Moves in one change, at most. */
 #define MAX_MOVES 64
 /** Of the moves found, only those are made that come this close to the lowest
@@ -743,11 +749,21 @@
   return a->first_request_at && now - a->first_request_at >= ALC_WINDOW_MS;
 }
 
+/** Whether the moves of a search over @p c are worth their cost. */
+static bool
+find_change (struct calc *c, double max_ratio)
+{
+  double peak, ratio;
+
+  most_utilized (c, &peak);
+  return peak >= MIN_PEAK && search (c, &ratio) > 0 && ratio < max_ratio;
+}
+
 static bool
 change_by_demand (struct alc *a, clk_ms now, const struct calc *before,
                   struct calc *c)
 {
-  double requests[ALC_MAX_MODELS] = { 0 }, sum = 0, ratio;
+  double requests[ALC_MAX_MODELS] = { 0 }, sum = 0;
   bool wanted;
   clk_ms wait;
 
@@ -755,7 +771,7 @@
     sum += requests[k] = a->demands[k].smooth;
   set_requests (c, requests);
   wanted = is_mean_known (a, now) && sum >= MIN_REQUESTS
-           && search (c, &ratio) > 0 && ratio < MAX_RATIO;
+           && find_change (c, MAX_RATIO);
   wait = c->needs_loads ? longest_load (c->in) : WANTED_MS;
   if (held_for (now, wanted, &a->wanted_since) < wait)
     return false;
@@ -793,42 +809,35 @@
 }
 
 double
-alc_part (const struct alc *a, clk_ms now, size_t model)
+alc_mean (const struct alc *a, clk_ms now, size_t model)
 {
-  double sum = 0;
-
-  for (size_t k = 0; k < ALC_MAX_MODELS; k++)
-    sum += a->demands[k].smooth;
-  return is_mean_known (a, now) && sum >= MIN_REQUESTS
-             ? a->demands[model].smooth / sum
-             : -1;
+  return is_mean_known (a, now) ? a->demands[model].smooth : -1;
 }
 
-/** Before the first request, the stored mix shows which demand to expect.  The
-    utilizations are compared with each other only, so any number of requests
-    will do. */
+/** Before the first request, the demand of an earlier run is expected. */
 static bool
 change_by_stored_mix (struct alc *a, clk_ms now, const struct calc *before,
                       struct calc *c)
 {
-  double requests[ALC_MAX_MODELS] = { 0 }, ratio;
+  double requests[ALC_MAX_MODELS] = { 0 };
 
   if (a->first_request_at)
     return false;
   for (size_t k = 0; k < c->in->nmodels; k++)
     {
-      if (c->in->models[k].stored_part < 0)
+      if (c->in->models[k].stored < 0)
         return false;
-      requests[k] = c->in->models[k].stored_part * MIX_REQUESTS;
+      requests[k] = c->in->models[k].stored;
     }
   set_requests (c, requests);
-  if (search (c, &ratio) == 0 || ratio >= MAX_RATIO)
+  if (!find_change (c, MAX_RATIO))
     return false;
   adopt_plan (a, now, before, c, ALC_STORED_MIX);
   return true;
 }
 
-/** Whether the declared shares serve the mean demand as well as the plan. */
+/** Whether the declared shares serve the mean demand as well as the plan, or
+    well enough. */
 static bool
 return_to_shares (struct alc *a, clk_ms now, const struct calc *before,
                   struct calc *c)
@@ -850,8 +859,11 @@
              c->plan[i]);
   count_plan (c);
   most_utilized (c, &peak_by_shares);
-  if (held_for (now, differs && peak > 0 && peak_by_shares <= peak,
-                &a->fits_since)
+  if (held_for (
+          now,
+          differs && peak > 0
+              && (peak_by_shares <= peak || peak_by_shares <= RETURN_PEAK),
+          &a->fits_since)
       < FITS_MS)
     return false;
   for (size_t i = 0; i < c->in->ndomains; i++)
--- a/serve/allocation.h
+++ b/serve/allocation.h
@@ -65,9 +65,7 @@
   double urgency; /**< mean priority of its requests; 0 is the most urgent,
                        -1: unknown */
   clk_ms cold_ms; /**< load time from the weight store */
-  /** Part of the service's requests that were for the model in an earlier run;
-      -1: unknown. */
-  double stored_part;
+  double stored;  /**< mean requests in an earlier run; -1: unknown */
 };
 
 /** One fabric domain.  Counts are of VMs that replicas may use: a reserve is
@@ -117,9 +115,9 @@
     @param model  index of the model in the input */
 void alc_demand (struct alc *a, clk_ms now, size_t model, double requests);
 
-/** Part of the service's requests that are for the model; -1: unknown, because
-    the mean is not known yet.  Known only while the plan is updated. */
-double alc_part (const struct alc *a, clk_ms now, size_t model);
+/** Mean requests of the model; -1: not known yet.  Known only while the plan
+   is updated. */
+double alc_mean (const struct alc *a, clk_ms now, size_t model);
 
 /** Whether ALC_INTERVAL_MS have passed since the last update. */
 bool alc_is_due (const struct alc *a, clk_ms now);
--- a/serve/form-alloc.c
+++ b/serve/form-alloc.c
@@ -18,6 +18,10 @@
 
 /** Relative change of a part from which the store is updated. */
 #define PART_CHANGE 0.1
+/** Relative change of the sum from which the store is updated. */
+#define SUM_CHANGE 0.33
+/** Larger stored values are errors. */
+#define MAX_STORED 1e6
 /** Smaller parts count as this one: a model with hardly any requests changes
     by a tenth all the time. */
 #define MIN_PART 0.02
@@ -175,8 +179,7 @@
 has_stored_mix (struct frm *f, const struct tbl_service *s)
 {
   for (size_t k = 0; k < s->nmodels; k++)
-    if (frm_find_or_add_demand (f, s->name, s->models[k].name)->stored_part
-        < 0)
+    if (frm_find_or_add_demand (f, s->name, s->models[k].name)->stored < 0)
       return false;
   return true;
 }
@@ -191,8 +194,7 @@
       .slots = s->capacity ? s->capacity : 1,
       .urgency = a->urgency[k],
       .cold_ms = s->models[k].cold_load_ms,
-      .stored_part
-      = frm_find_or_add_demand (f, s->name, s->models[k].name)->stored_part
+      .stored = frm_find_or_add_demand (f, s->name, s->models[k].name)->stored
     };
 }
 
@@ -239,31 +241,80 @@
 /* --- the mix in the store ------------------------------------------------ */
 
 void
-frm_set_stored_part (struct frm *f, struct str service, struct str model,
-                     double part)
+frm_set_stored_mix (struct frm *f, struct str service, struct str model,
+                    double requests)
 {
-  frm_find_or_add_demand (f, service, model)->stored_part
-      = part >= 0 && part <= 1 ? part : -1;
+  frm_find_or_add_demand (f, service, model)->stored
+      = requests >= 0 && requests <= MAX_STORED ? requests : -1;
 }
 
 void
-frm_clear_stored_parts (struct frm *f)
+frm_clear_stored_mix (struct frm *f)
 {
   for (size_t i = 0; i < f->ndemands; i++)
-    f->demands[i].stored_part = -1;
+    f->demands[i].stored = -1;
 }
 
 static bool
-differs_by_a_tenth (double part, double stored)
+differs (double x, double y, double by)
 {
-  double larger = fmax (fmax (part, stored), MIN_PART);
-  double smaller = fmax (fmin (part, stored), MIN_PART);
+  return fabs (x - y) >= by * fmax (x, y);
+}
 
-  return stored < 0 || larger - smaller >= PART_CHANGE * larger;
+static double
+part_of (double requests, double sum)
+{
+  return fmax (requests / sum, MIN_PART);
+}
+
+static bool
+mix_differs (struct frm *f, const struct frm_mix *rows, size_t n)
+{
+  double sum = 0, stored_sum = 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      double stored
+          = frm_find_or_add_demand (f, rows[i].service, rows[i].model)->stored;
+      if (stored < 0)
+        return true;
+      sum += rows[i].requests;
+      stored_sum += stored;
+    }
+  if (stored_sum <= 0 || differs (sum, stored_sum, SUM_CHANGE))
+    return true;
+  for (size_t i = 0; i < n; i++)
+    {
+      double stored
+          = frm_find_or_add_demand (f, rows[i].service, rows[i].model)->stored;
+      if (differs (part_of (rows[i].requests, sum),
+                   part_of (stored, stored_sum), PART_CHANGE))
+        return true;
+    }
+  return false;
+}
+
+/** Adds the rows of one service.
+    @return their number; 0: its mean demand is not known, or hardly any */
+static size_t
+add_mix (const struct frm_allocation *a, clk_ms now,
+         const struct tbl_service *s, struct frm_mix *out)
+{
+  double sum = 0;
+
+  for (size_t k = 0; k < s->nmodels; k++)
+    {
+      double requests = alc_mean (a->core, now, k);
+      if (requests < 0)
+        return 0;
+      out[k] = (struct frm_mix){ s->name, s->models[k].name, requests };
+      sum += requests;
+    }
+  return sum >= 1 ? s->nmodels : 0;
 }
 
 size_t
-frm_parts (struct frm *f, clk_ms now, struct frm_part *out, bool *changed)
+frm_mix (struct frm *f, clk_ms now, struct frm_mix *out, bool *changed)
 {
   size_t n = 0;
 
@@ -272,18 +323,12 @@
     {
       const struct frm_allocation *a = &f->allocations[i];
       const struct tbl_service *s = frm_find_service (f, a->service);
-      for (size_t k = 0; s && a->enabled && k < s->nmodels; k++)
-        {
-          struct str model = s->models[k].name;
-          double part = alc_part (a->core, now, k);
-          if (part < 0 || n == FRM_MODEL_ROWS)
-            continue;
-          out[n++] = (struct frm_part){ s->name, model, part };
-          if (differs_by_a_tenth (
-                  part,
-                  frm_find_or_add_demand (f, s->name, model)->stored_part))
-            *changed = true;
-        }
+      size_t added;
+      if (!s || !a->enabled || n + s->nmodels > FRM_MODEL_ROWS)
+        continue;
+      added = add_mix (a, now, s, &out[n]);
+      *changed = *changed || (added && mix_differs (f, &out[n], added));
+      n += added;
     }
   return n;
 }
--- a/serve/form-demand.c
+++ b/serve/form-demand.c
@@ -22,7 +22,7 @@
   f->demands = xrealloc (f->demands, (f->ndemands + 1) * sizeof *f->demands);
   f->demands[f->ndemands] = (struct frm_demand){ .service = str_dup (service),
                                                  .model = str_dup (model),
-                                                 .stored_part = -1 };
+                                                 .stored = -1 };
   return &f->demands[f->ndemands++];
 }
 
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -154,8 +154,7 @@
   double requests;
   clk_ms updated_at;   /**< time of the last update; 0: never */
   uint64_t reassigned; /**< replicas closed to free VMs for another model */
-  /** Part of the service's requests, as in the store; -1: not there. */
-  double stored_part;
+  double stored;       /**< mean requests, as in the store; -1: not there */
 };
 
 /** Plan by demand of one service. */
--- a/serve/form.h
+++ b/serve/form.h
@@ -191,31 +191,31 @@
 size_t frm_models (struct frm *f, struct frm_model *out);
 
 /**
- * Passes the part of a service's requests that were for the model, as read
- * from the store.
- * @param part  0 to 1; any other value: unknown
+ * Passes the mean requests of a model in an earlier run, as read from the
+ * store.
+ * @param requests  0 to 1e6; any other value: unknown
  */
-void frm_set_stored_part (struct frm *f, struct str service, struct str model,
-                          double part);
-/** All stored parts are unknown again. */
-void frm_clear_stored_parts (struct frm *f);
+void frm_set_stored_mix (struct frm *f, struct str service, struct str model,
+                         double requests);
+/** Everything that was in the store is unknown again. */
+void frm_clear_stored_mix (struct frm *f);
 
-/** Part of a service's requests that are for the model. */
-struct frm_part
+/** Mean requests of a model. */
+struct frm_mix
 {
   struct str service, model;
-  double part;
+  double requests;
 };
 
 /**
- * Lists the observed parts of the models of all services that are planned by
+ * Lists the mean requests of the models of all services that are planned by
  * demand, at most FRM_MODEL_ROWS.
- * @param changed  receives whether one differs from the stored part by a tenth
- *        or more
+ * @param changed  receives whether a model's part of the requests of its
+ *        service differs from the stored one by a tenth or more, or the sum of
+ *        the service by a third
  * @return number of rows in @p out; 0: nothing is known
  */
-size_t frm_parts (struct frm *f, clk_ms now, struct frm_part *out,
-                  bool *changed);
+size_t frm_mix (struct frm *f, clk_ms now, struct frm_mix *out, bool *changed);
 
 /** A change of the plan by demand. */
 struct frm_plan_change
--- a/serve/mix-store.c
+++ b/serve/mix-store.c
@@ -8,7 +8,7 @@
  * The observed mix of each service that is planned by demand is kept in the
  * store, so that a system that starts later begins with it:
  *
- *   mix   {"SERVICE": {"MODEL": part of the service's requests, ...}, ...}
+ *   mix   {"SERVICE": {"MODEL": mean requests, ...}, ...}
  *
  * The leader writes it.  The key has no lease.  If it is missing or can't be
  * parsed, the declared shares are in effect.
@@ -39,14 +39,14 @@
 
   if (!json_object_is_type (o, json_type_object))
     return;
-  json_object_object_foreach (o, model, part)
+  json_object_object_foreach (o, model, requests)
   {
     if (n++ == MAX_ITEMS)
       return;
-    if (json_object_is_type (part, json_type_double)
-        || json_object_is_type (part, json_type_int))
-      frm_set_stored_part (form, service, str_from (model),
-                           json_object_get_double (part));
+    if (json_object_is_type (requests, json_type_double)
+        || json_object_is_type (requests, json_type_int))
+      frm_set_stored_mix (form, service, str_from (model),
+                          json_object_get_double (requests));
   }
 }
 
@@ -57,7 +57,7 @@
   struct json_object *o = deleted ? NULL : jsn_parse (value);
   unsigned n = 0;
 
-  frm_clear_stored_parts (form);
+  frm_clear_stored_mix (form);
   if (json_object_is_type (o, json_type_object))
     {
       json_object_object_foreach (o, service, models)
@@ -73,7 +73,7 @@
 void
 srv_mix_store_reread (struct srv *s)
 {
-  frm_clear_stored_parts (srv_leader_form (s));
+  frm_clear_stored_mix (srv_leader_form (s));
 }
 
 /* --- writing ------------------------------------------------------------- */
@@ -93,24 +93,24 @@
 }
 
 static void
-format_value (const struct frm_part *parts, size_t n, struct buf *out)
+format_value (const struct frm_mix *rows, size_t n, struct buf *out)
 {
   struct json_object *o = json_object_new_object ();
   struct json_object *models = NULL;
 
   for (size_t i = 0; i < n; i++)
     {
-      char *service = str_dup (parts[i].service);
-      char *model = str_dup (parts[i].model);
+      char *service = str_dup (rows[i].service);
+      char *model = str_dup (rows[i].model);
       char text[16];
-      if (i == 0 || !str_eq (parts[i].service, parts[i - 1].service))
+      if (i == 0 || !str_eq (rows[i].service, rows[i - 1].service))
         {
           models = json_object_new_object ();
           json_object_object_add (o, service, models);
         }
-      snprintf (text, sizeof text, "%.4f", parts[i].part);
-      json_object_object_add (models, model,
-                              json_object_new_double_s (parts[i].part, text));
+      snprintf (text, sizeof text, "%.1f", rows[i].requests);
+      json_object_object_add (
+          models, model, json_object_new_double_s (rows[i].requests, text));
       free (service);
       free (model);
     }
@@ -122,7 +122,7 @@
 srv_mix_tick (struct srv *s, clk_ms now)
 {
   struct srv_mix *m = s->mix;
-  struct frm_part parts[FRM_MODEL_ROWS];
+  struct frm_mix rows[FRM_MODEL_ROWS];
   struct store_put put;
   struct store_txn txn = { .puts = &put, .nputs = 1 };
   bool changed;
@@ -131,11 +131,11 @@
   if (m->call_pending || now < m->next_write || !srv_is_leader (s)
       || s->stopping_since || !pau_may_call (&s->store_backoff, now))
     return;
-  n = frm_parts (srv_leader_form (s), now, parts, &changed);
+  n = frm_mix (srv_leader_form (s), now, rows, &changed);
   if (n == 0 || !changed)
     return;
   buf_clear (&m->value);
-  format_value (parts, n, &m->value);
+  format_value (rows, n, &m->value);
   put = (struct store_put){ .key = buf_str (&m->key),
                             .value = buf_str (&m->value) };
   m->call_pending = true;
--- a/serve/register.c
+++ b/serve/register.c
@@ -12,7 +12,7 @@
  *   secret      shared by the nodes to authenticate the links between them
  *   duty        the leader, which sends orders to backend servers; see duty.c
  *   blocked/    poison requests that are blocked; see poison-store.c
- *   mix         parts of the models in the requests; see mix-store.c
+ *   mix         mean requests of each model; see mix-store.c
  */
 
 /** Lease of a node's entry.  Other nodes need the entry only to find this
--- a/standins/rack-store.c
+++ b/standins/rack-store.c
@@ -460,6 +460,20 @@
   *(int *)ctx += str_starts (kv_str (e->key), STR (PLT_PREFIX_OWN "nodes/"));
 }
 
+/** Value of the key of the observed mix of models, or empty. */
+static json_object *
+get_mix (struct rack *r)
+{
+  static const char key[] = PLT_PREFIX_OWN "mix";
+  GBytes *k = g_bytes_new (key, sizeof key - 1);
+  const struct kv_entry *e = kv_get (&r->kv, k);
+  struct str value = e ? kv_str (e->value) : STR_EMPTY;
+
+  g_bytes_unref (k);
+  return json_object_new_string_len (value.ptr ? value.ptr : "",
+                                     (int)value.len);
+}
+
 json_object *
 rack_store_counts (struct rack *r)
 {
@@ -474,6 +488,7 @@
   json_object_object_add (o, "bytes",
                           json_object_new_int64 ((int64_t)r->store_bytes));
   json_object_object_add (o, "nodes", json_object_new_int (nodes));
+  json_object_object_add (o, "mix", get_mix (r));
   json_object_object_add (o, "era", json_object_new_int64 (r->kv.era));
   return o;
 }
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -28,7 +28,8 @@
  * what node N was told no longer counts "entry": {"id": ID, "value": TEXT}
  * write any entry into the server list
  *
- * GET /control/counts returns the number of crashed servers, the executions
+ * GET /control/counts returns the key of the observed mix of models, the
+ * number of crashed servers, the executions
  * by server, the requests that it rejected by "rejects", and the ids of
  * requests executed more than once.  For a server
  * with a limit, limited_arrived counts the requests later than half a second
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -476,15 +476,14 @@
 }
 
 static void
-show_parts (struct world *w)
+show_mix (struct world *w)
 {
-  struct frm_part parts[FRM_MODEL_ROWS];
+  struct frm_mix mix[FRM_MODEL_ROWS];
   bool changed;
-  size_t n = frm_parts (w->cores[0], w->now, parts, &changed);
+  size_t n = frm_mix (w->cores[0], w->now, mix, &changed);
 
   for (size_t i = 0; i < n; i++)
-    buf_addf (&w->log, "%.*s %.0f ", STR_ARG (parts[i].model),
-              100 * parts[i].part);
+    buf_addf (&w->log, "%.*s %.1f ", STR_ARG (mix[i].model), mix[i].requests);
   buf_addf (&w->log, "%s\n", changed ? "changed" : "unchanged");
 }
 
@@ -504,9 +503,9 @@
         m->work_share = n / 100.0;
       else if (strcmp (command, "time-factor") == 0)
         m->time_factor = n / 100.0;
-      else if (strcmp (command, "stored-part") == 0)
+      else if (strcmp (command, "stored-mix") == 0)
         for (size_t c = 0; c < 2; c++)
-          frm_set_stored_part (w->cores[c], s->name, m->name, n / 100.0);
+          frm_set_stored_mix (w->cores[c], s->name, m->name, n);
       else
         w->demand[k] = n;
     }
@@ -622,8 +621,8 @@
               (unsigned)frm_stats (w->cores[0])->orders);
   else if (strcmp (command, "plan") == 0)
     show_plan (w);
-  else if (strcmp (command, "parts") == 0)
-    show_parts (w);
+  else if (strcmp (command, "mix") == 0)
+    show_mix (w);
   else if (strcmp (command, "no-order-log") == 0)
     w->hide_orders = true;
   else
@@ -687,7 +686,7 @@
   else if (strcmp (command, "size") == 0 || strcmp (command, "work-share") == 0
            || strcmp (command, "time-factor") == 0
            || strcmp (command, "demand") == 0
-           || strcmp (command, "stored-part") == 0)
+           || strcmp (command, "stored-mix") == 0)
     set_model (w, command, a, n);
   else if (!run_log_command (w, command, a))
     set_vm_state (vm, command);
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -55,10 +55,9 @@
  *   time-factor MODEL PERCENT
  *                        sets the factor on the engine's times
  *   load-rate N          sets how many loads per second may start
- *   stored-part MODEL PERCENT
- *                        part of the requests that the store has for the model
- *   parts                logs the observed parts in percent, and whether they
- *                        differ from the stored ones
+ *   stored-mix MODEL N   the store has this number of requests of the model
+ *   mix                  logs the mean requests of each model, and whether
+ *                        they differ from those in the store
  *   demand MODEL N       sets how many requests have a slot or wait for one; a
  *                        replica has eight slots
  *
--- a/t/t6103-demand.c
+++ b/t/t6103-demand.c
@@ -208,7 +208,7 @@
 {
   form_check ("no-order-log\n size big 12\n size small 6\n"
               "work-share big 50\n work-share small 50\n host-memory\n"
-              "run 100\n stored-part big 9\n stored-part small 91\n"
+              "run 100\n stored-mix big 4\n stored-mix small 40\n"
               "lead 1\n vms a 27\n vms b 27\n vms c 27\n run 3000\n" COUNT
               "traffic\n demand big 4\n demand small 40\n run 20000\n"
               "plan\n",
@@ -223,14 +223,15 @@
    against a mix of the first seconds. */
 Test (demand, the_mix_is_stored_when_it_has_changed)
 {
-  form_check (DOMAINS "demand big 8\n demand small 24\n run 5000\n parts\n"
-                      "run 10000\n parts\n stored-part big 25\n"
-                      "stored-part small 75\n parts\n demand big 9\n"
-                      "run 30000\n parts\n demand big 10\n run 40000\n"
-                      "parts\n",
+  form_check (DOMAINS "demand big 8\n demand small 24\n run 5000\n mix\n"
+                      "run 10000\n mix\n stored-mix big 8\n"
+                      "stored-mix small 24\n mix\n demand big 9\n"
+                      "run 40000\n mix\n demand big 10\n run 40000\n mix\n"
+                      "stored-mix big 16\n stored-mix small 38\n mix\n",
               "unchanged\n"
-              "big 25 small 75 changed\n"
-              "big 25 small 75 unchanged\n"
-              "big 27 small 73 unchanged\n"
-              "big 29 small 71 changed\n");
+              "big 8.0 small 24.0 changed\n"
+              "big 8.0 small 24.0 unchanged\n"
+              "big 9.0 small 24.0 unchanged\n"
+              "big 10.0 small 24.0 changed\n"
+              "big 10.0 small 24.0 changed\n");
 }
--- a/t/t9219-allocation.c
+++ b/t/t9219-allocation.c
@@ -221,6 +221,31 @@
   alc_free (f.core);
 }
 
+/* The large model is idle, but the small one needs no more than it has: the
+   domains are planned by the shares. */
+Test (allocation, low_utilization_changes_nothing)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  run (&f, 60000, 0, 200);
+  cr_expect_eq (f.changes, 0);
+  alc_free (f.core);
+}
+
+/* After a change, the demand falls so far that the shares serve it well. */
+Test (allocation, the_shares_are_in_effect_again_when_the_demand_is_low)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  run (&f, 30000, 20, 400);
+  cr_expect_lt (total (&f, LARGE), 6);
+  run (&f, 60000, 10, 150);
+  expect_plan (&f, 6, 12);
+  alc_free (f.core);
+}
+
 /* No requests at all, for example at night: nothing is a reason for a
    change. */
 Test (allocation, no_demand_changes_nothing)
@@ -229,6 +254,8 @@
 
   fleet_start (&f, 6);
   run (&f, 60000, 0, 0.4);
+  f.domains[0].usable = f.domains[1].usable = 0;
+  run (&f, 60000, 0, 0.4);
   cr_expect_eq (f.changes, 0);
   alc_free (f.core);
 }
@@ -423,15 +450,15 @@
   struct fleet f;
 
   fleet_start (&f, 6);
-  f.models[LARGE].stored_part = 0.155;
-  f.models[SMALL].stored_part = 0.845;
+  f.models[LARGE].stored = 55;
+  f.models[SMALL].stored = 300;
   run (&f, 1000, 0, 0);
   expect_plan (&f, 5, 14);
   cr_expect_eq (alc_last_change (f.core)->reason, ALC_STORED_MIX);
   run (&f, 60000, 55, 300);
   expect_plan (&f, 5, 14);
   cr_expect_eq (f.changes, 1);
-  cr_expect_float_eq (alc_part (f.core, f.now, LARGE), 0.155, 0.001);
+  cr_expect_float_eq (alc_mean (f.core, f.now, LARGE), 55, 0.1);
   alc_free (f.core);
 }
 
@@ -442,8 +469,8 @@
   struct fleet f;
 
   fleet_start (&f, 6);
-  f.models[LARGE].stored_part = 0.05;
-  f.models[SMALL].stored_part = 0.95;
+  f.models[LARGE].stored = 20;
+  f.models[SMALL].stored = 400;
   run (&f, 1000, 0, 0);
   cr_expect_lt (total (&f, LARGE), 6);
   run (&f, 60000, 120, 300);
@@ -457,7 +484,7 @@
   struct fleet f;
 
   fleet_start (&f, 6);
-  f.models[SMALL].stored_part = 0.95;
+  f.models[SMALL].stored = 400;
   run (&f, 5000, 0, 0);
   cr_expect_eq (f.changes, 0);
   alc_free (f.core);
@@ -704,7 +731,7 @@
       struct fleet f;
       double large = 20 + 30 * (i % 6), small = 150 + 70 * (i / 6 % 6);
       double period = 11 + i / 36 % 3, height = 0.2 + 0.25 * (i / 108 % 3);
-      double lag = i / 324 * M_PI / 2;
+      double lag = M_PI / 2 * (double)(i / 324 % 3);
       unsigned late = 0;
       fleet_start (&f, 6);
       for (clk_ms now = 0; now < 120000; now += STEP_MS)
