--- a/serve/duty.c
+++ b/serve/duty.c
@@ -424,6 +424,12 @@
   return frm_stats (s->leader->form);
 }
 
+struct frm *
+srv_leader_form (const struct srv *s)
+{
+  return s->leader->form;
+}
+
 size_t
 srv_leader_models (const struct srv *s, struct frm_model *out)
 {
@@ -455,6 +461,8 @@
         struct str model = t->services[i].models[k].name;
         frm_demand (lead->form, now, service, model,
                     dsp_demand (lead->s->dispatch, service, model));
+        frm_urgency (lead->form, service, model,
+                     dsp_mean_priority (lead->s->dispatch, service, model));
       }
 }
 
@@ -476,6 +484,7 @@
   frm_tick (lead->form, now);
   run_form_actions (lead);
   srv_plan_log_changes (s, lead->form, now);
+  srv_mix_tick (s, now);
 }
 
 void
--- a/serve/form-demand.c
+++ b/serve/form-demand.c
@@ -12,8 +12,8 @@
 /** Utilization of a model that has requests and no replica. */
 #define UTILIZATION_NO_REPLICA 1e6
 
-static struct frm_demand *
-find_or_add_demand (struct frm *f, struct str service, struct str model)
+struct frm_demand *
+frm_find_or_add_demand (struct frm *f, struct str service, struct str model)
 {
   for (size_t i = 0; i < f->ndemands; i++)
     if (str_is (service, f->demands[i].service)
@@ -21,7 +21,8 @@
       return &f->demands[i];
   f->demands = xrealloc (f->demands, (f->ndemands + 1) * sizeof *f->demands);
   f->demands[f->ndemands] = (struct frm_demand){ .service = str_dup (service),
-                                                 .model = str_dup (model) };
+                                                 .model = str_dup (model),
+                                                 .stored = -1 };
   return &f->demands[f->ndemands++];
 }
 
@@ -29,13 +30,14 @@
 frm_demand (struct frm *f, clk_ms now, struct str service, struct str model,
             double requests)
 {
-  struct frm_demand *d = find_or_add_demand (f, service, model);
+  struct frm_demand *d = frm_find_or_add_demand (f, service, model);
   double weight = (double)(now - d->updated_at) / (double)AVERAGING_MS;
 
   if (d->updated_at == 0 || weight > 1)
     weight = 1;
   d->requests += weight * (requests - d->requests);
   d->updated_at = now;
+  frm_allocation_demand (f, now, service, model, requests);
 }
 
 double
@@ -58,7 +60,7 @@
 void
 frm_record_reassigned (struct frm *f, const struct frm_replica *r)
 {
-  find_or_add_demand (f, str_from (r->service), str_from (r->model))
+  frm_find_or_add_demand (f, str_from (r->service), str_from (r->model))
       ->reassigned++;
 }
 
@@ -89,9 +91,19 @@
         return;
       row->planned += d->planned[k];
       row->open_or_forming += d->open_or_forming[k];
+      row->by_demand |= d->target != NULL;
     }
 }
 
+static double
+row_utilization (const struct frm *f, const struct frm_model *row)
+{
+  const struct tbl_service *s = tbl_find_service (f->config, row->service);
+  struct alc_model m = { .slots = s && s->capacity ? s->capacity : 1 };
+
+  return alc_utilization (&m, row->requests, row->planned);
+}
+
 size_t
 frm_models (struct frm *f, struct frm_model *out)
 {
@@ -105,8 +117,9 @@
   for (size_t i = 0; i < f->nrows; i++)
     {
       const struct frm_demand *d
-          = find_or_add_demand (f, out[i].service, out[i].name);
+          = frm_find_or_add_demand (f, out[i].service, out[i].name);
       out[i].requests = d->requests;
+      out[i].utilization = row_utilization (f, &out[i]);
       out[i].reassigned = d->reassigned;
     }
   return f->nrows;
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -25,6 +25,7 @@
 struct srv_register;
 struct srv_leader;
 struct srv_plan;
+struct srv_mix;
 struct srv_peers;
 struct srv_poison;
 struct srv_evacuation;
@@ -63,6 +64,7 @@
   struct srv_register *registration;
   struct srv_leader *leader;
   struct srv_plan *plan;
+  struct srv_mix *mix; /**< mix of each service's requests in the store */
   struct srv_peers *peers;
   struct srv_exchange *exchanges;
   struct srv_deferred *deferred; /**< requests deferred until the store
@@ -172,6 +174,7 @@
 void srv_leader_endpoint_stalled_or_ended (struct srv *s, uint64_t endpoint);
 bool srv_is_leader (const struct srv *s);
 const struct frm_stats *srv_leader_stats (const struct srv *s);
+struct frm *srv_leader_form (const struct srv *s);
 /** As frm_models(); returns 0 unless this node is leader. */
 size_t srv_leader_models (const struct srv *s, struct frm_model *out);
 bool srv_leader_is_forming (const struct srv *s);
@@ -275,6 +278,15 @@
 /** Send the state to the linked nodes that lack it. */
 void srv_peers_send_evacuations (struct srv *s);
 
+/* mix-store.c: mix of each service's requests in the store */
+void srv_mix_start (struct srv *s);
+void srv_mix_tick (struct srv *s, clk_ms now);
+/** The key was read from the store, or was deleted there. */
+void srv_mix_store_item (struct srv *s, bool deleted, struct str value);
+/** A full read of the store follows; if it does not return the key, there is
+    none. */
+void srv_mix_store_reread (struct srv *s);
+
 /* notice.c: availability notices of backend servers */
 /** Response that carries a notice. */
 struct srv_notice_source
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -25,6 +25,7 @@
   enum bks_member_state state;
   clk_ms ready_at;
   bool killed, hung, silent, disconnected, expired, draining;
+  bool busy; /**< it runs requests, so that a close waits */
 };
 
 struct delayed_order
@@ -185,7 +186,7 @@
       vm->state = BKS_OPEN;
     }
   else if (o->a.order == FRM_CLOSE && vm->state >= BKS_OPEN)
-    vm->state = BKS_READY;
+    vm->state = vm->busy && !o->a.force ? BKS_CLOSING : BKS_READY;
   else if (o->a.order == FRM_LEAVE)
     {
       vm->replica[0] = '\0';
@@ -476,6 +477,18 @@
               list[i].requests, (unsigned)list[i].reassigned);
 }
 
+static void
+show_mix (struct world *w)
+{
+  struct frm_mix mix[FRM_MODEL_ROWS];
+  bool changed;
+  size_t n = frm_mix (w->cores[0], w->now, mix, &changed);
+
+  for (size_t i = 0; i < n; i++)
+    buf_addf (&w->log, "%.*s %.1f ", STR_ARG (mix[i].model), mix[i].requests);
+  buf_addf (&w->log, "%s\n", changed ? "changed" : "unchanged");
+}
+
 static void
 set_model (struct world *w, const char *command, const char *name, int n)
 {
@@ -492,6 +505,9 @@
         m->work_share = n / 100.0;
       else if (strcmp (command, "time-factor") == 0)
         m->time_factor = n / 100.0;
+      else if (strcmp (command, "stored-mix") == 0)
+        for (size_t c = 0; c < 2; c++)
+          frm_set_stored_mix (w->cores[c], s->name, m->name, n);
       else
         w->demand[k] = n;
     }
@@ -530,12 +546,33 @@
     vm->expired = true;
   else if (strcmp (command, "drain") == 0)
     vm->draining = true;
+  else if (strcmp (command, "clear-host") == 0)
+    vm->preloaded[0] = '\0';
   else if (strcmp (command, "broken") == 0)
     vm->state = BKS_BROKEN;
   else
     cr_assert (false, "unknown command: %s", command);
 }
 
+static void
+set_domain_state (struct world *w, const char *command, const char *domain)
+{
+  for (size_t i = 0; i < w->n; i++)
+    {
+      struct vm *vm = &w->vms[i];
+      if (strcmp (vm->domain, domain) != 0)
+        continue;
+      if (strcmp (command, "clear-hosts") == 0)
+        vm->preloaded[0] = '\0';
+      else if (strcmp (command, "restart-domain") == 0)
+        restart_vm (w, vm);
+      else
+        vm->busy = strcmp (command, "busy") == 0;
+      if (!vm->busy && vm->state == BKS_CLOSING)
+        vm->state = BKS_READY;
+    }
+}
+
 static void
 delay_orders (struct world *w, const char *kind, bool drop, bool all)
 {
@@ -586,6 +623,8 @@
               (unsigned)frm_stats (w->cores[0])->orders);
   else if (strcmp (command, "plan") == 0)
     show_plan (w);
+  else if (strcmp (command, "mix") == 0)
+    show_mix (w);
   else if (strcmp (command, "no-order-log") == 0)
     w->hide_orders = true;
   else
@@ -612,6 +651,10 @@
   else if (strcmp (command, "delay-all") == 0
            || strcmp (command, "drop-all") == 0)
     delay_orders (w, a, command[1] == 'r', true);
+  else if (strcmp (command, "clear-hosts") == 0
+           || strcmp (command, "restart-domain") == 0
+           || strcmp (command, "busy") == 0 || strcmp (command, "idle") == 0)
+    set_domain_state (w, command, a);
   else if (strcmp (command, "suspend") == 0)
     suspend (w, atoi (a));
   else if (strcmp (command, "pause") == 0)
@@ -642,11 +685,14 @@
       frm_stalled (w->cores[c], w->now,
                    dsp_endpoint_hash (str_from (vm->id), vm->started_at,
                                       vm->generation));
+  else if (strcmp (command, "load-rate") == 0)
+    w->config->services[0].loads_per_s = atoi (a);
   else if (strcmp (command, "list-interval") == 0)
     w->list_ms = atoi (a);
   else if (strcmp (command, "size") == 0 || strcmp (command, "work-share") == 0
            || strcmp (command, "time-factor") == 0
-           || strcmp (command, "demand") == 0)
+           || strcmp (command, "demand") == 0
+           || strcmp (command, "stored-mix") == 0)
     set_model (w, command, a, n);
   else if (!run_log_command (w, command, a))
     set_vm_state (vm, command);
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -14,6 +14,8 @@
  *   silence ID           likewise, but it accepts connections
  *   restore ID           undoes hang, silence, disconnect and expire
  *   restart ID           starts it again under the same id, without weights
+ *   restart-domain DOMAIN
+ *                        the same for all servers of the domain
  *   disconnect ID        no responses, not listed, but it keeps running
  *   expire ID            not listed; it runs and responds as before
  *   drain ID             it reports that it is draining
@@ -38,6 +40,11 @@
  *                        at first
  *   traffic              requests have arrived
  *   host-memory          hosts can hold one model in memory from now on
+ *   clear-hosts DOMAIN   the memory of the domain's hosts holds no weights
+ *   clear-host ID        the same for the host of one server
+ *   busy DOMAIN          replicas of the domain that are ordered to close wait
+ *                        for their running requests
+ *   idle DOMAIN          these requests have ended
  *   report-stall ID      reports that requests to this leader make no progress
  *   show                 logs the open replicas and the warm spares
  *   list-interval MS     sets the interval between lists
@@ -50,6 +57,10 @@
  *                        sets the declared share of the work
  *   time-factor MODEL PERCENT
  *                        sets the factor on the engine's times
+ *   load-rate N          sets how many loads per second may start
+ *   stored-mix MODEL N   the store has this number of requests of the model
+ *   mix                  logs the mean requests of each model, and whether
+ *                        they differ from those in the store
  *   demand MODEL N       sets how many requests have a slot or wait for one; a
  *                        replica has eight slots
  *
