--- a/t/t9314-cold.c
+++ b/t/t9314-cold.c
@@ -127,9 +127,10 @@
   cr_expect (rack_wait_for_counts (&r, "\"crashed\": 2"));
 }
 
-/* Guards against two grantors that each use the whole rate, after the leader
-   was killed while servers were cold. */
-Test (cold_servers, leader_is_killed)
+/** Servers come back, and the leader gets these signals during their cold
+   time; the second one 1.5 s after the first; 0: none. */
+static void
+disturb_leader (int first, int second)
 {
   struct rack r;
   struct callers c;
@@ -141,8 +142,14 @@
   crash_servers (&r);
   usleep (1500000 + 500000 + 1000000);
   g_atomic_int_set (&c.dead_node, leader);
-  proc_signal (r.node[leader], SIGKILL);
-  usleep ((COLD_S - 1) * 1000000 + 500000);
+  proc_signal (r.node[leader], first);
+  usleep (1500000);
+  if (second)
+    {
+      proc_signal (r.node[leader], second);
+      g_atomic_int_set (&c.dead_node, -1);
+    }
+  usleep ((COLD_S - 1) * 1000000 - 1500000 + 500000);
   stop_callers (&c);
   for (int i = 1; i <= 2; i++)
     {
@@ -155,6 +162,14 @@
   cr_expect (rack_wait_for_counts (&r, "\"crashed\": 2"));
 }
 
+/* Guards against two grantors that each use the whole rate, after the leader
+   was killed while servers were cold. */
+Test (cold_servers, leader_is_killed) { disturb_leader (SIGKILL, 0); }
+
+/* Guards against permits that a paused leader grants, or uses, when it goes on
+   after another node has become the grantor. */
+Test (cold_servers, leader_pauses) { disturb_leader (SIGSTOP, SIGCONT); }
+
 /* Guards against a limit where the platform sets none; it also shows that the
    callers of these tests exceed the bound without the limit. */
 Test (cold_servers, not_enabled)
