dispatch: compare the pace of replicas, and limit the slow ones

Cause: load_of() measures used slots and pending prompts. A replica with a member at a quarter of its speed has no more of either than the others, and gets as many concurrent requests, all of which are late.

Change: dispatch-pace.c counts the intervals between events and the times to the first event of each endpoint, over all nodes (PlaceLoad fields 9 to 12) and the last 0.8 s, and compares them with the median of the pool at the same load. An endpoint at 1.5 times the median or more in two comparisons in a row is slow: the factor weighs its load, and it gets only as many concurrent requests as keep the goals of the routes, at least one. Its number doubles every 0.2 s once it is below 1.3 times the median. After a stall, and after 3 s without evidence, it gets single requests. Pauses that pending prompts explain don't count. Enabled by max_event_gap_ms of a streaming route; all four fields stay 0 otherwise.

--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -177,7 +177,7 @@
   if (s->prefill_per_ms > 0)
     load += dsp_load_pending_prefill (s) / s->prefill_per_ms
             / PREFILL_WEIGHT_MS;
-  return load;
+  return load + dsp_pace_load (s);
 }
 
 static bool
@@ -216,7 +216,7 @@
   for (size_t i = 0; i < p->n; i++)
     {
       struct dsp_endpoint_state *s = p->endpoints[i];
-      if (!is_candidate (d, s, q) || slots_taken (s) >= s->capacity + extra)
+      if (!is_candidate (d, s, q) || !dsp_pace_has_room (d, s, q, extra))
         continue;
       if (!dsp_limit_allows_request (d, s))
         {
