dispatch: old counts of plain services by chance, reports of servers

Cause: with 84 to 116 nodes, a node learns of the others' requests 50 to 200 ms late, and requests of plain services are shorter. All nodes went by the same counts, sent to the server that had the most free slots in them, and were rejected there while half of all slots were free. Reports of servers in responses were parsed and not used.

Change: dispatch-count.c sets the count that the choice uses. For plain services, the others' counts are used with the chance exp(-age / mean duration), else each server counts as equally used; equal counts are decided by chance, as the order of the list gave the first server two thirds of them. A report raises the count of an endpoint, if it is one of several, for 150 ms. Counts of models, and of a node alone, are used as before, but for the reports.

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -8,6 +8,7 @@
  *   dispatch-wait.c   queue of waiting requests and its order
  *   dispatch-place.c  endpoints and the choice among them
  *   dispatch-load.c   load of this node and of its peers at each endpoint
+ *   dispatch-count.c  number of requests at each endpoint, for the choice
  *   dispatch-health.c failure, ejection and stall detection of endpoints
  *   dispatch-retry.c  this node's share of the fleet's retry budget
  *   dispatch-limit.c  rate limits set by servers
@@ -161,6 +162,13 @@
   unsigned samples;
   clk_ms ejected_until; /**< 0: not ejected */
   unsigned ejections;   /**< consecutive ejections, for the backoff */
+  uint32_t counted;     /**< dsp_count_requests(): requests of all nodes */
+  double tie_break;     /**< likewise: part of a request, which decides between
+                             equal counts */
+  /** requests that run or wait there, as the server last reported; of these,
+      own_when_reported are this node's */
+  uint32_t reported, own_when_reported;
+  clk_ms reported_at; /**< 0: it has reported nothing */
   struct dsp_pace pace;
   bool trial_in_flight; /**< one trial request is in flight, to find out
                              whether the endpoint works again */
@@ -357,6 +365,7 @@
   size_t nbudgets;
   struct dsp_peer *peers;
   size_t npeers;
+  clk_ms peer_loads_at; /**< when a peer last reported its load */
   struct dsp_req **buckets;
   size_t nbuckets;
   struct dsp_req *open_list;
@@ -453,6 +462,10 @@
 void dsp_pool_free (struct dsp_pool *p);
 void dsp_endpoint_free (struct dsp_endpoint_state *s);
 
+/* dispatch-count.c */
+/** Sets `counted` of the pool's endpoints. */
+void dsp_count_requests (struct dsp *d, struct dsp_pool *p);
+
 /* dispatch-pace.c */
 /** Takes the goals of the request's route. */
 void dsp_pace_request (const struct dsp_req *q);
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -118,6 +118,7 @@
     memcpy (p->loads, loads, n * sizeof *loads);
   p->n = n;
   p->received_at = received_at;
+  d->peer_loads_at = now;
   add_peer_loads (d, p, true);
   for (size_t i = 0; i < n; i++)
     if (loads[i].process_ended)
--- a/serve/dispatch-pace.c
+++ b/serve/dispatch-pace.c
@@ -479,7 +479,7 @@
 dsp_pace_has_room (struct dsp *d, const struct dsp_endpoint_state *s,
                    const struct dsp_req *q, unsigned extra)
 {
-  uint32_t taken = s->own_requests + s->peer_requests;
+  uint32_t taken = s->counted;
   uint64_t nodes;
 
   if (s->pace.limit == 0)
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -159,7 +159,7 @@
 static uint32_t
 slots_taken (const struct dsp_endpoint_state *s)
 {
-  return s->own_requests + s->peer_requests;
+  return s->counted;
 }
 
 /**
@@ -171,7 +171,8 @@
 static double
 load_of (const struct dsp_endpoint_state *s)
 {
-  double n = slots_taken (s) + (s->same_zone ? 0 : OTHER_ZONE_PENALTY);
+  double n = slots_taken (s) + s->tie_break
+             + (s->same_zone ? 0 : OTHER_ZONE_PENALTY);
   double load = n / (s->capacity ? s->capacity : 1);
 
   if (s->prefill_per_ms > 0)
@@ -296,6 +297,7 @@
   struct dsp_endpoint_state *s;
 
   dsp_load_expire_prompt_notices (d);
+  dsp_count_requests (d, p);
   if (dsp_limit_needed_by_higher_priority (d, p, q))
     return NULL;
   if (find_trial_endpoint (d, p, q, &s))
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -323,6 +323,10 @@
     generation; 0: the attempt has ended. */
 uint64_t dsp_attempt_process (const struct dsp *d, uint64_t id,
                               unsigned attempt);
+/** Requests that run and wait at the attempt's server, as it reports in a
+    response head; call it before dsp_response_head(). */
+void dsp_response_load (struct dsp *d, clk_ms now, uint64_t id,
+                        unsigned attempt, unsigned running, unsigned waiting);
 /** Number of requests that this node has sent to the attempt's server while
     that server was rate-limited. */
 uint64_t dsp_sent_while_limited (const struct dsp *d, uint64_t id,
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -674,6 +674,9 @@
     block (b, false, (uint64_t)atoi (x));
   else if (strcmp (command, "block-part") == 0)
     block (b, true, (uint64_t)x[0]);
+  else if (strcmp (command, "load") == 0)
+    dsp_response_load (b->d, b->now, (uint64_t)atoi (x), b->attempt[atoi (x)],
+                       (unsigned)atoi (y), (unsigned)atoi (z));
   else if (strcmp (command, "run") == 0)
     run (b, atoi (x));
   else if (strcmp (command, "suspend") == 0)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -45,6 +45,7 @@
  *                              result of the check of the server's process
  *   block DIGEST               the request is blocked, as it crashes servers
  *   block-part LETTER          the same of a part
+ *   load ID RUNNING WAITING    the server of the request reports its load
  *   run MS                     advances the time in steps of 20 ms
  *   run-events MS ID           advances the time, with ticks when due and an
  *                              event of the stream every 10 ms
