dispatch: one trial request at a stalled replica, stalls that other nodes disprove

Cause, seen in trials with 84 nodes: 5 s after a replica at a twelfth of its speed had stalled, each of some 25 nodes sent its trial request, all late. And a pass with several long prompts looks like a stall at a node with one stream there; the node left the replica out for 5 s, though the other nodes' streams went on.

Change: where paces are compared, a trial request to a slow endpoint waits for one of its slots, as other requests do. An endpoint at which the intervals of other nodes are those of the pool isn't slow because of a stall, and the stall ends after 1.5 s. t9222 is the trial as a test: 84 nodes, 18 replicas, 315 streams per second, one replica slow for 8 s.

Seen to fail without its safeguard: trial_waits_for_that_of_another_node (trials at any time), evidence_of_other_nodes_ends_a_stall (evidence not used, stall not ended), t9222 (replica not counted as slow at the stall in spite of evidence: 5 reports of other replicas).

--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -488,6 +488,10 @@
     @param extra  requests allowed beyond the slots, unless it is slow */
 bool dsp_pace_has_room (struct dsp *d, const struct dsp_endpoint_state *s,
                         const struct dsp_req *q, unsigned extra);
+/** Whether the endpoint may get a trial request.  If many nodes have found it
+    stalled, not all of them send theirs at the same time. */
+bool dsp_pace_allows_trial (struct dsp *d, const struct dsp_endpoint_state *s,
+                            const struct dsp_req *q);
 
 /* dispatch-path.c */
 struct dsp_path *dsp_get_path (struct dsp *d, const char *service);
--- a/serve/dispatch-pace.c
+++ b/serve/dispatch-pace.c
@@ -13,6 +13,8 @@
  * the gaps between events (tbl_route.max_event_gap_ms).
  */
 
+/** Time after a stall after which evidence is newer than the stall. */
+#define STALL_EVIDENCE_MS ((clk_ms)1500)
 /** Length of a bucket of the sliding window, DSP_PACE_BUCKETS long. */
 #define BUCKET_MS ((clk_ms)200)
 /** Interval between two comparisons of the endpoints. */
@@ -436,6 +438,13 @@
   struct dsp_pace *x = &s->pace;
   double factor = measure_factor (s);
 
+  if (s->stalled && factor > 0 && factor < RECOVERED_FACTOR)
+    {
+      /* Streams of other nodes go on there, or did so before the stall. */
+      if (d->now - s->stalled_at <= STALL_EVIDENCE_MS)
+        return;
+      s->stalled = false;
+    }
   if (s->stalled)
     {
       allow_single_requests (x);
@@ -530,6 +539,13 @@
              && rng_below (&d->rng, d->node_count) < nodes);
 }
 
+bool
+dsp_pace_allows_trial (struct dsp *d, const struct dsp_endpoint_state *s,
+                       const struct dsp_req *q)
+{
+  return !s->pace.slow || dsp_pace_has_room (d, s, q, 0);
+}
+
 /* --- reports --------------------------------------------------------------
  */
 
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -242,7 +242,7 @@
 /** Finds an ejected or stalled endpoint that is due for a trial request, if @p
     q can be retried after a failure. */
 static bool
-find_trial_endpoint (const struct dsp *d, const struct dsp_pool *p,
+find_trial_endpoint (struct dsp *d, const struct dsp_pool *p,
                      const struct dsp_req *q, struct dsp_endpoint_state **out)
 {
   if (!q->retryable || q->partly_forwarded
@@ -252,7 +252,8 @@
     {
       *out = p->endpoints[i];
       if (!dsp_has_failed_at (q, *out) && dsp_health_trial_due (d, *out)
-          && dsp_limit_allows_request (d, *out))
+          && dsp_limit_allows_request (d, *out)
+          && dsp_pace_allows_trial (d, *out, q))
         return true;
     }
   return false;
--- a/t/t9220-pace.c
+++ b/t/t9220-pace.c
@@ -165,3 +165,29 @@
                       "speed s2 12\n traffic 600 40\n own-pace 90\n",
                  "stalled s2\nlate s2\n");
 }
+
+/* After a stall, each node sent a trial request when 5 s had passed: dozens at
+   the same time, all of them late. */
+Test (pace, trial_waits_for_that_of_another_node)
+{
+  dispatch_play (POOL "gap 200\n traffic 3000 40\n speed s2 12\n"
+                      "traffic 1000 40\n slow\n peer-load s2 1 0\n"
+                      "traffic 8000 40\n tried s2\n",
+                 "stalled s2\nslow s2\nnot-tried s2\n");
+}
+
+/* A long pass looks like a stall at a node with few streams there, and the
+   replica got nothing from that node for 5 s, though the others saw it at its
+   full speed. */
+Test (pace, evidence_of_other_nodes_ends_a_stall)
+{
+  dispatch_play (POOL "gap 200\n traffic 3000 40\n speed s2 12\n"
+                      "traffic 600 40\n speed s2 1\n"
+                      "peer-pace s2 50 3000\n traffic 500 40\n"
+                      "peer-pace s2 50 3000\n traffic 500 40\n"
+                      "peer-pace s2 50 3000\n traffic 500 40\n"
+                      "peer-pace s2 50 3000\n traffic 1000 40\n"
+                      "peer-pace s2 50 3000\n traffic 1000 40\n"
+                      "tried s2\n",
+                 "stalled s2\ntried s2\n");
+}
