dispatch: drop the limits of slow replicas when the goal is withdrawn

Cause, found by reading: when a new configuration no longer declares gap_goal_ms, paces weren't compared any more and the limits stayed as they were; and after a restore of the store, a lower version of the configuration was ignored.

Change: pools without the goal have no slow endpoints; any other version of the configuration replaces the goals. A node that subtracts its own load from the sum leaves no time without a count.

t9220 goal_is_withdrawn was seen to fail without either.

--- a/serve/dispatch-pace.c
+++ b/serve/dispatch-pace.c
@@ -72,9 +72,10 @@
 {
   struct dsp_pool_pace *p = &q->pool->pace;
 
-  if (q->route->kind != TBL_STREAM || q->config->version < p->config)
+  if (q->route->kind != TBL_STREAM)
     return;
-  if (q->config->version > p->config)
+  /* After a restore of the store, the version may be lower. */
+  if (q->config->version != p->config)
     {
       p->config = q->config->version;
       p->gap_goal_ms = p->first_goal_ms = 0;
@@ -474,15 +475,25 @@
 }
 
 static void
-compare (struct dsp *d, struct dsp_pool *p)
+treat_as_equal (struct dsp_pool *p)
 {
-  bool enough = update_medians (d, p);
+  for (size_t i = 0; i < p->n; i++)
+    set_slow (&p->endpoints[i]->pace, false);
+}
 
+static void
+compare (struct dsp *d, struct dsp_pool *p)
+{
+  if (!update_medians (d, p))
+    {
+      treat_as_equal (p);
+      return;
+    }
   for (size_t i = 0; i < p->n; i++)
-    if (!enough || !p->endpoints[i]->listed)
-      set_slow (&p->endpoints[i]->pace, false);
-    else
+    if (p->endpoints[i]->listed)
       judge (d, p->endpoints[i]);
+    else
+      set_slow (&p->endpoints[i]->pace, false);
 }
 
 void
@@ -500,12 +511,13 @@
       for (size_t k = 0; k < p->n; k++)
         p->endpoints[k]->pace.peers = (struct dsp_pace_sums){ 0 };
     }
-  if (!enabled)
-    return;
-  sum_peers (d);
+  if (enabled)
+    sum_peers (d);
   for (size_t i = 0; i < d->npools; i++)
     if (is_enabled (d->pools[i]))
       compare (d, d->pools[i]);
+    else
+      treat_as_equal (d->pools[i]);
 }
 
 /* --- choice of an endpoint ------------------------------------------------
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -136,6 +136,11 @@
         subtract (&c->intervals_ms, own->intervals_ms);
         subtract (&c->first_events, own->first_events);
         subtract (&c->first_events_ms, own->first_events_ms);
+        /* The sum may contain an older load of this node. */
+        if (c->intervals == 0)
+          c->intervals_ms = 0;
+        if (c->first_events == 0)
+          c->first_events_ms = 0;
       }
 }
 
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -567,6 +567,16 @@
               STR_ARG (c.server));
 }
 
+/** Declares the goal in a new version of the configuration. */
+static void
+set_gap_goal (struct fixture *b, clk_ms ms)
+{
+  for (size_t i = 0; i < b->config->nroutes; i++)
+    if (str_is (b->config->routes[i].name, "stream"))
+      b->config->routes[i].max_event_gap_ms = ms;
+  b->config->version++;
+}
+
 static void
 log_own_pace (struct fixture *b, double ms)
 {
@@ -588,8 +598,7 @@
   struct traffic *t = &b->traffic;
 
   if (strcmp (command, "gap") == 0)
-    ((struct tbl_route *)find_route (b, "stream"))->max_event_gap_ms
-        = atoi (x);
+    set_gap_goal (b, atoi (x));
   else if (strcmp (command, "prefill") == 0)
     {
       for (size_t i = 0; i < b->n; i++)
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -56,7 +56,8 @@
  * of 60 ms, in which each of its running streams gets an event, and which take
  * longer by the prompts that they process.
  *
- *   gap MS                     the route "stream" declares this goal for gaps
+ *   gap MS                     a new configuration declares this goal for gaps
+ *                              on the route "stream"; 0: none
  *   prefill N                  replicas process N prompt tokens per ms
  *   prompt N                   every fifth stream of later traffic has a
  *                              prompt of N tokens; the others have 300
--- a/t/t9220-pace.c
+++ b/t/t9220-pace.c
@@ -191,3 +191,13 @@
                       "tried s2\n",
                  "stalled s2\ntried s2\n");
 }
+
+/* A limit that was set under an earlier configuration must not stay when the
+   operators no longer declare the goal. */
+Test (pace, goal_is_withdrawn)
+{
+  dispatch_play (POOL "gap 200\n traffic 3000 40\n speed s2 4\n"
+                      "traffic 1000 40\n slow\n gap 0\n traffic 300 40\n"
+                      "slow\n",
+                 "slow s2\nrecovered s2\n");
+}
