--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -103,8 +103,8 @@
 struct dsp_pool_pace
 {
   int64_t config;       /**< version of the configuration of the goals */
-  clk_ms gap_goal_ms;   /**< lowest of the routes' goals; 0: none, and paces
-                             are not compared */
+  clk_ms max_gap_ms;    /**< lowest of the routes' goals; 0: none, and paces
+                              are not compared */
   clk_ms first_goal_ms; /**< likewise, for the first event */
   double interval_ms;   /**< median; 0: unknown */
   double first_ms;      /**< median; 0: unknown */
--- a/serve/dispatch-pace.c
+++ b/serve/dispatch-pace.c
@@ -78,18 +78,18 @@
   if (q->config->version != p->config)
     {
       p->config = q->config->version;
-      p->gap_goal_ms = p->first_goal_ms = 0;
+      p->max_gap_ms = p->first_goal_ms = 0;
     }
   if (q->route->max_event_gap_ms <= 0)
     return;
-  lower_goal (&p->gap_goal_ms, q->route->max_event_gap_ms);
+  lower_goal (&p->max_gap_ms, q->route->max_event_gap_ms);
   lower_goal (&p->first_goal_ms, q->route->latency_goal_ms);
 }
 
 static bool
 is_enabled (const struct dsp_pool *p)
 {
-  return p->pace.gap_goal_ms > 0;
+  return p->pace.max_gap_ms > 0;
 }
 
 /* --- observation --------------------------------------------------------- */
@@ -347,7 +347,7 @@
 requests_within_goals (const struct dsp_endpoint_state *s, double factor)
 {
   const struct dsp_pool_pace *p = &s->pool->pace;
-  double load = load_within_goal (p, GAP_GOAL_FRACTION * (double)p->gap_goal_ms
+  double load = load_within_goal (p, GAP_GOAL_FRACTION * (double)p->max_gap_ms
                                          / (factor * p->interval_ms));
   double n;
 
