--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -167,7 +167,7 @@
 static uint32_t
 slots_taken (const struct dsp_endpoint_state *s)
 {
-  return s->own_requests + s->peer_requests;
+  return s->counted;
 }
 
 /**
@@ -179,13 +179,14 @@
 static double
 load_of (const struct dsp_endpoint_state *s)
 {
-  double n = slots_taken (s) + (s->same_zone ? 0 : OTHER_ZONE_PENALTY);
+  double n = slots_taken (s) + s->tie_break
+             + (s->same_zone ? 0 : OTHER_ZONE_PENALTY);
   double load = n / (s->capacity ? s->capacity : 1);
 
   if (s->prefill_per_ms > 0)
     load += dsp_load_pending_prefill (s) / s->prefill_per_ms
             / PREFILL_WEIGHT_MS;
-  return load;
+  return load + dsp_pace_load (s);
 }
 
 static bool
@@ -276,12 +277,12 @@
         continue;
       if (dsp_is_cold (d, s))
         {
-          if (slots_taken (s) < s->capacity + extra)
+          if (dsp_pace_has_room (d, s, q, extra))
             consider_cold (d, s, &cold);
           continue;
         }
       cold.has_warm = true;
-      if (slots_taken (s) >= s->capacity + extra)
+      if (!dsp_pace_has_room (d, s, q, extra))
         continue;
       if (!dsp_limit_allows_request (d, s))
         {
@@ -309,7 +310,7 @@
 /** Finds an ejected or stalled endpoint that is due for a trial request, if @p
     q can be retried after a failure. */
 static bool
-find_trial_endpoint (const struct dsp *d, const struct dsp_pool *p,
+find_trial_endpoint (struct dsp *d, const struct dsp_pool *p,
                      const struct dsp_req *q, struct dsp_endpoint_state **out)
 {
   if (!q->retryable || q->partly_forwarded
@@ -319,7 +320,8 @@
     {
       *out = p->endpoints[i];
       if (!dsp_has_failed_at (q, *out) && dsp_health_trial_due (d, *out)
-          && dsp_limit_allows_request (d, *out))
+          && dsp_limit_allows_request (d, *out)
+          && dsp_pace_allows_trial (d, *out, q))
         return true;
     }
   return false;
@@ -364,6 +366,7 @@
   struct dsp_endpoint_state *s;
 
   dsp_load_expire_prompt_notices (d);
+  dsp_count_requests (d, p);
   if (dsp_limit_needed_by_higher_priority (d, p, q))
     return NULL;
   if (find_trial_endpoint (d, p, q, &s))
