--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -8,12 +8,10 @@
  *   dispatch-wait.c   queue of waiting requests and its order
  *   dispatch-place.c  endpoints and the choice among them
  *   dispatch-load.c   load of this node and of its peers at each endpoint
- *   dispatch-count.c  number of requests at each endpoint, for the choice
  *   dispatch-health.c failure, ejection and stall detection of endpoints
  *   dispatch-retry.c  this node's share of the fleet's retry budget
  *   dispatch-limit.c  rate limits set by servers
  *   dispatch-avail.c  pauses and shutdowns announced by servers
- *   dispatch-pace.c   pace of endpoints, compared with the others of a pool
  *   dispatch-path.c   whether this node reaches servers, proxies if not
  *   dispatch-crash.c  interrupted runs and crash detection
  */
@@ -61,57 +59,6 @@
 
 struct dsp_pool;
 
-/** Counts and sums of times. */
-struct dsp_pace_sums
-{
-  uint32_t intervals; /**< between two events of a stream */
-  uint32_t first_events;
-  double intervals_ms;
-  double first_events_ms; /**< from sending to the first event */
-};
-
-/** Length of the window of paces, in buckets of 200 ms. */
-#define DSP_PACE_BUCKETS 4
-
-struct dsp_pace_bucket
-{
-  struct dsp_pace_sums sums;
-  double prefill_ms; /**< longest time that the pending prompts needed */
-};
-
-/** Pace of an endpoint. */
-struct dsp_pace
-{
-  struct dsp_pace_bucket buckets[DSP_PACE_BUCKETS]; /**< a ring */
-  int64_t newest; /**< number of the newest bucket since the epoch */
-  struct dsp_pace_sums peers; /**< of the other nodes */
-  struct dsp_pace_sums sums;  /**< of all nodes, at the last comparison */
-  double interval_ms;         /**< mean; 0: too few intervals */
-  double first_ms;            /**< mean; 0: too few first events */
-  clk_ms evidence_at;         /**< time of the last comparison */
-  unsigned slow_passes; /**< comparisons in a row that found it slow, before
-                             it counts as slow */
-  bool slow;
-  bool changed;   /**< `slow`, since dsp_next_pace_change() returned it */
-  double excess;  /**< pace factor, minus 1 */
-  unsigned limit; /**< number of concurrent requests; 0: its capacity */
-  clk_ms grow_at; /**< earliest time at which a recovered endpoint's limit is
-                       raised again */
-};
-
-/** What the paces of a pool's endpoints are compared with. */
-struct dsp_pool_pace
-{
-  int64_t config;       /**< version of the configuration of the goals */
-  clk_ms max_gap_ms;    /**< lowest of the routes' goals; 0: none, and paces
-                              are not compared */
-  clk_ms first_goal_ms; /**< likewise, for the first event */
-  double interval_ms;   /**< median; 0: unknown */
-  double first_ms;      /**< median; 0: unknown */
-  double used; /**< mean used fraction of the slots of the endpoints compared
-                */
-};
-
 struct dsp_endpoint_state
 {
   struct dsp_pool *pool;
@@ -165,14 +112,6 @@
   unsigned samples;
   clk_ms ejected_until; /**< 0: not ejected */
   unsigned ejections;   /**< consecutive ejections, for the backoff */
-  uint32_t counted;     /**< dsp_count_requests(): requests of all nodes */
-  double tie_break;     /**< likewise: part of a request, which decides between
-                             equal counts */
-  /** requests that run or wait there, as the server last reported; of these,
-      own_when_reported are this node's */
-  uint32_t reported, own_when_reported;
-  clk_ms reported_at; /**< 0: it has reported nothing */
-  struct dsp_pace pace;
   bool trial_in_flight; /**< one trial request is in flight, to find out
                              whether the endpoint works again */
 };
@@ -229,7 +168,6 @@
                               next client gets a later one */
   clk_ms pause_retry_at; /**< retry time of the next client that is rejected
                               because of pauses */
-  struct dsp_pool_pace pace;
 };
 
 struct dsp_req
@@ -261,14 +199,13 @@
   bool queued;
   bool streaming; /**< the current attempt has received its first event */
   clk_ms first_event_at;
-  clk_ms event_at;        /**< time of the last event of the current attempt */
-  bool partly_forwarded;  /**< part of the response has been forwarded to the
-                               client */
-  bool is_trial;          /**< the current attempt is a trial request */
-  bool prefill_counted;   /**< its prompt is counted in the endpoint's
-                               `own_prefill` */
-  bool prefill_announced; /**< its prompt is counted in the endpoint's
-                               `own_announced` */
+  bool partly_forwarded;   /**< part of the response has been forwarded to the
+                                client */
+  bool is_trial;           /**< the current attempt is a trial request */
+  bool prefill_counted;    /**< its prompt is counted in the endpoint's
+                                `own_prefill` */
+  bool prefill_announced;  /**< its prompt is counted in the endpoint's
+                                `own_announced` */
   bool awaits_first_event; /**< sent, and no event received yet */
   bool error_response;     /**< the current attempt's response is an error */
   bool success_response; /**< the current attempt's response has status 2xx */
@@ -356,9 +293,6 @@
   clk_ms ticked_at;
   clk_ms last_check_at; /**< last tick, or the time at which the first request
                              was opened */
-  clk_ms resumed_at;    /**< time of the last tick that was too late */
-  clk_ms next_pace_at;  /**< next comparison of paces */
-  double *medians;      /**< values of which the median is taken */
   bool skipped_tick; /**< the last tick was too late and checked no timeouts */
   unsigned node_count;
   unsigned known_nodes;   /**< nodes that may be running */
@@ -371,7 +305,6 @@
   size_t nbudgets;
   struct dsp_peer *peers;
   size_t npeers;
-  clk_ms peer_loads_at; /**< when a peer last reported its load */
   struct dsp_req **buckets;
   size_t nbuckets;
   struct dsp_req *open_list;
@@ -470,37 +403,6 @@
 void dsp_pool_free (struct dsp_pool *p);
 void dsp_endpoint_free (struct dsp_endpoint_state *s);
 
-/* dispatch-count.c */
-/** Sets `counted` of the pool's endpoints. */
-void dsp_count_requests (struct dsp *d, struct dsp_pool *p);
-
-/* dispatch-pace.c */
-/** Takes the goals of the request's route. */
-void dsp_pace_request (const struct dsp_req *q);
-/** The request's prompt counts as pending at the endpoint. */
-void dsp_pace_prompt_sent (const struct dsp *d, struct dsp_endpoint_state *s);
-/** An event of a stream has arrived; `q->streaming` is still false for the
-    first one. */
-void dsp_pace_event (const struct dsp *d, struct dsp_req *q);
-/** The current attempt has failed: counts the interval that has not ended, if
-    it is already long. */
-void dsp_pace_attempt_failed (const struct dsp *d, struct dsp_req *q);
-/** Counts of this node in the window; all 0 if paces are not compared. */
-struct dsp_pace_sums dsp_pace_own (const struct dsp *d,
-                                   struct dsp_endpoint_state *s);
-/** Compares the endpoints of each pool, if that is due. */
-void dsp_pace_tick (struct dsp *d);
-/** What the load of a slow endpoint counts in addition; 0: it isn't slow. */
-double dsp_pace_load (const struct dsp_endpoint_state *s);
-/** Whether the endpoint has a slot for @p q.
-    @param extra  requests allowed beyond the slots, unless it is slow */
-bool dsp_pace_has_room (struct dsp *d, const struct dsp_endpoint_state *s,
-                        const struct dsp_req *q, unsigned extra);
-/** Whether the endpoint may get a trial request.  If many nodes have found it
-    stalled, not all of them send theirs at the same time. */
-bool dsp_pace_allows_trial (struct dsp *d, const struct dsp_endpoint_state *s,
-                            const struct dsp_req *q);
-
 /* dispatch-path.c */
 struct dsp_path *dsp_get_path (struct dsp *d, const char *service);
 void dsp_path_connect_failed (struct dsp *d,
--- a/serve/dispatch-load.c
+++ b/serve/dispatch-load.c
@@ -120,7 +120,6 @@
     memcpy (p->loads, loads, n * sizeof *loads);
   p->n = n;
   p->received_at = received_at;
-  d->peer_loads_at = now;
   add_peer_loads (d, p, true);
   for (size_t i = 0; i < n; i++)
     if (loads[i].process_ended)
@@ -141,13 +140,11 @@
   for (size_t i = 0; i < d->npools; i++)
     for (size_t k = 0; k < d->pools[i]->n; k++)
       {
-        struct dsp_endpoint_state *s = d->pools[i]->endpoints[k];
-        struct dsp_pace_sums pace = dsp_pace_own (d, s);
+        const struct dsp_endpoint_state *s = d->pools[i]->endpoints[k];
         bool reached = !dsp_path_is_own_loss (d, s->pool->path);
         bool ended = reached && d->now < s->process_ended_until;
         bool stalled = reached && s->stalled;
-        if (s->own_requests || stalled || ended || pace.intervals
-            || pace.first_events)
+        if (s->own_requests || stalled || ended)
           d->own_loads[(*n)++] = (struct dsp_endpoint_load){
             .endpoint = s->hash,
             .in_flight = s->own_requests,
@@ -155,11 +152,7 @@
             .pending_prefill = (uint32_t)(s->own_prefill - s->own_announced),
             .last_event_at = s->last_data_at,
             .stalled = stalled,
-            .process_ended = ended,
-            .intervals = pace.intervals,
-            .intervals_ms = (uint32_t)pace.intervals_ms,
-            .first_events = pace.first_events,
-            .first_events_ms = (uint32_t)pace.first_events_ms
+            .process_ended = ended
           };
       }
   return d->own_loads;
@@ -235,7 +228,6 @@
 
   q->prefill_counted = true;
   s->own_prefill += q->prompt_tokens;
-  dsp_pace_prompt_sent (d, s);
   q->prefill_announced = is_long_prompt (d, s, q->prompt_tokens);
   if (!q->prefill_announced)
     return;
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -167,7 +167,7 @@
 static uint32_t
 slots_taken (const struct dsp_endpoint_state *s)
 {
-  return s->counted;
+  return s->own_requests + s->peer_requests;
 }
 
 /**
@@ -179,14 +179,13 @@
 static double
 load_of (const struct dsp_endpoint_state *s)
 {
-  double n = slots_taken (s) + s->tie_break
-             + (s->same_zone ? 0 : OTHER_ZONE_PENALTY);
+  double n = slots_taken (s) + (s->same_zone ? 0 : OTHER_ZONE_PENALTY);
   double load = n / (s->capacity ? s->capacity : 1);
 
   if (s->prefill_per_ms > 0)
     load += dsp_load_pending_prefill (s) / s->prefill_per_ms
             / PREFILL_WEIGHT_MS;
-  return load + dsp_pace_load (s);
+  return load;
 }
 
 static bool
@@ -277,12 +276,12 @@
         continue;
       if (dsp_is_cold (d, s))
         {
-          if (dsp_pace_has_room (d, s, q, extra))
+          if (slots_taken (s) < s->capacity + extra)
             consider_cold (d, s, &cold);
           continue;
         }
       cold.has_warm = true;
-      if (!dsp_pace_has_room (d, s, q, extra))
+      if (slots_taken (s) >= s->capacity + extra)
         continue;
       if (!dsp_limit_allows_request (d, s))
         {
@@ -310,7 +309,7 @@
 /** Finds an ejected or stalled endpoint that is due for a trial request, if @p
     q can be retried after a failure. */
 static bool
-find_trial_endpoint (struct dsp *d, const struct dsp_pool *p,
+find_trial_endpoint (const struct dsp *d, const struct dsp_pool *p,
                      const struct dsp_req *q, struct dsp_endpoint_state **out)
 {
   if (!q->retryable || q->partly_forwarded
@@ -320,8 +319,7 @@
     {
       *out = p->endpoints[i];
       if (!dsp_has_failed_at (q, *out) && dsp_health_trial_due (d, *out)
-          && dsp_limit_allows_request (d, *out)
-          && dsp_pace_allows_trial (d, *out, q))
+          && dsp_limit_allows_request (d, *out))
         return true;
     }
   return false;
@@ -366,7 +364,6 @@
   struct dsp_endpoint_state *s;
 
   dsp_load_expire_prompt_notices (d);
-  dsp_count_requests (d, p);
   if (dsp_limit_needed_by_higher_priority (d, p, q))
     return NULL;
   if (find_trial_endpoint (d, p, q, &s))
--- a/serve/dispatch.c
+++ b/serve/dispatch.c
@@ -311,7 +311,6 @@
 {
   bool retry;
 
-  dsp_pace_attempt_failed (d, q);
   record_failed_endpoint (q);
   retry = q->retryable && !dsp_is_suspect (d, q) && take_retry (d, q);
   cancel_attempt (d, q);
@@ -488,8 +487,6 @@
   q->last_data_at = q->endpoint->last_data_at = now;
   dsp_path_heard (d, q->endpoint);
   q->endpoint->stalled = false;
-  if (event)
-    dsp_pace_event (d, q);
   if (event && !q->streaming)
     on_first_event (d, q);
 }
@@ -609,7 +606,6 @@
     dsp_budget_count_request (d, q->pool);
   dsp_limit_count_request (d, q);
   dsp_load_count_priority (q);
-  dsp_pace_request (q);
   dsp_transition (q, DSP_EVENT_WAIT);
   dsp_enqueue (d, q, false);
   dsp_send_queued (d, q->pool);
@@ -685,8 +681,6 @@
 static bool
 skip_late_tick (struct dsp *d, clk_ms now)
 {
-  if (now - d->last_check_at > LATE_TICK_MS)
-    d->resumed_at = now;
   d->skipped_tick = !d->skipped_tick && now - d->last_check_at > LATE_TICK_MS;
   d->last_check_at = now;
   return d->skipped_tick;
@@ -703,7 +697,6 @@
   dsp_path_tick (d);
   dsp_crash_tick (d);
   dsp_health_tick (d);
-  dsp_pace_tick (d);
   /* check_timeouts() may free q and send other requests, but it frees no other
      request. */
   for (struct dsp_req *q = d->open_list; q; q = next)
@@ -774,7 +767,6 @@
   free (d->buckets);
   free (d->actions);
   free (d->own_loads);
-  free (d->medians);
   free (d->zone);
   free (d);
 }
--- a/serve/dispatch.h
+++ b/serve/dispatch.h
@@ -100,11 +100,6 @@
   bool stalled;         /**< the reporting node has detected a stall */
   bool process_ended;   /**< the reporting node has found that the server's
                              process has ended */
-  /** of about the last second; all 0 where paces are not compared */
-  uint32_t intervals;       /**< intervals between two events of a stream */
-  uint32_t intervals_ms;    /**< their sum */
-  uint32_t first_events;    /**< first events of streams */
-  uint32_t first_events_ms; /**< sum of the times from sending to these */
 };
 
 /** Announces a long prompt that a node has just sent to an endpoint. */
@@ -329,10 +324,6 @@
     generation; 0: the attempt has ended. */
 uint64_t dsp_attempt_process (const struct dsp *d, uint64_t id,
                               unsigned attempt);
-/** Requests that run and wait at the attempt's server, as it reports in a
-    response head; call it before dsp_response_head(). */
-void dsp_response_load (struct dsp *d, clk_ms now, uint64_t id,
-                        unsigned attempt, unsigned running, unsigned waiting);
 /** Number of requests that this node has sent to the attempt's server while
     that server was rate-limited. */
 uint64_t dsp_sent_while_limited (const struct dsp *d, uint64_t id,
@@ -383,32 +374,6 @@
     @retval false there is none */
 bool dsp_next_denied_retries (struct dsp *d, struct dsp_denied_retries *out);
 
-/** An endpoint is slow, or as fast as the others of its pool again. */
-struct dsp_pace_change
-{
-  struct str server;
-  bool slow;
-  double factor;  /**< multiple of the median; 1: the same */
-  unsigned limit; /**< concurrent requests that it may get; 0: its capacity */
-  uint32_t intervals; /**< evidence: between events of a stream */
-  double interval_ms; /**< their mean; 0: too few */
-  uint32_t first_events;
-  double first_ms;  /**< mean time to these; 0: too few */
-  double median_ms; /**< median interval of the pool; 0: unknown */
-};
-
-/** Reports an endpoint whose state has changed since its last report.
-    @retval false there is none */
-bool dsp_next_pace_change (struct dsp *d, struct dsp_pace_change *out);
-
-struct dsp_pace_stats
-{
-  size_t slow;        /**< endpoints that are slow */
-  unsigned min_limit; /**< smallest number of concurrent requests of these; 0:
-                           none is slow */
-};
-struct dsp_pace_stats dsp_pace_stats (const struct dsp *d);
-
 /** Takes the next action; call it after each event until it returns false. */
 bool dsp_next_action (struct dsp *d, struct dsp_action *out);
 
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -191,18 +191,6 @@
     }
 }
 
-/** Process the server's report of its load. */
-static void
-handle_load (const struct srv_attempt *at)
-{
-  struct srv_exchange *ex = at->ex;
-
-  if (at->response.has_load && !at->response.misdirected
-      && at->response.same_request)
-    dsp_response_load (ex->s->dispatch, clk_now (), ex->id, at->number,
-                       at->response.running, at->response.waiting);
-}
-
 /** Process what the response says of its server's availability. */
 static void
 handle_notice (const struct srv_attempt *at)
@@ -233,7 +221,6 @@
     {
       handle_rate_limit (at);
       handle_notice (at);
-      handle_load (at);
     }
   if (at->response.not_run || status >= 500)
     log_attempt_lost (at, at->response.not_run ? "not-run" : "error");
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -54,7 +54,6 @@
 {
   const struct dsp_stats *f = dsp_stats (s->dispatch);
   uint64_t unreachable[DSP_UNREACHABLE_MAX];
-  struct dsp_pace_stats pace = dsp_pace_stats (s->dispatch);
 
   gauge (s, PREFIX "open", "Requests that have not ended.", NULL,
          (double)dsp_count_open (s->dispatch));
@@ -74,12 +73,6 @@
          (double)f->resumed);
   gauge (s, PREFIX "stalls", "Places at which nothing moved.", NULL,
          (double)f->stalls);
-  gauge (s, PREFIX "places_slow",
-         "Places that are clearly slower than the others of their pool.", NULL,
-         (double)pace.slow);
-  gauge (s, PREFIX "place_limit_min",
-         "Smallest number of concurrent requests of these; 0: there are none.",
-         NULL, pace.min_limit);
   gauge (s, PREFIX "requests_blocked",
          "Requests that are refused as servers crash when they run them.",
          NULL, (double)psn_count_blocked (s->poison, false));
--- a/serve/node.c
+++ b/serve/node.c
@@ -206,30 +206,6 @@
            LOG_C ("paths", dsp_path_name (c.state)));
 }
 
-static void
-log_pace_changes (struct srv *s)
-{
-  struct dsp_pace_change c;
-  char factor[32];
-
-  while (dsp_next_pace_change (s->dispatch, &c))
-    {
-      snprintf (factor, sizeof factor, "%.1f", c.factor);
-      if (c.slow)
-        LOG (place_slow, LOG_S ("server", c.server), LOG_C ("factor", factor),
-             LOG_I ("limit", c.limit), LOG_I ("intervals", c.intervals),
-             LOG_I ("interval_ms", (int64_t)c.interval_ms),
-             LOG_I ("first_events", c.first_events),
-             LOG_I ("first_ms", (int64_t)c.first_ms),
-             LOG_I ("median_ms", (int64_t)c.median_ms));
-      else
-        LOG (place_fast, LOG_S ("server", c.server),
-             LOG_I ("intervals", c.intervals),
-             LOG_I ("interval_ms", (int64_t)c.interval_ms),
-             LOG_I ("median_ms", (int64_t)c.median_ms));
-    }
-}
-
 static void
 on_tick (uv_timer_t *t)
 {
@@ -245,7 +221,6 @@
     }
   log_denied_retries (s, now);
   log_path_changes (s);
-  log_pace_changes (s);
   srv_config_tick (s, now);
   srv_evacuation_tick (s, now);
   srv_ingress_tick (s, now);
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -67,19 +67,15 @@
   for (size_t i = 0; i < n; i++)
     {
       const Lapis__PlaceLoad *pl = rows[i];
-      (*out)[i] = (struct dsp_endpoint_load){
-        .endpoint = pl->place,
-        .in_flight = pl->in_flight,
-        .streaming = pl->begun,
-        .pending_prefill = pl->unread_tokens,
-        .last_event_at = now - pl->heard_age_ms,
-        .stalled = pl->stalled,
-        .process_ended = pl->ended,
-        .intervals = pl->intervals,
-        .intervals_ms = pl->intervals_ms,
-        .first_events = pl->first_events,
-        .first_events_ms = pl->first_events_ms
-      };
+      (*out)[i]
+          = (struct dsp_endpoint_load){ .endpoint = pl->place,
+                                        .in_flight = pl->in_flight,
+                                        .streaming = pl->begun,
+                                        .pending_prefill = pl->unread_tokens,
+                                        .last_event_at
+                                        = now - pl->heard_age_ms,
+                                        .stalled = pl->stalled,
+                                        .process_ended = pl->ended };
       if (pl->stalled || pl->ended)
         srv_leader_endpoint_stalled_or_ended (s, pl->place);
     }
@@ -111,12 +107,6 @@
   srv_run_actions (s);
 }
 
-static void
-subtract (uint32_t *from, uint32_t x)
-{
-  *from -= x < *from ? x : *from;
-}
-
 /** Subtract this node's load, as last sent, from the sum of all loads. */
 static void
 subtract_own_load (const struct srv_peers *p, struct dsp_endpoint_load *sum,
@@ -129,18 +119,13 @@
         struct dsp_endpoint_load *c = &sum[i];
         if (own->endpoint != c->endpoint)
           continue;
-        subtract (&c->in_flight, own->in_flight);
-        subtract (&c->streaming, own->streaming);
-        subtract (&c->pending_prefill, own->pending_prefill);
-        subtract (&c->intervals, own->intervals);
-        subtract (&c->intervals_ms, own->intervals_ms);
-        subtract (&c->first_events, own->first_events);
-        subtract (&c->first_events_ms, own->first_events_ms);
-        /* The sum may contain an older load of this node. */
-        if (c->intervals == 0)
-          c->intervals_ms = 0;
-        if (c->first_events == 0)
-          c->first_events_ms = 0;
+        c->in_flight
+            -= own->in_flight < c->in_flight ? own->in_flight : c->in_flight;
+        c->streaming
+            -= own->streaming < c->streaming ? own->streaming : c->streaming;
+        c->pending_prefill -= own->pending_prefill < c->pending_prefill
+                                  ? own->pending_prefill
+                                  : c->pending_prefill;
       }
 }
 
@@ -208,10 +193,6 @@
                                         : 0);
       pl->stalled = loads[i].stalled;
       pl->ended = loads[i].process_ended;
-      pl->intervals = loads[i].intervals;
-      pl->intervals_ms = loads[i].intervals_ms;
-      pl->first_events = loads[i].first_events;
-      pl->first_events_ms = loads[i].first_events_ms;
       r->list[i] = pl;
     }
 }
@@ -357,10 +338,6 @@
       sum->list[k].in_flight += loads[i].in_flight;
       sum->list[k].streaming += loads[i].streaming;
       sum->list[k].pending_prefill += loads[i].pending_prefill;
-      sum->list[k].intervals += loads[i].intervals;
-      sum->list[k].intervals_ms += loads[i].intervals_ms;
-      sum->list[k].first_events += loads[i].first_events;
-      sum->list[k].first_events_ms += loads[i].first_events_ms;
       sum->list[k].stalled |= loads[i].stalled;
       sum->list[k].process_ended |= loads[i].process_ended;
       if (loads[i].streaming
--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -188,7 +188,6 @@
   struct httpd_req *req;
   uv_timer_t timer;
   int next_event;
-  int intervals;                         /**< since the last event */
   bool side;                             /**< came by the second port */
   struct stream *list_next, **list_prev; /**< links in the server's list */
 };
@@ -244,9 +243,6 @@
   if (s->unresponsive || replica_stalled (s)
       || (st->side && s->rack->cut == CUT_SILENT))
     return;
-  if (++st->intervals < s->slow_factor)
-    return;
-  st->intervals = 0;
   if (st->next_event > s->rack->events)
     {
       /* Resumed after the last event: only the end is left to send. */
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -18,7 +18,6 @@
  *   "server": ID           the fields below apply to it (dark: unresponsive):
  *             "dead", "dark", "draining", "unlisted", "unsealed": B,
  *             "fail": STATUS, "cut_after": N, "end_after": N,
- *             "slow": N        N times as long between events of its streams
  *             "reborn": true   restart with the same id and address,
  *             "limit": TEXT    announced request rate limit; "": none
  *             "rejects": B     answers all requests with 503 "not run"
@@ -135,8 +134,6 @@
   set_flag (o, "unsealed", &s->unsealed);
   if (jsn_get (o, "fail"))
     s->fail_status = (int)jsn_int (o, "fail");
-  if (jsn_get (o, "slow"))
-    s->slow_factor = (int)jsn_int (o, "slow");
   if (jsn_get (o, "cut_after"))
     s->cut_after = (int)jsn_int (o, "cut_after");
   if (jsn_get (o, "limit"))
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -134,8 +134,6 @@
   int fail_status; /**< status of plain responses; 0: 200 */
   int cut_after;   /**< after this many events of a stream, send part of the
                         next one and break the connection; 0: never */
-  int slow_factor; /**< its streams have an event only every so many
-                        intervals; 0: every one */
   int end_after;   /**< likewise, but end the response cleanly; 0: never */
   bool unsealed;   /**< responses lack the seal header (PLT_H_SEAL) */
   char model[32], replica[32];
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -9,33 +9,6 @@
 
 #define MAX_ENDPOINTS 32
 
-#define TRAFFIC_STREAMS 4000
-#define TRAFFIC_FIRST_ID 100 /* smaller ids are those of the script */
-#define TRAFFIC_PASS_MS 60
-#define TRAFFIC_SHORT_PROMPT 300
-
-/** A stream of the traffic. */
-struct traffic_stream
-{
-  unsigned attempt;
-  int server; /**< -1: none */
-  unsigned events_left;
-  bool running; /**< it holds a slot */
-  double prompt;
-};
-
-/** A model of the replicas. */
-struct traffic
-{
-  struct traffic_stream streams[TRAFFIC_STREAMS];
-  unsigned n;
-  unsigned events;
-  double long_prompt; /**< of every fifth stream */
-  double speed[MAX_ENDPOINTS];
-  clk_ms pass_ends_at[MAX_ENDPOINTS];
-  unsigned sent[MAX_ENDPOINTS];
-};
-
 struct fixture
 {
   struct dsp *d;
@@ -54,7 +27,6 @@
   unsigned attempt[100];
   bool show_delays;
   bool submit_proxied;
-  struct traffic traffic;
   struct buf log;
 };
 
@@ -111,36 +83,9 @@
 
 /* --- actions ----------------------------------------------------------- */
 
-static int
-find_server (const struct fixture *b, struct str name)
-{
-  for (size_t i = 0; i < b->n; i++)
-    if (str_is (name, b->names[i]))
-      return (int)i;
-  cr_assert (false, "no server %.*s", STR_ARG (name));
-  return -1;
-}
-
-static void
-send_traffic (struct fixture *b, const struct dsp_action *a)
-{
-  struct traffic_stream *x = &b->traffic.streams[a->id - TRAFFIC_FIRST_ID];
-
-  x->attempt = a->attempt;
-  x->server = find_server (b, a->server);
-  x->running = false;
-  b->traffic.sent[x->server]++;
-  dsp_request_sent (b->d, b->now, a->id, a->attempt);
-}
-
 static void
 log_send (struct fixture *b, const struct dsp_action *a)
 {
-  if (a->id >= TRAFFIC_FIRST_ID)
-    {
-      send_traffic (b, a);
-      return;
-    }
   b->attempt[a->id] = a->attempt;
   buf_addf (&b->log, "send %d %.*s%s", (int)a->id, STR_ARG (a->server),
             a->resume ? " resume" : "");
@@ -165,42 +110,36 @@
   struct dsp_action a;
 
   while (dsp_next_action (b->d, &a))
-    if (a.id >= TRAFFIC_FIRST_ID && a.kind != DSP_ACT_SEND)
+    switch (a.kind)
       {
-        if (a.kind == DSP_ACT_CANCEL || a.kind == DSP_ACT_RELEASE)
-          b->traffic.streams[a.id - TRAFFIC_FIRST_ID].server = -1;
+      case DSP_ACT_SEND:
+        log_send (b, &a);
+        break;
+      case DSP_ACT_CANCEL:
+        buf_addf (&b->log, "cancel %d\n", (int)a.id);
+        break;
+      case DSP_ACT_FORWARD:
+        buf_addf (&b->log, "forward %d\n", (int)a.id);
+        break;
+      case DSP_ACT_COMPLETE:
+        buf_addf (&b->log, "complete %d\n", (int)a.id);
+        break;
+      case DSP_ACT_RESPOND_ERROR:
+        log_error (b, &a);
+        break;
+      case DSP_ACT_TRUNCATE:
+        buf_addf (&b->log, "truncate %d %s\n", (int)a.id,
+                  dsp_code_name (a.code));
+        break;
+      case DSP_ACT_RELEASE:
+        break;
+      case DSP_ACT_STALLED:
+        buf_addf (&b->log, "stalled %.*s\n", STR_ARG (a.server));
+        break;
+      case DSP_ACT_CHECK_PROCESS:
+        buf_addf (&b->log, "check %.*s\n", STR_ARG (a.server));
+        break;
       }
-    else
-      switch (a.kind)
-        {
-        case DSP_ACT_SEND:
-          log_send (b, &a);
-          break;
-        case DSP_ACT_CANCEL:
-          buf_addf (&b->log, "cancel %d\n", (int)a.id);
-          break;
-        case DSP_ACT_FORWARD:
-          buf_addf (&b->log, "forward %d\n", (int)a.id);
-          break;
-        case DSP_ACT_COMPLETE:
-          buf_addf (&b->log, "complete %d\n", (int)a.id);
-          break;
-        case DSP_ACT_RESPOND_ERROR:
-          log_error (b, &a);
-          break;
-        case DSP_ACT_TRUNCATE:
-          buf_addf (&b->log, "truncate %d %s\n", (int)a.id,
-                    dsp_code_name (a.code));
-          break;
-        case DSP_ACT_RELEASE:
-          break;
-        case DSP_ACT_STALLED:
-          buf_addf (&b->log, "stalled %.*s\n", STR_ARG (a.server));
-          break;
-        case DSP_ACT_CHECK_PROCESS:
-          buf_addf (&b->log, "check %.*s\n", STR_ARG (a.server));
-          break;
-        }
 }
 
 /* --- script ------------------------------------------------------------ */
@@ -267,8 +206,6 @@
 
   for (letters = letters ? letters + 1 : ""; *letters; letters++)
     parts[q.nparts++] = (uint64_t)*letters;
-  if (id >= TRAFFIC_FIRST_ID)
-    q.prompt_tokens = b->traffic.streams[id - TRAFFIC_FIRST_ID].prompt;
   if (r->kind == TBL_STREAM)
     q.model = STR ("m");
   dsp_submit (b->d, b->now, &q);
@@ -525,193 +462,6 @@
 }
 
 /** Commands for nodes that reach no server; false: it is another command. */
-/* --- traffic ------------------------------------------------------------ */
-
-/** Ends the pass of a replica: each stream gets an event, and the next pass
-    processes the prompts of those that have a slot since. */
-static void
-end_pass (struct fixture *b, int server)
-{
-  struct traffic *t = &b->traffic;
-  unsigned running = 0;
-  double tokens = 0, rate = b->endpoints[server].prefill_per_ms;
-
-  for (unsigned i = 0; i < t->n; i++)
-    {
-      struct traffic_stream *x = &t->streams[i];
-      uint64_t id = TRAFFIC_FIRST_ID + i;
-      if (x->server != server || !x->running)
-        continue;
-      if (x->events_left == t->events)
-        dsp_response_head (b->d, b->now, id, x->attempt, DSP_RESPONSE_OK);
-      dsp_data_received (b->d, b->now, id, x->attempt, true);
-      if (--x->events_left == 0)
-        dsp_response_complete (b->d, b->now, id, x->attempt);
-      take_actions (b);
-      running += x->server == server;
-    }
-  for (unsigned i = 0; i < t->n; i++)
-    if (t->streams[i].server == server && !t->streams[i].running
-        && running < b->endpoints[server].capacity)
-      {
-        t->streams[i].running = true;
-        running++;
-        tokens += t->streams[i].prompt;
-      }
-  t->pass_ends_at[server]
-      = b->now
-        + (clk_ms)((t->speed[server] > 0 ? t->speed[server] : 1)
-                   * (TRAFFIC_PASS_MS + (rate > 0 ? tokens / rate : 0)));
-}
-
-static void
-arrive (struct fixture *b)
-{
-  struct traffic *t = &b->traffic;
-
-  cr_assert (t->n < TRAFFIC_STREAMS);
-  t->streams[t->n].server = -1;
-  t->streams[t->n].events_left = t->events;
-  t->streams[t->n].prompt = t->n % 5 == 0 && t->long_prompt > 0
-                                ? t->long_prompt
-                                : TRAFFIC_SHORT_PROMPT;
-  t->n++;
-  submit (b, TRAFFIC_FIRST_ID + t->n - 1, "stream", "", false, 1);
-  take_actions (b);
-}
-
-/** Runs traffic for @p ms ms, with @p rate new streams per second. */
-static void
-run_traffic (struct fixture *b, int ms, int rate)
-{
-  struct traffic *t = &b->traffic;
-
-  memset (t->sent, 0, sizeof t->sent);
-  for (int i = 0; i < ms; i++)
-    {
-      b->now++;
-      for (size_t k = 0; k < b->n; k++)
-        if (b->now >= t->pass_ends_at[k])
-          end_pass (b, (int)k);
-      if (i * rate / 1000 != (i + 1) * rate / 1000)
-        arrive (b);
-      if (b->now >= dsp_next_tick (b->d))
-        dsp_tick (b->d, b->now);
-      take_actions (b);
-    }
-}
-
-static void
-report_pace (struct fixture *b, const char *server, unsigned n, unsigned ms)
-{
-  struct dsp_endpoint_load c
-      = { .endpoint = dsp_endpoint_hash (str_from (server), 0, 0),
-          .in_flight = n > 0,
-          .streaming = n > 0,
-          .last_event_at = b->now,
-          .intervals = n,
-          .intervals_ms = ms };
-
-  dsp_set_peer_load (b->d, b->now, b->now,
-                     100 + (uint64_t)find_server (b, str_from (server)), &c,
-                     1);
-}
-
-static void
-log_shares (struct fixture *b, bool counts)
-{
-  unsigned total = 0;
-
-  for (size_t i = 0; i < b->n; i++)
-    total += b->traffic.sent[i];
-  for (size_t i = 0; i < b->n; i++)
-    {
-      double share = (double)b->traffic.sent[i] * (double)b->n / total;
-      buf_addf (&b->log, "%s ", b->names[i]);
-      if (counts)
-        buf_addf (&b->log, "%u\n", b->traffic.sent[i]);
-      else
-        buf_addf (&b->log, "%s\n",
-                  share < 0.25  ? "few"
-                  : share < 0.7 ? "fewer"
-                                : "equal");
-    }
-}
-
-static void
-log_slow (struct fixture *b)
-{
-  struct dsp_pace_change c;
-
-  while (dsp_next_pace_change (b->d, &c))
-    buf_addf (&b->log, "%s %.*s\n", c.slow ? "slow" : "recovered",
-              STR_ARG (c.server));
-}
-
-/** Declares the goal in a new version of the configuration. */
-static void
-set_gap_goal (struct fixture *b, clk_ms ms)
-{
-  for (size_t i = 0; i < b->config->nroutes; i++)
-    if (str_is (b->config->routes[i].name, "stream"))
-      b->config->routes[i].max_event_gap_ms = ms;
-  b->config->version++;
-}
-
-static void
-log_own_pace (struct fixture *b, double ms)
-{
-  size_t n;
-  const struct dsp_endpoint_load *own = dsp_own_load (b->d, &n);
-
-  for (size_t i = 0; i < n; i++)
-    for (size_t k = 0; k < b->n; k++)
-      if (dsp_endpoint_hash (str_from (b->names[k]), 0, 0) == own[i].endpoint
-          && own[i].intervals_ms > ms * own[i].intervals)
-        buf_addf (&b->log, "late %s\n", b->names[k]);
-}
-
-/** @retval false  the command is unknown */
-static bool
-run_traffic_command (struct fixture *b, const char *command, const char *x,
-                     const char *y, const char *z)
-{
-  struct traffic *t = &b->traffic;
-
-  if (strcmp (command, "gap") == 0)
-    set_gap_goal (b, atoi (x));
-  else if (strcmp (command, "prefill") == 0)
-    {
-      for (size_t i = 0; i < b->n; i++)
-        b->endpoints[i].prefill_per_ms = atof (x);
-      dsp_set_endpoints (b->d, b->now, b->endpoints, b->n);
-    }
-  else if (strcmp (command, "prompt") == 0)
-    t->long_prompt = atof (x);
-  else if (strcmp (command, "events") == 0)
-    t->events = (unsigned)atoi (x);
-  else if (strcmp (command, "speed") == 0)
-    t->speed[find_server (b, str_from (x))] = atof (y);
-  else if (strcmp (command, "traffic") == 0)
-    run_traffic (b, atoi (x), atoi (y));
-  else if (strcmp (command, "peer-pace") == 0)
-    report_pace (b, x, (unsigned)atoi (y), (unsigned)atoi (z));
-  else if (strcmp (command, "shares") == 0 || strcmp (command, "counts") == 0)
-    log_shares (b, command[0] == 'c');
-  else if (strcmp (command, "own-pace") == 0)
-    log_own_pace (b, atof (x));
-  else if (strcmp (command, "slow") == 0)
-    log_slow (b);
-  else if (strcmp (command, "tried") == 0)
-    buf_addf (&b->log, "%s %s\n",
-              t->sent[find_server (b, str_from (x))] ? "tried" : "not-tried",
-              x);
-  else
-    return false;
-  return true;
-}
-
-/** @retval false  the command is unknown */
 static bool
 run_path_command (struct fixture *b, const char *command, const char *x,
                   const char *y)
@@ -781,9 +531,6 @@
     block (b, false, (uint64_t)atoi (x));
   else if (strcmp (command, "block-part") == 0)
     block (b, true, (uint64_t)x[0]);
-  else if (strcmp (command, "load") == 0)
-    dsp_response_load (b->d, b->now, (uint64_t)atoi (x), b->attempt[atoi (x)],
-                       (unsigned)atoi (y), (unsigned)atoi (z));
   else if (strcmp (command, "run") == 0)
     run (b, atoi (x));
   else if (strcmp (command, "suspend") == 0)
@@ -793,8 +540,7 @@
   else if (strcmp (command, "shutdown") == 0)
     dsp_stop_accepting (b->d);
   else if (!run_path_command (b, command, x, y)
-           && !run_zone_command (b, command, x, y)
-           && !run_traffic_command (b, command, x, y, z))
+           && !run_zone_command (b, command, x, y))
     response_event (b, command, (uint64_t)atoi (x));
   take_actions (b);
 }
@@ -807,9 +553,7 @@
                              .retry_slack = 10,
                              .retry_window_ms = 10000,
                              .stall_ms = 4000 };
-  struct fixture b = { .now = 100000,
-                       .config = make_config (),
-                       .traffic = { .events = 30 } };
+  struct fixture b = { .now = 100000, .config = make_config () };
   char *copy = xstrdup (script), *next = copy, *text;
 
   b.poison = opt.poison = psn_new ();
--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -50,39 +50,12 @@
  *                              result of the check of the server's process
  *   block DIGEST               the request is blocked, as it crashes servers
  *   block-part LETTER          the same of a part
- *   load ID RUNNING WAITING    the server of the request reports its load
  *   run MS                     advances the time in steps of 20 ms
  *   run-events MS ID           advances the time, with ticks when due and an
  *                              event of the stream every 10 ms
  *   suspend MS                 the process is suspended, then a tick comes
  *   shutdown                   the node shuts down
  *
- * Traffic of streams, with a model of the replicas: a replica works in passes
- * of 60 ms, in which each of its running streams gets an event, and which take
- * longer by the prompts that they process.
- *
- *   gap MS                     a new configuration declares this goal for gaps
- *                              on the route "stream"; 0: none
- *   prefill N                  replicas process N prompt tokens per ms
- *   prompt N                   every fifth stream of later traffic has a
- *                              prompt of N tokens; the others have 300
- *   events N                   later streams of the traffic have N events
- *   speed SERVER N             its passes take N times as long
- *   traffic MS N               MS ms of traffic, N new streams per second
- *   peer-pace SERVER N MS      another node reports N intervals between
- *                              events, which took MS in total
- *   own-pace MS                logs "late SERVER" for each server whose
- *                              intervals, as this node reports them to the
- *                              others, take more than MS on average
- *   shares                     logs for each server how many of the last
- *                              traffic's requests it got, as a part of an
- *                              equal share: "few" (below a quarter), "fewer"
- *                              (below 0.7) or "equal"
- *   counts                     logs their number
- *   tried SERVER               logs whether it got any: "tried" or "not-tried"
- *   slow                       logs "slow SERVER" and "recovered SERVER" for
- *                              each change since the last time
- *
  * The log has a line for each action: "send ID SERVER [resume] [pN]", with the
  * priority if it is not 1, "cancel ID", "forward ID", "complete ID", "truncate
  * ID CODE", "error ID CODE STATUS [retry [MS]]", "stalled SERVER" and "check
