--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -5289,7 +5289,7 @@
   (ProtobufCMessageInit) lapis__place_prompt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lapis__place_load__field_descriptors[7] =
 {
   {
     "place",
@@ -5375,64 +5375,12 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "intervals",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lapis__PlaceLoad, intervals),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "intervals_ms",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lapis__PlaceLoad, intervals_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "first_events",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lapis__PlaceLoad, first_events),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "first_events_ms",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lapis__PlaceLoad, first_events_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned lapis__place_load__field_indices_by_name[] = {
   2,   /* field[2] = begun */
   6,   /* field[6] = ended */
-  9,   /* field[9] = first_events */
-  10,   /* field[10] = first_events_ms */
   3,   /* field[3] = heard_age_ms */
   1,   /* field[1] = in_flight */
-  7,   /* field[7] = intervals */
-  8,   /* field[8] = intervals_ms */
   0,   /* field[0] = place */
   4,   /* field[4] = stalled */
   5,   /* field[5] = unread_tokens */
@@ -5441,7 +5389,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 11 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lapis__place_load__descriptor =
 {
@@ -5451,7 +5399,7 @@
   "Lapis__PlaceLoad",
   "lapis",
   sizeof(Lapis__PlaceLoad),
-  11,
+  7,
   lapis__place_load__field_descriptors,
   lapis__place_load__field_indices_by_name,
   2,  lapis__place_load__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -924,30 +924,10 @@
    * its process was found gone
    */
   protobuf_c_boolean ended;
-  /*
-   * Streams and requests in the last second: intervals between two events of
-   * a stream, and times from sending to the first event.
-   */
-  /*
-   * number of intervals
-   */
-  uint32_t intervals;
-  /*
-   * their sum
-   */
-  uint32_t intervals_ms;
-  /*
-   * number of first events
-   */
-  uint32_t first_events;
-  /*
-   * sum of the times
-   */
-  uint32_t first_events_ms;
 };
 #define LAPIS__PLACE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__place_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1043,7 +1023,7 @@
    */
   uint64_t digest;
   /*
-   * dsp_place_hash()
+   * dsp_place_hash() of the crash; of the last one, if pending or blocked
    */
   uint64_t place;
   int64_t ran_ms;
@@ -1062,7 +1042,7 @@
   size_t n_companions;
   uint64_t *companions;
   /*
-   * time since the crash
+   * time since the crash or the completion; 0 for a block: not known
    */
   uint32_t ago_ms;
 };
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -632,6 +632,19 @@
   return true;
 }
 
+/** Commands for evacuated zones; false: it is another command. */
+static bool
+run_zone_command (struct world *w, const char *command, const char *zone)
+{
+  bool evacuated = strcmp (command, "evacuate") == 0;
+
+  if (!evacuated && strcmp (command, "return") != 0)
+    return false;
+  evc_apply_change (w->evacuations, w->now, 1, ++w->revision, str_from (zone),
+                    evacuated);
+  return true;
+}
+
 static void
 run_command (struct world *w, const char *command, const char *a, int n)
 {
@@ -661,10 +674,6 @@
     give_notice (w, vm, n, false);
   else if (strcmp (command, "leave") == 0)
     give_notice (w, vm, 0, true);
-  else if (strcmp (command, "evacuate") == 0
-           || strcmp (command, "return") == 0)
-    evc_apply_change (w->evacuations, w->now, 1, ++w->revision, str_from (a),
-                      command[0] == 'e');
   else if (strcmp (command, "restart") == 0)
     restart_vm (w, vm);
   else if (strcmp (command, "respond") == 0)
@@ -694,7 +703,8 @@
            || strcmp (command, "demand") == 0
            || strcmp (command, "stored-mix") == 0)
     set_model (w, command, a, n);
-  else if (!run_log_command (w, command, a))
+  else if (!run_log_command (w, command, a)
+           && !run_zone_command (w, command, a))
     set_vm_state (vm, command);
 }
 
--- a/t/t9218-cold.c
+++ b/t/t9218-cold.c
@@ -537,7 +537,7 @@
   read_entry (&a, 10000, 10, 0);
   cld_zone_may_be_cold (a.cold, 10100, STR ("z1"));
   read_entry (&a, 10200, 10, 0);
-  bks_endpoints (a.backends, t, &n);
+  bks_endpoints (a.backends, t, NULL, &n);
   frame = svl_frame_new (a.backends, 0, 0);
   svl_apply (b.backends, 50000, 50000, svl_frame_list (frame));
   cld_tick (b.cold, 50000);
