serve: check another server at once when a reference refuses

A refused connection counts as a crash only when another server answers. The server that is checked for that can have been crashed by the same request: the other node sends it at the same time. The next one was checked 50 ms later, and until then the crash is no evidence; meanwhile the request was accepted again and crashed two more servers (logs of all three failures).

--- a/serve/dispatch-crash.c
+++ b/serve/dispatch-crash.c
@@ -28,7 +28,9 @@
 /** Time for the confirmation of a refused connection; after it the process
     counts as ended. */
 #define CONFIRM_MS ((clk_ms)500)
-/** Time for the answer of another server, and interval between such checks. */
+/** Time for the answer of another server, and interval between such checks.
+    One that refuses the connection, as it may have crashed as well, is
+   followed by the next at once. */
 #define REFERENCE_INTERVAL_MS ((clk_ms)50)
 
 /** Time in which a run whose response ended with its connection is confirmed;
@@ -243,14 +245,15 @@
 
   d->now = now;
   s = dsp_find_endpoint (d, endpoint);
-  if (s && (found == DSP_ALIVE || found == DSP_ENDED))
-    dsp_path_connected (d, s);
-  else if (s)
-    dsp_path_connect_failed (d, s);
   b = find_interruption (d, endpoint);
   if (b && b->checked)
     b = NULL;
   runs = b ? b->nruns : 0;
+  if (s && (found == DSP_ALIVE || found == DSP_ENDED))
+    dsp_path_connected (d, s);
+  else if (s && dsp_path_connect_failed (d, s) && !b
+           && found == DSP_CONN_REFUSED)
+    s->pool->path->reference_check_at = 0;
   if (b && found == DSP_CONN_REFUSED)
     b->refused_at = now;
   else if (b)
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -281,7 +281,8 @@
   clk_ms connected_at; /**< time of the last answer on a new connection */
   clk_ms next_check_at;
   clk_ms reference_check_at; /**< when a server was last checked to confirm
-                                that another one has ended */
+                                that another one has ended; 0: the next check
+                                is due */
 };
 
 struct dsp
@@ -405,7 +406,10 @@
 
 /* dispatch-path.c */
 struct dsp_path *dsp_get_path (struct dsp *d, const char *service);
-void dsp_path_connect_failed (struct dsp *d,
+/** A connection to the server failed.
+    @retval true  it is the first failure there since a connection to any
+                  server of the service succeeded */
+bool dsp_path_connect_failed (struct dsp *d,
                               const struct dsp_endpoint_state *s);
 /** A new connection to the server was made and answered. */
 void dsp_path_connected (struct dsp *d, const struct dsp_endpoint_state *s);
--- a/serve/dispatch-path.c
+++ b/serve/dispatch-path.c
@@ -99,31 +99,35 @@
   return n;
 }
 
-static void
+/** @retval false  the server is in the list, or the list is full */
+static bool
 add_server (uint64_t *list, size_t *n, const struct dsp_endpoint_state *s)
 {
   for (size_t i = 0; i < *n; i++)
     if (list[i] == s->process_hash)
-      return;
-  if (*n < DSP_PATH_FAILED_MAX)
-    list[(*n)++] = s->process_hash;
+      return false;
+  if (*n == DSP_PATH_FAILED_MAX)
+    return false;
+  list[(*n)++] = s->process_hash;
+  return true;
 }
 
-void
+bool
 dsp_path_connect_failed (struct dsp *d, const struct dsp_endpoint_state *s)
 {
   struct dsp_path *p = s->pool->path;
+  bool added;
 
   if (s->is_proxy)
-    return;
+    return false;
   if (p->nfailed == 0)
     p->first_failed_at = d->now;
-  add_server (p->failed, &p->nfailed, s);
-  if (p->nfailed < required_servers (d, p) || p->state == DSP_PATH_LOST)
-    return;
-  set_state (d, p,
-             p->heard_at < p->first_failed_at ? DSP_PATH_LOST
-                                              : DSP_PATH_NO_CONNECTIONS);
+  added = add_server (p->failed, &p->nfailed, s);
+  if (p->nfailed >= required_servers (d, p) && p->state != DSP_PATH_LOST)
+    set_state (d, p,
+               p->heard_at < p->first_failed_at ? DSP_PATH_LOST
+                                                : DSP_PATH_NO_CONNECTIONS);
+  return added;
 }
 
 void
--- a/t/t9213-dispatch-path.c
+++ b/t/t9213-dispatch-path.c
@@ -124,6 +124,19 @@
                  "ended p3\n");
 }
 
+/* Guards against crashes that are found too late to block the request: it has
+   crashed several servers at the same time, also those that are checked to
+   confirm a crash. */
+Test (dispatch_path, crashed_servers_do_not_delay_the_confirmation)
+{
+  dispatch_play ("endpoints p 6 4\n"
+                 "submit 1 once\n sent 1\n interrupted 1\n"
+                 "refused p3\n refused p1\n refused p6\n refused p2\n"
+                 "own-ended\n alive p5\n own-ended\n",
+                 "send 1 p3\ncheck p3\ncancel 1\nerror 1 broken 502\n"
+                 "check p6\ncheck p2\ncheck p5\nended p3\n");
+}
+
 /* Guards against a leader that hands over because all servers have failed, for
    which no other node is better placed, and against one that stays leader
    although only this node doesn't reach them. */
