serve: sums of loads don't show silence that nobody has seen

In one of 24 repeats of t9313 leader_killed_with_the_write, three of 18 nodes took the only replica for stalled 1 to 4 ms after they had sent it their first requests ("place_stalled silent_ms=4"), and refused 60 requests with no-server in the 5 s before the trial. The replica served the other nodes all the time.

A node that takes over as aggregator adds up what the others have sent it so far, once a second. Their streams were counted as still running, with last events up to a second ago, which a receiver takes for a stall of all streams after 0.4 to 0.9 s. Reports that a node receives itself had a rule for that; sums had not.

--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -1,4 +1,5 @@
 #include "serve/dispatch-int.h"
+#include "serve/load-sum.h"
 
 /*
  * Health of endpoints, derived from the outcome of client requests; trial
@@ -29,10 +30,6 @@
 #define STALL_ONE_MS ((clk_ms)900)
 #define STALL_MANY 4
 #define STALL_FEW 2
-/** Interval at which peers report their loads. */
-#define REPORT_INTERVAL_MS ((clk_ms)100)
-/** Age above which a peer's load report is ignored. */
-#define REPORT_MAX_AGE_MS ((clk_ms)350)
 /** New requests avoid an endpoint with at least STALL_MANY streams if all of
     them have been silent for this long. The time is too short to move open
     requests, but avoiding the endpoint costs nothing. */
@@ -188,9 +185,7 @@
   return m;
 }
 
-/** Adds the streams of the other nodes, and the time of their last event.  A
-    report tells nothing of the time after it: beyond one interval of reports,
-    its streams count as having received events since. */
+/** Adds the streams of the other nodes, and the time of their last event. */
 static void
 add_peer_streams (const struct dsp *d, const struct dsp_endpoint_state *s,
                   unsigned *streaming, clk_ms *last_event_at)
@@ -199,8 +194,7 @@
     {
       const struct dsp_peer *p = &d->peers[i];
       clk_ms age = d->now - p->received_at;
-      clk_ms unknown = age > REPORT_INTERVAL_MS ? age - REPORT_INTERVAL_MS : 0;
-      if (age > REPORT_MAX_AGE_MS)
+      if (age > LDS_STREAMS_MAX_AGE_MS)
         continue;
       for (size_t k = 0; k < p->n; k++)
         {
@@ -208,8 +202,8 @@
           if (c->endpoint != s->hash || c->streaming == 0 || c->stalled)
             continue;
           *streaming += c->streaming;
-          if (c->last_event_at + unknown > *last_event_at)
-            *last_event_at = c->last_event_at + unknown;
+          if (lds_last_event_at (c, age) > *last_event_at)
+            *last_event_at = lds_last_event_at (c, age);
         }
     }
 }
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "serve/load-sum.h"
+
 /*
  * Loads of endpoints in the frames between nodes.  In a small fleet each node
  * sends its load to all others.  In a large fleet the number of these frames
@@ -107,28 +109,6 @@
   srv_run_actions (s);
 }
 
-/** Subtract this node's load, as last sent, from the sum of all loads. */
-static void
-subtract_own_load (const struct srv_peers *p, struct dsp_endpoint_load *sum,
-                   size_t n)
-{
-  for (size_t i = 0; i < n; i++)
-    for (size_t k = 0; k < p->nown_load; k++)
-      {
-        const struct dsp_endpoint_load *own = &p->own_load[k];
-        struct dsp_endpoint_load *c = &sum[i];
-        if (own->endpoint != c->endpoint)
-          continue;
-        c->in_flight
-            -= own->in_flight < c->in_flight ? own->in_flight : c->in_flight;
-        c->streaming
-            -= own->streaming < c->streaming ? own->streaming : c->streaming;
-        c->pending_prefill -= own->pending_prefill < c->pending_prefill
-                                  ? own->pending_prefill
-                                  : c->pending_prefill;
-      }
-}
-
 void
 prs_on_sum (struct peer *x, const Lapis__FleetLoad *load)
 {
@@ -146,7 +126,7 @@
   p->sum_received_at = now;
   if (was_stale)
     pass_all_loads_to_dispatch (p, now);
-  subtract_own_load (p, sum, n);
+  lds_subtract (sum, n, p->own_load, p->nown_load);
   dsp_set_peer_load (p->s->dispatch, now, now, SUM_OF_OTHERS, sum, n);
   free (sum);
   srv_run_actions (p->s);
@@ -315,52 +295,21 @@
 
 /* --- sum of all loads -------------------------------------------------- */
 
-struct sum
-{
-  struct dsp_endpoint_load *list;
-  size_t n;
-};
-
-static void
-add_loads (struct sum *sum, const struct dsp_endpoint_load *loads, size_t n)
-{
-  sum->list = xrealloc (sum->list, (sum->n + n + 1) * sizeof *sum->list);
-  for (size_t i = 0; i < n; i++)
-    {
-      size_t k = 0;
-      while (k < sum->n && sum->list[k].endpoint != loads[i].endpoint)
-        k++;
-      if (k == sum->n)
-        {
-          sum->list[sum->n++] = loads[i];
-          continue;
-        }
-      sum->list[k].in_flight += loads[i].in_flight;
-      sum->list[k].streaming += loads[i].streaming;
-      sum->list[k].pending_prefill += loads[i].pending_prefill;
-      sum->list[k].stalled |= loads[i].stalled;
-      sum->list[k].process_ended |= loads[i].process_ended;
-      if (loads[i].streaming
-          && loads[i].last_event_at > sum->list[k].last_event_at)
-        sum->list[k].last_event_at = loads[i].last_event_at;
-    }
-}
-
 static void
 send_sum (struct srv_peers *p, clk_ms now)
 {
   Lapis__FleetLoad load = LAPIS__FLEET_LOAD__INIT;
   Lapis__ConfigState config = LAPIS__CONFIG_STATE__INIT;
   Lapis__Frame f = LAPIS__FRAME__INIT;
-  struct sum sum = { 0 };
+  struct lds sum = { 0 };
   struct load_rows rows;
 
   if (p->aggregator || !prs_exceeds_full_mesh (p) || now < p->next_sum_at)
     return;
-  add_loads (&sum, p->own_load, p->nown_load);
+  lds_add (&sum, p->own_load, p->nown_load, 0);
   for (struct peer *x = p->peers; x; x = x->next)
     if (x->up && now - x->received_at < PRS_STALE_MS)
-      add_loads (&sum, x->loads, x->nloads);
+      lds_add (&sum, x->loads, x->nloads, now - x->timestamp_received_at);
   make_rows (&rows, sum.list, sum.n, now);
   load.leads = srv_is_leader (p->s);
   load.n_places = sum.n;
@@ -381,7 +330,7 @@
                             lapis__fleet_load__get_packed_size (&load),
                             prs_count_up (p));
   free_rows (&rows);
-  free (sum.list);
+  lds_free (&sum);
 }
 
 void
