--- a/serve/allocation-search.c
+++ b/serve/allocation-search.c
@@ -120,10 +120,8 @@
 
 /**
  * Whether the move takes the donor below the number of its declared share
- * although its utilization would then be above that of the receiver.  Measured
- * with replicas of 12 and of 6 VMs, from 4 and 16 to 3 and 18 replicas: the
- * large model's callers lost 0.19 of their credit, and those of the small
- * model gained 0.01.
+ * although its utilization would then be above that of the receiver.  Its
+ * callers would lose more than the others gain.
  */
 static bool
 takes_too_much (const struct alc_calc *c, const struct move *m)
--- a/serve/allocation.c
+++ b/serve/allocation.c
@@ -31,9 +31,8 @@
 #define MIN_REQUESTS 1.0
 /**
  * Highest utilization from which the plan by demand is used, and below which
- * the declared shares are in effect again.  Measured with 16 and with 18
- * replicas, at utilizations of 0.45 and 0.39, callers got equally good
- * service, so that below there is nothing to gain.
+ * the declared shares are in effect again.  Below it, callers are served
+ * equally well by both plans, so that a change gains nothing.
  */
 #define MIN_PEAK 0.45
 #define RETURN_PEAK 0.36
