--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -11,19 +11,21 @@
 set -u
 cd "$(dirname "$0")/.."
 export SOAK_SECONDS=${3:-10}
-export TEST=promises_hold_under_faults
+export PROGRAM=build/t/t9401-soak TEST=promises_hold_under_faults
 case "${5:-}" in
   restores | partitions | crashing_parts)
-    export TEST=promises_hold_under_$5 ;;
+    TEST=promises_hold_under_$5 ;;
   ?*)
-    export TEST=versions_are_in_force_under_faults SOAK_NODES=$5 ;;
+    PROGRAM=build/t/t9402-soak-versions
+    TEST=versions_are_in_force_under_faults
+    export SOAK_NODES=$5 ;;
 esac
-make -s build/t/t9401-soak build/lapisline build/standin || exit 1
+make -s "$PROGRAM" build/lapisline build/standin || exit 1
 
 play () {
   export SOAK_LOGS=soak-$1
   mkdir -p "$SOAK_LOGS"
-  if SOAK_SEED=$1 build/t/t9401-soak --verbose=1 --filter "soak/$TEST" \
+  if SOAK_SEED=$1 "$PROGRAM" --verbose=1 --filter "*/$TEST" \
       >"soak-$1.log" 2>&1; then
     grep -h "seed $1:" "soak-$1.log"
     rm -rf "soak-$1.log" "$SOAK_LOGS"
