t: soak of evacuated zones and cold servers

The soak covered neither. Three nodes, the last of them often cut off from the store, while one or all are killed, the store fails, half of the servers are evacuated for 6 to 8 s and plain servers crash and come back cold. Bounds are those of the deployments: no request 5 s after an evacuation, 44 requests in a second to a cold server.

--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -470,6 +470,66 @@
   soak_random_sleep (&t->rng, 2000);
 }
 
+/* --- evacuated zones and cold servers ------------------------------------ */
+
+/** Time in which all nodes obey an evacuation; evac_ms. */
+#define EVACUATION_MS 5000
+/** Maximum requests in any second to a cold server: 1.5 times 26, plus 5. */
+#define COLD_MAX 44
+/** How long servers are cold after a crash. */
+#define COLD_MS 3000
+
+static const char *const evacuated_servers[]
+    = { "p2", "e5", "e6", "e7", "e8" };
+#define NEVACUATED (sizeof evacuated_servers / sizeof evacuated_servers[0])
+
+/** Evacuates half of the servers for longer than the nodes may take to obey.
+ */
+static void
+evacuate_zone (struct soak_thread *t)
+{
+  struct soak *s = t->s;
+
+  rack_set (&s->r, "{\"evacuate\": \"z2\"}");
+  usleep (EVACUATION_MS * 1000 + 1000000);
+  soak_random_sleep (&t->rng, 2000);
+  for (size_t i = 0; i < NEVACUATED; i++)
+    {
+      int ms
+          = rack_get_count (&s->r, evacuated_servers[i], "evacuated_last_ms");
+      if (ms > EVACUATION_MS)
+        soak_report_violation (s, "%s: a request %d ms after its evacuation",
+                               evacuated_servers[i], ms);
+    }
+  rack_set (&s->r, "{\"return\": \"z2\"}");
+  soak_random_sleep (&t->rng, 3000);
+}
+
+/** Crashes a plain server, which is cold when it is back. */
+static void
+crash_server (struct soak_thread *t)
+{
+  rack_set (&t->s->r, "{\"server\": \"p%d\", \"crash\": true}",
+            1 + (int)rng_below (&t->rng, PLAIN_SERVERS));
+  usleep (COLD_MS * 1000);
+  soak_random_sleep (&t->rng, 4000);
+}
+
+static void
+expect_cold_bound_kept (const struct soak *s)
+{
+  for (int i = 1; i <= PLAIN_SERVERS; i++)
+    {
+      char id[8];
+      int most;
+      snprintf (id, sizeof id, "p%d", i);
+      most = rack_get_count (&s->r, id, "cold_most");
+      cr_log_info ("%s: at most %d requests in a second, %d in total", id,
+                   most, rack_get_count (&s->r, id, "cold_arrived"));
+      cr_expect_leq (most, COLD_MAX, "%s: %d requests in a second", id, most);
+    }
+}
+
 /* --- requests that ran ------------------------------------------------- */
 
 static void
@@ -700,6 +760,35 @@
   finish_load (&run);
 }
 
+static void
+run_uneven_load (uint64_t seed, uint64_t seconds)
+{
+  static struct load_run run;
+  struct soak *s = &run.s;
+  static fault_series *const series[]
+      = { kill_nodes, evacuate_zone, crash_server, fail_store, cut_off_node };
+
+  rack_set_evacuation_ms (EVACUATION_MS);
+  rack_limit_cold ();
+  soak_init (s, seed, RESTORE_NODES);
+  rack_prepare_nodes (&s->r, ENGINES, s->nodes, connect_by_proxy);
+  s->r.logs = getenv ("SOAK_LOGS");
+  for (size_t i = 0; i < NEVACUATED; i++)
+    rack_set (&s->r, "{\"server\": \"%s\", \"zone\": \"z2\"}",
+              evacuated_servers[i]);
+  rack_configure (&s->r, 1, "k1", "");
+  for (int i = 0; i < s->nodes; i++)
+    rack_start_node (&s->r, i);
+  for (int i = 0; i < s->nodes; i++)
+    cr_assert (
+        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+  rack_set (&s->r, "{\"cold\": {\"ms\": %d}, \"revive_ms\": 500}", COLD_MS);
+  run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
+  rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
+  expect_cold_bound_kept (s);
+  finish_load (&run);
+}
+
 /* Guards against requests that go on crashing servers because of a part of
    their prompts while nodes restart and the store fails, and against responses
    that end with their connections. */
@@ -709,6 +798,15 @@
                       soak_env_number ("SOAK_SECONDS", SECONDS));
 }
 
+/* Guards against nodes that use an evacuated zone, or overload cold servers,
+   because they were restarted, cut off from the store or linked to nodes that
+   were. */
+Test (soak, promises_hold_under_uneven_load)
+{
+  run_uneven_load (soak_env_number ("SOAK_SEED", SEED),
+                   soak_env_number ("SOAK_SECONDS", SECONDS));
+}
+
 /* Guards against a node that serves nobody while it reaches no server, beside
    servers that are silent for a second and a store that fails. */
 Test (soak, promises_hold_under_partitions)
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,11 +1,12 @@
 #!/bin/bash
 # Play a soak with many seeds, some side by side.
-# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|restores|partitions|crashing_parts]
+# usage: tools/soak.sh FIRST LAST [SECONDS] [JOBS] [NODES|KIND]
 # Without NODES the soak of two nodes under load; with it that of so many
 # (18 usual, up to 64) at which operators put versions in force; with
-# "restores" that of three nodes whose store comes back from older copies, with
-# "partitions" that of a node that is partitioned from all servers, with
-# "crashing_parts" that of servers that crash under a part of prompts.
+# KIND "restores" that of three nodes whose store comes back from older copies,
+# with "partitions" that of a node that is partitioned from all servers, with
+# "crashing_parts" that of servers that crash under a part of prompts, with
+# "uneven_load" that of evacuated zones and cold servers.
 # Prints the seeds that fail and keeps their output in soak-SEED.log, and what
 # the nodes logged in soak-SEED/.
 set -u
@@ -13,7 +14,7 @@
 export SOAK_SECONDS=${3:-10}
 export PROGRAM=build/t/t9401-soak TEST=promises_hold_under_faults
 case "${5:-}" in
-  restores | partitions | crashing_parts)
+  restores | partitions | crashing_parts | uneven_load)
     TEST=promises_hold_under_$5 ;;
   ?*)
     PROGRAM=build/t/t9402-soak-versions
