t: guards for three rules of the allocation that no test covered

Setting OVERLOAD_MS or WANTED_MS to 0, or COMPLETE_PART to 1, failed no test. Each now fails exactly one of the three new ones: a burst of 1 s, a domain that lacks VMs for 1 s, and one that lacks 3 of 26 VMs for 30 s. SMOOTHING_MS, PEAK_TOLERANCE and ONE_DOMAIN_FACTOR are still not covered: t9219 passes without each of them.

--- a/t/t9219-allocation.c
+++ b/t/t9219-allocation.c
@@ -221,6 +221,20 @@
   alc_free (f.core);
 }
 
+/* Guards against a change for a burst of one second, in which the slots of the
+   small model are in use, although the plan would serve the burst better. */
+Test (allocation, a_short_overload_is_no_reason_for_a_change)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  run (&f, 30000, 20, 150);
+  run (&f, 1000, 20, 900);
+  run (&f, 20000, 20, 150);
+  cr_expect_eq (f.changes, 0);
+  alc_free (f.core);
+}
+
 /* The large model is idle, but the small one needs no more than it has: the
    domains are planned by the shares. */
 Test (allocation, low_utilization_changes_nothing)
@@ -332,6 +346,35 @@
   alc_free (f.core);
 }
 
+/* Guards against a change because a domain lacks so few VMs that crashes
+   explain it, for long. */
+Test (allocation, a_few_crashed_vms_change_no_plan)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  f.domains[0].usable = 23;
+  run (&f, 30000, 76, 300);
+  cr_expect_eq (f.changes, 0);
+  alc_free (f.core);
+}
+
+/* Guards against a change because a domain lacks many VMs, but for a second
+   only. */
+Test (allocation, a_short_loss_changes_no_plan)
+{
+  struct fleet f;
+
+  fleet_start (&f, 6);
+  run (&f, 30000, 76, 300);
+  f.domains[0].usable = 18;
+  run (&f, 1000, 76, 300);
+  f.domains[0].usable = 26;
+  run (&f, 20000, 76, 300);
+  cr_expect_eq (f.changes, 0);
+  alc_free (f.core);
+}
+
 /* Guards against a change that waits for loads of 12 s for the sake of a
    demand that may be over then: it is wanted for longer first. */
 Test (allocation, a_change_that_needs_loads_is_made_later)
