serve: entries count as changed for other nodes only if sent fields differ

A node whose list came from other nodes lacks the fields that frames don't have: domain, preloaded models, the entry's own word on acceptance. When it read the list itself for the first time, as a new leader does, every entry counted as changed, and each change of the preloaded models was sent to all nodes, though no frame holds them.

The version of an entry now rises only with the fields that are sent, and with its cold period. t9202 fields_that_are_not_sent_are_no_change fails without it (2 servers in place of 1).

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -227,17 +227,23 @@
          || in->acceptance != BKS_ACCEPTANCE_UNKNOWN;
 }
 
+/** Whether the fields are the same that nodes send to each other. */
 static bool
-same_entry (const struct bks_entry *a, const struct bks_entry *b)
+same_sent_fields (const struct bks_entry *a, const struct bks_entry *b)
 {
   return a->start_time == b->start_time && str_eq (a->service, b->service)
-         && str_eq (a->zone, b->zone) && str_eq (a->domain, b->domain)
-         && net_addr_eq (&a->addr, &b->addr) && a->capacity == b->capacity
-         && a->draining == b->draining && str_eq (a->model, b->model)
-         && same_preloaded (a, b) && str_eq (a->replica, b->replica)
+         && str_eq (a->zone, b->zone) && net_addr_eq (&a->addr, &b->addr)
+         && a->capacity == b->capacity && a->draining == b->draining
+         && str_eq (a->model, b->model) && str_eq (a->replica, b->replica)
          && a->generation == b->generation && a->rank == b->rank
-         && a->member_state == b->member_state
-         && a->acceptance == b->acceptance;
+         && a->member_state == b->member_state;
+}
+
+static bool
+same_entry (const struct bks_entry *a, const struct bks_entry *b)
+{
+  return same_sent_fields (a, b) && str_eq (a->domain, b->domain)
+         && same_preloaded (a, b) && a->acceptance == b->acceptance;
 }
 
 static void
@@ -320,6 +326,7 @@
   bool from_older_copy = is_from_older_copy (b, now, s, in);
   bool earlier = s && (is_earlier_incarnation (&s->e, in) || from_older_copy);
   bool later = s && !earlier && is_later_statement (s, in);
+  bool send;
 
   entry.cold_ms = b->tracks_cold ? MIN (listed->cold_ms, BKS_COLD_MS_MAX) : 0;
   if (!s && from_older_copy)
@@ -336,6 +343,8 @@
           = in->heartbeat > s->e.heartbeat ? in->heartbeat : s->e.heartbeat;
       return false;
     }
+  send = !s || !same_sent_fields (&s->e, in)
+         || (later && cold_changed (s, read_started_at, in));
   if (s && s->e.start_time != in->start_time)
     begin_incarnation (s, now);
   if (!s)
@@ -349,7 +358,10 @@
   record_cold (s, read_started_at, in);
   g_hash_table_insert (b->by_id, &s->e.id, s);
   s->seen = true;
-  s->version = b->version;
+  /* A new leader has its copy from the previous one, without the other
+     fields. */
+  if (send)
+    s->version = b->version;
   return true;
 }
 
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -88,7 +88,7 @@
   bool seen;                  /**< listed in the read that is being
                                    processed */
   uint64_t version;           /**< version of the list in which it last
-                                   changed */
+                                   changed for other nodes */
   clk_ms first_seen_at;       /**< when this incarnation was first listed */
   clk_ms cold_until;          /**< end of its cold period by the newest entry;
                                    0: the entry says that it is warm */
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -430,6 +430,48 @@
   tbl_unref (t);
 }
 
+/*
+ * Guards against a new leader that sends all endpoints to all nodes as
+ * changed: it reads more fields of them than it had from the previous leader.
+ */
+Test (server_list, fields_that_are_not_sent_are_no_change)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t
+      = plt_parse_config (STR ("{\"version\": 1, " SERVICE "}"), &findings);
+  struct bks *from = bks_new (), *to = bks_new ();
+  struct buf log = BUF_INIT;
+  struct svl_frame *f;
+  struct bks_entry e[2];
+  uint64_t version;
+  size_t n;
+
+  cr_assert_not_null (t);
+  for (int i = 0; i < 2; i++)
+    {
+      make_entry (&e[i], i ? "q" : "p", false);
+      e[i].domain = STR ("d1");
+      cr_assert (net_addr_parse (STR ("10.0.0.9:80"), false, &e[i].addr));
+    }
+  bks_update (from, 1000, 1000, e, 2);
+  bks_endpoints (from, t, NULL, &n);
+  apply_and_log_endpoints (from, to, 0, t, &log);
+  version = bks_version (to);
+  e[1].draining = true;
+  bks_update (to, 6000, 6000, e, 2);
+  bks_endpoints (to, t, NULL, &n);
+  f = svl_frame_new (to, 0, version);
+  cr_assert_eq (svl_frame_list (f)->n_servers, 1, "%zu servers",
+                svl_frame_list (f)->n_servers);
+  cr_expect_str_eq (svl_frame_list (f)->servers[0]->id, "q");
+  cr_expect (svl_frame_list (f)->servers[0]->draining);
+  svl_frame_free (f);
+  buf_free (&log);
+  bks_free (from);
+  bks_free (to);
+  tbl_unref (t);
+}
+
 /*
  * Guards against requests to a server that left 4 s ago: the node waits for
  * changes of a long list and relies on the age of the other nodes' list.  The
