serve: a new leader sends changes before the complete list

There the leader is killed while a server leaves. The next one sends the complete list to all nodes, within its part of the link; meanwhile the nodes learn nothing, and after 1.8 s all of them read the list, over the store's link.

In a large fleet the new leader first sends what has changed since its own copy, node by node, at most every 500 ms each, until a node has the list. This doesn't make the node's list newer: its age is that of the leader's copy.

--- a/serve/duty.c
+++ b/serve/duty.c
@@ -272,6 +272,7 @@
 
   LOG (duty_gained, LOG_I ("fence", fence));
   frm_set_leading (lead->form, now, true, fence);
+  srv_peers_became_leader (lead->s, now);
   srv_sync_read_soon (lead->s, now);
 }
 
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -195,6 +195,8 @@
 void srv_peers_set_secret (struct srv *s, const struct link_secret *secret);
 void srv_peers_set_entries (struct srv *s, const struct srv_node_entry *list,
                             size_t n);
+/** This node has become leader; its list is not read yet. */
+void srv_peers_became_leader (struct srv *s, clk_ms now);
 /** If this node is leader, send the changes of the list of backend servers to
     the other nodes. */
 void srv_peers_send_servers (struct srv *s);
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -54,6 +54,9 @@
   uint64_t server_list_version; /* version of the server list that this node
                                    last sent to it; 0: none */
   clk_ms server_list_sent_at;
+  uint64_t changes_version; /* as a new leader, without the complete list: this
+                               node has sent it the changes up to here */
+  clk_ms changes_sent_at;
   clk_ms server_list_current_at; /* read time of the newest list that it has
                                     completely */
   clk_ms received_at;
@@ -98,6 +101,8 @@
   clk_ms sum_received_at;        /* when the last sum of all loads arrived */
   struct svl_budget list_budget; /* limits the rate at which the server list
                                     is sent */
+  uint64_t version_at_start;     /* of the list when this node became leader */
+  clk_ms list_at_start;          /* read time of that list */
   clk_ms next_sum_at;
   struct net_addr fronts[PRS_FRONTS_MAX];   /* ready nodes, from the last
                                                NodeList */
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -31,6 +31,8 @@
  * (listed, loading, open), and no node needs the states in between.
  */
 #define IDLE_LIST_INTERVAL_MS ((clk_ms)1000)
+/** Interval between two frames of changes to a node that lacks the list. */
+#define CHANGES_INTERVAL_MS ((clk_ms)500)
 /** How long a NodeList is used: longer than two changes of the leader in a
     row, which take some 2 s each. */
 #define NODE_LIST_VALID_MS ((clk_ms)5000)
@@ -93,6 +95,7 @@
   x->link = NULL;
   x->up = x->ready = x->server_list_received = x->is_leader = false;
   x->server_list_version = 0;
+  x->changes_version = x->p->version_at_start;
   x->has_timestamp = false;
   x->load_sent_earliest = 0;
   x->config_version = x->config_version_sent = 0;
@@ -385,6 +388,73 @@
   return best;
 }
 
+void
+srv_peers_became_leader (struct srv *s, clk_ms now)
+{
+  struct srv_peers *p = s->peers;
+
+  if (!p)
+    return;
+  p->version_at_start = bks_version (s->backends);
+  p->list_at_start = now - srv_sync_list_age (s, now);
+  for (struct peer *x = p->peers; x; x = x->next)
+    {
+      x->changes_version = p->version_at_start;
+      x->changes_sent_at = 0;
+    }
+}
+
+/** The peer without the complete list to which changes were sent longest ago;
+    NULL: none is due. */
+static struct peer *
+next_changes_receiver (const struct srv_peers *p, uint64_t version, clk_ms now)
+{
+  struct peer *best = NULL;
+
+  for (struct peer *x = p->peers; x; x = x->next)
+    if (x->up && x->ready && x->server_list_version == 0
+        && x->changes_version != 0 && x->changes_version < version
+        && now - x->changes_sent_at >= CHANGES_INTERVAL_MS
+        && (!best || x->changes_sent_at < best->changes_sent_at))
+      best = x;
+  return best;
+}
+
+/**
+ * A new leader sends the complete list to all nodes, which takes seconds in a
+ * large fleet.  Until then, a node doesn't learn which servers have left; when
+ * it reads the list itself, so do all others, over the store's link.  It is
+ * therefore sent first what has changed since this node's own copy, which came
+ * from the previous leader like the node's.  The copies may differ, so this
+ * doesn't make the node's list newer.
+ */
+static void
+send_changes_first (struct srv *s, clk_ms now)
+{
+  struct srv_peers *p = s->peers;
+  uint64_t version = bks_version (s->backends);
+  struct svl_frame *frame = NULL;
+  struct peer *x;
+
+  if (!prs_exceeds_full_mesh (p))
+    return;
+  while (svl_may_send (&p->list_budget, now, s->settings.link_bytes_per_s)
+         && (x = next_changes_receiver (p, version, now)) != NULL)
+    {
+      if (!svl_frame_matches (frame, x->changes_version))
+        {
+          svl_frame_free (frame);
+          frame = svl_frame_new (s->backends, now - p->list_at_start,
+                                 x->changes_version);
+        }
+      x->changes_sent_at = now;
+      if (!svl_frame_list (frame)->whole)
+        p->list_budget.bytes
+            -= (double)svl_frame_send (frame, x->link, &x->changes_version);
+    }
+  svl_frame_free (frame);
+}
+
 /**
  * Limit the sending of the list to a part of this VM's link.  Each of 1,000
  * servers changes some three times while replicas are formed, and sending each
@@ -406,6 +476,7 @@
 
   if (!p || !srv_is_leader (s))
     return;
+  send_changes_first (s, now);
   while (svl_may_send (&p->list_budget, now, s->settings.link_bytes_per_s)
          && (x = next_list_receiver (p, bks_version (s->backends), now))
                 != NULL)
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -12,6 +12,7 @@
 #define RETRY_INTERVAL_US 50000
 #define MAX_RETRIES 300 /* 15 s */
 
+static double link_mbps; /* 0: unknown */
 static int drain_ms = 2000;
 
 void
@@ -20,6 +21,12 @@
   drain_ms = ms;
 }
 
+void
+rack_set_link_mbps (double mbps)
+{
+  link_mbps = mbps;
+}
+
 static int evacuation_ms;
 
 void
@@ -61,7 +68,8 @@
           " \"bootstrap\": %s,\n"
           " \"listen\": {\"front\": \"127.0.0.1:%d\", \"ready\": "
           "\"127.0.0.1:%d\", \"directory\": \"127.0.0.1:%d\"},\n"
-          " \"port_range\": [%d, %d], \"limits\": {\"max_fds\": 2000},\n"
+          " \"port_range\": [%d, %d], \"limits\": {\"max_fds\": 2000, "
+          "\"link_mbps\": %g},\n"
           " \"bounds\": {%s\"drain_ms\": %d, \"grace_s\": 8,\n"
           "  \"config_apply_ms\": 2000, \"ttl_max_s\": 5, \"stall_ms\": "
           "1500,\n"
@@ -71,7 +79,7 @@
           " \"platform\": {\"address\": \"%s\", \"writes_per_s\": 400,\n"
           "  \"reads_per_s\": 2000, \"ttl_min_ms\": 1000}}\n",
           node + 1, first ? "true" : "false", port[0], port[1], port[2],
-          port[3], port[3], evacuation, drain_ms, cold_bounds, at));
+          port[3], port[3], link_mbps, evacuation, drain_ms, cold_bounds, at));
 }
 
 void
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -55,6 +55,10 @@
 /** Sets drain_ms of settings written from now on; the default is 2,000. */
 void rack_set_drain_ms (int ms);
 
+/** Sets the capacity of nodes' links in settings written from now on, in
+    Mbit/s; the default is 0: unknown. */
+void rack_set_link_mbps (double mbps);
+
 /** Service "app" of configurations stored from now on, and settings written
     from now on, limit cold servers: 26 requests per second for 3 s,
    factor 1.5, slack 5. */
--- a/t/t9304-many.c
+++ b/t/t9304-many.c
@@ -132,3 +132,46 @@
              line ? line : "none");
   free (log);
 }
+
+static int
+find_leader (const struct rack *r, int except)
+{
+  for (int k = 0; k < 100; k++)
+    for (int i = 0; i < RACK_MANY_NODES; i++)
+      if (i != except
+          && web_poll_until (r->ready[i], "/metrics", NULL,
+                             "lapisline_serve_duty 1", 20))
+        return i;
+  cr_assert (false, "no leader");
+  return 0;
+}
+
+/*
+ * Guards against nodes that use a server which left while the leader was
+ * replaced: it takes the new leader some 10 s to send the complete list over a
+ * link of this capacity, and the nodes read it themselves after 12 s.
+ */
+Test (many_nodes, new_leader_sends_changes_before_the_list)
+{
+  struct rack r;
+  int old, runs;
+
+  rack_set_link_mbps (0.02);
+  rack_set_drain_ms (20000);
+  rack_start_many (&r, 32);
+  for (int i = 0; i < RACK_MANY_NODES; i++)
+    cr_assert (rack_call_until (&r, i, "/once/x", rack_headers (""), 200));
+  usleep (15000000);
+  old = find_leader (&r, -1);
+  rack_set (&r, "{\"server\": \"p1\", \"draining\": true}");
+  proc_signal (r.node[old], SIGKILL);
+  find_leader (&r, old);
+  usleep (2500000);
+  runs = rack_get_count (&r, "p1", "runs");
+  for (int i = 0; i < 4 * RACK_MANY_NODES; i++)
+    if (i % RACK_MANY_NODES != old)
+      cr_expect_eq (
+          rack_call (&r, i % RACK_MANY_NODES, "/once/x", "", NULL, NULL), 200);
+  runs = rack_get_count (&r, "p1", "runs") - runs;
+  cr_expect_eq (runs, 0, "%d requests to the server that left", runs);
+}
