--- a/t/t9218-cold.c
+++ b/t/t9218-cold.c
@@ -492,18 +492,27 @@
   tear_down (&x);
 }
 
+/** A configuration with the service "app". */
+static struct tbl *
+make_service (void)
+{
+  struct tbl *t = tbl_new ();
+
+  t->services = arena_alloc (&t->arena, 1, sizeof *t->services);
+  t->services[0] = (struct tbl_service){ .name = STR ("app") };
+  t->nservices = 1;
+  return t;
+}
+
 /* The remaining time must reach the other nodes less the age of the read and
    of the frame. */
 Test (cold, sent_to_other_nodes)
 {
   struct fixture a, b;
   struct svl_frame *frame;
-  struct tbl *t = tbl_new ();
+  struct tbl *t = make_service ();
   size_t n;
 
-  t->services = arena_alloc (&t->arena, 1, sizeof *t->services);
-  t->services[0] = (struct tbl_service){ .name = STR ("app") };
-  t->nservices = 1;
   set_up (&a, 1.5);
   set_up (&b, 1.5);
   read_entry (&a, 10000, 10, 2000);
@@ -526,12 +535,9 @@
 {
   struct fixture a, b;
   struct svl_frame *frame;
-  struct tbl *t = tbl_new ();
+  struct tbl *t = make_service ();
   size_t n;
 
-  t->services = arena_alloc (&t->arena, 1, sizeof *t->services);
-  t->services[0] = (struct tbl_service){ .name = STR ("app") };
-  t->nservices = 1;
   set_up (&a, 1.5);
   set_up (&b, 1.5);
   read_entry (&a, 10000, 10, 0);
--- a/t/t9401-soak.c
+++ b/t/t9401-soak.c
@@ -638,6 +638,18 @@
   finish_load (&run);
 }
 
+/** Stores the configuration and starts the nodes; each serves a stream. */
+static void
+start_nodes (struct soak *s)
+{
+  rack_configure (&s->r, 1, "k1", "");
+  for (int i = 0; i < s->nodes; i++)
+    rack_start_node (&s->r, i);
+  for (int i = 0; i < s->nodes; i++)
+    cr_assert (
+        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+}
+
 /** All nodes know the store's last restore, and are linked again. */
 static void
 expect_recovered (struct soak *s)
@@ -669,12 +681,7 @@
 
   soak_init (s, seed, RESTORE_NODES);
   rack_prepare_nodes (&s->r, ENGINES, s->nodes, connect_by_proxy);
-  rack_configure (&s->r, 1, "k1", "");
-  for (int i = 0; i < s->nodes; i++)
-    rack_start_node (&s->r, i);
-  for (int i = 0; i < s->nodes; i++)
-    cr_assert (
-        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+  start_nodes (s);
   run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
   rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
   expect_recovered (s);
@@ -710,12 +717,7 @@
   s->r.logs = getenv ("SOAK_LOGS");
   s->nodes = nodes;
   run.cut_node = nodes - 1;
-  rack_configure (&s->r, 1, "k1", "");
-  for (int i = 0; i < nodes; i++)
-    rack_start_node (&s->r, i);
-  for (int i = 0; i < nodes; i++)
-    cr_assert (
-        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+  start_nodes (s);
   run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
   set_cut (&run, "none", 0);
   rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
@@ -776,12 +778,7 @@
   for (size_t i = 0; i < NEVACUATED; i++)
     rack_set (&s->r, "{\"server\": \"%s\", \"zone\": \"z2\"}",
               evacuated_servers[i]);
-  rack_configure (&s->r, 1, "k1", "");
-  for (int i = 0; i < s->nodes; i++)
-    rack_start_node (&s->r, i);
-  for (int i = 0; i < s->nodes; i++)
-    cr_assert (
-        rack_call_until (&s->r, i, "/stream/x", rack_headers ("warm"), 200));
+  start_nodes (s);
   rack_set (&s->r, "{\"cold\": {\"ms\": %d}, \"revive_ms\": 500}", COLD_MS);
   run_under_load (&run, series, sizeof series / sizeof series[0], seconds);
   rack_set (&s->r, "{\"store\": {\"refuse\": false, \"silent\": false}}");
