--- a/review/lib.sh
+++ b/review/lib.sh
@@ -57,7 +57,7 @@
   cannot_run "the platform's stand-in did not start"
 }
 
-# start_replica N [SPOIL-FILE SPOIL-PERCENT]: service app; record in runs-N
+# start_replica N [SPOIL-FILE SPOIL-PER-MILLE]: service app; record in runs-N
 start_replica ()
 {
   local port
--- a/review/rack-replica.c
+++ b/review/rack-replica.c
@@ -1,15 +1,15 @@
 /*
  * Stand-in for one replica of a service without models, on a loopback address.
  *
- *   rack-replica ID PORT RECORD [SPOIL-FILE SPOIL-PERCENT]
+ *   rack-replica ID PORT RECORD [SPOIL-FILE SPOIL-PER-MILLE]
  *
  * It answers a path below /stream/ with ten events that are 20 ms apart, and
  * any other path with a short body.  Each request that it runs is a line
  * "run ID METHOD TARGET BODY-BYTES" in the file RECORD.
  *
- * While SPOIL-FILE exists, SPOIL-PERCENT of its streams are spoilt: after two
- * events come bytes that are no event, at 1,000 Mbit/s, until the caller
- * closes the connection or 10 s have passed.
+ * While SPOIL-FILE exists, SPOIL-PER-MILLE of 1,000 of its streams are spoilt:
+ * after two events come bytes that are no event, at 1,000 Mbit/s, until the
+ * caller closes the connection or 10 s have passed.
  *
  *   rack-replica ports N
  *
@@ -33,7 +33,7 @@
 #define SPOIL_S 10.0
 
 static const char *id, *spoil_file;
-static int spoil_percent;
+static int spoil_per_mille;
 static FILE *record;
 
 static double
@@ -105,7 +105,7 @@
 send_stream (int fd, const char *head, unsigned *seed)
 {
   int spoilt = spoil_file && access (spoil_file, F_OK) == 0
-               && (int)(rand_r (seed) % 100) < spoil_percent;
+               && (int)(rand_r (seed) % 1000) < spoil_per_mille;
   char text[64];
 
   if (send_all (fd, head, strlen (head)) != 0)
@@ -247,7 +247,7 @@
   if (argc == 6)
     {
       spoil_file = argv[4];
-      spoil_percent = atoi (argv[5]);
+      spoil_per_mille = atoi (argv[5]);
     }
   fd = listen_on (atoi (argv[2]), &at);
   if (fd < 0 || !record)
