--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -21,6 +21,7 @@
   struct httpd_conn *next;
   struct httpd_conn **prev;
   size_t open; /**< requests being answered */
+  clk_ms accepted_at;
 };
 
 struct httpd
@@ -35,6 +36,7 @@
   void *handler_ctx;
   size_t max_connections;
   size_t nconnections;
+  httpd_full on_full;
   size_t nopen;
   struct httpd_conn *conns;
   struct httpd_req *reqs;
@@ -44,6 +46,7 @@
   uint16_t port;
   int handles;         /**< of this struct, not closed yet */
   bool accept_pending; /**< at the limit, with a connection to accept */
+  bool full;           /**< at the limit since a connection had to wait */
   bool stopped;
   bool freeing;
 };
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -203,6 +203,12 @@
   return &req->view;
 }
 
+clk_ms
+httpd_connection_age (const struct httpd_req *req)
+{
+  return clk_now () - req->conn->accepted_at;
+}
+
 struct str
 httpd_header (const struct httpd_req *req, const char *name)
 {
--- a/net/httpd-watch.c
+++ b/net/httpd-watch.c
@@ -1,6 +1,7 @@
 #include "net/httpd-int.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <unistd.h>
 
@@ -141,3 +142,11 @@
   d->watch_timer.data = d;
   uv_unref ((uv_handle_t *)&d->watch_timer);
 }
+
+bool
+httpd_has_disconnected (const struct httpd_req *req)
+{
+  struct pollfd p = { .fd = httpd_conn_fd (req->conn), .events = POLLRDHUP };
+
+  return p.fd >= 0 && poll (&p, 1, 0) > 0;
+}
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -72,6 +72,16 @@
   uv_close ((uv_handle_t *)&d->sweep, on_first_close);
 }
 
+static void
+set_full (struct httpd *d, bool full)
+{
+  if (d->full == full)
+    return;
+  d->full = full;
+  if (d->on_full != NULL)
+    d->on_full (d->handler_ctx, full);
+}
+
 static void
 on_conn_closed (uv_handle_t *h)
 {
@@ -85,6 +95,8 @@
   d->nconnections--;
   if (d->accept_pending)
     accept_next (d);
+  else if (!d->stopped && d->nconnections < d->max_connections)
+    set_full (d, false);
   dispose_when_closed (d);
 }
 
@@ -100,6 +112,7 @@
 
   d->accept_pending = false;
   c->d = d;
+  c->accepted_at = clk_now ();
   uv_tcp_init (d->listener.loop, &c->tcp);
   c->next = d->conns;
   c->prev = &d->conns;
@@ -135,6 +148,7 @@
   if (d->nconnections >= d->max_connections)
     {
       d->accept_pending = true;
+      set_full (d, true);
       return;
     }
   accept_next (d);
@@ -231,6 +245,7 @@
   d->handler = handler;
   d->handler_ctx = ctx;
   d->max_connections = limits->max_connections;
+  d->on_full = limits->full;
   uv_tcp_init (loop, &d->listener);
   d->listener.data = d;
   rc = bind_listener (d, loop, at);
@@ -267,6 +282,18 @@
     accept_next (d);
 }
 
+struct httpd_stats
+httpd_stats (const struct httpd *d)
+{
+  struct httpd_stats st = { .connections = d->nconnections,
+                            .max = d->max_connections,
+                            .full = d->full };
+
+  for (const struct httpd_conn *c = d->conns; c != NULL; c = c->next)
+    st.idle += c->open == 0;
+  return st;
+}
+
 size_t
 httpd_open (const struct httpd *d)
 {
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -33,6 +33,12 @@
 /** Set the JSON body (copied). */
 void httpd_refusal_json (struct httpd_refusal *r, struct str body);
 
+/**
+ * Called when the limit on connections is reached and callers wait to be
+ * accepted (@p full), and when no caller waits any more.
+ */
+typedef void (*httpd_full) (void *ctx, bool full);
+
 struct httpd_limits
 {
   size_t max_body;        /**< bytes; larger: 413 */
@@ -40,6 +46,16 @@
   clk_ms request_ms;      /**< timeout for a complete request head */
   httpd_refused refused;  /**< called with the handler's context; NULL: h2o's
                                response is sent */
+  httpd_full full;        /**< called with the handler's context, or NULL */
+};
+
+/** Connections of a server. */
+struct httpd_stats
+{
+  size_t connections; /**< accepted and open */
+  size_t idle;        /**< of these, without a request that is answered */
+  size_t max;         /**< limit on `connections` */
+  bool full;          /**< callers wait to be accepted */
 };
 
 /** A request as passed to the handler; valid until the response has ended. */
@@ -71,6 +87,8 @@
 /** Stop accepting and close idle connections; open requests continue. */
 void httpd_stop_accepting (struct httpd *d);
 
+struct httpd_stats httpd_stats (const struct httpd *d);
+
 /** Number of open requests. */
 size_t httpd_open (const struct httpd *d);
 void httpd_free (struct httpd *d);
@@ -94,6 +112,15 @@
 void httpd_on_disconnect (struct httpd_req *req, void (*gone) (void *ctx),
                           void *ctx);
 
+/**
+ * Whether the caller has closed its connection or its sending side, although
+ * no callback was called yet.  This costs a system call.
+ */
+bool httpd_has_disconnected (const struct httpd_req *req);
+
+/** Time since the connection was accepted, in ms. */
+clk_ms httpd_connection_age (const struct httpd_req *req);
+
 /** Send a complete response. */
 void httpd_answer (struct httpd_req *req, int status,
                    const struct http_header *headers, size_t n,
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -210,6 +210,17 @@
   srv_metrics_request (s, "none", why->status, why->code, 0);
 }
 
+static void
+log_client_left (const struct srv_exchange *ex)
+{
+  struct httpd_stats st = httpd_stats (ex->s->client_listener);
+
+  srv_metrics_client_left (ex->s);
+  LOG (client_left_unread, LOG_S ("id", ex->request.id),
+       LOG_I ("connection_ms", httpd_connection_age (ex->req)),
+       LOG_I ("connections", st.connections), LOG_I ("idle", st.idle));
+}
+
 static void
 admit (struct srv *s, struct httpd_req *req, clk_ms since)
 {
@@ -221,6 +232,8 @@
   ex->started_at = since;
   s->adapter->parse_request (h, n, &ex->request);
   ex->host = httpd_get (req)->host;
+  if (httpd_has_disconnected (req))
+    log_client_left (ex);
   why = confirm_rejection (s, check_request (ex));
   if (why.status == 0)
     {
@@ -309,6 +322,20 @@
     admit (s, req, now);
 }
 
+static void
+on_full (void *ctx, bool full)
+{
+  struct srv *s = ctx;
+  struct httpd_stats st = httpd_stats (s->client_listener);
+
+  if (full)
+    LOG (client_connections_full, LOG_I ("connections", st.connections),
+         LOG_I ("idle", st.idle), LOG_I ("max", st.max));
+  else
+    LOG (client_connections_available, LOG_I ("connections", st.connections),
+         LOG_I ("idle", st.idle), LOG_I ("max", st.max));
+}
+
 bool
 srv_ingress_start (struct srv *s, struct buf *err)
 {
@@ -317,7 +344,8 @@
       = { .max_body = BODY_MAX,
           .max_connections = fds > 2 * FDS_RESERVED ? (fds - FDS_RESERVED) / 2
                                                     : FDS_RESERVED / 2,
-          .request_ms = IDLE_MS };
+          .request_ms = IDLE_MS,
+          .full = on_full };
 
   s->client_listener = httpd_listen (&s->loop, &s->settings.front, &limits,
                                      on_request, s, err);
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -41,6 +41,16 @@
                (double)ms);
 }
 
+void
+srv_metrics_client_left (struct srv *s)
+{
+  met_add (met_counter (s->metrics, PREFIX "clients_left_unread_total",
+                        "Requests whose clients had disconnected before the "
+                        "request was read.",
+                        NULL),
+           1);
+}
+
 /** Set a gauge to a value that another module maintains. */
 static void
 gauge (struct srv *s, const char *name, const char *help, const char *labels,
@@ -144,6 +154,23 @@
          NULL, (double)f.sent_leaving);
 }
 
+static void
+set_connections (struct srv *s)
+{
+  static const char name[] = PREFIX "client_connections";
+  static const char help[]
+      = "Client connections, with a request that is answered and without.";
+  struct httpd_stats f = httpd_stats (s->client_listener);
+
+  gauge (s, name, help, "state=\"active\"", (double)(f.connections - f.idle));
+  gauge (s, name, help, "state=\"idle\"", (double)f.idle);
+  gauge (s, PREFIX "client_connections_max",
+         "Limit on the number of client connections.", NULL, (double)f.max);
+  gauge (s, PREFIX "client_connections_full",
+         "Whether clients wait to be accepted, as the limit is reached.", NULL,
+         f.full);
+}
+
 static void
 set_store (struct srv *s)
 {
@@ -248,6 +275,7 @@
   set_dispatch (s);
   set_limits (s);
   set_avail (s);
+  set_connections (s);
   set_store (s);
   set_state (s);
   set_models (s);
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -338,6 +338,8 @@
     client disconnected */
 void srv_metrics_request (struct srv *s, const char *kind, int status,
                           const char *code, clk_ms ms);
+/** Count a request whose client had disconnected before it was read. */
+void srv_metrics_client_left (struct srv *s);
 /** Record the time to the first event of a stream. */
 void srv_metrics_first_event (struct srv *s, clk_ms ms);
 
