net: don't cut requests that are read after the server stopped accepting

A stopping server shuts down the receiving side of connections without a request, and still reads a request that the kernel has received. 100 ms later the monitor of the caller's connection was started; the kernel reports such a connection as hung up, although this end had closed it, so the request was aborted: a stream whose request crossed a SIGTERM was cut.

A connection with unread bytes is no longer shut down: h2o reads the request, and closes the connection after the response, as the server stops. A connection that was shut down is not monitored, as a request may arrive before h2o reads the end of input.

--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -22,6 +22,7 @@
   struct httpd_conn **prev;
   size_t open; /**< requests being answered */
   clk_ms accepted_at;
+  bool read_closed; /**< this end has shut down its receiving side */
 };
 
 struct httpd
--- a/net/httpd-watch.c
+++ b/net/httpd-watch.c
@@ -88,6 +88,11 @@
 watch_start (struct httpd_req *r)
 {
   int fd = httpd_conn_fd (r->conn);
+
+  /* The kernel reports a hang-up of a receiving side that this end shut down;
+     a disconnect is then detected at the next write. */
+  if (r->conn->read_closed)
+    return;
   if (fd < 0 || (fd = fcntl (fd, F_DUPFD_CLOEXEC, 0)) < 0)
     return;
   struct disconnect_watch *w = xcalloc (1, sizeof *w);
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -1,5 +1,6 @@
 #include "net/httpd-int.h"
 
+#include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 
@@ -309,6 +310,23 @@
   dispose_when_closed (d);
 }
 
+/*
+ * Close a connection without a request.  Only the receiving side is shut down:
+ * a request that arrives before h2o reads the end of input is still answered.
+ * If the kernel has bytes already, h2o reads them first, and closes the
+ * connection after its response once the server stops.
+ */
+static void
+close_idle (struct httpd_conn *c)
+{
+  struct pollfd p = { .fd = httpd_conn_fd (c), .events = POLLIN };
+
+  if (p.fd < 0 || poll (&p, 1, 0) > 0)
+    return;
+  c->read_closed = true;
+  httpd_conn_shutdown (c, SHUT_RD);
+}
+
 void
 httpd_stop_accepting (struct httpd *d)
 {
@@ -318,14 +336,9 @@
   d->accept_pending = false;
   d->ctx.shutdown_requested = 1;
   uv_close ((uv_handle_t *)&d->listener, on_handle_closed);
-  /*
-   * Only the receiving side is shut down: a request that is already in the
-   * kernel's buffer is still read and answered, then h2o reads the end of
-   * input.
-   */
   for (struct httpd_conn *c = d->conns; c != NULL; c = c->next)
     if (c->open == 0)
-      httpd_conn_shutdown (c, SHUT_RD);
+      close_idle (c);
 }
 
 void
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -278,6 +278,17 @@
   run_log (&b->run, "%zu open", httpd_open (b->httpd));
 }
 
+/* Turn the loop for so many ms. */
+static void
+turn (struct bench *b, struct str rest)
+{
+  int64_t ms = 0;
+
+  str_to_i64 (rest, &ms);
+  for (clk_ms end = clk_now () + ms; clk_now () < end; uv_sleep (1))
+    uv_run (&b->run.loop, UV_RUN_NOWAIT);
+}
+
 static void
 server_step (struct bench *b, struct str word, struct str rest)
 {
@@ -332,6 +343,8 @@
     leave (b, rest);
   else if (str_is (word, "settle"))
     run_poll (&b->run);
+  else if (str_is (word, "turn"))
+    turn (b, rest);
   else
     server_step (b, word, rest);
 }
@@ -504,3 +517,14 @@
         "old caller: connected\n" ASKED (
             "/late") "old caller: HTTP/1.1 200\nold caller: closed\n");
 }
+
+/* Guards against a stop of the server that cuts a request which it reads
+   afterwards, once the caller's connection is monitored. */
+Test (server, request_in_the_kernel_is_not_cut)
+{
+  play ("idle\n wait old caller: connected\n settle\n ask-then-stop\n"
+        "wait /late: asked by me, query [], body []\n turn 300\n"
+        "answer /late\n wait old caller: closed",
+        "old caller: connected\n" ASKED (
+            "/late") "old caller: HTTP/1.1 200\nold caller: closed\n");
+}
--- /dev/null
+++ b/t/t9321-left.c
@@ -0,0 +1,81 @@
+/*
+ * Clients that leave before their request was read, with real processes.
+ */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "t/lib-rack.h"
+
+TestSuite (left, .fini = proc_stop_all, .timeout = 120);
+
+/** Client connections that a node accepts with the descriptors that
+    lib-rack.h gives it. */
+#define MAX_CONNECTIONS 500
+#define CLIENTS 20
+/** Longer than a node needs to read and send what it has accepted. */
+#define SETTLE_MS 1500
+
+/** Sends requests that are not read, and closes their connections. */
+static void
+send_and_leave (const struct rack *r)
+{
+  struct web_stream *w[CLIENTS];
+  char id[16];
+
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      snprintf (id, sizeof id, "left%d", i);
+      w[i] = web_open (r->front[0], "POST", "/safe/x", rack_headers (id), "x");
+      cr_assert_not_null (w[i]);
+    }
+  for (int i = 0; i < CLIENTS; i++)
+    web_close (w[i]);
+}
+
+static void
+expect_none_sent (const struct rack *r)
+{
+  struct web_answer a;
+
+  usleep (SETTLE_MS * 1000);
+  web_call (r->platform_addr, "GET", "/control/runs", NULL, NULL, &a);
+  cr_expect_null (strstr (buf_c (&a.body), "\"left"), "%s", buf_c (&a.body));
+  web_free (&a);
+  cr_expect (rack_call_until (r, 0, "/safe/x", rack_headers ("next"), 200));
+}
+
+/* Guards against sending requests of clients that left while they waited to be
+   accepted. */
+Test (left, requests_not_accepted_in_time_are_not_sent)
+{
+  struct web_stream *w[MAX_CONNECTIONS];
+  struct rack r;
+
+  rack_start_all (&r, 4);
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    {
+      w[i] = web_connect (r.front[0], "GET /safe/x HTTP/1.1\r\n");
+      cr_assert_not_null (w[i]);
+    }
+  usleep (500000);
+  send_and_leave (&r);
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    web_close (w[i]);
+  expect_none_sent (&r);
+}
+
+/* Guards against sending requests of clients that left while the node was
+   suspended. */
+Test (left, requests_to_a_suspended_node_are_not_sent)
+{
+  struct rack r;
+
+  rack_start_all (&r, 4);
+  proc_signal (r.node[0], SIGSTOP);
+  send_and_leave (&r);
+  usleep (1000000);
+  proc_signal (r.node[0], SIGCONT);
+  expect_none_sent (&r);
+}
