net, serve, front: don't handle requests whose callers have left

Cause: a caller's connection is monitored only once a request has been open for 100 ms. A request that waited in the kernel, with the close of its client behind it, was read, submitted and sent at once.

The server now asks the kernel, once a request was read, whether its caller has disconnected. If so, the handler is not called; the request is logged, counted and dropped. This doesn't depend on why the request waited, and holds for the gateway too, whose requests had the same cause.

--- a/front/callers.c
+++ b/front/callers.c
@@ -372,6 +372,11 @@
   c->m_sent_paused
       = met_gauge (m, "lapisline_sent_paused",
                    "Requests sent to backend servers in a pause.", NULL);
+  c->m_left_unread
+      = met_counter (m, "lapisline_callers_left_unread_total",
+                     "Requests whose callers had disconnected before the "
+                     "request was read.",
+                     NULL);
   c->m_first_byte
       = met_histogram (m, "lapisline_first_byte_ms",
                        "From a request to its answer's first byte.", NULL);
@@ -414,13 +419,26 @@
   gw_fill_refusal (c->g, status, r);
 }
 
+/** The request isn't run, and its caller reads no response. */
+static void
+on_left (void *ctx, struct httpd_req *req)
+{
+  struct gw_callers *c = ctx;
+
+  met_add (c->m_left_unread, 1);
+  LOG (caller_left_unread, LOG_S ("path", httpd_get (req)->path),
+       LOG_I ("connection_ms", httpd_connection_age (req)),
+       LOG_I ("connections", httpd_stats (c->httpd).connections));
+}
+
 struct gw_callers *
 gw_callers_start (struct gw *g, struct buf *err)
 {
   struct httpd_limits limits = { .max_body = GW_HARD_MAX_BODY,
                                  .max_connections = GW_MAX_CONNECTIONS,
                                  .request_ms = 10 * CLK_SECOND,
-                                 .refused = on_refused };
+                                 .refused = on_refused,
+                                 .left = on_left };
   struct rt_options opt
       = { .zone = str_from (g->set.zone), .node = str_from (g->set.node) };
   struct gw_callers *c = xcalloc (1, sizeof *c);
--- a/front/callers.h
+++ b/front/callers.h
@@ -262,6 +262,7 @@
   struct met_series *m_open;
   struct met_series *m_waiting;
   struct met_series *m_paused, *m_leaving, *m_sent_paused;
+  struct met_series *m_left_unread;
   struct met_series *m_first_byte;
   struct met_series *m_latency;
 };
--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -38,6 +38,7 @@
   size_t max_connections;
   size_t nconnections;
   httpd_full on_full;
+  httpd_left on_left;
   size_t nopen;
   struct httpd_conn *conns;
   struct httpd_req *reqs;
@@ -128,6 +129,9 @@
 /** Stop monitoring the caller's connection. */
 void httpd_watch_stop (struct httpd_req *r);
 
+/** Whether the caller has closed its connection or its sending side. */
+bool httpd_has_disconnected (const struct httpd_req *r);
+
 /** Call the handler's callback for a caller that disconnected. */
 void httpd_notify_disconnect (struct httpd_req *r);
 
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -192,6 +192,11 @@
   r->conn->open++;
   if (d->freeing)
     httpd_abort (r);
+  else if (d->on_left != NULL && httpd_has_disconnected (r))
+    {
+      d->on_left (d->handler_ctx, r);
+      httpd_abort (r);
+    }
   else
     d->handler (d->handler_ctx, r);
   return 0;
--- a/net/httpd-watch.c
+++ b/net/httpd-watch.c
@@ -149,9 +149,10 @@
 }
 
 bool
-httpd_has_disconnected (const struct httpd_req *req)
+httpd_has_disconnected (const struct httpd_req *r)
 {
-  struct pollfd p = { .fd = httpd_conn_fd (req->conn), .events = POLLRDHUP };
+  struct pollfd p = { .fd = httpd_conn_fd (r->conn),
+                      .events = r->conn->read_closed ? 0 : POLLRDHUP };
 
   return p.fd >= 0 && poll (&p, 1, 0) > 0;
 }
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -247,6 +247,7 @@
   d->handler_ctx = ctx;
   d->max_connections = limits->max_connections;
   d->on_full = limits->full;
+  d->on_left = limits->left;
   uv_tcp_init (loop, &d->listener);
   d->listener.data = d;
   rc = bind_listener (d, loop, at);
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -39,6 +39,14 @@
  */
 typedef void (*httpd_full) (void *ctx, bool full);
 
+/**
+ * Called instead of the handler for a request whose caller had disconnected
+ * when it was read; @p req is valid during the callback only.  Such a request
+ * has waited in the kernel, because its connection was not accepted or this
+ * process did not run.
+ */
+typedef void (*httpd_left) (void *ctx, struct httpd_req *req);
+
 struct httpd_limits
 {
   size_t max_body;        /**< bytes; larger: 413 */
@@ -47,6 +55,8 @@
   httpd_refused refused;  /**< called with the handler's context; NULL: h2o's
                                response is sent */
   httpd_full full;        /**< called with the handler's context, or NULL */
+  httpd_left left;        /**< called with the handler's context; NULL: the
+                               handler is called for such requests too */
 };
 
 /** Connections of a server. */
@@ -106,18 +116,12 @@
  * Set the callback for a caller that disconnects before the response has
  * ended. It is not called afterwards.  When it was called, no function may be
  * called on @p req.  A caller that closes only its sending side is treated as
- * disconnected.  A request that is open for 100 ms is monitored, which needs a
- * second file descriptor.
+ * disconnected, as the kernel reports both in the same way.  A request that is
+ * open for 100 ms is monitored, which needs a second file descriptor.
  */
 void httpd_on_disconnect (struct httpd_req *req, void (*gone) (void *ctx),
                           void *ctx);
 
-/**
- * Whether the caller has closed its connection or its sending side, although
- * no callback was called yet.  This costs a system call.
- */
-bool httpd_has_disconnected (const struct httpd_req *req);
-
 /** Time since the connection was accepted, in ms. */
 clk_ms httpd_connection_age (const struct httpd_req *req);
 
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -210,17 +210,6 @@
   srv_metrics_request (s, "none", why->status, why->code, 0);
 }
 
-static void
-log_client_left (const struct srv_exchange *ex)
-{
-  struct httpd_stats st = httpd_stats (ex->s->client_listener);
-
-  srv_metrics_client_left (ex->s);
-  LOG (client_left_unread, LOG_S ("id", ex->request.id),
-       LOG_I ("connection_ms", httpd_connection_age (ex->req)),
-       LOG_I ("connections", st.connections), LOG_I ("idle", st.idle));
-}
-
 static void
 admit (struct srv *s, struct httpd_req *req, clk_ms since)
 {
@@ -232,8 +221,6 @@
   ex->started_at = since;
   s->adapter->parse_request (h, n, &ex->request);
   ex->host = httpd_get (req)->host;
-  if (httpd_has_disconnected (req))
-    log_client_left (ex);
   why = confirm_rejection (s, check_request (ex));
   if (why.status == 0)
     {
@@ -322,6 +309,25 @@
     admit (s, req, now);
 }
 
+/** Such a request has not run; it is not sent to a server, and nobody reads a
+    response. */
+static void
+on_left (void *ctx, struct httpd_req *req)
+{
+  struct srv *s = ctx;
+  struct httpd_stats st = httpd_stats (s->client_listener);
+  struct srv_request request = { 0 };
+  size_t n;
+  const struct http_header *h = httpd_headers (req, &n);
+
+  s->adapter->parse_request (h, n, &request);
+  srv_metrics_client_left (s);
+  LOG (client_left_unread, LOG_S ("id", request.id),
+       LOG_I ("connection_ms", httpd_connection_age (req)),
+       LOG_I ("connections", st.connections), LOG_I ("idle", st.idle));
+  free (request.shared_parts);
+}
+
 static void
 on_full (void *ctx, bool full)
 {
@@ -345,7 +351,8 @@
           .max_connections = fds > 2 * FDS_RESERVED ? (fds - FDS_RESERVED) / 2
                                                     : FDS_RESERVED / 2,
           .request_ms = IDLE_MS,
-          .full = on_full };
+          .full = on_full,
+          .left = on_left };
 
   s->client_listener = httpd_listen (&s->loop, &s->settings.front, &limits,
                                      on_request, s, err);
--- a/t/lib-proc.h
+++ b/t/lib-proc.h
@@ -122,6 +122,10 @@
 /** HTTP connection whose responses are read incrementally. */
 struct web_stream;
 
+/** Connects and sends @p bytes, which may be none or a part of a request; NULL
+    if the connection fails.  web_next() sends a request on it. */
+struct web_stream *web_connect (const char *addr, const char *bytes);
+
 /** Connects and sends the request; NULL if the connection fails. */
 struct web_stream *web_open (const char *addr, const char *method,
                              const char *path, const char *headers,
--- a/t/lib-web.c
+++ b/t/lib-web.c
@@ -89,6 +89,19 @@
   return s;
 }
 
+struct web_stream *
+web_connect (const char *addr, const char *bytes)
+{
+  int fd = connect_to (addr);
+  if (fd < 0)
+    return NULL;
+  send_all (fd, str_from (bytes));
+  struct web_stream *s = xcalloc (1, sizeof *s);
+  s->fd = fd;
+  s->ended = true;
+  return s;
+}
+
 bool
 web_next (struct web_stream *s, const char *addr, const char *method,
           const char *path, const char *headers, const char *body)
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -77,6 +77,14 @@
     run_log (&h->b->run, "%s: drained", h->path);
 }
 
+static void
+on_left (void *ctx, struct httpd_req *req)
+{
+  struct bench *b = ctx;
+
+  run_log (&b->run, "%.*s: left unread", STR_ARG (httpd_get (req)->path));
+}
+
 static void
 on_request (void *ctx, struct httpd_req *req)
 {
@@ -219,6 +227,17 @@
                &b->old);
 }
 
+static void
+old_request (struct bench *b, struct str path)
+{
+  struct buf head = BUF_INIT;
+
+  buf_addf (&head, "GET %.*s HTTP/1.1\r\nx-caller: me\r\nhost: h\r\n\r\n",
+            STR_ARG (path));
+  run_write (&b->old.tcp, buf_str (&head));
+  buf_free (&head);
+}
+
 /* --- words ------------------------------------------------------------- */
 
 static struct httpd_req *
@@ -333,10 +352,16 @@
     old_call (b, true);
   else if (str_is (word, "ask-then-stop"))
     {
-      run_write (&b->old.tcp, STR ("GET /late HTTP/1.1\r\nx-caller: me\r\n"
-                                   "host: h\r\n\r\n"));
+      old_request (b, STR ("/late"));
       httpd_stop_accepting (b->httpd);
     }
+  else if (str_is (word, "ask"))
+    old_request (b, rest);
+  else if (str_is (word, "hang-up"))
+    {
+      uv_close ((uv_handle_t *)&b->old.tcp, NULL);
+      b->old.open = false;
+    }
   else if (str_is (word, "read"))
     httpc_pause (caller_of (b, rest)->call, false);
   else if (str_is (word, "leave"))
@@ -353,8 +378,9 @@
 play (const char *script, const char *expected)
 {
   struct bench b = { 0 };
-  struct httpd_limits limits
-      = { .max_body = 16, .max_connections = 2, .request_ms = 5000 };
+  struct httpd_limits limits = {
+    .max_body = 16, .max_connections = 2, .request_ms = 5000, .left = on_left
+  };
   struct buf err = BUF_INIT;
 
   run_init (&b.run);
@@ -528,3 +554,17 @@
         "old caller: connected\n" ASKED (
             "/late") "old caller: HTTP/1.1 200\nold caller: closed\n");
 }
+
+/* Guards against handling a request whose caller closed its connection while
+   it waited to be accepted. */
+Test (server, caller_left_before_it_was_accepted)
+{
+  play ("fresh /a\n wait /a: asked by me, query [], body []\n"
+        "fresh /b\n wait /b: asked by me, query [], body []\n"
+        "idle\n wait old caller: connected\n ask /c\n settle\n hang-up\n"
+        "answer /a\n wait /a: whole 200, 5 bytes\n wait /c: left unread\n"
+        "open 1",
+        ASKED ("/a") ASKED ("/b") "old caller: connected\n"
+                                  "/a: whole 200, 5 bytes\n"
+                                  "/c: left unread\n1 open\n");
+}
