net: close idle connections to make room for new ones

The server now keeps its idle connections in the order in which they became idle. When less than a sixteenth of the limit is free, each new connection closes the one that has been idle for longest; not one on which a part of a request was received or whose bytes are unread. Only when all connections have a request do callers wait. All listeners share this: those of the gateway, the addresses and the administration had the same limit and idle time.

t2004, three new tests: failed before (3 of 3), pass. t9321 idle_connections_do_not_keep_clients_waiting, real processes, 500 idle connections: 20 requests took 19,461 ms before, the bound is 1,000 ms.

--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -20,7 +20,10 @@
   struct httpd *d;
   struct httpd_conn *next;
   struct httpd_conn **prev;
-  size_t open; /**< requests being answered */
+  h2o_socket_t *sock; /**< NULL: closed */
+  struct httpd_conn *next_idle;
+  struct httpd_conn **prev_idle; /**< NULL: not in the list */
+  size_t open;                   /**< requests being answered */
   clk_ms accepted_at;
   bool read_closed; /**< this end has shut down its receiving side */
 };
@@ -41,6 +44,9 @@
   httpd_left on_left;
   size_t nopen;
   struct httpd_conn *conns;
+  struct httpd_conn *idle; /**< without an open request, longest idle first */
+  struct httpd_conn **last_idle;
+  uv_timer_t room; /**< closes an idle connection for a pending one */
   struct httpd_req *reqs;
   uv_timer_t watch_timer;
   struct httpd_req *unwatched; /**< oldest first */
@@ -107,6 +113,12 @@
 /** Descriptor of a connection, or -1. */
 int httpd_conn_fd (const struct httpd_conn *c);
 
+/** Record that a connection has a first open request. */
+void httpd_conn_set_active (struct httpd_conn *c);
+
+/** Record that a connection has no open request. */
+void httpd_conn_set_idle (struct httpd_conn *c);
+
 /**
  * Install a filter for the responses to requests that h2o refuses by itself.
  * h2o assigns these to the fallback path, and all others to the path "/",
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -52,7 +52,8 @@
   if (r->next != NULL)
     r->next->prev = r->prev;
   r->prev = NULL;
-  r->conn->open--;
+  if (--r->conn->open == 0)
+    httpd_conn_set_idle (r->conn);
   r->d->nopen--;
 }
 
@@ -189,7 +190,8 @@
     r->next->prev = &r->next;
   d->reqs = r;
   d->nopen++;
-  r->conn->open++;
+  if (r->conn->open++ == 0)
+    httpd_conn_set_active (r->conn);
   if (d->freeing)
     httpd_abort (r);
   else if (d->on_left != NULL && httpd_has_disconnected (r))
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -7,6 +7,10 @@
 /* Connections that wait in the kernel while the limit is reached. */
 #define HTTPD_BACKLOG 1024
 
+/* Idle connections are closed when fewer than this part of the limit is free;
+   closing takes an iteration of the event loop. */
+#define HTTPD_ROOM_PART 16
+
 /*
  * A connection is closed if the caller reads nothing for this time while bytes
  * are queued.  Otherwise a caller that stops reading would keep its response
@@ -35,6 +39,81 @@
     shutdown (fd, how);
 }
 
+/* --- idle connections -------------------------------------------------- */
+
+static void
+idle_remove (struct httpd_conn *c)
+{
+  if (c->prev_idle == NULL)
+    return;
+  *c->prev_idle = c->next_idle;
+  if (c->next_idle != NULL)
+    c->next_idle->prev_idle = c->prev_idle;
+  else
+    c->d->last_idle = c->prev_idle;
+  c->prev_idle = NULL;
+  c->next_idle = NULL;
+}
+
+/*
+ * Close a connection without a request.  Only the receiving side is shut down:
+ * a request that arrives before h2o reads the end of input is still answered.
+ * If the kernel has bytes already, nothing is done, and h2o reads them.
+ */
+static bool
+close_idle (struct httpd_conn *c)
+{
+  struct pollfd p = { .fd = httpd_conn_fd (c), .events = POLLIN };
+
+  if (p.fd < 0 || poll (&p, 1, 0) > 0)
+    return false;
+  c->read_closed = true;
+  idle_remove (c);
+  httpd_conn_shutdown (c, SHUT_RD);
+  return true;
+}
+
+/* Close the connection that is idle for longest, but none on which a part of a
+   request has been received. */
+static void
+close_longest_idle (struct httpd *d)
+{
+  struct httpd_conn *c = d->idle;
+
+  while (c != NULL && (c->sock->input->size > 0 || !close_idle (c)))
+    c = c->next_idle;
+}
+
+static void
+on_room (uv_timer_t *t)
+{
+  struct httpd *d = t->data;
+
+  if (d->accept_pending)
+    close_longest_idle (d);
+}
+
+void
+httpd_conn_set_active (struct httpd_conn *c)
+{
+  idle_remove (c);
+}
+
+void
+httpd_conn_set_idle (struct httpd_conn *c)
+{
+  struct httpd *d = c->d;
+
+  if (c->sock == NULL || c->read_closed)
+    return;
+  c->prev_idle = d->last_idle;
+  *d->last_idle = c;
+  d->last_idle = &c->next_idle;
+  /* h2o still holds the bytes of the request that has just ended. */
+  if (d->accept_pending && !d->freeing)
+    uv_timer_start (&d->room, on_room, 0, 0);
+}
+
 /* --- connections ------------------------------------------------------- */
 
 static void
@@ -104,6 +183,10 @@
 static void
 on_sock_close (void *data)
 {
+  struct httpd_conn *c = data;
+
+  c->sock = NULL;
+  idle_remove (c);
 }
 
 static void
@@ -131,13 +214,17 @@
       = h2o_uv_socket_create ((uv_stream_t *)&c->tcp, on_conn_closed);
   sock->on_close.cb = on_sock_close;
   sock->on_close.data = c;
+  c->sock = sock;
+  httpd_conn_set_idle (c);
   h2o_accept (&d->accept_ctx, sock);
 }
 
 /*
- * At the limit the connection is not accepted: libuv then stops polling the
- * listener, and further callers wait in the kernel's backlog.  Each accepted
- * connection would need memory and a descriptor before any check.
+ * Near the limit, an idle connection is closed for each new one, so that
+ * callers with a request don't wait behind callers without.  At the limit the
+ * connection is not accepted: libuv then stops polling the listener, and
+ * further callers wait in the kernel's backlog.  Each accepted connection
+ * would need memory and a descriptor before any check.
  */
 static void
 on_connection (uv_stream_t *listener, int status)
@@ -146,6 +233,9 @@
 
   if (status != 0 || d->stopped)
     return;
+  if (d->nconnections + d->max_connections / HTTPD_ROOM_PART
+      >= d->max_connections)
+    close_longest_idle (d);
   if (d->nconnections >= d->max_connections)
     {
       d->accept_pending = true;
@@ -245,6 +335,7 @@
   signal (SIGPIPE, SIG_IGN);
   d->handler = handler;
   d->handler_ctx = ctx;
+  d->last_idle = &d->idle;
   d->max_connections = limits->max_connections;
   d->on_full = limits->full;
   d->on_left = limits->left;
@@ -260,7 +351,9 @@
       return NULL;
     }
   setup_h2o (d, loop, limits);
-  d->handles = 3;
+  d->handles = 4;
+  uv_timer_init (loop, &d->room);
+  d->room.data = d;
   httpd_watch_init (d, loop);
   uv_timer_init (loop, &d->sweep);
   d->sweep.data = d;
@@ -311,23 +404,6 @@
   dispose_when_closed (d);
 }
 
-/*
- * Close a connection without a request.  Only the receiving side is shut down:
- * a request that arrives before h2o reads the end of input is still answered.
- * If the kernel has bytes already, h2o reads them first, and closes the
- * connection after its response once the server stops.
- */
-static void
-close_idle (struct httpd_conn *c)
-{
-  struct pollfd p = { .fd = httpd_conn_fd (c), .events = POLLIN };
-
-  if (p.fd < 0 || poll (&p, 1, 0) > 0)
-    return;
-  c->read_closed = true;
-  httpd_conn_shutdown (c, SHUT_RD);
-}
-
 void
 httpd_stop_accepting (struct httpd *d)
 {
@@ -360,4 +436,5 @@
     httpd_conn_shutdown (c, SHUT_RDWR);
   uv_close ((uv_handle_t *)&d->watch_timer, on_handle_closed);
   uv_close ((uv_handle_t *)&d->sweep, on_handle_closed);
+  uv_close ((uv_handle_t *)&d->room, on_handle_closed);
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -50,7 +50,9 @@
 struct httpd_limits
 {
   size_t max_body;        /**< bytes; larger: 413 */
-  size_t max_connections; /**< concurrent; further ones wait in the backlog */
+  size_t max_connections; /**< concurrent; near it, the connection that is idle
+                               for longest is closed for each new one; at it,
+                               new ones wait in the backlog */
   clk_ms request_ms;      /**< timeout for a complete request head */
   httpd_refused refused;  /**< called with the handler's context; NULL: h2o's
                                response is sent */
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -357,6 +357,10 @@
     }
   else if (str_is (word, "ask"))
     old_request (b, rest);
+  else if (str_is (word, "ask-begin"))
+    run_write (&b->old.tcp, STR ("GET /old HTTP/1.1\r\n"));
+  else if (str_is (word, "ask-end"))
+    run_write (&b->old.tcp, STR ("x-caller: me\r\nhost: h\r\n\r\n"));
   else if (str_is (word, "hang-up"))
     {
       uv_close ((uv_handle_t *)&b->old.tcp, NULL);
@@ -555,6 +559,10 @@
             "/late") "old caller: HTTP/1.1 200\nold caller: closed\n");
 }
 
+/* Rest of a log line, after the request's path. */
+#define READ ": asked by me, query [], body []\n"
+#define SERVED ": whole 200, 5 bytes\n"
+
 /* Guards against handling a request whose caller closed its connection while
    it waited to be accepted. */
 Test (server, caller_left_before_it_was_accepted)
@@ -564,7 +572,43 @@
         "idle\n wait old caller: connected\n ask /c\n settle\n hang-up\n"
         "answer /a\n wait /a: whole 200, 5 bytes\n wait /c: left unread\n"
         "open 1",
-        ASKED ("/a") ASKED ("/b") "old caller: connected\n"
-                                  "/a: whole 200, 5 bytes\n"
-                                  "/c: left unread\n1 open\n");
+        "/a" READ "/b" READ "old caller: connected\n/a" SERVED
+        "/c: left unread\n1 open\n");
+}
+
+/* Guards against callers with a request that wait to be accepted while idle
+   connections are kept: the one that is idle for longest is closed. */
+Test (server, longest_idle_connection_makes_room)
+{
+  play ("idle\n wait old caller: connected\n"
+        "get /a\n wait /a: asked by me, query [], body []\n answer /a\n"
+        "wait /a: whole 200, 5 bytes\n fresh /b\n turn 500\n answer /b\n"
+        "wait /b: whole 200, 5 bytes\n"
+        "get /c\n turn 500\n answer /c\n wait /c: whole 200, 5 bytes",
+        "old caller: connected\n/a" READ "/a" SERVED "old caller: closed\n"
+        "/b" READ "/b" SERVED "/c" READ "/c" SERVED);
+}
+
+/* Guards against closing a connection on which a request is being received. */
+Test (server, connection_that_receives_a_request_is_kept)
+{
+  play ("idle\n wait old caller: connected\n ask-begin\n turn 50\n"
+        "get /a\n wait /a: asked by me, query [], body []\n answer /a\n"
+        "wait /a: whole 200, 5 bytes\n fresh /b\n turn 500\n answer /b\n"
+        "wait /b: whole 200, 5 bytes\n ask-end\n"
+        "wait /old: asked by me, query [], body []\n answer /old\n"
+        "wait old caller: HTTP/1.1 200",
+        "old caller: connected\n/a" READ "/a" SERVED "/b" READ "/b" SERVED
+        "/old" READ "old caller: HTTP/1.1 200\n");
+}
+
+/* Guards against a caller that waits while a connection becomes idle. */
+Test (server, connection_that_becomes_idle_makes_room)
+{
+  play ("get /a\n wait /a: asked by me, query [], body []\n"
+        "get /b\n wait /b: asked by me, query [], body []\n"
+        "fresh /c\n settle\n open 2\n answer /a\n"
+        "wait /a: whole 200, 5 bytes\n turn 500\n answer /c\n"
+        "wait /c: whole 200, 5 bytes",
+        "/a" READ "/b" READ "2 open\n/a" SERVED "/c" READ "/c" SERVED);
 }
--- a/t/t9321-left.c
+++ b/t/t9321-left.c
@@ -1,11 +1,13 @@
 /*
- * Clients that leave before their request was read, with real processes.
+ * Clients that wait to be accepted, and that leave before their request was
+ * read, with real processes.
  */
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "t/lib-rack.h"
 
 TestSuite (left, .fini = proc_stop_all, .timeout = 120);
@@ -79,3 +81,27 @@
   proc_signal (r.node[0], SIGCONT);
   expect_none_sent (&r);
 }
+
+/** An eighth of the shortest deadline of the configuration. */
+#define ACCEPT_MS ((clk_ms)1000)
+
+/* Guards against a node whose idle connections keep clients with a request
+   waiting. */
+Test (left, idle_connections_do_not_keep_clients_waiting)
+{
+  struct web_stream *w[MAX_CONNECTIONS];
+  struct rack r;
+  clk_ms start;
+
+  rack_start_all (&r, 4);
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    cr_assert_not_null (w[i] = web_connect (r.front[0], ""));
+  usleep (500000);
+  start = clk_now ();
+  for (int i = 0; i < CLIENTS; i++)
+    cr_expect_eq (rack_call (&r, 0, "/safe/x", "late", NULL, NULL), 200);
+  cr_expect_lt (clk_now () - start, ACCEPT_MS, "%d requests took %lld ms",
+                CLIENTS, (long long)(clk_now () - start));
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    web_close (w[i]);
+}
