net: bound the head, the body and the time of responses

A server in trouble may send bytes that are no response, without end, in a head or in a body.

A head is limited to 64 kB, a body by the call (16 MB by default; streams are not limited here), and a call may have a total time: checks, probes and orders have their response timeout for it. A body that exceeds its limit ends the call with HTTPC_TOO_LARGE.

--- a/builtin/bench-path.c
+++ b/builtin/bench-path.c
@@ -286,7 +286,8 @@
                                   .nheaders = 2,
                                   .body = body,
                                   .connect_ms = 10 * CLK_SECOND,
-                                  .progress_ms = PROGRESS_MS };
+                                  .progress_ms = PROGRESS_MS,
+                                  .max_body = SIZE_MAX };
   return l;
 }
 
--- a/front/attempt.c
+++ b/front/attempt.c
@@ -227,6 +227,7 @@
     case HTTPC_TIMEOUT:
       return RT_EV_SILENT;
     case HTTPC_BROKEN:
+    case HTTPC_TOO_LARGE:
       break;
     }
   return RT_EV_BROKEN;
@@ -319,6 +320,7 @@
                              .body = v->body,
                              .connect_ms = a->connect_ms,
                              .progress_ms = max_timeout,
+                             .max_body = SIZE_MAX,
                              .fresh = a->fresh };
 
   at->call = httpc_start (ex->c->g->http, &r, &callbacks, at);
--- a/front/poison.c
+++ b/front/poison.c
@@ -244,6 +244,7 @@
                              .path = STR ("/"),
                              .connect_ms = CONNECT_MS,
                              .progress_ms = CONNECT_MS,
+                             .total_ms = CONNECT_MS,
                              .fresh = true };
 
   httpc_start (p->g->http, &r, cb, ctx);
--- a/front/probe.c
+++ b/front/probe.c
@@ -278,7 +278,8 @@
                              .method = STR ("GET"),
                              .path = STR ("/lapis/v1/state"),
                              .connect_ms = PROBE_TIMEOUT_MS,
-                             .progress_ms = PROBE_TIMEOUT_MS };
+                             .progress_ms = PROBE_TIMEOUT_MS,
+                             .total_ms = PROBE_TIMEOUT_MS };
 
   if (m->call != NULL || gw_callers_is_paused (p->g->callers, &m->addr))
     return;
--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -161,5 +161,5 @@
           && !str_starts (input, str_head (STR ("HTTP/1."), input.len)))
         return false;
     }
-  return true;
+  return input.len <= HTTPC_MAX_HEAD;
 }
--- a/net/httpc-head.h
+++ b/net/httpc-head.h
@@ -39,7 +39,8 @@
  * An assertion in it aborts the process on a length or an encoding that it
  * does not support, and if an interim head is followed by anything but a head.
  * A single faulty backend server would thus crash each node that it responds
- * to.
+ * to.  A head that is still incomplete after HTTPC_MAX_HEAD bytes can't be
+ * passed either.
  */
 bool httpc_head_input_is_valid (struct str input);
 
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -67,10 +68,12 @@
   struct buf head;
   struct buf body;
   h2o_iovec_t out[2];
-  clk_ms connect_ms, progress_ms;
+  clk_ms connect_ms, progress_ms, total_ms;
+  size_t body_left;     /* bytes that the response's body may still have */
   clk_ms connect_until; /* loop time */
   unsigned reconnects;
   clk_ms received_at; /* loop time; initially the start of the timer */
+  clk_ms sent_at;     /* loop time */
   clk_ms timer_due;   /* loop time */
   enum phase phase;
   enum httpc_framing framing;
@@ -148,7 +151,9 @@
 {
   uv_update_time (call->c->loop);
   call->received_at = (clk_ms)uv_now (call->c->loop);
-  arm_timer (call, call->progress_ms);
+  arm_timer (call, call->total_ms > 0 && call->total_ms < call->progress_ms
+                       ? call->total_ms
+                       : call->progress_ms);
 }
 
 static void start_connect (struct httpc_call *call);
@@ -202,6 +207,8 @@
       return;
     }
   left = call->received_at + call->progress_ms - now;
+  if (call->total_ms > 0 && call->sent_at + call->total_ms - now < left)
+    left = call->sent_at + call->total_ms - now;
   if (left > 0)
     arm_timer (call, left);
   else
@@ -230,6 +237,13 @@
 
   if ((*in)->size == 0)
     return;
+  if ((*in)->size > call->body_left)
+    {
+      finish (call, HTTPC_TOO_LARGE);
+      return;
+    }
+  if (call->body_left != SIZE_MAX)
+    call->body_left -= (*in)->size;
   call->received_at = (clk_ms)uv_now (call->c->loop);
   buf_add (&bytes, str_make ((*in)->bytes, (*in)->size));
   h2o_buffer_consume (in, (*in)->size);
@@ -445,6 +459,7 @@
   call->phase = PHASE_SENT;
   queue_for_guard (call);
   start_progress_timer (call);
+  call->sent_at = call->received_at;
   call->out[0] = h2o_iovec_init (call->head.ptr, call->head.len);
   call->out[1] = h2o_iovec_init (call->body.ptr, call->body.len);
   *reqbufs = call->out;
@@ -504,6 +519,8 @@
   call->to = req->to;
   call->connect_ms = req->connect_ms;
   call->progress_ms = req->progress_ms;
+  call->total_ms = req->total_ms;
+  call->body_left = req->max_body ? req->max_body : HTTPC_MAX_BODY;
   call->fresh = req->fresh;
   call->is_head = str_is (req->method, "HEAD");
   call->malformed = !httpc_head_is_valid (req);
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -34,11 +34,20 @@
   HTTPC_CONNECT_FAILED, /**< nothing was sent */
   HTTPC_NOT_SENT,       /**< on_connected returned false; nothing was sent */
   HTTPC_BROKEN,         /**< sent in part or whole; response incomplete */
-  HTTPC_TIMEOUT,        /**< sent; then nothing received for progress_ms */
+  HTTPC_TIMEOUT,        /**< sent; then nothing received for progress_ms, or
+                        not complete after total_ms */
+  HTTPC_TOO_LARGE,      /**< the body exceeds max_body */
   HTTPC_ENDED_BY_CLOSE  /**< ended by close without a length: can't be
                         distinguished from a truncated response */
 };
 
+/** Limit on the head of a response, in bytes.  A larger one ends the call with
+    HTTPC_BROKEN. */
+#define HTTPC_MAX_HEAD ((size_t)64 * 1024)
+
+/** Default limit on the body of a response, in bytes. */
+#define HTTPC_MAX_BODY ((size_t)16 * 1024 * 1024)
+
 struct httpc_request
 {
   struct net_addr to;
@@ -49,6 +58,9 @@
   struct str body;    /**< copied */
   clk_ms connect_ms;  /**< connect timeout */
   clk_ms progress_ms; /**< timeout without received bytes after sending */
+  clk_ms total_ms;    /**< timeout for the response after sending; 0: none */
+  size_t max_body;    /**< bytes of the response's body; 0: HTTPC_MAX_BODY;
+                           SIZE_MAX: unlimited */
   bool fresh;         /**< use a new connection for this call only, as an idle
                            one may be dead */
 };
--- a/serve/check.c
+++ b/serve/check.c
@@ -99,6 +99,7 @@
                              .nheaders = 1,
                              .connect_ms = CONNECT_MS,
                              .progress_ms = RESPONSE_MS,
+                             .total_ms = RESPONSE_MS,
                              .fresh = true };
 
   c->s = s;
--- a/serve/duty.c
+++ b/serve/duty.c
@@ -225,6 +225,7 @@
           .nheaders = order ? 2 : 1,
           .connect_ms = order ? ORDER_CONNECT_MS : PROBE_CONNECT_MS,
           .progress_ms = order ? ORDER_TIMEOUT_MS : PROBE_TIMEOUT_MS,
+          .total_ms = order ? ORDER_TIMEOUT_MS : PROBE_TIMEOUT_MS,
           .fresh = true };
 
   c->lead = lead;
--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -358,6 +358,7 @@
       break;
     case HTTPC_BROKEN:
     case HTTPC_TIMEOUT:
+    case HTTPC_TOO_LARGE:
       log_attempt_lost (at, end == HTTPC_TIMEOUT ? "silent" : "broken");
       dsp_response_interrupted (s->dispatch, now, ex->id, at->number);
       break;
@@ -407,6 +408,7 @@
                              .body = v->body,
                              .connect_ms = CONNECT_MS,
                              .progress_ms = a->duration_ms + CLK_SECOND,
+                             .max_body = SIZE_MAX,
                              .fresh = a->new_connection };
   if (ok)
     at->call = httpc_start (ex->s->http, &r, &cb, at);
--- a/store/etcd-watch.c
+++ b/store/etcd-watch.c
@@ -161,6 +161,7 @@
   struct httpc_request r = etcd_request (w->e, "/v3/watch", &w->body);
 
   r.progress_ms = w->e->watch_idle_ms;
+  r.max_body = SIZE_MAX;
   r.fresh = true;
   w->endpoint = w->e->current;
   w->http = httpc_start (w->e->http, &r, &cb, w);
--- a/store/etcd.c
+++ b/store/etcd.c
@@ -270,6 +270,7 @@
   struct httpc_request r = etcd_request (c->e, op_paths[c->op], &c->body);
 
   r.fresh = c->again;
+  r.max_body = ETCD_ANSWER_MAX;
   c->endpoint = c->e->current;
   c->http = httpc_start (c->e->http, &r, &cb, c);
 }
--- a/t/lib-net.c
+++ b/t/lib-net.c
@@ -245,9 +245,9 @@
 const char *
 run_call_end_name (enum httpc_end end)
 {
-  static const char *const names[] = {
-    "whole", "connect-failed", "stopped", "broken", "silent", "unbounded"
-  };
+  static const char *const names[]
+      = { "whole",  "connect-failed", "stopped",  "broken",
+          "silent", "too-large",      "unbounded" };
 
   return names[end];
 }
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -53,12 +53,32 @@
   { "/and-more", LENGTH (5) "hello" LENGTH (6) "second", false },
 };
 
+/* Replies whose text is repeated until the client closes the connection. */
+static const struct endless_reply
+{
+  const char *path;
+  const char *begin;
+  const char *text;
+} endless_replies[] = {
+  { "/endless-head", "", "no http " },
+  { "/endless-headers", HEAD, "name: value\r\n" },
+  { "/endless-value", HEAD "name: ", "no head " },
+  { "/endless-interim", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  { "/endless-body", HEAD "\r\n", "no body " },
+  { "/endless-length", LENGTH (99999999999), "no body " },
+  { "/endless-chunks", CHUNKED, "7\r\nno body\r\n" },
+  { "/endless-extension", CHUNKED "5;x=", "no body " },
+  { "/endless-trailer", CHUNKED "0\r\n", "name: value\r\n" },
+};
+
 struct conn
 {
   uv_tcp_t tcp; /* first */
   struct bench *b;
   struct buf in;
   int number;
+  uv_write_t write;
+  struct buf endless;
 };
 
 struct bench
@@ -73,6 +93,7 @@
   int nconns;
   struct call *last_call;
   unsigned sleep_ms;
+  clk_ms total_ms;
   bool stop;       /* on_connected says no */
   bool pause_body; /* pause at the first bytes */
 };
@@ -93,6 +114,7 @@
   struct conn *c = (struct conn *)h;
 
   buf_free (&c->in);
+  buf_free (&c->endless);
   free (c);
 }
 
@@ -112,6 +134,25 @@
   uv_tcp_close_reset (&c->tcp, on_conn_closed);
 }
 
+static void
+write_endless (uv_write_t *w, int status)
+{
+  struct conn *c = w->data;
+  uv_buf_t b = uv_buf_init (c->endless.ptr, (unsigned)c->endless.len);
+
+  if (status == 0 && c->b->conns[c->number] == c)
+    uv_write (w, (uv_stream_t *)&c->tcp, &b, 1, write_endless);
+}
+
+static void
+start_endless (struct conn *c, const char *text)
+{
+  while (c->endless.len < 65536)
+    buf_add_c (&c->endless, text);
+  c->write.data = c;
+  write_endless (&c->write, 0);
+}
+
 static void
 play_reply (struct conn *c, struct str path)
 {
@@ -123,6 +164,13 @@
       if (replies[i].close)
         conn_close (c);
     }
+  for (size_t i = 0; i < sizeof endless_replies / sizeof endless_replies[0];
+       i++)
+    if (str_is (path, endless_replies[i].path))
+      {
+        run_write (&c->tcp, str_from (endless_replies[i].begin));
+        start_endless (c, endless_replies[i].text);
+      }
 }
 
 static void
@@ -189,6 +237,7 @@
   struct call *c = ctx;
 
   buf_add (&c->body, bytes);
+  cr_assert_leq (c->body.len, HTTPC_MAX_BODY);
   if (!c->b->pause_body)
     return;
   c->b->held = c->b->last;
@@ -226,6 +275,7 @@
                              .path = path,
                              .connect_ms = 5000,
                              .progress_ms = 300,
+                             .total_ms = b->total_ms,
                              .fresh = fresh };
 
   c->b = b;
@@ -255,6 +305,36 @@
            b->conns[n] != NULL ? "open" : "closed");
 }
 
+/* Turn the loop until the client has closed the connection. */
+static void
+until_closed (struct bench *b, int64_t n)
+{
+  for (int i = 0; i < 2000 && b->conns[n] != NULL; i++)
+    {
+      uv_run (&b->run.loop, UV_RUN_NOWAIT);
+      uv_sleep (1);
+    }
+  run_log (&b->run, "connection %d %s", (int)n,
+           b->conns[n] != NULL ? "open" : "closed");
+}
+
+/* Write on connection N every 50 ms until the call has ended. */
+static void
+drip (struct bench *b, int64_t n)
+{
+  char text[100];
+
+  memset (text, 'x', sizeof text);
+  for (int i = 0; i < 2000 && b->last != NULL; i++)
+    {
+      if (i % 50 == 0)
+        run_write (&b->conns[n]->tcp, str_make (text, sizeof text));
+      uv_run (&b->run.loop, UV_RUN_NOWAIT);
+      uv_sleep (1);
+    }
+  run_log (&b->run, "call %s", b->last == NULL ? "ended" : "open");
+}
+
 static void
 step (void *ctx, struct str word, struct str rest)
 {
@@ -280,6 +360,12 @@
     cancel (b);
   else if (str_is (word, "say"))
     say_late (b, rest);
+  else if (str_is (word, "total"))
+    b->total_ms = n;
+  else if (str_is (word, "closed"))
+    until_closed (b, n);
+  else if (str_is (word, "drip"))
+    drip (b, n);
   else if (str_is (word, "more"))
     run_write (&b->conns[n]->tcp, STR ("wor"));
   else if (str_is (word, "close"))
@@ -365,6 +451,44 @@
   buf_free (&log);
 }
 
+/* Guards against bytes without end that are no response: the call ends at a
+   limit, or after its time, and its connection is closed. */
+Test (client, endless_responses)
+{
+  static const char *const expected[]
+      = { "/endless-head: broken 0 []",
+          "/endless-headers: broken 0 []",
+          "/endless-value: broken 0 []",
+          "/endless-interim: silent 0 []",
+          "/endless-body: too-large 200 [(long)]",
+          "/endless-length: too-large 200 [(long)]",
+          "/endless-chunks: too-large 200 [(long)]",
+          "/endless-extension: silent 200 []",
+          "/endless-trailer: silent 200 []" };
+  struct buf script = BUF_INIT, log = BUF_INIT;
+
+  for (size_t i = 0; i < sizeof expected / sizeof expected[0]; i++)
+    {
+      int path = (int)(strchr (expected[i], ':') - expected[i]);
+      buf_addf (&script, "get %.*s\nwait %s\nclosed %zu\n", path, expected[i],
+                expected[i], i);
+      buf_addf (&log, "%.*s over connection %zu\n%s\nconnection %zu closed\n",
+                path, expected[i], i, expected[i], i);
+    }
+  play (buf_c (&script), buf_c (&log));
+  buf_free (&script);
+  buf_free (&log);
+}
+
+/* Guards against a response of a few bytes at a time that never ends. */
+Test (client, slow_endless_response)
+{
+  play ("total 400\n get /no-length-yet\n wait /no-length-yet over "
+        "connection 0\n drip 0\n wait /no-length-yet: silent 200 [(long)]",
+        "/no-length-yet over connection 0\n"
+        "/no-length-yet: silent 200 [(long)]\ncall ended\n");
+}
+
 /*
  * Nobody listens, the caller changes its mind once connected, or a path
  * would smuggle a second line into the head: no byte is sent, and the ends
