serve: give up responses that are none and don't end

A server in trouble may send bytes without end until its caller closes the connection. A node kept them all: a response that is no stream, the rest of a stream that ends no event, and events for a client that doesn't read. Lines that are no events, but end as events do, were forwarded to the client.

Limits: 8 MB for a response that is no stream, 256 kB for an event, 1 MB for events that wait to be forwarded or for the client to read them. A line of a stream has to be empty, a comment or a field. An attempt beyond that ends as one that broke off, and the request or stream goes on at another server where it may; a client that doesn't read is disconnected.

--- a/serve/exchange.c
+++ b/serve/exchange.c
@@ -10,6 +10,14 @@
     between two availability zones, and one retransmission of a lost SYN. */
 #define CONNECT_MS ((clk_ms)400)
 
+/** Limit on a response that is no stream, in bytes.  It is buffered until it
+   is complete; the requests that a node has at plain servers are few. */
+#define RESPONSE_MAX ((size_t)8 * 1024 * 1024)
+
+/** Limit on the events of a stream that are not forwarded yet, and on those
+   that wait for the client to read them, in bytes. */
+#define EVENTS_MAX ((size_t)1024 * 1024)
+
 /* --- response heads ---------------------------------------------------- */
 
 static struct str
@@ -287,24 +295,93 @@
   ex->last_event = at->split.last_id;
 }
 
+/** Write the log line of a request that has ended, and update the metrics. */
+static void
+log_end (struct srv_exchange *ex, int status, const char *code)
+{
+  clk_ms ms = clk_now () - ex->started_at;
+
+  srv_metrics_request (ex->s, tbl_kind_name (ex->route->kind), status, code,
+                       ms);
+  LOG (request_ended, LOG_S ("id", ex->request.id),
+       LOG_C ("digest", ex->digest_text), LOG_S ("route", ex->route->name),
+       LOG_I ("status", status), LOG_C ("code", code),
+       LOG_I ("attempts", ex->attempts_sent),
+       LOG_S ("servers", buf_str (&ex->servers)),
+       LOG_I ("first_ms", ex->first_ms), LOG_I ("pause_ms", ex->pause_ms),
+       LOG_I ("ms", ms), LOG_I ("config", ex->config->version));
+}
+
+/** Log the end of the request, and detach it from the client's connection.
+    @return  the connection, for the rest of the response */
+static struct httpd_req *
+release_req (struct srv_exchange *ex, int status, const char *code)
+{
+  struct httpd_req *req = ex->req;
+
+  log_end (ex, status, code);
+  ex->req = NULL;
+  return req;
+}
+
+/** Close the connection of a client that reads its events too slowly. */
+static void
+close_slow_client (struct srv_exchange *ex)
+{
+  LOG (response_truncated, LOG_S ("id", ex->request.id),
+       LOG_C ("code", "slow-client"), LOG_S ("route", ex->route->name),
+       LOG_I ("attempts", ex->attempts_sent),
+       LOG_S ("servers", buf_str (&ex->servers)),
+       LOG_I ("queued", httpd_queued (ex->req)),
+       LOG_I ("after_ms", clk_now () - ex->started_at));
+  httpd_end (release_req (ex, ex->status, "slow-client"), false);
+  dsp_client_disconnected (ex->s->dispatch, clk_now (), ex->id);
+}
+
+/** End an attempt whose server sends bytes that are no response: they may come
+    until the connection is closed. */
+static void
+reject_body (struct srv_attempt *at, const char *why)
+{
+  log_attempt_lost (at, why);
+  dsp_response_interrupted (at->ex->s->dispatch, clk_now (), at->ex->id,
+                            at->number);
+}
+
+static void
+on_events (struct srv_attempt *at, struct str bytes)
+{
+  struct srv_exchange *ex = at->ex;
+  size_t events = spl_feed (&at->split, bytes, &at->body);
+
+  if (events > 0 && !at->first_event_at)
+    at->first_event_at = clk_now ();
+  forward_events (at);
+  dsp_data_received (ex->s->dispatch, clk_now (), ex->id, at->number,
+                     events > 0);
+  if (at->split.malformed)
+    reject_body (at, "no-event");
+  else if (at->body.len > EVENTS_MAX)
+    reject_body (at, "too-large");
+  else if (ex->req && httpd_queued (ex->req) > EVENTS_MAX)
+    close_slow_client (ex);
+}
+
 static void
 on_body (void *ctx, struct str bytes)
 {
   struct srv_attempt *at = ctx;
   struct srv *s = at->ex->s;
-  size_t events = 0;
 
-  if (!is_stream (at))
+  if (is_stream (at))
+    on_events (at, bytes);
+  else if (at->body.len + bytes.len <= RESPONSE_MAX)
     {
       buf_add (&at->body, bytes);
       return;
     }
-  events = spl_feed (&at->split, bytes, &at->body);
-  if (events > 0 && !at->first_event_at)
-    at->first_event_at = clk_now ();
-  forward_events (at);
-  dsp_data_received (s->dispatch, clk_now (), at->ex->id, at->number,
-                     events > 0);
+  else
+    reject_body (at, "too-large");
   srv_run_actions (s);
 }
 
@@ -495,35 +572,6 @@
   buf_free (&body);
 }
 
-/** Write the log line of a request that has ended, and update the metrics. */
-static void
-log_end (struct srv_exchange *ex, int status, const char *code)
-{
-  clk_ms ms = clk_now () - ex->started_at;
-
-  srv_metrics_request (ex->s, tbl_kind_name (ex->route->kind), status, code,
-                       ms);
-  LOG (request_ended, LOG_S ("id", ex->request.id),
-       LOG_C ("digest", ex->digest_text), LOG_S ("route", ex->route->name),
-       LOG_I ("status", status), LOG_C ("code", code),
-       LOG_I ("attempts", ex->attempts_sent),
-       LOG_S ("servers", buf_str (&ex->servers)),
-       LOG_I ("first_ms", ex->first_ms), LOG_I ("pause_ms", ex->pause_ms),
-       LOG_I ("ms", ms), LOG_I ("config", ex->config->version));
-}
-
-/** Log the end of the request, and detach it from the client's connection.
-    @return  the connection, for the rest of the response */
-static struct httpd_req *
-release_req (struct srv_exchange *ex, int status, const char *code)
-{
-  struct httpd_req *req = ex->req;
-
-  log_end (ex, status, code);
-  ex->req = NULL;
-  return req;
-}
-
 static void
 start_forwarding (struct srv_exchange *ex, struct srv_attempt *at)
 {
--- a/serve/split.c
+++ b/serve/split.c
@@ -1,5 +1,7 @@
 #include "serve/split.h"
 
+#include <glib.h>
+
 void
 spl_free (struct spl *s)
 {
@@ -21,6 +23,36 @@
   return false;
 }
 
+/** Whether a line is empty, a comment, or a field: its name consists of
+    letters, digits, "-" and "_", and is followed by ":" or the end. */
+static bool
+is_field (struct str line)
+{
+  struct str name = str_head (line, str_chr (line, ':'));
+
+  for (size_t i = 0; i < name.len; i++)
+    if (!g_ascii_isalnum (name.ptr[i]) && name.ptr[i] != '-'
+        && name.ptr[i] != '_')
+      return false;
+  return true;
+}
+
+static bool
+is_event (struct str text)
+{
+  while (text.len > 0)
+    {
+      size_t end = str_chr (text, '\n');
+      struct str line = str_head (text, end);
+      if (line.len > 0 && line.ptr[line.len - 1] == '\r')
+        line.len--;
+      if (!is_field (line))
+        return false;
+      text = str_skip (text, end + 1);
+    }
+  return true;
+}
+
 static bool
 append_new_event (struct spl *s, struct str event, struct buf *out)
 {
@@ -43,14 +75,24 @@
   size_t from = s->rest.len > 2 ? s->rest.len - 2 : 0, used = 0, n = 0, len;
   struct str all;
 
+  if (s->malformed)
+    return 0;
   buf_add (&s->rest, bytes);
   all = buf_str (&s->rest);
-  while ((len = str_past_empty_line (str_skip (all, used), from)) > 0)
+  while (!s->malformed
+         && (len = str_past_empty_line (str_skip (all, used), from)) > 0)
     {
-      n += append_new_event (s, str_make (all.ptr + used, len), out);
+      struct str event = str_make (all.ptr + used, len);
+      s->malformed = !is_event (event);
+      if (!s->malformed && str_trim (event).len > 0)
+        n += append_new_event (s, event, out);
       used += len;
       from = 0;
     }
-  buf_consume (&s->rest, used);
+  s->malformed = s->malformed || all.len - used > SPL_MAX_EVENT;
+  if (s->malformed)
+    buf_clear (&s->rest);
+  else
+    buf_consume (&s->rest, used);
   return n;
 }
--- a/serve/split.h
+++ b/serve/split.h
@@ -12,16 +12,22 @@
 
 #include "base/str.h"
 
+/** Limit on the size of one event, in bytes. */
+#define SPL_MAX_EVENT ((size_t)256 * 1024)
+
 struct spl
 {
   struct buf rest; /**< incomplete event at the end of the input */
   int64_t last_id; /**< id of the last complete event */
   bool has_id;
+  bool malformed; /**< bytes were received that are no event, or none that ends
+                       within SPL_MAX_EVENT; further bytes are dropped */
 };
 
 /**
  * Parses @p bytes and appends complete events to @p out.  An event whose id is
- * not greater than the last id is a duplicate and is dropped.
+ * not greater than the last id is a duplicate and is dropped, and so are empty
+ * lines between events.
  * @return  number of events appended
  */
 size_t spl_feed (struct spl *s, struct str bytes, struct buf *out);
--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -194,7 +194,8 @@
   struct httpd_req *req;
   uv_timer_t timer;
   int next_event;
-  bool side;                             /**< came by the second port */
+  bool side;           /**< came by the second port */
+  size_t endless_sent; /**< bytes of a response without end */
   struct stream *list_next, **list_prev; /**< links in the server's list */
 };
 
@@ -279,6 +280,41 @@
   httpd_end (req, true);
 }
 
+/** Event of a stream after which a response without end begins. */
+#define ENDLESS_AFTER 2
+
+/** Bytes of a response without end that are written at a time. */
+#define ENDLESS_BYTES ((size_t)64 * 1024)
+
+static void
+send_endless (void *ctx)
+{
+  struct stream *st = ctx;
+  struct server *s = st->s;
+  struct buf text = BUF_INIT;
+
+  if (!s->endless[0])
+    {
+      stream_end (st);
+      return;
+    }
+  while (text.len < ENDLESS_BYTES)
+    buf_add_c (&text, s->endless);
+  st->endless_sent += text.len;
+  if (st->endless_sent > s->endless_max)
+    s->endless_max = st->endless_sent;
+  httpd_write (st->req, buf_str (&text));
+  buf_free (&text);
+}
+
+static void
+start_endless (struct stream *st)
+{
+  uv_timer_stop (&st->timer);
+  httpd_on_drained (st->req, send_endless, st);
+  send_endless (st);
+}
+
 static void
 on_event (uv_timer_t *t)
 {
@@ -291,6 +327,11 @@
   if (s->unresponsive || s->paused || replica_stalled (s)
       || (st->side && s->rack->cut == CUT_SILENT))
     return;
+  if (s->endless[0] && (!s->engine || st->next_event > ENDLESS_AFTER))
+    {
+      start_endless (st);
+      return;
+    }
   if (st->next_event > s->rack->events)
     {
       /* Resumed after the last event: only the end is left to send. */
@@ -338,7 +379,8 @@
 {
   struct stream *st = xcalloc (1, sizeof *st);
   struct http_header h[MAX_HEADERS];
-  size_t n = make_headers (s, req, "text/event-stream", h);
+  size_t n = make_headers (
+      s, req, s->engine ? "text/event-stream" : "application/json", h);
   int64_t last = 0;
 
   str_to_i64 (httpd_header (req, PLT_H_LAST_EVENT), &last);
@@ -530,7 +572,7 @@
       free (id);
       if (rack_cold_count_arrival (s))
         crash_soon (s);
-      else if (s->engine)
+      else if (s->engine || s->endless[0])
         start_stream (s, req, side);
       else if (!crashes)
         answer_plain (s, req);
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -21,6 +21,9 @@
  *   "server": ID           the fields below apply to it (dark: unresponsive):
  *             "dead", "dark", "draining", "unlisted", "unsealed": B,
  *             "fail": STATUS, "cut_after": N, "end_after": N,
+ *             "endless": TEXT  repeated without end instead of a plain
+ *                              response, and after a stream's second event;
+ *                              "": none
  *             "reborn": true   restart with the same id and address,
  *             "limit": TEXT    announced request rate limit; "": none
  *             "rejects": B     answers all requests with 503 "not run"
@@ -46,7 +49,8 @@
  *
  * GET /control/counts returns the key of the observed mix of models, the
  * number of crashed servers, the executions
- * by server, the requests that it rejected by "rejects", and the ids of
+ * by server, the requests that it rejected by "rejects", the most bytes that
+ * it sent of a response without end (endless_max), and the ids of
  * requests executed more than once.  For a server
  * with a limit, limited_arrived counts the requests later than half a second
  * after its first response with the limit, limited_most their maximum in any
@@ -163,6 +167,8 @@
   set_flag (o, "leaving", &s->avail.leaving);
   if (jsn_get (o, "zone"))
     snprintf (s->zone, sizeof s->zone, "%s", jsn_text (o, "zone"));
+  if (jsn_get (o, "endless"))
+    snprintf (s->endless, sizeof s->endless, "%s", jsn_text (o, "endless"));
   if (jsn_get (o, "end_after"))
     s->end_after = (int)jsn_int (o, "end_after");
   if (!s->dead)
@@ -286,6 +292,9 @@
       json_object_object_add (
           row, "limited_arrived",
           json_object_new_int ((int)s->limit.total_arrivals));
+      json_object_object_add (
+          row, "endless_max",
+          json_object_new_int64 ((int64_t)r->servers[i].endless_max));
       json_object_object_add (
           row, "limited_most",
           json_object_new_int ((int)s->limit.max_arrivals));
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -134,12 +134,16 @@
   uv_timer_t pause_timer;    /**< end of the pause */
   bool draining;
   int64_t start_time; /**< start of the process, Unix ms */
-  bool unlisted;   /**< entry removed from the list, requests still served */
-  int fail_status; /**< status of plain responses; 0: 200 */
-  int cut_after;   /**< after this many events of a stream, send part of the
-                        next one and break the connection; 0: never */
-  int end_after;   /**< likewise, but end the response cleanly; 0: never */
-  bool unsealed;   /**< responses lack the seal header (PLT_H_SEAL) */
+  bool unlisted;    /**< entry removed from the list, requests still served */
+  int fail_status;  /**< status of plain responses; 0: 200 */
+  int cut_after;    /**< after this many events of a stream, send part of the
+                         next one and break the connection; 0: never */
+  int end_after;    /**< likewise, but end the response cleanly; 0: never */
+  char endless[32]; /**< text that follows the second event of a stream, and
+                         the head of a plain response, until the connection is
+                         closed; empty: none */
+  size_t endless_max; /**< most bytes of such a response */
+  bool unsealed;      /**< responses lack the seal header (PLT_H_SEAL) */
   char model[32], replica[32];
   char members[RACK_SERVERS][16];
   unsigned nmembers, rank;
