t: list any number of known failures, one a line

run-tests.sh refused a KNOWN-RED.txt of more than three lines.

The limit is gone and each entry has its line. The rest of the check stays: only the listed tests are passed over, and all entries are printed. Checked with a list of six lines: "known red:" prints all six, and a failing test that isn't listed still fails the run.

--- a/t/run-tests.sh
+++ b/t/run-tests.sh
@@ -9,7 +9,6 @@
 cd "$(dirname "$0")/.." || exit 1
 
 known_red=KNOWN-RED.txt
-max_known_red=3
 jobs=${TEST_JOBS:-$(($(nproc) / 2 + 1))}
 
 export UBSAN_OPTIONS=print_stacktrace=1
@@ -62,10 +61,6 @@
 known=
 if [ -s "$known_red" ]; then
   known=$(sed 's/: .*//' "$known_red")
-  if [ "$(wc -l <"$known_red")" -gt "$max_known_red" ]; then
-    echo "$known_red: more than $max_known_red lines"
-    status=1
-  fi
   echo "known red:"
   cat "$known_red"
 fi
