serve: give endpoints of short ids different hashes

Cause: xxh3 combines a text of up to 8 bytes and the seed by an exclusive or. Two servers whose ids differ in a few bits, such as e10 and e13, and whose start times differ in the same bits, have one process hash; together with their generations two endpoints of one pool had one hash, and the second one was taken for the first.

Ids of up to 8 bytes are padded to 16, for which the seed enters both halves of a product. Longer ids, such as those of the users' platform, keep their hashes, which nodes of different builds compare.

--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -1,6 +1,7 @@
 #include "serve/dispatch-int.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /**
  * Number of requests that may be sent to an endpoint in addition to its slots,
@@ -23,12 +24,27 @@
     between equally loaded endpoints, too small to shift load. */
 #define OTHER_ZONE_PENALTY 0.3
 
+/** Length up to which xxh3 combines text and seed by an exclusive or: two ids
+    that differ in a few bits have one hash with seeds that differ in these. */
+#define WEAKLY_SEEDED_LEN 8
+
+static uint64_t
+hash_id (struct str id, uint64_t seed)
+{
+  char padded[2 * WEAKLY_SEEDED_LEN] = "";
+
+  if (id.len > WEAKLY_SEEDED_LEN || id.len == 0)
+    return str_hash (id, seed);
+  memcpy (padded, id.ptr, id.len);
+  return str_hash (str_make (padded, sizeof padded), seed);
+}
+
 uint64_t
 dsp_endpoint_hash (struct str server, int64_t start_time, int64_t generation)
 {
-  uint64_t process_hash = str_hash (server, (uint64_t)start_time);
+  uint64_t process_hash = hash_id (server, (uint64_t)start_time);
 
-  return str_hash (server, process_hash ^ (uint64_t)generation);
+  return hash_id (server, process_hash ^ (uint64_t)generation);
 }
 
 /* --- pools ------------------------------------------------------------- */
--- a/t/t9201-dispatch.c
+++ b/t/t9201-dispatch.c
@@ -4,6 +4,9 @@
  */
 #include <criterion/criterion.h>
 
+#include <stdio.h>
+
+#include "serve/dispatch.h"
 #include "t/lib-dispatch.h"
 
 /* A stream and a plain request are sent, forwarded and completed. */
@@ -391,3 +394,26 @@
                  "send 3 p1\ncheck p1\ncancel 3\nerror 3 broken 502\n"
                  "error 4 crashes-servers 503\n");
 }
+
+/* Guards against one hash for two endpoints whose servers have short ids and
+   were started within a few ms: requests for one are sent to the other. */
+Test (dispatch, endpoints_of_short_ids_have_different_hashes)
+{
+  static const int64_t started_at = 1769777003000;
+  char id[2][16];
+  int same = 0;
+
+  for (int i = 0; i < 1 << 16; i++)
+    {
+      int from = i & 15, to = i >> 4 & 15, ms = i >> 8 & 15,
+          generation = i >> 12;
+      snprintf (id[0], sizeof id[0], "e%d", from);
+      snprintf (id[1], sizeof id[1], "e%d", to);
+      if (from != to
+          && dsp_endpoint_hash (str_from (id[0]), started_at, 1000)
+                 == dsp_endpoint_hash (str_from (id[1]), started_at + ms,
+                                       1000 + generation))
+        same++;
+    }
+  cr_expect_eq (same, 0, "%d pairs have one hash", same);
+}
