--- a/t/t9308-era.c
+++ b/t/t9308-era.c
@@ -353,3 +353,52 @@
   cr_expect (web_poll_until (r.ready[0], "/metrics", NULL,
                              "lapisline_serve_nodes 3", PROC_WAIT_MS));
 }
+
+/** More than the bits of a combined revision below the era. */
+#define LARGE_GAP ((int64_t)1 << 33)
+
+static void
+restart_nodes (struct rack *r, int nodes)
+{
+  for (int i = 0; i < nodes; i++)
+    {
+      proc_signal (r->node[i], SIGKILL);
+      proc_wait (r->node[i], PROC_WAIT_MS);
+    }
+  start_nodes (r, nodes);
+}
+
+/* Guards against nodes that can't read the store, and never serve, once its
+   revisions have passed 2^33. */
+Test (store_restore, nodes_start_at_large_revisions)
+{
+  struct rack r;
+
+  start_with_backup (&r, 4);
+  rack_set (&r, "{\"store\": {\"skip\": %lld}}", (long long)LARGE_GAP);
+  restart_nodes (&r, NODES - 1);
+  rack_configure (&r, 2, "k2", "");
+  for (int i = 0; i < NODES - 1; i++)
+    cr_expect (rack_call_until (&r, i, "/once/x", k2_headers, 200),
+               "node %d doesn't receive changes", i + 1);
+}
+
+/* Guards against the same at a restore, whose revisions are lower than those
+   that nodes know. */
+Test (store_restore, replicas_are_repaired_at_large_revisions)
+{
+  struct rack r;
+
+  rack_prepare_nodes (&r, 4, NODES, NULL);
+  rack_configure (&r, 1, "k1", "");
+  rack_set (&r, "{\"store\": {\"skip\": %lld}}", (long long)LARGE_GAP);
+  rack_set (&r, "{\"store\": {\"copy\": true, \"skip\": %d}}", REVISION_GAP);
+  start_nodes (&r, NODES - 1);
+  restore_store (&r);
+  rack_set (&r, "{\"server\": \"e1\", \"dead\": true}");
+  usleep (1000000);
+  cr_expect (rack_call_until (&r, 0, "/stream/x", rack_headers ("a"), 200));
+  rack_start_node (&r, NODES - 1);
+  cr_expect (web_poll_until (r.ready[0], "/metrics", NULL,
+                             "lapisline_serve_nodes 3", PROC_WAIT_MS));
+}
