serve: form replicas only from entries read since this node leads

Cause: a server that is missing from the list after an outage keeps its last entry for 2.2 s, so that requests go on. A node that was not the leader meanwhile receives the entries of replicas' leaders only, so those of other servers may be from before another node put them into a replica: "spare". The new leader adopted replicas from them and used such servers.

Each server now has the time of the last read by this node that listed it. A leader leaves out servers whose entries it has not read since it leads, and adopts nothing before its first read: it then knows what a node knows that has just started. Requests still use the kept entries, and a leader that goes on leading is not affected.

t6101 entries_of_before_the_leadership_are_not_used: before, the open replica is closed by force and its servers join another one; with the change it stays.

--- a/serve/backends.c
+++ b/serve/backends.c
@@ -326,6 +326,7 @@
   bool from_older_copy = is_from_older_copy (b, now, s, in);
   bool earlier = s && (is_earlier_incarnation (&s->e, in) || from_older_copy);
   bool later = s && !earlier && is_later_statement (s, in);
+  bool own_read = in->acceptance == BKS_ACCEPTANCE_UNKNOWN;
   bool send;
 
   entry.cold_ms = b->tracks_cold ? MIN (listed->cold_ms, BKS_COLD_MS_MAX) : 0;
@@ -337,6 +338,8 @@
               && !(later && cold_changed (s, read_started_at, in)))))
     {
       s->seen = true;
+      if (own_read && !earlier)
+        s->own_read_at = read_started_at;
       if (later && b->tracks_cold)
         record_cold (s, read_started_at, in);
       s->e.heartbeat
@@ -358,6 +361,8 @@
   record_cold (s, read_started_at, in);
   g_hash_table_insert (b->by_id, &s->e.id, s);
   s->seen = true;
+  if (own_read)
+    s->own_read_at = read_started_at;
   /* A new leader has its copy from the previous one, without the other
      fields. */
   if (send)
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -90,6 +90,11 @@
   uint64_t version;           /**< version of the list in which it last
                                    changed for other nodes */
   clk_ms first_seen_at;       /**< when this incarnation was first listed */
+  clk_ms own_read_at;         /**< when the last read by this node that listed
+                                   it was sent; 0: none.  While the list is
+                                   incomplete after an outage of the store, and
+                                   where another node sends a part of it, older
+                                   entries are kept */
   clk_ms cold_until;          /**< end of its cold period by the newest entry;
                                    0: the entry says that it is warm */
   clk_ms cold_marked_until;   /**< bks_mark_cold(); 0: none */
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -180,6 +180,7 @@
   struct frm_options opt;
   bool leading;
   bool adopted;              /**< the reported replicas have been adopted */
+  clk_ms leading_since;      /**< start of this leadership */
   bool server_list_complete; /**< the server list is complete: a server missing
                                 from it is gone */
   bool had_traffic;          /**< clients have sent requests */
--- a/serve/form.c
+++ b/serve/form.c
@@ -612,6 +612,7 @@
   f->now = now;
   f->leading = on;
   f->adopted = false;
+  f->leading_since = now;
   f->nended = 0; /* another leader node may have sent orders in between */
   f->fence = fence;
   frm_allocations_reset (f);
@@ -681,6 +682,18 @@
   return vm && may_still_serve (vm);
 }
 
+/**
+ * Whether the entry was last read before this node became leader.  Another
+ * leader may have put the server into a replica since, which a join would
+ * break.
+ */
+static bool
+is_from_before_leadership (const struct frm *f,
+                           const struct bks_server *server)
+{
+  return f->leading && server->own_read_at < f->leading_since;
+}
+
 void
 frm_set_servers (struct frm *f, clk_ms now, const struct bks *servers,
                  const struct tbl *config, bool list_complete)
@@ -698,14 +711,15 @@
   for (size_t i = 0; i < f->nvms; i++)
     f->vms[i]->seen_in_list = false;
   for (size_t i = 0; i < n; i++)
-    if (is_managed (config, list[i]) || is_serving (f, list[i]))
+    if ((is_managed (config, list[i]) || is_serving (f, list[i]))
+        && !is_from_before_leadership (f, list[i]))
       update_vm (f, list[i]);
   remove_unlisted_vms (f);
   f->server_list_complete = list_complete;
   release_returned_members (f);
   if (f->leading && f->adopted)
     adopt_late_replicas (f);
-  else if (f->leading)
+  else if (f->leading && f->list_read_at >= f->leading_since)
     adopt_all (f);
   for (size_t i = 0; i < f->nreplicas; i++)
     update_replica_model (f, f->replicas[i]);
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -52,6 +52,7 @@
   size_t ndelayed;
   const char *delayed_kind;
   bool drop_delayed, delay_all, apply_on_join, list_incomplete, hide_orders;
+  bool reads_fail;  /* of the first core */
   double demand[2]; /**< requests for each model */
   char logged_joins[64][32];
   size_t nlogged_joins;
@@ -339,6 +340,11 @@
   struct bks_entry list[MAX_VMS];
   size_t n = 0;
 
+  if (core == 0 && w->reads_fail)
+    {
+      bks_read_failed (w->lists[0], w->now);
+      return;
+    }
   for (size_t i = 0; i < w->n; i++)
     {
       const struct vm *vm = &w->vms[i];
@@ -737,6 +743,9 @@
   else if (strcmp (command, "incomplete") == 0
            || strcmp (command, "complete") == 0)
     w->list_incomplete = command[0] == 'i';
+  else if (strcmp (command, "store-fails") == 0
+           || strcmp (command, "store-works") == 0)
+    w->reads_fail = command[6] == 'f';
   else if (strcmp (command, "apply-on-join") == 0)
     w->apply_on_join = true;
   else if (strcmp (command, "traffic") == 0)
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -40,6 +40,8 @@
  *   incomplete | complete
  *                        sets whether lists are known to be complete; they are
  *                        at first
+ *   store-fails | store-works
+ *                        reads of the first core fail from now on, or succeed
  *   traffic              requests have arrived
  *   host-memory          hosts can hold one model in memory from now on
  *   clear-hosts DOMAIN   the memory of the domain's hosts holds no weights
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -810,3 +810,30 @@
               "run 8000\n",
               FORMED);
 }
+
+/*
+ * Guards against a leader that uses entries from before its leadership:
+ * another one has put a4, a spare then, into an open replica, whose entries
+ * expire together with the leases.  It may join no other replica.
+ */
+Test (form, entries_of_before_the_leadership_are_not_used)
+{
+  form_check ("lead 1\n vms a 4\n run 3000\n traffic\n store-fails\n"
+              "lead-other 2\n run 300\n kill a3\n run 8000\n incomplete\n"
+              "expire a1\n expire a2\n expire a4\n store-works\n lead 3\n"
+              "vms a 2\n run 2000\n restore a1\n restore a2\n restore a4\n"
+              "complete\n run 5000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "join s1002 big: a4\n"
+              "open r1001 a1\n"
+              "force-close r1001 a1\n"
+              "leave r1001 a1\n"
+              "join r2001 big: a1 a2 a4\n"
+              "open r2001 a1\n"
+              "join s3001 small: a5\n"
+              "join s3002 small: a6\n"
+              "join r3003 small: a5 a6\n"
+              "open r3003 a5\n"
+              "r2001 big is open: a1 a2 a4\n"
+              "r3003 small is open: a5 a6\n");
+}
