--- a/front/parse.c
+++ b/front/parse.c
@@ -62,7 +62,7 @@
   struct buf b = BUF_INIT;
 
   buf_add (&b, path.len ? path : STR ("/"));
-  if (query.len > 0)
+  if (query.ptr != NULL)
     {
       buf_add_char (&b, '?');
       buf_add (&b, query);
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -147,7 +147,9 @@
   if (req->query_at != SIZE_MAX)
     {
       r->view.path = str_head (whole, req->query_at);
-      r->view.query = str_skip (whole, req->query_at + 1);
+      /* str_skip() would take an empty query for none. */
+      r->view.query = str_make (whole.ptr + req->query_at + 1,
+                                whole.len - req->query_at - 1);
     }
   fill_peer (req, &r->view.peer);
   r->nheaders = req->headers.size;
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -101,6 +101,8 @@
   run_log (&b->run, "%s: asked by %.*s, query [%.*s], body [%.*s]",
            b->held[i].path, STR_ARG (httpd_header (req, "x-caller")),
            STR_ARG (v->query), STR_ARG (v->body));
+  if (v->query.ptr != NULL && v->query.len == 0)
+    run_log (&b->run, "%s: empty query", b->held[i].path);
   httpd_on_disconnect (req, on_gone, &b->held[i]);
 }
 
@@ -612,3 +614,13 @@
         "wait /c: whole 200, 5 bytes",
         "/a" READ "/b" READ "2 open\n/a" SERVED "/c" READ "/c" SERVED);
 }
+
+/* Guards against a request that goes on without the "?" of its target. */
+Test (server, empty_query_is_kept)
+{
+  play ("get /a?\n wait /a: empty query\n answer /a\n"
+        "wait /a: whole 200, 5 bytes\n"
+        "get /b\n wait /b: asked by me, query [], body []\n answer /b\n"
+        "wait /b: whole 200, 5 bytes",
+        "/a" READ "/a: empty query\n/a" SERVED "/b" READ "/b" SERVED);
+}
