--- a/t/t9313-evacuate.c
+++ b/t/t9313-evacuate.c
@@ -252,7 +252,9 @@
                             rack_headers (""), "hello");
       for (int i = 0; i < BURST; i++)
         {
-          cr_expect_eq (web_status (open[i], PROC_WAIT_MS), 200);
+          int status = web_status (open[i], PROC_WAIT_MS);
+          cr_expect_eq (status, 200, "node %d, burst %d: status %d", node, k,
+                        status);
           web_close (open[i]);
         }
     }
