--- a/t/lib-site.c
+++ b/t/lib-site.c
@@ -135,6 +135,8 @@
 void
 site_restart_control (struct site *s, int node)
 {
+  /* A killed process holds its port until it has exited. */
+  proc_wait (s->control[node], PROC_WAIT_MS);
   start_control (s, node, s->peer[node]);
 }
 
--- a/t/lib-site.h
+++ b/t/lib-site.h
@@ -40,7 +40,8 @@
 /** Starts all and waits until each gateway serves a completion. */
 void site_up (struct site *s, enum site_servers servers);
 
-/** Restarts a stopped control process at its old address. */
+/** Restarts a control process at its old address once it has exited, for which
+    it has been stopped or killed. */
 void site_restart_control (struct site *s, int node);
 
 /** Restarts VM number @p vm without weights, at its old address. */
