net, serve: limit the memory of requests that are being received

Callers saw a node end: 300 bodies of just under 4 MB, whole, without their last byte, in chunks, in pieces or without end, at any path, also at one without a route, took it over the 112 MB of the smallest VM in 0.3 to 0.5 s, as did 300 heads without end. No ordinary request was answered after that.

Cause: h2o reads a request to its last byte before it calls any handler, a body up to 16 MB and a head up to 417 kB, on each of 1,550 connections. Nothing bounded the sum, the limits of the configuration were checked after the body had been read or not at all, and 413 had no reason in its body.

Change: the server checks received bytes before h2o gets them. Bytes of incomplete requests and of bodies in use, without the first 16 KB of each connection, may take an eighth of the VM's memory. Beyond that requests are refused with 503 and Retry-After, not run: first those that arrive slowly, then those that began last, so that the others can be completed. The configuration's limits on body, head and the time of a head are in force while a request is read. Near the limit on connections a request that arrives slowly, or a response that isn't read, gives way like an idle connection.

--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -5,7 +5,8 @@
  *   httpd.c          the listener and its connections
  *   httpd-req.c      a request and its response
  *   httpd-watch.c    detection of callers that disconnect
- *   httpd-refusal.c  responses to requests that h2o refuses
+ *   httpd-refusal.c  responses to requests that are refused unread
+ *   httpd-input.c    limits on requests that are being received
  */
 #ifndef LAPISLINE_NET_HTTPD_INT_H
 #define LAPISLINE_NET_HTTPD_INT_H
@@ -26,6 +27,18 @@
   size_t open;                   /**< requests being answered */
   clk_ms accepted_at;
   bool read_closed; /**< this end has shut down its receiving side */
+  /* httpd-input.c */
+  h2o_socket_cb h2o_read;     /**< h2o's callback for received bytes */
+  h2o_linklist_t attach_link; /**< in httpd.unattached */
+  h2o_linklist_t input_link;  /**< in httpd.receiving or httpd.refused */
+  clk_ms receiving_since;     /**< since the first bytes of an incomplete
+                                   request, or the refusal; 0: none */
+  uint64_t received;          /**< bytes of that request */
+  size_t counted;             /**< part of httpd.input_counted */
+  size_t head_scanned;        /**< bytes of an incomplete head that have been
+                                   searched for its end */
+  bool head_complete;
+  bool refused; /**< a refusal was sent; further bytes are discarded */
 };
 
 struct httpd
@@ -51,6 +64,22 @@
   uv_timer_t watch_timer;
   struct httpd_req *unwatched; /**< oldest first */
   struct httpd_req **last_unwatched;
+  /* httpd-input.c */
+  h2o_linklist_t receiving;  /**< connections with a part of a request, oldest
+                                  first */
+  h2o_linklist_t refused;    /**< oldest first */
+  h2o_linklist_t unattached; /**< connections whose callback h2o has set */
+  uv_prepare_t attach;
+  uv_timer_t input_sweep;
+  clk_ms last_input_sweep;
+  size_t input_counted; /**< bytes of incomplete requests and of the bodies in
+                             use, without those that each connection has
+                             free */
+  size_t max_input;
+  size_t max_head;
+  clk_ms head_ms;
+  uint64_t refusals; /**< by this server, not by h2o */
+  httpd_refused on_refused;
   uint16_t port;
   int handles;         /**< of this struct, not closed yet */
   bool accept_pending; /**< at the limit, with a connection to accept */
@@ -127,6 +156,36 @@
 void httpd_refusal_setup (h2o_hostconf_t *host, httpd_refused refused,
                           void *ctx);
 
+/** Send the response to a refused request that h2o does not know. */
+void httpd_refusal_send (struct httpd *d, int fd, int status);
+
+const char *httpd_reason (int status);
+
+/** Close the connection that costs the fewest requests: one that is idle, one
+    that sends a request slowly, or one that doesn't read its response. */
+void httpd_make_room (struct httpd *d);
+
+void httpd_input_init (struct httpd *d, uv_loop_t *loop);
+
+/** Have received bytes checked, once h2o has set its callback. */
+void httpd_input_attach_soon (struct httpd_conn *c);
+
+/** The connection has no incomplete request and no body in use. */
+void httpd_input_reset (struct httpd_conn *c);
+
+/** The connection is closed. */
+void httpd_input_forget (struct httpd_conn *c);
+
+/** Refuse the request that has been arriving slowly for longest and close its
+    connection.
+    @retval false  there is none */
+bool httpd_input_close_slow (struct httpd *d);
+
+/** Connections wait to be accepted: check regularly for room. */
+void httpd_input_wait (struct httpd *d);
+
+void httpd_input_sweep (uv_timer_t *t);
+
 /** Handler for h2o: creates a struct httpd_req and calls the server's handler.
  */
 int httpd_on_req (h2o_handler_t *self, h2o_req_t *req);
--- a/net/httpd-req.c
+++ b/net/httpd-req.c
@@ -52,6 +52,8 @@
   if (r->next != NULL)
     r->next->prev = r->prev;
   r->prev = NULL;
+  httpd_input_reset (r->conn);
+  httpd_input_attach_soon (r->conn);
   if (--r->conn->open == 0)
     httpd_conn_set_idle (r->conn);
   r->d->nopen--;
@@ -254,8 +256,8 @@
          || str_is (name, "date") || str_is (name, "server");
 }
 
-static const char *
-reason_phrase (int status)
+const char *
+httpd_reason (int status)
 {
   static const struct
   {
@@ -270,10 +272,12 @@
                { 403, "Forbidden" },
                { 404, "Not Found" },
                { 405, "Method Not Allowed" },
+               { 408, "Request Timeout" },
                { 409, "Conflict" },
                { 413, "Request Entity Too Large" },
                { 422, "Unprocessable Content" },
                { 429, "Too Many Requests" },
+               { 431, "Request Header Fields Too Large" },
                { 500, "Internal Server Error" },
                { 502, "Bad Gateway" },
                { 503, "Service Unavailable" },
@@ -292,7 +296,7 @@
   h2o_req_t *req = r->req;
 
   req->res.status = status;
-  req->res.reason = reason_phrase (status);
+  req->res.reason = httpd_reason (status);
   for (size_t i = 0; i < n; i++)
     {
       int64_t len;
--- a/net/httpd.c
+++ b/net/httpd.c
@@ -20,6 +20,9 @@
 #define HTTPD_STALL_MS (60 * CLK_SECOND)
 #define HTTPD_SWEEP_MS (5 * CLK_SECOND)
 
+/* Same while other callers wait to be accepted. */
+#define HTTPD_UNREAD_MS (2 * CLK_SECOND)
+
 static void accept_next (struct httpd *d);
 
 int
@@ -75,13 +78,40 @@
 
 /* Close the connection that is idle for longest, but none on which a part of a
    request has been received. */
-static void
+static bool
 close_longest_idle (struct httpd *d)
 {
   struct httpd_conn *c = d->idle;
 
   while (c != NULL && (c->sock->input->size > 0 || !close_idle (c)))
     c = c->next_idle;
+  return c != NULL;
+}
+
+/* Close the connection whose caller has been reading nothing of its response
+   for longest. */
+static bool
+close_unread (struct httpd *d)
+{
+  struct httpd_req *stalled = NULL;
+  clk_ms since = clk_now () - HTTPD_UNREAD_MS;
+
+  for (struct httpd_req *r = d->reqs; r != NULL; r = r->next)
+    if (r->in_flight && r->progress_at < since)
+      {
+        stalled = r;
+        since = r->progress_at;
+      }
+  if (stalled != NULL)
+    httpd_conn_shutdown (stalled->conn, SHUT_RDWR);
+  return stalled != NULL;
+}
+
+void
+httpd_make_room (struct httpd *d)
+{
+  if (!close_longest_idle (d) && !httpd_input_close_slow (d))
+    close_unread (d);
 }
 
 static void
@@ -90,7 +120,7 @@
   struct httpd *d = t->data;
 
   if (d->accept_pending)
-    close_longest_idle (d);
+    httpd_make_room (d);
 }
 
 void
@@ -104,7 +134,7 @@
 {
   struct httpd *d = c->d;
 
-  if (c->sock == NULL || c->read_closed)
+  if (c->sock == NULL || c->read_closed || c->refused)
     return;
   c->prev_idle = d->last_idle;
   *d->last_idle = c;
@@ -185,6 +215,7 @@
 {
   struct httpd_conn *c = data;
 
+  httpd_input_forget (c);
   c->sock = NULL;
   idle_remove (c);
 }
@@ -217,12 +248,13 @@
   c->sock = sock;
   httpd_conn_set_idle (c);
   h2o_accept (&d->accept_ctx, sock);
+  httpd_input_attach_soon (c);
 }
 
 /*
- * Near the limit, an idle connection is closed for each new one, so that
- * callers with a request don't wait behind callers without.  At the limit the
- * connection is not accepted: libuv then stops polling the listener, and
+ * Near the limit, an idle or stalled connection is closed for each new one, so
+ * that callers with a request don't wait behind callers without.  At the limit
+ * the connection is not accepted: libuv then stops polling the listener, and
  * further callers wait in the kernel's backlog.  Each accepted connection
  * would need memory and a descriptor before any check.
  */
@@ -235,10 +267,11 @@
     return;
   if (d->nconnections + d->max_connections / HTTPD_ROOM_PART
       >= d->max_connections)
-    close_longest_idle (d);
+    httpd_make_room (d);
   if (d->nconnections >= d->max_connections)
     {
       d->accept_pending = true;
+      httpd_input_wait (d);
       set_full (d, true);
       return;
     }
@@ -273,8 +306,9 @@
   struct httpd_handler_slot *slot;
 
   h2o_config_init (&d->config);
+  httpd_set_request_limits (d, limits->max_body, limits->max_head,
+                            limits->head_ms);
   d->config.server_name = h2o_iovec_init (H2O_STRLIT ("lapisline"));
-  d->config.max_request_entity_size = limits->max_body;
   d->config.http1.req_timeout = (uint64_t)limits->request_ms;
   d->config.http1.upgrade_to_http2 = 0;
   host = h2o_config_register_host (
@@ -337,6 +371,8 @@
   d->handler_ctx = ctx;
   d->last_idle = &d->idle;
   d->max_connections = limits->max_connections;
+  d->max_input = limits->max_input;
+  d->on_refused = limits->refused;
   d->on_full = limits->full;
   d->on_left = limits->left;
   uv_tcp_init (loop, &d->listener);
@@ -351,10 +387,11 @@
       return NULL;
     }
   setup_h2o (d, loop, limits);
-  d->handles = 4;
+  d->handles = 6;
   uv_timer_init (loop, &d->room);
   d->room.data = d;
   httpd_watch_init (d, loop);
+  httpd_input_init (d, loop);
   uv_timer_init (loop, &d->sweep);
   d->sweep.data = d;
   d->last_sweep = clk_now ();
@@ -377,11 +414,28 @@
     accept_next (d);
 }
 
+void
+httpd_set_request_limits (struct httpd *d, size_t max_body, size_t max_head,
+                          clk_ms head_ms)
+{
+  d->config.max_request_entity_size = max_body;
+  d->max_head = max_head;
+  d->head_ms = head_ms;
+}
+
+void
+httpd_set_max_input (struct httpd *d, size_t n)
+{
+  d->max_input = n;
+}
+
 struct httpd_stats
 httpd_stats (const struct httpd *d)
 {
   struct httpd_stats st = { .connections = d->nconnections,
                             .max = d->max_connections,
+                            .received = d->input_counted,
+                            .refusals = d->refusals,
                             .full = d->full };
 
   for (const struct httpd_conn *c = d->conns; c != NULL; c = c->next)
@@ -435,6 +489,8 @@
   for (struct httpd_conn *c = d->conns; c != NULL; c = c->next)
     httpd_conn_shutdown (c, SHUT_RDWR);
   uv_close ((uv_handle_t *)&d->watch_timer, on_handle_closed);
+  uv_close ((uv_handle_t *)&d->input_sweep, on_handle_closed);
+  uv_close ((uv_handle_t *)&d->attach, on_handle_closed);
   uv_close ((uv_handle_t *)&d->sweep, on_handle_closed);
   uv_close ((uv_handle_t *)&d->room, on_handle_closed);
 }
--- a/net/httpd.h
+++ b/net/httpd.h
@@ -18,11 +18,17 @@
 struct httpd_refusal;
 
 /**
- * The server refuses a request without calling the handler (its body is too
- * large or badly framed).  This callback sets the rest of the response,
- * besides
- * @p status, with the two functions below.  It is not called for bytes that
- * are not an HTTP request.
+ * The server refuses a request without calling the handler:
+ *
+ *   400  its body is badly framed
+ *   408  its head took too long, or it was closed to make room for other
+ *        connections
+ *   413  its body is too large
+ *   431  its head is too large
+ *   503  the limit on bytes of requests being received is reached
+ *
+ * This callback sets the rest of the response with the functions below.  It is
+ * not called for bytes that are not an HTTP request.
  */
 typedef void (*httpd_refused) (void *ctx, int status, struct httpd_refusal *r);
 
@@ -33,6 +39,9 @@
 /** Set the JSON body (copied). */
 void httpd_refusal_json (struct httpd_refusal *r, struct str body);
 
+/** Send another status. */
+void httpd_refusal_status (struct httpd_refusal *r, int status);
+
 /**
  * Called when the limit on connections is reached and callers wait to be
  * accepted (@p full), and when no caller waits any more.
@@ -49,7 +58,13 @@
 
 struct httpd_limits
 {
-  size_t max_body;        /**< bytes; larger: 413 */
+  size_t max_body;  /**< bytes; larger: 413 */
+  size_t max_head;  /**< bytes; larger: 431; 0: h2o's limit */
+  clk_ms head_ms;   /**< time from the first byte of a request head to its
+                         last; 0: request_ms */
+  size_t max_input; /**< bytes of incomplete requests and of the bodies in
+                         use, of all connections, without the first
+                         16 KB of each; 0: no limit */
   size_t max_connections; /**< concurrent; near it, the connection that is idle
                                for longest is closed for each new one; at it,
                                new ones wait in the backlog */
@@ -64,6 +79,8 @@
 /** Connections of a server. */
 struct httpd_stats
 {
+  size_t received;    /**< bytes that count towards max_input */
+  uint64_t refusals;  /**< requests refused while they were received */
   size_t connections; /**< accepted and open */
   size_t idle;        /**< of these, without a request that is answered */
   size_t max;         /**< limit on `connections` */
@@ -96,6 +113,11 @@
 /** Change the limit; existing connections above a lower limit are kept. */
 void httpd_set_max_connections (struct httpd *d, size_t n);
 
+/** Change the limits on requests, also of connections that are open. */
+void httpd_set_request_limits (struct httpd *d, size_t max_body,
+                               size_t max_head, clk_ms head_ms);
+void httpd_set_max_input (struct httpd *d, size_t n);
+
 /** Stop accepting and close idle connections; open requests continue. */
 void httpd_stop_accepting (struct httpd *d);
 
--- a/serve/address.c
+++ b/serve/address.c
@@ -9,6 +9,10 @@
 #define ANSWER_TTL_MS ((clk_ms)2000)
 
 #define BODY_MAX ((size_t)4096)
+#define HEAD_MAX ((size_t)16384)
+#define HEAD_MS ((clk_ms)3000)
+/** Bytes of incomplete requests beyond the first 16 KB of each. */
+#define INPUT_MAX ((size_t)1024 * 1024)
 #define CONNECTIONS_MAX 500
 #define IDLE_MS ((clk_ms)20000)
 
@@ -78,6 +82,9 @@
 srv_address_start (struct srv *s, struct buf *err)
 {
   struct httpd_limits limits = { .max_body = BODY_MAX,
+                                 .max_head = HEAD_MAX,
+                                 .head_ms = HEAD_MS,
+                                 .max_input = INPUT_MAX,
                                  .max_connections = CONNECTIONS_MAX,
                                  .request_ms = IDLE_MS };
 
--- a/serve/config.c
+++ b/serve/config.c
@@ -88,6 +88,7 @@
   tbl_unref (s->active_config);
   s->active_config = t;
   cur_set_version (&c->fresh, t->version);
+  srv_ingress_config_changed (s);
   srv_endpoints_changed (s);
 }
 
--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -3,9 +3,28 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/** Limit on the body of any request.  The limit of the configuration in force
-    is checked per request, as it may change at any time. */
+/** Limits on requests while the configuration in force states none. */
 #define BODY_MAX ((size_t)16 * 1024 * 1024)
+#define HEAD_MAX ((size_t)64 * 1024)
+
+/** Added to the configuration's limit on a request head, which need not
+    include the request line. */
+#define REQUEST_LINE_MAX ((size_t)4096)
+
+/** Part of the VM's memory for the bytes of requests that are being received
+    or served.  The body of a request may be held three times: as received,
+    copied while its buffer grows, and as sent to a backend server. */
+#define INPUT_PART 8
+
+/** Memory of the VM if the settings state none, in megabytes. */
+#define DEFAULT_MEMORY_MB 512
+
+/** Retry-After for a request that was refused as this limit was reached.
+    Bodies of the largest size are received within this time. */
+#define INPUT_RETRY_MS CLK_SECOND
+
+/** Shortest interval between two log lines about refused requests. */
+#define REFUSALS_LOG_MS CLK_SECOND
 
 /** Retry-After while the node has no configuration yet; a node that has just
     started usually reads one within this time. */
@@ -342,15 +361,102 @@
          LOG_I ("idle", st.idle), LOG_I ("max", st.max));
 }
 
+/* --- requests that are refused while they are received ------------------- */
+
+static size_t
+max_input (const struct srv *s)
+{
+  const struct tbl *t = s->active_config;
+  double mb
+      = s->settings.memory_mb > 0 ? s->settings.memory_mb : DEFAULT_MEMORY_MB;
+  size_t part = (size_t)(mb * 1e6) / INPUT_PART;
+  size_t largest = t ? t->limits.max_body + t->limits.max_header : 0;
+
+  return part > largest ? part : largest;
+}
+
+void
+srv_ingress_config_changed (struct srv *s)
+{
+  const struct tbl_limits *l = &s->active_config->limits;
+
+  httpd_set_request_limits (
+      s->client_listener, l->max_body ? l->max_body : BODY_MAX,
+      l->max_header ? l->max_header + REQUEST_LINE_MAX : HEAD_MAX,
+      l->header_ms);
+  httpd_set_max_input (s->client_listener, max_input (s));
+}
+
+static struct rejection
+refusal (const struct srv *s, int status)
+{
+  switch (status)
+    {
+    case 408:
+      return (struct rejection){ 408, "request-timeout", 0 };
+    case 413:
+      return confirm_rejection (
+          s, (struct rejection){ 413, "body-too-large", 0 });
+    case 431:
+      return confirm_rejection (
+          s, (struct rejection){ 431, "head-too-large", 0 });
+    case 503:
+      return (struct rejection){ 503, "receiving-too-much", INPUT_RETRY_MS };
+    default:
+      return (struct rejection){ status, "bad-request", 0 };
+    }
+}
+
+static void
+log_refusal (struct srv *s, const struct rejection *why)
+{
+  clk_ms now = clk_now ();
+
+  srv_metrics_request (s, "none", why->status, why->code, 0);
+  s->refusals++;
+  if (now < s->next_refusal_log_at)
+    return;
+  s->next_refusal_log_at = now + REFUSALS_LOG_MS;
+  LOG (requests_refused_unread, LOG_I ("status", why->status),
+       LOG_C ("code", why->code), LOG_I ("refused", (int64_t)s->refusals),
+       LOG_I ("receiving_bytes",
+              (int64_t)httpd_stats (s->client_listener).received),
+       LOG_I ("max_bytes", (int64_t)max_input (s)));
+}
+
+static void
+on_refused (void *ctx, int status, struct httpd_refusal *r)
+{
+  struct srv *s = ctx;
+  struct rejection why = refusal (s, status);
+  struct buf name = BUF_INIT, value = BUF_INIT, body = BUF_INIT;
+
+  log_refusal (s, &why);
+  httpd_refusal_status (r, why.status);
+  if (why.retry_ms > 0)
+    {
+      s->adapter->format_retry_after (why.retry_ms, &name, &value);
+      httpd_refusal_header (r, buf_str (&name), buf_str (&value));
+    }
+  buf_addf (&body, "{\"error\":\"%s\"}\n", why.code);
+  httpd_refusal_json (r, buf_str (&body));
+  buf_free (&name);
+  buf_free (&value);
+  buf_free (&body);
+}
+
 bool
 srv_ingress_start (struct srv *s, struct buf *err)
 {
   size_t fds = s->settings.max_fds;
   struct httpd_limits limits
       = { .max_body = BODY_MAX,
+          .max_head = HEAD_MAX,
+          .max_input = max_input (s),
           .max_connections = fds > 2 * FDS_RESERVED ? (fds - FDS_RESERVED) / 2
                                                     : FDS_RESERVED / 2,
           .request_ms = IDLE_MS,
+          .refused = on_refused,
           .full = on_full,
           .left = on_left };
 
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -169,6 +169,13 @@
   gauge (s, PREFIX "client_connections_full",
          "Whether clients wait to be accepted, as the limit is reached.", NULL,
          f.full);
+  gauge (s, PREFIX "client_bytes_received",
+         "Bytes of incomplete requests and of the bodies in use, without the "
+         "first 16 KB of each connection.",
+         NULL, (double)f.received);
+  gauge (s, PREFIX "client_requests_refused_unread",
+         "Requests refused while they were received.", NULL,
+         (double)f.refusals);
 }
 
 static void
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -78,6 +78,8 @@
   clk_ms last_tick_at;   /**< time of the last tick; 0: none */
   clk_ms stopping_since; /**< start of the shutdown; 0: not shutting down */
   clk_ms next_denied_log_at; /**< when denied retries may be logged again */
+  clk_ms next_refusal_log_at; /**< same for requests refused unread */
+  uint64_t refusals;          /**< requests refused unread */
 };
 
 /* node.c */
@@ -224,6 +226,8 @@
 
 /* ingress.c */
 bool srv_ingress_start (struct srv *s, struct buf *err);
+/** The limits of another configuration are in force. */
+void srv_ingress_config_changed (struct srv *s);
 /** Admit the deferred requests once the store has answered, or the wait for
     it has timed out. */
 void srv_ingress_tick (struct srv *s, clk_ms now);
--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -602,7 +602,7 @@
 listen_for_requests (struct server *s)
 {
   struct httpd_limits limits
-      = { .max_body = 1 << 20, .max_connections = 1000, .request_ms = 30000 };
+      = { .max_body = 8 << 20, .max_connections = 1000, .request_ms = 30000 };
   struct net_addr at = { .host = "127.0.0.1" };
   struct buf text = BUF_INIT;
 
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -46,6 +46,25 @@
   idle_ms = idle;
 }
 
+static int memory_mb, max_fds = 2000;
+
+void
+rack_set_machine (int memory, int fds)
+{
+  memory_mb = memory;
+  max_fds = fds;
+}
+
+static const char *caller_limits = "\"max_body_bytes\": 10000";
+static const char *more_accounts = "";
+
+void
+rack_set_limits (const char *limits, const char *accounts)
+{
+  caller_limits = limits;
+  more_accounts = accounts;
+}
+
 static int evacuation_ms;
 
 void
@@ -66,12 +85,14 @@
 static void
 write_settings (struct rack *r, int node, const char *at, bool first)
 {
-  char name[32], evacuation[32] = "";
+  char name[32], evacuation[32] = "", memory[32] = "";
   int port[4];
 
   if (evacuation_ms > 0)
     snprintf (evacuation, sizeof evacuation, " \"evac_ms\": %d,",
               evacuation_ms);
+  if (memory_mb > 0)
+    snprintf (memory, sizeof memory, ", \"memory_mb\": %d", memory_mb);
   for (int i = 0; i < 4; i++)
     port[i] = proc_port ();
   snprintf (name, sizeof name, "node-%d.json", node + 1);
@@ -87,8 +108,8 @@
           " \"bootstrap\": %s,\n"
           " \"listen\": {\"front\": \"127.0.0.1:%d\", \"ready\": "
           "\"127.0.0.1:%d\", \"directory\": \"127.0.0.1:%d\"},\n"
-          " \"port_range\": [%d, %d], \"limits\": {\"max_fds\": 2000, "
-          "\"link_mbps\": %g},\n"
+          " \"port_range\": [%d, %d], \"limits\": {\"max_fds\": %d, "
+          "\"link_mbps\": %g%s},\n"
           " \"bounds\": {%s\"drain_ms\": %d, \"grace_s\": 8,\n"
           "  \"config_apply_ms\": 2000, \"ttl_max_s\": 5, \"stall_ms\": "
           "1500,\n"
@@ -98,8 +119,8 @@
           " \"platform\": {\"address\": \"%s\", \"writes_per_s\": 400,\n"
           "  \"reads_per_s\": 2000, \"ttl_min_ms\": 1000}}\n",
           node + 1, first ? "true" : "false", port[0], port[1], port[2],
-          port[3], port[3], link_mbps, evacuation, drain_ms, retry_ratio,
-          retry_slack, cold_bounds, at));
+          port[3], port[3], max_fds, link_mbps, memory, evacuation, drain_ms,
+          retry_ratio, retry_slack, cold_bounds, at));
 }
 
 void
@@ -241,9 +262,10 @@
             " \"models\": [{\"name\": \"big\", \"size\": 3, \"share\": 1,"
             " \"pace\": 1, \"load_s\": 0.4, \"warm_s\": 0.1}]}},"
             "{\"name\": \"app\", \"health_path\": \"/h\"%s}],"
-            "\"limits\": {\"max_body_bytes\": 10000, \"idle_timeout_ms\": %d},"
-            "\"tenants\": [{\"name\": \"acc\", \"api_keys\": [\"%s\"]}]}}",
-            version, stream_ms, more, cold_service, idle_ms, key);
+            "\"limits\": {%s, \"idle_timeout_ms\": %d},"
+            "\"tenants\": [{\"name\": \"acc\", \"api_keys\": [\"%s\"]}%s]}}",
+            version, stream_ms, more, cold_service, caller_limits, idle_ms,
+            key, more_accounts);
 }
 
 void
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -67,6 +67,15 @@
     configurations stored from now on; the defaults are 20,000 and 60,000. */
 void rack_set_times (int stream_ms, int idle_ms);
 
+/** Sets memory_mb (0: not stated) and max_fds of settings written from now on;
+    the defaults are 0 and 2,000. */
+void rack_set_machine (int memory, int fds);
+
+/** Sets the limits on client requests, but for the idle time, and further
+    accounts, each preceded by a comma, in configurations stored from now on.
+    The strings are not copied. */
+void rack_set_limits (const char *limits, const char *accounts);
+
 /** Service "app" of configurations stored from now on, and settings written
     from now on, limit cold servers: 26 requests per second for 3 s,
    factor 1.5, slack 5. */
