t: guard each limit on requests being received

The crowds of t9323 and t9324 show that a node stays within its memory, but with one limit broken another one hides it: without the limit on heads, their bytes count towards the limit on all.

Change: a scripted run of the server for each limit: a head that is too large, or takes too long, bodies beyond the limit on memory, a request that arrives slowly and a response that nobody reads while another caller waits.

--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -351,6 +351,19 @@
     uv_run (&b->run.loop, UV_RUN_NOWAIT);
 }
 
+/* A request head of one line that is followed by so many bytes. */
+static void
+write_bytes (struct bench *b, const char *head, int n)
+{
+  struct buf text = BUF_INIT;
+
+  buf_add_c (&text, head);
+  for (int i = 0; i < n; i++)
+    buf_add_char (&text, 'x');
+  run_write (&b->old.tcp, buf_str (&text));
+  buf_free (&text);
+}
+
 static void
 server_step (struct bench *b, struct str word, struct str rest)
 {
@@ -370,6 +383,15 @@
     httpd_stop_accepting (b->httpd);
   else if (str_is (word, "open"))
     until_open (b, rest);
+  else if (str_is (word, "max-head"))
+    httpd_set_request_limits (b->httpd, 16, (size_t)atoi (rest.ptr), 0);
+  else if (str_is (word, "head-ms"))
+    httpd_set_request_limits (b->httpd, 16, 0, atoi (rest.ptr));
+  else if (str_is (word, "max-input"))
+    {
+      httpd_set_request_limits (b->httpd, 1000000, 0, 0);
+      httpd_set_max_input (b->httpd, (size_t)atoi (rest.ptr));
+    }
   else
     cr_assert (false, "no such word");
 }
@@ -404,6 +426,13 @@
     old_request (b, rest);
   else if (str_is (word, "ask-begin"))
     run_write (&b->old.tcp, STR ("GET /old HTTP/1.1\r\n"));
+  else if (str_is (word, "ask-long"))
+    write_bytes (b, "GET /old HTTP/1.1\r\nx: ", atoi (rest.ptr));
+  else if (str_is (word, "ask-body"))
+    write_bytes (b,
+                 "POST /old HTTP/1.1\r\nhost: h\r\n"
+                 "content-length: 100000\r\n\r\n",
+                 atoi (rest.ptr));
   else if (str_is (word, "ask-end"))
     run_write (&b->old.tcp, STR ("x-caller: me\r\nhost: h\r\n\r\n"));
   else if (str_is (word, "hang-up"))
@@ -682,3 +711,61 @@
         "/many: 300 fields in order\nold caller: HTTP/1.1 200\n"
         "/few" READ "old caller: HTTP/1.1 200\n");
 }
+
+/* Guards against a request head that grows without limit. */
+Test (server, head_over_the_limit)
+{
+  play ("max-head 1000\n idle\n wait old caller: connected\n"
+        "ask-long 2000\n wait old caller: HTTP/1.1 431\n"
+        "wait old caller: closed",
+        "old caller: connected\nold caller: HTTP/1.1 431\n"
+        "old caller: closed\n");
+}
+
+/* Guards against a request head that is never completed. */
+Test (server, head_that_takes_too_long)
+{
+  play ("head-ms 200\n idle\n wait old caller: connected\n ask-begin\n"
+        "wait old caller: HTTP/1.1 408\n wait old caller: closed",
+        "old caller: connected\nold caller: HTTP/1.1 408\n"
+        "old caller: closed\n");
+}
+
+/* Guards against bodies that take more memory than the server may use; a body
+   within it is accepted afterwards. */
+Test (server, bodies_over_the_limit_on_memory)
+{
+  play ("max-input 50000\n idle\n wait old caller: connected\n"
+        "ask-body 90000\n wait old caller: HTTP/1.1 503\n"
+        "wait old caller: closed\n"
+        "idle\n wait old caller: connected\n ask-body 50000\n turn 100\n"
+        "hang-up\n post /a\n"
+        "wait /a: asked by me, query [], body [a body]\n answer /a\n"
+        "wait /a: whole 200, 5 bytes",
+        "old caller: connected\nold caller: HTTP/1.1 503\n"
+        "old caller: closed\nold caller: connected\n"
+        "/a: asked by me, query [], body [a body]\n"
+        "/a: whole 200, 5 bytes\n");
+}
+
+/* Guards against a caller that waits behind a request that arrives slowly. */
+Test (server, slow_request_makes_room)
+{
+  play ("idle\n wait old caller: connected\n ask-begin\n"
+        "get /a\n wait /a: asked by me, query [], body []\n"
+        "fresh /b\n turn 1000\n answer /b\n wait /b: whole 200, 5 bytes",
+        "old caller: connected\n/a" READ "old caller: HTTP/1.1 408\n"
+        "old caller: closed\n/b" READ "/b" SERVED);
+}
+
+/* Guards against a caller that waits behind responses that nobody reads. */
+Test (server, unread_response_makes_room)
+{
+  play ("slow /a\n wait /a: asked by me, query [], body []\n begin /a\n"
+        "turn 50\n large /a\n"
+        "fresh /b\n wait /b: asked by me, query [], body []\n"
+        "fresh /c\n wait /c: asked by me, query [], body []\n"
+        "answer /c\n wait /c: whole 200, 5 bytes",
+        "/a" READ "/a: drained\nqueued\n/b" READ "/a: caller gone\n"
+        "/c" READ "/c" SERVED);
+}
