net: pass only complete request heads to h2o

Cause: fields were moved out of a head of which h2o had already parsed a part, up to 90 lines. h2o remembers how many bytes it has parsed and looks for the end of the head from there on; after the move this lies behind the end of the input. It still found the end in bytes that were left there, by chance. In a request that was sent ahead h2o may even have parsed the whole head.

Change: h2o gets a head once it is complete; a head that h2o has seen a part of is left to it. The state of a request that was sent ahead is reset, so that its head is limited too.

A head without end of line is no longer answered 400 at once but 408 after header_timeout_ms.

--- a/net/httpd-input.c
+++ b/net/httpd-input.c
@@ -233,17 +233,31 @@
   c->head_complete = size > 0;
   if ((size > 0 ? size : c->sock->input->size) > max)
     return false;
-  if (size > 0 && httpd_fields_are_many (c))
+  if (size > 0 && !c->head_seen && httpd_fields_are_many (c))
     httpd_fields_move (c, size);
   return true;
 }
 
-/** Whether h2o may see what has been received.  It would refuse an incomplete
-    head with many fields. */
+/** Whether h2o may see what has been received.  It gets complete heads only:
+    it refuses an incomplete one with many fields, and remembers how much of an
+    incomplete one it has parsed, so that none may be moved then. */
 static bool
 is_for_h2o (const struct httpd_conn *c)
 {
-  return c->head_complete || !httpd_fields_are_many (c);
+  return c->head_complete || c->head_seen;
+}
+
+/** The first bytes of a request were received.
+    @param seen  h2o has parsed what the input holds */
+static void
+begin_request (struct httpd_conn *c, bool seen)
+{
+  c->receiving_since = clk_now ();
+  c->received = 0;
+  c->head_complete = false;
+  c->head_seen = seen;
+  c->head_scanned = 0;
+  c->head_lines = 0;
 }
 
 /** @retval false  the request was refused */
@@ -251,13 +265,7 @@
 accept_bytes (struct httpd_conn *c)
 {
   if (c->receiving_since == 0)
-    {
-      c->receiving_since = clk_now ();
-      c->received = 0;
-      c->head_complete = false;
-      c->head_scanned = 0;
-      c->head_lines = 0;
-    }
+    begin_request (c, c->sock->input->size > c->sock->bytes_read);
   c->received += c->sock->bytes_read;
   if (!check_head (c))
     {
@@ -286,8 +294,9 @@
     httpd_input_reset (c);
   else
     {
+      /* A request that was sent ahead: h2o has parsed its beginning. */
       if (c->receiving_since == 0)
-        c->receiving_since = clk_now ();
+        begin_request (c, true);
       if (c->d->max_input > 0)
         set_counted (c, size);
       if (!h2o_linklist_is_linked (&c->input_link))
--- a/net/httpd-int.h
+++ b/net/httpd-int.h
@@ -49,7 +49,8 @@
   size_t head_lines;          /**< found so far */
   struct httpd_fields fields; /**< of the request */
   bool head_complete;
-  bool refused; /**< a refusal was sent; further bytes are discarded */
+  bool head_seen; /**< h2o has seen a part of the head before its end */
+  bool refused;   /**< a refusal was sent; further bytes are discarded */
 };
 
 struct httpd
--- a/t/t2004-server.c
+++ b/t/t2004-server.c
@@ -248,26 +248,50 @@
                &b->old);
 }
 
+#define MANY_START "POST /many HTTP/1.1\r\nhost: h\r\n"
+#define MANY_END "content-length: 4\r\nx-caller: me\r\n\r\n"
+
+/* Fields @p first to @p last. */
+static void
+write_fields (struct bench *b, const char *before, int first, int last,
+              const char *after)
+{
+  struct buf text = BUF_INIT;
+
+  buf_add_c (&text, before);
+  for (int i = first; i <= last; i++)
+    buf_addf (&text, "F%d: %d\r\n", i, i);
+  buf_add_c (&text, after);
+  run_write (&b->old.tcp, buf_str (&text));
+  buf_free (&text);
+  for (int turn = 0; turn < 5; turn++)
+    run_poll (&b->run);
+}
+
 /* The head is written in two parts. */
 static void
 old_request_of_many (struct bench *b, int fields)
 {
-  struct buf head = BUF_INIT;
+  write_fields (b, MANY_START, 1, fields / 2, "");
+  write_fields (b, "", fields / 2 + 1, fields, MANY_END "body");
+}
 
-  run_write (&b->old.tcp, STR ("POST /many HTTP/1.1\r\nhost: h\r\n"));
-  for (int i = 1; i <= fields; i++)
-    {
-      buf_addf (&head, "F%d: %d\r\n", i, i);
-      if (i != fields / 2)
-        continue;
-      run_write (&b->old.tcp, buf_str (&head));
-      buf_clear (&head);
-      for (int turn = 0; turn < 5; turn++)
-        run_poll (&b->run);
-    }
-  buf_add_c (&head, "content-length: 4\r\nx-caller: me\r\n\r\nbody");
-  run_write (&b->old.tcp, buf_str (&head));
-  buf_free (&head);
+static void
+old_request_by_lines (struct bench *b, int fields)
+{
+  write_fields (b, MANY_START, 1, 1, "");
+  for (int i = 2; i < fields; i++)
+    write_fields (b, "", i, i, "");
+  write_fields (b, "", fields, fields, MANY_END "body");
+}
+
+/* A request, and the beginning of another that is sent ahead. */
+static void
+old_requests_ahead (struct bench *b, int fields)
+{
+  write_fields (
+      b, "GET /first HTTP/1.1\r\nhost: h\r\nx-caller: me\r\n\r\n" MANY_START,
+      1, fields / 2, "");
 }
 
 static void
@@ -413,6 +437,13 @@
     call (b, rest, STR ("a body of more than sixteen bytes"), true);
   else if (str_is (word, "ask-many"))
     old_request_of_many (b, atoi (rest.ptr));
+  else if (str_is (word, "ask-lines"))
+    old_request_by_lines (b, atoi (rest.ptr));
+  else if (str_is (word, "ask-two"))
+    old_requests_ahead (b, atoi (rest.ptr));
+  else if (str_is (word, "ask-rest"))
+    write_fields (b, "", atoi (rest.ptr) / 2 + 1, atoi (rest.ptr),
+                  MANY_END "body");
   else if (str_is (word, "old"))
     old_call (b, false);
   else if (str_is (word, "idle"))
@@ -712,6 +743,32 @@
         "/few" READ "old caller: HTTP/1.1 200\n");
 }
 
+/* Guards against moving the fields of a head of which h2o has seen a part:
+   here of one that was sent ahead, up to the 90th field. */
+Test (server, many_fields_sent_ahead)
+{
+  play ("idle\n wait old caller: connected\n ask-two 95\n"
+        "wait /first: asked by me, query [], body []\n turn 50\n"
+        "answer /first\n wait old caller: HTTP/1.1 200\n turn 50\n"
+        "ask-rest 95\n wait /many: 95 fields in order\n answer /many\n"
+        "wait old caller: HTTP/1.1 200",
+        "old caller: connected\n/first" READ "old caller: HTTP/1.1 200\n"
+        "/many: asked by me, query [], body [body]\n"
+        "/many: 95 fields in order\nold caller: HTTP/1.1 200\n");
+}
+
+/* Guards against a head that arrives a line at a time and is refused, or read
+   past its end, as its fields become too many for h2o. */
+Test (server, many_fields_in_many_parts)
+{
+  play ("idle\n wait old caller: connected\n ask-lines 300\n"
+        "wait /many: 300 fields in order\n answer /many\n"
+        "wait old caller: HTTP/1.1 200",
+        "old caller: connected\n"
+        "/many: asked by me, query [], body [body]\n"
+        "/many: 300 fields in order\nold caller: HTTP/1.1 200\n");
+}
+
 /* Guards against a request head that grows without limit. */
 Test (server, head_over_the_limit)
 {
