t: fill a node with requests that arrive at a usual rate

Cause: the test fills a node's 500 connections with heads that stop after one line, waits 500 ms, and expects that nobody else is accepted. The two requests were accepted while their clients were still there, which is right.

Change: the node is full of bodies of which 150,000 bytes have arrived, which is no slow rate for over two seconds. The clients, the wait and the check are the same.

--- a/t/t9321-left.c
+++ b/t/t9321-left.c
@@ -48,19 +48,33 @@
   cr_expect (rack_call_until (r, 0, "/safe/x", rack_headers ("next"), 200));
 }
 
+/** Part of a body.  At the rate below which a request gives way to others,
+    64 kB/s, it would take over two seconds. */
+#define PART_BYTES 150000
+#define MEMORY_MB 1000 /**< an eighth is more than all parts */
+#define MAX_FDS 2000   /**< as by default: MAX_CONNECTIONS */
+
 /* Guards against sending requests of clients that left while they waited to be
-   accepted. */
+   accepted: other clients' requests are being received at a usual rate. */
 Test (left, requests_not_accepted_in_time_are_not_sent)
 {
   struct web_stream *w[MAX_CONNECTIONS];
+  struct buf part = BUF_INIT;
   struct rack r;
 
+  rack_set_machine (MEMORY_MB, MAX_FDS);
+  rack_set_limits ("\"max_body_bytes\": 4000000", "");
   rack_start_all (&r, 4);
+  buf_add_c (&part,
+             "POST /safe/x HTTP/1.1\r\ncontent-length: 4000000\r\n\r\n");
+  for (int i = 0; i < PART_BYTES; i++)
+    buf_add_char (&part, 'x');
   for (int i = 0; i < MAX_CONNECTIONS; i++)
     {
-      w[i] = web_connect (r.front[0], "GET /safe/x HTTP/1.1\r\n");
+      w[i] = web_connect (r.front[0], buf_c (&part));
       cr_assert_not_null (w[i]);
     }
+  buf_free (&part);
   usleep (500000);
   send_and_leave (&r);
   for (int i = 0; i < MAX_CONNECTIONS; i++)
