--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -11,7 +11,7 @@
 finish () {
   local code=$?
   for p in "${PIDS[@]}"; do kill -CONT "$p"; kill -KILL "$p"; done 2>/dev/null
-  wait 2>/dev/null
+  wait 2>/dev/null || true
   rm -rf "$TMP"
   exit $code
 }
@@ -46,7 +46,7 @@
     --plain "$2" >"$TMP/rack.log" 2>&1 &
   PIDS+=($!)
   for _ in {1..100}; do
-    grep -q ready "$TMP/rack.log" && return
+    grep -qs ready "$TMP/rack.log" && return
     sleep 0.05
   done
   cannot_run "the platform's stand-in does not start"
--- a/review/rack-relay.c
+++ b/review/rack-relay.c
@@ -2,16 +2,19 @@
  * TCP relay for review cases: forwards loopback connections between a node
  * and the store or another node, and can stop doing so.
  *
- * usage: rack-relay CONTROL_PORT [FROM TO] LISTEN:TARGET...
+ * usage: rack-relay CONTROL_PORT [FROM TO]... LISTEN:TARGET...
  *
- * FROM and TO are texts of equal length.  FROM is replaced where it stands in
- * the base64 text of a store item that the target sends, so that a node finds
- * the relay's port in another node's entry.
+ * FROM and TO are texts of equal length that begin with a quotation mark.
+ * FROM is replaced where it stands in the base64 text of a store item that the
+ * target sends, so that a node finds the relay's port in the entry of another
+ * node or of a server.
  *
  * Control, by HTTP GET on CONTROL_PORT:
  *   /cut             forward nothing; new connections get no answer
  *   /heal            forward again; what was held is delivered, unless its
  *                    sender has closed the connection
+ *   /silence/PORT    forward nothing any more on the connections that were
+ *                    opened to this port so far; new ones work
  *   /slow/MS/TEXT    hold the response to the next request that contains TEXT
  *                    for MS milliseconds
  *   /slowed          number of responses that were held
@@ -30,7 +33,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#define MAX_LISTENERS 4
+#define MAX_LISTENERS 8
+#define MAX_SUBST 8
 #define MAX_PAIRS 200
 #define BUFFER (256 * 1024)
 
@@ -46,11 +50,13 @@
 {
   struct side s[2]; /* 0: the node that connected, 1: the target */
   long long hold_until;
+  int port; /* that was connected to */
+  bool silent;
 };
 
 static struct listener
 {
-  int fd, target;
+  int fd, port, target;
 } listeners[MAX_LISTENERS];
 static int nlisteners;
 static struct pair pairs[MAX_PAIRS];
@@ -59,12 +65,13 @@
 static char slow_text[128];
 static int slow_ms, slowed;
 
-/** Replacement in base64 text, one for each alignment. */
+/** Replacements in base64 text, one for each alignment. */
 static struct
 {
   char from[128], to[128];
   size_t len;
-} subst[3];
+} subst[3 * MAX_SUBST];
+static size_t nsubst;
 
 static long long
 now_ms (void)
@@ -128,26 +135,27 @@
 static void
 set_subst (const char *from, const char *to)
 {
-  if (strlen (from) != strlen (to) || strlen (from) > 90)
+  if (strlen (from) != strlen (to) || strlen (from) > 90
+      || nsubst == 3 * MAX_SUBST)
     {
-      fprintf (stderr, "rack-relay: FROM and TO differ in length\n");
+      fprintf (stderr, "rack-relay: %s can't replace %s\n", to, from);
       exit (2);
     }
   for (size_t k = 0; k < 3; k++)
     {
-      encode (from, k, subst[k].from, &subst[k].len);
-      encode (to, k, subst[k].to, &subst[k].len);
+      encode (from, k, subst[nsubst].from, &subst[nsubst].len);
+      encode (to, k, subst[nsubst].to, &subst[nsubst].len);
+      nsubst++;
     }
 }
 
 static void
 apply_subst (char *text, size_t n)
 {
-  for (int k = 0; k < 3; k++)
+  for (size_t k = 0; k < nsubst; k++)
     {
       char *at = text;
-      while (subst[k].len
-             && (at = memmem (at, n - (size_t)(at - text), subst[k].from,
+      while ((at = memmem (at, n - (size_t)(at - text), subst[k].from,
                               subst[k].len))
                     != NULL)
         memcpy (at, subst[k].to, subst[k].len);
@@ -182,6 +190,7 @@
       return;
     }
   memset (p, 0, sizeof *p);
+  p->port = l->port;
   p->s[0].fd = fd;
   p->s[1].fd = to;
   for (int i = 0; i < 2; i++)
@@ -219,7 +228,8 @@
 static bool
 may_send (const struct pair *p, int i)
 {
-  return !is_cut && p->s[i].len > 0 && (i == 0 || now_ms () >= p->hold_until);
+  return !is_cut && !p->silent && p->s[i].len > 0
+         && (i == 0 || now_ms () >= p->hold_until);
 }
 
 static void
@@ -234,12 +244,20 @@
   memmove (s->held, s->held + n, s->len);
 }
 
+static void
+silence (int port)
+{
+  for (int i = 0; i < npairs; i++)
+    pairs[i].silent |= pairs[i].port == port;
+}
+
 static void
 control (int listener)
 {
   int fd = accept (listener, NULL, NULL);
   char text[512] = "", answer[200], body[40];
   ssize_t n;
+  int port;
 
   if (fd < 0)
     return;
@@ -249,6 +267,8 @@
     is_cut = true;
   else if (strncmp (text, "GET /heal ", 10) == 0)
     is_cut = false;
+  else if (sscanf (text, "GET /silence/%d ", &port) == 1)
+    silence (port);
   else if (sscanf (text, "GET /slow/%d/%100s ", &slow_ms, slow_text) < 1
            && strncmp (text, "GET /slowed ", 12) != 0)
     strcpy (text, "");
@@ -271,18 +291,14 @@
   if (argc < 3)
     return 2;
   control_fd = listen_on (atoi (argv[1]));
-  if (argc > 4 && argv[2][0] == '"')
-    {
-      set_subst (argv[2], argv[3]);
-      at = 4;
-    }
+  for (; at + 1 < argc && argv[at][0] == '"'; at += 2)
+    set_subst (argv[at], argv[at + 1]);
   for (; at < argc && nlisteners < MAX_LISTENERS; at++, nlisteners++)
     {
       struct listener *l = &listeners[nlisteners];
-      int port;
-      if (sscanf (argv[at], "%d:%d", &port, &l->target) != 2)
+      if (sscanf (argv[at], "%d:%d", &l->port, &l->target) != 2)
         return 2;
-      l->fd = listen_on (port);
+      l->fd = listen_on (l->port);
     }
   for (;;)
     {
@@ -317,10 +333,10 @@
           /* Held bytes are lost when their sender closes during a cut. */
           for (int k = 0; k < 2; k++)
             if (pairs[i].s[k].ended
-                && (pairs[i].s[k].len == 0 || is_cut
+                && (pairs[i].s[k].len == 0 || is_cut || pairs[i].silent
                     || pairs[i].s[1 - k].ended))
               {
-                if (is_cut && !pairs[i].s[1 - k].ended)
+                if ((is_cut || pairs[i].silent) && !pairs[i].s[1 - k].ended)
                   {
                     pairs[i].s[k].len = 0;
                     continue; /* the other end learns of it after the cut */
