--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,3 +7,5 @@
 mkdir -p build/review-2
 gcc -std=gnu11 -O2 -Wall -Wextra -Werror -o build/review-2/rack-relay \
   review/rack-relay.c
+gcc -std=gnu11 -O2 -Wall -Wextra -Werror -o build/review-2/rack-server \
+  review/rack-server.c
