--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
-# One answer of a faulty server has a wrong byte: a space instead of the last
-# digit of its Content-Length.  Eight requests of other clients are running at
-# a sound server then.  TROUBLE=0: the same answer without the wrong byte.
+# One answer of a faulty server has one byte too many: a space after its
+# Content-Length.  Eight requests of other clients are running at a sound server
+# then.  TROUBLE=0: the same answer without that byte.
 CASE=$(cd "$(dirname "$0")" && pwd)
 cd "$CASE/../.."
 . review/lib-2.sh
