--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,5 @@
   review/rack-relay.c
 gcc -std=gnu11 -O2 -Wall -Wextra -Werror -o build/review-2/rack-server \
   review/rack-server.c
+gcc -std=gnu11 -O2 -Wall -Wextra -Werror -o build/review-2/rack-flood \
+  review/rack-flood.c
