review/7, review/8: the servers end as planned, and requests are lost

Cause: see the cases. Both nodes send requests that must run once to a server that has left, and the server ends while they run.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -136,3 +136,42 @@
   done
   cannot_run "$1 does not serve"
 }
+
+# A sound server of service "app" (rack-server), listed as i-NUMBER.
+entry () { # NUMBER STATE
+  local p=SERVER_$1
+  platform '{"entry": {"id": "i-'"$1"'", "value": "{\"service\": \"app\", \"address\": \"127.0.0.1:'"${!p}"'\", \"zone\": \"z1\", \"version\": \"v1\", \"capacity\": 26, \"state\": \"'"$2"'\", \"cold_left_ms\": 0, \"seq\": 1, \"born\": 1700000000000}"}}'
+}
+remove_entry () { # NUMBER
+  curl -sf -m 5 -o /dev/null "http://127.0.0.1:$STORE/kv-txn" \
+    -H 'Content-Type: application/json' \
+    -d '{"expected": [], "writes": [], "remove": ["servers/i-'"$1"'"]}' ||
+    cannot_run "the entry of i-$1 can't be removed"
+}
+start_server () { # NUMBER WORK_MS
+  new_port "SERVER_$1"
+  local p=SERVER_$1
+  build/review-2/rack-server "${!p}" "i-$1" "$2" "$TMP/servers.log" &
+  PIDS+=($!)
+  printf -v "PID_i$1" %s $!
+  sleep 0.1
+  entry "$1" ready
+}
+
+# Several requests at the same time; prints how many were sent.
+calls () { # NODE PATH COUNT
+  local i
+  for ((i = 0; i < $3; i++)); do
+    COUNT=$((COUNT + 1))
+    (
+      f=FRONT_$1 id=r$COUNT
+      status=$(curl -s -m 5 -o "$TMP/answer-$id" -w '%{http_code}' \
+        -H 'Host: h' -H "X-Lapisline-Request-Id: $id" -H 'X-Api-Key: k1' \
+        -H 'X-Lapisline-Deadline-Ms: 4000' -X POST -d hello \
+        "http://127.0.0.1:${!f}$2") || status="none ($status)"
+      note "client: $id POST $2 at $1 -> $status $(tr -d '\n' <"$TMP/answer-$id")"
+      [ "${status%% *}" = 200 ] || echo "$id" >>"$TMP/failed"
+    ) &
+    CALLS+=($!)
+  done
+}
--- a/review/rack-server.c
+++ b/review/rack-server.c
@@ -6,7 +6,8 @@
  * It runs each request for WORK_MS and answers 200 with the id of the request,
  * a seal and a body.  LOG gets a line for each request that it begins to run,
  * has answered, or drops as its caller has gone.  SUFFIX stands after the
- * length in the Content-Length field of its answers.
+ * length in the Content-Length field of its answers.  After SIGUSR1 it leaves:
+ * all its answers say so.
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
@@ -39,6 +40,7 @@
 static int nconns, work_ms;
 static const char *own_id, *suffix = "";
 static FILE *out;
+static volatile sig_atomic_t leaving;
 
 static long long
 now_ms (void)
@@ -56,6 +58,13 @@
   fflush (out);
 }
 
+static void
+on_leave (int signum)
+{
+  (void)signum;
+  leaving = 1;
+}
+
 /** Copies the value of a field of the head. */
 static void
 field (const char *head, const char *name, char *value, size_t size)
@@ -93,8 +102,9 @@
   snprintf (text, sizeof text,
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             "X-Lapisline-Request-Id: %s\r\nX-Lapisline-Response-Seal: %s.1\r\n"
-            "Content-Length: %d%s\r\n\r\n%s",
-            c->id, own_id, n, suffix, body);
+            "%sContent-Length: %d%s\r\n\r\n%s",
+            c->id, own_id, leaving ? "Server-Leaving: 1\r\n" : "", n, suffix,
+            body);
   send_text (c, text);
   record ("answers", c->id);
   c->answer_at = 0;
@@ -148,6 +158,7 @@
   int fd = socket (AF_INET, SOCK_STREAM, 0), on = 1;
 
   signal (SIGPIPE, SIG_IGN);
+  signal (SIGUSR1, on_leave);
   if (argc < 5 || !(out = fopen (argv[4], "a")))
     return 2;
   own_id = argv[2];
@@ -169,7 +180,7 @@
       for (int i = 0; i < nconns; i++)
         p[i + 1] = (struct pollfd){ .fd = conns[i]->fd, .events = POLLIN };
       if (poll (p, (nfds_t)nconns + 1, 10) < 0)
-        return 2;
+        continue; /* a signal */
       for (int i = nconns; i-- > 0;)
         {
           struct conn *c = conns[i];
