net: pass heads with white space after a length or an encoding to h2o safely

It took "22 " for an invalid length and failed an assertion. The same held for "chunked " and "identity ", for the length "-0" and for a length of 20 digits or more with leading zeros, which strtoll() accepts and h2o doesn't. All calls of a node use this client: requests, orders, reports, health checks, the store.

Evidence: t2001 framing_values ends with the assertion of http1client.c:216 before the change at its first reply.

Change: in a complete head, white space after a value is moved before it, where h2o skips it. It is valid there (RFC 9112, 5), so a sound server that sends it is served. A length must be digits only, at most 19, which is what h2o accepts. The values that h2o reports no longer end with white space, so headers such as Retry-After and the request id are compared without it.

--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -1,5 +1,6 @@
 #include "net/httpc-head.h"
 
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -112,6 +113,9 @@
 
 /* --- response heads ---------------------------------------------------- */
 
+/** Digits of a length that h2o's parser accepts, leading zeros included. */
+#define MAX_LENGTH_DIGITS 19
+
 static bool
 match_header (struct str line, const char *name, struct str *value)
 {
@@ -123,18 +127,25 @@
   return true;
 }
 
+static bool
+is_length (struct str value)
+{
+  for (size_t i = 0; i < value.len; i++)
+    if (!isdigit ((unsigned char)value.ptr[i]))
+      return false;
+  return value.len > 0 && value.len <= MAX_LENGTH_DIGITS;
+}
+
 static bool
 framing_ok (struct str head)
 {
-  int64_t length;
   struct str value;
 
   while (head.len > 0)
     {
       size_t end = str_chr (head, '\n');
       struct str line = str_head (head, end);
-      if (match_header (line, "content-length", &value)
-          && (!str_to_i64 (value, &length) || length < 0))
+      if (match_header (line, "content-length", &value) && !is_length (value))
         return false;
       if (match_header (line, "transfer-encoding", &value)
           && !str_is (value, "chunked") && !str_is (value, "identity"))
@@ -144,22 +155,56 @@
   return true;
 }
 
+/** Move the white space after the value of a header line before it. */
+static void
+move_trailing_space (char *line, size_t len)
+{
+  size_t begin = str_chr (str_make (line, len), ':') + 1, end = len;
+
+  if (begin > len)
+    return;
+  if (end > begin && line[end - 1] == '\r')
+    end--;
+  len = end;
+  while (end > begin && (line[end - 1] == ' ' || line[end - 1] == '\t'))
+    end--;
+  memmove (line + begin + (len - end), line + begin, end - begin);
+  memset (line + begin, ' ', len - end);
+}
+
+static void
+move_all_trailing_space (char *head, size_t len)
+{
+  size_t begin = 0, end;
+
+  while ((end = begin + str_chr (str_make (head + begin, len - begin), '\n'))
+         < len)
+    {
+      move_trailing_space (head + begin, end - begin);
+      begin = end + 1;
+    }
+}
+
 bool
-httpc_head_input_is_valid (struct str input)
+httpc_head_prepare_input (char *input, size_t len)
 {
   size_t end;
 
-  while ((end = str_past_empty_line (input, 0)) > 0)
+  while ((end = str_past_empty_line (str_make (input, len), 0)) > 0)
     {
-      if (!framing_ok (str_head (input, end)))
-        return false;
       /* "HTTP/1.1 1xx": an interim head; another head must follow. */
-      if (input.len < 10 || input.ptr[9] != '1')
+      bool interim = len >= 10 && input[9] == '1';
+      move_all_trailing_space (input, end);
+      if (!framing_ok (str_make (input, end)))
+        return false;
+      if (!interim)
         return true;
-      input = str_skip (input, end);
-      if (input.len > 0
-          && !str_starts (input, str_head (STR ("HTTP/1."), input.len)))
+      input += end;
+      len -= end;
+      if (len > 0
+          && !str_starts (str_make (input, len),
+                          str_head (STR ("HTTP/1."), len)))
         return false;
     }
-  return input.len <= HTTPC_MAX_HEAD;
+  return len <= HTTPC_MAX_HEAD;
 }
--- a/net/httpc-head.h
+++ b/net/httpc-head.h
@@ -35,13 +35,17 @@
                          enum httpc_framing *out);
 
 /**
- * Whether bytes that begin with a response head can be passed to h2o's client.
+ * Prepare bytes that begin with a response head for h2o's client.
+ *
  * An assertion in it aborts the process on a length or an encoding that it
  * does not support, and if an interim head is followed by anything but a head.
  * A single faulty backend server would thus crash each node that it responds
- * to.  A head that is still incomplete after HTTPC_MAX_HEAD bytes can't be
- * passed either.
+ * to.  h2o takes white space after a value for a part of it, although it is
+ * valid there (RFC 9112, 5); in complete heads it is therefore moved before
+ * the value.
+ * @return false: the bytes can't be passed to h2o.  This includes a head that
+ *   is still incomplete after HTTPC_MAX_HEAD bytes
  */
-bool httpc_head_input_is_valid (struct str input);
+bool httpc_head_prepare_input (char *input, size_t len);
 
 #endif
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -319,7 +319,7 @@
 
 /*
  * h2o's client aborts the process on some heads; see
- * httpc_head_input_is_valid(). Its read callback is therefore replaced until
+ * httpc_head_prepare_input().  Its read callback is therefore replaced until
  * the head is complete.  h2o sets that callback when the request has been
  * written, which it does not report; an iteration of the event loop writes
  * before it reads, and the uv_prepare callback replaces the read callback in
@@ -332,8 +332,7 @@
   struct httpc_call *call = client->data;
 
   if (err != NULL
-      || !httpc_head_input_is_valid (
-          str_make (sock->input->bytes, sock->input->size)))
+      || !httpc_head_prepare_input (sock->input->bytes, sock->input->size))
     finish (call, HTTPC_BROKEN);
   else
     call->h2o_read (sock, err);
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -51,6 +51,29 @@
   { "/silent", "", false },
   { "/stall", LENGTH (10) "hello", false },
   { "/and-more", LENGTH (5) "hello" LENGTH (6) "second", false },
+  { "/length-space", HEAD "content-length: 5 \r\n\r\nhello", false },
+  { "/length-tab", HEAD "content-length:5\t \t\r\n\r\nhello", false },
+  { "/chunked-space",
+    HEAD "transfer-encoding: chunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n", false },
+  { "/chunked-capitals",
+    HEAD "Transfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false },
+  { "/identity-space", HEAD "transfer-encoding: identity\t\r\n\r\nhello",
+    true },
+  { "/interim-space",
+    "HTTP/1.1 100 Continue \r\ncontent-length: 0 \r\n\r\n" HEAD
+    "content-length: 5 \r\n\r\nhello",
+    false },
+  { "/value-space", HEAD "x-value: a b \t\r\ncontent-length: 5\r\n\r\nhello",
+    false },
+  { "/empty-length", HEAD "content-length: \r\n\r\nhello", true },
+  { "/minus-zero", HEAD "content-length: -0\r\n\r\nhello", true },
+  { "/zeros", HEAD "content-length: 0000000000000000000005\r\n\r\nhello",
+    true },
+  { "/length-of-20-digits",
+    HEAD "content-length: 18446744073709551615\r\n\r\nhello", true },
+  { "/length-of-19-digits",
+    HEAD "content-length: 9223372036854775807\r\n\r\nhello", true },
+  { "/folded", HEAD "content-length:\r\n 5\r\n\r\nhello", true },
 };
 
 /* Replies whose text is repeated until the client closes the connection. */
@@ -402,6 +425,24 @@
   run_end (&b.run, expected);
 }
 
+static void
+play_replies (const char *const *expected, size_t n)
+{
+  struct buf script = BUF_INIT, log = BUF_INIT;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      int path = (int)(strchr (expected[i], ':') - expected[i]);
+      buf_addf (&script, "fresh %.*s\nwait %s\n", path, expected[i],
+                expected[i]);
+      buf_addf (&log, "%.*s over connection %zu\n%s\n", path, expected[i], i,
+                expected[i]);
+    }
+  play (buf_c (&script), buf_c (&log));
+  buf_free (&script);
+  buf_free (&log);
+}
+
 /* --- tests ------------------------------------------------------------- */
 
 /*
@@ -438,17 +479,30 @@
           "/silent: silent 0 []",
           "/stall: silent 200 [hello]",
           "/and-more: whole 200 [hello]" };
-  struct buf script = BUF_INIT, log = BUF_INIT;
 
-  for (size_t i = 0; i < sizeof expected / sizeof expected[0]; i++)
-    {
-      buf_addf (&script, "fresh %s\nwait %s\n", replies[i].path, expected[i]);
-      buf_addf (&log, "%s over connection %zu\n%s\n", replies[i].path, i,
-                expected[i]);
-    }
-  play (buf_c (&script), buf_c (&log));
-  buf_free (&script);
-  buf_free (&log);
+  play_replies (expected, sizeof expected / sizeof expected[0]);
+}
+
+/* Guards against a response head that h2o's client aborts the process on.
+   White space after a value is valid and no part of it. */
+Test (client, framing_values)
+{
+  static const char *const expected[]
+      = { "/length-space: whole 200 [hello]",
+          "/length-tab: whole 200 [hello]",
+          "/chunked-space: whole 200 [hello]",
+          "/chunked-capitals: broken 0 []",
+          "/identity-space: unbounded 200 [hello]",
+          "/interim-space: whole 200 [hello]",
+          "/value-space: whole 200 [hello]",
+          "/empty-length: broken 0 []",
+          "/minus-zero: broken 0 []",
+          "/zeros: broken 0 []",
+          "/length-of-20-digits: broken 0 []",
+          "/length-of-19-digits: broken 200 [hello]",
+          "/folded: broken 0 []" };
+
+  play_replies (expected, sizeof expected / sizeof expected[0]);
 }
 
 /* Guards against bytes without end that are no response: the call ends at a
