dispatch: end a stall or an ejection without retryable requests, too

Cause: as a trial at a stalled or ejected endpoint only a request was sent that can be retried. A service whose routes are not resumable, or allow one attempt, has none.

Evidence: the two new scripts of t9223 failed before: "error 3 no-server" in place of "send 3 s1", and p2 takes all requests 25 s after p1 was ejected.

Change: where no endpoint of the pool is usable, any request is a trial when it is due, one at a time, and all others are refused at once as before. Where another endpoint is usable, a request that can't be retried is used after the trial has been due for 20 s: by then a retryable one would have been sent.

Measured: t9223 passes, and the other suites of the dispatcher.

--- a/serve/dispatch-health.c
+++ b/serve/dispatch-health.c
@@ -43,6 +43,10 @@
 #define STALL_FIRST_EVENT_MS ((clk_ms)1200)
 /** Time after which a stalled endpoint gets a trial request. */
 #define STALL_TRIAL_MS ((clk_ms)5000)
+/** When a trial is overdue for this long, a request that can't be retried is
+    used.  Where other routes have requests that can be retried, one of them
+   has been sent by then. */
+#define TRIAL_OVERDUE_MS EJECT_MAX_MS
 
 static size_t
 count_ejected (const struct dsp_pool *p, size_t *listed)
@@ -145,15 +149,31 @@
          && dsp_avail_allows (d, s);
 }
 
-bool
-dsp_health_trial_due (const struct dsp *d, const struct dsp_endpoint_state *s)
+/** When the next trial is due; CLK_NEVER: none is needed or possible. */
+static clk_ms
+trial_due_at (const struct dsp *d, const struct dsp_endpoint_state *s)
 {
   if (!s->listed || !s->accepting || s->trial_in_flight
       || dsp_process_ended (d, s) || !dsp_avail_allows (d, s))
-    return false;
+    return CLK_NEVER;
   if (s->stalled)
-    return d->now - s->stalled_at >= STALL_TRIAL_MS;
-  return s->ejected_until && d->now >= s->ejected_until;
+    return s->stalled_at + STALL_TRIAL_MS;
+  return s->ejected_until ? s->ejected_until : CLK_NEVER;
+}
+
+bool
+dsp_health_trial_due (const struct dsp *d, const struct dsp_endpoint_state *s)
+{
+  return d->now >= trial_due_at (d, s);
+}
+
+bool
+dsp_health_trial_overdue (const struct dsp *d,
+                          const struct dsp_endpoint_state *s)
+{
+  clk_ms due_at = trial_due_at (d, s);
+
+  return due_at != CLK_NEVER && d->now - due_at >= TRIAL_OVERDUE_MS;
 }
 
 /* --- stalls ------------------------------------------------------------ */
--- a/serve/dispatch-int.h
+++ b/serve/dispatch-int.h
@@ -534,6 +534,9 @@
                                  const struct dsp_endpoint_state *s);
 bool dsp_health_trial_due (const struct dsp *d,
                            const struct dsp_endpoint_state *s);
+/** Whether the trial has been due for so long that any request is used. */
+bool dsp_health_trial_overdue (const struct dsp *d,
+                               const struct dsp_endpoint_state *s);
 /** Whether the endpoint's streams have received nothing for so long that new
     requests should avoid it, although that is too short for a stall.
     @param for_hedge  the new request is a hedge */
--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -339,20 +339,27 @@
       cold.permitted);
 }
 
-/** Finds an ejected or stalled endpoint that is due for a trial request, if @p
-    q can be retried after a failure. */
+/**
+ * Finds an ejected or stalled endpoint that is due for a trial request.  A
+ * request that can't be retried after a failure is used only if the pool has
+ * no usable endpoint, or if the trial is overdue: a service whose routes allow
+ * no second attempt would never use the endpoint again.
+ */
 static bool
 find_trial_endpoint (const struct dsp *d, const struct dsp_pool *p,
                      const struct dsp_req *q, struct dsp_endpoint_state **out)
 {
-  if (!q->retryable || q->partly_forwarded
-      || q->sent_attempts + 1 >= q->max_attempts)
+  bool may_retry = q->retryable && q->sent_attempts + 1 < q->max_attempts;
+
+  if (q->partly_forwarded)
     return false;
   for (size_t i = 0; i < p->n; i++)
     {
       *out = p->endpoints[i];
       if (!dsp_has_failed_at (q, *out) && dsp_health_trial_due (d, *out)
-          && dsp_limit_allows_request (d, *out))
+          && dsp_limit_allows_request (d, *out)
+          && (may_retry || dsp_health_trial_overdue (d, *out)
+              || !dsp_any_usable (d, p)))
         return true;
     }
   return false;
--- a/t/lib-dispatch.c
+++ b/t/lib-dispatch.c
@@ -35,7 +35,7 @@
 {
   struct tbl *t = tbl_new ();
   struct tbl_service *s = arena_alloc (&t->arena, 2, sizeof *s);
-  struct tbl_route *r = arena_alloc (&t->arena, 5, sizeof *r);
+  struct tbl_route *r = arena_alloc (&t->arena, 8, sizeof *r);
   struct tbl_target *to = arena_alloc (&t->arena, 2, sizeof *to);
 
   s[0].name = STR ("lm");
@@ -69,10 +69,18 @@
   r[4] = r[2];
   r[4].name = STR ("safe3");
   r[3].max_attempts = r[4].max_attempts = 3;
+  r[5] = r[0];
+  r[5].name = STR ("tell");
+  r[5].resumable = false;
+  r[6] = r[0];
+  r[6].name = STR ("stream1");
+  r[7] = r[1];
+  r[7].name = STR ("once1");
+  r[6].max_attempts = r[7].max_attempts = 1;
   t->services = s;
   t->nservices = 2;
   t->routes = r;
-  t->nroutes = 5;
+  t->nroutes = 8;
   return t;
 }
 
--- a/t/t9223-stall-recovery.c
+++ b/t/t9223-stall-recovery.c
@@ -4,6 +4,7 @@
  */
 #include <criterion/criterion.h>
 
+#include "base/str.h"
 #include "t/lib-dispatch.h"
 
 TestSuite (stall_recovery);
@@ -31,6 +32,49 @@
                  "error 2 no-server 503 retry\n");
 }
 
+/* Guards against a replica that is never used again after a stall because no
+   route allows its requests a second attempt: a request is sent as a trial
+   nevertheless, one at a time. */
+Test (stall_recovery, stall_ends_without_retryable_requests)
+{
+  static const char *const routes[] = { "tell", "stream1" };
+
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    {
+      struct buf script = BUF_INIT;
+      buf_addf (&script,
+                "replicas s 1 8\n submit 1 %s\n sent 1\n ok 1\n event 1\n"
+                "run 940\n client-gone 1\n run 4000\n submit 2 %s\n"
+                "run 60\n run 1000\n submit 3 %s\n submit 4 %s\n run 60\n"
+                "sent 3\n ok 3\n event 3\n submit 5 %s\n",
+                routes[i], routes[i], routes[i], routes[i], routes[i]);
+      dispatch_play (buf_c (&script),
+                     "send 1 s1\nforward 1\nstalled s1\ncancel 1\n"
+                     "error 2 no-server 503 retry\nsend 3 s1\n"
+                     "error 4 no-server 503 retry\nforward 3\nsend 5 s1\n");
+      buf_free (&script);
+    }
+}
+
+/** Server p1 of two is ejected; p2 takes all requests. */
+#define EJECTED                                                               \
+  "endpoints p 2 8\n zone p2 y\n evacuate y\n" LOSE ("1") LOSE ("2")          \
+      LOSE ("3") "return y\n"
+#define LOSE(id) "submit " id " once1\n sent " id "\n interrupted " id "\n"
+#define USE(id)                                                               \
+  "submit " id " once1\n sent " id "\n ok " id "\n complete " id "\n"
+
+/* Guards against an ejected server that is never used again because no route
+   allows its requests a second attempt. */
+Test (stall_recovery, ejection_ends_without_retryable_requests)
+{
+  dispatch_play (EJECTED "run 5000\n" USE ("4") "run 20000\n" USE ("5"),
+                 "send 1 p1\ncheck p1\ncancel 1\nerror 1 broken 502\n"
+                 "send 2 p1\ncancel 2\nerror 2 broken 502\n"
+                 "send 3 p1\ncancel 3\nerror 3 broken 502\n"
+                 "send 4 p2\ncomplete 4\nsend 5 p1\ncomplete 5\n");
+}
+
 /** Six streams fill three replicas of two places, and their servers send an
     event every 100 ms, but for the server of streams 2 and 4. */
 #define FULL                                                                  \
