route: probe an ejected server without idempotent requests, too

Cause: only an idempotent request probes an ejected server when its time is over. A target with none never uses the server again, unless no other is left.

Evidence: t5004 ejection_ends_without_idempotent_requests failed before: r6 is still ejected 70 s after it has become fast again.

Change: a request that isn't idempotent is the probe after it has been due for 60 s, the longest ejection. With idempotent requests one is sent earlier, so nothing changes for such targets.

--- a/route/choose.c
+++ b/route/choose.c
@@ -184,13 +184,14 @@
   return s ? s : random_least_loaded (r, t, q, skip_full);
 }
 
-/** An ejected server whose ejection time is over and that has no probe yet. */
+/** An ejected server whose ejection time is over, that has no probe yet and
+    that the request may probe. */
 static struct rt_server *
 find_probe_due (struct rt *r, struct rt_target *t, const struct rt_req *q)
 {
   for (size_t i = 0; i < t->nservers; i++)
     if (rt_is_usable (r, t->servers[i]) && !rt_was_tried (q, t->servers[i])
-        && rt_outlier_probe_due (r, t->servers[i]))
+        && rt_outlier_may_probe (r, t->servers[i], q))
       return t->servers[i];
   return NULL;
 }
@@ -217,7 +218,7 @@
            const struct rt_req *q)
 {
   const struct rt_view *v = rt_view (r, t);
-  if (v->ejected && q->idempotent)
+  if (v->ejected)
     {
       struct rt_server *probe = find_probe_due (r, t, q);
       if (probe)
--- a/route/core.h
+++ b/route/core.h
@@ -473,5 +473,8 @@
                          struct rt_server *s);
 /** Whether a probe request may be sent to the ejected server. */
 bool rt_outlier_probe_due (const struct rt *r, const struct rt_server *s);
+/** Whether a probe is due and the request is chosen for it. */
+bool rt_outlier_may_probe (const struct rt *r, const struct rt_server *s,
+                           const struct rt_req *q);
 
 #endif
--- a/route/outlier.c
+++ b/route/outlier.c
@@ -11,6 +11,9 @@
 #define MEDIAN_REFRESH_MS 250
 #define EJECTION_MIN_MS 5000
 #define EJECTION_MAX_MS 60000
+/** When a probe is overdue for this long, a request that is not idempotent is
+    used.  If there were idempotent requests, one would have been sent. */
+#define PROBE_OVERDUE_MS EJECTION_MAX_MS
 
 static size_t
 count_ejected (const struct rt_target *t, size_t *listed)
@@ -85,6 +88,14 @@
   return s->ejected_until && r->now >= s->ejected_until && !s->probing;
 }
 
+bool
+rt_outlier_may_probe (const struct rt *r, const struct rt_server *s,
+                      const struct rt_req *q)
+{
+  return rt_outlier_probe_due (r, s)
+         && (q->idempotent || r->now - s->ejected_until >= PROBE_OVERDUE_MS);
+}
+
 void
 rt_outlier_first_byte (struct rt *r, struct rt_target *t, struct rt_server *s,
                        clk_ms ms)
--- a/route/slot.c
+++ b/route/slot.c
@@ -111,8 +111,7 @@
       struct rt_server *s = q->target->servers[i];
       if (s->hash != hash || !str_is (name, s->name))
         continue;
-      bool eligible = s->ejected_until == 0
-                      || (q->idempotent && rt_outlier_probe_due (r, s));
+      bool eligible = s->ejected_until == 0 || rt_outlier_may_probe (r, s, q);
       return eligible && rt_is_usable (r, s) && !rt_was_tried (q, s) ? s
                                                                      : NULL;
     }
--- a/route/slots.c
+++ b/route/slots.c
@@ -183,14 +183,14 @@
 /**
  * A replica that fails every request always has the most free slots and would
  * attract all requests. outlier.c ejects it by the results of all gateways;
- * one idempotent request probes whether it has recovered.
+ * one request probes whether it has recovered.
  */
 static bool
 is_eligible (const struct slt *s, const struct rt_server *server,
              const struct rt_req *q)
 {
   return server->ejected_until == 0
-         || (q->idempotent && rt_outlier_probe_due (s->core, server));
+         || rt_outlier_may_probe (s->core, server, q);
 }
 
 /**
--- a/t/t5004-faults.c
+++ b/t/t5004-faults.c
@@ -81,6 +81,41 @@
   script_free (&s);
 }
 
+/** run_rounds() with requests that are not idempotent. */
+static void
+run_rounds_once (struct script *s, int n)
+{
+  char line[64];
+  for (int i = 0; i < n; i++)
+    {
+      snprintf (line, sizeof line, "%lld arrive* %d-%d acme lm once",
+                (long long)s->now, 1000 + 12 * i, 1011 + 12 * i);
+      script_run (s, line);
+      snprintf (line, sizeof line, "%lld serve 12 20", (long long)s->now);
+      script_run (s, line);
+    }
+  buf_clear (&s->log);
+  log_ejected (s);
+}
+
+/* Guards against an ejected server that is never used again because no request
+   is idempotent. */
+Test (faults, ejection_ends_without_idempotent_requests)
+{
+  struct script s = script_new (CONFIG, 1);
+  script_run (&s, "1 replicas r1 r2 r3 r4 r5 r6\n2 pace r6 600\n");
+  run_rounds_once (&s, 12);
+  cr_assert_str_eq (buf_c (&s.log), "r6 ");
+  s.slow_ms = 20;
+  s.now += 30000;
+  run_rounds_once (&s, 4);
+  cr_expect_str_eq (buf_c (&s.log), "r6 ");
+  s.now += 40000;
+  run_rounds_once (&s, 4);
+  cr_expect_str_eq (buf_c (&s.log), "");
+  script_free (&s);
+}
+
 Test (faults, at_most_a_third_is_ejected)
 {
   /* Four of six servers fail every request. Ejecting all four would
