t, standins: record joins, and play a returning leader with real processes

Change: GET /control/joins lists each join with the replica that the server left, its leader and that one's state.

--- a/standins/rack-server.c
+++ b/standins/rack-server.c
@@ -13,7 +13,13 @@
 #define MAX_HEADERS 8
 
 static const char *const member_state_names[]
-    = { "", "joining", "ready", "open", "closing" };
+    = { "", "joining", "ready", "open", "closing", "broken" };
+
+const char *
+rack_server_state_name (const struct server *s)
+{
+  return member_state_names[s->member_state];
+}
 
 struct server *
 rack_find_server (struct rack *r, const char *id)
@@ -40,7 +46,7 @@
   add_text (o, "name", s->replica);
   json_object_object_add (o, "epoch", json_object_new_int64 (s->generation));
   json_object_object_add (o, "rank", json_object_new_int ((int)s->rank));
-  add_text (o, "state", member_state_names[s->member_state]);
+  add_text (o, "state", rack_server_state_name (s));
   return o;
 }
 
@@ -76,11 +82,12 @@
 }
 
 void
-rack_server_publish (struct server *s)
+rack_server_write_entry (struct server *s)
 {
   char key[64];
   json_object *o;
 
+  s->publish_at = 0;
   snprintf (key, sizeof key, PLT_PREFIX_SERVERS "%s", s->id);
   if (s->dead || s->unlisted)
     {
@@ -92,6 +99,19 @@
   json_object_put (o);
 }
 
+void
+rack_server_publish (struct server *s)
+{
+  struct rack *r = s->rack;
+
+  if (!r->entry_lag_ms)
+    rack_server_write_entry (s);
+  else if (!s->publish_at)
+    s->publish_at
+        = clk_now ()
+          + (clk_ms)rng_below (&r->rng, (uint64_t)r->entry_lag_ms + 1);
+}
+
 /* --- orders ------------------------------------------------------------ */
 
 static void
@@ -128,6 +148,8 @@
     return 412;
   if (matches_replica (s, o))
     return 200;
+  rack_join_record (s, o);
+  s->incomplete_since = 0;
   snprintf (s->replica, sizeof s->replica, "%s", jsn_text (o, "group"));
   snprintf (s->model, sizeof s->model, "%s", jsn_text (o, "model"));
   s->generation = jsn_int (o, "epoch");
@@ -557,7 +579,11 @@
       httpd_answer (req, 200, h, n, STR ("{}"));
     }
   else if (!accepts_requests (s))
-    reject_request (s, req, s->member_state == MEMBER_READY ? 503 : 421);
+    reject_request (s, req,
+                    s->member_state == MEMBER_READY
+                            || s->member_state == MEMBER_BROKEN
+                        ? 503
+                        : 421);
   else if (s->avail.rejects)
     {
       s->rejected++;
--- a/standins/rack.c
+++ b/standins/rack.c
@@ -2,19 +2,22 @@
  * Stand-in for the users' platform.  POST /control/set:
  *
  *   "config": {...}        the operators' configuration
- *   "store": {"silent": B, "refuse": B, "no_writes": B, "no_items": B,
- *             "lose_next": N, "hold": TEXT, "hold_most": N,
- *             "compact": true, "lapse": true, "back": N, "skip": N,
- *             "copy": true, "restore": true, "rewrite_ms": N,
- *             "keep_leases": B}   faults of the key-value service: lapse
- *                          expires all leases, back assigns the last N
+ *   "stall_ms": N          a replica that lacks a member for so long is
+ * broken; 0: never "entry_lag_ms": N      servers write their entries up to so
+ * late "store": {"silent": B, "refuse": B, "no_writes": B, "no_items": B,
+ *             "expire_servers": N, "lose_next": N, "hold": TEXT, "hold_most":
+ * N, "compact": true, "lapse": true, "back": N, "skip": N, "copy": true,
+ * "restore": true, "rewrite_ms": N, "keep_leases": B}   faults of the
+ * key-value service: lapse expires all leases, back assigns the last N
  *                          revisions again, skip leaves out N revisions, copy
  *                          makes a backup, restore restores it, with its
  *                          leases or without, and lets the backend servers
  *                          rewrite their entries after rewrite_ms; hold
  *                          delays the first hold_most writes of keys with this
  *                          text until it is set again, and then executes them,
- *                          also if their clients have left
+ *                          also if their clients have left; expire_servers
+ *                          removes the entries of all servers, which write
+ *                          them again one by one within N ms
  *   "event_ms", "events"   delay and number of the events of a stream
  *   "crash_body": TEXT, "crash_ms"   a request with this body crashes every
  *                          server that executes it, after crash_ms
@@ -47,6 +50,11 @@
  * what node N was told no longer counts "entry": {"id": ID, "value": TEXT}
  * write any entry into the server list
  *
+ * GET /control/joins returns the executed orders to join: the server, the
+ * replica with its generation and fencing token, the replica that the server
+ * was in ("left"), the leader of that one and the leader's state if it runs,
+ * and the time in ms since the first join.
+ *
  * GET /control/counts returns the key of the observed mix of models, the
  * number of crashed servers, the executions
  * by server, the requests that it rejected by "rejects", the most bytes that
@@ -78,8 +86,6 @@
 #include "standins/standin.h"
 
 #define TICK_MS 10
-/** Servers per fabric domain. */
-#define DOMAIN_SIZE 4
 
 /* --- control ----------------------------------------------------------- */
 
@@ -135,6 +141,8 @@
     restore_backup (r, o);
   if (jsn_bool (o, "lapse"))
     kv_expire (&r->kv, CLK_NEVER);
+  if (jsn_get (o, "expire_servers"))
+    rack_join_expire_entries (r, jsn_int (o, "expire_servers"));
 }
 
 static void
@@ -196,6 +204,10 @@
     set_store (r, jsn_object (o, "store"));
   if (jsn_object (o, "entry"))
     put_entry (r, jsn_object (o, "entry"));
+  if (jsn_get (o, "stall_ms"))
+    r->stall_ms = (int)jsn_int (o, "stall_ms");
+  if (jsn_get (o, "entry_lag_ms"))
+    r->entry_lag_ms = (int)jsn_int (o, "entry_lag_ms");
   if (jsn_get (o, "event_ms"))
     r->event_ms = (int)jsn_int (o, "event_ms");
   if (jsn_get (o, "events"))
@@ -347,6 +359,8 @@
     o = by_id_json (r->ended);
   else if (str_is (v->path, "/control/streams"))
     o = streams_json (r);
+  else if (str_is (v->path, "/control/joins"))
+    o = json_object_get (r->joins);
   else
     o = NULL;
   if (o)
@@ -379,13 +393,14 @@
 
   kv_expire (&r->kv, clk_now ());
   rack_cold_tick (r);
+  rack_join_tick (r);
   if (clk_now () >= r->rewrite_at)
     publish_servers (r);
   rack_answer_watches (r);
 }
 
 static bool
-add_servers (struct rack *r, int engines, int plain)
+add_servers (struct rack *r, int engines, int plain, int domain_size)
 {
   for (int i = 0; i < engines + plain && r->nservers < RACK_SERVERS; i++)
     {
@@ -396,7 +411,7 @@
       snprintf (s->id, sizeof s->id, "%c%d", s->engine ? 'e' : 'p',
                 s->engine ? i + 1 : i - engines + 1);
       if (s->engine)
-        snprintf (s->domain, sizeof s->domain, "d%d", i / DOMAIN_SIZE + 1);
+        snprintf (s->domain, sizeof s->domain, "d%d", i / domain_size + 1);
       if (!rack_server_start (s))
         return false;
     }
@@ -404,7 +419,8 @@
 }
 
 static int
-serve (struct rack *r, const char *listen, int engines, int plain)
+serve (struct rack *r, const char *listen, int engines, int plain,
+       int domain_size)
 {
   struct httpd_limits limits
       = { .max_body = 4 << 20, .max_connections = 1000, .request_ms = 60000 };
@@ -414,6 +430,8 @@
   uv_loop_init (&r->loop);
   kv_init (&r->kv);
   r->rewrite_at = CLK_NEVER;
+  rng_seed (&r->rng, 1);
+  r->joins = json_object_new_array ();
   r->runs = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->ended = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
   r->event_ms = 20;
@@ -421,7 +439,7 @@
   if (!net_addr_parse (str_from (listen), true, &at)
       || !(r->httpd
            = httpd_listen (&r->loop, &at, &limits, on_request, r, &text))
-      || !add_servers (r, engines, plain)
+      || !add_servers (r, engines, plain, domain_size)
       || !(r->side_httpd = httpd_listen (&r->loop, &side_at, &limits,
                                          on_side_request, r, &text)))
     {
@@ -447,11 +465,13 @@
 standin_rack (int argc, char **argv)
 {
   char *listen = NULL;
-  int engines = 4, plain = 2, code;
+  int engines = 4, plain = 2, domain_size = 4, code;
   GOptionEntry entries[]
       = { { "listen", 0, 0, G_OPTION_ARG_STRING, &listen, "address", "ADDR" },
           { "engines", 0, 0, G_OPTION_ARG_INT, &engines, "servers", "N" },
           { "plain", 0, 0, G_OPTION_ARG_INT, &plain, "plain servers", "N" },
+          { "domain-size", 0, 0, G_OPTION_ARG_INT, &domain_size,
+            "servers of a fabric domain", "N" },
           { 0 } };
   GOptionContext *c = g_option_context_new (NULL);
   GError *err = NULL;
@@ -464,7 +484,7 @@
     }
   g_option_context_free (c);
   code = serve (xcalloc (1, sizeof (struct rack)),
-                listen ? listen : "127.0.0.1:0", engines, plain);
+                listen ? listen : "127.0.0.1:0", engines, plain, domain_size);
   g_free (listen);
   return code;
 }
--- a/standins/rack.h
+++ b/standins/rack.h
@@ -13,6 +13,8 @@
  *   rack-cut.c     partition between some nodes and all backend servers
  *   rack-pause.c   servers that are paused and go on
  *   rack-zone.c    evacuated availability zones, and counts of arrivals
+ *   rack-join.c    record of joins; replicas that break and entries that
+ * expire
  */
 #ifndef LAPISLINE_STANDINS_RACK_H
 #define LAPISLINE_STANDINS_RACK_H
@@ -20,10 +22,11 @@
 #include <glib.h>
 #include <json-c/json.h>
 
+#include "base/rng.h"
 #include "net/httpd.h"
 #include "standins/kv.h"
 
-#define RACK_SERVERS 64
+#define RACK_SERVERS 128
 #define RACK_EVACUATED 8 /**< zones evacuated at once, at most */
 
 /** State of a server as a member of a replica. */
@@ -31,9 +34,10 @@
 {
   MEMBER_NONE, /**< in no replica */
   MEMBER_JOINING,
-  MEMBER_READY,  /**< accepts no requests */
-  MEMBER_OPEN,   /**< rank 0 only: accepts requests */
-  MEMBER_CLOSING /**< unused: the stand-in closes at once */
+  MEMBER_READY,   /**< accepts no requests */
+  MEMBER_OPEN,    /**< rank 0 only: accepts requests */
+  MEMBER_CLOSING, /**< unused: the stand-in closes at once */
+  MEMBER_BROKEN   /**< rank 0 only: has lacked a member for stall_ms */
 };
 
 #define LIMIT_WINDOW_MS ((clk_ms)4000)
@@ -149,6 +153,9 @@
   unsigned nmembers, rank;
   int64_t generation, fence;
   enum member_state member_state;
+  clk_ms incomplete_since; /**< since when the replica that it leads lacks a
+                                member; 0: it doesn't */
+  clk_ms publish_at; /**< when the entry is written; 0: no write is due */
   struct rate_limit limit;
   struct availability avail;
   struct cold_state cold;
@@ -225,9 +232,14 @@
                        crashes; 0: never */
   int revive_ms;  /**< time until a crashed server starts again; 0: never */
   int crashed;
-  GHashTable *runs;  /**< request id -> number of executions */
-  GHashTable *ended; /**< request id -> complete responses with a status below
-                          300 that servers have ended */
+  int stall_ms;       /**< time after which a replica that lacks a member is
+                           broken; 0: never */
+  int entry_lag_ms;   /**< longest delay of writes of entries */
+  struct rng rng;     /**< delays of writes */
+  json_object *joins; /**< executed joins; see rack-join.c */
+  GHashTable *runs;   /**< request id -> number of executions */
+  GHashTable *ended;  /**< request id -> complete responses with a status below
+                           300 that servers have ended */
 };
 
 /* rack-store.c */
@@ -303,7 +315,19 @@
 /** Records a request that has arrived at the server. */
 void rack_zone_count_arrival (struct server *s);
 
+/* rack-join.c */
+/** Record that the server joins the replica of the order; it is still in the
+    previous one. */
+void rack_join_record (struct server *s, json_object *order);
+/** Break replicas that lack a member, and write the entries that are due. */
+void rack_join_tick (struct rack *r);
+/** Remove the entries of all servers; each server writes its own again within
+    @p ms. */
+void rack_join_expire_entries (struct rack *r, clk_ms ms);
+
 /* rack-server.c */
+/** Name of the state in entries. */
+const char *rack_server_state_name (const struct server *s);
 void rack_server_on_request (struct server *s, struct httpd_req *req,
                              bool side);
 /** Runs a request whose caller has gone. @param order  body of an order, or
@@ -317,6 +341,8 @@
 bool rack_server_start (struct server *s);
 struct server *rack_find_server (struct rack *r, const char *id);
 /** Writes the entry, or removes it if the server is dead or unlisted. */
+void rack_server_write_entry (struct server *s);
+/** Writes or removes the entry after the delay of writes. */
 void rack_server_publish (struct server *s);
 /** Simulates a regular exit: the entry is removed at once. */
 void rack_server_stop (struct server *s);
--- a/t/lib-rack.c
+++ b/t/lib-rack.c
@@ -14,6 +14,20 @@
 
 static double link_mbps; /* 0: unknown */
 static int drain_ms = 2000;
+static int domain_size = 4;
+static int mapped_node = -1; /* negative: the last one */
+
+void
+rack_set_mapped_node (int node)
+{
+  mapped_node = node;
+}
+
+void
+rack_set_domain_size (int n)
+{
+  domain_size = n;
+}
 
 void
 rack_set_drain_ms (int ms)
@@ -125,20 +139,22 @@
 
 void
 rack_prepare_nodes (struct rack *r, int engines, int nodes,
-                    const char *(*last) (const char *at))
+                    const char *(*map) (const char *at))
 {
-  char n[8];
+  int mapped = mapped_node >= 0 ? mapped_node : nodes - 1;
+  char n[8], size[8];
 
   memset (r, 0, sizeof *r);
   r->logs = getenv ("RACK_LOGS");
   snprintf (n, sizeof n, "%d", engines);
-  r->platform = PROC_START_READY ("standin", "rack", "--engines", n);
+  snprintf (size, sizeof size, "%d", domain_size);
+  r->platform = PROC_START_READY ("standin", "rack", "--engines", n,
+                                  "--domain-size", size);
   r->platform_addr = proc_addr (r->platform, "http");
   for (int i = 0; i < nodes; i++)
-    write_settings (r, i,
-                    last && i + 1 == nodes ? last (r->platform_addr)
-                                           : r->platform_addr,
-                    nodes > RACK_NODES);
+    write_settings (
+        r, i, map && i == mapped ? map (r->platform_addr) : r->platform_addr,
+        nodes > RACK_NODES);
 }
 
 static uint64_t
--- a/t/lib-rack.h
+++ b/t/lib-rack.h
@@ -33,10 +33,10 @@
 void rack_start_platform (struct rack *r, int engines);
 
 /** Same for @p nodes nodes; if more than RACK_NODES, with "bootstrap" set.
-   @p last, unless NULL, maps the platform's address to the one
+   @p map, unless NULL, maps the platform's address to the one
    ("127.0.0.1:PORT") that the last node uses. */
 void rack_prepare_nodes (struct rack *r, int engines, int nodes,
-                         const char *(*last) (const char *at));
+                         const char *(*map) (const char *at));
 
 /**
  * Same with the last node behind the second addresses, which {"cut": ...} of
@@ -52,6 +52,14 @@
     not evacuated. */
 void rack_set_evacuation_ms (int ms);
 
+/** Sets the number of engine servers in a fabric domain of platforms started
+    from now on; the default is 4. */
+void rack_set_domain_size (int n);
+
+/** Sets the node to which the mapping of rack_prepare_nodes() applies; the
+    default is the last one. */
+void rack_set_mapped_node (int node);
+
 /** Sets drain_ms of settings written from now on; the default is 2,000. */
 void rack_set_drain_ms (int ms);
 
