form: forget released members when another leadership begins

Cause: a leader that ends a replica before it opens notes that its members are released. It kept the notes when it lost its leadership. The next leader adopts that replica, as its members still report it, and opens it; the first one leads again and takes them for spares.

The new script of t6101 logs "a3 joins s4001 while r2001 is open" before.

Change: the notes are forgotten when the node leads with another fencing token. With the same one no other node has led in between, and they are kept.

--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -84,7 +84,7 @@
   char *preload_model;  /**< model of the last order to preload, or NULL */
   /**
    * Replicas of generations up to this can no longer open with this VM as
-   * replica leader.
+   * replica leader, as long as this node leads with the same fencing token.
    */
   int64_t released_generation;
   clk_ms excluded_until; /**< it rejected an order; not used until then */
@@ -185,6 +185,7 @@
                                 from it is gone */
   bool had_traffic;          /**< clients have sent requests */
   int64_t fence;
+  int64_t last_fence; /**< of this node's last leadership */
   int64_t generation; /**< last one assigned */
   clk_ms now;
   clk_ms last_arrival_at; /**< when the newest VM was first listed */
--- a/serve/form.c
+++ b/serve/form.c
@@ -606,6 +606,18 @@
 
 /* --- events ------------------------------------------------------------ */
 
+/**
+ * Forgets which VMs this node released in an earlier leadership.  Another
+ * leader node may have adopted such a replica since, because its members still
+ * report it, and opened it.
+ */
+static void
+forget_released (struct frm *f)
+{
+  for (size_t i = 0; i < f->nvms; i++)
+    f->vms[i]->released_generation = 0;
+}
+
 void
 frm_set_leading (struct frm *f, clk_ms now, bool on, int64_t fence)
 {
@@ -615,6 +627,10 @@
   f->leading_since = now;
   f->nended = 0; /* another leader node may have sent orders in between */
   f->fence = fence;
+  if (on && fence != f->last_fence)
+    forget_released (f);
+  if (on)
+    f->last_fence = fence;
   frm_allocations_reset (f);
   drop_replicas (f);
   drop_actions (f);
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -837,3 +837,30 @@
               "r2001 big is open: a1 a2 a4\n"
               "r3003 small is open: a5 a6\n");
 }
+
+/*
+ * Guards against a leader that released the members of a replica in an earlier
+ * leadership and takes them for free when it leads again.  Another leader has
+ * opened that replica since, because its members still reported it.
+ */
+Test (form, released_members_are_forgotten_with_the_leadership)
+{
+  form_check ("lead 1\n vms a 4\n run 4500\n kill a1\n run 500\n"
+              "lead-other 2\n run 50\n restart a2\n run 200\n lead 3\n"
+              "run 4000\n show\n lead-other 4\n vms a 2\n run 9000\n"
+              "show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "join s1002 big: a4\n"
+              "open r1001 a1\n"
+              "leave r1001 a2\n"
+              "leave r1001 a3\n"
+              "join r2001 big: a2 a3 a4\n"
+              "open r2001 a2\n"
+              "r2001 big is open: a2 a3 a4\n"
+              "join s4001 small: a5\n"
+              "join s4002 small: a6\n"
+              "join r4003 small: a5 a6\n"
+              "open r4003 a5\n"
+              "r2001 big is open: a2 a3 a4\n"
+              "r4003 small is open: a5 a6\n");
+}
