form: count a leave only until a list could show it

A server joins another replica while its own is open (rule TWO).

Cause: an order to join that was unanswered is carried out after the member of an unreachable leader has left. The accepted order to leave counted for good, so the members were released although their replica was whole again.

Change: an accepted order to leave counts until a list that was requested FRM_REPORT_DELAY_MS later.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -334,6 +334,22 @@
     frm_send_order (f, r->members[0], FRM_LEAVE, r);
 }
 
+/**
+ * Whether the member has left the replica.  An order to join it that was
+ * unanswered may be carried out after the member has left, so an accepted
+ * order to leave counts only until a later list could show its effect.
+ */
+static bool
+has_left (const struct frm *f, const struct frm_replica *r, size_t rank)
+{
+  const struct frm_vm *vm = r->members[rank];
+
+  if (!frm_reports (vm, r, BKS_JOINING))
+    return true;
+  return r->leave_accepted[rank]
+         && f->list_read_at < vm->accepted_at + FRM_REPORT_DELAY_MS;
+}
+
 /**
  * Handles a replica whose leader is unreachable.  The leader may be
  * disconnected from this node and from the store and still accept requests.  A
@@ -358,9 +374,9 @@
   for (size_t i = 1; i < r->nmembers; i++)
     {
       struct frm_vm *vm = r->members[i];
-      if (!vm || !vm->listed || r->leave_accepted[i])
+      if (!vm || !vm->listed)
         continue;
-      if (!frm_reports (vm, r, BKS_JOINING))
+      if (has_left (f, r, i))
         {
           r->leave_accepted[i] = r->member_left = true;
           continue;
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -838,6 +838,31 @@
               "r3003 small is open: a5 a6\n");
 }
 
+/*
+ * Guards against members that are free while their unreachable leader serves:
+ * orders to join that were unanswered are carried out after the members have
+ * left.
+ */
+Test (form, late_joins_undo_a_leave)
+{
+  form_check ("lead 1\n vms a 3\n delay-all join\n run 500\n respond\n"
+              "run 6000\n traffic\n disconnect a1\n run 900\n apply\n"
+              "vms a 2\n run 6000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "open r1001 a1\n"
+              "leave r1001 a2\n"
+              "leave r1001 a3\n"
+              "leave r1001 a2\n"
+              "leave r1001 a3\n"
+              "join s1002 big: a4\n"
+              "join s1003 big: a5\n"
+              "join r1004 big: a2 a3 a4\n"
+              "open r1004 a2\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "r1004 big is open: a2 a3 a4\n"
+              "a5 is warm for big\n");
+}
+
 /*
  * Guards against a leader that released the members of a replica in an earlier
  * leadership and takes them for free when it leads again.  Another leader has
