form: keep the members of a leader that leads its replica again after a restart

A server joins another replica while its own is open (rule TWO).

Cause: when the leader of a replica has restarted under its id, its members are released at once, as the process has ended. Orders to join and to open that were carried out late may have made the new process lead the same replica.

Change: if the new process reports the replica, the members stay in it.

--- a/serve/form.c
+++ b/serve/form.c
@@ -324,17 +324,23 @@
  * its leader may still be open.  A late order to join that replica could make
  * the new incarnation a member of it again, so the VM joins no other replica
  * until the old one has ended.
+ *
+ * Late orders can also make the new incarnation of a leader lead the same
+ * replica again.  The members then stay in it.
  */
 static void
-reset_restarted_vm (struct frm *f, struct frm_vm *vm)
+reset_restarted_vm (struct frm *f, struct frm_vm *vm,
+                    const struct bks_entry *entry)
 {
   struct frm_replica *r = vm->replica;
   bool was_leader = r && r->members[0] == vm;
+  bool leads_again = was_leader && str_is (entry->replica, r->name)
+                     && entry->generation == r->generation;
   int64_t blocked_by = r && !was_leader ? r->generation : vm->blocked_by;
 
-  if (was_leader)
+  if (was_leader && !leads_again)
     frm_replica_release (f, r);
-  else
+  else if (!was_leader)
     remove_from_replica (vm);
   if (r && !was_leader)
     r->member_left = true;
@@ -344,7 +350,8 @@
                          .service = vm->service,
                          .domain = vm->domain,
                          .domain_number = vm->domain_number,
-                         .blocked_by = blocked_by };
+                         .blocked_by = blocked_by,
+                         .replica = leads_again ? r : NULL };
 }
 
 struct str
@@ -385,7 +392,7 @@
         f->first_arrival_at = f->now;
     }
   if (vm->started_at != s->e.start_time)
-    reset_restarted_vm (f, vm);
+    reset_restarted_vm (f, vm, &s->e);
   vm->started_at = s->e.start_time;
   vm->process = dsp_endpoint_hash (s->e.id, s->e.start_time, 0);
   vm->entry = s->e;
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -863,6 +863,24 @@
               "a5 is warm for big\n");
 }
 
+/*
+ * Guards against members that are free because the leader of their replica has
+ * restarted: late orders have made the new process lead the same replica.
+ */
+Test (form, restarted_leader_leads_the_same_replica)
+{
+  form_check ("lead 1\n vms a 3\n delay join\n run 1000\n delay-all open\n"
+              "run 3000\n list-interval 6000\n restart a1\n apply\n"
+              "respond\n run 4000\n list-interval 100\n drop close\n"
+              "vms a 2\n run 6000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "open r1001 a1\n"
+              "join r1002 small: a4 a5\n"
+              "open r1002 a4\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "r1002 small is open: a4 a5\n");
+}
+
 /*
  * Guards against a leader that released the members of a replica in an earlier
  * leadership and takes them for free when it leads again.  Another leader has
