serve: a confirmation of the server list names the list by a digest

Cause: the leader tells a node how old the list is that it has sent, and the node took that for the age of its own list and put off its own reads. After the cut it kept a missing server for 2.2 s, as its entry may have expired in an outage; the complete list of the leader came within that time, and later ones hold only changes.

Evidence: lapisline_serve_servers_differed counts confirmations of another list. t9202 complete_list_removes_servers_that_left: before, no message could say that a list is complete, and the server is kept.

Change: the leader names the list by a digest over its endpoints. A node with another one goes on reading by itself. Nodes report their digest; if one that was sent all changes differs for a second, it gets the complete list again. A complete list says whether the leader's list is known to be complete; then nothing that it doesn't name is kept.

--- a/proto/wire.pb-c.c
+++ b/proto/wire.pb-c.c
@@ -4556,7 +4556,7 @@
   (ProtobufCMessageInit) lapis__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lapis__node_load__field_descriptors[11] =
 {
   {
     "ready",
@@ -4678,12 +4678,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_digest",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__NodeLoad, list_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__node_load__field_indices_by_name[] = {
   8,   /* field[8] = config */
   5,   /* field[5] = follows */
   2,   /* field[2] = leads */
   3,   /* field[3] = list_age_ms */
+  10,   /* field[10] = list_digest */
   4,   /* field[4] = places */
   0,   /* field[0] = ready */
   7,   /* field[7] = sent_ms */
@@ -4694,7 +4707,7 @@
 static const ProtobufCIntRange lapis__node_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lapis__node_load__descriptor =
 {
@@ -4704,7 +4717,7 @@
   "Lapis__NodeLoad",
   "lapis",
   sizeof(Lapis__NodeLoad),
-  10,
+  11,
   lapis__node_load__field_descriptors,
   lapis__node_load__field_indices_by_name,
   1,  lapis__node_load__number_ranges,
@@ -4827,7 +4840,7 @@
   (ProtobufCMessageInit) lapis__config_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__fleet_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__fleet_load__field_descriptors[5] =
 {
   {
     "places",
@@ -4877,17 +4890,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_digest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__FleetLoad, list_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__fleet_load__field_indices_by_name[] = {
   3,   /* field[3] = config */
   2,   /* field[2] = leads */
   1,   /* field[1] = list_age_ms */
+  4,   /* field[4] = list_digest */
   0,   /* field[0] = places */
 };
 static const ProtobufCIntRange lapis__fleet_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lapis__fleet_load__descriptor =
 {
@@ -4897,7 +4923,7 @@
   "Lapis__FleetLoad",
   "lapis",
   sizeof(Lapis__FleetLoad),
-  4,
+  5,
   lapis__fleet_load__field_descriptors,
   lapis__fleet_load__field_indices_by_name,
   1,  lapis__fleet_load__number_ranges,
@@ -5406,7 +5432,7 @@
   (ProtobufCMessageInit) lapis__place_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lapis__server_list__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lapis__server_list__field_descriptors[6] =
 {
   {
     "age_ms",
@@ -5456,9 +5482,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerList, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lapis__ServerList, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lapis__server_list__field_indices_by_name[] = {
   0,   /* field[0] = age_ms */
+  5,   /* field[5] = complete */
+  4,   /* field[4] = digest */
   3,   /* field[3] = gone */
   2,   /* field[2] = servers */
   1,   /* field[1] = whole */
@@ -5466,7 +5518,7 @@
 static const ProtobufCIntRange lapis__server_list__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lapis__server_list__descriptor =
 {
@@ -5476,7 +5528,7 @@
   "Lapis__ServerList",
   "lapis",
   sizeof(Lapis__ServerList),
-  4,
+  6,
   lapis__server_list__field_descriptors,
   lapis__server_list__field_indices_by_name,
   1,  lapis__server_list__number_ranges,
--- a/proto/wire.pb-c.h
+++ b/proto/wire.pb-c.h
@@ -687,10 +687,17 @@
    */
   size_t n_unreachable;
   uint64_t *unreachable;
+  /*
+   * no backend server
+   */
+  /*
+   * bks_digest() of its list; 0: none
+   */
+  uint64_t list_digest;
 };
 #define LAPIS__NODE_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__node_load__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, NULL, 0,NULL, 0 }
 
 
 /*
@@ -753,10 +760,14 @@
    */
   protobuf_c_boolean leads;
   Lapis__ConfigState *config;
+  /*
+   * as in NodeLoad
+   */
+  uint64_t list_digest;
 };
 #define LAPIS__FLEET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__fleet_load__descriptor) \
-    , 0,NULL, 0, 0, NULL }
+    , 0,NULL, 0, 0, NULL, 0 }
 
 
 /*
@@ -950,10 +961,21 @@
   Lapis__ServerEntry **servers;
   size_t n_gone;
   char **gone;
+  /*
+   * bks_digest() of the sender's list; 0:
+   */
+  uint64_t digest;
+  /*
+   * the receiver's may differ afterwards
+   */
+  /*
+   * no server is missing because its entry
+   */
+  protobuf_c_boolean complete;
 };
 #define LAPIS__SERVER_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lapis__server_list__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Lapis__ServerEntry
--- a/serve/backends.c
+++ b/serve/backends.c
@@ -52,6 +52,9 @@
  */
 #define NEW_COLD_PERIOD_MS ((clk_ms)250)
 
+/** Digest of a list without endpoints. */
+#define EMPTY_DIGEST ((uint64_t)1)
+
 struct removed
 {
   char *id;
@@ -77,6 +80,7 @@
                              one arrived */
   clk_ms restored_at;     /* when the store was restored from an older copy;
                              0: never */
+  uint64_t digest;        /* see bks_digest() */
   struct dsp_endpoint *endpoints;
   const struct evc *evacuations; /* passed to bks_endpoints() */
   uint64_t evacuations_version;  /* of the endpoints */
@@ -437,6 +441,13 @@
 bool
 bks_update (struct bks *b, clk_ms now, clk_ms read_started_at,
             const struct bks_entry *list, size_t n)
+{
+  return bks_apply_list (b, now, read_started_at, list, n, false);
+}
+
+bool
+bks_apply_list (struct bks *b, clk_ms now, clk_ms read_started_at,
+                const struct bks_entry *list, size_t n, bool complete)
 {
   bool changed = begin_update (b, now, read_started_at);
 
@@ -444,7 +455,7 @@
     b->list[i]->seen = false;
   for (size_t i = 0; i < n; i++)
     changed |= apply_entry (b, now, read_started_at, &list[i]);
-  if (b->stable_since == 0 || now - b->stable_since >= RECOVERY_MS)
+  if (complete || b->stable_since == 0 || now - b->stable_since >= RECOVERY_MS)
     changed |= remove_missing (b);
   return changed;
 }
@@ -635,6 +646,37 @@
   return 2 * members > size;
 }
 
+static uint64_t
+hash_number (uint64_t hash, int64_t number)
+{
+  return str_hash (str_make ((const char *)&number, sizeof number), hash);
+}
+
+/** Of the fields that same_sent_fields() compares, and of whether it takes
+    requests. */
+static uint64_t
+endpoint_digest (const struct bks_server *s)
+{
+  const struct bks_entry *e = &s->e;
+  struct buf addr = BUF_INIT;
+  uint64_t hash = str_hash (e->id, 0);
+
+  net_addr_format (&e->addr, &addr);
+  hash = str_hash (e->service, hash);
+  hash = str_hash (e->zone, hash);
+  hash = str_hash (buf_str (&addr), hash);
+  hash = str_hash (e->model, hash);
+  hash = str_hash (e->replica, hash);
+  hash = hash_number (hash, e->start_time);
+  hash = hash_number (hash, e->generation);
+  hash = hash_number (hash, e->capacity);
+  hash = hash_number (hash, e->rank);
+  hash = hash_number (hash, e->member_state);
+  hash = hash_number (hash, e->draining);
+  buf_free (&addr);
+  return hash_number (hash, s->accepting);
+}
+
 static void
 mark_endpoint (struct bks *b, struct bks_server *s, bool is_endpoint,
                bool accepting)
@@ -644,8 +686,26 @@
 
   s->is_endpoint = is_endpoint;
   s->accepting = accepting;
-  if (!same)
-    s->endpoint_version = b->version;
+  if (same)
+    return;
+  s->endpoint_version = b->version;
+  s->digest = is_endpoint ? endpoint_digest (s) : 0;
+}
+
+uint64_t
+bks_digest (const struct bks *b)
+{
+  return b->digest;
+}
+
+static void
+update_digest (struct bks *b)
+{
+  b->digest = EMPTY_DIGEST;
+  for (size_t i = 0; i < b->n; i++)
+    b->digest ^= b->list[i]->digest;
+  if (b->digest == 0)
+    b->digest = EMPTY_DIGEST;
 }
 
 static bool
@@ -758,5 +818,7 @@
         add_endpoint (b, n, b->list[i], e->capacity, !e->draining,
                       is_evacuated (b, e));
     }
+  if (b->has_list)
+    update_digest (b);
   return b->endpoints;
 }
--- a/serve/backends.h
+++ b/serve/backends.h
@@ -87,6 +87,8 @@
   struct arena text;
   bool seen;                  /**< listed in the read that is being
                                    processed */
+  uint64_t digest;            /**< of what other nodes are told; 0: it is no
+                                   endpoint */
   uint64_t version;           /**< version of the list in which it last
                                    changed for other nodes */
   clk_ms first_seen_at;       /**< when this incarnation was first listed */
@@ -124,6 +126,22 @@
 bool bks_update (struct bks *b, clk_ms now, clk_ms read_started_at,
                  const struct bks_entry *list, size_t n);
 
+/**
+ * Process a complete list that another node has read.
+ * @param read_started_at  when that node sent its read, by this node's clock
+ * @param complete  bks_is_stable() at that node: what is missing is gone
+ * @return  whether anything but heartbeats changed
+ */
+bool bks_apply_list (struct bks *b, clk_ms now, clk_ms read_started_at,
+                     const struct bks_entry *list, size_t n, bool complete);
+
+/**
+ * Digest of the endpoints as they are sent to other nodes, without heartbeats
+ * and cold times, as of the last bks_endpoints(); 0: there is no list.  Nodes
+ * with the same digest send requests to the same servers.
+ */
+uint64_t bks_digest (const struct bks *b);
+
 /**
  * The store has been restored from an older copy of its data.  Until the
  * backend servers have written again, the list contains old entries and lacks
--- a/serve/metrics.c
+++ b/serve/metrics.c
@@ -220,6 +220,9 @@
       NULL, (double)srv_sync_unparsed (s));
   gauge (s, PREFIX "servers_age_ms", "Age of that list; -1: none.", NULL,
          (double)srv_sync_list_age (s, clk_now ()));
+  gauge (s, PREFIX "servers_differed",
+         "Reports of the leader about a list that differed from this node's.",
+         NULL, (double)srv_sync_lists_differed (s));
   gauge (s, PREFIX "nodes", "Nodes that are linked, this one included.", NULL,
          srv_peers_count_nodes (s));
   gauge (s, PREFIX "ready", "Whether callers are sent here.", NULL,
--- a/serve/node-int.h
+++ b/serve/node-int.h
@@ -123,10 +123,16 @@
 /* sync.c: list of backend servers in the store */
 void srv_sync_start (struct srv *s);
 void srv_sync_tick (struct srv *s, clk_ms now);
-/** The leader has reported that the list of this node still equalled the
-    store's list at @p current_at. */
-void srv_sync_list_confirmed (struct srv *s, clk_ms current_at);
-/** Time since the list of backend servers was last found to equal the store's
+/** The leader has reported that a list equalled the store's list at @p
+    current_at.  This says something of the list of this node only if that has
+    the same digest; see bks_digest(). */
+void srv_sync_list_confirmed (struct srv *s, clk_ms current_at,
+                              uint64_t digest);
+/** Number of reports of the leader about a list that differed from this
+ * node's.
+ */
+uint64_t srv_sync_lists_differed (const struct srv *s);
+/** Time since the list of backend servers was last known to equal the store's
     list, from a read by this or another node; -1: there is no list. */
 clk_ms srv_sync_list_age (const struct srv *s, clk_ms now);
 void srv_sync_resumed (struct srv *s, clk_ms now);
--- a/serve/peers-int.h
+++ b/serve/peers-int.h
@@ -54,6 +54,10 @@
   uint64_t server_list_version; /* version of the server list that this node
                                    last sent to it; 0: none */
   clk_ms server_list_sent_at;
+  clk_ms list_differs_since; /* since when it reports another list than this
+                                node's although it was sent all; 0: it does
+                                not */
+  clk_ms list_resend_ms;     /* how long that may last */
   uint64_t changes_version; /* as a new leader, without the complete list: this
                                node has sent it the changes up to here */
   clk_ms changes_sent_at;
--- a/serve/peers-load.c
+++ b/serve/peers-load.c
@@ -16,6 +16,12 @@
  * sends sums.
  */
 
+/** How long a peer's list may differ from the leader's until the leader sends
+    the complete list.  The peer's own reads, some three in 2 s, remove most
+    differences.  The time doubles with each list that doesn't help: complete
+    lists take much of a small VM's link. */
+#define LIST_RESEND_MIN_MS ((clk_ms)1000)
+#define LIST_RESEND_MAX_MS ((clk_ms)32000)
 /** Interval at which, in a large fleet, a node sends its load to peers
     other than the aggregator. */
 #define SLOW_SEND_INTERVAL_MS ((clk_ms)1000)
@@ -84,6 +90,41 @@
   return n;
 }
 
+/**
+ * As leader, send the complete list to a peer that has received all changes
+ * and holds another list nevertheless: it has read the list itself and judges
+ * a replica otherwise, or an update was lost.  Until then it reads the list by
+ * itself.
+ */
+static void
+check_peer_list (struct peer *x, uint64_t digest, clk_ms now)
+{
+  struct srv *s = x->p->s;
+
+  if (!srv_is_leader (s) || digest == 0 || digest == bks_digest (s->backends))
+    {
+      x->list_differs_since = 0;
+      x->list_resend_ms = LIST_RESEND_MIN_MS;
+    }
+  else if (x->server_list_version != bks_version (s->backends))
+    x->list_differs_since = 0;
+  else if (!x->list_differs_since)
+    {
+      x->list_differs_since = now;
+      if (x->list_resend_ms < LIST_RESEND_MIN_MS)
+        x->list_resend_ms = LIST_RESEND_MIN_MS;
+    }
+  else if (now - x->list_differs_since >= x->list_resend_ms)
+    {
+      LOG (list_differs, LOG_C ("peer", x->node),
+           LOG_I ("differs_ms", now - x->list_differs_since));
+      x->server_list_version = 0;
+      x->list_differs_since = 0;
+      if (x->list_resend_ms < LIST_RESEND_MAX_MS)
+        x->list_resend_ms *= 2;
+    }
+}
+
 void
 prs_on_load (struct peer *x, const Lapis__NodeLoad *load)
 {
@@ -101,8 +142,10 @@
     x->proxy.unreachable[x->proxy.nunreachable++] = load->unreachable[i];
   x->is_leader = load->leads;
   if (load->leads && x->server_list_received)
-    srv_sync_list_confirmed (s, prs_sent_at (x, x->received_at)
-                                    - load->list_age_ms);
+    srv_sync_list_confirmed (
+        s, prs_sent_at (x, x->received_at) - load->list_age_ms,
+        load->list_digest);
+  check_peer_list (x, load->list_digest, x->received_at);
   s->had_traffic = s->had_traffic || load->traffic;
   prs_on_permits_wanted (x, load);
   prs_pass_load_to_dispatch (x, x->received_at);
@@ -122,7 +165,8 @@
   prs_on_config_state (x, now, load->config);
   x->is_leader = load->leads;
   if (load->leads && x->server_list_received)
-    srv_sync_list_confirmed (p->s, prs_sent_at (x, now) - load->list_age_ms);
+    srv_sync_list_confirmed (p->s, prs_sent_at (x, now) - load->list_age_ms,
+                             load->list_digest);
   p->sum_received_at = now;
   if (was_stale)
     pass_all_loads_to_dispatch (p, now);
@@ -240,6 +284,7 @@
   load.unreachable = unreachable;
   load.traffic = s->had_traffic;
   load.leads = srv_is_leader (s);
+  load.list_digest = bks_digest (s->backends);
   load.n_places = p->nown_load;
   load.places = rows.list;
   load.sent_ms = now;
@@ -312,6 +357,7 @@
       lds_add (&sum, x->loads, x->nloads, now - x->timestamp_received_at);
   make_rows (&rows, sum.list, sum.n, now);
   load.leads = srv_is_leader (p->s);
+  load.list_digest = bks_digest (p->s->backends);
   load.n_places = sum.n;
   load.places = rows.list;
   load.config = &config;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -95,6 +95,7 @@
   x->link = NULL;
   x->up = x->ready = x->server_list_received = x->is_leader = false;
   x->server_list_version = 0;
+  x->list_differs_since = 0;
   x->changes_version = x->p->version_at_start;
   x->has_timestamp = false;
   x->load_sent_earliest = 0;
@@ -165,9 +166,10 @@
      replacing the entries caused a use after free. */
   if (srv_is_leader (s))
     return;
-  srv_sync_list_confirmed (s, prs_sent_at (x, now) - list->age_ms);
   if (svl_apply (s->backends, now, prs_sent_at (x, now), list))
     srv_endpoints_changed (s);
+  srv_sync_list_confirmed (s, prs_sent_at (x, now) - list->age_ms,
+                           list->digest);
 }
 
 static void
@@ -486,6 +488,8 @@
           svl_frame_free (frame);
           frame = svl_frame_new (s->backends, srv_sync_read_age (s, now),
                                  x->server_list_version);
+          svl_frame_set_digest (frame, bks_digest (s->backends),
+                                bks_is_stable (s->backends, now));
         }
       p->list_budget.bytes
           -= (double)svl_frame_send (frame, x->link, &x->server_list_version);
--- a/serve/server-list.c
+++ b/serve/server-list.c
@@ -167,6 +167,14 @@
   free (f);
 }
 
+void
+svl_frame_set_digest (struct svl_frame *f, uint64_t digest, bool complete)
+{
+  f->list.digest = digest;
+  f->list.complete = complete;
+  f->bytes = lapis__server_list__get_packed_size (&f->list);
+}
+
 const Lapis__ServerList *
 svl_frame_list (const struct svl_frame *f)
 {
@@ -274,7 +282,8 @@
       n++;
   for (size_t i = 0; i < list->n_gone; i++)
     removed[i] = str_from (list->gone[i]);
-  changed = list->whole ? bks_update (b, now, read_started_at, entries, n)
+  changed = list->whole ? bks_apply_list (b, now, read_started_at, entries, n,
+                                          list->complete)
                         : bks_apply_changes (b, now, read_started_at, entries,
                                              n, removed, list->n_gone);
   free (entries);
--- a/serve/server-list.h
+++ b/serve/server-list.h
@@ -23,6 +23,14 @@
 struct svl_frame *svl_frame_new (struct bks *b, clk_ms age_ms, uint64_t since);
 void svl_frame_free (struct svl_frame *f);
 
+/**
+ * State that the receiver's list equals this node's after the frame; without
+ * this call, it is not stated.
+ * @param complete  bks_is_stable() of this node's list
+ */
+void svl_frame_set_digest (struct svl_frame *f, uint64_t digest,
+                           bool complete);
+
 /** The message in the frame, as it is sent. */
 const Lapis__ServerList *svl_frame_list (const struct svl_frame *f);
 
--- a/serve/sync.c
+++ b/serve/sync.c
@@ -40,8 +40,9 @@
   clk_ms reported_current_at; /* latest time at which this node's list
                                  equalled the store's, as reported by the
                                  leader */
-  clk_ms resumed_at;   /* end of the last pause of this process; 0: none */
-  clk_ms last_read_at; /* when this node's last successful read was sent */
+  clk_ms resumed_at;       /* end of the last pause of this process; 0: none */
+  clk_ms last_read_at;     /* when this node's last successful read was sent */
+  uint64_t lists_differed; /* reports of the leader about another list */
   int64_t store_era; /* restore counter of the store, from the last successful
                         read; see struct store_result */
   bool store_ok;
@@ -103,12 +104,22 @@
   return ms > POLL_RETRY_MS ? ms : POLL_RETRY_MS;
 }
 
+/**
+ * A node that holds another list than the leader goes on reading the list by
+ * itself.  Otherwise a difference would last until the entry changes again:
+ * a server that left while this node was cut off got requests for good.
+ */
 void
-srv_sync_list_confirmed (struct srv *s, clk_ms current_at)
+srv_sync_list_confirmed (struct srv *s, clk_ms current_at, uint64_t digest)
 {
   struct srv_sync *y = s->sync;
   clk_ms next = current_at + poll_ms (s);
 
+  if (digest == 0 || digest != bks_digest (s->backends))
+    {
+      y->lists_differed++;
+      return;
+    }
   if (current_at > y->reported_current_at)
     y->reported_current_at = current_at;
   if (!srv_is_leader (s) && next > y->next_read_at)
@@ -118,14 +129,19 @@
 clk_ms
 srv_sync_list_age (const struct srv *s, clk_ms now)
 {
-  clk_ms read_at = bks_read_started_at (s->backends);
+  const struct srv_sync *y = s->sync;
 
   if (!bks_has_list (s->backends))
     return -1;
   return now
-         - (s->sync->reported_current_at > read_at
-                ? s->sync->reported_current_at
-                : read_at);
+         - (y->reported_current_at > y->last_read_at ? y->reported_current_at
+                                                     : y->last_read_at);
+}
+
+uint64_t
+srv_sync_lists_differed (const struct srv *s)
+{
+  return s->sync->lists_differed;
 }
 
 size_t
--- a/t/t9202-views.c
+++ b/t/t9202-views.c
@@ -430,6 +430,102 @@
   tbl_unref (t);
 }
 
+/** Servers "a", "b" and "c". */
+static void
+make_abc (struct bks_entry *e)
+{
+  static const char *const ids[] = { "a", "b", "c" };
+
+  for (int i = 0; i < 3; i++)
+    {
+      make_entry (&e[i], ids[i], false);
+      cr_assert (net_addr_parse (STR ("10.0.0.9:80"), false, &e[i].addr));
+    }
+}
+
+/** Sends all of @p from to @p to and updates the endpoints of both. */
+static void
+send_complete_list (struct bks *from, struct bks *to, const struct tbl *t,
+                    clk_ms now)
+{
+  struct svl_frame *f;
+  size_t n;
+
+  bks_endpoints (from, t, NULL, &n);
+  f = svl_frame_new (from, 0, 0);
+  svl_frame_set_digest (f, bks_digest (from), bks_is_stable (from, now));
+  svl_apply (to, now, now, svl_frame_list (f));
+  svl_frame_free (f);
+  bks_endpoints (to, t, NULL, &n);
+}
+
+/*
+ * Guards against a node that keeps servers for good: they left while it was
+ * cut off, so it takes them for servers whose entries have expired, and the
+ * leader never names them again.
+ */
+Test (server_list, complete_list_removes_servers_that_left)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t
+      = plt_parse_config (STR ("{\"version\": 1, " SERVICE "}"), &findings);
+  struct bks *from = bks_new (), *to = bks_new ();
+  struct bks_entry e[3];
+
+  make_abc (e);
+  bks_update (to, 1000, 1000, e, 3);
+  bks_read_failed (to, 2000);
+  bks_update (from, 1000, 1000, e, 3);
+  bks_update (from, 4000, 4000, e, 2);
+  send_complete_list (from, to, t, 4100);
+  expect_ids (to, "a b ");
+  cr_expect_eq (bks_digest (to), bks_digest (from));
+  tbl_unref (t);
+  bks_free (from);
+  bks_free (to);
+}
+
+/*
+ * Guards against a leader that confirms a list which the node doesn't hold.  A
+ * node that keeps a server after an outage, or has an older entry, has another
+ * digest than the leader, one with the same endpoints the same.
+ */
+Test (server_list, digest_names_the_endpoints)
+{
+  struct fnd_list findings = { 0 };
+  struct tbl *t
+      = plt_parse_config (STR ("{\"version\": 1, " SERVICE "}"), &findings);
+  struct bks *from = bks_new (), *to = bks_new ();
+  struct bks_entry e[3];
+  uint64_t before;
+  size_t n;
+
+  cr_expect_eq (bks_digest (from), 0);
+  make_abc (e);
+  bks_update (to, 1000, 1000, e, 3);
+  bks_read_failed (to, 2000);
+  /* This leader has just started, so its list may lack servers. */
+  bks_update (from, 4000, 4000, e, 2);
+  send_complete_list (from, to, t, 4100);
+  expect_ids (to, "a b c ");
+  cr_expect_neq (bks_digest (to), bks_digest (from));
+  bks_update (from, 4300, 4300, e, 3);
+  send_complete_list (from, to, t, 4400);
+  cr_expect_eq (bks_digest (to), bks_digest (from));
+  before = bks_digest (to);
+  e[1].heartbeat = 7;
+  bks_update (from, 5000, 5000, e, 3);
+  bks_endpoints (from, t, NULL, &n);
+  cr_expect_eq (bks_digest (from), before);
+  e[1].draining = true;
+  bks_update (from, 6000, 6000, e, 3);
+  bks_endpoints (from, t, NULL, &n);
+  cr_expect_neq (bks_digest (from), before);
+  tbl_unref (t);
+  bks_free (from);
+  bks_free (to);
+}
+
 /*
  * Guards against a new leader that sends all endpoints to all nodes as
  * changed: it reads more fields of them than it had from the previous leader.
