serve: drop a read of the server list that the leader's list has overtaken

Cause: the response to the node's own read came late, after the leader had sent a newer list and confirmed it. It was applied entry by entry, although it was older.

Evidence: t9303 late_response_does_not_replace_a_newer_list holds that response for 0.5 s by a relay; without this change it failed in 4 of 4 runs, with requests at the server that drains.

Change: the response to a read that was sent before the time at which the leader has confirmed the node's list is dropped.

--- a/serve/sync.c
+++ b/serve/sync.c
@@ -197,6 +197,10 @@
       y->next_read_at = now + POLL_RETRY_MS;
       return;
     }
+  /* The list may have changed between this read, whose response came late, and
+     the one that the leader has confirmed. */
+  if (y->read_sent_at < y->reported_current_at && !srv_is_leader (s))
+    return;
   y->last_read_at = y->read_sent_at;
   if (y->store_era && r->era > y->store_era)
     bks_store_restored (s->backends, now);
--- a/t/lib-relay.c
+++ b/t/lib-relay.c
@@ -5,10 +5,12 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <criterion/criterion.h>
 
+#include "base/clock.h"
 #include "net/httpc.h"
 
 #define MAX_PAIRS 512
@@ -17,6 +19,7 @@
 {
   int a, b;
   bool blackholed;
+  clk_ms held_until; /* no data from b before this */
 };
 
 struct relay
@@ -29,6 +32,8 @@
   atomic_bool blackhole;
   atomic_bool blackholed;
   atomic_bool refuse;
+  _Atomic (const char *) delay_text; /* NULL: no request is to be delayed */
+  int delay_ms;
 };
 
 static void
@@ -61,18 +66,25 @@
       close (b);
       return;
     }
-  r->pairs[r->n++] = (struct pair){ a, b, false };
+  r->pairs[r->n++] = (struct pair){ .a = a, .b = b };
 }
 
 /** Forwards the data of one side; false once that side has closed. */
 static bool
-forward_bytes (const struct pair *p, int from, int to)
+forward_bytes (struct relay *r, struct pair *p, int from, int to)
 {
   char bytes[16384];
   ssize_t n = read (from, bytes, sizeof bytes);
+  const char *text = atomic_load (&r->delay_text);
 
   if (p->blackholed)
     return true;
+  if (text && from == p->a && n > 0
+      && memmem (bytes, (size_t)n, text, strlen (text)))
+    {
+      p->held_until = clk_now () + r->delay_ms;
+      atomic_store (&r->delay_text, NULL);
+    }
   for (ssize_t done = 0; done < n;)
     {
       ssize_t w = write (to, bytes + done, (size_t)(n - done));
@@ -91,9 +103,9 @@
       struct pair *p = &r->pairs[i - 1];
       bool is_open = true;
       if (fds[2 * i].revents)
-        is_open = forward_bytes (p, p->a, p->b);
-      if (is_open && fds[2 * i + 1].revents)
-        is_open = forward_bytes (p, p->b, p->a);
+        is_open = forward_bytes (r, p, p->a, p->b);
+      if (is_open && fds[2 * i + 1].revents && clk_now () >= p->held_until)
+        is_open = forward_bytes (r, p, p->b, p->a);
       if (is_open)
         continue;
       close (p->a);
@@ -127,7 +139,9 @@
         {
           /* Blackholed connections stay open but are no longer polled. */
           short ev = r->pairs[i].blackholed ? 0 : POLLIN;
-          int a = ev ? r->pairs[i].a : -1, b = ev ? r->pairs[i].b : -1;
+          int a = ev ? r->pairs[i].a : -1;
+          int b = ev && clk_now () >= r->pairs[i].held_until ? r->pairs[i].b
+                                                             : -1;
           fds[2 + 2 * i] = (struct pollfd){ a, ev, 0 };
           fds[3 + 2 * i] = (struct pollfd){ b, ev, 0 };
         }
@@ -179,6 +193,19 @@
     usleep (1000);
 }
 
+void
+relay_delay (struct relay *r, const char *text, int ms)
+{
+  r->delay_ms = ms;
+  atomic_store (&r->delay_text, text);
+}
+
+bool
+relay_has_delayed (struct relay *r)
+{
+  return atomic_load (&r->delay_text) == NULL;
+}
+
 void
 relay_close_connections (struct relay *r)
 {
--- a/t/lib-relay.h
+++ b/t/lib-relay.h
@@ -5,6 +5,8 @@
 #ifndef LAPISLINE_T_LIB_RELAY_H
 #define LAPISLINE_T_LIB_RELAY_H
 
+#include <stdbool.h>
+
 struct relay;
 
 /** Forwards two ports to two addresses until the test process exits. */
@@ -15,6 +17,12 @@
    connections work. */
 void relay_blackhole (struct relay *r);
 
+/** Forwards the response to the next request that contains @p text only after
+    @p ms.  The text is not copied. */
+void relay_delay (struct relay *r, const char *text, int ms);
+/** Whether that request has been forwarded. */
+bool relay_has_delayed (struct relay *r);
+
 /** Closes all connections, and new ones as soon as they are accepted. */
 void relay_close_connections (struct relay *r);
 /** Ends that. */
--- a/t/t9303-late-list.c
+++ b/t/t9303-late-list.c
@@ -11,6 +11,7 @@
 #include "base/json.h"
 #include "net/link.h"
 #include "t/lib-rack.h"
+#include "t/lib-relay.h"
 
 TestSuite (stale_list, .fini = proc_stop_all, .timeout = 90);
 
@@ -164,3 +165,43 @@
   cr_expect (
       rack_call_until (&r, leader, "/stream/x", rack_headers ("b"), 200));
 }
+
+/* --- a late response of the store --------------------------------------- */
+
+static struct relay *store_relay;
+
+static const char *
+connect_by_relay (const char *at)
+{
+  store_relay = relay_new (at, at);
+  return relay_addr (store_relay, 0);
+}
+
+/*
+ * Guards against a node that goes back to an older list: the response to its
+ * first read comes after the leader has sent it a newer one, in which a server
+ * drains.  The leader goes on confirming that list.
+ */
+Test (stale_list, late_response_does_not_replace_a_newer_list)
+{
+  const int leader = rack_leader (RACK_NODES);
+  struct rack r;
+  int runs;
+
+  rack_set_mapped_node (!leader);
+  rack_prepare_nodes (&r, 0, RACK_NODES, connect_by_relay);
+  rack_configure (&r, 1, "k1", "");
+  rack_start_node (&r, leader);
+  cr_assert (
+      rack_call_until (&r, leader, "/once/x", rack_headers ("warm"), 200));
+  relay_delay (store_relay, "prefix=servers", 500);
+  rack_start_node (&r, !leader);
+  while (!relay_has_delayed (store_relay))
+    usleep (1000);
+  rack_set (&r, "{\"server\": \"p1\", \"draining\": true}");
+  usleep (550000);
+  runs = rack_get_count (&r, "p1", "runs");
+  for (int i = 0; i < 12; i++)
+    cr_expect_eq (rack_call (&r, !leader, "/once/x", "a", NULL, NULL), 200);
+  cr_expect_eq (rack_get_count (&r, "p1", "runs"), runs);
+}
