net: end a call whose response has no final status

Cause: h2o reads any number as a status, and the HTTP client passed it on. A node of serve takes 2xx with a seal and anything from 400 on; the gateway took all.

Change: the client ends a call as broken if the status is not 200 to 599. All paths use it: requests, attempts, orders, probes, checks, the store and the gateway.

--- a/net/httpc-head.c
+++ b/net/httpc-head.c
@@ -87,6 +87,12 @@
   buf_add_c (out, "\r\n");
 }
 
+bool
+httpc_status_is_final (int status)
+{
+  return status >= 200 && status <= 599;
+}
+
 bool
 httpc_head_framing (const struct http_header *h, size_t n,
                     enum httpc_framing *out)
--- a/net/httpc-head.h
+++ b/net/httpc-head.h
@@ -17,6 +17,10 @@
    of this connection. */
 void httpc_head_write (const struct httpc_request *req, struct buf *out);
 
+/** Whether the status can be that of a response.  h2o reads any number, and
+   passes on 101, which no request asks for. */
+bool httpc_status_is_final (int status);
+
 /** What ends the body of a response. */
 enum httpc_framing
 {
--- a/net/httpc.c
+++ b/net/httpc.c
@@ -378,7 +378,8 @@
 process_head (struct httpc_call *call, bool is_eos, int status,
               const struct http_header *headers, size_t n)
 {
-  if (!httpc_head_framing (headers, n, &call->framing))
+  if (!httpc_status_is_final (status)
+      || !httpc_head_framing (headers, n, &call->framing))
     {
       finish (call, HTTPC_BROKEN);
       return NULL;
--- a/net/httpc.h
+++ b/net/httpc.h
@@ -33,7 +33,8 @@
   HTTPC_COMPLETE,       /**< complete by its length or its last chunk */
   HTTPC_CONNECT_FAILED, /**< nothing was sent */
   HTTPC_NOT_SENT,       /**< on_connected returned false; nothing was sent */
-  HTTPC_BROKEN,         /**< sent in part or whole; response incomplete */
+  HTTPC_BROKEN,         /**< sent in part or whole; response incomplete or
+                        malformed */
   HTTPC_TIMEOUT,        /**< sent; then nothing received for progress_ms, or
                         not complete after total_ms */
   HTTPC_TOO_LARGE,      /**< the body exceeds max_body */
--- a/t/t2001-client.c
+++ b/t/t2001-client.c
@@ -73,6 +73,11 @@
     HEAD "content-length: 18446744073709551615\r\n\r\nhello", true },
   { "/length-of-19-digits",
     HEAD "content-length: 9223372036854775807\r\n\r\nhello", true },
+  { "/status-000", "HTTP/1.1 000 x\r\ncontent-length: 5\r\n\r\nhello", true },
+  { "/status-099", "HTTP/1.1 099 x\r\ncontent-length: 5\r\n\r\nhello", true },
+  { "/status-101", "HTTP/1.1 101 x\r\ncontent-length: 5\r\n\r\nhello", true },
+  { "/status-600", "HTTP/1.1 600 x\r\ncontent-length: 5\r\n\r\nhello", true },
+  { "/status-599", "HTTP/1.1 599 x\r\ncontent-length: 5\r\n\r\nhello", true },
   { "/folded", HEAD "content-length:\r\n 5\r\n\r\nhello", true },
 };
 
@@ -505,6 +510,18 @@
   play_replies (expected, sizeof expected / sizeof expected[0]);
 }
 
+/* Guards against a status outside of 200 to 599 that is taken for that of a
+   response. */
+Test (client, statuses)
+{
+  static const char *const expected[]
+      = { "/status-000: broken 0 []", "/status-099: broken 0 []",
+          "/status-101: broken 0 []", "/status-600: broken 0 []",
+          "/status-599: whole 599 [hello]" };
+
+  play_replies (expected, sizeof expected / sizeof expected[0]);
+}
+
 /* Guards against bytes without end that are no response: the call ends at a
    limit, or after its time, and its connection is closed. */
 Test (client, endless_responses)
--- a/t/t7005-broken.c
+++ b/t/t7005-broken.c
@@ -327,3 +327,52 @@
     }
   close (listener);
 }
+
+/** Status that the caller of a call gets whose server answers with this one.
+ */
+static int
+call_with_status (const struct front *f, int listener, const char *status)
+{
+  struct web_stream *s
+      = web_open (f->http, "POST", "/svc/quote-api/x", FRONT_KEY, "{}");
+  struct buf answer = BUF_INIT;
+  int got, fd;
+
+  cr_assert_not_null (s);
+  wait_readable (listener);
+  fd = accept (listener, NULL, NULL);
+  read_request (fd);
+  buf_addf (&answer,
+            "HTTP/1.1 %s x\r\ncontent-length: 2\r\n"
+            "connection: close\r\n\r\nno",
+            status);
+  send (fd, answer.ptr, answer.len, MSG_NOSIGNAL);
+  close (fd);
+  got = web_status (s, PROC_WAIT_MS);
+  web_close (s);
+  buf_free (&answer);
+  return got;
+}
+
+/* Guards against passing on a response whose status is no final one: a faulty
+   server's "000" reached the caller as an answer. */
+Test (broken, status_that_is_none)
+{
+  static const char *const none[]
+      = { "000", "099", "100", "101", "199", "600", "999", "20", "-20" };
+  struct front f;
+
+  front_up (&f, "", "");
+  struct sockaddr_in sa = sockaddr_of (proc_addr (f.quote, "http"));
+  proc_signal (f.quote, SIGKILL);
+  proc_wait (f.quote, PROC_WAIT_MS);
+  int listener = listen_at (&sa);
+  for (size_t i = 0; i < sizeof none / sizeof none[0]; i++)
+    {
+      int got = call_with_status (&f, listener, none[i]);
+      cr_expect_eq (got, 502, "%s: %d", none[i], got);
+    }
+  cr_expect_eq (call_with_status (&f, listener, "204"), 204);
+  cr_expect_eq (call_with_status (&f, listener, "599"), 599);
+  close (listener);
+}
