form: record one server for a rank, and no freed replica

A node that leads reads freed memory and may end, so all its requests end without an answer (rule LOST).

Cause: an entry of another writer names the replica, generation and rank of a member. The adopted replica recorded the last one, and the other server kept a pointer to it when the replica was freed. A server left without a replica that way was used as a spare besides, although it might be the member.

Evidence: t6101 two_servers_report_one_rank ends with a heap-use-after-free in most_loaded_model() under the address sanitizer before.

Change: the first server that reports a rank is recorded. A server that reports a replica which has not ended is not assigned to another one. Orders to leave are repeated at most twice, as such an entry may never change.

--- a/serve/form-group.c
+++ b/serve/form-group.c
@@ -35,6 +35,12 @@
  */
 #define UNLISTED_CLOSE_MS ((clk_ms)2000)
 
+/**
+ * Number of accepted orders to leave after which a member has left, whatever
+ * its entry says: another writer may go on writing it.
+ */
+#define MAX_LEAVES 3
+
 /** Whether the VM has been removed or doesn't respond to probes. */
 static bool
 is_gone (const struct frm_vm *vm)
@@ -328,7 +334,7 @@
 {
   if (is_gone (r->members[0]))
     frm_enter_phase (f, r, FRM_PH_FENCING);
-  else if (r->leave_accepted[0])
+  else if (r->leaves_accepted[0])
     frm_replica_release (f, r);
   else
     frm_send_order (f, r->members[0], FRM_LEAVE, r);
@@ -344,9 +350,10 @@
 {
   const struct frm_vm *vm = r->members[rank];
 
-  if (!frm_reports (vm, r, BKS_JOINING))
+  if (!frm_reports (vm, r, BKS_JOINING)
+      || r->leaves_accepted[rank] >= MAX_LEAVES)
     return true;
-  return r->leave_accepted[rank]
+  return r->leaves_accepted[rank]
          && f->list_read_at < vm->accepted_at + FRM_REPORT_DELAY_MS;
 }
 
@@ -378,7 +385,7 @@
         continue;
       if (has_left (f, r, i))
         {
-          r->leave_accepted[i] = r->member_left = true;
+          r->member_left = true;
           continue;
         }
       all_left = false;
@@ -464,10 +471,10 @@
   for (size_t i = 0; i < r->nmembers; i++)
     if (r->members[i] == vm)
       {
-        r->leave_accepted[i] = true;
+        r->leaves_accepted[i]++;
         r->member_left = r->member_left || i > 0;
       }
-  if (r->phase == FRM_PH_LEAVING && r->leave_accepted[0])
+  if (r->phase == FRM_PH_LEAVING && r->leaves_accepted[0])
     frm_replica_release (f, r);
 }
 
--- a/serve/form-int.h
+++ b/serve/form-int.h
@@ -139,8 +139,8 @@
   clk_ms close_accepted_at;
   struct frm_vm
       *members[FRM_MAX_MEMBERS]; /**< by rank; NULL: unknown or gone */
-  /** The member accepted the order to leave. */
-  bool leave_accepted[FRM_MAX_MEMBERS];
+  /** How often the member accepted an order to leave. */
+  unsigned leaves_accepted[FRM_MAX_MEMBERS];
   size_t nmembers;
   /** Members that its model needs; 0: unknown, for an adopted replica. */
   unsigned size;
@@ -238,6 +238,9 @@
 bool frm_may_be_member (const struct frm *f, const struct frm_vm *vm);
 /** Whether the listed VM is in an evacuated zone. */
 bool frm_is_evacuated (const struct frm *f, const struct frm_vm *vm);
+/** Whether the VM reports a replica that has not ended and that it was not
+    released from. */
+bool frm_reports_live_replica (const struct frm *f, const struct frm_vm *vm);
 /** Whether the VM reports that it is ready in its assigned replica. */
 bool frm_is_ready (const struct frm_vm *vm);
 /**
--- a/serve/form-plan.c
+++ b/serve/form-plan.c
@@ -22,7 +22,8 @@
   return frm_may_be_member (f, vm) && !frm_is_evacuated (f, vm)
          && !vm->order_token && vm->entry.domain.len > 0
          && vm->entry.member_state < BKS_OPEN
-         && (!vm->replica || vm->replica->warm_spare);
+         && (vm->replica ? vm->replica->warm_spare
+                         : !frm_reports_live_replica (f, vm));
 }
 
 enum frm_cost
--- a/serve/form.c
+++ b/serve/form.c
@@ -492,6 +492,24 @@
       set_model (f, r, r->members[i]->entry.model);
 }
 
+/**
+ * Adds the VM as the member that it reports to be.  An entry of another writer
+ * may name the rank of a member.  Only one VM is recorded for a rank: a VM
+ * that no replica records would keep its pointer when the replica is freed.
+ * @retval false  another VM has the rank
+ */
+static bool
+add_member (struct frm_replica *r, struct frm_vm *vm)
+{
+  if (r->members[vm->entry.rank])
+    return false;
+  r->members[vm->entry.rank] = vm;
+  if (r->nmembers <= vm->entry.rank)
+    r->nmembers = vm->entry.rank + 1;
+  vm->replica = r;
+  return true;
+}
+
 /** Adds the replica that @p first reports, with all VMs that report it. */
 static struct frm_replica *
 adopt_replica (struct frm *f, struct frm_vm *first)
@@ -511,10 +529,7 @@
           || vm->entry.rank >= FRM_MAX_MEMBERS
           || vm->entry.generation <= vm->released_generation)
         continue;
-      r->members[vm->entry.rank] = vm;
-      if (r->nmembers <= vm->entry.rank)
-        r->nmembers = vm->entry.rank + 1;
-      vm->replica = r;
+      add_member (r, vm);
     }
   update_replica_model (f, r);
   if (r->warm_spare && !r->members[0])
@@ -542,6 +557,7 @@
   f->adopted = true;
 }
 
+/** The replica that the VM reports, or NULL. */
 static struct frm_replica *
 find_replica (const struct frm *f, const struct frm_vm *vm)
 {
@@ -553,16 +569,20 @@
   return NULL;
 }
 
+bool
+frm_reports_live_replica (const struct frm *f, const struct frm_vm *vm)
+{
+  return vm->entry.member_state != BKS_NO_REPLICA
+         && vm->entry.generation > vm->released_generation
+         && find_replica (f, vm) != NULL;
+}
+
 /** Adds a member that appeared after its replica was adopted. */
 static void
 attach_member (struct frm *f, struct frm_replica *r, struct frm_vm *vm)
 {
-  if (vm->entry.rank >= FRM_MAX_MEMBERS || r->members[vm->entry.rank])
+  if (vm->entry.rank >= FRM_MAX_MEMBERS || !add_member (r, vm))
     return;
-  r->members[vm->entry.rank] = vm;
-  if (r->nmembers <= vm->entry.rank)
-    r->nmembers = vm->entry.rank + 1;
-  vm->replica = r;
   if (r->phase == FRM_PH_LEADER_MISSING)
     enter_adopted_phase (f, r);
 }
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -25,7 +25,8 @@
   enum bks_member_state state;
   clk_ms ready_at;
   bool killed, hung, silent, disconnected, expired, draining;
-  bool busy; /**< it runs requests, so that a close waits */
+  bool busy;        /**< it runs requests, so that a close waits */
+  struct vm *shown; /**< another server that its entry shows; NULL: itself */
 };
 
 struct delayed_order
@@ -347,12 +348,14 @@
     }
   for (size_t i = 0; i < w->n; i++)
     {
-      const struct vm *vm = &w->vms[i];
-      if (vm->killed || vm->disconnected || vm->expired)
+      const struct vm *own = &w->vms[i], *vm = own;
+      if (own->killed || own->disconnected || own->expired)
         continue;
+      if (own->shown)
+        vm = own->shown;
       list[n++]
-          = (struct bks_entry){ .id = str_from (vm->id),
-                                .start_time = vm->started_at,
+          = (struct bks_entry){ .id = str_from (own->id),
+                                .start_time = own->started_at,
                                 .service = STR ("lm"),
                                 .zone = str_from (vm->domain),
                                 .domain = str_from (vm->domain),
@@ -705,6 +708,17 @@
   return true;
 }
 
+/** Another writer has copied the entry of server @p n of the VM's domain. */
+static void
+mimic (struct world *w, struct vm *vm, int n)
+{
+  char id[16];
+
+  snprintf (id, sizeof id, "%.8s%d", vm->domain, n);
+  vm->shown = xmalloc (sizeof *vm);
+  *vm->shown = *find (w, str_from (id));
+}
+
 static void
 run_command (struct world *w, const char *command, const char *a, int n)
 {
@@ -730,6 +744,8 @@
     set_domain_state (w, command, a);
   else if (strcmp (command, "suspend") == 0)
     suspend (w, atoi (a));
+  else if (strcmp (command, "mimic") == 0)
+    mimic (w, vm, n);
   else if (strcmp (command, "pause") == 0)
     give_notice (w, vm, n, false);
   else if (strcmp (command, "leave") == 0)
@@ -818,5 +834,7 @@
   avl_free (w.avail);
   evc_free (w.evacuations);
   tbl_unref (w.config);
+  for (size_t i = 0; i < w.n; i++)
+    free (w.vms[i].shown);
   buf_free (&w.log);
 }
--- a/t/lib-form.h
+++ b/t/lib-form.h
@@ -21,6 +21,8 @@
  *   disconnect ID        no responses, not listed, but it keeps running
  *   expire ID            not listed; it runs and responds as before
  *   drain ID             it reports that it is draining
+ *   mimic ID N           its entry is that of server N of its domain now, but
+ *                        for its id, and stays so
  *   pause ID MS          one of its responses asks for a pause
  *   leave ID             one of its responses announces its shutdown
  *   evacuate DOMAIN | return DOMAIN
--- a/t/t6101-form.c
+++ b/t/t6101-form.c
@@ -838,6 +838,28 @@
               "r3003 small is open: a5 a6\n");
 }
 
+/*
+ * Guards against the use of a freed replica: the entry of another writer names
+ * the rank of a member, and the replica ends.  The server itself must not be
+ * used, either, as the other one may not be the member.
+ */
+Test (form, two_servers_report_one_rank)
+{
+  form_check ("lead 1\n vms a 3\n run 3000\n traffic\n vms a 1\n mimic a4 2\n"
+              "run 200\n lead-other 2\n run 1000\n show\n kill a1\n"
+              "run 6000\n vms b 3\n run 3000\n show\n",
+              "join r1001 big: a1 a2 a3\n"
+              "open r1001 a1\n"
+              "r1001 big is open: a1 a2 a3\n"
+              "leave r1001 a2\n"
+              "leave r1001 a3\n"
+              "leave r1001 a4\n"
+              "join r2001 big: a2 a3 a4\n"
+              "join s2002 small: b1\n"
+              "join s2003 small: b2\n"
+              "join s2004 small: b3\n");
+}
+
 /*
  * Guards against members that are free while their unreachable leader serves:
  * orders to join that were unanswered are carried out after the members have
