dispatch: wait for endpoints that are full for a moment

Endpoints that are full or paused for a moment aren't usable either, so such a request could go to an ejected server.

Change: it is used at once only if all endpoints that run have stalled. For ejected endpoints there is the fallback that was there before.

--- a/serve/dispatch-place.c
+++ b/serve/dispatch-place.c
@@ -339,11 +339,26 @@
       cold.permitted);
 }
 
+/** Whether each endpoint of the pool that runs and takes requests has stalled.
+    One that is full or paused for a moment is worth waiting for. */
+static bool
+has_only_stalled (const struct dsp *d, const struct dsp_pool *p)
+{
+  for (size_t i = 0; i < p->n; i++)
+    {
+      const struct dsp_endpoint_state *s = p->endpoints[i];
+      if (s->listed && s->accepting && !s->stalled
+          && !dsp_process_ended (d, s))
+        return false;
+    }
+  return true;
+}
+
 /**
  * Finds an ejected or stalled endpoint that is due for a trial request.  A
- * request that can't be retried after a failure is used only if the pool has
- * no usable endpoint, or if the trial is overdue: a service whose routes allow
- * no second attempt would never use the endpoint again.
+ * request that can't be retried after a failure is used only if all endpoints
+ * have stalled, or if the trial is overdue: a service whose routes allow no
+ * second attempt would never use the endpoint again.
  */
 static bool
 find_trial_endpoint (const struct dsp *d, const struct dsp_pool *p,
@@ -359,7 +374,7 @@
       if (!dsp_has_failed_at (q, *out) && dsp_health_trial_due (d, *out)
           && dsp_limit_allows_request (d, *out)
           && (may_retry || dsp_health_trial_overdue (d, *out)
-              || !dsp_any_usable (d, p)))
+              || has_only_stalled (d, p)))
         return true;
     }
   return false;
