serve: keep no state for models that a service doesn't have

Cause: the dispatcher keeps a pool for each service and model, and was given the model as the client named it.

Change: a model that the service doesn't have in the configuration is passed on as none. These requests share one pool without endpoints and are refused with 503 as before.

--- a/serve/ingress.c
+++ b/serve/ingress.c
@@ -197,7 +197,10 @@
           .nparts = ex->request.nshared_parts,
           .proxied = httpd_header (ex->req, SRV_H_PROXIED).len > 0 };
 
-  if (q.service->nmodels)
+  /* The dispatcher keeps state for each name.  A client could fill this node's
+     memory with names of models that don't exist; requests with these have the
+     state of those without a name. */
+  if (tbl_find_model (q.service, ex->request.model))
     q.model = ex->request.model;
   s->had_traffic = true;
   dsp_submit (s->dispatch, ex->started_at, &q);
--- a/t/t9323-clients.c
+++ b/t/t9323-clients.c
@@ -256,3 +256,36 @@
                  "POST /safe/x HTTP/1.1\r\n" FIELDS, "a: b\r\n", 1700,
                  "content-length: 4\r\n\r\nbody");
 }
+
+/* Guards against memory that is kept for each model name that a client sends:
+   the names of 150 requests are 2 MB. */
+Test (clients, unknown_models)
+{
+  enum
+  {
+    REQUESTS = 150,
+    NAME = 14000
+  };
+  char *headers = xmalloc (NAME + 200);
+  long before;
+  int status = 0;
+
+  start_node ();
+  for (int i = 0; i < REQUESTS + 30; i++)
+    {
+      int n = sprintf (headers,
+                       "Host: h\r\nX-Api-Key: k2\r\n"
+                       "X-Lapisline-Request-Id: u%d\r\n"
+                       "X-Lapisline-Model: m%0*d\r\n",
+                       i, NAME, i);
+      cr_assert_lt (n, NAME + 200);
+      if (i == 30)
+        before = proc_memory_kb (r.node[0]);
+      status = rack_call (&r, 0, "/stream/x", "", headers, NULL);
+      cr_assert_eq (status, 503, "%d", status);
+    }
+  cr_expect_lt (proc_memory_kb (r.node[0]) - before, 1000, "%ld kB more",
+                proc_memory_kb (r.node[0]) - before);
+  cr_expect_eq (rack_call (&r, 0, "/safe/x", "a", NULL, NULL), 200);
+  free (headers);
+}
