t: format the dispatcher's script notes, and split a function of lib-form

Change: the comment is formatted, and the commands for one server have a function of their own.

Measured: clang-format and clang-tidy are clean for these files; t6101, t6102 and t6103 pass.

--- a/t/lib-dispatch.h
+++ b/t/lib-dispatch.h
@@ -15,11 +15,9 @@
  *   submit ID ROUTE [DIGEST]   a request; ROUTE is stream, once (at most once)
  *                              or safe (idempotent), each with two attempts,
  *                              or stream3 or safe3, with three, stream1 or
- *                              once1, with one, or tell, a stream that can't be
- *                              resumed; DIGEST is a
- *                              number, by default one that no other request
- *                              has.  Letters after a dot are parts of its
- *                              prompt: "7.KN"
+ *                              once1, with one, or tell, a stream that can't
+ * be resumed; DIGEST is a number, by default one that no other request has.
+ * Letters after a dot are parts of its prompt: "7.KN"
  *
  *   submit-late ID ROUTE       the same, from a client that has already waited
  *                              as long as the latency goal
--- a/t/lib-form.c
+++ b/t/lib-form.c
@@ -719,6 +719,23 @@
   *vm->shown = *find (w, str_from (id));
 }
 
+/** Commands for one server; false: it is another command. */
+static bool
+run_server_command (struct world *w, const char *command, struct vm *vm, int n)
+{
+  if (strcmp (command, "mimic") == 0)
+    mimic (w, vm, n);
+  else if (strcmp (command, "pause") == 0)
+    give_notice (w, vm, n, false);
+  else if (strcmp (command, "leave") == 0)
+    give_notice (w, vm, 0, true);
+  else if (strcmp (command, "restart") == 0)
+    restart_vm (w, vm);
+  else
+    return false;
+  return true;
+}
+
 static void
 run_command (struct world *w, const char *command, const char *a, int n)
 {
@@ -744,14 +761,6 @@
     set_domain_state (w, command, a);
   else if (strcmp (command, "suspend") == 0)
     suspend (w, atoi (a));
-  else if (strcmp (command, "mimic") == 0)
-    mimic (w, vm, n);
-  else if (strcmp (command, "pause") == 0)
-    give_notice (w, vm, n, false);
-  else if (strcmp (command, "leave") == 0)
-    give_notice (w, vm, 0, true);
-  else if (strcmp (command, "restart") == 0)
-    restart_vm (w, vm);
   else if (strcmp (command, "respond") == 0)
     w->delayed_kind = NULL;
   else if (strcmp (command, "apply") == 0)
@@ -778,7 +787,8 @@
            || strcmp (command, "demand") == 0
            || strcmp (command, "stored-mix") == 0)
     set_model (w, command, a, n);
-  else if (!run_log_command (w, command, a)
+  else if (!run_server_command (w, command, vm, n)
+           && !run_log_command (w, command, a)
            && !run_zone_command (w, command, a)
            && !run_option_command (w, command, a))
     set_vm_state (vm, command);
